Fix the interfaces between the folders

Cause: nothing existed; several parts are to be built side by side. Conclusion: the decision code is sans-I/O with two drivers.

--- /dev/null
+++ b/src/membership/membership_service.h
@@ -0,0 +1,83 @@
+/// \file Failure detector and member view of one node: no I/O, no clock.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/membership_interface.h"
+
+namespace gorsetrail::membership {
+
+/// A node as the settings or the machine list name it.
+struct Member {
+  NodeId node;
+  std::string zone;
+  std::string peerAddress;    ///< `host:port` for other nodes.
+  std::string callerAddress;  ///< `host:port` for callers.
+};
+
+/// A line of the platform's machine list (lagging; silence in it proves nothing).
+struct MachineListLine {
+  NodeId node;
+  Incarnation incarnation;
+  MemberState state = MemberState::Alive;  ///< Alive, Leaving or Terminated.
+};
+
+struct SendMembershipMessage {
+  NodeId to;
+  MembershipMessage message;
+};
+/// The view changed: the node tells the other subsystems.
+struct MemberChanged {
+  MemberUpdate update;
+};
+/// A back end began or ceased to leave.
+struct BackendChanged {
+  BackendNotice notice;
+};
+/// A peer has a higher bundle in force than this node.
+struct NewerBundleSeen {
+  NodeId peer;
+  BundleVersion version;
+};
+
+using MembershipCommand =
+    std::variant<SendMembershipMessage, MemberChanged, BackendChanged, NewerBundleSeen>;
+
+struct MembershipKnobs {
+  Duration probePeriod = milliseconds(500);
+  Duration probeTimeout = milliseconds(150);
+  Duration suspicionTimeout = milliseconds(1000);
+  std::size_t indirectProbes = 2;
+  std::size_t updateTransmissions = 12;
+};
+
+class MembershipService {
+ public:
+  virtual ~MembershipService() = default;
+  virtual void onMembershipMessage(NodeId from, const MembershipMessage& message, Instant now) = 0;
+  virtual void onMachineList(const std::vector<MachineListLine>& lines, Instant now) = 0;
+  virtual void onTick(Instant now) = 0;
+  /// Spreads that a back end is leaving (or serves again).
+  virtual void announceBackend(std::uint32_t backendHash, bool leaving, Instant now) = 0;
+  virtual void setBundleInForce(BundleVersion version) = 0;
+  /// Planned stop: tells everybody that this node is leaving.
+  virtual void beginLeave(Instant now) = 0;
+  [[nodiscard]] virtual MemberState stateOf(NodeId node) const = 0;
+  [[nodiscard]] virtual Incarnation incarnationOf(NodeId node) const = 0;
+  [[nodiscard]] virtual const std::vector<Member>& members() const = 0;
+  [[nodiscard]] virtual std::vector<MembershipCommand> takeCommands() = 0;
+};
+using MembershipServicePtr = std::unique_ptr<MembershipService>;
+
+/// \param members every configured node, `self` among them.
+MembershipServicePtr makeMembershipService(NodeId self, Incarnation incarnation,
+                                           std::vector<Member> members, MembershipKnobs knobs,
+                                           std::uint64_t seed);
+
+}  // namespace gorsetrail::membership
