--- /dev/null
+++ b/src/platform/timer_service.h
@@ -0,0 +1,26 @@
+/// \file Delayed work without Asio in the header, so that pacing is tested without a clock.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "base/time.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace gorsetrail::platform {
+
+/// Calls back once after a delay, on the I/O thread.
+class TimerService {
+ public:
+  virtual ~TimerService() = default;
+  virtual void runAfter(Duration delay, std::function<void()> work) = 0;
+};
+using TimerServicePtr = std::unique_ptr<TimerService>;
+
+/// \param context outlives the service. Destroying the service drops all pending work.
+TimerServicePtr makeTimerService(boost::asio::io_context& context);
+
+}  // namespace gorsetrail::platform
