Add the HTTP client on Beast

Cause: back-end and platform clients need one HTTP client that tells certainly-not-sent from broken. Change: keep-alive pool per address, streamed bodies, time limit, cancel, limits on head and body; an idle connection that the peer closed is found before a byte is written.

--- /dev/null
+++ b/src/http/client_operation.cpp
@@ -0,0 +1,315 @@
+#include "http/client_operation.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace gorsetrail::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+constexpr std::size_t kReadBytes = 8 * 1024;
+
+bool hasControlCharacter(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char character) {
+    const auto byte = static_cast<unsigned char>(character);
+    return byte < ' ' || byte == 0x7f;
+  });
+}
+
+bool isToken(std::string_view text) {
+  static constexpr std::string_view kSeparators = "()<>@,;:\\\"/[]?={} \t";
+  return !text.empty() && !hasControlCharacter(text) &&
+         text.find_first_of(kSeparators) == std::string_view::npos;
+}
+
+bool isTarget(std::string_view text) {
+  return !text.empty() && text.front() == '/' && !hasControlCharacter(text) &&
+         text.find(' ') == std::string_view::npos;
+}
+
+}  // namespace
+
+ClientOperation::ClientOperation(asio::io_context& context, std::weak_ptr<ConnectionPool> pool,
+                                 Request request, ResponseHandler handler,
+                                 std::function<void(ClientOperation*)> onEnded)
+    : context_(context),
+      pool_(std::move(pool)),
+      request_(std::move(request)),
+      handler_(std::move(handler)),
+      onEnded_(std::move(onEnded)),
+      timer_(context) {}
+
+void ClientOperation::start() {
+  // Posted, so that no callback runs inside `send`.
+  asio::post(context_, [self = shared_from_this()] { self->begin(); });
+}
+
+void ClientOperation::cancel() { end(); }
+
+void ClientOperation::begin() {
+  if (ended_) {
+    return;
+  }
+  endpoint_ = parseEndpoint(request_.address);
+  if (!endpoint_) {
+    fail(FailureStage::NotSent, "unusable address " + request_.address);
+    return;
+  }
+  if (!prepareMessage()) {
+    fail(FailureStage::NotSent, "the method, target or a header has a forbidden character");
+    return;
+  }
+  startTimer();
+  const std::shared_ptr<ConnectionPool> pool = pool_.lock();
+  socket_ = pool ? pool->take(request_.address) : std::nullopt;
+  reused_ = socket_.has_value();
+  if (reused_) {
+    writeRequest();
+  } else {
+    openConnection();
+  }
+}
+
+bool ClientOperation::prepareMessage() {
+  if (!isToken(request_.method) || !isTarget(request_.target)) {
+    return false;
+  }
+  message_.version(11);
+  message_.method_string(request_.method);
+  message_.target(request_.target);
+  message_.set(beast::http::field::host, request_.address);
+  for (const Header& header : request_.headers) {
+    if (!isToken(header.name) || hasControlCharacter(header.value)) {
+      return false;
+    }
+    message_.set(header.name, header.value);
+  }
+  message_.body() = std::move(request_.body);
+  message_.prepare_payload();
+  return true;
+}
+
+void ClientOperation::startTimer() {
+  timer_.expires_after(request_.timeLimit);
+  timer_.async_wait([self = shared_from_this()](const error_code& error) {
+    if (!error) {
+      const FailureStage stage =
+          self->bytesMayHaveLeft_ ? FailureStage::Broken : FailureStage::NotSent;
+      self->fail(stage, "time limit reached");
+    }
+  });
+}
+
+void ClientOperation::openConnection() {
+  reused_ = false;
+  socket_.emplace(context_);
+  socket_->async_connect(*endpoint_, [self = shared_from_this()](const error_code& error) {
+    self->onConnected(error);
+  });
+}
+
+void ClientOperation::onConnected(const error_code& error) {
+  if (ended_) {
+    return;
+  }
+  if (error) {
+    fail(FailureStage::NotSent, "connect to " + request_.address + ": " + error.message());
+    return;
+  }
+  error_code ignored;
+  socket_->set_option(asio::ip::tcp::no_delay(true), ignored);
+  writeRequest();
+}
+
+void ClientOperation::writeRequest() {
+  // From here on a time limit can't tell whether bytes left, so it counts as broken.
+  bytesMayHaveLeft_ = true;
+  beast::http::async_write(*socket_, message_,
+                           [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+                             self->onWritten(error, bytes);
+                           });
+}
+
+void ClientOperation::onWritten(const error_code& error, std::size_t bytes) {
+  if (ended_) {
+    return;
+  }
+  if (!error) {
+    resetParser();
+    readMore();
+    return;
+  }
+  if (bytes > 0) {
+    fail(FailureStage::Broken, "write to " + request_.address + ": " + error.message());
+    return;
+  }
+  // The kernel refused the first write whole, so no byte left. On a connection from the pool this
+  // is the peer's late close: the request goes out for the first time on a new connection.
+  bytesMayHaveLeft_ = false;
+  if (reused_) {
+    openConnection();
+  } else {
+    fail(FailureStage::NotSent, "write to " + request_.address + ": " + error.message());
+  }
+}
+
+void ClientOperation::resetParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kMaximumResponseHeadBytes);
+  parser_->body_limit(kMaximumResponseBodyBytes);
+  parser_->skip(request_.method == "HEAD");
+  parser_->get().body().onHeadRead = [this] { reportHead(); };
+  parser_->get().body().onBodyRead = [this](std::string_view part) { takeBody(part); };
+}
+
+void ClientOperation::readMore() {
+  socket_->async_read_some(buffer_.prepare(kReadBytes),
+                           [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+                             self->onRead(error, bytes);
+                           });
+}
+
+void ClientOperation::onRead(const error_code& error, std::size_t bytes) {
+  if (ended_) {
+    return;
+  }
+  if (error == asio::error::eof) {
+    onPeerClosed();
+    return;
+  }
+  if (error) {
+    fail(FailureStage::Broken, "read from " + request_.address + ": " + error.message());
+    return;
+  }
+  buffer_.commit(bytes);
+  parseBuffered();
+}
+
+void ClientOperation::parseBuffered() {
+  error_code error;
+  while (!ended_ && !parser_->is_done() && buffer_.size() > 0) {
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == beast::http::error::need_more) {
+      error = {};
+      break;
+    }
+    if (error) {
+      fail(FailureStage::Broken, "malformed response: " + error.message());
+      return;
+    }
+    if (used == 0) {
+      break;
+    }
+  }
+  if (ended_) {
+    return;
+  }
+  if (parser_->is_done()) {
+    finishResponse();
+  } else {
+    readMore();
+  }
+}
+
+void ClientOperation::onPeerClosed() {
+  error_code error;
+  if (parser_->got_some()) {
+    parser_->put_eof(error);
+  } else {
+    error = beast::http::error::end_of_stream;
+  }
+  if (error || !parser_->is_done()) {
+    fail(FailureStage::Broken, "closed by " + request_.address + " before the response's end");
+    return;
+  }
+  finishResponse();
+}
+
+void ClientOperation::reportHead() {
+  if (headReported_ || ended_) {
+    return;
+  }
+  headReported_ = true;
+  const auto& head = parser_->get();
+  response_.status = head.result_int();
+  for (const auto& field : head) {
+    response_.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  if (handler_.onHead) {
+    handler_.onHead(response_.status, response_.headers);
+  }
+}
+
+void ClientOperation::takeBody(std::string_view part) {
+  if (ended_) {
+    return;
+  }
+  if (handler_.onBody) {
+    handler_.onBody(part);
+  } else {
+    response_.body.append(part);
+  }
+}
+
+void ClientOperation::finishResponse() {
+  const bool interim = parser_->get().result_int() / 100 == 1;
+  if (interim) {
+    resetParser();
+    parseBuffered();
+    return;
+  }
+  reportHead();
+  // `onHead` may have cancelled.
+  if (ended_) {
+    return;
+  }
+  keepConnection();
+  const auto onDone = std::move(handler_.onDone);
+  Response response = std::move(response_);
+  end();
+  if (onDone) {
+    onDone(std::move(response));
+  }
+}
+
+void ClientOperation::keepConnection() {
+  const std::shared_ptr<ConnectionPool> pool = pool_.lock();
+  if (pool && parser_->keep_alive() && buffer_.size() == 0) {
+    pool->give(request_.address, std::move(*socket_));
+    socket_.reset();
+  }
+}
+
+void ClientOperation::fail(FailureStage stage, const std::string& reason) {
+  const auto onFailure = std::move(handler_.onFailure);
+  if (end() && onFailure) {
+    onFailure({stage, reason});
+  }
+}
+
+bool ClientOperation::end() {
+  if (ended_) {
+    return false;
+  }
+  ended_ = true;
+  timer_.cancel();
+  if (socket_) {
+    error_code ignored;
+    socket_->close(ignored);
+  }
+  // The callbacks may own the handle of this operation: dropped later, since one may be running.
+  asio::post(context_, [self = shared_from_this()] { self->handler_ = {}; });
+  if (onEnded_) {
+    onEnded_(this);
+  }
+  return true;
+}
+
+}  // namespace gorsetrail::http
--- /dev/null
+++ b/src/http/client_operation.h
@@ -0,0 +1,78 @@
+/// \file One client request from connecting to its last response byte.
+#pragma once
+
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "http/connection_pool.h"
+#include "http/endpoint.h"
+#include "http/http_client.h"
+#include "http/response_parser.h"
+
+namespace gorsetrail::http {
+
+/// Longest head of a response, in bytes.
+inline constexpr std::uint32_t kMaximumResponseHeadBytes = 16 * 1024;
+/// Longest body of a response, in bytes.
+inline constexpr std::uint64_t kMaximumResponseBodyBytes = std::uint64_t{64} * 1024 * 1024;
+
+/// The life of one request. Bytes leave at most once: a request is written on one connection
+/// only, and another connection is opened only while certainly no byte of it was taken by the
+/// kernel.
+class ClientOperation final : public RequestHandle,
+                              public std::enable_shared_from_this<ClientOperation> {
+ public:
+  /// \param onEnded called once when the operation ends, also when it is cancelled.
+  ClientOperation(boost::asio::io_context& context, std::weak_ptr<ConnectionPool> pool,
+                  Request request, ResponseHandler handler,
+                  std::function<void(ClientOperation*)> onEnded);
+
+  void start();
+  void cancel() override;
+
+ private:
+  void begin();
+  bool prepareMessage();
+  void startTimer();
+  void openConnection();
+  void onConnected(const boost::system::error_code& error);
+  void writeRequest();
+  void onWritten(const boost::system::error_code& error, std::size_t bytes);
+  void resetParser();
+  void readMore();
+  void onRead(const boost::system::error_code& error, std::size_t bytes);
+  void parseBuffered();
+  void onPeerClosed();
+  void reportHead();
+  void takeBody(std::string_view part);
+  void finishResponse();
+  void keepConnection();
+  void fail(FailureStage stage, const std::string& reason);
+  bool end();
+
+  boost::asio::io_context& context_;
+  std::weak_ptr<ConnectionPool> pool_;
+  Request request_;
+  ResponseHandler handler_;
+  std::function<void(ClientOperation*)> onEnded_;
+  std::optional<boost::asio::ip::tcp::endpoint> endpoint_;
+  std::optional<Socket> socket_;
+  boost::asio::steady_timer timer_;
+  boost::beast::http::request<boost::beast::http::string_body> message_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<ResponseParser> parser_;
+  Response response_;
+  bool reused_ = false;
+  bool bytesMayHaveLeft_ = false;
+  bool headReported_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace gorsetrail::http
--- /dev/null
+++ b/src/http/connection_pool.cpp
@@ -0,0 +1,47 @@
+#include "http/connection_pool.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace gorsetrail::http {
+namespace {
+
+/// Nothing must be readable on an idle connection: neither an end of stream nor stray bytes.
+bool isStillIdle(Socket& socket) {
+  char byte = 0;
+  const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+std::optional<Socket> ConnectionPool::take(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) {
+    return std::nullopt;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  std::deque<IdleConnection>& connections = found->second;
+  while (!connections.empty()) {
+    IdleConnection connection = std::move(connections.back());
+    connections.pop_back();
+    const bool fresh = now - connection.since < kMaximumIdleTime;
+    if (fresh && isStillIdle(connection.socket)) {
+      return std::move(connection.socket);
+    }
+  }
+  idle_.erase(found);
+  return std::nullopt;
+}
+
+void ConnectionPool::give(const std::string& address, Socket socket) {
+  std::deque<IdleConnection>& connections = idle_[address];
+  connections.push_back({std::move(socket), std::chrono::steady_clock::now()});
+  if (connections.size() > kMaximumIdlePerAddress) {
+    connections.pop_front();
+  }
+}
+
+}  // namespace gorsetrail::http
