Add SWIM-like membership with refutation and bounded piggyback

Cause: ownership, placement and bundle distribution need a view of nodes and of leaving back ends whose cost does not grow with the fleet. Change: one probe a period in a random order, two indirect probes, suspicion with a refutation counter, fewest-transmissions-first news, refresh entries, a probe of one Dead member every fourth period, versioned back-end notices.

--- /dev/null
+++ b/src/membership/swim_dissemination.cpp
@@ -0,0 +1,165 @@
+// What rides on membership messages: beliefs, back-end notices, the bundle version in force.
+#include <algorithm>
+
+#include "membership/swim_membership.h"
+
+namespace gorsetrail::membership {
+namespace {
+
+/// Table entries sent beside news, so that a restarted or long partitioned node learns the rest.
+constexpr std::size_t kRefreshUpdates = 3;
+constexpr std::size_t kRefreshNotices = 1;
+/// Extra probes that a piece of urgent news causes at each node that hears it first.
+constexpr std::uint32_t kUrgentFanOut = 3;
+/// Extra probes that may wait at one time.
+constexpr std::uint32_t kMaximumUrgentSends = 6;
+/// At most one report of a newer bundle in this time: each makes the node fetch.
+constexpr Duration kBundleReportSpacing = milliseconds(100);
+/// A report whose fetch came to nothing (a lost message) is made again after this time.
+constexpr Duration kBundleReportRepeat = seconds(5);
+
+}  // namespace
+
+/// \return whether the sender is the life of that node that is believed to be the latest.
+bool SwimMembership::readPiggyback(MemberIndex sender, const Piggyback& piggyback, Instant now) {
+  const MemberUpdate held = table_.belief(sender);
+  if (piggyback.senderIncarnation > held.incarnation) {
+    applyUpdate(sender, {held.node, piggyback.senderIncarnation, MemberState::Alive, 0}, now);
+  }
+  const std::size_t updates = std::min(piggyback.updates.size(), kMaximumUpdates);
+  for (std::size_t place = 0; place < updates; ++place) {
+    const MemberUpdate& update = piggyback.updates[place];
+    const std::optional<MemberIndex> index = table_.find(update.node);
+    if (index) {
+      applyUpdate(*index, update, now);
+    }
+  }
+  const std::size_t notices = std::min(piggyback.notices.size(), kMaximumNotices);
+  for (std::size_t place = 0; place < notices; ++place) {
+    const std::optional<std::uint32_t> changed = notices_.merge(piggyback.notices[place]);
+    if (changed) {
+      noticeChanged(*changed);
+    }
+  }
+  noteBundle(sender, piggyback.bundleInForce, now);
+  return piggyback.senderIncarnation == table_.belief(sender).incarnation;
+}
+
+void SwimMembership::noteBundle(MemberIndex sender, BundleVersion version, Instant now) {
+  if (version <= bundleInForce_ || now < nextBundleReportAt_) {
+    return;
+  }
+  const bool reported = version <= table_.reportedBundle(sender);
+  if (reported && now < nextBundleReportAt_ + kBundleReportRepeat) {
+    return;
+  }
+  table_.setReportedBundle(sender, version);
+  nextBundleReportAt_ = now + kBundleReportSpacing;
+  commands_.emplace_back(NewerBundleSeen{table_.nodeAt(sender), version});
+}
+
+Piggyback SwimMembership::makePiggyback(NodeId to) {
+  Piggyback piggyback;
+  piggyback.senderIncarnation = incarnation_;
+  piggyback.bundleInForce = bundleInForce_;
+  const std::optional<MemberIndex> receiver = table_.find(to);
+  // What is believed of the receiver goes first: only the receiver can refute it.
+  if (receiver && table_.stateAt(*receiver) != MemberState::Alive) {
+    piggyback.updates.push_back(table_.belief(*receiver));
+  }
+  for (const std::uint32_t index : memberNews_.take(kMaximumUpdates - piggyback.updates.size())) {
+    piggyback.updates.push_back(table_.belief(index));
+  }
+  for (const std::uint32_t index : noticeNews_.take(kMaximumNotices)) {
+    piggyback.notices.push_back(notices_.at(index));
+  }
+  addRefresh(piggyback);
+  return piggyback;
+}
+
+void SwimMembership::addRefresh(Piggyback& piggyback) {
+  const std::size_t updates = std::min(kMaximumUpdates, piggyback.updates.size() + kRefreshUpdates);
+  for (std::size_t step = 0; step < table_.size() && piggyback.updates.size() < updates; ++step) {
+    const MemberIndex index = refreshMember_;
+    refreshMember_ = (refreshMember_ + 1) % static_cast<MemberIndex>(table_.size());
+    if (table_.belief(index).incarnation != Incarnation(0)) {
+      piggyback.updates.push_back(table_.belief(index));
+    }
+  }
+  const std::size_t notices = std::min(kMaximumNotices, piggyback.notices.size() + kRefreshNotices);
+  const std::size_t available = std::min(notices, piggyback.notices.size() + notices_.size());
+  while (piggyback.notices.size() < available) {
+    piggyback.notices.push_back(notices_.at(refreshNotice_));
+    refreshNotice_ = (refreshNotice_ + 1) % static_cast<std::uint32_t>(notices_.size());
+  }
+}
+
+void SwimMembership::applyUpdate(MemberIndex index, const MemberUpdate& update, Instant now) {
+  if (index == selfIndex_ && update.incarnation == incarnation_ &&
+      update.state != MemberState::Terminated) {
+    applyUpdateAboutSelf(update);
+    return;
+  }
+  const bool firstContact = table_.belief(index).incarnation == Incarnation(0);
+  const MergeResult result = table_.merge(index, update);
+  if (result == MergeResult::Ignored) {
+    return;
+  }
+  memberNews_.add(index);
+  if (update.state == MemberState::Suspected) {
+    suspicions_.push_back({index, now + knobs_.suspicionTimeout, std::nullopt});
+  }
+  if (result == MergeResult::Changed) {
+    // A fleet that starts learns every life for the first time: that may take its time.
+    const std::uint32_t extra = firstContact ? 0 : kUrgentFanOut;
+    urgentSends_ = std::min(kMaximumUrgentSends, urgentSends_ + extra);
+    commands_.emplace_back(MemberChanged{update});
+  }
+}
+
+void SwimMembership::applyUpdateAboutSelf(const MemberUpdate& update) {
+  if (update.state == MemberState::Leaving && ownState_ != MemberState::Leaving) {
+    ownState_ = MemberState::Leaving;
+    refute(update.refutation);
+    return;
+  }
+  const bool isOwnState = update.state == ownState_;
+  if (!isOwnState && update.refutation >= ownRefutation_) {
+    refute(update.refutation);
+  }
+}
+
+/// Raises the own refutation counter above `atLeast` and spreads the own state anew.
+void SwimMembership::refute(std::uint32_t atLeast) {
+  ownRefutation_ = std::max(ownRefutation_, atLeast) + 1;
+  const MemberUpdate own{self_, incarnation_, ownState_, ownRefutation_};
+  const MergeResult result = table_.merge(*selfIndex_, own);
+  memberNews_.add(*selfIndex_);
+  urgentSends_ = std::min(kMaximumUrgentSends, urgentSends_ + kUrgentFanOut);
+  if (result == MergeResult::Changed) {
+    commands_.emplace_back(MemberChanged{own});
+  }
+}
+
+void SwimMembership::noticeChanged(std::uint32_t noticeIndex) {
+  noticeNews_.add(noticeIndex);
+  urgentSends_ = std::min(kMaximumUrgentSends, urgentSends_ + kUrgentFanOut);
+  commands_.emplace_back(BackendChanged{notices_.at(noticeIndex)});
+}
+
+void SwimMembership::announceBackend(std::uint32_t backendHash, bool leaving, Instant /*now*/) {
+  const std::optional<std::uint32_t> changed = notices_.announce(backendHash, leaving);
+  if (changed) {
+    noticeChanged(*changed);
+  }
+}
+
+void SwimMembership::beginLeave(Instant /*now*/) {
+  if (ownState_ == MemberState::Leaving || !selfIndex_) {
+    return;
+  }
+  ownState_ = MemberState::Leaving;
+  refute(ownRefutation_);
+}
+
+}  // namespace gorsetrail::membership
--- /dev/null
+++ b/src/membership/swim_membership.cpp
@@ -0,0 +1,312 @@
+// Probing, suspicion and the public face; swim_dissemination.cpp has what rides on messages.
+#include "membership/swim_membership.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace gorsetrail::membership {
+namespace {
+
+/// Dead members are probed once in so many periods, one of them, so that the two sides of a
+/// partition find each other after hours at a rate that does not depend on the fleet's size.
+constexpr std::uint32_t kPeriodsPerDeadProbe = 4;
+/// Spacing of the extra probes that carry urgent news.
+constexpr Duration kUrgentSpacing = milliseconds(50);
+/// A node tells its suspect so often that it is suspected: a lost message must not kill it.
+constexpr Duration kChallengeSpacing = milliseconds(200);
+/// Probes made for others at one time; further requests are dropped (the origin has other helpers).
+constexpr std::size_t kMaximumRelays = 16;
+
+bool isProbed(MemberState state) {
+  return state == MemberState::Alive || state == MemberState::Leaving ||
+         state == MemberState::Suspected;
+}
+
+bool isBelievedToRun(MemberState state) {
+  return state == MemberState::Alive || state == MemberState::Leaving;
+}
+
+bool isDead(MemberState state) { return state == MemberState::Dead; }
+
+}  // namespace
+
+SwimMembership::SwimMembership(NodeId self, Incarnation incarnation, std::vector<Member> members,
+                               MembershipKnobs knobs, std::uint64_t seed)
+    : self_(self),
+      incarnation_(incarnation),
+      members_(std::move(members)),
+      knobs_(knobs),
+      random_(seed ^ (std::uint64_t{self.value()} << 20)),
+      table_(members_),
+      selfIndex_(table_.find(self)),
+      memberNews_(knobs.updateTransmissions),
+      noticeNews_(knobs.updateTransmissions) {
+  if (selfIndex_) {
+    table_.merge(*selfIndex_, {self_, incarnation_, ownState_, ownRefutation_});
+    memberNews_.add(*selfIndex_);
+  }
+  probeOrder_.resize(members_.size());
+  std::iota(probeOrder_.begin(), probeOrder_.end(), std::uint16_t{0});
+  shuffleProbeOrder();
+}
+
+void SwimMembership::onMembershipMessage(NodeId from, const MembershipMessage& message,
+                                         Instant now) {
+  std::visit([&](const auto& content) { handle(from, content, now); }, message);
+}
+
+void SwimMembership::handle(NodeId from, const ProbeRequest& request, Instant now) {
+  const std::optional<MemberIndex> sender = table_.find(from);
+  if (!sender) {
+    return;
+  }
+  readPiggyback(*sender, request.piggyback, now);
+  send(from, ProbeReply{request.probe, makePiggyback(from)});
+}
+
+void SwimMembership::handle(NodeId from, const ProbeReply& reply, Instant now) {
+  const std::optional<MemberIndex> sender = table_.find(from);
+  if (!sender || !readPiggyback(*sender, reply.piggyback, now)) {
+    return;  // An earlier life answered: that proves nothing about the present one.
+  }
+  if (outstanding_ && outstanding_->probe == reply.probe) {
+    outstanding_.reset();
+    return;
+  }
+  const auto relay = std::find_if(relays_.begin(), relays_.end(), [&](const Relay& candidate) {
+    return candidate.ownProbe == reply.probe;
+  });
+  if (relay != relays_.end()) {
+    send(relay->origin, ProbeReply{relay->originProbe, makePiggyback(relay->origin)});
+    relays_.erase(relay);
+  }
+}
+
+void SwimMembership::handle(NodeId from, const IndirectProbeRequest& request, Instant now) {
+  const std::optional<MemberIndex> sender = table_.find(from);
+  if (!sender) {
+    return;
+  }
+  readPiggyback(*sender, request.piggyback, now);
+  const std::optional<MemberIndex> target = table_.find(request.target);
+  if (!target || relays_.size() >= kMaximumRelays) {
+    return;
+  }
+  const std::uint32_t probe = nextProbe_++;
+  relays_.push_back({probe, request.probe, from, now + knobs_.probePeriod});
+  sendProbe(*target, probe);
+}
+
+void SwimMembership::onMachineList(const std::vector<MachineListLine>& lines, Instant now) {
+  for (const MachineListLine& line : lines) {
+    const std::optional<MemberIndex> index = table_.find(line.node);
+    if (!index || line.incarnation < table_.belief(*index).incarnation) {
+      continue;
+    }
+    const MemberUpdate held = table_.belief(*index);
+    const bool sameLife = held.incarnation == line.incarnation;
+    // The list lags: about a life that is known already it may only add that it leaves or ended.
+    if (sameLife && line.state != MemberState::Terminated && line.state != MemberState::Leaving) {
+      continue;
+    }
+    applyUpdate(*index, {line.node, line.incarnation, line.state, sameLife ? held.refutation : 0},
+                now);
+  }
+}
+
+void SwimMembership::onTick(Instant now) {
+  if (!started_) {
+    started_ = true;
+    lastTick_ = now;
+    // A random first moment keeps nodes that start together from probing in step.
+    nextPeriodAt_ = now + Duration(static_cast<Duration::rep>(random_.below(
+                              static_cast<std::uint64_t>(knobs_.probePeriod.count()))));
+  }
+  forgiveOwnPause(now);
+  lastTick_ = now;
+  std::erase_if(relays_, [now](const Relay& relay) { return relay.deadline <= now; });
+  expireSuspicions(now);
+  challengeSuspects(now);
+  if (outstanding_ && !outstanding_->indirectSent &&
+      now - outstanding_->sentAt >= knobs_.probeTimeout) {
+    sendIndirectProbes();
+  }
+  if (now >= nextPeriodAt_) {
+    expireProbe(now);
+    startProbe(now);
+    nextPeriodAt_ = std::max(nextPeriodAt_ + knobs_.probePeriod, now + knobs_.probePeriod / 2);
+  }
+  spreadUrgentNews(now);
+}
+
+/// A node that did not run for a while must not take its own silence for that of others.
+void SwimMembership::forgiveOwnPause(Instant now) {
+  const Duration gap = now - lastTick_;
+  if (gap < knobs_.probePeriod) {
+    return;
+  }
+  outstanding_.reset();
+  for (Suspicion& suspicion : suspicions_) {
+    suspicion.deadline += gap;
+  }
+}
+
+void SwimMembership::expireProbe(Instant now) {
+  if (!outstanding_) {
+    return;
+  }
+  const OutstandingProbe probe = *outstanding_;
+  outstanding_.reset();
+  const MemberUpdate held = table_.belief(probe.target);
+  if (held.incarnation == probe.incarnation && isBelievedToRun(held.state)) {
+    applyUpdate(probe.target,
+                {held.node, held.incarnation, MemberState::Suspected, held.refutation}, now);
+    suspicions_.back().nextChallenge = now;
+  }
+}
+
+void SwimMembership::challengeSuspects(Instant now) {
+  for (Suspicion& suspicion : suspicions_) {
+    const bool isDue = suspicion.nextChallenge && *suspicion.nextChallenge <= now;
+    if (isDue && table_.stateAt(suspicion.member) == MemberState::Suspected) {
+      suspicion.nextChallenge = now + kChallengeSpacing;
+      sendProbe(suspicion.member, nextProbe_++);
+    }
+  }
+}
+
+void SwimMembership::expireSuspicions(Instant now) {
+  for (std::size_t place = 0; place < suspicions_.size();) {
+    const Suspicion suspicion = suspicions_[place];
+    const MemberUpdate held = table_.belief(suspicion.member);
+    if (held.state != MemberState::Suspected) {
+      suspicions_.erase(suspicions_.begin() + static_cast<std::ptrdiff_t>(place));
+      continue;
+    }
+    if (suspicion.deadline > now) {
+      ++place;
+      continue;
+    }
+    suspicions_.erase(suspicions_.begin() + static_cast<std::ptrdiff_t>(place));
+    applyUpdate(suspicion.member, {held.node, held.incarnation, MemberState::Dead, held.refutation},
+                now);
+  }
+}
+
+void SwimMembership::startProbe(Instant now) {
+  ++periods_;
+  if (periods_ % kPeriodsPerDeadProbe == 0 && table_.deadCount() > 0) {
+    probeDeadMember();
+  }
+  const std::optional<MemberIndex> target = nextProbeTarget();
+  if (!target) {
+    return;
+  }
+  const std::uint32_t probe = nextProbe_++;
+  outstanding_ = OutstandingProbe{probe, *target, table_.belief(*target).incarnation, now, false};
+  sendProbe(*target, probe);
+}
+
+void SwimMembership::probeDeadMember() {
+  const std::optional<MemberIndex> dead = randomMember(isDead);
+  if (dead) {
+    sendProbe(*dead, nextProbe_++);
+  }
+}
+
+void SwimMembership::sendIndirectProbes() {
+  outstanding_->indirectSent = true;
+  const NodeId target = table_.nodeAt(outstanding_->target);
+  for (std::size_t count = 0; count < knobs_.indirectProbes; ++count) {
+    const std::optional<MemberIndex> helper = randomMember(isBelievedToRun);
+    if (helper && *helper != outstanding_->target) {
+      const NodeId to = table_.nodeAt(*helper);
+      send(to, IndirectProbeRequest{outstanding_->probe, target, makePiggyback(to)});
+    }
+  }
+}
+
+/// Urgent news does not wait for the next period: a few extra probes, spaced out, so that even a
+/// flood of news (a zone lost at once) costs each node a bounded rate.
+void SwimMembership::spreadUrgentNews(Instant now) {
+  if (urgentSends_ == 0 || now < nextUrgentAt_) {
+    return;
+  }
+  --urgentSends_;
+  nextUrgentAt_ = now + kUrgentSpacing;
+  const std::optional<MemberIndex> target = randomMember(isBelievedToRun);
+  if (target) {
+    sendProbe(*target, nextProbe_++);
+  }
+}
+
+void SwimMembership::sendProbe(MemberIndex target, std::uint32_t probe) {
+  const NodeId to = table_.nodeAt(target);
+  send(to, ProbeRequest{probe, makePiggyback(to)});
+}
+
+std::optional<MemberIndex> SwimMembership::nextProbeTarget() {
+  for (std::size_t step = 0; step < probeOrder_.size(); ++step) {
+    if (probeCursor_ >= probeOrder_.size()) {
+      shuffleProbeOrder();
+    }
+    const MemberIndex candidate = probeOrder_[probeCursor_++];
+    if (candidate != selfIndex_ && isProbed(table_.stateAt(candidate))) {
+      return candidate;
+    }
+  }
+  return std::nullopt;
+}
+
+void SwimMembership::shuffleProbeOrder() {
+  probeCursor_ = 0;
+  for (std::size_t left = probeOrder_.size(); left > 1; --left) {
+    std::swap(probeOrder_[left - 1], probeOrder_[random_.below(left)]);
+  }
+}
+
+std::optional<MemberIndex> SwimMembership::randomMember(bool (*wanted)(MemberState)) {
+  if (members_.empty()) {
+    return std::nullopt;
+  }
+  const auto start = static_cast<MemberIndex>(random_.below(members_.size()));
+  for (std::size_t step = 0; step < members_.size(); ++step) {
+    // Steps by a random order, so that members after a dead range are not preferred.
+    const MemberIndex candidate = probeOrder_[(start + step) % members_.size()];
+    if (candidate != selfIndex_ && wanted(table_.stateAt(candidate))) {
+      return candidate;
+    }
+  }
+  return std::nullopt;
+}
+
+void SwimMembership::setBundleInForce(BundleVersion version) {
+  bundleInForce_ = std::max(bundleInForce_, version);
+}
+
+MemberState SwimMembership::stateOf(NodeId node) const {
+  const std::optional<MemberIndex> index = table_.find(node);
+  return index ? table_.stateAt(*index) : MemberState::Dead;
+}
+
+Incarnation SwimMembership::incarnationOf(NodeId node) const {
+  const std::optional<MemberIndex> index = table_.find(node);
+  return index ? table_.belief(*index).incarnation : Incarnation(0);
+}
+
+std::vector<MembershipCommand> SwimMembership::takeCommands() {
+  return std::exchange(commands_, {});
+}
+
+void SwimMembership::send(NodeId to, MembershipMessage message) {
+  commands_.emplace_back(SendMembershipMessage{to, std::move(message)});
+}
+
+MembershipServicePtr makeMembershipService(NodeId self, Incarnation incarnation,
+                                           std::vector<Member> members, MembershipKnobs knobs,
+                                           std::uint64_t seed) {
+  return std::make_unique<SwimMembership>(self, incarnation, std::move(members), knobs, seed);
+}
+
+}  // namespace gorsetrail::membership
