--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -81,6 +81,8 @@
   std::vector<Backend> backends;
   std::vector<Work> works;
   std::vector<Tenant> tenants;
+  /// SHA-256 of the base's exact bytes in hexadecimal; empty: any bundle of version `base` will do.
+  std::string baseDigest = {};
 
   /// \return the named item, or null.
   [[nodiscard]] const Work* findWork(const std::string& name) const;
--- a/src/bundle/bundle_holder.h
+++ b/src/bundle/bundle_holder.h
@@ -35,34 +35,66 @@
 std::string encodeEnvelope(const SignedBundle& bundle);
 Result<SignedBundle> decodeEnvelope(std::string_view text);
 
+/// A bundle that was accepted, with what proves it.
+struct AcceptedBundle {
+  Bundle bundle;
+  std::string envelope;  ///< Byte for byte as published.
+  std::string digest;    ///< `bundleDigest` of the bundle's bytes.
+};
+
 /// Holds the bundle in force; it never goes down a version.
-/// A bundle is accepted when its signatures satisfy the operators and threshold of the bundle in
-/// force (of the settings' trust anchors when none is), and either its base is the version in
-/// force (log order) or its version is higher (learned from a peer or after a gap).
+///
+/// Two bundles are kept apart. The *log head* is what replaying the log from its start has led to:
+/// it is judged against nothing but the log, so it is the same at every node that has read as
+/// far. The bundle *in force* is the higher of the log head and what peers sent. A bundle learned
+/// from a peer must not decide which record of the log wins: a node that skipped versions would
+/// else accept a record whose base it happens to have, though in log order that record came too
+/// early and lost (docs/design/0003-bundle-in-force.md).
+///
+/// Signatures must satisfy the operators and threshold of the log head (records of the log) or of
+/// the bundle in force (peers); before the first bundle, of the trust anchors: as many of them as
+/// the offered bundle itself asks for, but not more than there are anchors, and at least one.
 class BundleHolder {
  public:
   /// \param trustAnchors operators trusted before any bundle is in force.
   BundleHolder(std::string site, std::vector<Operator> trustAnchors);
 
-  /// Offers an envelope as it stands in the log, in log order.
+  /// Offers a record of the log. Records are offered from the first of the stream on, in log
+  /// order and without gaps; a record that is no envelope is offered too (and refused).
+  /// \return the version in force afterwards (unchanged when a peer had sent a higher one), or why
+  /// the record changes nothing: `BundleConflict` names the version that took the place.
   Result<BundleVersion> offerFromLog(std::string_view envelope);
-  /// Offers an envelope that a peer sent.
+  /// Offers an envelope that a peer of this site has in force. Never offer one from elsewhere: only
+  /// the log tells the loser of a race from its winner, so a node passes on just what it accepted.
+  /// \return the version now in force, or why nothing changes.
   Result<BundleVersion> offerFromPeer(std::string_view envelope);
 
   /// \return the bundle in force; null before the first.
-  [[nodiscard]] std::shared_ptr<const Bundle> inForce() const { return inForce_; }
+  [[nodiscard]] std::shared_ptr<const Bundle> inForce() const;
   /// \return the envelope in force, for peers; empty before the first.
-  [[nodiscard]] const std::string& envelope() const { return envelope_; }
+  [[nodiscard]] const std::string& envelope() const;
+  /// \return what the log, as far as it was offered, has led to; null before its first bundle.
+  [[nodiscard]] std::shared_ptr<const AcceptedBundle> logHead() const { return logHead_; }
+  /// \return the number of offers that changed nothing.
   [[nodiscard]] std::uint64_t refusedCount() const { return refused_; }
+  /// \return how often the log replaced a peer's bundle by another of the same version; anything
+  /// but 0 means that a peer passed on what it had not accepted.
+  [[nodiscard]] std::uint64_t replacedByLogCount() const { return replacedByLog_; }
 
  private:
-  Result<BundleVersion> accept(std::string_view envelope, bool requireBase);
+  using AcceptedPointer = std::shared_ptr<const AcceptedBundle>;
+
+  Result<AcceptedPointer> examine(std::string_view envelope, const AcceptedBundle* current) const;
+  Result<AcceptedPointer> judgeLogRecord(std::string_view envelope) const;
+  Result<AcceptedPointer> judgePeerOffer(std::string_view envelope) const;
+  void advanceLogHead(AcceptedPointer accepted);
 
   std::string site_;
   std::vector<Operator> trustAnchors_;
-  std::shared_ptr<const Bundle> inForce_;
-  std::string envelope_;
+  AcceptedPointer logHead_;
+  AcceptedPointer inForce_;
   std::uint64_t refused_ = 0;
+  std::uint64_t replacedByLog_ = 0;
 };
 
 }  // namespace gorsetrail::bundle
