--- /dev/null
+++ b/src/program/journal_replica.cpp
@@ -0,0 +1,342 @@
+#include "program/journal_replica.h"
+
+#include <algorithm>
+
+#include "program/epochs.h"
+
+namespace gorsetrail::program {
+namespace {
+
+constexpr Duration kLongestAskInterval = seconds(2);
+/// An unclosed program that no owner touched for so many idle leases is dropped.
+constexpr int kAbandonedIdleLeases = 4;
+
+bool contains(const std::vector<NodeId>& nodes, NodeId node) {
+  return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+}
+
+}  // namespace
+
+JournalReplica::JournalReplica(NodeId self, Incarnation incarnation, const ProgramKnobs& knobs,
+                               const ReplicaGroups& groups, CommandQueue& commands)
+    : self_(self), incarnation_(incarnation), knobs_(knobs), groups_(groups), commands_(commands) {}
+
+void JournalReplica::noteStart(Instant now) {
+  if (!startedAt_) {
+    startedAt_ = now;
+  }
+}
+
+void JournalReplica::learnZone(const std::string& zone, ProgramId program) {
+  if (zone_.empty() && contains(groups_.groupOf(zone, program).members, self_)) {
+    zone_ = zone;
+  }
+}
+
+std::vector<NodeId> JournalReplica::membersOf(ProgramId program) const {
+  if (zone_.empty()) {
+    return {};
+  }
+  return groups_.groupOf(zone_, program).members;
+}
+
+bool JournalReplica::trustsIgnorance(ProgramId program, Instant now) const {
+  // Whoever has run longer than any program stays without a write has been filled since for
+  // every program in use: owners close idle programs and refill a replica that lacks entries.
+  if (now - *startedAt_ >= knobs_.replicaSeasoning) {
+    return true;
+  }
+  const std::vector<NodeId> members = membersOf(program);
+  return !members.empty() && lives_.isFirstLifeFor(members, self_);
+}
+
+bool JournalReplica::refusesGroup(ProgramId program, GroupVersion version) const {
+  return !zone_.empty() && groups_.groupOf(zone_, program).version != version;
+}
+
+JournalReplica::Copy& JournalReplica::copyOf(ProgramId program, Instant now) {
+  const auto [position, isNew] = copies_.try_emplace(program);
+  Copy& copy = position->second;
+  copy.lastTouched = now;
+  if (isNew) {
+    copy.trust = trustsIgnorance(program, now) ? ReplicaTrust::Filled : ReplicaTrust::Recovering;
+    copy.askInterval = knobs_.resendInterval;
+    if (copy.trust == ReplicaTrust::Recovering) {
+      askBarrier(program, copy, now);
+    }
+  }
+  return copy;
+}
+
+void JournalReplica::onSealRequest(NodeId from, const SealRequest& request, Instant now) {
+  noteStart(now);
+  if (isBarrierRequest(request.epoch)) {
+    answerBarrier(from, request, now);
+    return;
+  }
+  if (refusesGroup(request.program, request.group)) {
+    const auto group = groups_.groupOf(zone_, request.program);
+    commands_.send(from, SealReply{request.program, request.epoch,
+                                   GroupChanged{group.version, group.members}});
+    return;
+  }
+  Copy& copy = copyOf(request.program, now);
+  if (copy.trust != ReplicaTrust::Recovering) {
+    decideSeal(request, copy);
+    return;
+  }
+  if (!copy.heldSeal || copy.heldSeal->epoch < request.epoch) {
+    copy.heldSeal = request;
+  }
+  if (zone_.empty()) {
+    // The group's other members are not known yet: ask the candidate for the program's key.
+    commands_.send(from, AppendReply{request.program, request.epoch, AppendVerdict::MissingPrefix,
+                                     SequenceNumber{}, Epoch{}});
+  }
+}
+
+void JournalReplica::decideSeal(const SealRequest& request, Copy& copy) {
+  const bool isAgain = request.epoch == copy.promised && request.candidate == copy.owner &&
+                       request.candidateIncarnation == copy.ownerIncarnation;
+  if (request.epoch <= copy.promised && !isAgain) {
+    commands_.send(request.candidate,
+                   SealReply{request.program, request.epoch,
+                             SealRefused{copy.promised, copy.owner, copy.ownerIncarnation}});
+    return;
+  }
+  copy.promised = request.epoch;
+  copy.owner = request.candidate;
+  copy.ownerIncarnation = request.candidateIncarnation;
+  if (copy.trust == ReplicaTrust::Unfilled) {
+    return;  // It keeps the promise but cannot vouch for the record: it must not be counted.
+  }
+  SealGranted granted{copy.written, std::nullopt};
+  if (copy.written != Epoch{}) {
+    granted.record = copy.record;
+  }
+  commands_.send(request.candidate, SealReply{request.program, request.epoch, std::move(granted)});
+}
+
+void JournalReplica::answerBarrier(NodeId from, const SealRequest& request, Instant now) {
+  if (lives_.isOutdated(from, request.candidateIncarnation)) {
+    return;
+  }
+  const bool hadEarlierLife = lives_.meet(from, request.candidateIncarnation);
+  Copy& copy = copyOf(request.program, now);
+  const Epoch floor = setBarrier(from, request.candidateIncarnation, copy);
+  const bool hasContent = copy.written != Epoch{} || copy.trust == ReplicaTrust::Unfilled;
+  SealReply answer{request.program, request.epoch, SealGranted{}};
+  if (hasContent) {
+    answer.verdict = SealRefused{floor, copy.owner, copy.ownerIncarnation};
+  } else {
+    answer.verdict =
+        SealGranted{Epoch(floor.value() | (hadEarlierLife ? kEarlierLifeBit : 0)), std::nullopt};
+  }
+  commands_.send(from, std::move(answer));
+}
+
+Epoch JournalReplica::setBarrier(NodeId peer, Incarnation incarnation, Copy& copy) {
+  const auto known = std::find_if(copy.barriers.begin(), copy.barriers.end(),
+                                  [&](const SetBarrier& barrier) { return barrier.peer == peer; });
+  if (known != copy.barriers.end() && known->incarnation == incarnation) {
+    return known->floor;  // A repeated request must not fence the owner once more.
+  }
+  copy.promised = barrierAbove(copy.promised);
+  if (known == copy.barriers.end()) {
+    copy.barriers.push_back({peer, incarnation, copy.promised});
+  } else {
+    *known = {peer, incarnation, copy.promised};
+  }
+  return copy.promised;
+}
+
+void JournalReplica::askBarrier(ProgramId program, Copy& copy, Instant now) {
+  copy.lastAsked = now;
+  const std::vector<NodeId> members = membersOf(program);
+  for (const NodeId member : members) {
+    if (member != self_ && !contains(copy.answered, member)) {
+      commands_.send(member, SealRequest{program, groups_.groupOf(zone_, program).version,
+                                         barrierRequestEpoch(incarnation_), self_, incarnation_});
+    }
+  }
+  if (members.size() == 1) {
+    finishRecovery(program, copy);
+  }
+}
+
+void JournalReplica::onBarrierReply(NodeId from, const SealReply& reply, Instant now) {
+  noteStart(now);
+  if (reply.epoch != barrierRequestEpoch(incarnation_)) {
+    return;  // Meant for an earlier life of this node.
+  }
+  if (const auto* none = std::get_if<SealGranted>(&reply.verdict)) {
+    lives_.onPeerAnswered(from, (none->lastWritten.value() & kEarlierLifeBit) != 0);
+  }
+  const auto position = copies_.find(reply.program);
+  if (position == copies_.end() || position->second.trust != ReplicaTrust::Recovering) {
+    return;
+  }
+  Copy& copy = position->second;
+  takeBarrierVerdict(from, reply, copy);
+  // Every other member must have answered: each quorum of the earlier life contains one of them,
+  // and only all of them together rule out that such a quorum still completes.
+  const std::vector<NodeId> members = membersOf(reply.program);
+  const bool isComplete = std::all_of(members.begin(), members.end(), [&](NodeId member) {
+    return member == self_ || contains(copy.answered, member);
+  });
+  if (isComplete) {
+    finishRecovery(reply.program, copy);
+  }
+}
+
+void JournalReplica::takeBarrierVerdict(NodeId from, const SealReply& reply, Copy& copy) {
+  Epoch floor;
+  if (const auto* none = std::get_if<SealGranted>(&reply.verdict)) {
+    floor = Epoch(none->lastWritten.value() & ~kEarlierLifeBit);
+  } else if (const auto* content = std::get_if<SealRefused>(&reply.verdict)) {
+    floor = content->promised;
+    copy.contentElsewhere = true;
+    copy.owner = content->owner;
+    copy.ownerIncarnation = content->ownerIncarnation;
+  } else {
+    return;
+  }
+  copy.promised = std::max(copy.promised, floor);
+  if (!contains(copy.answered, from)) {
+    copy.answered.push_back(from);
+  }
+}
+
+void JournalReplica::finishRecovery(ProgramId program, Copy& copy) {
+  copy.trust = copy.contentElsewhere ? ReplicaTrust::Unfilled : ReplicaTrust::Filled;
+  copy.answered = {};
+  if (const auto held = std::exchange(copy.heldSeal, std::nullopt)) {
+    if (refusesGroup(program, held->group)) {
+      return;
+    }
+    decideSeal(*held, copy);
+  }
+}
+
+void JournalReplica::onAppendRequest(NodeId from, const AppendRequest& request, Instant now) {
+  noteStart(now);
+  if (request.base) {
+    learnZone(request.base->key.homeZone, request.program);
+  }
+  if (request.epoch == Epoch{}) {
+    if (const auto position = copies_.find(request.program);
+        position != copies_.end() && position->second.trust == ReplicaTrust::Recovering) {
+      askBarrier(request.program, position->second, now);
+    }
+    return;  // Only told the program's key.
+  }
+  Copy& copy = copyOf(request.program, now);
+  if (refusesGroup(request.program, request.group)) {
+    reply(from, request, copy, AppendVerdict::WrongGroup);
+    return;
+  }
+  if (copy.trust == ReplicaTrust::Recovering) {
+    if (zone_.empty()) {
+      reply(from, request, copy, AppendVerdict::MissingPrefix);
+    }
+    return;
+  }
+  if (request.epoch < copy.promised) {
+    reply(from, request, copy, AppendVerdict::StaleEpoch);
+    return;
+  }
+  if (request.epoch > copy.promised) {
+    // Not promised here (a lost seal): the owner seals again, so that its life is known too.
+    reply(from, request, copy, AppendVerdict::MissingPrefix);
+    return;
+  }
+  reply(from, request, copy, store(request, copy));
+}
+
+AppendVerdict JournalReplica::store(const AppendRequest& request, Copy& copy) {
+  std::vector<JournalEntry>& entries = copy.record.entries;
+  const bool isFirstOfEpoch = copy.written != request.epoch;
+  if (isFirstOfEpoch && !request.base) {
+    return AppendVerdict::MissingPrefix;
+  }
+  // The owner's record replaces whatever lower epochs left here: it was read from a quorum, so
+  // what it lacks was never chosen. Within one epoch the single writer's record only grows, so a
+  // shorter (older) base changes nothing.
+  if (request.base && (isFirstOfEpoch || entries.size() < request.base->entries.size())) {
+    copy.record = *request.base;
+  }
+  copy.written = request.epoch;
+  copy.trust = ReplicaTrust::Filled;
+  for (const JournalEntry& entry : request.entries) {
+    if (entry.sequence.value() > entries.size() + 1) {
+      return AppendVerdict::MissingPrefix;
+    }
+    if (entry.sequence.value() == entries.size() + 1) {
+      entries.push_back(entry);
+      copy.record.closed |= std::holds_alternative<CloseEntry>(entry.body);
+    }
+  }
+  return AppendVerdict::Stored;
+}
+
+void JournalReplica::reply(NodeId to, const AppendRequest& request, const Copy& copy,
+                           AppendVerdict verdict) {
+  const bool isCurrent = copy.written == request.epoch && copy.trust == ReplicaTrust::Filled;
+  const SequenceNumber stored(isCurrent ? copy.record.entries.size() : 0);
+  commands_.send(to, AppendReply{request.program, request.epoch, verdict, stored, copy.promised});
+}
+
+void JournalReplica::onRelease(const ReleaseNotice& notice) {
+  const auto position = copies_.find(notice.program);
+  if (position == copies_.end() || position->second.promised != notice.epoch) {
+    return;
+  }
+  position->second.owner = NodeId{};
+  position->second.ownerIncarnation = Incarnation{};
+}
+
+bool JournalReplica::isExpired(const Copy& copy, Instant now) const {
+  const Duration untouched = now - copy.lastTouched;
+  return untouched >=
+         (copy.record.closed ? knobs_.closedRetention : kAbandonedIdleLeases * knobs_.idleLease);
+}
+
+void JournalReplica::onTick(Instant now) {
+  noteStart(now);
+  for (auto position = copies_.begin(); position != copies_.end();) {
+    auto& [program, copy] = *position;
+    if (isExpired(copy, now)) {
+      position = copies_.erase(position);
+      continue;
+    }
+    if (copy.trust == ReplicaTrust::Recovering) {
+      if (!copy.contentElsewhere && trustsIgnorance(program, now)) {
+        finishRecovery(program, copy);
+      } else if (now - copy.lastAsked >= copy.askInterval) {
+        copy.askInterval = std::min(copy.askInterval * 2, kLongestAskInterval);
+        askBarrier(program, copy, now);
+      }
+    }
+    ++position;
+  }
+}
+
+const ProgramRecord* JournalReplica::recordOf(ProgramId program) const {
+  const auto position = copies_.find(program);
+  if (position == copies_.end() || position->second.written == Epoch{}) {
+    return nullptr;
+  }
+  return &position->second.record;
+}
+
+ReplicaTrust JournalReplica::trustOf(ProgramId program) const {
+  const auto position = copies_.find(program);
+  return position == copies_.end() ? ReplicaTrust::Unfilled : position->second.trust;
+}
+
+Epoch JournalReplica::promisedOf(ProgramId program) const {
+  const auto position = copies_.find(program);
+  return position == copies_.end() ? Epoch{} : position->second.promised;
+}
+
+}  // namespace gorsetrail::program
--- /dev/null
+++ b/src/program/life_register.h
@@ -0,0 +1,37 @@
+/// \file Whether this node's replica may trust that it never held a program.
+///
+/// A replica that lost its memory and does not know it would break quorum intersection. So each
+/// life of a node makes itself known to its peers before its replica counts for anything, and
+/// asks them whether they have met an earlier life of it.
+#pragma once
+
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace gorsetrail::program {
+
+/// What this node knows of its own and its peers' lives. Kept for the whole process.
+class LifeRegister {
+ public:
+  /// Notes a life of a peer.
+  /// \return whether the peer had an earlier life; the life itself may be outdated (`isOutdated`).
+  bool meet(NodeId peer, Incarnation incarnation);
+  /// \return whether a later life of the peer is known.
+  [[nodiscard]] bool isOutdated(NodeId peer, Incarnation incarnation) const;
+  /// A peer answered this life's question.
+  void onPeerAnswered(NodeId peer, bool metEarlierLifeOfThisNode);
+  /// \return whether every peer said that it never met an earlier life of this node.
+  [[nodiscard]] bool isFirstLifeFor(const std::vector<NodeId>& members, NodeId self) const;
+
+ private:
+  struct PeerLife {
+    Incarnation latest;
+    bool hadEarlier = false;
+  };
+  std::unordered_map<NodeId, PeerLife> peers_;
+  std::unordered_map<NodeId, bool> firstLifeForPeer_;
+};
+
+}  // namespace gorsetrail::program
--- /dev/null
+++ b/src/program/program_errors.h
@@ -0,0 +1,26 @@
+/// \file Errors of the program subsystem, each with its remedy and the true outcome.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "base/error.h"
+#include "program/journal_interface.h"
+
+namespace gorsetrail::program {
+
+Error ownedElsewhereError(std::string location);
+Error staleEpochError(RunOutcome outcome);
+Error quorumUnavailableError(RunOutcome outcome);
+Error homeZoneUnreachableError(const std::string& zone);
+Error queueFullError(std::size_t limit);
+Error requestConflictError();
+Error programClosedError();
+Error programNotFoundError();
+Error programFullError(std::size_t limit);
+Error nodeStoppingError();
+Error queueDeadlineError();
+/// \return what to tell whoever asks again for a call that ended without an answer.
+Error endedWithoutAnswerError(CallStatus status);
+
+}  // namespace gorsetrail::program
