--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -46,8 +46,11 @@
   [[nodiscard]] std::size_t pendingBytes() const { return buffered_.size() - consumed_; }
 
  private:
+  void discardConsumed();
+
   std::vector<std::uint8_t> buffered_;
-  std::size_t consumed_ = 0;
+  std::size_t consumed_ = 0;  ///< Bytes of frames already handed out.
+  std::size_t checked_ = 0;   ///< Start of the first frame whose length was not checked.
 };
 
 }  // namespace gorsetrail::wire
