Add the HTTP server for callers

Cause: the node needs a listener whose users name no Beast type. Change: requests in, response writers out; streams with one write a wake-up, hang-ups found by one readiness wait, limits on head, body, connections and every phase's time, lingering close.

--- a/src/http/client_operation.cpp
+++ b/src/http/client_operation.cpp
@@ -12,7 +12,7 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 
-constexpr std::size_t kReadBytes = 8 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 
 bool hasControlCharacter(std::string_view text) {
   return std::any_of(text.begin(), text.end(), [](char character) {
--- a/src/http/response_parser.h
+++ b/src/http/response_parser.h
@@ -10,13 +10,14 @@
 namespace gorsetrail::http {
 
 /// Beast body type that keeps nothing: it hands the bytes on.
+/// `value_type` and `reader` are the names that Beast's Body requirements demand.
 struct CallbackBody {
-  struct value_type {
+  struct value_type {                                  // NOLINT(readability-identifier-naming)
     std::function<void()> onHeadRead;                  ///< The head is parsed; the body follows.
     std::function<void(std::string_view)> onBodyRead;  ///< The next bytes of the body.
   };
 
-  class reader {
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool isRequest, class Fields>
     reader(boost::beast::http::header<isRequest, Fields>& /*head*/, value_type& callbacks)
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -36,7 +36,7 @@
   }
 };
 
-bool wholeHead(const ServerConnection& connection) {
+bool wholeHead(const ScriptedConnection& connection) {
   return connection.received.find("\r\n\r\n") != std::string::npos;
 }
 
@@ -50,7 +50,7 @@
 
 /// Answers each whole request head with a fixed text.
 ScriptedServer::OnBytes answerWith(std::string text) {
-  return [text](ServerConnection& connection) {
+  return [text](ScriptedConnection& connection) {
     if (wholeHead(connection)) {
       connection.received.clear();
       connection.send(text);
@@ -83,7 +83,7 @@
 
 TEST(HttpClient, SendsMethodHeadersAndBody) {
   std::string seen;
-  ScriptedServer server(context, [&](ServerConnection& connection) {
+  ScriptedServer server(context, [&](ScriptedConnection& connection) {
     if (connection.received.ends_with("{\"a\":1}")) {
       seen = connection.received;
       connection.send(kHello);
@@ -103,8 +103,8 @@
 }
 
 TEST(HttpClient, HandsOnStreamedPartsAsTheyCome) {
-  ServerConnection* accepted = nullptr;
-  ScriptedServer server(context, [&](ServerConnection& connection) {
+  ScriptedConnection* accepted = nullptr;
+  ScriptedServer server(context, [&](ScriptedConnection& connection) {
     accepted = &connection;
     connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
   });
@@ -149,7 +149,7 @@
 }
 
 TEST(HttpClient, CloseAfterTheRequestIsBroken) {
-  ScriptedServer server(context, [](ServerConnection& connection) { connection.close(); });
+  ScriptedServer server(context, [](ScriptedConnection& connection) { connection.close(); });
   const HttpClientPtr client = makeHttpClient(context);
   client->send(requestTo(server.address()), ending.handler());
   wait();
@@ -157,7 +157,7 @@
 }
 
 TEST(HttpClient, CloseAmidTheBodyIsBroken) {
-  ScriptedServer server(context, [](ServerConnection& connection) {
+  ScriptedServer server(context, [](ScriptedConnection& connection) {
     connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
     connection.close();
   });
@@ -186,7 +186,7 @@
 }
 
 TEST(HttpClient, TimeLimitAfterTheRequestIsBroken) {
-  ScriptedServer server(context, [](ServerConnection&) {});
+  ScriptedServer server(context, [](ScriptedConnection&) {});
   const HttpClientPtr client = makeHttpClient(context);
   Request request = requestTo(server.address());
   request.timeLimit = milliseconds(20);
@@ -196,7 +196,7 @@
 }
 
 TEST(HttpClient, CancelClosesTheConnectionAndNothingIsReported) {
-  ScriptedServer server(context, [](ServerConnection&) {});
+  ScriptedServer server(context, [](ScriptedConnection&) {});
   const HttpClientPtr client = makeHttpClient(context);
   const RequestHandlePtr handle = client->send(requestTo(server.address()), ending.handler());
   CHECK_TRUE(runUntil(
@@ -249,7 +249,7 @@
 
 TEST(HttpClient, ARequestBrokenOnAReusedConnectionIsNotSentAgain) {
   int requests = 0;
-  ScriptedServer server(context, [&](ServerConnection& connection) {
+  ScriptedServer server(context, [&](ScriptedConnection& connection) {
     if (++requests == 1) {
       connection.received.clear();
       connection.send(kHello);
@@ -289,7 +289,7 @@
 }
 
 TEST(HttpClient, DestroyingTheClientReportsNothing) {
-  ScriptedServer server(context, [](ServerConnection&) {});
+  ScriptedServer server(context, [](ScriptedConnection&) {});
   HttpClientPtr client = makeHttpClient(context);
   client->send(requestTo(server.address()), ending.handler());
   CHECK_TRUE(runUntil(
--- /dev/null
+++ b/tests/http/http_server_test.cpp
@@ -0,0 +1,350 @@
+#include "http/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include "raw_client.h"
+#include "scripted_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::http;
+
+namespace {
+
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+std::string faultName(ProtocolFault fault) {
+  switch (fault) {
+    case ProtocolFault::Malformed:
+      return "malformed";
+    case ProtocolFault::HeadTooLarge:
+      return "head_too_large";
+    case ProtocolFault::BodyTooLarge:
+      return "body_too_large";
+    case ProtocolFault::RequestTimedOut:
+      return "timed_out";
+  }
+  return "";
+}
+
+}  // namespace
+
+TEST_GROUP(HttpServer) {
+  boost::asio::io_context context;
+  Instant now;
+  std::vector<ServerRequest> requests;
+  std::vector<ResponseWriterPtr> writers;
+  int gone = 0;
+  int flushed = 0;
+  HttpServerPtr server;
+
+  void start(HttpServerKnobs knobs = {}) {
+    knobs.sweepPeriod = milliseconds(1);
+    HttpServerOptions options;
+    options.listenAddress = "127.0.0.1:0";
+    options.knobs = knobs;
+    options.clock = [this] { return now; };
+    options.onFault = [](ProtocolFault fault) { return WholeResponse{400, {}, faultName(fault)}; };
+    options.onRequest = [this](ServerRequest request, ResponseWriterPtr writer) {
+      requests.push_back(std::move(request));
+      writer->observe({[this] { ++gone; }, [this] { ++flushed; }});
+      writers.push_back(std::move(writer));
+    };
+    auto made = makeHttpServer(context, std::move(options));
+    CHECK_TRUE(succeeded(made));
+    server = std::move(valueOf(made));
+  }
+
+  void until(const std::function<bool()>& finished) { CHECK_TRUE(runUntil(context, finished)); }
+  void untilRequests(std::size_t count) {
+    until([this, count] { return requests.size() == count; });
+  }
+};
+
+TEST(HttpServer, ReadsARequestAndWritesAWholeResponse) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send(
+      "POST /b?c=d HTTP/1.1\r\nHost: x\r\nX-One: 1\r\nX-One: 2\r\nContent-Length: 3\r\n\r\nabc");
+  untilRequests(1);
+  STRCMP_EQUAL("POST", requests[0].method.c_str());
+  STRCMP_EQUAL("/b?c=d", requests[0].target.c_str());
+  STRCMP_EQUAL("abc", requests[0].body.c_str());
+  LONGS_EQUAL(4, requests[0].headers.size());
+  writers[0]->sendWhole({201, {{"X-Two", "2"}}, "done"});
+  until([&] { return client.received.ends_with("done"); });
+  CHECK_TRUE(client.received.starts_with("HTTP/1.1 201 Created\r\n"));
+  CHECK_TRUE(client.has("X-Two: 2\r\n"));
+  CHECK_TRUE(client.has("Content-Length: 4\r\n"));
+}
+
+TEST(HttpServer, ServesPipelinedRequestsOneAfterAnother) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send(kGet + kGet);
+  untilRequests(1);
+  writers[0]->sendWhole({200, {}, "first"});
+  untilRequests(2);
+  writers[1]->sendWhole({200, {}, "second"});
+  until([&] { return client.has("second"); });
+  CHECK_TRUE(client.received.find("first") < client.received.find("second"));
+}
+
+TEST(HttpServer, AWriterNeverReachesTheNextResponse) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send(kGet + kGet);
+  untilRequests(1);
+  writers[0]->sendWhole({200, {}, "first"});
+  untilRequests(2);
+  writers[0]->sendWhole({200, {}, "stale"});
+  writers[0]->beginStream(200, {});
+  writers[0]->write("stale");
+  writers[0]->endStream();
+  writers[1]->sendWhole({200, {}, "second"});
+  until([&] { return client.has("second"); });
+  CHECK_FALSE(client.has("stale"));
+}
+
+TEST(HttpServer, StreamsInChunks) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send(kGet);
+  untilRequests(1);
+  writers[0]->beginStream(200, {{"Content-Type", "text/event-stream"}});
+  writers[0]->write("one");
+  until([&] { return client.has("3\r\none\r\n"); });
+  CHECK_TRUE(client.has("Transfer-Encoding: chunked"));
+  writers[0]->write("two");
+  writers[0]->endStream();
+  until([&] { return client.has("3\r\ntwo\r\n0\r\n\r\n"); });
+  until([&] { return server->counters().responses == 1; });
+  LONGS_EQUAL(0, server->counters().responsesOpen);
+}
+
+TEST(HttpServer, AnHttp10CallerGetsAStreamWithoutChunks) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send("GET /a HTTP/1.0\r\n\r\n");
+  untilRequests(1);
+  writers[0]->beginStream(200, {});
+  writers[0]->write("plain");
+  writers[0]->endStream();
+  until([&] { return client.closedByServer; });
+  CHECK_TRUE(client.received.ends_with("\r\n\r\nplain"));
+}
+
+TEST(HttpServer, HalfABodyNeverBecomesARequest) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf");
+  client.close();
+  until([&] { return server->counters().requestsCut == 1; });
+  LONGS_EQUAL(0, requests.size());
+  LONGS_EQUAL(0, server->counters().connectionsOpen);
+}
+
+TEST(HttpServer, HalfAHeadNeverBecomesARequest) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.send("POST /b HT");
+  client.close();
+  until([&] { return server->counters().requestsCut == 1; });
+  LONGS_EQUAL(0, requests.size());
+}
+
+TEST(HttpServer, RefusesAnOversizedBodyBeforeItIsSent) {
+  HttpServerKnobs knobs;
+  knobs.maximumBodyBytes = 8;
+  start(knobs);
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n");
+  until([&] { return client.has("body_too_large"); });
+  LONGS_EQUAL(0, requests.size());
+}
+
+TEST(HttpServer, RefusesAnOversizedChunkedBodyAndTheCallerCanReadWhy) {
+  HttpServerKnobs knobs;
+  knobs.maximumBodyBytes = 8;
+  start(knobs);
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send(
+      "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n123456789\r\n");
+  client.send("9\r\n123456789\r\n0\r\n\r\n");
+  until([&] { return client.closedByServer || client.has("body_too_large"); });
+  CHECK_TRUE(client.has("body_too_large"));
+  LONGS_EQUAL(0, requests.size());
+}
+
+TEST(HttpServer, RefusesAnOversizedHead) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send("GET /a HTTP/1.1\r\nX-Long: " + std::string(20 * 1024, 'a') + "\r\n\r\n");
+  until([&] { return client.has("head_too_large"); });
+}
+
+TEST(HttpServer, RefusesWhatIsNotHttpAndContradictingLengths) {
+  start();
+  const std::vector<std::string> malformed = {
+      "\x16\x03\x01\x02\r\n\r\n",
+      "GET /a HTTP/1.1\r\nHost: x\r\nBad Name: 1\r\n\r\n",
+      std::string("GET /a HTTP/1.1\r\nX-Nul: a") + '\0' + "b\r\n\r\n",
+      "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      "POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+  };
+  for (const std::string& bytes : malformed) {
+    RawClient client(context, server->listeningPort());
+    client.startReading();
+    client.send(bytes);
+    until([&] { return client.has("malformed"); });
+    client.close();
+    context.poll();
+  }
+  LONGS_EQUAL(0, requests.size());
+}
+
+TEST(HttpServer, ASlowHeadIsTimedOut) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send("GET /a HTTP/1.1\r\n");
+  until([&] { return server->counters().connectionsAccepted == 1; });
+  for (int round = 0; round < 50; ++round) {
+    context.poll();
+  }
+  now += seconds(11);
+  until([&] { return client.has("timed_out"); });
+}
+
+TEST(HttpServer, ASlowBodyIsTimedOut) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send("POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n");
+  until([&] { return client.has("100 Continue"); });
+  now += seconds(31);
+  until([&] { return client.has("timed_out"); });
+  LONGS_EQUAL(0, requests.size());
+}
+
+TEST(HttpServer, AnIdleConnectionIsClosedInTheEnd) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  until([&] { return server->counters().connectionsOpen == 1; });
+  now += seconds(76);
+  until([&] { return client.closedByServer; });
+}
+
+TEST(HttpServer, HangUpMidStreamIsReportedOnce) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send(kGet);
+  untilRequests(1);
+  writers[0]->beginStream(200, {});
+  writers[0]->write("one");
+  until([&] { return client.has("one"); });
+  client.close();
+  until([&] { return gone == 1; });
+  writers[0]->write("two");
+  writers[0]->endStream();
+  writers.clear();
+  context.poll();
+  LONGS_EQUAL(1, gone);
+  LONGS_EQUAL(1, server->counters().callersGone);
+  LONGS_EQUAL(0, server->counters().responsesOpen);
+}
+
+TEST(HttpServer, HangUpBeforeTheFirstByteIsReported) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.send(kGet);
+  untilRequests(1);
+  client.close();
+  until([&] { return gone == 1; });
+}
+
+TEST(HttpServer, ACallerThatStopsReadingIsGivenUp) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.send(kGet);
+  untilRequests(1);
+  writers[0]->beginStream(200, {});
+  const std::string block(1024 * 1024, 'x');
+  for (int round = 0; round < 16; ++round) {
+    writers[0]->write(block);
+  }
+  context.poll();
+  CHECK_TRUE(writers[0]->bytesWaiting() > block.size());
+  now += seconds(31);
+  until([&] { return gone == 1; });
+}
+
+TEST(HttpServer, TellsWhenEverythingWrittenIsFlushed) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.send(kGet);
+  untilRequests(1);
+  writers[0]->beginStream(200, {});
+  writers[0]->write("one");
+  writers[0]->write("two");
+  until([&] { return flushed == 1; });
+  LONGS_EQUAL(0, writers[0]->bytesWaiting());
+  context.poll();
+  LONGS_EQUAL(1, flushed);
+}
+
+TEST(HttpServer, ADroppedWriterClosesTheConnection) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  client.send(kGet);
+  untilRequests(1);
+  writers.clear();
+  until([&] { return client.closedByServer; });
+}
+
+TEST(HttpServer, ConnectionsOverTheLimitAreClosed) {
+  HttpServerKnobs knobs;
+  knobs.maximumConnections = 1;
+  start(knobs);
+  RawClient first(context, server->listeningPort());
+  RawClient second(context, server->listeningPort());
+  second.startReading();
+  until([&] { return second.closedByServer; });
+  LONGS_EQUAL(1, server->counters().connectionsRefused);
+}
+
+TEST(HttpServer, DrainClosesIdleConnectionsAndTheOthersAfterTheirResponse) {
+  start();
+  RawClient idle(context, server->listeningPort());
+  RawClient busy(context, server->listeningPort());
+  idle.startReading();
+  busy.startReading();
+  busy.send(kGet);
+  untilRequests(1);
+  server->beginDrain();
+  until([&] { return idle.closedByServer; });
+  writers[0]->sendWhole({200, {}, "whole"});
+  until([&] { return busy.closedByServer; });
+  CHECK_TRUE(busy.received.ends_with("whole"));
+  CHECK_TRUE(busy.has("Connection: close"));
+}
+
+TEST(HttpServer, AnUnusableListenAddressIsATypedError) {
+  HttpServerOptions options;
+  options.listenAddress = "nowhere:1";
+  const auto made = makeHttpServer(context, std::move(options));
+  CHECK_FALSE(succeeded(made));
+  CHECK_TRUE(errorOf(made).kind == ErrorKind::InvalidSettings);
+}
--- /dev/null
+++ b/tests/http/raw_client.h
@@ -0,0 +1,43 @@
+/// \file Client socket whose bytes a test writes itself, on the test's I/O context.
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+
+namespace gorsetrail::http {
+
+/// Connects at once and gathers what comes.
+class RawClient {
+ public:
+  RawClient(boost::asio::io_context& context, std::uint16_t port) : socket_(context) {
+    socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  }
+
+  void send(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
+  void startReading() {
+    socket_.async_read_some(boost::asio::buffer(buffer_),
+                            [this](const boost::system::error_code& error, std::size_t bytes) {
+                              if (error) {
+                                closedByServer = error != boost::asio::error::operation_aborted;
+                                return;
+                              }
+                              received.append(buffer_.data(), bytes);
+                              startReading();
+                            });
+  }
+  void close() { socket_.close(); }
+  [[nodiscard]] bool has(const std::string& text) const {
+    return received.find(text) != std::string::npos;
+  }
+
+  std::string received;
+  bool closedByServer = false;
+
+ private:
+  boost::asio::ip::tcp::socket socket_;
+  std::array<char, 4096> buffer_{};
+};
+
+}  // namespace gorsetrail::http
--- a/tests/http/scripted_server.h
+++ b/tests/http/scripted_server.h
@@ -25,8 +25,9 @@
 }
 
 /// One accepted connection; `received` grows as bytes come.
-struct ServerConnection {
-  explicit ServerConnection(boost::asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+struct ScriptedConnection {
+  explicit ScriptedConnection(boost::asio::ip::tcp::socket accepted)
+      : socket(std::move(accepted)) {}
   void send(const std::string& bytes) { boost::asio::write(socket, boost::asio::buffer(bytes)); }
   void close() { socket.close(); }
 
@@ -38,7 +39,7 @@
 
 class ScriptedServer {
  public:
-  using OnBytes = std::function<void(ServerConnection&)>;
+  using OnBytes = std::function<void(ScriptedConnection&)>;
 
   ScriptedServer(boost::asio::io_context& context, OnBytes onBytes)
       : acceptor_(context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
@@ -50,7 +51,7 @@
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
 
-  std::vector<std::shared_ptr<ServerConnection>> connections;
+  std::vector<std::shared_ptr<ScriptedConnection>> connections;
 
  private:
   void accept() {
@@ -59,13 +60,13 @@
           if (error) {
             return;
           }
-          connections.push_back(std::make_shared<ServerConnection>(std::move(socket)));
+          connections.push_back(std::make_shared<ScriptedConnection>(std::move(socket)));
           read(connections.back());
           accept();
         });
   }
 
-  void read(const std::shared_ptr<ServerConnection>& connection) {
+  void read(const std::shared_ptr<ScriptedConnection>& connection) {
     connection->socket.async_read_some(
         boost::asio::buffer(connection->buffer),
         [this, connection](const boost::system::error_code& error, std::size_t bytes) {
