--- a/src/engine/backend_table.cpp
+++ b/src/engine/backend_table.cpp
@@ -16,6 +16,10 @@
 constexpr Duration kOldestDigestAge = seconds(30);
 /// Entries of a digest kept for replicas of other zones than the receiver's.
 constexpr std::size_t kOtherZoneEntries = 8;
+/// Marks kept of back ends that the bundle in force does not name (yet).
+constexpr std::size_t kMaximumForeignMarks = 1024;
+/// A mark stands at least so long against reports of before.
+constexpr Duration kLeavingMarkStands = seconds(10);
 /// Age given to a replica that nobody reported yet.
 constexpr Duration kNeverReportedAge = seconds(60);
 
@@ -77,6 +81,7 @@
   }
   rows_ = std::move(rows);
   rebuildView();
+  forgetOldMarks();
   for (std::uint32_t index = 0; index < rows_.size(); ++index) {
     refreshView(ReplicaIndex(index), now);
   }
@@ -151,21 +156,33 @@
   }
 }
 
-void BackendTable::setLeaving(const std::string& name, bool leaving) {
+void BackendTable::onUnreachable(const std::string& name, Instant now) {
   if (Row* const row = find(name)) {
-    row->leavingByRefusal = leaving;
-    leavingByNotice_[row->hash] = leaving;
+    row->circuit.onFailure(now);
+  }
+}
+
+void BackendTable::setLeaving(const std::string& name, bool leaving, Instant now) {
+  if (const Row* const row = find(name)) {
+    setLeavingByNotice(row->hash, leaving, now);
   }
 }
 
-void BackendTable::setLeavingByNotice(std::uint32_t backendHash, bool leaving) {
-  leavingByNotice_[backendHash] = leaving;
-  const auto found = indexByHash_.find(backendHash);
-  if (found != indexByHash_.end() && !leaving) {
-    rows_[found->second].leavingByRefusal = false;
+void BackendTable::setLeavingByNotice(std::uint32_t backendHash, bool leaving, Instant now) {
+  LeavingMark& mark = leavingMarks_[backendHash];
+  if (mark.leaving != leaving) {
+    mark = {leaving, now};
   }
 }
 
+void BackendTable::forgetOldMarks() {
+  if (leavingMarks_.size() <= kMaximumForeignMarks + rows_.size()) {
+    return;
+  }
+  std::erase_if(leavingMarks_,
+                [this](const auto& mark) { return !indexByHash_.contains(mark.first); });
+}
+
 void BackendTable::onReport(const std::string& name, const LoadReport& report) {
   if (Row* const row = find(name)) {
     row->load = report;
@@ -187,9 +204,8 @@
 }
 
 bool BackendTable::isLeaving(const Row& row) const {
-  const auto notice = leavingByNotice_.find(row.hash);
-  const bool byNotice = notice != leavingByNotice_.end() && notice->second;
-  return row.description.leaving || row.leavingByRefusal || byNotice;
+  const auto mark = leavingMarks_.find(row.hash);
+  return row.description.leaving || (mark != leavingMarks_.end() && mark->second.leaving);
 }
 
 bool BackendTable::isLeaving(const std::string& name) const {
@@ -197,6 +213,16 @@
   return row != nullptr && isLeaving(*row);
 }
 
+bool BackendTable::mayServeAgain(const std::string& name, Instant now) const {
+  const Row* const row = find(name);
+  if (row == nullptr || row->description.leaving) {
+    return false;
+  }
+  const auto mark = leavingMarks_.find(row->hash);
+  return mark != leavingMarks_.end() && mark->second.leaving &&
+         now - mark->second.since >= kLeavingMarkStands;
+}
+
 Instant BackendTable::usableAt(const Row& row, Instant now) {
   return std::max({now, row.fullUntil, row.circuit.allowsAt(now)});
 }
--- a/src/engine/backend_table.h
+++ b/src/engine/backend_table.h
@@ -83,9 +83,11 @@
   /// The attempt was cancelled by this node.
   void onCancelled(const std::string& name);
   /// A refusal or a report said that it is leaving (or serves again).
-  void setLeaving(const std::string& name, bool leaving);
+  void setLeaving(const std::string& name, bool leaving, Instant now);
   /// Membership says so, by hash. It is also kept for back ends of a later bundle.
-  void setLeavingByNotice(std::uint32_t backendHash, bool leaving);
+  void setLeavingByNotice(std::uint32_t backendHash, bool leaving, Instant now);
+  /// Its observer could not reach it.
+  void onUnreachable(const std::string& name, Instant now);
   void onReport(const std::string& name, const LoadReport& report);
   /// Merges a peer's digest: for each replica the younger report stays.
   void onDigest(const LoadDigest& digest, Instant now);
@@ -106,6 +108,9 @@
   [[nodiscard]] std::optional<scheduling::ReplicaIndex> indexOfHash(std::uint32_t hash) const;
   [[nodiscard]] const BackendDescription& description(scheduling::ReplicaIndex index) const;
   [[nodiscard]] bool isLeaving(const std::string& name) const;
+  /// \return whether a report that it is not leaving may lift a mark: reports lag, so only one
+  /// that comes well after the mark does. The bundle's own mark is never lifted.
+  [[nodiscard]] bool mayServeAgain(const std::string& name, Instant now) const;
   [[nodiscard]] std::uint32_t ownOutstanding(const std::string& name) const;
   [[nodiscard]] std::optional<Instant> reportedAt(const std::string& name) const;
   [[nodiscard]] std::size_t size() const { return rows_.size(); }
@@ -115,17 +120,23 @@
     BackendDescription description;
     std::uint32_t hash = 0;
     CircuitBreaker circuit;
-    bool leavingByRefusal = false;
     std::uint32_t ownOutstanding = 0;
     Instant fullUntil{};
     std::optional<LoadReport> load;
   };
 
+  /// That a back end is leaving, and since when this node knows.
+  struct LeavingMark {
+    bool leaving = false;
+    Instant since{};
+  };
+
   [[nodiscard]] Row* find(const std::string& name);
   [[nodiscard]] const Row* find(const std::string& name) const;
   [[nodiscard]] bool isLeaving(const Row& row) const;
   [[nodiscard]] static Instant usableAt(const Row& row, Instant now);
   void endAttempt(Row& row);
+  void forgetOldMarks();
   void rebuildView();
   void refreshView(scheduling::ReplicaIndex index, Instant now);
 
@@ -134,7 +145,7 @@
   std::vector<scheduling::ReplicaView> view_;
   std::unordered_map<std::string, std::uint32_t> indexByName_;
   std::unordered_map<std::uint32_t, std::uint32_t> indexByHash_;
-  std::unordered_map<std::uint32_t, bool> leavingByNotice_;
+  std::unordered_map<std::uint32_t, LeavingMark> leavingMarks_;  ///< By hash of the back end.
 };
 
 }  // namespace gorsetrail::engine
--- a/src/node/core/node_core.h
+++ b/src/node/core/node_core.h
@@ -76,8 +76,12 @@
   std::uint64_t promptTokens = 0;
   std::uint64_t cachedTokens = 0;
   std::uint64_t completionTokens = 0;
-  std::uint64_t callsUnderWay = 0;  ///< Gauge.
-  std::uint64_t bundleVersion = 0;  ///< Gauge.
+  std::uint64_t logEntriesAppended = 0;
+  std::uint64_t logEntriesDropped = 0;  ///< The queue was full while the log was down.
+  std::uint64_t digestsSent = 0;
+  std::uint64_t callsUnderWay = 0;   ///< Gauge.
+  std::uint64_t logQueuedBytes = 0;  ///< Gauge.
+  std::uint64_t bundleVersion = 0;   ///< Gauge.
 };
 
 /// Single-threaded. Every `on...` may leave commands; the driver takes them after each event.
