--- a/src/wire/decoder.cpp
+++ b/src/wire/decoder.cpp
@@ -104,40 +104,36 @@
 
   // Journal.
 
-  program::EntryBody decodeIntent(const fbs::Intent& wire) {
+  program::IntentEntry decodeIntent(const fbs::Entry& wire) {
     program::IntentEntry intent;
-    intent.call = CallNumber(wire.ids()->call());
+    intent.call = CallNumber(wire.intent()->call());
     intent.branch = program::BranchId(wire.branch());
-    intent.request = digestOf<RequestDigest>(wire.ids()->request());
-    intent.content = digestOf<ContentDigest>(wire.ids()->content());
-    intent.repeatable = wire.repeatable();
-    intent.reservedTokens = wire.ids()->reserved_tokens();
-    intent.messages = textOf(wire.messages());
+    intent.request = digestOf<RequestDigest>(wire.intent()->request());
+    intent.content = digestOf<ContentDigest>(wire.intent()->content());
+    intent.repeatable = !wire.non_repeatable();
+    intent.reservedTokens = wire.intent()->reserved_tokens();
+    intent.messages = textOf(wire.text());
     return intent;
   }
 
-  program::EntryBody decodeOutcome(const fbs::Outcome& wire) {
+  program::OutcomeEntry decodeOutcome(const fbs::Entry& wire) {
     program::OutcomeEntry outcome;
-    outcome.call = CallNumber(wire.call());
-    outcome.status = enumerationOf(wire.status(), program::CallStatus::Unknown);
-    outcome.usedTokens = wire.used_tokens();
-    outcome.usedMilliseconds = wire.used_milliseconds();
-    outcome.answer = textOf(wire.answer());
+    outcome.call = CallNumber(wire.outcome()->call());
+    outcome.status = enumerationOf(wire.outcome()->status(), program::CallStatus::Unknown);
+    outcome.usedTokens = wire.outcome()->used_tokens();
+    outcome.usedMilliseconds = wire.outcome()->used_milliseconds();
+    outcome.answer = textOf(wire.text());
     return outcome;
   }
 
   program::EntryBody decodeBody(const fbs::Entry& wire) {
-    switch (wire.body_type()) {
-      case fbs::EntryBody::Intent:
-        return decodeIntent(*wire.body_as_Intent());
-      case fbs::EntryBody::Outcome:
-        return decodeOutcome(*wire.body_as_Outcome());
-      case fbs::EntryBody::Close:
-        return program::CloseEntry{};
-      case fbs::EntryBody::NONE:
-        break;
+    if (wire.intent() != nullptr && wire.outcome() != nullptr) {
+      fail("a journal entry is both an intent and an outcome");
+    } else if (wire.intent() != nullptr) {
+      return decodeIntent(wire);
+    } else if (wire.outcome() != nullptr) {
+      return decodeOutcome(wire);
     }
-    fail("a journal entry is of no known kind");
     return program::CloseEntry{};
   }
 
@@ -235,13 +231,12 @@
   }
 
   program::AppendReply decodeAppendReply(const fbs::AppendReply& wire) {
-    const fbs::AppendResult& result = *wire.result();
     program::AppendReply reply;
-    reply.program = digestOf<ProgramId>(result.program());
-    reply.epoch = Epoch(result.epoch());
-    reply.verdict = enumerationOf(result.verdict(), program::AppendVerdict::WrongGroup);
-    reply.storedThrough = SequenceNumber(result.stored_through());
-    reply.promised = Epoch(result.promised());
+    reply.program = digestOf<ProgramId>(wire.ids()->program());
+    reply.epoch = Epoch(wire.ids()->epoch());
+    reply.verdict = enumerationOf(wire.verdict(), program::AppendVerdict::WrongGroup);
+    reply.storedThrough = SequenceNumber(wire.stored_through());
+    reply.promised = Epoch(wire.promised().value_or(reply.epoch.value()));
     return reply;
   }
 
--- a/src/wire/encoder.cpp
+++ b/src/wire/encoder.cpp
@@ -67,30 +67,32 @@
 
   // Journal.
 
-  UnionValue<fbs::EntryBody> encodeBody(const program::IntentEntry& intent) {
+  Offset<flatbuffers::String> textOf(const program::EntryBody& body) {
+    if (const auto* intent = std::get_if<program::IntentEntry>(&body)) {
+      return textOf(intent->messages);
+    }
+    const auto* outcome = std::get_if<program::OutcomeEntry>(&body);
+    return outcome == nullptr ? Offset<flatbuffers::String>(0) : textOf(outcome->answer);
+  }
+
+  static void addBody(fbs::EntryBuilder& table, const program::IntentEntry& intent) {
     const fbs::IntentIds ids(digestOf(intent.request), digestOf(intent.content),
                              intent.call.value(), intent.reservedTokens);
-    const auto messages = textOf(intent.messages);
-    return {fbs::EntryBody::Intent,
-            fbs::CreateIntent(builder_, &ids, messages, intent.branch.value(), intent.repeatable)
-                .Union()};
+    table.add_intent(&ids);
+    table.add_branch(intent.branch.value());
+    table.add_non_repeatable(!intent.repeatable);
   }
-  UnionValue<fbs::EntryBody> encodeBody(const program::OutcomeEntry& outcome) {
-    const auto answer = textOf(outcome.answer);
-    return {fbs::EntryBody::Outcome,
-            fbs::CreateOutcome(builder_, outcome.call.value(), outcome.usedTokens,
-                               outcome.usedMilliseconds, answer,
-                               static_cast<fbs::CallStatus>(outcome.status))
-                .Union()};
-  }
-  UnionValue<fbs::EntryBody> encodeBody(const program::CloseEntry&) {
-    return {fbs::EntryBody::Close, fbs::CreateClose(builder_).Union()};
+  static void addBody(fbs::EntryBuilder& table, const program::OutcomeEntry& outcome) {
+    const fbs::OutcomeFacts facts(outcome.call.value(), outcome.usedTokens,
+                                  outcome.usedMilliseconds,
+                                  static_cast<fbs::CallStatus>(outcome.status));
+    table.add_outcome(&facts);
   }
+  static void addBody(fbs::EntryBuilder&, const program::CloseEntry&) {}
 
   Offset<fbs::Entry> encodeEntry(const program::JournalEntry& entry, SequenceNumber expected,
                                  Epoch epoch) {
-    const auto body =
-        std::visit([this](const auto& content) { return encodeBody(content); }, entry.body);
+    const auto text = textOf(entry.body);
     fbs::EntryBuilder table(builder_);
     if (entry.epoch != epoch) {
       table.add_epoch(entry.epoch.value());
@@ -98,8 +100,8 @@
     if (entry.sequence != expected) {
       table.add_sequence(entry.sequence.value());
     }
-    table.add_body(body.value);
-    table.add_body_type(body.type);
+    table.add_text(text);
+    std::visit([&table](const auto& body) { addBody(table, body); }, entry.body);
     return table.Finish();
   }
 
@@ -178,10 +180,15 @@
   }
 
   MessageValue encodeMessage(const program::AppendReply& message) {
-    const fbs::AppendResult result(digestOf(message.program), message.epoch.value(),
-                                   message.storedThrough.value(), message.promised.value(),
-                                   static_cast<fbs::AppendVerdict>(message.verdict));
-    return {fbs::Message::AppendReply, fbs::CreateAppendReply(builder_, &result).Union()};
+    const fbs::ProgramEpoch ids(digestOf(message.program), message.epoch.value());
+    flatbuffers::Optional<std::uint64_t> promised;
+    if (message.promised != message.epoch) {
+      promised = message.promised.value();
+    }
+    return {fbs::Message::AppendReply,
+            fbs::CreateAppendReply(builder_, &ids, message.storedThrough.value(),
+                                   static_cast<fbs::AppendVerdict>(message.verdict), promised)
+                .Union()};
   }
 
   MessageValue encodeMessage(const program::ReleaseNotice& message) {
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -159,9 +159,23 @@
 
 TEST(Codec, UnknownKindsOfUnionsAreRefused) {
   flatbuffers::FlatBufferBuilder builder;
-  const auto close = wire::fbs::CreateClose(builder);
+  const auto notice = wire::fbs::CreateBundleFetchRequest(builder, 1);
   builder.Finish(
-      wire::fbs::CreateFrame(builder, 1, static_cast<wire::fbs::Message>(200), close.Union(), 1),
+      wire::fbs::CreateFrame(builder, 1, static_cast<wire::fbs::Message>(200), notice.Union(), 1),
+      wire::fbs::FrameIdentifier());
+  refuses({builder.GetBufferPointer(), builder.GetSize()});
+}
+
+TEST(Codec, EntryOfTwoKindsIsRefused) {
+  flatbuffers::FlatBufferBuilder builder;
+  const wire::fbs::IntentIds intent;
+  const wire::fbs::OutcomeFacts outcome;
+  const auto entry = wire::fbs::CreateEntry(builder, &intent, &outcome);
+  const auto entries = builder.CreateVector(std::vector{entry});
+  const wire::fbs::AppendIds ids;
+  const auto request = wire::fbs::CreateAppendRequest(builder, &ids, entries);
+  builder.Finish(
+      wire::fbs::CreateFrame(builder, 1, wire::fbs::Message::AppendRequest, request.Union(), 1),
       wire::fbs::FrameIdentifier());
   refuses({builder.GetBufferPointer(), builder.GetSize()});
 }
@@ -171,9 +185,8 @@
   constexpr std::size_t kEntries = 5'000;
   flatbuffers::FlatBufferBuilder builder;
   const auto text = builder.CreateString(std::string(kTextBytes, 'x'));
-  const auto outcome = wire::fbs::CreateOutcome(builder, 1, 0, 0, text);
-  const auto entry =
-      wire::fbs::CreateEntry(builder, wire::fbs::EntryBody::Outcome, outcome.Union());
+  const wire::fbs::OutcomeFacts facts;
+  const auto entry = wire::fbs::CreateEntry(builder, nullptr, &facts, text);
   const auto entries = builder.CreateVector(std::vector(kEntries, entry));
   const wire::fbs::AppendIds ids;
   const auto request = wire::fbs::CreateAppendRequest(builder, &ids, entries);
