--- a/src/engine/call_context.cpp
+++ b/src/engine/call_context.cpp
@@ -219,7 +219,27 @@
 
 RunOutcome CallContext::runOutcome() const {
   const bool mayRun = mayHaveRun_ || !replicaUnderWay_.empty();
-  return mayRun ? RunOutcome::OutcomeUnknown : RunOutcome::NotRun;
+  // The journal admits non-repeatable work only if it never ran. Repeatable work is admitted again
+  // under the same id, so an earlier call may have run it.
+  const bool ranNeverBefore = plan_.certainlyNew || (admitted_ && !plan_.repeatable);
+  return mayRun || !ranNeverBefore ? RunOutcome::OutcomeUnknown : RunOutcome::NotRun;
+}
+
+/// \return whether a refusal of that kind may come before the journal was asked for earlier calls
+/// with the same request id (or, for repeatable work, without regard to them).
+bool CallContext::refusedWithoutLedger(ErrorKind kind) const {
+  switch (kind) {
+    case ErrorKind::QuorumUnavailable:
+    case ErrorKind::NodeStopping:
+    case ErrorKind::StaleEpoch:
+    case ErrorKind::HomeZoneUnreachable:
+      return true;
+    case ErrorKind::AdmissionRefused:
+    case ErrorKind::DeadlineExceeded:
+      return plan_.repeatable;
+    default:
+      return false;
+  }
 }
 
 std::uint32_t CallContext::retryAfterSeconds(Instant now) {
@@ -249,10 +269,6 @@
   Error error{ErrorKind::DeadlineExceeded, "Gorsetrail-Timeout-Ms",
               "the call did not end within its time limit",
               std::string(kAskAgain) + ", with a longer time limit", runOutcome()};
-  // Before the program service spoke, an earlier dispatch of the same request id may exist.
-  if (!admitted_ && !plan_.repeatable) {
-    error.outcome = RunOutcome::OutcomeUnknown;
-  }
   error.retryAfterSeconds = 1;
   return error;
 }
@@ -304,7 +320,14 @@
   actions_.emplace_back(std::move(completed));
 }
 
-void CallContext::answerProgramError(const Error& error) { refuse(error); }
+void CallContext::answerProgramError(const Error& error) {
+  Error answer = error;
+  const bool mayHaveRunBefore = !plan_.certainlyNew && refusedWithoutLedger(error.kind);
+  if (mayHaveRunBefore && error.location.empty()) {
+    answer.outcome = RunOutcome::OutcomeUnknown;
+  }
+  refuse(std::move(answer));
+}
 
 void CallContext::answerRecordingFailed(const Error& error) {
   if (finalError_) {
--- a/src/engine/call_context.h
+++ b/src/engine/call_context.h
@@ -84,6 +84,7 @@
               Instant now);
   void recordFailure(Error error, Instant now);
   void refuse(Error error);
+  [[nodiscard]] bool refusedWithoutLedger(ErrorKind kind) const;
   void emitUnsentText();
   [[nodiscard]] bool callerListens() const { return !callerGone_ && !callerAnswered_; }
   [[nodiscard]] bool mayResume(const AttemptLoss& loss) const;
--- a/src/engine/call_machine.h
+++ b/src/engine/call_machine.h
@@ -37,6 +37,8 @@
   CallHandle handle;
   bool repeatable = true;
   bool application = false;
+  /// The request id was made for this very call, so no earlier call can have run it.
+  bool certainlyNew = false;
   AnswerMode mode = AnswerMode::Whole;
   std::string body;
   std::string model;
--- a/src/node/core/composed_node_core.cpp
+++ b/src/node/core/composed_node_core.cpp
@@ -33,10 +33,10 @@
       observation_(options_.self, options_.zone, options_.seed),
       log_(options_.self, options_.incarnation, options_.seed) {}
 
-void ComposedNodeCore::refuse(CallHandle handle, bool repeatable, Error error) {
+void ComposedNodeCore::refuse(CallHandle handle, bool certainlyNew, Error error) {
   // The journal was not asked: an earlier call with the same request id may have run, so a
-  // passing refusal of work that may not be repeated cannot say that the request did not run.
-  if (!repeatable && error.retryAfterSeconds > 0) {
+  // passing refusal cannot say that the request did not run, unless it had no id.
+  if (!certainlyNew && error.retryAfterSeconds > 0) {
     error.outcome = RunOutcome::OutcomeUnknown;
   }
   ++counters_.callsRefused;
@@ -46,9 +46,9 @@
 void ComposedNodeCore::onCall(engine::CallRequest request, Instant now) {
   ++counters_.callsArrived;
   const CallHandle handle = request.handle;
-  const bool repeatable = request.repeatable;
+  const bool certainlyNew = request.idempotencyKey.empty();
   if (stopping_) {
-    refuse(handle, repeatable,
+    refuse(handle, certainlyNew,
            {ErrorKind::NodeStopping, "", "this node is stopping",
             "ask another node with the same request id", RunOutcome::NotRun,
             kStoppingRetryAfterSeconds});
@@ -56,19 +56,19 @@
   }
   const auto bundle = bundles_.inForce();
   if (!bundle) {
-    refuse(handle, repeatable,
+    refuse(handle, certainlyNew,
            {ErrorKind::BundleNotInForce, "", "this node has no bundle in force yet",
             "ask again with the same request id; if it lasts, have an operator publish a bundle",
             RunOutcome::NotRun, kNoBundleRetryAfterSeconds});
     return;
   }
-  const bool needsRequestId = request.repeatable && request.idempotencyKey.empty();
   Result<CheckedCall> checked = checkCall(std::move(request), *bundle, now);
   if (!succeeded(checked)) {
-    refuse(handle, repeatable, errorOf(checked));
+    refuse(handle, certainlyNew, errorOf(checked));
     return;
   }
-  if (needsRequestId) {
+  if (certainlyNew) {
+    valueOf(checked).plan.certainlyNew = true;
     valueOf(checked).admission.idempotencyKey = makeRequestId(options_, handle);
   }
   takeCall(std::move(valueOf(checked)), now);
@@ -77,8 +77,9 @@
 
 void ComposedNodeCore::takeCall(CheckedCall checked, Instant now) {
   const program::CallAdmission admission = checked.admission;
+  const bool certainlyNew = checked.plan.certainlyNew;
   if (auto error = runner_.submit(std::move(checked), now)) {
-    refuse(admission.handle, admission.repeatable, *std::move(error));
+    refuse(admission.handle, certainlyNew, *std::move(error));
     return;
   }
   program_->admitCall(admission, now);
--- a/src/node/core/composed_node_core.h
+++ b/src/node/core/composed_node_core.h
@@ -48,7 +48,7 @@
   void sendJournal(program::SendJournalMessage& command, Instant now);
   void endProgram(ProgramId program);
   void refuseByProgram(const program::CallRefused& refused, Instant now);
-  void refuse(CallHandle handle, bool repeatable, Error error);
+  void refuse(CallHandle handle, bool certainlyNew, Error error);
   void takeCall(CheckedCall checked, Instant now);
   void handle(NodeId from, const bundle::DistributionMessage& message, Instant now);
   void fetchBundle(NodeId peer, Instant now);
