--- a/src/program/owned_program.cpp
+++ b/src/program/owned_program.cpp
@@ -88,30 +88,32 @@
     refuse(admission.handle, requestConflictError());
     return true;
   }
-  if (call->state != LedgerState::Ended) {
-    return joinCallUnderWay(admission, *call);
+  // What certainly did not run may run under the same id; what may have run only if repeatable.
+  const bool hasOutcome =
+      call->state == LedgerState::Ended || call->state == LedgerState::OutcomePending;
+  const bool mayRunAgain =
+      hasOutcome && call->status != CallStatus::Completed &&
+      (call->status == CallStatus::NotRun || (call->repeatable && admission.repeatable));
+  if (mayRunAgain) {
+    return false;
   }
-  if (call->status == CallStatus::Completed) {
+  if (call->state != LedgerState::Ended) {
+    joinCallUnderWay(admission, *call);
+  } else if (call->status == CallStatus::Completed) {
     const auto* outcome = bodyAt<OutcomeEntry>(owner_.record(), call->outcome);
     commands_.push(CallReplayed{admission.handle, outcome == nullptr ? "" : outcome->answer});
-    return true;
-  }
-  // What certainly did not run may run under the same id; what may have run only if repeatable.
-  const bool mayRunAgain =
-      call->status == CallStatus::NotRun || (call->repeatable && admission.repeatable);
-  if (!mayRunAgain) {
+  } else {
     refuse(admission.handle, endedWithoutAnswerError(call->status));
   }
-  return !mayRunAgain;
+  return true;
 }
 
-bool OwnedProgram::joinCallUnderWay(const CallAdmission& admission, LedgerCall& call) {
+void OwnedProgram::joinCallUnderWay(const CallAdmission& admission, LedgerCall& call) {
   if (call.followers.size() >= knobs_.maximumQueuedCallsPerBranch) {
     refuse(admission.handle, queueFullError(knobs_.maximumQueuedCallsPerBranch));
   } else {
     call.followers.push_back(admission.handle);
   }
-  return true;
 }
 
 void OwnedProgram::onSealReply(NodeId from, const SealReply& reply, Instant now) {
@@ -129,6 +131,7 @@
     return;
   }
   if (owner_.phase() == OwnerPhase::Elsewhere) {
+    owner_.release();  // Else replicas that promised this candidate would send callers back here.
     const Error error = ownedElsewhereError(liveness_.callerAddressOf(owner_.liveOwner()));
     leave(error, error);
     return;
@@ -318,6 +321,7 @@
   owner_.onTick(now);
   if (!isLoaded_ && now - openedAt_ >= knobs_.quorumTimeout) {
     const Error error = quorumUnavailableError(RunOutcome::NotRun);
+    owner_.release();
     leave(error, error);
     return;
   }
--- a/src/program/owned_program.h
+++ b/src/program/owned_program.h
@@ -40,7 +40,7 @@
   void recordOrphans(const std::vector<CallNumber>& orphans);
   void takeArrival(const CallAdmission& admission);
   bool answerFromLedger(const CallAdmission& admission, const RequestDigest& request);
-  bool joinCallUnderWay(const CallAdmission& admission, LedgerCall& call);
+  void joinCallUnderWay(const CallAdmission& admission, LedgerCall& call);
   void advanceStanding();
   void advanceCall(LedgerCall& call, Branch& branch);
   void endCall(LedgerCall& call, Branch& branch);
--- a/src/program/program_owner.cpp
+++ b/src/program/program_owner.cpp
@@ -10,6 +10,8 @@
 
 /// A replica that never answers costs one message in that time for each program it lags in.
 constexpr Duration kLongestPause = seconds(30);
+/// Resend intervals for which a candidate waits for the last replica's view of who owns.
+constexpr int kRefusalPatience = 2;
 
 }  // namespace
 
@@ -35,6 +37,7 @@
 
 void ProgramOwner::seal(Epoch epoch, Instant now) {
   epoch_ = epoch;
+  sealedAt_ = now;
   bestWritten_ = Epoch{};
   best_.reset();
   for (Progress& replica : replicas_) {
@@ -72,7 +75,7 @@
     return;  // An answer to an earlier epoch of this node says nothing of this one.
   }
   if (const auto* refused = std::get_if<SealRefused>(&reply.verdict)) {
-    onRefused(*refused, now);
+    onRefused(*refused, *replica, now);
     return;
   }
   const auto* granted = std::get_if<SealGranted>(&reply.verdict);
@@ -127,29 +130,75 @@
   // The install goes out with the next flush, so that a first intent travels in the same message.
 }
 
-void ProgramOwner::onRefused(const SealRefused& refused, Instant now) {
+void ProgramOwner::onRefused(const SealRefused& refused, Progress& replica, Instant now) {
   if (phase_ == OwnerPhase::Elsewhere || phase_ == OwnerPhase::Lost) {
     return;
   }
-  const bool isOwnLife =
-      refused.owner == identity_.self && refused.ownerIncarnation == identity_.incarnation;
-  const bool isOthers = refused.owner != NodeId{} && !isOwnLife;
-  if (phase_ != OwnerPhase::Sealing) {
-    if (isOthers && !isBarrier(refused.promised)) {
+  replica.refused = refused;
+  if (phase_ == OwnerPhase::Sealing) {
+    decideRefusals(now);
+    return;
+  }
+  if (namedIn(refused) == NamedOwner::OtherLive || namedIn(refused) == NamedOwner::OtherDead) {
+    if (!isBarrier(refused.promised)) {
       phase_ = OwnerPhase::Lost;
       return;
     }
-  } else if (isOthers && liveness_.isAlive(refused.owner, refused.ownerIncarnation)) {
-    liveOwner_ = refused.owner;
+  }
+  phase_ = OwnerPhase::Renewing;
+  sealAboveRefusals(now);
+}
+
+ProgramOwner::NamedOwner ProgramOwner::namedIn(const SealRefused& refused) const {
+  if (refused.owner == NodeId{}) {
+    return NamedOwner::None;
+  }
+  if (refused.owner == identity_.self && refused.ownerIncarnation == identity_.incarnation) {
+    return NamedOwner::ThisLife;
+  }
+  return liveness_.isAlive(refused.owner, refused.ownerIncarnation) ? NamedOwner::OtherLive
+                                                                    : NamedOwner::OtherDead;
+}
+
+void ProgramOwner::decideRefusals(Instant now) {
+  std::size_t replies = 0;
+  std::size_t namingLive = 0;
+  std::size_t namingThisLife = 0;
+  std::size_t refusals = 0;
+  for (const Progress& replica : replicas_) {
+    replies += replica.granted || replica.refused ? 1 : 0;
+    if (!replica.refused) {
+      continue;
+    }
+    ++refusals;
+    const NamedOwner named = namedIn(*replica.refused);
+    namingThisLife += named == NamedOwner::ThisLife ? 1 : 0;
+    if (named == NamedOwner::OtherLive) {
+      ++namingLive;
+      liveOwner_ = replica.refused->owner;
+    }
+  }
+  const bool isComplete =
+      replies == replicas_.size() ||
+      (replies >= quorum() && now - sealedAt_ >= kRefusalPatience * knobs_.resendInterval);
+  if (namingLive >= quorum() || (isComplete && namingLive > 0 && namingThisLife == 0)) {
     phase_ = OwnerPhase::Elsewhere;
-    return;
+  } else if (refusals - namingLive >= quorum() || (isComplete && refusals > 0)) {
+    // The owner is dead or gave the program up, or candidates refused each other and each is
+    // named by one replica: seal above them all. A wrong suspicion costs the old owner its
+    // program, never a promise: its next write is refused.
+    sealAboveRefusals(now);
   }
-  // The owner is dead or gave the program up, or only a barrier stands: seal above it. A wrong
-  // suspicion costs the old owner its program, never a promise: its next write is refused.
-  if (phase_ == OwnerPhase::Serving) {
-    phase_ = OwnerPhase::Renewing;
+}
+
+void ProgramOwner::sealAboveRefusals(Instant now) {
+  Epoch highest = epoch_;
+  for (const Progress& replica : replicas_) {
+    if (replica.refused) {
+      highest = std::max(highest, replica.refused->promised);
+    }
   }
-  seal(epochAbove(std::max(refused.promised, epoch_), identity_.self), now);
+  seal(epochAbove(highest, identity_.self), now);
 }
 
 void ProgramOwner::onAppendReply(NodeId from, const AppendReply& reply, Instant now) {
@@ -305,6 +354,9 @@
         sendSeal(replica, now);
       }
     }
+    if (phase_ == OwnerPhase::Sealing) {
+      decideRefusals(now);
+    }
   }
 }
 
--- a/src/program/program_owner.h
+++ b/src/program/program_owner.h
@@ -72,16 +72,23 @@
     NodeId node;
     bool granted = false;
     bool installed = false;  ///< It confirmed a write of this epoch.
+    std::optional<SealRefused> refused;
     std::uint64_t stored = 0;
     std::uint64_t sent = 0;
     std::optional<Instant> lastSent;
     Duration pause;
   };
 
+  /// Whom a refusing replica holds for the owner.
+  enum class NamedOwner : std::uint8_t { None, ThisLife, OtherLive, OtherDead };
+
   void seal(Epoch epoch, Instant now);
   void sendSeal(Progress& replica, Instant now);
   void sealed();
-  void onRefused(const SealRefused& refused, Instant now);
+  void onRefused(const SealRefused& refused, Progress& replica, Instant now);
+  void decideRefusals(Instant now);
+  void sealAboveRefusals(Instant now);
+  [[nodiscard]] NamedOwner namedIn(const SealRefused& refused) const;
   [[nodiscard]] bool wasWrittenByOthers(Epoch written) const;
   void onStored(SequenceNumber through, Progress& replica, Instant now);
   void onMissingPrefix(const AppendReply& reply, Progress& replica, Instant now);
@@ -106,6 +113,7 @@
   OwnerPhase phase_ = OwnerPhase::Sealing;
   Epoch epoch_;
   Epoch ownedSince_;  ///< First epoch under which this owner's record was read from a quorum.
+  Instant sealedAt_;
   Epoch bestWritten_;
   std::optional<ProgramRecord> best_;
   ProgramRecord record_;
--- a/src/program/program_service.h
+++ b/src/program/program_service.h
@@ -145,8 +145,8 @@
   std::size_t maximumQueuedCallsPerBranch = 16;
   /// Answers above it are kept whole all the same (a cut answer is not the answer); the program
   /// then takes no further call once its journal exceeds `maximumProgramBytes`.
-  std::size_t maximumAnswerBytesKept = 64 * 1024;
-  std::size_t maximumProgramBytes = 2 * 1024 * 1024;
+  std::size_t maximumAnswerBytesKept = std::size_t{64} * 1024;
+  std::size_t maximumProgramBytes = std::size_t{2} * 1024 * 1024;
   Duration closedRetention = seconds(300);  ///< Closed programs still replay answers that long.
   /// A replica that has run that long trusts that it never held a program it does not know.
   Duration replicaSeasoning = seconds(1800);
--- a/tests/program/journal_cluster.cpp
+++ b/tests/program/journal_cluster.cpp
@@ -232,6 +232,36 @@
   return reports_.at(handle);
 }
 
+const CallReport& JournalCluster::askUntilAnswered(const std::string& requestKey,
+                                                   unsigned attempts) {
+  CallHandle handle;
+  for (unsigned attempt = 0; attempt < attempts; ++attempt) {
+    const auto node = static_cast<std::uint32_t>(1 + attempt % nodes_.size());
+    if (!isUp(node) || isPaused(node)) {
+      continue;
+    }
+    handle = call(node, requestKey);
+    if (finish(handle).answer) {
+      break;
+    }
+    run(milliseconds(100));
+  }
+  return reports_.at(handle);
+}
+
+void JournalCluster::heal() {
+  conditions_.lossPerMille = 0;
+  cuts_.clear();
+  for (auto& [node, state] : nodes_) {
+    state.isSuspected = false;
+    if (state.service == nullptr) {
+      restart(node);
+    } else if (state.isPaused) {
+      resume(node);
+    }
+  }
+}
+
 unsigned JournalCluster::runsOf(const std::string& requestKey) const {
   const auto position = runs_.find(requestKey);
   return position == runs_.end() ? 0 : position->second;
--- a/tests/program/journal_cluster.h
+++ b/tests/program/journal_cluster.h
@@ -65,11 +65,17 @@
   void run(Duration span);
   /// Runs until the call is over, at most ten virtual seconds.
   const CallReport& finish(CallHandle handle);
+  /// Asks node after node, as a caller with one request id would, until there is an answer.
+  /// \return the last report; without an answer after `attempts` questions.
+  const CallReport& askUntilAnswered(const std::string& requestKey, unsigned attempts = 40);
+  /// Ends all faults: every node runs, is believed to, and hears every other.
+  void heal();
 
   ProgramServiceImpl& service(std::uint32_t node) { return *nodes_.at(node).service; }
   [[nodiscard]] bool isUp(std::uint32_t node) const { return nodes_.at(node).service != nullptr; }
   [[nodiscard]] bool isPaused(std::uint32_t node) const { return nodes_.at(node).isPaused; }
   [[nodiscard]] unsigned runsOf(const std::string& key) const;
+  [[nodiscard]] const std::map<CallHandle, CallReport>& reports() const { return reports_; }
   [[nodiscard]] const std::map<std::string, unsigned>& runs() const { return runs_; }
   [[nodiscard]] std::uint64_t sent() const { return sent_; }
   RandomSource& random() { return random_; }
@@ -78,6 +84,7 @@
   BudgetLimits limits;
   Duration timeLimit = seconds(8);
   std::vector<std::string> dispatchOrder;  ///< Keys, as the back end met them.
+  std::uint64_t bytesSent = 0;             ///< Rough size of all messages between different nodes.
 
   [[nodiscard]] Group groupOf(const std::string& homeZone, ProgramId program) const override;
 
