--- a/src/bundle/bundle_schema.cpp
+++ b/src/bundle/bundle_schema.cpp
@@ -55,7 +55,7 @@
         "required": ["name", "public_key"],
         "properties": {
           "name": {"$ref": "#/definitions/name"},
-          "public_key": {"description": "Ed25519, 32 bytes, base64.", "type": "string", "maxLength": 64}
+          "public_key": {"description": "Ed25519, 32 bytes, base64.", "type": "string", "minLength": 1, "maxLength": 64}
         }
       }
     },
@@ -112,7 +112,7 @@
           "name": {"$ref": "#/definitions/name"},
           "kind": {"$ref": "#/definitions/kind"},
           "zone": {"$ref": "#/definitions/name"},
-          "address": {"description": "`ip:port` or `[ipv6]:port`.", "type": "string", "maxLength": 64},
+          "address": {"description": "`ip:port` or `[ipv6]:port`.", "type": "string", "minLength": 1, "maxLength": 64},
           "model": {"description": "Engines only: the model it runs.", "$ref": "#/definitions/name"},
           "leaving": {"description": "True: it gets no new work.", "type": "boolean"}
         }
--- a/src/bundle/json_text.cpp
+++ b/src/bundle/json_text.cpp
@@ -8,6 +8,9 @@
 
 using nlohmann::json;
 
+/// Deeper than any bundle or envelope; keeps the paths short that are built for every level.
+constexpr std::size_t kMaximumDepth = 16;
+
 /// Follows the parser's events and notes keys that stand twice in one object.
 class RepeatedKeyFinder {
  public:
@@ -21,7 +24,7 @@
         break;
       case json::parse_event_t::object_end:
       case json::parse_event_t::array_end:
-        levels_.pop_back();
+        leave();
         break;
       case json::parse_event_t::key:
         noteKey(parsed.get<std::string>());
@@ -45,12 +48,16 @@
   };
 
   void noteElement() {
-    if (!levels_.empty() && levels_.back().isArray) {
+    if (levelsTooDeep_ == 0 && !levels_.empty() && levels_.back().isArray) {
       ++levels_.back().elements;
     }
   }
 
   void enter(bool isArray) {
+    if (levels_.size() == kMaximumDepth) {
+      ++levelsTooDeep_;
+      return;
+    }
     Level level;
     level.isArray = isArray;
     if (!levels_.empty()) {
@@ -62,7 +69,22 @@
     levels_.push_back(std::move(level));
   }
 
+  void leave() {
+    if (levelsTooDeep_ == 0) {
+      levels_.pop_back();
+      return;
+    }
+    if (--levelsTooDeep_ == 0) {
+      errors_.push_back(Error{ErrorKind::InvalidBundle, levels_.back().path,
+                              "more than " + std::to_string(kMaximumDepth) + " levels are nested",
+                              "remove what no bundle has"});
+    }
+  }
+
   void noteKey(const std::string& key) {
+    if (levelsTooDeep_ > 0) {
+      return;
+    }
     Level& level = levels_.back();
     level.key = key;
     if (!level.keys.insert(key).second) {
@@ -72,6 +94,7 @@
   }
 
   std::vector<Level> levels_;
+  std::size_t levelsTooDeep_ = 0;
   std::vector<Error> errors_;
 };
 
