--- a/src/engine/call_context.cpp
+++ b/src/engine/call_context.cpp
@@ -10,6 +10,28 @@
 constexpr std::uint32_t kMaximumResumes = 8;
 constexpr std::string_view kAskAgain = "ask again with the same request id";
 
+constexpr unsigned kStatusBadRequest = 400;
+constexpr unsigned kStatusTooManyRequests = 429;
+constexpr unsigned kStatusInternalError = 500;
+constexpr unsigned kStatusUnavailable = 503;
+
+/// \return whether the back end found fault with the request: any other would, too.
+bool isRefusalOfTheRequestItself(const AttemptLoss& loss) {
+  return loss.kind == LossKind::Refused && loss.status >= kStatusBadRequest &&
+         loss.status < kStatusInternalError && loss.status != kStatusTooManyRequests;
+}
+
+ErrorKind kindOfRefusal(unsigned status) {
+  switch (status) {
+    case kStatusTooManyRequests:
+      return ErrorKind::AdmissionRefused;
+    case kStatusUnavailable:
+      return ErrorKind::NoBackendAvailable;
+    default:
+      return ErrorKind::BackendRefused;
+  }
+}
+
 /// \return whole seconds, rounded up, at least one.
 std::uint32_t wholeSeconds(Duration span) {
   const auto rounded = std::chrono::ceil<std::chrono::seconds>(span).count();
@@ -93,10 +115,10 @@
          resumes_ < kMaximumResumes;
 }
 
-bool CallContext::mayStartAnew() const {
+bool CallContext::mayStartAnew(const AttemptLoss& loss) const {
   const bool certainlyNotRun = !mayHaveRun_;
-  return (plan_.repeatable || certainlyNotRun) && sentBytes_ == 0 &&
-         attempts_ < knobs_.maximumAttempts;
+  return !isRefusalOfTheRequestItself(loss) && (plan_.repeatable || certainlyNotRun) &&
+         sentBytes_ == 0 && attempts_ < knobs_.maximumAttempts;
 }
 
 LossVerdict CallContext::judge(const AttemptLoss& loss, Instant now) {
@@ -104,7 +126,7 @@
   mayHaveRun_ = mayHaveRun_ || loss.kind == LossKind::Broken;
   waitForBudget_ = Duration::zero();
   const bool resumable = mayResume(loss);
-  if (!resumable && !mayStartAnew()) {
+  if (!resumable && !mayStartAnew(loss)) {
     return LossVerdict::GiveUp;
   }
   plannedBackoff_ = resumable ? Duration::zero() : backoffBefore(attempts_ + 1, knobs_, random_);
@@ -256,12 +278,16 @@
     error.kind = ErrorKind::OutcomeNotKnown;
     error.remedy = std::string(kAskAgain) + ": it is not run again; check at the back end";
   } else if (loss.kind == LossKind::Refused) {
-    error.kind = ErrorKind::BackendRefused;
+    error.kind = kindOfRefusal(loss.status);
   } else if (loss.kind == LossKind::NotSent) {
     error.kind = ErrorKind::NoBackendAvailable;
   } else {
     error.kind = ErrorKind::BackendFailed;
   }
+  if (isRefusalOfTheRequestItself(loss)) {
+    error.remedy = "correct the request as the back end's reason says";
+    error.retryAfterSeconds = 0;
+  }
   return error;
 }
 
--- a/src/engine/call_context.h
+++ b/src/engine/call_context.h
@@ -19,6 +19,7 @@
 struct AttemptLoss {
   LossKind kind = LossKind::Broken;
   std::string reason;
+  unsigned status = 0;  ///< HTTP status of a refusal.
 };
 
 /// What follows a lost attempt.
@@ -88,7 +89,7 @@
   void emitUnsentText();
   [[nodiscard]] bool callerListens() const { return !callerGone_ && !callerAnswered_; }
   [[nodiscard]] bool mayResume(const AttemptLoss& loss) const;
-  [[nodiscard]] bool mayStartAnew() const;
+  [[nodiscard]] bool mayStartAnew(const AttemptLoss& loss) const;
   [[nodiscard]] RunOutcome runOutcome() const;
   [[nodiscard]] std::uint32_t retryAfterSeconds(Instant now);
   [[nodiscard]] Error lossError(const AttemptLoss& loss, Instant now);
--- a/src/engine/call_machine.cpp
+++ b/src/engine/call_machine.cpp
@@ -12,75 +12,16 @@
 #include <boost/msm/front/state_machine_def.hpp>
 
 #include "engine/call_context.h"
+#include "engine/call_steps.h"
 
 namespace gorsetrail::engine {
 namespace {
 
+using namespace steps;
 namespace front = boost::msm::front;
 using boost::msm::front::none;
 using boost::msm::front::Row;
 
-/// \name Events; all carry the moment at which they came
-/// @{
-struct Submitted {
-  Instant now;
-};
-struct Admitted {
-  DispatchId dispatch;
-  Instant now;
-};
-struct Replayed {
-  const std::string* answer;
-  Instant now;
-};
-struct ProgramRefused {
-  const Error* error;
-  Instant now;
-};
-struct ReplicaChosen {
-  const ChosenReplica* replica;
-  Instant now;
-};
-struct ReplicaMissing {
-  std::optional<Instant> usableAt;
-  Instant now;
-};
-struct RetryDue {
-  Instant now;
-};
-struct ChunkArrived {
-  const DispatchChunk* chunk;
-  Instant now;
-};
-struct AttemptFinished {
-  const DispatchFinished* finished;
-  Instant now;
-};
-struct StreamResumable {
-  Instant now;
-};
-struct AttemptRetryable {
-  Instant now;
-};
-struct AttemptLostForGood {
-  const AttemptLoss* loss;
-  Instant now;
-};
-struct OutcomeStands {
-  program::Durability durability;
-  Instant now;
-};
-struct CallerLeft {
-  Instant now;
-};
-struct DeadlinePassed {
-  Instant now;
-};
-struct LingerPassed {
-  Instant now;
-};
-/// @}
-
 /// A state that tells the context where the call stands.
 template <CallState kState>
 struct StateOf : front::state<> {
@@ -100,102 +41,6 @@
 using RefusedState = StateOf<CallState::Refused>;
 using UnknownState = StateOf<CallState::Unknown>;
 
-/// An action or guard: calls `Step` with the context and the event.
-template <auto kStep>
-struct Step {
-  template <class Event, class Machine, class Source, class Target>
-  auto operator()(const Event& event, Machine& machine, Source&, Target&) const {
-    return kStep(*machine.context, event);
-  }
-};
-
-/// \name Actions
-/// @{
-using Admit = Step<[](CallContext& call, const Admitted& event) {
-  call.admit(event.dispatch, event.now);
-  call.requestReplica();
-}>;
-using RecordNeverRun = Step<[](CallContext& call, const Admitted& event) {
-  call.admit(event.dispatch, event.now);
-  call.recordDeadline(event.now);
-}>;
-using AnswerReplay =
-    Step<[](CallContext& call, const Replayed& event) { call.answerReplay(*event.answer); }>;
-using AnswerError = Step<[](CallContext& call, const ProgramRefused& event) {
-  call.answerProgramError(*event.error);
-}>;
-using AnswerRecordingFailed = Step<[](CallContext& call, const ProgramRefused& event) {
-  call.answerRecordingFailed(*event.error);
-}>;
-using MarkGone = Step<[](CallContext& call, const CallerLeft&) { call.markCallerGone(); }>;
-using Abandon = Step<[](CallContext& call, const CallerLeft& event) {
-  call.markCallerGone();
-  call.recordAbandoned(event.now);
-}>;
-using AnswerDeadline =
-    Step<[](CallContext& call, const DeadlinePassed&) { call.answerDeadline(); }>;
-using RecordDeadline =
-    Step<[](CallContext& call, const DeadlinePassed& event) { call.recordDeadline(event.now); }>;
-using RecordLinger = Step<[](CallContext& call, const LingerPassed& event) {
-  call.recordUnknownAfterLinger(event.now);
-}>;
-using Dispatch = Step<[](CallContext& call, const ReplicaChosen& event) {
-  call.dispatch(*event.replica, event.now);
-}>;
-using WaitForReplica = Step<[](CallContext& call, const ReplicaMissing& event) {
-  call.waitForReplica(event.usableAt, event.now);
-}>;
-using RecordNoReplica = Step<[](CallContext& call, const ReplicaMissing& event) {
-  call.recordNoReplica(event.usableAt, event.now);
-}>;
-using RequestReplica = Step<[](CallContext& call, const RetryDue&) { call.requestReplica(); }>;
-using TakeChunk =
-    Step<[](CallContext& call, const ChunkArrived& event) { call.takeChunk(*event.chunk); }>;
-using RecordCompleted = Step<[](CallContext& call, const AttemptFinished& event) {
-  call.recordCompleted(*event.finished, event.now);
-}>;
-using Resume =
-    Step<[](CallContext& call, const StreamResumable& event) { call.resume(event.now); }>;
-using ScheduleRetry =
-    Step<[](CallContext& call, const AttemptRetryable&) { call.scheduleRetry(); }>;
-using RecordLost = Step<[](CallContext& call, const AttemptLostForGood& event) {
-  call.recordLost(*event.loss, event.now);
-}>;
-using AnswerFinal =
-    Step<[](CallContext& call, const OutcomeStands& event) { call.answerFinal(event.durability); }>;
-/// @}
-
-/// \name Guards; those of one state and event exclude each other
-/// @{
-using WorthRunning = Step<[](const CallContext& call, const Admitted& event) {
-  return call.worthRunning(event.now);
-}>;
-using NotWorthRunning = Step<[](const CallContext& call, const Admitted& event) {
-  return !call.worthRunning(event.now);
-}>;
-using MayWait = Step<[](const CallContext& call, const ReplicaMissing& event) {
-  return call.mayWaitUntil(event.usableAt, event.now);
-}>;
-using MayNotWait = Step<[](const CallContext& call, const ReplicaMissing& event) {
-  return !call.mayWaitUntil(event.usableAt, event.now);
-}>;
-using IsRepeatable = Step<[](const CallContext& call, const auto&) { return call.repeatable(); }>;
-using IsNotRepeatable =
-    Step<[](const CallContext& call, const auto&) { return !call.repeatable(); }>;
-template <program::CallStatus kStatus>
-using RecordedAs =
-    Step<[](const CallContext& call, const auto&) { return call.recordedStatus() == kStatus; }>;
-using RecordedAsFailure = Step<[](const CallContext& call, const auto&) {
-  return call.recordedStatus() != program::CallStatus::Completed &&
-         call.recordedStatus() != program::CallStatus::Unknown;
-}>;
-using RecordedAsUnknown = RecordedAs<program::CallStatus::Unknown>;
-using NotRecordedAsUnknown = Step<[](const CallContext& call, const auto&) {
-  return call.recordedStatus() != program::CallStatus::Unknown;
-}>;
-using RecordedAsCompleted = RecordedAs<program::CallStatus::Completed>;
-/// @}
-
 /// The table; rows of the same state stand together.
 struct CallMachineFront : front::state_machine_def<CallMachineFront> {
   explicit CallMachineFront(CallContext* callContext) : context(callContext) {}
@@ -204,7 +49,7 @@
   using no_exception_thrown = int;  ///< Actions do not throw.
 
   // clang-format off
-  struct transition_table : boost::mpl::vector<
+  struct transition_table : boost::mpl::vector<  // NOLINT(readability-identifier-naming): MSM's
     Row<ReceivedState, Submitted, WaitingForAdmissionState, none, none>,
 
     Row<WaitingForAdmissionState, Admitted, WaitingForReplicaState, Admit, WorthRunning>,
@@ -274,8 +119,7 @@
     machine.start();
   }
 
-  void onLoss(LossKind kind, const std::string& reason, Instant now) {
-    const AttemptLoss loss{kind, reason};
+  void onLoss(const AttemptLoss& loss, Instant now) {
     switch (context.judge(loss, now)) {
       case LossVerdict::Resume:
         machine.process_event(StreamResumable{now});
@@ -290,13 +134,15 @@
   }
 
   void on(const DispatchNotSent& event, Instant now) {
-    onLoss(LossKind::NotSent, "the back end could not be reached: " + event.reason, now);
+    onLoss({LossKind::NotSent, "the back end could not be reached: " + event.reason}, now);
   }
   void on(const DispatchRefused& event, Instant now) {
-    onLoss(LossKind::Refused, "the back end refused the request: " + event.reason, now);
+    AttemptLoss loss{LossKind::Refused, "the back end refused the request: " + event.reason};
+    loss.status = event.status;
+    onLoss(loss, now);
   }
   void on(const DispatchBroken& event, Instant now) {
-    onLoss(LossKind::Broken, "the connection to the back end broke: " + event.reason, now);
+    onLoss({LossKind::Broken, "the connection to the back end broke: " + event.reason}, now);
   }
   void on(const DispatchFinished& event, Instant now) {
     machine.process_event(AttemptFinished{&event, now});
@@ -305,7 +151,7 @@
     if (event.offset > context.receivedTokens()) {
       // Tokens are missing: going on would give the caller a text with a hole.
       context.cancelAttempt();
-      onLoss(LossKind::Broken, "tokens of the stream are missing", now);
+      onLoss({LossKind::Broken, "tokens of the stream are missing"}, now);
       return;
     }
     machine.process_event(ChunkArrived{&event, now});
--- a/src/node/core/load_observation.cpp
+++ b/src/node/core/load_observation.cpp
@@ -39,8 +39,11 @@
     if (backend.kind != bundle::BackendKind::Engine) {
       continue;  // Applications report no load.
     }
-    // A zone without nodes is observed by the others.
     const auto zone = aliveByZone.find(backend.zone);
+    if (zone != aliveByZone.end() && backend.zone != zone_) {
+      continue;  // Its own zone observes it.
+    }
+    // A zone without nodes is observed by the others.
     const std::vector<NodeId>& nodes = zone == aliveByZone.end() ? alive : zone->second;
     const std::vector<NodeId> observers =
         highestRanked(engine::backendHashOf(backend.name), nodes, kObserversPerBackend);
--- a/src/node/core/log_writer.h
+++ b/src/node/core/log_writer.h
@@ -12,9 +12,9 @@
 namespace gorsetrail::node {
 
 struct LogKnobs {
-  std::size_t maximumQueuedBytes = 4 * 1024 * 1024;
-  std::size_t maximumRecordBytes = 256 * 1024;   ///< The log takes at most 1 MiB.
-  Duration batchInterval = milliseconds(100);    ///< Between two appends.
+  std::size_t maximumQueuedBytes = std::size_t{4} * 1024 * 1024;
+  std::size_t maximumRecordBytes = std::size_t{256} * 1024;  ///< The log takes at most 1 MiB.
+  Duration batchInterval = milliseconds(100);                ///< Between two appends.
   Duration catchUpInterval = milliseconds(250);  ///< The same after an outage, until caught up.
   Duration firstRetry = milliseconds(500);
   Duration longestRetry = seconds(10);
--- a/src/node/core/rendezvous.cpp
+++ b/src/node/core/rendezvous.cpp
@@ -11,9 +11,15 @@
 struct RankedNode {
   std::uint64_t weight = 0;
   NodeId node;
-  auto operator<=>(const RankedNode&) const = default;
 };
 
+bool goesBefore(const RankedNode& left, const RankedNode& right) {
+  if (left.weight != right.weight) {
+    return left.weight > right.weight;
+  }
+  return left.node > right.node;
+}
+
 }  // namespace
 
 std::vector<NodeId> highestRanked(std::span<const std::uint8_t> key,
@@ -25,7 +31,7 @@
   }
   const std::size_t kept = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
-                    ranked.end(), std::greater<>{});
+                    ranked.end(), goesBefore);
   std::vector<NodeId> best;
   best.reserve(kept);
   for (std::size_t position = 0; position < kept; ++position) {
--- a/tests/engine/call_machine_test.cpp
+++ b/tests/engine/call_machine_test.cpp
@@ -378,6 +378,34 @@
   CHECK(call.last<AnswerRefused>().error.outcome == RunOutcome::OutcomeUnknown);
 }
 
+TEST(CallMachine, RequestThatABackendFindsFaultWithIsNotTriedElsewhere) {
+  CallBench call(kRepeatable);
+  call.admit();
+  call.start("lm-1");
+  call.machine->onDispatchEvent(DispatchRefused{AttemptNumber(1), 400, "bad", false}, call.now);
+  CHECK(call.recordedStatus() == program::CallStatus::NotRun);
+  call.record();
+  CHECK(call.last<AnswerRefused>().error.kind == ErrorKind::BackendRefused);
+  CHECK_EQUAL(0U, call.last<AnswerRefused>().error.retryAfterSeconds);
+}
+
+TEST(CallMachine, FullReplicasEndInAnAdmissionRefusal) {
+  CallBench call(kRepeatable);
+  call.admit();
+  const std::uint32_t limit = RetryKnobs{}.maximumAttempts;
+  for (std::uint32_t attempt = 1; attempt <= limit; ++attempt) {
+    call.start("lm-1");
+    call.machine->onDispatchEvent(DispatchRefused{AttemptNumber(attempt), 429, "full", false},
+                                  call.now);
+    if (attempt < limit) {
+      call.awaitRetry();
+    }
+  }
+  call.record();
+  CHECK(call.last<AnswerRefused>().error.kind == ErrorKind::AdmissionRefused);
+  CHECK(call.last<AnswerRefused>().error.retryAfterSeconds > 0);
+}
+
 TEST(CallMachine, ReplayIsStreamedOnceAndEnds) {
   CallBench call(kRepeatable);
   call.machine->onReplayed("stored answer", call.now);
