--- a/lab/sim/audit.cpp
+++ b/lab/sim/audit.cpp
@@ -128,6 +128,8 @@
   figures.set("program_latency_p95_ms", quantile(context_.programLatenciesMs, 0.95));
   figures.set("program_latency_p99_ms", quantile(context_.programLatenciesMs, 0.99));
   figures.set("runs_at_back_ends", static_cast<double>(context_.checker.runsStarted()));
+  figures.set("runs_out_of_order_discarded",
+              static_cast<double>(context_.checker.runsOutOfOrder()));
   figures.set("events", static_cast<double>(context_.events.eventsRun()));
   figures.set("virtual_seconds", toMilliseconds(context_.now() - Instant{}) / 1000.0);
 
