Add the operators' command

Cause: operators drive the system only through the bundle and need one command for it. Change: keygen, bundle new/check/sign/publish/status/diff/history, drain, nodes, programs, completion.

--- /dev/null
+++ b/src/cli/command.h
@@ -0,0 +1,63 @@
+/// \file What every command gets, and the list of commands.
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "cli/exit_code.h"
+#include "cli/http_exchange.h"
+#include "cli/options.h"
+#include "cli/publisher.h"
+
+namespace gorsetrail::cli {
+
+/// Surroundings of one run of a command.
+struct CommandContext {
+  std::vector<std::string> arguments;  ///< Words after the command's own.
+  Options options;
+  HttpExchange& http;
+  Pause pause;
+  std::ostream& out;
+  std::ostream& err;
+};
+
+/// A command of `gorsetrail`.
+struct Command {
+  std::string words;      ///< Such as `bundle sign`.
+  std::string arguments;  ///< Such as `FILE`.
+  std::string summary;
+  std::string example;
+  std::vector<std::string> flags;  ///< Flags that it reads; all others are refused.
+  std::size_t minimumArguments = 0;
+  std::size_t maximumArguments = 0;
+  ExitCode (*run)(CommandContext& context) = nullptr;
+};
+
+/// \return all commands, in the order of the help.
+const std::vector<Command>& commands();
+
+/// Prints the errors to the error output. \return the exit code of the first.
+ExitCode fail(CommandContext& context, const std::vector<Error>& errors);
+ExitCode fail(CommandContext& context, const Error& error);
+
+/// \return `InvalidField` naming the first of the flags that has no value.
+Result<Success> requireFlags(const CommandContext& context, const std::vector<std::string>& names);
+
+/// \return the time limit of one request.
+Duration timeLimitOf(const Options& options);
+
+ExitCode runKeygen(CommandContext& context);
+ExitCode runBundleNew(CommandContext& context);
+ExitCode runBundleCheck(CommandContext& context);
+ExitCode runBundleSign(CommandContext& context);
+ExitCode runBundleDiff(CommandContext& context);
+ExitCode runBundlePublish(CommandContext& context);
+ExitCode runBundleHistory(CommandContext& context);
+ExitCode runBundleStatus(CommandContext& context);
+ExitCode runDrain(CommandContext& context);
+ExitCode runNodes(CommandContext& context);
+ExitCode runPrograms(CommandContext& context);
+ExitCode runCompletion(CommandContext& context);
+
+}  // namespace gorsetrail::cli
--- /dev/null
+++ b/src/cli/signing.h
@@ -0,0 +1,17 @@
+/// \file Signs bundles with a key file.
+#pragma once
+
+#include <string>
+
+#include "base/result.h"
+#include "bundle/bundle_holder.h"
+
+namespace gorsetrail::cli {
+
+/// Adds the operator's signature, in place of an earlier one under the same name.
+/// \return `InvalidField` when the key is unusable, or is not the one that the bundle itself lists
+/// under this name (the signature would count for nobody).
+Result<Success> addSignature(bundle::SignedBundle& bundle, const std::string& operatorName,
+                             const std::string& privateKeyPem);
+
+}  // namespace gorsetrail::cli
