Let the random test of calls tell tokens apart

Cause: repeated tokens of one attempt went unseen by the random test. Change: every token names its attempt and place.

--- a/tests/engine/call_machine_random_test.cpp
+++ b/tests/engine/call_machine_random_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <memory>
+#include <string>
 
 #include "engine/call_machine.h"
 
@@ -104,9 +106,20 @@
       broken_ = true;
     }
   }
-  /// Every attempt generates another text: its letter is the attempt's number.
-  static std::string textOf(AttemptNumber attempt) {
-    return std::string(1, static_cast<char>('a' + attempt.value()));
+  /// Every attempt generates another text: its tokens name the attempt and their place.
+  static std::string tokenOf(AttemptNumber attempt, std::uint32_t offset) {
+    return std::to_string(attempt.value()) + ":" + std::to_string(offset) + " ";
+  }
+  static std::string textOf(AttemptNumber attempt, std::uint32_t tokens) {
+    std::string text;
+    for (std::uint32_t offset = 0; offset < tokens; ++offset) {
+      text += tokenOf(attempt, offset);
+    }
+    return text;
+  }
+  static bool isTextOfOneAttempt(const std::string& text) {
+    const AttemptNumber attempt(static_cast<std::uint32_t>(std::stoul(text)));
+    return textOf(attempt, 2 * kSteps).starts_with(text);
   }
   void sendChunk() {
     if (!repeatable_) {
@@ -114,13 +127,13 @@
     }
     const AttemptNumber number = attempt();
     const auto offset = static_cast<std::uint32_t>(random_.below(4) + nextOffset_ / 2);
-    send(DispatchChunk{number, offset, textOf(number)});
+    send(DispatchChunk{number, offset, tokenOf(number, offset)});
     nextOffset_ = std::max(nextOffset_, offset);
   }
   void finish() {
     const AttemptNumber number = attempt();
-    const std::string answer(random_.below(5) + 1, textOf(number)[0]);
-    send(DispatchFinished{number, answer, 1, 0, 1});
+    const auto tokens = static_cast<std::uint32_t>(random_.below(5) + 1);
+    send(DispatchFinished{number, textOf(number, tokens), 1, 0, 1});
   }
 
   void perform() {
@@ -153,11 +166,11 @@
   void take(AnswerChunk& chunk) {
     CHECK_EQUAL(0, answers_);
     streamed_ += chunk.text;
-    // One attempt's text only.
-    CHECK(streamed_.find_first_not_of(streamed_[0]) == std::string::npos);
+    CHECK(isTextOfOneAttempt(streamed_));
   }
   void take(AnswerCompleted& completed) {
     CHECK(recorded_);
+    CHECK(isTextOfOneAttempt(completed.answer));
     CHECK(completed.answer.starts_with(streamed_));
     CHECK(!callerGone_);
     ++answers_;
