--- a/src/cli/node_commands.cpp
+++ b/src/cli/node_commands.cpp
@@ -134,6 +134,13 @@
   return owner.empty() ? response : get(context, owner, target);
 }
 
+void replaceByText(const OrderedJson& object, const char* key, std::string& text) {
+  const auto found = object.find(key);
+  if (found != object.end() && found->is_string()) {
+    text = found->get<std::string>();
+  }
+}
+
 ExitCode reportProgram(CommandContext& context, const http::Response& response) {
   const OrderedJson body = OrderedJson::parse(response.body, nullptr, false);
   if (response.status == kHttpOk && body.is_object()) {
@@ -144,8 +151,8 @@
               "the node answered with status " + std::to_string(response.status),
               "check name, --tenant and --zone"};
   if (body.is_object() && body.contains("error") && body["error"].is_object()) {
-    error.reason = body["error"].value("reason", error.reason);
-    error.remedy = body["error"].value("remedy", error.remedy);
+    replaceByText(body["error"], "reason", error.reason);
+    replaceByText(body["error"], "remedy", error.remedy);
   }
   if (response.status == kHttpNotFound) {
     error.kind = ErrorKind::ProgramNotFound;
