--- a/src/node/peer_transport.h
+++ b/src/node/peer_transport.h
@@ -48,6 +48,7 @@
   std::array<TrafficCounter, wire::kSubsystemCount> sent{};      ///< By `wire::Subsystem`.
   std::array<TrafficCounter, wire::kSubsystemCount> received{};  ///< By `wire::Subsystem`.
   std::array<std::uint64_t, wire::kSubsystemCount> dropped{};    ///< The queue was full.
+  std::uint64_t framesLost = 0;         ///< Under way when their link broke; may have arrived.
   std::uint64_t framesExpired = 0;      ///< Too old when the link was up again.
   std::uint64_t framesTooLong = 0;      ///< Over `wire::kMaximumFrameBytes`; never queued.
   std::uint64_t framesUnaddressed = 0;  ///< To a node that is no member, or to this node.
@@ -56,6 +57,7 @@
   std::uint64_t connectsFailed = 0;
   std::uint64_t linksOpened = 0;    ///< By this node.
   std::uint64_t linksAccepted = 0;  ///< From members.
+  std::uint64_t linksTimedOut = 0;  ///< Accepted, then silent for twice the idle timeout.
   std::uint64_t linksRefused = 0;   ///< Over `maximumIncomingLinks`.
   std::uint64_t linksIncoming = 0;  ///< Gauge.
   std::uint64_t linksOutgoing = 0;  ///< Gauge.
