Add the emulator of engines, workloads and policies

Cause: a policy's worth is the whole program's latency and the wasted cache. Change: discrete-event emulation with late reports and lost cache events, both sites' workload files, two clairvoyant bounds, subcommands emulate and compare.

--- a/lab/enginemodel/block_cache.cpp
+++ b/lab/enginemodel/block_cache.cpp
@@ -51,6 +51,7 @@
     Block& block = blocks_.at(chain[index]);
     --block.references;
     block.lastUse = useClock_;
+    block.lastUsedAt = clock_;
     makeEvictable(chain[index], block);
   }
 }
@@ -114,6 +115,7 @@
 void BlockCache::evict(PrefixHash prefix) {
   const auto found = blocks_.find(prefix);
   evictable_.erase(keyOf(prefix, found->second));
+  evictedIdleTokenSeconds_ += idleTokenSecondsOf(found->second);
   record(CacheEventKind::Evicted, prefix, found->second.depth);
   blocks_.erase(found);
 }
@@ -134,6 +136,7 @@
   block.depth = depth;
   block.references = 1;
   block.lastUse = useClock_;
+  block.lastUsedAt = clock_;
   record(CacheEventKind::Stored, prefix, depth);
 }
 
@@ -267,6 +270,19 @@
   return result;
 }
 
+double BlockCache::idleTokenSecondsOf(const Block& block) const {
+  const std::chrono::duration<double> idle = clock_ - block.lastUsedAt;
+  return idle.count() * blockTokens_;
+}
+
+double BlockCache::idleTokenSeconds() const {
+  double total = evictedIdleTokenSeconds_;
+  for (const auto& [prefix, block] : blocks_) {
+    total += block.references == 0 ? idleTokenSecondsOf(block) : 0.0;
+  }
+  return total;
+}
+
 std::uint32_t BlockCache::cachedBlocks() const {
   return static_cast<std::uint32_t>(blocks_.size());
 }
--- a/lab/enginemodel/block_cache.h
+++ b/lab/enginemodel/block_cache.h
@@ -105,6 +105,12 @@
   [[nodiscard]] std::uint32_t reservedBlocks() const { return reserved_; }
   [[nodiscard]] std::uint32_t heldBlocks() const { return heldBlocks_; }
 
+  /// Tells the cache the time, for the measure of idle memory only.
+  void setClock(Instant now) { clock_ = now; }
+  /// \return token-seconds that blocks were kept after their last use: of all evicted blocks, and
+  /// of those that are unused in memory now.
+  [[nodiscard]] double idleTokenSeconds() const;
+
   void setNextUseOracle(NextUseOracle oracle) { oracle_ = std::move(oracle); }
 
  private:
@@ -114,6 +120,7 @@
     std::uint32_t references = 0;
     std::uint32_t holds = 0;
     std::uint64_t lastUse = 0;
+    Instant lastUsedAt{};
   };
   struct EvictionKey {
     std::uint64_t lastUse = 0;
@@ -130,6 +137,7 @@
   void makeEvictable(PrefixHash prefix, const Block& block);
   void record(CacheEventKind kind, PrefixHash prefix, std::uint32_t depth);
   void unhold(const Hold& hold);
+  [[nodiscard]] double idleTokenSecondsOf(const Block& block) const;
 
   std::uint32_t blockTokens_;
   std::uint32_t capacity_;
@@ -143,6 +151,8 @@
   std::map<std::string, Hold, std::less<>> holds_;
   std::deque<CacheEvent> events_;
   NextUseOracle oracle_;
+  Instant clock_{};
+  double evictedIdleTokenSeconds_ = 0.0;
 };
 
 }  // namespace gorsetrail::enginemodel
--- a/lab/enginemodel/engine_model.cpp
+++ b/lab/enginemodel/engine_model.cpp
@@ -39,6 +39,12 @@
   tokensByMilliseconds[std::min(whole, kBuckets - 1)] += tokens;
 }
 
+void StepTimes::merge(const StepTimes& other) {
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    tokensByMilliseconds[bucket] += other.tokensByMilliseconds[bucket];
+  }
+}
+
 double StepTimes::quantileMilliseconds(double share) const {
   std::uint64_t total = 0;
   for (const std::uint64_t tokens : tokensByMilliseconds) {
@@ -127,10 +133,12 @@
       break;
     }
     clock_ = step_->endsAt;
+    cache_.setClock(clock_);
     completeStep();
     startStep(clock_);
   }
   clock_ = std::max(clock_, now);
+  cache_.setClock(clock_);
 }
 
 std::uint32_t EngineModel::equalStepsAhead() const {
--- a/lab/enginemodel/engine_model.h
+++ b/lab/enginemodel/engine_model.h
@@ -92,6 +92,7 @@
   /// \return the time that `share` of all tokens did not exceed, in milliseconds; 0 if none.
   [[nodiscard]] double quantileMilliseconds(double share) const;
   void add(Duration step, std::uint64_t tokens);
+  void merge(const StepTimes& other);
 };
 
 /// The engine. The driver calls `advance` at `nextStepAt` (or later) and delivers the events.
@@ -110,6 +111,8 @@
   [[nodiscard]] std::optional<Instant> nextStepAt() const;
 
   [[nodiscard]] EngineLoad load() const;
+  /// \return the length of the step under way, 0 when idle.
+  [[nodiscard]] Duration currentStep() const { return step_ ? step_->length : Duration{}; }
   [[nodiscard]] std::optional<StreamState> stream(std::string_view id) const;
 
   /// A leaving engine refuses new requests and completes those it has.
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "lab/command.h"
+#include "lab/emulator/emulator_command.h"
 #include "lab/load/load_command.h"
 #include "lab/standin/standin_command.h"
 
@@ -22,6 +23,7 @@
   CommandRegistry registry;
   gorsetrail::standin::addCommands(registry);
   gorsetrail::load::addCommands(registry);
+  gorsetrail::emulator::addCommands(registry);
   return registry;
 }
 
--- a/src/scheduling/policy_factory.cpp
+++ b/src/scheduling/policy_factory.cpp
@@ -30,6 +30,7 @@
 
 std::vector<std::string_view> collectNames() {
   std::vector<std::string_view> names;
+  names.reserve(kPolicies.size());
   for (const PolicyEntry& entry : kPolicies) {
     names.push_back(entry.name);
   }
