Add the dispatcher to engines and applications

Cause: a dispatch must end in exactly one of not sent, refused, finished or broken, and only the first two may ever be told to a caller as not run. Change: dispatcher over the HTTP client, event-stream parser, chunk reader without a document, engine body that keeps the caller's other members byte for byte. A refused or unsent resume, a 408, a 409 (the id is known) and every 5xx but 503 count as broken, since the request may have run. Conclusion: the daemon can dispatch with it.

--- a/src/node/backend_dispatcher.h
+++ b/src/node/backend_dispatcher.h
@@ -2,7 +2,8 @@
 ///
 /// What it may say of a dispatch, and when:
 /// - `DispatchNotSent`: not one byte left this node, and the dispatch does not resume an older one.
-/// - `DispatchRefused`: the back end answered 503 or a 4xx (but not 408) and named the dispatch's
+/// - `DispatchRefused`: the back end answered 503 or a 4xx (but not 408 or 409) and named the
+/// dispatch's
 ///   own id in `X-Request-Id`; an application has also said `X-Not-Run: true`. Never for a resumed
 ///   stream, whose request was sent before.
 /// - `DispatchFinished`: the whole answer came, with its usage (engines).
@@ -17,9 +18,12 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "engine/call_interface.h"
 #include "http/http_client.h"
+#include "platform/event_stream.h"
 
 namespace gorsetrail::node {
 
@@ -53,8 +57,7 @@
 
   /// Sends a request. Ends in exactly one of NotSent, Refused, Finished, Broken, unless it is
   /// cancelled; chunks of an engine's stream come before, in the order of their offsets.
-  /// A resumed stream's `DispatchFinished::answer` starts with the text that this dispatcher had
-  /// read of the same dispatch before it broke.
+  /// A resumed stream's `DispatchFinished::answer` is the text from `resumeFrom` on.
   void start(const engine::StartDispatch& command);
   /// Ends a dispatch: its connection is closed, nothing more is reported of it, and an engine is
   /// asked to stop working on it. Does so also for a dispatch that is not known here.
@@ -67,20 +70,20 @@
   struct Dispatch;
   using DispatchPtr = std::shared_ptr<Dispatch>;
 
-  http::Request makeRequest(const engine::StartDispatch& command, const std::string& body) const;
   http::ResponseHandler makeHandler(const DispatchPtr& dispatch);
   void onHead(const DispatchPtr& dispatch, unsigned status,
               const std::vector<http::Header>& headers);
   void onBody(const DispatchPtr& dispatch, std::string_view part);
   void onDone(const DispatchPtr& dispatch);
   void onFailure(const DispatchPtr& dispatch, const http::Failure& failure);
-  void reportChunks(const DispatchPtr& dispatch);
+  bool onStreamEvent(Dispatch& dispatch, const platform::ServerSentEvent& event);
+  bool takeText(Dispatch& dispatch, const platform::ServerSentEvent& event);
   void finishApplication(const DispatchPtr& dispatch);
   void endNotSent(const DispatchPtr& dispatch, const std::string& reason);
   void endRefused(const DispatchPtr& dispatch);
   void endBroken(const DispatchPtr& dispatch, const std::string& reason);
   void endMalformed(const DispatchPtr& dispatch, const std::string& reason);
-  void endFinished(const DispatchPtr& dispatch, engine::DispatchFinished event);
+  void endFinished(const DispatchPtr& dispatch);
   void end(const DispatchPtr& dispatch, const engine::DispatchEvent& event);
 
   http::HttpClient& client_;
--- /dev/null
+++ b/tests/dispatch/fake_http_client.h
@@ -0,0 +1,51 @@
+/// \file HTTP client whose answers the test plays by hand.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "http/http_client.h"
+
+namespace gorsetrail::node::testing {
+
+/// Keeps every request; nothing is answered on its own.
+class FakeHttpClient : public http::HttpClient {
+ public:
+  struct Exchange : http::RequestHandle {
+    http::Request request;
+    http::ResponseHandler handler;
+    bool cancelled = false;
+    void cancel() override { cancelled = true; }
+
+    std::string headerOf(const std::string& name) const {
+      for (const http::Header& header : request.headers) {
+        if (header.name == name) {
+          return header.value;
+        }
+      }
+      return "";
+    }
+    void head(unsigned status, std::vector<http::Header> headers = {}) {
+      handler.onHead(status, headers);
+    }
+    void body(std::string_view part) { handler.onBody(part); }
+    void done() { handler.onDone({}); }
+    void fail(http::FailureStage stage) { handler.onFailure({stage, "failed"}); }
+  };
+
+  http::RequestHandlePtr send(http::Request request, http::ResponseHandler handler) override {
+    const auto exchange = std::make_shared<Exchange>();
+    exchange->request = std::move(request);
+    exchange->handler = std::move(handler);
+    exchanges.push_back(exchange);
+    return exchange;
+  }
+
+  Exchange& last() { return *exchanges.back(); }
+
+  std::vector<std::shared_ptr<Exchange>> exchanges;
+};
+
+}  // namespace gorsetrail::node::testing
