Weigh queue, batch and prompt apart in prefix-affinity

Cause: one late step length multiplied the whole cost, so that programs left their prefix whenever the replica happened to be in a prefill step. Change: costs in milliseconds; a queued request counts more than a running one; a token computed again counts 4 to 8 times its own time.

--- a/src/scheduling/prefix_affinity_policy.cpp
+++ b/src/scheduling/prefix_affinity_policy.cpp
@@ -12,12 +12,15 @@
 constexpr std::size_t kWeighAllUpTo = 32;
 constexpr std::size_t kSampleSize = 4;
 
-/// Engine time of one prompt token, in units of one engine step.
-constexpr double kStepsPerPrefillToken = 1.0 / 128.0;
-/// Waiting time that each request at a replica adds, in engine steps.
-constexpr double kStepsPerRequest = 12.0;
-/// A token computed again counts so many times its own engine time when only cache waste matters.
-constexpr double kMostExternality = 3.0;
+/// Engine time of one prompt token.
+constexpr double kMillisecondsPerPromptToken = 0.04;
+/// While an engine computes a prompt, every stream in its batch waits. A token computed again thus
+/// costs several times its own time, and more where cache waste weighs more than latency.
+constexpr double kLeastExternality = 4.0;
+constexpr double kAddedExternality = 4.0;
+/// What one more stream in the batch, and one more request in the queue, cost a new call.
+constexpr double kMillisecondsPerRequest = 60.0;
+constexpr double kMillisecondsPerQueuedRequest = 250.0;
 /// A report this old counts half: the rest of the load is taken from this node's own calls.
 constexpr double kReportHalfLifeMilliseconds = 2000.0;
 /// Share of the cost by which a replica without the prefix must be cheaper.
@@ -41,15 +44,15 @@
 }
 
 double externality(const CallDescription& call) {
-  return 1.0 + (kMostExternality - 1.0) * (1.0 - std::clamp(call.latencyWeight, 0.0, 1.0));
+  return kLeastExternality + kAddedExternality * (1.0 - std::clamp(call.latencyWeight, 0.0, 1.0));
 }
 
 double costOf(const CallDescription& call, const ReplicaView& replica) {
   const std::uint32_t cached = std::min(replica.cachedProgramTokens, call.promptTokens);
   const double missing = call.promptTokens - cached;
-  const double prefill = missing * kStepsPerPrefillToken * externality(call);
-  const double waiting = believedLoad(replica) * kStepsPerRequest;
-  return (prefill + waiting) * replica.observedStepMilliseconds;
+  const double queued = replica.reportedQueued * trustIn(replica);
+  return missing * kMillisecondsPerPromptToken * externality(call) +
+         believedLoad(replica) * kMillisecondsPerRequest + queued * kMillisecondsPerQueuedRequest;
 }
 
 }  // namespace
--- a/src/scheduling/prefix_affinity_policy.h
+++ b/src/scheduling/prefix_affinity_policy.h
@@ -6,10 +6,9 @@
 
 namespace gorsetrail::scheduling {
 
-/// Weighs cost in milliseconds of engine time:
-/// `uncached prompt tokens x prefill cost x externality + requests there x waiting cost`.
-/// A prompt token computed twice delays every other stream of the engine and evicts others'
-/// prefixes, so that it counts more than its own time; more so the lower `latencyWeight` is.
+/// Weighs cost in milliseconds: uncached prompt tokens (with the delay that they cause to the
+/// other streams of the engine), requests in the batch, and requests in the queue. The lower
+/// `latencyWeight` is, the more a token that is computed again counts.
 /// Overflow is bounded: a replica with the prefix is left only for one that is cheaper by a margin.
 class PrefixAffinityPolicy final : public SchedulingPolicy {
  public:
