--- a/src/platform/machine_list_client.h
+++ b/src/platform/machine_list_client.h
@@ -46,11 +46,13 @@
   /// \param list, timers outlive the poller.
   MachineListPoller(MachineListClient& list, TimerService& timers, Pace pace, std::uint64_t seed,
                     OnMachines onMachines);
-  void start() { loop_.start(); }
-  void stop() { loop_.stop(); }
+  ~MachineListPoller();
+  void start();
+  void stop();
   [[nodiscard]] std::uint32_t failures() const { return loop_.failures(); }
 
  private:
+  std::shared_ptr<bool> isRunning_ = std::make_shared<bool>(false);
   PacedLoop loop_;
 };
 
