--- a/lab/load/promise_checker.cpp
+++ b/lab/load/promise_checker.cpp
@@ -47,7 +47,8 @@
   checkOrder(call, answered);
   checkBudget(call, answered);
   call.answered = answered;
-  if (call.started.branch.empty()) {
+  const bool isTurn = !call.started.application;
+  if (isTurn && call.started.branch.empty()) {
     programs_[call.started.program].rootAnswers.push_back(answered.content);
   }
 }
