--- a/src/node/front/caller_front.cpp
+++ b/src/node/front/caller_front.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/log.h"
 #include "node/front/call_headers.h"
 #include "node/front/error_response.h"
 #include "node/front/request_target.h"
@@ -125,8 +124,9 @@
 
 void CallerFront::refuseRequest(const Error& error, const std::string& target,
                                 http::ResponseWriter& writer) {
-  logEvent(LogLevel::Info, "request_refused",
-           {{"kind", errorKindName(error.kind)}, {"field", error.field}, {"reason", error.reason}});
+  hooks_.log(
+      LogLevel::Info, "request_refused",
+      {{"kind", errorKindName(error.kind)}, {"field", error.field}, {"reason", error.reason}});
   writer.sendWhole(errorResponse(error, target));
 }
 
@@ -154,15 +154,15 @@
                 std::to_string(options_.incarnation.value()) + "-" + std::to_string(handle.value());
   identity.work = call.work;
   identity.createdSeconds = hooks_.wallSeconds();
-  logEvent(LogLevel::Info, "call_arrived",
-           {{"handle", handle.value()},
-            {"tenant", call.key.tenant},
-            {"zone", call.key.homeZone},
-            {"program", call.key.name},
-            {"branch", call.branchPath},
-            {"work", call.work},
-            {"request", call.idempotencyKey},
-            {"body_bytes", call.body.size()}});
+  hooks_.log(LogLevel::Info, "call_arrived",
+             {{"handle", handle.value()},
+              {"tenant", call.key.tenant},
+              {"zone", call.key.homeZone},
+              {"program", call.key.name},
+              {"branch", call.branchPath},
+              {"work", call.work},
+              {"request", call.idempotencyKey},
+              {"body_bytes", call.body.size()}});
   PendingCall::Facts facts{call.key, call.branchPath, call.work, std::move(target), call.mode, now};
   auto pending = std::make_unique<PendingCall>(
       std::move(facts), std::move(identity), std::move(writer), options_.maximumStreamBufferBytes);
@@ -195,17 +195,17 @@
     hooks_.observeDispatchSeconds(secondsOf(sinceArrival));
   }
   call.markDispatched();
-  logEvent(LogLevel::Info, "call_dispatched",
-           {{"handle", command.handle.value()},
-            {"dispatch", command.id.toText()},
-            {"call", command.id.call.value()},
-            {"attempt", command.id.attempt.value()},
-            {"tenant", call.facts().key.tenant},
-            {"program", call.facts().key.name},
-            {"work", call.facts().work},
-            {"back_end", command.backendName},
-            {"resume_from", command.resumeFrom},
-            {"since_arrival_us", microsecondsOf(sinceArrival)}});
+  hooks_.log(LogLevel::Info, "call_dispatched",
+             {{"handle", command.handle.value()},
+              {"dispatch", command.id.toText()},
+              {"call", command.id.call.value()},
+              {"attempt", command.id.attempt.value()},
+              {"tenant", call.facts().key.tenant},
+              {"program", call.facts().key.name},
+              {"work", call.facts().work},
+              {"back_end", command.backendName},
+              {"resume_from", command.resumeFrom},
+              {"since_arrival_us", microsecondsOf(sinceArrival)}});
 }
 
 void CallerFront::onChunk(const engine::AnswerChunk& chunk) {
@@ -214,10 +214,10 @@
     return;
   }
   if (!found->second->addText(chunk.text)) {
-    logEvent(LogLevel::Warning, "stream_cut_for_slow_reader",
-             {{"handle", chunk.handle.value()},
-              {"tenant", found->second->facts().key.tenant},
-              {"program", found->second->facts().key.name}});
+    hooks_.log(LogLevel::Warning, "stream_cut_for_slow_reader",
+               {{"handle", chunk.handle.value()},
+                {"tenant", found->second->facts().key.tenant},
+                {"program", found->second->facts().key.name}});
   }
 }
 
@@ -251,29 +251,29 @@
   const Duration taken = hooks_.now() - facts.arrived;
   hooks_.observeCallSeconds(secondsOf(taken));
   if (completed != nullptr) {
-    logEvent(LogLevel::Info, event,
+    hooks_.log(LogLevel::Info, event,
+               {{"handle", handle.value()},
+                {"call", completed->call.value()},
+                {"tenant", facts.key.tenant},
+                {"program", facts.key.name},
+                {"work", facts.work},
+                {"back_end", completed->backendName},
+                {"replayed", completed->replayed ? "true" : "false"},
+                {"prompt_tokens", completed->promptTokens},
+                {"cached_tokens", completed->cachedTokens},
+                {"completion_tokens", completed->completionTokens},
+                {"duration_us", microsecondsOf(taken)}});
+    return;
+  }
+  hooks_.log(LogLevel::Info, event,
              {{"handle", handle.value()},
-              {"call", completed->call.value()},
               {"tenant", facts.key.tenant},
               {"program", facts.key.name},
               {"work", facts.work},
-              {"back_end", completed->backendName},
-              {"replayed", completed->replayed ? "true" : "false"},
-              {"prompt_tokens", completed->promptTokens},
-              {"cached_tokens", completed->cachedTokens},
-              {"completion_tokens", completed->completionTokens},
+              {"kind", error == nullptr ? "" : errorKindName(error->kind)},
+              {"outcome", error == nullptr ? "" : runOutcomeName(error->outcome)},
+              {"reason", error == nullptr ? "" : error->reason},
               {"duration_us", microsecondsOf(taken)}});
-    return;
-  }
-  logEvent(LogLevel::Info, event,
-           {{"handle", handle.value()},
-            {"tenant", facts.key.tenant},
-            {"program", facts.key.name},
-            {"work", facts.work},
-            {"kind", error == nullptr ? "" : errorKindName(error->kind)},
-            {"outcome", error == nullptr ? "" : runOutcomeName(error->outcome)},
-            {"reason", error == nullptr ? "" : error->reason},
-            {"duration_us", microsecondsOf(taken)}});
 }
 
 void CallerFront::servePrograms(const std::string& method, const RequestTarget& target,
@@ -321,7 +321,7 @@
     return;
   }
   const ProgramKey& key = found->second.key;
-  logEvent(LogLevel::Info, "program_closed", {{"tenant", key.tenant}, {"program", key.name}});
+  hooks_.log(LogLevel::Info, "program_closed", {{"tenant", key.tenant}, {"program", key.name}});
   // The key was checked: its parts need no escape.
   found->second.writer->sendWhole(jsonResponse(R"({"program":")" + key.name + R"(","tenant":")" +
                                                key.tenant + R"(","closed":true})"));
--- a/src/node/front/caller_front.h
+++ b/src/node/front/caller_front.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "base/log.h"
 #include "http/http_server.h"
 #include "node/core/node_core.h"
 #include "node/front/call_request_parser.h"
@@ -32,6 +33,8 @@
   /// Called after each event that the front gave to the core: its commands are due.
   std::function<void()> afterEvent;
   std::function<std::string()> renderMetrics;
+  /// Writes one log line; `logEvent` in the daemon.
+  std::function<void(LogLevel, std::string_view, std::initializer_list<LogField>)> log;
   std::function<void(double)> observeCallSeconds;      ///< Arrival to the answer's end.
   std::function<void(double)> observeDispatchSeconds;  ///< Arrival to the first dispatch.
 };
--- a/tests/node/caller_front_test.cpp
+++ b/tests/node/caller_front_test.cpp
@@ -4,8 +4,6 @@
 
 #include "fake_node_core.h"
 
-#include "quiet_logging.h"
-
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
@@ -78,7 +76,6 @@
   std::unique_ptr<CallerFront> front;
 
   void setup() override {
-    quietLogging();
     FrontOptions options;
     options.self = NodeId(1);
     options.incarnation = Incarnation(7);
@@ -89,6 +86,7 @@
     hooks.now = [] { return Instant{}; };
     hooks.wallSeconds = [] { return std::int64_t{1700000000}; };
     hooks.afterEvent = [] {};
+    hooks.log = [](LogLevel, std::string_view, std::initializer_list<LogField>) {};
     hooks.renderMetrics = [] { return std::string("metrics"); };
     hooks.observeCallSeconds = [](double) {};
     hooks.observeDispatchSeconds = [](double) {};
