Count the planned stop's checks, not just its breaches

Cause: a promise without violations showed no checks, so a mute check looked like a kept promise. Change: every attempt that ends at a node marked planned_stop is a check.

--- a/lab/load/caller.cpp
+++ b/lab/load/caller.cpp
@@ -4,8 +4,6 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
-#include "lab/load/http_exchange.h"
-
 namespace gorsetrail::load {
 namespace {
 
@@ -106,16 +104,18 @@
 
 void Caller::goToNextNode() { node_ = (node_ + 1) % run_.site.nodes.size(); }
 
-void Caller::noteFailure(const Call& call, const std::string& address,
-                         const http::Failure& failure) {
-  if (failure.stage == http::FailureStage::NotSent) {
+void Caller::noteEnd(const Call& call, const std::string& address, const HttpOutcome& outcome) {
+  const auto* failure = std::get_if<http::Failure>(&outcome);
+  if (failure != nullptr && failure->stage == http::FailureStage::NotSent) {
     ++run_.figures.errors["connection_refused"];
     return;
   }
-  ++run_.figures.errors["connection_broken"];
+  if (failure != nullptr) {
+    ++run_.figures.errors["connection_broken"];
+  }
   const NodeAddress* node = nodeAt(address);
-  run_.checker.on(CallBroken{call.started.key, node == nullptr ? 0 : node->node,
-                             node != nullptr && node->plannedStop});
+  run_.checker.on(AttemptEnded{call.started.key, node == nullptr ? 0 : node->node,
+                               node != nullptr && node->plannedStop, failure != nullptr});
 }
 
 awaitable<std::optional<ReadAnswer>> Caller::attempt(const Call& call) {
@@ -123,8 +123,8 @@
   for (std::uint32_t redirects = 0; redirects <= kMaximumRedirects; ++redirects) {
     ++run_.figures.attempts;
     const HttpOutcome outcome = co_await exchange(run_.client, requestFor(call, target));
-    if (const auto* failure = std::get_if<http::Failure>(&outcome)) {
-      noteFailure(call, target, *failure);
+    noteEnd(call, target, outcome);
+    if (std::holds_alternative<http::Failure>(outcome)) {
       co_return std::nullopt;
     }
     ReadAnswer answer = readAnswer(call.started.key, std::get<http::Response>(outcome));
--- a/lab/load/caller.h
+++ b/lab/load/caller.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "http/http_client.h"
 #include "lab/load/answer_reader.h"
+#include "lab/load/http_exchange.h"
 #include "lab/load/load_config.h"
 #include "lab/load/load_figures.h"
 #include "lab/load/promise_checker.h"
@@ -60,7 +61,7 @@
   boost::asio::awaitable<std::optional<ReadAnswer>> attempt(const Call& call);
   boost::asio::awaitable<http::Response> ask(const char* method, const ProgramIdentity& program);
   [[nodiscard]] http::Request requestFor(const Call& call, const std::string& address) const;
-  void noteFailure(const Call& call, const std::string& address, const http::Failure& failure);
+  void noteEnd(const Call& call, const std::string& address, const HttpOutcome& outcome);
   [[nodiscard]] const NodeAddress* nodeAt(const std::string& address) const;
   void goTo(const std::string& address);
   void goToNextNode();
--- a/lab/load/observation.h
+++ b/lab/load/observation.h
@@ -47,11 +47,12 @@
   RunOutcome outcome = RunOutcome::OutcomeUnknown;
 };
 
-/// The connection to a node broke before the whole answer came.
-struct CallBroken {
+/// An attempt that a node had accepted came to its end there.
+struct AttemptEnded {
   std::string key;
   std::uint32_t node = 0;
   bool plannedStop = false;  ///< The node was only ever stopped in a planned way.
+  bool broken = false;       ///< The connection broke before a whole response came.
 };
 
 /// The program made its last call.
--- a/lab/load/promise_checker.cpp
+++ b/lab/load/promise_checker.cpp
@@ -129,14 +129,13 @@
   }
 }
 
-void PromiseChecker::on(const CallBroken& broken) {
-  if (broken.plannedStop) {
-    tally_.check(
-        Promise::PlannedStop, false,
-        broken.key + ": cut off by the planned stop of node " + std::to_string(broken.node));
+void PromiseChecker::on(const AttemptEnded& ended) {
+  if (ended.plannedStop) {
+    tally_.check(Promise::PlannedStop, !ended.broken,
+                 ended.key + ": cut off by the planned stop of node " + std::to_string(ended.node));
   }
-  const auto found = calls_.find(broken.key);
-  if (found != calls_.end()) {
+  const auto found = calls_.find(ended.key);
+  if (ended.broken && found != calls_.end()) {
     found->second.lastTold = RunOutcome::OutcomeUnknown;
   }
 }
--- a/lab/load/promise_checker.h
+++ b/lab/load/promise_checker.h
@@ -32,7 +32,7 @@
   void on(const CallStarted& started);
   void on(const CallAnswered& answered);
   void on(const CallRefused& refused);
-  void on(const CallBroken& broken);
+  void on(const AttemptEnded& ended);
   void on(const ProgramEnded& ended);
   void on(const HistorySeen& seen);
   void on(const StatusSeen& seen);
--- a/tests/lab_standin/promise_checker_test.cpp
+++ b/tests/lab_standin/promise_checker_test.cpp
@@ -223,9 +223,10 @@
 
 TEST(PromiseChecker, PlannedStopMustNotCutACall) {
   start("a", 1);
-  checker.on(CallBroken{"a", 2, false});
+  checker.on(AttemptEnded{"a", 2, false, true});
+  checker.on(AttemptEnded{"a", 3, true, false});
   UNSIGNED_LONGS_EQUAL(0, checker.tally().totalViolations());
-  checker.on(CallBroken{"a", 3, true});
+  checker.on(AttemptEnded{"a", 3, true, true});
   expectOnly(Promise::PlannedStop, 1);
 }
 
