--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,86 @@
+#!/usr/bin/env bash
+# Searches each model exhaustively and each mutant until it is caught.
+# A search counts only if it was complete: no error, no depth or memory limit met, no bitstate.
+set -euo pipefail
+
+readonly here="$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)"
+readonly memory_mebibytes=2000
+readonly search_seconds=120
+readonly search_depth=100000
+work="$(mktemp -d)"
+trap 'rm -rf "${work}"' EXIT
+
+failures=0
+declare -A held=()
+caught=0
+
+# search MODEL [-D...]: writes the verifier's report to ${work}/report; fails if it can't be built.
+search() {
+  local model="$1"
+  shift
+  rm -f "${work}"/pan* "${work}/report"
+  (
+    cd "${work}"
+    spin -a "$@" "${here}/${model}.pml" > spin.out 2>&1 || { cat spin.out; exit 1; }
+    gcc -O2 -w -DSAFETY -DCOLLAPSE -DNOREDUCE "-DMEMLIM=${memory_mebibytes}" -o pan pan.c
+    timeout "${search_seconds}" ./pan "-m${search_depth}" > report 2>&1 || echo "exit $?" >> report
+  )
+}
+
+is_complete() {
+  ! grep -Eiq 'max search depth too small|out of memory|search not completed|bit ?state|^exit' \
+    "${work}/report"
+}
+
+figures() {
+  sed -nE 's/^ *([0-9]+) states, stored.*/\1 states/p; s/^ *([0-9.]+)\ttotal actual memory.*/\1 MB/p' \
+    "${work}/report" | paste -sd, -
+}
+
+# holds MODEL [-D...]
+holds() {
+  search "$@"
+  if grep -q 'errors: 0$' "${work}/report" && is_complete; then
+    echo "holds: $* ($(figures))"
+    held["$1"]=1
+  else
+    echo "FAILED: $* does not hold, or its search was cut short:"
+    cat "${work}/report"
+    failures=$((failures + 1))
+  fi
+}
+
+# is_caught MODEL MUTANT [-D...]
+is_caught() {
+  local model="$1" mutant="$2"
+  shift 2
+  search "${model}" "-D${mutant}" "$@"
+  if grep -q 'assertion violated' "${work}/report" && grep -q 'errors: 1$' "${work}/report"; then
+    echo "caught: ${model} ${mutant}"
+    caught=$((caught + 1))
+  else
+    echo "FAILED: mutant ${mutant} of ${model} was not caught:"
+    cat "${work}/report"
+    failures=$((failures + 1))
+  fi
+}
+
+holds journal -DSEALS=3 -DRESTARTS=1 -DROUNDS=3
+holds journal -DSEALS=4 -DRESTARTS=0 -DROUNDS=4
+for mutant in DISPATCH_BEFORE_QUORUM TAKEOVER_WITHOUT_SEAL REPLICA_FORGETS_PROMISE \
+  RECOVER_WITHOUT_BARRIER UNFILLED_REPLICA_GRANTS RENEW_WITHOUT_CHECK; do
+  is_caught journal "${mutant}" -DSEALS=3 -DRESTARTS=1 -DROUNDS=3
+done
+
+holds bundle
+for mutant in ACCEPT_LOWER_VERSION ACCEPT_BY_PEER_WITHOUT_LOG_ORDER; do
+  is_caught bundle "${mutant}"
+done
+
+holds budget
+for mutant in DOUBLE_SPEND_ON_TAKEOVER DISPATCH_BEFORE_RESERVE; do
+  is_caught budget "${mutant}"
+done
+
+echo "${#held[@]} models hold, ${caught} mutants caught"
+exit $((failures > 0))
