--- a/src/cli/completion_command.cpp
+++ b/src/cli/completion_command.cpp
@@ -31,7 +31,9 @@
 std::string joined(const List& list, const std::string& prefix) {
   std::string text;
   for (const std::string& item : list) {
-    text += (text.empty() ? "" : " ") + prefix + item;
+    text += text.empty() ? "" : " ";
+    text += prefix;
+    text += item;
   }
   return text;
 }
--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -78,6 +78,7 @@
   printLine(out, table.columns, widths);
   for (const auto& row : table.rows) {
     std::vector<std::string> cells;
+    cells.reserve(row.size());
     for (const OrderedJson& cell : row) {
       cells.push_back(cellText(cell));
     }
--- a/src/cli/signing.cpp
+++ b/src/cli/signing.cpp
@@ -36,7 +36,7 @@
   if (!succeeded(publicKey)) {
     return errorOf(publicKey);
   }
-  const Result<Success> fits = checkKeyFitsName(signedBundle, operatorName, valueOf(publicKey));
+  Result<Success> fits = checkKeyFitsName(signedBundle, operatorName, valueOf(publicKey));
   if (!succeeded(fits)) {
     return fits;
   }
