--- a/tests/program/journal_cluster.cpp
+++ b/tests/program/journal_cluster.cpp
@@ -160,6 +160,9 @@
     events_.emplace(now_, delivery);  // The node loops it back: never lost, never late.
     return;
   }
+  if (onSent) {
+    onSent(command.message);
+  }
   if (random_.below(1000) >= conditions_.lossPerMille) {
     events_.emplace(now_ + delay(), delivery);
   }
--- a/tests/program/journal_cluster.h
+++ b/tests/program/journal_cluster.h
@@ -2,6 +2,7 @@
 /// runs. The cluster sees only commands and messages, never the insides of a service.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -84,7 +85,8 @@
   BudgetLimits limits;
   Duration timeLimit = seconds(8);
   std::vector<std::string> dispatchOrder;  ///< Keys, as the back end met them.
-  std::uint64_t bytesSent = 0;             ///< Rough size of all messages between different nodes.
+  /// Told of every message between different nodes, lost or not.
+  std::function<void(const JournalMessage&)> onSent;
 
   [[nodiscard]] Group groupOf(const std::string& homeZone, ProgramId program) const override;
 
