--- a/src/cli/help.cpp
+++ b/src/cli/help.cpp
@@ -7,7 +7,7 @@
 namespace gorsetrail::cli {
 namespace {
 
-constexpr std::size_t kNameWidth = 34;
+constexpr std::size_t kNameWidth = 38;
 
 std::string padded(std::string text) {
   text.resize(std::max(kNameWidth, text.size() + 1), ' ');
