--- a/src/node/backend_dispatcher.cpp
+++ b/src/node/backend_dispatcher.cpp
@@ -365,9 +365,8 @@
 void BackendDispatcher::end(const DispatchPtr& dispatch, const engine::DispatchEvent& event) {
   // Forgotten before it is reported: the report may start the next attempt, or resume this one.
   dispatch->ended = true;
-  const DispatchPtr kept = dispatch;
-  active_.erase(kept->id);
-  onEvent_(kept->handle, event);
+  active_.erase(dispatch->id);
+  onEvent_(dispatch->handle, event);
 }
 
 }  // namespace gorsetrail::node
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -77,7 +77,8 @@
 LogClient::LogClient(http::HttpClient& client, std::string address, Duration timeLimit)
     : client_(client), address_(std::move(address)), timeLimit_(timeLimit) {}
 
-void LogClient::append(const std::string& stream, std::string record, OnAppended onAppended) {
+void LogClient::append(const std::string& stream, std::string record,
+                       const OnAppended& onAppended) {
   if (record.size() > kMaximumRecordBytes) {
     onAppended(
         Error{.kind = ErrorKind::RequestTooLarge,
@@ -99,7 +100,7 @@
 }
 
 void LogClient::read(const std::string& stream, LogOffset from, std::uint32_t maximum,
-                     OnPage onPage) {
+                     const OnPage& onPage) {
   http::Request request{.method = "GET",
                         .address = address_,
                         .target = targetOf(stream) + "?from=" + std::to_string(from.value()) +
--- a/src/platform/log_client.h
+++ b/src/platform/log_client.h
@@ -40,9 +40,9 @@
   /// \param client outlives this. \param address `ip:port` of the log.
   LogClient(http::HttpClient& client, std::string address, Duration timeLimit = seconds(5));
   /// Appends one record. At-least-once when repeated: readers deduplicate.
-  void append(const std::string& stream, std::string record, OnAppended onAppended);
+  void append(const std::string& stream, std::string record, const OnAppended& onAppended);
   /// Reads at most `maximum` records from an offset on.
-  void read(const std::string& stream, LogOffset from, std::uint32_t maximum, OnPage onPage);
+  void read(const std::string& stream, LogOffset from, std::uint32_t maximum, const OnPage& onPage);
 
  private:
   http::HttpClient& client_;
--- a/src/platform/machine_list_client.cpp
+++ b/src/platform/machine_list_client.cpp
@@ -64,7 +64,7 @@
                                      Duration timeLimit)
     : client_(client), address_(std::move(address)), timeLimit_(timeLimit) {}
 
-void MachineListClient::fetch(OnList onList) {
+void MachineListClient::fetch(const OnList& onList) {
   http::Request request{.method = "GET",
                         .address = address_,
                         .target = "/v1/machines",
@@ -78,7 +78,7 @@
 }
 
 MachineListPoller::MachineListPoller(MachineListClient& list, TimerService& timers, Pace pace,
-                                     std::uint64_t seed, OnMachines onMachines)
+                                     std::uint64_t seed, const OnMachines& onMachines)
     : loop_(timers, pace, seed,
             [&list, onMachines, isRunning = isRunning_](const PacedLoop::Report& report) {
               list.fetch(
--- a/src/platform/machine_list_client.h
+++ b/src/platform/machine_list_client.h
@@ -31,7 +31,7 @@
   using OnList = std::function<void(Result<std::vector<Machine>>)>;
   /// \param client outlives this. \param address `ip:port` of the machine list.
   MachineListClient(http::HttpClient& client, std::string address, Duration timeLimit = seconds(5));
-  void fetch(OnList onList);
+  void fetch(const OnList& onList);
 
  private:
   http::HttpClient& client_;
@@ -45,7 +45,7 @@
   using OnMachines = std::function<void(const std::vector<Machine>&)>;
   /// \param list, timers outlive the poller.
   MachineListPoller(MachineListClient& list, TimerService& timers, Pace pace, std::uint64_t seed,
-                    OnMachines onMachines);
+                    const OnMachines& onMachines);
   ~MachineListPoller();
   void start();
   void stop();
--- a/src/platform/platform_answer.cpp
+++ b/src/platform/platform_answer.cpp
@@ -36,7 +36,7 @@
 }
 
 void ask(http::HttpClient& client, const std::string& service, http::Request request,
-         OnAnswer onAnswer) {
+         const OnAnswer& onAnswer) {
   http::ResponseHandler handler;
   handler.onDone = [service, onAnswer](http::Response response) {
     if (response.status < kLowestServerError) {
--- a/src/platform/platform_answer.h
+++ b/src/platform/platform_answer.h
@@ -16,7 +16,7 @@
 /// service's name in `field`, and in `outcome` whether the request may have taken effect.
 /// Every status is handed over but 5xx, which is an error too.
 void ask(http::HttpClient& client, const std::string& service, http::Request request,
-         OnAnswer onAnswer);
+         const OnAnswer& onAnswer);
 
 /// \return the error for an answer that a service should not have given.
 Error unusableAnswer(const std::string& service, const std::string& reason);
--- a/src/platform/tool_client.cpp
+++ b/src/platform/tool_client.cpp
@@ -25,7 +25,7 @@
 ToolClient::ToolClient(http::HttpClient& client, std::string address, Duration timeLimit)
     : client_(client), address_(std::move(address)), timeLimit_(timeLimit) {}
 
-void ToolClient::invoke(const std::string& tool, std::string input, OnResult onResult) {
+void ToolClient::invoke(const std::string& tool, std::string input, const OnResult& onResult) {
   http::Request request{.method = "POST",
                         .address = address_,
                         .target = "/v1/tools/" + tool,
--- a/src/platform/tool_client.h
+++ b/src/platform/tool_client.h
@@ -16,7 +16,7 @@
   using OnResult = std::function<void(Result<std::string> result)>;
   ToolClient(http::HttpClient& client, std::string address, Duration timeLimit = seconds(30));
   /// \param input JSON text.
-  void invoke(const std::string& tool, std::string input, OnResult onResult);
+  void invoke(const std::string& tool, std::string input, const OnResult& onResult);
 
  private:
   http::HttpClient& client_;
--- a/src/platform/weight_store_client.cpp
+++ b/src/platform/weight_store_client.cpp
@@ -41,7 +41,7 @@
                                      Duration timeLimit)
     : client_(client), address_(std::move(address)), timeLimit_(timeLimit) {}
 
-void WeightStoreClient::fetch(const std::string& name, OnWeights onWeights) {
+void WeightStoreClient::fetch(const std::string& name, const OnWeights& onWeights) {
   http::Request request{.method = "GET",
                         .address = address_,
                         .target = "/v1/weights/" + name,
--- a/src/platform/weight_store_client.h
+++ b/src/platform/weight_store_client.h
@@ -23,7 +23,7 @@
   using OnWeights = std::function<void(Result<Weights>)>;
   WeightStoreClient(http::HttpClient& client, std::string address,
                     Duration timeLimit = seconds(30));
-  void fetch(const std::string& name, OnWeights onWeights);
+  void fetch(const std::string& name, const OnWeights& onWeights);
 
  private:
   http::HttpClient& client_;
--- a/src/wire/encoder.cpp
+++ b/src/wire/encoder.cpp
@@ -53,7 +53,8 @@
 
   template <class Subsystem>
   MessageValue visitMessage(const Subsystem& subsystem) {
-    return std::visit([this](const auto& message) { return encodeMessage(message); }, subsystem);
+    return std::visit([this](const auto& message) { return this->encodeMessage(message); },
+                      subsystem);
   }
 
   template <class Tag>
