Let observers tell the nodes of their zone in turn

Cause: a test of 50 nodes and 99 replicas a zone showed that passing on the youngest loads to 2 random nodes starves some: age p95 12 s, highest 56 s, some unknown after 20 s. Conclusion: the age is bounded by the zone's size, the cost does not grow with the fleet.

--- a/src/engine/backend_table.cpp
+++ b/src/engine/backend_table.cpp
@@ -276,6 +276,24 @@
   return view_;
 }
 
+ReplicaLoad BackendTable::loadOf(const Row& row, Instant now) {
+  const auto age = std::chrono::duration_cast<milliseconds>(now - row.load->at).count();
+  return {row.hash, saturated(row.load->runningStreams), saturated(row.load->queuedRequests),
+          saturated(row.load->cacheUsedPerMille), saturated(static_cast<std::uint64_t>(age))};
+}
+
+LoadDigest BackendTable::digestOf(const std::vector<std::string>& names, Instant now) const {
+  LoadDigest digest;
+  for (const std::string& name : names) {
+    const Row* const row = find(name);
+    const bool fresh = row != nullptr && row->load && now - row->load->at < kOldestDigestAge;
+    if (fresh && digest.replicas.size() < kMaximumReplicas) {
+      digest.replicas.push_back(loadOf(*row, now));
+    }
+  }
+  return digest;
+}
+
 LoadDigest BackendTable::digestFor(const std::string& zone, Instant now) const {
   std::vector<const Row*> sameZone;
   std::vector<const Row*> otherZones;
@@ -297,10 +315,7 @@
   sameZone.insert(sameZone.end(), otherZones.begin(), otherZones.end());
   LoadDigest digest;
   for (const Row* const row : sameZone) {
-    const auto age = std::chrono::duration_cast<milliseconds>(now - row->load->at).count();
-    digest.replicas.push_back(
-        {row->hash, saturated(row->load->runningStreams), saturated(row->load->queuedRequests),
-         saturated(row->load->cacheUsedPerMille), saturated(static_cast<std::uint64_t>(age))});
+    digest.replicas.push_back(loadOf(*row, now));
   }
   return digest;
 }
--- a/src/engine/backend_table.h
+++ b/src/engine/backend_table.h
@@ -103,6 +103,8 @@
       const std::optional<PreviousReplica>& previous, Instant now);
   /// \return the loads for a node of `zone`: the youngest first, most of them of its own zone.
   [[nodiscard]] LoadDigest digestFor(const std::string& zone, Instant now) const;
+  /// \return the loads of the named back ends (at most a digest's worth) that were reported.
+  [[nodiscard]] LoadDigest digestOf(const std::vector<std::string>& names, Instant now) const;
 
   [[nodiscard]] std::optional<scheduling::ReplicaIndex> indexOf(const std::string& name) const;
   [[nodiscard]] std::optional<scheduling::ReplicaIndex> indexOfHash(std::uint32_t hash) const;
@@ -134,6 +136,7 @@
   [[nodiscard]] Row* find(const std::string& name);
   [[nodiscard]] const Row* find(const std::string& name) const;
   [[nodiscard]] bool isLeaving(const Row& row) const;
+  [[nodiscard]] static ReplicaLoad loadOf(const Row& row, Instant now);
   [[nodiscard]] static Instant usableAt(const Row& row, Instant now);
   void endAttempt(Row& row);
   void forgetOldMarks();
--- a/src/node/core/composed_node_core.cpp
+++ b/src/node/core/composed_node_core.cpp
@@ -224,7 +224,10 @@
 
 void ComposedNodeCore::sendDigests(Instant now) {
   for (const DigestTarget& target : observation_.dueTargets(*membership_, now)) {
-    engine::LoadDigest digest = runner_.backends().digestFor(target.zone, now);
+    const engine::BackendTable& backends = runner_.backends();
+    engine::LoadDigest digest = target.sameZone
+                                    ? backends.digestOf(observation_.observedNames(), now)
+                                    : backends.digestFor(target.zone, now);
     if (digest.replicas.empty()) {
       continue;
     }
--- a/src/node/core/load_observation.cpp
+++ b/src/node/core/load_observation.cpp
@@ -12,16 +12,6 @@
 using membership::Member;
 using membership::MemberState;
 
-/// Moves `count` random items to the front and cuts the rest off.
-template <class Item>
-void keepRandom(std::vector<Item>& items, std::size_t count, RandomSource& random) {
-  const std::size_t kept = std::min(count, items.size());
-  for (std::size_t position = 0; position < kept; ++position) {
-    std::swap(items[position], items[position + random.below(items.size() - position)]);
-  }
-  items.resize(kept);
-}
-
 }  // namespace
 
 void LoadObservation::update(const bundle::Bundle& bundle,
@@ -35,6 +25,7 @@
     }
   }
   observed_.clear();
+  observedNames_.clear();
   for (const bundle::Backend& backend : bundle.backends) {
     if (backend.kind != bundle::BackendKind::Engine) {
       continue;  // Applications report no load.
@@ -49,6 +40,7 @@
         highestRanked(engine::backendHashOf(backend.name), nodes, kObserversPerBackend);
     if (std::find(observers.begin(), observers.end(), self_) != observers.end()) {
       observed_.push_back(backend);
+      observedNames_.push_back(backend.name);
     }
   }
 }
@@ -60,17 +52,21 @@
   }
   nextDigest_ = now + knobs_.digestInterval;
   ++round_;
-  std::vector<DigestTarget> targets;
-  std::vector<DigestTarget> otherZones;
+  std::vector<DigestTarget> zoneNodes;
+  std::vector<DigestTarget> otherNodes;
   for (const Member& member : membership.members()) {
     if (member.node != self_ && membership.stateOf(member.node) == MemberState::Alive) {
-      (member.zone == zone_ ? targets : otherZones).push_back({member.node, member.zone});
+      const bool sameZone = member.zone == zone_;
+      (sameZone ? zoneNodes : otherNodes).push_back({member.node, member.zone, sameZone});
     }
   }
-  keepRandom(targets, knobs_.digestsInZone, random_);
-  if (round_ % knobs_.roundsPerOtherZone == 0) {
-    keepRandom(otherZones, 1, random_);
-    targets.insert(targets.end(), otherZones.begin(), otherZones.end());
+  std::vector<DigestTarget> targets;
+  const std::size_t told = std::min(knobs_.digestsInZone, zoneNodes.size());
+  for (std::size_t count = 0; count < told; ++count) {
+    targets.push_back(zoneNodes[turn_++ % zoneNodes.size()]);
+  }
+  if (round_ % knobs_.roundsPerOtherZone == 0 && !otherNodes.empty()) {
+    targets.push_back(otherNodes[random_.below(otherNodes.size())]);
   }
   return targets;
 }
