Send less for repeatable calls and skip ticks of quiet programs

Cause: a call cost 12 messages, and every program and copy was visited at each tick. Change: intents of repeatable calls go to a quorum only and reach the last copy with the outcome; quiet programs and settled copies are looked at once a second. The fault plan asks repeatable requests too and checks that no acknowledged answer is lost.

--- a/src/program/journal_replica.cpp
+++ b/src/program/journal_replica.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration kLongestAskInterval = seconds(2);
+constexpr Duration kSweepInterval = seconds(1);
 /// An unclosed program that no owner touched for so many idle leases is dropped.
 constexpr int kAbandonedIdleLeases = 4;
 
@@ -62,6 +63,7 @@
     copy.trust = trustsIgnorance(program, now) ? ReplicaTrust::Filled : ReplicaTrust::Recovering;
     copy.askInterval = knobs_.resendInterval;
     if (copy.trust == ReplicaTrust::Recovering) {
+      recovering_.push_back(program);
       askBarrier(program, copy, now);
     }
   }
@@ -303,22 +305,28 @@
 
 void JournalReplica::onTick(Instant now) {
   noteStart(now);
-  for (auto position = copies_.begin(); position != copies_.end();) {
-    auto& [program, copy] = *position;
-    if (isExpired(copy, now)) {
-      position = copies_.erase(position);
-      continue;
-    }
-    if (copy.trust == ReplicaTrust::Recovering) {
-      if (!copy.contentElsewhere && trustsIgnorance(program, now)) {
-        finishRecovery(program, copy);
-      } else if (now - copy.lastAsked >= copy.askInterval) {
-        copy.askInterval = std::min(copy.askInterval * 2, kLongestAskInterval);
-        askBarrier(program, copy, now);
-      }
-    }
-    ++position;
+  std::erase_if(recovering_, [&](ProgramId program) { return !keepRecovering(program, now); });
+  if (now >= nextSweep_) {
+    nextSweep_ = now + kSweepInterval;
+    std::erase_if(copies_, [&](const auto& item) { return isExpired(item.second, now); });
+  }
+}
+
+bool JournalReplica::keepRecovering(ProgramId program, Instant now) {
+  const auto position = copies_.find(program);
+  if (position == copies_.end() || position->second.trust != ReplicaTrust::Recovering) {
+    return false;
+  }
+  Copy& copy = position->second;
+  if (!copy.contentElsewhere && trustsIgnorance(program, now)) {
+    finishRecovery(program, copy);
+    return false;
+  }
+  if (now - copy.lastAsked >= copy.askInterval) {
+    copy.askInterval = std::min(copy.askInterval * 2, kLongestAskInterval);
+    askBarrier(program, copy, now);
   }
+  return copy.trust == ReplicaTrust::Recovering;
 }
 
 const ProgramRecord* JournalReplica::recordOf(ProgramId program) const {
--- a/src/program/journal_replica.h
+++ b/src/program/journal_replica.h
@@ -86,6 +86,8 @@
   Epoch setBarrier(NodeId peer, Incarnation incarnation, Copy& copy);
   void askBarrier(ProgramId program, Copy& copy, Instant now);
   void takeBarrierVerdict(NodeId from, const SealReply& reply, Copy& copy);
+  /// \return whether the program still waits for answers; asks again when it is time.
+  bool keepRecovering(ProgramId program, Instant now);
   void finishRecovery(ProgramId program, Copy& copy);
   void reply(NodeId to, const AppendRequest& request, const Copy& copy, AppendVerdict verdict);
   [[nodiscard]] static AppendVerdict store(const AppendRequest& request, Copy& copy);
@@ -100,7 +102,9 @@
   LifeRegister lives_;
   std::string zone_;
   std::optional<Instant> startedAt_;
+  Instant nextSweep_;
   std::unordered_map<ProgramId, Copy> copies_;
+  std::vector<ProgramId> recovering_;
 };
 
 }  // namespace gorsetrail::program
--- a/src/program/owned_program.h
+++ b/src/program/owned_program.h
@@ -30,12 +30,12 @@
 
   /// \return whether this node has nothing more to do with the program.
   [[nodiscard]] bool isFinished() const { return isFinished_; }
-  [[nodiscard]] bool hasCallsUnderWay() const;
   /// \return a summary, once the record is known.
   [[nodiscard]] std::optional<ProgramSummary> summary() const;
 
  private:
   void react(Instant now);
+  [[nodiscard]] bool isQuiet() const;
   void adoptRecord(Instant now);
   void recordOrphans(const std::vector<CallNumber>& orphans);
   void takeArrival(const CallAdmission& admission);
@@ -74,6 +74,7 @@
   Instant openedAt_;
   Instant lastActivity_;
   Instant closingSince_;
+  Instant nextQuietTick_;
   std::optional<SequenceNumber> closeEntry_;
   bool isLoaded_ = false;
   bool isClosing_ = false;
--- a/src/program/program_errors.cpp
+++ b/src/program/program_errors.cpp
@@ -10,6 +10,10 @@
 
 }  // namespace
 
+RunOutcome outcomeBeforeItStands(CallStatus status) {
+  return status == CallStatus::NotRun ? RunOutcome::NotRun : RunOutcome::OutcomeUnknown;
+}
+
 Error ownedElsewhereError(std::string location) {
   return Error{ErrorKind::ProgramOwnedElsewhere,
                "",
--- a/src/program/program_errors.h
+++ b/src/program/program_errors.h
@@ -9,6 +9,9 @@
 
 namespace gorsetrail::program {
 
+/// \return what is true of a call whose outcome was written, but is not known to stand.
+RunOutcome outcomeBeforeItStands(CallStatus status);
+
 Error ownedElsewhereError(std::string location);
 Error staleEpochError(RunOutcome outcome);
 Error quorumUnavailableError(RunOutcome outcome);
--- a/src/program/program_owner.cpp
+++ b/src/program/program_owner.cpp
@@ -294,7 +294,10 @@
   const SequenceNumber position(record_.entries.size() + 1);
   record_.closed |= std::holds_alternative<CloseEntry>(body);
   record_.entries.push_back(JournalEntry{position, epoch_, std::move(body)});
-  isUrgent_ |= isUrgent;
+  if (isUrgent) {
+    isUrgent_ = true;
+    urgentThrough_ = position.value();
+  }
   return position;
 }
 
@@ -345,9 +348,7 @@
 void ProgramOwner::onTick(Instant now) {
   if (phase_ == OwnerPhase::Serving) {
     isUrgent_ = false;
-    for (Progress& replica : replicas_) {
-      sendTo(replica, now);
-    }
+    sendWaiting(now);
   } else if (phase_ == OwnerPhase::Sealing || phase_ == OwnerPhase::Renewing) {
     for (Progress& replica : replicas_) {
       if (!replica.granted && isDue(replica, now)) {
@@ -360,6 +361,28 @@
   }
 }
 
+void ProgramOwner::sendWaiting(Instant now) {
+  // Nobody waits for the entries that are not urgent. A quorum gets them now; the others get them
+  // in one message with the next urgent entry.
+  std::size_t early = 0;
+  for (Progress& replica : replicas_) {
+    const bool isEarly = replica.installed && early < quorum();
+    early += isEarly ? 1 : 0;
+    const bool mayWait =
+        replica.installed && replica.stored == replica.sent && replica.sent >= urgentThrough_;
+    if (isEarly || !mayWait) {
+      sendTo(replica, now);
+    }
+  }
+}
+
+bool ProgramOwner::isQuiet() const {
+  return phase_ == OwnerPhase::Serving &&
+         std::all_of(replicas_.begin(), replicas_.end(), [&](const Progress& replica) {
+           return replica.installed && replica.stored == record_.entries.size();
+         });
+}
+
 void ProgramOwner::release() {
   for (const Progress& replica : replicas_) {
     commands_.send(replica.node, ReleaseNotice{identity_.program, epoch_});
--- a/src/program/program_owner.h
+++ b/src/program/program_owner.h
@@ -61,6 +61,8 @@
   [[nodiscard]] SequenceNumber standingThrough() const { return standing_; }
   /// \return whether every entry stands.
   [[nodiscard]] bool isSettled() const;
+  /// \return whether every replica has every entry, so that ticks have nothing to do.
+  [[nodiscard]] bool isQuiet() const;
   [[nodiscard]] const ProgramRecord& record() const { return record_; }
   [[nodiscard]] Epoch epoch() const { return epoch_; }
   [[nodiscard]] NodeId liveOwner() const { return liveOwner_; }
@@ -97,6 +99,7 @@
   void sendEntries(Progress& replica, std::uint64_t after, Instant now);
   void sendBase(Progress& replica, Instant now);
   void sendTo(Progress& replica, Instant now);
+  void sendWaiting(Instant now);
   void introduce(const Progress& replica);
   void noteSent(Progress& replica, Instant now);
   [[nodiscard]] bool isDue(const Progress& replica, Instant now) const;
@@ -120,6 +123,7 @@
   bool foundEmpty_ = false;
   SequenceNumber standing_;
   bool isUrgent_ = false;
+  std::uint64_t urgentThrough_ = 0;  ///< Position of the last urgent entry.
   NodeId liveOwner_;
 };
 
--- a/src/program/program_service_impl.cpp
+++ b/src/program/program_service_impl.cpp
@@ -58,9 +58,7 @@
     return;
   }
   // The program was lost meanwhile: its new owner told, or will tell, that the outcome is unknown.
-  const bool wasNotRun = outcome.status == CallStatus::NotRun;
-  commands_.push(CallRefused{
-      handle, staleEpochError(wasNotRun ? RunOutcome::NotRun : RunOutcome::OutcomeUnknown)});
+  commands_.push(CallRefused{handle, staleEpochError(outcomeBeforeItStands(outcome.status))});
 }
 
 void ProgramServiceImpl::closeProgram(CallHandle handle, const ProgramKey& key, Instant now) {
--- a/tests/program/fault_plan.h
+++ b/tests/program/fault_plan.h
@@ -25,6 +25,7 @@
   void restartIfTolerated(std::uint32_t node);
   std::uint32_t anyNode();
   [[nodiscard]] std::vector<std::string> violations() const;
+  [[nodiscard]] std::vector<std::string> answerViolations() const;
 
   JournalCluster cluster_;
   std::uint32_t killed_ = 0;
--- a/tests/program/journal_cluster.h
+++ b/tests/program/journal_cluster.h
@@ -35,6 +35,8 @@
   std::optional<std::string> answer;  ///< Recorded or replayed.
   bool replayed = false;
   std::optional<Error> error;
+  Instant askedAt;
+  Instant overAt;
   [[nodiscard]] bool isOver() const { return answer || error; }
 };
 
