--- a/lab/load/load_run.cpp
+++ b/lab/load/load_run.cpp
@@ -1,14 +1,12 @@
 #include "lab/load/load_run.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <exception>
 #include <list>
 #include <memory>
-#include <stdexcept>
 
 #include "lab/load/http_exchange.h"
 #include "lab/load/program_runner.h"
@@ -24,7 +22,7 @@
 constexpr Duration kJoinInterval = milliseconds(20);
 
 /// A failure of the tool itself must not pass for a run without violations.
-void rethrow(std::exception_ptr failure) {
+void rethrow(const std::exception_ptr& failure) {
   if (failure) {
     std::rethrow_exception(failure);
   }
--- a/lab/standin/application_stand_in.cpp
+++ b/lab/standin/application_stand_in.cpp
@@ -22,7 +22,7 @@
 
 void ApplicationStandIn::handle(const HttpRequest& request, HttpExchangePtr exchange) {
   if (request.is("POST", "/v1/requests")) {
-    serveRequest(request, std::move(exchange));
+    serveRequest(request, exchange);
     return;
   }
   if (request.is("GET", "/v1/runs")) {
@@ -42,7 +42,7 @@
   exchange->respond(jsonResponse(200, found->second.answer));
 }
 
-void ApplicationStandIn::serveRequest(const HttpRequest& request, HttpExchangePtr exchange) {
+void ApplicationStandIn::serveRequest(const HttpRequest& request, const HttpExchangePtr& exchange) {
   ++requests_;
   const std::string requestId(request.header("X-Request-Id"));
   const std::string key(request.header("Idempotency-Key"));
--- a/lab/standin/application_stand_in.h
+++ b/lab/standin/application_stand_in.h
@@ -29,7 +29,7 @@
   void handle(const HttpRequest& request, HttpExchangePtr exchange) override;
 
  private:
-  void serveRequest(const HttpRequest& request, HttpExchangePtr exchange);
+  void serveRequest(const HttpRequest& request, const HttpExchangePtr& exchange);
   const ApplicationRuns& run(const std::string& key, const std::string& requestId);
   [[nodiscard]] std::string runsJson() const;
 
