--- a/bench/program/program_bench.cpp
+++ b/bench/program/program_bench.cpp
@@ -46,10 +46,10 @@
   std::size_t bytes = 0;
 };
 
-Traffic trafficOf(unsigned calls, bool repeatable) {
+Traffic trafficOf(unsigned calls, std::uint32_t owner, bool repeatable) {
   JournalCluster cluster(4, 1);
   Traffic traffic;
-  cluster.finish(cluster.call(4, "open", repeatable));
+  cluster.finish(cluster.call(owner, "open", repeatable));
   cluster.run(seconds(1));
   cluster.onSent = [&](const JournalMessage& message) {
     ++traffic.messages;
@@ -57,16 +57,16 @@
   };
   for (unsigned index = 0; index < calls; ++index) {
     const std::string key = "call-" + std::to_string(index);
-    cluster.finish(cluster.call(4, key, repeatable, "[]", key));
+    cluster.finish(cluster.call(owner, key, repeatable, "[]", key));
     cluster.run(seconds(1));
   }
   return traffic;
 }
 
-void printTraffic(const char* kind, bool repeatable) {
+void printTraffic(const char* kind, std::uint32_t owner, bool repeatable) {
   constexpr unsigned kCalls = 100;
   constexpr double kCallsPerNodeAndSecond = 7.5;
-  const Traffic traffic = trafficOf(kCalls, repeatable);
+  const Traffic traffic = trafficOf(kCalls, owner, repeatable);
   const double bytes = static_cast<double>(traffic.bytes) / kCalls;
   std::printf("%s: %.1f messages and %.0f bytes a call, %.2f KB/s a node at %.1f calls/s\n", kind,
               static_cast<double>(traffic.messages) / kCalls, bytes,
@@ -81,8 +81,10 @@
     OutcomeEntry outcome;
     outcome.call = CallNumber(call);
     outcome.status = CallStatus::Completed;
-    record.entries.push_back({SequenceNumber(std::uint64_t{2} * call - 1), Epoch(1), std::move(intent)});
-    record.entries.push_back({SequenceNumber(std::uint64_t{2} * call), Epoch(1), std::move(outcome)});
+    record.entries.push_back(
+        {SequenceNumber(std::uint64_t{2} * call - 1), Epoch(1), std::move(intent)});
+    record.entries.push_back(
+        {SequenceNumber(std::uint64_t{2} * call), Epoch(1), std::move(outcome)});
   }
   return record;
 }
@@ -100,8 +102,11 @@
 }  // namespace
 
 int main() {
-  printTraffic("repeatable", true);
-  printTraffic("not repeatable", false);
+  // Nodes 1 to 3 are the replicas.
+  printTraffic("repeatable, owner among the replicas", 1, true);
+  printTraffic("repeatable, owner elsewhere", 4, true);
+  printTraffic("not repeatable, owner among the replicas", 1, false);
+  printTraffic("not repeatable, owner elsewhere", 4, false);
   for (const unsigned calls : {1U, 10U, 50U}) {
     printMemory(calls);
   }
