Hold the prefixes of live programs while their tools run

Cause: at brazos-bend prefixes of paused programs were evicted before those of ended ones. Belady's bound now knows all blocks (it took messages for never used again).

--- a/lab/emulator/comparison.cpp
+++ b/lab/emulator/comparison.cpp
@@ -31,7 +31,7 @@
     for (std::size_t job = nextJob++; job < jobs; job = nextJob++) {
       PolicyRuns& target = results[job / options.seeds];
       const std::uint64_t seed = options.firstSeed + job % options.seeds;
-      Emulation emulation(workload, {target.policy, target.load, seed});
+      Emulation emulation(workload, {target.policy, target.load, seed, options.retention});
       target.runs[job % options.seeds] = emulation.run();
     }
   };
--- a/lab/emulator/comparison.h
+++ b/lab/emulator/comparison.h
@@ -32,6 +32,7 @@
   std::uint64_t firstSeed = 1;
   std::uint32_t seeds = 1;
   std::uint32_t threads = 1;
+  bool retention = true;
 };
 
 /// Runs every policy at every load with the same seeds; results are in order of load, then policy.
--- a/lab/emulator/emulation.cpp
+++ b/lab/emulator/emulation.cpp
@@ -15,6 +15,9 @@
 /// After the last arrival the run goes on for so long at most; what has not ended is unfinished.
 constexpr Duration kDrainTime = seconds(7200);
 constexpr std::uint64_t kInventoryRounds = 30;
+/// Seconds of keeping one token that its recomputation is worth. Well above the usual pauses, so
+/// that nearly every live program is held, and what ended programs leave behind is evicted first.
+constexpr Duration kRetentionWorth = seconds(1000);
 /// The bound's next use of a prefix whose program waits for a sub-agent.
 constexpr Duration kSubAgentForesight = seconds(5);
 
@@ -51,6 +54,7 @@
     : workload_(workload),
       options_(options),
       clairvoyant_(isClairvoyant(options.policy)),
+      retains_(options.retention && options.policy == kProductPolicy),
       plans_(drawPrograms(workload, options.load, options.seed)),
       programs_(plans_.size(), Program(workload.engine.blockTokens)),
       engines_(workload.replicas, enginemodel::EngineModel(workload.engine)),
@@ -62,6 +66,7 @@
   for (std::uint32_t node = 0; node < workload.nodes; ++node) {
     nodes_.emplace_back(workload, placement, streamSeed(options.seed, 100 + node));
   }
+  planners_.assign(workload.nodes, scheduling::RetentionPlanner(kRetentionWorth));
   measures_.tenantSlowdownSum.resize(workload.tenants, 0.0);
   measures_.tenantPrograms.resize(workload.tenants, 0);
 }
@@ -162,10 +167,16 @@
     context.append(contentId(ContentKind::Document, *plan.document), plan.documentTokens);
   }
   if (clairvoyant_) {
-    foresight_.addUser(program, context.chain(), 0);
+    foresee(program);
   }
 }
 
+void Emulation::foresee(std::uint32_t program) {
+  Program& state = programs_[program];
+  foresight_.addUser(program, state.context.chain(), state.foreseenBlocks);
+  state.foreseenBlocks = state.context.chain().size();
+}
+
 void Emulation::startCall(std::uint32_t program) {
   Program& state = programs_[program];
   if (programs_[rootOf(program)].ended) {
@@ -186,11 +197,7 @@
     foresight_.setNextCall(program, now_);
     showTruth(program);
   }
-  state.replica =
-      nodeOf(program).place({programIdOfIndex(program), state.promptTokens,
-                             workload_.classes[plans_[program].classIndex].priority,
-                             state.attainedTokens, state.replica, state.context.marks()},
-                            now_);
+  placeCall(program);
   events_.add(now_ + workload_.oneWayDelay, EventKind::RequestArrives, program, state.call);
   const Duration patience = plans_[program].patience;
   if (patience.count() > 0) {
@@ -198,6 +205,23 @@
   }
 }
 
+void Emulation::placeCall(std::uint32_t program) {
+  Program& state = programs_[program];
+  const ProgramPlan& plan = plans_[program];
+  const ProgramClass& kind = workload_.classes[plan.classIndex];
+  if (state.turn > 0) {
+    planners_[plan.node].returned(kind.name, now_ - state.answerAt);
+  }
+  const scheduling::ReplicaIndex chosen =
+      nodes_[plan.node].place({programIdOfIndex(program), state.promptTokens, kind.priority,
+                               state.attainedTokens, state.replica, state.context.marks()},
+                              now_);
+  if (state.replica && *state.replica != chosen) {
+    releasePrefix(program);
+  }
+  state.replica = chosen;
+}
+
 void Emulation::showTruth(std::uint32_t program) {
   std::vector<std::uint32_t> cached;
   std::vector<enginemodel::EngineLoad> loads;
@@ -240,11 +264,10 @@
   const std::uint32_t usable = (state.promptTokens - 1) / blockTokens * blockTokens;
   state.knownTokens = std::min(known, usable);
   const std::uint32_t answerTokens = plans_[event.subject].turns[state.turn].answerTokens;
-  const std::size_t promptBlocks = state.context.chain().size();
   state.context.append(contentId(ContentKind::Turn, event.subject, 2 * state.turn + 1),
                        answerTokens);
   if (clairvoyant_) {
-    foresight_.addUser(event.subject, state.context.chain(), promptBlocks);
+    foresee(event.subject);
   }
   const std::uint32_t engine = state.replica->value();
   engines_[engine].submit({requestId(event.subject), state.context.chain(), state.promptTokens,
@@ -308,7 +331,9 @@
     return;
   }
   state.underWay = false;
+  state.answerAt = now_;
   nodeOf(event.subject).callEnded(*state.replica, state.context.marks());
+  holdPrefix(event.subject);
   endTurn(event.subject);
 }
 
@@ -343,6 +368,11 @@
   programs_[program].ended = true;
   foresight_.setNextCall(program, Foresight::kNever);
   const ProgramPlan& plan = plans_[program];
+  if (!plan.abandoned) {
+    // The caller closes the program; of an abandoned one nobody hears again.
+    releasePrefix(program);
+    planners_[plan.node].ended(workload_.classes[plan.classIndex].name);
+  }
   if (plan.parent) {
     return oneWaitLess(*plan.parent);
   }
@@ -385,6 +415,7 @@
   foresight_.setNextCall(program, Foresight::kNever);
   nodeOf(program).callDropped(*state.replica);
   engineOf(program).cancel(requestId(program), now_);
+  releasePrefix(program);
   scheduleWake(state.replica->value());
   if (measured(program)) {
     ++measures_.leftPrograms;
@@ -406,6 +437,23 @@
   }
 }
 
+void Emulation::holdPrefix(std::uint32_t program) {
+  const ProgramPlan& plan = plans_[program];
+  const Duration time = planners_[plan.node].holdTime(workload_.classes[plan.classIndex].name);
+  const auto& chain = programs_[program].context.chain();
+  if (!retains_ || time.count() == 0 || chain.empty()) {
+    return;
+  }
+  const std::string name = std::to_string(program);
+  engineOf(program).placeHold({name, name, Epoch(1), chain.back(), now_ + time}, now_);
+}
+
+void Emulation::releasePrefix(std::uint32_t program) {
+  if (retains_) {
+    engineOf(program).removeHold(std::to_string(program), now_);
+  }
+}
+
 void Emulation::deliverReports() {
   ++reportRounds_;
   for (std::uint32_t engine = 0; engine < engines_.size(); ++engine) {
--- a/lab/emulator/emulation.h
+++ b/lab/emulator/emulation.h
@@ -15,6 +15,7 @@
 #include "lab/emulator/program_plan.h"
 #include "lab/emulator/prompt_context.h"
 #include "lab/emulator/workload.h"
+#include "scheduling/retention.h"
 
 namespace gorsetrail::emulator {
 
@@ -23,6 +24,7 @@
   std::string policy;  ///< A product policy, `clairvoyant-latency` or `clairvoyant-cache`.
   double load = 0.8;
   std::uint64_t seed = 1;
+  bool retention = true;  ///< Of the product's policy: hold prefixes while tools run.
 };
 
 /// \return names that `EmulationOptions::policy` takes.
@@ -41,6 +43,7 @@
     PromptContext context;
     std::size_t turn = 0;
     std::uint32_t call = 0;
+    std::size_t foreseenBlocks = 0;  ///< Of the chain, known to `Foresight`.
     std::uint32_t promptTokens = 0;
     std::uint32_t knownTokens = 0;  ///< Of the prompt, computed before by any engine.
     std::uint32_t waitingFor = 0;   ///< Sub-agents and the tool's pause.
@@ -48,6 +51,7 @@
     std::optional<scheduling::ReplicaIndex> replica;
     Instant firstCallAt{};
     Instant callAt{};
+    Instant answerAt{};
     Duration toolTime{};
     bool started = false;
     bool underWay = false;
@@ -56,6 +60,8 @@
 
   void handle(const Event& event);
   void startCall(std::uint32_t program);
+  void placeCall(std::uint32_t program);
+  void foresee(std::uint32_t program);
   void beginContext(std::uint32_t program);
   void requestArrives(const Event& event);
   void answerArrives(const Event& event);
@@ -64,6 +70,8 @@
   void patienceExpires(const Event& event);
   void endProgram(std::uint32_t program);
   void leave(std::uint32_t program);
+  void holdPrefix(std::uint32_t program);
+  void releasePrefix(std::uint32_t program);
   void wake(std::uint32_t engine);
   void scheduleWake(std::uint32_t engine);
   void take(std::uint32_t engine, const enginemodel::EngineEvent& event);
@@ -84,6 +92,7 @@
   const Workload& workload_;
   EmulationOptions options_;
   bool clairvoyant_;
+  bool retains_;
   std::vector<ProgramPlan> plans_;
   std::vector<Program> programs_;
   std::vector<enginemodel::EngineModel> engines_;
@@ -91,6 +100,7 @@
   std::vector<std::uint64_t> eventSequences_;
   std::vector<LoadReport> lastReports_;
   std::vector<DecisionNode> nodes_;
+  std::vector<scheduling::RetentionPlanner> planners_;  ///< One a node.
   RandomSource losses_;
   EventQueue events_;
   Foresight foresight_;
--- a/lab/emulator/emulator_command.cpp
+++ b/lab/emulator/emulator_command.cpp
@@ -17,6 +17,7 @@
 DEFINE_string(policies, "", "policies of compare, by commas; empty: all, with the bounds");
 DEFINE_string(loads, "0.8", "loads of compare, by commas");
 DEFINE_double(load, 0.8, "arrivals as a share of the workload's capacity");
+DEFINE_bool(retention, true, "whether prefix-affinity holds prefixes while tools run");
 DEFINE_uint32(seeds, 3, "seeds of compare, from --seed on");
 DEFINE_uint32(threads, 4, "emulations of compare that run side by side");
 
@@ -63,7 +64,8 @@
   if (const auto error = checkPolicy(FLAGS_policy)) {
     return fail(*error);
   }
-  Emulation emulation(valueOf(workload), {FLAGS_policy, FLAGS_load, seedOf(arguments)});
+  Emulation emulation(valueOf(workload),
+                      {FLAGS_policy, FLAGS_load, seedOf(arguments), FLAGS_retention});
   const Figures figures = emulation.run();
   if (arguments.format == "json") {
     const Json json{{"workload", valueOf(workload).name},
@@ -140,6 +142,7 @@
   options.firstSeed = seedOf(arguments);
   options.seeds = std::max(1U, FLAGS_seeds);
   options.threads = FLAGS_threads;
+  options.retention = FLAGS_retention;
   const std::vector<PolicyRuns> results = comparePolicies(valueOf(workload), options);
   if (arguments.format == "json") {
     printJson(valueOf(workload), results);
--- a/lab/emulator/workload.cpp
+++ b/lab/emulator/workload.cpp
@@ -27,6 +27,7 @@
   options.blockTokens = json.at("block_tokens");
   options.cacheBlocks = json.at("cache_blocks");
   options.holdLimitPerMille = json.at("hold_limit_per_mille");
+  options.holdsYield = json.at("holds_yield");
   options.maximumQueued = 1'000'000;
   options.reportTokens = false;
   return options;
--- a/lab/emulator/workload_schema.h
+++ b/lab/emulator/workload_schema.h
@@ -26,7 +26,7 @@
     "engine": {"type": "object", "additionalProperties": false,
       "required": ["base_step_us", "step_per_stream_us", "prefill_ns_per_token",
         "prefill_tokens_per_step", "maximum_running", "block_tokens", "cache_blocks",
-        "hold_limit_per_mille"],
+        "hold_limit_per_mille", "holds_yield"],
       "properties": {
         "base_step_us": {"type": "integer", "minimum": 3000, "maximum": 60000000},
         "step_per_stream_us": {"$ref": "#/definitions/count"},
@@ -35,6 +35,7 @@
         "maximum_running": {"$ref": "#/definitions/positive"},
         "block_tokens": {"$ref": "#/definitions/positive"},
         "cache_blocks": {"$ref": "#/definitions/positive"},
+        "holds_yield": {"type": "boolean"},
         "hold_limit_per_mille": {"type": "integer", "minimum": 0, "maximum": 1000}}},
     "documents": {"type": "object", "additionalProperties": false,
       "required": ["count", "zipf_exponent", "tokens"],
--- a/lab/enginemodel/block_cache.cpp
+++ b/lab/enginemodel/block_cache.cpp
@@ -12,8 +12,11 @@
 }  // namespace
 
 BlockCache::BlockCache(std::uint32_t blockTokens, std::uint32_t capacityBlocks,
-                       std::uint32_t holdLimitBlocks)
-    : blockTokens_(blockTokens), capacity_(capacityBlocks), holdLimit_(holdLimitBlocks) {}
+                       std::uint32_t holdLimitBlocks, bool holdsYield)
+    : blockTokens_(blockTokens),
+      capacity_(capacityBlocks),
+      holdLimit_(holdLimitBlocks),
+      holdsYield_(holdsYield) {}
 
 BlockCache::EvictionKey BlockCache::keyOf(PrefixHash prefix, const Block& block) {
   return {block.lastUse, std::numeric_limits<std::uint32_t>::max() - block.depth, prefix};
@@ -78,6 +81,8 @@
     return true;
   }
   const std::uint64_t excess = wanted - capacity_;
+  while (holdsYield_ && excess > evictable_.size() && dropEarliestHold()) {
+  }
   if (excess > evictable_.size()) {
     return false;
   }
--- a/lab/enginemodel/block_cache.h
+++ b/lab/enginemodel/block_cache.h
@@ -66,8 +66,9 @@
  public:
   /// \param capacityBlocks blocks of memory, cached and reserved ones together.
   /// \param holdLimitBlocks blocks that holds may cover at most.
-  BlockCache(std::uint32_t blockTokens, std::uint32_t capacityBlocks,
-             std::uint32_t holdLimitBlocks);
+  /// \param holdsYield whether holds give way to requests that need their memory.
+  BlockCache(std::uint32_t blockTokens, std::uint32_t capacityBlocks, std::uint32_t holdLimitBlocks,
+             bool holdsYield);
 
   /// \return how many of the chain's first blocks are in memory.
   [[nodiscard]] std::size_t matchedBlocks(const std::vector<PrefixHash>& chain) const;
@@ -142,6 +143,7 @@
   std::uint32_t blockTokens_;
   std::uint32_t capacity_;
   std::uint32_t holdLimit_;
+  bool holdsYield_;
   std::uint32_t reserved_ = 0;
   std::uint32_t heldBlocks_ = 0;
   std::uint64_t useClock_ = 0;
--- a/lab/enginemodel/engine_model.cpp
+++ b/lab/enginemodel/engine_model.cpp
@@ -63,7 +63,8 @@
 
 EngineModel::EngineModel(const EngineOptions& options)
     : options_(options),
-      cache_(options.blockTokens, options.cacheBlocks, holdLimitBlocks(options)) {}
+      cache_(options.blockTokens, options.cacheBlocks, holdLimitBlocks(options),
+             options.holdsYield) {}
 
 SubmitOutcome EngineModel::submit(const EngineRequest& request, Instant now) {
   runUntil(now);
--- a/lab/enginemodel/engine_model.h
+++ b/lab/enginemodel/engine_model.h
@@ -29,6 +29,7 @@
   std::uint32_t blockTokens = 16;
   std::uint32_t cacheBlocks = 16'384;     ///< Memory for KV, cached and in use.
   std::uint32_t holdLimitPerMille = 500;  ///< Share of memory that holds may cover.
+  bool holdsYield = false;   ///< True: holds give way to requests that need their memory.
   bool reportTokens = true;  ///< False: only first tokens and ends are reported; faster.
 };
 
--- a/tests/enginemodel/engine_model_test.cpp
+++ b/tests/enginemodel/engine_model_test.cpp
@@ -168,6 +168,24 @@
   LONGS_EQUAL(1, finishedIn(drain(engine)).size());
 }
 
+TEST(EngineModel, YieldingHoldsGiveWayToRunningWork) {
+  for (const bool yields : {false, true}) {
+    EngineOptions options = smallOptions(10);
+    options.holdsYield = yields;
+    EngineModel engine(options);
+    engine.submit(request("a", 1, 4, 1), at(0));
+    drain(engine);
+    engine.placeHold({"h", "p", Epoch(1), chainOf(1, 4).back(), at(50'000)}, at(100));
+    engine.submit(request("long", 100, 3, 30), at(200));
+    engine.submit(request("next", 200, 3, 1), at(200));
+    // The second request can join the batch when the step under way ends.
+    engine.advance(*engine.nextStepAt());
+    LONGS_EQUAL(yields ? 2 : 1, engine.load().running);
+    LONGS_EQUAL(yields ? 0 : 4, engine.cache().heldBlocks());
+    LONGS_EQUAL(2, finishedIn(drain(engine)).size());
+  }
+}
+
 TEST(EngineModel, HigherPriorityStartsFirstAndTheBatchIsBounded) {
   EngineOptions options = smallOptions(1000);
   options.maximumRunning = 1;
