Count a program's move three times in prefix-affinity

Cause: a program that moves leaves its prefix behind and evicts another's. Change: tokens computed again count three times for a program that has run before.

--- a/src/scheduling/prefix_affinity_policy.cpp
+++ b/src/scheduling/prefix_affinity_policy.cpp
@@ -18,6 +18,8 @@
 /// costs several times its own time, and more where cache waste weighs more than latency.
 constexpr double kLeastExternality = 4.0;
 constexpr double kAddedExternality = 4.0;
+/// A program that moves leaves a prefix behind that nobody will use, and evicts another's.
+constexpr double kMoveFactor = 3.0;
 /// What one more stream in the batch, and one more request in the queue, cost a new call.
 constexpr double kMillisecondsPerRequest = 60.0;
 constexpr double kMillisecondsPerQueuedRequest = 250.0;
@@ -44,7 +46,9 @@
 }
 
 double externality(const CallDescription& call) {
-  return kLeastExternality + kAddedExternality * (1.0 - std::clamp(call.latencyWeight, 0.0, 1.0));
+  const double cacheWeight = 1.0 - std::clamp(call.latencyWeight, 0.0, 1.0);
+  const double factor = kLeastExternality + kAddedExternality * cacheWeight;
+  return call.previous ? factor * kMoveFactor : factor;
 }
 
 double costOf(const CallDescription& call, const ReplicaView& replica) {
