--- a/src/scheduling/prefix_index.cpp
+++ b/src/scheduling/prefix_index.cpp
@@ -82,8 +82,8 @@
 
 void PrefixIndex::forget(ReplicaIndex replica) { reconcile(replica, {}); }
 
-std::vector<CachedTokens> PrefixIndex::lookup(const std::vector<PrefixMark>& marks) const {
-  std::vector<CachedTokens> result;
+template <class Take>
+void PrefixIndex::forEachBelief(const std::vector<PrefixMark>& marks, const Take& take) const {
   for (const PrefixMark& mark : marks) {
     const auto entry = entries_.find(mark.prefix);
     if (entry == entries_.end()) {
@@ -91,18 +91,23 @@
     }
     for (const Holder& holder : entry->second.holders) {
       const bool doubtful = holder.generation != replicas_[holder.replica.value()].generation;
-      const std::uint32_t tokens = doubtful ? mark.tokens / kDoubtDivisor : mark.tokens;
-      const auto position = std::lower_bound(result.begin(), result.end(), holder.replica,
-                                             [](const CachedTokens& cached, ReplicaIndex replica) {
-                                               return cached.replica < replica;
-                                             });
-      if (position != result.end() && position->replica == holder.replica) {
-        position->tokens = std::max(position->tokens, tokens);
-      } else {
-        result.insert(position, {holder.replica, tokens});
-      }
+      take(holder.replica, doubtful ? mark.tokens / kDoubtDivisor : mark.tokens);
     }
   }
+}
+
+std::vector<CachedTokens> PrefixIndex::lookup(const std::vector<PrefixMark>& marks) const {
+  std::vector<CachedTokens> result;
+  forEachBelief(marks, [&result](ReplicaIndex replica, std::uint32_t tokens) {
+    const auto position = std::lower_bound(
+        result.begin(), result.end(), replica,
+        [](const CachedTokens& cached, ReplicaIndex wanted) { return cached.replica < wanted; });
+    if (position != result.end() && position->replica == replica) {
+      position->tokens = std::max(position->tokens, tokens);
+    } else {
+      result.insert(position, {replica, tokens});
+    }
+  });
   return result;
 }
 
@@ -111,11 +116,12 @@
   for (ReplicaView& replica : replicas) {
     replica.cachedProgramTokens = 0;
   }
-  for (const CachedTokens& cached : lookup(marks)) {
-    if (cached.replica.value() < replicas.size()) {
-      replicas[cached.replica.value()].cachedProgramTokens = cached.tokens;
+  forEachBelief(marks, [&replicas](ReplicaIndex replica, std::uint32_t tokens) {
+    if (replica.value() < replicas.size()) {
+      std::uint32_t& cached = replicas[replica.value()].cachedProgramTokens;
+      cached = std::max(cached, tokens);
     }
-  }
+  });
 }
 
 std::size_t PrefixIndex::marksOf(ReplicaIndex replica) const {
--- a/src/scheduling/prefix_index.h
+++ b/src/scheduling/prefix_index.h
@@ -68,6 +68,9 @@
     std::uint32_t generation = 0;
   };
 
+  /// Calls `take(replica, tokens)` for every replica of every mark.
+  template <class Take>
+  void forEachBelief(const std::vector<PrefixMark>& marks, const Take& take) const;
   ReplicaState& stateOf(ReplicaIndex replica);
   Holder* findHolder(PrefixHash prefix, ReplicaIndex replica);
   void remove(ReplicaIndex replica, PrefixHash prefix);
