--- a/lab/sim/mutants.cpp
+++ b/lab/sim/mutants.cpp
@@ -81,10 +81,10 @@
   std::vector<NodeCommand> lies_;
 };
 
-/// Has a bundle without budgets in force.
-class UnlimitedBudget final : public ForwardingCore {
+/// Has a bundle with twice the budgets in force.
+class DoubledBudget final : public ForwardingCore {
  public:
-  UnlimitedBudget(node::NodeCorePtr core, const Scenario& scenario)
+  DoubledBudget(node::NodeCorePtr core, const Scenario& scenario)
       : ForwardingCore(std::move(core)), scenario_(scenario) {}
   void onBundleEnvelope(std::string_view envelope, Instant now) override {
     const Result<bundle::SignedBundle> decoded = bundle::decodeEnvelope(envelope);
@@ -99,8 +99,8 @@
     BundleChoice choice;
     choice.version = original->version;
     choice.latencyWeight = original->latencyWeight;
-    choice.callsPerProgram = 1000000;
-    choice.tokensPerProgram = 1000000000;
+    choice.callsPerProgram = 2 * scenario_.budget.calls;
+    choice.tokensPerProgram = 2 * scenario_.budget.tokens;
     inner().onBundleEnvelope(makeEnvelope(scenario_, choice), now);
   }
 
@@ -240,7 +240,7 @@
      "dispatches an earlier application request again after a later call"},
     {"forget-journal", Promise::History, "runner-death",
      "acknowledges journal entries without storing them"},
-    {"unlimited-budget", Promise::Budget, "looping-programs", "ignores the bundle's budgets"},
+    {"doubled-budget", Promise::Budget, "looping-programs", "lets programs use twice their budget"},
     {"never-cancel", Promise::EngineMemory, "tool-hang", "never cancels a stream"},
     {"cross-answers", Promise::WholeAnswer, "everything-twice",
      "gives answers to the wrong callers"},
@@ -273,8 +273,8 @@
     if (name == "forget-journal") {
       return std::make_unique<ForgetJournal>(std::move(core), self);
     }
-    if (name == "unlimited-budget") {
-      return std::make_unique<UnlimitedBudget>(std::move(core), scenario);
+    if (name == "doubled-budget") {
+      return std::make_unique<DoubledBudget>(std::move(core), scenario);
     }
     if (name == "never-cancel") {
       return std::make_unique<NeverCancel>(std::move(core));
