Know application requests by what they ask, not by the nodes' keys

Cause: the first run against nodes showed 350 false breaches: nodes send back ends a key of their own, so runs could not be matched with callers' requests; and a double run under two node keys would have gone unseen. Change: the application stand-in counts runs by the digest of the messages too, its receipt contains that digest, and the checker counts by it. Conclusion: the checker is stricter, and free of that false alarm.

--- a/lab/load/observation.h
+++ b/lab/load/observation.h
@@ -79,7 +79,7 @@
 
 /// Runs that one application back end counted; see `GET /v1/runs`.
 struct RunsCounted {
-  std::string key;
+  std::string content;  ///< Digest of the messages that it was asked with.
   std::uint32_t count = 0;
 };
 
--- a/lab/load/program_runner.cpp
+++ b/lab/load/program_runner.cpp
@@ -140,6 +140,7 @@
   Call call = nextCall(branch);
   call.work = works[run_.random.below(works.size())];
   call.messages = json::array({message("user", "file " + call.started.key)}).dump();
+  call.started.messagesDigest = standin::messagesDigest(call.messages);
   call.started.application = true;
   CallResult result = co_await caller_.make(call);
   co_return co_await finishCall(call, std::move(result));
--- a/lab/load/promise_checker.cpp
+++ b/lab/load/promise_checker.cpp
@@ -24,7 +24,7 @@
 }  // namespace
 
 void PromiseChecker::on(const CallStarted& started) {
-  calls_.try_emplace(started.key, Call{started, std::nullopt, std::nullopt, 0});
+  calls_.try_emplace(started.key, Call{started, std::nullopt, std::nullopt});
 }
 
 void PromiseChecker::on(const CallAnswered& answered) {
@@ -92,10 +92,10 @@
 void PromiseChecker::checkApplicationAnswer(const Call& call, const CallAnswered& answered) {
   const nlohmann::json answer = nlohmann::json::parse(answered.content, nullptr, false);
   const std::string receipt = textOf(answer, "receipt");
-  const std::string keyDigest = requestDigestOf(answered.key).toHex();
-  tally_.check(Promise::WholeAnswer,
-               answered.ended && receipt.find("-" + keyDigest + "-") != std::string::npos,
-               answered.key + ": not the receipt of this request: " + receipt);
+  tally_.check(
+      Promise::WholeAnswer,
+      answered.ended && receipt.find("-" + call.started.messagesDigest + "-") != std::string::npos,
+      answered.key + ": not the receipt of this request: " + receipt);
   tally_.check(Promise::WholeAnswer, belongsTo(textOf(answer, "request_id"), call.started.program),
                answered.key + ": receipt of another program's request");
 }
@@ -201,10 +201,7 @@
 }
 
 void PromiseChecker::on(const RunsCounted& counted) {
-  const auto found = calls_.find(counted.key);
-  if (found != calls_.end()) {
-    found->second.runs += counted.count;
-  }
+  runsByContent_[counted.content] += counted.count;
 }
 
 void PromiseChecker::on(const LeavingWatched& watched) {
@@ -221,13 +218,15 @@
 }
 
 void PromiseChecker::checkRuns(const Call& call) {
-  const std::string runs = call.started.key + ": " + std::to_string(call.runs) + " runs";
-  tally_.check(Promise::AtMostOnce, call.runs <= 1, runs);
+  const auto found = runsByContent_.find(call.started.messagesDigest);
+  const std::uint32_t count = found == runsByContent_.end() ? 0 : found->second;
+  const std::string runs = call.started.key + ": " + std::to_string(count) + " runs";
+  tally_.check(Promise::AtMostOnce, count <= 1, runs);
   if (call.answered) {
-    tally_.check(Promise::WholeAnswer, call.runs > 0, runs + ", but an answer was given");
+    tally_.check(Promise::WholeAnswer, count > 0, runs + ", but an answer was given");
   }
   if (call.lastTold == RunOutcome::NotRun) {
-    tally_.check(Promise::NotRunIsTrue, call.runs == 0, runs + ", but not_run was told");
+    tally_.check(Promise::NotRunIsTrue, count == 0, runs + ", but not_run was told");
   }
 }
 
--- a/lab/load/promise_checker.h
+++ b/lab/load/promise_checker.h
@@ -57,7 +57,6 @@
     CallStarted started;
     std::optional<CallAnswered> answered;  ///< The first whole answer.
     std::optional<RunOutcome> lastTold;
-    std::uint32_t runs = 0;
   };
   struct Branch {
     std::uint32_t lastSequence = 0;
@@ -92,6 +91,8 @@
   PromiseTally tally_;
   std::map<SiteTenant, ProgramLimits> limits_;
   std::map<std::string, Call> calls_;  ///< By idempotency key.
+  /// By digest of the messages: a double run counts under whatever keys the nodes sent it.
+  std::map<std::string, std::uint32_t> runsByContent_;
   std::map<ProgramIdentity, Program> programs_;
   std::map<std::string, SiteBundle> bundles_;
 };
--- a/lab/load/watchers.cpp
+++ b/lab/load/watchers.cpp
@@ -88,7 +88,7 @@
     const std::optional<json> page = co_await read(client, address, "/v1/runs");
     complete = complete && page.has_value();
     for (const json& run : page ? page->value("runs", json::array()) : json::array()) {
-      checker.on(RunsCounted{run.value("idempotency_key", ""), run.value("count", 0U)});
+      checker.on(RunsCounted{run.value("content", ""), run.value("count", 0U)});
     }
   }
   co_return complete;
--- a/lab/standin/application_stand_in.cpp
+++ b/lab/standin/application_stand_in.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/ids.h"
+#include "lab/standin/answer_text.h"
 
 namespace gorsetrail::standin {
 namespace {
@@ -16,8 +17,18 @@
 
 }  // namespace
 
-std::string receiptOf(const std::string& backendName, const std::string& key, std::uint32_t run) {
-  return backendName + "-" + requestDigestOf(key).toHex() + "-" + std::to_string(run);
+std::string contentOfRequest(const std::string& body) {
+  const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
+  if (document.is_object() && document.contains("messages")) {
+    return messagesDigest(
+        document["messages"].dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  }
+  return contentDigestOf(body).toHex();
+}
+
+std::string receiptOf(const std::string& backendName, const std::string& content,
+                      std::uint32_t run) {
+  return backendName + "-" + content + "-" + std::to_string(run);
 }
 
 void ApplicationStandIn::handle(const HttpRequest& request, HttpExchangePtr exchange) {
@@ -59,19 +70,21 @@
     exchange->respond(std::move(response));
     return;
   }
-  HttpResponse response = jsonResponse(200, run(key, requestId).answer);
+  HttpResponse response =
+      jsonResponse(200, run(key, requestId, contentOfRequest(request.body)).answer);
   response.headers.push_back({"X-Request-Id", requestId});
   scheduler_.after(runTime_, [exchange, response] { exchange->respond(response); });
 }
 
 /// The run takes effect before its answer leaves, as in a real application.
-const ApplicationRuns& ApplicationStandIn::run(const std::string& key,
-                                               const std::string& requestId) {
+const ApplicationRuns& ApplicationStandIn::run(const std::string& key, const std::string& requestId,
+                                               const std::string& content) {
   ApplicationRuns& runs = runs_[key];
   ++runs.count;
+  ++runs.countByContent[content];
   runs.requestId = requestId;
   const nlohmann::json answer = {{"request_id", requestId},
-                                 {"receipt", receiptOf(name_, key, runs.count)},
+                                 {"receipt", receiptOf(name_, content, runs.count)},
                                  {"run", runs.count}};
   runs.answer = answer.dump();
   return runs;
@@ -80,8 +93,12 @@
 std::string ApplicationStandIn::runsJson() const {
   nlohmann::json list = nlohmann::json::array();
   for (const auto& [key, runs] : runs_) {
-    list.push_back(
-        {{"idempotency_key", key}, {"request_id", runs.requestId}, {"count", runs.count}});
+    for (const auto& [content, count] : runs.countByContent) {
+      list.push_back({{"idempotency_key", key},
+                      {"request_id", runs.requestId},
+                      {"content", content},
+                      {"count", count}});
+    }
   }
   return nlohmann::json{{"runs", std::move(list)}}.dump();
 }
--- a/lab/standin/application_stand_in.h
+++ b/lab/standin/application_stand_in.h
@@ -14,7 +14,8 @@
 struct ApplicationRuns {
   std::string requestId;  ///< `X-Request-Id` of the last run.
   std::uint32_t count = 0;
-  std::string answer;  ///< JSON of the last run's answer.
+  std::string answer;                                   ///< JSON of the last run's answer.
+  std::map<std::string, std::uint32_t> countByContent;  ///< By digest of what was asked.
 };
 
 /// Counts the runs of each `Idempotency-Key`. It does not keep a second run from happening: that
@@ -30,7 +31,8 @@
 
  private:
   void serveRequest(const HttpRequest& request, const HttpExchangePtr& exchange);
-  const ApplicationRuns& run(const std::string& key, const std::string& requestId);
+  const ApplicationRuns& run(const std::string& key, const std::string& requestId,
+                             const std::string& content);
   [[nodiscard]] std::string runsJson() const;
 
   std::string name_;
@@ -41,8 +43,11 @@
   std::uint64_t requests_ = 0;  ///< All requests that came to run something, also refused ones.
 };
 
-/// \return the receipt of a run: `<back end>-<digest of the key>-<run>`; the digest lets a checker
-/// tell whose receipt it is.
-std::string receiptOf(const std::string& backendName, const std::string& key, std::uint32_t run);
+/// \return the digest of what a request asks for: of its messages, else of the whole body.
+std::string contentOfRequest(const std::string& body);
+/// \return the receipt of a run: `<back end>-<digest of the content>-<run>`; the digest lets a
+/// checker tell whose receipt it is, whatever keys the nodes use.
+std::string receiptOf(const std::string& backendName, const std::string& content,
+                      std::uint32_t run);
 
 }  // namespace gorsetrail::standin
--- a/tests/lab_standin/promise_checker_test.cpp
+++ b/tests/lab_standin/promise_checker_test.cpp
@@ -22,7 +22,8 @@
   }
   void start(const std::string& key, std::uint32_t sequence, bool application = false,
              const std::string& branch = "") {
-    checker.on(CallStarted{program, branch, key, digest, application, sequence});
+    const std::string messages = application ? contentOf(key) : digest;
+    checker.on(CallStarted{program, branch, key, messages, application, sequence});
   }
   CallAnswered answer(const std::string& key, std::uint32_t number) {
     return answerOf(program, key, number, digest);
@@ -37,12 +38,15 @@
         {programIdOf(owner.key).toHex() + ".1." + std::to_string(number) + ".1", messages}, 40);
     return answered;
   }
+  static std::string contentOf(const std::string& key) {
+    return standin::messagesDigest("[\"" + key + "\"]");
+  }
   CallAnswered receipt(const std::string& key, const std::string& keyInReceipt) {
     CallAnswered answered;
     answered.key = key;
     answered.callNumber = 1;
-    answered.content = R"({"receipt":"app-)" + requestDigestOf(keyInReceipt).toHex() +
-                       R"(-1","request_id":")" + programIdOf(program.key).toHex() + R"(.1.1.1"})";
+    answered.content = R"({"receipt":"app-)" + contentOf(keyInReceipt) + R"(-1","request_id":")" +
+                       programIdOf(program.key).toHex() + R"(.1.1.1"})";
     return answered;
   }
 };
@@ -111,8 +115,8 @@
 TEST(PromiseChecker, SecondRunIsAViolationAlsoOnAnotherReplica) {
   start("pay-1", 1, true);
   checker.on(receipt("pay-1", "pay-1"));
-  checker.on(RunsCounted{"pay-1", 1});
-  checker.on(RunsCounted{"pay-1", 1});
+  checker.on(RunsCounted{contentOf("pay-1"), 1});
+  checker.on(RunsCounted{contentOf("pay-1"), 1});
   checker.finish(true);
   expectOnly(Promise::AtMostOnce, 1);
 }
@@ -129,8 +133,8 @@
   start("pay-2", 2, true);
   checker.on(CallRefused{"pay-1", "admission_refused", RunOutcome::NotRun});
   checker.on(CallRefused{"pay-2", "outcome_not_known", RunOutcome::OutcomeUnknown});
-  checker.on(RunsCounted{"pay-1", 1});
-  checker.on(RunsCounted{"pay-2", 1});
+  checker.on(RunsCounted{contentOf("pay-1"), 1});
+  checker.on(RunsCounted{contentOf("pay-2"), 1});
   checker.finish(true);
   expectOnly(Promise::NotRunIsTrue, 1);
 }
