Split the server's connection into reading, writing and messages

Change: the writer handed out, the message conversions and the writing half stand in files of their own; one place begins an exchange. Conclusion: the folder's 41 tests pass as before.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -6,11 +6,12 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <cerrno>
-#include <charconv>
 #include <utility>
 
+#include "http/exchange_writer.h"
+#include "http/server_message.h"
+
 namespace gorsetrail::http {
 namespace {
 
@@ -25,112 +26,6 @@
 constexpr std::chrono::seconds kLingerTimeLimit{2};
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::string textOfHead(beast::http::response<beast::http::empty_body>& head) {
-  beast::http::response_serializer<beast::http::empty_body> serializer(head);
-  serializer.split(true);
-  std::string text;
-  error_code error;
-  while (!error && !serializer.is_header_done()) {
-    serializer.next(error, [&](error_code&, const auto& buffers) {
-      std::size_t bytes = 0;
-      for (const auto buffer : beast::buffers_range_ref(buffers)) {
-        text.append(static_cast<const char*>(buffer.data()), buffer.size());
-        bytes += buffer.size();
-      }
-      serializer.consume(bytes);
-    });
-  }
-  return text;
-}
-
-void appendChunk(std::string& out, std::string_view bytes) {
-  std::array<char, 16> digits{};
-  constexpr int kHexadecimal = 16;
-  const auto end =
-      std::to_chars(digits.data(), digits.data() + digits.size(), bytes.size(), kHexadecimal).ptr;
-  out.append(digits.data(), end);
-  out.append("\r\n");
-  out.append(bytes);
-  out.append("\r\n");
-}
-
-/// Writer of one exchange; holds the connection weakly, since the front may keep it for long.
-class ExchangeWriter final : public ResponseWriter {
- public:
-  ExchangeWriter(std::weak_ptr<ServerConnection> connection, std::uint64_t exchange)
-      : connection_(std::move(connection)), exchange_(exchange) {}
-  ExchangeWriter(const ExchangeWriter&) = delete;
-  ExchangeWriter& operator=(const ExchangeWriter&) = delete;
-  ~ExchangeWriter() override {
-    if (const auto connection = connection_.lock()) {
-      connection->dropWriter(exchange_);
-    }
-  }
-
-  void observe(ResponseObserver observer) override {
-    if (const auto connection = connection_.lock()) {
-      connection->observe(exchange_, std::move(observer));
-    }
-  }
-  void sendWhole(WholeResponse response) override {
-    if (const auto connection = connection_.lock()) {
-      connection->sendWhole(exchange_, response);
-    }
-  }
-  void beginStream(unsigned status, const std::vector<Header>& headers) override {
-    if (const auto connection = connection_.lock()) {
-      connection->beginStream(exchange_, status, headers);
-    }
-  }
-  void write(std::string_view bytes) override {
-    if (const auto connection = connection_.lock()) {
-      connection->write(exchange_, bytes);
-    }
-  }
-  void endStream() override {
-    if (const auto connection = connection_.lock()) {
-      connection->endStream(exchange_);
-    }
-  }
-  [[nodiscard]] std::size_t bytesWaiting() const override {
-    const auto connection = connection_.lock();
-    return connection ? connection->bytesWaiting(exchange_) : 0;
-  }
-
- private:
-  std::weak_ptr<ServerConnection> connection_;
-  std::uint64_t exchange_;
-};
-
-ServerRequest toServerRequest(beast::http::request<beast::http::string_body> message) {
-  ServerRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  }
-  request.body = std::move(message.body());
-  return request;
-}
-
-ProtocolFault faultOf(const error_code& error) {
-  if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow) {
-    return ProtocolFault::HeadTooLarge;
-  }
-  if (error == beast::http::error::body_limit) {
-    return ProtocolFault::BodyTooLarge;
-  }
-  return ProtocolFault::Malformed;
-}
-
-/// The caller closed or the connection broke, as against a request that came and is wrong.
-bool isCut(const error_code& error) {
-  return error == beast::http::error::end_of_stream ||
-         error == beast::http::error::partial_message ||
-         error.category() == asio::error::get_system_category() ||
-         error.category() == asio::error::get_misc_category();
-}
-
 }  // namespace
 
 ServerConnection::ServerConnection(Socket socket, std::shared_ptr<ServerShared> shared)
@@ -285,19 +180,22 @@
 
 void ServerConnection::deliverRequest() {
   ++shared_->counters.requests;
-  ++shared_->counters.responsesOpen;
-  ++exchange_;
-  responseBegun_ = false;
-  responseEnded_ = false;
   keepAlive_ = parser_->get().keep_alive();
   chunked_ = parser_->get().version() >= kHttpVersion11;
   ServerRequest request = toServerRequest(parser_->release());
   parser_.reset();
   buffer_.shrink_to_fit();
-  enter(State::Answering);
+  beginExchange();
   waitReadable();
-  shared_->options.onRequest(std::move(request),
-                             std::make_unique<ExchangeWriter>(weak_from_this(), exchange_));
+  shared_->options.onRequest(std::move(request), makeExchangeWriter(weak_from_this(), exchange_));
+}
+
+void ServerConnection::beginExchange() {
+  ++shared_->counters.responsesOpen;
+  ++exchange_;
+  responseBegun_ = false;
+  responseEnded_ = false;
+  enter(State::Answering);
 }
 
 void ServerConnection::onReadFailed(const error_code& error) {
@@ -313,151 +211,14 @@
 
 void ServerConnection::answerFault(ProtocolFault fault) {
   ++shared_->counters.faults;
-  ++shared_->counters.responsesOpen;
-  ++exchange_;
-  responseBegun_ = false;
-  responseEnded_ = false;
   keepAlive_ = false;
   // The operation that reads the request must end before its parser goes.
   error_code ignored;
   socket_.cancel(ignored);
-  enter(State::Answering);
+  beginExchange();
   sendWhole(exchange_, shared_->options.onFault(fault));
 }
 
-bool ServerConnection::isAnswering(std::uint64_t exchange) const {
-  return state_ == State::Answering && exchange == exchange_ && !responseEnded_;
-}
-
-void ServerConnection::observe(std::uint64_t exchange, ResponseObserver observer) {
-  if (isAnswering(exchange)) {
-    observer_ = std::move(observer);
-  }
-}
-
-void ServerConnection::sendWhole(std::uint64_t exchange, const WholeResponse& response) {
-  if (!isAnswering(exchange) || responseBegun_) {
-    return;
-  }
-  queueHead(response.status, response.headers, response.body.size());
-  outgoing_ += response.body;
-  responseEnded_ = true;
-  scheduleFlush();
-}
-
-void ServerConnection::beginStream(std::uint64_t exchange, unsigned status,
-                                   const std::vector<Header>& headers) {
-  if (!isAnswering(exchange) || responseBegun_) {
-    return;
-  }
-  keepAlive_ = keepAlive_ && chunked_;
-  queueHead(status, headers, std::nullopt);
-  scheduleFlush();
-}
-
-void ServerConnection::queueHead(unsigned status, const std::vector<Header>& headers,
-                                 std::optional<std::size_t> contentLength) {
-  responseBegun_ = true;
-  keepAlive_ = keepAlive_ && !shared_->draining;
-  beast::http::response<beast::http::empty_body> head;
-  head.version(kHttpVersion11);
-  head.result(status);
-  for (const Header& header : headers) {
-    head.set(header.name, header.value);
-  }
-  if (contentLength) {
-    head.content_length(*contentLength);
-  } else {
-    head.chunked(chunked_);
-  }
-  if (!keepAlive_) {
-    head.set(beast::http::field::connection, "close");
-  }
-  outgoing_ += textOfHead(head);
-}
-
-void ServerConnection::write(std::uint64_t exchange, std::string_view bytes) {
-  if (!isAnswering(exchange) || !responseBegun_ || bytes.empty()) {
-    return;
-  }
-  if (chunked_) {
-    appendChunk(outgoing_, bytes);
-  } else {
-    outgoing_ += bytes;
-  }
-  scheduleFlush();
-}
-
-void ServerConnection::endStream(std::uint64_t exchange) {
-  if (!isAnswering(exchange) || !responseBegun_) {
-    return;
-  }
-  if (chunked_) {
-    outgoing_ += "0\r\n\r\n";
-  }
-  responseEnded_ = true;
-  scheduleFlush();
-}
-
-void ServerConnection::dropWriter(std::uint64_t exchange) {
-  if (isAnswering(exchange)) {
-    observer_ = {};
-    callerGone();
-  }
-}
-
-std::size_t ServerConnection::bytesWaiting(std::uint64_t exchange) const {
-  return exchange == exchange_ ? outgoing_.size() + inFlight_.size() : 0;
-}
-
-void ServerConnection::scheduleFlush() {
-  if (flushScheduled_ || writing_) {
-    return;
-  }
-  flushScheduled_ = true;
-  asio::post(socket_.get_executor(), [self = shared_from_this()] {
-    self->flushScheduled_ = false;
-    self->flush();
-  });
-}
-
-void ServerConnection::flush() {
-  if (state_ == State::Closed || writing_ || outgoing_.empty()) {
-    return;
-  }
-  writing_ = true;
-  writeSince_ = shared_->now();
-  inFlight_.swap(outgoing_);
-  asio::async_write(socket_, asio::buffer(inFlight_),
-                    [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-                      self->onWritten(error, bytes);
-                    });
-}
-
-void ServerConnection::onWritten(const error_code& error, std::size_t bytes) {
-  writing_ = false;
-  inFlight_.clear();
-  shared_->counters.bytesWritten += bytes;
-  if (state_ == State::Closed) {
-    return;
-  }
-  if (error) {
-    callerGone();
-    return;
-  }
-  if (!outgoing_.empty()) {
-    flush();
-    return;
-  }
-  if (responseEnded_) {
-    finishExchange();
-  } else if (observer_.onFlushed) {
-    // A copy: the observer may end the exchange and so drop itself.
-    const auto onFlushed = observer_.onFlushed;
-    onFlushed();
-  }
-}
-
 void ServerConnection::finishExchange() {
   observer_ = {};
   ++shared_->counters.responses;
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -63,6 +63,7 @@
   void readBody();
   void onBody(const boost::system::error_code& error);
   void deliverRequest();
+  void beginExchange();
   void onReadFailed(const boost::system::error_code& error);
   void answerFault(ProtocolFault fault);
   void queueHead(unsigned status, const std::vector<Header>& headers,
--- /dev/null
+++ b/src/http/server_connection_writing.cpp
@@ -0,0 +1,154 @@
+// The writing half of `ServerConnection`: what the writer of an exchange asks for.
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <utility>
+
+#include "http/server_connection.h"
+#include "http/server_message.h"
+
+namespace gorsetrail::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+constexpr unsigned kHttpVersion11 = 11;
+
+}  // namespace
+
+bool ServerConnection::isAnswering(std::uint64_t exchange) const {
+  return state_ == State::Answering && exchange == exchange_ && !responseEnded_;
+}
+
+void ServerConnection::observe(std::uint64_t exchange, ResponseObserver observer) {
+  if (isAnswering(exchange)) {
+    observer_ = std::move(observer);
+  }
+}
+
+void ServerConnection::sendWhole(std::uint64_t exchange, const WholeResponse& response) {
+  if (!isAnswering(exchange) || responseBegun_) {
+    return;
+  }
+  queueHead(response.status, response.headers, response.body.size());
+  outgoing_ += response.body;
+  responseEnded_ = true;
+  scheduleFlush();
+}
+
+void ServerConnection::beginStream(std::uint64_t exchange, unsigned status,
+                                   const std::vector<Header>& headers) {
+  if (!isAnswering(exchange) || responseBegun_) {
+    return;
+  }
+  keepAlive_ = keepAlive_ && chunked_;
+  queueHead(status, headers, std::nullopt);
+  scheduleFlush();
+}
+
+void ServerConnection::queueHead(unsigned status, const std::vector<Header>& headers,
+                                 std::optional<std::size_t> contentLength) {
+  responseBegun_ = true;
+  keepAlive_ = keepAlive_ && !shared_->draining;
+  beast::http::response<beast::http::empty_body> head;
+  head.version(kHttpVersion11);
+  head.result(status);
+  for (const Header& header : headers) {
+    head.set(header.name, header.value);
+  }
+  if (contentLength) {
+    head.content_length(*contentLength);
+  } else {
+    head.chunked(chunked_);
+  }
+  if (!keepAlive_) {
+    head.set(beast::http::field::connection, "close");
+  }
+  outgoing_ += textOfHead(head);
+}
+
+void ServerConnection::write(std::uint64_t exchange, std::string_view bytes) {
+  if (!isAnswering(exchange) || !responseBegun_ || bytes.empty()) {
+    return;
+  }
+  if (chunked_) {
+    appendChunk(outgoing_, bytes);
+  } else {
+    outgoing_ += bytes;
+  }
+  scheduleFlush();
+}
+
+void ServerConnection::endStream(std::uint64_t exchange) {
+  if (!isAnswering(exchange) || !responseBegun_) {
+    return;
+  }
+  if (chunked_) {
+    outgoing_ += "0\r\n\r\n";
+  }
+  responseEnded_ = true;
+  scheduleFlush();
+}
+
+void ServerConnection::dropWriter(std::uint64_t exchange) {
+  if (isAnswering(exchange)) {
+    observer_ = {};
+    callerGone();
+  }
+}
+
+std::size_t ServerConnection::bytesWaiting(std::uint64_t exchange) const {
+  return exchange == exchange_ ? outgoing_.size() + inFlight_.size() : 0;
+}
+
+void ServerConnection::scheduleFlush() {
+  if (flushScheduled_ || writing_) {
+    return;
+  }
+  flushScheduled_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->flushScheduled_ = false;
+    self->flush();
+  });
+}
+
+void ServerConnection::flush() {
+  if (state_ == State::Closed || writing_ || outgoing_.empty()) {
+    return;
+  }
+  writing_ = true;
+  writeSince_ = shared_->now();
+  inFlight_.swap(outgoing_);
+  asio::async_write(socket_, asio::buffer(inFlight_),
+                    [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+                      self->onWritten(error, bytes);
+                    });
+}
+
+void ServerConnection::onWritten(const error_code& error, std::size_t bytes) {
+  writing_ = false;
+  inFlight_.clear();
+  shared_->counters.bytesWritten += bytes;
+  if (state_ == State::Closed) {
+    return;
+  }
+  if (error) {
+    callerGone();
+    return;
+  }
+  if (!outgoing_.empty()) {
+    flush();
+    return;
+  }
+  if (responseEnded_) {
+    finishExchange();
+  } else if (observer_.onFlushed) {
+    // A copy: the observer may end the exchange and so drop itself.
+    const auto onFlushed = observer_.onFlushed;
+    onFlushed();
+  }
+}
+
+}  // namespace gorsetrail::http
