Judge not_run by when it was said, and leaving by when it can be known

Change: refusals carry the moment at which the node gave them; an application counts as leaving from its first refusal or from the accepted bundle that says so, since applications report no load.

--- a/lab/sim/caller_front.cpp
+++ b/lab/sim/caller_front.cpp
@@ -111,6 +111,7 @@
     return;  // The caller is gone, or a second end: the first one counts.
   }
   reply.chunks = std::move(found->second.chunks);
+  reply.saidAt = context_.now();
   const ReplyHandler handler = std::move(found->second.handler);
   exchanges_.erase(found);
   context_.events.scheduleAfter(context_.scenario.delays.caller,
--- a/lab/sim/caller_front.h
+++ b/lab/sim/caller_front.h
@@ -23,6 +23,7 @@
   std::string chunks;  ///< Streamed text, concatenated.
   bool replayed = false;
   Error error;
+  Instant saidAt;  ///< When the node said it, or its connection broke.
 };
 
 class CallerFront {
--- a/lab/sim/platform.cpp
+++ b/lab/sim/platform.cpp
@@ -99,6 +99,9 @@
   accepted_ = choice;
   acceptedAt_ = context_.now();
   weights_[choice.version] = choice.latencyWeight;
+  for (const std::string& backend : choice.leaving) {
+    context_.checker.onBackendLeaving(backend, true, context_.now());
+  }
   context_.figures.count("bundles_accepted");
 }
 
--- a/lab/sim/program_caller.h
+++ b/lab/sim/program_caller.h
@@ -95,7 +95,7 @@
   void onTimeout(const AskPtr& ask, CallHandle handle);
   void onReply(const AskPtr& ask, CallHandle handle, const CallerReply& reply);
   void onCompleted(const AskPtr& ask, const CallerReply& reply);
-  void onRefused(const AskPtr& ask, const Error& error);
+  void onRefused(const AskPtr& ask, const CallerReply& reply);
   void onUnknown(const AskPtr& ask, const Error& error);
   void sendAgain(const AskPtr& ask, Duration delay);
   void useNextNode(const AskPtr& ask) const;
--- a/lab/sim/program_requests.cpp
+++ b/lab/sim/program_requests.cpp
@@ -149,7 +149,7 @@
       onCompleted(ask, reply);
       return;
     case CallerReply::Kind::Refused:
-      onRefused(ask, reply.error);
+      onRefused(ask, reply);
       return;
     case CallerReply::Kind::Broken:
     case CallerReply::Kind::Closed:
@@ -179,8 +179,9 @@
   stepDone(ask->walk);
 }
 
-void ProgramCaller::onRefused(const AskPtr& ask, const Error& error) {
-  context_.checker.onRefused(ask->tag, error, context_.now());
+void ProgramCaller::onRefused(const AskPtr& ask, const CallerReply& reply) {
+  const Error& error = reply.error;
+  context_.checker.onRefused(ask->tag, error, reply.saidAt);
   context_.figures.count("refused_" + std::string(errorKindName(error.kind)));
   const std::optional<NodeId> redirect = nodeAtCallerAddress(error.location);
   if (redirect) {
--- a/lab/sim/promise_checker.cpp
+++ b/lab/sim/promise_checker.cpp
@@ -31,18 +31,19 @@
   request.acknowledged = answer.answer;
 }
 
-void PromiseChecker::onRefused(const RequestTag& tag, const Error& error, Instant now) {
+void PromiseChecker::onRefused(const RequestTag& tag, const Error& error, Instant saidAt) {
   Request& request = requests_[tag];
   --request.open;
   const bool isRedirect = !error.location.empty();
   if (isRedirect || error.outcome != RunOutcome::NotRun) {
     return;
   }
-  report_.check(Promise::NotRun, request.runs == 0, now,
+  const bool ranBefore = request.firstRunAt && *request.firstRunAt <= saidAt;
+  report_.check(Promise::NotRun, !ranBefore, saidAt,
                 tag.toText() + " was refused as not run (" +
                     std::string(errorKindName(error.kind)) + ") and ran " +
                     std::to_string(request.runs) + " times");
-  request.toldNotRun = request.open == 0 && request.abandoned == 0;
+  request.toldNotRun = request.runs == 0 && request.open == 0 && request.abandoned == 0;
 }
 
 void PromiseChecker::onAbandoned(const RequestTag& tag) {
@@ -102,6 +103,7 @@
   ++runsStarted_;
   Request& request = requests_[tag];
   ++request.runs;
+  request.firstRunAt = request.firstRunAt.value_or(now);
   if (!request.meaning.repeatable) {
     report_.check(
         Promise::AtMostOnce, request.runs == 1, now,
--- a/lab/sim/promise_checker.h
+++ b/lab/sim/promise_checker.h
@@ -54,7 +54,8 @@
   /// @{
   void onSubmitted(const RequestTag& tag, const RequestMeaning& meaning);
   void onCompleted(const RequestTag& tag, const ReadAnswer& answer, Instant now);
-  void onRefused(const RequestTag& tag, const Error& error, Instant now);
+  /// \param saidAt when the node said so; a paused caller reads it later.
+  void onRefused(const RequestTag& tag, const Error& error, Instant saidAt);
   /// A request ended without any answer (connection broken, or the caller gave up or died).
   void onAbandoned(const RequestTag& tag);
   void onProgramGone(const std::string& program, Instant now);
@@ -71,6 +72,8 @@
   void onRunStarted(const RequestTag& tag, const std::string& dispatch, Instant now);
   void onRunFinished(const RequestTag& tag, const std::string& dispatch, const std::string& answer,
                      std::uint32_t tokens, Instant now);
+  /// From now on nodes can know that it is leaving (its load report, a refusal, or the bundle says
+  /// so), or it serves again.
   void onBackendLeaving(const std::string& backend, bool leaving, Instant now);
   /// An engine works on a stream that began at `since` for a call with that time limit.
   void onStreamHeld(const std::string& engine, const RequestTag& tag, Instant since,
@@ -101,6 +104,7 @@
     std::uint32_t open = 0;  ///< Submissions without an answer yet.
     std::uint32_t abandoned = 0;
     std::uint32_t runs = 0;
+    std::optional<Instant> firstRunAt;
     bool toldNotRun = false;  ///< The latest answer; nothing was submitted since.
     std::optional<std::string> acknowledged;
     std::set<std::string> generated;
--- a/lab/sim/sim_backend.cpp
+++ b/lab/sim/sim_backend.cpp
@@ -19,11 +19,14 @@
 
 void SimBackend::setLeaving(bool leaving) {
   faults_.leaving = leaving;
-  context_.checker.onBackendLeaving(name_.name, leaving, context_.now());
+  if (!leaving || !name_.application) {
+    context_.checker.onBackendLeaving(name_.name, leaving, context_.now());
+  }
 }
 
 bool SimBackend::refuses(const ConnectionPtr& connection) {
   if (faults_.leaving) {
+    context_.checker.onBackendLeaving(name_.name, true, context_.now());
     connection->finish(
         engine::DispatchRefused{connection->attempt(), kUnavailable, "leaving", true});
     return true;
--- a/lab/sim/sim_backend.h
+++ b/lab/sim/sim_backend.h
@@ -33,6 +33,8 @@
 
   [[nodiscard]] const BackendName& name() const { return name_; }
   [[nodiscard]] BackendFaults& faults() { return faults_; }
+  /// Only an engine's load report says that it is leaving; an application is known to leave once
+  /// it has refused a request, or once the bundle says so.
   void setLeaving(bool leaving);
 
  protected:
--- a/tests/lab_sim/promise_checker_test.cpp
+++ b/tests/lab_sim/promise_checker_test.cpp
@@ -120,6 +120,13 @@
   CHECK_EQUAL(0U, report.totalViolations());
 }
 
+TEST(PromiseChecker, NotRunReadLateByAPausedCallerWasTrueWhenItWasSaid) {
+  checker.onSubmitted(first, filing);
+  complete(first, filing, "a");  // By the caller that replaced the paused one; it ran at 1 s.
+  checker.onRefused(first, notRun(), Instant(milliseconds(900)));
+  CHECK_EQUAL(0U, report.totalViolations());
+}
+
 TEST(PromiseChecker, SecondRunOfAFilingIsFound) {
   complete(first, filing, "a");
   checker.onRunStarted(first, "d2", at(5));
