Give applications one key for a request over owners and epochs

Cause: applications got <program>.<call> as Idempotency-Key; after a takeover the same request of a caller gets another call number, so an application that keeps keys could not recognise it. Change: the key is <program>.<digest of the caller's request id>. Ruled out: the caller's key verbatim; two tenants may choose the same. Conclusion: one key a request, whoever owns the program.

--- a/src/engine/call_context.cpp
+++ b/src/engine/call_context.cpp
@@ -104,6 +104,7 @@
   start.priorityLevel = plan_.priorityLevel;
   start.timeLimit = plan_.deadline - now;
   start.resumeFrom = resumeFrom;
+  start.request = plan_.request;
   actions_.emplace_back(std::move(start));
 }
 
--- a/src/engine/call_interface.h
+++ b/src/engine/call_interface.h
@@ -76,6 +76,7 @@
   std::uint32_t priorityLevel = 0;
   Duration timeLimit{};
   std::uint32_t resumeFrom = 0;  ///< >0: resume the stream of `id` from this token offset.
+  RequestDigest request;         ///< Of the caller's request id: the same in every epoch.
 };
 struct CancelDispatch {
   CallHandle handle;
--- a/src/engine/call_machine.h
+++ b/src/engine/call_machine.h
@@ -35,6 +35,7 @@
 /// What a call needs for its whole life, as checked against the bundle.
 struct CallPlan {
   CallHandle handle;
+  RequestDigest request;  ///< Of the caller's request id.
   bool repeatable = true;
   bool application = false;
   /// The request id was made for this very call, so no earlier call can have run it.
--- a/src/node/backend_dispatcher.cpp
+++ b/src/node/backend_dispatcher.cpp
@@ -57,7 +57,7 @@
   request.target = command.application ? "/v1/requests" : "/v1/chat/completions";
   request.headers = {{"Content-Type", "application/json"}, {"X-Request-Id", command.id.toText()}};
   if (command.application) {
-    request.headers.push_back({"Idempotency-Key", idempotencyKeyOf(command.id)});
+    request.headers.push_back({"Idempotency-Key", idempotencyKeyOf(command)});
   }
   request.headers.push_back({"X-Priority", std::to_string(command.priorityLevel)});
   request.body = std::move(body);
@@ -76,8 +76,8 @@
 
 }  // namespace
 
-std::string idempotencyKeyOf(const DispatchId& id) {
-  return id.program.toHex() + "." + std::to_string(id.call.value());
+std::string idempotencyKeyOf(const engine::StartDispatch& command) {
+  return command.id.program.toHex() + "." + command.request.toHex();
 }
 
 /// A dispatch under way. It has ended once it is no longer in `active_`.
--- a/src/node/backend_dispatcher.h
+++ b/src/node/backend_dispatcher.h
@@ -40,8 +40,10 @@
   std::uint64_t chunks = 0;
 };
 
-/// \return the `Idempotency-Key` of a dispatch to an application: `<program hex>.<call>`.
-std::string idempotencyKeyOf(const DispatchId& id);
+/// \return the `Idempotency-Key` of a dispatch to an application:
+/// `<program hex>.<request digest hex>`. It stays the same over attempts, owners and epochs, so
+/// that an application which keeps keys recognises a request; the program keeps tenants apart.
+std::string idempotencyKeyOf(const engine::StartDispatch& command);
 
 /// Single-threaded: used on the thread that calls the HTTP client's callbacks.
 class BackendDispatcher {
--- a/src/node/core/composed_node_core.cpp
+++ b/src/node/core/composed_node_core.cpp
@@ -71,6 +71,7 @@
     valueOf(checked).plan.certainlyNew = true;
     valueOf(checked).admission.idempotencyKey = makeRequestId(options_, handle);
   }
+  valueOf(checked).plan.request = requestDigestOf(valueOf(checked).admission.idempotencyKey);
   takeCall(std::move(valueOf(checked)), now);
   settle(now);
 }
@@ -98,8 +99,8 @@
   settle(now);
 }
 
-void ComposedNodeCore::endProgram(ProgramId program) {
-  runner_.onProgramEnded(program);
+void ComposedNodeCore::endProgram(ProgramId program, Instant now) {
+  runner_.onProgramEnded(program, now);
   const auto found = closing_.find(program);
   if (found == closing_.end()) {
     return;
@@ -210,6 +211,16 @@
   log_.onAppended(sequence, taken, now);
 }
 
+void ComposedNodeCore::onHoldResult(const engine::HoldResult& result, Instant now) {
+  runner_.onHoldResult(result, now);
+  settle(now);
+}
+
+void ComposedNodeCore::onHoldInventory(const engine::HoldInventory& inventory, Instant now) {
+  runner_.onHoldInventory(inventory, now);
+  settle(now);
+}
+
 void ComposedNodeCore::onTick(Instant now) {
   membership_->onTick(now);
   program_->onTick(now);
@@ -243,6 +254,7 @@
   }
   stopping_ = true;
   program_->beginStop(now);
+  runner_.beginStop(now);
   membership_->beginLeave(now);
   settle(now);
 }
@@ -290,7 +302,7 @@
   } else if (const auto* const recorded = std::get_if<program::OutcomeRecorded>(&command)) {
     runner_.onOutcomeRecorded(*recorded, now);
   } else if (const auto* const ended = std::get_if<program::ProgramEnded>(&command)) {
-    endProgram(ended->program);
+    endProgram(ended->program, now);
   } else if (const auto* const entries = std::get_if<program::AppendToLog>(&command)) {
     log_.add(*entries);
   } else if (auto* const message = std::get_if<program::SendJournalMessage>(&command)) {
--- a/tests/dispatch/backend_dispatcher_test.cpp
+++ b/tests/dispatch/backend_dispatcher_test.cpp
@@ -82,14 +82,16 @@
       exchange.request.body.c_str());
 }
 
-TEST(BackendDispatcher, GivesApplicationsOneKeyOverAttemptsAndEpochs) {
+TEST(BackendDispatcher, GivesApplicationsOneKeyOverAttemptsCallsAndEpochs) {
   engine::StartDispatch first = command(true);
-  engine::StartDispatch second = command(true);
+  first.request = requestDigestOf("filing-7");
+  engine::StartDispatch second = first;
   second.id.epoch = Epoch(9);
+  second.id.call = CallNumber(12);
   second.id.attempt = AttemptNumber(7);
   dispatcher.start(first);
   const std::string key = client.last().headerOf("Idempotency-Key");
-  STRCMP_EQUAL((first.id.program.toHex() + ".3").c_str(), key.c_str());
+  STRCMP_EQUAL((first.id.program.toHex() + "." + first.request.toHex()).c_str(), key.c_str());
   STRCMP_EQUAL("/v1/requests", client.last().request.target.c_str());
   STRCMP_EQUAL(first.body.c_str(), client.last().request.body.c_str());
   dispatcher.start(second);
