Place, renew and release holds from the node

Cause: the ledger of holds was not wired in. Change: the call runner tells the ledger of admitted, answered and ended calls; the daemon carries its orders out by an HTTP client, one request an engine at a time, so that a release and the next placing keep their order. Prefixes are named as engines name them, prompt and answer together. The new commands stand at the end of NodeCommand; drivers that do not know them may ignore them, since deadlines end holds.

--- a/lab/sim/forwarding_core.h
+++ b/lab/sim/forwarding_core.h
@@ -37,6 +37,18 @@
   void onLogAppended(std::uint64_t sequence, bool taken, Instant now) override {
     inner_->onLogAppended(sequence, taken, now);
   }
+  void onHoldResult(const engine::HoldResult& result, Instant now) override {
+    inner_->onHoldResult(result, now);
+  }
+  void onHoldInventory(const engine::HoldInventory& inventory, Instant now) override {
+    inner_->onHoldInventory(inventory, now);
+  }
+  void onHoldResult(const engine::HoldResult& result, Instant now) override {
+    inner_->onHoldResult(result, now);
+  }
+  void onHoldInventory(const engine::HoldInventory& inventory, Instant now) override {
+    inner_->onHoldInventory(inventory, now);
+  }
   void onTick(Instant now) override { inner_->onTick(now); }
   void beginStop(Instant now) override { inner_->beginStop(now); }
   [[nodiscard]] bool isDrained() const override { return inner_->isDrained(); }
--- a/src/node/core/call_runner.cpp
+++ b/src/node/core/call_runner.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/core/prompt_prefix.h"
+
 namespace gorsetrail::node {
 namespace {
 
@@ -50,8 +52,11 @@
   }
   retryBudget_.earn(now);
   const CallHandle handle = checked.plan.handle;
+  const program::CallAdmission admission = std::move(checked.admission);
+  checked.admission.key = admission.key;
   auto call = std::make_unique<Call>(std::move(checked), knobs_, retryBudget_, random_);
   Call& taken = *calls_.insert_or_assign(handle, std::move(call)).first->second;
+  notePrompt(taken, admission);
   taken.machine.onSubmitted(now);
   perform(taken, now);
   return std::nullopt;
@@ -61,6 +66,8 @@
   const auto found = calls_.find(admitted.handle);
   if (found != calls_.end()) {
     found->second->attainedTokens = admitted.programAttainedTokens;
+    found->second->epoch = admitted.dispatch.epoch;
+    holds_.onCallStarted(found->second->program, admitted.dispatch.epoch, found->second->work, now);
     found->second->machine.onAdmitted(admitted.dispatch, now);
     perform(*found->second, now);
   }
@@ -77,6 +84,10 @@
 void CallRunner::onProgramRefused(const program::CallRefused& refused, Instant now) {
   const auto found = calls_.find(refused.handle);
   if (found != calls_.end()) {
+    const ErrorKind kind = refused.error.kind;
+    if (kind == ErrorKind::StaleEpoch || kind == ErrorKind::ProgramOwnedElsewhere) {
+      holds_.onSuperseded(found->second->program, now);
+    }
     found->second->machine.onProgramRefused(refused.error, now);
     perform(*found->second, now);
   }
@@ -113,7 +124,23 @@
   }
 }
 
+void CallRunner::onProgramEnded(ProgramId program, Instant now) {
+  previous_.forget(program);
+  holds_.onProgramClosed(program, now);
+}
+
+void CallRunner::onHoldResult(const engine::HoldResult& result, Instant now) {
+  holds_.onResult(result, now);
+}
+
+void CallRunner::onHoldInventory(const engine::HoldInventory& inventory, Instant now) {
+  holds_.onInventory(inventory, now);
+}
+
+void CallRunner::beginStop(Instant now) { holds_.beginStop(now); }
+
 void CallRunner::onTick(Instant now) {
+  holds_.onTick(now);
   if (now < nextWake_) {
     return;
   }
@@ -247,7 +274,7 @@
   commands_.emplace_back(std::move(action));
 }
 
-void CallRunner::perform(Call& call, engine::AnswerCompleted& action, Instant) {
+void CallRunner::perform(Call& call, engine::AnswerCompleted& action, Instant now) {
   if (action.replayed) {
     ++counters_.callsReplayed;
   } else {
@@ -256,6 +283,7 @@
     counters_.completionTokens += action.completionTokens;
     previous_.remember(call.program, {engine::backendHashOf(action.backendName),
                                       action.promptTokens + action.completionTokens});
+    holdPrefix(call, action, now);
   }
   commands_.emplace_back(std::move(action));
 }
@@ -264,6 +292,35 @@
   commands_.emplace_back(std::move(action));
 }
 
+void CallRunner::notePrompt(Call& call, const program::CallAdmission& admission) const {
+  const engine::CallPlan& plan = call.machine.plan();
+  // A sub-agent's prefix is not that of the program's next call.
+  const bool isRoot = admission.branchPath.empty();
+  const bool isWorth =
+      holds_.isWorthHolding(plan.promptTokens + plan.maximumTokens, plan.priorityLevel);
+  if (isRoot && isWorth && !plan.application) {
+    call.prompt = promptPrefixOf(plan.model, plan.adapter, admission.messages);
+  }
+}
+
+// Called once the outcome stands on a quorum: only then is it certain that this node owns the
+// program in this epoch.
+void CallRunner::holdPrefix(const Call& call, const engine::AnswerCompleted& answer, Instant now) {
+  const auto backend = backends_.indexOf(answer.backendName);
+  if (!call.prompt || !backend) {
+    return;
+  }
+  engine::FinishedCall finished;
+  finished.program = call.program;
+  finished.epoch = call.epoch;
+  finished.backendName = answer.backendName;
+  finished.address = backends_.description(*backend).address;
+  finished.prefix = prefixWithAnswer(*call.prompt, answer.answer);
+  finished.prefixTokens = answer.promptTokens + answer.completionTokens;
+  finished.priorityLevel = call.machine.plan().priorityLevel;
+  holds_.onCallFinished(finished, now);
+}
+
 void CallRunner::countFigures(Call& call) {
   const engine::CallFigures& figures = call.machine.figures();
   counters_.dispatches += figures.dispatches - call.counted.dispatches;
@@ -290,6 +347,7 @@
   countEnd(call);
   // Refused or replayed before any outcome: nothing of the reservation was used.
   tenantBudgets_.settle(call.tenant, call.reservedTokens, 0, now);
+  holds_.onCallEnded(call.program, call.epoch, now);
   calls_.erase(call.machine.plan().handle);
 }
 
@@ -305,9 +363,23 @@
   counters.cachedTokens += counters_.cachedTokens;
   counters.completionTokens += counters_.completionTokens;
   counters.callsUnderWay = calls_.size();
+  const engine::HoldCounters holds = holds_.counters();
+  counters.holdsPlaced = holds.placed;
+  counters.holdsRenewed = holds.renewed;
+  counters.holdsReleased = holds.released;
+  counters.holdsReaped = holds.reaped;
+  counters.holdsExpired = holds.expired;
+  counters.holdsRefused = holds.refused;
+  counters.holdOrdersFailed = holds.failed;
+  counters.holdsHeld = holds.held;
 }
 
-std::vector<NodeCommand> CallRunner::takeCommands() { return std::exchange(commands_, {}); }
+std::vector<NodeCommand> CallRunner::takeCommands() {
+  for (engine::HoldCommand& command : holds_.takeCommands()) {
+    std::visit([this](auto& order) { commands_.emplace_back(std::move(order)); }, command);
+  }
+  return std::exchange(commands_, {});
+}
 
 std::vector<CallRunner::OutcomeToRecord> CallRunner::takeOutcomes() {
   return std::exchange(outcomes_, {});
--- a/src/node/core/call_runner.h
+++ b/src/node/core/call_runner.h
@@ -11,6 +11,8 @@
 #include "bundle/bundle.h"
 #include "engine/backend_table.h"
 #include "engine/call_machine.h"
+#include "engine/hold_ledger.h"
+#include "engine/prefix_cursor.h"
 #include "engine/retry_budget.h"
 #include "node/core/call_checks.h"
 #include "node/core/node_core.h"
@@ -39,7 +41,11 @@
   void onDispatchEvent(CallHandle handle, const engine::DispatchEvent& event, Instant now);
   void onCallerGone(CallHandle handle, Instant now);
   void onTick(Instant now);
-  void onProgramEnded(ProgramId program) { previous_.forget(program); }
+  void onProgramEnded(ProgramId program, Instant now);
+  void onHoldResult(const engine::HoldResult& result, Instant now);
+  void onHoldInventory(const engine::HoldInventory& inventory, Instant now);
+  /// Planned stop: no prefix is held any more.
+  void beginStop(Instant now);
   /// @}
 
   [[nodiscard]] bool knows(CallHandle handle) const { return calls_.contains(handle); }
@@ -70,6 +76,8 @@
     std::uint64_t reservedTokens;
     std::uint64_t attainedTokens = 0;
     ProgramId program;
+    Epoch epoch;                                 ///< Of the admission; 0 before.
+    std::optional<engine::PrefixCursor> prompt;  ///< Only when it may be worth a hold.
     std::string occupied;  ///< Back end whose own calls count this one; empty when none.
     engine::CallFigures counted;
     engine::CallMachine machine;
@@ -89,6 +97,8 @@
   [[nodiscard]] scheduling::CallDescription describe(
       const Call& call, std::vector<scheduling::ReplicaIndex> candidates,
       const std::optional<engine::PreviousReplica>& previous) const;
+  void notePrompt(Call& call, const program::CallAdmission& admission) const;
+  void holdPrefix(const Call& call, const engine::AnswerCompleted& answer, Instant now);
   void countFigures(Call& call);
   void countEnd(const Call& call);
   void end(Call& call, Instant now);
@@ -102,6 +112,7 @@
   TenantBudgets tenantBudgets_;
   engine::BackendTable backends_;
   engine::PreviousReplicas previous_;
+  engine::HoldLedger holds_;
   std::unordered_map<CallHandle, std::unique_ptr<Call>> calls_;
   Instant nextWake_ = Instant::max();
   std::vector<NodeCommand> commands_;
--- a/src/node/core/composed_node_core.h
+++ b/src/node/core/composed_node_core.h
@@ -28,6 +28,8 @@
   void onMachineList(const std::vector<membership::MachineListLine>& lines, Instant now) override;
   void onBackendReport(const BackendReport& report, Instant now) override;
   void onLogAppended(std::uint64_t sequence, bool taken, Instant now) override;
+  void onHoldResult(const engine::HoldResult& result, Instant now) override;
+  void onHoldInventory(const engine::HoldInventory& inventory, Instant now) override;
   void onTick(Instant now) override;
   void beginStop(Instant now) override;
   [[nodiscard]] bool isDrained() const override;
@@ -46,7 +48,7 @@
   void apply(program::ProgramCommand& command, Instant now);
   void apply(membership::MembershipCommand& command, Instant now);
   void sendJournal(program::SendJournalMessage& command, Instant now);
-  void endProgram(ProgramId program);
+  void endProgram(ProgramId program, Instant now);
   void refuseByProgram(const program::CallRefused& refused, Instant now);
   void refuse(CallHandle handle, bool certainlyNew, Error error);
   void takeCall(CheckedCall checked, Instant now);
--- a/src/node/core/node_core.h
+++ b/src/node/core/node_core.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "bundle/bundle_holder.h"
 #include "engine/call_interface.h"
+#include "engine/hold_interface.h"
 #include "membership/membership_service.h"
 #include "program/program_service.h"
 #include "wire/peer_message.h"
@@ -48,9 +49,10 @@
   CallHandle handle;
 };
 
-using NodeCommand = std::variant<SendPeerMessage, AppendLogRecord, CloseCompleted,
-                                 engine::StartDispatch, engine::CancelDispatch, engine::AnswerChunk,
-                                 engine::AnswerCompleted, engine::AnswerRefused>;
+using NodeCommand =
+    std::variant<SendPeerMessage, AppendLogRecord, CloseCompleted, engine::StartDispatch,
+                 engine::CancelDispatch, engine::AnswerChunk, engine::AnswerCompleted,
+                 engine::AnswerRefused, engine::PlaceHold, engine::ReleaseHold, engine::ReadHolds>;
 
 /// Load report of a back end, as its client read it.
 struct BackendReport {
@@ -82,6 +84,14 @@
   std::uint64_t callsUnderWay = 0;   ///< Gauge.
   std::uint64_t logQueuedBytes = 0;  ///< Gauge.
   std::uint64_t bundleVersion = 0;   ///< Gauge.
+  std::uint64_t holdsPlaced = 0;     ///< First placings and moves to a longer prefix.
+  std::uint64_t holdsRenewed = 0;
+  std::uint64_t holdsReleased = 0;
+  std::uint64_t holdsReaped = 0;       ///< Left over at an engine, and released there.
+  std::uint64_t holdsExpired = 0;      ///< Not renewed in time.
+  std::uint64_t holdsRefused = 0;      ///< By an engine, or by this node's bounds.
+  std::uint64_t holdOrdersFailed = 0;  ///< Without a readable answer.
+  std::uint64_t holdsHeld = 0;         ///< Gauge.
 };
 
 /// Single-threaded. Every `on...` may leave commands; the driver takes them after each event.
@@ -99,6 +109,8 @@
                              Instant now) = 0;
   virtual void onBackendReport(const BackendReport& report, Instant now) = 0;
   virtual void onLogAppended(std::uint64_t sequence, bool taken, Instant now) = 0;
+  virtual void onHoldResult(const engine::HoldResult& /*result*/, Instant /*now*/) {}
+  virtual void onHoldInventory(const engine::HoldInventory& /*inventory*/, Instant /*now*/) {}
   virtual void onTick(Instant now) = 0;  ///< Every 10 ms.
   virtual void beginStop(Instant now) = 0;
   [[nodiscard]] virtual bool isDrained() const = 0;
--- a/src/node/daemon.h
+++ b/src/node/daemon.h
@@ -10,6 +10,7 @@
 #include "node/backend_dispatcher.h"
 #include "node/core/node_core.h"
 #include "node/front/caller_front.h"
+#include "node/hold_client.h"
 #include "node/load_poller.h"
 #include "node/metrics.h"
 #include "node/peer_transport.h"
@@ -66,6 +67,9 @@
   void perform(engine::AnswerChunk& command);
   void perform(engine::AnswerCompleted& command);
   void perform(engine::AnswerRefused& command);
+  void perform(engine::PlaceHold& command) { holds_.place(command); }
+  void perform(engine::ReleaseHold& command) { holds_.release(command); }
+  void perform(engine::ReadHolds& command) { holds_.read(command); }
 
   void advanceStop();
   void beginCoreStop();
@@ -80,6 +84,7 @@
   platform::TimerServicePtr timers_;
   BackendDispatcher dispatcher_;
   LoadPoller loads_;
+  HoldClient holds_;
   platform::LogClient log_;
   platform::LogFollower bundles_;
   platform::MachineListClient machines_;
--- a/tests/node_core/test_fleet.h
+++ b/tests/node_core/test_fleet.h
@@ -142,6 +142,9 @@
   std::vector<SeenDispatch> dispatches;
   std::vector<engine::CancelDispatch> cancels;
   std::vector<AppendLogRecord> appends;
+  std::map<std::string, engine::PlaceHold> holds;  ///< By name, until released.
+  std::vector<engine::ReadHolds> holdReadings;
+  engine::HoldOutcome holdOutcome = engine::HoldOutcome::Done;
   bool logTakes = true;
   std::set<NodeId> cutOff;  ///< Their peer messages are lost.
   std::size_t digestBytes = 0;
@@ -197,6 +200,15 @@
     dispatches.push_back({from, command, now});
     undelivered_.push_back(dispatches.back());
   }
+  void take(NodeId from, engine::PlaceHold& command) {
+    holds[engine::holdNameOf(command.program, command.epoch)] = command;
+    cores_.at(from)->onHoldResult({command.order, command.backendName, holdOutcome}, now);
+  }
+  void take(NodeId from, engine::ReleaseHold& command) {
+    holds.erase(engine::holdNameOf(command.program, command.epoch));
+    cores_.at(from)->onHoldResult({command.order, command.backendName, holdOutcome}, now);
+  }
+  void take(NodeId, engine::ReadHolds& command) { holdReadings.push_back(command); }
   void take(NodeId, engine::CancelDispatch& command) { cancels.push_back(command); }
   void take(NodeId, engine::AnswerChunk& command) {
     callers[command.handle].streamed += command.text;
