--- a/lab/emulator/emulation.cpp
+++ b/lab/emulator/emulation.cpp
@@ -14,7 +14,6 @@
 
 /// After the last arrival the run goes on for so long at most; what has not ended is unfinished.
 constexpr Duration kDrainTime = seconds(7200);
-constexpr std::uint64_t kInventoryRounds = 30;
 /// Seconds of keeping one token that its recomputation is worth. Well above the usual pauses, so
 /// that nearly every live program is held, and what ended programs leave behind is evicted first.
 constexpr Duration kRetentionWorth = seconds(1000);
@@ -97,22 +96,7 @@
     handle(event);
   }
   recordUnfinished();
-  Figures figures = figuresOf(measures_, workload_.duration - workload_.warmUp);
-  enginemodel::StepTimes steps;
-  double idle = 0.0;
-  for (enginemodel::EngineModel& engine : engines_) {
-    idle += engine.cache().idleTokenSeconds();
-    steps.merge(engine.stepTimes());
-  }
-  std::vector<double> decisions;
-  for (const DecisionNode& node : nodes_) {
-    decisions.insert(decisions.end(), node.decisionMicroseconds().begin(),
-                     node.decisionMicroseconds().end());
-  }
-  figures["wasted_idle_token_s"] = idle;
-  figures["between_tokens_p95_ms"] = steps.quantileMilliseconds(0.95);
-  figures["decision_us_p99"] = quantileOf(std::move(decisions), 0.99);
-  return figures;
+  return collectFigures();
 }
 
 void Emulation::handle(const Event& event) {
@@ -147,10 +131,6 @@
   return plans_[program].parent.value_or(program);
 }
 
-bool Emulation::measured(std::uint32_t program) const {
-  return plans_[rootOf(program)].arrival.time_since_epoch() >= workload_.warmUp;
-}
-
 std::string Emulation::requestId(std::uint32_t program) const {
   return std::to_string(program) + "." + std::to_string(programs_[program].call);
 }
@@ -222,17 +202,6 @@
   state.replica = chosen;
 }
 
-void Emulation::showTruth(std::uint32_t program) {
-  std::vector<std::uint32_t> cached;
-  std::vector<enginemodel::EngineLoad> loads;
-  for (const enginemodel::EngineModel& engine : engines_) {
-    const std::size_t blocks = engine.cache().matchedBlocks(programs_[program].context.chain());
-    cached.push_back(static_cast<std::uint32_t>(blocks) * workload_.engine.blockTokens);
-    loads.push_back(engine.load());
-  }
-  nodeOf(program).overrideViews(cached, loads);
-}
-
 std::size_t Emulation::knownBlocks(const Program& program) const {
   const auto& chain = program.context.chain();
   // A prefix is only ever computed after all shorter ones, so the known part is the beginning.
@@ -301,13 +270,6 @@
   }
 }
 
-void Emulation::firstToken(std::uint32_t program) {
-  if (measured(program)) {
-    measures_.firstTokenMs.push_back(
-        toMilliseconds(now_ + workload_.oneWayDelay - programs_[program].callAt));
-  }
-}
-
 void Emulation::requestFinished(std::uint32_t program,
                                 const enginemodel::RequestFinished& finished) {
   Program& state = programs_[program];
@@ -388,18 +350,6 @@
   recordLatency(program);
 }
 
-void Emulation::recordLatency(std::uint32_t program) {
-  const Program& state = programs_[program];
-  const ProgramPlan& plan = plans_[program];
-  const Duration total = now_ - state.firstCallAt;
-  const double latency = toMilliseconds(total - state.toolTime);
-  measures_.programLatencyMs.push_back(latency);
-  measures_.programTotalMs.push_back(toMilliseconds(total));
-  const double least = toMilliseconds(leastEngineTime(plan, workload_));
-  measures_.tenantSlowdownSum[plan.tenant] += latency / least;
-  ++measures_.tenantPrograms[plan.tenant];
-}
-
 void Emulation::patienceExpires(const Event& event) {
   const Program& state = programs_[event.subject];
   if (state.underWay && state.call == event.number) {
@@ -424,19 +374,6 @@
   }
 }
 
-void Emulation::recordUnfinished() {
-  for (const ProgramPlan& plan : plans_) {
-    const Program& state = programs_[plan.index];
-    if (plan.parent || state.ended || !measured(plan.index)) {
-      continue;
-    }
-    ++measures_.unfinishedPrograms;
-    if (state.started) {
-      recordLatency(plan.index);
-    }
-  }
-}
-
 void Emulation::holdPrefix(std::uint32_t program) {
   const ProgramPlan& plan = plans_[program];
   const Duration time = planners_[plan.node].holdTime(workload_.classes[plan.classIndex].name);
@@ -454,27 +391,4 @@
   }
 }
 
-void Emulation::deliverReports() {
-  ++reportRounds_;
-  for (std::uint32_t engine = 0; engine < engines_.size(); ++engine) {
-    const scheduling::ReplicaIndex replica(engine);
-    const auto cacheEvents = engines_[engine].cacheEventsAfter(eventSequences_[engine]);
-    eventSequences_[engine] = engines_[engine].cache().lastSequence();
-    for (DecisionNode& node : nodes_) {
-      // Reports are one interval old when they arrive.
-      node.takeReport(replica, lastReports_[engine]);
-      if (losses_.fraction() < workload_.eventLossProbability) {
-        node.eventsLost(replica);
-      } else {
-        node.takeEvents(replica, cacheEvents);
-      }
-      if (reportRounds_ % kInventoryRounds == 0) {
-        node.takeInventory(replica, engines_[engine].inventory());
-      }
-    }
-    lastReports_[engine] = {engines_[engine].load(), engines_[engine].currentStep(), now_};
-  }
-  events_.add(now_ + workload_.reportInterval, EventKind::ReportsArrive, 0);
-}
-
 }  // namespace gorsetrail::emulator
--- a/lab/emulator/emulation.h
+++ b/lab/emulator/emulation.h
@@ -81,6 +81,7 @@
   void showTruth(std::uint32_t program);
   void recordLatency(std::uint32_t program);
   void recordUnfinished();
+  Figures collectFigures();
   [[nodiscard]] bool measured(std::uint32_t program) const;
   [[nodiscard]] std::uint32_t rootOf(std::uint32_t program) const;
   [[nodiscard]] std::size_t knownBlocks(const Program& program) const;
