Refill restarted replicas without waiting for a caller

Cause: a replica that restarted empty stayed unfilled until an owner happened to write. When the nodes of a zone were replaced one after another while a program was idle, two copies were gone after the second replacement and all after the third; the program then opened anew and ran acknowledged requests again.

Change: peers are probed every two seconds, so that a new life makes itself known; every program shared with it is introduced, paced by repairsPerSecond. A replica without content repeats its barrier request until it is filled. A member with content wakes the live owner, which seals above the barrier and refills; without one the members take the program over by turns, install the unchanged record and release it. A planned stop waits up to handoverTimeout until other copies are complete. A replica that knows that it restarted no longer vouches for others' first lives. A replica refuses a candidate of the round that it promised to somebody else and names that owner, so a live owner is not overtaken by a higher node number. A node named for a program that it does not serve says so, so a lost release blocks nobody.

Only a loss of all three memories within seconds is still open.

--- a/src/program/epochs.h
+++ b/src/program/epochs.h
@@ -21,6 +21,8 @@
 inline constexpr std::uint64_t kBarrierRequestBit = std::uint64_t{1} << 63;
 /// Set in the floor that a replica reports when it has met an earlier life of the asker.
 inline constexpr std::uint64_t kEarlierLifeBit = 1;
+/// Set there when the answerer itself restarted: what it met before is forgotten.
+inline constexpr std::uint64_t kCannotVouchBit = 2;
 
 /// \return the lowest epoch above `promised` that only `self` can ask for.
 inline Epoch epochAbove(Epoch promised, NodeId self) {
@@ -36,6 +38,11 @@
   return (epoch.value() & kEpochNodeMask) == (node.value() & kEpochNodeMask);
 }
 
+/// \return whether two epochs are of the same round of the same generation.
+inline bool isSameRound(Epoch one, Epoch other) {
+  return (one.value() >> kEpochNodeBits) == (other.value() >> kEpochNodeBits);
+}
+
 /// \return the floor above every epoch of the generation of `promised`; no candidate's own.
 inline Epoch barrierAbove(Epoch promised) {
   const std::uint64_t generation = (promised.value() >> kEpochGenerationShift) + 1;
--- a/src/program/journal_replica.cpp
+++ b/src/program/journal_replica.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kLongestAskInterval = seconds(2);
+/// An unfilled replica whose group cannot fill it (two copies lost) asks that seldom at last.
+constexpr Duration kLongestUnfilledAskInterval = seconds(30);
 constexpr Duration kSweepInterval = seconds(1);
 /// An unclosed program that no owner touched for so many idle leases is dropped.
 constexpr int kAbandonedIdleLeases = 4;
@@ -100,13 +102,18 @@
 void JournalReplica::decideSeal(const SealRequest& request, Copy& copy) {
   const bool isAgain = request.epoch == copy.promised && request.candidate == copy.owner &&
                        request.candidateIncarnation == copy.ownerIncarnation;
-  if (request.epoch <= copy.promised && !isAgain) {
+  // Within one round the higher node number decides nothing: the first to be promised is named,
+  // so that the other candidate looks at that owner's life before it goes a round up.
+  const bool isOvertaking = copy.owner != NodeId{} && copy.owner != request.candidate &&
+                            isSameRound(request.epoch, copy.promised);
+  if ((request.epoch <= copy.promised || isOvertaking) && !isAgain) {
     commands_.send(request.candidate,
                    SealReply{request.program, request.epoch,
                              SealRefused{copy.promised, copy.owner, copy.ownerIncarnation}});
     return;
   }
   copy.promised = request.epoch;
+  copy.sealed = request.epoch;
   copy.owner = request.candidate;
   copy.ownerIncarnation = request.candidateIncarnation;
   if (copy.trust == ReplicaTrust::Unfilled) {
@@ -123,18 +130,32 @@
   if (lives_.isOutdated(from, request.candidateIncarnation)) {
     return;
   }
+  if (lives_.isNews(from, request.candidateIncarnation)) {
+    newLives_.push_back(from);
+  }
   const bool hadEarlierLife = lives_.meet(from, request.candidateIncarnation);
+  const auto known = copies_.find(request.program);
+  const Instant lastTouched = known == copies_.end() ? now : known->second.lastTouched;
   Copy& copy = copyOf(request.program, now);
+  copy.lastTouched = lastTouched;  // Asking for a program that nobody uses keeps it no longer.
   const Epoch floor = setBarrier(from, request.candidateIncarnation, copy);
   const bool hasContent = copy.written != Epoch{} || copy.trust == ReplicaTrust::Unfilled;
   SealReply answer{request.program, request.epoch, SealGranted{}};
   if (hasContent) {
     answer.verdict = SealRefused{floor, copy.owner, copy.ownerIncarnation};
   } else {
-    answer.verdict =
-        SealGranted{Epoch(floor.value() | (hadEarlierLife ? kEarlierLifeBit : 0)), std::nullopt};
+    const std::uint64_t bits =
+        (hadEarlierLife ? kEarlierLifeBit : 0) | (lives_.hasEarlierLife() ? kCannotVouchBit : 0);
+    answer.verdict = SealGranted{Epoch(floor.value() | bits), std::nullopt};
   }
   commands_.send(from, std::move(answer));
+  noteRefillRequest(request.program, copy);
+}
+
+void JournalReplica::noteRefillRequest(ProgramId program, const Copy& copy) {
+  if (copy.written != Epoch{} && copy.trust == ReplicaTrust::Filled) {
+    refillRequests_.push_back(program);
+  }
 }
 
 Epoch JournalReplica::setBarrier(NodeId peer, Incarnation incarnation, Copy& copy) {
@@ -172,7 +193,8 @@
     return;  // Meant for an earlier life of this node.
   }
   if (const auto* none = std::get_if<SealGranted>(&reply.verdict)) {
-    lives_.onPeerAnswered(from, (none->lastWritten.value() & kEarlierLifeBit) != 0);
+    const std::uint64_t bits = none->lastWritten.value();
+    lives_.onPeerAnswered(from, (bits & kEarlierLifeBit) != 0, (bits & kCannotVouchBit) == 0);
   }
   const auto position = copies_.find(reply.program);
   if (position == copies_.end() || position->second.trust != ReplicaTrust::Recovering) {
@@ -194,12 +216,11 @@
 void JournalReplica::takeBarrierVerdict(NodeId from, const SealReply& reply, Copy& copy) {
   Epoch floor;
   if (const auto* none = std::get_if<SealGranted>(&reply.verdict)) {
-    floor = Epoch(none->lastWritten.value() & ~kEarlierLifeBit);
+    floor = Epoch(none->lastWritten.value() & ~(kEarlierLifeBit | kCannotVouchBit));
   } else if (const auto* content = std::get_if<SealRefused>(&reply.verdict)) {
     floor = content->promised;
+    // Whom the others name is theirs to say: here it would outlive the owner's release.
     copy.contentElsewhere = true;
-    copy.owner = content->owner;
-    copy.ownerIncarnation = content->ownerIncarnation;
   } else {
     return;
   }
@@ -226,11 +247,8 @@
     learnZone(request.base->key.homeZone, request.program);
   }
   if (request.epoch == Epoch{}) {
-    if (const auto position = copies_.find(request.program);
-        position != copies_.end() && position->second.trust == ReplicaTrust::Recovering) {
-      askBarrier(request.program, position->second, now);
-    }
-    return;  // Only told the program's key.
+    onIntroduction(request.program, now);
+    return;
   }
   Copy& copy = copyOf(request.program, now);
   if (refusesGroup(request.program, request.group)) {
@@ -255,6 +273,22 @@
   reply(from, request, copy, store(request, copy));
 }
 
+void JournalReplica::onIntroduction(ProgramId program, Instant now) {
+  if (!contains(membersOf(program), self_)) {
+    return;
+  }
+  const auto position = copies_.find(program);
+  if (position == copies_.end()) {
+    copyOf(program, now);  // Forgotten, if ever held: recovers by itself.
+    return;
+  }
+  Copy& copy = position->second;
+  const bool isDue = copy.answered.empty() || now - copy.lastAsked >= knobs_.resendInterval;
+  if (copy.trust == ReplicaTrust::Recovering && isDue) {
+    askBarrier(program, copy, now);
+  }
+}
+
 AppendVerdict JournalReplica::store(const AppendRequest& request, Copy& copy) {
   std::vector<JournalEntry>& entries = copy.record.entries;
   const bool isFirstOfEpoch = copy.written != request.epoch;
@@ -290,7 +324,7 @@
 
 void JournalReplica::onRelease(const ReleaseNotice& notice) {
   const auto position = copies_.find(notice.program);
-  if (position == copies_.end() || position->second.promised != notice.epoch) {
+  if (position == copies_.end() || position->second.sealed != notice.epoch) {
     return;
   }
   position->second.owner = NodeId{};
@@ -314,19 +348,71 @@
 
 bool JournalReplica::keepRecovering(ProgramId program, Instant now) {
   const auto position = copies_.find(program);
-  if (position == copies_.end() || position->second.trust != ReplicaTrust::Recovering) {
+  if (position == copies_.end() || position->second.trust == ReplicaTrust::Filled) {
     return false;
   }
   Copy& copy = position->second;
-  if (!copy.contentElsewhere && trustsIgnorance(program, now)) {
+  const bool isRecovering = copy.trust == ReplicaTrust::Recovering;
+  if (isRecovering && !copy.contentElsewhere && trustsIgnorance(program, now)) {
     finishRecovery(program, copy);
     return false;
   }
   if (now - copy.lastAsked >= copy.askInterval) {
-    copy.askInterval = std::min(copy.askInterval * 2, kLongestAskInterval);
+    // An unfilled replica repeats the question too (it fences nothing again): that is how members
+    // with content learn that a refill is still wanted.
+    const Duration longest = isRecovering ? kLongestAskInterval : kLongestUnfilledAskInterval;
+    copy.askInterval = std::min(copy.askInterval * 2, longest);
     askBarrier(program, copy, now);
   }
-  return copy.trust == ReplicaTrust::Recovering;
+  return copy.trust != ReplicaTrust::Filled;
+}
+
+std::vector<ProgramId> JournalReplica::programsSharedWith(NodeId peer) const {
+  std::vector<ProgramId> shared;
+  for (const auto& [program, copy] : copies_) {
+    if (copy.written != Epoch{} && contains(membersOf(program), peer)) {
+      shared.push_back(program);
+    }
+  }
+  return shared;
+}
+
+JournalReplica::NamedOwner JournalReplica::namedOwnerOf(ProgramId program) const {
+  const auto position = copies_.find(program);
+  if (position == copies_.end()) {
+    return {};
+  }
+  const Copy& copy = position->second;
+  return {copy.owner, copy.ownerIncarnation, copy.sealed};
+}
+
+void JournalReplica::introduceTo(NodeId member, ProgramId program) const {
+  const ProgramRecord* record = recordOf(program);
+  if (record == nullptr) {
+    return;
+  }
+  AppendRequest introduction{
+      program, groups_.groupOf(zone_, program).version, Epoch{}, self_, std::nullopt, {}};
+  introduction.base = ProgramRecord{record->key, record->limits, {}, false};
+  commands_.send(member, std::move(introduction));
+}
+
+void JournalReplica::probePeers(std::size_t limit) const {
+  std::vector<NodeId> probed{self_};
+  for (const auto& [program, copy] : copies_) {
+    if (limit-- == 0) {
+      return;
+    }
+    if (copy.written == Epoch{}) {
+      continue;
+    }
+    for (const NodeId member : membersOf(program)) {
+      if (!contains(probed, member)) {
+        probed.push_back(member);
+        introduceTo(member, program);
+      }
+    }
+  }
 }
 
 const ProgramRecord* JournalReplica::recordOf(ProgramId program) const {
@@ -347,4 +433,9 @@
   return position == copies_.end() ? Epoch{} : position->second.promised;
 }
 
+Epoch JournalReplica::writtenOf(ProgramId program) const {
+  const auto position = copies_.find(program);
+  return position == copies_.end() ? Epoch{} : position->second.written;
+}
+
 }  // namespace gorsetrail::program
--- a/src/program/journal_replica.h
+++ b/src/program/journal_replica.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "program/command_queue.h"
@@ -45,12 +46,39 @@
   /// The node's home zone, learnt from the first program of which it is a member.
   void learnZone(const std::string& zone, ProgramId program);
 
+  /// \name Repair of replicas that lost their memory (see `replica_repair.h`)
+  /// @{
+  /// Whom a copy names as owner, and under which epoch.
+  struct NamedOwner {
+    NodeId node;  ///< 0 when the program was released.
+    Incarnation incarnation;
+    Epoch sealed;
+  };
+  /// \return and clears the peers of which a new life was met.
+  [[nodiscard]] std::vector<NodeId> takeNewLives() { return std::exchange(newLives_, {}); }
+  /// \return and clears the programs that a peer without content asked for and that are held here.
+  [[nodiscard]] std::vector<ProgramId> takeRefillRequests() {
+    return std::exchange(refillRequests_, {});
+  }
+  /// \return the programs with content here of whose groups the peer is a member.
+  [[nodiscard]] std::vector<ProgramId> programsSharedWith(NodeId peer) const;
+  /// \return the group's members; empty while the zone is not known.
+  [[nodiscard]] std::vector<NodeId> membersOf(ProgramId program) const;
+  [[nodiscard]] NamedOwner namedOwnerOf(ProgramId program) const;
+  /// Tells a member that a program exists: one that forgot it begins to recover.
+  void introduceTo(NodeId member, ProgramId program) const;
+  /// Introduces one program to each peer that is found among the first `limit` copies.
+  void probePeers(std::size_t limit) const;
+  /// @}
+
   /// \return the record held, or null.
   [[nodiscard]] const ProgramRecord* recordOf(ProgramId program) const;
   /// \return how far the copy may be counted on; `Unfilled` when the program is not known.
   [[nodiscard]] ReplicaTrust trustOf(ProgramId program) const;
   /// \return the epoch promised; 0 when the program is not known.
   [[nodiscard]] Epoch promisedOf(ProgramId program) const;
+  /// \return the epoch of the last write taken; 0 when there was none.
+  [[nodiscard]] Epoch writtenOf(ProgramId program) const;
 
  private:
   /// A barrier that a restarted peer set here; the same life is answered the same way.
@@ -65,6 +93,7 @@
     Epoch written;  ///< Epoch of the last write taken; 0 when there was none.
     NodeId owner;
     Incarnation ownerIncarnation;
+    Epoch sealed;  ///< Last epoch promised to a candidate; `promised` may be a barrier above it.
     ProgramRecord record;
     Instant lastTouched;
     std::vector<SetBarrier> barriers;
@@ -77,12 +106,13 @@
   };
 
   Copy& copyOf(ProgramId program, Instant now);
-  [[nodiscard]] std::vector<NodeId> membersOf(ProgramId program) const;
   [[nodiscard]] bool trustsIgnorance(ProgramId program, Instant now) const;
   [[nodiscard]] bool refusesGroup(ProgramId program, GroupVersion version) const;
 
   void decideSeal(const SealRequest& request, Copy& copy);
   void answerBarrier(NodeId from, const SealRequest& request, Instant now);
+  void noteRefillRequest(ProgramId program, const Copy& copy);
+  void onIntroduction(ProgramId program, Instant now);
   Epoch setBarrier(NodeId peer, Incarnation incarnation, Copy& copy);
   void askBarrier(ProgramId program, Copy& copy, Instant now);
   void takeBarrierVerdict(NodeId from, const SealReply& reply, Copy& copy);
@@ -104,7 +134,9 @@
   std::optional<Instant> startedAt_;
   Instant nextSweep_;
   std::unordered_map<ProgramId, Copy> copies_;
-  std::vector<ProgramId> recovering_;
+  std::vector<ProgramId> recovering_;  ///< Not filled yet.
+  std::vector<NodeId> newLives_;
+  std::vector<ProgramId> refillRequests_;
 };
 
 }  // namespace gorsetrail::program
--- a/src/program/life_register.cpp
+++ b/src/program/life_register.cpp
@@ -19,8 +19,14 @@
   return position != peers_.end() && incarnation < position->second.latest;
 }
 
-void LifeRegister::onPeerAnswered(NodeId peer, bool metEarlierLifeOfThisNode) {
-  firstLifeForPeer_[peer] = !metEarlierLifeOfThisNode;
+bool LifeRegister::isNews(NodeId peer, Incarnation incarnation) const {
+  const auto position = peers_.find(peer);
+  return position == peers_.end() || position->second.latest < incarnation;
+}
+
+void LifeRegister::onPeerAnswered(NodeId peer, bool metEarlierLifeOfThisNode, bool canVouch) {
+  firstLifeForPeer_[peer] = !metEarlierLifeOfThisNode && canVouch;
+  hasEarlierLife_ |= metEarlierLifeOfThisNode;
 }
 
 bool LifeRegister::isFirstLifeFor(const std::vector<NodeId>& members, NodeId self) const {
--- a/src/program/life_register.h
+++ b/src/program/life_register.h
@@ -20,8 +20,13 @@
   bool meet(NodeId peer, Incarnation incarnation);
   /// \return whether a later life of the peer is known.
   [[nodiscard]] bool isOutdated(NodeId peer, Incarnation incarnation) const;
-  /// A peer answered this life's question.
-  void onPeerAnswered(NodeId peer, bool metEarlierLifeOfThisNode);
+  /// \return whether that life of the peer was not known before, and is its latest.
+  [[nodiscard]] bool isNews(NodeId peer, Incarnation incarnation) const;
+  /// A peer answered this life's question. \param canVouch whether the peer is not known to have
+  /// restarted itself: one that did may have forgotten whom it met.
+  void onPeerAnswered(NodeId peer, bool metEarlierLifeOfThisNode, bool canVouch);
+  /// \return whether a peer met an earlier life of this node.
+  [[nodiscard]] bool hasEarlierLife() const { return hasEarlierLife_; }
   /// \return whether every peer said that it never met an earlier life of this node.
   [[nodiscard]] bool isFirstLifeFor(const std::vector<NodeId>& members, NodeId self) const;
 
@@ -32,6 +37,7 @@
   };
   std::unordered_map<NodeId, PeerLife> peers_;
   std::unordered_map<NodeId, bool> firstLifeForPeer_;
+  bool hasEarlierLife_ = false;
 };
 
 }  // namespace gorsetrail::program
--- a/src/program/owned_program.cpp
+++ b/src/program/owned_program.cpp
@@ -19,6 +19,8 @@
 
 /// A program without calls and with all copies up to date only waits for its leases.
 constexpr Duration kQuietTickInterval = seconds(1);
+/// After that a repair leaves a replica that does not answer to a later one.
+constexpr Duration kLongestRepair = seconds(5);
 
 }  // namespace
 
@@ -40,6 +42,7 @@
 }
 
 void OwnedProgram::admit(const CallAdmission& admission, Instant now) {
+  isRepair_ = false;
   lastActivity_ = now;
   if (isLoaded_) {
     takeArrival(admission);
@@ -85,6 +88,7 @@
     }
     closeWhenIdle(now);
     finishClosing(now);
+    finishRepair(now);
     logStanding();
   }
   owner_.flush(now);
@@ -186,6 +190,7 @@
 }
 
 void OwnedProgram::close(CallHandle handle, Instant now) {
+  isRepair_ = false;
   closers_.push_back(handle);
   if (!isClosing_) {
     isClosing_ = true;
@@ -227,12 +232,21 @@
     }
   }
   const bool mayDrop = isEnded_ && now - lastActivity_ >= knobs_.closedRetention;
-  const bool mayStop = isStopping_ && ledger_.isIdle() && owner_.isSettled();
+  // A stop hands over: the copy that goes with this node must not be one of the last two.
+  const bool isHandedOver = owner_.isQuiet() || now - stoppingSince_ >= knobs_.handoverTimeout;
+  const bool mayStop = isStopping_ && ledger_.isIdle() && owner_.isSettled() && isHandedOver;
   if ((mayDrop || mayStop) && !isFinished_) {
     releaseAndFinish();
   }
 }
 
+void OwnedProgram::finishRepair(Instant now) {
+  const bool isDone = owner_.isQuiet() || now - openedAt_ >= kLongestRepair;
+  if (isRepair_ && !isFinished_ && isDone && ledger_.isIdle() && owner_.isSettled()) {
+    releaseAndFinish();
+  }
+}
+
 void OwnedProgram::releaseAndFinish() {
   owner_.release();
   isFinished_ = true;
@@ -252,6 +266,7 @@
 
 void OwnedProgram::beginStop(Instant now) {
   isStopping_ = true;
+  stoppingSince_ = now;
   refuseQueues(nodeStoppingError());
   if (!isLoaded_) {
     owner_.release();
@@ -262,7 +277,8 @@
 }
 
 bool OwnedProgram::isQuiet() const {
-  return isLoaded_ && !isStopping_ && closers_.empty() && owner_.isQuiet() && ledger_.isIdle();
+  return isLoaded_ && !isStopping_ && !isRepair_ && closers_.empty() && owner_.isQuiet() &&
+         ledger_.isIdle();
 }
 
 std::optional<ProgramSummary> OwnedProgram::summary() const {
--- a/src/program/owned_program.h
+++ b/src/program/owned_program.h
@@ -25,6 +25,9 @@
   void onSealReply(NodeId from, const SealReply& reply, Instant now);
   void onAppendReply(NodeId from, const AppendReply& reply, Instant now);
   void onTick(Instant now);
+  /// Opened for no caller: the record is put on the whole group, and the program released. A call
+  /// that comes meanwhile makes it an ordinary one.
+  void beginRepair() { isRepair_ = true; }
   /// Refuses what waits, and releases the program once its calls have ended.
   void beginStop(Instant now);
 
@@ -61,6 +64,7 @@
   void refuseQueued(const QueuedCall& queued, const Error& error);
   void refuseQueues(const Error& error);
   void refuse(CallHandle handle, const Error& error);
+  void finishRepair(Instant now);
   void releaseAndFinish();
 
   ProgramOwner::Identity identity_;
@@ -79,7 +83,9 @@
   bool isLoaded_ = false;
   bool isClosing_ = false;
   bool isEnded_ = false;  ///< The close stands.
+  bool isRepair_ = false;
   bool isStopping_ = false;
+  Instant stoppingSince_;
   bool isFinished_ = false;
   std::uint64_t journalBytes_ = 0;
   std::uint64_t loggedThrough_ = 0;
--- a/src/program/program_owner.cpp
+++ b/src/program/program_owner.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kLongestPause = seconds(30);
 /// Resend intervals for which a candidate waits for the last replica's view of who owns.
 constexpr int kRefusalPatience = 2;
+/// Pause before a replica that is known to wait for a refill is written to again.
+constexpr Duration kHurriedPause = milliseconds(500);
 
 }  // namespace
 
@@ -243,6 +245,8 @@
 
 void ProgramOwner::onStale(Epoch promised, Instant now) {
   if (promised <= epoch_) {
+    // A member says that another one asks for a refill: it answers now, whatever the pause.
+    hurryRefills(now);
     return;
   }
   if (!isBarrier(promised)) {
@@ -253,6 +257,15 @@
   seal(epochAbove(promised, identity_.self), now);
 }
 
+void ProgramOwner::hurryRefills(Instant now) {
+  for (Progress& replica : replicas_) {
+    if (!replica.installed && replica.pause > kHurriedPause) {
+      replica.pause = kHurriedPause;
+      sendTo(replica, now);
+    }
+  }
+}
+
 void ProgramOwner::onMissingPrefix(const AppendReply& reply, Progress& replica, Instant now) {
   if (reply.promised < epoch_) {
     replica.granted = false;  // It restarted, or never got the seal.
--- a/src/program/program_owner.h
+++ b/src/program/program_owner.h
@@ -95,6 +95,7 @@
   void onStored(SequenceNumber through, Progress& replica, Instant now);
   void onMissingPrefix(const AppendReply& reply, Progress& replica, Instant now);
   void onStale(Epoch promised, Instant now);
+  void hurryRefills(Instant now);
   void updateStanding();
   void sendEntries(Progress& replica, std::uint64_t after, Instant now);
   void sendBase(Progress& replica, Instant now);
--- a/src/program/program_service.h
+++ b/src/program/program_service.h
@@ -128,7 +128,8 @@
   virtual void onTick(Instant now) = 0;
   /// Planned stop: admits nothing more; releases each program once its calls have ended.
   virtual void beginStop(Instant now) = 0;
-  /// \return whether nothing is under way any more.
+  /// \return whether nothing is under way any more, and no other replica is known to lack what
+  /// this node holds (for the latter it waits `handoverTimeout` at most).
   [[nodiscard]] virtual bool isDrained() const = 0;
   /// \return a summary if this node owns or replicates the program.
   [[nodiscard]] virtual std::optional<ProgramSummary> summaryOf(const ProgramKey& key) const = 0;
@@ -150,6 +151,11 @@
   Duration closedRetention = seconds(300);  ///< Closed programs still replay answers that long.
   /// A replica that has run that long trusts that it never held a program it does not know.
   Duration replicaSeasoning = seconds(1800);
+  /// Programs a second for which this node helps to refill restarted replicas, so that the repair
+  /// of a whole node's copies does not crowd out calls.
+  std::uint32_t repairsPerSecond = 200;
+  /// How long a planned stop waits for copies that other members of the groups still lack.
+  Duration handoverTimeout = seconds(5);
 };
 
 /// \param liveness, groups outlive the service.
--- a/src/program/program_service_impl.cpp
+++ b/src/program/program_service_impl.cpp
@@ -15,7 +15,8 @@
       knobs_(knobs),
       liveness_(liveness),
       groups_(groups),
-      replica_(self, incarnation, knobs, groups, commands_) {}
+      replica_(self, incarnation, knobs, groups, commands_),
+      repair_(self, knobs, liveness, replica_, commands_) {}
 
 OwnedProgram* ProgramServiceImpl::programFor(CallHandle handle, const ProgramKey& key,
                                              const BudgetLimits& limits, Instant now) {
@@ -100,9 +101,25 @@
   if (const auto position = programs_.find(reply.program); position != programs_.end()) {
     position->second->onAppendReply(from, reply, now);
     dropIfFinished(reply.program);
+  } else if (reply.verdict == AppendVerdict::StaleEpoch) {
+    // The replica holds this node for the owner of an epoch that it no longer serves (its release
+    // was lost): without this word nobody could take the program over while this node lives.
+    commands_.send(from, ReleaseNotice{reply.program, reply.epoch});
   }
 }
 
+void ProgramServiceImpl::openRepair(ProgramId program, Instant now) {
+  const ProgramRecord* record = replica_.recordOf(program);
+  if (record == nullptr || programs_.contains(program)) {
+    return;
+  }
+  const ReplicaGroups::Group group = groups_.groupOf(record->key.homeZone, program);
+  const ProgramOwner::Identity identity{self_, incarnation_, program, record->key, record->limits};
+  auto opened = std::make_unique<OwnedProgram>(identity, group, knobs_, liveness_, commands_, now);
+  opened->beginRepair();
+  programs_.emplace(program, std::move(opened));
+}
+
 void ProgramServiceImpl::dropIfFinished(ProgramId program) {
   const auto position = programs_.find(program);
   if (position != programs_.end() && position->second->isFinished()) {
@@ -111,7 +128,14 @@
 }
 
 void ProgramServiceImpl::onTick(Instant now) {
+  lastTick_ = now;
   replica_.onTick(now);
+  const std::vector<ProgramId> repairs = repair_.onTick(now);
+  for (const ProgramId program : repairs) {
+    if (!isStopping_) {
+      openRepair(program, now);
+    }
+  }
   for (auto position = programs_.begin(); position != programs_.end();) {
     position->second->onTick(now);
     position = position->second->isFinished() ? programs_.erase(position) : std::next(position);
@@ -120,13 +144,18 @@
 
 void ProgramServiceImpl::beginStop(Instant now) {
   isStopping_ = true;
+  stoppingSince_ = now;
+  lastTick_ = now;
   for (auto position = programs_.begin(); position != programs_.end();) {
     position->second->beginStop(now);
     position = position->second->isFinished() ? programs_.erase(position) : std::next(position);
   }
 }
 
-bool ProgramServiceImpl::isDrained() const { return programs_.empty(); }
+bool ProgramServiceImpl::isDrained() const {
+  const bool hasWaited = isStopping_ && lastTick_ - stoppingSince_ >= knobs_.handoverTimeout;
+  return programs_.empty() && (repair_.isIdle() || hasWaited);
+}
 
 std::optional<ProgramSummary> ProgramServiceImpl::summaryOf(const ProgramKey& key) const {
   const ProgramId program = programIdOf(key);
--- a/src/program/program_service_impl.h
+++ b/src/program/program_service_impl.h
@@ -6,6 +6,7 @@
 
 #include "program/journal_replica.h"
 #include "program/owned_program.h"
+#include "program/replica_repair.h"
 
 namespace gorsetrail::program {
 
@@ -33,6 +34,8 @@
                            Instant now);
   void onSealReply(NodeId from, const SealReply& reply, Instant now);
   void onAppendReply(NodeId from, const AppendReply& reply, Instant now);
+  /// Takes a program over for no caller, to put its record on the whole group.
+  void openRepair(ProgramId program, Instant now);
   void dropIfFinished(ProgramId program);
 
   NodeId self_;
@@ -42,9 +45,12 @@
   const ReplicaGroups& groups_;
   CommandQueue commands_;
   JournalReplica replica_;
+  ReplicaRepair repair_;
   std::unordered_map<ProgramId, std::unique_ptr<OwnedProgram>> programs_;
   std::unordered_map<CallHandle, ProgramId> admittedCalls_;
   bool isStopping_ = false;
+  Instant stoppingSince_;
+  Instant lastTick_;
 };
 
 }  // namespace gorsetrail::program
