--- a/src/scheduling/prefix_affinity_policy.cpp
+++ b/src/scheduling/prefix_affinity_policy.cpp
@@ -20,6 +20,9 @@
 constexpr double kAddedExternality = 4.0;
 /// A program that moves leaves a prefix behind that nobody will use, and evicts another's.
 constexpr double kMoveFactor = 3.0;
+/// A first call has only shared parts in common with others; computing them once more spreads them
+/// over idle replicas.
+constexpr double kFirstCallFactor = 0.3;
 /// What one more stream in the batch, and one more request in the queue, cost a new call.
 constexpr double kMillisecondsPerRequest = 60.0;
 constexpr double kMillisecondsPerQueuedRequest = 250.0;
@@ -48,7 +51,7 @@
 double externality(const CallDescription& call) {
   const double cacheWeight = 1.0 - std::clamp(call.latencyWeight, 0.0, 1.0);
   const double factor = kLeastExternality + kAddedExternality * cacheWeight;
-  return call.previous ? factor * kMoveFactor : factor;
+  return factor * (call.previous ? kMoveFactor : kFirstCallFactor);
 }
 
 double costOf(const CallDescription& call, const ReplicaView& replica) {
