--- a/lab/sim/fleet.cpp
+++ b/lab/sim/fleet.cpp
@@ -100,6 +100,7 @@
   void sendCall(NodeId id, HollowProgram& program);
   void onCommand(SimNode& node, node::NodeCommand& command);
   void serve(const SimNode& node, const engine::StartDispatch& start);
+  void answerHold(const SimNode& node, const engine::HoldResult& result);
   void complete(const engine::AnswerCompleted& completed);
   FleetResult collect(double seconds);
 
@@ -228,6 +229,10 @@
       found->second.program->busy = false;
       waiting_.erase(found);
     }
+  } else if (const auto* place = std::get_if<engine::PlaceHold>(&command)) {
+    answerHold(node, {place->order, place->backendName, engine::HoldOutcome::Done});
+  } else if (const auto* release = std::get_if<engine::ReleaseHold>(&command)) {
+    answerHold(node, {release->order, release->backendName, engine::HoldOutcome::Done});
   } else if (const auto* append = std::get_if<node::AppendLogRecord>(&command)) {
     context_.events.scheduleAfter(milliseconds(2),
                                   [this, id = node.id, sequence = append->sequence] {
@@ -251,6 +256,12 @@
       });
 }
 
+void Fleet::answerHold(const SimNode& node, const engine::HoldResult& result) {
+  context_.events.scheduleAfter(milliseconds(2), [this, id = node.id, result] {
+    host_.post(id, [result](node::NodeCore& core, Instant now) { core.onHoldResult(result, now); });
+  });
+}
+
 void Fleet::complete(const engine::AnswerCompleted& completed) {
   const auto found = waiting_.find(completed.handle);
   if (found == waiting_.end()) {
--- a/lab/sim/forwarding_core.h
+++ b/lab/sim/forwarding_core.h
@@ -43,12 +43,6 @@
   void onHoldInventory(const engine::HoldInventory& inventory, Instant now) override {
     inner_->onHoldInventory(inventory, now);
   }
-  void onHoldResult(const engine::HoldResult& result, Instant now) override {
-    inner_->onHoldResult(result, now);
-  }
-  void onHoldInventory(const engine::HoldInventory& inventory, Instant now) override {
-    inner_->onHoldInventory(inventory, now);
-  }
   void onTick(Instant now) override { inner_->onTick(now); }
   void beginStop(Instant now) override { inner_->beginStop(now); }
   [[nodiscard]] bool isDrained() const override { return inner_->isDrained(); }
--- a/lab/sim/measured_core.cpp
+++ b/lab/sim/measured_core.cpp
@@ -111,6 +111,16 @@
   inner().onLogAppended(sequence, taken, now);
 }
 
+void MeasuredCore::onHoldResult(const engine::HoldResult& result, Instant now) {
+  const Stopwatch watch(usage_.coreNanoseconds, measuring_);
+  inner().onHoldResult(result, now);
+}
+
+void MeasuredCore::onHoldInventory(const engine::HoldInventory& inventory, Instant now) {
+  const Stopwatch watch(usage_.coreNanoseconds, measuring_);
+  inner().onHoldInventory(inventory, now);
+}
+
 void MeasuredCore::onTick(Instant now) {
   const Stopwatch watch(usage_.coreNanoseconds, measuring_);
   inner().onTick(now);
--- a/lab/sim/measured_core.h
+++ b/lab/sim/measured_core.h
@@ -37,6 +37,8 @@
   void onMachineList(const std::vector<membership::MachineListLine>& lines, Instant now) override;
   void onBackendReport(const node::BackendReport& report, Instant now) override;
   void onLogAppended(std::uint64_t sequence, bool taken, Instant now) override;
+  void onHoldResult(const engine::HoldResult& result, Instant now) override;
+  void onHoldInventory(const engine::HoldInventory& inventory, Instant now) override;
   void onTick(Instant now) override;
   std::vector<node::NodeCommand> takeCommands() override;
 
--- a/lab/sim/mutants.cpp
+++ b/lab/sim/mutants.cpp
@@ -121,6 +121,24 @@
   }
 };
 
+/// Never releases a hold, and makes each last for a day.
+class EndlessHolds final : public ForwardingCore {
+ public:
+  using ForwardingCore::ForwardingCore;
+  std::vector<NodeCommand> takeCommands() override {
+    std::vector<NodeCommand> commands = inner().takeCommands();
+    std::erase_if(commands, [](const NodeCommand& command) {
+      return std::holds_alternative<engine::ReleaseHold>(command);
+    });
+    for (NodeCommand& command : commands) {
+      if (auto* place = std::get_if<engine::PlaceHold>(&command)) {
+        place->deadline = std::chrono::hours(24);
+      }
+    }
+    return commands;
+  }
+};
+
 /// Gives every other answer to the wrong caller.
 class CrossAnswers final : public ForwardingCore {
  public:
@@ -242,6 +260,7 @@
      "acknowledges journal entries without storing them"},
     {"doubled-budget", Promise::Budget, "looping-programs", "lets programs use twice their budget"},
     {"never-cancel", Promise::EngineMemory, "tool-hang", "never cancels a stream"},
+    {"endless-holds", Promise::EngineMemory, "drain-race", "never gives up a hold on a prefix"},
     {"cross-answers", Promise::WholeAnswer, "everything-twice",
      "gives answers to the wrong callers"},
     {"lie-not-run", Promise::NotRun, "everything-twice", "says not run when it does not know"},
@@ -279,6 +298,9 @@
     if (name == "never-cancel") {
       return std::make_unique<NeverCancel>(std::move(core));
     }
+    if (name == "endless-holds") {
+      return std::make_unique<EndlessHolds>(std::move(core));
+    }
     if (name == "cross-answers") {
       return std::make_unique<CrossAnswers>(std::move(core));
     }
--- a/lab/sim/promise_checker.cpp
+++ b/lab/sim/promise_checker.cpp
@@ -165,6 +165,18 @@
                 engine + " still holds " + tag.toText() + " that nobody waits for");
 }
 
+void PromiseChecker::onPrefixHeld(const std::string& engine, const std::string& program,
+                                  Instant now) {
+  const auto found = programs_.find(program);
+  const bool gone = found != programs_.end() && found->second.goneAt.has_value();
+  const bool held = gone && now > *found->second.goneAt + limits_.orphanGrace;
+  if (held && !orphanPrefixes_.emplace(engine, program).second) {
+    return;  // Counted before.
+  }
+  report_.check(Promise::EngineMemory, !held, now,
+                engine + " still holds a prefix of " + program + ", which is gone");
+}
+
 void PromiseChecker::onPlannedStop(NodeId node, std::size_t cutOff, bool drained, Instant now) {
   const std::string name = "node " + std::to_string(node.value());
   report_.check(Promise::PlannedStop, drained, now, name + " did not drain");
--- a/lab/sim/promise_checker.h
+++ b/lab/sim/promise_checker.h
@@ -78,6 +78,8 @@
   /// An engine works on a stream that began at `since` for a call with that time limit.
   void onStreamHeld(const std::string& engine, const RequestTag& tag, Instant since,
                     Duration timeLimit, Instant now);
+  /// An engine keeps a prefix for a program.
+  void onPrefixHeld(const std::string& engine, const std::string& program, Instant now);
   /// @}
 
   /// \name Operators and status pages
@@ -129,6 +131,7 @@
   std::map<std::string, Instant> leavingSince_;
   std::map<NodeId, SeenBundle> bundles_;
   std::set<std::pair<std::string, RequestTag>> orphans_;
+  std::set<std::pair<std::string, std::string>> orphanPrefixes_;
   std::uint64_t runsStarted_ = 0;
   std::uint64_t runsOutOfOrder_ = 0;
 };
--- a/lab/sim/sim_backend.h
+++ b/lab/sim/sim_backend.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "engine/hold_interface.h"
 #include "lab/sim/dispatch_connection.h"
 #include "lab/sim/site.h"
 #include "node/core/node_core.h"
@@ -29,6 +30,16 @@
   /// Called every few seconds: what the back end still holds goes to the checker.
   virtual void inspect() {}
   [[nodiscard]] virtual node::BackendReport report() const;
+  /// \name Holds; only engines have any
+  /// @{
+  virtual engine::HoldResult onPlaceHold(const engine::PlaceHold& command) {
+    return {command.order, name_.name, engine::HoldOutcome::Failed};
+  }
+  virtual engine::HoldResult onReleaseHold(const engine::ReleaseHold& command) {
+    return {command.order, name_.name, engine::HoldOutcome::Failed};
+  }
+  virtual engine::HoldInventory onReadHolds() { return {name_.name, {}}; }
+  /// @}
   virtual void setHanging(bool hanging) { faults_.hanging = hanging; }
 
   [[nodiscard]] const BackendName& name() const { return name_; }
--- a/lab/sim/sim_context.h
+++ b/lab/sim/sim_context.h
@@ -63,6 +63,7 @@
   OutcomeDigest digest;
   Figures figures;
   std::vector<double> programLatenciesMs;
+  std::map<std::string, std::string> programNames;  ///< By program id in hexadecimal digits.
   std::string tracedProgram;  ///< Its requests are written to standard error; empty for none.
 
   [[nodiscard]] Instant now() const { return events.now(); }
--- a/lab/sim/sim_engine.cpp
+++ b/lab/sim/sim_engine.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "lab/sim/prompt_text.h"
 #include "scheduling/prefix_chain.h"
 
 namespace gorsetrail::sim {
@@ -34,6 +35,20 @@
   return number;
 }
 
+engine::HoldOutcome outcomeOf(enginemodel::HoldOutcome outcome) {
+  switch (outcome) {
+    case enginemodel::HoldOutcome::Held:
+      return engine::HoldOutcome::Done;
+    case enginemodel::HoldOutcome::PrefixNotCached:
+      return engine::HoldOutcome::NotCached;
+    case enginemodel::HoldOutcome::StaleEpoch:
+      return engine::HoldOutcome::StaleEpoch;
+    case enginemodel::HoldOutcome::LimitExceeded:
+      return engine::HoldOutcome::LimitExceeded;
+  }
+  return engine::HoldOutcome::Failed;
+}
+
 }  // namespace
 
 SimEngine::SimEngine(SimContext& context, BackendName name)
@@ -86,8 +101,8 @@
   stream.connection = connection;
   enginemodel::EngineRequest request;
   request.id = command.id.toText();
-  request.chain = scheduling::prefixChainOf(command.body, kBlockTokens);
-  request.promptTokens = scheduling::estimatedTokens(command.body);
+  request.chain = scheduling::prefixChainOf(cachedTextOf(command, stream.answer), kBlockTokens);
+  request.promptTokens = scheduling::estimatedTokens(cachedTextOf(command, {}));
   request.answerTokens = stream.tokens;
   request.priority = command.priorityLevel;
   stream.waiting = std::move(request);
@@ -222,7 +237,37 @@
   }
 }
 
+engine::HoldResult SimEngine::onPlaceHold(const engine::PlaceHold& command) {
+  const enginemodel::Hold hold{engine::holdNameOf(command.program, command.epoch),
+                               command.program.toHex(), command.epoch, command.prefix,
+                               context_.now() + command.deadline};
+  const enginemodel::HoldOutcome outcome = model_.placeHold(hold, context_.now());
+  context_.figures.count(outcome == enginemodel::HoldOutcome::Held ? "holds_placed"
+                                                                   : "holds_refused");
+  return {command.order, name_.name, outcomeOf(outcome)};
+}
+
+engine::HoldResult SimEngine::onReleaseHold(const engine::ReleaseHold& command) {
+  model_.removeHold(engine::holdNameOf(command.program, command.epoch), context_.now());
+  return {command.order, name_.name, engine::HoldOutcome::Done};
+}
+
+engine::HoldInventory SimEngine::onReadHolds() {
+  engine::HoldInventory inventory;
+  inventory.backendName = name_.name;
+  for (const enginemodel::Hold& hold : model_.holds(context_.now())) {
+    inventory.holds.push_back({hold.name, hold.program, hold.epoch});
+  }
+  return inventory;
+}
+
 void SimEngine::inspect() {
+  for (const enginemodel::Hold& hold : model_.holds(context_.now())) {
+    const auto program = context_.programNames.find(hold.program);
+    context_.checker.onPrefixHeld(
+        name_.name, program == context_.programNames.end() ? hold.program : program->second,
+        context_.now());
+  }
   for (const auto& [id, stream] : streams_) {
     if (!stream.finished) {
       context_.checker.onStreamHeld(name_.name, stream.tag, stream.since, stream.timeLimit,
--- a/lab/sim/sim_engine.h
+++ b/lab/sim/sim_engine.h
@@ -19,6 +19,9 @@
   void onRequest(const ConnectionPtr& connection, const engine::StartDispatch& command) override;
   void onCancel(const DispatchId& id) override;
   void inspect() override;
+  engine::HoldResult onPlaceHold(const engine::PlaceHold& command) override;
+  engine::HoldResult onReleaseHold(const engine::ReleaseHold& command) override;
+  engine::HoldInventory onReadHolds() override;
   [[nodiscard]] node::BackendReport report() const override;
   void setHanging(bool hanging) override;
 
--- a/lab/sim/simulation.cpp
+++ b/lab/sim/simulation.cpp
@@ -22,6 +22,7 @@
       host_(context_, std::move(factory)),
       front_(context_, host_),
       dataPath_(context_, host_),
+      holdPath_(context_, host_, dataPath_),
       log_(context_, host_),
       machines_(context_, host_),
       operator_(context_, log_) {
@@ -43,6 +44,8 @@
     dataPath_.cancel(node, *cancel);
   } else if (const auto* append = std::get_if<node::AppendLogRecord>(&command)) {
     log_.appendFrom(node, *append);
+  } else {
+    holdPath_.onCommand(node, command);
   }
 }
 
@@ -144,6 +147,7 @@
     const auto program = std::make_shared<ProgramState>();
     program->plan = drawProgram(context_, number, zone.name, node);
     programs_.push_back(program);
+    context_.programNames[programIdOf(program->plan.key).toHex()] = program->plan.key.name;
     // The site is given a few seconds to find itself.
     const Duration after =
         seconds(5) + Duration(static_cast<Duration::rep>(context_.random.below(
--- a/lab/sim/simulation.h
+++ b/lab/sim/simulation.h
@@ -9,6 +9,7 @@
 
 #include "lab/sim/caller_front.h"
 #include "lab/sim/data_path.h"
+#include "lab/sim/hold_path.h"
 #include "lab/sim/platform.h"
 #include "lab/sim/program_caller.h"
 
@@ -73,6 +74,7 @@
   NodeHost host_;
   CallerFront front_;
   DataPath dataPath_;
+  HoldPath holdPath_;
   SimLog log_;
   SimMachineList machines_;
   SimOperator operator_;
