Let exactly one of two simultaneous candidates go on

Cause: with a replica that is not filled yet, two candidates could each be named by one replica, give way to each other, release and meet again: callers were sent back and forth.

Change: a replica without a record that promised an epoch says so (refusal that names the candidate itself). A candidate gives way if a quorum names one live owner; else the one that a quorum promised goes on, or the lowest node.

--- a/src/program/journal_replica.cpp
+++ b/src/program/journal_replica.cpp
@@ -117,7 +117,12 @@
   copy.owner = request.candidate;
   copy.ownerIncarnation = request.candidateIncarnation;
   if (copy.trust == ReplicaTrust::Unfilled) {
-    return;  // It keeps the promise but cannot vouch for the record: it must not be counted.
+    // It keeps the promise but cannot vouch for the record: that is no grant. Naming the candidate
+    // itself tells it that this replica prefers nobody else.
+    commands_.send(request.candidate,
+                   SealReply{request.program, request.epoch,
+                             SealRefused{copy.promised, copy.owner, copy.ownerIncarnation}});
+    return;
   }
   SealGranted granted{copy.written, std::nullopt};
   if (copy.written != Epoch{}) {
--- a/src/program/program_owner.cpp
+++ b/src/program/program_owner.cpp
@@ -136,6 +136,9 @@
   if (phase_ == OwnerPhase::Elsewhere || phase_ == OwnerPhase::Lost) {
     return;
   }
+  if (phase_ != OwnerPhase::Sealing && refused.promised == epoch_) {
+    return;  // It promised this very epoch, but has no record yet: the base that follows fills it.
+  }
   replica.refused = refused;
   if (phase_ == OwnerPhase::Sealing) {
     decideRefusals(now);
@@ -162,33 +165,55 @@
                                                                     : NamedOwner::OtherDead;
 }
 
-void ProgramOwner::decideRefusals(Instant now) {
-  std::size_t replies = 0;
-  std::size_t namingLive = 0;
-  std::size_t namingThisLife = 0;
-  std::size_t refusals = 0;
+ProgramOwner::Tally ProgramOwner::tally() const {
+  Tally tally;
   for (const Progress& replica : replicas_) {
-    replies += replica.granted || replica.refused ? 1 : 0;
-    if (!replica.refused) {
-      continue;
+    const NamedOwner named =
+        replica.refused && !replica.granted ? namedIn(*replica.refused) : NamedOwner::None;
+    const bool isLive = named == NamedOwner::OtherLive;
+    tally.replies += replica.granted || replica.refused ? 1 : 0;
+    tally.forThisLife += replica.granted || named == NamedOwner::ThisLife ? 1 : 0;
+    tally.refusals += replica.refused && !replica.granted ? 1 : 0;
+    tally.live += isLive ? 1 : 0;
+    if (isLive && (tally.lowestLive == NodeId{} || replica.refused->owner < tally.lowestLive)) {
+      tally.lowestLive = replica.refused->owner;
     }
-    ++refusals;
-    const NamedOwner named = namedIn(*replica.refused);
-    namingThisLife += named == NamedOwner::ThisLife ? 1 : 0;
-    if (named == NamedOwner::OtherLive) {
-      ++namingLive;
+  }
+  return tally;
+}
+
+bool ProgramOwner::isNamedByQuorum(NodeId owner) const {
+  const auto naming =
+      std::count_if(replicas_.begin(), replicas_.end(), [&](const Progress& replica) {
+        return replica.refused && !replica.granted && replica.refused->owner == owner &&
+               namedIn(*replica.refused) == NamedOwner::OtherLive;
+      });
+  return static_cast<std::size_t>(naming) >= quorum();
+}
+
+void ProgramOwner::decideRefusals(Instant now) {
+  for (const Progress& replica : replicas_) {
+    if (replica.refused && isNamedByQuorum(replica.refused->owner)) {
       liveOwner_ = replica.refused->owner;
+      phase_ = OwnerPhase::Elsewhere;
+      return;
     }
   }
+  const Tally tally = this->tally();
   const bool isComplete =
-      replies == replicas_.size() ||
-      (replies >= quorum() && now - sealedAt_ >= kRefusalPatience * knobs_.resendInterval);
-  if (namingLive >= quorum() || (isComplete && namingLive > 0 && namingThisLife == 0)) {
+      tally.replies == replicas_.size() ||
+      (tally.replies >= quorum() && now - sealedAt_ >= kRefusalPatience * knobs_.resendInterval);
+  // Without a quorum behind any of them, candidates met at the same time: exactly one must go on,
+  // else all give way to each other for ever. It is the one that a quorum promised, or the lowest.
+  const bool givesWay =
+      tally.live > 0 && tally.forThisLife < quorum() && tally.lowestLive < identity_.self;
+  if (isComplete && givesWay) {
+    liveOwner_ = tally.lowestLive;
     phase_ = OwnerPhase::Elsewhere;
-  } else if (refusals - namingLive >= quorum() || (isComplete && refusals > 0)) {
-    // The owner is dead or gave the program up, or candidates refused each other and each is
-    // named by one replica: seal above them all. A wrong suspicion costs the old owner its
-    // program, never a promise: its next write is refused.
+  } else if (tally.refusals - tally.live >= quorum() || (isComplete && tally.refusals > 0)) {
+    // The owner is dead or gave the program up, or candidates refused each other: seal above them
+    // all. A wrong suspicion costs the old owner its program, never a promise: its next write is
+    // refused.
     sealAboveRefusals(now);
   }
 }
--- a/src/program/program_owner.h
+++ b/src/program/program_owner.h
@@ -88,6 +88,17 @@
   void sendSeal(Progress& replica, Instant now);
   void sealed();
   void onRefused(const SealRefused& refused, Progress& replica, Instant now);
+  /// Answers to the present seal.
+  struct Tally {
+    std::size_t replies = 0;
+    std::size_t refusals = 0;
+    std::size_t live = 0;         ///< Refusals that name another live owner.
+    std::size_t forThisLife = 0;  ///< Promised to this candidate, with or without a record.
+    NodeId lowestLive;            ///< Lowest of the live nodes named.
+  };
+
+  [[nodiscard]] Tally tally() const;
+  [[nodiscard]] bool isNamedByQuorum(NodeId owner) const;
   void decideRefusals(Instant now);
   void sealAboveRefusals(Instant now);
   [[nodiscard]] NamedOwner namedIn(const SealRefused& refused) const;
