Tell callers when the refusing back end wants to be asked again

Cause: a back end's Retry-After was dropped; callers were told only when the node's own retry budget allows another attempt. Change: the refusal of a dispatch carries the seconds (at most 300; dates are not read), and the caller gets the longer of both times.

--- a/src/engine/call_context.cpp
+++ b/src/engine/call_context.cpp
@@ -274,7 +274,7 @@
   error.reason = loss.reason;
   error.remedy = kAskAgain;
   error.outcome = runOutcome();
-  error.retryAfterSeconds = retryAfterSeconds(now);
+  error.retryAfterSeconds = std::max(retryAfterSeconds(now), loss.retryAfterSeconds);
   if (mayHaveRun_ && !plan_.repeatable) {
     error.kind = ErrorKind::OutcomeNotKnown;
     error.remedy = std::string(kAskAgain) + ": it is not run again; check at the back end";
--- a/src/engine/call_context.h
+++ b/src/engine/call_context.h
@@ -19,7 +19,8 @@
 struct AttemptLoss {
   LossKind kind = LossKind::Broken;
   std::string reason;
-  unsigned status = 0;  ///< HTTP status of a refusal.
+  unsigned status = 0;                  ///< HTTP status of a refusal.
+  std::uint32_t retryAfterSeconds = 0;  ///< As a refusal has it; 0: it did not say.
 };
 
 /// What follows a lost attempt.
--- a/src/engine/call_interface.h
+++ b/src/engine/call_interface.h
@@ -41,6 +41,7 @@
   unsigned status = 0;
   std::string reason;
   bool leaving = false;
+  std::uint32_t retryAfterSeconds = 0;  ///< When it asks to be asked again; 0: it did not say.
 };
 struct DispatchChunk {  ///< The next part of a streamed answer; `offset` counts tokens from 0.
   AttemptNumber attempt;
--- a/src/engine/call_machine.cpp
+++ b/src/engine/call_machine.cpp
@@ -139,6 +139,7 @@
   void on(const DispatchRefused& event, Instant now) {
     AttemptLoss loss{LossKind::Refused, "the back end refused the request: " + event.reason};
     loss.status = event.status;
+    loss.retryAfterSeconds = event.retryAfterSeconds;
     onLoss(loss, now);
   }
   void on(const DispatchBroken& event, Instant now) {
--- a/src/node/backend_dispatcher.cpp
+++ b/src/node/backend_dispatcher.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaximumAnswerBytes = std::size_t{4} * 1024 * 1024;
 /// Of a refusal's body only so much is told on.
 constexpr std::size_t kMaximumReasonBytes = 256;
+/// A back end that asks for more is not taken at its word.
+constexpr std::uint32_t kLongestRetryAfterSeconds = 300;
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusRequestTimeout = 408;
 constexpr unsigned kStatusConflict = 409;
@@ -36,6 +38,14 @@
   return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
+/// \return the seconds of a `Retry-After`, within bounds; 0 when it has none (a date, or nothing).
+std::uint32_t secondsIn(std::string_view value) {
+  std::uint32_t parsed = 0;
+  const char* const end = value.data() + value.size();
+  const auto [rest, error] = std::from_chars(value.data(), end, parsed);
+  return error == std::errc() && rest == end ? std::min(parsed, kLongestRetryAfterSeconds) : 0;
+}
+
 /// Statuses with which a back end turns a request away before it runs. A 408 or a 5xx but 503 may
 /// come after the run began, and a 409 says that the id is known: it may have run under it.
 bool isTurnedAway(unsigned status) {
@@ -96,6 +106,7 @@
   bool namesAnother = false;
   bool saysNotRun = false;
   bool saysLeaving = false;
+  std::uint32_t retryAfterSeconds = 0;
 
   // The answer so far.
   std::string text;  ///< Content of the stream, or the whole body.
@@ -209,6 +220,7 @@
   dispatch->namesAnother = !named.empty() && !dispatch->namesThisRequest;
   dispatch->saysNotRun = headerOf(headers, "X-Not-Run") == "true";
   dispatch->saysLeaving = headerOf(headers, "X-Leaving") == "true";
+  dispatch->retryAfterSeconds = secondsIn(headerOf(headers, "Retry-After"));
   if (dispatch->namesAnother) {
     endMalformed(dispatch, "the answer names another request");
     return;
@@ -332,7 +344,7 @@
   ++counters_.refused;
   end(dispatch, engine::DispatchRefused{dispatch->id.attempt, dispatch->status,
                                         dispatch->text.substr(0, kMaximumReasonBytes),
-                                        dispatch->saysLeaving});
+                                        dispatch->saysLeaving, dispatch->retryAfterSeconds});
 }
 
 void BackendDispatcher::endBroken(const DispatchPtr& dispatch, const std::string& reason) {
--- a/tests/dispatch/backend_dispatcher_test.cpp
+++ b/tests/dispatch/backend_dispatcher_test.cpp
@@ -156,6 +156,22 @@
   }
 }
 
+TEST(BackendDispatcher, TellsWhenARefusalWantsToBeAskedAgain) {
+  const auto secondsOf = [this](const std::string& value) {
+    auto headers = named();
+    headers.push_back({"retry-after", value});
+    answered(false, 429, headers);
+    return onlyEvent<engine::DispatchRefused>().retryAfterSeconds;
+  };
+  LONGS_EQUAL(7, secondsOf("7"));
+  LONGS_EQUAL(300, secondsOf("86400"));
+  for (const char* const unusable : {"", "-1", "7 s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    LONGS_EQUAL(0, secondsOf(unusable));
+  }
+  answered(false, 429, named());
+  LONGS_EQUAL(0, onlyEvent<engine::DispatchRefused>().retryAfterSeconds);
+}
+
 TEST(BackendDispatcher, ApplicationMustSayThatItDidNotRun) {
   answered(true, 503, named());
   onlyEvent<engine::DispatchBroken>();
--- a/tests/engine/call_machine_test.cpp
+++ b/tests/engine/call_machine_test.cpp
@@ -406,6 +406,19 @@
   CHECK(call.last<AnswerRefused>().error.retryAfterSeconds > 0);
 }
 
+TEST(CallMachine, TellsTheCallerWhenTheBackEndWantsToBeAskedAgain) {
+  RetryKnobs once;
+  once.maximumAttempts = 1;
+  CallBench call(kRepeatable, AnswerMode::Stream, once);
+  call.admit();
+  call.start("lm-1");
+  call.machine->onDispatchEvent(DispatchRefused{AttemptNumber(1), 429, "full", false, 17},
+                                call.now);
+  call.record();
+  CHECK(call.last<AnswerRefused>().error.kind == ErrorKind::AdmissionRefused);
+  CHECK_EQUAL(17U, call.last<AnswerRefused>().error.retryAfterSeconds);
+}
+
 TEST(CallMachine, ReplayIsStreamedOnceAndEnds) {
   CallBench call(kRepeatable);
   call.machine->onReplayed("stored answer", call.now);
