--- a/src/node/hold_client.cpp
+++ b/src/node/hold_client.cpp
@@ -117,6 +117,7 @@
     lane->abandoned = true;
     if (lane->underWay) {
       lane->underWay->cancel();
+      lane->underWay.reset();  // The request's handler keeps the lane.
     }
   }
 }
--- a/tests/dispatch/fake_http_client.h
+++ b/tests/dispatch/fake_http_client.h
@@ -35,6 +35,14 @@
     void fail(http::FailureStage stage) { handler.onFailure({stage, "failed"}); }
   };
 
+  /// A handler keeps what waits for it, which keeps the exchange: the real client drops handlers
+  /// at their end; here they stay callable, to show that nothing comes of it.
+  ~FakeHttpClient() override {
+    for (const auto& exchange : exchanges) {
+      exchange->handler = {};
+    }
+  }
+
   http::RequestHandlePtr send(http::Request request, http::ResponseHandler handler) override {
     const auto exchange = std::make_shared<Exchange>();
     exchange->request = std::move(request);
