Silence the linter's false finding on two defaulted comparisons

Cause: clang-tidy 14 takes the literal 0 of a defaulted <=> for a null pointer (see base/ids.h). Change: the same NOLINT as there.

--- a/lab/sim/data_path.h
+++ b/lab/sim/data_path.h
@@ -31,7 +31,7 @@
   struct Key {
     NodeId node;
     DispatchId dispatch;
-    auto operator<=>(const Key&) const = default;
+    auto operator<=>(const Key&) const = default;  // NOLINT(modernize-use-nullptr)
   };
 
   SimContext& context_;
--- a/lab/sim/request_tag.h
+++ b/lab/sim/request_tag.h
@@ -14,7 +14,7 @@
   std::string program;
   std::string branch;  ///< Empty for the root.
   std::uint32_t step = 0;
-  auto operator<=>(const RequestTag&) const = default;
+  auto operator<=>(const RequestTag&) const = default;  // NOLINT(modernize-use-nullptr)
   /// \return `[[program|branch|step]]`.
   [[nodiscard]] std::string toText() const;
 };
