Claim not_run at a stopping node only for requests without an id

The front knew only of non-repeatable work; the same holds for any request id given by the caller. Change: with an Idempotency-Key the outcome is unknown, without one not_run. Conclusion: the caller asks another node with the same id and gets the answer.

--- a/src/node/front/caller_front.cpp
+++ b/src/node/front/caller_front.cpp
@@ -112,11 +112,8 @@
 
 Error CallerFront::stoppingErrorFor(const engine::CallRequest& call) const {
   Error error = stoppingError();
-  const auto bundle = core_.bundleInForce();
-  const bundle::Work* const work = bundle ? bundle->findWork(call.work) : nullptr;
-  const bool repeatable = call.repeatable && (work == nullptr || work->repeatable);
-  if (!repeatable) {
-    // The journal was not asked: an earlier try with the same request id may have run elsewhere.
+  if (!call.idempotencyKey.empty()) {
+    // The journal was not asked: an earlier try with the same request id may have run.
     error.outcome = RunOutcome::OutcomeUnknown;
   }
   return error;
