Make the simulator's commands reachable from gorsetrail-lab

Cause: run, list, mutants, soak and fleet stood in lab/sim but no program had them. Change: main registers them. Conclusion: one program for stand-ins, load, emulator and simulator.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -7,6 +7,7 @@
 #include "lab/command.h"
 #include "lab/emulator/emulator_command.h"
 #include "lab/load/load_command.h"
+#include "lab/sim/sim_command.h"
 #include "lab/standin/standin_command.h"
 
 DEFINE_string(config, "", "configuration file (JSON) of the subcommand");
@@ -23,6 +24,7 @@
   CommandRegistry registry;
   gorsetrail::standin::addCommands(registry);
   gorsetrail::load::addCommands(registry);
+  gorsetrail::sim::addCommands(registry);
   gorsetrail::emulator::addCommands(registry);
   return registry;
 }
