--- a/src/program/epochs.h
+++ b/src/program/epochs.h
@@ -23,6 +23,11 @@
 inline constexpr std::uint64_t kEarlierLifeBit = 1;
 /// Set there when the answerer itself restarted: what it met before is forgotten.
 inline constexpr std::uint64_t kCannotVouchBit = 2;
+/// Set there, and in `SealGranted::lastWritten` of a grant without a record, when the replica may
+/// have forgotten the program and nobody told it otherwise.
+inline constexpr std::uint64_t kForgetfulBit = 4;
+inline constexpr std::uint64_t kBarrierReplyBits =
+    kEarlierLifeBit | kCannotVouchBit | kForgetfulBit;
 
 /// \return the lowest epoch above `promised` that only `self` can ask for.
 inline Epoch epochAbove(Epoch promised, NodeId self) {
--- a/src/program/journal_replica.cpp
+++ b/src/program/journal_replica.cpp
@@ -14,6 +14,14 @@
 /// An unclosed program that no owner touched for so many idle leases is dropped.
 constexpr int kAbandonedIdleLeases = 4;
 
+/// \return the floor in an answer to a barrier request, with the bits of the answerer.
+std::uint64_t barrierReplyValue(const SealReply& reply) {
+  if (const auto* none = std::get_if<SealGranted>(&reply.verdict)) {
+    return none->lastWritten.value();
+  }
+  return std::get<SealRefused>(reply.verdict).promised.value();
+}
+
 bool contains(const std::vector<NodeId>& nodes, NodeId node) {
   return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
 }
@@ -22,7 +30,11 @@
 
 JournalReplica::JournalReplica(NodeId self, Incarnation incarnation, const ProgramKnobs& knobs,
                                const ReplicaGroups& groups, CommandQueue& commands)
-    : self_(self), incarnation_(incarnation), knobs_(knobs), groups_(groups), commands_(commands) {}
+    : self_(self), incarnation_(incarnation), knobs_(knobs), groups_(groups), commands_(commands) {
+  if (isNumberedRestart(incarnation)) {
+    lives_.noteEarlierLife();
+  }
+}
 
 void JournalReplica::noteStart(Instant now) {
   if (!startedAt_) {
@@ -53,6 +65,13 @@
   return !members.empty() && lives_.isFirstLifeFor(members, self_);
 }
 
+bool JournalReplica::remembers(Instant now) const {
+  // A replica that restarted is told of what it forgot by members that remember. If its whole
+  // group restarted there is none, and it may not take its ignorance for "never existed".
+  return !lives_.hasEarlierLife() || now - *startedAt_ >= knobs_.replicaSeasoning ||
+         (heardRememberingAt_ && now - *heardRememberingAt_ >= knobs_.catchUpTime);
+}
+
 bool JournalReplica::refusesGroup(ProgramId program, GroupVersion version) const {
   return !zone_.empty() && groups_.groupOf(zone_, program).version != version;
 }
@@ -63,6 +82,7 @@
   copy.lastTouched = now;
   if (isNew) {
     copy.trust = trustsIgnorance(program, now) ? ReplicaTrust::Filled : ReplicaTrust::Recovering;
+    copy.isKnownNew = copy.trust == ReplicaTrust::Filled;
     copy.askInterval = knobs_.resendInterval;
     if (copy.trust == ReplicaTrust::Recovering) {
       recovering_.push_back(program);
@@ -86,7 +106,7 @@
   }
   Copy& copy = copyOf(request.program, now);
   if (copy.trust != ReplicaTrust::Recovering) {
-    decideSeal(request, copy);
+    decideSeal(request, copy, now);
     return;
   }
   if (!copy.heldSeal || copy.heldSeal->epoch < request.epoch) {
@@ -99,7 +119,7 @@
   }
 }
 
-void JournalReplica::decideSeal(const SealRequest& request, Copy& copy) {
+void JournalReplica::decideSeal(const SealRequest& request, Copy& copy, Instant now) {
   const bool isAgain = request.epoch == copy.promised && request.candidate == copy.owner &&
                        request.candidateIncarnation == copy.ownerIncarnation;
   // Within one round the higher node number decides nothing: the first to be promised is named,
@@ -127,6 +147,8 @@
   SealGranted granted{copy.written, std::nullopt};
   if (copy.written != Epoch{}) {
     granted.record = copy.record;
+  } else if (!copy.isKnownNew && !remembers(now)) {
+    granted.lastWritten = Epoch(kForgetfulBit);
   }
   commands_.send(request.candidate, SealReply{request.program, request.epoch, std::move(granted)});
 }
@@ -145,13 +167,13 @@
   copy.lastTouched = lastTouched;  // Asking for a program that nobody uses keeps it no longer.
   const Epoch floor = setBarrier(from, request.candidateIncarnation, copy);
   const bool hasContent = copy.written != Epoch{} || copy.trust == ReplicaTrust::Unfilled;
-  SealReply answer{request.program, request.epoch, SealGranted{}};
+  const std::uint64_t bits = (hadEarlierLife ? kEarlierLifeBit : 0) |
+                             (lives_.hasEarlierLife() ? kCannotVouchBit : 0) |
+                             (remembers(now) ? 0 : kForgetfulBit);
+  const Epoch marked(floor.value() | bits);
+  SealReply answer{request.program, request.epoch, SealGranted{marked, std::nullopt}};
   if (hasContent) {
-    answer.verdict = SealRefused{floor, copy.owner, copy.ownerIncarnation};
-  } else {
-    const std::uint64_t bits =
-        (hadEarlierLife ? kEarlierLifeBit : 0) | (lives_.hasEarlierLife() ? kCannotVouchBit : 0);
-    answer.verdict = SealGranted{Epoch(floor.value() | bits), std::nullopt};
+    answer.verdict = SealRefused{marked, copy.owner, copy.ownerIncarnation};
   }
   commands_.send(from, std::move(answer));
   noteRefillRequest(request.program, copy);
@@ -188,18 +210,20 @@
     }
   }
   if (members.size() == 1) {
-    finishRecovery(program, copy);
+    finishRecovery(program, copy, now);
   }
 }
 
 void JournalReplica::onBarrierReply(NodeId from, const SealReply& reply, Instant now) {
   noteStart(now);
-  if (reply.epoch != barrierRequestEpoch(incarnation_)) {
-    return;  // Meant for an earlier life of this node.
+  if (reply.epoch != barrierRequestEpoch(incarnation_) ||
+      std::holds_alternative<GroupChanged>(reply.verdict)) {
+    return;  // Meant for an earlier life of this node, or no answer to a barrier request at all.
   }
-  if (const auto* none = std::get_if<SealGranted>(&reply.verdict)) {
-    const std::uint64_t bits = none->lastWritten.value();
-    lives_.onPeerAnswered(from, (bits & kEarlierLifeBit) != 0, (bits & kCannotVouchBit) == 0);
+  const std::uint64_t bits = barrierReplyValue(reply) & kBarrierReplyBits;
+  lives_.onPeerAnswered(from, (bits & kEarlierLifeBit) != 0, (bits & kCannotVouchBit) == 0);
+  if ((bits & kForgetfulBit) == 0 && !heardRememberingAt_) {
+    heardRememberingAt_ = now;
   }
   const auto position = copies_.find(reply.program);
   if (position == copies_.end() || position->second.trust != ReplicaTrust::Recovering) {
@@ -214,35 +238,32 @@
     return member == self_ || contains(copy.answered, member);
   });
   if (isComplete) {
-    finishRecovery(reply.program, copy);
+    finishRecovery(reply.program, copy, now);
   }
 }
 
 void JournalReplica::takeBarrierVerdict(NodeId from, const SealReply& reply, Copy& copy) {
-  Epoch floor;
-  if (const auto* none = std::get_if<SealGranted>(&reply.verdict)) {
-    floor = Epoch(none->lastWritten.value() & ~(kEarlierLifeBit | kCannotVouchBit));
-  } else if (const auto* content = std::get_if<SealRefused>(&reply.verdict)) {
-    floor = content->promised;
-    // Whom the others name is theirs to say: here it would outlive the owner's release.
-    copy.contentElsewhere = true;
-  } else {
-    return;
-  }
-  copy.promised = std::max(copy.promised, floor);
+  const std::uint64_t value = barrierReplyValue(reply);
+  // Whom the others name as owner is theirs to say: here it would outlive the owner's release.
+  copy.contentElsewhere |= std::holds_alternative<SealRefused>(reply.verdict);
+  copy.promised = std::max(copy.promised, Epoch(value & ~kBarrierReplyBits));
   if (!contains(copy.answered, from)) {
     copy.answered.push_back(from);
+    copy.vouchers += (value & kForgetfulBit) == 0 ? 1 : 0;
   }
 }
 
-void JournalReplica::finishRecovery(ProgramId program, Copy& copy) {
+void JournalReplica::finishRecovery(ProgramId program, Copy& copy, Instant now) {
+  // Any quorum that stored the program would contain one of so many members.
+  const std::size_t members = membersOf(program).size();
+  copy.isKnownNew = remembers(now) || copy.vouchers >= members - members / 2;
   copy.trust = copy.contentElsewhere ? ReplicaTrust::Unfilled : ReplicaTrust::Filled;
   copy.answered = {};
   if (const auto held = std::exchange(copy.heldSeal, std::nullopt)) {
     if (refusesGroup(program, held->group)) {
       return;
     }
-    decideSeal(*held, copy);
+    decideSeal(*held, copy, now);
   }
 }
 
@@ -359,7 +380,7 @@
   Copy& copy = position->second;
   const bool isRecovering = copy.trust == ReplicaTrust::Recovering;
   if (isRecovering && !copy.contentElsewhere && trustsIgnorance(program, now)) {
-    finishRecovery(program, copy);
+    finishRecovery(program, copy, now);
     return false;
   }
   if (now - copy.lastAsked >= copy.askInterval) {
--- a/src/program/journal_replica.h
+++ b/src/program/journal_replica.h
@@ -97,8 +97,10 @@
     ProgramRecord record;
     Instant lastTouched;
     std::vector<SetBarrier> barriers;
+    bool isKnownNew = false;  ///< Enough members were sure that the program never existed.
     // Only while recovering:
     bool contentElsewhere = false;
+    std::size_t vouchers = 0;  ///< Members without content that cannot have forgotten it.
     std::vector<NodeId> answered;
     std::optional<SealRequest> heldSeal;
     Instant lastAsked;
@@ -109,7 +111,9 @@
   [[nodiscard]] bool trustsIgnorance(ProgramId program, Instant now) const;
   [[nodiscard]] bool refusesGroup(ProgramId program, GroupVersion version) const;
 
-  void decideSeal(const SealRequest& request, Copy& copy);
+  /// \return whether this replica would know of a program that exists.
+  [[nodiscard]] bool remembers(Instant now) const;
+  void decideSeal(const SealRequest& request, Copy& copy, Instant now);
   void answerBarrier(NodeId from, const SealRequest& request, Instant now);
   void noteRefillRequest(ProgramId program, const Copy& copy);
   void onIntroduction(ProgramId program, Instant now);
@@ -118,7 +122,7 @@
   void takeBarrierVerdict(NodeId from, const SealReply& reply, Copy& copy);
   /// \return whether the program still waits for answers; asks again when it is time.
   bool keepRecovering(ProgramId program, Instant now);
-  void finishRecovery(ProgramId program, Copy& copy);
+  void finishRecovery(ProgramId program, Copy& copy, Instant now);
   void reply(NodeId to, const AppendRequest& request, const Copy& copy, AppendVerdict verdict);
   [[nodiscard]] static AppendVerdict store(const AppendRequest& request, Copy& copy);
   [[nodiscard]] bool isExpired(const Copy& copy, Instant now) const;
@@ -132,6 +136,7 @@
   LifeRegister lives_;
   std::string zone_;
   std::optional<Instant> startedAt_;
+  std::optional<Instant> heardRememberingAt_;  ///< First answer of a member that remembers.
   Instant nextSweep_;
   std::unordered_map<ProgramId, Copy> copies_;
   std::vector<ProgramId> recovering_;  ///< Not filled yet.
--- a/src/program/life_register.cpp
+++ b/src/program/life_register.cpp
@@ -30,7 +30,7 @@
 }
 
 bool LifeRegister::isFirstLifeFor(const std::vector<NodeId>& members, NodeId self) const {
-  return std::all_of(members.begin(), members.end(), [&](NodeId member) {
+  return !hasEarlierLife_ && std::all_of(members.begin(), members.end(), [&](NodeId member) {
     if (member == self) {
       return true;
     }
--- a/src/program/life_register.h
+++ b/src/program/life_register.h
@@ -12,6 +12,12 @@
 
 namespace gorsetrail::program {
 
+/// \return whether the incarnation is a count of lives (and no start time) above one.
+inline bool isNumberedRestart(Incarnation incarnation) {
+  constexpr std::uint64_t kLowestStartTime = 1'000'000'000'000;  // In microseconds since 1970.
+  return incarnation.value() > 1 && incarnation.value() < kLowestStartTime;
+}
+
 /// What this node knows of its own and its peers' lives. Kept for the whole process.
 class LifeRegister {
  public:
@@ -25,7 +31,9 @@
   /// A peer answered this life's question. \param canVouch whether the peer is not known to have
   /// restarted itself: one that did may have forgotten whom it met.
   void onPeerAnswered(NodeId peer, bool metEarlierLifeOfThisNode, bool canVouch);
-  /// \return whether a peer met an earlier life of this node.
+  /// This node knows by itself that it had an earlier life.
+  void noteEarlierLife() { hasEarlierLife_ = true; }
+  /// \return whether this node is known to have had an earlier life.
   [[nodiscard]] bool hasEarlierLife() const { return hasEarlierLife_; }
   /// \return whether every peer said that it never met an earlier life of this node.
   [[nodiscard]] bool isFirstLifeFor(const std::vector<NodeId>& members, NodeId self) const;
--- a/src/program/owned_program.cpp
+++ b/src/program/owned_program.cpp
@@ -17,6 +17,9 @@
   return outcome == nullptr ? 0 : outcome->answer.size();
 }
 
+/// Request id of the mark; no caller can send it, since header fields have no control characters.
+constexpr const char* kForgottenMark = "\x01 journal of the home zone was lost";
+
 /// A program without calls and with all copies up to date only waits for its leases.
 constexpr Duration kQuietTickInterval = seconds(1);
 /// After that a repair leaves a replica that does not answer to a later one.
@@ -97,17 +100,31 @@
 void OwnedProgram::adoptRecord(Instant now) {
   isLoaded_ = true;
   lastActivity_ = now;
+  if (owner_.mayBeForgotten()) {
+    markForgotten();
+  }
   for (const JournalEntry& entry : owner_.record().entries) {
     journalBytes_ += textBytesOf(entry.body);
   }
   loggedThrough_ = owner_.record().entries.size();
   isEnded_ = owner_.record().closed;
   recordOrphans(ledger_.load(owner_.record()));
+  isForgotten_ = ledger_.findRequest(requestDigestOf(kForgottenMark)) != nullptr;
   for (const CallAdmission& admission : std::exchange(arrivals_, {})) {
     takeArrival(admission);
   }
 }
 
+void OwnedProgram::markForgotten() {
+  // Before anything else: a later owner finds a record that is not empty, and must know too. The
+  // mark is a request that was not run, so it counts in no budget and no history.
+  const CallNumber first(1);
+  owner_.append(IntentEntry{first, BranchId{}, requestDigestOf(kForgottenMark),
+                            contentDigestOf(kForgottenMark), false, 0, "[]"},
+                true);
+  owner_.append(OutcomeEntry{first, CallStatus::NotRun, 0, 0, {}}, true);
+}
+
 void OwnedProgram::recordOrphans(const std::vector<CallNumber>& orphans) {
   // Only the owner that wrote an intent may dispatch it, and that owner is fenced. Whether it did
   // dispatch is not known here, so the call is never dispatched by a takeover; a repeatable
--- a/src/program/owned_program.h
+++ b/src/program/owned_program.h
@@ -40,6 +40,8 @@
   void react(Instant now);
   [[nodiscard]] bool isQuiet() const;
   void adoptRecord(Instant now);
+  /// Notes in the journal that earlier requests of this program may be forgotten.
+  void markForgotten();
   void recordOrphans(const std::vector<CallNumber>& orphans);
   void takeArrival(const CallAdmission& admission);
   bool answerFromLedger(const CallAdmission& admission, const RequestDigest& request);
@@ -82,7 +84,8 @@
   std::optional<SequenceNumber> closeEntry_;
   bool isLoaded_ = false;
   bool isClosing_ = false;
-  bool isEnded_ = false;  ///< The close stands.
+  bool isForgotten_ = false;  ///< Requests of an earlier journal may have run.
+  bool isEnded_ = false;      ///< The close stands.
   bool isRepair_ = false;
   bool isStopping_ = false;
   Instant stoppingSince_;
--- a/src/program/owned_program_calls.cpp
+++ b/src/program/owned_program_calls.cpp
@@ -15,6 +15,10 @@
     refuse(admission.handle, programClosedError());
     return;
   }
+  if (isForgotten_ && !admission.repeatable) {
+    refuse(admission.handle, journalLostError(identity_.key.homeZone));
+    return;
+  }
   Branch& branch = ledger_.branch(branchIdOf(admission.branchPath));
   if (branch.queue.size() >= knobs_.maximumQueuedCallsPerBranch) {
     refuse(admission.handle, queueFullError(knobs_.maximumQueuedCallsPerBranch));
--- a/src/program/program_errors.cpp
+++ b/src/program/program_errors.cpp
@@ -45,6 +45,16 @@
                kRetrySoonSeconds};
 }
 
+Error journalLostError(const std::string& zone) {
+  return Error{
+      ErrorKind::QuorumUnavailable, "Gorsetrail-Program",
+      "the nodes of zone " + zone +
+          " that keep the journal all restarted; the request may have run before",
+      "check at the back end by request id; if it did not run, send it in a new program of "
+      "another home zone, or of this one after 30 minutes",
+      RunOutcome::OutcomeUnknown};
+}
+
 Error homeZoneUnreachableError(const std::string& zone) {
   return Error{ErrorKind::HomeZoneUnreachable, "Gorsetrail-Zone",
                "no node of zone " + zone + " is known here",
--- a/src/program/program_errors.h
+++ b/src/program/program_errors.h
@@ -15,6 +15,8 @@
 Error ownedElsewhereError(std::string location);
 Error staleEpochError(RunOutcome outcome);
 Error quorumUnavailableError(RunOutcome outcome);
+/// The home zone's nodes all restarted: whether the request ran before is not known any more.
+Error journalLostError(const std::string& zone);
 Error homeZoneUnreachableError(const std::string& zone);
 Error queueFullError(std::size_t limit);
 Error requestConflictError();
--- a/src/program/program_owner.cpp
+++ b/src/program/program_owner.cpp
@@ -85,6 +85,7 @@
     return;
   }
   replica->granted = true;
+  replica->forgetful = !granted->record && granted->lastWritten == Epoch(kForgetfulBit);
   replica->pause = knobs_.resendInterval;
   if (phase_ != OwnerPhase::Sealing && phase_ != OwnerPhase::Renewing) {
     replica->lastSent.reset();  // Late, but it can be installed now.
@@ -120,6 +121,10 @@
   } else {
     foundEmpty_ = !best_ || best_->entries.empty();
     record_ = best_ ? *best_ : ProgramRecord{identity_.key, identity_.limits, {}, false};
+    const bool isForgetful =
+        std::any_of(replicas_.begin(), replicas_.end(),
+                    [](const Progress& replica) { return replica.granted && replica.forgetful; });
+    mayBeForgotten_ = foundEmpty_ && isForgetful;
     ownedSince_ = epoch_;
   }
   best_.reset();
--- a/src/program/program_owner.h
+++ b/src/program/program_owner.h
@@ -59,6 +59,8 @@
   /// \return whether the record may be served from: installed on a quorum, or found empty.
   [[nodiscard]] bool isReady() const;
   [[nodiscard]] SequenceNumber standingThrough() const { return standing_; }
+  /// \return whether the program looked new to replicas that may have forgotten it.
+  [[nodiscard]] bool mayBeForgotten() const { return mayBeForgotten_; }
   /// \return whether every entry stands.
   [[nodiscard]] bool isSettled() const;
   /// \return whether every replica has every entry, so that ticks have nothing to do.
@@ -73,6 +75,7 @@
     Progress(NodeId replica, Duration firstPause) : node(replica), pause(firstPause) {}
     NodeId node;
     bool granted = false;
+    bool forgetful = false;  ///< It granted without a record, but may have had one.
     bool installed = false;  ///< It confirmed a write of this epoch.
     std::optional<SealRefused> refused;
     std::uint64_t stored = 0;
@@ -133,6 +136,7 @@
   std::optional<ProgramRecord> best_;
   ProgramRecord record_;
   bool foundEmpty_ = false;
+  bool mayBeForgotten_ = false;
   SequenceNumber standing_;
   bool isUrgent_ = false;
   std::uint64_t urgentThrough_ = 0;  ///< Position of the last urgent entry.
--- a/src/program/program_service.h
+++ b/src/program/program_service.h
@@ -151,6 +151,8 @@
   Duration closedRetention = seconds(300);  ///< Closed programs still replay answers that long.
   /// A replica that has run that long trusts that it never held a program it does not know.
   Duration replicaSeasoning = seconds(1800);
+  /// Time in which a restarted replica is told of the programs it forgot, if anybody knows them.
+  Duration catchUpTime = seconds(15);
   /// Programs a second for which this node helps to refill restarted replicas, so that the repair
   /// of a whole node's copies does not crowd out calls.
   std::uint32_t repairsPerSecond = 200;
--- a/tests/program/repair_test.cpp
+++ b/tests/program/repair_test.cpp
@@ -183,3 +183,66 @@
   cluster.run(seconds(28));
   LONGS_EQUAL(kPrograms, filled());
 }
+
+TEST_GROUP(ZoneLoss) {
+  JournalCluster cluster{5, 17};
+  static constexpr std::uint32_t kOwner = 4;
+  static constexpr std::uint32_t kNext = 5;
+
+  void loseTheZone() {
+    for (const std::uint32_t node : {1U, 2U, 3U}) {
+      cluster.kill(node);
+    }
+    cluster.kill(kOwner);
+    cluster.run(seconds(30));
+    for (const std::uint32_t node : {1U, 2U, 3U, kOwner}) {
+      cluster.restart(node);
+    }
+  }
+  void checkRefused(std::uint32_t node, const std::string& request) {
+    const CallReport& report = cluster.finish(cluster.call(node, request));
+    CHECK(report.error.has_value());
+    CHECK(report.error->kind == ErrorKind::QuorumUnavailable);
+    CHECK(report.error->outcome == RunOutcome::OutcomeUnknown);
+    CHECK(!report.error->remedy.empty());
+  }
+};
+
+TEST(ZoneLoss, aNonRepeatableRequestIsNotRunAgain) {
+  CHECK(cluster.finish(cluster.call(kOwner, "pay")).answer.has_value());
+  loseTheZone();
+  checkRefused(kNext, "pay");
+  cluster.run(seconds(60));
+  checkRefused(kNext, "pay");
+  // Repeatable ones are served, and that does not make a later owner forget.
+  CHECK(cluster.finish(cluster.call(kNext, "ask", true)).answer.has_value());
+  cluster.kill(kNext);
+  checkRefused(kOwner, "pay");
+  LONGS_EQUAL(1, cluster.runsOf("pay"));
+}
+
+TEST(ZoneLoss, afterTheStatedTimeNewProgramsAreServedAgain) {
+  CHECK(cluster.finish(cluster.call(kOwner, "pay")).answer.has_value());
+  loseTheZone();
+  cluster.run(seconds(1801));
+  cluster.key.name = "new";
+  CHECK(cluster.finish(cluster.call(kNext, "pay-2")).answer.has_value());
+}
+
+TEST(ZoneLoss, oneByOneReplacementLeavesNewProgramsAlone) {
+  CHECK(cluster.finish(cluster.call(kOwner, "pay")).answer.has_value());
+  for (const std::uint32_t node : {1U, 2U, 3U}) {
+    cluster.run(seconds(20));
+    cluster.restart(node);
+  }
+  cluster.run(seconds(20));
+  cluster.key.name = "new";
+  CHECK(cluster.finish(cluster.call(kOwner, "pay-2")).answer.has_value());
+}
+
+TEST(ZoneLoss, oneRestartLeavesNewProgramsAlone) {
+  CHECK(cluster.finish(cluster.call(kOwner, "pay")).answer.has_value());
+  cluster.restart(2);
+  cluster.key.name = "new";
+  CHECK(cluster.finish(cluster.call(kOwner, "pay-2")).answer.has_value());
+}
