Check JSON against schemas in one place

Cause: the bundle, a node's settings and the lab's files each had their own use of valijson; two of them had the same walk over unknown keys and the same hints. Change: base/json_schema compiles a schema and names breaches or the validator's own failures; the three users turn them into their errors. JSON pointers stand in base/json_pointer.

--- a/lab/config/json_config.cpp
+++ b/lab/config/json_config.cpp
@@ -3,39 +3,34 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
+#include <vector>
+
+#include "base/json_schema.h"
 
 namespace gorsetrail::lab {
 namespace {
 
-using valijson::adapters::NlohmannJsonAdapter;
-
 Error settingsError(std::string field, std::string reason, std::string remedy) {
   return Error{ErrorKind::InvalidSettings, std::move(field), std::move(reason), std::move(remedy)};
 }
 
-std::string pathOf(const valijson::ValidationResults::Error& error) {
+std::string pathOf(const SchemaFailure& failure) {
   std::string path;
-  for (const std::string& part : error.context) {
+  for (const std::string& part : failure.context) {
     path += part;
   }
   return path;
 }
 
-/// Of all errors, the one deepest in the document names the key at fault.
-Error schemaError(const std::string& source, valijson::ValidationResults& results) {
+/// Of all failures, the one deepest in the document names the key at fault.
+Error schemaError(const std::string& source, const std::vector<SchemaFailure>& failures) {
   std::string path;
   std::string reason;
-  valijson::ValidationResults::Error error;
-  while (results.popError(error)) {
-    const std::string errorPath = pathOf(error);
-    if (reason.empty() || errorPath.size() > path.size()) {
-      path = errorPath;
-      reason = error.description;
+  for (const SchemaFailure& failure : failures) {
+    const std::string failurePath = pathOf(failure);
+    if (reason.empty() || failurePath.size() > path.size()) {
+      path = failurePath;
+      reason = failure.reason;
     }
   }
   return settingsError(source + " " + path, reason,
@@ -46,14 +41,9 @@
 
 Result<Success> checkDocument(const nlohmann::json& document, std::string_view schemaText,
                               const std::string& source) {
-  const nlohmann::json schemaDocument = nlohmann::json::parse(schemaText);
-  valijson::Schema schema;
-  valijson::SchemaParser parser;
-  parser.populateSchema(NlohmannJsonAdapter(schemaDocument), schema);
-  valijson::Validator validator;
-  valijson::ValidationResults results;
-  if (!validator.validate(schema, NlohmannJsonAdapter(document), &results)) {
-    return schemaError(source, results);
+  const std::vector<SchemaFailure> failures = JsonSchema(schemaText).failures(document);
+  if (!failures.empty()) {
+    return schemaError(source, failures);
   }
   return Success{};
 }
--- a/src/bundle/backend_checks.cpp
+++ b/src/bundle/backend_checks.cpp
@@ -4,8 +4,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/json_pointer.h"
 #include "bundle/cross_checks.h"
-#include "bundle/json_text.h"
 
 namespace gorsetrail::bundle {
 namespace {
--- a/src/bundle/envelope.cpp
+++ b/src/bundle/envelope.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/base64.h"
+#include "base/json_pointer.h"
 #include "bundle/bundle_holder.h"
 #include "bundle/json_text.h"
 #include "bundle/limits.h"
--- a/src/bundle/json_text.cpp
+++ b/src/bundle/json_text.cpp
@@ -3,6 +3,8 @@
 #include <set>
 #include <utility>
 
+#include "base/json_pointer.h"
+
 namespace gorsetrail::bundle {
 namespace {
 
@@ -100,24 +102,6 @@
 
 }  // namespace
 
-std::string childPath(const std::string& path, std::string_view key) {
-  std::string result = path + "/";
-  for (const char character : key) {
-    if (character == '~') {
-      result += "~0";
-    } else if (character == '/') {
-      result += "~1";
-    } else {
-      result += character;
-    }
-  }
-  return result;
-}
-
-std::string childPath(const std::string& path, std::size_t index) {
-  return path + "/" + std::to_string(index);
-}
-
 std::variant<nlohmann::json, std::vector<Error>> parseJsonText(std::string_view text) {
   RepeatedKeyFinder finder;
   const auto callback = [&finder](int, json::parse_event_t event, json& parsed) {
--- a/src/bundle/name_checks.cpp
+++ b/src/bundle/name_checks.cpp
@@ -2,9 +2,9 @@
 #include <map>
 #include <set>
 
+#include "base/json_pointer.h"
 #include "bundle/cross_checks.h"
 #include "bundle/ed25519.h"
-#include "bundle/json_text.h"
 
 namespace gorsetrail::bundle {
 namespace {
--- a/src/bundle/work_checks.cpp
+++ b/src/bundle/work_checks.cpp
@@ -1,8 +1,8 @@
 /// Checks of works and tenants.
 #include <algorithm>
 
+#include "base/json_pointer.h"
 #include "bundle/cross_checks.h"
-#include "bundle/json_text.h"
 
 namespace gorsetrail::bundle {
 namespace {
--- a/src/cli/bundle_diff.cpp
+++ b/src/cli/bundle_diff.cpp
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <map>
 
-#include "bundle/json_text.h"
+#include "base/json_pointer.h"
 
 namespace gorsetrail::cli {
 namespace {
 
-using bundle::childPath;
 using nlohmann::json;
 
 /// \return whether the value is a list of objects with different names.
