--- a/src/program/program_errors.cpp
+++ b/src/program/program_errors.cpp
@@ -47,7 +47,7 @@
 
 Error journalLostError(const std::string& zone) {
   return Error{
-      ErrorKind::QuorumUnavailable, "Gorsetrail-Program",
+      ErrorKind::OutcomeNotKnown, "Idempotency-Key",
       "the nodes of zone " + zone +
           " that keep the journal all restarted; the request may have run before",
       "check at the back end by request id; if it did not run, send it in a new program of "
