Merge what stood twice in settings, the lab's files and the scripts

Cause: names of log levels, readers of optional keys and the start and end of child processes were written twice. Change: logLevelNamed, lab/config/json_values and tools/children.sh; behaviour is the same.

--- a/lab/load/load_config.cpp
+++ b/lab/load/load_config.cpp
@@ -3,26 +3,16 @@
 #include <nlohmann/json.hpp>
 
 #include "lab/config/json_config.h"
+#include "lab/config/json_values.h"
 #include "lab/load/load_schema.h"
 
 namespace gorsetrail::load {
 namespace {
 
+using lab::read;
+using lab::readSpan;
 using nlohmann::json;
 
-template <class Value>
-void read(const json& document, const char* key, Value& target) {
-  if (document.contains(key)) {
-    target = document[key].get<Value>();
-  }
-}
-
-void readSpan(const json& document, const char* key, Duration& target) {
-  if (document.contains(key)) {
-    target = milliseconds(document[key].get<std::int64_t>());
-  }
-}
-
 void readRange(const json& document, const char* key, Range& target) {
   if (document.contains(key)) {
     target = {document[key][0].get<std::uint32_t>(), document[key][1].get<std::uint32_t>()};
@@ -50,7 +40,7 @@
   Workload workload;
   read(document, "programs", workload.programs);
   read(document, "concurrency", workload.concurrency);
-  readSpan(document, "maximum_ms", workload.maximumTime);
+  readSpan<milliseconds>(document, "maximum_ms", workload.maximumTime);
   readRange(document, "turns", workload.turns);
   readRange(document, "first_prompt_bytes", workload.firstPromptBytes);
   readRange(document, "turn_bytes", workload.turnBytes);
@@ -63,8 +53,8 @@
   read(document, "repeat_per_mille", workload.repeatPerMille);
   read(document, "looping_programs", workload.loopingPrograms);
   read(document, "looping_tenant", workload.loopingTenant);
-  readSpan(document, "call_time_limit_ms", workload.callTimeLimit);
-  readSpan(document, "tool_time_limit_ms", workload.toolTimeLimit);
+  readSpan<milliseconds>(document, "call_time_limit_ms", workload.callTimeLimit);
+  readSpan<milliseconds>(document, "tool_time_limit_ms", workload.toolTimeLimit);
   read(document, "maximum_attempts", workload.maximumAttempts);
   return workload;
 }
@@ -72,9 +62,9 @@
 LeavingTest leavingTestOf(const json& document) {
   LeavingTest test;
   read(document, "engine", test.engine);
-  readSpan(document, "after_ms", test.after);
-  readSpan(document, "grace_ms", test.grace);
-  readSpan(document, "watch_ms", test.watch);
+  readSpan<milliseconds>(document, "after_ms", test.after);
+  readSpan<milliseconds>(document, "grace_ms", test.grace);
+  readSpan<milliseconds>(document, "watch_ms", test.watch);
   return test;
 }
 
@@ -122,9 +112,9 @@
 Result<LoadConfig> configOf(const json& document) {
   LoadConfig config;
   read(document, "seed", config.seed);
-  readSpan(document, "bundle_grace_ms", config.bundleGrace);
-  readSpan(document, "holds_empty_after_ms", config.holdsEmptyAfter);
-  readSpan(document, "status_interval_ms", config.statusInterval);
+  readSpan<milliseconds>(document, "bundle_grace_ms", config.bundleGrace);
+  readSpan<milliseconds>(document, "holds_empty_after_ms", config.holdsEmptyAfter);
+  readSpan<milliseconds>(document, "status_interval_ms", config.statusInterval);
   for (const json& site : document["sites"]) {
     config.sites.push_back(siteOf(site));
     const Result<Success> checked = checkSite(config.sites.back());
--- a/lab/standin/standin_config.cpp
+++ b/lab/standin/standin_config.cpp
@@ -1,49 +1,18 @@
 #include "lab/standin/standin_config.h"
 
-#include <array>
 #include <nlohmann/json.hpp>
 
 #include "lab/config/json_config.h"
+#include "lab/config/json_values.h"
 #include "lab/standin/standin_schema.h"
 
 namespace gorsetrail::standin {
 namespace {
 
+using lab::read;
+using lab::readSpan;
 using nlohmann::json;
 
-struct LevelName {
-  std::string_view name;
-  LogLevel level;
-};
-constexpr std::array kLevels = {
-    LevelName{"debug", LogLevel::Debug}, LevelName{"info", LogLevel::Info},
-    LevelName{"warning", LogLevel::Warning}, LevelName{"error", LogLevel::Error}};
-
-LogLevel levelNamed(const std::string& name) {
-  for (const LevelName& entry : kLevels) {
-    if (entry.name == name) {
-      return entry.level;
-    }
-  }
-  return LogLevel::Info;
-}
-
-/// Sets `target` when the document has the key.
-template <class Number>
-void read(const json& document, const char* key, Number& target) {
-  if (document.contains(key)) {
-    target = document[key].get<Number>();
-  }
-}
-
-/// Sets a span from a number in units of `Unit`.
-template <class Unit>
-void readSpan(const json& document, const char* key, Duration& target) {
-  if (document.contains(key)) {
-    target = Unit(document[key].get<std::int64_t>());
-  }
-}
-
 void readEngineValues(const json& values, EngineStandInOptions& options) {
   readSpan<microseconds>(values, "base_step_us", options.engine.baseStep);
   readSpan<microseconds>(values, "step_per_stream_us", options.engine.stepPerStream);
@@ -182,7 +151,7 @@
   }
   StandInProcessConfig config;
   read(document, "seed", config.seed);
-  config.logLevel = levelNamed(document.value("log_level", "info"));
+  config.logLevel = logLevelNamed(document.value("log_level", "info"));
   const json defaults = document.value("engine_defaults", json::object());
   for (const json& entry : document["stand_ins"]) {
     const std::uint64_t seed = config.seed + config.standIns.size();
--- a/src/node/settings/settings.cpp
+++ b/src/node/settings/settings.cpp
@@ -1,7 +1,6 @@
 #include "node/settings/settings.h"
 
 #include <algorithm>
-#include <array>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -9,6 +8,7 @@
 #include <utility>
 
 #include "base/base64.h"
+#include "base/log.h"
 #include "http/address.h"
 #include "node/front/json_text.h"
 #include "node/settings/settings_check.h"
@@ -23,20 +23,6 @@
 constexpr const char* kAddressRemedy =
     "give `ipv4:port` or `[ipv6]:port` with a port from 1 to 65535";
 
-struct NamedLevel {
-  std::string_view name;
-  LogLevel level;
-};
-constexpr std::array kLevels = {
-    NamedLevel{"debug", LogLevel::Debug}, NamedLevel{"info", LogLevel::Info},
-    NamedLevel{"warning", LogLevel::Warning}, NamedLevel{"error", LogLevel::Error}};
-
-LogLevel levelNamed(std::string_view name) {
-  const auto found = std::find_if(kLevels.begin(), kLevels.end(),
-                                  [&](const NamedLevel& level) { return level.name == name; });
-  return found == kLevels.end() ? LogLevel::Info : found->level;
-}
-
 /// Flags become part of the document, so that one set of checks holds for both.
 void applyOverrides(const SettingsOverrides& overrides, Json& document) {
   if (overrides.node) {
@@ -84,7 +70,7 @@
       document.value("maximum_stream_buffer_bytes", settings.maximumStreamBufferBytes);
   settings.maximumConnections = document.value("maximum_connections", settings.maximumConnections);
   settings.seed = document.value("seed", settings.seed);
-  settings.logLevel = levelNamed(document.value("log_level", std::string("info")));
+  settings.logLevel = logLevelNamed(document.value("log_level", std::string("info")));
   if (document.contains("default_timeout_ms")) {
     settings.defaultTimeLimit = milliseconds(document.at("default_timeout_ms").get<std::int64_t>());
   }
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -6,18 +6,7 @@
 bin="$build/bin"
 run="run/bench"
 settings="$run/settings.json"
-children=()
-
-start() {
-  local log="$1"
-  shift
-  "$@" >"$log" 2>&1 &
-  children+=($!)
-}
-end_all() {
-  for child in "${children[@]}"; do kill -TERM "$child" 2>/dev/null; done
-  wait
-}
+. tools/children.sh
 trap end_all EXIT
 
 rm -rf "$run"
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -8,20 +8,7 @@
 run="run/demo"
 sites="paino-lumo brazos-bend"
 planned_stop_after_s=8
-children=()
-
-# start LOG COMMAND...: starts a process whose id is appended to `children`.
-start() {
-  local log="$1"
-  shift
-  "$@" >"$log" 2>&1 &
-  children+=($!)
-}
-
-end_all() {
-  for child in "${children[@]}"; do kill -TERM "$child" 2>/dev/null; done
-  wait
-}
+. tools/children.sh
 trap end_all EXIT
 
 fail() {
