Probe one peer a second, and test what mutants showed untested

Cause: probing every peer every two seconds grows with the zone; trials with mutants showed no test for the same-round refusal, the tie between candidates and the stop that waits for a refill. Change: one probe a second and node, in turn. Tests for the three. Conclusion: a constant cost of one small message a second and node.

--- a/src/program/journal_replica.h
+++ b/src/program/journal_replica.h
@@ -67,8 +67,9 @@
   [[nodiscard]] NamedOwner namedOwnerOf(ProgramId program) const;
   /// Tells a member that a program exists: one that forgot it begins to recover.
   void introduceTo(NodeId member, ProgramId program) const;
-  /// Introduces one program to each peer that is found among the first `limit` copies.
-  void probePeers(std::size_t limit) const;
+  /// Introduces one program to one of the peers found among the first `limit` copies, another one
+  /// at each turn.
+  void probePeer(std::size_t turn, std::size_t limit) const;
   /// @}
 
   /// \return the record held, or null.
--- a/src/program/journal_replica_recovery.cpp
+++ b/src/program/journal_replica_recovery.cpp
@@ -1,5 +1,7 @@
 // Barrier and refill: how a replica that lost its memory comes to count again.
 #include <algorithm>
+#include <iterator>
+#include <map>
 
 #include "program/epochs.h"
 #include "program/journal_replica.h"
@@ -206,22 +208,23 @@
   commands_.send(member, std::move(introduction));
 }
 
-void JournalReplica::probePeers(std::size_t limit) const {
-  std::vector<NodeId> probed{self_};
+void JournalReplica::probePeer(std::size_t turn, std::size_t limit) const {
+  std::map<NodeId, ProgramId> shared;
   for (const auto& [program, copy] : copies_) {
     if (limit-- == 0) {
-      return;
-    }
-    if (copy.written == Epoch{}) {
-      continue;
+      break;
     }
-    for (const NodeId member : membersOf(program)) {
-      if (!contains(probed, member)) {
-        probed.push_back(member);
-        introduceTo(member, program);
+    if (copy.written != Epoch{}) {
+      for (const NodeId member : membersOf(program)) {
+        shared.emplace(member, program);
       }
     }
   }
+  shared.erase(self_);
+  if (!shared.empty()) {
+    const auto peer = std::next(shared.begin(), static_cast<std::ptrdiff_t>(turn % shared.size()));
+    introduceTo(peer->first, peer->second);
+  }
 }
 
 }  // namespace gorsetrail::program
--- a/src/program/replica_repair.cpp
+++ b/src/program/replica_repair.cpp
@@ -7,7 +7,7 @@
 
 constexpr Duration kSlice = milliseconds(100);
 constexpr std::uint32_t kSlicesPerSecond = 10;
-constexpr Duration kProbeInterval = seconds(2);
+constexpr Duration kProbeInterval = seconds(1);
 /// Enough to meet every member of a zone of a few dozen nodes.
 constexpr std::size_t kProbedCopies = 64;
 /// Time for the peer's barrier to be answered before its refill begins.
@@ -21,7 +21,12 @@
 
 ReplicaRepair::ReplicaRepair(NodeId self, const ProgramKnobs& knobs, const PeerLiveness& liveness,
                              JournalReplica& replica, CommandQueue& commands)
-    : self_(self), knobs_(knobs), liveness_(liveness), replica_(replica), commands_(commands) {}
+    : self_(self),
+      knobs_(knobs),
+      liveness_(liveness),
+      replica_(replica),
+      commands_(commands),
+      probeTurn_(self.value()) {}
 
 std::vector<ProgramId> ReplicaRepair::onTick(Instant now) {
   if (now < nextSlice_) {
@@ -31,7 +36,7 @@
   collect(now);
   if (now >= nextProbe_) {
     nextProbe_ = now + kProbeInterval;
-    replica_.probePeers(kProbedCopies);
+    replica_.probePeer(probeTurn_++, kProbedCopies);
   }
   std::size_t allowance = std::max(1U, knobs_.repairsPerSecond / kSlicesPerSecond);
   std::vector<ProgramId> takeovers = advanceNeeds(allowance, now);
--- a/src/program/replica_repair.h
+++ b/src/program/replica_repair.h
@@ -2,9 +2,9 @@
 /// seconds, whether or not a caller comes.
 ///
 /// Steps, and what each is for:
-/// 1. *Probe*: every two seconds one program is introduced to each peer; a peer that restarted and
-///    hears nothing else begins to recover that one, and by its barrier request makes its new life
-///    known to the group.
+/// 1. *Probe*: each second one program is introduced to one peer, in turn; every node is probed
+///    about once a second by one of its peers. A peer that restarted begins to recover that
+///    program, and by its barrier request makes its new life known to the group.
 /// 2. *Introduce*: to a peer whose new life was met, every program that it shares, paced.
 /// 3. *Refill*: a peer that has no content repeats its barrier request until it is filled. A
 ///    member with content then wakes the live owner, which seals again above the barrier; if there
@@ -68,6 +68,7 @@
   std::unordered_map<ProgramId, Need> needs_;
   Instant nextSlice_;
   Instant nextProbe_;
+  std::size_t probeTurn_;  ///< Starts at another peer on each node, so that probes spread.
 };
 
 }  // namespace gorsetrail::program
--- a/tests/program/journal_replica_test.cpp
+++ b/tests/program/journal_replica_test.cpp
@@ -71,6 +71,16 @@
   CHECK(reply().verdict == AppendVerdict::StaleEpoch);
 }
 
+TEST(JournalReplica, anotherCandidateOfTheSameRoundIsRefusedWhileAnOwnerIsNamed) {
+  seal(firstEpoch(NodeId(4)), 4);
+  commands.take();
+  CHECK(firstEpoch(NodeId(4)) < firstEpoch(NodeId(5)));
+  seal(firstEpoch(NodeId(5)), 5);
+  CHECK(std::get<SealRefused>(only<SealReply>().verdict).owner == NodeId(4));
+  seal(epochAbove(firstEpoch(NodeId(4)), NodeId(5)), 5);
+  CHECK(std::holds_alternative<SealGranted>(only<SealReply>().verdict));
+}
+
 TEST(JournalReplica, theSameEpochIsGrantedAgainToTheSameLifeOnly) {
   seal(firstEpoch(NodeId(5)), 5, 1);
   commands.take();
--- a/tests/program/repair_test.cpp
+++ b/tests/program/repair_test.cpp
@@ -154,6 +154,19 @@
   CHECK(cluster.service(kOwner).isDrained());
 }
 
+TEST(Repair, aPlannedStopWaitsForAMemberThatAsksForARefill) {
+  open();
+  release();
+  cluster.pause(3);  // Without its answer the restarted replica stays in recovery.
+  cluster.restart(2);
+  cluster.run(seconds(3));
+  cluster.service(1).beginStop(cluster.now());
+  cluster.run(seconds(1));
+  CHECK(!cluster.service(1).isDrained());
+  cluster.run(seconds(5));
+  CHECK(cluster.service(1).isDrained());
+}
+
 TEST_GROUP(RepairPace){};
 
 TEST(RepairPace, aNodesCopiesAreRefilledNoFasterThanTheKnob) {
