Write a response's bytes at once, and wait only for what is left

Cause: a profile of a node under 512 streams (26 us of processor time a token) showed 42% in system calls: one send, two receives (the second finds nothing) and a share of epoll_wait a token. Each send also went through a composed write operation and a second trip through the scheduler, though the kernel takes nearly every write whole. Change: `flush` tries the write itself on the non-blocking socket and starts an operation only for the rest. A new test reads a 16 MB stream late: the rest follows whole and in order, and every byte is counted.

--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -70,6 +70,7 @@
                  std::optional<std::size_t> contentLength);
   void scheduleFlush();
   void flush();
+  void writeRest(std::size_t taken);
   void onWritten(const boost::system::error_code& error, std::size_t bytes);
   void finishExchange();
   void linger();
--- a/src/http/server_connection_writing.cpp
+++ b/src/http/server_connection_writing.cpp
@@ -114,14 +114,28 @@
   });
 }
 
+// Nearly every write fits into the kernel's buffer: it is written here, and only the rest of one
+// that does not waits for the reactor.
 void ServerConnection::flush() {
   if (state_ == State::Closed || writing_ || outgoing_.empty()) {
     return;
   }
+  inFlight_.swap(outgoing_);
+  error_code error;
+  const std::size_t taken = socket_.write_some(asio::buffer(inFlight_), error);
+  const bool kernelIsFull = error == asio::error::would_block || error == asio::error::try_again;
+  if (kernelIsFull || (!error && taken < inFlight_.size())) {
+    writeRest(taken);
+  } else {
+    onWritten(error, taken);
+  }
+}
+
+void ServerConnection::writeRest(std::size_t taken) {
   writing_ = true;
   writeSince_ = shared_->now();
-  inFlight_.swap(outgoing_);
-  asio::async_write(socket_, asio::buffer(inFlight_),
+  shared_->counters.bytesWritten += taken;
+  asio::async_write(socket_, asio::buffer(inFlight_) + taken,
                     [self = shared_from_this()](const error_code& error, std::size_t bytes) {
                       self->onWritten(error, bytes);
                     });
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -290,6 +290,30 @@
   until([&] { return gone == 1; });
 }
 
+// What the kernel does not take at once must follow whole and in order, also what is written while
+// it waits.
+TEST(HttpServer, AStreamThatIsReadLateArrivesWhole) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.send("GET /a HTTP/1.0\r\nHost: x\r\n\r\n");
+  untilRequests(1);
+  writers[0]->beginStream(200, {});
+  std::string expected;
+  for (char letter = 'a'; letter <= 'p'; ++letter) {
+    const std::string block(1024 * 1024, letter);
+    writers[0]->write(block);
+    expected += block;
+    context.poll();
+  }
+  CHECK_TRUE(writers[0]->bytesWaiting() > 0);
+  LONGS_EQUAL(0, gone);
+  writers[0]->endStream();
+  client.startReading();
+  until([&] { return client.closedByServer; });
+  CHECK_TRUE(client.received.ends_with("\r\n\r\n" + expected));
+  LONGS_EQUAL(client.received.size(), server->counters().bytesWritten);
+}
+
 TEST(HttpServer, TellsWhenEverythingWrittenIsFlushed) {
   start();
   RawClient client(context, server->listeningPort());
