--- a/lab/emulator/emulator_command.cpp
+++ b/lab/emulator/emulator_command.cpp
@@ -18,8 +18,8 @@
 DEFINE_string(loads, "0.8", "loads of compare, by commas");
 DEFINE_double(load, 0.8, "arrivals as a share of the workload's capacity");
 DEFINE_bool(retention, true, "whether prefix-affinity holds prefixes while tools run");
-DEFINE_uint32(seeds, 3, "seeds of compare, from --seed on");
-DEFINE_uint32(threads, 4, "emulations of compare that run side by side");
+DEFINE_uint32(seed_count, 3, "seeds of compare, from --seed on");
+DECLARE_uint32(threads);
 
 namespace gorsetrail::emulator {
 namespace {
@@ -140,7 +140,7 @@
     options.loads.push_back(std::strtod(load.c_str(), nullptr));
   }
   options.firstSeed = seedOf(arguments);
-  options.seeds = std::max(1U, FLAGS_seeds);
+  options.seeds = std::max(1U, FLAGS_seed_count);
   options.threads = FLAGS_threads;
   options.retention = FLAGS_retention;
   const std::vector<PolicyRuns> results = comparePolicies(valueOf(workload), options);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -13,6 +13,7 @@
 DEFINE_string(config, "", "configuration file (JSON) of the subcommand");
 DEFINE_string(format, "table", "form of the summary: json or table");
 DEFINE_uint64(seed, 0, "seed; 0 takes the one of the configuration file");
+DEFINE_uint32(threads, 4, "runs of `soak` and `compare` that go on side by side");
 
 namespace {
 
--- a/lab/sim/sim_command.cpp
+++ b/lab/sim/sim_command.cpp
@@ -22,7 +22,7 @@
 DEFINE_string(trace, "", "`run`: a program whose requests are written to standard error");
 DEFINE_string(seeds, "1..10", "`soak`: seeds, FIRST..LAST");
 DEFINE_string(scenarios, "lab/scenarios", "`list` and `soak`: directory of the scenario files");
-DEFINE_uint32(threads, 4, "`soak`: runs at one time, each in a thread of its own");
+DECLARE_uint32(threads);
 
 namespace gorsetrail::sim {
 namespace {
