--- a/src/program/journal_replica.cpp
+++ b/src/program/journal_replica.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kSweepInterval = seconds(1);
+/// After a restart hundreds of copies may recover at once: they are looked at in steps.
+constexpr Duration kRecoveryInterval = milliseconds(50);
 /// An unclosed program that no owner touched for so many idle leases is dropped.
 constexpr int kAbandonedIdleLeases = 4;
 
@@ -50,6 +52,9 @@
   if (now - *startedAt_ >= knobs_.replicaSeasoning) {
     return true;
   }
+  if (lives_.hasEarlierLife()) {
+    return false;
+  }
   const std::vector<NodeId> members = membersOf(program);
   return !members.empty() && lives_.isFirstLifeFor(members, self_);
 }
@@ -224,7 +229,10 @@
 
 void JournalReplica::onTick(Instant now) {
   noteStart(now);
-  std::erase_if(recovering_, [&](ProgramId program) { return !keepRecovering(program, now); });
+  if (now >= nextRecoveryStep_) {
+    nextRecoveryStep_ = now + kRecoveryInterval;
+    std::erase_if(recovering_, [&](ProgramId program) { return !keepRecovering(program, now); });
+  }
   if (now >= nextSweep_) {
     nextSweep_ = now + kSweepInterval;
     std::erase_if(copies_, [&](const auto& item) { return isExpired(item.second, now); });
--- a/src/program/journal_replica.h
+++ b/src/program/journal_replica.h
@@ -139,6 +139,7 @@
   std::optional<Instant> startedAt_;
   std::optional<Instant> heardRememberingAt_;  ///< First answer of a member that remembers.
   Instant nextSweep_;
+  Instant nextRecoveryStep_;
   std::unordered_map<ProgramId, Copy> copies_;
   std::vector<ProgramId> recovering_;  ///< Not filled yet.
   std::vector<NodeId> newLives_;
