--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -103,13 +103,24 @@
     list.add(peers.dropped[index],
              {{"subsystem", wire::subsystemName(static_cast<wire::Subsystem>(index))}});
   }
+  list.counter("peer_frames_lost_total", "Frames under way when their link broke",
+               peers.framesLost);
   list.counter("peer_frames_expired_total", "Frames too old when the link was up again",
                peers.framesExpired);
+  list.counter("peer_frames_too_long_total", "Messages over the longest frame, not sent",
+               peers.framesTooLong);
+  list.counter("peer_frames_unaddressed_total", "Messages to a node that is no member",
+               peers.framesUnaddressed);
   list.counter("peer_frames_invalid_total", "Frames that could not be verified",
                peers.framesInvalid);
   list.counter("peer_senders_unknown_total", "Links closed since the sender is no member",
                peers.sendersUnknown);
   list.counter("peer_connects_failed_total", "Failed connections to nodes", peers.connectsFailed);
+  list.counter("peer_links_opened_total", "Links opened by this node", peers.linksOpened);
+  list.counter("peer_links_accepted_total", "Links accepted from members", peers.linksAccepted);
+  list.counter("peer_links_timed_out_total", "Accepted links that fell silent",
+               peers.linksTimedOut);
+  list.counter("peer_links_refused_total", "Links over the limit", peers.linksRefused);
   list.gauge("peer_links_incoming", "Links opened by other nodes", peers.linksIncoming);
   list.gauge("peer_links_outgoing", "Links to other nodes", peers.linksOutgoing);
 }
