--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -88,15 +88,16 @@
                core_->onBackendReport(report, steadyNow());
                carryOutCommands();
              }),
-      holds_(*client_,
-             [this](const engine::HoldResult& result) {
-               core_->onHoldResult(result, steadyNow());
-               carryOutCommands();
-             },
-             [this](const engine::HoldInventory& inventory) {
-               core_->onHoldInventory(inventory, steadyNow());
-               carryOutCommands();
-             }),
+      holds_(
+          *client_,
+          [this](const engine::HoldResult& result) {
+            core_->onHoldResult(result, steadyNow());
+            carryOutCommands();
+          },
+          [this](const engine::HoldInventory& inventory) {
+            core_->onHoldInventory(inventory, steadyNow());
+            carryOutCommands();
+          }),
       log_(*client_, settings_.platformLog),
       bundles_(log_, *timers_, kBundleStream, LogOffset(0), platform::Pace{}, settings_.seed,
                [this](const platform::LogRecord& record) { onBundleRecord(record); }),
