--- a/src/wire/send_queue.cpp
+++ b/src/wire/send_queue.cpp
@@ -41,7 +41,7 @@
   return frames_.begin();
 }
 
-void SendQueue::erase(std::deque<QueuedFrame>::iterator position) {
+void SendQueue::erase(const std::deque<QueuedFrame>::iterator& position) {
   bytes_ -= position->bytes.size();
   frames_.erase(position);
 }
--- a/src/wire/send_queue.h
+++ b/src/wire/send_queue.h
@@ -55,7 +55,7 @@
  private:
   [[nodiscard]] bool isOverFull() const;
   [[nodiscard]] std::deque<QueuedFrame>::iterator leastNeeded();
-  void erase(std::deque<QueuedFrame>::iterator position);
+  void erase(const std::deque<QueuedFrame>::iterator& position);
 
   SendQueueLimits limits_;
   std::deque<QueuedFrame> frames_;
