--- a/lab/enginemodel/block_cache.cpp
+++ b/lab/enginemodel/block_cache.cpp
@@ -103,6 +103,7 @@
     Instant nextUse;
     std::uint32_t depth;
     PrefixHash prefix;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison.
     auto operator<=>(const Candidate&) const = default;
   };
   std::vector<Candidate> candidates;
--- a/lab/enginemodel/block_cache.h
+++ b/lab/enginemodel/block_cache.h
@@ -127,6 +127,7 @@
     std::uint64_t lastUse = 0;
     std::uint32_t heightFromEnd = 0;  ///< The complement of the depth: deeper goes first.
     PrefixHash prefix;
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the defaulted comparison.
     auto operator<=>(const EvictionKey&) const = default;
   };
 
--- a/lab/sim/node_host.cpp
+++ b/lab/sim/node_host.cpp
@@ -44,7 +44,8 @@
   options.site = kSiteName;
   options.members = members_;
   options.trustAnchors = trustAnchors();
-  options.seed = context_.seed * 100003 + id.value() * 101 + options.incarnation.value();
+  options.seed =
+      context_.seed * 100003 + std::uint64_t{id.value()} * 101 + options.incarnation.value();
   options.programKnobs.idleLease = context_.scenario.idleLease;
   target.incarnation = options.incarnation;
   target.core = factory_(std::move(options));
--- a/lab/sim/platform.cpp
+++ b/lab/sim/platform.cpp
@@ -75,6 +75,7 @@
     }
   }
   std::vector<membership::MachineListLine> list;
+  list.reserve(latest.size());
   for (const auto& [key, line] : latest) {
     list.push_back(line);
   }
