Prepare and publish a site in one place for demo and bench

Cause: both scripts made a key, put it into settings and bundle, signed and published with the same lines. Change: tools/site.sh holds the two steps; behaviour is the same. Conclusion: the description of networks in the scenario schema still stands twice.

--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -7,15 +7,11 @@
 run="run/bench"
 settings="$run/settings.json"
 . tools/children.sh
+. tools/site.sh
 trap end_all EXIT
 
 rm -rf "$run"
-mkdir -p "$run"
-"$bin/gorsetrail" keygen --name operator-a --out "$run/operator-a.pem" --force --format json >"$run/key.json" || exit 1
-key="$(grep -o '"public_key": *"[^"]*"' "$run/key.json" | cut -d'"' -f4)"
-for file in settings.json bundle.json; do
-  sed "s|@OPERATOR_PUBLIC_KEY@|$key|" "bench/relay/site/$file" >"$run/$file"
-done
+prepare_site bench/relay/site "$run" || exit 1
 start "$run/standins.log" "$bin/gorsetrail-lab" standin --config bench/relay/site/standins.json
 for node in 1 2 3; do
   start "$run/node-$node.log" "$bin/gorsetraild" --settings "$settings" --node "$node" --incarnation 1 \
@@ -23,9 +19,7 @@
 done
 node_one="${children[1]}"
 sleep 1
-"$bin/gorsetrail" bundle sign "$run/bundle.json" --name operator-a --key "$run/operator-a.pem" \
-  --out "$run/bundle.envelope" >/dev/null || exit 1
-"$bin/gorsetrail" bundle publish "$run/bundle.envelope" --log 127.0.0.1:17001 --settings "$settings" >/dev/null || exit 1
+sign_and_publish "$run" 127.0.0.1:17001 >/dev/null || exit 1
 "$bin/gorsetrail" bundle status --nodes 127.0.0.1:17101,127.0.0.1:17102,127.0.0.1:17103 --wait_version 1 >/dev/null || exit 1
 engines="$(for engine in 1 2 3 4 5 6 7 8; do printf '%s127.0.0.1:1730%s' "$([ "$engine" -gt 1 ] && echo ,)" "$engine"; done)"
 "$bin/relay_bench" --engines "$engines" --node 127.0.0.1:17101 --node_pid "$node_one" \
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -9,6 +9,7 @@
 sites="paino-lumo brazos-bend"
 planned_stop_after_s=8
 . tools/children.sh
+. tools/site.sh
 trap end_all EXIT
 
 fail() {
@@ -30,18 +31,6 @@
 }
 members_of() { awk '/"members"/ { inside = 1 } inside && /"node":/ { count++ } END { print count }' "deploy/$1/settings.json"; }
 
-prepare_site() {
-  local site="$1"
-  mkdir -p "$run/$site"
-  "$bin/gorsetrail" keygen --name operator-a --out "$run/$site/operator-a.pem" --force \
-    --format json >"$run/$site/key.json" || fail "$site: no key"
-  local key
-  key="$(grep -o '"public_key": *"[^"]*"' "$run/$site/key.json" | cut -d'"' -f4)"
-  for file in settings.json bundle.json; do
-    sed "s|@OPERATOR_PUBLIC_KEY@|$key|" "deploy/$site/$file" >"$run/$site/$file"
-  done
-}
-
 start_node() {
   local site="$1" node="$2" incarnation="$3"
   start "$run/$site/node-$node.log" "$bin/gorsetraild" --settings "$run/$site/settings.json" \
@@ -62,17 +51,14 @@
 publish_bundle() {
   local site="$1" log
   log="$(awk '/"log":/ { gsub(/[",]/, "", $2); print $2; exit }' "deploy/$site/settings.json")"
-  "$bin/gorsetrail" bundle sign "$run/$site/bundle.json" --name operator-a --key "$run/$site/operator-a.pem" \
-    --out "$run/$site/bundle.envelope" >/dev/null || fail "$site: the bundle was not signed"
-  "$bin/gorsetrail" bundle publish "$run/$site/bundle.envelope" --log "$log" \
-    --settings "$run/$site/settings.json" || fail "$site: the bundle was not published"
+  sign_and_publish "$run/$site" "$log" || fail "$site: the bundle was not signed or published"
   "$bin/gorsetrail" bundle status --nodes "$(caller_addresses "$site")" --wait_version 1 --timeout_s 15 ||
     fail "$site: the bundle is not in force at every node"
 }
 
 rm -rf "$run"
 stop_later=()
-for site in $sites; do prepare_site "$site"; done
+for site in $sites; do prepare_site "deploy/$site" "$run/$site" || fail "$site: no key"; done
 for site in $sites; do start_site "$site"; done
 sleep 1
 for site in $sites; do publish_bundle "$site"; done
