--- a/cmake/GorsetrailTargets.cmake
+++ b/cmake/GorsetrailTargets.cmake
@@ -1,6 +1,6 @@
 # Helpers that give every folder the same shape of target.
 
-add_compile_options(-Wall -Wextra -Wpedantic -Werror -Wno-error=maybe-uninitialized)
+add_compile_options(-Wall -Wextra -Wpedantic -Werror -Wno-error=maybe-uninitialized -Wno-error=restrict)
 if(GORSETRAIL_SANITIZE)
   add_compile_options(-fsanitize=address,undefined -fno-omit-frame-pointer -O1)
   add_link_options(-fsanitize=address,undefined)
--- a/cmake/GorsetrailThirdParty.cmake
+++ b/cmake/GorsetrailThirdParty.cmake
@@ -2,7 +2,9 @@
 
 find_package(Threads REQUIRED)
 find_package(OpenSSL 3 REQUIRED)
-find_package(rapidcheck REQUIRED)
+if(NOT GORSETRAIL_EDGE_ONLY)
+  find_package(rapidcheck REQUIRED)
+endif()
 find_library(GFLAGS_LIBRARY gflags REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 find_library(PROMETHEUS_CORE_LIBRARY prometheus-cpp-core REQUIRED)
--- /dev/null
+++ b/src/edge/edge_context.h
@@ -0,0 +1,67 @@
+/// \file What every request of an edge node shares.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "base/time.h"
+#include "edge/event_log.h"
+#include "edge/wire_adapter.h"
+#include "http/http_client.h"
+#include "ledger/program_ledger.h"
+#include "routing/replica_selector.h"
+#include "routing/replica_table.h"
+#include "routing/route_table.h"
+#include "services/timer_service.h"
+
+namespace gorsetrail::edge {
+
+/// Counts of what became of requests; all only rise.
+struct EdgeCounters {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;        ///< A replica's whole answer was handed on.
+  std::uint64_t refused = 0;         ///< 503 and 402: it has not run.
+  std::uint64_t unknownOutcome = 0;  ///< 502 and 504: it may have run.
+  std::uint64_t brokenOff = 0;       ///< The connection closed amid a stream.
+  std::uint64_t clientsGone = 0;
+  std::uint64_t dispatches = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t resumes = 0;
+};
+
+/// When the node last had word of the store, and so how old its tables may be.
+struct Freshness {
+  Instant configurationHeardAt;
+  Instant replicasHeardAt;
+};
+
+/// Knobs of a request's life.
+struct ExchangeKnobs {
+  std::uint32_t maximumRefusedTries = 4;  ///< Replicas asked that did not run the request.
+  std::uint32_t maximumResumes = 3;
+  Duration suspicionTime = milliseconds(1500);
+  Duration fullTime = milliseconds(60);
+  Duration retryAfterFull = milliseconds(150);
+  Duration retryAfterStore = milliseconds(250);
+  Duration connectTimeLimit = milliseconds(400);
+  /// A route that is not in a configuration this old may have been added since.
+  Duration configurationTrust = milliseconds(1800);
+};
+
+/// Owned by the daemon, or by a test; outlives every exchange.
+struct EdgeContext {
+  const WireAdapter& wire;
+  routing::RouteTable& routes;
+  routing::ReplicaTable& replicas;
+  routing::ReplicaSelector& selector;
+  ledger::ProgramLedger& ledger;
+  http::HttpClient& client;
+  services::TimerService& timers;
+  std::function<Instant()> clock;
+  EventLog& log;
+  EdgeCounters counters;
+  Freshness freshness;
+  ExchangeKnobs knobs;
+};
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/edge_daemon.cpp
@@ -0,0 +1,373 @@
+#include "edge/edge_daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "edge/exchange.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+constexpr char kMemberTopic[] = "keyed.nodes";
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+constexpr Duration kFlushPeriod = milliseconds(250);
+constexpr Duration kSweepPeriod = seconds(10);
+constexpr Duration kStopCheckPeriod = milliseconds(100);
+/// Clients may hold this node's address for a while after it left the directory.
+constexpr Duration kShortestStop = seconds(4);
+/// Left of the stop limit for the end of the process.
+constexpr Duration kStopMargin = milliseconds(700);
+constexpr Duration kAnnounceTimeLimit = milliseconds(800);
+/// Clients ask again after this, so that a dead node is not used for long.
+constexpr double kAddressTtlSeconds = 2.0;
+constexpr Duration kServerSweepPeriod = seconds(2);
+
+Instant steadyNow() {
+  const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+  return Instant(std::chrono::duration_cast<Duration>(sinceStart));
+}
+
+ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings) {
+  constexpr std::uint64_t kShareOfMemory = 8;
+  ledger::LedgerKnobs knobs;
+  knobs.partitionsPerTopic = settings.store.partitionsPerTopic;
+  knobs.maximumRecordBytes = settings.store.maximumRecordBytes;
+  knobs.cacheBytes = settings.memoryBytes / kShareOfMemory;
+  return knobs;
+}
+
+std::uint64_t ageMilliseconds(Instant now, Instant then) {
+  return static_cast<std::uint64_t>(std::max<Duration::rep>(0, (now - then).count() / 1000));
+}
+
+}  // namespace
+
+EdgeDaemon::EdgeDaemon(boost::asio::io_context& context, EdgeSettings settings, EdgeParts parts,
+                       std::uint64_t seed)
+    : ioContext_(context),
+      settings_(std::move(settings)),
+      parts_(parts),
+      timers_(services::makeTimerService(context)),
+      clock_(steadyNow),
+      log_(standardOutput(), clock_, {}),
+      store_(parts.store, *timers_, clock_, {}, seed),
+      ledger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
+      selector_(settings_.zone, {}),
+      members_({}),
+      context_{parts.wire, routes_, replicas_, selector_, ledger_, parts.client,
+               *timers_,   clock_,  log_,      {},        {},      {}} {}
+
+EdgeDaemon::~EdgeDaemon() { log_.flush(); }
+
+Result<Success> EdgeDaemon::start() {
+  const auto listening = listen();
+  if (!succeeded(listening)) {
+    return listening;
+  }
+  log_.important("started", {{"node", settings_.nodeName},
+                             {"zone", settings_.zone},
+                             {"clients", settings_.listen.clients},
+                             {"store", settings_.store.address}});
+  followConfiguration();
+  followReplicas();
+  followMembers();
+  announceLoop();
+  flushLoop();
+  sweepLoop();
+  return Success{};
+}
+
+Result<http::HttpServerPtr> EdgeDaemon::serve(
+    const std::string& address,
+    std::function<void(http::ServerRequest, http::ResponseWriterPtr)> onRequest) {
+  http::HttpServerOptions options;
+  options.listenAddress = address;
+  options.knobs.maximumBodyBytes = routing::ClientLimits{}.maximumBodyBytes;
+  options.knobs.maximumConnections = settings_.maximumDescriptors / 2;
+  options.knobs.sweepPeriod = kServerSweepPeriod;
+  options.onRequest = std::move(onRequest);
+  options.onFault = [this](http::ProtocolFault fault) {
+    constexpr unsigned kBadRequest = 400;
+    constexpr unsigned kTimeout = 408;
+    constexpr unsigned kBodyTooLarge = 413;
+    constexpr unsigned kHeadTooLarge = 431;
+    unsigned status = kBadRequest;
+    if (fault == http::ProtocolFault::HeadTooLarge) {
+      status = kHeadTooLarge;
+    } else if (fault == http::ProtocolFault::BodyTooLarge) {
+      status = kBodyTooLarge;
+    } else if (fault == http::ProtocolFault::RequestTimedOut) {
+      status = kTimeout;
+    }
+    log_.important("request_unreadable", {{"status", std::uint64_t{status}}});
+    return http::WholeResponse{status, {}, {}};
+  };
+  return http::makeHttpServer(ioContext_, std::move(options));
+}
+
+Result<Success> EdgeDaemon::listen() {
+  auto clients =
+      serve(settings_.listen.clients, [this](http::ServerRequest request,
+                                             http::ResponseWriterPtr writer) {
+        onClientRequest(std::move(request), std::move(writer));
+      });
+  if (!succeeded(clients)) {
+    return errorOf(clients);
+  }
+  clientServer_ = std::move(valueOf(clients));
+  if (!settings_.listen.readiness.empty()) {
+    auto readiness = serve(settings_.listen.readiness,
+                           [this](const http::ServerRequest& /*request*/,
+                                  const http::ResponseWriterPtr& writer) {
+                             onReadinessRequest(writer);
+                           });
+    if (!succeeded(readiness)) {
+      return errorOf(readiness);
+    }
+    readinessServer_ = std::move(valueOf(readiness));
+  }
+  if (!settings_.listen.directory.empty()) {
+    auto directory = serve(settings_.listen.directory,
+                           [this](const http::ServerRequest& request,
+                                  const http::ResponseWriterPtr& writer) {
+                             onDirectoryRequest(request, writer);
+                           });
+    if (!succeeded(directory)) {
+      return errorOf(directory);
+    }
+    directoryServer_ = std::move(valueOf(directory));
+  }
+  return Success{};
+}
+
+void EdgeDaemon::onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer) {
+  std::make_shared<Exchange>(context_, parts_.wire.readRequest(std::move(request)),
+                             std::move(writer))
+      ->start();
+}
+
+bool EdgeDaemon::isReady() const {
+  return !stopping_ && routes_.inForce() != nullptr && replicas_.size() > 0;
+}
+
+void EdgeDaemon::onReadinessRequest(const http::ResponseWriterPtr& writer) {
+  writer->sendWhole({isReady() ? kOk : kUnavailable, {}, {}});
+}
+
+void EdgeDaemon::onDirectoryRequest(const http::ServerRequest& request,
+                                    const http::ResponseWriterPtr& writer) {
+  const auto query = parts_.wire.readDirectoryQuery(request);
+  if (!query) {
+    writer->sendWhole({kNotFound, {}, {}});
+    return;
+  }
+  std::vector<std::string> addresses = members_.clientAddresses(query->zone);
+  if (addresses.empty() && isReady()) {
+    addresses.push_back(settings_.listen.clients);
+  }
+  if (addresses.empty()) {
+    writer->sendWhole({kUnavailable, {}, {}});
+    return;
+  }
+  const double ttl = std::min(kAddressTtlSeconds, settings_.bounds.maximumAddressTtlSeconds);
+  writer->sendWhole(parts_.wire.makeDirectoryAnswer(addresses, ttl));
+}
+
+void EdgeDaemon::followConfiguration() {
+  logstore::KeyedTopicFollowerKnobs knobs;
+  knobs.wait = milliseconds(1200);
+  knobs.pause = milliseconds(5);
+  logstore::KeyedTopicObserver observer;
+  observer.onRecord = [this](const std::string& key, const std::string& value) {
+    onConfigurationRecord(key, value);
+  };
+  observer.onListed = [](const std::vector<std::string>& /*keys*/) {};
+  observer.onFresh = [this](Instant askedAt) {
+    context_.freshness.configurationHeardAt = askedAt;
+    noteStoreAnswer(askedAt);
+  };
+  observer.onStale = [this](const logstore::StoreError& error) {
+    noteStoreSilence("configuration", error);
+  };
+  configurationFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
+      store_, *timers_, clock_,
+      logstore::PartitionAddress{parts_.documents.configurationTopic(), 0}, knobs, observer);
+  configurationFollower_->start();
+}
+
+void EdgeDaemon::onConfigurationRecord(const std::string& key, const std::string& value) {
+  if (key != parts_.documents.configurationKey() || value.empty()) {
+    return;
+  }
+  auto read = parts_.documents.readConfiguration(value);
+  if (!succeeded(read)) {
+    log_.important("configuration_unreadable", {{"error", errorOf(read).toText()}});
+    return;
+  }
+  auto configuration = std::make_shared<const routing::Configuration>(std::move(valueOf(read)));
+  const std::uint64_t version = configuration->version.value();
+  const std::uint64_t routes = configuration->routes.size();
+  const bool newer = routes_.apply(std::move(configuration));
+  log_.important(newer ? "configuration_in_force" : "configuration_not_newer",
+                 {{"version", version}, {"routes", routes}});
+}
+
+void EdgeDaemon::followReplicas() {
+  logstore::KeyedTopicObserver observer;
+  observer.onRecord = [this](const std::string& key, const std::string& value) {
+    onReplicaRecord(key, value);
+  };
+  observer.onListed = [this](const std::vector<std::string>& keys) {
+    for (const std::string& removed : replicas_.keepOnly(keys)) {
+      log_.important("replica_gone", {{"replica", removed}, {"by", "listing"}});
+    }
+  };
+  observer.onFresh = [this](Instant askedAt) {
+    context_.freshness.replicasHeardAt = askedAt;
+    noteStoreAnswer(askedAt);
+  };
+  observer.onStale = [this](const logstore::StoreError& error) {
+    noteStoreSilence("replicas", error);
+  };
+  replicaFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
+      store_, *timers_, clock_, logstore::PartitionAddress{parts_.documents.replicaTopic(), 0},
+      logstore::KeyedTopicFollowerKnobs{}, observer);
+  replicaFollower_->start();
+}
+
+void EdgeDaemon::onReplicaRecord(const std::string& id, const std::string& value) {
+  if (value.empty()) {
+    if (replicas_.remove(id) == routing::ReplicaChange::Removed) {
+      log_.important("replica_gone", {{"replica", id}, {"by", "record"}});
+    }
+    return;
+  }
+  auto read = parts_.documents.readReplicaEntry(id, value);
+  if (!succeeded(read)) {
+    log_.important("replica_unreadable", {{"error", errorOf(read).toText()}});
+    return;
+  }
+  routing::ReplicaEntry& entry = valueOf(read);
+  const std::string service = entry.service;
+  const std::string address = entry.address;
+  const bool draining = entry.draining;
+  if (replicas_.upsert(std::move(entry)) != routing::ReplicaChange::None) {
+    log_.important("replica_changed", {{"replica", id},
+                                       {"service", service},
+                                       {"address", address},
+                                       {"state", draining ? "draining" : "ready"}});
+  }
+}
+
+void EdgeDaemon::followMembers() {
+  logstore::KeyedTopicFollowerKnobs knobs;
+  knobs.pause = milliseconds(500);
+  logstore::KeyedTopicObserver observer;
+  observer.onRecord = [this](const std::string& key, const std::string& value) {
+    const auto record = decodeMemberRecord(value);
+    if (!succeeded(record)) {
+      members_.remove(key);
+      return;
+    }
+    if (members_.onRecord(key, valueOf(record), clock_())) {
+      log_.important("member_changed",
+                     {{"node", valueOf(record).nodeName},
+                      {"state", valueOf(record).leaving ? "leaving" : "serving"}});
+    }
+  };
+  observer.onListed = [](const std::vector<std::string>& /*keys*/) {};
+  observer.onFresh = [this](Instant askedAt) {
+    members_.onFresh(askedAt);
+    selector_.setNodesInZone(std::max<std::size_t>(1, members_.countIn(settings_.zone)));
+    noteStoreAnswer(askedAt);
+  };
+  observer.onStale = [this](const logstore::StoreError& error) {
+    noteStoreSilence("members", error);
+  };
+  memberFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
+      store_, *timers_, clock_, logstore::PartitionAddress{kMemberTopic, 0}, knobs, observer);
+  memberFollower_->start();
+}
+
+void EdgeDaemon::noteStoreAnswer(Instant /*askedAt*/) {
+  if (std::exchange(storeLost_, false)) {
+    log_.important("store_regained", {{"address", settings_.store.address}});
+  }
+}
+
+void EdgeDaemon::noteStoreSilence(std::string_view topic, const logstore::StoreError& error) {
+  if (std::exchange(storeLost_, true)) {
+    return;
+  }
+  const Instant now = clock_();
+  log_.important(
+      "store_lost",
+      {{"topic", topic},
+       {"fault", logstore::storeFaultName(error.fault)},
+       {"reason", error.reason},
+       {"configuration_age_ms", ageMilliseconds(now, context_.freshness.configurationHeardAt)},
+       {"replicas_age_ms", ageMilliseconds(now, context_.freshness.replicasHeardAt)}});
+}
+
+void EdgeDaemon::announce() {
+  MemberRecord record{settings_.nodeName, settings_.zone, settings_.listen.clients, {},
+                      !isReady(),         ++beat_};
+  logstore::AppendRequest request;
+  request.partition = {kMemberTopic, 0};
+  request.records.push_back(logstore::encodeKeyedRecord(settings_.ip, encodeMemberRecord(record)));
+  request.timeLimit = kAnnounceTimeLimit;
+  store_.append(std::move(request), [](const logstore::StoreResult<logstore::AppendReply>&) {});
+}
+
+void EdgeDaemon::announceLoop() {
+  const bool wasReady = isReady();
+  announce();
+  const Duration pause = wasReady ? MemberTableKnobs{}.heartbeat : milliseconds(200);
+  timers_->runAfter(pause, [this] { announceLoop(); });
+}
+
+void EdgeDaemon::flushLoop() {
+  log_.flush();
+  timers_->runAfter(kFlushPeriod, [this] { flushLoop(); });
+}
+
+void EdgeDaemon::sweepLoop() {
+  ledger_.sweep();
+  timers_->runAfter(kSweepPeriod, [this] { sweepLoop(); });
+}
+
+void EdgeDaemon::reload(EdgeSettings settings) {
+  settings.listen = settings_.listen;
+  settings_ = std::move(settings);
+  log_.important("reloaded", {{"node", settings_.nodeName}});
+}
+
+void EdgeDaemon::beginStop(std::function<void()> onStopped) {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stopBegunAt_ = clock_();
+  onStopped_ = std::move(onStopped);
+  log_.important("stop_begun", {{"open_requests", clientServer_->counters().responsesOpen}});
+  announce();
+  clientServer_->beginDrain(http::IdleConnections::Keep);
+  checkStopped();
+}
+
+void EdgeDaemon::checkStopped() {
+  const Duration since = clock_() - stopBegunAt_;
+  const std::uint64_t open = clientServer_->counters().responsesOpen;
+  const bool timeIsUp = since >= settings_.bounds.stopLimit - kStopMargin;
+  if ((since >= kShortestStop && open == 0) || timeIsUp) {
+    log_.important("stopped", {{"open_requests", open}});
+    log_.flush();
+    onStopped_();
+    return;
+  }
+  timers_->runAfter(kStopCheckPeriod, [this] { checkStopped(); });
+}
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/edge_daemon.h
@@ -0,0 +1,92 @@
+/// \file Wires one edge node together: listeners, followers of the store, planned stop.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "edge/edge_context.h"
+#include "edge/edge_settings.h"
+#include "edge/event_log.h"
+#include "edge/member_table.h"
+#include "edge/wire_adapter.h"
+#include "http/http_server.h"
+#include "logstore/keyed_topic_follower.h"
+#include "logstore/log_store.h"
+
+namespace gorsetrail::edge {
+
+/// Parts from outside the product's core; they outlive the daemon.
+struct EdgeParts {
+  const WireAdapter& wire;
+  const DocumentAdapter& documents;
+  logstore::LogStore& store;  ///< Single calls; the daemon adds the retries.
+  http::HttpClient& client;   ///< To replicas.
+};
+
+class EdgeDaemon {
+ public:
+  EdgeDaemon(boost::asio::io_context& context, EdgeSettings settings, EdgeParts parts,
+             std::uint64_t seed);
+  ~EdgeDaemon();
+  EdgeDaemon(const EdgeDaemon&) = delete;
+  EdgeDaemon& operator=(const EdgeDaemon&) = delete;
+
+  /// Listens and begins to follow the store. Errors: `InvalidSettings`.
+  Result<Success> start();
+  /// Planned stop: not ready at once, requests that were read end, then `onStopped`.
+  void beginStop(std::function<void()> onStopped);
+  /// Takes over settings that may change in a running process.
+  void reload(EdgeSettings settings);
+
+ private:
+  Result<Success> listen();
+  Result<http::HttpServerPtr> serve(const std::string& address,
+                                    std::function<void(http::ServerRequest, http::ResponseWriterPtr)>
+                                        onRequest);
+  void onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer);
+  void onReadinessRequest(const http::ResponseWriterPtr& writer);
+  void onDirectoryRequest(const http::ServerRequest& request,
+                          const http::ResponseWriterPtr& writer);
+  void followConfiguration();
+  void followReplicas();
+  void followMembers();
+  void onConfigurationRecord(const std::string& key, const std::string& value);
+  void onReplicaRecord(const std::string& id, const std::string& value);
+  void noteStoreAnswer(Instant askedAt);
+  void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
+  void announce();
+  void announceLoop();
+  void flushLoop();
+  void sweepLoop();
+  void checkStopped();
+  [[nodiscard]] bool isReady() const;
+
+  boost::asio::io_context& ioContext_;
+  EdgeSettings settings_;
+  EdgeParts parts_;
+  services::TimerServicePtr timers_;
+  std::function<Instant()> clock_;
+  EventLog log_;
+  logstore::PersistentStore store_;
+  ledger::ProgramLedger ledger_;
+  routing::RouteTable routes_;
+  routing::ReplicaTable replicas_;
+  routing::ReplicaSelector selector_;
+  MemberTable members_;
+  EdgeContext context_;
+  http::HttpServerPtr clientServer_;
+  http::HttpServerPtr readinessServer_;
+  http::HttpServerPtr directoryServer_;
+  std::shared_ptr<logstore::KeyedTopicFollower> configurationFollower_;
+  std::shared_ptr<logstore::KeyedTopicFollower> replicaFollower_;
+  std::shared_ptr<logstore::KeyedTopicFollower> memberFollower_;
+  std::uint64_t beat_ = 0;
+  bool storeLost_ = false;
+  bool stopping_ = false;
+  Instant stopBegunAt_;
+  std::function<void()> onStopped_;
+};
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/edge_settings.h
@@ -0,0 +1,53 @@
+/// \file Settings of an edge node as typed values, whatever file they came from.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace gorsetrail::edge {
+
+/// Where the node listens; every address is `ip:port`, empty when it does not serve that.
+struct ListenAddresses {
+  std::string clients;
+  std::string readiness;
+  std::string directory;
+  std::string control;
+  std::string metrics;
+};
+
+/// The shared store's address and its limits.
+struct StoreSettings {
+  std::string address;
+  std::uint32_t partitionsPerTopic = 8;
+  std::uint64_t maximumRecordBytes = 262144;
+  double writesPerSecond = 800;  ///< Of all nodes together.
+  double readsPerSecond = 2000;  ///< Of all nodes together.
+};
+
+/// Times that the operators promise or demand.
+struct TimeBounds {
+  Duration stopLimit = seconds(8);      ///< From the stop signal to the kill.
+  Duration drain = seconds(2);          ///< A leaving replica gets nothing new after this.
+  Duration configuration = seconds(2);  ///< A new configuration is in force after this.
+  double maximumAddressTtlSeconds = 5;  ///< How long clients keep an answer of the directory.
+};
+
+struct EdgeSettings {
+  std::string nodeName;
+  std::string ip;
+  std::string zone;
+  std::string region;
+  ListenAddresses listen;
+  std::uint16_t firstInternalPort = 0;
+  std::uint16_t lastInternalPort = 0;
+  std::vector<std::string> seeds;  ///< Control addresses of some nodes; may be stale.
+  StoreSettings store;
+  TimeBounds bounds;
+  std::uint64_t memoryBytes = std::uint64_t{256} * 1024 * 1024;
+  std::uint32_t maximumDescriptors = 1024;
+};
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/exchange.h
@@ -0,0 +1,116 @@
+/// \file One client attempt from its arrival to its final answer.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "edge/call_request.h"
+#include "edge/edge_context.h"
+#include "edge/event_splitter.h"
+#include "http/http_server.h"
+
+namespace gorsetrail::edge {
+
+/// Order of steps, and why it is safe:
+/// 1. the history of the turn is found in the log, so that a replica gets the whole chain;
+/// 2. the budget is reserved. The request may be dispatched meanwhile, but no event is released
+///    before the reservation stands in the log: so tokens handed out are always reserved;
+/// 3. "not run" is answered only while no byte has reached a replica, or after the replica's own
+///    promise; after a broken connection only idempotent requests go on;
+/// 4. a persisted turn is stored before the end of its answer is released: a client that saw the
+///    end finds the turn at every node, whatever fails.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  /// \param context outlives the exchange.
+  Exchange(EdgeContext& context, CallRequest request, http::ResponseWriterPtr writer);
+
+  /// Starts; the exchange keeps itself alive until its end.
+  void start();
+
+ private:
+  enum class BudgetState : std::uint8_t { NotNeeded, Reserving, Granted };
+
+  // Before the first dispatch.
+  bool findRoute();
+  void findHistory();
+  void onHistory(ledger::HistoryAnswer answer);
+  void checkBudget();
+  void reserve(bool dispatchAfterwards);
+  void onReservation(bool dispatchAfterwards, ledger::ReservationOutcome outcome);
+
+  // At a replica.
+  void dispatch();
+  void send(const routing::ReplicaPtr& replica);
+  void onHead(unsigned status, const std::vector<http::Header>& headers);
+  void onBody(std::string_view part);
+  void onReplicaDone();
+  void onReplicaFailure(const http::Failure& failure);
+  void onReplicaRefusal();
+  void onWholeAnswer();
+  void takeEvents(std::vector<StreamEvent> events);
+  void onStreamEnd();
+  void onStored(const logstore::StoreResult<Success>& stored);
+  [[nodiscard]] bool mayRunAgain() const;
+  void runAgain();
+  void releaseReplica();
+  void suspectReplica(std::string_view reason);
+
+  // Towards the client.
+  void releaseOutput();
+  void refuse(unsigned status, std::string reason, Duration retryAfter);
+  void failUnknown(unsigned status, std::string reason);
+  void breakOff(std::string reason);
+  void onDeadline();
+  void onClientGone();
+  void end(std::string_view outcome, std::string_view reason);
+  void settleBudget(std::uint64_t tokens);
+
+  [[nodiscard]] Duration timeLeft() const;
+  [[nodiscard]] bool isStreaming() const;
+  [[nodiscard]] std::uint64_t tokensHandedOut() const;
+
+  EdgeContext& context_;
+  CallRequest request_;
+  http::ResponseWriterPtr writer_;
+  Instant arrivedAt_;
+  Instant deadlineAt_;
+  routing::ConfigurationPtr configuration_;  ///< Keeps `route_` alive.
+  const routing::Route* route_ = nullptr;
+  std::string service_;
+  std::uint64_t tokensPerEvent_ = 1;
+  std::string ownInput_;  ///< The turn's new input, for its record.
+  BudgetState budget_ = BudgetState::NotNeeded;
+  bool reservationMayStand_ = false;
+
+  // The dispatch under way.
+  routing::ReplicaPtr replica_;
+  http::RequestHandlePtr call_;
+  std::uint64_t dispatchNumber_ = 0;  ///< Callbacks of older dispatches are ignored.
+  Instant dispatchedAt_;
+  ReplicaHead head_;
+  bool headSeen_ = false;
+  std::vector<http::Header> replicaHeaders_;
+  std::string body_;
+  EventSplitter splitter_;
+
+  // Over all dispatches.
+  std::vector<routing::ReplicaPtr> tried_;    ///< Not to be asked again.
+  std::vector<routing::ReplicaPtr> ranOn_;    ///< Replicas that may have run it.
+  routing::ReplicaPtr resumeAt_;              ///< Where a cut stream goes on.
+  std::uint32_t refusedTries_ = 0;
+  std::uint32_t resumes_ = 0;
+  bool mayHaveRun_ = false;
+  std::string lastEventId_;
+  std::uint64_t eventsTaken_ = 0;
+  std::uint64_t eventsReleased_ = 0;
+  std::string output_;         ///< Events that wait for the reservation.
+  std::string turnAddition_;   ///< Input and events' data, for the turn's record.
+  bool streamBegun_ = false;   ///< The client has the head of the stream.
+  bool streamEnded_ = false;   ///< The replica's stream came whole.
+  bool ended_ = false;
+};
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/member_table.cpp
@@ -0,0 +1,86 @@
+#include "edge/member_table.h"
+
+#include "edge/generated/member_record_generated.h"
+
+namespace gorsetrail::edge {
+
+std::string encodeMemberRecord(const MemberRecord& record) {
+  flatbuffers::FlatBufferBuilder builder;
+  fbs::FinishMemberRecordBuffer(
+      builder,
+      fbs::CreateMemberRecord(builder, builder.CreateString(record.nodeName),
+                              builder.CreateString(record.zone),
+                              builder.CreateString(record.clientAddress),
+                              builder.CreateString(record.relayAddress), record.leaving,
+                              record.beat));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+Result<MemberRecord> decodeMemberRecord(std::string_view bytes) {
+  const auto* const begin = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(begin, bytes.size());
+  if (!fbs::VerifyMemberRecordBuffer(verifier)) {
+    return Error{ErrorKind::InvalidFrame, "member record", "the bytes are no member record",
+                 "skip it; look for another writer of this topic"};
+  }
+  const fbs::MemberRecord* const read = fbs::GetMemberRecord(begin);
+  MemberRecord record;
+  record.nodeName = read->node_name()->str();
+  record.zone = read->zone()->str();
+  record.clientAddress = read->client_address()->str();
+  record.relayAddress = read->relay_address() == nullptr ? "" : read->relay_address()->str();
+  record.leaving = read->leaving();
+  record.beat = read->beat();
+  return record;
+}
+
+bool MemberTable::onRecord(const std::string& key, const MemberRecord& record, Instant now) {
+  const auto found = members_.find(key);
+  const bool served =
+      found != members_.end() && isAlive(found->second) && !found->second.record.leaving;
+  members_[key] = {record, now};
+  return served == record.leaving;
+}
+
+bool MemberTable::isAlive(const Entry& entry) const {
+  return freshAt_ - entry.heardAt < knobs_.silence;
+}
+
+std::vector<std::string> MemberTable::clientAddresses(std::string_view zone) const {
+  std::vector<std::string> inZone;
+  std::vector<std::string> elsewhere;
+  for (const auto& [key, entry] : members_) {
+    if (isAlive(entry) && !entry.record.leaving) {
+      auto& addresses = entry.record.zone == zone ? inZone : elsewhere;
+      addresses.push_back(entry.record.clientAddress);
+    }
+  }
+  if (inZone.size() < knobs_.enoughInZone) {
+    inZone.insert(inZone.end(), elsewhere.begin(), elsewhere.end());
+  }
+  if (inZone.size() > knobs_.maximumAddresses) {
+    inZone.resize(knobs_.maximumAddresses);
+  }
+  return inZone;
+}
+
+std::size_t MemberTable::countIn(std::string_view zone) const {
+  std::size_t count = 0;
+  for (const auto& [key, entry] : members_) {
+    const bool serves = isAlive(entry) && !entry.record.leaving;
+    count += serves && entry.record.zone == zone ? 1 : 0;
+  }
+  return count;
+}
+
+std::vector<MemberRecord> MemberTable::alive() const {
+  std::vector<MemberRecord> records;
+  for (const auto& [key, entry] : members_) {
+    if (isAlive(entry)) {
+      records.push_back(entry.record);
+    }
+  }
+  return records;
+}
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/member_table.h
@@ -0,0 +1,68 @@
+/// \file The edge nodes that this node knows of, and which of them clients are sent to.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+#include "base/time.h"
+
+namespace gorsetrail::edge {
+
+/// What a node says of itself.
+struct MemberRecord {
+  std::string nodeName;
+  std::string zone;
+  std::string clientAddress;  ///< Where clients connect.
+  std::string relayAddress;   ///< Where other nodes ask for store calls; empty: nowhere.
+  bool leaving = false;
+  std::uint64_t beat = 0;  ///< Rises with every record of one life.
+};
+
+std::string encodeMemberRecord(const MemberRecord& record);
+/// Errors: `InvalidFrame`.
+Result<MemberRecord> decodeMemberRecord(std::string_view bytes);
+
+/// Knobs of `MemberTable`.
+struct MemberTableKnobs {
+  Duration heartbeat = seconds(1);    ///< Between two records of a node.
+  Duration silence = milliseconds(3300);  ///< Without a record, a node counts as dead.
+  std::size_t enoughInZone = 2;       ///< With fewer, other zones' nodes are named too.
+  std::size_t maximumAddresses = 64;
+};
+
+/// A node is alive while its records keep coming. While nothing can be read, nobody dies: silence
+/// of the store is no silence of the nodes.
+class MemberTable {
+ public:
+  explicit MemberTable(MemberTableKnobs knobs) : knobs_(knobs) {}
+
+  /// \return whether the node was not known as serving before, or is no longer.
+  bool onRecord(const std::string& key, const MemberRecord& record, Instant now);
+  void remove(const std::string& key) { members_.erase(key); }
+  /// Records could be read at this moment: who was silent until then counts as dead.
+  void onFresh(Instant now) { freshAt_ = now; }
+
+  /// \return nodes that serve clients, those of the zone alone when they are enough.
+  [[nodiscard]] std::vector<std::string> clientAddresses(std::string_view zone) const;
+  /// \return serving nodes of a zone.
+  [[nodiscard]] std::size_t countIn(std::string_view zone) const;
+  /// \return every node alive or leaving, by key.
+  [[nodiscard]] std::vector<MemberRecord> alive() const;
+
+ private:
+  struct Entry {
+    MemberRecord record;
+    Instant heardAt;
+  };
+  [[nodiscard]] bool isAlive(const Entry& entry) const;
+
+  MemberTableKnobs knobs_;
+  std::map<std::string, Entry> members_;
+  Instant freshAt_;
+};
+
+}  // namespace gorsetrail::edge
--- a/src/http/client_operation.cpp
+++ b/src/http/client_operation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdlib>
 #include <utility>
 
 namespace gorsetrail::http {
@@ -13,6 +14,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
+/// A kept connection is not used in the last moments before the server closes it.
+constexpr std::chrono::milliseconds kIdleTimeMargin{500};
 
 bool hasControlCharacter(std::string_view text) {
   return std::any_of(text.begin(), text.end(), [](char character) {
@@ -42,7 +45,8 @@
       request_(std::move(request)),
       handler_(std::move(handler)),
       onEnded_(std::move(onEnded)),
-      timer_(context) {}
+      timer_(context),
+      connectTimer_(context) {}
 
 void ClientOperation::start() {
   // Posted, so that no callback runs inside `send`.
@@ -83,11 +87,16 @@
   message_.method_string(request_.method);
   message_.target(request_.target);
   message_.set(beast::http::field::host, request_.address);
+  const auto isHost = [](const Header& header) { return beast::iequals(header.name, "host"); };
   for (const Header& header : request_.headers) {
     if (!isToken(header.name) || hasControlCharacter(header.value)) {
       return false;
     }
-    message_.set(header.name, header.value);
+    if (isHost(header)) {
+      message_.set(beast::http::field::host, header.value);
+    } else {
+      message_.insert(header.name, header.value);
+    }
   }
   message_.body() = std::move(request_.body);
   message_.prepare_payload();
@@ -108,15 +117,32 @@
 void ClientOperation::openConnection() {
   reused_ = false;
   socket_.emplace(context_);
+  error_code ignored;
+  socket_->open(endpoint_->protocol(), ignored);
+  limitUnacknowledgedTime(*socket_);
+  startConnectTimer();
   socket_->async_connect(*endpoint_, [self = shared_from_this()](const error_code& error) {
     self->onConnected(error);
   });
 }
 
+void ClientOperation::startConnectTimer() {
+  if (request_.connectTimeLimit == Duration::zero()) {
+    return;
+  }
+  connectTimer_.expires_after(request_.connectTimeLimit);
+  connectTimer_.async_wait([self = shared_from_this()](const error_code& error) {
+    if (!error && !self->bytesMayHaveLeft_) {
+      self->fail(FailureStage::NotSent, "no connection within the time limit");
+    }
+  });
+}
+
 void ClientOperation::onConnected(const error_code& error) {
   if (ended_) {
     return;
   }
+  connectTimer_.cancel();
   if (error) {
     fail(FailureStage::NotSent, "connect to " + request_.address + ": " + error.message());
     return;
@@ -239,16 +265,19 @@
   headReported_ = true;
   const auto& head = parser_->get();
   response_.status = head.result_int();
+  response_.headers.clear();
   for (const auto& field : head) {
     response_.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
-  if (handler_.onHead) {
+  surplus_ = response_.status / 100 != 1 && handler_.isOwn &&
+             !handler_.isOwn(response_.status, response_.headers);
+  if (!surplus_ && handler_.onHead) {
     handler_.onHead(response_.status, response_.headers);
   }
 }
 
 void ClientOperation::takeBody(std::string_view part) {
-  if (ended_) {
+  if (ended_ || surplus_) {
     return;
   }
   if (handler_.onBody) {
@@ -260,16 +289,17 @@
 
 void ClientOperation::finishResponse() {
   const bool interim = parser_->get().result_int() / 100 == 1;
-  if (interim) {
-    resetParser();
-    parseBuffered();
-    return;
+  if (!interim) {
+    reportHead();
   }
-  reportHead();
   // `onHead` may have cancelled.
   if (ended_) {
     return;
   }
+  if (interim || surplus_) {
+    readNextResponse();
+    return;
+  }
   keepConnection();
   const auto onDone = std::move(handler_.onDone);
   Response response = std::move(response_);
@@ -279,10 +309,34 @@
   }
 }
 
+void ClientOperation::readNextResponse() {
+  if (!parser_->keep_alive()) {
+    fail(FailureStage::Broken, "closed by " + request_.address + " after a surplus response");
+    return;
+  }
+  headReported_ = false;
+  surplus_ = false;
+  resetParser();
+  parseBuffered();
+}
+
+std::chrono::steady_clock::duration ClientOperation::idleTimeAllowed() const {
+  const auto field = parser_->get()[beast::http::field::keep_alive];
+  const std::string text(field);
+  const std::size_t at = text.find("timeout=");
+  if (at == std::string::npos) {
+    return kMaximumIdleTime;
+  }
+  const int stated = std::atoi(text.c_str() + at + std::string_view("timeout=").size());
+  const std::chrono::steady_clock::duration told = std::chrono::seconds(stated);
+  return std::clamp<std::chrono::steady_clock::duration>(told - kIdleTimeMargin, {},
+                                                         kMaximumIdleTime);
+}
+
 void ClientOperation::keepConnection() {
   const std::shared_ptr<ConnectionPool> pool = pool_.lock();
   if (pool && parser_->keep_alive() && buffer_.size() == 0) {
-    pool->give(request_.address, std::move(*socket_));
+    pool->give(request_.address, std::move(*socket_), idleTimeAllowed());
     socket_.reset();
   }
 }
@@ -300,6 +354,7 @@
   }
   ended_ = true;
   timer_.cancel();
+  connectTimer_.cancel();
   if (socket_) {
     error_code ignored;
     socket_->close(ignored);
--- a/src/http/client_operation.h
+++ b/src/http/client_operation.h
@@ -42,6 +42,7 @@
   bool prepareMessage();
   void startTimer();
   void openConnection();
+  void startConnectTimer();
   void onConnected(const boost::system::error_code& error);
   void writeRequest();
   void onWritten(const boost::system::error_code& error, std::size_t bytes);
@@ -53,7 +54,9 @@
   void reportHead();
   void takeBody(std::string_view part);
   void finishResponse();
+  void readNextResponse();
   void keepConnection();
+  [[nodiscard]] std::chrono::steady_clock::duration idleTimeAllowed() const;
   void fail(FailureStage stage, const std::string& reason);
   bool end();
 
@@ -65,6 +68,7 @@
   std::optional<boost::asio::ip::tcp::endpoint> endpoint_;
   std::optional<Socket> socket_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer connectTimer_;
   boost::beast::http::request<boost::beast::http::string_body> message_;
   boost::beast::flat_buffer buffer_;
   std::optional<ResponseParser> parser_;
@@ -72,6 +76,7 @@
   bool reused_ = false;
   bool bytesMayHaveLeft_ = false;
   bool headReported_ = false;
+  bool surplus_ = false;  ///< The response being read is not this request's own.
   bool ended_ = false;
 };
 
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -27,7 +27,7 @@
   while (!connections.empty()) {
     IdleConnection connection = std::move(connections.back());
     connections.pop_back();
-    const bool fresh = now - connection.since < kMaximumIdleTime;
+    const bool fresh = now < connection.usableUntil;
     if (fresh && isStillIdle(connection.socket)) {
       return std::move(connection.socket);
     }
@@ -36,9 +36,10 @@
   return std::nullopt;
 }
 
-void ConnectionPool::give(const std::string& address, Socket socket) {
+void ConnectionPool::give(const std::string& address, Socket socket,
+                          std::chrono::steady_clock::duration idleTime) {
   std::deque<IdleConnection>& connections = idle_[address];
-  connections.push_back({std::move(socket), std::chrono::steady_clock::now()});
+  connections.push_back({std::move(socket), std::chrono::steady_clock::now() + idleTime});
   if (connections.size() > kMaximumIdlePerAddress) {
     connections.pop_front();
   }
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -24,12 +24,14 @@
   std::optional<Socket> take(const std::string& address);
 
   /// Keeps a connection whose last response was read whole.
-  void give(const std::string& address, Socket socket);
+  /// \param idleTime how long it may rest before it is no longer used.
+  void give(const std::string& address, Socket socket,
+            std::chrono::steady_clock::duration idleTime = kMaximumIdleTime);
 
  private:
   struct IdleConnection {
     Socket socket;
-    std::chrono::steady_clock::time_point since;
+    std::chrono::steady_clock::time_point usableUntil;
   };
   std::unordered_map<std::string, std::deque<IdleConnection>> idle_;
 };
--- a/src/http/endpoint.cpp
+++ b/src/http/endpoint.cpp
@@ -1,5 +1,8 @@
 #include "http/endpoint.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cstdint>
@@ -26,8 +29,16 @@
   return host;
 }
 
+/// Longest time that sent bytes may stay unacknowledged.
+constexpr unsigned kUnacknowledgedMilliseconds = 3000;
+
 }  // namespace
 
+void limitUnacknowledgedTime(Socket& socket) {
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMilliseconds,
+               sizeof(kUnacknowledgedMilliseconds));
+}
+
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view address) {
   const std::size_t colon = address.rfind(':');
   if (colon == std::string_view::npos) {
--- a/src/http/endpoint.h
+++ b/src/http/endpoint.h
@@ -13,6 +13,10 @@
 using Socket =
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
 
+/// Ends a connection whose bytes the peer does not acknowledge for some seconds: a machine that
+/// is cut off or without power says nothing.
+void limitUnacknowledgedTime(Socket& socket);
+
 /// \return the endpoint of `ipv4:port` or `[ipv6]:port`; nothing when it is not one.
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -28,6 +28,8 @@
   std::vector<Header> headers;
   std::string body;
   Duration timeLimit = seconds(30);
+  /// Longest time for a new connection to come up; zero: only `timeLimit` holds.
+  Duration connectTimeLimit = Duration::zero();
 };
 
 struct Response {
@@ -49,6 +51,9 @@
 /// Called on the I/O thread; exactly one of `onDone`, `onFailure` ends a request, unless it is
 /// cancelled first.
 struct ResponseHandler {
+  /// Optional: \return whether a response is this request's own. Others are surplus answers to
+  /// earlier requests of the connection: they are read to their end and dropped.
+  std::function<bool(unsigned status, const std::vector<Header>&)> isOwn;
   /// Optional: head of the response, before any body.
   std::function<void(unsigned status, const std::vector<Header>&)> onHead;
   /// Optional: parts of the body as they come (streams); else the body is gathered.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -76,8 +76,11 @@
     return counters;
   }
 
-  void beginDrain() override {
+  void beginDrain(IdleConnections idle) override {
     shared_->draining = true;
+    if (idle == IdleConnections::Keep) {
+      return;
+    }
     for (const auto& connection : copyOfConnections()) {
       connection->closeIfIdle();
     }
@@ -184,7 +187,7 @@
   ~ServerHandle() override { server_->stop(); }
   [[nodiscard]] std::uint16_t listeningPort() const override { return server_->listeningPort(); }
   [[nodiscard]] HttpServerCounters counters() const override { return server_->counters(); }
-  void beginDrain() override { server_->beginDrain(); }
+  void beginDrain(IdleConnections idle) override { server_->beginDrain(idle); }
   void stop() override { server_->stop(); }
 
  private:
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -99,13 +99,19 @@
   std::function<Instant()> clock;  ///< For the time limits; the steady clock when empty.
 };
 
+/// What becomes of connections that carry no request when a drain begins.
+enum class IdleConnections : std::uint8_t {
+  Close,  ///< At once.
+  Keep,   ///< They may bring one more request, whose answer says that the connection closes.
+};
+
 class HttpServer {
  public:
   virtual ~HttpServer() = default;
   [[nodiscard]] virtual std::uint16_t listeningPort() const = 0;
   [[nodiscard]] virtual HttpServerCounters counters() const = 0;
-  /// Idle connections close now and the others after their response; new ones are still served.
-  virtual void beginDrain() = 0;
+  /// Every connection closes after its next response; new ones are still served.
+  virtual void beginDrain(IdleConnections idle = IdleConnections::Close) = 0;
   /// Closes the listener and every connection; nothing is called back after it.
   virtual void stop() = 0;
 };
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -34,6 +34,7 @@
 void ServerConnection::start() {
   error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  limitUnacknowledgedTime(socket_);
   // For the writes that are tried before they wait: they must not block the thread.
   socket_.non_blocking(true, ignored);
   enter(State::Idle);
--- a/src/http/server_connection_writing.cpp
+++ b/src/http/server_connection_writing.cpp
@@ -56,7 +56,7 @@
   head.version(kHttpVersion11);
   head.result(status);
   for (const Header& header : headers) {
-    head.set(header.name, header.value);
+    head.insert(header.name, header.value);
   }
   if (contentLength) {
     head.content_length(*contentLength);
--- /dev/null
+++ b/src/ledger/facts.cpp
@@ -0,0 +1,72 @@
+#include "ledger/facts.h"
+
+#include "ledger/generated/ledger_record_generated.h"
+
+namespace gorsetrail::ledger {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+flatbuffers::Offset<void> build(Builder& builder, const CompletedTurn& turn) {
+  const auto base = turn.base.empty() ? 0 : builder.CreateString(turn.base);
+  return fbs::CreateCompletedTurn(builder, builder.CreateString(turn.request), base,
+                                  builder.CreateString(turn.history))
+      .Union();
+}
+
+flatbuffers::Offset<void> build(Builder& builder, const BudgetReservation& reservation) {
+  return fbs::CreateBudgetReservation(builder, builder.CreateString(reservation.request),
+                                      builder.CreateString(reservation.program),
+                                      reservation.tokens)
+      .Union();
+}
+
+flatbuffers::Offset<void> build(Builder& builder, const BudgetSettlement& settlement) {
+  return fbs::CreateBudgetSettlement(builder, builder.CreateString(settlement.request),
+                                     builder.CreateString(settlement.program), settlement.tokens)
+      .Union();
+}
+
+fbs::Fact typeOf(const CompletedTurn& /*turn*/) { return fbs::Fact::CompletedTurn; }
+fbs::Fact typeOf(const BudgetReservation& /*fact*/) { return fbs::Fact::BudgetReservation; }
+fbs::Fact typeOf(const BudgetSettlement& /*fact*/) { return fbs::Fact::BudgetSettlement; }
+
+Error invalidRecord() {
+  return {ErrorKind::InvalidFrame, "ledger record", "the bytes are no ledger record",
+          "skip it; look for another writer of this topic"};
+}
+
+}  // namespace
+
+std::string encodeFact(const Fact& fact) {
+  Builder builder;
+  const auto type = std::visit([](const auto& value) { return typeOf(value); }, fact);
+  const auto body = std::visit([&](const auto& value) { return build(builder, value); }, fact);
+  fbs::FinishLedgerRecordBuffer(builder, fbs::CreateLedgerRecord(builder, type, body));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+Result<Fact> decodeFact(std::string_view record) {
+  const auto* const bytes = reinterpret_cast<const std::uint8_t*>(record.data());
+  flatbuffers::Verifier verifier(bytes, record.size());
+  if (!fbs::VerifyLedgerRecordBuffer(verifier)) {
+    return invalidRecord();
+  }
+  const fbs::LedgerRecord* const decoded = fbs::GetLedgerRecord(bytes);
+  if (const auto* const turn = decoded->fact_as_CompletedTurn()) {
+    return Fact{CompletedTurn{turn->request()->str(),
+                              turn->base() == nullptr ? std::string() : turn->base()->str(),
+                              turn->history()->str()}};
+  }
+  if (const auto* const reservation = decoded->fact_as_BudgetReservation()) {
+    return Fact{BudgetReservation{reservation->request()->str(), reservation->program()->str(),
+                                  reservation->tokens()}};
+  }
+  if (const auto* const settlement = decoded->fact_as_BudgetSettlement()) {
+    return Fact{BudgetSettlement{settlement->request()->str(), settlement->program()->str(),
+                                 settlement->tokens()}};
+  }
+  return invalidRecord();
+}
+
+}  // namespace gorsetrail::ledger
--- /dev/null
+++ b/src/logstore/keyed_topic_follower.h
@@ -0,0 +1,65 @@
+/// \file Keeps up with the newest record of every key of a topic.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "logstore/log_store.h"
+#include "logstore/persistent_store.h"
+#include "services/timer_service.h"
+
+namespace gorsetrail::logstore {
+
+/// Pace of a follower.
+struct KeyedTopicFollowerKnobs {
+  Duration wait = Duration::zero();        ///< The store holds a read until there is news.
+  Duration pause = milliseconds(400);      ///< Between two reads.
+  Duration patience = milliseconds(500);   ///< For an answer, beyond `wait`.
+};
+
+/// What a follower reports, in the log's order.
+struct KeyedTopicObserver {
+  /// A record was read; an empty value means that the key was removed.
+  std::function<void(const std::string& key, const std::string& value)> onRecord;
+  /// A listing was read whole: these keys exist and no others. Records reported meanwhile by
+  /// `onRecord` are part of it.
+  std::function<void(const std::vector<std::string>& keys)> onListed;
+  /// The store answered: what is known was true at `askedAt`.
+  std::function<void(Instant askedAt)> onFresh;
+  /// The store did not answer a read.
+  std::function<void(const StoreError& error)> onStale;
+};
+
+/// Lists all keys once, then reads on from where the listing began: its pages are no snapshot, so
+/// changes made meanwhile are read again. When the history was dropped, it lists anew.
+class KeyedTopicFollower : public std::enable_shared_from_this<KeyedTopicFollower> {
+ public:
+  /// \param store, timers outlive this object.
+  KeyedTopicFollower(LogStore& store, services::TimerService& timers, ClockFunction clock,
+                     PartitionAddress partition, KeyedTopicFollowerKnobs knobs,
+                     KeyedTopicObserver observer);
+
+  void start();
+
+ private:
+  void listFrom(const std::string& afterKey);
+  void onPage(Instant askedAt, const StoreResult<NewestReply>& result);
+  void readOn();
+  void onRead(Instant askedAt, const StoreResult<ReadReply>& result);
+  void later(void (KeyedTopicFollower::*step)());
+  void restartListing();
+
+  LogStore& store_;
+  services::TimerService& timers_;
+  ClockFunction clock_;
+  PartitionAddress partition_;
+  KeyedTopicFollowerKnobs knobs_;
+  KeyedTopicObserver observer_;
+  std::vector<std::string> listedKeys_;
+  bool firstPage_ = true;
+  std::uint64_t position_ = 0;
+};
+
+}  // namespace gorsetrail::logstore
--- /dev/null
+++ b/src/logstore/persistent_store.h
@@ -0,0 +1,67 @@
+/// \file Calls that are made again until they are answered or their time is over.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "logstore/call_pacer.h"
+#include "logstore/log_store.h"
+#include "services/timer_service.h"
+
+namespace gorsetrail::logstore {
+
+/// Reads the steady clock, or a test's.
+using ClockFunction = std::function<Instant()>;
+
+/// What became of calls; all only rise.
+struct StoreCounters {
+  std::uint64_t calls = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t unanswered = 0;
+  std::uint64_t throttled = 0;
+  std::uint64_t busy = 0;
+  std::uint64_t givenUp = 0;
+};
+
+/// Makes appends and reads again until their time limit. An append may then stand twice in the
+/// log: everything appended through here must be a fact that readers may meet twice.
+///
+/// Order of steps: try number n+1 of a call starts only after try n has ended (answered or timed
+/// out), so a call has at most one try under way and never floods a slow store.
+class PersistentStore final : public LogStore {
+ public:
+  /// \param direct, timers outlive this object.
+  PersistentStore(LogStore& direct, services::TimerService& timers, ClockFunction clock,
+                  CallPacerKnobs knobs, std::uint64_t seed);
+
+  void append(AppendRequest request, StoreCallback<AppendReply> callback) override;
+  void read(ReadRequest request, StoreCallback<ReadReply> callback) override;
+  void newest(NewestRequest request, StoreCallback<NewestReply> callback) override;
+
+  [[nodiscard]] const StoreCounters& counters() const { return counters_; }
+  /// \return when the store last answered anything; the epoch before the first answer.
+  [[nodiscard]] Instant lastAnswerAt() const { return lastAnswerAt_; }
+
+ private:
+  template <class Request, class Reply>
+  struct Attempt;
+  template <class Request, class Reply>
+  void attempt(const std::shared_ptr<Attempt<Request, Reply>>& state);
+  template <class Request, class Reply>
+  void onResult(const std::shared_ptr<Attempt<Request, Reply>>& state, Instant startedAt,
+                StoreResult<Reply> result);
+  void count(StoreFault fault);
+
+  void callDirect(AppendRequest request, StoreCallback<AppendReply> callback);
+  void callDirect(ReadRequest request, StoreCallback<ReadReply> callback);
+  void callDirect(NewestRequest request, StoreCallback<NewestReply> callback);
+
+  LogStore& direct_;
+  services::TimerService& timers_;
+  ClockFunction clock_;
+  CallPacer pacer_;
+  StoreCounters counters_;
+  Instant lastAnswerAt_;
+};
+
+}  // namespace gorsetrail::logstore
--- a/src/node/backend_dispatcher.cpp
+++ b/src/node/backend_dispatcher.cpp
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include <nlohmann/json.hpp>
-#include "platform/completion_chunk.h"
-#include "platform/engine_request.h"
+#include "services/completion_chunk.h"
+#include "services/engine_request.h"
 
 namespace gorsetrail::node {
 namespace {
@@ -81,7 +81,7 @@
   if (command.resumeFrom > 0) {
     return std::string();
   }
-  return platform::makeEngineBody(command.body, {command.model, command.adapter});
+  return services::makeEngineBody(command.body, {command.model, command.adapter});
 }
 
 }  // namespace
@@ -111,11 +111,11 @@
   // The answer so far.
   std::string text;  ///< Content of the stream, or the whole body.
   std::uint32_t nextOffset = 0;
-  std::optional<platform::TokenUsage> usage;
+  std::optional<services::TokenUsage> usage;
   bool sawEnd = false;
   std::string fault;  ///< Why the stream cannot be read any further.
-  std::optional<platform::EventStreamParser> events;
-  platform::CompletionChunk chunk;  ///< Kept for its memory.
+  std::optional<services::EventStreamParser> events;
+  services::CompletionChunk chunk;  ///< Kept for its memory.
 };
 
 BackendDispatcher::BackendDispatcher(http::HttpClient& client, OnEvent onEvent)
@@ -227,7 +227,7 @@
   }
   if (status == kStatusOk && !dispatch->application) {
     // The parser lives in the dispatch, so the plain reference cannot outlive it.
-    dispatch->events.emplace([this, &stream = *dispatch](const platform::ServerSentEvent& event) {
+    dispatch->events.emplace([this, &stream = *dispatch](const services::ServerSentEvent& event) {
       return onStreamEvent(stream, event);
     });
   }
@@ -253,12 +253,12 @@
   }
 }
 
-bool BackendDispatcher::onStreamEvent(Dispatch& dispatch, const platform::ServerSentEvent& event) {
+bool BackendDispatcher::onStreamEvent(Dispatch& dispatch, const services::ServerSentEvent& event) {
   if (event.data == "[DONE]") {
     dispatch.sawEnd = true;
     return false;
   }
-  if (!platform::readCompletionChunk(event.data, dispatch.chunk)) {
+  if (!services::readCompletionChunk(event.data, dispatch.chunk)) {
     dispatch.fault = "a chunk of the stream cannot be read";
     return false;
   }
@@ -272,7 +272,7 @@
   return dispatch.chunk.content.empty() || takeText(dispatch, event);
 }
 
-bool BackendDispatcher::takeText(Dispatch& dispatch, const platform::ServerSentEvent& event) {
+bool BackendDispatcher::takeText(Dispatch& dispatch, const services::ServerSentEvent& event) {
   std::uint32_t offset = dispatch.nextOffset;
   const char* const end = event.id.data() + event.id.size();
   const auto parsed = std::from_chars(event.id.data(), end, offset);
@@ -367,7 +367,7 @@
     endMalformed(dispatch, "the stream ended without usage");
     return;
   }
-  const platform::TokenUsage usage = dispatch->usage.value_or(platform::TokenUsage{});
+  const services::TokenUsage usage = dispatch->usage.value_or(services::TokenUsage{});
   ++counters_.finished;
   end(dispatch,
       engine::DispatchFinished{dispatch->id.attempt, std::move(dispatch->text), usage.promptTokens,
--- a/src/node/backend_dispatcher.h
+++ b/src/node/backend_dispatcher.h
@@ -23,7 +23,7 @@
 
 #include "engine/call_interface.h"
 #include "http/http_client.h"
-#include "platform/event_stream.h"
+#include "services/event_stream.h"
 
 namespace gorsetrail::node {
 
@@ -78,8 +78,8 @@
   void onBody(const DispatchPtr& dispatch, std::string_view part);
   void onDone(const DispatchPtr& dispatch);
   void onFailure(const DispatchPtr& dispatch, const http::Failure& failure);
-  bool onStreamEvent(Dispatch& dispatch, const platform::ServerSentEvent& event);
-  bool takeText(Dispatch& dispatch, const platform::ServerSentEvent& event);
+  bool onStreamEvent(Dispatch& dispatch, const services::ServerSentEvent& event);
+  bool takeText(Dispatch& dispatch, const services::ServerSentEvent& event);
   void finishApplication(const DispatchPtr& dispatch);
   void endNotSent(const DispatchPtr& dispatch, const std::string& reason);
   void endRefused(const DispatchPtr& dispatch);
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -29,13 +29,13 @@
   return std::chrono::duration_cast<seconds>(since1970).count();
 }
 
-membership::MemberState stateOf(platform::MachineState state) {
+membership::MemberState stateOf(services::MachineState state) {
   switch (state) {
-    case platform::MachineState::Live:
+    case services::MachineState::Live:
       return membership::MemberState::Alive;
-    case platform::MachineState::Leaving:
+    case services::MachineState::Leaving:
       return membership::MemberState::Leaving;
-    case platform::MachineState::Terminated:
+    case services::MachineState::Terminated:
       break;
   }
   return membership::MemberState::Terminated;
@@ -51,8 +51,8 @@
   return options;
 }
 
-platform::Pace machineListPace() {
-  platform::Pace pace;
+services::Pace machineListPace() {
+  services::Pace pace;
   pace.period = kMachineListPeriod;
   return pace;
 }
@@ -77,7 +77,7 @@
       settings_(std::move(settings)),
       core_(std::move(core)),
       client_(http::makeHttpClient(context)),
-      timers_(platform::makeTimerService(context)),
+      timers_(services::makeTimerService(context)),
       dispatcher_(*client_,
                   [this](CallHandle handle, const engine::DispatchEvent& event) {
                     core_->onDispatchEvent(handle, event, steadyNow());
@@ -99,8 +99,8 @@
             carryOutCommands();
           }),
       log_(*client_, settings_.platformLog),
-      bundles_(log_, *timers_, kBundleStream, LogOffset(0), platform::Pace{}, settings_.seed,
-               [this](const platform::LogRecord& record) { onBundleRecord(record); }),
+      bundles_(log_, *timers_, kBundleStream, LogOffset(0), services::Pace{}, settings_.seed,
+               [this](const services::LogRecord& record) { onBundleRecord(record); }),
       machines_(*client_, settings_.platformMachines),
       machinePoller_(machines_, *timers_, machineListPace(), settings_.seed,
                      [this](const auto& machines) { onMachines(machines); }),
@@ -220,17 +220,17 @@
   }
 }
 
-void Daemon::onMachines(const std::vector<platform::Machine>& machines) {
+void Daemon::onMachines(const std::vector<services::Machine>& machines) {
   std::vector<membership::MachineListLine> lines;
   lines.reserve(machines.size());
-  for (const platform::Machine& machine : machines) {
+  for (const services::Machine& machine : machines) {
     lines.push_back({machine.node, machine.incarnation, stateOf(machine.state)});
   }
   core_->onMachineList(lines, steadyNow());
   carryOutCommands();
 }
 
-void Daemon::onBundleRecord(const platform::LogRecord& record) {
+void Daemon::onBundleRecord(const services::LogRecord& record) {
   core_->onBundleEnvelope(record.data, steadyNow());
   carryOutCommands();
 }
--- a/src/node/daemon.h
+++ b/src/node/daemon.h
@@ -15,9 +15,9 @@
 #include "node/metrics.h"
 #include "node/peer_transport.h"
 #include "node/settings/settings.h"
-#include "platform/log_client.h"
-#include "platform/machine_list_client.h"
-#include "platform/timer_service.h"
+#include "services/log_client.h"
+#include "services/machine_list_client.h"
+#include "services/timer_service.h"
 
 namespace gorsetrail::node {
 
@@ -56,8 +56,8 @@
   void everySecond();
   void logBundleChange();
   void carryOutCommands();
-  void onMachines(const std::vector<platform::Machine>& machines);
-  void onBundleRecord(const platform::LogRecord& record);
+  void onMachines(const std::vector<services::Machine>& machines);
+  void onBundleRecord(const services::LogRecord& record);
 
   void perform(SendPeerMessage& command);
   void perform(AppendLogRecord& command);
@@ -81,14 +81,14 @@
   NodeCorePtr core_;
   NodeMetrics metrics_;
   http::HttpClientPtr client_;
-  platform::TimerServicePtr timers_;
+  services::TimerServicePtr timers_;
   BackendDispatcher dispatcher_;
   LoadPoller loads_;
   HoldClient holds_;
-  platform::LogClient log_;
-  platform::LogFollower bundles_;
-  platform::MachineListClient machines_;
-  platform::MachineListPoller machinePoller_;
+  services::LogClient log_;
+  services::LogFollower bundles_;
+  services::MachineListClient machines_;
+  services::MachineListPoller machinePoller_;
   CallerFront front_;
   PeerTransportPtr peers_;
   http::HttpServerPtr server_;
--- /dev/null
+++ b/src/routing/replica_selector.cpp
@@ -0,0 +1,107 @@
+#include "routing/replica_selector.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace gorsetrail::routing {
+namespace {
+
+/// An answer that took this many times the usual counts as that much more load, at most.
+constexpr double kMaximumSlowness = 8.0;
+constexpr double kMinimumSlowness = 0.7;
+
+std::uint64_t rendezvousWeightOf(std::string_view key, std::string_view replicaId) {
+  const std::uint64_t seed = XXH64(key.data(), key.size(), 0);
+  return XXH64(replicaId.data(), replicaId.size(), seed);
+}
+
+bool isEligible(const ReplicaPtr& replica, const ReplicaQuery& query) {
+  const bool tried = query.tried != nullptr && std::find(query.tried->begin(), query.tried->end(),
+                                                         replica) != query.tried->end();
+  return replica->takesWork() && !tried;
+}
+
+/// \return the replica of the zone that every node prefers for the key; null without a key.
+const Replica* preferredReplica(const std::vector<ReplicaPtr>& replicas, std::string_view zone,
+                                std::string_view key) {
+  const Replica* preferred = nullptr;
+  std::uint64_t highest = 0;
+  if (key.empty()) {
+    return nullptr;
+  }
+  for (const ReplicaPtr& replica : replicas) {
+    if (!replica->takesWork() || replica->entry.zone != zone) {
+      continue;
+    }
+    const std::uint64_t weight = rendezvousWeightOf(key, replica->entry.id);
+    if (preferred == nullptr || weight > highest) {
+      preferred = replica.get();
+      highest = weight;
+    }
+  }
+  return preferred;
+}
+
+/// \return the middle of the replicas' smoothed answer times; 0 when none has answered.
+double medianAnswerTime(const std::vector<ReplicaPtr>& replicas) {
+  std::vector<double> times;
+  for (const ReplicaPtr& replica : replicas) {
+    if (replica->answerMilliseconds > 0) {
+      times.push_back(replica->answerMilliseconds);
+    }
+  }
+  if (times.empty()) {
+    return 0;
+  }
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle;
+}
+
+double slownessOf(const Replica& replica, double usualMilliseconds) {
+  if (usualMilliseconds <= 0 || replica.answerMilliseconds <= 0) {
+    return 1.0;
+  }
+  return std::clamp(replica.answerMilliseconds / usualMilliseconds, kMinimumSlowness,
+                    kMaximumSlowness);
+}
+
+}  // namespace
+
+double ReplicaSelector::costOf(const Replica& replica, bool preferred, double usualMilliseconds,
+                               Instant now) const {
+  const double slots = std::max(1U, replica.entry.slots);
+  const double load = static_cast<double>(replica.inFlight) * static_cast<double>(nodesInZone_);
+  // A request more at a busy replica slows all of its batch down: load counts more than linearly.
+  double cost = (load + 1.0) * slownessOf(replica, usualMilliseconds) * (1.0 + load / slots);
+  cost += replica.entry.zone == zone_ ? 0.0 : knobs_.otherZoneCost;
+  cost += preferred ? 0.0 : knobs_.affinityCost;
+  cost += replica.suspectUntil > now ? knobs_.suspectCost : 0.0;
+  cost += replica.fullUntil > now ? knobs_.fullCost : 0.0;
+  return cost;
+}
+
+ReplicaPtr ReplicaSelector::choose(const ReplicaTable& table, const ReplicaQuery& query,
+                                   Instant now) const {
+  const std::vector<ReplicaPtr>& replicas = table.ofService(query.service);
+  const Replica* const preferred = preferredReplica(replicas, zone_, query.affinityKey);
+  const double usualMilliseconds = medianAnswerTime(replicas);
+  ReplicaPtr chosen;
+  double lowest = std::numeric_limits<double>::max();
+  for (const ReplicaPtr& replica : replicas) {
+    if (!isEligible(replica, query)) {
+      continue;
+    }
+    const bool isPreferred = preferred == nullptr || replica.get() == preferred;
+    const double cost = costOf(*replica, isPreferred, usualMilliseconds, now);
+    if (cost < lowest) {
+      lowest = cost;
+      chosen = replica;
+    }
+  }
+  return chosen;
+}
+
+}  // namespace gorsetrail::routing
--- /dev/null
+++ b/src/routing/replica_table.cpp
@@ -0,0 +1,70 @@
+#include "routing/replica_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gorsetrail::routing {
+
+ReplicaChange ReplicaTable::upsert(ReplicaEntry entry) {
+  const auto found = byId_.find(entry.id);
+  if (found == byId_.end()) {
+    auto replica = std::make_shared<Replica>();
+    replica->entry = std::move(entry);
+    byService_[replica->entry.service].push_back(replica);
+    byId_.emplace(replica->entry.id, replica);
+    return replica->entry.draining ? ReplicaChange::Draining : ReplicaChange::Added;
+  }
+  Replica& replica = *found->second;
+  const bool moved =
+      replica.entry.address != entry.address || replica.entry.service != entry.service;
+  if (moved) {
+    dropFromService(found->second);
+    byService_[entry.service].push_back(found->second);
+  }
+  const bool wasDraining = std::exchange(replica.entry.draining, entry.draining);
+  replica.entry = std::move(entry);
+  if (moved) {
+    return ReplicaChange::Moved;
+  }
+  if (wasDraining == replica.entry.draining) {
+    return ReplicaChange::None;
+  }
+  return wasDraining ? ReplicaChange::Ready : ReplicaChange::Draining;
+}
+
+ReplicaChange ReplicaTable::remove(std::string_view id) {
+  const auto found = byId_.find(id);
+  if (found == byId_.end()) {
+    return ReplicaChange::None;
+  }
+  found->second->gone = true;
+  dropFromService(found->second);
+  byId_.erase(found);
+  return ReplicaChange::Removed;
+}
+
+std::vector<std::string> ReplicaTable::keepOnly(const std::vector<std::string>& ids) {
+  std::vector<std::string> removed;
+  for (const auto& [id, replica] : byId_) {
+    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+      removed.push_back(id);
+    }
+  }
+  for (const std::string& id : removed) {
+    remove(id);
+  }
+  return removed;
+}
+
+const std::vector<ReplicaPtr>& ReplicaTable::ofService(std::string_view service) const {
+  static const std::vector<ReplicaPtr> kNone;
+  const auto found = byService_.find(service);
+  return found == byService_.end() ? kNone : found->second;
+}
+
+void ReplicaTable::dropFromService(const ReplicaPtr& replica) {
+  auto& replicas = byService_[replica->entry.service];
+  replicas.erase(std::remove(replicas.begin(), replicas.end(), replica), replicas.end());
+}
+
+}  // namespace gorsetrail::routing
--- /dev/null
+++ b/src/routing/replica_table.h
@@ -0,0 +1,61 @@
+/// \file What this node believes about the replicas of all services.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+
+namespace gorsetrail::routing {
+
+/// A replica as it registers itself. A restarted replica has a new `id`.
+struct ReplicaEntry {
+  std::string id;
+  std::string service;
+  std::string address;  ///< `ip:port`.
+  std::string zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+};
+
+/// A replica with what this node has seen of it. Shared with the requests under way at it.
+struct Replica {
+  ReplicaEntry entry;
+  bool gone = false;             ///< Its registration was removed: it gets nothing new.
+  std::uint32_t inFlight = 0;    ///< Requests of this node that run or wait there.
+  std::uint32_t failures = 0;    ///< In a row: no connection, cut answers, silence.
+  Instant suspectUntil;          ///< Avoided until then while others are there.
+  Instant fullUntil;             ///< It refused for want of room a moment ago.
+  double answerMilliseconds = 0; ///< Smoothed time to the first byte; 0 before the first answer.
+
+  [[nodiscard]] bool takesWork() const { return !gone && !entry.draining; }
+};
+using ReplicaPtr = std::shared_ptr<Replica>;
+
+/// How a change of a registration turned out.
+enum class ReplicaChange : std::uint8_t { None, Added, Draining, Ready, Moved, Removed };
+
+/// The registered replicas.
+class ReplicaTable {
+ public:
+  /// Takes over one registration.
+  ReplicaChange upsert(ReplicaEntry entry);
+  /// Forgets a registration; requests under way keep their `Replica`.
+  ReplicaChange remove(std::string_view id);
+  /// Removes every registration whose id is not listed. \return the removed ids.
+  std::vector<std::string> keepOnly(const std::vector<std::string>& ids);
+
+  [[nodiscard]] const std::vector<ReplicaPtr>& ofService(std::string_view service) const;
+  [[nodiscard]] std::size_t size() const { return byId_.size(); }
+
+ private:
+  void dropFromService(const ReplicaPtr& replica);
+
+  std::map<std::string, ReplicaPtr, std::less<>> byId_;
+  std::map<std::string, std::vector<ReplicaPtr>, std::less<>> byService_;
+};
+
+}  // namespace gorsetrail::routing
--- a/src/platform/completion_chunk.cpp
+++ b/src/services/completion_chunk.cpp
@@ -1,10 +1,10 @@
-#include "platform/completion_chunk.h"
+#include "services/completion_chunk.h"
 
 #include <array>
 #include <limits>
 #include <nlohmann/json.hpp>
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 /// Deeper values are read but not looked at.
@@ -111,4 +111,4 @@
   return nlohmann::json::sax_parse(json, &reader);
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/completion_chunk.h
+++ b/src/services/completion_chunk.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// Tokens of one call, as the engine counted them.
 struct TokenUsage {
@@ -26,4 +26,4 @@
 /// one of the fields has a wrong type.
 bool readCompletionChunk(std::string_view json, CompletionChunk& chunk);
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/engine_request.cpp
+++ b/src/services/engine_request.cpp
@@ -1,8 +1,8 @@
-#include "platform/engine_request.h"
+#include "services/engine_request.h"
 
 #include <nlohmann/json.hpp>
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 /// Finds the ends of the top-level members of an object that is known to be valid JSON, so that
@@ -124,4 +124,4 @@
   return made + '}';
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/engine_request.h
+++ b/src/services/engine_request.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// What the node decides in the body of a request to an engine.
 struct EngineFields {
@@ -17,4 +17,4 @@
 /// every other member byte for byte as the caller wrote it; nothing when `body` is no JSON object.
 std::optional<std::string> makeEngineBody(std::string_view body, const EngineFields& fields);
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/event_stream.cpp
+++ b/src/services/event_stream.cpp
@@ -1,6 +1,6 @@
-#include "platform/event_stream.h"
+#include "services/event_stream.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 bool EventStreamParser::feed(std::string_view part) {
   while (!part.empty()) {
@@ -73,4 +73,4 @@
   return goesOn;
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/event_stream.h
+++ b/src/services/event_stream.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// One event; the views hold until the sink returns.
 struct ServerSentEvent {
@@ -42,4 +42,4 @@
   bool hasData_ = false;
 };
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/log_client.cpp
+++ b/src/services/log_client.cpp
@@ -1,12 +1,12 @@
-#include "platform/log_client.h"
+#include "services/log_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "base/base64.h"
-#include "platform/platform_answer.h"
+#include "services/platform_answer.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 using Json = nlohmann::json;
@@ -112,4 +112,4 @@
   });
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/log_client.h
+++ b/src/services/log_client.h
@@ -11,9 +11,9 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "http/http_client.h"
-#include "platform/paced_loop.h"
+#include "services/paced_loop.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// Longest record the log takes, in bytes.
 inline constexpr std::size_t kMaximumRecordBytes = std::size_t{1024} * 1024;
@@ -103,4 +103,4 @@
   std::shared_ptr<State> state_;
 };
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/log_follower.cpp
+++ b/src/services/log_follower.cpp
@@ -1,8 +1,8 @@
 #include <utility>
 
-#include "platform/log_client.h"
+#include "services/log_client.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 constexpr std::uint32_t kRecordsAPage = 100;
@@ -64,4 +64,4 @@
 
 LogOffset LogFollower::position() const { return state_->position; }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/log_writer.cpp
+++ b/src/services/log_writer.cpp
@@ -1,8 +1,8 @@
 #include <utility>
 
-#include "platform/log_client.h"
+#include "services/log_client.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 struct LogWriter::State : std::enable_shared_from_this<LogWriter::State> {
   struct Waiting {
@@ -95,4 +95,4 @@
 
 std::uint32_t LogWriter::failures() const { return state_->backoff.failures(); }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/machine_list_client.cpp
+++ b/src/services/machine_list_client.cpp
@@ -1,12 +1,12 @@
-#include "platform/machine_list_client.h"
+#include "services/machine_list_client.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
-#include "platform/platform_answer.h"
+#include "services/platform_answer.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 using Json = nlohmann::json;
@@ -102,4 +102,4 @@
   loop_.stop();
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/machine_list_client.h
+++ b/src/services/machine_list_client.h
@@ -11,9 +11,9 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "http/http_client.h"
-#include "platform/paced_loop.h"
+#include "services/paced_loop.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// What the platform says of one life of a machine.
 enum class MachineState : std::uint8_t { Live, Leaving, Terminated };
@@ -56,4 +56,4 @@
   PacedLoop loop_;
 };
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/paced_loop.cpp
+++ b/src/services/paced_loop.cpp
@@ -1,9 +1,9 @@
-#include "platform/paced_loop.h"
+#include "services/paced_loop.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 Duration Backoff::delayAfter(RoundVerdict verdict) {
   if (verdict != RoundVerdict::Failed) {
@@ -67,4 +67,4 @@
   });
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/paced_loop.h
+++ b/src/services/paced_loop.h
@@ -7,9 +7,9 @@
 
 #include "base/random.h"
 #include "base/time.h"
-#include "platform/timer_service.h"
+#include "services/timer_service.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// Delays between rounds.
 struct Pace {
@@ -70,4 +70,4 @@
   std::shared_ptr<State> state_;
 };
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/platform_answer.cpp
+++ b/src/services/platform_answer.cpp
@@ -1,11 +1,11 @@
-#include "platform/platform_answer.h"
+#include "services/platform_answer.h"
 
 #include <algorithm>
 #include <cctype>
 #include <charconv>
 #include <utility>
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 constexpr unsigned kLowestServerError = 500;
@@ -67,4 +67,4 @@
   return std::max(value, 1U);
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/platform_answer.h
+++ b/src/services/platform_answer.h
@@ -7,7 +7,7 @@
 #include "base/result.h"
 #include "http/http_client.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// Takes the whole answer, or why there is none.
 using OnAnswer = std::function<void(Result<http::Response>)>;
@@ -24,4 +24,4 @@
 /// \return the seconds of a `Retry-After` header; 1 when it is missing or not a number.
 std::uint32_t retryAfterOf(const http::Response& response);
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/timer_service.cpp
+++ b/src/services/timer_service.cpp
@@ -1,11 +1,11 @@
-#include "platform/timer_service.h"
+#include "services/timer_service.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <utility>
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 using Timer = boost::asio::steady_timer;
@@ -44,4 +44,4 @@
   return std::make_unique<AsioTimerService>(context);
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/timer_service.h
+++ b/src/services/timer_service.h
@@ -10,7 +10,7 @@
 class io_context;
 }
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// Calls back once after a delay, on the I/O thread.
 class TimerService {
@@ -23,4 +23,4 @@
 /// \param context outlives the service. Destroying the service drops all pending work.
 TimerServicePtr makeTimerService(boost::asio::io_context& context);
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/tool_client.cpp
+++ b/src/services/tool_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/tool_client.h"
+#include "services/tool_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/platform_answer.h"
+#include "services/platform_answer.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 constexpr unsigned kStatusOk = 200;
@@ -38,4 +38,4 @@
   });
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/tool_client.h
+++ b/src/services/tool_client.h
@@ -7,7 +7,7 @@
 #include "base/result.h"
 #include "http/http_client.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// Calls a tool once. Errors: `PlatformUnavailable`; `outcome` says whether the tool may have run.
 class ToolClient {
@@ -24,4 +24,4 @@
   Duration timeLimit_;
 };
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/weight_store_client.cpp
+++ b/src/services/weight_store_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/weight_store_client.h"
+#include "services/weight_store_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/platform_answer.h"
+#include "services/platform_answer.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 namespace {
 
 constexpr unsigned kStatusOk = 200;
@@ -55,4 +55,4 @@
       });
 }
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/src/platform/weight_store_client.h
+++ b/src/services/weight_store_client.h
@@ -8,7 +8,7 @@
 #include "base/result.h"
 #include "http/http_client.h"
 
-namespace gorsetrail::platform {
+namespace gorsetrail::services {
 
 /// What the store says of one item.
 struct Weights {
@@ -31,4 +31,4 @@
   Duration timeLimit_;
 };
 
-}  // namespace gorsetrail::platform
+}  // namespace gorsetrail::services
--- a/tests/dispatch/backend_dispatcher_test.cpp
+++ b/tests/dispatch/backend_dispatcher_test.cpp
@@ -216,7 +216,7 @@
       "data: {\"usage\":{\"prompt_tokens\":-1}}\n\n",
       "data: {\"usage\":{\"prompt_tokens\":4294967296}}\n\n",
       kDone,
-      "data: " + std::string(platform::kMaximumEventBytes + 1, 'x'),
+      "data: " + std::string(services::kMaximumEventBytes + 1, 'x'),
   };
   for (const std::string& stream : streams) {
     events.clear();
--- a/tests/platform/log_client_test.cpp
+++ b/tests/services/log_client_test.cpp
@@ -1,9 +1,9 @@
-#include "platform/log_client.h"
+#include "services/log_client.h"
 
 #include <optional>
 
 #include "dispatch/fake_http_client.h"
-#include "platform/manual_timers.h"
+#include "services/manual_timers.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -12,34 +12,34 @@
 
 TEST_GROUP(LogClient) {
   node::testing::FakeHttpClient client;
-  platform::testing::ManualTimers timers;
-  platform::LogClient log{client, "127.0.0.1:1"};
+  services::testing::ManualTimers timers;
+  services::LogClient log{client, "127.0.0.1:1"};
   std::vector<std::pair<std::uint64_t, bool>> answers;
   std::vector<std::string> records;
 
   void answer(unsigned status, std::string body) {
     client.last().handler.onDone({status, {}, std::move(body)});
   }
-  Result<platform::LogPage> readWith(unsigned status, const std::string& body) {
-    std::optional<Result<platform::LogPage>> result;
+  Result<services::LogPage> readWith(unsigned status, const std::string& body) {
+    std::optional<Result<services::LogPage>> result;
     log.read("bundle", LogOffset(5), 10,
-             [&result](Result<platform::LogPage> page) { result = std::move(page); });
+             [&result](Result<services::LogPage> page) { result = std::move(page); });
     answer(status, body);
     return *result;
   }
-  platform::LogFollower makeFollower() {
+  services::LogFollower makeFollower() {
     return {log,
             timers,
             "bundle",
             LogOffset(0),
-            platform::Pace{},
+            services::Pace{},
             1,
-            [this](const platform::LogRecord& record) { records.push_back(record.data); }};
+            [this](const services::LogRecord& record) { records.push_back(record.data); }};
   }
-  platform::LogWriter makeWriter(platform::LogWriterLimits limits = {}) {
+  services::LogWriter makeWriter(services::LogWriterLimits limits = {}) {
     return {log,
             timers,
-            platform::Pace{},
+            services::Pace{},
             1,
             limits,
             [this](std::uint64_t sequence, bool taken) {
@@ -97,14 +97,14 @@
 
 TEST(LogClient, TooLongRecordIsNotSent) {
   std::optional<ErrorKind> kind;
-  log.append("s", std::string(platform::kMaximumRecordBytes + 1, 'x'),
+  log.append("s", std::string(services::kMaximumRecordBytes + 1, 'x'),
              [&kind](const Result<LogOffset>& result) { kind = errorOf(result).kind; });
   CHECK(kind == ErrorKind::RequestTooLarge);
   LONGS_EQUAL(0, client.exchanges.size());
 }
 
 TEST(LogClient, FollowerGoesOnWhereItStopped) {
-  platform::LogFollower follower = makeFollower();
+  services::LogFollower follower = makeFollower();
   follower.start();
   answer(200, R"({"records":[{"offset":0,"data":"YQ=="},{"offset":1,"data":"Yg=="}],"next":2})");
   timers.fireFirst();
@@ -120,7 +120,7 @@
 
 TEST(LogClient, FollowerHandsOverNothingAfterItsEnd) {
   {
-    platform::LogFollower follower = makeFollower();
+    services::LogFollower follower = makeFollower();
     follower.start();
   }
   answer(200, R"({"records":[{"offset":0,"data":"YQ=="}],"next":1})");
@@ -129,7 +129,7 @@
 }
 
 TEST(LogClient, WriterAppendsInOrderAndRepeatsWhatFailed) {
-  platform::LogWriter writer = makeWriter();
+  services::LogWriter writer = makeWriter();
   writer.append("s", 1, "one");
   writer.append("s", 2, "two");
   LONGS_EQUAL(1, client.exchanges.size());
@@ -149,7 +149,7 @@
 }
 
 TEST(LogClient, WriterRefusesWhatDoesNotFit) {
-  platform::LogWriter writer = makeWriter({.records = 2, .bytes = 10});
+  services::LogWriter writer = makeWriter({.records = 2, .bytes = 10});
   writer.append("s", 1, "12345");
   writer.append("s", 2, "123456");
   writer.append("s", 3, "12345");
--- a/tests/platform/manual_timers.h
+++ b/tests/services/manual_timers.h
@@ -5,9 +5,9 @@
 #include <utility>
 #include <vector>
 
-#include "platform/timer_service.h"
+#include "services/timer_service.h"
 
-namespace gorsetrail::platform::testing {
+namespace gorsetrail::services::testing {
 
 class ManualTimers : public TimerService {
  public:
@@ -26,4 +26,4 @@
   std::deque<std::function<void()>> pending;
 };
 
-}  // namespace gorsetrail::platform::testing
+}  // namespace gorsetrail::services::testing
--- a/tests/platform/paced_loop_test.cpp
+++ b/tests/services/paced_loop_test.cpp
@@ -1,16 +1,16 @@
-#include "platform/paced_loop.h"
+#include "services/paced_loop.h"
 
-#include "platform/manual_timers.h"
+#include "services/manual_timers.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
-using platform::Pace;
-using platform::PacedLoop;
-using platform::RoundVerdict;
+using services::Pace;
+using services::PacedLoop;
+using services::RoundVerdict;
 
 TEST_GROUP(PacedLoop) {
-  platform::testing::ManualTimers timers;
+  services::testing::ManualTimers timers;
   std::vector<PacedLoop::Report> reports;
   PacedLoop loop{timers, Pace{}, 7,
                  [this](PacedLoop::Report report) { reports.push_back(std::move(report)); }};
--- a/tests/platform/platform_clients_test.cpp
+++ b/tests/services/platform_clients_test.cpp
@@ -1,10 +1,10 @@
 #include <optional>
 
 #include "dispatch/fake_http_client.h"
-#include "platform/machine_list_client.h"
-#include "platform/manual_timers.h"
-#include "platform/tool_client.h"
-#include "platform/weight_store_client.h"
+#include "services/machine_list_client.h"
+#include "services/manual_timers.h"
+#include "services/tool_client.h"
+#include "services/weight_store_client.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -12,24 +12,24 @@
 
 TEST_GROUP(PlatformClients) {
   node::testing::FakeHttpClient client;
-  platform::testing::ManualTimers timers;
-  platform::MachineListClient machines{client, "127.0.0.1:1"};
-  platform::WeightStoreClient weights{client, "127.0.0.1:2"};
-  platform::ToolClient tools{client, "127.0.0.1:3"};
+  services::testing::ManualTimers timers;
+  services::MachineListClient machines{client, "127.0.0.1:1"};
+  services::WeightStoreClient weights{client, "127.0.0.1:2"};
+  services::ToolClient tools{client, "127.0.0.1:3"};
 
   void answer(unsigned status, std::string body, std::vector<http::Header> headers = {}) {
     client.last().handler.onDone({status, std::move(headers), std::move(body)});
   }
-  Result<std::vector<platform::Machine>> listWith(const std::string& body) {
-    std::optional<Result<std::vector<platform::Machine>>> result;
-    machines.fetch([&result](Result<std::vector<platform::Machine>> list) { result = list; });
+  Result<std::vector<services::Machine>> listWith(const std::string& body) {
+    std::optional<Result<std::vector<services::Machine>>> result;
+    machines.fetch([&result](Result<std::vector<services::Machine>> list) { result = list; });
     answer(200, body);
     return *result;
   }
-  Result<platform::Weights> weightsWith(unsigned status, const std::string& body,
+  Result<services::Weights> weightsWith(unsigned status, const std::string& body,
                                         const std::vector<http::Header>& headers = {}) {
-    std::optional<Result<platform::Weights>> result;
-    weights.fetch("lumo-7b", [&result](Result<platform::Weights> each) { result = each; });
+    std::optional<Result<services::Weights>> result;
+    weights.fetch("lumo-7b", [&result](Result<services::Weights> each) { result = each; });
     answer(status, body, headers);
     return *result;
   }
@@ -43,8 +43,8 @@
   CHECK(succeeded(list));
   LONGS_EQUAL(3, valueOf(list).size());
   CHECK(valueOf(list)[0].incarnation == Incarnation(1'700'000'000'000'000));
-  CHECK(valueOf(list)[1].state == platform::MachineState::Leaving);
-  CHECK(valueOf(list)[2].state == platform::MachineState::Terminated);
+  CHECK(valueOf(list)[1].state == services::MachineState::Leaving);
+  CHECK(valueOf(list)[2].state == services::MachineState::Terminated);
 }
 
 TEST(PlatformClients, UnreadableMachineSpoilsTheList) {
@@ -62,9 +62,9 @@
 TEST(PlatformClients, PollerIsSilentWhileThePlatformIsDownAndAfterItsEnd) {
   int lists = 0;
   {
-    platform::MachineListPoller poller(
-        machines, timers, platform::Pace{}, 1,
-        [&lists](const std::vector<platform::Machine>&) { ++lists; });
+    services::MachineListPoller poller(
+        machines, timers, services::Pace{}, 1,
+        [&lists](const std::vector<services::Machine>&) { ++lists; });
     poller.start();
     answer(503, "");
     LONGS_EQUAL(1, poller.failures());
--- a/tools/generate_wire.sh
+++ b/tools/generate_wire.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
-# Makes src/wire/generated/gorsetrail_generated.h from the schema; the result is committed, so a
-# build needs no generator. Needs flatc 2.0.8 (Debian: flatbuffers-compiler).
+# Makes the headers of all FlatBuffers schemas; the results are committed, so a build needs no
+# generator. Needs flatc 2.0.8 (Debian: flatbuffers-compiler).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-header=src/wire/generated/gorsetrail_generated.h
-flatc --cpp --cpp-std c++17 --scoped-enums -o src/wire/generated src/wire/gorsetrail.fbs
-sed -i -e '1i // NOLINTBEGIN' -e '$a // NOLINTEND' "$header"
+for schema in src/wire/gorsetrail src/ledger/ledger_record src/edge/member_record; do
+  header="$(dirname "$schema")/generated/$(basename "$schema")_generated.h"
+  flatc --cpp --cpp-std c++17 --scoped-enums -o "$(dirname "$header")" "$schema.fbs"
+  sed -i -e '1i // NOLINTBEGIN' -e '$a // NOLINTEND' "$header"
+done
