Answer 502 where a turn is cut before its first event

Ruled out: the store (2 of 453 such ends named it), the replicas (they only saw our cancel). Change: before the first event the client gets 502; with room for fewer than three turns in the budget the reservation comes first, so that a spent budget is a 402.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -39,6 +39,8 @@
 struct ExchangeKnobs {
   std::uint32_t maximumRefusedTries = 4;  ///< Replicas asked that did not run the request.
   std::uint32_t maximumResumes = 3;
+  /// With room for this many turns in the budget, a turn is sent before its reservation stands.
+  std::uint32_t ampleBudgetTurns = 3;
   Duration suspicionTime = milliseconds(1500);
   Duration fullTime = milliseconds(60);
   Duration retryAfterFull = milliseconds(150);
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -123,7 +123,8 @@
     return;
   }
   const std::uint64_t known = context_.ledger.knownUse(request_.programId);
-  const bool ample = known + request_.maximumTokens <= *request_.tokenBudget;
+  const std::uint64_t roomNeeded = request_.maximumTokens * context_.knobs.ampleBudgetTurns;
+  const bool ample = known + roomNeeded <= *request_.tokenBudget;
   // While the budget is ample as far as is known, the reservation runs beside the dispatch.
   reserve(!ample);
   if (ample) {
@@ -528,6 +529,11 @@
   if (ended_) {
     return;
   }
+  if (!streamBegun_) {
+    // The client has seen nothing yet: it gets an answer rather than a closed connection.
+    failUnknown(kBadGateway, std::move(reason));
+    return;
+  }
   ++context_.counters.brokenOff;
   settleBudget(tokensHandedOut());
   end("broken_off", reason);
