Call the store through another node when it is out of reach, and refuse work that could not be released

Change: FailoverStore with a breaker on the direct way, StoreRelayServer on the internal port; the ledger tells whether the store answers, and an exchange refuses before the dispatch if it does not.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -45,6 +45,7 @@
   Duration fullTime = milliseconds(60);
   Duration retryAfterFull = milliseconds(150);
   Duration retryAfterStore = milliseconds(250);
+  Duration retryAfterOutage = milliseconds(800);
   Duration connectTimeLimit = milliseconds(400);
   /// A route that is not in a configuration this old may have been added since.
   Duration configurationTrust = milliseconds(1800);
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -52,10 +52,15 @@
       timers_(services::makeTimerService(context)),
       clock_(steadyNow),
       log_(standardOutput(), clock_, {}),
-      store_(parts.store, *timers_, clock_, {}, seed),
+      members_({}),
+      relayedStore_(
+          parts.peers, [this] { return otherRelays(); }, seed),
+      failoverStore_(parts.store, relayedStore_, clock_,
+                     [this](logstore::StoreWay way) { onStoreWay(way); }),
+      store_(failoverStore_, *timers_, clock_, {}, seed),
+      relayServer_(parts.store),
       ledger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
       selector_(settings_.zone, {}),
-      members_({}),
       context_{parts.wire, routes_, replicas_, selector_, ledger_, parts.client,
                *timers_,   clock_,  log_,      {},        {},      {}} {}
 
@@ -139,9 +144,48 @@
     }
     directoryServer_ = std::move(valueOf(directory));
   }
+  if (settings_.firstInternalPort != 0) {
+    auto peers = serve(ownRelayAddress(), [this](const http::ServerRequest& request,
+                                                 http::ResponseWriterPtr writer) {
+      relayServer_.onRequest(request, std::move(writer));
+    });
+    if (!succeeded(peers)) {
+      return errorOf(peers);
+    }
+    peerServer_ = std::move(valueOf(peers));
+  }
   return Success{};
 }
 
+std::string EdgeDaemon::ownRelayAddress() const {
+  return settings_.ip + ":" + std::to_string(settings_.firstInternalPort);
+}
+
+std::vector<std::string> EdgeDaemon::otherRelays() const {
+  std::vector<std::string> addresses;
+  for (const MemberRecord& member : members_.alive()) {
+    if (!member.relayAddress.empty() && member.relayAddress != ownRelayAddress()) {
+      addresses.push_back(member.relayAddress);
+    }
+  }
+  if (!addresses.empty()) {
+    return addresses;
+  }
+  // Nobody is known yet. Ports are alike on all machines, so a seed's address tells the relay's.
+  for (const std::string& seed : settings_.seeds) {
+    std::string relay =
+        seed.substr(0, seed.rfind(':') + 1) + std::to_string(settings_.firstInternalPort);
+    if (relay != ownRelayAddress()) {
+      addresses.push_back(std::move(relay));
+    }
+  }
+  return addresses;
+}
+
+void EdgeDaemon::onStoreWay(logstore::StoreWay way) {
+  log_.important("store_way", {{"way", way == logstore::StoreWay::Direct ? "direct" : "relay"}});
+}
+
 void EdgeDaemon::onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer) {
   std::make_shared<Exchange>(context_, parts_.wire.readRequest(std::move(request)),
                              std::move(writer))
@@ -312,8 +356,8 @@
 }
 
 void EdgeDaemon::announce() {
-  MemberRecord record{settings_.nodeName, settings_.zone, settings_.listen.clients, {},
-                      !isReady(),         ++beat_};
+  MemberRecord record{settings_.nodeName, settings_.zone, settings_.listen.clients,
+                      ownRelayAddress(),  !isReady(),     ++beat_};
   logstore::AppendRequest request;
   request.partition = {kMemberTopic, 0};
   request.records.push_back(logstore::encodeKeyedRecord(settings_.ip, encodeMemberRecord(record)));
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -10,8 +10,10 @@
 #include "edge/edge_settings.h"
 #include "edge/event_log.h"
 #include "edge/member_table.h"
+#include "edge/store_relay.h"
 #include "edge/wire_adapter.h"
 #include "http/http_server.h"
+#include "logstore/failover_store.h"
 #include "logstore/keyed_topic_follower.h"
 #include "logstore/log_store.h"
 
@@ -23,6 +25,7 @@
   const DocumentAdapter& documents;
   logstore::LogStore& store;  ///< Single calls; the daemon adds the retries.
   http::HttpClient& client;   ///< To replicas.
+  http::HttpClient& peers;    ///< To other nodes.
 };
 
 class EdgeDaemon {
@@ -62,6 +65,9 @@
   void sweepLoop();
   void checkStopped();
   [[nodiscard]] bool isReady() const;
+  [[nodiscard]] std::string ownRelayAddress() const;
+  [[nodiscard]] std::vector<std::string> otherRelays() const;
+  void onStoreWay(logstore::StoreWay way);
 
   boost::asio::io_context& ioContext_;
   EdgeSettings settings_;
@@ -69,16 +75,20 @@
   services::TimerServicePtr timers_;
   std::function<Instant()> clock_;
   EventLog log_;
+  MemberTable members_;
+  RelayedStore relayedStore_;
+  logstore::FailoverStore failoverStore_;
   logstore::PersistentStore store_;
+  StoreRelayServer relayServer_;
   ledger::ProgramLedger ledger_;
   routing::RouteTable routes_;
   routing::ReplicaTable replicas_;
   routing::ReplicaSelector selector_;
-  MemberTable members_;
   EdgeContext context_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
   http::HttpServerPtr directoryServer_;
+  http::HttpServerPtr peerServer_;
   std::shared_ptr<logstore::KeyedTopicFollower> configurationFollower_;
   std::shared_ptr<logstore::KeyedTopicFollower> replicaFollower_;
   std::shared_ptr<logstore::KeyedTopicFollower> memberFollower_;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -49,6 +49,11 @@
                              }
                            });
   lastEventId_ = request_.lastEventId;
+  if (isBudgeted() && !context_.ledger.isWritable(request_.requestId, request_.programId)) {
+    // An engine's work would be for nothing: its answer could not be released.
+    refuse(kUnavailable, "store_not_answering", context_.knobs.retryAfterOutage);
+    return;
+  }
   findHistory();
 }
 
@@ -82,6 +87,10 @@
 
 bool Exchange::isStreaming() const { return route_->kind == routing::RouteKind::Streaming; }
 
+bool Exchange::isBudgeted() const {
+  return isStreaming() && request_.tokenBudget && !request_.programId.empty();
+}
+
 Duration Exchange::timeLeft() const { return deadlineAt_ - context_.clock(); }
 
 void Exchange::findHistory() {
@@ -117,8 +126,7 @@
 }
 
 void Exchange::checkBudget() {
-  const bool counted = isStreaming() && request_.tokenBudget && !request_.programId.empty();
-  if (!counted) {
+  if (!isBudgeted()) {
     dispatch();
     return;
   }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -70,6 +70,7 @@
 
   [[nodiscard]] Duration timeLeft() const;
   [[nodiscard]] bool isStreaming() const;
+  [[nodiscard]] bool isBudgeted() const;
   [[nodiscard]] std::uint64_t tokensHandedOut() const;
 
   EdgeContext& context_;
--- /dev/null
+++ b/src/edge/store_relay.cpp
@@ -0,0 +1,96 @@
+#include "edge/store_relay.h"
+
+#include <memory>
+#include <utility>
+
+namespace gorsetrail::edge {
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+constexpr char kRelayPath[] = "/store-call";
+
+/// Replies once; shared, since a callback must be copyable.
+using SharedWriter = std::shared_ptr<http::ResponseWriter>;
+
+template <class Reply>
+logstore::StoreCallback<Reply> replyTo(SharedWriter writer) {
+  return [writer = std::move(writer)](logstore::StoreResult<Reply> result) {
+    logstore::StoreCallReply reply;
+    if (auto* const error = std::get_if<logstore::StoreError>(&result)) {
+      reply = std::move(*error);
+    } else {
+      reply = std::move(std::get<Reply>(result));
+    }
+    writer->sendWhole({kOk, {}, logstore::encodeStoreReply(reply)});
+  };
+}
+
+}  // namespace
+
+void StoreRelayServer::onRequest(const http::ServerRequest& request,
+                                 http::ResponseWriterPtr writer) {
+  Result<logstore::StoreCallRequest> decoded = logstore::decodeStoreCall(request.body);
+  if (!succeeded(decoded)) {
+    writer->sendWhole({kBadRequest, {}, errorOf(decoded).toText()});
+    return;
+  }
+  const SharedWriter shared = std::move(writer);
+  logstore::StoreCallRequest& call = valueOf(decoded);
+  if (auto* const append = std::get_if<logstore::AppendRequest>(&call)) {
+    direct_.append(std::move(*append), replyTo<logstore::AppendReply>(shared));
+  } else if (auto* const read = std::get_if<logstore::ReadRequest>(&call)) {
+    direct_.read(std::move(*read), replyTo<logstore::ReadReply>(shared));
+  } else {
+    direct_.newest(std::move(std::get<logstore::NewestRequest>(call)),
+                   replyTo<logstore::NewestReply>(shared));
+  }
+}
+
+RelayedStore::RelayedStore(http::HttpClient& client,
+                           std::function<std::vector<std::string>()> relays, std::uint64_t seed)
+    : client_(client), relays_(std::move(relays)), random_(seed) {}
+
+template <class Reply, class Decode>
+void RelayedStore::send(const logstore::StoreCallRequest& call, Duration timeLimit,
+                        logstore::StoreCallback<Reply> callback, Decode decode) {
+  const std::vector<std::string> relays = relays_();
+  http::Request request;
+  request.method = "POST";
+  request.target = kRelayPath;
+  // Without another node the address is empty, and the client reports that nothing was sent.
+  request.address = relays.empty() ? std::string() : relays[random_.below(relays.size())];
+  request.body = logstore::encodeStoreCall(call);
+  request.timeLimit = timeLimit;
+  http::ResponseHandler handler;
+  handler.onDone = [callback, decode](const http::Response& response) {
+    callback(decode(response.body));
+  };
+  handler.onFailure = [callback](const http::Failure& failure) {
+    callback(logstore::StoreError{logstore::StoreFault::NoAnswer, "relay: " + failure.reason, 0});
+  };
+  client_.send(std::move(request), std::move(handler));
+}
+
+void RelayedStore::append(logstore::AppendRequest request,
+                          logstore::StoreCallback<logstore::AppendReply> callback) {
+  const Duration limit = request.timeLimit;
+  send<logstore::AppendReply>(std::move(request), limit, std::move(callback),
+                              logstore::decodeAppendReply);
+}
+
+void RelayedStore::read(logstore::ReadRequest request,
+                        logstore::StoreCallback<logstore::ReadReply> callback) {
+  const Duration limit = request.timeLimit;
+  send<logstore::ReadReply>(std::move(request), limit, std::move(callback),
+                            logstore::decodeReadReply);
+}
+
+void RelayedStore::newest(logstore::NewestRequest request,
+                          logstore::StoreCallback<logstore::NewestReply> callback) {
+  const Duration limit = request.timeLimit;
+  send<logstore::NewestReply>(std::move(request), limit, std::move(callback),
+                              logstore::decodeNewestReply);
+}
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/store_relay.h
@@ -0,0 +1,51 @@
+/// \file Both ends of a store call that one node makes for another.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "logstore/log_store.h"
+#include "logstore/store_message.h"
+
+namespace gorsetrail::edge {
+
+/// Answers other nodes' calls with single calls to the store of its own.
+class StoreRelayServer {
+ public:
+  /// \param direct the direct way to the store, never a relay: calls do not go round.
+  explicit StoreRelayServer(logstore::LogStore& direct) : direct_(direct) {}
+  void onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer);
+
+ private:
+  logstore::LogStore& direct_;
+};
+
+/// Makes calls through a node chosen at random.
+class RelayedStore final : public logstore::LogStore {
+ public:
+  /// \param relays gives the addresses of other nodes' relays, best first choice at random.
+  RelayedStore(http::HttpClient& client, std::function<std::vector<std::string>()> relays,
+               std::uint64_t seed);
+
+  void append(logstore::AppendRequest request,
+              logstore::StoreCallback<logstore::AppendReply> callback) override;
+  void read(logstore::ReadRequest request,
+            logstore::StoreCallback<logstore::ReadReply> callback) override;
+  void newest(logstore::NewestRequest request,
+              logstore::StoreCallback<logstore::NewestReply> callback) override;
+
+ private:
+  template <class Reply, class Decode>
+  void send(const logstore::StoreCallRequest& call, Duration timeLimit,
+            logstore::StoreCallback<Reply> callback, Decode decode);
+
+  http::HttpClient& client_;
+  std::function<std::vector<std::string>()> relays_;
+  RandomSource random_;
+};
+
+}  // namespace gorsetrail::edge
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-ProgramLedger::ProgramLedger(logstore::LogStore& store, services::TimerService& timers,
+ProgramLedger::ProgramLedger(logstore::PersistentStore& store, services::TimerService& timers,
                              logstore::ClockFunction clock, LedgerKnobs knobs)
     : store_(store),
       timers_(timers),
@@ -220,6 +220,11 @@
                 });
 }
 
+bool ProgramLedger::isWritable(const std::string& turn, const std::string& program) {
+  return store_.answers(turnPartition(turn).address) &&
+         store_.answers(budgetPartition(program).address);
+}
+
 std::uint64_t ProgramLedger::knownUse(const std::string& program) const {
   return accounts_.usedBy(program);
 }
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -60,7 +60,7 @@
   using ReservationCallback = std::function<void(ReservationOutcome)>;
 
   /// \param store, timers outlive this object.
-  ProgramLedger(logstore::LogStore& store, services::TimerService& timers,
+  ProgramLedger(logstore::PersistentStore& store, services::TimerService& timers,
                 logstore::ClockFunction clock, LedgerKnobs knobs);
 
   /// Finds the history up to and with a turn. Calls back at once when it is in memory.
@@ -76,6 +76,8 @@
                ReservationCallback callback);
   /// Gives back what a reservation did not use. Returns at once; the record follows soon.
   void settle(BudgetSettlement settlement);
+  /// \return whether a turn can probably be stored and its tokens reserved now.
+  [[nodiscard]] bool isWritable(const std::string& turn, const std::string& program);
   /// \return tokens that the program has used or may use, as far as this node knows.
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const;
 
@@ -102,7 +104,7 @@
   [[nodiscard]] std::uint32_t budgetIndex(const std::string& program) const;
   [[nodiscard]] std::uint32_t partitionCount() const;
 
-  logstore::LogStore& store_;
+  logstore::PersistentStore& store_;
   services::TimerService& timers_;
   logstore::ClockFunction clock_;
   LedgerKnobs knobs_;
--- a/src/logstore/persistent_store.cpp
+++ b/src/logstore/persistent_store.cpp
@@ -13,6 +13,17 @@
   return Duration::zero();
 }
 
+engine::CircuitKnobs breakerKnobs(double failuresToOpen) {
+  engine::CircuitKnobs knobs;
+  knobs.failuresToOpen = failuresToOpen;
+  knobs.failureHalfLife = milliseconds(500);
+  knobs.firstOpenTime = milliseconds(200);
+  knobs.longestOpenTime = milliseconds(400);
+  return knobs;
+}
+constexpr double kFailuresOfPartition = 1.5;
+constexpr double kFailuresOfStore = 3.5;
+
 bool isWorthAnotherTry(StoreFault fault) {
   return fault == StoreFault::NoAnswer || fault == StoreFault::Busy ||
          fault == StoreFault::Throttled;
@@ -30,7 +41,8 @@
 
 PersistentStore::PersistentStore(LogStore& direct, services::TimerService& timers,
                                  ClockFunction clock, CallPacerKnobs knobs, std::uint64_t seed)
-    : direct_(direct), timers_(timers), clock_(std::move(clock)), pacer_(knobs, seed) {}
+    : direct_(direct), timers_(timers), clock_(std::move(clock)), pacer_(knobs, seed),
+      wholeStore_(breakerKnobs(kFailuresOfStore)) {}
 
 void PersistentStore::append(AppendRequest request, StoreCallback<AppendReply> callback) {
   const Instant deadline = clock_() + request.timeLimit;
@@ -77,9 +89,9 @@
                                Instant startedAt, StoreResult<Reply> result) {
   const Instant now = clock_();
   const auto* const error = std::get_if<StoreError>(&result);
+  noteHealth(state->request.partition, error, now);
   if (error == nullptr) {
     ++counters_.answered;
-    lastAnswerAt_ = now;
     if (heldByStore(state->request) == Duration::zero()) {
       pacer_.onAnswer(now - startedAt);
     }
@@ -97,6 +109,28 @@
   timers_.runAfter(pause, [this, state] { attempt(state); });
 }
 
+void PersistentStore::noteHealth(const PartitionAddress& partition, const StoreError* error,
+                                 Instant now) {
+  if (error == nullptr || !isWorthAnotherTry(error->fault)) {
+    wholeStore_.onSuccess();
+    failing_.erase(partition);
+    return;
+  }
+  wholeStore_.onFailure(now);
+  const auto entry =
+      failing_.try_emplace(partition, breakerKnobs(kFailuresOfPartition)).first;
+  entry->second.onFailure(now);
+}
+
+bool PersistentStore::answers(const PartitionAddress& partition) const {
+  const Instant now = clock_();
+  if (wholeStore_.state(now) == engine::CircuitState::Open) {
+    return false;
+  }
+  const auto found = failing_.find(partition);
+  return found == failing_.end() || found->second.state(now) != engine::CircuitState::Open;
+}
+
 void PersistentStore::count(StoreFault fault) {
   switch (fault) {
     case StoreFault::NoAnswer:
--- a/src/logstore/persistent_store.h
+++ b/src/logstore/persistent_store.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 
+#include "engine/circuit_breaker.h"
 #include "logstore/call_pacer.h"
 #include "logstore/log_store.h"
 #include "services/timer_service.h"
@@ -39,8 +41,9 @@
   void newest(NewestRequest request, StoreCallback<NewestReply> callback) override;
 
   [[nodiscard]] const StoreCounters& counters() const { return counters_; }
-  /// \return when the store last answered anything; the epoch before the first answer.
-  [[nodiscard]] Instant lastAnswerAt() const { return lastAnswerAt_; }
+  /// \return whether calls to this partition are likely to be answered: neither its own calls nor
+  /// those to the whole store failed a moment ago. Now and then it is true for a trial.
+  [[nodiscard]] bool answers(const PartitionAddress& partition) const;
 
  private:
   template <class Request, class Reply>
@@ -51,6 +54,7 @@
   void onResult(const std::shared_ptr<Attempt<Request, Reply>>& state, Instant startedAt,
                 StoreResult<Reply> result);
   void count(StoreFault fault);
+  void noteHealth(const PartitionAddress& partition, const StoreError* error, Instant now);
 
   void callDirect(AppendRequest request, StoreCallback<AppendReply> callback);
   void callDirect(ReadRequest request, StoreCallback<ReadReply> callback);
@@ -61,7 +65,9 @@
   ClockFunction clock_;
   CallPacer pacer_;
   StoreCounters counters_;
-  Instant lastAnswerAt_;
+  engine::CircuitBreaker wholeStore_;
+  /// Only partitions whose last call failed.
+  std::map<PartitionAddress, engine::CircuitBreaker> failing_;
 };
 
 }  // namespace gorsetrail::logstore
--- /dev/null
+++ b/src/logstore/store_message.h
@@ -0,0 +1,27 @@
+/// \file Store calls between nodes: a node that cannot reach the store asks through another one.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "base/result.h"
+#include "logstore/log_store.h"
+
+namespace gorsetrail::logstore {
+
+using StoreCallRequest = std::variant<AppendRequest, ReadRequest, NewestRequest>;
+using StoreCallReply = std::variant<AppendReply, ReadReply, NewestReply, StoreError>;
+
+std::string encodeStoreCall(const StoreCallRequest& request);
+/// Errors: `InvalidFrame`.
+Result<StoreCallRequest> decodeStoreCall(std::string_view bytes);
+
+std::string encodeStoreReply(const StoreCallReply& reply);
+/// Decodes the reply of an append, a read or a listing. A reply that cannot be read counts as no
+/// answer.
+StoreResult<AppendReply> decodeAppendReply(std::string_view bytes);
+StoreResult<ReadReply> decodeReadReply(std::string_view bytes);
+StoreResult<NewestReply> decodeNewestReply(std::string_view bytes);
+
+}  // namespace gorsetrail::logstore
