Start another try beside a silent one instead of ending it

Cause: with answers 60 times slower than usual (240 ms) every call was ended after 60 ms and counted as lost, so nodes refused work although the store answered. Change: an answer that takes longer than usual starts a second try; the first answer counts, and late answers teach what is usual.

--- a/src/logstore/persistent_store.cpp
+++ b/src/logstore/persistent_store.cpp
@@ -21,6 +21,12 @@
   knobs.longestOpenTime = milliseconds(400);
   return knobs;
 }
+/// A try is ended after this many times its patience, but not before `kShortestTry`: an answer
+/// that is only slow still counts.
+constexpr int kTryPatiences = 4;
+constexpr Duration kShortestTry = milliseconds(400);
+/// Tries of one call that may be started while none of them has ended.
+constexpr std::uint32_t kMostTriesUnderWay = 4;
 constexpr double kFailuresOfPartition = 1.5;
 constexpr double kFailuresOfStore = 3.5;
 
@@ -32,11 +38,13 @@
 }  // namespace
 
 template <class Request, class Reply>
-struct PersistentStore::Attempt {
+struct PersistentStore::Call {
   Request request;
   StoreCallback<Reply> callback;
   Instant deadline;
-  std::uint32_t number = 0;
+  std::uint32_t started = 0;   ///< Tries so far.
+  std::uint32_t underWay = 0;  ///< Tries without a result.
+  bool done = false;
 };
 
 PersistentStore::PersistentStore(LogStore& direct, services::TimerService& timers,
@@ -46,20 +54,20 @@
 
 void PersistentStore::append(AppendRequest request, StoreCallback<AppendReply> callback) {
   const Instant deadline = clock_() + request.timeLimit;
-  attempt(std::make_shared<Attempt<AppendRequest, AppendReply>>(
-      Attempt<AppendRequest, AppendReply>{std::move(request), std::move(callback), deadline}));
+  startTry(std::make_shared<Call<AppendRequest, AppendReply>>(
+      Call<AppendRequest, AppendReply>{std::move(request), std::move(callback), deadline}));
 }
 
 void PersistentStore::read(ReadRequest request, StoreCallback<ReadReply> callback) {
   const Instant deadline = clock_() + request.timeLimit;
-  attempt(std::make_shared<Attempt<ReadRequest, ReadReply>>(
-      Attempt<ReadRequest, ReadReply>{std::move(request), std::move(callback), deadline}));
+  startTry(std::make_shared<Call<ReadRequest, ReadReply>>(
+      Call<ReadRequest, ReadReply>{std::move(request), std::move(callback), deadline}));
 }
 
 void PersistentStore::newest(NewestRequest request, StoreCallback<NewestReply> callback) {
   const Instant deadline = clock_() + request.timeLimit;
-  attempt(std::make_shared<Attempt<NewestRequest, NewestReply>>(
-      Attempt<NewestRequest, NewestReply>{std::move(request), std::move(callback), deadline}));
+  startTry(std::make_shared<Call<NewestRequest, NewestReply>>(
+      Call<NewestRequest, NewestReply>{std::move(request), std::move(callback), deadline}));
 }
 
 void PersistentStore::callDirect(AppendRequest request, StoreCallback<AppendReply> callback) {
@@ -73,40 +81,60 @@
 }
 
 template <class Request, class Reply>
-void PersistentStore::attempt(const std::shared_ptr<Attempt<Request, Reply>>& state) {
+void PersistentStore::startTry(const std::shared_ptr<Call<Request, Reply>>& call) {
   const Instant startedAt = clock_();
-  const Duration left = state->deadline - startedAt;
-  Request request = state->request;
-  request.timeLimit = std::min(pacer_.patience(state->number) + heldByStore(request), left);
+  const Duration held = heldByStore(call->request);
+  const Duration patience = pacer_.patience(call->started) + held;
+  Request request = call->request;
+  request.timeLimit =
+      std::min(std::max(kShortestTry, patience * kTryPatiences), call->deadline - startedAt);
   ++counters_.calls;
-  callDirect(std::move(request), [this, state, startedAt](StoreResult<Reply> result) {
-    onResult(state, startedAt, std::move(result));
+  const std::uint32_t number = ++call->started;
+  ++call->underWay;
+  callDirect(std::move(request), [this, call, startedAt](StoreResult<Reply> result) {
+    onResult(call, startedAt, std::move(result));
+  });
+  timers_.runAfter(patience, [this, weak = std::weak_ptr(call), number] {
+    const auto waiting = weak.lock();
+    const bool silent = waiting && !waiting->done && waiting->underWay > 0;
+    if (silent && waiting->started == number && number < kMostTriesUnderWay &&
+        clock_() < waiting->deadline) {
+      startTry(waiting);
+    }
   });
 }
 
 template <class Request, class Reply>
-void PersistentStore::onResult(const std::shared_ptr<Attempt<Request, Reply>>& state,
+void PersistentStore::onResult(const std::shared_ptr<Call<Request, Reply>>& call,
                                Instant startedAt, StoreResult<Reply> result) {
   const Instant now = clock_();
   const auto* const error = std::get_if<StoreError>(&result);
-  noteHealth(state->request.partition, error, now);
-  if (error == nullptr) {
+  --call->underWay;
+  noteHealth(call->request.partition, error, now);
+  if (error == nullptr && heldByStore(call->request) == Duration::zero()) {
+    pacer_.onAnswer(now - startedAt);
+  }
+  if (call->done) {
+    return;
+  }
+  if (error == nullptr || !isWorthAnotherTry(error->fault)) {
     ++counters_.answered;
-    if (heldByStore(state->request) == Duration::zero()) {
-      pacer_.onAnswer(now - startedAt);
-    }
-    state->callback(std::move(result));
+    call->done = true;
+    call->callback(std::move(result));
     return;
   }
   count(error->fault);
-  ++state->number;
-  const Duration pause = pacer_.backoff(state->number);
-  if (!isWorthAnotherTry(error->fault) || now + pause >= state->deadline) {
+  if (call->underWay > 0) {
+    return;  // Another try may still be answered.
+  }
+  const Duration pause = pacer_.backoff(call->started);
+  if (now + pause >= call->deadline) {
     ++counters_.givenUp;
-    state->callback(std::move(result));
+    call->done = true;
+    call->callback(std::move(result));
     return;
   }
-  timers_.runAfter(pause, [this, state] { attempt(state); });
+  timers_.runAfter(pause, [this, call] { startTry(call); });
 }
 
 void PersistentStore::noteHealth(const PartitionAddress& partition, const StoreError* error,
--- a/src/logstore/persistent_store.h
+++ b/src/logstore/persistent_store.h
@@ -28,8 +28,10 @@
 /// Makes appends and reads again until their time limit. An append may then stand twice in the
 /// log: everything appended through here must be a fact that readers may meet twice.
 ///
-/// Order of steps: try number n+1 of a call starts only after try n has ended (answered or timed
-/// out), so a call has at most one try under way and never floods a slow store.
+/// Order of steps: when an answer takes longer than is usual, another try starts beside the first
+/// one, on another connection, since a connection whose answer was lost says nothing more; the
+/// first answer counts. What is usual is learned from late answers too, so that a slow store is
+/// not asked ever more often. After a refusal the next try waits, longer each time.
 class PersistentStore final : public LogStore {
  public:
   /// \param direct, timers outlive this object.
@@ -47,11 +49,11 @@
 
  private:
   template <class Request, class Reply>
-  struct Attempt;
+  struct Call;
   template <class Request, class Reply>
-  void attempt(const std::shared_ptr<Attempt<Request, Reply>>& state);
+  void startTry(const std::shared_ptr<Call<Request, Reply>>& call);
   template <class Request, class Reply>
-  void onResult(const std::shared_ptr<Attempt<Request, Reply>>& state, Instant startedAt,
+  void onResult(const std::shared_ptr<Call<Request, Reply>>& call, Instant startedAt,
                 StoreResult<Reply> result);
   void count(StoreFault fault);
   void noteHealth(const PartitionAddress& partition, const StoreError* error, Instant now);
