Choose replicas by load of all nodes and by what reading a prompt again costs

Change: nodes tell each other their load by datagrams (random peers, bounded); the selector counts a missing prompt as what its reading costs the batch; admission turns away first turns at full load.

--- a/src/edge/call_request.h
+++ b/src/edge/call_request.h
@@ -26,6 +26,7 @@
   std::string lastEventId;   ///< The client resumes a stream behind this event.
   std::optional<Duration> deadline;  ///< How long the client waits.
   std::optional<std::uint64_t> tokenBudget;  ///< Of the whole program.
+  std::uint64_t promptTokens = 0;            ///< Of the whole prompt.
   std::uint64_t maximumTokens = 0;           ///< That this request may generate.
 
   /// \return the path without the query.
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -9,6 +9,7 @@
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
 #include "ledger/program_ledger.h"
+#include "routing/admission_policy.h"
 #include "routing/replica_selector.h"
 #include "routing/replica_table.h"
 #include "routing/route_table.h"
@@ -44,6 +45,10 @@
   Duration suspicionTime = milliseconds(1500);
   Duration fullTime = milliseconds(60);
   Duration retryAfterFull = milliseconds(150);
+  Duration retryAfterStop = milliseconds(10);
+  Duration retryAfterOverload = milliseconds(400);
+  /// A program that used this share of its budget probably loops.
+  double runawayShare = 0.75;
   Duration retryAfterStore = milliseconds(250);
   Duration retryAfterOutage = milliseconds(800);
   Duration connectTimeLimit = milliseconds(400);
@@ -57,6 +62,7 @@
   routing::RouteTable& routes;
   routing::ReplicaTable& replicas;
   routing::ReplicaSelector& selector;
+  const routing::AdmissionPolicy& admission;
   ledger::ProgramLedger& ledger;
   http::HttpClient& client;
   services::TimerService& timers;
@@ -65,6 +71,7 @@
   EdgeCounters counters;
   Freshness freshness;
   ExchangeKnobs knobs;
+  bool takesRequests = true;  ///< False in the last part of a planned stop.
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -12,16 +12,20 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
+constexpr Duration kLoadPeriod = milliseconds(100);
 constexpr Duration kFlushPeriod = milliseconds(250);
 constexpr Duration kSweepPeriod = seconds(10);
 constexpr Duration kStopCheckPeriod = milliseconds(100);
-/// Clients may hold this node's address for a while after it left the directory.
-constexpr Duration kShortestStop = seconds(4);
+/// Clients may hold this node's address for a while after it left the directory: so long are their
+/// requests taken. Later ones are told at once that they have not run, since the process may end
+/// before they do.
+constexpr Duration kTakesRequestsAfterStop = milliseconds(3000);
+constexpr Duration kShortestStop = milliseconds(3200);
 /// Left of the stop limit for the end of the process.
 constexpr Duration kStopMargin = milliseconds(700);
 constexpr Duration kAnnounceTimeLimit = milliseconds(800);
 /// Clients ask again after this, so that a dead node is not used for long.
-constexpr double kAddressTtlSeconds = 2.0;
+constexpr double kAddressTtlSeconds = 1.0;
 constexpr Duration kServerSweepPeriod = seconds(2);
 
 Instant steadyNow() {
@@ -61,8 +65,14 @@
       relayServer_(parts.store),
       ledger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
       selector_(settings_.zone, {}),
-      context_{parts.wire, routes_, replicas_, selector_, ledger_, parts.client,
-               *timers_,   clock_,  log_,      {},        {},      {}} {}
+      admission_(routing::AdmissionKnobs{}),
+      fleetLoad_({}),
+      loadExchange_(context, {}, seed,
+                    [this](routing::LoadDigest digest) {
+                      fleetLoad_.onDigest(std::move(digest), clock_());
+                    }),
+      context_{parts.wire, routes_,   replicas_, selector_, admission_, ledger_, parts.client,
+               *timers_,   clock_,    log_,      {},        {},         {}} {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
 
@@ -79,6 +89,7 @@
   followReplicas();
   followMembers();
   announceLoop();
+  loadLoop();
   flushLoop();
   sweepLoop();
   return Success{};
@@ -153,6 +164,7 @@
       return errorOf(peers);
     }
     peerServer_ = std::move(valueOf(peers));
+    return loadExchange_.listen(ownLoadAddress());
   }
   return Success{};
 }
@@ -161,6 +173,10 @@
   return settings_.ip + ":" + std::to_string(settings_.firstInternalPort);
 }
 
+std::string EdgeDaemon::ownLoadAddress() const {
+  return settings_.ip + ":" + std::to_string(settings_.firstInternalPort + 1);
+}
+
 std::vector<std::string> EdgeDaemon::otherRelays() const {
   std::vector<std::string> addresses;
   for (const MemberRecord& member : members_.alive()) {
@@ -187,6 +203,7 @@
 }
 
 void EdgeDaemon::onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer) {
+  context_.takesRequests = !stopping_ || clock_() - stopBegunAt_ < kTakesRequestsAfterStop;
   std::make_shared<Exchange>(context_, parts_.wire.readRequest(std::move(request)),
                              std::move(writer))
       ->start();
@@ -324,7 +341,6 @@
   observer.onListed = [](const std::vector<std::string>& /*keys*/) {};
   observer.onFresh = [this](Instant askedAt) {
     members_.onFresh(askedAt);
-    selector_.setNodesInZone(std::max<std::size_t>(1, members_.countIn(settings_.zone)));
     noteStoreAnswer(askedAt);
   };
   observer.onStale = [this](const logstore::StoreError& error) {
@@ -372,6 +388,19 @@
   timers_->runAfter(pause, [this] { announceLoop(); });
 }
 
+void EdgeDaemon::loadLoop() {
+  std::vector<std::string> peers;
+  for (const std::string& relay : otherRelays()) {
+    // Ports are alike on all machines: loads arrive one port above store calls.
+    peers.push_back(relay.substr(0, relay.rfind(':') + 1) +
+                    std::to_string(settings_.firstInternalPort + 1));
+  }
+  const std::size_t others = peers.size();
+  loadExchange_.send(replicas_.all(), std::move(peers));
+  fleetLoad_.apply(replicas_, others, clock_());
+  timers_->runAfter(kLoadPeriod, [this] { loadLoop(); });
+}
+
 void EdgeDaemon::flushLoop() {
   log_.flush();
   timers_->runAfter(kFlushPeriod, [this] { flushLoop(); });
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -9,6 +9,7 @@
 #include "edge/edge_context.h"
 #include "edge/edge_settings.h"
 #include "edge/event_log.h"
+#include "edge/load_exchange.h"
 #include "edge/member_table.h"
 #include "edge/store_relay.h"
 #include "edge/wire_adapter.h"
@@ -16,6 +17,7 @@
 #include "logstore/failover_store.h"
 #include "logstore/keyed_topic_follower.h"
 #include "logstore/log_store.h"
+#include "routing/fleet_load.h"
 
 namespace gorsetrail::edge {
 
@@ -61,11 +63,13 @@
   void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
   void announce();
   void announceLoop();
+  void loadLoop();
   void flushLoop();
   void sweepLoop();
   void checkStopped();
   [[nodiscard]] bool isReady() const;
   [[nodiscard]] std::string ownRelayAddress() const;
+  [[nodiscard]] std::string ownLoadAddress() const;
   [[nodiscard]] std::vector<std::string> otherRelays() const;
   void onStoreWay(logstore::StoreWay way);
 
@@ -84,6 +88,9 @@
   routing::RouteTable routes_;
   routing::ReplicaTable replicas_;
   routing::ReplicaSelector selector_;
+  routing::AdmissionPolicy admission_;
+  routing::FleetLoad fleetLoad_;
+  LoadExchange loadExchange_;
   EdgeContext context_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -36,6 +36,10 @@
 
 void Exchange::start() {
   ++context_.counters.requests;
+  if (!context_.takesRequests) {
+    refuse(kUnavailable, "stopping", context_.knobs.retryAfterStop);
+    return;
+  }
   if (!findRoute()) {
     return;
   }
@@ -80,6 +84,7 @@
   service_ = context_.routes.nextService(*route_);
   const auto service = configuration_->services.find(service_);
   if (service != configuration_->services.end() && service->second.engine) {
+    hasEngine_ = true;
     tokensPerEvent_ = std::max(1U, service->second.engine->tokensPerEvent);
   }
   return true;
@@ -183,15 +188,22 @@
 }
 
 void Exchange::dispatch() {
-  const std::string& affinity = request_.sessionId.empty() ? request_.requestId
-                                                           : request_.sessionId;
-  const routing::ReplicaQuery query{service_, affinity, &tried_};
+  const bool keepsPrompts = hasEngine_ && !request_.programId.empty();
+  routing::ReplicaQuery query;
+  query.service = service_;
+  query.affinityKey = keepsPrompts ? request_.programId : request_.requestId;
+  query.promptTokens = keepsPrompts ? request_.promptTokens : 0;
+  query.tried = &tried_;
   const routing::ReplicaPtr replica =
       context_.selector.choose(context_.replicas, query, context_.clock());
-  if (replica) {
+  if (replica && isAdmitted(*replica)) {
     send(replica);
     return;
   }
+  if (replica) {
+    refuse(kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload);
+    return;
+  }
   if (mayHaveRun_ && !streamBegun_) {
     failUnknown(kBadGateway, "no_replica_left");
   } else if (streamBegun_) {
@@ -201,6 +213,22 @@
   }
 }
 
+routing::WorkStage Exchange::stage() const {
+  const std::uint64_t known = context_.ledger.knownUse(request_.programId);
+  const double budget = static_cast<double>(request_.tokenBudget.value_or(0));
+  if (budget > 0 && static_cast<double>(known) > context_.knobs.runawayShare * budget) {
+    return routing::WorkStage::Runaway;
+  }
+  const bool begun = !request_.previousTurn.empty() || known > request_.maximumTokens;
+  return begun ? routing::WorkStage::Continuing : routing::WorkStage::FirstTurn;
+}
+
+bool Exchange::isAdmitted(const routing::Replica& replica) const {
+  // What has begun anywhere goes on: turning it away would waste the work and promise too much.
+  const bool canBeRefused = hasEngine_ && isStreaming() && !mayHaveRun_ && !streamBegun_;
+  return !canBeRefused || context_.admission.admits(replica, stage(), route_->priority);
+}
+
 void Exchange::send(const routing::ReplicaPtr& replica) {
   replica_ = replica;
   ++replica_->inFlight;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -44,6 +44,8 @@
   // At a replica.
   void dispatch();
   void send(const routing::ReplicaPtr& replica);
+  [[nodiscard]] bool isAdmitted(const routing::Replica& replica) const;
+  [[nodiscard]] routing::WorkStage stage() const;
   void onHead(unsigned status, const std::vector<http::Header>& headers);
   void onBody(std::string_view part);
   void onReplicaDone();
@@ -82,6 +84,7 @@
   const routing::Route* route_ = nullptr;
   std::string service_;
   std::uint64_t tokensPerEvent_ = 1;
+  bool hasEngine_ = false;  ///< The service's replicas are model engines.
   std::string ownInput_;  ///< The turn's new input, for its record.
   BudgetState budget_ = BudgetState::NotNeeded;
   bool reservationMayStand_ = false;
--- /dev/null
+++ b/src/edge/load_exchange.cpp
@@ -0,0 +1,132 @@
+#include "edge/load_exchange.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "edge/generated/load_digest_generated.h"
+#include "http/endpoint.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+using boost::system::error_code;
+using Udp = boost::asio::ip::udp;
+
+constexpr std::uint32_t kMostInFlight = UINT16_MAX;
+
+std::optional<Udp::endpoint> datagramEndpoint(const std::string& address) {
+  const auto endpoint = http::parseEndpoint(address);
+  return endpoint ? std::optional(Udp::endpoint(endpoint->address(), endpoint->port()))
+                  : std::nullopt;
+}
+
+}  // namespace
+
+std::string encodeLoadDigest(const routing::LoadDigest& digest) {
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<fbs::ReplicaLoad> loads;
+  loads.reserve(digest.loads.size());
+  for (const routing::ReplicaLoad& load : digest.loads) {
+    loads.emplace_back(load.replica, load.inFlight);
+  }
+  const auto list = builder.CreateVectorOfStructs(loads);
+  fbs::FinishLoadDigestBuffer(builder,
+                              fbs::CreateLoadDigest(builder, digest.node, digest.beat, list));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+Result<routing::LoadDigest> decodeLoadDigest(std::string_view bytes) {
+  const auto* const begin = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(begin, bytes.size());
+  if (!fbs::VerifyLoadDigestBuffer(verifier)) {
+    return Error{ErrorKind::InvalidFrame, "load digest", "the bytes are no load digest",
+                 "run the same version on every node"};
+  }
+  const fbs::LoadDigest* const read = fbs::GetLoadDigest(begin);
+  routing::LoadDigest digest;
+  digest.node = read->node();
+  digest.beat = read->beat();
+  if (read->loads() != nullptr) {
+    for (const fbs::ReplicaLoad* const load : *read->loads()) {
+      digest.loads.push_back({load->replica(), load->in_flight()});
+    }
+  }
+  return digest;
+}
+
+LoadExchange::LoadExchange(boost::asio::io_context& context, LoadExchangeKnobs knobs,
+                           std::uint64_t seed, DigestObserver onDigest)
+    : socket_(context), knobs_(knobs), random_(seed), onDigest_(std::move(onDigest)) {}
+
+Result<Success> LoadExchange::listen(const std::string& address) {
+  const auto endpoint = datagramEndpoint(address);
+  error_code error;
+  if (endpoint) {
+    socket_.open(endpoint->protocol(), error);
+    if (!error) {
+      socket_.bind(*endpoint, error);
+    }
+    if (!error) {
+      socket_.non_blocking(true, error);
+    }
+  }
+  if (!endpoint || error) {
+    return Error{ErrorKind::InvalidSettings, "internal port " + address,
+                 endpoint ? error.message() : "it is not `ip:port`", "free the port"};
+  }
+  node_ = XXH64(address.data(), address.size(), 0);
+  receive();
+  return Success{};
+}
+
+void LoadExchange::receive() {
+  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                             [this](const error_code& error, std::size_t bytes) {
+                               if (error == boost::asio::error::operation_aborted) {
+                                 return;
+                               }
+                               auto digest = decodeLoadDigest({buffer_.data(), bytes});
+                               if (!error && succeeded(digest)) {
+                                 onDigest_(std::move(valueOf(digest)));
+                               }
+                               receive();
+                             });
+}
+
+routing::LoadDigest LoadExchange::digestOf(const std::vector<routing::ReplicaPtr>& replicas) {
+  routing::LoadDigest digest;
+  digest.node = node_;
+  for (const routing::ReplicaPtr& replica : replicas) {
+    if (replica->inFlight > 0) {
+      const auto count = static_cast<std::uint16_t>(std::min(replica->inFlight, kMostInFlight));
+      digest.loads.push_back({routing::replicaHashOf(replica->entry.id), count});
+    }
+  }
+  return digest;
+}
+
+void LoadExchange::send(const std::vector<routing::ReplicaPtr>& replicas,
+                        std::vector<std::string> peers) {
+  routing::LoadDigest digest = digestOf(replicas);
+  std::string loads = encodeLoadDigest(digest);
+  if (loads == lastLoads_ && ++unchanged_ < knobs_.unchangedEvery) {
+    return;
+  }
+  unchanged_ = 0;
+  lastLoads_ = std::move(loads);
+  digest.beat = ++beat_;
+  const std::string datagram = encodeLoadDigest(digest);
+  const std::size_t count = std::min(peers.size(), knobs_.maximumPeers);
+  for (std::size_t index = 0; index < count; ++index) {
+    // Draws without replacement: the chosen one changes places with the first not yet chosen.
+    std::swap(peers[index], peers[index + random_.below(peers.size() - index)]);
+    if (const auto endpoint = datagramEndpoint(peers[index])) {
+      error_code ignored;
+      socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
+    }
+  }
+}
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/load_exchange.h
@@ -0,0 +1,59 @@
+/// \file Tells other nodes what this one has under way at replicas, by datagrams.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/result.h"
+#include "routing/fleet_load.h"
+
+namespace gorsetrail::edge {
+
+std::string encodeLoadDigest(const routing::LoadDigest& digest);
+/// Errors: `InvalidFrame`.
+Result<routing::LoadDigest> decodeLoadDigest(std::string_view bytes);
+
+/// Knobs of `LoadExchange`.
+struct LoadExchangeKnobs {
+  /// Peers that get each digest, chosen at random: the cost of a node does not grow with the fleet.
+  std::size_t maximumPeers = 16;
+  /// An unchanged digest is sent every this many calls of `send`.
+  std::uint32_t unchangedEvery = 4;
+};
+
+/// One datagram socket. Lost digests are replaced by the next.
+class LoadExchange {
+ public:
+  using DigestObserver = std::function<void(routing::LoadDigest)>;
+
+  LoadExchange(boost::asio::io_context& context, LoadExchangeKnobs knobs, std::uint64_t seed,
+               DigestObserver onDigest);
+
+  /// \param address `ip:port` that digests arrive at. Errors: `InvalidSettings`.
+  Result<Success> listen(const std::string& address);
+  /// Sends the load of these replicas to some of the peers.
+  void send(const std::vector<routing::ReplicaPtr>& replicas, std::vector<std::string> peers);
+
+ private:
+  void receive();
+  routing::LoadDigest digestOf(const std::vector<routing::ReplicaPtr>& replicas);
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint sender_;
+  LoadExchangeKnobs knobs_;
+  RandomSource random_;
+  DigestObserver onDigest_;
+  std::array<char, 8192> buffer_{};
+  std::uint64_t node_ = 0;
+  std::uint64_t beat_ = 0;
+  std::string lastLoads_;
+  std::uint32_t unchanged_ = 0;
+};
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/routing/fleet_load.h
@@ -0,0 +1,58 @@
+/// \file What other nodes have under way at replicas. No I/O, no clock.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/replica_table.h"
+
+namespace gorsetrail::routing {
+
+/// Short name of a replica in digests: collisions only blur an estimate.
+using ReplicaHash = std::uint32_t;
+ReplicaHash replicaHashOf(std::string_view replicaId);
+
+/// Requests of one node at one replica.
+struct ReplicaLoad {
+  ReplicaHash replica = 0;
+  std::uint16_t inFlight = 0;
+};
+
+/// What one node tells the others.
+struct LoadDigest {
+  std::uint64_t node = 0;  ///< Hash of the node's address.
+  std::uint64_t beat = 0;  ///< Rises in one life; an older digest is dropped.
+  std::vector<ReplicaLoad> loads;
+};
+
+/// Knobs of `FleetLoad`.
+struct FleetLoadKnobs {
+  Duration silence = milliseconds(600);  ///< A node that was not heard for this long has no load.
+};
+
+/// Sums the newest digest of every node. In a fleet where only some nodes' digests arrive, the sum
+/// is scaled up to all of them.
+class FleetLoad {
+ public:
+  explicit FleetLoad(FleetLoadKnobs knobs) : knobs_(knobs) {}
+
+  void onDigest(LoadDigest digest, Instant now);
+  /// Writes the others' load into the replicas.
+  /// \param otherNodes nodes known to serve, this one not included.
+  void apply(const ReplicaTable& replicas, std::size_t otherNodes, Instant now);
+
+ private:
+  struct Entry {
+    LoadDigest digest;
+    Instant heardAt;
+  };
+  void dropSilent(Instant now);
+
+  FleetLoadKnobs knobs_;
+  std::unordered_map<std::uint64_t, Entry> byNode_;
+};
+
+}  // namespace gorsetrail::routing
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -10,7 +10,6 @@
 
 /// An answer that took this many times the usual counts as that much more load, at most.
 constexpr double kMaximumSlowness = 8.0;
-constexpr double kMinimumSlowness = 0.7;
 
 std::uint64_t rendezvousWeightOf(std::string_view key, std::string_view replicaId) {
   const std::uint64_t seed = XXH64(key.data(), key.size(), 0);
@@ -60,24 +59,29 @@
   return *middle;
 }
 
-double slownessOf(const Replica& replica, double usualMilliseconds) {
-  if (usualMilliseconds <= 0 || replica.answerMilliseconds <= 0) {
+double slownessOf(const Replica& replica, double usualMilliseconds, double slowFrom) {
+  if (usualMilliseconds <= 0) {
     return 1.0;
   }
-  return std::clamp(replica.answerMilliseconds / usualMilliseconds, kMinimumSlowness,
-                    kMaximumSlowness);
+  const double ratio = replica.answerMilliseconds / usualMilliseconds;
+  return ratio < slowFrom ? 1.0 : std::min(ratio, kMaximumSlowness);
 }
 
 }  // namespace
 
-double ReplicaSelector::costOf(const Replica& replica, bool preferred, double usualMilliseconds,
-                               Instant now) const {
+double ReplicaSelector::costOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
+                               double usualMilliseconds, Instant now) const {
   const double slots = std::max(1U, replica.entry.slots);
-  const double load = static_cast<double>(replica.inFlight) * static_cast<double>(nodesInZone_);
-  // A request more at a busy replica slows all of its batch down: load counts more than linearly.
-  double cost = (load + 1.0) * slownessOf(replica, usualMilliseconds) * (1.0 + load / slots);
+  const double load = replica.load();
+  const double waiting = std::max(0.0, load + 1.0 - slots);
+  double cost = (knobs_.baseCost + load) *
+                slownessOf(replica, usualMilliseconds, knobs_.slowFrom);
+  cost += waiting * knobs_.waitingCost;
+  if (!preferred) {
+    cost += knobs_.otherReplicaCost +
+            knobs_.costPerPromptToken * static_cast<double>(query.promptTokens);
+  }
   cost += replica.entry.zone == zone_ ? 0.0 : knobs_.otherZoneCost;
-  cost += preferred ? 0.0 : knobs_.affinityCost;
   cost += replica.suspectUntil > now ? knobs_.suspectCost : 0.0;
   cost += replica.fullUntil > now ? knobs_.fullCost : 0.0;
   return cost;
@@ -95,7 +99,7 @@
       continue;
     }
     const bool isPreferred = preferred == nullptr || replica.get() == preferred;
-    const double cost = costOf(*replica, isPreferred, usualMilliseconds, now);
+    const double cost = costOf(*replica, isPreferred, query, usualMilliseconds, now);
     if (cost < lowest) {
       lowest = cost;
       chosen = replica;
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -13,43 +13,51 @@
 /// What a choice depends on besides the table.
 struct ReplicaQuery {
   std::string_view service;
-  std::string_view affinityKey;  ///< Session of the request; empty when it has none.
+  /// Requests of one key prefer one replica; every node prefers the same one.
+  std::string_view affinityKey;
+  /// Length of the prompt that the preferred replica may have read already; 0: nothing is kept.
+  std::uint64_t promptTokens = 0;
   const std::vector<ReplicaPtr>* tried = nullptr;  ///< Not chosen again.
 };
 
-/// Knobs of the choice.
+/// Knobs of the choice. Costs are in requests: what one more request in a replica's batch costs.
 struct ReplicaSelectorKnobs {
-  /// Cost of another zone, in requests: bytes between zones are priced, and the way is longer.
-  double otherZoneCost = 3.0;
-  /// Cost of a replica that does not hold the session's prompt, in requests.
-  double affinityCost = 2.0;
-  /// Cost of a replica under suspicion, in requests: chosen only when the others are overloaded.
+  /// What a request costs on an empty replica: a slow replica makes this part slower too.
+  double baseCost = 20.0;
+  /// Reading a prompt again stops the whole batch: a batch step costs nearly the same for one
+  /// request as for all slots, so reading is what fills an engine.
+  double costPerPromptToken = 0.0016;
+  /// Only splits ties: each key prefers some replica.
+  double otherReplicaCost = 0.5;
+  /// Bytes between zones are priced, and the way is longer.
+  double otherZoneCost = 0.8;
+  /// For each request that would have to wait for a slot.
+  double waitingCost = 2.0;
+  /// Answers this many times slower than the middle one count as a slow replica.
+  double slowFrom = 2.0;
+  /// Chosen only when the others are overloaded.
   double suspectCost = 1000.0;
-  /// Cost of a replica that refused for want of room a moment ago.
+  /// It refused for want of room a moment ago.
   double fullCost = 100.0;
 };
 
-/// Chooses the cheapest replica: load seen by this node, scaled to the nodes of its zone, plus the
-/// costs above, weighed by how slowly the replica answered lately.
+/// Chooses the cheapest replica: its load from all nodes, weighed by how slowly it answered lately,
+/// plus the costs above.
 class ReplicaSelector {
  public:
   ReplicaSelector(std::string zone, ReplicaSelectorKnobs knobs)
       : zone_(std::move(zone)), knobs_(knobs) {}
 
-  /// \param nodesInZone nodes that send to the same replicas, this one included.
-  void setNodesInZone(std::size_t nodesInZone) { nodesInZone_ = nodesInZone; }
-
   /// \return the replica, or null when none takes work.
   [[nodiscard]] ReplicaPtr choose(const ReplicaTable& table, const ReplicaQuery& query,
                                   Instant now) const;
 
  private:
-  [[nodiscard]] double costOf(const Replica& replica, bool preferred, double usualMilliseconds,
-                              Instant now) const;
+  [[nodiscard]] double costOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
+                              double usualMilliseconds, Instant now) const;
 
   std::string zone_;
   ReplicaSelectorKnobs knobs_;
-  std::size_t nodesInZone_ = 1;
 };
 
 }  // namespace gorsetrail::routing
--- a/src/routing/replica_table.cpp
+++ b/src/routing/replica_table.cpp
@@ -62,6 +62,15 @@
   return found == byService_.end() ? kNone : found->second;
 }
 
+std::vector<ReplicaPtr> ReplicaTable::all() const {
+  std::vector<ReplicaPtr> replicas;
+  replicas.reserve(byId_.size());
+  for (const auto& [id, replica] : byId_) {
+    replicas.push_back(replica);
+  }
+  return replicas;
+}
+
 void ReplicaTable::dropFromService(const ReplicaPtr& replica) {
   auto& replicas = byService_[replica->entry.service];
   replicas.erase(std::remove(replicas.begin(), replicas.end(), replica), replicas.end());
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -26,12 +26,14 @@
   ReplicaEntry entry;
   bool gone = false;             ///< Its registration was removed: it gets nothing new.
   std::uint32_t inFlight = 0;    ///< Requests of this node that run or wait there.
+  double othersInFlight = 0;     ///< Those of other nodes, as far as they told a moment ago.
   std::uint32_t failures = 0;    ///< In a row: no connection, cut answers, silence.
   Instant suspectUntil;          ///< Avoided until then while others are there.
   Instant fullUntil;             ///< It refused for want of room a moment ago.
   double answerMilliseconds = 0; ///< Smoothed time to the first byte; 0 before the first answer.
 
   [[nodiscard]] bool takesWork() const { return !gone && !entry.draining; }
+  [[nodiscard]] double load() const { return static_cast<double>(inFlight) + othersInFlight; }
 };
 using ReplicaPtr = std::shared_ptr<Replica>;
 
@@ -49,6 +51,8 @@
   std::vector<std::string> keepOnly(const std::vector<std::string>& ids);
 
   [[nodiscard]] const std::vector<ReplicaPtr>& ofService(std::string_view service) const;
+  /// \return every registered replica.
+  [[nodiscard]] std::vector<ReplicaPtr> all() const;
   [[nodiscard]] std::size_t size() const { return byId_.size(); }
 
  private:
