--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -17,8 +17,8 @@
 /// Load per slot up to which work is admitted.
 struct AdmissionKnobs {
   double runaway = 0.6;
-  double firstTurn = 1.0;
-  double continuing = 1.5;
+  double firstTurn = 1.2;
+  double continuing = 2.0;
   /// Added for routes of priority 0, the most urgent.
   double mostUrgent = 0.25;
 };
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -26,7 +26,7 @@
   double baseCost = 20.0;
   /// Reading a prompt again stops the whole batch: a batch step costs nearly the same for one
   /// request as for all slots, so reading is what fills an engine.
-  double costPerPromptToken = 0.0016;
+  double costPerPromptToken = 0.008;
   /// Only splits ties: each key prefers some replica.
   double otherReplicaCost = 0.5;
   /// Bytes between zones are priced, and the way is longer.
