--- /dev/null
+++ b/tests/logstore/failover_store_test.cpp
@@ -0,0 +1,59 @@
+// The relay is taken while the direct way fails, and left when it works again.
+#include "logstore/failover_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "logstore/fake_log_store.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::logstore;
+
+TEST_GROUP(FailoverStore) {
+  FakeTimers timers;
+  FakeLogStore direct{timers};
+  FakeLogStore relay{timers};
+  int switches = 0;
+  FailoverStore store{direct, relay, [this] { return timers.now; },
+                      [this](StoreWay) { ++switches; }};
+  int answered = 0;
+
+  void call() {
+    store.append({{"t", 0}, {"record"}, milliseconds(100)},
+                 [this](const StoreResult<AppendReply>& reply) {
+                   answered += std::holds_alternative<AppendReply>(reply) ? 1 : 0;
+                 });
+    timers.advance(milliseconds(100));
+  }
+};
+
+TEST(FailoverStore, staysDirectWhileThatWorks) {
+  for (int number = 0; number < 5; ++number) {
+    call();
+  }
+  LONGS_EQUAL(5, direct.appends);
+  LONGS_EQUAL(0, relay.appends);
+  CHECK_TRUE(store.isDirect());
+}
+
+TEST(FailoverStore, goesThroughAnotherNodeWhenTheStoreIsOutOfReach) {
+  direct.fault = FakeFault::Silent;
+  for (int number = 0; number < 12; ++number) {
+    call();
+  }
+  CHECK_FALSE(store.isDirect());
+  CHECK(answered >= 5);
+  LONGS_EQUAL(1, switches);
+}
+
+TEST(FailoverStore, comesBackWhenTheStoreIsInReachAgain) {
+  direct.fault = FakeFault::Silent;
+  for (int number = 0; number < 8; ++number) {
+    call();
+  }
+  direct.fault = FakeFault::None;
+  for (int number = 0; number < 12; ++number) {
+    call();
+  }
+  CHECK_TRUE(store.isDirect());
+  LONGS_EQUAL(2, switches);
+}
--- /dev/null
+++ b/tests/logstore/keyed_topic_follower_test.cpp
@@ -0,0 +1,89 @@
+// A follower ends with the newest value of every key, through pages, gaps and silence.
+#include "logstore/keyed_topic_follower.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+
+#include "logstore/fake_log_store.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::logstore;
+
+TEST_GROUP(KeyedTopicFollower) {
+  FakeTimers timers;
+  FakeLogStore store{timers};
+  const PartitionAddress partition{"keyed.x", 0};
+  std::map<std::string, std::string> known;
+  int stale = 0;
+  std::shared_ptr<KeyedTopicFollower> follower;
+
+  void start() {
+    KeyedTopicObserver observer;
+    observer.onRecord = [this](const std::string& key, const std::string& value) {
+      if (value.empty()) {
+        known.erase(key);
+      } else {
+        known[key] = value;
+      }
+    };
+    observer.onListed = [this](const std::vector<std::string>& keys) {
+      for (auto entry = known.begin(); entry != known.end();) {
+        const bool listed = std::find(keys.begin(), keys.end(), entry->first) != keys.end();
+        entry = listed ? std::next(entry) : known.erase(entry);
+      }
+    };
+    observer.onFresh = [](Instant) {};
+    observer.onStale = [this](const StoreError&) { ++stale; };
+    follower = std::make_shared<KeyedTopicFollower>(
+        store, timers, [this] { return timers.now; }, partition, KeyedTopicFollowerKnobs{},
+        observer);
+    follower->start();
+  }
+  void put(const std::string& key, const std::string& value) {
+    store.logs[partition].push_back(encodeKeyedRecord(key, value));
+  }
+};
+
+TEST(KeyedTopicFollower, listsInPagesAndFollowsChanges) {
+  store.page = 2;
+  for (const char* key : {"a", "b", "c", "d", "e"}) {
+    put(key, "1");
+  }
+  start();
+  timers.advance(seconds(1));
+  LONGS_EQUAL(5, known.size());
+  put("b", "2");
+  put("c", "");
+  timers.advance(seconds(1));
+  LONGS_EQUAL(4, known.size());
+  STRCMP_EQUAL("2", known["b"].c_str());
+}
+
+TEST(KeyedTopicFollower, missesNothingThatChangesWhileItLists) {
+  store.page = 1;
+  put("a", "1");
+  put("b", "1");
+  put("c", "1");
+  start();
+  timers.advance(milliseconds(5));  // The first page is in.
+  put("a", "2");
+  put("b", "");
+  timers.advance(seconds(2));
+  STRCMP_EQUAL("2", known["a"].c_str());
+  LONGS_EQUAL(0, known.count("b"));
+}
+
+TEST(KeyedTopicFollower, goesOnAfterASilence) {
+  put("a", "1");
+  start();
+  timers.advance(seconds(1));
+  store.fault = FakeFault::Silent;
+  timers.advance(seconds(3));
+  CHECK(stale > 0);
+  put("a", "2");
+  store.fault = FakeFault::None;
+  timers.advance(seconds(2));
+  STRCMP_EQUAL("2", known["a"].c_str());
+}
--- /dev/null
+++ b/tests/logstore/persistent_store_test.cpp
@@ -0,0 +1,102 @@
+// Calls are made again until answered; slow is not dead; a dead store is told soon.
+#include "logstore/persistent_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+#include "logstore/fake_log_store.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::logstore;
+
+TEST_GROUP(PersistentStore) {
+  FakeTimers timers;
+  FakeLogStore direct{timers};
+  PersistentStore store{direct, timers, [this] { return timers.now; }, {}, 7};
+  const PartitionAddress partition{"t", 3};
+  std::optional<StoreResult<AppendReply>> result;
+
+  void append(Duration limit) {
+    store.append({partition, {"record"}, limit},
+                 [this](StoreResult<AppendReply> reply) { result = std::move(reply); });
+  }
+  bool appended() { return result && std::holds_alternative<AppendReply>(*result); }
+};
+
+TEST(PersistentStore, answersOnceAndCallsOnceWhenAllIsWell) {
+  append(seconds(1));
+  timers.advance(seconds(2));
+  CHECK_TRUE(appended());
+  LONGS_EQUAL(1, direct.appends);
+  LONGS_EQUAL(1, direct.logs[partition].size());
+}
+
+TEST(PersistentStore, findsALostAnswerLongBeforeTheTimeLimit) {
+  direct.fault = FakeFault::LostReply;
+  append(seconds(4));
+  timers.advance(milliseconds(10));
+  direct.fault = FakeFault::None;
+  timers.advance(milliseconds(100));
+  CHECK_TRUE(appended());
+  // It stands twice: what is appended through here must bear that.
+  LONGS_EQUAL(2, direct.logs[partition].size());
+}
+
+TEST(PersistentStore, waitsForASlowStoreAndLearnsItsPace) {
+  direct.latency = milliseconds(240);
+  append(seconds(4));
+  timers.advance(seconds(4));
+  CHECK_TRUE(appended());
+  CHECK_TRUE(store.answers(partition));
+  for (int call = 0; call < 10; ++call) {
+    append(seconds(4));
+    timers.advance(seconds(1));
+  }
+  const int before = direct.appends;
+  append(seconds(4));
+  timers.advance(seconds(4));
+  LONGS_EQUAL(1, direct.appends - before);
+}
+
+TEST(PersistentStore, triesAgainAfterARefusalWithGrowingPauses) {
+  direct.fault = FakeFault::Busy;
+  append(seconds(2));
+  timers.advance(seconds(1));
+  CHECK_FALSE(result.has_value());
+  CHECK(direct.appends > 2);
+  CHECK(direct.appends < 20);
+  direct.fault = FakeFault::None;
+  timers.advance(seconds(1));
+  CHECK_TRUE(appended());
+}
+
+TEST(PersistentStore, givesUpAtTheTimeLimitAndSaysWhy) {
+  direct.fault = FakeFault::Busy;
+  append(milliseconds(500));
+  timers.advance(seconds(2));
+  CHECK_TRUE(result.has_value());
+  CHECK(std::get<StoreError>(*result).fault == StoreFault::Busy);
+}
+
+TEST(PersistentStore, tellsADeadStoreAndARegainedOne) {
+  CHECK_TRUE(store.answers(partition));
+  direct.fault = FakeFault::Busy;
+  append(seconds(3));
+  timers.advance(milliseconds(150));
+  CHECK_FALSE(store.answers(partition));
+  direct.fault = FakeFault::None;
+  timers.advance(seconds(1));
+  CHECK_TRUE(store.answers(partition));
+}
+
+TEST(PersistentStore, doesNotGiveAllPartitionsUpForOne) {
+  const PartitionAddress other{"t", 4};
+  direct.fault = FakeFault::Busy;
+  append(milliseconds(100));
+  timers.advance(milliseconds(60));
+  direct.fault = FakeFault::None;
+  store.append({other, {"record"}, seconds(1)}, [](const StoreResult<AppendReply>&) {});
+  timers.advance(milliseconds(6));
+  CHECK_TRUE(store.answers(other));
+}
--- /dev/null
+++ b/tests/routing/fleet_load_test.cpp
@@ -0,0 +1,56 @@
+// Sums of other nodes' loads: newest digest counts, silent nodes do not, parts are scaled up.
+#include "routing/fleet_load.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::routing;
+
+TEST_GROUP(FleetLoad) {
+  FleetLoad load{{}};
+  ReplicaTable table;
+  Instant now{seconds(100)};
+  ReplicaPtr replica;
+
+  void setup() override {
+    ReplicaEntry entry;
+    entry.id = "a";
+    entry.service = "s";
+    table.upsert(entry);
+    replica = table.ofService("s").front();
+  }
+  void hear(std::uint64_t node, std::uint64_t beat, std::uint16_t inFlight) {
+    load.onDigest({node, beat, {{replicaHashOf("a"), inFlight}}}, now);
+  }
+  double others(std::size_t otherNodes) {
+    load.apply(table, otherNodes, now);
+    return replica->othersInFlight;
+  }
+};
+
+TEST(FleetLoad, sumsTheNewestDigestOfEachNode) {
+  hear(1, 1, 3);
+  hear(2, 1, 4);
+  hear(1, 2, 5);
+  hear(1, 1, 9);  // Overtaken on the way.
+  DOUBLES_EQUAL(9, others(2), 1e-9);
+}
+
+TEST(FleetLoad, forgetsSilentNodes) {
+  hear(1, 1, 3);
+  now += FleetLoadKnobs{}.silence + milliseconds(1);
+  DOUBLES_EQUAL(0, others(1), 1e-9);
+}
+
+TEST(FleetLoad, hearsARestartedNodeAfterItsSilence) {
+  hear(1, 100, 3);
+  now += FleetLoadKnobs{}.silence + milliseconds(1);
+  hear(1, 1, 2);
+  DOUBLES_EQUAL(2, others(1), 1e-9);
+}
+
+TEST(FleetLoad, scalesWhatIsHeardUpToAllNodes) {
+  hear(1, 1, 2);
+  hear(2, 1, 2);
+  DOUBLES_EQUAL(20, others(10), 1e-9);
+}
--- /dev/null
+++ b/tests/routing/replica_selector_test.cpp
@@ -0,0 +1,115 @@
+// The choice of a replica: load of all nodes, prompts that are kept, zones, slow and failed ones.
+#include "routing/replica_selector.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+using namespace gorsetrail;
+using namespace gorsetrail::routing;
+
+TEST_GROUP(ReplicaSelector) {
+  ReplicaTable table;
+  ReplicaSelector selector{"zone-a", {}};
+  Instant now{seconds(100)};
+
+  ReplicaPtr add(const std::string& id, const std::string& zone) {
+    ReplicaEntry entry;
+    entry.id = id;
+    entry.service = "s";
+    entry.zone = zone;
+    entry.slots = 12;
+    table.upsert(entry);
+    return table.ofService("s").back();
+  }
+  ReplicaPtr choose(std::string_view key, std::uint64_t promptTokens = 0,
+                    const std::vector<ReplicaPtr>* tried = nullptr) {
+    ReplicaQuery query;
+    query.service = "s";
+    query.affinityKey = key;
+    query.promptTokens = promptTokens;
+    query.tried = tried;
+    return selector.choose(table, query, now);
+  }
+};
+
+TEST(ReplicaSelector, choosesNothingWhereNothingTakesWork) {
+  CHECK(choose("p") == nullptr);
+  add("a", "zone-a")->entry.draining = true;
+  add("b", "zone-a")->gone = true;
+  CHECK(choose("p") == nullptr);
+}
+
+TEST(ReplicaSelector, doesNotAskAReplicaTwice) {
+  const std::vector<ReplicaPtr> tried = {add("a", "zone-a")};
+  CHECK(choose("p", 0, &tried) == nullptr);
+}
+
+TEST(ReplicaSelector, prefersItsZone) {
+  add("far", "zone-b");
+  const ReplicaPtr near = add("near", "zone-a");
+  for (const char* key : {"p1", "p2", "p3", "p4"}) {
+    CHECK(choose(key) == near);
+  }
+}
+
+TEST(ReplicaSelector, countsTheLoadOfOtherNodes) {
+  const ReplicaPtr busy = add("busy", "zone-a");
+  const ReplicaPtr free = add("free", "zone-a");
+  busy->othersInFlight = 9;
+  for (const char* key : {"p1", "p2", "p3", "p4"}) {
+    CHECK(choose(key) == free);
+  }
+}
+
+TEST(ReplicaSelector, keepsAProgramWhereItsPromptIsUntilThatIsFull) {
+  const ReplicaPtr first = add("a", "zone-a");
+  const ReplicaPtr second = add("b", "zone-a");
+  const ReplicaPtr home = choose("program");
+  const ReplicaPtr other = home == first ? second : first;
+  home->inFlight = 8;
+  CHECK(choose("program", 2500) == home);
+  CHECK(choose("program", 0) == other);
+  home->inFlight = 40;
+  CHECK(choose("program", 2500) == other);
+}
+
+TEST(ReplicaSelector, spreadsProgramsOverReplicas) {
+  add("a", "zone-a");
+  add("b", "zone-a");
+  add("c", "zone-a");
+  std::set<std::string> chosen;
+  for (int program = 0; program < 60; ++program) {
+    chosen.insert(choose("program-" + std::to_string(program), 1000)->entry.id);
+  }
+  LONGS_EQUAL(3, chosen.size());
+}
+
+TEST(ReplicaSelector, avoidsSuspectsAndThoseThatWereFullWhileOthersAreThere) {
+  const ReplicaPtr suspect = add("suspect", "zone-a");
+  const ReplicaPtr full = add("full", "zone-a");
+  const ReplicaPtr sound = add("sound", "zone-b");
+  suspect->suspectUntil = now + seconds(1);
+  full->fullUntil = now + seconds(1);
+  CHECK(choose("p", 2500) == sound);
+  sound->gone = true;
+  CHECK(choose("p", 2500) == full);
+  full->gone = true;
+  CHECK(choose("p", 2500) == suspect);
+}
+
+TEST(ReplicaSelector, avoidsAReplicaThatAnswersFarSlowerThanTheOthers) {
+  const ReplicaPtr slow = add("slow", "zone-a");
+  add("b", "zone-a")->answerMilliseconds = 50;
+  add("c", "zone-a")->answerMilliseconds = 50;
+  slow->answerMilliseconds = 250;
+  for (int program = 0; program < 30; ++program) {
+    CHECK(choose("program-" + std::to_string(program), 1000) != slow);
+  }
+  slow->answerMilliseconds = 70;
+  bool chosen = false;
+  for (int program = 0; program < 30; ++program) {
+    chosen = chosen || choose("program-" + std::to_string(program), 1000) == slow;
+  }
+  CHECK_TRUE(chosen);
+}
--- /dev/null
+++ b/tests/routing/replica_table_test.cpp
@@ -0,0 +1,60 @@
+// Registrations come, change and go; requests under way keep the replica they were sent to.
+#include "routing/replica_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail::routing;
+
+namespace {
+
+ReplicaEntry entryOf(const std::string& id, const std::string& service) {
+  ReplicaEntry entry;
+  entry.id = id;
+  entry.service = service;
+  entry.address = "10.0.0.1:80";
+  entry.slots = 4;
+  return entry;
+}
+
+}  // namespace
+
+TEST_GROUP(ReplicaTable) {
+  ReplicaTable table;
+};
+
+TEST(ReplicaTable, tellsWhatChanged) {
+  ReplicaEntry entry = entryOf("a", "s");
+  CHECK(table.upsert(entry) == ReplicaChange::Added);
+  CHECK(table.upsert(entry) == ReplicaChange::None);
+  entry.draining = true;
+  CHECK(table.upsert(entry) == ReplicaChange::Draining);
+  CHECK_FALSE(table.ofService("s").front()->takesWork());
+  entry.draining = false;
+  CHECK(table.upsert(entry) == ReplicaChange::Ready);
+  CHECK(table.remove("a") == ReplicaChange::Removed);
+  CHECK(table.remove("a") == ReplicaChange::None);
+  CHECK(table.ofService("s").empty());
+}
+
+TEST(ReplicaTable, aRemovedReplicaTakesNoWorkWhereItIsStillHeld) {
+  table.upsert(entryOf("a", "s"));
+  const ReplicaPtr held = table.ofService("s").front();
+  table.remove("a");
+  CHECK_FALSE(held->takesWork());
+}
+
+TEST(ReplicaTable, movesBetweenServices) {
+  table.upsert(entryOf("a", "s"));
+  CHECK(table.upsert(entryOf("a", "t")) == ReplicaChange::Moved);
+  CHECK(table.ofService("s").empty());
+  LONGS_EQUAL(1, table.ofService("t").size());
+}
+
+TEST(ReplicaTable, aListingRemovesWhatItDoesNotName) {
+  table.upsert(entryOf("a", "s"));
+  table.upsert(entryOf("b", "s"));
+  const auto removed = table.keepOnly({"b"});
+  LONGS_EQUAL(1, removed.size());
+  STRCMP_EQUAL("a", removed.front().c_str());
+  LONGS_EQUAL(1, table.size());
+}
