End the search for a turn when memory is full

Cause: found by a test: a partition larger than the cache was read in circles, since each record dropped the one that was looked for, and the drop sent the reader back. Change: reads go in passes; a pass keeps what is looked for and takes other turns only while there is room; what it did not keep is read again by the next pass.

--- a/src/ledger/partition_reader.cpp
+++ b/src/ledger/partition_reader.cpp
@@ -16,77 +16,94 @@
     : store_(store), address_(std::move(address)), observer_(std::move(observer)) {}
 
 void PartitionReader::readToEnd(ReadCallback callback) {
-  waiters_.push_back({std::nullopt, std::move(callback)});
-  startRead();
+  waiting_.push_back({std::nullopt, std::move(callback)});
+  startPass();
 }
 
 void PartitionReader::readBelow(std::uint64_t offset, ReadCallback callback) {
-  waiters_.push_back({offset, std::move(callback)});
-  if (!reading_) {
-    completeWaiters();
-    if (!waiters_.empty()) {
-      startRead();
-    }
-  }
+  waiting_.push_back({offset, std::move(callback)});
+  startPass();
 }
 
 void PartitionReader::noteOwnRecords(std::uint64_t offset, std::uint64_t count) {
-  if (position_ == offset && !reading_) {
+  if (position_ == offset && !inPass_) {
     position_ = offset + count;
   }
 }
 
 void PartitionReader::rewindTo(std::uint64_t offset) {
-  if (reading_) {
+  if (inPass_) {
     rewound_ = std::min(offset, rewound_.value_or(offset));
   } else {
     position_ = std::min(position_, offset);
   }
 }
 
-void PartitionReader::startRead() {
-  if (reading_) {
+void PartitionReader::startPass() {
+  if (inPass_) {
     return;
   }
-  reading_ = true;
+  inPass_ = true;
+  dropServedWaiters();
+  served_ = std::move(waiting_);
+  waiting_.clear();
+  passEnd_.reset();
+  if (served_.empty()) {
+    inPass_ = false;
+  } else {
+    readNext();
+  }
+}
+
+void PartitionReader::dropServedWaiters() {
+  std::vector<Waiter> ready;
+  const auto isReady = [this](const Waiter& waiter) {
+    return waiter.below && *waiter.below <= position_;
+  };
+  const auto firstReady =
+      std::stable_partition(waiting_.begin(), waiting_.end(),
+                            [&](const Waiter& waiter) { return !isReady(waiter); });
+  std::move(firstReady, waiting_.end(), std::back_inserter(ready));
+  waiting_.erase(firstReady, waiting_.end());
+  for (const Waiter& waiter : ready) {
+    waiter.callback(Success{});
+  }
+}
+
+void PartitionReader::readNext() {
   readStart_ = position_;
   logstore::ReadRequest request;
   request.partition = address_;
   request.start = position_;
   request.timeLimit = kReadTimeLimit;
-  store_.read(std::move(request), [weak = weak_from_this(), waiting = waiters_.size()](
-                                      logstore::StoreResult<logstore::ReadReply> result) {
-    if (const auto self = weak.lock()) {
-      self->onRead(waiting, std::move(result));
-    }
-  });
+  store_.read(std::move(request),
+              [weak = weak_from_this()](logstore::StoreResult<logstore::ReadReply> result) {
+                if (const auto self = weak.lock()) {
+                  self->onRead(std::move(result));
+                }
+              });
 }
 
-void PartitionReader::onRead(std::size_t waitersAtStart,
-                             logstore::StoreResult<logstore::ReadReply> result) {
-  reading_ = false;
+void PartitionReader::onRead(logstore::StoreResult<logstore::ReadReply> result) {
   if (const auto* const error = std::get_if<logstore::StoreError>(&result)) {
-    if (error->fault == logstore::StoreFault::Compacted) {
-      position_ = std::max(position_, error->firstKept);
+    const bool compacted = error->fault == logstore::StoreFault::Compacted;
+    if (compacted && error->firstKept > position_) {
+      position_ = error->firstKept;
+      readNext();
     } else {
-      failWaiters(waitersAtStart, *error);
-    }
-  } else {
-    const auto& reply = std::get<logstore::ReadReply>(result);
-    for (std::size_t index = 0; index < waitersAtStart; ++index) {
-      if (!waiters_[index].target) {
-        waiters_[index].target = reply.end;
-      }
+      endPass(*error);
     }
-    takeRecords(reply);
-  }
-  if (rewound_) {
-    position_ = std::min(position_, *rewound_);
-    rewound_.reset();
+    return;
   }
-  completeWaiters();
-  if (!waiters_.empty()) {
-    startRead();
+  const auto& reply = std::get<logstore::ReadReply>(result);
+  passEnd_ = passEnd_.value_or(reply.end);
+  takeRecords(reply);
+  if (position_ >= *passEnd_) {
+    endPass(Success{});
+  } else if (position_ > readStart_) {
+    readNext();
+  } else {
+    endPass(logstore::StoreError{logstore::StoreFault::NoAnswer, "a read brought no record", 0});
   }
 }
 
@@ -98,27 +115,19 @@
   }
 }
 
-void PartitionReader::failWaiters(std::size_t count, const logstore::StoreError& error) {
-  std::vector<Waiter> failed(std::make_move_iterator(waiters_.begin()),
-                             std::make_move_iterator(waiters_.begin() +
-                                                     static_cast<std::ptrdiff_t>(count)));
-  waiters_.erase(waiters_.begin(), waiters_.begin() + static_cast<std::ptrdiff_t>(count));
-  for (const Waiter& waiter : failed) {
-    waiter.callback(error);
+void PartitionReader::endPass(const logstore::StoreResult<Success>& result) {
+  const std::vector<Waiter> served = std::move(served_);
+  served_.clear();
+  for (const Waiter& waiter : served) {
+    waiter.callback(result);
   }
-}
-
-void PartitionReader::completeWaiters() {
-  std::vector<Waiter> done;
-  const auto isDone = [this](const Waiter& waiter) {
-    return waiter.target && *waiter.target <= position_;
-  };
-  const auto firstDone = std::stable_partition(
-      waiters_.begin(), waiters_.end(), [&](const Waiter& waiter) { return !isDone(waiter); });
-  std::move(firstDone, waiters_.end(), std::back_inserter(done));
-  waiters_.erase(firstDone, waiters_.end());
-  for (const Waiter& waiter : done) {
-    waiter.callback(Success{});
+  if (rewound_) {
+    position_ = std::min(position_, *rewound_);
+    rewound_.reset();
+  }
+  inPass_ = false;
+  if (!waiting_.empty()) {
+    startPass();
   }
 }
 
--- a/src/ledger/partition_reader.h
+++ b/src/ledger/partition_reader.h
@@ -18,8 +18,8 @@
 /// Told whether everything asked for was read.
 using ReadCallback = std::function<void(logstore::StoreResult<Success>)>;
 
-/// One read is under way at a time and serves everybody who waits. "To the end" means to the end
-/// that a read which began after the question reports: only then may absence be concluded.
+/// Reads in passes: a pass goes from the position to the end that its first read reports, and
+/// serves everybody who asked before it began. Only after such a pass may absence be concluded.
 class PartitionReader : public std::enable_shared_from_this<PartitionReader> {
  public:
   PartitionReader(logstore::LogStore& store, logstore::PartitionAddress address,
@@ -31,7 +31,7 @@
   void readBelow(std::uint64_t offset, ReadCallback callback);
   /// This node appended these records itself: they need not be read if all before them were.
   void noteOwnRecords(std::uint64_t offset, std::uint64_t count);
-  /// Records from `offset` on will be read again: they were dropped from memory.
+  /// Records from `offset` on were not kept: the next pass reads them again.
   void rewindTo(std::uint64_t offset);
 
   /// \return offset behind the last record read.
@@ -39,24 +39,27 @@
 
  private:
   struct Waiter {
-    std::optional<std::uint64_t> target;  ///< Unknown until a read that began later reports it.
+    std::optional<std::uint64_t> below;  ///< Nothing: to the end.
     ReadCallback callback;
   };
 
-  void startRead();
-  void onRead(std::size_t waitersAtStart, logstore::StoreResult<logstore::ReadReply> result);
+  void startPass();
+  void dropServedWaiters();
+  void readNext();
+  void onRead(logstore::StoreResult<logstore::ReadReply> result);
   void takeRecords(const logstore::ReadReply& reply);
-  void failWaiters(std::size_t count, const logstore::StoreError& error);
-  void completeWaiters();
+  void endPass(const logstore::StoreResult<Success>& result);
 
   logstore::LogStore& store_;
   logstore::PartitionAddress address_;
   RecordObserver observer_;
   std::uint64_t position_ = 0;
-  std::optional<std::uint64_t> rewound_;  ///< Asked for while a read was under way.
-  bool reading_ = false;
+  std::optional<std::uint64_t> rewound_;  ///< Asked for during a pass.
+  bool inPass_ = false;
+  std::optional<std::uint64_t> passEnd_;
   std::uint64_t readStart_ = 0;
-  std::vector<Waiter> waiters_;
+  std::vector<Waiter> served_;   ///< By the pass under way.
+  std::vector<Waiter> waiting_;  ///< For the next one.
 };
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -70,7 +70,7 @@
   }
   Fact& fact = valueOf(decoded);
   if (auto* const turn = std::get_if<CompletedTurn>(&fact)) {
-    turns_.put(std::move(*turn), {index, offset});
+    keepTurn(std::move(*turn), index, offset);
   } else if (const auto* const reservation = std::get_if<BudgetReservation>(&fact)) {
     accounts_.onReservation(*reservation, offset, clock_());
   } else if (const auto* const settlement = std::get_if<BudgetSettlement>(&fact)) {
@@ -78,13 +78,26 @@
   }
 }
 
+void ProgramLedger::keepTurn(CompletedTurn turn, std::uint32_t index, std::uint64_t offset) {
+  const TurnPlace place{index, offset};
+  if (wanted_.count(turn.request) > 0) {
+    turns_.put(std::move(turn), place);
+  } else if (!turns_.putIfRoom(std::move(turn), place)) {
+    partitions_[index]->reader->rewindTo(offset);
+  }
+}
+
 void ProgramLedger::findHistory(const std::string& turn, HistoryCallback callback) {
   if (const CompletedTurn* const cached = turns_.find(turn)) {
     findBase(*cached, std::move(callback));
     return;
   }
+  ++wanted_[turn];
   turnPartition(turn).reader->readToEnd(
       [this, turn, callback = std::move(callback)](const logstore::StoreResult<Success>& read) {
+        if (--wanted_[turn] == 0) {
+          wanted_.erase(turn);
+        }
         if (const auto* const error = std::get_if<logstore::StoreError>(&read)) {
           callback(LedgerUnavailable{error->reason});
           return;
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -96,6 +97,7 @@
   Partition& budgetPartition(const std::string& program);
   Partition& partitionAt(std::uint32_t index, const char* topicPrefix);
   void onRecord(std::uint32_t index, std::uint64_t offset, std::string_view record);
+  void keepTurn(CompletedTurn turn, std::uint32_t index, std::uint64_t offset);
   void findBase(CompletedTurn turn, HistoryCallback callback);
   void decideReservation(const BudgetReservation& reservation, std::uint64_t budget,
                          std::uint64_t offset, const ReservationCallback& callback);
@@ -108,6 +110,9 @@
   services::TimerService& timers_;
   logstore::ClockFunction clock_;
   LedgerKnobs knobs_;
+  /// Turns that are being looked for, with the number of those who look: a pass keeps them even
+  /// when memory is full, so that looking for one always ends.
+  std::unordered_map<std::string, std::uint32_t> wanted_;
   std::vector<std::unique_ptr<Partition>> partitions_;  ///< Turns, then budgets; made when used.
   TurnCache turns_;
   BudgetAccounts accounts_;
--- a/src/ledger/turn_cache.cpp
+++ b/src/ledger/turn_cache.cpp
@@ -10,9 +10,19 @@
 
 }  // namespace
 
-std::size_t TurnCache::sizeOf(const Entry& entry) {
-  return kEntryOverheadBytes + 2 * entry.turn.request.size() + entry.turn.base.size() +
-         entry.turn.history.size();
+std::size_t TurnCache::sizeOf(const CompletedTurn& turn) {
+  return kEntryOverheadBytes + 2 * turn.request.size() + turn.base.size() + turn.history.size();
+}
+
+bool TurnCache::putIfRoom(CompletedTurn turn, TurnPlace place) {
+  if (byRequest_.count(turn.request) > 0) {
+    return true;
+  }
+  if (bytes_ + sizeOf(turn) > maximumBytes_) {
+    return false;
+  }
+  put(std::move(turn), place);
+  return true;
 }
 
 void TurnCache::put(CompletedTurn turn, TurnPlace place) {
@@ -21,7 +31,7 @@
   }
   byUse_.push_front({std::move(turn), place});
   byRequest_.emplace(byUse_.front().turn.request, byUse_.begin());
-  bytes_ += sizeOf(byUse_.front());
+  bytes_ += sizeOf(byUse_.front().turn);
   while (bytes_ > maximumBytes_ && byUse_.size() > 1) {
     dropOldest();
   }
@@ -38,7 +48,7 @@
 
 void TurnCache::dropOldest() {
   const Entry& oldest = byUse_.back();
-  bytes_ -= sizeOf(oldest);
+  bytes_ -= sizeOf(oldest.turn);
   const TurnPlace place = oldest.place;
   byRequest_.erase(oldest.turn.request);
   byUse_.pop_back();
--- a/src/ledger/turn_cache.h
+++ b/src/ledger/turn_cache.h
@@ -25,7 +25,10 @@
   TurnCache(std::size_t maximumBytes, DropObserver onDropped)
       : maximumBytes_(maximumBytes), onDropped_(std::move(onDropped)) {}
 
+  /// Keeps a turn, at the cost of those used longest ago.
   void put(CompletedTurn turn, TurnPlace place);
+  /// Keeps a turn if there is room. \return whether it is in memory now.
+  bool putIfRoom(CompletedTurn turn, TurnPlace place);
   /// \return the turn, or null; valid until the next `put`.
   const CompletedTurn* find(const std::string& request);
   [[nodiscard]] std::size_t bytes() const { return bytes_; }
@@ -35,7 +38,7 @@
     CompletedTurn turn;
     TurnPlace place;
   };
-  static std::size_t sizeOf(const Entry& entry);
+  static std::size_t sizeOf(const CompletedTurn& turn);
   void dropOldest();
 
   std::size_t maximumBytes_;
--- /dev/null
+++ b/tests/edge/member_table_test.cpp
@@ -0,0 +1,64 @@
+// Which nodes clients are sent to: alive, not leaving, of their zone when there are enough.
+#include "edge/member_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::edge;
+
+TEST_GROUP(MemberTable) {
+  MemberTable table{{}};
+  Instant now{seconds(100)};
+
+  void hear(const std::string& key, const std::string& zone, bool leaving = false) {
+    MemberRecord record;
+    record.nodeName = key;
+    record.zone = zone;
+    record.clientAddress = key + ":1";
+    record.leaving = leaving;
+    table.onRecord(key, record, now);
+    table.onFresh(now);
+  }
+};
+
+TEST(MemberTable, namesTheNodesOfTheZoneWhenTheyAreEnough) {
+  hear("a1", "a");
+  hear("a2", "a");
+  hear("b1", "b");
+  LONGS_EQUAL(2, table.clientAddresses("a").size());
+  LONGS_EQUAL(3, table.clientAddresses("b").size());
+  LONGS_EQUAL(3, table.clientAddresses("elsewhere").size());
+}
+
+TEST(MemberTable, doesNotNameLeavingNodes) {
+  hear("a1", "a");
+  hear("a2", "a");
+  hear("a2", "a", true);
+  LONGS_EQUAL(1, table.clientAddresses("a").size());
+  LONGS_EQUAL(1, table.countIn("a"));
+  LONGS_EQUAL(2, table.alive().size());
+}
+
+TEST(MemberTable, forgetsNodesThatAreSilentWhileOthersAreHeard) {
+  hear("a1", "a");
+  hear("a2", "a");
+  now += MemberTableKnobs{}.silence + milliseconds(1);
+  hear("a1", "a");
+  LONGS_EQUAL(1, table.clientAddresses("a").size());
+}
+
+TEST(MemberTable, forgetsNobodyWhileNothingCanBeRead) {
+  hear("a1", "a");
+  hear("a2", "a");
+  now += seconds(60);
+  LONGS_EQUAL(2, table.clientAddresses("a").size());
+}
+
+TEST(MemberTable, recordsKeepTheirFieldsAndBrokenOnesAreFound) {
+  const std::string bytes = encodeMemberRecord({"n", "z", "1.2.3.4:5", "1.2.3.4:6", true, 9});
+  const auto record = decodeMemberRecord(bytes);
+  STRCMP_EQUAL("1.2.3.4:6", valueOf(record).relayAddress.c_str());
+  CHECK_TRUE(valueOf(record).leaving);
+  LONGS_EQUAL(9, valueOf(record).beat);
+  CHECK_FALSE(succeeded(decodeMemberRecord(bytes.substr(0, 10))));
+}
