--- /dev/null
+++ b/tests/edge/exchange_stream_test.cpp
@@ -0,0 +1,215 @@
+// Streams, turns and budgets: nothing is released before what it rests on stands in the log.
+#include "edge/exchange_world.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::edge;
+using namespace gorsetrail::edge::testing;
+using logstore::FakeFault;
+
+namespace {
+
+const std::string kFirst = "id: 1\ndata: a\n\n";
+const std::string kSecond = "id: 2\ndata: b\n\n";
+const std::string kThird = "id: 3\ndata: c\n\n";
+
+}  // namespace
+
+TEST_GROUP(ExchangeStream) {
+  ExchangeWorld world;
+
+  void wait() { world.timers.advance(milliseconds(50)); }
+  /// Runs one whole turn and lets its record be stored.
+  void wholeTurn(const std::string& requestId, const std::string& previous = "") {
+    CallRequest call = ExchangeWorld::turn("kept");
+    call.requestId = requestId;
+    call.previousTurn = previous;
+    world.start(call);
+    wait();
+    world.beginEvents();
+    world.call().body(kFirst);
+    world.call().done();
+    wait();
+  }
+};
+
+TEST(ExchangeStream, passesWholeEventsOnAsTheyCome) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  world.beginEvents();
+  world.call().body(kFirst + "id: 2\nda");
+  STRCMP_EQUAL(kFirst.c_str(), client->body.c_str());
+  world.call().body("ta: b\n\n");
+  STRCMP_EQUAL((kFirst + kSecond).c_str(), client->body.c_str());
+  world.call().done();
+  CHECK_TRUE(client->whole);
+}
+
+TEST(ExchangeStream, releasesNoEventBeforeTheReservationStands) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  LONGS_EQUAL(1, world.dispatches());
+  world.beginEvents();
+  world.call().body(kFirst);
+  STRCMP_EQUAL("", client->body.c_str());
+  LONGS_EQUAL(0, client->status);
+  wait();
+  STRCMP_EQUAL(kFirst.c_str(), client->body.c_str());
+}
+
+TEST(ExchangeStream, endsAPersistedAnswerOnlyWhenItsTurnIsStored) {
+  world.log.latency = milliseconds(20);
+  const auto client = world.start(ExchangeWorld::turn("kept"));
+  wait();
+  world.beginEvents();
+  world.call().body(kFirst);
+  world.call().done();
+  CHECK_FALSE(client->whole);
+  wait();
+  CHECK_TRUE(client->whole);
+}
+
+TEST(ExchangeStream, breaksOffAPersistedAnswerThatCannotBeStored) {
+  const auto client = world.start(ExchangeWorld::turn("kept"));
+  wait();
+  world.beginEvents();
+  world.call().body(kFirst);
+  world.log.fault = FakeFault::Silent;
+  world.call().done();
+  world.timers.advance(seconds(5));
+  CHECK_FALSE(client->whole);
+  CHECK_TRUE(client->closed);
+}
+
+TEST(ExchangeStream, givesTheReplicaTheWholeChainBeforeTheNewInput) {
+  wholeTurn("t1");
+  wholeTurn("t2", "t1");
+  CallRequest call = ExchangeWorld::turn("kept");
+  call.requestId = "t3";
+  call.previousTurn = "t2";
+  call.body = "new";
+  world.start(call);
+  wait();
+  STRCMP_EQUAL("inputa\ninputa\nnew", world.call().request.body.c_str());
+}
+
+TEST(ExchangeStream, says404OnlyForATurnThatTheLogDoesNotHold) {
+  CallRequest call = ExchangeWorld::turn("kept");
+  call.previousTurn = "never";
+  const auto client = world.start(call);
+  wait();
+  LONGS_EQUAL(404, client->status);
+  LONGS_EQUAL(0, world.dispatches());
+}
+
+TEST(ExchangeStream, says503ForAnyTurnWhileTheLogCannotBeRead) {
+  world.log.fault = FakeFault::Silent;
+  CallRequest call = ExchangeWorld::turn("kept");
+  call.previousTurn = "never";
+  const auto client = world.start(call);
+  world.timers.advance(seconds(4));
+  LONGS_EQUAL(503, client->status);
+  LONGS_EQUAL(0, world.dispatches());
+}
+
+TEST(ExchangeStream, says402WithoutADispatchWhenTheBudgetIsSpent) {
+  CallRequest call = ExchangeWorld::turn("again");
+  call.tokenBudget = 100;
+  const auto client = world.start(call);
+  wait();
+  LONGS_EQUAL(402, client->status);
+  LONGS_EQUAL(0, world.dispatches());
+}
+
+TEST(ExchangeStream, doesNotPromiseNotRunWhenTheBudgetTurnsOutSpentAfterTheDispatch) {
+  // Another node has reserved most of the budget; this one has not read that yet.
+  logstore::PersistentStore otherStore(world.log, world.timers,
+                                       [this] { return world.timers.now; }, {}, 2);
+  ledger::ProgramLedger other(otherStore, world.timers, [this] { return world.timers.now; }, {});
+  other.reserve({"elsewhere", "program", 900}, 1000, seconds(1),
+                [](ledger::ReservationOutcome) {});
+  wait();
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  LONGS_EQUAL(1, world.dispatches());
+  wait();
+  LONGS_EQUAL(502, client->status);
+  CHECK_TRUE(world.call().cancelled);
+}
+
+TEST(ExchangeStream, settlesWhatWasHandedOut) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  world.beginEvents();
+  world.call().body(kFirst + kSecond);
+  world.call().done();
+  CHECK_TRUE(client->whole);
+  LONGS_EQUAL(18, world.ledger.knownUse("program"));
+}
+
+TEST(ExchangeStream, refusesBeforeTheDispatchWhileTheStoreDoesNotAnswer) {
+  world.log.fault = FakeFault::Busy;
+  world.ledger.reserve({"x", "program", 1}, 1000, seconds(3), [](ledger::ReservationOutcome) {});
+  world.timers.advance(milliseconds(150));
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  LONGS_EQUAL(503, client->status);
+  CHECK(!client->retryAfter.empty());
+  LONGS_EQUAL(0, world.dispatches());
+}
+
+TEST(ExchangeStream, resumesACutStreamWhereItRanWithoutLosingOrDoublingAnEvent) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  const std::string replica = world.call().headerOf("expect");
+  world.beginEvents();
+  world.call().body(kFirst + "id: 2\ndata: ha");
+  world.call().fail(http::FailureStage::Broken);
+  LONGS_EQUAL(2, world.dispatches());
+  STRCMP_EQUAL(replica.c_str(), world.call().headerOf("expect").c_str());
+  STRCMP_EQUAL("1", world.call().headerOf("after").c_str());
+  world.beginEvents();
+  world.call().body(kSecond + kThird);
+  world.call().done();
+  STRCMP_EQUAL((kFirst + kSecond + kThird).c_str(), client->body.c_str());
+  CHECK_TRUE(client->whole);
+}
+
+TEST(ExchangeStream, resumesAtAnotherReplicaWhenTheFirstHasEnded) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  const std::string replica = world.call().headerOf("expect");
+  world.beginEvents();
+  world.call().body(kFirst);
+  world.call().fail(http::FailureStage::Broken);
+  world.call().fail(http::FailureStage::NotSent);
+  LONGS_EQUAL(3, world.dispatches());
+  CHECK(replica != world.call().headerOf("expect"));
+  STRCMP_EQUAL("1", world.call().headerOf("after").c_str());
+}
+
+TEST(ExchangeStream, breaksOffACutStreamThatMayNotBeResumed) {
+  const auto client = world.start(ExchangeWorld::turn("kept"));
+  wait();
+  world.beginEvents();
+  world.call().body(kFirst);
+  world.call().fail(http::FailureStage::Broken);
+  LONGS_EQUAL(1, world.dispatches());
+  CHECK_FALSE(client->whole);
+  CHECK_TRUE(client->closed);
+}
+
+TEST(ExchangeStream, turnsFirstTurnsAwayFromFullReplicasBeforeLaterOnes) {
+  wholeTurn("t1");
+  for (const routing::ReplicaPtr& replica : world.replicas.all()) {
+    replica->othersInFlight = 6;  // Of 4 slots.
+  }
+  CallRequest first = ExchangeWorld::turn("kept");
+  first.programId = "another";
+  const auto refused = world.start(first);
+  LONGS_EQUAL(503, refused->status);
+  CallRequest later = ExchangeWorld::turn("kept");
+  later.previousTurn = "t1";
+  const std::size_t before = world.dispatches();
+  world.start(later);
+  wait();
+  LONGS_EQUAL(before + 1, world.dispatches());
+}
--- /dev/null
+++ b/tests/edge/exchange_test.cpp
@@ -0,0 +1,170 @@
+// The life of a request that is answered whole: what is passed on, refused, repeated and unknown.
+#include "edge/exchange.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "edge/exchange_world.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::edge;
+using namespace gorsetrail::edge::testing;
+
+TEST_GROUP(Exchange) {
+  ExchangeWorld world;
+};
+
+TEST(Exchange, passesAnAnswerOnUnchanged) {
+  const auto client = world.start(ExchangeWorld::request("safe"));
+  world.call().head(207);
+  world.call().body("bo");
+  world.call().body("dy");
+  CHECK_FALSE(client->whole);
+  world.call().done();
+  LONGS_EQUAL(207, client->status);
+  STRCMP_EQUAL("body", client->body.c_str());
+  CHECK_TRUE(client->whole);
+}
+
+TEST(Exchange, knowsNoConfigurationAndSaysSoWithATimeToComeBack) {
+  ExchangeWorld other;
+  routing::RouteTable none;
+  EdgeContext context{other.wire,   none,         other.replicas, other.selector,
+                      other.admission, other.ledger, other.client, other.timers,
+                      [&other] { return other.timers.now; }, other.eventLog, {}, {}, {}, true};
+  auto client = std::make_shared<ClientView>();
+  std::make_shared<Exchange>(context, ExchangeWorld::request("safe"),
+                             std::make_unique<FakeWriter>(client))
+      ->start();
+  LONGS_EQUAL(503, client->status);
+  CHECK(!client->retryAfter.empty());
+}
+
+TEST(Exchange, says404OnlyWithAFreshConfiguration) {
+  LONGS_EQUAL(404, world.start(ExchangeWorld::request("nowhere"))->status);
+  world.timers.advance(seconds(5));
+  LONGS_EQUAL(503, world.start(ExchangeWorld::request("nowhere"))->status);
+}
+
+TEST(Exchange, givesTheReplicaTheTimeThatIsLeft) {
+  CallRequest call = ExchangeWorld::request("safe");
+  call.deadline = milliseconds(900);
+  world.start(call);
+  STRCMP_EQUAL("900", world.call().headerOf("left").c_str());
+  world.timers.advance(milliseconds(300));
+  world.call().fail(http::FailureStage::Broken);
+  STRCMP_EQUAL("600", world.call().headerOf("left").c_str());
+}
+
+TEST(Exchange, asksAnotherReplicaAfterAPromiseOfNotRun) {
+  const auto client = world.start(ExchangeWorld::request("unsafe"));
+  const std::string first = world.call().headerOf("expect");
+  world.call().head(503, {{"not-run", "1"}});
+  world.call().done();
+  LONGS_EQUAL(2, world.dispatches());
+  CHECK(first != world.call().headerOf("expect"));
+  world.call().head(200);
+  world.call().done();
+  LONGS_EQUAL(200, client->status);
+}
+
+TEST(Exchange, refusesWithATimeToComeBackWhenAllReplicasRefuse) {
+  const auto client = world.start(ExchangeWorld::request("unsafe"));
+  for (int replica = 0; replica < 3; ++replica) {
+    world.call().head(503, {{"not-run", "1"}});
+    world.call().done();
+  }
+  LONGS_EQUAL(503, client->status);
+  CHECK(!client->retryAfter.empty());
+  LONGS_EQUAL(3, world.dispatches());
+}
+
+TEST(Exchange, neverSendsAnUnsafeRequestAgainOnceItMayHaveRun) {
+  const auto client = world.start(ExchangeWorld::request("unsafe"));
+  world.call().fail(http::FailureStage::Broken);
+  LONGS_EQUAL(1, world.dispatches());
+  LONGS_EQUAL(502, client->status);
+}
+
+TEST(Exchange, sendsAnUnsafeRequestElsewhereWhenNoByteLeft) {
+  const auto client = world.start(ExchangeWorld::request("unsafe"));
+  world.call().fail(http::FailureStage::NotSent);
+  LONGS_EQUAL(2, world.dispatches());
+  world.call().head(200);
+  world.call().done();
+  LONGS_EQUAL(200, client->status);
+}
+
+TEST(Exchange, neverPromisesNotRunAfterABrokenConnection) {
+  const auto client = world.start(ExchangeWorld::request("safe"));
+  world.call().fail(http::FailureStage::Broken);
+  for (int replica = 0; replica < 2; ++replica) {
+    world.call().head(503, {{"not-run", "1"}});
+    world.call().done();
+  }
+  LONGS_EQUAL(502, client->status);
+}
+
+TEST(Exchange, runsASafeRequestOnNoMoreReplicasThanItsRouteAllows) {
+  const auto client = world.start(ExchangeWorld::request("safe"));
+  world.call().fail(http::FailureStage::Broken);
+  LONGS_EQUAL(2, world.dispatches());
+  world.call().fail(http::FailureStage::Broken);
+  LONGS_EQUAL(2, world.dispatches());
+  LONGS_EQUAL(502, client->status);
+}
+
+TEST(Exchange, passesTheLastFailureOfASafeRequestOn) {
+  const auto client = world.start(ExchangeWorld::request("safe"));
+  world.call().head(500);
+  world.call().done();
+  world.call().head(500);
+  world.call().body("why");
+  world.call().done();
+  LONGS_EQUAL(500, client->status);
+  STRCMP_EQUAL("why", client->body.c_str());
+}
+
+TEST(Exchange, givesUpAtTheDeadlineWithAFinalAnswerAndStopsTheReplica) {
+  CallRequest call = ExchangeWorld::request("unsafe");
+  call.deadline = milliseconds(500);
+  const auto client = world.start(call);
+  world.timers.advance(milliseconds(500));
+  LONGS_EQUAL(504, client->status);
+  CHECK_TRUE(world.call().cancelled);
+}
+
+TEST(Exchange, stopsTheReplicaWhenTheClientHasGone) {
+  const auto client = world.start(ExchangeWorld::request("unsafe"));
+  client->observer.onGone();
+  CHECK_TRUE(world.call().cancelled);
+}
+
+TEST(Exchange, takesNoAnswerToAnotherRequest) {
+  world.start(ExchangeWorld::request("unsafe"));
+  CHECK_FALSE(world.call().handler.isOwn(200, {{"id", "another"}}));
+  CHECK_TRUE(world.call().handler.isOwn(200, {{"id", "q1"}}));
+  CHECK_TRUE(world.call().handler.isOwn(503, {}));
+}
+
+TEST(Exchange, sendsNothingToALeavingReplica) {
+  for (const routing::ReplicaPtr& replica : world.replicas.all()) {
+    replica->entry.draining = replica->entry.id != "r2";
+  }
+  world.start(ExchangeWorld::request("unsafe"));
+  STRCMP_EQUAL("r2", world.call().headerOf("expect").c_str());
+}
+
+TEST(Exchange, refusesAtOnceInTheLastPartOfAStop) {
+  world.context.takesRequests = false;
+  const auto client = world.start(ExchangeWorld::request("unsafe"));
+  LONGS_EQUAL(503, client->status);
+  LONGS_EQUAL(0, world.dispatches());
+}
+
+TEST(Exchange, everyEndThatFailedHasALineWithItsReason) {
+  world.start(ExchangeWorld::request("unsafe"));
+  world.call().fail(http::FailureStage::Broken);
+  world.eventLog.flush();
+  STRCMP_CONTAINS("event=replica_failed request=q1", world.lines.c_str());
+  STRCMP_CONTAINS("outcome=unknown_502 reason=replica_broke_off", world.lines.c_str());
+}
--- /dev/null
+++ b/tests/edge/exchange_world.h
@@ -0,0 +1,202 @@
+/// \file Everything an exchange needs, with replicas, clients, store and time played by the test.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dispatch/fake_http_client.h"
+#include "edge/exchange.h"
+#include "logstore/fake_log_store.h"
+
+namespace gorsetrail::edge::testing {
+
+/// Formats of a made-up wire: names of headers as short as can be.
+class FakeWire final : public WireAdapter {
+ public:
+  CallRequest readRequest(http::ServerRequest /*request*/) const override { return {}; }
+  http::Request makeReplicaRequest(const CallRequest& request,
+                                   const Dispatch& dispatch) const override {
+    http::Request sent;
+    sent.address = dispatch.address;
+    sent.target = request.target;
+    sent.body = request.body;
+    sent.headers = {{"left", std::to_string(dispatch.timeLeft.count() / 1000)},
+                    {"expect", dispatch.replicaId},
+                    {"after", dispatch.lastEventId}};
+    return sent;
+  }
+  ReplicaHead readReplicaHead(unsigned status,
+                              const std::vector<http::Header>& headers) const override {
+    ReplicaHead head;
+    head.status = status;
+    for (const http::Header& header : headers) {
+      head.requestId = header.name == "id" ? header.value : head.requestId;
+      head.notExecuted = head.notExecuted || header.name == "not-run";
+      head.eventStream = head.eventStream || header.name == "events";
+    }
+    return head;
+  }
+  std::vector<http::Header> clientHeaders(
+      const std::vector<http::Header>& headers) const override {
+    return headers;
+  }
+  http::WholeResponse makeRefusal(const CallRequest& /*request*/,
+                                  const Refusal& refusal) const override {
+    http::WholeResponse response{refusal.status, {}, refusal.reason};
+    if (refusal.retryAfter > Duration::zero()) {
+      response.headers.push_back({"retry", std::to_string(refusal.retryAfter.count())});
+    }
+    return response;
+  }
+  std::optional<DirectoryQuery> readDirectoryQuery(
+      const http::ServerRequest& /*request*/) const override {
+    return std::nullopt;
+  }
+  http::WholeResponse makeDirectoryAnswer(const std::vector<std::string>& /*addresses*/,
+                                          double /*ttlSeconds*/) const override {
+    return {};
+  }
+};
+
+/// What the client saw.
+struct ClientView {
+  unsigned status = 0;  ///< 0: nothing yet.
+  std::string body;
+  std::string retryAfter;
+  bool whole = false;   ///< The answer came to its end.
+  bool closed = false;  ///< The connection closed before that.
+  http::ResponseObserver observer;
+};
+
+class FakeWriter final : public http::ResponseWriter {
+ public:
+  explicit FakeWriter(std::shared_ptr<ClientView> view) : view_(std::move(view)) {}
+  ~FakeWriter() override { view_->closed = !view_->whole; }
+  FakeWriter(const FakeWriter&) = delete;
+  FakeWriter& operator=(const FakeWriter&) = delete;
+
+  void observe(http::ResponseObserver observer) override { view_->observer = std::move(observer); }
+  void sendWhole(http::WholeResponse response) override {
+    view_->status = response.status;
+    view_->body = response.body;
+    for (const http::Header& header : response.headers) {
+      view_->retryAfter = header.name == "retry" ? header.value : view_->retryAfter;
+    }
+    view_->whole = true;
+  }
+  void beginStream(unsigned status, const std::vector<http::Header>& /*headers*/) override {
+    view_->status = status;
+  }
+  void write(std::string_view bytes) override { view_->body += bytes; }
+  void endStream() override { view_->whole = true; }
+  [[nodiscard]] std::size_t bytesWaiting() const override { return 0; }
+
+ private:
+  std::shared_ptr<ClientView> view_;
+};
+
+/// One node with three replicas `r1` to `r3` of a model service and routes:
+/// /safe/ (two attempts), /unsafe/, /kept/ (persisted stream), /again/ (resumable stream).
+struct ExchangeWorld {
+  ExchangeWorld() {
+    for (const char* id : {"r1", "r2", "r3"}) {
+      routing::ReplicaEntry entry;
+      entry.id = id;
+      entry.service = "model";
+      entry.address = std::string("10.0.0.1:") + id;
+      entry.slots = 4;
+      replicas.upsert(entry);
+    }
+    auto configuration = std::make_shared<routing::Configuration>();
+    configuration->version = routing::ConfigurationVersion(1);
+    configuration->routes = {route("safe", routing::RouteKind::Safe, 2),
+                             route("unsafe", routing::RouteKind::Unsafe, 1),
+                             route("kept", routing::RouteKind::Streaming, 1),
+                             route("again", routing::RouteKind::Streaming, 1)};
+    configuration->routes[2].persisted = true;
+    configuration->routes[3].resumable = true;
+    routing::Service service;
+    service.name = "model";
+    service.engine = routing::EngineProfile{4, 9};
+    configuration->services.emplace("model", service);
+    routes.apply(configuration);
+    context.freshness.configurationHeardAt = timers.now;
+  }
+
+  /// Exchanges that a test leaves unfinished are held by what they wait for.
+  ~ExchangeWorld() {
+    for (const auto& view : views) {
+      view->observer = {};
+    }
+  }
+  ExchangeWorld(const ExchangeWorld&) = delete;
+  ExchangeWorld& operator=(const ExchangeWorld&) = delete;
+
+  static routing::Route route(const std::string& name, routing::RouteKind kind,
+                              std::uint32_t attempts) {
+    routing::Route made;
+    made.name = name;
+    made.host = "h";
+    made.pathPrefix = "/" + name + "/";
+    made.kind = kind;
+    made.maximumAttempts = attempts;
+    made.priority = 1;
+    made.services = {{"model", 1.0}};
+    return made;
+  }
+
+  static CallRequest request(const std::string& route) {
+    CallRequest call;
+    call.method = "POST";
+    call.host = "h";
+    call.target = "/" + route + "/x";
+    call.body = "input";
+    call.requestId = "q1";
+    call.deadline = milliseconds(4000);
+    return call;
+  }
+  static CallRequest turn(const std::string& route) {
+    CallRequest call = request(route);
+    call.programId = "program";
+    call.sessionId = "session";
+    call.tokenBudget = 1000;
+    call.maximumTokens = 288;
+    return call;
+  }
+
+  std::shared_ptr<ClientView> start(CallRequest call) {
+    auto view = std::make_shared<ClientView>();
+    views.push_back(view);
+    std::make_shared<Exchange>(context, std::move(call), std::make_unique<FakeWriter>(view))
+        ->start();
+    return view;
+  }
+  node::testing::FakeHttpClient::Exchange& call() { return client.last(); }
+  std::size_t dispatches() const { return client.exchanges.size(); }
+  void beginEvents() { call().head(200, {{"events", ""}}); }
+
+  std::vector<std::shared_ptr<ClientView>> views;
+  logstore::FakeTimers timers;
+  logstore::FakeLogStore log{timers};
+  node::testing::FakeHttpClient client;
+  FakeWire wire;
+  routing::RouteTable routes;
+  routing::ReplicaTable replicas;
+  routing::ReplicaSelector selector{"zone", {}};
+  routing::AdmissionPolicy admission{{}};
+  std::string lines;
+  EventLog eventLog{[this](std::string_view bytes) {
+                      lines += bytes;
+                      return bytes.size();
+                    },
+                    [this] { return timers.now; },
+                    {}};
+  logstore::PersistentStore store{log, timers, [this] { return timers.now; }, {}, 1};
+  ledger::ProgramLedger ledger{store, timers, [this] { return timers.now; }, {}};
+  EdgeContext context{wire, routes, replicas, selector, admission, ledger, client, timers,
+                      [this] { return timers.now; }, eventLog, {}, {}, {}, true};
+};
+
+}  // namespace gorsetrail::edge::testing
--- /dev/null
+++ b/tests/platform/heads_test.cpp
@@ -0,0 +1,105 @@
+// Requests and answers in the platform's words.
+#include "platform/heads.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::platform;
+
+namespace {
+
+std::string headerOf(const std::vector<http::Header>& headers, const std::string& name) {
+  for (const http::Header& header : headers) {
+    if (header.name == name) {
+      return header.value;
+    }
+  }
+  return "<none>";
+}
+
+http::ServerRequest turn() {
+  return {"POST",
+          "/lohu930/4b?x=1",
+          {{"Host", "ficu95.example"},
+           {"Gorsetrail-Request-Id", "e5b2907c14da6f38"},
+           {"Gorsetrail-Program-Id", "3fa81c"},
+           {"Gorsetrail-Session-Id", "77d20b"},
+           {"Gorsetrail-Token-Budget", "2304"},
+           {"Gorsetrail-Token-Usage", "1840,288"},
+           {"Gorsetrail-Previous-Turn", "40c8f1a7b3e9265d"},
+           {"Gorsetrail-Deadline-Ms", "4000"},
+           {"Connection", "keep-alive"},
+           {"Content-Length", "5"},
+           {"X-Other", "kept"}},
+          "input"};
+}
+
+}  // namespace
+
+TEST_GROUP(Heads) {
+  HeadAdapter adapter;
+};
+
+TEST(Heads, readsATurn) {
+  const edge::CallRequest call = adapter.readRequest(turn());
+  STRCMP_EQUAL("ficu95.example", call.host.c_str());
+  STRCMP_EQUAL("e5b2907c14da6f38", call.requestId.c_str());
+  STRCMP_EQUAL("40c8f1a7b3e9265d", call.previousTurn.c_str());
+  LONGS_EQUAL(2304, *call.tokenBudget);
+  LONGS_EQUAL(1840, call.promptTokens);
+  LONGS_EQUAL(288, call.maximumTokens);
+  CHECK(*call.deadline == milliseconds(4000));
+  CHECK(call.path() == "/lohu930/4b");
+}
+
+TEST(Heads, forwardsAllButWhatBelongsToOneConnectionOrIsItsOwn) {
+  const edge::CallRequest call = adapter.readRequest(turn());
+  edge::Dispatch dispatch;
+  dispatch.address = "10.0.0.1:80";
+  dispatch.replicaId = "i-1";
+  dispatch.timeLeft = milliseconds(1234);
+  dispatch.priority = 2;
+  const http::Request sent = adapter.makeReplicaRequest(call, dispatch);
+  STRCMP_EQUAL("/lohu930/4b?x=1", sent.target.c_str());
+  STRCMP_EQUAL("1234", headerOf(sent.headers, "Gorsetrail-Deadline-Ms").c_str());
+  STRCMP_EQUAL("i-1", headerOf(sent.headers, "Gorsetrail-Expect-Instance").c_str());
+  STRCMP_EQUAL("2", headerOf(sent.headers, "Gorsetrail-Request-Priority").c_str());
+  STRCMP_EQUAL("e5b2907c14da6f38", headerOf(sent.headers, "Gorsetrail-Request-Id").c_str());
+  STRCMP_EQUAL("kept", headerOf(sent.headers, "X-Other").c_str());
+  STRCMP_EQUAL("<none>", headerOf(sent.headers, "Connection").c_str());
+  STRCMP_EQUAL("<none>", headerOf(sent.headers, "Last-Event-Id").c_str());
+}
+
+TEST(Heads, readsAReplicasPromise) {
+  CHECK_TRUE(adapter.readReplicaHead(503, {{"gorsetrail-not-executed", "1"}}).notExecuted);
+  CHECK_FALSE(adapter.readReplicaHead(503, {}).notExecuted);
+  CHECK_TRUE(
+      adapter.readReplicaHead(200, {{"Content-Type", "text/event-stream; x"}}).eventStream);
+}
+
+TEST(Heads, handsTheSealOnAndNothingOfTheConnection) {
+  const auto headers = adapter.clientHeaders({{"Gorsetrail-Response-Seal", "3e1b"},
+                                              {"Keep-Alive", "timeout=5"},
+                                              {"Transfer-Encoding", "chunked"}});
+  LONGS_EQUAL(1, headers.size());
+  STRCMP_EQUAL("3e1b", headers.front().value.c_str());
+}
+
+TEST(Heads, saysWhenToComeBackInFractionsOfASecond) {
+  const auto response =
+      adapter.makeRefusal({}, {503, "replicas_full", milliseconds(150)});
+  STRCMP_EQUAL("0.150", headerOf(response.headers, "Retry-After").c_str());
+  STRCMP_EQUAL("<none>",
+               headerOf(adapter.makeRefusal({}, {504, "deadline", {}}).headers, "Retry-After")
+                   .c_str());
+}
+
+TEST(Heads, readsADirectoryQuestionAndAnswersIt) {
+  const auto query = adapter.readDirectoryQuery(
+      {"GET", "/v1/resolve?name=a.example&region=r&zone=hall-a", {}, ""});
+  STRCMP_EQUAL("hall-a", query->zone.c_str());
+  STRCMP_EQUAL("a.example", query->host.c_str());
+  CHECK_FALSE(adapter.readDirectoryQuery({"GET", "/other", {}, ""}).has_value());
+  STRCMP_EQUAL(R"({"addresses":["10.1.0.38:8149"],"ttlS":1.0})",
+               adapter.makeDirectoryAnswer({"10.1.0.38:8149"}, 1.0).body.c_str());
+}
