--- a/src/edge/call_request.h
+++ b/src/edge/call_request.h
@@ -20,10 +20,10 @@
   std::vector<http::Header> headers;  ///< Those to be handed on, in their order.
   std::string body;
   std::string requestId;
-  std::string programId;     ///< Empty outside programs.
-  std::string sessionId;     ///< One line of turns; empty outside programs.
-  std::string previousTurn;  ///< Turn that this one goes on from; empty at the start.
-  std::string lastEventId;   ///< The client resumes a stream behind this event.
+  std::string programId;             ///< Empty outside programs.
+  std::string sessionId;             ///< One line of turns; empty outside programs.
+  std::string previousTurn;          ///< Turn that this one goes on from; empty at the start.
+  std::string lastEventId;           ///< The client resumes a stream behind this event.
   std::optional<Duration> deadline;  ///< How long the client waits.
   std::optional<std::uint64_t> tokenBudget;  ///< Of the whole program.
   std::uint64_t promptTokens = 0;            ///< Of the whole prompt.
@@ -56,7 +56,7 @@
 /// The edge's own final answer.
 struct Refusal {
   unsigned status = 503;
-  std::string reason;    ///< Stable snake_case name.
+  std::string reason;                      ///< Stable snake_case name.
   Duration retryAfter = Duration::zero();  ///< When to come back; zero: not said.
 };
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -67,17 +67,16 @@
       selector_(settings_.zone, {}),
       admission_(routing::AdmissionKnobs{}),
       fleetLoad_({}),
-      loadExchange_(context, {}, seed,
-                    [this](routing::LoadDigest digest) {
-                      fleetLoad_.onDigest(std::move(digest), clock_());
-                    }),
-      context_{parts.wire, routes_,   replicas_, selector_, admission_, ledger_, parts.client,
-               *timers_,   clock_,    log_,      {},        {},         {}} {}
+      loadExchange_(
+          context, {}, seed,
+          [this](routing::LoadDigest digest) { fleetLoad_.onDigest(std::move(digest), clock_()); }),
+      context_{parts.wire, routes_, replicas_, selector_, admission_, ledger_, parts.client,
+               *timers_,   clock_,  log_,      {},        {},         {}} {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
 
 Result<Success> EdgeDaemon::start() {
-  const auto listening = listen();
+  auto listening = listen();
   if (!succeeded(listening)) {
     return listening;
   }
@@ -124,42 +123,40 @@
 }
 
 Result<Success> EdgeDaemon::listen() {
-  auto clients =
-      serve(settings_.listen.clients, [this](http::ServerRequest request,
-                                             http::ResponseWriterPtr writer) {
-        onClientRequest(std::move(request), std::move(writer));
-      });
+  auto clients = serve(settings_.listen.clients,
+                       [this](http::ServerRequest request, http::ResponseWriterPtr writer) {
+                         onClientRequest(std::move(request), std::move(writer));
+                       });
   if (!succeeded(clients)) {
     return errorOf(clients);
   }
   clientServer_ = std::move(valueOf(clients));
   if (!settings_.listen.readiness.empty()) {
-    auto readiness = serve(settings_.listen.readiness,
-                           [this](const http::ServerRequest& /*request*/,
-                                  const http::ResponseWriterPtr& writer) {
-                             onReadinessRequest(writer);
-                           });
+    auto readiness =
+        serve(settings_.listen.readiness,
+              [this](const http::ServerRequest& /*request*/,
+                     const http::ResponseWriterPtr& writer) { onReadinessRequest(writer); });
     if (!succeeded(readiness)) {
       return errorOf(readiness);
     }
     readinessServer_ = std::move(valueOf(readiness));
   }
   if (!settings_.listen.directory.empty()) {
-    auto directory = serve(settings_.listen.directory,
-                           [this](const http::ServerRequest& request,
-                                  const http::ResponseWriterPtr& writer) {
-                             onDirectoryRequest(request, writer);
-                           });
+    auto directory =
+        serve(settings_.listen.directory,
+              [this](const http::ServerRequest& request, const http::ResponseWriterPtr& writer) {
+                onDirectoryRequest(request, writer);
+              });
     if (!succeeded(directory)) {
       return errorOf(directory);
     }
     directoryServer_ = std::move(valueOf(directory));
   }
   if (settings_.firstInternalPort != 0) {
-    auto peers = serve(ownRelayAddress(), [this](const http::ServerRequest& request,
-                                                 http::ResponseWriterPtr writer) {
-      relayServer_.onRequest(request, std::move(writer));
-    });
+    auto peers = serve(ownRelayAddress(),
+                       [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
+                         relayServer_.onRequest(request, std::move(writer));
+                       });
     if (!succeeded(peers)) {
       return errorOf(peers);
     }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -47,9 +47,9 @@
 
  private:
   Result<Success> listen();
-  Result<http::HttpServerPtr> serve(const std::string& address,
-                                    std::function<void(http::ServerRequest, http::ResponseWriterPtr)>
-                                        onRequest);
+  Result<http::HttpServerPtr> serve(
+      const std::string& address,
+      std::function<void(http::ServerRequest, http::ResponseWriterPtr)> onRequest);
   void onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer);
   void onReadinessRequest(const http::ResponseWriterPtr& writer);
   void onDirectoryRequest(const http::ServerRequest& request,
--- a/src/edge/event_log.cpp
+++ b/src/edge/event_log.cpp
@@ -11,8 +11,7 @@
 
 std::string timeStamp() {
   const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
 }  // namespace
--- a/src/edge/event_splitter.cpp
+++ b/src/edge/event_splitter.cpp
@@ -38,8 +38,8 @@
   std::size_t lineStart = 0;
   std::size_t lineEnd = partial_.find('\n');
   while (lineEnd != std::string::npos) {
-    const std::string_view line = withoutCarriageReturn(
-        std::string_view(partial_).substr(lineStart, lineEnd - lineStart));
+    const std::string_view line =
+        withoutCarriageReturn(std::string_view(partial_).substr(lineStart, lineEnd - lineStart));
     lineStart = lineEnd + 1;
     if (!line.empty()) {
       readLine(line, event, hasData);
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -149,12 +149,11 @@
   budget_ = BudgetState::Reserving;
   reservationMayStand_ = true;
   const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
-  context_.ledger.reserve({request_.requestId, request_.programId, request_.maximumTokens},
-                          *request_.tokenBudget, limit,
-                          [self = shared_from_this(),
-                           dispatchAfterwards](ledger::ReservationOutcome outcome) {
-                            self->onReservation(dispatchAfterwards, outcome);
-                          });
+  context_.ledger.reserve(
+      {request_.requestId, request_.programId, request_.maximumTokens}, *request_.tokenBudget,
+      limit, [self = shared_from_this(), dispatchAfterwards](ledger::ReservationOutcome outcome) {
+        self->onReservation(dispatchAfterwards, outcome);
+      });
 }
 
 void Exchange::onReservation(bool dispatchAfterwards, ledger::ReservationOutcome outcome) {
@@ -280,8 +279,7 @@
       self->onReplicaFailure(failure);
     }
   };
-  call_ = context_.client.send(context_.wire.makeReplicaRequest(request_, how),
-                               std::move(handler));
+  call_ = context_.client.send(context_.wire.makeReplicaRequest(request_, how), std::move(handler));
 }
 
 void Exchange::onHead(unsigned status, const std::vector<http::Header>& headers) {
@@ -315,7 +313,7 @@
   takeEvents(splitter_.feed(part));
 }
 
-void Exchange::takeEvents(std::vector<StreamEvent> events) {
+void Exchange::takeEvents(const std::vector<StreamEvent>& events) {
   for (const StreamEvent& event : events) {
     ++eventsTaken_;
     if (!event.id.empty()) {
@@ -428,11 +426,11 @@
   }
   streamEnded_ = false;  // The end is on its way; `releaseOutput` must not start it again.
   const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
-  context_.ledger.storeTurn(request_.requestId, request_.previousTurn, ownInput_ + turnAddition_,
-                            limit,
-                            [self = shared_from_this()](const logstore::StoreResult<Success>& stored) {
-                              self->onStored(stored);
-                            });
+  context_.ledger.storeTurn(
+      request_.requestId, request_.previousTurn, ownInput_ + turnAddition_, limit,
+      [self = shared_from_this()](const logstore::StoreResult<Success>& stored) {
+        self->onStored(stored);
+      });
 }
 
 void Exchange::onStored(const logstore::StoreResult<Success>& stored) {
@@ -516,12 +514,12 @@
   if (!headSeen_) {
     replica_->suspectUntil = context_.clock() + context_.knobs.suspicionTime;
   }
-  context_.log.important("replica_failed", {{"request", request_.requestId},
-                                            {"replica", replica_->entry.id},
-                                            {"in_a_row", std::uint64_t{replica_->failures}},
-                                            {"after_ms", wholeMilliseconds(context_.clock() -
-                                                                           dispatchedAt_)},
-                                            {"reason", reason}});
+  context_.log.important("replica_failed",
+                         {{"request", request_.requestId},
+                          {"replica", replica_->entry.id},
+                          {"in_a_row", std::uint64_t{replica_->failures}},
+                          {"after_ms", wholeMilliseconds(context_.clock() - dispatchedAt_)},
+                          {"reason", reason}});
 }
 
 void Exchange::releaseReplica() {
@@ -541,7 +539,7 @@
   }
 }
 
-void Exchange::refuse(unsigned status, std::string reason, Duration retryAfter) {
+void Exchange::refuse(unsigned status, const std::string& reason, Duration retryAfter) {
   if (ended_) {
     return;
   }
@@ -551,7 +549,7 @@
   end("refused_" + std::to_string(status), reason);
 }
 
-void Exchange::failUnknown(unsigned status, std::string reason) {
+void Exchange::failUnknown(unsigned status, const std::string& reason) {
   if (ended_) {
     return;
   }
@@ -561,13 +559,13 @@
   end("unknown_" + std::to_string(status), reason);
 }
 
-void Exchange::breakOff(std::string reason) {
+void Exchange::breakOff(const std::string& reason) {
   if (ended_) {
     return;
   }
   if (!streamBegun_) {
     // The client has seen nothing yet: it gets an answer rather than a closed connection.
-    failUnknown(kBadGateway, std::move(reason));
+    failUnknown(kBadGateway, reason);
     return;
   }
   ++context_.counters.brokenOff;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -52,7 +52,7 @@
   void onReplicaFailure(const http::Failure& failure);
   void onReplicaRefusal();
   void onWholeAnswer();
-  void takeEvents(std::vector<StreamEvent> events);
+  void takeEvents(const std::vector<StreamEvent>& events);
   void onStreamEnd();
   void onStored(const logstore::StoreResult<Success>& stored);
   [[nodiscard]] bool mayRunAgain() const;
@@ -62,9 +62,9 @@
 
   // Towards the client.
   void releaseOutput();
-  void refuse(unsigned status, std::string reason, Duration retryAfter);
-  void failUnknown(unsigned status, std::string reason);
-  void breakOff(std::string reason);
+  void refuse(unsigned status, const std::string& reason, Duration retryAfter);
+  void failUnknown(unsigned status, const std::string& reason);
+  void breakOff(const std::string& reason);
   void onDeadline();
   void onClientGone();
   void end(std::string_view outcome, std::string_view reason);
@@ -85,7 +85,7 @@
   std::string service_;
   std::uint64_t tokensPerEvent_ = 1;
   bool hasEngine_ = false;  ///< The service's replicas are model engines.
-  std::string ownInput_;  ///< The turn's new input, for its record.
+  std::string ownInput_;    ///< The turn's new input, for its record.
   BudgetState budget_ = BudgetState::NotNeeded;
   bool reservationMayStand_ = false;
 
@@ -101,19 +101,19 @@
   EventSplitter splitter_;
 
   // Over all dispatches.
-  std::vector<routing::ReplicaPtr> tried_;    ///< Not to be asked again.
-  std::vector<routing::ReplicaPtr> ranOn_;    ///< Replicas that may have run it.
-  routing::ReplicaPtr resumeAt_;              ///< Where a cut stream goes on.
+  std::vector<routing::ReplicaPtr> tried_;  ///< Not to be asked again.
+  std::vector<routing::ReplicaPtr> ranOn_;  ///< Replicas that may have run it.
+  routing::ReplicaPtr resumeAt_;            ///< Where a cut stream goes on.
   std::uint32_t refusedTries_ = 0;
   std::uint32_t resumes_ = 0;
   bool mayHaveRun_ = false;
   std::string lastEventId_;
   std::uint64_t eventsTaken_ = 0;
   std::uint64_t eventsReleased_ = 0;
-  std::string output_;         ///< Events that wait for the reservation.
-  std::string turnAddition_;   ///< Input and events' data, for the turn's record.
-  bool streamBegun_ = false;   ///< The client has the head of the stream.
-  bool streamEnded_ = false;   ///< The replica's stream came whole.
+  std::string output_;        ///< Events that wait for the reservation.
+  std::string turnAddition_;  ///< Input and events' data, for the turn's record.
+  bool streamBegun_ = false;  ///< The client has the head of the stream.
+  bool streamEnded_ = false;  ///< The replica's stream came whole.
   bool ended_ = false;
 };
 
--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -7,12 +7,10 @@
 std::string encodeMemberRecord(const MemberRecord& record) {
   flatbuffers::FlatBufferBuilder builder;
   fbs::FinishMemberRecordBuffer(
-      builder,
-      fbs::CreateMemberRecord(builder, builder.CreateString(record.nodeName),
-                              builder.CreateString(record.zone),
-                              builder.CreateString(record.clientAddress),
-                              builder.CreateString(record.relayAddress), record.leaving,
-                              record.beat));
+      builder, fbs::CreateMemberRecord(
+                   builder, builder.CreateString(record.nodeName),
+                   builder.CreateString(record.zone), builder.CreateString(record.clientAddress),
+                   builder.CreateString(record.relayAddress), record.leaving, record.beat));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -28,9 +28,9 @@
 
 /// Knobs of `MemberTable`.
 struct MemberTableKnobs {
-  Duration heartbeat = seconds(1);    ///< Between two records of a node.
+  Duration heartbeat = seconds(1);        ///< Between two records of a node.
   Duration silence = milliseconds(3300);  ///< Without a record, a node counts as dead.
-  std::size_t enoughInZone = 2;       ///< With fewer, other zones' nodes are named too.
+  std::size_t enoughInZone = 2;           ///< With fewer, other zones' nodes are named too.
   std::size_t maximumAddresses = 64;
 };
 
--- a/src/ledger/facts.cpp
+++ b/src/ledger/facts.cpp
@@ -16,8 +16,7 @@
 
 flatbuffers::Offset<void> build(Builder& builder, const BudgetReservation& reservation) {
   return fbs::CreateBudgetReservation(builder, builder.CreateString(reservation.request),
-                                      builder.CreateString(reservation.program),
-                                      reservation.tokens)
+                                      builder.CreateString(reservation.program), reservation.tokens)
       .Union();
 }
 
--- a/src/ledger/partition_reader.cpp
+++ b/src/ledger/partition_reader.cpp
@@ -60,9 +60,8 @@
   const auto isReady = [this](const Waiter& waiter) {
     return waiter.below && *waiter.below <= position_;
   };
-  const auto firstReady =
-      std::stable_partition(waiting_.begin(), waiting_.end(),
-                            [&](const Waiter& waiter) { return !isReady(waiter); });
+  const auto firstReady = std::stable_partition(
+      waiting_.begin(), waiting_.end(), [&](const Waiter& waiter) { return !isReady(waiter); });
   std::move(firstReady, waiting_.end(), std::back_inserter(ready));
   waiting_.erase(firstReady, waiting_.end());
   for (const Waiter& waiter : ready) {
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -47,8 +47,7 @@
   return partitionAt(budgetIndex(program), kBudgetTopic);
 }
 
-ProgramLedger::Partition& ProgramLedger::partitionAt(std::uint32_t index,
-                                                     const char* topicPrefix) {
+ProgramLedger::Partition& ProgramLedger::partitionAt(std::uint32_t index, const char* topicPrefix) {
   std::unique_ptr<Partition>& slot = partitions_[index];
   if (!slot) {
     const std::uint32_t number = index % partitionCount();
@@ -130,9 +129,8 @@
                               std::string addition, Duration timeLimit, StoredCallback callback) {
   CompletedTurn record{turn, previous, std::move(addition)};
   const CompletedTurn* const before = previous.empty() ? nullptr : turns_.find(previous);
-  const bool fitsInline =
-      before != nullptr &&
-      before->history.size() + record.history.size() <= knobs_.maximumInlineHistoryBytes;
+  const bool fitsInline = before != nullptr && before->history.size() + record.history.size() <=
+                                                   knobs_.maximumInlineHistoryBytes;
   if (fitsInline) {
     record.history = before->history + record.history;
     record.base = before->base;
@@ -143,19 +141,19 @@
   }
   Partition& partition = turnPartition(turn);
   logstore::AppendRequest request{partition.address, {encodeFact(record)}, timeLimit};
-  store_.append(std::move(request),
-                [this, record = std::move(record), index = turnIndex(turn),
-                 callback = std::move(callback)](
-                    logstore::StoreResult<logstore::AppendReply> result) mutable {
-                  if (auto* const error = std::get_if<logstore::StoreError>(&result)) {
-                    callback(std::move(*error));
-                    return;
-                  }
-                  const std::uint64_t offset = std::get<logstore::AppendReply>(result).offset;
-                  turns_.put(std::move(record), {index, offset});
-                  partitions_[index]->reader->noteOwnRecords(offset, 1);
-                  callback(Success{});
-                });
+  store_.append(
+      std::move(request),
+      [this, record = std::move(record), index = turnIndex(turn), callback = std::move(callback)](
+          logstore::StoreResult<logstore::AppendReply> result) mutable {
+        if (auto* const error = std::get_if<logstore::StoreError>(&result)) {
+          callback(std::move(*error));
+          return;
+        }
+        const std::uint64_t offset = std::get<logstore::AppendReply>(result).offset;
+        turns_.put(std::move(record), {index, offset});
+        partitions_[index]->reader->noteOwnRecords(offset, 1);
+        callback(Success{});
+      });
 }
 
 void ProgramLedger::reserve(const BudgetReservation& reservation, std::uint64_t budget,
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -44,8 +44,8 @@
 
 /// Sizes and times of the ledger.
 struct LedgerKnobs {
-  std::uint32_t topics = 32;              ///< Topics for turns, and as many for budgets.
-  std::uint32_t partitionsPerTopic = 8;   ///< As the store has them.
+  std::uint32_t topics = 32;             ///< Topics for turns, and as many for budgets.
+  std::uint32_t partitionsPerTopic = 8;  ///< As the store has them.
   std::size_t cacheBytes = std::size_t{24} * 1024 * 1024;
   std::size_t maximumInlineHistoryBytes = std::size_t{32} * 1024;
   std::size_t maximumRecordBytes = std::size_t{256} * 1024;
--- a/src/logstore/keyed_topic_follower.h
+++ b/src/logstore/keyed_topic_follower.h
@@ -14,9 +14,9 @@
 
 /// Pace of a follower.
 struct KeyedTopicFollowerKnobs {
-  Duration wait = Duration::zero();        ///< The store holds a read until there is news.
-  Duration pause = milliseconds(400);      ///< Between two reads.
-  Duration patience = milliseconds(500);   ///< For an answer, beyond `wait`.
+  Duration wait = Duration::zero();       ///< The store holds a read until there is news.
+  Duration pause = milliseconds(400);     ///< Between two reads.
+  Duration patience = milliseconds(500);  ///< For an answer, beyond `wait`.
 };
 
 /// What a follower reports, in the log's order.
--- a/src/logstore/log_store.h
+++ b/src/logstore/log_store.h
@@ -1,4 +1,5 @@
-/// \file The shared store that everything lasting stands in: logs of records by topic and partition.
+/// \file The shared store that everything lasting stands in: logs of records by topic and
+/// partition.
 ///
 /// What the store has acknowledged, it keeps. A call without an answer may have been done, or may
 /// be done later; so everything that this product appends is a fact that may stand twice.
--- a/src/logstore/persistent_store.cpp
+++ b/src/logstore/persistent_store.cpp
@@ -49,7 +49,10 @@
 
 PersistentStore::PersistentStore(LogStore& direct, services::TimerService& timers,
                                  ClockFunction clock, CallPacerKnobs knobs, std::uint64_t seed)
-    : direct_(direct), timers_(timers), clock_(std::move(clock)), pacer_(knobs, seed),
+    : direct_(direct),
+      timers_(timers),
+      clock_(std::move(clock)),
+      pacer_(knobs, seed),
       wholeStore_(breakerKnobs(kFailuresOfStore)) {}
 
 void PersistentStore::append(AppendRequest request, StoreCallback<AppendReply> callback) {
@@ -105,8 +108,8 @@
 }
 
 template <class Request, class Reply>
-void PersistentStore::onResult(const std::shared_ptr<Call<Request, Reply>>& call,
-                               Instant startedAt, StoreResult<Reply> result) {
+void PersistentStore::onResult(const std::shared_ptr<Call<Request, Reply>>& call, Instant startedAt,
+                               StoreResult<Reply> result) {
   const Instant now = clock_();
   const auto* const error = std::get_if<StoreError>(&result);
   --call->underWay;
@@ -145,8 +148,7 @@
     return;
   }
   wholeStore_.onFailure(now);
-  const auto entry =
-      failing_.try_emplace(partition, breakerKnobs(kFailuresOfPartition)).first;
+  const auto entry = failing_.try_emplace(partition, breakerKnobs(kFailuresOfPartition)).first;
   entry->second.onFailure(now);
 }
 
--- a/src/logstore/store_message.cpp
+++ b/src/logstore/store_message.cpp
@@ -216,9 +216,9 @@
     case fbs::CallKind::Append:
       return StoreCallRequest{AppendRequest{partition, textsOf(call->records()), timeLimit}};
     case fbs::CallKind::Read:
-      return StoreCallRequest{
-          ReadRequest{partition, call->start(),
-                      Duration(static_cast<Duration::rep>(call->wait_us())), timeLimit}};
+      return StoreCallRequest{ReadRequest{partition, call->start(),
+                                          Duration(static_cast<Duration::rep>(call->wait_us())),
+                                          timeLimit}};
     case fbs::CallKind::Newest:
       break;
   }
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -36,8 +36,7 @@
     }
   }
   const auto heard = static_cast<double>(byNode_.size());
-  const double scale =
-      heard > 0 ? std::max(1.0, static_cast<double>(otherNodes) / heard) : 0.0;
+  const double scale = heard > 0 ? std::max(1.0, static_cast<double>(otherNodes) / heard) : 0.0;
   for (const ReplicaPtr& replica : replicas.all()) {
     const auto sum = sums.find(replicaHashOf(replica->entry.id));
     replica->othersInFlight = sum == sums.end() ? 0.0 : sum->second * scale;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -74,8 +74,7 @@
   const double slots = std::max(1U, replica.entry.slots);
   const double load = replica.load();
   const double waiting = std::max(0.0, load + 1.0 - slots);
-  double cost = (knobs_.baseCost + load) *
-                slownessOf(replica, usualMilliseconds, knobs_.slowFrom);
+  double cost = (knobs_.baseCost + load) * slownessOf(replica, usualMilliseconds, knobs_.slowFrom);
   cost += waiting * knobs_.waitingCost;
   if (!preferred) {
     cost += knobs_.otherReplicaCost +
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -24,13 +24,13 @@
 /// A replica with what this node has seen of it. Shared with the requests under way at it.
 struct Replica {
   ReplicaEntry entry;
-  bool gone = false;             ///< Its registration was removed: it gets nothing new.
-  std::uint32_t inFlight = 0;    ///< Requests of this node that run or wait there.
-  double othersInFlight = 0;     ///< Those of other nodes, as far as they told a moment ago.
-  std::uint32_t failures = 0;    ///< In a row: no connection, cut answers, silence.
-  Instant suspectUntil;          ///< Avoided until then while others are there.
-  Instant fullUntil;             ///< It refused for want of room a moment ago.
-  double answerMilliseconds = 0; ///< Smoothed time to the first byte; 0 before the first answer.
+  bool gone = false;              ///< Its registration was removed: it gets nothing new.
+  std::uint32_t inFlight = 0;     ///< Requests of this node that run or wait there.
+  double othersInFlight = 0;      ///< Those of other nodes, as far as they told a moment ago.
+  std::uint32_t failures = 0;     ///< In a row: no connection, cut answers, silence.
+  Instant suspectUntil;           ///< Avoided until then while others are there.
+  Instant fullUntil;              ///< It refused for want of room a moment ago.
+  double answerMilliseconds = 0;  ///< Smoothed time to the first byte; 0 before the first answer.
 
   [[nodiscard]] bool takesWork() const { return !gone && !entry.draining; }
   [[nodiscard]] double load() const { return static_cast<double>(inFlight) + othersInFlight; }
--- a/tests/edge/event_splitter_test.cpp
+++ b/tests/edge/event_splitter_test.cpp
@@ -10,9 +10,7 @@
     "id: 1\ndata: first\n\nweights: 3\nid: 2\ndata: a\ndata: b\n\r\nid:3\ndata:tight\n\n";
 }
 
-TEST_GROUP(EventSplitter) {
-  EventSplitter splitter;
-};
+TEST_GROUP(EventSplitter) { EventSplitter splitter; };
 
 TEST(EventSplitter, readsIdsAndData) {
   const auto events = splitter.feed(kStream);
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -123,11 +123,10 @@
 
 TEST(ExchangeStream, doesNotPromiseNotRunWhenTheBudgetTurnsOutSpentAfterTheDispatch) {
   // Another node has reserved most of the budget; this one has not read that yet.
-  logstore::PersistentStore otherStore(world.log, world.timers,
-                                       [this] { return world.timers.now; }, {}, 2);
+  logstore::PersistentStore otherStore(
+      world.log, world.timers, [this] { return world.timers.now; }, {}, 2);
   ledger::ProgramLedger other(otherStore, world.timers, [this] { return world.timers.now; }, {});
-  other.reserve({"elsewhere", "program", 900}, 1000, seconds(1),
-                [](ledger::ReservationOutcome) {});
+  other.reserve({"elsewhere", "program", 900}, 1000, seconds(1), [](ledger::ReservationOutcome) {});
   wait();
   const auto client = world.start(ExchangeWorld::turn("again"));
   LONGS_EQUAL(1, world.dispatches());
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -9,9 +9,7 @@
 using namespace gorsetrail::edge;
 using namespace gorsetrail::edge::testing;
 
-TEST_GROUP(Exchange) {
-  ExchangeWorld world;
-};
+TEST_GROUP(Exchange) { ExchangeWorld world; };
 
 TEST(Exchange, passesAnAnswerOnUnchanged) {
   const auto client = world.start(ExchangeWorld::request("safe"));
@@ -28,9 +26,20 @@
 TEST(Exchange, knowsNoConfigurationAndSaysSoWithATimeToComeBack) {
   ExchangeWorld other;
   routing::RouteTable none;
-  EdgeContext context{other.wire,   none,         other.replicas, other.selector,
-                      other.admission, other.ledger, other.client, other.timers,
-                      [&other] { return other.timers.now; }, other.eventLog, {}, {}, {}, true};
+  EdgeContext context{other.wire,
+                      none,
+                      other.replicas,
+                      other.selector,
+                      other.admission,
+                      other.ledger,
+                      other.client,
+                      other.timers,
+                      [&other] { return other.timers.now; },
+                      other.eventLog,
+                      {},
+                      {},
+                      {},
+                      true};
   auto client = std::make_shared<ClientView>();
   std::make_shared<Exchange>(context, ExchangeWorld::request("safe"),
                              std::make_unique<FakeWriter>(client))
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -38,8 +38,7 @@
     }
     return head;
   }
-  std::vector<http::Header> clientHeaders(
-      const std::vector<http::Header>& headers) const override {
+  std::vector<http::Header> clientHeaders(const std::vector<http::Header>& headers) const override {
     return headers;
   }
   http::WholeResponse makeRefusal(const CallRequest& /*request*/,
@@ -195,8 +194,11 @@
                     {}};
   logstore::PersistentStore store{log, timers, [this] { return timers.now; }, {}, 1};
   ledger::ProgramLedger ledger{store, timers, [this] { return timers.now; }, {}};
-  EdgeContext context{wire, routes, replicas, selector, admission, ledger, client, timers,
-                      [this] { return timers.now; }, eventLog, {}, {}, {}, true};
+  EdgeContext context{wire,     routes,    replicas,
+                      selector, admission, ledger,
+                      client,   timers,    [this] { return timers.now; },
+                      eventLog, {},        {},
+                      {},       true};
 };
 
 }  // namespace gorsetrail::edge::testing
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -19,8 +19,10 @@
 /// One node's ledger on the shared log.
 struct Node {
   Node(FakeLogStore& log, FakeTimers& timers, LedgerKnobs knobs)
-      : store(log, timers, [&timers] { return timers.now; }, {}, 1),
-        ledger(store, timers, [&timers] { return timers.now; }, knobs) {}
+      : store(
+            log, timers, [&timers] { return timers.now; }, {}, 1),
+        ledger(
+            store, timers, [&timers] { return timers.now; }, knobs) {}
   logstore::PersistentStore store;
   ProgramLedger ledger;
 };
@@ -37,7 +39,7 @@
     nodes.push_back(std::make_unique<Node>(log, timers, knobs));
     return *nodes.back();
   }
-  bool storeTurn(Node& node, const std::string& turn, const std::string& previous,
+  bool storeTurn(Node & node, const std::string& turn, const std::string& previous,
                  const std::string& text, Duration limit = seconds(2)) {
     std::optional<bool> stored;
     node.ledger.storeTurn(turn, previous, text, limit,
@@ -48,20 +50,19 @@
     CHECK_TRUE(stored.has_value());
     return *stored;
   }
-  HistoryAnswer find(Node& node, const std::string& turn) {
+  HistoryAnswer find(Node & node, const std::string& turn) {
     std::optional<HistoryAnswer> found;
-    node.ledger.findHistory(turn,
-                            [&found](HistoryAnswer answer) { found = std::move(answer); });
+    node.ledger.findHistory(turn, [&found](HistoryAnswer answer) { found = std::move(answer); });
     timers.advance(seconds(3));
     CHECK_TRUE(found.has_value());
     return *found;
   }
-  std::string textOf(Node& node, const std::string& turn) {
+  std::string textOf(Node & node, const std::string& turn) {
     const HistoryAnswer answer = find(node, turn);
     const auto* const history = std::get_if<History>(&answer);
     return history == nullptr ? "<none>" : history->text;
   }
-  ReservationOutcome reserve(Node& node, const std::string& request, std::uint64_t tokens,
+  ReservationOutcome reserve(Node & node, const std::string& request, std::uint64_t tokens,
                              std::uint64_t budget) {
     std::optional<ReservationOutcome> outcome;
     node.ledger.reserve({request, "program", tokens}, budget, seconds(2),
--- a/tests/logstore/store_message_test.cpp
+++ b/tests/logstore/store_message_test.cpp
@@ -18,8 +18,8 @@
   LONGS_EQUAL(2, appended.records.size());
   CHECK(appended.records[1] == binary);
   CHECK(appended.timeLimit == milliseconds(7));
-  const auto read = decodeStoreCall(
-      encodeStoreCall(ReadRequest{{"t", 1}, 99, milliseconds(3), milliseconds(8)}));
+  const auto read =
+      decodeStoreCall(encodeStoreCall(ReadRequest{{"t", 1}, 99, milliseconds(3), milliseconds(8)}));
   LONGS_EQUAL(99, std::get<ReadRequest>(valueOf(read)).start);
   CHECK(std::get<ReadRequest>(valueOf(read)).wait == milliseconds(3));
   const auto newest =
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -20,9 +20,7 @@
 
 }  // namespace
 
-TEST_GROUP(Documents) {
-  JsonDocumentAdapter adapter;
-};
+TEST_GROUP(Documents) { JsonDocumentAdapter adapter; };
 
 TEST(Documents, readsAConfiguration) {
   const auto read = adapter.readConfiguration(kConfiguration);
@@ -51,7 +49,8 @@
 
 TEST(Documents, readsARegistration) {
   const auto read = adapter.readReplicaEntry(
-      "i-1", R"({"service":"m","address":"10.0.0.9:8080","zone":"z","slots":12,"state":"draining"})");
+      "i-1",
+      R"({"service":"m","address":"10.0.0.9:8080","zone":"z","slots":12,"state":"draining"})");
   CHECK_TRUE(valueOf(read).draining);
   STRCMP_EQUAL("10.0.0.9:8080", valueOf(read).address.c_str());
   CHECK_FALSE(succeeded(adapter.readReplicaEntry("i-1", "{}")));
--- a/tests/platform/heads_test.cpp
+++ b/tests/platform/heads_test.cpp
@@ -36,9 +36,7 @@
 
 }  // namespace
 
-TEST_GROUP(Heads) {
-  HeadAdapter adapter;
-};
+TEST_GROUP(Heads) { HeadAdapter adapter; };
 
 TEST(Heads, readsATurn) {
   const edge::CallRequest call = adapter.readRequest(turn());
@@ -73,8 +71,7 @@
 TEST(Heads, readsAReplicasPromise) {
   CHECK_TRUE(adapter.readReplicaHead(503, {{"gorsetrail-not-executed", "1"}}).notExecuted);
   CHECK_FALSE(adapter.readReplicaHead(503, {}).notExecuted);
-  CHECK_TRUE(
-      adapter.readReplicaHead(200, {{"Content-Type", "text/event-stream; x"}}).eventStream);
+  CHECK_TRUE(adapter.readReplicaHead(200, {{"Content-Type", "text/event-stream; x"}}).eventStream);
 }
 
 TEST(Heads, handsTheSealOnAndNothingOfTheConnection) {
@@ -86,12 +83,11 @@
 }
 
 TEST(Heads, saysWhenToComeBackInFractionsOfASecond) {
-  const auto response =
-      adapter.makeRefusal({}, {503, "replicas_full", milliseconds(150)});
+  const auto response = adapter.makeRefusal({}, {503, "replicas_full", milliseconds(150)});
   STRCMP_EQUAL("0.150", headerOf(response.headers, "Retry-After").c_str());
-  STRCMP_EQUAL("<none>",
-               headerOf(adapter.makeRefusal({}, {504, "deadline", {}}).headers, "Retry-After")
-                   .c_str());
+  STRCMP_EQUAL(
+      "<none>",
+      headerOf(adapter.makeRefusal({}, {504, "deadline", {}}).headers, "Retry-After").c_str());
 }
 
 TEST(Heads, readsADirectoryQuestionAndAnswersIt) {
--- a/tests/routing/replica_table_test.cpp
+++ b/tests/routing/replica_table_test.cpp
@@ -18,9 +18,7 @@
 
 }  // namespace
 
-TEST_GROUP(ReplicaTable) {
-  ReplicaTable table;
-};
+TEST_GROUP(ReplicaTable) { ReplicaTable table; };
 
 TEST(ReplicaTable, tellsWhatChanged) {
   ReplicaEntry entry = entryOf("a", "s");
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -33,9 +33,7 @@
 
 }  // namespace
 
-TEST_GROUP(RouteTable) {
-  RouteTable table;
-};
+TEST_GROUP(RouteTable) { RouteTable table; };
 
 TEST(RouteTable, knowsNothingBeforeTheFirstConfiguration) {
   CHECK(table.inForce() == nullptr);
@@ -43,9 +41,9 @@
 }
 
 TEST(RouteTable, takesTheLongestPrefixOfTheHost) {
-  table.apply(configurationOf(1, {routeOf("short", "a.example", "/x/"),
-                                  routeOf("long", "a.example", "/x/y/"),
-                                  routeOf("other", "b.example", "/x/")}));
+  table.apply(configurationOf(
+      1, {routeOf("short", "a.example", "/x/"), routeOf("long", "a.example", "/x/y/"),
+          routeOf("other", "b.example", "/x/")}));
   STRCMP_EQUAL("long", matched(table, "a.example", "/x/y/1").c_str());
   STRCMP_EQUAL("short", matched(table, "a.example", "/x/yy/1").c_str());
   STRCMP_EQUAL("other", matched(table, "b.example", "/x/y/1").c_str());
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -25,7 +25,7 @@
 # One file a run keeps all processors busy to the end; only the count of warnings in others'
 # headers is kept from standard error.
 # Test files are formatted but not tidied: CppUTest's macros are not ours to mend.
-sources 'src/*.cpp' 'lab/*.cpp' 'bench/*.cpp' |
+sources 'src/*.cpp' 'platform/*.cpp' 'lab/*.cpp' 'bench/*.cpp' |
   xargs -r -P "${JOBS:-$(nproc)}" -n 1 clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option \
     2> >(grep -vE '^[0-9]+ warnings?( and [0-9]+ errors?)? generated\.$' >&2)
 echo "clang-tidy: clean"
