Serve counters and latency histograms on the metrics address

Change: EdgeMetrics counts every end by outcome and reason and keeps histograms of requests by route, of the time to the first dispatch and event, and of ends held for the store; FamilyList, which the daemon's metrics had for itself, moves to src/metrics and serves both.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "base/time.h"
+#include "edge/edge_metrics.h"
 #include "edge/event_log.h"
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
@@ -17,14 +18,8 @@
 
 namespace gorsetrail::edge {
 
-/// Counts of what became of requests; all only rise.
+/// Counts of what was done for requests; all only rise. What became of them, `EdgeMetrics` counts.
 struct EdgeCounters {
-  std::uint64_t requests = 0;
-  std::uint64_t answered = 0;        ///< A replica's whole answer was handed on.
-  std::uint64_t refused = 0;         ///< 503 and 402: it has not run.
-  std::uint64_t unknownOutcome = 0;  ///< 502 and 504: it may have run.
-  std::uint64_t brokenOff = 0;       ///< The connection closed amid a stream.
-  std::uint64_t clientsGone = 0;
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
@@ -68,6 +63,7 @@
   services::TimerService& timers;
   std::function<Instant()> clock;
   EventLog& log;
+  EdgeMetrics& metrics;
   EdgeCounters counters;
   Freshness freshness;
   ExchangeKnobs knobs;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge_daemon.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "edge/exchange.h"
@@ -42,6 +43,25 @@
   return knobs;
 }
 
+/// \return what a client gets whose request could not be read.
+unsigned statusOf(http::ProtocolFault fault) {
+  constexpr unsigned kBadRequest = 400;
+  constexpr unsigned kTimeout = 408;
+  constexpr unsigned kBodyTooLarge = 413;
+  constexpr unsigned kHeadTooLarge = 431;
+  switch (fault) {
+    case http::ProtocolFault::HeadTooLarge:
+      return kHeadTooLarge;
+    case http::ProtocolFault::BodyTooLarge:
+      return kBodyTooLarge;
+    case http::ProtocolFault::RequestTimedOut:
+      return kTimeout;
+    case http::ProtocolFault::Malformed:
+      break;
+  }
+  return kBadRequest;
+}
+
 std::uint64_t ageMilliseconds(Instant now, Instant then) {
   return static_cast<std::uint64_t>(std::max<Duration::rep>(0, (now - then).count() / 1000));
 }
@@ -71,7 +91,7 @@
           context, {}, seed,
           [this](routing::LoadDigest digest) { fleetLoad_.onDigest(std::move(digest), clock_()); }),
       context_{parts.wire, routes_, replicas_, selector_, admission_, ledger_, parts.client,
-               *timers_,   clock_,  log_,      {},        {},         {}} {}
+               *timers_,   clock_,  log_,      metrics_,  {},         {},      {}} {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
 
@@ -94,9 +114,11 @@
   return Success{};
 }
 
-Result<http::HttpServerPtr> EdgeDaemon::serve(
-    const std::string& address,
-    std::function<void(http::ServerRequest, http::ResponseWriterPtr)> onRequest) {
+Result<Success> EdgeDaemon::serve(http::HttpServerPtr& server, const std::string& address,
+                                  RequestHandler onRequest) {
+  if (address.empty()) {
+    return Success{};
+  }
   http::HttpServerOptions options;
   options.listenAddress = address;
   options.knobs.maximumBodyBytes = routing::ClientLimits{}.maximumBodyBytes;
@@ -104,68 +126,79 @@
   options.knobs.sweepPeriod = kServerSweepPeriod;
   options.onRequest = std::move(onRequest);
   options.onFault = [this](http::ProtocolFault fault) {
-    constexpr unsigned kBadRequest = 400;
-    constexpr unsigned kTimeout = 408;
-    constexpr unsigned kBodyTooLarge = 413;
-    constexpr unsigned kHeadTooLarge = 431;
-    unsigned status = kBadRequest;
-    if (fault == http::ProtocolFault::HeadTooLarge) {
-      status = kHeadTooLarge;
-    } else if (fault == http::ProtocolFault::BodyTooLarge) {
-      status = kBodyTooLarge;
-    } else if (fault == http::ProtocolFault::RequestTimedOut) {
-      status = kTimeout;
-    }
+    const unsigned status = statusOf(fault);
     log_.important("request_unreadable", {{"status", std::uint64_t{status}}});
     return http::WholeResponse{status, {}, {}};
   };
-  return http::makeHttpServer(ioContext_, std::move(options));
+  auto made = http::makeHttpServer(ioContext_, std::move(options));
+  if (!succeeded(made)) {
+    return errorOf(made);
+  }
+  server = std::move(valueOf(made));
+  return Success{};
 }
 
 Result<Success> EdgeDaemon::listen() {
-  auto clients = serve(settings_.listen.clients,
-                       [this](http::ServerRequest request, http::ResponseWriterPtr writer) {
-                         onClientRequest(std::move(request), std::move(writer));
-                       });
-  if (!succeeded(clients)) {
-    return errorOf(clients);
-  }
-  clientServer_ = std::move(valueOf(clients));
-  if (!settings_.listen.readiness.empty()) {
-    auto readiness =
-        serve(settings_.listen.readiness,
-              [this](const http::ServerRequest& /*request*/,
-                     const http::ResponseWriterPtr& writer) { onReadinessRequest(writer); });
-    if (!succeeded(readiness)) {
-      return errorOf(readiness);
-    }
-    readinessServer_ = std::move(valueOf(readiness));
-  }
-  if (!settings_.listen.directory.empty()) {
-    auto directory =
-        serve(settings_.listen.directory,
-              [this](const http::ServerRequest& request, const http::ResponseWriterPtr& writer) {
-                onDirectoryRequest(request, writer);
-              });
-    if (!succeeded(directory)) {
-      return errorOf(directory);
-    }
-    directoryServer_ = std::move(valueOf(directory));
-  }
-  if (settings_.firstInternalPort != 0) {
-    auto peers = serve(ownRelayAddress(),
-                       [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
-                         relayServer_.onRequest(request, std::move(writer));
-                       });
-    if (!succeeded(peers)) {
-      return errorOf(peers);
+  const auto onClient = [this](http::ServerRequest request, http::ResponseWriterPtr writer) {
+    onClientRequest(std::move(request), std::move(writer));
+  };
+  const auto onReadiness = [this](const http::ServerRequest& /*request*/,
+                                  const http::ResponseWriterPtr& writer) {
+    onReadinessRequest(writer);
+  };
+  const auto onDirectory = [this](const http::ServerRequest& request,
+                                  const http::ResponseWriterPtr& writer) {
+    onDirectoryRequest(request, writer);
+  };
+  const auto onPeer = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
+    relayServer_.onRequest(request, std::move(writer));
+  };
+  const auto onMetrics = [this](const http::ServerRequest& /*request*/,
+                                const http::ResponseWriterPtr& writer) {
+    writer->sendWhole(
+        {kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.render(snapshot())});
+  };
+  const bool hasPeers = settings_.firstInternalPort != 0;
+  const std::array<Result<Success>, 6> results = {
+      serve(clientServer_, settings_.listen.clients, onClient),
+      serve(readinessServer_, settings_.listen.readiness, onReadiness),
+      serve(directoryServer_, settings_.listen.directory, onDirectory),
+      serve(metricsServer_, settings_.listen.metrics, onMetrics),
+      serve(peerServer_, hasPeers ? ownRelayAddress() : std::string(), onPeer),
+      hasPeers ? loadExchange_.listen(ownLoadAddress()) : Result<Success>(Success{})};
+  for (const Result<Success>& result : results) {
+    if (!succeeded(result)) {
+      return result;
     }
-    peerServer_ = std::move(valueOf(peers));
-    return loadExchange_.listen(ownLoadAddress());
   }
   return Success{};
 }
 
+EdgeSnapshot EdgeDaemon::snapshot() const {
+  const Instant now = clock_();
+  const logstore::StoreCounters& store = store_.counters();
+  EdgeSnapshot figures;
+  figures.storeCalls = store.calls;
+  figures.storeAnswered = store.answered;
+  figures.storeUnanswered = store.unanswered;
+  figures.storeThrottled = store.throttled;
+  figures.storeBusy = store.busy;
+  figures.storeGivenUp = store.givenUp;
+  figures.storeThroughRelay = failoverStore_.isDirect() ? 0 : 1;
+  figures.dispatches = context_.counters.dispatches;
+  figures.retries = context_.counters.retries;
+  figures.resumes = context_.counters.resumes;
+  figures.requestsOpen = clientServer_->counters().responsesOpen;
+  figures.replicas = replicas_.size();
+  figures.members = members_.alive().size();
+  figures.configurationVersion = routes_.inForce() ? routes_.inForce()->version.value() : 0;
+  figures.configurationAgeMilliseconds =
+      ageMilliseconds(now, context_.freshness.configurationHeardAt);
+  figures.replicasAgeMilliseconds = ageMilliseconds(now, context_.freshness.replicasHeardAt);
+  figures.logLinesLeftOut = log_.leftOut();
+  return figures;
+}
+
 std::string EdgeDaemon::ownRelayAddress() const {
   return settings_.ip + ":" + std::to_string(settings_.firstInternalPort);
 }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -47,9 +47,10 @@
 
  private:
   Result<Success> listen();
-  Result<http::HttpServerPtr> serve(
-      const std::string& address,
-      std::function<void(http::ServerRequest, http::ResponseWriterPtr)> onRequest);
+  using RequestHandler = std::function<void(http::ServerRequest, http::ResponseWriterPtr)>;
+  /// Listens at the address; an empty one is passed over. Errors: `InvalidSettings`.
+  Result<Success> serve(http::HttpServerPtr& server, const std::string& address,
+                        RequestHandler onRequest);
   void onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer);
   void onReadinessRequest(const http::ResponseWriterPtr& writer);
   void onDirectoryRequest(const http::ServerRequest& request,
@@ -67,6 +68,7 @@
   void flushLoop();
   void sweepLoop();
   void checkStopped();
+  [[nodiscard]] EdgeSnapshot snapshot() const;
   [[nodiscard]] bool isReady() const;
   [[nodiscard]] std::string ownRelayAddress() const;
   [[nodiscard]] std::string ownLoadAddress() const;
@@ -79,6 +81,7 @@
   services::TimerServicePtr timers_;
   std::function<Instant()> clock_;
   EventLog log_;
+  EdgeMetrics metrics_;
   MemberTable members_;
   RelayedStore relayedStore_;
   logstore::FailoverStore failoverStore_;
@@ -96,6 +99,7 @@
   http::HttpServerPtr readinessServer_;
   http::HttpServerPtr directoryServer_;
   http::HttpServerPtr peerServer_;
+  http::HttpServerPtr metricsServer_;
   std::shared_ptr<logstore::KeyedTopicFollower> configurationFollower_;
   std::shared_ptr<logstore::KeyedTopicFollower> replicaFollower_;
   std::shared_ptr<logstore::KeyedTopicFollower> memberFollower_;
--- /dev/null
+++ b/src/edge/edge_metrics.cpp
@@ -0,0 +1,121 @@
+#include "edge/edge_metrics.h"
+
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "metrics/family_list.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+using prometheus::Histogram;
+using prometheus::MetricType;
+
+const Histogram::BucketBoundaries kRequestBuckets = {0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 4.0};
+const Histogram::BucketBoundaries kOwnTimeBuckets = {0.001, 0.002, 0.004, 0.008,
+                                                     0.015, 0.03,  0.1,   0.5};
+
+double secondsOf(Duration span) { return std::chrono::duration<double>(span).count(); }
+
+void addStore(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("store_calls_total", "Calls to the store by result", MetricType::Counter);
+  list.add(snapshot.storeCalls, {{"result", "started"}});
+  list.add(snapshot.storeAnswered, {{"result", "answered"}});
+  list.add(snapshot.storeUnanswered, {{"result", "no_answer"}});
+  list.add(snapshot.storeThrottled, {{"result", "throttled"}});
+  list.add(snapshot.storeBusy, {{"result", "busy"}});
+  list.add(snapshot.storeGivenUp, {{"result", "given_up"}});
+  list.gauge("store_through_relay", "1 while store calls go through other nodes",
+             snapshot.storeThroughRelay);
+}
+
+void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.gauge("replicas", "Registered replicas", snapshot.replicas);
+  list.gauge("members", "Nodes believed alive", snapshot.members);
+  list.gauge("configuration_version", "In force, 0 for none", snapshot.configurationVersion);
+  list.gauge("configuration_age_milliseconds", "Since the store was last heard about it",
+             snapshot.configurationAgeMilliseconds);
+  list.gauge("replicas_age_milliseconds", "Since the store was last heard about them",
+             snapshot.replicasAgeMilliseconds);
+}
+
+}  // namespace
+
+struct EdgeMetrics::Histograms {
+  prometheus::Registry registry;
+  prometheus::Family<Histogram>& request = prometheus::BuildHistogram()
+                                               .Name("gorsetrail_request_seconds")
+                                               .Help("From arrival to the final answer, by route")
+                                               .Register(registry);
+  Histogram& firstDispatch = prometheus::BuildHistogram()
+                                 .Name("gorsetrail_first_dispatch_seconds")
+                                 .Help("From arrival to the first dispatch")
+                                 .Register(registry)
+                                 .Add({}, kOwnTimeBuckets);
+  Histogram& firstEvent = prometheus::BuildHistogram()
+                              .Name("gorsetrail_first_event_seconds")
+                              .Help("From arrival to the first event sent")
+                              .Register(registry)
+                              .Add({}, kRequestBuckets);
+  Histogram& endReleased = prometheus::BuildHistogram()
+                               .Name("gorsetrail_end_held_seconds")
+                               .Help("From a stream's last event to the release of its end")
+                               .Register(registry)
+                               .Add({}, kOwnTimeBuckets);
+  std::map<std::string, Histogram*> byRoute;
+
+  Histogram& ofRoute(const std::string& route) {
+    const bool known = byRoute.count(route) > 0;
+    const std::string& label = known || byRoute.size() < kMaximumRoutes ? route : kOther;
+    Histogram*& histogram = byRoute[label];
+    if (histogram == nullptr) {
+      histogram = &request.Add({{"route", label}}, kRequestBuckets);
+    }
+    return *histogram;
+  }
+
+  const std::string kOther = "other";
+};
+
+EdgeMetrics::EdgeMetrics() : histograms_(std::make_unique<Histograms>()) {}
+EdgeMetrics::~EdgeMetrics() = default;
+
+void EdgeMetrics::onRequestEnded(const std::string& route, const std::string& outcome,
+                                 const std::string& reason, Duration took) {
+  ++outcomes_[{outcome, reason}];
+  if (!route.empty()) {
+    histograms_->ofRoute(route).Observe(secondsOf(took));
+  }
+}
+
+void EdgeMetrics::onFirstDispatch(Duration sinceArrival) {
+  histograms_->firstDispatch.Observe(secondsOf(sinceArrival));
+}
+
+void EdgeMetrics::onFirstEvent(Duration sinceArrival) {
+  histograms_->firstEvent.Observe(secondsOf(sinceArrival));
+}
+
+void EdgeMetrics::onEndReleased(Duration sinceLastEvent) {
+  histograms_->endReleased.Observe(secondsOf(sinceLastEvent));
+}
+
+std::string EdgeMetrics::render(const EdgeSnapshot& snapshot) const {
+  metrics::FamilyList list;
+  list.family("requests_ended_total", "Client attempts by outcome and reason", MetricType::Counter);
+  for (const auto& [key, count] : outcomes_) {
+    list.add(count, {{"outcome", key.first}, {"reason", key.second}});
+  }
+  list.gauge("requests_open", "Read and not yet answered", snapshot.requestsOpen);
+  list.counter("dispatches_total", "Requests sent to replicas", snapshot.dispatches);
+  list.counter("retries_total", "Dispatches after the first of a request", snapshot.retries);
+  list.counter("resumes_total", "Streams that went on after a cut", snapshot.resumes);
+  addStore(list, snapshot);
+  addBeliefs(list, snapshot);
+  list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
+               snapshot.logLinesLeftOut);
+  list.append(histograms_->registry.Collect());
+  return list.render();
+}
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/edge_metrics.h
@@ -0,0 +1,66 @@
+/// \file The edge's figures in Prometheus' text format.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "base/time.h"
+
+namespace gorsetrail::edge {
+
+/// Figures of the node's other parts at one moment.
+struct EdgeSnapshot {
+  std::uint64_t storeCalls = 0;
+  std::uint64_t storeAnswered = 0;
+  std::uint64_t storeUnanswered = 0;
+  std::uint64_t storeThrottled = 0;
+  std::uint64_t storeBusy = 0;
+  std::uint64_t storeGivenUp = 0;
+  std::uint64_t storeThroughRelay = 0;  ///< Gauge: 1 while calls go through other nodes.
+  std::uint64_t dispatches = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t resumes = 0;
+  std::uint64_t requestsOpen = 0;          ///< Gauge.
+  std::uint64_t replicas = 0;              ///< Gauge.
+  std::uint64_t members = 0;               ///< Gauge.
+  std::uint64_t configurationVersion = 0;  ///< Gauge.
+  std::uint64_t configurationAgeMilliseconds = 0;
+  std::uint64_t replicasAgeMilliseconds = 0;
+  std::uint64_t logLinesLeftOut = 0;
+};
+
+/// Counters by outcome and histograms of times. Labels are bounded: outcomes and reasons are named
+/// in the code, routes beyond `kMaximumRoutes` count as one.
+class EdgeMetrics {
+ public:
+  static constexpr std::size_t kMaximumRoutes = 64;
+
+  EdgeMetrics();
+  ~EdgeMetrics();
+  EdgeMetrics(const EdgeMetrics&) = delete;
+  EdgeMetrics& operator=(const EdgeMetrics&) = delete;
+
+  /// A request got its final answer, or none.
+  void onRequestEnded(const std::string& route, const std::string& outcome,
+                      const std::string& reason, Duration took);
+  /// From arrival to the first dispatch: finding the history, reserving, choosing.
+  void onFirstDispatch(Duration sinceArrival);
+  /// From arrival to the first event that the client was sent.
+  void onFirstEvent(Duration sinceArrival);
+  /// From a stream's last event to the release of its end: the time the store took.
+  void onEndReleased(Duration sinceLastEvent);
+
+  [[nodiscard]] std::string render(const EdgeSnapshot& snapshot) const;
+
+ private:
+  struct Histograms;
+  using OutcomeKey = std::pair<std::string, std::string>;
+
+  std::unique_ptr<Histograms> histograms_;
+  std::map<OutcomeKey, std::uint64_t> outcomes_;
+};
+
+}  // namespace gorsetrail::edge
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -35,7 +35,6 @@
       arrivedAt_(context.clock()) {}
 
 void Exchange::start() {
-  ++context_.counters.requests;
   if (!context_.takesRequests) {
     refuse(kUnavailable, "stopping", context_.knobs.retryAfterStop);
     return;
@@ -231,6 +230,9 @@
 void Exchange::send(const routing::ReplicaPtr& replica) {
   replica_ = replica;
   ++replica_->inFlight;
+  if (dispatchNumber_ == 0) {
+    context_.metrics.onFirstDispatch(context_.clock() - arrivedAt_);
+  }
   ++context_.counters.dispatches;
   ++dispatchNumber_;
   dispatchedAt_ = context_.clock();
@@ -336,6 +338,7 @@
     if (!streamBegun_) {
       streamBegun_ = true;
       writer_->beginStream(head_.status, replicaHeaders_);
+      context_.metrics.onFirstEvent(context_.clock() - arrivedAt_);
     }
     eventsReleased_ = eventsTaken_;
     writer_->write(std::exchange(output_, {}));
@@ -365,6 +368,7 @@
   }
   releaseReplica();
   streamEnded_ = true;
+  streamEndedAt_ = context_.clock();
   releaseOutput();
 }
 
@@ -409,7 +413,6 @@
     return;
   }
   writer_->sendWhole({head_.status, replicaHeaders_, std::move(body_)});
-  ++context_.counters.answered;
   settleBudget(0);
   end(head_.status < kFirstFailureStatus ? "answered" : "answered_failure", {});
 }
@@ -442,7 +445,7 @@
     return;
   }
   writer_->endStream();
-  ++context_.counters.answered;
+  context_.metrics.onEndReleased(context_.clock() - streamEndedAt_);
   settleBudget(tokensHandedOut());
   end("answered", {});
 }
@@ -543,7 +546,6 @@
   if (ended_) {
     return;
   }
-  ++context_.counters.refused;
   settleBudget(0);
   writer_->sendWhole(context_.wire.makeRefusal(request_, {status, reason, retryAfter}));
   end("refused_" + std::to_string(status), reason);
@@ -553,7 +555,6 @@
   if (ended_) {
     return;
   }
-  ++context_.counters.unknownOutcome;
   settleBudget(0);
   writer_->sendWhole(context_.wire.makeRefusal(request_, {status, reason, Duration::zero()}));
   end("unknown_" + std::to_string(status), reason);
@@ -568,7 +569,6 @@
     failUnknown(kBadGateway, reason);
     return;
   }
-  ++context_.counters.brokenOff;
   settleBudget(tokensHandedOut());
   end("broken_off", reason);
 }
@@ -590,7 +590,6 @@
   if (ended_) {
     return;
   }
-  ++context_.counters.clientsGone;
   settleBudget(tokensHandedOut());
   end("client_gone", {});
 }
@@ -598,7 +597,9 @@
 void Exchange::end(std::string_view outcome, std::string_view reason) {
   ended_ = true;
   const bool well = outcome == "answered";
-  const std::string_view route = route_ == nullptr ? std::string_view() : route_->name;
+  const std::string route = route_ == nullptr ? std::string() : route_->name;
+  context_.metrics.onRequestEnded(route, std::string(outcome), std::string(reason),
+                                  context_.clock() - arrivedAt_);
   const std::initializer_list<LogField> fields = {
       {"request", request_.requestId},
       {"program", request_.programId},
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -113,6 +113,7 @@
   std::string output_;        ///< Events that wait for the reservation.
   std::string turnAddition_;  ///< Input and events' data, for the turn's record.
   bool streamBegun_ = false;  ///< The client has the head of the stream.
+  Instant streamEndedAt_;
   bool streamEnded_ = false;  ///< The replica's stream came whole.
   bool ended_ = false;
 };
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -1,21 +1,15 @@
 #include "node/metrics.h"
 
 #include <prometheus/histogram.h>
-#include <prometheus/metric_family.h>
 #include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
-
-#include <iterator>
-#include <utility>
-#include <vector>
 
+#include "metrics/family_list.h"
 #include "wire/send_queue.h"
 
 namespace gorsetrail::node {
 namespace {
 
-using prometheus::ClientMetric;
-using prometheus::MetricFamily;
+using metrics::FamilyList;
 using prometheus::MetricType;
 
 const prometheus::Histogram::BucketBoundaries kCallBuckets = {0.01, 0.03, 0.1, 0.3, 1,   3,
@@ -23,38 +17,6 @@
 const prometheus::Histogram::BucketBoundaries kDispatchBuckets = {
     0.0001, 0.0003, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10};
 
-/// Collects families in the order they are added.
-class FamilyList {
- public:
-  void counter(const std::string& name, const std::string& help, std::uint64_t value) {
-    family(name, help, MetricType::Counter);
-    add(value, {});
-  }
-  void gauge(const std::string& name, const std::string& help, std::uint64_t value) {
-    family(name, help, MetricType::Gauge);
-    add(value, {});
-  }
-  /// Starts a family whose values have labels; they follow by `add`.
-  void family(const std::string& name, const std::string& help, MetricType type) {
-    families_.push_back({"gorsetrail_" + name, help, type, {}});
-  }
-  void add(std::uint64_t value, std::vector<ClientMetric::Label> labels) {
-    MetricFamily& family = families_.back();
-    ClientMetric metric;
-    metric.label = std::move(labels);
-    if (family.type == MetricType::Counter) {
-      metric.counter.value = static_cast<double>(value);
-    } else {
-      metric.gauge.value = static_cast<double>(value);
-    }
-    family.metric.push_back(std::move(metric));
-  }
-  [[nodiscard]] std::vector<MetricFamily> take() { return std::move(families_); }
-
- private:
-  std::vector<MetricFamily> families_;
-};
-
 void addNode(FamilyList& list, const NodeCounters& node) {
   list.counter("calls_arrived_total", "Calls that were well formed", node.callsArrived);
   list.counter("calls_completed_total", "Calls answered whole", node.callsCompleted);
@@ -184,10 +146,8 @@
   addPeers(list, snapshot.peers);
   addDispatches(list, snapshot.dispatches);
   addCallers(list, snapshot.callers);
-  std::vector<MetricFamily> families = list.take();
-  std::vector<MetricFamily> histograms = histograms_->registry.Collect();
-  std::move(histograms.begin(), histograms.end(), std::back_inserter(families));
-  return prometheus::TextSerializer().Serialize(families);
+  list.append(histograms_->registry.Collect());
+  return list.render();
 }
 
 }  // namespace gorsetrail::node
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -36,6 +36,7 @@
                       other.timers,
                       [&other] { return other.timers.now; },
                       other.eventLog,
+                      other.metrics,
                       {},
                       {},
                       {},
@@ -176,4 +177,7 @@
   world.eventLog.flush();
   STRCMP_CONTAINS("event=replica_failed request=q1", world.lines.c_str());
   STRCMP_CONTAINS("outcome=unknown_502 reason=replica_broke_off", world.lines.c_str());
+  STRCMP_CONTAINS(
+      "gorsetrail_requests_ended_total{outcome=\"unknown_502\",reason=\"replica_broke_off\"} 1",
+      world.metrics.render({}).c_str());
 }
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -192,13 +192,14 @@
                     },
                     [this] { return timers.now; },
                     {}};
+  EdgeMetrics metrics;
   logstore::PersistentStore store{log, timers, [this] { return timers.now; }, {}, 1};
   ledger::ProgramLedger ledger{store, timers, [this] { return timers.now; }, {}};
   EdgeContext context{wire,     routes,    replicas,
                       selector, admission, ledger,
                       client,   timers,    [this] { return timers.now; },
-                      eventLog, {},        {},
-                      {},       true};
+                      eventLog, metrics,   {},
+                      {},       {},        true};
 };
 
 }  // namespace gorsetrail::edge::testing
