Doubt registrations that lapsed with the store, and relay only when no direct call is answered

Change: what lapses during or within 2 s of an outage stays in use for drainMs if there is no other; one direct answer keeps the direct way.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
+/// Registrations that are missing so soon after an outage of the store lapsed because of it.
+constexpr Duration kOutageAftermath = milliseconds(2000);
 constexpr Duration kLoadPeriod = milliseconds(100);
 constexpr Duration kFlushPeriod = milliseconds(250);
 constexpr Duration kSweepPeriod = seconds(10);
@@ -79,7 +81,7 @@
       members_({}),
       relayedStore_(
           parts.peers, [this] { return otherRelays(); }, seed),
-      failoverStore_(parts.store, relayedStore_, clock_,
+      failoverStore_(parts.store, relayedStore_, clock_, {},
                      [this](logstore::StoreWay way) { onStoreWay(way); }),
       store_(failoverStore_, *timers_, clock_, {}, seed),
       relayServer_(parts.store),
@@ -311,8 +313,8 @@
     onReplicaRecord(key, value);
   };
   observer.onListed = [this](const std::vector<std::string>& keys) {
-    for (const std::string& removed : replicas_.keepOnly(keys)) {
-      log_.important("replica_gone", {{"replica", removed}, {"by", "listing"}});
+    for (const std::string& missing : replicas_.missingFrom(keys)) {
+      onReplicaLapsed(missing, "listing");
     }
   };
   observer.onFresh = [this](Instant askedAt) {
@@ -328,11 +330,25 @@
   replicaFollower_->start();
 }
 
+bool EdgeDaemon::storeWasOutOfOrder() const {
+  const bool justRegained = storeRegainedAt_ && clock_() - *storeRegainedAt_ < kOutageAftermath;
+  return storeLost_ || justRegained;
+}
+
+void EdgeDaemon::onReplicaLapsed(const std::string& id, std::string_view by) {
+  // Replicas could not renew their registrations while the store was out of order.
+  const routing::ReplicaChange change = storeWasOutOfOrder()
+                                            ? replicas_.doubt(id, clock_() + settings_.bounds.drain)
+                                            : replicas_.remove(id);
+  if (change != routing::ReplicaChange::None) {
+    const bool doubted = change == routing::ReplicaChange::Doubted;
+    log_.important(doubted ? "replica_doubted" : "replica_gone", {{"replica", id}, {"by", by}});
+  }
+}
+
 void EdgeDaemon::onReplicaRecord(const std::string& id, const std::string& value) {
   if (value.empty()) {
-    if (replicas_.remove(id) == routing::ReplicaChange::Removed) {
-      log_.important("replica_gone", {{"replica", id}, {"by", "record"}});
-    }
+    onReplicaLapsed(id, "record");
     return;
   }
   auto read = parts_.documents.readReplicaEntry(id, value);
@@ -383,6 +399,7 @@
 
 void EdgeDaemon::noteStoreAnswer(Instant /*askedAt*/) {
   if (std::exchange(storeLost_, false)) {
+    storeRegainedAt_ = clock_();
     log_.important("store_regained", {{"address", settings_.store.address}});
   }
 }
@@ -428,6 +445,9 @@
   const std::size_t others = peers.size();
   loadExchange_.send(replicas_.all(), std::move(peers));
   fleetLoad_.apply(replicas_, others, clock_());
+  for (const std::string& dropped : replicas_.dropDoubtful(clock_())) {
+    log_.important("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
+  }
   timers_->runAfter(kLoadPeriod, [this] { loadLoop(); });
 }
 
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "edge/edge_context.h"
@@ -59,6 +60,8 @@
   void followReplicas();
   void followMembers();
   void onConfigurationRecord(const std::string& key, const std::string& value);
+  void onReplicaLapsed(const std::string& id, std::string_view by);
+  [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
   void noteStoreAnswer(Instant askedAt);
   void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
@@ -105,6 +108,7 @@
   std::shared_ptr<logstore::KeyedTopicFollower> memberFollower_;
   std::uint64_t beat_ = 0;
   bool storeLost_ = false;
+  std::optional<Instant> storeRegainedAt_;
   bool stopping_ = false;
   Instant stopBegunAt_;
   std::function<void()> onStopped_;
--- a/src/logstore/failover_store.cpp
+++ b/src/logstore/failover_store.cpp
@@ -5,15 +5,6 @@
 namespace gorsetrail::logstore {
 namespace {
 
-engine::CircuitKnobs breakerKnobs() {
-  engine::CircuitKnobs knobs;
-  knobs.failuresToOpen = 3.5;
-  knobs.failureHalfLife = seconds(1);
-  knobs.firstOpenTime = milliseconds(250);
-  knobs.longestOpenTime = milliseconds(1000);
-  return knobs;
-}
-
 /// Whether the store itself spoke: what it said is as good as any answer.
 bool isAnswer(StoreFault fault) {
   return fault == StoreFault::Compacted || fault == StoreFault::Rejected;
@@ -22,17 +13,23 @@
 }  // namespace
 
 FailoverStore::FailoverStore(LogStore& direct, LogStore& relay, ClockFunction clock,
-                             std::function<void(StoreWay)> onSwitched)
+                             FailoverKnobs knobs, std::function<void(StoreWay)> onSwitched)
     : direct_(direct),
       relay_(relay),
       clock_(std::move(clock)),
       onSwitched_(std::move(onSwitched)),
-      breaker_(breakerKnobs()) {}
+      knobs_(knobs),
+      lastAnswerAt_(clock_()) {}
 
 LogStore& FailoverStore::choose() {
   const Instant now = clock_();
-  if (breaker_.allows(now)) {
-    breaker_.onDispatched(now);
+  const bool inReach =
+      failuresInARow_ < knobs_.failuresToSwitch || now - lastAnswerAt_ < knobs_.silence;
+  if (inReach) {
+    return direct_;
+  }
+  if (now >= nextTrialAt_) {
+    nextTrialAt_ = now + knobs_.trialPeriod;
     return direct_;
   }
   take(StoreWay::Relay);
@@ -68,10 +65,11 @@
 
 void FailoverStore::onDirectResult(bool answered) {
   if (!answered) {
-    breaker_.onFailure(clock_());
+    ++failuresInARow_;
     return;
   }
-  breaker_.onSuccess();
+  failuresInARow_ = 0;
+  lastAnswerAt_ = clock_();
   take(StoreWay::Direct);
 }
 
--- a/src/logstore/failover_store.h
+++ b/src/logstore/failover_store.h
@@ -4,7 +4,6 @@
 #include <functional>
 
 #include "base/time.h"
-#include "engine/circuit_breaker.h"
 #include "logstore/log_store.h"
 #include "logstore/persistent_store.h"
 
@@ -13,15 +12,22 @@
 /// Which way a call took.
 enum class StoreWay : std::uint8_t { Direct, Relay };
 
-/// The store may be out of this node's reach, or refuse just this node, while others reach it.
-/// A breaker watches the direct way; while it is open, calls go through other nodes, and one call
-/// at a time tries the direct way again. Every call may be made twice by design (see
-/// `PersistentStore`), so switching is safe at any moment.
+/// When calls go through other nodes.
+struct FailoverKnobs {
+  std::uint32_t failuresToSwitch = 4;        ///< In a row, without one answer.
+  Duration silence = milliseconds(400);      ///< And since the last answer.
+  Duration trialPeriod = milliseconds(400);  ///< One call at a time tries the direct way again.
+};
+
+/// The store may be out of this node's reach, or refuse just this node, while others reach it. A
+/// single direct answer shows that it is in reach: partitions that are down are down for others
+/// too. Every call may be made twice by design (see `PersistentStore`), so switching is safe at any
+/// moment.
 class FailoverStore final : public LogStore {
  public:
   /// \param onSwitched told when calls begin to take another way.
   /// \param direct, relay outlive this object.
-  FailoverStore(LogStore& direct, LogStore& relay, ClockFunction clock,
+  FailoverStore(LogStore& direct, LogStore& relay, ClockFunction clock, FailoverKnobs knobs,
                 std::function<void(StoreWay)> onSwitched);
 
   void append(AppendRequest request, StoreCallback<AppendReply> callback) override;
@@ -42,7 +48,10 @@
   LogStore& relay_;
   ClockFunction clock_;
   std::function<void(StoreWay)> onSwitched_;
-  engine::CircuitBreaker breaker_;
+  FailoverKnobs knobs_;
+  std::uint32_t failuresInARow_ = 0;
+  Instant lastAnswerAt_;
+  Instant nextTrialAt_;
   StoreWay way_ = StoreWay::Direct;
 };
 
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -37,6 +37,8 @@
   double slowFrom = 2.0;
   /// Chosen only when the others are overloaded.
   double suspectCost = 1000.0;
+  /// Its registration lapsed: chosen only when there is no other.
+  double doubtfulCost = 10000.0;
   /// It refused for want of room a moment ago.
   double fullCost = 100.0;
 };
--- a/src/routing/replica_table.cpp
+++ b/src/routing/replica_table.cpp
@@ -15,6 +15,7 @@
     return replica->entry.draining ? ReplicaChange::Draining : ReplicaChange::Added;
   }
   Replica& replica = *found->second;
+  replica.doubtfulUntil.reset();
   const bool moved =
       replica.entry.address != entry.address || replica.entry.service != entry.service;
   if (moved) {
@@ -43,17 +44,40 @@
   return ReplicaChange::Removed;
 }
 
-std::vector<std::string> ReplicaTable::keepOnly(const std::vector<std::string>& ids) {
-  std::vector<std::string> removed;
+ReplicaChange ReplicaTable::doubt(std::string_view id, Instant until) {
+  const auto found = byId_.find(id);
+  if (found == byId_.end() || found->second->entry.draining) {
+    return remove(id);
+  }
+  std::optional<Instant>& doubtfulUntil = found->second->doubtfulUntil;
+  if (doubtfulUntil) {
+    return ReplicaChange::None;
+  }
+  doubtfulUntil = until;
+  return ReplicaChange::Doubted;
+}
+
+std::vector<std::string> ReplicaTable::dropDoubtful(Instant now) {
+  std::vector<std::string> dropped;
   for (const auto& [id, replica] : byId_) {
-    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
-      removed.push_back(id);
+    if (replica->doubtfulUntil && *replica->doubtfulUntil <= now) {
+      dropped.push_back(id);
     }
   }
-  for (const std::string& id : removed) {
+  for (const std::string& id : dropped) {
     remove(id);
   }
-  return removed;
+  return dropped;
+}
+
+std::vector<std::string> ReplicaTable::missingFrom(const std::vector<std::string>& ids) const {
+  std::vector<std::string> missing;
+  for (const auto& [id, replica] : byId_) {
+    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+      missing.push_back(id);
+    }
+  }
+  return missing;
 }
 
 const std::vector<ReplicaPtr>& ReplicaTable::ofService(std::string_view service) const {
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,12 +25,15 @@
 /// A replica with what this node has seen of it. Shared with the requests under way at it.
 struct Replica {
   ReplicaEntry entry;
-  bool gone = false;              ///< Its registration was removed: it gets nothing new.
-  std::uint32_t inFlight = 0;     ///< Requests of this node that run or wait there.
-  double othersInFlight = 0;      ///< Those of other nodes, as far as they told a moment ago.
-  std::uint32_t failures = 0;     ///< In a row: no connection, cut answers, silence.
-  Instant suspectUntil;           ///< Avoided until then while others are there.
-  Instant fullUntil;              ///< It refused for want of room a moment ago.
+  bool gone = false;           ///< Its registration was removed: it gets nothing new.
+  std::uint32_t inFlight = 0;  ///< Requests of this node that run or wait there.
+  double othersInFlight = 0;   ///< Those of other nodes, as far as they told a moment ago.
+  std::uint32_t failures = 0;  ///< In a row: no connection, cut answers, silence.
+  Instant suspectUntil;        ///< Avoided until then while others are there.
+  Instant fullUntil;           ///< It refused for want of room a moment ago.
+  /// Its registration lapsed while the store was out of order, which proves nothing: it is used
+  /// until then if there is no other.
+  std::optional<Instant> doubtfulUntil;
   double answerMilliseconds = 0;  ///< Smoothed time to the first byte; 0 before the first answer.
 
   [[nodiscard]] bool takesWork() const { return !gone && !entry.draining; }
@@ -38,7 +42,7 @@
 using ReplicaPtr = std::shared_ptr<Replica>;
 
 /// How a change of a registration turned out.
-enum class ReplicaChange : std::uint8_t { None, Added, Draining, Ready, Moved, Removed };
+enum class ReplicaChange : std::uint8_t { None, Added, Draining, Ready, Moved, Doubted, Removed };
 
 /// The registered replicas.
 class ReplicaTable {
@@ -47,8 +51,12 @@
   ReplicaChange upsert(ReplicaEntry entry);
   /// Forgets a registration; requests under way keep their `Replica`.
   ReplicaChange remove(std::string_view id);
-  /// Removes every registration whose id is not listed. \return the removed ids.
-  std::vector<std::string> keepOnly(const std::vector<std::string>& ids);
+  /// Keeps a lapsed registration for a while; one that was leaving is removed at once.
+  ReplicaChange doubt(std::string_view id, Instant until);
+  /// Removes what was doubted until now. \return the removed ids.
+  std::vector<std::string> dropDoubtful(Instant now);
+  /// \return the registered ids that are not listed.
+  [[nodiscard]] std::vector<std::string> missingFrom(const std::vector<std::string>& ids) const;
 
   [[nodiscard]] const std::vector<ReplicaPtr>& ofService(std::string_view service) const;
   /// \return every registered replica.
--- a/tests/logstore/failover_store_test.cpp
+++ b/tests/logstore/failover_store_test.cpp
@@ -13,8 +13,8 @@
   FakeLogStore direct{timers};
   FakeLogStore relay{timers};
   int switches = 0;
-  FailoverStore store{direct, relay, [this] { return timers.now; },
-                      [this](StoreWay) { ++switches; }};
+  FailoverStore store{
+      direct, relay, [this] { return timers.now; }, {}, [this](StoreWay) { ++switches; }};
   int answered = 0;
 
   void call() {
@@ -45,6 +45,15 @@
   LONGS_EQUAL(1, switches);
 }
 
+TEST(FailoverStore, staysDirectWhileOnlySomePartitionsAreDown) {
+  for (int number = 0; number < 20; ++number) {
+    direct.fault = number % 4 == 0 ? FakeFault::None : FakeFault::Silent;
+    call();
+  }
+  CHECK_TRUE(store.isDirect());
+  LONGS_EQUAL(0, relay.appends);
+}
+
 TEST(FailoverStore, comesBackWhenTheStoreIsInReachAgain) {
   direct.fault = FakeFault::Silent;
   for (int number = 0; number < 8; ++number) {
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -98,6 +98,16 @@
   CHECK(choose("p", 2500) == suspect);
 }
 
+TEST(ReplicaSelector, usesADoubtedReplicaOnlyWhenThereIsNoOther) {
+  const ReplicaPtr doubted = add("doubted", "zone-a");
+  const ReplicaPtr busy = add("busy", "zone-b");
+  doubted->doubtfulUntil = now + seconds(1);
+  busy->othersInFlight = 100;
+  CHECK(choose("p", 2500) == busy);
+  busy->gone = true;
+  CHECK(choose("p", 2500) == doubted);
+}
+
 TEST(ReplicaSelector, avoidsAReplicaThatAnswersFarSlowerThanTheOthers) {
   const ReplicaPtr slow = add("slow", "zone-a");
   add("b", "zone-a")->answerMilliseconds = 50;
--- a/tests/routing/replica_table_test.cpp
+++ b/tests/routing/replica_table_test.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+using namespace gorsetrail;
 using namespace gorsetrail::routing;
 
 namespace {
@@ -48,11 +49,38 @@
   LONGS_EQUAL(1, table.ofService("t").size());
 }
 
-TEST(ReplicaTable, aListingRemovesWhatItDoesNotName) {
+TEST(ReplicaTable, namesWhatAListingMisses) {
   table.upsert(entryOf("a", "s"));
   table.upsert(entryOf("b", "s"));
-  const auto removed = table.keepOnly({"b"});
-  LONGS_EQUAL(1, removed.size());
-  STRCMP_EQUAL("a", removed.front().c_str());
+  const auto missing = table.missingFrom({"b", "c"});
+  LONGS_EQUAL(1, missing.size());
+  STRCMP_EQUAL("a", missing.front().c_str());
+}
+
+TEST(ReplicaTable, aDoubtedReplicaStaysUntilItsTimeIsOver) {
+  const Instant now{seconds(100)};
+  table.upsert(entryOf("a", "s"));
+  CHECK(table.doubt("a", now + seconds(2)) == ReplicaChange::Doubted);
+  CHECK(table.doubt("a", now + seconds(9)) == ReplicaChange::None);
+  CHECK_TRUE(table.ofService("s").front()->takesWork());
+  CHECK(table.dropDoubtful(now + seconds(1)).empty());
+  LONGS_EQUAL(1, table.dropDoubtful(now + seconds(2)).size());
+  CHECK(table.ofService("s").empty());
+}
+
+TEST(ReplicaTable, aDoubtedReplicaThatRegistersAgainIsSound) {
+  const Instant now{seconds(100)};
+  table.upsert(entryOf("a", "s"));
+  table.doubt("a", now + seconds(2));
+  table.upsert(entryOf("a", "s"));
+  CHECK(table.dropDoubtful(now + seconds(9)).empty());
   LONGS_EQUAL(1, table.size());
 }
+
+TEST(ReplicaTable, aLeavingReplicaIsNotDoubtedButRemoved) {
+  ReplicaEntry entry = entryOf("a", "s");
+  entry.draining = true;
+  table.upsert(entry);
+  CHECK(table.doubt("a", Instant{seconds(100)}) == ReplicaChange::Removed);
+  LONGS_EQUAL(0, table.size());
+}
