--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -18,6 +18,9 @@
   return "";
 }
 
+/// The request's id and the log files of a large fleet.
+constexpr std::size_t kMostLogFiles = 1000;
+
 const std::vector<std::string> kLogFlags = {"log", "settings", "timeout_s"};
 
 std::vector<Command> makeCommands() {
@@ -97,6 +100,14 @@
        1,
        1,
        runPrograms},
+      {"explain",
+       "REQUEST [FILE...]",
+       "Tell the story of one request from nodes' logs",
+       "gorsetrail explain 4b3c9fe146b94859 edge-a-1.log edge-a-2.log",
+       {},
+       1,
+       kMostLogFiles,
+       runExplain},
       {"completion",
        "SHELL",
        "Print a completion script for bash",
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -58,6 +58,7 @@
 ExitCode runDrain(CommandContext& context);
 ExitCode runNodes(CommandContext& context);
 ExitCode runPrograms(CommandContext& context);
+ExitCode runExplain(CommandContext& context);
 ExitCode runCompletion(CommandContext& context);
 
 }  // namespace gorsetrail::cli
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -248,7 +248,10 @@
   how.lastEventId = lastEventId_;
   how.connectTimeLimit = context_.knobs.connectTimeLimit;
   context_.log.routine("dispatch", {{"request", request_.requestId},
+                                    {"program", request_.programId},
                                     {"route", route_->name},
+                                    {"service", service_},
+                                    {"load", static_cast<std::uint64_t>(replica->load())},
                                     {"version", configuration_->version.value()},
                                     {"replica", replica->entry.id},
                                     {"in_flight", std::uint64_t{replica->inFlight}},
