Keep the fleet's heartbeats and reads of shared topics within a fixed rate

Cause: each node wrote a record and made about five reads a second whatever the fleet's size; 300 nodes would have used 300 of 800 writes and 1,600 of 2,000 reads. Change: at most 60 heartbeats a second in all, pauses of followers grow with the members, within the drain bound.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -15,6 +15,10 @@
 constexpr unsigned kUnavailable = 503;
 /// Registrations that are missing so soon after an outage of the store lapsed because of it.
 constexpr Duration kOutageAftermath = milliseconds(2000);
+constexpr Duration kShortestReplicaPause = milliseconds(400);
+constexpr Duration kReplicaPausePerMember = milliseconds(4);
+constexpr Duration kShortestMemberPause = milliseconds(500);
+constexpr Duration kMemberPausePerMember = milliseconds(10);
 constexpr Duration kLoadPeriod = milliseconds(100);
 constexpr Duration kFlushPeriod = milliseconds(250);
 constexpr Duration kSweepPeriod = seconds(10);
@@ -370,7 +374,7 @@
 
 void EdgeDaemon::followMembers() {
   logstore::KeyedTopicFollowerKnobs knobs;
-  knobs.pause = milliseconds(500);
+  knobs.pause = kShortestMemberPause;
   logstore::KeyedTopicObserver observer;
   observer.onRecord = [this](const std::string& key, const std::string& value) {
     const auto record = decodeMemberRecord(value);
@@ -431,10 +435,20 @@
 void EdgeDaemon::announceLoop() {
   const bool wasReady = isReady();
   announce();
-  const Duration pause = wasReady ? MemberTableKnobs{}.heartbeat : milliseconds(200);
+  paceFollowers();
+  const Duration pause = wasReady ? members_.heartbeat() : milliseconds(200);
   timers_->runAfter(pause, [this] { announceLoop(); });
 }
 
+// All nodes read these topics: the pauses grow with the fleet, within what the bounds allow.
+void EdgeDaemon::paceFollowers() {
+  const auto members = static_cast<Duration::rep>(members_.alive().size());
+  const Duration longest = settings_.bounds.drain / 2;
+  replicaFollower_->setPause(
+      std::clamp(kReplicaPausePerMember * members, kShortestReplicaPause, longest));
+  memberFollower_->setPause(std::max(kMemberPausePerMember * members, kShortestMemberPause));
+}
+
 void EdgeDaemon::loadLoop() {
   std::vector<std::string> peers;
   for (const std::string& relay : otherRelays()) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -67,6 +67,7 @@
   void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
   void announce();
   void announceLoop();
+  void paceFollowers();
   void loadLoop();
   void flushLoop();
   void sweepLoop();
--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -1,5 +1,7 @@
 #include "edge/member_table.h"
 
+#include <algorithm>
+
 #include "edge/generated/member_record_generated.h"
 
 namespace gorsetrail::edge {
@@ -40,8 +42,15 @@
   return served == record.leaving;
 }
 
+Duration MemberTable::heartbeat() const {
+  const std::chrono::duration<double> shared(static_cast<double>(members_.size()) /
+                                             knobs_.recordsPerSecond);
+  return std::max(knobs_.heartbeat, std::chrono::duration_cast<Duration>(shared));
+}
+
 bool MemberTable::isAlive(const Entry& entry) const {
-  return freshAt_ - entry.heardAt < knobs_.silence;
+  const auto silence = std::chrono::duration_cast<Duration>(heartbeat() * knobs_.silentHeartbeats);
+  return freshAt_ - entry.heardAt < silence;
 }
 
 std::vector<std::string> MemberTable::clientAddresses(std::string_view zone) const {
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -28,9 +28,11 @@
 
 /// Knobs of `MemberTable`.
 struct MemberTableKnobs {
-  Duration heartbeat = seconds(1);        ///< Between two records of a node.
-  Duration silence = milliseconds(3300);  ///< Without a record, a node counts as dead.
-  std::size_t enoughInZone = 2;           ///< With fewer, other zones' nodes are named too.
+  Duration heartbeat = seconds(1);  ///< Between two records of a node, in a small fleet.
+  /// The whole fleet writes at most this many records a second: heartbeats become rarer with it.
+  double recordsPerSecond = 60;
+  double silentHeartbeats = 3.3;  ///< Without a record for so many, a node counts as dead.
+  std::size_t enoughInZone = 2;   ///< With fewer, other zones' nodes are named too.
   std::size_t maximumAddresses = 64;
 };
 
@@ -50,6 +52,8 @@
   [[nodiscard]] std::vector<std::string> clientAddresses(std::string_view zone) const;
   /// \return serving nodes of a zone.
   [[nodiscard]] std::size_t countIn(std::string_view zone) const;
+  /// \return the time between two records of a node in a fleet of this size.
+  [[nodiscard]] Duration heartbeat() const;
   /// \return every node alive or leaving, by key.
   [[nodiscard]] std::vector<MemberRecord> alive() const;
 
--- a/src/logstore/keyed_topic_follower.h
+++ b/src/logstore/keyed_topic_follower.h
@@ -42,6 +42,8 @@
                      KeyedTopicObserver observer);
 
   void start();
+  /// Changes the pause between two reads, from the next one on.
+  void setPause(Duration pause) { knobs_.pause = pause; }
 
  private:
   void listFrom(const std::string& afterKey);
--- a/tests/edge/member_table_test.cpp
+++ b/tests/edge/member_table_test.cpp
@@ -42,7 +42,7 @@
 TEST(MemberTable, forgetsNodesThatAreSilentWhileOthersAreHeard) {
   hear("a1", "a");
   hear("a2", "a");
-  now += MemberTableKnobs{}.silence + milliseconds(1);
+  now += milliseconds(3301);
   hear("a1", "a");
   LONGS_EQUAL(1, table.clientAddresses("a").size());
 }
@@ -54,6 +54,21 @@
   LONGS_EQUAL(2, table.clientAddresses("a").size());
 }
 
+TEST(MemberTable, heartbeatsBecomeRarerInALargeFleet) {
+  hear("a1", "a");
+  CHECK(table.heartbeat() == seconds(1));
+  for (int node = 0; node < 299; ++node) {
+    hear("b" + std::to_string(node), "b");
+  }
+  CHECK(table.heartbeat() == seconds(5));
+  now += seconds(16);
+  hear("a1", "a");
+  LONGS_EQUAL(299, table.countIn("b"));
+  now += seconds(1);
+  hear("a1", "a");
+  LONGS_EQUAL(0, table.countIn("b"));
+}
+
 TEST(MemberTable, recordsKeepTheirFieldsAndBrokenOnesAreFound) {
   const std::string bytes = encodeMemberRecord({"n", "z", "1.2.3.4:5", "1.2.3.4:6", true, 9});
   const auto record = decodeMemberRecord(bytes);
