--- a/spec/check.sh
+++ b/spec/check.sh
@@ -82,5 +82,11 @@
   is_caught budget "${mutant}"
 done
 
+holds ledger
+for mutant in RELEASE_BEFORE_RESERVATION DECIDE_BY_OWN_KNOWLEDGE SETTLE_WHILE_HANDING_OUT \
+  END_BEFORE_ACKNOWLEDGEMENT; do
+  is_caught ledger "${mutant}"
+done
+
 echo "${#held[@]} models hold, ${caught} mutants caught"
 exit $((failures > 0))
