--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -478,7 +478,13 @@
 void EdgeDaemon::reload(EdgeSettings settings) {
   settings.listen = settings_.listen;
   settings_ = std::move(settings);
-  log_.important("reloaded", {{"node", settings_.nodeName}});
+  log_.important("reloaded", {{"node", settings_.nodeName}, {"store", settings_.store.address}});
+}
+
+void EdgeDaemon::refuseReload(const std::vector<Error>& errors) {
+  for (const Error& error : errors) {
+    log_.important("reload_refused", {{"error", error.toText()}});
+  }
 }
 
 void EdgeDaemon::beginStop(std::function<void()> onStopped) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "edge/edge_context.h"
 #include "edge/edge_settings.h"
@@ -43,8 +44,12 @@
   Result<Success> start();
   /// Planned stop: not ready at once, requests that were read end, then `onStopped`.
   void beginStop(std::function<void()> onStopped);
-  /// Takes over settings that may change in a running process.
+  /// Takes over settings that may change in a running process; addresses to listen at may not.
   void reload(EdgeSettings settings);
+  /// New settings could not be read: the old ones stay.
+  void refuseReload(const std::vector<Error>& errors);
+  /// For work beside the daemon's own on the same loop.
+  [[nodiscard]] services::TimerService& timers() { return *timers_; }
 
  private:
   Result<Success> listen();
