Give a replica up that is silent to everybody and takes no connection

Change: after 0.4 s without a byte from it to any request, a connection is tried; when nothing answers in 0.25 s the replica is avoided, resumable and safe requests go elsewhere, others end at once.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -47,6 +47,10 @@
   Duration retryAfterStore = milliseconds(250);
   Duration retryAfterOutage = milliseconds(800);
   Duration connectTimeLimit = milliseconds(400);
+  /// A replica that says nothing to anybody for so long is asked for a connection.
+  Duration silence = milliseconds(400);
+  /// It counts as ended when nothing answers within this.
+  Duration reachabilityLimit = milliseconds(250);
   /// A route that is not in a configuration this old may have been added since.
   Duration configurationTrust = milliseconds(1800);
 };
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -285,6 +285,51 @@
     }
   };
   call_ = context_.client.send(context_.wire.makeReplicaRequest(request_, how), std::move(handler));
+  watchSilence();
+}
+
+void Exchange::watchSilence() {
+  context_.timers.runAfter(context_.knobs.silence,
+                           [weak = weak_from_this(), number = dispatchNumber_] {
+                             const auto self = weak.lock();
+                             if (self && self->dispatchNumber_ == number && self->call_) {
+                               self->onSilence();
+                             }
+                           });
+}
+
+// A replica without power, or behind a cut, says nothing: only a connection that does not come up
+// tells it from one that works.
+void Exchange::onSilence() {
+  const Instant heardAt = std::max(replica_->heardAt, dispatchedAt_);
+  if (context_.clock() - heardAt < context_.knobs.silence) {
+    watchSilence();
+    return;
+  }
+  context_.client.checkReachable(
+      replica_->entry.address, context_.knobs.reachabilityLimit,
+      [weak = weak_from_this(), number = dispatchNumber_, heardAt](bool reachable) {
+        const auto self = weak.lock();
+        if (!self || self->dispatchNumber_ != number || !self->call_) {
+          return;
+        }
+        const bool heardSince = self->replica_->heardAt > heardAt;
+        if (reachable || heardSince) {
+          self->watchSilence();
+        } else {
+          self->onUnreachable();
+        }
+      });
+}
+
+void Exchange::onUnreachable() {
+  call_->cancel();
+  call_.reset();
+  mayHaveRun_ = true;
+  headSeen_ = false;  // What it said before is no sign of life.
+  suspectReplica("silent, and takes no connection");
+  ranOn_.push_back(replica_);
+  recover(true, false);
 }
 
 void Exchange::onHead(unsigned status, const std::vector<http::Header>& headers) {
@@ -292,6 +337,7 @@
     return;
   }
   headSeen_ = true;
+  replica_->heardAt = context_.clock();
   head_ = context_.wire.readReplicaHead(status, headers);
   if (!streamBegun_) {
     replicaHeaders_ = context_.wire.clientHeaders(headers);
@@ -310,6 +356,7 @@
   if (ended_) {
     return;
   }
+  replica_->heardAt = context_.clock();
   const bool passesEvents = isStreaming() && head_.eventStream && head_.status == kOk;
   if (!passesEvents) {
     body_ += part;
@@ -489,9 +536,12 @@
   }
   // A stream that was cut goes on where it ran, as long as the replica lives: that is no second
   // replica, and its memory still holds the prompt. Every other request looks for another one.
-  const bool stays = sent && isStreaming();
-  resumeAt_ = stays ? replica_ : nullptr;
-  if (!stays) {
+  recover(sent, sent && isStreaming());
+}
+
+void Exchange::recover(bool sent, bool staysAtReplica) {
+  resumeAt_ = staysAtReplica ? replica_ : nullptr;
+  if (!staysAtReplica) {
     tried_.push_back(replica_);
   }
   releaseReplica();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -51,6 +51,10 @@
   void onReplicaDone();
   void onReplicaFailure(const http::Failure& failure);
   void onReplicaRefusal();
+  void watchSilence();
+  void onSilence();
+  void onUnreachable();
+  void recover(bool sent, bool staysAtReplica);
   void onWholeAnswer();
   void takeEvents(const std::vector<StreamEvent>& events);
   void onStreamEnd();
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,13 +1,80 @@
 #include "http/http_client.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
+#include <utility>
 
 #include "http/client_operation.h"
 
 namespace gorsetrail::http {
 namespace {
 
+using boost::system::error_code;
+
+/// One connection that is opened to see whether anything answers.
+class ReachabilityCheck : public std::enable_shared_from_this<ReachabilityCheck> {
+ public:
+  ReachabilityCheck(boost::asio::io_context& context, std::weak_ptr<ConnectionPool> pool,
+                    std::string address, std::function<void(bool)> callback)
+      : socket_(context),
+        timer_(context),
+        pool_(std::move(pool)),
+        address_(std::move(address)),
+        callback_(std::move(callback)) {}
+
+  void start(Duration limit) {
+    const auto endpoint = parseEndpoint(address_);
+    if (!endpoint) {
+      boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->end(false); });
+      return;
+    }
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error) {
+        self->end(false);
+      }
+    });
+    socket_.async_connect(*endpoint, [self = shared_from_this()](const error_code& error) {
+      self->onConnected(error);
+    });
+  }
+
+ private:
+  void onConnected(const error_code& error) {
+    if (!callback_) {
+      return;
+    }
+    const auto pool = pool_.lock();
+    if (!error && pool) {
+      error_code ignored;
+      socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+      limitUnacknowledgedTime(socket_);
+      pool->give(address_, std::move(socket_));
+    }
+    const bool refused = error == boost::asio::error::connection_refused ||
+                         error == boost::asio::error::connection_reset;
+    end(!error || refused);
+  }
+
+  void end(bool reachable) {
+    const auto callback = std::exchange(callback_, {});
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    if (callback) {
+      callback(reachable);
+    }
+  }
+
+  Socket socket_;
+  boost::asio::steady_timer timer_;
+  std::weak_ptr<ConnectionPool> pool_;
+  std::string address_;
+  std::function<void(bool)> callback_;
+};
+
 using OperationTable = std::unordered_map<ClientOperation*, std::weak_ptr<ClientOperation>>;
 
 class PooledHttpClient final : public HttpClient {
@@ -40,6 +107,12 @@
     return operation;
   }
 
+  void checkReachable(const std::string& address, Duration limit,
+                      std::function<void(bool)> callback) override {
+    std::make_shared<ReachabilityCheck>(context_, pool_, address, std::move(callback))
+        ->start(limit);
+  }
+
  private:
   boost::asio::io_context& context_;
   std::shared_ptr<ConnectionPool> pool_ = std::make_shared<ConnectionPool>();
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -28,6 +28,7 @@
   bool gone = false;           ///< Its registration was removed: it gets nothing new.
   std::uint32_t inFlight = 0;  ///< Requests of this node that run or wait there.
   double othersInFlight = 0;   ///< Those of other nodes, as far as they told a moment ago.
+  Instant heardAt;             ///< When any byte of an answer came from it.
   std::uint32_t failures = 0;  ///< In a row: no connection, cut answers, silence.
   Instant suspectUntil;        ///< Avoided until then while others are there.
   Instant fullUntil;           ///< It refused for want of room a moment ago.
--- a/tests/dispatch/fake_http_client.h
+++ b/tests/dispatch/fake_http_client.h
@@ -51,9 +51,15 @@
     return exchange;
   }
 
+  void checkReachable(const std::string& address, Duration /*limit*/,
+                      std::function<void(bool)> callback) override {
+    checks.emplace_back(address, std::move(callback));
+  }
+
   Exchange& last() { return *exchanges.back(); }
 
   std::vector<std::shared_ptr<Exchange>> exchanges;
+  std::vector<std::pair<std::string, std::function<void(bool)>>> checks;
 };
 
 }  // namespace gorsetrail::node::testing
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -185,6 +185,58 @@
   STRCMP_EQUAL("1", world.call().headerOf("after").c_str());
 }
 
+TEST(ExchangeStream, goesOnElsewhereWhenASilentReplicaTakesNoConnection) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  const std::string replica = world.call().headerOf("expect");
+  world.beginEvents();
+  world.call().body(kFirst);
+  auto& silent = world.call();
+  world.timers.advance(milliseconds(900));
+  LONGS_EQUAL(1, world.client.checks.size());
+  world.client.checks.back().second(false);
+  CHECK_TRUE(silent.cancelled);
+  LONGS_EQUAL(2, world.dispatches());
+  CHECK(replica != world.call().headerOf("expect"));
+  STRCMP_EQUAL("1", world.call().headerOf("after").c_str());
+  world.beginEvents();
+  world.call().body(kSecond);
+  world.call().done();
+  STRCMP_EQUAL((kFirst + kSecond).c_str(), client->body.c_str());
+}
+
+TEST(ExchangeStream, waitsForASilentReplicaThatTakesConnections) {
+  world.start(ExchangeWorld::turn("again"));
+  wait();
+  world.timers.advance(milliseconds(500));
+  LONGS_EQUAL(1, world.client.checks.size());
+  world.client.checks.back().second(true);
+  world.timers.advance(milliseconds(500));
+  LONGS_EQUAL(2, world.client.checks.size());
+  LONGS_EQUAL(1, world.dispatches());
+}
+
+TEST(ExchangeStream, doesNotAskAReplicaThatAnswersOthers) {
+  world.start(ExchangeWorld::turn("again"));
+  wait();
+  for (int step = 0; step < 10; ++step) {
+    for (const routing::ReplicaPtr& replica : world.replicas.all()) {
+      replica->heardAt = world.timers.now;
+    }
+    world.timers.advance(milliseconds(200));
+  }
+  LONGS_EQUAL(0, world.client.checks.size());
+}
+
+TEST(ExchangeStream, givesAnUnsafeTurnUpAtOnceWhenItsReplicaIsGone) {
+  const auto client = world.start(ExchangeWorld::turn("kept"));
+  wait();
+  world.timers.advance(milliseconds(500));
+  world.client.checks.back().second(false);
+  LONGS_EQUAL(502, client->status);
+  LONGS_EQUAL(1, world.dispatches());
+}
+
 TEST(ExchangeStream, breaksOffACutStreamThatMayNotBeResumed) {
   const auto client = world.start(ExchangeWorld::turn("kept"));
   wait();
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -298,3 +298,17 @@
   CHECK_TRUE(runUntil(context, [&] { return server.connections[0]->closedByPeer; }));
   LONGS_EQUAL(0, ending.endings);
 }
+
+TEST(HttpClient, ACheckTellsSilenceFromARefusal) {
+  boost::asio::io_context context;
+  const HttpClientPtr client = makeHttpClient(context);
+  ScriptedServer server(context, [](ScriptedConnection&) {});
+  std::vector<bool> results;
+  const auto note = [&results](bool reachable) { results.push_back(reachable); };
+  client->checkReachable(server.address(), milliseconds(500), note);
+  client->checkReachable("127.0.0.1:1", milliseconds(500), note);
+  client->checkReachable("no address", milliseconds(500), note);
+  CHECK(runUntil(context, [&] { return results.size() == 3; }));
+  LONGS_EQUAL(2, std::count(results.begin(), results.end(), true));
+  LONGS_EQUAL(1, server.connections.size());
+}
