--- a/src/cli/explain_command.cpp
+++ b/src/cli/explain_command.cpp
@@ -15,7 +15,10 @@
     if (key == "request" || value.empty()) {
       continue;
     }
-    text += (text.empty() ? "" : " ") + key + "=" + value;
+    text += text.empty() ? "" : " ";
+    text += key;
+    text += "=";
+    text += value;
   }
   return text;
 }
--- /dev/null
+++ b/src/edge/edge_daemon_followers.cpp
@@ -0,0 +1,163 @@
+// The part of `EdgeDaemon` that follows the store: configuration, replicas, other nodes.
+#include "edge/edge_daemon.h"
+#include "edge/edge_daemon_shared.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+/// Registrations that are missing so soon after an outage of the store lapsed because of it.
+constexpr Duration kOutageAftermath = milliseconds(2000);
+
+}  // namespace
+
+void EdgeDaemon::followConfiguration() {
+  logstore::KeyedTopicFollowerKnobs knobs;
+  knobs.wait = milliseconds(1200);
+  knobs.pause = milliseconds(5);
+  logstore::KeyedTopicObserver observer;
+  observer.onRecord = [this](const std::string& key, const std::string& value) {
+    onConfigurationRecord(key, value);
+  };
+  observer.onListed = [](const std::vector<std::string>& /*keys*/) {};
+  observer.onFresh = [this](Instant askedAt) {
+    context_.freshness.configurationHeardAt = askedAt;
+    noteStoreAnswer(askedAt);
+  };
+  observer.onStale = [this](const logstore::StoreError& error) {
+    noteStoreSilence("configuration", error);
+  };
+  configurationFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
+      store_, *timers_, clock_,
+      logstore::PartitionAddress{parts_.documents.configurationTopic(), 0}, knobs, observer);
+  configurationFollower_->start();
+}
+
+void EdgeDaemon::onConfigurationRecord(const std::string& key, const std::string& value) {
+  if (key != parts_.documents.configurationKey() || value.empty()) {
+    return;
+  }
+  auto read = parts_.documents.readConfiguration(value);
+  if (!succeeded(read)) {
+    log_.important("configuration_unreadable", {{"error", errorOf(read).toText()}});
+    return;
+  }
+  auto configuration = std::make_shared<const routing::Configuration>(std::move(valueOf(read)));
+  const std::uint64_t version = configuration->version.value();
+  const std::uint64_t routes = configuration->routes.size();
+  const bool newer = routes_.apply(std::move(configuration));
+  log_.important(newer ? "configuration_in_force" : "configuration_not_newer",
+                 {{"version", version}, {"routes", routes}});
+}
+
+void EdgeDaemon::followReplicas() {
+  logstore::KeyedTopicObserver observer;
+  observer.onRecord = [this](const std::string& key, const std::string& value) {
+    onReplicaRecord(key, value);
+  };
+  observer.onListed = [this](const std::vector<std::string>& keys) {
+    for (const std::string& missing : replicas_.missingFrom(keys)) {
+      onReplicaLapsed(missing, "listing");
+    }
+  };
+  observer.onFresh = [this](Instant askedAt) {
+    context_.freshness.replicasHeardAt = askedAt;
+    noteStoreAnswer(askedAt);
+  };
+  observer.onStale = [this](const logstore::StoreError& error) {
+    noteStoreSilence("replicas", error);
+  };
+  replicaFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
+      store_, *timers_, clock_, logstore::PartitionAddress{parts_.documents.replicaTopic(), 0},
+      logstore::KeyedTopicFollowerKnobs{}, observer);
+  replicaFollower_->start();
+}
+
+bool EdgeDaemon::storeWasOutOfOrder() const {
+  const bool justRegained = storeRegainedAt_ && clock_() - *storeRegainedAt_ < kOutageAftermath;
+  return storeLost_ || justRegained;
+}
+
+void EdgeDaemon::onReplicaLapsed(const std::string& id, std::string_view by) {
+  // Replicas could not renew their registrations while the store was out of order.
+  const routing::ReplicaChange change = storeWasOutOfOrder()
+                                            ? replicas_.doubt(id, clock_() + settings_.bounds.drain)
+                                            : replicas_.remove(id);
+  if (change != routing::ReplicaChange::None) {
+    const bool doubted = change == routing::ReplicaChange::Doubted;
+    log_.important(doubted ? "replica_doubted" : "replica_gone", {{"replica", id}, {"by", by}});
+  }
+}
+
+void EdgeDaemon::onReplicaRecord(const std::string& id, const std::string& value) {
+  if (value.empty()) {
+    onReplicaLapsed(id, "record");
+    return;
+  }
+  auto read = parts_.documents.readReplicaEntry(id, value);
+  if (!succeeded(read)) {
+    log_.important("replica_unreadable", {{"error", errorOf(read).toText()}});
+    return;
+  }
+  routing::ReplicaEntry& entry = valueOf(read);
+  const std::string service = entry.service;
+  const std::string address = entry.address;
+  const bool draining = entry.draining;
+  if (replicas_.upsert(std::move(entry)) != routing::ReplicaChange::None) {
+    log_.important("replica_changed", {{"replica", id},
+                                       {"service", service},
+                                       {"address", address},
+                                       {"state", draining ? "draining" : "ready"}});
+  }
+}
+
+void EdgeDaemon::followMembers() {
+  logstore::KeyedTopicFollowerKnobs knobs;
+  knobs.pause = kShortestMemberPause;
+  logstore::KeyedTopicObserver observer;
+  observer.onRecord = [this](const std::string& key, const std::string& value) {
+    const auto record = decodeMemberRecord(value);
+    if (!succeeded(record)) {
+      members_.remove(key);
+      return;
+    }
+    if (members_.onRecord(key, valueOf(record), clock_())) {
+      log_.important("member_changed",
+                     {{"node", valueOf(record).nodeName},
+                      {"state", valueOf(record).leaving ? "leaving" : "serving"}});
+    }
+  };
+  observer.onListed = [](const std::vector<std::string>& /*keys*/) {};
+  observer.onFresh = [this](Instant askedAt) {
+    members_.onFresh(askedAt);
+    noteStoreAnswer(askedAt);
+  };
+  observer.onStale = [this](const logstore::StoreError& error) {
+    noteStoreSilence("members", error);
+  };
+  memberFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
+      store_, *timers_, clock_, logstore::PartitionAddress{kMemberTopic, 0}, knobs, observer);
+  memberFollower_->start();
+}
+
+void EdgeDaemon::noteStoreAnswer(Instant /*askedAt*/) {
+  if (std::exchange(storeLost_, false)) {
+    storeRegainedAt_ = clock_();
+    log_.important("store_regained", {{"address", settings_.store.address}});
+  }
+}
+
+void EdgeDaemon::noteStoreSilence(std::string_view topic, const logstore::StoreError& error) {
+  if (std::exchange(storeLost_, true)) {
+    return;
+  }
+  const Instant now = clock_();
+  log_.important(
+      "store_lost",
+      {{"topic", topic},
+       {"fault", logstore::storeFaultName(error.fault)},
+       {"reason", error.reason},
+       {"configuration_age_ms", ageMilliseconds(now, context_.freshness.configurationHeardAt)},
+       {"replicas_age_ms", ageMilliseconds(now, context_.freshness.replicasHeardAt)}});
+}
+
+}  // namespace gorsetrail::edge
