Play two edge nodes on stand-ins of the users' store and replicas

Change: lab/platform has stand-ins over loopback; tests/lab_platform plays the path and its failures and checks that every failed request has a line with its reason and that every line parses. The daemon's log output is given to it, so that the test reads it.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -74,7 +74,7 @@
       parts_(parts),
       timers_(services::makeTimerService(context)),
       clock_(steadyNow),
-      log_(standardOutput(), clock_, {}),
+      log_(parts.log, clock_, {}),
       members_({}),
       relayedStore_(
           parts.peers, [this] { return otherRelays(); }, seed),
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -30,6 +30,7 @@
   logstore::LogStore& store;  ///< Single calls; the daemon adds the retries.
   http::HttpClient& client;   ///< To replicas.
   http::HttpClient& peers;    ///< To other nodes.
+  EventLog::Output log;       ///< Takes log lines.
 };
 
 class EdgeDaemon {
--- /dev/null
+++ b/tests/lab_platform/edge_day_test.cpp
@@ -0,0 +1,280 @@
+// Two whole edge nodes over loopback, on stand-ins of the users' store and replicas.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <sstream>
+
+#include "cli/log_story.h"
+#include "edge/edge_daemon.h"
+#include "lab/platform/replica_stand_in.h"
+#include "lab/platform/store_stand_in.h"
+#include "platform/documents.h"
+#include "platform/heads.h"
+#include "platform/store_calls.h"
+// CppUTest redefines `new`: it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::lab;
+
+namespace {
+
+const char* const kConfiguration = R"({"version":%d,"routes":[
+ {"name":"kept","host":"h","pathPrefix":"/kept/","routeType":"streaming","timeoutMs":3000,
+  "priority":1,"service":"m","maxAttempts":1,"persisted":true,"resumable":false},
+ {"name":"again","host":"h","pathPrefix":"/again/","routeType":"streaming","timeoutMs":3000,
+  "priority":0,"service":"m","maxAttempts":1,"resumable":true},
+ {"name":"unsafe","host":"h","pathPrefix":"/unsafe/","routeType":"unsafe","timeoutMs":3000,
+  "service":"m","maxAttempts":1}],
+ "services":[{"name":"m","engine":{"slots":4,"streamStride":10}}]})";
+
+std::string configurationOf(int version) {
+  std::string text(kConfiguration);
+  return text.replace(text.find("%d"), 2, std::to_string(version));
+}
+
+/// \return an address of the ip with a port that was free a moment ago.
+std::string freeAddress(boost::asio::io_context& context, const std::string& ip) {
+  boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address(ip), 0});
+  return ip + ":" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// One edge node as `gorsetrail-edge` wires it.
+class Node {
+ public:
+  Node(boost::asio::io_context& context, const std::string& ip, const std::string& storeAddress)
+      : storeClient_(http::makeHttpClient(context)),
+        replicaClient_(http::makeHttpClient(context)),
+        peerClient_(http::makeHttpClient(context)),
+        store_(*storeClient_, storeAddress) {
+    settings_.nodeName = "node-" + ip;
+    settings_.ip = ip;
+    settings_.zone = "z";
+    settings_.listen.clients = freeAddress(context, ip);
+    settings_.listen.directory = freeAddress(context, ip);
+    settings_.listen.metrics = freeAddress(context, ip);
+    settings_.store.address = storeAddress;
+    daemon_ = std::make_unique<edge::EdgeDaemon>(
+        context, settings_,
+        edge::EdgeParts{heads_, documents_, store_, *replicaClient_, *peerClient_,
+                        [this](std::string_view bytes) {
+                          lines += bytes;
+                          return bytes.size();
+                        }},
+        1);
+    started = succeeded(daemon_->start());
+  }
+  ~Node() { daemon_.reset(); }
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  [[nodiscard]] const edge::ListenAddresses& listen() const { return settings_.listen; }
+
+  std::string lines;
+  bool started = false;
+
+ private:
+  http::HttpClientPtr storeClient_;
+  http::HttpClientPtr replicaClient_;
+  http::HttpClientPtr peerClient_;
+  platform::StoreCalls store_;
+  platform::HeadAdapter heads_;
+  platform::JsonDocumentAdapter documents_;
+  edge::EdgeSettings settings_;
+  std::unique_ptr<edge::EdgeDaemon> daemon_;
+};
+
+/// What a client got; status 0 means a closed connection.
+struct Answer {
+  unsigned status = 0;
+  std::string body;
+  std::string retryAfter;
+};
+
+}  // namespace
+
+TEST_GROUP(EdgeDay) {
+  std::unique_ptr<boost::asio::io_context> context;
+  std::unique_ptr<StoreStandIn> store;
+  std::unique_ptr<ReplicaStandIn> replica;
+  std::unique_ptr<Node> first;
+  std::unique_ptr<Node> second;
+  http::HttpClientPtr client;
+  int nextRequest = 0;
+
+  void setup() override {
+    context = std::make_unique<boost::asio::io_context>(1);
+    store = std::make_unique<StoreStandIn>(*context);
+    replica = std::make_unique<ReplicaStandIn>(*context, "i-1");
+    client = http::makeHttpClient(*context);
+    store->put("keyed.op", "config", configurationOf(1));
+    store->put("keyed.servers", "i-1", replica->registration("m", "ready"));
+    first = std::make_unique<Node>(*context, "127.0.0.1", store->address());
+    second = std::make_unique<Node>(*context, "127.0.0.2", store->address());
+    CHECK_TRUE(first->started && second->started);
+    CHECK_TRUE(until([this] { return names(*first, 2) && names(*second, 2); }));
+  }
+  void teardown() override {
+    client.reset();
+    first.reset();
+    second.reset();
+    replica.reset();
+    store.reset();
+    // What was posted for the next turn of the loop may own parts of the above.
+    context->restart();
+    context->poll();
+    context.reset();
+  }
+
+  bool until(const std::function<bool()>& isTrue) {
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (std::chrono::steady_clock::now() < deadline) {
+      if (isTrue()) {
+        return true;
+      }
+      context->restart();
+      context->run_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+  Answer send(http::Request request) {
+    std::optional<Answer> answer;
+    http::ResponseHandler handler;
+    handler.onDone = [&answer](const http::Response& response) {
+      answer = Answer{response.status, response.body, ""};
+      for (const http::Header& header : response.headers) {
+        answer->retryAfter = header.name == "Retry-After" ? header.value : answer->retryAfter;
+      }
+    };
+    handler.onFailure = [&answer](const http::Failure&) { answer = Answer{}; };
+    client->send(std::move(request), std::move(handler));
+    CHECK_TRUE(until([&answer] { return answer.has_value(); }));
+    return *answer;
+  }
+  bool names(const Node& node, std::size_t addresses) {
+    http::Request request;
+    request.address = node.listen().directory;
+    request.target = "/v1/resolve?name=h&region=r&zone=z";
+    const Answer answer = send(request);
+    return answer.status == 200 && std::count(answer.body.begin(), answer.body.end(), ':') - 2 ==
+                                       static_cast<std::ptrdiff_t>(addresses);
+  }
+  /// Sends one attempt; its id is `q` and its number.
+  Answer ask(const Node& node, const std::string& target, const std::string& previous = "",
+             const std::string& budget = "10000") {
+    http::Request request;
+    request.method = "POST";
+    request.address = node.listen().clients;
+    request.target = target;
+    request.headers = {{"Host", "h"},
+                       {"Gorsetrail-Request-Id", "q" + std::to_string(++nextRequest)},
+                       {"Gorsetrail-Deadline-Ms", "2500"}};
+    if (target.find("/stream/") != std::string::npos) {
+      request.headers.push_back({"Gorsetrail-Program-Id", "p"});
+      request.headers.push_back({"Gorsetrail-Token-Budget", budget});
+      request.headers.push_back({"Gorsetrail-Token-Usage", "100,50"});
+    }
+    if (!previous.empty()) {
+      request.headers.push_back({"Gorsetrail-Previous-Turn", previous});
+    }
+    request.body = "input" + std::to_string(nextRequest) + ";";
+    return send(request);
+  }
+};
+
+TEST(EdgeDay, aTurnGoesOnAtAnotherNodeAfterTheFirstHasGone) {
+  const Answer turn = ask(*first, "/kept/stream/1");
+  LONGS_EQUAL(200, turn.status);
+  STRCMP_EQUAL("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n", turn.body.c_str());
+  first.reset();
+  LONGS_EQUAL(200, ask(*second, "/kept/stream/1", "q1").status);
+  STRCMP_EQUAL("input1;e1\ne2\ne3\ninput2;", replica->bodies["q2"].c_str());
+  LONGS_EQUAL(404, ask(*second, "/kept/stream/1", "never").status);
+}
+
+TEST(EdgeDay, budgetsHoldOverNodes) {
+  LONGS_EQUAL(200, ask(*first, "/again/stream/1", "", "100").status);   // Uses 30.
+  LONGS_EQUAL(200, ask(*second, "/again/stream/1", "", "100").status);  // Uses 30.
+  const Answer third = ask(*first, "/again/stream/1", "", "100");
+  LONGS_EQUAL(402, third.status);
+  LONGS_EQUAL(0, replica->runs["q3"]);
+}
+
+TEST(EdgeDay, aStoreThatIsDownCostsNoRunAndSaysWhenToComeBack) {
+  store->trouble = StoreTrouble::Busy;
+  Answer answer;
+  CHECK_TRUE(until([&] {
+    answer = ask(*first, "/kept/stream/1");
+    return answer.status == 503;
+  }));
+  CHECK(!answer.retryAfter.empty());
+  const std::string refused = "q" + std::to_string(nextRequest);
+  LONGS_EQUAL(0, replica->runs[refused]);
+  store->trouble = StoreTrouble::None;
+  CHECK_TRUE(until([&] { return ask(*first, "/kept/stream/1").status == 200; }));
+}
+
+TEST(EdgeDay, anUnsafeRequestRunsOnceWhateverBecomesOfItsAnswer) {
+  replica->trouble = ReplicaTrouble::LostAnswer;
+  LONGS_EQUAL(502, ask(*first, "/unsafe/x").status);
+  LONGS_EQUAL(1, replica->runs["q1"]);
+  replica->trouble = ReplicaTrouble::Full;
+  LONGS_EQUAL(503, ask(*first, "/unsafe/x").status);
+  LONGS_EQUAL(0, replica->runs["q2"]);
+}
+
+TEST(EdgeDay, aCutStreamComesWholeWhereItMayBeResumed) {
+  replica->trouble = ReplicaTrouble::CutStream;
+  const Answer answer = ask(*first, "/again/stream/1");
+  STRCMP_EQUAL("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n", answer.body.c_str());
+  LONGS_EQUAL(0, ask(*first, "/kept/stream/1").status);
+}
+
+TEST(EdgeDay, aNewConfigurationAndALeavingReplicaTakeHold) {
+  const std::unique_ptr<ReplicaStandIn> other = std::make_unique<ReplicaStandIn>(*context, "i-2");
+  store->put("keyed.servers", "i-2", other->registration("m", "ready"));
+  store->put("keyed.servers", "i-1", replica->registration("m", "draining"));
+  store->put("keyed.op", "config", configurationOf(2));
+  CHECK_TRUE(until([&] {
+    return second->lines.find("configuration_in_force version=2") != std::string::npos &&
+           second->lines.find("replica=i-1 service=m address=" + replica->address() +
+                              " state=draining") != std::string::npos;
+  }));
+  STRCMP_EQUAL("answer of i-2", ask(*second, "/unsafe/x").body.c_str());
+}
+
+TEST(EdgeDay, everyFailedRequestHasALineWithItsReasonAndEveryLineParses) {
+  replica->trouble = ReplicaTrouble::LostAnswer;
+  ask(*first, "/unsafe/x");
+  ask(*first, "/kept/stream/1");
+  ask(*first, "/kept/stream/1", "never");
+  ask(*first, "/nowhere/x");
+  replica->trouble = ReplicaTrouble::Full;
+  ask(*first, "/unsafe/x");
+  CHECK_TRUE(until([&] {
+    return first->lines.find("request=q5 program") != std::string::npos &&
+           first->lines.find("outcome=refused_503") != std::string::npos;
+  }));
+  for (int number = 1; number <= 5; ++number) {
+    std::istringstream log(first->lines);
+    cli::LogStory story("q" + std::to_string(number));
+    story.read(log, "first");
+    LONGS_EQUAL(0, story.passedOver());
+    CHECK_TRUE(story.found());
+    const cli::LogLine end = story.lines().back();
+    STRCMP_EQUAL("request_ended", end.event.c_str());
+    CHECK(!end.fieldOf("reason").empty());
+  }
+}
+
+TEST(EdgeDay, metricsAreServed) {
+  ask(*first, "/unsafe/x");
+  http::Request request;
+  request.address = first->listen().metrics;
+  request.target = "/metrics";
+  const Answer page = send(request);
+  STRCMP_CONTAINS("gorsetrail_requests_ended_total{outcome=\"answered\",reason=\"\"} 1",
+                  page.body.c_str());
+  STRCMP_CONTAINS("gorsetrail_configuration_version 1", page.body.c_str());
+}
