--- a/bench/wire/stream_bench.cpp
+++ b/bench/wire/stream_bench.cpp
@@ -22,6 +22,10 @@
     handler = std::move(given);
     return nullptr;
   }
+  void checkReachable(const std::string& /*address*/, Duration /*limit*/,
+                      std::function<void(bool)> callback) override {
+    callback(true);
+  }
   http::ResponseHandler handler;
 };
 
