--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -9,7 +9,7 @@
 #include "edge/event_log.h"
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
-#include "ledger/program_ledger.h"
+#include "ledger/ledger.h"
 #include "routing/admission_policy.h"
 #include "routing/replica_selector.h"
 #include "routing/replica_table.h"
@@ -62,7 +62,7 @@
   routing::ReplicaTable& replicas;
   routing::ReplicaSelector& selector;
   const routing::AdmissionPolicy& admission;
-  ledger::ProgramLedger& ledger;
+  ledger::Ledger& ledger;
   http::HttpClient& client;
   services::TimerService& timers;
   std::function<Instant()> clock;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -38,14 +38,28 @@
 }
 
 ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings) {
-  constexpr std::uint64_t kShareOfMemory = 8;
+  constexpr std::uint64_t kShareOfMemory = 4;
   ledger::LedgerKnobs knobs;
-  knobs.partitionsPerTopic = settings.store.partitionsPerTopic;
+  knobs.zone = settings.zone;
+  knobs.partitions.partitionsPerTopic = settings.store.partitionsPerTopic;
   knobs.maximumRecordBytes = settings.store.maximumRecordBytes;
   knobs.cacheBytes = settings.memoryBytes / kShareOfMemory;
   return knobs;
 }
 
+std::string relayAddressOf(const EdgeSettings& settings) {
+  return settings.ip + ":" + std::to_string(settings.firstInternalPort);
+}
+
+ledger::RoutedLedgerKnobs routedLedgerKnobsOf(const EdgeSettings& settings) {
+  ledger::RoutedLedgerKnobs knobs;
+  knobs.ownAddress = relayAddressOf(settings);
+  knobs.zone = settings.zone;
+  knobs.zones = settings.zones;
+  knobs.partitions.partitionsPerTopic = settings.store.partitionsPerTopic;
+  return knobs;
+}
+
 /// \return what a client gets whose request could not be read.
 unsigned statusOf(http::ProtocolFault fault) {
   constexpr unsigned kBadRequest = 400;
@@ -82,7 +96,12 @@
                      [this](logstore::StoreWay way) { onStoreWay(way); }),
       store_(failoverStore_, *timers_, clock_, {}, seed),
       relayServer_(parts.store),
-      ledger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
+      localLedger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
+      ledgerService_(localLedger_),
+      ledgerPeers_(parts_.peers, [this] { return ledgerHomes(); }),
+      ledger_(ledgerService_, ledgerPeers_, *timers_, clock_, routedLedgerKnobsOf(settings_), seed),
+      ledgerServer_(ledgerService_),
+      routes_(seed),
       selector_(settings_.zone, {}),
       admission_(routing::AdmissionKnobs{}),
       fleetLoad_({}),
@@ -150,21 +169,24 @@
     onDirectoryRequest(request, writer);
   };
   const auto onPeer = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
-    relayServer_.onRequest(request, std::move(writer));
+    if (request.target == kLedgerPath) {
+      ledgerServer_.onRequest(request, std::move(writer));
+    } else {
+      relayServer_.onRequest(request, std::move(writer));
+    }
   };
   const auto onMetrics = [this](const http::ServerRequest& /*request*/,
                                 const http::ResponseWriterPtr& writer) {
     writer->sendWhole(
         {kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.render(snapshot())});
   };
-  const bool hasPeers = settings_.firstInternalPort != 0;
   const std::array<Result<Success>, 6> results = {
       serve(clientServer_, settings_.listen.clients, onClient),
       serve(readinessServer_, settings_.listen.readiness, onReadiness),
       serve(directoryServer_, settings_.listen.directory, onDirectory),
       serve(metricsServer_, settings_.listen.metrics, onMetrics),
-      serve(peerServer_, hasPeers ? ownRelayAddress() : std::string(), onPeer),
-      hasPeers ? loadExchange_.listen(ownLoadAddress()) : Result<Success>(Success{})};
+      serve(peerServer_, hasPeers() ? ownRelayAddress() : std::string(), onPeer),
+      hasPeers() ? loadExchange_.listen(ownLoadAddress()) : Result<Success>(Success{})};
   for (const Result<Success>& result : results) {
     if (!succeeded(result)) {
       return result;
@@ -198,8 +220,19 @@
   return figures;
 }
 
-std::string EdgeDaemon::ownRelayAddress() const {
-  return settings_.ip + ":" + std::to_string(settings_.firstInternalPort);
+std::string EdgeDaemon::ownRelayAddress() const { return relayAddressOf(settings_); }
+
+std::optional<std::vector<ledger::HomeCandidate>> EdgeDaemon::ledgerHomes() const {
+  if (!membersListed_) {
+    return std::nullopt;
+  }
+  std::vector<ledger::HomeCandidate> homes;
+  for (const MemberRecord& member : members_.alive()) {
+    if (!member.relayAddress.empty() && !member.leaving) {
+      homes.push_back({member.relayAddress, member.zone, member.capacity});
+    }
+  }
+  return homes;
 }
 
 std::string EdgeDaemon::ownLoadAddress() const {
@@ -266,8 +299,13 @@
 }
 
 void EdgeDaemon::announce() {
-  MemberRecord record{settings_.nodeName, settings_.zone, settings_.listen.clients,
-                      ownRelayAddress(),  !isReady(),     ++beat_};
+  MemberRecord record{settings_.nodeName,
+                      settings_.zone,
+                      settings_.listen.clients,
+                      hasPeers() ? ownRelayAddress() : std::string(),
+                      !isReady(),
+                      ++beat_,
+                      settings_.processorShare};
   logstore::AppendRequest request;
   request.partition = {kMemberTopic, 0};
   request.records.push_back(logstore::encodeKeyedRecord(settings_.ip, encodeMemberRecord(record)));
@@ -315,6 +353,7 @@
 
 void EdgeDaemon::sweepLoop() {
   ledger_.sweep();
+  localLedger_.sweep();
   timers_->runAfter(kSweepPeriod, [this] { sweepLoop(); });
 }
 
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -11,11 +11,14 @@
 #include "edge/edge_context.h"
 #include "edge/edge_settings.h"
 #include "edge/event_log.h"
+#include "edge/ledger_relay.h"
 #include "edge/load_exchange.h"
 #include "edge/member_table.h"
 #include "edge/store_relay.h"
 #include "edge/wire_adapter.h"
 #include "http/http_server.h"
+#include "ledger/program_ledger.h"
+#include "ledger/routed_ledger.h"
 #include "logstore/failover_store.h"
 #include "logstore/keyed_topic_follower.h"
 #include "logstore/log_store.h"
@@ -80,9 +83,13 @@
   void checkStopped();
   [[nodiscard]] EdgeSnapshot snapshot() const;
   [[nodiscard]] bool isReady() const;
+  /// \return whether there are internal ports, for calls between nodes.
+  [[nodiscard]] bool hasPeers() const { return settings_.firstInternalPort != 0; }
   [[nodiscard]] std::string ownRelayAddress() const;
   [[nodiscard]] std::string ownLoadAddress() const;
   [[nodiscard]] std::vector<std::string> otherRelays() const;
+  /// \return nodes that may be homes of the ledger's partitions; nothing before the first list.
+  [[nodiscard]] std::optional<std::vector<ledger::HomeCandidate>> ledgerHomes() const;
   void onStoreWay(logstore::StoreWay way);
 
   boost::asio::io_context& ioContext_;
@@ -97,7 +104,11 @@
   logstore::FailoverStore failoverStore_;
   logstore::PersistentStore store_;
   StoreRelayServer relayServer_;
-  ledger::ProgramLedger ledger_;
+  ledger::ProgramLedger localLedger_;
+  ledger::LedgerService ledgerService_;
+  HttpLedgerPeers ledgerPeers_;
+  ledger::RoutedLedger ledger_;
+  LedgerRelayServer ledgerServer_;
   routing::RouteTable routes_;
   routing::ReplicaTable replicas_;
   routing::ReplicaSelector selector_;
@@ -114,6 +125,7 @@
   std::shared_ptr<logstore::KeyedTopicFollower> replicaFollower_;
   std::shared_ptr<logstore::KeyedTopicFollower> memberFollower_;
   std::uint64_t beat_ = 0;
+  bool membersListed_ = false;
   bool storeLost_ = false;
   std::optional<Instant> storeRegainedAt_;
   bool stopping_ = false;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -126,7 +126,7 @@
                       {"state", valueOf(record).leaving ? "leaving" : "serving"}});
     }
   };
-  observer.onListed = [](const std::vector<std::string>& /*keys*/) {};
+  observer.onListed = [this](const std::vector<std::string>& /*keys*/) { membersListed_ = true; };
   observer.onFresh = [this](Instant askedAt) {
     members_.onFresh(askedAt);
     noteStoreAnswer(askedAt);
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -40,6 +40,8 @@
   std::string ip;
   std::string zone;
   std::string region;
+  std::vector<std::string> zones;  ///< All zones of the deployment.
+  double processorShare = 1.0;     ///< Of a core.
   ListenAddresses listen;
   std::uint16_t firstInternalPort = 0;
   std::uint16_t lastInternalPort = 0;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -112,7 +112,8 @@
     refuse(kUnavailable, "history_unavailable", context_.knobs.retryAfterStore);
     return;
   }
-  request_.body = std::get<ledger::History>(answer).text + request_.body;
+  before_ = std::move(std::get<ledger::History>(answer));
+  request_.body = before_.text + request_.body;
   checkBudget();
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -90,6 +90,7 @@
   std::uint64_t tokensPerEvent_ = 1;
   bool hasEngine_ = false;  ///< The service's replicas are model engines.
   std::string ownInput_;    ///< The turn's new input, for its record.
+  ledger::History before_;  ///< What the turn goes on from.
   BudgetState budget_ = BudgetState::NotNeeded;
   bool reservationMayStand_ = false;
 
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -295,7 +295,7 @@
   streamEnded_ = false;  // The end is on its way; `releaseOutput` must not start it again.
   const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
   context_.ledger.storeTurn(
-      request_.requestId, request_.previousTurn, ownInput_ + turnAddition_, limit,
+      {request_.requestId, request_.previousTurn, before_, ownInput_ + turnAddition_}, limit,
       [self = shared_from_this()](const logstore::StoreResult<Success>& stored) {
         self->onStored(stored);
       });
--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -9,10 +9,11 @@
 std::string encodeMemberRecord(const MemberRecord& record) {
   flatbuffers::FlatBufferBuilder builder;
   fbs::FinishMemberRecordBuffer(
-      builder, fbs::CreateMemberRecord(
-                   builder, builder.CreateString(record.nodeName),
-                   builder.CreateString(record.zone), builder.CreateString(record.clientAddress),
-                   builder.CreateString(record.relayAddress), record.leaving, record.beat));
+      builder, fbs::CreateMemberRecord(builder, builder.CreateString(record.nodeName),
+                                       builder.CreateString(record.zone),
+                                       builder.CreateString(record.clientAddress),
+                                       builder.CreateString(record.relayAddress), record.leaving,
+                                       record.beat, static_cast<float>(record.capacity)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -31,6 +32,7 @@
   record.relayAddress = read->relay_address() == nullptr ? "" : read->relay_address()->str();
   record.leaving = read->leaving();
   record.beat = read->beat();
+  record.capacity = read->capacity();
   return record;
 }
 
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -20,6 +20,7 @@
   std::string relayAddress;   ///< Where other nodes ask for store calls; empty: nowhere.
   bool leaving = false;
   std::uint64_t beat = 0;  ///< Rises with every record of one life.
+  double capacity = 1.0;   ///< Share of a core: how much of shared work it takes.
 };
 
 std::string encodeMemberRecord(const MemberRecord& record);
--- /dev/null
+++ b/src/ledger/home_selector.cpp
@@ -0,0 +1,66 @@
+#include "ledger/home_selector.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace gorsetrail::ledger {
+namespace {
+
+constexpr double kSmallestCapacity = 0.01;
+
+/// Weighted rendezvous: the highest score wins with a chance in proportion to the capacity.
+double scoreOf(const std::string& key, const HomeCandidate& candidate) {
+  const std::uint64_t seed = XXH64(key.data(), key.size(), 0);
+  const std::uint64_t hash = XXH64(candidate.address.data(), candidate.address.size(), seed);
+  const double fraction = (static_cast<double>(hash >> 11U) + 0.5) / std::ldexp(1.0, 53);
+  return std::max(candidate.capacity, kSmallestCapacity) / -std::log(fraction);
+}
+
+}  // namespace
+
+bool HomeSelector::isSuspect(const std::string& address, Instant now) const {
+  const auto found = suspectUntil_.find(address);
+  return found != suspectUntil_.end() && now < found->second;
+}
+
+void HomeSelector::suspect(const std::string& address, Instant now) {
+  suspectUntil_[address] = now + knobs_.suspicionTime;
+}
+
+std::vector<std::string> HomeSelector::homesOf(const logstore::PartitionAddress& partition,
+                                               const std::string& zone,
+                                               const std::vector<HomeCandidate>& candidates,
+                                               Instant now) const {
+  const std::string key = partition.topic + "/" + std::to_string(partition.partition);
+  const bool hasZone =
+      !zone.empty() && std::any_of(candidates.begin(), candidates.end(),
+                                   [&](const HomeCandidate& one) { return one.zone == zone; });
+  struct Ranked {
+    bool suspect;
+    double score;
+    const std::string* address;
+  };
+  std::vector<Ranked> ranked;
+  for (const HomeCandidate& candidate : candidates) {
+    if (!hasZone || candidate.zone == zone) {
+      ranked.push_back(
+          {isSuspect(candidate.address, now), scoreOf(key, candidate), &candidate.address});
+    }
+  }
+  const std::size_t count = std::min(knobs_.homes, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), [](const Ranked& left, const Ranked& right) {
+                      return left.suspect != right.suspect ? right.suspect
+                                                           : left.score > right.score;
+                    });
+  std::vector<std::string> homes;
+  for (std::size_t index = 0; index < count; ++index) {
+    homes.push_back(*ranked[index].address);
+  }
+  return homes;
+}
+
+}  // namespace gorsetrail::ledger
--- /dev/null
+++ b/src/ledger/ledger.h
@@ -0,0 +1,77 @@
+/// \file What requests need to know and to keep of programs: histories and budgets.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "ledger/facts.h"
+#include "logstore/log_store.h"
+
+namespace gorsetrail::ledger {
+
+/// A turn's inputs and outputs with all before it.
+struct History {
+  std::string text;
+  /// The turn's own record goes on from this earlier turn; empty: it holds everything.
+  std::string base;
+  std::size_t baseBytes = 0;  ///< Length of the base's history at the start of `text`.
+};
+/// The log was read to its end after the question: there is no such turn.
+struct UnknownTurn {};
+/// The log could not be read: nothing can be said.
+struct LedgerUnavailable {
+  std::string reason;
+};
+using HistoryAnswer = std::variant<History, UnknownTurn, LedgerUnavailable>;
+
+/// What became of a reservation.
+enum class ReservationOutcome : std::uint8_t {
+  Granted,      ///< It stands in the log and fits the budget.
+  Spent,        ///< It does not fit; it was given back.
+  Unavailable,  ///< The log did not answer: it may stand or not.
+};
+
+/// A turn whose answer was made whole, with what it goes on from.
+struct TurnToStore {
+  std::string request;   ///< Names the turn.
+  std::string previous;  ///< The turn before; empty: none.
+  History before;        ///< History of `previous`, as it was found.
+  std::string addition;  ///< The turn's own input and output.
+};
+
+/// \return the history of `base` with the piece that a later turn's record adds to it.
+History appendPiece(History base, const std::string& baseTurn, const std::string& piece);
+
+/// \return the turn's record: with the whole history while that is short, else with what came
+/// after an earlier turn.
+CompletedTurn completedTurnOf(TurnToStore turn, std::size_t maximumInlineHistoryBytes);
+
+/// Histories and budgets. Every call calls back once; none of them waits longer than its limit.
+class Ledger {
+ public:
+  using HistoryCallback = std::function<void(HistoryAnswer)>;
+  using StoredCallback = std::function<void(logstore::StoreResult<Success>)>;
+  using ReservationCallback = std::function<void(ReservationOutcome)>;
+
+  virtual ~Ledger() = default;
+  /// Finds the history up to and with a turn.
+  virtual void findHistory(const std::string& turn, HistoryCallback callback) = 0;
+  /// Stores a turn. After success every node finds the turn, whatever fails afterwards.
+  virtual void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) = 0;
+  /// Reserves tokens of a program's budget in the log.
+  virtual void reserve(const BudgetReservation& reservation, std::uint64_t budget,
+                       Duration timeLimit, ReservationCallback callback) = 0;
+  /// Gives back what a reservation did not use. Returns at once; the record follows soon.
+  virtual void settle(BudgetSettlement settlement) = 0;
+  /// \return whether a turn can probably be stored and its tokens reserved now.
+  [[nodiscard]] virtual bool isWritable(const std::string& turn, const std::string& program) = 0;
+  /// \return tokens that the program has used or may use, as far as this node knows.
+  [[nodiscard]] virtual std::uint64_t knownUse(const std::string& program) const = 0;
+};
+
+}  // namespace gorsetrail::ledger
--- /dev/null
+++ b/src/ledger/ledger_message.cpp
@@ -0,0 +1,146 @@
+#include "ledger/ledger_message.h"
+
+#include "ledger/generated/ledger_call_generated.h"
+
+namespace gorsetrail::ledger {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+using TextOffset = flatbuffers::Offset<flatbuffers::String>;
+
+TextOffset optionalText(Builder& builder, const std::string& text) {
+  return text.empty() ? TextOffset() : builder.CreateString(text);
+}
+
+std::string textOf(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+std::uint64_t microsecondsOf(Duration span) { return static_cast<std::uint64_t>(span.count()); }
+Duration spanOf(std::uint64_t microseconds) {
+  return Duration(static_cast<Duration::rep>(microseconds));
+}
+
+std::string finish(Builder& builder, fbs::CallMessage type, flatbuffers::Offset<void> message) {
+  fbs::FinishCallEnvelopeBuffer(builder, fbs::CreateCallEnvelope(builder, type, message));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::string encode(const FindTurnRequest& request) {
+  Builder builder;
+  const auto call = fbs::CreateFindTurnCall(builder, builder.CreateString(request.zone),
+                                            builder.CreateString(request.turn));
+  return finish(builder, fbs::CallMessage::FindTurnCall, call.Union());
+}
+
+std::string encode(const StoreTurnRequest& request) {
+  Builder builder;
+  const auto zone = builder.CreateString(request.zone);
+  const auto turn = builder.CreateString(request.record.request);
+  const auto base = optionalText(builder, request.record.base);
+  const auto history = builder.CreateString(request.record.history);
+  const auto call = fbs::CreateStoreTurnCall(builder, zone, turn, base, history,
+                                             microsecondsOf(request.timeLimit));
+  return finish(builder, fbs::CallMessage::StoreTurnCall, call.Union());
+}
+
+std::string encode(const ReserveRequest& request) {
+  Builder builder;
+  const auto id = builder.CreateString(request.reservation.request);
+  const auto program = builder.CreateString(request.reservation.program);
+  const auto call = fbs::CreateReserveCall(builder, id, program, request.reservation.tokens,
+                                           request.budget, microsecondsOf(request.timeLimit));
+  return finish(builder, fbs::CallMessage::ReserveCall, call.Union());
+}
+
+std::string encode(const SettleRequest& request) {
+  Builder builder;
+  const auto id = builder.CreateString(request.settlement.request);
+  const auto program = builder.CreateString(request.settlement.program);
+  const auto call = fbs::CreateSettleCall(builder, id, program, request.settlement.tokens);
+  return finish(builder, fbs::CallMessage::SettleCall, call.Union());
+}
+
+/// \return the verified envelope, or null; it lives as long as the bytes.
+const fbs::CallEnvelope* verified(std::string_view bytes) {
+  const auto* const begin = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(begin, bytes.size());
+  return fbs::VerifyCallEnvelopeBuffer(verifier) ? fbs::GetCallEnvelope(begin) : nullptr;
+}
+
+Error invalidMessage(const char* what) {
+  return {ErrorKind::InvalidFrame, what, "the bytes are no such message",
+          "run the same version on every node"};
+}
+
+LedgerRequest requestOf(const fbs::FindTurnCall& call) {
+  return FindTurnRequest{call.zone()->str(), call.turn()->str()};
+}
+
+LedgerRequest requestOf(const fbs::StoreTurnCall& call) {
+  CompletedTurn record{call.turn()->str(), textOf(call.base()), call.history()->str()};
+  return StoreTurnRequest{call.zone()->str(), std::move(record), spanOf(call.time_limit_us())};
+}
+
+LedgerRequest requestOf(const fbs::ReserveCall& call) {
+  BudgetReservation reservation{call.request()->str(), call.program()->str(), call.tokens()};
+  return ReserveRequest{std::move(reservation), call.budget(), spanOf(call.time_limit_us())};
+}
+
+LedgerRequest requestOf(const fbs::SettleCall& call) {
+  return SettleRequest{{call.request()->str(), call.program()->str(), call.tokens()}};
+}
+
+}  // namespace
+
+std::string encodeLedgerRequest(const LedgerRequest& request) {
+  return std::visit([](const auto& call) { return encode(call); }, request);
+}
+
+Result<LedgerRequest> decodeLedgerRequest(std::string_view bytes) {
+  const fbs::CallEnvelope* const envelope = verified(bytes);
+  const fbs::CallMessage type =
+      envelope == nullptr ? fbs::CallMessage::NONE : envelope->message_type();
+  switch (type) {
+    case fbs::CallMessage::FindTurnCall:
+      return requestOf(*envelope->message_as_FindTurnCall());
+    case fbs::CallMessage::StoreTurnCall:
+      return requestOf(*envelope->message_as_StoreTurnCall());
+    case fbs::CallMessage::ReserveCall:
+      return requestOf(*envelope->message_as_ReserveCall());
+    case fbs::CallMessage::SettleCall:
+      return requestOf(*envelope->message_as_SettleCall());
+    case fbs::CallMessage::CallReply:
+    case fbs::CallMessage::NONE:
+      break;
+  }
+  return invalidMessage("ledger call");
+}
+
+std::string encodeLedgerReply(const LedgerReply& reply) {
+  Builder builder;
+  const auto base = optionalText(builder, reply.base);
+  const auto history = optionalText(builder, reply.history);
+  const auto reason = optionalText(builder, reply.reason);
+  const auto message = fbs::CreateCallReply(builder, static_cast<fbs::CallOutcome>(reply.outcome),
+                                            base, history, reply.tokensUsed, reason);
+  return finish(builder, fbs::CallMessage::CallReply, message.Union());
+}
+
+Result<LedgerReply> decodeLedgerReply(std::string_view bytes) {
+  const fbs::CallEnvelope* const envelope = verified(bytes);
+  const fbs::CallReply* const read =
+      envelope == nullptr ? nullptr : envelope->message_as_CallReply();
+  if (read == nullptr || read->outcome() > fbs::CallOutcome::MAX) {
+    return invalidMessage("ledger reply");
+  }
+  LedgerReply reply;
+  reply.outcome = static_cast<LedgerOutcome>(read->outcome());
+  reply.base = textOf(read->base());
+  reply.history = textOf(read->history());
+  reply.tokensUsed = read->tokens_used();
+  reply.reason = textOf(read->reason());
+  return reply;
+}
+
+}  // namespace gorsetrail::ledger
--- /dev/null
+++ b/src/ledger/ledger_message.h
@@ -0,0 +1,61 @@
+/// \file Calls between nodes to the home of a ledger's partition, and their replies.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "ledger/facts.h"
+
+namespace gorsetrail::ledger {
+
+/// Asks for a turn's own record in a zone's partitions.
+struct FindTurnRequest {
+  std::string zone;
+  std::string turn;
+};
+struct StoreTurnRequest {
+  std::string zone;
+  CompletedTurn record;
+  Duration timeLimit{};
+};
+struct ReserveRequest {
+  BudgetReservation reservation;
+  std::uint64_t budget = 0;
+  Duration timeLimit{};
+};
+struct SettleRequest {
+  BudgetSettlement settlement;
+};
+using LedgerRequest =
+    std::variant<FindTurnRequest, StoreTurnRequest, ReserveRequest, SettleRequest>;
+
+/// How a call ended.
+enum class LedgerOutcome : std::uint8_t {
+  Unavailable,  ///< Nothing can be said: the store or the home did not answer.
+  Done,         ///< Found, stored, granted or noted.
+  UnknownTurn,  ///< The partition was read to its end: no such turn there.
+  BudgetSpent,
+  Rejected,  ///< It will never succeed.
+};
+
+/// Reply to any call; fields that do not belong to the call are empty.
+struct LedgerReply {
+  LedgerOutcome outcome = LedgerOutcome::Unavailable;
+  std::string base;              ///< Of the turn that was found.
+  std::string history;           ///< Of the turn that was found.
+  std::uint64_t tokensUsed = 0;  ///< By the program, after a reservation.
+  std::string reason;            ///< Why it failed.
+};
+
+std::string encodeLedgerRequest(const LedgerRequest& request);
+/// Errors: `InvalidFrame`.
+Result<LedgerRequest> decodeLedgerRequest(std::string_view bytes);
+std::string encodeLedgerReply(const LedgerReply& reply);
+/// Errors: `InvalidFrame`.
+Result<LedgerReply> decodeLedgerReply(std::string_view bytes);
+
+}  // namespace gorsetrail::ledger
--- /dev/null
+++ b/src/ledger/ledger_service.cpp
@@ -0,0 +1,104 @@
+#include "ledger/ledger_service.h"
+
+#include <utility>
+
+namespace gorsetrail::ledger {
+namespace {
+
+LedgerReply replyOf(TurnAnswer answer) {
+  LedgerReply reply;
+  if (auto* const turn = std::get_if<CompletedTurn>(&answer)) {
+    reply.outcome = LedgerOutcome::Done;
+    reply.base = std::move(turn->base);
+    reply.history = std::move(turn->history);
+  } else if (auto* const unavailable = std::get_if<LedgerUnavailable>(&answer)) {
+    reply.reason = std::move(unavailable->reason);
+  } else {
+    reply.outcome = LedgerOutcome::UnknownTurn;
+  }
+  return reply;
+}
+
+LedgerReply replyOf(const logstore::StoreResult<Success>& stored) {
+  LedgerReply reply;
+  const auto* const error = std::get_if<logstore::StoreError>(&stored);
+  if (error == nullptr) {
+    reply.outcome = LedgerOutcome::Done;
+    return reply;
+  }
+  const bool rejected = error->fault == logstore::StoreFault::Rejected;
+  reply.outcome = rejected ? LedgerOutcome::Rejected : LedgerOutcome::Unavailable;
+  reply.reason = logstore::storeFaultName(error->fault);
+  return reply;
+}
+
+LedgerReply replyOf(const ReservationReply& reservation) {
+  LedgerReply reply;
+  reply.tokensUsed = reservation.tokensUsed;
+  if (reservation.outcome == ReservationOutcome::Granted) {
+    reply.outcome = LedgerOutcome::Done;
+  } else if (reservation.outcome == ReservationOutcome::Spent) {
+    reply.outcome = LedgerOutcome::BudgetSpent;
+  }
+  return reply;
+}
+
+}  // namespace
+
+void LedgerService::handle(LedgerRequest request, LedgerReplyCallback callback) {
+  std::visit([&](auto& call) { run(std::move(call), std::move(callback)); }, request);
+}
+
+logstore::PartitionAddress LedgerService::partitionOf(const LedgerRequest& request) const {
+  const LedgerPartitions& layout = ledger_.layout();
+  if (const auto* const find = std::get_if<FindTurnRequest>(&request)) {
+    return layout.ofTurn(find->zone, find->turn);
+  }
+  if (const auto* const store = std::get_if<StoreTurnRequest>(&request)) {
+    return layout.ofTurn(store->zone, store->record.request);
+  }
+  if (const auto* const reserve = std::get_if<ReserveRequest>(&request)) {
+    return layout.ofBudget(reserve->reservation.program);
+  }
+  return layout.ofBudget(std::get<SettleRequest>(request).settlement.program);
+}
+
+void LedgerService::handleForPeer(LedgerRequest request, LedgerReplyCallback callback) {
+  if (ledger_.answers(partitionOf(request))) {
+    handle(std::move(request), std::move(callback));
+    return;
+  }
+  LedgerReply reply;
+  reply.reason = "the store does not answer the home";
+  callback(std::move(reply));
+}
+
+void LedgerService::run(const FindTurnRequest& request, LedgerReplyCallback callback) {
+  ledger_.findTurn(request.zone, request.turn, [callback = std::move(callback)](TurnAnswer answer) {
+    callback(replyOf(std::move(answer)));
+  });
+}
+
+void LedgerService::run(StoreTurnRequest request, LedgerReplyCallback callback) {
+  ledger_.storeRecord(
+      request.zone, std::move(request.record), request.timeLimit,
+      [callback = std::move(callback)](const logstore::StoreResult<Success>& stored) {
+        callback(replyOf(stored));
+      });
+}
+
+void LedgerService::run(const ReserveRequest& request, LedgerReplyCallback callback) {
+  ledger_.reserveAndTell(request.reservation, request.budget, request.timeLimit,
+                         [callback = std::move(callback)](const ReservationReply& reply) {
+                           callback(replyOf(reply));
+                         });
+}
+
+void LedgerService::run(SettleRequest request, const LedgerReplyCallback& callback) {
+  ledger_.settle(std::move(request.settlement));
+  LedgerReply reply;
+  reply.outcome = LedgerOutcome::Done;
+  callback(std::move(reply));
+}
+
+}  // namespace gorsetrail::ledger
--- a/src/ledger/partition_reader.cpp
+++ b/src/ledger/partition_reader.cpp
@@ -8,12 +8,13 @@
 
 /// A read is given up after this long; those who wait are told.
 constexpr Duration kReadTimeLimit = milliseconds(1500);
+/// A full answer over a link of 10 Mbit/s.
+constexpr Duration kReadTransferTime = milliseconds(200);
 
 }  // namespace
 
-PartitionReader::PartitionReader(logstore::LogStore& store, logstore::PartitionAddress address,
-                                 RecordObserver observer)
-    : store_(store), address_(std::move(address)), observer_(std::move(observer)) {}
+PartitionReader::PartitionReader(logstore::LogStore& store, logstore::PartitionAddress address)
+    : store_(store), address_(std::move(address)) {}
 
 void PartitionReader::readToEnd(ReadCallback callback) {
   waiting_.push_back({std::nullopt, std::move(callback)});
@@ -75,6 +76,7 @@
   request.partition = address_;
   request.start = position_;
   request.timeLimit = kReadTimeLimit;
+  request.transferTime = kReadTransferTime;
   store_.read(std::move(request),
               [weak = weak_from_this()](logstore::StoreResult<logstore::ReadReply> result) {
                 if (const auto self = weak.lock()) {
--- a/src/ledger/partition_reader.h
+++ b/src/ledger/partition_reader.h
@@ -22,9 +22,10 @@
 /// serves everybody who asked before it began. Only after such a pass may absence be concluded.
 class PartitionReader : public std::enable_shared_from_this<PartitionReader> {
  public:
-  PartitionReader(logstore::LogStore& store, logstore::PartitionAddress address,
-                  RecordObserver observer);
+  PartitionReader(logstore::LogStore& store, logstore::PartitionAddress address);
 
+  /// Sets who is told of records; before the first read.
+  void observe(RecordObserver observer) { observer_ = std::move(observer); }
   /// Reads everything that stands in the partition now.
   void readToEnd(ReadCallback callback);
   /// Reads all records below `offset`; they exist.
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -1,4 +1,4 @@
-/// \file Histories and budgets of programs, on top of the shared log.
+/// \file Histories and budgets of programs, read and written straight in the shared log.
 ///
 /// No node owns a program. Every node appends facts and reads the log of the program it is asked
 /// about; the log's order decides. So there is nothing to take over when a node dies, and nothing
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -15,105 +16,99 @@
 
 #include "ledger/budget_accounts.h"
 #include "ledger/facts.h"
+#include "ledger/ledger.h"
+#include "ledger/ledger_partitions.h"
 #include "ledger/partition_reader.h"
 #include "ledger/turn_cache.h"
+#include "logstore/append_batcher.h"
 #include "logstore/log_store.h"
 #include "logstore/persistent_store.h"
 #include "services/timer_service.h"
 
 namespace gorsetrail::ledger {
 
-/// A turn's inputs and outputs with all before it.
-struct History {
-  std::string text;
-};
-/// The log was read to its end after the question: there is no such turn.
-struct UnknownTurn {};
-/// The log could not be read: nothing can be said.
-struct LedgerUnavailable {
-  std::string reason;
-};
-using HistoryAnswer = std::variant<History, UnknownTurn, LedgerUnavailable>;
+/// A turn's own record, or why there is none.
+using TurnAnswer = std::variant<CompletedTurn, UnknownTurn, LedgerUnavailable>;
 
-/// What became of a reservation.
-enum class ReservationOutcome : std::uint8_t {
-  Granted,      ///< It stands in the log and fits the budget.
-  Spent,        ///< It does not fit; it was given back.
-  Unavailable,  ///< The log did not answer: it may stand or not.
+/// A reservation's outcome with what the program has used or may use, this one included.
+struct ReservationReply {
+  ReservationOutcome outcome = ReservationOutcome::Unavailable;
+  std::uint64_t tokensUsed = 0;
 };
 
 /// Sizes and times of the ledger.
 struct LedgerKnobs {
-  std::uint32_t topics = 32;             ///< Topics for turns, and as many for budgets.
-  std::uint32_t partitionsPerTopic = 8;  ///< As the store has them.
+  std::string zone;  ///< New turns stand in this zone's partitions.
+  LedgerPartitionsKnobs partitions;
   std::size_t cacheBytes = std::size_t{24} * 1024 * 1024;
   std::size_t maximumInlineHistoryBytes = std::size_t{32} * 1024;
   std::size_t maximumRecordBytes = std::size_t{256} * 1024;
-  /// Settlements wait this long for an append that takes them along.
-  Duration settlementDelay = milliseconds(300);
+  /// How long records wait for others that share their append. A reservation's wait is hidden
+  /// behind the engine's first token; the end of an answer waits for its turn's.
+  Duration reservationWindow = milliseconds(20);
+  Duration turnWindow = milliseconds(8);
+  Duration settlementWindow = milliseconds(300);
   Duration accountLifetime = seconds(300);
 };
 
-class ProgramLedger {
+class ProgramLedger final : public Ledger {
  public:
-  using HistoryCallback = std::function<void(HistoryAnswer)>;
-  using StoredCallback = std::function<void(logstore::StoreResult<Success>)>;
-  using ReservationCallback = std::function<void(ReservationOutcome)>;
+  using TurnCallback = std::function<void(TurnAnswer)>;
+  using ReservationReplyCallback = std::function<void(ReservationReply)>;
 
   /// \param store, timers outlive this object.
   ProgramLedger(logstore::PersistentStore& store, services::TimerService& timers,
                 logstore::ClockFunction clock, LedgerKnobs knobs);
 
-  /// Finds the history up to and with a turn. Calls back at once when it is in memory.
-  void findHistory(const std::string& turn, HistoryCallback callback);
-
-  /// Stores a turn that follows `previous` (empty: none), whose history was found before. When it
-  /// calls back with success, every node finds the turn, whatever fails afterwards.
-  void storeTurn(const std::string& turn, const std::string& previous, std::string addition,
-                 Duration timeLimit, StoredCallback callback);
-
-  /// Reserves tokens of a program's budget in the log.
+  // See `Ledger`. Turns are looked for in the own zone's partitions.
+  void findHistory(const std::string& turn, HistoryCallback callback) override;
+  void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) override;
   void reserve(const BudgetReservation& reservation, std::uint64_t budget, Duration timeLimit,
-               ReservationCallback callback);
-  /// Gives back what a reservation did not use. Returns at once; the record follows soon.
-  void settle(BudgetSettlement settlement);
-  /// \return whether a turn can probably be stored and its tokens reserved now.
-  [[nodiscard]] bool isWritable(const std::string& turn, const std::string& program);
-  /// \return tokens that the program has used or may use, as far as this node knows.
-  [[nodiscard]] std::uint64_t knownUse(const std::string& program) const;
+               ReservationCallback callback) override;
+  void settle(BudgetSettlement settlement) override;
+  [[nodiscard]] bool isWritable(const std::string& turn, const std::string& program) override;
+  [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
+
+  /// Finds a turn's own record in a zone's partitions. Calls back at once when it is in memory.
+  void findTurn(const std::string& zone, const std::string& turn, TurnCallback callback);
+  /// Stores a turn's record in a zone's partitions.
+  void storeRecord(const std::string& zone, CompletedTurn record, Duration timeLimit,
+                   StoredCallback callback);
+  /// As `reserve`, and tells what the program has used.
+  void reserveAndTell(const BudgetReservation& reservation, std::uint64_t budget,
+                      Duration timeLimit, ReservationReplyCallback callback);
+
+  /// \return whether the store is likely to answer calls for the partition now.
+  [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const {
+    return store_.answers(partition);
+  }
+  [[nodiscard]] const LedgerPartitions& layout() const { return layout_; }
 
   /// Forgets accounts of programs long gone; call it now and then.
   void sweep();
 
  private:
   struct Partition {
-    logstore::PartitionAddress address;
     std::shared_ptr<PartitionReader> reader;
-    std::vector<std::string> pendingSettlements;
-    bool flushScheduled = false;
+    std::unique_ptr<logstore::AppendBatcher> batcher;
   };
 
-  Partition& turnPartition(const std::string& turn);
-  Partition& budgetPartition(const std::string& program);
-  Partition& partitionAt(std::uint32_t index, const char* topicPrefix);
-  void onRecord(std::uint32_t index, std::uint64_t offset, std::string_view record);
-  void keepTurn(CompletedTurn turn, std::uint32_t index, std::uint64_t offset);
+  Partition& partitionAt(const logstore::PartitionAddress& address);
+  void onRecord(PartitionReader* reader, std::uint64_t offset, std::string_view record);
+  void keepTurn(CompletedTurn turn, PartitionReader* reader, std::uint64_t offset);
   void findBase(CompletedTurn turn, HistoryCallback callback);
-  void decideReservation(const BudgetReservation& reservation, std::uint64_t budget,
-                         std::uint64_t offset, const ReservationCallback& callback);
-  void flushSettlements(std::uint32_t index);
-  [[nodiscard]] std::uint32_t turnIndex(const std::string& turn) const;
-  [[nodiscard]] std::uint32_t budgetIndex(const std::string& program) const;
-  [[nodiscard]] std::uint32_t partitionCount() const;
+  ReservationReply decideReservation(const BudgetReservation& reservation, std::uint64_t budget,
+                                     std::uint64_t offset);
 
   logstore::PersistentStore& store_;
   services::TimerService& timers_;
   logstore::ClockFunction clock_;
   LedgerKnobs knobs_;
+  LedgerPartitions layout_;
   /// Turns that are being looked for, with the number of those who look: a pass keeps them even
   /// when memory is full, so that looking for one always ends.
   std::unordered_map<std::string, std::uint32_t> wanted_;
-  std::vector<std::unique_ptr<Partition>> partitions_;  ///< Turns, then budgets; made when used.
+  std::map<logstore::PartitionAddress, Partition> partitions_;  ///< Made when used.
   TurnCache turns_;
   BudgetAccounts accounts_;
 };
--- /dev/null
+++ b/src/ledger/routed_ledger.cpp
@@ -0,0 +1,281 @@
+#include "ledger/routed_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gorsetrail::ledger {
+namespace {
+
+/// A partition counts as out of order after this many failures close together.
+engine::CircuitKnobs breakerKnobs() {
+  engine::CircuitKnobs knobs;
+  knobs.failuresToOpen = 1.5;
+  knobs.failureHalfLife = milliseconds(500);
+  knobs.firstOpenTime = milliseconds(200);
+  knobs.longestOpenTime = milliseconds(400);
+  return knobs;
+}
+
+bool isConclusive(const LedgerReply& reply) { return reply.outcome != LedgerOutcome::Unavailable; }
+
+}  // namespace
+
+/// One call at the homes it was sent to.
+struct RoutedLedger::Call {
+  LedgerRequest request;
+  logstore::PartitionAddress partition;
+  std::vector<std::string> homes;  ///< In the order they are asked; the last is this node.
+  LedgerReplyCallback callback;
+  Instant startedAt;
+  Instant deadline;
+  std::size_t started = 0;
+  std::vector<std::string> silent;  ///< Asked, and not heard of yet.
+  bool done = false;
+};
+
+RoutedLedger::RoutedLedger(LedgerService& service, LedgerPeers& peers,
+                           services::TimerService& timers, logstore::ClockFunction clock,
+                           RoutedLedgerKnobs knobs, std::uint64_t seed)
+    : service_(service),
+      peers_(peers),
+      timers_(timers),
+      clock_(std::move(clock)),
+      knobs_(std::move(knobs)),
+      layout_(knobs_.partitions),
+      homes_({}),
+      pacer_(knobs_.pace, seed) {
+  // The own zone is looked through first: programs mostly stay in theirs.
+  std::stable_partition(knobs_.zones.begin(), knobs_.zones.end(),
+                        [this](const std::string& zone) { return zone == knobs_.zone; });
+  if (knobs_.zones.empty()) {
+    knobs_.zones.push_back(knobs_.zone);
+  }
+}
+
+void RoutedLedger::start(LedgerRequest request, const logstore::PartitionAddress& partition,
+                         const std::string& homeZone, Duration timeLimit,
+                         LedgerReplyCallback callback) {
+  if (!peers_.areKnown()) {
+    LedgerReply reply;
+    reply.reason = "other nodes are not known yet";
+    timers_.runAfter(Duration::zero(), [callback = std::move(callback), reply = std::move(reply)] {
+      callback(reply);
+    });
+    return;
+  }
+  auto call = std::make_shared<Call>();
+  call->request = std::move(request);
+  call->partition = partition;
+  call->homes = homes_.homesOf(partition, homeZone, peers_.candidates(), clock_());
+  const auto own = std::find(call->homes.begin(), call->homes.end(), knobs_.ownAddress);
+  if (own == call->homes.end()) {
+    call->homes.push_back(knobs_.ownAddress);
+  }
+  call->callback = std::move(callback);
+  call->startedAt = clock_();
+  call->deadline = call->startedAt + timeLimit;
+  tryNext(call);
+}
+
+void RoutedLedger::tryNext(const std::shared_ptr<Call>& call) {
+  const std::string home = call->homes[call->started];
+  const Instant now = clock_();
+  const Duration patience = pacer_.patience(static_cast<std::uint32_t>(call->started));
+  ++call->started;
+  call->silent.push_back(home);
+  auto onReplied = [this, call, home, now](std::optional<LedgerReply> reply) {
+    onReply(call, home, now, std::move(reply));
+  };
+  if (home == knobs_.ownAddress) {
+    service_.handle(call->request, std::move(onReplied));
+  } else {
+    peers_.call(home, call->request, call->deadline - now, std::move(onReplied));
+  }
+  watchSilence(call, patience);
+}
+
+void RoutedLedger::watchSilence(const std::shared_ptr<Call>& call, Duration patience) {
+  timers_.runAfter(patience, [this, weak = std::weak_ptr(call), number = call->started, patience] {
+    const auto waiting = weak.lock();
+    if (waiting && !waiting->done && waiting->started == number) {
+      onImpatience(waiting, patience);
+    }
+  });
+}
+
+void RoutedLedger::onImpatience(const std::shared_ptr<Call>& call, Duration patience) {
+  if (call->started > 1) {
+    // More than one home is silent: that is rather the store.
+    noteFailure(call->partition);
+  }
+  if (call->started == call->homes.size() || clock_() >= call->deadline) {
+    return;
+  }
+  if (mayTryNext(*call)) {
+    tryNext(call);
+  } else {
+    watchSilence(call, patience);
+  }
+}
+
+bool RoutedLedger::mayTryNext(const Call& call) const {
+  if (call.started + 1 < call.homes.size()) {
+    return true;
+  }
+  const bool onlyWrites = std::holds_alternative<StoreTurnRequest>(call.request);
+  const bool homesFailed = call.silent.empty();
+  const bool homesStandStill = clock_() - call.startedAt >= knobs_.homesTimeLimit;
+  return call.started < call.homes.size() && (onlyWrites || homesFailed || homesStandStill);
+}
+
+void RoutedLedger::onReply(const std::shared_ptr<Call>& call, const std::string& home,
+                           Instant askedAt, std::optional<LedgerReply> reply) {
+  const Instant now = clock_();
+  call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
+                     call->silent.end());
+  if (reply) {
+    homes_.clear(home);
+    pacer_.onAnswer(now - askedAt);
+  } else {
+    homes_.suspect(home, now);
+  }
+  if (call->done) {
+    return;
+  }
+  if (reply && isConclusive(*reply)) {
+    finish(call, std::move(*reply));
+    return;
+  }
+  if (mayTryNext(*call) && now < call->deadline) {
+    tryNext(call);
+  } else if (call->silent.empty()) {
+    finish(call, reply.value_or(LedgerReply{}));
+  }
+}
+
+void RoutedLedger::finish(const std::shared_ptr<Call>& call, LedgerReply reply) {
+  call->done = true;
+  if (isConclusive(reply)) {
+    // Another node answered first: the silent ones are asked last for a while.
+    for (const std::string& home : call->silent) {
+      if (home != knobs_.ownAddress) {
+        homes_.suspect(home, clock_());
+      }
+    }
+  }
+  if (isConclusive(reply)) {
+    failing_.erase(call->partition);
+  } else {
+    noteFailure(call->partition);
+  }
+  const LedgerReplyCallback callback = std::move(call->callback);
+  callback(std::move(reply));
+}
+
+void RoutedLedger::noteFailure(const logstore::PartitionAddress& partition) {
+  const auto entry = failing_.try_emplace(partition, breakerKnobs()).first;
+  entry->second.onFailure(clock_());
+}
+
+bool RoutedLedger::answers(const logstore::PartitionAddress& partition) const {
+  if (!service_.answers(partition)) {
+    return false;
+  }
+  const auto found = failing_.find(partition);
+  return found == failing_.end() || found->second.state(clock_()) != engine::CircuitState::Open;
+}
+
+bool RoutedLedger::isWritable(const std::string& turn, const std::string& program) {
+  return peers_.areKnown() && answers(layout_.ofTurn(knobs_.zone, turn)) &&
+         answers(layout_.ofBudget(program));
+}
+
+void RoutedLedger::findHistory(const std::string& turn, HistoryCallback callback) {
+  findIn(0, turn, std::move(callback));
+}
+
+void RoutedLedger::findIn(std::size_t zoneIndex, const std::string& turn,
+                          HistoryCallback callback) {
+  const std::string& zone = knobs_.zones[zoneIndex];
+  start(FindTurnRequest{zone, turn}, layout_.ofTurn(zone, turn), zone, knobs_.findTimeLimit,
+        [this, zoneIndex, turn, callback = std::move(callback)](LedgerReply reply) {
+          const bool lastZone = zoneIndex + 1 == knobs_.zones.size();
+          if (reply.outcome == LedgerOutcome::Done) {
+            onTurnFound(std::move(reply), callback);
+          } else if (reply.outcome != LedgerOutcome::UnknownTurn) {
+            callback(LedgerUnavailable{std::move(reply.reason)});
+          } else if (lastZone) {
+            callback(UnknownTurn{});
+          } else {
+            findIn(zoneIndex + 1, turn, callback);
+          }
+        });
+}
+
+void RoutedLedger::onTurnFound(LedgerReply reply, HistoryCallback callback) {
+  if (reply.base.empty()) {
+    callback(History{std::move(reply.history), {}, 0});
+    return;
+  }
+  const std::string base = reply.base;
+  findHistory(base, [base, piece = std::move(reply.history),
+                     callback = std::move(callback)](HistoryAnswer answer) {
+    if (auto* const history = std::get_if<History>(&answer)) {
+      *history = appendPiece(std::move(*history), base, piece);
+    }
+    callback(std::move(answer));
+  });
+}
+
+void RoutedLedger::storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) {
+  const logstore::PartitionAddress partition = layout_.ofTurn(knobs_.zone, turn.request);
+  CompletedTurn record = completedTurnOf(std::move(turn), knobs_.maximumInlineHistoryBytes);
+  start(StoreTurnRequest{knobs_.zone, std::move(record), timeLimit}, partition, knobs_.zone,
+        timeLimit, [callback = std::move(callback)](const LedgerReply& reply) {
+          if (reply.outcome == LedgerOutcome::Done) {
+            callback(Success{});
+            return;
+          }
+          const bool rejected = reply.outcome == LedgerOutcome::Rejected;
+          callback(logstore::StoreError{
+              rejected ? logstore::StoreFault::Rejected : logstore::StoreFault::NoAnswer,
+              reply.reason, 0});
+        });
+}
+
+void RoutedLedger::reserve(const BudgetReservation& reservation, std::uint64_t budget,
+                           Duration timeLimit, ReservationCallback callback) {
+  start(ReserveRequest{reservation, budget, timeLimit}, layout_.ofBudget(reservation.program), {},
+        timeLimit,
+        [this, program = reservation.program,
+         callback = std::move(callback)](const LedgerReply& reply) {
+          if (isConclusive(reply)) {
+            knownUse_[program] = {reply.tokensUsed, clock_()};
+          }
+          if (reply.outcome == LedgerOutcome::Done) {
+            callback(ReservationOutcome::Granted);
+          } else if (reply.outcome == LedgerOutcome::BudgetSpent) {
+            callback(ReservationOutcome::Spent);
+          } else {
+            callback(ReservationOutcome::Unavailable);
+          }
+        });
+}
+
+void RoutedLedger::settle(BudgetSettlement settlement) {
+  const logstore::PartitionAddress partition = layout_.ofBudget(settlement.program);
+  start(SettleRequest{std::move(settlement)}, partition, {}, knobs_.settleTimeLimit,
+        [](const LedgerReply&) {});
+}
+
+std::uint64_t RoutedLedger::knownUse(const std::string& program) const {
+  const auto found = knownUse_.find(program);
+  return found == knownUse_.end() ? 0 : found->second.tokens;
+}
+
+void RoutedLedger::sweep() {
+  const Instant oldest = clock_() - knobs_.accountLifetime;
+  std::erase_if(knownUse_, [oldest](const auto& entry) { return entry.second.heardAt < oldest; });
+}
+
+}  // namespace gorsetrail::ledger
--- /dev/null
+++ b/src/ledger/routed_ledger.h
@@ -0,0 +1,112 @@
+/// \file Histories and budgets by way of the homes of their partitions.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "engine/circuit_breaker.h"
+#include "ledger/home_selector.h"
+#include "ledger/ledger.h"
+#include "ledger/ledger_message.h"
+#include "ledger/ledger_partitions.h"
+#include "ledger/ledger_service.h"
+#include "logstore/call_pacer.h"
+#include "logstore/persistent_store.h"
+#include "services/timer_service.h"
+
+namespace gorsetrail::ledger {
+
+/// Sends ledger calls to other nodes.
+class LedgerPeers {
+ public:
+  virtual ~LedgerPeers() = default;
+  /// \return the nodes that may be homes now, this one included.
+  [[nodiscard]] virtual std::vector<HomeCandidate> candidates() const = 0;
+  /// \return whether it is known who may be a home. Before that nothing is asked: a node that took
+  /// all partitions for its own would read the whole store.
+  [[nodiscard]] virtual bool areKnown() const = 0;
+  /// Calls back once, never from inside the call; without a value when no reply came.
+  virtual void call(const std::string& address, const LedgerRequest& request, Duration timeLimit,
+                    std::function<void(std::optional<LedgerReply>)> callback) = 0;
+};
+
+/// Knobs of `RoutedLedger`.
+struct RoutedLedgerKnobs {
+  std::string ownAddress;          ///< Where this node's own ledger calls arrive.
+  std::string zone;                ///< New turns stand here.
+  std::vector<std::string> zones;  ///< All zones: where else a turn may stand.
+  LedgerPartitionsKnobs partitions;
+  std::size_t maximumInlineHistoryBytes = std::size_t{32} * 1024;
+  Duration findTimeLimit = milliseconds(1500);
+  Duration settleTimeLimit = milliseconds(1500);
+  Duration accountLifetime = seconds(300);
+  /// Homes that take a call and say nothing for so long count as standing still.
+  Duration homesTimeLimit = milliseconds(900);
+  /// When to ask the next home beside a silent one: learned from replies, within these bounds.
+  logstore::CallPacerKnobs pace{milliseconds(150), milliseconds(800), 5.0, milliseconds(15),
+                                milliseconds(400)};
+};
+
+/// Asks the partition's home, then the next one, and the store itself when no home can help.
+/// Homes that are only slow are waited for: they may be reading the partition, which every node
+/// that asked the store itself would have to do as well. Asking several is safe:
+/// what they write are facts that may stand twice, and the log's order decides what they answer.
+/// A home only makes calls fewer: it gathers the appends of all nodes, and answers from memory.
+class RoutedLedger final : public Ledger {
+ public:
+  /// \param service this node's own ledger; it and all others outlive this object.
+  RoutedLedger(LedgerService& service, LedgerPeers& peers, services::TimerService& timers,
+               logstore::ClockFunction clock, RoutedLedgerKnobs knobs, std::uint64_t seed);
+
+  void findHistory(const std::string& turn, HistoryCallback callback) override;
+  void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) override;
+  void reserve(const BudgetReservation& reservation, std::uint64_t budget, Duration timeLimit,
+               ReservationCallback callback) override;
+  void settle(BudgetSettlement settlement) override;
+  [[nodiscard]] bool isWritable(const std::string& turn, const std::string& program) override;
+  [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
+
+  /// Forgets programs long gone; call it now and then.
+  void sweep();
+
+ private:
+  struct Call;
+  struct KnownUse {
+    std::uint64_t tokens = 0;
+    Instant heardAt;
+  };
+
+  void start(LedgerRequest request, const logstore::PartitionAddress& partition,
+             const std::string& homeZone, Duration timeLimit, LedgerReplyCallback callback);
+  void tryNext(const std::shared_ptr<Call>& call);
+  void onReply(const std::shared_ptr<Call>& call, const std::string& home, Instant askedAt,
+               std::optional<LedgerReply> reply);
+  void finish(const std::shared_ptr<Call>& call, LedgerReply reply);
+  void findIn(std::size_t zoneIndex, const std::string& turn, HistoryCallback callback);
+  void onTurnFound(LedgerReply reply, HistoryCallback callback);
+  [[nodiscard]] bool mayTryNext(const Call& call) const;
+  void watchSilence(const std::shared_ptr<Call>& call, Duration patience);
+  void onImpatience(const std::shared_ptr<Call>& call, Duration patience);
+  void noteFailure(const logstore::PartitionAddress& partition);
+  [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const;
+
+  LedgerService& service_;
+  LedgerPeers& peers_;
+  services::TimerService& timers_;
+  logstore::ClockFunction clock_;
+  RoutedLedgerKnobs knobs_;
+  LedgerPartitions layout_;
+  HomeSelector homes_;
+  logstore::CallPacer pacer_;
+  std::unordered_map<std::string, KnownUse> knownUse_;
+  /// Only partitions whose last call failed.
+  std::map<logstore::PartitionAddress, engine::CircuitBreaker> failing_;
+};
+
+}  // namespace gorsetrail::ledger
--- a/src/ledger/turn_cache.h
+++ b/src/ledger/turn_cache.h
@@ -11,9 +11,11 @@
 
 namespace gorsetrail::ledger {
 
+class PartitionReader;
+
 /// Where a cached turn stands, so that a dropped one can be read again.
 struct TurnPlace {
-  std::uint32_t partition = 0;  ///< Index of the turn's partition.
+  PartitionReader* reader = nullptr;  ///< Of the turn's partition; outlives the cache.
   std::uint64_t offset = 0;
 };
 
--- a/src/logstore/log_store.h
+++ b/src/logstore/log_store.h
@@ -5,6 +5,7 @@
 /// be done later; so everything that this product appends is a fact that may stand twice.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -45,6 +46,9 @@
 template <class T>
 using StoreResult = std::variant<T, StoreError>;
 
+/// Covers the largest record of the store.
+inline constexpr std::size_t kMaximumReadBytes = std::size_t{256} * 1024;
+
 /// Records were appended; `offset` is that of the first.
 struct AppendReply {
   std::uint64_t offset = 0;
@@ -86,6 +90,11 @@
   std::uint64_t start = 0;
   Duration wait = Duration::zero();  ///< Held until a record exists, at most this long.
   Duration timeLimit = milliseconds(500);
+  /// Bytes that one answer brings at most; at least one record comes. A short answer also gets
+  /// through a narrow link before its call is given up.
+  std::size_t maximumBytes = kMaximumReadBytes;
+  /// What the transfer of a full answer may take before the call counts as silent.
+  Duration transferTime = Duration::zero();
 };
 
 struct NewestRequest {
--- a/src/logstore/persistent_store.cpp
+++ b/src/logstore/persistent_store.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// \return how long the store itself may hold the call before it answers.
-Duration heldByStore(const ReadRequest& request) { return request.wait; }
+Duration heldByStore(const ReadRequest& request) { return request.wait + request.transferTime; }
 template <class Request>
 Duration heldByStore(const Request& /*request*/) {
   return Duration::zero();
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -7,6 +7,9 @@
 namespace gorsetrail::routing {
 namespace {
 
+/// Phases of a rotation: enough for weights of whole percents.
+constexpr std::uint32_t kPhases = 200;
+
 std::string normalizedHost(std::string_view host) {
   std::string name(host.substr(0, host.find(':')));
   std::transform(name.begin(), name.end(), name.begin(),
@@ -17,6 +20,13 @@
 }  // namespace
 
 std::string WeightedRotation::next(const std::vector<WeightedService>& services) {
+  for (; phase_ > 0; --phase_) {
+    advance(services);
+  }
+  return advance(services);
+}
+
+std::string WeightedRotation::advance(const std::vector<WeightedService>& services) {
   double total = 0;
   const WeightedService* chosen = nullptr;
   for (const WeightedService& candidate : services) {
@@ -68,7 +78,12 @@
   if (route.services.size() == 1) {
     return route.services.front().service;
   }
-  return rotations_[route.name].next(route.services);
+  auto rotation = rotations_.find(route.name);
+  if (rotation == rotations_.end()) {
+    const auto phase = static_cast<std::uint32_t>(random_.below(kPhases));
+    rotation = rotations_.emplace(route.name, WeightedRotation(phase)).first;
+  }
+  return rotation->second.next(route.services);
 }
 
 }  // namespace gorsetrail::routing
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -1,12 +1,14 @@
 /// \file The configuration in force and the choice of a route and of a service within it.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "base/random.h"
 #include "routing/configuration.h"
 
 namespace gorsetrail::routing {
@@ -17,16 +19,25 @@
 /// Spreads a route's requests over its services, exactly by weight: smooth weighted round robin.
 class WeightedRotation {
  public:
+  /// \param phase turns to skip at the start. Nodes that all began with the same service would
+  /// give it too much together while each has had few requests.
+  explicit WeightedRotation(std::uint32_t phase = 0) : phase_(phase) {}
   /// \return the service whose turn it is; empty when there is none.
   std::string next(const std::vector<WeightedService>& services);
 
  private:
+  std::string advance(const std::vector<WeightedService>& services);
+
+  std::uint32_t phase_;
   std::unordered_map<std::string, double> credit_;
 };
 
 /// Finds routes. The version in force never goes back in one life of the process.
 class RouteTable {
  public:
+  /// \param seed gives each route's rotation its phase; different at every node.
+  explicit RouteTable(std::uint64_t seed = 0) : random_(seed) {}
+
   /// Puts a configuration in force. \return false when it is not newer than the one in force.
   bool apply(ConfigurationPtr configuration);
 
@@ -41,6 +52,7 @@
   std::string nextService(const Route& route);
 
  private:
+  RandomSource random_;
   ConfigurationPtr inForce_;
   /// Routes of a host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> byHost_;
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -8,7 +8,9 @@
 
 #include "dispatch/fake_http_client.h"
 #include "edge/exchange.h"
+#include "ledger/program_ledger.h"
 #include "logstore/fake_log_store.h"
+#include "logstore/persistent_store.h"
 
 namespace gorsetrail::edge::testing {
 
--- /dev/null
+++ b/tests/ledger/ledger_message_test.cpp
@@ -0,0 +1,58 @@
+// Ledger calls between nodes as bytes.
+#include "ledger/ledger_message.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::ledger;
+
+namespace {
+
+template <class Request>
+Request sentAndRead(const Request& request) {
+  Result<LedgerRequest> read = decodeLedgerRequest(encodeLedgerRequest(request));
+  CHECK_TRUE(succeeded(read));
+  return std::get<Request>(valueOf(read));
+}
+
+}  // namespace
+
+TEST_GROUP(LedgerMessage){};
+
+TEST(LedgerMessage, requestsComeBackAsTheyWere) {
+  const auto find = sentAndRead(FindTurnRequest{"hall-a", "t1"});
+  STRCMP_EQUAL("hall-a", find.zone.c_str());
+  STRCMP_EQUAL("t1", find.turn.c_str());
+  const std::string bytes("a\0b", 3);
+  const auto store = sentAndRead(StoreTurnRequest{"z", {"t2", "t1", bytes}, milliseconds(70)});
+  STRCMP_EQUAL("t1", store.record.base.c_str());
+  CHECK(store.record.history == bytes);
+  CHECK(store.timeLimit == milliseconds(70));
+  const auto reserve = sentAndRead(ReserveRequest{{"r", "p", 288}, 1000, milliseconds(5)});
+  LONGS_EQUAL(288, reserve.reservation.tokens);
+  LONGS_EQUAL(1000, reserve.budget);
+  LONGS_EQUAL(9, sentAndRead(SettleRequest{{"r", "p", 9}}).settlement.tokens);
+}
+
+TEST(LedgerMessage, repliesComeBackAsTheyWere) {
+  LedgerReply reply{LedgerOutcome::BudgetSpent, "base", "history", 42, "why"};
+  Result<LedgerReply> read = decodeLedgerReply(encodeLedgerReply(reply));
+  CHECK_TRUE(succeeded(read));
+  CHECK(valueOf(read).outcome == LedgerOutcome::BudgetSpent);
+  STRCMP_EQUAL("base", valueOf(read).base.c_str());
+  STRCMP_EQUAL("history", valueOf(read).history.c_str());
+  LONGS_EQUAL(42, valueOf(read).tokensUsed);
+  STRCMP_EQUAL("why", valueOf(read).reason.c_str());
+}
+
+TEST(LedgerMessage, cutSpoiltAndForeignBytesAreErrors) {
+  const std::string whole = encodeLedgerRequest(StoreTurnRequest{"z", {"t", "", "text"}, {}});
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    const auto read = decodeLedgerRequest(std::string_view(whole).substr(0, length));
+    // Only bytes that carry nothing may be missing.
+    CHECK(!succeeded(read) || std::get<StoreTurnRequest>(valueOf(read)).record.history == "text");
+  }
+  CHECK_FALSE(succeeded(decodeLedgerReply(whole)));
+  CHECK_FALSE(succeeded(decodeLedgerRequest(encodeLedgerReply({}))));
+  CHECK_FALSE(succeeded(decodeLedgerRequest("no message at all, but long enough for a header")));
+}
--- /dev/null
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -0,0 +1,305 @@
+// Several nodes whose ledger calls go to homes: dead, silent and disagreeing homes, a store that
+// refuses some of them, and how many calls the store gets.
+#include "ledger/routed_ledger.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "logstore/fake_log_store.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::ledger;
+using logstore::FakeFault;
+using logstore::FakeLogStore;
+using logstore::FakeTimers;
+
+namespace {
+
+class Fleet;
+
+/// Calls between the nodes of a fleet, 1 ms each way.
+class FleetPeers final : public LedgerPeers {
+ public:
+  FleetPeers(Fleet& fleet, std::string own) : fleet_(fleet), own_(std::move(own)) {}
+  [[nodiscard]] std::vector<HomeCandidate> candidates() const override;
+  [[nodiscard]] bool areKnown() const override;
+  void call(const std::string& address, const LedgerRequest& request, Duration timeLimit,
+            std::function<void(std::optional<LedgerReply>)> callback) override;
+
+ private:
+  Fleet& fleet_;
+  std::string own_;
+};
+
+struct Node {
+  Node(Fleet& fleet, FakeLogStore& log, FakeTimers& timers, const std::string& address,
+       const std::string& zone)
+      : zone(zone),
+        store(
+            log, timers, [&timers] { return timers.now; }, {}, 1),
+        local(
+            store, timers, [&timers] { return timers.now; }, localKnobs(zone)),
+        service(local),
+        peers(fleet, address),
+        ledger(
+            service, peers, timers, [&timers] { return timers.now; }, routedKnobs(address, zone),
+            1) {}
+
+  static LedgerKnobs localKnobs(const std::string& zone) {
+    LedgerKnobs knobs;
+    knobs.zone = zone;
+    return knobs;
+  }
+  static RoutedLedgerKnobs routedKnobs(const std::string& address, const std::string& zone) {
+    RoutedLedgerKnobs knobs;
+    knobs.ownAddress = address;
+    knobs.zone = zone;
+    knobs.zones = {"a", "b"};
+    return knobs;
+  }
+
+  std::string zone;
+  logstore::PersistentStore store;
+  ProgramLedger local;
+  LedgerService service;
+  FleetPeers peers;
+  RoutedLedger ledger;
+};
+
+class Fleet {
+ public:
+  Fleet(FakeLogStore& log, FakeTimers& timers) : timers(timers) {
+    for (int number = 0; number < 6; ++number) {
+      const std::string address = "node" + std::to_string(number);
+      nodes[address] = std::make_unique<Node>(*this, log, timers, address, number < 3 ? "a" : "b");
+    }
+  }
+  Node& node(int number) { return *nodes["node" + std::to_string(number)]; }
+
+  FakeTimers& timers;
+  std::map<std::string, std::unique_ptr<Node>> nodes;
+  std::set<std::string> dead;    ///< Refuse connections.
+  std::set<std::string> silent;  ///< Take calls and say nothing.
+  int calls = 0;
+  bool known = true;  ///< The nodes have been listed.
+};
+
+bool FleetPeers::areKnown() const { return fleet_.known; }
+
+std::vector<HomeCandidate> FleetPeers::candidates() const {
+  std::vector<HomeCandidate> candidates;
+  for (const auto& [address, node] : fleet_.nodes) {
+    candidates.push_back({address, node->zone, 1.0});
+  }
+  return candidates;
+}
+
+void FleetPeers::call(const std::string& address, const LedgerRequest& request, Duration timeLimit,
+                      std::function<void(std::optional<LedgerReply>)> callback) {
+  ++fleet_.calls;
+  FakeTimers& timers = fleet_.timers;
+  if (fleet_.dead.count(address) > 0) {
+    timers.runAfter(milliseconds(1), [callback] { callback(std::nullopt); });
+    return;
+  }
+  if (fleet_.silent.count(address) > 0) {
+    timers.runAfter(timeLimit, [callback] { callback(std::nullopt); });
+    return;
+  }
+  timers.runAfter(milliseconds(1), [this, address, request, callback, &timers] {
+    fleet_.nodes[address]->service.handleForPeer(request, [callback, &timers](LedgerReply reply) {
+      timers.runAfter(milliseconds(1), [callback, reply = std::move(reply)] { callback(reply); });
+    });
+  });
+}
+
+}  // namespace
+
+TEST_GROUP(RoutedLedger) {
+  FakeTimers timers;
+  FakeLogStore log{timers};
+  Fleet fleet{log, timers};
+
+  bool storeTurn(int node, const std::string& turn, const std::string& previous,
+                 const std::string& text, Duration wait = seconds(3)) {
+    TurnToStore record{turn, previous, {}, text};
+    if (!previous.empty()) {
+      record.before = std::get<History>(find(node, previous));
+    }
+    std::optional<bool> stored;
+    fleet.node(node).ledger.storeTurn(std::move(record), seconds(2),
+                                      [&stored](const logstore::StoreResult<Success>& result) {
+                                        stored = std::holds_alternative<Success>(result);
+                                      });
+    timers.advance(wait);
+    return stored.value_or(false);
+  }
+  HistoryAnswer find(int node, const std::string& turn) {
+    std::optional<HistoryAnswer> found;
+    fleet.node(node).ledger.findHistory(
+        turn, [&found](HistoryAnswer answer) { found = std::move(answer); });
+    timers.advance(seconds(8));
+    CHECK_TRUE(found.has_value());
+    return *found;
+  }
+  std::string textOf(int node, const std::string& turn) {
+    const HistoryAnswer answer = find(node, turn);
+    const auto* const history = std::get_if<History>(&answer);
+    return history == nullptr ? "<none>" : history->text;
+  }
+  std::optional<ReservationOutcome> reserve(int node, const std::string& request,
+                                            std::uint64_t tokens, Duration wait = seconds(3)) {
+    auto outcome = std::make_shared<std::optional<ReservationOutcome>>();
+    fleet.node(node).ledger.reserve({request, "program", tokens}, 1000, seconds(2),
+                                    [outcome](ReservationOutcome result) { *outcome = result; });
+    timers.advance(wait);
+    return *outcome;
+  }
+  /// All nodes but one that is asked.
+  std::set<std::string> allBut(const std::string& own) {
+    std::set<std::string> others;
+    for (const auto& [address, node] : fleet.nodes) {
+      others.insert(address);
+    }
+    others.erase(own);
+    return others;
+  }
+};
+
+TEST(RoutedLedger, everyNodeFindsATurnAlsoThoseOfAnotherZone) {
+  CHECK_TRUE(storeTurn(0, "t1", "", "in1 out1\n"));
+  STRCMP_EQUAL("in1 out1\n", textOf(2, "t1").c_str());
+  STRCMP_EQUAL("in1 out1\n", textOf(4, "t1").c_str());
+  CHECK_TRUE(storeTurn(4, "t2", "t1", "in2 out2\n"));
+  STRCMP_EQUAL("in1 out1\nin2 out2\n", textOf(0, "t2").c_str());
+  CHECK_TRUE(std::holds_alternative<UnknownTurn>(find(1, "never")));
+}
+
+TEST(RoutedLedger, longHistoriesGoOverPiecesInSeveralPartitions) {
+  std::string expected;
+  std::string previous;
+  for (int turn = 0; turn < 9; ++turn) {
+    const std::string text(9000, static_cast<char>('a' + turn));
+    const std::string name = "t" + std::to_string(turn);
+    CHECK_TRUE(storeTurn(turn % 6, name, previous, text));
+    expected += text;
+    previous = name;
+  }
+  CHECK(expected == textOf(5, previous));
+}
+
+TEST(RoutedLedger, aFindOfATurnThatItsHomeKeepsCostsTheStoreNothing) {
+  CHECK_TRUE(storeTurn(0, "t1", "", "text"));
+  const int reads = log.reads;
+  STRCMP_EQUAL("text", textOf(1, "t1").c_str());
+  STRCMP_EQUAL("text", textOf(2, "t1").c_str());
+  LONGS_EQUAL(reads, log.reads);
+}
+
+TEST(RoutedLedger, reservationsOfAllNodesShareAppendsAndOneBudget) {
+  std::vector<ReservationOutcome> outcomes;
+  for (int node = 0; node < 6; ++node) {
+    fleet.node(node).ledger.reserve(
+        {"r" + std::to_string(node), "program", 300}, 1000, seconds(2),
+        [&outcomes](ReservationOutcome outcome) { outcomes.push_back(outcome); });
+  }
+  timers.advance(milliseconds(100));
+  LONGS_EQUAL(6, outcomes.size());
+  LONGS_EQUAL(3, std::count(outcomes.begin(), outcomes.end(), ReservationOutcome::Granted));
+  LONGS_EQUAL(1, log.appends);
+}
+
+TEST(RoutedLedger, budgetsHoldWhenNodesDisagreeOnTheHome) {
+  CHECK(reserve(0, "r1", 600) == ReservationOutcome::Granted);
+  // Nobody answers node 5: it decides by the log itself.
+  fleet.dead = allBut("node5");
+  CHECK(reserve(5, "r2", 600) == ReservationOutcome::Spent);
+  CHECK(reserve(5, "r3", 300) == ReservationOutcome::Granted);
+  fleet.dead.clear();
+  timers.advance(seconds(2));
+  CHECK(reserve(1, "r4", 200) == ReservationOutcome::Spent);
+  CHECK(reserve(2, "r5", 100) == ReservationOutcome::Granted);
+}
+
+TEST(RoutedLedger, aSettlementReachesTheBudgetsHome) {
+  CHECK(reserve(0, "r1", 900) == ReservationOutcome::Granted);
+  CHECK(reserve(1, "r2", 900) == ReservationOutcome::Spent);
+  fleet.node(0).ledger.settle({"r1", "program", 90});
+  timers.advance(seconds(1));
+  CHECK(reserve(1, "r3", 900) == ReservationOutcome::Granted);
+}
+
+TEST(RoutedLedger, aSilentHomeCostsOneCallAShortWaitAndLaterCallsNone) {
+  CHECK_TRUE(storeTurn(0, "t1", "", "text"));
+  fleet.silent = allBut("node0");
+  CHECK_TRUE(storeTurn(0, "t2", "", "text", milliseconds(1000)));
+  STRCMP_EQUAL("text", textOf(0, "t1").c_str());
+  fleet.silent = {};
+  STRCMP_EQUAL("text", textOf(3, "t2").c_str());
+}
+
+TEST(RoutedLedger, unknownIsNeverSaidOfATurnThatAnotherNodeWroteByItself) {
+  STRCMP_EQUAL("<none>", textOf(1, "t1").c_str());
+  fleet.dead = allBut("node0");
+  CHECK_TRUE(storeTurn(0, "t1", "", "text"));
+  fleet.dead.clear();
+  timers.advance(seconds(2));
+  STRCMP_EQUAL("text", textOf(1, "t1").c_str());
+}
+
+TEST(RoutedLedger, whileTheStoreIsSilentNothingIsSaidAndNothingPromised) {
+  log.fault = FakeFault::Silent;
+  CHECK(reserve(0, "r1", 100, seconds(6)) == ReservationOutcome::Unavailable);
+  CHECK_TRUE(std::holds_alternative<LedgerUnavailable>(find(1, "t1")));
+  CHECK_FALSE(storeTurn(2, "t2", "", "text"));
+}
+
+TEST(RoutedLedger, tellsWhetherTheLogTakesWritesNow) {
+  Node& node = fleet.node(0);
+  CHECK_TRUE(node.ledger.isWritable("t", "program"));
+  log.fault = FakeFault::Busy;
+  reserve(0, "r1", 100, milliseconds(900));
+  CHECK_FALSE(node.ledger.isWritable("t", "program"));
+  log.fault = FakeFault::None;
+  timers.advance(seconds(1));
+  CHECK_TRUE(node.ledger.isWritable("t", "program"));
+}
+
+TEST(RoutedLedger, nothingIsReadBeforeTheNodesAreKnown) {
+  CHECK_TRUE(storeTurn(0, "t1", "", "text"));
+  fleet.known = false;
+  const int reads = log.reads;
+  CHECK_FALSE(fleet.node(3).ledger.isWritable("t1", "program"));
+  CHECK_TRUE(std::holds_alternative<LedgerUnavailable>(find(3, "t1")));
+  LONGS_EQUAL(reads, log.reads);
+}
+
+TEST(RoutedLedger, aSlowHomeIsWaitedForRatherThanReadAroundByEveryNode) {
+  CHECK_TRUE(storeTurn(0, "t1", "", std::string(1000, 'x')));
+  // All start anew: homes have to read the partition, and the store takes its time.
+  Fleet restarted(log, timers);
+  log.latency = milliseconds(450);
+  const int reads = log.reads;
+  int found = 0;
+  for (int node = 0; node < 3; ++node) {
+    restarted.node(node).ledger.findHistory("t1", [&found](const HistoryAnswer& answer) {
+      found += std::holds_alternative<History>(answer) ? 1 : 0;
+    });
+  }
+  timers.advance(seconds(3));
+  LONGS_EQUAL(3, found);
+  // Two homes, each with tries of its own beside a silent one.
+  CHECK(log.reads - reads <= 2 * 4);
+}
+
+TEST(RoutedLedger, oldTokensOfAProgramAreForgottenInTime) {
+  reserve(0, "r1", 100);
+  LONGS_EQUAL(100, fleet.node(0).ledger.knownUse("program"));
+  timers.advance(seconds(301));
+  fleet.node(0).ledger.sweep();
+  LONGS_EQUAL(0, fleet.node(0).ledger.knownUse("program"));
+}
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -63,6 +63,20 @@
   STRCMP_EQUAL("new", matched(table, "a.example", "/x/1").c_str());
 }
 
+TEST(RouteTable, manyNodesWithFewRequestsEachKeepToWeightsTogether) {
+  Route split = routeOf("split", "a.example", "/x/");
+  split.services = {{"big", 90}, {"small", 10}};
+  std::map<std::string, int> counts;
+  for (std::uint64_t node = 0; node < 300; ++node) {
+    RouteTable own(node * 7919);
+    own.apply(configurationOf(1, {split}));
+    for (int request = 0; request < 3; ++request) {
+      ++counts[own.nextService(*own.match("a.example", "/x/1"))];
+    }
+  }
+  CHECK(counts["small"] > 60 && counts["small"] < 120);  // 90 of 900 by weight.
+}
+
 TEST(RouteTable, keepsToWeightsExactly) {
   Route split = routeOf("split", "a.example", "/x/");
   split.services = {{"big", 90}, {"small", 10}};
