--- /dev/null
+++ b/lab/faultsoak/fault_plan.h
@@ -0,0 +1,42 @@
+/// \file Which fault strikes when in a soak: all of it follows from the seed.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "lab/faultsoak/fault_proxy.h"
+
+namespace gorsetrail::lab {
+
+enum class SoakFaultKind : std::uint8_t {
+  KillNode,    ///< SIGKILL; the script starts it again.
+  PauseNode,   ///< SIGSTOP, and SIGCONT after the duration.
+  StopNode,    ///< SIGTERM; the script starts it again.
+  KillAll,     ///< SIGKILL to every node at once.
+  StoreWay,    ///< A proxy fault between one node and the store.
+  ReplicaWay,  ///< A proxy fault before one replica.
+  StoreBusy,   ///< The store refuses everybody.
+  StoreLosesAnswers,
+  ReplicaTroubles,  ///< One replica refuses, loses answers and cuts streams.
+  Configuration,    ///< A new version is published.
+};
+
+/// \return the kind's name, for reports.
+const char* soakFaultName(SoakFaultKind kind);
+
+struct SoakFault {
+  SoakFaultKind kind = SoakFaultKind::KillNode;
+  Duration at{};        ///< From the start of traffic.
+  Duration duration{};  ///< Nothing for kills and configurations.
+  std::size_t target = 0;
+  ProxyFault proxy = ProxyFault::None;
+};
+
+/// \param length of the soak: the last fault ends before.
+std::vector<SoakFault> planFaults(std::uint64_t seed, Duration length, std::size_t nodes,
+                                  std::size_t replicas);
+
+}  // namespace gorsetrail::lab
--- /dev/null
+++ b/lab/faultsoak/promise_watcher.h
@@ -0,0 +1,81 @@
+/// \file Checks the promises while a soak runs, from what clients and back ends see alone.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gorsetrail::lab {
+
+/// What may be repeated on the soak's routes.
+enum class SoakRoute : std::uint8_t {
+  Turn,       ///< Persisted stream: at most once for each client attempt.
+  Resumable,  ///< Stream that may go on at another replica.
+  Unsafe,     ///< At most once for each client attempt.
+  Safe,       ///< May run more than once.
+};
+
+/// One client attempt before it is sent.
+struct SoakAttempt {
+  std::string id;
+  SoakRoute route = SoakRoute::Safe;
+  std::string program;
+  std::string expectedInput;        ///< What a replica must get: the whole chain for turns.
+  std::string expectedOutput;       ///< The body of a whole answer.
+  bool continuesWholeTurn = false;  ///< It names a turn that was answered whole.
+};
+
+/// What the client saw of an attempt; status 0: a connection that closed before an answer.
+struct SoakAnswer {
+  unsigned status = 0;
+  bool whole = false;
+  std::string body;  ///< As far as it came.
+};
+
+/// A promise that was broken, with the attempt that shows it.
+struct SoakViolation {
+  std::string promise;
+  std::string attempt;
+  std::string detail;
+};
+
+class PromiseWatcher {
+ public:
+  /// \param tokensPerEvent what one event of a stream stands for.
+  explicit PromiseWatcher(std::uint64_t tokensPerEvent) : tokensPerEvent_(tokensPerEvent) {}
+
+  void onProgram(const std::string& program, std::uint64_t budget, std::uint64_t mostOfOneTurn);
+  void onSent(const SoakAttempt& attempt);
+  /// A replica begins to work on a request. \param resumes it goes on after an event.
+  void onRun(const std::string& id, const std::string& input, bool resumes);
+  void onAnswer(const std::string& id, const SoakAnswer& answer);
+  /// Found by the run itself.
+  void add(SoakViolation violation) { violations_.push_back(std::move(violation)); }
+
+  [[nodiscard]] const std::vector<SoakViolation>& violations() const { return violations_; }
+  /// \return answers by status; 0 stands for closed connections.
+  [[nodiscard]] const std::map<unsigned, std::uint64_t>& answers() const { return answers_; }
+
+ private:
+  struct Known {
+    SoakAttempt attempt;
+    std::uint64_t runs = 0;  ///< From the start; resumptions do not count.
+    bool promisedNotRun = false;
+  };
+  struct Program {
+    std::uint64_t budget = 0;
+    std::uint64_t mostOfOneTurn = 0;
+    std::uint64_t tokens = 0;
+  };
+  void checkBody(const SoakAttempt& attempt, const SoakAnswer& answer);
+  void countTokens(const SoakAttempt& attempt, const SoakAnswer& answer);
+
+  std::uint64_t tokensPerEvent_;
+  std::map<std::string, Known> attempts_;
+  std::map<std::string, Program> programs_;
+  std::map<unsigned, std::uint64_t> answers_;
+  std::vector<SoakViolation> violations_;
+};
+
+}  // namespace gorsetrail::lab
--- /dev/null
+++ b/lab/faultsoak/soak_program.cpp
@@ -0,0 +1,155 @@
+#include "lab/faultsoak/soak_program.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lab/faultsoak/soak_replica.h"
+#include "platform/names.h"
+
+namespace gorsetrail::lab {
+namespace {
+
+constexpr std::uint64_t kTokensOfTurn = SoakProgram::kTokensPerEvent * SoakReplica::kEventsOfStream;
+constexpr Duration kDeadline = milliseconds(3000);
+constexpr int kMostTurns = 6;
+constexpr int kTurnsOfLoop = 40;
+constexpr int kMostTries = 12;
+constexpr Duration kPauseAfterFailure = milliseconds(200);
+constexpr double kShareOfLoops = 0.1;
+constexpr unsigned kOk = 200;
+constexpr unsigned kBudgetSpent = 402;
+
+/// What an attempt got so far; shared by the handlers of its answer.
+struct Gathered {
+  SoakAnswer answer;
+};
+
+}  // namespace
+
+SoakProgram::SoakProgram(SoakClients& clients) : clients_(clients) {}
+
+void SoakProgram::start(std::function<void()> onEnded) {
+  onEnded_ = std::move(onEnded);
+  id_ = "p" + std::to_string(++clients_.nextId);
+  persisted_ = clients_.random.below(3) > 0;
+  loops_ = clients_.random.fraction() < kShareOfLoops;
+  turnsWanted_ = loops_ ? kTurnsOfLoop : 1 + static_cast<int>(clients_.random.below(kMostTurns));
+  // Room for each turn and a few that have to be sent again.
+  budget_ = kTokensOfTurn * static_cast<std::uint64_t>(loops_ ? 5 : 3 * turnsWanted_);
+  clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
+  sendTurn();
+}
+
+void SoakProgram::sendTurn() {
+  const std::string input = "in-" + id_ + "-" + std::to_string(turnsDone_) + ";";
+  SoakAttempt attempt;
+  attempt.id = "q" + std::to_string(++clients_.nextId);
+  attempt.route = persisted_ ? SoakRoute::Turn : SoakRoute::Resumable;
+  attempt.program = id_;
+  attempt.expectedInput = persisted_ ? history_ + input : input;
+  attempt.expectedOutput = SoakReplica::wholeStream(attempt.id);
+  attempt.continuesWholeTurn = persisted_ && !previous_.empty();
+  const std::string target = persisted_ ? "/kept/stream/x" : "/again/stream/x";
+  send(attempt, "POST", target, input,
+       [self = shared_from_this(), attempt](const SoakAnswer& answer) {
+         self->onTurn(attempt, answer);
+       });
+}
+
+void SoakProgram::onTurn(const SoakAttempt& attempt, const SoakAnswer& answer) {
+  if (answer.status == kBudgetSpent) {
+    end(loops_);
+    return;
+  }
+  if (answer.status != kOk || !answer.whole) {
+    retryTurn();
+    return;
+  }
+  ++clients_.turnsAnswered;
+  ++turnsDone_;
+  tries_ = 0;
+  if (persisted_) {
+    history_ = attempt.expectedInput;
+    for (int number = 1; number <= SoakReplica::kEventsOfStream; ++number) {
+      history_ += SoakReplica::eventData(attempt.id, number) + "\n";
+    }
+    previous_ = attempt.id;
+  }
+  if (turnsDone_ == turnsWanted_) {
+    end(true);
+  } else {
+    sendTool();
+  }
+}
+
+void SoakProgram::retryTurn() {
+  if (++tries_ == kMostTries) {
+    end(false);
+    return;
+  }
+  clients_.timers.runAfter(kPauseAfterFailure, [self = shared_from_this()] { self->sendTurn(); });
+}
+
+void SoakProgram::sendTool() {
+  SoakAttempt attempt;
+  attempt.id = "q" + std::to_string(++clients_.nextId);
+  const bool safe = clients_.random.below(2) == 0;
+  attempt.route = safe ? SoakRoute::Safe : SoakRoute::Unsafe;
+  attempt.program = id_;
+  attempt.expectedInput = safe ? "" : "tool of " + id_;
+  attempt.expectedOutput = SoakReplica::plainAnswer(attempt.id);
+  // Whatever becomes of the tool, the program goes on: the soak is about its turns.
+  send(attempt, safe ? "GET" : "POST", safe ? "/safe/x" : "/unsafe/x", attempt.expectedInput,
+       [self = shared_from_this()](const SoakAnswer&) { self->sendTurn(); });
+}
+
+void SoakProgram::end(bool well) {
+  ++clients_.programsEnded;
+  clients_.programsFailed += well ? 0 : 1;
+  const auto onEnded = std::move(onEnded_);
+  onEnded();
+}
+
+void SoakProgram::send(const SoakAttempt& attempt, const std::string& method,
+                       const std::string& target, const std::string& body,
+                       std::function<void(const SoakAnswer&)> onAnswer) {
+  clients_.watcher.onSent(attempt);
+  http::Request request;
+  request.method = method;
+  request.address = clients_.nodes[clients_.random.below(clients_.nodes.size())];
+  request.target = target;
+  request.body = body;
+  request.timeLimit = kDeadline;
+  request.connectTimeLimit = milliseconds(500);
+  request.headers = {{"Host", "h"},
+                     {platform::header::kRequestId, attempt.id},
+                     {platform::header::kProgram, id_},
+                     {platform::header::kDeadline, std::to_string(kDeadline.count() / 1000)}};
+  const bool isTurn = attempt.route == SoakRoute::Turn || attempt.route == SoakRoute::Resumable;
+  if (isTurn) {
+    request.headers.push_back({platform::header::kTokenBudget, std::to_string(budget_)});
+    request.headers.push_back(
+        {platform::header::kTokenUsage, "100," + std::to_string(kTokensOfTurn)});
+  }
+  if (attempt.continuesWholeTurn) {
+    request.headers.push_back({platform::header::kPreviousTurn, previous_});
+  }
+  const auto gathered = std::make_shared<Gathered>();
+  const auto finish = [this, id = attempt.id, gathered, onAnswer = std::move(onAnswer)] {
+    clients_.watcher.onAnswer(id, gathered->answer);
+    onAnswer(gathered->answer);
+  };
+  http::ResponseHandler handler;
+  handler.onHead = [gathered](unsigned status, const std::vector<http::Header>&) {
+    gathered->answer.status = status;
+  };
+  handler.onBody = [gathered](std::string_view part) { gathered->answer.body += part; };
+  handler.onDone = [gathered, finish](const http::Response&) {
+    gathered->answer.whole = true;
+    finish();
+  };
+  handler.onFailure = [finish](const http::Failure&) { finish(); };
+  clients_.client.send(std::move(request), std::move(handler));
+}
+
+}  // namespace gorsetrail::lab
--- /dev/null
+++ b/lab/faultsoak/soak_program.h
@@ -0,0 +1,63 @@
+/// \file Clients of the soak: agent programs whose turns and tools go to any node.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "http/http_client.h"
+#include "lab/faultsoak/promise_watcher.h"
+#include "services/timer_service.h"
+
+namespace gorsetrail::lab {
+
+/// What all programs of a soak share; outlives them.
+struct SoakClients {
+  http::HttpClient& client;
+  services::TimerService& timers;
+  PromiseWatcher& watcher;
+  RandomSource& random;
+  std::vector<std::string> nodes;  ///< Where clients connect.
+  std::uint64_t nextId = 0;
+  std::uint64_t turnsAnswered = 0;
+  std::uint64_t programsEnded = 0;
+  std::uint64_t programsFailed = 0;
+};
+
+/// One program: turns one after the other, each with a tool call behind it. Some loop until their
+/// budget is spent. It goes on from turns that were answered whole, and tries again on a new
+/// connection as the protocol allows.
+class SoakProgram : public std::enable_shared_from_this<SoakProgram> {
+ public:
+  static constexpr std::uint64_t kTokensPerEvent = 10;
+
+  explicit SoakProgram(SoakClients& clients);
+  /// \param onEnded called once.
+  void start(std::function<void()> onEnded);
+
+ private:
+  void sendTurn();
+  void onTurn(const SoakAttempt& attempt, const SoakAnswer& answer);
+  void sendTool();
+  void retryTurn();
+  void end(bool well);
+  void send(const SoakAttempt& attempt, const std::string& method, const std::string& target,
+            const std::string& body, std::function<void(const SoakAnswer&)> onAnswer);
+
+  SoakClients& clients_;
+  std::function<void()> onEnded_;
+  std::string id_;
+  bool persisted_ = false;  ///< Its turns are kept by the system; else each stands alone.
+  bool loops_ = false;
+  std::uint64_t budget_ = 0;
+  int turnsWanted_ = 0;
+  int turnsDone_ = 0;
+  int tries_ = 0;
+  std::string history_;
+  std::string previous_;
+};
+
+}  // namespace gorsetrail::lab
--- /dev/null
+++ b/lab/faultsoak/soak_replica.cpp
@@ -0,0 +1,124 @@
+#include "lab/faultsoak/soak_replica.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <cstdlib>
+#include <memory>
+#include <utility>
+
+#include "platform/names.h"
+
+namespace gorsetrail::lab {
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kUnavailable = 503;
+constexpr Duration kEventPause = milliseconds(15);
+constexpr char kStreamPath[] = "/stream/";
+
+std::string headerOf(const http::ServerRequest& request, const char* name) {
+  for (const http::Header& header : request.headers) {
+    if (boost::algorithm::iequals(header.name, name)) {
+      return header.value;
+    }
+  }
+  return {};
+}
+
+std::string eventText(const std::string& requestId, int number) {
+  return "id: " + std::to_string(number) + "\ndata: " + SoakReplica::eventData(requestId, number) +
+         "\n\n";
+}
+
+}  // namespace
+
+/// A stream under way.
+struct SoakReplica::Stream {
+  std::string requestId;
+  http::ResponseWriterPtr writer;
+  int next = 1;
+  int cutAfter = kEventsOfStream;  ///< It closes behind this event, unless it is the last.
+};
+
+SoakReplica::SoakReplica(boost::asio::io_context& context, services::TimerService& timers,
+                         PromiseWatcher& watcher, std::string id, std::uint64_t seed)
+    : timers_(timers), watcher_(watcher), id_(std::move(id)), random_(seed) {
+  http::HttpServerOptions options;
+  options.listenAddress = "127.0.0.1:0";
+  options.onRequest = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
+    onRequest(request, std::move(writer));
+  };
+  options.onFault = [](http::ProtocolFault) { return http::WholeResponse{400, {}, {}}; };
+  auto made = http::makeHttpServer(context, std::move(options));
+  if (succeeded(made)) {
+    server_ = std::move(valueOf(made));
+  }
+}
+
+std::string SoakReplica::address() const {
+  return "127.0.0.1:" + std::to_string(server_->listeningPort());
+}
+
+std::string SoakReplica::eventData(const std::string& requestId, int number) {
+  return "out-" + requestId + "-" + std::to_string(number);
+}
+
+std::string SoakReplica::wholeStream(const std::string& requestId) {
+  std::string text;
+  for (int number = 1; number <= kEventsOfStream; ++number) {
+    text += eventText(requestId, number);
+  }
+  return text;
+}
+
+std::string SoakReplica::plainAnswer(const std::string& requestId) {
+  return "answer to " + requestId;
+}
+
+void SoakReplica::onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer) {
+  const std::string requestId = headerOf(request, platform::header::kRequestId);
+  const bool misdirected = headerOf(request, platform::header::kExpectInstance) != id_;
+  if (misdirected || random_.fraction() < troubles.refused) {
+    writer->sendWhole(
+        {misdirected ? kMisdirected : kUnavailable,
+         {{platform::header::kNotExecuted, "1"}, {platform::header::kRequestId, requestId}},
+         {}});
+    return;
+  }
+  const int after = std::atoi(headerOf(request, platform::header::kLastEventId).c_str());
+  watcher_.onRun(requestId, request.body, after > 0);
+  if (random_.fraction() < troubles.lostAnswer) {
+    return;  // The writer goes, and the connection with it.
+  }
+  if (request.target.find(kStreamPath) == std::string::npos) {
+    writer->sendWhole({kOk, {{platform::header::kRequestId, requestId}}, plainAnswer(requestId)});
+    return;
+  }
+  writer->beginStream(
+      kOk, {{platform::header::kRequestId, requestId}, {"Content-Type", "text/event-stream"}});
+  auto stream = std::make_shared<Stream>();
+  stream->requestId = requestId;
+  stream->writer = std::move(writer);
+  stream->next = after + 1;
+  if (random_.fraction() < troubles.cutStream) {
+    stream->cutAfter = static_cast<int>(random_.below(kEventsOfStream)) + 1;
+  }
+  continueStream(stream);
+}
+
+void SoakReplica::continueStream(const std::shared_ptr<Stream>& stream) {
+  if (stream->next > kEventsOfStream) {
+    stream->writer->endStream();
+    return;
+  }
+  stream->writer->write(eventText(stream->requestId, stream->next));
+  const bool cut = stream->next == stream->cutAfter && stream->next < kEventsOfStream;
+  ++stream->next;
+  timers_.runAfter(kEventPause, [this, stream, cut] {
+    if (!cut) {
+      continueStream(stream);  // Else the writer goes, and the connection with it.
+    }
+  });
+}
+
+}  // namespace gorsetrail::lab
--- /dev/null
+++ b/lab/faultsoak/soak_run.cpp
@@ -0,0 +1,248 @@
+#include "lab/faultsoak/soak_run.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace gorsetrail::lab {
+namespace {
+
+constexpr int kClientPort = 24149;
+constexpr int kReadinessPort = 24141;
+constexpr int kControlPort = 24144;
+constexpr int kDirectoryPort = 24143;
+constexpr int kFirstInternalPort = 24380;
+constexpr Duration kStartLimit = seconds(20);
+/// From the last fault's end until everybody is served again.
+constexpr Duration kRecoveryLimit = seconds(12);
+constexpr Duration kRecoveryWindow = seconds(4);
+constexpr std::uint64_t kLeastTurnsInWindow = 10;
+constexpr Duration kDelay = milliseconds(150);
+constexpr char kService[] = "m";
+
+nlohmann::json route(const char* name, const char* kind, bool persisted, bool resumable) {
+  return {
+      {"name", name},          {"host", "h"},       {"pathPrefix", std::string("/") + name + "/"},
+      {"routeType", kind},     {"timeoutMs", 3000}, {"priority", 1},
+      {"service", kService},   {"maxAttempts", 2},  {"persisted", persisted},
+      {"resumable", resumable}};
+}
+
+std::string ipOf(std::size_t node) { return "127.0.1." + std::to_string(node + 1); }
+
+}  // namespace
+
+SoakRun::SoakRun(SoakOptions options)
+    : options_(std::move(options)),
+      timers_(services::makeTimerService(context_)),
+      random_(options_.seed),
+      processes_(options_.directory),
+      client_(http::makeHttpClient(context_)) {
+  makeWorld();
+}
+
+void SoakRun::makeWorld() {
+  store_ = std::make_unique<StoreStandIn>(context_);
+  for (std::size_t number = 0; number < options_.replicas; ++number) {
+    const std::string id = "i-" + std::to_string(number);
+    replicas_.push_back(
+        std::make_unique<SoakReplica>(context_, *timers_, watcher_, id, options_.seed + number));
+    replicaWays_.push_back(std::make_unique<FaultProxy>(context_, replicas_.back()->address()));
+    const nlohmann::json entry = {{"service", kService},
+                                  {"address", replicaWays_.back()->address()},
+                                  {"zone", number % 2 == 0 ? "a" : "b"},
+                                  {"slots", 16},
+                                  {"state", "ready"}};
+    store_->put("keyed.servers", id, entry.dump());
+  }
+  publishConfiguration();
+  clients_ = std::make_unique<SoakClients>(
+      SoakClients{*client_, *timers_, watcher_, random_, {}, 0, 0, 0, 0});
+  for (std::size_t node = 0; node < options_.nodes; ++node) {
+    storeWays_.push_back(std::make_unique<FaultProxy>(context_, store_->address()));
+    clients_->nodes.push_back(clientAddress(node));
+    writeSettings(node);
+  }
+  faults_ = planFaults(options_.seed, options_.length, options_.nodes, options_.replicas);
+}
+
+std::string SoakRun::clientAddress(std::size_t node) const {
+  return ipOf(node) + ":" + std::to_string(kClientPort);
+}
+
+void SoakRun::writeSettings(std::size_t node) const {
+  const std::string ip = ipOf(node);
+  std::ofstream file(options_.directory + "/node-" + std::to_string(node) + ".toml");
+  file << "nodeName = \"node-" << node << "\"\nip = \"" << ip << "\"\nzone = \""
+       << (node % 2 == 0 ? "a" : "b") << "\"\nregion = \"r\"\ninternalPorts = ["
+       << kFirstInternalPort << "," << kFirstInternalPort + 15 << "]\nseeds = [\"" << ipOf(0) << ":"
+       << kControlPort << "\"]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfrontend = \""
+       << clientAddress(node) << "\"\nreadiness = \"" << ip << ":" << kReadinessPort
+       << "\"\ncontrol = \"" << ip << ":" << kControlPort << "\"\ndirectory = \"" << ip << ":"
+       << kDirectoryPort << "\"\n[limits]\nmemoryMb = 256\nmaxFds = 1024\n[platform]\naddress = \""
+       << storeWays_[node]->address() << "\"\nparts = 8\n";
+}
+
+void SoakRun::publishConfiguration() {
+  const nlohmann::json configuration = {
+      {"version", ++version_},
+      {"routes",
+       {route("kept", "streaming", true, false), route("again", "streaming", false, true),
+        route("unsafe", "unsafe", false, false), route("safe", "safe", false, false)}},
+      {"services", {{{"name", kService}, {"engine", {{"slots", 16}, {"streamStride", 10}}}}}}};
+  store_->put("keyed.op", "config", configuration.dump());
+}
+
+void SoakRun::runFor(Duration span) {
+  context_.restart();
+  context_.run_for(span);
+}
+
+bool SoakRun::waitForNodes() {
+  for (Duration waited{}; waited < kStartLimit; waited += milliseconds(100)) {
+    std::size_t running = 0;
+    for (std::size_t node = 0; node < options_.nodes; ++node) {
+      running += processes_.runs(node) ? 1 : 0;
+    }
+    if (running == options_.nodes) {
+      return true;
+    }
+    runFor(milliseconds(100));
+  }
+  return false;
+}
+
+void SoakRun::run() {
+  std::ofstream(options_.directory + "/ready") << options_.seed << '\n';
+  if (!waitForNodes()) {
+    watcher_.add({"the_nodes_start", "", "not all processes came up"});
+  }
+  runFor(seconds(2));
+  keepProgramsGoing();
+  scheduleFaults();
+  runFor(options_.length);
+  checkRecovery();
+  takesPrograms_ = false;
+  runFor(seconds(4));
+  std::ofstream(options_.directory + "/ended") << options_.seed << '\n';
+}
+
+void SoakRun::keepProgramsGoing() {
+  while (takesPrograms_ && programsUnderWay_ < options_.programs) {
+    ++programsUnderWay_;
+    std::make_shared<SoakProgram>(*clients_)->start([this] {
+      --programsUnderWay_;
+      keepProgramsGoing();
+    });
+  }
+}
+
+void SoakRun::scheduleFaults() {
+  for (const SoakFault& fault : faults_) {
+    timers_->runAfter(fault.at, [this, fault] { strike(fault); });
+    timers_->runAfter(fault.at + fault.duration, [this, fault] { heal(fault); });
+  }
+}
+
+void SoakRun::strike(const SoakFault& fault) {
+  bool struck = true;
+  switch (fault.kind) {
+    case SoakFaultKind::KillNode:
+      struck = processes_.signal(fault.target, SIGKILL);
+      break;
+    case SoakFaultKind::PauseNode:
+      struck = processes_.signal(fault.target, SIGSTOP);
+      break;
+    case SoakFaultKind::StopNode:
+      struck = processes_.signal(fault.target, SIGTERM);
+      break;
+    case SoakFaultKind::KillAll:
+      for (std::size_t node = 0; node < options_.nodes; ++node) {
+        struck = processes_.signal(node, SIGKILL) && struck;
+      }
+      break;
+    case SoakFaultKind::StoreWay:
+      storeWays_[fault.target]->setFault(fault.proxy, kDelay);
+      break;
+    case SoakFaultKind::ReplicaWay:
+      replicaWays_[fault.target]->setFault(fault.proxy, kDelay);
+      break;
+    case SoakFaultKind::StoreBusy:
+      store_->trouble = StoreTrouble::Busy;
+      break;
+    case SoakFaultKind::StoreLosesAnswers:
+      store_->trouble = StoreTrouble::LostAnswer;
+      break;
+    case SoakFaultKind::ReplicaTroubles:
+      replicas_[fault.target]->troubles = {0.2, 0.2, 0.4};
+      break;
+    case SoakFaultKind::Configuration:
+      publishConfiguration();
+      break;
+  }
+  // A process that has just ended and starts again takes no signal.
+  ++(struck ? faultsStruck_ : faultsMissed_);
+}
+
+void SoakRun::heal(const SoakFault& fault) {
+  switch (fault.kind) {
+    case SoakFaultKind::PauseNode:
+      // A process that was killed meanwhile is none of ours to wake: its file is gone.
+      static_cast<void>(processes_.signal(fault.target, SIGCONT));
+      break;
+    case SoakFaultKind::StoreWay:
+      storeWays_[fault.target]->setFault(ProxyFault::None);
+      break;
+    case SoakFaultKind::ReplicaWay:
+      replicaWays_[fault.target]->setFault(ProxyFault::None);
+      break;
+    case SoakFaultKind::StoreBusy:
+    case SoakFaultKind::StoreLosesAnswers:
+      store_->trouble = StoreTrouble::None;
+      break;
+    case SoakFaultKind::ReplicaTroubles:
+      replicas_[fault.target]->troubles = {};
+      break;
+    case SoakFaultKind::KillNode:
+    case SoakFaultKind::StopNode:
+    case SoakFaultKind::KillAll:
+    case SoakFaultKind::Configuration:
+      break;
+  }
+}
+
+void SoakRun::checkRecovery() {
+  runFor(kRecoveryLimit - kRecoveryWindow);
+  const std::uint64_t before = clients_->turnsAnswered;
+  runFor(kRecoveryWindow);
+  const std::uint64_t answered = clients_->turnsAnswered - before;
+  if (answered < kLeastTurnsInWindow) {
+    watcher_.add({"everybody_is_served_after_the_faults", "",
+                  std::to_string(answered) + " turns in the last window"});
+  }
+}
+
+std::string SoakRun::report() const {
+  nlohmann::json report = {{"seed", options_.seed},
+                           {"faults_struck", faultsStruck_},
+                           {"faults_missed", faultsMissed_},
+                           {"turns_answered", clients_->turnsAnswered},
+                           {"programs_ended", clients_->programsEnded},
+                           {"programs_failed", clients_->programsFailed},
+                           {"store_calls", store_->calls},
+                           {"answers", nlohmann::json::object()},
+                           {"violations", nlohmann::json::array()}};
+  for (const auto& [status, count] : watcher_.answers()) {
+    report["answers"][std::to_string(status)] = count;
+  }
+  for (const SoakViolation& violation : watcher_.violations()) {
+    report["violations"].push_back({{"promise", violation.promise},
+                                    {"attempt", violation.attempt},
+                                    {"detail", violation.detail}});
+  }
+  return report.dump();
+}
+
+}  // namespace gorsetrail::lab
--- /dev/null
+++ b/lab/faultsoak/soak_run.h
@@ -0,0 +1,73 @@
+/// \file One soak: real node processes between a stand-in store, replicas and clients, with
+/// faults from outside.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/faultsoak/fault_plan.h"
+#include "lab/faultsoak/fault_proxy.h"
+#include "lab/faultsoak/node_processes.h"
+#include "lab/faultsoak/promise_watcher.h"
+#include "lab/faultsoak/soak_program.h"
+#include "lab/faultsoak/soak_replica.h"
+#include "lab/platform/store_stand_in.h"
+
+namespace gorsetrail::lab {
+
+struct SoakOptions {
+  std::string directory;  ///< For settings files, process ids and the end mark.
+  std::uint64_t seed = 1;
+  Duration length = seconds(30);
+  std::size_t nodes = 5;
+  std::size_t replicas = 4;
+  std::size_t programs = 12;  ///< Under way at a time.
+};
+
+class SoakRun {
+ public:
+  explicit SoakRun(SoakOptions options);
+
+  /// Writes the settings and the file `ready`, runs, and writes the file `ended`.
+  void run();
+  /// \return one JSON object: seed, counts, faults, violations.
+  [[nodiscard]] std::string report() const;
+  [[nodiscard]] bool isClean() const { return watcher_.violations().empty(); }
+
+ private:
+  void makeWorld();
+  void writeSettings(std::size_t node) const;
+  void publishConfiguration();
+  bool waitForNodes();
+  void keepProgramsGoing();
+  void scheduleFaults();
+  void strike(const SoakFault& fault);
+  void heal(const SoakFault& fault);
+  void checkRecovery();
+  void runFor(Duration span);
+  [[nodiscard]] std::string clientAddress(std::size_t node) const;
+
+  SoakOptions options_;
+  boost::asio::io_context context_{1};
+  services::TimerServicePtr timers_;
+  RandomSource random_;
+  PromiseWatcher watcher_{SoakProgram::kTokensPerEvent};
+  NodeProcesses processes_;
+  http::HttpClientPtr client_;
+  std::unique_ptr<StoreStandIn> store_;
+  std::vector<std::unique_ptr<SoakReplica>> replicas_;
+  std::vector<std::unique_ptr<FaultProxy>> replicaWays_;
+  std::vector<std::unique_ptr<FaultProxy>> storeWays_;  ///< One a node.
+  std::unique_ptr<SoakClients> clients_;
+  std::vector<SoakFault> faults_;
+  std::size_t programsUnderWay_ = 0;
+  bool takesPrograms_ = true;
+  int version_ = 0;
+  std::size_t faultsStruck_ = 0;
+  std::size_t faultsMissed_ = 0;
+};
+
+}  // namespace gorsetrail::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -6,6 +6,7 @@
 
 #include "lab/command.h"
 #include "lab/emulator/emulator_command.h"
+#include "lab/faultsoak/soak_command.h"
 #include "lab/load/load_command.h"
 #include "lab/sim/sim_command.h"
 #include "lab/standin/standin_command.h"
@@ -27,6 +28,7 @@
   gorsetrail::load::addCommands(registry);
   gorsetrail::sim::addCommands(registry);
   gorsetrail::emulator::addCommands(registry);
+  gorsetrail::lab::addFaultSoakCommand(registry);
   return registry;
 }
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -27,7 +27,6 @@
 constexpr Duration kShortestStop = milliseconds(3200);
 /// Left of the stop limit for the end of the process.
 constexpr Duration kStopMargin = milliseconds(700);
-constexpr Duration kAnnounceTimeLimit = milliseconds(800);
 /// Clients ask again after this, so that a dead node is not used for long.
 constexpr double kAddressTtlSeconds = 1.0;
 constexpr Duration kServerSweepPeriod = seconds(2);
@@ -96,6 +95,12 @@
                      [this](logstore::StoreWay way) { onStoreWay(way); }),
       store_(failoverStore_, *timers_, clock_, {}, seed),
       relayServer_(parts.store),
+      announcer_(failoverStore_, *timers_, clock_, {kMemberTopic, 0},
+                 [this](const std::string& address, logstore::AppendRequest request,
+                        logstore::StoreCallback<logstore::AppendReply> callback) {
+                   relayedStore_.appendThrough(address, std::move(request), std::move(callback));
+                 },
+                 {}),
       localLedger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
       ledgerService_(localLedger_),
       ledgerPeers_(parts_.peers, [this] { return ledgerHomes(); }),
@@ -168,6 +173,11 @@
                                   const http::ResponseWriterPtr& writer) {
     onDirectoryRequest(request, writer);
   };
+  relayServer_.gatherAppends({kMemberTopic, 0},
+                             [this](logstore::AppendRequest request,
+                                    logstore::StoreCallback<logstore::AppendReply> callback) {
+                               announcer_.gather(std::move(request), std::move(callback));
+                             });
   const auto onPeer = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
     if (request.target == kLedgerPath) {
       ledgerServer_.onRequest(request, std::move(writer));
@@ -298,24 +308,22 @@
   writer->sendWhole(parts_.wire.makeDirectoryAnswer(addresses, ttl));
 }
 
-void EdgeDaemon::announce() {
-  MemberRecord record{settings_.nodeName,
-                      settings_.zone,
-                      settings_.listen.clients,
-                      hasPeers() ? ownRelayAddress() : std::string(),
-                      !isReady(),
-                      ++beat_,
-                      settings_.processorShare};
-  logstore::AppendRequest request;
-  request.partition = {kMemberTopic, 0};
-  request.records.push_back(logstore::encodeKeyedRecord(settings_.ip, encodeMemberRecord(record)));
-  request.timeLimit = kAnnounceTimeLimit;
-  store_.append(std::move(request), [](const logstore::StoreResult<logstore::AppendReply>&) {});
+void EdgeDaemon::announce(bool urgent) {
+  const MemberRecord record{settings_.nodeName,
+                            settings_.zone,
+                            settings_.listen.clients,
+                            hasPeers() ? ownRelayAddress() : std::string(),
+                            !isReady(),
+                            ++beat_,
+                            settings_.processorShare};
+  announcer_.announce(ownRelayAddress(), settings_.ip, record,
+                      ledgerHomes().value_or(std::vector<ledger::HomeCandidate>()), urgent);
 }
 
 void EdgeDaemon::announceLoop() {
   const bool wasReady = isReady();
-  announce();
+  announce(!wasAnnouncedReady_ && wasReady);
+  wasAnnouncedReady_ = wasReady;
   paceFollowers();
   const Duration pause = wasReady ? members_.heartbeat() : milliseconds(200);
   timers_->runAfter(pause, [this] { announceLoop(); });
@@ -377,7 +385,7 @@
   stopBegunAt_ = clock_();
   onStopped_ = std::move(onStopped);
   log_.important("stop_begun", {{"open_requests", clientServer_->counters().responsesOpen}});
-  announce();
+  announce(true);
   clientServer_->beginDrain(http::IdleConnections::Keep);
   checkStopped();
 }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "edge/event_log.h"
 #include "edge/ledger_relay.h"
 #include "edge/load_exchange.h"
+#include "edge/member_announcer.h"
 #include "edge/member_table.h"
 #include "edge/store_relay.h"
 #include "edge/wire_adapter.h"
@@ -72,9 +74,10 @@
   void onReplicaLapsed(const std::string& id, std::string_view by);
   [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
-  void noteStoreAnswer(Instant askedAt);
+  void noteStoreAnswer(std::string_view topic);
   void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
-  void announce();
+  /// \param urgent a change that others must know of at once.
+  void announce(bool urgent);
   void announceLoop();
   void paceFollowers();
   void loadLoop();
@@ -104,6 +107,7 @@
   logstore::FailoverStore failoverStore_;
   logstore::PersistentStore store_;
   StoreRelayServer relayServer_;
+  MemberAnnouncer announcer_;
   ledger::ProgramLedger localLedger_;
   ledger::LedgerService ledgerService_;
   HttpLedgerPeers ledgerPeers_;
@@ -125,8 +129,9 @@
   std::shared_ptr<logstore::KeyedTopicFollower> replicaFollower_;
   std::shared_ptr<logstore::KeyedTopicFollower> memberFollower_;
   std::uint64_t beat_ = 0;
+  bool wasAnnouncedReady_ = false;
   bool membersListed_ = false;
-  bool storeLost_ = false;
+  std::set<std::string, std::less<>> lostTopics_;  ///< Followed, and not answered lately.
   std::optional<Instant> storeRegainedAt_;
   bool stopping_ = false;
   Instant stopBegunAt_;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -21,7 +21,7 @@
   observer.onListed = [](const std::vector<std::string>& /*keys*/) {};
   observer.onFresh = [this](Instant askedAt) {
     context_.freshness.configurationHeardAt = askedAt;
-    noteStoreAnswer(askedAt);
+    noteStoreAnswer("configuration");
   };
   observer.onStale = [this](const logstore::StoreError& error) {
     noteStoreSilence("configuration", error);
@@ -61,7 +61,7 @@
   };
   observer.onFresh = [this](Instant askedAt) {
     context_.freshness.replicasHeardAt = askedAt;
-    noteStoreAnswer(askedAt);
+    noteStoreAnswer("replicas");
   };
   observer.onStale = [this](const logstore::StoreError& error) {
     noteStoreSilence("replicas", error);
@@ -74,7 +74,7 @@
 
 bool EdgeDaemon::storeWasOutOfOrder() const {
   const bool justRegained = storeRegainedAt_ && clock_() - *storeRegainedAt_ < kOutageAftermath;
-  return storeLost_ || justRegained;
+  return !lostTopics_.empty() || justRegained;
 }
 
 void EdgeDaemon::onReplicaLapsed(const std::string& id, std::string_view by) {
@@ -129,7 +129,7 @@
   observer.onListed = [this](const std::vector<std::string>& /*keys*/) { membersListed_ = true; };
   observer.onFresh = [this](Instant askedAt) {
     members_.onFresh(askedAt);
-    noteStoreAnswer(askedAt);
+    noteStoreAnswer("members");
   };
   observer.onStale = [this](const logstore::StoreError& error) {
     noteStoreSilence("members", error);
@@ -139,15 +139,18 @@
   memberFollower_->start();
 }
 
-void EdgeDaemon::noteStoreAnswer(Instant /*askedAt*/) {
-  if (std::exchange(storeLost_, false)) {
-    storeRegainedAt_ = clock_();
-    log_.important("store_regained", {{"address", settings_.store.address}});
+void EdgeDaemon::noteStoreAnswer(std::string_view topic) {
+  const auto lost = lostTopics_.find(topic);
+  if (lost == lostTopics_.end()) {
+    return;
   }
+  lostTopics_.erase(lost);
+  storeRegainedAt_ = clock_();
+  log_.important("store_regained", {{"topic", topic}, {"address", settings_.store.address}});
 }
 
 void EdgeDaemon::noteStoreSilence(std::string_view topic, const logstore::StoreError& error) {
-  if (std::exchange(storeLost_, true)) {
+  if (!lostTopics_.emplace(topic).second) {
     return;
   }
   const Instant now = clock_();
--- /dev/null
+++ b/src/edge/member_announcer.cpp
@@ -0,0 +1,71 @@
+#include "edge/member_announcer.h"
+
+#include <utility>
+
+namespace gorsetrail::edge {
+
+MemberAnnouncer::MemberAnnouncer(logstore::LogStore& store, services::TimerService& timers,
+                                 logstore::ClockFunction clock,
+                                 logstore::PartitionAddress partition, Forward forward,
+                                 MemberAnnouncerKnobs knobs)
+    : clock_(std::move(clock)),
+      partition_(std::move(partition)),
+      forward_(std::move(forward)),
+      knobs_(knobs),
+      batcher_(store, timers, clock_, partition_, {}) {}
+
+void MemberAnnouncer::announce(const std::string& ownAddress, const std::string& key,
+                               const MemberRecord& record,
+                               const std::vector<ledger::HomeCandidate>& candidates, bool urgent) {
+  if (underWay_ && !urgent) {
+    return;
+  }
+  std::string bytes = logstore::encodeKeyedRecord(key, encodeMemberRecord(record));
+  const std::vector<std::string> gatherers =
+      gatherers_.homesOf(partition_, record.zone, candidates, clock_());
+  if (urgent || gatherers.empty()) {
+    append(std::move(bytes), Duration::zero());
+    return;
+  }
+  const std::string& gatherer = gatherers.front();
+  if (gatherer == ownAddress) {
+    append(std::move(bytes), knobs_.gatherWindow);
+    return;
+  }
+  underWay_ = true;
+  logstore::AppendRequest request{partition_, {bytes}, knobs_.timeLimit};
+  forward_(gatherer, std::move(request),
+           [this, gatherer,
+            bytes = std::move(bytes)](const logstore::StoreResult<logstore::AppendReply>& result) {
+             underWay_ = false;
+             if (std::holds_alternative<logstore::StoreError>(result)) {
+               gatherers_.suspect(gatherer, clock_());
+               append(bytes, Duration::zero());
+             }
+           });
+}
+
+void MemberAnnouncer::append(std::string bytes, Duration window) {
+  underWay_ = true;
+  batcher_.append(std::move(bytes), window, knobs_.timeLimit,
+                  [this](const logstore::StoreResult<std::uint64_t>&) { underWay_ = false; });
+}
+
+void MemberAnnouncer::gather(logstore::AppendRequest request,
+                             logstore::StoreCallback<logstore::AppendReply> callback) {
+  if (request.records.size() != 1) {
+    callback(logstore::StoreError{logstore::StoreFault::Rejected, "one record is expected", 0});
+    return;
+  }
+  batcher_.append(
+      std::move(request.records.front()), knobs_.gatherWindow, knobs_.timeLimit,
+      [callback = std::move(callback)](const logstore::StoreResult<std::uint64_t>& result) {
+        if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
+          callback(logstore::AppendReply{*offset, *offset + 1});
+        } else {
+          callback(std::get<logstore::StoreError>(result));
+        }
+      });
+}
+
+}  // namespace gorsetrail::edge
--- a/src/edge/store_relay.cpp
+++ b/src/edge/store_relay.cpp
@@ -37,7 +37,10 @@
   }
   const SharedWriter shared = std::move(writer);
   logstore::StoreCallRequest& call = valueOf(decoded);
-  if (auto* const append = std::get_if<logstore::AppendRequest>(&call)) {
+  if (auto* const append = std::get_if<logstore::AppendRequest>(&call);
+      append != nullptr && gather_ && append->partition == gatheredPartition_) {
+    gather_(std::move(*append), replyTo<logstore::AppendReply>(shared));
+  } else if (append != nullptr) {
     direct_.append(std::move(*append), replyTo<logstore::AppendReply>(shared));
   } else if (auto* const read = std::get_if<logstore::ReadRequest>(&call)) {
     direct_.read(std::move(*read), replyTo<logstore::ReadReply>(shared));
@@ -52,14 +55,14 @@
     : client_(client), relays_(std::move(relays)), random_(seed) {}
 
 template <class Reply, class Decode>
-void RelayedStore::send(const logstore::StoreCallRequest& call, Duration timeLimit,
-                        logstore::StoreCallback<Reply> callback, Decode decode) {
-  const std::vector<std::string> relays = relays_();
+void RelayedStore::send(const std::string& relay, const logstore::StoreCallRequest& call,
+                        Duration timeLimit, logstore::StoreCallback<Reply> callback,
+                        Decode decode) {
   http::Request request;
   request.method = "POST";
   request.target = kRelayPath;
   // Without another node the address is empty, and the client reports that nothing was sent.
-  request.address = relays.empty() ? std::string() : relays[random_.below(relays.size())];
+  request.address = relay;
   request.body = logstore::encodeStoreCall(call);
   request.timeLimit = timeLimit;
   http::ResponseHandler handler;
@@ -72,24 +75,36 @@
   client_.send(std::move(request), std::move(handler));
 }
 
+std::string RelayedStore::anyRelay() {
+  const std::vector<std::string> relays = relays_();
+  return relays.empty() ? std::string() : relays[random_.below(relays.size())];
+}
+
+void RelayedStore::appendThrough(const std::string& relay, logstore::AppendRequest request,
+                                 logstore::StoreCallback<logstore::AppendReply> callback) {
+  const Duration limit = request.timeLimit;
+  send<logstore::AppendReply>(relay, std::move(request), limit, std::move(callback),
+                              logstore::decodeAppendReply);
+}
+
 void RelayedStore::append(logstore::AppendRequest request,
                           logstore::StoreCallback<logstore::AppendReply> callback) {
   const Duration limit = request.timeLimit;
-  send<logstore::AppendReply>(std::move(request), limit, std::move(callback),
+  send<logstore::AppendReply>(anyRelay(), std::move(request), limit, std::move(callback),
                               logstore::decodeAppendReply);
 }
 
 void RelayedStore::read(logstore::ReadRequest request,
                         logstore::StoreCallback<logstore::ReadReply> callback) {
   const Duration limit = request.timeLimit;
-  send<logstore::ReadReply>(std::move(request), limit, std::move(callback),
+  send<logstore::ReadReply>(anyRelay(), std::move(request), limit, std::move(callback),
                             logstore::decodeReadReply);
 }
 
 void RelayedStore::newest(logstore::NewestRequest request,
                           logstore::StoreCallback<logstore::NewestReply> callback) {
   const Duration limit = request.timeLimit;
-  send<logstore::NewestReply>(std::move(request), limit, std::move(callback),
+  send<logstore::NewestReply>(anyRelay(), std::move(request), limit, std::move(callback),
                               logstore::decodeNewestReply);
 }
 
--- a/src/edge/store_relay.h
+++ b/src/edge/store_relay.h
@@ -18,10 +18,19 @@
  public:
   /// \param direct the direct way to the store, never a relay: calls do not go round.
   explicit StoreRelayServer(logstore::LogStore& direct) : direct_(direct) {}
+  /// Appends to this partition are handed over instead of made.
+  using AppendHandler =
+      std::function<void(logstore::AppendRequest, logstore::StoreCallback<logstore::AppendReply>)>;
+  void gatherAppends(logstore::PartitionAddress partition, AppendHandler handler) {
+    gatheredPartition_ = std::move(partition);
+    gather_ = std::move(handler);
+  }
   void onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer);
 
  private:
   logstore::LogStore& direct_;
+  logstore::PartitionAddress gatheredPartition_;
+  AppendHandler gather_;
 };
 
 /// Makes calls through a node chosen at random.
@@ -31,6 +40,10 @@
   RelayedStore(http::HttpClient& client, std::function<std::vector<std::string>()> relays,
                std::uint64_t seed);
 
+  /// Makes one append through this node.
+  void appendThrough(const std::string& relay, logstore::AppendRequest request,
+                     logstore::StoreCallback<logstore::AppendReply> callback);
+
   void append(logstore::AppendRequest request,
               logstore::StoreCallback<logstore::AppendReply> callback) override;
   void read(logstore::ReadRequest request,
@@ -40,8 +53,10 @@
 
  private:
   template <class Reply, class Decode>
-  void send(const logstore::StoreCallRequest& call, Duration timeLimit,
+  void send(const std::string& relay, const logstore::StoreCallRequest& call, Duration timeLimit,
             logstore::StoreCallback<Reply> callback, Decode decode);
+  /// \return a node chosen at random; empty when there is none.
+  std::string anyRelay();
 
   http::HttpClient& client_;
   std::function<std::vector<std::string>()> relays_;
--- /dev/null
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -0,0 +1,34 @@
+// The same seed strikes with the same faults; every kind comes up; none outlasts the soak.
+#include "lab/faultsoak/fault_plan.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+using namespace gorsetrail;
+using namespace gorsetrail::lab;
+
+TEST_GROUP(FaultPlan){};
+
+TEST(FaultPlan, followsFromTheSeed) {
+  const auto first = planFaults(7, seconds(60), 5, 4);
+  const auto again = planFaults(7, seconds(60), 5, 4);
+  LONGS_EQUAL(first.size(), again.size());
+  for (std::size_t index = 0; index < first.size(); ++index) {
+    CHECK(first[index].kind == again[index].kind && first[index].at == again[index].at);
+  }
+  CHECK(planFaults(8, seconds(60), 5, 4).front().at != first.front().at);
+}
+
+TEST(FaultPlan, everyKindComesUpAndEndsInTime) {
+  std::set<SoakFaultKind> kinds;
+  std::set<std::string> names;
+  for (const SoakFault& fault : planFaults(3, seconds(300), 5, 4)) {
+    kinds.insert(fault.kind);
+    names.insert(soakFaultName(fault.kind));
+    CHECK(fault.target < 5);
+    CHECK(fault.at + fault.duration <= seconds(300));
+  }
+  LONGS_EQUAL(10, kinds.size());
+  LONGS_EQUAL(10, names.size());
+}
--- /dev/null
+++ b/tests/fault_soak/promise_watcher_test.cpp
@@ -0,0 +1,101 @@
+// Each check of the fault soak fires on the fault it is for, and stays silent without it.
+#include "lab/faultsoak/promise_watcher.h"
+
+#include "lab/faultsoak/soak_replica.h"
+// CppUTest redefines `new`: it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail::lab;
+
+TEST_GROUP(PromiseWatcher) {
+  PromiseWatcher watcher{10};
+  std::string whole = SoakReplica::wholeStream("q1");
+
+  void setup() override { watcher.onProgram("p1", 80, 40); }
+  SoakAttempt sent(SoakRoute route, bool continues = false, const std::string& id = "q1") {
+    SoakAttempt attempt{id, route, "p1", "input", SoakReplica::wholeStream(id), continues};
+    watcher.onSent(attempt);
+    return attempt;
+  }
+  void checkOnly(const char* promise) {
+    LONGS_EQUAL(1, watcher.violations().size());
+    STRCMP_EQUAL(promise, watcher.violations().front().promise.c_str());
+  }
+};
+
+TEST(PromiseWatcher, isSilentWhileAllIsWell) {
+  sent(SoakRoute::Turn, true);
+  watcher.onRun("q1", "input", false);
+  watcher.onAnswer("q1", {200, true, whole});
+  sent(SoakRoute::Safe, false, "q2");
+  watcher.onRun("q2", "input", false);
+  watcher.onRun("q2", "input", false);
+  watcher.onAnswer("q2", {502, true, ""});
+  sent(SoakRoute::Turn, false, "q3");
+  watcher.onAnswer("q3", {503, true, ""});
+  sent(SoakRoute::Resumable, false, "q4");
+  watcher.onRun("q4", "input", false);
+  watcher.onRun("q4", "input", true);
+  watcher.onAnswer("q4", {200, false, ""});
+  LONGS_EQUAL(0, watcher.violations().size());
+}
+
+TEST(PromiseWatcher, seesASecondRun) {
+  sent(SoakRoute::Unsafe);
+  watcher.onRun("q1", "input", false);
+  watcher.onRun("q1", "input", false);
+  checkOnly("at_most_once");
+}
+
+TEST(PromiseWatcher, seesAPromiseThatCameTooLate) {
+  sent(SoakRoute::Turn);
+  watcher.onRun("q1", "input", false);
+  watcher.onAnswer("q1", {503, true, ""});
+  checkOnly("not_run_is_true");
+}
+
+TEST(PromiseWatcher, seesARunAfterThePromise) {
+  sent(SoakRoute::Turn);
+  watcher.onAnswer("q1", {402, true, ""});
+  watcher.onRun("q1", "input", false);
+  checkOnly("not_run_is_true");
+}
+
+TEST(PromiseWatcher, seesAWrongHistory) {
+  sent(SoakRoute::Turn);
+  watcher.onRun("q1", "inpu", false);
+  checkOnly("a_replica_gets_the_whole_input");
+}
+
+TEST(PromiseWatcher, seesARequestThatNobodySent) {
+  watcher.onRun("q9", "input", false);
+  checkOnly("only_requests_that_were_sent_run");
+}
+
+TEST(PromiseWatcher, seesALostTurn) {
+  sent(SoakRoute::Turn, true);
+  watcher.onAnswer("q1", {404, true, ""});
+  checkOnly("a_whole_turn_is_found");
+}
+
+TEST(PromiseWatcher, seesAnAnswerThatEndsTooEarly) {
+  sent(SoakRoute::Turn);
+  watcher.onAnswer("q1", {200, true, whole.substr(0, 20)});
+  checkOnly("an_answer_that_ends_is_whole");
+}
+
+TEST(PromiseWatcher, seesAnotherRequestsAnswer) {
+  sent(SoakRoute::Turn);
+  watcher.onAnswer("q1", {200, true, SoakReplica::wholeStream("q2")});
+  checkOnly("an_answer_is_the_request's_own");
+}
+
+TEST(PromiseWatcher, seesABudgetThatIsOverspent) {
+  // 80 tokens and the most of one turn are 120: the fourth whole stream of 40 is too much.
+  for (const char* id : {"q1", "q2", "q3", "q4"}) {
+    sent(SoakRoute::Turn, false, id);
+    watcher.onRun(id, "input", false);
+    watcher.onAnswer(id, {200, true, SoakReplica::wholeStream(id)});
+  }
+  checkOnly("a_budget_holds");
+}
--- /dev/null
+++ b/tools/fault_soak.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Fault soak: real edge nodes as separate processes between a stand-in store, replicas and clients,
+# with faults from outside (proxies, signals). Usage: fault_soak.sh [BUILD] [SECONDS] [SEED...]
+# Without seeds: the kept ones of lab/faultsoak/seeds.txt, then a fresh one. Exit code 0 only if no
+# promise was broken. Logs of each seed stand in run/fault-soak/SEED.
+set -uo pipefail
+build="${1:-build}"
+length_s="${2:-30}"
+shift $(($# < 2 ? $# : 2))
+bin="$build/bin"
+nodes=5
+seeds=("$@")
+if [ "${#seeds[@]}" -eq 0 ]; then
+  mapfile -t seeds < <(grep -oE '^[0-9]+' lab/faultsoak/seeds.txt)
+  seeds+=("$(date +%s)")
+fi
+
+# supervise RUN NODE: starts the node again whenever it ends, until the soak has ended.
+supervise() {
+  local run="$1" node="$2" process
+  while [ ! -e "$run/ended" ]; do
+    "$bin/gorsetrail-edge" --settings "$run/node-$node.toml" >>"$run/node-$node.log" 2>&1 &
+    process=$!
+    echo "$process" >"$run/node-$node.pid"
+    while kill -0 "$process" 2>/dev/null && [ ! -e "$run/ended" ]; do sleep 0.1; done
+    rm -f "$run/node-$node.pid"
+    if [ -e "$run/ended" ]; then kill -CONT "$process" 2>/dev/null; kill -KILL "$process" 2>/dev/null; fi
+    wait "$process" 2>/dev/null
+    sleep 0.3
+  done
+}
+
+soak() {
+  local seed="$1" run="run/fault-soak/$1" lab status
+  rm -rf "$run"
+  mkdir -p "$run"
+  "$bin/gorsetrail-lab" fault-soak "$run" "$length_s" "$nodes" --seed "$seed" >"$run/report.json" 2>"$run/lab.log" &
+  lab=$!
+  while [ ! -e "$run/ready" ] && kill -0 "$lab" 2>/dev/null; do sleep 0.1; done
+  local supervisors=()
+  for ((node = 0; node < nodes; node++)); do
+    supervise "$run" "$node" &
+    supervisors+=($!)
+  done
+  wait "$lab"
+  status=$?
+  touch "$run/ended"
+  wait "${supervisors[@]}"
+  cat "$run/report.json"
+  return "$status"
+}
+
+failed=()
+for seed in "${seeds[@]}"; do
+  soak "$seed" || failed+=("$seed")
+done
+echo "fault soak: ${#seeds[@]} seeds, ${#failed[@]} failed: ${failed[*]:-none}"
+[ "${#failed[@]}" -eq 0 ]
