Read followed topics once a zone; give each turn a second partition

Change: one node of each zone reads a followed topic for the others (TopicGateway, SharedTopicStore). A question is answered by a read that began after it came; registrations that only count a heartbeat pass on empty. A turn has a second partition in its zone, used when the first is out of order or silent for 0.6 s; 404 only after both of all zones were read.

Tests: topic_gateway_test is new; aTurnWhosePartitionIsOutOfOrderStandsInItsSecondOne, theSecondPartitionIsAnotherOneForEveryTurn.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -101,6 +101,19 @@
                    relayedStore_.appendThrough(address, std::move(request), std::move(callback));
                  },
                  {}),
+      configurationGateway_(
+          store_, *timers_, clock_, configurationPartition(),
+          [](const std::string& older, const std::string& newer) { return older == newer; }, {}),
+      replicaGateway_(store_, *timers_, clock_, replicaPartition(),
+                      [this](const std::string& older, const std::string& newer) {
+                        return parts_.documents.sameRegistration(older, newer);
+                      },
+                      {}),
+      memberGateway_(store_, *timers_, clock_, {kMemberTopic, 0},
+                     [](const std::string&, const std::string&) { return false; }, {}),
+      sharedTopics_(store_, relayedStore_, relayAddressOf(settings_), settings_.zone,
+                    [this] { return ledgerHomes().value_or(std::vector<ledger::HomeCandidate>()); },
+                    clock_, {}),
       localLedger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
       ledgerService_(localLedger_),
       ledgerPeers_(parts_.peers, [this] { return ledgerHomes(); }),
@@ -173,6 +186,17 @@
                                   const http::ResponseWriterPtr& writer) {
     onDirectoryRequest(request, writer);
   };
+  sharedTopics_.share(configurationPartition(), configurationGateway_);
+  sharedTopics_.share(replicaPartition(), replicaGateway_);
+  sharedTopics_.share({kMemberTopic, 0}, memberGateway_);
+  relayServer_.shareReads([this](const logstore::ReadRequest& request,
+                                 const logstore::StoreCallback<logstore::ReadReply>& reply) {
+    logstore::TopicGateway* const gateway = sharedTopics_.gatewayOf(request.partition);
+    if (gateway != nullptr) {
+      gateway->read(request, reply);
+    }
+    return gateway != nullptr;
+  });
   relayServer_.gatherAppends({kMemberTopic, 0},
                              [this](logstore::AppendRequest request,
                                     logstore::StoreCallback<logstore::AppendReply> callback) {
@@ -205,6 +229,14 @@
   return Success{};
 }
 
+logstore::PartitionAddress EdgeDaemon::configurationPartition() const {
+  return {parts_.documents.configurationTopic(), 0};
+}
+
+logstore::PartitionAddress EdgeDaemon::replicaPartition() const {
+  return {parts_.documents.replicaTopic(), 0};
+}
+
 EdgeSnapshot EdgeDaemon::snapshot() const {
   const Instant now = clock_();
   const logstore::StoreCounters& store = store_.counters();
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -16,6 +16,7 @@
 #include "edge/load_exchange.h"
 #include "edge/member_announcer.h"
 #include "edge/member_table.h"
+#include "edge/shared_topic_store.h"
 #include "edge/store_relay.h"
 #include "edge/wire_adapter.h"
 #include "http/http_server.h"
@@ -59,6 +60,8 @@
 
  private:
   Result<Success> listen();
+  [[nodiscard]] logstore::PartitionAddress configurationPartition() const;
+  [[nodiscard]] logstore::PartitionAddress replicaPartition() const;
   using RequestHandler = std::function<void(http::ServerRequest, http::ResponseWriterPtr)>;
   /// Listens at the address; an empty one is passed over. Errors: `InvalidSettings`.
   Result<Success> serve(http::HttpServerPtr& server, const std::string& address,
@@ -108,6 +111,10 @@
   logstore::PersistentStore store_;
   StoreRelayServer relayServer_;
   MemberAnnouncer announcer_;
+  logstore::TopicGateway configurationGateway_;
+  logstore::TopicGateway replicaGateway_;
+  logstore::TopicGateway memberGateway_;
+  SharedTopicStore sharedTopics_;
   ledger::ProgramLedger localLedger_;
   ledger::LedgerService ledgerService_;
   HttpLedgerPeers ledgerPeers_;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -5,6 +5,8 @@
 namespace gorsetrail::edge {
 namespace {
 
+/// Between two reads of the configuration; the zone's reader may add as much.
+constexpr Duration kConfigurationPause = milliseconds(200);
 /// Registrations that are missing so soon after an outage of the store lapsed because of it.
 constexpr Duration kOutageAftermath = milliseconds(2000);
 
@@ -12,8 +14,7 @@
 
 void EdgeDaemon::followConfiguration() {
   logstore::KeyedTopicFollowerKnobs knobs;
-  knobs.wait = milliseconds(1200);
-  knobs.pause = milliseconds(5);
+  knobs.pause = kConfigurationPause;
   logstore::KeyedTopicObserver observer;
   observer.onRecord = [this](const std::string& key, const std::string& value) {
     onConfigurationRecord(key, value);
@@ -27,8 +28,7 @@
     noteStoreSilence("configuration", error);
   };
   configurationFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
-      store_, *timers_, clock_,
-      logstore::PartitionAddress{parts_.documents.configurationTopic(), 0}, knobs, observer);
+      sharedTopics_, *timers_, clock_, configurationPartition(), knobs, observer);
   configurationFollower_->start();
 }
 
@@ -67,8 +67,8 @@
     noteStoreSilence("replicas", error);
   };
   replicaFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
-      store_, *timers_, clock_, logstore::PartitionAddress{parts_.documents.replicaTopic(), 0},
-      logstore::KeyedTopicFollowerKnobs{}, observer);
+      sharedTopics_, *timers_, clock_, replicaPartition(), logstore::KeyedTopicFollowerKnobs{},
+      observer);
   replicaFollower_->start();
 }
 
@@ -135,7 +135,8 @@
     noteStoreSilence("members", error);
   };
   memberFollower_ = std::make_shared<logstore::KeyedTopicFollower>(
-      store_, *timers_, clock_, logstore::PartitionAddress{kMemberTopic, 0}, knobs, observer);
+      sharedTopics_, *timers_, clock_, logstore::PartitionAddress{kMemberTopic, 0}, knobs,
+      observer);
   memberFollower_->start();
 }
 
--- /dev/null
+++ b/src/edge/shared_topic_store.h
@@ -0,0 +1,62 @@
+/// \file Reads of followed topics by way of one node of the zone.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "edge/store_relay.h"
+#include "ledger/home_selector.h"
+#include "logstore/log_store.h"
+#include "logstore/topic_gateway.h"
+
+namespace gorsetrail::edge {
+
+/// Knobs of `SharedTopicStore`.
+struct SharedTopicStoreKnobs {
+  Duration timeLimit = milliseconds(900);  ///< Of a read through another node.
+};
+
+/// All nodes follow the same topics. One node of each zone reads them for the others, so that the
+/// store's calls do not grow with the fleet; whoever gets no answer from it reads by itself.
+/// Listings and appends go straight to the store.
+class SharedTopicStore final : public logstore::LogStore {
+ public:
+  using Candidates = std::function<std::vector<ledger::HomeCandidate>()>;
+
+  /// \param direct, relay outlive this object.
+  SharedTopicStore(logstore::LogStore& direct, RelayedStore& relay, std::string ownAddress,
+                   std::string zone, Candidates candidates, logstore::ClockFunction clock,
+                   SharedTopicStoreKnobs knobs);
+
+  /// Serves a topic through its zone's reader. \param gateway outlives this object.
+  void share(const logstore::PartitionAddress& partition, logstore::TopicGateway& gateway);
+  /// \return the gateway that serves other nodes' reads of the partition, or null.
+  [[nodiscard]] logstore::TopicGateway* gatewayOf(
+      const logstore::PartitionAddress& partition) const;
+
+  void append(logstore::AppendRequest request,
+              logstore::StoreCallback<logstore::AppendReply> callback) override;
+  void read(logstore::ReadRequest request,
+            logstore::StoreCallback<logstore::ReadReply> callback) override;
+  void newest(logstore::NewestRequest request,
+              logstore::StoreCallback<logstore::NewestReply> callback) override;
+
+ private:
+  void readThrough(const std::string& reader, const logstore::ReadRequest& request,
+                   logstore::StoreCallback<logstore::ReadReply> callback);
+
+  logstore::LogStore& direct_;
+  RelayedStore& relay_;
+  std::string ownAddress_;
+  std::string zone_;
+  Candidates candidates_;
+  logstore::ClockFunction clock_;
+  SharedTopicStoreKnobs knobs_;
+  ledger::HomeSelector readers_{{}};
+  std::map<logstore::PartitionAddress, logstore::TopicGateway*> gateways_;
+};
+
+}  // namespace gorsetrail::edge
--- a/src/edge/store_relay.cpp
+++ b/src/edge/store_relay.cpp
@@ -43,13 +43,20 @@
   } else if (append != nullptr) {
     direct_.append(std::move(*append), replyTo<logstore::AppendReply>(shared));
   } else if (auto* const read = std::get_if<logstore::ReadRequest>(&call)) {
-    direct_.read(std::move(*read), replyTo<logstore::ReadReply>(shared));
+    onRead(std::move(*read), replyTo<logstore::ReadReply>(shared));
   } else {
     direct_.newest(std::move(std::get<logstore::NewestRequest>(call)),
                    replyTo<logstore::NewestReply>(shared));
   }
 }
 
+void StoreRelayServer::onRead(logstore::ReadRequest request,
+                              logstore::StoreCallback<logstore::ReadReply> reply) {
+  if (!share_ || !share_(request, reply)) {
+    direct_.read(std::move(request), std::move(reply));
+  }
+}
+
 RelayedStore::RelayedStore(http::HttpClient& client,
                            std::function<std::vector<std::string>()> relays, std::uint64_t seed)
     : client_(client), relays_(std::move(relays)), random_(seed) {}
@@ -87,6 +94,13 @@
                               logstore::decodeAppendReply);
 }
 
+void RelayedStore::readThrough(const std::string& relay, logstore::ReadRequest request,
+                               logstore::StoreCallback<logstore::ReadReply> callback) {
+  const Duration limit = request.timeLimit;
+  send<logstore::ReadReply>(relay, std::move(request), limit, std::move(callback),
+                            logstore::decodeReadReply);
+}
+
 void RelayedStore::append(logstore::AppendRequest request,
                           logstore::StoreCallback<logstore::AppendReply> callback) {
   const Duration limit = request.timeLimit;
--- a/src/edge/store_relay.h
+++ b/src/edge/store_relay.h
@@ -25,10 +25,17 @@
     gatheredPartition_ = std::move(partition);
     gather_ = std::move(handler);
   }
+  /// Reads are offered to this first; it returns whether it takes one.
+  using ReadHandler = std::function<bool(const logstore::ReadRequest&,
+                                         const logstore::StoreCallback<logstore::ReadReply>&)>;
+  void shareReads(ReadHandler handler) { share_ = std::move(handler); }
   void onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer);
 
  private:
+  void onRead(logstore::ReadRequest request, logstore::StoreCallback<logstore::ReadReply> reply);
+
   logstore::LogStore& direct_;
+  ReadHandler share_;
   logstore::PartitionAddress gatheredPartition_;
   AppendHandler gather_;
 };
@@ -44,6 +51,10 @@
   void appendThrough(const std::string& relay, logstore::AppendRequest request,
                      logstore::StoreCallback<logstore::AppendReply> callback);
 
+  /// Makes one read through this node.
+  void readThrough(const std::string& relay, logstore::ReadRequest request,
+                   logstore::StoreCallback<logstore::ReadReply> callback);
+
   void append(logstore::AppendRequest request,
               logstore::StoreCallback<logstore::AppendReply> callback) override;
   void read(logstore::ReadRequest request,
--- a/src/edge/wire_adapter.h
+++ b/src/edge/wire_adapter.h
@@ -53,6 +53,9 @@
   /// Errors: `InvalidField`.
   [[nodiscard]] virtual Result<routing::ReplicaEntry> readReplicaEntry(
       std::string_view id, std::string_view document) const = 0;
+  /// \return whether two registrations of one replica differ in nothing that matters.
+  [[nodiscard]] virtual bool sameRegistration(std::string_view left,
+                                              std::string_view right) const = 0;
   [[nodiscard]] virtual std::string configurationTopic() const = 0;
   [[nodiscard]] virtual std::string configurationKey() const = 0;
   [[nodiscard]] virtual std::string replicaTopic() const = 0;
--- a/src/ledger/ledger_message.h
+++ b/src/ledger/ledger_message.h
@@ -9,16 +9,17 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "ledger/facts.h"
+#include "ledger/ledger_partitions.h"
 
 namespace gorsetrail::ledger {
 
-/// Asks for a turn's own record in a zone's partitions.
+/// Asks for a turn's own record in one of the partitions that it may stand in.
 struct FindTurnRequest {
-  std::string zone;
+  TurnPlacement placement;
   std::string turn;
 };
 struct StoreTurnRequest {
-  std::string zone;
+  TurnPlacement placement;
   CompletedTurn record;
   Duration timeLimit{};
 };
--- a/src/ledger/ledger_partitions.cpp
+++ b/src/ledger/ledger_partitions.cpp
@@ -8,24 +8,30 @@
 constexpr const char* kTurnTopic = "turns-";
 constexpr const char* kBudgetTopic = "budgets-";
 
-logstore::PartitionAddress spread(const std::string& topicPrefix, std::string_view key,
-                                  std::uint32_t partitions, std::uint32_t partitionsPerTopic) {
-  const auto number = static_cast<std::uint32_t>(XXH64(key.data(), key.size(), 0) % partitions);
+logstore::PartitionAddress addressOf(const std::string& topicPrefix, std::uint64_t index,
+                                     std::uint32_t partitionsPerTopic) {
+  const auto number = static_cast<std::uint32_t>(index);
   return {topicPrefix + std::to_string(number / partitionsPerTopic), number % partitionsPerTopic};
 }
 
 }  // namespace
 
-logstore::PartitionAddress LedgerPartitions::ofTurn(std::string_view zone,
-                                                    std::string_view turn) const {
+logstore::PartitionAddress LedgerPartitions::ofTurn(std::string_view zone, std::string_view turn,
+                                                    std::uint32_t choice) const {
   std::string topicPrefix = kTurnTopic;
   topicPrefix += zone;
   topicPrefix += '-';
-  return spread(topicPrefix, turn, knobs_.turnPartitions, knobs_.partitionsPerTopic);
+  const std::uint64_t hash = XXH64(turn.data(), turn.size(), 0);
+  const std::uint64_t others = knobs_.turnPartitions - 1;
+  // The second choice is spread over all other partitions, whatever the first.
+  const std::uint64_t step =
+      choice == 0 || others == 0 ? 0 : 1 + hash / knobs_.turnPartitions % others;
+  return addressOf(topicPrefix, (hash + step) % knobs_.turnPartitions, knobs_.partitionsPerTopic);
 }
 
 logstore::PartitionAddress LedgerPartitions::ofBudget(std::string_view program) const {
-  return spread(kBudgetTopic, program, knobs_.budgetPartitions, knobs_.partitionsPerTopic);
+  const std::uint64_t hash = XXH64(program.data(), program.size(), 0);
+  return addressOf(kBudgetTopic, hash % knobs_.budgetPartitions, knobs_.partitionsPerTopic);
 }
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/ledger_partitions.h
+++ b/src/ledger/ledger_partitions.h
@@ -18,14 +18,28 @@
   std::uint32_t budgetPartitions = 8;
 };
 
+/// Partitions of a zone that a turn may stand in.
+inline constexpr std::uint32_t kTurnChoices = 2;
+
+/// Names one of the partitions that a turn may stand in.
+struct TurnPlacement {
+  std::string zone;
+  std::uint32_t choice = 0;  ///< Below `kTurnChoices`.
+};
+
 /// A turn stands in a partition of the zone that answered it, so that its bytes stay there; a
 /// program has one partition for its budget wherever it runs.
 class LedgerPartitions {
  public:
   explicit LedgerPartitions(LedgerPartitionsKnobs knobs) : knobs_(knobs) {}
 
-  [[nodiscard]] logstore::PartitionAddress ofTurn(std::string_view zone,
-                                                  std::string_view turn) const;
+  /// \param choice 0: the turn's own partition; 1: where it stands when that one was out of order.
+  [[nodiscard]] logstore::PartitionAddress ofTurn(std::string_view zone, std::string_view turn,
+                                                  std::uint32_t choice = 0) const;
+  [[nodiscard]] logstore::PartitionAddress ofTurn(const TurnPlacement& placement,
+                                                  std::string_view turn) const {
+    return ofTurn(placement.zone, turn, placement.choice);
+  }
   [[nodiscard]] logstore::PartitionAddress ofBudget(std::string_view program) const;
 
  private:
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -52,10 +52,10 @@
 logstore::PartitionAddress LedgerService::partitionOf(const LedgerRequest& request) const {
   const LedgerPartitions& layout = ledger_.layout();
   if (const auto* const find = std::get_if<FindTurnRequest>(&request)) {
-    return layout.ofTurn(find->zone, find->turn);
+    return layout.ofTurn(find->placement, find->turn);
   }
   if (const auto* const store = std::get_if<StoreTurnRequest>(&request)) {
-    return layout.ofTurn(store->zone, store->record.request);
+    return layout.ofTurn(store->placement, store->record.request);
   }
   if (const auto* const reserve = std::get_if<ReserveRequest>(&request)) {
     return layout.ofBudget(reserve->reservation.program);
@@ -74,14 +74,15 @@
 }
 
 void LedgerService::run(const FindTurnRequest& request, LedgerReplyCallback callback) {
-  ledger_.findTurn(request.zone, request.turn, [callback = std::move(callback)](TurnAnswer answer) {
-    callback(replyOf(std::move(answer)));
-  });
+  ledger_.findTurn(request.placement, request.turn,
+                   [callback = std::move(callback)](TurnAnswer answer) {
+                     callback(replyOf(std::move(answer)));
+                   });
 }
 
 void LedgerService::run(StoreTurnRequest request, LedgerReplyCallback callback) {
   ledger_.storeRecord(
-      request.zone, std::move(request.record), request.timeLimit,
+      request.placement, std::move(request.record), request.timeLimit,
       [callback = std::move(callback)](const logstore::StoreResult<Success>& stored) {
         callback(replyOf(stored));
       });
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -61,14 +61,14 @@
   }
 }
 
-void ProgramLedger::findTurn(const std::string& zone, const std::string& turn,
+void ProgramLedger::findTurn(const TurnPlacement& placement, const std::string& turn,
                              TurnCallback callback) {
   if (const CompletedTurn* const cached = turns_.find(turn)) {
     callback(*cached);
     return;
   }
   ++wanted_[turn];
-  partitionAt(layout_.ofTurn(zone, turn))
+  partitionAt(layout_.ofTurn(placement, turn))
       .reader->readToEnd(
           [this, turn, callback = std::move(callback)](const logstore::StoreResult<Success>& read) {
             if (--wanted_[turn] == 0) {
@@ -84,7 +84,7 @@
 }
 
 void ProgramLedger::findHistory(const std::string& turn, HistoryCallback callback) {
-  findTurn(knobs_.zone, turn, [this, callback = std::move(callback)](TurnAnswer answer) {
+  findTurn({knobs_.zone, 0}, turn, [this, callback = std::move(callback)](TurnAnswer answer) {
     if (auto* const found = std::get_if<CompletedTurn>(&answer)) {
       findBase(std::move(*found), callback);
     } else if (auto* const unavailable = std::get_if<LedgerUnavailable>(&answer)) {
@@ -111,17 +111,17 @@
 }
 
 void ProgramLedger::storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) {
-  storeRecord(knobs_.zone, completedTurnOf(std::move(turn), knobs_.maximumInlineHistoryBytes),
+  storeRecord({knobs_.zone, 0}, completedTurnOf(std::move(turn), knobs_.maximumInlineHistoryBytes),
               timeLimit, std::move(callback));
 }
 
-void ProgramLedger::storeRecord(const std::string& zone, CompletedTurn record, Duration timeLimit,
-                                StoredCallback callback) {
+void ProgramLedger::storeRecord(const TurnPlacement& placement, CompletedTurn record,
+                                Duration timeLimit, StoredCallback callback) {
   if (record.history.size() + kRecordOverheadBytes > knobs_.maximumRecordBytes) {
     callback(logstore::StoreError{logstore::StoreFault::Rejected, "the turn is too long", 0});
     return;
   }
-  Partition& partition = partitionAt(layout_.ofTurn(zone, record.request));
+  Partition& partition = partitionAt(layout_.ofTurn(placement, record.request));
   std::string bytes = encodeFact(record);
   partition.batcher->append(
       std::move(bytes), knobs_.turnWindow, timeLimit,
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -69,10 +69,10 @@
   [[nodiscard]] bool isWritable(const std::string& turn, const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
-  /// Finds a turn's own record in a zone's partitions. Calls back at once when it is in memory.
-  void findTurn(const std::string& zone, const std::string& turn, TurnCallback callback);
-  /// Stores a turn's record in a zone's partitions.
-  void storeRecord(const std::string& zone, CompletedTurn record, Duration timeLimit,
+  /// Finds a turn's own record in one partition. Calls back at once when it is in memory.
+  void findTurn(const TurnPlacement& placement, const std::string& turn, TurnCallback callback);
+  /// Stores a turn's record in one partition.
+  void storeRecord(const TurnPlacement& placement, CompletedTurn record, Duration timeLimit,
                    StoredCallback callback);
   /// As `reserve`, and tells what the program has used.
   void reserveAndTell(const BudgetReservation& reservation, std::uint64_t budget,
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -198,29 +198,46 @@
 }
 
 bool RoutedLedger::isWritable(const std::string& turn, const std::string& program) {
-  return peers_.areKnown() && answers(layout_.ofTurn(knobs_.zone, turn)) &&
-         answers(layout_.ofBudget(program));
+  const bool turnAnswers = answers(layout_.ofTurn(knobs_.zone, turn, 0)) ||
+                           answers(layout_.ofTurn(knobs_.zone, turn, 1));
+  return peers_.areKnown() && turnAnswers && answers(layout_.ofBudget(program));
 }
 
+/// One turn that is being looked for.
+struct RoutedLedger::Search {
+  std::string turn;
+  HistoryCallback callback;
+  std::uint32_t next = 0;   ///< Choices of all zones, the own zone's first.
+  std::string unavailable;  ///< Why a partition could not be read; empty: all were.
+};
+
 void RoutedLedger::findHistory(const std::string& turn, HistoryCallback callback) {
-  findIn(0, turn, std::move(callback));
+  searchNext(std::make_shared<Search>(Search{turn, std::move(callback), 0, {}}));
 }
 
-void RoutedLedger::findIn(std::size_t zoneIndex, const std::string& turn,
-                          HistoryCallback callback) {
-  const std::string& zone = knobs_.zones[zoneIndex];
-  start(FindTurnRequest{zone, turn}, layout_.ofTurn(zone, turn), zone, knobs_.findTimeLimit,
-        [this, zoneIndex, turn, callback = std::move(callback)](LedgerReply reply) {
-          const bool lastZone = zoneIndex + 1 == knobs_.zones.size();
+// Only when every partition that the turn may stand in was read to its end, it is unknown.
+void RoutedLedger::searchNext(const std::shared_ptr<Search>& search) {
+  if (search->next == kTurnChoices * knobs_.zones.size()) {
+    if (search->unavailable.empty()) {
+      search->callback(UnknownTurn{});
+    } else {
+      search->callback(LedgerUnavailable{search->unavailable});
+    }
+    return;
+  }
+  const TurnPlacement placement{knobs_.zones[search->next / kTurnChoices],
+                                search->next % kTurnChoices};
+  ++search->next;
+  start(FindTurnRequest{placement, search->turn}, layout_.ofTurn(placement, search->turn),
+        placement.zone, knobs_.findTimeLimit, [this, search](LedgerReply reply) {
           if (reply.outcome == LedgerOutcome::Done) {
-            onTurnFound(std::move(reply), callback);
-          } else if (reply.outcome != LedgerOutcome::UnknownTurn) {
-            callback(LedgerUnavailable{std::move(reply.reason)});
-          } else if (lastZone) {
-            callback(UnknownTurn{});
-          } else {
-            findIn(zoneIndex + 1, turn, callback);
+            onTurnFound(std::move(reply), search->callback);
+            return;
+          }
+          if (reply.outcome != LedgerOutcome::UnknownTurn) {
+            search->unavailable = reply.reason.empty() ? "no answer" : reply.reason;
           }
+          searchNext(search);
         });
 }
 
@@ -239,20 +256,70 @@
   });
 }
 
+/// One turn that is being stored; it may come to stand in both of its partitions.
+struct RoutedLedger::Storing {
+  CompletedTurn record;
+  StoredCallback callback;
+  Instant deadline;
+  std::uint32_t underWay = 0;
+  bool triedBoth = false;
+  bool done = false;
+};
+
 void RoutedLedger::storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) {
-  const logstore::PartitionAddress partition = layout_.ofTurn(knobs_.zone, turn.request);
-  CompletedTurn record = completedTurnOf(std::move(turn), knobs_.maximumInlineHistoryBytes);
-  start(StoreTurnRequest{knobs_.zone, std::move(record), timeLimit}, partition, knobs_.zone,
-        timeLimit, [callback = std::move(callback)](const LedgerReply& reply) {
-          if (reply.outcome == LedgerOutcome::Done) {
-            callback(Success{});
-            return;
-          }
-          const bool rejected = reply.outcome == LedgerOutcome::Rejected;
-          callback(logstore::StoreError{
-              rejected ? logstore::StoreFault::Rejected : logstore::StoreFault::NoAnswer,
-              reply.reason, 0});
-        });
+  auto storing = std::make_shared<Storing>();
+  storing->record = completedTurnOf(std::move(turn), knobs_.maximumInlineHistoryBytes);
+  storing->callback = std::move(callback);
+  storing->deadline = clock_() + timeLimit;
+  const std::string& name = storing->record.request;
+  const bool firstAnswers = answers(layout_.ofTurn(knobs_.zone, name, 0));
+  const bool secondAnswers = answers(layout_.ofTurn(knobs_.zone, name, 1));
+  const std::uint32_t choice = !firstAnswers && secondAnswers ? 1 : 0;
+  storeIn(choice, storing);
+  timers_.runAfter(knobs_.secondChoiceAfter, [this, weak = std::weak_ptr(storing), choice] {
+    if (const auto waiting = weak.lock()) {
+      storeInOther(choice, waiting);
+    }
+  });
+}
+
+void RoutedLedger::storeInOther(std::uint32_t choice, const std::shared_ptr<Storing>& storing) {
+  if (!storing->done && !storing->triedBoth && clock_() < storing->deadline) {
+    storing->triedBoth = true;
+    storeIn(1 - choice, storing);
+  }
+}
+
+void RoutedLedger::storeIn(std::uint32_t choice, const std::shared_ptr<Storing>& storing) {
+  const TurnPlacement placement{knobs_.zone, choice};
+  const Duration timeLimit = storing->deadline - clock_();
+  ++storing->underWay;
+  start(StoreTurnRequest{placement, storing->record, timeLimit},
+        layout_.ofTurn(placement, storing->record.request), knobs_.zone, timeLimit,
+        [this, choice, storing](const LedgerReply& reply) { onStored(choice, storing, reply); });
+}
+
+void RoutedLedger::onStored(std::uint32_t choice, const std::shared_ptr<Storing>& storing,
+                            const LedgerReply& reply) {
+  --storing->underWay;
+  if (storing->done) {
+    return;
+  }
+  const bool rejected = reply.outcome == LedgerOutcome::Rejected;
+  const bool stored = reply.outcome == LedgerOutcome::Done;
+  if (!stored && !rejected) {
+    storeInOther(choice, storing);
+    if (storing->underWay > 0) {
+      return;
+    }
+  }
+  storing->done = true;
+  if (stored) {
+    storing->callback(Success{});
+  } else {
+    const auto fault = rejected ? logstore::StoreFault::Rejected : logstore::StoreFault::NoAnswer;
+    storing->callback(logstore::StoreError{fault, reply.reason, 0});
+  }
 }
 
 void RoutedLedger::reserve(const BudgetReservation& reservation, std::uint64_t budget,
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -47,6 +47,8 @@
   LedgerPartitionsKnobs partitions;
   std::size_t maximumInlineHistoryBytes = std::size_t{32} * 1024;
   Duration findTimeLimit = milliseconds(1500);
+  /// A turn that is not stored for so long is stored in its second partition too.
+  Duration secondChoiceAfter = milliseconds(600);
   Duration settleTimeLimit = milliseconds(1500);
   Duration accountLifetime = seconds(300);
   /// When to ask a silent home for a sign of life: learned from replies, within these bounds.
@@ -96,7 +98,13 @@
   void onReply(const std::shared_ptr<Call>& call, const std::string& home, Instant askedAt,
                std::optional<LedgerReply> reply);
   void finish(const std::shared_ptr<Call>& call, LedgerReply reply);
-  void findIn(std::size_t zoneIndex, const std::string& turn, HistoryCallback callback);
+  struct Search;
+  void searchNext(const std::shared_ptr<Search>& search);
+  struct Storing;
+  void storeIn(std::uint32_t choice, const std::shared_ptr<Storing>& storing);
+  void storeInOther(std::uint32_t choice, const std::shared_ptr<Storing>& storing);
+  void onStored(std::uint32_t choice, const std::shared_ptr<Storing>& storing,
+                const LedgerReply& reply);
   void onTurnFound(LedgerReply reply, HistoryCallback callback);
   void watchSilence(const std::shared_ptr<Call>& call, Duration patience);
   void onImpatience(const std::shared_ptr<Call>& call, Duration patience);
--- a/tests/ledger/ledger_message_test.cpp
+++ b/tests/ledger/ledger_message_test.cpp
@@ -20,11 +20,13 @@
 TEST_GROUP(LedgerMessage){};
 
 TEST(LedgerMessage, requestsComeBackAsTheyWere) {
-  const auto find = sentAndRead(FindTurnRequest{"hall-a", "t1"});
-  STRCMP_EQUAL("hall-a", find.zone.c_str());
+  const auto find = sentAndRead(FindTurnRequest{{"hall-a", 1}, "t1"});
+  STRCMP_EQUAL("hall-a", find.placement.zone.c_str());
+  LONGS_EQUAL(1, find.placement.choice);
   STRCMP_EQUAL("t1", find.turn.c_str());
   const std::string bytes("a\0b", 3);
-  const auto store = sentAndRead(StoreTurnRequest{"z", {"t2", "t1", bytes}, milliseconds(70)});
+  const auto store = sentAndRead(StoreTurnRequest{{"z", 1}, {"t2", "t1", bytes}, milliseconds(70)});
+  LONGS_EQUAL(1, store.placement.choice);
   STRCMP_EQUAL("t1", store.record.base.c_str());
   CHECK(store.record.history == bytes);
   CHECK(store.timeLimit == milliseconds(70));
@@ -46,7 +48,7 @@
 }
 
 TEST(LedgerMessage, cutSpoiltAndForeignBytesAreErrors) {
-  const std::string whole = encodeLedgerRequest(StoreTurnRequest{"z", {"t", "", "text"}, {}});
+  const std::string whole = encodeLedgerRequest(StoreTurnRequest{{"z", 0}, {"t", "", "text"}, {}});
   for (std::size_t length = 0; length < whole.size(); ++length) {
     const auto read = decodeLedgerRequest(std::string_view(whole).substr(0, length));
     // Only bytes that carry nothing may be missing.
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -277,6 +277,36 @@
   CHECK_TRUE(node.ledger.isWritable("t", "program"));
 }
 
+TEST(RoutedLedger, aTurnWhosePartitionIsOutOfOrderStandsInItsSecondOne) {
+  const LedgerPartitions layout{{}};
+  log.downPartitions = {layout.ofTurn("a", "t1", 0)};
+  CHECK_TRUE(storeTurn(0, "t1", "", "text", milliseconds(900)));
+  STRCMP_EQUAL("text", textOf(1, "t1").c_str());
+  STRCMP_EQUAL("text", textOf(4, "t1").c_str());
+  // Of another turn nothing can be said: it may stand in the partition that cannot be read.
+  std::string unseen;
+  for (int number = 0; unseen.empty(); ++number) {
+    const std::string name = "u" + std::to_string(number);
+    unseen = layout.ofTurn("a", name, 0) == layout.ofTurn("a", "t1", 0) ? name : "";
+  }
+  CHECK_TRUE(std::holds_alternative<LedgerUnavailable>(find(2, unseen)));
+  log.downPartitions.clear();
+  timers.advance(seconds(2));
+  CHECK_TRUE(std::holds_alternative<UnknownTurn>(find(2, unseen)));
+  STRCMP_EQUAL("text", textOf(3, "t1").c_str());
+}
+
+TEST(RoutedLedger, theSecondPartitionIsAnotherOneForEveryTurn) {
+  const LedgerPartitions layout{{}};
+  std::set<logstore::PartitionAddress> seconds;
+  for (int number = 0; number < 200; ++number) {
+    const std::string name = "t" + std::to_string(number);
+    CHECK(layout.ofTurn("a", name, 0) != layout.ofTurn("a", name, 1));
+    seconds.insert(layout.ofTurn("a", name, 1));
+  }
+  LONGS_EQUAL(4, seconds.size());
+}
+
 TEST(RoutedLedger, nothingIsReadBeforeTheNodesAreKnown) {
   CHECK_TRUE(storeTurn(0, "t1", "", "text"));
   fleet.known = false;
--- a/tests/logstore/fake_log_store.h
+++ b/tests/logstore/fake_log_store.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,7 +57,8 @@
       log.insert(log.end(), request.records.begin(), request.records.end());
       return AppendReply{offset, log.size()};
     };
-    answer<AppendReply>(request.timeLimit, std::move(apply), std::move(callback));
+    answer<AppendReply>(request.partition, request.timeLimit, std::move(apply),
+                        std::move(callback));
   }
 
   void read(ReadRequest request, StoreCallback<ReadReply> callback) override {
@@ -70,7 +72,7 @@
       }
       return reply;
     };
-    answer<ReadReply>(request.timeLimit, std::move(apply), std::move(callback));
+    answer<ReadReply>(request.partition, request.timeLimit, std::move(apply), std::move(callback));
   }
 
   void newest(NewestRequest request, StoreCallback<NewestReply> callback) override {
@@ -94,11 +96,13 @@
       }
       return reply;
     };
-    answer<NewestReply>(request.timeLimit, std::move(apply), std::move(callback));
+    answer<NewestReply>(request.partition, request.timeLimit, std::move(apply),
+                        std::move(callback));
   }
 
   std::map<PartitionAddress, std::vector<std::string>> logs;
   FakeFault fault = FakeFault::None;
+  std::set<PartitionAddress> downPartitions;  ///< Refuse all calls, as with `Busy`.
   Duration latency = milliseconds(4);
   std::size_t page = 100;
   int appends = 0;
@@ -106,8 +110,9 @@
 
  private:
   template <class Reply>
-  void answer(Duration timeLimit, std::function<Reply()> apply, StoreCallback<Reply> callback) {
-    const FakeFault now = fault;
+  void answer(const PartitionAddress& partition, Duration timeLimit, std::function<Reply()> apply,
+              StoreCallback<Reply> callback) {
+    const FakeFault now = downPartitions.count(partition) > 0 ? FakeFault::Busy : fault;
     if (now == FakeFault::Silent || now == FakeFault::LostReply || latency > timeLimit) {
       if (now != FakeFault::Silent) {
         timers_.runAfter(latency, [apply] { apply(); });
--- /dev/null
+++ b/tests/logstore/topic_gateway_test.cpp
@@ -0,0 +1,164 @@
+// Many followers behind one reader: what they get, and how many reads the store gets.
+#include "logstore/topic_gateway.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+
+#include "logstore/fake_log_store.h"
+#include "logstore/keyed_topic_follower.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::logstore;
+
+namespace {
+
+/// Reads go through the gateway, listings straight to the store.
+class GatewayStore final : public LogStore {
+ public:
+  GatewayStore(LogStore& store, TopicGateway& gateway) : store_(store), gateway_(gateway) {}
+  void append(AppendRequest request, StoreCallback<AppendReply> callback) override {
+    store_.append(std::move(request), std::move(callback));
+  }
+  void read(ReadRequest request, StoreCallback<ReadReply> callback) override {
+    gateway_.read(request, std::move(callback));
+  }
+  void newest(NewestRequest request, StoreCallback<NewestReply> callback) override {
+    store_.newest(std::move(request), std::move(callback));
+  }
+
+ private:
+  LogStore& store_;
+  TopicGateway& gateway_;
+};
+
+}  // namespace
+
+TEST_GROUP(TopicGateway) {
+  FakeTimers timers;
+  FakeLogStore log{timers};
+  PartitionAddress partition{"keyed.x", 0};
+  TopicGatewayKnobs knobs;
+  std::unique_ptr<TopicGateway> gateway;
+  std::unique_ptr<GatewayStore> store;
+  std::vector<std::shared_ptr<KeyedTopicFollower>> followers;
+  std::vector<std::map<std::string, std::string>> views;
+  int news = 0;
+
+  void setup() override {
+    gateway = std::make_unique<TopicGateway>(
+        log, timers, [this] { return timers.now; }, partition,
+        [](const std::string& older, const std::string& newer) {
+          return older.substr(0, older.find('#')) == newer.substr(0, newer.find('#'));
+        },
+        knobs);
+    store = std::make_unique<GatewayStore>(log, *gateway);
+  }
+  void put(const std::string& key, const std::string& value) {
+    log.logs[partition].push_back(encodeKeyedRecord(key, value));
+  }
+  void follow(std::size_t count) {
+    views.resize(views.size() + count);
+    for (std::size_t index = views.size() - count; index < views.size(); ++index) {
+      KeyedTopicObserver observer;
+      observer.onRecord = [this, index](const std::string& key, const std::string& value) {
+        ++news;
+        views[index][key] = value;
+      };
+      observer.onListed = [](const std::vector<std::string>&) {};
+      observer.onFresh = [](Instant) {};
+      observer.onStale = [](const StoreError&) {};
+      followers.push_back(std::make_shared<KeyedTopicFollower>(
+          *store, timers, [this] { return timers.now; }, partition,
+          KeyedTopicFollowerKnobs{Duration::zero(), milliseconds(300), milliseconds(500)},
+          observer));
+      followers.back()->start();
+    }
+  }
+  StoreResult<ReadReply> readFrom(std::uint64_t start) {
+    StoreResult<ReadReply> got;
+    gateway->read({partition, start}, [&got](StoreResult<ReadReply> result) { got = result; });
+    timers.advance(seconds(1));
+    return got;
+  }
+};
+
+TEST(TopicGateway, manyFollowersCostTheStoreAsMuchAsOne) {
+  put("a", "1");
+  follow(50);
+  timers.advance(seconds(1));
+  const int before = log.reads;
+  for (int round = 0; round < 10; ++round) {
+    put("a", std::to_string(round));
+    timers.advance(seconds(1));
+  }
+  CHECK(log.reads - before <= 55);
+  for (const auto& view : views) {
+    STRCMP_EQUAL("9", view.at("a").c_str());
+  }
+}
+
+TEST(TopicGateway, recordsWithoutNewsAreNotPassedOnAndNothingElseIsLost) {
+  put("a", "ready#1");
+  follow(3);
+  timers.advance(seconds(1));
+  news = 0;
+  for (int beat = 2; beat < 20; ++beat) {
+    put("a", "ready#" + std::to_string(beat));
+    timers.advance(milliseconds(400));
+  }
+  CHECK(news <= 3);  // The reader has to see the key once itself.
+  put("a", "leaving#20");
+  put("b", "ready#1");
+  timers.advance(seconds(1));
+  follow(1);
+  timers.advance(milliseconds(100));
+  put("a", "");
+  timers.advance(seconds(1));
+  for (const auto& view : views) {
+    STRCMP_EQUAL("", view.at("a").c_str());
+    STRCMP_EQUAL("ready#1", view.at("b").c_str());
+  }
+}
+
+TEST(TopicGateway, answersWithWhatStoodInTheLogWhenItWasAsked) {
+  put("a", "1");
+  log.latency = milliseconds(50);
+  readFrom(0);
+  std::optional<std::uint64_t> end;
+  gateway->read({partition, 0}, [&end](const StoreResult<ReadReply>& result) {
+    end = std::get<ReadReply>(result).end;
+  });
+  timers.advance(milliseconds(10));
+  // A read is under way; a later question must not be answered by it.
+  put("a", "2");
+  std::optional<std::uint64_t> later;
+  gateway->read({partition, 0}, [&later](const StoreResult<ReadReply>& result) {
+    later = std::get<ReadReply>(result).end;
+  });
+  timers.advance(seconds(1));
+  CHECK_TRUE(end.has_value() && later.has_value());
+  LONGS_EQUAL(2, *later);
+}
+
+TEST(TopicGateway, offsetsThatAreNotKeptAreRefused) {
+  setup();
+  knobs.cachedRecords = 5;
+  setup();
+  for (int number = 0; number < 20; ++number) {
+    put("k" + std::to_string(number), "v");
+  }
+  readFrom(0);
+  CHECK(std::get<StoreError>(readFrom(3)).fault == StoreFault::Busy);
+  LONGS_EQUAL(2, std::get<ReadReply>(readFrom(18)).records.size());
+  CHECK(std::get<StoreError>(readFrom(21)).fault == StoreFault::Busy);
+}
+
+TEST(TopicGateway, passesOnThatTheStoreDoesNotAnswer) {
+  put("a", "1");
+  log.fault = FakeFault::Busy;
+  CHECK(std::get<StoreError>(readFrom(0)).fault == StoreFault::Busy);
+  log.fault = FakeFault::None;
+  LONGS_EQUAL(1, std::get<ReadReply>(readFrom(0)).records.size());
+}
