--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 CMAKE_FLAGS ?=
 
-.PHONY: help setup build test lint format test-sanitize model-check bench demo capacity clean
+.PHONY: help setup build test lint format test-sanitize model-check bench demo soak capacity clean
 
 help: ## Show the commands
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:[^#]*## /\t/' | expand -t 18
@@ -36,6 +36,9 @@
 demo: build ## Run both sites on embedded stand-ins and check every promise
 	@tools/demo.sh $(BUILD)
 
+soak: build ## Real edge nodes under faults from outside: kept seeds and a fresh one
+	@tools/fault_soak.sh $(BUILD)
+
 capacity: build ## Redo the figures of docs/CAPACITY.md
 	@tools/capacity.sh $(BUILD)
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -50,15 +50,6 @@
   return settings.ip + ":" + std::to_string(settings.firstInternalPort);
 }
 
-ledger::RoutedLedgerKnobs routedLedgerKnobsOf(const EdgeSettings& settings) {
-  ledger::RoutedLedgerKnobs knobs;
-  knobs.ownAddress = relayAddressOf(settings);
-  knobs.zone = settings.zone;
-  knobs.zones = settings.zones;
-  knobs.partitions.partitionsPerTopic = settings.store.partitionsPerTopic;
-  return knobs;
-}
-
 /// \return what a client gets whose request could not be read.
 unsigned statusOf(http::ProtocolFault fault) {
   constexpr unsigned kBadRequest = 400;
@@ -117,7 +108,7 @@
       localLedger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
       ledgerService_(localLedger_),
       ledgerPeers_(parts_.peers, [this] { return ledgerHomes(); }),
-      ledger_(ledgerService_, ledgerPeers_, *timers_, clock_, routedLedgerKnobsOf(settings_), seed),
+      ledger_(ledgerService_, ledgerPeers_, *timers_, clock_, routedLedgerKnobs(), seed),
       ledgerServer_(ledgerService_),
       routes_(seed),
       selector_(settings_.zone, {}),
@@ -131,6 +122,18 @@
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
 
+ledger::RoutedLedgerKnobs EdgeDaemon::routedLedgerKnobs() {
+  ledger::RoutedLedgerKnobs knobs;
+  knobs.ownAddress = relayAddressOf(settings_);
+  knobs.zone = settings_.zone;
+  knobs.zones = settings_.zones;
+  knobs.partitions.partitionsPerTopic = settings_.store.partitionsPerTopic;
+  knobs.onSilence = [this](const std::string& address, bool silent) {
+    log_.important(silent ? "node_silent" : "node_answers", {{"address", address}});
+  };
+  return knobs;
+}
+
 Result<Success> EdgeDaemon::start() {
   auto listening = listen();
   if (!succeeded(listening)) {
@@ -247,6 +250,10 @@
   figures.storeThrottled = store.throttled;
   figures.storeBusy = store.busy;
   figures.storeGivenUp = store.givenUp;
+  const ledger::RoutedLedgerCounters& calls = ledger_.counters();
+  figures.ledgerCalls = calls.calls;
+  figures.ledgerCallsPassedOn = calls.passedOn;
+  figures.ledgerCallsFailed = calls.failed;
   figures.storeThroughRelay = failoverStore_.isDirect() ? 0 : 1;
   figures.dispatches = context_.counters.dispatches;
   figures.retries = context_.counters.retries;
@@ -328,7 +335,8 @@
     writer->sendWhole({kNotFound, {}, {}});
     return;
   }
-  std::vector<std::string> addresses = members_.clientAddresses(query->zone);
+  std::vector<std::string> addresses = members_.clientAddresses(
+      query->zone, [this](const std::string& relay) { return ledger_.isSuspect(relay); });
   if (addresses.empty() && isReady()) {
     addresses.push_back(settings_.listen.clients);
   }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -59,6 +59,7 @@
   [[nodiscard]] services::TimerService& timers() { return *timers_; }
 
  private:
+  [[nodiscard]] ledger::RoutedLedgerKnobs routedLedgerKnobs();
   Result<Success> listen();
   [[nodiscard]] logstore::PartitionAddress configurationPartition() const;
   [[nodiscard]] logstore::PartitionAddress replicaPartition() const;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -29,6 +29,13 @@
              snapshot.storeThroughRelay);
 }
 
+void addLedger(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("ledger_calls_total", "Calls to homes by result", MetricType::Counter);
+  list.add(snapshot.ledgerCalls, {{"result", "started"}});
+  list.add(snapshot.ledgerCallsPassedOn, {{"result", "passed_on"}});
+  list.add(snapshot.ledgerCallsFailed, {{"result", "failed"}});
+}
+
 void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("replicas", "Registered replicas", snapshot.replicas);
   list.gauge("members", "Nodes believed alive", snapshot.members);
@@ -111,6 +118,7 @@
   list.counter("retries_total", "Dispatches after the first of a request", snapshot.retries);
   list.counter("resumes_total", "Streams that went on after a cut", snapshot.resumes);
   addStore(list, snapshot);
+  addLedger(list, snapshot);
   addBeliefs(list, snapshot);
   list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
                snapshot.logLinesLeftOut);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -20,6 +20,9 @@
   std::uint64_t storeBusy = 0;
   std::uint64_t storeGivenUp = 0;
   std::uint64_t storeThroughRelay = 0;  ///< Gauge: 1 while calls go through other nodes.
+  std::uint64_t ledgerCalls = 0;
+  std::uint64_t ledgerCallsPassedOn = 0;  ///< To another home.
+  std::uint64_t ledgerCallsFailed = 0;
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -1,6 +1,7 @@
 #include "edge/member_table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "edge/generated/member_record_generated.h"
 
@@ -55,18 +56,25 @@
   return freshAt_ - entry.heardAt < silence;
 }
 
-std::vector<std::string> MemberTable::clientAddresses(std::string_view zone) const {
+std::vector<std::string> MemberTable::clientAddresses(std::string_view zone,
+                                                      const IsSuspect& isSuspect) const {
   std::vector<std::string> inZone;
   std::vector<std::string> elsewhere;
+  std::vector<std::string> suspects;
   for (const auto& [key, entry] : members_) {
-    if (isAlive(entry) && !entry.record.leaving) {
-      auto& addresses = entry.record.zone == zone ? inZone : elsewhere;
-      addresses.push_back(entry.record.clientAddress);
+    if (!isAlive(entry) || entry.record.leaving) {
+      continue;
     }
+    const MemberRecord& record = entry.record;
+    auto& sound = record.zone == zone ? inZone : elsewhere;
+    (isSuspect(record.relayAddress) ? suspects : sound).push_back(record.clientAddress);
   }
   if (inZone.size() < knobs_.enoughInZone) {
     inZone.insert(inZone.end(), elsewhere.begin(), elsewhere.end());
   }
+  if (inZone.empty()) {
+    inZone = std::move(suspects);
+  }
   if (inZone.size() > knobs_.maximumAddresses) {
     inZone.resize(knobs_.maximumAddresses);
   }
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -49,8 +50,12 @@
   /// Records could be read at this moment: who was silent until then counts as dead.
   void onFresh(Instant now) { freshAt_ = now; }
 
-  /// \return nodes that serve clients, those of the zone alone when they are enough.
-  [[nodiscard]] std::vector<std::string> clientAddresses(std::string_view zone) const;
+  /// Whether a node was silent to this one a moment ago; asked by its relay address.
+  using IsSuspect = std::function<bool(const std::string& relayAddress)>;
+  /// \return nodes that serve clients, those of the zone alone when they are enough. Suspects are
+  /// named only when nobody else is left: their heartbeats tell of their end seconds later.
+  [[nodiscard]] std::vector<std::string> clientAddresses(std::string_view zone,
+                                                         const IsSuspect& isSuspect) const;
   /// \return serving nodes of a zone.
   [[nodiscard]] std::size_t countIn(std::string_view zone) const;
   /// \return the time between two records of a node in a fleet of this size.
--- a/src/ledger/home_selector.h
+++ b/src/ledger/home_selector.h
@@ -39,7 +39,8 @@
                                                  const std::vector<HomeCandidate>& candidates,
                                                  Instant now) const;
   void suspect(const std::string& address, Instant now);
-  void clear(const std::string& address) { suspectUntil_.erase(address); }
+  /// The node answered. \return whether it was a suspect.
+  bool clear(const std::string& address) { return suspectUntil_.erase(address) > 0; }
   [[nodiscard]] bool isSuspect(const std::string& address, Instant now) const;
 
  private:
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -74,6 +74,7 @@
   call->callback = std::move(callback);
   call->startedAt = clock_();
   call->deadline = call->startedAt + timeLimit;
+  ++counters_.calls;
   tryNext(call);
 }
 
@@ -81,6 +82,7 @@
   if (call->started == call->homes.size()) {
     return;
   }
+  counters_.passedOn += call->started > 0 ? 1 : 0;
   const std::string home = call->homes[call->started];
   const Instant now = clock_();
   const Duration patience = pacer_.patience(static_cast<std::uint32_t>(call->started));
@@ -135,7 +137,7 @@
   if (alive) {
     watchSilence(call, std::max(patience, knobs_.signOfLifePeriod));
   } else {
-    homes_.suspect(call->homes[call->started - 1], clock_());
+    suspect(call->homes[call->started - 1]);
     tryNext(call);
   }
 }
@@ -146,10 +148,13 @@
   call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
                      call->silent.end());
   if (reply) {
-    homes_.clear(home);
+    if (homes_.clear(home) && knobs_.onSilence) {
+      knobs_.onSilence(home, false);
+    }
     pacer_.onAnswer(now - askedAt);
-  } else {
-    homes_.suspect(home, now);
+  } else if (now < call->deadline) {
+    // No connection, or a broken one; at the deadline the home may only have waited for the store.
+    suspect(home);
   }
   if (call->done) {
     return;
@@ -171,19 +176,28 @@
     // Another node answered first: the silent ones are asked last for a while.
     for (const std::string& home : call->silent) {
       if (home != knobs_.ownAddress) {
-        homes_.suspect(home, clock_());
+        suspect(home);
       }
     }
   }
   if (isConclusive(reply)) {
     failing_.erase(call->partition);
   } else {
+    ++counters_.failed;
     noteFailure(call->partition);
   }
   const LedgerReplyCallback callback = std::move(call->callback);
   callback(std::move(reply));
 }
 
+void RoutedLedger::suspect(const std::string& home) {
+  const bool isNew = !homes_.isSuspect(home, clock_());
+  homes_.suspect(home, clock_());
+  if (isNew && knobs_.onSilence) {
+    knobs_.onSilence(home, true);
+  }
+}
+
 void RoutedLedger::noteFailure(const logstore::PartitionAddress& partition) {
   const auto entry = failing_.try_emplace(partition, breakerKnobs()).first;
   entry->second.onFailure(clock_());
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -60,6 +60,15 @@
   /// Between two questions for a sign of life.
   Duration signOfLifePeriod = milliseconds(150);
   Duration signOfLifeLimit = milliseconds(100);
+  /// Told when a node begins to count as silent, and when it answers again.
+  std::function<void(const std::string& address, bool silent)> onSilence;
+};
+
+/// What became of ledger calls; all only rise.
+struct RoutedLedgerCounters {
+  std::uint64_t calls = 0;
+  std::uint64_t passedOn = 0;  ///< To the next home, because one failed or was silent.
+  std::uint64_t failed = 0;    ///< No home and not the store could say anything.
 };
 
 /// Asks the partition's home, then the next one, and the store itself when no home can help.
@@ -82,8 +91,13 @@
   [[nodiscard]] bool isWritable(const std::string& turn, const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
+  /// \return whether the node gave no sign of life when it was asked a moment ago.
+  [[nodiscard]] bool isSuspect(const std::string& address) const {
+    return homes_.isSuspect(address, clock_());
+  }
   /// Forgets programs long gone; call it now and then.
   void sweep();
+  [[nodiscard]] const RoutedLedgerCounters& counters() const { return counters_; }
 
  private:
   struct Call;
@@ -109,6 +123,7 @@
   void watchSilence(const std::shared_ptr<Call>& call, Duration patience);
   void onImpatience(const std::shared_ptr<Call>& call, Duration patience);
   void onSignOfLife(const std::shared_ptr<Call>& call, Duration patience, bool alive);
+  void suspect(const std::string& home);
   void noteFailure(const logstore::PartitionAddress& partition);
   [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const;
 
@@ -120,6 +135,7 @@
   LedgerPartitions layout_;
   HomeSelector homes_;
   logstore::CallPacer pacer_;
+  RoutedLedgerCounters counters_;
   std::unordered_map<std::string, KnownUse> knownUse_;
   /// Only partitions whose last call failed.
   std::map<logstore::PartitionAddress, engine::CircuitBreaker> failing_;
--- a/tests/edge/member_table_test.cpp
+++ b/tests/edge/member_table_test.cpp
@@ -9,12 +9,14 @@
 TEST_GROUP(MemberTable) {
   MemberTable table{{}};
   Instant now{seconds(100)};
+  MemberTable::IsSuspect nobody = [](const std::string&) { return false; };
 
   void hear(const std::string& key, const std::string& zone, bool leaving = false) {
     MemberRecord record;
     record.nodeName = key;
     record.zone = zone;
     record.clientAddress = key + ":1";
+    record.relayAddress = key + ":2";
     record.leaving = leaving;
     table.onRecord(key, record, now);
     table.onFresh(now);
@@ -25,16 +27,26 @@
   hear("a1", "a");
   hear("a2", "a");
   hear("b1", "b");
-  LONGS_EQUAL(2, table.clientAddresses("a").size());
-  LONGS_EQUAL(3, table.clientAddresses("b").size());
-  LONGS_EQUAL(3, table.clientAddresses("elsewhere").size());
+  LONGS_EQUAL(2, table.clientAddresses("a", nobody).size());
+  LONGS_EQUAL(3, table.clientAddresses("b", nobody).size());
+  LONGS_EQUAL(3, table.clientAddresses("elsewhere", nobody).size());
+}
+
+TEST(MemberTable, namesSuspectsOnlyWhenNobodyElseIsLeft) {
+  hear("a1", "a");
+  hear("a2", "a");
+  hear("a3", "a");
+  const auto isFrozen = [](const std::string& relay) { return relay == "a2:2"; };
+  CHECK(table.clientAddresses("a", isFrozen) == (std::vector<std::string>{"a1:1", "a3:1"}));
+  const auto isAny = [](const std::string&) { return true; };
+  LONGS_EQUAL(3, table.clientAddresses("a", isAny).size());
 }
 
 TEST(MemberTable, doesNotNameLeavingNodes) {
   hear("a1", "a");
   hear("a2", "a");
   hear("a2", "a", true);
-  LONGS_EQUAL(1, table.clientAddresses("a").size());
+  LONGS_EQUAL(1, table.clientAddresses("a", nobody).size());
   LONGS_EQUAL(1, table.countIn("a"));
   LONGS_EQUAL(2, table.alive().size());
 }
@@ -44,14 +56,14 @@
   hear("a2", "a");
   now += milliseconds(3301);
   hear("a1", "a");
-  LONGS_EQUAL(1, table.clientAddresses("a").size());
+  LONGS_EQUAL(1, table.clientAddresses("a", nobody).size());
 }
 
 TEST(MemberTable, forgetsNobodyWhileNothingCanBeRead) {
   hear("a1", "a");
   hear("a2", "a");
   now += seconds(60);
-  LONGS_EQUAL(2, table.clientAddresses("a").size());
+  LONGS_EQUAL(2, table.clientAddresses("a", nobody).size());
 }
 
 TEST(MemberTable, heartbeatsBecomeRarerInALargeFleet) {
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -245,6 +245,15 @@
   CHECK_TRUE(storeTurn(0, "t1", "", "text"));
   fleet.silent = allBut("node0");
   CHECK_TRUE(storeTurn(0, "t2", "", "text", milliseconds(1000)));
+  // It knows now which nodes to keep clients away from, for a while.
+  const auto suspects = [this] {
+    return std::count_if(fleet.nodes.begin(), fleet.nodes.end(), [this](const auto& entry) {
+      return fleet.node(0).ledger.isSuspect(entry.first);
+    });
+  };
+  CHECK(suspects() > 0);
+  timers.advance(seconds(2));
+  LONGS_EQUAL(0, suspects());
   STRCMP_EQUAL("text", textOf(0, "t1").c_str());
   fleet.silent = {};
   STRCMP_EQUAL("text", textOf(3, "t2").c_str());
