Count failed requests of all nodes against a replica

Cause: a replica that fails part of its requests (srv_grey) looked well again after each success, since one success cleared all failures; and each node had to find out for itself, with 0.3 requests a second to one replica.

Change: requests that ended at a replica and those that failed fade with a half life of 2.5 s (OutcomeTally); nodes tell each other in their load digests, and the choice counts the share as cost. A dispatch without any answer for a second counts as failed at once, so that others keep away from replicas that swallow requests. One failure alone counts for nothing.

Tests: avoidsAReplicaThatFailsPartOfItsRequestsUntilThatHasFaded, takesOthersWordForAReplicasFailures, sumsWhatFailedAtOtherNodes, countsADispatchWithoutAnyAnswerAsFailedAfterASecond.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -49,6 +49,8 @@
   Duration connectTimeLimit = milliseconds(400);
   /// A replica that says nothing to anybody for so long is asked for a connection.
   Duration silence = milliseconds(400);
+  /// A dispatch without any answer for so long counts as failed, so that others keep away.
+  Duration mute = milliseconds(1000);
   /// It counts as ended when nothing answers within this.
   Duration reachabilityLimit = milliseconds(250);
   /// A route that is not in a configuration this old may have been added since.
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -386,7 +386,7 @@
                     std::to_string(settings_.firstInternalPort + 1));
   }
   const std::size_t others = peers.size();
-  loadExchange_.send(replicas_.all(), std::move(peers));
+  loadExchange_.send(replicas_.all(), std::move(peers), clock_());
   fleetLoad_.apply(replicas_, others, clock_());
   for (const std::string& dropped : replicas_.dropDoubtful(clock_())) {
     log_.important("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -62,6 +62,7 @@
   [[nodiscard]] bool mayRunAgain() const;
   void runAgain();
   void releaseReplica();
+  void noteOutcome(bool failed);
   void suspectReplica(std::string_view reason);
 
   // Towards the client.
@@ -101,6 +102,7 @@
   Instant dispatchedAt_;
   ReplicaHead head_;
   bool headSeen_ = false;
+  bool muteNoted_ = false;  ///< The dispatch counts as failed, since nothing came for long.
   std::vector<http::Header> replicaHeaders_;
   std::string body_;
   EventSplitter splitter_;
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -70,6 +70,7 @@
   ++dispatchNumber_;
   dispatchedAt_ = context_.clock();
   headSeen_ = false;
+  muteNoted_ = false;
   head_ = {};
   body_.clear();
   splitter_.dropPartialEvent();
@@ -134,6 +135,10 @@
 // A replica without power, or behind a cut, says nothing: only a connection that does not come up
 // tells it from one that works.
 void Exchange::onSilence() {
+  if (!headSeen_ && !muteNoted_ && context_.clock() - dispatchedAt_ >= context_.knobs.mute) {
+    muteNoted_ = true;
+    noteOutcome(true);
+  }
   const Instant heardAt = std::max(replica_->heardAt, dispatchedAt_);
   if (context_.clock() - heardAt < context_.knobs.silence) {
     watchSilence();
@@ -222,6 +227,7 @@
     onReplicaRefusal();
     return;
   }
+  noteOutcome(head_.status >= kServerError);
   const bool wasStream = isStreaming() && head_.eventStream && head_.status == kOk;
   if (!wasStream) {
     onWholeAnswer();
@@ -380,7 +386,10 @@
   }
 }
 
+void Exchange::noteOutcome(bool failed) { replica_->outcomes.note(failed, context_.clock()); }
+
 void Exchange::suspectReplica(std::string_view reason) {
+  noteOutcome(true);
   ++replica_->failures;
   if (!headSeen_) {
     replica_->suspectUntil = context_.clock() + context_.knobs.suspicionTime;
--- a/src/edge/load_exchange.cpp
+++ b/src/edge/load_exchange.cpp
@@ -15,6 +15,13 @@
 using Udp = boost::asio::ip::udp;
 
 constexpr std::uint32_t kMostInFlight = UINT16_MAX;
+constexpr double kSixteenths = 16.0;
+/// Troubles that have faded below this are not told.
+constexpr double kSmallestTrouble = 0.2;
+
+std::uint16_t sixteenthsOf(double count) {
+  return static_cast<std::uint16_t>(std::min(count * kSixteenths, double{UINT16_MAX}));
+}
 
 std::optional<Udp::endpoint> datagramEndpoint(const std::string& address) {
   const auto endpoint = http::parseEndpoint(address);
@@ -31,9 +38,15 @@
   for (const routing::ReplicaLoad& load : digest.loads) {
     loads.emplace_back(load.replica, load.inFlight);
   }
+  std::vector<fbs::ReplicaTrouble> troubles;
+  for (const routing::ReplicaTrouble& trouble : digest.troubles) {
+    troubles.emplace_back(trouble.replica, sixteenthsOf(trouble.failed),
+                          sixteenthsOf(trouble.ended));
+  }
   const auto list = builder.CreateVectorOfStructs(loads);
-  fbs::FinishLoadDigestBuffer(builder,
-                              fbs::CreateLoadDigest(builder, digest.node, digest.beat, list));
+  const auto troubleList = troubles.empty() ? 0 : builder.CreateVectorOfStructs(troubles);
+  fbs::FinishLoadDigestBuffer(
+      builder, fbs::CreateLoadDigest(builder, digest.node, digest.beat, list, troubleList));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -53,6 +66,12 @@
       digest.loads.push_back({load->replica(), load->in_flight()});
     }
   }
+  if (read->troubles() != nullptr) {
+    for (const fbs::ReplicaTrouble* const trouble : *read->troubles()) {
+      digest.troubles.push_back(
+          {trouble->replica(), trouble->failed() / kSixteenths, trouble->ended() / kSixteenths});
+    }
+  }
   return digest;
 }
 
@@ -95,7 +114,8 @@
                              });
 }
 
-routing::LoadDigest LoadExchange::digestOf(const std::vector<routing::ReplicaPtr>& replicas) {
+routing::LoadDigest LoadExchange::digestOf(const std::vector<routing::ReplicaPtr>& replicas,
+                                           Instant now) {
   routing::LoadDigest digest;
   digest.node = node_;
   for (const routing::ReplicaPtr& replica : replicas) {
@@ -103,13 +123,18 @@
       const auto count = static_cast<std::uint16_t>(std::min(replica->inFlight, kMostInFlight));
       digest.loads.push_back({routing::replicaHashOf(replica->entry.id), count});
     }
+    const double failed = replica->outcomes.failed(now);
+    if (failed >= kSmallestTrouble) {
+      digest.troubles.push_back(
+          {routing::replicaHashOf(replica->entry.id), failed, replica->outcomes.ended(now)});
+    }
   }
   return digest;
 }
 
 void LoadExchange::send(const std::vector<routing::ReplicaPtr>& replicas,
-                        std::vector<std::string> peers) {
-  routing::LoadDigest digest = digestOf(replicas);
+                        std::vector<std::string> peers, Instant now) {
+  routing::LoadDigest digest = digestOf(replicas, now);
   std::string loads = encodeLoadDigest(digest);
   if (loads == lastLoads_ && ++unchanged_ < knobs_.unchangedEvery) {
     return;
--- a/src/edge/load_exchange.h
+++ b/src/edge/load_exchange.h
@@ -38,11 +38,12 @@
   /// \param address `ip:port` that digests arrive at. Errors: `InvalidSettings`.
   Result<Success> listen(const std::string& address);
   /// Sends the load of these replicas to some of the peers.
-  void send(const std::vector<routing::ReplicaPtr>& replicas, std::vector<std::string> peers);
+  void send(const std::vector<routing::ReplicaPtr>& replicas, std::vector<std::string> peers,
+            Instant now);
 
  private:
   void receive();
-  routing::LoadDigest digestOf(const std::vector<routing::ReplicaPtr>& replicas);
+  routing::LoadDigest digestOf(const std::vector<routing::ReplicaPtr>& replicas, Instant now);
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -29,17 +29,28 @@
 
 void FleetLoad::apply(const ReplicaTable& replicas, std::size_t otherNodes, Instant now) {
   dropSilent(now);
-  std::unordered_map<ReplicaHash, double> sums;
+  struct Sum {
+    double inFlight = 0;
+    double failed = 0;
+    double ended = 0;
+  };
+  std::unordered_map<ReplicaHash, Sum> sums;
   for (const auto& [node, entry] : byNode_) {
     for (const ReplicaLoad& load : entry.digest.loads) {
-      sums[load.replica] += load.inFlight;
+      sums[load.replica].inFlight += load.inFlight;
+    }
+    for (const ReplicaTrouble& trouble : entry.digest.troubles) {
+      sums[trouble.replica].failed += trouble.failed;
+      sums[trouble.replica].ended += trouble.ended;
     }
   }
   const auto heard = static_cast<double>(byNode_.size());
   const double scale = heard > 0 ? std::max(1.0, static_cast<double>(otherNodes) / heard) : 0.0;
   for (const ReplicaPtr& replica : replicas.all()) {
-    const auto sum = sums.find(replicaHashOf(replica->entry.id));
-    replica->othersInFlight = sum == sums.end() ? 0.0 : sum->second * scale;
+    const Sum sum = sums[replicaHashOf(replica->entry.id)];
+    replica->othersInFlight = sum.inFlight * scale;
+    replica->othersFailed = sum.failed;
+    replica->othersEnded = sum.ended;
   }
 }
 
--- a/src/routing/fleet_load.h
+++ b/src/routing/fleet_load.h
@@ -21,11 +21,19 @@
   std::uint16_t inFlight = 0;
 };
 
+/// What one node has seen fail at one replica lately.
+struct ReplicaTrouble {
+  ReplicaHash replica = 0;
+  double failed = 0;  ///< Requests, fading.
+  double ended = 0;   ///< Requests, fading; failed ones included.
+};
+
 /// What one node tells the others.
 struct LoadDigest {
   std::uint64_t node = 0;  ///< Hash of the node's address.
   std::uint64_t beat = 0;  ///< Rises in one life; an older digest is dropped.
   std::vector<ReplicaLoad> loads;
+  std::vector<ReplicaTrouble> troubles;  ///< Only replicas where something failed.
 };
 
 /// Knobs of `FleetLoad`.
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -81,6 +81,7 @@
             knobs_.costPerPromptToken * static_cast<double>(query.promptTokens);
   }
   cost += replica.entry.zone == zone_ ? 0.0 : knobs_.otherZoneCost;
+  cost += replica.failureShare(now) * knobs_.failureCost;
   cost += replica.doubtfulUntil ? knobs_.doubtfulCost : 0.0;
   cost += replica.suspectUntil > now ? knobs_.suspectCost : 0.0;
   cost += replica.fullUntil > now ? knobs_.fullCost : 0.0;
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -35,6 +35,9 @@
   double waitingCost = 2.0;
   /// Answers this many times slower than the middle one count as a slow replica.
   double slowFrom = 2.0;
+  /// Times the share of its latest requests that failed, at all nodes: a replica that fails part of
+  /// its requests looks well between two failures.
+  double failureCost = 80.0;
   /// Chosen only when the others are overloaded.
   double suspectCost = 1000.0;
   /// Its registration lapsed: chosen only when there is no other.
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -1,6 +1,7 @@
 /// \file What this node believes about the replicas of all services.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "routing/outcome_tally.h"
 
 namespace gorsetrail::routing {
 
@@ -22,6 +24,9 @@
   bool draining = false;
 };
 
+/// One failure may be chance.
+inline constexpr double kFewestFailures = 1.5;
+
 /// A replica with what this node has seen of it. Shared with the requests under way at it.
 struct Replica {
   ReplicaEntry entry;
@@ -30,6 +35,9 @@
   double othersInFlight = 0;   ///< Those of other nodes, as far as they told a moment ago.
   Instant heardAt;             ///< When any byte of an answer came from it.
   std::uint32_t failures = 0;  ///< In a row: no connection, cut answers, silence.
+  OutcomeTally outcomes;       ///< Of this node's latest requests there.
+  double othersFailed = 0;     ///< Of other nodes' latest requests, where any failed.
+  double othersEnded = 0;      ///< The latest requests of those nodes.
   Instant suspectUntil;        ///< Avoided until then while others are there.
   Instant fullUntil;           ///< It refused for want of room a moment ago.
   /// Its registration lapsed while the store was out of order, which proves nothing: it is used
@@ -38,6 +46,13 @@
   double answerMilliseconds = 0;  ///< Smoothed time to the first byte; 0 before the first answer.
 
   [[nodiscard]] bool takesWork() const { return !gone && !entry.draining; }
+  /// \return the share of the latest requests, of all nodes, that failed there; 0 while fewer than
+  /// `kFewestFailures` did.
+  [[nodiscard]] double failureShare(Instant now) const {
+    const double failed = outcomes.failed(now) + othersFailed;
+    const double ended = outcomes.ended(now) + othersEnded;
+    return failed < kFewestFailures ? 0.0 : failed / std::max(ended, failed);
+  }
   [[nodiscard]] double load() const { return static_cast<double>(inFlight) + othersInFlight; }
 };
 using ReplicaPtr = std::shared_ptr<Replica>;
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -228,6 +228,29 @@
   LONGS_EQUAL(0, world.client.checks.size());
 }
 
+TEST(ExchangeStream, countsADispatchWithoutAnyAnswerAsFailedAfterASecond) {
+  world.start(ExchangeWorld::turn("kept"));
+  wait();
+  const auto failed = [this] {
+    double sum = 0;
+    for (const routing::ReplicaPtr& replica : world.replicas.all()) {
+      replica->heardAt = world.timers.now;  // It answers others meanwhile.
+      sum += replica->outcomes.failed(world.timers.now);
+    }
+    return sum;
+  };
+  for (int step = 0; step < 4; ++step) {
+    world.timers.advance(milliseconds(200));
+    DOUBLES_EQUAL(0, failed(), 1e-9);
+  }
+  for (int step = 0; step < 5; ++step) {
+    world.timers.advance(milliseconds(200));
+    failed();
+  }
+  CHECK(failed() > 0.5 && failed() <= 1.0);
+  LONGS_EQUAL(1, world.dispatches());
+}
+
 TEST(ExchangeStream, givesAnUnsafeTurnUpAtOnceWhenItsReplicaIsGone) {
   const auto client = world.start(ExchangeWorld::turn("kept"));
   wait();
--- a/tests/routing/fleet_load_test.cpp
+++ b/tests/routing/fleet_load_test.cpp
@@ -20,7 +20,7 @@
     replica = table.ofService("s").front();
   }
   void hear(std::uint64_t node, std::uint64_t beat, std::uint16_t inFlight) {
-    load.onDigest({node, beat, {{replicaHashOf("a"), inFlight}}}, now);
+    load.onDigest({node, beat, {{replicaHashOf("a"), inFlight}}, {}}, now);
   }
   double others(std::size_t otherNodes) {
     load.apply(table, otherNodes, now);
@@ -36,6 +36,18 @@
   DOUBLES_EQUAL(9, others(2), 1e-9);
 }
 
+TEST(FleetLoad, sumsWhatFailedAtOtherNodes) {
+  LoadDigest first{1, 1, {}, {{replicaHashOf("a"), 2.0, 5.0}}};
+  LoadDigest second{2, 1, {}, {{replicaHashOf("a"), 1.0, 3.0}}};
+  load.onDigest(first, now);
+  load.onDigest(second, now);
+  load.apply(table, 2, now);
+  DOUBLES_EQUAL(3.0 / 8.0, replica->failureShare(now), 1e-9);
+  now += seconds(1);
+  load.apply(table, 2, now);
+  DOUBLES_EQUAL(0, replica->failureShare(now), 1e-9);
+}
+
 TEST(FleetLoad, forgetsSilentNodes) {
   hear(1, 1, 3);
   now += FleetLoadKnobs{}.silence + milliseconds(1);
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -45,6 +45,27 @@
   CHECK(choose("p", 0, &tried) == nullptr);
 }
 
+TEST(ReplicaSelector, avoidsAReplicaThatFailsPartOfItsRequestsUntilThatHasFaded) {
+  const ReplicaPtr grey = add("grey", "zone-a");
+  const ReplicaPtr far = add("far", "zone-b");
+  grey->outcomes.note(true, now);
+  CHECK(choose("p") == grey);  // One failure may be chance.
+  for (int request = 0; request < 6; ++request) {
+    grey->outcomes.note(request % 3 == 0, now);
+  }
+  CHECK(choose("p") == far);
+  now += seconds(20);
+  CHECK(choose("p") == grey);
+}
+
+TEST(ReplicaSelector, takesOthersWordForAReplicasFailures) {
+  const ReplicaPtr grey = add("grey", "zone-a");
+  const ReplicaPtr far = add("far", "zone-b");
+  grey->othersFailed = 3;
+  grey->othersEnded = 9;
+  CHECK(choose("p") == far);
+}
+
 TEST(ReplicaSelector, prefersItsZone) {
   add("far", "zone-b");
   const ReplicaPtr near = add("near", "zone-a");
--- a/tools/fault_soak.sh
+++ b/tools/fault_soak.sh
@@ -15,11 +15,16 @@
   seeds+=("$(date +%s)")
 fi
 
+# Two soaks on one machine would share addresses, and see each other's requests.
+mkdir -p run
+exec 9>run/fault-soak.lock
+flock -n 9 || { echo "fault soak: another one runs on this machine" >&2; exit 2; }
+
 # supervise RUN NODE: starts the node again whenever it ends, until the soak has ended.
 supervise() {
   local run="$1" node="$2" process
   while [ ! -e "$run/ended" ]; do
-    "$bin/gorsetrail-edge" --settings "$run/node-$node.toml" >>"$run/node-$node.log" 2>&1 &
+    "$bin/gorsetrail-edge" --settings "$run/node-$node.toml" >>"$run/node-$node.log" 2>&1 9>&- &
     process=$!
     echo "$process" >"$run/node-$node.pid"
     while kill -0 "$process" 2>/dev/null && [ ! -e "$run/ended" ]; do sleep 0.1; done
