Let who asked give a refused reservation back, not the home that refused it

Cause, found on reading: a home that did not find room for a reservation settled it with 0 tokens. When a home was frozen, another one had granted the same reservation meanwhile; the late refusal then took the tokens back that were just being handed out, and others could reserve them again (BUDGET).

Change: the home only tells; RoutedLedger, which knows the reply that counts, gives the reservation back. ProgramLedger does so for its own callers.

Test: aHomeThatWakesDoesNotGiveBackWhatAnotherHasGranted failed first.

--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -142,7 +142,12 @@
                             Duration timeLimit, ReservationCallback callback) {
   reserveAndTell(
       reservation, budget, timeLimit,
-      [callback = std::move(callback)](const ReservationReply& reply) { callback(reply.outcome); });
+      [this, reservation, callback = std::move(callback)](const ReservationReply& reply) {
+        if (reply.outcome == ReservationOutcome::Spent) {
+          settle({reservation.request, reservation.program, 0});
+        }
+        callback(reply.outcome);
+      });
 }
 
 void ProgramLedger::reserveAndTell(const BudgetReservation& reservation, std::uint64_t budget,
@@ -172,7 +177,6 @@
   const std::uint64_t before =
       accounts_.usedBefore(reservation.program, reservation.request, offset);
   if (before + reservation.tokens > budget) {
-    settle({reservation.request, reservation.program, 0});
     return {ReservationOutcome::Spent, before};
   }
   return {ReservationOutcome::Granted, before + reservation.tokens};
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -74,7 +74,8 @@
   /// Stores a turn's record in one partition.
   void storeRecord(const TurnPlacement& placement, CompletedTurn record, Duration timeLimit,
                    StoredCallback callback);
-  /// As `reserve`, and tells what the program has used.
+  /// As `reserve`, and tells what the program has used. A reservation that does not fit stays
+  /// standing: only who asked knows whether another home has granted it, and gives it back if not.
   void reserveAndTell(const BudgetReservation& reservation, std::uint64_t budget,
                       Duration timeLimit, ReservationReplyCallback callback);
 
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -339,15 +339,15 @@
 void RoutedLedger::reserve(const BudgetReservation& reservation, std::uint64_t budget,
                            Duration timeLimit, ReservationCallback callback) {
   start(ReserveRequest{reservation, budget, timeLimit}, layout_.ofBudget(reservation.program), {},
-        timeLimit,
-        [this, program = reservation.program,
-         callback = std::move(callback)](const LedgerReply& reply) {
+        timeLimit, [this, reservation, callback = std::move(callback)](const LedgerReply& reply) {
           if (isConclusive(reply)) {
-            knownUse_[program] = {reply.tokensUsed, clock_()};
+            knownUse_[reservation.program] = {reply.tokensUsed, clock_()};
           }
           if (reply.outcome == LedgerOutcome::Done) {
             callback(ReservationOutcome::Granted);
           } else if (reply.outcome == LedgerOutcome::BudgetSpent) {
+            // This reply is the one that counts, so nothing will be handed out for the reservation.
+            settle({reservation.request, reservation.program, 0});
             callback(ReservationOutcome::Spent);
           } else {
             callback(ReservationOutcome::Unavailable);
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -233,6 +233,19 @@
   CHECK(reserve(2, "r5", 100) == ReservationOutcome::Granted);
 }
 
+TEST(RoutedLedger, aHomeThatWakesDoesNotGiveBackWhatAnotherHasGranted) {
+  CHECK(reserve(0, "r1", 300) == ReservationOutcome::Granted);
+  // "r2" is granted by one home; another one comes to it late and does not find room for it.
+  CHECK(reserve(1, "r2", 600) == ReservationOutcome::Granted);
+  std::optional<LedgerOutcome> late;
+  fleet.node(5).service.handle(ReserveRequest{{"r2", "program", 600}, 500, seconds(2)},
+                               [&late](const LedgerReply& reply) { late = reply.outcome; });
+  timers.advance(seconds(2));
+  CHECK(late == LedgerOutcome::BudgetSpent);
+  // The tokens of "r2" are still being handed out: nothing of them may be reserved again.
+  CHECK(reserve(3, "r3", 200) == ReservationOutcome::Spent);
+}
+
 TEST(RoutedLedger, aSettlementReachesTheBudgetsHome) {
   CHECK(reserve(0, "r1", 900) == ReservationOutcome::Granted);
   CHECK(reserve(1, "r2", 900) == ReservationOutcome::Spent);
