--- a/lab/faultsoak/soak_replica.cpp
+++ b/lab/faultsoak/soak_replica.cpp
@@ -1,10 +1,10 @@
 #include "lab/faultsoak/soak_replica.h"
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <cstdlib>
 #include <memory>
 #include <utility>
 
+#include "lab/platform/request_headers.h"
 #include "platform/names.h"
 
 namespace gorsetrail::lab {
@@ -16,15 +16,6 @@
 constexpr Duration kEventPause = milliseconds(15);
 constexpr char kStreamPath[] = "/stream/";
 
-std::string headerOf(const http::ServerRequest& request, const char* name) {
-  for (const http::Header& header : request.headers) {
-    if (boost::algorithm::iequals(header.name, name)) {
-      return header.value;
-    }
-  }
-  return {};
-}
-
 std::string eventText(const std::string& requestId, int number) {
   return "id: " + std::to_string(number) + "\ndata: " + SoakReplica::eventData(requestId, number) +
          "\n\n";
--- a/lab/platform/replica_stand_in.cpp
+++ b/lab/platform/replica_stand_in.cpp
@@ -1,12 +1,12 @@
 #include "lab/platform/replica_stand_in.h"
 
 #include <algorithm>
-#include <boost/algorithm/string/predicate.hpp>
 #include <cstdlib>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "lab/platform/request_headers.h"
 #include "platform/names.h"
 
 namespace gorsetrail::lab {
@@ -17,15 +17,6 @@
 constexpr unsigned kUnavailable = 503;
 constexpr char kStreamPath[] = "/stream/";
 
-std::string headerOf(const http::ServerRequest& request, const char* name) {
-  for (const http::Header& header : request.headers) {
-    if (boost::algorithm::iequals(header.name, name)) {
-      return header.value;
-    }
-  }
-  return {};
-}
-
 }  // namespace
 
 ReplicaStandIn::ReplicaStandIn(boost::asio::io_context& context, std::string id)
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -88,5 +88,10 @@
   is_caught ledger "${mutant}"
 done
 
+holds homes
+for mutant in HOME_SETTLES_ITS_REFUSAL LATE_REPLY_COUNTS DECIDE_WITHOUT_READING; do
+  is_caught homes "${mutant}"
+done
+
 echo "${#held[@]} models hold, ${caught} mutants caught"
 exit $((failures > 0))
