--- /dev/null
+++ b/src/ledger/budget_partition.cpp
@@ -0,0 +1,327 @@
+#include "ledger/budget_partition.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gorsetrail::ledger {
+namespace {
+
+constexpr Duration kRecordTimeLimit = milliseconds(1500);
+/// A lease is renewed when this part of its validity is over.
+constexpr int kRenewalsPerValidity = 3;
+
+}  // namespace
+
+BudgetPartition::BudgetPartition(logstore::PersistentStore& store, services::TimerService& timers,
+                                 logstore::ClockFunction clock, logstore::PartitionAddress address,
+                                 BudgetPartitionKnobs knobs)
+    : store_(store),
+      timers_(timers),
+      clock_(std::move(clock)),
+      address_(std::move(address)),
+      knobs_(std::move(knobs)),
+      reader_(std::make_shared<PartitionReader>(store, address_)),
+      batcher_(std::make_unique<logstore::AppendBatcher>(store, timers, clock_, address_,
+                                                         logstore::AppendBatcherKnobs{})),
+      leases_(knobs_.leases) {
+  reader_->observe(
+      [this](std::uint64_t offset, std::string_view record) { onRecord(offset, record); });
+}
+
+void BudgetPartition::onRecord(std::uint64_t offset, std::string_view record) {
+  const Result<Fact> decoded = decodeFact(record);
+  if (!succeeded(decoded)) {
+    return;
+  }
+  const Fact& fact = valueOf(decoded);
+  if (const auto* const reservation = std::get_if<BudgetReservation>(&fact)) {
+    accounts_.onReservation(*reservation, offset, clock_());
+  } else if (const auto* const settlement = std::get_if<BudgetSettlement>(&fact)) {
+    accounts_.onSettlement(*settlement, clock_());
+  } else if (const auto* const lease = std::get_if<BudgetLease>(&fact)) {
+    leases_.onRecord(*lease, clock_());
+    if (lease->lease == ownLease() && lease->state != BudgetLeaseState::Held) {
+      dropLease();  // Others took this node for dead, since it was not renewed for long.
+    }
+  }
+}
+
+bool BudgetPartition::holdsLease() const {
+  return lease_ && !givingBack_ && clock_() < lease_->validUntil;
+}
+
+void BudgetPartition::reserve(const BudgetRequest& request, Duration timeLimit,
+                              ReservationReplyCallback callback) {
+  if (const std::optional<ReservationReply> reply = reserveAhead(request)) {
+    callback(*reply);
+    return;
+  }
+  reserveInLog(request, timeLimit, std::move(callback));
+}
+
+std::optional<ReservationReply> BudgetPartition::reserveAhead(const BudgetRequest& request) {
+  const BudgetReservation& wanted = request.reservation;
+  const bool isShort =
+      request.programTimeLeft && *request.programTimeLeft <= knobs_.leases.longestProgramTime;
+  if (!holdsLease() || !isShort) {
+    return std::nullopt;
+  }
+  const LeaseAllowance allowance(knobs_.leases, request.budget);
+  if (!allowance.allows(spentAhead(wanted.program), wanted.tokens)) {
+    return std::nullopt;
+  }
+  const std::uint64_t used = accounts_.usedBefore(wanted.program, wanted.request, UINT64_MAX);
+  const std::uint64_t unseen = mostSpentUnseen(request);
+  // The rule leaves room for one turn above the budget; it is used only for what was not seen.
+  if (used + std::max(wanted.tokens, unseen) > request.budget) {
+    return std::nullopt;
+  }
+  accounts_.onReservation(wanted, 0, clock_());
+  if (ahead_.try_emplace(wanted.request, Ahead{wanted, std::nullopt, false}).second) {
+    aheadByProgram_[wanted.program].push_back(wanted.request);
+  }
+  scheduleRecording();
+  ++counters_.grantedAhead;
+  return ReservationReply{ReservationOutcome::Granted, used + wanted.tokens};
+}
+
+std::uint64_t BudgetPartition::spentAhead(const std::string& program) const {
+  const auto requests = aheadByProgram_.find(program);
+  if (requests == aheadByProgram_.end()) {
+    return 0;
+  }
+  std::uint64_t tokens = 0;
+  for (const std::string& request : requests->second) {
+    const Ahead& grant = ahead_.at(request);
+    tokens += grant.settlement ? grant.settlement->tokens : grant.reservation.tokens;
+  }
+  return tokens;
+}
+
+std::uint64_t BudgetPartition::mostSpentUnseen(const BudgetRequest& request) {
+  const Instant now = clock_();
+  const std::string& program = request.reservation.program;
+  const bool isTimely = request.programTimeLeft && *request.programTimeLeft > Duration::zero();
+  const std::uint64_t spenders =
+      leases_.unseenSpenders(ownLease(), isTimely, accounts_.timelyAt(program), now);
+  if (isTimely) {
+    accounts_.noteTimely(program, now);
+  }
+  const std::uint64_t largestTurn =
+      std::max(request.reservation.tokens, accounts_.largestReservationOf(program));
+  return LeaseAllowance(knobs_.leases, request.budget).mostSpentBy(spenders, largestTurn);
+}
+
+void BudgetPartition::reserveInLog(const BudgetRequest& request, Duration timeLimit,
+                                   ReservationReplyCallback callback) {
+  batcher_->append(encodeFact(request.reservation), knobs_.reservationWindow, timeLimit,
+                   [this, request, callback = std::move(callback)](
+                       const logstore::StoreResult<std::uint64_t>& result) {
+                     if (std::holds_alternative<logstore::StoreError>(result)) {
+                       callback({});
+                       return;
+                     }
+                     const std::uint64_t offset = std::get<std::uint64_t>(result);
+                     accounts_.onReservation(request.reservation, offset, clock_());
+                     reader_->noteOwnRecords(offset, 1);
+                     reader_->readBelow(offset, [this, request, offset, callback](
+                                                    const logstore::StoreResult<Success>& read) {
+                       const bool known = std::holds_alternative<Success>(read);
+                       callback(known ? decideByLog(request, offset) : ReservationReply{});
+                     });
+                   });
+}
+
+ReservationReply BudgetPartition::decideByLog(const BudgetRequest& request, std::uint64_t offset) {
+  const BudgetReservation& wanted = request.reservation;
+  const std::uint64_t before = accounts_.usedBefore(wanted.program, wanted.request, offset);
+  if (before + wanted.tokens > request.budget) {
+    ++counters_.spent;
+    return {ReservationOutcome::Spent, before};
+  }
+  if (before + mostSpentUnseen(request) > request.budget) {
+    ++counters_.uncertain;
+    return {ReservationOutcome::Unavailable, before};
+  }
+  ++counters_.grantedByLog;
+  return {ReservationOutcome::Granted, before + wanted.tokens};
+}
+
+void BudgetPartition::settle(const BudgetSettlement& settlement) {
+  accounts_.onSettlement(settlement, clock_());
+  const auto granted = ahead_.find(settlement.request);
+  if (granted != ahead_.end()) {
+    granted->second.settlement = settlement;  // It follows the reservation's record.
+  } else {
+    appendSettlement(settlement);
+  }
+}
+
+void BudgetPartition::appendSettlement(const BudgetSettlement& settlement) {
+  // A settlement that is lost leaves its reservation standing: too much is counted, never less.
+  batcher_->append(encodeFact(settlement), knobs_.settlementWindow, kRecordTimeLimit,
+                   [reader = reader_](const logstore::StoreResult<std::uint64_t>& result) {
+                     if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
+                       reader->noteOwnRecords(*offset, 1);
+                     }
+                   });
+}
+
+void BudgetPartition::scheduleRecording() {
+  if (recordingScheduled_ || ahead_.empty()) {
+    return;
+  }
+  recordingScheduled_ = true;
+  timers_.runAfter(knobs_.recordingPeriod, [this] {
+    recordingScheduled_ = false;
+    if (store_.answers(address_)) {
+      recordAhead();
+    }
+    scheduleRecording();
+  });
+}
+
+void BudgetPartition::recordAhead() {
+  for (auto& [request, grant] : ahead_) {
+    if (grant.recording) {
+      continue;
+    }
+    grant.recording = true;
+    const bool withSettlement = grant.settlement.has_value();
+    batcher_->append(encodeFact(grant.reservation), Duration::zero(), kRecordTimeLimit,
+                     [this, request = request,
+                      withSettlement](const logstore::StoreResult<std::uint64_t>& result) {
+                       onRecorded(request, withSettlement, result);
+                     });
+    if (withSettlement) {
+      batcher_->append(encodeFact(*grant.settlement), Duration::zero(), kRecordTimeLimit,
+                       [reader = reader_](const logstore::StoreResult<std::uint64_t>& result) {
+                         if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
+                           reader->noteOwnRecords(*offset, 1);
+                         }
+                       });
+    }
+  }
+}
+
+void BudgetPartition::onRecorded(const std::string& request, bool withSettlement,
+                                 const logstore::StoreResult<std::uint64_t>& result) {
+  const auto* const offset = std::get_if<std::uint64_t>(&result);
+  if (offset == nullptr) {
+    ahead_.at(request).recording = false;  // It is appended again.
+    return;
+  }
+  reader_->noteOwnRecords(*offset, 1);
+  reader_->readBelow(
+      *offset, [this, request, withSettlement](const logstore::StoreResult<Success>& read) {
+        if (std::holds_alternative<logstore::StoreError>(read)) {
+          ahead_.at(request).recording = false;
+          return;
+        }
+        const std::optional<BudgetSettlement> settlement = ahead_.at(request).settlement;
+        forgetAhead(request);
+        if (settlement && !withSettlement) {
+          appendSettlement(*settlement);
+        }
+      });
+}
+
+void BudgetPartition::forgetAhead(const std::string& request) {
+  const auto granted = ahead_.find(request);
+  const auto program = aheadByProgram_.find(granted->second.reservation.program);
+  std::erase(program->second, request);
+  if (program->second.empty()) {
+    aheadByProgram_.erase(program);
+  }
+  ahead_.erase(granted);
+}
+
+std::string BudgetPartition::leaseId() const {
+  return knobs_.holder + "/" + knobs_.life + "/" + std::to_string(leaseNumber_);
+}
+
+// The record is read like any other, in its place among those of other homes.
+void BudgetPartition::appendLease(const BudgetLease& record,
+                                  std::function<void(bool stands)> onRead) {
+  batcher_->append(
+      encodeFact(record), knobs_.settlementWindow, kRecordTimeLimit,
+      [this, onRead = std::move(onRead)](const logstore::StoreResult<std::uint64_t>& result) {
+        const auto* const offset = std::get_if<std::uint64_t>(&result);
+        if (offset == nullptr) {
+          onRead(false);
+          return;
+        }
+        reader_->readBelow(*offset + 1, [onRead](const logstore::StoreResult<Success>& read) {
+          onRead(std::holds_alternative<Success>(read));
+        });
+      });
+}
+
+void BudgetPartition::keepLease() {
+  if (!knobs_.leases.enabled || knobs_.life.empty() || leaseAsked_ || !store_.answers(address_)) {
+    return;
+  }
+  givingBack_ = false;
+  const Instant now = clock_();
+  const Duration pause = knobs_.leases.validity / kRenewalsPerValidity;
+  const bool isFresh = lease_ && lease_->validUntil - now > knobs_.leases.validity - pause;
+  if (!isFresh) {
+    takeLease();
+  }
+  if (clearing_) {
+    return;
+  }
+  for (const BudgetLease& record : leases_.due(leaseId(), knobs_.holder, now)) {
+    clearing_ = true;
+    appendLease(record, [this](bool /*stands*/) { clearing_ = false; });
+  }
+}
+
+void BudgetPartition::takeLease() {
+  leaseAsked_ = true;
+  const Instant askedAt = clock_();
+  const std::string id = leaseId();
+  appendLease({id, knobs_.holder, BudgetLeaseState::Held, ++renewal_},
+              [this, id, askedAt](bool stands) {
+                leaseAsked_ = false;
+                // Another home may have ended it before this record came to stand.
+                const bool isHeld = leases_.stateOf(id) == BudgetLeaseState::Held;
+                if (stands && isHeld && id == leaseId()) {
+                  lease_ = Lease{id, askedAt + knobs_.leases.validity};
+                }
+              });
+}
+
+void BudgetPartition::giveLeaseBack() {
+  if (!lease_ || leaseAsked_) {
+    return;
+  }
+  givingBack_ = true;
+  if (!store_.answers(address_)) {
+    return;
+  }
+  if (!ahead_.empty()) {
+    recordAhead();
+    return;
+  }
+  // All that was spent under it is recorded: nobody has to count it any more. Its record may come
+  // to stand without an answer, so the lease is not used again whatever the answer.
+  const BudgetLease record{lease_->id, knobs_.holder, BudgetLeaseState::Cleared, renewal_};
+  dropLease();
+  leaseAsked_ = true;
+  appendLease(record, [this](bool /*stands*/) { leaseAsked_ = false; });
+}
+
+void BudgetPartition::dropLease() {
+  lease_.reset();
+  givingBack_ = false;
+  ++leaseNumber_;
+}
+
+void BudgetPartition::sweep() {
+  const Instant now = clock_();
+  accounts_.forgetIdleSince(now - knobs_.accountLifetime);
+  leases_.forgetOld(now);
+}
+
+}  // namespace gorsetrail::ledger
--- /dev/null
+++ b/src/ledger/budget_partition.h
@@ -0,0 +1,147 @@
+/// \file Budgets of the programs of one partition: decided by its log, or ahead of it by a lease.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "ledger/budget_accounts.h"
+#include "ledger/budget_lease_table.h"
+#include "ledger/facts.h"
+#include "ledger/ledger.h"
+#include "ledger/partition_reader.h"
+#include "logstore/append_batcher.h"
+#include "logstore/persistent_store.h"
+#include "services/timer_service.h"
+
+namespace gorsetrail::ledger {
+
+/// A reservation's outcome with what the program has used or may use, this one included.
+struct ReservationReply {
+  ReservationOutcome outcome = ReservationOutcome::Unavailable;
+  std::uint64_t tokensUsed = 0;
+};
+
+/// Knobs of `BudgetPartition`.
+struct BudgetPartitionKnobs {
+  BudgetLeaseKnobs leases;
+  std::string holder;  ///< Address of this node, the same in all its lives.
+  std::string life;    ///< Of this process; no other has the same. Empty: it never holds a lease.
+  Duration reservationWindow = milliseconds(20);
+  Duration settlementWindow = milliseconds(300);
+  /// What was granted ahead is recorded after this, together with what came meanwhile.
+  Duration recordingPeriod = milliseconds(300);
+  Duration accountLifetime = seconds(300);
+};
+
+/// What became of reservations; all only rise.
+struct BudgetCounters {
+  std::uint64_t grantedAhead = 0;  ///< Under a lease, before their record.
+  std::uint64_t grantedByLog = 0;
+  std::uint64_t spent = 0;
+  /// Not granted only because an earlier home may have spent tokens unseen.
+  std::uint64_t uncertain = 0;
+};
+
+/// Order of steps, and why it is safe (spec/budget_lease.pml):
+/// 1. without a lease, a reservation is granted by what stands before its own record in the log;
+///    other homes' leases count at the most that they may have spent unseen;
+/// 2. a lease is used only after its own record stood in the log and everything before it was read.
+///    So whoever decides by a later record counts the lease, and what was decided before is known;
+/// 3. what was spent ahead counts against the lease until its record stands and everything before
+///    that record was read;
+/// 4. a lease is given back only after everything spent under it was recorded.
+class BudgetPartition {
+ public:
+  using ReservationReplyCallback = std::function<void(ReservationReply)>;
+
+  /// \param store, timers outlive this object.
+  BudgetPartition(logstore::PersistentStore& store, services::TimerService& timers,
+                  logstore::ClockFunction clock, logstore::PartitionAddress address,
+                  BudgetPartitionKnobs knobs);
+
+  /// Calls back once; at once when a lease decides. A reservation that does not fit stays standing:
+  /// only who asked knows whether another home has granted it, and gives it back if not.
+  void reserve(const BudgetRequest& request, Duration timeLimit, ReservationReplyCallback callback);
+  /// Only by the lease. \return nothing when it can't decide.
+  std::optional<ReservationReply> reserveAhead(const BudgetRequest& request);
+  void settle(const BudgetSettlement& settlement);
+
+  /// \return tokens that all known requests of the program have used or may use.
+  [[nodiscard]] std::uint64_t usedBy(const std::string& program) const {
+    return accounts_.usedBy(program);
+  }
+
+  /// To be called now and then while this node is the partition's home: takes, renews and clears
+  /// leases.
+  void keepLease();
+  /// To be called now and then while it is not: records what was spent ahead, then gives the lease
+  /// back.
+  void giveLeaseBack();
+  [[nodiscard]] bool holdsLease() const;
+  /// \return whether the request was granted ahead and its record does not stand yet.
+  [[nodiscard]] bool isAhead(const std::string& request) const { return ahead_.contains(request); }
+  /// \return requests granted ahead whose records do not stand yet.
+  [[nodiscard]] std::size_t unrecorded() const { return ahead_.size(); }
+  [[nodiscard]] const BudgetCounters& counters() const { return counters_; }
+
+  /// Forgets accounts of programs long gone; call it now and then.
+  void sweep();
+
+ private:
+  /// A request that was granted before its record stands.
+  struct Ahead {
+    BudgetReservation reservation;
+    std::optional<BudgetSettlement> settlement;
+    bool recording = false;
+  };
+  struct Lease {
+    std::string id;
+    Instant validUntil;
+  };
+
+  void onRecord(std::uint64_t offset, std::string_view record);
+  void reserveInLog(const BudgetRequest& request, Duration timeLimit,
+                    ReservationReplyCallback callback);
+  ReservationReply decideByLog(const BudgetRequest& request, std::uint64_t offset);
+  [[nodiscard]] std::uint64_t mostSpentUnseen(const BudgetRequest& request);
+  [[nodiscard]] std::uint64_t spentAhead(const std::string& program) const;
+  void scheduleRecording();
+  void recordAhead();
+  void onRecorded(const std::string& request, bool withSettlement,
+                  const logstore::StoreResult<std::uint64_t>& result);
+  void forgetAhead(const std::string& request);
+  void appendSettlement(const BudgetSettlement& settlement);
+  void appendLease(const BudgetLease& record, std::function<void(bool stands)> onRead);
+  void takeLease();
+  void dropLease();
+  [[nodiscard]] std::string leaseId() const;
+  [[nodiscard]] std::string ownLease() const { return lease_ ? lease_->id : std::string(); }
+
+  logstore::PersistentStore& store_;
+  services::TimerService& timers_;
+  logstore::ClockFunction clock_;
+  logstore::PartitionAddress address_;
+  BudgetPartitionKnobs knobs_;
+  std::shared_ptr<PartitionReader> reader_;
+  std::unique_ptr<logstore::AppendBatcher> batcher_;
+  BudgetAccounts accounts_;
+  BudgetLeaseTable leases_;
+  std::optional<Lease> lease_;
+  std::uint64_t leaseNumber_ = 1;  ///< Of the lease held, or of the next one.
+  std::uint64_t renewal_ = 0;      ///< Of the newest record asked for.
+  bool leaseAsked_ = false;        ///< A record of it is on its way.
+  bool clearing_ = false;          ///< Records about other leases are on their way.
+  bool givingBack_ = false;        ///< Nothing more is spent under the lease.
+  bool recordingScheduled_ = false;
+  std::unordered_map<std::string, Ahead> ahead_;  ///< By request.
+  std::unordered_map<std::string, std::vector<std::string>> aheadByProgram_;
+  BudgetCounters counters_;
+};
+
+}  // namespace gorsetrail::ledger
--- /dev/null
+++ b/tests/ledger/budget_partition_test.cpp
@@ -0,0 +1,257 @@
+// Budgets with and without a store at hand: dead, cut off, restarted and disagreeing homes.
+#include "ledger/budget_partition.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "ledger/budget_fleet.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::ledger;
+using namespace gorsetrail::ledger::testing;
+using logstore::FakeFault;
+
+namespace {
+
+constexpr Duration kTimeLeft = seconds(5);
+/// Longer than leases need to end and to be cleared.
+constexpr Duration kUntilCleared = seconds(17);
+
+}  // namespace
+
+TEST_GROUP(BudgetPartition) {
+  BudgetFleet fleet;
+
+  ReservationOutcome spend(Home & home, const char* request, std::uint64_t tokens,
+                           std::uint64_t budget = 1000, const char* program = "program") {
+    return fleet.spend(home, request, program, tokens, budget, kTimeLeft);
+  }
+};
+
+TEST(BudgetPartition, grantsAtOnceUnderItsLeaseAndRecordsSoonAfter) {
+  Home& home = fleet.startWithLease("a");
+  const int appends = fleet.log.appends;
+  bool granted = false;
+  home.partition.reserve({{"r1", "program", 300}, 1000, kTimeLeft}, seconds(1),
+                         [&granted](const ReservationReply& reply) {
+                           granted = reply.outcome == ReservationOutcome::Granted;
+                         });
+  CHECK_TRUE(granted);
+  LONGS_EQUAL(1, home.partition.unrecorded());
+  home.partition.settle({"r1", "program", 90});
+  fleet.timers.advance(seconds(1));
+  LONGS_EQUAL(0, home.partition.unrecorded());
+  LONGS_EQUAL(appends + 1, fleet.log.appends);  // Reservation and settlement share one.
+  LONGS_EQUAL(90, home.partition.usedBy("program"));
+}
+
+TEST(BudgetPartition, withoutALeaseOnlyTheLogDecides) {
+  Home& home = fleet.start("a");
+  fleet.log.fault = FakeFault::Silent;
+  CHECK(spend(home, "r1", 300) == ReservationOutcome::Unavailable);
+}
+
+TEST(BudgetPartition, aHomeWithALeaseGoesOnWhileTheStoreIsDown) {
+  Home& home = fleet.startWithLease("a");
+  fleet.log.fault = FakeFault::Busy;
+  CHECK(spend(home, "r1", 200) == ReservationOutcome::Granted);
+  home.partition.settle({"r1", "program", 80});
+  fleet.timers.advance(seconds(3));
+  CHECK(spend(home, "r2", 200) == ReservationOutcome::Granted);
+  home.partition.settle({"r2", "program", 80});
+  CHECK(spend(home, "r3", 200) == ReservationOutcome::Granted);
+  LONGS_EQUAL(3, home.partition.unrecorded());
+  fleet.log.fault = FakeFault::None;
+  fleet.timers.advance(seconds(4));
+  LONGS_EQUAL(0, home.partition.unrecorded());
+  LONGS_EQUAL(360, home.partition.usedBy("program"));
+}
+
+TEST(BudgetPartition, whatWasSpentAheadIsReadByTheNextHome) {
+  Home& home = fleet.startWithLease("a");
+  fleet.log.fault = FakeFault::Busy;
+  spend(home, "r1", 200);
+  home.partition.settle({"r1", "program", 80});
+  fleet.log.fault = FakeFault::None;
+  fleet.timers.advance(seconds(4));
+  home.partition.giveLeaseBack();
+  fleet.timers.advance(seconds(1));
+  Home& next = fleet.start("b");
+  CHECK(spend(next, "r2", 100) == ReservationOutcome::Granted);
+  LONGS_EQUAL(180, next.partition.usedBy("program"));
+}
+
+TEST(BudgetPartition, aProgramThatLoopsInAnOutageGetsNoMoreThanTheLeasesShare) {
+  Home& home = fleet.startWithLease("a");
+  fleet.log.fault = FakeFault::Silent;
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(home, "r" + std::to_string(number), "program", 50, 1000, kTimeLeft);
+  }
+  LONGS_EQUAL(450, fleet.handedOut["program"]);
+}
+
+TEST(BudgetPartition, anOutageDoesNotMakeTheBudgetLarger) {
+  Home& home = fleet.startWithLease("a");
+  for (int number = 0; number < 16; ++number) {
+    spend(home, ("r" + std::to_string(number)).c_str(), 50);
+    fleet.timers.advance(seconds(1));
+  }
+  fleet.log.fault = FakeFault::Silent;
+  for (int number = 16; number < 40; ++number) {
+    fleet.spend(home, "r" + std::to_string(number), "program", 50, 1000, kTimeLeft);
+  }
+  LONGS_EQUAL(1000, fleet.handedOut["program"]);
+}
+
+TEST(BudgetPartition, theNextHomeCountsWhatADeadOneMayHaveSpent) {
+  Home& first = fleet.startWithLease("a");
+  fleet.log.fault = FakeFault::Silent;
+  CHECK(spend(first, "r1", 450) == ReservationOutcome::Granted);
+  fleet.kill("a");
+  fleet.log.fault = FakeFault::None;
+  Home& next = fleet.startWithLease("b");
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(next, "s" + std::to_string(number), "program", 50, 1000, kTimeLeft);
+  }
+  // Within the budget and one turn, although 450 tokens were never recorded.
+  CHECK(fleet.handedOut["program"] <= 1050);
+  CHECK(fleet.handedOut["program"] >= 950);
+}
+
+TEST(BudgetPartition, whatOnlyAnEarlierHomeMayHaveSpentIsNotCalledSpent) {
+  fleet.startWithLease("a");
+  fleet.kill("a");
+  Home& next = fleet.startWithLease("b");
+  CHECK(spend(next, "r1", 600) == ReservationOutcome::Granted);
+  CHECK(spend(next, "r2", 100) == ReservationOutcome::Unavailable);
+  LONGS_EQUAL(1, next.partition.counters().uncertain);
+  CHECK(spend(next, "r3", 1001) == ReservationOutcome::Spent);
+}
+
+TEST(BudgetPartition, aRestartedHomeEndsItsEarlierLeaseAndLaterProgramsOweItNothing) {
+  fleet.startWithLease("a");
+  Home& again = fleet.start("a");
+  fleet.tend(again, kUntilCleared);
+  // All of the budget is there for a program that began since.
+  CHECK(fleet.spend(again, "r1", "new", 600, 1000, kTimeLeft) == ReservationOutcome::Granted);
+  CHECK(fleet.spend(again, "r2", "new", 400, 1000, kTimeLeft) == ReservationOutcome::Granted);
+  // One that is late may be older.
+  CHECK(fleet.spend(again, "r3", "late", 600, 1000, Duration::zero()) ==
+        ReservationOutcome::Granted);
+  CHECK(fleet.spend(again, "r4", "late", 400, 1000, Duration::zero()) ==
+        ReservationOutcome::Unavailable);
+}
+
+TEST(BudgetPartition, aProgramOfTheDeadHomeIsCountedEvenAfterItsLeaseWasCleared) {
+  Home& first = fleet.startWithLease("a");
+  fleet.log.fault = FakeFault::Silent;
+  CHECK(spend(first, "r1", 400) == ReservationOutcome::Granted);
+  fleet.log.fault = FakeFault::None;
+  Home& again = fleet.start("a");
+  fleet.tend(again, kUntilCleared);
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(again, "s" + std::to_string(number), "program", 50, 1000, Duration::zero());
+  }
+  CHECK(fleet.handedOut["program"] <= 1050);
+}
+
+TEST(BudgetPartition, allPowerLostTwiceAmidOutagesKeepsTheBudget) {
+  for (int life = 0; life < 2; ++life) {
+    Home& home = fleet.startWithLease("a");
+    fleet.log.fault = FakeFault::Silent;
+    for (int number = 0; number < 30; ++number) {
+      fleet.spend(home, "r" + std::to_string(life) + "-" + std::to_string(number), "program", 50,
+                  1000, kTimeLeft);
+    }
+    fleet.kill("a");
+    fleet.log.fault = FakeFault::None;
+  }
+  Home& last = fleet.startWithLease("a");
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(last, "s" + std::to_string(number), "program", 50, 1000, kTimeLeft);
+  }
+  CHECK(fleet.handedOut["program"] <= 1050);
+}
+
+TEST(BudgetPartition, aHomeThatIsCutOffAndTheNextOneKeepTheBudgetTogether) {
+  Home& first = fleet.startWithLease("a");
+  first.way.cut = true;
+  Home& second = fleet.startWithLease("b");
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(first, "r" + std::to_string(number), "program", 50, 1000, kTimeLeft);
+    fleet.spend(second, "s" + std::to_string(number), "program", 50, 1000, kTimeLeft);
+  }
+  CHECK(fleet.handedOut["program"] <= 1050);
+  CHECK(fleet.handedOut["program"] >= 900);
+}
+
+TEST(BudgetPartition, nothingIsSpentUnderALeaseThatWasNotRenewedForLong) {
+  Home& home = fleet.startWithLease("a");
+  home.way.cut = true;
+  fleet.timers.advance(BudgetLeaseKnobs{}.validity);
+  CHECK_FALSE(home.partition.holdsLease());
+  CHECK(spend(home, "r1", 50) == ReservationOutcome::Unavailable);
+}
+
+TEST(BudgetPartition, aHomeWhoseLeaseOthersEndedTakesANewOne) {
+  Home& first = fleet.startWithLease("a");
+  first.way.cut = true;
+  Home& second = fleet.start("b");
+  fleet.tend(second, seconds(40));
+  first.way.cut = false;
+  fleet.timers.advance(seconds(2));
+  fleet.tend(first, seconds(4));
+  CHECK_TRUE(first.partition.holdsLease());
+  // The new one counts at the other home, the old one no more once it is cleared.
+  fleet.tend(second, kUntilCleared);
+  CHECK(fleet.spend(second, "r1", "new", 600, 1000, kTimeLeft) == ReservationOutcome::Granted);
+  CHECK(fleet.spend(second, "r2", "new", 300, 1000, kTimeLeft) == ReservationOutcome::Unavailable);
+}
+
+TEST(BudgetPartition, aLeaseThatWasGivenBackIsNotCounted) {
+  Home& first = fleet.startWithLease("a");
+  spend(first, "r1", 300);
+  fleet.timers.advance(seconds(1));
+  first.partition.giveLeaseBack();
+  fleet.timers.advance(seconds(1));
+  CHECK_FALSE(first.partition.holdsLease());
+  Home& second = fleet.startWithLease("b");
+  CHECK(fleet.spend(second, "r2", "new", 600, 1000, kTimeLeft) == ReservationOutcome::Granted);
+  CHECK(fleet.spend(second, "r3", "new", 400, 1000, kTimeLeft) == ReservationOutcome::Granted);
+}
+
+TEST(BudgetPartition, aLeaseIsGivenBackOnlyAfterAllWasRecorded) {
+  Home& home = fleet.startWithLease("a");
+  fleet.log.fault = FakeFault::Busy;
+  spend(home, "r1", 300);
+  home.partition.giveLeaseBack();
+  CHECK_FALSE(home.partition.holdsLease());
+  fleet.timers.advance(seconds(1));
+  fleet.log.fault = FakeFault::None;
+  Home& next = fleet.start("b");
+  // Until it is given back, it counts.
+  spend(next, "r2", 600);
+  CHECK(spend(next, "r3", 100) == ReservationOutcome::Unavailable);
+  for (int tick = 0; tick < 20; ++tick) {
+    home.partition.giveLeaseBack();
+    fleet.timers.advance(milliseconds(200));
+  }
+  LONGS_EQUAL(0, home.partition.unrecorded());
+  CHECK(fleet.spend(next, "r4", "new", 600, 1000, kTimeLeft) == ReservationOutcome::Granted);
+  CHECK(fleet.spend(next, "r5", "new", 400, 1000, kTimeLeft) == ReservationOutcome::Granted);
+}
+
+TEST(BudgetPartition, longProgramsAndThoseThatDoNotTellTheirTimeWaitForTheLog) {
+  Home& home = fleet.startWithLease("a");
+  fleet.log.fault = FakeFault::Silent;
+  CHECK(fleet.spend(home, "r1", "long", 50, 1000, seconds(11)) == ReservationOutcome::Unavailable);
+  CHECK(fleet.spend(home, "r2", "untold", 50, 1000, {}) == ReservationOutcome::Unavailable);
+}
+
+TEST(BudgetPartition, leasesCanBeSwitchedOff) {
+  BudgetPartitionKnobs knobs;
+  knobs.leases.enabled = false;
+  BudgetFleet without(knobs);
+  Home& home = without.startWithLease("a");
+  CHECK_FALSE(home.partition.holdsLease());
+  LONGS_EQUAL(0, without.log.appends);
+}
--- /dev/null
+++ b/tests/ledger/budget_random_test.cpp
@@ -0,0 +1,147 @@
+// Random days of homes, outages, kills and programs: an outside count of the tokens handed out
+// never exceeds a program's budget and one turn.
+#include <algorithm>
+#include <array>
+#include <random>
+#include <string>
+
+#include "ledger/budget_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::ledger;
+using namespace gorsetrail::ledger::testing;
+using logstore::FakeFault;
+
+namespace {
+
+constexpr std::uint64_t kBudget = 1000;
+constexpr std::uint64_t kTurn = 120;
+constexpr int kSteps = 220;
+constexpr int kSeeds = 400;
+
+/// One seeded day on which every home may be asked at any moment, whoever is the partition's home.
+class RandomDay {
+ public:
+  /// \param knobsOfB of home "b"; the others have `knobs`.
+  RandomDay(std::uint64_t seed, const BudgetPartitionKnobs& knobs,
+            const BudgetPartitionKnobs& knobsOfB)
+      : random_(seed), fleet_(knobs) {
+    fleet_.knobsOf["b"] = knobsOfB;
+    for (const char* holder : kHolders) {
+      lives_[holder] = &fleet_.start(holder);
+    }
+  }
+  /// \return tokens that were handed out above what the rule allows, by the worst program.
+  std::uint64_t excess() {
+    for (int step = 0; step < kSteps; ++step) {
+      play();
+    }
+    std::uint64_t worst = 0;
+    for (const auto& [program, tokens] : fleet_.handedOut) {
+      worst = std::max(worst, tokens);
+    }
+    return worst > kBudget + kTurn ? worst - kBudget - kTurn : 0;
+  }
+
+ private:
+  static constexpr std::array<const char*, 2> kHolders{"a", "b"};
+
+  std::uint64_t draw(std::uint64_t below) { return random_() % below; }
+  Home& anyHome() { return *lives_[kHolders[draw(kHolders.size())]]; }
+
+  void play() {
+    const std::uint64_t what = draw(40);
+    if (what < 26) {
+      askForATurn();
+    } else if (what < 33) {
+      tend();
+    } else if (what < 35) {
+      fleet_.log.fault =
+          std::array{FakeFault::Silent, FakeFault::Busy, FakeFault::LostReply}[draw(3)];
+    } else if (what < 37) {
+      fleet_.log.fault = FakeFault::None;
+    } else if (what < 38) {
+      anyHome().way.cut = draw(2) == 0;
+    } else if (what < 39) {
+      const char* const holder = kHolders[draw(kHolders.size())];
+      lives_[holder] = &fleet_.start(holder);
+    } else {
+      fleet_.timers.advance(seconds(1 + static_cast<Duration::rep>(draw(20))));
+    }
+  }
+
+  void tend() {
+    Home& home = anyHome();
+    if (draw(4) == 0) {
+      home.partition.giveLeaseBack();
+    } else {
+      home.partition.keepLease();
+    }
+    fleet_.timers.advance(milliseconds(static_cast<Duration::rep>(200 + draw(900))));
+  }
+
+  /// Programs loop: each should be over 6 s after its first turn, and goes on all the same.
+  void askForATurn() {
+    const std::string program = "p" + std::to_string(draw(3));
+    const auto [finish, isNew] = finishes_.try_emplace(program, fleet_.timers.now + seconds(6));
+    const Duration left = std::max(Duration::zero(), finish->second - fleet_.timers.now);
+    Home& home = anyHome();
+    const std::string request = "r" + std::to_string(++requests_);
+    const auto outcome = fleet_.spend(home, request, program, kTurn, kBudget, left,
+                                      milliseconds(static_cast<Duration::rep>(draw(1500))));
+    if (outcome == ReservationOutcome::Granted && draw(3) == 0) {
+      const std::uint64_t used = draw(kTurn + 1);
+      fleet_.handedOut[program] -= kTurn - used;
+      home.partition.settle({request, program, used});
+    }
+  }
+
+  std::mt19937_64 random_;
+  BudgetFleet fleet_;
+  std::map<std::string, Home*> lives_;
+  std::map<std::string, Instant> finishes_;
+  int requests_ = 0;
+};
+
+/// \return the first seed whose day breaks the rule; 0: none.
+std::uint64_t firstBrokenSeed(const BudgetPartitionKnobs& knobs,
+                              const BudgetPartitionKnobs& knobsOfB) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    if (RandomDay(seed, knobs, knobsOfB).excess() > 0) {
+      return seed;
+    }
+  }
+  return 0;
+}
+
+std::uint64_t firstBrokenSeed(const BudgetPartitionKnobs& knobs) {
+  return firstBrokenSeed(knobs, knobs);
+}
+
+}  // namespace
+
+TEST_GROUP(BudgetRandom) { BudgetPartitionKnobs knobs; };
+
+TEST(BudgetRandom, noDayBreaksTheBudget) { LONGS_EQUAL(0, firstBrokenSeed(knobs)); }
+
+// Each of these must show, or the test above could not fail.
+TEST(BudgetRandom, findsAFleetThatClearsLeasesAtOnceAndThenForgetsThem) {
+  knobs.leases.longestCall = -knobs.leases.longestProgramTime;
+  knobs.leases.memory = Duration::zero();
+  CHECK(firstBrokenSeed(knobs) != 0);
+}
+
+TEST(BudgetRandom, findsAHomeThatDoesNotCountTheLeasesOfOthers) {
+  BudgetPartitionKnobs careless = knobs;
+  careless.leases.share = 0.0;
+  careless.leases.singleTurnShare = 0.0;
+  CHECK(firstBrokenSeed(knobs, careless) != 0);
+}
+
+TEST(BudgetRandom, findsAHomeThatSpendsMoreAheadThanOthersCount) {
+  BudgetPartitionKnobs greedy = knobs;
+  greedy.leases.share = 0.95;
+  CHECK(firstBrokenSeed(knobs, greedy) != 0);
+}
