--- a/spec/budget_lease.pml
+++ b/spec/budget_lease.pml
@@ -2,63 +2,55 @@
  * Budgets spent ahead of their records under leases (src/ledger/budget_partition.cpp).
  *
  * A home takes a lease by a record in the partition's log and uses it once it has read everything
- * before that record (BudgetPartition::takeLease). Under it a program gets up to SHARE tokens that
- * no record tells of (reserveAhead). They count until their record stands and everything before it
- * was read (onRecorded). Whoever decides by the log counts SHARE for each lease of others that was
- * not given back (decideByLog, mostSpentUnseen). A home dies at any moment with all it has not
- * recorded; its lease stays and counts. A lease is given back when all under it is recorded. A dead
- * home's lease may be cleared once the program should be over, and a program that should be over
- * owes it all the same (BudgetLeaseTable::unseenSpenders).
+ * before that record (BudgetPartition::takeLease); while another lease is not cleared, the record is
+ * void (BudgetLeaseTable::onRecord). Under it a program that should not be over yet gets up to SHARE
+ * tokens that no record tells of (reserveAhead). They count until their record stands and everything
+ * before it was read (onRecorded). Whoever decides by the log counts SHARE for a lease of others that
+ * is not cleared (decideByLog, mostSpentUnseen). A home dies at any moment with all that it has not
+ * recorded; its lease stays and counts. A lease is cleared when all under it is recorded
+ * (giveLeaseBack), or when the programs that spent under it should be over (BudgetLeaseTable::due).
+ * A program that should be over counts cleared leases too: it may be older than they are.
  *
- * Any home may be asked at any moment, also while the store answers only some of them: that a step
- * at the log is not taken stands for a store that is down.
+ * Any home may be asked at any moment; that a step at the log is not taken stands for a store that is
+ * out of reach.
  *
  * Claim: one program gets its budget and one turn at most.
  *
- * Mutants (-D): OTHERS_LEASES_NOT_COUNTED, USED_BEFORE_ITS_RECORD_STANDS, RECORDED_WITHOUT_READING,
- * GIVEN_BACK_BEFORE_RECORDING, LATE_PROGRAM_OWES_NOTHING, AHEAD_NOT_COUNTED_BY_ITS_HOME.
+ * Mutants (-D): OTHERS_LEASES_NOT_COUNTED, TAKEN_BESIDE_ANOTHER, RECORDED_WITHOUT_READING,
+ * CLEARED_BEFORE_RECORDING, LATE_PROGRAM_OWES_NOTHING, LATE_PROGRAM_SPENDS_AHEAD,
+ * AHEAD_NOT_COUNTED_BY_ITS_HOME.
  */
 #define HOMES 2
-#define LIVES 2
-#define LEASES 4                 /* HOMES x LIVES */
+#define LIVES 3
+#define LEASES 6                 /* HOMES x LIVES */
 #define TURN 1
-#define SHARE 2
-#define BUDGET 4
+#define SHARE 3
+#define BUDGET 5
+#define NONE 255
 
 #define LEASE (h * LIVES + life)
 
 byte recorded = 0;               /* tokens of the program that stand in the log */
-byte records = 0;                /* of all kinds: the log's end */
 byte spent = 0;                  /* tokens handed out */
-bool standing[LEASES];           /* in the log, and not given back */
-bool cleared[LEASES];
-bool valid[LEASES];              /* its holder may still use it */
+byte in_force = NONE;            /* the lease that is held or ended */
+bool dead = false;               /* its holder will not use it any more */
+bool spent_under = false;        /* the program spent under it */
+bool any_cleared = false;
 bool over = false;               /* the program should be over */
 
-inline count_others() {
-  others = 0;
-  i = 0;
-  do
-  :: i < LEASES ->
-     if
-#ifdef LATE_PROGRAM_OWES_NOTHING
-     :: standing[i] && !cleared[i] && i != LEASE -> others++
-#else
-     :: standing[i] && i != LEASE -> others++
+/* Sets `unseen`: whether tokens may have been spent unseen, for a decision by this home. */
+inline look_for_unseen() {
+  unseen = (in_force != NONE && in_force != LEASE);
+#ifndef LATE_PROGRAM_OWES_NOTHING
+  unseen = (unseen || (over && any_cleared));
 #endif
-     :: else -> skip
-     fi;
-     i++
-  :: else -> break
-  od;
 #ifdef OTHERS_LEASES_NOT_COUNTED
-  others = 0;
+  unseen = false
 #endif
-  i = 0
 }
 
-inline fits(used, leases) {
-  fit = (used + (SHARE * leases > TURN -> SHARE * leases : TURN) <= BUDGET)
+inline fits(used, others) {
+  fit = (used + (others && SHARE > TURN -> SHARE : TURN) <= BUDGET)
 }
 
 inline hand_out() {
@@ -66,65 +58,48 @@
   assert(spent <= BUDGET + TURN)
 }
 
+/* Everything in the log was read. */
 inline read_all() {
   known = recorded;
-  known_at = records;
-  count_others();
-  known_others = others;
-  others = 0
+  look_for_unseen();
+  known_unseen = unseen;
+  unseen = false
 }
 
 proctype home(byte h) {
   byte life = 0;
-  bool asked = false;            /* the lease's record stands, what is before it is not read */
   bool held = false;
   byte ahead = 0;
   byte known = 0;                /* recorded tokens that this home has read */
-  byte known_others = 0;         /* leases of others that it has read of */
-  byte known_at = 0;             /* records that it has read */
-  byte before_known = 0;         /* what stood before the lease's record */
-  byte before_others = 0;
-  byte before_at = 0;
-  byte others = 0;
-  byte i = 0;
+  bool known_unseen = false;     /* it has read that others may have spent unseen */
+  bool unseen = false;
   bool fit = false;
   do
-  :: atomic {                    /* takeLease: the record */
-       !asked && !held && !standing[LEASE] ->
-       count_others();
-       before_known = recorded;
-       before_others = others;
-       before_at = records;
-       others = 0;
-       standing[LEASE] = true;
-       records++;
-       valid[LEASE] = true;
-       asked = true
-     }
-#ifdef USED_BEFORE_ITS_RECORD_STANDS
-  :: atomic { !asked && !held && !standing[LEASE] -> held = true }
+  :: atomic {                    /* takeLease; reading on after the record can only tell it more */
+#ifdef TAKEN_BESIDE_ANOTHER
+       !held && in_force != LEASE ->
+#else
+       !held && in_force == NONE ->
 #endif
-  :: atomic {                    /* takeLease: everything before it was read */
-       asked ->
-       if
-       :: before_at > known_at ->
-          known = before_known;
-          known_others = before_others;
-          known_at = before_at
-       :: else -> skip           /* it has read further meanwhile */
-       fi;
-       asked = false;
+       in_force = LEASE;
+       dead = false;
+       spent_under = false;
+       read_all();
        held = true
      }
   :: atomic {                    /* reserveAhead */
+#ifdef LATE_PROGRAM_SPENDS_AHEAD
        held && ahead + TURN <= SHARE ->
+#else
+       held && !over && ahead + TURN <= SHARE ->
+#endif
 #ifdef AHEAD_NOT_COUNTED_BY_ITS_HOME
-       fits(known, known_others);
+       fits(known, known_unseen);
 #else
-       fits(known + ahead, known_others);
+       fits(known + ahead, known_unseen);
 #endif
        if
-       :: fit -> ahead = ahead + TURN; hand_out()
+       :: fit -> ahead = ahead + TURN; spent_under = true; hand_out()
        :: else -> skip
        fi;
        fit = false
@@ -132,7 +107,6 @@
   :: atomic {                    /* recordAhead */
        ahead > 0 ->
        recorded = recorded + TURN;
-       records++;
        ahead = ahead - TURN;
 #ifdef RECORDED_WITHOUT_READING
        known = known + TURN
@@ -141,41 +115,44 @@
 #endif
      }
   :: atomic {                    /* reserveInLog */
-       count_others();
-       fits(recorded + ahead, others);
-       others = 0;
+       look_for_unseen();
+       fits(recorded + ahead, unseen);
+       unseen = false;
        if
-       :: fit -> recorded = recorded + TURN; records++; hand_out(); read_all()
+       :: fit -> recorded = recorded + TURN; hand_out(); read_all()
        :: else -> skip
        fi;
        fit = false
      }
-  :: atomic {                    /* the process dies and starts anew */
+  :: atomic {                    /* the process dies and starts anew, or its validity is over */
        life < LIVES - 1 ->
-       valid[LEASE] = false;
+       if
+       :: in_force == LEASE -> dead = true
+       :: else -> skip
+       fi;
        ahead = 0;
        held = false;
-       asked = false;
        known = 0;
-       known_others = 0;
-       known_at = 0;
-       before_at = 0;
+       known_unseen = false;
        life++
      }
   :: atomic {                    /* giveLeaseBack */
-#ifdef GIVEN_BACK_BEFORE_RECORDING
-       held && life < LIVES - 1 ->
+#ifdef CLEARED_BEFORE_RECORDING
+       held && life < LIVES - 1 && in_force == LEASE ->
 #else
-       held && life < LIVES - 1 && ahead == 0 ->
+       held && life < LIVES - 1 && in_force == LEASE && ahead == 0 ->
 #endif
-       standing[LEASE] = false;
-       records++;
-       valid[LEASE] = false;
+       in_force = NONE;
+       any_cleared = true;
        held = false;
+       ahead = 0;
        life++
      }
-  :: atomic { i < 1 && over && !valid[(1 - h) * LIVES] && standing[(1 - h) * LIVES] &&
-              !cleared[(1 - h) * LIVES] -> cleared[(1 - h) * LIVES] = true }
+  :: atomic {                    /* a dead lease is cleared when who spent under it should be over */
+       in_force != NONE && dead && (over || !spent_under) ->
+       in_force = NONE;
+       any_cleared = true
+     }
   :: break
   od
 }
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -93,5 +93,12 @@
   is_caught homes "${mutant}"
 done
 
+holds budget_lease
+for mutant in OTHERS_LEASES_NOT_COUNTED TAKEN_BESIDE_ANOTHER RECORDED_WITHOUT_READING \
+  CLEARED_BEFORE_RECORDING LATE_PROGRAM_OWES_NOTHING LATE_PROGRAM_SPENDS_AHEAD \
+  AHEAD_NOT_COUNTED_BY_ITS_HOME; do
+  is_caught budget_lease "${mutant}"
+done
+
 echo "${#held[@]} models hold, ${caught} mutants caught"
 exit $((failures > 0))
--- a/src/edge/call_request.h
+++ b/src/edge/call_request.h
@@ -25,6 +25,8 @@
   std::string previousTurn;          ///< Turn that this one goes on from; empty at the start.
   std::string lastEventId;           ///< The client resumes a stream behind this event.
   std::optional<Duration> deadline;  ///< How long the client waits.
+  /// Until the whole program should be over; zero when that has passed.
+  std::optional<Duration> programTimeLeft;
   std::optional<std::uint64_t> tokenBudget;  ///< Of the whole program.
   std::uint64_t promptTokens = 0;            ///< Of the whole prompt.
   std::uint64_t maximumTokens = 0;           ///< That this request may generate.
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kLoadPeriod = milliseconds(100);
 constexpr Duration kFlushPeriod = milliseconds(250);
 constexpr Duration kSweepPeriod = seconds(10);
+constexpr Duration kLeasePeriod = seconds(1);
 constexpr Duration kStopCheckPeriod = milliseconds(100);
 /// Clients may hold this node's address for a while after it left the directory: so long are their
 /// requests taken. Later ones are told at once that they have not run, since the process may end
@@ -36,20 +37,23 @@
   return Instant(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
-ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings) {
+std::string relayAddressOf(const EdgeSettings& settings) {
+  return settings.ip + ":" + std::to_string(settings.firstInternalPort);
+}
+
+/// \param life differs between processes.
+ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings, std::uint64_t life) {
   constexpr std::uint64_t kShareOfMemory = 4;
   ledger::LedgerKnobs knobs;
   knobs.zone = settings.zone;
   knobs.partitions.partitionsPerTopic = settings.store.partitionsPerTopic;
   knobs.maximumRecordBytes = settings.store.maximumRecordBytes;
   knobs.cacheBytes = settings.memoryBytes / kShareOfMemory;
+  knobs.budgets.holder = relayAddressOf(settings);
+  knobs.budgets.life = std::to_string(life);
   return knobs;
 }
 
-std::string relayAddressOf(const EdgeSettings& settings) {
-  return settings.ip + ":" + std::to_string(settings.firstInternalPort);
-}
-
 /// \return what a client gets whose request could not be read.
 unsigned statusOf(http::ProtocolFault fault) {
   constexpr unsigned kBadRequest = 400;
@@ -105,7 +109,7 @@
       sharedTopics_(store_, relayedStore_, relayAddressOf(settings_), settings_.zone,
                     [this] { return ledgerHomes().value_or(std::vector<ledger::HomeCandidate>()); },
                     clock_, {}),
-      localLedger_(store_, *timers_, clock_, ledgerKnobsOf(settings_)),
+      localLedger_(store_, *timers_, clock_, ledgerKnobsOf(settings_, seed)),
       ledgerService_(localLedger_),
       ledgerPeers_(parts_.peers, [this] { return ledgerHomes(); }),
       ledger_(ledgerService_, ledgerPeers_, *timers_, clock_, routedLedgerKnobs(), seed),
@@ -150,6 +154,7 @@
   loadLoop();
   flushLoop();
   sweepLoop();
+  leaseLoop();
   return Success{};
 }
 
@@ -254,6 +259,12 @@
   figures.ledgerCalls = calls.calls;
   figures.ledgerCallsPassedOn = calls.passedOn;
   figures.ledgerCallsFailed = calls.failed;
+  const ledger::BudgetCounters budgets = localLedger_.budgetCounters();
+  figures.reservationsGrantedAhead = budgets.grantedAhead;
+  figures.reservationsGrantedByLog = budgets.grantedByLog;
+  figures.reservationsSpent = budgets.spent;
+  figures.reservationsUncertain = budgets.uncertain;
+  figures.grantsUnrecorded = localLedger_.unrecordedGrants();
   figures.storeThroughRelay = failoverStore_.isDirect() ? 0 : 1;
   figures.dispatches = context_.counters.dispatches;
   figures.retries = context_.counters.retries;
@@ -405,6 +416,15 @@
   timers_->runAfter(kSweepPeriod, [this] { sweepLoop(); });
 }
 
+void EdgeDaemon::leaseLoop() {
+  if (stopping_) {
+    ledger_.giveLeasesBack();
+  } else {
+    ledger_.tendLeases();
+  }
+  timers_->runAfter(stopping_ ? kStopCheckPeriod : kLeasePeriod, [this] { leaseLoop(); });
+}
+
 void EdgeDaemon::reload(EdgeSettings settings) {
   settings.listen = settings_.listen;
   settings_ = std::move(settings);
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -87,6 +87,7 @@
   void loadLoop();
   void flushLoop();
   void sweepLoop();
+  void leaseLoop();
   void checkStopped();
   [[nodiscard]] EdgeSnapshot snapshot() const;
   [[nodiscard]] bool isReady() const;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -34,6 +34,12 @@
   list.add(snapshot.ledgerCalls, {{"result", "started"}});
   list.add(snapshot.ledgerCallsPassedOn, {{"result", "passed_on"}});
   list.add(snapshot.ledgerCallsFailed, {{"result", "failed"}});
+  list.family("reservations_total", "Budget decisions at this node by result", MetricType::Counter);
+  list.add(snapshot.reservationsGrantedAhead, {{"result", "granted_ahead"}});
+  list.add(snapshot.reservationsGrantedByLog, {{"result", "granted_by_log"}});
+  list.add(snapshot.reservationsSpent, {{"result", "spent"}});
+  list.add(snapshot.reservationsUncertain, {{"result", "uncertain"}});
+  list.gauge("grants_unrecorded", "Grants ahead of their records", snapshot.grantsUnrecorded);
 }
 
 void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -23,6 +23,11 @@
   std::uint64_t ledgerCalls = 0;
   std::uint64_t ledgerCallsPassedOn = 0;  ///< To another home.
   std::uint64_t ledgerCallsFailed = 0;
+  std::uint64_t reservationsGrantedAhead = 0;  ///< Under a lease of this node.
+  std::uint64_t reservationsGrantedByLog = 0;  ///< Decided at this node.
+  std::uint64_t reservationsSpent = 0;
+  std::uint64_t reservationsUncertain = 0;  ///< An earlier home may have spent the rest.
+  std::uint64_t grantsUnrecorded = 0;       ///< Gauge: granted ahead, not yet in the store.
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -39,7 +39,7 @@
                              }
                            });
   lastEventId_ = request_.lastEventId;
-  if (isBudgeted() && !context_.ledger.isWritable(request_.requestId, request_.programId)) {
+  if (!ledgerTakesIt()) {
     // An engine's work would be for nothing: its answer could not be released.
     refuse(kUnavailable, "store_not_answering", context_.knobs.retryAfterOutage);
     return;
@@ -76,6 +76,12 @@
   return true;
 }
 
+bool Exchange::ledgerTakesIt() const {
+  const bool keepsTurn = isStreaming() && route_->persisted;
+  return (!keepsTurn || context_.ledger.takesTurn(request_.requestId)) &&
+         (!isBudgeted() || context_.ledger.takesReservation(request_.programId));
+}
+
 bool Exchange::isStreaming() const { return route_->kind == routing::RouteKind::Streaming; }
 
 bool Exchange::isBudgeted() const {
@@ -127,7 +133,7 @@
   const bool ample = known + roomNeeded <= *request_.tokenBudget;
   // While the budget is ample as far as is known, the reservation runs beside the dispatch.
   reserve(!ample);
-  if (ample) {
+  if (ample && !ended_) {
     dispatch();
   }
 }
@@ -136,9 +142,13 @@
   budget_ = BudgetState::Reserving;
   reservationMayStand_ = true;
   const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
+  const ledger::BudgetRequest wanted{
+      {request_.requestId, request_.programId, request_.maximumTokens},
+      *request_.tokenBudget,
+      request_.programTimeLeft};
   context_.ledger.reserve(
-      {request_.requestId, request_.programId, request_.maximumTokens}, *request_.tokenBudget,
-      limit, [self = shared_from_this(), dispatchAfterwards](ledger::ReservationOutcome outcome) {
+      wanted, limit,
+      [self = shared_from_this(), dispatchAfterwards](ledger::ReservationOutcome outcome) {
         self->onReservation(dispatchAfterwards, outcome);
       });
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -76,6 +76,8 @@
   void settleBudget(std::uint64_t tokens);
 
   [[nodiscard]] Duration timeLeft() const;
+  /// \return whether what the request has to keep can probably be kept now.
+  [[nodiscard]] bool ledgerTakesIt() const;
   [[nodiscard]] bool isStreaming() const;
   [[nodiscard]] bool isBudgeted() const;
   [[nodiscard]] std::uint64_t tokensHandedOut() const;
--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -5,54 +5,67 @@
 namespace gorsetrail::ledger {
 
 void BudgetLeaseTable::onRecord(const BudgetLease& record, Instant now) {
-  const auto [entry, isNew] =
-      leases_.try_emplace(record.lease, Entry{record.holder, record.state, now, record.renewal});
-  Entry& known = entry->second;
-  const bool isHeld = record.state == BudgetLeaseState::Held;
-  const bool isVoid = record.state == BudgetLeaseState::Ended && record.renewal < known.renewal;
-  if (isNew || isVoid || record.state < known.state) {
-    return;  // It says nothing new.
+  const auto found = leases_.find(record.lease);
+  if (found == leases_.end()) {
+    const bool isVoid = record.state != BudgetLeaseState::Cleared && inForce() != leases_.end();
+    if (!isVoid) {
+      leases_.emplace(record.lease, Entry{record.holder, record.state, now, record.renewal});
+    }
+    return;
   }
-  if (record.state > known.state || (isHeld && record.renewal > known.renewal)) {
+  Entry& known = found->second;
+  const bool isRenewal = record.state == BudgetLeaseState::Held &&
+                         known.state == BudgetLeaseState::Held && record.renewal > known.renewal;
+  const bool isVoidEnd =
+      record.state == BudgetLeaseState::Ended && record.renewal < known.renewal;
+  if (isRenewal || (record.state > known.state && !isVoidEnd)) {
     known.state = record.state;
     known.since = now;
     known.renewal = std::max(known.renewal, record.renewal);
   }
 }
 
-std::uint64_t BudgetLeaseTable::unseenSpenders(const std::string& ownLease, bool isTimely,
-                                               std::optional<Instant> beganAfter,
-                                               Instant now) const {
-  std::uint64_t spenders = 0;
-  for (const auto& [lease, entry] : leases_) {
-    if (lease == ownLease) {
-      continue;
-    }
-    const bool isCleared = entry.state == BudgetLeaseState::Cleared;
-    const bool beganLater = isTimely || (beganAfter && *beganAfter >= entry.since);
-    const bool isForgotten = now - entry.since >= knobs_.memory;
-    spenders += isCleared && (beganLater || isForgotten) ? 0 : 1;
+BudgetLeaseTable::Leases::const_iterator BudgetLeaseTable::inForce() const {
+  return std::find_if(leases_.begin(), leases_.end(), [](const auto& entry) {
+    return entry.second.state != BudgetLeaseState::Cleared;
+  });
+}
+
+bool BudgetLeaseTable::isFreeFor(const std::string& ownLease) const {
+  const auto current = inForce();
+  return current == leases_.end() || current->first == ownLease;
+}
+
+bool BudgetLeaseTable::mayHaveSpentUnseen(const std::string& ownLease, bool isTimely,
+                                          std::optional<Instant> timelyAt, Instant now) const {
+  if (!isFreeFor(ownLease)) {
+    return true;
   }
-  return spenders;
+  return !isTimely && std::any_of(leases_.begin(), leases_.end(), [&](const auto& entry) {
+    const Entry& lease = entry.second;
+    const bool beganLater = timelyAt && *timelyAt >= lease.since;
+    const bool isForgotten = now - lease.since >= knobs_.memory;
+    return entry.first != ownLease && !beganLater && !isForgotten;
+  });
 }
 
-std::vector<BudgetLease> BudgetLeaseTable::due(const std::string& ownLease,
-                                               const std::string& ownHolder, Instant now) const {
-  const Duration untilCleared = knobs_.longestProgramTime + knobs_.longestCall;
-  std::vector<BudgetLease> records;
-  for (const auto& [lease, entry] : leases_) {
-    if (lease == ownLease) {
-      continue;
-    }
-    const Duration age = now - entry.since;
-    const bool isDead = entry.holder == ownHolder || age >= knobs_.expiry;
-    if (entry.state == BudgetLeaseState::Held && isDead) {
-      records.push_back({lease, entry.holder, BudgetLeaseState::Ended, entry.renewal});
-    } else if (entry.state == BudgetLeaseState::Ended && age >= untilCleared) {
-      records.push_back({lease, entry.holder, BudgetLeaseState::Cleared, entry.renewal});
-    }
+std::optional<BudgetLease> BudgetLeaseTable::due(const std::string& ownLease,
+                                                 const std::string& ownHolder, Instant now) const {
+  const auto current = inForce();
+  if (current == leases_.end() || current->first == ownLease) {
+    return std::nullopt;
+  }
+  const Entry& lease = current->second;
+  const Duration age = now - lease.since;
+  const bool isDead = lease.holder == ownHolder || age >= knobs_.expiry;
+  if (lease.state == BudgetLeaseState::Held && isDead) {
+    return BudgetLease{current->first, lease.holder, BudgetLeaseState::Ended, lease.renewal};
+  }
+  const bool isPast = age >= knobs_.longestProgramTime + knobs_.longestCall;
+  if (lease.state == BudgetLeaseState::Ended && isPast) {
+    return BudgetLease{current->first, lease.holder, BudgetLeaseState::Cleared, lease.renewal};
   }
-  return records;
+  return std::nullopt;
 }
 
 std::optional<BudgetLeaseState> BudgetLeaseTable::stateOf(const std::string& lease) const {
@@ -76,9 +89,8 @@
   return withinShare || (ahead == 0 && tokens <= shareOf(knobs_.singleTurnShare));
 }
 
-std::uint64_t LeaseAllowance::mostSpentBy(std::uint64_t spenders, std::uint64_t largestTurn) const {
-  const std::uint64_t largestSingleTurn = std::min(largestTurn, shareOf(knobs_.singleTurnShare));
-  return spenders * std::max(shareOf(knobs_.share), largestSingleTurn);
+std::uint64_t LeaseAllowance::mostSpent(std::uint64_t largestTurn) const {
+  return std::max(shareOf(knobs_.share), std::min(largestTurn, shareOf(knobs_.singleTurnShare)));
 }
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "base/time.h"
 #include "ledger/facts.h"
@@ -21,10 +20,10 @@
   /// A single turn may be larger than `share`, up to this share, when nothing else is ahead.
   double singleTurnShare = 0.7;
   /// A holder spends under its lease for so long after it asked for the last record of it.
-  Duration validity = seconds(30);
+  Duration validity = seconds(20);
   /// Others count a lease as ended so long after they read its last record.
-  Duration expiry = seconds(36);
-  /// Only programs that should be over within this spend under a lease.
+  Duration expiry = seconds(24);
+  /// Only programs that should be over within this, and are not yet, spend under a lease.
   Duration longestProgramTime = seconds(10);
   /// A call is decided at most this long after its program's remaining time was told.
   Duration longestCall = seconds(4);
@@ -32,13 +31,17 @@
   Duration memory = seconds(300);
 };
 
-/// The leases of one partition as its log tells them, and how long ago this node read it. A lease
-/// goes from held by way of ended to cleared:
-/// - *held*: its holder may have spent up to `share` of any program's budget without a record;
-/// - *ended*: the holder recorded all and gave it back, or its process is dead, or its validity is
-///   over. Nothing more will be spent, but it is not known what was;
-/// - *cleared*: so long after the end that every program that spent under it should be over. One
-///   that is not over yet has begun later, and owes the lease nothing.
+/// The leases of one partition as its log tells them, and how long ago this node read it.
+///
+/// A lease goes from held by way of ended to cleared:
+/// - *held*: its holder may have spent up to `share` of any timely program's budget unseen;
+/// - *ended*: its holder's process is dead, or its validity is over. Nothing more will be spent,
+///   but it is not known what was;
+/// - *cleared*: all under it was recorded, or it ended so long ago that every program that spent
+///   under it should be over by now. One that is not over yet has begun later and owes it nothing.
+/// Only one lease is in force at a time: while one is not cleared, the record of another is void.
+/// So a program can have spent under one lease at most: a later one is taken when the program
+/// should be over, and programs that should be over spend under none.
 class BudgetLeaseTable {
  public:
   explicit BudgetLeaseTable(BudgetLeaseKnobs knobs) : knobs_(knobs) {}
@@ -47,18 +50,21 @@
   void onRecord(const BudgetLease& record, Instant now);
 
   /// \param ownLease the lease of this node itself, whose spending it knows; empty: none.
-  /// \param isTimely the program should not be over yet, so it began after cleared leases.
-  /// \param beganAfter the program was timely at this moment, as far as is known.
-  /// \return leases under which the program may have spent tokens unseen.
-  [[nodiscard]] std::uint64_t unseenSpenders(const std::string& ownLease, bool isTimely,
-                                             std::optional<Instant> beganAfter, Instant now) const;
-
-  /// \return records that the home should append now: earlier lives of `ownHolder` and expired
-  /// leases have ended, leases that ended long enough ago are cleared.
-  [[nodiscard]] std::vector<BudgetLease> due(const std::string& ownLease,
-                                             const std::string& ownHolder, Instant now) const;
-
-  /// \return the state as last read; nothing for an unknown lease.
+  /// \param isTimely the program should not be over yet.
+  /// \param timelyAt it should not have been over at this moment, as far as is known.
+  /// \return whether the program may have spent tokens under a lease unseen.
+  [[nodiscard]] bool mayHaveSpentUnseen(const std::string& ownLease, bool isTimely,
+                                        std::optional<Instant> timelyAt, Instant now) const;
+
+  /// \return whether no lease but `ownLease` is in force, so that one may be taken.
+  [[nodiscard]] bool isFreeFor(const std::string& ownLease) const;
+
+  /// \return the record that the home should append now: that an earlier life of `ownHolder` or an
+  /// expired lease has ended, or that one which ended long enough ago is cleared.
+  [[nodiscard]] std::optional<BudgetLease> due(const std::string& ownLease,
+                                               const std::string& ownHolder, Instant now) const;
+
+  /// \return the state as last read; nothing for an unknown or void lease.
   [[nodiscard]] std::optional<BudgetLeaseState> stateOf(const std::string& lease) const;
 
   /// Forgets leases that were cleared long ago.
@@ -72,9 +78,13 @@
     Instant since;  ///< When the state, or the newest record of a held lease, was read.
     std::uint64_t renewal = 0;
   };
+  using Leases = std::map<std::string, Entry>;
+
+  /// \return the lease that is held or ended, or the end.
+  [[nodiscard]] Leases::const_iterator inForce() const;
 
   BudgetLeaseKnobs knobs_;
-  std::map<std::string, Entry> leases_;
+  Leases leases_;
 };
 
 /// What a lease lets its holder spend on a program with this budget.
@@ -87,10 +97,10 @@
   /// \return whether a turn of at most `tokens` fits as well.
   [[nodiscard]] bool allows(std::uint64_t ahead, std::uint64_t tokens) const;
 
-  /// \param spenders leases that may have spent unseen.
-  /// \param largestTurn the most that a turn of the program generates.
-  /// \return the most that they may have spent together.
-  [[nodiscard]] std::uint64_t mostSpentBy(std::uint64_t spenders, std::uint64_t largestTurn) const;
+  /// \param largestTurn the most that a turn of the program generates, as far as is known.
+  /// \return the most that may have been spent under the lease, less what a larger turn was above
+  /// `largestTurn`: the rule allows one turn above the budget.
+  [[nodiscard]] std::uint64_t mostSpent(std::uint64_t largestTurn) const;
 
  private:
   [[nodiscard]] std::uint64_t shareOf(double share) const;
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr Duration kRecordTimeLimit = milliseconds(1500);
+/// \return whether the program should not be over yet.
+bool isTimely(const BudgetRequest& request) {
+  return request.programTimeLeft && *request.programTimeLeft > Duration::zero();
+}
+
 /// A lease is renewed when this part of its validity is over.
 constexpr int kRenewalsPerValidity = 3;
 
@@ -61,8 +66,8 @@
 
 std::optional<ReservationReply> BudgetPartition::reserveAhead(const BudgetRequest& request) {
   const BudgetReservation& wanted = request.reservation;
-  const bool isShort =
-      request.programTimeLeft && *request.programTimeLeft <= knobs_.leases.longestProgramTime;
+  const bool isShort = isTimely(request) &&
+                       *request.programTimeLeft <= knobs_.leases.longestProgramTime;
   if (!holdsLease() || !isShort) {
     return std::nullopt;
   }
@@ -101,15 +106,15 @@
 std::uint64_t BudgetPartition::mostSpentUnseen(const BudgetRequest& request) {
   const Instant now = clock_();
   const std::string& program = request.reservation.program;
-  const bool isTimely = request.programTimeLeft && *request.programTimeLeft > Duration::zero();
-  const std::uint64_t spenders =
-      leases_.unseenSpenders(ownLease(), isTimely, accounts_.timelyAt(program), now);
-  if (isTimely) {
+  const bool timely = isTimely(request);
+  const bool unseen =
+      leases_.mayHaveSpentUnseen(ownLease(), timely, accounts_.timelyAt(program), now);
+  if (timely) {
     accounts_.noteTimely(program, now);
   }
   const std::uint64_t largestTurn =
       std::max(request.reservation.tokens, accounts_.largestReservationOf(program));
-  return LeaseAllowance(knobs_.leases, request.budget).mostSpentBy(spenders, largestTurn);
+  return unseen ? LeaseAllowance(knobs_.leases, request.budget).mostSpent(largestTurn) : 0;
 }
 
 void BudgetPartition::reserveInLog(const BudgetRequest& request, Duration timeLimit,
@@ -265,15 +270,16 @@
   const Instant now = clock_();
   const Duration pause = knobs_.leases.validity / kRenewalsPerValidity;
   const bool isFresh = lease_ && lease_->validUntil - now > knobs_.leases.validity - pause;
-  if (!isFresh) {
+  const bool isFree = leases_.isFreeFor(leaseId());
+  if (!isFresh && isFree) {
     takeLease();
   }
-  if (clearing_) {
-    return;
-  }
-  for (const BudgetLease& record : leases_.due(leaseId(), knobs_.holder, now)) {
+  const std::optional<BudgetLease> due = leases_.due(leaseId(), knobs_.holder, now);
+  if (due && !clearing_) {
     clearing_ = true;
-    appendLease(record, [this](bool /*stands*/) { clearing_ = false; });
+    appendLease(*due, [this](bool /*stands*/) { clearing_ = false; });
+  } else if (!isFree) {
+    reader_->readToEnd([](const logstore::StoreResult<Success>& /*read*/) {});
   }
 }
 
@@ -284,10 +290,13 @@
   appendLease({id, knobs_.holder, BudgetLeaseState::Held, ++renewal_},
               [this, id, askedAt](bool stands) {
                 leaseAsked_ = false;
-                // Another home may have ended it before this record came to stand.
-                const bool isHeld = leases_.stateOf(id) == BudgetLeaseState::Held;
-                if (stands && isHeld && id == leaseId()) {
+                if (!stands || id != leaseId()) {
+                  return;
+                }
+                if (leases_.stateOf(id) == BudgetLeaseState::Held) {
                   lease_ = Lease{id, askedAt + knobs_.leases.validity};
+                } else {
+                  dropLease();  // Another one was in force before it.
                 }
               });
 }
--- a/src/ledger/facts.cpp
+++ b/src/ledger/facts.cpp
@@ -26,9 +26,17 @@
       .Union();
 }
 
+flatbuffers::Offset<void> build(Builder& builder, const BudgetLease& lease) {
+  return fbs::CreateBudgetLease(builder, builder.CreateString(lease.lease),
+                                builder.CreateString(lease.holder),
+                                static_cast<fbs::BudgetLeaseState>(lease.state), lease.renewal)
+      .Union();
+}
+
 fbs::Fact typeOf(const CompletedTurn& /*turn*/) { return fbs::Fact::CompletedTurn; }
 fbs::Fact typeOf(const BudgetReservation& /*fact*/) { return fbs::Fact::BudgetReservation; }
 fbs::Fact typeOf(const BudgetSettlement& /*fact*/) { return fbs::Fact::BudgetSettlement; }
+fbs::Fact typeOf(const BudgetLease& /*fact*/) { return fbs::Fact::BudgetLease; }
 
 Error invalidRecord() {
   return {ErrorKind::InvalidFrame, "ledger record", "the bytes are no ledger record",
@@ -65,6 +73,11 @@
     return Fact{BudgetSettlement{settlement->request()->str(), settlement->program()->str(),
                                  settlement->tokens()}};
   }
+  const auto* const lease = decoded->fact_as_BudgetLease();
+  if (lease != nullptr && lease->state() <= fbs::BudgetLeaseState::MAX) {
+    return Fact{BudgetLease{lease->lease()->str(), lease->holder()->str(),
+                            static_cast<BudgetLeaseState>(lease->state()), lease->renewal()}};
+  }
   return invalidRecord();
 }
 
--- a/src/ledger/facts.h
+++ b/src/ledger/facts.h
@@ -5,11 +5,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 
 #include "base/result.h"
+#include "base/time.h"
 
 namespace gorsetrail::ledger {
 
@@ -28,6 +30,14 @@
   std::uint64_t tokens = 0;
 };
 
+/// Asks for a reservation.
+struct BudgetRequest {
+  BudgetReservation reservation;
+  std::uint64_t budget = 0;  ///< Tokens of the whole program.
+  /// Until the program should be over, zero when that has passed; nothing when it was not told.
+  std::optional<Duration> programTimeLeft;
+};
+
 /// The request has ended: it handed out this many tokens, at most what was reserved.
 struct BudgetSettlement {
   std::string request;
@@ -35,7 +45,24 @@
   std::uint64_t tokens = 0;
 };
 
-using Fact = std::variant<CompletedTurn, BudgetReservation, BudgetSettlement>;
+/// How far a budget lease has come; it only goes forwards.
+enum class BudgetLeaseState : std::uint8_t {
+  Held,     ///< Its holder may spend ahead of the records, see `BudgetLeaseTable`.
+  Ended,    ///< Its holder will not spend under it any more.
+  Cleared,  ///< No program that began after this was recorded can have spent under it.
+};
+
+/// A home may spend tokens of each program of the partition before their reservations stand.
+struct BudgetLease {
+  std::string lease;   ///< Unique id.
+  std::string holder;  ///< Address of the home; its earlier processes are dead.
+  BudgetLeaseState state = BudgetLeaseState::Held;
+  /// Held: rises with each record of the lease. Ended: that of the newest record known; the end is
+  /// void when a newer one stands before it.
+  std::uint64_t renewal = 0;
+};
+
+using Fact = std::variant<CompletedTurn, BudgetReservation, BudgetSettlement, BudgetLease>;
 
 /// \return the record of a fact.
 std::string encodeFact(const Fact& fact);
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -31,7 +31,7 @@
 
 /// What became of a reservation.
 enum class ReservationOutcome : std::uint8_t {
-  Granted,      ///< It stands in the log and fits the budget.
+  Granted,      ///< It fits the budget, and stands in the log or under a lease.
   Spent,        ///< It does not fit; it was given back.
   Unavailable,  ///< The log did not answer: it may stand or not.
 };
@@ -64,12 +64,14 @@
   /// Stores a turn. After success every node finds the turn, whatever fails afterwards.
   virtual void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) = 0;
   /// Reserves tokens of a program's budget in the log.
-  virtual void reserve(const BudgetReservation& reservation, std::uint64_t budget,
-                       Duration timeLimit, ReservationCallback callback) = 0;
+  virtual void reserve(const BudgetRequest& request, Duration timeLimit,
+                       ReservationCallback callback) = 0;
   /// Gives back what a reservation did not use. Returns at once; the record follows soon.
   virtual void settle(BudgetSettlement settlement) = 0;
-  /// \return whether a turn can probably be stored and its tokens reserved now.
-  [[nodiscard]] virtual bool isWritable(const std::string& turn, const std::string& program) = 0;
+  /// \return whether a turn can probably be stored now.
+  [[nodiscard]] virtual bool takesTurn(const std::string& turn) = 0;
+  /// \return whether tokens of the program can probably be reserved now.
+  [[nodiscard]] virtual bool takesReservation(const std::string& program) = 0;
   /// \return tokens that the program has used or may use, as far as this node knows.
   [[nodiscard]] virtual std::uint64_t knownUse(const std::string& program) const = 0;
 };
--- a/src/ledger/ledger_message.cpp
+++ b/src/ledger/ledger_message.cpp
@@ -1,5 +1,8 @@
 #include "ledger/ledger_message.h"
 
+#include <algorithm>
+#include <optional>
+
 #include "ledger/generated/ledger_call_generated.h"
 
 namespace gorsetrail::ledger {
@@ -48,10 +51,14 @@
 
 std::string encode(const ReserveRequest& request) {
   Builder builder;
-  const auto id = builder.CreateString(request.reservation.request);
-  const auto program = builder.CreateString(request.reservation.program);
-  const auto call = fbs::CreateReserveCall(builder, id, program, request.reservation.tokens,
-                                           request.budget, microsecondsOf(request.timeLimit));
+  const BudgetReservation& reservation = request.budget.reservation;
+  const std::optional<Duration>& timeLeft = request.budget.programTimeLeft;
+  const auto id = builder.CreateString(reservation.request);
+  const auto program = builder.CreateString(reservation.program);
+  const auto call = fbs::CreateReserveCall(
+      builder, id, program, reservation.tokens, request.budget.budget,
+      microsecondsOf(request.timeLimit), timeLeft.has_value(),
+      microsecondsOf(std::max(Duration::zero(), timeLeft.value_or(Duration::zero()))));
   return finish(builder, fbs::CallMessage::ReserveCall, call.Union());
 }
 
@@ -87,7 +94,11 @@
 
 LedgerRequest requestOf(const fbs::ReserveCall& call) {
   BudgetReservation reservation{call.request()->str(), call.program()->str(), call.tokens()};
-  return ReserveRequest{std::move(reservation), call.budget(), spanOf(call.time_limit_us())};
+  BudgetRequest request{std::move(reservation), call.budget(), std::nullopt};
+  if (call.program_time_known()) {
+    request.programTimeLeft = spanOf(call.program_time_left_us());
+  }
+  return ReserveRequest{std::move(request), spanOf(call.time_limit_us())};
 }
 
 LedgerRequest requestOf(const fbs::SettleCall& call) {
--- a/src/ledger/ledger_message.h
+++ b/src/ledger/ledger_message.h
@@ -24,8 +24,7 @@
   Duration timeLimit{};
 };
 struct ReserveRequest {
-  BudgetReservation reservation;
-  std::uint64_t budget = 0;
+  BudgetRequest budget;
   Duration timeLimit{};
 };
 struct SettleRequest {
--- a/src/ledger/ledger_partitions.cpp
+++ b/src/ledger/ledger_partitions.cpp
@@ -34,4 +34,12 @@
   return addressOf(kBudgetTopic, hash % knobs_.budgetPartitions, knobs_.partitionsPerTopic);
 }
 
+std::vector<logstore::PartitionAddress> LedgerPartitions::budgetPartitions() const {
+  std::vector<logstore::PartitionAddress> partitions;
+  for (std::uint32_t index = 0; index < knobs_.budgetPartitions; ++index) {
+    partitions.push_back(addressOf(kBudgetTopic, index, knobs_.partitionsPerTopic));
+  }
+  return partitions;
+}
+
 }  // namespace gorsetrail::ledger
--- a/src/ledger/ledger_partitions.h
+++ b/src/ledger/ledger_partitions.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "logstore/log_store.h"
 
@@ -41,6 +42,8 @@
     return ofTurn(placement.zone, turn, placement.choice);
   }
   [[nodiscard]] logstore::PartitionAddress ofBudget(std::string_view program) const;
+  /// \return all partitions that hold budgets.
+  [[nodiscard]] std::vector<logstore::PartitionAddress> budgetPartitions() const;
 
  private:
   LedgerPartitionsKnobs knobs_;
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -58,7 +58,7 @@
     return layout.ofTurn(store->placement, store->record.request);
   }
   if (const auto* const reserve = std::get_if<ReserveRequest>(&request)) {
-    return layout.ofBudget(reserve->reservation.program);
+    return layout.ofBudget(reserve->budget.reservation.program);
   }
   return layout.ofBudget(std::get<SettleRequest>(request).settlement.program);
 }
@@ -68,6 +68,19 @@
     handle(std::move(request), std::move(callback));
     return;
   }
+  if (const auto* const reserve = std::get_if<ReserveRequest>(&request)) {
+    const std::string& program = reserve->budget.reservation.program;
+    if (const auto granted = ledger_.budgetsOf(program).reserveAhead(reserve->budget)) {
+      callback(replyOf(*granted));
+      return;
+    }
+  }
+  if (const auto* const settle = std::get_if<SettleRequest>(&request)) {
+    if (ledger_.budgetsOf(settle->settlement.program).isAhead(settle->settlement.request)) {
+      run(*settle, callback);
+      return;
+    }
+  }
   LedgerReply reply;
   reply.reason = "the store does not answer the home";
   callback(std::move(reply));
@@ -89,10 +102,11 @@
 }
 
 void LedgerService::run(const ReserveRequest& request, LedgerReplyCallback callback) {
-  ledger_.reserveAndTell(request.reservation, request.budget, request.timeLimit,
-                         [callback = std::move(callback)](const ReservationReply& reply) {
-                           callback(replyOf(reply));
-                         });
+  ledger_.budgetsOf(request.budget.reservation.program)
+      .reserve(request.budget, request.timeLimit,
+               [callback = std::move(callback)](const ReservationReply& reply) {
+                 callback(replyOf(reply));
+               });
 }
 
 void LedgerService::run(SettleRequest request, const LedgerReplyCallback& callback) {
--- a/src/ledger/ledger_service.h
+++ b/src/ledger/ledger_service.h
@@ -24,6 +24,13 @@
   /// reach it. Calls back once.
   void handleForPeer(LedgerRequest request, LedgerReplyCallback callback);
   /// \return whether the store is likely to answer this node for the partition.
+  /// See `BudgetPartition`.
+  void keepLease(const logstore::PartitionAddress& budgets) {
+    ledger_.budgetsAt(budgets).keepLease();
+  }
+  void giveLeaseBack(const logstore::PartitionAddress& budgets) {
+    ledger_.budgetsAt(budgets).giveLeaseBack();
+  }
   [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const {
     return ledger_.answers(partition);
   }
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -7,7 +7,6 @@
 
 /// Room that a record needs beside its history.
 constexpr std::size_t kRecordOverheadBytes = 512;
-constexpr Duration kSettlementTimeLimit = milliseconds(1500);
 
 }  // namespace
 
@@ -42,13 +41,8 @@
   if (!succeeded(decoded)) {
     return;
   }
-  Fact& fact = valueOf(decoded);
-  if (auto* const turn = std::get_if<CompletedTurn>(&fact)) {
+  if (auto* const turn = std::get_if<CompletedTurn>(&valueOf(decoded))) {
     keepTurn(std::move(*turn), reader, offset);
-  } else if (const auto* const reservation = std::get_if<BudgetReservation>(&fact)) {
-    accounts_.onReservation(*reservation, offset, clock_());
-  } else if (const auto* const settlement = std::get_if<BudgetSettlement>(&fact)) {
-    accounts_.onSettlement(*settlement, clock_());
   }
 }
 
@@ -138,72 +132,69 @@
       });
 }
 
-void ProgramLedger::reserve(const BudgetReservation& reservation, std::uint64_t budget,
-                            Duration timeLimit, ReservationCallback callback) {
-  reserveAndTell(
-      reservation, budget, timeLimit,
-      [this, reservation, callback = std::move(callback)](const ReservationReply& reply) {
-        if (reply.outcome == ReservationOutcome::Spent) {
-          settle({reservation.request, reservation.program, 0});
-        }
-        callback(reply.outcome);
-      });
+BudgetPartition& ProgramLedger::budgetsAt(const logstore::PartitionAddress& address) {
+  std::unique_ptr<BudgetPartition>& partition = budgets_[address];
+  if (!partition) {
+    partition = std::make_unique<BudgetPartition>(store_, timers_, clock_, address, knobs_.budgets);
+  }
+  return *partition;
 }
 
-void ProgramLedger::reserveAndTell(const BudgetReservation& reservation, std::uint64_t budget,
-                                   Duration timeLimit, ReservationReplyCallback callback) {
-  Partition& partition = partitionAt(layout_.ofBudget(reservation.program));
-  partition.batcher->append(
-      encodeFact(reservation), knobs_.reservationWindow, timeLimit,
-      [this, reservation, budget, reader = partition.reader.get(),
-       callback = std::move(callback)](const logstore::StoreResult<std::uint64_t>& result) {
-        if (std::holds_alternative<logstore::StoreError>(result)) {
-          callback({});
-          return;
-        }
-        const std::uint64_t offset = std::get<std::uint64_t>(result);
-        accounts_.onReservation(reservation, offset, clock_());
-        reader->noteOwnRecords(offset, 1);
-        reader->readBelow(offset, [this, reservation, budget, offset,
-                                   callback](const logstore::StoreResult<Success>& read) {
-          const bool known = std::holds_alternative<Success>(read);
-          callback(known ? decideReservation(reservation, budget, offset) : ReservationReply{});
-        });
-      });
+void ProgramLedger::reserve(const BudgetRequest& request, Duration timeLimit,
+                            ReservationCallback callback) {
+  const BudgetReservation& wanted = request.reservation;
+  budgetsOf(wanted.program)
+      .reserve(request, timeLimit,
+               [this, wanted, callback = std::move(callback)](const ReservationReply& reply) {
+                 if (reply.outcome == ReservationOutcome::Spent) {
+                   settle({wanted.request, wanted.program, 0});
+                 }
+                 callback(reply.outcome);
+               });
 }
 
-ReservationReply ProgramLedger::decideReservation(const BudgetReservation& reservation,
-                                                  std::uint64_t budget, std::uint64_t offset) {
-  const std::uint64_t before =
-      accounts_.usedBefore(reservation.program, reservation.request, offset);
-  if (before + reservation.tokens > budget) {
-    return {ReservationOutcome::Spent, before};
-  }
-  return {ReservationOutcome::Granted, before + reservation.tokens};
+void ProgramLedger::settle(BudgetSettlement settlement) {
+  budgetsOf(settlement.program).settle(settlement);
 }
 
-void ProgramLedger::settle(BudgetSettlement settlement) {
-  accounts_.onSettlement(settlement, clock_());
-  Partition& partition = partitionAt(layout_.ofBudget(settlement.program));
-  // A settlement that is lost leaves its reservation standing: too much is counted, never less.
-  partition.batcher->append(
-      encodeFact(settlement), knobs_.settlementWindow, kSettlementTimeLimit,
-      [reader = partition.reader.get()](const logstore::StoreResult<std::uint64_t>& result) {
-        if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
-          reader->noteOwnRecords(*offset, 1);
-        }
-      });
+bool ProgramLedger::takesTurn(const std::string& turn) {
+  return store_.answers(layout_.ofTurn(knobs_.zone, turn));
 }
 
-bool ProgramLedger::isWritable(const std::string& turn, const std::string& program) {
-  return store_.answers(layout_.ofTurn(knobs_.zone, turn)) &&
-         store_.answers(layout_.ofBudget(program));
+bool ProgramLedger::takesReservation(const std::string& program) {
+  const logstore::PartitionAddress address = layout_.ofBudget(program);
+  return store_.answers(address) || budgetsAt(address).holdsLease();
 }
 
 std::uint64_t ProgramLedger::knownUse(const std::string& program) const {
-  return accounts_.usedBy(program);
+  const auto budgets = budgets_.find(layout_.ofBudget(program));
+  return budgets == budgets_.end() ? 0 : budgets->second->usedBy(program);
+}
+
+void ProgramLedger::sweep() {
+  for (const auto& [address, partition] : budgets_) {
+    partition->sweep();
+  }
+}
+
+BudgetCounters ProgramLedger::budgetCounters() const {
+  BudgetCounters sum;
+  for (const auto& [address, partition] : budgets_) {
+    const BudgetCounters& one = partition->counters();
+    sum.grantedAhead += one.grantedAhead;
+    sum.grantedByLog += one.grantedByLog;
+    sum.spent += one.spent;
+    sum.uncertain += one.uncertain;
+  }
+  return sum;
 }
 
-void ProgramLedger::sweep() { accounts_.forgetIdleSince(clock_() - knobs_.accountLifetime); }
+std::size_t ProgramLedger::unrecordedGrants() const {
+  std::size_t sum = 0;
+  for (const auto& [address, partition] : budgets_) {
+    sum += partition->unrecorded();
+  }
+  return sum;
+}
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -14,7 +14,7 @@
 #include <variant>
 #include <vector>
 
-#include "ledger/budget_accounts.h"
+#include "ledger/budget_partition.h"
 #include "ledger/facts.h"
 #include "ledger/ledger.h"
 #include "ledger/ledger_partitions.h"
@@ -30,12 +30,6 @@
 /// A turn's own record, or why there is none.
 using TurnAnswer = std::variant<CompletedTurn, UnknownTurn, LedgerUnavailable>;
 
-/// A reservation's outcome with what the program has used or may use, this one included.
-struct ReservationReply {
-  ReservationOutcome outcome = ReservationOutcome::Unavailable;
-  std::uint64_t tokensUsed = 0;
-};
-
 /// Sizes and times of the ledger.
 struct LedgerKnobs {
   std::string zone;  ///< New turns stand in this zone's partitions.
@@ -43,18 +37,14 @@
   std::size_t cacheBytes = std::size_t{24} * 1024 * 1024;
   std::size_t maximumInlineHistoryBytes = std::size_t{32} * 1024;
   std::size_t maximumRecordBytes = std::size_t{256} * 1024;
-  /// How long records wait for others that share their append. A reservation's wait is hidden
-  /// behind the engine's first token; the end of an answer waits for its turn's.
-  Duration reservationWindow = milliseconds(20);
+  /// How long turns wait for others that share their append: the end of an answer waits for it.
   Duration turnWindow = milliseconds(8);
-  Duration settlementWindow = milliseconds(300);
-  Duration accountLifetime = seconds(300);
+  BudgetPartitionKnobs budgets;
 };
 
 class ProgramLedger final : public Ledger {
  public:
   using TurnCallback = std::function<void(TurnAnswer)>;
-  using ReservationReplyCallback = std::function<void(ReservationReply)>;
 
   /// \param store, timers outlive this object.
   ProgramLedger(logstore::PersistentStore& store, services::TimerService& timers,
@@ -63,10 +53,11 @@
   // See `Ledger`. Turns are looked for in the own zone's partitions.
   void findHistory(const std::string& turn, HistoryCallback callback) override;
   void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) override;
-  void reserve(const BudgetReservation& reservation, std::uint64_t budget, Duration timeLimit,
+  void reserve(const BudgetRequest& request, Duration timeLimit,
                ReservationCallback callback) override;
   void settle(BudgetSettlement settlement) override;
-  [[nodiscard]] bool isWritable(const std::string& turn, const std::string& program) override;
+  [[nodiscard]] bool takesTurn(const std::string& turn) override;
+  [[nodiscard]] bool takesReservation(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
   /// Finds a turn's own record in one partition. Calls back at once when it is in memory.
@@ -74,10 +65,11 @@
   /// Stores a turn's record in one partition.
   void storeRecord(const TurnPlacement& placement, CompletedTurn record, Duration timeLimit,
                    StoredCallback callback);
-  /// As `reserve`, and tells what the program has used. A reservation that does not fit stays
-  /// standing: only who asked knows whether another home has granted it, and gives it back if not.
-  void reserveAndTell(const BudgetReservation& reservation, std::uint64_t budget,
-                      Duration timeLimit, ReservationReplyCallback callback);
+  /// \return the partition that holds the program's budget.
+  BudgetPartition& budgetsOf(const std::string& program) {
+    return budgetsAt(layout_.ofBudget(program));
+  }
+  BudgetPartition& budgetsAt(const logstore::PartitionAddress& address);
 
   /// \return whether the store is likely to answer calls for the partition now.
   [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const {
@@ -87,6 +79,10 @@
 
   /// Forgets accounts of programs long gone; call it now and then.
   void sweep();
+  /// \return figures of all budget partitions together.
+  [[nodiscard]] BudgetCounters budgetCounters() const;
+  /// \return requests granted ahead whose records do not stand yet.
+  [[nodiscard]] std::size_t unrecordedGrants() const;
 
  private:
   struct Partition {
@@ -98,8 +94,6 @@
   void onRecord(PartitionReader* reader, std::uint64_t offset, std::string_view record);
   void keepTurn(CompletedTurn turn, PartitionReader* reader, std::uint64_t offset);
   void findBase(CompletedTurn turn, HistoryCallback callback);
-  ReservationReply decideReservation(const BudgetReservation& reservation, std::uint64_t budget,
-                                     std::uint64_t offset);
 
   logstore::PersistentStore& store_;
   services::TimerService& timers_;
@@ -111,7 +105,7 @@
   std::unordered_map<std::string, std::uint32_t> wanted_;
   std::map<logstore::PartitionAddress, Partition> partitions_;  ///< Made when used.
   TurnCache turns_;
-  BudgetAccounts accounts_;
+  std::map<logstore::PartitionAddress, std::unique_ptr<BudgetPartition>> budgets_;  ///< Likewise.
 };
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -211,10 +211,38 @@
   return found == failing_.end() || found->second.state(clock_()) != engine::CircuitState::Open;
 }
 
-bool RoutedLedger::isWritable(const std::string& turn, const std::string& program) {
-  const bool turnAnswers = answers(layout_.ofTurn(knobs_.zone, turn, 0)) ||
-                           answers(layout_.ofTurn(knobs_.zone, turn, 1));
-  return peers_.areKnown() && turnAnswers && answers(layout_.ofBudget(program));
+bool RoutedLedger::takesTurn(const std::string& turn) {
+  return peers_.areKnown() && (answers(layout_.ofTurn(knobs_.zone, turn, 0)) ||
+                               answers(layout_.ofTurn(knobs_.zone, turn, 1)));
+}
+
+// Whether the store answers this node says little: the home may hold a lease.
+bool RoutedLedger::takesReservation(const std::string& program) {
+  const auto found = failing_.find(layout_.ofBudget(program));
+  const bool failing =
+      found != failing_.end() && found->second.state(clock_()) == engine::CircuitState::Open;
+  return peers_.areKnown() && !failing;
+}
+
+void RoutedLedger::tendLeases() {
+  if (!peers_.areKnown()) {
+    return;
+  }
+  const std::vector<HomeCandidate> candidates = peers_.candidates();
+  for (const logstore::PartitionAddress& partition : layout_.budgetPartitions()) {
+    const std::vector<std::string> homes = homes_.homesOf(partition, {}, candidates, clock_());
+    if (!homes.empty() && homes.front() == knobs_.ownAddress) {
+      service_.keepLease(partition);
+    } else {
+      service_.giveLeaseBack(partition);
+    }
+  }
+}
+
+void RoutedLedger::giveLeasesBack() {
+  for (const logstore::PartitionAddress& partition : layout_.budgetPartitions()) {
+    service_.giveLeaseBack(partition);
+  }
 }
 
 /// One turn that is being looked for.
@@ -336,10 +364,11 @@
   }
 }
 
-void RoutedLedger::reserve(const BudgetReservation& reservation, std::uint64_t budget,
-                           Duration timeLimit, ReservationCallback callback) {
-  start(ReserveRequest{reservation, budget, timeLimit}, layout_.ofBudget(reservation.program), {},
-        timeLimit, [this, reservation, callback = std::move(callback)](const LedgerReply& reply) {
+void RoutedLedger::reserve(const BudgetRequest& request, Duration timeLimit,
+                           ReservationCallback callback) {
+  const BudgetReservation& reservation = request.reservation;
+  start(ReserveRequest{request, timeLimit}, layout_.ofBudget(reservation.program), {}, timeLimit,
+        [this, reservation, callback = std::move(callback)](const LedgerReply& reply) {
           if (isConclusive(reply)) {
             knownUse_[reservation.program] = {reply.tokensUsed, clock_()};
           }
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -85,16 +85,22 @@
 
   void findHistory(const std::string& turn, HistoryCallback callback) override;
   void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) override;
-  void reserve(const BudgetReservation& reservation, std::uint64_t budget, Duration timeLimit,
+  void reserve(const BudgetRequest& request, Duration timeLimit,
                ReservationCallback callback) override;
   void settle(BudgetSettlement settlement) override;
-  [[nodiscard]] bool isWritable(const std::string& turn, const std::string& program) override;
+  [[nodiscard]] bool takesTurn(const std::string& turn) override;
+  [[nodiscard]] bool takesReservation(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
   /// \return whether the node gave no sign of life when it was asked a moment ago.
   [[nodiscard]] bool isSuspect(const std::string& address) const {
     return homes_.isSuspect(address, clock_());
   }
+  /// Keeps the leases of budget partitions whose first home this node is, and gives others back;
+  /// call it about once a second.
+  void tendLeases();
+  /// Gives all leases back, before a planned stop.
+  void giveLeasesBack();
   /// Forgets programs long gone; call it now and then.
   void sweep();
   [[nodiscard]] const RoutedLedgerCounters& counters() const { return counters_; }
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -126,7 +126,8 @@
   logstore::PersistentStore otherStore(
       world.log, world.timers, [this] { return world.timers.now; }, {}, 2);
   ledger::ProgramLedger other(otherStore, world.timers, [this] { return world.timers.now; }, {});
-  other.reserve({"elsewhere", "program", 900}, 1000, seconds(1), [](ledger::ReservationOutcome) {});
+  other.reserve({{"elsewhere", "program", 900}, 1000, {}}, seconds(1),
+                [](ledger::ReservationOutcome) {});
   wait();
   const auto client = world.start(ExchangeWorld::turn("again"));
   LONGS_EQUAL(1, world.dispatches());
@@ -147,7 +148,8 @@
 
 TEST(ExchangeStream, refusesBeforeTheDispatchWhileTheStoreDoesNotAnswer) {
   world.log.fault = FakeFault::Busy;
-  world.ledger.reserve({"x", "program", 1}, 1000, seconds(3), [](ledger::ReservationOutcome) {});
+  world.ledger.reserve({{"x", "program", 1}, 1000, {}}, seconds(3),
+                       [](ledger::ReservationOutcome) {});
   world.timers.advance(milliseconds(150));
   const auto client = world.start(ExchangeWorld::turn("again"));
   LONGS_EQUAL(503, client->status);
--- a/tests/ledger/budget_lease_table_test.cpp
+++ b/tests/ledger/budget_lease_table_test.cpp
@@ -21,30 +21,46 @@
   BudgetLeaseKnobs knobs;
   BudgetLeaseTable table{knobs};
 
-  std::uint64_t spenders(bool isTimely, Instant now = kStart, const char* own = "") {
-    return table.unseenSpenders(own, isTimely, std::nullopt, now);
+  bool counts(bool isTimely, Instant now = kStart, const char* own = "") {
+    return table.mayHaveSpentUnseen(own, isTimely, std::nullopt, now);
   }
 };
 
 TEST(BudgetLeaseTable, aHeldLeaseCountsForEverybodyButItsHolder) {
   table.onRecord(record("x", BudgetLeaseState::Held), kStart);
-  LONGS_EQUAL(1, spenders(true));
-  LONGS_EQUAL(0, spenders(true, kStart, "x"));
+  CHECK_TRUE(counts(true));
+  CHECK_FALSE(counts(true, kStart, "x"));
+  CHECK_FALSE(counts(false, kStart, "x"));
 }
 
 TEST(BudgetLeaseTable, anEndedLeaseStillCounts) {
   table.onRecord(record("x", BudgetLeaseState::Held), kStart);
   table.onRecord(record("x", BudgetLeaseState::Ended), kStart);
-  LONGS_EQUAL(1, spenders(true));
+  CHECK_TRUE(counts(true));
 }
 
 TEST(BudgetLeaseTable, aClearedLeaseCountsOnlyForProgramsThatMayBeOlder) {
   table.onRecord(record("x", BudgetLeaseState::Cleared), kStart);
-  LONGS_EQUAL(0, spenders(true));
-  LONGS_EQUAL(1, spenders(false));
-  LONGS_EQUAL(0, table.unseenSpenders("", false, kStart + seconds(1), kStart + seconds(2)));
-  LONGS_EQUAL(1, table.unseenSpenders("", false, kStart - seconds(1), kStart + seconds(2)));
-  LONGS_EQUAL(0, spenders(false, kStart + knobs.memory));
+  CHECK_FALSE(counts(true));
+  CHECK_TRUE(counts(false));
+  CHECK_FALSE(table.mayHaveSpentUnseen("", false, kStart + seconds(1), kStart + seconds(2)));
+  CHECK_TRUE(table.mayHaveSpentUnseen("", false, kStart - seconds(1), kStart + seconds(2)));
+  CHECK_FALSE(counts(false, kStart + knobs.memory));
+}
+
+TEST(BudgetLeaseTable, whileOneLeaseIsInForceTheRecordOfAnotherIsVoid) {
+  table.onRecord(record("x", BudgetLeaseState::Held), kStart);
+  table.onRecord(record("y", BudgetLeaseState::Held), kStart);
+  CHECK_FALSE(table.stateOf("y").has_value());
+  CHECK_FALSE(table.isFreeFor("y"));
+  CHECK_FALSE(counts(true, kStart, "x"));
+  table.onRecord(record("x", BudgetLeaseState::Ended), kStart);
+  table.onRecord(record("y", BudgetLeaseState::Held, 2), kStart);
+  CHECK_FALSE(table.stateOf("y").has_value());
+  table.onRecord(record("x", BudgetLeaseState::Cleared), kStart);
+  CHECK_TRUE(table.isFreeFor("y"));
+  table.onRecord(record("y", BudgetLeaseState::Held, 3), kStart);
+  CHECK(table.stateOf("y") == BudgetLeaseState::Held);
 }
 
 TEST(BudgetLeaseTable, statesOnlyGoForwards) {
@@ -64,41 +80,45 @@
 
 TEST(BudgetLeaseTable, aLeaseIsDueToEndWhenItsHolderStartedAnewOrWasNotHeardForLong) {
   table.onRecord(record("x", BudgetLeaseState::Held, 3), kStart);
-  LONGS_EQUAL(0, table.due("own", "other", kStart + knobs.expiry - seconds(1)).size());
-  LONGS_EQUAL(0, table.due("x", "home", kStart + knobs.expiry).size());
+  CHECK_FALSE(table.due("own", "other", kStart + knobs.expiry - seconds(1)).has_value());
+  CHECK_FALSE(table.due("x", "home", kStart + knobs.expiry).has_value());
   const auto restarted = table.due("own", "home", kStart);
-  LONGS_EQUAL(1, restarted.size());
-  CHECK(restarted[0].state == BudgetLeaseState::Ended);
-  LONGS_EQUAL(3, restarted[0].renewal);
-  LONGS_EQUAL(1, table.due("own", "other", kStart + knobs.expiry).size());
+  CHECK_TRUE(restarted.has_value());
+  CHECK(restarted->state == BudgetLeaseState::Ended);
+  LONGS_EQUAL(3, restarted->renewal);
+  CHECK_TRUE(table.due("own", "other", kStart + knobs.expiry).has_value());
 }
 
 TEST(BudgetLeaseTable, renewalsPutTheExpiryOff) {
   table.onRecord(record("x", BudgetLeaseState::Held, 1), kStart);
   table.onRecord(record("x", BudgetLeaseState::Held, 2), kStart + seconds(20));
-  LONGS_EQUAL(0, table.due("own", "other", kStart + knobs.expiry).size());
+  CHECK_FALSE(table.due("own", "other", kStart + knobs.expiry).has_value());
+}
+
+TEST(BudgetLeaseTable, aHolderStopsBeforeOthersTakeItsLeaseForExpired) {
+  CHECK(knobs.validity < knobs.expiry);
 }
 
 TEST(BudgetLeaseTable, anEndedLeaseIsDueToBeClearedWhenItsProgramsShouldBeOver) {
   table.onRecord(record("x", BudgetLeaseState::Held), kStart);
   table.onRecord(record("x", BudgetLeaseState::Ended), kStart);
   const Duration span = knobs.longestProgramTime + knobs.longestCall;
-  LONGS_EQUAL(0, table.due("own", "other", kStart + span - seconds(1)).size());
-  const auto due = table.due("own", "other", kStart + span);
-  LONGS_EQUAL(1, due.size());
-  CHECK(due[0].state == BudgetLeaseState::Cleared);
+  CHECK_FALSE(table.due("own", "other", kStart + span - seconds(1)).has_value());
+  CHECK(table.due("own", "other", kStart + span)->state == BudgetLeaseState::Cleared);
 }
 
 TEST(BudgetLeaseTable, forgetsOnlyWhatWasClearedLongAgo) {
-  table.onRecord(record("held", BudgetLeaseState::Held), kStart);
   table.onRecord(record("cleared", BudgetLeaseState::Cleared), kStart);
+  table.onRecord(record("held", BudgetLeaseState::Held), kStart);
   table.forgetOld(kStart + knobs.memory - seconds(1));
   LONGS_EQUAL(2, table.size());
   table.forgetOld(kStart + knobs.memory);
   LONGS_EQUAL(1, table.size());
 }
 
-TEST_GROUP(LeaseAllowance) { BudgetLeaseKnobs knobs; };
+TEST_GROUP(LeaseAllowance) {
+  BudgetLeaseKnobs knobs;
+};
 
 TEST(LeaseAllowance, allowsAShareOfTheBudgetOrOneLargerTurn) {
   const LeaseAllowance allowance(knobs, 1000);
@@ -112,8 +132,7 @@
 
 TEST(LeaseAllowance, othersCountTheMostThatItAllows) {
   const LeaseAllowance allowance(knobs, 1000);
-  LONGS_EQUAL(0, allowance.mostSpentBy(0, 300));
-  LONGS_EQUAL(450, allowance.mostSpentBy(1, 300));
-  LONGS_EQUAL(1200, allowance.mostSpentBy(2, 600));
-  LONGS_EQUAL(700, allowance.mostSpentBy(1, 900));
+  LONGS_EQUAL(450, allowance.mostSpent(300));
+  LONGS_EQUAL(600, allowance.mostSpent(600));
+  LONGS_EQUAL(700, allowance.mostSpent(900));
 }
--- a/tests/ledger/budget_partition_test.cpp
+++ b/tests/ledger/budget_partition_test.cpp
@@ -192,19 +192,29 @@
   CHECK(spend(home, "r1", 50) == ReservationOutcome::Unavailable);
 }
 
-TEST(BudgetPartition, aHomeWhoseLeaseOthersEndedTakesANewOne) {
+TEST(BudgetPartition, aHomeWhoseLeaseOthersEndedTakesANewOneWhenTheirsIsCleared) {
   Home& first = fleet.startWithLease("a");
   first.way.cut = true;
   Home& second = fleet.start("b");
-  fleet.tend(second, seconds(40));
+  fleet.tend(second, BudgetLeaseKnobs{}.expiry + kUntilCleared + seconds(3));
+  CHECK_TRUE(second.partition.holdsLease());
   first.way.cut = false;
   fleet.timers.advance(seconds(2));
+  fleet.tend(first, seconds(3));
+  CHECK_FALSE(first.partition.holdsLease());
+  second.partition.giveLeaseBack();
+  fleet.timers.advance(seconds(1));
   fleet.tend(first, seconds(4));
   CHECK_TRUE(first.partition.holdsLease());
-  // The new one counts at the other home, the old one no more once it is cleared.
-  fleet.tend(second, kUntilCleared);
-  CHECK(fleet.spend(second, "r1", "new", 600, 1000, kTimeLeft) == ReservationOutcome::Granted);
-  CHECK(fleet.spend(second, "r2", "new", 300, 1000, kTimeLeft) == ReservationOutcome::Unavailable);
+}
+
+TEST(BudgetPartition, ofTwoHomesThatTakeALeaseAtOnceOneHoldsIt) {
+  Home& first = fleet.start("a");
+  Home& second = fleet.start("b");
+  first.partition.keepLease();
+  second.partition.keepLease();
+  fleet.timers.advance(seconds(1));
+  CHECK(first.partition.holdsLease() != second.partition.holdsLease());
 }
 
 TEST(BudgetPartition, aLeaseThatWasGivenBackIsNotCounted) {
--- a/tests/ledger/budget_random_test.cpp
+++ b/tests/ledger/budget_random_test.cpp
@@ -16,9 +16,9 @@
 
 namespace {
 
-constexpr std::uint64_t kBudget = 1000;
+constexpr std::uint64_t kBudget = 600;
 constexpr std::uint64_t kTurn = 120;
-constexpr int kSteps = 220;
+constexpr int kSteps = 600;
 constexpr int kSeeds = 400;
 
 /// One seeded day on which every home may be asked at any moment, whoever is the partition's home.
@@ -52,29 +52,29 @@
   Home& anyHome() { return *lives_[kHolders[draw(kHolders.size())]]; }
 
   void play() {
-    const std::uint64_t what = draw(40);
-    if (what < 26) {
+    const std::uint64_t what = draw(80);
+    if (what < 46) {
       askForATurn();
-    } else if (what < 33) {
+    } else if (what < 70) {
       tend();
-    } else if (what < 35) {
+    } else if (what < 73) {
       fleet_.log.fault =
           std::array{FakeFault::Silent, FakeFault::Busy, FakeFault::LostReply}[draw(3)];
-    } else if (what < 37) {
+    } else if (what < 76) {
       fleet_.log.fault = FakeFault::None;
-    } else if (what < 38) {
+    } else if (what < 77) {
       anyHome().way.cut = draw(2) == 0;
-    } else if (what < 39) {
+    } else if (what < 79) {
       const char* const holder = kHolders[draw(kHolders.size())];
       lives_[holder] = &fleet_.start(holder);
     } else {
-      fleet_.timers.advance(seconds(1 + static_cast<Duration::rep>(draw(20))));
+      fleet_.timers.advance(seconds(1 + static_cast<Duration::rep>(draw(15))));
     }
   }
 
   void tend() {
     Home& home = anyHome();
-    if (draw(4) == 0) {
+    if (draw(10) == 0) {
       home.partition.giveLeaseBack();
     } else {
       home.partition.keepLease();
@@ -84,13 +84,16 @@
 
   /// Programs loop: each should be over 6 s after its first turn, and goes on all the same.
   void askForATurn() {
-    const std::string program = "p" + std::to_string(draw(3));
+    constexpr Duration kBetweenPrograms = seconds(3);
+    const auto newest = static_cast<std::uint64_t>(
+        fleet_.timers.now.time_since_epoch() / kBetweenPrograms);
+    const std::string program = "p" + std::to_string(newest - draw(5));
     const auto [finish, isNew] = finishes_.try_emplace(program, fleet_.timers.now + seconds(6));
     const Duration left = std::max(Duration::zero(), finish->second - fleet_.timers.now);
     Home& home = anyHome();
     const std::string request = "r" + std::to_string(++requests_);
     const auto outcome = fleet_.spend(home, request, program, kTurn, kBudget, left,
-                                      milliseconds(static_cast<Duration::rep>(draw(1500))));
+                                      milliseconds(static_cast<Duration::rep>(draw(400))));
     if (outcome == ReservationOutcome::Granted && draw(3) == 0) {
       const std::uint64_t used = draw(kTurn + 1);
       fleet_.handedOut[program] -= kTurn - used;
--- a/tests/ledger/ledger_message_test.cpp
+++ b/tests/ledger/ledger_message_test.cpp
@@ -30,9 +30,13 @@
   STRCMP_EQUAL("t1", store.record.base.c_str());
   CHECK(store.record.history == bytes);
   CHECK(store.timeLimit == milliseconds(70));
-  const auto reserve = sentAndRead(ReserveRequest{{"r", "p", 288}, 1000, milliseconds(5)});
-  LONGS_EQUAL(288, reserve.reservation.tokens);
-  LONGS_EQUAL(1000, reserve.budget);
+  const auto reserve =
+      sentAndRead(ReserveRequest{{{"r", "p", 288}, 1000, milliseconds(700)}, milliseconds(5)});
+  LONGS_EQUAL(288, reserve.budget.reservation.tokens);
+  LONGS_EQUAL(1000, reserve.budget.budget);
+  CHECK(reserve.budget.programTimeLeft == milliseconds(700));
+  const auto untold = sentAndRead(ReserveRequest{{{"r", "p", 1}, 10, {}}, milliseconds(5)});
+  CHECK_FALSE(untold.budget.programTimeLeft.has_value());
   LONGS_EQUAL(9, sentAndRead(SettleRequest{{"r", "p", 9}}).settlement.tokens);
 }
 
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -69,7 +69,7 @@
   ReservationOutcome reserve(Node & node, const std::string& request, std::uint64_t tokens,
                              std::uint64_t budget) {
     std::optional<ReservationOutcome> outcome;
-    node.ledger.reserve({request, "program", tokens}, budget, seconds(2),
+    node.ledger.reserve({{request, "program", tokens}, budget, {}}, seconds(2),
                         [&outcome](ReservationOutcome result) { outcome = result; });
     timers.advance(seconds(3));
     CHECK_TRUE(outcome.has_value());
@@ -203,8 +203,8 @@
   Node& second = addNode();
   std::vector<ReservationOutcome> outcomes;
   const auto note = [&outcomes](ReservationOutcome outcome) { outcomes.push_back(outcome); };
-  first.ledger.reserve({"r1", "program", 600}, 1000, seconds(2), note);
-  second.ledger.reserve({"r2", "program", 600}, 1000, seconds(2), note);
+  first.ledger.reserve({{"r1", "program", 600}, 1000, {}}, seconds(2), note);
+  second.ledger.reserve({{"r2", "program", 600}, 1000, {}}, seconds(2), note);
   timers.advance(seconds(3));
   LONGS_EQUAL(2, outcomes.size());
   CHECK(outcomes[0] != outcomes[1]);
@@ -220,7 +220,7 @@
   Node& node = addNode();
   log.fault = FakeFault::LostReply;
   std::optional<ReservationOutcome> outcome;
-  node.ledger.reserve({"r1", "program", 400}, 1000, seconds(3),
+  node.ledger.reserve({{"r1", "program", 400}, 1000, {}}, seconds(3),
                       [&outcome](ReservationOutcome result) { outcome = result; });
   timers.advance(milliseconds(20));
   log.fault = FakeFault::None;
@@ -231,9 +231,9 @@
 
 TEST(ProgramLedger, tellsWhetherTheLogTakesWritesNow) {
   Node& node = addNode();
-  CHECK_TRUE(node.ledger.isWritable("t1", "program"));
+  CHECK_TRUE(node.ledger.takesReservation("program"));
   log.fault = FakeFault::Busy;
-  node.ledger.reserve({"r1", "program", 400}, 1000, seconds(3), [](ReservationOutcome) {});
+  node.ledger.reserve({{"r1", "program", 400}, 1000, {}}, seconds(3), [](ReservationOutcome) {});
   timers.advance(milliseconds(150));
-  CHECK_FALSE(node.ledger.isWritable("t1", "program"));
+  CHECK_FALSE(node.ledger.takesReservation("program"));
 }
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -162,7 +162,7 @@
   std::optional<ReservationOutcome> reserve(int node, const std::string& request,
                                             std::uint64_t tokens, Duration wait = seconds(3)) {
     auto outcome = std::make_shared<std::optional<ReservationOutcome>>();
-    fleet.node(node).ledger.reserve({request, "program", tokens}, 1000, seconds(2),
+    fleet.node(node).ledger.reserve({{request, "program", tokens}, 1000, {}}, seconds(2),
                                     [outcome](ReservationOutcome result) { *outcome = result; });
     timers.advance(wait);
     return *outcome;
@@ -212,7 +212,7 @@
   std::vector<ReservationOutcome> outcomes;
   for (int node = 0; node < 6; ++node) {
     fleet.node(node).ledger.reserve(
-        {"r" + std::to_string(node), "program", 300}, 1000, seconds(2),
+        {{"r" + std::to_string(node), "program", 300}, 1000, {}}, seconds(2),
         [&outcomes](ReservationOutcome outcome) { outcomes.push_back(outcome); });
   }
   timers.advance(milliseconds(100));
@@ -238,7 +238,7 @@
   // "r2" is granted by one home; another one comes to it late and does not find room for it.
   CHECK(reserve(1, "r2", 600) == ReservationOutcome::Granted);
   std::optional<LedgerOutcome> late;
-  fleet.node(5).service.handle(ReserveRequest{{"r2", "program", 600}, 500, seconds(2)},
+  fleet.node(5).service.handle(ReserveRequest{{{"r2", "program", 600}, 500, {}}, seconds(2)},
                                [&late](const LedgerReply& reply) { late = reply.outcome; });
   timers.advance(seconds(2));
   CHECK(late == LedgerOutcome::BudgetSpent);
@@ -290,13 +290,15 @@
 
 TEST(RoutedLedger, tellsWhetherTheLogTakesWritesNow) {
   Node& node = fleet.node(0);
-  CHECK_TRUE(node.ledger.isWritable("t", "program"));
+  CHECK_TRUE(node.ledger.takesTurn("t"));
+  CHECK_TRUE(node.ledger.takesReservation("program"));
   log.fault = FakeFault::Busy;
   reserve(0, "r1", 100, milliseconds(750));
-  CHECK_FALSE(node.ledger.isWritable("t", "program"));
+  CHECK_FALSE(node.ledger.takesReservation("program"));
   log.fault = FakeFault::None;
   timers.advance(seconds(1));
-  CHECK_TRUE(node.ledger.isWritable("t", "program"));
+  CHECK_TRUE(node.ledger.takesTurn("t"));
+  CHECK_TRUE(node.ledger.takesReservation("program"));
 }
 
 TEST(RoutedLedger, aTurnWhosePartitionIsOutOfOrderStandsInItsSecondOne) {
@@ -333,7 +335,8 @@
   CHECK_TRUE(storeTurn(0, "t1", "", "text"));
   fleet.known = false;
   const int reads = log.reads;
-  CHECK_FALSE(fleet.node(3).ledger.isWritable("t1", "program"));
+  CHECK_FALSE(fleet.node(3).ledger.takesTurn("t1"));
+  CHECK_FALSE(fleet.node(3).ledger.takesReservation("program"));
   CHECK_TRUE(std::holds_alternative<LedgerUnavailable>(find(3, "t1")));
   LONGS_EQUAL(reads, log.reads);
 }
@@ -364,7 +367,7 @@
   std::vector<ReservationOutcome> outcomes;
   for (int number = 0; number < 60; ++number) {
     fleet.node(number % 6)
-        .ledger.reserve({"s" + std::to_string(number), "program", 1}, 1000, seconds(3),
+        .ledger.reserve({{"s" + std::to_string(number), "program", 1}, 1000, {}}, seconds(3),
                         [&outcomes](ReservationOutcome outcome) { outcomes.push_back(outcome); });
     timers.advance(milliseconds(50));
   }
