Count lost programs by first cause: gorsetrail losses; steps of a request in its last line

The line of an ended request tells when it was first dispatched, when its first event left and how long its program had left; lines of late programs are written like those of failures.

--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -59,6 +59,7 @@
 ExitCode runNodes(CommandContext& context);
 ExitCode runPrograms(CommandContext& context);
 ExitCode runExplain(CommandContext& context);
+ExitCode runLosses(CommandContext& context);
 ExitCode runCompletion(CommandContext& context);
 
 }  // namespace gorsetrail::cli
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -8,6 +8,7 @@
 #include <string_view>
 
 DEFINE_string(base, "", "bundle file that the new one is made from");
+DEFINE_bool(by_second, false, "losses: programs by second and cause, for plots");
 DEFINE_bool(force, false, "overwrite an existing file");
 DEFINE_string(format, "table", "output: table or json");
 DEFINE_string(key, "", "PEM file of the operator's private key");
@@ -25,9 +26,9 @@
 namespace gorsetrail::cli {
 namespace {
 
-constexpr std::array<std::string_view, 14> kFlags = {
-    "base", "force", "format",   "key",    "log",       "name",         "nodes",
-    "out",  "site",  "settings", "tenant", "timeout_s", "wait_version", "zone"};
+constexpr std::array<std::string_view, 15> kFlags = {
+    "base", "by_second", "force",    "format", "key",       "log",          "name", "nodes",
+    "out",  "site",      "settings", "tenant", "timeout_s", "wait_version", "zone"};
 constexpr std::uint32_t kLongestTimeLimitSeconds = 3600;
 
 Error usageError(const std::string& field, const std::string& reason) {
@@ -127,6 +128,7 @@
     }
     Options& options = line_.options;
     options.format = FLAGS_format == "json" ? OutputFormat::Json : OutputFormat::Table;
+    options.bySecond = FLAGS_by_second;
     options.force = FLAGS_force;
     options.base = FLAGS_base;
     options.key = FLAGS_key;
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -16,6 +16,7 @@
   OutputFormat format = OutputFormat::Table;
   bool help = false;
   bool force = false;
+  bool bySecond = false;               ///< `losses`: programs by second and cause.
   std::string base;                    ///< File that `bundle new` starts from.
   std::string key;                     ///< PEM file of the private key.
   std::string log;                     ///< `ip:port` of the platform's log.
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -191,7 +191,8 @@
     if (!streamBegun_) {
       streamBegun_ = true;
       writer_->beginStream(head_.status, replicaHeaders_);
-      context_.metrics.onFirstEvent(context_.clock() - arrivedAt_);
+      firstEventAt_ = context_.clock();
+      context_.metrics.onFirstEvent(*firstEventAt_ - arrivedAt_);
     }
     eventsReleased_ = eventsTaken_;
     writer_->write(std::exchange(output_, {}));
@@ -263,9 +264,23 @@
   end("client_gone", {});
 }
 
+std::uint64_t Exchange::millisecondsUntil(std::optional<Instant> moment) const {
+  return moment ? wholeMilliseconds(*moment - arrivedAt_) : 0;
+}
+
+std::string Exchange::programMillisecondsLeft() const {
+  if (!request_.programTimeLeft) {
+    return {};
+  }
+  const Duration left = *request_.programTimeLeft - (context_.clock() - arrivedAt_);
+  return std::to_string(wholeMilliseconds(std::max(Duration::zero(), left)));
+}
+
 void Exchange::end(std::string_view outcome, std::string_view reason) {
   ended_ = true;
-  const bool well = outcome == "answered";
+  const std::string programLeft = programMillisecondsLeft();
+  // Programs that are late are looked into like failures.
+  const bool well = outcome == "answered" && programLeft != "0";
   const std::string route = route_ == nullptr ? std::string() : route_->name;
   context_.metrics.onRequestEnded(route, std::string(outcome), std::string(reason),
                                   context_.clock() - arrivedAt_);
@@ -278,6 +293,9 @@
       {"status", std::uint64_t{head_.status}},
       {"dispatches", dispatchNumber_},
       {"events", eventsReleased_},
+      {"dispatched_ms", millisecondsUntil(firstDispatchAt_)},
+      {"first_event_ms", millisecondsUntil(firstEventAt_)},
+      {"program_left_ms", programLeft},
       {"took_ms", wholeMilliseconds(context_.clock() - arrivedAt_)}};
   if (well) {
     context_.log.routine("request_ended", fields);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -75,6 +75,11 @@
   void end(std::string_view outcome, std::string_view reason);
   void settleBudget(std::uint64_t tokens);
 
+  /// \return milliseconds from the arrival to that moment, 0 when it did not come.
+  [[nodiscard]] std::uint64_t millisecondsUntil(std::optional<Instant> moment) const;
+  /// \return milliseconds until the program should be over: "0" when that has passed, empty when
+  /// it was not told.
+  [[nodiscard]] std::string programMillisecondsLeft() const;
   [[nodiscard]] Duration timeLeft() const;
   /// \return whether what the request has to keep can probably be kept now.
   [[nodiscard]] bool ledgerTakesIt() const;
@@ -87,6 +92,8 @@
   http::ResponseWriterPtr writer_;
   Instant arrivedAt_;
   Instant deadlineAt_;
+  std::optional<Instant> firstDispatchAt_;
+  std::optional<Instant> firstEventAt_;
   routing::ConfigurationPtr configuration_;  ///< Keeps `route_` alive.
   const routing::Route* route_ = nullptr;
   std::string service_;
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -63,8 +63,9 @@
 void Exchange::send(const routing::ReplicaPtr& replica) {
   replica_ = replica;
   ++replica_->inFlight;
-  if (dispatchNumber_ == 0) {
-    context_.metrics.onFirstDispatch(context_.clock() - arrivedAt_);
+  if (!firstDispatchAt_) {
+    firstDispatchAt_ = context_.clock();
+    context_.metrics.onFirstDispatch(*firstDispatchAt_ - arrivedAt_);
   }
   ++context_.counters.dispatches;
   ++dispatchNumber_;
--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -16,8 +16,7 @@
   Entry& known = found->second;
   const bool isRenewal = record.state == BudgetLeaseState::Held &&
                          known.state == BudgetLeaseState::Held && record.renewal > known.renewal;
-  const bool isVoidEnd =
-      record.state == BudgetLeaseState::Ended && record.renewal < known.renewal;
+  const bool isVoidEnd = record.state == BudgetLeaseState::Ended && record.renewal < known.renewal;
   if (isRenewal || (record.state > known.state && !isVoidEnd)) {
     known.state = record.state;
     known.since = now;
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -66,8 +66,8 @@
 
 std::optional<ReservationReply> BudgetPartition::reserveAhead(const BudgetRequest& request) {
   const BudgetReservation& wanted = request.reservation;
-  const bool isShort = isTimely(request) &&
-                       *request.programTimeLeft <= knobs_.leases.longestProgramTime;
+  const bool isShort =
+      isTimely(request) && *request.programTimeLeft <= knobs_.leases.longestProgramTime;
   if (!holdsLease() || !isShort) {
     return std::nullopt;
   }
--- /dev/null
+++ b/tests/cli/log_losses_test.cpp
@@ -0,0 +1,72 @@
+// Programs that were lost, by their first cause.
+#include "cli/log_losses.h"
+
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail::cli;
+
+namespace {
+
+std::string ended(int second, const char* program, const char* rest) {
+  return "time_ms=" + std::to_string(second) +
+         "000 event=request_ended request=q program=" + program + " route=turns " + rest + "\n";
+}
+
+}  // namespace
+
+TEST_GROUP(LogLosses) {
+  LogLosses losses;
+  void read(const std::string& text) {
+    std::istringstream lines(text);
+    losses.read(lines, "node");
+  }
+};
+
+TEST(LogLosses, aProgramThatWasAnsweredInTimeIsNoLoss) {
+  read(ended(1, "p", "outcome=answered reason=\"\" took_ms=90 program_left_ms=400"));
+  LONGS_EQUAL(1, losses.programsSeen());
+  LONGS_EQUAL(0, losses.programsLost());
+}
+
+TEST(LogLosses, theFirstRequestThatWasNotAnsweredNamesTheCause) {
+  read(ended(5, "p", "outcome=unknown_502 reason=replica_broke_off took_ms=70") +
+       ended(4, "p", "outcome=refused_503 reason=store_not_answering took_ms=1") +
+       ended(3, "p", "outcome=answered reason=\"\" took_ms=90 program_left_ms=0") +
+       ended(6, "p", "outcome=refused_503 reason=reservation_unavailable took_ms=2"));
+  const auto groups = losses.groups();
+  LONGS_EQUAL(1, groups.size());
+  STRCMP_EQUAL("store", groups[0].cause.c_str());
+  LONGS_EQUAL(2, groups[0].requests);
+  LONGS_EQUAL(3, groups[0].tookMilliseconds);
+}
+
+TEST(LogLosses, aLateProgramIsLostToTheStepThatTookTheMostTime) {
+  read(ended(1, "p",
+             "outcome=answered reason=\"\" dispatched_ms=5 first_event_ms=900 took_ms=1000 "
+             "program_left_ms=300") +
+       ended(2, "p",
+             "outcome=answered reason=\"\" dispatched_ms=5 first_event_ms=50 took_ms=400 "
+             "program_left_ms=0"));
+  const auto groups = losses.groups();
+  LONGS_EQUAL(1, groups.size());
+  STRCMP_EQUAL("late_before_first_event", groups[0].cause.c_str());
+  LONGS_EQUAL(940, groups[0].tookMilliseconds);
+}
+
+TEST(LogLosses, groupsWithTheMostProgramsComeFirstAndSecondsInOrder) {
+  read(ended(9, "a", "outcome=client_gone reason=\"\" took_ms=1") +
+       ended(7, "b", "outcome=refused_503 reason=replicas_busy took_ms=1") +
+       ended(8, "c", "outcome=refused_503 reason=replicas_full took_ms=1"));
+  STRCMP_EQUAL("no_place_at_replicas", losses.groups()[0].cause.c_str());
+  LONGS_EQUAL(2, losses.groups()[0].programs);
+  LONGS_EQUAL(3, losses.seconds().size());
+  LONGS_EQUAL(7, losses.seconds()[0].second);
+}
+
+TEST(LogLosses, linesOfOtherEventsAndOutsideProgramsArePassedOver) {
+  read("no log line\ntime_ms=1 event=dispatch program=p\n" +
+       ended(1, "\"\"", "outcome=refused_404 reason=no_route took_ms=0"));
+  LONGS_EQUAL(0, losses.programsSeen());
+}
--- a/tests/ledger/budget_lease_table_test.cpp
+++ b/tests/ledger/budget_lease_table_test.cpp
@@ -116,9 +116,7 @@
   LONGS_EQUAL(1, table.size());
 }
 
-TEST_GROUP(LeaseAllowance) {
-  BudgetLeaseKnobs knobs;
-};
+TEST_GROUP(LeaseAllowance) { BudgetLeaseKnobs knobs; };
 
 TEST(LeaseAllowance, allowsAShareOfTheBudgetOrOneLargerTurn) {
   const LeaseAllowance allowance(knobs, 1000);
--- a/tests/ledger/budget_random_test.cpp
+++ b/tests/ledger/budget_random_test.cpp
@@ -85,8 +85,8 @@
   /// Programs loop: each should be over 6 s after its first turn, and goes on all the same.
   void askForATurn() {
     constexpr Duration kBetweenPrograms = seconds(3);
-    const auto newest = static_cast<std::uint64_t>(
-        fleet_.timers.now.time_since_epoch() / kBetweenPrograms);
+    const auto newest =
+        static_cast<std::uint64_t>(fleet_.timers.now.time_since_epoch() / kBetweenPrograms);
     const std::string program = "p" + std::to_string(newest - draw(5));
     const auto [finish, isNew] = finishes_.try_emplace(program, fleet_.timers.now + seconds(6));
     const Duration left = std::max(Duration::zero(), finish->second - fleet_.timers.now);
