Ask the home for a reservation although earlier ones failed; let mechanisms be switched off

Cause: while some reservations of a partition had to wait for the log (programs that are late, loop or have sub-agents) and failed at a cut home, a node refused all programs of the partition, although the home could grant them under its lease. Now the home is asked, for 0.3 s at most, before anything is dispatched; a home whose store is known not to answer says so at once.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -46,6 +46,9 @@
   double runawayShare = 0.75;
   Duration retryAfterStore = milliseconds(250);
   Duration retryAfterOutage = milliseconds(800);
+  Duration retryAfterReservation = milliseconds(400);
+  /// A reservation is waited for no longer while others of the partition fail.
+  Duration unlikelyReservationLimit = milliseconds(300);
   Duration connectTimeLimit = milliseconds(400);
   /// A replica that says nothing to anybody for so long is asked for a connection.
   Duration silence = milliseconds(400);
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -51,6 +51,51 @@
   knobs.cacheBytes = settings.memoryBytes / kShareOfMemory;
   knobs.budgets.holder = relayAddressOf(settings);
   knobs.budgets.life = std::to_string(life);
+  knobs.budgets.leases.enabled = settings.uses(Mechanism::BudgetLeases);
+  return knobs;
+}
+
+logstore::CallPacerKnobs storePaceOf(const EdgeSettings& settings) {
+  logstore::CallPacerKnobs knobs;
+  if (!settings.uses(Mechanism::HedgedStoreCalls)) {
+    knobs.shortestPatience = knobs.longestPatience;
+  }
+  return knobs;
+}
+
+routing::ReplicaSelectorKnobs selectorKnobsOf(const EdgeSettings& settings) {
+  routing::ReplicaSelectorKnobs knobs;
+  if (!settings.uses(Mechanism::PromptAffinity)) {
+    knobs.costPerPromptToken = 0;
+  }
+  if (!settings.uses(Mechanism::FailureCounts)) {
+    knobs.failureCost = 0;
+  }
+  return knobs;
+}
+
+/// A limit that is never reached.
+constexpr double kNoLimit = 1e9;
+
+routing::AdmissionKnobs admissionKnobsOf(const EdgeSettings& settings) {
+  if (settings.uses(Mechanism::Admission)) {
+    return {};
+  }
+  return {kNoLimit, kNoLimit, kNoLimit, 0};
+}
+
+ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings) {
+  constexpr Duration kNever = seconds(3600);
+  ExchangeKnobs knobs;
+  if (!settings.uses(Mechanism::RunawayLimit)) {
+    knobs.runawayShare = kNoLimit;
+  }
+  if (!settings.uses(Mechanism::ReplicaSuspicion)) {
+    knobs.suspicionTime = Duration::zero();
+  }
+  if (!settings.uses(Mechanism::SilenceChecks)) {
+    knobs.silence = kNever;
+  }
   return knobs;
 }
 
@@ -88,7 +133,7 @@
           parts.peers, [this] { return otherRelays(); }, seed),
       failoverStore_(parts.store, relayedStore_, clock_, {},
                      [this](logstore::StoreWay way) { onStoreWay(way); }),
-      store_(failoverStore_, *timers_, clock_, {}, seed),
+      store_(failoverStore_, *timers_, clock_, storePaceOf(settings_), seed),
       relayServer_(parts.store),
       announcer_(failoverStore_, *timers_, clock_, {kMemberTopic, 0},
                  [this](const std::string& address, logstore::AppendRequest request,
@@ -115,14 +160,19 @@
       ledger_(ledgerService_, ledgerPeers_, *timers_, clock_, routedLedgerKnobs(), seed),
       ledgerServer_(ledgerService_),
       routes_(seed),
-      selector_(settings_.zone, {}),
-      admission_(routing::AdmissionKnobs{}),
+      selector_(settings_.zone, selectorKnobsOf(settings_)),
+      admission_(admissionKnobsOf(settings_)),
       fleetLoad_({}),
       loadExchange_(
           context, {}, seed,
           [this](routing::LoadDigest digest) { fleetLoad_.onDigest(std::move(digest), clock_()); }),
-      context_{parts.wire, routes_, replicas_, selector_, admission_, ledger_, parts.client,
-               *timers_,   clock_,  log_,      metrics_,  {},         {},      {}} {}
+      context_{parts.wire,   routes_,
+               replicas_,    selector_,
+               admission_,   ledger_,
+               parts.client, *timers_,
+               clock_,       log_,
+               metrics_,     {},
+               {},           exchangeKnobsOf(settings_)} {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
 
@@ -132,6 +182,9 @@
   knobs.zone = settings_.zone;
   knobs.zones = settings_.zones;
   knobs.partitions.partitionsPerTopic = settings_.store.partitionsPerTopic;
+  if (!settings_.uses(Mechanism::SecondPartitions)) {
+    knobs.usesSecondPartitions = false;
+  }
   knobs.onSilence = [this](const std::string& address, bool silent) {
     log_.important(silent ? "node_silent" : "node_answers", {{"address", address}});
   };
@@ -194,9 +247,11 @@
                                   const http::ResponseWriterPtr& writer) {
     onDirectoryRequest(request, writer);
   };
-  sharedTopics_.share(configurationPartition(), configurationGateway_);
-  sharedTopics_.share(replicaPartition(), replicaGateway_);
-  sharedTopics_.share({kMemberTopic, 0}, memberGateway_);
+  if (settings_.uses(Mechanism::TopicGateways)) {
+    sharedTopics_.share(configurationPartition(), configurationGateway_);
+    sharedTopics_.share(replicaPartition(), replicaGateway_);
+    sharedTopics_.share({kMemberTopic, 0}, memberGateway_);
+  }
   relayServer_.shareReads([this](const logstore::ReadRequest& request,
                                  const logstore::StoreCallback<logstore::ReadReply>& reply) {
     logstore::TopicGateway* const gateway = sharedTopics_.gatewayOf(request.partition);
@@ -346,8 +401,10 @@
     writer->sendWhole({kNotFound, {}, {}});
     return;
   }
-  std::vector<std::string> addresses = members_.clientAddresses(
-      query->zone, [this](const std::string& relay) { return ledger_.isSuspect(relay); });
+  std::vector<std::string> addresses =
+      members_.clientAddresses(query->zone, [this](const std::string& relay) {
+        return settings_.uses(Mechanism::DirectoryChoice) && ledger_.isSuspect(relay);
+      });
   if (addresses.empty() && isReady()) {
     addresses.push_back(settings_.listen.clients);
   }
@@ -398,7 +455,9 @@
   }
   const std::size_t others = peers.size();
   loadExchange_.send(replicas_.all(), std::move(peers), clock_());
-  fleetLoad_.apply(replicas_, others, clock_());
+  if (settings_.uses(Mechanism::LoadDigests)) {
+    fleetLoad_.apply(replicas_, others, clock_());
+  }
   for (const std::string& dropped : replicas_.dropDoubtful(clock_())) {
     log_.important("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
   }
@@ -427,6 +486,7 @@
 
 void EdgeDaemon::reload(EdgeSettings settings) {
   settings.listen = settings_.listen;
+  settings.switchedOff = settings_.switchedOff;
   settings_ = std::move(settings);
   log_.important("reloaded", {{"node", settings_.nodeName}, {"store", settings_.store.address}});
 }
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -74,7 +74,7 @@
 
 bool EdgeDaemon::storeWasOutOfOrder() const {
   const bool justRegained = storeRegainedAt_ && clock_() - *storeRegainedAt_ < kOutageAftermath;
-  return !lostTopics_.empty() || justRegained;
+  return settings_.uses(Mechanism::RegistrationDoubt) && (!lostTopics_.empty() || justRegained);
 }
 
 void EdgeDaemon::onReplicaLapsed(const std::string& id, std::string_view by) {
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "edge/mechanisms.h"
 
 namespace gorsetrail::edge {
 
@@ -50,6 +51,9 @@
   TimeBounds bounds;
   std::uint64_t memoryBytes = std::uint64_t{256} * 1024 * 1024;
   std::uint32_t maximumDescriptors = 1024;
+  MechanismSet switchedOff;
+
+  [[nodiscard]] bool uses(Mechanism mechanism) const { return !switchedOff.contains(mechanism); }
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -39,7 +39,7 @@
                              }
                            });
   lastEventId_ = request_.lastEventId;
-  if (!ledgerTakesIt()) {
+  if (!canKeepTurn()) {
     // An engine's work would be for nothing: its answer could not be released.
     refuse(kUnavailable, "store_not_answering", context_.knobs.retryAfterOutage);
     return;
@@ -76,10 +76,9 @@
   return true;
 }
 
-bool Exchange::ledgerTakesIt() const {
+bool Exchange::canKeepTurn() const {
   const bool keepsTurn = isStreaming() && route_->persisted;
-  return (!keepsTurn || context_.ledger.takesTurn(request_.requestId)) &&
-         (!isBudgeted() || context_.ledger.takesReservation(request_.programId));
+  return !keepsTurn || context_.ledger.takesTurn(request_.requestId);
 }
 
 bool Exchange::isStreaming() const { return route_->kind == routing::RouteKind::Streaming; }
@@ -131,17 +130,20 @@
   const std::uint64_t known = context_.ledger.knownUse(request_.programId);
   const std::uint64_t roomNeeded = request_.maximumTokens * context_.knobs.ampleBudgetTurns;
   const bool ample = known + roomNeeded <= *request_.tokenBudget;
-  // While the budget is ample as far as is known, the reservation runs beside the dispatch.
-  reserve(!ample);
-  if (ample && !ended_) {
+  // While the budget is ample as far as is known, the reservation runs beside the dispatch. Where
+  // reservations failed a moment ago, the home is asked first: it may hold a lease.
+  const bool likely = context_.ledger.takesReservation(request_.programId);
+  reserve(!ample || !likely,
+          likely ? timeLeft() - kAnswerMargin : context_.knobs.unlikelyReservationLimit);
+  if (ample && likely && !ended_) {
     dispatch();
   }
 }
 
-void Exchange::reserve(bool dispatchAfterwards) {
+void Exchange::reserve(bool dispatchAfterwards, Duration longest) {
   budget_ = BudgetState::Reserving;
   reservationMayStand_ = true;
-  const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
+  const Duration limit = std::max(Duration::zero(), std::min(longest, timeLeft() - kAnswerMargin));
   const ledger::BudgetRequest wanted{
       {request_.requestId, request_.programId, request_.maximumTokens},
       *request_.tokenBudget,
@@ -179,7 +181,7 @@
   if (mayHaveRun_ || call_) {
     breakOff("reservation_unavailable");
   } else {
-    refuse(kUnavailable, "reservation_unavailable", context_.knobs.retryAfterStore);
+    refuse(kUnavailable, "reservation_unavailable", context_.knobs.retryAfterReservation);
   }
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -38,7 +38,8 @@
   void findHistory();
   void onHistory(ledger::HistoryAnswer answer);
   void checkBudget();
-  void reserve(bool dispatchAfterwards);
+  /// \param longest the reservation is given up after this.
+  void reserve(bool dispatchAfterwards, Duration longest);
   void onReservation(bool dispatchAfterwards, ledger::ReservationOutcome outcome);
 
   // At a replica.
@@ -81,8 +82,8 @@
   /// it was not told.
   [[nodiscard]] std::string programMillisecondsLeft() const;
   [[nodiscard]] Duration timeLeft() const;
-  /// \return whether what the request has to keep can probably be kept now.
-  [[nodiscard]] bool ledgerTakesIt() const;
+  /// \return whether the turn can probably be stored now, if it has to be.
+  [[nodiscard]] bool canKeepTurn() const;
   [[nodiscard]] bool isStreaming() const;
   [[nodiscard]] bool isBudgeted() const;
   [[nodiscard]] std::uint64_t tokensHandedOut() const;
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -61,6 +61,10 @@
     callback(*reply);
     return;
   }
+  if (!store_.answers(address_)) {
+    callback({});  // Waiting would only hold up who asked.
+    return;
+  }
   reserveInLog(request, timeLimit, std::move(callback));
 }
 
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -65,11 +65,10 @@
                   logstore::ClockFunction clock, logstore::PartitionAddress address,
                   BudgetPartitionKnobs knobs);
 
-  /// Calls back once; at once when a lease decides. A reservation that does not fit stays standing:
-  /// only who asked knows whether another home has granted it, and gives it back if not.
+  /// Calls back once; at once when a lease decides, or the store is known not to answer. A
+  /// reservation that does not fit stays standing: only who asked knows whether another home has
+  /// granted it, and gives it back if not.
   void reserve(const BudgetRequest& request, Duration timeLimit, ReservationReplyCallback callback);
-  /// Only by the lease. \return nothing when it can't decide.
-  std::optional<ReservationReply> reserveAhead(const BudgetRequest& request);
   void settle(const BudgetSettlement& settlement);
 
   /// \return tokens that all known requests of the program have used or may use.
@@ -106,6 +105,8 @@
   };
 
   void onRecord(std::uint64_t offset, std::string_view record);
+  /// \return nothing when the lease can't decide.
+  std::optional<ReservationReply> reserveAhead(const BudgetRequest& request);
   void reserveInLog(const BudgetRequest& request, Duration timeLimit,
                     ReservationReplyCallback callback);
   ReservationReply decideByLog(const BudgetRequest& request, std::uint64_t offset);
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -69,11 +69,8 @@
     return;
   }
   if (const auto* const reserve = std::get_if<ReserveRequest>(&request)) {
-    const std::string& program = reserve->budget.reservation.program;
-    if (const auto granted = ledger_.budgetsOf(program).reserveAhead(reserve->budget)) {
-      callback(replyOf(*granted));
-      return;
-    }
+    run(*reserve, std::move(callback));  // A lease may decide it.
+    return;
   }
   if (const auto* const settle = std::get_if<SettleRequest>(&request)) {
     if (ledger_.budgetsOf(settle->settlement.program).isAhead(settle->settlement.request)) {
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -316,7 +316,8 @@
   const std::string& name = storing->record.request;
   const bool firstAnswers = answers(layout_.ofTurn(knobs_.zone, name, 0));
   const bool secondAnswers = answers(layout_.ofTurn(knobs_.zone, name, 1));
-  const std::uint32_t choice = !firstAnswers && secondAnswers ? 1 : 0;
+  const std::uint32_t choice =
+      knobs_.usesSecondPartitions && !firstAnswers && secondAnswers ? 1 : 0;
   storeIn(choice, storing);
   timers_.runAfter(knobs_.secondChoiceAfter, [this, weak = std::weak_ptr(storing), choice] {
     if (const auto waiting = weak.lock()) {
@@ -326,7 +327,8 @@
 }
 
 void RoutedLedger::storeInOther(std::uint32_t choice, const std::shared_ptr<Storing>& storing) {
-  if (!storing->done && !storing->triedBoth && clock_() < storing->deadline) {
+  if (knobs_.usesSecondPartitions && !storing->done && !storing->triedBoth &&
+      clock_() < storing->deadline) {
     storing->triedBoth = true;
     storeIn(1 - choice, storing);
   }
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -49,6 +49,7 @@
   Duration findTimeLimit = milliseconds(1500);
   /// A turn that is not stored for so long is stored in its second partition too.
   Duration secondChoiceAfter = milliseconds(600);
+  bool usesSecondPartitions = true;
   Duration settleTimeLimit = milliseconds(1500);
   Duration accountLifetime = seconds(300);
   /// When to ask a silent home for a sign of life: learned from replies, within these bounds.
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -14,6 +14,33 @@
 const std::string kSecond = "id: 2\ndata: b\n\n";
 const std::string kThird = "id: 3\ndata: c\n\n";
 
+/// A ledger whose reservations failed a moment ago, with a home that answers all the same.
+class DoubtfulLedger final : public ledger::Ledger {
+ public:
+  explicit DoubtfulLedger(ledger::ReservationOutcome outcome) : outcome_(outcome) {}
+  void findHistory(const std::string& /*turn*/, HistoryCallback callback) override {
+    callback(ledger::UnknownTurn{});
+  }
+  void storeTurn(ledger::TurnToStore /*turn*/, Duration /*limit*/,
+                 StoredCallback callback) override {
+    callback(Success{});
+  }
+  void reserve(const ledger::BudgetRequest& /*request*/, Duration limit,
+               ReservationCallback callback) override {
+    longestWait = limit;
+    callback(outcome_);
+  }
+  void settle(ledger::BudgetSettlement /*settlement*/) override {}
+  bool takesTurn(const std::string& /*turn*/) override { return true; }
+  bool takesReservation(const std::string& /*program*/) override { return false; }
+  std::uint64_t knownUse(const std::string& /*program*/) const override { return 0; }
+
+  Duration longestWait{};
+
+ private:
+  ledger::ReservationOutcome outcome_;
+};
+
 }  // namespace
 
 TEST_GROUP(ExchangeStream) {
@@ -157,6 +184,59 @@
   LONGS_EQUAL(0, world.dispatches());
 }
 
+TEST(ExchangeStream, asksTheHomeAlthoughReservationsFailedAMomentAgo) {
+  DoubtfulLedger ledger(ledger::ReservationOutcome::Granted);
+  EdgeContext context{world.wire,
+                      world.routes,
+                      world.replicas,
+                      world.selector,
+                      world.admission,
+                      ledger,
+                      world.client,
+                      world.timers,
+                      world.context.clock,
+                      world.eventLog,
+                      world.metrics,
+                      {},
+                      {},
+                      {},
+                      true};
+  auto client = std::make_shared<ClientView>();
+  std::make_shared<Exchange>(context, ExchangeWorld::turn("again"),
+                             std::make_unique<FakeWriter>(client))
+      ->start();
+  LONGS_EQUAL(1, world.dispatches());
+  CHECK(ledger.longestWait <= context.knobs.unlikelyReservationLimit);
+  client->observer.onGone();
+  client->observer = {};
+}
+
+TEST(ExchangeStream, dispatchesNothingWhereAReservationIsUnlikelyAndFails) {
+  DoubtfulLedger ledger(ledger::ReservationOutcome::Unavailable);
+  EdgeContext context{world.wire,
+                      world.routes,
+                      world.replicas,
+                      world.selector,
+                      world.admission,
+                      ledger,
+                      world.client,
+                      world.timers,
+                      world.context.clock,
+                      world.eventLog,
+                      world.metrics,
+                      {},
+                      {},
+                      {},
+                      true};
+  auto client = std::make_shared<ClientView>();
+  std::make_shared<Exchange>(context, ExchangeWorld::turn("again"),
+                             std::make_unique<FakeWriter>(client))
+      ->start();
+  LONGS_EQUAL(503, client->status);
+  CHECK(!client->retryAfter.empty());
+  LONGS_EQUAL(0, world.dispatches());
+}
+
 TEST(ExchangeStream, resumesACutStreamWhereItRanWithoutLosingOrDoublingAnEvent) {
   const auto client = world.start(ExchangeWorld::turn("again"));
   wait();
--- a/tests/ledger/budget_partition_test.cpp
+++ b/tests/ledger/budget_partition_test.cpp
@@ -50,6 +50,16 @@
   CHECK(spend(home, "r1", 300) == ReservationOutcome::Unavailable);
 }
 
+TEST(BudgetPartition, repliesAtOnceWhereNoLeaseHelpsAndTheStoreIsKnownNotToAnswer) {
+  Home& home = fleet.start("a");
+  fleet.log.fault = FakeFault::Busy;
+  fleet.spend(home, "r1", "program", 300, 1000, kTimeLeft, milliseconds(150));
+  bool replied = false;
+  home.partition.reserve({{"r3", "program", 300}, 1000, kTimeLeft}, seconds(1),
+                         [&replied](const ReservationReply&) { replied = true; });
+  CHECK_TRUE(replied);
+}
+
 TEST(BudgetPartition, aHomeWithALeaseGoesOnWhileTheStoreIsDown) {
   Home& home = fleet.startWithLease("a");
   fleet.log.fault = FakeFault::Busy;
