--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -138,6 +138,7 @@
     group.tookMilliseconds += loss.tookMilliseconds;
   }
   std::vector<LossGroup> groups;
+  groups.reserve(byCause.size());
   for (auto& [key, group] : byCause) {
     groups.push_back(std::move(group));
   }
@@ -153,6 +154,7 @@
     ++counts[{loss.at / kMillisecondsPerSecond, loss.cause}];
   }
   std::vector<LossSecond> seconds;
+  seconds.reserve(counts.size());
   for (const auto& [key, programs] : counts) {
     seconds.push_back({key.first, key.second, programs});
   }
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "edge/edge_daemon_shared.h"
+#include "edge/edge_knobs.h"
 #include "edge/exchange.h"
 
 namespace gorsetrail::edge {
@@ -37,68 +38,6 @@
   return Instant(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
-std::string relayAddressOf(const EdgeSettings& settings) {
-  return settings.ip + ":" + std::to_string(settings.firstInternalPort);
-}
-
-/// \param life differs between processes.
-ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings, std::uint64_t life) {
-  constexpr std::uint64_t kShareOfMemory = 4;
-  ledger::LedgerKnobs knobs;
-  knobs.zone = settings.zone;
-  knobs.partitions.partitionsPerTopic = settings.store.partitionsPerTopic;
-  knobs.maximumRecordBytes = settings.store.maximumRecordBytes;
-  knobs.cacheBytes = settings.memoryBytes / kShareOfMemory;
-  knobs.budgets.holder = relayAddressOf(settings);
-  knobs.budgets.life = std::to_string(life);
-  knobs.budgets.leases.enabled = settings.uses(Mechanism::BudgetLeases);
-  return knobs;
-}
-
-logstore::CallPacerKnobs storePaceOf(const EdgeSettings& settings) {
-  logstore::CallPacerKnobs knobs;
-  if (!settings.uses(Mechanism::HedgedStoreCalls)) {
-    knobs.shortestPatience = knobs.longestPatience;
-  }
-  return knobs;
-}
-
-routing::ReplicaSelectorKnobs selectorKnobsOf(const EdgeSettings& settings) {
-  routing::ReplicaSelectorKnobs knobs;
-  if (!settings.uses(Mechanism::PromptAffinity)) {
-    knobs.costPerPromptToken = 0;
-  }
-  if (!settings.uses(Mechanism::FailureCounts)) {
-    knobs.failureCost = 0;
-  }
-  return knobs;
-}
-
-/// A limit that is never reached.
-constexpr double kNoLimit = 1e9;
-
-routing::AdmissionKnobs admissionKnobsOf(const EdgeSettings& settings) {
-  if (settings.uses(Mechanism::Admission)) {
-    return {};
-  }
-  return {kNoLimit, kNoLimit, kNoLimit, 0};
-}
-
-ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings) {
-  constexpr Duration kNever = seconds(3600);
-  ExchangeKnobs knobs;
-  if (!settings.uses(Mechanism::RunawayLimit)) {
-    knobs.runawayShare = kNoLimit;
-  }
-  if (!settings.uses(Mechanism::ReplicaSuspicion)) {
-    knobs.suspicionTime = Duration::zero();
-  }
-  if (!settings.uses(Mechanism::SilenceChecks)) {
-    knobs.silence = kNever;
-  }
-  return knobs;
-}
-
 /// \return what a client gets whose request could not be read.
 unsigned statusOf(http::ProtocolFault fault) {
   constexpr unsigned kBadRequest = 400;
--- /dev/null
+++ b/src/edge/edge_knobs.h
@@ -0,0 +1,30 @@
+/// \file Knobs of the daemon's parts, from the settings and the mechanisms that are in use.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "edge/edge_context.h"
+#include "edge/edge_settings.h"
+#include "ledger/program_ledger.h"
+#include "logstore/call_pacer.h"
+#include "routing/admission_policy.h"
+#include "routing/replica_selector.h"
+
+namespace gorsetrail::edge {
+
+/// \return where store and ledger calls of other nodes arrive.
+std::string relayAddressOf(const EdgeSettings& settings);
+
+/// \param life differs between processes.
+ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings, std::uint64_t life);
+
+logstore::CallPacerKnobs storePaceOf(const EdgeSettings& settings);
+
+routing::ReplicaSelectorKnobs selectorKnobsOf(const EdgeSettings& settings);
+
+routing::AdmissionKnobs admissionKnobsOf(const EdgeSettings& settings);
+
+ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings);
+
+}  // namespace gorsetrail::edge
