--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 CMAKE_FLAGS ?=
 
-.PHONY: help setup build test lint format test-sanitize model-check bench demo soak capacity clean
+.PHONY: help setup build test lint format test-sanitize model-check bench demo soak clean
 
 help: ## Show the commands
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:[^#]*## /\t/' | expand -t 18
@@ -39,8 +39,5 @@
 soak: build ## Real edge nodes under faults from outside: kept seeds and a fresh one
 	@tools/fault_soak.sh $(BUILD)
 
-capacity: build ## Redo the figures of docs/CAPACITY.md
-	@tools/capacity.sh $(BUILD)
-
 clean: ## Remove what was built
 	@rm -rf build build-sanitize run
--- a/lab/sim/sim_command.cpp
+++ b/lab/sim/sim_command.cpp
@@ -13,7 +13,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "lab/sim/fleet_command.h"
 #include "lab/sim/mutants.h"
 #include "lab/sim/result_text.h"
 #include "lab/sim/simulation.h"
@@ -178,7 +177,6 @@
   registry.add({"list", "lists the scenario files", listCommand});
   registry.add({"mutants", "lists the faulty nodes that make each check fire", mutantsCommand});
   registry.add({"soak", "runs all scenarios over a range of seeds", soakCommand});
-  registry.add({"fleet", "measures what control costs a node, by fleet size", fleetCommand});
 }
 
 }  // namespace gorsetrail::sim
--- a/lab/sim/sim_command.h
+++ b/lab/sim/sim_command.h
@@ -1,4 +1,4 @@
-/// \file Subcommands `run`, `list`, `mutants`, `soak` and `fleet` of `gorsetrail-lab`.
+/// \file Subcommands `run`, `list`, `mutants` and `soak` of `gorsetrail-lab`.
 #pragma once
 
 #include "lab/command.h"
