Do not remember that a program was timely; bound the age of what a reservation tells

Found on reading: a home that was frozen could decide on a call that told long before that its program was not over yet, and would have taken the program for younger than a cleared lease from then on.

--- a/src/ledger/budget_accounts.cpp
+++ b/src/ledger/budget_accounts.cpp
@@ -49,17 +49,6 @@
   return largest;
 }
 
-void BudgetAccounts::noteTimely(const std::string& program, Instant now) {
-  Account& account = accounts_[program];
-  account.lastHeard = now;
-  account.timelyAt = now;
-}
-
-std::optional<Instant> BudgetAccounts::timelyAt(const std::string& program) const {
-  const auto found = accounts_.find(program);
-  return found == accounts_.end() ? std::nullopt : found->second.timelyAt;
-}
-
 void BudgetAccounts::forgetIdleSince(Instant moment) {
   for (auto account = accounts_.begin(); account != accounts_.end();) {
     account = account->second.lastHeard < moment ? accounts_.erase(account) : std::next(account);
--- a/src/ledger/budget_accounts.h
+++ b/src/ledger/budget_accounts.h
@@ -27,10 +27,6 @@
                                          std::uint64_t offset) const;
   /// \return the largest known reservation of the program; 0 for an unknown one.
   [[nodiscard]] std::uint64_t largestReservationOf(const std::string& program) const;
-  /// A request said that the program should not be over yet.
-  void noteTimely(const std::string& program, Instant now);
-  /// \return when that was said last.
-  [[nodiscard]] std::optional<Instant> timelyAt(const std::string& program) const;
   /// Forgets programs of which nothing was heard since then.
   void forgetIdleSince(Instant moment);
   [[nodiscard]] std::size_t size() const { return accounts_.size(); }
@@ -46,7 +42,6 @@
   struct Account {
     std::unordered_map<std::string, Entry> entries;
     Instant lastHeard;
-    std::optional<Instant> timelyAt;
   };
 
   std::unordered_map<std::string, Account> accounts_;
--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -36,15 +36,13 @@
 }
 
 bool BudgetLeaseTable::mayHaveSpentUnseen(const std::string& ownLease, bool isTimely,
-                                          std::optional<Instant> timelyAt, Instant now) const {
+                                          Instant now) const {
   if (!isFreeFor(ownLease)) {
     return true;
   }
   return !isTimely && std::any_of(leases_.begin(), leases_.end(), [&](const auto& entry) {
-    const Entry& lease = entry.second;
-    const bool beganLater = timelyAt && *timelyAt >= lease.since;
-    const bool isForgotten = now - lease.since >= knobs_.memory;
-    return entry.first != ownLease && !beganLater && !isForgotten;
+    const bool isForgotten = now - entry.second.since >= knobs_.memory;
+    return entry.first != ownLease && !isForgotten;
   });
 }
 
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -51,10 +51,9 @@
 
   /// \param ownLease the lease of this node itself, whose spending it knows; empty: none.
   /// \param isTimely the program should not be over yet.
-  /// \param timelyAt it should not have been over at this moment, as far as is known.
   /// \return whether the program may have spent tokens under a lease unseen.
   [[nodiscard]] bool mayHaveSpentUnseen(const std::string& ownLease, bool isTimely,
-                                        std::optional<Instant> timelyAt, Instant now) const;
+                                        Instant now) const;
 
   /// \return whether no lease but `ownLease` is in force, so that one may be taken.
   [[nodiscard]] bool isFreeFor(const std::string& ownLease) const;
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -107,15 +107,9 @@
   return tokens;
 }
 
-std::uint64_t BudgetPartition::mostSpentUnseen(const BudgetRequest& request) {
-  const Instant now = clock_();
+std::uint64_t BudgetPartition::mostSpentUnseen(const BudgetRequest& request) const {
   const std::string& program = request.reservation.program;
-  const bool timely = isTimely(request);
-  const bool unseen =
-      leases_.mayHaveSpentUnseen(ownLease(), timely, accounts_.timelyAt(program), now);
-  if (timely) {
-    accounts_.noteTimely(program, now);
-  }
+  const bool unseen = leases_.mayHaveSpentUnseen(ownLease(), isTimely(request), clock_());
   const std::uint64_t largestTurn =
       std::max(request.reservation.tokens, accounts_.largestReservationOf(program));
   return unseen ? LeaseAllowance(knobs_.leases, request.budget).mostSpent(largestTurn) : 0;
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -110,7 +110,7 @@
   void reserveInLog(const BudgetRequest& request, Duration timeLimit,
                     ReservationReplyCallback callback);
   ReservationReply decideByLog(const BudgetRequest& request, std::uint64_t offset);
-  [[nodiscard]] std::uint64_t mostSpentUnseen(const BudgetRequest& request);
+  [[nodiscard]] std::uint64_t mostSpentUnseen(const BudgetRequest& request) const;
   [[nodiscard]] std::uint64_t spentAhead(const std::string& program) const;
   void scheduleRecording();
   void recordAhead();
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -369,6 +369,8 @@
 void RoutedLedger::reserve(const BudgetRequest& request, Duration timeLimit,
                            ReservationCallback callback) {
   const BudgetReservation& reservation = request.reservation;
+  // The program's remaining time that goes with it grows old.
+  timeLimit = std::min(timeLimit, BudgetLeaseKnobs{}.longestCall);
   start(ReserveRequest{request, timeLimit}, layout_.ofBudget(reservation.program), {}, timeLimit,
         [this, reservation, callback = std::move(callback)](const LedgerReply& reply) {
           if (isConclusive(reply)) {
