Let two tests of doubtful reservations share their set-up

Cause: both built the same context, 19 lines each, found on reading the change once more. Assertions as they were; test_edge 63 tests, 296 checks before and after, clang-format clean.

--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -46,6 +46,32 @@
 TEST_GROUP(ExchangeStream) {
   ExchangeWorld world;
 
+  /// The world's parts with another ledger.
+  EdgeContext contextWith(ledger::Ledger & ledger) {
+    return {world.wire,
+            world.routes,
+            world.replicas,
+            world.selector,
+            world.admission,
+            ledger,
+            world.client,
+            world.timers,
+            world.context.clock,
+            world.eventLog,
+            world.metrics,
+            {},
+            {},
+            {},
+            true};
+  }
+  /// Starts a turn that may be resumed.
+  static std::shared_ptr<ClientView> startIn(EdgeContext & context) {
+    auto client = std::make_shared<ClientView>();
+    std::make_shared<Exchange>(context, ExchangeWorld::turn("again"),
+                               std::make_unique<FakeWriter>(client))
+        ->start();
+    return client;
+  }
   void wait() { world.timers.advance(milliseconds(50)); }
   /// Runs one whole turn and lets its record be stored.
   void wholeTurn(const std::string& requestId, const std::string& previous = "") {
@@ -186,25 +212,8 @@
 
 TEST(ExchangeStream, asksTheHomeAlthoughReservationsFailedAMomentAgo) {
   DoubtfulLedger ledger(ledger::ReservationOutcome::Granted);
-  EdgeContext context{world.wire,
-                      world.routes,
-                      world.replicas,
-                      world.selector,
-                      world.admission,
-                      ledger,
-                      world.client,
-                      world.timers,
-                      world.context.clock,
-                      world.eventLog,
-                      world.metrics,
-                      {},
-                      {},
-                      {},
-                      true};
-  auto client = std::make_shared<ClientView>();
-  std::make_shared<Exchange>(context, ExchangeWorld::turn("again"),
-                             std::make_unique<FakeWriter>(client))
-      ->start();
+  EdgeContext context = contextWith(ledger);
+  const auto client = startIn(context);
   LONGS_EQUAL(1, world.dispatches());
   CHECK(ledger.longestWait <= context.knobs.unlikelyReservationLimit);
   client->observer.onGone();
@@ -213,25 +222,8 @@
 
 TEST(ExchangeStream, dispatchesNothingWhereAReservationIsUnlikelyAndFails) {
   DoubtfulLedger ledger(ledger::ReservationOutcome::Unavailable);
-  EdgeContext context{world.wire,
-                      world.routes,
-                      world.replicas,
-                      world.selector,
-                      world.admission,
-                      ledger,
-                      world.client,
-                      world.timers,
-                      world.context.clock,
-                      world.eventLog,
-                      world.metrics,
-                      {},
-                      {},
-                      {},
-                      true};
-  auto client = std::make_shared<ClientView>();
-  std::make_shared<Exchange>(context, ExchangeWorld::turn("again"),
-                             std::make_unique<FakeWriter>(client))
-      ->start();
+  EdgeContext context = contextWith(ledger);
+  const auto client = startIn(context);
   LONGS_EQUAL(503, client->status);
   CHECK(!client->retryAfter.empty());
   LONGS_EQUAL(0, world.dispatches());
