--- a/src/edge/shared_topic_store.cpp
+++ b/src/edge/shared_topic_store.cpp
@@ -1,5 +1,6 @@
 #include "edge/shared_topic_store.h"
 
+#include <optional>
 #include <utility>
 
 namespace gorsetrail::edge {
@@ -36,37 +37,75 @@
   direct_.newest(std::move(request), std::move(callback));
 }
 
+/// One read on its way through the zone's readers.
+struct SharedTopicStore::Call {
+  logstore::ReadRequest request;
+  logstore::StoreCallback<logstore::ReadReply> callback;
+  std::vector<std::string> readers;  ///< In the order they are asked.
+  std::size_t asked = 0;
+  /// What a reader said that lives and has no answer from the store.
+  std::optional<logstore::StoreError> storeError;
+};
+
 void SharedTopicStore::read(logstore::ReadRequest request,
                             logstore::StoreCallback<logstore::ReadReply> callback) {
-  logstore::TopicGateway* const gateway = gatewayOf(request.partition);
-  const std::vector<std::string> readers =
-      gateway == nullptr ? std::vector<std::string>()
-                         : readers_.homesOf(request.partition, zone_, candidates_(), clock_());
-  if (readers.empty()) {
+  if (gatewayOf(request.partition) == nullptr) {
     direct_.read(std::move(request), std::move(callback));
-  } else if (readers.front() == ownAddress_) {
-    gateway->read(request, std::move(callback));
-  } else {
-    readThrough(readers.front(), request, std::move(callback));
+    return;
   }
+  auto call = std::make_shared<Call>();
+  call->readers = readers_.homesOf(request.partition, zone_, candidates_(), clock_());
+  call->request = std::move(request);
+  call->callback = std::move(callback);
+  askNext(call);
 }
 
-void SharedTopicStore::readThrough(const std::string& reader, const logstore::ReadRequest& request,
-                                   logstore::StoreCallback<logstore::ReadReply> callback) {
-  logstore::ReadRequest asked = request;
+void SharedTopicStore::askNext(const std::shared_ptr<Call>& call) {
+  if (call->asked == call->readers.size()) {
+    if (call->storeError) {
+      call->callback(*call->storeError);
+    } else {
+      direct_.read(std::move(call->request), std::move(call->callback));
+    }
+    return;
+  }
+  const std::string reader = call->readers[call->asked];
+  ++call->asked;
+  if (reader == ownAddress_) {
+    gatewayOf(call->request.partition)
+        ->read(call->request, [this, call](logstore::StoreResult<logstore::ReadReply> result) {
+          onReply(call, ownAddress_, std::move(result));
+        });
+    return;
+  }
+  logstore::ReadRequest asked = call->request;
   asked.timeLimit = knobs_.timeLimit;
   asked.wait = Duration::zero();
-  relay_.readThrough(reader, std::move(asked),
-                     [this, reader, request, callback = std::move(callback)](
-                         logstore::StoreResult<logstore::ReadReply> result) {
-                       const auto* const error = std::get_if<logstore::StoreError>(&result);
-                       if (error == nullptr || error->fault == logstore::StoreFault::Compacted) {
-                         callback(std::move(result));
-                         return;
-                       }
-                       readers_.suspect(reader, clock_());
-                       direct_.read(request, callback);
-                     });
+  relay_.readThrough(
+      reader, std::move(asked),
+      [this, call, reader](std::optional<logstore::StoreResult<logstore::ReadReply>> reply) {
+        onReply(call, reader, std::move(reply));
+      });
+}
+
+void SharedTopicStore::onReply(const std::shared_ptr<Call>& call, const std::string& reader,
+                               std::optional<logstore::StoreResult<logstore::ReadReply>> reply) {
+  if (!reply) {
+    readers_.suspect(reader, clock_());
+    askNext(call);
+    return;
+  }
+  const auto* const error = std::get_if<logstore::StoreError>(&*reply);
+  if (error == nullptr || error->fault == logstore::StoreFault::Compacted) {
+    call->callback(std::move(*reply));
+    return;
+  }
+  if (error->fault == logstore::StoreFault::NotKept) {
+    direct_.read(std::move(call->request), std::move(call->callback));
+    return;
+  }
+  call->storeError = *error;
+  askNext(call);
 }
 
 }  // namespace gorsetrail::edge
--- a/src/edge/shared_topic_store.h
+++ b/src/edge/shared_topic_store.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,11 @@
 };
 
 /// All nodes follow the same topics. One node of each zone reads them for the others, so that the
-/// store's calls do not grow with the fleet; whoever gets no answer from it reads by itself.
-/// Listings and appends go straight to the store.
+/// store's calls do not grow with the fleet. The second reader is asked when the first one fails;
+/// only who reaches neither of them reads the store. When a reader lives and the store does not
+/// answer it, nobody else asks the store: after an outage hundreds of nodes would each read all
+/// that was missed, more than its bandwidth takes, and reads that run out of time are made again
+/// from the start. Listings and appends go straight to the store.
 class SharedTopicStore final : public logstore::LogStore {
  public:
   using Candidates = std::function<std::vector<ledger::HomeCandidate>()>;
@@ -45,8 +49,10 @@
               logstore::StoreCallback<logstore::NewestReply> callback) override;
 
  private:
-  void readThrough(const std::string& reader, const logstore::ReadRequest& request,
-                   logstore::StoreCallback<logstore::ReadReply> callback);
+  struct Call;
+  void askNext(const std::shared_ptr<Call>& call);
+  void onReply(const std::shared_ptr<Call>& call, const std::string& reader,
+               std::optional<logstore::StoreResult<logstore::ReadReply>> reply);
 
   logstore::LogStore& direct_;
   RelayedStore& relay_;
--- a/src/edge/store_relay.cpp
+++ b/src/edge/store_relay.cpp
@@ -65,6 +65,15 @@
 void RelayedStore::send(const std::string& relay, const logstore::StoreCallRequest& call,
                         Duration timeLimit, logstore::StoreCallback<Reply> callback,
                         Decode decode) {
+  send(relay, call, timeLimit, callback, decode, [callback](const http::Failure& failure) {
+    callback(logstore::StoreError{logstore::StoreFault::NoAnswer, "relay: " + failure.reason, 0});
+  });
+}
+
+template <class Reply, class Decode>
+void RelayedStore::send(const std::string& relay, const logstore::StoreCallRequest& call,
+                        Duration timeLimit, logstore::StoreCallback<Reply> callback, Decode decode,
+                        FailureHandler onFailure) {
   http::Request request;
   request.method = "POST";
   request.target = kRelayPath;
@@ -76,9 +85,7 @@
   handler.onDone = [callback, decode](const http::Response& response) {
     callback(decode(response.body));
   };
-  handler.onFailure = [callback](const http::Failure& failure) {
-    callback(logstore::StoreError{logstore::StoreFault::NoAnswer, "relay: " + failure.reason, 0});
-  };
+  handler.onFailure = std::move(onFailure);
   client_.send(std::move(request), std::move(handler));
 }
 
@@ -95,10 +102,12 @@
 }
 
 void RelayedStore::readThrough(const std::string& relay, logstore::ReadRequest request,
-                               logstore::StoreCallback<logstore::ReadReply> callback) {
+                               ReadReplyHandler handler) {
   const Duration limit = request.timeLimit;
-  send<logstore::ReadReply>(relay, std::move(request), limit, std::move(callback),
-                            logstore::decodeReadReply);
+  send<logstore::ReadReply>(
+      relay, std::move(request), limit,
+      [handler](logstore::StoreResult<logstore::ReadReply> result) { handler(std::move(result)); },
+      logstore::decodeReadReply, [handler](const http::Failure&) { handler(std::nullopt); });
 }
 
 void RelayedStore::append(logstore::AppendRequest request,
--- a/src/edge/store_relay.h
+++ b/src/edge/store_relay.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,9 +52,12 @@
   void appendThrough(const std::string& relay, logstore::AppendRequest request,
                      logstore::StoreCallback<logstore::AppendReply> callback);
 
+  /// Called once with what the node replied; nothing when the node itself was not reached.
+  using ReadReplyHandler =
+      std::function<void(std::optional<logstore::StoreResult<logstore::ReadReply>>)>;
   /// Makes one read through this node.
   void readThrough(const std::string& relay, logstore::ReadRequest request,
-                   logstore::StoreCallback<logstore::ReadReply> callback);
+                   ReadReplyHandler handler);
 
   void append(logstore::AppendRequest request,
               logstore::StoreCallback<logstore::AppendReply> callback) override;
@@ -63,6 +67,10 @@
               logstore::StoreCallback<logstore::NewestReply> callback) override;
 
  private:
+  using FailureHandler = std::function<void(const http::Failure&)>;
+  template <class Reply, class Decode>
+  void send(const std::string& relay, const logstore::StoreCallRequest& call, Duration timeLimit,
+            logstore::StoreCallback<Reply> callback, Decode decode, FailureHandler onFailure);
   template <class Reply, class Decode>
   void send(const std::string& relay, const logstore::StoreCallRequest& call, Duration timeLimit,
             logstore::StoreCallback<Reply> callback, Decode decode);
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -16,6 +16,12 @@
   return knobs;
 }
 
+/// \return whether the one who carries this out must have read the partition.
+bool readsPartition(const LedgerRequest& request) {
+  return std::holds_alternative<FindTurnRequest>(request) ||
+         std::holds_alternative<ReserveRequest>(request);
+}
+
 bool isConclusive(const LedgerReply& reply) { return reply.outcome != LedgerOutcome::Unavailable; }
 
 }  // namespace
@@ -29,6 +35,8 @@
   Instant startedAt;
   Instant deadline;
   std::size_t started = 0;
+  bool endsAtOwnNode = false;       ///< The last of `homes` is this node, which is no home.
+  bool homeLives = false;           ///< A home replied, or answered a liveness probe.
   std::vector<std::string> silent;  ///< Asked, and not heard of yet.
   bool done = false;
 };
@@ -69,6 +77,7 @@
   call->homes = homes_.homesOf(partition, homeZone, peers_.candidates(), clock_());
   const auto own = std::find(call->homes.begin(), call->homes.end(), knobs_.ownAddress);
   if (own == call->homes.end()) {
+    call->endsAtOwnNode = !call->homes.empty();
     call->homes.push_back(knobs_.ownAddress);
   }
   call->callback = std::move(callback);
@@ -78,10 +87,13 @@
   tryNext(call);
 }
 
+bool RoutedLedger::hasNext(const Call& call) const {
+  const bool isOwnTurn = call.endsAtOwnNode && call.started + 1 == call.homes.size();
+  const bool wouldReadAround = isOwnTurn && call.homeLives && readsPartition(call.request);
+  return call.started < call.homes.size() && !wouldReadAround;
+}
+
 void RoutedLedger::tryNext(const std::shared_ptr<Call>& call) {
-  if (call->started == call->homes.size()) {
-    return;
-  }
   counters_.passedOn += call->started > 0 ? 1 : 0;
   const std::string home = call->homes[call->started];
   const Instant now = clock_();
@@ -135,10 +147,15 @@
 
 void RoutedLedger::onSignOfLife(const std::shared_ptr<Call>& call, Duration patience, bool alive) {
   if (alive) {
+    call->homeLives = true;
     watchSilence(call, std::max(patience, knobs_.signOfLifePeriod));
-  } else {
-    suspect(call->homes[call->started - 1]);
+    return;
+  }
+  suspect(call->homes[call->started - 1]);
+  if (hasNext(*call)) {
     tryNext(call);
+  } else if (call->homeLives) {
+    finish(call, LedgerReply{});  // Nobody is left who could say more.
   }
 }
 
@@ -148,6 +165,7 @@
   call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
                      call->silent.end());
   if (reply) {
+    call->homeLives = call->homeLives || home != knobs_.ownAddress;
     if (homes_.clear(home) && knobs_.onSilence) {
       knobs_.onSilence(home, false);
     }
@@ -163,7 +181,7 @@
     finish(call, std::move(*reply));
     return;
   }
-  if (call->started < call->homes.size() && now < call->deadline) {
+  if (hasNext(*call) && now < call->deadline) {
     tryNext(call);
   } else if (call->silent.empty()) {
     finish(call, reply.value_or(LedgerReply{}));
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -72,12 +72,15 @@
   std::uint64_t failed = 0;    ///< No home and not the store could say anything.
 };
 
-/// Asks the partition's home, then the next one, and the store itself when no home can help.
-/// A home that is only slow is waited for as long as it gives signs of life: it waits for the store
-/// or reads the partition. Asking the next one as well would have both of them write, and each read
-/// what the other wrote. Asking several is safe, though:
-/// what they write are facts that may stand twice, and the log's order decides what they answer.
-/// A home only makes calls fewer: it gathers the appends of all nodes, and answers from memory.
+/// Asks the partition's home, then the next one. This node reads the store for itself only when it
+/// reaches no home at all: a home that lives and cannot be answered by the store shows that the
+/// store is out of order, and hundreds of nodes that each read whole partitions then would fill the
+/// store's bandwidth for long after its return. What only appends is tried by this node in any
+/// case. A home that is only slow is waited for as long as it gives signs of life: it waits for the
+/// store or reads the partition. Asking the next one as well would have both of them write, and
+/// each read what the other wrote. Asking several is safe, though: what they write are facts that
+/// may stand twice, and the log's order decides what they answer. A home only makes calls fewer: it
+/// gathers the appends of all nodes, and answers from memory.
 class RoutedLedger final : public Ledger {
  public:
   /// \param service this node's own ledger; it and all others outlive this object.
@@ -116,6 +119,7 @@
   void start(LedgerRequest request, const logstore::PartitionAddress& partition,
              const std::string& homeZone, Duration timeLimit, LedgerReplyCallback callback);
   void tryNext(const std::shared_ptr<Call>& call);
+  [[nodiscard]] bool hasNext(const Call& call) const;
   void onReply(const std::shared_ptr<Call>& call, const std::string& home, Instant askedAt,
                std::optional<LedgerReply> reply);
   void finish(const std::shared_ptr<Call>& call, LedgerReply reply);
--- a/src/logstore/keyed_topic_follower.cpp
+++ b/src/logstore/keyed_topic_follower.cpp
@@ -25,7 +25,7 @@
 
 void KeyedTopicFollower::listFrom(const std::string& afterKey) {
   const Instant askedAt = clock_();
-  store_.newest({partition_, afterKey, knobs_.patience},
+  store_.newest({partition_, afterKey, knobs_.listingPatience, knobs_.pageTransferTime},
                 [self = shared_from_this(), askedAt](const StoreResult<NewestReply>& result) {
                   self->onPage(askedAt, result);
                 });
--- a/src/logstore/keyed_topic_follower.h
+++ b/src/logstore/keyed_topic_follower.h
@@ -17,6 +17,12 @@
   Duration wait = Duration::zero();       ///< The store holds a read until there is news.
   Duration pause = milliseconds(400);     ///< Between two reads.
   Duration patience = milliseconds(500);  ///< For an answer, beyond `wait`.
+  /// For a page of the listing. When all nodes start at once each of them lists: 300 nodes and
+  /// replicas make 50 MB, which the store sends in 0.6 s at 80 MB/s. A shorter patience would have
+  /// each page sent again and again, and no listing would ever end.
+  Duration listingPatience = milliseconds(2500);
+  /// A second try of a page begins after this. Half of the time above.
+  Duration pageTransferTime = milliseconds(400);
 };
 
 /// What a follower reports, in the log's order.
--- a/src/logstore/log_store.cpp
+++ b/src/logstore/log_store.cpp
@@ -15,6 +15,8 @@
       return "throttled";
     case StoreFault::Compacted:
       return "compacted";
+    case StoreFault::NotKept:
+      return "not_kept";
     case StoreFault::Rejected:
       break;
   }
--- a/src/logstore/log_store.h
+++ b/src/logstore/log_store.h
@@ -31,6 +31,7 @@
   Throttled,  ///< Over the shared rate: it did nothing.
   Compacted,  ///< The records asked for are gone; list again.
   Rejected,   ///< The call was wrong: asking again does not help.
+  NotKept,    ///< A reader keeps no records from so far back; the store itself may have them.
 };
 
 /// \return the stable name of a fault, for logs and metrics.
@@ -101,6 +102,8 @@
   PartitionAddress partition;
   std::string afterKey;
   Duration timeLimit = milliseconds(1000);
+  /// What the transfer of a full page may take before the call counts as silent.
+  Duration transferTime = Duration::zero();
 };
 
 /// Calls to the store. Each calls back exactly once, never from inside the call.
--- a/src/logstore/persistent_store.cpp
+++ b/src/logstore/persistent_store.cpp
@@ -8,10 +8,8 @@
 
 /// \return how long the store itself may hold the call before it answers.
 Duration heldByStore(const ReadRequest& request) { return request.wait + request.transferTime; }
-template <class Request>
-Duration heldByStore(const Request& /*request*/) {
-  return Duration::zero();
-}
+Duration heldByStore(const NewestRequest& request) { return request.transferTime; }
+Duration heldByStore(const AppendRequest& /*request*/) { return Duration::zero(); }
 
 engine::CircuitKnobs breakerKnobs(double failuresToOpen) {
   engine::CircuitKnobs knobs;
@@ -175,6 +173,7 @@
       break;
     case StoreFault::Compacted:
     case StoreFault::Rejected:
+    case StoreFault::NotKept:
       break;
   }
 }
--- a/src/logstore/store_message.cpp
+++ b/src/logstore/store_message.cpp
@@ -146,6 +146,8 @@
       return fbs::Outcome::Throttled;
     case StoreFault::Compacted:
       return fbs::Outcome::Compacted;
+    case StoreFault::NotKept:
+      return fbs::Outcome::NotKept;
     case StoreFault::Rejected:
       break;
   }
@@ -162,6 +164,8 @@
       return StoreFault::Compacted;
     case fbs::Outcome::Rejected:
       return StoreFault::Rejected;
+    case fbs::Outcome::NotKept:
+      return StoreFault::NotKept;
     case fbs::Outcome::Done:
     case fbs::Outcome::NoAnswer:
       break;
--- a/src/logstore/topic_gateway.cpp
+++ b/src/logstore/topic_gateway.cpp
@@ -28,11 +28,16 @@
   lastRoundAt_ = clock_();
   served_ = std::move(waiting_);
   waiting_.clear();
-  if (cache_.empty()) {
-    cacheStart_ = served_.front().start;
-    for (const Waiter& waiter : served_) {
-      cacheStart_ = std::min(cacheStart_, waiter.start);
-    }
+  const auto first = std::min_element(
+      served_.begin(), served_.end(),
+      [](const Waiter& left, const Waiter& right) { return left.start < right.start; });
+  const bool startsBefore = first->start < cacheStart_;
+  // The first to ask a new reader may be ahead of the others: it begins anew for them, once,
+  // instead of sending each of them to the store.
+  const bool worthReading = startsBefore && cacheEnd() - first->start <= knobs_.cachedRecords;
+  if (cache_.empty() || worthReading) {
+    cache_.clear();
+    cacheStart_ = first->start;
     newestValues_.clear();
   }
   readNext();
@@ -92,7 +97,7 @@
 
 StoreResult<ReadReply> TopicGateway::replyFrom(std::uint64_t start) const {
   if (start < cacheStart_ || start > cacheEnd()) {
-    return StoreError{StoreFault::Busy, "these offsets are not kept here", 0};
+    return StoreError{StoreFault::NotKept, "these offsets are not kept here", 0};
   }
   ReadReply reply;
   reply.end = cacheEnd();
--- a/src/logstore/topic_gateway.h
+++ b/src/logstore/topic_gateway.h
@@ -33,7 +33,7 @@
   TopicGateway(LogStore& store, services::TimerService& timers, ClockFunction clock,
                PartitionAddress partition, IsNoNews isNoNews, TopicGatewayKnobs knobs);
 
-  /// Errors beside the store's: `Busy` when records from so far back are not kept here.
+  /// Errors beside the store's: `NotKept` when records from so far back are not kept here.
   void read(const ReadRequest& request, StoreCallback<ReadReply> callback);
 
  private:
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -288,6 +288,35 @@
   CHECK_FALSE(storeTurn(2, "t2", "", "text"));
 }
 
+TEST(RoutedLedger, anOutageOfTheStoreDoesNotMakeEveryNodeReadThePartition) {
+  // Many records, so that a node which reads the partition for itself shows in the count of reads.
+  log.page = 1;
+  for (int turn = 0; turn < 40; ++turn) {
+    CHECK_TRUE(storeTurn(0, "t" + std::to_string(turn), "", "text", milliseconds(50)));
+  }
+  log.fault = FakeFault::Busy;
+  for (int node = 0; node < 6; ++node) {
+    fleet.node(node).ledger.findHistory("t39", [](const HistoryAnswer&) {});
+  }
+  timers.advance(milliseconds(1200));
+  log.fault = FakeFault::None;
+  const int readsBefore = log.reads;
+  for (int node = 0; node < 6; ++node) {
+    STRCMP_EQUAL("text", textOf(node, "t39").c_str());
+  }
+  // The partition's two homes may read it, the other nodes not.
+  const LedgerPartitions layout{{}};
+  const std::size_t records =
+      log.logs[layout.ofTurn("a", "t39", 0)].size() + log.logs[layout.ofTurn("a", "t39", 1)].size();
+  CHECK(log.reads - readsBefore <= 2 * static_cast<int>(records) + 4);
+}
+
+TEST(RoutedLedger, aNodeThatReachesNoOtherReadsForItself) {
+  CHECK_TRUE(storeTurn(0, "t1", "", "text"));
+  fleet.dead = allBut("node5");
+  STRCMP_EQUAL("text", textOf(5, "t1").c_str());
+}
+
 TEST(RoutedLedger, tellsWhetherTheLogTakesWritesNow) {
   Node& node = fleet.node(0);
   CHECK_TRUE(node.ledger.takesTurn("t"));
--- a/tests/logstore/topic_gateway_test.cpp
+++ b/tests/logstore/topic_gateway_test.cpp
@@ -150,9 +150,18 @@
     put("k" + std::to_string(number), "v");
   }
   readFrom(0);
-  CHECK(std::get<StoreError>(readFrom(3)).fault == StoreFault::Busy);
+  CHECK(std::get<StoreError>(readFrom(3)).fault == StoreFault::NotKept);
   LONGS_EQUAL(2, std::get<ReadReply>(readFrom(18)).records.size());
-  CHECK(std::get<StoreError>(readFrom(21)).fault == StoreFault::Busy);
+  CHECK(std::get<StoreError>(readFrom(21)).fault == StoreFault::NotKept);
+}
+
+TEST(TopicGateway, aReaderThatBeganTooLateBeginsAnewForThoseBehind) {
+  for (int number = 0; number < 20; ++number) {
+    put("k" + std::to_string(number), "v");
+  }
+  LONGS_EQUAL(2, std::get<ReadReply>(readFrom(18)).records.size());
+  LONGS_EQUAL(15, std::get<ReadReply>(readFrom(5)).records.size());
+  LONGS_EQUAL(1, std::get<ReadReply>(readFrom(19)).records.size());
 }
 
 TEST(TopicGateway, passesOnThatTheStoreDoesNotAnswer) {
