--- /dev/null
+++ b/src/edge/datagram_socket.cpp
@@ -0,0 +1,64 @@
+#include "edge/datagram_socket.h"
+
+#include <optional>
+#include <utility>
+
+#include "http/endpoint.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+using boost::system::error_code;
+
+std::optional<DatagramSocket::Endpoint> datagramEndpoint(const std::string& address) {
+  const auto endpoint = http::parseEndpoint(address);
+  return endpoint ? std::optional(DatagramSocket::Endpoint(endpoint->address(), endpoint->port()))
+                  : std::nullopt;
+}
+
+}  // namespace
+
+DatagramSocket::DatagramSocket(boost::asio::io_context& context, Receiver receiver)
+    : socket_(context), receiver_(std::move(receiver)) {}
+
+Result<Success> DatagramSocket::listen(const std::string& address) {
+  const auto endpoint = datagramEndpoint(address);
+  error_code error;
+  if (endpoint) {
+    socket_.open(endpoint->protocol(), error);
+    if (!error) {
+      socket_.bind(*endpoint, error);
+    }
+    if (!error) {
+      socket_.non_blocking(true, error);
+    }
+  }
+  if (!endpoint || error) {
+    return Error{ErrorKind::InvalidSettings, "internal port " + address,
+                 endpoint ? error.message() : "it is not `ip:port`", "free the port"};
+  }
+  receive();
+  return Success{};
+}
+
+void DatagramSocket::receive() {
+  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                             [this](const error_code& error, std::size_t bytes) {
+                               if (error == boost::asio::error::operation_aborted) {
+                                 return;
+                               }
+                               if (!error) {
+                                 receiver_(sender_, {buffer_.data(), bytes});
+                               }
+                               receive();
+                             });
+}
+
+void DatagramSocket::send(const std::string& address, std::string_view bytes) {
+  if (const auto endpoint = datagramEndpoint(address)) {
+    error_code lost;  // A datagram that cannot be sent now counts as lost on the way.
+    socket_.send_to(boost::asio::buffer(bytes), *endpoint, 0, lost);
+  }
+}
+
+}  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kShortestReplicaPause = milliseconds(400);
 constexpr Duration kReplicaPausePerMember = milliseconds(4);
 constexpr Duration kMemberPausePerMember = milliseconds(10);
+/// A node whose state is not announced yet looks again so soon; a fifth of the shortest heartbeat.
+constexpr Duration kAnnounceCheckPeriod = milliseconds(200);
 constexpr Duration kLoadPeriod = milliseconds(100);
 constexpr Duration kFlushPeriod = milliseconds(250);
 constexpr Duration kSweepPeriod = seconds(10);
@@ -31,6 +33,11 @@
 constexpr Duration kStopMargin = milliseconds(700);
 /// Clients ask again after this, so that a dead node is not used for long.
 constexpr double kAddressTtlSeconds = 1.0;
+/// Who takes clients changes with a node's end or start; clients learn of it within a second too.
+constexpr Duration kLoadPeersRefresh = milliseconds(500);
+/// Otherwise the list is made from all members for each ledger call. Members change their state
+/// less often than this.
+constexpr Duration kLedgerHomesRefresh = milliseconds(50);
 constexpr Duration kServerSweepPeriod = seconds(2);
 
 Instant steadyNow() {
@@ -38,6 +45,13 @@
   return Instant(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
+/// \return the time of day. It may be set back between two starts of a node: the detector copes.
+std::uint64_t millisecondsOfDay() {
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
 /// \return what a client gets whose request could not be read.
 unsigned statusOf(http::ProtocolFault fault) {
   constexpr unsigned kBadRequest = 400;
@@ -67,7 +81,13 @@
       timers_(services::makeTimerService(context)),
       clock_(steadyNow),
       log_(parts.log, clock_, {}),
-      members_({}),
+      peerMonitor_(
+          context, *timers_, clock_, Incarnation(millisecondsOfDay()), {}, seed,
+          [this](const std::string& ip, membership::MemberState state) { onPeerState(ip, state); }),
+      members_({},
+               [this](const std::string& ip) {
+                 return settings_.uses(Mechanism::PeerProbes) && peerMonitor_.isSilent(ip);
+               }),
       relayedStore_(
           parts.peers, [this] { return otherRelays(); }, seed),
       failoverStore_(parts.store, relayedStore_, clock_, {},
@@ -91,11 +111,11 @@
       memberGateway_(store_, *timers_, clock_, {kMemberTopic, 0},
                      [](const std::string&, const std::string&) { return false; }, {}),
       sharedTopics_(store_, relayedStore_, relayAddressOf(settings_), settings_.zone,
-                    [this] { return ledgerHomes().value_or(std::vector<ledger::HomeCandidate>()); },
-                    clock_, {}),
+                    [this] { return ledgerHomes(); }, clock_, {}),
       localLedger_(store_, *timers_, clock_, ledgerKnobsOf(settings_, seed)),
       ledgerService_(localLedger_),
-      ledgerPeers_(parts_.peers, [this] { return ledgerHomes(); }),
+      ledgerPeers_(
+          parts_.peers, [this] { return membersListed_; }, [this] { return ledgerHomes(); }),
       ledger_(ledgerService_, ledgerPeers_, *timers_, clock_, routedLedgerKnobs(), seed),
       ledgerServer_(ledgerService_),
       routes_(seed),
@@ -222,7 +242,7 @@
       serve(directoryServer_, settings_.listen.directory, onDirectory),
       serve(metricsServer_, settings_.listen.metrics, onMetrics),
       serve(peerServer_, hasPeers() ? ownRelayAddress() : std::string(), onPeer),
-      hasPeers() ? loadExchange_.listen(ownLoadAddress()) : Result<Success>(Success{})};
+      listenForPeers()};
   for (const Result<Success>& result : results) {
     if (!succeeded(result)) {
       return result;
@@ -231,6 +251,25 @@
   return Success{};
 }
 
+Result<Success> EdgeDaemon::listenForPeers() {
+  if (!hasPeers()) {
+    return Success{};
+  }
+  auto loads = loadExchange_.listen(ownLoadAddress());
+  if (!succeeded(loads)) {
+    return loads;
+  }
+  constexpr std::uint16_t kProbePortOffset = 2;  // After store and ledger calls, and loads.
+  return peerMonitor_.listen(settings_.ip, settings_.firstInternalPort + kProbePortOffset);
+}
+
+void EdgeDaemon::onPeerState(const std::string& ip, membership::MemberState state) {
+  const bool silent =
+      state == membership::MemberState::Suspected || state == membership::MemberState::Dead;
+  log_.important(silent ? "peer_silent" : "peer_answers",
+                 {{"node", ip}, {"state", membership::memberStateName(state)}});
+}
+
 logstore::PartitionAddress EdgeDaemon::configurationPartition() const {
   return {parts_.documents.configurationTopic(), 0};
 }
@@ -276,17 +315,19 @@
 
 std::string EdgeDaemon::ownRelayAddress() const { return relayAddressOf(settings_); }
 
-std::optional<std::vector<ledger::HomeCandidate>> EdgeDaemon::ledgerHomes() const {
-  if (!membersListed_) {
-    return std::nullopt;
+const std::vector<ledger::HomeCandidate>& EdgeDaemon::ledgerHomes() {
+  const Instant now = clock_();
+  if (!membersListed_ || now - ledgerHomesAt_ < kLedgerHomesRefresh) {
+    return ledgerHomes_;
   }
-  std::vector<ledger::HomeCandidate> homes;
+  ledgerHomesAt_ = now;
+  ledgerHomes_.clear();
   for (const MemberRecord& member : members_.alive()) {
     if (!member.relayAddress.empty() && !member.leaving) {
-      homes.push_back({member.relayAddress, member.zone, member.capacity});
+      ledgerHomes_.push_back({member.relayAddress, member.zone, member.capacity});
     }
   }
-  return homes;
+  return ledgerHomes_;
 }
 
 std::string EdgeDaemon::ownLoadAddress() const {
@@ -355,25 +396,32 @@
   writer->sendWhole(parts_.wire.makeDirectoryAnswer(addresses, ttl));
 }
 
-void EdgeDaemon::announce(bool urgent) {
+bool EdgeDaemon::announce(bool urgent) {
   const MemberRecord record{settings_.nodeName,
                             settings_.zone,
                             settings_.listen.clients,
                             hasPeers() ? ownRelayAddress() : std::string(),
                             !isReady(),
                             ++beat_,
-                            settings_.processorShare};
-  announcer_.announce(ownRelayAddress(), settings_.ip, record,
-                      ledgerHomes().value_or(std::vector<ledger::HomeCandidate>()), urgent);
+                            capacityOf(settings_)};
+  return announcer_.announce(ownRelayAddress(), settings_.ip, record, ledgerHomes(), urgent);
 }
 
+// Before the members are listed nobody is known who would batch announcements, and each node would
+// append for itself every second: hundreds of them fill the partition, and the listings that would
+// end it wait behind the appends. A node that restarted is listed already; probes show that it
+// runs.
 void EdgeDaemon::announceLoop() {
-  const bool wasReady = isReady();
-  announce(!wasAnnouncedReady_ && wasReady);
-  wasAnnouncedReady_ = wasReady;
+  const bool ready = isReady();
+  bool isToldReady = wasAnnouncedReady_ == ready;
+  if (membersListed_ && (ready || wasAnnouncedReady_) && announce(false)) {
+    wasAnnouncedReady_ = ready;
+    isToldReady = true;
+  }
   paceFollowers();
-  const Duration pause = wasReady ? members_.heartbeat() : milliseconds(200);
-  timers_->runAfter(pause, [this] { announceLoop(); });
+  const bool isSteady = membersListed_ && ready && isToldReady;
+  timers_->runAfter(isSteady ? members_.heartbeat() : kAnnounceCheckPeriod,
+                    [this] { announceLoop(); });
 }
 
 // All nodes read these topics: the pauses grow with the fleet, within what the bounds allow.
@@ -386,14 +434,15 @@
 }
 
 void EdgeDaemon::loadLoop() {
-  std::vector<std::string> peers;
-  for (const std::string& relay : otherRelays()) {
-    // Ports are alike on all machines: loads arrive one port above store calls.
-    peers.push_back(relay.substr(0, relay.rfind(':') + 1) +
-                    std::to_string(settings_.firstInternalPort + 1));
-  }
+  const std::vector<std::string>& peers = loadPeers();
   const std::size_t others = peers.size();
-  loadExchange_.send(replicas_.all(), std::move(peers), clock_());
+  const std::vector<routing::ReplicaPtr> replicas = replicas_.all();
+  const bool isIdle =
+      std::all_of(replicas.begin(), replicas.end(),
+                  [](const routing::ReplicaPtr& replica) { return replica->inFlight == 0; });
+  if (takesClients_ || !isIdle) {
+    loadExchange_.send(replicas, peers, clock_());
+  }
   if (settings_.uses(Mechanism::LoadDigests)) {
     fleetLoad_.apply(replicas_, others, clock_());
   }
@@ -403,6 +452,29 @@
   timers_->runAfter(kLoadPeriod, [this] { loadLoop(); });
 }
 
+const std::vector<std::string>& EdgeDaemon::loadPeers() {
+  const Instant now = clock_();
+  if (now - loadPeersAt_ < kLoadPeersRefresh) {
+    return loadPeers_;
+  }
+  loadPeersAt_ = now;
+  loadPeers_.clear();
+  takesClients_ = false;
+  for (const std::string& zone : settings_.zones) {
+    for (const MemberRecord& member : members_.servingIn(zone)) {
+      if (member.clientAddress == settings_.listen.clients) {
+        takesClients_ = true;
+      } else if (!member.relayAddress.empty()) {
+        // Ports are alike on all machines: loads arrive one port above store calls.
+        const std::string& relay = member.relayAddress;
+        loadPeers_.push_back(relay.substr(0, relay.rfind(':') + 1) +
+                             std::to_string(settings_.firstInternalPort + 1));
+      }
+    }
+  }
+  return loadPeers_;
+}
+
 void EdgeDaemon::flushLoop() {
   log_.flush();
   timers_->runAfter(kFlushPeriod, [this] { flushLoop(); });
@@ -411,6 +483,9 @@
 void EdgeDaemon::sweepLoop() {
   ledger_.sweep();
   localLedger_.sweep();
+  for (const std::string& forgotten : members_.dropForgotten()) {
+    peerMonitor_.forget(forgotten);
+  }
   timers_->runAfter(kSweepPeriod, [this] { sweepLoop(); });
 }
 
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -16,6 +16,7 @@
 #include "edge/load_exchange.h"
 #include "edge/member_announcer.h"
 #include "edge/member_table.h"
+#include "edge/peer_monitor.h"
 #include "edge/shared_topic_store.h"
 #include "edge/store_relay.h"
 #include "edge/wire_adapter.h"
@@ -81,10 +82,13 @@
   void noteStoreAnswer(std::string_view topic);
   void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
   /// \param urgent a change that others must know of at once.
-  void announce(bool urgent);
+  /// \return whether the announcement is on its way.
+  bool announce(bool urgent);
   void announceLoop();
   void paceFollowers();
   void loadLoop();
+  /// \return where the nodes that take clients get digests of loads, this one left out.
+  [[nodiscard]] const std::vector<std::string>& loadPeers();
   void flushLoop();
   void sweepLoop();
   void leaseLoop();
@@ -96,9 +100,11 @@
   [[nodiscard]] std::string ownRelayAddress() const;
   [[nodiscard]] std::string ownLoadAddress() const;
   [[nodiscard]] std::vector<std::string> otherRelays() const;
-  /// \return nodes that may be homes of the ledger's partitions; nothing before the first list.
-  [[nodiscard]] std::optional<std::vector<ledger::HomeCandidate>> ledgerHomes() const;
+  /// \return nodes that may be homes of the ledger's partitions; none before the first list.
+  [[nodiscard]] const std::vector<ledger::HomeCandidate>& ledgerHomes();
   void onStoreWay(logstore::StoreWay way);
+  void onPeerState(const std::string& ip, membership::MemberState state);
+  Result<Success> listenForPeers();
 
   boost::asio::io_context& ioContext_;
   EdgeSettings settings_;
@@ -107,6 +113,7 @@
   std::function<Instant()> clock_;
   EventLog log_;
   EdgeMetrics metrics_;
+  PeerMonitor peerMonitor_;
   MemberTable members_;
   RelayedStore relayedStore_;
   logstore::FailoverStore failoverStore_;
@@ -140,6 +147,12 @@
   std::uint64_t beat_ = 0;
   bool wasAnnouncedReady_ = false;
   bool membersListed_ = false;
+  bool replicasListed_ = false;
+  std::vector<ledger::HomeCandidate> ledgerHomes_;  ///< As of `ledgerHomesAt_`.
+  Instant ledgerHomesAt_;
+  std::vector<std::string> loadPeers_;  ///< As of `loadPeersAt_`.
+  Instant loadPeersAt_;
+  bool takesClients_ = false;                      ///< The directory names this node.
   std::set<std::string, std::less<>> lostTopics_;  ///< Followed, and not answered lately.
   std::optional<Instant> storeRegainedAt_;
   bool stopping_ = false;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -58,6 +58,8 @@
     for (const std::string& missing : replicas_.missingFrom(keys)) {
       onReplicaLapsed(missing, "listing");
     }
+    replicasListed_ = true;
+    log_.important("replicas_listed", {{"count", std::uint64_t{keys.size()}}});
   };
   observer.onFresh = [this](Instant askedAt) {
     context_.freshness.replicasHeardAt = askedAt;
@@ -102,7 +104,8 @@
   const std::string service = entry.service;
   const std::string address = entry.address;
   const bool draining = entry.draining;
-  if (replicas_.upsert(std::move(entry)) != routing::ReplicaChange::None) {
+  const bool changed = replicas_.upsert(std::move(entry)) != routing::ReplicaChange::None;
+  if (changed && replicasListed_) {
     log_.important("replica_changed", {{"replica", id},
                                        {"service", service},
                                        {"address", address},
@@ -118,15 +121,21 @@
     const auto record = decodeMemberRecord(value);
     if (!succeeded(record)) {
       members_.remove(key);
+      peerMonitor_.forget(key);
       return;
     }
-    if (members_.onRecord(key, valueOf(record), clock_())) {
+    peerMonitor_.watch(key);
+    // A node that starts meets all members at once: one line tells of them, see `onListed`.
+    if (members_.onRecord(key, valueOf(record), clock_()) && membersListed_) {
       log_.important("member_changed",
                      {{"node", valueOf(record).nodeName},
                       {"state", valueOf(record).leaving ? "leaving" : "serving"}});
     }
   };
-  observer.onListed = [this](const std::vector<std::string>& /*keys*/) { membersListed_ = true; };
+  observer.onListed = [this](const std::vector<std::string>& keys) {
+    membersListed_ = true;
+    log_.important("members_listed", {{"count", std::uint64_t{keys.size()}}});
+  };
   observer.onFresh = [this](Instant askedAt) {
     members_.onFresh(askedAt);
     noteStoreAnswer("members");
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -1,5 +1,7 @@
 #include "edge/edge_knobs.h"
 
+#include <algorithm>
+
 namespace gorsetrail::edge {
 namespace {
 
@@ -12,6 +14,13 @@
   return settings.ip + ":" + std::to_string(settings.firstInternalPort);
 }
 
+double capacityOf(const EdgeSettings& settings) {
+  // From this link on the processor is what a home runs out of first: 1 ms for a turn of 100 KB.
+  constexpr double kWideLinkMegabitsPerSecond = 1000;
+  const double link = std::min(1.0, settings.linkMegabitsPerSecond / kWideLinkMegabitsPerSecond);
+  return settings.processorShare * link;
+}
+
 ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings, std::uint64_t life) {
   constexpr std::uint64_t kShareOfMemory = 4;
   ledger::LedgerKnobs knobs;
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -16,6 +16,10 @@
 /// \return where store and ledger calls of other nodes arrive.
 std::string relayAddressOf(const EdgeSettings& settings);
 
+/// \return how much of the work that nodes share this one takes, against others: its share of a
+/// core, less where its link is narrow, since homes and readers carry the text of others.
+double capacityOf(const EdgeSettings& settings);
+
 /// \param life differs between processes.
 ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings, std::uint64_t life);
 
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -43,6 +43,7 @@
   std::string region;
   std::vector<std::string> zones;  ///< All zones of the deployment.
   double processorShare = 1.0;     ///< Of a core.
+  double linkMegabitsPerSecond = 1000;
   ListenAddresses listen;
   std::uint16_t firstInternalPort = 0;
   std::uint16_t lastInternalPort = 0;
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -25,6 +25,9 @@
   query.affinityKey = keepsPrompts ? request_.programId : request_.requestId;
   query.promptTokens = keepsPrompts ? request_.promptTokens : 0;
   query.tried = &tried_;
+  query.isConnected = [this](const routing::Replica& replica) {
+    return context_.client.hasIdleConnection(replica.entry.address);
+  };
   const routing::ReplicaPtr replica =
       context_.selector.choose(context_.replicas, query, context_.clock());
   if (replica && isAdmitted(*replica)) {
--- a/src/edge/ledger_relay.h
+++ b/src/edge/ledger_relay.h
@@ -33,17 +33,19 @@
 /// Makes calls to other nodes.
 class HttpLedgerPeers final : public ledger::LedgerPeers {
  public:
-  using CandidatesFunction = std::function<std::optional<std::vector<ledger::HomeCandidate>>()>;
+  /// The nodes that may be homes.
+  using CandidatesFunction = std::function<std::vector<ledger::HomeCandidate>()>;
+  /// Whether the nodes have been listed once.
+  using AreKnownFunction = std::function<bool()>;
 
   /// \param client outlives this object.
-  /// \param candidates nothing before the first list of nodes.
-  HttpLedgerPeers(http::HttpClient& client, CandidatesFunction candidates)
-      : client_(client), candidates_(std::move(candidates)) {}
-
-  [[nodiscard]] bool areKnown() const override { return candidates_().has_value(); }
+  HttpLedgerPeers(http::HttpClient& client, AreKnownFunction areKnown,
+                  CandidatesFunction candidates)
+      : client_(client), areKnown_(std::move(areKnown)), candidates_(std::move(candidates)) {}
 
+  [[nodiscard]] bool areKnown() const override { return areKnown_(); }
   [[nodiscard]] std::vector<ledger::HomeCandidate> candidates() const override {
-    return candidates_().value_or(std::vector<ledger::HomeCandidate>());
+    return candidates_();
   }
   void checkAlive(const std::string& address, Duration limit,
                   std::function<void(bool alive)> callback) override;
@@ -52,6 +54,7 @@
 
  private:
   http::HttpClient& client_;
+  AreKnownFunction areKnown_;
   CandidatesFunction candidates_;
 };
 
--- a/src/edge/load_exchange.cpp
+++ b/src/edge/load_exchange.cpp
@@ -6,14 +6,10 @@
 #include <utility>
 
 #include "edge/generated/load_digest_generated.h"
-#include "http/endpoint.h"
 
 namespace gorsetrail::edge {
 namespace {
 
-using boost::system::error_code;
-using Udp = boost::asio::ip::udp;
-
 constexpr std::uint32_t kMostInFlight = UINT16_MAX;
 constexpr double kSixteenths = 16.0;
 /// Troubles that have faded below this are not told.
@@ -23,12 +19,6 @@
   return static_cast<std::uint16_t>(std::min(count * kSixteenths, double{UINT16_MAX}));
 }
 
-std::optional<Udp::endpoint> datagramEndpoint(const std::string& address) {
-  const auto endpoint = http::parseEndpoint(address);
-  return endpoint ? std::optional(Udp::endpoint(endpoint->address(), endpoint->port()))
-                  : std::nullopt;
-}
-
 }  // namespace
 
 std::string encodeLoadDigest(const routing::LoadDigest& digest) {
@@ -77,41 +67,22 @@
 
 LoadExchange::LoadExchange(boost::asio::io_context& context, LoadExchangeKnobs knobs,
                            std::uint64_t seed, DigestObserver onDigest)
-    : socket_(context), knobs_(knobs), random_(seed), onDigest_(std::move(onDigest)) {}
+    : socket_(context, [this](const DatagramSocket::Endpoint& /*sender*/,
+                              std::string_view bytes) { onDatagram(bytes); }),
+      knobs_(knobs),
+      random_(seed),
+      onDigest_(std::move(onDigest)) {}
 
 Result<Success> LoadExchange::listen(const std::string& address) {
-  const auto endpoint = datagramEndpoint(address);
-  error_code error;
-  if (endpoint) {
-    socket_.open(endpoint->protocol(), error);
-    if (!error) {
-      socket_.bind(*endpoint, error);
-    }
-    if (!error) {
-      socket_.non_blocking(true, error);
-    }
-  }
-  if (!endpoint || error) {
-    return Error{ErrorKind::InvalidSettings, "internal port " + address,
-                 endpoint ? error.message() : "it is not `ip:port`", "free the port"};
-  }
   node_ = XXH64(address.data(), address.size(), 0);
-  receive();
-  return Success{};
+  return socket_.listen(address);
 }
 
-void LoadExchange::receive() {
-  socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
-                             [this](const error_code& error, std::size_t bytes) {
-                               if (error == boost::asio::error::operation_aborted) {
-                                 return;
-                               }
-                               auto digest = decodeLoadDigest({buffer_.data(), bytes});
-                               if (!error && succeeded(digest)) {
-                                 onDigest_(std::move(valueOf(digest)));
-                               }
-                               receive();
-                             });
+void LoadExchange::onDatagram(std::string_view bytes) {
+  auto digest = decodeLoadDigest(bytes);
+  if (succeeded(digest)) {
+    onDigest_(std::move(valueOf(digest)));
+  }
 }
 
 routing::LoadDigest LoadExchange::digestOf(const std::vector<routing::ReplicaPtr>& replicas,
@@ -147,10 +118,7 @@
   for (std::size_t index = 0; index < count; ++index) {
     // Draws without replacement: the chosen one changes places with the first not yet chosen.
     std::swap(peers[index], peers[index + random_.below(peers.size() - index)]);
-    if (const auto endpoint = datagramEndpoint(peers[index])) {
-      error_code ignored;
-      socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
-    }
+    socket_.send(peers[index], datagram);
   }
 }
 
--- a/src/edge/load_exchange.h
+++ b/src/edge/load_exchange.h
@@ -1,16 +1,16 @@
 /// \file Tells other nodes what this one has under way at replicas, by datagrams.
 #pragma once
 
-#include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/random.h"
 #include "base/result.h"
+#include "edge/datagram_socket.h"
 #include "routing/fleet_load.h"
 
 namespace gorsetrail::edge {
@@ -42,15 +42,13 @@
             Instant now);
 
  private:
-  void receive();
+  void onDatagram(std::string_view bytes);
   routing::LoadDigest digestOf(const std::vector<routing::ReplicaPtr>& replicas, Instant now);
 
-  boost::asio::ip::udp::socket socket_;
-  boost::asio::ip::udp::endpoint sender_;
+  DatagramSocket socket_;
   LoadExchangeKnobs knobs_;
   RandomSource random_;
   DigestObserver onDigest_;
-  std::array<char, 8192> buffer_{};
   std::uint64_t node_ = 0;
   std::uint64_t beat_ = 0;
   std::string lastLoads_;
--- a/src/edge/mechanisms.cpp
+++ b/src/edge/mechanisms.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 using NamedMechanism = std::pair<Mechanism, std::string_view>;
-constexpr std::array<NamedMechanism, 13> kMechanisms = {
+constexpr std::array<NamedMechanism, 14> kMechanisms = {
     {{Mechanism::BudgetLeases, "budget_leases"},
      {Mechanism::PromptAffinity, "prompt_affinity"},
      {Mechanism::LoadDigests, "load_digests"},
@@ -21,6 +21,7 @@
      {Mechanism::DirectoryChoice, "directory_choice"},
      {Mechanism::SecondPartitions, "second_partitions"},
      {Mechanism::HedgedStoreCalls, "hedged_store_calls"},
+     {Mechanism::PeerProbes, "peer_probes"},
      {Mechanism::TopicGateways, "topic_gateways"}}};
 
 Error unknownName(std::string_view name) {
--- a/src/edge/mechanisms.h
+++ b/src/edge/mechanisms.h
@@ -23,6 +23,7 @@
   DirectoryChoice,    ///< Clients are not sent to nodes that give no sign of life.
   SecondPartitions,   ///< A turn is stored in a second partition when the first is out of order.
   HedgedStoreCalls,   ///< A second try runs beside a store call that takes longer than usual.
+  PeerProbes,         ///< Nodes that do not answer probes are left out before their records end.
   TopicGateways,      ///< One node of a zone reads followed topics for the others.
 };
 
--- a/src/edge/member_announcer.cpp
+++ b/src/edge/member_announcer.cpp
@@ -14,23 +14,23 @@
       knobs_(knobs),
       batcher_(store, timers, clock_, partition_, {}) {}
 
-void MemberAnnouncer::announce(const std::string& ownAddress, const std::string& key,
+bool MemberAnnouncer::announce(const std::string& ownAddress, const std::string& key,
                                const MemberRecord& record,
                                const std::vector<ledger::HomeCandidate>& candidates, bool urgent) {
   if (underWay_ && !urgent) {
-    return;
+    return false;
   }
   std::string bytes = logstore::encodeKeyedRecord(key, encodeMemberRecord(record));
   const std::vector<std::string> gatherers =
       gatherers_.homesOf(partition_, record.zone, candidates, clock_());
   if (urgent || gatherers.empty()) {
     append(std::move(bytes), Duration::zero());
-    return;
+    return true;
   }
   const std::string& gatherer = gatherers.front();
   if (gatherer == ownAddress) {
     append(std::move(bytes), knobs_.gatherWindow);
-    return;
+    return true;
   }
   underWay_ = true;
   logstore::AppendRequest request{partition_, {bytes}, knobs_.timeLimit};
@@ -43,6 +43,7 @@
                append(bytes, Duration::zero());
              }
            });
+  return true;
 }
 
 void MemberAnnouncer::append(std::string bytes, Duration window) {
--- a/src/edge/member_announcer.h
+++ b/src/edge/member_announcer.h
@@ -39,7 +39,8 @@
 
   /// \param candidates nodes of the zone that may gather; none: this node appends by itself.
   /// \param urgent sent beside one that is under way, and by this node itself.
-  void announce(const std::string& ownAddress, const std::string& key, const MemberRecord& record,
+  /// \return false when it was left out because an earlier one is still under way.
+  bool announce(const std::string& ownAddress, const std::string& key, const MemberRecord& record,
                 const std::vector<ledger::HomeCandidate>& candidates, bool urgent);
   /// Another node's announcement: gathered with the own ones.
   void gather(logstore::AppendRequest request,
--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -40,7 +40,7 @@
 bool MemberTable::onRecord(const std::string& key, const MemberRecord& record, Instant now) {
   const auto found = members_.find(key);
   const bool served =
-      found != members_.end() && isAlive(found->second) && !found->second.record.leaving;
+      found != members_.end() && isAlive(key, found->second) && !found->second.record.leaving;
   members_[key] = {record, now};
   return served == record.leaving;
 }
@@ -51,23 +51,55 @@
   return std::max(knobs_.heartbeat, std::chrono::duration_cast<Duration>(shared));
 }
 
-bool MemberTable::isAlive(const Entry& entry) const {
+bool MemberTable::isAlive(const std::string& key, const Entry& entry) const {
   const auto silence = std::chrono::duration_cast<Duration>(heartbeat() * knobs_.silentHeartbeats);
-  return freshAt_ - entry.heardAt < silence;
+  return freshAt_ - entry.heardAt < silence && !isSilent_(key);
+}
+
+std::vector<std::string> MemberTable::dropForgotten() {
+  std::vector<std::string> forgotten;
+  for (const auto& [key, entry] : members_) {
+    if (freshAt_ - entry.heardAt >= knobs_.forgetAfter) {
+      forgotten.push_back(key);
+    }
+  }
+  for (const std::string& key : forgotten) {
+    members_.erase(key);
+  }
+  return forgotten;
+}
+
+void MemberTable::keepMostCapable(Members& members) const {
+  double all = 0;
+  for (const MemberRecord* const member : members) {
+    all += member->capacity;
+  }
+  std::sort(members.begin(), members.end(),
+            [](const MemberRecord* left, const MemberRecord* right) {
+              return left->capacity != right->capacity ? left->capacity > right->capacity
+                                                       : left->clientAddress < right->clientAddress;
+            });
+  double kept = 0;
+  std::size_t count = 0;
+  while (count < members.size() &&
+         (count < knobs_.fewestNamed || kept < knobs_.namedShareOfCapacity * all)) {
+    kept += members[count]->capacity;
+    ++count;
+  }
+  members.resize(count);
 }
 
 std::vector<std::string> MemberTable::clientAddresses(std::string_view zone,
                                                       const IsSuspect& isSuspect) const {
-  std::vector<std::string> inZone;
-  std::vector<std::string> elsewhere;
-  std::vector<std::string> suspects;
+  Members inZone;
+  Members elsewhere;
+  Members suspects;
   for (const auto& [key, entry] : members_) {
-    if (!isAlive(entry) || entry.record.leaving) {
+    if (!isAlive(key, entry) || entry.record.leaving) {
       continue;
     }
-    const MemberRecord& record = entry.record;
-    auto& sound = record.zone == zone ? inZone : elsewhere;
-    (isSuspect(record.relayAddress) ? suspects : sound).push_back(record.clientAddress);
+    auto& sound = entry.record.zone == zone ? inZone : elsewhere;
+    (isSuspect(entry.record.relayAddress) ? suspects : sound).push_back(&entry.record);
   }
   if (inZone.size() < knobs_.enoughInZone) {
     inZone.insert(inZone.end(), elsewhere.begin(), elsewhere.end());
@@ -75,16 +107,36 @@
   if (inZone.empty()) {
     inZone = std::move(suspects);
   }
-  if (inZone.size() > knobs_.maximumAddresses) {
-    inZone.resize(knobs_.maximumAddresses);
+  keepMostCapable(inZone);
+  std::vector<std::string> addresses;
+  for (const MemberRecord* const member : inZone) {
+    addresses.push_back(member->clientAddress);
+  }
+  if (addresses.size() > knobs_.maximumAddresses) {
+    addresses.resize(knobs_.maximumAddresses);
+  }
+  return addresses;
+}
+
+std::vector<MemberRecord> MemberTable::servingIn(std::string_view zone) const {
+  Members inZone;
+  for (const auto& [key, entry] : members_) {
+    if (isAlive(key, entry) && !entry.record.leaving && entry.record.zone == zone) {
+      inZone.push_back(&entry.record);
+    }
+  }
+  keepMostCapable(inZone);
+  std::vector<MemberRecord> serving;
+  for (const MemberRecord* const member : inZone) {
+    serving.push_back(*member);
   }
-  return inZone;
+  return serving;
 }
 
 std::size_t MemberTable::countIn(std::string_view zone) const {
   std::size_t count = 0;
   for (const auto& [key, entry] : members_) {
-    const bool serves = isAlive(entry) && !entry.record.leaving;
+    const bool serves = isAlive(key, entry) && !entry.record.leaving;
     count += serves && entry.record.zone == zone ? 1 : 0;
   }
   return count;
@@ -93,7 +145,7 @@
 std::vector<MemberRecord> MemberTable::alive() const {
   std::vector<MemberRecord> records;
   for (const auto& [key, entry] : members_) {
-    if (isAlive(entry)) {
+    if (isAlive(key, entry)) {
       records.push_back(entry.record);
     }
   }
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/result.h"
@@ -21,7 +22,7 @@
   std::string relayAddress;   ///< Where other nodes ask for store calls; empty: nowhere.
   bool leaving = false;
   std::uint64_t beat = 0;  ///< Rises with every record of one life.
-  double capacity = 1.0;   ///< Share of a core: how much of shared work it takes.
+  double capacity = 1.0;   ///< How much of the work that nodes share it takes, against others.
 };
 
 std::string encodeMemberRecord(const MemberRecord& record);
@@ -34,19 +35,36 @@
   /// The whole fleet writes at most this many records a second: heartbeats become rarer with it.
   double recordsPerSecond = 60;
   double silentHeartbeats = 3.3;  ///< Without a record for so many, a node counts as dead.
-  std::size_t enoughInZone = 2;   ///< With fewer, other zones' nodes are named too.
+  /// A node without a record for so long is forgotten, so that its address costs nothing more. Far
+  /// longer than any outage of the store that nodes are expected to come back from.
+  Duration forgetAfter = seconds(600);
+  std::size_t enoughInZone = 2;  ///< With fewer, other zones' nodes are named too.
+  /// Clients of a zone are sent to its most capable nodes: to this many at least. Losing one of
+  /// eight moves an eighth of the zone's clients, and eight take twenty times the usual rate of the
+  /// largest deployment known.
+  std::size_t fewestNamed = 8;
+  /// And to nodes with this share of the zone's capacity at least, where nodes are alike.
+  double namedShareOfCapacity = 0.4;
   std::size_t maximumAddresses = 64;
 };
 
-/// A node is alive while its records keep coming. While nothing can be read, nobody dies: silence
-/// of the store is no silence of the nodes.
+/// The nodes that exist, as the store lists them, and which of them are alive: those whose records
+/// keep coming and which answer probes. Records become rarer as the fleet grows, so probes tell of
+/// a node's end first. Members do not expire while the store cannot be read, because missing
+/// records then say nothing about the nodes.
 class MemberTable {
  public:
-  explicit MemberTable(MemberTableKnobs knobs) : knobs_(knobs) {}
+  /// Whether a node does not answer probes; asked by its key.
+  using IsSilent = std::function<bool(const std::string& key)>;
+
+  explicit MemberTable(MemberTableKnobs knobs, IsSilent isSilent)
+      : knobs_(knobs), isSilent_(std::move(isSilent)) {}
 
   /// \return whether the node was not known as serving before, or is no longer.
   bool onRecord(const std::string& key, const MemberRecord& record, Instant now);
   void remove(const std::string& key) { members_.erase(key); }
+  /// Forgets nodes that were silent for `forgetAfter`. \return their keys.
+  std::vector<std::string> dropForgotten();
   /// Records could be read at this moment: who was silent until then counts as dead.
   void onFresh(Instant now) { freshAt_ = now; }
 
@@ -54,8 +72,12 @@
   using IsSuspect = std::function<bool(const std::string& relayAddress)>;
   /// \return nodes that serve clients, those of the zone alone when they are enough. Suspects are
   /// named only when nobody else is left: their heartbeats tell of their end seconds later.
+  /// Of a large zone only the most capable are named: each node that takes clients opens
+  /// connections to all replicas it uses, and a weak one is slow when many come back at once.
   [[nodiscard]] std::vector<std::string> clientAddresses(std::string_view zone,
                                                          const IsSuspect& isSuspect) const;
+  /// \return the nodes that clients of the zone are sent to when nobody is suspect, best first.
+  [[nodiscard]] std::vector<MemberRecord> servingIn(std::string_view zone) const;
   /// \return serving nodes of a zone.
   [[nodiscard]] std::size_t countIn(std::string_view zone) const;
   /// \return the time between two records of a node in a fleet of this size.
@@ -68,9 +90,13 @@
     MemberRecord record;
     Instant heardAt;
   };
-  [[nodiscard]] bool isAlive(const Entry& entry) const;
+  [[nodiscard]] bool isAlive(const std::string& key, const Entry& entry) const;
+  using Members = std::vector<const MemberRecord*>;
+  /// Keeps the most capable ones, best first; all nodes choose the same.
+  void keepMostCapable(Members& members) const;
 
   MemberTableKnobs knobs_;
+  IsSilent isSilent_;
   std::map<std::string, Entry> members_;
   Instant freshAt_;
 };
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -17,6 +17,14 @@
 
 }  // namespace
 
+bool ConnectionPool::hasIdle(const std::string& address) const {
+  const auto found = idle_.find(address);
+  if (found == idle_.end() || found->second.empty()) {
+    return false;
+  }
+  return std::chrono::steady_clock::now() < found->second.back().usableUntil;
+}
+
 std::optional<Socket> ConnectionPool::take(const std::string& address) {
   const auto found = idle_.find(address);
   if (found == idle_.end()) {
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -23,6 +23,9 @@
   /// next request is written: else that common case would end as an unknown outcome.
   std::optional<Socket> take(const std::string& address);
 
+  /// \return whether `take` would probably find one.
+  [[nodiscard]] bool hasIdle(const std::string& address) const;
+
   /// Keeps a connection whose last response was read whole.
   /// \param idleTime how long it may rest before it is no longer used.
   void give(const std::string& address, Socket socket,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -107,6 +107,10 @@
     return operation;
   }
 
+  [[nodiscard]] bool hasIdleConnection(const std::string& address) const override {
+    return pool_->hasIdle(address);
+  }
+
   void checkReachable(const std::string& address, Duration limit,
                       std::function<void(bool)> callback) override {
     std::make_shared<ReachabilityCheck>(context_, pool_, address, std::move(callback))
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -77,6 +77,10 @@
  public:
   virtual ~HttpClient() = default;
   virtual RequestHandlePtr send(Request request, ResponseHandler handler) = 0;
+  /// \return whether a request to the address would probably need no new connection.
+  [[nodiscard]] virtual bool hasIdleConnection(const std::string& /*address*/) const {
+    return false;
+  }
   /// Opens a connection, kept for later requests if it comes up. Calls back once with whether
   /// anything answered within the limit: a refusal is an answer, silence is none.
   virtual void checkReachable(const std::string& address, Duration limit,
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -53,6 +53,41 @@
   });
 }
 
+void MemberTable::insertByNode(MemberIndex index) {
+  const auto place = std::lower_bound(
+      byNode_.begin(), byNode_.end(), entries_[index].node,
+      [this](MemberIndex other, NodeId wanted) { return entries_[other].node < wanted; });
+  byNode_.insert(place, index);
+}
+
+void MemberTable::eraseByNode(MemberIndex index) {
+  byNode_.erase(std::remove(byNode_.begin(), byNode_.end(), index), byNode_.end());
+}
+
+MemberIndex MemberTable::add(NodeId node) {
+  const auto index = static_cast<MemberIndex>(entries_.size());
+  Entry entry;
+  entry.node = node;
+  entries_.push_back(entry);
+  insertByNode(index);
+  return index;
+}
+
+void MemberTable::replace(MemberIndex index, NodeId node) {
+  remove(index);
+  entries_[index] = {};
+  entries_[index].node = node;
+  insertByNode(index);
+}
+
+void MemberTable::remove(MemberIndex index) {
+  eraseByNode(index);
+  deadCount_ -= entries_[index].state == MemberState::Dead ? 1 : 0;
+  // Neither probed nor spread: `Terminated` is final, and the unknown incarnation is not refreshed.
+  entries_[index].incarnation = Incarnation(0);
+  entries_[index].state = MemberState::Terminated;
+}
+
 std::optional<MemberIndex> MemberTable::find(NodeId node) const {
   const auto place = std::lower_bound(
       byNode_.begin(), byNode_.end(), node,
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -37,6 +37,13 @@
   /// reachable until a probe says otherwise.
   explicit MemberTable(const std::vector<Member>& members);
 
+  /// Takes in a node that is not in the table, at a place of its own.
+  MemberIndex add(NodeId node);
+  /// Gives the place of a node that is gone to another one, of which nothing is known.
+  void replace(MemberIndex index, NodeId node);
+  /// Takes the node out of all look-ups; its place waits for `replace`.
+  void remove(MemberIndex index);
+
   [[nodiscard]] std::optional<MemberIndex> find(NodeId node) const;
   [[nodiscard]] std::size_t size() const { return entries_.size(); }
   [[nodiscard]] MemberUpdate belief(MemberIndex index) const;
@@ -54,6 +61,9 @@
   }
 
  private:
+  void insertByNode(MemberIndex index);
+  void eraseByNode(MemberIndex index);
+
   struct Entry {
     Incarnation incarnation;
     BundleVersion reportedBundle;
--- a/src/membership/membership_interface.h
+++ b/src/membership/membership_interface.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -15,6 +16,23 @@
 /// Belief about one life of a node. `Terminated` comes only from the platform's machine list.
 enum class MemberState : std::uint8_t { Alive, Suspected, Dead, Leaving, Terminated };
 
+/// \return the state's stable name for logs.
+constexpr std::string_view memberStateName(MemberState state) {
+  switch (state) {
+    case MemberState::Alive:
+      return "alive";
+    case MemberState::Suspected:
+      return "suspected";
+    case MemberState::Dead:
+      return "dead";
+    case MemberState::Leaving:
+      return "leaving";
+    case MemberState::Terminated:
+      return "terminated";
+  }
+  return "unknown";
+}
+
 /// A belief that spreads; a higher incarnation wins, then the higher state rank.
 struct MemberUpdate {
   NodeId node;
--- a/src/membership/swim_dissemination.cpp
+++ b/src/membership/swim_dissemination.cpp
@@ -58,13 +58,13 @@
   commands_.emplace_back(NewerBundleSeen{table_.nodeAt(sender), version});
 }
 
-Piggyback SwimMembership::makePiggyback(NodeId to) {
+Piggyback SwimMembership::makePiggyback(NodeId to, bool receiverIsOutdated) {
   Piggyback piggyback;
   piggyback.senderIncarnation = incarnation_;
   piggyback.bundleInForce = bundleInForce_;
   const std::optional<MemberIndex> receiver = table_.find(to);
   // What is believed of the receiver goes first: only the receiver can refute it.
-  if (receiver && table_.stateAt(*receiver) != MemberState::Alive) {
+  if (receiver && (receiverIsOutdated || table_.stateAt(*receiver) != MemberState::Alive)) {
     piggyback.updates.push_back(table_.belief(*receiver));
   }
   for (const std::uint32_t index : memberNews_.take(kMaximumUpdates - piggyback.updates.size())) {
@@ -100,6 +100,10 @@
     applyUpdateAboutSelf(update);
     return;
   }
+  if (index == selfIndex_ && update.incarnation > incarnation_) {
+    adoptIncarnationAfter(update.incarnation);
+    return;
+  }
   const bool firstContact = table_.belief(index).incarnation == Incarnation(0);
   const MergeResult result = table_.merge(index, update);
   if (result == MergeResult::Ignored) {
@@ -130,6 +134,14 @@
   }
 }
 
+/// The others know a later incarnation of this node: incarnations come from the time of day, which
+/// was set back between two starts of the process. They would take this one for its past for ever.
+void SwimMembership::adoptIncarnationAfter(Incarnation believed) {
+  incarnation_ = believed.next();
+  ownRefutation_ = 0;
+  refute(0);
+}
+
 /// Raises the own refutation counter above `atLeast` and spreads the own state anew.
 void SwimMembership::refute(std::uint32_t atLeast) {
   ownRefutation_ = std::max(ownRefutation_, atLeast) + 1;
--- a/src/membership/swim_membership.cpp
+++ b/src/membership/swim_membership.cpp
@@ -51,18 +51,62 @@
   shuffleProbeOrder();
 }
 
+bool SwimMembership::addMember(Member member) {
+  if (const std::optional<MemberIndex> known = table_.find(member.node)) {
+    members_[*known] = std::move(member);
+    return true;
+  }
+  if (!freePlaces_.empty()) {
+    const MemberIndex index = freePlaces_.back();
+    freePlaces_.pop_back();
+    table_.replace(index, member.node);
+    members_[index] = std::move(member);
+    return true;
+  }
+  if (members_.size() >= kMaximumMembers) {
+    return false;
+  }
+  const MemberIndex index = table_.add(member.node);
+  members_.push_back(std::move(member));
+  // A random place in the order, so that nodes which learn the list in one order do not probe in
+  // it.
+  probeOrder_.push_back(static_cast<std::uint16_t>(index));
+  std::swap(probeOrder_.back(), probeOrder_[random_.below(probeOrder_.size())]);
+  return true;
+}
+
+void SwimMembership::removeMember(NodeId node) {
+  const std::optional<MemberIndex> index = table_.find(node);
+  if (!index || index == selfIndex_) {
+    return;
+  }
+  if (outstanding_ && outstanding_->target == *index) {
+    outstanding_.reset();
+  }
+  std::erase_if(suspicions_,
+                [&](const Suspicion& suspicion) { return suspicion.member == *index; });
+  memberNews_.remove(*index);
+  table_.remove(*index);
+  freePlaces_.push_back(*index);
+}
+
 void SwimMembership::onMembershipMessage(NodeId from, const MembershipMessage& message,
                                          Instant now) {
+  if (isIsolated(now)) {
+    // The suspects could not refute while nothing came through.
+    extendSuspicions(knobs_.suspicionTimeout);
+  }
+  lastHeardAt_ = now;
   std::visit([&](const auto& content) { handle(from, content, now); }, message);
 }
 
 void SwimMembership::handle(NodeId from, const ProbeRequest& request, Instant now) {
   const std::optional<MemberIndex> sender = table_.find(from);
-  if (!sender) {
+  if (!sender && !knobs_.answersUnknownNodes) {
     return;
   }
-  readPiggyback(*sender, request.piggyback, now);
-  send(from, ProbeReply{request.probe, makePiggyback(from)});
+  const bool outdated = sender && !readPiggyback(*sender, request.piggyback, now);
+  send(from, ProbeReply{request.probe, makePiggyback(from, outdated)});
 }
 
 void SwimMembership::handle(NodeId from, const ProbeReply& reply, Instant now) {
@@ -119,6 +163,7 @@
   if (!started_) {
     started_ = true;
     lastTick_ = now;
+    lastHeardAt_ = now;
     // A random first moment keeps nodes that start together from probing in step.
     nextPeriodAt_ = now + Duration(static_cast<Duration::rep>(random_.below(
                               static_cast<std::uint64_t>(knobs_.probePeriod.count()))));
@@ -126,7 +171,9 @@
   forgiveOwnPause(now);
   lastTick_ = now;
   std::erase_if(relays_, [now](const Relay& relay) { return relay.deadline <= now; });
-  expireSuspicions(now);
+  if (!isIsolated(now)) {
+    expireSuspicions(now);
+  }
   challengeSuspects(now);
   if (outstanding_ && !outstanding_->indirectSent &&
       now - outstanding_->sentAt >= knobs_.probeTimeout) {
@@ -147,8 +194,12 @@
     return;
   }
   outstanding_.reset();
+  extendSuspicions(gap);
+}
+
+void SwimMembership::extendSuspicions(Duration span) {
   for (Suspicion& suspicion : suspicions_) {
-    suspicion.deadline += gap;
+    suspicion.deadline += span;
   }
 }
 
@@ -159,13 +210,18 @@
   const OutstandingProbe probe = *outstanding_;
   outstanding_.reset();
   const MemberUpdate held = table_.belief(probe.target);
-  if (held.incarnation == probe.incarnation && isBelievedToRun(held.state)) {
+  if (!isIsolated(now) && held.incarnation == probe.incarnation && isBelievedToRun(held.state)) {
     applyUpdate(probe.target,
                 {held.node, held.incarnation, MemberState::Suspected, held.refutation}, now);
     suspicions_.back().nextChallenge = now;
   }
 }
 
+/// Nobody at all is heard: rather this node's own links failed than all others at once.
+bool SwimMembership::isIsolated(Instant now) const {
+  return now - lastHeardAt_ >= knobs_.isolationSilence;
+}
+
 void SwimMembership::challengeSuspects(Instant now) {
   for (Suspicion& suspicion : suspicions_) {
     const bool isDue = suspicion.nextChallenge && *suspicion.nextChallenge <= now;
--- a/src/membership/swim_membership.h
+++ b/src/membership/swim_membership.h
@@ -20,12 +20,15 @@
   SwimMembership(NodeId self, Incarnation incarnation, std::vector<Member> members,
                  MembershipKnobs knobs, std::uint64_t seed);
 
+  bool addMember(Member member) override;
+  void removeMember(NodeId node) override;
   void onMembershipMessage(NodeId from, const MembershipMessage& message, Instant now) override;
   void onMachineList(const std::vector<MachineListLine>& lines, Instant now) override;
   void onTick(Instant now) override;
   void announceBackend(std::uint32_t backendHash, bool leaving, Instant now) override;
   void setBundleInForce(BundleVersion version) override;
   void beginLeave(Instant now) override;
+  [[nodiscard]] bool knows(NodeId node) const override { return table_.find(node).has_value(); }
   [[nodiscard]] MemberState stateOf(NodeId node) const override;
   [[nodiscard]] Incarnation incarnationOf(NodeId node) const override;
   [[nodiscard]] const std::vector<Member>& members() const override { return members_; }
@@ -60,16 +63,20 @@
   void handle(NodeId from, const IndirectProbeRequest& request, Instant now);
   bool readPiggyback(MemberIndex sender, const Piggyback& piggyback, Instant now);
   void noteBundle(MemberIndex sender, BundleVersion version, Instant now);
-  Piggyback makePiggyback(NodeId to);
+  /// \param receiverIsOutdated the receiver spoke as an incarnation before the one believed in.
+  Piggyback makePiggyback(NodeId to, bool receiverIsOutdated = false);
   void addRefresh(Piggyback& piggyback);
 
   void applyUpdate(MemberIndex index, const MemberUpdate& update, Instant now);
   void applyUpdateAboutSelf(const MemberUpdate& update);
+  void adoptIncarnationAfter(Incarnation believed);
   void refute(std::uint32_t atLeast);
   void noticeChanged(std::uint32_t noticeIndex);
 
   void forgiveOwnPause(Instant now);
   void expireProbe(Instant now);
+  void extendSuspicions(Duration span);
+  [[nodiscard]] bool isIsolated(Instant now) const;
   void expireSuspicions(Instant now);
   void challengeSuspects(Instant now);
   void startProbe(Instant now);
@@ -109,7 +116,9 @@
   std::optional<OutstandingProbe> outstanding_;
   std::vector<Suspicion> suspicions_;
   std::vector<Relay> relays_;
+  std::vector<MemberIndex> freePlaces_;  ///< Of members that were removed.
   bool started_ = false;
+  Instant lastHeardAt_;  ///< Any message from any node.
   Instant lastTick_;
   Instant nextPeriodAt_;
   std::vector<MembershipCommand> commands_;
--- a/src/membership/update_queue.cpp
+++ b/src/membership/update_queue.cpp
@@ -15,6 +15,10 @@
   pending_.push_back({item, stamp, 0, priority});
 }
 
+void UpdateQueue::remove(std::uint32_t item) {
+  std::erase_if(pending_, [item](const Pending& pending) { return pending.item == item; });
+}
+
 bool UpdateQueue::goesBefore(const Pending& left, const Pending& right) {
   if (left.priority != right.priority) {
     return left.priority > right.priority;
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -26,6 +26,8 @@
   /// \return at most `limit` items: changes first, then those sent least often, then newer ones
   /// before older ones; counts one transmission of each.
   std::vector<std::uint32_t> take(std::size_t limit);
+  /// Drops an item that need not be spread any more.
+  void remove(std::uint32_t item);
   [[nodiscard]] bool empty() const { return pending_.empty(); }
 
  private:
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -81,6 +81,8 @@
             knobs_.costPerPromptToken * static_cast<double>(query.promptTokens);
   }
   cost += replica.entry.zone == zone_ ? 0.0 : knobs_.otherZoneCost;
+  const bool needsConnection = query.isConnected && !query.isConnected(replica);
+  cost += needsConnection ? knobs_.newConnectionCost : 0.0;
   cost += replica.failureShare(now) * knobs_.failureCost;
   cost += replica.doubtfulUntil ? knobs_.doubtfulCost : 0.0;
   cost += replica.suspectUntil > now ? knobs_.suspectCost : 0.0;
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -1,6 +1,7 @@
 /// \file Choice of the replica that a request is sent to. Policy only: no I/O, no clock.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,8 @@
   /// Length of the prompt that the preferred replica may have read already; 0: nothing is kept.
   std::uint64_t promptTokens = 0;
   const std::vector<ReplicaPtr>* tried = nullptr;  ///< Not chosen again.
+  /// \return whether this node has an idle connection to the replica; unset: not known.
+  std::function<bool(const Replica&)> isConnected;
 };
 
 /// Knobs of the choice. Costs are in requests: what one more request in a replica's batch costs.
@@ -31,6 +34,9 @@
   double otherReplicaCost = 0.5;
   /// Bytes between zones are priced, and the way is longer.
   double otherZoneCost = 0.8;
+  /// Opening a connection is priced and takes a round trip. Less than two requests: between
+  /// replicas whose load differs by that much the emptier one is worth it.
+  double newConnectionCost = 1.5;
   /// For each request that would have to wait for a slot.
   double waitingCost = 2.0;
   /// Answers this many times slower than the middle one count as a slow replica.
--- a/tests/edge/member_table_test.cpp
+++ b/tests/edge/member_table_test.cpp
@@ -1,23 +1,29 @@
 // Which nodes clients are sent to: alive, not leaving, of their zone when there are enough.
 #include "edge/member_table.h"
 
+#include <algorithm>
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
 using namespace gorsetrail::edge;
 
 TEST_GROUP(MemberTable) {
-  MemberTable table{{}};
+  std::set<std::string> silent;  ///< Keys of nodes that do not answer probes.
+  MemberTable table{{}, [this](const std::string& key) { return silent.contains(key); }};
   Instant now{seconds(100)};
   MemberTable::IsSuspect nobody = [](const std::string&) { return false; };
 
-  void hear(const std::string& key, const std::string& zone, bool leaving = false) {
+  void hear(const std::string& key, const std::string& zone, bool leaving = false,
+            double capacity = 1.0) {
     MemberRecord record;
     record.nodeName = key;
     record.zone = zone;
     record.clientAddress = key + ":1";
     record.relayAddress = key + ":2";
     record.leaving = leaving;
+    record.capacity = capacity;
     table.onRecord(key, record, now);
     table.onFresh(now);
   }
@@ -42,6 +48,33 @@
   LONGS_EQUAL(3, table.clientAddresses("a", isAny).size());
 }
 
+TEST(MemberTable, namesTheMostCapableNodesOfALargeZone) {
+  for (int node = 0; node < 30; ++node) {
+    hear("weak" + std::to_string(node), "a", false, 0.01);
+  }
+  for (int node = 0; node < 9; ++node) {
+    hear("strong" + std::to_string(node), "a", false, 0.3);
+  }
+  const auto addresses = table.clientAddresses("a", nobody);
+  LONGS_EQUAL(8, addresses.size());
+  CHECK(std::all_of(addresses.begin(), addresses.end(),
+                    [](const std::string& address) { return address.find("strong") == 0; }));
+  LONGS_EQUAL(8, table.servingIn("a").size());
+  silent = {"strong0", "strong1"};
+  const auto left = table.clientAddresses("a", nobody);
+  LONGS_EQUAL(8, left.size());
+  LONGS_EQUAL(1, std::count_if(left.begin(), left.end(), [](const std::string& address) {
+                return address.find("weak") == 0;
+              }));
+}
+
+TEST(MemberTable, namesEnoughOfALargeZoneOfEqualNodes) {
+  for (int node = 0; node < 100; ++node) {
+    hear("n" + std::to_string(node), "a");
+  }
+  LONGS_EQUAL(40, table.clientAddresses("a", nobody).size());
+}
+
 TEST(MemberTable, doesNotNameLeavingNodes) {
   hear("a1", "a");
   hear("a2", "a");
@@ -59,6 +92,29 @@
   LONGS_EQUAL(1, table.clientAddresses("a", nobody).size());
 }
 
+TEST(MemberTable, aNodeThatDoesNotAnswerProbesIsLeftOutBeforeItsRecordsEnd) {
+  hear("a1", "a");
+  hear("a2", "a");
+  hear("a3", "a");
+  silent = {"a2"};
+  CHECK(table.clientAddresses("a", nobody) == (std::vector<std::string>{"a1:1", "a3:1"}));
+  LONGS_EQUAL(2, table.alive().size());
+  silent.clear();
+  LONGS_EQUAL(3, table.clientAddresses("a", nobody).size());
+}
+
+TEST(MemberTable, dropsNodesThatAreLongGone) {
+  hear("a1", "a");
+  hear("a2", "a");
+  now += seconds(599);
+  hear("a1", "a");
+  LONGS_EQUAL(0, table.dropForgotten().size());
+  now += seconds(1);
+  hear("a1", "a");
+  CHECK(table.dropForgotten() == std::vector<std::string>{"a2"});
+  CHECK(table.heartbeat() == seconds(1));
+}
+
 TEST(MemberTable, forgetsNobodyWhileNothingCanBeRead) {
   hear("a1", "a");
   hear("a2", "a");
--- a/tests/node/fake_node_core.h
+++ b/tests/node/fake_node_core.h
@@ -11,6 +11,9 @@
 
 class FakeMembership final : public membership::MembershipService {
  public:
+  bool addMember(membership::Member /*member*/) override { return true; }
+  void removeMember(NodeId /*node*/) override {}
+  [[nodiscard]] bool knows(NodeId /*node*/) const override { return true; }
   void onMembershipMessage(NodeId /*from*/, const membership::MembershipMessage& /*message*/,
                            Instant /*now*/) override {}
   void onMachineList(const std::vector<membership::MachineListLine>& /*lines*/,
