--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -66,6 +66,11 @@
   logs_[{topic, "0"}].push_back(logstore::encodeKeyedRecord(key, value));
 }
 
+std::size_t StoreStandIn::records(const std::string& topic) const {
+  const auto found = logs_.find({topic, "0"});
+  return found == logs_.end() ? 0 : found->second.size();
+}
+
 void StoreStandIn::onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer) {
   ++calls;
   if (trouble == StoreTrouble::Busy) {
@@ -89,6 +94,9 @@
     const std::string start = queryValue(request.target, "rangeStart");
     return read(log, std::strtoull(start.c_str(), nullptr, 10));
   }
+  if (path == platform::path::kNewest && queryValue(request.target, "topic") == refusedListing) {
+    return {kUnavailable, {}, {}};
+  }
   if (path == platform::path::kNewest) {
     return newest(log);
   }
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -31,7 +31,11 @@
   /// Writes the newest record of a key, as the operator and replicas do; an empty value removes it.
   void put(const std::string& topic, const std::string& key, const std::string& value);
 
+  /// \return how many records a topic's first partition holds.
+  [[nodiscard]] std::size_t records(const std::string& topic) const;
+
   StoreTrouble trouble = StoreTrouble::None;
+  std::string refusedListing;  ///< Listings of this topic get 503.
   std::uint64_t calls = 0;
 
  private:
--- a/src/edge/store_relay.cpp
+++ b/src/edge/store_relay.cpp
@@ -1,5 +1,6 @@
 #include "edge/store_relay.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -89,11 +90,31 @@
   client_.send(std::move(request), std::move(handler));
 }
 
-std::string RelayedStore::anyRelay() {
+std::string RelayedStore::chooseRelay() {
   const std::vector<std::string> relays = relays_();
+  const bool isListed = std::find(relays.begin(), relays.end(), provenRelay_) != relays.end();
+  if (isListed) {
+    return provenRelay_;
+  }
   return relays.empty() ? std::string() : relays[random_.below(relays.size())];
 }
 
+template <class Reply>
+logstore::StoreCallback<Reply> RelayedStore::noting(const std::string& relay,
+                                                    logstore::StoreCallback<Reply> callback) {
+  return [this, relay, callback = std::move(callback)](logstore::StoreResult<Reply> result) {
+    const auto* const error = std::get_if<logstore::StoreError>(&result);
+    const bool reachedStore = error == nullptr || error->fault == logstore::StoreFault::Compacted ||
+                              error->fault == logstore::StoreFault::Rejected;
+    if (reachedStore) {
+      provenRelay_ = relay;
+    } else if (provenRelay_ == relay) {
+      provenRelay_.clear();
+    }
+    callback(std::move(result));
+  };
+}
+
 void RelayedStore::appendThrough(const std::string& relay, logstore::AppendRequest request,
                                  logstore::StoreCallback<logstore::AppendReply> callback) {
   const Duration limit = request.timeLimit;
@@ -102,7 +123,7 @@
 }
 
 void RelayedStore::readThrough(const std::string& relay, logstore::ReadRequest request,
-                               ReadReplyHandler handler) {
+                               const ReadReplyHandler& handler) {
   const Duration limit = request.timeLimit;
   send<logstore::ReadReply>(
       relay, std::move(request), limit,
@@ -113,21 +134,27 @@
 void RelayedStore::append(logstore::AppendRequest request,
                           logstore::StoreCallback<logstore::AppendReply> callback) {
   const Duration limit = request.timeLimit;
-  send<logstore::AppendReply>(anyRelay(), std::move(request), limit, std::move(callback),
+  const std::string relay = chooseRelay();
+  send<logstore::AppendReply>(relay, std::move(request), limit,
+                              noting<logstore::AppendReply>(relay, std::move(callback)),
                               logstore::decodeAppendReply);
 }
 
 void RelayedStore::read(logstore::ReadRequest request,
                         logstore::StoreCallback<logstore::ReadReply> callback) {
   const Duration limit = request.timeLimit;
-  send<logstore::ReadReply>(anyRelay(), std::move(request), limit, std::move(callback),
+  const std::string relay = chooseRelay();
+  send<logstore::ReadReply>(relay, std::move(request), limit,
+                            noting<logstore::ReadReply>(relay, std::move(callback)),
                             logstore::decodeReadReply);
 }
 
 void RelayedStore::newest(logstore::NewestRequest request,
                           logstore::StoreCallback<logstore::NewestReply> callback) {
   const Duration limit = request.timeLimit;
-  send<logstore::NewestReply>(anyRelay(), std::move(request), limit, std::move(callback),
+  const std::string relay = chooseRelay();
+  send<logstore::NewestReply>(relay, std::move(request), limit,
+                              noting<logstore::NewestReply>(relay, std::move(callback)),
                               logstore::decodeNewestReply);
 }
 
--- a/src/edge/store_relay.h
+++ b/src/edge/store_relay.h
@@ -41,7 +41,9 @@
   AppendHandler gather_;
 };
 
-/// Makes calls through a node chosen at random.
+/// Makes calls through another node: the one that the last call went through well, else one chosen
+/// at random. A share of the nodes may be cut off from the store like this one; choosing anew for
+/// each call would lose that share of the calls.
 class RelayedStore final : public logstore::LogStore {
  public:
   /// \param relays gives the addresses of other nodes' relays, best first choice at random.
@@ -57,7 +59,7 @@
       std::function<void(std::optional<logstore::StoreResult<logstore::ReadReply>>)>;
   /// Makes one read through this node.
   void readThrough(const std::string& relay, logstore::ReadRequest request,
-                   ReadReplyHandler handler);
+                   const ReadReplyHandler& handler);
 
   void append(logstore::AppendRequest request,
               logstore::StoreCallback<logstore::AppendReply> callback) override;
@@ -74,12 +76,17 @@
   template <class Reply, class Decode>
   void send(const std::string& relay, const logstore::StoreCallRequest& call, Duration timeLimit,
             logstore::StoreCallback<Reply> callback, Decode decode);
-  /// \return a node chosen at random; empty when there is none.
-  std::string anyRelay();
+  /// \return the node for the next call; empty when there is none.
+  std::string chooseRelay();
+  /// \return a callback that also notes whether the relay reached the store.
+  template <class Reply>
+  logstore::StoreCallback<Reply> noting(const std::string& relay,
+                                        logstore::StoreCallback<Reply> callback);
 
   http::HttpClient& client_;
   std::function<std::vector<std::string>()> relays_;
   RandomSource random_;
+  std::string provenRelay_;  ///< Empty after a failure.
 };
 
 }  // namespace gorsetrail::edge
--- /dev/null
+++ b/tests/edge/fake_peers.h
@@ -0,0 +1,50 @@
+/// \file Other nodes as an HTTP client sees them, without a network.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "http/http_client.h"
+#include "logstore/store_message.h"
+
+namespace gorsetrail::edge {
+
+class NoHandle final : public http::RequestHandle {
+ public:
+  void cancel() override {}
+};
+
+/// Nodes that answer at once; some of them do not reach the store either.
+class FakePeers final : public http::HttpClient {
+ public:
+  http::RequestHandlePtr send(http::Request request, http::ResponseHandler handler) override {
+    ++calls[request.address];
+    if (unreachable.contains(request.address)) {
+      handler.onFailure({http::FailureStage::NotSent, "no route"});
+      return std::make_shared<NoHandle>();
+    }
+    logstore::StoreCallReply reply = logstore::AppendReply{7, 8};
+    if (readsHere.contains(request.address)) {
+      reply = logstore::ReadReply{1, 0, {"record"}};
+    }
+    if (cutOff.contains(request.address)) {
+      reply = logstore::StoreError{logstore::StoreFault::NoAnswer, "time limit reached", 0};
+    }
+    handler.onDone({200, {}, logstore::encodeStoreReply(reply)});
+    return std::make_shared<NoHandle>();
+  }
+  void checkReachable(const std::string& /*address*/, Duration /*limit*/,
+                      std::function<void(bool)> callback) override {
+    callback(true);
+  }
+
+  std::map<std::string, int> calls;
+  std::set<std::string> readsHere;    ///< Answer reads.
+  std::set<std::string> cutOff;       ///< Answer that the store does not.
+  std::set<std::string> unreachable;  ///< Take no connection.
+};
+
+}  // namespace gorsetrail::edge
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -234,6 +234,16 @@
   LONGS_EQUAL(1, server.connections.size());
 }
 
+TEST(HttpClient, TellsWhetherItHasAnIdleConnection) {
+  ScriptedServer server(context, answerWith(kHello));
+  const HttpClientPtr client = makeHttpClient(context);
+  CHECK_FALSE(client->hasIdleConnection(server.address()));
+  client->send(requestTo(server.address()), ending.handler());
+  CHECK_FALSE(client->hasIdleConnection(server.address()));
+  wait();
+  CHECK_TRUE(client->hasIdleConnection(server.address()));
+}
+
 TEST(HttpClient, OpensANewConnectionWhenTheIdleOneWasClosed) {
   ScriptedServer server(context, answerWith(kHello));
   const HttpClientPtr client = makeHttpClient(context);
--- a/tests/lab_platform/edge_day_test.cpp
+++ b/tests/lab_platform/edge_day_test.cpp
@@ -127,8 +127,9 @@
     context.reset();
   }
 
-  bool until(const std::function<bool()>& isTrue) {
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  bool until(const std::function<bool()>& isTrue,
+             std::chrono::milliseconds limit = std::chrono::seconds(10)) {
+    const auto deadline = std::chrono::steady_clock::now() + limit;
     while (std::chrono::steady_clock::now() < deadline) {
       if (isTrue()) {
         return true;
@@ -215,6 +216,20 @@
   CHECK_TRUE(until([&] { return ask(*first, "/kept/stream/1").status == 200; }));
 }
 
+TEST(EdgeDay, aNodeListsTheOthersBeforeItAnnouncesItself) {
+  store->refusedListing = "keyed.nodes";
+  Node third(*context, "127.0.0.3", store->address());
+  const auto announced = [&] { return store->records("keyed.nodes"); };
+  // The other two keep announcing themselves: what they write is not counted.
+  first.reset();
+  second.reset();
+  const std::size_t before = announced();
+  CHECK_TRUE(until([&] { return ask(third, "/again/stream/1").status != 0; }));
+  CHECK_FALSE(until([&] { return announced() > before; }, std::chrono::milliseconds(1500)));
+  store->refusedListing.clear();
+  CHECK_TRUE(until([&] { return announced() > before; }));
+}
+
 TEST(EdgeDay, anUnsafeRequestRunsOnceWhateverBecomesOfItsAnswer) {
   replica->trouble = ReplicaTrouble::LostAnswer;
   LONGS_EQUAL(502, ask(*first, "/unsafe/x").status);
--- a/tests/logstore/keyed_topic_follower_test.cpp
+++ b/tests/logstore/keyed_topic_follower_test.cpp
@@ -46,6 +46,15 @@
   }
 };
 
+TEST(KeyedTopicFollower, aListingThatTheStoreTakesLongForStillEnds) {
+  // All nodes of a large fleet start at once and list: the store sends them one after the other.
+  store.latency = milliseconds(900);
+  put("a", "1");
+  start();
+  timers.advance(seconds(2));
+  LONGS_EQUAL(1, known.size());
+}
+
 TEST(KeyedTopicFollower, listsInPagesAndFollowsChanges) {
   store.page = 2;
   for (const char* key : {"a", "b", "c", "d", "e"}) {
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -59,6 +59,7 @@
   LONGS_EQUAL(8, settings.store.partitionsPerTopic);
   CHECK(settings.bounds.stopLimit == seconds(8));
   LONGS_EQUAL(230 * 1024 * 1024, settings.memoryBytes);
+  DOUBLES_EQUAL(1000, settings.linkMegabitsPerSecond, 0);
 }
 
 TEST(SettingsFile, namesEveryMissingKeyAtOnceWithARemedy) {
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -119,6 +119,19 @@
   CHECK(choose("p", 2500) == suspect);
 }
 
+TEST(ReplicaSelector, prefersAReplicaWithAnIdleConnectionUnlessItIsBusier) {
+  const ReplicaPtr near = add("near", "zone-a");
+  const ReplicaPtr connected = add("connected", "zone-a");
+  ReplicaQuery query;
+  query.service = "s";
+  query.isConnected = [&](const Replica& replica) { return &replica == connected.get(); };
+  CHECK(selector.choose(table, query, now) == connected);
+  connected->othersInFlight = 1;
+  CHECK(selector.choose(table, query, now) == connected);
+  connected->othersInFlight = 2;
+  CHECK(selector.choose(table, query, now) == near);
+}
+
 TEST(ReplicaSelector, usesADoubtedReplicaOnlyWhenThereIsNoOther) {
   const ReplicaPtr doubted = add("doubted", "zone-a");
   const ReplicaPtr busy = add("busy", "zone-b");
