--- /dev/null
+++ b/src/edge/edge_daemon_peers.cpp
@@ -0,0 +1,164 @@
+// The part of `EdgeDaemon` that deals with other nodes: announcements, probes, who takes which
+// work.
+#include <algorithm>
+
+#include "edge/edge_daemon.h"
+#include "edge/edge_daemon_shared.h"
+#include "edge/edge_knobs.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+constexpr Duration kShortestReplicaPause = milliseconds(400);
+constexpr Duration kReplicaPausePerMember = milliseconds(4);
+constexpr Duration kMemberPausePerMember = milliseconds(10);
+/// A node whose state is not announced yet looks again so soon; a fifth of the shortest heartbeat.
+constexpr Duration kAnnounceCheckPeriod = milliseconds(200);
+constexpr Duration kLoadPeriod = milliseconds(100);
+/// Who takes clients changes with a node's end or start; clients learn of it within a second too.
+constexpr Duration kLoadPeersRefresh = milliseconds(500);
+/// Otherwise the list is made from all members for each ledger call. Members change their state
+/// less often than this.
+constexpr Duration kLedgerHomesRefresh = milliseconds(50);
+
+}  // namespace
+
+Result<Success> EdgeDaemon::listenForPeers() {
+  if (!hasPeers()) {
+    return Success{};
+  }
+  auto loads = loadExchange_.listen(ownLoadAddress());
+  if (!succeeded(loads)) {
+    return loads;
+  }
+  constexpr std::uint16_t kProbePortOffset = 2;  // After store and ledger calls, and loads.
+  return peerMonitor_.listen(settings_.ip, settings_.firstInternalPort + kProbePortOffset);
+}
+
+void EdgeDaemon::onPeerState(const std::string& ip, membership::MemberState state) {
+  const bool silent =
+      state == membership::MemberState::Suspected || state == membership::MemberState::Dead;
+  log_.important(silent ? "peer_silent" : "peer_answers",
+                 {{"node", ip}, {"state", membership::memberStateName(state)}});
+}
+
+std::string EdgeDaemon::ownLoadAddress() const {
+  return settings_.ip + ":" + std::to_string(settings_.firstInternalPort + 1);
+}
+
+std::vector<std::string> EdgeDaemon::otherRelays() const {
+  std::vector<std::string> addresses;
+  for (const MemberRecord& member : members_.alive()) {
+    if (!member.relayAddress.empty() && member.relayAddress != ownRelayAddress()) {
+      addresses.push_back(member.relayAddress);
+    }
+  }
+  if (!addresses.empty()) {
+    return addresses;
+  }
+  // Nobody is known yet. Ports are alike on all machines, so a seed's address tells the relay's.
+  for (const std::string& seed : settings_.seeds) {
+    std::string relay =
+        seed.substr(0, seed.rfind(':') + 1) + std::to_string(settings_.firstInternalPort);
+    if (relay != ownRelayAddress()) {
+      addresses.push_back(std::move(relay));
+    }
+  }
+  return addresses;
+}
+
+const std::vector<ledger::HomeCandidate>& EdgeDaemon::ledgerHomes() {
+  const Instant now = clock_();
+  if (!membersListed_ || now - ledgerHomesAt_ < kLedgerHomesRefresh) {
+    return ledgerHomes_;
+  }
+  ledgerHomesAt_ = now;
+  ledgerHomes_.clear();
+  for (const MemberRecord& member : members_.alive()) {
+    if (!member.relayAddress.empty() && !member.leaving) {
+      ledgerHomes_.push_back({member.relayAddress, member.zone, member.capacity});
+    }
+  }
+  return ledgerHomes_;
+}
+
+bool EdgeDaemon::announce(bool urgent) {
+  const MemberRecord record{settings_.nodeName,
+                            settings_.zone,
+                            settings_.listen.clients,
+                            hasPeers() ? ownRelayAddress() : std::string(),
+                            !isReady(),
+                            ++beat_,
+                            capacityOf(settings_)};
+  return announcer_.announce(ownRelayAddress(), settings_.ip, record, ledgerHomes(), urgent);
+}
+
+// Before the members are listed nobody is known who would batch announcements, and each node would
+// append for itself every second: hundreds of them fill the partition, and the listings that would
+// end it wait behind the appends. A node that restarted is listed already; probes show that it
+// runs.
+void EdgeDaemon::announceLoop() {
+  const bool ready = isReady();
+  bool isToldReady = wasAnnouncedReady_ == ready;
+  if (membersListed_ && (ready || wasAnnouncedReady_) && announce(false)) {
+    wasAnnouncedReady_ = ready;
+    isToldReady = true;
+  }
+  paceFollowers();
+  const bool isSteady = membersListed_ && ready && isToldReady;
+  timers_->runAfter(isSteady ? members_.heartbeat() : kAnnounceCheckPeriod,
+                    [this] { announceLoop(); });
+}
+
+// All nodes read these topics: the pauses grow with the fleet, within what the bounds allow.
+void EdgeDaemon::paceFollowers() {
+  const auto members = static_cast<Duration::rep>(members_.alive().size());
+  const Duration longest = settings_.bounds.drain / 2;
+  replicaFollower_->setPause(
+      std::clamp(kReplicaPausePerMember * members, kShortestReplicaPause, longest));
+  memberFollower_->setPause(std::max(kMemberPausePerMember * members, kShortestMemberPause));
+}
+
+void EdgeDaemon::loadLoop() {
+  const std::vector<std::string>& peers = loadPeers();
+  const std::size_t others = peers.size();
+  const std::vector<routing::ReplicaPtr> replicas = replicas_.all();
+  const bool isIdle =
+      std::all_of(replicas.begin(), replicas.end(),
+                  [](const routing::ReplicaPtr& replica) { return replica->inFlight == 0; });
+  if (takesClients_ || !isIdle) {
+    loadExchange_.send(replicas, peers, clock_());
+  }
+  if (settings_.uses(Mechanism::LoadDigests)) {
+    fleetLoad_.apply(replicas_, others, clock_());
+  }
+  for (const std::string& dropped : replicas_.dropDoubtful(clock_())) {
+    log_.important("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
+  }
+  timers_->runAfter(kLoadPeriod, [this] { loadLoop(); });
+}
+
+const std::vector<std::string>& EdgeDaemon::loadPeers() {
+  const Instant now = clock_();
+  if (now - loadPeersAt_ < kLoadPeersRefresh) {
+    return loadPeers_;
+  }
+  loadPeersAt_ = now;
+  loadPeers_.clear();
+  takesClients_ = false;
+  for (const std::string& zone : settings_.zones) {
+    for (const MemberRecord& member : members_.servingIn(zone)) {
+      if (member.clientAddress == settings_.listen.clients) {
+        takesClients_ = true;
+      } else if (!member.relayAddress.empty()) {
+        // Ports are alike on all machines: loads arrive one port above store calls.
+        const std::string& relay = member.relayAddress;
+        loadPeers_.push_back(relay.substr(0, relay.rfind(':') + 1) +
+                             std::to_string(settings_.firstInternalPort + 1));
+      }
+    }
+  }
+  return loadPeers_;
+}
+
+}  // namespace gorsetrail::edge
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -45,6 +45,7 @@
 void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("replicas", "Registered replicas", snapshot.replicas);
   list.gauge("members", "Nodes believed alive", snapshot.members);
+  list.gauge("members_silent", "Nodes that do not answer probes", snapshot.membersSilent);
   list.gauge("configuration_version", "In force, 0 for none", snapshot.configurationVersion);
   list.gauge("configuration_age_milliseconds", "Since the store was last heard about it",
              snapshot.configurationAgeMilliseconds);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -34,6 +34,7 @@
   std::uint64_t requestsOpen = 0;          ///< Gauge.
   std::uint64_t replicas = 0;              ///< Gauge.
   std::uint64_t members = 0;               ///< Gauge.
+  std::uint64_t membersSilent = 0;         ///< Gauge.
   std::uint64_t configurationVersion = 0;  ///< Gauge.
   std::uint64_t configurationAgeMilliseconds = 0;
   std::uint64_t replicasAgeMilliseconds = 0;
--- a/src/edge/peer_monitor.h
+++ b/src/edge/peer_monitor.h
@@ -53,6 +53,7 @@
   void forget(const std::string& ip);
   /// \return whether the node did not answer its last probes, as far as the nodes told each other.
   [[nodiscard]] bool isSilent(const std::string& ip) const { return silent_.contains(ip); }
+  [[nodiscard]] std::size_t silentNodes() const { return silent_.size(); }
 
  private:
   void tickLoop();
