Say in one place which store faults are answers

Cause: RelayedStore repeated the rule of FailoverStore (Compacted and Rejected show that the store was reached). Change: isStoreAnswer, used by both; the same faults as before.

--- a/src/edge/store_relay.cpp
+++ b/src/edge/store_relay.cpp
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "logstore/failover_store.h"
+
 namespace gorsetrail::edge {
 namespace {
 
@@ -104,8 +106,7 @@
                                                     logstore::StoreCallback<Reply> callback) {
   return [this, relay, callback = std::move(callback)](logstore::StoreResult<Reply> result) {
     const auto* const error = std::get_if<logstore::StoreError>(&result);
-    const bool reachedStore = error == nullptr || error->fault == logstore::StoreFault::Compacted ||
-                              error->fault == logstore::StoreFault::Rejected;
+    const bool reachedStore = error == nullptr || logstore::isStoreAnswer(error->fault);
     if (reachedStore) {
       provenRelay_ = relay;
     } else if (provenRelay_ == relay) {
--- a/src/logstore/failover_store.cpp
+++ b/src/logstore/failover_store.cpp
@@ -3,15 +3,11 @@
 #include <utility>
 
 namespace gorsetrail::logstore {
-namespace {
 
-/// Whether the store itself spoke: what it said is as good as any answer.
-bool isAnswer(StoreFault fault) {
+bool isStoreAnswer(StoreFault fault) {
   return fault == StoreFault::Compacted || fault == StoreFault::Rejected;
 }
 
-}  // namespace
-
 FailoverStore::FailoverStore(LogStore& direct, LogStore& relay, ClockFunction clock,
                              FailoverKnobs knobs, std::function<void(StoreWay)> onSwitched)
     : direct_(direct),
@@ -43,7 +39,7 @@
   }
   return [this, callback = std::move(callback)](StoreResult<Reply> result) {
     const auto* const error = std::get_if<StoreError>(&result);
-    onDirectResult(error == nullptr || isAnswer(error->fault));
+    onDirectResult(error == nullptr || isStoreAnswer(error->fault));
     callback(std::move(result));
   };
 }
--- a/src/logstore/failover_store.h
+++ b/src/logstore/failover_store.h
@@ -9,6 +9,9 @@
 
 namespace gorsetrail::logstore {
 
+/// \return whether the store itself spoke: such a fault shows that it was reached.
+bool isStoreAnswer(StoreFault fault);
+
 /// Which way a call took.
 enum class StoreWay : std::uint8_t { Direct, Relay };
 
