Know tenants: keys, names by tenant, headers that only the system sets

Cause: the edge had no tenants. A turn that named another tenant's turn as the one before got that tenant's history; a program id that two tenants chose shared one budget. Change: src/tenant decides in whose name a request is made, without I/O: keys as HMAC-SHA256 digests under a secret of the process, compared in constant time, read into digests in platform/ and nowhere kept as text. 401 for a key that the fresh configuration does not know, 503 while a newer one may know it. Tenants that contradict each other refuse the whole configuration. Turns, programs and reservations go by a name scoped by tenant in memory, between nodes and in the store: another tenant's turn is one that never was. One table in platform/heads.cpp of the system's headers; heads that must stand once are refused when they stand twice.

--- a/src/edge/call_request.h
+++ b/src/edge/call_request.h
@@ -9,6 +9,7 @@
 
 #include "base/time.h"
 #include "http/http_client.h"
+#include "tenant/tenant.h"
 
 namespace gorsetrail::edge {
 
@@ -20,7 +21,11 @@
   std::vector<http::Header> headers;  ///< Those to be handed on, in their order.
   std::string body;
   std::string requestId;
-  std::string programId;             ///< Empty outside programs.
+  /// Of the API key; absent when the request carries none, or several.
+  std::optional<tenant::ApiKeyDigest> apiKey;
+  std::string programId;  ///< Empty outside programs.
+  /// A header that may stand once stands twice: readers could disagree on what the request is.
+  bool hasConflictingHeaders = false;
   std::string sessionId;             ///< One line of turns; empty outside programs.
   std::string previousTurn;          ///< Turn that this one goes on from; empty at the start.
   std::string lastEventId;           ///< The client resumes a stream behind this event.
@@ -44,6 +49,7 @@
   Duration timeLeft;
   std::uint32_t priority = 5;  ///< 0 is the most urgent.
   std::string lastEventId;     ///< Resume behind this event; empty from the start.
+  std::string tenant;          ///< In whose name the request is made; empty: in nobody's.
   Duration connectTimeLimit = milliseconds(400);
 };
 
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "edge/exchange_shared.h"
+#include "tenant/authentication.h"
+#include "tenant/scoped_name.h"
 
 namespace gorsetrail::edge {
 namespace {
@@ -11,6 +13,7 @@
 constexpr unsigned kBudgetSpent = 402;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kGatewayTimeout = 504;
 
 }  // namespace
@@ -26,7 +29,7 @@
     refuse(kUnavailable, "stopping", context_.knobs.retryAfterStop);
     return;
   }
-  if (!findRoute()) {
+  if (!findRoute() || !authenticate()) {
     return;
   }
   writer_->observe({[self = shared_from_this()] { self->onClientGone(); }, {}});
@@ -55,11 +58,10 @@
   }
   route_ = context_.routes.match(request_.host, request_.path());
   if (route_ == nullptr) {
-    const Duration age = arrivedAt_ - context_.freshness.configurationHeardAt;
-    if (age > context_.knobs.configurationTrust) {
-      refuse(kUnavailable, "configuration_too_old", context_.knobs.retryAfterStore);
-    } else {
+    if (isConfigurationFresh()) {
       refuse(kNotFound, "no_route", Duration::zero());
+    } else {
+      refuse(kUnavailable, "configuration_too_old", context_.knobs.retryAfterStore);
     }
     return false;
   }
@@ -67,6 +69,10 @@
     refuse(kBadRequest, "no_request_id", Duration::zero());
     return false;
   }
+  if (request_.hasConflictingHeaders) {
+    refuse(kBadRequest, "conflicting_headers", Duration::zero());
+    return false;
+  }
   service_ = context_.routes.nextService(*route_);
   const auto service = configuration_->services.find(service_);
   if (service != configuration_->services.end() && service->second.engine) {
@@ -76,9 +82,35 @@
   return true;
 }
 
+bool Exchange::isConfigurationFresh() const {
+  const Duration age = arrivedAt_ - context_.freshness.configurationHeardAt;
+  return age <= context_.knobs.configurationTrust;
+}
+
+bool Exchange::authenticate() {
+  const tenant::Authentication decided =
+      tenant::authenticate(configuration_->tenants.get(), request_.apiKey,
+                           route_->authenticationExempt, isConfigurationFresh());
+  if (std::holds_alternative<tenant::Unauthenticated>(decided)) {
+    refuse(kUnauthorized, request_.apiKey ? "unknown_key" : "no_key", Duration::zero());
+    return false;
+  }
+  if (std::holds_alternative<tenant::AuthenticationUncertain>(decided)) {
+    refuse(kUnavailable, "configuration_too_old", context_.knobs.retryAfterStore);
+    return false;
+  }
+  tenant_ = std::get<tenant::Authenticated>(decided).tenant;
+  const std::string scope = tenant_ == nullptr ? std::string() : tenant_->name;
+  priority_ = tenant_ == nullptr ? route_->priority : tenant_->priority.value_or(route_->priority);
+  turnName_ = tenant::scopedName(scope, request_.requestId);
+  previousTurnName_ = tenant::scopedName(scope, request_.previousTurn);
+  programName_ = tenant::scopedName(scope, request_.programId);
+  return true;
+}
+
 bool Exchange::canKeepTurn() const {
   const bool keepsTurn = isStreaming() && route_->persisted;
-  return !keepsTurn || context_.ledger.takesTurn(request_.requestId);
+  return !keepsTurn || context_.ledger.takesTurn(turnName_);
 }
 
 bool Exchange::isStreaming() const { return route_->kind == routing::RouteKind::Streaming; }
@@ -99,7 +131,7 @@
     checkBudget();
     return;
   }
-  context_.ledger.findHistory(request_.previousTurn,
+  context_.ledger.findHistory(previousTurnName_,
                               [self = shared_from_this()](ledger::HistoryAnswer answer) {
                                 self->onHistory(std::move(answer));
                               });
@@ -127,12 +159,12 @@
     dispatch();
     return;
   }
-  const std::uint64_t known = context_.ledger.knownUse(request_.programId);
+  const std::uint64_t known = context_.ledger.knownUse(programName_);
   const std::uint64_t roomNeeded = request_.maximumTokens * context_.knobs.ampleBudgetTurns;
   const bool ample = known + roomNeeded <= *request_.tokenBudget;
   // While the budget is ample as far as is known, the reservation runs beside the dispatch. Where
   // reservations failed a moment ago, the home is asked first: it may hold a lease.
-  const bool likely = context_.ledger.takesReservation(request_.programId);
+  const bool likely = context_.ledger.takesReservation(programName_);
   reserve(!ample || !likely,
           likely ? timeLeft() - kAnswerMargin : context_.knobs.unlikelyReservationLimit);
   if (ample && likely && !ended_) {
@@ -144,10 +176,9 @@
   budget_ = BudgetState::Reserving;
   reservationMayStand_ = true;
   const Duration limit = std::max(Duration::zero(), std::min(longest, timeLeft() - kAnswerMargin));
-  const ledger::BudgetRequest wanted{
-      {request_.requestId, request_.programId, request_.maximumTokens},
-      *request_.tokenBudget,
-      request_.programTimeLeft};
+  const ledger::BudgetRequest wanted{{turnName_, programName_, request_.maximumTokens},
+                                     *request_.tokenBudget,
+                                     request_.programTimeLeft};
   context_.ledger.reserve(
       wanted, limit,
       [self = shared_from_this(), dispatchAfterwards](ledger::ReservationOutcome outcome) {
@@ -209,8 +240,8 @@
 void Exchange::settleBudget(std::uint64_t tokens) {
   if (reservationMayStand_) {
     reservationMayStand_ = false;
-    context_.ledger.settle({request_.requestId, request_.programId,
-                            std::min(tokens, std::max(request_.maximumTokens, tokens))});
+    context_.ledger.settle(
+        {turnName_, programName_, std::min(tokens, std::max(request_.maximumTokens, tokens))});
   }
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -35,6 +35,8 @@
 
   // Before the first dispatch.
   bool findRoute();
+  /// Finds out in whose name the request is made. \return whether it goes on.
+  bool authenticate();
   void findHistory();
   void onHistory(ledger::HistoryAnswer answer);
   void checkBudget();
@@ -82,6 +84,8 @@
   /// it was not told.
   [[nodiscard]] std::string programMillisecondsLeft() const;
   [[nodiscard]] Duration timeLeft() const;
+  /// \return whether what is not in the configuration in force is not in the newest one either.
+  [[nodiscard]] bool isConfigurationFresh() const;
   /// \return whether the turn can probably be stored now, if it has to be.
   [[nodiscard]] bool canKeepTurn() const;
   [[nodiscard]] bool isStreaming() const;
@@ -97,6 +101,12 @@
   std::optional<Instant> firstEventAt_;
   routing::ConfigurationPtr configuration_;  ///< Keeps `route_` alive.
   const routing::Route* route_ = nullptr;
+  const tenant::Tenant* tenant_ = nullptr;  ///< Null: in nobody's name. Lives as `route_` does.
+  std::uint32_t priority_ = 0;              ///< 0 is the most urgent.
+  // Names under which the ledger keeps the request, see `tenant::scopedName`.
+  std::string turnName_;
+  std::string previousTurnName_;
+  std::string programName_;
   std::string service_;
   std::uint64_t tokensPerEvent_ = 1;
   bool hasEngine_ = false;  ///< The service's replicas are model engines.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -13,8 +13,6 @@
 constexpr unsigned kServerError = 500;
 constexpr unsigned kFirstFailureStatus = 300;
 constexpr double kShareOfNewestAnswer = 0.2;
-/// Priorities of replicas go from 0 to this.
-constexpr std::uint32_t kLeastUrgent = 9;
 
 }  // namespace
 
@@ -22,7 +20,7 @@
   const bool keepsPrompts = hasEngine_ && !request_.programId.empty();
   routing::ReplicaQuery query;
   query.service = service_;
-  query.affinityKey = keepsPrompts ? request_.programId : request_.requestId;
+  query.affinityKey = keepsPrompts ? programName_ : turnName_;
   query.promptTokens = keepsPrompts ? request_.promptTokens : 0;
   query.tried = &tried_;
   query.isConnected = [this](const routing::Replica& replica) {
@@ -48,7 +46,7 @@
 }
 
 routing::WorkStage Exchange::stage() const {
-  const std::uint64_t known = context_.ledger.knownUse(request_.programId);
+  const std::uint64_t known = context_.ledger.knownUse(programName_);
   const double budget = static_cast<double>(request_.tokenBudget.value_or(0));
   if (budget > 0 && static_cast<double>(known) > context_.knobs.runawayShare * budget) {
     return routing::WorkStage::Runaway;
@@ -60,7 +58,7 @@
 bool Exchange::isAdmitted(const routing::Replica& replica) const {
   // What has begun anywhere goes on: turning it away would waste the work and promise too much.
   const bool canBeRefused = hasEngine_ && isStreaming() && !mayHaveRun_ && !streamBegun_;
-  return !canBeRefused || context_.admission.admits(replica, stage(), route_->priority);
+  return !canBeRefused || context_.admission.admits(replica, stage(), priority_);
 }
 
 void Exchange::send(const routing::ReplicaPtr& replica) {
@@ -82,8 +80,9 @@
   how.address = replica->entry.address;
   how.replicaId = replica->entry.id;
   how.timeLeft = timeLeft();
-  how.priority = std::min(route_->priority, kLeastUrgent);
+  how.priority = std::min(priority_, tenant::kLeastUrgentPriority);
   how.lastEventId = lastEventId_;
+  how.tenant = tenant_ == nullptr ? std::string() : tenant_->name;
   how.connectTimeLimit = context_.knobs.connectTimeLimit;
   context_.log.routine("dispatch", {{"request", request_.requestId},
                                     {"program", request_.programId},
@@ -305,7 +304,7 @@
   streamEnded_ = false;  // The end is on its way; `releaseOutput` must not start it again.
   const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
   context_.ledger.storeTurn(
-      {request_.requestId, request_.previousTurn, before_, ownInput_ + turnAddition_}, limit,
+      {turnName_, previousTurnName_, before_, ownInput_ + turnAddition_}, limit,
       [self = shared_from_this()](const logstore::StoreResult<Success>& stored) {
         self->onStored(stored);
       });
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "tenant/tenant_directory.h"
 
 namespace gorsetrail::routing {
 
@@ -41,6 +43,7 @@
   std::uint32_t maximumAttempts = 1;  ///< Replicas that one client attempt may run on.
   bool persisted = false;             ///< Finished turns are kept and may be continued.
   bool resumable = false;             ///< A stream may go on at another replica.
+  bool authenticationExempt = false;  ///< Requests need no API key.
 
   /// \return whether a request that may have run can be sent to another replica.
   [[nodiscard]] bool isIdempotent() const {
@@ -74,6 +77,8 @@
   std::vector<Route> routes;
   std::map<std::string, Service, std::less<>> services;
   ClientLimits limits;
+  /// Null: requests need no API key.
+  std::shared_ptr<const tenant::TenantDirectory> tenants;
 };
 
 }  // namespace gorsetrail::routing
--- /dev/null
+++ b/tests/edge/exchange_tenant_test.cpp
@@ -0,0 +1,136 @@
+// Requests of tenants: whose key, whose history, whose budget.
+#include "edge/exchange.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "edge/exchange_world.h"
+#include "tenant/api_key_hasher.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::edge;
+using namespace gorsetrail::edge::testing;
+
+TEST_GROUP(ExchangeTenant) {
+  ExchangeWorld world;
+  tenant::ApiKeyHasher hasher{tenant::ApiKeyHasher::Secret{3}};
+
+  void setup() override {
+    auto configuration = std::make_shared<routing::Configuration>(*world.routes.inForce());
+    configuration->version = routing::ConfigurationVersion(2);
+    routing::Route open = ExchangeWorld::route("open", routing::RouteKind::Safe, 1);
+    open.authenticationExempt = true;
+    configuration->routes.push_back(open);
+    tenant::Tenant alice{"alice", {hasher.digestOf("alice-key")}, 4, {}};
+    tenant::Tenant bob{"bob", {hasher.digestOf("bob-key")}, {}, {}};
+    auto made = tenant::TenantDirectory::make({alice, bob});
+    configuration->tenants =
+        std::make_shared<const tenant::TenantDirectory>(std::move(valueOf(made)));
+    world.routes.apply(configuration);
+  }
+  std::shared_ptr<ClientView> start(CallRequest call, const char* key) {
+    if (key != nullptr) {
+      call.apiKey = hasher.digestOf(key);
+    }
+    return world.start(std::move(call));
+  }
+  /// Plays a turn that a replica answers whole.
+  void answerTurn(const char* requestId, const char* key) {
+    CallRequest call = ExchangeWorld::turn("kept");
+    call.requestId = requestId;
+    const auto client = start(call, key);
+    world.timers.advance(milliseconds(100));
+    world.beginEvents();
+    world.call().body("id: 1\ndata: secret\n\n");
+    world.call().done();
+    world.timers.advance(milliseconds(500));
+    CHECK_TRUE(client->whole);
+  }
+};
+
+TEST(ExchangeTenant, refusesWhoeverHasNoKeyOrAnUnknownOne) {
+  LONGS_EQUAL(401, start(ExchangeWorld::request("safe"), nullptr)->status);
+  LONGS_EQUAL(401, start(ExchangeWorld::request("safe"), "made-up")->status);
+  LONGS_EQUAL(0, world.dispatches());
+}
+
+TEST(ExchangeTenant, cannotTellWithAnOldConfiguration) {
+  world.timers.advance(seconds(5));
+  LONGS_EQUAL(503, start(ExchangeWorld::request("safe"), "made-up")->status);
+  CHECK(!start(ExchangeWorld::request("safe"), "made-up")->retryAfter.empty());
+  LONGS_EQUAL(0, world.dispatches());
+  start(ExchangeWorld::request("safe"), "alice-key");
+  LONGS_EQUAL(1, world.dispatches());
+}
+
+TEST(ExchangeTenant, tellsTheReplicaTheTenantAndItsPriority) {
+  start(ExchangeWorld::request("safe"), "alice-key");
+  STRCMP_EQUAL("alice", world.call().headerOf("tenant").c_str());
+  STRCMP_EQUAL("4", world.call().headerOf("priority").c_str());
+  start(ExchangeWorld::request("safe"), "bob-key");
+  STRCMP_EQUAL("bob", world.call().headerOf("tenant").c_str());
+  STRCMP_EQUAL("1", world.call().headerOf("priority").c_str());
+}
+
+TEST(ExchangeTenant, servesExemptRoutesWithoutAKey) {
+  start(ExchangeWorld::request("open"), nullptr);
+  LONGS_EQUAL(1, world.dispatches());
+  STRCMP_EQUAL("", world.call().headerOf("tenant").c_str());
+}
+
+TEST(ExchangeTenant, aDroppedKeyStopsWithItsConfiguration) {
+  auto configuration = std::make_shared<routing::Configuration>(*world.routes.inForce());
+  configuration->version = routing::ConfigurationVersion(3);
+  auto made = tenant::TenantDirectory::make({tenant::Tenant{"alice", {}, {}, {}}});
+  configuration->tenants =
+      std::make_shared<const tenant::TenantDirectory>(std::move(valueOf(made)));
+  world.routes.apply(configuration);
+  LONGS_EQUAL(401, start(ExchangeWorld::request("safe"), "alice-key")->status);
+}
+
+TEST(ExchangeTenant, anotherTenantsTurnIsAnsweredLikeOneThatNeverWas) {
+  answerTurn("t1", "alice-key");
+  const std::size_t before = world.dispatches();
+  CallRequest theft = ExchangeWorld::turn("kept");
+  theft.requestId = "t2";
+  theft.previousTurn = "t1";
+  const auto thief = start(theft, "bob-key");
+  CallRequest guess = ExchangeWorld::turn("kept");
+  guess.requestId = "t3";
+  guess.previousTurn = "never-was";
+  const auto guesser = start(guess, "bob-key");
+  world.timers.advance(milliseconds(500));
+  LONGS_EQUAL(404, thief->status);
+  LONGS_EQUAL(404, guesser->status);
+  STRCMP_EQUAL(guesser->body.c_str(), thief->body.c_str());
+  LONGS_EQUAL(before, world.dispatches());
+}
+
+TEST(ExchangeTenant, itsOwnTurnGoesOn) {
+  answerTurn("t1", "alice-key");
+  CallRequest next = ExchangeWorld::turn("kept");
+  next.requestId = "t2";
+  next.previousTurn = "t1";
+  start(next, "alice-key");
+  world.timers.advance(milliseconds(500));
+  STRCMP_EQUAL("inputsecret\ninput", world.call().request.body.c_str());
+}
+
+TEST(ExchangeTenant, twoTenantsWithOneProgramIdHaveTwoBudgets) {
+  CallRequest call = ExchangeWorld::turn("kept");
+  call.tokenBudget = 300;
+  start(call, "alice-key");
+  world.timers.advance(milliseconds(500));
+  call.requestId = "q2";
+  const auto own = start(call, "alice-key");
+  const auto other = start(call, "bob-key");
+  world.timers.advance(milliseconds(500));
+  LONGS_EQUAL(402, own->status);
+  CHECK(other->status != 402);
+}
+
+TEST(ExchangeTenant, refusesHeadsThatTwoReadersCouldReadDifferently) {
+  CallRequest call = ExchangeWorld::request("safe");
+  call.hasConflictingHeaders = true;
+  LONGS_EQUAL(400, start(call, "alice-key")->status);
+  LONGS_EQUAL(0, world.dispatches());
+}
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -26,7 +26,9 @@
     sent.body = request.body;
     sent.headers = {{"left", std::to_string(dispatch.timeLeft.count() / 1000)},
                     {"expect", dispatch.replicaId},
-                    {"after", dispatch.lastEventId}};
+                    {"after", dispatch.lastEventId},
+                    {"tenant", dispatch.tenant},
+                    {"priority", std::to_string(dispatch.priority)}};
     return sent;
   }
   ReplicaHead readReplicaHead(unsigned status,
--- a/tests/lab_platform/edge_day_test.cpp
+++ b/tests/lab_platform/edge_day_test.cpp
@@ -79,8 +79,9 @@
   http::HttpClientPtr replicaClient_;
   http::HttpClientPtr peerClient_;
   platform::StoreCalls store_;
-  platform::HeadAdapter heads_;
-  platform::JsonDocumentAdapter documents_;
+  tenant::ApiKeyHasher hasher_{tenant::ApiKeyHasher::Secret{1}};
+  platform::HeadAdapter heads_{hasher_};
+  platform::JsonDocumentAdapter documents_{hasher_};
   edge::EdgeSettings settings_;
   std::unique_ptr<edge::EdgeDaemon> daemon_;
 };
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -20,7 +20,10 @@
 
 }  // namespace
 
-TEST_GROUP(Documents) { JsonDocumentAdapter adapter; };
+TEST_GROUP(Documents) {
+  tenant::ApiKeyHasher hasher{tenant::ApiKeyHasher::Secret{5}};
+  JsonDocumentAdapter adapter{hasher};
+};
 
 TEST(Documents, readsAConfiguration) {
   const auto read = adapter.readConfiguration(kConfiguration);
@@ -55,3 +58,35 @@
   STRCMP_EQUAL("10.0.0.9:8080", valueOf(read).address.c_str());
   CHECK_FALSE(succeeded(adapter.readReplicaEntry("i-1", "{}")));
 }
+
+TEST(Documents, readsTenantsWithoutKeepingTheirKeys) {
+  const auto read = adapter.readConfiguration(
+      R"({"version":7,"routes":[],"services":[],"tenants":[
+          {"name":"hule930","apiKeys":["first","second"],"priority":1,"ratePerS":381,"burst":40},
+          {"name":"open","apiKeys":["third"]}]})");
+  const auto& tenants = valueOf(read).tenants;
+  const tenant::Tenant* const found = tenants->holderOf(hasher.digestOf("second"));
+  STRCMP_EQUAL("hule930", found->name.c_str());
+  LONGS_EQUAL(1, *found->priority);
+  DOUBLES_EQUAL(381, found->quota.requestsPerSecond, 0.001);
+  DOUBLES_EQUAL(40, found->quota.burst, 0.001);
+  const tenant::Tenant* const open = tenants->holderOf(hasher.digestOf("third"));
+  CHECK_FALSE(open->quota.isLimited());
+  CHECK_FALSE(open->priority.has_value());
+}
+
+TEST(Documents, asksForNoKeysWithoutTenantsAndForKeysWithAnEmptyList) {
+  const auto without = adapter.readConfiguration(R"({"version":1,"routes":[],"services":[]})");
+  CHECK(valueOf(without).tenants == nullptr);
+  const auto empty =
+      adapter.readConfiguration(R"({"version":1,"routes":[],"services":[],"tenants":[]})");
+  CHECK(valueOf(empty).tenants != nullptr);
+}
+
+TEST(Documents, refusesAConfigurationWithContradictingTenantsWhole) {
+  const auto read = adapter.readConfiguration(
+      R"({"version":7,"routes":[],"services":[],"tenants":[
+          {"name":"a","apiKeys":["shared-key"]},{"name":"b","apiKeys":["shared-key"]}]})");
+  CHECK_FALSE(succeeded(read));
+  CHECK(errorOf(read).toText().find("shared-key") == std::string::npos);
+}
--- a/tests/platform/heads_test.cpp
+++ b/tests/platform/heads_test.cpp
@@ -1,6 +1,9 @@
 // Requests and answers in the platform's words.
 #include "platform/heads.h"
 
+#include <algorithm>
+#include <cctype>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
@@ -36,7 +39,10 @@
 
 }  // namespace
 
-TEST_GROUP(Heads) { HeadAdapter adapter; };
+TEST_GROUP(Heads) {
+  tenant::ApiKeyHasher hasher{tenant::ApiKeyHasher::Secret{5}};
+  HeadAdapter adapter{hasher};
+};
 
 TEST(Heads, readsATurn) {
   const edge::CallRequest call = adapter.readRequest(turn());
@@ -99,3 +105,66 @@
   STRCMP_EQUAL(R"({"addresses":["10.1.0.38:8149"],"ttlS":1.0})",
                adapter.makeDirectoryAnswer({"10.1.0.38:8149"}, 1.0).body.c_str());
 }
+
+TEST(Heads, handsNothingOnThatOnlyTheSystemSets) {
+  const char* const systemHeaders[] = {"Gorsetrail-Deadline-Ms",
+                                       "Gorsetrail-Expect-Instance",
+                                       "Gorsetrail-Expect-Version",
+                                       "Gorsetrail-Request-Priority",
+                                       "Gorsetrail-Key",
+                                       "Gorsetrail-Tenant",
+                                       "Gorsetrail-Hold",
+                                       "Gorsetrail-Pin-Ms",
+                                       "Gorsetrail-Kv-Backup",
+                                       "Kv-From",
+                                       "Kv-Fetch",
+                                       "Last-Event-Id"};
+  for (const std::string name : systemHeaders) {
+    std::string lower = name;
+    std::string upper = name;
+    std::transform(name.begin(), name.end(), lower.begin(), ::tolower);
+    std::transform(name.begin(), name.end(), upper.begin(), ::toupper);
+    http::ServerRequest request = turn();
+    for (const std::string& spelled : {name, lower, upper, name}) {
+      request.headers.push_back({spelled, "forged"});
+    }
+    edge::Dispatch dispatch;
+    dispatch.replicaId = "i-1";
+    const edge::CallRequest call = adapter.readRequest(std::move(request));
+    for (const http::Header& sent : adapter.makeReplicaRequest(call, dispatch).headers) {
+      CHECK_TEXT(sent.value != "forged" || sent.name == "Last-Event-Id", name.c_str());
+    }
+  }
+}
+
+TEST(Heads, namesTheTenantToTheReplicaAndNeverShowsTheKey) {
+  http::ServerRequest request = turn();
+  request.headers.push_back({"gorsetrail-key", "the-key"});
+  request.headers.push_back({"Gorsetrail-Tenant", "another"});
+  const edge::CallRequest call = adapter.readRequest(std::move(request));
+  CHECK(call.apiKey->bytes == hasher.digestOf("the-key").bytes);
+  edge::Dispatch dispatch;
+  dispatch.tenant = "holder";
+  const http::Request sent = adapter.makeReplicaRequest(call, dispatch);
+  STRCMP_EQUAL("holder", headerOf(sent.headers, "Gorsetrail-Tenant").c_str());
+  for (const http::Header& header : sent.headers) {
+    CHECK(header.value.find("the-key") == std::string::npos);
+  }
+}
+
+TEST(Heads, twoKeysAreNoKey) {
+  http::ServerRequest request = turn();
+  request.headers.push_back({"Gorsetrail-Key", "one"});
+  request.headers.push_back({"GORSETRAIL-KEY", "one"});
+  CHECK_FALSE(adapter.readRequest(std::move(request)).apiKey.has_value());
+}
+
+TEST(Heads, noticesHeadersThatMayStandOnlyOnce) {
+  CHECK_FALSE(adapter.readRequest(turn()).hasConflictingHeaders);
+  for (const char* name : {"host", "Gorsetrail-Request-Id", "GORSETRAIL-PROGRAM-ID",
+                           "Gorsetrail-Previous-Turn", "Gorsetrail-Token-Budget"}) {
+    http::ServerRequest request = turn();
+    request.headers.push_back({name, "another"});
+    CHECK_TRUE_TEXT(adapter.readRequest(std::move(request)).hasConflictingHeaders, name);
+  }
+}
