--- a/spec/check.sh
+++ b/spec/check.sh
@@ -6,7 +6,7 @@
 readonly here="$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)"
 readonly memory_mebibytes=2000
 readonly search_seconds=120
-readonly search_depth=100000
+readonly search_depth=1000000
 work="$(mktemp -d)"
 trap 'rm -rf "${work}"' EXIT
 
@@ -100,5 +100,11 @@
   is_caught budget_lease "${mutant}"
 done
 
+holds quota
+for mutant in COUNTED_FROM_REPLY LENT_TO_ANOTHER_BEFORE_END LENT_AT_ONCE_AFTER_RESTART \
+  OLD_ROUND_COUNTS SPENT_WHILE_LENT OLD_END_COUNTS COUNTED_AFTER_END; do
+  is_caught quota "${mutant}"
+done
+
 echo "${#held[@]} models hold, ${caught} mutants caught"
 exit $((failures > 0))
--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -17,7 +17,7 @@
 };
 /// Reasons of `request_ended` lines by what an operator looks at; the first prefix that fits
 /// counts.
-constexpr std::array<CauseOfReason, 17> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 22> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
@@ -33,7 +33,12 @@
                                                     {"no_configuration", "configuration"},
                                                     {"configuration", "configuration"},
                                                     {"no_route", "configuration"},
-                                                    {"unknown_turn", "unknown_turn"}}};
+                                                    {"unknown_turn", "unknown_turn"},
+                                                    {"over_quota", "over_quota"},
+                                                    {"quota_unknown", "quota_undecided"},
+                                                    {"unknown_key", "key"},
+                                                    {"no_key", "key"},
+                                                    {"conflicting_headers", "malformed"}}};
 
 std::uint64_t numberOf(const LogLine& line, std::string_view key) {
   const std::string text = line.fieldOf(key);
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -10,6 +10,7 @@
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
 #include "ledger/ledger.h"
+#include "quota/quota_admission.h"
 #include "routing/admission_policy.h"
 #include "routing/replica_selector.h"
 #include "routing/replica_table.h"
@@ -68,6 +69,7 @@
   routing::ReplicaSelector& selector;
   const routing::AdmissionPolicy& admission;
   ledger::Ledger& ledger;
+  quota::QuotaAdmission& quota;
   http::HttpClient& client;
   services::TimerService& timers;
   std::function<Instant()> clock;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -114,13 +114,11 @@
       loadExchange_(
           context, {}, seed,
           [this](routing::LoadDigest digest) { fleetLoad_.onDigest(std::move(digest), clock_()); }),
-      context_{parts.wire,   routes_,
-               replicas_,    selector_,
-               admission_,   ledger_,
-               parts.client, *timers_,
-               clock_,       log_,
-               metrics_,     {},
-               {},           exchangeKnobsOf(settings_)} {}
+      quotaExchange_(context, *timers_, clock_, quotaSources(), seed),
+      staticShares_([this] { return quotaExchange_.ownShare(); }, clock_),
+      context_{parts.wire, routes_,      replicas_,    selector_, admission_,
+               ledger_,    quotaInUse(), parts.client, *timers_,  clock_,
+               log_,       metrics_,     {},           {},        exchangeKnobsOf(settings_)} {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
 
@@ -139,6 +137,24 @@
   return knobs;
 }
 
+QuotaSources EdgeDaemon::quotaSources() {
+  QuotaSources sources;
+  sources.candidates = [this]() -> const std::vector<ledger::HomeCandidate>& {
+    return ledgerHomes();
+  };
+  sources.members = [this] { return members_.relayAddresses(); };
+  sources.memberCount = [this] { return membersListed_ ? members_.size() : 0; };
+  sources.tenants = [this] { return routes_.inForce() ? routes_.inForce()->tenants : nullptr; };
+  return sources;
+}
+
+quota::QuotaAdmission& EdgeDaemon::quotaInUse() {
+  if (settings_.uses(Mechanism::QuotaTokens)) {
+    return quotaExchange_;
+  }
+  return staticShares_;
+}
+
 Result<Success> EdgeDaemon::start() {
   auto listening = listen();
   if (!succeeded(listening)) {
@@ -269,6 +285,14 @@
   figures.reservationsUncertain = budgets.uncertain;
   figures.grantsUnrecorded = localLedger_.unrecordedGrants();
   figures.storeThroughRelay = failoverStore_.isDirect() ? 0 : 1;
+  const quota::QuotaCounters quotas = quotaExchange_.counters();
+  figures.quotaGrantedAtOnce = quotas.grantedAtOnce;
+  figures.quotaGrantedAfterAsking = quotas.grantedAfterAsking;
+  figures.quotaGrantedFromOwnShare = quotas.grantedFromOwnShare;
+  figures.quotaOverLimit = quotas.overLimit;
+  figures.quotaUnknown = quotas.unknown;
+  figures.quotaTokenRequests = quotas.tokenRequests;
+  figures.quotaTokenReplies = quotas.tokenReplies;
   figures.dispatches = context_.counters.dispatches;
   figures.retries = context_.counters.retries;
   figures.resumes = context_.counters.resumes;
@@ -372,6 +396,7 @@
   onStopped_ = std::move(onStopped);
   log_.important("stop_begun", {{"open_requests", clientServer_->counters().responsesOpen}});
   announce(true);
+  quotaExchange_.endCoordination();
   clientServer_->beginDrain(http::IdleConnections::Keep);
   checkStopped();
 }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -17,6 +17,7 @@
 #include "edge/member_announcer.h"
 #include "edge/member_table.h"
 #include "edge/peer_monitor.h"
+#include "edge/quota_exchange.h"
 #include "edge/shared_topic_store.h"
 #include "edge/store_relay.h"
 #include "edge/wire_adapter.h"
@@ -26,6 +27,7 @@
 #include "logstore/failover_store.h"
 #include "logstore/keyed_topic_follower.h"
 #include "logstore/log_store.h"
+#include "quota/static_shares.h"
 #include "routing/fleet_load.h"
 
 namespace gorsetrail::edge {
@@ -102,6 +104,8 @@
   [[nodiscard]] std::vector<std::string> otherRelays() const;
   /// \return nodes that may be homes of the ledger's partitions; none before the first list.
   [[nodiscard]] const std::vector<ledger::HomeCandidate>& ledgerHomes();
+  [[nodiscard]] QuotaSources quotaSources();
+  [[nodiscard]] quota::QuotaAdmission& quotaInUse();
   void onStoreWay(logstore::StoreWay way);
   void onPeerState(const std::string& ip, membership::MemberState state);
   Result<Success> listenForPeers();
@@ -135,6 +139,8 @@
   routing::AdmissionPolicy admission_;
   routing::FleetLoad fleetLoad_;
   LoadExchange loadExchange_;
+  QuotaExchange quotaExchange_;
+  quota::StaticShares staticShares_;
   EdgeContext context_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -34,7 +34,12 @@
     return loads;
   }
   constexpr std::uint16_t kProbePortOffset = 2;  // After store and ledger calls, and loads.
-  return peerMonitor_.listen(settings_.ip, settings_.firstInternalPort + kProbePortOffset);
+  auto probes = peerMonitor_.listen(settings_.ip, settings_.firstInternalPort + kProbePortOffset);
+  if (!succeeded(probes)) {
+    return probes;
+  }
+  constexpr std::uint16_t kQuotaPortOffset = 3;
+  return quotaExchange_.listen(settings_.ip, settings_.firstInternalPort + kQuotaPortOffset);
 }
 
 void EdgeDaemon::onPeerState(const std::string& ip, membership::MemberState state) {
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -42,6 +42,18 @@
   list.gauge("grants_unrecorded", "Grants ahead of their records", snapshot.grantsUnrecorded);
 }
 
+void addQuotas(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("quota_decisions_total", "Requests of limited tenants by decision",
+              MetricType::Counter);
+  list.add(snapshot.quotaGrantedAtOnce, {{"decision", "granted_at_once"}});
+  list.add(snapshot.quotaGrantedAfterAsking, {{"decision", "granted_after_asking"}});
+  list.add(snapshot.quotaGrantedFromOwnShare, {{"decision", "granted_from_own_share"}});
+  list.add(snapshot.quotaOverLimit, {{"decision", "over_limit"}});
+  list.add(snapshot.quotaUnknown, {{"decision", "unknown"}});
+  list.counter("quota_token_requests_total", "To coordinators", snapshot.quotaTokenRequests);
+  list.counter("quota_token_replies_total", "As a coordinator", snapshot.quotaTokenReplies);
+}
+
 void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("replicas", "Registered replicas", snapshot.replicas);
   list.gauge("members", "Nodes believed alive", snapshot.members);
@@ -126,6 +138,7 @@
   list.counter("resumes_total", "Streams that went on after a cut", snapshot.resumes);
   addStore(list, snapshot);
   addLedger(list, snapshot);
+  addQuotas(list, snapshot);
   addBeliefs(list, snapshot);
   list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
                snapshot.logLinesLeftOut);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -26,8 +26,15 @@
   std::uint64_t reservationsGrantedAhead = 0;  ///< Under a lease of this node.
   std::uint64_t reservationsGrantedByLog = 0;  ///< Decided at this node.
   std::uint64_t reservationsSpent = 0;
-  std::uint64_t reservationsUncertain = 0;  ///< An earlier home may have spent the rest.
-  std::uint64_t grantsUnrecorded = 0;       ///< Gauge: granted ahead, not yet in the store.
+  std::uint64_t reservationsUncertain = 0;    ///< An earlier home may have spent the rest.
+  std::uint64_t grantsUnrecorded = 0;         ///< Gauge: granted ahead, not yet in the store.
+  std::uint64_t quotaGrantedAtOnce = 0;       ///< From tokens at hand.
+  std::uint64_t quotaGrantedAfterAsking = 0;  ///< From tokens that a coordinator was asked for.
+  std::uint64_t quotaGrantedFromOwnShare = 0;
+  std::uint64_t quotaOverLimit = 0;
+  std::uint64_t quotaUnknown = 0;        ///< Nobody could decide.
+  std::uint64_t quotaTokenRequests = 0;  ///< To coordinators.
+  std::uint64_t quotaTokenReplies = 0;   ///< As a coordinator.
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -14,6 +14,7 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kGatewayTimeout = 504;
 
 }  // namespace
@@ -47,7 +48,41 @@
     refuse(kUnavailable, "store_not_answering", context_.knobs.retryAfterOutage);
     return;
   }
-  findHistory();
+  checkQuota();
+}
+
+void Exchange::checkQuota() {
+  if (tenant_ == nullptr || !tenant_->quota.isLimited()) {
+    findHistory();
+    return;
+  }
+  // Tools are called by programs that have begun.
+  const bool begins = isStreaming() && stage() == routing::WorkStage::FirstTurn;
+  context_.quota.admit(
+      *tenant_, begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun,
+      [self = shared_from_this()](quota::QuotaDecision decision) { self->onQuota(decision); });
+}
+
+void Exchange::onQuota(quota::QuotaDecision decision) {
+  holdsQuotaToken_ = decision.verdict == quota::QuotaVerdict::Granted;
+  if (ended_) {
+    giveQuotaTokenBack();
+    return;
+  }
+  if (decision.verdict == quota::QuotaVerdict::OverLimit) {
+    refuse(kTooManyRequests, "over_quota", decision.retryAfter);
+  } else if (decision.verdict == quota::QuotaVerdict::Unknown) {
+    refuse(kUnavailable, "quota_unknown", decision.retryAfter);
+  } else {
+    findHistory();
+  }
+}
+
+void Exchange::giveQuotaTokenBack() {
+  if (holdsQuotaToken_ && !firstDispatchAt_) {
+    context_.quota.giveBack(tenant_->name);
+  }
+  holdsQuotaToken_ = false;
 }
 
 bool Exchange::findRoute() {
@@ -311,6 +346,7 @@
 
 void Exchange::end(std::string_view outcome, std::string_view reason) {
   ended_ = true;
+  giveQuotaTokenBack();
   const std::string programLeft = programMillisecondsLeft();
   // Programs that are late are looked into like failures.
   const bool well = outcome == "answered" && programLeft != "0";
@@ -321,6 +357,7 @@
       {"request", request_.requestId},
       {"program", request_.programId},
       {"route", route},
+      {"tenant", tenant_ == nullptr ? std::string_view() : std::string_view(tenant_->name)},
       {"outcome", outcome},
       {"reason", reason},
       {"status", std::uint64_t{head_.status}},
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -15,12 +15,13 @@
 namespace gorsetrail::edge {
 
 /// Order of steps, and why it is safe:
-/// 1. the history of the turn is found in the log, so that a replica gets the whole chain;
-/// 2. the budget is reserved. The request may be dispatched meanwhile, but no event is released
+/// 1. the tenant's limit is asked first: a refusal then has cost nothing else;
+/// 2. the history of the turn is found in the log, so that a replica gets the whole chain;
+/// 3. the budget is reserved. The request may be dispatched meanwhile, but no event is released
 ///    before the reservation stands in the log: so tokens handed out are always reserved;
-/// 3. "not run" is answered only while no byte has reached a replica, or after the replica's own
+/// 4. "not run" is answered only while no byte has reached a replica, or after the replica's own
 ///    promise; after a broken connection only idempotent requests go on;
-/// 4. a persisted turn is stored before the end of its answer is released: a client that saw the
+/// 5. a persisted turn is stored before the end of its answer is released: a client that saw the
 ///    end finds the turn at every node, whatever fails.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
@@ -37,6 +38,10 @@
   bool findRoute();
   /// Finds out in whose name the request is made. \return whether it goes on.
   bool authenticate();
+  void checkQuota();
+  void onQuota(quota::QuotaDecision decision);
+  /// The request was not sent to any replica: its token may serve another one.
+  void giveQuotaTokenBack();
   void findHistory();
   void onHistory(ledger::HistoryAnswer answer);
   void checkBudget();
@@ -114,6 +119,7 @@
   ledger::History before_;  ///< What the turn goes on from.
   BudgetState budget_ = BudgetState::NotNeeded;
   bool reservationMayStand_ = false;
+  bool holdsQuotaToken_ = false;
 
   // The dispatch under way.
   routing::ReplicaPtr replica_;
--- a/src/edge/mechanisms.cpp
+++ b/src/edge/mechanisms.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 using NamedMechanism = std::pair<Mechanism, std::string_view>;
-constexpr std::array<NamedMechanism, 14> kMechanisms = {
+constexpr std::array<NamedMechanism, 15> kMechanisms = {
     {{Mechanism::BudgetLeases, "budget_leases"},
      {Mechanism::PromptAffinity, "prompt_affinity"},
      {Mechanism::LoadDigests, "load_digests"},
@@ -22,7 +22,8 @@
      {Mechanism::SecondPartitions, "second_partitions"},
      {Mechanism::HedgedStoreCalls, "hedged_store_calls"},
      {Mechanism::PeerProbes, "peer_probes"},
-     {Mechanism::TopicGateways, "topic_gateways"}}};
+     {Mechanism::TopicGateways, "topic_gateways"},
+     {Mechanism::QuotaTokens, "quota_tokens"}}};
 
 Error unknownName(std::string_view name) {
   std::string all;
--- a/src/edge/mechanisms.h
+++ b/src/edge/mechanisms.h
@@ -25,6 +25,7 @@
   HedgedStoreCalls,   ///< A second try runs beside a store call that takes longer than usual.
   PeerProbes,         ///< Nodes that do not answer probes are left out before their records end.
   TopicGateways,      ///< One node of a zone reads followed topics for the others.
+  QuotaTokens,        ///< Limits are kept by coordinators' tokens, not by equal static shares.
 };
 
 using MechanismSet = std::set<Mechanism>;
--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -56,6 +56,16 @@
   return freshAt_ - entry.heardAt < silence && !isSilent_(key);
 }
 
+std::vector<std::string> MemberTable::relayAddresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [key, entry] : members_) {
+    if (!entry.record.relayAddress.empty()) {
+      addresses.push_back(entry.record.relayAddress);
+    }
+  }
+  return addresses;
+}
+
 std::vector<std::string> MemberTable::dropForgotten() {
   std::vector<std::string> forgotten;
   for (const auto& [key, entry] : members_) {
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -63,6 +63,10 @@
   /// \return whether the node was not known as serving before, or is no longer.
   bool onRecord(const std::string& key, const MemberRecord& record, Instant now);
   void remove(const std::string& key) { members_.erase(key); }
+  /// \return nodes that are listed, silent and leaving ones included.
+  [[nodiscard]] std::size_t size() const { return members_.size(); }
+  /// \return the relay addresses of all listed nodes.
+  [[nodiscard]] std::vector<std::string> relayAddresses() const;
   /// Forgets nodes that were silent for `forgetAfter`. \return their keys.
   std::vector<std::string> dropForgotten();
   /// Records could be read at this moment: who was silent until then counts as dead.
--- /dev/null
+++ b/src/edge/quota_exchange.cpp
@@ -0,0 +1,131 @@
+#include "edge/quota_exchange.h"
+
+#include <utility>
+
+namespace gorsetrail::edge {
+namespace {
+
+/// Between two looks at what is due without waiting requests; a sixth of a lend round.
+constexpr Duration kTick = milliseconds(50);
+/// While requests wait for tokens; a fifth of the time limit of a reply.
+constexpr Duration kWaitingTick = milliseconds(10);
+/// Coordinators change with a node's end or start, which probes tell a second later; choosing among
+/// all members for each request would cost more than asking.
+constexpr Duration kCoordinatorsRefresh = milliseconds(50);
+/// Names the partitions in the rendezvous hash.
+constexpr char kQuotaTopic[] = "quota";
+
+}  // namespace
+
+QuotaExchange::QuotaExchange(boost::asio::io_context& context, services::TimerService& timers,
+                             std::function<Instant()> clock, QuotaSources sources,
+                             std::uint64_t life)
+    : timers_(timers),
+      clock_(std::move(clock)),
+      sources_(std::move(sources)),
+      life_(life),
+      socket_(context, [this](const DatagramSocket::Endpoint& sender, std::string_view bytes) {
+        auto message = quota::decodeQuotaMessage(bytes);
+        if (succeeded(message)) {
+          const std::string from =
+              sender.address().to_string() + ":" + std::to_string(sender.port());
+          service_->onMessage(from, valueOf(message));
+        }
+      }) {}
+
+Result<Success> QuotaExchange::listen(const std::string& ip, std::uint16_t port) {
+  portSuffix_ = ":" + std::to_string(port);
+  service_ = std::make_unique<quota::QuotaService>(*this, quota::QuotaKnobs{}, ip + portSuffix_,
+                                                   life_, clock_);
+  auto listening = socket_.listen(ip + portSuffix_);
+  if (succeeded(listening)) {
+    tickLoop();
+  }
+  return listening;
+}
+
+void QuotaExchange::tickLoop() {
+  service_->onTick();
+  timers_.runAfter(kTick, [this] { tickLoop(); });
+}
+
+void QuotaExchange::waitingLoop() {
+  looksAfterWaiting_ = service_->hasWaiting();
+  if (looksAfterWaiting_) {
+    timers_.runAfter(kWaitingTick, [this] {
+      service_->onTick();
+      waitingLoop();
+    });
+  }
+}
+
+void QuotaExchange::admit(const tenant::Tenant& tenant, quota::ProgramStage stage,
+                          Callback callback) {
+  if (!service_) {
+    // Without internal ports there is one node alone: nobody shares the limit with it.
+    callback({quota::QuotaVerdict::Granted, Duration::zero()});
+    return;
+  }
+  service_->admit(tenant, stage, std::move(callback));
+  if (!looksAfterWaiting_) {
+    waitingLoop();
+  }
+}
+
+void QuotaExchange::giveBack(const std::string& tenant) {
+  if (service_) {
+    service_->giveBack(tenant);
+  }
+}
+
+void QuotaExchange::endCoordination() {
+  if (service_) {
+    service_->endCoordination();
+  }
+}
+
+quota::QuotaCounters QuotaExchange::counters() const {
+  return service_ ? service_->counters() : quota::QuotaCounters{};
+}
+
+std::string QuotaExchange::quotaAddressOf(const std::string& relayAddress) const {
+  return relayAddress.substr(0, relayAddress.rfind(':')) + portSuffix_;
+}
+
+std::vector<std::string> QuotaExchange::coordinatorsOf(std::uint32_t partition) const {
+  const Instant now = clock_();
+  Coordinators& known = coordinators_[partition];
+  if (known.chosenAt != Instant{} && now - known.chosenAt < kCoordinatorsRefresh) {
+    return known.addresses;
+  }
+  known.chosenAt = now;
+  known.addresses.clear();
+  for (const std::string& relay :
+       selector_.homesOf({kQuotaTopic, partition}, {}, sources_.candidates(), now)) {
+    known.addresses.push_back(quotaAddressOf(relay));
+  }
+  return known.addresses;
+}
+
+std::vector<std::string> QuotaExchange::members() const {
+  std::vector<std::string> addresses;
+  for (const std::string& relay : sources_.members()) {
+    addresses.push_back(quotaAddressOf(relay));
+  }
+  return addresses;
+}
+
+double QuotaExchange::ownShare() const {
+  const std::size_t count = sources_.memberCount();
+  return count == 0 ? 0.0 : 1.0 / static_cast<double>(count);
+}
+
+std::shared_ptr<const tenant::TenantDirectory> QuotaExchange::tenants() const {
+  return sources_.tenants();
+}
+
+void QuotaExchange::send(const std::string& to, const quota::QuotaMessage& message) {
+  socket_.send(to, quota::encodeQuotaMessage(message));
+}
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/quota/quota_message.cpp
@@ -0,0 +1,96 @@
+#include "quota/quota_message.h"
+
+#include <cmath>
+
+#include "quota/generated/quota_message_generated.h"
+
+namespace gorsetrail::quota {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+template <class Offset>
+std::string finish(Builder& builder, fbs::Message type, Offset message) {
+  fbs::FinishEnvelopeBuffer(builder, fbs::CreateEnvelope(builder, type, message.Union()));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::string encode(const LendRequest& request) {
+  Builder builder;
+  return finish(builder, fbs::Message::LendRequest,
+                fbs::CreateLendRequest(builder, request.partition, request.round));
+}
+
+std::string encode(const LendReply& reply) {
+  Builder builder;
+  return finish(builder, fbs::Message::LendReply,
+                fbs::CreateLendReply(builder, reply.partition, reply.round, reply.share));
+}
+
+std::string encode(const LendEnd& end) {
+  Builder builder;
+  return finish(builder, fbs::Message::LendEnd,
+                fbs::CreateLendEnd(builder, end.partition, end.round));
+}
+
+std::string encode(const TokenRequest& request) {
+  Builder builder;
+  const auto tenant = builder.CreateString(request.tenant);
+  return finish(builder, fbs::Message::TokenRequest,
+                fbs::CreateTokenRequest(builder, request.number, tenant, request.forBegun,
+                                        request.forBeginning, request.returned, request.grantor));
+}
+
+std::string encode(const TokenReply& reply) {
+  Builder builder;
+  return finish(
+      builder, fbs::Message::TokenReply,
+      fbs::CreateTokenReply(builder, reply.number, reply.decided, reply.granted, reply.isAmple,
+                            static_cast<std::uint64_t>(reply.retryAfter.count()),
+                            static_cast<std::uint64_t>(reply.usableAfter.count()), reply.grantor));
+}
+
+Error invalidMessage() {
+  return {ErrorKind::InvalidFrame, "quota message", "the bytes are no such message",
+          "run the same version on every node"};
+}
+
+}  // namespace
+
+std::string encodeQuotaMessage(const QuotaMessage& message) {
+  return std::visit([](const auto& one) { return encode(one); }, message);
+}
+
+Result<QuotaMessage> decodeQuotaMessage(std::string_view bytes) {
+  const auto* const begin = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(begin, bytes.size());
+  if (!fbs::VerifyEnvelopeBuffer(verifier)) {
+    return invalidMessage();
+  }
+  const fbs::Envelope* const envelope = fbs::GetEnvelope(begin);
+  if (const auto* const read = envelope->message_as_LendRequest()) {
+    return QuotaMessage{LendRequest{read->partition(), read->round()}};
+  }
+  if (const auto* const read = envelope->message_as_LendReply()) {
+    const bool isShare = std::isfinite(read->share()) && read->share() >= 0 && read->share() <= 1;
+    return isShare ? Result<QuotaMessage>(
+                         QuotaMessage{LendReply{read->partition(), read->round(), read->share()}})
+                   : Result<QuotaMessage>(invalidMessage());
+  }
+  if (const auto* const read = envelope->message_as_LendEnd()) {
+    return QuotaMessage{LendEnd{read->partition(), read->round()}};
+  }
+  if (const auto* const read = envelope->message_as_TokenRequest()) {
+    return QuotaMessage{TokenRequest{read->number(), read->tenant()->str(), read->for_begun(),
+                                     read->for_beginning(), read->returned(), read->grantor()}};
+  }
+  if (const auto* const read = envelope->message_as_TokenReply()) {
+    return QuotaMessage{
+        TokenReply{read->number(), read->decided(), read->granted(), read->is_ample(),
+                   Duration(static_cast<Duration::rep>(read->retry_after_us())),
+                   Duration(static_cast<Duration::rep>(read->usable_after_us())), read->grantor()}};
+  }
+  return invalidMessage();
+}
+
+}  // namespace gorsetrail::quota
--- /dev/null
+++ b/src/quota/quota_message.h
@@ -0,0 +1,54 @@
+/// \file Messages between nodes about quotas.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "base/result.h"
+#include "base/time.h"
+
+namespace gorsetrail::quota {
+
+/// A coordinator asks a node for its share of all limits of a partition.
+struct LendRequest {
+  std::uint32_t partition = 0;
+  std::uint64_t round = 0;  ///< Of this coordinator; the reply names it.
+};
+/// The node lends its share for `QuotaKnobs::lendTime` from now on.
+struct LendReply {
+  std::uint32_t partition = 0;
+  std::uint64_t round = 0;
+  double share = 0;  ///< Of each limit, 0 to 1.
+};
+/// A coordinator stops as planned and counts no lend any more: the node may lend to another one.
+struct LendEnd {
+  std::uint32_t partition = 0;
+  std::uint64_t round = 0;  ///< Its last one; lends to an earlier or later life stay.
+};
+/// A node asks for tokens; each lets one request of the tenant through.
+struct TokenRequest {
+  std::uint64_t number = 0;  ///< Of this node; the reply names it.
+  std::string tenant;
+  std::uint32_t forBegun = 0;      ///< For programs that have begun.
+  std::uint32_t forBeginning = 0;  ///< For programs that begin.
+  std::uint32_t returned = 0;      ///< Tokens of `grantor` that were not spent and never will be.
+  std::uint64_t grantor = 0;       ///< The life of the coordinator that granted them.
+};
+struct TokenReply {
+  std::uint64_t number = 0;
+  bool decided = false;  ///< False: too little is borrowed, or the tenant is not known here.
+  std::uint32_t granted = 0;
+  bool isAmple = false;    ///< Programs may begin on them.
+  Duration retryAfter{};   ///< For those who are turned away.
+  Duration usableAfter{};  ///< From the reply on: until the tenant's rate has made up for them.
+  std::uint64_t grantor = 0;
+};
+using QuotaMessage = std::variant<LendRequest, LendReply, TokenRequest, TokenReply, LendEnd>;
+
+std::string encodeQuotaMessage(const QuotaMessage& message);
+/// Errors: `InvalidFrame`.
+Result<QuotaMessage> decodeQuotaMessage(std::string_view bytes);
+
+}  // namespace gorsetrail::quota
--- /dev/null
+++ b/src/quota/quota_service.cpp
@@ -0,0 +1,398 @@
+#include "quota/quota_service.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace gorsetrail::quota {
+namespace {
+
+/// Accounts of tenants that nobody asked for in so long are dropped; their tokens are void by then.
+constexpr Duration kIdleAccountLifetime = seconds(30);
+/// A node that is asked for tokens goes on borrowing for so long, by choice of those who ask.
+constexpr Duration kAskedCoordinationTime = seconds(1);
+/// Callers of one tenant come back spread over this share of the time they are told.
+constexpr double kRetrySpread = 0.5;
+
+constexpr QuotaDecision kGranted{QuotaVerdict::Granted, Duration::zero()};
+
+}  // namespace
+
+QuotaService::QuotaService(QuotaFleet& fleet, const QuotaKnobs& knobs, std::string ownAddress,
+                           std::uint64_t life, std::function<Instant()> clock)
+    : fleet_(fleet),
+      knobs_(knobs),
+      ownAddress_(std::move(ownAddress)),
+      life_(life),
+      clock_(std::move(clock)),
+      random_(life),
+      lender_(knobs, clock_()) {}
+
+std::uint32_t QuotaService::partitionOf(const std::string& tenant) const {
+  return static_cast<std::uint32_t>(XXH64(tenant.data(), tenant.size(), 0) % knobs_.partitions);
+}
+
+// A node may be its own coordinator. Its messages to itself are handled one after the other, never
+// inside each other.
+void QuotaService::send(const std::string& to, const QuotaMessage& message) {
+  if (to != ownAddress_) {
+    fleet_.send(to, message);
+    return;
+  }
+  toSelf_.emplace_back(to, message);
+  if (deliversToSelf_) {
+    return;
+  }
+  deliversToSelf_ = true;
+  while (!toSelf_.empty()) {
+    const auto [sender, next] = std::move(toSelf_.front());
+    toSelf_.pop_front();
+    onMessage(sender, next);
+  }
+  deliversToSelf_ = false;
+}
+
+bool QuotaService::trySpend(Tokens& tokens, ProgramStage stage, Instant now) const {
+  const bool mayUse = stage == ProgramStage::Begun || tokens.isAmple;
+  if (!mayUse || tokens.count == 0 || now >= tokens.until) {
+    return false;
+  }
+  --tokens.count;
+  return true;
+}
+
+void QuotaService::admit(const tenant::Tenant& tenant, ProgramStage stage, Callback callback) {
+  if (!tenant.quota.isLimited()) {
+    callback(kGranted);
+    return;
+  }
+  const Instant now = clock_();
+  Account& account = accounts_[tenant.name];
+  if (account.tenant.name.empty() || account.tenant.quota != tenant.quota) {
+    account.tenant = tenant;
+  }
+  account.usedAt = now;
+  if (account.waiters.empty() && trySpend(account.tokens, stage, now)) {
+    ++counters_.grantedAtOnce;
+    callback(kGranted);
+    return;
+  }
+  account.waiters.push_back({stage, now, std::move(callback)});
+  ++waiting_;
+  if (!account.asking) {
+    ask(account, 0);
+  }
+}
+
+void QuotaService::giveBack(const std::string& tenant) {
+  const auto found = accounts_.find(tenant);
+  if (found != accounts_.end() && clock_() < found->second.tokens.until) {
+    ++found->second.tokens.count;
+  }
+}
+
+std::string QuotaService::coordinatorFor(std::uint32_t partition, std::uint32_t tries) const {
+  std::vector<std::string> candidates = fleet_.coordinatorsOf(partition);
+  if (const auto proven = proven_.find(partition); proven != proven_.end()) {
+    std::erase(candidates, proven->second);
+    candidates.insert(candidates.begin(), proven->second);
+  }
+  if (candidates.empty()) {
+    return {};
+  }
+  return candidates[(tries / knobs_.triesOfOneCoordinator) % candidates.size()];
+}
+
+void QuotaService::ask(Account& account, std::uint32_t triesBefore) {
+  const Instant now = clock_();
+  TokenRequest request;
+  request.number = nextNumber_++;
+  request.tenant = account.tenant.name;
+  for (const Waiter& waiter : account.waiters) {
+    ++(waiter.stage == ProgramStage::Begun ? request.forBegun : request.forBeginning);
+  }
+  // Tokens at hand are void or do not serve those who wait; this node will not spend them any more.
+  request.returned = account.tokens.count;
+  request.grantor = account.tokens.grantor;
+  account.tokens = {};
+  Asking asking;
+  asking.number = request.number;
+  asking.coordinator = coordinatorFor(partitionOf(account.tenant.name), triesBefore);
+  asking.sentAt = now;
+  asking.waiters = account.waiters.size();
+  asking.tries = triesBefore + 1;
+  if (account.asking) {
+    askingTenants_.erase(account.asking->number);
+  }
+  account.asking = asking;
+  askingTenants_[asking.number] = account.tenant.name;
+  if (!asking.coordinator.empty()) {
+    ++counters_.tokenRequests;
+    send(asking.coordinator, request);
+  }
+}
+
+void QuotaService::onMessage(const std::string& from, const QuotaMessage& message) {
+  if (const auto* const lend = std::get_if<LendRequest>(&message)) {
+    onLendRequest(from, *lend);
+  } else if (const auto* const lent = std::get_if<LendReply>(&message)) {
+    onLendReply(from, *lent);
+  } else if (const auto* const request = std::get_if<TokenRequest>(&message)) {
+    onTokenRequest(from, *request);
+  } else if (const auto* const end = std::get_if<LendEnd>(&message)) {
+    lender_.onEnd(end->partition, from, end->round, clock_());
+  } else {
+    onTokenReply(std::get<TokenReply>(message));
+  }
+}
+
+void QuotaService::onLendRequest(const std::string& from, const LendRequest& request) {
+  const double share = fleet_.ownShare();
+  if (share > 0 && lender_.lend(request.partition, from, request.round, clock_())) {
+    send(from, LendReply{request.partition, request.round, share});
+  }
+}
+
+void QuotaService::onLendReply(const std::string& from, const LendReply& reply) {
+  const auto found = coordinations_.find(reply.partition);
+  if (found == coordinations_.end() || found->second.round != reply.round) {
+    return;  // To an earlier round, or to an earlier life.
+  }
+  // Counted from before the request was sent, so that it ends here before it ends there.
+  found->second.pool->onLend(from, reply.share, found->second.roundAt + knobs_.lendTime, clock_());
+}
+
+QuotaService::Coordination& QuotaService::coordinationOf(std::uint32_t partition) {
+  Coordination& coordination = coordinations_[partition];
+  if (!coordination.pool) {
+    // Numbers of rounds start at random: a reply to an earlier life must not fit.
+    coordination.round = (random_.below(UINT32_MAX) + 1) << kRoundBits;
+    coordination.pool = std::make_unique<QuotaPool>(knobs_, life_ + partition);
+  }
+  return coordination;
+}
+
+void QuotaService::onTokenRequest(const std::string& from, const TokenRequest& request) {
+  const Instant now = clock_();
+  if (!coordinates_) {
+    TokenReply undecided;
+    undecided.number = request.number;
+    send(from, undecided);
+    return;
+  }
+  const std::uint32_t partition = partitionOf(request.tenant);
+  Coordination& coordination = coordinationOf(partition);
+  const bool wasIdle = coordination.neededUntil <= now;
+  coordination.neededUntil = now + kAskedCoordinationTime;
+  if (wasIdle) {
+    coordinate(partition);
+  }
+  const auto tenants = fleet_.tenants();
+  const tenant::Tenant* const tenant = tenants ? tenants->find(request.tenant) : nullptr;
+  TokenReply reply;
+  reply.number = request.number;
+  if (tenant != nullptr && tenant->quota.isLimited()) {
+    reply = coordination.pool->grant(request, tenant->quota, now);
+  }
+  ++counters_.tokenReplies;
+  send(from, reply);
+}
+
+void QuotaService::onTokenReply(const TokenReply& reply) {
+  const auto entry = askingTenants_.find(reply.number);
+  if (entry == askingTenants_.end()) {
+    return;  // Too late: it was asked again, and what this grants is void.
+  }
+  Account& account = accounts_.at(entry->second);
+  if (!reply.decided) {
+    account.asking->isPaused = true;
+    return;
+  }
+  askingTenants_.erase(entry);
+  const Asking asked = *std::exchange(account.asking, std::nullopt);
+  proven_[partitionOf(account.tenant.name)] = asked.coordinator;
+  takeTokens(account, asked, reply);
+  serveWaiters(account, asked, reply);
+}
+
+void QuotaService::takeTokens(Account& account, const Asking& asked, const TokenReply& reply) {
+  account.tokens = {reply.granted, reply.isAmple,
+                    asked.sentAt + knobs_.tokenLifetime + reply.usableAfter, reply.grantor};
+}
+
+void QuotaService::serveWaiters(Account& account, const Asking& asked, const TokenReply& reply) {
+  const Instant now = clock_();
+  // Programs that have begun go first: tokens may not be enough for all.
+  std::deque<Waiter> decided;
+  const std::size_t count = std::min(asked.waiters, account.waiters.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    decided.push_back(std::move(account.waiters.front()));
+    account.waiters.pop_front();
+  }
+  std::stable_partition(decided.begin(), decided.end(),
+                        [](const Waiter& waiter) { return waiter.stage == ProgramStage::Begun; });
+  const bool isVoid = now >= account.tokens.until;
+  const std::uint32_t granted = account.tokens.count;
+  const Instant usableAt = now + reply.usableAfter;
+  std::vector<std::pair<Callback, QuotaDecision>> answers;
+  for (Waiter& waiter : decided) {
+    QuotaDecision decision = kGranted;
+    // Tokens were granted for each waiter by itself when the reply says that they are ample; else
+    // only for programs that have begun.
+    if (!trySpend(account.tokens, waiter.stage, now)) {
+      decision = {isVoid && granted > 0 ? QuotaVerdict::Unknown : QuotaVerdict::OverLimit,
+                  spread(reply.retryAfter)};
+    }
+    const bool isGranted = decision.verdict == QuotaVerdict::Granted;
+    ++(isGranted ? counters_.grantedAfterAsking
+                 : (decision.verdict == QuotaVerdict::OverLimit ? counters_.overLimit
+                                                                : counters_.unknown));
+    if (isGranted && usableAt > now) {
+      account.scheduled.push_back({usableAt, std::move(waiter.callback)});
+    } else {
+      answers.emplace_back(std::move(waiter.callback), decision);
+    }
+  }
+  waiting_ -= answers.size();
+  if (!account.waiters.empty()) {
+    ask(account, 0);
+  }
+  for (const auto& [callback, decision] : answers) {
+    callback(decision);
+  }
+}
+
+Duration QuotaService::spread(Duration retryAfter) {
+  const double factor = 1.0 + kRetrySpread * random_.fraction();
+  return std::chrono::duration_cast<Duration>(retryAfter * factor);
+}
+
+void QuotaService::onTick() {
+  const Instant now = clock_();
+  std::vector<std::string> due;
+  for (const auto& [name, account] : accounts_) {
+    if (account.asking || !account.scheduled.empty()) {
+      due.push_back(name);
+    }
+  }
+  for (const std::string& name : due) {
+    Account& account = accounts_.at(name);
+    releaseDue(account);
+    if (account.asking) {
+      checkAccount(account);
+    }
+  }
+  std::erase_if(accounts_, [now](const auto& entry) {
+    return entry.second.waiters.empty() && !entry.second.asking && entry.second.scheduled.empty() &&
+           now - entry.second.usedAt > kIdleAccountLifetime;
+  });
+  const auto tenants = fleet_.tenants();
+  if (!coordinates_ || !tenants || !tenants->hasLimits()) {
+    return;
+  }
+  for (std::uint32_t partition = 0; partition < knobs_.partitions; ++partition) {
+    const std::vector<std::string> candidates = fleet_.coordinatorsOf(partition);
+    const bool isFirst = !candidates.empty() && candidates.front() == ownAddress_;
+    const auto known = coordinations_.find(partition);
+    if (isFirst || (known != coordinations_.end() && now < known->second.neededUntil)) {
+      coordinate(partition);
+    }
+  }
+}
+
+void QuotaService::endCoordination() {
+  if (!coordinates_) {
+    return;
+  }
+  coordinates_ = false;
+  std::vector<LendEnd> ends;
+  for (const auto& [partition, coordination] : coordinations_) {
+    ends.push_back({partition, coordination.round});
+  }
+  // Replies that are still on their way find nothing to count for.
+  coordinations_.clear();
+  for (const LendEnd& end : ends) {
+    for (const std::string& member : fleet_.members()) {
+      send(member, end);
+    }
+  }
+}
+
+void QuotaService::coordinate(std::uint32_t partition) {
+  const Instant now = clock_();
+  Coordination& coordination = coordinationOf(partition);
+  if (coordination.roundAt != Instant{} && now - coordination.roundAt < knobs_.lendPeriod) {
+    return;
+  }
+  ++coordination.round;
+  coordination.roundAt = now;
+  const LendRequest request{partition, coordination.round};
+  for (const std::string& member : fleet_.members()) {
+    send(member, request);
+  }
+}
+
+void QuotaService::releaseDue(Account& account) {
+  const Instant now = clock_();
+  while (!account.scheduled.empty() && account.scheduled.front().at <= now) {
+    const Callback callback = std::move(account.scheduled.front().callback);
+    account.scheduled.pop_front();
+    --waiting_;
+    callback(kGranted);
+  }
+}
+
+void QuotaService::checkAccount(Account& account) {
+  const Instant now = clock_();
+  while (!account.waiters.empty() && now - account.waiters.front().since >= knobs_.waitLimit) {
+    giveUpOldest(account);
+  }
+  if (account.waiters.empty()) {
+    askingTenants_.erase(account.asking->number);
+    account.asking.reset();
+    return;
+  }
+  const Duration pause = account.asking->isPaused ? knobs_.undecidedPause : knobs_.replyTimeout;
+  if (now - account.asking->sentAt < pause) {
+    return;
+  }
+  // Without a coordinator the node's own share decides, as far as it is not lent.
+  const double share = fleet_.ownShare();
+  if (lender_.trySpendOwn(partitionOf(account.tenant.name), account.tenant, share, now)) {
+    ++counters_.grantedFromOwnShare;
+    finish(account, kGranted);
+  }
+  if (account.waiters.empty()) {
+    askingTenants_.erase(account.asking->number);
+    account.asking.reset();
+    return;
+  }
+  // The next coordinator is asked at once when this one has not borrowed enough, and after some
+  // tries when it is silent.
+  std::uint32_t tries = account.asking->tries;
+  if (account.asking->isPaused) {
+    tries += knobs_.triesOfOneCoordinator - 1;
+  }
+  if (tries % knobs_.triesOfOneCoordinator == 0) {
+    proven_.erase(partitionOf(account.tenant.name));
+  }
+  ask(account, tries);
+}
+
+void QuotaService::giveUpOldest(Account& account) {
+  ++counters_.unknown;
+  finish(account, {QuotaVerdict::Unknown, spread(knobs_.shortestRetryAfter)});
+}
+
+void QuotaService::finish(Account& account, QuotaDecision decision) {
+  const Callback callback = std::move(account.waiters.front().callback);
+  account.waiters.pop_front();
+  if (account.asking && account.asking->waiters > 0) {
+    --account.asking->waiters;
+  }
+  --waiting_;
+  callback(decision);
+}
+
+}  // namespace gorsetrail::quota
--- /dev/null
+++ b/src/quota/quota_service.h
@@ -0,0 +1,156 @@
+/// \file Quotas over the whole fleet: tokens from coordinators. No I/O; time is handed in.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/random.h"
+#include "quota/quota_admission.h"
+#include "quota/quota_knobs.h"
+#include "quota/quota_message.h"
+#include "quota/quota_pool.h"
+#include "quota/share_lender.h"
+#include "tenant/tenant_directory.h"
+
+namespace gorsetrail::quota {
+
+/// What the service needs to know of the fleet; asked when needed.
+class QuotaFleet {
+ public:
+  virtual ~QuotaFleet() = default;
+  /// \return addresses of the nodes that may coordinate a partition, best first; nodes that agree
+  /// on the members agree on the first.
+  [[nodiscard]] virtual std::vector<std::string> coordinatorsOf(std::uint32_t partition) const = 0;
+  /// \return addresses of all members, this one included.
+  [[nodiscard]] virtual std::vector<std::string> members() const = 0;
+  /// \return this node's part of each limit, 0 to 1; 0 before the members are known.
+  [[nodiscard]] virtual double ownShare() const = 0;
+  /// \return the tenants in force; null when there are none.
+  [[nodiscard]] virtual std::shared_ptr<const tenant::TenantDirectory> tenants() const = 0;
+  /// Sends a message; it may be lost. Never calls back into the service.
+  virtual void send(const std::string& to, const QuotaMessage& message) = 0;
+};
+
+/// What became of quota decisions; all only rise.
+struct QuotaCounters {
+  std::uint64_t grantedAtOnce = 0;  ///< From tokens at hand.
+  std::uint64_t grantedAfterAsking = 0;
+  std::uint64_t grantedFromOwnShare = 0;
+  std::uint64_t overLimit = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t tokenRequests = 0;  ///< Sent, repeated ones included.
+  std::uint64_t tokenReplies = 0;   ///< Given as a coordinator.
+};
+
+/// One node's part in quotas. A tenant belongs to a partition, and each partition has a coordinator
+/// that borrows all nodes' shares (`QuotaPool`, `ShareLender`) and grants tokens. Why a limit
+/// holds: shares add up to the limit and are lent to one coordinator at a time, so all coordinators
+/// together, also in a split fleet, grant no more than the limit; and a token is void
+/// `QuotaKnobs::tokenLifetime` after it was asked for, whatever froze in between.
+class QuotaService final : public QuotaAdmission {
+ public:
+  /// \param fleet outlives this object. \param life differs between processes.
+  QuotaService(QuotaFleet& fleet, const QuotaKnobs& knobs, std::string ownAddress,
+               std::uint64_t life, std::function<Instant()> clock);
+
+  void admit(const tenant::Tenant& tenant, ProgramStage stage, Callback callback) override;
+  void giveBack(const std::string& tenant) override;
+  void onMessage(const std::string& from, const QuotaMessage& message);
+  /// Sends what is due; call it every few milliseconds while `hasWaiting`, else every `lendPeriod`.
+  void onTick();
+  /// Before a planned stop: this node grants nothing any more, and nodes may lend to another.
+  void endCoordination();
+  /// \return whether requests wait for tokens.
+  [[nodiscard]] bool hasWaiting() const { return waiting_ > 0; }
+  [[nodiscard]] const QuotaCounters& counters() const { return counters_; }
+  /// \return the partition of a tenant.
+  [[nodiscard]] std::uint32_t partitionOf(const std::string& tenant) const;
+
+ private:
+  struct Waiter {
+    ProgramStage stage = ProgramStage::Beginning;
+    Instant since;
+    Callback callback;
+  };
+  struct Tokens {
+    std::uint32_t count = 0;
+    bool isAmple = false;
+    Instant until;
+    std::uint64_t grantor = 0;
+  };
+  struct Asking {
+    std::uint64_t number = 0;
+    std::string coordinator;
+    Instant sentAt;
+    std::size_t waiters = 0;  ///< Those in front of the queue are decided by the reply.
+    std::uint32_t tries = 0;  ///< Over all coordinators.
+    bool isPaused = false;    ///< Undecided: the next coordinator is asked after a pause.
+  };
+  /// A granted request whose token is not made yet.
+  struct Scheduled {
+    Instant at;
+    Callback callback;
+  };
+  struct Account {
+    tenant::Tenant tenant;  ///< As of the last request.
+    Tokens tokens;
+    std::deque<Waiter> waiters;
+    std::optional<Asking> asking;
+    std::deque<Scheduled> scheduled;
+    Instant usedAt;
+  };
+  /// The coordinator's state of one partition.
+  struct Coordination {
+    std::unique_ptr<QuotaPool> pool;
+    Instant neededUntil;  ///< Somebody asked, or this node is the first choice.
+    std::uint64_t round = 0;
+    Instant roundAt;
+  };
+
+  void ask(Account& account, std::uint32_t triesBefore);
+  [[nodiscard]] std::string coordinatorFor(std::uint32_t partition, std::uint32_t tries) const;
+  void send(const std::string& to, const QuotaMessage& message);
+  void onLendRequest(const std::string& from, const LendRequest& request);
+  void onLendReply(const std::string& from, const LendReply& reply);
+  void onTokenRequest(const std::string& from, const TokenRequest& request);
+  void onTokenReply(const TokenReply& reply);
+  void takeTokens(Account& account, const Asking& asked, const TokenReply& reply);
+  void serveWaiters(Account& account, const Asking& asked, const TokenReply& reply);
+  void checkAccount(Account& account);
+  void releaseDue(Account& account);
+  void giveUpOldest(Account& account);
+  [[nodiscard]] bool trySpend(Tokens& tokens, ProgramStage stage, Instant now) const;
+  void finish(Account& account, QuotaDecision decision);
+  void coordinate(std::uint32_t partition);
+  Coordination& coordinationOf(std::uint32_t partition);
+  [[nodiscard]] Duration spread(Duration retryAfter);
+
+  QuotaFleet& fleet_;
+  QuotaKnobs knobs_;
+  std::string ownAddress_;
+  std::uint64_t life_;
+  std::function<Instant()> clock_;
+  RandomSource random_;
+  ShareLender lender_;
+  std::map<std::uint32_t, Coordination> coordinations_;
+  std::unordered_map<std::string, Account> accounts_;
+  /// Who decided last, by partition: asked first while it decides. After a split heals the nodes
+  /// that others chose as coordinator return, with nothing borrowed.
+  std::map<std::uint32_t, std::string> proven_;
+  std::unordered_map<std::uint64_t, std::string> askingTenants_;  ///< By number of the request.
+  std::deque<std::pair<std::string, QuotaMessage>> toSelf_;
+  bool deliversToSelf_ = false;
+  bool coordinates_ = true;  ///< False from the planned stop on.
+  std::uint64_t nextNumber_ = 1;
+  std::size_t waiting_ = 0;
+  QuotaCounters counters_;
+};
+
+}  // namespace gorsetrail::quota
--- a/src/tenant/tenant_directory.cpp
+++ b/src/tenant/tenant_directory.cpp
@@ -6,7 +6,6 @@
 #include <cstring>
 #include <optional>
 #include <string>
-#include <unordered_set>
 #include <utility>
 
 namespace gorsetrail::tenant {
@@ -44,15 +43,15 @@
 Result<TenantDirectory> TenantDirectory::make(std::vector<Tenant> tenants) {
   TenantDirectory directory;
   directory.tenants_ = std::move(tenants);
-  std::unordered_set<std::string> names;
   for (std::size_t index = 0; index < directory.tenants_.size(); ++index) {
     const Tenant& tenant = directory.tenants_[index];
     if (auto fault = faultOf(tenant)) {
       return std::move(*fault);
     }
-    if (!names.insert(tenant.name).second) {
+    if (!directory.byName_.emplace(tenant.name, index).second) {
       return invalid(tenant.name, "two tenants have this name", "rename one of them");
     }
+    directory.hasLimits_ = directory.hasLimits_ || tenant.quota.isLimited();
     for (const ApiKeyDigest& key : tenant.keys) {
       const Tenant* const holder = directory.holderOf(key);
       if (holder != nullptr && holder != &tenant) {
@@ -67,6 +66,11 @@
   return directory;
 }
 
+const Tenant* TenantDirectory::find(const std::string& name) const {
+  const auto found = byName_.find(name);
+  return found == byName_.end() ? nullptr : &tenants_[found->second];
+}
+
 const Tenant* TenantDirectory::holderOf(const ApiKeyDigest& key) const {
   const auto [first, last] = byPrefix_.equal_range(prefixOf(key));
   for (auto entry = first; entry != last; ++entry) {
--- a/src/tenant/tenant_directory.h
+++ b/src/tenant/tenant_directory.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -22,6 +23,10 @@
 
   /// \return the tenant, or null; it lives as long as the directory.
   [[nodiscard]] const Tenant* holderOf(const ApiKeyDigest& key) const;
+  /// \return the tenant of that name, or null.
+  [[nodiscard]] const Tenant* find(const std::string& name) const;
+  /// \return whether any tenant has a limit.
+  [[nodiscard]] bool hasLimits() const { return hasLimits_; }
   [[nodiscard]] const std::vector<Tenant>& tenants() const { return tenants_; }
 
  private:
@@ -33,6 +38,8 @@
 
   std::vector<Tenant> tenants_;
   std::unordered_multimap<std::uint64_t, KeyEntry> byPrefix_;
+  std::unordered_map<std::string, std::size_t> byName_;
+  bool hasLimits_ = false;
 };
 
 }  // namespace gorsetrail::tenant
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -54,6 +54,7 @@
             world.selector,
             world.admission,
             ledger,
+            world.quota,
             world.client,
             world.timers,
             world.context.clock,
--- a/tests/edge/exchange_tenant_test.cpp
+++ b/tests/edge/exchange_tenant_test.cpp
@@ -20,7 +20,7 @@
     routing::Route open = ExchangeWorld::route("open", routing::RouteKind::Safe, 1);
     open.authenticationExempt = true;
     configuration->routes.push_back(open);
-    tenant::Tenant alice{"alice", {hasher.digestOf("alice-key")}, 4, {}};
+    tenant::Tenant alice{"alice", {hasher.digestOf("alice-key")}, 4, {20, 5}};
     tenant::Tenant bob{"bob", {hasher.digestOf("bob-key")}, {}, {}};
     auto made = tenant::TenantDirectory::make({alice, bob});
     configuration->tenants =
@@ -134,3 +134,46 @@
   LONGS_EQUAL(400, start(call, "alice-key")->status);
   LONGS_EQUAL(0, world.dispatches());
 }
+
+TEST(ExchangeTenant, saysWhenToComeBackOverTheLimitAndSendsNothing) {
+  world.quota.decision = {quota::QuotaVerdict::OverLimit, milliseconds(700)};
+  const auto client = start(ExchangeWorld::request("safe"), "alice-key");
+  LONGS_EQUAL(429, client->status);
+  STRCMP_EQUAL("700000", client->retryAfter.c_str());
+  LONGS_EQUAL(0, world.dispatches());
+  // Bob has no limit.
+  start(ExchangeWorld::request("safe"), "bob-key");
+  LONGS_EQUAL(1, world.dispatches());
+}
+
+TEST(ExchangeTenant, refusesWithoutSayingOverLimitWhenNobodyKnows) {
+  world.quota.decision = {quota::QuotaVerdict::Unknown, milliseconds(200)};
+  LONGS_EQUAL(503, start(ExchangeWorld::request("safe"), "alice-key")->status);
+}
+
+TEST(ExchangeTenant, tellsTheQuotaWhetherAProgramBegins) {
+  start(ExchangeWorld::turn("kept"), "alice-key");
+  CallRequest later = ExchangeWorld::turn("kept");
+  later.requestId = "q2";
+  later.previousTurn = "q1";
+  start(later, "alice-key");
+  start(ExchangeWorld::request("unsafe"), "alice-key");
+  LONGS_EQUAL(3, world.quota.asked.size());
+  CHECK(world.quota.asked[0].second == quota::ProgramStage::Beginning);
+  CHECK(world.quota.asked[1].second == quota::ProgramStage::Begun);
+  CHECK(world.quota.asked[2].second == quota::ProgramStage::Begun);
+}
+
+TEST(ExchangeTenant, givesATokenBackThatServedNobody) {
+  world.quota.holds = true;
+  const auto client = start(ExchangeWorld::request("safe"), "alice-key");
+  client->observer.onGone();
+  world.quota.waiting.front()({});
+  LONGS_EQUAL(1, world.quota.givenBack.size());
+  LONGS_EQUAL(0, world.dispatches());
+  world.quota.holds = false;
+  start(ExchangeWorld::request("safe"), "alice-key");
+  world.call().head(200);
+  world.call().done();
+  LONGS_EQUAL(1, world.quota.givenBack.size());
+}
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -32,6 +32,7 @@
                       other.selector,
                       other.admission,
                       other.ledger,
+                      other.quota,
                       other.client,
                       other.timers,
                       [&other] { return other.timers.now; },
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -11,6 +11,7 @@
 #include "ledger/program_ledger.h"
 #include "logstore/fake_log_store.h"
 #include "logstore/persistent_store.h"
+#include "quota/quota_admission.h"
 
 namespace gorsetrail::edge::testing {
 
@@ -63,6 +64,26 @@
   }
 };
 
+/// Decides as the test says, at once or later.
+class FakeQuota final : public quota::QuotaAdmission {
+ public:
+  void admit(const tenant::Tenant& tenant, quota::ProgramStage stage, Callback callback) override {
+    asked.push_back({tenant.name, stage});
+    if (holds) {
+      waiting.push_back(std::move(callback));
+    } else {
+      callback(decision);
+    }
+  }
+  void giveBack(const std::string& tenant) override { givenBack.push_back(tenant); }
+
+  quota::QuotaDecision decision;
+  bool holds = false;
+  std::vector<Callback> waiting;
+  std::vector<std::pair<std::string, quota::ProgramStage>> asked;
+  std::vector<std::string> givenBack;
+};
+
 /// What the client saw.
 struct ClientView {
   unsigned status = 0;  ///< 0: nothing yet.
@@ -199,11 +220,11 @@
   EdgeMetrics metrics;
   logstore::PersistentStore store{log, timers, [this] { return timers.now; }, {}, 1};
   ledger::ProgramLedger ledger{store, timers, [this] { return timers.now; }, {}};
-  EdgeContext context{wire,     routes,    replicas,
-                      selector, admission, ledger,
-                      client,   timers,    [this] { return timers.now; },
-                      eventLog, metrics,   {},
-                      {},       {},        true};
+  FakeQuota quota;
+  EdgeContext context{wire,     routes,  replicas, selector, admission,
+                      ledger,   quota,   client,   timers,   [this] { return timers.now; },
+                      eventLog, metrics, {},       {},       {},
+                      true};
 };
 
 }  // namespace gorsetrail::edge::testing
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -372,3 +372,53 @@
   CHECK_FALSE(succeeded(made));
   CHECK_TRUE(errorOf(made).kind == ErrorKind::InvalidSettings);
 }
+
+// Requests that two readers could read as different ones: refused, and nothing of them is passed
+// on.
+TEST(HttpServer, RefusesAmbiguousFraming) {
+  const char* const ambiguous[] = {
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+      "3\r\n\r\n0\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3, 5\r\n\r\nabcde",
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\nabc",
+      "POST /a HTTP/1.1\r\nHost : x\r\nContent-Length: 3\r\n\r\nabc",
+      "POST /a HTTP/1.1\r\nHost: x\r\nX-A: b\x01"
+      "c\r\n\r\n",
+  };
+  start();
+  for (const char* const text : ambiguous) {
+    RawClient client(context, server->listeningPort());
+    client.startReading();
+    client.send(text);
+    CHECK_TRUE_TEXT(runUntil(context, [&] { return client.has("HTTP/1.1 400"); }), text);
+    LONGS_EQUAL_TEXT(0, requests.size(), text);
+  }
+}
+
+TEST(HttpServer, ABodyThatLooksLikeARequestStaysABody) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.startReading();
+  const std::string inner = "GET /inner HTTP/1.1\r\nHost: x\r\n\r\n";
+  client.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(inner.size()) +
+              "\r\n\r\n" + inner);
+  untilRequests(1);
+  STRCMP_EQUAL(inner.c_str(), requests[0].body.c_str());
+  writers[0]->sendWhole({200, {}, "done"});
+  until([&] { return client.received.ends_with("done"); });
+  LONGS_EQUAL(1, requests.size());
+}
+
+TEST(HttpServer, AFoldedHeaderIsHandedOnInOneLine) {
+  start();
+  RawClient client(context, server->listeningPort());
+  client.send("GET /a HTTP/1.1\r\nHost: x\r\nX-A: b\r\n Injected: c\r\n\r\n");
+  untilRequests(1);
+  for (const Header& header : requests[0].headers) {
+    CHECK(header.name != "Injected");
+    CHECK(header.value.find_first_of("\r\n") == std::string::npos);
+  }
+}
--- /dev/null
+++ b/tests/quota/quota_pool_test.cpp
@@ -0,0 +1,189 @@
+// What a coordinator grants, and the parts it is made of.
+#include "quota/quota_pool.h"
+
+#include "quota/sliding_count.h"
+#include "quota/static_shares.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::quota;
+
+namespace {
+
+const Instant kStart(seconds(100));
+constexpr std::uint64_t kLife = 7;
+
+TokenRequest asking(std::uint32_t begun, std::uint32_t beginning = 0) {
+  TokenRequest request;
+  request.number = 1;
+  request.tenant = "t";
+  request.forBegun = begun;
+  request.forBeginning = beginning;
+  return request;
+}
+
+}  // namespace
+
+TEST_GROUP(QuotaPool) {
+  QuotaKnobs knobs;
+  QuotaPool pool{knobs, kLife};
+  tenant::Quota quota{20, 10};
+
+  /// A pool that has held this share for a while: its buckets are full.
+  void borrow(double share, Duration span = seconds(10)) {
+    pool.onLend("node", share, kStart + span + seconds(100), kStart);
+  }
+  static Instant later(Duration span) { return kStart + span; }
+  std::uint32_t takeAll(Instant now) { return pool.grant(asking(1000), quota, now).granted; }
+};
+
+TEST(QuotaPool, decidesNothingWithoutBorrowedShares) {
+  const TokenReply reply = pool.grant(asking(1), quota, kStart);
+  CHECK_FALSE(reply.decided);
+  LONGS_EQUAL(0, reply.granted);
+}
+
+TEST(QuotaPool, refusesNobodyWithTheSmallerPartOfTheFleet) {
+  borrow(0.4);
+  CHECK_TRUE(pool.grant(asking(1), quota, later(seconds(10))).decided);
+  const TokenReply reply = pool.grant(asking(1000), quota, later(seconds(10)));
+  CHECK_FALSE(reply.decided);
+  LONGS_EQUAL(0, reply.granted);
+}
+
+TEST(QuotaPool, grantsNoMoreThanTheToleratedCountInAnyFiveSeconds) {
+  borrow(1.0);
+  std::uint32_t granted = 0;
+  for (int step = 0; step < 50; ++step) {
+    granted += takeAll(later(seconds(10) + milliseconds(100) * step));
+  }
+  CHECK(granted <= (20 * 5 + 10) * 1.1 + 20 - 0.4 * 20);
+  CHECK(granted >= 20 * 5 + 10);
+}
+
+TEST(QuotaPool, grantsByTheShareThatIsBorrowed) {
+  borrow(0.6);
+  std::uint32_t granted = 0;
+  for (int step = 0; step < 100; ++step) {
+    granted += takeAll(later(seconds(10) + milliseconds(100) * step));
+  }
+  CHECK(granted <= 0.6 * (20 * 10 + 10 + 40));
+}
+
+TEST(QuotaPool, aTokenBeforeItsTimeIsToBeUsedLater) {
+  borrow(1.0);
+  const Instant now = later(seconds(10));
+  Duration wait{};
+  for (int count = 0; count < 45; ++count) {
+    const TokenReply reply = pool.grant(asking(1), quota, now);
+    wait = reply.granted > 0 ? reply.usableAfter : wait;
+  }
+  CHECK(wait > Duration::zero());
+  CHECK(wait <= knobs.longestDelay);
+}
+
+TEST(QuotaPool, tokensThatComeBackAreGrantedAgainOnlyByTheirGrantor) {
+  borrow(1.0);
+  const Instant now = later(seconds(10));
+  takeAll(now);
+  TokenRequest returning = asking(1);
+  returning.returned = 5;
+  returning.grantor = kLife + 1;
+  LONGS_EQUAL(0, pool.grant(returning, quota, now).granted);
+  returning.grantor = kLife;
+  LONGS_EQUAL(1, pool.grant(returning, quota, now).granted);
+}
+
+TEST(QuotaPool, refusalsSayWhenToComeBack) {
+  borrow(1.0);
+  const Instant now = later(seconds(10));
+  takeAll(now);
+  const TokenReply reply = pool.grant(asking(10), quota, now);
+  LONGS_EQUAL(0, reply.granted);
+  CHECK(reply.retryAfter >= knobs.shortestRetryAfter);
+  CHECK(reply.retryAfter <= knobs.longestRetryAfter);
+}
+
+TEST(QuotaPool, aNewCoordinatorStartsWithFewTokens) {
+  borrow(1.0);
+  CHECK(takeAll(kStart) <= knobs.startTokens + 20 * 0.25);
+}
+
+TEST_GROUP(BorrowedShares) { BorrowedShares shares; };
+
+TEST(BorrowedShares, sumsLendsUntilTheyEnd) {
+  shares.onLend("a", 0.25, kStart + seconds(2), kStart);
+  shares.onLend("b", 0.25, kStart + seconds(1), kStart);
+  DOUBLES_EQUAL(0.5, shares.share(kStart), 1e-9);
+  DOUBLES_EQUAL(0.25, shares.share(kStart + seconds(1)), 1e-9);
+  DOUBLES_EQUAL(0.0, shares.share(kStart + seconds(2)), 1e-9);
+  DOUBLES_EQUAL(0.75, shares.shareSeconds(kStart + seconds(9)), 1e-9);
+}
+
+TEST(BorrowedShares, aLendThatEndedOnTheWayCountsNothing) {
+  shares.onLend("a", 1.0, kStart, kStart + seconds(1));
+  DOUBLES_EQUAL(0.0, shares.share(kStart + seconds(1)), 1e-9);
+}
+
+TEST(BorrowedShares, aRenewedLendCountsOnce) {
+  shares.onLend("a", 0.5, kStart + seconds(1), kStart);
+  shares.onLend("a", 0.5, kStart + seconds(2), kStart + milliseconds(500));
+  DOUBLES_EQUAL(0.5, shares.share(kStart + milliseconds(1500)), 1e-9);
+  DOUBLES_EQUAL(1.0, shares.shareSeconds(kStart + seconds(5)), 1e-9);
+}
+
+TEST_GROUP(SlidingCount) { SlidingCount count; };
+
+TEST(SlidingCount, forgetsWhatLeftTheWindowAndNothingElse) {
+  count.add(3, kStart);
+  count.add(4, kStart + milliseconds(2500));
+  LONGS_EQUAL(7, count.sum(kStart + milliseconds(5000)));
+  LONGS_EQUAL(4, count.sum(kStart + milliseconds(5100)));
+  LONGS_EQUAL(4, count.sum(kStart + milliseconds(7500)));
+  LONGS_EQUAL(0, count.sum(kStart + seconds(1000)));
+}
+
+TEST_GROUP(StaticShares){};
+
+TEST(StaticShares, letsItsPartOfTheLimitThrough) {
+  Instant now = kStart;
+  StaticShares shares([] { return 0.1; }, [&now] { return now; });
+  const tenant::Tenant tenant{"t", {}, {}, {100, 50}};
+  std::size_t granted = 0;
+  for (int step = 0; step < 1000; ++step) {
+    shares.admit(tenant, ProgramStage::Begun, [&granted](QuotaDecision decision) {
+      granted += decision.verdict == QuotaVerdict::Granted ? 1 : 0;
+    });
+    now += milliseconds(10);
+  }
+  CHECK(granted >= 100);
+  CHECK(granted <= 106);
+}
+
+TEST_GROUP(QuotaMessage){};
+
+TEST(QuotaMessage, everyMessageComesBackAsItWas) {
+  TokenRequest request{9, "tenant", 1, 2, 4, 5};
+  const auto read = decodeQuotaMessage(encodeQuotaMessage(request));
+  const auto& same = std::get<TokenRequest>(valueOf(read));
+  STRCMP_EQUAL("tenant", same.tenant.c_str());
+  LONGS_EQUAL(1, same.forBegun);
+  LONGS_EQUAL(2, same.forBeginning);
+  LONGS_EQUAL(4, same.returned);
+  LONGS_EQUAL(5, same.grantor);
+  const TokenReply reply{9, true, 4, true, milliseconds(200), milliseconds(30), 5};
+  const auto readReply = decodeQuotaMessage(encodeQuotaMessage(reply));
+  const auto& sameReply = std::get<TokenReply>(valueOf(readReply));
+  CHECK(sameReply.retryAfter == milliseconds(200));
+  CHECK(sameReply.usableAfter == milliseconds(30));
+  const auto end = decodeQuotaMessage(encodeQuotaMessage(LendEnd{2, 77}));
+  LONGS_EQUAL(77, std::get<LendEnd>(valueOf(end)).round);
+}
+
+TEST(QuotaMessage, refusesWhatIsNoMessageAndNoShare) {
+  CHECK_FALSE(succeeded(decodeQuotaMessage("")));
+  CHECK_FALSE(succeeded(decodeQuotaMessage("no message at all, of some length")));
+  CHECK_FALSE(succeeded(decodeQuotaMessage(encodeQuotaMessage(LendReply{0, 1, 1.5}))));
+  CHECK_FALSE(succeeded(decodeQuotaMessage(encodeQuotaMessage(LendReply{0, 1, -0.1}))));
+}
--- /dev/null
+++ b/tests/quota/quota_service_test.cpp
@@ -0,0 +1,291 @@
+// Limits over a whole fleet in virtual time: never more than allowed, and hardly a wrong refusal.
+#include "quota_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::quota;
+using namespace gorsetrail::quota::testing;
+
+namespace {
+
+constexpr std::size_t kNodes = 120;
+const Duration kWindow = seconds(5);
+
+/// What the users' rule allows in any window.
+std::size_t allowedIn5Seconds(const tenant::Tenant& tenant) {
+  return static_cast<std::size_t>((tenant.quota.requestsPerSecond * 5 + tenant.quota.burst) * 1.1 +
+                                  20);
+}
+
+}  // namespace
+
+TEST_GROUP(QuotaService) {
+  tenant::Tenant large = limited("large", 300, 300);
+  tenant::Tenant middle = limited("middle", 40, 40);
+  tenant::Tenant small = limited("small", 5, 5);
+  std::vector<tenant::Tenant> all{large, middle, small};
+
+  /// Requests of every tenant at random nodes, `times` its rate, for so long.
+  static void load(SimulatedFleet & fleet, const std::vector<tenant::Tenant>& tenants, double times,
+                   Duration span) {
+    const Duration step = milliseconds(5);
+    for (Duration passed{}; passed < span; passed += step) {
+      for (const tenant::Tenant& tenant : tenants) {
+        const double expected = tenant.quota.requestsPerSecond * times * 0.005;
+        const double whole = expected + fleet.random().fraction();
+        for (int count = static_cast<int>(whole); count > 0; --count) {
+          const bool begins = fleet.random().below(4) == 0;
+          fleet.request(fleet.random().below(fleet.size()), tenant,
+                        begins ? ProgramStage::Beginning : ProgramStage::Begun);
+        }
+      }
+      fleet.timers.advance(step);
+    }
+  }
+  void checkWithinLimits(const SimulatedFleet& fleet) {
+    for (const tenant::Tenant& tenant : all) {
+      const std::size_t most = fleet.mostGrantedIn(kWindow, tenant.name);
+      CHECK_TEXT(most <= allowedIn5Seconds(tenant),
+                 (tenant.name + ": " + std::to_string(most)).c_str());
+    }
+  }
+  static void settle(SimulatedFleet & fleet) { fleet.timers.advance(seconds(3)); }
+};
+
+TEST(QuotaService, refusesAtMostOneInAThousandWithinTheLimitOnACalmDay) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 1);
+  settle(fleet);
+  load(fleet, all, 0.6, seconds(20));
+  std::size_t refused = 0;
+  std::size_t asked = 0;
+  for (const tenant::Tenant& tenant : all) {
+    refused += fleet.refused[tenant.name];
+    asked += fleet.asked[tenant.name];
+  }
+  CHECK(asked > 3000);
+  CHECK_TEXT(refused * 1000 <= asked, std::to_string(refused).c_str());
+}
+
+TEST(QuotaService, letsATenantUseItsWholeLimit) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 2);
+  settle(fleet);
+  load(fleet, all, 3.0, seconds(20));
+  checkWithinLimits(fleet);
+  for (const tenant::Tenant& tenant : {large, middle}) {
+    const double served = static_cast<double>(fleet.grants[tenant.name].size());
+    CHECK_TEXT(served >= tenant.quota.requestsPerSecond * 20 * 0.9, tenant.name.c_str());
+  }
+}
+
+TEST(QuotaService, programsThatHaveBegunGoFirst) {
+  SimulatedFleet fleet(kNodes, directoryOf({middle}), 3);
+  settle(fleet);
+  load(fleet, {middle}, 1.5, seconds(20));
+  // A quarter of the requests begin a program: begun ones alone ask for 1.1 times the limit.
+  CHECK(fleet.begunGranted["middle"] > 9 * fleet.beginningGranted["middle"]);
+}
+
+TEST(QuotaService, tellsWhenToComeBack) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 4);
+  settle(fleet);
+  load(fleet, all, 4.0, seconds(5));
+  CHECK(fleet.refused["middle"] > 0);
+  CHECK(fleet.lastRetryAfter >= QuotaKnobs{}.shortestRetryAfter);
+  CHECK(fleet.lastRetryAfter <= 2 * QuotaKnobs{}.longestRetryAfter);
+}
+
+TEST(QuotaService, aSplitFleetKeepsTheLimitAndServesInBothParts) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 5);
+  settle(fleet);
+  load(fleet, all, 2.0, seconds(4));
+  for (std::size_t node = 0; node < kNodes / 2; ++node) {
+    fleet.setGroup(node, 1);
+  }
+  fleet.timers.advance(seconds(2));
+  const std::size_t before = fleet.grants["large"].size();
+  load(fleet, all, 2.0, seconds(10));
+  checkWithinLimits(fleet);
+  const double served = static_cast<double>(fleet.grants["large"].size() - before);
+  CHECK(served >= large.quota.requestsPerSecond * 10 * 0.85);
+}
+
+TEST(QuotaService, aCoordinatorsDeathAndReturnKeepTheLimit) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 6);
+  settle(fleet);
+  for (int round = 0; round < 5; ++round) {
+    for (std::size_t node = 0; node < 24; ++node) {
+      fleet.kill(node);  // All first choices of all partitions are among these.
+    }
+    load(fleet, all, 3.0, milliseconds(1700));
+    for (std::size_t node = 0; node < 24; ++node) {
+      fleet.start(node);
+    }
+    load(fleet, all, 3.0, milliseconds(1700));
+  }
+  checkWithinLimits(fleet);
+  CHECK(fleet.grants["middle"].size() > 40 * 17 / 4);
+}
+
+TEST(QuotaService, coordinatorsThatFreezeAndWakeKeepTheLimit) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 7);
+  settle(fleet);
+  for (int round = 0; round < 4; ++round) {
+    for (std::size_t node = 0; node < 24; ++node) {
+      fleet.freeze(node);
+    }
+    load(fleet, all, 3.0, milliseconds(2300));
+    for (std::size_t node = 0; node < 24; ++node) {
+      fleet.thaw(node);
+    }
+    load(fleet, all, 3.0, milliseconds(600));
+  }
+  checkWithinLimits(fleet);
+}
+
+TEST(QuotaService, aLossOfAllPowerKeepsTheLimitAndTokensComeBackSoon) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 8);
+  settle(fleet);
+  load(fleet, all, 3.0, seconds(6));
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    fleet.kill(node);
+  }
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    fleet.start(node);
+  }
+  fleet.timers.advance(seconds(2));
+  const std::size_t before = fleet.grants["large"].size();
+  load(fleet, all, 3.0, seconds(3));
+  checkWithinLimits(fleet);
+  CHECK(fleet.grants["large"].size() - before >= 300 * 2);
+}
+
+TEST(QuotaService, aLowerLimitBindsAsSoonAsTheCoordinatorKnowsIt) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 9);
+  settle(fleet);
+  load(fleet, all, 2.0, seconds(6));
+  const tenant::Tenant lowered = limited("large", 75, 75);
+  for (std::size_t node = 0; node < kNodes; ++node) {
+    fleet.setTenants(node, directoryOf({lowered, middle, small}));
+  }
+  fleet.timers.advance(milliseconds(400));
+  fleet.grants.clear();
+  load(fleet, {lowered}, 5.0, seconds(12));
+  CHECK(fleet.mostGrantedIn(kWindow, "large") <= allowedIn5Seconds(lowered));
+}
+
+TEST(QuotaService, anIsolatedNodeSpendsItsOwnShareOnly) {
+  const tenant::Tenant huge = limited("huge", 1200, 1200);
+  SimulatedFleet fleet(10, directoryOf({huge}), 10);
+  settle(fleet);
+  fleet.setGroup(3, 1);
+  fleet.timers.advance(seconds(2));
+  fleet.grants.clear();
+  for (int step = 0; step < 2000; ++step) {
+    fleet.request(3, huge, ProgramStage::Begun);
+    fleet.timers.advance(milliseconds(5));
+  }
+  const std::size_t most = fleet.mostGrantedIn(kWindow, "huge");
+  CHECK(most > 0);
+  CHECK(most <= allowedIn5Seconds(huge) / 10 + 20);
+}
+
+TEST(QuotaService, aNodeThatHasJustStartedSpendsNothingOfWhatItLentInItsEarlierLife) {
+  const QuotaKnobs knobs;
+  ShareLender lender(knobs, Instant(seconds(100)));
+  CHECK_FALSE(lender.lend(0, "new", 1, Instant(seconds(100))));
+  CHECK_FALSE(lender.trySpendOwn(0, limited("t", 1e6, 1e6), 1.0, Instant(seconds(100))));
+  CHECK_TRUE(lender.lend(0, "new", 1, Instant(seconds(100)) + knobs.lendTime));
+}
+
+TEST(QuotaService, aNodeLendsToOneCoordinatorAtATime) {
+  const QuotaKnobs knobs;
+  ShareLender lender(knobs, Instant{});
+  const Instant now(seconds(10));
+  CHECK_TRUE(lender.lend(0, "first", 1, now));
+  CHECK_FALSE(lender.lend(0, "second", 1, now + knobs.lendTime - Duration(1)));
+  CHECK_TRUE(lender.lend(1, "second", 1, now));
+  CHECK_TRUE(lender.lend(0, "second", 1, now + knobs.lendTime));
+  CHECK_FALSE(lender.lend(99, "second", 1, now));
+}
+
+TEST(QuotaService, unlimitedTenantsCostNothing) {
+  SimulatedFleet fleet(3, directoryOf({limited("free", 0, 0)}), 11);
+  fleet.timers.advance(seconds(2));
+  for (int count = 0; count < 100; ++count) {
+    fleet.request(0, limited("free", 0, 0), ProgramStage::Beginning);
+  }
+  LONGS_EQUAL(100, fleet.grants["free"].size());
+  LONGS_EQUAL(0, fleet.messages);
+}
+
+TEST(QuotaService, anyMixOfFaultsKeepsTheLimit) {
+  for (std::uint64_t seed = 100; seed < 112; ++seed) {
+    SimulatedFleet fleet(40, directoryOf(all), seed);
+    fleet.detectsFailures = seed % 3 != 0;
+    fleet.lossShare = seed % 2 == 0 ? 0.1 : 0.01;
+    settle(fleet);
+    std::set<std::size_t> frozen;
+    std::set<std::size_t> dead;
+    for (int step = 0; step < 40; ++step) {
+      const std::size_t node = fleet.random().below(40);
+      switch (fleet.random().below(6)) {
+        case 0:
+          if (dead.insert(node).second) {
+            fleet.kill(node);
+          }
+          break;
+        case 1:
+          if (dead.erase(node) > 0) {
+            fleet.start(node);
+          }
+          break;
+        case 2:
+          fleet.freeze(node);
+          frozen.insert(node);
+          break;
+        case 3:
+          for (const std::size_t one : frozen) {
+            fleet.thaw(one);
+          }
+          frozen.clear();
+          break;
+        case 4:
+          fleet.setGroup(node, 1);
+          break;
+        default:
+          fleet.setGroup(node, 0);
+          break;
+      }
+      load(fleet, all, 2.5, milliseconds(400));
+    }
+    checkWithinLimits(fleet);
+  }
+}
+
+TEST(QuotaService, aPlannedStopOfACoordinatorHandsItsTenantsOver) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 12);
+  settle(fleet);
+  load(fleet, all, 0.6, seconds(2));
+  const auto refusedBefore = fleet.refused;
+  for (std::size_t node = 0; node < 24; ++node) {
+    fleet.stop(node);
+    load(fleet, all, 0.6, milliseconds(200));
+    fleet.kill(node);
+  }
+  checkWithinLimits(fleet);
+  CHECK(fleet.refused == refusedBefore);
+}
+
+TEST(QuotaService, anEndThatComesLateFreesNothingOfALaterLife) {
+  const QuotaKnobs knobs;
+  ShareLender lender(knobs, Instant{});
+  const Instant now(seconds(10));
+  const std::uint64_t life = std::uint64_t{1} << kRoundBits;
+  CHECK_TRUE(lender.lend(0, "first", 2 * life + 1, now));
+  lender.onEnd(0, "first", life + 7, now);
+  lender.onEnd(0, "other", 2 * life + 1, now);
+  CHECK_FALSE(lender.lend(0, "second", 1, now));
+  lender.onEnd(0, "first", 2 * life + 2, now);
+  CHECK_TRUE(lender.lend(0, "second", 1, now));
+}
