One coordinator of a partition gives way to the other; late programs go last at replicas

A planned stop moved the asking nodes to different successors. In a burst beyond the engines' capacity, programs that were late already made others late. Ruled out: loss of lend messages (the duel went on for 17 s at two addresses, by quota_coordinator lines). Change: lend requests tell whether their sender holds half of the shares; who holds less, or comes second in a hash order when neither does, ends its lends and stays away while it hears the other. An asking node takes the first coordinator that did not just fail it. Lends last 0.5 s, renewed each 0.15 s (0.9 and 0.3 before). A log line when another node decides. Requests of programs past their time get the last priority at replicas.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -145,6 +145,10 @@
   sources.members = [this] { return members_.relayAddresses(); };
   sources.memberCount = [this] { return membersListed_ ? members_.size() : 0; };
   sources.tenants = [this] { return routes_.inForce() ? routes_.inForce()->tenants : nullptr; };
+  sources.onCoordinatorChanged = [this](std::uint32_t partition, const std::string& address) {
+    log_.important("quota_coordinator",
+                   {{"partition", std::uint64_t{partition}}, {"address", address}});
+  };
   return sources;
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -54,6 +54,8 @@
   void send(const routing::ReplicaPtr& replica);
   [[nodiscard]] bool isAdmitted(const routing::Replica& replica) const;
   [[nodiscard]] routing::WorkStage stage() const;
+  /// \return how urgent the request is to a replica, 0 first.
+  [[nodiscard]] std::uint32_t urgency() const;
   void onHead(unsigned status, const std::vector<http::Header>& headers);
   void onBody(std::string_view part);
   void onReplicaDone();
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -55,6 +55,12 @@
   return begun ? routing::WorkStage::Continuing : routing::WorkStage::FirstTurn;
 }
 
+std::uint32_t Exchange::urgency() const {
+  const bool isLate =
+      request_.programTimeLeft && *request_.programTimeLeft <= context_.clock() - arrivedAt_;
+  return isLate ? tenant::kLeastUrgentPriority : std::min(priority_, tenant::kLeastUrgentPriority);
+}
+
 bool Exchange::isAdmitted(const routing::Replica& replica) const {
   // What has begun anywhere goes on: turning it away would waste the work and promise too much.
   const bool canBeRefused = hasEngine_ && isStreaming() && !mayHaveRun_ && !streamBegun_;
@@ -80,7 +86,7 @@
   how.address = replica->entry.address;
   how.replicaId = replica->entry.id;
   how.timeLeft = timeLeft();
-  how.priority = std::min(priority_, tenant::kLeastUrgentPriority);
+  how.priority = urgency();
   how.lastEventId = lastEventId_;
   how.tenant = tenant_ == nullptr ? std::string() : tenant_->name;
   how.connectTimeLimit = context_.knobs.connectTimeLimit;
--- a/src/edge/quota_exchange.cpp
+++ b/src/edge/quota_exchange.cpp
@@ -124,6 +124,10 @@
   return sources_.tenants();
 }
 
+void QuotaExchange::onCoordinatorChanged(std::uint32_t partition, const std::string& address) {
+  sources_.onCoordinatorChanged(partition, address);
+}
+
 void QuotaExchange::send(const std::string& to, const quota::QuotaMessage& message) {
   socket_.send(to, quota::encodeQuotaMessage(message));
 }
--- a/src/edge/quota_exchange.h
+++ b/src/edge/quota_exchange.h
@@ -26,6 +26,8 @@
   /// How many nodes the member list has; 0 before it was read.
   std::function<std::size_t()> memberCount;
   std::function<std::shared_ptr<const tenant::TenantDirectory>()> tenants;
+  /// Told when another node than before decides for a partition.
+  std::function<void(std::uint32_t partition, const std::string& address)> onCoordinatorChanged;
 };
 
 /// Carries the messages of `quota::QuotaService`, one datagram each, and gives it its ticks.
@@ -51,6 +53,7 @@
   [[nodiscard]] double ownShare() const override;
   [[nodiscard]] std::shared_ptr<const tenant::TenantDirectory> tenants() const override;
   void send(const std::string& to, const quota::QuotaMessage& message) override;
+  void onCoordinatorChanged(std::uint32_t partition, const std::string& address) override;
 
  private:
   struct Coordinators {
--- a/src/quota/quota_knobs.h
+++ b/src/quota/quota_knobs.h
@@ -17,9 +17,11 @@
   std::uint32_t partitions = 4;
   /// How long a node lends its share to a coordinator. A coordinator's death takes its tenants'
   /// tokens away for so long at most: then the next one can borrow.
-  Duration lendTime = milliseconds(900);
+  Duration lendTime = milliseconds(500);
   /// Between two lend requests of a coordinator: two may be lost before a lend ends.
-  Duration lendPeriod = milliseconds(300);
+  Duration lendPeriod = milliseconds(150);
+  /// A coordinator that gave way to another one waits so long without hearing from it.
+  Duration wayTime = milliseconds(250);
   /// How long granted tokens may be spent, from the moment they were asked for.
   Duration tokenLifetime = milliseconds(400);
   /// A request for tokens without a reply is sent again; some ten times the way there and back.
--- a/src/quota/quota_message.cpp
+++ b/src/quota/quota_message.cpp
@@ -17,8 +17,9 @@
 
 std::string encode(const LendRequest& request) {
   Builder builder;
-  return finish(builder, fbs::Message::LendRequest,
-                fbs::CreateLendRequest(builder, request.partition, request.round));
+  return finish(
+      builder, fbs::Message::LendRequest,
+      fbs::CreateLendRequest(builder, request.partition, request.round, request.holdsHalf));
 }
 
 std::string encode(const LendReply& reply) {
@@ -69,7 +70,7 @@
   }
   const fbs::Envelope* const envelope = fbs::GetEnvelope(begin);
   if (const auto* const read = envelope->message_as_LendRequest()) {
-    return QuotaMessage{LendRequest{read->partition(), read->round()}};
+    return QuotaMessage{LendRequest{read->partition(), read->round(), read->holds_half()}};
   }
   if (const auto* const read = envelope->message_as_LendReply()) {
     const bool isShare = std::isfinite(read->share()) && read->share() >= 0 && read->share() <= 1;
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -15,6 +15,7 @@
 struct LendRequest {
   std::uint32_t partition = 0;
   std::uint64_t round = 0;  ///< Of this coordinator; the reply names it.
+  bool holdsHalf = false;   ///< It has borrowed enough to decide.
 };
 /// The node lends its share for `QuotaKnobs::lendTime` from now on.
 struct LendReply {
--- a/src/quota/quota_service.cpp
+++ b/src/quota/quota_service.cpp
@@ -15,6 +15,11 @@
 /// Callers of one tenant come back spread over this share of the time they are told.
 constexpr double kRetrySpread = 0.5;
 
+/// \return the place of a coordinator in the order that decides between two of them.
+std::uint64_t rankOf(std::uint32_t partition, const std::string& address) {
+  return XXH64(address.data(), address.size(), partition);
+}
+
 constexpr QuotaDecision kGranted{QuotaVerdict::Granted, Duration::zero()};
 
 }  // namespace
@@ -81,7 +86,7 @@
   account.waiters.push_back({stage, now, std::move(callback)});
   ++waiting_;
   if (!account.asking) {
-    ask(account, 0);
+    askCoordinator(account);
   }
 }
 
@@ -92,19 +97,24 @@
   }
 }
 
-std::string QuotaService::coordinatorFor(std::uint32_t partition, std::uint32_t tries) const {
-  std::vector<std::string> candidates = fleet_.coordinatorsOf(partition);
-  if (const auto proven = proven_.find(partition); proven != proven_.end()) {
-    std::erase(candidates, proven->second);
-    candidates.insert(candidates.begin(), proven->second);
-  }
-  if (candidates.empty()) {
-    return {};
+std::string QuotaService::coordinatorFor(std::uint32_t partition, const std::string& failed) const {
+  const auto proven = proven_.find(partition);
+  if (proven != proven_.end() && proven->second != failed) {
+    return proven->second;
+  }
+  for (const std::string& candidate : fleet_.coordinatorsOf(partition)) {
+    if (candidate != failed) {
+      return candidate;
+    }
   }
-  return candidates[(tries / knobs_.triesOfOneCoordinator) % candidates.size()];
+  return failed;
 }
 
-void QuotaService::ask(Account& account, std::uint32_t triesBefore) {
+void QuotaService::askCoordinator(Account& account) {
+  ask(account, coordinatorFor(partitionOf(account.tenant.name), {}), 1);
+}
+
+void QuotaService::ask(Account& account, const std::string& coordinator, std::uint32_t tries) {
   const Instant now = clock_();
   TokenRequest request;
   request.number = nextNumber_++;
@@ -118,10 +128,10 @@
   account.tokens = {};
   Asking asking;
   asking.number = request.number;
-  asking.coordinator = coordinatorFor(partitionOf(account.tenant.name), triesBefore);
+  asking.coordinator = coordinator;
   asking.sentAt = now;
   asking.waiters = account.waiters.size();
-  asking.tries = triesBefore + 1;
+  asking.tries = tries;
   if (account.asking) {
     askingTenants_.erase(account.asking->number);
   }
@@ -141,19 +151,28 @@
   } else if (const auto* const request = std::get_if<TokenRequest>(&message)) {
     onTokenRequest(from, *request);
   } else if (const auto* const end = std::get_if<LendEnd>(&message)) {
-    lender_.onEnd(end->partition, from, end->round, clock_());
+    onLendEnd(from, *end);
   } else {
     onTokenReply(std::get<TokenReply>(message));
   }
 }
 
 void QuotaService::onLendRequest(const std::string& from, const LendRequest& request) {
+  considerRival(from, request);
   const double share = fleet_.ownShare();
   if (share > 0 && lender_.lend(request.partition, from, request.round, clock_())) {
     send(from, LendReply{request.partition, request.round, share});
   }
 }
 
+void QuotaService::onLendEnd(const std::string& from, const LendEnd& end) {
+  lender_.onEnd(end.partition, from, end.round, clock_());
+  const auto way = givenWay_.find(end.partition);
+  if (way != givenWay_.end() && way->second.rival == from) {
+    givenWay_.erase(way);
+  }
+}
+
 void QuotaService::onLendReply(const std::string& from, const LendReply& reply) {
   const auto found = coordinations_.find(reply.partition);
   if (found == coordinations_.end() || found->second.round != reply.round) {
@@ -168,20 +187,20 @@
   if (!coordination.pool) {
     // Numbers of rounds start at random: a reply to an earlier life must not fit.
     coordination.round = (random_.below(UINT32_MAX) + 1) << kRoundBits;
-    coordination.pool = std::make_unique<QuotaPool>(knobs_, life_ + partition);
+    coordination.pool = std::make_unique<QuotaPool>(knobs_, life_ ^ coordination.round);
   }
   return coordination;
 }
 
 void QuotaService::onTokenRequest(const std::string& from, const TokenRequest& request) {
   const Instant now = clock_();
-  if (!coordinates_) {
+  const std::uint32_t partition = partitionOf(request.tenant);
+  if (!coordinates_ || givesWay(partition)) {
     TokenReply undecided;
     undecided.number = request.number;
     send(from, undecided);
     return;
   }
-  const std::uint32_t partition = partitionOf(request.tenant);
   Coordination& coordination = coordinationOf(partition);
   const bool wasIdle = coordination.neededUntil <= now;
   coordination.neededUntil = now + kAskedCoordinationTime;
@@ -211,7 +230,13 @@
   }
   askingTenants_.erase(entry);
   const Asking asked = *std::exchange(account.asking, std::nullopt);
-  proven_[partitionOf(account.tenant.name)] = asked.coordinator;
+  const std::uint32_t partition = partitionOf(account.tenant.name);
+  proven_[partition] = asked.coordinator;
+  std::string& known = lastDecided_[partition];
+  if (known != asked.coordinator) {
+    known = asked.coordinator;
+    fleet_.onCoordinatorChanged(partition, asked.coordinator);
+  }
   takeTokens(account, asked, reply);
   serveWaiters(account, asked, reply);
 }
@@ -256,7 +281,7 @@
   }
   waiting_ -= answers.size();
   if (!account.waiters.empty()) {
-    ask(account, 0);
+    askCoordinator(account);
   }
   for (const auto& [callback, decision] : answers) {
     callback(decision);
@@ -295,7 +320,8 @@
     const std::vector<std::string> candidates = fleet_.coordinatorsOf(partition);
     const bool isFirst = !candidates.empty() && candidates.front() == ownAddress_;
     const auto known = coordinations_.find(partition);
-    if (isFirst || (known != coordinations_.end() && now < known->second.neededUntil)) {
+    const bool isAsked = known != coordinations_.end() && now < known->second.neededUntil;
+    if ((isFirst || isAsked) && !givesWay(partition)) {
       coordinate(partition);
     }
   }
@@ -306,12 +332,16 @@
     return;
   }
   coordinates_ = false;
-  std::vector<LendEnd> ends;
+  LendEnds ends;
   for (const auto& [partition, coordination] : coordinations_) {
     ends.push_back({partition, coordination.round});
   }
   // Replies that are still on their way find nothing to count for.
   coordinations_.clear();
+  announceEnds(ends);
+}
+
+void QuotaService::announceEnds(const LendEnds& ends) {
   for (const LendEnd& end : ends) {
     for (const std::string& member : fleet_.members()) {
       send(member, end);
@@ -319,6 +349,30 @@
   }
 }
 
+bool QuotaService::givesWay(std::uint32_t partition) const {
+  const auto found = givenWay_.find(partition);
+  return found != givenWay_.end() && clock_() - found->second.heardAt < knobs_.wayTime;
+}
+
+void QuotaService::considerRival(const std::string& rival, const LendRequest& request) {
+  if (rival == ownAddress_) {
+    return;
+  }
+  const auto own = coordinations_.find(request.partition);
+  const bool ownHoldsHalf =
+      own != coordinations_.end() && own->second.pool->share(clock_()) >= knobs_.decidingShare;
+  const bool comesFirst = rankOf(request.partition, rival) > rankOf(request.partition, ownAddress_);
+  if (ownHoldsHalf ? !(request.holdsHalf && comesFirst) : !(request.holdsHalf || comesFirst)) {
+    return;
+  }
+  givenWay_[request.partition] = {rival, clock_()};
+  if (own != coordinations_.end()) {
+    const LendEnd end{request.partition, own->second.round};
+    coordinations_.erase(own);
+    announceEnds({end});
+  }
+}
+
 void QuotaService::coordinate(std::uint32_t partition) {
   const Instant now = clock_();
   Coordination& coordination = coordinationOf(partition);
@@ -327,7 +381,8 @@
   }
   ++coordination.round;
   coordination.roundAt = now;
-  const LendRequest request{partition, coordination.round};
+  const bool holdsHalf = coordination.pool->share(now) >= knobs_.decidingShare;
+  const LendRequest request{partition, coordination.round, holdsHalf};
   for (const std::string& member : fleet_.members()) {
     send(member, request);
   }
@@ -368,16 +423,18 @@
     account.asking.reset();
     return;
   }
-  // The next coordinator is asked at once when this one has not borrowed enough, and after some
-  // tries when it is silent.
-  std::uint32_t tries = account.asking->tries;
-  if (account.asking->isPaused) {
-    tries += knobs_.triesOfOneCoordinator - 1;
+  const Asking asked = *account.asking;
+  if (!asked.isPaused && asked.tries < knobs_.triesOfOneCoordinator) {
+    ask(account, asked.coordinator, asked.tries + 1);
+    return;
   }
-  if (tries % knobs_.triesOfOneCoordinator == 0) {
-    proven_.erase(partitionOf(account.tenant.name));
+  // It is silent, or has not borrowed enough.
+  const std::uint32_t partition = partitionOf(account.tenant.name);
+  if (const auto proven = proven_.find(partition);
+      proven != proven_.end() && proven->second == asked.coordinator) {
+    proven_.erase(proven);
   }
-  ask(account, tries);
+  ask(account, coordinatorFor(partition, asked.coordinator), 1);
 }
 
 void QuotaService::giveUpOldest(Account& account) {
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -36,6 +36,8 @@
   [[nodiscard]] virtual std::shared_ptr<const tenant::TenantDirectory> tenants() const = 0;
   /// Sends a message; it may be lost. Never calls back into the service.
   virtual void send(const std::string& to, const QuotaMessage& message) = 0;
+  /// Another node than before decides for a partition. Never calls back into the service.
+  virtual void onCoordinatorChanged(std::uint32_t partition, const std::string& address) = 0;
 };
 
 /// What became of quota decisions; all only rise.
@@ -90,7 +92,7 @@
     std::string coordinator;
     Instant sentAt;
     std::size_t waiters = 0;  ///< Those in front of the queue are decided by the reply.
-    std::uint32_t tries = 0;  ///< Over all coordinators.
+    std::uint32_t tries = 1;  ///< At this coordinator.
     bool isPaused = false;    ///< Undecided: the next coordinator is asked after a pause.
   };
   /// A granted request whose token is not made yet.
@@ -113,11 +115,21 @@
     std::uint64_t round = 0;
     Instant roundAt;
   };
+  using LendEnds = std::vector<LendEnd>;
+  /// Another coordinator of a partition that this node leaves it to.
+  struct GivenWay {
+    std::string rival;
+    Instant heardAt;
+  };
 
-  void ask(Account& account, std::uint32_t triesBefore);
-  [[nodiscard]] std::string coordinatorFor(std::uint32_t partition, std::uint32_t tries) const;
+  void askCoordinator(Account& account);
+  void ask(Account& account, const std::string& coordinator, std::uint32_t tries);
+  /// \param failed not chosen while there is another one; empty: none.
+  [[nodiscard]] std::string coordinatorFor(std::uint32_t partition,
+                                           const std::string& failed) const;
   void send(const std::string& to, const QuotaMessage& message);
   void onLendRequest(const std::string& from, const LendRequest& request);
+  void onLendEnd(const std::string& from, const LendEnd& end);
   void onLendReply(const std::string& from, const LendReply& reply);
   void onTokenRequest(const std::string& from, const TokenRequest& request);
   void onTokenReply(const TokenReply& reply);
@@ -130,6 +142,12 @@
   void finish(Account& account, QuotaDecision decision);
   void coordinate(std::uint32_t partition);
   Coordination& coordinationOf(std::uint32_t partition);
+  /// Two coordinators of one partition would each hold a part of the shares for good, since nodes
+  /// renew their lends to whoever asks: the one that holds less than half gives way, or that which
+  /// comes second in an order that all nodes know.
+  void considerRival(const std::string& rival, const LendRequest& request);
+  [[nodiscard]] bool givesWay(std::uint32_t partition) const;
+  void announceEnds(const LendEnds& ends);
   [[nodiscard]] Duration spread(Duration retryAfter);
 
   QuotaFleet& fleet_;
@@ -144,10 +162,12 @@
   /// Who decided last, by partition: asked first while it decides. After a split heals the nodes
   /// that others chose as coordinator return, with nothing borrowed.
   std::map<std::uint32_t, std::string> proven_;
+  std::map<std::uint32_t, std::string> lastDecided_;  ///< Likewise, also while nobody decides.
   std::unordered_map<std::uint64_t, std::string> askingTenants_;  ///< By number of the request.
   std::deque<std::pair<std::string, QuotaMessage>> toSelf_;
   bool deliversToSelf_ = false;
-  bool coordinates_ = true;  ///< False from the planned stop on.
+  bool coordinates_ = true;                     ///< False from the planned stop on.
+  std::map<std::uint32_t, GivenWay> givenWay_;  ///< By partition.
   std::uint64_t nextNumber_ = 1;
   std::size_t waiting_ = 0;
   QuotaCounters counters_;
--- a/tests/quota/quota_fleet.h
+++ b/tests/quota/quota_fleet.h
@@ -91,6 +91,8 @@
   }
   /// Whether nodes learn of cuts, deaths and freezes.
   bool detectsFailures = true;
+  /// Every other node takes the second choice for the first.
+  bool disagreesOnCoordinators = false;
   double lossShare = 0.01;
 
   [[nodiscard]] std::size_t size() const { return nodes_.size(); }
@@ -124,6 +126,7 @@
   std::map<std::string, std::size_t> beginningGranted;
   Duration lastRetryAfter{};
   std::size_t messages = 0;
+  std::size_t coordinatorChanges = 0;
 
  private:
   struct Node final : QuotaFleet {
@@ -138,6 +141,9 @@
           candidates.push_back(fleet.nodes_[other]->address);
         }
       }
+      if (fleet.disagreesOnCoordinators && index % 2 == 1) {
+        std::reverse(candidates.begin(), candidates.end());
+      }
       return candidates;
     }
     [[nodiscard]] std::vector<std::string> members() const override {
@@ -157,6 +163,11 @@
       fleet.carry(*this, std::stoul(to), message);
     }
 
+    void onCoordinatorChanged(std::uint32_t /*partition*/,
+                              const std::string& /*address*/) override {
+      ++fleet.coordinatorChanges;
+    }
+
     std::shared_ptr<const tenant::TenantDirectory> ownTenants;  ///< Null: the fleet's.
     SimulatedFleet& fleet;
     std::size_t index;
