Play tenants on two whole nodes: keys are shown nowhere, turns and budgets stay apart

Cause: nothing played tenants over whole nodes, and nothing looked for keys in what nodes put out. Change: a test on two edge daemons over loopback with the stand-ins of store and replica: unknown and dropped keys, another tenant's turn, one program id of two tenants, a configuration that contradicts itself; then log lines, metrics, answers and all heads that reached the replica are searched for keys and forged tenants.

--- a/lab/platform/replica_stand_in.cpp
+++ b/lab/platform/replica_stand_in.cpp
@@ -54,6 +54,7 @@
   }
   ++runs[requestId];
   bodies[requestId] = request.body;
+  heads[requestId] = request.headers;
   if (trouble == ReplicaTrouble::LostAnswer) {
     return;  // The writer goes, and the connection with it.
   }
--- a/lab/platform/replica_stand_in.h
+++ b/lab/platform/replica_stand_in.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "http/http_server.h"
 
@@ -32,8 +33,9 @@
                                          const std::string& state) const;
 
   ReplicaTrouble trouble = ReplicaTrouble::None;
-  std::map<std::string, int> runs;            ///< By request id.
-  std::map<std::string, std::string> bodies;  ///< By request id.
+  std::map<std::string, int> runs;                         ///< By request id.
+  std::map<std::string, std::string> bodies;               ///< By request id.
+  std::map<std::string, std::vector<http::Header>> heads;  ///< As they came, by request id.
 
  private:
   void onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer);
--- a/tests/lab_platform/edge_day_test.cpp
+++ b/tests/lab_platform/edge_day_test.cpp
@@ -34,6 +34,14 @@
   return text.replace(text.find("%d"), 2, std::to_string(version));
 }
 
+/// \return a configuration in which `alice` and `bob` have these keys.
+std::string configurationWithKeys(int version, const std::string& alice, const std::string& bob) {
+  const std::string tenants = R"("tenants":[{"name":"alice","apiKeys":[")" + alice +
+                              R"("],"priority":3},{"name":"bob","apiKeys":[")" + bob + R"("]}],)";
+  std::string text = configurationOf(version);
+  return text.insert(text.find(R"("services")"), tenants);
+}
+
 /// \return an address of the ip with a port that was free a moment ago.
 std::string freeAddress(boost::asio::io_context& context, const std::string& ip) {
   boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address(ip), 0});
@@ -103,6 +111,7 @@
   std::unique_ptr<Node> second;
   http::HttpClientPtr client;
   int nextRequest = 0;
+  std::string key;  ///< Sent with every attempt; empty: none.
 
   void setup() override {
     context = std::make_unique<boost::asio::io_context>(1);
@@ -180,6 +189,10 @@
     if (!previous.empty()) {
       request.headers.push_back({"Gorsetrail-Previous-Turn", previous});
     }
+    if (!key.empty()) {
+      request.headers.push_back({"Gorsetrail-Key", key});
+      request.headers.push_back({"Gorsetrail-Tenant", "forged"});
+    }
     request.body = "input" + std::to_string(nextRequest) + ";";
     return send(request);
   }
@@ -295,3 +308,49 @@
                   page.body.c_str());
   STRCMP_CONTAINS("gorsetrail_configuration_version 1", page.body.c_str());
 }
+
+TEST(EdgeDay, tenantsAreKeptApartOverNodesAndKeysAreShownNowhere) {
+  const std::string aliceKey = "k3y-of-alice";
+  const std::string bobKey = "k3y-of-bob";
+  const std::string oldKey = "k3y-of-before";
+  store->put("keyed.op", "config", configurationWithKeys(2, aliceKey, bobKey));
+  CHECK_TRUE(until([&] { return ask(*first, "/unsafe/x").status == 401; }));
+  CHECK_TRUE(until([&] { return ask(*second, "/unsafe/x").status == 401; }));
+  key = oldKey;
+  LONGS_EQUAL(401, ask(*first, "/unsafe/x").status);
+  key = aliceKey;
+  LONGS_EQUAL(200, ask(*first, "/kept/stream/1").status);
+  const std::string turn = "q" + std::to_string(nextRequest);
+  key = bobKey;
+  const Answer theft = ask(*second, "/kept/stream/1", turn);
+  const Answer guess = ask(*second, "/kept/stream/1", "never");
+  LONGS_EQUAL(404, theft.status);
+  STRCMP_EQUAL(guess.body.c_str(), theft.body.c_str());
+  key = aliceKey;
+  LONGS_EQUAL(200, ask(*second, "/kept/stream/1", turn).status);
+  // The same program id of another tenant has a budget of its own.
+  LONGS_EQUAL(200, ask(*first, "/again/stream/1", "", "300").status);
+  key = bobKey;
+  LONGS_EQUAL(200, ask(*first, "/again/stream/1", "", "60").status);
+  // A key that is taken away stops on both nodes.
+  store->put("keyed.op", "config", configurationWithKeys(3, "k3y-new", bobKey));
+  key = aliceKey;
+  CHECK_TRUE(until([&] { return ask(*first, "/unsafe/x").status == 401; }));
+  CHECK_TRUE(until([&] { return ask(*second, "/unsafe/x").status == 401; }));
+  // A configuration that contradicts itself is refused, and tells no key.
+  store->put("keyed.op", "config", configurationWithKeys(4, "k3y-twice", "k3y-twice"));
+  CHECK_TRUE(
+      until([&] { return first->lines.find("configuration_unreadable") != std::string::npos; }));
+  http::Request metrics;
+  metrics.address = first->listen().metrics;
+  metrics.target = "/metrics";
+  for (const std::string& output : {first->lines, second->lines, send(metrics).body, theft.body}) {
+    CHECK(output.find("k3y") == std::string::npos);
+  }
+  for (const auto& [id, headers] : replica->heads) {
+    for (const http::Header& header : headers) {
+      CHECK(header.value.find("k3y") == std::string::npos);
+      CHECK(header.value != "forged");
+    }
+  }
+}
