--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -11,9 +11,7 @@
 #include "http/http_client.h"
 #include "ledger/ledger.h"
 #include "quota/quota_admission.h"
-#include "routing/admission_policy.h"
-#include "routing/replica_selector.h"
-#include "routing/replica_table.h"
+#include "routing/replica_placement.h"
 #include "routing/route_table.h"
 #include "services/timer_service.h"
 
@@ -65,9 +63,7 @@
 struct EdgeContext {
   const WireAdapter& wire;
   routing::RouteTable& routes;
-  routing::ReplicaTable& replicas;
-  routing::ReplicaSelector& selector;
-  const routing::AdmissionPolicy& admission;
+  routing::ReplicaPlacement& placement;
   ledger::Ledger& ledger;
   quota::QuotaAdmission& quota;
   http::HttpClient& client;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -110,15 +110,26 @@
       routes_(seed),
       selector_(settings_.zone, selectorKnobsOf(settings_)),
       admission_(admissionKnobsOf(settings_)),
+      placement_(replicas_, selector_, admission_, {}),
       fleetLoad_({}),
       loadExchange_(
           context, {}, seed,
           [this](routing::LoadDigest digest) { fleetLoad_.onDigest(std::move(digest), clock_()); }),
       quotaExchange_(context, *timers_, clock_, quotaSources(), seed),
       staticShares_([this] { return quotaExchange_.ownShare(); }, clock_),
-      context_{parts.wire, routes_,      replicas_,    selector_, admission_,
-               ledger_,    quotaInUse(), parts.client, *timers_,  clock_,
-               log_,       metrics_,     {},           {},        exchangeKnobsOf(settings_)} {}
+      context_{parts.wire,
+               routes_,
+               placement_,
+               ledger_,
+               quotaInUse(),
+               parts.client,
+               *timers_,
+               clock_,
+               log_,
+               metrics_,
+               {},
+               {},
+               exchangeKnobsOf(settings_)} {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
 
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -137,6 +137,7 @@
   routing::ReplicaTable replicas_;
   routing::ReplicaSelector selector_;
   routing::AdmissionPolicy admission_;
+  routing::ReplicaPlacement placement_;
   routing::FleetLoad fleetLoad_;
   LoadExchange loadExchange_;
   QuotaExchange quotaExchange_;
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,12 @@
   Duration drain = seconds(2);          ///< A leaving replica gets nothing new after this.
   Duration configuration = seconds(2);  ///< A new configuration is in force after this.
   double maximumAddressTtlSeconds = 5;  ///< How long clients keep an answer of the directory.
+  Duration evacuation = seconds(5);     ///< An evacuated zone's replicas get nothing after this.
+  /// A cold replica gets at most its bearable rate times this, and `coldSlack` requests, in any
+  /// second, from all nodes together.
+  double coldOvershoot = 1.5;
+  double coldSlack = 5;
+  Duration replicaHeartbeat = milliseconds(1200);  ///< Between two registrations of a replica.
 };
 
 struct EdgeSettings {
@@ -42,6 +49,7 @@
   std::string zone;
   std::string region;
   std::vector<std::string> zones;  ///< All zones of the deployment.
+  std::map<std::string, std::string, std::less<>> regionOfZone;
   double processorShare = 1.0;     ///< Of a core.
   double linkMegabitsPerSecond = 1000;
   ListenAddresses listen;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -4,16 +4,12 @@
 #include <utility>
 
 #include "edge/exchange_shared.h"
-#include "tenant/authentication.h"
-#include "tenant/scoped_name.h"
 
 namespace gorsetrail::edge {
 namespace {
 
 constexpr unsigned kBudgetSpent = 402;
 constexpr unsigned kNotFound = 404;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -23,18 +19,23 @@
     : context_(context),
       request_(std::move(request)),
       writer_(std::move(writer)),
-      arrivedAt_(context.clock()) {}
+      arrivedAt_(context.clock()),
+      progress_(request_.lastEventId) {}
 
 void Exchange::start() {
   if (!context_.takesRequests) {
-    refuse(kUnavailable, "stopping", context_.knobs.retryAfterStop);
+    refuse({kUnavailable, "stopping", context_.knobs.retryAfterStop});
     return;
   }
-  if (!findRoute() || !authenticate()) {
+  RequestCheck check = checkRequest(context_, request_, arrivedAt_);
+  checked_ = std::move(check.request);
+  if (check.refusal) {
+    refuse(*check.refusal);
     return;
   }
   writer_->observe({[self = shared_from_this()] { self->onClientGone(); }, {}});
-  const Duration allowed = std::min(request_.deadline.value_or(route_->timeout), route_->timeout);
+  const Duration allowed =
+      std::min(request_.deadline.value_or(checked_.route->timeout), checked_.route->timeout);
   deadlineAt_ = arrivedAt_ + allowed;
   context_.timers.runAfter(std::max(Duration::zero(), allowed - kAnswerMargin),
                            [weak = weak_from_this()] {
@@ -42,24 +43,23 @@
                                self->onDeadline();
                              }
                            });
-  lastEventId_ = request_.lastEventId;
   if (!canKeepTurn()) {
     // An engine's work would be for nothing: its answer could not be released.
-    refuse(kUnavailable, "store_not_answering", context_.knobs.retryAfterOutage);
+    refuse({kUnavailable, "store_not_answering", context_.knobs.retryAfterOutage});
     return;
   }
   checkQuota();
 }
 
 void Exchange::checkQuota() {
-  if (tenant_ == nullptr || !tenant_->quota.isLimited()) {
+  if (checked_.tenant == nullptr || !checked_.tenant->quota.isLimited()) {
     findHistory();
     return;
   }
   // Tools are called by programs that have begun.
   const bool begins = isStreaming() && stage() == routing::WorkStage::FirstTurn;
   context_.quota.admit(
-      *tenant_, begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun,
+      *checked_.tenant, begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun,
       [self = shared_from_this()](quota::QuotaDecision decision) { self->onQuota(decision); });
 }
 
@@ -70,9 +70,9 @@
     return;
   }
   if (decision.verdict == quota::QuotaVerdict::OverLimit) {
-    refuse(kTooManyRequests, "over_quota", decision.retryAfter);
+    refuse({kTooManyRequests, "over_quota", decision.retryAfter});
   } else if (decision.verdict == quota::QuotaVerdict::Unknown) {
-    refuse(kUnavailable, "quota_unknown", decision.retryAfter);
+    refuse({kUnavailable, "quota_unknown", decision.retryAfter});
   } else {
     findHistory();
   }
@@ -80,75 +80,17 @@
 
 void Exchange::giveQuotaTokenBack() {
   if (holdsQuotaToken_ && !firstDispatchAt_) {
-    context_.quota.giveBack(tenant_->name);
+    context_.quota.giveBack(checked_.tenant->name);
   }
   holdsQuotaToken_ = false;
 }
 
-bool Exchange::findRoute() {
-  configuration_ = context_.routes.inForce();
-  if (!configuration_) {
-    refuse(kUnavailable, "no_configuration", context_.knobs.retryAfterStore);
-    return false;
-  }
-  route_ = context_.routes.match(request_.host, request_.path());
-  if (route_ == nullptr) {
-    if (isConfigurationFresh()) {
-      refuse(kNotFound, "no_route", Duration::zero());
-    } else {
-      refuse(kUnavailable, "configuration_too_old", context_.knobs.retryAfterStore);
-    }
-    return false;
-  }
-  if (request_.requestId.empty()) {
-    refuse(kBadRequest, "no_request_id", Duration::zero());
-    return false;
-  }
-  if (request_.hasConflictingHeaders) {
-    refuse(kBadRequest, "conflicting_headers", Duration::zero());
-    return false;
-  }
-  service_ = context_.routes.nextService(*route_);
-  const auto service = configuration_->services.find(service_);
-  if (service != configuration_->services.end() && service->second.engine) {
-    hasEngine_ = true;
-    tokensPerEvent_ = std::max(1U, service->second.engine->tokensPerEvent);
-  }
-  return true;
-}
-
-bool Exchange::isConfigurationFresh() const {
-  const Duration age = arrivedAt_ - context_.freshness.configurationHeardAt;
-  return age <= context_.knobs.configurationTrust;
-}
-
-bool Exchange::authenticate() {
-  const tenant::Authentication decided =
-      tenant::authenticate(configuration_->tenants.get(), request_.apiKey,
-                           route_->authenticationExempt, isConfigurationFresh());
-  if (std::holds_alternative<tenant::Unauthenticated>(decided)) {
-    refuse(kUnauthorized, request_.apiKey ? "unknown_key" : "no_key", Duration::zero());
-    return false;
-  }
-  if (std::holds_alternative<tenant::AuthenticationUncertain>(decided)) {
-    refuse(kUnavailable, "configuration_too_old", context_.knobs.retryAfterStore);
-    return false;
-  }
-  tenant_ = std::get<tenant::Authenticated>(decided).tenant;
-  const std::string scope = tenant_ == nullptr ? std::string() : tenant_->name;
-  priority_ = tenant_ == nullptr ? route_->priority : tenant_->priority.value_or(route_->priority);
-  turnName_ = tenant::scopedName(scope, request_.requestId);
-  previousTurnName_ = tenant::scopedName(scope, request_.previousTurn);
-  programName_ = tenant::scopedName(scope, request_.programId);
-  return true;
-}
-
 bool Exchange::canKeepTurn() const {
-  const bool keepsTurn = isStreaming() && route_->persisted;
-  return !keepsTurn || context_.ledger.takesTurn(turnName_);
+  const bool keepsTurn = isStreaming() && checked_.route->persisted;
+  return !keepsTurn || context_.ledger.takesTurn(checked_.turnName);
 }
 
-bool Exchange::isStreaming() const { return route_->kind == routing::RouteKind::Streaming; }
+bool Exchange::isStreaming() const { return checked_.isStreaming(); }
 
 bool Exchange::isBudgeted() const {
   return isStreaming() && request_.tokenBudget && !request_.programId.empty();
@@ -157,7 +99,7 @@
 Duration Exchange::timeLeft() const { return deadlineAt_ - context_.clock(); }
 
 void Exchange::findHistory() {
-  if (!route_->persisted) {
+  if (!checked_.route->persisted) {
     checkBudget();
     return;
   }
@@ -166,7 +108,7 @@
     checkBudget();
     return;
   }
-  context_.ledger.findHistory(previousTurnName_,
+  context_.ledger.findHistory(checked_.previousTurnName,
                               [self = shared_from_this()](ledger::HistoryAnswer answer) {
                                 self->onHistory(std::move(answer));
                               });
@@ -177,11 +119,11 @@
     return;
   }
   if (std::holds_alternative<ledger::UnknownTurn>(answer)) {
-    refuse(kNotFound, "unknown_turn", Duration::zero());
+    refuse({kNotFound, "unknown_turn", Duration::zero()});
     return;
   }
   if (std::holds_alternative<ledger::LedgerUnavailable>(answer)) {
-    refuse(kUnavailable, "history_unavailable", context_.knobs.retryAfterStore);
+    refuse({kUnavailable, "history_unavailable", context_.knobs.retryAfterStore});
     return;
   }
   before_ = std::move(std::get<ledger::History>(answer));
@@ -194,12 +136,12 @@
     dispatch();
     return;
   }
-  const std::uint64_t known = context_.ledger.knownUse(programName_);
+  const std::uint64_t known = context_.ledger.knownUse(checked_.programName);
   const std::uint64_t roomNeeded = request_.maximumTokens * context_.knobs.ampleBudgetTurns;
   const bool ample = known + roomNeeded <= *request_.tokenBudget;
   // While the budget is ample as far as is known, the reservation runs beside the dispatch. Where
   // reservations failed a moment ago, the home is asked first: it may hold a lease.
-  const bool likely = context_.ledger.takesReservation(programName_);
+  const bool likely = context_.ledger.takesReservation(checked_.programName);
   reserve(!ample || !likely,
           likely ? timeLeft() - kAnswerMargin : context_.knobs.unlikelyReservationLimit);
   if (ample && likely && !ended_) {
@@ -211,9 +153,10 @@
   budget_ = BudgetState::Reserving;
   reservationMayStand_ = true;
   const Duration limit = std::max(Duration::zero(), std::min(longest, timeLeft() - kAnswerMargin));
-  const ledger::BudgetRequest wanted{{turnName_, programName_, request_.maximumTokens},
-                                     *request_.tokenBudget,
-                                     request_.programTimeLeft};
+  const ledger::BudgetRequest wanted{
+      {checked_.turnName, checked_.programName, request_.maximumTokens},
+      *request_.tokenBudget,
+      request_.programTimeLeft};
   context_.ledger.reserve(
       wanted, limit,
       [self = shared_from_this(), dispatchAfterwards](ledger::ReservationOutcome outcome) {
@@ -240,14 +183,14 @@
     if (mayHaveRun_ || call_) {
       breakOff("budget_spent");
     } else {
-      refuse(kBudgetSpent, "budget_spent", Duration::zero());
+      refuse({kBudgetSpent, "budget_spent", Duration::zero()});
     }
     return;
   }
   if (mayHaveRun_ || call_) {
     breakOff("reservation_unavailable");
   } else {
-    refuse(kUnavailable, "reservation_unavailable", context_.knobs.retryAfterReservation);
+    refuse({kUnavailable, "reservation_unavailable", context_.knobs.retryAfterReservation});
   }
 }
 
@@ -255,38 +198,39 @@
   if (budget_ == BudgetState::Reserving || ended_) {
     return;
   }
-  if (!output_.empty()) {
+  if (progress_.hasOutput()) {
     if (!streamBegun_) {
       streamBegun_ = true;
       writer_->beginStream(head_.status, replicaHeaders_);
       firstEventAt_ = context_.clock();
       context_.metrics.onFirstEvent(*firstEventAt_ - arrivedAt_);
     }
-    eventsReleased_ = eventsTaken_;
-    writer_->write(std::exchange(output_, {}));
+    writer_->write(progress_.release());
   }
   if (streamEnded_) {
     onStreamEnd();
   }
 }
 
-std::uint64_t Exchange::tokensHandedOut() const { return eventsReleased_ * tokensPerEvent_; }
+std::uint64_t Exchange::tokensHandedOut() const {
+  return progress_.eventsReleased() * checked_.tokensPerEvent;
+}
 
 void Exchange::settleBudget(std::uint64_t tokens) {
   if (reservationMayStand_) {
     reservationMayStand_ = false;
-    context_.ledger.settle(
-        {turnName_, programName_, std::min(tokens, std::max(request_.maximumTokens, tokens))});
+    context_.ledger.settle({checked_.turnName, checked_.programName,
+                            std::min(tokens, std::max(request_.maximumTokens, tokens))});
   }
 }
 
-void Exchange::refuse(unsigned status, const std::string& reason, Duration retryAfter) {
+void Exchange::refuse(const Refusal& refusal) {
   if (ended_) {
     return;
   }
   settleBudget(0);
-  writer_->sendWhole(context_.wire.makeRefusal(request_, {status, reason, retryAfter}));
-  end("refused_" + std::to_string(status), reason);
+  writer_->sendWhole(context_.wire.makeRefusal(request_, refusal));
+  end("refused_" + std::to_string(refusal.status), refusal.reason);
 }
 
 void Exchange::failUnknown(unsigned status, const std::string& reason) {
@@ -320,7 +264,7 @@
   } else if (mayHaveRun_ || call_) {
     failUnknown(kGatewayTimeout, "deadline");
   } else {
-    refuse(kUnavailable, "deadline", Duration::zero());
+    refuse({kUnavailable, "deadline", Duration::zero()});
   }
 }
 
@@ -350,19 +294,20 @@
   const std::string programLeft = programMillisecondsLeft();
   // Programs that are late are looked into like failures.
   const bool well = outcome == "answered" && programLeft != "0";
-  const std::string route = route_ == nullptr ? std::string() : route_->name;
+  const std::string route = checked_.routeName();
+  const std::string tenant = checked_.tenantName();
   context_.metrics.onRequestEnded(route, std::string(outcome), std::string(reason),
                                   context_.clock() - arrivedAt_);
   const std::initializer_list<LogField> fields = {
       {"request", request_.requestId},
       {"program", request_.programId},
       {"route", route},
-      {"tenant", tenant_ == nullptr ? std::string_view() : std::string_view(tenant_->name)},
+      {"tenant", tenant},
       {"outcome", outcome},
       {"reason", reason},
       {"status", std::uint64_t{head_.status}},
       {"dispatches", dispatchNumber_},
-      {"events", eventsReleased_},
+      {"events", progress_.eventsReleased()},
       {"dispatched_ms", millisecondsUntil(firstDispatchAt_)},
       {"first_event_ms", millisecondsUntil(firstEventAt_)},
       {"program_left_ms", programLeft},
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -9,7 +9,9 @@
 
 #include "edge/call_request.h"
 #include "edge/edge_context.h"
-#include "edge/event_splitter.h"
+#include "edge/recovery_policy.h"
+#include "edge/request_check.h"
+#include "edge/stream_progress.h"
 #include "http/http_server.h"
 
 namespace gorsetrail::edge {
@@ -35,9 +37,6 @@
   enum class BudgetState : std::uint8_t { NotNeeded, Reserving, Granted };
 
   // Before the first dispatch.
-  bool findRoute();
-  /// Finds out in whose name the request is made. \return whether it goes on.
-  bool authenticate();
   void checkQuota();
   void onQuota(quota::QuotaDecision decision);
   /// The request was not sent to any replica: its token may serve another one.
@@ -52,7 +51,8 @@
   // At a replica.
   void dispatch();
   void send(const routing::ReplicaPtr& replica);
-  [[nodiscard]] bool isAdmitted(const routing::Replica& replica) const;
+  [[nodiscard]] routing::PlacementQuery placementQuery() const;
+  void onNoReplica(const routing::NoReplica& none);
   [[nodiscard]] routing::WorkStage stage() const;
   /// \return how urgent the request is to a replica, 0 first.
   [[nodiscard]] std::uint32_t urgency() const;
@@ -61,12 +61,14 @@
   void onReplicaDone();
   void onReplicaFailure(const http::Failure& failure);
   void onReplicaRefusal();
+  /// \param reason for the client where nothing more can be done.
+  [[nodiscard]] FailedDispatch failedDispatch(bool ranThere) const;
+  void takeStep(RecoveryStep step, const std::string& reason);
   void watchSilence();
   void onSilence();
   void onUnreachable();
   void recover(bool sent, bool staysAtReplica);
   void onWholeAnswer();
-  void takeEvents(const std::vector<StreamEvent>& events);
   void onStreamEnd();
   void onStored(const logstore::StoreResult<Success>& stored);
   [[nodiscard]] bool mayRunAgain() const;
@@ -77,7 +79,7 @@
 
   // Towards the client.
   void releaseOutput();
-  void refuse(unsigned status, const std::string& reason, Duration retryAfter);
+  void refuse(const Refusal& refusal);
   void failUnknown(unsigned status, const std::string& reason);
   void breakOff(const std::string& reason);
   void onDeadline();
@@ -91,8 +93,6 @@
   /// it was not told.
   [[nodiscard]] std::string programMillisecondsLeft() const;
   [[nodiscard]] Duration timeLeft() const;
-  /// \return whether what is not in the configuration in force is not in the newest one either.
-  [[nodiscard]] bool isConfigurationFresh() const;
   /// \return whether the turn can probably be stored now, if it has to be.
   [[nodiscard]] bool canKeepTurn() const;
   [[nodiscard]] bool isStreaming() const;
@@ -106,17 +106,7 @@
   Instant deadlineAt_;
   std::optional<Instant> firstDispatchAt_;
   std::optional<Instant> firstEventAt_;
-  routing::ConfigurationPtr configuration_;  ///< Keeps `route_` alive.
-  const routing::Route* route_ = nullptr;
-  const tenant::Tenant* tenant_ = nullptr;  ///< Null: in nobody's name. Lives as `route_` does.
-  std::uint32_t priority_ = 0;              ///< 0 is the most urgent.
-  // Names under which the ledger keeps the request, see `tenant::scopedName`.
-  std::string turnName_;
-  std::string previousTurnName_;
-  std::string programName_;
-  std::string service_;
-  std::uint64_t tokensPerEvent_ = 1;
-  bool hasEngine_ = false;  ///< The service's replicas are model engines.
+  CheckedRequest checked_;
   std::string ownInput_;    ///< The turn's new input, for its record.
   ledger::History before_;  ///< What the turn goes on from.
   BudgetState budget_ = BudgetState::NotNeeded;
@@ -133,7 +123,6 @@
   bool muteNoted_ = false;  ///< The dispatch counts as failed, since nothing came for long.
   std::vector<http::Header> replicaHeaders_;
   std::string body_;
-  EventSplitter splitter_;
 
   // Over all dispatches.
   std::vector<routing::ReplicaPtr> tried_;  ///< Not to be asked again.
@@ -142,11 +131,7 @@
   std::uint32_t refusedTries_ = 0;
   std::uint32_t resumes_ = 0;
   bool mayHaveRun_ = false;
-  std::string lastEventId_;
-  std::uint64_t eventsTaken_ = 0;
-  std::uint64_t eventsReleased_ = 0;
-  std::string output_;        ///< Events that wait for the reservation.
-  std::string turnAddition_;  ///< Input and events' data, for the turn's record.
+  StreamProgress progress_;   ///< Events wait here for the reservation.
   bool streamBegun_ = false;  ///< The client has the head of the stream.
   Instant streamEndedAt_;
   bool streamEnded_ = false;  ///< The replica's stream came whole.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -16,37 +16,49 @@
 
 }  // namespace
 
-void Exchange::dispatch() {
-  const bool keepsPrompts = hasEngine_ && !request_.programId.empty();
-  routing::ReplicaQuery query;
-  query.service = service_;
-  query.affinityKey = keepsPrompts ? programName_ : turnName_;
-  query.promptTokens = keepsPrompts ? request_.promptTokens : 0;
-  query.tried = &tried_;
-  query.isConnected = [this](const routing::Replica& replica) {
+routing::PlacementQuery Exchange::placementQuery() const {
+  const bool keepsPrompts = checked_.hasEngine && !request_.programId.empty();
+  routing::PlacementQuery query;
+  query.replica.service = checked_.service;
+  query.replica.affinityKey = keepsPrompts ? checked_.programName : checked_.turnName;
+  query.replica.promptTokens = keepsPrompts ? request_.promptTokens : 0;
+  query.replica.tried = &tried_;
+  query.replica.isConnected = [this](const routing::Replica& replica) {
     return context_.client.hasIdleConnection(replica.entry.address);
   };
-  const routing::ReplicaPtr replica =
-      context_.selector.choose(context_.replicas, query, context_.clock());
-  if (replica && isAdmitted(*replica)) {
-    send(replica);
-    return;
+  // What has begun anywhere goes on: turning it away would waste the work and promise too much.
+  const bool canBeRefused = checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
+  if (canBeRefused) {
+    query.admission = routing::AdmissionRequest{stage(), checked_.priority};
   }
-  if (replica) {
-    refuse(kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload);
-    return;
+  return query;
+}
+
+void Exchange::dispatch() {
+  const routing::Placement placement = context_.placement.place(placementQuery(), context_.clock());
+  if (const auto* const placed = std::get_if<routing::Placed>(&placement)) {
+    send(placed->replica);
+  } else if (const auto* const none = std::get_if<routing::NoReplica>(&placement)) {
+    onNoReplica(*none);
+  } else {
+    refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
   }
-  if (mayHaveRun_ && !streamBegun_) {
-    failUnknown(kBadGateway, "no_replica_left");
-  } else if (streamBegun_) {
+}
+
+void Exchange::onNoReplica(const routing::NoReplica& none) {
+  if (streamBegun_) {
     breakOff("no_replica_left");
+  } else if (mayHaveRun_) {
+    failUnknown(kBadGateway, "no_replica_left");
+  } else if (none.bar) {
+    refuse({kUnavailable, std::string(routing::placementBarName(*none.bar)), none.retryAfter});
   } else {
-    refuse(kUnavailable, "no_replica_free", context_.knobs.retryAfterFull);
+    refuse({kUnavailable, "no_replica_free", context_.knobs.retryAfterFull});
   }
 }
 
 routing::WorkStage Exchange::stage() const {
-  const std::uint64_t known = context_.ledger.knownUse(programName_);
+  const std::uint64_t known = context_.ledger.knownUse(checked_.programName);
   const double budget = static_cast<double>(request_.tokenBudget.value_or(0));
   if (budget > 0 && static_cast<double>(known) > context_.knobs.runawayShare * budget) {
     return routing::WorkStage::Runaway;
@@ -58,18 +70,14 @@
 std::uint32_t Exchange::urgency() const {
   const bool isLate =
       request_.programTimeLeft && *request_.programTimeLeft <= context_.clock() - arrivedAt_;
-  return isLate ? tenant::kLeastUrgentPriority : std::min(priority_, tenant::kLeastUrgentPriority);
-}
-
-bool Exchange::isAdmitted(const routing::Replica& replica) const {
-  // What has begun anywhere goes on: turning it away would waste the work and promise too much.
-  const bool canBeRefused = hasEngine_ && isStreaming() && !mayHaveRun_ && !streamBegun_;
-  return !canBeRefused || context_.admission.admits(replica, stage(), priority_);
+  return isLate ? tenant::kLeastUrgentPriority
+                : std::min(checked_.priority, tenant::kLeastUrgentPriority);
 }
 
 void Exchange::send(const routing::ReplicaPtr& replica) {
   replica_ = replica;
   ++replica_->inFlight;
+  context_.placement.onSent(*replica, context_.clock());
   if (!firstDispatchAt_) {
     firstDispatchAt_ = context_.clock();
     context_.metrics.onFirstDispatch(*firstDispatchAt_ - arrivedAt_);
@@ -81,21 +89,21 @@
   muteNoted_ = false;
   head_ = {};
   body_.clear();
-  splitter_.dropPartialEvent();
+  progress_.beginRun();
   Dispatch how;
   how.address = replica->entry.address;
   how.replicaId = replica->entry.id;
   how.timeLeft = timeLeft();
   how.priority = urgency();
-  how.lastEventId = lastEventId_;
-  how.tenant = tenant_ == nullptr ? std::string() : tenant_->name;
+  how.lastEventId = progress_.lastEventId();
+  how.tenant = checked_.tenantName();
   how.connectTimeLimit = context_.knobs.connectTimeLimit;
   context_.log.routine("dispatch", {{"request", request_.requestId},
                                     {"program", request_.programId},
-                                    {"route", route_->name},
-                                    {"service", service_},
+                                    {"route", checked_.route->name},
+                                    {"service", checked_.service},
                                     {"load", static_cast<std::uint64_t>(replica->load())},
-                                    {"version", configuration_->version.value()},
+                                    {"version", checked_.configuration->version.value()},
                                     {"replica", replica->entry.id},
                                     {"in_flight", std::uint64_t{replica->inFlight}},
                                     {"number", dispatchNumber_},
@@ -209,20 +217,7 @@
     body_ += part;
     return;
   }
-  takeEvents(splitter_.feed(part));
-}
-
-void Exchange::takeEvents(const std::vector<StreamEvent>& events) {
-  for (const StreamEvent& event : events) {
-    ++eventsTaken_;
-    if (!event.id.empty()) {
-      lastEventId_ = event.id;
-    }
-    output_ += event.text;
-    turnAddition_ += event.data;
-    turnAddition_.push_back('\n');
-  }
-  if (!events.empty()) {
+  if (progress_.take(part)) {
     releaseOutput();
   }
 }
@@ -242,7 +237,7 @@
     onWholeAnswer();
     return;
   }
-  if (splitter_.hasPartialEvent()) {
+  if (progress_.endsAmidAnEvent()) {
     onReplicaFailure({http::FailureStage::Broken, "the stream ended amid an event"});
     return;
   }
@@ -261,29 +256,59 @@
   tried_.push_back(replica_);
   releaseReplica();
   ++refusedTries_;
-  if (refusedTries_ < context_.knobs.maximumRefusedTries && timeLeft() > kAnswerMargin) {
-    ++context_.counters.retries;
-    dispatch();
-    return;
+  const RecoveryStep step = stepAfter(failedDispatch(false));
+  switch (step) {
+    case RecoveryStep::BreakOff:
+      takeStep(step, "replicas_refused_to_resume");
+      break;
+    case RecoveryStep::FailUnknown:
+      takeStep(step, "replicas_refused_after_a_run");
+      break;
+    default:
+      takeStep(step, full ? "replicas_full" : "replicas_refused");
   }
-  if (streamBegun_) {
-    breakOff("replicas_refused_to_resume");
-  } else if (!ranOn_.empty()) {
-    failUnknown(kBadGateway, "replicas_refused_after_a_run");
-  } else {
-    refuse(kUnavailable, full ? "replicas_full" : "replicas_refused",
-           context_.knobs.retryAfterFull);
+}
+
+FailedDispatch Exchange::failedDispatch(bool ranThere) const {
+  FailedDispatch failed;
+  failed.ranThere = ranThere;
+  failed.mayHaveRun = mayHaveRun_;
+  failed.streamBegun = streamBegun_;
+  failed.mayRunAgain = mayRunAgain();
+  failed.mayTryAnother =
+      refusedTries_ < context_.knobs.maximumRefusedTries && timeLeft() > kAnswerMargin;
+  return failed;
+}
+
+void Exchange::takeStep(RecoveryStep step, const std::string& reason) {
+  switch (step) {
+    case RecoveryStep::RunAgain:
+      runAgain();
+      break;
+    case RecoveryStep::TryAnother:
+      ++context_.counters.retries;
+      dispatch();
+      break;
+    case RecoveryStep::Refuse:
+      refuse({kUnavailable, reason, context_.knobs.retryAfterFull});
+      break;
+    case RecoveryStep::FailUnknown:
+      failUnknown(kBadGateway, reason);
+      break;
+    case RecoveryStep::BreakOff:
+      breakOff(reason);
+      break;
   }
 }
 
 void Exchange::onWholeAnswer() {
   const bool failed = head_.status >= kServerError;
-  if (failed && route_->kind == routing::RouteKind::Safe) {
+  if (failed && checked_.route->kind == routing::RouteKind::Safe) {
     ranOn_.push_back(replica_);
     tried_.push_back(replica_);
   }
   releaseReplica();
-  if (failed && route_->kind == routing::RouteKind::Safe && mayRunAgain()) {
+  if (failed && checked_.route->kind == routing::RouteKind::Safe && mayRunAgain()) {
     runAgain();
     return;
   }
@@ -303,15 +328,15 @@
     streamBegun_ = true;
     writer_->beginStream(head_.status, replicaHeaders_);
   }
-  if (!route_->persisted) {
+  if (!checked_.route->persisted) {
     onStored(Success{});
     return;
   }
   streamEnded_ = false;  // The end is on its way; `releaseOutput` must not start it again.
   const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
   context_.ledger.storeTurn(
-      {turnName_, previousTurnName_, before_, ownInput_ + turnAddition_}, limit,
-      [self = shared_from_this()](const logstore::StoreResult<Success>& stored) {
+      {checked_.turnName, checked_.previousTurnName, before_, ownInput_ + progress_.recordedData()},
+      limit, [self = shared_from_this()](const logstore::StoreResult<Success>& stored) {
         self->onStored(stored);
       });
 }
@@ -331,13 +356,13 @@
 }
 
 bool Exchange::mayRunAgain() const {
-  if (!route_->isIdempotent() || timeLeft() <= kAnswerMargin) {
+  if (!checked_.route->isIdempotent() || timeLeft() <= kAnswerMargin) {
     return false;
   }
   if (isStreaming()) {
     return resumes_ < context_.knobs.maximumResumes;
   }
-  return ranOn_.size() < route_->maximumAttempts;
+  return ranOn_.size() < checked_.route->maximumAttempts;
 }
 
 void Exchange::runAgain() {
@@ -346,7 +371,9 @@
     ++context_.counters.resumes;
   }
   ++resumes_;
-  if (resumeAt_ && resumeAt_->takesWork()) {
+  const bool staysThere = resumeAt_ && !context_.placement.barOf(
+                                           *resumeAt_, placementQuery().subject, context_.clock());
+  if (staysThere) {
     send(resumeAt_);
   } else {
     dispatch();
@@ -377,22 +404,9 @@
   releaseReplica();
   if (!sent) {
     ++refusedTries_;
-    if (refusedTries_ < context_.knobs.maximumRefusedTries && timeLeft() > kAnswerMargin) {
-      ++context_.counters.retries;
-      dispatch();
-      return;
-    }
-  } else if (mayRunAgain()) {
-    runAgain();
-    return;
-  }
-  if (streamBegun_) {
-    breakOff("replica_broke_off");
-  } else if (mayHaveRun_) {
-    failUnknown(kBadGateway, "replica_broke_off");
-  } else {
-    refuse(kUnavailable, "no_connection", context_.knobs.retryAfterFull);
   }
+  const RecoveryStep step = stepAfter(failedDispatch(sent));
+  takeStep(step, step == RecoveryStep::Refuse ? "no_connection" : "replica_broke_off");
 }
 
 void Exchange::noteOutcome(bool failed) { replica_->outcomes.note(failed, context_.clock()); }
--- /dev/null
+++ b/src/edge/recovery_policy.h
@@ -0,0 +1,30 @@
+/// \file What follows when a replica did not serve a request. Policy only: no I/O, no clock.
+#pragma once
+
+#include <cstdint>
+
+namespace gorsetrail::edge {
+
+/// What is known of a request at the moment at which a replica failed or refused it.
+struct FailedDispatch {
+  bool ranThere = false;       ///< The replica may have begun to run it.
+  bool mayHaveRun = false;     ///< This replica or an earlier one may have run it.
+  bool streamBegun = false;    ///< The client has the head of a stream.
+  bool mayRunAgain = false;    ///< The request may be repeated, and tries and time are left.
+  bool mayTryAnother = false;  ///< Replicas that did not run it may still be asked.
+};
+
+/// In the order of what a client loses.
+enum class RecoveryStep : std::uint8_t {
+  RunAgain,     ///< At the same replica or at another one; it may have run before.
+  TryAnother,   ///< It has not run there.
+  Refuse,       ///< With the promise that it has not run.
+  FailUnknown,  ///< Without a promise.
+  BreakOff,     ///< The client has part of a stream.
+};
+
+/// \return the next step. A promise of "not run" is made only while no replica may have run the
+/// request; after a run only requests that may be repeated go on.
+[[nodiscard]] RecoveryStep stepAfter(const FailedDispatch& failed);
+
+}  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/request_check.cpp
@@ -0,0 +1,95 @@
+#include "edge/request_check.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "edge/exchange_shared.h"
+#include "tenant/authentication.h"
+#include "tenant/scoped_name.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnauthorized = 401;
+
+/// \return whether what is not in the configuration in force is not in the newest one either.
+bool isConfigurationFresh(const EdgeContext& context, Instant now) {
+  return now - context.freshness.configurationHeardAt <= context.knobs.configurationTrust;
+}
+
+std::optional<Refusal> findRoute(EdgeContext& context, const CallRequest& call, Instant now,
+                                 CheckedRequest& request) {
+  request.configuration = context.routes.inForce();
+  if (!request.configuration) {
+    return Refusal{kUnavailable, "no_configuration", context.knobs.retryAfterStore};
+  }
+  request.route = context.routes.match(call.host, call.path());
+  if (request.route == nullptr) {
+    if (isConfigurationFresh(context, now)) {
+      return Refusal{kNotFound, "no_route", Duration::zero()};
+    }
+    return Refusal{kUnavailable, "configuration_too_old", context.knobs.retryAfterStore};
+  }
+  if (call.requestId.empty()) {
+    return Refusal{kBadRequest, "no_request_id", Duration::zero()};
+  }
+  if (call.hasConflictingHeaders) {
+    return Refusal{kBadRequest, "conflicting_headers", Duration::zero()};
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> authenticate(const EdgeContext& context, const CallRequest& call,
+                                    Instant now, CheckedRequest& request) {
+  const tenant::Authentication decided =
+      tenant::authenticate(request.configuration->tenants.get(), call.apiKey,
+                           request.route->authenticationExempt, isConfigurationFresh(context, now));
+  if (std::holds_alternative<tenant::Unauthenticated>(decided)) {
+    return Refusal{kUnauthorized, call.apiKey ? "unknown_key" : "no_key", Duration::zero()};
+  }
+  if (std::holds_alternative<tenant::AuthenticationUncertain>(decided)) {
+    return Refusal{kUnavailable, "configuration_too_old", context.knobs.retryAfterStore};
+  }
+  request.tenant = std::get<tenant::Authenticated>(decided).tenant;
+  return std::nullopt;
+}
+
+void chooseService(EdgeContext& context, CheckedRequest& request) {
+  request.service = context.routes.nextService(*request.route);
+  const auto& services = request.configuration->services;
+  const auto service = services.find(request.service);
+  if (service != services.end() && service->second.engine) {
+    request.hasEngine = true;
+    request.tokensPerEvent = std::max(1U, service->second.engine->tokensPerEvent);
+  }
+}
+
+void nameForLedger(const CallRequest& call, CheckedRequest& request) {
+  const std::string scope = request.tenantName();
+  request.turnName = tenant::scopedName(scope, call.requestId);
+  request.previousTurnName = tenant::scopedName(scope, call.previousTurn);
+  request.programName = tenant::scopedName(scope, call.programId);
+}
+
+}  // namespace
+
+RequestCheck checkRequest(EdgeContext& context, const CallRequest& call, Instant now) {
+  RequestCheck check;
+  check.refusal = findRoute(context, call, now, check.request);
+  if (!check.refusal) {
+    chooseService(context, check.request);
+    check.refusal = authenticate(context, call, now, check.request);
+  }
+  if (check.refusal) {
+    return check;
+  }
+  const std::uint32_t ofRoute = check.request.route->priority;
+  const tenant::Tenant* const tenant = check.request.tenant;
+  check.request.priority = tenant == nullptr ? ofRoute : tenant->priority.value_or(ofRoute);
+  nameForLedger(call, check.request);
+  return check;
+}
+
+}  // namespace gorsetrail::edge
--- a/src/edge/wire_adapter.h
+++ b/src/edge/wire_adapter.h
@@ -59,6 +59,9 @@
   [[nodiscard]] virtual std::string configurationTopic() const = 0;
   [[nodiscard]] virtual std::string configurationKey() const = 0;
   [[nodiscard]] virtual std::string replicaTopic() const = 0;
+  /// \return the zone that a record under this key of the configuration's topic evacuates; nothing
+  /// for other keys. The zone stays evacuated while the key has a record, whatever its value.
+  [[nodiscard]] virtual std::optional<std::string> evacuatedZoneOf(std::string_view key) const = 0;
 };
 
 }  // namespace gorsetrail::edge
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
   bool persisted = false;             ///< Finished turns are kept and may be continued.
   bool resumable = false;             ///< A stream may go on at another replica.
   bool authenticationExempt = false;  ///< Requests need no API key.
+  /// Regions that may serve, cache and store its requests; empty: any.
+  std::set<std::string, std::less<>> allowedRegions{};
 
   /// \return whether a request that may have run can be sent to another replica.
   [[nodiscard]] bool isIdempotent() const {
@@ -63,6 +66,10 @@
   std::string healthPath;
   std::uint32_t maximumConnections = 0;  ///< To one replica, from all callers together.
   std::optional<EngineProfile> engine;
+  /// A replica is cold for so long after its start, and may become so again; zero: never.
+  Duration coldTime = Duration::zero();
+  /// Requests a second that a cold replica bears, from all nodes together; 0: no bound.
+  double coldRequestsPerSecond = 0;
 };
 
 /// Bounds on what a client may send.
--- /dev/null
+++ b/src/routing/replica_placement.h
@@ -0,0 +1,81 @@
+/// \file The one step by which a request comes to a replica. Policy only: no I/O, no clock.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/admission_policy.h"
+#include "routing/placement_rule.h"
+#include "routing/replica_selector.h"
+#include "routing/replica_table.h"
+
+namespace gorsetrail::routing {
+
+/// Work that admission may turn away.
+struct AdmissionRequest {
+  WorkStage stage = WorkStage::FirstTurn;
+  std::uint32_t priority = 5;  ///< 0 is the most urgent.
+};
+
+/// What a placement depends on besides the tables.
+struct PlacementQuery {
+  ReplicaQuery replica;
+  PlacementSubject subject;
+  /// Unset: the request is placed however full the replicas are, since it has begun somewhere.
+  std::optional<AdmissionRequest> admission;
+};
+
+/// The request goes to this replica.
+struct Placed {
+  ReplicaPtr replica;
+};
+
+/// Replicas are there, but admission keeps this work away from them.
+struct PlacesTaken {};
+
+/// No replica may get the request.
+struct NoReplica {
+  /// The rule that kept most replicas back, where a rule did.
+  std::optional<PlacementBar> bar;
+  /// As that rule says; zero: no rule kept it back.
+  Duration retryAfter = Duration::zero();
+};
+
+using Placement = std::variant<Placed, PlacesTaken, NoReplica>;
+
+/// Chooses replicas under the placement rules. Ownership: rules, table, selector and admission
+/// outlive this object.
+class ReplicaPlacement {
+ public:
+  ReplicaPlacement(const ReplicaTable& replicas, const ReplicaSelector& selector,
+                   const AdmissionPolicy& admission, std::vector<PlacementRule*> rules);
+
+  [[nodiscard]] Placement place(const PlacementQuery& query, Instant now) const;
+  /// \return why the request must not go to this very replica; for streams that go on where they
+  /// ran.
+  [[nodiscard]] std::optional<PlacementBar> barOf(const Replica& replica,
+                                                  const PlacementSubject& subject,
+                                                  Instant now) const;
+  /// To be told of each request that is sent to a replica, whatever way it came there.
+  void onSent(const Replica& replica, Instant now);
+
+ private:
+  /// A rule and the reason it gives.
+  struct Barred {
+    PlacementBar bar = PlacementBar::Leaving;
+    const PlacementRule* rule = nullptr;  ///< Null: the replica's own state.
+  };
+  [[nodiscard]] std::optional<Barred> barred(const Replica& replica,
+                                             const PlacementSubject& subject, Instant now) const;
+  [[nodiscard]] NoReplica whyNone(const PlacementQuery& query, Instant now) const;
+
+  const ReplicaTable& replicas_;
+  const ReplicaSelector& selector_;
+  const AdmissionPolicy& admission_;
+  std::vector<PlacementRule*> rules_;
+};
+
+}  // namespace gorsetrail::routing
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -16,22 +16,21 @@
   return XXH64(replicaId.data(), replicaId.size(), seed);
 }
 
-bool isEligible(const ReplicaPtr& replica, const ReplicaQuery& query) {
-  const bool tried = query.tried != nullptr && std::find(query.tried->begin(), query.tried->end(),
-                                                         replica) != query.tried->end();
-  return replica->takesWork() && !tried;
+bool wasTried(const ReplicaPtr& replica, const ReplicaQuery& query) {
+  return query.tried != nullptr &&
+         std::find(query.tried->begin(), query.tried->end(), replica) != query.tried->end();
 }
 
 /// \return the replica of the zone that every node prefers for the key; null without a key.
 const Replica* preferredReplica(const std::vector<ReplicaPtr>& replicas, std::string_view zone,
-                                std::string_view key) {
+                                std::string_view key, const ReplicaSelector::MayGet& mayGet) {
   const Replica* preferred = nullptr;
   std::uint64_t highest = 0;
   if (key.empty()) {
     return nullptr;
   }
   for (const ReplicaPtr& replica : replicas) {
-    if (!replica->takesWork() || replica->entry.zone != zone) {
+    if (replica->entry.zone != zone || !mayGet(*replica)) {
       continue;
     }
     const std::uint64_t weight = rendezvousWeightOf(key, replica->entry.id);
@@ -91,14 +90,14 @@
 }
 
 ReplicaPtr ReplicaSelector::choose(const ReplicaTable& table, const ReplicaQuery& query,
-                                   Instant now) const {
+                                   const MayGet& mayGet, Instant now) const {
   const std::vector<ReplicaPtr>& replicas = table.ofService(query.service);
-  const Replica* const preferred = preferredReplica(replicas, zone_, query.affinityKey);
+  const Replica* const preferred = preferredReplica(replicas, zone_, query.affinityKey, mayGet);
   const double usualMilliseconds = medianAnswerTime(replicas);
   ReplicaPtr chosen;
   double lowest = std::numeric_limits<double>::max();
   for (const ReplicaPtr& replica : replicas) {
-    if (!isEligible(replica, query)) {
+    if (wasTried(replica, query) || !mayGet(*replica)) {
       continue;
     }
     const bool isPreferred = preferred == nullptr || replica.get() == preferred;
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -59,9 +59,12 @@
   ReplicaSelector(std::string zone, ReplicaSelectorKnobs knobs)
       : zone_(std::move(zone)), knobs_(knobs) {}
 
-  /// \return the replica, or null when none takes work.
+  /// Whether a replica may get the request at all.
+  using MayGet = std::function<bool(const Replica&)>;
+
+  /// \return the replica, or null when none may get the request.
   [[nodiscard]] ReplicaPtr choose(const ReplicaTable& table, const ReplicaQuery& query,
-                                  Instant now) const;
+                                  const MayGet& mayGet, Instant now) const;
 
  private:
   [[nodiscard]] double costOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -22,6 +22,8 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  /// How much longer it said it is cold, as of its newest registration; zero: it is warm.
+  Duration coldFor = Duration::zero();
 };
 
 /// One failure may be chance.
--- a/src/tenant/tenant.h
+++ b/src/tenant/tenant.h
@@ -5,7 +5,9 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
   std::vector<ApiKeyDigest> keys;         ///< Two while a key is being replaced.
   std::optional<std::uint32_t> priority;  ///< Goes before the route's.
   Quota quota;
+  /// Regions that may serve, cache and store its requests; empty: any.
+  std::set<std::string, std::less<>> allowedRegions{};
 };
 
 }  // namespace gorsetrail::tenant
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -50,9 +50,7 @@
   EdgeContext contextWith(ledger::Ledger & ledger) {
     return {world.wire,
             world.routes,
-            world.replicas,
-            world.selector,
-            world.admission,
+            world.placement,
             ledger,
             world.quota,
             world.client,
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -28,9 +28,7 @@
   routing::RouteTable none;
   EdgeContext context{other.wire,
                       none,
-                      other.replicas,
-                      other.selector,
-                      other.admission,
+                      other.placement,
                       other.ledger,
                       other.quota,
                       other.client,
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -221,10 +221,10 @@
   logstore::PersistentStore store{log, timers, [this] { return timers.now; }, {}, 1};
   ledger::ProgramLedger ledger{store, timers, [this] { return timers.now; }, {}};
   FakeQuota quota;
-  EdgeContext context{wire,     routes,  replicas, selector, admission,
-                      ledger,   quota,   client,   timers,   [this] { return timers.now; },
-                      eventLog, metrics, {},       {},       {},
-                      true};
+  routing::ReplicaPlacement placement{replicas, selector, admission, {}};
+  EdgeContext context{
+      wire,     routes,  placement, ledger, quota, client, timers, [this] { return timers.now; },
+      eventLog, metrics, {},        {},     {},    true};
 };
 
 }  // namespace gorsetrail::edge::testing
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -42,6 +42,36 @@
   CHECK_FALSE(configuration.services.at("n").engine.has_value());
 }
 
+TEST(Documents, readsWhereRequestsMayGoAndWhatColdReplicasBear) {
+  const auto read = adapter.readConfiguration(
+      R"({"version":1,"routes":[{"name":"r","host":"a","pathPrefix":"/x/","service":"m",
+       "allowedRegions":["west","east"]}],
+       "services":[{"name":"m","coldStartS":3.5,"coldPerS":25.0},{"name":"n"}],
+       "tenants":[{"name":"t","allowedRegions":["west"]}]})");
+  const routing::Configuration& configuration = valueOf(read);
+  LONGS_EQUAL(2, configuration.routes[0].allowedRegions.size());
+  CHECK(configuration.services.at("m").coldTime == milliseconds(3500));
+  DOUBLES_EQUAL(25, configuration.services.at("m").coldRequestsPerSecond, 1e-9);
+  DOUBLES_EQUAL(0, configuration.services.at("n").coldRequestsPerSecond, 1e-9);
+  const tenant::Tenant* const named = configuration.tenants->find("t");
+  CHECK_TRUE(named->allowedRegions.contains("west"));
+}
+
+TEST(Documents, knowsWhichKeysEvacuateAZone) {
+  STRCMP_EQUAL("hall-a", adapter.evacuatedZoneOf("evacuate/hall-a").value().c_str());
+  CHECK_FALSE(adapter.evacuatedZoneOf("evacuate/").has_value());
+  CHECK_FALSE(adapter.evacuatedZoneOf("config").has_value());
+}
+
+TEST(Documents, readsHowLongAReplicaStaysCold) {
+  const auto cold = adapter.readReplicaEntry(
+      "i-1", R"({"service":"m","address":"10.0.0.9:8080","coldRemainingMs":2500})");
+  CHECK(valueOf(cold).coldFor == milliseconds(2500));
+  const auto warm =
+      adapter.readReplicaEntry("i-1", R"({"service":"m","address":"10.0.0.9:8080"})");
+  CHECK(valueOf(warm).coldFor == Duration::zero());
+}
+
 TEST(Documents, refusesWhatIsNoConfiguration) {
   for (const char* broken : {"", "{", "[]", R"({"version":1})", R"({"version":"x","routes":[]})"}) {
     const auto read = adapter.readConfiguration(broken);
--- /dev/null
+++ b/tests/routing/replica_placement_test.cpp
@@ -0,0 +1,106 @@
+// The one step by which a request comes to a replica: rules, admission, and why there is none.
+#include "routing/replica_placement.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::routing;
+
+namespace {
+
+/// Keeps requests from the replicas of one zone.
+class ZoneRule final : public PlacementRule {
+ public:
+  ZoneRule(std::string zone, PlacementBar bar, Duration retryAfter)
+      : zone_(std::move(zone)), bar_(bar), retryAfter_(retryAfter) {}
+  std::optional<PlacementBar> barOf(const Replica& replica, const PlacementSubject& /*subject*/,
+                                    Instant /*now*/) const override {
+    return replica.entry.zone == zone_ ? std::optional(bar_) : std::nullopt;
+  }
+  void onSent(const Replica& /*replica*/, Instant /*now*/) override { ++sent; }
+  Duration retryAfter(PlacementBar /*bar*/) const override { return retryAfter_; }
+
+  int sent = 0;
+
+ private:
+  std::string zone_;
+  PlacementBar bar_;
+  Duration retryAfter_;
+};
+
+}  // namespace
+
+TEST_GROUP(ReplicaPlacement) {
+  ReplicaTable table;
+  ReplicaSelector selector{"a", {}};
+  AdmissionPolicy admission{{}};
+  ZoneRule first{"a", PlacementBar::ZoneEvacuated, milliseconds(700)};
+  ZoneRule second{"b", PlacementBar::ColdRateSpent, milliseconds(90)};
+  ReplicaPlacement placement{table, selector, admission, {&first, &second}};
+  ReplicaPlacement withoutRules{table, selector, admission, {}};
+  Instant now{seconds(100)};
+
+  ReplicaPtr add(const std::string& id, const std::string& zone) {
+    ReplicaEntry entry;
+    entry.id = id;
+    entry.service = "s";
+    entry.zone = zone;
+    entry.slots = 4;
+    table.upsert(entry);
+    return table.ofService("s").back();
+  }
+  static PlacementQuery query() {
+    PlacementQuery made;
+    made.replica.service = "s";
+    return made;
+  }
+};
+
+TEST(ReplicaPlacement, choosesOnlyReplicasThatAllRulesAllow) {
+  add("near", "a");
+  add("cold", "b");
+  const ReplicaPtr far = add("far", "c");
+  const Placement found = placement.place(query(), now);
+  POINTERS_EQUAL(far.get(), std::get<Placed>(found).replica.get());
+}
+
+TEST(ReplicaPlacement, namesTheRuleThatKeptMostReplicasBackAndWhenToComeAgain) {
+  add("a1", "a");
+  add("a2", "a");
+  add("b1", "b");
+  const auto none = std::get<NoReplica>(placement.place(query(), now));
+  CHECK(PlacementBar::ZoneEvacuated == none.bar.value());
+  CHECK(milliseconds(700) == none.retryAfter);
+}
+
+TEST(ReplicaPlacement, namesNoRuleWhereReplicasOnlyLeave) {
+  add("a1", "c")->entry.draining = true;
+  const auto none = std::get<NoReplica>(placement.place(query(), now));
+  CHECK_FALSE(none.bar.has_value());
+}
+
+TEST(ReplicaPlacement, bindsTheReplicaWhereAStreamWouldGoOnByTheSameRules) {
+  const ReplicaPtr evacuated = add("a1", "a");
+  const ReplicaPtr leaving = add("c1", "c");
+  const ReplicaPtr free = add("c2", "c");
+  leaving->gone = true;
+  CHECK(PlacementBar::ZoneEvacuated == placement.barOf(*evacuated, {}, now).value());
+  CHECK(PlacementBar::Leaving == placement.barOf(*leaving, {}, now).value());
+  CHECK_FALSE(placement.barOf(*free, {}, now).has_value());
+}
+
+TEST(ReplicaPlacement, tellsAllRulesOfWhatWasSent) {
+  const ReplicaPtr free = add("c1", "c");
+  placement.onSent(*free, now);
+  LONGS_EQUAL(1, first.sent);
+  LONGS_EQUAL(1, second.sent);
+}
+
+TEST(ReplicaPlacement, asksAdmissionOnlyForWorkThatMayBeTurnedAway) {
+  const ReplicaPtr busy = add("c1", "c");
+  busy->inFlight = 40;
+  PlacementQuery beginning = query();
+  beginning.admission = AdmissionRequest{WorkStage::FirstTurn, 5};
+  CHECK(std::holds_alternative<PlacesTaken>(withoutRules.place(beginning, now)));
+  CHECK(std::holds_alternative<Placed>(withoutRules.place(query(), now)));
+}
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -13,6 +13,7 @@
   ReplicaSelector selector{"zone-a", {}};
   Instant now{seconds(100)};
 
+  static bool takesWork(const Replica& replica) { return replica.takesWork(); }
   ReplicaPtr add(const std::string& id, const std::string& zone) {
     ReplicaEntry entry;
     entry.id = id;
@@ -29,7 +30,7 @@
     query.affinityKey = key;
     query.promptTokens = promptTokens;
     query.tried = tried;
-    return selector.choose(table, query, now);
+    return selector.choose(table, query, takesWork, now);
   }
 };
 
@@ -125,11 +126,11 @@
   ReplicaQuery query;
   query.service = "s";
   query.isConnected = [&](const Replica& replica) { return &replica == connected.get(); };
-  CHECK(selector.choose(table, query, now) == connected);
+  CHECK(selector.choose(table, query, takesWork, now) == connected);
   connected->othersInFlight = 1;
-  CHECK(selector.choose(table, query, now) == connected);
+  CHECK(selector.choose(table, query, takesWork, now) == connected);
   connected->othersInFlight = 2;
-  CHECK(selector.choose(table, query, now) == near);
+  CHECK(selector.choose(table, query, takesWork, now) == near);
 }
 
 TEST(ReplicaSelector, usesADoubtedReplicaOnlyWhenThereIsNoOther) {
