Evacuated zones get nothing further: a placement rule over the operators' topic

Ruled out: news between nodes beside the store (a second home of the state), breaking off streams under way (only later arrivals count).

Change: `EvacuationTable` and `EvacuationRule`; a node places nothing and is not ready before its first whole listing; a key that is missing from a whole listing is taken back; all zones evacuated: refused at once with a time to come back. Log lines `zone_evacuated` and `evacuation_taken_back`, metric `zone_evacuated_milliseconds{zone}`, `explain` and `losses` know them. The stand-in store can drop history.

--- a/lab/platform/replica_stand_in.cpp
+++ b/lab/platform/replica_stand_in.cpp
@@ -35,10 +35,10 @@
   return "127.0.0.1:" + std::to_string(server_->listeningPort());
 }
 
-std::string ReplicaStandIn::registration(const std::string& service,
-                                         const std::string& state) const {
+std::string ReplicaStandIn::registration(const std::string& service, const std::string& state,
+                                         const std::string& zone) const {
   return nlohmann::json{
-      {"service", service}, {"address", address()}, {"zone", "z"}, {"slots", 4}, {"state", state}}
+      {"service", service}, {"address", address()}, {"zone", zone}, {"slots", 4}, {"state", state}}
       .dump();
 }
 
--- a/lab/platform/replica_stand_in.h
+++ b/lab/platform/replica_stand_in.h
@@ -29,8 +29,8 @@
 
   [[nodiscard]] std::string address() const;
   /// \return its registration as JSON.
-  [[nodiscard]] std::string registration(const std::string& service,
-                                         const std::string& state) const;
+  [[nodiscard]] std::string registration(const std::string& service, const std::string& state,
+                                         const std::string& zone = "z") const;
 
   ReplicaTrouble trouble = ReplicaTrouble::None;
   std::map<std::string, int> runs;                         ///< By request id.
--- a/lab/platform/store_stand_in.cpp
+++ b/lab/platform/store_stand_in.cpp
@@ -13,6 +13,7 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kGone = 410;
 constexpr unsigned kUnavailable = 503;
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kOffsetBytes = 8;
@@ -66,6 +67,10 @@
   logs_[{topic, "0"}].push_back(logstore::encodeKeyedRecord(key, value));
 }
 
+void StoreStandIn::dropHistory(const std::string& topic) {
+  firstKept_[topic] = logs_[{topic, "0"}].size();
+}
+
 std::size_t StoreStandIn::records(const std::string& topic) const {
   const auto found = logs_.find({topic, "0"});
   return found == logs_.end() ? 0 : found->second.size();
@@ -92,7 +97,9 @@
   }
   if (path == platform::path::kRead) {
     const std::string start = queryValue(request.target, "rangeStart");
-    return read(log, std::strtoull(start.c_str(), nullptr, 10));
+    const auto kept = firstKept_.find(queryValue(request.target, "topic"));
+    return read(log, std::strtoull(start.c_str(), nullptr, 10),
+                kept == firstKept_.end() ? 0 : kept->second);
   }
   if (path == platform::path::kNewest && queryValue(request.target, "topic") == refusedListing) {
     return {kUnavailable, {}, {}};
@@ -114,10 +121,14 @@
   return {kOk, {}, nlohmann::json{{"offset", first}, {"end", log.size()}}.dump()};
 }
 
-http::WholeResponse StoreStandIn::read(const Log& log, std::uint64_t start) {
+http::WholeResponse StoreStandIn::read(const Log& log, std::uint64_t start,
+                                       std::uint64_t firstKept) {
+  if (start < firstKept) {
+    return {kGone, {}, nlohmann::json{{"first", firstKept}}.dump()};
+  }
   std::string body;
   appendBigEndian(body, log.size(), kOffsetBytes);
-  appendBigEndian(body, 0, kOffsetBytes);
+  appendBigEndian(body, firstKept, kOffsetBytes);
   for (std::uint64_t at = start; at < log.size(); ++at) {
     appendBigEndian(body, log[at].size(), kLengthBytes);
     body += log[at];
--- a/lab/platform/store_stand_in.h
+++ b/lab/platform/store_stand_in.h
@@ -30,6 +30,8 @@
   [[nodiscard]] std::string address() const;
   /// Writes the newest record of a key, as the operator and replicas do; an empty value removes it.
   void put(const std::string& topic, const std::string& key, const std::string& value);
+  /// Drops the history of a topic: reads from before now say so, the newest of each key stays.
+  void dropHistory(const std::string& topic);
 
   /// \return how many records a topic's first partition holds.
   [[nodiscard]] std::size_t records(const std::string& topic) const;
@@ -44,10 +46,12 @@
   void onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer);
   [[nodiscard]] http::WholeResponse answer(const http::ServerRequest& request);
   http::WholeResponse append(Log& log, const std::string& body);
-  [[nodiscard]] static http::WholeResponse read(const Log& log, std::uint64_t start);
+  [[nodiscard]] static http::WholeResponse read(const Log& log, std::uint64_t start,
+                                                std::uint64_t firstKept);
   [[nodiscard]] static http::WholeResponse newest(const Log& log);
 
   std::map<std::pair<std::string, std::string>, Log> logs_;
+  std::map<std::string, std::uint64_t> firstKept_;  ///< By topic, of its first partition.
   http::HttpServerPtr server_;
 };
 
--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -11,9 +11,17 @@
 constexpr std::string_view kTimeKey = "time_ms=";
 /// Beliefs that changed this long before the request's first line may explain it.
 constexpr std::uint64_t kBackgroundMilliseconds = 2000;
-constexpr std::array<std::string_view, 9> kBeliefEvents = {
-    "store_lost",      "store_regained",         "store_way",  "replica_gone", "replica_doubted",
-    "replica_changed", "configuration_in_force", "stop_begun", "started"};
+constexpr std::array<std::string_view, 11> kBeliefEvents = {"store_lost",
+                                                            "store_regained",
+                                                            "store_way",
+                                                            "replica_gone",
+                                                            "replica_doubted",
+                                                            "replica_changed",
+                                                            "stop_begun",
+                                                            "started",
+                                                            "zone_evacuated",
+                                                            "configuration_in_force",
+                                                            "evacuation_taken_back"};
 
 /// Reads one value: bare to the next blank, or quoted with backslash escapes.
 std::string takeValue(std::string_view& rest) {
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -110,7 +110,8 @@
       routes_(seed),
       selector_(settings_.zone, selectorKnobsOf(settings_)),
       admission_(admissionKnobsOf(settings_)),
-      placement_(replicas_, selector_, admission_, {}),
+      evacuationRule_(evacuations_, {}),
+      placement_(replicas_, selector_, admission_, {&evacuationRule_}),
       fleetLoad_({}),
       loadExchange_(
           context, {}, seed,
@@ -320,6 +321,9 @@
       ageMilliseconds(now, context_.freshness.configurationHeardAt);
   figures.replicasAgeMilliseconds = ageMilliseconds(now, context_.freshness.replicasHeardAt);
   figures.logLinesLeftOut = log_.leftOut();
+  for (const auto& [zone, since] : evacuations_.zones()) {
+    figures.evacuatedZones.push_back({zone, ageMilliseconds(now, since)});
+  }
   return figures;
 }
 
@@ -337,7 +341,8 @@
 }
 
 bool EdgeDaemon::isReady() const {
-  return !stopping_ && routes_.inForce() != nullptr && replicas_.size() > 0;
+  return !stopping_ && routes_.inForce() != nullptr && evacuations_.isKnown() &&
+         replicas_.size() > 0;
 }
 
 void EdgeDaemon::onReadinessRequest(const http::ResponseWriterPtr& writer) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -28,6 +28,7 @@
 #include "logstore/keyed_topic_follower.h"
 #include "logstore/log_store.h"
 #include "quota/static_shares.h"
+#include "routing/evacuation.h"
 #include "routing/fleet_load.h"
 
 namespace gorsetrail::edge {
@@ -77,7 +78,11 @@
   void followConfiguration();
   void followReplicas();
   void followMembers();
-  void onConfigurationRecord(const std::string& key, const std::string& value);
+  /// Takes one of the operators' records: a configuration, or an evacuated zone.
+  void onOperatorRecord(const std::string& key, const std::string& value);
+  void onConfigurationRecord(const std::string& value);
+  void onEvacuationRecord(const std::string& zone, const std::string& value);
+  void onOperatorRecordsListed(const std::vector<std::string>& keys);
   void onReplicaLapsed(const std::string& id, std::string_view by);
   [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
@@ -137,6 +142,8 @@
   routing::ReplicaTable replicas_;
   routing::ReplicaSelector selector_;
   routing::AdmissionPolicy admission_;
+  routing::EvacuationTable evacuations_;
+  routing::EvacuationRule evacuationRule_;
   routing::ReplicaPlacement placement_;
   routing::FleetLoad fleetLoad_;
   LoadExchange loadExchange_;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -17,9 +17,11 @@
   knobs.pause = kConfigurationPause;
   logstore::KeyedTopicObserver observer;
   observer.onRecord = [this](const std::string& key, const std::string& value) {
-    onConfigurationRecord(key, value);
+    onOperatorRecord(key, value);
+  };
+  observer.onListed = [this](const std::vector<std::string>& keys) {
+    onOperatorRecordsListed(keys);
   };
-  observer.onListed = [](const std::vector<std::string>& /*keys*/) {};
   observer.onFresh = [this](Instant askedAt) {
     context_.freshness.configurationHeardAt = askedAt;
     noteStoreAnswer("configuration");
@@ -32,8 +34,38 @@
   configurationFollower_->start();
 }
 
-void EdgeDaemon::onConfigurationRecord(const std::string& key, const std::string& value) {
-  if (key != parts_.documents.configurationKey() || value.empty()) {
+void EdgeDaemon::onOperatorRecord(const std::string& key, const std::string& value) {
+  if (key == parts_.documents.configurationKey()) {
+    onConfigurationRecord(value);
+  } else if (const auto zone = parts_.documents.evacuatedZoneOf(key)) {
+    onEvacuationRecord(*zone, value);
+  }
+}
+
+void EdgeDaemon::onEvacuationRecord(const std::string& zone, const std::string& value) {
+  if (value.empty()) {
+    if (evacuations_.onTakenBack(zone)) {
+      log_.important("evacuation_taken_back", {{"zone", zone}, {"by", "record"}});
+    }
+  } else if (evacuations_.onEvacuated(zone, clock_())) {
+    log_.important("zone_evacuated", {{"zone", zone}});
+  }
+}
+
+void EdgeDaemon::onOperatorRecordsListed(const std::vector<std::string>& keys) {
+  std::vector<std::string> zones;
+  for (const std::string& key : keys) {
+    if (auto zone = parts_.documents.evacuatedZoneOf(key)) {
+      zones.push_back(std::move(*zone));
+    }
+  }
+  for (const std::string& zone : evacuations_.onListed(zones)) {
+    log_.important("evacuation_taken_back", {{"zone", zone}, {"by", "listing"}});
+  }
+}
+
+void EdgeDaemon::onConfigurationRecord(const std::string& value) {
+  if (value.empty()) {
     return;
   }
   auto read = parts_.documents.readConfiguration(value);
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -63,6 +63,11 @@
              snapshot.configurationAgeMilliseconds);
   list.gauge("replicas_age_milliseconds", "Since the store was last heard about them",
              snapshot.replicasAgeMilliseconds);
+  list.family("zone_evacuated_milliseconds", "Since this node knows that the zone is evacuated",
+              prometheus::MetricType::Gauge);
+  for (const ZoneEvacuation& evacuation : snapshot.evacuatedZones) {
+    list.add(evacuation.knownForMilliseconds, {{"zone", evacuation.zone}});
+  }
 }
 
 }  // namespace
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -6,11 +6,18 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/time.h"
 
 namespace gorsetrail::edge {
 
+/// A zone that operators have evacuated.
+struct ZoneEvacuation {
+  std::string zone;
+  std::uint64_t knownForMilliseconds = 0;  ///< Since this node read of it.
+};
+
 /// Figures of the node's other parts at one moment.
 struct EdgeSnapshot {
   std::uint64_t storeCalls = 0;
@@ -46,6 +53,8 @@
   std::uint64_t configurationAgeMilliseconds = 0;
   std::uint64_t replicasAgeMilliseconds = 0;
   std::uint64_t logLinesLeftOut = 0;
+  /// Gauge: how long this node has known of each evacuated zone. A site has a handful of zones.
+  std::vector<ZoneEvacuation> evacuatedZones{};
 };
 
 /// Counters by outcome and histograms of times. Labels are bounded: outcomes and reasons are named
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -50,7 +50,7 @@
   std::string region;
   std::vector<std::string> zones;  ///< All zones of the deployment.
   std::map<std::string, std::string, std::less<>> regionOfZone;
-  double processorShare = 1.0;     ///< Of a core.
+  double processorShare = 1.0;  ///< Of a core.
   double linkMegabitsPerSecond = 1000;
   ListenAddresses listen;
   std::uint16_t firstInternalPort = 0;
--- a/tests/lab_platform/edge_day_test.cpp
+++ b/tests/lab_platform/edge_day_test.cpp
@@ -163,6 +163,9 @@
     CHECK_TRUE(until([&answer] { return answer.has_value(); }));
     return *answer;
   }
+  static bool knowsEvacuation(const Node& node) {
+    return node.lines.find("zone_evacuated zone=z") != std::string::npos;
+  }
   bool names(const Node& node, std::size_t addresses) {
     http::Request request;
     request.address = node.listen().directory;
@@ -274,6 +277,67 @@
   STRCMP_EQUAL("answer of i-2", ask(*second, "/unsafe/x").body.c_str());
 }
 
+TEST(EdgeDay, anEvacuatedZoneGetsNothingUntilItIsTakenBack) {
+  const std::unique_ptr<ReplicaStandIn> other = std::make_unique<ReplicaStandIn>(*context, "i-2");
+  store->put("keyed.servers", "i-2", other->registration("m", "ready", "y"));
+  store->put("keyed.op", "evacuate/z", "{}");
+  const auto knowsBoth = [](const Node& node) {
+    return knowsEvacuation(node) && node.lines.find("replica=i-2") != std::string::npos;
+  };
+  CHECK_TRUE(until([&] { return knowsBoth(*first) && knowsBoth(*second); }));
+  const std::size_t before = replica->runs.size();
+  for (int request = 0; request < 5; ++request) {
+    STRCMP_EQUAL("answer of i-2", ask(*first, "/unsafe/x").body.c_str());
+    STRCMP_EQUAL("answer of i-2", ask(*second, "/unsafe/x").body.c_str());
+  }
+  LONGS_EQUAL(before, replica->runs.size());
+  store->put("keyed.op", "evacuate/z", "");
+  store->put("keyed.servers", "i-2", "");
+  CHECK_TRUE(until([&] { return ask(*first, "/unsafe/x").body == "answer of i-1"; }));
+}
+
+TEST(EdgeDay, withAllZonesEvacuatedRequestsAreRefusedAtOnce) {
+  store->put("keyed.op", "evacuate/z", "{}");
+  CHECK_TRUE(until([&] { return knowsEvacuation(*first); }));
+  const Answer answer = ask(*first, "/unsafe/x");
+  LONGS_EQUAL(503, answer.status);
+  STRCMP_CONTAINS("zones_evacuated", answer.body.c_str());
+  CHECK(!answer.retryAfter.empty());
+  LONGS_EQUAL(0, replica->runs["q" + std::to_string(nextRequest)]);
+}
+
+TEST(EdgeDay, aNodeThatStartsAmidAnEvacuationSendsNothingThere) {
+  store->put("keyed.op", "evacuate/z", "{}");
+  Node third(*context, "127.0.0.3", store->address());
+  for (int request = 0; request < 20; ++request) {
+    LONGS_EQUAL(503, ask(third, "/unsafe/x").status);
+  }
+  CHECK_TRUE(until([&] { return knowsEvacuation(third); }));
+  LONGS_EQUAL(503, ask(third, "/unsafe/x").status);
+  LONGS_EQUAL(0, replica->runs.size());
+}
+
+TEST(EdgeDay, anEvacuationThatWentWithDroppedHistoryIsTakenBack) {
+  store->put("keyed.op", "evacuate/z", "{}");
+  CHECK_TRUE(until([&] { return knowsEvacuation(*first) && knowsEvacuation(*second); }));
+  store->put("keyed.op", "evacuate/z", "");
+  store->dropHistory("keyed.op");
+  CHECK_TRUE(until([&] { return ask(*first, "/unsafe/x").status == 200; }));
+  CHECK_TRUE(until([&] { return ask(*second, "/unsafe/x").status == 200; }));
+  CHECK_TRUE(until([&] {
+    return first->lines.find("evacuation_taken_back zone=z by=listing") != std::string::npos;
+  }));
+}
+
+TEST(EdgeDay, metricsTellTheEvacuatedZones) {
+  store->put("keyed.op", "evacuate/z", "{}");
+  CHECK_TRUE(until([&] { return knowsEvacuation(*first); }));
+  http::Request request;
+  request.address = first->listen().metrics;
+  request.target = "/metrics";
+  STRCMP_CONTAINS("gorsetrail_zone_evacuated_milliseconds{zone=\"z\"}", send(request).body.c_str());
+}
+
 TEST(EdgeDay, everyFailedRequestHasALineWithItsReasonAndEveryLineParses) {
   replica->trouble = ReplicaTrouble::LostAnswer;
   ask(*first, "/unsafe/x");
--- /dev/null
+++ b/tests/routing/evacuation_test.cpp
@@ -0,0 +1,56 @@
+// Evacuated zones: read from records, taken back by a record or by its absence from a listing.
+#include "routing/evacuation.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::routing;
+
+TEST_GROUP(Evacuation) {
+  EvacuationTable table;
+  EvacuationRule rule{table, {}};
+  Instant now{seconds(100)};
+
+  std::optional<PlacementBar> barOf(const std::string& zone) {
+    Replica replica;
+    replica.entry.zone = zone;
+    return rule.barOf(replica, {}, now);
+  }
+};
+
+TEST(Evacuation, barsEveryReplicaBeforeTheFirstWholeListing) {
+  CHECK(PlacementBar::EvacuationUnknown == barOf("a").value());
+  CHECK_TRUE(table.onEvacuated("a", now));  // A page of the listing is not the whole of it.
+  CHECK(PlacementBar::EvacuationUnknown == barOf("b").value());
+  CHECK_TRUE(table.onListed({"a"}).empty());
+  CHECK(PlacementBar::ZoneEvacuated == barOf("a").value());
+  CHECK_FALSE(barOf("b").has_value());
+}
+
+TEST(Evacuation, barsSeveralZonesAndFreesEachByItsOwnRecord) {
+  table.onListed({});
+  table.onEvacuated("a", now);
+  table.onEvacuated("b", now);
+  CHECK_FALSE(table.onEvacuated("a", now + seconds(1)));  // Written once more: nothing new.
+  CHECK_TRUE(table.onTakenBack("a"));
+  CHECK_FALSE(table.onTakenBack("a"));
+  CHECK_FALSE(barOf("a").has_value());
+  CHECK(PlacementBar::ZoneEvacuated == barOf("b").value());
+}
+
+TEST(Evacuation, takesAZoneThatAWholeListingLeavesOutAsTakenBack) {
+  table.onListed({});
+  table.onEvacuated("a", now);
+  table.onEvacuated("b", now);
+  const std::vector<std::string> takenBack = table.onListed({"b", "c"});
+  LONGS_EQUAL(1, takenBack.size());
+  STRCMP_EQUAL("a", takenBack.front().c_str());
+  CHECK_FALSE(barOf("a").has_value());
+  CHECK(PlacementBar::ZoneEvacuated == barOf("b").value());
+}
+
+TEST(Evacuation, remembersSinceWhenItKnows) {
+  table.onEvacuated("a", now);
+  table.onEvacuated("a", now + seconds(3));
+  CHECK(now == table.zones().at("a"));
+}
