Coordinators of limits that give way name the one that decides; ends of coordination are told three times

A coordinator that is not the first choice keeps deciding while a few nodes ask it. Restarted nodes know only the first choices; these give way to it and decide nothing, so two of four partitions of tenants were undecided for good for most nodes. Second cause, found with it: a lost end of coordination (one message in a hundred) makes the successor wait: 6.4 of 1,000 requests refused around planned stops over 12 fleets; the one fleet of the standing test happened to lose none.

Ruled out: stale shares (all of them lent), rounds of earlier lives, configurations without the tenant. Change: an undecided reply names the coordinator, which is asked next, two at most one after the other; ends are repeated at two ticks.

--- a/src/quota/quota_knobs.h
+++ b/src/quota/quota_knobs.h
@@ -28,6 +28,14 @@
   Duration replyTimeout = milliseconds(50);
   /// Requests for tokens to one coordinator before the next one is asked.
   std::uint32_t triesOfOneCoordinator = 2;
+  /// So often the end of a coordination is told again, at the next ticks. A successor that missed
+  /// it waits for `wayTime`, and its tenants with it: with one message in a hundred lost, 6.4 of
+  /// 1,000 requests were refused around planned stops (120 nodes in virtual time), and 0.3 with
+  /// this.
+  std::uint32_t repeatedEnds = 2;
+  /// Coordinators asked one after the other because each named the next: nodes may disagree for a
+  /// moment after a change, and would otherwise send each other in circles.
+  std::uint32_t mostRedirects = 2;
   /// After this a request is turned away: longer waits cost its caller more than coming back.
   Duration waitLimit = milliseconds(350);
   /// A coordinator that has borrowed nothing yet is asked again after this.
--- a/src/quota/quota_message.cpp
+++ b/src/quota/quota_message.cpp
@@ -44,11 +44,13 @@
 
 std::string encode(const TokenReply& reply) {
   Builder builder;
+  const auto coordinator = reply.coordinator.empty() ? 0 : builder.CreateString(reply.coordinator);
   return finish(
       builder, fbs::Message::TokenReply,
       fbs::CreateTokenReply(builder, reply.number, reply.decided, reply.granted, reply.isAmple,
                             static_cast<std::uint64_t>(reply.retryAfter.count()),
-                            static_cast<std::uint64_t>(reply.usableAfter.count()), reply.grantor));
+                            static_cast<std::uint64_t>(reply.usableAfter.count()), reply.grantor,
+                            coordinator));
 }
 
 Error invalidMessage() {
@@ -89,7 +91,8 @@
     return QuotaMessage{
         TokenReply{read->number(), read->decided(), read->granted(), read->is_ample(),
                    Duration(static_cast<Duration::rep>(read->retry_after_us())),
-                   Duration(static_cast<Duration::rep>(read->usable_after_us())), read->grantor()}};
+                   Duration(static_cast<Duration::rep>(read->usable_after_us())), read->grantor(),
+                   read->coordinator() == nullptr ? std::string() : read->coordinator()->str()}};
   }
   return invalidMessage();
 }
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -45,6 +45,7 @@
   Duration retryAfter{};   ///< For those who are turned away.
   Duration usableAfter{};  ///< From the reply on: until the tenant's rate has made up for them.
   std::uint64_t grantor = 0;
+  std::string coordinator{};  ///< Undecided: who coordinates, as far as is known; empty: not known.
 };
 using QuotaMessage = std::variant<LendRequest, LendReply, TokenRequest, TokenReply, LendEnd>;
 
--- a/src/quota/quota_service.cpp
+++ b/src/quota/quota_service.cpp
@@ -198,6 +198,9 @@
   if (!coordinates_ || givesWay(partition)) {
     TokenReply undecided;
     undecided.number = request.number;
+    if (givesWay(partition)) {
+      undecided.coordinator = givenWay_[partition].rival;
+    }
     send(from, undecided);
     return;
   }
@@ -225,7 +228,7 @@
   }
   Account& account = accounts_.at(entry->second);
   if (!reply.decided) {
-    account.asking->isPaused = true;
+    followOrPause(account, reply.coordinator);
     return;
   }
   askingTenants_.erase(entry);
@@ -241,6 +244,23 @@
   serveWaiters(account, asked, reply);
 }
 
+// A coordinator that is not the first choice keeps deciding while some nodes ask it. The others ask
+// the first choices only, which give way to it and decide nothing, so they have to be told of it.
+void QuotaService::followOrPause(Account& account, const std::string& coordinator) {
+  const Asking& asking = *account.asking;
+  const bool isNew = !coordinator.empty() && coordinator != asking.coordinator;
+  if (isNew && asking.redirects < knobs_.mostRedirects) {
+    const std::uint32_t redirects = asking.redirects + 1;
+    const std::string firstChoice =
+        asking.redirects == 0 ? asking.coordinator : asking.redirectedBy;
+    ask(account, coordinator, 1);
+    account.asking->redirects = redirects;
+    account.asking->redirectedBy = firstChoice;
+    return;
+  }
+  account.asking->isPaused = true;
+}
+
 void QuotaService::takeTokens(Account& account, const Asking& asked, const TokenReply& reply) {
   account.tokens = {reply.granted, reply.isAmple,
                     asked.sentAt + knobs_.tokenLifetime + reply.usableAfter, reply.grantor};
@@ -312,6 +332,7 @@
     return entry.second.waiters.empty() && !entry.second.asking && entry.second.scheduled.empty() &&
            now - entry.second.usedAt > kIdleAccountLifetime;
   });
+  repeatEnds();
   const auto tenants = fleet_.tenants();
   if (!coordinates_ || !tenants || !tenants->hasLimits()) {
     return;
@@ -343,10 +364,23 @@
 
 void QuotaService::announceEnds(const LendEnds& ends) {
   for (const LendEnd& end : ends) {
-    for (const std::string& member : fleet_.members()) {
-      send(member, end);
-    }
+    tellAll(end);
+    repeatedEnds_.push_back({end, knobs_.repeatedEnds});
+  }
+}
+
+void QuotaService::tellAll(const LendEnd& end) {
+  for (const std::string& member : fleet_.members()) {
+    send(member, end);
+  }
+}
+
+void QuotaService::repeatEnds() {
+  for (RepeatedEnd& repeated : repeatedEnds_) {
+    tellAll(repeated.end);
+    --repeated.left;
   }
+  std::erase_if(repeatedEnds_, [](const RepeatedEnd& repeated) { return repeated.left == 0; });
 }
 
 bool QuotaService::givesWay(std::uint32_t partition) const {
@@ -434,7 +468,9 @@
       proven != proven_.end() && proven->second == asked.coordinator) {
     proven_.erase(proven);
   }
-  ask(account, coordinatorFor(partition, asked.coordinator), 1);
+  const bool wasRedirected = asked.redirects > 0;
+  ask(account, coordinatorFor(partition, wasRedirected ? asked.redirectedBy : asked.coordinator),
+      1);
 }
 
 void QuotaService::giveUpOldest(Account& account) {
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -94,6 +94,9 @@
     std::size_t waiters = 0;  ///< Those in front of the queue are decided by the reply.
     std::uint32_t tries = 1;  ///< At this coordinator.
     bool isPaused = false;    ///< Undecided: the next coordinator is asked after a pause.
+    /// Coordinators asked because another one named them.
+    std::uint32_t redirects = 0;
+    std::string redirectedBy;  ///< The first choice that named another one.
   };
   /// A granted request whose token is not made yet.
   struct Scheduled {
@@ -116,6 +119,11 @@
     Instant roundAt;
   };
   using LendEnds = std::vector<LendEnd>;
+  /// An end that is told again, since a message may be lost.
+  struct RepeatedEnd {
+    LendEnd end;
+    std::uint32_t left = 0;
+  };
   /// Another coordinator of a partition that this node leaves it to.
   struct GivenWay {
     std::string rival;
@@ -133,6 +141,8 @@
   void onLendReply(const std::string& from, const LendReply& reply);
   void onTokenRequest(const std::string& from, const TokenRequest& request);
   void onTokenReply(const TokenReply& reply);
+  /// After an undecided reply: asks the coordinator that it named, or pauses.
+  void followOrPause(Account& account, const std::string& coordinator);
   void takeTokens(Account& account, const Asking& asked, const TokenReply& reply);
   void serveWaiters(Account& account, const Asking& asked, const TokenReply& reply);
   void checkAccount(Account& account);
@@ -148,6 +158,8 @@
   void considerRival(const std::string& rival, const LendRequest& request);
   [[nodiscard]] bool givesWay(std::uint32_t partition) const;
   void announceEnds(const LendEnds& ends);
+  void tellAll(const LendEnd& end);
+  void repeatEnds();
   [[nodiscard]] Duration spread(Duration retryAfter);
 
   QuotaFleet& fleet_;
@@ -168,6 +180,7 @@
   bool deliversToSelf_ = false;
   bool coordinates_ = true;                     ///< False from the planned stop on.
   std::map<std::uint32_t, GivenWay> givenWay_;  ///< By partition.
+  std::vector<RepeatedEnd> repeatedEnds_;
   std::uint64_t nextNumber_ = 1;
   std::size_t waiting_ = 0;
   QuotaCounters counters_;
--- a/tests/quota/quota_service_test.cpp
+++ b/tests/quota/quota_service_test.cpp
@@ -278,6 +278,33 @@
   CHECK(fleet.refused == refusedBefore);
 }
 
+// Nodes stop one after the other, so each coordinator in turn. A lost message can cost a caller a
+// wait that is longer than it is let wait, so over many fleets a few requests are refused.
+TEST(QuotaService, plannedStopsOfCoordinatorsHandTheirTenantsOver) {
+  constexpr std::uint64_t kFleets = 12;
+  std::size_t asked = 0;
+  std::size_t refused = 0;
+  for (std::uint64_t seed = 1; seed <= kFleets; ++seed) {
+    SimulatedFleet fleet(kNodes, directoryOf(all), seed);
+    settle(fleet);
+    load(fleet, all, 0.6, seconds(2));
+    const auto refusedBefore = fleet.refused;
+    for (std::size_t node = 0; node < 24; ++node) {
+      fleet.stop(node);
+      load(fleet, all, 0.6, milliseconds(200));
+      fleet.kill(node);
+    }
+    checkWithinLimits(fleet);
+    for (const tenant::Tenant& tenant : all) {
+      asked += fleet.asked[tenant.name];
+      const auto before = refusedBefore.find(tenant.name);
+      refused += fleet.refused[tenant.name] - (before == refusedBefore.end() ? 0 : before->second);
+    }
+  }
+  CHECK_TEXT(refused * 1000 <= asked,
+             (std::to_string(refused) + " of " + std::to_string(asked)).c_str());
+}
+
 TEST(QuotaService, anEndThatComesLateFreesNothingOfALaterLife) {
   const QuotaKnobs knobs;
   ShareLender lender(knobs, Instant{});
@@ -313,3 +340,42 @@
   checkWithinLimits(fleet);
   CHECK(fleet.refused["large"] <= 5);
 }
+
+// Every node is restarted as planned, some at a time, while others stand still. Once all run again,
+// tenants within their limits are refused nothing.
+TEST(QuotaService, afterARollingRestartAmidFreezesTenantsWithinTheirLimitsAreServed) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    constexpr std::size_t kFleet = 74;
+    constexpr std::size_t kAtATime = 6;
+    SimulatedFleet fleet(kFleet, directoryOf(all), seed);
+    settle(fleet);
+    std::vector<std::size_t> order;
+    for (std::size_t node = 0; node < kFleet; ++node) {
+      order.push_back((node * 31 + seed) % kFleet);
+    }
+    for (std::size_t begun = 0; begun < kFleet; begun += kAtATime) {
+      const std::size_t end = std::min(begun + kAtATime, kFleet);
+      for (std::size_t index = begun; index < end; ++index) {
+        const std::size_t node = order[index];
+        fleet.stop(node);
+        fleet.timers.runAfter(milliseconds(3200), [&fleet, node] { fleet.kill(node); });
+        fleet.timers.runAfter(milliseconds(3500), [&fleet, node] { fleet.start(node); });
+      }
+      const std::size_t frozen = fleet.random().below(kFleet);
+      for (std::size_t step = 0; step < 14; ++step) {
+        fleet.freeze((frozen + step * 5) % kFleet);
+        fleet.timers.runAfter(milliseconds(3500),
+                              [&fleet, node = (frozen + step * 5) % kFleet] { fleet.thaw(node); });
+      }
+      load(fleet, all, 0.4, milliseconds(1500));
+    }
+    load(fleet, all, 0.4, seconds(5));
+    const std::size_t refusedBefore =
+        fleet.refused["large"] + fleet.refused["middle"] + fleet.refused["small"];
+    load(fleet, all, 0.4, seconds(5));
+    const std::size_t refusedAfter =
+        fleet.refused["large"] + fleet.refused["middle"] + fleet.refused["small"];
+    LONGS_EQUAL(refusedBefore, refusedAfter);
+    checkWithinLimits(fleet);
+  }
+}
