A node that stood still before it learnt of its stop counts the stop from then

A process that stands still sees its signal late and counted its own limit from there. Ruled out: a busy loop (late by a part of a period), a freeze after the signal (the steady clock runs on). Change: when the daemon's own loop is late by three of its periods, the stop counts from the last turn of the loop. Test: `aNodeThatStoodStillBeforeItLearntOfItsStopEndsInTime` failed before (4.7 s and more after the request to stop), passes now; lab_platform 16 pass.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -15,6 +15,8 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 constexpr Duration kFlushPeriod = milliseconds(250);
+/// A loop that is late by so many periods stood still; a busy one is late by a part of one.
+constexpr int kMissedFlushes = 3;
 constexpr Duration kSweepPeriod = seconds(10);
 constexpr Duration kLeasePeriod = seconds(1);
 constexpr Duration kStopCheckPeriod = milliseconds(100);
@@ -372,6 +374,7 @@
 }
 
 void EdgeDaemon::flushLoop() {
+  ranAt_ = clock_();
   log_.flush();
   timers_->runAfter(kFlushPeriod, [this] { flushLoop(); });
 }
@@ -412,7 +415,7 @@
     return;
   }
   stopping_ = true;
-  stopBegunAt_ = clock_();
+  stopBegunAt_ = stopAskedForAt();
   onStopped_ = std::move(onStopped);
   log_.important("stop_begun", {{"open_requests", clientServer_->counters().responsesOpen}});
   announce(true);
@@ -421,6 +424,15 @@
   checkStopped();
 }
 
+// A process that stands still does not see the signal, and the operator's limit runs on: the stop
+// may have been asked for right after this process last ran. Without this it would wait past the
+// limit for its open requests and be killed amid them.
+Instant EdgeDaemon::stopAskedForAt() const {
+  const Instant now = clock_();
+  const bool stoodStill = now - ranAt_ > kFlushPeriod * kMissedFlushes;
+  return stoodStill ? ranAt_ : now;
+}
+
 void EdgeDaemon::checkStopped() {
   const Duration since = clock_() - stopBegunAt_;
   const std::uint64_t open = clientServer_->counters().responsesOpen;
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -99,6 +99,8 @@
   void flushLoop();
   void sweepLoop();
   void leaseLoop();
+  /// \return when the stop was asked for at the earliest, as far as this process can know.
+  [[nodiscard]] Instant stopAskedForAt() const;
   void checkStopped();
   [[nodiscard]] EdgeSnapshot snapshot() const;
   [[nodiscard]] bool isReady() const;
@@ -171,6 +173,7 @@
   std::optional<Instant> storeRegainedAt_;
   bool stopping_ = false;
   Instant stopBegunAt_;
+  Instant ranAt_;  ///< As of the last turn of `flushLoop`.
   std::function<void()> onStopped_;
 };
 
--- a/tests/lab_platform/edge_day_test.cpp
+++ b/tests/lab_platform/edge_day_test.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <sstream>
+#include <thread>
 
 #include "cli/log_story.h"
 #include "edge/edge_daemon.h"
@@ -78,6 +79,7 @@
   Node& operator=(const Node&) = delete;
 
   [[nodiscard]] const edge::ListenAddresses& listen() const { return settings_.listen; }
+  void beginStop(std::function<void()> onStopped) { daemon_->beginStop(std::move(onStopped)); }
 
   std::string lines;
   bool started = false;
@@ -264,6 +266,18 @@
   LONGS_EQUAL(502, ask(*first, "/kept/stream/1").status);
 }
 
+// A process that stood still learns of its stop late, and is killed by the operator's clock.
+TEST(EdgeDay, aNodeThatStoodStillBeforeItLearntOfItsStopEndsInTime) {
+  const auto standsStill = std::chrono::milliseconds(1500);
+  const auto askedToStopAt = std::chrono::steady_clock::now();
+  std::this_thread::sleep_for(standsStill);
+  bool stopped = false;
+  first->beginStop([&stopped] { stopped = true; });
+  CHECK_TRUE(until([&stopped] { return stopped; }));
+  const auto took = std::chrono::steady_clock::now() - askedToStopAt;
+  CHECK(took < std::chrono::milliseconds(3200 + 600));
+}
+
 TEST(EdgeDay, aNewConfigurationAndALeavingReplicaTakeHold) {
   const std::unique_ptr<ReplicaStandIn> other = std::make_unique<ReplicaStandIn>(*context, "i-2");
   store->put("keyed.servers", "i-2", other->registration("m", "ready"));
