Model two lease slots a budget partition: primary and secondary

Cause: a dead process's lease blocks any other lease of its partition for 14 s; an outage in that time refuses every program of it. Model: two slots, decided by the log's order; a third lease is void; every decider counts the whole share of each uncleared lease of others; a secondary lease moves up by a record when the primary slot is free; late programs count leases that were uncleared at one time together.

--- a/spec/budget_lease.pml
+++ b/spec/budget_lease.pml
@@ -1,56 +1,120 @@
 /*
  * Budgets spent ahead of their records under leases (src/ledger/budget_partition.cpp).
  *
- * A home takes a lease by a record in the partition's log and uses it once it has read everything
- * before that record (BudgetPartition::takeLease); while another lease is not cleared, the record is
- * void (BudgetLeaseTable::onRecord). Under it a program that should not be over yet gets up to SHARE
- * tokens that no record tells of (reserveAhead). They count until their record stands and everything
- * before it was read (onRecorded). Whoever decides by the log counts SHARE for a lease of others that
- * is not cleared (decideByLog, mostSpentUnseen). A home dies at any moment with all that it has not
- * recorded; its lease stays and counts. A lease is cleared when all under it is recorded
- * (giveLeaseBack), or when the programs that spent under it should be over (BudgetLeaseTable::due).
- * A program that should be over counts cleared leases too: it may be older than they are.
+ * A partition has two slots for leases, the primary and the secondary one. A home takes a lease by a
+ * record in the partition's log and uses it once it has read everything before that record
+ * (BudgetPartition::takeLease). The record enters the primary slot if that is free, else the secondary
+ * one, else it is void (BudgetLeaseTable::onRecord). When the primary slot is free, a further record
+ * moves the secondary lease up; its holder uses the larger share after it has read that record.
+ * Under a lease a program that should not be over yet gets up to the slot's share of tokens that no
+ * record tells of (reserveAhead). They count until their record stands and everything before it was
+ * read (onRecorded). Whoever decides, by the log or ahead of it, counts the whole share of each lease
+ * of others that it has read of and that is not cleared (mostSpentUnseen). A home dies at any moment
+ * with all that it has not recorded; its lease stays and counts. A lease is given back when all under
+ * it is recorded: it owes nothing then. A dead one is cleared when the programs that spent under it
+ * should be over (BudgetLeaseTable::due). A program that should be over counts leases that were
+ * cleared so as well, as many as were uncleared at one time: it may be older than they are.
  *
  * Any home may be asked at any moment; that a step at the log is not taken stands for a store that is
- * out of reach.
+ * out of reach. The program's turns are all of one size: note 0011 shows the arithmetic of larger ones.
  *
  * Claim: one program gets its budget and one turn at most.
  *
  * Mutants (-D): OTHERS_LEASES_NOT_COUNTED, TAKEN_BESIDE_ANOTHER, RECORDED_WITHOUT_READING,
  * CLEARED_BEFORE_RECORDING, LATE_PROGRAM_OWES_NOTHING, LATE_PROGRAM_SPENDS_AHEAD,
- * AHEAD_NOT_COUNTED_BY_ITS_HOME.
+ * AHEAD_NOT_COUNTED_BY_ITS_HOME, THIRD_LEASE_NOT_VOID, SECONDARY_NOT_COUNTED,
+ * PRIMARY_DOES_NOT_COUNT_SECONDARY, SECONDARY_DOES_NOT_COUNT_PRIMARY, SECONDARY_SPENDS_PRIMARY_SHARE,
+ * MOVED_UP_BEFORE_CLEARED, MOVED_UP_WITH_AHEAD_FORGOTTEN, OVERLAP_FORGOTTEN.
  */
+#ifndef HOMES
 #define HOMES 2
+#endif
+#ifndef LIVES
 #define LIVES 3
-#define LEASES 6                 /* HOMES x LIVES */
+#endif
 #define TURN 1
-#define SHARE 3
-#define BUDGET 5
+#define PRIMARY_SHARE 3
+#define SECONDARY_SHARE 2
+#define BUDGET 6
 #define NONE 255
 
 #define LEASE (h * LIVES + life)
 
+/* Which leases may have spent on the program: each level includes those below it. */
+#define NOBODY 0
+#define ONE_SECONDARY 1
+#define ONE_PRIMARY 2
+#define BOTH 3
+#define MOST(level) (level == BOTH -> PRIMARY_SHARE + SECONDARY_SHARE : \
+                     (level == ONE_PRIMARY -> PRIMARY_SHARE : \
+                      (level == ONE_SECONDARY -> SECONDARY_SHARE : 0)))
+
 byte recorded = 0;               /* tokens of the program that stand in the log */
 byte spent = 0;                  /* tokens handed out */
-byte in_force = NONE;            /* the lease that is held or ended */
-bool dead = false;               /* its holder will not use it any more */
-bool spent_under = false;        /* the program spent under it */
-bool any_cleared = false;
+
+byte primary = NONE;             /* the lease in the slot that is held or ended */
+bool primary_dead = false;       /* its holder will not use it any more */
+bool primary_spent = false;      /* the program spent under it */
+bool primary_overlapped = false; /* a lease beside it was cleared after its holder's death */
+
+byte secondary = NONE;
+bool secondary_dead = false;
+bool secondary_spent = false;
+bool secondary_overlapped = false;
+
+byte past = NOBODY;              /* the most that leases cleared after their holders' deaths may have spent */
 bool over = false;               /* the program should be over */
 
-/* Sets `unseen`: whether tokens may have been spent unseen, for a decision by this home. */
+inline raise(level, least) {
+  level = (least > level -> least : level)
+}
+
+/* Sets `unseen`: which leases may have spent tokens unseen, for a decision by this home. */
 inline look_for_unseen() {
-  unseen = (in_force != NONE && in_force != LEASE);
+  unseen = NOBODY;
+  if
+  :: secondary != NONE && secondary != LEASE ->
+#ifndef SECONDARY_NOT_COUNTED
+     unseen = ONE_SECONDARY
+#else
+     skip
+#endif
+  :: else -> skip
+  fi;
+#ifdef PRIMARY_DOES_NOT_COUNT_SECONDARY
+  if
+  :: primary == LEASE -> unseen = NOBODY
+  :: else -> skip
+  fi;
+#endif
+  if
+  :: primary != NONE && primary != LEASE ->
+#ifdef SECONDARY_DOES_NOT_COUNT_PRIMARY
+     unseen = (secondary == LEASE -> NOBODY : unseen + ONE_PRIMARY)
+#else
+     unseen = unseen + ONE_PRIMARY
+#endif
+  :: else -> skip
+  fi;
 #ifndef LATE_PROGRAM_OWES_NOTHING
-  unseen = (unseen || (over && any_cleared));
+  if
+  :: over ->
+     raise(unseen, past);
+     if
+     :: (primary != NONE && primary != LEASE && primary_overlapped) ||
+        (secondary != NONE && secondary != LEASE && secondary_overlapped) -> unseen = BOTH
+     :: else -> skip
+     fi
+  :: else -> skip
+  fi;
 #endif
 #ifdef OTHERS_LEASES_NOT_COUNTED
-  unseen = false
+  unseen = NOBODY
 #endif
 }
 
 inline fits(used, others) {
-  fit = (used + (others && SHARE > TURN -> SHARE : TURN) <= BUDGET)
+  fit = (used + (MOST(others) > TURN -> MOST(others) : TURN) <= BUDGET)
 }
 
 inline hand_out() {
@@ -63,35 +127,90 @@
   known = recorded;
   look_for_unseen();
   known_unseen = unseen;
-  unseen = false
+  unseen = NOBODY
+}
+
+inline empty_primary() {
+  primary = NONE;
+  primary_dead = false;
+  primary_spent = false;
+  primary_overlapped = false
+}
+
+inline empty_secondary() {
+  secondary = NONE;
+  secondary_dead = false;
+  secondary_spent = false;
+  secondary_overlapped = false
+}
+
+inline note_spent_under() {
+  if
+  :: primary == LEASE -> primary_spent = true
+  :: secondary == LEASE -> secondary_spent = true
+  :: else -> skip
+  fi
 }
 
 proctype home(byte h) {
   byte life = 0;
-  bool held = false;
+  byte share = 0;                /* of the lease held; 0: none */
   byte ahead = 0;
   byte known = 0;                /* recorded tokens that this home has read */
-  bool known_unseen = false;     /* it has read that others may have spent unseen */
-  bool unseen = false;
+  byte known_unseen = NOBODY;    /* which others may have spent unseen, as far as it has read */
+  byte unseen = NOBODY;
   bool fit = false;
   do
   :: atomic {                    /* takeLease; reading on after the record can only tell it more */
 #ifdef TAKEN_BESIDE_ANOTHER
-       !held && in_force != LEASE ->
+       share == 0 && primary != LEASE && secondary != LEASE ->
+       empty_primary();
+       primary = LEASE;
+       share = PRIMARY_SHARE;
+#else
+#ifdef THIRD_LEASE_NOT_VOID
+       share == 0 ->
 #else
-       !held && in_force == NONE ->
+       share == 0 && (primary == NONE || secondary == NONE) ->
 #endif
-       in_force = LEASE;
-       dead = false;
-       spent_under = false;
-       read_all();
-       held = true
+       if
+       :: primary == NONE ->
+          primary = LEASE;
+          share = PRIMARY_SHARE
+       :: primary != NONE && secondary == NONE ->
+          secondary = LEASE;
+#ifdef SECONDARY_SPENDS_PRIMARY_SHARE
+          share = PRIMARY_SHARE
+#else
+          share = SECONDARY_SHARE
+#endif
+       :: else -> share = SECONDARY_SHARE
+       fi;
+#endif
+       read_all()
+     }
+  :: atomic {                    /* the lease moves up */
+#ifdef MOVED_UP_BEFORE_CLEARED
+       share == SECONDARY_SHARE && secondary == LEASE && primary_dead ->
+       share = PRIMARY_SHARE;
+#else
+       share == SECONDARY_SHARE && secondary == LEASE && primary == NONE ->
+       primary = LEASE;
+       primary_spent = secondary_spent;
+       primary_overlapped = secondary_overlapped;
+       empty_secondary();
+       share = PRIMARY_SHARE;
+#endif
+#ifdef MOVED_UP_WITH_AHEAD_FORGOTTEN
+       ahead = 0;
+#endif
+       read_all()
      }
   :: atomic {                    /* reserveAhead */
 #ifdef LATE_PROGRAM_SPENDS_AHEAD
-       held && ahead + TURN <= SHARE ->
+       ahead + TURN <= share ->
 #else
-       held && !over && ahead + TURN <= SHARE ->
+       !over && ahead + TURN <= share ->
 #endif
 #ifdef AHEAD_NOT_COUNTED_BY_ITS_HOME
        fits(known, known_unseen);
@@ -99,7 +218,7 @@
        fits(known + ahead, known_unseen);
 #endif
        if
-       :: fit -> ahead = ahead + TURN; spent_under = true; hand_out()
+       :: fit -> ahead = ahead + TURN; note_spent_under(); hand_out()
        :: else -> skip
        fi;
        fit = false
@@ -117,7 +236,7 @@
   :: atomic {                    /* reserveInLog */
        look_for_unseen();
        fits(recorded + ahead, unseen);
-       unseen = false;
+       unseen = NOBODY;
        if
        :: fit -> recorded = recorded + TURN; hand_out(); read_all()
        :: else -> skip
@@ -127,31 +246,49 @@
   :: atomic {                    /* the process dies and starts anew, or its validity is over */
        life < LIVES - 1 ->
        if
-       :: in_force == LEASE -> dead = true
+       :: primary == LEASE -> primary_dead = true
+       :: secondary == LEASE -> secondary_dead = true
        :: else -> skip
        fi;
        ahead = 0;
-       held = false;
+       share = 0;
        known = 0;
-       known_unseen = false;
+       known_unseen = NOBODY;
        life++
      }
   :: atomic {                    /* giveLeaseBack */
 #ifdef CLEARED_BEFORE_RECORDING
-       held && life < LIVES - 1 && in_force == LEASE ->
+       share > 0 && life < LIVES - 1 && (primary == LEASE || secondary == LEASE) ->
 #else
-       held && life < LIVES - 1 && in_force == LEASE && ahead == 0 ->
+       share > 0 && life < LIVES - 1 && (primary == LEASE || secondary == LEASE) && ahead == 0 ->
 #endif
-       in_force = NONE;
-       any_cleared = true;
-       held = false;
+       if
+       :: primary == LEASE -> empty_primary()
+       :: else -> empty_secondary()
+       fi;
+       share = 0;
        ahead = 0;
        life++
      }
   :: atomic {                    /* a dead lease is cleared when who spent under it should be over */
-       in_force != NONE && dead && (over || !spent_under) ->
-       in_force = NONE;
-       any_cleared = true
+       primary != NONE && primary_dead && (over || !primary_spent) ->
+#ifdef OVERLAP_FORGOTTEN
+       raise(past, ONE_PRIMARY);
+#else
+       raise(past, (primary_overlapped -> BOTH : ONE_PRIMARY));
+       secondary_overlapped = (secondary != NONE);
+#endif
+       empty_primary()
+     }
+  :: atomic {
+       secondary != NONE && secondary_dead && (over || !secondary_spent) ->
+#ifdef OVERLAP_FORGOTTEN
+       raise(past, ONE_SECONDARY);
+#else
+       raise(past, (secondary_overlapped -> BOTH : ONE_SECONDARY));
+       primary_overlapped = (primary != NONE);
+#endif
+       empty_secondary()
      }
   :: break
   od
