--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -133,7 +133,7 @@
     if (lease == leases_.end() || lease->first == ownLease) {
       continue;
     }
-    if (const std::optional<BudgetLease> record = dueOf(*lease, ownHolder, now)) {
+    if (std::optional<BudgetLease> record = dueOf(*lease, ownHolder, now)) {
       return record;
     }
   }
