Ask a budget's home before the dispatch where a reservation may not be decided

Cause: a turn was dispatched beside its reservation whenever the partition's breaker was not open; in an outage nearly every such turn ended 502 reservation_unavailable, which its client may not try again. Change: ReservationOutlook: likely, doubtful (a reservation failed since the last good one, the store does not answer this node, or a home's reply said within 2 s that it can decide nothing), unlikely (several failed a moment ago). Only likely reservations run beside the dispatch. Replies of homes carry whether they hold a lease or the store answers them. A settlement that a home took says nothing of reservations any more. A reservation that fails after the dispatch is asked for once more after 150 ms, since nothing was released.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -48,6 +48,10 @@
   Duration retryAfterReservation = milliseconds(400);
   /// A reservation is waited for no longer while others of the partition fail.
   Duration unlikelyReservationLimit = milliseconds(300);
+  /// Likewise when it may fail: a slow store still answers within this.
+  Duration doubtfulReservationLimit = milliseconds(1000);
+  /// Before a reservation is asked for once more whose turn was dispatched beside it.
+  Duration reservationPause = milliseconds(150);
   Duration connectTimeLimit = milliseconds(400);
   /// A replica that says nothing to anybody for so long is asked for a connection.
   Duration silence = milliseconds(400);
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -140,15 +140,29 @@
   const std::uint64_t roomNeeded = request_.maximumTokens * context_.knobs.ampleBudgetTurns;
   const bool ample = known + roomNeeded <= *request_.tokenBudget;
   // While the budget is ample as far as is known, the reservation runs beside the dispatch. Where
-  // reservations failed a moment ago, the home is asked first: it may hold a lease.
-  const bool likely = context_.ledger.takesReservation(checked_.programName);
-  reserve(!ample || !likely,
-          likely ? timeLeft() - kAnswerMargin : context_.knobs.unlikelyReservationLimit);
-  if (ample && likely && !ended_) {
+  // it may not be decided, the home is asked first: it may hold a lease. A turn that was dispatched
+  // beside a reservation that failed may have run, and its client may not try it again.
+  const ledger::ReservationOutlook outlook =
+      context_.ledger.reservationOutlook(checked_.programName);
+  const bool besides = ample && outlook == ledger::ReservationOutlook::Likely;
+  reserve(!besides, longestReservation(outlook));
+  if (besides && !ended_) {
     dispatch();
   }
 }
 
+Duration Exchange::longestReservation(ledger::ReservationOutlook outlook) const {
+  switch (outlook) {
+    case ledger::ReservationOutlook::Likely:
+      break;
+    case ledger::ReservationOutlook::Doubtful:
+      return context_.knobs.doubtfulReservationLimit;
+    case ledger::ReservationOutlook::Unlikely:
+      return context_.knobs.unlikelyReservationLimit;
+  }
+  return timeLeft() - kAnswerMargin;
+}
+
 void Exchange::reserve(bool dispatchAfterwards, Duration longest) {
   budget_ = BudgetState::Reserving;
   reservationMayStand_ = true;
@@ -188,12 +202,28 @@
     return;
   }
   if (mayHaveRun_ || call_) {
-    breakOff("reservation_unavailable");
+    reserveOnceMore();
   } else {
     refuse({kUnavailable, "reservation_unavailable", context_.knobs.retryAfterReservation});
   }
 }
 
+// The first of several turns meets an outage or a dead home, and nothing of this one was released
+// yet: by now the home is known, or a lease was taken.
+void Exchange::reserveOnceMore() {
+  if (reservedOnceMore_) {
+    breakOff("reservation_unavailable");
+    return;
+  }
+  reservedOnceMore_ = true;
+  context_.timers.runAfter(context_.knobs.reservationPause, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->ended_) {
+      self->reserve(false, self->context_.knobs.unlikelyReservationLimit);
+    }
+  });
+}
+
 void Exchange::releaseOutput() {
   if (budget_ == BudgetState::Reserving || ended_) {
     return;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -46,7 +46,9 @@
   void checkBudget();
   /// \param longest the reservation is given up after this.
   void reserve(bool dispatchAfterwards, Duration longest);
+  [[nodiscard]] Duration longestReservation(ledger::ReservationOutlook outlook) const;
   void onReservation(bool dispatchAfterwards, ledger::ReservationOutcome outcome);
+  void reserveOnceMore();
 
   // At a replica.
   void dispatch();
@@ -111,6 +113,7 @@
   ledger::History before_;  ///< What the turn goes on from.
   BudgetState budget_ = BudgetState::NotNeeded;
   bool reservationMayStand_ = false;
+  bool reservedOnceMore_ = false;
   bool holdsQuotaToken_ = false;
 
   // The dispatch under way.
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -36,6 +36,13 @@
   Unavailable,  ///< The log did not answer: it may stand or not.
 };
 
+/// Whether a reservation of a partition's budgets can be expected to be decided.
+enum class ReservationOutlook : std::uint8_t {
+  Likely,    ///< Nothing speaks against it.
+  Doubtful,  ///< The last one failed, or the store does not answer here: a home's lease may decide.
+  Unlikely,  ///< Several failed a moment ago; likewise.
+};
+
 /// A turn whose answer was made whole, with what it goes on from.
 struct TurnToStore {
   std::string request;   ///< Names the turn.
@@ -71,7 +78,7 @@
   /// \return whether a turn can probably be stored now.
   [[nodiscard]] virtual bool takesTurn(const std::string& turn) = 0;
   /// \return whether tokens of the program can probably be reserved now.
-  [[nodiscard]] virtual bool takesReservation(const std::string& program) = 0;
+  [[nodiscard]] virtual ReservationOutlook reservationOutlook(const std::string& program) = 0;
   /// \return tokens that the program has used or may use, as far as this node knows.
   [[nodiscard]] virtual std::uint64_t knownUse(const std::string& program) const = 0;
 };
--- a/src/ledger/ledger_message.cpp
+++ b/src/ledger/ledger_message.cpp
@@ -136,8 +136,9 @@
   const auto base = optionalText(builder, reply.base);
   const auto history = optionalText(builder, reply.history);
   const auto reason = optionalText(builder, reply.reason);
-  const auto message = fbs::CreateCallReply(builder, static_cast<fbs::CallOutcome>(reply.outcome),
-                                            base, history, reply.tokensUsed, reason);
+  const auto message =
+      fbs::CreateCallReply(builder, static_cast<fbs::CallOutcome>(reply.outcome), base, history,
+                           reply.tokensUsed, reason, reply.decidesReservations);
   return finish(builder, fbs::CallMessage::CallReply, message.Union());
 }
 
@@ -154,6 +155,7 @@
   reply.history = textOf(read->history());
   reply.tokensUsed = read->tokens_used();
   reply.reason = textOf(read->reason());
+  reply.decidesReservations = read->decides_reservations();
   return reply;
 }
 
--- a/src/ledger/ledger_message.h
+++ b/src/ledger/ledger_message.h
@@ -49,6 +49,9 @@
   std::string history;           ///< Of the turn that was found.
   std::uint64_t tokensUsed = 0;  ///< By the program, after a reservation.
   std::string reason;            ///< Why it failed.
+  /// After a reservation or settlement: the home holds a lease, or the store answers it. Where it
+  /// does not, a turn is not dispatched beside its reservation.
+  bool decidesReservations = true;
 };
 
 std::string encodeLedgerRequest(const LedgerRequest& request);
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -63,6 +63,10 @@
   return layout.ofBudget(std::get<SettleRequest>(request).settlement.program);
 }
 
+bool LedgerService::decidesReservations(const std::string& program) const {
+  return ledger_.decidesReservations(ledger_.layout().ofBudget(program));
+}
+
 void LedgerService::handleForPeer(LedgerRequest request, LedgerReplyCallback callback) {
   if (ledger_.answers(partitionOf(request))) {
     handle(std::move(request), std::move(callback));
@@ -80,6 +84,9 @@
   }
   LedgerReply reply;
   reply.reason = "the store does not answer the home";
+  if (const auto* const settle = std::get_if<SettleRequest>(&request)) {
+    reply.decidesReservations = decidesReservations(settle->settlement.program);
+  }
   callback(std::move(reply));
 }
 
@@ -101,14 +108,18 @@
 void LedgerService::run(const ReserveRequest& request, LedgerReplyCallback callback) {
   ledger_.budgetsOf(request.budget.reservation.program)
       .reserve(request.budget, request.timeLimit,
-               [callback = std::move(callback)](const ReservationReply& reply) {
-                 callback(replyOf(reply));
+               [this, program = request.budget.reservation.program,
+                callback = std::move(callback)](const ReservationReply& reservation) {
+                 LedgerReply reply = replyOf(reservation);
+                 reply.decidesReservations = decidesReservations(program);
+                 callback(std::move(reply));
                });
 }
 
 void LedgerService::run(SettleRequest request, const LedgerReplyCallback& callback) {
-  ledger_.settle(std::move(request.settlement));
   LedgerReply reply;
+  reply.decidesReservations = decidesReservations(request.settlement.program);
+  ledger_.settle(std::move(request.settlement));
   reply.outcome = LedgerOutcome::Done;
   callback(std::move(reply));
 }
--- a/src/ledger/ledger_service.h
+++ b/src/ledger/ledger_service.h
@@ -23,7 +23,6 @@
   /// For other nodes: replies at once while the store does not answer here, since another node may
   /// reach it. Calls back once.
   void handleForPeer(LedgerRequest request, LedgerReplyCallback callback);
-  /// \return whether the store is likely to answer this node for the partition.
   /// See `BudgetPartition`.
   void keepLease(const logstore::PartitionAddress& budgets) {
     ledger_.budgetsAt(budgets).keepLease();
@@ -31,12 +30,14 @@
   void giveLeaseBack(const logstore::PartitionAddress& budgets) {
     ledger_.budgetsAt(budgets).giveLeaseBack();
   }
+  /// \return whether the store is likely to answer this node for the partition.
   [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const {
     return ledger_.answers(partition);
   }
 
  private:
   [[nodiscard]] logstore::PartitionAddress partitionOf(const LedgerRequest& request) const;
+  [[nodiscard]] bool decidesReservations(const std::string& program) const;
   void run(const FindTurnRequest& request, LedgerReplyCallback callback);
   void run(StoreTurnRequest request, LedgerReplyCallback callback);
   void run(const ReserveRequest& request, LedgerReplyCallback callback);
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -161,9 +161,13 @@
   return store_.answers(layout_.ofTurn(knobs_.zone, turn));
 }
 
-bool ProgramLedger::takesReservation(const std::string& program) {
-  const logstore::PartitionAddress address = layout_.ofBudget(program);
-  return store_.answers(address) || budgetsAt(address).holdsLease();
+ReservationOutlook ProgramLedger::reservationOutlook(const std::string& program) {
+  return decidesReservations(layout_.ofBudget(program)) ? ReservationOutlook::Likely
+                                                        : ReservationOutlook::Unlikely;
+}
+
+bool ProgramLedger::decidesReservations(const logstore::PartitionAddress& budgets) {
+  return store_.answers(budgets) || budgetsAt(budgets).holdsLease();
 }
 
 std::uint64_t ProgramLedger::knownUse(const std::string& program) const {
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -57,7 +57,7 @@
                ReservationCallback callback) override;
   void settle(BudgetSettlement settlement) override;
   [[nodiscard]] bool takesTurn(const std::string& turn) override;
-  [[nodiscard]] bool takesReservation(const std::string& program) override;
+  [[nodiscard]] ReservationOutlook reservationOutlook(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
   /// Finds a turn's own record in one partition. Calls back at once when it is in memory.
@@ -75,6 +75,8 @@
   [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const {
     return store_.answers(partition);
   }
+  /// \return whether this node can probably decide reservations, by the log or by a lease.
+  [[nodiscard]] bool decidesReservations(const logstore::PartitionAddress& budgets);
   [[nodiscard]] const LedgerPartitions& layout() const { return layout_; }
 
   /// Forgets accounts of programs long gone; call it now and then.
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -165,6 +165,7 @@
   call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
                      call->silent.end());
   if (reply) {
+    noteHint(*call, *reply);
     call->homeLives = call->homeLives || home != knobs_.ownAddress;
     if (homes_.clear(home) && knobs_.onSilence) {
       knobs_.onSilence(home, false);
@@ -199,7 +200,10 @@
     }
   }
   if (isConclusive(reply)) {
-    failing_.erase(call->partition);
+    // A home takes a settlement into its memory: that says nothing of reservations.
+    if (!std::holds_alternative<SettleRequest>(call->request)) {
+      failing_.erase(call->partition);
+    }
   } else {
     ++counters_.failed;
     noteFailure(call->partition);
@@ -234,12 +238,30 @@
                                answers(layout_.ofTurn(knobs_.zone, turn, 1)));
 }
 
-// Whether the store answers this node says little: the home may hold a lease.
-bool RoutedLedger::takesReservation(const std::string& program) {
-  const auto found = failing_.find(layout_.ofBudget(program));
-  const bool failing =
-      found != failing_.end() && found->second.state(clock_()) == engine::CircuitState::Open;
-  return peers_.areKnown() && !failing;
+// Where the store does not answer this node the home may hold a lease: it is asked, and a lease
+// decides within a round trip. A turn that is dispatched beside a reservation that nobody can
+// decide ends with an unknown outcome, which its client may not try again.
+ReservationOutlook RoutedLedger::reservationOutlook(const std::string& program) {
+  const logstore::PartitionAddress partition = layout_.ofBudget(program);
+  const auto failing = failing_.find(partition);
+  const bool hasFailed = failing != failing_.end();
+  if (!peers_.areKnown() ||
+      (hasFailed && failing->second.state(clock_()) == engine::CircuitState::Open)) {
+    return ReservationOutlook::Unlikely;
+  }
+  const auto undecided = undecidedAt_.find(partition);
+  const bool isUndecided =
+      undecided != undecidedAt_.end() && clock_() - undecided->second < knobs_.hintLifetime;
+  const bool isDoubtful = hasFailed || isUndecided || !service_.answers(partition);
+  return isDoubtful ? ReservationOutlook::Doubtful : ReservationOutlook::Likely;
+}
+
+void RoutedLedger::noteHint(const Call& call, const LedgerReply& reply) {
+  if (!reply.decidesReservations) {
+    undecidedAt_[call.partition] = clock_();
+  } else if (std::holds_alternative<ReserveRequest>(call.request) && isConclusive(reply)) {
+    undecidedAt_.erase(call.partition);
+  }
 }
 
 void RoutedLedger::tendLeases() {
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -61,6 +61,9 @@
   /// Between two questions for a sign of life.
   Duration signOfLifePeriod = milliseconds(150);
   Duration signOfLifeLimit = milliseconds(100);
+  /// A home's word that it can't decide reservations is believed for so long: it is then asked
+  /// before a turn is dispatched, which costs one round trip.
+  Duration hintLifetime = seconds(2);
   /// Told when a node begins to count as silent, and when it answers again.
   std::function<void(const std::string& address, bool silent)> onSilence;
 };
@@ -93,7 +96,7 @@
                ReservationCallback callback) override;
   void settle(BudgetSettlement settlement) override;
   [[nodiscard]] bool takesTurn(const std::string& turn) override;
-  [[nodiscard]] bool takesReservation(const std::string& program) override;
+  [[nodiscard]] ReservationOutlook reservationOutlook(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
   /// \return whether the node gave no sign of life when it was asked a moment ago.
@@ -136,6 +139,7 @@
   void onSignOfLife(const std::shared_ptr<Call>& call, Duration patience, bool alive);
   void suspect(const std::string& home);
   void noteFailure(const logstore::PartitionAddress& partition);
+  void noteHint(const Call& call, const LedgerReply& reply);
   [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const;
 
   LedgerService& service_;
@@ -150,6 +154,8 @@
   std::unordered_map<std::string, KnownUse> knownUse_;
   /// Only partitions whose last call failed.
   std::map<logstore::PartitionAddress, engine::CircuitBreaker> failing_;
+  /// When a home last said that it could not decide reservations of the partition.
+  std::map<logstore::PartitionAddress, Instant> undecidedAt_;
 };
 
 }  // namespace gorsetrail::ledger
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -32,7 +32,9 @@
   }
   void settle(ledger::BudgetSettlement /*settlement*/) override {}
   bool takesTurn(const std::string& /*turn*/) override { return true; }
-  bool takesReservation(const std::string& /*program*/) override { return false; }
+  ledger::ReservationOutlook reservationOutlook(const std::string& /*program*/) override {
+    return ledger::ReservationOutlook::Unlikely;
+  }
   std::uint64_t knownUse(const std::string& /*program*/) const override { return 0; }
 
   Duration longestWait{};
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -231,9 +231,9 @@
 
 TEST(ProgramLedger, tellsWhetherTheLogTakesWritesNow) {
   Node& node = addNode();
-  CHECK_TRUE(node.ledger.takesReservation("program"));
+  CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Likely);
   log.fault = FakeFault::Busy;
   node.ledger.reserve({{"r1", "program", 400}, 1000, {}}, seconds(3), [](ReservationOutcome) {});
   timers.advance(milliseconds(150));
-  CHECK_FALSE(node.ledger.takesReservation("program"));
+  CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Unlikely);
 }
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -317,14 +317,14 @@
 TEST(RoutedLedger, tellsWhetherTheLogTakesWritesNow) {
   Node& node = fleet.node(0);
   CHECK_TRUE(node.ledger.takesTurn("t"));
-  CHECK_TRUE(node.ledger.takesReservation("program"));
+  CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Likely);
   log.fault = FakeFault::Busy;
   reserve(0, "r1", 100, milliseconds(750));
-  CHECK_FALSE(node.ledger.takesReservation("program"));
+  CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Unlikely);
   log.fault = FakeFault::None;
   timers.advance(seconds(1));
   CHECK_TRUE(node.ledger.takesTurn("t"));
-  CHECK_TRUE(node.ledger.takesReservation("program"));
+  CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Likely);
 }
 
 TEST(RoutedLedger, aTurnWhosePartitionIsOutOfOrderStandsInItsSecondOne) {
@@ -362,7 +362,7 @@
   fleet.known = false;
   const int reads = log.reads;
   CHECK_FALSE(fleet.node(3).ledger.takesTurn("t1"));
-  CHECK_FALSE(fleet.node(3).ledger.takesReservation("program"));
+  CHECK(fleet.node(3).ledger.reservationOutlook("program") == ReservationOutlook::Unlikely);
   CHECK_TRUE(std::holds_alternative<LedgerUnavailable>(find(3, "t1")));
   LONGS_EQUAL(reads, log.reads);
 }
