End a ledger call whose dead home was given up and whose next home says that the store does not answer

Change: a home without a sign of life counts as given up: a reply of it still counts, but the call does not wait for it. Tests: aCallEndsWhenOneHomeIsDeadAndTheOtherSaysThatTheStoreDoesNotAnswer failed before; tests of outlooks, hints and of the second reservation after a dispatch.

--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -38,6 +38,8 @@
   bool endsAtOwnNode = false;       ///< The last of `homes` is this node, which is no home.
   bool homeLives = false;           ///< A home replied, or answered a liveness probe.
   std::vector<std::string> silent;  ///< Asked, and not heard of yet.
+  /// Asked, and without a sign of life since: not waited for, but a reply of theirs still counts.
+  std::vector<std::string> givenUp;
   bool done = false;
 };
 
@@ -151,7 +153,13 @@
     watchSilence(call, std::max(patience, knobs_.signOfLifePeriod));
     return;
   }
-  suspect(call->homes[call->started - 1]);
+  const std::string& home = call->homes[call->started - 1];
+  suspect(home);
+  // Else the call would wait for it until its limit, although the next home says that it can't
+  // help.
+  call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
+                     call->silent.end());
+  call->givenUp.push_back(home);
   if (hasNext(*call)) {
     tryNext(call);
   } else if (call->homeLives) {
@@ -162,8 +170,9 @@
 void RoutedLedger::onReply(const std::shared_ptr<Call>& call, const std::string& home,
                            Instant askedAt, std::optional<LedgerReply> reply) {
   const Instant now = clock_();
-  call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
-                     call->silent.end());
+  for (std::vector<std::string>* const homes : {&call->silent, &call->givenUp}) {
+    homes->erase(std::remove(homes->begin(), homes->end(), home), homes->end());
+  }
   if (reply) {
     noteHint(*call, *reply);
     call->homeLives = call->homeLives || home != knobs_.ownAddress;
@@ -193,9 +202,11 @@
   call->done = true;
   if (isConclusive(reply)) {
     // Another node answered first: the silent ones are asked last for a while.
-    for (const std::string& home : call->silent) {
-      if (home != knobs_.ownAddress) {
-        suspect(home);
+    for (const std::vector<std::string>* const homes : {&call->silent, &call->givenUp}) {
+      for (const std::string& home : *homes) {
+        if (home != knobs_.ownAddress) {
+          suspect(home);
+        }
       }
     }
   }
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -1,6 +1,9 @@
 // Streams, turns and budgets: nothing is released before what it rests on stands in the log.
 #include "edge/exchange_world.h"
 
+#include <algorithm>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
@@ -17,7 +20,10 @@
 /// A ledger whose reservations failed a moment ago, with a home that answers all the same.
 class DoubtfulLedger final : public ledger::Ledger {
  public:
-  explicit DoubtfulLedger(ledger::ReservationOutcome outcome) : outcome_(outcome) {}
+  /// \param outcomes of the reservations one after the other; the last one stays.
+  explicit DoubtfulLedger(std::vector<ledger::ReservationOutcome> outcomes,
+                          ledger::ReservationOutlook outlook = ledger::ReservationOutlook::Unlikely)
+      : outcomes_(std::move(outcomes)), outlook_(outlook) {}
   void findHistory(const std::string& /*turn*/, HistoryCallback callback) override {
     callback(ledger::UnknownTurn{});
   }
@@ -28,19 +34,29 @@
   void reserve(const ledger::BudgetRequest& /*request*/, Duration limit,
                ReservationCallback callback) override {
     longestWait = limit;
-    callback(outcome_);
+    const std::size_t number = std::min(reservations, outcomes_.size() - 1);
+    ++reservations;
+    if (timers == nullptr) {
+      callback(outcomes_[number]);
+    } else {
+      timers->runAfter(milliseconds(2), [callback = std::move(callback),
+                                         outcome = outcomes_[number]] { callback(outcome); });
+    }
   }
   void settle(ledger::BudgetSettlement /*settlement*/) override {}
   bool takesTurn(const std::string& /*turn*/) override { return true; }
   ledger::ReservationOutlook reservationOutlook(const std::string& /*program*/) override {
-    return ledger::ReservationOutlook::Unlikely;
+    return outlook_;
   }
   std::uint64_t knownUse(const std::string& /*program*/) const override { return 0; }
 
   Duration longestWait{};
+  logstore::FakeTimers* timers = nullptr;  ///< Replies take 2 ms; without them they come at once.
+  std::size_t reservations = 0;
 
  private:
-  ledger::ReservationOutcome outcome_;
+  std::vector<ledger::ReservationOutcome> outcomes_;
+  ledger::ReservationOutlook outlook_;
 };
 
 }  // namespace
@@ -212,7 +228,7 @@
 }
 
 TEST(ExchangeStream, asksTheHomeAlthoughReservationsFailedAMomentAgo) {
-  DoubtfulLedger ledger(ledger::ReservationOutcome::Granted);
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Granted});
   EdgeContext context = contextWith(ledger);
   const auto client = startIn(context);
   LONGS_EQUAL(1, world.dispatches());
@@ -222,7 +238,7 @@
 }
 
 TEST(ExchangeStream, dispatchesNothingWhereAReservationIsUnlikelyAndFails) {
-  DoubtfulLedger ledger(ledger::ReservationOutcome::Unavailable);
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Unavailable});
   EdgeContext context = contextWith(ledger);
   const auto client = startIn(context);
   LONGS_EQUAL(503, client->status);
@@ -230,6 +246,50 @@
   LONGS_EQUAL(0, world.dispatches());
 }
 
+TEST(ExchangeStream, dispatchesNothingWhereAReservationIsDoubtfulAndFails) {
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Unavailable},
+                        ledger::ReservationOutlook::Doubtful);
+  EdgeContext context = contextWith(ledger);
+  const auto client = startIn(context);
+  LONGS_EQUAL(503, client->status);
+  CHECK(!client->retryAfter.empty());
+  LONGS_EQUAL(0, world.dispatches());
+  CHECK(ledger.longestWait <= context.knobs.doubtfulReservationLimit);
+}
+
+TEST(ExchangeStream, aReservationThatFailsAfterTheDispatchIsAskedForOnceMore) {
+  DoubtfulLedger ledger(
+      {ledger::ReservationOutcome::Unavailable, ledger::ReservationOutcome::Granted},
+      ledger::ReservationOutlook::Likely);
+  ledger.timers = &world.timers;
+  EdgeContext context = contextWith(ledger);
+  const auto client = startIn(context);
+  LONGS_EQUAL(1, world.dispatches());
+  world.beginEvents();
+  world.call().body(kFirst);
+  STRCMP_EQUAL("", client->body.c_str());
+  world.timers.advance(context.knobs.reservationPause + milliseconds(10));
+  LONGS_EQUAL(2, ledger.reservations);
+  STRCMP_EQUAL(kFirst.c_str(), client->body.c_str());
+  world.call().done();
+  CHECK_TRUE(client->whole);
+}
+
+TEST(ExchangeStream, aReservationThatFailsTwiceAfterTheDispatchEndsTheTurnWithAnUnknownOutcome) {
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Unavailable},
+                        ledger::ReservationOutlook::Likely);
+  ledger.timers = &world.timers;
+  EdgeContext context = contextWith(ledger);
+  const auto client = startIn(context);
+  LONGS_EQUAL(1, world.dispatches());
+  world.beginEvents();
+  world.call().body(kFirst);
+  world.timers.advance(seconds(1));
+  LONGS_EQUAL(2, ledger.reservations);
+  LONGS_EQUAL(502, client->status);
+  CHECK_TRUE(world.call().cancelled);
+}
+
 TEST(ExchangeStream, resumesACutStreamWhereItRanWithoutLosingOrDoublingAnEvent) {
   const auto client = world.start(ExchangeWorld::turn("again"));
   wait();
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -168,6 +168,20 @@
     timers.advance(wait);
     return *outcome;
   }
+  /// \return the homes of the program's budget, first and second.
+  std::vector<std::string> homesOfBudget() {
+    const std::vector<HomeCandidate> candidates = fleet.node(0).peers.candidates();
+    return HomeSelector({}).homesOf(LedgerPartitions({}).ofBudget("program"), {}, candidates,
+                                    timers.now);
+  }
+  /// \return the number of a node that is not one of them.
+  static int nodeThatIsNoneOf(const std::vector<std::string>& homes) {
+    int number = 0;
+    while (std::count(homes.begin(), homes.end(), "node" + std::to_string(number)) > 0) {
+      ++number;
+    }
+    return number;
+  }
   /// All nodes but one that is asked.
   std::set<std::string> allBut(const std::string& own) {
     std::set<std::string> others;
@@ -327,6 +341,65 @@
   CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Likely);
 }
 
+TEST(RoutedLedger, aReservationIsDoubtfulFromAFailureUntilOneIsDecided) {
+  Node& node = fleet.node(0);
+  CHECK(reserve(0, "r0", 1) == ReservationOutcome::Granted);
+  fleet.silent = allBut("node0");
+  log.fault = FakeFault::Silent;
+  CHECK(reserve(0, "r1", 1, seconds(6)) == ReservationOutcome::Unavailable);
+  log.fault = FakeFault::None;
+  fleet.silent.clear();
+  timers.advance(seconds(3));
+  CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Doubtful);
+  // A settlement is taken into a home's memory and says nothing of reservations.
+  node.ledger.settle({"r1", "program", 0});
+  timers.advance(seconds(1));
+  CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Doubtful);
+  CHECK(reserve(0, "r2", 1) == ReservationOutcome::Granted);
+  CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Likely);
+}
+
+TEST(RoutedLedger, aHomeThatCanDecideNothingSaysSoInItsReplyToASettlement) {
+  CHECK(reserve(0, "r0", 1) == ReservationOutcome::Granted);
+  log.fault = FakeFault::Busy;
+  // Another node's reservation shows the home that the store does not answer.
+  reserve(1, "r1", 1, milliseconds(400));
+  // The nodes' own calls to the store have not failed.
+  for (int number = 0; number < 6; ++number) {
+    fleet.node(number).ledger.settle({"r0", "program", 1});
+  }
+  timers.advance(milliseconds(10));
+  int doubtful = 0;
+  for (int number = 0; number < 6; ++number) {
+    doubtful +=
+        fleet.node(number).ledger.reservationOutlook("program") == ReservationOutlook::Likely ? 0
+                                                                                              : 1;
+  }
+  LONGS_EQUAL(6, doubtful);
+}
+
+TEST(RoutedLedger, aCallEndsWhenOneHomeIsDeadAndTheOtherSaysThatTheStoreDoesNotAnswer) {
+  const auto homes = homesOfBudget();
+  const int asking = nodeThatIsNoneOf(homes);
+  // The second home knows that the store does not answer it; the first one is dead, and its
+  // connections are not refused.
+  log.fault = FakeFault::Busy;
+  fleet.nodes[homes[1]]->local.reserve({{"x", "program", 1}, 1000, {}}, seconds(3),
+                                       [](ReservationOutcome) {});
+  timers.advance(milliseconds(400));
+  fleet.silent = {homes[0]};
+  const Instant asked = timers.now;
+  std::optional<Instant> ended;
+  fleet.node(asking).ledger.reserve({{"r1", "program", 1}, 1000, {}}, seconds(2),
+                                    [&](ReservationOutcome outcome) {
+                                      CHECK(outcome == ReservationOutcome::Unavailable);
+                                      ended = timers.now;
+                                    });
+  timers.advance(seconds(3));
+  CHECK_TRUE(ended.has_value());
+  CHECK(*ended - asked < milliseconds(500));
+}
+
 TEST(RoutedLedger, aTurnWhosePartitionIsOutOfOrderStandsInItsSecondOne) {
   const LedgerPartitions layout{{}};
   log.downPartitions = {layout.ofTurn("a", "t1", 0)};
