--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -38,6 +38,8 @@
   bool endsAtOwnNode = false;       ///< The last of `homes` is this node, which is no home.
   bool homeLives = false;           ///< A home replied, or answered a liveness probe.
   std::vector<std::string> silent;  ///< Asked, and not heard of yet.
+  /// Asked, and without a sign of life since: not waited for, but a reply of theirs still counts.
+  std::vector<std::string> givenUp;
   bool done = false;
 };
 
@@ -151,7 +153,13 @@
     watchSilence(call, std::max(patience, knobs_.signOfLifePeriod));
     return;
   }
-  suspect(call->homes[call->started - 1]);
+  const std::string& home = call->homes[call->started - 1];
+  suspect(home);
+  // Else the call would wait for it until its limit, although the next home says that it can't
+  // help.
+  call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
+                     call->silent.end());
+  call->givenUp.push_back(home);
   if (hasNext(*call)) {
     tryNext(call);
   } else if (call->homeLives) {
@@ -162,9 +170,11 @@
 void RoutedLedger::onReply(const std::shared_ptr<Call>& call, const std::string& home,
                            Instant askedAt, std::optional<LedgerReply> reply) {
   const Instant now = clock_();
-  call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
-                     call->silent.end());
+  for (std::vector<std::string>* const homes : {&call->silent, &call->givenUp}) {
+    homes->erase(std::remove(homes->begin(), homes->end(), home), homes->end());
+  }
   if (reply) {
+    noteHint(*call, *reply);
     call->homeLives = call->homeLives || home != knobs_.ownAddress;
     if (homes_.clear(home) && knobs_.onSilence) {
       knobs_.onSilence(home, false);
@@ -192,14 +202,19 @@
   call->done = true;
   if (isConclusive(reply)) {
     // Another node answered first: the silent ones are asked last for a while.
-    for (const std::string& home : call->silent) {
-      if (home != knobs_.ownAddress) {
-        suspect(home);
+    for (const std::vector<std::string>* const homes : {&call->silent, &call->givenUp}) {
+      for (const std::string& home : *homes) {
+        if (home != knobs_.ownAddress) {
+          suspect(home);
+        }
       }
     }
   }
   if (isConclusive(reply)) {
-    failing_.erase(call->partition);
+    // A home takes a settlement into its memory: that says nothing of reservations.
+    if (!std::holds_alternative<SettleRequest>(call->request)) {
+      failing_.erase(call->partition);
+    }
   } else {
     ++counters_.failed;
     noteFailure(call->partition);
@@ -234,12 +249,30 @@
                                answers(layout_.ofTurn(knobs_.zone, turn, 1)));
 }
 
-// Whether the store answers this node says little: the home may hold a lease.
-bool RoutedLedger::takesReservation(const std::string& program) {
-  const auto found = failing_.find(layout_.ofBudget(program));
-  const bool failing =
-      found != failing_.end() && found->second.state(clock_()) == engine::CircuitState::Open;
-  return peers_.areKnown() && !failing;
+// Where the store does not answer this node the home may hold a lease: it is asked, and a lease
+// decides within a round trip. A turn that is dispatched beside a reservation that nobody can
+// decide ends with an unknown outcome, which its client may not try again.
+ReservationOutlook RoutedLedger::reservationOutlook(const std::string& program) {
+  const logstore::PartitionAddress partition = layout_.ofBudget(program);
+  const auto failing = failing_.find(partition);
+  const bool hasFailed = failing != failing_.end();
+  if (!peers_.areKnown() ||
+      (hasFailed && failing->second.state(clock_()) == engine::CircuitState::Open)) {
+    return ReservationOutlook::Unlikely;
+  }
+  const auto undecided = undecidedAt_.find(partition);
+  const bool isUndecided =
+      undecided != undecidedAt_.end() && clock_() - undecided->second < knobs_.hintLifetime;
+  const bool isDoubtful = hasFailed || isUndecided || !service_.answers(partition);
+  return isDoubtful ? ReservationOutlook::Doubtful : ReservationOutlook::Likely;
+}
+
+void RoutedLedger::noteHint(const Call& call, const LedgerReply& reply) {
+  if (!reply.decidesReservations) {
+    undecidedAt_[call.partition] = clock_();
+  } else if (std::holds_alternative<ReserveRequest>(call.request) && isConclusive(reply)) {
+    undecidedAt_.erase(call.partition);
+  }
 }
 
 void RoutedLedger::tendLeases() {
--- a/tests/ledger/budget_partition_test.cpp
+++ b/tests/ledger/budget_partition_test.cpp
@@ -1,6 +1,10 @@
 // Budgets with and without a store at hand: dead, cut off, restarted and disagreeing homes.
 #include "ledger/budget_partition.h"
 
+#include <algorithm>
+#include <optional>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 #include "ledger/budget_fleet.h"
@@ -215,16 +219,127 @@
   second.partition.giveLeaseBack();
   fleet.timers.advance(seconds(1));
   fleet.tend(first, seconds(4));
-  CHECK_TRUE(first.partition.holdsLease());
+  CHECK(first.partition.leaseSlot() == BudgetLeaseSlot::Primary);
 }
 
-TEST(BudgetPartition, ofTwoHomesThatTakeALeaseAtOnceOneHoldsIt) {
-  Home& first = fleet.start("a");
-  Home& second = fleet.start("b");
-  first.partition.keepLease();
-  second.partition.keepLease();
+TEST(BudgetPartition, ofThreeHomesThatTakeALeaseAtOnceOneHoldsIt) {
+  std::vector<Home*> homes{&fleet.start("a"), &fleet.start("b"), &fleet.start("c")};
+  for (Home* const home : homes) {
+    home->partition.keepLease();
+  }
   fleet.timers.advance(seconds(1));
-  CHECK(first.partition.holdsLease() != second.partition.holdsLease());
+  const auto holdersOf = [&](std::optional<BudgetLeaseSlot> slot) {
+    return std::count_if(homes.begin(), homes.end(),
+                         [&](const Home* home) { return home->partition.leaseSlot() == slot; });
+  };
+  LONGS_EQUAL(1, holdersOf(BudgetLeaseSlot::Primary));
+  LONGS_EQUAL(2, holdersOf(std::nullopt));
+}
+
+TEST(BudgetPartition, aRestartedHomeHoldsASecondaryLeaseWithinASecondAndServesAnOutageUnderIt) {
+  fleet.startWithLease("a");
+  Home& again = fleet.start("a");
+  fleet.tend(again, seconds(1));
+  CHECK(again.partition.leaseSlot() == BudgetLeaseSlot::Secondary);
+  fleet.log.fault = FakeFault::Silent;
+  CHECK(spend(again, "r1", 100) == ReservationOutcome::Granted);
+  LONGS_EQUAL(1, again.partition.counters().grantedAheadSecondary);
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(again, "s" + std::to_string(number), "program", 10, 1000, kTimeLeft);
+  }
+  LONGS_EQUAL(150, fleet.handedOut["program"]);
+}
+
+// Else two dead leases would count together after a further fault, and turns that go on would find
+// no room.
+TEST(BudgetPartition, theNextHomeHasNoLeaseWhileADeadOnesIsHeldAndASecondaryOneOnceItHasEnded) {
+  fleet.startWithLease("a");
+  fleet.kill("a");
+  Home& next = fleet.start("b");
+  fleet.tend(next, BudgetLeaseKnobs{}.expiry - seconds(2));
+  CHECK_FALSE(next.partition.holdsLease());
+  fleet.tend(next, seconds(4));
+  CHECK(next.partition.leaseSlot() == BudgetLeaseSlot::Secondary);
+}
+
+TEST(BudgetPartition, aSecondaryLeaseMovesUpWithoutAGapWhenTheDeadOneIsCleared) {
+  fleet.startWithLease("a");
+  Home& again = fleet.start("a");
+  fleet.tend(again, seconds(1));
+  for (int second = 0; second < 20; ++second) {
+    fleet.tend(again, seconds(1));
+    CHECK_TRUE(again.partition.holdsLease());
+  }
+  CHECK(again.partition.leaseSlot() == BudgetLeaseSlot::Primary);
+  fleet.log.fault = FakeFault::Silent;
+  CHECK(spend(again, "r1", 600, 1000, "new") == ReservationOutcome::Granted);
+}
+
+TEST(BudgetPartition, whatWasSpentUnderASecondaryLeaseCountsAfterItMovedUp) {
+  fleet.startWithLease("a");
+  Home& again = fleet.start("a");
+  fleet.tend(again, seconds(2));
+  // Each 50 ms another program spends: the newest one's grant is not recorded when the lease moves.
+  std::string program;
+  for (int number = 0; again.partition.leaseSlot() != BudgetLeaseSlot::Primary; ++number) {
+    CHECK(number < 1000);
+    program = "p" + std::to_string(number);
+    fleet.spend(again, "r" + program, program, 150, 1000, kTimeLeft, Duration::zero());
+    again.partition.keepLease();
+    fleet.timers.advance(milliseconds(50));
+  }
+  LONGS_EQUAL(150, fleet.handedOut[program]);
+  fleet.log.fault = FakeFault::Silent;
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(again, "s" + std::to_string(number), program, 50, 1000, kTimeLeft,
+                Duration::zero());
+  }
+  LONGS_EQUAL(450, fleet.handedOut[program]);
+}
+
+TEST(BudgetPartition, aThirdLifeWithinTheTimeOfClearingHasNoLeaseAndKeepsTheBudget) {
+  for (int life = 0; life < 2; ++life) {
+    Home& home = fleet.start("a");
+    fleet.tend(home, seconds(1));
+    CHECK_TRUE(home.partition.holdsLease());
+    fleet.log.fault = FakeFault::Silent;
+    for (int number = 0; number < 10; ++number) {
+      fleet.spend(home, "r" + std::to_string(life) + "-" + std::to_string(number), "program", 50,
+                  1000, kTimeLeft, milliseconds(100));
+    }
+    fleet.kill("a");
+    fleet.log.fault = FakeFault::None;
+  }
+  LONGS_EQUAL(600, fleet.handedOut["program"]);
+  Home& third = fleet.start("a");
+  fleet.tend(third, seconds(2));
+  CHECK_FALSE(third.partition.holdsLease());
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(third, "s" + std::to_string(number), "program", 50, 1000, kTimeLeft);
+  }
+  CHECK(fleet.handedOut["program"] <= 1050);
+  CHECK(fleet.handedOut["program"] >= 950);
+  fleet.tend(third, kUntilCleared);
+  CHECK_TRUE(third.partition.holdsLease());
+}
+
+TEST(BudgetPartition, aProgramOfTwoDeadHomesIsCountedEvenAfterTheirLeasesWereCleared) {
+  for (int life = 0; life < 2; ++life) {
+    Home& home = fleet.start("a");
+    fleet.tend(home, seconds(1));
+    fleet.log.fault = FakeFault::Silent;
+    fleet.spend(home, "r" + std::to_string(life), "program", life == 0 ? 450 : 150, 1000,
+                kTimeLeft);
+    fleet.log.fault = FakeFault::None;
+  }
+  LONGS_EQUAL(600, fleet.handedOut["program"]);
+  Home& third = fleet.start("a");
+  fleet.tend(third, kUntilCleared + kUntilCleared);
+  CHECK(third.partition.leaseSlot() == BudgetLeaseSlot::Primary);
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(third, "s" + std::to_string(number), "program", 50, 1000, Duration::zero());
+  }
+  CHECK(fleet.handedOut["program"] <= 1050);
 }
 
 TEST(BudgetPartition, aLeaseThatWasGivenBackIsNotCounted) {
@@ -246,11 +361,13 @@
   home.partition.giveLeaseBack();
   CHECK_FALSE(home.partition.holdsLease());
   fleet.timers.advance(seconds(1));
+  home.way.cut = true;
   fleet.log.fault = FakeFault::None;
   Home& next = fleet.start("b");
   // Until it is given back, it counts.
   spend(next, "r2", 600);
   CHECK(spend(next, "r3", 100) == ReservationOutcome::Unavailable);
+  home.way.cut = false;
   for (int tick = 0; tick < 20; ++tick) {
     home.partition.giveLeaseBack();
     fleet.timers.advance(milliseconds(200));
