--- a/spec/budget_lease.pml
+++ b/spec/budget_lease.pml
@@ -4,7 +4,8 @@
  * A partition has two slots for leases, the primary and the secondary one. A home takes a lease by a
  * record in the partition's log and uses it once it has read everything before that record
  * (BudgetPartition::takeLease). The record enters the primary slot if that is free, else the secondary
- * one, else it is void (BudgetLeaseTable::onRecord). When the primary slot is free, a further record
+ * one, else it is void (BudgetLeaseTable::onRecord; the code enters the secondary slot only beside a
+ * lease that has ended: fewer steps than here). When the primary slot is free, a further record
  * moves the secondary lease up; its holder uses the larger share after it has read that record.
  * Under a lease a program that should not be over yet gets up to the slot's share of tokens that no
  * record tells of (reserveAhead). They count until their record stands and everything before it was
