Cold replicas: a rate over the fleet, kept by a few feeders and without messages

Cause: neither `coldRemainingMs` nor `coldPerS` was used.

Ruled out: leaving cold replicas out (a zone's engines for 3 s after each return), tokens from a coordinator (a round trip a request). A bucket of one request at each node passes the bound at 74 nodes; shares of all nodes are therefore kept in random slots of time, where nothing is saved up.

Change: `ColdReplicaRule`. Cold is what a registration says, a new replica that says nothing, and every replica of a zone that was just taken back until registrations written later can have been read. Four feeders by rendezvous over the nodes that take clients, with buckets that begin empty; without `cold_feeders` every node has a static share. A node that cannot know (just started; store or operators' topic silent for 3 s) sends little, and one request in 0.5 s to replicas that kept answering it. Log lines `replica_cold`, `replica_warm`, gauge `replicas_cold`, counter `cold_replicas_passed_over_total`, `losses` knows `replicas_cold`.

Tests: readsHowLongAReplicaStaysCold now tells a registration that says nothing from one that says warm (it took both for warm; both are checked).

--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -17,7 +17,7 @@
 };
 /// Reasons of `request_ended` lines by what an operator looks at; the first prefix that fits
 /// counts.
-constexpr std::array<CauseOfReason, 24> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 25> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
@@ -26,6 +26,7 @@
                                                     {"replicas_full", "no_place_at_replicas"},
                                                     {"zones_evacuated", "evacuated"},
                                                     {"evacuations_unknown", "evacuated"},
+                                                    {"replicas_cold", "replicas_cold"},
                                                     {"no_replica", "no_replica"},
                                                     {"no_connection", "replica_failed"},
                                                     {"replica", "replica_failed"},
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -111,7 +111,9 @@
       selector_(settings_.zone, selectorKnobsOf(settings_)),
       admission_(admissionKnobsOf(settings_)),
       evacuationRule_(evacuations_, {}),
-      placement_(replicas_, selector_, admission_, {&evacuationRule_}),
+      coldReplicas_(coldReplicaKnobsOf(settings_), coldReplicaSources(), settings_.listen.clients,
+                    seed),
+      placement_(replicas_, selector_, admission_, {&evacuationRule_, &coldReplicas_}),
       fleetLoad_({}),
       loadExchange_(
           context, {}, seed,
@@ -314,6 +316,8 @@
   figures.resumes = context_.counters.resumes;
   figures.requestsOpen = clientServer_->counters().responsesOpen;
   figures.replicas = replicas_.size();
+  figures.replicasCold = coldReplicas_.coldReplicas();
+  figures.coldReplicasPassedOver = coldReplicas_.passedOver();
   figures.members = members_.alive().size();
   figures.membersSilent = peerMonitor_.silentNodes();
   figures.configurationVersion = routes_.inForce() ? routes_.inForce()->version.value() : 0;
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -28,6 +28,7 @@
 #include "logstore/keyed_topic_follower.h"
 #include "logstore/log_store.h"
 #include "quota/static_shares.h"
+#include "routing/cold_replica_rule.h"
 #include "routing/evacuation.h"
 #include "routing/fleet_load.h"
 
@@ -96,6 +97,8 @@
   void loadLoop();
   /// \return where the nodes that take clients get digests of loads, this one left out.
   [[nodiscard]] const std::vector<std::string>& loadPeers();
+  [[nodiscard]] routing::ColdReplicaSources coldReplicaSources();
+  void tendColdReplicas();
   void flushLoop();
   void sweepLoop();
   void leaseLoop();
@@ -144,6 +147,7 @@
   routing::AdmissionPolicy admission_;
   routing::EvacuationTable evacuations_;
   routing::EvacuationRule evacuationRule_;
+  routing::ColdReplicaRule coldReplicas_;
   routing::ReplicaPlacement placement_;
   routing::FleetLoad fleetLoad_;
   LoadExchange loadExchange_;
@@ -164,7 +168,8 @@
   bool replicasListed_ = false;
   std::vector<ledger::HomeCandidate> ledgerHomes_;  ///< As of `ledgerHomesAt_`.
   Instant ledgerHomesAt_;
-  std::vector<std::string> loadPeers_;  ///< As of `loadPeersAt_`.
+  std::vector<std::string> loadPeers_;     ///< As of `loadPeersAt_`.
+  std::vector<std::string> clientTakers_;  ///< Their addresses for clients, as of `loadPeersAt_`.
   Instant loadPeersAt_;
   bool takesClients_ = false;                      ///< The directory names this node.
   std::set<std::string, std::less<>> lostTopics_;  ///< Followed, and not answered lately.
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -24,6 +24,7 @@
   };
   observer.onFresh = [this](Instant askedAt) {
     context_.freshness.configurationHeardAt = askedAt;
+    coldReplicas_.onEvacuationsFresh(askedAt);
     noteStoreAnswer("configuration");
   };
   observer.onStale = [this](const logstore::StoreError& error) {
@@ -45,6 +46,7 @@
 void EdgeDaemon::onEvacuationRecord(const std::string& zone, const std::string& value) {
   if (value.empty()) {
     if (evacuations_.onTakenBack(zone)) {
+      coldReplicas_.onZoneReturned(zone, clock_());
       log_.important("evacuation_taken_back", {{"zone", zone}, {"by", "record"}});
     }
   } else if (evacuations_.onEvacuated(zone, clock_())) {
@@ -59,7 +61,9 @@
       zones.push_back(std::move(*zone));
     }
   }
+  coldReplicas_.onEvacuationsListed(clock_());
   for (const std::string& zone : evacuations_.onListed(zones)) {
+    coldReplicas_.onZoneReturned(zone, clock_());
     log_.important("evacuation_taken_back", {{"zone", zone}, {"by", "listing"}});
   }
 }
@@ -77,6 +81,7 @@
   const std::uint64_t version = configuration->version.value();
   const std::uint64_t routes = configuration->routes.size();
   const bool newer = routes_.apply(std::move(configuration));
+  tendColdReplicas();  // Replicas that were listed first may bear less than was known.
   log_.important(newer ? "configuration_in_force" : "configuration_not_newer",
                  {{"version", version}, {"routes", routes}});
 }
@@ -95,6 +100,7 @@
   };
   observer.onFresh = [this](Instant askedAt) {
     context_.freshness.replicasHeardAt = askedAt;
+    coldReplicas_.onFresh(askedAt);
     noteStoreAnswer("replicas");
   };
   observer.onStale = [this](const logstore::StoreError& error) {
@@ -136,7 +142,9 @@
   const std::string service = entry.service;
   const std::string address = entry.address;
   const bool draining = entry.draining;
+  const bool isNew = replicasListed_ && replicas_.find(id) == nullptr;
   const bool changed = replicas_.upsert(std::move(entry)) != routing::ReplicaChange::None;
+  coldReplicas_.onRegistration(*replicas_.find(id), isNew, clock_());
   if (changed && replicasListed_) {
     log_.important("replica_changed", {{"replica", id},
                                        {"service", service},
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -23,6 +23,9 @@
 /// less often than this.
 constexpr Duration kLedgerHomesRefresh = milliseconds(50);
 
+/// Of one look at all replicas: a zone's return changes a zone's replicas at once.
+constexpr std::size_t kMostColdLines = 32;
+
 }  // namespace
 
 Result<Success> EdgeDaemon::listenForPeers() {
@@ -139,12 +142,41 @@
   if (settings_.uses(Mechanism::LoadDigests)) {
     fleetLoad_.apply(replicas_, others, clock_());
   }
+  tendColdReplicas();
   for (const std::string& dropped : replicas_.dropDoubtful(clock_())) {
     log_.important("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
   }
   timers_->runAfter(kLoadPeriod, [this] { loadLoop(); });
 }
 
+routing::ColdReplicaSources EdgeDaemon::coldReplicaSources() {
+  routing::ColdReplicaSources sources;
+  sources.serviceOf = [this](std::string_view name) -> const routing::Service* {
+    const auto& configuration = routes_.inForce();
+    if (!configuration) {
+      return nullptr;
+    }
+    const auto found = configuration->services.find(name);
+    return found == configuration->services.end() ? nullptr : &found->second;
+  };
+  sources.nodes = [this]() -> const std::vector<std::string>& { return clientTakers_; };
+  return sources;
+}
+
+void EdgeDaemon::tendColdReplicas() {
+  std::size_t lines = 0;
+  for (const routing::ColdReplicaChange& change : coldReplicas_.tend(replicas_.all(), clock_())) {
+    if (++lines > kMostColdLines) {
+      continue;  // The gauge tells how many there are.
+    }
+    log_.important(change.isCold ? "replica_cold" : "replica_warm",
+                   {{"replica", change.id},
+                    {"zone", change.zone},
+                    {"for_ms", static_cast<std::uint64_t>(toMilliseconds(change.remaining))},
+                    {"feeder", std::uint64_t{change.isFeeder ? 1U : 0U}}});
+  }
+}
+
 const std::vector<std::string>& EdgeDaemon::loadPeers() {
   const Instant now = clock_();
   if (now - loadPeersAt_ < kLoadPeersRefresh) {
@@ -152,9 +184,11 @@
   }
   loadPeersAt_ = now;
   loadPeers_.clear();
+  clientTakers_.clear();
   takesClients_ = false;
   for (const std::string& zone : settings_.zones) {
     for (const MemberRecord& member : members_.servingIn(zone)) {
+      clientTakers_.push_back(member.clientAddress);
       if (member.clientAddress == settings_.listen.clients) {
         takesClients_ = true;
       } else if (!member.relayAddress.empty()) {
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -60,6 +60,17 @@
   return {kNoLimit, kNoLimit, kNoLimit, 0};
 }
 
+routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings) {
+  routing::ColdReplicaKnobs knobs;
+  knobs.overshoot = settings.bounds.coldOvershoot;
+  knobs.slack = settings.bounds.coldSlack;
+  knobs.heartbeat = settings.bounds.replicaHeartbeat;
+  if (!settings.uses(Mechanism::ColdFeeders)) {
+    knobs.sharing = routing::ColdSharing::StaticShares;
+  }
+  return knobs;
+}
+
 ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings) {
   constexpr Duration kNever = seconds(3600);
   ExchangeKnobs knobs;
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -9,6 +9,7 @@
 #include "ledger/program_ledger.h"
 #include "logstore/call_pacer.h"
 #include "routing/admission_policy.h"
+#include "routing/cold_replica_rule.h"
 #include "routing/replica_selector.h"
 
 namespace gorsetrail::edge {
@@ -29,6 +30,8 @@
 
 routing::AdmissionKnobs admissionKnobsOf(const EdgeSettings& settings);
 
+routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings);
+
 ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings);
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -56,6 +56,10 @@
 
 void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("replicas", "Registered replicas", snapshot.replicas);
+  list.gauge("replicas_cold", "Registered replicas that count as cold", snapshot.replicasCold);
+  list.counter("cold_replicas_passed_over_total",
+               "Looks at a replica that got no request because it is or may be cold",
+               snapshot.coldReplicasPassedOver);
   list.gauge("members", "Nodes believed alive", snapshot.members);
   list.gauge("members_silent", "Nodes that do not answer probes", snapshot.membersSilent);
   list.gauge("configuration_version", "In force, 0 for none", snapshot.configurationVersion);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -45,8 +45,10 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
-  std::uint64_t requestsOpen = 0;          ///< Gauge.
-  std::uint64_t replicas = 0;              ///< Gauge.
+  std::uint64_t requestsOpen = 0;  ///< Gauge.
+  std::uint64_t replicas = 0;      ///< Gauge.
+  std::uint64_t replicasCold = 0;  ///< Gauge.
+  std::uint64_t coldReplicasPassedOver = 0;
   std::uint64_t members = 0;               ///< Gauge.
   std::uint64_t membersSilent = 0;         ///< Gauge.
   std::uint64_t configurationVersion = 0;  ///< Gauge.
--- a/src/routing/replica_table.cpp
+++ b/src/routing/replica_table.cpp
@@ -86,6 +86,11 @@
   return found == byService_.end() ? kNone : found->second;
 }
 
+ReplicaPtr ReplicaTable::find(std::string_view id) const {
+  const auto found = byId_.find(id);
+  return found == byId_.end() ? nullptr : found->second;
+}
+
 std::vector<ReplicaPtr> ReplicaTable::all() const {
   std::vector<ReplicaPtr> replicas;
   replicas.reserve(byId_.size());
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -22,8 +22,9 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool draining = false;
-  /// How much longer it said it is cold, as of its newest registration; zero: it is warm.
-  Duration coldFor = Duration::zero();
+  /// How much longer it said it is cold, as of its newest registration; zero: it is warm; unset: it
+  /// says nothing of it.
+  std::optional<Duration> coldFor = Duration::zero();
 };
 
 /// One failure may be chance.
@@ -45,6 +46,10 @@
   /// Its registration lapsed while the store was out of order, which proves nothing: it is used
   /// until then if there is no other.
   std::optional<Instant> doubtfulUntil;
+  /// Requests a second that it bears while it is cold, from all nodes; 0: it is never cold.
+  double coldRequestsPerSecond = 0;
+  Instant coldUntil;       ///< By its registration; see `ColdReplicaRule`.
+  bool isTrusted = false;  ///< It has answered all the time, also while the store was silent.
   double answerMilliseconds = 0;  ///< Smoothed time to the first byte; 0 before the first answer.
 
   [[nodiscard]] bool takesWork() const { return !gone && !entry.draining; }
@@ -77,6 +82,8 @@
   [[nodiscard]] std::vector<std::string> missingFrom(const std::vector<std::string>& ids) const;
 
   [[nodiscard]] const std::vector<ReplicaPtr>& ofService(std::string_view service) const;
+  /// \return the replica of that id; null: none is registered.
+  [[nodiscard]] ReplicaPtr find(std::string_view id) const;
   /// \return every registered replica.
   [[nodiscard]] std::vector<ReplicaPtr> all() const;
   [[nodiscard]] std::size_t size() const { return byId_.size(); }
--- a/tests/lab_platform/edge_day_test.cpp
+++ b/tests/lab_platform/edge_day_test.cpp
@@ -329,6 +329,43 @@
   }));
 }
 
+TEST(EdgeDay, aColdReplicaGetsLittleUntilItSaysThatItIsWarm) {
+  std::string configuration = configurationOf(9);
+  configuration.insert(configuration.find(R"("engine")"), R"("coldStartS":3,"coldPerS":25,)");
+  const auto cold = [this](int milliseconds) {
+    std::string entry = replica->registration("m", "ready");
+    return entry.insert(1, "\"coldRemainingMs\":" + std::to_string(milliseconds) + ",");
+  };
+  store->put("keyed.op", "config", configuration);
+  const std::string inForce = "configuration_in_force version=9";
+  CHECK_TRUE(until([&] { return first->lines.find(inForce) != std::string::npos; }));
+  CHECK_TRUE(until([&] { return ask(*first, "/unsafe/x").status == 200; }));
+  store->put("keyed.servers", "i-1", cold(60000));
+  CHECK_TRUE(
+      until([&] { return first->lines.find("replica_cold replica=i-1") != std::string::npos; }));
+  int answered = 0;
+  Answer refused;
+  for (int request = 0; request < 30; ++request) {
+    const Answer answer = ask(*first, "/unsafe/x");
+    answered += answer.status == 200 ? 1 : 0;
+    refused = answer.status == 200 ? refused : answer;
+  }
+  CHECK_COMPARE(answered, <, 20);
+  LONGS_EQUAL(503, refused.status);
+  STRCMP_CONTAINS("replicas_cold", refused.body.c_str());
+  CHECK(!refused.retryAfter.empty());
+  http::Request request;
+  request.address = first->listen().metrics;
+  request.target = "/metrics";
+  STRCMP_CONTAINS("gorsetrail_replicas_cold 1", send(request).body.c_str());
+  store->put("keyed.servers", "i-1", cold(0));
+  CHECK_TRUE(
+      until([&] { return first->lines.find("replica_warm replica=i-1") != std::string::npos; }));
+  for (int request = 0; request < 10; ++request) {
+    LONGS_EQUAL(200, ask(*first, "/unsafe/x").status);
+  }
+}
+
 TEST(EdgeDay, metricsTellTheEvacuatedZones) {
   store->put("keyed.op", "evacuate/z", "{}");
   CHECK_TRUE(until([&] { return knowsEvacuation(*first); }));
