Limits through a change of coordinator: levels go with the hand-over, and who does not know grants less

Cause (reading; four tests that failed first): a new coordinator's pool did not know what the one before had granted, so a tenant of 300 requests a second with a burst of 300 got 2,289 in 5 s over a row of planned stops, 2,000 allowed (aHandOverAmidABurstKeepsTheLimitOfALargeTenant); a token given back got the time of a later grant; a token whose use was put off could be spent early; numbers of requests began at 1 in each life.

Change: message `HandOver` (levels and the counts of the last 5 s by tenant), sent twice before the lends end, on a planned stop to the next candidate and to a rival that a coordinator gives way to; where both granted, levels and counts add up. Its receiver borrows each 15 ms for 0.15 s and decides nothing below half of the shares meanwhile, so that buckets handed over are not cut to the share. A pool that was told nothing (death, freeze, lost messages), and one whose shares fell below half since, starts lower by what both together could pass: 0.6 s of the rate and 1 request. Tokens carry when they may be used; one given back is void with the oldest grant that is not. Request numbers begin at random. Comment of kTick.

Tests: quota 41, all green; of the new ones aPoolThatLostItsSharesDoesNotBelieveItsOwnLevels fails without the check of lost shares. The simulated fleet can lose all hand-overs. No earlier test was changed.

--- a/src/edge/quota_exchange.cpp
+++ b/src/edge/quota_exchange.cpp
@@ -5,7 +5,7 @@
 namespace gorsetrail::edge {
 namespace {
 
-/// Between two looks at what is due without waiting requests; a sixth of a lend round.
+/// Between two looks at what is due without waiting requests; a third of a lend round.
 constexpr Duration kTick = milliseconds(50);
 /// While requests wait for tokens; a fifth of the time limit of a reply.
 constexpr Duration kWaitingTick = milliseconds(10);
--- a/src/quota/borrowed_shares.cpp
+++ b/src/quota/borrowed_shares.cpp
@@ -1,11 +1,13 @@
 #include "quota/borrowed_shares.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gorsetrail::quota {
 namespace {
 
 constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kHalf = 0.5;
 
 }  // namespace
 
@@ -23,11 +25,15 @@
     const Instant ended = nextEnd_;
     std::erase_if(byNode_, [ended](const auto& entry) { return entry.second.until <= ended; });
     nextEnd_ = Instant::max();
-    sum_ = 0;
+    const double before = std::exchange(sum_, 0);
     for (const auto& [node, lend] : byNode_) {
       nextEnd_ = std::min(nextEnd_, lend.until);
       sum_ += lend.share;
     }
+    if (before >= kHalf && sum_ < kHalf) {
+      ++losses_;
+      secondsAtLoss_ = integral_;
+    }
   }
   integrateTo(now);
 }
@@ -48,6 +54,11 @@
   return std::clamp(sum_, 0.0, 1.0);
 }
 
+std::uint64_t BorrowedShares::losses(Instant now) {
+  advance(now);
+  return losses_;
+}
+
 double BorrowedShares::shareSeconds(Instant now) {
   advance(now);
   return integral_;
--- a/src/quota/borrowed_shares.h
+++ b/src/quota/borrowed_shares.h
@@ -1,6 +1,7 @@
 /// \file What a coordinator has borrowed of the limits of one partition. No I/O, no clock.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 
@@ -16,6 +17,10 @@
   void onLend(const std::string& node, double share, Instant until, Instant now);
   /// \return the part of each limit that is borrowed now, 0 to 1.
   double share(Instant now);
+  /// \return how often the shares fell below half: others may have granted since.
+  std::uint64_t losses(Instant now);
+  /// \return the integral of `share` at the last time that they did, in seconds.
+  [[nodiscard]] double secondsAtLoss() const { return secondsAtLoss_; }
   /// \return the integral of `share` since the start, in seconds.
   double shareSeconds(Instant now);
 
@@ -30,6 +35,8 @@
   std::unordered_map<std::string, Lend> byNode_;
   double sum_ = 0;
   double integral_ = 0;
+  std::uint64_t losses_ = 0;
+  double secondsAtLoss_ = 0;
   Instant integratedTo_{};
   /// No lend ends before this moment.
   Instant nextEnd_ = Instant::max();
--- a/src/quota/quota_knobs.h
+++ b/src/quota/quota_knobs.h
@@ -20,6 +20,9 @@
   Duration lendTime = milliseconds(500);
   /// Between two lend requests of a coordinator: two may be lost before a lend ends.
   Duration lendPeriod = milliseconds(150);
+  /// Between two of them just after a hand-over, when some nodes have not read yet that their lends
+  /// ended: as long as a few ways between zones.
+  Duration hurriedLendPeriod = milliseconds(15);
   /// A coordinator that gave way to another one waits so long without hearing from it.
   Duration wayTime = milliseconds(250);
   /// How long granted tokens may be spent, from the moment they were asked for.
--- a/src/quota/quota_message.cpp
+++ b/src/quota/quota_message.cpp
@@ -1,6 +1,7 @@
 #include "quota/quota_message.h"
 
 #include <cmath>
+#include <utility>
 
 #include "quota/generated/quota_message_generated.h"
 
@@ -51,11 +52,43 @@
                             static_cast<std::uint64_t>(reply.usableAfter.count()), reply.grantor));
 }
 
+std::string encode(const HandOver& handOver) {
+  Builder builder;
+  std::vector<flatbuffers::Offset<fbs::HandedAccount>> accounts;
+  for (const HandedAccount& account : handOver.accounts) {
+    accounts.push_back(fbs::CreateHandedAccount(builder, builder.CreateString(account.tenant),
+                                                account.level,
+                                                builder.CreateVector(account.granted)));
+  }
+  const auto list = builder.CreateVector(accounts);
+  return finish(
+      builder, fbs::Message::HandOver,
+      fbs::CreateHandOver(builder, handOver.partition, handOver.grantor, handOver.part, list));
+}
+
 Error invalidMessage() {
   return {ErrorKind::InvalidFrame, "quota message", "the bytes are no such message",
           "run the same version on every node"};
 }
 
+Result<QuotaMessage> readHandOver(const fbs::HandOver& read) {
+  HandOver handOver{read.partition(), read.grantor(), read.part(), {}};
+  if (read.accounts() == nullptr) {
+    return QuotaMessage{std::move(handOver)};
+  }
+  for (const fbs::HandedAccount* const account : *read.accounts()) {
+    if (!std::isfinite(account->level())) {
+      return invalidMessage();
+    }
+    HandedAccount handed{account->tenant()->str(), account->level(), {}};
+    if (account->granted() != nullptr) {
+      handed.granted.assign(account->granted()->begin(), account->granted()->end());
+    }
+    handOver.accounts.push_back(std::move(handed));
+  }
+  return QuotaMessage{std::move(handOver)};
+}
+
 }  // namespace
 
 std::string encodeQuotaMessage(const QuotaMessage& message) {
@@ -81,6 +114,9 @@
   if (const auto* const read = envelope->message_as_LendEnd()) {
     return QuotaMessage{LendEnd{read->partition(), read->round()}};
   }
+  if (const auto* const read = envelope->message_as_HandOver()) {
+    return readHandOver(*read);
+  }
   if (const auto* const read = envelope->message_as_TokenRequest()) {
     return QuotaMessage{TokenRequest{read->number(), read->tenant()->str(), read->for_begun(),
                                      read->for_beginning(), read->returned(), read->grantor()}};
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "base/result.h"
 #include "base/time.h"
@@ -46,7 +47,21 @@
   Duration usableAfter{};  ///< From the reply on: until the tenant's rate has made up for them.
   std::uint64_t grantor = 0;
 };
-using QuotaMessage = std::variant<LendRequest, LendReply, TokenRequest, TokenReply, LendEnd>;
+/// What a coordinator knows of one tenant.
+struct HandedAccount {
+  std::string tenant;
+  double level = 0;
+  std::vector<std::uint16_t> granted;  ///< By age, in slots of `SlidingCount`, the newest first.
+};
+/// A coordinator that counts no lend any more tells the next one how far limits are used.
+struct HandOver {
+  std::uint32_t partition = 0;
+  std::uint64_t grantor = 0;  ///< Its life.
+  std::uint32_t part = 0;     ///< Of several messages; each may come more than once.
+  std::vector<HandedAccount> accounts;
+};
+using QuotaMessage =
+    std::variant<LendRequest, LendReply, TokenRequest, TokenReply, LendEnd, HandOver>;
 
 std::string encodeQuotaMessage(const QuotaMessage& message);
 /// Errors: `InvalidFrame`.
--- a/src/quota/quota_pool.cpp
+++ b/src/quota/quota_pool.cpp
@@ -8,6 +8,11 @@
 
 /// Keeps waits finite without a rate, in requests a second.
 constexpr double kSmallestRate = 1e-3;
+/// Tenants in one message of a hand-over: some 3 KB with names of 20 bytes and 100 B of counts.
+constexpr std::size_t kAccountsPerMessage = 24;
+/// Lends follow a hand-over within a round or two. Later, others may have granted in between.
+constexpr Duration kHandOverLifetime = seconds(1);
+constexpr double kRuleSeconds = 5.0;  ///< The window of the operators' rule.
 
 std::uint32_t wholeTokens(double level) {
   return static_cast<std::uint32_t>(std::max(0.0, std::floor(level)));
@@ -21,14 +26,77 @@
   return (quota.burst + spare) * shares_.share(now);
 }
 
+void QuotaPool::onLend(const std::string& node, double share, Instant until, Instant now) {
+  const bool isLate = tookOverAt_ && now - *tookOverAt_ > kHandOverLifetime;
+  if (isLate && shares_.share(now) <= 0) {
+    accounts_.clear();
+  }
+  if (isLate) {
+    tookOverAt_.reset();
+  }
+  shares_.onLend(node, share, until, now);
+}
+
+void QuotaPool::takeOver(const HandOver& handOver, Instant now) {
+  if (!takenOver_.emplace(handOver.grantor, handOver.part).second) {
+    return;  // Each message is sent more than once.
+  }
+  const bool isLaterPart = tookOverAt_ && now - *tookOverAt_ <= kHandOverLifetime;
+  if (shares_.share(now) <= 0 && !isLaterPart) {
+    accounts_.clear();  // Older than what is handed over.
+    tookOverAt_ = now;
+  }
+  for (const HandedAccount& handed : handOver.accounts) {
+    const auto [entry, isNew] = accounts_.try_emplace(handed.tenant);
+    Account& account = entry->second;
+    if (isNew) {
+      account.shareSeconds = shares_.shareSeconds(now);
+      account.losses = shares_.losses(now);
+      account.usedAt = now;
+    }
+    // Where both granted, each held its part of the shares: the parts add up.
+    account.level += handed.level;
+    account.granted.addByAge(handed.granted, now);
+  }
+}
+
+std::vector<HandOver> QuotaPool::handOver(std::uint32_t partition, Instant now) {
+  std::vector<HandOver> messages;
+  for (auto& [tenant, account] : accounts_) {
+    if (messages.empty() || messages.back().accounts.size() >= kAccountsPerMessage) {
+      messages.push_back({partition, life_, static_cast<std::uint32_t>(messages.size()), {}});
+    }
+    messages.back().accounts.push_back({tenant, account.level, account.granted.byAge(now)});
+  }
+  return messages;
+}
+
+// The coordinator before may have granted a whole bucket a moment ago, and both together must stay
+// within what a pool allows in a window: the new one grants so much less at first.
+double QuotaPool::unsureLevelOf(const tenant::Quota& quota) const {
+  const double bucket = (1.0 + knobs_.spareBurstShare) * quota.burst + knobs_.spareBurst +
+                        knobs_.spareBurstSeconds * quota.requestsPerSecond;
+  const double ofBoth = bucket + kRuleSeconds * quota.requestsPerSecond + knobs_.startTokens;
+  const double allowed = knobs_.windowSeconds * quota.requestsPerSecond +
+                         (1.0 + knobs_.spareBurstShare) * quota.burst + knobs_.windowSpare;
+  return knobs_.startTokens - std::max(0.0, ofBoth - allowed);
+}
+
 QuotaPool::Account& QuotaPool::accountOf(const std::string& tenant, const tenant::Quota& quota,
                                          Instant now) {
   const double shareSeconds = shares_.shareSeconds(now);
   const auto [entry, isNew] = accounts_.try_emplace(tenant);
   Account& account = entry->second;
   if (isNew) {
-    // As if the tenant had been known, and silent, since the pool began.
-    account.level = knobs_.startTokens;
+    // As if the tenant had been known, and silent, since the pool began or began anew.
+    account.level = unsureLevelOf(quota);
+    account.losses = shares_.losses(now);
+    account.shareSeconds = shares_.secondsAtLoss();
+  }
+  if (account.losses != shares_.losses(now)) {
+    account.losses = shares_.losses(now);
+    account.level = std::min(account.level, unsureLevelOf(quota));
+    account.shareSeconds = std::max(account.shareSeconds, shares_.secondsAtLoss());
   }
   account.level += quota.requestsPerSecond * (shareSeconds - account.shareSeconds);
   account.level = std::min(account.level, capacityOf(quota, now));
@@ -68,7 +136,10 @@
   reply.number = request.number;
   reply.grantor = life_;
   const double share = shares_.share(now);
-  if (share <= 0) {
+  // Just after a hand-over lends come in within a few ways. Buckets are as large as the share: one
+  // that is looked at meanwhile would lose what was handed over.
+  const bool isFilling = tookOverAt_ && now - *tookOverAt_ < knobs_.lendPeriod;
+  if (share <= 0 || (isFilling && share < knobs_.decidingShare)) {
     return reply;
   }
   Account& account = accountOf(request.tenant, quota, now);
--- a/src/quota/quota_pool.h
+++ b/src/quota/quota_pool.h
@@ -2,8 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "quota/borrowed_shares.h"
 #include "quota/quota_knobs.h"
@@ -20,9 +24,11 @@
   /// \param life differs between coordinators and between processes.
   QuotaPool(const QuotaKnobs& knobs, std::uint64_t life) : knobs_(knobs), life_(life) {}
 
-  void onLend(const std::string& node, double share, Instant until, Instant now) {
-    shares_.onLend(node, share, until, now);
-  }
+  void onLend(const std::string& node, double share, Instant until, Instant now);
+  /// The coordinator before this one tells how far limits are used, as its lends come here.
+  void takeOver(const HandOver& handOver, Instant now);
+  /// \return what the next coordinator must know, in messages that fit a datagram.
+  std::vector<HandOver> handOver(std::uint32_t partition, Instant now);
   /// \param quota the tenant's limit in the configuration that is in force at this node.
   TokenReply grant(const TokenRequest& request, const tenant::Quota& quota, Instant now);
   [[nodiscard]] double share(Instant now) { return shares_.share(now); }
@@ -31,11 +37,14 @@
   struct Account {
     double level = 0;
     double shareSeconds = 0;    ///< Of the pool, when the level was reckoned.
+    std::uint64_t losses = 0;   ///< Of the pool's shares, likewise.
     double begunPerSecond = 0;  ///< Tokens asked for begun programs lately.
     Instant usedAt{};
     SlidingCount granted;
   };
   Account& accountOf(const std::string& tenant, const tenant::Quota& quota, Instant now);
+  /// \return the level of a tenant of whom it is not known what another coordinator granted.
+  [[nodiscard]] double unsureLevelOf(const tenant::Quota& quota) const;
   [[nodiscard]] double capacityOf(const tenant::Quota& quota, Instant now);
   /// \return tokens that may still be granted in the window that ends now.
   [[nodiscard]] double leftInWindow(Account& account, const tenant::Quota& quota, Instant now);
@@ -48,6 +57,8 @@
   std::uint64_t life_;
   BorrowedShares shares_;
   std::unordered_map<std::string, Account> accounts_;
+  std::set<std::pair<std::uint64_t, std::uint32_t>> takenOver_;  ///< Life and part.
+  std::optional<Instant> tookOverAt_;  ///< Without having borrowed anything since.
 };
 
 }  // namespace gorsetrail::quota
--- a/src/quota/quota_service.cpp
+++ b/src/quota/quota_service.cpp
@@ -15,6 +15,11 @@
 /// Callers of one tenant come back spread over this share of the time they are told.
 constexpr double kRetrySpread = 0.5;
 
+/// Numbers of one life differ in their low bits only.
+constexpr unsigned kNumberBits = 32;
+/// One in a hundred datagrams may be lost: each message of a hand-over is sent so often.
+constexpr int kHandOverCopies = 2;
+
 /// \return the place of a coordinator in the order that decides between two of them.
 std::uint64_t rankOf(std::uint32_t partition, const std::string& address) {
   return XXH64(address.data(), address.size(), partition);
@@ -32,7 +37,8 @@
       life_(life),
       clock_(std::move(clock)),
       random_(life),
-      lender_(knobs, clock_()) {}
+      lender_(knobs, clock_()),
+      nextNumber_((random_.below(UINT32_MAX) + 1) << kNumberBits) {}
 
 std::uint32_t QuotaService::partitionOf(const std::string& tenant) const {
   return static_cast<std::uint32_t>(XXH64(tenant.data(), tenant.size(), 0) % knobs_.partitions);
@@ -58,12 +64,21 @@
   deliversToSelf_ = false;
 }
 
-bool QuotaService::trySpend(Tokens& tokens, ProgramStage stage, Instant now) const {
+void QuotaService::dropVoid(Account& account, Instant now) {
+  while (!account.spent.empty() && account.spent.front().until <= now) {
+    account.spent.pop_front();
+  }
+}
+
+bool QuotaService::trySpend(Account& account, ProgramStage stage, Instant now) {
+  Tokens& tokens = account.tokens;
   const bool mayUse = stage == ProgramStage::Begun || tokens.isAmple;
   if (!mayUse || tokens.count == 0 || now >= tokens.until) {
     return false;
   }
   --tokens.count;
+  dropVoid(account, now);
+  account.spent.push_back({tokens.until, tokens.grantor});
   return true;
 }
 
@@ -78,7 +93,8 @@
     account.tenant = tenant;
   }
   account.usedAt = now;
-  if (account.waiters.empty() && trySpend(account.tokens, stage, now)) {
+  const bool isUsable = account.waiters.empty() && now >= account.tokens.usableAt;
+  if (isUsable && trySpend(account, stage, now)) {
     ++counters_.grantedAtOnce;
     callback(kGranted);
     return;
@@ -90,10 +106,31 @@
   }
 }
 
+// Which grant the token belongs to is not known: it gets the time of the one that is void first,
+// so it is never spent later than its own time allows.
 void QuotaService::giveBack(const std::string& tenant) {
   const auto found = accounts_.find(tenant);
-  if (found != accounts_.end() && clock_() < found->second.tokens.until) {
-    ++found->second.tokens.count;
+  if (found == accounts_.end()) {
+    return;
+  }
+  const Instant now = clock_();
+  Account& account = found->second;
+  dropVoid(account, now);
+  if (account.spent.empty()) {
+    return;
+  }
+  const auto soonestVoid = std::min_element(
+      account.spent.begin(), account.spent.end(),
+      [](const SpentToken& left, const SpentToken& right) { return left.until < right.until; });
+  const SpentToken token = *soonestVoid;
+  account.spent.erase(soonestVoid);
+  Tokens& atHand = account.tokens;
+  const bool areAtHand = atHand.count > 0 && now < atHand.until;
+  if (!areAtHand) {
+    atHand = {1, atHand.isAmple, token.until, token.grantor, now};
+  } else if (atHand.grantor == token.grantor) {
+    ++atHand.count;
+    atHand.until = std::min(atHand.until, token.until);
   }
 }
 
@@ -152,6 +189,8 @@
     onTokenRequest(from, *request);
   } else if (const auto* const end = std::get_if<LendEnd>(&message)) {
     onLendEnd(from, *end);
+  } else if (const auto* const handed = std::get_if<HandOver>(&message)) {
+    onHandOver(from, *handed);
   } else {
     onTokenReply(std::get<TokenReply>(message));
   }
@@ -204,7 +243,7 @@
   Coordination& coordination = coordinationOf(partition);
   const bool wasIdle = coordination.neededUntil <= now;
   coordination.neededUntil = now + kAskedCoordinationTime;
-  if (wasIdle) {
+  if (wasIdle || now < coordination.hurriesUntil) {
     coordinate(partition);
   }
   const auto tenants = fleet_.tenants();
@@ -243,7 +282,8 @@
 
 void QuotaService::takeTokens(Account& account, const Asking& asked, const TokenReply& reply) {
   account.tokens = {reply.granted, reply.isAmple,
-                    asked.sentAt + knobs_.tokenLifetime + reply.usableAfter, reply.grantor};
+                    asked.sentAt + knobs_.tokenLifetime + reply.usableAfter, reply.grantor,
+                    clock_() + reply.usableAfter};
 }
 
 void QuotaService::serveWaiters(Account& account, const Asking& asked, const TokenReply& reply) {
@@ -265,7 +305,7 @@
     QuotaDecision decision = kGranted;
     // Tokens were granted for each waiter by itself when the reply says that they are ample; else
     // only for programs that have begun.
-    if (!trySpend(account.tokens, waiter.stage, now)) {
+    if (!trySpend(account, waiter.stage, now)) {
       decision = {isVoid && granted > 0 ? QuotaVerdict::Unknown : QuotaVerdict::OverLimit,
                   spread(reply.retryAfter)};
     }
@@ -333,14 +373,44 @@
   }
   coordinates_ = false;
   LendEnds ends;
-  for (const auto& [partition, coordination] : coordinations_) {
+  for (auto& [partition, coordination] : coordinations_) {
     ends.push_back({partition, coordination.round});
+    for (const std::string& candidate : fleet_.coordinatorsOf(partition)) {
+      if (candidate != ownAddress_) {
+        handOver(partition, coordination, candidate);
+        break;
+      }
+    }
   }
   // Replies that are still on their way find nothing to count for.
   coordinations_.clear();
   announceEnds(ends);
 }
 
+void QuotaService::handOver(std::uint32_t partition, Coordination& coordination,
+                            const std::string& successor) {
+  for (const HandOver& message : coordination.pool->handOver(partition, clock_())) {
+    for (int copy = 0; copy < kHandOverCopies; ++copy) {
+      send(successor, message);
+    }
+  }
+}
+
+void QuotaService::onHandOver(const std::string& from, const HandOver& handOver) {
+  if (const auto way = givenWay_.find(handOver.partition);
+      way != givenWay_.end() && way->second.rival == from) {
+    givenWay_.erase(way);
+  }
+  if (coordinates_ && handOver.partition < knobs_.partitions && !givesWay(handOver.partition)) {
+    const Instant now = clock_();
+    Coordination& coordination = coordinationOf(handOver.partition);
+    coordination.pool->takeOver(handOver, now);
+    coordination.neededUntil = now + kAskedCoordinationTime;
+    coordination.hurriesUntil = now + knobs_.lendPeriod;
+    coordinate(handOver.partition);
+  }
+}
+
 void QuotaService::announceEnds(const LendEnds& ends) {
   for (const LendEnd& end : ends) {
     for (const std::string& member : fleet_.members()) {
@@ -368,6 +438,7 @@
   givenWay_[request.partition] = {rival, clock_()};
   if (own != coordinations_.end()) {
     const LendEnd end{request.partition, own->second.round};
+    handOver(request.partition, own->second, rival);
     coordinations_.erase(own);
     announceEnds({end});
   }
@@ -376,7 +447,9 @@
 void QuotaService::coordinate(std::uint32_t partition) {
   const Instant now = clock_();
   Coordination& coordination = coordinationOf(partition);
-  if (coordination.roundAt != Instant{} && now - coordination.roundAt < knobs_.lendPeriod) {
+  const Duration period =
+      now < coordination.hurriesUntil ? knobs_.hurriedLendPeriod : knobs_.lendPeriod;
+  if (coordination.roundAt != Instant{} && now - coordination.roundAt < period) {
     return;
   }
   ++coordination.round;
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -86,6 +86,12 @@
     bool isAmple = false;
     Instant until;
     std::uint64_t grantor = 0;
+    Instant usableAt;  ///< Until then the tenant's rate has not made up for them.
+  };
+  /// A token that a request was granted; the request may give it back.
+  struct SpentToken {
+    Instant until;
+    std::uint64_t grantor = 0;
   };
   struct Asking {
     std::uint64_t number = 0;
@@ -106,6 +112,7 @@
     std::deque<Waiter> waiters;
     std::optional<Asking> asking;
     std::deque<Scheduled> scheduled;
+    std::deque<SpentToken> spent;  ///< Not void yet; the oldest first.
     Instant usedAt;
   };
   /// The coordinator's state of one partition.
@@ -114,6 +121,7 @@
     Instant neededUntil;  ///< Somebody asked, or this node is the first choice.
     std::uint64_t round = 0;
     Instant roundAt;
+    Instant hurriesUntil;  ///< Lends that ended elsewhere are free now: rounds follow fast.
   };
   using LendEnds = std::vector<LendEnd>;
   /// Another coordinator of a partition that this node leaves it to.
@@ -138,7 +146,9 @@
   void checkAccount(Account& account);
   void releaseDue(Account& account);
   void giveUpOldest(Account& account);
-  [[nodiscard]] bool trySpend(Tokens& tokens, ProgramStage stage, Instant now) const;
+  /// Takes a token that is at hand, though it may have to wait for its time.
+  [[nodiscard]] static bool trySpend(Account& account, ProgramStage stage, Instant now);
+  static void dropVoid(Account& account, Instant now);
   void finish(Account& account, QuotaDecision decision);
   void coordinate(std::uint32_t partition);
   Coordination& coordinationOf(std::uint32_t partition);
@@ -148,6 +158,10 @@
   void considerRival(const std::string& rival, const LendRequest& request);
   [[nodiscard]] bool givesWay(std::uint32_t partition) const;
   void announceEnds(const LendEnds& ends);
+  void onHandOver(const std::string& from, const HandOver& handOver);
+  /// Tells the next coordinator what this one has granted. It goes out before the lends end, so
+  /// that it is there before anything can be granted.
+  void handOver(std::uint32_t partition, Coordination& coordination, const std::string& successor);
   [[nodiscard]] Duration spread(Duration retryAfter);
 
   QuotaFleet& fleet_;
@@ -168,7 +182,8 @@
   bool deliversToSelf_ = false;
   bool coordinates_ = true;                     ///< False from the planned stop on.
   std::map<std::uint32_t, GivenWay> givenWay_;  ///< By partition.
-  std::uint64_t nextNumber_ = 1;
+  /// Begins at random: a reply to an earlier life must not fit.
+  std::uint64_t nextNumber_;
   std::size_t waiting_ = 0;
   QuotaCounters counters_;
 };
--- a/src/quota/sliding_count.h
+++ b/src/quota/sliding_count.h
@@ -1,9 +1,11 @@
 /// \file Requests counted in a window that slides. No I/O, no clock.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "base/time.h"
 
@@ -21,6 +23,29 @@
     counts_[newest_ % kSlots] = static_cast<std::uint16_t>(counts_[newest_ % kSlots] + count);
     sum_ += count;
   }
+  /// \return the counts by age, the newest slot first, without the zeros at the end.
+  std::vector<std::uint16_t> byAge(Instant now) {
+    moveTo(now);
+    std::vector<std::uint16_t> counts;
+    for (std::uint64_t age = 0; age < kSlots; ++age) {
+      counts.push_back(counts_[(newest_ + kSlots - age) % kSlots]);
+    }
+    while (!counts.empty() && counts.back() == 0) {
+      counts.pop_back();
+    }
+    return counts;
+  }
+  /// Adds what another count told a moment ago. Its slots may begin elsewhere, so each counts here
+  /// as one slot younger: never too short.
+  void addByAge(const std::vector<std::uint16_t>& counts, Instant now) {
+    moveTo(now);
+    for (std::uint64_t age = 0; age < std::min(counts.size(), kSlots); ++age) {
+      const std::uint64_t younger = age == 0 ? 0 : age - 1;
+      std::uint16_t& slot = counts_[(newest_ + kSlots - younger) % kSlots];
+      slot = static_cast<std::uint16_t>(slot + counts[age]);
+      sum_ += counts[age];
+    }
+  }
   /// \return what was counted in the last 5 s, and up to a slot more.
   std::uint32_t sum(Instant now) {
     moveTo(now);
--- a/tests/quota/quota_fleet.h
+++ b/tests/quota/quota_fleet.h
@@ -57,6 +57,10 @@
           }
         });
   }
+  /// A granted request was not sent after all.
+  void giveBack(std::size_t node, const tenant::Tenant& tenant) {
+    nodes_[node]->service->giveBack(tenant.name);
+  }
   void kill(std::size_t node) { nodes_[node]->service.reset(); }
   /// A planned stop: the node serves on and coordinates nothing.
   void stop(std::size_t node) {
@@ -94,6 +98,10 @@
   /// Every other node takes the second choice for the first.
   bool disagreesOnCoordinators = false;
   double lossShare = 0.01;
+  /// No coordinator learns what the one before it granted.
+  bool losesHandOvers = false;
+  /// Told of each message that leaves a node; may be unset.
+  std::function<void(const QuotaMessage&)> onCarried;
 
   [[nodiscard]] std::size_t size() const { return nodes_.size(); }
   [[nodiscard]] const QuotaService& service(std::size_t node) const {
@@ -188,7 +196,11 @@
   }
   void carry(const Node& from, std::size_t to, const QuotaMessage& message) {
     ++messages;
-    if (random_.fraction() < lossShare) {
+    if (onCarried) {
+      onCarried(message);
+    }
+    const bool isLost = losesHandOvers && std::holds_alternative<HandOver>(message);
+    if (random_.fraction() < lossShare || isLost) {
       return;
     }
     // Through the codec, as on the wire.
--- a/tests/quota/quota_pool_test.cpp
+++ b/tests/quota/quota_pool_test.cpp
@@ -110,6 +110,62 @@
   CHECK(takeAll(kStart) <= knobs.startTokens + 20 * 0.25);
 }
 
+TEST(QuotaPool, theNextCoordinatorGoesOnWhereTheOneBeforeStopped) {
+  borrow(1.0);
+  const Instant now = later(seconds(10));
+  const std::uint32_t burst = takeAll(now);
+  QuotaPool next(knobs, kLife + 1);
+  for (const HandOver& message : pool.handOver(2, now)) {
+    LONGS_EQUAL(2, message.partition);
+    next.takeOver(message, now);
+    next.takeOver(message, now);  // The copy counts nothing.
+  }
+  next.onLend("node", 1.0, now + seconds(100), now);
+  LONGS_EQUAL(0, next.grant(asking(1000), quota, now).granted);
+  std::uint32_t granted = burst;
+  for (int step = 1; step <= 50; ++step) {
+    granted += next.grant(asking(1000), quota, now + milliseconds(100) * step).granted;
+  }
+  CHECK(granted <= (20 * 5 + 10) * 1.1 + 20 - 0.4 * 20);
+  CHECK(granted >= burst + 20 * 4);  // What it does grant is its rate.
+}
+
+TEST(QuotaPool, aBucketThatWasNotUsedIsHandedOverFull) {
+  borrow(1.0);
+  const Instant now = later(seconds(10));
+  pool.grant(asking(1), quota, now);
+  QuotaPool next(knobs, kLife + 1);
+  for (const HandOver& message : pool.handOver(0, now)) {
+    next.takeOver(message, now);
+  }
+  // The first lends are there; a bucket of their size would lose the rest.
+  next.onLend("first", 0.3, now + seconds(100), now);
+  CHECK_FALSE(next.grant(asking(1), quota, now + milliseconds(5)).decided);
+  next.onLend("others", 0.7, now + seconds(100), now + milliseconds(10));
+  CHECK(next.grant(asking(1000), quota, now + milliseconds(10)).granted > 30);
+}
+
+TEST(QuotaPool, aHandOverThatLendsFollowTooLateIsNotBelieved) {
+  borrow(1.0);
+  const Instant now = later(seconds(10));
+  pool.grant(asking(1), quota, now);
+  QuotaPool next(knobs, kLife + 1);
+  for (const HandOver& message : pool.handOver(0, now)) {
+    next.takeOver(message, now);
+  }
+  next.onLend("node", 1.0, now + seconds(100), now + seconds(2));
+  CHECK(next.grant(asking(1000), quota, now + seconds(2)).granted <= knobs.startTokens + 5);
+}
+
+TEST(QuotaPool, aPoolThatLostItsSharesDoesNotBelieveItsOwnLevels) {
+  pool.onLend("node", 1.0, later(seconds(10)), kStart);
+  pool.grant(asking(1), quota, later(seconds(9)));  // Its bucket is full.
+  const Instant regained = later(seconds(12));
+  pool.onLend("node", 1.0, regained + seconds(10), regained);
+  // Another coordinator may have granted a whole bucket in between.
+  CHECK(pool.grant(asking(1000), quota, regained).granted <= knobs.startTokens + 20 * 0.25);
+}
+
 TEST_GROUP(BorrowedShares) { BorrowedShares shares; };
 
 TEST(BorrowedShares, sumsLendsUntilTheyEnd) {
@@ -144,6 +200,17 @@
   LONGS_EQUAL(0, count.sum(kStart + seconds(1000)));
 }
 
+TEST(SlidingCount, anotherCountGoesOnHereAndIsNeverForgottenTooSoon) {
+  SlidingCount other;
+  const Instant start(seconds(100));
+  other.add(5, start);
+  other.add(2, start + seconds(2));
+  count.addByAge(other.byAge(start + seconds(3)), start + seconds(3) + milliseconds(70));
+  LONGS_EQUAL(7, count.sum(start + milliseconds(5000)));
+  LONGS_EQUAL(2, count.sum(start + milliseconds(5400)));
+  LONGS_EQUAL(0, count.sum(start + milliseconds(7500)));
+}
+
 TEST_GROUP(StaticShares){};
 
 TEST(StaticShares, letsItsPartOfTheLimitThrough) {
@@ -179,6 +246,17 @@
   CHECK(sameReply.usableAfter == milliseconds(30));
   const auto end = decodeQuotaMessage(encodeQuotaMessage(LendEnd{2, 77}));
   LONGS_EQUAL(77, std::get<LendEnd>(valueOf(end)).round);
+  const HandOver handOver{3, 8, 1, {{"a", -2.5, {1, 0, 7}}, {"b", 4, {}}}};
+  const auto handed = decodeQuotaMessage(encodeQuotaMessage(handOver));
+  const auto& sameHandOver = std::get<HandOver>(valueOf(handed));
+  LONGS_EQUAL(3, sameHandOver.partition);
+  LONGS_EQUAL(8, sameHandOver.grantor);
+  LONGS_EQUAL(1, sameHandOver.part);
+  LONGS_EQUAL(2, sameHandOver.accounts.size());
+  STRCMP_EQUAL("a", sameHandOver.accounts[0].tenant.c_str());
+  DOUBLES_EQUAL(-2.5, sameHandOver.accounts[0].level, 1e-9);
+  CHECK((sameHandOver.accounts[0].granted == std::vector<std::uint16_t>{1, 0, 7}));
+  LONGS_EQUAL(0, sameHandOver.accounts[1].granted.size());
 }
 
 TEST(QuotaMessage, refusesWhatIsNoMessageAndNoShare) {
--- a/tests/quota/quota_service_test.cpp
+++ b/tests/quota/quota_service_test.cpp
@@ -313,3 +313,74 @@
   checkWithinLimits(fleet);
   CHECK(fleet.refused["large"] <= 5);
 }
+
+// A tenant spends its whole burst, its coordinator stops, and the tenant goes on at its rate.
+TEST(QuotaService, aHandOverAmidABurstKeepsTheLimitOfALargeTenant) {
+  for (std::uint64_t seed = 21; seed < 25; ++seed) {
+    SimulatedFleet fleet(24, directoryOf(all), seed);
+    settle(fleet);
+    fleet.timers.advance(seconds(4));
+    for (std::size_t node = 0; node + 4 < fleet.size(); ++node) {
+      load(fleet, {large}, 3.0, milliseconds(350));
+      fleet.stop(node);
+    }
+    checkWithinLimits(fleet);
+  }
+}
+
+// Once more, with every message of the hand-over lost.
+TEST(QuotaService, aHandOverThatIsLostKeepsTheLimit) {
+  for (std::uint64_t seed = 31; seed < 35; ++seed) {
+    SimulatedFleet fleet(24, directoryOf(all), seed);
+    fleet.losesHandOvers = true;
+    settle(fleet);
+    fleet.timers.advance(seconds(4));
+    for (std::size_t node = 0; node + 4 < fleet.size(); ++node) {
+      load(fleet, {large}, 3.0, milliseconds(350));
+      fleet.stop(node);
+    }
+    checkWithinLimits(fleet);
+  }
+}
+
+TEST(QuotaService, aTokenThatIsGivenBackKeepsItsOwnTime) {
+  SimulatedFleet fleet(4, directoryOf(all), 41);
+  fleet.lossShare = 0;
+  settle(fleet);
+  fleet.request(0, middle, ProgramStage::Begun);
+  fleet.timers.advance(milliseconds(300));
+  fleet.request(0, middle, ProgramStage::Begun);
+  fleet.timers.advance(milliseconds(20));
+  LONGS_EQUAL(2, fleet.grants["middle"].size());
+  fleet.giveBack(0, middle);  // The first one's, for all that is known.
+  fleet.timers.advance(milliseconds(180));
+  const std::uint64_t atOnce = fleet.service(0).counters().grantedAtOnce;
+  fleet.request(0, middle, ProgramStage::Begun);
+  LONGS_EQUAL(atOnce, fleet.service(0).counters().grantedAtOnce);
+  fleet.timers.advance(milliseconds(20));
+  LONGS_EQUAL(3, fleet.grants["middle"].size());
+  fleet.giveBack(0, middle);
+  fleet.request(0, middle, ProgramStage::Begun);  // Young enough.
+  LONGS_EQUAL(atOnce + 1, fleet.service(0).counters().grantedAtOnce);
+}
+
+TEST(QuotaService, livesOfANodeNumberTheirRequestsDifferently) {
+  SimulatedFleet fleet(4, directoryOf(all), 42);
+  settle(fleet);
+  std::set<std::uint64_t> numbers;
+  fleet.onCarried = [&numbers](const QuotaMessage& message) {
+    if (const auto* const request = std::get_if<TokenRequest>(&message)) {
+      CHECK_TRUE(numbers.insert(request->number).second);
+    }
+  };
+  for (int life = 0; life < 5; ++life) {
+    // The second choice of its partition: its requests go to another node.
+    fleet.request(3, large, ProgramStage::Begun);
+    fleet.request(3, middle, ProgramStage::Begun);
+    fleet.request(3, small, ProgramStage::Begun);
+    fleet.timers.advance(milliseconds(20));
+    fleet.kill(3);
+    fleet.start(3);
+  }
+  CHECK(numbers.size() >= 5);
+}
