--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -17,13 +17,14 @@
 };
 /// Reasons of `request_ended` lines by what an operator looks at; the first prefix that fits
 /// counts.
-constexpr std::array<CauseOfReason, 24> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 25> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
                                                     {"budget_spent", "budget_spent"},
                                                     {"replicas_busy", "no_place_at_replicas"},
                                                     {"replicas_full", "no_place_at_replicas"},
+                                                    {"region_not_allowed", "region"},
                                                     {"zones_evacuated", "evacuated"},
                                                     {"evacuations_unknown", "evacuated"},
                                                     {"no_replica", "no_replica"},
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -7,6 +7,7 @@
 #include "edge/edge_daemon_shared.h"
 #include "edge/edge_knobs.h"
 #include "edge/exchange.h"
+#include "routing/region_policy.h"
 
 namespace gorsetrail::edge {
 namespace {
@@ -66,6 +67,7 @@
                        std::uint64_t seed)
     : ioContext_(context),
       settings_(std::move(settings)),
+      zones_(settings_.regionOfZone),
       parts_(parts),
       timers_(services::makeTimerService(context)),
       clock_(steadyNow),
@@ -78,7 +80,9 @@
                  return settings_.uses(Mechanism::PeerProbes) && peerMonitor_.isSilent(ip);
                }),
       relayedStore_(
-          parts.peers, [this] { return otherRelays(); }, seed),
+          parts.peers,
+          [this](const logstore::PartitionAddress& partition) { return otherRelays(partition); },
+          seed),
       failoverStore_(parts.store, relayedStore_, clock_, {},
                      [this](logstore::StoreWay way) { onStoreWay(way); }),
       store_(failoverStore_, *timers_, clock_, storePaceOf(settings_), seed),
@@ -108,10 +112,12 @@
       ledger_(ledgerService_, ledgerPeers_, *timers_, clock_, routedLedgerKnobs(), seed),
       ledgerServer_(ledgerService_),
       routes_(seed),
-      selector_(settings_.zone, selectorKnobsOf(settings_)),
+      selector_(settings_.zone, selectorKnobsOf(settings_), &zones_),
       admission_(admissionKnobsOf(settings_)),
+      regionRule_(zones_, {}),
       evacuationRule_(evacuations_, {}),
-      placement_(replicas_, selector_, admission_, {&evacuationRule_}),
+      // The regions' rule first: what may never serve a request is no reason to wait.
+      placement_(replicas_, selector_, admission_, {&regionRule_, &evacuationRule_}),
       fleetLoad_({}),
       loadExchange_(
           context, {}, seed,
@@ -139,6 +145,7 @@
   knobs.ownAddress = relayAddressOf(settings_);
   knobs.zone = settings_.zone;
   knobs.zones = settings_.zones;
+  knobs.regionOfZone = settings_.regionOfZone;
   knobs.partitions.partitionsPerTopic = settings_.store.partitionsPerTopic;
   if (!settings_.uses(Mechanism::SecondPartitions)) {
     knobs.usesSecondPartitions = false;
@@ -349,6 +356,12 @@
   writer->sendWhole({isReady() ? kOk : kUnavailable, {}, {}});
 }
 
+const routing::RegionSet* EdgeDaemon::allowedRegionsOf(const std::string& host) const {
+  const routing::ConfigurationPtr& configuration = routes_.inForce();
+  return configuration && configuration->regions ? configuration->regions->regionsOfHost(host)
+                                                 : nullptr;
+}
+
 void EdgeDaemon::onDirectoryRequest(const http::ServerRequest& request,
                                     const http::ResponseWriterPtr& writer) {
   const auto query = parts_.wire.readDirectoryQuery(request);
@@ -356,11 +369,16 @@
     writer->sendWhole({kNotFound, {}, {}});
     return;
   }
+  ClientPlace client{query->zone, zones_.regionOf(query->zone), &zones_,
+                     allowedRegionsOf(query->host)};
+  if (client.region.empty()) {
+    client.region = query->region;
+  }
   std::vector<std::string> addresses =
-      members_.clientAddresses(query->zone, [this](const std::string& relay) {
+      members_.clientAddresses(client, [this](const std::string& relay) {
         return settings_.uses(Mechanism::DirectoryChoice) && ledger_.isSuspect(relay);
       });
-  if (addresses.empty() && isReady()) {
+  if (addresses.empty() && isReady() && client.allows(settings_.zone)) {
     addresses.push_back(settings_.listen.clients);
   }
   if (addresses.empty()) {
@@ -398,6 +416,7 @@
   settings.listen = settings_.listen;
   settings.switchedOff = settings_.switchedOff;
   settings_ = std::move(settings);
+  zones_ = routing::ZoneTable(settings_.regionOfZone);
   log_.important("reloaded", {{"node", settings_.nodeName}, {"store", settings_.store.address}});
 }
 
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -30,6 +30,8 @@
 #include "quota/static_shares.h"
 #include "routing/evacuation.h"
 #include "routing/fleet_load.h"
+#include "routing/locality.h"
+#include "routing/region_rule.h"
 
 namespace gorsetrail::edge {
 
@@ -106,7 +108,11 @@
   [[nodiscard]] bool hasPeers() const { return settings_.firstInternalPort != 0; }
   [[nodiscard]] std::string ownRelayAddress() const;
   [[nodiscard]] std::string ownLoadAddress() const;
-  [[nodiscard]] std::vector<std::string> otherRelays() const;
+  /// \return relays that calls for the partition may go through.
+  [[nodiscard]] std::vector<std::string> otherRelays(
+      const logstore::PartitionAddress& partition) const;
+  /// \return the regions that a client of this host may be sent to besides its own; null: any.
+  [[nodiscard]] const routing::RegionSet* allowedRegionsOf(const std::string& host) const;
   /// \return nodes that may be homes of the ledger's partitions; none before the first list.
   [[nodiscard]] const std::vector<ledger::HomeCandidate>& ledgerHomes();
   [[nodiscard]] QuotaSources quotaSources();
@@ -117,6 +123,7 @@
 
   boost::asio::io_context& ioContext_;
   EdgeSettings settings_;
+  routing::ZoneTable zones_;
   EdgeParts parts_;
   services::TimerServicePtr timers_;
   std::function<Instant()> clock_;
@@ -143,6 +150,7 @@
   routing::ReplicaSelector selector_;
   routing::AdmissionPolicy admission_;
   routing::EvacuationTable evacuations_;
+  routing::RegionRule regionRule_;
   routing::EvacuationRule evacuationRule_;
   routing::ReplicaPlacement placement_;
   routing::FleetLoad fleetLoad_;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -1,6 +1,7 @@
 // The part of `EdgeDaemon` that follows the store: configuration, replicas, other nodes.
 #include "edge/edge_daemon.h"
 #include "edge/edge_daemon_shared.h"
+#include "routing/region_policy.h"
 
 namespace gorsetrail::edge {
 namespace {
@@ -73,6 +74,15 @@
     log_.important("configuration_unreadable", {{"error", errorOf(read).toText()}});
     return;
   }
+  auto regions = routing::RegionPolicy::make(valueOf(read), zones_, settings_.zone);
+  if (!succeeded(regions)) {
+    // The one before stays in force: half of this one could send requests where they must not go.
+    log_.important("configuration_refused", {{"version", valueOf(read).version.value()},
+                                             {"error", errorOf(regions).toText()}});
+    return;
+  }
+  valueOf(read).regions =
+      std::make_shared<const routing::RegionPolicy>(std::move(valueOf(regions)));
   auto configuration = std::make_shared<const routing::Configuration>(std::move(valueOf(read)));
   const std::uint64_t version = configuration->version.value();
   const std::uint64_t routes = configuration->routes.size();
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -53,14 +53,19 @@
   return settings_.ip + ":" + std::to_string(settings_.firstInternalPort + 1);
 }
 
-std::vector<std::string> EdgeDaemon::otherRelays() const {
+std::vector<std::string> EdgeDaemon::otherRelays(
+    const logstore::PartitionAddress& partition) const {
+  // The text of a confined turn goes only through nodes of its region.
+  const auto confinedTo = ledger::LedgerPartitions::confinedZoneOf(partition);
   std::vector<std::string> addresses;
   for (const MemberRecord& member : members_.alive()) {
-    if (!member.relayAddress.empty() && member.relayAddress != ownRelayAddress()) {
+    const bool isAllowed =
+        !confinedTo || zones_.between(*confinedTo, member.zone) != routing::Distance::OtherRegion;
+    if (isAllowed && !member.relayAddress.empty() && member.relayAddress != ownRelayAddress()) {
       addresses.push_back(member.relayAddress);
     }
   }
-  if (!addresses.empty()) {
+  if (!addresses.empty() || confinedTo) {
     return addresses;
   }
   // Nobody is known yet. Ports are alike on all machines, so a seed's address tells the relay's.
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -87,7 +87,7 @@
 
 bool Exchange::canKeepTurn() const {
   const bool keepsTurn = isStreaming() && checked_.route->persisted;
-  return !keepsTurn || context_.ledger.takesTurn(checked_.turnName);
+  return !keepsTurn || context_.ledger.takesTurn({checked_.turnName, checked_.turnZones()});
 }
 
 bool Exchange::isStreaming() const { return checked_.isStreaming(); }
@@ -108,7 +108,7 @@
     checkBudget();
     return;
   }
-  context_.ledger.findHistory(checked_.previousTurnName,
+  context_.ledger.findHistory({checked_.previousTurnName, checked_.turnZones()},
                               [self = shared_from_this()](ledger::HistoryAnswer answer) {
                                 self->onHistory(std::move(answer));
                               });
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -23,6 +23,7 @@
   query.replica.affinityKey = keepsPrompts ? checked_.programName : checked_.turnName;
   query.replica.promptTokens = keepsPrompts ? request_.promptTokens : 0;
   query.replica.tried = &tried_;
+  query.subject.allowedRegions = checked_.places == nullptr ? nullptr : &checked_.places->regions;
   query.replica.isConnected = [this](const routing::Replica& replica) {
     return context_.client.hasIdleConnection(replica.entry.address);
   };
@@ -335,7 +336,8 @@
   streamEnded_ = false;  // The end is on its way; `releaseOutput` must not start it again.
   const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
   context_.ledger.storeTurn(
-      {checked_.turnName, checked_.previousTurnName, before_, ownInput_ + progress_.recordedData()},
+      {checked_.turnName, checked_.previousTurnName, before_, ownInput_ + progress_.recordedData(),
+       checked_.turnZones()},
       limit, [self = shared_from_this()](const logstore::StoreResult<Success>& stored) {
         self->onStored(stored);
       });
--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -37,6 +37,22 @@
   return record;
 }
 
+routing::Distance ClientPlace::distanceTo(std::string_view nodeZone) const {
+  if (nodeZone == zone) {
+    return routing::Distance::SameZone;
+  }
+  if (zones == nullptr || !zones->hasSeveralRegions()) {
+    return routing::Distance::SameRegion;
+  }
+  return zones->regionOf(nodeZone) == region ? routing::Distance::SameRegion
+                                             : routing::Distance::OtherRegion;
+}
+
+bool ClientPlace::allows(std::string_view nodeZone) const {
+  return allowedRegions == nullptr || distanceTo(nodeZone) != routing::Distance::OtherRegion ||
+         (zones != nullptr && zones->isIn(nodeZone, *allowedRegions));
+}
+
 bool MemberTable::onRecord(const std::string& key, const MemberRecord& record, Instant now) {
   const auto found = members_.find(key);
   const bool served =
@@ -99,27 +115,35 @@
   members.resize(count);
 }
 
-std::vector<std::string> MemberTable::clientAddresses(std::string_view zone,
-                                                      const IsSuspect& isSuspect) const {
-  Members inZone;
-  Members elsewhere;
-  Members suspects;
+MemberTable::Members MemberTable::nearest(const ClientPlace& client, const IsSuspect& isSuspect,
+                                          bool suspects) const {
+  std::map<routing::Distance, Members> byDistance;
   for (const auto& [key, entry] : members_) {
-    if (!isAlive(key, entry) || entry.record.leaving) {
-      continue;
+    const MemberRecord& record = entry.record;
+    const bool serves = isAlive(key, entry) && !record.leaving && client.allows(record.zone);
+    if (serves && isSuspect(record.relayAddress) == suspects) {
+      byDistance[client.distanceTo(record.zone)].push_back(&record);
     }
-    auto& sound = entry.record.zone == zone ? inZone : elsewhere;
-    (isSuspect(entry.record.relayAddress) ? suspects : sound).push_back(&entry.record);
   }
-  if (inZone.size() < knobs_.enoughInZone) {
-    inZone.insert(inZone.end(), elsewhere.begin(), elsewhere.end());
+  Members named;
+  for (const auto& [distance, members] : byDistance) {
+    // Suspects are few, and most of them do not answer.
+    if (suspects || named.size() < knobs_.enoughInZone) {
+      named.insert(named.end(), members.begin(), members.end());
+    }
   }
-  if (inZone.empty()) {
-    inZone = std::move(suspects);
+  return named;
+}
+
+std::vector<std::string> MemberTable::clientAddresses(const ClientPlace& client,
+                                                      const IsSuspect& isSuspect) const {
+  Members named = nearest(client, isSuspect, false);
+  if (named.empty()) {
+    named = nearest(client, isSuspect, true);
   }
-  keepMostCapable(inZone);
+  keepMostCapable(named);
   std::vector<std::string> addresses;
-  for (const MemberRecord* const member : inZone) {
+  for (const MemberRecord* const member : named) {
     addresses.push_back(member->clientAddress);
   }
   if (addresses.size() > knobs_.maximumAddresses) {
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -11,6 +11,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "routing/locality.h"
 
 namespace gorsetrail::edge {
 
@@ -29,6 +30,19 @@
 /// Errors: `InvalidFrame`.
 Result<MemberRecord> decodeMemberRecord(std::string_view bytes);
 
+/// Where a client is, and where the nodes may be that it is sent to.
+struct ClientPlace {
+  std::string_view zone;
+  std::string_view region;
+  const routing::ZoneTable* zones = nullptr;  ///< Null: there is one region.
+  /// Besides the client's own region; null: anywhere.
+  const routing::RegionSet* allowedRegions = nullptr;
+
+  /// \return how far a node of this zone is from the client.
+  [[nodiscard]] routing::Distance distanceTo(std::string_view nodeZone) const;
+  [[nodiscard]] bool allows(std::string_view nodeZone) const;
+};
+
 /// Knobs of `MemberTable`.
 struct MemberTableKnobs {
   Duration heartbeat = seconds(1);  ///< Between two records of a node, in a small fleet.
@@ -38,7 +52,8 @@
   /// A node without a record for so long is forgotten, so that its address costs nothing more. Far
   /// longer than any outage of the store that nodes are expected to come back from.
   Duration forgetAfter = seconds(600);
-  std::size_t enoughInZone = 2;  ///< With fewer, other zones' nodes are named too.
+  /// With fewer, nodes of the region's other zones are named too; with fewer in the region, all.
+  std::size_t enoughInZone = 2;
   /// Clients of a zone are sent to its most capable nodes: to this many at least. Losing one of
   /// eight moves an eighth of the zone's clients, and eight take twenty times the usual rate of the
   /// largest deployment known.
@@ -74,12 +89,17 @@
 
   /// Whether a node was silent to this one a moment ago; asked by its relay address.
   using IsSuspect = std::function<bool(const std::string& relayAddress)>;
-  /// \return nodes that serve clients, those of the zone alone when they are enough. Suspects are
-  /// named only when nobody else is left: their heartbeats tell of their end seconds later.
+  /// \return nodes that serve clients, those of the zone alone when they are enough, then those of
+  /// the region. Suspects are named only when nobody else is left: their heartbeats tell of their
+  /// end seconds later.
   /// Of a large zone only the most capable are named: each node that takes clients opens
   /// connections to all replicas it uses, and a weak one is slow when many come back at once.
-  [[nodiscard]] std::vector<std::string> clientAddresses(std::string_view zone,
+  [[nodiscard]] std::vector<std::string> clientAddresses(const ClientPlace& client,
                                                          const IsSuspect& isSuspect) const;
+  [[nodiscard]] std::vector<std::string> clientAddresses(std::string_view zone,
+                                                         const IsSuspect& isSuspect) const {
+    return clientAddresses(ClientPlace{zone, {}}, isSuspect);
+  }
   /// \return the nodes that clients of the zone are sent to when nobody is suspect, best first.
   [[nodiscard]] std::vector<MemberRecord> servingIn(std::string_view zone) const;
   /// \return serving nodes of a zone.
@@ -96,6 +116,10 @@
   };
   [[nodiscard]] bool isAlive(const std::string& key, const Entry& entry) const;
   using Members = std::vector<const MemberRecord*>;
+  /// \return the serving nodes that are nearest to the client, and further ones while they are few;
+  /// of suspects all.
+  [[nodiscard]] Members nearest(const ClientPlace& client, const IsSuspect& isSuspect,
+                                bool suspects) const;
   /// Keeps the most capable ones, best first; all nodes choose the same.
   void keepMostCapable(Members& members) const;
 
--- a/src/edge/request_check.cpp
+++ b/src/edge/request_check.cpp
@@ -13,6 +13,7 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kForbidden = 403;
 
 /// \return whether what is not in the configuration in force is not in the newest one either.
 bool isConfigurationFresh(const EdgeContext& context, Instant now) {
@@ -56,6 +57,23 @@
   return std::nullopt;
 }
 
+// A route and a tenant may each keep to regions of their own, and share none, as long as the tenant
+// never uses the route: so such requests are refused, and not the configuration.
+std::optional<Refusal> findPlaces(const EdgeContext& context, Instant now,
+                                  CheckedRequest& request) {
+  if (!request.configuration->regions) {
+    return std::nullopt;
+  }
+  request.places = request.configuration->regions->placesOf(*request.route, request.tenant);
+  if (request.places == nullptr || !request.places->regions.empty()) {
+    return std::nullopt;
+  }
+  if (isConfigurationFresh(context, now)) {
+    return Refusal{kForbidden, "region_not_allowed_anywhere", Duration::zero()};
+  }
+  return Refusal{kUnavailable, "configuration_too_old", context.knobs.retryAfterStore};
+}
+
 void chooseService(EdgeContext& context, CheckedRequest& request) {
   request.service = context.routes.nextService(*request.route);
   const auto& services = request.configuration->services;
@@ -82,6 +100,9 @@
     chooseService(context, check.request);
     check.refusal = authenticate(context, call, now, check.request);
   }
+  if (!check.refusal) {
+    check.refusal = findPlaces(context, now, check.request);
+  }
   if (check.refusal) {
     return check;
   }
--- a/src/edge/request_check.h
+++ b/src/edge/request_check.h
@@ -7,7 +7,9 @@
 
 #include "edge/call_request.h"
 #include "edge/edge_context.h"
+#include "ledger/ledger.h"
 #include "routing/configuration.h"
+#include "routing/region_policy.h"
 #include "routing/route_table.h"
 #include "tenant/tenant.h"
 
@@ -19,7 +21,9 @@
   routing::ConfigurationPtr configuration;
   const routing::Route* route = nullptr;
   const tenant::Tenant* tenant = nullptr;  ///< Null: in nobody's name.
-  std::uint32_t priority = 0;              ///< 0 is the most urgent.
+  /// Where it may be served, cached and stored; null: anywhere.
+  const routing::AllowedPlaces* places = nullptr;
+  std::uint32_t priority = 0;  ///< 0 is the most urgent.
   // Names under which the ledger keeps the request, see `tenant::scopedName`.
   std::string turnName;
   std::string previousTurnName;
@@ -29,6 +33,9 @@
   bool hasEngine = false;  ///< The service's replicas are model engines.
 
   [[nodiscard]] bool isStreaming() const { return route->kind == routing::RouteKind::Streaming; }
+  [[nodiscard]] ledger::TurnZones turnZones() const {
+    return places == nullptr ? ledger::TurnZones() : places->zones;
+  }
   [[nodiscard]] std::string routeName() const {
     return route == nullptr ? std::string() : route->name;
   }
--- a/src/edge/store_relay.cpp
+++ b/src/edge/store_relay.cpp
@@ -60,8 +60,7 @@
   }
 }
 
-RelayedStore::RelayedStore(http::HttpClient& client,
-                           std::function<std::vector<std::string>()> relays, std::uint64_t seed)
+RelayedStore::RelayedStore(http::HttpClient& client, Relays relays, std::uint64_t seed)
     : client_(client), relays_(std::move(relays)), random_(seed) {}
 
 template <class Reply, class Decode>
@@ -92,8 +91,8 @@
   client_.send(std::move(request), std::move(handler));
 }
 
-std::string RelayedStore::chooseRelay() {
-  const std::vector<std::string> relays = relays_();
+std::string RelayedStore::chooseRelay(const logstore::PartitionAddress& partition) {
+  const std::vector<std::string> relays = relays_(partition);
   const bool isListed = std::find(relays.begin(), relays.end(), provenRelay_) != relays.end();
   if (isListed) {
     return provenRelay_;
@@ -135,7 +134,7 @@
 void RelayedStore::append(logstore::AppendRequest request,
                           logstore::StoreCallback<logstore::AppendReply> callback) {
   const Duration limit = request.timeLimit;
-  const std::string relay = chooseRelay();
+  const std::string relay = chooseRelay(request.partition);
   send<logstore::AppendReply>(relay, std::move(request), limit,
                               noting<logstore::AppendReply>(relay, std::move(callback)),
                               logstore::decodeAppendReply);
@@ -144,7 +143,7 @@
 void RelayedStore::read(logstore::ReadRequest request,
                         logstore::StoreCallback<logstore::ReadReply> callback) {
   const Duration limit = request.timeLimit;
-  const std::string relay = chooseRelay();
+  const std::string relay = chooseRelay(request.partition);
   send<logstore::ReadReply>(relay, std::move(request), limit,
                             noting<logstore::ReadReply>(relay, std::move(callback)),
                             logstore::decodeReadReply);
@@ -153,7 +152,7 @@
 void RelayedStore::newest(logstore::NewestRequest request,
                           logstore::StoreCallback<logstore::NewestReply> callback) {
   const Duration limit = request.timeLimit;
-  const std::string relay = chooseRelay();
+  const std::string relay = chooseRelay(request.partition);
   send<logstore::NewestReply>(relay, std::move(request), limit,
                               noting<logstore::NewestReply>(relay, std::move(callback)),
                               logstore::decodeNewestReply);
--- a/src/edge/store_relay.h
+++ b/src/edge/store_relay.h
@@ -46,9 +46,10 @@
 /// each call would lose that share of the calls.
 class RelayedStore final : public logstore::LogStore {
  public:
-  /// \param relays gives the addresses of other nodes' relays, best first choice at random.
-  RelayedStore(http::HttpClient& client, std::function<std::vector<std::string>()> relays,
-               std::uint64_t seed);
+  /// \return the addresses of other nodes' relays that calls for the partition may go through.
+  using Relays = std::function<std::vector<std::string>(const logstore::PartitionAddress&)>;
+
+  RelayedStore(http::HttpClient& client, Relays relays, std::uint64_t seed);
 
   /// Makes one append through this node.
   void appendThrough(const std::string& relay, logstore::AppendRequest request,
@@ -77,14 +78,14 @@
   void send(const std::string& relay, const logstore::StoreCallRequest& call, Duration timeLimit,
             logstore::StoreCallback<Reply> callback, Decode decode);
   /// \return the node for the next call; empty when there is none.
-  std::string chooseRelay();
+  std::string chooseRelay(const logstore::PartitionAddress& partition);
   /// \return a callback that also notes whether the relay reached the store.
   template <class Reply>
   logstore::StoreCallback<Reply> noting(const std::string& relay,
                                         logstore::StoreCallback<Reply> callback);
 
   http::HttpClient& client_;
-  std::function<std::vector<std::string>()> relays_;
+  Relays relays_;
   RandomSource random_;
   std::string provenRelay_;  ///< Empty after a failure.
 };
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "base/result.h"
 #include "base/time.h"
@@ -36,12 +37,22 @@
   Unavailable,  ///< The log did not answer: it may stand or not.
 };
 
+/// Zones whose nodes may hold a turn, nearest first; empty: the turn may be held anywhere.
+using TurnZones = std::vector<std::string>;
+
+/// Names a turn.
+struct TurnName {
+  std::string request;
+  TurnZones zones{};
+};
+
 /// A turn whose answer was made whole, with what it goes on from.
 struct TurnToStore {
   std::string request;   ///< Names the turn.
   std::string previous;  ///< The turn before; empty: none.
   History before;        ///< History of `previous`, as it was found.
   std::string addition;  ///< The turn's own input and output.
+  TurnZones zones{};
 };
 
 /// \return the history of `base` with the piece that a later turn's record adds to it.
@@ -60,7 +71,7 @@
 
   virtual ~Ledger() = default;
   /// Finds the history up to and with a turn.
-  virtual void findHistory(const std::string& turn, HistoryCallback callback) = 0;
+  virtual void findHistory(const TurnName& turn, HistoryCallback callback) = 0;
   /// Stores a turn. After success every node finds the turn, whatever fails afterwards.
   virtual void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) = 0;
   /// Reserves tokens of a program's budget in the log.
@@ -69,7 +80,7 @@
   /// Gives back what a reservation did not use. Returns at once; the record follows soon.
   virtual void settle(BudgetSettlement settlement) = 0;
   /// \return whether a turn can probably be stored now.
-  [[nodiscard]] virtual bool takesTurn(const std::string& turn) = 0;
+  [[nodiscard]] virtual bool takesTurn(const TurnName& turn) = 0;
   /// \return whether tokens of the program can probably be reserved now.
   [[nodiscard]] virtual bool takesReservation(const std::string& program) = 0;
   /// \return tokens that the program has used or may use, as far as this node knows.
--- a/src/ledger/ledger_message.cpp
+++ b/src/ledger/ledger_message.cpp
@@ -31,9 +31,9 @@
 
 std::string encode(const FindTurnRequest& request) {
   Builder builder;
-  const auto call =
-      fbs::CreateFindTurnCall(builder, builder.CreateString(request.placement.zone),
-                              builder.CreateString(request.turn), request.placement.choice);
+  const auto call = fbs::CreateFindTurnCall(builder, builder.CreateString(request.placement.zone),
+                                            builder.CreateString(request.turn),
+                                            request.placement.choice, request.placement.confined);
   return finish(builder, fbs::CallMessage::FindTurnCall, call.Union());
 }
 
@@ -43,9 +43,9 @@
   const auto turn = builder.CreateString(request.record.request);
   const auto base = optionalText(builder, request.record.base);
   const auto history = builder.CreateString(request.record.history);
-  const auto call =
-      fbs::CreateStoreTurnCall(builder, zone, turn, base, history,
-                               microsecondsOf(request.timeLimit), request.placement.choice);
+  const auto call = fbs::CreateStoreTurnCall(builder, zone, turn, base, history,
+                                             microsecondsOf(request.timeLimit),
+                                             request.placement.choice, request.placement.confined);
   return finish(builder, fbs::CallMessage::StoreTurnCall, call.Union());
 }
 
@@ -83,13 +83,14 @@
 }
 
 LedgerRequest requestOf(const fbs::FindTurnCall& call) {
-  return FindTurnRequest{{call.zone()->str(), call.choice()}, call.turn()->str()};
+  return FindTurnRequest{{call.zone()->str(), call.choice(), call.confined()}, call.turn()->str()};
 }
 
 LedgerRequest requestOf(const fbs::StoreTurnCall& call) {
   CompletedTurn record{call.turn()->str(), textOf(call.base()), call.history()->str()};
-  return StoreTurnRequest{
-      {call.zone()->str(), call.choice()}, std::move(record), spanOf(call.time_limit_us())};
+  return StoreTurnRequest{{call.zone()->str(), call.choice(), call.confined()},
+                          std::move(record),
+                          spanOf(call.time_limit_us())};
 }
 
 LedgerRequest requestOf(const fbs::ReserveCall& call) {
--- a/src/ledger/ledger_partitions.cpp
+++ b/src/ledger/ledger_partitions.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr const char* kTurnTopic = "turns-";
+constexpr const char* kConfinedTurnTopic = "confined-turns-";
 constexpr const char* kBudgetTopic = "budgets-";
 
 logstore::PartitionAddress addressOf(const std::string& topicPrefix, std::uint64_t index,
@@ -16,19 +17,30 @@
 
 }  // namespace
 
-logstore::PartitionAddress LedgerPartitions::ofTurn(std::string_view zone, std::string_view turn,
-                                                    std::uint32_t choice) const {
-  std::string topicPrefix = kTurnTopic;
-  topicPrefix += zone;
+logstore::PartitionAddress LedgerPartitions::ofTurn(const TurnPlacement& placement,
+                                                    std::string_view turn) const {
+  std::string topicPrefix = placement.confined ? kConfinedTurnTopic : kTurnTopic;
+  topicPrefix += placement.zone;
   topicPrefix += '-';
   const std::uint64_t hash = XXH64(turn.data(), turn.size(), 0);
   const std::uint64_t others = knobs_.turnPartitions - 1;
   // The second choice is spread over all other partitions, whatever the first.
   const std::uint64_t step =
-      choice == 0 || others == 0 ? 0 : 1 + hash / knobs_.turnPartitions % others;
+      placement.choice == 0 || others == 0 ? 0 : 1 + hash / knobs_.turnPartitions % others;
   return addressOf(topicPrefix, (hash + step) % knobs_.turnPartitions, knobs_.partitionsPerTopic);
 }
 
+std::optional<std::string> LedgerPartitions::confinedZoneOf(
+    const logstore::PartitionAddress& partition) {
+  const std::string_view prefix = kConfinedTurnTopic;
+  const std::string& topic = partition.topic;
+  const std::size_t end = topic.rfind('-');  // Before the topic's number.
+  if (!topic.starts_with(prefix) || end < prefix.size()) {
+    return std::nullopt;
+  }
+  return topic.substr(prefix.size(), end - prefix.size());
+}
+
 logstore::PartitionAddress LedgerPartitions::ofBudget(std::string_view program) const {
   const std::uint64_t hash = XXH64(program.data(), program.size(), 0);
   return addressOf(kBudgetTopic, hash % knobs_.budgetPartitions, knobs_.partitionsPerTopic);
--- a/src/ledger/ledger_partitions.h
+++ b/src/ledger/ledger_partitions.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,10 @@
 struct TurnPlacement {
   std::string zone;
   std::uint32_t choice = 0;  ///< Below `kTurnChoices`.
+  /// Its text may be read in the zone's region alone. Such turns stand in partitions of their own:
+  /// whoever reads a partition gets every turn in it, and the others must stay readable elsewhere
+  /// when the region is lost.
+  bool confined = false;
 };
 
 /// A turn stands in a partition of the zone that answered it, so that its bytes stay there; a
@@ -34,13 +39,12 @@
  public:
   explicit LedgerPartitions(LedgerPartitionsKnobs knobs) : knobs_(knobs) {}
 
-  /// \param choice 0: the turn's own partition; 1: where it stands when that one was out of order.
-  [[nodiscard]] logstore::PartitionAddress ofTurn(std::string_view zone, std::string_view turn,
-                                                  std::uint32_t choice = 0) const;
+  /// Choice 0 is the turn's own partition; 1: where it stands when that one was out of order.
   [[nodiscard]] logstore::PartitionAddress ofTurn(const TurnPlacement& placement,
-                                                  std::string_view turn) const {
-    return ofTurn(placement.zone, turn, placement.choice);
-  }
+                                                  std::string_view turn) const;
+  /// \return the zone of a partition of confined turns; nothing for every other partition.
+  [[nodiscard]] static std::optional<std::string> confinedZoneOf(
+      const logstore::PartitionAddress& partition);
   [[nodiscard]] logstore::PartitionAddress ofBudget(std::string_view program) const;
   /// \return all partitions that hold budgets.
   [[nodiscard]] std::vector<logstore::PartitionAddress> budgetPartitions() const;
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -77,26 +77,32 @@
           });
 }
 
-void ProgramLedger::findHistory(const std::string& turn, HistoryCallback callback) {
-  findTurn({knobs_.zone, 0}, turn, [this, callback = std::move(callback)](TurnAnswer answer) {
-    if (auto* const found = std::get_if<CompletedTurn>(&answer)) {
-      findBase(std::move(*found), callback);
-    } else if (auto* const unavailable = std::get_if<LedgerUnavailable>(&answer)) {
-      callback(std::move(*unavailable));
-    } else {
-      callback(UnknownTurn{});
-    }
-  });
+TurnPlacement ProgramLedger::placementFor(const TurnZones& zones) const {
+  const bool confined = !zones.empty();
+  return {confined ? zones.front() : knobs_.zone, 0, confined};
+}
+
+void ProgramLedger::findHistory(const TurnName& turn, HistoryCallback callback) {
+  findTurn(placementFor(turn.zones), turn.request,
+           [this, zones = turn.zones, callback = std::move(callback)](TurnAnswer answer) {
+             if (auto* const found = std::get_if<CompletedTurn>(&answer)) {
+               findBase(std::move(*found), zones, callback);
+             } else if (auto* const unavailable = std::get_if<LedgerUnavailable>(&answer)) {
+               callback(std::move(*unavailable));
+             } else {
+               callback(UnknownTurn{});
+             }
+           });
 }
 
-void ProgramLedger::findBase(CompletedTurn turn, HistoryCallback callback) {
+void ProgramLedger::findBase(CompletedTurn turn, const TurnZones& zones, HistoryCallback callback) {
   if (turn.base.empty()) {
     callback(History{std::move(turn.history), {}, 0});
     return;
   }
   const std::string base = turn.base;
-  findHistory(base, [base, addition = std::move(turn.history),
-                     callback = std::move(callback)](HistoryAnswer answer) {
+  findHistory({base, zones}, [base, addition = std::move(turn.history),
+                              callback = std::move(callback)](HistoryAnswer answer) {
     if (auto* const history = std::get_if<History>(&answer)) {
       *history = appendPiece(std::move(*history), base, addition);
     }
@@ -105,7 +111,8 @@
 }
 
 void ProgramLedger::storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) {
-  storeRecord({knobs_.zone, 0}, completedTurnOf(std::move(turn), knobs_.maximumInlineHistoryBytes),
+  const TurnPlacement placement = placementFor(turn.zones);
+  storeRecord(placement, completedTurnOf(std::move(turn), knobs_.maximumInlineHistoryBytes),
               timeLimit, std::move(callback));
 }
 
@@ -157,8 +164,8 @@
   budgetsOf(settlement.program).settle(settlement);
 }
 
-bool ProgramLedger::takesTurn(const std::string& turn) {
-  return store_.answers(layout_.ofTurn(knobs_.zone, turn));
+bool ProgramLedger::takesTurn(const TurnName& turn) {
+  return store_.answers(layout_.ofTurn(placementFor(turn.zones), turn.request));
 }
 
 bool ProgramLedger::takesReservation(const std::string& program) {
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -51,12 +51,12 @@
                 logstore::ClockFunction clock, LedgerKnobs knobs);
 
   // See `Ledger`. Turns are looked for in the own zone's partitions.
-  void findHistory(const std::string& turn, HistoryCallback callback) override;
+  void findHistory(const TurnName& turn, HistoryCallback callback) override;
   void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) override;
   void reserve(const BudgetRequest& request, Duration timeLimit,
                ReservationCallback callback) override;
   void settle(BudgetSettlement settlement) override;
-  [[nodiscard]] bool takesTurn(const std::string& turn) override;
+  [[nodiscard]] bool takesTurn(const TurnName& turn) override;
   [[nodiscard]] bool takesReservation(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
@@ -93,7 +93,8 @@
   Partition& partitionAt(const logstore::PartitionAddress& address);
   void onRecord(PartitionReader* reader, std::uint64_t offset, std::string_view record);
   void keepTurn(CompletedTurn turn, PartitionReader* reader, std::uint64_t offset);
-  void findBase(CompletedTurn turn, HistoryCallback callback);
+  [[nodiscard]] TurnPlacement placementFor(const TurnZones& zones) const;
+  void findBase(CompletedTurn turn, const TurnZones& zones, HistoryCallback callback);
 
   logstore::PersistentStore& store_;
   services::TimerService& timers_;
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -22,6 +22,15 @@
          std::holds_alternative<ReserveRequest>(request);
 }
 
+/// \return where the turn stands that a call is about; null for calls about budgets.
+const TurnPlacement* placementOf(const LedgerRequest& request) {
+  if (const auto* const find = std::get_if<FindTurnRequest>(&request)) {
+    return &find->placement;
+  }
+  const auto* const store = std::get_if<StoreTurnRequest>(&request);
+  return store == nullptr ? nullptr : &store->placement;
+}
+
 bool isConclusive(const LedgerReply& reply) { return reply.outcome != LedgerOutcome::Unavailable; }
 
 }  // namespace
@@ -52,34 +61,59 @@
       layout_(knobs_.partitions),
       homes_({}),
       pacer_(knobs_.pace, seed) {
-  // The own zone is looked through first: programs mostly stay in theirs.
-  std::stable_partition(knobs_.zones.begin(), knobs_.zones.end(),
-                        [this](const std::string& zone) { return zone == knobs_.zone; });
   if (knobs_.zones.empty()) {
     knobs_.zones.push_back(knobs_.zone);
   }
 }
 
+void RoutedLedger::fail(const std::string& reason, LedgerReplyCallback callback) {
+  LedgerReply reply;
+  reply.reason = reason;
+  timers_.runAfter(Duration::zero(),
+                   [callback = std::move(callback), reply = std::move(reply)] { callback(reply); });
+}
+
+bool RoutedLedger::areNear(std::string_view zone, std::string_view other) const {
+  const auto one = knobs_.regionOfZone.find(zone);
+  const auto two = knobs_.regionOfZone.find(other);
+  const bool bothKnown = one != knobs_.regionOfZone.end() && two != knobs_.regionOfZone.end();
+  return !bothKnown || one->second == two->second;
+}
+
+std::vector<HomeCandidate> RoutedLedger::candidatesFor(const TurnPlacement* placement) const {
+  std::vector<HomeCandidate> candidates = peers_.candidates();
+  if (placement != nullptr && placement->confined) {
+    std::erase_if(candidates, [&](const HomeCandidate& candidate) {
+      return !areNear(placement->zone, candidate.zone);
+    });
+  }
+  return candidates;
+}
+
 void RoutedLedger::start(LedgerRequest request, const logstore::PartitionAddress& partition,
                          const std::string& homeZone, Duration timeLimit,
                          LedgerReplyCallback callback) {
   if (!peers_.areKnown()) {
-    LedgerReply reply;
-    reply.reason = "other nodes are not known yet";
-    timers_.runAfter(Duration::zero(), [callback = std::move(callback), reply = std::move(reply)] {
-      callback(reply);
-    });
+    fail("other nodes are not known yet", std::move(callback));
     return;
   }
   auto call = std::make_shared<Call>();
   call->request = std::move(request);
   call->partition = partition;
-  call->homes = homes_.homesOf(partition, homeZone, peers_.candidates(), clock_());
+  const TurnPlacement* const placement = placementOf(call->request);
+  call->homes = homes_.homesOf(partition, homeZone, candidatesFor(placement), clock_());
+  const bool mayReadHere =
+      placement == nullptr || !placement->confined || areNear(placement->zone, knobs_.zone);
+  const bool mayEndHere = mayReadHere || !readsPartition(call->request);
   const auto own = std::find(call->homes.begin(), call->homes.end(), knobs_.ownAddress);
-  if (own == call->homes.end()) {
+  if (own == call->homes.end() && mayEndHere) {
     call->endsAtOwnNode = !call->homes.empty();
     call->homes.push_back(knobs_.ownAddress);
   }
+  if (call->homes.empty()) {
+    fail("no node of the turn's region serves", std::move(callback));
+    return;
+  }
   call->callback = std::move(callback);
   call->startedAt = clock_();
   call->deadline = call->startedAt + timeLimit;
@@ -229,9 +263,16 @@
   return found == failing_.end() || found->second.state(clock_()) != engine::CircuitState::Open;
 }
 
-bool RoutedLedger::takesTurn(const std::string& turn) {
-  return peers_.areKnown() && (answers(layout_.ofTurn(knobs_.zone, turn, 0)) ||
-                               answers(layout_.ofTurn(knobs_.zone, turn, 1)));
+TurnPlacement RoutedLedger::placementFor(const TurnZones& zones, std::uint32_t choice) const {
+  const bool confined = !zones.empty();
+  return {confined ? zones.front() : knobs_.zone, choice, confined};
+}
+
+bool RoutedLedger::takesTurn(const TurnName& turn) {
+  const auto answersIn = [&](std::uint32_t choice) {
+    return answers(layout_.ofTurn(placementFor(turn.zones, choice), turn.request));
+  };
+  return peers_.areKnown() && (answersIn(0) || answersIn(1));
 }
 
 // Whether the store answers this node says little: the home may hold a lease.
@@ -265,19 +306,61 @@
 
 /// One turn that is being looked for.
 struct RoutedLedger::Search {
-  std::string turn;
+  TurnName turn;
   HistoryCallback callback;
-  std::uint32_t next = 0;   ///< Choices of all zones, the own zone's first.
+  std::vector<Wave> waves;  ///< Searched one after the other.
+  std::size_t next = 0;     ///< Of the waves.
+  std::size_t open = 0;     ///< Partitions of the wave that have not been heard of.
+  bool found = false;
   std::string unavailable;  ///< Why a partition could not be read; empty: all were.
 };
 
-void RoutedLedger::findHistory(const std::string& turn, HistoryCallback callback) {
-  searchNext(std::make_shared<Search>(Search{turn, std::move(callback), 0, {}}));
+// Turns mostly stand where new ones would be stored; the other zones of the region are near, and
+// those of other regions cost one round trip together instead of one for each partition. Turns
+// stored under another limit than now come last: limits change seldom.
+std::vector<RoutedLedger::Wave> RoutedLedger::wavesFor(const TurnZones& zones) const {
+  const TurnPlacement own = placementFor(zones, 0);
+  std::vector<Wave> waves = {{own}, {placementFor(zones, 1)}};
+  Wave near;
+  Wave far;
+  Wave otherLimit;
+  const auto add = [](Wave& wave, const std::string& zone, bool confined) {
+    for (std::uint32_t choice = 0; choice < kTurnChoices; ++choice) {
+      wave.push_back({zone, choice, confined});
+    }
+  };
+  bool severalRegions = false;
+  for (const std::string& zone : knobs_.zones) {
+    const bool isNear = areNear(own.zone, zone);
+    const bool isAllowed =
+        !own.confined || std::find(zones.begin(), zones.end(), zone) != zones.end();
+    severalRegions = severalRegions || !isNear;
+    if (zone != own.zone) {
+      Wave& wave = isAllowed ? (isNear ? near : far) : otherLimit;
+      add(wave, zone, own.confined);
+    }
+    add(otherLimit, zone, !own.confined);
+  }
+  waves.push_back(std::move(near));
+  waves.push_back(std::move(far));
+  if (own.confined || severalRegions) {
+    waves.push_back(std::move(otherLimit));
+  }
+  std::erase_if(waves, [](const Wave& wave) { return wave.empty(); });
+  return waves;
+}
+
+void RoutedLedger::findHistory(const TurnName& turn, HistoryCallback callback) {
+  auto search = std::make_shared<Search>();
+  search->turn = turn;
+  search->callback = std::move(callback);
+  search->waves = wavesFor(turn.zones);
+  searchNext(search);
 }
 
 // Only when every partition that the turn may stand in was read to its end, it is unknown.
 void RoutedLedger::searchNext(const std::shared_ptr<Search>& search) {
-  if (search->next == kTurnChoices * knobs_.zones.size()) {
+  if (search->next == search->waves.size()) {
     if (search->unavailable.empty()) {
       search->callback(UnknownTurn{});
     } else {
@@ -285,30 +368,47 @@
     }
     return;
   }
-  const TurnPlacement placement{knobs_.zones[search->next / kTurnChoices],
-                                search->next % kTurnChoices};
+  const Wave& wave = search->waves[search->next];
   ++search->next;
-  start(FindTurnRequest{placement, search->turn}, layout_.ofTurn(placement, search->turn),
-        placement.zone, knobs_.findTimeLimit, [this, search](LedgerReply reply) {
-          if (reply.outcome == LedgerOutcome::Done) {
-            onTurnFound(std::move(reply), search->callback);
-            return;
-          }
-          if (reply.outcome != LedgerOutcome::UnknownTurn) {
-            search->unavailable = reply.reason.empty() ? "no answer" : reply.reason;
-          }
-          searchNext(search);
-        });
+  search->open = wave.size();
+  for (const TurnPlacement& placement : wave) {
+    if (search->found) {
+      return;
+    }
+    const std::string& turn = search->turn.request;
+    start(FindTurnRequest{placement, turn}, layout_.ofTurn(placement, turn), placement.zone,
+          knobs_.findTimeLimit,
+          [this, search](LedgerReply reply) { onSearched(search, std::move(reply)); });
+  }
+}
+
+void RoutedLedger::onSearched(const std::shared_ptr<Search>& search, LedgerReply reply) {
+  if (search->found) {
+    return;
+  }
+  if (reply.outcome == LedgerOutcome::Done) {
+    search->found = true;
+    onTurnFound(std::move(reply), search->turn.zones, search->callback);
+    return;
+  }
+  if (reply.outcome != LedgerOutcome::UnknownTurn) {
+    search->unavailable = reply.reason.empty() ? "no answer" : reply.reason;
+  }
+  --search->open;
+  if (search->open == 0) {
+    searchNext(search);
+  }
 }
 
-void RoutedLedger::onTurnFound(LedgerReply reply, HistoryCallback callback) {
+void RoutedLedger::onTurnFound(LedgerReply reply, const TurnZones& zones,
+                               HistoryCallback callback) {
   if (reply.base.empty()) {
     callback(History{std::move(reply.history), {}, 0});
     return;
   }
   const std::string base = reply.base;
-  findHistory(base, [base, piece = std::move(reply.history),
-                     callback = std::move(callback)](HistoryAnswer answer) {
+  findHistory({base, zones}, [base, piece = std::move(reply.history),
+                              callback = std::move(callback)](HistoryAnswer answer) {
     if (auto* const history = std::get_if<History>(&answer)) {
       *history = appendPiece(std::move(*history), base, piece);
     }
@@ -319,6 +419,7 @@
 /// One turn that is being stored; it may come to stand in both of its partitions.
 struct RoutedLedger::Storing {
   CompletedTurn record;
+  TurnZones zones;
   StoredCallback callback;
   Instant deadline;
   std::uint32_t underWay = 0;
@@ -328,12 +429,13 @@
 
 void RoutedLedger::storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) {
   auto storing = std::make_shared<Storing>();
+  storing->zones = turn.zones;
   storing->record = completedTurnOf(std::move(turn), knobs_.maximumInlineHistoryBytes);
   storing->callback = std::move(callback);
   storing->deadline = clock_() + timeLimit;
   const std::string& name = storing->record.request;
-  const bool firstAnswers = answers(layout_.ofTurn(knobs_.zone, name, 0));
-  const bool secondAnswers = answers(layout_.ofTurn(knobs_.zone, name, 1));
+  const bool firstAnswers = answers(layout_.ofTurn(placementFor(storing->zones, 0), name));
+  const bool secondAnswers = answers(layout_.ofTurn(placementFor(storing->zones, 1), name));
   const std::uint32_t choice =
       knobs_.usesSecondPartitions && !firstAnswers && secondAnswers ? 1 : 0;
   storeIn(choice, storing);
@@ -353,11 +455,11 @@
 }
 
 void RoutedLedger::storeIn(std::uint32_t choice, const std::shared_ptr<Storing>& storing) {
-  const TurnPlacement placement{knobs_.zone, choice};
+  const TurnPlacement placement = placementFor(storing->zones, choice);
   const Duration timeLimit = storing->deadline - clock_();
   ++storing->underWay;
   start(StoreTurnRequest{placement, storing->record, timeLimit},
-        layout_.ofTurn(placement, storing->record.request), knobs_.zone, timeLimit,
+        layout_.ofTurn(placement, storing->record.request), placement.zone, timeLimit,
         [this, choice, storing](const LedgerReply& reply) { onStored(choice, storing, reply); });
 }
 
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -44,6 +45,8 @@
   std::string ownAddress;          ///< Where this node's own ledger calls arrive.
   std::string zone;                ///< New turns stand here.
   std::vector<std::string> zones;  ///< All zones: where else a turn may stand.
+  /// Zones of one region are near each other; a zone without an entry is near all others.
+  std::map<std::string, std::string, std::less<>> regionOfZone;
   LedgerPartitionsKnobs partitions;
   std::size_t maximumInlineHistoryBytes = std::size_t{32} * 1024;
   Duration findTimeLimit = milliseconds(1500);
@@ -80,19 +83,21 @@
 /// store or reads the partition. Asking the next one as well would have both of them write, and
 /// each read what the other wrote. Asking several is safe, though: what they write are facts that
 /// may stand twice, and the log's order decides what they answer. A home only makes calls fewer: it
-/// gathers the appends of all nodes, and answers from memory.
+/// gathers the appends of all nodes, and answers from memory. Partitions of confined turns are read
+/// by nodes of their region alone, so no home elsewhere is asked, and this node reads one only
+/// where it is in that region.
 class RoutedLedger final : public Ledger {
  public:
   /// \param service this node's own ledger; it and all others outlive this object.
   RoutedLedger(LedgerService& service, LedgerPeers& peers, services::TimerService& timers,
                logstore::ClockFunction clock, RoutedLedgerKnobs knobs, std::uint64_t seed);
 
-  void findHistory(const std::string& turn, HistoryCallback callback) override;
+  void findHistory(const TurnName& turn, HistoryCallback callback) override;
   void storeTurn(TurnToStore turn, Duration timeLimit, StoredCallback callback) override;
   void reserve(const BudgetRequest& request, Duration timeLimit,
                ReservationCallback callback) override;
   void settle(BudgetSettlement settlement) override;
-  [[nodiscard]] bool takesTurn(const std::string& turn) override;
+  [[nodiscard]] bool takesTurn(const TurnName& turn) override;
   [[nodiscard]] bool takesReservation(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
@@ -118,19 +123,29 @@
 
   void start(LedgerRequest request, const logstore::PartitionAddress& partition,
              const std::string& homeZone, Duration timeLimit, LedgerReplyCallback callback);
+  /// Calls back from the loop that nothing can be said.
+  void fail(const std::string& reason, LedgerReplyCallback callback);
   void tryNext(const std::shared_ptr<Call>& call);
   [[nodiscard]] bool hasNext(const Call& call) const;
   void onReply(const std::shared_ptr<Call>& call, const std::string& home, Instant askedAt,
                std::optional<LedgerReply> reply);
   void finish(const std::shared_ptr<Call>& call, LedgerReply reply);
+  /// Partitions that are searched at once.
+  using Wave = std::vector<TurnPlacement>;
   struct Search;
+  [[nodiscard]] std::vector<Wave> wavesFor(const TurnZones& zones) const;
   void searchNext(const std::shared_ptr<Search>& search);
+  void onSearched(const std::shared_ptr<Search>& search, LedgerReply reply);
+  [[nodiscard]] bool areNear(std::string_view zone, std::string_view other) const;
+  /// \return the partition that new turns with this limit are stored in.
+  [[nodiscard]] TurnPlacement placementFor(const TurnZones& zones, std::uint32_t choice) const;
+  [[nodiscard]] std::vector<HomeCandidate> candidatesFor(const TurnPlacement* placement) const;
   struct Storing;
   void storeIn(std::uint32_t choice, const std::shared_ptr<Storing>& storing);
   void storeInOther(std::uint32_t choice, const std::shared_ptr<Storing>& storing);
   void onStored(std::uint32_t choice, const std::shared_ptr<Storing>& storing,
                 const LedgerReply& reply);
-  void onTurnFound(LedgerReply reply, HistoryCallback callback);
+  void onTurnFound(LedgerReply reply, const TurnZones& zones, HistoryCallback callback);
   void watchSilence(const std::shared_ptr<Call>& call, Duration patience);
   void onImpatience(const std::shared_ptr<Call>& call, Duration patience);
   void onSignOfLife(const std::shared_ptr<Call>& call, Duration patience, bool alive);
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -15,6 +15,8 @@
 
 namespace gorsetrail::routing {
 
+class RegionPolicy;
+
 /// Version of a configuration; it only rises, by uneven steps.
 using ConfigurationVersion = StrongId<struct ConfigurationVersionTag, std::uint64_t>;
 
@@ -86,6 +88,8 @@
   ClientLimits limits;
   /// Null: requests need no API key.
   std::shared_ptr<const tenant::TenantDirectory> tenants;
+  /// Null: every request may go anywhere.
+  std::shared_ptr<const RegionPolicy> regions;
 };
 
 }  // namespace gorsetrail::routing
--- a/src/routing/placement_rule.h
+++ b/src/routing/placement_rule.h
@@ -3,11 +3,10 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
-#include <string>
 #include <string_view>
 
 #include "base/time.h"
+#include "routing/locality.h"
 #include "routing/replica_table.h"
 
 namespace gorsetrail::routing {
@@ -27,7 +26,7 @@
 /// What rules may look at besides the replica.
 struct PlacementSubject {
   /// Regions that may serve the request; null: any.
-  const std::set<std::string, std::less<>>* allowedRegions = nullptr;
+  const RegionSet* allowedRegions = nullptr;
 };
 
 /// One reason to keep a request away from a replica. Every way of a request to a replica asks the
--- /dev/null
+++ b/src/routing/region_rule.cpp
@@ -0,0 +1,17 @@
+#include "routing/region_rule.h"
+
+namespace gorsetrail::routing {
+
+std::optional<PlacementBar> RegionRule::barOf(const Replica& replica,
+                                              const PlacementSubject& subject,
+                                              Instant /*now*/) const {
+  if (subject.allowedRegions == nullptr ||
+      zones_.isIn(replica.entry.zone, *subject.allowedRegions)) {
+    return std::nullopt;
+  }
+  return PlacementBar::RegionNotAllowed;
+}
+
+Duration RegionRule::retryAfter(PlacementBar /*bar*/) const { return knobs_.retryAfter; }
+
+}  // namespace gorsetrail::routing
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -63,7 +63,10 @@
     if (!found || found->rule == nullptr) {
       continue;
     }
-    const std::size_t count = ++counts[found->bar];
+    // Replicas elsewhere could not serve the request in any case: they are the reason only where
+    // nothing keeps back those that could.
+    const bool isElsewhere = found->bar == PlacementBar::RegionNotAllowed;
+    const std::size_t count = isElsewhere ? 1 : 1 + ++counts[found->bar];
     if (count > most) {
       most = count;
       result.bar = found->bar;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -68,6 +68,13 @@
 
 }  // namespace
 
+Distance ReplicaSelector::distanceTo(const Replica& replica) const {
+  if (zones_ != nullptr) {
+    return zones_->between(zone_, replica.entry.zone);
+  }
+  return replica.entry.zone == zone_ ? Distance::SameZone : Distance::SameRegion;
+}
+
 double ReplicaSelector::costOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
                                double usualMilliseconds, Instant now) const {
   const double slots = std::max(1U, replica.entry.slots);
@@ -79,7 +86,9 @@
     cost += knobs_.otherReplicaCost +
             knobs_.costPerPromptToken * static_cast<double>(query.promptTokens);
   }
-  cost += replica.entry.zone == zone_ ? 0.0 : knobs_.otherZoneCost;
+  const Distance distance = distanceTo(replica);
+  cost += distance == Distance::SameZone ? 0.0 : knobs_.otherZoneCost;
+  cost += distance == Distance::OtherRegion ? knobs_.otherRegionCost : 0.0;
   const bool needsConnection = query.isConnected && !query.isConnected(replica);
   cost += needsConnection ? knobs_.newConnectionCost : 0.0;
   cost += replica.failureShare(now) * knobs_.failureCost;
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "routing/locality.h"
 #include "routing/replica_table.h"
 
 namespace gorsetrail::routing {
@@ -34,6 +35,9 @@
   double otherReplicaCost = 0.5;
   /// Bytes between zones are priced, and the way is longer.
   double otherZoneCost = 0.8;
+  /// Besides `otherZoneCost`: the round trip comes out of the program's time, and the bytes cost
+  /// several times those between zones.
+  double otherRegionCost = 0.0;
   /// Opening a connection is priced and takes a round trip. Less than two requests: between
   /// replicas whose load differs by that much the emptier one is worth it.
   double newConnectionCost = 1.5;
@@ -56,8 +60,9 @@
 /// plus the costs above.
 class ReplicaSelector {
  public:
-  ReplicaSelector(std::string zone, ReplicaSelectorKnobs knobs)
-      : zone_(std::move(zone)), knobs_(knobs) {}
+  /// \param zones outlives this object; null: there is one region.
+  ReplicaSelector(std::string zone, ReplicaSelectorKnobs knobs, const ZoneTable* zones = nullptr)
+      : zone_(std::move(zone)), knobs_(knobs), zones_(zones) {}
 
   /// Whether a replica may get the request at all.
   using MayGet = std::function<bool(const Replica&)>;
@@ -67,11 +72,13 @@
                                   const MayGet& mayGet, Instant now) const;
 
  private:
+  [[nodiscard]] Distance distanceTo(const Replica& replica) const;
   [[nodiscard]] double costOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
                               double usualMilliseconds, Instant now) const;
 
   std::string zone_;
   ReplicaSelectorKnobs knobs_;
+  const ZoneTable* zones_;
 };
 
 }  // namespace gorsetrail::routing
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -10,6 +10,8 @@
 /// Phases of a rotation: enough for weights of whole percents.
 constexpr std::uint32_t kPhases = 200;
 
+}  // namespace
+
 std::string normalizedHost(std::string_view host) {
   std::string name(host.substr(0, host.find(':')));
   std::transform(name.begin(), name.end(), name.begin(),
@@ -17,8 +19,6 @@
   return name;
 }
 
-}  // namespace
-
 std::string WeightedRotation::next(const std::vector<WeightedService>& services) {
   for (; phase_ > 0; --phase_) {
     advance(services);
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -16,6 +16,9 @@
 /// Immutable configurations are shared with the requests that were routed by them.
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
 
+/// \return the host as routes are found by it: lower case, without a port.
+std::string normalizedHost(std::string_view host);
+
 /// Spreads a route's requests over its services, exactly by weight: smooth weighted round robin.
 class WeightedRotation {
  public:
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -18,7 +18,7 @@
 class DoubtfulLedger final : public ledger::Ledger {
  public:
   explicit DoubtfulLedger(ledger::ReservationOutcome outcome) : outcome_(outcome) {}
-  void findHistory(const std::string& /*turn*/, HistoryCallback callback) override {
+  void findHistory(const ledger::TurnName& /*turn*/, HistoryCallback callback) override {
     callback(ledger::UnknownTurn{});
   }
   void storeTurn(ledger::TurnToStore /*turn*/, Duration /*limit*/,
@@ -31,7 +31,7 @@
     callback(outcome_);
   }
   void settle(ledger::BudgetSettlement /*settlement*/) override {}
-  bool takesTurn(const std::string& /*turn*/) override { return true; }
+  bool takesTurn(const ledger::TurnName& /*turn*/) override { return true; }
   bool takesReservation(const std::string& /*program*/) override { return false; }
   std::uint64_t knownUse(const std::string& /*program*/) const override { return 0; }
 
--- a/tests/edge/member_table_test.cpp
+++ b/tests/edge/member_table_test.cpp
@@ -38,6 +38,35 @@
   LONGS_EQUAL(3, table.clientAddresses("elsewhere", nobody).size());
 }
 
+TEST(MemberTable, namesTheRegionsNodesBeforeThoseOfOtherRegions) {
+  const routing::ZoneTable zones({{"wa", "west"}, {"wb", "west"}, {"ea", "east"}});
+  const ClientPlace client{"wa", "west", &zones};
+  hear("wa1", "wa");
+  hear("wb1", "wb");
+  hear("ea1", "ea");
+  CHECK(table.clientAddresses(client, nobody) == (std::vector<std::string>{"wa1:1", "wb1:1"}));
+  hear("wb1", "wb", true);
+  LONGS_EQUAL(2, table.clientAddresses(client, nobody).size());  // One is not enough.
+  silent = {"wa1"};
+  CHECK(table.clientAddresses(client, nobody) == std::vector<std::string>{"ea1:1"});
+}
+
+TEST(MemberTable, namesNobodyOutsideTheClientsRegionAndTheAllowedOnes) {
+  const routing::ZoneTable zones({{"wa", "west"}, {"ea", "east"}, {"na", "north"}});
+  const routing::RegionSet allowed = {"east"};
+  hear("ea1", "ea");
+  hear("na1", "na");
+  const ClientPlace west{"wa", "west", &zones, &allowed};
+  CHECK(table.clientAddresses(west, nobody) == std::vector<std::string>{"ea1:1"});
+  hear("wa1", "wa");
+  hear("wa2", "wa");
+  CHECK(table.clientAddresses(west, nobody) == (std::vector<std::string>{"wa1:1", "wa2:1"}));
+  silent = {"ea1", "wa1", "wa2"};
+  LONGS_EQUAL(0, table.clientAddresses(west, nobody).size());
+  const ClientPlace elsewhere{"unknown", "north", &zones, &allowed};
+  CHECK(table.clientAddresses(elsewhere, nobody) == std::vector<std::string>{"na1:1"});
+}
+
 TEST(MemberTable, namesSuspectsOnlyWhenNobodyElseIsLeft) {
   hear("a1", "a");
   hear("a2", "a");
--- a/tests/edge/shared_topic_store_test.cpp
+++ b/tests/edge/shared_topic_store_test.cpp
@@ -23,7 +23,11 @@
                                  {}};
   FakePeers peers;
   std::vector<ledger::HomeCandidate> nodes = {{"r1", "z", 1.0}, {"r2", "z", 1.0}};
-  RelayedStore relay{peers, [] { return std::vector<std::string>{"r1", "r2"}; }, 1};
+  RelayedStore relay{peers,
+                     [](const logstore::PartitionAddress&) {
+                       return std::vector<std::string>{"r1", "r2"};
+                     },
+                     1};
   SharedTopicStore store{
       log, relay, "own", "z", [this] { return nodes; }, [this] { return timers.now; }, {}};
 
--- a/tests/edge/store_relay_test.cpp
+++ b/tests/edge/store_relay_test.cpp
@@ -11,7 +11,7 @@
 TEST_GROUP(RelayedStore) {
   FakePeers peers;
   std::vector<std::string> relays = {"a", "b", "c", "d"};
-  RelayedStore store{peers, [this] { return relays; }, 5};
+  RelayedStore store{peers, [this](const logstore::PartitionAddress&) { return relays; }, 5};
 
   bool append() {
     bool done = false;
--- /dev/null
+++ b/tests/lab_platform/region_day_test.cpp
@@ -0,0 +1,219 @@
+// Three whole edge nodes in three regions, and routes that may be served in some of them alone.
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+
+#include "lab/platform/replica_stand_in.h"
+#include "lab/platform/store_stand_in.h"
+#include "whole_node.h"
+// CppUTest redefines `new`: it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::lab;
+using lab::testing::Answer;
+using lab::testing::Node;
+
+namespace {
+
+const char* const kConfiguration = R"({"version":VERSION,"routes":[
+ {"name":"limited","host":"l","pathPrefix":"/limited/","routeType":"streaming","timeoutMs":3000,
+  "priority":1,"service":"m","maxAttempts":1,"persisted":true,"resumable":true,
+  "allowedRegions":["REGION"]},
+ {"name":"open","host":"l","pathPrefix":"/open/","routeType":"unsafe","timeoutMs":3000,
+  "service":"m","maxAttempts":1,"authExempt":true},
+ {"name":"free","host":"f","pathPrefix":"/free/","routeType":"unsafe","timeoutMs":3000,
+  "service":"m","maxAttempts":1}],
+ "services":[{"name":"m","engine":{"slots":4,"streamStride":10}}]})";
+
+std::string configurationOf(int version, const std::string& region) {
+  std::string text(kConfiguration);
+  text.replace(text.find("VERSION"), 7, std::to_string(version));
+  return text.replace(text.find("REGION"), 6, region);
+}
+
+std::string withTenant(std::string text, const std::string& region) {
+  const std::string tenants =
+      R"("tenants":[{"name":"t","apiKeys":["key"],"allowedRegions":[")" + region + R"("]}],)";
+  return text.insert(text.find(R"("services")"), tenants);
+}
+
+}  // namespace
+
+TEST_GROUP(RegionDay) {
+  boost::asio::io_context context{1};
+  std::unique_ptr<StoreStandIn> store;
+  std::unique_ptr<ReplicaStandIn> westReplica;
+  std::unique_ptr<ReplicaStandIn> eastReplica;
+  std::unique_ptr<Node> west;
+  std::unique_ptr<Node> east;
+  std::unique_ptr<Node> north;
+  http::HttpClientPtr client;
+  int nextRequest = 0;
+
+  void setup() override {
+    store = std::make_unique<StoreStandIn>(context);
+    westReplica = std::make_unique<ReplicaStandIn>(context, "i-w");
+    eastReplica = std::make_unique<ReplicaStandIn>(context, "i-e");
+    client = http::makeHttpClient(context);
+    store->put("keyed.op", "config", configurationOf(1, "west"));
+    store->put("keyed.servers", "i-w", westReplica->registration("m", "ready", "wa"));
+    store->put("keyed.servers", "i-e", eastReplica->registration("m", "ready", "ea"));
+    west = nodeOf("127.0.0.1", "wa");
+    east = nodeOf("127.0.0.2", "ea");
+    north = nodeOf("127.0.0.3", "na");
+    CHECK_TRUE(west->started && east->started && north->started);
+    CHECK_TRUE(until([this] { return named(*north, "f", "na").size() == 3; }));
+    CHECK_TRUE(until([this] { return named(*east, "f", "ea").size() == 3; }));
+  }
+  void teardown() override {
+    client.reset();
+    west.reset();
+    east.reset();
+    north.reset();
+    westReplica.reset();
+    eastReplica.reset();
+    store.reset();
+    context.restart();
+    context.poll();
+  }
+  std::unique_ptr<Node> nodeOf(const std::string& ip, const std::string& zone) {
+    return std::make_unique<Node>(context, ip, store->address(), [&](edge::EdgeSettings& settings) {
+      settings.zone = zone;
+      settings.regionOfZone = {{"wa", "west"}, {"ea", "east"}, {"na", "north"}};
+      settings.zones = {"ea", "na", "wa"};
+      settings.firstInternalPort = kInternalPort;
+      settings.lastInternalPort = kInternalPort + 9;
+    });
+  }
+  bool until(const std::function<bool()>& isTrue) {
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (std::chrono::steady_clock::now() < deadline) {
+      if (isTrue()) {
+        return true;
+      }
+      context.restart();
+      context.run_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+  Answer send(http::Request request) {
+    std::optional<Answer> answer;
+    http::ResponseHandler handler;
+    handler.onDone = [&answer](const http::Response& response) {
+      answer = Answer{response.status, response.body, ""};
+      for (const http::Header& header : response.headers) {
+        answer->retryAfter = header.name == "Retry-After" ? header.value : answer->retryAfter;
+      }
+    };
+    handler.onFailure = [&answer](const http::Failure&) { answer = Answer{}; };
+    client->send(std::move(request), std::move(handler));
+    CHECK_TRUE(until([&answer] { return answer.has_value(); }));
+    return *answer;
+  }
+  /// \return the ips that the directory names to a client.
+  std::vector<std::string> named(const Node& node, const std::string& host,
+                                 const std::string& zone) {
+    http::Request request;
+    request.address = node.listen().directory;
+    request.target = "/v1/resolve?name=" + host + "&region=&zone=" + zone;
+    const std::string body = send(request).body;
+    std::vector<std::string> ips;
+    for (const char* const ip : {"127.0.0.1:", "127.0.0.2:", "127.0.0.3:"}) {
+      if (body.find(ip) != std::string::npos) {
+        ips.emplace_back(ip);
+      }
+    }
+    return ips;
+  }
+  Answer ask(const Node& node, const std::string& host, const std::string& target,
+             const std::string& previous = "", const std::string& key = "") {
+    http::Request request;
+    request.method = "POST";
+    request.address = node.listen().clients;
+    request.target = target;
+    request.headers = {{"Host", host},
+                       {"Gorsetrail-Request-Id", "q" + std::to_string(++nextRequest)},
+                       {"Gorsetrail-Deadline-Ms", "2500"}};
+    if (!previous.empty()) {
+      request.headers.push_back({"Gorsetrail-Previous-Turn", previous});
+    }
+    if (!key.empty()) {
+      request.headers.push_back({"Gorsetrail-Key", key});
+    }
+    request.body = "input" + std::to_string(nextRequest) + ";";
+    return send(request);
+  }
+  bool allLogged(const std::string& text) {
+    return until([&] {
+      const std::vector<const Node*> all = nodes();
+      return std::all_of(all.begin(), all.end(), [&](const Node* node) {
+        return node->lines.find(text) != std::string::npos;
+      });
+    });
+  }
+  [[nodiscard]] std::vector<const Node*> nodes() const {
+    return {west.get(), east.get(), north.get()};
+  }
+
+  /// Alike on all nodes, as in a deployment: their addresses differ.
+  static constexpr std::uint16_t kInternalPort = 21730;
+};
+
+TEST(RegionDay, aLimitedRouteIsServedByItsRegionThroughAnyNode) {
+  for (const Node* const node : nodes()) {
+    LONGS_EQUAL(200, ask(*node, "l", "/limited/stream/1").status);
+  }
+  LONGS_EQUAL(3, westReplica->runs.size());
+  LONGS_EQUAL(0, eastReplica->runs.size());
+}
+
+TEST(RegionDay, aLimitedTurnGoesOnThroughAnotherRegionsNode) {
+  LONGS_EQUAL(200, ask(*east, "l", "/limited/stream/1").status);
+  LONGS_EQUAL(200, ask(*north, "l", "/limited/stream/1", "q1").status);
+  STRCMP_EQUAL("input1;e1\ne2\ne3\ninput2;", westReplica->bodies["q2"].c_str());
+  // The turn outlives its limit.
+  store->put("keyed.op", "config", configurationOf(2, "east"));
+  CHECK_TRUE(allLogged("configuration_in_force version=2"));
+  LONGS_EQUAL(200, ask(*north, "l", "/limited/stream/1", "q2").status);
+  STRCMP_EQUAL("input1;e1\ne2\ne3\ninput2;e1\ne2\ne3\ninput3;", eastReplica->bodies["q3"].c_str());
+  LONGS_EQUAL(404, ask(*north, "l", "/limited/stream/1", "never").status);
+}
+
+TEST(RegionDay, withItsRegionsReplicasGoneALimitedRouteIsRefusedAndOthersGoOn) {
+  store->put("keyed.servers", "i-w", "");
+  CHECK_TRUE(allLogged("replica_gone replica=i-w"));
+  const Answer refused = ask(*west, "l", "/limited/stream/1");
+  LONGS_EQUAL(503, refused.status);
+  STRCMP_CONTAINS("region_not_allowed", refused.body.c_str());
+  CHECK(!refused.retryAfter.empty());
+  LONGS_EQUAL(0, eastReplica->runs.size());
+  STRCMP_EQUAL("answer of i-e", ask(*west, "f", "/free/x").body.c_str());
+}
+
+TEST(RegionDay, theDirectoryNamesNobodyOutsideTheClientsRegionAndTheAllowedOne) {
+  CHECK(named(*east, "l", "na") == (std::vector<std::string>{"127.0.0.1:", "127.0.0.3:"}));
+  CHECK(named(*east, "l", "wa") == std::vector<std::string>{"127.0.0.1:"});
+  north.reset();
+  CHECK_TRUE(
+      until([&] { return named(*east, "l", "na") == std::vector<std::string>{"127.0.0.1:"}; }));
+  CHECK_TRUE(until([&] { return named(*east, "f", "na").size() == 2; }));
+}
+
+TEST(RegionDay, anUnknownRegionMakesTheConfigurationInvalidAndTheOneBeforeStays) {
+  store->put("keyed.op", "config", configurationOf(2, "wset"));
+  CHECK_TRUE(allLogged("configuration_refused version=2"));
+  LONGS_EQUAL(200, ask(*east, "l", "/limited/stream/1").status);
+  LONGS_EQUAL(1, westReplica->runs.size());
+}
+
+TEST(RegionDay, bothLimitsBindAndNothingInCommonIsRefusedForGood) {
+  store->put("keyed.op", "config", withTenant(configurationOf(2, "west"), "east"));
+  CHECK_TRUE(allLogged("configuration_in_force version=2"));
+  const Answer refused = ask(*west, "l", "/limited/stream/1", "", "key");
+  LONGS_EQUAL(403, refused.status);
+  STRCMP_CONTAINS("region_not_allowed", refused.body.c_str());
+  LONGS_EQUAL(0, westReplica->runs.size());
+  STRCMP_EQUAL("answer of i-e", ask(*west, "f", "/free/x", "", "key").body.c_str());
+}
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -56,7 +56,7 @@
   }
   HistoryAnswer find(Node & node, const std::string& turn) {
     std::optional<HistoryAnswer> found;
-    node.ledger.findHistory(turn, [&found](HistoryAnswer answer) { found = std::move(answer); });
+    node.ledger.findHistory({turn}, [&found](HistoryAnswer answer) { found = std::move(answer); });
     timers.advance(seconds(3));
     CHECK_TRUE(found.has_value());
     return *found;
@@ -107,7 +107,7 @@
   Node& writer = addNode();
   log.latency = milliseconds(30);
   std::optional<HistoryAnswer> early;
-  reader.ledger.findHistory("t1", [&early](HistoryAnswer answer) { early = std::move(answer); });
+  reader.ledger.findHistory({"t1"}, [&early](HistoryAnswer answer) { early = std::move(answer); });
   timers.advance(milliseconds(29));
   // The turn is appended while the first read is on its way, and asked for after that.
   bool stored = false;
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -2,14 +2,14 @@
 // refuses some of them, and how many calls the store gets.
 #include "ledger/routed_ledger.h"
 
-#include <CppUTest/TestHarness.h>
-
-#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 
+#include "ledger_fleet.h"
 #include "logstore/fake_log_store.h"
+// CppUTest redefines `new`: it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
 using namespace gorsetrail::ledger;
@@ -17,116 +17,8 @@
 using logstore::FakeLogStore;
 using logstore::FakeTimers;
 
-namespace {
-
-class Fleet;
-
-/// Calls between the nodes of a fleet, 1 ms each way.
-class FleetPeers final : public LedgerPeers {
- public:
-  FleetPeers(Fleet& fleet, std::string own) : fleet_(fleet), own_(std::move(own)) {}
-  [[nodiscard]] std::vector<HomeCandidate> candidates() const override;
-  [[nodiscard]] bool areKnown() const override;
-  void checkAlive(const std::string& address, Duration limit,
-                  std::function<void(bool alive)> callback) override;
-  void call(const std::string& address, const LedgerRequest& request, Duration timeLimit,
-            std::function<void(std::optional<LedgerReply>)> callback) override;
-
- private:
-  Fleet& fleet_;
-  std::string own_;
-};
-
-struct Node {
-  Node(Fleet& fleet, FakeLogStore& log, FakeTimers& timers, const std::string& address,
-       const std::string& zone)
-      : zone(zone),
-        store(
-            log, timers, [&timers] { return timers.now; }, {}, 1),
-        local(
-            store, timers, [&timers] { return timers.now; }, localKnobs(zone)),
-        service(local),
-        peers(fleet, address),
-        ledger(
-            service, peers, timers, [&timers] { return timers.now; }, routedKnobs(address, zone),
-            1) {}
-
-  static LedgerKnobs localKnobs(const std::string& zone) {
-    LedgerKnobs knobs;
-    knobs.zone = zone;
-    return knobs;
-  }
-  static RoutedLedgerKnobs routedKnobs(const std::string& address, const std::string& zone) {
-    RoutedLedgerKnobs knobs;
-    knobs.ownAddress = address;
-    knobs.zone = zone;
-    knobs.zones = {"a", "b"};
-    return knobs;
-  }
-
-  std::string zone;
-  logstore::PersistentStore store;
-  ProgramLedger local;
-  LedgerService service;
-  FleetPeers peers;
-  RoutedLedger ledger;
-};
-
-class Fleet {
- public:
-  Fleet(FakeLogStore& log, FakeTimers& timers, int size = 6) : timers(timers) {
-    for (int number = 0; number < size; ++number) {
-      const std::string address = "node" + std::to_string(number);
-      const bool isFirstHalf = number < size / 2;
-      nodes[address] = std::make_unique<Node>(*this, log, timers, address, isFirstHalf ? "a" : "b");
-    }
-  }
-  Node& node(int number) { return *nodes["node" + std::to_string(number)]; }
-
-  FakeTimers& timers;
-  std::map<std::string, std::unique_ptr<Node>> nodes;
-  std::set<std::string> dead;    ///< Refuse connections.
-  std::set<std::string> silent;  ///< Take calls and say nothing.
-  int calls = 0;
-  bool known = true;  ///< The nodes have been listed.
-};
-
-bool FleetPeers::areKnown() const { return fleet_.known; }
-
-std::vector<HomeCandidate> FleetPeers::candidates() const {
-  std::vector<HomeCandidate> candidates;
-  for (const auto& [address, node] : fleet_.nodes) {
-    candidates.push_back({address, node->zone, 1.0});
-  }
-  return candidates;
-}
-
-void FleetPeers::checkAlive(const std::string& address, Duration limit,
-                            std::function<void(bool alive)> callback) {
-  const bool alive = fleet_.dead.count(address) + fleet_.silent.count(address) == 0;
-  fleet_.timers.runAfter(alive ? milliseconds(2) : limit, [callback, alive] { callback(alive); });
-}
-
-void FleetPeers::call(const std::string& address, const LedgerRequest& request, Duration timeLimit,
-                      std::function<void(std::optional<LedgerReply>)> callback) {
-  ++fleet_.calls;
-  FakeTimers& timers = fleet_.timers;
-  if (fleet_.dead.count(address) > 0) {
-    timers.runAfter(milliseconds(1), [callback] { callback(std::nullopt); });
-    return;
-  }
-  if (fleet_.silent.count(address) > 0) {
-    timers.runAfter(timeLimit, [callback] { callback(std::nullopt); });
-    return;
-  }
-  timers.runAfter(milliseconds(1), [this, address, request, callback, &timers] {
-    fleet_.nodes[address]->service.handleForPeer(request, [callback, &timers](LedgerReply reply) {
-      timers.runAfter(milliseconds(1), [callback, reply = std::move(reply)] { callback(reply); });
-    });
-  });
-}
-
-}  // namespace
+using ledger::testing::Fleet;
+using ledger::testing::Node;
 
 TEST_GROUP(RoutedLedger) {
   FakeTimers timers;
@@ -150,7 +42,7 @@
   HistoryAnswer find(int node, const std::string& turn) {
     std::optional<HistoryAnswer> found;
     fleet.node(node).ledger.findHistory(
-        turn, [&found](HistoryAnswer answer) { found = std::move(answer); });
+        {turn}, [&found](HistoryAnswer answer) { found = std::move(answer); });
     timers.advance(seconds(8));
     CHECK_TRUE(found.has_value());
     return *found;
@@ -295,7 +187,7 @@
   log.fault = FakeFault::Busy;
   for (int round = 0; round < 3; ++round) {
     for (int node = 0; node < kNodes; ++node) {
-      large.node(node).ledger.findHistory("t1", [](const HistoryAnswer&) {});
+      large.node(node).ledger.findHistory({"t1"}, [](const HistoryAnswer&) {});
     }
     timers.advance(milliseconds(700));
   }
@@ -316,20 +208,20 @@
 
 TEST(RoutedLedger, tellsWhetherTheLogTakesWritesNow) {
   Node& node = fleet.node(0);
-  CHECK_TRUE(node.ledger.takesTurn("t"));
+  CHECK_TRUE(node.ledger.takesTurn({"t"}));
   CHECK_TRUE(node.ledger.takesReservation("program"));
   log.fault = FakeFault::Busy;
   reserve(0, "r1", 100, milliseconds(750));
   CHECK_FALSE(node.ledger.takesReservation("program"));
   log.fault = FakeFault::None;
   timers.advance(seconds(1));
-  CHECK_TRUE(node.ledger.takesTurn("t"));
+  CHECK_TRUE(node.ledger.takesTurn({"t"}));
   CHECK_TRUE(node.ledger.takesReservation("program"));
 }
 
 TEST(RoutedLedger, aTurnWhosePartitionIsOutOfOrderStandsInItsSecondOne) {
   const LedgerPartitions layout{{}};
-  log.downPartitions = {layout.ofTurn("a", "t1", 0)};
+  log.downPartitions = {layout.ofTurn({"a", 0}, "t1")};
   CHECK_TRUE(storeTurn(0, "t1", "", "text", milliseconds(900)));
   STRCMP_EQUAL("text", textOf(1, "t1").c_str());
   STRCMP_EQUAL("text", textOf(4, "t1").c_str());
@@ -337,7 +229,7 @@
   std::string unseen;
   for (int number = 0; unseen.empty(); ++number) {
     const std::string name = "u" + std::to_string(number);
-    unseen = layout.ofTurn("a", name, 0) == layout.ofTurn("a", "t1", 0) ? name : "";
+    unseen = layout.ofTurn({"a", 0}, name) == layout.ofTurn({"a", 0}, "t1") ? name : "";
   }
   CHECK_TRUE(std::holds_alternative<LedgerUnavailable>(find(2, unseen)));
   log.downPartitions.clear();
@@ -351,8 +243,8 @@
   std::set<logstore::PartitionAddress> seconds;
   for (int number = 0; number < 200; ++number) {
     const std::string name = "t" + std::to_string(number);
-    CHECK(layout.ofTurn("a", name, 0) != layout.ofTurn("a", name, 1));
-    seconds.insert(layout.ofTurn("a", name, 1));
+    CHECK(layout.ofTurn({"a", 0}, name) != layout.ofTurn({"a", 1}, name));
+    seconds.insert(layout.ofTurn({"a", 1}, name));
   }
   LONGS_EQUAL(4, seconds.size());
 }
@@ -361,7 +253,7 @@
   CHECK_TRUE(storeTurn(0, "t1", "", "text"));
   fleet.known = false;
   const int reads = log.reads;
-  CHECK_FALSE(fleet.node(3).ledger.takesTurn("t1"));
+  CHECK_FALSE(fleet.node(3).ledger.takesTurn({"t1"}));
   CHECK_FALSE(fleet.node(3).ledger.takesReservation("program"));
   CHECK_TRUE(std::holds_alternative<LedgerUnavailable>(find(3, "t1")));
   LONGS_EQUAL(reads, log.reads);
@@ -375,7 +267,7 @@
   const int reads = log.reads;
   int found = 0;
   for (int node = 0; node < 3; ++node) {
-    restarted.node(node).ledger.findHistory("t1", [&found](const HistoryAnswer& answer) {
+    restarted.node(node).ledger.findHistory({"t1"}, [&found](const HistoryAnswer& answer) {
       found += std::holds_alternative<History>(answer) ? 1 : 0;
     });
   }
--- a/tests/logstore/fake_log_store.h
+++ b/tests/logstore/fake_log_store.h
@@ -63,6 +63,7 @@
 
   void read(ReadRequest request, StoreCallback<ReadReply> callback) override {
     ++reads;
+    ++readsOf[request.partition];
     auto apply = [this, request]() -> ReadReply {
       const auto& log = logs[request.partition];
       ReadReply reply;
@@ -107,6 +108,7 @@
   std::size_t page = 100;
   int appends = 0;
   int reads = 0;
+  std::map<PartitionAddress, int> readsOf;
 
  private:
   template <class Reply>
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -158,3 +158,18 @@
   }
   CHECK_TRUE(chosen);
 }
+
+TEST(ReplicaSelector, anotherRegionCostsMoreThanAnotherZone) {
+  const ZoneTable zones({{"zone-a", "west"}, {"zone-b", "west"}, {"zone-c", "east"}});
+  ReplicaSelectorKnobs knobs;
+  knobs.otherRegionCost = 4.0;
+  const ReplicaSelector far("zone-a", knobs, &zones);
+  ReplicaQuery query;
+  query.service = "s";
+  add("c", "zone-c");
+  const ReplicaPtr near = add("b", "zone-b");
+  near->inFlight = 3;
+  CHECK(far.choose(table, query, takesWork, now) == near);
+  near->inFlight = 5;
+  CHECK(far.choose(table, query, takesWork, now) != near);
+}
