--- a/tests/cli/log_losses_test.cpp
+++ b/tests/cli/log_losses_test.cpp
@@ -55,6 +55,15 @@
   LONGS_EQUAL(940, groups[0].tookMilliseconds);
 }
 
+TEST(LogLosses, namesRegionsAsTheCauseOfRefusalsForTheirSake) {
+  read(ended(1, "p", "outcome=refused_503 reason=region_not_allowed took_ms=1") +
+       ended(2, "q", "outcome=refused_403 reason=region_not_allowed_anywhere took_ms=1"));
+  const auto groups = losses.groups();
+  LONGS_EQUAL(1, groups.size());
+  STRCMP_EQUAL("region", groups[0].cause.c_str());
+  LONGS_EQUAL(2, groups[0].programs);
+}
+
 TEST(LogLosses, groupsWithTheMostProgramsComeFirstAndSecondsInOrder) {
   read(ended(9, "a", "outcome=client_gone reason=\"\" took_ms=1") +
        ended(7, "b", "outcome=refused_503 reason=replicas_busy took_ms=1") +
