--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -36,8 +36,8 @@
   /// Bytes between zones are priced, and the way is longer.
   double otherZoneCost = 0.8;
   /// Besides `otherZoneCost`: the round trip comes out of the program's time, and the bytes cost
-  /// several times those between zones. With 4, 17% fewer bytes between regions than with 0 on days
-  /// with faults, at the same share served (8 ms between regions, three plays each).
+  /// several times those between zones. With 4, a sixth fewer bytes between regions than with 0 on
+  /// days with faults, at the same share served (8 ms between regions, mean of six plays each).
   double otherRegionCost = 4.0;
   /// Opening a connection is priced and takes a round trip. Less than two requests: between
   /// replicas whose load differs by that much the emptier one is worth it.
