Allowed regions are found by host and path, and a limit that is not known allows nothing

Cause: the policy found a route's set by its name, and a name that stood twice, or not at all, would have opened the request to other regions. Change: the key is host and path, the first of two alike counts as it does when requests are matched; what is not found is allowed nowhere. Tests: both cases in region_policy.

--- a/src/routing/region_policy.cpp
+++ b/src/routing/region_policy.cpp
@@ -22,6 +22,8 @@
   return std::nullopt;
 }
 
+std::string keyOf(const Route& route) { return route.host + route.pathPrefix; }
+
 RegionSet intersectionOf(const RegionSet& one, const RegionSet& other) {
   RegionSet common;
   std::set_intersection(one.begin(), one.end(), other.begin(), other.end(),
@@ -37,8 +39,10 @@
   const auto add = [&](const std::string& route, const std::string& tenant,
                        const RegionSet& regions) {
     const bool isEverywhere = regions == zones.regions();
-    policy.places_[{route, tenant}] = {
-        regions, isEverywhere ? std::vector<std::string>() : zones.zonesOf(regions, zone)};
+    // Of two routes with one host and path the first gets the requests.
+    policy.places_.try_emplace({route, tenant},
+                               AllowedPlaces{regions, isEverywhere ? std::vector<std::string>()
+                                                                   : zones.zonesOf(regions, zone)});
   };
   std::vector<const tenant::Tenant*> limitedTenants;
   if (configuration.tenants) {
@@ -61,9 +65,9 @@
       return *error;
     }
     policy.addHost(route);
-    add(route.name, {}, route.allowedRegions);
+    add(keyOf(route), {}, route.allowedRegions);
     for (const tenant::Tenant* const tenant : limitedTenants) {
-      add(route.name, tenant->name, intersectionOf(route.allowedRegions, tenant->allowedRegions));
+      add(keyOf(route), tenant->name, intersectionOf(route.allowedRegions, tenant->allowedRegions));
     }
   }
   return policy;
@@ -82,8 +86,8 @@
     return nullptr;
   }
   const auto found = places_.find(
-      {routeLimits ? route.name : std::string(), tenantLimits ? tenant->name : std::string()});
-  return found == places_.end() ? nullptr : &found->second;
+      {routeLimits ? keyOf(route) : std::string(), tenantLimits ? tenant->name : std::string()});
+  return found == places_.end() ? &nowhere_ : &found->second;
 }
 
 const RegionSet* RegionPolicy::regionsOfHost(std::string_view host) const {
--- a/src/routing/region_policy.h
+++ b/src/routing/region_policy.h
@@ -44,8 +44,10 @@
   RegionPolicy() = default;
   void addHost(const Route& route);
 
-  /// By route and tenant, either of them empty where it sets no limit.
+  /// By the route's host and path, and the tenant; either of them empty where it sets no limit.
   std::map<std::pair<std::string, std::string>, AllowedPlaces> places_;
+  /// For a limit that the policy was not made with: rather nothing than everything.
+  AllowedPlaces nowhere_;
   std::map<std::string, RegionSet, std::less<>> byHost_;
 };
 
--- a/tests/routing/region_policy_test.cpp
+++ b/tests/routing/region_policy_test.cpp
@@ -23,6 +23,7 @@
     Route route;
     route.name = name;
     route.host = host;
+    route.pathPrefix = "/" + name + "/";
     route.allowedRegions = regions;
     configuration.routes.push_back(route);
   }
@@ -97,3 +98,17 @@
   POINTERS_EQUAL(nullptr, policy.regionsOfHost("free.example"));
   CHECK(*policy.regionsOfHost("BOTH.example") == (RegionSet{"east", "north", "west"}));
 }
+
+TEST(RegionPolicy, routesOfOneNameKeepTheirOwnLimits) {
+  addRoute("limited", "else.example", {"north"});
+  const RegionPolicy policy = make();
+  CHECK(policy.placesOf(configuration.routes[1], nullptr)->regions == (RegionSet{"east", "west"}));
+  CHECK(policy.placesOf(configuration.routes.back(), nullptr)->regions == RegionSet{"north"});
+}
+
+TEST(RegionPolicy, aLimitThatItDoesNotKnowAllowsNothing) {
+  const RegionPolicy policy = make();
+  Route unknown = configuration.routes[1];
+  unknown.host = "unheard.example";
+  CHECK_TRUE(policy.placesOf(unknown, nullptr)->regions.empty());
+}
