--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -31,6 +31,8 @@
 #include "routing/cold_replica_rule.h"
 #include "routing/evacuation.h"
 #include "routing/fleet_load.h"
+#include "routing/locality.h"
+#include "routing/region_rule.h"
 
 namespace gorsetrail::edge {
 
@@ -97,7 +99,7 @@
   void paceFollowers();
   void loadLoop();
   /// \return where the nodes that take clients get digests of loads, this one left out.
-  [[nodiscard]] const std::vector<std::string>& loadPeers();
+  [[nodiscard]] const LoadPeers& loadPeers();
   [[nodiscard]] routing::ColdReplicaSources coldReplicaSources();
   void tendColdReplicas();
   void flushLoop();
@@ -112,7 +114,11 @@
   [[nodiscard]] bool hasPeers() const { return settings_.firstInternalPort != 0; }
   [[nodiscard]] std::string ownRelayAddress() const;
   [[nodiscard]] std::string ownLoadAddress() const;
-  [[nodiscard]] std::vector<std::string> otherRelays() const;
+  /// \return relays that calls for the partition may go through.
+  [[nodiscard]] std::vector<std::string> otherRelays(
+      const logstore::PartitionAddress& partition) const;
+  /// \return the regions that a client of this host may be sent to besides its own; null: any.
+  [[nodiscard]] const routing::RegionSet* allowedRegionsOf(const std::string& host) const;
   /// \return nodes that may be homes of the ledger's partitions; none before the first list.
   [[nodiscard]] const std::vector<ledger::HomeCandidate>& ledgerHomes();
   [[nodiscard]] QuotaSources quotaSources();
@@ -123,6 +129,7 @@
 
   boost::asio::io_context& ioContext_;
   EdgeSettings settings_;
+  routing::ZoneTable zones_;
   EdgeParts parts_;
   services::TimerServicePtr timers_;
   std::function<Instant()> clock_;
@@ -149,6 +156,7 @@
   routing::ReplicaSelector selector_;
   routing::AdmissionPolicy admission_;
   routing::EvacuationTable evacuations_;
+  routing::RegionRule regionRule_;
   routing::EvacuationRule evacuationRule_;
   routing::ColdReplicaRule coldReplicas_;
   routing::ReplicaPlacement placement_;
@@ -171,7 +179,7 @@
   bool replicasListed_ = false;
   std::vector<ledger::HomeCandidate> ledgerHomes_;  ///< As of `ledgerHomesAt_`.
   Instant ledgerHomesAt_;
-  std::vector<std::string> loadPeers_;     ///< As of `loadPeersAt_`.
+  LoadPeers loadPeers_;                    ///< As of `loadPeersAt_`.
   std::vector<std::string> clientTakers_;  ///< Their addresses for clients, as of `loadPeersAt_`.
   Instant loadPeersAt_;
   bool takesClients_ = false;                      ///< The directory names this node.
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -56,14 +56,19 @@
   return settings_.ip + ":" + std::to_string(settings_.firstInternalPort + 1);
 }
 
-std::vector<std::string> EdgeDaemon::otherRelays() const {
+std::vector<std::string> EdgeDaemon::otherRelays(
+    const logstore::PartitionAddress& partition) const {
+  // The text of a confined turn goes only through nodes of its region.
+  const auto confinedTo = ledger::LedgerPartitions::confinedZoneOf(partition);
   std::vector<std::string> addresses;
   for (const MemberRecord& member : members_.alive()) {
-    if (!member.relayAddress.empty() && member.relayAddress != ownRelayAddress()) {
+    const bool isAllowed =
+        !confinedTo || zones_.between(*confinedTo, member.zone) != routing::Distance::OtherRegion;
+    if (isAllowed && !member.relayAddress.empty() && member.relayAddress != ownRelayAddress()) {
       addresses.push_back(member.relayAddress);
     }
   }
-  if (!addresses.empty()) {
+  if (!addresses.empty() || confinedTo) {
     return addresses;
   }
   // Nobody is known yet. Ports are alike on all machines, so a seed's address tells the relay's.
@@ -130,8 +135,7 @@
 }
 
 void EdgeDaemon::loadLoop() {
-  const std::vector<std::string>& peers = loadPeers();
-  const std::size_t others = peers.size();
+  const LoadPeers& peers = loadPeers();
   const std::vector<routing::ReplicaPtr> replicas = replicas_.all();
   const bool isIdle =
       std::all_of(replicas.begin(), replicas.end(),
@@ -140,7 +144,7 @@
     loadExchange_.send(replicas, peers, clock_());
   }
   if (settings_.uses(Mechanism::LoadDigests)) {
-    fleetLoad_.apply(replicas_, others, clock_());
+    fleetLoad_.apply(replicas_, {peers.near.size(), peers.far.size()}, clock_());
   }
   tendColdReplicas();
   for (const std::string& dropped : replicas_.dropDoubtful(clock_())) {
@@ -177,16 +181,18 @@
   }
 }
 
-const std::vector<std::string>& EdgeDaemon::loadPeers() {
+const LoadPeers& EdgeDaemon::loadPeers() {
   const Instant now = clock_();
   if (now - loadPeersAt_ < kLoadPeersRefresh) {
     return loadPeers_;
   }
   loadPeersAt_ = now;
-  loadPeers_.clear();
+  loadPeers_ = {};
   clientTakers_.clear();
   takesClients_ = false;
   for (const std::string& zone : settings_.zones) {
+    const bool isFar = zones_.between(settings_.zone, zone) == routing::Distance::OtherRegion;
+    std::vector<std::string>& peers = isFar ? loadPeers_.far : loadPeers_.near;
     for (const MemberRecord& member : members_.servingIn(zone)) {
       clientTakers_.push_back(member.clientAddress);
       if (member.clientAddress == settings_.listen.clients) {
@@ -194,8 +200,8 @@
       } else if (!member.relayAddress.empty()) {
         // Ports are alike on all machines: loads arrive one port above store calls.
         const std::string& relay = member.relayAddress;
-        loadPeers_.push_back(relay.substr(0, relay.rfind(':') + 1) +
-                             std::to_string(settings_.firstInternalPort + 1));
+        peers.push_back(relay.substr(0, relay.rfind(':') + 1) +
+                        std::to_string(settings_.firstInternalPort + 1));
       }
     }
   }
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -24,7 +24,7 @@
   explicit DoubtfulLedger(std::vector<ledger::ReservationOutcome> outcomes,
                           ledger::ReservationOutlook outlook = ledger::ReservationOutlook::Unlikely)
       : outcomes_(std::move(outcomes)), outlook_(outlook) {}
-  void findHistory(const std::string& /*turn*/, HistoryCallback callback) override {
+  void findHistory(const ledger::TurnName& /*turn*/, HistoryCallback callback) override {
     callback(ledger::UnknownTurn{});
   }
   void storeTurn(ledger::TurnToStore /*turn*/, Duration /*limit*/,
@@ -44,7 +44,7 @@
     }
   }
   void settle(ledger::BudgetSettlement /*settlement*/) override {}
-  bool takesTurn(const std::string& /*turn*/) override { return true; }
+  bool takesTurn(const ledger::TurnName& /*turn*/) override { return true; }
   ledger::ReservationOutlook reservationOutlook(const std::string& /*program*/) override {
     return outlook_;
   }
