Nodes that do not know who is cold space their requests instead of sharing a tenth of the limit

Change: such a node sends a replica one request in 1.05 s, more with many nodes, the first after a random part of that. All properties over 100 nodes hold, all mutants are caught (routing 96 tests).

--- a/src/routing/cold_replica_rule.cpp
+++ b/src/routing/cold_replica_rule.cpp
@@ -14,6 +14,8 @@
 constexpr double kSlowestFeederRate = 1.0;
 /// Views of the members that may differ in all feeders at one moment.
 constexpr double kViews = 2.0;
+/// Far longer than any spacing; older sendings are forgotten.
+constexpr Duration kLongestSpacing = seconds(60);
 /// Of a node's share in a slot, for one that is not listed among those that take clients: it gets
 /// few requests, and there may be more of them than of the others.
 constexpr double kOutsiderPart = 0.25;
@@ -155,6 +157,22 @@
          now - std::min(freshAt_, evacuationsFreshAt_) < knobs_.staleAfter;
 }
 
+Duration ColdReplicaRule::unsureSpacingOf(const Replica& replica) const {
+  const double nodes = static_cast<double>(sources_.nodes().size());
+  const std::chrono::duration<double> ofAll(knobs_.unsureMargin * nodes / limitOf(replica));
+  return std::max(knobs_.unsureSpacing, std::chrono::duration_cast<Duration>(ofAll));
+}
+
+bool ColdReplicaRule::isSpaced(const Replica& replica, Instant now) const {
+  const Duration spacing = unsureSpacingOf(replica);
+  const auto sent = unsureSentAt_.find(replica.entry.id);
+  if (sent != unsureSentAt_.end()) {
+    return now - sent->second >= spacing;
+  }
+  const double part = fractionOf(hashOf(replica.entry.id, life_));
+  return unsureSince_ && now - *unsureSince_ >= spacing * part;
+}
+
 bool ColdReplicaRule::isTrusted(const Replica& replica, Instant now) const {
   return replica.isTrusted && replica.failures == 0 && now - replica.heardAt < knobs_.trustTime;
 }
@@ -163,7 +181,7 @@
   if (!isSure(now)) {
     const bool isUsed =
         isTrusted(replica, now) && sentInSlot(replica, slotOf(now)) < knobs_.trustedPerSlot;
-    return isUsed || hasSlotLeft(replica, knobs_.unsureShare, now);
+    return isUsed || isSpaced(replica, now);
   }
   if (!isCold(replica, now)) {
     return true;
@@ -197,6 +215,9 @@
   if (replica.coldRequestsPerSecond <= 0 || isUsual) {
     return;
   }
+  if (!isSure(now)) {
+    unsureSentAt_[replica.entry.id] = now;
+  }
   const std::int64_t slot = slotOf(now);
   SlotUse& used = slots_[replica.entry.id];
   used = {slot, used.slot == slot ? used.sent + 1 : 1};
@@ -238,11 +259,19 @@
 void ColdReplicaRule::forgetSlots(Instant now) {
   const std::int64_t slot = slotOf(now);
   std::erase_if(slots_, [slot](const auto& entry) { return entry.second.slot < slot; });
+  std::erase_if(unsureSentAt_,
+                [now](const auto& entry) { return now - entry.second > kLongestSpacing; });
 }
 
 std::vector<ColdReplicaChange> ColdReplicaRule::tend(const std::vector<ReplicaPtr>& replicas,
                                                      Instant now) {
   std::vector<ColdReplicaChange> changes;
+  if (isSure(now)) {
+    unsureSince_.reset();
+    unsureSentAt_.clear();
+  } else if (!unsureSince_) {
+    unsureSince_ = now;
+  }
   for (const ReplicaPtr& replica : replicas) {
     tendReplica(*replica, now, changes);
   }
--- a/src/routing/cold_replica_rule.h
+++ b/src/routing/cold_replica_rule.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,8 +43,13 @@
   /// Tokens that a node has as it becomes a feeder: another one, or an earlier life of this node,
   /// may just have sent.
   double firstTokens = 0;
-  /// Of the limit, in each slot, for the nodes that do not know the state of the replica.
-  double unsureShare = 0.1;
+  /// A node that does not know the state of a replica sends it one request in so long, however few
+  /// nodes there are: each adds one to any second. After a start of all nodes this carries the
+  /// usual load, where a share of the limit refused hundreds of requests in two seconds.
+  Duration unsureSpacing = milliseconds(1050);
+  /// With many nodes the spacing grows, so that they come to the limit over this in the mean. Half
+  /// of the limit is left for chance sums and for feeders that do know.
+  double unsureMargin = 2.0;
   /// Of the limit, in each slot, for all nodes where `sharing` says so. A second may touch three
   /// slots of a node: 0.36 of the limit in the mean, with room for chance sums of many nodes.
   double staticShare = 0.12;
@@ -143,6 +149,8 @@
                                             std::int64_t slot) const;
   [[nodiscard]] std::uint32_t sentInSlot(const Replica& replica, std::int64_t slot) const;
   [[nodiscard]] bool hasSlotLeft(const Replica& replica, double share, Instant now) const;
+  [[nodiscard]] Duration unsureSpacingOf(const Replica& replica) const;
+  [[nodiscard]] bool isSpaced(const Replica& replica, Instant now) const;
   [[nodiscard]] bool isTrusted(const Replica& replica, Instant now) const;
   [[nodiscard]] bool mayGet(const Replica& replica, Instant now) const;
   void tendReplica(Replica& replica, Instant now, std::vector<ColdReplicaChange>& changes);
@@ -162,6 +170,11 @@
   std::map<std::string, Instant, std::less<>> cautions_;
   std::map<std::string, Bucket, std::less<>> buckets_;  ///< Of replicas that this node feeds.
   std::map<std::string, SlotUse, std::less<>> slots_;
+  /// Since when this node does not know who is cold; its first request to each replica waits for a
+  /// random part of the spacing from then on, since all nodes may come to not know at once.
+  std::optional<Instant> unsureSince_;
+  /// When this node last sent to a replica whose state it did not know.
+  std::map<std::string, Instant, std::less<>> unsureSentAt_;
   std::map<std::string, bool, std::less<>> cold_;  ///< By id; whether this node feeds it.
   mutable std::uint64_t passedOver_ = 0;
 };
--- a/tests/routing/cold_replica_fleet_test.cpp
+++ b/tests/routing/cold_replica_fleet_test.cpp
@@ -394,7 +394,8 @@
 
 TEST(ColdReplicaFleet, mutantUncappedUnsureNodesBreakIt) {
   Scenario scenario;
-  scenario.knobs.unsureShare = 1000;
+  scenario.knobs.unsureSpacing = Duration::zero();
+  scenario.knobs.unsureMargin = 0;
   checkBreaks(scenario);
 }
 
