Budgets: a lease that is cleared behind a reservation's record counts for it

Cause: a reservation decided by the log summed what stands below its own offset, but took the leases from the table as read so far. A lease given back between the record and the decision was in neither: its holder's grants stand behind the reservation, its end was read.

Change: the table keeps the offset at which each lease was cleared, and is asked as of an offset. A lease cleared at or behind it counts as uncleared. The state Ended does not matter (held and ended count alike); a lease that moved up since counts at its larger share; two that then name one slot count as both. A new lease behind the offset counts as well, as before: too much, never too little. A late program counts what was cleared beside such a lease too.

Ruled out: the same gap ahead of the log. A holder counts records and ends of leases up to one offset, the end of what it has read, so an end that it read stands behind records that it read; whoever reserves behind that offset counts the holder's lease until its end stands.

--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -13,10 +13,10 @@
 
 }  // namespace
 
-void BudgetLeaseTable::onRecord(const BudgetLease& record, Instant now) {
+void BudgetLeaseTable::onRecord(const BudgetLease& record, std::uint64_t offset, Instant now) {
   const auto found = leases_.find(record.lease);
   if (found == leases_.end()) {
-    onNewLease(record, now);
+    onNewLease(record, offset, now);
     return;
   }
   Entry& known = found->second;
@@ -33,15 +33,25 @@
   known.state = record.state;
   known.since = now;
   known.renewal = std::max(known.renewal, record.renewal);
+  if (known.state != BudgetLeaseState::Cleared) {
+    return;
+  }
+  known.clearedAt = offset;
   // From held it is only its holder that clears it, after all under it was recorded.
-  if (known.state == BudgetLeaseState::Cleared && hadEnded) {
+  if (hadEnded) {
     clearEnded(known, now);
   }
 }
 
-void BudgetLeaseTable::onNewLease(const BudgetLease& record, Instant now) {
-  Entry entry{record.holder, record.state, now, record.renewal, record.slot, std::nullopt};
+void BudgetLeaseTable::onNewLease(const BudgetLease& record, std::uint64_t offset, Instant now) {
+  Entry entry;
+  entry.holder = record.holder;
+  entry.state = record.state;
+  entry.since = now;
+  entry.renewal = record.renewal;
+  entry.slot = record.slot;
   if (record.state == BudgetLeaseState::Cleared) {
+    entry.clearedAt = offset;
     // Its earlier records are gone, so it is not known what it may have spent.
     notePast(UnseenSpending::Both, now);
     leases_.emplace(record.lease, std::move(entry));
@@ -103,28 +113,22 @@
 }
 
 UnseenSpending BudgetLeaseTable::unseenSpending(const std::string& ownLease, bool isTimely,
-                                                Instant now) const {
-  const auto isForeign = [&](BudgetLeaseSlot slot) {
-    const auto lease = inForce(slot);
-    return lease != leases_.end() && lease->first != ownLease;
-  };
-  const bool primary = isForeign(BudgetLeaseSlot::Primary);
-  const bool secondary = isForeign(BudgetLeaseSlot::Secondary);
-  if (primary && secondary) {
-    return UnseenSpending::Both;
-  }
-  const UnseenSpending late = isTimely ? UnseenSpending::None : lateSpending(ownLease, now);
-  if (primary) {
-    return std::max(late, UnseenSpending::Primary);
+                                                std::uint64_t below, Instant now) const {
+  UnseenSpending spending = UnseenSpending::None;
+  for (const auto& lease : leases_) {
+    if (isForeign(lease, ownLease, below)) {
+      // Two may name the same slot: one was cleared behind `below`, and then the other moved up.
+      const bool isOnly = spending == UnseenSpending::None;
+      spending = isOnly ? spendingUnder(lease.second.slot) : UnseenSpending::Both;
+    }
   }
-  return std::max(late, secondary ? UnseenSpending::Secondary : UnseenSpending::None);
+  return isTimely ? spending : std::max(spending, lateSpending(ownLease, below, now));
 }
 
-UnseenSpending BudgetLeaseTable::lateSpending(const std::string& ownLease, Instant now) const {
-  const bool overlapped = std::any_of(leases_.begin(), leases_.end(), [&](const auto& entry) {
-    const Entry& lease = entry.second;
-    return lease.state != BudgetLeaseState::Cleared && entry.first != ownLease &&
-           isRemembered(lease.overlappedAt, now);
+UnseenSpending BudgetLeaseTable::lateSpending(const std::string& ownLease, std::uint64_t below,
+                                              Instant now) const {
+  const bool overlapped = std::any_of(leases_.begin(), leases_.end(), [&](const auto& lease) {
+    return isForeign(lease, ownLease, below) && isRemembered(lease.second.overlappedAt, now);
   });
   UnseenSpending most = overlapped ? UnseenSpending::Both : UnseenSpending::None;
   for (const UnseenSpending spending :
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -47,6 +47,9 @@
 /// Leases under which a program may have spent tokens unseen; each value includes those before it.
 enum class UnseenSpending : std::uint8_t { None, Secondary, Primary, Both };
 
+/// Above the offset of any record.
+inline constexpr std::uint64_t kEverythingRead = UINT64_MAX;
+
 /// The leases of one partition as its log tells them, and how long ago this node read it.
 ///
 /// A lease goes from held by way of ended to cleared:
@@ -68,13 +71,17 @@
   explicit BudgetLeaseTable(BudgetLeaseKnobs knobs) : knobs_(knobs) {}
 
   /// Records are to be told in the order of the log, so that all nodes come to the same states.
-  void onRecord(const BudgetLease& record, Instant now);
+  void onRecord(const BudgetLease& record, std::uint64_t offset, Instant now);
 
   /// \param ownLease the lease of this node itself, whose spending it knows; empty: none.
   /// \param isTimely the program should not be over yet.
-  /// \return under which leases the program may have spent tokens unseen.
+  /// \param below only the spending recorded below this offset is counted otherwise:
+  /// `kEverythingRead`, or for a reservation the offset of its record. What was spent under a lease
+  /// is recorded before its end, so a lease that was cleared at `below` or behind it counts;
+  /// without this, grants recorded between the reservation and the lease's end are counted by
+  /// nobody. \return under which leases the program may have spent tokens unseen.
   [[nodiscard]] UnseenSpending unseenSpending(const std::string& ownLease, bool isTimely,
-                                              Instant now) const;
+                                              std::uint64_t below, Instant now) const;
 
   /// \return whether `ownLease` is in force, or its first record would enter a slot.
   [[nodiscard]] bool hasSlotFor(const std::string& ownLease) const;
@@ -100,6 +107,7 @@
     std::string holder;
     BudgetLeaseState state = BudgetLeaseState::Held;
     Instant since;  ///< When the state, or the newest record of a held lease, was read.
+    std::uint64_t clearedAt = kEverythingRead;  ///< Offset of the record that cleared it.
     std::uint64_t renewal = 0;
     BudgetLeaseSlot slot = BudgetLeaseSlot::Primary;
     /// When a lease beside it was cleared that had ended: late programs may have spent under both.
@@ -112,11 +120,17 @@
   [[nodiscard]] bool isFree(BudgetLeaseSlot slot) const { return inForce(slot) == leases_.end(); }
   /// \return the slot that the first record of a lease enters; nothing: the record is void.
   [[nodiscard]] std::optional<BudgetLeaseSlot> slotForNew() const;
-  void onNewLease(const BudgetLease& record, Instant now);
+  void onNewLease(const BudgetLease& record, std::uint64_t offset, Instant now);
   void clearEnded(const Entry& cleared, Instant now);
   void notePast(UnseenSpending spending, Instant now);
   [[nodiscard]] bool isRemembered(const std::optional<Instant>& moment, Instant now) const;
-  [[nodiscard]] UnseenSpending lateSpending(const std::string& ownLease, Instant now) const;
+  /// \return whether the lease of another node was not cleared by a record below the offset.
+  [[nodiscard]] static bool isForeign(const Leases::value_type& lease, const std::string& ownLease,
+                                      std::uint64_t below) {
+    return lease.first != ownLease && lease.second.clearedAt >= below;
+  }
+  [[nodiscard]] UnseenSpending lateSpending(const std::string& ownLease, std::uint64_t below,
+                                            Instant now) const;
   [[nodiscard]] std::optional<BudgetLease> dueOf(const Leases::value_type& lease,
                                                  const std::string& ownHolder, Instant now) const;
 
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -44,7 +44,7 @@
   } else if (const auto* const settlement = std::get_if<BudgetSettlement>(&fact)) {
     accounts_.onSettlement(*settlement, clock_());
   } else if (const auto* const lease = std::get_if<BudgetLease>(&fact)) {
-    leases_.onRecord(*lease, clock_());
+    leases_.onRecord(*lease, offset, clock_());
     if (lease->lease == ownLease() && lease->state != BudgetLeaseState::Held) {
       dropLease();  // Others took this node for dead, since it was not renewed for long.
     }
@@ -79,8 +79,10 @@
   if (!allowance.allows(lease_->slot, spentAhead(wanted.program), wanted.tokens)) {
     return std::nullopt;
   }
-  const std::uint64_t used = accounts_.usedBefore(wanted.program, wanted.request, UINT64_MAX);
-  const std::uint64_t unseen = mostSpentUnseen(request);
+  // Records and ends of leases are counted up to one and the same offset, the end of what was read.
+  // Of later reservations each counts this lease, until its end stands before them.
+  const std::uint64_t used = accounts_.usedBefore(wanted.program, wanted.request, kEverythingRead);
+  const std::uint64_t unseen = mostSpentUnseen(request, kEverythingRead);
   // The rule leaves room for one turn above the budget; it is used only for what was not seen.
   if (used + std::max(wanted.tokens, unseen) > request.budget) {
     return std::nullopt;
@@ -108,9 +110,11 @@
   return tokens;
 }
 
-std::uint64_t BudgetPartition::mostSpentUnseen(const BudgetRequest& request) const {
+std::uint64_t BudgetPartition::mostSpentUnseen(const BudgetRequest& request,
+                                               std::uint64_t below) const {
   const std::string& program = request.reservation.program;
-  const UnseenSpending unseen = leases_.unseenSpending(ownLease(), isTimely(request), clock_());
+  const UnseenSpending unseen =
+      leases_.unseenSpending(ownLease(), isTimely(request), below, clock_());
   const std::uint64_t largestTurn =
       std::max(request.reservation.tokens, accounts_.largestReservationOf(program));
   return LeaseAllowance(knobs_.leases, request.budget).mostSpent(unseen, largestTurn);
@@ -143,7 +147,7 @@
     ++counters_.spent;
     return {ReservationOutcome::Spent, before};
   }
-  if (before + mostSpentUnseen(request) > request.budget) {
+  if (before + mostSpentUnseen(request, offset) > request.budget) {
     ++counters_.uncertain;
     return {ReservationOutcome::Unavailable, before};
   }
@@ -296,7 +300,8 @@
         keepLease();  // A slot may be free now.
       }
     });
-  } else if (leases_.unseenSpending(ownLease(), true, now) != UnseenSpending::None) {
+  } else if (leases_.unseenSpending(ownLease(), true, kEverythingRead, now) !=
+             UnseenSpending::None) {
     // What others record of their leases is to be known when it stands.
     reader_->readToEnd([](const logstore::StoreResult<Success>& /*read*/) {});
   }
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -53,7 +53,8 @@
 
 /// Order of steps, and why it is safe (spec/budget_lease.pml):
 /// 1. without a lease, a reservation is granted by what stands before its own record in the log;
-///    each other home's lease counts at the most that its holder may have spent unseen;
+///    each other home's lease that is not cleared there counts at the most that its holder may have
+///    spent unseen, whatever was read behind it;
 /// 2. a lease is used only after its own record stood in the log and everything before it was read.
 ///    So whoever decides by a later record counts the lease, and what was decided before is known.
 ///    The larger share of the primary slot is used likewise: after the record that moved it up;
@@ -119,7 +120,9 @@
   void reserveInLog(const BudgetRequest& request, Duration timeLimit,
                     ReservationReplyCallback callback);
   ReservationReply decideByLog(const BudgetRequest& request, std::uint64_t offset);
-  [[nodiscard]] std::uint64_t mostSpentUnseen(const BudgetRequest& request) const;
+  /// \param below see `BudgetLeaseTable::unseenSpending`.
+  [[nodiscard]] std::uint64_t mostSpentUnseen(const BudgetRequest& request,
+                                              std::uint64_t below) const;
   [[nodiscard]] std::uint64_t spentAhead(const std::string& program) const;
   void scheduleRecording();
   void recordAhead();
--- a/tests/ledger/budget_lease_table_test.cpp
+++ b/tests/ledger/budget_lease_table_test.cpp
@@ -21,41 +21,48 @@
   BudgetLeaseKnobs knobs;
   BudgetLeaseTable table{knobs};
 
+  std::uint64_t end = 0;  ///< Of the log.
+
+  /// The log's next record.
+  void tell(const BudgetLease& record, Instant now) { table.onRecord(record, end++, now); }
   UnseenSpending unseen(bool isTimely, Instant now = kStart, const char* own = "") {
-    return table.unseenSpending(own, isTimely, now);
+    return table.unseenSpending(own, isTimely, kEverythingRead, now);
+  }
+  UnseenSpending unseenBelow(std::uint64_t offset, bool isTimely = true) {
+    return table.unseenSpending("", isTimely, offset, kStart);
   }
   bool counts(bool isTimely, Instant now = kStart, const char* own = "") {
     return unseen(isTimely, now, own) != UnseenSpending::None;
   }
   /// "x" has ended in the primary slot, and "y" is held in the secondary one.
   void holdSecondary() {
-    table.onRecord(record("x", BudgetLeaseState::Held), kStart);
-    table.onRecord(record("x", BudgetLeaseState::Ended), kStart);
+    tell(record("x", BudgetLeaseState::Held), kStart);
+    tell(record("x", BudgetLeaseState::Ended), kStart);
     CHECK_TRUE(table.hasSlotFor("y"));
-    table.onRecord(record("y", BudgetLeaseState::Held), kStart);
+    tell(record("y", BudgetLeaseState::Held), kStart);
   }
   /// The lease ends and is cleared, as after its holder's death.
   void endAndClear(const char* lease, Instant now = kStart) {
-    table.onRecord(record(lease, BudgetLeaseState::Ended, 9), now);
-    table.onRecord(record(lease, BudgetLeaseState::Cleared, 9), now);
+    tell(record(lease, BudgetLeaseState::Ended, 9), now);
+    tell(record(lease, BudgetLeaseState::Cleared, 9), now);
   }
 };
 
 TEST(BudgetLeaseTable, aHeldLeaseCountsForEverybodyButItsHolder) {
-  table.onRecord(record("x", BudgetLeaseState::Held), kStart);
+  tell(record("x", BudgetLeaseState::Held), kStart);
   CHECK_TRUE(counts(true));
   CHECK_FALSE(counts(true, kStart, "x"));
   CHECK_FALSE(counts(false, kStart, "x"));
 }
 
 TEST(BudgetLeaseTable, anEndedLeaseStillCounts) {
-  table.onRecord(record("x", BudgetLeaseState::Held), kStart);
-  table.onRecord(record("x", BudgetLeaseState::Ended), kStart);
+  tell(record("x", BudgetLeaseState::Held), kStart);
+  tell(record("x", BudgetLeaseState::Ended), kStart);
   CHECK_TRUE(counts(true));
 }
 
 TEST(BudgetLeaseTable, aLeaseThatWasClearedAfterItsEndCountsOnlyForProgramsThatMayBeOlder) {
-  table.onRecord(record("x", BudgetLeaseState::Held), kStart);
+  tell(record("x", BudgetLeaseState::Held), kStart);
   endAndClear("x");
   CHECK_FALSE(counts(true));
   CHECK_TRUE(counts(false));
@@ -63,8 +70,8 @@
 }
 
 TEST(BudgetLeaseTable, whileALeaseIsHeldTheRecordOfAnotherIsVoid) {
-  table.onRecord(record("x", BudgetLeaseState::Held), kStart);
-  table.onRecord(record("y", BudgetLeaseState::Held), kStart);
+  tell(record("x", BudgetLeaseState::Held), kStart);
+  tell(record("y", BudgetLeaseState::Held), kStart);
   CHECK_FALSE(table.stateOf("y").has_value());
   CHECK_FALSE(table.hasSlotFor("y"));
   CHECK_FALSE(counts(true, kStart, "x"));
@@ -81,29 +88,29 @@
 
 TEST(BudgetLeaseTable, whileTwoLeasesAreInForceTheRecordOfAThirdIsVoid) {
   holdSecondary();
-  table.onRecord(record("z", BudgetLeaseState::Held), kStart);
+  tell(record("z", BudgetLeaseState::Held), kStart);
   CHECK_FALSE(table.stateOf("z").has_value());
   CHECK_FALSE(table.hasSlotFor("z"));
   CHECK_TRUE(table.hasSlotFor("y"));
-  table.onRecord(record("z", BudgetLeaseState::Held, 2), kStart);
+  tell(record("z", BudgetLeaseState::Held, 2), kStart);
   CHECK_FALSE(table.stateOf("z").has_value());
-  table.onRecord(record("x", BudgetLeaseState::Cleared), kStart);
+  tell(record("x", BudgetLeaseState::Cleared), kStart);
   CHECK_TRUE(table.hasSlotFor("z"));
-  table.onRecord(record("z", BudgetLeaseState::Held, 3), kStart);
+  tell(record("z", BudgetLeaseState::Held, 3), kStart);
   CHECK(table.stateOf("z") == BudgetLeaseState::Held);
 }
 
 TEST(BudgetLeaseTable, aRenewalMovesTheSecondaryLeaseUpWhenThePrimarySlotIsFree) {
   holdSecondary();
-  table.onRecord(record("y", BudgetLeaseState::Held, 2), kStart);
+  tell(record("y", BudgetLeaseState::Held, 2), kStart);
   CHECK(table.slotOf("y") == BudgetLeaseSlot::Secondary);
   CHECK_FALSE(table.canMoveUp("y"));
-  table.onRecord(record("x", BudgetLeaseState::Cleared), kStart);
+  tell(record("x", BudgetLeaseState::Cleared), kStart);
   CHECK(table.slotOf("y") == BudgetLeaseSlot::Secondary);
   CHECK_TRUE(table.canMoveUp("y"));
-  table.onRecord(record("y", BudgetLeaseState::Held, 2), kStart);  // An old one that stands twice.
+  tell(record("y", BudgetLeaseState::Held, 2), kStart);  // An old one that stands twice.
   CHECK(table.slotOf("y") == BudgetLeaseSlot::Secondary);
-  table.onRecord(record("y", BudgetLeaseState::Held, 3), kStart);
+  tell(record("y", BudgetLeaseState::Held, 3), kStart);
   CHECK(table.slotOf("y") == BudgetLeaseSlot::Primary);
   CHECK_FALSE(table.canMoveUp("y"));
 }
@@ -111,8 +118,8 @@
 TEST(BudgetLeaseTable, whenAnotherTookThePrimarySlotFirstTheSecondaryLeaseStays) {
   holdSecondary();
   endAndClear("x");
-  table.onRecord(record("z", BudgetLeaseState::Held), kStart);
-  table.onRecord(record("y", BudgetLeaseState::Held, 2), kStart);
+  tell(record("z", BudgetLeaseState::Held), kStart);
+  tell(record("y", BudgetLeaseState::Held, 2), kStart);
   CHECK(table.slotOf("z") == BudgetLeaseSlot::Primary);
   CHECK(table.slotOf("y") == BudgetLeaseSlot::Secondary);
 }
@@ -120,15 +127,15 @@
 TEST(BudgetLeaseTable, aReaderWhosePartitionLostTheFirstRecordBelievesTheRenewalsSlot) {
   BudgetLease renewal = record("y", BudgetLeaseState::Held, 5);
   renewal.slot = BudgetLeaseSlot::Secondary;
-  table.onRecord(renewal, kStart);
-  table.onRecord(record("x", BudgetLeaseState::Held, 5), kStart);
+  tell(renewal, kStart);
+  tell(record("x", BudgetLeaseState::Held, 5), kStart);
   CHECK(table.slotOf("y") == BudgetLeaseSlot::Secondary);
   CHECK(table.slotOf("x") == BudgetLeaseSlot::Primary);
 }
 
 TEST(BudgetLeaseTable, aLeaseThatWasGivenBackOwesNothingEvenToLatePrograms) {
-  table.onRecord(record("x", BudgetLeaseState::Held), kStart);
-  table.onRecord(record("x", BudgetLeaseState::Cleared), kStart);
+  tell(record("x", BudgetLeaseState::Held), kStart);
+  tell(record("x", BudgetLeaseState::Cleared), kStart);
   CHECK_FALSE(counts(true));
   CHECK_FALSE(counts(false));
 }
@@ -146,30 +153,67 @@
 }
 
 TEST(BudgetLeaseTable, lateProgramsCountLeasesThatCameAfterOneAnotherOnce) {
-  table.onRecord(record("x", BudgetLeaseState::Held), kStart);
+  tell(record("x", BudgetLeaseState::Held), kStart);
   endAndClear("x");
-  table.onRecord(record("y", BudgetLeaseState::Held), kStart);
+  tell(record("y", BudgetLeaseState::Held), kStart);
   endAndClear("y");
   CHECK(unseen(false) == UnseenSpending::Primary);
 }
 
+TEST(BudgetLeaseTable, aLeaseThatWasGivenBackBehindAnOffsetCountsThere) {
+  tell(record("x", BudgetLeaseState::Held), kStart);
+  const std::uint64_t clearedAt = end;
+  tell(record("x", BudgetLeaseState::Cleared), kStart);
+  tell(record("x", BudgetLeaseState::Cleared), kStart);  // It stands twice.
+  CHECK(unseenBelow(clearedAt) == UnseenSpending::Primary);
+  CHECK(unseenBelow(clearedAt + 1) == UnseenSpending::None);
+}
+
+TEST(BudgetLeaseTable, aLeaseThatWasClearedAfterItsEndBehindAnOffsetCountsThere) {
+  tell(record("x", BudgetLeaseState::Held), kStart);
+  const std::uint64_t endedAt = end;
+  endAndClear("x");
+  CHECK(unseenBelow(endedAt) == UnseenSpending::Primary);
+  CHECK(unseenBelow(endedAt + 1) == UnseenSpending::Primary);
+  CHECK(unseenBelow(endedAt + 2) == UnseenSpending::None);
+}
+
+TEST(BudgetLeaseTable, aLeaseThatWasClearedBehindAnOffsetCountsThereBesideOneThatMovedUpSince) {
+  holdSecondary();
+  const std::uint64_t clearedAt = end;
+  tell(record("x", BudgetLeaseState::Cleared), kStart);
+  tell(record("y", BudgetLeaseState::Held, 2), kStart);
+  CHECK(table.slotOf("y") == BudgetLeaseSlot::Primary);
+  CHECK(unseenBelow(clearedAt) == UnseenSpending::Both);
+  CHECK(unseenBelow(clearedAt + 1) == UnseenSpending::Primary);
+}
+
+TEST(BudgetLeaseTable, aLeaseThatWasGivenBackBehindAnOffsetCountsThereWithWhatWasClearedBesideIt) {
+  holdSecondary();
+  tell(record("x", BudgetLeaseState::Cleared), kStart);
+  const std::uint64_t givenBackAt = end;
+  tell(record("y", BudgetLeaseState::Cleared), kStart);
+  CHECK(unseenBelow(givenBackAt, false) == UnseenSpending::Both);
+  CHECK(unseenBelow(givenBackAt + 1, false) == UnseenSpending::Primary);
+}
+
 TEST(BudgetLeaseTable, statesOnlyGoForwards) {
-  table.onRecord(record("x", BudgetLeaseState::Cleared), kStart);
-  table.onRecord(record("x", BudgetLeaseState::Held, 9), kStart + seconds(1));
+  tell(record("x", BudgetLeaseState::Cleared), kStart);
+  tell(record("x", BudgetLeaseState::Held, 9), kStart + seconds(1));
   CHECK(table.stateOf("x") == BudgetLeaseState::Cleared);
 }
 
 TEST(BudgetLeaseTable, anEndIsVoidWhenTheLeaseWasRenewedBeforeIt) {
-  table.onRecord(record("x", BudgetLeaseState::Held, 1), kStart);
-  table.onRecord(record("x", BudgetLeaseState::Held, 2), kStart);
-  table.onRecord(record("x", BudgetLeaseState::Ended, 1), kStart);
+  tell(record("x", BudgetLeaseState::Held, 1), kStart);
+  tell(record("x", BudgetLeaseState::Held, 2), kStart);
+  tell(record("x", BudgetLeaseState::Ended, 1), kStart);
   CHECK(table.stateOf("x") == BudgetLeaseState::Held);
-  table.onRecord(record("x", BudgetLeaseState::Ended, 2), kStart);
+  tell(record("x", BudgetLeaseState::Ended, 2), kStart);
   CHECK(table.stateOf("x") == BudgetLeaseState::Ended);
 }
 
 TEST(BudgetLeaseTable, aLeaseIsDueToEndWhenItsHolderStartedAnewOrWasNotHeardForLong) {
-  table.onRecord(record("x", BudgetLeaseState::Held, 3), kStart);
+  tell(record("x", BudgetLeaseState::Held, 3), kStart);
   CHECK_FALSE(table.due("own", "other", kStart + knobs.expiry - seconds(1)).has_value());
   CHECK_FALSE(table.due("x", "home", kStart + knobs.expiry).has_value());
   const auto restarted = table.due("own", "home", kStart);
@@ -180,8 +224,8 @@
 }
 
 TEST(BudgetLeaseTable, renewalsPutTheExpiryOff) {
-  table.onRecord(record("x", BudgetLeaseState::Held, 1), kStart);
-  table.onRecord(record("x", BudgetLeaseState::Held, 2), kStart + seconds(20));
+  tell(record("x", BudgetLeaseState::Held, 1), kStart);
+  tell(record("x", BudgetLeaseState::Held, 2), kStart + seconds(20));
   CHECK_FALSE(table.due("own", "other", kStart + knobs.expiry).has_value());
 }
 
@@ -190,8 +234,8 @@
 }
 
 TEST(BudgetLeaseTable, anEndedLeaseIsDueToBeClearedWhenItsProgramsShouldBeOver) {
-  table.onRecord(record("x", BudgetLeaseState::Held), kStart);
-  table.onRecord(record("x", BudgetLeaseState::Ended), kStart);
+  tell(record("x", BudgetLeaseState::Held), kStart);
+  tell(record("x", BudgetLeaseState::Ended), kStart);
   const Duration span = knobs.longestProgramTime + knobs.longestCall;
   CHECK_FALSE(table.due("own", "other", kStart + span - seconds(1)).has_value());
   CHECK(table.due("own", "other", kStart + span)->state == BudgetLeaseState::Cleared);
@@ -204,14 +248,14 @@
 }
 
 TEST(BudgetLeaseTable, aLeaseWhoseOnlyRecordLeftIsItsEndMayHaveSpentAll) {
-  table.onRecord(record("x", BudgetLeaseState::Cleared), kStart);
+  tell(record("x", BudgetLeaseState::Cleared), kStart);
   CHECK(unseen(true) == UnseenSpending::None);
   CHECK(unseen(false) == UnseenSpending::Both);
 }
 
 TEST(BudgetLeaseTable, forgetsOnlyWhatWasClearedLongAgo) {
-  table.onRecord(record("cleared", BudgetLeaseState::Cleared), kStart);
-  table.onRecord(record("held", BudgetLeaseState::Held), kStart);
+  tell(record("cleared", BudgetLeaseState::Cleared), kStart);
+  tell(record("held", BudgetLeaseState::Held), kStart);
   table.forgetOld(kStart + knobs.memory - seconds(1));
   LONGS_EQUAL(2, table.size());
   table.forgetOld(kStart + knobs.memory);
--- a/tests/ledger/budget_partition_test.cpp
+++ b/tests/ledger/budget_partition_test.cpp
@@ -29,6 +29,18 @@
                            std::uint64_t budget = 1000, const char* program = "program") {
     return fleet.spend(home, request, program, tokens, budget, kTimeLeft);
   }
+  /// Asks for ten turns of 100 tokens at once. \param replies counts those that were answered.
+  void askForTenTurns(Home & home, Duration timeLimit, int& replies) {
+    for (int number = 0; number < 10; ++number) {
+      const BudgetReservation turn{"t" + std::to_string(number), "program", 100};
+      home.partition.reserve({turn, 1000, kTimeLeft}, timeLimit,
+                             [this, &replies](const ReservationReply& reply) {
+                               ++replies;
+                               const bool granted = reply.outcome == ReservationOutcome::Granted;
+                               fleet.handedOut["program"] += granted ? 100 : 0;
+                             });
+    }
+  }
 };
 
 TEST(BudgetPartition, grantsAtOnceUnderItsLeaseAndRecordsSoonAfter) {
@@ -377,6 +389,39 @@
   CHECK(fleet.spend(next, "r5", "new", 400, 1000, kTimeLeft) == ReservationOutcome::Granted);
 }
 
+// What was spent under the lease is recorded behind the reservations, and so is its end: between
+// append and decision the next home reads both.
+TEST(BudgetPartition, aLeaseThatIsGivenBackBehindAReservationCountsForIt) {
+  constexpr int kRecordsToRead = 2000;
+  Home& first = fleet.startWithLease("a");
+  std::vector<std::string>& log = fleet.log.logs[{"budgets", 0}];
+  for (int number = 0; number < kRecordsToRead; ++number) {
+    log.push_back(encodeFact(BudgetReservation{"x" + std::to_string(number), "other", 1}));
+  }
+  fleet.tend(first, seconds(9));
+  for (int number = 0; number < 4; ++number) {
+    fleet.spend(first, "r" + std::to_string(number), "program", 100, 1000, kTimeLeft,
+                Duration::zero());
+  }
+  LONGS_EQUAL(400, fleet.handedOut["program"]);
+  Home& next = fleet.start("b");
+  int replies = 0;
+  const std::size_t end = log.size();
+  askForTenTurns(next, seconds(1), replies);
+  fleet.timers.advance(milliseconds(30));
+  LONGS_EQUAL(end + 10, log.size());
+  LONGS_EQUAL(0, replies);
+  first.partition.giveLeaseBack();
+  fleet.timers.advance(seconds(3));
+  LONGS_EQUAL(0, first.partition.unrecorded());
+  LONGS_EQUAL(10, replies);
+  CHECK(fleet.handedOut["program"] <= 1100);
+  CHECK(fleet.handedOut["program"] >= 900);
+  // A later reservation stands behind the lease's end, and does not count it.
+  CHECK(spend(next, "later1", 600, 1000, "new") == ReservationOutcome::Granted);
+  CHECK(spend(next, "later2", 400, 1000, "new") == ReservationOutcome::Granted);
+}
+
 TEST(BudgetPartition, longProgramsAndThoseThatDoNotTellTheirTimeWaitForTheLog) {
   Home& home = fleet.startWithLease("a");
   fleet.log.fault = FakeFault::Silent;
