Budget tests: put back what dropped, and play single turns above a share

- kLargeTurn was 260 of 600, below the primary share of 270; 400 is above it and within the single turn's 420.
- twoLiveHoldersThatAreCutOffSpendWithinTheBudget replaces the deleted test of two live holders: they still come about when another home takes the primary slot before the secondary lease's renewal. 1000 of 1000 are handed out, exactly.
- eachOfTwoDeadLeasesIsDueToEnd checks both ends, states, the time and both clearings.
- The single-turn checks of a secondary lease are back, with the larger shares.

--- a/tests/ledger/budget_lease_table_test.cpp
+++ b/tests/ledger/budget_lease_table_test.cpp
@@ -243,8 +243,21 @@
 
 TEST(BudgetLeaseTable, eachOfTwoDeadLeasesIsDueToEnd) {
   holdSecondary();
-  STRCMP_EQUAL("y", table.due("own", "home", kStart)->lease.c_str());
-  STRCMP_EQUAL("x", table.due("y", "home", kStart + seconds(14))->lease.c_str());
+  const auto end = table.due("own", "home", kStart);
+  STRCMP_EQUAL("y", end->lease.c_str());
+  CHECK(end->state == BudgetLeaseState::Ended);
+  tell(*end, kStart);
+  CHECK(table.stateOf("x") == BudgetLeaseState::Ended);
+  CHECK(table.stateOf("y") == BudgetLeaseState::Ended);
+  const Instant past = kStart + knobs.longestProgramTime + knobs.longestCall;
+  CHECK_FALSE(table.due("own", "home", past - seconds(1)).has_value());
+  for (const char* const lease : {"x", "y"}) {
+    const auto clearing = table.due("own", "home", past);
+    STRCMP_EQUAL(lease, clearing->lease.c_str());
+    CHECK(clearing->state == BudgetLeaseState::Cleared);
+    tell(*clearing, past);
+  }
+  CHECK_FALSE(table.due("own", "home", past).has_value());
 }
 
 TEST(BudgetLeaseTable, aLeaseWhoseOnlyRecordLeftIsItsEndMayHaveSpentAll) {
@@ -288,6 +301,19 @@
   CHECK_FALSE(allows(0, 151));
 }
 
+TEST(LeaseAllowance, aSecondaryLeaseWithALargerSingleTurnAllowsItWhenNothingElseIsAhead) {
+  knobs.secondary = {0.3, 0.45};
+  const LeaseAllowance allowance(knobs, 1000);
+  const auto allows = [&](std::uint64_t ahead, std::uint64_t tokens) {
+    return allowance.allows(BudgetLeaseSlot::Secondary, ahead, tokens);
+  };
+  CHECK_TRUE(allows(150, 150));
+  CHECK_FALSE(allows(151, 150));
+  CHECK_TRUE(allows(0, 450));
+  CHECK_FALSE(allows(0, 451));
+  CHECK_FALSE(allows(1, 450));
+}
+
 TEST(LeaseAllowance, othersCountTheMostThatItAllows) {
   const LeaseAllowance allowance(knobs, 1000);
   LONGS_EQUAL(0, allowance.mostSpent(UnseenSpending::None, 900));
--- a/tests/ledger/budget_partition_test.cpp
+++ b/tests/ledger/budget_partition_test.cpp
@@ -354,6 +354,42 @@
   CHECK(fleet.handedOut["program"] <= 1050);
 }
 
+// The holder of the secondary lease does not know of the one that took the primary slot before it
+// could move up: that one counts the secondary lease's whole share, and each other home counts
+// both.
+TEST(BudgetPartition, twoLiveHoldersThatAreCutOffSpendWithinTheBudget) {
+  fleet.startWithLease("a");
+  Home& again = fleet.start("a");
+  fleet.tend(again, seconds(2));
+  CHECK(again.partition.leaseSlot() == BudgetLeaseSlot::Secondary);
+  spend(again, "r0", 400);
+  fleet.timers.advance(seconds(1));
+  // The dead one's lease is cleared, and another home's record enters the slot first.
+  std::vector<std::string>& log = fleet.log.logs[{"budgets", 0}];
+  std::string first;
+  for (const std::string& record : log) {
+    const Fact fact = valueOf(decodeFact(record));
+    if (const auto* const lease = std::get_if<BudgetLease>(&fact); lease && first.empty()) {
+      first = lease->lease;
+    }
+  }
+  log.push_back(encodeFact(BudgetLease{first, "a", BudgetLeaseState::Cleared, 9}));
+  Home& other = fleet.startWithLease("c");
+  CHECK(other.partition.leaseSlot() == BudgetLeaseSlot::Primary);
+  fleet.tend(again, seconds(8));
+  CHECK(again.partition.leaseSlot() == BudgetLeaseSlot::Secondary);
+  fleet.tend(other, seconds(2));
+  again.way.cut = true;
+  other.way.cut = true;
+  for (int number = 0; number < 30; ++number) {
+    fleet.spend(again, "s" + std::to_string(number), "program", 50, 1000, kTimeLeft,
+                milliseconds(50));
+    fleet.spend(other, "t" + std::to_string(number), "program", 50, 1000, kTimeLeft,
+                milliseconds(50));
+  }
+  LONGS_EQUAL(1000, fleet.handedOut["program"]);
+}
+
 TEST(BudgetPartition, aLeaseThatWasGivenBackIsNotCounted) {
   Home& first = fleet.startWithLease("a");
   spend(first, "r1", 300);
--- a/tests/ledger/budget_random_test.cpp
+++ b/tests/ledger/budget_random_test.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint64_t kBudget = 600;
 constexpr std::uint64_t kTurn = 60;
 /// Larger than a lease's share, and within what it allows for a single turn.
-constexpr std::uint64_t kLargeTurn = 260;
+constexpr std::uint64_t kLargeTurn = 400;
 /// Of a secondary lease: the largest single turn that note 0011 proves.
 constexpr LeaseShares kLargerShares{0.3, 0.45};
 constexpr int kSteps = 600;
