Model of budget leases: a reservation is appended and decided in two steps

Cause: reserveInLog was one atomic step, so a lease cleared between append and decision could not show. Now one home has two reservations under way at once and the other one. Mutant LEASE_CLEARED_BEHIND_NOT_COUNTED (leases as read so far) is caught; the claim holds.

HOMES, read by nothing, is gone; the doc of the secondary slot says that the lease in the primary one has ended.

--- a/spec/budget_lease.pml
+++ b/spec/budget_lease.pml
@@ -16,6 +16,13 @@
  * should be over (BudgetLeaseTable::due). A program that should be over counts leases that were
  * cleared so as well, as many as were uncleared at one time: it may be older than they are.
  *
+ * By the log a reservation takes two steps: its record is appended, and after reading on the home
+ * decides by what stands below the record (reserveInLog, decideByLog): records of tokens, and leases
+ * as of there. One home has two reservations between the steps at most, the other one. What is refused
+ * needs no step of its own: where it is left out, others count less. A reservation is lost with its
+ * process. Two steps make the search larger: the lives, shares and budget are smaller then. With
+ * -DRESERVED_IN_ONE_STEP a reservation is appended and decided at once, with the larger constants.
+ *
  * Any home may be asked at any moment; that a step at the log is not taken stands for a store that is
  * out of reach. The program's turns are all of one size: note 0011 shows the arithmetic of larger ones.
  *
@@ -25,18 +32,21 @@
  * CLEARED_BEFORE_RECORDING, LATE_PROGRAM_OWES_NOTHING, LATE_PROGRAM_SPENDS_AHEAD,
  * AHEAD_NOT_COUNTED_BY_ITS_HOME, THIRD_LEASE_NOT_VOID, SECONDARY_NOT_COUNTED,
  * PRIMARY_DOES_NOT_COUNT_SECONDARY, SECONDARY_DOES_NOT_COUNT_PRIMARY, SECONDARY_SPENDS_PRIMARY_SHARE,
- * MOVED_UP_BEFORE_CLEARED, MOVED_UP_WITH_AHEAD_FORGOTTEN, OVERLAP_FORGOTTEN.
+ * MOVED_UP_BEFORE_CLEARED, MOVED_UP_WITH_AHEAD_FORGOTTEN, OVERLAP_FORGOTTEN,
+ * LEASE_CLEARED_BEHIND_NOT_COUNTED.
  */
-#ifndef HOMES
-#define HOMES 2
-#endif
-#ifndef LIVES
-#define LIVES 3
-#endif
 #define TURN 1
+#ifdef RESERVED_IN_ONE_STEP
+#define LIVES 3
 #define PRIMARY_SHARE 3
 #define SECONDARY_SHARE 2
 #define BUDGET 6
+#else
+#define LIVES 2
+#define PRIMARY_SHARE 2
+#define SECONDARY_SHARE 1
+#define BUDGET 4
+#endif
 #define NONE 255
 
 #define LEASE (h * LIVES + life)
@@ -123,8 +133,17 @@
   assert(spent <= BUDGET + TURN)
 }
 
-/* Everything in the log was read. */
+/* What stands below a reservation is only kept while this home may go on without having read it. */
+inline note_read(need, below, below_unseen, is_read) {
+  below = 0;
+  below_unseen = NOBODY;
+  is_read = (need > 0)
+}
+
+/* Everything in the log was read, this home's own reservations among it. */
 inline read_all() {
+  note_read(first, first_below, first_unseen, first_read);
+  note_read(second, second_below, second_unseen, second_read);
   known = recorded;
   look_for_unseen();
   known_unseen = unseen;
@@ -145,6 +164,70 @@
   secondary_overlapped = false
 }
 
+/* A reservation's record at the end of the log. `need` is what it needs of the budget, besides what
+ * this home has spent ahead; what stands below it is kept for the decision. */
+inline append_reservation(need, below, below_unseen, is_read) {
+  look_for_unseen();
+#ifdef LEASE_CLEARED_BEHIND_NOT_COUNTED
+  fits(recorded + ahead, NOBODY);
+#else
+  fits(recorded + ahead, unseen);
+#endif
+  if
+  :: fit ->
+#ifdef LEASE_CLEARED_BEHIND_NOT_COUNTED
+     need = recorded + TURN;
+#else
+     need = recorded + (MOST(unseen) > TURN -> MOST(unseen) : TURN);
+#endif
+     below = (share > 0 -> recorded : 0);
+     below_unseen = (share > 0 -> unseen : NOBODY);
+     is_read = (share == 0);
+     recorded = recorded + TURN
+  :: else -> skip
+  fi;
+  unseen = NOBODY;
+  fit = false
+}
+
+inline forget(need, below, below_unseen, is_read) {
+  need = 0;
+  note_read(need, below, below_unseen, is_read)
+}
+
+/* Everything below the record was read, and no more unless this home has read on. */
+inline decide(need, below, below_unseen, is_read, other, other_below, other_read) {
+#ifdef LEASE_CLEARED_BEHIND_NOT_COUNTED
+  look_for_unseen();
+  fits(need - TURN + ahead, unseen);
+  unseen = NOBODY;
+#else
+  fit = (need + ahead <= BUDGET);
+#endif
+  if
+  :: fit -> hand_out()
+  :: else -> skip
+  fi;
+  fit = false;
+  if
+  :: !is_read ->
+     known = below + TURN;
+     known_unseen = below_unseen;
+     other_read = (other > 0 && (other_read || other_below < below))
+  :: else -> skip
+  fi;
+  forget(need, below, below_unseen, is_read)
+}
+
+/* What this home spent ahead counts for its own reservations also when it is recorded behind them. */
+inline count_recorded(need, below, below_unseen, is_read) {
+  need = (need > 0 -> need + TURN : 0);
+  if
+  :: need > BUDGET -> forget(need, below, below_unseen, is_read)
+  :: else -> skip
+  fi
+}
+
 inline note_spent_under() {
   if
   :: primary == LEASE -> primary_spent = true
@@ -161,6 +244,14 @@
   byte known_unseen = NOBODY;    /* which others may have spent unseen, as far as it has read */
   byte unseen = NOBODY;
   bool fit = false;
+  byte first = 0;                /* need of a reservation that is not decided yet; 0: none */
+  byte first_below = 0;          /* recorded tokens below it */
+  byte first_unseen = NOBODY;    /* which others may have spent unseen, as the log tells below it */
+  bool first_read = false;       /* `known` includes it */
+  byte second = 0;
+  byte second_below = 0;
+  byte second_unseen = NOBODY;
+  bool second_read = false;
   do
   :: atomic {                    /* takeLease; reading on after the record can only tell it more */
 #ifdef TAKEN_BESIDE_ANOTHER
@@ -228,13 +319,16 @@
        ahead > 0 ->
        recorded = recorded + TURN;
        ahead = ahead - TURN;
+       count_recorded(first, first_below, first_unseen, first_read);
+       count_recorded(second, second_below, second_unseen, second_read);
 #ifdef RECORDED_WITHOUT_READING
        known = known + TURN
 #else
        read_all()
 #endif
      }
-  :: atomic {                    /* reserveInLog */
+#ifdef RESERVED_IN_ONE_STEP
+  :: atomic {                    /* reserveInLog, decideByLog */
        look_for_unseen();
        fits(recorded + ahead, unseen);
        unseen = NOBODY;
@@ -244,6 +338,24 @@
        fi;
        fit = false
      }
+#else
+  :: atomic {                    /* reserveInLog */
+       first == 0 ->
+       append_reservation(first, first_below, first_unseen, first_read)
+     }
+  :: atomic {
+       h == 0 && first > 0 && second == 0 ->
+       append_reservation(second, second_below, second_unseen, second_read)
+     }
+  :: atomic {                    /* decideByLog */
+       first > 0 ->
+       decide(first, first_below, first_unseen, first_read, second, second_below, second_read)
+     }
+  :: atomic {
+       second > 0 ->
+       decide(second, second_below, second_unseen, second_read, first, first_below, first_read)
+     }
+#endif
   :: atomic {                    /* the process dies and starts anew, or its validity is over */
        life < LIVES - 1 ->
        if
@@ -255,6 +367,8 @@
        share = 0;
        known = 0;
        known_unseen = NOBODY;
+       forget(first, first_below, first_unseen, first_read);
+       forget(second, second_below, second_unseen, second_read);
        life++
      }
   :: atomic {                    /* giveLeaseBack */
@@ -269,6 +383,10 @@
        fi;
        share = 0;
        ahead = 0;
+       known = 0;
+       known_unseen = NOBODY;
+       note_read(first, first_below, first_unseen, first_read);
+       note_read(second, second_below, second_unseen, second_read);
        life++
      }
   :: atomic {                    /* a dead lease is cleared when who spent under it should be over */
--- a/src/ledger/facts.h
+++ b/src/ledger/facts.h
@@ -55,7 +55,7 @@
 /// Each partition has one lease of each slot at most; they differ in what they allow.
 enum class BudgetLeaseSlot : std::uint8_t {
   Primary,
-  Secondary,  ///< Taken while the lease in the primary slot is not cleared.
+  Secondary,  ///< Taken while the lease in the primary slot has ended and is not cleared.
 };
 
 /// A home may spend tokens of each program of the partition before their reservations stand.
