Whole-node tests take loopback addresses that only their process uses

The reason was not printed. Asking the system three times for a free port gives the same port twice in 16 of 50,000 nodes (counted with a loop of 150,000 binds), and the ports between nodes were fixed, so any other run of the tests on the machine took them. Ruled out: outgoing connections (the one node on 127.0.0.1 asks before it connects). Change: addresses 127.PID.PID.N with fixed ports, so neither can happen; the check compares the reason of a failed start with an empty text instead of a flag, which is as strict and prints it.

--- a/tests/lab_platform/edge_day_test.cpp
+++ b/tests/lab_platform/edge_day_test.cpp
@@ -16,6 +16,7 @@
 using namespace gorsetrail::lab;
 using lab::testing::Answer;
 using lab::testing::Node;
+using lab::testing::nodeIp;
 
 namespace {
 
@@ -60,9 +61,10 @@
     client = http::makeHttpClient(*context);
     store->put("keyed.op", "config", configurationOf(1));
     store->put("keyed.servers", "i-1", replica->registration("m", "ready"));
-    first = std::make_unique<Node>(*context, "127.0.0.1", store->address());
-    second = std::make_unique<Node>(*context, "127.0.0.2", store->address());
-    CHECK_TRUE(first->started && second->started);
+    first = std::make_unique<Node>(*context, nodeIp(1), store->address());
+    second = std::make_unique<Node>(*context, nodeIp(2), store->address());
+    STRCMP_EQUAL("", first->startError.c_str());
+    STRCMP_EQUAL("", second->startError.c_str());
     CHECK_TRUE(until([this] { return names(*first, 2) && names(*second, 2); }));
   }
   void teardown() override {
@@ -175,7 +177,7 @@
 
 TEST(EdgeDay, aNodeListsTheOthersBeforeItAnnouncesItself) {
   store->refusedListing = "keyed.nodes";
-  Node third(*context, "127.0.0.3", store->address());
+  Node third(*context, nodeIp(3), store->address());
   const auto announced = [&] { return store->records("keyed.nodes"); };
   // The other two keep announcing themselves: what they write is not counted.
   first.reset();
@@ -260,7 +262,7 @@
 
 TEST(EdgeDay, aNodeThatStartsAmidAnEvacuationSendsNothingThere) {
   store->put("keyed.op", "evacuate/z", "{}");
-  Node third(*context, "127.0.0.3", store->address());
+  Node third(*context, nodeIp(3), store->address());
   for (int request = 0; request < 20; ++request) {
     LONGS_EQUAL(503, ask(third, "/unsafe/x").status);
   }
--- a/tests/lab_platform/region_day_test.cpp
+++ b/tests/lab_platform/region_day_test.cpp
@@ -13,7 +13,9 @@
 using namespace gorsetrail;
 using namespace gorsetrail::lab;
 using lab::testing::Answer;
+using lab::testing::kFirstInternalPort;
 using lab::testing::Node;
+using lab::testing::nodeIp;
 
 namespace {
 
@@ -60,10 +62,12 @@
     store->put("keyed.op", "config", configurationOf(1, "west"));
     store->put("keyed.servers", "i-w", westReplica->registration("m", "ready", "wa"));
     store->put("keyed.servers", "i-e", eastReplica->registration("m", "ready", "ea"));
-    west = nodeOf("127.0.0.1", "wa");
-    east = nodeOf("127.0.0.2", "ea");
-    north = nodeOf("127.0.0.3", "na");
-    CHECK_TRUE(west->started && east->started && north->started);
+    west = nodeOf(kWest, "wa");
+    east = nodeOf(kEast, "ea");
+    north = nodeOf(kNorth, "na");
+    for (const Node* const node : nodes()) {
+      STRCMP_EQUAL("", node->startError.c_str());
+    }
     CHECK_TRUE(until([this] { return named(*north, "f", "na").size() == 3; }));
     CHECK_TRUE(until([this] { return named(*east, "f", "ea").size() == 3; }));
   }
@@ -83,8 +87,8 @@
       settings.zone = zone;
       settings.regionOfZone = {{"wa", "west"}, {"ea", "east"}, {"na", "north"}};
       settings.zones = {"ea", "na", "wa"};
-      settings.firstInternalPort = kInternalPort;
-      settings.lastInternalPort = kInternalPort + 9;
+      settings.firstInternalPort = kFirstInternalPort;
+      settings.lastInternalPort = kFirstInternalPort + 9;
     });
   }
   bool until(const std::function<bool()>& isTrue) {
@@ -120,9 +124,9 @@
     request.target = "/v1/resolve?name=" + host + "&region=&zone=" + zone;
     const std::string body = send(request).body;
     std::vector<std::string> ips;
-    for (const char* const ip : {"127.0.0.1:", "127.0.0.2:", "127.0.0.3:"}) {
-      if (body.find(ip) != std::string::npos) {
-        ips.emplace_back(ip);
+    for (const std::string& ip : {kWest, kEast, kNorth}) {
+      if (body.find(ip + ":") != std::string::npos) {
+        ips.push_back(ip);
       }
     }
     return ips;
@@ -157,8 +161,9 @@
     return {west.get(), east.get(), north.get()};
   }
 
-  /// Alike on all nodes, as in a deployment: their addresses differ.
-  static constexpr std::uint16_t kInternalPort = 21730;
+  const std::string kWest = nodeIp(1);
+  const std::string kEast = nodeIp(2);
+  const std::string kNorth = nodeIp(3);
 };
 
 TEST(RegionDay, aLimitedRouteIsServedByItsRegionThroughAnyNode) {
@@ -198,11 +203,10 @@
 }
 
 TEST(RegionDay, theDirectoryNamesNobodyOutsideTheClientsRegionAndTheAllowedOne) {
-  CHECK(named(*east, "l", "na") == (std::vector<std::string>{"127.0.0.1:", "127.0.0.3:"}));
-  CHECK(named(*east, "l", "wa") == std::vector<std::string>{"127.0.0.1:"});
+  CHECK(named(*east, "l", "na") == (std::vector<std::string>{kWest, kNorth}));
+  CHECK(named(*east, "l", "wa") == std::vector<std::string>{kWest});
   north.reset();
-  CHECK_TRUE(
-      until([&] { return named(*east, "l", "na") == std::vector<std::string>{"127.0.0.1:"}; }));
+  CHECK_TRUE(until([&] { return named(*east, "l", "na") == std::vector<std::string>{kWest}; }));
   CHECK_TRUE(until([&] { return named(*east, "f", "na").size() == 2; }));
 }
 
--- a/tests/lab_platform/whole_node.h
+++ b/tests/lab_platform/whole_node.h
@@ -1,8 +1,10 @@
 /// \file A whole edge node over loopback, wired as the program wires it.
 #pragma once
 
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,10 +17,23 @@
 
 namespace gorsetrail::lab::testing {
 
-/// \return an address of the ip with a port that was free a moment ago.
-inline std::string freeAddress(boost::asio::io_context& context, const std::string& ip) {
-  boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address(ip), 0});
-  return ip + ":" + std::to_string(acceptor.local_endpoint().port());
+/// Ports of every node of a test. Addresses tell nodes apart, so none has to be asked for: asking
+/// the system for three free ports gives the same one twice in 16 of 50,000 nodes.
+inline constexpr std::uint16_t kClientPort = 21700;
+inline constexpr std::uint16_t kDirectoryPort = 21701;
+inline constexpr std::uint16_t kMetricsPort = 21702;
+/// The first of those on which nodes call each other; for settings that name it.
+inline constexpr std::uint16_t kFirstInternalPort = 21730;
+
+/// \return a loopback address that only this process uses: another run of the tests at the same
+/// time, and outgoing connections, which come from 127.0.0.1, hold no port of it.
+inline std::string nodeIp(unsigned number) {
+  constexpr unsigned kByte = 256;
+  const auto process = static_cast<unsigned>(::getpid());
+  // The second byte is 1 or more: 127.0.x.x is left to others.
+  const unsigned second = 1 + (process / kByte) % (kByte - 1);
+  return "127." + std::to_string(second) + "." + std::to_string(process % kByte) + "." +
+         std::to_string(number);
 }
 
 /// One edge node as `gorsetrail-edge` wires it.
@@ -36,9 +51,9 @@
     settings_.nodeName = "node-" + ip;
     settings_.ip = ip;
     settings_.zone = "z";
-    settings_.listen.clients = freeAddress(context, ip);
-    settings_.listen.directory = freeAddress(context, ip);
-    settings_.listen.metrics = freeAddress(context, ip);
+    settings_.listen.clients = ip + ":" + std::to_string(kClientPort);
+    settings_.listen.directory = ip + ":" + std::to_string(kDirectoryPort);
+    settings_.listen.metrics = ip + ":" + std::to_string(kMetricsPort);
     settings_.store.address = storeAddress;
     if (adjust) {
       adjust(settings_);
@@ -51,7 +66,9 @@
                           return bytes.size();
                         }},
         1);
-    started = succeeded(daemon_->start());
+    const Result<Success> result = daemon_->start();
+    started = succeeded(result);
+    startError = started ? std::string() : errorOf(result).toText();
   }
   ~Node() { daemon_.reset(); }
   Node(const Node&) = delete;
@@ -62,6 +79,7 @@
 
   std::string lines;
   bool started = false;
+  std::string startError;  ///< Why the node did not start; empty when it did.
 
  private:
   http::HttpClientPtr storeClient_;
