A request runs on no more replicas than its route allows, streams included

Exchange::mayRunAgain bounded streams by resumes only; a stream that broke at a living replica and was refused there for want of room went to a further one each time. Ruled out: safe requests (bounded, tested). After: test_edge 108 passed, 0 failed.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -249,8 +249,7 @@
 void Exchange::settleBudget(std::uint64_t tokens) {
   if (reservationMayStand_) {
     reservationMayStand_ = false;
-    context_.ledger.settle({checked_.turnName, checked_.programName,
-                            std::min(tokens, std::max(request_.maximumTokens, tokens))});
+    context_.ledger.settle({checked_.turnName, checked_.programName, tokens});
   }
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -10,6 +10,7 @@
 #include "edge/call_request.h"
 #include "edge/edge_context.h"
 #include "edge/recovery_policy.h"
+#include "edge/replica_runs.h"
 #include "edge/request_check.h"
 #include "edge/stream_progress.h"
 #include "http/http_server.h"
@@ -54,6 +55,7 @@
   void dispatch();
   void send(const routing::ReplicaPtr& replica);
   [[nodiscard]] routing::PlacementQuery placementQuery() const;
+  [[nodiscard]] routing::PlacementSubject placementSubject() const;
   void onNoReplica(const routing::NoReplica& none);
   [[nodiscard]] routing::WorkStage stage() const;
   /// \return how urgent the request is to a replica, 0 first.
@@ -65,6 +67,8 @@
   void onReplicaRefusal();
   /// \param reason for the client where nothing more can be done.
   [[nodiscard]] FailedDispatch failedDispatch(bool ranThere) const;
+  /// \return whether replicas that refuse may still be asked, by their number and the time left.
+  [[nodiscard]] bool hasTriesLeft() const;
   void takeStep(RecoveryStep step, const std::string& reason);
   void watchSilence();
   void onSilence();
@@ -75,6 +79,10 @@
   void onStored(const logstore::StoreResult<Success>& stored);
   [[nodiscard]] bool mayRunAgain() const;
   void runAgain();
+  /// \return whether the route allows a replica that has not run the request.
+  [[nodiscard]] bool mayRunOnAnother() const;
+  /// Sends a cut stream again to the replica where it ran, after a pause.
+  void askAgainLater();
   void releaseReplica();
   void noteOutcome(bool failed);
   void suspectReplica(std::string_view reason);
@@ -129,7 +137,7 @@
 
   // Over all dispatches.
   std::vector<routing::ReplicaPtr> tried_;  ///< Not to be asked again.
-  std::vector<routing::ReplicaPtr> ranOn_;  ///< Replicas that may have run it.
+  ReplicaRuns runs_;                        ///< Where it may have run.
   routing::ReplicaPtr resumeAt_;            ///< Where a cut stream goes on.
   std::uint32_t refusedTries_ = 0;
   std::uint32_t resumes_ = 0;
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -23,7 +23,7 @@
   query.replica.affinityKey = keepsPrompts ? checked_.programName : checked_.turnName;
   query.replica.promptTokens = keepsPrompts ? request_.promptTokens : 0;
   query.replica.tried = &tried_;
-  query.subject.allowedRegions = checked_.places == nullptr ? nullptr : &checked_.places->regions;
+  query.subject = placementSubject();
   query.replica.isConnected = [this](const routing::Replica& replica) {
     return context_.client.hasIdleConnection(replica.entry.address);
   };
@@ -35,6 +35,12 @@
   return query;
 }
 
+routing::PlacementSubject Exchange::placementSubject() const {
+  routing::PlacementSubject subject;
+  subject.allowedRegions = checked_.places == nullptr ? nullptr : &checked_.places->regions;
+  return subject;
+}
+
 void Exchange::dispatch() {
   const routing::Placement placement = context_.placement.place(placementQuery(), context_.clock());
   if (const auto* const placed = std::get_if<routing::Placed>(&placement)) {
@@ -182,9 +188,10 @@
   call_->cancel();
   call_.reset();
   mayHaveRun_ = true;
-  headSeen_ = false;  // What it said before is no sign of life.
+  headSeen_ = false;  // A head that came earlier does not show that the replica still runs.
   suspectReplica("silent, and takes no connection");
-  ranOn_.push_back(replica_);
+  runs_.noteRun(replica_);
+  runs_.noteUnreachable(replica_);
   recover(true, false);
 }
 
@@ -255,9 +262,15 @@
                                            {"replica", replica_->entry.id},
                                            {"status", std::uint64_t{head_.status}}});
   tried_.push_back(replica_);
-  releaseReplica();
   ++refusedTries_;
-  const RecoveryStep step = stepAfter(failedDispatch(false));
+  const bool hasEnded = head_.status == kMisdirected;  // Another replica has its address.
+  if (hasEnded) {
+    runs_.noteUnreachable(replica_);
+  }
+  FailedDispatch refused = failedDispatch(false);
+  refused.mayAskAgain = !hasEnded && replica_ == resumeAt_ && hasTriesLeft();
+  releaseReplica();
+  const RecoveryStep step = stepAfter(refused);
   switch (step) {
     case RecoveryStep::BreakOff:
       takeStep(step, "replicas_refused_to_resume");
@@ -276,11 +289,14 @@
   failed.mayHaveRun = mayHaveRun_;
   failed.streamBegun = streamBegun_;
   failed.mayRunAgain = mayRunAgain();
-  failed.mayTryAnother =
-      refusedTries_ < context_.knobs.maximumRefusedTries && timeLeft() > kAnswerMargin;
+  failed.mayTryAnother = hasTriesLeft() && mayRunOnAnother();
   return failed;
 }
 
+bool Exchange::hasTriesLeft() const {
+  return refusedTries_ < context_.knobs.maximumRefusedTries && timeLeft() > kAnswerMargin;
+}
+
 void Exchange::takeStep(RecoveryStep step, const std::string& reason) {
   switch (step) {
     case RecoveryStep::RunAgain:
@@ -290,6 +306,9 @@
       ++context_.counters.retries;
       dispatch();
       break;
+    case RecoveryStep::AskAgain:
+      askAgainLater();
+      break;
     case RecoveryStep::Refuse:
       refuse({kUnavailable, reason, context_.knobs.retryAfterFull});
       break;
@@ -305,7 +324,7 @@
 void Exchange::onWholeAnswer() {
   const bool failed = head_.status >= kServerError;
   if (failed && checked_.route->kind == routing::RouteKind::Safe) {
-    ranOn_.push_back(replica_);
+    runs_.noteRun(replica_);
     tried_.push_back(replica_);
   }
   releaseReplica();
@@ -361,10 +380,14 @@
   if (!checked_.route->isIdempotent() || timeLeft() <= kAnswerMargin) {
     return false;
   }
-  if (isStreaming()) {
-    return resumes_ < context_.knobs.maximumResumes;
+  if (isStreaming() && resumes_ >= context_.knobs.maximumResumes) {
+    return false;
   }
-  return ranOn_.size() < checked_.route->maximumAttempts;
+  return resumeAt_ != nullptr || mayRunOnAnother();
+}
+
+bool Exchange::mayRunOnAnother() const {
+  return runs_.mayRunOnAnother(checked_.route->maximumAttempts);
 }
 
 void Exchange::runAgain() {
@@ -373,15 +396,28 @@
     ++context_.counters.resumes;
   }
   ++resumes_;
-  const bool staysThere = resumeAt_ && !context_.placement.barOf(
-                                           *resumeAt_, placementQuery().subject, context_.clock());
+  const bool staysThere =
+      resumeAt_ && !context_.placement.barOf(*resumeAt_, placementSubject(), context_.clock());
   if (staysThere) {
     send(resumeAt_);
-  } else {
+  } else if (mayRunOnAnother()) {
     dispatch();
+  } else {
+    // Its replica may get nothing more, and the route allows no further one.
+    breakOff("attempts_spent");
   }
 }
 
+void Exchange::askAgainLater() {
+  context_.timers.runAfter(context_.knobs.fullTime,
+                           [weak = weak_from_this(), number = dispatchNumber_] {
+                             const auto self = weak.lock();
+                             if (self && !self->ended_ && self->dispatchNumber_ == number) {
+                               self->runAgain();
+                             }
+                           });
+}
+
 void Exchange::onReplicaFailure(const http::Failure& failure) {
   if (ended_) {
     return;
@@ -391,7 +427,9 @@
   mayHaveRun_ = mayHaveRun_ || sent;
   suspectReplica(failure.reason);
   if (sent) {
-    ranOn_.push_back(replica_);
+    runs_.noteRun(replica_);
+  } else {
+    runs_.noteUnreachable(replica_);
   }
   // A stream that was cut goes on where it ran, as long as the replica lives: that is no second
   // replica, and its memory still holds the prompt. Every other request looks for another one.
--- a/src/edge/recovery_policy.cpp
+++ b/src/edge/recovery_policy.cpp
@@ -9,6 +9,9 @@
   if (!failed.ranThere && failed.mayTryAnother) {
     return RecoveryStep::TryAnother;
   }
+  if (!failed.ranThere && failed.mayAskAgain) {
+    return RecoveryStep::AskAgain;
+  }
   if (failed.streamBegun) {
     return RecoveryStep::BreakOff;
   }
--- a/src/edge/recovery_policy.h
+++ b/src/edge/recovery_policy.h
@@ -12,12 +12,14 @@
   bool streamBegun = false;    ///< The client has the head of a stream.
   bool mayRunAgain = false;    ///< The request may be repeated, and tries and time are left.
   bool mayTryAnother = false;  ///< Replicas that did not run it may still be asked.
+  bool mayAskAgain = false;    ///< It ran there before and was refused only for want of room.
 };
 
 /// In the order of what a client loses.
 enum class RecoveryStep : std::uint8_t {
   RunAgain,     ///< At the same replica or at another one; it may have run before.
   TryAnother,   ///< It has not run there.
+  AskAgain,     ///< The same replica after a pause: the route allows no further one.
   Refuse,       ///< With the promise that it has not run.
   FailUnknown,  ///< Without a promise.
   BreakOff,     ///< The client has part of a stream.
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -90,6 +90,11 @@
     return client;
   }
   void wait() { world.timers.advance(milliseconds(50)); }
+  /// The replica asked last says that it is full and has not run the request.
+  void refuseForWantOfRoom() {
+    world.call().head(503, {{"not-run", ""}});
+    world.call().done();
+  }
   /// Runs one whole turn and lets its record be stored.
   void wholeTurn(const std::string& requestId, const std::string& previous = "") {
     CallRequest call = ExchangeWorld::turn("kept");
@@ -320,6 +325,56 @@
   STRCMP_EQUAL("1", world.call().headerOf("after").c_str());
 }
 
+// Streams that break at replicas which live on, while those are too full to resume them.
+TEST(ExchangeStream, runsOnNoMoreReplicasThanItsRouteAllows) {
+  const auto client = world.start(ExchangeWorld::turn("again"));  // One replica.
+  wait();
+  const std::string replica = world.call().headerOf("expect");
+  world.beginEvents();
+  world.call().body(kFirst);
+  world.call().fail(http::FailureStage::Broken);
+  refuseForWantOfRoom();
+  LONGS_EQUAL(2, world.dispatches());
+  world.timers.advance(world.context.knobs.fullTime);
+  LONGS_EQUAL(3, world.dispatches());
+  STRCMP_EQUAL(replica.c_str(), world.call().headerOf("expect").c_str());
+  STRCMP_EQUAL("1", world.call().headerOf("after").c_str());
+  world.beginEvents();
+  world.call().body(kSecond);
+  world.call().done();
+  STRCMP_EQUAL((kFirst + kSecond).c_str(), client->body.c_str());
+  CHECK_TRUE(client->whole);
+}
+
+TEST(ExchangeStream, endsAStreamWhoseOnlyReplicaHasNoRoomForIt) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  const std::string replica = world.call().headerOf("expect");
+  world.beginEvents();
+  world.call().body(kFirst);
+  world.call().fail(http::FailureStage::Broken);
+  while (!client->closed) {
+    STRCMP_EQUAL(replica.c_str(), world.call().headerOf("expect").c_str());
+    CHECK(world.dispatches() <= 1 + world.context.knobs.maximumRefusedTries);
+    refuseForWantOfRoom();
+    world.timers.advance(world.context.knobs.fullTime);
+  }
+  CHECK_FALSE(client->whole);
+}
+
+TEST(ExchangeStream, goesOnElsewhereWhenAnotherReplicaHasTheAddressOfItsOwn) {
+  world.start(ExchangeWorld::turn("again"));
+  wait();
+  const std::string replica = world.call().headerOf("expect");
+  world.beginEvents();
+  world.call().body(kFirst);
+  world.call().fail(http::FailureStage::Broken);
+  world.call().head(421, {});
+  world.call().done();
+  LONGS_EQUAL(3, world.dispatches());
+  CHECK(replica != world.call().headerOf("expect"));
+}
+
 TEST(ExchangeStream, goesOnElsewhereWhenASilentReplicaTakesNoConnection) {
   const auto client = world.start(ExchangeWorld::turn("again"));
   wait();
--- a/tests/edge/recovery_policy_test.cpp
+++ b/tests/edge/recovery_policy_test.cpp
@@ -44,3 +44,12 @@
   cut.streamBegun = true;
   CHECK(RecoveryStep::BreakOff == stepAfter(cut));
 }
+
+TEST(RecoveryPolicy, asksAFullReplicaAgainOnlyWhereNoOtherMayRunIt) {
+  FailedDispatch refused;
+  refused.mayHaveRun = true;
+  refused.mayAskAgain = true;
+  CHECK(RecoveryStep::AskAgain == stepAfter(refused));
+  refused.mayTryAnother = true;
+  CHECK(RecoveryStep::TryAnother == stepAfter(refused));
+}
