--- a/lab/faultsoak/fault_plan.h
+++ b/lab/faultsoak/fault_plan.h
@@ -22,6 +22,7 @@
   StoreLosesAnswers,
   ReplicaTroubles,  ///< One replica refuses, loses answers and cuts streams.
   Configuration,    ///< A new version is published.
+  EvacuateZone,     ///< A zone is evacuated; its replicas are cold when it is taken back.
 };
 
 /// \return the kind's name, for reports.
--- a/lab/faultsoak/soak_replica.cpp
+++ b/lab/faultsoak/soak_replica.cpp
@@ -69,6 +69,9 @@
 void SoakReplica::onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer) {
   const std::string requestId = headerOf(request, platform::header::kRequestId);
   const bool misdirected = headerOf(request, platform::header::kExpectInstance) != id_;
+  if (!misdirected && onArrival) {
+    onArrival();
+  }
   if (misdirected || random_.fraction() < troubles.refused) {
     writer->sendWhole(
         {misdirected ? kMisdirected : kUnavailable,
--- a/lab/faultsoak/soak_replica.h
+++ b/lab/faultsoak/soak_replica.h
@@ -39,6 +39,8 @@
   static std::string plainAnswer(const std::string& requestId);
 
   SoakReplicaTroubles troubles;
+  /// Called with each request that is meant for this replica, before anything else.
+  std::function<void()> onArrival;
 
  private:
   struct Stream;
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -4,13 +4,16 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "lab/faultsoak/fault_plan.h"
 #include "lab/faultsoak/fault_proxy.h"
 #include "lab/faultsoak/node_processes.h"
+#include "lab/faultsoak/place_watcher.h"
 #include "lab/faultsoak/promise_watcher.h"
 #include "lab/faultsoak/soak_program.h"
 #include "lab/faultsoak/soak_replica.h"
@@ -41,6 +44,11 @@
   void makeWorld();
   void writeSettings(std::size_t node) const;
   void publishConfiguration();
+  /// Writes the replica's registration. \param coldFor how long it says that it stays cold.
+  void registerReplica(std::size_t replica, Duration coldFor);
+  void evacuate(const std::string& zone, std::optional<Instant> emptyAfter);
+  /// Its replicas are cold from then on.
+  void takeBack(const std::string& zone);
   bool waitForNodes();
   void keepProgramsGoing();
   void scheduleFaults();
@@ -55,6 +63,8 @@
   services::TimerServicePtr timers_;
   RandomSource random_;
   PromiseWatcher watcher_{SoakProgram::kTokensPerEvent};
+  PlaceWatcher places_;
+  std::map<std::string, int> evacuations_;  ///< Under way at a time, by zone.
   NodeProcesses processes_;
   http::HttpClientPtr client_;
   std::unique_ptr<StoreStandIn> store_;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "base/steady_clock.h"
 #include "edge/edge_daemon_shared.h"
 #include "edge/edge_knobs.h"
 #include "edge/exchange.h"
@@ -32,11 +33,6 @@
 constexpr double kAddressTtlSeconds = 1.0;
 constexpr Duration kServerSweepPeriod = seconds(2);
 
-Instant steadyNow() {
-  const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(sinceStart));
-}
-
 /// \return the time of day. It may be set back between two starts of a node: the detector copes.
 std::uint64_t millisecondsOfDay() {
   const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -6,6 +6,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "base/steady_clock.h"
 #include "http/endpoint.h"
 #include "http/server_connection.h"
 
@@ -16,11 +17,6 @@
 using boost::system::error_code;
 using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, asio::io_context::executor_type>;
 
-Instant steadyNow() {
-  const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(sinceStart));
-}
-
 class BeastHttpServer final : public HttpServer,
                               public std::enable_shared_from_this<BeastHttpServer> {
  public:
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "base/steady_clock.h"
 #include "node/front/error_response.h"
 
 namespace gorsetrail::node {
@@ -19,11 +20,6 @@
 constexpr Duration kFinalLinger = milliseconds(100);
 constexpr const char* kBundleStream = "bundle";
 
-Instant steadyNow() {
-  const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(sinceStart));
-}
-
 std::int64_t wallSeconds() {
   const auto since1970 = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<seconds>(since1970).count();
--- a/src/node/peer_transport.cpp
+++ b/src/node/peer_transport.cpp
@@ -15,11 +15,6 @@
 
 namespace gorsetrail::node {
 
-Instant steadyNow() {
-  return Instant(
-      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 namespace {
 
 namespace asio = boost::asio;
--- a/src/node/peer_transport_shared.h
+++ b/src/node/peer_transport_shared.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "base/steady_clock.h"
 #include "node/peer_transport.h"
 
 namespace gorsetrail::node {
@@ -19,9 +20,6 @@
 /// Length of the buffer that all incoming links read into.
 inline constexpr std::size_t kReadBufferBytes = std::size_t{64} * 1024;
 
-/// \return this moment of the machine's steady clock.
-Instant steadyNow();
-
 /// What the links of one transport share. Handlers that run after `stop` find `stopped` set and
 /// touch nothing else.
 struct TransportShared {
