--- a/tests/lab_platform/region_day_test.cpp
+++ b/tests/lab_platform/region_day_test.cpp
@@ -92,29 +92,13 @@
     });
   }
   bool until(const std::function<bool()>& isTrue) {
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-    while (std::chrono::steady_clock::now() < deadline) {
-      if (isTrue()) {
-        return true;
-      }
-      context.restart();
-      context.run_for(std::chrono::milliseconds(20));
-    }
-    return false;
+    return lab::testing::runUntil(context, isTrue);
   }
   Answer send(http::Request request) {
-    std::optional<Answer> answer;
-    http::ResponseHandler handler;
-    handler.onDone = [&answer](const http::Response& response) {
-      answer = Answer{response.status, response.body, ""};
-      for (const http::Header& header : response.headers) {
-        answer->retryAfter = header.name == "Retry-After" ? header.value : answer->retryAfter;
-      }
-    };
-    handler.onFailure = [&answer](const http::Failure&) { answer = Answer{}; };
-    client->send(std::move(request), std::move(handler));
-    CHECK_TRUE(until([&answer] { return answer.has_value(); }));
-    return *answer;
+    const std::optional<Answer> answer =
+        lab::testing::answerTo(context, *client, std::move(request));
+    CHECK_TRUE(answer.has_value());
+    return answer.value_or(Answer{});
   }
   /// \return the ips that the directory names to a client.
   std::vector<std::string> named(const Node& node, const std::string& host,
--- a/tests/lab_platform/whole_node.h
+++ b/tests/lab_platform/whole_node.h
@@ -4,9 +4,11 @@
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -100,4 +102,35 @@
   std::string retryAfter;
 };
 
+/// Runs the loop until the condition holds. \return whether it did within the limit.
+inline bool runUntil(boost::asio::io_context& context, const std::function<bool()>& isTrue,
+                     std::chrono::milliseconds limit = std::chrono::seconds(10)) {
+  const auto deadline = std::chrono::steady_clock::now() + limit;
+  while (std::chrono::steady_clock::now() < deadline) {
+    if (isTrue()) {
+      return true;
+    }
+    context.restart();
+    context.run_for(std::chrono::milliseconds(20));
+  }
+  return false;
+}
+
+/// Sends a request and runs the loop until its end. \return nothing when none came in 10 s.
+inline std::optional<Answer> answerTo(boost::asio::io_context& context, http::HttpClient& client,
+                                      http::Request request) {
+  const auto answer = std::make_shared<std::optional<Answer>>();
+  http::ResponseHandler handler;
+  handler.onDone = [answer](const http::Response& response) {
+    *answer = Answer{response.status, response.body, ""};
+    for (const http::Header& header : response.headers) {
+      (*answer)->retryAfter = header.name == "Retry-After" ? header.value : (*answer)->retryAfter;
+    }
+  };
+  handler.onFailure = [answer](const http::Failure&) { *answer = Answer{}; };
+  client.send(std::move(request), std::move(handler));
+  runUntil(context, [answer] { return answer->has_value(); });
+  return *answer;
+}
+
 }  // namespace gorsetrail::lab::testing
