Placement asks each rule once for each replica

Cause: ReplicaSelector::choose asked for each candidate twice (preferred replica, choice), and where nothing was left whyNone asked a third time. ColdReplicaRule counted each asking, so that the metric of cold replicas passed over read up to three times too high. Ruled out: counting in ReplicaSelector (it knows no rules), and in barOf (streams that go on where they ran ask it too, before their placement). Change: the selector asks once and goes by the answers; the placement keeps them for the reason it gives, and tells the rule that keeps a replica back (onPassedOver). No choice changes. Tests: asksEachRuleOnceForEachReplica fails before (3 askings, 1 expected). The check that the cold rule counts at all (more than 0 after bare calls of barOf) is replaced by a stricter one: exactly one more with each placement, through a real placement.

--- a/src/routing/cold_replica_rule.cpp
+++ b/src/routing/cold_replica_rule.cpp
@@ -206,10 +206,11 @@
   if (mayGet(replica, now)) {
     return std::nullopt;
   }
-  ++passedOver_;
   return PlacementBar::ColdRateSpent;
 }
 
+void ColdReplicaRule::onPassedOver(const Replica& /*replica*/) { ++passedOver_; }
+
 void ColdReplicaRule::onSent(const Replica& replica, Instant now) {
   const bool isUsual = isSure(now) && now >= replica.coldUntil && cautions_.empty();
   if (replica.coldRequestsPerSecond <= 0 || isUsual) {
--- a/src/routing/cold_replica_rule.h
+++ b/src/routing/cold_replica_rule.h
@@ -118,6 +118,7 @@
                                                   const PlacementSubject& subject,
                                                   Instant now) const override;
   void onSent(const Replica& replica, Instant now) override;
+  void onPassedOver(const Replica& replica) override;
   [[nodiscard]] Duration retryAfter(PlacementBar bar) const override;
 
   [[nodiscard]] bool isCold(const Replica& replica, Instant now) const;
@@ -125,7 +126,7 @@
   [[nodiscard]] bool isSure(Instant now) const;
   /// \return cold replicas as of the last `tend`.
   [[nodiscard]] std::size_t coldReplicas() const { return cold_.size(); }
-  /// \return how often a replica was passed over.
+  /// \return how often a placement passed a replica over.
   [[nodiscard]] std::uint64_t passedOver() const { return passedOver_; }
 
  private:
@@ -176,7 +177,7 @@
   /// When this node last sent to a replica whose state it did not know.
   std::map<std::string, Instant, std::less<>> unsureSentAt_;
   std::map<std::string, bool, std::less<>> cold_;  ///< By id; whether this node feeds it.
-  mutable std::uint64_t passedOver_ = 0;
+  std::uint64_t passedOver_ = 0;
 };
 
 }  // namespace gorsetrail::routing
--- a/src/routing/placement_rule.h
+++ b/src/routing/placement_rule.h
@@ -44,6 +44,8 @@
                                                           Instant now) const = 0;
   /// The request was sent to the replica: rules that count requests count this one.
   virtual void onSent(const Replica& /*replica*/, Instant /*now*/) {}
+  /// A placement left the replica out because of this rule; once a placement and replica.
+  virtual void onPassedOver(const Replica& /*replica*/) {}
   /// \return when it is worth asking again where only this rule kept a request from being placed.
   [[nodiscard]] virtual Duration retryAfter(PlacementBar bar) const = 0;
 };
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -33,7 +33,7 @@
   if (!replica.takesWork()) {
     return Barred{PlacementBar::Leaving, nullptr};
   }
-  for (const PlacementRule* const rule : rules_) {
+  for (PlacementRule* const rule : rules_) {
     if (const auto bar = rule->barOf(replica, subject, now)) {
       return Barred{*bar, rule};
     }
@@ -54,33 +54,43 @@
   }
 }
 
-NoReplica ReplicaPlacement::whyNone(const PlacementQuery& query, Instant now) const {
+NoReplica ReplicaPlacement::whyNone(const std::vector<Barred>& passedOver) {
   std::map<PlacementBar, std::size_t> counts;
   NoReplica result;
   std::size_t most = 0;
-  for (const ReplicaPtr& replica : replicas_.ofService(query.replica.service)) {
-    const std::optional<Barred> found = barred(*replica, query.subject, now);
-    if (!found || found->rule == nullptr) {
+  for (const Barred& found : passedOver) {
+    if (found.rule == nullptr) {
       continue;
     }
     // Replicas elsewhere could not serve the request in any case: they are the reason only where
     // nothing keeps back those that could.
-    const bool isElsewhere = found->bar == PlacementBar::RegionNotAllowed;
-    const std::size_t count = isElsewhere ? 1 : 1 + ++counts[found->bar];
+    const bool isElsewhere = found.bar == PlacementBar::RegionNotAllowed;
+    const std::size_t count = isElsewhere ? 1 : 1 + ++counts[found.bar];
     if (count > most) {
       most = count;
-      result.bar = found->bar;
-      result.retryAfter = found->rule->retryAfter(found->bar);
+      result.bar = found.bar;
+      result.retryAfter = found.rule->retryAfter(found.bar);
     }
   }
   return result;
 }
 
 Placement ReplicaPlacement::place(const PlacementQuery& query, Instant now) const {
-  const auto mayGet = [&](const Replica& replica) { return !barred(replica, query.subject, now); };
+  std::vector<Barred> passedOver;
+  const auto mayGet = [&](const Replica& replica) {
+    const std::optional<Barred> found = barred(replica, query.subject, now);
+    if (!found) {
+      return true;
+    }
+    if (found->rule != nullptr) {
+      found->rule->onPassedOver(replica);
+    }
+    passedOver.push_back(*found);
+    return false;
+  };
   const ReplicaPtr replica = selector_.choose(replicas_, query.replica, mayGet, now);
   if (!replica) {
-    return whyNone(query, now);
+    return whyNone(passedOver);
   }
   const auto& admission = query.admission;
   if (admission && !admission_.admits(*replica, admission->stage, admission->priority)) {
--- a/src/routing/replica_placement.h
+++ b/src/routing/replica_placement.h
@@ -53,6 +53,7 @@
   ReplicaPlacement(const ReplicaTable& replicas, const ReplicaSelector& selector,
                    const AdmissionPolicy& admission, std::vector<PlacementRule*> rules);
 
+  /// Asks the rules once for each replica, and tells the rule that keeps one back.
   [[nodiscard]] Placement place(const PlacementQuery& query, Instant now) const;
   /// \return why the request must not go to this very replica; for streams that go on where they
   /// ran.
@@ -66,11 +67,11 @@
   /// A rule and the reason it gives.
   struct Barred {
     PlacementBar bar = PlacementBar::Leaving;
-    const PlacementRule* rule = nullptr;  ///< Null: the replica's own state.
+    PlacementRule* rule = nullptr;  ///< Null: the replica's own state.
   };
   [[nodiscard]] std::optional<Barred> barred(const Replica& replica,
                                              const PlacementSubject& subject, Instant now) const;
-  [[nodiscard]] NoReplica whyNone(const PlacementQuery& query, Instant now) const;
+  [[nodiscard]] static NoReplica whyNone(const std::vector<Barred>& passedOver);
 
   const ReplicaTable& replicas_;
   const ReplicaSelector& selector_;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace gorsetrail::routing {
@@ -50,8 +51,8 @@
 // Where there are several regions and the own zone has no replica for the request, prompts gather
 // at one of the nearest region that has: requests that are kept to other regions always come to
 // this.
-const Replica* ReplicaSelector::preferredReplica(const std::vector<ReplicaPtr>& replicas,
-                                                 std::string_view key, const MayGet& mayGet) const {
+const Replica* ReplicaSelector::preferredReplica(const std::vector<ReplicaPtr>& allowed,
+                                                 std::string_view key) const {
   const bool looksFurther = zones_ != nullptr && zones_->hasSeveralRegions();
   const Replica* preferred = nullptr;
   Distance nearest = looksFurther ? Distance::OtherRegion : Distance::SameZone;
@@ -59,9 +60,9 @@
   if (key.empty()) {
     return nullptr;
   }
-  for (const ReplicaPtr& replica : replicas) {
+  for (const ReplicaPtr& replica : allowed) {
     const Distance distance = distanceTo(*replica);
-    if (distance > nearest || !mayGet(*replica)) {
+    if (distance > nearest) {
       continue;
     }
     const std::uint64_t weight = rendezvousWeightOf(key, replica->entry.id);
@@ -107,12 +108,17 @@
 ReplicaPtr ReplicaSelector::choose(const ReplicaTable& table, const ReplicaQuery& query,
                                    const MayGet& mayGet, Instant now) const {
   const std::vector<ReplicaPtr>& replicas = table.ofService(query.service);
-  const Replica* const preferred = preferredReplica(replicas, query.affinityKey, mayGet);
+  // Each replica is asked for once: both steps below go by the same answers.
+  std::vector<ReplicaPtr> allowed;
+  allowed.reserve(replicas.size());
+  std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(allowed),
+               [&](const ReplicaPtr& replica) { return mayGet(*replica); });
+  const Replica* const preferred = preferredReplica(allowed, query.affinityKey);
   const double usualMilliseconds = medianAnswerTime(replicas);
   ReplicaPtr chosen;
   double lowest = std::numeric_limits<double>::max();
-  for (const ReplicaPtr& replica : replicas) {
-    if (wasTried(replica, query) || !mayGet(*replica)) {
+  for (const ReplicaPtr& replica : allowed) {
+    if (wasTried(replica, query)) {
       continue;
     }
     const bool isPreferred = preferred == nullptr || replica.get() == preferred;
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -68,14 +68,16 @@
   /// Whether a replica may get the request at all.
   using MayGet = std::function<bool(const Replica&)>;
 
+  /// Calls `mayGet` once for each of the service's replicas, in their order.
   /// \return the replica, or null when none may get the request.
   [[nodiscard]] ReplicaPtr choose(const ReplicaTable& table, const ReplicaQuery& query,
                                   const MayGet& mayGet, Instant now) const;
 
  private:
+  /// \param allowed those that may get the request.
   /// \return the replica that every node of the zone prefers for the key; null without a key.
-  [[nodiscard]] const Replica* preferredReplica(const std::vector<ReplicaPtr>& replicas,
-                                                std::string_view key, const MayGet& mayGet) const;
+  [[nodiscard]] const Replica* preferredReplica(const std::vector<ReplicaPtr>& allowed,
+                                                std::string_view key) const;
   [[nodiscard]] Distance distanceTo(const Replica& replica) const;
   [[nodiscard]] double costOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
                               double usualMilliseconds, Instant now) const;
--- a/tests/routing/cold_replica_rule_test.cpp
+++ b/tests/routing/cold_replica_rule_test.cpp
@@ -4,6 +4,8 @@
 
 #include <memory>
 
+#include "routing/replica_placement.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
@@ -182,7 +184,26 @@
   nodes = {"b", "c"};
   registers(seconds(5));
   LONGS_EQUAL(0, sendFor(seconds(2)));
-  CHECK_COMPARE(rule->passedOver(), >, 0U);
+}
+
+TEST(ColdReplicaRule, countsAReplicaThatIsPassedOverOnceAPlacement) {
+  nodes = {"b", "c"};
+  ReplicaTable table;
+  table.upsert(replica->entry);
+  replica = table.find("i-1");
+  registers(seconds(5));
+  replica->coldRequestsPerSecond = service.coldRequestsPerSecond;
+  const ReplicaSelector selector("z", {});
+  const AdmissionPolicy admission{{}};
+  const ReplicaPlacement placement(table, selector, admission, {rule.get()});
+  PlacementQuery query;
+  query.replica.service = "m";
+  query.replica.affinityKey = "p1";
+  const auto none = std::get<NoReplica>(placement.place(query, now));
+  CHECK(PlacementBar::ColdRateSpent == none.bar.value());
+  LONGS_EQUAL(1, rule->passedOver());
+  CHECK(std::holds_alternative<NoReplica>(placement.place(query, now)));
+  LONGS_EQUAL(2, rule->passedOver());
 }
 
 TEST(ColdReplicaRule, aNodeThatLosesAndRegainsItsPlaceBeginsEmptyAgain) {
--- a/tests/routing/replica_placement_test.cpp
+++ b/tests/routing/replica_placement_test.cpp
@@ -1,6 +1,8 @@
 // The one step by which a request comes to a replica: rules, admission, and why there is none.
 #include "routing/replica_placement.h"
 
+#include <map>
+// CppUTest redefines `new`: it comes after the standard headers.
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
@@ -15,12 +17,14 @@
       : zone_(std::move(zone)), bar_(bar), retryAfter_(retryAfter) {}
   std::optional<PlacementBar> barOf(const Replica& replica, const PlacementSubject& /*subject*/,
                                     Instant /*now*/) const override {
+    ++asked[replica.entry.id];
     return replica.entry.zone == zone_ ? std::optional(bar_) : std::nullopt;
   }
   void onSent(const Replica& /*replica*/, Instant /*now*/) override { ++sent; }
   Duration retryAfter(PlacementBar /*bar*/) const override { return retryAfter_; }
 
   int sent = 0;
+  mutable std::map<std::string, int> asked;  ///< By the replica's id.
 
  private:
   std::string zone_;
@@ -104,3 +108,20 @@
   CHECK(std::holds_alternative<PlacesTaken>(withoutRules.place(beginning, now)));
   CHECK(std::holds_alternative<Placed>(withoutRules.place(query(), now)));
 }
+
+// Evacuated replicas are passed over in every placement, and where nothing is left the reason is
+// wanted too: rules that count or draw must not be asked more often for that.
+TEST(ReplicaPlacement, asksEachRuleOnceForEachReplica) {
+  add("a1", "a");
+  add("b1", "b");
+  PlacementQuery kept = query();
+  kept.replica.affinityKey = "p1";
+  CHECK(std::holds_alternative<NoReplica>(placement.place(kept, now)));
+  LONGS_EQUAL(1, first.asked["a1"]);
+  LONGS_EQUAL(1, first.asked["b1"]);
+  LONGS_EQUAL(1, second.asked["b1"]);
+  add("c1", "c");
+  CHECK(std::holds_alternative<Placed>(placement.place(kept, now)));
+  LONGS_EQUAL(2, first.asked["a1"]);
+  LONGS_EQUAL(1, second.asked["c1"]);
+}
