A refused request finds a token when it returns

Cause: programs of a tenant that together reach its limit for seconds are refused together, return together within a spread time, meet newcomers and are refused again until their two or three tries are used up. A program that was lost so has used tokens for nothing.

Change: the pool keeps a line by tenant (ReturnLine). A token request names its programs (64-bit hash), their patience and stage; the reply lists those refused.

--- a/src/quota/quota_pool.cpp
+++ b/src/quota/quota_pool.cpp
@@ -47,7 +47,7 @@
     tookOverAt_ = now;
   }
   for (const HandedAccount& handed : handOver.accounts) {
-    const auto [entry, isNew] = accounts_.try_emplace(handed.tenant);
+    const auto [entry, isNew] = accounts_.try_emplace(handed.tenant, knobs_);
     Account& account = entry->second;
     if (isNew) {
       account.shareSeconds = shares_.shareSeconds(now);
@@ -85,7 +85,7 @@
 QuotaPool::Account& QuotaPool::accountOf(const std::string& tenant, const tenant::Quota& quota,
                                          Instant now) {
   const double shareSeconds = shares_.shareSeconds(now);
-  const auto [entry, isNew] = accounts_.try_emplace(tenant);
+  const auto [entry, isNew] = accounts_.try_emplace(tenant, knobs_);
   Account& account = entry->second;
   if (isNew) {
     // As if the tenant had been known, and silent, since the pool began or began anew.
@@ -131,6 +131,86 @@
       std::chrono::duration<double>(std::max(0.0, missing) / rate));
 }
 
+void QuotaPool::claimPlaces(Account& account, const TokenRequest& request, Instant now,
+                            Division& division) {
+  for (const TokenCaller& caller : request.callers) {
+    const bool isThere = division.returning < wholeTokens(division.soon);
+    if (isThere && account.line.claim(caller.program, now)) {
+      ++division.returning;
+      division.returningBegun += caller.hasBegun ? 1 : 0;
+      ++returnCounts_.claimed;
+    } else {
+      division.callers.push_back(caller);
+    }
+  }
+}
+
+QuotaPool::Division QuotaPool::divide(Account& account, const TokenRequest& request,
+                                      const tenant::Quota& quota, Instant now, TokenReply& reply) {
+  const double share = shares_.share(now);
+  const std::chrono::duration<double> delay = knobs_.longestDelay;
+  const double inWindow = leftInWindow(account, quota, now);
+  Division division;
+  division.level = std::min(account.level, inWindow);
+  division.soon =
+      std::min(account.level + quota.requestsPerSecond * share * delay.count(), inWindow);
+  returnCounts_.lapsed += account.line.dropLapsed(now);
+  if (share >= knobs_.decidingShare) {
+    claimPlaces(account, request, now, division);
+  }
+  const auto kept = static_cast<double>(account.line.size());
+  const double reserved = reservedOf(account, quota, now);
+  division.reserved = reserved;
+  const std::uint32_t waiting = request.forBegun + request.forBeginning;
+  // Programs begin on tokens that are not made yet only while begun ones stay below the rate.
+  reply.isAmple = (reserved > 0 ? division.level : division.soon) - kept - waiting >= reserved;
+  const std::uint32_t allowed =
+      reply.isAmple ? waiting - division.returning : request.forBegun - division.returningBegun;
+  division.others = std::min(allowed, wholeTokens(division.soon - kept - division.returning));
+  reply.retryAfter = std::clamp(timeUntil(reserved + kept + waiting - division.level, quota, now),
+                                knobs_.shortestRetryAfter, knobs_.longestRetryAfter);
+  return division;
+}
+
+TokenRefusal QuotaPool::refuse(Account& account, const TokenCaller& caller, double reserved,
+                               const tenant::Quota& quota, Instant now) {
+  const double place = static_cast<double>(account.line.size()) + 1;
+  const double mostInWindow = leftInWindow(account, quota, now) + account.granted.sum(now) - place;
+  const double before = caller.hasBegun ? 0 : reserved;
+  const Duration untilMade = timeUntil(before + place - account.level, quota, now);
+  const Duration untilInWindow = account.granted.timeUntilAtMost(wholeTokens(mostInWindow), now);
+  const Duration wait = std::max({untilMade, untilInWindow, knobs_.shortestRetryAfter});
+  const double patienceShare = caller.hasBegun ? 1.0 : knobs_.beginningPatienceShare;
+  if (wait <= caller.patience * patienceShare && account.line.reserve(caller.program, now + wait)) {
+    ++returnCounts_.reserved;
+    return {caller.program, wait, true};
+  }
+  return {caller.program, std::min(wait, knobs_.longestRetryAfter), false};
+}
+
+void QuotaPool::refuseOthers(Account& account, const TokenRequest& request,
+                             const Division& division, const tenant::Quota& quota, Instant now,
+                             TokenReply& reply) {
+  const std::uint32_t forBegun =
+      std::min(division.others, request.forBegun - division.returningBegun);
+  std::uint32_t left = forBegun;
+  for (const TokenCaller& caller : division.callers) {
+    if (caller.hasBegun && left > 0) {
+      --left;
+    } else if (caller.hasBegun) {
+      reply.refusals.push_back(refuse(account, caller, division.reserved, quota, now));
+    }
+  }
+  left = division.others - forBegun;
+  for (const TokenCaller& caller : division.callers) {
+    if (!caller.hasBegun && left > 0) {
+      --left;
+    } else if (!caller.hasBegun) {
+      reply.refusals.push_back(refuse(account, caller, division.reserved, quota, now));
+    }
+  }
+}
+
 TokenReply QuotaPool::grant(const TokenRequest& request, const tenant::Quota& quota, Instant now) {
   TokenReply reply;
   reply.number = request.number;
@@ -143,31 +223,23 @@
     return reply;
   }
   Account& account = accountOf(request.tenant, quota, now);
-  const double capacity = capacityOf(quota, now);
   if (request.grantor == life_) {
-    account.level = std::min(account.level + request.returned, capacity);
+    account.level = std::min(account.level + request.returned, capacityOf(quota, now));
   }
   noteBegunUse(account, request.forBegun, now);
-  const std::chrono::duration<double> delay = knobs_.longestDelay;
-  const double inWindow = leftInWindow(account, quota, now);
-  const double level = std::min(account.level, inWindow);
-  const double soon =
-      std::min(account.level + quota.requestsPerSecond * share * delay.count(), inWindow);
-  const double reserved = reservedOf(account, quota, now);
-  const std::uint32_t waiting = request.forBegun + request.forBeginning;
-  // Programs begin on tokens that are not made yet only while begun ones stay below the rate.
-  reply.isAmple = (reserved > 0 ? level : soon) - waiting >= reserved;
-  const std::uint32_t allowed = reply.isAmple ? waiting : request.forBegun;
-  const std::uint32_t granted = std::min(allowed, wholeTokens(soon));
-  reply.retryAfter = std::clamp(timeUntil(reserved + waiting - level, quota, now),
-                                knobs_.shortestRetryAfter, knobs_.longestRetryAfter);
-  reply.decided = granted == waiting || share >= knobs_.decidingShare;
-  if (reply.decided) {
-    account.level -= granted;
-    reply.usableAfter = timeUntil(-account.level, quota, now);
-    account.granted.add(granted, now);
-    reply.granted = granted;
+  const Division division = divide(account, request, quota, now, reply);
+  const std::uint32_t granted = division.returning + division.others;
+  reply.decided =
+      granted == request.forBegun + request.forBeginning || share >= knobs_.decidingShare;
+  if (!reply.decided) {
+    return reply;
   }
+  account.level -= granted;
+  const double kept = division.others > 0 ? static_cast<double>(account.line.size()) : 0.0;
+  reply.usableAfter = timeUntil(kept - account.level, quota, now);
+  account.granted.add(granted, now);
+  reply.granted = granted;
+  refuseOthers(account, request, division, quota, now, reply);
   return reply;
 }
 
