--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -183,7 +183,6 @@
   sources.members = [this] { return members_.relayAddresses(); };
   sources.memberCount = [this] { return membersListed_ ? members_.size() : 0; };
   sources.tenants = [this] { return routes_.inForce() ? routes_.inForce()->tenants : nullptr; };
-  sources.reservesTokens = settings_.uses(Mechanism::ReservedTokens);
   sources.onCoordinatorChanged = [this](std::uint32_t partition, const std::string& address) {
     log_.important("quota_coordinator",
                    {{"partition", std::uint64_t{partition}}, {"address", address}});
@@ -337,9 +336,6 @@
   figures.quotaUnknown = quotas.unknown;
   figures.quotaTokenRequests = quotas.tokenRequests;
   figures.quotaTokenReplies = quotas.tokenReplies;
-  figures.quotaTokensReserved = quotas.tokensReserved;
-  figures.quotaReservedClaimed = quotas.reservedClaimed;
-  figures.quotaReservedLapsed = quotas.reservedLapsed;
   figures.dispatches = context_.counters.dispatches;
   figures.retries = context_.counters.retries;
   figures.resumes = context_.counters.resumes;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -53,12 +53,6 @@
   list.add(snapshot.quotaUnknown, {{"decision", "unknown"}});
   list.counter("quota_token_requests_total", "To coordinators", snapshot.quotaTokenRequests);
   list.counter("quota_token_replies_total", "As a coordinator", snapshot.quotaTokenReplies);
-  list.family("quota_reserved_tokens_total",
-              "Tokens kept for refused requests of begun programs, as a coordinator",
-              MetricType::Counter);
-  list.add(snapshot.quotaTokensReserved, {{"result", "reserved"}});
-  list.add(snapshot.quotaReservedClaimed, {{"result", "claimed"}});
-  list.add(snapshot.quotaReservedLapsed, {{"result", "lapsed"}});
 }
 
 void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -40,12 +40,9 @@
   std::uint64_t quotaGrantedAfterAsking = 0;  ///< From tokens that a coordinator was asked for.
   std::uint64_t quotaGrantedFromOwnShare = 0;
   std::uint64_t quotaOverLimit = 0;
-  std::uint64_t quotaUnknown = 0;          ///< Nobody could decide.
-  std::uint64_t quotaTokenRequests = 0;    ///< To coordinators.
-  std::uint64_t quotaTokenReplies = 0;     ///< As a coordinator.
-  std::uint64_t quotaTokensReserved = 0;   ///< As a coordinator, for requests that it refused.
-  std::uint64_t quotaReservedClaimed = 0;  ///< Those came back in time.
-  std::uint64_t quotaReservedLapsed = 0;   ///< Those did not.
+  std::uint64_t quotaUnknown = 0;        ///< Nobody could decide.
+  std::uint64_t quotaTokenRequests = 0;  ///< To coordinators.
+  std::uint64_t quotaTokenReplies = 0;   ///< As a coordinator.
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -58,11 +58,8 @@
   }
   // Tools are called by programs that have begun.
   const bool begins = isStreaming() && stage() == routing::WorkStage::FirstTurn;
-  const auto stage = begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun;
-  const std::string_view program =
-      request_.programId.empty() ? std::string_view() : checked_.programName;
   context_.quota.admit(
-      *checked_.tenant, {stage, program, timeLeft()},
+      *checked_.tenant, begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun,
       [self = shared_from_this()](quota::QuotaDecision decision) { self->onQuota(decision); });
 }
 
--- a/src/edge/mechanisms.h
+++ b/src/edge/mechanisms.h
@@ -26,7 +26,6 @@
   PeerProbes,         ///< Nodes that do not answer probes are left out before their records end.
   TopicGateways,      ///< One node of a zone reads followed topics for the others.
   QuotaTokens,        ///< Limits are kept by coordinators' tokens, not by equal static shares.
-  ReservedTokens,     ///< A refused request of a begun program finds a token when it returns.
   ColdFeeders,        ///< A few nodes send to a cold replica, instead of all by static shares.
 };
 
--- a/src/edge/quota_exchange.cpp
+++ b/src/edge/quota_exchange.cpp
@@ -35,9 +35,8 @@
 
 Result<Success> QuotaExchange::listen(const std::string& ip, std::uint16_t port) {
   portSuffix_ = ":" + std::to_string(port);
-  quota::QuotaKnobs knobs;
-  knobs.reservesTokens = sources_.reservesTokens;
-  service_ = std::make_unique<quota::QuotaService>(*this, knobs, ip + portSuffix_, life_, clock_);
+  service_ = std::make_unique<quota::QuotaService>(*this, quota::QuotaKnobs{}, ip + portSuffix_,
+                                                   life_, clock_);
   auto listening = socket_.listen(ip + portSuffix_);
   if (succeeded(listening)) {
     tickLoop();
@@ -60,14 +59,14 @@
   }
 }
 
-void QuotaExchange::admit(const tenant::Tenant& tenant, const quota::QuotaCaller& caller,
+void QuotaExchange::admit(const tenant::Tenant& tenant, quota::ProgramStage stage,
                           Callback callback) {
   if (!service_) {
     // Without internal ports there is one node alone: nobody shares the limit with it.
     callback({quota::QuotaVerdict::Granted, Duration::zero()});
     return;
   }
-  service_->admit(tenant, caller, std::move(callback));
+  service_->admit(tenant, stage, std::move(callback));
   if (!looksAfterWaiting_) {
     waitingLoop();
   }
--- a/src/edge/quota_exchange.h
+++ b/src/edge/quota_exchange.h
@@ -26,7 +26,6 @@
   /// How many nodes the member list has; 0 before it was read.
   std::function<std::size_t()> memberCount;
   std::function<std::shared_ptr<const tenant::TenantDirectory>()> tenants;
-  bool reservesTokens = true;  ///< `QuotaKnobs::reservesTokens`.
   /// Told when another node than before decides for a partition.
   std::function<void(std::uint32_t partition, const std::string& address)> onCoordinatorChanged;
 };
@@ -43,8 +42,7 @@
   /// \param port alike on all nodes.
   Result<Success> listen(const std::string& ip, std::uint16_t port);
 
-  void admit(const tenant::Tenant& tenant, const quota::QuotaCaller& caller,
-             Callback callback) override;
+  void admit(const tenant::Tenant& tenant, quota::ProgramStage stage, Callback callback) override;
   void giveBack(const std::string& tenant) override;
   /// Before a planned stop: other nodes take over what this one coordinates.
   void endCoordination();
--- a/src/quota/quota_admission.h
+++ b/src/quota/quota_admission.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <string_view>
 
 #include "base/time.h"
 #include "tenant/tenant.h"
@@ -17,13 +16,6 @@
   Begun,      ///< Requests before it would be lost with it.
 };
 
-/// Who asks.
-struct QuotaCaller {
-  ProgramStage stage = ProgramStage::Beginning;
-  std::string_view program{};  ///< Its name, alike on all nodes; empty: none.
-  Duration timeLeft{};         ///< Until the caller gives up.
-};
-
 enum class QuotaVerdict : std::uint8_t {
   Granted,    ///< The request may be sent to a replica.
   OverLimit,  ///< The tenant has used what it may.
@@ -42,8 +34,7 @@
 
   virtual ~QuotaAdmission() = default;
   /// Calls back once, at once when the decision needs no other node.
-  virtual void admit(const tenant::Tenant& tenant, const QuotaCaller& caller,
-                     Callback callback) = 0;
+  virtual void admit(const tenant::Tenant& tenant, ProgramStage stage, Callback callback) = 0;
   /// A granted request was not sent to any replica after all.
   virtual void giveBack(const std::string& tenant) = 0;
 };
--- a/src/quota/quota_knobs.h
+++ b/src/quota/quota_knobs.h
@@ -68,23 +68,6 @@
   double decidingShare = 0.5;
   /// Of a burst, what a node without a coordinator may add to its share, in requests of all nodes.
   double ownBurstAllowance = 12;
-  /// A refused request gets a token of its own, kept until it returns (`ReturnLine`). At 1.3, 1.6
-  /// and 2 times a tenant's limit 9, 9 and 12 of 100 programs were lost after they began, and none
-  /// with this; 4, 8 and 10% more came to their end (74 nodes in virtual time, 30 s).
-  bool reservesTokens = true;
-  /// Clients wait for a part of the time that they have left, as they are told, and then come back.
-  double patienceShare = 1.0 / 3.0;
-  /// A caller that is refused twice has waited for a third of its time, then for a third of the
-  /// rest: 5/3 of its patience. Tokens are kept for it so long, and `longestDelay` on.
-  double patiencesInReach = 5.0 / 3.0;
-  /// Of that, what programs that begin may wait in line for; what is beyond is left to begun ones.
-  double beginningReachShare = 0.5;
-  /// How long a token is kept beyond its moment: a new connection and the way to a coordinator,
-  /// with one lost message.
-  Duration returnGrace = milliseconds(250);
-  /// Tokens of one tenant kept at one time: more than a patience of one second brings to the
-  /// largest tenants.
-  std::uint32_t mostReturning = 512;
   Duration shortestRetryAfter = milliseconds(150);
   Duration longestRetryAfter = milliseconds(1500);
 };
--- a/src/quota/quota_message.cpp
+++ b/src/quota/quota_message.cpp
@@ -38,33 +38,20 @@
 std::string encode(const TokenRequest& request) {
   Builder builder;
   const auto tenant = builder.CreateString(request.tenant);
-  std::vector<fbs::TokenCaller> callers;
-  for (const TokenCaller& caller : request.callers) {
-    callers.emplace_back(caller.program, static_cast<std::uint64_t>(caller.patience.count()),
-                         caller.hasBegun);
-  }
-  const auto list = callers.empty() ? 0 : builder.CreateVectorOfStructs(callers);
-  return finish(
-      builder, fbs::Message::TokenRequest,
-      fbs::CreateTokenRequest(builder, request.number, tenant, request.forBegun,
-                              request.forBeginning, request.returned, request.grantor, list));
+  return finish(builder, fbs::Message::TokenRequest,
+                fbs::CreateTokenRequest(builder, request.number, tenant, request.forBegun,
+                                        request.forBeginning, request.returned, request.grantor));
 }
 
 std::string encode(const TokenReply& reply) {
   Builder builder;
   const auto coordinator = reply.coordinator.empty() ? 0 : builder.CreateString(reply.coordinator);
-  std::vector<fbs::TokenRefusal> refusals;
-  for (const TokenRefusal& refusal : reply.refusals) {
-    refusals.emplace_back(refusal.program, static_cast<std::uint64_t>(refusal.retryAfter.count()),
-                          refusal.isReserved);
-  }
-  const auto list = refusals.empty() ? 0 : builder.CreateVectorOfStructs(refusals);
   return finish(
       builder, fbs::Message::TokenReply,
       fbs::CreateTokenReply(builder, reply.number, reply.decided, reply.granted, reply.isAmple,
                             static_cast<std::uint64_t>(reply.retryAfter.count()),
                             static_cast<std::uint64_t>(reply.usableAfter.count()), reply.grantor,
-                            coordinator, list));
+                            coordinator));
 }
 
 std::string encode(const HandOver& handOver) {
@@ -86,40 +73,6 @@
           "run the same version on every node"};
 }
 
-Duration durationOf(std::uint64_t microseconds) {
-  return Duration(static_cast<Duration::rep>(microseconds));
-}
-
-TokenRequest readTokenRequest(const fbs::TokenRequest& read) {
-  TokenRequest request{read.number(),        read.tenant()->str(), read.for_begun(),
-                       read.for_beginning(), read.returned(),      read.grantor()};
-  if (read.callers() != nullptr) {
-    for (const fbs::TokenCaller* const caller : *read.callers()) {
-      request.callers.push_back(
-          {caller->program(), durationOf(caller->patience_us()), caller->has_begun()});
-    }
-  }
-  return request;
-}
-
-TokenReply readTokenReply(const fbs::TokenReply& read) {
-  TokenReply reply{read.number(),
-                   read.decided(),
-                   read.granted(),
-                   read.is_ample(),
-                   durationOf(read.retry_after_us()),
-                   durationOf(read.usable_after_us()),
-                   read.grantor(),
-                   read.coordinator() == nullptr ? std::string() : read.coordinator()->str()};
-  if (read.refusals() != nullptr) {
-    for (const fbs::TokenRefusal* const refusal : *read.refusals()) {
-      reply.refusals.push_back(
-          {refusal->program(), durationOf(refusal->retry_after_us()), refusal->reserved()});
-    }
-  }
-  return reply;
-}
-
 Result<QuotaMessage> readHandOver(const fbs::HandOver& read) {
   HandOver handOver{read.partition(), read.grantor(), read.part(), {}};
   if (read.accounts() == nullptr) {
@@ -167,10 +120,15 @@
     return readHandOver(*read);
   }
   if (const auto* const read = envelope->message_as_TokenRequest()) {
-    return QuotaMessage{readTokenRequest(*read)};
+    return QuotaMessage{TokenRequest{read->number(), read->tenant()->str(), read->for_begun(),
+                                     read->for_beginning(), read->returned(), read->grantor()}};
   }
   if (const auto* const read = envelope->message_as_TokenReply()) {
-    return QuotaMessage{readTokenReply(*read)};
+    return QuotaMessage{
+        TokenReply{read->number(), read->decided(), read->granted(), read->is_ample(),
+                   Duration(static_cast<Duration::rep>(read->retry_after_us())),
+                   Duration(static_cast<Duration::rep>(read->usable_after_us())), read->grantor(),
+                   read->coordinator() == nullptr ? std::string() : read->coordinator()->str()}};
   }
   return invalidMessage();
 }
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -29,18 +29,6 @@
   std::uint32_t partition = 0;
   std::uint64_t round = 0;  ///< Its last one; lends to an earlier or later life stay.
 };
-/// One of the requests that tokens are asked for.
-struct TokenCaller {
-  std::uint64_t program = 0;  ///< Hash of its name; retries of a request have the same.
-  Duration patience{};        ///< A caller that is told to come back later than that comes then.
-  bool hasBegun = false;
-};
-/// What a caller of a token request is told that is not granted one.
-struct TokenRefusal {
-  std::uint64_t program = 0;
-  Duration retryAfter{};
-  bool isReserved = false;  ///< From then on a token is kept for the program.
-};
 /// A node asks for tokens; each lets one request of the tenant through.
 struct TokenRequest {
   std::uint64_t number = 0;  ///< Of this node; the reply names it.
@@ -49,7 +37,6 @@
   std::uint32_t forBeginning = 0;  ///< For programs that begin.
   std::uint32_t returned = 0;      ///< Tokens of `grantor` that were not spent and never will be.
   std::uint64_t grantor = 0;       ///< The life of the coordinator that granted them.
-  std::vector<TokenCaller> callers{};  ///< Those whose program is known.
 };
 struct TokenReply {
   std::uint64_t number = 0;
@@ -60,7 +47,6 @@
   Duration usableAfter{};  ///< From the reply on: until the tenant's rate has made up for them.
   std::uint64_t grantor = 0;
   std::string coordinator{};  ///< Undecided: who coordinates, as far as is known; empty: not known.
-  std::vector<TokenRefusal> refusals{};  ///< Of the callers that the request named.
 };
 /// What a coordinator knows of one tenant.
 struct HandedAccount {
--- a/src/quota/quota_pool.cpp
+++ b/src/quota/quota_pool.cpp
@@ -57,7 +57,7 @@
     tookOverAt_ = now;
   }
   for (const HandedAccount& handed : handOver.accounts) {
-    const auto [entry, isNew] = accounts_.try_emplace(handed.tenant, knobs_);
+    const auto [entry, isNew] = accounts_.try_emplace(handed.tenant);
     Account& account = entry->second;
     if (isNew) {
       account.shareSeconds = shares_.shareSeconds(now);
@@ -92,7 +92,7 @@
 QuotaPool::Account& QuotaPool::accountOf(const std::string& tenant, const tenant::Quota& quota,
                                          Instant now) {
   const double shareSeconds = shares_.shareSeconds(now);
-  const auto [entry, isNew] = accounts_.try_emplace(tenant, knobs_);
+  const auto [entry, isNew] = accounts_.try_emplace(tenant);
   Account& account = entry->second;
   if (isNew) {
     // As if the tenant had been known, and silent, since the pool began or began anew.
@@ -136,108 +136,6 @@
       std::chrono::duration<double>(std::max(0.0, missing) / rate));
 }
 
-Duration QuotaPool::reachOf(const TokenCaller& caller) const {
-  const Duration reach = knobs_.longestDelay + std::chrono::duration_cast<Duration>(
-                                                   caller.patience * knobs_.patiencesInReach);
-  const double share = caller.hasBegun ? 1.0 : knobs_.beginningReachShare;
-  return std::chrono::duration_cast<Duration>(reach * share);
-}
-
-bool QuotaPool::reserve(Account& account, const TokenCaller& caller, Instant readyAt, Instant now,
-                        TokenReply& reply) {
-  const Duration wait = readyAt - now;
-  const Duration told = std::min(wait, std::max(caller.patience, knobs_.shortestRetryAfter));
-  if (wait > reachOf(caller) || !account.line.reserve({caller.program, now + told, readyAt})) {
-    return false;
-  }
-  reply.refusals.push_back({caller.program, told, true});
-  return true;
-}
-
-void QuotaPool::claimPlaces(Account& account, const TokenRequest& request, Instant now,
-                            Division& division, TokenReply& reply) {
-  for (const TokenCaller& caller : request.callers) {
-    const std::optional<ReturnPlace> place = account.line.take(caller.program, now);
-    const bool isReady = place && place->readyAt - now <= knobs_.longestDelay;
-    const std::size_t before = place ? account.line.sizeBefore(place->readyAt) : 0;
-    if (isReady && division.returning + before < wholeTokens(division.soon)) {
-      ++division.returning;
-      ++returnCounts_.claimed;
-      division.usableAt = std::max(division.usableAt, place->readyAt);
-    } else if (!place || isReady || !reserve(account, caller, place->readyAt, now, reply)) {
-      division.callers.push_back(caller);
-      continue;
-    }
-    ++(caller.hasBegun ? division.settledBegun : division.settledBeginning);
-  }
-}
-
-QuotaPool::Division QuotaPool::divide(Account& account, const TokenRequest& request,
-                                      const tenant::Quota& quota, Instant now, TokenReply& reply) {
-  const double share = shares_.share(now);
-  const std::chrono::duration<double> delay = knobs_.longestDelay;
-  const double inWindow = leftInWindow(account, quota, now);
-  Division division;
-  division.usableAt = now;
-  division.level = std::min(account.level, inWindow);
-  division.soon =
-      std::min(account.level + quota.requestsPerSecond * share * delay.count(), inWindow);
-  returnCounts_.lapsed += account.line.dropLapsed(now);
-  if (share >= knobs_.decidingShare) {
-    claimPlaces(account, request, now, division, reply);
-  }
-  const auto kept = static_cast<double>(account.line.size());
-  const double reserved = reservedOf(account, quota, now);
-  division.reserved = reserved;
-  const std::uint32_t waiting = request.forBegun + request.forBeginning;
-  // Programs begin on tokens that are not made yet only while begun ones stay below the rate.
-  reply.isAmple = (reserved > 0 ? division.level : division.soon) - kept - waiting >= reserved;
-  const std::uint32_t begun = request.forBegun - division.settledBegun;
-  const std::uint32_t beginning = request.forBeginning - division.settledBeginning;
-  const std::uint32_t allowed = reply.isAmple ? begun + beginning : begun;
-  division.others = std::min(allowed, wholeTokens(division.soon - kept - division.returning));
-  reply.retryAfter = std::clamp(timeUntil(reserved + kept + waiting - division.level, quota, now),
-                                knobs_.shortestRetryAfter, knobs_.longestRetryAfter);
-  return division;
-}
-
-void QuotaPool::refuse(Account& account, const TokenCaller& caller, double reserved,
-                       const tenant::Quota& quota, Instant now, TokenReply& reply) {
-  const double place = static_cast<double>(account.line.size()) + 1;
-  const double mostInWindow = windowAllowanceOf(knobs_, quota) * shares_.share(now) - place;
-  const double before = caller.hasBegun ? 0 : reserved;
-  const Duration untilMade = timeUntil(before + place - account.level, quota, now);
-  const Duration untilInWindow = account.granted.timeUntilAtMost(wholeTokens(mostInWindow), now);
-  const Duration wait = std::max({untilMade, untilInWindow, knobs_.shortestRetryAfter});
-  if (reserve(account, caller, now + wait, now, reply)) {
-    ++returnCounts_.reserved;
-    return;
-  }
-  reply.refusals.push_back({caller.program, std::min(wait, knobs_.longestRetryAfter), false});
-}
-
-void QuotaPool::refuseOthers(Account& account, const TokenRequest& request,
-                             const Division& division, const tenant::Quota& quota, Instant now,
-                             TokenReply& reply) {
-  const std::uint32_t forBegun =
-      std::min(division.others, request.forBegun - division.settledBegun);
-  std::uint32_t leftForBegun = forBegun;
-  std::uint32_t leftForBeginning = division.others - forBegun;
-  for (const bool hasBegun : {true, false}) {
-    std::uint32_t& left = hasBegun ? leftForBegun : leftForBeginning;
-    for (const TokenCaller& caller : division.callers) {
-      if (caller.hasBegun != hasBegun) {
-        continue;
-      }
-      if (left > 0) {
-        --left;
-      } else {
-        refuse(account, caller, division.reserved, quota, now, reply);
-      }
-    }
-  }
-}
-
 TokenReply QuotaPool::grant(const TokenRequest& request, const tenant::Quota& quota, Instant now) {
   TokenReply reply;
   reply.number = request.number;
@@ -250,24 +148,31 @@
     return reply;
   }
   Account& account = accountOf(request.tenant, quota, now);
+  const double capacity = capacityOf(quota, now);
   if (request.grantor == life_) {
-    account.level = std::min(account.level + request.returned, capacityOf(quota, now));
+    account.level = std::min(account.level + request.returned, capacity);
   }
   noteBegunUse(account, request.forBegun, now);
-  const Division division = divide(account, request, quota, now, reply);
-  const std::uint32_t granted = division.returning + division.others;
-  reply.decided =
-      granted == request.forBegun + request.forBeginning || share >= knobs_.decidingShare;
-  if (!reply.decided) {
-    return reply;
+  const std::chrono::duration<double> delay = knobs_.longestDelay;
+  const double inWindow = leftInWindow(account, quota, now);
+  const double level = std::min(account.level, inWindow);
+  const double soon =
+      std::min(account.level + quota.requestsPerSecond * share * delay.count(), inWindow);
+  const double reserved = reservedOf(account, quota, now);
+  const std::uint32_t waiting = request.forBegun + request.forBeginning;
+  // Programs begin on tokens that are not made yet only while begun ones stay below the rate.
+  reply.isAmple = (reserved > 0 ? level : soon) - waiting >= reserved;
+  const std::uint32_t allowed = reply.isAmple ? waiting : request.forBegun;
+  const std::uint32_t granted = std::min(allowed, wholeTokens(soon));
+  reply.retryAfter = std::clamp(timeUntil(reserved + waiting - level, quota, now),
+                                knobs_.shortestRetryAfter, knobs_.longestRetryAfter);
+  reply.decided = granted == waiting || share >= knobs_.decidingShare;
+  if (reply.decided) {
+    account.level -= granted;
+    reply.usableAfter = timeUntil(-account.level, quota, now);
+    account.granted.add(granted, now);
+    reply.granted = granted;
   }
-  account.level -= granted;
-  const double kept = division.others > 0 ? static_cast<double>(account.line.size()) : 0.0;
-  reply.usableAfter =
-      std::max(timeUntil(kept - account.level, quota, now), division.usableAt - now);
-  account.granted.add(granted, now);
-  reply.granted = granted;
-  refuseOthers(account, request, division, quota, now, reply);
   return reply;
 }
 
--- a/src/quota/quota_service.cpp
+++ b/src/quota/quota_service.cpp
@@ -25,11 +25,6 @@
   return XXH64(address.data(), address.size(), partition);
 }
 
-/// \return a number that stands for a program on all nodes.
-std::uint64_t programKeyOf(std::string_view program) {
-  return program.empty() ? 0 : XXH64(program.data(), program.size(), 0);
-}
-
 constexpr QuotaDecision kGranted{QuotaVerdict::Granted, Duration::zero()};
 
 }  // namespace
@@ -87,8 +82,7 @@
   return true;
 }
 
-void QuotaService::admit(const tenant::Tenant& tenant, const QuotaCaller& caller,
-                         Callback callback) {
+void QuotaService::admit(const tenant::Tenant& tenant, ProgramStage stage, Callback callback) {
   if (!tenant.quota.isLimited()) {
     callback(kGranted);
     return;
@@ -100,13 +94,12 @@
   }
   account.usedAt = now;
   const bool isUsable = account.waiters.empty() && now >= account.tokens.usableAt;
-  if (isUsable && trySpend(account, caller.stage, now)) {
+  if (isUsable && trySpend(account, stage, now)) {
     ++counters_.grantedAtOnce;
     callback(kGranted);
     return;
   }
-  account.waiters.push_back({caller.stage, programKeyOf(caller.program), now, now + caller.timeLeft,
-                             std::move(callback)});
+  account.waiters.push_back({stage, now, std::move(callback)});
   ++waiting_;
   if (!account.asking) {
     askCoordinator(account);
@@ -164,14 +157,7 @@
   request.number = nextNumber_++;
   request.tenant = account.tenant.name;
   for (const Waiter& waiter : account.waiters) {
-    const bool hasBegun = waiter.stage == ProgramStage::Begun;
-    ++(hasBegun ? request.forBegun : request.forBeginning);
-    if (knobs_.reservesTokens && waiter.program != 0) {
-      const auto patience =
-          std::max(Duration::zero(), waiter.givesUpAt - now) * knobs_.patienceShare;
-      request.callers.push_back(
-          {waiter.program, std::chrono::duration_cast<Duration>(patience), hasBegun});
-    }
+    ++(waiter.stage == ProgramStage::Begun ? request.forBegun : request.forBeginning);
   }
   // Tokens at hand are void or do not serve those who wait; this node will not spend them any more.
   request.returned = account.tokens.count;
@@ -269,10 +255,6 @@
   reply.number = request.number;
   if (tenant != nullptr && tenant->quota.isLimited()) {
     reply = coordination.pool->grant(request, tenant->quota, now);
-    const ReturnCounts counts = coordination.pool->takeReturnCounts();
-    counters_.tokensReserved += counts.reserved;
-    counters_.reservedClaimed += counts.claimed;
-    counters_.reservedLapsed += counts.lapsed;
   }
   ++counters_.tokenReplies;
   send(from, reply);
@@ -324,43 +306,6 @@
                     clock_() + reply.usableAfter};
 }
 
-QuotaDecision QuotaService::decisionFor(Account& account, const Waiter& waiter,
-                                        const TokenReply& reply,
-                                        std::vector<TokenRefusal>& refusals) {
-  const auto refusal =
-      std::find_if(refusals.begin(), refusals.end(),
-                   [&waiter](const TokenRefusal& one) { return one.program == waiter.program; });
-  if (refusal != refusals.end()) {
-    // A kept token has a moment of its own: its caller need not be spread.
-    const Duration wait = refusal->isReserved ? refusal->retryAfter : spread(refusal->retryAfter);
-    refusals.erase(refusal);
-    return {QuotaVerdict::OverLimit, wait};
-  }
-  const Instant now = clock_();
-  const bool isVoid = now >= account.tokens.until && reply.granted > 0;
-  // Tokens were granted for each waiter by itself when the reply says that they are ample; else
-  // only for programs that have begun, and for those whose token was kept.
-  const bool wasNamed = knobs_.reservesTokens && waiter.program != 0;
-  if (trySpend(account, wasNamed ? ProgramStage::Begun : waiter.stage, now)) {
-    return kGranted;
-  }
-  return {isVoid ? QuotaVerdict::Unknown : QuotaVerdict::OverLimit, spread(reply.retryAfter)};
-}
-
-void QuotaService::noteDecision(QuotaVerdict verdict) {
-  switch (verdict) {
-    case QuotaVerdict::Granted:
-      ++counters_.grantedAfterAsking;
-      break;
-    case QuotaVerdict::OverLimit:
-      ++counters_.overLimit;
-      break;
-    case QuotaVerdict::Unknown:
-      ++counters_.unknown;
-      break;
-  }
-}
-
 void QuotaService::serveWaiters(Account& account, const Asking& asked, const TokenReply& reply) {
   const Instant now = clock_();
   // Programs that have begun go first: tokens may not be enough for all.
@@ -372,13 +317,22 @@
   }
   std::stable_partition(decided.begin(), decided.end(),
                         [](const Waiter& waiter) { return waiter.stage == ProgramStage::Begun; });
+  const bool isVoid = now >= account.tokens.until;
+  const std::uint32_t granted = account.tokens.count;
   const Instant usableAt = now + reply.usableAfter;
-  std::vector<TokenRefusal> refusals = reply.refusals;
   std::vector<std::pair<Callback, QuotaDecision>> answers;
   for (Waiter& waiter : decided) {
-    const QuotaDecision decision = decisionFor(account, waiter, reply, refusals);
-    noteDecision(decision.verdict);
+    QuotaDecision decision = kGranted;
+    // Tokens were granted for each waiter by itself when the reply says that they are ample; else
+    // only for programs that have begun.
+    if (!trySpend(account, waiter.stage, now)) {
+      decision = {isVoid && granted > 0 ? QuotaVerdict::Unknown : QuotaVerdict::OverLimit,
+                  spread(reply.retryAfter)};
+    }
     const bool isGranted = decision.verdict == QuotaVerdict::Granted;
+    ++(isGranted ? counters_.grantedAfterAsking
+                 : (decision.verdict == QuotaVerdict::OverLimit ? counters_.overLimit
+                                                                : counters_.unknown));
     if (isGranted && usableAt > now) {
       account.scheduled.push_back({usableAt, std::move(waiter.callback)});
     } else {
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -47,11 +47,8 @@
   std::uint64_t grantedFromOwnShare = 0;
   std::uint64_t overLimit = 0;
   std::uint64_t unknown = 0;
-  std::uint64_t tokenRequests = 0;    ///< Sent, repeated ones included.
-  std::uint64_t tokenReplies = 0;     ///< Given as a coordinator.
-  std::uint64_t tokensReserved = 0;   ///< As a coordinator, for refused requests that return.
-  std::uint64_t reservedClaimed = 0;  ///< Returned in time.
-  std::uint64_t reservedLapsed = 0;
+  std::uint64_t tokenRequests = 0;  ///< Sent, repeated ones included.
+  std::uint64_t tokenReplies = 0;   ///< Given as a coordinator.
 };
 
 /// One node's part in quotas. A tenant belongs to a partition, and each partition has a coordinator
@@ -65,7 +62,7 @@
   QuotaService(QuotaFleet& fleet, const QuotaKnobs& knobs, std::string ownAddress,
                std::uint64_t life, std::function<Instant()> clock);
 
-  void admit(const tenant::Tenant& tenant, const QuotaCaller& caller, Callback callback) override;
+  void admit(const tenant::Tenant& tenant, ProgramStage stage, Callback callback) override;
   void giveBack(const std::string& tenant) override;
   void onMessage(const std::string& from, const QuotaMessage& message);
   /// Sends what is due; call it every few milliseconds while `hasWaiting`, else every `lendPeriod`.
@@ -81,9 +78,7 @@
  private:
   struct Waiter {
     ProgramStage stage = ProgramStage::Beginning;
-    std::uint64_t program = 0;  ///< Hash of its name; 0: none.
     Instant since;
-    Instant givesUpAt;
     Callback callback;
   };
   struct Tokens {
@@ -156,10 +151,6 @@
   void onTokenReply(const TokenReply& reply);
   /// After an undecided reply: asks the coordinator that it named, or pauses.
   void followOrPause(Account& account, const std::string& coordinator);
-  /// \return what a waiter is told that a coordinator has decided on.
-  QuotaDecision decisionFor(Account& account, const Waiter& waiter, const TokenReply& reply,
-                            std::vector<TokenRefusal>& refusals);
-  void noteDecision(QuotaVerdict verdict);
   void takeTokens(Account& account, const Asking& asked, const TokenReply& reply);
   void serveWaiters(Account& account, const Asking& asked, const TokenReply& reply);
   void checkAccount(Account& account);
--- a/src/quota/sliding_count.h
+++ b/src/quota/sliding_count.h
@@ -51,19 +51,6 @@
     moveTo(now);
     return sum_;
   }
-  /// \return when the count is at most `most`, if nothing is added; zero when it is.
-  Duration timeUntilAtMost(std::uint32_t most, Instant now) {
-    moveTo(now);
-    std::uint32_t left = sum_;
-    std::uint64_t slotsToLeave = 0;
-    while (left > most) {
-      ++slotsToLeave;
-      left -= counts_[(newest_ + slotsToLeave) % kSlots];
-    }
-    const Instant newestBegan(kSlot * static_cast<Duration::rep>(newest_));
-    return slotsToLeave == 0 ? Duration::zero()
-                             : newestBegan + kSlot * static_cast<Duration::rep>(slotsToLeave) - now;
-  }
 
  private:
   void moveTo(Instant now) {
--- a/src/quota/static_shares.cpp
+++ b/src/quota/static_shares.cpp
@@ -5,8 +5,7 @@
 
 namespace gorsetrail::quota {
 
-void StaticShares::admit(const tenant::Tenant& tenant, const QuotaCaller& /*caller*/,
-                         Callback callback) {
+void StaticShares::admit(const tenant::Tenant& tenant, ProgramStage /*stage*/, Callback callback) {
   if (!tenant.quota.isLimited()) {
     callback({QuotaVerdict::Granted, Duration::zero()});
     return;
--- a/src/quota/static_shares.h
+++ b/src/quota/static_shares.h
@@ -17,7 +17,7 @@
   StaticShares(std::function<double()> share, std::function<Instant()> clock)
       : share_(std::move(share)), clock_(std::move(clock)) {}
 
-  void admit(const tenant::Tenant& tenant, const QuotaCaller& caller, Callback callback) override;
+  void admit(const tenant::Tenant& tenant, ProgramStage stage, Callback callback) override;
   void giveBack(const std::string& tenant) override;
 
  private:
