The coordinator's side of quotas has a class of its own

Change: QuotaCoordinator borrows shares, grants tokens and hands partitions over; QuotaService asks for tokens and lends. What both know of the fleet is in fleet_view.h.

--- a/src/quota/quota_service.cpp
+++ b/src/quota/quota_service.cpp
@@ -10,20 +10,11 @@
 
 /// Accounts of tenants that nobody asked for in so long are dropped; their tokens are void by then.
 constexpr Duration kIdleAccountLifetime = seconds(30);
-/// A node that is asked for tokens goes on borrowing for so long, by choice of those who ask.
-constexpr Duration kAskedCoordinationTime = seconds(1);
 /// Callers of one tenant come back spread over this share of the time they are told.
 constexpr double kRetrySpread = 0.5;
 
 /// Numbers of one life differ in their low bits only.
 constexpr unsigned kNumberBits = 32;
-/// One in a hundred datagrams may be lost: each message of a hand-over is sent so often.
-constexpr int kHandOverCopies = 2;
-
-/// \return the place of a coordinator in the order that decides between two of them.
-std::uint64_t rankOf(std::uint32_t partition, const std::string& address) {
-  return XXH64(address.data(), address.size(), partition);
-}
 
 constexpr QuotaDecision kGranted{QuotaVerdict::Granted, Duration::zero()};
 
@@ -34,10 +25,12 @@
     : fleet_(fleet),
       knobs_(knobs),
       ownAddress_(std::move(ownAddress)),
-      life_(life),
       clock_(std::move(clock)),
       random_(life),
       lender_(knobs, clock_()),
+      coordinator_(
+          fleet, knobs, ownAddress_, life, clock_, random_,
+          [this](const std::string& to, const QuotaMessage& message) { send(to, message); }),
       nextNumber_((random_.below(UINT32_MAX) + 1) << kNumberBits) {}
 
 std::uint32_t QuotaService::partitionOf(const std::string& tenant) const {
@@ -184,20 +177,20 @@
   if (const auto* const lend = std::get_if<LendRequest>(&message)) {
     onLendRequest(from, *lend);
   } else if (const auto* const lent = std::get_if<LendReply>(&message)) {
-    onLendReply(from, *lent);
+    coordinator_.onLendReply(from, *lent);
   } else if (const auto* const request = std::get_if<TokenRequest>(&message)) {
-    onTokenRequest(from, *request);
+    coordinator_.onTokenRequest(from, partitionOf(request->tenant), *request);
   } else if (const auto* const end = std::get_if<LendEnd>(&message)) {
     onLendEnd(from, *end);
   } else if (const auto* const handed = std::get_if<HandOver>(&message)) {
-    onHandOver(from, *handed);
+    coordinator_.onHandOver(from, *handed);
   } else {
     onTokenReply(std::get<TokenReply>(message));
   }
 }
 
 void QuotaService::onLendRequest(const std::string& from, const LendRequest& request) {
-  considerRival(from, request);
+  coordinator_.considerRival(from, request);
   const double share = fleet_.ownShare();
   if (share > 0 && lender_.lend(request.partition, from, request.round, clock_())) {
     send(from, LendReply{request.partition, request.round, share});
@@ -206,58 +199,7 @@
 
 void QuotaService::onLendEnd(const std::string& from, const LendEnd& end) {
   lender_.onEnd(end.partition, from, end.round, clock_());
-  const auto way = givenWay_.find(end.partition);
-  if (way != givenWay_.end() && way->second.rival == from) {
-    givenWay_.erase(way);
-  }
-}
-
-void QuotaService::onLendReply(const std::string& from, const LendReply& reply) {
-  const auto found = coordinations_.find(reply.partition);
-  if (found == coordinations_.end() || found->second.round != reply.round) {
-    return;  // To an earlier round, or to an earlier life.
-  }
-  // Counted from before the request was sent, so that it ends here before it ends there.
-  found->second.pool->onLend(from, reply.share, found->second.roundAt + knobs_.lendTime, clock_());
-}
-
-QuotaService::Coordination& QuotaService::coordinationOf(std::uint32_t partition) {
-  Coordination& coordination = coordinations_[partition];
-  if (!coordination.pool) {
-    // Numbers of rounds start at random: a reply to an earlier life must not fit.
-    coordination.round = (random_.below(UINT32_MAX) + 1) << kRoundBits;
-    coordination.pool = std::make_unique<QuotaPool>(knobs_, life_ ^ coordination.round);
-  }
-  return coordination;
-}
-
-void QuotaService::onTokenRequest(const std::string& from, const TokenRequest& request) {
-  const Instant now = clock_();
-  const std::uint32_t partition = partitionOf(request.tenant);
-  if (!coordinates_ || givesWay(partition)) {
-    TokenReply undecided;
-    undecided.number = request.number;
-    if (givesWay(partition)) {
-      undecided.coordinator = givenWay_[partition].rival;
-    }
-    send(from, undecided);
-    return;
-  }
-  Coordination& coordination = coordinationOf(partition);
-  const bool wasIdle = coordination.neededUntil <= now;
-  coordination.neededUntil = now + kAskedCoordinationTime;
-  if (wasIdle || now < coordination.hurriesUntil) {
-    coordinate(partition);
-  }
-  const auto tenants = fleet_.tenants();
-  const tenant::Tenant* const tenant = tenants ? tenants->find(request.tenant) : nullptr;
-  TokenReply reply;
-  reply.number = request.number;
-  if (tenant != nullptr && tenant->quota.isLimited()) {
-    reply = coordination.pool->grant(request, tenant->quota, now);
-  }
-  ++counters_.tokenReplies;
-  send(from, reply);
+  coordinator_.onRivalEnd(from, end.partition);
 }
 
 void QuotaService::onTokenReply(const TokenReply& reply) {
@@ -372,127 +314,7 @@
     return entry.second.waiters.empty() && !entry.second.asking && entry.second.scheduled.empty() &&
            now - entry.second.usedAt > kIdleAccountLifetime;
   });
-  repeatEnds();
-  const auto tenants = fleet_.tenants();
-  if (!coordinates_ || !tenants || !tenants->hasLimits()) {
-    return;
-  }
-  for (std::uint32_t partition = 0; partition < knobs_.partitions; ++partition) {
-    const std::vector<std::string> candidates = fleet_.coordinatorsOf(partition);
-    const bool isFirst = !candidates.empty() && candidates.front() == ownAddress_;
-    const auto known = coordinations_.find(partition);
-    const bool isAsked = known != coordinations_.end() && now < known->second.neededUntil;
-    if ((isFirst || isAsked) && !givesWay(partition)) {
-      coordinate(partition);
-    }
-  }
-}
-
-void QuotaService::endCoordination() {
-  if (!coordinates_) {
-    return;
-  }
-  coordinates_ = false;
-  LendEnds ends;
-  for (auto& [partition, coordination] : coordinations_) {
-    ends.push_back({partition, coordination.round});
-    for (const std::string& candidate : fleet_.coordinatorsOf(partition)) {
-      if (candidate != ownAddress_) {
-        handOver(partition, coordination, candidate);
-        break;
-      }
-    }
-  }
-  // Replies that are still on their way find nothing to count for.
-  coordinations_.clear();
-  announceEnds(ends);
-}
-
-void QuotaService::handOver(std::uint32_t partition, Coordination& coordination,
-                            const std::string& successor) {
-  for (const HandOver& message : coordination.pool->handOver(partition, clock_())) {
-    for (int copy = 0; copy < kHandOverCopies; ++copy) {
-      send(successor, message);
-    }
-  }
-}
-
-void QuotaService::onHandOver(const std::string& from, const HandOver& handOver) {
-  if (const auto way = givenWay_.find(handOver.partition);
-      way != givenWay_.end() && way->second.rival == from) {
-    givenWay_.erase(way);
-  }
-  if (coordinates_ && handOver.partition < knobs_.partitions && !givesWay(handOver.partition)) {
-    const Instant now = clock_();
-    Coordination& coordination = coordinationOf(handOver.partition);
-    coordination.pool->takeOver(handOver, now);
-    coordination.neededUntil = now + kAskedCoordinationTime;
-    coordination.hurriesUntil = now + knobs_.lendPeriod;
-    coordinate(handOver.partition);
-  }
-}
-
-void QuotaService::announceEnds(const LendEnds& ends) {
-  for (const LendEnd& end : ends) {
-    tellAll(end);
-    repeatedEnds_.push_back({end, knobs_.repeatedEnds});
-  }
-}
-
-void QuotaService::tellAll(const LendEnd& end) {
-  for (const std::string& member : fleet_.members()) {
-    send(member, end);
-  }
-}
-
-void QuotaService::repeatEnds() {
-  for (RepeatedEnd& repeated : repeatedEnds_) {
-    tellAll(repeated.end);
-    --repeated.left;
-  }
-  std::erase_if(repeatedEnds_, [](const RepeatedEnd& repeated) { return repeated.left == 0; });
-}
-
-bool QuotaService::givesWay(std::uint32_t partition) const {
-  const auto found = givenWay_.find(partition);
-  return found != givenWay_.end() && clock_() - found->second.heardAt < knobs_.wayTime;
-}
-
-void QuotaService::considerRival(const std::string& rival, const LendRequest& request) {
-  if (rival == ownAddress_) {
-    return;
-  }
-  const auto own = coordinations_.find(request.partition);
-  const bool ownHoldsHalf =
-      own != coordinations_.end() && own->second.pool->share(clock_()) >= knobs_.decidingShare;
-  const bool comesFirst = rankOf(request.partition, rival) > rankOf(request.partition, ownAddress_);
-  if (ownHoldsHalf ? !(request.holdsHalf && comesFirst) : !(request.holdsHalf || comesFirst)) {
-    return;
-  }
-  givenWay_[request.partition] = {rival, clock_()};
-  if (own != coordinations_.end()) {
-    const LendEnd end{request.partition, own->second.round};
-    handOver(request.partition, own->second, rival);
-    coordinations_.erase(own);
-    announceEnds({end});
-  }
-}
-
-void QuotaService::coordinate(std::uint32_t partition) {
-  const Instant now = clock_();
-  Coordination& coordination = coordinationOf(partition);
-  const Duration period =
-      now < coordination.hurriesUntil ? knobs_.hurriedLendPeriod : knobs_.lendPeriod;
-  if (coordination.roundAt != Instant{} && now - coordination.roundAt < period) {
-    return;
-  }
-  ++coordination.round;
-  coordination.roundAt = now;
-  const bool holdsHalf = coordination.pool->share(now) >= knobs_.decidingShare;
-  const LendRequest request{partition, coordination.round, holdsHalf};
-  for (const std::string& member : fleet_.members()) {
-    send(member, request);
-  }
+  coordinator_.onTick();
 }
 
 void QuotaService::releaseDue(Account& account) {
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -5,41 +5,22 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/random.h"
+#include "quota/fleet_view.h"
 #include "quota/quota_admission.h"
+#include "quota/quota_coordinator.h"
 #include "quota/quota_knobs.h"
 #include "quota/quota_message.h"
-#include "quota/quota_pool.h"
 #include "quota/share_lender.h"
-#include "tenant/tenant_directory.h"
+#include "tenant/tenant.h"
 
 namespace gorsetrail::quota {
 
-/// What the service needs to know of the fleet; asked when needed.
-class QuotaFleet {
- public:
-  virtual ~QuotaFleet() = default;
-  /// \return addresses of the nodes that may coordinate a partition, best first; nodes that agree
-  /// on the members agree on the first.
-  [[nodiscard]] virtual std::vector<std::string> coordinatorsOf(std::uint32_t partition) const = 0;
-  /// \return addresses of all members, this one included.
-  [[nodiscard]] virtual std::vector<std::string> members() const = 0;
-  /// \return this node's part of each limit, 0 to 1; 0 before the members are known.
-  [[nodiscard]] virtual double ownShare() const = 0;
-  /// \return the tenants in force; null when there are none.
-  [[nodiscard]] virtual std::shared_ptr<const tenant::TenantDirectory> tenants() const = 0;
-  /// Sends a message; it may be lost. Never calls back into the service.
-  virtual void send(const std::string& to, const QuotaMessage& message) = 0;
-  /// Another node than before decides for a partition. Never calls back into the service.
-  virtual void onCoordinatorChanged(std::uint32_t partition, const std::string& address) = 0;
-};
-
 /// What became of quota decisions; all only rise.
 struct QuotaCounters {
   std::uint64_t grantedAtOnce = 0;  ///< From tokens at hand.
@@ -52,7 +33,7 @@
 };
 
 /// One node's part in quotas. A tenant belongs to a partition, and each partition has a coordinator
-/// that borrows all nodes' shares (`QuotaPool`, `ShareLender`) and grants tokens. Why a limit
+/// that borrows all nodes' shares (`QuotaCoordinator`, `ShareLender`) and grants tokens. Why a limit
 /// holds: shares add up to the limit and are lent to one coordinator at a time, so all coordinators
 /// together, also in a split fleet, grant no more than the limit; and a token is void
 /// `QuotaKnobs::tokenLifetime` after it was asked for, whatever froze in between.
@@ -68,10 +49,14 @@
   /// Sends what is due; call it every few milliseconds while `hasWaiting`, else every `lendPeriod`.
   void onTick();
   /// Before a planned stop: this node grants nothing any more, and nodes may lend to another.
-  void endCoordination();
+  void endCoordination() { coordinator_.end(); }
   /// \return whether requests wait for tokens.
   [[nodiscard]] bool hasWaiting() const { return waiting_ > 0; }
-  [[nodiscard]] const QuotaCounters& counters() const { return counters_; }
+  [[nodiscard]] QuotaCounters counters() const {
+    QuotaCounters counters = counters_;
+    counters.tokenReplies = coordinator_.tokenReplies();
+    return counters;
+  }
   /// \return the partition of a tenant.
   [[nodiscard]] std::uint32_t partitionOf(const std::string& tenant) const;
 
@@ -118,25 +103,6 @@
     std::deque<SpentToken> spent;  ///< Not void yet; the oldest first.
     Instant usedAt;
   };
-  /// The coordinator's state of one partition.
-  struct Coordination {
-    std::unique_ptr<QuotaPool> pool;
-    Instant neededUntil;  ///< Somebody asked, or this node is the first choice.
-    std::uint64_t round = 0;
-    Instant roundAt;
-    Instant hurriesUntil;  ///< Lends that ended elsewhere are free now: rounds follow fast.
-  };
-  using LendEnds = std::vector<LendEnd>;
-  /// An end that is told again, since a message may be lost.
-  struct RepeatedEnd {
-    LendEnd end;
-    std::uint32_t left = 0;
-  };
-  /// Another coordinator of a partition that this node leaves it to.
-  struct GivenWay {
-    std::string rival;
-    Instant heardAt;
-  };
 
   void askCoordinator(Account& account);
   void ask(Account& account, const std::string& coordinator, std::uint32_t tries);
@@ -146,8 +112,6 @@
   void send(const std::string& to, const QuotaMessage& message);
   void onLendRequest(const std::string& from, const LendRequest& request);
   void onLendEnd(const std::string& from, const LendEnd& end);
-  void onLendReply(const std::string& from, const LendReply& reply);
-  void onTokenRequest(const std::string& from, const TokenRequest& request);
   void onTokenReply(const TokenReply& reply);
   /// After an undecided reply: asks the coordinator that it named, or pauses.
   void followOrPause(Account& account, const std::string& coordinator);
@@ -160,30 +124,15 @@
   [[nodiscard]] static bool trySpend(Account& account, ProgramStage stage, Instant now);
   static void dropVoid(Account& account, Instant now);
   void finish(Account& account, QuotaDecision decision);
-  void coordinate(std::uint32_t partition);
-  Coordination& coordinationOf(std::uint32_t partition);
-  /// Two coordinators of one partition would each hold a part of the shares for good, since nodes
-  /// renew their lends to whoever asks: the one that holds less than half gives way, or that which
-  /// comes second in an order that all nodes know.
-  void considerRival(const std::string& rival, const LendRequest& request);
-  [[nodiscard]] bool givesWay(std::uint32_t partition) const;
-  void announceEnds(const LendEnds& ends);
-  void tellAll(const LendEnd& end);
-  void repeatEnds();
-  void onHandOver(const std::string& from, const HandOver& handOver);
-  /// Tells the next coordinator what this one has granted. It goes out before the lends end, so
-  /// that it is there before anything can be granted.
-  void handOver(std::uint32_t partition, Coordination& coordination, const std::string& successor);
   [[nodiscard]] Duration spread(Duration retryAfter);
 
   QuotaFleet& fleet_;
   QuotaKnobs knobs_;
   std::string ownAddress_;
-  std::uint64_t life_;
   std::function<Instant()> clock_;
   RandomSource random_;
   ShareLender lender_;
-  std::map<std::uint32_t, Coordination> coordinations_;
+  QuotaCoordinator coordinator_;
   std::unordered_map<std::string, Account> accounts_;
   /// Who decided last, by partition: asked first while it decides. After a split heals the nodes
   /// that others chose as coordinator return, with nothing borrowed.
@@ -192,9 +141,6 @@
   std::unordered_map<std::uint64_t, std::string> askingTenants_;  ///< By number of the request.
   std::deque<std::pair<std::string, QuotaMessage>> toSelf_;
   bool deliversToSelf_ = false;
-  bool coordinates_ = true;                     ///< False from the planned stop on.
-  std::map<std::uint32_t, GivenWay> givenWay_;  ///< By partition.
-  std::vector<RepeatedEnd> repeatedEnds_;
   /// Begins at random: a reply to an earlier life must not fit.
   std::uint64_t nextNumber_;
   std::size_t waiting_ = 0;
