--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -33,9 +33,9 @@
 };
 
 /// One node's part in quotas. A tenant belongs to a partition, and each partition has a coordinator
-/// that borrows all nodes' shares (`QuotaCoordinator`, `ShareLender`) and grants tokens. Why a limit
-/// holds: shares add up to the limit and are lent to one coordinator at a time, so all coordinators
-/// together, also in a split fleet, grant no more than the limit; and a token is void
+/// that borrows all nodes' shares (`QuotaCoordinator`, `ShareLender`) and grants tokens. Why a
+/// limit holds: shares add up to the limit and are lent to one coordinator at a time, so all
+/// coordinators together, also in a split fleet, grant no more than the limit; and a token is void
 /// `QuotaKnobs::tokenLifetime` after it was asked for, whatever froze in between.
 class QuotaService final : public QuotaAdmission {
  public:
