Settings read anew reach the ledger, and a refused configuration is read again

Cause: a reload changed the distances of replicas and clients, but the ledger kept the zones and regions of the start; and a configuration that was refused for a region missing from the table was handed over once by the follower, so it stayed out of force after the region had been added. The end of an evacuation stood twice, for a record and for a listing.

Ruled out: following the topic from the start again at each reload, which reads all records again on all nodes at once.

Change: RoutedLedger::setZones; the daemon keeps the newest refused configuration and reads it with the new table; onEvacuationTakenBack is one function.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -439,8 +439,8 @@
   settings.listen = settings_.listen;
   settings.switchedOff = settings_.switchedOff;
   settings_ = std::move(settings);
-  zones_ = routing::ZoneTable(settings_.regionOfZone);
   log_.important("reloaded", {{"node", settings_.nodeName}, {"store", settings_.store.address}});
+  onZonesChanged();
 }
 
 void EdgeDaemon::refuseReload(const std::vector<Error>& errors) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -66,6 +66,8 @@
   [[nodiscard]] services::TimerService& timers() { return *timers_; }
 
  private:
+  /// The settings have another table of zones and regions.
+  void onZonesChanged();
   [[nodiscard]] ledger::LedgerKnobs ledgerKnobs(std::uint64_t life);
   [[nodiscard]] ledger::RoutedLedgerKnobs routedLedgerKnobs();
   Result<Success> listen();
@@ -87,6 +89,8 @@
   void onConfigurationRecord(const std::string& value);
   void onEvacuationRecord(const std::string& zone, const std::string& value);
   void onOperatorRecordsListed(const std::vector<std::string>& keys);
+  /// \param by what told of it, for the log.
+  void onEvacuationTakenBack(const std::string& zone, std::string_view by);
   void onReplicaLapsed(const std::string& id, std::string_view by);
   [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
@@ -130,6 +134,9 @@
   boost::asio::io_context& ioContext_;
   EdgeSettings settings_;
   routing::ZoneTable zones_;
+  /// The newest configuration that could be read, where it was refused for a region that is not in
+  /// the table; empty otherwise.
+  std::string refusedConfiguration_;
   EdgeParts parts_;
   services::TimerServicePtr timers_;
   std::function<Instant()> clock_;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -47,8 +47,7 @@
 void EdgeDaemon::onEvacuationRecord(const std::string& zone, const std::string& value) {
   if (value.empty()) {
     if (evacuations_.onTakenBack(zone)) {
-      coldReplicas_.onZoneReturned(zone, clock_());
-      log_.important("evacuation_taken_back", {{"zone", zone}, {"by", "record"}});
+      onEvacuationTakenBack(zone, "record");
     }
   } else if (evacuations_.onEvacuated(zone, clock_())) {
     log_.important("zone_evacuated", {{"zone", zone}});
@@ -64,11 +63,15 @@
   }
   coldReplicas_.onEvacuationsListed(clock_());
   for (const std::string& zone : evacuations_.onListed(zones)) {
-    coldReplicas_.onZoneReturned(zone, clock_());
-    log_.important("evacuation_taken_back", {{"zone", zone}, {"by", "listing"}});
+    onEvacuationTakenBack(zone, "listing");
   }
 }
 
+void EdgeDaemon::onEvacuationTakenBack(const std::string& zone, std::string_view by) {
+  coldReplicas_.onZoneReturned(zone, clock_());
+  log_.important("evacuation_taken_back", {{"zone", zone}, {"by", by}});
+}
+
 void EdgeDaemon::onConfigurationRecord(const std::string& value) {
   if (value.empty()) {
     return;
@@ -78,8 +81,10 @@
     log_.important("configuration_unreadable", {{"error", errorOf(read).toText()}});
     return;
   }
+  refusedConfiguration_.clear();
   auto regions = routing::RegionPolicy::make(valueOf(read), zones_, settings_.zone);
   if (!succeeded(regions)) {
+    refusedConfiguration_ = value;
     // The one before stays in force: half of this one could send requests where they must not go.
     log_.important("configuration_refused", {{"version", valueOf(read).version.value()},
                                              {"error", errorOf(regions).toText()}});
@@ -96,6 +101,16 @@
                  {{"version", version}, {"routes", routes}});
 }
 
+void EdgeDaemon::onZonesChanged() {
+  zones_ = routing::ZoneTable(settings_.regionOfZone);
+  ledger_.setZones(settings_.zones, settings_.regionOfZone);
+  // The follower reads each record once: without this an operator who adds a region after its first
+  // use would have to publish a new version.
+  if (!refusedConfiguration_.empty()) {
+    onConfigurationRecord(std::string(refusedConfiguration_));
+  }
+}
+
 void EdgeDaemon::followReplicas() {
   logstore::KeyedTopicObserver observer;
   observer.onRecord = [this](const std::string& key, const std::string& value) {
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -63,6 +63,13 @@
       layout_(knobs_.partitions),
       homes_({}),
       pacer_(knobs_.pace, seed) {
+  setZones(std::move(knobs_.zones), std::move(knobs_.regionOfZone));
+}
+
+void RoutedLedger::setZones(std::vector<std::string> zones,
+                            std::map<std::string, std::string, std::less<>> regionOfZone) {
+  knobs_.zones = std::move(zones);
+  knobs_.regionOfZone = std::move(regionOfZone);
   if (knobs_.zones.empty()) {
     knobs_.zones.push_back(knobs_.zone);
   }
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -104,6 +104,10 @@
   [[nodiscard]] ReservationOutlook reservationOutlook(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownUse(const std::string& program) const override;
 
+  /// Takes over the zones and regions of settings that were read anew; calls under way go on with
+  /// the places that they were begun with.
+  void setZones(std::vector<std::string> zones,
+                std::map<std::string, std::string, std::less<>> regionOfZone);
   /// \return whether the node gave no sign of life when it was asked a moment ago.
   [[nodiscard]] bool isSuspect(const std::string& address) const {
     return homes_.isSuspect(address, clock_());
--- a/tests/lab_platform/region_day_test.cpp
+++ b/tests/lab_platform/region_day_test.cpp
@@ -226,3 +226,13 @@
   LONGS_EQUAL(0, westReplica->runs.size());
   STRCMP_EQUAL("answer of i-e", ask(*west, "f", "/free/x", "", "key").body.c_str());
 }
+
+TEST(RegionDay, aRefusedConfigurationIsReadAgainWhenTheSettingsHaveItsRegion) {
+  store->put("keyed.op", "config", configurationOf(2, "south"));
+  CHECK_TRUE(allLogged("configuration_refused version=2"));
+  for (Node* const node : {west.get(), east.get(), north.get()}) {
+    node->reload([](edge::EdgeSettings& settings) { settings.regionOfZone["sa"] = "south"; });
+  }
+  CHECK_TRUE(allLogged("configuration_in_force version=2"));
+  LONGS_EQUAL(503, ask(*west, "l", "/limited/stream/1").status);
+}
--- a/tests/lab_platform/whole_node.h
+++ b/tests/lab_platform/whole_node.h
@@ -75,6 +75,11 @@
   Node& operator=(const Node&) = delete;
 
   [[nodiscard]] const edge::ListenAddresses& listen() const { return settings_.listen; }
+  /// Has the running node read changed settings.
+  void reload(const Adjust& adjust) {
+    adjust(settings_);
+    daemon_->reload(settings_);
+  }
   void beginStop(std::function<void()> onStopped) { daemon_->beginStop(std::move(onStopped)); }
 
   std::string lines;
--- a/tests/ledger/confined_turns_test.cpp
+++ b/tests/ledger/confined_turns_test.cpp
@@ -138,3 +138,15 @@
   CHECK_TRUE(store(kWest, "t2", {}));
   CHECK_TRUE(finds(kWest, "t2", {}));
 }
+
+TEST(ConfinedTurns, goToHomesByTheRegionsOfSettingsReadAnew) {
+  fleet.nodes.erase("node2");
+  fleet.nodes.erase("node3");
+  CHECK_TRUE(store(kEast, "t1", {"na"}));
+  LONGS_EQUAL(0, fleet.callsTo["node4"] + fleet.callsTo["node5"]);
+  fleet.node(kEast).ledger.setZones(
+      {"ea", "na", "wa", "wb"}, {{"ea", "east"}, {"na", "north"}, {"wa", "north"}, {"wb", "west"}});
+  CHECK_TRUE(store(kEast, "t2", {"na"}));
+  CHECK(fleet.callsTo["node4"] + fleet.callsTo["node5"] > 0);
+  LONGS_EQUAL(0, fleet.callsTo["node6"] + fleet.callsTo["node7"]);
+}
