Readers of followed topics: those of the own region where the zone has none

Cause: a node whose zone has no listed node, for instance one that starts first there, chose readers among all nodes, in two of three cases in another region.

Ruled out: choosing store relays by distance too.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -7,6 +7,7 @@
 #include "edge/edge_daemon_shared.h"
 #include "edge/edge_knobs.h"
 #include "edge/exchange.h"
+#include "edge/nearest_nodes.h"
 #include "routing/region_policy.h"
 
 namespace gorsetrail::edge {
@@ -106,7 +107,8 @@
       memberGateway_(store_, *timers_, clock_, {kMemberTopic, 0},
                      [](const std::string&, const std::string&) { return false; }, {}),
       sharedTopics_(store_, relayedStore_, relayAddressOf(settings_), settings_.zone,
-                    [this] { return ledgerHomes(); }, clock_, {}),
+                    [this] { return nearestNodes(ledgerHomes(), settings_.zone, zones_); }, clock_,
+                    {}),
       localLedger_(store_, *timers_, clock_, ledgerKnobs(seed)),
       ledgerService_(localLedger_),
       ledgerPeers_(
