Requests that no engine's memory holds are refused for good, at once

Cause: an engine refuses a request larger than its memory as if it were full, so the client was told 503 with a time to come back after up to several replicas had been asked, and came back until its time was over. Ruled out: 503 without a time (clients retry it), and deciding it in the placement (a budget would be reserved and a token of the tenant's limit spent first). Change: a service's configuration tells the engines' memory (EngineProfile::memoryTokens); the check of a request answers 413 where prompt and most generated tokens exceed it, as long as the configuration is fresh. Tests: refusesForGoodWhatNoEnginesMemoryHolds fails without the check; sendsWhatJustFits..., leavesTheSizeToTheEngineWhenItsConfigurationMayBeOld; the decoding in readsAConfiguration. The test world's engine now has a memory of 5000 tokens.

--- a/src/edge/request_check.cpp
+++ b/src/edge/request_check.cpp
@@ -14,6 +14,7 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kForbidden = 403;
+constexpr unsigned kContentTooLarge = 413;
 
 /// \return whether what is not in the configuration in force is not in the newest one either.
 bool isConfigurationFresh(const EdgeContext& context, Instant now) {
@@ -84,6 +85,20 @@
   }
 }
 
+// Engines refuse what their memory can't hold as if they were full: the client would come back
+// until its time is over, and each try would use up its tenant's limit and ask several replicas.
+std::optional<Refusal> checkSize(const EdgeContext& context, const CallRequest& call, Instant now,
+                                 const CheckedRequest& request) {
+  if (!request.hasEngine || !isConfigurationFresh(context, now)) {
+    return std::nullopt;
+  }
+  const routing::Service& service = request.configuration->services.find(request.service)->second;
+  if (service.engine->holds(call.promptTokens, call.maximumTokens)) {
+    return std::nullopt;
+  }
+  return Refusal{kContentTooLarge, "request_exceeds_engine_memory", Duration::zero()};
+}
+
 void nameForLedger(const CallRequest& call, CheckedRequest& request) {
   const std::string scope = request.tenantName();
   request.turnName = tenant::scopedName(scope, call.requestId);
@@ -103,6 +118,9 @@
   if (!check.refusal) {
     check.refusal = findPlaces(context, now, check.request);
   }
+  if (!check.refusal) {
+    check.refusal = checkSize(context, call, now, check.request);
+  }
   if (check.refusal) {
     return check;
   }
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -60,6 +60,13 @@
 struct EngineProfile {
   std::uint32_t slots = 0;           ///< Requests in one batch.
   std::uint32_t tokensPerEvent = 1;  ///< Tokens that one event of a stream stands for.
+  /// Tokens that one replica holds, of running requests and kept prompts; 0: not told.
+  std::uint64_t memoryTokens = 0;
+
+  /// \return whether the memory holds a prompt with the most that is generated for it, in tokens.
+  [[nodiscard]] bool holds(std::uint64_t prompt, std::uint64_t generated) const {
+    return memoryTokens == 0 || (prompt <= memoryTokens && generated <= memoryTokens - prompt);
+  }
 };
 
 /// Replicas of one kind, by the name that routes use.
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -87,6 +87,35 @@
   LONGS_EQUAL(3, world.dispatches());
 }
 
+// Engines would refuse it as if they were full, at each try until the client's time is over.
+TEST(Exchange, refusesForGoodWhatNoEnginesMemoryHolds) {
+  CallRequest call = ExchangeWorld::turn("again");
+  call.promptTokens = 5000 - call.maximumTokens + 1;
+  const auto refused = world.start(call);
+  LONGS_EQUAL(413, refused->status);
+  CHECK(refused->retryAfter.empty());
+  LONGS_EQUAL(0, world.dispatches());
+  call.promptTokens = UINT64_MAX;  // No sum that overflows lets it pass.
+  LONGS_EQUAL(413, world.start(call)->status);
+}
+
+TEST(Exchange, sendsWhatJustFitsAnEnginesMemory) {
+  CallRequest call = ExchangeWorld::turn("again");
+  call.promptTokens = 5000 - call.maximumTokens;
+  world.start(call);
+  world.timers.advance(milliseconds(50));
+  LONGS_EQUAL(1, world.dispatches());
+}
+
+// The capacity may have been raised since: whoever reads no configuration leaves it to the engine.
+TEST(Exchange, leavesTheSizeToTheEngineWhenItsConfigurationMayBeOld) {
+  world.context.freshness.configurationHeardAt =
+      world.timers.now - world.context.knobs.configurationTrust - milliseconds(1);
+  CallRequest call = ExchangeWorld::turn("again");
+  call.promptTokens = 6000;
+  CHECK(world.start(call)->status != 413);
+}
+
 TEST(Exchange, neverSendsAnUnsafeRequestAgainOnceItMayHaveRun) {
   const auto client = world.start(ExchangeWorld::request("unsafe"));
   world.call().fail(http::FailureStage::Broken);
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -143,7 +143,7 @@
     configuration->routes[3].resumable = true;
     routing::Service service;
     service.name = "model";
-    service.engine = routing::EngineProfile{4, 9};
+    service.engine = routing::EngineProfile{4, 9, 5000};
     configuration->services.emplace("model", service);
     routes.apply(configuration);
     context.freshness.configurationHeardAt = timers.now;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -15,7 +15,7 @@
  {"name":"r2","host":"a.example","pathPrefix":"/y/","routeType":"safe","timeoutMs":1200.5,
   "weightedServices":[{"service":"m","weight":90},{"service":"n","weight":10}],"maxAttempts":2}],
  "services":[{"name":"m","healthPath":"/healthz","maxConnections":160,
-  "engine":{"slots":12,"streamStride":9}},{"name":"n","maxConnections":110}],
+  "engine":{"slots":12,"kvCapacity":61000,"streamStride":9}},{"name":"n","maxConnections":110}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304},"unknown":[1]})";
 
 }  // namespace
@@ -39,6 +39,7 @@
   LONGS_EQUAL(2, split.maximumAttempts);
   CHECK(split.timeout == microseconds(1200500));
   LONGS_EQUAL(9, configuration.services.at("m").engine->tokensPerEvent);
+  LONGS_EQUAL(61000, configuration.services.at("m").engine->memoryTokens);
   CHECK_FALSE(configuration.services.at("n").engine.has_value());
 }
 
