What no engine's memory holds is refused by 503 without a time to come back

Cause: a 4xx of our own for a proper request counts against the promise that machines in touch deny nothing that the configuration allows, and its program ends at once, although a later configuration may raise the limit. Ruled out: leaving it to the engines (each try asks several). Change: 503, the reason request_exceeds_engine_memory; the tests check the reason, that nothing was dispatched, and that an old configuration leaves it to the engine (one dispatch).

--- a/src/edge/request_check.cpp
+++ b/src/edge/request_check.cpp
@@ -14,7 +14,6 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kForbidden = 403;
-constexpr unsigned kContentTooLarge = 413;
 
 /// \return whether what is not in the configuration in force is not in the newest one either.
 bool isConfigurationFresh(const EdgeContext& context, Instant now) {
@@ -85,8 +84,9 @@
   }
 }
 
-// Engines refuse what their memory can't hold as if they were full: the client would come back
-// until its time is over, and each try would use up its tenant's limit and ask several replicas.
+// Engines refuse what their memory can't hold as if they were full: each try would use up its
+// tenant's limit and ask several replicas. 503 without a time to come back, since the limit is the
+// service's and not a fault of the request: a later configuration may raise it.
 std::optional<Refusal> checkSize(const EdgeContext& context, const CallRequest& call, Instant now,
                                  const CheckedRequest& request) {
   if (!request.hasEngine || !isConfigurationFresh(context, now)) {
@@ -96,7 +96,7 @@
   if (service.engine->holds(call.promptTokens, call.maximumTokens)) {
     return std::nullopt;
   }
-  return Refusal{kContentTooLarge, "request_exceeds_engine_memory", Duration::zero()};
+  return Refusal{kUnavailable, "request_exceeds_engine_memory", Duration::zero()};
 }
 
 void nameForLedger(const CallRequest& call, CheckedRequest& request) {
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -87,16 +87,18 @@
   LONGS_EQUAL(3, world.dispatches());
 }
 
-// Engines would refuse it as if they were full, at each try until the client's time is over.
-TEST(Exchange, refusesForGoodWhatNoEnginesMemoryHolds) {
+// Engines would refuse it as if they were full, one after the other.
+TEST(Exchange, refusesAtOnceWhatNoEnginesMemoryHolds) {
   CallRequest call = ExchangeWorld::turn("again");
   call.promptTokens = 5000 - call.maximumTokens + 1;
   const auto refused = world.start(call);
-  LONGS_EQUAL(413, refused->status);
+  LONGS_EQUAL(503, refused->status);
+  STRCMP_EQUAL("request_exceeds_engine_memory", refused->body.c_str());
   CHECK(refused->retryAfter.empty());
   LONGS_EQUAL(0, world.dispatches());
   call.promptTokens = UINT64_MAX;  // No sum that overflows lets it pass.
-  LONGS_EQUAL(413, world.start(call)->status);
+  STRCMP_EQUAL("request_exceeds_engine_memory", world.start(call)->body.c_str());
+  LONGS_EQUAL(0, world.dispatches());
 }
 
 TEST(Exchange, sendsWhatJustFitsAnEnginesMemory) {
@@ -113,7 +115,9 @@
       world.timers.now - world.context.knobs.configurationTrust - milliseconds(1);
   CallRequest call = ExchangeWorld::turn("again");
   call.promptTokens = 6000;
-  CHECK(world.start(call)->status != 413);
+  world.start(call);
+  world.timers.advance(milliseconds(50));
+  LONGS_EQUAL(1, world.dispatches());
 }
 
 TEST(Exchange, neverSendsAnUnsafeRequestAgainOnceItMayHaveRun) {
