Persisted turns run in an outage of the store; the end of the stream waits for the record

Change: TurnRetentionPolicy (mechanism turn_retention): the turn runs, its end is held 1.9 s at most, memory is bounded; a home answers from memory for a turn that it remembers; appends under way are tried again when the store answers anything after a silence. Metrics and log lines. Tests: test_edge, test_logstore and RoutedLedger of test_ledger passed.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "edge/edge_metrics.h"
 #include "edge/event_log.h"
+#include "edge/turn_retention_policy.h"
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
 #include "ledger/ledger.h"
@@ -44,7 +45,6 @@
   /// A program that used this share of its budget probably loops.
   double runawayShare = 0.75;
   Duration retryAfterStore = milliseconds(250);
-  Duration retryAfterOutage = milliseconds(800);
   Duration retryAfterReservation = milliseconds(400);
   /// A reservation is waited for no longer while others of the partition fail.
   Duration unlikelyReservationLimit = milliseconds(300);
@@ -79,6 +79,7 @@
   Freshness freshness;
   ExchangeKnobs knobs;
   bool takesRequests = true;  ///< False in the last part of a planned stop.
+  TurnRetentionPolicy retention{};
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -141,7 +141,9 @@
                metrics_,
                {},
                {},
-               exchangeKnobsOf(settings_)} {}
+               exchangeKnobsOf(settings_),
+               true,
+               TurnRetentionPolicy(turnRetentionKnobsOf(settings_))} {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
 
@@ -339,6 +341,10 @@
   figures.dispatches = context_.counters.dispatches;
   figures.retries = context_.counters.retries;
   figures.resumes = context_.counters.resumes;
+  figures.turnsWaitingForRecord = context_.retention.held();
+  figures.turnsBegunInOutage = context_.retention.counters().begunInOutage;
+  figures.turnsStoredLate = context_.retention.counters().storedLate;
+  figures.turnsNotStored = context_.retention.counters().givenUp;
   figures.requestsOpen = clientServer_->counters().responsesOpen;
   figures.replicas = replicas_.size();
   figures.replicasCold = coldReplicas_.coldReplicas();
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -86,4 +86,13 @@
   return knobs;
 }
 
+TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings) {
+  // Turns are small beside caches of the log; 2.7 MB of 88 MB are some 130 turns of 20 KB.
+  constexpr std::uint64_t kShareOfMemory = 32;
+  TurnRetentionKnobs knobs;
+  knobs.holdsEnds = settings.uses(Mechanism::TurnRetention);
+  knobs.mostBytes = settings.memoryBytes / kShareOfMemory;
+  return knobs;
+}
+
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -34,4 +34,6 @@
 
 ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings);
 
+TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings);
+
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -55,6 +55,15 @@
   list.counter("quota_token_replies_total", "As a coordinator", snapshot.quotaTokenReplies);
 }
 
+void addRetention(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.gauge("turns_waiting_for_record", "Whole streams whose end is held",
+             snapshot.turnsWaitingForRecord);
+  list.family("turns_retained_total", "Turns that met an outage of the store", MetricType::Counter);
+  list.add(snapshot.turnsBegunInOutage, {{"result", "begun"}});
+  list.add(snapshot.turnsStoredLate, {{"result", "stored_late"}});
+  list.add(snapshot.turnsNotStored, {{"result", "not_stored"}});
+}
+
 void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("replicas", "Registered replicas", snapshot.replicas);
   list.gauge("replicas_cold", "Registered replicas that count as cold", snapshot.replicasCold);
@@ -149,6 +158,7 @@
   addStore(list, snapshot);
   addLedger(list, snapshot);
   addQuotas(list, snapshot);
+  addRetention(list, snapshot);
   addBeliefs(list, snapshot);
   list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
                snapshot.logLinesLeftOut);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -46,9 +46,13 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
-  std::uint64_t requestsOpen = 0;  ///< Gauge.
-  std::uint64_t replicas = 0;      ///< Gauge.
-  std::uint64_t replicasCold = 0;  ///< Gauge.
+  std::uint64_t turnsWaitingForRecord = 0;  ///< Gauge: whole streams whose end is held.
+  std::uint64_t turnsBegunInOutage = 0;
+  std::uint64_t turnsStoredLate = 0;
+  std::uint64_t turnsNotStored = 0;  ///< Their streams were broken off.
+  std::uint64_t requestsOpen = 0;    ///< Gauge.
+  std::uint64_t replicas = 0;        ///< Gauge.
+  std::uint64_t replicasCold = 0;    ///< Gauge.
   std::uint64_t coldReplicasPassedOver = 0;
   std::uint64_t members = 0;               ///< Gauge.
   std::uint64_t membersSilent = 0;         ///< Gauge.
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -43,12 +43,9 @@
                                self->onDeadline();
                              }
                            });
-  if (!canKeepTurn()) {
-    // An engine's work would be for nothing: its answer could not be released.
-    refuse({kUnavailable, "store_not_answering", context_.knobs.retryAfterOutage});
-    return;
+  if (mayKeepTurn(request_.body.size())) {
+    checkQuota();
   }
-  checkQuota();
 }
 
 void Exchange::checkQuota() {
@@ -85,9 +82,41 @@
   holdsQuotaToken_ = false;
 }
 
-bool Exchange::canKeepTurn() const {
-  const bool keepsTurn = isStreaming() && checked_.route->persisted;
-  return !keepsTurn || context_.ledger.takesTurn({checked_.turnName, checked_.turnZones()});
+bool Exchange::isPersistedTurn() const { return isStreaming() && checked_.route->persisted; }
+
+bool Exchange::storeTakesTurn() const {
+  return context_.ledger.takesTurn({checked_.turnName, checked_.turnZones()});
+}
+
+bool Exchange::mayKeepTurn(std::size_t bytes) {
+  if (!isPersistedTurn()) {
+    return true;
+  }
+  const RetentionDecision decision = context_.retention.decide(storeTakesTurn(), bytes, timeLeft());
+  if (const auto* const refused = std::get_if<TurnRefused>(&decision)) {
+    refuse({kUnavailable, std::string(refused->reason), refused->retryAfter});
+    return false;
+  }
+  return true;
+}
+
+bool Exchange::retainTurn() {
+  // Text of a token, upper end: outputs are counted before they are made.
+  constexpr std::size_t kBytesPerToken = 8;
+  const std::size_t bytes = request_.body.size() + request_.maximumTokens * kBytesPerToken;
+  if (!mayKeepTurn(bytes)) {
+    return false;
+  }
+  if (isPersistedTurn()) {
+    retainedBytes_ = bytes;
+    context_.retention.retain(storeTakesTurn(), bytes);
+  }
+  return true;
+}
+
+void Exchange::releaseTurnBytes() {
+  context_.retention.release(retainedBytes_);
+  retainedBytes_ = 0;
 }
 
 bool Exchange::isStreaming() const { return checked_.isStreaming(); }
@@ -132,6 +161,9 @@
 }
 
 void Exchange::checkBudget() {
+  if (!retainTurn()) {
+    return;
+  }
   if (!isBudgeted()) {
     dispatch();
     return;
@@ -321,6 +353,11 @@
 void Exchange::end(std::string_view outcome, std::string_view reason) {
   ended_ = true;
   giveQuotaTokenBack();
+  releaseTurnBytes();
+  if (endHeld_) {
+    endHeld_ = false;
+    context_.retention.onHoldEnded(false, context_.clock() - streamEndedAt_);
+  }
   const std::string programLeft = programMillisecondsLeft();
   // Programs that are late are looked into like failures.
   const bool well = outcome == "answered" && programLeft != "0";
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -43,6 +43,12 @@
   void giveQuotaTokenBack();
   void findHistory();
   void onHistory(ledger::HistoryAnswer answer);
+  /// Counts the turn's bytes against the node's memory for turns.
+  /// \return whether the turn goes on; else it was refused.
+  bool retainTurn();
+  void releaseTurnBytes();
+  /// \return whether the request may begin as far as its record is concerned; else it was refused.
+  bool mayKeepTurn(std::size_t bytes);
   void checkBudget();
   /// \param longest the reservation is given up after this.
   void reserve(bool dispatchAfterwards, Duration longest);
@@ -73,6 +79,8 @@
   void onWholeAnswer();
   void onStreamEnd();
   void onStored(const logstore::StoreResult<Success>& stored);
+  /// The end was held for as long as its client listens.
+  void onHoldLimit();
   [[nodiscard]] bool mayRunAgain() const;
   void runAgain();
   void releaseReplica();
@@ -95,8 +103,9 @@
   /// it was not told.
   [[nodiscard]] std::string programMillisecondsLeft() const;
   [[nodiscard]] Duration timeLeft() const;
-  /// \return whether the turn can probably be stored now, if it has to be.
-  [[nodiscard]] bool canKeepTurn() const;
+  [[nodiscard]] bool isPersistedTurn() const;
+  /// \return whether the turn's record can probably be stored now.
+  [[nodiscard]] bool storeTakesTurn() const;
   [[nodiscard]] bool isStreaming() const;
   [[nodiscard]] bool isBudgeted() const;
   [[nodiscard]] std::uint64_t tokensHandedOut() const;
@@ -138,6 +147,8 @@
   bool streamBegun_ = false;  ///< The client has the head of the stream.
   Instant streamEndedAt_;
   bool streamEnded_ = false;  ///< The replica's stream came whole.
+  bool endHeld_ = false;      ///< The end waits for the turn's record.
+  std::size_t retainedBytes_ = 0;
   bool ended_ = false;
 };
 
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -334,7 +334,14 @@
     return;
   }
   streamEnded_ = false;  // The end is on its way; `releaseOutput` must not start it again.
-  const Duration limit = std::max(Duration::zero(), timeLeft() - kAnswerMargin);
+  endHeld_ = true;
+  context_.retention.onHeld();
+  const Duration limit = context_.retention.holdLimit(timeLeft() - kAnswerMargin);
+  context_.timers.runAfter(limit, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->onHoldLimit();
+    }
+  });
   context_.ledger.storeTurn(
       {checked_.turnName, checked_.previousTurnName, before_, ownInput_ + progress_.recordedData(),
        checked_.turnZones()},
@@ -351,12 +358,25 @@
     breakOff("turn_not_stored_" + std::string(logstore::storeFaultName(error->fault)));
     return;
   }
+  const Duration heldFor = context_.clock() - streamEndedAt_;
+  const bool wasHeld = std::exchange(endHeld_, false);
+  if (wasHeld && context_.retention.onHoldEnded(true, heldFor)) {
+    context_.log.important("turn_stored_late", {{"request", request_.requestId},
+                                                {"program", request_.programId},
+                                                {"held_ms", wholeMilliseconds(heldFor)}});
+  }
   writer_->endStream();
   context_.metrics.onEndReleased(context_.clock() - streamEndedAt_);
   settleBudget(tokensHandedOut());
   end("answered", {});
 }
 
+void Exchange::onHoldLimit() {
+  if (!ended_) {
+    breakOff("turn_not_stored_in_time");
+  }
+}
+
 bool Exchange::mayRunAgain() const {
   if (!checked_.route->isIdempotent() || timeLeft() <= kAnswerMargin) {
     return false;
--- a/src/edge/mechanisms.cpp
+++ b/src/edge/mechanisms.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 using NamedMechanism = std::pair<Mechanism, std::string_view>;
-constexpr std::array<NamedMechanism, 16> kMechanisms = {
+constexpr std::array<NamedMechanism, 17> kMechanisms = {
     {{Mechanism::BudgetLeases, "budget_leases"},
      {Mechanism::PromptAffinity, "prompt_affinity"},
      {Mechanism::LoadDigests, "load_digests"},
@@ -24,7 +24,8 @@
      {Mechanism::PeerProbes, "peer_probes"},
      {Mechanism::TopicGateways, "topic_gateways"},
      {Mechanism::QuotaTokens, "quota_tokens"},
-     {Mechanism::ColdFeeders, "cold_feeders"}}};
+     {Mechanism::ColdFeeders, "cold_feeders"},
+     {Mechanism::TurnRetention, "turn_retention"}}};
 
 Error unknownName(std::string_view name) {
   std::string all;
--- a/src/edge/mechanisms.h
+++ b/src/edge/mechanisms.h
@@ -27,6 +27,7 @@
   TopicGateways,      ///< One node of a zone reads followed topics for the others.
   QuotaTokens,        ///< Limits are kept by coordinators' tokens, not by equal static shares.
   ColdFeeders,        ///< A few nodes send to a cold replica, instead of all by static shares.
+  TurnRetention,      ///< Persisted turns run while the store is away; their ends wait for it.
 };
 
 using MechanismSet = std::set<Mechanism>;
--- /dev/null
+++ b/src/edge/turn_retention_policy.cpp
@@ -0,0 +1,50 @@
+#include "edge/turn_retention_policy.h"
+
+#include <algorithm>
+
+namespace gorsetrail::edge {
+
+TurnRefused TurnRetentionPolicy::refusal(std::string_view reason, Duration timeLeft) const {
+  const auto share = static_cast<double>(timeLeft.count()) * knobs_.retryShare;
+  return {reason, std::max(Duration::zero(), Duration(static_cast<Duration::rep>(share)))};
+}
+
+RetentionDecision TurnRetentionPolicy::decide(bool storeAnswers, std::size_t bytes,
+                                              Duration timeLeft) const {
+  if (storeAnswers) {
+    return TurnMayRun{};
+  }
+  if (!knobs_.holdsEnds) {
+    return TurnRefused{"store_not_answering", knobs_.fixedRetryAfter};
+  }
+  if (retainedBytes_ + bytes > knobs_.mostBytes) {
+    return refusal("turn_memory_full", timeLeft);
+  }
+  if (timeLeft < knobs_.runAllowance + knobs_.shortestHold) {
+    return refusal("store_not_answering", timeLeft);
+  }
+  return TurnMayRun{};
+}
+
+void TurnRetentionPolicy::retain(bool storeAnswers, std::size_t bytes) {
+  counters_.begunInOutage += storeAnswers ? 0 : 1;
+  retainedBytes_ += bytes;
+}
+
+Duration TurnRetentionPolicy::holdLimit(Duration timeLeft) const {
+  const Duration longest = knobs_.holdsEnds ? std::min(knobs_.longestHold, timeLeft) : timeLeft;
+  return std::max(Duration::zero(), longest);
+}
+
+bool TurnRetentionPolicy::onHoldEnded(bool stored, Duration heldFor) {
+  --held_;
+  if (!stored) {
+    ++counters_.givenUp;
+    return true;
+  }
+  const bool isLate = heldFor > knobs_.lateAfter;
+  counters_.storedLate += isLate ? 1 : 0;
+  return isLate;
+}
+
+}  // namespace gorsetrail::edge
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -76,6 +76,12 @@
     run(*reserve, std::move(callback));  // A lease may decide it.
     return;
   }
+  if (const auto* const find = std::get_if<FindTurnRequest>(&request)) {
+    if (ledger_.remembersTurn(find->turn)) {
+      run(*find, callback);
+      return;
+    }
+  }
   if (const auto* const settle = std::get_if<SettleRequest>(&request)) {
     if (ledger_.budgetsOf(settle->settlement.program).isAhead(settle->settlement.request)) {
       run(*settle, callback);
--- a/src/logstore/persistent_store.cpp
+++ b/src/logstore/persistent_store.cpp
@@ -56,8 +56,11 @@
 
 void PersistentStore::append(AppendRequest request, StoreCallback<AppendReply> callback) {
   const Instant deadline = clock_() + request.timeLimit;
-  startTry(std::make_shared<Call<AppendRequest, AppendReply>>(
-      Call<AppendRequest, AppendReply>{std::move(request), std::move(callback), deadline}));
+  const auto call = std::make_shared<Call<AppendRequest, AppendReply>>(
+      Call<AppendRequest, AppendReply>{std::move(request), std::move(callback), deadline});
+  std::erase_if(appends_, [](const auto& earlier) { return earlier.expired(); });
+  appends_.push_back(call);
+  startTry(call);
 }
 
 void PersistentStore::read(ReadRequest request, StoreCallback<ReadReply> callback) {
@@ -139,11 +142,26 @@
   timers_.runAfter(pause, [this, call] { startTry(call); });
 }
 
+void PersistentStore::wakeAppends() {
+  const std::vector<std::weak_ptr<Call<AppendRequest, AppendReply>>> waiting = appends_;
+  for (const auto& weak : waiting) {
+    const auto call = weak.lock();
+    const bool isSilent = call && !call->done && call->underWay > 0;
+    if (isSilent && clock_() < call->deadline) {
+      startTry(call);
+    }
+  }
+}
+
 void PersistentStore::noteHealth(const PartitionAddress& partition, const StoreError* error,
                                  Instant now) {
   if (error == nullptr || !isWorthAnotherTry(error->fault)) {
+    const bool wasSilent = wholeStore_.state(now) != engine::CircuitState::Closed;
     wholeStore_.onSuccess();
     failing_.erase(partition);
+    if (wasSilent) {
+      timers_.runAfter(Duration::zero(), [this] { wakeAppends(); });
+    }
     return;
   }
   wholeStore_.onFailure(now);
--- a/src/logstore/persistent_store.h
+++ b/src/logstore/persistent_store.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "engine/circuit_breaker.h"
 #include "logstore/call_pacer.h"
@@ -31,7 +32,9 @@
 /// Order of steps: when an answer takes longer than is usual, another try starts beside the first
 /// one, on another connection, since a connection whose answer was lost says nothing more; the
 /// first answer counts. What is usual is learned from late answers too, so that a slow store is
-/// not asked ever more often. After a refusal the next try waits, longer each time.
+/// not asked ever more often. After a refusal the next try waits, longer each time. When the store
+/// answers any call after it had gone silent, appends under way are tried again at once: their own
+/// tries of the silent time get no answer any more, and last up to some seconds.
 class PersistentStore final : public LogStore {
  public:
   /// \param direct, timers outlive this object.
@@ -56,6 +59,8 @@
   void onResult(const std::shared_ptr<Call<Request, Reply>>& call, Instant startedAt,
                 StoreResult<Reply> result);
   void count(StoreFault fault);
+  /// Tries every append again that waits for an answer of the time before.
+  void wakeAppends();
   void noteHealth(const PartitionAddress& partition, const StoreError* error, Instant now);
 
   void callDirect(AppendRequest request, StoreCallback<AppendReply> callback);
@@ -68,6 +73,8 @@
   CallPacer pacer_;
   StoreCounters counters_;
   engine::CircuitBreaker wholeStore_;
+  /// Appends that are not done, and some that are.
+  std::vector<std::weak_ptr<Call<AppendRequest, AppendReply>>> appends_;
   /// Only partitions whose last call failed.
   std::map<PartitionAddress, engine::CircuitBreaker> failing_;
 };
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -311,6 +311,17 @@
   STRCMP_EQUAL("text", textOf(3, "t1").c_str());
 }
 
+TEST(RoutedLedger, aHomeTellsOfATurnThatItRemembersWhileTheStoreDoesNotAnswerIt) {
+  CHECK_TRUE(storeTurn(0, "t1", "", "text"));
+  STRCMP_EQUAL("text", textOf(1, "t1").c_str());
+  log.fault = FakeFault::Busy;
+  for (int node = 0; node < 6; ++node) {
+    storeTurn(node, "x" + std::to_string(node), "", "text", milliseconds(900));
+  }
+  STRCMP_EQUAL("text", textOf(2, "t1").c_str());
+  STRCMP_EQUAL("text", textOf(4, "t1").c_str());
+}
+
 TEST(RoutedLedger, theSecondPartitionIsAnotherOneForEveryTurn) {
   const LedgerPartitions layout{{}};
   std::set<logstore::PartitionAddress> seconds;
--- a/tests/logstore/persistent_store_test.cpp
+++ b/tests/logstore/persistent_store_test.cpp
@@ -100,3 +100,20 @@
   timers.advance(milliseconds(6));
   CHECK_TRUE(store.answers(other));
 }
+
+TEST(PersistentStore, triesAppendsAgainAtOnceWhenTheStoreAnswersAnythingAfterASilence) {
+  direct.fault = FakeFault::Silent;
+  append(seconds(9));
+  for (std::uint32_t number = 10; number < 15; ++number) {
+    store.append({{"t", number}, {"record"}, milliseconds(800)},
+                 [](const StoreResult<AppendReply>&) {});
+  }
+  timers.advance(milliseconds(950));
+  CHECK_FALSE(store.answers({"t", 4}));
+  direct.fault = FakeFault::None;
+  const int before = direct.appends;
+  store.append({{"t", 4}, {"record"}, seconds(1)}, [](const StoreResult<AppendReply>&) {});
+  timers.advance(milliseconds(10));
+  CHECK_TRUE(appended());
+  LONGS_EQUAL(2, direct.appends - before);
+}
