--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -17,10 +17,13 @@
 };
 /// Reasons of `request_ended` lines by what an operator looks at; the first prefix that fits
 /// counts.
-constexpr std::array<CauseOfReason, 26> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 29> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
+                                                    {"turn_memory_full", "store"},
+                                                    {"request_exceeds_engine", "engine_memory"},
+                                                    {"attempts_spent", "replica_failed"},
                                                     {"budget_spent", "budget_spent"},
                                                     {"replicas_busy", "no_place_at_replicas"},
                                                     {"replicas_full", "no_place_at_replicas"},
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -71,9 +71,9 @@
   }
   BudgetPartition& budgetsAt(const logstore::PartitionAddress& address);
 
-  /// \return whether the store is likely to answer calls for the partition now.
   /// \return whether the turn is in memory: it is found then without the store.
   [[nodiscard]] bool remembersTurn(const std::string& turn) { return turns_.find(turn) != nullptr; }
+  /// \return whether the store is likely to answer calls for the partition now.
   [[nodiscard]] bool answers(const logstore::PartitionAddress& partition) const {
     return store_.answers(partition);
   }
