--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -90,6 +90,20 @@
     return client;
   }
   void wait() { world.timers.advance(milliseconds(50)); }
+  struct BrokenStream {
+    std::shared_ptr<ClientView> client;
+    std::string replica;  ///< Where it ran.
+  };
+  /// A turn that may be resumed begins, and breaks after its first event.
+  BrokenStream breakAStream() {
+    const auto client = world.start(ExchangeWorld::turn("again"));
+    wait();
+    const std::string replica = world.call().headerOf("expect");
+    world.beginEvents();
+    world.call().body(kFirst);
+    world.call().fail(http::FailureStage::Broken);
+    return {client, replica};
+  }
   /// The replica asked last says that it is full and has not run the request.
   void refuseForWantOfRoom() {
     world.call().head(503, {{"not-run", ""}});
@@ -327,12 +341,7 @@
 
 // Streams that break at replicas which live on, while those are too full to resume them.
 TEST(ExchangeStream, runsOnNoMoreReplicasThanItsRouteAllows) {
-  const auto client = world.start(ExchangeWorld::turn("again"));  // One replica.
-  wait();
-  const std::string replica = world.call().headerOf("expect");
-  world.beginEvents();
-  world.call().body(kFirst);
-  world.call().fail(http::FailureStage::Broken);
+  const auto [client, replica] = breakAStream();  // Its route allows one replica.
   refuseForWantOfRoom();
   LONGS_EQUAL(2, world.dispatches());
   world.timers.advance(world.context.knobs.fullTime);
@@ -347,12 +356,7 @@
 }
 
 TEST(ExchangeStream, endsAStreamWhoseOnlyReplicaHasNoRoomForIt) {
-  const auto client = world.start(ExchangeWorld::turn("again"));
-  wait();
-  const std::string replica = world.call().headerOf("expect");
-  world.beginEvents();
-  world.call().body(kFirst);
-  world.call().fail(http::FailureStage::Broken);
+  const auto [client, replica] = breakAStream();
   while (!client->closed) {
     STRCMP_EQUAL(replica.c_str(), world.call().headerOf("expect").c_str());
     CHECK(world.dispatches() <= 1 + world.context.knobs.maximumRefusedTries);
@@ -363,12 +367,7 @@
 }
 
 TEST(ExchangeStream, goesOnElsewhereWhenAnotherReplicaHasTheAddressOfItsOwn) {
-  world.start(ExchangeWorld::turn("again"));
-  wait();
-  const std::string replica = world.call().headerOf("expect");
-  world.beginEvents();
-  world.call().body(kFirst);
-  world.call().fail(http::FailureStage::Broken);
+  const std::string replica = breakAStream().replica;
   world.call().head(421, {});
   world.call().done();
   LONGS_EQUAL(3, world.dispatches());
