--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,10 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 CMAKE_FLAGS ?=
+# Paths inside the tree are hashed as relative ones, so that several working trees of one machine share the
+# compiler cache.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
 
 .PHONY: help setup build test lint format test-sanitize model-check bench demo soak clean
 
