Registrations tell when a replica's process started

Cause: a replica may start again under its id; nothing in the product can tell its lives apart. Change: the interface only: the start, Unix milliseconds, is decoded into a typed optional field of the registration. Routing does not use it yet. Ruled out: a count of our own of a replica's restarts, since readers that come later would count otherwise. Conclusion: parts that keep state by id and the decoders can be worked on side by side.

--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -9,14 +9,20 @@
 #include <string_view>
 #include <vector>
 
+#include "base/ids.h"
 #include "base/time.h"
 #include "routing/outcome_tally.h"
 
 namespace gorsetrail::routing {
 
-/// A replica as it registers itself. A restarted replica has a new `id`.
+/// When a replica's process started, in Unix milliseconds by the replica's own clock. It tells the
+/// lives of one id apart: a later start holds nothing of an earlier one.
+using ReplicaStart = StrongId<struct ReplicaStartTag, std::uint64_t>;
+
+/// A replica as it registers itself. A restarted replica may have its earlier `id`.
 struct ReplicaEntry {
   std::string id;
+  std::optional<ReplicaStart> startedAt{};  ///< Unset: the replica does not tell it.
   std::string service;
   std::string address;  ///< `ip:port`.
   std::string zone;
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -43,6 +43,14 @@
   CHECK_FALSE(configuration.services.at("n").engine.has_value());
 }
 
+TEST(Documents, readsWhenAReplicaStartedWhereItTellsThat) {
+  const auto told = adapter.readReplicaEntry(
+      "i-1", R"({"service":"m","address":"10.0.0.1:80","born":1767225600123})");
+  LONGS_EQUAL(1767225600123, valueOf(told).startedAt->value());
+  const auto untold = adapter.readReplicaEntry("i-1", R"({"service":"m","address":"10.0.0.1:80"})");
+  CHECK_FALSE(valueOf(untold).startedAt.has_value());
+}
+
 TEST(Documents, readsWhereRequestsMayGoAndWhatColdReplicasBear) {
   const auto read = adapter.readConfiguration(
       R"({"version":1,"routes":[{"name":"r","host":"a","pathPrefix":"/x/","service":"m",
