--- /dev/null
+++ b/tools/run_tests_test.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Tests of run_tests.sh: which failures of made-up test programs it passes over by KNOWN-RED.txt.
+set -uo pipefail
+here="$(cd "$(dirname "$0")" && pwd)"
+work="$(mktemp -d)"
+trap 'rm -rf "$work"' EXIT
+mkdir -p "$work/bin"
+wrong=0
+checks=0
+
+# program NAME STATUS TEXT: a program with the tests G.one and G.two that prints TEXT.
+program() {
+  printf '#!/usr/bin/env bash\nif [ "${1:-}" = -ln ]; then echo "G.one G.two"; exit 0; fi\ncat <<"END"\n%s\nEND\nexit %s\n' \
+    "$3" "$2" >"$work/bin/$1"
+  chmod +x "$work/bin/$1"
+}
+
+# expect NAME STATUS TEXT [LINE...]: runs with these lines listed; the exit status is 0 or not, and
+# the output holds TEXT.
+expect() {
+  local name="$1" status="$2" text="$3" output got
+  shift 3
+  printf '%s\n' "$@" >"$work/known"
+  output="$("$here/run_tests.sh" "$work" "$work/known" 2>&1)"
+  got=$?
+  checks=$((checks + 1))
+  [ "$got" -eq 0 ] || got=1
+  if [ "$got" -ne "$status" ] || [[ "$output" != *"$text"* ]]; then
+    echo "run_tests_test: $name: status $got, output:"
+    echo "$output"
+    wrong=$((wrong + 1))
+  fi
+}
+
+fails_one='x.cpp:3: error: Failure in TEST(G, one)
+Errors (1 failures, 2 tests, 2 ran, 9 checks, 0 ignored, 0 filtered out, 1 ms)'
+fails_both='x.cpp:3: error: Failure in TEST(G, one)
+x.cpp:9: error: Failure in TEST(G, two)
+Errors (2 failures, 2 tests, 2 ran, 9 checks, 0 ignored, 0 filtered out, 1 ms)'
+all_well='OK (2 tests, 2 ran, 9 checks, 0 ignored, 0 filtered out, 1 ms)'
+
+program test_a 0 "$all_well"
+expect 'all pass' 0 '2 passed, 0 failed'
+expect 'a listed test passes' 0 'test_a:G.one passes; take it off the list' 'test_a:G.one | cause | 9'
+expect 'a listed test does not exist' 1 'test_a:G.three was not found' 'test_a:G.three | cause | 9'
+expect 'a listed program does not exist' 1 'test_b:G.one was not found' 'test_b:G.one | cause | 9'
+program test_a 1 "$fails_one"
+expect 'an unlisted test fails' 1 '1 passed, 1 failed'
+expect 'a listed test fails' 0 'test_a:G.one fails: cause | 9' 'test_a:G.one | cause | 9'
+expect 'a listed failure is no pass' 0 '1 passed, 0 failed' 'test_a:G.one | cause | 9'
+expect 'another test is listed' 1 '1 passed, 1 failed' 'test_a:G.two | cause | 9'
+expect 'a line without a cause' 1 'names no cause' 'test_a:G.one'
+expect 'more than three lines' 1 '4 tests are listed' 'test_a:G.one | c | 9' 'test_a:G.two | c | 9' \
+  'test_a:H.one | c | 9' 'test_a:H.two | c | 9'
+program test_a 1 "$fails_both"
+expect 'a listed and an unlisted test fail' 1 '0 passed, 2 failed' 'test_a:G.one | cause | 9'
+program test_a 139 'crashed in between'
+expect 'a crash is never passed over' 1 '1 failed' 'test_a:G.one | cause | 9'
+
+echo "run_tests.sh: $((checks - wrong)) passed, $wrong failed"
+[ "$wrong" -eq 0 ]
