A refused placement tells which replica was judged, and how much room others had

Cause: a 503 for busy replicas named no stage, no load and no replica, so it could not be told whether engines had room. No logic changes.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -369,6 +369,7 @@
       {"program", request_.programId},
       {"route", route},
       {"tenant", tenant},
+      {"previous_turn", request_.previousTurn},
       {"outcome", outcome},
       {"reason", reason},
       {"status", std::uint64_t{head_.status}},
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -62,6 +62,7 @@
   void send(const routing::ReplicaPtr& replica);
   [[nodiscard]] routing::PlacementQuery placementQuery() const;
   [[nodiscard]] routing::PlacementSubject placementSubject() const;
+  void onPlacesTaken(const routing::PlacesTaken& taken);
   void onNoReplica(const routing::NoReplica& none);
   [[nodiscard]] routing::WorkStage stage() const;
   /// \return how urgent the request is to a replica, 0 first.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -14,6 +14,11 @@
 constexpr unsigned kFirstFailureStatus = 300;
 constexpr double kShareOfNewestAnswer = 0.2;
 
+std::uint64_t percentOf(double share) {
+  constexpr double kPercent = 100.0;
+  return static_cast<std::uint64_t>(share * kPercent);
+}
+
 }  // namespace
 
 routing::PlacementQuery Exchange::placementQuery() const {
@@ -48,10 +53,23 @@
   } else if (const auto* const none = std::get_if<routing::NoReplica>(&placement)) {
     onNoReplica(*none);
   } else {
-    refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
+    onPlacesTaken(std::get<routing::PlacesTaken>(placement));
   }
 }
 
+void Exchange::onPlacesTaken(const routing::PlacesTaken& taken) {
+  context_.log.important("placement_refused",
+                         {{"request", request_.requestId},
+                          {"program", request_.programId},
+                          {"stage", routing::workStageName(stage())},
+                          {"priority", std::uint64_t{checked_.priority}},
+                          {"prompt_tokens", request_.promptTokens},
+                          {"replica", taken.judged->entry.id},
+                          {"load_percent", percentOf(taken.judged->loadPerSlot())},
+                          {"least_load_percent", percentOf(taken.leastLoadPerSlot)}});
+  refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
+}
+
 void Exchange::onNoReplica(const routing::NoReplica& none) {
   if (streamBegun_) {
     breakOff("no_replica_left");
--- a/src/routing/admission_policy.cpp
+++ b/src/routing/admission_policy.cpp
@@ -1,9 +1,19 @@
 #include "routing/admission_policy.h"
 
-#include <algorithm>
-
 namespace gorsetrail::routing {
 
+std::string_view workStageName(WorkStage stage) {
+  switch (stage) {
+    case WorkStage::Runaway:
+      return "runaway";
+    case WorkStage::FirstTurn:
+      return "first_turn";
+    case WorkStage::Continuing:
+      break;
+  }
+  return "continuing";
+}
+
 bool AdmissionPolicy::admits(const Replica& replica, WorkStage stage,
                              std::uint32_t priority) const {
   double limit = knobs_.continuing;
@@ -15,8 +25,7 @@
   if (priority == 0 && stage != WorkStage::Runaway) {
     limit += knobs_.mostUrgent;
   }
-  const double slots = std::max(1U, replica.entry.slots);
-  return replica.load() < limit * slots;
+  return replica.loadPerSlot() < limit;
 }
 
 }  // namespace gorsetrail::routing
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 #include "routing/replica_table.h"
 
@@ -14,6 +15,9 @@
   Continuing,  ///< Turns before it would be lost with it.
 };
 
+/// \return the stage's name, for log lines.
+std::string_view workStageName(WorkStage stage);
+
 /// Load per slot up to which work is admitted.
 struct AdmissionKnobs {
   double runaway = 0.6;
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -1,6 +1,7 @@
 #include "routing/replica_placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -77,9 +78,11 @@
 
 Placement ReplicaPlacement::place(const PlacementQuery& query, Instant now) const {
   std::vector<Barred> passedOver;
+  double leastLoadPerSlot = std::numeric_limits<double>::max();
   const auto mayGet = [&](const Replica& replica) {
     const std::optional<Barred> found = barred(replica, query.subject, now);
     if (!found) {
+      leastLoadPerSlot = std::min(leastLoadPerSlot, replica.loadPerSlot());
       return true;
     }
     if (found->rule != nullptr) {
@@ -94,7 +97,7 @@
   }
   const auto& admission = query.admission;
   if (admission && !admission_.admits(*replica, admission->stage, admission->priority)) {
-    return PlacesTaken{};
+    return PlacesTaken{replica, leastLoadPerSlot};
   }
   return Placed{replica};
 }
--- a/src/routing/replica_placement.h
+++ b/src/routing/replica_placement.h
@@ -34,7 +34,10 @@
 };
 
 /// Replicas are there, but admission keeps this work away from them.
-struct PlacesTaken {};
+struct PlacesTaken {
+  ReplicaPtr judged;            ///< The replica that admission was asked about.
+  double leastLoadPerSlot = 0;  ///< Of all replicas that the rules allow.
+};
 
 /// No replica may get the request.
 struct NoReplica {
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -67,6 +67,8 @@
     return failed < kFewestFailures ? 0.0 : failed / std::max(ended, failed);
   }
   [[nodiscard]] double load() const { return static_cast<double>(inFlight) + othersInFlight; }
+  /// \return the load as a share of what the replica works on at once.
+  [[nodiscard]] double loadPerSlot() const { return load() / std::max(1U, entry.slots); }
 };
 using ReplicaPtr = std::shared_ptr<Replica>;
 
