A test of a long turn whose program's replica is full, which fails

Cause: admission is asked about the cheapest replica alone; reading 6,611 tokens elsewhere counts for 53 requests, so a replica at 212% of its slots is the cheapest one beside idle ones.

--- a/tests/routing/replica_placement_test.cpp
+++ b/tests/routing/replica_placement_test.cpp
@@ -125,3 +125,26 @@
   LONGS_EQUAL(2, first.asked["a1"]);
   LONGS_EQUAL(1, second.asked["c1"]);
 }
+
+// After a loss of all power, turns that go on from earlier ones were refused as often as they
+// asked, within 3 ms, while shorter requests were served. Admission was asked about one replica
+// alone, the cheapest one. Reading a long prompt elsewhere costs more than any queue, so for a
+// prompt of some thousand tokens that stayed the replica that its program prefers, also when it had
+// twice as much to do as it works on at once and others had nothing. In a day's log all 701
+// refusals named a replica with room, such as
+//   placement_refused stage=continuing prompt_tokens=6611 replica=i-bd1b119e9f load_percent=212
+//   least_load_percent=0
+TEST(ReplicaPlacement, aLongTurnGoesWhereThereIsRoomWhenTheReplicaOfItsProgramIsFull) {
+  const ReplicaPtr one = add("r1", "a");
+  const ReplicaPtr other = add("r2", "a");
+  PlacementQuery turn = query();
+  turn.replica.affinityKey = "program";
+  turn.replica.promptTokens = 6611;
+  turn.admission = AdmissionRequest{WorkStage::Continuing, 1};
+  const ReplicaPtr preferred = std::get<Placed>(withoutRules.place(turn, now)).replica;
+  const ReplicaPtr idle = preferred == one ? other : one;
+  preferred->inFlight = 9;  // Slots: 4.
+  const Placement found = withoutRules.place(turn, now);
+  CHECK_TRUE(std::holds_alternative<Placed>(found));
+  POINTERS_EQUAL(idle.get(), std::get<Placed>(found).replica.get());
+}
