Turns that go on leave a full replica where others have room

Cause: placement took the replica of least cost and asked admission about that one alone. A prompt of some thousand tokens makes the replica that its program prefers the cheapest however full it is, so such a turn was refused at each try beside idle replicas. The class: a refusal judged by one candidate that was chosen by another measure. First turns and runaways as before. The red test passes; new tests replay the seconds after a loss of power (300 draws) and a burst beyond the engines, and a refused program's second try.

--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -35,7 +35,8 @@
   // What has begun anywhere goes on: turning it away would waste the work and promise too much.
   const bool canBeRefused = checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
   if (canBeRefused) {
-    query.admission = routing::AdmissionRequest{stage(), checked_.priority};
+    const bool wasRefused = context_.refusals.contains(checked_.programName, context_.clock());
+    query.admission = routing::AdmissionRequest{stage(), checked_.priority, wasRefused};
   }
   return query;
 }
@@ -67,6 +68,9 @@
                           {"replica", taken.judged->entry.id},
                           {"load_percent", percentOf(taken.judged->loadPerSlot())},
                           {"least_load_percent", percentOf(taken.leastLoadPerSlot)}});
+  if (!request_.programId.empty()) {
+    context_.refusals.note(checked_.programName, context_.clock());
+  }
   refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
 }
 
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -23,10 +23,25 @@
   double runaway = 0.6;
   double firstTurn = 1.2;
   double continuing = 2.0;
+  /// Below this a replica is spare. Turns that go on whose cheapest replica is full go to a spare
+  /// one while half of the replicas are spare; with more load than that, reading prompts anew costs
+  /// all others more than it gains.
+  double spare = 0.5;
+  /// A program that was refused a moment ago goes to any replica below this, as first turns do: it
+  /// is not refused for long while first turns are placed.
+  double refusedBefore = 1.2;
   /// Added for routes of priority 0, the most urgent.
   double mostUrgent = 0.25;
 };
 
+/// Work that admission may turn away.
+struct AdmissionRequest {
+  WorkStage stage = WorkStage::FirstTurn;
+  std::uint32_t priority = 5;  ///< 0 is the most urgent.
+  /// The program's last request was refused for want of places a moment ago.
+  bool wasRefused = false;
+};
+
 /// Keeps replicas at the load where they still answer in time. What would only wait there, and be
 /// given up after its work was half done, is told at once to come back: first those programs of
 /// which nothing has run.
@@ -34,8 +49,16 @@
  public:
   explicit AdmissionPolicy(AdmissionKnobs knobs) : knobs_(knobs) {}
 
-  /// \param replica the best one there is for the request.
-  [[nodiscard]] bool admits(const Replica& replica, WorkStage stage, std::uint32_t priority) const;
+  /// \return whether the replica has so little to do that reading a prompt anew there takes room
+  /// that nobody needs.
+  [[nodiscard]] bool isSpare(const Replica& replica) const;
+  /// \return whether the replica takes work whose cheapest replica is full and does not admit it.
+  /// \param hasSpareRoom half of the replicas or more are spare.
+  [[nodiscard]] bool takesElsewhere(const Replica& replica, const AdmissionRequest& request,
+                                    bool hasSpareRoom) const;
+
+  /// \return whether the replica that is cheapest for the work takes it.
+  [[nodiscard]] bool admits(const Replica& replica, const AdmissionRequest& request) const;
 
  private:
   AdmissionKnobs knobs_;
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -6,6 +6,17 @@
 #include <utility>
 
 namespace gorsetrail::routing {
+namespace {
+
+double leastLoadPerSlotOf(const std::vector<const Replica*>& replicas) {
+  double least = std::numeric_limits<double>::max();
+  for (const Replica* const replica : replicas) {
+    least = std::min(least, replica->loadPerSlot());
+  }
+  return least;
+}
+
+}  // namespace
 
 std::string_view placementBarName(PlacementBar bar) {
   switch (bar) {
@@ -78,11 +89,11 @@
 
 Placement ReplicaPlacement::place(const PlacementQuery& query, Instant now) const {
   std::vector<Barred> passedOver;
-  double leastLoadPerSlot = std::numeric_limits<double>::max();
+  std::vector<const Replica*> allowed;
   const auto mayGet = [&](const Replica& replica) {
     const std::optional<Barred> found = barred(replica, query.subject, now);
     if (!found) {
-      leastLoadPerSlot = std::min(leastLoadPerSlot, replica.loadPerSlot());
+      allowed.push_back(&replica);
       return true;
     }
     if (found->rule != nullptr) {
@@ -91,15 +102,35 @@
     passedOver.push_back(*found);
     return false;
   };
-  const ReplicaPtr replica = selector_.choose(replicas_, query.replica, mayGet, now);
-  if (!replica) {
+  const ReplicaPtr cheapest = selector_.choose(replicas_, query.replica, mayGet, now);
+  if (!cheapest) {
     return whyNone(passedOver);
   }
-  const auto& admission = query.admission;
-  if (admission && !admission_.admits(*replica, admission->stage, admission->priority)) {
-    return PlacesTaken{replica, leastLoadPerSlot};
+  if (!query.admission || admission_.admits(*cheapest, *query.admission)) {
+    return Placed{cheapest};
   }
-  return Placed{replica};
+  if (const ReplicaPtr other = placeElsewhere(query, allowed, now)) {
+    return Placed{other};
+  }
+  return PlacesTaken{cheapest, leastLoadPerSlotOf(allowed)};
+}
+
+// Reading a long prompt anew costs more than any queue, so the replica that holds it stays the
+// cheapest however full it is, for as long as it is full.
+ReplicaPtr ReplicaPlacement::placeElsewhere(const PlacementQuery& query,
+                                            const std::vector<const Replica*>& allowed,
+                                            Instant now) const {
+  const auto spare = std::count_if(allowed.begin(), allowed.end(), [this](const Replica* replica) {
+    return admission_.isSpare(*replica);
+  });
+  const bool hasSpareRoom = 2 * spare >= static_cast<std::ptrdiff_t>(allowed.size());
+  const auto takes = [&](const Replica& replica) {
+    const bool isAllowed = std::find(allowed.begin(), allowed.end(), &replica) != allowed.end();
+    return isAllowed && admission_.takesElsewhere(replica, *query.admission, hasSpareRoom);
+  };
+  ReplicaQuery anywhere = query.replica;
+  anywhere.affinityKey = {};  // None of those that are left holds the prompt.
+  return selector_.choose(replicas_, anywhere, takes, now);
 }
 
 }  // namespace gorsetrail::routing
--- a/src/routing/replica_placement.h
+++ b/src/routing/replica_placement.h
@@ -14,12 +14,6 @@
 
 namespace gorsetrail::routing {
 
-/// Work that admission may turn away.
-struct AdmissionRequest {
-  WorkStage stage = WorkStage::FirstTurn;
-  std::uint32_t priority = 5;  ///< 0 is the most urgent.
-};
-
 /// What a placement depends on besides the tables.
 struct PlacementQuery {
   ReplicaQuery replica;
@@ -74,6 +68,11 @@
   };
   [[nodiscard]] std::optional<Barred> barred(const Replica& replica,
                                              const PlacementSubject& subject, Instant now) const;
+  /// \param allowed by the rules. \return where work goes that the cheapest replica does not admit;
+  /// null: nowhere.
+  [[nodiscard]] ReplicaPtr placeElsewhere(const PlacementQuery& query,
+                                          const std::vector<const Replica*>& allowed,
+                                          Instant now) const;
   [[nodiscard]] static NoReplica whyNone(const std::vector<Barred>& passedOver);
 
   const ReplicaTable& replicas_;
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -213,3 +213,36 @@
       "gorsetrail_requests_ended_total{outcome=\"unknown_502\",reason=\"replica_broke_off\"} 1",
       world.metrics.render({}).c_str());
 }
+
+// All replicas are busy, and the one that holds the prompt is full: the second try of the program
+// is placed at another one, and the refusal before tells what it was decided by.
+TEST(Exchange, aProgramThatWasRefusedForAFullReplicaIsPlacedWhenItAsksAgain) {
+  CallRequest turn = ExchangeWorld::turn("again");
+  turn.previousTurn = "q0";
+  turn.promptTokens = 4500;
+  turn.tokenBudget = 100000;
+  const std::vector<routing::ReplicaPtr> replicas = world.replicas.ofService("model");
+  for (const routing::ReplicaPtr& replica : replicas) {
+    replica->entry.zone = "zone";  // Programs prefer a replica of the node's own zone.
+    replica->othersInFlight = 3;   // Of 4 slots.
+  }
+  world.start(turn);
+  const std::string preferred = world.call().headerOf("expect");
+  for (const routing::ReplicaPtr& replica : replicas) {
+    replica->othersInFlight = replica->entry.id == preferred ? 9 : 3;
+  }
+  turn.requestId = "q2";
+  const auto refused = world.start(turn);
+  LONGS_EQUAL(503, refused->status);
+  STRCMP_EQUAL("replicas_busy", refused->body.c_str());
+  world.eventLog.flush();
+  STRCMP_CONTAINS(
+      "event=placement_refused request=q2 program=program stage=continuing priority=1 "
+      "prompt_tokens=4500",
+      world.lines.c_str());
+  STRCMP_CONTAINS("least_load_percent=75", world.lines.c_str());
+  turn.requestId = "q3";
+  world.start(turn);
+  LONGS_EQUAL(2, world.dispatches());
+  CHECK(preferred != world.call().headerOf("expect"));
+}
--- a/tests/routing/admission_policy_test.cpp
+++ b/tests/routing/admission_policy_test.cpp
@@ -12,7 +12,7 @@
   void setup() override { replica.entry.slots = 10; }
   bool admits(double load, WorkStage stage, std::uint32_t priority = 1) {
     replica.othersInFlight = load;
-    return policy.admits(replica, stage, priority);
+    return policy.admits(replica, {stage, priority});
   }
 };
 
@@ -35,3 +35,29 @@
   CHECK_TRUE(admits(13, WorkStage::FirstTurn, 0));
   CHECK_FALSE(admits(7, WorkStage::Runaway, 0));
 }
+
+TEST(AdmissionPolicy, turnsThatGoOnLeaveAFullReplicaForASpareOneWhileThereIsSpareRoom) {
+  const AdmissionRequest turn{WorkStage::Continuing, 1};
+  replica.othersInFlight = 4.9;
+  CHECK_TRUE(policy.isSpare(replica));
+  CHECK_TRUE(policy.takesElsewhere(replica, turn, true));
+  CHECK_FALSE(policy.takesElsewhere(replica, turn, false));
+  replica.othersInFlight = 5;
+  CHECK_FALSE(policy.isSpare(replica));
+  CHECK_FALSE(policy.takesElsewhere(replica, turn, true));
+}
+
+TEST(AdmissionPolicy, aProgramThatWasRefusedGoesWhereFirstTurnsDo) {
+  const AdmissionRequest again{WorkStage::Continuing, 1, true};
+  replica.othersInFlight = 11.9;
+  CHECK_TRUE(policy.takesElsewhere(replica, again, false));
+  CHECK_TRUE(policy.admits(replica, {WorkStage::FirstTurn, 1}));
+  replica.othersInFlight = 12;
+  CHECK_FALSE(policy.takesElsewhere(replica, again, false));
+  CHECK_FALSE(policy.admits(replica, {WorkStage::FirstTurn, 1}));
+}
+
+TEST(AdmissionPolicy, firstTurnsAndRunawaysWaitForTheReplicaThatIsBestForThem) {
+  CHECK_FALSE(policy.takesElsewhere(replica, {WorkStage::FirstTurn, 0, true}, true));
+  CHECK_FALSE(policy.takesElsewhere(replica, {WorkStage::Runaway, 0, true}, true));
+}
--- a/tests/routing/replica_placement_test.cpp
+++ b/tests/routing/replica_placement_test.cpp
@@ -1,7 +1,12 @@
 // The one step by which a request comes to a replica: rules, admission, and why there is none.
 #include "routing/replica_placement.h"
 
+#include <algorithm>
 #include <map>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
 // CppUTest redefines `new`: it comes after the standard headers.
 #include <CppUTest/TestHarness.h>
 
@@ -148,3 +153,80 @@
   CHECK_TRUE(std::holds_alternative<Placed>(found));
   POINTERS_EQUAL(idle.get(), std::get<Placed>(found).replica.get());
 }
+
+// The load of the seconds after a loss of all power, in 300 draws: prompts of some thousand tokens,
+// and replicas between idle and three times full. A turn that goes on is refused only where fewer
+// than half of the replicas are spare, and a program that was refused only where no replica has
+// room for first turns.
+TEST(ReplicaPlacement, noProgramIsRefusedAgainWhileFirstTurnsHaveRoom) {
+  constexpr int kDraws = 300;
+  constexpr AdmissionKnobs kKnobs;
+  std::vector<ReplicaPtr> replicas;
+  for (int number = 0; number < 11; ++number) {
+    replicas.push_back(add("r" + std::to_string(number), "a"));
+  }
+  const auto below = [&](double limit) {
+    return std::count_if(replicas.begin(), replicas.end(), [limit](const ReplicaPtr& replica) {
+      return replica->loadPerSlot() < limit;
+    });
+  };
+  RandomSource random(1);
+  int refusedOnce = 0;
+  int refusedAgain = 0;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const std::uint64_t full = random.below(10);
+    for (const ReplicaPtr& replica : replicas) {
+      const bool isFull = random.below(10) < full || draw % 5 == 0;
+      replica->inFlight =
+          static_cast<std::uint32_t>(isFull ? 8 + random.below(5) : random.below(8));
+    }
+    PlacementQuery turn = query();
+    const std::string program = "program" + std::to_string(draw);
+    turn.replica.affinityKey = program;
+    turn.replica.promptTokens = 4000 + random.below(16000);
+    turn.admission = AdmissionRequest{WorkStage::Continuing, 1};
+    const bool isRefused = std::holds_alternative<PlacesTaken>(withoutRules.place(turn, now));
+    CHECK_FALSE(isRefused && 2 * below(kKnobs.spare) >= 11);
+    turn.admission->wasRefused = true;
+    const bool isRefusedAgain = std::holds_alternative<PlacesTaken>(withoutRules.place(turn, now));
+    CHECK_FALSE(isRefusedAgain && below(kKnobs.firstTurn) > 0);
+    refusedOnce += isRefused ? 1 : 0;
+    refusedAgain += isRefusedAgain ? 1 : 0;
+  }
+  CHECK_TRUE(refusedOnce > refusedAgain && refusedAgain > 20);  // Each case was drawn.
+}
+
+// A burst of programs beyond what the engines can do: every replica has more to do than half of its
+// slots. Prompts that are read anew elsewhere would take from all what the burst leaves, so a turn
+// waits for the replica that holds its prompt, and first turns do not fill the others.
+TEST(ReplicaPlacement, aBurstBeyondTheEnginesKeepsPromptsWhereTheyAre) {
+  const ReplicaPtr one = add("r1", "a");
+  const ReplicaPtr other = add("r2", "a");
+  PlacementQuery turn = query();
+  turn.replica.affinityKey = "program";
+  turn.replica.promptTokens = 6611;
+  const ReplicaPtr preferred = std::get<Placed>(withoutRules.place(turn, now)).replica;
+  const ReplicaPtr dearer = preferred == one ? other : one;
+  preferred->inFlight = 9;
+  dearer->inFlight = 3;  // Of 4 slots.
+  turn.admission = AdmissionRequest{WorkStage::Continuing, 1};
+  const auto taken = std::get<PlacesTaken>(withoutRules.place(turn, now));
+  POINTERS_EQUAL(preferred.get(), taken.judged.get());
+  DOUBLES_EQUAL(0.75, taken.leastLoadPerSlot, 1e-9);
+  turn.admission = AdmissionRequest{WorkStage::FirstTurn, 1};
+  CHECK_TRUE(std::holds_alternative<PlacesTaken>(withoutRules.place(turn, now)));
+}
+
+// Rules are asked once, also where the cheapest replica is full; one that a rule keeps back is no
+// way out.
+TEST(ReplicaPlacement, aTurnWhoseReplicaIsFullGoesOnlyWhereTheRulesAllow) {
+  const ReplicaPtr full = add("c1", "c");
+  add("a1", "a");  // Idle, and kept back by a rule.
+  full->inFlight = 9;
+  PlacementQuery turn = query();
+  turn.replica.affinityKey = "program";
+  turn.admission = AdmissionRequest{WorkStage::Continuing, 1, true};
+  CHECK_TRUE(std::holds_alternative<PlacesTaken>(placement.place(turn, now)));
+  LONGS_EQUAL(1, first.asked["a1"]);
+  LONGS_EQUAL(1, first.asked["c1"]);
+}
