--- /dev/null
+++ b/src/edge/exchange_placement.cpp
@@ -0,0 +1,100 @@
+// The part of `Exchange` that finds a replica, or tells why there is none.
+#include <algorithm>
+#include <string>
+
+#include "edge/exchange.h"
+#include "edge/exchange_shared.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+std::uint64_t percentOf(double share) {
+  constexpr double kPercent = 100.0;
+  return static_cast<std::uint64_t>(share * kPercent);
+}
+
+}  // namespace
+
+routing::PlacementQuery Exchange::placementQuery() const {
+  const bool keepsPrompts = checked_.hasEngine && !request_.programId.empty();
+  routing::PlacementQuery query;
+  query.replica.service = checked_.service;
+  query.replica.affinityKey = keepsPrompts ? checked_.programName : checked_.turnName;
+  query.replica.promptTokens = keepsPrompts ? request_.promptTokens : 0;
+  query.replica.tried = &tried_;
+  query.subject = placementSubject();
+  query.replica.isConnected = [this](const routing::Replica& replica) {
+    return context_.client.hasIdleConnection(replica.entry.address);
+  };
+  // What has begun anywhere goes on: turning it away would waste the work and promise too much.
+  const bool canBeRefused = checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
+  if (canBeRefused) {
+    const bool wasRefused = context_.refusals.contains(checked_.programName, context_.clock());
+    query.admission = routing::AdmissionRequest{stage(), checked_.priority, wasRefused};
+  }
+  return query;
+}
+
+routing::PlacementSubject Exchange::placementSubject() const {
+  routing::PlacementSubject subject;
+  subject.allowedRegions = checked_.places == nullptr ? nullptr : &checked_.places->regions;
+  return subject;
+}
+
+void Exchange::dispatch() {
+  const routing::Placement placement = context_.placement.place(placementQuery(), context_.clock());
+  if (const auto* const placed = std::get_if<routing::Placed>(&placement)) {
+    send(placed->replica);
+  } else if (const auto* const none = std::get_if<routing::NoReplica>(&placement)) {
+    onNoReplica(*none);
+  } else {
+    onPlacesTaken(std::get<routing::PlacesTaken>(placement));
+  }
+}
+
+void Exchange::onPlacesTaken(const routing::PlacesTaken& taken) {
+  context_.log.important("placement_refused",
+                         {{"request", request_.requestId},
+                          {"program", request_.programId},
+                          {"stage", routing::workStageName(stage())},
+                          {"priority", std::uint64_t{checked_.priority}},
+                          {"prompt_tokens", request_.promptTokens},
+                          {"replica", taken.judged->entry.id},
+                          {"load_percent", percentOf(taken.judged->loadPerSlot())},
+                          {"least_load_percent", percentOf(taken.leastLoadPerSlot)}});
+  if (!request_.programId.empty()) {
+    context_.refusals.note(checked_.programName, context_.clock());
+  }
+  refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
+}
+
+void Exchange::onNoReplica(const routing::NoReplica& none) {
+  if (streamBegun_) {
+    breakOff("no_replica_left");
+  } else if (mayHaveRun_) {
+    failUnknown(kBadGateway, "no_replica_left");
+  } else if (none.bar) {
+    refuse({kUnavailable, std::string(routing::placementBarName(*none.bar)), none.retryAfter});
+  } else {
+    refuse({kUnavailable, "no_replica_free", context_.knobs.retryAfterFull});
+  }
+}
+
+routing::WorkStage Exchange::stage() const {
+  const std::uint64_t known = context_.ledger.knownUse(checked_.programName);
+  const double budget = static_cast<double>(request_.tokenBudget.value_or(0));
+  if (budget > 0 && static_cast<double>(known) > context_.knobs.runawayShare * budget) {
+    return routing::WorkStage::Runaway;
+  }
+  const bool begun = !request_.previousTurn.empty() || known > request_.maximumTokens;
+  return begun ? routing::WorkStage::Continuing : routing::WorkStage::FirstTurn;
+}
+
+std::uint32_t Exchange::urgency() const {
+  const bool isLate =
+      request_.programTimeLeft && *request_.programTimeLeft <= context_.clock() - arrivedAt_;
+  return isLate ? tenant::kLeastUrgentPriority
+                : std::min(checked_.priority, tenant::kLeastUrgentPriority);
+}
+
+}  // namespace gorsetrail::edge
