Aggregators, unchanged records, liveness probes: the field's words in announcements and followed topics

Cause: "gatherer", "no news" and "sign of life" need explaining to a newcomer. Change: names and comments only (MemberAnnouncer::aggregate, StoreRelay's aggregateAppends, TopicGateway::IsUnchanged); a test's name follows.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -266,11 +266,11 @@
     }
     return gateway != nullptr;
   });
-  relayServer_.gatherAppends({kMemberTopic, 0},
-                             [this](logstore::AppendRequest request,
-                                    logstore::StoreCallback<logstore::AppendReply> callback) {
-                               announcer_.gather(std::move(request), std::move(callback));
-                             });
+  relayServer_.aggregateAppends({kMemberTopic, 0},
+                                [this](logstore::AppendRequest request,
+                                       logstore::StoreCallback<logstore::AppendReply> callback) {
+                                  announcer_.aggregate(std::move(request), std::move(callback));
+                                });
   const auto onPeer = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
     if (request.target == kLedgerPath || request.target == kAlivePath) {
       ledgerServer_.onRequest(request, std::move(writer));
--- a/src/edge/mechanisms.h
+++ b/src/edge/mechanisms.h
@@ -20,7 +20,7 @@
   ReplicaSuspicion,   ///< A replica without an answer is passed over for a while.
   SilenceChecks,      ///< A silent replica is asked for a connection.
   RegistrationDoubt,  ///< Registrations that lapse with the store are used on for a while.
-  DirectoryChoice,    ///< Clients are not sent to nodes that give no sign of life.
+  DirectoryChoice,    ///< Clients are not sent to nodes that fail their liveness probes.
   SecondPartitions,   ///< A turn is stored in a second partition when the first is out of order.
   HedgedStoreCalls,   ///< A second try runs beside a store call that takes longer than usual.
   PeerProbes,         ///< Nodes that do not answer probes are left out before their records end.
--- a/src/edge/member_announcer.cpp
+++ b/src/edge/member_announcer.cpp
@@ -21,25 +21,25 @@
     return false;
   }
   std::string bytes = logstore::encodeKeyedRecord(key, encodeMemberRecord(record));
-  const std::vector<std::string> gatherers =
-      gatherers_.homesOf(partition_, record.zone, candidates, clock_());
-  if (urgent || gatherers.empty()) {
+  const std::vector<std::string> aggregators =
+      aggregators_.homesOf(partition_, record.zone, candidates, clock_());
+  if (urgent || aggregators.empty()) {
     append(std::move(bytes), Duration::zero());
     return true;
   }
-  const std::string& gatherer = gatherers.front();
-  if (gatherer == ownAddress) {
-    append(std::move(bytes), knobs_.gatherWindow);
+  const std::string& aggregator = aggregators.front();
+  if (aggregator == ownAddress) {
+    append(std::move(bytes), knobs_.aggregationWindow);
     return true;
   }
   underWay_ = true;
   logstore::AppendRequest request{partition_, {bytes}, knobs_.timeLimit};
-  forward_(gatherer, std::move(request),
-           [this, gatherer,
+  forward_(aggregator, std::move(request),
+           [this, aggregator,
             bytes = std::move(bytes)](const logstore::StoreResult<logstore::AppendReply>& result) {
              underWay_ = false;
              if (std::holds_alternative<logstore::StoreError>(result)) {
-               gatherers_.suspect(gatherer, clock_());
+               aggregators_.suspect(aggregator, clock_());
                append(bytes, Duration::zero());
              }
            });
@@ -52,14 +52,14 @@
                   [this](const logstore::StoreResult<std::uint64_t>&) { underWay_ = false; });
 }
 
-void MemberAnnouncer::gather(logstore::AppendRequest request,
-                             logstore::StoreCallback<logstore::AppendReply> callback) {
+void MemberAnnouncer::aggregate(logstore::AppendRequest request,
+                                logstore::StoreCallback<logstore::AppendReply> callback) {
   if (request.records.size() != 1) {
     callback(logstore::StoreError{logstore::StoreFault::Rejected, "one record is expected", 0});
     return;
   }
   batcher_.append(
-      std::move(request.records.front()), knobs_.gatherWindow, knobs_.timeLimit,
+      std::move(request.records.front()), knobs_.aggregationWindow, knobs_.timeLimit,
       [callback = std::move(callback)](const logstore::StoreResult<std::uint64_t>& result) {
         if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
           callback(logstore::AppendReply{*offset, *offset + 1});
--- a/src/edge/store_relay.cpp
+++ b/src/edge/store_relay.cpp
@@ -41,8 +41,8 @@
   const SharedWriter shared = std::move(writer);
   logstore::StoreCallRequest& call = valueOf(decoded);
   if (auto* const append = std::get_if<logstore::AppendRequest>(&call);
-      append != nullptr && gather_ && append->partition == gatheredPartition_) {
-    gather_(std::move(*append), replyTo<logstore::AppendReply>(shared));
+      append != nullptr && aggregate_ && append->partition == aggregatedPartition_) {
+    aggregate_(std::move(*append), replyTo<logstore::AppendReply>(shared));
   } else if (append != nullptr) {
     direct_.append(std::move(*append), replyTo<logstore::AppendReply>(shared));
   } else if (auto* const read = std::get_if<logstore::ReadRequest>(&call)) {
--- a/src/edge/store_relay.h
+++ b/src/edge/store_relay.h
@@ -22,9 +22,9 @@
   /// Appends to this partition are handed over instead of made.
   using AppendHandler =
       std::function<void(logstore::AppendRequest, logstore::StoreCallback<logstore::AppendReply>)>;
-  void gatherAppends(logstore::PartitionAddress partition, AppendHandler handler) {
-    gatheredPartition_ = std::move(partition);
-    gather_ = std::move(handler);
+  void aggregateAppends(logstore::PartitionAddress partition, AppendHandler handler) {
+    aggregatedPartition_ = std::move(partition);
+    aggregate_ = std::move(handler);
   }
   /// Reads are offered to this first; it returns whether it takes one.
   using ReadHandler = std::function<bool(const logstore::ReadRequest&,
@@ -37,8 +37,8 @@
 
   logstore::LogStore& direct_;
   ReadHandler share_;
-  logstore::PartitionAddress gatheredPartition_;
-  AppendHandler gather_;
+  logstore::PartitionAddress aggregatedPartition_;
+  AppendHandler aggregate_;
 };
 
 /// Makes calls through another node: the one that the last call went through well, else one chosen
--- a/src/logstore/topic_gateway.cpp
+++ b/src/logstore/topic_gateway.cpp
@@ -6,12 +6,13 @@
 namespace gorsetrail::logstore {
 
 TopicGateway::TopicGateway(LogStore& store, services::TimerService& timers, ClockFunction clock,
-                           PartitionAddress partition, IsNoNews isNoNews, TopicGatewayKnobs knobs)
+                           PartitionAddress partition, IsUnchanged isUnchanged,
+                           TopicGatewayKnobs knobs)
     : store_(store),
       timers_(timers),
       clock_(std::move(clock)),
       partition_(std::move(partition)),
-      isNoNews_(std::move(isNoNews)),
+      isUnchanged_(std::move(isUnchanged)),
       knobs_(knobs) {}
 
 void TopicGateway::read(const ReadRequest& request, StoreCallback<ReadReply> callback) {
@@ -81,9 +82,9 @@
 void TopicGateway::keep(const std::string& record) {
   auto [key, value] = decodeKeyedRecord(record);
   const auto known = newestValues_.find(key);
-  const bool noNews =
-      known != newestValues_.end() && !value.empty() && isNoNews_(known->second, value);
-  cache_.push_back(noNews ? std::string() : record);
+  const bool unchanged =
+      known != newestValues_.end() && !value.empty() && isUnchanged_(known->second, value);
+  cache_.push_back(unchanged ? std::string() : record);
   if (value.empty()) {
     newestValues_.erase(key);
   } else {
--- a/src/logstore/topic_gateway.h
+++ b/src/logstore/topic_gateway.h
@@ -15,7 +15,7 @@
 namespace gorsetrail::logstore {
 
 /// \return whether a keyed record's new value says nothing that the old one did not.
-using IsNoNews = std::function<bool(const std::string& oldValue, const std::string& newValue)>;
+using IsUnchanged = std::function<bool(const std::string& oldValue, const std::string& newValue)>;
 
 /// Knobs of `TopicGateway`.
 struct TopicGatewayKnobs {
@@ -26,12 +26,12 @@
 
 /// Follows one keyed partition while it is asked to. A question is answered by a read that began
 /// after it came, so the one who asks knows as much as after a read of its own. A record without
-/// news is passed on empty: it only counts as an offset.
+/// change is suppressed: it only counts as an offset.
 class TopicGateway {
  public:
   /// \param store, timers outlive this object.
   TopicGateway(LogStore& store, services::TimerService& timers, ClockFunction clock,
-               PartitionAddress partition, IsNoNews isNoNews, TopicGatewayKnobs knobs);
+               PartitionAddress partition, IsUnchanged isUnchanged, TopicGatewayKnobs knobs);
 
   /// Errors beside the store's: `NotKept` when records from so far back are not kept here.
   void read(const ReadRequest& request, StoreCallback<ReadReply> callback);
@@ -54,7 +54,7 @@
   services::TimerService& timers_;
   ClockFunction clock_;
   PartitionAddress partition_;
-  IsNoNews isNoNews_;
+  IsUnchanged isUnchanged_;
   TopicGatewayKnobs knobs_;
   bool inRound_ = false;
   Instant lastRoundAt_;
--- a/tests/edge/member_announcer_test.cpp
+++ b/tests/edge/member_announcer_test.cpp
@@ -1,4 +1,4 @@
-// Announcements of a zone share appends, never pile up, and do not depend on one gatherer.
+// Announcements of a zone share appends, never pile up, and do not depend on one aggregator.
 #include "edge/member_announcer.h"
 
 #include <CppUTest/TestHarness.h>
@@ -39,7 +39,7 @@
       if (dead.count(address) > 0) {
         callback(logstore::StoreError{logstore::StoreFault::NoAnswer, "refused", 0});
       } else {
-        announcers[static_cast<std::size_t>(std::stoi(address))]->gather(request, callback);
+        announcers[static_cast<std::size_t>(std::stoi(address))]->aggregate(request, callback);
       }
     });
   }
@@ -78,7 +78,7 @@
   CHECK(log.appends <= 10);
 }
 
-TEST(MemberAnnouncer, aDeadGathererDelaysNothing) {
+TEST(MemberAnnouncer, aDeadAggregatorDelaysNothing) {
   announceAll();
   timers.advance(seconds(1));
   ledger::HomeSelector selector{{}};
@@ -90,7 +90,7 @@
   log.appends = 0;
   announceAll();
   timers.advance(seconds(1));
-  // The next gatherer, and the dead one, which still gathers for itself.
+  // The next aggregator, and the dead one, which still aggregates for itself.
   LONGS_EQUAL(2, log.appends);
 }
 
