Fault soaks run side by side, each on a subnet of its own, with any number of nodes

Without options as before. Ruled out: a subnet chosen at random: two runs of one seed would not be alike.

--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -45,8 +45,6 @@
 
 std::string replicaId(std::size_t replica) { return "i-" + std::to_string(replica); }
 
-std::string ipOf(std::size_t node) { return "127.0.1." + std::to_string(node + 1); }
-
 }  // namespace
 
 SoakRun::SoakRun(SoakOptions options)
@@ -81,6 +79,10 @@
   faults_ = planFaults(options_.seed, options_.length, options_.nodes, options_.replicas);
 }
 
+std::string SoakRun::ipOf(std::size_t node) const {
+  return "127.0." + std::to_string(options_.subnet) + "." + std::to_string(node + 1);
+}
+
 std::string SoakRun::clientAddress(std::size_t node) const {
   return ipOf(node) + ":" + std::to_string(kClientPort);
 }
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -26,6 +26,8 @@
   std::uint64_t seed = 1;
   Duration length = seconds(30);
   std::size_t nodes = 5;
+  /// Nodes listen on 127.0.SUBNET.1 and up; soaks side by side need one each.
+  std::size_t subnet = 1;
   std::size_t replicas = 4;
   std::size_t programs = 12;  ///< Under way at a time.
 };
@@ -56,6 +58,7 @@
   void heal(const SoakFault& fault);
   void checkRecovery();
   void runFor(Duration span);
+  [[nodiscard]] std::string ipOf(std::size_t node) const;
   [[nodiscard]] std::string clientAddress(std::size_t node) const;
 
   SoakOptions options_;
--- a/tools/fault_soak.sh
+++ b/tools/fault_soak.sh
@@ -1,24 +1,44 @@
 #!/usr/bin/env bash
 # Fault soak: real edge nodes as separate processes between a stand-in store, replicas and clients,
-# with faults from outside (proxies, signals). Usage: fault_soak.sh [BUILD] [SECONDS] [SEED...]
+# with faults from outside (proxies, signals).
+# Usage: fault_soak.sh [--nodes N] [--subnet N] [BUILD] [SECONDS] [SEED...]
 # Without seeds: the kept ones of lab/faultsoak/seeds.txt, then a fresh one. Exit code 0 only if no
 # promise was broken. Logs of each seed stand in run/fault-soak/SEED.
+# Nodes listen on 127.0.SUBNET.1 and up: soaks side by side need a subnet each.
 set -uo pipefail
+nodes=5
+subnet=1
+while :; do
+  case "${1:-}" in
+    --nodes) nodes="${2:?how many}" ;;
+    --subnet) subnet="${2:?which}" ;;
+    *) break ;;
+  esac
+  shift 2
+done
 build="${1:-build}"
 length_s="${2:-30}"
 shift $(($# < 2 ? $# : 2))
 bin="$build/bin"
-nodes=5
 seeds=("$@")
 if [ "${#seeds[@]}" -eq 0 ]; then
   mapfile -t seeds < <(grep -oE '^[0-9]+' lab/faultsoak/seeds.txt)
   seeds+=("$(date +%s)")
 fi
 
-# Two soaks on one machine would share addresses, and see each other's requests.
-mkdir -p run
-exec 9>run/fault-soak.lock
-flock -n 9 || { echo "fault soak: another one runs on this machine" >&2; exit 2; }
+# Two soaks with one subnet on one machine would share addresses, and see each other's requests;
+# they may be started from different trees.
+exec 9>"${TMPDIR:-/tmp}/gorsetrail-fault-soak-$subnet.lock"
+flock -n 9 || { echo "fault soak: another one has subnet $subnet on this machine" >&2; exit 2; }
+
+# What a node takes, with room to spare, and how many processes a machine is asked to bear.
+megabytes_of_node=64
+most_nodes=200
+megabytes="$(awk '/^MemTotal:/ {print int($2 / 1024)}' /proc/meminfo)"
+if [ "$nodes" -gt "$most_nodes" ] || [ "$((nodes * megabytes_of_node))" -gt "$((megabytes / 2))" ]; then
+  echo "fault soak: $nodes nodes are too many: $most_nodes at the most, and half of the memory" >&2
+  exit 2
+fi
 
 # supervise RUN NODE: starts the node again whenever it ends, until the soak has ended.
 supervise() {
@@ -39,7 +59,7 @@
   local seed="$1" run="run/fault-soak/$1" lab status
   rm -rf "$run"
   mkdir -p "$run"
-  "$bin/gorsetrail-lab" fault-soak "$run" "$length_s" "$nodes" --seed "$seed" >"$run/report.json" 2>"$run/lab.log" &
+  "$bin/gorsetrail-lab" fault-soak "$run" "$length_s" "$nodes" "$subnet" --seed "$seed" >"$run/report.json" 2>"$run/lab.log" &
   lab=$!
   while [ ! -e "$run/ready" ] && kill -0 "$lab" 2>/dev/null; do sleep 0.1; done
   local supervisors=()
