Clients of the fault soak keep open connections until the process is gone

Cause: each request went to a node chosen anew, so a node that stopped saw few requests on connections that stood before its stop. Change: a program keeps to its node while a connection to it is open; a new connection goes to any node but the one that gave no answer. Tools are sent again as the protocol allows: safe ones after any failure, unsafe ones after a promise or when not a byte left on a kept connection; a close behind a sent request tells nothing, so these are not sent again. Requests on kept connections, and those left unanswered there, are counted in the report. Ruled out: sending unsafe requests again after a close on a kept connection: the client cannot know that the node did not read them.

--- a/lab/faultsoak/promise_watcher.cpp
+++ b/lab/faultsoak/promise_watcher.cpp
@@ -1,19 +1,12 @@
 #include "lab/faultsoak/promise_watcher.h"
 
-#include <algorithm>
-#include <array>
+#include "lab/faultsoak/node_choice.h"
 
 namespace gorsetrail::lab {
 namespace {
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
-/// Answers that promise: the request has not run and never will.
-constexpr std::array<unsigned, 5> kNotRunStatuses = {402, 408, 421, 429, 503};
-
-bool promisesNotRun(unsigned status) {
-  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), status) != kNotRunStatuses.end();
-}
 
 bool runsAtMostOnce(SoakRoute route) {
   return route == SoakRoute::Turn || route == SoakRoute::Unsafe;
--- a/lab/faultsoak/promise_watcher.h
+++ b/lab/faultsoak/promise_watcher.h
@@ -30,7 +30,8 @@
 struct SoakAnswer {
   unsigned status = 0;
   bool whole = false;
-  std::string body;  ///< As far as it came.
+  std::string body;      ///< As far as it came.
+  bool notSent = false;  ///< Not a byte of the request left.
 };
 
 /// A promise that was broken, with the attempt that shows it.
--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -14,19 +14,22 @@
 constexpr int kMostTurns = 6;
 constexpr int kTurnsOfLoop = 40;
 constexpr int kMostTries = 12;
+constexpr int kMostTriesOfTool = 3;
 constexpr Duration kPauseAfterFailure = milliseconds(200);
 constexpr double kShareOfLoops = 0.1;
 constexpr unsigned kOk = 200;
 constexpr unsigned kBudgetSpent = 402;
 
+}  // namespace
+
 /// What an attempt got so far; shared by the handlers of its answer.
-struct Gathered {
+struct SoakProgram::Gathered {
   SoakAnswer answer;
+  bool onKeptConnection = false;
 };
 
-}  // namespace
-
-SoakProgram::SoakProgram(SoakClients& clients) : clients_(clients) {}
+SoakProgram::SoakProgram(SoakClients& clients)
+    : clients_(clients), nodeChoice_(clients.nodes.size()) {}
 
 void SoakProgram::start(std::function<void()> onEnded) {
   onEnded_ = std::move(onEnded);
@@ -78,7 +81,7 @@
   if (turnsDone_ == turnsWanted_) {
     end(true);
   } else {
-    sendTool();
+    sendTool(clients_.random.below(2) == 0, kMostTriesOfTool);
   }
 }
 
@@ -90,17 +93,28 @@
   clients_.timers.runAfter(kPauseAfterFailure, [self = shared_from_this()] { self->sendTurn(); });
 }
 
-void SoakProgram::sendTool() {
+void SoakProgram::sendTool(bool safe, int triesLeft) {
   SoakAttempt attempt;
   attempt.id = "q" + std::to_string(++clients_.nextId);
-  const bool safe = clients_.random.below(2) == 0;
   attempt.route = safe ? SoakRoute::Safe : SoakRoute::Unsafe;
   attempt.program = id_;
   attempt.expectedInput = safe ? "" : "tool of " + id_;
   attempt.expectedOutput = SoakReplica::plainAnswer(attempt.id);
-  // Whatever becomes of the tool, the program goes on: the soak is about its turns.
   send(attempt, safe ? "GET" : "POST", safe ? "/safe/x" : "/unsafe/x", attempt.expectedInput,
-       [self = shared_from_this()](const SoakAnswer&) { self->sendTurn(); });
+       [self = shared_from_this(), attempt, triesLeft](const SoakAnswer& answer) {
+         self->onTool(attempt, answer, triesLeft - 1);
+       });
+}
+
+// Whatever becomes of the tool in the end, the program goes on: the soak is about its turns.
+void SoakProgram::onTool(const SoakAttempt& attempt, const SoakAnswer& answer, int triesLeft) {
+  if (triesLeft == 0 || !maySendAgain(attempt.route, answer)) {
+    sendTurn();
+    return;
+  }
+  clients_.timers.runAfter(kPauseAfterFailure, [self = shared_from_this(), attempt, triesLeft] {
+    self->sendTool(attempt.route == SoakRoute::Safe, triesLeft);
+  });
 }
 
 void SoakProgram::end(bool well) {
@@ -110,13 +124,24 @@
   onEnded();
 }
 
+std::string SoakProgram::chooseNode(Gathered& gathered) {
+  const std::optional<std::size_t> current = nodeChoice_.current();
+  const bool connectionOpen =
+      current && clients_.client.hasIdleConnection(clients_.nodes[*current]);
+  const std::string& chosen = clients_.nodes[nodeChoice_.next(connectionOpen, clients_.random)];
+  gathered.onKeptConnection = clients_.client.hasIdleConnection(chosen);
+  clients_.sentOnKeptConnections += gathered.onKeptConnection ? 1 : 0;
+  return chosen;
+}
+
 void SoakProgram::send(const SoakAttempt& attempt, const std::string& method,
                        const std::string& target, const std::string& body,
                        std::function<void(const SoakAnswer&)> onAnswer) {
   clients_.watcher.onSent(attempt);
   http::Request request;
   request.method = method;
-  request.address = clients_.nodes[clients_.random.below(clients_.nodes.size())];
+  const auto gathered = std::make_shared<Gathered>();
+  request.address = chooseNode(*gathered);
   request.target = target;
   request.body = body;
   request.timeLimit = kDeadline;
@@ -134,8 +159,11 @@
   if (attempt.continuesWholeTurn) {
     request.headers.push_back({platform::header::kPreviousTurn, previous_});
   }
-  const auto gathered = std::make_shared<Gathered>();
   const auto finish = [this, id = attempt.id, gathered, onAnswer = std::move(onAnswer)] {
+    if (gathered->answer.status == 0) {
+      nodeChoice_.onNoAnswer();
+      clients_.unansweredOnKeptConnections += gathered->onKeptConnection ? 1 : 0;
+    }
     clients_.watcher.onAnswer(id, gathered->answer);
     onAnswer(gathered->answer);
   };
@@ -148,7 +176,10 @@
     gathered->answer.whole = true;
     finish();
   };
-  handler.onFailure = [finish](const http::Failure&) { finish(); };
+  handler.onFailure = [gathered, finish](const http::Failure& failure) {
+    gathered->answer.notSent = failure.stage == http::FailureStage::NotSent;
+    finish();
+  };
   clients_.client.send(std::move(request), std::move(handler));
 }
 
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -9,6 +9,7 @@
 
 #include "base/random.h"
 #include "http/http_client.h"
+#include "lab/faultsoak/node_choice.h"
 #include "lab/faultsoak/promise_watcher.h"
 #include "services/timer_service.h"
 
@@ -25,11 +26,14 @@
   std::uint64_t turnsAnswered = 0;
   std::uint64_t programsEnded = 0;
   std::uint64_t programsFailed = 0;
+  std::uint64_t sentOnKeptConnections = 0;
+  /// Of these, attempts that ended without any byte of an answer.
+  std::uint64_t unansweredOnKeptConnections = 0;
 };
 
 /// One program: turns one after the other, each with a tool call behind it. Some loop until their
-/// budget is spent. It goes on from turns that were answered whole, and tries again on a new
-/// connection as the protocol allows.
+/// budget is spent. It goes on from turns that were answered whole, keeps to a node while a
+/// connection to it is open, and tries again as the protocol allows.
 class SoakProgram : public std::enable_shared_from_this<SoakProgram> {
  public:
   static constexpr std::uint64_t kTokensPerEvent = 10;
@@ -39,15 +43,21 @@
   void start(std::function<void()> onEnded);
 
  private:
+  struct Gathered;
+
   void sendTurn();
   void onTurn(const SoakAttempt& attempt, const SoakAnswer& answer);
-  void sendTool();
+  void sendTool(bool safe, int triesLeft);
+  void onTool(const SoakAttempt& attempt, const SoakAnswer& answer, int triesLeft);
   void retryTurn();
   void end(bool well);
+  /// \return the address that the next request goes to.
+  std::string chooseNode(Gathered& gathered);
   void send(const SoakAttempt& attempt, const std::string& method, const std::string& target,
             const std::string& body, std::function<void(const SoakAnswer&)> onAnswer);
 
   SoakClients& clients_;
+  NodeChoice nodeChoice_;
   std::function<void()> onEnded_;
   std::string id_;
   bool persisted_ = false;  ///< Its turns are kept by the system; else each stands alone.
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -69,8 +69,7 @@
     registerReplica(number, Duration::zero());
   }
   publishConfiguration();
-  clients_ = std::make_unique<SoakClients>(
-      SoakClients{*client_, *timers_, watcher_, random_, {}, 0, 0, 0, 0});
+  clients_ = std::make_unique<SoakClients>(SoakClients{*client_, *timers_, watcher_, random_, {}});
   for (std::size_t node = 0; node < options_.nodes; ++node) {
     storeWays_.push_back(std::make_unique<FaultProxy>(context_, store_->address()));
     clients_->nodes.push_back(clientAddress(node));
@@ -283,15 +282,18 @@
 }
 
 std::string SoakRun::report() const {
-  nlohmann::json report = {{"seed", options_.seed},
-                           {"faults_struck", faultsStruck_},
-                           {"faults_missed", faultsMissed_},
-                           {"turns_answered", clients_->turnsAnswered},
-                           {"programs_ended", clients_->programsEnded},
-                           {"programs_failed", clients_->programsFailed},
-                           {"store_calls", store_->calls},
-                           {"answers", nlohmann::json::object()},
-                           {"violations", nlohmann::json::array()}};
+  nlohmann::json report = {
+      {"seed", options_.seed},
+      {"faults_struck", faultsStruck_},
+      {"faults_missed", faultsMissed_},
+      {"turns_answered", clients_->turnsAnswered},
+      {"programs_ended", clients_->programsEnded},
+      {"programs_failed", clients_->programsFailed},
+      {"sent_on_kept_connections", clients_->sentOnKeptConnections},
+      {"unanswered_on_kept_connections", clients_->unansweredOnKeptConnections},
+      {"store_calls", store_->calls},
+      {"answers", nlohmann::json::object()},
+      {"violations", nlohmann::json::array()}};
   for (const auto& [status, count] : watcher_.answers()) {
     report["answers"][std::to_string(status)] = count;
   }
