Faults of the soak come in series: signals, restarts and changes that meet one another

Cause: faults overlapped by chance only; a signal that meets a graceful stop, a pause or a start of the same node hardly came up. SIGHUP is new: the settings file names the node's other way to the store, and is replaced as a whole. All follows from the seed; kept seeds plan other faults than before. Ruled out: writing the settings in place: a node that starts meanwhile would read half a file.

--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include "base/random.h"
+#include "lab/faultsoak/fault_series.h"
 
 namespace gorsetrail::lab {
 namespace {
@@ -16,22 +16,49 @@
 /// Longer than any cut: every node learns of it before it is taken back.
 constexpr Duration kEvacuation = seconds(6);
 
-constexpr std::array<SoakFaultKind, 11> kKinds = {
+constexpr std::array<SoakFaultKind, 12> kKinds = {
     SoakFaultKind::KillNode,      SoakFaultKind::PauseNode,         SoakFaultKind::StopNode,
     SoakFaultKind::KillAll,       SoakFaultKind::StoreWay,          SoakFaultKind::ReplicaWay,
     SoakFaultKind::StoreBusy,     SoakFaultKind::StoreLosesAnswers, SoakFaultKind::ReplicaTroubles,
-    SoakFaultKind::Configuration, SoakFaultKind::EvacuateZone};
+    SoakFaultKind::Configuration, SoakFaultKind::EvacuateZone,      SoakFaultKind::ReloadSettings};
 constexpr std::array<ProxyFault, 5> kProxyFaults = {ProxyFault::Delay, ProxyFault::Reset,
                                                     ProxyFault::Silence, ProxyFault::CutToServer,
                                                     ProxyFault::CutFromServer};
 
-Duration between(RandomSource& random, Duration shortest, Duration longest) {
-  const auto span = static_cast<std::uint64_t>((longest - shortest).count());
-  return shortest + Duration(static_cast<Duration::rep>(random.below(span + 1)));
+/// Share of the plan's steps that are a whole series.
+constexpr double kShareOfSeries = 0.35;
+
+SoakFault planSingle(RandomSource& random, Duration at, std::size_t nodes, std::size_t replicas) {
+  SoakFault fault;
+  fault.kind = kKinds[random.below(kKinds.size())];
+  fault.at = at;
+  fault.duration = randomDuration(random, kShortestFault, kLongestFault);
+  if (fault.kind == SoakFaultKind::EvacuateZone) {
+    fault.duration = kEvacuation;
+  }
+  const bool atReplica =
+      fault.kind == SoakFaultKind::ReplicaWay || fault.kind == SoakFaultKind::ReplicaTroubles;
+  fault.target = random.below(atReplica ? replicas : nodes);
+  fault.proxy = kProxyFaults[random.below(kProxyFaults.size())];
+  return fault;
+}
+
+std::vector<SoakFault> planStep(RandomSource& random, Duration at, std::size_t nodes,
+                                std::size_t replicas) {
+  if (random.fraction() < kShareOfSeries) {
+    const auto series = static_cast<FaultSeries>(random.below(kFaultSeriesKinds));
+    return planSeries(series, random, at, nodes);
+  }
+  return {planSingle(random, at, nodes, replicas)};
 }
 
 }  // namespace
 
+Duration randomDuration(RandomSource& random, Duration shortest, Duration longest) {
+  const auto span = static_cast<std::uint64_t>((longest - shortest).count());
+  return shortest + Duration(static_cast<Duration::rep>(random.below(span + 1)));
+}
+
 const char* soakFaultName(SoakFaultKind kind) {
   switch (kind) {
     case SoakFaultKind::KillNode:
@@ -54,6 +81,8 @@
       return "replica_troubles";
     case SoakFaultKind::EvacuateZone:
       return "evacuate_zone";
+    case SoakFaultKind::ReloadSettings:
+      return "reload_settings";
     case SoakFaultKind::Configuration:
       break;
   }
@@ -64,25 +93,18 @@
                                   std::size_t replicas) {
   RandomSource random(seed);
   std::vector<SoakFault> faults;
-  Duration at = between(random, kShortestPause, kLongestPause);
+  Duration at = randomDuration(random, kShortestPause, kLongestPause);
   while (at + kLongestFault < length) {
-    SoakFault fault;
-    fault.kind = kKinds[random.below(kKinds.size())];
-    fault.at = at;
-    fault.duration = between(random, kShortestFault, kLongestFault);
-    if (fault.kind == SoakFaultKind::EvacuateZone) {
-      fault.duration = kEvacuation;
-    }
-    const bool atReplica =
-        fault.kind == SoakFaultKind::ReplicaWay || fault.kind == SoakFaultKind::ReplicaTroubles;
-    fault.target = random.below(atReplica ? replicas : nodes);
-    fault.proxy = kProxyFaults[random.below(kProxyFaults.size())];
-    if (fault.at + fault.duration <= length) {
-      faults.push_back(fault);
+    for (const SoakFault& fault : planStep(random, at, nodes, replicas)) {
+      if (fault.at + fault.duration <= length) {
+        faults.push_back(fault);
+      }
     }
     // Shorter than most faults: several are on at a time.
-    at += between(random, kShortestPause, kLongestPause);
+    at += randomDuration(random, kShortestPause, kLongestPause);
   }
+  std::stable_sort(faults.begin(), faults.end(),
+                   [](const SoakFault& one, const SoakFault& other) { return one.at < other.at; });
   return faults;
 }
 
--- a/lab/faultsoak/fault_plan.h
+++ b/lab/faultsoak/fault_plan.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/random.h"
 #include "base/time.h"
 #include "lab/faultsoak/fault_proxy.h"
 
@@ -22,6 +23,7 @@
   StoreLosesAnswers,
   ReplicaTroubles,  ///< One replica refuses, loses answers and cuts streams.
   Configuration,    ///< A new version is published.
+  ReloadSettings,   ///< The settings file changes, and SIGHUP follows.
   EvacuateZone,     ///< A zone is evacuated; its replicas are cold when it is taken back.
 };
 
@@ -36,7 +38,12 @@
   ProxyFault proxy = ProxyFault::None;
 };
 
+/// \return a time between the two, both included.
+Duration randomDuration(RandomSource& random, Duration shortest, Duration longest);
+
+/// Single faults and series (fault_series.h), several of which are on at a time.
 /// \param length of the soak: the last fault ends before.
+/// \return the faults in order of their times.
 std::vector<SoakFault> planFaults(std::uint64_t seed, Duration length, std::size_t nodes,
                                   std::size_t replicas);
 
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -71,7 +72,10 @@
   publishConfiguration();
   clients_ = std::make_unique<SoakClients>(SoakClients{*client_, *timers_, watcher_, random_, {}});
   for (std::size_t node = 0; node < options_.nodes; ++node) {
-    storeWays_.push_back(std::make_unique<FaultProxy>(context_, store_->address()));
+    storeWays_.emplace_back();
+    for (auto& way : storeWays_.back().ways) {
+      way = std::make_unique<FaultProxy>(context_, store_->address());
+    }
     clients_->nodes.push_back(clientAddress(node));
     writeSettings(node);
   }
@@ -88,7 +92,10 @@
 
 void SoakRun::writeSettings(std::size_t node) const {
   const std::string ip = ipOf(node);
-  std::ofstream file(options_.directory + "/node-" + std::to_string(node) + ".toml");
+  const std::string path = options_.directory + "/node-" + std::to_string(node) + ".toml";
+  const std::string written = path + ".new";
+  const StoreWays& store = storeWays_[node];
+  std::ofstream file(written);
   file << "nodeName = \"node-" << node << "\"\nip = \"" << ip << "\"\nzone = \"" << zoneOf(node)
        << "\"\nregion = \"r\"\ninternalPorts = [" << kFirstInternalPort << ","
        << kFirstInternalPort + 15 << "]\nseeds = [\"" << ipOf(0) << ":" << kControlPort
@@ -96,7 +103,23 @@
        << "\"\nreadiness = \"" << ip << ":" << kReadinessPort << "\"\ncontrol = \"" << ip << ":"
        << kControlPort << "\"\ndirectory = \"" << ip << ":" << kDirectoryPort
        << "\"\n[limits]\nmemoryMb = 256\nmaxFds = 1024\n[platform]\naddress = \""
-       << storeWays_[node]->address() << "\"\nparts = 8\n";
+       << store.ways[store.named]->address() << "\"\nparts = 8\n";
+  file.close();
+  // A node that starts meanwhile reads the file before or after the change, never half of it.
+  std::filesystem::rename(written, path);
+}
+
+bool SoakRun::reloadSettings(std::size_t node) {
+  StoreWays& store = storeWays_[node];
+  store.named = (store.named + 1) % store.ways.size();
+  writeSettings(node);
+  return processes_.signal(node, SIGHUP);
+}
+
+void SoakRun::setStoreFault(std::size_t node, ProxyFault fault) {
+  for (const auto& way : storeWays_[node].ways) {
+    way->setFault(fault, kDelay);
+  }
 }
 
 void SoakRun::publishConfiguration() {
@@ -211,7 +234,7 @@
       }
       break;
     case SoakFaultKind::StoreWay:
-      storeWays_[fault.target]->setFault(fault.proxy, kDelay);
+      setStoreFault(fault.target, fault.proxy);
       break;
     case SoakFaultKind::ReplicaWay:
       replicaWays_[fault.target]->setFault(fault.proxy, kDelay);
@@ -228,6 +251,9 @@
     case SoakFaultKind::Configuration:
       publishConfiguration();
       break;
+    case SoakFaultKind::ReloadSettings:
+      struck = reloadSettings(fault.target);
+      break;
     case SoakFaultKind::EvacuateZone:
       evacuate(zoneOf(fault.target), std::nullopt);
       break;
@@ -243,7 +269,7 @@
       static_cast<void>(processes_.signal(fault.target, SIGCONT));
       break;
     case SoakFaultKind::StoreWay:
-      storeWays_[fault.target]->setFault(ProxyFault::None);
+      setStoreFault(fault.target, ProxyFault::None);
       break;
     case SoakFaultKind::ReplicaWay:
       replicaWays_[fault.target]->setFault(ProxyFault::None);
@@ -262,6 +288,7 @@
     case SoakFaultKind::StopNode:
     case SoakFaultKind::KillAll:
     case SoakFaultKind::Configuration:
+    case SoakFaultKind::ReloadSettings:
       break;
   }
 }
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -2,6 +2,7 @@
 /// faults from outside.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
@@ -45,6 +46,8 @@
  private:
   void makeWorld();
   void writeSettings(std::size_t node) const;
+  /// Changes the settings file, and tells the process. \return whether it runs.
+  bool reloadSettings(std::size_t node);
   void publishConfiguration();
   /// Writes the replica's registration. \param coldFor how long it says that it stays cold.
   void registerReplica(std::size_t replica, Duration coldFor);
@@ -57,6 +60,7 @@
   void strike(const SoakFault& fault);
   void heal(const SoakFault& fault);
   void checkRecovery();
+  void setStoreFault(std::size_t node, ProxyFault fault);
   void runFor(Duration span);
   [[nodiscard]] std::string ipOf(std::size_t node) const;
   [[nodiscard]] std::string clientAddress(std::size_t node) const;
@@ -73,7 +77,12 @@
   std::unique_ptr<StoreStandIn> store_;
   std::vector<std::unique_ptr<SoakReplica>> replicas_;
   std::vector<std::unique_ptr<FaultProxy>> replicaWays_;
-  std::vector<std::unique_ptr<FaultProxy>> storeWays_;  ///< One a node.
+  /// Of one node; its settings name one of the two ways, the other one after each change.
+  struct StoreWays {
+    std::array<std::unique_ptr<FaultProxy>, 2> ways;
+    std::size_t named = 0;
+  };
+  std::vector<StoreWays> storeWays_;  ///< One a node.
   std::unique_ptr<SoakClients> clients_;
   std::vector<SoakFault> faults_;
   std::size_t programsUnderWay_ = 0;
--- a/tests/fault_soak/fault_plan_test.cpp
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -29,6 +29,17 @@
     CHECK(fault.target < 5);
     CHECK(fault.at + fault.duration <= seconds(300));
   }
-  LONGS_EQUAL(11, kinds.size());
-  LONGS_EQUAL(11, names.size());
+  LONGS_EQUAL(12, kinds.size());
+  LONGS_EQUAL(12, names.size());
+}
+
+TEST(FaultPlan, faultsComeInOrderAndOverlap) {
+  const auto faults = planFaults(3, seconds(300), 5, 4);
+  std::size_t overlaps = 0;
+  for (std::size_t index = 1; index < faults.size(); ++index) {
+    const SoakFault& last = faults[index - 1];
+    CHECK(last.at <= faults[index].at);
+    overlaps += faults[index].at < last.at + last.duration ? 1 : 0;
+  }
+  CHECK(overlaps > faults.size() / 4);
 }
