The fault soak ends with a loss of all nodes, and programs that go on from turns of before

Change: after the recovery check all nodes are killed at once. Twelve new programs go on from whole turns of before (200 of the run's turns are kept, each with the same chance) and ask until they are served. Each has to reach a replica within 15 s, which is judged only where first turns reach replicas; if these do not, that is a violation of its own. The check ends as soon as everybody is served. Budgets: 20 turns for two, so that what dead processes may have granted unseen (0.6 at the most) leaves eight; a 402 counts as service only where what the clients saw leaves no room for one more turn. Ruled out: programs of before that return under their own budgets: for them a refusal may be right, and clients cannot tell. Conclusion: the promise has tests that make it fire and keep it silent.

--- a/lab/faultsoak/promise_watcher.cpp
+++ b/lab/faultsoak/promise_watcher.cpp
@@ -1,11 +1,14 @@
 #include "lab/faultsoak/promise_watcher.h"
 
+#include <algorithm>
+
 #include "lab/faultsoak/node_choice.h"
 
 namespace gorsetrail::lab {
 namespace {
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kBudgetSpent = 402;
 constexpr unsigned kNotFound = 404;
 
 bool runsAtMostOnce(SoakRoute route) {
@@ -31,7 +34,10 @@
 }
 
 void PromiseWatcher::onSent(const SoakAttempt& attempt) {
-  attempts_[attempt.id] = {attempt, 0, false};
+  attempts_[attempt.id] = {attempt, 0, false, lossOfAll_};
+  if (const auto found = goingOn_.find(attempt.program); found != goingOn_.end()) {
+    ++found->second.tries;
+  }
 }
 
 void PromiseWatcher::onRun(const std::string& id, const std::string& input, bool resumes) {
@@ -52,6 +58,7 @@
   if (!resumes && ++known.runs > 1 && runsAtMostOnce(known.attempt.route)) {
     add({"at_most_once", id, "run " + std::to_string(known.runs)});
   }
+  noteRunAfterLoss(known);
 }
 
 void PromiseWatcher::onAnswer(const std::string& id, const SoakAnswer& answer) {
@@ -71,6 +78,57 @@
     checkBody(known.attempt, answer);
     countTokens(known.attempt, answer);
   }
+  noteAnswerAfterLoss(known.attempt, answer.status);
+}
+
+void PromiseWatcher::noteRunAfterLoss(const Known& known) {
+  if (!known.sentAfterLoss || known.attempt.route != SoakRoute::Turn) {
+    return;
+  }
+  const auto found = goingOn_.find(known.attempt.program);
+  if (found != goingOn_.end()) {
+    found->second.served = true;
+  } else if (!known.attempt.continuesWholeTurn) {
+    ++firstTurnsAfterLoss_;
+  }
+}
+
+void PromiseWatcher::noteAnswerAfterLoss(const SoakAttempt& attempt, unsigned status) {
+  const auto found = goingOn_.find(attempt.program);
+  if (found == goingOn_.end()) {
+    return;
+  }
+  found->second.lastStatus = status;
+  if (status == kBudgetSpent && isBudgetSpent(attempt.program)) {
+    found->second.served = true;
+  }
+}
+
+bool PromiseWatcher::isBudgetSpent(const std::string& program) const {
+  const auto found = programs_.find(program);
+  return found != programs_.end() &&
+         found->second.tokens + found->second.mostOfOneTurn > found->second.budget;
+}
+
+bool PromiseWatcher::isServedAfterLoss() const {
+  return firstTurnsAfterLoss_ >= kLeastFirstTurnsAfterLoss &&
+         std::all_of(goingOn_.begin(), goingOn_.end(),
+                     [](const auto& entry) { return entry.second.served; });
+}
+
+void PromiseWatcher::checkAfterLoss() {
+  if (firstTurnsAfterLoss_ < kLeastFirstTurnsAfterLoss) {
+    add({"first_turns_are_served_after_a_loss_of_all", "",
+         std::to_string(firstTurnsAfterLoss_) + " of them reached a replica"});
+    return;
+  }
+  for (const auto& [program, state] : goingOn_) {
+    if (!state.served) {
+      add({"a_turn_that_goes_on_after_a_loss_of_all_is_served", program,
+           std::to_string(state.tries) + " tries, the last one answered " +
+               std::to_string(state.lastStatus)});
+    }
+  }
 }
 
 void PromiseWatcher::checkBody(const SoakAttempt& attempt, const SoakAnswer& answer) {
--- a/lab/faultsoak/promise_watcher.h
+++ b/lab/faultsoak/promise_watcher.h
@@ -43,6 +43,9 @@
 
 class PromiseWatcher {
  public:
+  /// Runs of first turns after a loss of all that show that first turns are served.
+  static constexpr std::uint64_t kLeastFirstTurnsAfterLoss = 3;
+
   /// \param tokensPerEvent what one event of a stream stands for.
   explicit PromiseWatcher(std::uint64_t tokensPerEvent) : tokensPerEvent_(tokensPerEvent) {}
 
@@ -51,6 +54,14 @@
   /// A replica begins to work on a request. \param resumes it goes on after an event.
   void onRun(const std::string& id, const std::string& input, bool resumes);
   void onAnswer(const std::string& id, const SoakAnswer& answer);
+  /// All nodes were lost at once; every node's memory with them.
+  void onLossOfAll() { lossOfAll_ = true; }
+  /// The program goes on from a turn that was stored before the loss, and asks from now on.
+  void onGoesOnAfterLoss(const std::string& program) { goingOn_[program] = {}; }
+  /// \return whether each of these programs, and enough first turns, reached a replica.
+  [[nodiscard]] bool isServedAfterLoss() const;
+  /// The time that the nodes have to recover is over.
+  void checkAfterLoss();
   /// Found by the run itself.
   void add(SoakViolation violation) { violations_.push_back(std::move(violation)); }
 
@@ -63,12 +74,22 @@
     SoakAttempt attempt;
     std::uint64_t runs = 0;  ///< From the start; resumptions do not count.
     bool promisedNotRun = false;
+    bool sentAfterLoss = false;
   };
   struct Program {
     std::uint64_t budget = 0;
     std::uint64_t mostOfOneTurn = 0;
     std::uint64_t tokens = 0;
   };
+  /// A program that goes on from a turn of before a loss of all nodes.
+  struct GoingOn {
+    std::uint64_t tries = 0;
+    unsigned lastStatus = 0;
+    bool served = false;  ///< A replica ran it, or its budget was spent in truth.
+  };
+  void noteRunAfterLoss(const Known& known);
+  void noteAnswerAfterLoss(const SoakAttempt& attempt, unsigned status);
+  [[nodiscard]] bool isBudgetSpent(const std::string& program) const;
   void checkBody(const SoakAttempt& attempt, const SoakAnswer& answer);
   void countTokens(const SoakAttempt& attempt, const SoakAnswer& answer);
 
@@ -76,6 +97,9 @@
   std::map<std::string, Known> attempts_;
   std::map<std::string, Program> programs_;
   std::map<unsigned, std::uint64_t> answers_;
+  bool lossOfAll_ = false;
+  std::map<std::string, GoingOn> goingOn_;  ///< By program.
+  std::uint64_t firstTurnsAfterLoss_ = 0;
   std::vector<SoakViolation> violations_;
 };
 
--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -14,6 +14,14 @@
 constexpr int kMostTurns = 6;
 constexpr int kTurnsOfLoop = 40;
 constexpr int kMostTries = 12;
+/// More than the time to recover holds: who goes on after a loss of all asks until its end.
+constexpr int kMostTriesAfterLoss = 1000;
+constexpr int kTurnsAfterLoss = 2;
+/// Budget of a program that goes on after a loss of all, in turns. What dead processes may have
+/// granted unseen counts for at most 0.6 of it (docs/design/0011-budget-leases.md): eight turns are
+/// left to two, so that no refusal by budget is right.
+constexpr std::uint64_t kBudgetTurnsAfterLoss = 20;
+constexpr std::size_t kMostStoredTurns = 200;
 constexpr int kMostTriesOfTool = 3;
 constexpr Duration kPauseAfterFailure = milliseconds(200);
 constexpr double kShareOfLoops = 0.1;
@@ -37,12 +45,27 @@
   persisted_ = clients_.random.below(3) > 0;
   loops_ = clients_.random.fraction() < kShareOfLoops;
   turnsWanted_ = loops_ ? kTurnsOfLoop : 1 + static_cast<int>(clients_.random.below(kMostTurns));
+  mostTries_ = kMostTries;
   // Room for each turn and a few that have to be sent again.
   budget_ = kTokensOfTurn * static_cast<std::uint64_t>(loops_ ? 5 : 3 * turnsWanted_);
   clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
   sendTurn();
 }
 
+void SoakProgram::startFrom(const StoredTurn& turn) {
+  onEnded_ = [] {};
+  id_ = "p" + std::to_string(++clients_.nextId);
+  persisted_ = true;
+  turnsWanted_ = kTurnsAfterLoss;
+  mostTries_ = kMostTriesAfterLoss;
+  budget_ = kTokensOfTurn * kBudgetTurnsAfterLoss;
+  previous_ = turn.id;
+  history_ = turn.history;
+  clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
+  clients_.watcher.onGoesOnAfterLoss(id_);
+  sendTurn();
+}
+
 void SoakProgram::sendTurn() {
   const std::string input = "in-" + id_ + "-" + std::to_string(turnsDone_) + ";";
   SoakAttempt attempt;
@@ -77,6 +100,7 @@
       history_ += SoakReplica::eventData(attempt.id, number) + "\n";
     }
     previous_ = attempt.id;
+    storeTurn(attempt);
   }
   if (turnsDone_ == turnsWanted_) {
     end(true);
@@ -85,8 +109,21 @@
   }
 }
 
+void SoakProgram::storeTurn(const SoakAttempt& attempt) {
+  StoredTurn turn{attempt.id, history_};
+  if (clients_.storedTurns.size() < kMostStoredTurns) {
+    clients_.storedTurns.push_back(std::move(turn));
+    ++clients_.storedTurnsSeen;
+    return;
+  }
+  const std::uint64_t place = clients_.random.below(++clients_.storedTurnsSeen);
+  if (place < kMostStoredTurns) {
+    clients_.storedTurns[place] = std::move(turn);
+  }
+}
+
 void SoakProgram::retryTurn() {
-  if (++tries_ == kMostTries) {
+  if (++tries_ == mostTries_) {
     end(false);
     return;
   }
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -15,6 +15,12 @@
 
 namespace gorsetrail::lab {
 
+/// A turn that was answered whole, so that any program may go on from it.
+struct StoredTurn {
+  std::string id;
+  std::string history;  ///< Inputs and events of its chain up to its end.
+};
+
 /// What all programs of a soak share; outlives them.
 struct SoakClients {
   http::HttpClient& client;
@@ -26,6 +32,9 @@
   std::uint64_t turnsAnswered = 0;
   std::uint64_t programsEnded = 0;
   std::uint64_t programsFailed = 0;
+  /// Some whole turns of the time so far, each with the same chance.
+  std::vector<StoredTurn> storedTurns{};
+  std::uint64_t storedTurnsSeen = 0;
   std::uint64_t sentOnKeptConnections = 0;
   /// Of these, attempts that ended without any byte of an answer.
   std::uint64_t unansweredOnKeptConnections = 0;
@@ -41,11 +50,14 @@
   explicit SoakProgram(SoakClients& clients);
   /// \param onEnded called once.
   void start(std::function<void()> onEnded);
+  /// Goes on from a turn of another program, and asks until it is answered.
+  void startFrom(const StoredTurn& turn);
 
  private:
   struct Gathered;
 
   void sendTurn();
+  void storeTurn(const SoakAttempt& attempt);
   void onTurn(const SoakAttempt& attempt, const SoakAnswer& answer);
   void sendTool(bool safe, int triesLeft);
   void onTool(const SoakAttempt& attempt, const SoakAnswer& answer, int triesLeft);
@@ -66,6 +78,7 @@
   int turnsWanted_ = 0;
   int turnsDone_ = 0;
   int tries_ = 0;
+  int mostTries_ = 0;
   std::string history_;
   std::string previous_;
 };
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -25,6 +25,11 @@
 constexpr Duration kDelay = milliseconds(150);
 constexpr char kService[] = "m";
 /// A cold replica bears so many requests a second; few, so that the rate of a warm one is too much.
+/// From the loss of all nodes until programs that go on from turns of before reach a replica; what
+/// the platform gives its clients for it.
+constexpr Duration kRecoveryAfterLoss = seconds(15);
+constexpr Duration kLossCheckPeriod = milliseconds(100);
+constexpr int kProgramsAfterLoss = 12;
 constexpr double kColdRequestsPerSecond = 4;
 constexpr Duration kColdTime = seconds(3);
 /// What the settings allow above that when they say nothing else: 1.5 times the rate, and 5.
@@ -226,6 +231,7 @@
       struck = processes_.signal(fault.target, SIGSTOP);
       break;
     case SoakFaultKind::StopNode:
+  checkLossOfAll();
       struck = processes_.signal(fault.target, SIGTERM);
       break;
     case SoakFaultKind::KillAll:
@@ -333,3 +339,24 @@
 }
 
 }  // namespace gorsetrail::lab
+void SoakRun::checkLossOfAll() {
+  if (!waitForNodes()) {
+    watcher_.add({"the_nodes_start", "", "not all processes were back before the final loss"});
+  }
+  for (std::size_t node = 0; node < options_.nodes; ++node) {
+    faultsStruck_ += processes_.signal(node, SIGKILL) ? 1 : 0;
+  }
+  watcher_.onLossOfAll();
+  // A copy: who is served stores its own turns.
+  const std::vector<StoredTurn> turns = clients_->storedTurns;
+  for (int number = 0; number < kProgramsAfterLoss && !turns.empty(); ++number) {
+    std::make_shared<SoakProgram>(*clients_)->startFrom(turns[random_.below(turns.size())]);
+  }
+  while (!watcher_.isServedAfterLoss() && servedAfterLoss_ < kRecoveryAfterLoss) {
+    runFor(kLossCheckPeriod);
+    servedAfterLoss_ += kLossCheckPeriod;
+  }
+  watcher_.checkAfterLoss();
+}
+
+      {"served_after_loss_ms", servedAfterLoss_ / milliseconds(1)},
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -64,6 +64,8 @@
   void runFor(Duration span);
   [[nodiscard]] std::string ipOf(std::size_t node) const;
   [[nodiscard]] std::string clientAddress(std::size_t node) const;
+  /// Kills all nodes at once; new programs go on from turns that were stored before.
+  void checkLossOfAll();
 
   SoakOptions options_;
   boost::asio::io_context context_{1};
@@ -93,3 +95,4 @@
 };
 
 }  // namespace gorsetrail::lab
+  Duration servedAfterLoss_{};  ///< From the loss of all until everybody was served.
--- a/tests/fault_soak/promise_watcher_test.cpp
+++ b/tests/fault_soak/promise_watcher_test.cpp
@@ -17,6 +17,20 @@
     watcher.onSent(attempt);
     return attempt;
   }
+  /// Program p2 goes on after all nodes were lost; so many first turns run beside it.
+  void loseAll(std::uint64_t firstTurns, std::uint64_t budget = 800) {
+    watcher.onLossOfAll();
+    watcher.onProgram("p2", budget, 40);
+    watcher.onGoesOnAfterLoss("p2");
+    for (std::uint64_t number = 0; number < firstTurns; ++number) {
+      const std::string id = "first" + std::to_string(number);
+      sent(SoakRoute::Turn, false, id);
+      watcher.onRun(id, "input", false);
+    }
+  }
+  void goOn(const std::string& id) {
+    watcher.onSent({id, SoakRoute::Turn, "p2", "input", SoakReplica::wholeStream(id), true});
+  }
   void checkOnly(const char* promise) {
     LONGS_EQUAL(1, watcher.violations().size());
     STRCMP_EQUAL(promise, watcher.violations().front().promise.c_str());
@@ -99,3 +113,60 @@
   }
   checkOnly("a_budget_holds");
 }
+
+TEST(PromiseWatcher, isSilentWhenATurnThatGoesOnReachesAReplicaAfterALossOfAll) {
+  loseAll(3);
+  goOn("q5");
+  watcher.onAnswer("q5", {503, true, ""});
+  CHECK_FALSE(watcher.isServedAfterLoss());
+  goOn("q6");
+  watcher.onRun("q6", "input", false);
+  CHECK(watcher.isServedAfterLoss());
+  watcher.checkAfterLoss();
+  LONGS_EQUAL(0, watcher.violations().size());
+}
+
+TEST(PromiseWatcher, seesATurnThatGoesOnInVainAfterALossOfAll) {
+  loseAll(3);
+  goOn("q5");
+  watcher.onAnswer("q5", {503, true, ""});
+  watcher.checkAfterLoss();
+  checkOnly("a_turn_that_goes_on_after_a_loss_of_all_is_served");
+  STRCMP_EQUAL("p2", watcher.violations().front().attempt.c_str());
+  STRCMP_EQUAL("1 tries, the last one answered 503", watcher.violations().front().detail.c_str());
+}
+
+TEST(PromiseWatcher, aSpentBudgetIsNoServiceWhileTheProgramSpentNothing) {
+  loseAll(3);
+  goOn("q5");
+  watcher.onAnswer("q5", {402, true, ""});
+  watcher.checkAfterLoss();
+  checkOnly("a_turn_that_goes_on_after_a_loss_of_all_is_served");
+}
+
+TEST(PromiseWatcher, aBudgetThatIsSpentInTruthMayRefuseATurnThatGoesOn) {
+  loseAll(3, 39);
+  goOn("q5");
+  watcher.onAnswer("q5", {402, true, ""});
+  watcher.checkAfterLoss();
+  LONGS_EQUAL(0, watcher.violations().size());
+}
+
+TEST(PromiseWatcher, turnsThatGoOnOweNothingWhileFirstTurnsAreNotServed) {
+  loseAll(2);
+  goOn("q5");
+  watcher.onAnswer("q5", {503, true, ""});
+  watcher.checkAfterLoss();
+  checkOnly("first_turns_are_served_after_a_loss_of_all");
+}
+
+TEST(PromiseWatcher, runsOfBeforeTheLossDoNotCount) {
+  for (const char* id : {"q5", "q6", "q7"}) {
+    sent(SoakRoute::Turn, false, id);
+  }
+  watcher.onLossOfAll();
+  for (const char* id : {"q5", "q6", "q7"}) {
+    watcher.onRun(id, "input", false);
+  }
+  CHECK_FALSE(watcher.isServedAfterLoss());
+}
