Replicas of the soak start again under their id, and entries of other writers come and go

Cause: a replica may start again under its id, and what stands among the replicas' entries may be another writer's; no soak had either. Change: a replica's start ends its streams, resets its connections and, after a time, registers with a later `born` and a heartbeat count from the beginning; once, or in a row (a tenth series). The stand-in of a replica registers `born` once it is set, and can start again. Conclusion: both are faults of the plan.

--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "lab/faultsoak/fault_series.h"
+#include "lab/faultsoak/foreign_entries.h"
 
 namespace gorsetrail::lab {
 namespace {
@@ -16,11 +17,12 @@
 /// Longer than any cut: every node learns of it before it is taken back.
 constexpr Duration kEvacuation = seconds(6);
 
-constexpr std::array<SoakFaultKind, 12> kKinds = {
-    SoakFaultKind::KillNode,      SoakFaultKind::PauseNode,         SoakFaultKind::StopNode,
-    SoakFaultKind::KillAll,       SoakFaultKind::StoreWay,          SoakFaultKind::ReplicaWay,
-    SoakFaultKind::StoreBusy,     SoakFaultKind::StoreLosesAnswers, SoakFaultKind::ReplicaTroubles,
-    SoakFaultKind::Configuration, SoakFaultKind::EvacuateZone,      SoakFaultKind::ReloadSettings};
+constexpr std::array<SoakFaultKind, 14> kKinds = {
+    SoakFaultKind::KillNode,       SoakFaultKind::PauseNode,         SoakFaultKind::StopNode,
+    SoakFaultKind::KillAll,        SoakFaultKind::StoreWay,          SoakFaultKind::ReplicaWay,
+    SoakFaultKind::StoreBusy,      SoakFaultKind::StoreLosesAnswers, SoakFaultKind::ReplicaTroubles,
+    SoakFaultKind::Configuration,  SoakFaultKind::EvacuateZone,      SoakFaultKind::ReloadSettings,
+    SoakFaultKind::RestartReplica, SoakFaultKind::ForeignEntry};
 constexpr std::array<ProxyFault, 5> kProxyFaults = {ProxyFault::Delay, ProxyFault::Reset,
                                                     ProxyFault::Silence, ProxyFault::CutToServer,
                                                     ProxyFault::CutFromServer};
@@ -28,6 +30,20 @@
 /// Share of the plan's steps that are a whole series.
 constexpr double kShareOfSeries = 0.35;
 
+/// \return how many targets a fault of the kind chooses from.
+std::size_t targetsOf(SoakFaultKind kind, std::size_t nodes, std::size_t replicas) {
+  switch (kind) {
+    case SoakFaultKind::ReplicaWay:
+    case SoakFaultKind::ReplicaTroubles:
+    case SoakFaultKind::RestartReplica:
+      return replicas;
+    case SoakFaultKind::ForeignEntry:
+      return foreignEntryKinds();
+    default:
+      return nodes;
+  }
+}
+
 SoakFault planSingle(RandomSource& random, Duration at, std::size_t nodes, std::size_t replicas) {
   SoakFault fault;
   fault.kind = kKinds[random.below(kKinds.size())];
@@ -36,9 +52,7 @@
   if (fault.kind == SoakFaultKind::EvacuateZone) {
     fault.duration = kEvacuation;
   }
-  const bool atReplica =
-      fault.kind == SoakFaultKind::ReplicaWay || fault.kind == SoakFaultKind::ReplicaTroubles;
-  fault.target = random.below(atReplica ? replicas : nodes);
+  fault.target = random.below(targetsOf(fault.kind, nodes, replicas));
   fault.proxy = kProxyFaults[random.below(kProxyFaults.size())];
   return fault;
 }
@@ -47,7 +61,7 @@
                                 std::size_t replicas) {
   if (random.fraction() < kShareOfSeries) {
     const auto series = static_cast<FaultSeries>(random.below(kFaultSeriesKinds));
-    return planSeries(series, random, at, nodes);
+    return planSeries(series, random, at, nodes, replicas);
   }
   return {planSingle(random, at, nodes, replicas)};
 }
@@ -81,6 +95,10 @@
       return "replica_troubles";
     case SoakFaultKind::EvacuateZone:
       return "evacuate_zone";
+    case SoakFaultKind::RestartReplica:
+      return "restart_replica";
+    case SoakFaultKind::ForeignEntry:
+      return "foreign_entry";
     case SoakFaultKind::ReloadSettings:
       return "reload_settings";
     case SoakFaultKind::Configuration:
--- a/lab/faultsoak/fault_plan.h
+++ b/lab/faultsoak/fault_plan.h
@@ -24,6 +24,8 @@
   ReplicaTroubles,  ///< One replica refuses, loses answers and cuts streams.
   Configuration,    ///< A new version is published.
   ReloadSettings,   ///< The settings file changes, and SIGHUP follows.
+  RestartReplica,   ///< It ends, and starts again under its id after the duration.
+  ForeignEntry,     ///< Another writer's entry stands among the replicas'.
   EvacuateZone,     ///< A zone is evacuated; its replicas are cold when it is taken back.
 };
 
--- a/lab/faultsoak/fault_series.cpp
+++ b/lab/faultsoak/fault_series.cpp
@@ -28,6 +28,9 @@
     fault.kind = kind;
     fault.at = at_;
     fault.target = target_;
+    if (kind == SoakFaultKind::RestartReplica) {
+      fault.duration = randomDuration(random_, kShortestGap, kShortestRestart);
+    }
     if (kind == SoakFaultKind::PauseNode) {
       fault.duration = randomDuration(random_, kShortestSeriesPause, kLongestSeriesPause);
     }
@@ -77,7 +80,7 @@
 }  // namespace
 
 std::vector<SoakFault> planSeries(FaultSeries series, RandomSource& random, Duration at,
-                                  std::size_t nodes) {
+                                  std::size_t nodes, std::size_t replicas) {
   SeriesBuilder builder(random, at, random.below(nodes));
   switch (series) {
     case FaultSeries::StopTwice:
@@ -107,6 +110,10 @@
     case FaultSeries::ChangesInARow:
       repeat(builder, SoakFaultKind::Configuration, kShortestGap, kLongestGap);
       break;
+    case FaultSeries::ReplicaStartsInARow:
+      builder.turnTo(random.below(replicas));
+      repeat(builder, SoakFaultKind::RestartReplica, kShortestRestart, kLongestRestart);
+      break;
   }
   return builder.take();
 }
--- a/lab/faultsoak/fault_series.h
+++ b/lab/faultsoak/fault_series.h
@@ -12,23 +12,24 @@
 namespace gorsetrail::lab {
 
 enum class FaultSeries : std::uint8_t {
-  StopTwice,          ///< SIGTERM again amid a graceful stop.
-  KillAmidStop,       ///< SIGKILL amid a graceful stop.
-  ReloadAmidStop,     ///< SIGHUP with changed settings amid a graceful stop.
-  PauseAmidStop,      ///< SIGSTOP amid a graceful stop.
-  StopWhilePaused,    ///< SIGTERM to a process that stands still.
-  ReloadsInARow,      ///< SIGHUP again and again, the settings changed each time.
-  KillWhileStarting,  ///< SIGKILL, and again while the next process starts.
-  RollingRestart,     ///< SIGTERM to one node after the other; a pause and a configuration amid.
-  ChangesInARow,      ///< Configurations that follow one another at once.
+  StopTwice,            ///< SIGTERM again amid a graceful stop.
+  KillAmidStop,         ///< SIGKILL amid a graceful stop.
+  ReloadAmidStop,       ///< SIGHUP with changed settings amid a graceful stop.
+  PauseAmidStop,        ///< SIGSTOP amid a graceful stop.
+  StopWhilePaused,      ///< SIGTERM to a process that stands still.
+  ReloadsInARow,        ///< SIGHUP again and again, the settings changed each time.
+  KillWhileStarting,    ///< SIGKILL, and again while the next process starts.
+  RollingRestart,       ///< SIGTERM to one node after the other; a pause and a configuration amid.
+  ChangesInARow,        ///< Configurations that follow one another at once.
+  ReplicaStartsInARow,  ///< One replica starts again under its id, and again.
 };
 
 /// How many kinds of series there are.
-inline constexpr std::size_t kFaultSeriesKinds = 9;
+inline constexpr std::size_t kFaultSeriesKinds = 10;
 
 /// \param at when the first fault strikes, from the start of traffic.
 /// \return the faults in order of their times; all that is left open follows from `random`.
 std::vector<SoakFault> planSeries(FaultSeries series, RandomSource& random, Duration at,
-                                  std::size_t nodes);
+                                  std::size_t nodes, std::size_t replicas);
 
 }  // namespace gorsetrail::lab
--- a/lab/faultsoak/soak_replica.cpp
+++ b/lab/faultsoak/soak_replica.cpp
@@ -27,6 +27,7 @@
 struct SoakReplica::Stream {
   std::string requestId;
   http::ResponseWriterPtr writer;
+  std::uint64_t life = 0;  ///< Of the replica, when the stream began.
   int next = 1;
   int cutAfter = kEventsOfStream;  ///< It closes behind this event, unless it is the last.
 };
@@ -68,7 +69,11 @@
 
 void SoakReplica::onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer) {
   const std::string requestId = headerOf(request, platform::header::kRequestId);
-  const bool misdirected = headerOf(request, platform::header::kExpectInstance) != id_;
+  const std::string expected = headerOf(request, platform::header::kExpectInstance);
+  const bool misdirected = expected != id_;
+  if (misdirected && onMisdirected) {
+    onMisdirected(expected);
+  }
   if (!misdirected && onArrival) {
     onArrival();
   }
@@ -93,6 +98,7 @@
   auto stream = std::make_shared<Stream>();
   stream->requestId = requestId;
   stream->writer = std::move(writer);
+  stream->life = life_;
   stream->next = after + 1;
   if (random_.fraction() < troubles.cutStream) {
     stream->cutAfter = static_cast<int>(random_.below(kEventsOfStream)) + 1;
@@ -101,6 +107,9 @@
 }
 
 void SoakReplica::continueStream(const std::shared_ptr<Stream>& stream) {
+  if (stream->life != life_) {
+    return;  // The writer goes, and the connection with it.
+  }
   if (stream->next > kEventsOfStream) {
     stream->writer->endStream();
     return;
--- a/lab/faultsoak/soak_replica.h
+++ b/lab/faultsoak/soak_replica.h
@@ -31,6 +31,10 @@
   [[nodiscard]] std::string address() const;
   [[nodiscard]] const std::string& id() const { return id_; }
 
+  /// The process ends and the next one starts under the same id and address: runs under way are
+  /// forgotten, their streams break off. The caller resets the connections.
+  void startAgain() { ++life_; }
+
   /// \return the data of an event, which a client adds to the history.
   static std::string eventData(const std::string& requestId, int number);
   /// \return all bytes of a request's whole stream.
@@ -41,6 +45,8 @@
   SoakReplicaTroubles troubles;
   /// Called with each request that is meant for this replica, before anything else.
   std::function<void()> onArrival;
+  /// Optional: called with the id of the replica that a request was meant for instead.
+  std::function<void(const std::string& expected)> onMisdirected;
 
  private:
   struct Stream;
@@ -52,6 +58,7 @@
   PromiseWatcher& watcher_;
   std::string id_;
   RandomSource random_;
+  std::uint64_t life_ = 0;  ///< Starts before this one.
   http::HttpServerPtr server_;
 };
 
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -3,12 +3,15 @@
 #include "base/steady_clock.h"
 
 #include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "lab/faultsoak/foreign_entries.h"
+
 namespace gorsetrail::lab {
 namespace {
 
@@ -22,14 +25,15 @@
 constexpr Duration kRecoveryLimit = seconds(12);
 constexpr Duration kRecoveryWindow = seconds(4);
 constexpr std::uint64_t kLeastTurnsInWindow = 10;
-constexpr Duration kDelay = milliseconds(150);
-constexpr char kService[] = "m";
-/// A cold replica bears so many requests a second; few, so that the rate of a warm one is too much.
 /// From the loss of all nodes until programs that go on from turns of before reach a replica; what
 /// the platform gives its clients for it.
 constexpr Duration kRecoveryAfterLoss = seconds(15);
 constexpr Duration kLossCheckPeriod = milliseconds(100);
 constexpr int kProgramsAfterLoss = 12;
+constexpr Duration kDelay = milliseconds(150);
+constexpr char kService[] = "m";
+constexpr char kTrapId[] = "trap";
+/// A cold replica bears so many requests a second; few, so that the rate of a warm one is too much.
 constexpr double kColdRequestsPerSecond = 4;
 constexpr Duration kColdTime = seconds(3);
 /// What the settings allow above that when they say nothing else: 1.5 times the rate, and 5.
@@ -49,6 +53,11 @@
 /// \return the zone of a node, or of a replica, by its number.
 std::string zoneOf(std::size_t number) { return number % 2 == 0 ? "a" : "b"; }
 
+std::int64_t unixMilliseconds() {
+  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+}
+
 std::string replicaId(std::size_t replica) { return "i-" + std::to_string(replica); }
 
 }  // namespace
@@ -65,6 +74,10 @@
 
 void SoakRun::makeWorld() {
   store_ = std::make_unique<StoreStandIn>(context_);
+  trap_ = std::make_unique<SoakReplica>(context_, *timers_, watcher_, kTrapId, options_.seed);
+  trap_->onMisdirected = [this](const std::string& expected) {
+    watcher_.add({"an_entry_of_another_writer_gets_no_request", expected, ""});
+  };
   for (std::size_t number = 0; number < options_.replicas; ++number) {
     replicas_.push_back(std::make_unique<SoakReplica>(context_, *timers_, watcher_,
                                                       replicaId(number), options_.seed + number));
@@ -72,7 +85,8 @@
       places_.onArrival(zoneOf(number), replicaId(number), steadyNow());
     };
     replicaWays_.push_back(std::make_unique<FaultProxy>(context_, replicas_.back()->address()));
-    registerReplica(number, Duration::zero());
+    replicaLives_.emplace_back();
+    registerNextLife(number);
   }
   publishConfiguration();
   clients_ = std::make_unique<SoakClients>(SoakClients{*client_, *timers_, watcher_, random_, {}});
@@ -141,11 +155,29 @@
   store_->put("keyed.op", "config", configuration.dump());
 }
 
+void SoakRun::registerNextLife(std::size_t replica) {
+  const std::int64_t now = unixMilliseconds();
+  // Two starts within a millisecond are two lives.
+  const std::int64_t startedAt = std::max(now, replicaLives_[replica].startedAtMs + 1);
+  replicaLives_[replica] = {startedAt, 0};
+  registerReplica(replica, Duration::zero());
+}
+
+void SoakRun::putForeignEntry(const SoakFault& fault, bool present) {
+  // A key of its own, which no replica has.
+  const std::string key =
+      "foreign-" + std::to_string(fault.target) + "-" + std::to_string(fault.at.count());
+  store_->put("keyed.servers", key,
+              present ? foreignEntry(fault.target, kService, trap_->address()) : std::string());
+}
+
 void SoakRun::registerReplica(std::size_t replica, Duration coldFor) {
+  ReplicaLife& life = replicaLives_[replica];
   const nlohmann::json entry = {
-      {"service", kService},     {"address", replicaWays_[replica]->address()},
-      {"zone", zoneOf(replica)}, {"slots", 16},
-      {"state", "ready"},        {"coldRemainingMs", coldFor / milliseconds(1)}};
+      {"service", kService},      {"address", replicaWays_[replica]->address()},
+      {"zone", zoneOf(replica)},  {"slots", 16},
+      {"state", "ready"},         {"coldRemainingMs", coldFor / milliseconds(1)},
+      {"born", life.startedAtMs}, {"callSeq", ++life.heartbeats}};
   store_->put("keyed.servers", replicaId(replica), entry.dump());
 }
 
@@ -199,6 +231,7 @@
   scheduleFaults();
   runFor(options_.length);
   checkRecovery();
+  checkLossOfAll();
   takesPrograms_ = false;
   runFor(seconds(4));
   std::ofstream(options_.directory + "/ended") << options_.seed << '\n';
@@ -231,7 +264,6 @@
       struck = processes_.signal(fault.target, SIGSTOP);
       break;
     case SoakFaultKind::StopNode:
-  checkLossOfAll();
       struck = processes_.signal(fault.target, SIGTERM);
       break;
     case SoakFaultKind::KillAll:
@@ -260,6 +292,13 @@
     case SoakFaultKind::ReloadSettings:
       struck = reloadSettings(fault.target);
       break;
+    case SoakFaultKind::RestartReplica:
+      replicas_[fault.target]->startAgain();
+      replicaWays_[fault.target]->setFault(ProxyFault::Reset);
+      break;
+    case SoakFaultKind::ForeignEntry:
+      putForeignEntry(fault, true);
+      break;
     case SoakFaultKind::EvacuateZone:
       evacuate(zoneOf(fault.target), std::nullopt);
       break;
@@ -290,6 +329,13 @@
     case SoakFaultKind::EvacuateZone:
       takeBack(zoneOf(fault.target));
       break;
+    case SoakFaultKind::RestartReplica:
+      replicaWays_[fault.target]->setFault(ProxyFault::None);
+      registerNextLife(fault.target);
+      break;
+    case SoakFaultKind::ForeignEntry:
+      putForeignEntry(fault, false);
+      break;
     case SoakFaultKind::KillNode:
     case SoakFaultKind::StopNode:
     case SoakFaultKind::KillAll:
@@ -314,6 +360,26 @@
   takeBack(kLastEvacuated);
 }
 
+void SoakRun::checkLossOfAll() {
+  if (!waitForNodes()) {
+    watcher_.add({"the_nodes_start", "", "not all processes were back before the final loss"});
+  }
+  for (std::size_t node = 0; node < options_.nodes; ++node) {
+    faultsStruck_ += processes_.signal(node, SIGKILL) ? 1 : 0;
+  }
+  watcher_.onLossOfAll();
+  // A copy: who is served stores its own turns.
+  const std::vector<StoredTurn> turns = clients_->storedTurns;
+  for (int number = 0; number < kProgramsAfterLoss && !turns.empty(); ++number) {
+    std::make_shared<SoakProgram>(*clients_)->startFrom(turns[random_.below(turns.size())]);
+  }
+  while (!watcher_.isServedAfterLoss() && servedAfterLoss_ < kRecoveryAfterLoss) {
+    runFor(kLossCheckPeriod);
+    servedAfterLoss_ += kLossCheckPeriod;
+  }
+  watcher_.checkAfterLoss();
+}
+
 std::string SoakRun::report() const {
   nlohmann::json report = {
       {"seed", options_.seed},
@@ -324,6 +390,7 @@
       {"programs_failed", clients_->programsFailed},
       {"sent_on_kept_connections", clients_->sentOnKeptConnections},
       {"unanswered_on_kept_connections", clients_->unansweredOnKeptConnections},
+      {"served_after_loss_ms", servedAfterLoss_ / milliseconds(1)},
       {"store_calls", store_->calls},
       {"answers", nlohmann::json::object()},
       {"violations", nlohmann::json::array()}};
@@ -339,24 +406,3 @@
 }
 
 }  // namespace gorsetrail::lab
-void SoakRun::checkLossOfAll() {
-  if (!waitForNodes()) {
-    watcher_.add({"the_nodes_start", "", "not all processes were back before the final loss"});
-  }
-  for (std::size_t node = 0; node < options_.nodes; ++node) {
-    faultsStruck_ += processes_.signal(node, SIGKILL) ? 1 : 0;
-  }
-  watcher_.onLossOfAll();
-  // A copy: who is served stores its own turns.
-  const std::vector<StoredTurn> turns = clients_->storedTurns;
-  for (int number = 0; number < kProgramsAfterLoss && !turns.empty(); ++number) {
-    std::make_shared<SoakProgram>(*clients_)->startFrom(turns[random_.below(turns.size())]);
-  }
-  while (!watcher_.isServedAfterLoss() && servedAfterLoss_ < kRecoveryAfterLoss) {
-    runFor(kLossCheckPeriod);
-    servedAfterLoss_ += kLossCheckPeriod;
-  }
-  watcher_.checkAfterLoss();
-}
-
-      {"served_after_loss_ms", servedAfterLoss_ / milliseconds(1)},
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -51,6 +51,10 @@
   void publishConfiguration();
   /// Writes the replica's registration. \param coldFor how long it says that it stays cold.
   void registerReplica(std::size_t replica, Duration coldFor);
+  /// The next life of the replica registers.
+  void registerNextLife(std::size_t replica);
+  /// Another writer's entry comes, or goes.
+  void putForeignEntry(const SoakFault& fault, bool present);
   void evacuate(const std::string& zone, std::optional<Instant> emptyAfter);
   /// Its replicas are cold from then on.
   void takeBack(const std::string& zone);
@@ -60,12 +64,12 @@
   void strike(const SoakFault& fault);
   void heal(const SoakFault& fault);
   void checkRecovery();
+  /// Kills all nodes at once; new programs go on from turns that were stored before.
+  void checkLossOfAll();
   void setStoreFault(std::size_t node, ProxyFault fault);
   void runFor(Duration span);
   [[nodiscard]] std::string ipOf(std::size_t node) const;
   [[nodiscard]] std::string clientAddress(std::size_t node) const;
-  /// Kills all nodes at once; new programs go on from turns that were stored before.
-  void checkLossOfAll();
 
   SoakOptions options_;
   boost::asio::io_context context_{1};
@@ -79,6 +83,13 @@
   std::unique_ptr<StoreStandIn> store_;
   std::vector<std::unique_ptr<SoakReplica>> replicas_;
   std::vector<std::unique_ptr<FaultProxy>> replicaWays_;
+  /// What a replica says of its process.
+  struct ReplicaLife {
+    std::int64_t startedAtMs = 0;  ///< Unix time.
+    std::uint64_t heartbeats = 0;
+  };
+  std::vector<ReplicaLife> replicaLives_;
+  std::unique_ptr<SoakReplica> trap_;  ///< Where foreign entries point to; gets no request.
   /// Of one node; its settings name one of the two ways, the other one after each change.
   struct StoreWays {
     std::array<std::unique_ptr<FaultProxy>, 2> ways;
@@ -92,7 +103,7 @@
   int version_ = 0;
   std::size_t faultsStruck_ = 0;
   std::size_t faultsMissed_ = 0;
+  Duration servedAfterLoss_{};  ///< From the loss of all until everybody was served.
 };
 
 }  // namespace gorsetrail::lab
-  Duration servedAfterLoss_{};  ///< From the loss of all until everybody was served.
--- a/lab/platform/replica_stand_in.cpp
+++ b/lab/platform/replica_stand_in.cpp
@@ -37,9 +37,19 @@
 
 std::string ReplicaStandIn::registration(const std::string& service, const std::string& state,
                                          const std::string& zone) const {
-  return nlohmann::json{
-      {"service", service}, {"address", address()}, {"zone", zone}, {"slots", 4}, {"state", state}}
-      .dump();
+  nlohmann::json entry = {
+      {"service", service}, {"address", address()}, {"zone", zone}, {"slots", 4}, {"state", state}};
+  if (startedAtMs) {
+    entry["born"] = *startedAtMs;
+  }
+  return entry.dump();
+}
+
+void ReplicaStandIn::startAgain(std::int64_t nextStartMs) {
+  startedAtMs = nextStartMs;
+  runs.clear();
+  bodies.clear();
+  heads.clear();
 }
 
 void ReplicaStandIn::onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer) {
--- a/lab/platform/replica_stand_in.h
+++ b/lab/platform/replica_stand_in.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,7 +33,13 @@
   [[nodiscard]] std::string registration(const std::string& service, const std::string& state,
                                          const std::string& zone = "z") const;
 
+  /// The next process under the same id and address: it knows nothing of the runs before.
+  /// \param nextStartMs its start, Unix milliseconds.
+  void startAgain(std::int64_t nextStartMs);
+
   ReplicaTrouble trouble = ReplicaTrouble::None;
+  /// Start of its process in Unix milliseconds; unset: it does not tell it.
+  std::optional<std::int64_t> startedAtMs;
   std::map<std::string, int> runs;                         ///< By request id.
   std::map<std::string, std::string> bodies;               ///< By request id.
   std::map<std::string, std::vector<http::Header>> heads;  ///< As they came, by request id.
--- a/tests/fault_soak/fault_plan_test.cpp
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -5,41 +5,53 @@
 
 #include <set>
 
+#include "lab/faultsoak/foreign_entries.h"
+
 using namespace gorsetrail;
 using namespace gorsetrail::lab;
 
-TEST_GROUP(FaultPlan){};
+TEST_GROUP(FaultPlan){static std::size_t targetsOf(SoakFaultKind kind){
+    switch (kind){case SoakFaultKind::ReplicaWay : case SoakFaultKind::
+                  ReplicaTroubles : case SoakFaultKind::RestartReplica : return 4;
+case SoakFaultKind::ForeignEntry:
+  return foreignEntryKinds();
+default:
+  return 5;
+  }
+  }
+  }
+  ;
 
-TEST(FaultPlan, followsFromTheSeed) {
-  const auto first = planFaults(7, seconds(60), 5, 4);
-  const auto again = planFaults(7, seconds(60), 5, 4);
-  LONGS_EQUAL(first.size(), again.size());
-  for (std::size_t index = 0; index < first.size(); ++index) {
-    CHECK(first[index].kind == again[index].kind && first[index].at == again[index].at);
+  TEST(FaultPlan, followsFromTheSeed) {
+    const auto first = planFaults(7, seconds(60), 5, 4);
+    const auto again = planFaults(7, seconds(60), 5, 4);
+    LONGS_EQUAL(first.size(), again.size());
+    for (std::size_t index = 0; index < first.size(); ++index) {
+      CHECK(first[index].kind == again[index].kind && first[index].at == again[index].at);
+    }
+    CHECK(planFaults(8, seconds(60), 5, 4).front().at != first.front().at);
   }
-  CHECK(planFaults(8, seconds(60), 5, 4).front().at != first.front().at);
-}
-
-TEST(FaultPlan, everyKindComesUpAndEndsInTime) {
-  std::set<SoakFaultKind> kinds;
-  std::set<std::string> names;
-  for (const SoakFault& fault : planFaults(3, seconds(300), 5, 4)) {
-    kinds.insert(fault.kind);
-    names.insert(soakFaultName(fault.kind));
-    CHECK(fault.target < 5);
-    CHECK(fault.at + fault.duration <= seconds(300));
+
+  TEST(FaultPlan, everyKindComesUpAndEndsInTime) {
+    std::set<SoakFaultKind> kinds;
+    std::set<std::string> names;
+    for (const SoakFault& fault : planFaults(3, seconds(300), 5, 4)) {
+      kinds.insert(fault.kind);
+      names.insert(soakFaultName(fault.kind));
+      CHECK(fault.target < targetsOf(fault.kind));
+      CHECK(fault.at + fault.duration <= seconds(300));
+    }
+    LONGS_EQUAL(14, kinds.size());
+    LONGS_EQUAL(14, names.size());
   }
-  LONGS_EQUAL(12, kinds.size());
-  LONGS_EQUAL(12, names.size());
-}
-
-TEST(FaultPlan, faultsComeInOrderAndOverlap) {
-  const auto faults = planFaults(3, seconds(300), 5, 4);
-  std::size_t overlaps = 0;
-  for (std::size_t index = 1; index < faults.size(); ++index) {
-    const SoakFault& last = faults[index - 1];
-    CHECK(last.at <= faults[index].at);
-    overlaps += faults[index].at < last.at + last.duration ? 1 : 0;
+
+  TEST(FaultPlan, faultsComeInOrderAndOverlap) {
+    const auto faults = planFaults(3, seconds(300), 5, 4);
+    std::size_t overlaps = 0;
+    for (std::size_t index = 1; index < faults.size(); ++index) {
+      const SoakFault& last = faults[index - 1];
+      CHECK(last.at <= faults[index].at);
+      overlaps += faults[index].at < last.at + last.duration ? 1 : 0;
+    }
+    CHECK(overlaps > faults.size() / 4);
   }
-  CHECK(overlaps > faults.size() / 4);
-}
--- a/tests/fault_soak/fault_series_test.cpp
+++ b/tests/fault_soak/fault_series_test.cpp
@@ -11,11 +11,12 @@
 
 TEST_GROUP(FaultSeries) {
   static constexpr std::size_t kNodes = 5;
+  static constexpr std::size_t kReplicas = 4;
   static constexpr Duration kStart = seconds(3);
 
   std::vector<SoakFault> plan(FaultSeries series, std::uint64_t seed = 1) {
     RandomSource random(seed);
-    return planSeries(series, random, kStart, kNodes);
+    return planSeries(series, random, kStart, kNodes, kReplicas);
   }
   void checkPair(FaultSeries series, SoakFaultKind first, SoakFaultKind second) {
     const std::vector<SoakFault> faults = plan(series);
@@ -51,8 +52,8 @@
 }
 
 TEST(FaultSeries, someRepeatOneSignalAtOneNode) {
-  for (const FaultSeries series :
-       {FaultSeries::ReloadsInARow, FaultSeries::KillWhileStarting, FaultSeries::ChangesInARow}) {
+  for (const FaultSeries series : {FaultSeries::ReloadsInARow, FaultSeries::KillWhileStarting,
+                                   FaultSeries::ChangesInARow, FaultSeries::ReplicaStartsInARow}) {
     const std::vector<SoakFault> faults = plan(series);
     LONGS_EQUAL(3, faults.size());
     for (const SoakFault& fault : faults) {
@@ -62,6 +63,14 @@
   }
 }
 
+TEST(FaultSeries, aReplicaIsBackBeforeItStartsAgain) {
+  const std::vector<SoakFault> faults = plan(FaultSeries::ReplicaStartsInARow);
+  for (std::size_t index = 1; index < faults.size(); ++index) {
+    CHECK(faults[index - 1].at + faults[index - 1].duration <= faults[index].at);
+    CHECK(faults[index].target < kReplicas);
+  }
+}
+
 TEST(FaultSeries, aRollingRestartStopsEachNodeOnceWithAPauseAndAChangeAmid) {
   const std::vector<SoakFault> faults = plan(FaultSeries::RollingRestart);
   std::set<std::size_t> stopped;
