Soaks with many nodes get a client program for each and a replica for each four

Cause: twelve programs and four replicas leave most of forty nodes idle. Change: programs and replicas grow with the nodes; up to sixteen nodes all is as before but for programs over twelve.

--- a/lab/faultsoak/soak_command.cpp
+++ b/lab/faultsoak/soak_command.cpp
@@ -1,5 +1,6 @@
 #include "lab/faultsoak/soak_command.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 
@@ -12,6 +13,8 @@
 constexpr std::size_t kMostNodes = 254;
 constexpr std::size_t kHighestSubnet = 255;
 constexpr std::size_t kArgumentsWithSubnet = 4;
+/// Each node gets clients, and replicas bear them.
+constexpr std::size_t kNodesOfReplica = 4;
 
 /// \return the whole number, or 0 where the text is none.
 std::size_t wholeNumber(const std::string& text) {
@@ -30,6 +33,8 @@
   options.seed = arguments.seed;
   options.length = seconds(static_cast<int>(wholeNumber(arguments.rest[1])));
   options.nodes = wholeNumber(arguments.rest[2]);
+  options.programs = std::max(options.programs, options.nodes);
+  options.replicas = std::max(options.replicas, options.nodes / kNodesOfReplica);
   if (count == kArgumentsWithSubnet) {
     options.subnet = wholeNumber(arguments.rest[3]);
   }
