Programs of the fault soak tell the time that they have left

Cause: without it no turn is granted under a budget lease, so leases, and what dead processes may have granted under them, were in no soak. Change: each program says that it takes 8 s in all; those that loop or are refused for long outlast it, as late programs do.

--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/steady_clock.h"
 #include "lab/faultsoak/soak_replica.h"
 #include "platform/names.h"
 
@@ -16,6 +17,9 @@
 constexpr int kMostTries = 12;
 /// More than the time to recover holds: who goes on after a loss of all asks until its end.
 constexpr int kMostTriesAfterLoss = 1000;
+/// What a program says that it takes in all, far above what it takes on idle replicas. Nodes grant
+/// turns under budget leases only to programs that tell a time of under 10 s and are not over it.
+constexpr Duration kTimeOfProgram = seconds(8);
 constexpr int kTurnsAfterLoss = 2;
 /// Budget of a program that goes on after a loss of all, in turns. What dead processes may have
 /// granted unseen counts for at most 0.6 of it (docs/design/0011-budget-leases.md): eight turns are
@@ -46,6 +50,7 @@
   loops_ = clients_.random.fraction() < kShareOfLoops;
   turnsWanted_ = loops_ ? kTurnsOfLoop : 1 + static_cast<int>(clients_.random.below(kMostTurns));
   mostTries_ = kMostTries;
+  finishAt_ = steadyNow() + kTimeOfProgram;
   // Room for each turn and a few that have to be sent again.
   budget_ = kTokensOfTurn * static_cast<std::uint64_t>(loops_ ? 5 : 3 * turnsWanted_);
   clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
@@ -58,6 +63,7 @@
   persisted_ = true;
   turnsWanted_ = kTurnsAfterLoss;
   mostTries_ = kMostTriesAfterLoss;
+  finishAt_ = steadyNow() + kTimeOfProgram;
   budget_ = kTokensOfTurn * kBudgetTurnsAfterLoss;
   previous_ = turn.id;
   history_ = turn.history;
@@ -183,7 +189,9 @@
   request.body = body;
   request.timeLimit = kDeadline;
   request.connectTimeLimit = milliseconds(500);
+  const Duration timeLeft = std::max(Duration::zero(), finishAt_ - steadyNow());
   request.headers = {{"Host", "h"},
+                     {platform::header::kFinish, std::to_string(timeLeft / milliseconds(1))},
                      {platform::header::kRequestId, attempt.id},
                      {platform::header::kProgram, id_},
                      {platform::header::kDeadline, std::to_string(kDeadline.count() / 1000)}};
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "base/time.h"
 #include "http/http_client.h"
 #include "lab/faultsoak/node_choice.h"
 #include "lab/faultsoak/promise_watcher.h"
@@ -77,6 +78,7 @@
   std::uint64_t budget_ = 0;
   int turnsWanted_ = 0;
   int turnsDone_ = 0;
+  Instant finishAt_{};  ///< When the program should be over.
   int tries_ = 0;
   int mostTries_ = 0;
   std::string history_;
