--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -171,7 +171,7 @@
               present ? foreignEntry(fault.target, kService, trap_->address()) : std::string());
 }
 
-void SoakRun::registerReplica(std::size_t replica, Duration coldFor) {
+void SoakRun::registerReplica(std::size_t replica) {
   ReplicaLife& life = replicaLives_[replica];
   const nlohmann::json entry = {
       {"service", kService},      {"address", replicaWays_[replica]->address()},
@@ -179,6 +179,7 @@
       {"state", "ready"},         {"coldRemainingMs", coldFor / milliseconds(1)},
       {"born", life.startedAtMs}, {"callSeq", ++life.heartbeats}};
   store_->put("keyed.servers", replicaId(replica), entry.dump());
+  const Duration coldFor = std::max(Duration::zero(), life.coldUntil - steadyNow());
 }
 
 void SoakRun::evacuate(const std::string& zone, std::optional<Instant> emptyAfter) {
@@ -194,8 +195,9 @@
   }
   for (std::size_t replica = 0; replica < replicas_.size(); ++replica) {
     if (zoneOf(replica) == zone) {
-      registerReplica(replica, kColdTime);
-      timers_->runAfter(kColdTime, [this, replica] { registerReplica(replica, Duration::zero()); });
+      replicaLives_[replica].coldUntil = steadyNow() + kColdTime;
+      registerReplica(replica);
+      timers_->runAfter(kColdTime, [this, replica] { registerReplica(replica); });
     }
   }
   store_->put("keyed.op", "evacuate/" + zone, "");
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -49,8 +49,8 @@
   /// Changes the settings file, and tells the process. \return whether it runs.
   bool reloadSettings(std::size_t node);
   void publishConfiguration();
-  /// Writes the replica's registration. \param coldFor how long it says that it stays cold.
-  void registerReplica(std::size_t replica, Duration coldFor);
+  /// Writes the replica's registration, with what is left of its cold time.
+  void registerReplica(std::size_t replica);
   /// The next life of the replica registers.
   void registerNextLife(std::size_t replica);
   /// Another writer's entry comes, or goes.
@@ -87,6 +87,7 @@
   struct ReplicaLife {
     std::int64_t startedAtMs = 0;  ///< Unix time.
     std::uint64_t heartbeats = 0;
+    Instant coldUntil{};  ///< Outlasts a start: a replica that starts again amid it stays cold.
   };
   std::vector<ReplicaLife> replicaLives_;
   std::unique_ptr<SoakReplica> trap_;  ///< Where foreign entries point to; gets no request.
