Neighbouring seeds of the fault soak plan other faults

Cause: the generator leaves out some low bits of its seed, and begins alike for small seeds. Printed plans of 8 s: 2 and 3, 2 and 18 were the same, 1 to 31 had the same first two faults. Lists of seeds in a row held a quarter of the plans they seemed to. Change: plan, clients and replicas draw from streams of their own, with the emulator's mixed seeds. Test: 200 seeds in a row begin with 200 different pairs of times. Ruled out: mending the generator's seeding in src/base, which would change every simulation's runs; told to the lead. Conclusion: kept seeds plan other faults than before.

--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "lab/emulator/program_plan.h"
 #include "lab/faultsoak/fault_series.h"
 #include "lab/faultsoak/foreign_entries.h"
 
@@ -27,6 +28,8 @@
                                                     ProxyFault::Silence, ProxyFault::CutToServer,
                                                     ProxyFault::CutFromServer};
 
+/// Tells the plan's random numbers from those of clients and replicas.
+constexpr std::uint64_t kPlanStream = 1;
 /// Share of the plan's steps that are a whole series.
 constexpr double kShareOfSeries = 0.35;
 
@@ -109,7 +112,8 @@
 
 std::vector<SoakFault> planFaults(std::uint64_t seed, Duration length, std::size_t nodes,
                                   std::size_t replicas) {
-  RandomSource random(seed);
+  // The generator begins alike for neighbouring seeds.
+  RandomSource random(emulator::streamSeed(seed, kPlanStream));
   std::vector<SoakFault> faults;
   Duration at = randomDuration(random, kShortestPause, kLongestPause);
   while (at + kLongestFault < length) {
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "lab/emulator/program_plan.h"
 #include "lab/faultsoak/foreign_entries.h"
 
 namespace gorsetrail::lab {
@@ -31,6 +32,9 @@
 constexpr Duration kLossCheckPeriod = milliseconds(100);
 constexpr int kProgramsAfterLoss = 12;
 constexpr Duration kDelay = milliseconds(150);
+/// Streams of random numbers of a seed, beside the plan's.
+constexpr std::uint64_t kClientStream = 2;
+constexpr std::uint64_t kFirstReplicaStream = 10;
 constexpr char kService[] = "m";
 constexpr char kTrapId[] = "trap";
 /// A cold replica bears so many requests a second; few, so that the rate of a warm one is too much.
@@ -65,7 +69,7 @@
 SoakRun::SoakRun(SoakOptions options)
     : options_(std::move(options)),
       timers_(services::makeTimerService(context_)),
-      random_(options_.seed),
+      random_(emulator::streamSeed(options_.seed, kClientStream)),
       places_(watcher_, ColdLimit{kColdTime, kMostColdRequests}),
       processes_(options_.directory),
       client_(http::makeHttpClient(context_)) {
@@ -79,8 +83,9 @@
     watcher_.add({"an_entry_of_another_writer_gets_no_request", expected, ""});
   };
   for (std::size_t number = 0; number < options_.replicas; ++number) {
-    replicas_.push_back(std::make_unique<SoakReplica>(context_, *timers_, watcher_,
-                                                      replicaId(number), options_.seed + number));
+    replicas_.push_back(std::make_unique<SoakReplica>(
+        context_, *timers_, watcher_, replicaId(number),
+        emulator::streamSeed(options_.seed, kFirstReplicaStream + number)));
     replicas_.back()->onArrival = [this, number] {
       places_.onArrival(zoneOf(number), replicaId(number), steadyNow());
     };
@@ -158,9 +163,10 @@
 void SoakRun::registerNextLife(std::size_t replica) {
   const std::int64_t now = unixMilliseconds();
   // Two starts within a millisecond are two lives.
-  const std::int64_t startedAt = std::max(now, replicaLives_[replica].startedAtMs + 1);
-  replicaLives_[replica] = {startedAt, 0};
-  registerReplica(replica, Duration::zero());
+  ReplicaLife& life = replicaLives_[replica];
+  life.startedAtMs = std::max(now, life.startedAtMs + 1);
+  life.heartbeats = 0;
+  registerReplica(replica);
 }
 
 void SoakRun::putForeignEntry(const SoakFault& fault, bool present) {
@@ -173,13 +179,13 @@
 
 void SoakRun::registerReplica(std::size_t replica) {
   ReplicaLife& life = replicaLives_[replica];
+  const Duration coldFor = std::max(Duration::zero(), life.coldUntil - steadyNow());
   const nlohmann::json entry = {
       {"service", kService},      {"address", replicaWays_[replica]->address()},
       {"zone", zoneOf(replica)},  {"slots", 16},
       {"state", "ready"},         {"coldRemainingMs", coldFor / milliseconds(1)},
       {"born", life.startedAtMs}, {"callSeq", ++life.heartbeats}};
   store_->put("keyed.servers", replicaId(replica), entry.dump());
-  const Duration coldFor = std::max(Duration::zero(), life.coldUntil - steadyNow());
 }
 
 void SoakRun::evacuate(const std::string& zone, std::optional<Instant> emptyAfter) {
--- a/tests/fault_soak/fault_plan_test.cpp
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <set>
+#include <utility>
 
 #include "lab/faultsoak/foreign_entries.h"
 
@@ -32,6 +33,16 @@
     CHECK(planFaults(8, seconds(60), 5, 4).front().at != first.front().at);
   }
 
+  TEST(FaultPlan, neighbouringSeedsBeginWithOtherFaults) {
+    std::set<std::pair<Duration, Duration>> begins;
+    constexpr std::uint64_t kSeeds = 200;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      const auto faults = planFaults(seed, seconds(25), 5, 4);
+      begins.insert({faults[0].at, faults[1].at});
+    }
+    LONGS_EQUAL(kSeeds, begins.size());
+  }
+
   TEST(FaultPlan, everyKindComesUpAndEndsInTime) {
     std::set<SoakFaultKind> kinds;
     std::set<std::string> names;
