--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 
-#include "base/random.h"
+#include "lab/emulator/program_plan.h"
+#include "lab/faultsoak/fault_series.h"
+#include "lab/faultsoak/foreign_entries.h"
 
 namespace gorsetrail::lab {
 namespace {
@@ -16,22 +18,64 @@
 /// Longer than any cut: every node learns of it before it is taken back.
 constexpr Duration kEvacuation = seconds(6);
 
-constexpr std::array<SoakFaultKind, 11> kKinds = {
-    SoakFaultKind::KillNode,      SoakFaultKind::PauseNode,         SoakFaultKind::StopNode,
-    SoakFaultKind::KillAll,       SoakFaultKind::StoreWay,          SoakFaultKind::ReplicaWay,
-    SoakFaultKind::StoreBusy,     SoakFaultKind::StoreLosesAnswers, SoakFaultKind::ReplicaTroubles,
-    SoakFaultKind::Configuration, SoakFaultKind::EvacuateZone};
+constexpr std::array<SoakFaultKind, 14> kKinds = {
+    SoakFaultKind::KillNode,       SoakFaultKind::PauseNode,         SoakFaultKind::StopNode,
+    SoakFaultKind::KillAll,        SoakFaultKind::StoreWay,          SoakFaultKind::ReplicaWay,
+    SoakFaultKind::StoreBusy,      SoakFaultKind::StoreLosesAnswers, SoakFaultKind::ReplicaTroubles,
+    SoakFaultKind::Configuration,  SoakFaultKind::EvacuateZone,      SoakFaultKind::ReloadSettings,
+    SoakFaultKind::RestartReplica, SoakFaultKind::ForeignEntry};
 constexpr std::array<ProxyFault, 5> kProxyFaults = {ProxyFault::Delay, ProxyFault::Reset,
                                                     ProxyFault::Silence, ProxyFault::CutToServer,
                                                     ProxyFault::CutFromServer};
 
-Duration between(RandomSource& random, Duration shortest, Duration longest) {
-  const auto span = static_cast<std::uint64_t>((longest - shortest).count());
-  return shortest + Duration(static_cast<Duration::rep>(random.below(span + 1)));
+/// Tells the plan's random numbers from those of clients and replicas.
+constexpr std::uint64_t kPlanStream = 1;
+/// Share of the plan's steps that are a whole series.
+constexpr double kShareOfSeries = 0.35;
+
+/// \return how many targets a fault of the kind chooses from.
+std::size_t targetsOf(SoakFaultKind kind, std::size_t nodes, std::size_t replicas) {
+  switch (kind) {
+    case SoakFaultKind::ReplicaWay:
+    case SoakFaultKind::ReplicaTroubles:
+    case SoakFaultKind::RestartReplica:
+      return replicas;
+    case SoakFaultKind::ForeignEntry:
+      return foreignEntryKinds();
+    default:
+      return nodes;
+  }
+}
+
+SoakFault planSingle(RandomSource& random, Duration at, std::size_t nodes, std::size_t replicas) {
+  SoakFault fault;
+  fault.kind = kKinds[random.below(kKinds.size())];
+  fault.at = at;
+  fault.duration = randomDuration(random, kShortestFault, kLongestFault);
+  if (fault.kind == SoakFaultKind::EvacuateZone) {
+    fault.duration = kEvacuation;
+  }
+  fault.target = random.below(targetsOf(fault.kind, nodes, replicas));
+  fault.proxy = kProxyFaults[random.below(kProxyFaults.size())];
+  return fault;
+}
+
+std::vector<SoakFault> planStep(RandomSource& random, Duration at, std::size_t nodes,
+                                std::size_t replicas) {
+  if (random.fraction() < kShareOfSeries) {
+    const auto series = static_cast<FaultSeries>(random.below(kFaultSeriesKinds));
+    return planSeries(series, random, at, nodes, replicas);
+  }
+  return {planSingle(random, at, nodes, replicas)};
 }
 
 }  // namespace
 
+Duration randomDuration(RandomSource& random, Duration shortest, Duration longest) {
+  const auto span = static_cast<std::uint64_t>((longest - shortest).count());
+  return shortest + Duration(static_cast<Duration::rep>(random.below(span + 1)));
+}
+
 const char* soakFaultName(SoakFaultKind kind) {
   switch (kind) {
     case SoakFaultKind::KillNode:
@@ -54,6 +98,12 @@
       return "replica_troubles";
     case SoakFaultKind::EvacuateZone:
       return "evacuate_zone";
+    case SoakFaultKind::RestartReplica:
+      return "restart_replica";
+    case SoakFaultKind::ForeignEntry:
+      return "foreign_entry";
+    case SoakFaultKind::ReloadSettings:
+      return "reload_settings";
     case SoakFaultKind::Configuration:
       break;
   }
@@ -62,27 +112,21 @@
 
 std::vector<SoakFault> planFaults(std::uint64_t seed, Duration length, std::size_t nodes,
                                   std::size_t replicas) {
-  RandomSource random(seed);
+  // The generator begins alike for neighbouring seeds.
+  RandomSource random(emulator::streamSeed(seed, kPlanStream));
   std::vector<SoakFault> faults;
-  Duration at = between(random, kShortestPause, kLongestPause);
+  Duration at = randomDuration(random, kShortestPause, kLongestPause);
   while (at + kLongestFault < length) {
-    SoakFault fault;
-    fault.kind = kKinds[random.below(kKinds.size())];
-    fault.at = at;
-    fault.duration = between(random, kShortestFault, kLongestFault);
-    if (fault.kind == SoakFaultKind::EvacuateZone) {
-      fault.duration = kEvacuation;
-    }
-    const bool atReplica =
-        fault.kind == SoakFaultKind::ReplicaWay || fault.kind == SoakFaultKind::ReplicaTroubles;
-    fault.target = random.below(atReplica ? replicas : nodes);
-    fault.proxy = kProxyFaults[random.below(kProxyFaults.size())];
-    if (fault.at + fault.duration <= length) {
-      faults.push_back(fault);
+    for (const SoakFault& fault : planStep(random, at, nodes, replicas)) {
+      if (fault.at + fault.duration <= length) {
+        faults.push_back(fault);
+      }
     }
     // Shorter than most faults: several are on at a time.
-    at += between(random, kShortestPause, kLongestPause);
+    at += randomDuration(random, kShortestPause, kLongestPause);
   }
+  std::stable_sort(faults.begin(), faults.end(),
+                   [](const SoakFault& one, const SoakFault& other) { return one.at < other.at; });
   return faults;
 }
 
--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/steady_clock.h"
 #include "lab/faultsoak/soak_replica.h"
 #include "platform/names.h"
 
@@ -14,19 +15,33 @@
 constexpr int kMostTurns = 6;
 constexpr int kTurnsOfLoop = 40;
 constexpr int kMostTries = 12;
+/// More than the time to recover holds: who goes on after a loss of all asks until its end.
+constexpr int kMostTriesAfterLoss = 1000;
+/// What a program says that it takes in all, far above what it takes on idle replicas. Nodes grant
+/// turns under budget leases only to programs that tell a time of under 10 s and are not over it.
+constexpr Duration kTimeOfProgram = seconds(8);
+constexpr int kTurnsAfterLoss = 2;
+/// Budget of a program that goes on after a loss of all, in turns. What dead processes may have
+/// granted unseen counts for at most 0.6 of it (docs/design/0011-budget-leases.md): eight turns are
+/// left to two, so that no refusal by budget is right.
+constexpr std::uint64_t kBudgetTurnsAfterLoss = 20;
+constexpr std::size_t kMostStoredTurns = 200;
+constexpr int kMostTriesOfTool = 3;
 constexpr Duration kPauseAfterFailure = milliseconds(200);
 constexpr double kShareOfLoops = 0.1;
 constexpr unsigned kOk = 200;
 constexpr unsigned kBudgetSpent = 402;
 
+}  // namespace
+
 /// What an attempt got so far; shared by the handlers of its answer.
-struct Gathered {
+struct SoakProgram::Gathered {
   SoakAnswer answer;
+  bool onKeptConnection = false;
 };
 
-}  // namespace
-
-SoakProgram::SoakProgram(SoakClients& clients) : clients_(clients) {}
+SoakProgram::SoakProgram(SoakClients& clients)
+    : clients_(clients), nodeChoice_(clients.nodes.size()) {}
 
 void SoakProgram::start(std::function<void()> onEnded) {
   onEnded_ = std::move(onEnded);
@@ -34,12 +49,29 @@
   persisted_ = clients_.random.below(3) > 0;
   loops_ = clients_.random.fraction() < kShareOfLoops;
   turnsWanted_ = loops_ ? kTurnsOfLoop : 1 + static_cast<int>(clients_.random.below(kMostTurns));
+  mostTries_ = kMostTries;
+  finishAt_ = steadyNow() + kTimeOfProgram;
   // Room for each turn and a few that have to be sent again.
   budget_ = kTokensOfTurn * static_cast<std::uint64_t>(loops_ ? 5 : 3 * turnsWanted_);
   clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
   sendTurn();
 }
 
+void SoakProgram::startFrom(const StoredTurn& turn) {
+  onEnded_ = [] {};
+  id_ = "p" + std::to_string(++clients_.nextId);
+  persisted_ = true;
+  turnsWanted_ = kTurnsAfterLoss;
+  mostTries_ = kMostTriesAfterLoss;
+  finishAt_ = steadyNow() + kTimeOfProgram;
+  budget_ = kTokensOfTurn * kBudgetTurnsAfterLoss;
+  previous_ = turn.id;
+  history_ = turn.history;
+  clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
+  clients_.watcher.onGoesOnAfterLoss(id_);
+  sendTurn();
+}
+
 void SoakProgram::sendTurn() {
   const std::string input = "in-" + id_ + "-" + std::to_string(turnsDone_) + ";";
   SoakAttempt attempt;
@@ -74,33 +106,58 @@
       history_ += SoakReplica::eventData(attempt.id, number) + "\n";
     }
     previous_ = attempt.id;
+    storeTurn(attempt);
   }
   if (turnsDone_ == turnsWanted_) {
     end(true);
   } else {
-    sendTool();
+    sendTool(clients_.random.below(2) == 0, kMostTriesOfTool);
+  }
+}
+
+void SoakProgram::storeTurn(const SoakAttempt& attempt) {
+  StoredTurn turn{attempt.id, history_};
+  if (clients_.storedTurns.size() < kMostStoredTurns) {
+    clients_.storedTurns.push_back(std::move(turn));
+    ++clients_.storedTurnsSeen;
+    return;
+  }
+  const std::uint64_t place = clients_.random.below(++clients_.storedTurnsSeen);
+  if (place < kMostStoredTurns) {
+    clients_.storedTurns[place] = std::move(turn);
   }
 }
 
 void SoakProgram::retryTurn() {
-  if (++tries_ == kMostTries) {
+  if (++tries_ == mostTries_) {
     end(false);
     return;
   }
   clients_.timers.runAfter(kPauseAfterFailure, [self = shared_from_this()] { self->sendTurn(); });
 }
 
-void SoakProgram::sendTool() {
+void SoakProgram::sendTool(bool safe, int triesLeft) {
   SoakAttempt attempt;
   attempt.id = "q" + std::to_string(++clients_.nextId);
-  const bool safe = clients_.random.below(2) == 0;
   attempt.route = safe ? SoakRoute::Safe : SoakRoute::Unsafe;
   attempt.program = id_;
   attempt.expectedInput = safe ? "" : "tool of " + id_;
   attempt.expectedOutput = SoakReplica::plainAnswer(attempt.id);
-  // Whatever becomes of the tool, the program goes on: the soak is about its turns.
   send(attempt, safe ? "GET" : "POST", safe ? "/safe/x" : "/unsafe/x", attempt.expectedInput,
-       [self = shared_from_this()](const SoakAnswer&) { self->sendTurn(); });
+       [self = shared_from_this(), attempt, triesLeft](const SoakAnswer& answer) {
+         self->onTool(attempt, answer, triesLeft - 1);
+       });
+}
+
+// Whatever becomes of the tool in the end, the program goes on: the soak is about its turns.
+void SoakProgram::onTool(const SoakAttempt& attempt, const SoakAnswer& answer, int triesLeft) {
+  if (triesLeft == 0 || !maySendAgain(attempt.route, answer)) {
+    sendTurn();
+    return;
+  }
+  clients_.timers.runAfter(kPauseAfterFailure, [self = shared_from_this(), attempt, triesLeft] {
+    self->sendTool(attempt.route == SoakRoute::Safe, triesLeft);
+  });
 }
 
 void SoakProgram::end(bool well) {
@@ -110,18 +167,31 @@
   onEnded();
 }
 
+std::string SoakProgram::chooseNode(Gathered& gathered) {
+  const std::optional<std::size_t> current = nodeChoice_.current();
+  const bool connectionOpen =
+      current && clients_.client.hasIdleConnection(clients_.nodes[*current]);
+  const std::string& chosen = clients_.nodes[nodeChoice_.next(connectionOpen, clients_.random)];
+  gathered.onKeptConnection = clients_.client.hasIdleConnection(chosen);
+  clients_.sentOnKeptConnections += gathered.onKeptConnection ? 1 : 0;
+  return chosen;
+}
+
 void SoakProgram::send(const SoakAttempt& attempt, const std::string& method,
                        const std::string& target, const std::string& body,
                        std::function<void(const SoakAnswer&)> onAnswer) {
   clients_.watcher.onSent(attempt);
   http::Request request;
   request.method = method;
-  request.address = clients_.nodes[clients_.random.below(clients_.nodes.size())];
+  const auto gathered = std::make_shared<Gathered>();
+  request.address = chooseNode(*gathered);
   request.target = target;
   request.body = body;
   request.timeLimit = kDeadline;
   request.connectTimeLimit = milliseconds(500);
+  const Duration timeLeft = std::max(Duration::zero(), finishAt_ - steadyNow());
   request.headers = {{"Host", "h"},
+                     {platform::header::kFinish, std::to_string(timeLeft / milliseconds(1))},
                      {platform::header::kRequestId, attempt.id},
                      {platform::header::kProgram, id_},
                      {platform::header::kDeadline, std::to_string(kDeadline.count() / 1000)}};
@@ -134,8 +204,11 @@
   if (attempt.continuesWholeTurn) {
     request.headers.push_back({platform::header::kPreviousTurn, previous_});
   }
-  const auto gathered = std::make_shared<Gathered>();
   const auto finish = [this, id = attempt.id, gathered, onAnswer = std::move(onAnswer)] {
+    if (gathered->answer.status == 0) {
+      nodeChoice_.onNoAnswer();
+      clients_.unansweredOnKeptConnections += gathered->onKeptConnection ? 1 : 0;
+    }
     clients_.watcher.onAnswer(id, gathered->answer);
     onAnswer(gathered->answer);
   };
@@ -148,7 +221,10 @@
     gathered->answer.whole = true;
     finish();
   };
-  handler.onFailure = [finish](const http::Failure&) { finish(); };
+  handler.onFailure = [gathered, finish](const http::Failure& failure) {
+    gathered->answer.notSent = failure.stage == http::FailureStage::NotSent;
+    finish();
+  };
   clients_.client.send(std::move(request), std::move(handler));
 }
 
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -8,12 +8,20 @@
 #include <vector>
 
 #include "base/random.h"
+#include "base/time.h"
 #include "http/http_client.h"
+#include "lab/faultsoak/node_choice.h"
 #include "lab/faultsoak/promise_watcher.h"
 #include "services/timer_service.h"
 
 namespace gorsetrail::lab {
 
+/// A turn that was answered whole, so that any program may go on from it.
+struct StoredTurn {
+  std::string id;
+  std::string history;  ///< Inputs and events of its chain up to its end.
+};
+
 /// What all programs of a soak share; outlives them.
 struct SoakClients {
   http::HttpClient& client;
@@ -25,11 +33,17 @@
   std::uint64_t turnsAnswered = 0;
   std::uint64_t programsEnded = 0;
   std::uint64_t programsFailed = 0;
+  /// Some whole turns of the time so far, each with the same chance.
+  std::vector<StoredTurn> storedTurns{};
+  std::uint64_t storedTurnsSeen = 0;
+  std::uint64_t sentOnKeptConnections = 0;
+  /// Of these, attempts that ended without any byte of an answer.
+  std::uint64_t unansweredOnKeptConnections = 0;
 };
 
 /// One program: turns one after the other, each with a tool call behind it. Some loop until their
-/// budget is spent. It goes on from turns that were answered whole, and tries again on a new
-/// connection as the protocol allows.
+/// budget is spent. It goes on from turns that were answered whole, keeps to a node while a
+/// connection to it is open, and tries again as the protocol allows.
 class SoakProgram : public std::enable_shared_from_this<SoakProgram> {
  public:
   static constexpr std::uint64_t kTokensPerEvent = 10;
@@ -37,17 +51,26 @@
   explicit SoakProgram(SoakClients& clients);
   /// \param onEnded called once.
   void start(std::function<void()> onEnded);
+  /// Goes on from a turn of another program, and asks until it is answered.
+  void startFrom(const StoredTurn& turn);
 
  private:
+  struct Gathered;
+
   void sendTurn();
+  void storeTurn(const SoakAttempt& attempt);
   void onTurn(const SoakAttempt& attempt, const SoakAnswer& answer);
-  void sendTool();
+  void sendTool(bool safe, int triesLeft);
+  void onTool(const SoakAttempt& attempt, const SoakAnswer& answer, int triesLeft);
   void retryTurn();
   void end(bool well);
+  /// \return the address that the next request goes to.
+  std::string chooseNode(Gathered& gathered);
   void send(const SoakAttempt& attempt, const std::string& method, const std::string& target,
             const std::string& body, std::function<void(const SoakAnswer&)> onAnswer);
 
   SoakClients& clients_;
+  NodeChoice nodeChoice_;
   std::function<void()> onEnded_;
   std::string id_;
   bool persisted_ = false;  ///< Its turns are kept by the system; else each stands alone.
@@ -55,7 +78,9 @@
   std::uint64_t budget_ = 0;
   int turnsWanted_ = 0;
   int turnsDone_ = 0;
+  Instant finishAt_{};  ///< When the program should be over.
   int tries_ = 0;
+  int mostTries_ = 0;
   std::string history_;
   std::string previous_;
 };
