--- a/tests/fault_soak/fault_plan_test.cpp
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -11,58 +11,66 @@
 using namespace gorsetrail;
 using namespace gorsetrail::lab;
 
-TEST_GROUP(FaultPlan){static std::size_t targetsOf(SoakFaultKind kind){
-    switch (kind){case SoakFaultKind::ReplicaWay : case SoakFaultKind::
-                  ReplicaTroubles : case SoakFaultKind::RestartReplica : return 4;
-case SoakFaultKind::ForeignEntry:
-  return foreignEntryKinds();
-default:
-  return 5;
-  }
-  }
+namespace {
+
+/// \return how many targets the plan of five nodes and four replicas may draw for a kind.
+std::size_t targetsOf(SoakFaultKind kind) {
+  switch (kind) {
+    case SoakFaultKind::ReplicaWay:
+    case SoakFaultKind::ReplicaTroubles:
+    case SoakFaultKind::RestartReplica:
+      return 4;
+    case SoakFaultKind::ForeignEntry:
+      return foreignEntryKinds();
+    default:
+      return 5;
   }
-  ;
+}
+
+}  // namespace
+
+TEST_GROUP(FaultPlan){};
 
-  TEST(FaultPlan, followsFromTheSeed) {
-    const auto first = planFaults(7, seconds(60), 5, 4);
-    const auto again = planFaults(7, seconds(60), 5, 4);
-    LONGS_EQUAL(first.size(), again.size());
-    for (std::size_t index = 0; index < first.size(); ++index) {
-      CHECK(first[index].kind == again[index].kind && first[index].at == again[index].at);
-    }
-    CHECK(planFaults(8, seconds(60), 5, 4).front().at != first.front().at);
+TEST(FaultPlan, followsFromTheSeed) {
+  const auto first = planFaults(7, seconds(60), 5, 4);
+  const auto again = planFaults(7, seconds(60), 5, 4);
+  LONGS_EQUAL(first.size(), again.size());
+  for (std::size_t index = 0; index < first.size(); ++index) {
+    CHECK(first[index].kind == again[index].kind && first[index].at == again[index].at);
   }
+  CHECK(planFaults(8, seconds(60), 5, 4).front().at != first.front().at);
+}
 
-  TEST(FaultPlan, neighbouringSeedsBeginWithOtherFaults) {
-    std::set<std::pair<Duration, Duration>> begins;
-    constexpr std::uint64_t kSeeds = 200;
-    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-      const auto faults = planFaults(seed, seconds(25), 5, 4);
-      begins.insert({faults[0].at, faults[1].at});
-    }
-    LONGS_EQUAL(kSeeds, begins.size());
+TEST(FaultPlan, neighbouringSeedsBeginWithOtherFaults) {
+  std::set<std::pair<Duration, Duration>> begins;
+  constexpr std::uint64_t kSeeds = 200;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const auto faults = planFaults(seed, seconds(25), 5, 4);
+    begins.insert({faults[0].at, faults[1].at});
   }
+  LONGS_EQUAL(kSeeds, begins.size());
+}
 
-  TEST(FaultPlan, everyKindComesUpAndEndsInTime) {
-    std::set<SoakFaultKind> kinds;
-    std::set<std::string> names;
-    for (const SoakFault& fault : planFaults(3, seconds(300), 5, 4)) {
-      kinds.insert(fault.kind);
-      names.insert(soakFaultName(fault.kind));
-      CHECK(fault.target < targetsOf(fault.kind));
-      CHECK(fault.at + fault.duration <= seconds(300));
-    }
-    LONGS_EQUAL(14, kinds.size());
-    LONGS_EQUAL(14, names.size());
+TEST(FaultPlan, everyKindComesUpAndEndsInTime) {
+  std::set<SoakFaultKind> kinds;
+  std::set<std::string> names;
+  for (const SoakFault& fault : planFaults(3, seconds(300), 5, 4)) {
+    kinds.insert(fault.kind);
+    names.insert(soakFaultName(fault.kind));
+    CHECK(fault.target < targetsOf(fault.kind));
+    CHECK(fault.at + fault.duration <= seconds(300));
   }
+  LONGS_EQUAL(14, kinds.size());
+  LONGS_EQUAL(14, names.size());
+}
 
-  TEST(FaultPlan, faultsComeInOrderAndOverlap) {
-    const auto faults = planFaults(3, seconds(300), 5, 4);
-    std::size_t overlaps = 0;
-    for (std::size_t index = 1; index < faults.size(); ++index) {
-      const SoakFault& last = faults[index - 1];
-      CHECK(last.at <= faults[index].at);
-      overlaps += faults[index].at < last.at + last.duration ? 1 : 0;
-    }
-    CHECK(overlaps > faults.size() / 4);
+TEST(FaultPlan, faultsComeInOrderAndOverlap) {
+  const auto faults = planFaults(3, seconds(300), 5, 4);
+  std::size_t overlaps = 0;
+  for (std::size_t index = 1; index < faults.size(); ++index) {
+    const SoakFault& last = faults[index - 1];
+    CHECK(last.at <= faults[index].at);
+    overlaps += faults[index].at < last.at + last.duration ? 1 : 0;
   }
+  CHECK(overlaps > faults.size() / 4);
+}
