--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -12,7 +12,6 @@
 #include "http/http_client.h"
 #include "ledger/ledger.h"
 #include "quota/quota_admission.h"
-#include "routing/recent_refusals.h"
 #include "routing/replica_placement.h"
 #include "routing/route_table.h"
 #include "services/timer_service.h"
@@ -81,7 +80,6 @@
   ExchangeKnobs knobs;
   bool takesRequests = true;  ///< False in the last part of a planned stop.
   TurnRetentionPolicy retention{};
-  routing::RecentRefusals refusals{routing::RecentRefusalsKnobs{}};
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -57,7 +57,7 @@
   if (settings.uses(Mechanism::Admission)) {
     return {};
   }
-  return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0};
+  return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0};
 }
 
 routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings) {
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -29,8 +29,7 @@
   // What has begun anywhere goes on: turning it away would waste the work and promise too much.
   const bool canBeRefused = checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
   if (canBeRefused) {
-    const bool wasRefused = context_.refusals.contains(checked_.programName, context_.clock());
-    query.admission = routing::AdmissionRequest{stage(), checked_.priority, wasRefused};
+    query.admission = routing::AdmissionRequest{stage(), checked_.priority, checked_.turnName};
   }
   return query;
 }
@@ -62,9 +61,6 @@
                           {"replica", taken.judged->entry.id},
                           {"load_percent", percentOf(taken.judged->loadPerSlot())},
                           {"least_load_percent", percentOf(taken.leastLoadPerSlot)}});
-  if (!request_.programId.empty()) {
-    context_.refusals.note(checked_.programName, context_.clock());
-  }
   refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
 }
 
--- a/src/routing/admission_policy.cpp
+++ b/src/routing/admission_policy.cpp
@@ -1,5 +1,9 @@
 #include "routing/admission_policy.h"
 
+#include <xxhash.h>
+
+#include <cstddef>
+
 namespace gorsetrail::routing {
 
 std::string_view workStageName(WorkStage stage) {
@@ -27,17 +31,24 @@
   return replica.loadPerSlot() < limit;
 }
 
-bool AdmissionPolicy::isSpare(const Replica& replica) const {
-  return replica.loadPerSlot() < knobs_.spare;
+bool AdmissionPolicy::hasSpareRoom(const std::vector<const Replica*>& replicas) const {
+  double load = 0;
+  std::size_t spare = 0;
+  for (const Replica* const replica : replicas) {
+    load += replica->loadPerSlot();
+    spare += isSpare(*replica) ? 1 : 0;
+  }
+  const auto count = static_cast<double>(replicas.size());
+  return load < knobs_.spare * count || 2 * spare >= replicas.size();
 }
 
-bool AdmissionPolicy::takesElsewhere(const Replica& replica, const AdmissionRequest& request,
-                                     bool hasSpareRoom) const {
+bool AdmissionPolicy::goesAnywhere(const AdmissionRequest& request) const {
   if (request.stage != WorkStage::Continuing) {
     return false;
   }
-  const bool takesSpare = hasSpareRoom && isSpare(replica);
-  return takesSpare || (request.wasRefused && replica.loadPerSlot() < knobs_.refusedBefore);
+  constexpr double kHashes = 18446744073709551616.0;  // 2 to the power of 64.
+  const std::uint64_t drawn = XXH64(request.attempt.data(), request.attempt.size(), 0);
+  return static_cast<double>(drawn) < knobs_.shareElsewhere * kHashes;
 }
 
 }  // namespace gorsetrail::routing
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 #include "routing/replica_table.h"
 
@@ -23,13 +24,14 @@
   double runaway = 0.6;
   double firstTurn = 1.2;
   double continuing = 2.0;
-  /// Below this a replica is spare. Turns that go on whose cheapest replica is full go to a spare
-  /// one while half of the replicas are spare; with more load than that, reading prompts anew costs
-  /// all others more than it gains.
+  /// Below this a replica is spare. Work whose cheapest replica is full goes to a spare one while
+  /// there is spare room; with more load than that, reading prompts anew takes from all others.
   double spare = 0.5;
-  /// A program that was refused a moment ago goes to any replica below this, as first turns do: it
-  /// is not refused for long while first turns are placed.
-  double refusedBefore = 1.2;
+  /// Of the tries of turns that go on whose cheapest replica is full: these go to any replica that
+  /// admits first turns, spare or not. Nodes do not know of each other's refusals and clients
+  /// choose nodes at random, so each try is drawn by itself: of programs that try 24 times, one in
+  /// a thousand is refused each time.
+  double shareElsewhere = 0.25;
   /// Added for routes of priority 0, the most urgent.
   double mostUrgent = 0.25;
 };
@@ -38,8 +40,7 @@
 struct AdmissionRequest {
   WorkStage stage = WorkStage::FirstTurn;
   std::uint32_t priority = 5;  ///< 0 is the most urgent.
-  /// The program's last request was refused for want of places a moment ago.
-  bool wasRefused = false;
+  std::string_view attempt{};  ///< Its name; each try has its own.
 };
 
 /// Keeps replicas at the load where they still answer in time. What would only wait there, and be
@@ -49,13 +50,18 @@
  public:
   explicit AdmissionPolicy(AdmissionKnobs knobs) : knobs_(knobs) {}
 
-  /// \return whether the replica has so little to do that reading a prompt anew there takes room
-  /// that nobody needs.
-  [[nodiscard]] bool isSpare(const Replica& replica) const;
-  /// \return whether the replica takes work whose cheapest replica is full and does not admit it.
-  /// \param hasSpareRoom half of the replicas or more are spare.
-  [[nodiscard]] bool takesElsewhere(const Replica& replica, const AdmissionRequest& request,
-                                    bool hasSpareRoom) const;
+  /// \param replicas that the request may go to.
+  /// \return whether reading prompts anew takes room that nobody needs: on average the replicas are
+  /// spare, or half of them are.
+  [[nodiscard]] bool hasSpareRoom(const std::vector<const Replica*>& replicas) const;
+  /// \return whether this try goes to any replica that admits first turns.
+  [[nodiscard]] bool goesAnywhere(const AdmissionRequest& request) const;
+  [[nodiscard]] bool isSpare(const Replica& replica) const {
+    return replica.loadPerSlot() < knobs_.spare;
+  }
+  [[nodiscard]] bool admitsFirstTurns(const Replica& replica) const {
+    return replica.loadPerSlot() < knobs_.firstTurn;
+  }
 
   /// \return whether the replica that is cheapest for the work takes it.
   [[nodiscard]] bool admits(const Replica& replica, const AdmissionRequest& request) const;
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -1,6 +1,7 @@
 #include "routing/replica_placement.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <utility>
@@ -116,21 +117,24 @@
 }
 
 // Reading a long prompt anew costs more than any queue, so the replica that holds it stays the
-// cheapest however full it is, for as long as it is full.
+// cheapest however full it is, for as long as it is full. The key stays: of the others it prefers
+// the same one each time, which then holds the prompt, and programs spread over all of them.
 ReplicaPtr ReplicaPlacement::placeElsewhere(const PlacementQuery& query,
                                             const std::vector<const Replica*>& allowed,
                                             Instant now) const {
-  const auto spare = std::count_if(allowed.begin(), allowed.end(), [this](const Replica* replica) {
-    return admission_.isSpare(*replica);
-  });
-  const bool hasSpareRoom = 2 * spare >= static_cast<std::ptrdiff_t>(allowed.size());
+  std::vector<const Replica*> sound;
+  std::copy_if(allowed.begin(), allowed.end(), std::back_inserter(sound),
+               [now](const Replica* replica) { return replica->isSound(now); });
+  const bool toSpare = admission_.hasSpareRoom(sound);
+  const bool toAny = admission_.goesAnywhere(*query.admission);
+  if (!toSpare && !toAny) {
+    return nullptr;
+  }
   const auto takes = [&](const Replica& replica) {
-    const bool isAllowed = std::find(allowed.begin(), allowed.end(), &replica) != allowed.end();
-    return isAllowed && admission_.takesElsewhere(replica, *query.admission, hasSpareRoom);
+    const bool hasRoom = toAny ? admission_.admitsFirstTurns(replica) : admission_.isSpare(replica);
+    return hasRoom && std::find(sound.begin(), sound.end(), &replica) != sound.end();
   };
-  ReplicaQuery anywhere = query.replica;
-  anywhere.affinityKey = {};  // None of those that are left holds the prompt.
-  return selector_.choose(replicas_, anywhere, takes, now);
+  return selector_.choose(replicas_, query.replica, takes, now);
 }
 
 }  // namespace gorsetrail::routing
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -58,6 +58,10 @@
   bool isTrusted = false;  ///< It has answered all the time, also while the store was silent.
   double answerMilliseconds = 0;  ///< Smoothed time to the first byte; 0 before the first answer.
 
+  /// \return whether nothing speaks against it: its small load may come from being out of reach.
+  [[nodiscard]] bool isSound(Instant now) const {
+    return suspectUntil <= now && fullUntil <= now && !doubtfulUntil;
+  }
   [[nodiscard]] bool takesWork() const { return !gone && !entry.draining; }
   /// \return the share of the latest requests, of all nodes, that failed there; 0 while fewer than
   /// `kFewestFailures` did.
