--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -45,9 +45,11 @@
 
 TEST(Documents, readsWhenAReplicaStartedWhereItTellsThat) {
   const auto told = adapter.readReplicaEntry(
-      "i-1", R"({"service":"m","address":"10.0.0.1:80","born":1767225600123})");
+      "i-1",
+      R"({"service":"m","address":"10.0.0.1:80","zone":"z","state":"ready","born":1767225600123})");
   LONGS_EQUAL(1767225600123, valueOf(told).startedAt->value());
-  const auto untold = adapter.readReplicaEntry("i-1", R"({"service":"m","address":"10.0.0.1:80"})");
+  const auto untold = adapter.readReplicaEntry(
+      "i-1", R"({"service":"m","address":"10.0.0.1:80","zone":"z","state":"ready"})");
   CHECK_FALSE(valueOf(untold).startedAt.has_value());
 }
 
@@ -74,12 +76,15 @@
 
 TEST(Documents, readsHowLongAReplicaStaysCold) {
   const auto cold = adapter.readReplicaEntry(
-      "i-1", R"({"service":"m","address":"10.0.0.9:8080","coldRemainingMs":2500})");
+      "i-1",
+      R"({"service":"m","address":"10.0.0.9:8080","zone":"z","state":"ready","coldRemainingMs":2500})");
   CHECK(valueOf(cold).coldFor == milliseconds(2500));
-  const auto warm = adapter.readReplicaEntry("i-1", R"({"service":"m","address":"10.0.0.9:8080"})");
+  const auto warm = adapter.readReplicaEntry(
+      "i-1", R"({"service":"m","address":"10.0.0.9:8080","zone":"z","state":"ready"})");
   CHECK_FALSE(valueOf(warm).coldFor.has_value());
   const auto said = adapter.readReplicaEntry(
-      "i-1", R"({"service":"m","address":"10.0.0.9:8080","coldRemainingMs":0})");
+      "i-1",
+      R"({"service":"m","address":"10.0.0.9:8080","zone":"z","state":"ready","coldRemainingMs":0})");
   CHECK(valueOf(said).coldFor == Duration::zero());
 }
 
--- a/tests/platform/heads_test.cpp
+++ b/tests/platform/heads_test.cpp
@@ -168,3 +168,32 @@
     CHECK_TRUE_TEXT(adapter.readRequest(std::move(request)).hasConflictingHeaders, name);
   }
 }
+
+TEST(Heads, takesNoNumberByHalfAndNoneBeyondItsRange) {
+  const auto readWith = [this](const char* name, const char* value) {
+    http::ServerRequest request = turn();
+    for (http::Header& header : request.headers) {
+      header.value = header.name == name ? value : header.value;
+    }
+    return adapter.readRequest(std::move(request));
+  };
+  const char* const huge = "18446744073709551615";
+  CHECK(*readWith("Gorsetrail-Deadline-Ms", huge).deadline == std::chrono::hours(24));
+  CHECK(*readWith("Gorsetrail-Deadline-Ms", "999999999999999999999").deadline ==
+        std::chrono::hours(24));
+  CHECK(*readWith("Gorsetrail-Deadline-Ms", "1500.9").deadline == milliseconds(1500));
+  for (const char* text : {"", "-1", "+1", "1.5x", "1e3", ".5", "12 ", "nan"}) {
+    CHECK_FALSE_TEXT(readWith("Gorsetrail-Deadline-Ms", text).deadline.has_value(), text);
+  }
+  CHECK(*readWith("Gorsetrail-Token-Budget", huge).tokenBudget == std::uint64_t{1} << 50U);
+  for (const char* text : {"1840,", ",288", "1840,x", "x,288", "1840", "1840,288,1"}) {
+    const edge::CallRequest call = readWith("Gorsetrail-Token-Usage", text);
+    LONGS_EQUAL(0, call.promptTokens);
+    LONGS_EQUAL(0, call.maximumTokens);
+  }
+}
+
+TEST(Heads, answersWithTextsThatAreNoUtf8) {
+  CHECK(adapter.makeDirectoryAnswer({"10.1.0.38:8149", "\xff"}, 1.0).body.starts_with("{"));
+  CHECK(adapter.makeRefusal({}, {503, "\xfe", {}}).body.starts_with("{"));
+}
