A replica whose entry cannot be read gets nothing more; a bounded line and counters tell why

Cause: an entry that could not be read was logged with every heartbeat and otherwise passed over: the replica stayed as its last whole entry had said, for as long as another writer kept writing. Another node's damaged record removed the node without a line; one with a capacity that is no number broke the order that clients' addresses are chosen by, and one with an odd address was handed to clients. Keys of operators' records that named no zone were passed over in silence, datagrams that were no load digest too.

Ruled out: doubting the replica. Doubt keeps a replica in use for the drain time because it could not renew its entry; here an entry was written that names none.

Change: the replica is removed (`replica_gone by=unreadable`), requests under way go on, and its next whole entry brings it back; the others are not touched. `gorsetrail_records_unreadable_total` by kind and `gorsetrail_load_digests_unreadable_total` count all. Members' records are checked after the verifier: names, addresses and capacity.

No existing test changed.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -354,6 +354,11 @@
       ageMilliseconds(now, context_.freshness.configurationHeardAt);
   figures.replicasAgeMilliseconds = ageMilliseconds(now, context_.freshness.replicasHeardAt);
   figures.logLinesLeftOut = log_.leftOut();
+  figures.replicaRecordsUnreadable = unreadableRecords_.count(RecordKind::Replica);
+  figures.memberRecordsUnreadable = unreadableRecords_.count(RecordKind::Member);
+  figures.configurationsUnreadable = unreadableRecords_.count(RecordKind::Configuration);
+  figures.operatorRecordsUnreadable = unreadableRecords_.count(RecordKind::Operator);
+  figures.loadDigestsUnreadable = loadExchange_.unreadable();
   for (const auto& [zone, since] : evacuations_.zones()) {
     figures.evacuatedZones.push_back({zone, ageMilliseconds(now, since)});
   }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -20,6 +20,7 @@
 #include "edge/quota_exchange.h"
 #include "edge/shared_topic_store.h"
 #include "edge/store_relay.h"
+#include "edge/unreadable_records.h"
 #include "edge/wire_adapter.h"
 #include "http/http_server.h"
 #include "ledger/program_ledger.h"
@@ -94,6 +95,11 @@
   void onReplicaLapsed(const std::string& id, std::string_view by);
   [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
+  /// The replica's entry cannot be read: it names no replica to use.
+  void onReplicaUnreadable(const std::string& id, const Error& error);
+  void onMemberRecord(const std::string& key, const std::string& value);
+  /// Counts a record that cannot be read, and writes a line of it where one is due.
+  void noteUnreadable(RecordKind kind, const std::string& key, const Error& error);
   void noteStoreAnswer(std::string_view topic);
   void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
   /// \param urgent a change that others must know of at once.
@@ -182,6 +188,7 @@
   std::shared_ptr<logstore::KeyedTopicFollower> memberFollower_;
   std::uint64_t beat_ = 0;
   bool wasAnnouncedReady_ = false;
+  UnreadableRecords unreadableRecords_;
   bool membersListed_ = false;
   bool replicasListed_ = false;
   std::vector<ledger::HomeCandidate> ledgerHomes_;  ///< As of `ledgerHomesAt_`.
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -1,4 +1,8 @@
 // The part of `EdgeDaemon` that follows the store: configuration, replicas, other nodes.
+#include <array>
+#include <string_view>
+
+#include "base/text_check.h"
 #include "edge/edge_daemon.h"
 #include "edge/edge_daemon_shared.h"
 #include "routing/region_policy.h"
@@ -41,6 +45,23 @@
     onConfigurationRecord(value);
   } else if (const auto zone = parts_.documents.evacuatedZoneOf(key)) {
     onEvacuationRecord(*zone, value);
+  } else if (value.empty()) {
+    unreadableRecords_.onReadable(RecordKind::Operator, key);
+  } else {
+    noteUnreadable(RecordKind::Operator, key,
+                   {ErrorKind::InvalidField, "key",
+                    "it is neither the configuration's nor that of an evacuated zone",
+                    "remove the record, or correct the zone's name"});
+  }
+}
+
+void EdgeDaemon::noteUnreadable(RecordKind kind, const std::string& key, const Error& error) {
+  static constexpr std::array<std::string_view, kRecordKinds> kEvents = {
+      "replica_unreadable", "member_unreadable", "configuration_unreadable",
+      "operator_record_unreadable"};
+  if (unreadableRecords_.onUnreadable(kind, key, clock_())) {
+    log_.important(kEvents[static_cast<std::size_t>(kind)],
+                   {{"key", isName(key) ? key : "(no name)"}, {"error", error.toText()}});
   }
 }
 
@@ -55,6 +76,7 @@
 }
 
 void EdgeDaemon::onOperatorRecordsListed(const std::vector<std::string>& keys) {
+  unreadableRecords_.onListed(RecordKind::Operator, keys);
   std::vector<std::string> zones;
   for (const std::string& key : keys) {
     if (auto zone = parts_.documents.evacuatedZoneOf(key)) {
@@ -77,8 +99,11 @@
     return;
   }
   auto read = parts_.documents.readConfiguration(value);
+  const std::string key = parts_.documents.configurationKey();
   if (!succeeded(read)) {
-    log_.important("configuration_unreadable", {{"error", errorOf(read).toText()}});
+    // The one before stays in force. Operators correct one fault after the other: each gets a line.
+    unreadableRecords_.onReadable(RecordKind::Configuration, key);
+    noteUnreadable(RecordKind::Configuration, key, errorOf(read));
     return;
   }
   refusedConfiguration_.clear();
@@ -117,6 +142,7 @@
     onReplicaRecord(key, value);
   };
   observer.onListed = [this](const std::vector<std::string>& keys) {
+    unreadableRecords_.onListed(RecordKind::Replica, keys);
     for (const std::string& missing : replicas_.missingFrom(keys)) {
       onReplicaLapsed(missing, "listing");
     }
@@ -155,14 +181,16 @@
 
 void EdgeDaemon::onReplicaRecord(const std::string& id, const std::string& value) {
   if (value.empty()) {
+    unreadableRecords_.onReadable(RecordKind::Replica, id);
     onReplicaLapsed(id, "record");
     return;
   }
   auto read = parts_.documents.readReplicaEntry(id, value);
   if (!succeeded(read)) {
-    log_.important("replica_unreadable", {{"error", errorOf(read).toText()}});
+    onReplicaUnreadable(id, errorOf(read));
     return;
   }
+  unreadableRecords_.onReadable(RecordKind::Replica, id);
   routing::ReplicaEntry& entry = valueOf(read);
   const std::string service = entry.service;
   const std::string address = entry.address;
@@ -178,27 +206,47 @@
   }
 }
 
+void EdgeDaemon::onReplicaUnreadable(const std::string& id, const Error& error) {
+  noteUnreadable(RecordKind::Replica, id, error);
+  // Removed, not doubted: doubt is for replicas that could not renew their registrations and most
+  // likely live. This one was written, and nobody can say any more who is at the address known
+  // before: requests sent there could run at another replica. Those under way go on.
+  if (replicas_.remove(id) != routing::ReplicaChange::None) {
+    log_.important("replica_gone", {{"replica", id}, {"by", "unreadable"}});
+  }
+}
+
+void EdgeDaemon::onMemberRecord(const std::string& key, const std::string& value) {
+  const auto record = decodeMemberRecord(value);
+  if (!succeeded(record)) {
+    if (value.empty()) {
+      unreadableRecords_.onReadable(RecordKind::Member, key);
+    } else {
+      noteUnreadable(RecordKind::Member, key, errorOf(record));
+    }
+    members_.remove(key);
+    peerMonitor_.forget(key);
+    return;
+  }
+  unreadableRecords_.onReadable(RecordKind::Member, key);
+  peerMonitor_.watch(key);
+  // A node that starts meets all members at once: one line tells of them, see `onListed`.
+  if (members_.onRecord(key, valueOf(record), clock_()) && membersListed_) {
+    log_.important("member_changed", {{"node", valueOf(record).nodeName},
+                                      {"state", valueOf(record).leaving ? "leaving" : "serving"}});
+  }
+}
+
 void EdgeDaemon::followMembers() {
   logstore::KeyedTopicFollowerKnobs knobs;
   knobs.pause = kShortestMemberPause;
   logstore::KeyedTopicObserver observer;
   observer.onRecord = [this](const std::string& key, const std::string& value) {
-    const auto record = decodeMemberRecord(value);
-    if (!succeeded(record)) {
-      members_.remove(key);
-      peerMonitor_.forget(key);
-      return;
-    }
-    peerMonitor_.watch(key);
-    // A node that starts meets all members at once: one line tells of them, see `onListed`.
-    if (members_.onRecord(key, valueOf(record), clock_()) && membersListed_) {
-      log_.important("member_changed",
-                     {{"node", valueOf(record).nodeName},
-                      {"state", valueOf(record).leaving ? "leaving" : "serving"}});
-    }
+    onMemberRecord(key, value);
   };
   observer.onListed = [this](const std::vector<std::string>& keys) {
     membersListed_ = true;
+    unreadableRecords_.onListed(RecordKind::Member, keys);
     log_.important("members_listed", {{"count", std::uint64_t{keys.size()}}});
     if (!stopping_) {
       ledger_.tendLeases();  // An outage may come before the next turn of `leaseLoop`.
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -64,6 +64,17 @@
   list.add(snapshot.turnsNotStored, {{"result", "not_stored"}});
 }
 
+void addUnreadable(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("records_unreadable_total", "Records of the store that were refused, by kind",
+              MetricType::Counter);
+  list.add(snapshot.replicaRecordsUnreadable, {{"kind", "replica"}});
+  list.add(snapshot.memberRecordsUnreadable, {{"kind", "member"}});
+  list.add(snapshot.configurationsUnreadable, {{"kind", "configuration"}});
+  list.add(snapshot.operatorRecordsUnreadable, {{"kind", "operator"}});
+  list.counter("load_digests_unreadable_total", "Datagrams that are no load digest",
+               snapshot.loadDigestsUnreadable);
+}
+
 void addBeliefs(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("replicas", "Registered replicas", snapshot.replicas);
   list.gauge("replicas_cold", "Registered replicas that count as cold", snapshot.replicasCold);
@@ -160,6 +171,7 @@
   addQuotas(list, snapshot);
   addRetention(list, snapshot);
   addBeliefs(list, snapshot);
+  addUnreadable(list, snapshot);
   list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
                snapshot.logLinesLeftOut);
   list.append(histograms_->registry.Collect());
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -60,6 +60,11 @@
   std::uint64_t configurationAgeMilliseconds = 0;
   std::uint64_t replicasAgeMilliseconds = 0;
   std::uint64_t logLinesLeftOut = 0;
+  std::uint64_t replicaRecordsUnreadable = 0;
+  std::uint64_t memberRecordsUnreadable = 0;
+  std::uint64_t configurationsUnreadable = 0;
+  std::uint64_t operatorRecordsUnreadable = 0;
+  std::uint64_t loadDigestsUnreadable = 0;
   /// Gauge: how long this node has known of each evacuated zone. A site has a handful of zones.
   std::vector<ZoneEvacuation> evacuatedZones{};
 };
--- a/src/edge/load_exchange.cpp
+++ b/src/edge/load_exchange.cpp
@@ -84,6 +84,8 @@
   auto digest = decodeLoadDigest(bytes);
   if (succeeded(digest)) {
     onDigest_(std::move(valueOf(digest)));
+  } else {
+    ++unreadable_;
   }
 }
 
--- a/src/edge/load_exchange.h
+++ b/src/edge/load_exchange.h
@@ -49,6 +49,8 @@
   Result<Success> listen(const std::string& address);
   /// Sends the load of these replicas to some of the peers.
   void send(const std::vector<routing::ReplicaPtr>& replicas, const LoadPeers& peers, Instant now);
+  /// \return datagrams that were no digest; the next digest of the same node replaces them.
+  [[nodiscard]] std::uint64_t unreadable() const { return unreadable_; }
 
  private:
   void sendToSome(std::vector<std::string> peers, std::size_t most, const std::string& datagram);
@@ -64,6 +66,7 @@
   std::uint64_t beat_ = 0;
   std::string lastLoads_;
   std::uint32_t unchanged_ = 0;
+  std::uint64_t unreadable_ = 0;
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -1,11 +1,40 @@
 #include "edge/member_table.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
+#include "base/text_check.h"
 #include "edge/generated/member_record_generated.h"
+#include "http/address.h"
 
 namespace gorsetrail::edge {
+namespace {
+
+/// Processors; far more than a machine has. Sums over the largest fleet stay exact.
+constexpr double kMostCapacity = 1e6;
+
+/// \return the field that no node writes like this; nothing when all are right. A capacity that is
+/// no number has no place in an order, and an address that is none would be handed to clients.
+std::optional<std::string_view> faultOf(const MemberRecord& record) {
+  if (!isName(record.nodeName)) {
+    return "node_name";
+  }
+  if (!isName(record.zone)) {
+    return "zone";
+  }
+  if (!http::isUsableAddress(record.clientAddress)) {
+    return "client_address";
+  }
+  if (!record.relayAddress.empty() && !http::isUsableAddress(record.relayAddress)) {
+    return "relay_address";
+  }
+  // Also false for what is not a number.
+  const bool isCapacity = record.capacity >= 0 && record.capacity <= kMostCapacity;
+  return isCapacity ? std::nullopt : std::optional<std::string_view>("capacity");
+}
+
+}  // namespace
 
 std::string encodeMemberRecord(const MemberRecord& record) {
   flatbuffers::FlatBufferBuilder builder;
@@ -34,6 +63,10 @@
   record.leaving = read->leaving();
   record.beat = read->beat();
   record.capacity = read->capacity();
+  if (const auto fault = faultOf(record)) {
+    return Error{ErrorKind::InvalidFrame, "member record." + std::string(*fault),
+                 "no node writes such a value", "look for another writer of this topic"};
+  }
   return record;
 }
 
--- a/tests/edge/load_exchange_test.cpp
+++ b/tests/edge/load_exchange_test.cpp
@@ -60,3 +60,18 @@
   receiveAll();
   LONGS_EQUAL(4 + LoadExchangeKnobs{}.maximumFarPeers, got.size());  // Nothing has changed.
 }
+
+TEST(LoadExchange, countsDatagramsThatAreNoDigest) {
+  const std::vector<std::string> addresses = listen(1, 40);
+  DatagramSocket stranger(context, [](const DatagramSocket::Endpoint&, std::string_view) {});
+  CHECK_TRUE(succeeded(stranger.listen("127.0.2.3:21790")));
+  const std::string digest = encodeLoadDigest({});
+  for (const std::string& bytes :
+       {std::string("x"), std::string(1000, '\xff'), digest.substr(0, digest.size() / 2)}) {
+    stranger.send(addresses.front(), bytes);
+  }
+  stranger.send(addresses.front(), digest);
+  receiveAll();
+  LONGS_EQUAL(1, got.size());
+  LONGS_EQUAL(3, receivers.front()->unreadable());
+}
--- a/tests/edge/member_table_test.cpp
+++ b/tests/edge/member_table_test.cpp
@@ -2,6 +2,7 @@
 #include "edge/member_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -174,3 +175,31 @@
   LONGS_EQUAL(9, valueOf(record).beat);
   CHECK_FALSE(succeeded(decodeMemberRecord(bytes.substr(0, 10))));
 }
+
+TEST(MemberTable, recordsWithValuesThatNoNodeWritesAreRefusedAndTheFieldNamed) {
+  const MemberRecord whole{"n", "z", "1.2.3.4:5", "1.2.3.4:6", false, 9, 1.5};
+  CHECK_TRUE(succeeded(decodeMemberRecord(encodeMemberRecord(whole))));
+  struct Damage {
+    const char* field;
+    void (*apply)(MemberRecord& record);
+  };
+  const Damage damages[] = {
+      {"node_name", [](MemberRecord& record) { record.nodeName = ""; }},
+      {"node_name", [](MemberRecord& record) { record.nodeName = "a\nb"; }},
+      {"zone", [](MemberRecord& record) { record.zone = "\xff"; }},
+      {"zone", [](MemberRecord& record) { record.zone = std::string(256, 'z'); }},
+      {"client_address", [](MemberRecord& record) { record.clientAddress = ""; }},
+      {"client_address", [](MemberRecord& record) { record.clientAddress = "1.2.3.4"; }},
+      {"client_address", [](MemberRecord& record) { record.clientAddress = "1.2.3.4:\xff"; }},
+      {"relay_address", [](MemberRecord& record) { record.relayAddress = "1.2.3.4:0"; }},
+      {"capacity", [](MemberRecord& record) { record.capacity = -1; }},
+      {"capacity", [](MemberRecord& record) { record.capacity = 1e30; }},
+      {"capacity", [](MemberRecord& record) { record.capacity = std::nan(""); }}};
+  for (const Damage& damage : damages) {
+    MemberRecord record = whole;
+    damage.apply(record);
+    const auto read = decodeMemberRecord(encodeMemberRecord(record));
+    CHECK_FALSE_TEXT(succeeded(read), damage.field);
+    STRCMP_CONTAINS(damage.field, errorOf(read).field.c_str());
+  }
+}
