--- a/tests/platform/damaged_documents_test.cpp
+++ b/tests/platform/damaged_documents_test.cpp
@@ -10,11 +10,15 @@
 #include "platform/json_fields.h"
 #include "platform/settings_file.h"
 #include "platform/store_calls.h"
+#include "whole_documents.h"
 // CppUTest redefines `new`: it comes after the standard headers.
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
 using namespace gorsetrail::platform;
+using gorsetrail::testing::kConfiguration;
+using gorsetrail::testing::kRegistration;
+using gorsetrail::testing::kSettings;
 
 namespace {
 
@@ -31,11 +35,6 @@
   return text.replace(at, std::string(damage.piece).size(), damage.instead);
 }
 
-const std::string kRegistration =
-    R"({"service":"m","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,)"
-    R"("state":"ready","coldRemainingMs":250,"stage":"both","models":[{"name":"m"}],)"
-    R"("callSeq":4,"born":1767225600123})";
-
 const std::vector<Damage> kRegistrationDamages = {
     {R"("service":"m",)", "", ".service"},
     {R"("service":"m")", R"("service":7)", ".service"},
@@ -80,16 +79,6 @@
     {R"("born":1767225600123})", R"("born":1767225600123)", "replica i-1"},
     {R"({"service")", R"([{"service")", "replica i-1"}};
 
-const std::string kConfiguration =
-    R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/x/","routeType":"safe",)"
-    R"("timeoutMs":1200.5,"targetLatencyMs":200,"priority":3,"weightedServices":[)"
-    R"({"service":"m","weight":90},{"service":"n","weight":10}],"maxAttempts":2,)"
-    R"("persisted":false,"resumable":true,"authExempt":false,"allowedRegions":["west"]}],)"
-    R"("services":[{"name":"m","healthPath":"/h","maxConnections":160,"coldStartS":3.5,)"
-    R"("coldPerS":25.0,"engine":{"slots":12,"kvCapacity":61000,"streamStride":9}},{"name":"n"}],)"
-    R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304},)"
-    R"("tenants":[{"name":"t","apiKeys":["secret-key"],"priority":1,"ratePerS":381,"burst":40}]})";
-
 const std::vector<Damage> kConfigurationDamages = {
     {R"("version":7,)", "", "configuration.version"},
     {R"("version":7)", R"("version":-7)", "configuration.version"},
@@ -124,28 +113,6 @@
     {R"("burst":40)", R"("burst":-1)", "configuration.tenants[0].burst"},
     {R"("version":7)", R"("version":7,"version":8)", "configuration"}};
 
-const std::string kSettings = R"(
-nodeName = "edge-1"
-ip = "10.1.0.38"
-zone = "hall-a"
-region = "fi"
-internalPorts = [7380,7395]
-seeds = ["10.1.0.38:8144"]
-[zones]
-hall-a = "fi"
-[listen]
-frontend = "10.1.0.38:8149"
-[limits]
-memoryMb = 230
-maxFds = 8200
-[bounds]
-graceS = 8
-[platform]
-address = "10.200.1.7:8142"
-parts = 8
-record_bytes = 262144
-)";
-
 const std::vector<Damage> kSettingsDamages = {
     {R"(nodeName = "edge-1")", "nodeName = 7", "f: nodeName"},
     {R"(nodeName = "edge-1")", R"(nodeName = "a\nb")", "f: nodeName"},
@@ -253,6 +220,8 @@
   CHECK_TRUE(adapter.sameRegistration(kRegistration, next));
   const std::string odd = damaged(kRegistration, {"\"callSeq\":4", "\"callSeq\":\"5\"", ""});
   CHECK_FALSE(adapter.sameRegistration(kRegistration, odd));
+  const std::string fraction = damaged(kRegistration, {"\"slots\":12", "\"slots\":12.0", ""});
+  CHECK_FALSE(adapter.sameRegistration(kRegistration, fraction));
   CHECK_FALSE(adapter.sameRegistration(kRegistration, "{"));
   CHECK_TRUE(adapter.sameRegistration("{", "{"));
   const std::string deep = nested(60000);
--- /dev/null
+++ b/tests/platform/documents_fuzz_test.cpp
@@ -0,0 +1,285 @@
+// Damaged documents of all kinds, drawn by seed, for every decoder of what others write: nothing
+// throws, and what is accepted is what was written, within its range.
+//
+// `GORSETRAIL_FUZZ_SECONDS=300 GORSETRAIL_FUZZ_SEED=7 test_platform -g Fuzz` runs longer,
+// over the seeds from that one on, and prints how many documents were read.
+#include <cmath>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "base/base64.h"
+#include "base/text_check.h"
+#include "dispatch/fake_http_client.h"
+#include "http/address.h"
+#include "platform/documents.h"
+#include "platform/json_fields.h"
+#include "platform/store_calls.h"
+#include "whole_documents.h"
+// CppUTest redefines `new`: it comes after the standard headers.
+#include "fuzz_fixture.h"
+
+using namespace gorsetrail;
+using namespace gorsetrail::platform;
+using gorsetrail::testing::printable;
+
+namespace {
+
+bool isSpan(Duration span) { return span >= Duration::zero() && span <= kLongestSpan; }
+
+constexpr std::uint64_t kMostCount = 1'000'000;
+
+const Json kWholeRegistration = Json::parse(gorsetrail::testing::kRegistration);
+const Json kWholeConfiguration = Json::parse(gorsetrail::testing::kConfiguration);
+const Json kListing = Json::parse(
+    R"({"items":[{"privateKey":"config","value":"aGk=","offset":4},{"privateKey":"a","value":"",
+     "offset":5}],"hasMore":false,"end":6})");
+const Json kAppend = Json::parse(R"({"offset":840,"end":842})");
+const Json kGone = Json::parse(R"({"first":12})");
+const std::string kRecords("\0\0\0\0\0\0\3\x4a\0\0\0\0\0\0\0\7\0\0\0\2ab\0\0\0\1c\0\0\0\0", 31);
+
+/// A second reading, field by field and without the product's readers.
+bool isWholeBetween(const Json& object, const char* name, double least, double most) {
+  return object.contains(name) && object[name].is_number_integer() &&
+         object[name].get<double>() >= least && object[name].get<double>() <= most;
+}
+bool hasText(const Json& object, const char* name, const std::string& value) {
+  return object.contains(name) && object[name].is_string() && object[name] == value;
+}
+
+std::string faultOfEntry(const routing::ReplicaEntry& entry, const Json& written) {
+  if (!written.is_object() || !hasText(written, "service", entry.service) ||
+      !hasText(written, "address", entry.address) || !hasText(written, "zone", entry.zone)) {
+    return "a text differs";
+  }
+  if (!isName(entry.service) || !isName(entry.zone) || !http::isUsableAddress(entry.address)) {
+    return "a text is none";
+  }
+  if (!hasText(written, "state", entry.draining ? "draining" : "ready")) {
+    return "the state differs";
+  }
+  if (written.contains("slots")
+          ? !isWholeBetween(written, "slots", 0, kMostCount) || written["slots"] != entry.slots
+          : entry.slots != 1) {
+    return "slots differ";
+  }
+  if (written.contains("born") != entry.startedAt.has_value() ||
+      (entry.startedAt && (!isWholeBetween(written, "born", 0, 253402300799999.0) ||
+                           written["born"] != entry.startedAt->value()))) {
+    return "born differs";
+  }
+  if (written.contains("coldRemainingMs") != entry.coldFor.has_value() ||
+      (entry.coldFor && (!isSpan(*entry.coldFor) || !written["coldRemainingMs"].is_number() ||
+                         std::abs(toMilliseconds(*entry.coldFor) -
+                                  written["coldRemainingMs"].get<double>()) > 0.002))) {
+    return "coldRemainingMs differs";
+  }
+  if ((written.contains("callSeq") && !isWholeBetween(written, "callSeq", 0, 1.9e19)) ||
+      (written.contains("version") && !written["version"].is_string())) {
+    return "a field that is not used is of a wrong type";
+  }
+  return {};
+}
+
+std::string faultOfRoute(const routing::Route& route, const Json& written) {
+  if (!hasText(written, "name", route.name) || !hasText(written, "host", route.host) ||
+      !hasText(written, "pathPrefix", route.pathPrefix)) {
+    return "a route's text differs";
+  }
+  if (!isSpan(route.timeout) || !isSpan(route.targetLatency)) {
+    return "a route's span is out of range";
+  }
+  if (route.priority > kMostCount || route.maximumAttempts > kMostCount || route.services.empty()) {
+    return "a route's count is out of range";
+  }
+  const Json regions = written.value("allowedRegions", Json());
+  if (regions.is_null()
+          ? !route.allowedRegions.empty()
+          : !regions.is_array() || (route.allowedRegions.empty() != regions.empty())) {
+    return "a route's limit to regions differs";
+  }
+  for (const routing::WeightedService& part : route.services) {
+    if (!(part.weight >= 0 && part.weight <= 1e12)) {
+      return "a weight is out of range";
+    }
+  }
+  return {};
+}
+
+std::string faultOfConfiguration(const routing::Configuration& read, const Json& written) {
+  if (!written.is_object() || !isWholeBetween(written, "version", 0, 1.9e19) ||
+      written["version"] != read.version.value()) {
+    return "the version differs";
+  }
+  if (!written["routes"].is_array() || written["routes"].size() != read.routes.size()) {
+    return "the routes differ";
+  }
+  for (std::size_t index = 0; index < read.routes.size(); ++index) {
+    if (auto fault = faultOfRoute(read.routes[index], written["routes"][index]); !fault.empty()) {
+      return fault;
+    }
+  }
+  for (const auto& [name, service] : read.services) {
+    const double rate = service.coldRequestsPerSecond;
+    if (!isSpan(service.coldTime) || !(rate >= 0 && rate <= 1e12) ||
+        service.maximumConnections > kMostCount) {
+      return "a service's number is out of range";
+    }
+  }
+  const Json tenants = written.value("tenants", Json());
+  if (tenants.is_null() ? read.tenants != nullptr
+                        : !tenants.is_array() || read.tenants == nullptr ||
+                              read.tenants->tenants().size() != tenants.size()) {
+    return "the tenants differ";
+  }
+  return {};
+}
+
+}  // namespace
+
+TEST_GROUP_BASE(DocumentsFuzz, gorsetrail::testing::FuzzFixture) {
+  tenant::ApiKeyHasher hasher{tenant::ApiKeyHasher::Secret{5}};
+  JsonDocumentAdapter adapter{hasher};
+  node::testing::FakeHttpClient client;
+  StoreCalls store{client, "10.200.1.7:8142"};
+
+  void teardown() override {
+    // What it keeps was allocated without the check, and is freed without it.
+    client.exchanges.clear();
+    client.exchanges.shrink_to_fit();
+    FuzzFixture::teardown();
+  }
+};
+
+TEST(DocumentsFuzz, registrations) {
+  checkAll("registration", mutationsOf(kWholeRegistration), [this](const std::string& document) {
+    const auto read = adapter.readReplicaEntry("i-1", document);
+    if (!succeeded(read)) {
+      return std::string(errorOf(read).remedy.empty() ? "no remedy" : "");
+    }
+    return faultOfEntry(valueOf(read), Json::parse(document, nullptr, false));
+  });
+}
+
+TEST(DocumentsFuzz, idsOfReplicas) {
+  const std::string id = "i-7f3a91c2";
+  const std::string document = kWholeRegistration.dump();
+  checkAll("id", bytesOf(id), [&](const std::string& mutated) {
+    const bool isRead = succeeded(adapter.readReplicaEntry(mutated, document));
+    return std::string(isRead == isName(mutated) ? "" : "an id that is no name is read");
+  });
+}
+
+TEST(DocumentsFuzz, registrationsThatCountAsTheSame) {
+  std::string before = kWholeRegistration.dump();
+  checkAll("same registration", mutationsOf(kWholeRegistration), [&](const std::string& document) {
+    const std::string other = std::exchange(before, document);
+    const std::string original = kWholeRegistration.dump();
+    for (const std::string& left : {other, original}) {
+      const bool same = adapter.sameRegistration(left, document);
+      if (same != adapter.sameRegistration(document, left)) {
+        return std::string("not the same the other way round");
+      }
+      const auto one = adapter.readReplicaEntry("i-1", left);
+      const auto two = adapter.readReplicaEntry("i-1", document);
+      if (same && succeeded(one) != succeeded(two)) {
+        return "the same, and only one can be read; the other: " + printable(left);
+      }
+      if (same && succeeded(one)) {
+        const std::string fault = faultOfEntry(valueOf(one), Json::parse(document, nullptr, false));
+        if (!fault.empty()) {
+          return "the same, and read differently: " + fault;
+        }
+      }
+    }
+    return std::string(adapter.sameRegistration(document, document) ? "" : "differs from itself");
+  });
+}
+
+TEST(DocumentsFuzz, configurations) {
+  checkAll("configuration", mutationsOf(kWholeConfiguration), [this](const std::string& document) {
+    const auto read = adapter.readConfiguration(document);
+    if (!succeeded(read)) {
+      return std::string(errorOf(read).remedy.empty() ? "no remedy" : "");
+    }
+    return faultOfConfiguration(valueOf(read), Json::parse(document, nullptr, false));
+  });
+}
+
+TEST(DocumentsFuzz, listings) {
+  checkAll("listing", mutationsOf(kListing), [this](const std::string& body) {
+    std::string fault;
+    store.newest({{"keyed.op", 0}, "", seconds(1)},
+                 [&](const logstore::StoreResult<logstore::NewestReply>& result) {
+                   const auto* const reply = std::get_if<logstore::NewestReply>(&result);
+                   if (reply == nullptr) {
+                     return;
+                   }
+                   const Json written = Json::parse(body, nullptr, false);
+                   const Json& items = written["items"];
+                   fault = items.size() == reply->items.size() ? "" : "the items differ";
+                   for (std::size_t index = 0; fault.empty() && index < items.size(); ++index) {
+                     const logstore::KeyedItem& item = reply->items[index];
+                     const std::string value = items[index]["value"];
+                     const bool same = hasText(items[index], "privateKey", item.key) &&
+                                       item.value == decodeBase64(value).value_or(value);
+                     fault = same ? "" : "an item differs";
+                   }
+                 });
+    client.last().handler.onDone({200, {}, body});
+    client.exchanges.clear();
+    return fault;
+  });
+}
+
+TEST(DocumentsFuzz, appends) {
+  checkAll("append", mutationsOf(kAppend), [this](const std::string& body) {
+    std::string fault;
+    store.append({{"work", 3}, {"ab"}, seconds(1)},
+                 [&](const logstore::StoreResult<logstore::AppendReply>& result) {
+                   const auto* const reply = std::get_if<logstore::AppendReply>(&result);
+                   const Json written = Json::parse(body, nullptr, false);
+                   if (reply != nullptr && (!isWholeBetween(written, "offset", 0, 1.2e18) ||
+                                            written["offset"] != reply->offset)) {
+                     fault = "the offset differs";
+                   }
+                 });
+    client.last().handler.onDone({200, {}, body});
+    client.exchanges.clear();
+    return fault;
+  });
+}
+
+TEST(DocumentsFuzz, recordsAndCompactions) {
+  checkAll("records", bytesOf(kRecords), [this](const std::string& body) {
+    std::string fault;
+    store.read({{"work", 3}, 0, Duration::zero(), seconds(1)},
+               [&](const logstore::StoreResult<logstore::ReadReply>& result) {
+                 if (const auto* const reply = std::get_if<logstore::ReadReply>(&result)) {
+                   std::size_t bytes = 16;
+                   for (const std::string& record : reply->records) {
+                     bytes += 4 + record.size();
+                     logstore::decodeKeyedRecord(record);
+                   }
+                   fault = bytes == body.size() ? "" : "bytes were passed over";
+                 }
+               });
+    client.last().handler.onDone({200, {}, body});
+    client.exchanges.clear();
+    return fault;
+  });
+  checkAll("compaction", mutationsOf(kGone), [this](const std::string& body) {
+    std::string fault;
+    store.read({{"work", 3}, 0, Duration::zero(), seconds(1)},
+               [&](const logstore::StoreResult<logstore::ReadReply>& result) {
+                 const auto& error = std::get<logstore::StoreError>(result);
+                 const Json written = Json::parse(body, nullptr, false);
+                 const bool right = error.firstKept == 0 ||
+                                    (written.is_object() && written["first"] == error.firstKept);
+                 fault = right ? "" : "the offset differs";
+               });
+    client.last().handler.onDone({410, {}, body});
+    client.exchanges.clear();
+    return fault;
+  });
+}
