Too many requests at a cold replica are told with the time since its zone was taken back

Cause: the report named replica and count, which does not tell a zone's return from a start of nodes amid the cold time. Change: the detail of the violation; its test holds the text.

--- a/lab/faultsoak/place_watcher.cpp
+++ b/lab/faultsoak/place_watcher.cpp
@@ -24,11 +24,11 @@
                      millisecondsOf(now - *state.emptyAfter) + " ms after its limit"});
   }
   if (state.coldUntil && now <= *state.coldUntil) {
-    checkCold(replica, now);
+    checkCold(replica, *state.coldUntil - limit_.coldTime, now);
   }
 }
 
-void PlaceWatcher::checkCold(const std::string& replica, Instant now) {
+void PlaceWatcher::checkCold(const std::string& replica, Instant takenBackAt, Instant now) {
   std::deque<Instant>& arrivals = coldArrivals_[replica];
   arrivals.push_back(now);
   while (now - arrivals.front() >= kWindow) {
@@ -36,7 +36,8 @@
   }
   if (arrivals.size() > limit_.mostRequests) {
     violations_.add({"a_cold_replica_gets_few_requests", replica,
-                     std::to_string(arrivals.size()) + " requests in a second"});
+                     std::to_string(arrivals.size()) + " requests in a second, " +
+                         millisecondsOf(now - takenBackAt) + " ms after its zone was taken back"});
   }
 }
 
--- a/lab/faultsoak/place_watcher.h
+++ b/lab/faultsoak/place_watcher.h
@@ -40,7 +40,7 @@
     std::optional<Instant> coldUntil;
   };
 
-  void checkCold(const std::string& replica, Instant now);
+  void checkCold(const std::string& replica, Instant takenBackAt, Instant now);
 
   PromiseWatcher& violations_;
   ColdLimit limit_;
--- a/tests/fault_soak/place_watcher_test.cpp
+++ b/tests/fault_soak/place_watcher_test.cpp
@@ -43,6 +43,8 @@
   arriveAt(milliseconds(1099));
   LONGS_EQUAL(1, violations.violations().size());
   STRCMP_EQUAL("a_cold_replica_gets_few_requests", violations.violations()[0].promise.c_str());
+  STRCMP_EQUAL("4 requests in a second, 1099 ms after its zone was taken back",
+               violations.violations()[0].detail.c_str());
 }
 
 TEST(PlaceWatcher, countsOnlyTheLastSecondAndOnlyWhileCold) {
