--- a/tools/fault_soak.sh
+++ b/tools/fault_soak.sh
@@ -26,10 +26,15 @@
   seeds+=("$(date +%s)")
 fi
 
+# As long as a list of thirty seeds takes.
+wait_s=1800
 # Two soaks with one subnet on one machine would share addresses, and see each other's requests;
 # they may be started from different trees.
 exec 9>"${TMPDIR:-/tmp}/gorsetrail-fault-soak-$subnet.lock"
-flock -n 9 || { echo "fault soak: another one has subnet $subnet on this machine" >&2; exit 2; }
+if ! flock -n 9; then
+  echo "fault soak: waiting for another one, which has subnet $subnet on this machine" >&2
+  flock -w "$wait_s" 9 || exit 2
+fi
 
 # What a node takes, with room to spare, and how many processes a machine is asked to bear.
 megabytes_of_node=64
