Fault soak: time in which the soak or its nodes stood still is not held against promises

Change: each 100 ms the soak looks at its own lateness and at what each node says to the store. Where either stood still, an evacuation's limit runs from then on, rates at cold replicas are judged from a second after, and the time of an own stall is added to the bound after the final loss. The report tells stalls and silences, so that a soak that judged nothing is seen. Ruled out: longer limits for all: they would hide faults on a calm machine.

--- a/lab/faultsoak/fault_proxy.cpp
+++ b/lab/faultsoak/fault_proxy.cpp
@@ -88,6 +88,9 @@
           }
           direction.bytes = bytes;
           const auto state = self->state_.lock();
+          if (state && &direction == &self->toServer_) {
+            ++state->piecesFromCallers;
+          }
           const bool delayed = state && state->fault == ProxyFault::Delay;
           self->pass(direction, delayed ? state->delay : Duration::zero());
         });
--- a/lab/faultsoak/fault_proxy.h
+++ b/lab/faultsoak/fault_proxy.h
@@ -37,6 +37,8 @@
   [[nodiscard]] std::string address() const;
   /// \param delay of every piece of data, with `ProxyFault::Delay`.
   void setFault(ProxyFault fault, Duration delay = Duration::zero());
+  /// \return pieces of data that came from callers, passed on or not.
+  [[nodiscard]] std::uint64_t piecesFromCallers() const { return state_->piecesFromCallers; }
   [[nodiscard]] ProxyFault fault() const { return state_->fault; }
 
  private:
@@ -45,6 +47,7 @@
   struct State {
     ProxyFault fault = ProxyFault::None;
     Duration delay{};
+    std::uint64_t piecesFromCallers = 0;
     std::set<std::shared_ptr<Session>> sessions;
   };
 
--- a/lab/faultsoak/place_watcher.h
+++ b/lab/faultsoak/place_watcher.h
@@ -29,6 +29,11 @@
   /// \param emptyAfter when the last request may reach the zone; unset where nodes are cut off from
   /// the store, or start anew, so that nobody can promise a moment.
   void onEvacuated(const std::string& zone, std::optional<Instant> emptyAfter);
+  /// Somebody stood still, so that nobody can promise the moments told before. \param emptyAfter
+  /// when the last request may reach a zone that is evacuated, at the earliest.
+  void onUnrest(Instant emptyAfter);
+  /// The watcher itself stood still until now: what waited for it comes at once, and tells no rate.
+  void onOwnStall(Instant now);
   /// All replicas of the zone are cold from now on.
   void onTakenBack(const std::string& zone, Instant now);
   /// A request reaches a replica that is the one meant.
@@ -44,6 +49,7 @@
 
   PromiseWatcher& violations_;
   ColdLimit limit_;
+  Instant ratesKnownFrom_{};
   std::map<std::string, Zone> zones_;
   std::map<std::string, std::deque<Instant>> coldArrivals_;  ///< Of the last second, by replica.
 };
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -18,6 +18,7 @@
 #include "lab/faultsoak/promise_watcher.h"
 #include "lab/faultsoak/soak_program.h"
 #include "lab/faultsoak/soak_replica.h"
+#include "lab/faultsoak/stall_watch.h"
 #include "lab/platform/store_stand_in.h"
 
 namespace gorsetrail::lab {
@@ -67,6 +68,8 @@
   /// Kills all nodes at once; new programs go on from turns that were stored before.
   void checkLossOfAll();
   void setStoreFault(std::size_t node, ProxyFault fault);
+  /// Looks each period whether the soak and its nodes get to run.
+  void watchStalls();
   void runFor(Duration span);
   [[nodiscard]] std::string ipOf(std::size_t node) const;
   [[nodiscard]] std::string clientAddress(std::size_t node) const;
@@ -97,6 +100,11 @@
     std::size_t named = 0;
   };
   std::vector<StoreWays> storeWays_;  ///< One a node.
+  std::unique_ptr<StallWatch> stalls_;
+  std::vector<std::uint64_t> storePieces_;  ///< By node, as of the last look.
+  std::uint64_t looksWithSilence_ = 0;
+  /// Each puts the limit of the evacuation in `checkRecovery` off.
+  std::uint64_t silentLooksInRecovery_ = 0;
   std::unique_ptr<SoakClients> clients_;
   std::vector<SoakFault> faults_;
   std::size_t programsUnderWay_ = 0;
--- a/tests/fault_soak/fault_proxy_test.cpp
+++ b/tests/fault_soak/fault_proxy_test.cpp
@@ -66,6 +66,15 @@
 
 TEST(FaultProxy, passesConnectionsOn) { LONGS_EQUAL(200, ask(seconds(2))); }
 
+TEST(FaultProxy, countsWhatCallersSayAlsoWhereItIsNotPassedOn) {
+  LONGS_EQUAL(0, proxy->piecesFromCallers());
+  ask(seconds(2));
+  LONGS_EQUAL(1, proxy->piecesFromCallers());
+  proxy->setFault(ProxyFault::CutToServer);
+  ask(milliseconds(100));
+  LONGS_EQUAL(2, proxy->piecesFromCallers());
+}
+
 TEST(FaultProxy, aDelayLetsItThroughLater) {
   proxy->setFault(ProxyFault::Delay, milliseconds(60));
   const auto before = std::chrono::steady_clock::now();
--- a/tests/fault_soak/place_watcher_test.cpp
+++ b/tests/fault_soak/place_watcher_test.cpp
@@ -57,3 +57,35 @@
   }
   LONGS_EQUAL(0, violations.violations().size());
 }
+
+TEST(PlaceWatcher, aZoneIsEmptyLaterWhereSomebodyStoodStill) {
+  places.onEvacuated("a", start + seconds(5));
+  places.onUnrest(start + seconds(8));
+  arriveAt(seconds(8));
+  LONGS_EQUAL(0, violations.violations().size());
+  arriveAt(milliseconds(8001));
+  LONGS_EQUAL(1, violations.violations().size());
+}
+
+TEST(PlaceWatcher, unrestBringsNoLimitForwardAndMakesNone) {
+  places.onEvacuated("a", start + seconds(5));
+  places.onUnrest(start + seconds(3));
+  arriveAt(seconds(5));
+  places.onEvacuated("a", std::nullopt);
+  places.onUnrest(start + seconds(3));
+  arriveAt(seconds(60));
+  LONGS_EQUAL(0, violations.violations().size());
+}
+
+TEST(PlaceWatcher, whatWaitedForTheWatcherTellsNoRate) {
+  places.onTakenBack("a", start);
+  places.onOwnStall(start + milliseconds(500));
+  for (std::size_t number = 0; number < 3 * kMost; ++number) {
+    arriveAt(milliseconds(600));
+  }
+  LONGS_EQUAL(0, violations.violations().size());
+  for (std::size_t number = 0; number <= kMost; ++number) {
+    arriveAt(milliseconds(1500));
+  }
+  LONGS_EQUAL(1, violations.violations().size());
+}
