A reservation that is not decided tells why and by which figures, to the edge's log

Cause: `Unavailable` stood for eight different things (leases of dead processes counted, decided too late, no lease or too small a lease while the store does not answer, append or read failed, no node answered, nodes not listed), and only counters told the first two apart. A `reservation_unavailable` said neither partition nor figures.

Ruled out: a reason as text in `CallReply.reason` (readers would parse it); asked tokens and budget on the wire (the asking node has them); a new reason in `request_ended` (existing readers count `reservation_unavailable`).

Change: `UndecidedReason`, the leases counted and their most travel in the reply (new fields at its end; a node that does not send them, or a newer one with other values: unknown). `Ledger::reserve` hands `ReservationReply` with the partition, who replied and what each asked node said. The edge writes one `reservation_refused` where a request is refused or broken off for it. No decision differs.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -151,10 +151,9 @@
                                     const ledger::BudgetLease& lease) {
     const bool isHeld = lease.state == ledger::BudgetLeaseState::Held;
     const bool isPrimary = lease.slot == ledger::BudgetLeaseSlot::Primary;
-    log_.important("budget_lease",
-                   {{"partition", partition.topic + "/" + std::to_string(partition.partition)},
-                    {"state", isHeld ? "held" : "dropped"},
-                    {"slot", isPrimary ? "primary" : "secondary"}});
+    log_.important("budget_lease", {{"partition", logstore::textOf(partition)},
+                                    {"state", isHeld ? "held" : "dropped"},
+                                    {"slot", isPrimary ? "primary" : "secondary"}});
   };
   return knobs;
 }
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -205,17 +205,17 @@
       request_.programTimeLeft};
   context_.ledger.reserve(
       wanted, limit,
-      [self = shared_from_this(), dispatchAfterwards](ledger::ReservationOutcome outcome) {
-        self->onReservation(dispatchAfterwards, outcome);
+      [self = shared_from_this(), dispatchAfterwards](const ledger::ReservationReply& reply) {
+        self->onReservation(dispatchAfterwards, reply);
       });
 }
 
-void Exchange::onReservation(bool dispatchAfterwards, ledger::ReservationOutcome outcome) {
+void Exchange::onReservation(bool dispatchAfterwards, const ledger::ReservationReply& reply) {
   if (ended_) {
     // The request ended first; what it did not use was given back when it ended.
     return;
   }
-  if (outcome == ledger::ReservationOutcome::Granted) {
+  if (reply.outcome == ledger::ReservationOutcome::Granted) {
     budget_ = BudgetState::Granted;
     if (dispatchAfterwards) {
       dispatch();
@@ -224,7 +224,7 @@
     }
     return;
   }
-  if (outcome == ledger::ReservationOutcome::Spent) {
+  if (reply.outcome == ledger::ReservationOutcome::Spent) {
     reservationMayStand_ = false;
     if (mayHaveRun_ || call_) {
       breakOff("budget_spent");
@@ -234,16 +234,18 @@
     return;
   }
   if (mayHaveRun_ || call_) {
-    reserveOnceMore();
+    reserveOnceMore(reply);
   } else {
+    logReservationRefused(reply);
     refuse({kUnavailable, "reservation_unavailable", context_.knobs.retryAfterReservation});
   }
 }
 
 // The first of several turns meets an outage or a dead home, and nothing of this one was released
 // yet: by now the home is known, or a lease was taken.
-void Exchange::reserveOnceMore() {
+void Exchange::reserveOnceMore(const ledger::ReservationReply& reply) {
   if (reservedOnceMore_) {
+    logReservationRefused(reply);
     breakOff("reservation_unavailable");
     return;
   }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -54,8 +54,8 @@
   /// \param longest the reservation is given up after this.
   void reserve(bool dispatchAfterwards, Duration longest);
   [[nodiscard]] Duration longestReservation(ledger::ReservationOutlook outlook) const;
-  void onReservation(bool dispatchAfterwards, ledger::ReservationOutcome outcome);
-  void reserveOnceMore();
+  void onReservation(bool dispatchAfterwards, const ledger::ReservationReply& reply);
+  void reserveOnceMore(const ledger::ReservationReply& reply);
 
   // At a replica.
   void dispatch();
@@ -96,6 +96,9 @@
   void noteOutcome(bool failed);
   void suspectReplica(std::string_view reason);
 
+  // Log lines of refusals, with what decided them.
+  void logReservationRefused(const ledger::ReservationReply& reply);
+
   // Towards the client.
   void releaseOutput();
   void refuse(const Refusal& refusal);
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "ledger/facts.h"
+#include "ledger/reservation.h"
 
 namespace gorsetrail::ledger {
 
@@ -44,9 +45,6 @@
   }
 };
 
-/// Leases under which a program may have spent tokens unseen; each value includes those before it.
-enum class UnseenSpending : std::uint8_t { None, Secondary, Primary, Both };
-
 /// Above the offset of any record.
 inline constexpr std::uint64_t kEverythingRead = UINT64_MAX;
 
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -62,12 +62,22 @@
     return;
   }
   if (!store_.answers(address_)) {
-    callback({});  // Waiting would only hold up who asked.
+    callback(undecidable(request));  // Waiting would only hold up who asked.
     return;
   }
   reserveInLog(request, timeLimit, std::move(callback));
 }
 
+ReservationReply BudgetPartition::undecidable(const BudgetRequest& request) const {
+  const UnseenTokens unseen = mostSpentUnseen(request, kEverythingRead);
+  ReservationReply reply;
+  reply.tokensUsed = usedBesides(request.reservation);
+  reply.reason = holdsLease() ? UndecidedReason::LeaseInsufficient : UndecidedReason::NoLease;
+  reply.unseenLeases = unseen.leases;
+  reply.tokensUnseen = unseen.most;
+  return reply;
+}
+
 std::optional<ReservationReply> BudgetPartition::reserveAhead(const BudgetRequest& request) {
   const BudgetReservation& wanted = request.reservation;
   const bool isShort =
@@ -81,8 +91,8 @@
   }
   // Records and ends of leases are counted up to one and the same offset, the end of what was read.
   // Of later reservations each counts this lease, until its end stands before them.
-  const std::uint64_t used = accounts_.usedBefore(wanted.program, wanted.request, kEverythingRead);
-  const std::uint64_t unseen = mostSpentUnseen(request, kEverythingRead);
+  const std::uint64_t used = usedBesides(wanted);
+  const std::uint64_t unseen = mostSpentUnseen(request, kEverythingRead).most;
   // The rule leaves room for one turn above the budget; it is used only for what was not seen.
   if (used + std::max(wanted.tokens, unseen) > request.budget) {
     return std::nullopt;
@@ -110,14 +120,14 @@
   return tokens;
 }
 
-std::uint64_t BudgetPartition::mostSpentUnseen(const BudgetRequest& request,
-                                               std::uint64_t below) const {
+BudgetPartition::UnseenTokens BudgetPartition::mostSpentUnseen(const BudgetRequest& request,
+                                                               std::uint64_t below) const {
   const std::string& program = request.reservation.program;
   const UnseenSpending unseen =
       leases_.unseenSpending(ownLease(), isTimely(request), below, clock_());
   const std::uint64_t largestTurn =
       std::max(request.reservation.tokens, accounts_.largestReservationOf(program));
-  return LeaseAllowance(knobs_.leases, request.budget).mostSpent(unseen, largestTurn);
+  return {unseen, LeaseAllowance(knobs_.leases, request.budget).mostSpent(unseen, largestTurn)};
 }
 
 void BudgetPartition::reserveInLog(const BudgetRequest& request, Duration timeLimit,
@@ -127,7 +137,8 @@
                    [this, request, askedAt, callback = std::move(callback)](
                        const logstore::StoreResult<std::uint64_t>& result) {
                      if (std::holds_alternative<logstore::StoreError>(result)) {
-                       callback({});
+                       callback({ReservationOutcome::Unavailable, usedBesides(request.reservation),
+                                 UndecidedReason::AppendFailed});
                        return;
                      }
                      const std::uint64_t offset = std::get<std::uint64_t>(result);
@@ -136,7 +147,10 @@
                      reader_->readBelow(offset, [this, request, askedAt, offset, callback](
                                                     const logstore::StoreResult<Success>& read) {
                        const bool known = std::holds_alternative<Success>(read);
-                       callback(known ? decideByLog(request, askedAt, offset) : ReservationReply{});
+                       callback(known ? decideByLog(request, askedAt, offset)
+                                      : ReservationReply{ReservationOutcome::Unavailable,
+                                                         usedBesides(request.reservation),
+                                                         UndecidedReason::ReadFailed});
                      });
                    });
 }
@@ -148,16 +162,18 @@
   // one's time may be over by now: after a pause of the process it would be taken for a new one.
   if (clock_() - askedAt > knobs_.leases.longestCall) {
     ++counters_.decidedTooLate;
-    return {};
+    return {ReservationOutcome::Unavailable, usedBesides(wanted), UndecidedReason::DecidedTooLate};
   }
   const std::uint64_t before = accounts_.usedBefore(wanted.program, wanted.request, offset);
   if (before + wanted.tokens > request.budget) {
     ++counters_.spent;
     return {ReservationOutcome::Spent, before};
   }
-  if (before + mostSpentUnseen(request, offset) > request.budget) {
+  const UnseenTokens unseen = mostSpentUnseen(request, offset);
+  if (before + unseen.most > request.budget) {
     ++counters_.uncertain;
-    return {ReservationOutcome::Unavailable, before};
+    return {ReservationOutcome::Unavailable, before, UndecidedReason::UnseenSpending, unseen.leases,
+            unseen.most};
   }
   ++counters_.grantedByLog;
   return {ReservationOutcome::Granted, before + wanted.tokens};
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -21,12 +21,6 @@
 
 namespace gorsetrail::ledger {
 
-/// A reservation's outcome with what the program has used or may use, this one included.
-struct ReservationReply {
-  ReservationOutcome outcome = ReservationOutcome::Unavailable;
-  std::uint64_t tokensUsed = 0;
-};
-
 /// Knobs of `BudgetPartition`.
 struct BudgetPartitionKnobs {
   BudgetLeaseKnobs leases;
@@ -122,9 +116,20 @@
   void reserveInLog(const BudgetRequest& request, Duration timeLimit,
                     ReservationReplyCallback callback);
   ReservationReply decideByLog(const BudgetRequest& request, Instant askedAt, std::uint64_t offset);
+  /// What others may have spent of a program's budget without a record.
+  struct UnseenTokens {
+    UnseenSpending leases = UnseenSpending::None;
+    std::uint64_t most = 0;
+  };
   /// \param below see `BudgetLeaseTable::unseenSpending`.
-  [[nodiscard]] std::uint64_t mostSpentUnseen(const BudgetRequest& request,
-                                              std::uint64_t below) const;
+  [[nodiscard]] UnseenTokens mostSpentUnseen(const BudgetRequest& request,
+                                             std::uint64_t below) const;
+  /// \return the reply that neither a lease nor the store can decide the request.
+  [[nodiscard]] ReservationReply undecidable(const BudgetRequest& request) const;
+  /// \return tokens of the program's other requests, as far as they are known.
+  [[nodiscard]] std::uint64_t usedBesides(const BudgetReservation& wanted) const {
+    return accounts_.usedBefore(wanted.program, wanted.request, kEverythingRead);
+  }
   [[nodiscard]] std::uint64_t spentAhead(const std::string& program) const;
   void scheduleRecording();
   void recordAhead();
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -11,6 +11,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "ledger/facts.h"
+#include "ledger/reservation.h"
 #include "logstore/log_store.h"
 
 namespace gorsetrail::ledger {
@@ -30,13 +31,6 @@
 };
 using HistoryAnswer = std::variant<History, UnknownTurn, LedgerUnavailable>;
 
-/// What became of a reservation.
-enum class ReservationOutcome : std::uint8_t {
-  Granted,      ///< It fits the budget, and stands in the log or under a lease.
-  Spent,        ///< It does not fit; it was given back.
-  Unavailable,  ///< The log did not answer: it may stand or not.
-};
-
 /// Whether a reservation of a partition's budgets can be expected to be decided.
 enum class ReservationOutlook : std::uint8_t {
   Likely,    ///< Nothing speaks against it.
@@ -74,7 +68,7 @@
  public:
   using HistoryCallback = std::function<void(HistoryAnswer)>;
   using StoredCallback = std::function<void(logstore::StoreResult<Success>)>;
-  using ReservationCallback = std::function<void(ReservationOutcome)>;
+  using ReservationCallback = std::function<void(ReservationReply)>;
 
   virtual ~Ledger() = default;
   /// Finds the history up to and with a turn.
--- a/src/ledger/ledger_message.cpp
+++ b/src/ledger/ledger_message.cpp
@@ -137,9 +137,10 @@
   const auto base = optionalText(builder, reply.base);
   const auto history = optionalText(builder, reply.history);
   const auto reason = optionalText(builder, reply.reason);
-  const auto message =
-      fbs::CreateCallReply(builder, static_cast<fbs::CallOutcome>(reply.outcome), base, history,
-                           reply.tokensUsed, reason, reply.decidesReservations);
+  const auto message = fbs::CreateCallReply(
+      builder, static_cast<fbs::CallOutcome>(reply.outcome), base, history, reply.tokensUsed,
+      reason, reply.decidesReservations, static_cast<fbs::UndecidedReason>(reply.undecided),
+      static_cast<fbs::UnseenLeases>(reply.unseenLeases), reply.tokensUnseen);
   return finish(builder, fbs::CallMessage::CallReply, message.Union());
 }
 
@@ -157,6 +158,14 @@
   reply.tokensUsed = read->tokens_used();
   reply.reason = textOf(read->reason());
   reply.decidesReservations = read->decides_reservations();
+  // A newer node may know more reasons.
+  if (read->undecided() <= fbs::UndecidedReason::MAX) {
+    reply.undecided = static_cast<UndecidedReason>(read->undecided());
+  }
+  if (read->unseen_leases() <= fbs::UnseenLeases::MAX) {
+    reply.unseenLeases = static_cast<UnseenSpending>(read->unseen_leases());
+  }
+  reply.tokensUnseen = read->tokens_unseen();
   return reply;
 }
 
--- a/src/ledger/ledger_message.h
+++ b/src/ledger/ledger_message.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "ledger/facts.h"
 #include "ledger/ledger_partitions.h"
+#include "ledger/reservation.h"
 
 namespace gorsetrail::ledger {
 
@@ -52,6 +53,10 @@
   /// After a reservation or settlement: the home holds a lease, or the store answers it. Where it
   /// does not, a turn is not dispatched beside its reservation.
   bool decidesReservations = true;
+  // Only after a reservation; see `ReservationReply`.
+  UndecidedReason undecided = UndecidedReason::Unknown;
+  UnseenSpending unseenLeases = UnseenSpending::None;
+  std::uint64_t tokensUnseen = 0;
 };
 
 std::string encodeLedgerRequest(const LedgerRequest& request);
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -35,6 +35,9 @@
 LedgerReply replyOf(const ReservationReply& reservation) {
   LedgerReply reply;
   reply.tokensUsed = reservation.tokensUsed;
+  reply.undecided = reservation.reason;
+  reply.unseenLeases = reservation.unseenLeases;
+  reply.tokensUnseen = reservation.tokensUnseen;
   if (reservation.outcome == ReservationOutcome::Granted) {
     reply.outcome = LedgerOutcome::Done;
   } else if (reservation.outcome == ReservationOutcome::Spent) {
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -152,11 +152,13 @@
   const BudgetReservation& wanted = request.reservation;
   budgetsOf(wanted.program)
       .reserve(request, timeLimit,
-               [this, wanted, callback = std::move(callback)](const ReservationReply& reply) {
+               [this, wanted, callback = std::move(callback)](ReservationReply reply) {
                  if (reply.outcome == ReservationOutcome::Spent) {
                    settle({wanted.request, wanted.program, 0});
                  }
-                 callback(reply.outcome);
+                 reply.partition = logstore::textOf(layout_.ofBudget(wanted.program));
+                 reply.repliedBy = knobs_.budgets.holder;
+                 callback(std::move(reply));
                });
 }
 
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -33,6 +33,36 @@
 
 bool isConclusive(const LedgerReply& reply) { return reply.outcome != LedgerOutcome::Unavailable; }
 
+ReservationOutcome reservationOutcomeOf(LedgerOutcome outcome) {
+  switch (outcome) {
+    case LedgerOutcome::Done:
+      return ReservationOutcome::Granted;
+    case LedgerOutcome::BudgetSpent:
+      return ReservationOutcome::Spent;
+    case LedgerOutcome::Unavailable:
+    case LedgerOutcome::UnknownTurn:
+    case LedgerOutcome::Rejected:
+      break;
+  }
+  return ReservationOutcome::Unavailable;
+}
+
+ReservationReply reservationReplyOf(CallEnd end) {
+  ReservationReply reply;
+  reply.outcome = reservationOutcomeOf(end.reply.outcome);
+  reply.tokensUsed = end.reply.tokensUsed;
+  reply.reason = end.reply.undecided;
+  reply.unseenLeases = end.reply.unseenLeases;
+  reply.tokensUnseen = end.reply.tokensUnseen;
+  const bool nobodyReplied = end.repliedBy.empty();
+  if (nobodyReplied && reply.reason == UndecidedReason::Unknown) {
+    reply.reason = UndecidedReason::NoAnswer;
+  }
+  reply.repliedBy = std::move(end.repliedBy);
+  reply.asked = std::move(end.asked);
+  return reply;
+}
+
 }  // namespace
 
 /// One call at the homes it was sent to.
@@ -40,7 +70,7 @@
   LedgerRequest request;
   logstore::PartitionAddress partition;
   std::vector<std::string> homes;  ///< In the order they are asked; the last is this node.
-  LedgerReplyCallback callback;
+  CallEndCallback callback;
   Instant startedAt;
   Instant deadline;
   std::size_t started = 0;
@@ -49,7 +79,18 @@
   std::vector<std::string> silent;  ///< Asked, and not heard of yet.
   /// Asked, and without a sign of life since: not waited for, but a reply of theirs still counts.
   std::vector<std::string> givenUp;
+  std::vector<CoordinatorWord> asked;  ///< What each node said, for log lines.
+  /// The last reply that tells why a reservation is not decided; a later failure tells less.
+  std::optional<LedgerReply> undecided;
+  std::string repliedBy;  ///< Whose reply counts; until the end, whose `undecided` is.
   bool done = false;
+
+  void note(const std::string& home, CoordinatorState state, std::string reason = {}) {
+    const auto word = std::find_if(asked.begin(), asked.end(),
+                                   [&](const CoordinatorWord& one) { return one.address == home; });
+    word->state = state;
+    word->reason = std::move(reason);
+  }
 };
 
 RoutedLedger::RoutedLedger(LedgerService& service, LedgerPeers& peers,
@@ -75,11 +116,10 @@
   }
 }
 
-void RoutedLedger::fail(const std::string& reason, LedgerReplyCallback callback) {
-  LedgerReply reply;
-  reply.reason = reason;
-  timers_.runAfter(Duration::zero(),
-                   [callback = std::move(callback), reply = std::move(reply)] { callback(reply); });
+void RoutedLedger::fail(LedgerReply reply, CallEndCallback callback) {
+  timers_.runAfter(Duration::zero(), [callback = std::move(callback), reply = std::move(reply)] {
+    callback({reply, {}, {}, false});
+  });
 }
 
 bool RoutedLedger::areNear(std::string_view zone, std::string_view other) const {
@@ -101,9 +141,12 @@
 
 void RoutedLedger::start(LedgerRequest request, const logstore::PartitionAddress& partition,
                          const std::string& homeZone, Duration timeLimit,
-                         LedgerReplyCallback callback) {
+                         CallEndCallback callback) {
   if (!peers_.areKnown()) {
-    fail("other nodes are not known yet", std::move(callback));
+    LedgerReply reply;
+    reply.reason = "other nodes are not known yet";
+    reply.undecided = UndecidedReason::NodesNotKnown;
+    fail(std::move(reply), std::move(callback));
     return;
   }
   auto call = std::make_shared<Call>();
@@ -120,7 +163,9 @@
     call->homes.push_back(knobs_.ownAddress);
   }
   if (call->homes.empty()) {
-    fail("no node of the turn's region serves", std::move(callback));
+    LedgerReply reply;
+    reply.reason = "no node of the turn's region serves";
+    fail(std::move(reply), std::move(callback));
     return;
   }
   call->callback = std::move(callback);
@@ -143,6 +188,7 @@
   const Duration patience = pacer_.patience(static_cast<std::uint32_t>(call->started));
   ++call->started;
   call->silent.push_back(home);
+  call->asked.push_back({home, CoordinatorState::Silent, {}});
   auto onReplied = [this, call, home, now](std::optional<LedgerReply> reply) {
     onReply(call, home, now, std::move(reply));
   };
@@ -201,6 +247,7 @@
   call->silent.erase(std::remove(call->silent.begin(), call->silent.end(), home),
                      call->silent.end());
   call->givenUp.push_back(home);
+  call->note(home, CoordinatorState::NotAlive);
   if (hasNext(*call)) {
     tryNext(call);
   } else if (call->homeLives) {
@@ -228,6 +275,7 @@
   if (call->done) {
     return;
   }
+  noteReply(*call, home, now, reply);
   if (reply && isConclusive(*reply)) {
     finish(call, std::move(*reply));
     return;
@@ -239,6 +287,31 @@
   }
 }
 
+void RoutedLedger::noteReply(Call& call, const std::string& home, Instant now,
+                             const std::optional<LedgerReply>& reply) {
+  if (!reply) {
+    // At the deadline the home was only not heard of.
+    if (now < call.deadline) {
+      call.note(home, CoordinatorState::NoReply);
+    }
+    return;
+  }
+  if (isConclusive(*reply)) {
+    call.note(home, CoordinatorState::Answered);
+    call.repliedBy = home;
+    return;
+  }
+  const bool tellsWhy = reply->undecided != UndecidedReason::Unknown;
+  call.note(home, CoordinatorState::Undecided,
+            tellsWhy ? std::string(undecidedReasonName(reply->undecided)) : reply->reason);
+  if (tellsWhy) {
+    call.undecided = reply;
+  }
+  if (tellsWhy || call.repliedBy.empty()) {
+    call.repliedBy = home;
+  }
+}
+
 void RoutedLedger::finish(const std::shared_ptr<Call>& call, LedgerReply reply) {
   call->done = true;
   if (isConclusive(reply)) {
@@ -260,8 +333,11 @@
     ++counters_.failed;
     noteFailure(call->partition);
   }
-  const LedgerReplyCallback callback = std::move(call->callback);
-  callback(std::move(reply));
+  if (!isConclusive(reply) && call->undecided) {
+    reply = *call->undecided;
+  }
+  const CallEndCallback callback = std::move(call->callback);
+  callback({std::move(reply), call->repliedBy, call->asked, call->homeLives});
 }
 
 void RoutedLedger::suspect(const std::string& home) {
@@ -337,144 +413,31 @@
   }
 }
 
-/// One turn that is being looked for.
-struct RoutedLedger::Search {
-  TurnName turn;
-  HistoryCallback callback;
-  std::vector<Wave> waves;  ///< Searched one after the other.
-  std::size_t next = 0;     ///< Of the waves.
-  std::size_t open = 0;     ///< Partitions of the wave that have not been heard of.
-  bool found = false;
-  std::string unavailable;  ///< Why a partition could not be read; empty: all were.
-};
-
-// Turns mostly stand where new ones would be stored; the other zones of the region are near, and
-// those of other regions cost one round trip together instead of one for each partition. Turns
-// stored under another limit than now come last: limits change seldom.
-std::vector<RoutedLedger::Wave> RoutedLedger::wavesFor(const TurnZones& zones) const {
-  const TurnPlacement own = placementFor(zones, 0);
-  std::vector<Wave> waves = {{own}, {placementFor(zones, 1)}};
-  Wave near;
-  Wave far;
-  Wave otherLimit;
-  const auto add = [](Wave& wave, const std::string& zone, bool confined) {
-    for (std::uint32_t choice = 0; choice < kTurnChoices; ++choice) {
-      wave.push_back({zone, choice, confined});
-    }
-  };
-  bool severalRegions = false;
-  for (const std::string& zone : knobs_.zones) {
-    const bool isNear = areNear(own.zone, zone);
-    const bool isAllowed =
-        !own.confined || std::find(zones.begin(), zones.end(), zone) != zones.end();
-    severalRegions = severalRegions || !isNear;
-    if (zone != own.zone) {
-      Wave& wave = isAllowed ? (isNear ? near : far) : otherLimit;
-      add(wave, zone, own.confined);
-    }
-    add(otherLimit, zone, !own.confined);
-  }
-  waves.push_back(std::move(near));
-  waves.push_back(std::move(far));
-  if (own.confined || severalRegions) {
-    waves.push_back(std::move(otherLimit));
-  }
-  std::erase_if(waves, [](const Wave& wave) { return wave.empty(); });
-  return waves;
-}
-
-void RoutedLedger::findHistory(const TurnName& turn, HistoryCallback callback) {
-  auto search = std::make_shared<Search>();
-  search->turn = turn;
-  search->callback = std::move(callback);
-  search->waves = wavesFor(turn.zones);
-  searchNext(search);
-}
-
-// Only when every partition that the turn may stand in was read to its end, it is unknown.
-void RoutedLedger::searchNext(const std::shared_ptr<Search>& search) {
-  if (search->next == search->waves.size()) {
-    if (search->unavailable.empty()) {
-      search->callback(UnknownTurn{});
-    } else {
-      search->callback(LedgerUnavailable{search->unavailable});
-    }
-    return;
-  }
-  const Wave& wave = search->waves[search->next];
-  ++search->next;
-  search->open = wave.size();
-  for (const TurnPlacement& placement : wave) {
-    if (search->found) {
-      return;
-    }
-    const std::string& turn = search->turn.request;
-    start(FindTurnRequest{placement, turn}, layout_.ofTurn(placement, turn), placement.zone,
-          knobs_.findTimeLimit,
-          [this, search](LedgerReply reply) { onSearched(search, std::move(reply)); });
-  }
-}
-
-void RoutedLedger::onSearched(const std::shared_ptr<Search>& search, LedgerReply reply) {
-  if (search->found) {
-    return;
-  }
-  if (reply.outcome == LedgerOutcome::Done) {
-    search->found = true;
-    onTurnFound(std::move(reply), search->turn.zones, search->callback);
-    return;
-  }
-  if (reply.outcome != LedgerOutcome::UnknownTurn) {
-    search->unavailable = reply.reason.empty() ? "no answer" : reply.reason;
-  }
-  --search->open;
-  if (search->open == 0) {
-    searchNext(search);
-  }
-}
-
-void RoutedLedger::onTurnFound(LedgerReply reply, const TurnZones& zones,
-                               HistoryCallback callback) {
-  if (reply.base.empty()) {
-    callback(History{std::move(reply.history), {}, 0});
-    return;
-  }
-  const std::string base = reply.base;
-  findHistory({base, zones}, [base, piece = std::move(reply.history),
-                              callback = std::move(callback)](HistoryAnswer answer) {
-    if (auto* const history = std::get_if<History>(&answer)) {
-      *history = appendPiece(std::move(*history), base, piece);
-    }
-    callback(std::move(answer));
-  });
-}
-
 void RoutedLedger::reserve(const BudgetRequest& request, Duration timeLimit,
                            ReservationCallback callback) {
   const BudgetReservation& reservation = request.reservation;
   // The program's remaining time that goes with it grows old.
   timeLimit = std::min(timeLimit, BudgetLeaseKnobs{}.longestCall);
-  start(ReserveRequest{request, timeLimit}, layout_.ofBudget(reservation.program), {}, timeLimit,
-        [this, reservation, callback = std::move(callback)](const LedgerReply& reply) {
-          if (isConclusive(reply)) {
-            knownUse_[reservation.program] = {reply.tokensUsed, clock_()};
+  const logstore::PartitionAddress partition = layout_.ofBudget(reservation.program);
+  start(ReserveRequest{request, timeLimit}, partition, {}, timeLimit,
+        [this, reservation, partition, callback = std::move(callback)](CallEnd end) {
+          if (isConclusive(end.reply)) {
+            knownUse_[reservation.program] = {end.reply.tokensUsed, clock_()};
           }
-          if (reply.outcome == LedgerOutcome::Done) {
-            callback(ReservationOutcome::Granted);
-          } else if (reply.outcome == LedgerOutcome::BudgetSpent) {
+          if (end.reply.outcome == LedgerOutcome::BudgetSpent) {
             // This reply is the one that counts, so nothing will be handed out for the reservation.
             settle({reservation.request, reservation.program, 0});
-            callback(ReservationOutcome::Spent);
-          } else {
-            callback(ReservationOutcome::Unavailable);
           }
+          ReservationReply reply = reservationReplyOf(std::move(end));
+          reply.partition = logstore::textOf(partition);
+          callback(std::move(reply));
         });
 }
 
 void RoutedLedger::settle(BudgetSettlement settlement) {
   const logstore::PartitionAddress partition = layout_.ofBudget(settlement.program);
   start(SettleRequest{std::move(settlement)}, partition, {}, knobs_.settleTimeLimit,
-        [](const LedgerReply&) {});
+        [](const CallEnd&) {});
 }
 
 std::uint64_t RoutedLedger::knownUse(const std::string& program) const {
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "engine/circuit_breaker.h"
+#include "ledger/call_trace.h"
 #include "ledger/home_selector.h"
 #include "ledger/ledger.h"
 #include "ledger/ledger_message.h"
@@ -78,6 +79,14 @@
   std::uint64_t failed = 0;    ///< No home and not the store could say anything.
 };
 
+/// How a call ended: the reply that counts, and what each node said.
+struct CallEnd {
+  LedgerReply reply;
+  std::string repliedBy;               ///< The node whose reply it is; empty: nobody's.
+  std::vector<CoordinatorWord> asked;  ///< In the order they were asked.
+  bool homeLives = false;              ///< A home replied, or answered a liveness probe.
+};
+
 /// Asks the partition's home, then the next one. This node reads the store for itself only when it
 /// reaches no home at all: a home that lives and cannot be answered by the store shows that the
 /// store is out of order, and hundreds of nodes that each read whole partitions then would fill the
@@ -122,6 +131,7 @@
   [[nodiscard]] const RoutedLedgerCounters& counters() const { return counters_; }
 
  private:
+  using CallEndCallback = std::function<void(CallEnd)>;
   struct Call;
   struct KnownUse {
     std::uint64_t tokens = 0;
@@ -129,13 +139,15 @@
   };
 
   void start(LedgerRequest request, const logstore::PartitionAddress& partition,
-             const std::string& homeZone, Duration timeLimit, LedgerReplyCallback callback);
+             const std::string& homeZone, Duration timeLimit, CallEndCallback callback);
   /// Calls back from the loop that nothing can be said.
-  void fail(const std::string& reason, LedgerReplyCallback callback);
+  void fail(LedgerReply reply, CallEndCallback callback);
   void tryNext(const std::shared_ptr<Call>& call);
   [[nodiscard]] bool hasNext(const Call& call) const;
   void onReply(const std::shared_ptr<Call>& call, const std::string& home, Instant askedAt,
                std::optional<LedgerReply> reply);
+  static void noteReply(Call& call, const std::string& home, Instant now,
+                        const std::optional<LedgerReply>& reply);
   void finish(const std::shared_ptr<Call>& call, LedgerReply reply);
   /// Partitions that are searched at once.
   using Wave = std::vector<TurnPlacement>;
--- a/src/ledger/routed_ledger_storing.cpp
+++ b/src/ledger/routed_ledger_storing.cpp
@@ -56,7 +56,7 @@
   ++storing->underWay;
   start(StoreTurnRequest{placement, storing->record, timeLimit},
         layout_.ofTurn(placement, storing->record.request), placement.zone, timeLimit,
-        [this, choice, storing](const LedgerReply& reply) { onStored(choice, storing, reply); });
+        [this, choice, storing](const CallEnd& end) { onStored(choice, storing, end.reply); });
 }
 
 void RoutedLedger::onStored(std::uint32_t choice, const std::shared_ptr<Storing>& storing,
--- a/src/logstore/log_store.cpp
+++ b/src/logstore/log_store.cpp
@@ -5,6 +5,10 @@
 
 namespace gorsetrail::logstore {
 
+std::string textOf(const PartitionAddress& address) {
+  return address.topic + "/" + std::to_string(address.partition);
+}
+
 std::string_view storeFaultName(StoreFault fault) {
   switch (fault) {
     case StoreFault::NoAnswer:
--- a/src/logstore/log_store.h
+++ b/src/logstore/log_store.h
@@ -24,6 +24,9 @@
   auto operator<=>(const PartitionAddress&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
+/// \return `topic/partition`, for log lines.
+std::string textOf(const PartitionAddress& address);
+
 /// Why a call brought nothing.
 enum class StoreFault : std::uint8_t {
   NoAnswer,   ///< Not reached, cut or silent: the call may have been done.
--- /dev/null
+++ b/tests/edge/doubtful_ledger.h
@@ -0,0 +1,64 @@
+/// \file A ledger that answers reservations and searches as the test says.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ledger/ledger.h"
+#include "logstore/fake_log_store.h"
+
+namespace gorsetrail::edge::testing {
+
+/// A ledger whose reservations failed a moment ago, with a home that answers all the same.
+class DoubtfulLedger final : public ledger::Ledger {
+ public:
+  /// \param outcomes of the reservations one after the other; the last one stays.
+  explicit DoubtfulLedger(std::vector<ledger::ReservationOutcome> outcomes,
+                          ledger::ReservationOutlook outlook = ledger::ReservationOutlook::Unlikely)
+      : outcomes_(std::move(outcomes)), outlook_(outlook) {}
+  void findHistory(const ledger::TurnName& /*turn*/, HistoryCallback callback) override {
+    callback(ledger::UnknownTurn{});
+  }
+  void storeTurn(ledger::TurnToStore /*turn*/, Duration /*limit*/,
+                 StoredCallback callback) override {
+    callback(Success{});
+  }
+  void reserve(const ledger::BudgetRequest& /*request*/, Duration limit,
+               ReservationCallback callback) override {
+    longestWait = limit;
+    const std::size_t number = std::min(reservations, outcomes_.size() - 1);
+    ++reservations;
+    if (timers == nullptr) {
+      callback(replyOf(outcomes_[number]));
+    } else {
+      timers->runAfter(milliseconds(2), [callback = std::move(callback),
+                                         made = replyOf(outcomes_[number])] { callback(made); });
+    }
+  }
+  void settle(ledger::BudgetSettlement /*settlement*/) override {}
+  bool takesTurn(const ledger::TurnName& /*turn*/) override { return true; }
+  ledger::ReservationOutlook reservationOutlook(const std::string& /*program*/) override {
+    return outlook_;
+  }
+  std::uint64_t knownUse(const std::string& /*program*/) const override { return 0; }
+
+  Duration longestWait{};
+  logstore::FakeTimers* timers = nullptr;  ///< Replies take 2 ms; without them they come at once.
+  std::size_t reservations = 0;
+
+  ledger::ReservationReply reply;  ///< All but the outcome.
+
+ private:
+  [[nodiscard]] ledger::ReservationReply replyOf(ledger::ReservationOutcome outcome) const {
+    ledger::ReservationReply made = reply;
+    made.outcome = outcome;
+    return made;
+  }
+
+  std::vector<ledger::ReservationOutcome> outcomes_;
+  ledger::ReservationOutlook outlook_;
+};
+
+}  // namespace gorsetrail::edge::testing
--- /dev/null
+++ b/tests/edge/exchange_refusals_test.cpp
@@ -0,0 +1,74 @@
+// Refusals tell what decided them.
+#include <memory>
+#include <string>
+
+#include "edge/doubtful_ledger.h"
+#include "edge/exchange_world.h"
+// CppUTest redefines `new`: it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::edge;
+using namespace gorsetrail::edge::testing;
+using ledger::CoordinatorState;
+
+TEST_GROUP(ExchangeRefusals) {
+  ExchangeWorld world;
+
+  std::shared_ptr<ClientView> startIn(EdgeContext & context, CallRequest call) {
+    auto client = std::make_shared<ClientView>();
+    world.views.push_back(client);
+    std::make_shared<Exchange>(context, std::move(call), std::make_unique<FakeWriter>(client))
+        ->start();
+    return client;
+  }
+  /// \return the lines written so far.
+  const char* lines() {
+    world.eventLog.flush();
+    return world.lines.c_str();
+  }
+};
+
+TEST(ExchangeRefusals, aReservationThatLeasesOfOthersHoldUpTellsItsFigures) {
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Unavailable});
+  ledger.reply.reason = ledger::UndecidedReason::UnseenSpending;
+  ledger.reply.tokensUsed = 600;
+  ledger.reply.tokensUnseen = 450;
+  ledger.reply.unseenLeases = ledger::UnseenSpending::Primary;
+  ledger.reply.partition = "budgets/3";
+  ledger.reply.repliedBy = "b:1";
+  ledger.reply.asked = {{"a:1", CoordinatorState::NotAlive, {}},
+                        {"b:1", CoordinatorState::Undecided, "unseen_spending"}};
+  EdgeContext context = world.contextWith(ledger);
+  LONGS_EQUAL(503, startIn(context, ExchangeWorld::turn("again"))->status);
+  STRCMP_CONTAINS(
+      "event=reservation_refused request=q1 program=program previous_turn=\"\" "
+      "reason=unseen_spending partition=budgets/3 replied_by=b:1 asked_tokens=288 used_tokens=600 "
+      "unseen_tokens=450 unseen_leases=primary budget=1000 "
+      "nodes=a:1/not_alive,b:1/undecided(unseen_spending)\n",
+      lines());
+  STRCMP_CONTAINS("outcome=refused_503 reason=reservation_unavailable", lines());
+}
+
+TEST(ExchangeRefusals, aReservationThatFailsTwiceBesideItsDispatchIsToldOnce) {
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Unavailable},
+                        ledger::ReservationOutlook::Likely);
+  ledger.timers = &world.timers;
+  ledger.reply.reason = ledger::UndecidedReason::NoAnswer;
+  EdgeContext context = world.contextWith(ledger);
+  const auto client = startIn(context, ExchangeWorld::turn("again"));
+  world.timers.advance(context.knobs.reservationPause + milliseconds(20));
+  LONGS_EQUAL(502, client->status);
+  const std::string written = lines();
+  const std::size_t first = written.find("event=reservation_refused");
+  CHECK(first != std::string::npos);
+  CHECK(written.find("event=reservation_refused", first + 1) == std::string::npos);
+  STRCMP_CONTAINS("reason=no_answer", written.c_str());
+}
+
+TEST(ExchangeRefusals, aSpentBudgetIsNoRefusedReservation) {
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Spent});
+  EdgeContext context = world.contextWith(ledger);
+  LONGS_EQUAL(402, startIn(context, ExchangeWorld::turn("again"))->status);
+  CHECK(std::string(lines()).find("reservation_refused") == std::string::npos);
+}
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "edge/doubtful_ledger.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
@@ -17,70 +19,12 @@
 const std::string kSecond = "id: 2\ndata: b\n\n";
 const std::string kThird = "id: 3\ndata: c\n\n";
 
-/// A ledger whose reservations failed a moment ago, with a home that answers all the same.
-class DoubtfulLedger final : public ledger::Ledger {
- public:
-  /// \param outcomes of the reservations one after the other; the last one stays.
-  explicit DoubtfulLedger(std::vector<ledger::ReservationOutcome> outcomes,
-                          ledger::ReservationOutlook outlook = ledger::ReservationOutlook::Unlikely)
-      : outcomes_(std::move(outcomes)), outlook_(outlook) {}
-  void findHistory(const ledger::TurnName& /*turn*/, HistoryCallback callback) override {
-    callback(ledger::UnknownTurn{});
-  }
-  void storeTurn(ledger::TurnToStore /*turn*/, Duration /*limit*/,
-                 StoredCallback callback) override {
-    callback(Success{});
-  }
-  void reserve(const ledger::BudgetRequest& /*request*/, Duration limit,
-               ReservationCallback callback) override {
-    longestWait = limit;
-    const std::size_t number = std::min(reservations, outcomes_.size() - 1);
-    ++reservations;
-    if (timers == nullptr) {
-      callback(outcomes_[number]);
-    } else {
-      timers->runAfter(milliseconds(2), [callback = std::move(callback),
-                                         outcome = outcomes_[number]] { callback(outcome); });
-    }
-  }
-  void settle(ledger::BudgetSettlement /*settlement*/) override {}
-  bool takesTurn(const ledger::TurnName& /*turn*/) override { return true; }
-  ledger::ReservationOutlook reservationOutlook(const std::string& /*program*/) override {
-    return outlook_;
-  }
-  std::uint64_t knownUse(const std::string& /*program*/) const override { return 0; }
-
-  Duration longestWait{};
-  logstore::FakeTimers* timers = nullptr;  ///< Replies take 2 ms; without them they come at once.
-  std::size_t reservations = 0;
-
- private:
-  std::vector<ledger::ReservationOutcome> outcomes_;
-  ledger::ReservationOutlook outlook_;
-};
-
 }  // namespace
 
 TEST_GROUP(ExchangeStream) {
   ExchangeWorld world;
 
-  /// The world's parts with another ledger.
-  EdgeContext contextWith(ledger::Ledger & ledger) {
-    return {world.wire,
-            world.routes,
-            world.placement,
-            ledger,
-            world.quota,
-            world.client,
-            world.timers,
-            world.context.clock,
-            world.eventLog,
-            world.metrics,
-            {},
-            {},
-            {},
-            true};
-  }
+  EdgeContext contextWith(ledger::Ledger & ledger) { return world.contextWith(ledger); }
   /// Starts a turn that may be resumed.
   static std::shared_ptr<ClientView> startIn(EdgeContext & context) {
     auto client = std::make_shared<ClientView>();
@@ -216,7 +160,7 @@
       world.log, world.timers, [this] { return world.timers.now; }, {}, 2);
   ledger::ProgramLedger other(otherStore, world.timers, [this] { return world.timers.now; }, {});
   other.reserve({{"elsewhere", "program", 900}, 1000, {}}, seconds(1),
-                [](ledger::ReservationOutcome) {});
+                [](const ledger::ReservationReply&) {});
   wait();
   const auto client = world.start(ExchangeWorld::turn("again"));
   LONGS_EQUAL(1, world.dispatches());
@@ -238,7 +182,7 @@
 TEST(ExchangeStream, refusesBeforeTheDispatchWhileTheStoreDoesNotAnswer) {
   world.log.fault = FakeFault::Busy;
   world.ledger.reserve({{"x", "program", 1}, 1000, {}}, seconds(3),
-                       [](ledger::ReservationOutcome) {});
+                       [](const ledger::ReservationReply&) {});
   world.timers.advance(milliseconds(150));
   const auto client = world.start(ExchangeWorld::turn("again"));
   LONGS_EQUAL(503, client->status);
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -158,6 +158,12 @@
   ExchangeWorld(const ExchangeWorld&) = delete;
   ExchangeWorld& operator=(const ExchangeWorld&) = delete;
 
+  /// The world's parts with another ledger.
+  EdgeContext contextWith(ledger::Ledger& otherLedger) {
+    return {wire,          routes,   placement, otherLedger, quota, client, timers,
+            context.clock, eventLog, metrics,   {},          {},    {},     true};
+  }
+
   static routing::Route route(const std::string& name, routing::RouteKind kind,
                               std::uint32_t attempts) {
     routing::Route made;
--- a/tests/ledger/ledger_message_test.cpp
+++ b/tests/ledger/ledger_message_test.cpp
@@ -54,6 +54,31 @@
   CHECK_FALSE(valueOf(decodeLedgerReply(encodeLedgerReply(reply))).decidesReservations);
 }
 
+TEST(LedgerMessage, whyAReservationIsNotDecidedComesBackAsItWas) {
+  LedgerReply reply;
+  reply.undecided = UndecidedReason::UnseenSpending;
+  reply.unseenLeases = UnseenSpending::Both;
+  reply.tokensUnseen = 600;
+  const LedgerReply read = valueOf(decodeLedgerReply(encodeLedgerReply(reply)));
+  CHECK(read.undecided == UndecidedReason::UnseenSpending);
+  CHECK(read.unseenLeases == UnseenSpending::Both);
+  LONGS_EQUAL(600, read.tokensUnseen);
+}
+
+TEST(LedgerMessage, reasonsThatThisVersionDoesNotKnowAreUnknown) {
+  constexpr auto kOfANewerVersion = static_cast<UndecidedReason>(200);
+  LedgerReply reply;
+  reply.undecided = kOfANewerVersion;
+  reply.unseenLeases = static_cast<UnseenSpending>(9);
+  const LedgerReply read = valueOf(decodeLedgerReply(encodeLedgerReply(reply)));
+  CHECK(read.undecided == UndecidedReason::Unknown);
+  CHECK(read.unseenLeases == UnseenSpending::None);
+  // Fields that an older node does not send are at their defaults.
+  const LedgerReply older = valueOf(decodeLedgerReply(encodeLedgerReply({})));
+  CHECK(older.undecided == UndecidedReason::Unknown);
+  LONGS_EQUAL(0, older.tokensUnseen);
+}
+
 TEST(LedgerMessage, cutSpoiltAndForeignBytesAreErrors) {
   const std::string whole = encodeLedgerRequest(StoreTurnRequest{{"z", 0}, {"t", "", "text"}, {}});
   for (std::size_t length = 0; length < whole.size(); ++length) {
--- a/tests/ledger/program_ledger_test.cpp
+++ b/tests/ledger/program_ledger_test.cpp
@@ -70,7 +70,7 @@
                              std::uint64_t budget) {
     std::optional<ReservationOutcome> outcome;
     node.ledger.reserve({{request, "program", tokens}, budget, {}}, seconds(2),
-                        [&outcome](ReservationOutcome result) { outcome = result; });
+                        [&outcome](const ReservationReply& reply) { outcome = reply.outcome; });
     timers.advance(seconds(3));
     CHECK_TRUE(outcome.has_value());
     return *outcome;
@@ -202,7 +202,9 @@
   Node& first = addNode();
   Node& second = addNode();
   std::vector<ReservationOutcome> outcomes;
-  const auto note = [&outcomes](ReservationOutcome outcome) { outcomes.push_back(outcome); };
+  const auto note = [&outcomes](const ReservationReply& reply) {
+    outcomes.push_back(reply.outcome);
+  };
   first.ledger.reserve({{"r1", "program", 600}, 1000, {}}, seconds(2), note);
   second.ledger.reserve({{"r2", "program", 600}, 1000, {}}, seconds(2), note);
   timers.advance(seconds(3));
@@ -221,7 +223,7 @@
   log.fault = FakeFault::LostReply;
   std::optional<ReservationOutcome> outcome;
   node.ledger.reserve({{"r1", "program", 400}, 1000, {}}, seconds(3),
-                      [&outcome](ReservationOutcome result) { outcome = result; });
+                      [&outcome](const ReservationReply& reply) { outcome = reply.outcome; });
   timers.advance(milliseconds(20));
   log.fault = FakeFault::None;
   timers.advance(seconds(3));
@@ -233,7 +235,8 @@
   Node& node = addNode();
   CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Likely);
   log.fault = FakeFault::Busy;
-  node.ledger.reserve({{"r1", "program", 400}, 1000, {}}, seconds(3), [](ReservationOutcome) {});
+  node.ledger.reserve({{"r1", "program", 400}, 1000, {}}, seconds(3),
+                      [](const ReservationReply&) {});
   timers.advance(milliseconds(150));
   CHECK(node.ledger.reservationOutlook("program") == ReservationOutlook::Unlikely);
 }
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -55,8 +55,9 @@
   std::optional<ReservationOutcome> reserve(int node, const std::string& request,
                                             std::uint64_t tokens, Duration wait = seconds(3)) {
     auto outcome = std::make_shared<std::optional<ReservationOutcome>>();
-    fleet.node(node).ledger.reserve({{request, "program", tokens}, 1000, {}}, seconds(2),
-                                    [outcome](ReservationOutcome result) { *outcome = result; });
+    fleet.node(node).ledger.reserve(
+        {{request, "program", tokens}, 1000, {}}, seconds(2),
+        [outcome](const ReservationReply& reply) { *outcome = reply.outcome; });
     timers.advance(wait);
     return *outcome;
   }
@@ -120,7 +121,7 @@
   for (int node = 0; node < 6; ++node) {
     fleet.node(node).ledger.reserve(
         {{"r" + std::to_string(node), "program", 300}, 1000, {}}, seconds(2),
-        [&outcomes](ReservationOutcome outcome) { outcomes.push_back(outcome); });
+        [&outcomes](const ReservationReply& reply) { outcomes.push_back(reply.outcome); });
   }
   timers.advance(milliseconds(100));
   LONGS_EQUAL(6, outcomes.size());
@@ -277,14 +278,14 @@
   // connections are not refused.
   log.fault = FakeFault::Busy;
   fleet.nodes[homes[1]]->local.reserve({{"x", "program", 1}, 1000, {}}, seconds(3),
-                                       [](ReservationOutcome) {});
+                                       [](const ReservationReply&) {});
   timers.advance(milliseconds(400));
   fleet.silent = {homes[0]};
   const Instant asked = timers.now;
   std::optional<Instant> ended;
   fleet.node(asking).ledger.reserve({{"r1", "program", 1}, 1000, {}}, seconds(2),
-                                    [&](ReservationOutcome outcome) {
-                                      CHECK(outcome == ReservationOutcome::Unavailable);
+                                    [&](const ReservationReply& reply) {
+                                      CHECK(reply.outcome == ReservationOutcome::Unavailable);
                                       ended = timers.now;
                                     });
   timers.advance(seconds(3));
@@ -369,8 +370,9 @@
   std::vector<ReservationOutcome> outcomes;
   for (int number = 0; number < 60; ++number) {
     fleet.node(number % 6)
-        .ledger.reserve({{"s" + std::to_string(number), "program", 1}, 1000, {}}, seconds(3),
-                        [&outcomes](ReservationOutcome outcome) { outcomes.push_back(outcome); });
+        .ledger.reserve(
+            {{"s" + std::to_string(number), "program", 1}, 1000, {}}, seconds(3),
+            [&outcomes](const ReservationReply& reply) { outcomes.push_back(reply.outcome); });
     timers.advance(milliseconds(50));
   }
   timers.advance(seconds(1));
