A history that can't be read tells its partitions and what each asked node said

Cause: `history_unavailable` said only that a search failed. Whether a partition's coordinator was dead, silent or alive without the store's answer could not be told from logs.

Change: `LedgerUnavailable` carries each partition that was not read: its choice, the reason, whom the call went to and what each said, whether a coordinator lives. The edge writes `history_refused`, a line for the first two of them (those where new turns stand) with the count of all. `request_ended` keeps its reason.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -151,7 +151,8 @@
     refuse({kNotFound, "unknown_turn", Duration::zero()});
     return;
   }
-  if (std::holds_alternative<ledger::LedgerUnavailable>(answer)) {
+  if (const auto* const unavailable = std::get_if<ledger::LedgerUnavailable>(&answer)) {
+    logHistoryRefused(*unavailable);
     refuse({kUnavailable, "history_unavailable", context_.knobs.retryAfterStore});
     return;
   }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -97,6 +97,7 @@
   void suspectReplica(std::string_view reason);
 
   // Log lines of refusals, with what decided them.
+  void logHistoryRefused(const ledger::LedgerUnavailable& unavailable);
   void logReservationRefused(const ledger::ReservationReply& reply);
 
   // Towards the client.
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -1,7 +1,34 @@
 // Log lines of refusals that were decided elsewhere, with the figures that decided them.
+#include <algorithm>
+
 #include "edge/exchange.h"
+#include "ledger/ledger_partitions.h"
 
 namespace gorsetrail::edge {
+namespace {
+
+/// Lines of one refused search. The partitions that a turn mostly stands in are searched first, so
+/// these tell what a search of all zones would have added little to.
+constexpr std::size_t kMostUnreadPartitions = ledger::kTurnChoices;
+
+}  // namespace
+
+void Exchange::logHistoryRefused(const ledger::LedgerUnavailable& unavailable) {
+  const std::size_t told = std::min(unavailable.unread.size(), kMostUnreadPartitions);
+  for (std::size_t index = 0; index < told; ++index) {
+    const ledger::UnreadPartition& unread = unavailable.unread[index];
+    context_.log.important("history_refused",
+                           {{"request", request_.requestId},
+                            {"program", request_.programId},
+                            {"previous_turn", request_.previousTurn},
+                            {"reason", unread.reason},
+                            {"partition", unread.partition},
+                            {"choice", std::uint64_t{unread.choice}},
+                            {"unread_partitions", std::uint64_t{unavailable.unread.size()}},
+                            {"nodes", ledger::textOf(unread.asked)},
+                            {"coordinator_lives", std::uint64_t{unread.coordinatorLives}}});
+  }
+}
 
 void Exchange::logReservationRefused(const ledger::ReservationReply& reply) {
   context_.log.important("reservation_refused",
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -25,9 +25,18 @@
 };
 /// The log was read to its end after the question: there is no such turn.
 struct UnknownTurn {};
+/// A partition that a turn may stand in and that could not be read to its end.
+struct UnreadPartition {
+  std::string partition;
+  std::uint32_t choice = 0;  ///< See `TurnPlacement`.
+  std::string reason;
+  std::vector<CoordinatorWord> asked{};  ///< In the order they were asked.
+  bool coordinatorLives = false;         ///< One replied, or answered a liveness probe.
+};
 /// The log could not be read: nothing can be said.
 struct LedgerUnavailable {
   std::string reason;
+  std::vector<UnreadPartition> unread{};  ///< In the order they were searched.
 };
 using HistoryAnswer = std::variant<History, UnknownTurn, LedgerUnavailable>;
 
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -62,19 +62,21 @@
     return;
   }
   ++wanted_[turn];
-  partitionAt(layout_.ofTurn(placement, turn))
-      .reader->readToEnd(
-          [this, turn, callback = std::move(callback)](const logstore::StoreResult<Success>& read) {
-            if (--wanted_[turn] == 0) {
-              wanted_.erase(turn);
-            }
-            if (const auto* const error = std::get_if<logstore::StoreError>(&read)) {
-              callback(LedgerUnavailable{error->reason});
-              return;
-            }
-            const CompletedTurn* const found = turns_.find(turn);
-            callback(found == nullptr ? TurnAnswer(UnknownTurn{}) : TurnAnswer(*found));
-          });
+  const logstore::PartitionAddress partition = layout_.ofTurn(placement, turn);
+  partitionAt(partition).reader->readToEnd(
+      [this, turn, partition, choice = placement.choice,
+       callback = std::move(callback)](const logstore::StoreResult<Success>& read) {
+        if (--wanted_[turn] == 0) {
+          wanted_.erase(turn);
+        }
+        if (const auto* const error = std::get_if<logstore::StoreError>(&read)) {
+          callback(LedgerUnavailable{
+              error->reason, {{logstore::textOf(partition), choice, error->reason, {}, false}}});
+          return;
+        }
+        const CompletedTurn* const found = turns_.find(turn);
+        callback(found == nullptr ? TurnAnswer(UnknownTurn{}) : TurnAnswer(*found));
+      });
 }
 
 TurnPlacement ProgramLedger::placementFor(const TurnZones& zones) const {
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -154,7 +154,8 @@
   struct Search;
   [[nodiscard]] std::vector<Wave> wavesFor(const TurnZones& zones) const;
   void searchNext(const std::shared_ptr<Search>& search);
-  void onSearched(const std::shared_ptr<Search>& search, LedgerReply reply);
+  void onSearched(const std::shared_ptr<Search>& search, const TurnPlacement& placement,
+                  CallEnd end);
   [[nodiscard]] bool areNear(std::string_view zone, std::string_view other) const;
   /// \return the partition that new turns with this limit are stored in.
   [[nodiscard]] TurnPlacement placementFor(const TurnZones& zones, std::uint32_t choice) const;
--- a/src/ledger/routed_ledger_history.cpp
+++ b/src/ledger/routed_ledger_history.cpp
@@ -14,7 +14,7 @@
   std::size_t next = 0;     ///< Of the waves.
   std::size_t open = 0;     ///< Partitions of the wave that have not been heard of.
   bool found = false;
-  std::string unavailable;  ///< Why a partition could not be read; empty: all were.
+  std::vector<UnreadPartition> unread;
 };
 
 // Turns mostly stand where new ones would be stored; the other zones of the region are near, and
@@ -63,10 +63,11 @@
 // Only when every partition that the turn may stand in was read to its end, it is unknown.
 void RoutedLedger::searchNext(const std::shared_ptr<Search>& search) {
   if (search->next == search->waves.size()) {
-    if (search->unavailable.empty()) {
+    if (search->unread.empty()) {
       search->callback(UnknownTurn{});
     } else {
-      search->callback(LedgerUnavailable{search->unavailable});
+      const std::string reason = search->unread.back().reason;
+      search->callback(LedgerUnavailable{reason, std::move(search->unread)});
     }
     return;
   }
@@ -79,22 +80,27 @@
     }
     const std::string& turn = search->turn.request;
     start(FindTurnRequest{placement, turn}, layout_.ofTurn(placement, turn), placement.zone,
-          knobs_.findTimeLimit,
-          [this, search](CallEnd end) { onSearched(search, std::move(end.reply)); });
+          knobs_.findTimeLimit, [this, search, placement](CallEnd end) {
+            onSearched(search, placement, std::move(end));
+          });
   }
 }
 
-void RoutedLedger::onSearched(const std::shared_ptr<Search>& search, LedgerReply reply) {
+void RoutedLedger::onSearched(const std::shared_ptr<Search>& search, const TurnPlacement& placement,
+                              CallEnd end) {
   if (search->found) {
     return;
   }
-  if (reply.outcome == LedgerOutcome::Done) {
+  if (end.reply.outcome == LedgerOutcome::Done) {
     search->found = true;
-    onTurnFound(std::move(reply), search->turn.zones, search->callback);
+    onTurnFound(std::move(end.reply), search->turn.zones, search->callback);
     return;
   }
-  if (reply.outcome != LedgerOutcome::UnknownTurn) {
-    search->unavailable = reply.reason.empty() ? "no answer" : reply.reason;
+  if (end.reply.outcome != LedgerOutcome::UnknownTurn) {
+    const std::string& reason = end.reply.reason;
+    search->unread.push_back({logstore::textOf(layout_.ofTurn(placement, search->turn.request)),
+                              placement.choice, reason.empty() ? "no answer" : reason,
+                              std::move(end.asked), end.homeLives});
   }
   --search->open;
   if (search->open == 0) {
--- a/tests/edge/doubtful_ledger.h
+++ b/tests/edge/doubtful_ledger.h
@@ -19,7 +19,7 @@
                           ledger::ReservationOutlook outlook = ledger::ReservationOutlook::Unlikely)
       : outcomes_(std::move(outcomes)), outlook_(outlook) {}
   void findHistory(const ledger::TurnName& /*turn*/, HistoryCallback callback) override {
-    callback(ledger::UnknownTurn{});
+    callback(history);
   }
   void storeTurn(ledger::TurnToStore /*turn*/, Duration /*limit*/,
                  StoredCallback callback) override {
@@ -48,6 +48,7 @@
   logstore::FakeTimers* timers = nullptr;  ///< Replies take 2 ms; without them they come at once.
   std::size_t reservations = 0;
 
+  ledger::HistoryAnswer history = ledger::UnknownTurn{};
   ledger::ReservationReply reply;  ///< All but the outcome.
 
  private:
--- a/tests/edge/exchange_refusals_test.cpp
+++ b/tests/edge/exchange_refusals_test.cpp
@@ -72,3 +72,30 @@
   LONGS_EQUAL(402, startIn(context, ExchangeWorld::turn("again"))->status);
   CHECK(std::string(lines()).find("reservation_refused") == std::string::npos);
 }
+
+TEST(ExchangeRefusals, anUnreadHistoryTellsItsPartitionsAndWhatEachNodeSaid) {
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Granted});
+  const ledger::UnreadPartition first{
+      "turns/2", 0, "no answer", {{"a:1", CoordinatorState::Silent, {}}}, true};
+  const ledger::UnreadPartition second{"turns/5", 1, "time limit reached", {}, false};
+  ledger.history = ledger::LedgerUnavailable{"no answer", {first, second, second, second}};
+  EdgeContext context = world.contextWith(ledger);
+  CallRequest turn = ExchangeWorld::turn("kept");
+  turn.previousTurn = "q0";
+  LONGS_EQUAL(503, startIn(context, turn)->status);
+  const std::string written = lines();
+  STRCMP_CONTAINS(
+      "event=history_refused request=q1 program=program previous_turn=q0 reason=\"no answer\" "
+      "partition=turns/2 choice=0 unread_partitions=4 nodes=a:1/silent coordinator_lives=1\n",
+      written.c_str());
+  STRCMP_CONTAINS("partition=turns/5 choice=1 unread_partitions=4 nodes=\"\" coordinator_lives=0",
+                  written.c_str());
+  const std::string event = "event=history_refused";
+  std::size_t told = 0;
+  for (std::size_t at = written.find(event); at != std::string::npos;
+       at = written.find(event, at + 1)) {
+    ++told;
+  }
+  LONGS_EQUAL(2, told);
+  STRCMP_CONTAINS("outcome=refused_503 reason=history_unavailable", written.c_str());
+}
--- a/tests/ledger/refused_reservation_test.cpp
+++ b/tests/ledger/refused_reservation_test.cpp
@@ -1,4 +1,5 @@
-// Reservations that are not decided tell why, with the figures, from the partition to who asked.
+// Reservations that are not decided tell why, with the figures, from the partition to who asked;
+// searches that found nothing tell what could not be read.
 #include <algorithm>
 #include <memory>
 #include <optional>
@@ -157,3 +158,24 @@
   STRCMP_EQUAL(both[0].c_str(), reply.repliedBy.c_str());
   STRCMP_EQUAL((both[0] + "/answered").c_str(), textOf(reply.asked).c_str());
 }
+
+TEST(RefusedLedgerCall, anUnreadHistoryTellsEachPartitionAndWhomItAsked) {
+  log.fault = FakeFault::Silent;
+  std::optional<HistoryAnswer> answer;
+  fleet.node(0).ledger.findHistory({"t1"},
+                                   [&answer](HistoryAnswer found) { answer = std::move(found); });
+  timers.advance(seconds(12));
+  CHECK_TRUE(answer.has_value());
+  const auto& unavailable = std::get<LedgerUnavailable>(*answer);
+  // Both choices in both zones of the region.
+  LONGS_EQUAL(4, unavailable.unread.size());
+  const LedgerPartitions layout{{}};
+  for (std::uint32_t choice = 0; choice < kTurnChoices; ++choice) {
+    const UnreadPartition& unread = unavailable.unread[choice];
+    LONGS_EQUAL(choice, unread.choice);
+    STRCMP_EQUAL(logstore::textOf(layout.ofTurn({"a", choice}, "t1")).c_str(),
+                 unread.partition.c_str());
+    CHECK_FALSE(unread.asked.empty());
+    CHECK_TRUE(unread.coordinatorLives);
+  }
+}
