A token that nobody decided on tells whom it was asked of

Cause: `quota_unknown` named neither the partition of tenants nor the coordinator, so a dead coordinator, one that had not borrowed enough and a slow one looked alike.

Change: `QuotaDecision` carries, with `Unknown`, the partition, the coordinator asked last, who last answered for the partition, how long ago and whether it decided, and how long the request waited. The edge writes them as `quota_unknown`; `request_ended` keeps its reason. The last answer is kept by partition, so it is bounded. No decision differs.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -55,12 +55,14 @@
   }
   // Tools are called by programs that have begun.
   const bool begins = isStreaming() && stage() == routing::WorkStage::FirstTurn;
-  context_.quota.admit(
-      *checked_.tenant, begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun,
-      [self = shared_from_this()](quota::QuotaDecision decision) { self->onQuota(decision); });
+  context_.quota.admit(*checked_.tenant,
+                       begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun,
+                       [self = shared_from_this()](const quota::QuotaDecision& decision) {
+                         self->onQuota(decision);
+                       });
 }
 
-void Exchange::onQuota(quota::QuotaDecision decision) {
+void Exchange::onQuota(const quota::QuotaDecision& decision) {
   holdsQuotaToken_ = decision.verdict == quota::QuotaVerdict::Granted;
   if (ended_) {
     giveQuotaTokenBack();
@@ -69,6 +71,7 @@
   if (decision.verdict == quota::QuotaVerdict::OverLimit) {
     refuse({kTooManyRequests, "over_quota", decision.retryAfter});
   } else if (decision.verdict == quota::QuotaVerdict::Unknown) {
+    logQuotaUnknown(decision);
     refuse({kUnavailable, "quota_unknown", decision.retryAfter});
   } else {
     findHistory();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -39,7 +39,7 @@
 
   // Before the first dispatch.
   void checkQuota();
-  void onQuota(quota::QuotaDecision decision);
+  void onQuota(const quota::QuotaDecision& decision);
   /// The request was not sent to any replica: its token may serve another one.
   void giveQuotaTokenBack();
   void findHistory();
@@ -97,6 +97,7 @@
   void suspectReplica(std::string_view reason);
 
   // Log lines of refusals, with what decided them.
+  void logQuotaUnknown(const quota::QuotaDecision& decision);
   void logHistoryRefused(const ledger::LedgerUnavailable& unavailable);
   void logReservationRefused(const ledger::ReservationReply& reply);
 
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -1,7 +1,9 @@
 // Log lines of refusals that were decided elsewhere, with the figures that decided them.
 #include <algorithm>
+#include <string>
 
 #include "edge/exchange.h"
+#include "edge/exchange_shared.h"
 #include "ledger/ledger_partitions.h"
 
 namespace gorsetrail::edge {
@@ -13,6 +15,22 @@
 
 }  // namespace
 
+void Exchange::logQuotaUnknown(const quota::QuotaDecision& decision) {
+  const quota::QuotaTrace trace = decision.trace.value_or(quota::QuotaTrace{});
+  const std::string answerAge =
+      trace.lastAnswerAge ? std::to_string(wholeMilliseconds(*trace.lastAnswerAge)) : std::string();
+  context_.log.important("quota_unknown",
+                         {{"request", request_.requestId},
+                          {"program", request_.programId},
+                          {"tenant", checked_.tenantName()},
+                          {"partition", std::uint64_t{trace.partition}},
+                          {"coordinator", trace.coordinator},
+                          {"last_answer_by", trace.lastAnswerBy},
+                          {"last_answer_ms", answerAge},
+                          {"last_answer_decided", std::uint64_t{trace.lastAnswerDecided}},
+                          {"waited_ms", wholeMilliseconds(trace.waited)}});
+}
+
 void Exchange::logHistoryRefused(const ledger::LedgerUnavailable& unavailable) {
   const std::size_t told = std::min(unavailable.unread.size(), kMostUnreadPartitions);
   for (std::size_t index = 0; index < told; ++index) {
--- a/src/quota/quota_admission.h
+++ b/src/quota/quota_admission.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -22,9 +23,20 @@
   Unknown,    ///< No coordinator could say anything, and this node's own share is spent or lent.
 };
 
+/// Whom a request's token was asked of, for log lines.
+struct QuotaTrace {
+  std::uint32_t partition = 0;  ///< Of tenants, see `quota_coordinator`.
+  std::string coordinator;      ///< Asked last; empty: none was known.
+  std::string lastAnswerBy;     ///< Coordinator that last answered for the partition; may be empty.
+  std::optional<Duration> lastAnswerAge;  ///< Nothing: none ever answered this process.
+  bool lastAnswerDecided = false;         ///< Else it had not borrowed enough.
+  Duration waited{};                      ///< By the request.
+};
+
 struct QuotaDecision {
   QuotaVerdict verdict = QuotaVerdict::Granted;
-  Duration retryAfter{};  ///< When the tenant can probably be served; zero when granted.
+  Duration retryAfter{};              ///< When the tenant can probably be served.
+  std::optional<QuotaTrace> trace{};  ///< With `Unknown`.
 };
 
 /// Decides request by request whether a tenant is within its limit.
--- a/src/quota/quota_service.cpp
+++ b/src/quota/quota_service.cpp
@@ -16,8 +16,6 @@
 /// Numbers of one life differ in their low bits only.
 constexpr unsigned kNumberBits = 32;
 
-constexpr QuotaDecision kGranted{QuotaVerdict::Granted, Duration::zero()};
-
 }  // namespace
 
 QuotaService::QuotaService(QuotaFleet& fleet, const QuotaKnobs& knobs, std::string ownAddress,
@@ -77,7 +75,7 @@
 
 void QuotaService::admit(const tenant::Tenant& tenant, ProgramStage stage, Callback callback) {
   if (!tenant.quota.isLimited()) {
-    callback(kGranted);
+    callback(QuotaDecision{});
     return;
   }
   const Instant now = clock_();
@@ -89,7 +87,7 @@
   const bool isUsable = account.waiters.empty() && now >= account.tokens.usableAt;
   if (isUsable && trySpend(account, stage, now)) {
     ++counters_.grantedAtOnce;
-    callback(kGranted);
+    callback(QuotaDecision{});
     return;
   }
   account.waiters.push_back({stage, now, std::move(callback)});
@@ -208,6 +206,8 @@
     return;  // Too late: it was asked again, and what this grants is void.
   }
   Account& account = accounts_.at(entry->second);
+  lastAnswers_[partitionOf(account.tenant.name)] = {account.asking->coordinator, clock_(),
+                                                    reply.decided};
   if (!reply.decided) {
     followOrPause(account, reply.coordinator);
     return;
@@ -264,12 +264,16 @@
   const Instant usableAt = now + reply.usableAfter;
   std::vector<std::pair<Callback, QuotaDecision>> answers;
   for (Waiter& waiter : decided) {
-    QuotaDecision decision = kGranted;
+    QuotaDecision decision = QuotaDecision{};
     // Tokens were granted for each waiter by itself when the reply says that they are ample; else
     // only for programs that have begun.
     if (!trySpend(account, waiter.stage, now)) {
-      decision = {isVoid && granted > 0 ? QuotaVerdict::Unknown : QuotaVerdict::OverLimit,
+      const bool isUnknown = isVoid && granted > 0;
+      decision = {isUnknown ? QuotaVerdict::Unknown : QuotaVerdict::OverLimit,
                   spread(reply.retryAfter)};
+      if (isUnknown) {
+        decision.trace = traceOf(account, asked.coordinator, waiter.since);
+      }
     }
     const bool isGranted = decision.verdict == QuotaVerdict::Granted;
     ++(isGranted ? counters_.grantedAfterAsking
@@ -323,7 +327,7 @@
     const Callback callback = std::move(account.scheduled.front().callback);
     account.scheduled.pop_front();
     --waiting_;
-    callback(kGranted);
+    callback(QuotaDecision{});
   }
 }
 
@@ -345,7 +349,7 @@
   const double share = fleet_.ownShare();
   if (lender_.trySpendOwn(partitionOf(account.tenant.name), account.tenant, share, now)) {
     ++counters_.grantedFromOwnShare;
-    finish(account, kGranted);
+    finish(account, QuotaDecision{});
   }
   if (account.waiters.empty()) {
     askingTenants_.erase(account.asking->number);
@@ -370,10 +374,27 @@
 
 void QuotaService::giveUpOldest(Account& account) {
   ++counters_.unknown;
-  finish(account, {QuotaVerdict::Unknown, spread(knobs_.shortestRetryAfter)});
+  const std::string coordinator = account.asking ? account.asking->coordinator : std::string();
+  finish(account, {QuotaVerdict::Unknown, spread(knobs_.shortestRetryAfter),
+                   traceOf(account, coordinator, account.waiters.front().since)});
+}
+
+QuotaTrace QuotaService::traceOf(const Account& account, const std::string& coordinator,
+                                 Instant since) const {
+  const Instant now = clock_();
+  QuotaTrace trace;
+  trace.partition = partitionOf(account.tenant.name);
+  trace.coordinator = coordinator;
+  trace.waited = now - since;
+  if (const auto last = lastAnswers_.find(trace.partition); last != lastAnswers_.end()) {
+    trace.lastAnswerBy = last->second.coordinator;
+    trace.lastAnswerAge = now - last->second.at;
+    trace.lastAnswerDecided = last->second.decided;
+  }
+  return trace;
 }
 
-void QuotaService::finish(Account& account, QuotaDecision decision) {
+void QuotaService::finish(Account& account, const QuotaDecision& decision) {
   const Callback callback = std::move(account.waiters.front().callback);
   account.waiters.pop_front();
   if (account.asking && account.asking->waiters > 0) {
--- a/src/quota/quota_service.h
+++ b/src/quota/quota_service.h
@@ -94,6 +94,11 @@
     Instant at;
     Callback callback;
   };
+  struct LastAnswer {
+    std::string coordinator;
+    Instant at;
+    bool decided = false;
+  };
   struct Account {
     tenant::Tenant tenant;  ///< As of the last request.
     Tokens tokens;
@@ -120,10 +125,13 @@
   void checkAccount(Account& account);
   void releaseDue(Account& account);
   void giveUpOldest(Account& account);
+  /// \param since when the request began to wait.
+  [[nodiscard]] QuotaTrace traceOf(const Account& account, const std::string& coordinator,
+                                   Instant since) const;
   /// Takes a token that is at hand, though it may have to wait for its time.
   [[nodiscard]] static bool trySpend(Account& account, ProgramStage stage, Instant now);
   static void dropVoid(Account& account, Instant now);
-  void finish(Account& account, QuotaDecision decision);
+  void finish(Account& account, const QuotaDecision& decision);
   [[nodiscard]] Duration spread(Duration retryAfter);
 
   QuotaFleet& fleet_;
@@ -138,6 +146,7 @@
   /// that others chose as coordinator return, with nothing borrowed.
   std::map<std::uint32_t, std::string> proven_;
   std::map<std::uint32_t, std::string> lastDecided_;  ///< Likewise, also while nobody decides.
+  std::map<std::uint32_t, LastAnswer> lastAnswers_;   ///< By partition; decided or not.
   std::unordered_map<std::uint64_t, std::string> askingTenants_;  ///< By number of the request.
   std::deque<std::pair<std::string, QuotaMessage>> toSelf_;
   bool deliversToSelf_ = false;
--- a/tests/edge/exchange_tenant_test.cpp
+++ b/tests/edge/exchange_tenant_test.cpp
@@ -151,6 +151,19 @@
   LONGS_EQUAL(503, start(ExchangeWorld::request("safe"), "alice-key")->status);
 }
 
+TEST(ExchangeTenant, tellsWhomTheTokenWasAskedOfWhenNobodyKnows) {
+  world.quota.decision = {
+      quota::QuotaVerdict::Unknown, milliseconds(200),
+      quota::QuotaTrace{5, "c:1", "b:1", milliseconds(2400), true, milliseconds(700)}};
+  start(ExchangeWorld::request("safe"), "alice-key");
+  world.eventLog.flush();
+  STRCMP_CONTAINS(
+      "event=quota_unknown request=q1 program=\"\" tenant=alice partition=5 coordinator=c:1 "
+      "last_answer_by=b:1 last_answer_ms=2400 last_answer_decided=1 waited_ms=700\n",
+      world.lines.c_str());
+  STRCMP_CONTAINS("outcome=refused_503 reason=quota_unknown", world.lines.c_str());
+}
+
 TEST(ExchangeTenant, tellsTheQuotaWhetherAProgramBegins) {
   start(ExchangeWorld::turn("kept"), "alice-key");
   CallRequest later = ExchangeWorld::turn("kept");
--- a/tests/quota/quota_fleet.h
+++ b/tests/quota/quota_fleet.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -54,6 +55,7 @@
           } else {
             ++refused[name];
             lastRetryAfter = decision.retryAfter;
+            lastTrace = decision.trace;
           }
         });
   }
@@ -133,6 +135,7 @@
   std::map<std::string, std::size_t> begunGranted;
   std::map<std::string, std::size_t> beginningGranted;
   Duration lastRetryAfter{};
+  std::optional<QuotaTrace> lastTrace;  ///< Of the last request that was not granted.
   std::size_t messages = 0;
   std::size_t coordinatorChanges = 0;
 
--- a/tests/quota/quota_service_test.cpp
+++ b/tests/quota/quota_service_test.cpp
@@ -220,6 +220,29 @@
   LONGS_EQUAL(0, fleet.messages);
 }
 
+TEST(QuotaService, aRequestThatNobodyDecidesTellsWhomItWasAskedOf) {
+  SimulatedFleet fleet(kNodes, directoryOf(all), 12);
+  settle(fleet);
+  load(fleet, all, 1.0, seconds(2));
+  fleet.detectsFailures = false;
+  // The last node is no coordinator.
+  for (std::size_t node = 0; node + 1 < kNodes; ++node) {
+    fleet.kill(node);
+  }
+  fleet.timers.advance(seconds(3));
+  for (int request = 0; request < 400; ++request) {
+    fleet.request(kNodes - 1, large, ProgramStage::Begun);
+  }
+  fleet.timers.advance(seconds(4));
+  CHECK_TRUE(fleet.lastTrace.has_value());
+  const QuotaTrace trace = fleet.lastTrace.value_or(QuotaTrace{});
+  CHECK_FALSE(trace.coordinator.empty());
+  CHECK_FALSE(trace.lastAnswerBy.empty());
+  CHECK(trace.lastAnswerAge.value_or(Duration::zero()) >= seconds(3));
+  CHECK_TRUE(trace.lastAnswerDecided);
+  CHECK(trace.waited >= QuotaKnobs{}.waitLimit);
+}
+
 TEST(QuotaService, anyMixOfFaultsKeepsTheLimit) {
   for (std::uint64_t seed = 100; seed < 112; ++seed) {
     SimulatedFleet fleet(40, directoryOf(all), seed);
