Refusals have room of their own in the log, and repeated ones are counted rather than dropped

Cause: lines were left out as soon as the 128 KB buffer was full, refusals like any others.

Ruled out: a larger buffer alone (a pipe takes 256 KB of the 1.6 MB a second); writing more often (the reader sets the pace); always counting repeats (`losses` and readers of single lines need them whole while there is room).

Change: 128 refusals' bytes beside the buffer are for refusals alone (`reservation_refused`, `history_refused`, `quota_unknown`, `placement_refused`, `request_ended` of a refusal). Where that room is full too, refusals of one program for one reason are counted and written as one `refusals_counted`, 2,048 of them at most. In the same test no refusal is untold: whole lines and counts add up for each program; only routine lines are left out. A count of lines left out that finds no room is no longer lost.

--- a/src/edge/event_log.cpp
+++ b/src/edge/event_log.cpp
@@ -29,38 +29,68 @@
 }
 
 void EventLog::routine(std::string_view event, std::initializer_list<LogField> fields) {
-  if (takeRoutineAllowance()) {
-    append(event, fields);
-  } else {
+  if (!takeRoutineAllowance() || !append(event, fields, knobs_.bufferBytes)) {
     ++leftOut_;
   }
 }
 
 void EventLog::important(std::string_view event, std::initializer_list<LogField> fields) {
-  append(event, fields);
+  if (!append(event, fields, knobs_.bufferBytes)) {
+    ++leftOut_;
+  }
 }
 
-void EventLog::append(std::string_view event, std::initializer_list<LogField> fields) {
-  const std::string line = formatLogLine(event, fields);
-  if (buffer_.size() + line.size() > knobs_.bufferBytes) {
-    ++leftOut_;
+void EventLog::refusal(std::string_view event, const RefusalKey& key,
+                       std::initializer_list<LogField> fields) {
+  if (append(event, fields, knobs_.bufferBytes + knobs_.refusalBytes)) {
     return;
   }
+  const CountedRefusal refused{event, key.program, key.reason};
+  if (counted_.size() < knobs_.countedRefusals || counted_.contains(refused)) {
+    ++counted_[refused];
+  } else {
+    ++leftOut_;
+  }
+}
+
+bool EventLog::append(std::string_view event, std::initializer_list<LogField> fields,
+                      std::size_t room) {
+  const std::string line = formatLogLine(event, fields);
+  if (buffer_.size() + line.size() > room) {
+    return false;
+  }
   buffer_ += "time_ms=" + timeStamp() + " ";
   buffer_ += line;
   buffer_.push_back('\n');
+  return true;
+}
+
+void EventLog::appendCounted() {
+  std::erase_if(counted_, [this](const auto& entry) {
+    const auto& [event, program, reason] = entry.first;
+    return append(
+        "refusals_counted",
+        {{"of", event}, {"program", program}, {"reason", reason}, {"count", entry.second}},
+        knobs_.bufferBytes + knobs_.refusalBytes);
+  });
 }
 
 void EventLog::flush() {
-  if (leftOut_ > leftOutReported_) {
-    const std::uint64_t since = leftOut_ - std::exchange(leftOutReported_, leftOut_);
-    append("lines_left_out", {{"count", since}});
+  if (leftOut_ > leftOutReported_ &&
+      append("lines_left_out", {{"count", leftOut_ - leftOutReported_}}, knobs_.bufferBytes)) {
+    leftOutReported_ = leftOut_;
   }
-  if (buffer_.empty()) {
-    return;
+  writeOut();
+  if (!counted_.empty()) {
+    appendCounted();  // Into the room that was made.
+    writeOut();
+  }
+}
+
+void EventLog::writeOut() {
+  if (!buffer_.empty()) {
+    buffer_.erase(0, output_(buffer_));
   }
-  const std::size_t taken = output_(buffer_);
-  buffer_.erase(0, taken);
 }
 
 EventLog::Output standardOutput() {
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -387,6 +387,8 @@
       {"took_ms", wholeMilliseconds(context_.clock() - arrivedAt_)}};
   if (well) {
     context_.log.routine("request_ended", fields);
+  } else if (outcome.starts_with("refused_")) {
+    context_.log.refusal("request_ended", {request_.programId, reason}, fields);
   } else {
     context_.log.important("request_ended", fields);
   }
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -13,55 +13,74 @@
 /// these tell what a search of all zones would have added little to.
 constexpr std::size_t kMostUnreadPartitions = ledger::kTurnChoices;
 
+std::uint64_t percentOf(double share) {
+  constexpr double kPercent = 100.0;
+  return static_cast<std::uint64_t>(share * kPercent);
+}
+
 }  // namespace
 
+void Exchange::onPlacesTaken(const routing::PlacesTaken& taken) {
+  context_.log.refusal("placement_refused", {request_.programId, "replicas_busy"},
+                       {{"request", request_.requestId},
+                        {"program", request_.programId},
+                        {"stage", routing::workStageName(stage())},
+                        {"priority", std::uint64_t{checked_.priority}},
+                        {"prompt_tokens", request_.promptTokens},
+                        {"replica", taken.judged->entry.id},
+                        {"load_percent", percentOf(taken.judged->loadPerSlot())},
+                        {"least_load_percent", percentOf(taken.leastLoadPerSlot)}});
+  refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
+}
+
 void Exchange::logQuotaUnknown(const quota::QuotaDecision& decision) {
   const quota::QuotaTrace trace = decision.trace.value_or(quota::QuotaTrace{});
   const std::string answerAge =
       trace.lastAnswerAge ? std::to_string(wholeMilliseconds(*trace.lastAnswerAge)) : std::string();
-  context_.log.important("quota_unknown",
-                         {{"request", request_.requestId},
-                          {"program", request_.programId},
-                          {"tenant", checked_.tenantName()},
-                          {"partition", std::uint64_t{trace.partition}},
-                          {"coordinator", trace.coordinator},
-                          {"last_answer_by", trace.lastAnswerBy},
-                          {"last_answer_ms", answerAge},
-                          {"last_answer_decided", std::uint64_t{trace.lastAnswerDecided}},
-                          {"waited_ms", wholeMilliseconds(trace.waited)}});
+  context_.log.refusal("quota_unknown", {request_.programId, "quota_unknown"},
+                       {{"request", request_.requestId},
+                        {"program", request_.programId},
+                        {"tenant", checked_.tenantName()},
+                        {"partition", std::uint64_t{trace.partition}},
+                        {"coordinator", trace.coordinator},
+                        {"last_answer_by", trace.lastAnswerBy},
+                        {"last_answer_ms", answerAge},
+                        {"last_answer_decided", std::uint64_t{trace.lastAnswerDecided}},
+                        {"waited_ms", wholeMilliseconds(trace.waited)}});
 }
 
 void Exchange::logHistoryRefused(const ledger::LedgerUnavailable& unavailable) {
   const std::size_t told = std::min(unavailable.unread.size(), kMostUnreadPartitions);
   for (std::size_t index = 0; index < told; ++index) {
     const ledger::UnreadPartition& unread = unavailable.unread[index];
-    context_.log.important("history_refused",
-                           {{"request", request_.requestId},
-                            {"program", request_.programId},
-                            {"previous_turn", request_.previousTurn},
-                            {"reason", unread.reason},
-                            {"partition", unread.partition},
-                            {"choice", std::uint64_t{unread.choice}},
-                            {"unread_partitions", std::uint64_t{unavailable.unread.size()}},
-                            {"nodes", ledger::textOf(unread.asked)},
-                            {"coordinator_lives", std::uint64_t{unread.coordinatorLives}}});
+    context_.log.refusal("history_refused", {request_.programId, unread.reason},
+                         {{"request", request_.requestId},
+                          {"program", request_.programId},
+                          {"previous_turn", request_.previousTurn},
+                          {"reason", unread.reason},
+                          {"partition", unread.partition},
+                          {"choice", std::uint64_t{unread.choice}},
+                          {"unread_partitions", std::uint64_t{unavailable.unread.size()}},
+                          {"nodes", ledger::textOf(unread.asked)},
+                          {"coordinator_lives", std::uint64_t{unread.coordinatorLives}}});
   }
 }
 
 void Exchange::logReservationRefused(const ledger::ReservationReply& reply) {
-  context_.log.important("reservation_refused",
-                         {{"request", request_.requestId},
-                          {"program", request_.programId},
-                          {"previous_turn", request_.previousTurn},
-                          {"reason", ledger::undecidedReasonName(reply.reason)},
-                          {"partition", reply.partition},
-                          {"replied_by", reply.repliedBy},
-                          {"asked_tokens", request_.maximumTokens},
-                          {"used_tokens", reply.tokensUsed},
-                          {"unseen_tokens", reply.tokensUnseen},
-                          {"unseen_leases", ledger::unseenSpendingName(reply.unseenLeases)},
-                          {"budget", request_.tokenBudget.value_or(0)},
-                          {"nodes", ledger::textOf(reply.asked)}});
+  context_.log.refusal("reservation_refused",
+                       {request_.programId, ledger::undecidedReasonName(reply.reason)},
+                       {{"request", request_.requestId},
+                        {"program", request_.programId},
+                        {"previous_turn", request_.previousTurn},
+                        {"reason", ledger::undecidedReasonName(reply.reason)},
+                        {"partition", reply.partition},
+                        {"replied_by", reply.repliedBy},
+                        {"asked_tokens", request_.maximumTokens},
+                        {"used_tokens", reply.tokensUsed},
+                        {"unseen_tokens", reply.tokensUnseen},
+                        {"unseen_leases", ledger::unseenSpendingName(reply.unseenLeases)},
+                        {"budget", request_.tokenBudget.value_or(0)},
+                        {"nodes", ledger::textOf(reply.asked)}});
 }
 
 }  // namespace gorsetrail::edge
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -14,11 +14,6 @@
 constexpr unsigned kFirstFailureStatus = 300;
 constexpr double kShareOfNewestAnswer = 0.2;
 
-std::uint64_t percentOf(double share) {
-  constexpr double kPercent = 100.0;
-  return static_cast<std::uint64_t>(share * kPercent);
-}
-
 }  // namespace
 
 routing::PlacementQuery Exchange::placementQuery() const {
@@ -57,19 +52,6 @@
   }
 }
 
-void Exchange::onPlacesTaken(const routing::PlacesTaken& taken) {
-  context_.log.important("placement_refused",
-                         {{"request", request_.requestId},
-                          {"program", request_.programId},
-                          {"stage", routing::workStageName(stage())},
-                          {"priority", std::uint64_t{checked_.priority}},
-                          {"prompt_tokens", request_.promptTokens},
-                          {"replica", taken.judged->entry.id},
-                          {"load_percent", percentOf(taken.judged->loadPerSlot())},
-                          {"least_load_percent", percentOf(taken.leastLoadPerSlot)}});
-  refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
-}
-
 void Exchange::onNoReplica(const routing::NoReplica& none) {
   if (streamBegun_) {
     breakOff("no_replica_left");
--- a/tests/edge/event_log_test.cpp
+++ b/tests/edge/event_log_test.cpp
@@ -1,9 +1,11 @@
 // Log lines are bounded, count what was left out, and never hold the process up.
 #include "edge/event_log.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
+#include <sstream>
+#include <string>
+// CppUTest redefines `new`: it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
 
 using namespace gorsetrail;
 using namespace gorsetrail::edge;
@@ -76,3 +78,107 @@
   log.flush();
   STRCMP_CONTAINS("event=lines_left_out", written.c_str());
 }
+
+namespace {
+
+constexpr int kRefusals = 2000;
+constexpr int kPrograms = 200;
+constexpr int kRoutineLines = 60;
+constexpr int kFlushesPerSecond = 4;
+/// What a pipe takes at once while its reader has read all before.
+constexpr std::size_t kPipeBytes = 65536;
+/// A line as long as a refusal's longest.
+const std::string kLongValue(kRefusalBytes / 2 - 100, 'x');
+
+}  // namespace
+
+/// A second of refusals, two lines each, with routine lines beside them.
+TEST_GROUP(EventLogBurst) {
+  std::string written;
+  Instant now{seconds(100)};
+  EventLog log{[this](std::string_view bytes) {
+                 const std::size_t taken = std::min(kPipeBytes, bytes.size());
+                 written += bytes.substr(0, taken);
+                 return taken;
+               },
+               [this] { return now; },
+               {}};
+
+  /// \param write writes one line of a refused program.
+  template <class Write>
+  void burst(Write write) {
+    for (int number = 0; number < kRefusals; ++number) {
+      const std::string program = "p" + std::to_string(number % kPrograms);
+      write("reservation_refused", program);
+      write("request_ended", program);
+      if (number % (kRefusals / kRoutineLines) == 0) {
+        log.routine("dispatch", {{"request", "q"}});
+      }
+      if (number % (kRefusals / kFlushesPerSecond) == 0) {
+        now += seconds(1) / kFlushesPerSecond;
+        log.flush();
+      }
+    }
+    for (int flush = 0; flush < 2 * kFlushesPerSecond; ++flush) {
+      log.flush();
+    }
+  }
+  /// \return refusals of the program with that event: whole lines, and those counted in one.
+  int toldOf(const std::string& program, const std::string& event) const {
+    int told = 0;
+    std::istringstream lines(written);
+    for (std::string line; std::getline(lines, line);) {
+      if (line.find(" program=" + program + " ") == std::string::npos) {
+        continue;
+      }
+      const std::size_t count = line.find(" count=");
+      if (line.find("event=" + event + " ") != std::string::npos) {
+        ++told;
+      } else if (line.find(" of=" + event + " ") != std::string::npos) {
+        told += std::stoi(line.substr(count + 7));
+      }
+    }
+    return told;
+  }
+};
+
+TEST(EventLogBurst, plainLinesOfABurstOfRefusalsWouldBeLeftOut) {
+  burst([this](const char* event, const std::string& program) {
+    log.important(event, {{"program", program}, {"x", kLongValue}});
+  });
+  CHECK(log.leftOut() > kRefusals);
+}
+
+TEST(EventLogBurst, everyRefusalOfABurstIsToldWholeOrCounted) {
+  burst([this](const char* event, const std::string& program) {
+    log.refusal(event, {program, "why"}, {{"program", program}, {"x", kLongValue}});
+  });
+  CHECK(log.leftOut() <= kRoutineLines + 1);  // Nothing but routine lines.
+  for (int program = 0; program < kPrograms; ++program) {
+    const std::string name = "p" + std::to_string(program);
+    LONGS_EQUAL(kRefusals / kPrograms, toldOf(name, "reservation_refused"));
+    LONGS_EQUAL(kRefusals / kPrograms, toldOf(name, "request_ended"));
+  }
+}
+
+TEST(EventLogBurst, refusalsHaveRoomWhenAllElseHasFilledTheBuffer) {
+  for (int line = 0; line < 2000; ++line) {
+    log.important("replica_changed", {{"x", kLongValue}});
+  }
+  CHECK(log.leftOut() > 0);
+  log.refusal("request_ended", {"p", "why"}, {{"program", "p"}, {"x", kLongValue}});
+  for (int flush = 0; flush < kFlushesPerSecond; ++flush) {
+    log.flush();
+  }
+  LONGS_EQUAL(1, toldOf("p", "request_ended"));
+  CHECK(written.find("refusals_counted") == std::string::npos);
+}
+
+TEST(EventLogBurst, whatIsCountedIsBounded) {
+  const EventLogKnobs knobs{};
+  for (std::size_t number = 0; number < 2 * knobs.countedRefusals; ++number) {
+    const std::string program = "p" + std::to_string(number);
+    log.refusal("request_ended", {program, "why"}, {{"program", program}, {"x", kLongValue}});
+  }
+  CHECK(log.leftOut() > 0);
+}
--- a/tests/edge/exchange_refusals_test.cpp
+++ b/tests/edge/exchange_refusals_test.cpp
@@ -99,3 +99,22 @@
   LONGS_EQUAL(2, told);
   STRCMP_CONTAINS("outcome=refused_503 reason=history_unavailable", written.c_str());
 }
+
+TEST(ExchangeRefusals, theLinesOfARefusalAreNoLongerThanTheRoomKeptForThem) {
+  DoubtfulLedger ledger({ledger::ReservationOutcome::Unavailable});
+  ledger.reply.reason = ledger::UndecidedReason::LeaseInsufficient;
+  ledger.reply.partition = "gorsetrail-budgets/7";
+  ledger.reply.repliedBy = "10.200.101.117:18306";
+  ledger.reply.tokensUsed = ledger.reply.tokensUnseen = 1234567;
+  for (int node = 0; node < 4; ++node) {
+    ledger.reply.asked.push_back(
+        {"10.200.101.117:18306", CoordinatorState::Undecided, "lease_insufficient"});
+  }
+  EdgeContext context = world.contextWith(ledger);
+  CallRequest turn = ExchangeWorld::turn("again");
+  turn.requestId = turn.programId = turn.previousTurn = "0123456789abcdef";
+  startIn(context, turn);
+  const std::string written = lines();
+  CHECK_TEXT(written.size() <= kRefusalBytes, std::to_string(written.size()).c_str());
+  CHECK_TEXT(written.size() >= kRefusalBytes * 8 / 10, std::to_string(written.size()).c_str());
+}
