--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -55,12 +55,14 @@
   }
   // Tools are called by programs that have begun.
   const bool begins = isStreaming() && stage() == routing::WorkStage::FirstTurn;
-  context_.quota.admit(
-      *checked_.tenant, begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun,
-      [self = shared_from_this()](quota::QuotaDecision decision) { self->onQuota(decision); });
+  context_.quota.admit(*checked_.tenant,
+                       begins ? quota::ProgramStage::Beginning : quota::ProgramStage::Begun,
+                       [self = shared_from_this()](const quota::QuotaDecision& decision) {
+                         self->onQuota(decision);
+                       });
 }
 
-void Exchange::onQuota(quota::QuotaDecision decision) {
+void Exchange::onQuota(const quota::QuotaDecision& decision) {
   holdsQuotaToken_ = decision.verdict == quota::QuotaVerdict::Granted;
   if (ended_) {
     giveQuotaTokenBack();
@@ -69,6 +71,7 @@
   if (decision.verdict == quota::QuotaVerdict::OverLimit) {
     refuse({kTooManyRequests, "over_quota", decision.retryAfter});
   } else if (decision.verdict == quota::QuotaVerdict::Unknown) {
+    logQuotaUnknown(decision);
     refuse({kUnavailable, "quota_unknown", decision.retryAfter});
   } else {
     findHistory();
@@ -151,7 +154,8 @@
     refuse({kNotFound, "unknown_turn", Duration::zero()});
     return;
   }
-  if (std::holds_alternative<ledger::LedgerUnavailable>(answer)) {
+  if (const auto* const unavailable = std::get_if<ledger::LedgerUnavailable>(&answer)) {
+    logHistoryRefused(*unavailable);
     refuse({kUnavailable, "history_unavailable", context_.knobs.retryAfterStore});
     return;
   }
@@ -205,17 +209,17 @@
       request_.programTimeLeft};
   context_.ledger.reserve(
       wanted, limit,
-      [self = shared_from_this(), dispatchAfterwards](ledger::ReservationOutcome outcome) {
-        self->onReservation(dispatchAfterwards, outcome);
+      [self = shared_from_this(), dispatchAfterwards](const ledger::ReservationReply& reply) {
+        self->onReservation(dispatchAfterwards, reply);
       });
 }
 
-void Exchange::onReservation(bool dispatchAfterwards, ledger::ReservationOutcome outcome) {
+void Exchange::onReservation(bool dispatchAfterwards, const ledger::ReservationReply& reply) {
   if (ended_) {
     // The request ended first; what it did not use was given back when it ended.
     return;
   }
-  if (outcome == ledger::ReservationOutcome::Granted) {
+  if (reply.outcome == ledger::ReservationOutcome::Granted) {
     budget_ = BudgetState::Granted;
     if (dispatchAfterwards) {
       dispatch();
@@ -224,7 +228,7 @@
     }
     return;
   }
-  if (outcome == ledger::ReservationOutcome::Spent) {
+  if (reply.outcome == ledger::ReservationOutcome::Spent) {
     reservationMayStand_ = false;
     if (mayHaveRun_ || call_) {
       breakOff("budget_spent");
@@ -234,16 +238,18 @@
     return;
   }
   if (mayHaveRun_ || call_) {
-    reserveOnceMore();
+    reserveOnceMore(reply);
   } else {
+    logReservationRefused(reply);
     refuse({kUnavailable, "reservation_unavailable", context_.knobs.retryAfterReservation});
   }
 }
 
 // The first of several turns meets an outage or a dead home, and nothing of this one was released
 // yet: by now the home is known, or a lease was taken.
-void Exchange::reserveOnceMore() {
+void Exchange::reserveOnceMore(const ledger::ReservationReply& reply) {
   if (reservedOnceMore_) {
+    logReservationRefused(reply);
     breakOff("reservation_unavailable");
     return;
   }
@@ -381,6 +387,8 @@
       {"took_ms", wholeMilliseconds(context_.clock() - arrivedAt_)}};
   if (well) {
     context_.log.routine("request_ended", fields);
+  } else if (outcome.starts_with("refused_")) {
+    context_.log.refusal("request_ended", {request_.programId, reason}, fields);
   } else {
     context_.log.important("request_ended", fields);
   }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -39,7 +39,7 @@
 
   // Before the first dispatch.
   void checkQuota();
-  void onQuota(quota::QuotaDecision decision);
+  void onQuota(const quota::QuotaDecision& decision);
   /// The request was not sent to any replica: its token may serve another one.
   void giveQuotaTokenBack();
   void findHistory();
@@ -54,8 +54,8 @@
   /// \param longest the reservation is given up after this.
   void reserve(bool dispatchAfterwards, Duration longest);
   [[nodiscard]] Duration longestReservation(ledger::ReservationOutlook outlook) const;
-  void onReservation(bool dispatchAfterwards, ledger::ReservationOutcome outcome);
-  void reserveOnceMore();
+  void onReservation(bool dispatchAfterwards, const ledger::ReservationReply& reply);
+  void reserveOnceMore(const ledger::ReservationReply& reply);
 
   // At a replica.
   void dispatch();
@@ -96,6 +96,11 @@
   void noteOutcome(bool failed);
   void suspectReplica(std::string_view reason);
 
+  // Log lines of refusals, with what decided them.
+  void logQuotaUnknown(const quota::QuotaDecision& decision);
+  void logHistoryRefused(const ledger::LedgerUnavailable& unavailable);
+  void logReservationRefused(const ledger::ReservationReply& reply);
+
   // Towards the client.
   void releaseOutput();
   void refuse(const Refusal& refusal);
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -6,14 +6,6 @@
 #include "edge/exchange_shared.h"
 
 namespace gorsetrail::edge {
-namespace {
-
-std::uint64_t percentOf(double share) {
-  constexpr double kPercent = 100.0;
-  return static_cast<std::uint64_t>(share * kPercent);
-}
-
-}  // namespace
 
 routing::PlacementQuery Exchange::placementQuery() const {
   const bool keepsPrompts = checked_.hasEngine && !request_.programId.empty();
@@ -51,19 +43,6 @@
   }
 }
 
-void Exchange::onPlacesTaken(const routing::PlacesTaken& taken) {
-  context_.log.important("placement_refused",
-                         {{"request", request_.requestId},
-                          {"program", request_.programId},
-                          {"stage", routing::workStageName(stage())},
-                          {"priority", std::uint64_t{checked_.priority}},
-                          {"prompt_tokens", request_.promptTokens},
-                          {"replica", taken.judged->entry.id},
-                          {"load_percent", percentOf(taken.judged->loadPerSlot())},
-                          {"least_load_percent", percentOf(taken.leastLoadPerSlot)}});
-  refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
-}
-
 void Exchange::onNoReplica(const routing::NoReplica& none) {
   if (streamBegun_) {
     breakOff("no_replica_left");
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -62,19 +62,21 @@
     return;
   }
   ++wanted_[turn];
-  partitionAt(layout_.ofTurn(placement, turn))
-      .reader->readToEnd(
-          [this, turn, callback = std::move(callback)](const logstore::StoreResult<Success>& read) {
-            if (--wanted_[turn] == 0) {
-              wanted_.erase(turn);
-            }
-            if (const auto* const error = std::get_if<logstore::StoreError>(&read)) {
-              callback(LedgerUnavailable{error->reason});
-              return;
-            }
-            const CompletedTurn* const found = turns_.find(turn);
-            callback(found == nullptr ? TurnAnswer(UnknownTurn{}) : TurnAnswer(*found));
-          });
+  const logstore::PartitionAddress partition = layout_.ofTurn(placement, turn);
+  partitionAt(partition).reader->readToEnd(
+      [this, turn, partition, choice = placement.choice,
+       callback = std::move(callback)](const logstore::StoreResult<Success>& read) {
+        if (--wanted_[turn] == 0) {
+          wanted_.erase(turn);
+        }
+        if (const auto* const error = std::get_if<logstore::StoreError>(&read)) {
+          callback(LedgerUnavailable{
+              error->reason, {{logstore::textOf(partition), choice, error->reason, {}, false}}});
+          return;
+        }
+        const CompletedTurn* const found = turns_.find(turn);
+        callback(found == nullptr ? TurnAnswer(UnknownTurn{}) : TurnAnswer(*found));
+      });
 }
 
 TurnPlacement ProgramLedger::placementFor(const TurnZones& zones) const {
@@ -152,11 +154,13 @@
   const BudgetReservation& wanted = request.reservation;
   budgetsOf(wanted.program)
       .reserve(request, timeLimit,
-               [this, wanted, callback = std::move(callback)](const ReservationReply& reply) {
+               [this, wanted, callback = std::move(callback)](ReservationReply reply) {
                  if (reply.outcome == ReservationOutcome::Spent) {
                    settle({wanted.request, wanted.program, 0});
                  }
-                 callback(reply.outcome);
+                 reply.partition = logstore::textOf(layout_.ofBudget(wanted.program));
+                 reply.repliedBy = knobs_.budgets.holder;
+                 callback(std::move(reply));
                });
 }
 
