explain and losses tell refusals apart: charged for the dead, not decided, no answer, full beside room

Cause: all of a `reservation_unavailable`, `history_unavailable` and `quota_unknown` counted as `store` or `quota_undecided`, and a full replica beside free ones as a lack of places.

Change: `explain` ends the line of a refusal with `means=...`; `losses` takes a request's cause from that line where there is one (logs without it count as before), counts `refusals_counted` lines as their requests, and says in `going_on` how many programs were lost with a request that goes on from a turn.

--- a/src/cli/explain_command.cpp
+++ b/src/cli/explain_command.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "cli/command.h"
+#include "cli/log_refusal.h"
 #include "cli/log_story.h"
 #include "cli/report.h"
 
@@ -20,6 +21,10 @@
     text += "=";
     text += value;
   }
+  if (const std::string_view meaning = refusalMeaning(line); !meaning.empty()) {
+    text += " means=";
+    text += meaning;
+  }
   return text;
 }
 
@@ -33,7 +38,8 @@
                "no line names this request (" + std::to_string(story.passedOver()) +
                    " lines were no log lines)",
                "give the logs of all nodes of that time; answered requests beyond the logged rate "
-               "are only counted (event=lines_left_out)"};
+               "are only counted (event=lines_left_out), refusals of a burst by program "
+               "(event=refusals_counted)"};
 }
 
 Result<Success> readFiles(const std::vector<std::string>& arguments, LogStory& story) {
--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <string_view>
 
+#include "cli/log_refusal.h"
+
 namespace gorsetrail::cli {
 namespace {
 
@@ -47,14 +49,45 @@
                                                     {"no_key", "key"},
                                                     {"conflicting_headers", "malformed"}}};
 
-std::uint64_t numberOf(const LogLine& line, std::string_view key) {
-  const std::string text = line.fieldOf(key);
-  std::uint64_t number = 0;
-  std::from_chars(text.data(), text.data() + text.size(), number);
-  return number;
+/// Causes that the line of a refusal tells apart, by its event.
+struct CauseOfRefusal {
+  std::string_view event;
+  std::string_view meaning;
+  std::string_view cause;
+};
+constexpr std::array<CauseOfRefusal, 9> kRefusalCauses = {
+    {{"reservation_refused", "charged_for_dead", "budget_charged_for_dead"},
+     {"reservation_refused", "not_decided", "budget_not_decided"},
+     {"reservation_refused", "no_answer", "budget_no_answer"},
+     {"history_refused", "not_decided", "history_not_decided"},
+     {"history_refused", "no_answer", "history_no_answer"},
+     {"quota_unknown", "not_decided", "quota_undecided"},
+     {"quota_unknown", "no_answer", "quota_no_answer"},
+     {"placement_refused", "full_beside_room", "replica_full_beside_room"},
+     {"placement_refused", "all_full", "no_place_at_replicas"}}};
+
+std::string_view causeOfRefusal(const LogLine& line) {
+  const std::string_view meaning = refusalMeaning(line);
+  for (const CauseOfRefusal& known : kRefusalCauses) {
+    if (known.event == line.event && known.meaning == meaning) {
+      return known.cause;
+    }
+  }
+  return {};
+}
+
+/// \return whether the line is a request's end, or a count of such lines.
+bool tellsEnds(const LogLine& line) {
+  return line.event == "request_ended" ||
+         (line.event == "refusals_counted" && line.fieldOf("of") == "request_ended");
+}
+
+/// \return requests that the line stands for.
+std::uint64_t requestsOf(const LogLine& line) {
+  return line.event == "refusals_counted" ? line.numberOf("count") : 1;
 }
 
-std::string causeOf(const LogLine& line) {
+std::string causeOfEnd(const LogLine& line) {
   const std::string outcome = line.fieldOf("outcome");
   if (outcome == "client_gone") {
     return "client_gone";
@@ -76,21 +109,37 @@
 void LogLosses::read(std::istream& lines, const std::string& source) {
   for (std::string text; std::getline(lines, text);) {
     std::optional<LogLine> line = parseLogLine(text);
-    if (line && line->event == "request_ended" && !line->fieldOf("program").empty()) {
-      line->source = line->source.empty() ? source : line->source;
+    if (!line || line->fieldOf("program").empty()) {
+      continue;
+    }
+    line->source = line->source.empty() ? source : line->source;
+    if (tellsEnds(*line)) {
       take(std::move(*line));
+    } else if (const std::string_view cause = causeOfRefusal(*line); !cause.empty()) {
+      refused_[{line->source, line->fieldOf("request")}] = cause;
     }
   }
 }
 
+std::string LogLosses::takeCause(const LogLine& line) {
+  const auto refused = refused_.find({line.source, line.fieldOf("request")});
+  if (refused == refused_.end()) {
+    return causeOfEnd(line);
+  }
+  const std::string cause(refused->second);
+  refused_.erase(refused);
+  return line.fieldOf("outcome") == "answered" ? causeOfEnd(line) : cause;
+}
+
 void LogLosses::take(LogLine line) {
+  std::string cause = takeCause(line);
   Program& program = programs_[line.fieldOf("program")];
   if (program.route.empty()) {
     program.route = line.fieldOf("route");
   }
-  const std::uint64_t took = numberOf(line, "took_ms");
-  const std::uint64_t first = std::min(took, numberOf(line, "first_event_ms"));
-  const std::uint64_t dispatched = std::min(first, numberOf(line, "dispatched_ms"));
+  const std::uint64_t took = line.numberOf("took_ms");
+  const std::uint64_t first = std::min(took, line.numberOf("first_event_ms"));
+  const std::uint64_t dispatched = std::min(first, line.numberOf("dispatched_ms"));
   program.steps["late_before_dispatch"] += dispatched;
   program.steps["late_before_first_event"] += first - dispatched;
   program.steps["late_while_streaming"] += took - first;
@@ -100,7 +149,7 @@
     program.lateAt = line.timeMilliseconds;
   }
   if (line.fieldOf("outcome") != "answered") {
-    program.unanswered.push_back(std::move(line));
+    program.unanswered.push_back({std::move(line), std::move(cause)});
   }
 }
 
@@ -113,15 +162,18 @@
     loss = {longest->first, program.route, program.lateAt, 0, longest->second};
     return loss;
   }
-  const auto first = std::min_element(program.unanswered.begin(), program.unanswered.end(),
-                                      [](const LogLine& left, const LogLine& right) {
-                                        return left.timeMilliseconds < right.timeMilliseconds;
-                                      });
-  loss = {causeOf(*first), first->fieldOf("route"), first->timeMilliseconds, 0, 0};
-  for (const LogLine& line : program.unanswered) {
-    if (causeOf(line) == loss.cause) {
-      ++loss.requests;
-      loss.tookMilliseconds += numberOf(line, "took_ms");
+  const auto first =
+      std::min_element(program.unanswered.begin(), program.unanswered.end(),
+                       [](const Unanswered& left, const Unanswered& right) {
+                         return left.line.timeMilliseconds < right.line.timeMilliseconds;
+                       });
+  const std::string route = first->line.fieldOf("route");
+  loss = {first->cause, route.empty() ? program.route : route, first->line.timeMilliseconds, 0, 0};
+  loss.goesOn = !first->line.fieldOf("previous_turn").empty();
+  for (const auto& [line, cause] : program.unanswered) {
+    if (cause == loss.cause) {
+      loss.requests += requestsOf(line);
+      loss.tookMilliseconds += line.numberOf("took_ms");
     }
   }
   return loss;
@@ -146,6 +198,7 @@
     group.cause = loss.cause;
     group.route = loss.route;
     ++group.programs;
+    group.goingOn += loss.goesOn ? 1 : 0;
     group.requests += loss.requests;
     group.tookMilliseconds += loss.tookMilliseconds;
   }
--- a/src/cli/log_losses.h
+++ b/src/cli/log_losses.h
@@ -17,6 +17,7 @@
   std::string cause;  ///< Stable snake_case name, see `docs/OPERATIONS.md`.
   std::string route;
   std::uint64_t programs = 0;
+  std::uint64_t goingOn = 0;           ///< Of these, lost with a request that goes on from a turn.
   std::uint64_t requests = 0;          ///< Their requests with this cause.
   std::uint64_t tookMilliseconds = 0;  ///< Of those requests, together.
 };
@@ -47,8 +48,12 @@
  private:
   /// Time that a program's requests spent in each step, by name.
   using StepTimes = std::map<std::string, std::uint64_t>;
+  struct Unanswered {
+    LogLine line;
+    std::string cause;
+  };
   struct Program {
-    std::vector<LogLine> unanswered;
+    std::vector<Unanswered> unanswered;
     StepTimes steps;
     std::string route;  ///< Of its first line.
     bool late = false;
@@ -60,13 +65,18 @@
     std::uint64_t at = 0;  ///< Milliseconds, time of day.
     std::uint64_t requests = 0;
     std::uint64_t tookMilliseconds = 0;
+    bool goesOn = false;  ///< Its first request that was not answered goes on from a turn.
   };
 
   void take(LogLine line);
+  /// \return the request's cause, by the line of its refusal where there is one.
+  [[nodiscard]] std::string takeCause(const LogLine& line);
   [[nodiscard]] std::vector<Loss> losses() const;
   static Loss lossOf(const Program& program);
 
   std::map<std::string, Program> programs_;
+  /// Causes of refusals whose end was not read yet, by source and request.
+  std::map<std::pair<std::string, std::string>, std::string_view> refused_;
 };
 
 }  // namespace gorsetrail::cli
--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -60,6 +60,13 @@
   return found == fields.end() ? std::string() : found->second;
 }
 
+std::uint64_t LogLine::numberOf(std::string_view key) const {
+  const std::string text = fieldOf(key);
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
 std::optional<LogLine> parseLogLine(std::string_view text) {
   const std::size_t start = text.find(kTimeKey);
   if (start == std::string_view::npos) {
--- a/src/cli/log_story.h
+++ b/src/cli/log_story.h
@@ -20,6 +20,8 @@
 
   /// \return the value of a field; empty when there is none.
   [[nodiscard]] std::string fieldOf(std::string_view key) const;
+  /// \return the field as a number; 0 when it is none.
+  [[nodiscard]] std::uint64_t numberOf(std::string_view key) const;
 };
 
 /// \return the line, or nothing when the text is no log line. Anything before `time_ms=` (a
--- a/src/cli/losses_command.cpp
+++ b/src/cli/losses_command.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 Table tableOf(const std::vector<LossGroup>& groups) {
-  Table table{{"cause", "route", "programs", "requests", "took_ms"}, {}};
+  Table table{{"cause", "route", "programs", "going_on", "requests", "took_ms"}, {}};
   for (const LossGroup& group : groups) {
-    table.rows.push_back(
-        {group.cause, group.route, group.programs, group.requests, group.tookMilliseconds});
+    table.rows.push_back({group.cause, group.route, group.programs, group.goingOn, group.requests,
+                          group.tookMilliseconds});
   }
   return table;
 }
--- a/tests/cli/log_losses_test.cpp
+++ b/tests/cli/log_losses_test.cpp
@@ -1,6 +1,7 @@
 // Programs that were lost, by their first cause.
 #include "cli/log_losses.h"
 
+#include <map>
 #include <sstream>
 
 #include <CppUTest/TestHarness.h>
@@ -74,6 +75,54 @@
   LONGS_EQUAL(7, losses.seconds()[0].second);
 }
 
+TEST(LogLosses, refusedBudgetsAreToldApartByTheLineOfTheRefusal) {
+  const auto refused = [](const char* program, const char* reason) {
+    return std::string("time_ms=1000 event=reservation_refused request=q program=") + program +
+           " reason=" + reason + "\n" +
+           ended(1, program, "outcome=refused_503 reason=reservation_unavailable took_ms=1");
+  };
+  read(refused("a", "unseen_spending") + refused("b", "decided_too_late") +
+       refused("c", "no_lease") + refused("d", "no_answer") +
+       ended(1, "e", "outcome=refused_503 reason=reservation_unavailable took_ms=1"));
+  std::map<std::string, std::uint64_t> programs;
+  for (const LossGroup& group : losses.groups()) {
+    programs[group.cause] = group.programs;
+  }
+  LONGS_EQUAL(1, programs["budget_charged_for_dead"]);
+  LONGS_EQUAL(2, programs["budget_not_decided"]);
+  LONGS_EQUAL(1, programs["budget_no_answer"]);
+  LONGS_EQUAL(1, programs["store"]);
+}
+
+TEST(LogLosses, aFullReplicaBesideRoomIsNoLackOfPlaces) {
+  const auto refused = [](const char* program, const char* loads) {
+    return std::string("time_ms=1000 event=placement_refused request=q program=") + program + " " +
+           loads + "\n" +
+           ended(1, program, "previous_turn=q0 outcome=refused_503 reason=replicas_busy took_ms=1");
+  };
+  read(refused("a", "load_percent=212 least_load_percent=12") +
+       refused("b", "load_percent=212 least_load_percent=212") +
+       ended(2, "b", "outcome=refused_503 reason=replicas_busy took_ms=1"));
+  LONGS_EQUAL(2, losses.groups().size());
+  for (const LossGroup& group : losses.groups()) {
+    const bool isBesideRoom = group.cause == "replica_full_beside_room";
+    CHECK(isBesideRoom || group.cause == "no_place_at_replicas");
+    LONGS_EQUAL(isBesideRoom ? 1 : 2, group.requests);
+    LONGS_EQUAL(1, group.goingOn);
+  }
+}
+
+TEST(LogLosses, countedRefusalsStandForTheirRequests) {
+  read(ended(4, "p", "outcome=refused_503 reason=replicas_busy took_ms=1") +
+       "time_ms=5000 event=refusals_counted of=request_ended program=p reason=replicas_busy "
+       "count=40\n"
+       "time_ms=5000 event=refusals_counted of=placement_refused program=p reason=replicas_busy "
+       "count=40\n");
+  LONGS_EQUAL(1, losses.groups().size());
+  LONGS_EQUAL(41, losses.groups()[0].requests);
+  STRCMP_EQUAL("turns", losses.groups()[0].route.c_str());
+}
+
 TEST(LogLosses, linesOfOtherEventsAndOutsideProgramsArePassedOver) {
   read("no log line\ntime_ms=1 event=dispatch program=p\n" +
        ended(1, "\"\"", "outcome=refused_404 reason=no_route took_ms=0"));
