Tests of ledger calls share the look-up of a budget's homes

Cause: the tests of refused calls had a copy of the look-up that the tests of routed calls have. Change: it moves to the fleet that both use; nothing else differs.

--- a/tests/ledger/ledger_fleet.h
+++ b/tests/ledger/ledger_fleet.h
@@ -1,6 +1,7 @@
 /// \file Several nodes whose ledger calls go to homes, on one fake store in virtual time.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -92,6 +93,19 @@
     }
   }
   Node& node(int number) { return *nodes["node" + std::to_string(number)]; }
+  /// \return the homes of the program's budget, first and second.
+  std::vector<std::string> homesOfBudget() {
+    return HomeSelector({}).homesOf(LedgerPartitions({}).ofBudget("program"), {},
+                                    node(0).peers.candidates(), timers.now);
+  }
+  /// \return the number of a node that is not one of them.
+  static int nodeThatIsNoneOf(const std::vector<std::string>& homes) {
+    int number = 0;
+    while (std::count(homes.begin(), homes.end(), "node" + std::to_string(number)) > 0) {
+      ++number;
+    }
+    return number;
+  }
 
   logstore::FakeTimers& timers;
   std::map<std::string, std::unique_ptr<Node>> nodes;
--- a/tests/ledger/refused_reservation_test.cpp
+++ b/tests/ledger/refused_reservation_test.cpp
@@ -1,6 +1,5 @@
 // Reservations that are not decided tell why, with the figures, from the partition to who asked;
 // searches that found nothing tell what could not be read.
-#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -103,24 +102,12 @@
     CHECK_TRUE(reply->has_value());
     return reply->value_or(ReservationReply{});
   }
-  std::vector<std::string> homes() {
-    return HomeSelector({}).homesOf(LedgerPartitions({}).ofBudget("program"), {},
-                                    fleet.node(0).peers.candidates(), timers.now);
-  }
-  int nodeThatIsNoHome() {
-    const std::vector<std::string> both = homes();
-    int number = 0;
-    while (std::find(both.begin(), both.end(), "node" + std::to_string(number)) != both.end()) {
-      ++number;
-    }
-    return number;
-  }
 };
 
 TEST(RefusedLedgerCall, carriesTheReasonOfTheHomeThatTold) {
   log.fault = FakeFault::Silent;
-  const std::vector<std::string> both = homes();
-  const int asking = nodeThatIsNoHome();
+  const std::vector<std::string> both = fleet.homesOfBudget();
+  const int asking = Fleet::nodeThatIsNoneOf(both);
   fleet.dead = {both[0]};
   const ReservationReply reply = reserve(asking, "r1");
   CHECK(reply.outcome == ReservationOutcome::Unavailable);
@@ -133,8 +120,8 @@
 }
 
 TEST(RefusedLedgerCall, tellsThatNobodyAnswered) {
-  const std::vector<std::string> both = homes();
-  const int asking = nodeThatIsNoHome();
+  const std::vector<std::string> both = fleet.homesOfBudget();
+  const int asking = Fleet::nodeThatIsNoneOf(both);
   log.fault = FakeFault::Silent;
   fleet.silent = {both[0], both[1]};
   const ReservationReply reply = reserve(asking, "r1");
@@ -152,8 +139,8 @@
 }
 
 TEST(RefusedLedgerCall, aGrantTellsWhoDecided) {
-  const std::vector<std::string> both = homes();
-  const ReservationReply reply = reserve(nodeThatIsNoHome(), "r1");
+  const std::vector<std::string> both = fleet.homesOfBudget();
+  const ReservationReply reply = reserve(Fleet::nodeThatIsNoneOf(both), "r1");
   CHECK(reply.outcome == ReservationOutcome::Granted);
   STRCMP_EQUAL(both[0].c_str(), reply.repliedBy.c_str());
   STRCMP_EQUAL((both[0] + "/answered").c_str(), textOf(reply.asked).c_str());
--- a/tests/ledger/routed_ledger_test.cpp
+++ b/tests/ledger/routed_ledger_test.cpp
@@ -61,20 +61,6 @@
     timers.advance(wait);
     return *outcome;
   }
-  /// \return the homes of the program's budget, first and second.
-  std::vector<std::string> homesOfBudget() {
-    const std::vector<HomeCandidate> candidates = fleet.node(0).peers.candidates();
-    return HomeSelector({}).homesOf(LedgerPartitions({}).ofBudget("program"), {}, candidates,
-                                    timers.now);
-  }
-  /// \return the number of a node that is not one of them.
-  static int nodeThatIsNoneOf(const std::vector<std::string>& homes) {
-    int number = 0;
-    while (std::count(homes.begin(), homes.end(), "node" + std::to_string(number)) > 0) {
-      ++number;
-    }
-    return number;
-  }
   /// All nodes but one that is asked.
   std::set<std::string> allBut(const std::string& own) {
     std::set<std::string> others;
@@ -272,8 +258,8 @@
 }
 
 TEST(RoutedLedger, aCallEndsWhenOneHomeIsDeadAndTheOtherSaysThatTheStoreDoesNotAnswer) {
-  const auto homes = homesOfBudget();
-  const int asking = nodeThatIsNoneOf(homes);
+  const auto homes = fleet.homesOfBudget();
+  const int asking = Fleet::nodeThatIsNoneOf(homes);
   // The second home knows that the store does not answer it; the first one is dead, and its
   // connections are not refused.
   log.fault = FakeFault::Busy;
