HTTP clients can close their idle connections to an address

For processes that ended without closing them: the next request would be written to a connection that nobody reads. Tested over loopback; another address keeps its connection.

--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -31,6 +31,9 @@
   void give(const std::string& address, Socket socket,
             std::chrono::steady_clock::duration idleTime = kMaximumIdleTime);
 
+  /// Closes the idle connections to the address.
+  void drop(const std::string& address) { idle_.erase(address); }
+
  private:
   struct IdleConnection {
     Socket socket;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -111,6 +111,8 @@
     return pool_->hasIdle(address);
   }
 
+  void closeIdleConnections(const std::string& address) override { pool_->drop(address); }
+
   void checkReachable(const std::string& address, Duration limit,
                       std::function<void(bool)> callback) override {
     std::make_shared<ReachabilityCheck>(context_, pool_, address, std::move(callback))
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -81,6 +81,9 @@
   [[nodiscard]] virtual bool hasIdleConnection(const std::string& /*address*/) const {
     return false;
   }
+  /// Closes the idle connections to an address whose process has ended. A machine that lost its
+  /// power closes none: the next request on one of them would wait for an answer in vain.
+  virtual void closeIdleConnections(const std::string& /*address*/) {}
   /// Opens a connection, kept for later requests if it comes up. Calls back once with whether
   /// anything answered within the limit: a refusal is an answer, silence is none.
   virtual void checkReachable(const std::string& address, Duration limit,
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -244,6 +244,21 @@
   CHECK_TRUE(client->hasIdleConnection(server.address()));
 }
 
+TEST(HttpClient, ClosesIdleConnectionsToOneAddress) {
+  ScriptedServer server(context, answerWith(kHello));
+  ScriptedServer other(context, answerWith(kHello));
+  const HttpClientPtr client = makeHttpClient(context);
+  client->send(requestTo(server.address()), ending.handler());
+  wait();
+  ending = Ending{};
+  client->send(requestTo(other.address()), ending.handler());
+  wait();
+  client->closeIdleConnections(server.address());
+  client->closeIdleConnections("127.0.0.1:1");
+  CHECK_FALSE(client->hasIdleConnection(server.address()));
+  CHECK_TRUE(client->hasIdleConnection(other.address()));
+}
+
 TEST(HttpClient, OpensANewConnectionWhenTheIdleOneWasClosed) {
   ScriptedServer server(context, answerWith(kHello));
   const HttpClientPtr client = makeHttpClient(context);
