A later start of a replica ends what was known of the earlier process

Cause: in-flight counts, others' loads, failures, suspicion, trust, answer times, cold tokens and idle connections went by id alone and passed to a process that knows nothing of them. A request at a machine that lost its power and came back waited for its deadline, since the new process takes connections.

Change: `Replica` is one life (id and start). A later start retires it and puts a new one in its place; digests name the life; the rule for cold replicas drops its tokens; idle connections are closed. An earlier start is ignored, also after a removal; a missing one keeps the start that is known.

--- a/lab/platform/replica_stand_in.cpp
+++ b/lab/platform/replica_stand_in.cpp
@@ -19,10 +19,11 @@
 
 }  // namespace
 
-ReplicaStandIn::ReplicaStandIn(boost::asio::io_context& context, std::string id)
+ReplicaStandIn::ReplicaStandIn(boost::asio::io_context& context, std::string id,
+                               const std::string& listenAddress)
     : id_(std::move(id)) {
   http::HttpServerOptions options;
-  options.listenAddress = "127.0.0.1:0";
+  options.listenAddress = listenAddress;
   options.onRequest = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
     onRequest(request, std::move(writer));
   };
@@ -37,9 +38,12 @@
 
 std::string ReplicaStandIn::registration(const std::string& service, const std::string& state,
                                          const std::string& zone) const {
-  return nlohmann::json{
-      {"service", service}, {"address", address()}, {"zone", zone}, {"slots", 4}, {"state", state}}
-      .dump();
+  nlohmann::json entry{
+      {"service", service}, {"address", address()}, {"zone", zone}, {"slots", 4}, {"state", state}};
+  if (startedAt > 0) {
+    entry["born"] = startedAt;
+  }
+  return entry.dump();
 }
 
 void ReplicaStandIn::onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer) {
@@ -58,6 +62,10 @@
   if (trouble == ReplicaTrouble::LostAnswer) {
     return;  // The writer goes, and the connection with it.
   }
+  if (trouble == ReplicaTrouble::Mute) {
+    muteWriters_.push_back(std::move(writer));
+    return;
+  }
   if (request.target.find(kStreamPath) != std::string::npos) {
     stream(request, std::move(writer));
   } else {
--- a/lab/platform/replica_stand_in.h
+++ b/lab/platform/replica_stand_in.h
@@ -18,21 +18,28 @@
   Full,        ///< It promises that it did not run them.
   LostAnswer,  ///< It runs them and closes without an answer.
   CutStream,   ///< It closes after each event but the last.
+  Mute,        ///< It runs them and says nothing, as after a loss of its machine's power.
 };
 
 class ReplicaStandIn {
  public:
   static constexpr int kEventsOfStream = 3;
 
-  /// Listens on a free port of 127.0.0.1. \param context outlives this object.
-  ReplicaStandIn(boost::asio::io_context& context, std::string id);
+  /// \param context outlives this object.
+  /// \param listenAddress at its default, a free port of 127.0.0.1.
+  ReplicaStandIn(boost::asio::io_context& context, std::string id,
+                 const std::string& listenAddress = "127.0.0.1:0");
 
   [[nodiscard]] std::string address() const;
+  [[nodiscard]] std::uint64_t openConnections() const {
+    return server_->counters().connectionsOpen;
+  }
   /// \return its registration as JSON.
   [[nodiscard]] std::string registration(const std::string& service, const std::string& state,
                                          const std::string& zone = "z") const;
 
   ReplicaTrouble trouble = ReplicaTrouble::None;
+  std::uint64_t startedAt = 0;                             ///< In registrations; 0: not told.
   std::map<std::string, int> runs;                         ///< By request id.
   std::map<std::string, std::string> bodies;               ///< By request id.
   std::map<std::string, std::vector<http::Header>> heads;  ///< As they came, by request id.
@@ -42,6 +49,7 @@
   void stream(const http::ServerRequest& request, http::ResponseWriterPtr writer) const;
 
   std::string id_;
+  std::vector<http::ResponseWriterPtr> muteWriters_;  ///< Of requests that get no answer.
   http::HttpServerPtr server_;
 };
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -34,13 +34,6 @@
 constexpr double kAddressTtlSeconds = 1.0;
 constexpr Duration kServerSweepPeriod = seconds(2);
 
-/// \return the time of day. It may be set back between two starts of a node: the detector copes.
-std::uint64_t millisecondsOfDay() {
-  const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-}
-
 /// \return what a client gets whose request could not be read.
 unsigned statusOf(http::ProtocolFault fault) {
   constexpr unsigned kBadRequest = 400;
@@ -71,6 +64,7 @@
       timers_(services::makeTimerService(context)),
       clock_(steadyNow),
       log_(parts.log, clock_, {}),
+      // The time of day may be set back between two starts of a node: the detector copes.
       peerMonitor_(
           context, *timers_, clock_, Incarnation(millisecondsOfDay()), {}, seed,
           [this](const std::string& ip, membership::MemberState state) { onPeerState(ip, state); }),
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -94,6 +94,11 @@
   void onReplicaLapsed(const std::string& id, std::string_view by);
   [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
+  /// \return by this node's clock, when the entry's life began; see `routing::lifeBeganAt`.
+  [[nodiscard]] Instant beganAt(const routing::ReplicaEntry& entry) const;
+  /// \param before its earlier life; null where that was not registered any longer.
+  void onReplicaRestarted(const routing::ReplicaPtr& before, const routing::Replica& replica);
+  void onOutdatedEntry(const routing::ReplicaEntry& entry);
   void noteStoreAnswer(std::string_view topic);
   void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
   /// \param urgent a change that others must know of at once.
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -1,4 +1,6 @@
 // The part of `EdgeDaemon` that follows the store: configuration, replicas, other nodes.
+#include <bit>
+
 #include "edge/edge_daemon.h"
 #include "edge/edge_daemon_shared.h"
 #include "routing/region_policy.h"
@@ -163,18 +165,60 @@
     log_.important("replica_unreadable", {{"error", errorOf(read).toText()}});
     return;
   }
-  routing::ReplicaEntry& entry = valueOf(read);
-  const std::string service = entry.service;
-  const std::string address = entry.address;
-  const bool draining = entry.draining;
-  const bool isNew = replicasListed_ && replicas_.find(id) == nullptr;
-  const bool changed = replicas_.upsert(std::move(entry)) != routing::ReplicaChange::None;
-  coldReplicas_.onRegistration(*replicas_.find(id), isNew, clock_());
-  if (changed && replicasListed_) {
+  const routing::ReplicaEntry& entry = valueOf(read);
+  const routing::ReplicaPtr before = replicas_.find(id);
+  const bool wasStartUntold = before && before->startUntold;
+  const routing::ReplicaChange change = replicas_.upsert(entry, beganAt(entry));
+  if (change == routing::ReplicaChange::Outdated) {
+    onOutdatedEntry(entry);
+    return;
+  }
+  const routing::ReplicaPtr replica = replicas_.find(id);
+  if (change == routing::ReplicaChange::Restarted) {
+    onReplicaRestarted(before, *replica);
+  }
+  const bool isNew = replicasListed_ && replica != before;
+  coldReplicas_.onRegistration(*replica, isNew, clock_());
+  if (replica->startUntold && !wasStartUntold) {
+    log_.important("replica_start_untold", {{"replica", id}, {"address", entry.address}});
+  }
+  if (change != routing::ReplicaChange::None && replicasListed_) {
     log_.important("replica_changed", {{"replica", id},
-                                       {"service", service},
-                                       {"address", address},
-                                       {"state", draining ? "draining" : "ready"}});
+                                       {"service", entry.service},
+                                       {"address", entry.address},
+                                       {"state", entry.draining ? "draining" : "ready"}});
+  }
+}
+
+Instant EdgeDaemon::beganAt(const routing::ReplicaEntry& entry) const {
+  return entry.startedAt ? routing::lifeBeganAt(*entry.startedAt, millisecondsOfDay(), clock_())
+                         : Instant::max();
+}
+
+void EdgeDaemon::onReplicaRestarted(const routing::ReplicaPtr& before,
+                                    const routing::Replica& replica) {
+  const std::string& id = replica.entry.id;
+  coldReplicas_.onLifeEnded(id);
+  parts_.client.closeIdleConnections(replica.entry.address);
+  if (before) {
+    parts_.client.closeIdleConnections(before->entry.address);
+  }
+  log_.important("replica_restarted",
+                 {{"replica", id},
+                  {"started_unix_ms", replica.entry.startedAt->value()},
+                  {"address", replica.entry.address},
+                  {"zone", replica.entry.zone},
+                  {"in_flight", std::uint64_t{before ? before->inFlight : 0}}});
+}
+
+void EdgeDaemon::onOutdatedEntry(const routing::ReplicaEntry& entry) {
+  const std::uint64_t count = replicas_.outdatedEntries();
+  // Two processes under one id make such an entry with every heartbeat: the lines get rarer.
+  if (std::has_single_bit(count)) {
+    log_.important("replica_entry_outdated", {{"replica", entry.id},
+                                              {"started_unix_ms", entry.startedAt->value()},
+                                              {"address", entry.address},
+                                              {"count", count}});
   }
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -79,7 +79,10 @@
   void takeStep(RecoveryStep step, const std::string& reason);
   void watchSilence();
   void onSilence();
-  void onUnreachable();
+  /// Nothing more comes of the run at this replica, which may have begun.
+  void onRunLost(std::string_view reason);
+  /// A request that was sent after the replica's process had started again runs at its new life.
+  void followLife();
   void recover(bool sent, bool staysAtReplica);
   void onWholeAnswer();
   void onStreamEnd();
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -177,6 +177,11 @@
 // A replica without power, or behind a cut, says nothing: only a connection that does not come up
 // tells it from one that works.
 void Exchange::onSilence() {
+  followLife();
+  if (replica_->hasEnded()) {
+    onRunLost("its process has started again");
+    return;
+  }
   if (!headSeen_ && !muteNoted_ && context_.clock() - dispatchedAt_ >= context_.knobs.mute) {
     muteNoted_ = true;
     noteOutcome(true);
@@ -197,18 +202,18 @@
         if (reachable || heardSince) {
           self->watchSilence();
         } else {
-          self->onUnreachable();
+          self->onRunLost("silent, and takes no connection");
         }
       });
 }
 
-void Exchange::onUnreachable() {
+void Exchange::onRunLost(std::string_view reason) {
   call_->cancel();
   call_.reset();
   mayHaveRun_ = true;
   headSeen_ = false;  // A head that came earlier does not show that the replica still runs.
-  suspectReplica("silent, and takes no connection");
-  runs_.noteRun(replica_);
+  suspectReplica(reason);
+  runs_.noteRun(replica_, dispatchedAt_);
   runs_.noteUnreachable(replica_);
   recover(true, false);
 }
@@ -342,7 +347,7 @@
 void Exchange::onWholeAnswer() {
   const bool failed = head_.status >= kServerError;
   if (failed && checked_.route->kind == routing::RouteKind::Safe) {
-    runs_.noteRun(replica_);
+    runs_.noteRun(replica_, dispatchedAt_);
     tried_.push_back(replica_);
   }
   releaseReplica();
@@ -461,11 +466,12 @@
     return;
   }
   call_.reset();
+  followLife();
   const bool sent = failure.stage == http::FailureStage::Broken;
   mayHaveRun_ = mayHaveRun_ || sent;
   suspectReplica(failure.reason);
   if (sent) {
-    runs_.noteRun(replica_);
+    runs_.noteRun(replica_, dispatchedAt_);
   } else {
     runs_.noteUnreachable(replica_);
   }
--- a/src/edge/load_exchange.cpp
+++ b/src/edge/load_exchange.cpp
@@ -93,14 +93,15 @@
   digest.node = node_;
   digest.region = region_;
   for (const routing::ReplicaPtr& replica : replicas) {
+    const routing::ReplicaEntry& entry = replica->entry;
+    const routing::ReplicaHash hash = routing::replicaHashOf(entry.id, entry.startedAt);
     if (replica->inFlight > 0) {
       const auto count = static_cast<std::uint16_t>(std::min(replica->inFlight, kMostInFlight));
-      digest.loads.push_back({routing::replicaHashOf(replica->entry.id), count});
+      digest.loads.push_back({hash, count});
     }
     const double failed = replica->outcomes.failed(now);
     if (failed >= kSmallestTrouble) {
-      digest.troubles.push_back(
-          {routing::replicaHashOf(replica->entry.id), failed, replica->outcomes.ended(now)});
+      digest.troubles.push_back({hash, failed, replica->outcomes.ended(now)});
     }
   }
   return digest;
--- a/src/edge/replica_runs.cpp
+++ b/src/edge/replica_runs.cpp
@@ -4,12 +4,13 @@
 
 namespace gorsetrail::edge {
 
-void ReplicaRuns::noteRun(const routing::ReplicaPtr& replica) {
+void ReplicaRuns::noteRun(const routing::ReplicaPtr& replica, Instant sentAt) {
   const auto known = std::find_if(runs_.begin(), runs_.end(),
                                   [&](const Run& run) { return run.replica == replica; });
   if (known == runs_.end()) {
-    runs_.push_back({replica, true});
+    runs_.push_back({replica, sentAt, true});
   } else {
+    known->sentAt = sentAt;
     known->reachable = true;
   }
 }
@@ -20,9 +21,12 @@
   }
 }
 
+bool ReplicaRuns::mayGoOn(const Run& run) {
+  return run.reachable && !routing::lifeAt(run.replica, run.sentAt)->hasEnded();
+}
+
 bool ReplicaRuns::mayRunOnAnother(std::uint32_t maximum) const {
-  const auto counted =
-      std::count_if(runs_.begin(), runs_.end(), [](const Run& run) { return run.reachable; });
+  const auto counted = std::count_if(runs_.begin(), runs_.end(), mayGoOn);
   return static_cast<std::uint32_t>(counted) < maximum;
 }
 
--- a/src/routing/cold_replica_rule.cpp
+++ b/src/routing/cold_replica_rule.cpp
@@ -56,6 +56,11 @@
   }
 }
 
+void ColdReplicaRule::onLifeEnded(const std::string& id) {
+  buckets_.erase(id);
+  cold_.erase(id);
+}
+
 void ColdReplicaRule::onEvacuationsListed(Instant now) {
   if (!isSure(now)) {
     unsureUntilReadAt_ = now + knobs_.heartbeat + knobs_.margin;
--- a/src/routing/cold_replica_rule.h
+++ b/src/routing/cold_replica_rule.h
@@ -100,6 +100,10 @@
   /// A registration was read into the replica.
   /// \param isNew it was not known before, and this node followed the registrations already.
   void onRegistration(Replica& replica, bool isNew, Instant now);
+  /// The replica's process has started again: the rate and the state of before are no longer its
+  /// own. What this node sent lately still spaces its requests, since some may have reached the
+  /// new life.
+  void onLifeEnded(const std::string& id);
   /// A whole listing told which zones are evacuated. Where this node did not know before (it has
   /// just started, or the store was silent), a zone may have been taken back just before that.
   void onEvacuationsListed(Instant now);
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -15,8 +15,9 @@
 
 }  // namespace
 
-ReplicaHash replicaHashOf(std::string_view replicaId) {
-  return static_cast<ReplicaHash>(XXH64(replicaId.data(), replicaId.size(), 0));
+ReplicaHash replicaHashOf(std::string_view replicaId, std::optional<ReplicaStart> startedAt) {
+  const std::uint64_t seed = startedAt ? startedAt->value() : 0;
+  return static_cast<ReplicaHash>(XXH64(replicaId.data(), replicaId.size(), seed));
 }
 
 RegionHash regionHashOf(std::string_view region) {
@@ -62,7 +63,7 @@
     }
   }
   for (const ReplicaPtr& replica : replicas.all()) {
-    const Sum sum = sums[replicaHashOf(replica->entry.id)];
+    const Sum sum = sums[replicaHashOf(replica->entry.id, replica->entry.startedAt)];
     replica->othersInFlight = sum.inFlight;
     replica->othersFailed = sum.failed;
     replica->othersEnded = sum.ended;
--- a/src/routing/fleet_load.h
+++ b/src/routing/fleet_load.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -11,9 +12,10 @@
 
 namespace gorsetrail::routing {
 
-/// Short name of a replica in digests: collisions only blur an estimate.
+/// Short name of a replica's life in digests: what other nodes told of an earlier life does not
+/// count for a later one. Collisions only blur an estimate.
 using ReplicaHash = std::uint32_t;
-ReplicaHash replicaHashOf(std::string_view replicaId);
+ReplicaHash replicaHashOf(std::string_view replicaId, std::optional<ReplicaStart> startedAt = {});
 
 /// Requests of one node at one replica.
 struct ReplicaLoad {
--- a/src/routing/replica_table.cpp
+++ b/src/routing/replica_table.cpp
@@ -5,29 +5,76 @@
 
 namespace gorsetrail::routing {
 
-ReplicaChange ReplicaTable::upsert(ReplicaEntry entry) {
-  const auto found = byId_.find(entry.id);
-  if (found == byId_.end()) {
-    auto replica = std::make_shared<Replica>();
-    replica->entry = std::move(entry);
-    byService_[replica->entry.service].push_back(replica);
-    byId_.emplace(replica->entry.id, replica);
-    return replica->entry.draining ? ReplicaChange::Draining : ReplicaChange::Added;
-  }
-  Replica& replica = *found->second;
-  replica.doubtfulUntil.reset();
+std::optional<ReplicaStart> ReplicaTable::knownStartOf(const std::string& id) const {
+  if (const ReplicaPtr registered = find(id)) {
+    return registered->entry.startedAt;
+  }
+  const DepartedReplicas::Departed* const departed = departed_.find(id);
+  return departed == nullptr ? std::nullopt : std::optional(departed->startedAt);
+}
+
+ReplicaChange ReplicaTable::upsert(ReplicaEntry entry, Instant beganAt) {
+  const std::optional<ReplicaStart> known = knownStartOf(entry.id);
+  const LifeOrder order = lifeOrderOf(known, entry.startedAt);
+  if (order == LifeOrder::Earlier) {
+    ++outdatedEntries_;
+    return ReplicaChange::Outdated;
+  }
+  if (order == LifeOrder::Later) {
+    return startAgain(std::move(entry), beganAt);
+  }
+  const bool startUntold = known && !entry.startedAt;
+  if (startUntold) {
+    entry.startedAt = known;  // Else an entry of an earlier life could bring that one back.
+  }
+  ReplicaPtr replica = find(entry.id);
+  ReplicaChange change = ReplicaChange::None;
+  if (replica) {
+    change = update(replica, std::move(entry));
+  } else {
+    replica = add(std::move(entry));
+    change = replica->entry.draining ? ReplicaChange::Draining : ReplicaChange::Added;
+  }
+  replica->startUntold = replica->startUntold || startUntold;
+  return change;
+}
+
+ReplicaPtr ReplicaTable::add(ReplicaEntry entry) {
+  auto replica = std::make_shared<Replica>();
+  replica->entry = std::move(entry);
+  byService_[replica->entry.service].push_back(replica);
+  byId_.emplace(replica->entry.id, replica);
+  departed_.forget(replica->entry.id);
+  return replica;
+}
+
+ReplicaChange ReplicaTable::startAgain(ReplicaEntry entry, Instant beganAt) {
+  remove(entry.id);
+  ReplicaPtr earlier;
+  if (const DepartedReplicas::Departed* const departed = departed_.find(entry.id)) {
+    earlier = departed->replica.lock();
+  }
+  const ReplicaPtr next = add(std::move(entry));
+  if (earlier) {
+    earlier->lifeEnd = LifeEnd{beganAt, next};
+  }
+  return ReplicaChange::Restarted;
+}
+
+ReplicaChange ReplicaTable::update(const ReplicaPtr& replica, ReplicaEntry entry) {
+  replica->doubtfulUntil.reset();
   const bool moved =
-      replica.entry.address != entry.address || replica.entry.service != entry.service;
+      replica->entry.address != entry.address || replica->entry.service != entry.service;
   if (moved) {
-    dropFromService(found->second);
-    byService_[entry.service].push_back(found->second);
+    dropFromService(replica);
+    byService_[entry.service].push_back(replica);
   }
-  const bool wasDraining = std::exchange(replica.entry.draining, entry.draining);
-  replica.entry = std::move(entry);
+  const bool wasDraining = std::exchange(replica->entry.draining, entry.draining);
+  replica->entry = std::move(entry);
   if (moved) {
     return ReplicaChange::Moved;
   }
-  if (wasDraining == replica.entry.draining) {
+  if (wasDraining == replica->entry.draining) {
     return ReplicaChange::None;
   }
   return wasDraining ? ReplicaChange::Ready : ReplicaChange::Draining;
@@ -38,8 +85,12 @@
   if (found == byId_.end()) {
     return ReplicaChange::None;
   }
-  found->second->gone = true;
-  dropFromService(found->second);
+  const ReplicaPtr replica = found->second;
+  replica->gone = true;
+  if (replica->entry.startedAt) {
+    departed_.remember(replica->entry.id, {*replica->entry.startedAt, replica});
+  }
+  dropFromService(replica);
   byId_.erase(found);
   return ReplicaChange::Removed;
 }
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -9,16 +9,12 @@
 #include <string_view>
 #include <vector>
 
-#include "base/ids.h"
 #include "base/time.h"
 #include "routing/outcome_tally.h"
+#include "routing/replica_life.h"
 
 namespace gorsetrail::routing {
 
-/// When a replica's process started, in Unix milliseconds by the replica's own clock. It tells the
-/// lives of one id apart: a later start holds nothing of an earlier one.
-using ReplicaStart = StrongId<struct ReplicaStartTag, std::uint64_t>;
-
 /// A replica as it registers itself. A restarted replica may have its earlier `id`.
 struct ReplicaEntry {
   std::string id;
@@ -36,10 +32,14 @@
 /// One failure may be chance.
 inline constexpr double kFewestFailures = 1.5;
 
-/// A replica with what this node has seen of it. Shared with the requests under way at it.
+/// One life of a replica, with what this node has seen of it. Shared with the requests under way at
+/// it. Nothing of it passes to a later life.
 struct Replica {
   ReplicaEntry entry;
-  bool gone = false;           ///< Its registration was removed: it gets nothing new.
+  bool gone = false;               ///< Its registration was removed: it gets nothing new.
+  std::optional<LifeEnd> lifeEnd;  ///< Set: its process has started again, and it is gone.
+  /// It told its start, and registers without it now.
+  bool startUntold = false;
   std::uint32_t inFlight = 0;  ///< Requests of this node that run or wait there.
   double othersInFlight = 0;   ///< Those of other nodes, as far as they told a moment ago.
   Instant heardAt;             ///< When any byte of an answer came from it.
@@ -59,6 +59,8 @@
   double answerMilliseconds = 0;  ///< Smoothed time to the first byte; 0 before the first answer.
 
   [[nodiscard]] bool takesWork() const { return !gone && !entry.draining; }
+  /// \return whether all that ran in this life is over.
+  [[nodiscard]] bool hasEnded() const { return lifeEnd.has_value(); }
   /// \return the share of the latest requests, of all nodes, that failed there; 0 while fewer than
   /// `kFewestFailures` did.
   [[nodiscard]] double failureShare(Instant now) const {
@@ -73,13 +75,25 @@
 using ReplicaPtr = std::shared_ptr<Replica>;
 
 /// How a change of a registration turned out.
-enum class ReplicaChange : std::uint8_t { None, Added, Draining, Ready, Moved, Doubted, Removed };
+enum class ReplicaChange : std::uint8_t {
+  None,
+  Added,
+  Draining,
+  Ready,
+  Moved,
+  Doubted,
+  Removed,
+  Restarted,  ///< The id has a new life: the `Replica` of before is gone.
+  Outdated,   ///< The entry is of a life that has ended: nothing was taken from it.
+};
 
 /// The registered replicas.
 class ReplicaTable {
  public:
   /// Takes over one registration.
-  ReplicaChange upsert(ReplicaEntry entry);
+  /// \param beganAt where it starts a new life: see `lifeBeganAt`. At its default, everything that
+  /// was sent before ran at the earlier life.
+  ReplicaChange upsert(ReplicaEntry entry, Instant beganAt = Instant::max());
   /// Forgets a registration; requests under way keep their `Replica`.
   ReplicaChange remove(std::string_view id);
   /// Keeps a lapsed registration for a while; one that was leaving is removed at once.
@@ -95,12 +109,21 @@
   /// \return every registered replica.
   [[nodiscard]] std::vector<ReplicaPtr> all() const;
   [[nodiscard]] std::size_t size() const { return byId_.size(); }
+  /// \return how many entries were ignored since their life had ended.
+  [[nodiscard]] std::uint64_t outdatedEntries() const { return outdatedEntries_; }
 
  private:
+  /// \return the start that is known of the id, registered or not.
+  [[nodiscard]] std::optional<ReplicaStart> knownStartOf(const std::string& id) const;
+  ReplicaPtr add(ReplicaEntry entry);
+  ReplicaChange startAgain(ReplicaEntry entry, Instant beganAt);
+  ReplicaChange update(const ReplicaPtr& replica, ReplicaEntry entry);
   void dropFromService(const ReplicaPtr& replica);
 
   std::map<std::string, ReplicaPtr, std::less<>> byId_;
   std::map<std::string, std::vector<ReplicaPtr>, std::less<>> byService_;
+  DepartedReplicas departed_;
+  std::uint64_t outdatedEntries_ = 0;
 };
 
 }  // namespace gorsetrail::routing
