A start far ahead of a node's clock does not lock a replica out

Cause: with starts ordered, one entry with a wrong start in the future would make every true entry of its id an outdated one, for as long as the node runs. Ruled out: a limit in the decoder, which has no clock; refusing the entry, which would take a replica out whose clock is merely wrong.

Change: a start over 60 s ahead of the node's time of day counts as not told, with a bounded log line.

Tests: aStartFarAheadOfThisNodesClockIsNone and aStartFarAheadDoesNotLockOutTheTrueOnes, both seen to fail with every start taken for plausible.

--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -94,6 +94,8 @@
   void onReplicaLapsed(const std::string& id, std::string_view by);
   [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
+  /// Takes a start for untold that cannot be one.
+  void dropImplausibleStart(routing::ReplicaEntry& entry);
   /// \return by this node's clock, when the entry's life began; see `routing::lifeBeganAt`.
   [[nodiscard]] Instant beganAt(const routing::ReplicaEntry& entry) const;
   /// \param before its earlier life; null where that was not registered any longer.
@@ -189,6 +191,7 @@
   bool wasAnnouncedReady_ = false;
   bool membersListed_ = false;
   bool replicasListed_ = false;
+  std::uint64_t implausibleStarts_ = 0;  ///< Entries with a start that lies ahead of this node.
   std::vector<ledger::HomeCandidate> ledgerHomes_;  ///< As of `ledgerHomesAt_`.
   Instant ledgerHomesAt_;
   LoadPeers loadPeers_;                    ///< As of `loadPeersAt_`.
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -165,7 +165,8 @@
     log_.important("replica_unreadable", {{"error", errorOf(read).toText()}});
     return;
   }
-  const routing::ReplicaEntry& entry = valueOf(read);
+  routing::ReplicaEntry& entry = valueOf(read);
+  dropImplausibleStart(entry);
   const routing::ReplicaPtr before = replicas_.find(id);
   const bool wasStartUntold = before && before->startUntold;
   const routing::ReplicaChange change = replicas_.upsert(entry, beganAt(entry));
@@ -190,6 +191,20 @@
   }
 }
 
+void EdgeDaemon::dropImplausibleStart(routing::ReplicaEntry& entry) {
+  if (!entry.startedAt || routing::isPlausible(*entry.startedAt, millisecondsOfDay())) {
+    return;
+  }
+  // It comes again with every heartbeat: the lines get rarer.
+  if (std::has_single_bit(++implausibleStarts_)) {
+    log_.important("replica_start_implausible", {{"replica", entry.id},
+                                                 {"started_unix_ms", entry.startedAt->value()},
+                                                 {"address", entry.address},
+                                                 {"count", implausibleStarts_}});
+  }
+  entry.startedAt.reset();
+}
+
 Instant EdgeDaemon::beganAt(const routing::ReplicaEntry& entry) const {
   return entry.startedAt ? routing::lifeBeganAt(*entry.startedAt, millisecondsOfDay(), clock_())
                          : Instant::max();
--- a/src/routing/replica_life.cpp
+++ b/src/routing/replica_life.cpp
@@ -1,6 +1,7 @@
 #include "routing/replica_life.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "routing/replica_table.h"
@@ -14,6 +15,11 @@
   return *known < *told ? LifeOrder::Later : LifeOrder::Earlier;
 }
 
+bool isPlausible(ReplicaStart start, std::uint64_t unixMilliseconds) {
+  constexpr auto kLead = std::chrono::duration_cast<std::chrono::milliseconds>(kLongestClockLead);
+  return start.value() <= unixMilliseconds + static_cast<std::uint64_t>(kLead.count());
+}
+
 Instant lifeBeganAt(ReplicaStart start, std::uint64_t unixMilliseconds, Instant now) {
   // A start in the future is a clock that runs ahead.
   const std::uint64_t age = unixMilliseconds - std::min(unixMilliseconds, start.value());
--- a/src/routing/replica_life.h
+++ b/src/routing/replica_life.h
@@ -35,6 +35,14 @@
 /// of the old: its outcome is unknown, or it runs once more if it may.
 inline constexpr Duration kClockTolerance = milliseconds(100);
 
+/// A start that lies further ahead of a node's time of day is an error of its writer: taken at its
+/// word, one such entry would make every true one of its id an outdated one. Machines whose clocks
+/// are not set differ by seconds a day; more than this is rare.
+inline constexpr Duration kLongestClockLead = seconds(60);
+
+/// \param unixMilliseconds the time of day, by this node.
+[[nodiscard]] bool isPlausible(ReplicaStart start, std::uint64_t unixMilliseconds);
+
 /// \param unixMilliseconds the time of day at `now`, by this node.
 /// \return by this node's clock, from when on requests reached the process that started then.
 [[nodiscard]] Instant lifeBeganAt(ReplicaStart start, std::uint64_t unixMilliseconds, Instant now);
--- a/tests/lab_platform/replica_life_day_test.cpp
+++ b/tests/lab_platform/replica_life_day_test.cpp
@@ -273,3 +273,16 @@
   CHECK(first->lines.find(line, at + 1) == std::string::npos);
   LONGS_EQUAL(200, ask(*first).status);
 }
+
+TEST(ReplicaLifeDay, aStartFarAheadDoesNotLockOutTheTrueOnes) {
+  const std::uint64_t startedAt = earlier->startedAt;
+  earlier->startedAt = UINT64_MAX;
+  registers(*earlier);
+  CHECK_TRUE(until([this] { return told(*first, "replica_start_implausible replica=i-1"); }));
+  earlier->startedAt = startedAt;
+  registers(*earlier, "draining");
+  CHECK_TRUE(until([this] { return ask(*first).status == 503; }));
+  startsAgain();
+  CHECK_TRUE(knowRestart());
+  LONGS_EQUAL(200, ask(*first).status);
+}
--- a/tests/routing/replica_life_test.cpp
+++ b/tests/routing/replica_life_test.cpp
@@ -67,6 +67,15 @@
   CHECK(lifeBeganAt(start, kFirstStart - 5000, now) == now - kClockTolerance);
 }
 
+TEST(ReplicaLife, aStartFarAheadOfThisNodesClockIsNone) {
+  const std::uint64_t lead = 60'000;
+  CHECK_TRUE(isPlausible(ReplicaStart(kFirstStart), kFirstStart));
+  CHECK_TRUE(isPlausible(ReplicaStart(kFirstStart + lead), kFirstStart));
+  CHECK_FALSE(isPlausible(ReplicaStart(kFirstStart + lead + 1), kFirstStart));
+  CHECK_FALSE(isPlausible(ReplicaStart(UINT64_MAX), kFirstStart));
+  CHECK_TRUE(isPlausible(ReplicaStart(0), kFirstStart));
+}
+
 TEST(ReplicaLife, aLaterStartBeginsWithNothingOfTheEarlierOne) {
   table.upsert(entryOf(kFirstStart));
   const ReplicaPtr earlier = only();
