--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -2,6 +2,7 @@
 /// faults from outside.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
@@ -17,6 +18,7 @@
 #include "lab/faultsoak/promise_watcher.h"
 #include "lab/faultsoak/soak_program.h"
 #include "lab/faultsoak/soak_replica.h"
+#include "lab/faultsoak/stall_watch.h"
 #include "lab/platform/store_stand_in.h"
 
 namespace gorsetrail::lab {
@@ -26,6 +28,8 @@
   std::uint64_t seed = 1;
   Duration length = seconds(30);
   std::size_t nodes = 5;
+  /// Nodes listen on 127.0.SUBNET.1 and up; soaks side by side need one each.
+  std::size_t subnet = 1;
   std::size_t replicas = 4;
   std::size_t programs = 12;  ///< Under way at a time.
 };
@@ -43,9 +47,15 @@
  private:
   void makeWorld();
   void writeSettings(std::size_t node) const;
+  /// Changes the settings file, and tells the process. \return whether it runs.
+  bool reloadSettings(std::size_t node);
   void publishConfiguration();
-  /// Writes the replica's registration. \param coldFor how long it says that it stays cold.
-  void registerReplica(std::size_t replica, Duration coldFor);
+  /// Writes the replica's registration, with what is left of its cold time.
+  void registerReplica(std::size_t replica);
+  /// The next life of the replica registers.
+  void registerNextLife(std::size_t replica);
+  /// Another writer's entry comes, or goes.
+  void putForeignEntry(const SoakFault& fault, bool present);
   void evacuate(const std::string& zone, std::optional<Instant> emptyAfter);
   /// Its replicas are cold from then on.
   void takeBack(const std::string& zone);
@@ -55,7 +65,13 @@
   void strike(const SoakFault& fault);
   void heal(const SoakFault& fault);
   void checkRecovery();
+  /// Kills all nodes at once; new programs go on from turns that were stored before.
+  void checkLossOfAll();
+  void setStoreFault(std::size_t node, ProxyFault fault);
+  /// Looks each period whether the soak and its nodes get to run.
+  void watchStalls();
   void runFor(Duration span);
+  [[nodiscard]] std::string ipOf(std::size_t node) const;
   [[nodiscard]] std::string clientAddress(std::size_t node) const;
 
   SoakOptions options_;
@@ -70,7 +86,25 @@
   std::unique_ptr<StoreStandIn> store_;
   std::vector<std::unique_ptr<SoakReplica>> replicas_;
   std::vector<std::unique_ptr<FaultProxy>> replicaWays_;
-  std::vector<std::unique_ptr<FaultProxy>> storeWays_;  ///< One a node.
+  /// What a replica says of its process.
+  struct ReplicaLife {
+    std::int64_t startedAtMs = 0;  ///< Unix time.
+    std::uint64_t heartbeats = 0;
+    Instant coldUntil{};  ///< Outlasts a start: a replica that starts again amid it stays cold.
+  };
+  std::vector<ReplicaLife> replicaLives_;
+  std::unique_ptr<SoakReplica> trap_;  ///< Where foreign entries point to; gets no request.
+  /// Of one node; its settings name one of the two ways, the other one after each change.
+  struct StoreWays {
+    std::array<std::unique_ptr<FaultProxy>, 2> ways;
+    std::size_t named = 0;
+  };
+  std::vector<StoreWays> storeWays_;  ///< One a node.
+  std::unique_ptr<StallWatch> stalls_;
+  std::vector<std::uint64_t> storePieces_;  ///< By node, as of the last look.
+  std::uint64_t looksWithSilence_ = 0;
+  /// Each puts the limit of the evacuation in `checkRecovery` off.
+  std::uint64_t silentLooksInRecovery_ = 0;
   std::unique_ptr<SoakClients> clients_;
   std::vector<SoakFault> faults_;
   std::size_t programsUnderWay_ = 0;
@@ -78,6 +112,7 @@
   int version_ = 0;
   std::size_t faultsStruck_ = 0;
   std::size_t faultsMissed_ = 0;
+  Duration servedAfterLoss_{};  ///< From the loss of all until everybody was served.
 };
 
 }  // namespace gorsetrail::lab
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -260,11 +260,11 @@
     }
     return gateway != nullptr;
   });
-  relayServer_.gatherAppends({kMemberTopic, 0},
-                             [this](logstore::AppendRequest request,
-                                    logstore::StoreCallback<logstore::AppendReply> callback) {
-                               announcer_.gather(std::move(request), std::move(callback));
-                             });
+  relayServer_.aggregateAppends({kMemberTopic, 0},
+                                [this](logstore::AppendRequest request,
+                                       logstore::StoreCallback<logstore::AppendReply> callback) {
+                                  announcer_.aggregate(std::move(request), std::move(callback));
+                                });
   const auto onPeer = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
     if (request.target == kLedgerPath || request.target == kAlivePath) {
       ledgerServer_.onRequest(request, std::move(writer));
@@ -348,6 +348,11 @@
       ageMilliseconds(now, context_.freshness.configurationHeardAt);
   figures.replicasAgeMilliseconds = ageMilliseconds(now, context_.freshness.replicasHeardAt);
   figures.logLinesLeftOut = log_.leftOut();
+  figures.replicaRecordsUnreadable = unreadableRecords_.count(RecordKind::Replica);
+  figures.memberRecordsUnreadable = unreadableRecords_.count(RecordKind::Member);
+  figures.configurationsUnreadable = unreadableRecords_.count(RecordKind::Configuration);
+  figures.operatorRecordsUnreadable = unreadableRecords_.count(RecordKind::Operator);
+  figures.loadDigestsUnreadable = loadExchange_.unreadable();
   for (const auto& [zone, since] : evacuations_.zones()) {
     figures.evacuatedZones.push_back({zone, ageMilliseconds(now, since)});
   }
--- a/src/routing/admission_policy.cpp
+++ b/src/routing/admission_policy.cpp
@@ -1,5 +1,9 @@
 #include "routing/admission_policy.h"
 
+#include <xxhash.h>
+
+#include <cstddef>
+
 namespace gorsetrail::routing {
 
 std::string_view workStageName(WorkStage stage) {
@@ -14,18 +18,37 @@
   return "continuing";
 }
 
-bool AdmissionPolicy::admits(const Replica& replica, WorkStage stage,
-                             std::uint32_t priority) const {
+bool AdmissionPolicy::admits(const Replica& replica, const AdmissionRequest& request) const {
   double limit = knobs_.continuing;
-  if (stage == WorkStage::Runaway) {
+  if (request.stage == WorkStage::Runaway) {
     limit = knobs_.runaway;
-  } else if (stage == WorkStage::FirstTurn) {
+  } else if (request.stage == WorkStage::FirstTurn) {
     limit = knobs_.firstTurn;
   }
-  if (priority == 0 && stage != WorkStage::Runaway) {
+  if (request.priority == 0 && request.stage != WorkStage::Runaway) {
     limit += knobs_.mostUrgent;
   }
   return replica.loadPerSlot() < limit;
 }
 
+bool AdmissionPolicy::hasSpareRoom(const std::vector<const Replica*>& replicas) const {
+  double load = 0;
+  std::size_t spare = 0;
+  for (const Replica* const replica : replicas) {
+    load += replica->loadPerSlot();
+    spare += isSpare(*replica) ? 1 : 0;
+  }
+  const auto count = static_cast<double>(replicas.size());
+  return load < knobs_.spare * count || 2 * spare >= replicas.size();
+}
+
+bool AdmissionPolicy::goesAnywhere(const AdmissionRequest& request) const {
+  if (request.stage != WorkStage::Continuing) {
+    return false;
+  }
+  constexpr double kHashes = 18446744073709551616.0;  // 2 to the power of 64.
+  const std::uint64_t drawn = XXH64(request.attempt.data(), request.attempt.size(), 0);
+  return static_cast<double>(drawn) < knobs_.shareElsewhere * kHashes;
+}
+
 }  // namespace gorsetrail::routing
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -1,11 +1,23 @@
 #include "routing/replica_placement.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <utility>
 
 namespace gorsetrail::routing {
+namespace {
+
+double leastLoadPerSlotOf(const std::vector<const Replica*>& replicas) {
+  double least = std::numeric_limits<double>::max();
+  for (const Replica* const replica : replicas) {
+    least = std::min(least, replica->loadPerSlot());
+  }
+  return least;
+}
+
+}  // namespace
 
 std::string_view placementBarName(PlacementBar bar) {
   switch (bar) {
@@ -78,11 +90,11 @@
 
 Placement ReplicaPlacement::place(const PlacementQuery& query, Instant now) const {
   std::vector<Barred> passedOver;
-  double leastLoadPerSlot = std::numeric_limits<double>::max();
+  std::vector<const Replica*> allowed;
   const auto mayGet = [&](const Replica& replica) {
     const std::optional<Barred> found = barred(replica, query.subject, now);
     if (!found) {
-      leastLoadPerSlot = std::min(leastLoadPerSlot, replica.loadPerSlot());
+      allowed.push_back(&replica);
       return true;
     }
     if (found->rule != nullptr) {
@@ -91,15 +103,38 @@
     passedOver.push_back(*found);
     return false;
   };
-  const ReplicaPtr replica = selector_.choose(replicas_, query.replica, mayGet, now);
-  if (!replica) {
+  const ReplicaPtr cheapest = selector_.choose(replicas_, query.replica, mayGet, now);
+  if (!cheapest) {
     return whyNone(passedOver);
   }
-  const auto& admission = query.admission;
-  if (admission && !admission_.admits(*replica, admission->stage, admission->priority)) {
-    return PlacesTaken{replica, leastLoadPerSlot};
+  if (!query.admission || admission_.admits(*cheapest, *query.admission)) {
+    return Placed{cheapest};
+  }
+  if (const ReplicaPtr other = placeElsewhere(query, allowed, now)) {
+    return Placed{other};
   }
-  return Placed{replica};
+  return PlacesTaken{cheapest, leastLoadPerSlotOf(allowed)};
+}
+
+// Reading a long prompt anew costs more than any queue, so the replica that holds it stays the
+// cheapest however full it is, for as long as it is full. The key stays: of the others it prefers
+// the same one each time, which then holds the prompt, and programs spread over all of them.
+ReplicaPtr ReplicaPlacement::placeElsewhere(const PlacementQuery& query,
+                                            const std::vector<const Replica*>& allowed,
+                                            Instant now) const {
+  std::vector<const Replica*> sound;
+  std::copy_if(allowed.begin(), allowed.end(), std::back_inserter(sound),
+               [now](const Replica* replica) { return replica->isSound(now); });
+  const bool toSpare = admission_.hasSpareRoom(sound);
+  const bool toAny = admission_.goesAnywhere(*query.admission);
+  if (!toSpare && !toAny) {
+    return nullptr;
+  }
+  const auto takes = [&](const Replica& replica) {
+    const bool hasRoom = toAny ? admission_.admitsFirstTurns(replica) : admission_.isSpare(replica);
+    return hasRoom && std::find(sound.begin(), sound.end(), &replica) != sound.end();
+  };
+  return selector_.choose(replicas_, query.replica, takes, now);
 }
 
 }  // namespace gorsetrail::routing
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -213,3 +213,41 @@
       "gorsetrail_requests_ended_total{outcome=\"unknown_502\",reason=\"replica_broke_off\"} 1",
       world.metrics.render({}).c_str());
 }
+
+// All replicas are busy, and the one that holds the prompt is full: some of a program's tries are
+// refused, which tells what was judged, and one is placed at another replica.
+TEST(Exchange, aProgramWhoseReplicaIsFullIsPlacedAtOneOfItsTries) {
+  CallRequest turn = ExchangeWorld::turn("again");
+  turn.previousTurn = "q0";
+  turn.promptTokens = 4500;
+  turn.tokenBudget = 100000;
+  const std::vector<routing::ReplicaPtr> replicas = world.replicas.ofService("model");
+  for (const routing::ReplicaPtr& replica : replicas) {
+    replica->entry.zone = "zone";  // Programs prefer a replica of the node's own zone.
+    replica->othersInFlight = 3;   // Of 4 slots.
+  }
+  world.start(turn);
+  const std::string preferred = world.call().headerOf("expect");
+  for (const routing::ReplicaPtr& replica : replicas) {
+    replica->othersInFlight = replica->entry.id == preferred ? 9 : 3;
+  }
+  int refused = 0;
+  while (world.dispatches() == 1 && refused < 24) {
+    turn.requestId = "t" + std::to_string(refused);
+    const auto answer = world.start(turn);
+    if (world.dispatches() == 1) {
+      ++refused;
+      LONGS_EQUAL(503, answer->status);
+      STRCMP_EQUAL("replicas_busy", answer->body.c_str());
+    }
+  }
+  CHECK_TRUE(refused > 0);
+  LONGS_EQUAL(2, world.dispatches());
+  CHECK(preferred != world.call().headerOf("expect"));
+  world.eventLog.flush();
+  STRCMP_CONTAINS(
+      "event=placement_refused request=t0 program=program stage=continuing priority=1 "
+      "prompt_tokens=4500",
+      world.lines.c_str());
+  STRCMP_CONTAINS("least_load_percent=75", world.lines.c_str());
+}
