--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -95,6 +95,13 @@
   void onReplicaLapsed(const std::string& id, std::string_view by);
   [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
+  /// Takes a start for untold that cannot be one.
+  void dropImplausibleStart(routing::ReplicaEntry& entry);
+  /// \return by this node's clock, when the entry's life began; see `routing::lifeBeganAt`.
+  [[nodiscard]] Instant beganAt(const routing::ReplicaEntry& entry) const;
+  /// \param before its earlier life; null where that was not registered any longer.
+  void onReplicaRestarted(const routing::ReplicaPtr& before, const routing::Replica& replica);
+  void onOutdatedEntry(const routing::ReplicaEntry& entry);
   /// The replica's entry cannot be read: it names no replica to use.
   void onReplicaUnreadable(const std::string& id, const Error& error);
   void onMemberRecord(const std::string& key, const std::string& value);
@@ -191,6 +198,7 @@
   UnreadableRecords unreadableRecords_;
   bool membersListed_ = false;
   bool replicasListed_ = false;
+  std::uint64_t implausibleStarts_ = 0;  ///< Entries with a start that lies ahead of this node.
   std::vector<ledger::HomeCandidate> ledgerHomes_;  ///< As of `ledgerHomesAt_`.
   Instant ledgerHomesAt_;
   LoadPeers loadPeers_;                    ///< As of `loadPeersAt_`.
