--- a/tools/run_tests_test.sh
+++ b/tools/run_tests_test.sh
@@ -44,6 +44,9 @@
 expect 'a listed test passes' 0 'test_a:G.one passes; take it off the list' 'test_a:G.one | cause | 9'
 expect 'a listed test does not exist' 1 'test_a:G.three was not found' 'test_a:G.three | cause | 9'
 expect 'a listed program does not exist' 1 'test_b:G.one was not found' 'test_b:G.one | cause | 9'
+expect 'a kept seed of the soak is listed' 0 'fault_soak:7205 is played by hand' \
+  'fault_soak:7205 | cause | 9'
+expect 'a seed of the soak that is not kept' 1 'fault_soak:72 was not found' 'fault_soak:72 | c | 9'
 program test_a 1 "$fails_one"
 expect 'an unlisted test fails' 1 '1 passed, 1 failed'
 expect 'a listed test fails' 0 'test_a:G.one fails: cause | 9' 'test_a:G.one | cause | 9'
