Answers that callers leave untaken are bounded by the node's memory

Cause: what a node holds for callers that do not read had no limit that follows its memory: one answer may have 64 MiB, the smallest node has 88 MB, and a write was given up after 30 s only. Change: each listener counts the bytes that callers do not take; past an eighth of the memory the connection that would add to them is cut, callers that read are not touched; gauge answer_bytes_untaken, counter callers_cut_total. Metrics of topic readers beside (topics_listed, topic_reader, topic_answers_total). Not built: pausing the read from a replica while its caller does not read, and a bound on request bodies under way.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -268,6 +268,7 @@
   options.knobs.maximumBodyBytes = routing::ClientLimits{}.maximumBodyBytes;
   options.knobs.maximumConnections = settings_.maximumDescriptors / 2;
   options.knobs.sweepPeriod = kServerSweepPeriod;
+  options.knobs.maximumUntakenBytes = untakenBytesOf(settings_);
   options.onRequest = std::move(onRequest);
   options.onFault = [this](http::ProtocolFault fault) {
     const unsigned status = statusOf(fault);
@@ -378,6 +379,7 @@
   figures.reservationsUncertain = budgets.uncertain + budgets.decidedTooLate;
   figures.grantsUnrecorded = localLedger_.unrecordedGrants();
   figures.storeThroughRelay = failoverStore_.isDirect() ? 0 : 1;
+  addTopicFigures(figures);
   const quota::QuotaCounters quotas = quotaExchange_.counters();
   figures.quotaGrantedAtOnce = quotas.grantedAtOnce;
   figures.quotaGrantedAfterAsking = quotas.grantedAfterAsking;
@@ -393,7 +395,10 @@
   figures.turnsBegunInOutage = context_.retention.counters().begunInOutage;
   figures.turnsStoredLate = context_.retention.counters().storedLate;
   figures.turnsNotStored = context_.retention.counters().givenUp;
-  figures.requestsOpen = clientServer_->counters().responsesOpen;
+  const http::HttpServerCounters callers = clientServer_->counters();
+  figures.requestsOpen = callers.responsesOpen;
+  figures.bytesUntaken = callers.bytesUntaken;
+  figures.callersCut = callers.callersCut;
   figures.replicas = replicas_.size();
   figures.replicasCold = coldReplicas_.coldReplicas();
   figures.coldReplicasPassedOver = coldReplicas_.passedOver();
@@ -415,6 +420,20 @@
   return figures;
 }
 
+void EdgeDaemon::addTopicFigures(EdgeSnapshot& figures) const {
+  for (const logstore::TopicGateway* const gateway :
+       {&configurationGateway_, &replicaGateway_, &memberGateway_}) {
+    const logstore::TopicGatewayCounters& answered = gateway->counters();
+    figures.topicsListed += gateway->copy().isComplete() ? 1 : 0;
+    figures.topicGateways.changes += answered.changes;
+    figures.topicGateways.pages += answered.pages;
+    figures.topicGateways.bytes += answered.bytes;
+    figures.topicGateways.unlisted += answered.unlisted;
+  }
+  figures.readsForZone = topicReaders_.isReader() ? 1 : 0;
+  figures.readsForFleet = fleetReaders_.isReader() ? 1 : 0;
+}
+
 std::string EdgeDaemon::ownRelayAddress() const { return relayAddressOf(settings_); }
 
 void EdgeDaemon::onStoreWay(logstore::StoreWay way) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -131,6 +131,7 @@
   [[nodiscard]] Instant stopAskedForAt() const;
   void checkStopped();
   [[nodiscard]] EdgeSnapshot snapshot() const;
+  void addTopicFigures(EdgeSnapshot& figures) const;
   [[nodiscard]] bool isReady() const;
   /// \return whether there are internal ports, for calls between nodes.
   [[nodiscard]] bool hasPeers() const { return settings_.firstInternalPort != 0; }
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -34,6 +34,13 @@
   return knobs;
 }
 
+std::uint64_t untakenBytesOf(const EdgeSettings& settings) {
+  // Caches of the log take a quarter, a resting process some 20 MB: of 88 MB, 11 for each of the
+  // listeners that callers and nodes use leave room for the requests under way.
+  constexpr std::uint64_t kShareOfMemory = 8;
+  return settings.memoryBytes / kShareOfMemory;
+}
+
 logstore::CallPacerKnobs storePaceOf(const EdgeSettings& settings) {
   logstore::CallPacerKnobs knobs;
   if (!settings.uses(Mechanism::HedgedStoreCalls)) {
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -24,6 +24,9 @@
 /// \param life differs between processes.
 ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings, std::uint64_t life);
 
+/// \return bytes of responses that callers may leave untaken, of one listener.
+std::uint64_t untakenBytesOf(const EdgeSettings& settings);
+
 logstore::CallPacerKnobs storePaceOf(const EdgeSettings& settings);
 
 routing::ReplicaSelectorKnobs selectorKnobsOf(const EdgeSettings& settings);
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -29,6 +29,21 @@
              snapshot.storeThroughRelay);
 }
 
+void addTopics(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.gauge("topics_listed", "Followed topics that were listed, of 3", snapshot.topicsListed);
+  list.family("topic_reader", "1 at the node that reads followed topics for others",
+              MetricType::Gauge);
+  list.add(snapshot.readsForZone, {{"scope", "zone"}});
+  list.add(snapshot.readsForFleet, {{"scope", "fleet"}});
+  const logstore::TopicGatewayCounters& answered = snapshot.topicGateways;
+  list.family("topic_answers_total", "Answers from the copies of followed topics",
+              MetricType::Counter);
+  list.add(answered.changes, {{"kind", "changes"}});
+  list.add(answered.pages, {{"kind", "page"}});
+  list.add(answered.unlisted, {{"kind", "not_listed_yet"}});
+  list.counter("topic_answer_bytes_total", "Records and values in them", answered.bytes);
+}
+
 void addLedger(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.family("ledger_calls_total", "Calls to homes by result", MetricType::Counter);
   list.add(snapshot.ledgerCalls, {{"result", "started"}});
@@ -163,10 +178,15 @@
     list.add(count, {{"outcome", key.first}, {"reason", key.second}});
   }
   list.gauge("requests_open", "Read and not yet answered", snapshot.requestsOpen);
+  list.gauge("answer_bytes_untaken", "Bytes of answers that callers do not take",
+             snapshot.bytesUntaken);
+  list.counter("callers_cut_total", "Callers cut since too many bytes were left untaken",
+               snapshot.callersCut);
   list.counter("dispatches_total", "Requests sent to replicas", snapshot.dispatches);
   list.counter("retries_total", "Dispatches after the first of a request", snapshot.retries);
   list.counter("resumes_total", "Streams that went on after a cut", snapshot.resumes);
   addStore(list, snapshot);
+  addTopics(list, snapshot);
   addLedger(list, snapshot);
   addQuotas(list, snapshot);
   addRetention(list, snapshot);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "logstore/topic_gateway.h"
 
 namespace gorsetrail::edge {
 
@@ -27,6 +28,12 @@
   std::uint64_t storeBusy = 0;
   std::uint64_t storeGivenUp = 0;
   std::uint64_t storeThroughRelay = 0;  ///< Gauge: 1 while calls go through other nodes.
+  /// Gauge: followed topics that this node has listed, of three.
+  std::uint64_t topicsListed = 0;
+  std::uint64_t readsForZone = 0;   ///< Gauge: 1 at the zone's claimed reader.
+  std::uint64_t readsForFleet = 0;  ///< Gauge: 1 at the fleet's.
+  /// Answered for other nodes and this one, from its copies.
+  logstore::TopicGatewayCounters topicGateways{};
   std::uint64_t ledgerCalls = 0;
   std::uint64_t ledgerCallsPassedOn = 0;  ///< To another home.
   std::uint64_t ledgerCallsFailed = 0;
@@ -51,6 +58,8 @@
   std::uint64_t turnsStoredLate = 0;
   std::uint64_t turnsNotStored = 0;  ///< Their streams were broken off.
   std::uint64_t requestsOpen = 0;    ///< Gauge.
+  std::uint64_t bytesUntaken = 0;    ///< Gauge: of answers, that callers do not take.
+  std::uint64_t callersCut = 0;      ///< Since too many bytes were left untaken.
   std::uint64_t replicas = 0;        ///< Gauge.
   std::uint64_t replicasCold = 0;    ///< Gauge.
   std::uint64_t coldReplicasPassedOver = 0;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -74,6 +74,10 @@
   Duration idleTimeLimit = seconds(75);   ///< Between requests.
   Duration writeTimeLimit = seconds(30);  ///< A write that the caller does not take.
   Duration sweepPeriod = seconds(1);      ///< How often the time limits are looked at.
+  /// Bytes of responses that callers do not take, of all connections together. Past it the
+  /// connection that would add to them is cut; callers that read are not touched. Without a limit
+  /// a thousand callers that stop reading answers of 1 MB end a process of 88 MB.
+  std::uint64_t maximumUntakenBytes = std::uint64_t{64} * 1024 * 1024;
 };
 
 /// Counters for `/metrics`; all only rise, but for the gauges.
@@ -88,6 +92,8 @@
   std::uint64_t bytesWritten = 0;
   std::uint64_t connectionsOpen = 0;  ///< Gauge.
   std::uint64_t responsesOpen = 0;    ///< Gauge: requests read whole, responses not yet written.
+  std::uint64_t bytesUntaken = 0;     ///< Gauge: of responses, that callers do not take.
+  std::uint64_t callersCut = 0;       ///< For `maximumUntakenBytes`.
 };
 
 struct HttpServerOptions {
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -277,6 +277,7 @@
     return;
   }
   state_ = State::Closed;
+  holdUntaken(0);
   error_code ignored;
   socket_.close(ignored);
   if (shared_->onClosed) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -71,6 +71,8 @@
   void scheduleFlush();
   void flush();
   void writeRest(std::size_t taken);
+  /// Notes how many bytes the caller does not take. \return whether the connection goes on.
+  bool holdUntaken(std::size_t bytes);
   void onWritten(const boost::system::error_code& error, std::size_t bytes);
   void finishExchange();
   void linger();
@@ -92,6 +94,7 @@
   ResponseObserver observer_;
   std::string outgoing_;  ///< Bytes of the response that wait for the write under way.
   std::string inFlight_;  ///< Bytes of the write under way.
+  std::size_t untakenBytes_ = 0;  ///< As counted in `HttpServerCounters::bytesUntaken`.
   std::array<char, 512> discarded_{};
   std::size_t discardedBytes_ = 0;
   bool watching_ = false;        ///< A wait for readability is under way.
--- a/src/http/server_connection_writing.cpp
+++ b/src/http/server_connection_writing.cpp
@@ -78,6 +78,9 @@
   } else {
     outgoing_ += bytes;
   }
+  if (writing_ && !holdUntaken(inFlight_.size() + outgoing_.size())) {
+    return;
+  }
   scheduleFlush();
 }
 
@@ -131,7 +134,22 @@
   }
 }
 
+bool ServerConnection::holdUntaken(std::size_t bytes) {
+  std::uint64_t& all = shared_->counters.bytesUntaken;
+  all = all - untakenBytes_ + bytes;
+  untakenBytes_ = bytes;
+  if (bytes == 0 || all <= shared_->options.knobs.maximumUntakenBytes) {
+    return true;
+  }
+  ++shared_->counters.callersCut;
+  callerGone();
+  return false;
+}
+
 void ServerConnection::writeRest(std::size_t taken) {
+  if (!holdUntaken(inFlight_.size() - taken + outgoing_.size())) {
+    return;
+  }
   writing_ = true;
   writeSince_ = shared_->now();
   shared_->counters.bytesWritten += taken;
@@ -144,6 +162,7 @@
 void ServerConnection::onWritten(const error_code& error, std::size_t bytes) {
   writing_ = false;
   inFlight_.clear();
+  holdUntaken(0);
   shared_->counters.bytesWritten += bytes;
   if (state_ == State::Closed) {
     return;
--- a/src/logstore/topic_gateway.cpp
+++ b/src/logstore/topic_gateway.cpp
@@ -50,7 +50,7 @@
     if (error != nullptr) {
       callback(*error);
     } else {
-      callback(copy_.page(after, kMaximumReadBytes));
+      callback(pageAfter(after));
     }
   };
   if (request.afterKey.empty() || !copy_.isComplete()) {
@@ -64,6 +64,7 @@
 
 void TopicGateway::await(Waiter waiter) {
   if (!copy_.isComplete()) {
+    ++counters_.unlisted;
     timers_.runAfter(Duration::zero(), [waiter = std::move(waiter)] {
       const StoreError listing{StoreFault::Busy, "this node has not listed the topic yet", 0};
       waiter(&listing);
@@ -120,11 +121,24 @@
   }
 }
 
-StoreResult<ReadReply> TopicGateway::replyTo(const ReadRequest& request) const {
+NewestReply TopicGateway::pageAfter(const std::string& key) {
+  NewestReply page = copy_.page(key, kMaximumReadBytes);
+  ++counters_.pages;
+  for (const KeyedItem& item : page.items) {
+    counters_.bytes += item.key.size() + item.value.size();
+  }
+  return page;
+}
+
+StoreResult<ReadReply> TopicGateway::replyTo(const ReadRequest& request) {
   auto reply = copy_.changesSince(request.start, kMaximumReadBytes);
   if (!reply) {
     return StoreError{StoreFault::NotKept, "these offsets are not kept here", 0};
   }
+  ++counters_.changes;
+  for (const std::string& record : reply->records) {
+    counters_.bytes += record.size();
+  }
   if (request.changesOnly) {
     return std::move(*reply);
   }
--- a/src/logstore/topic_gateway.h
+++ b/src/logstore/topic_gateway.h
@@ -20,6 +20,14 @@
   std::size_t mostRecords = 20000;
 };
 
+/// What a gateway answered; all only rise.
+struct TopicGatewayCounters {
+  std::uint64_t changes = 0;   ///< Replies with changes.
+  std::uint64_t pages = 0;     ///< Pages of the listing.
+  std::uint64_t bytes = 0;     ///< Of records and values in both.
+  std::uint64_t unlisted = 0;  ///< Refused, since this node has not listed the topic.
+};
+
 /// Keeps a node's copy of a keyed partition up to date while other nodes ask for it, and answers
 /// them from it. A question is answered after a read that began after it came, so the one who asks
 /// knows as much as after a read of its own. While the copy holds no listing yet, the answer is
@@ -35,7 +43,8 @@
   /// A page of the listing. Errors: the store's.
   void newest(const NewestRequest& request, StoreCallback<NewestReply> callback);
 
-  [[nodiscard]] CompactedTopic& copy() { return copy_; }
+  [[nodiscard]] const CompactedTopic& copy() const { return copy_; }
+  [[nodiscard]] const TopicGatewayCounters& counters() const { return counters_; }
 
  private:
   /// Told how a round ended; null: the copy is up to date.
@@ -47,7 +56,8 @@
   void readNext();
   void onRead(const StoreResult<ReadReply>& result);
   void endRound(const StoreError* error);
-  [[nodiscard]] StoreResult<ReadReply> replyTo(const ReadRequest& request) const;
+  [[nodiscard]] StoreResult<ReadReply> replyTo(const ReadRequest& request);
+  [[nodiscard]] NewestReply pageAfter(const std::string& key);
 
   LogStore& store_;
   services::TimerService& timers_;
@@ -55,6 +65,7 @@
   PartitionAddress partition_;
   CompactedTopic& copy_;
   TopicGatewayKnobs knobs_;
+  TopicGatewayCounters counters_;
   bool inRound_ = false;
   Instant lastRoundAt_;
   std::vector<Waiter> waiting_;  ///< For the next round.
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -422,3 +422,34 @@
     CHECK(header.value.find_first_of("\r\n") == std::string::npos);
   }
 }
+
+// Each answer is larger than what the kernel takes for a caller that does not read.
+TEST(HttpServer, HoldsNoMoreThanItsLimitForCallersThatDoNotRead) {
+  constexpr std::size_t kAnswerBytes = std::size_t{16} * 1024 * 1024;
+  constexpr std::size_t kCallers = 6;
+  HttpServerKnobs knobs;
+  knobs.maximumUntakenBytes = 2 * kAnswerBytes;
+  start(knobs);
+  std::vector<std::unique_ptr<RawClient>> callers;
+  for (std::size_t caller = 0; caller < kCallers; ++caller) {
+    callers.push_back(std::make_unique<RawClient>(context, server->listeningPort()));
+    callers.back()->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  untilRequests(kCallers);
+  for (const ResponseWriterPtr& writer : writers) {
+    writer->sendWhole({200, {}, std::string(kAnswerBytes, 'x')});
+  }
+  until([this] { return server->counters().callersCut > 0; });
+  CHECK(server->counters().bytesUntaken <= knobs.maximumUntakenBytes);
+  LONGS_EQUAL(server->counters().callersCut, gone);
+  // A caller that reads is served beside them.
+  RawClient reader(context, server->listeningPort());
+  reader.startReading();
+  reader.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  untilRequests(kCallers + 1);
+  writers.back()->sendWhole({200, {}, "small"});
+  until([&reader] { return reader.has("small"); });
+  // Those that are gone free what was held for them.
+  callers.clear();
+  until([this] { return server->counters().bytesUntaken == 0; });
+}
