Starting nodes count all members as senders to replicas whose state they cannot know; hand-overs known are forgotten

Ruled out: the feeders' rate (they knew their state in the first two seconds). Change: for 4 s after its start a node counts all members it knows, and 1,000 while it knows none. Tests: aProcessThatStartsCountsAllMembersAsSenders, aProcessThatKnowsNoMemberSendsNearlyNothing. Beside it QuotaPool::takenOver_, an entry a planned stop for good, keeps two lifetimes of a message.

--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -201,6 +201,7 @@
     return found == configuration->services.end() ? nullptr : &found->second;
   };
   sources.nodes = [this]() -> const std::vector<std::string>& { return clientTakers_; };
+  sources.members = [this] { return members_.size(); };
   return sources;
 }
 
--- a/src/quota/quota_pool.cpp
+++ b/src/quota/quota_pool.cpp
@@ -48,7 +48,11 @@
 }
 
 void QuotaPool::takeOver(const HandOver& handOver, Instant now) {
-  if (!takenOver_.emplace(handOver.grantor, handOver.part).second) {
+  // Copies of a message come within its lifetime; without an end the list would grow by an entry
+  // with every planned stop of a coordinator.
+  std::erase_if(takenOver_,
+                [now](const auto& entry) { return now - entry.second > 2 * kHandOverLifetime; });
+  if (!takenOver_.emplace(std::pair(handOver.grantor, handOver.part), now).second) {
     return;  // Each message is sent more than once.
   }
   const bool isLaterPart = tookOverAt_ && now - *tookOverAt_ <= kHandOverLifetime;
--- a/src/quota/quota_pool.h
+++ b/src/quota/quota_pool.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -57,7 +57,8 @@
   std::uint64_t life_;
   BorrowedShares shares_;
   std::unordered_map<std::string, Account> accounts_;
-  std::set<std::pair<std::uint64_t, std::uint32_t>> takenOver_;  ///< Life and part.
+  /// Life and part of the messages taken over lately, and when.
+  std::map<std::pair<std::uint64_t, std::uint32_t>, Instant> takenOver_;
   std::optional<Instant> tookOverAt_;  ///< Without having borrowed anything since.
 };
 
--- a/src/routing/cold_replica_rule.cpp
+++ b/src/routing/cold_replica_rule.cpp
@@ -19,6 +19,9 @@
 /// Of a node's share in a slot, for one that is not listed among those that take clients: it gets
 /// few requests, and there may be more of them than of the others.
 constexpr double kOutsiderPart = 0.25;
+/// Assumed while no member is known: as many as the largest fleet has, so that nearly nothing is
+/// sent in the second until the members are listed.
+constexpr double kUnknownSenders = 1000;
 
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed) {
   return XXH64(text.data(), text.size(), seed);
@@ -162,14 +165,22 @@
          now - std::min(freshAt_, evacuationsFreshAt_) < knobs_.staleAfter;
 }
 
-Duration ColdReplicaRule::unsureSpacingOf(const Replica& replica) const {
-  const double nodes = static_cast<double>(sources_.nodes().size());
-  const std::chrono::duration<double> ofAll(knobs_.unsureMargin * nodes / limitOf(replica));
+double ColdReplicaRule::possibleSenders(Instant now) const {
+  const std::size_t takers = sources_.nodes().size();
+  const bool isSettled = begunAt_ && now - *begunAt_ >= knobs_.settlingTime;
+  const std::size_t members = isSettled || !sources_.members ? takers : sources_.members();
+  const std::size_t senders = std::max(takers, members);
+  return senders == 0 ? kUnknownSenders : static_cast<double>(senders);
+}
+
+Duration ColdReplicaRule::unsureSpacingOf(const Replica& replica, Instant now) const {
+  const std::chrono::duration<double> ofAll(knobs_.unsureMargin * possibleSenders(now) /
+                                            limitOf(replica));
   return std::max(knobs_.unsureSpacing, std::chrono::duration_cast<Duration>(ofAll));
 }
 
 bool ColdReplicaRule::isSpaced(const Replica& replica, Instant now) const {
-  const Duration spacing = unsureSpacingOf(replica);
+  const Duration spacing = unsureSpacingOf(replica, now);
   const auto sent = unsureSentAt_.find(replica.entry.id);
   if (sent != unsureSentAt_.end()) {
     return now - sent->second >= spacing;
@@ -272,6 +283,9 @@
 std::vector<ColdReplicaChange> ColdReplicaRule::tend(const std::vector<ReplicaPtr>& replicas,
                                                      Instant now) {
   std::vector<ColdReplicaChange> changes;
+  if (!begunAt_) {
+    begunAt_ = now;
+  }
   if (isSure(now)) {
     unsureSince_.reset();
     unsureSentAt_.clear();
--- a/src/routing/cold_replica_rule.h
+++ b/src/routing/cold_replica_rule.h
@@ -50,6 +50,10 @@
   /// With many nodes the spacing grows, so that they come to the limit over this in the mean. Half
   /// of the limit is left for chance sums and for feeders that do know.
   double unsureMargin = 2.0;
+  /// So long after its start a node counts all members as senders: until the directory's answers
+  /// agree, clients come to any node, and 40 nodes that each counted the 16 which usually take
+  /// clients sent a replica 19 requests in a second where 11 are allowed.
+  Duration settlingTime = seconds(4);
   /// Of the limit, in each slot, for all nodes where `sharing` says so. A second may touch three
   /// slots of a node: 0.36 of the limit in the mean, with room for chance sums of many nodes.
   double staticShare = 0.12;
@@ -75,6 +79,8 @@
   /// \return names of the nodes that take clients, this one included where it does; empty: not
   /// known.
   std::function<const std::vector<std::string>&()> nodes;
+  /// How many members are known, of whom `nodes` usually take clients; absent: as many.
+  std::function<std::size_t()> members;
 };
 
 /// One replica turned cold or warm, for a log line.
@@ -154,7 +160,9 @@
                                             std::int64_t slot) const;
   [[nodiscard]] std::uint32_t sentInSlot(const Replica& replica, std::int64_t slot) const;
   [[nodiscard]] bool hasSlotLeft(const Replica& replica, double share, Instant now) const;
-  [[nodiscard]] Duration unsureSpacingOf(const Replica& replica) const;
+  /// \return how many nodes may send to a replica while this one cannot know its state.
+  [[nodiscard]] double possibleSenders(Instant now) const;
+  [[nodiscard]] Duration unsureSpacingOf(const Replica& replica, Instant now) const;
   [[nodiscard]] bool isSpaced(const Replica& replica, Instant now) const;
   [[nodiscard]] bool isTrusted(const Replica& replica, Instant now) const;
   [[nodiscard]] bool mayGet(const Replica& replica, Instant now) const;
@@ -177,6 +185,7 @@
   std::map<std::string, SlotUse, std::less<>> slots_;
   /// Since when this node does not know who is cold; its first request to each replica waits for a
   /// random part of the spacing from then on, since all nodes may come to not know at once.
+  std::optional<Instant> begunAt_;  ///< The first look at the replicas.
   std::optional<Instant> unsureSince_;
   /// When this node last sent to a replica whose state it did not know.
   std::map<std::string, Instant, std::less<>> unsureSentAt_;
--- a/tests/routing/cold_replica_rule_test.cpp
+++ b/tests/routing/cold_replica_rule_test.cpp
@@ -318,3 +318,31 @@
   rule->tend({}, now);
   LONGS_EQUAL(0, rule->coldReplicas());
 }
+
+// After a loss of all nodes clients come to any of them, not only to those that usually take them.
+TEST(ColdReplicaRule, aProcessThatStartsCountsAllMembersAsSenders) {
+  constexpr int kNodes = 40;
+  service.coldRequestsPerSecond = 4;  // 11 in a second are allowed.
+  nodes.assign(16, "a");
+  int sent = 0;
+  for (int node = 0; node < kNodes; ++node) {
+    ColdReplicaSources sources;
+    sources.serviceOf = [this](std::string_view) { return &service; };
+    sources.nodes = [this]() -> const std::vector<std::string>& { return nodes; };
+    sources.members = [] { return std::size_t{kNodes}; };
+    const Instant start = now;
+    rule = std::make_unique<ColdReplicaRule>(ColdReplicaKnobs{}, sources, "a",
+                                             1000003ULL * static_cast<std::uint64_t>(node + 1));
+    rule->tend({replica}, now);
+    sent += sendFor(seconds(3));
+    now = start;
+  }
+  CHECK(sent <= 3 * 11);
+}
+
+TEST(ColdReplicaRule, aProcessThatKnowsNoMemberSendsNearlyNothing) {
+  nodes.clear();
+  begin({});
+  rule->tend({replica}, now);
+  CHECK(sendFor(seconds(1)) <= 1);
+}
