--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -308,15 +308,14 @@
     }
     return gateway != nullptr;
   });
-  relayServer_.shareListings(
-      [this](const logstore::NewestRequest& request,
-             const logstore::StoreCallback<logstore::NewestReply>& reply) {
-        logstore::TopicGateway* const gateway = sharedTopics_.gatewayOf(request.partition);
-        if (gateway != nullptr) {
-          gateway->newest(request, reply);
-        }
-        return gateway != nullptr;
-      });
+  relayServer_.shareListings([this](const logstore::NewestRequest& request,
+                                    const logstore::StoreCallback<logstore::NewestReply>& reply) {
+    logstore::TopicGateway* const gateway = sharedTopics_.gatewayOf(request.partition);
+    if (gateway != nullptr) {
+      gateway->newest(request, reply);
+    }
+    return gateway != nullptr;
+  });
   relayServer_.aggregateAppends({kMemberTopic, 0},
                                 [this](logstore::AppendRequest request,
                                        logstore::StoreCallback<logstore::AppendReply> callback) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -225,9 +225,9 @@
   LoadPeers loadPeers_;                    ///< As of `loadPeersAt_`.
   std::vector<std::string> clientTakers_;  ///< Their addresses for clients, as of `loadPeersAt_`.
   Instant loadPeersAt_;
-  bool takesClients_ = false;                      ///< The directory names this node.
-  bool looksForFleetReader_ = false;               ///< `fleetReaders_` runs.
-  bool hasLoad_ = false;                           ///< As of `loadsWalkedAt_`.
+  bool takesClients_ = false;         ///< The directory names this node.
+  bool looksForFleetReader_ = false;  ///< `fleetReaders_` runs.
+  bool hasLoad_ = false;              ///< As of `loadsWalkedAt_`.
   Instant loadsWalkedAt_;
   std::uint64_t dispatchesSeen_ = 0;
   std::set<std::string, std::less<>> lostTopics_;  ///< Followed, and not answered lately.
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -114,10 +114,9 @@
 
 std::vector<ledger::HomeCandidate> EdgeDaemon::announcementAggregators() {
   const std::vector<ledger::HomeCandidate>& members = ledgerHomes();
-  const bool hasZone =
-      std::any_of(members.begin(), members.end(), [this](const ledger::HomeCandidate& member) {
-        return member.zone == settings_.zone;
-      });
+  const bool hasZone = std::any_of(
+      members.begin(), members.end(),
+      [this](const ledger::HomeCandidate& member) { return member.zone == settings_.zone; });
   const std::string reader = topicReaders_.reader();
   if (hasZone || reader.empty()) {
     return members;
--- a/src/edge/fleet_reader_store.cpp
+++ b/src/edge/fleet_reader_store.cpp
@@ -44,8 +44,7 @@
         if (!reply) {
           sources_.onUnreachable(reader);
         }
-        const auto* const error =
-            reply ? std::get_if<logstore::StoreError>(&*reply) : nullptr;
+        const auto* const error = reply ? std::get_if<logstore::StoreError>(&*reply) : nullptr;
         const bool isAnswer =
             reply && (error == nullptr || error->fault == logstore::StoreFault::Compacted);
         if (isAnswer) {
--- a/src/edge/reader_election.h
+++ b/src/edge/reader_election.h
@@ -71,7 +71,7 @@
   RandomSource random_;
   std::string reader_;
   bool isReader_ = false;
-  bool isSearching_ = true;       ///< The claims were not listed since a reader was missed.
+  bool isSearching_ = true;        ///< The claims were not listed since a reader was missed.
   bool isListedForClaim_ = false;  ///< And again after the own delay.
   std::optional<Instant> claimAt_;
   Instant reviewAt_;
--- a/src/edge/shared_topic_store.cpp
+++ b/src/edge/shared_topic_store.cpp
@@ -93,8 +93,7 @@
   askNext(call);
 }
 
-std::vector<std::string> SharedTopicStore::readersOf(
-    const logstore::PartitionAddress& partition) {
+std::vector<std::string> SharedTopicStore::readersOf(const logstore::PartitionAddress& partition) {
   if (sources_.isClaimedReader()) {
     return {ownAddress_};
   }
--- a/src/edge/topic_readers.cpp
+++ b/src/edge/topic_readers.cpp
@@ -82,7 +82,8 @@
 
 void TopicReaders::onFailure() {
   const auto half = static_cast<std::uint64_t>(pause_.count() / 2);
-  pausedUntil_ = clock_() + pause_ / 2 + Duration(static_cast<Duration::rep>(random_.below(half + 1)));
+  pausedUntil_ =
+      clock_() + pause_ / 2 + Duration(static_cast<Duration::rep>(random_.below(half + 1)));
   pause_ = std::min(pause_ * 2, knobs_.longestPause);
 }
 
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -92,8 +92,8 @@
   std::optional<Parser> parser_;
   std::uint64_t exchange_ = 0;  ///< Number of the request being answered.
   ResponseObserver observer_;
-  std::string outgoing_;  ///< Bytes of the response that wait for the write under way.
-  std::string inFlight_;  ///< Bytes of the write under way.
+  std::string outgoing_;          ///< Bytes of the response that wait for the write under way.
+  std::string inFlight_;          ///< Bytes of the write under way.
   std::size_t untakenBytes_ = 0;  ///< As counted in `HttpServerCounters::bytesUntaken`.
   std::array<char, 512> discarded_{};
   std::size_t discardedBytes_ = 0;
--- a/src/logstore/compacted_topic.h
+++ b/src/logstore/compacted_topic.h
@@ -1,4 +1,5 @@
-/// \file The newest record of every key of one partition, with the offset at which each last changed.
+/// \file The newest record of every key of one partition, with the offset at which each last
+/// changed.
 #pragma once
 
 #include <cstddef>
--- a/src/logstore/log_store.h
+++ b/src/logstore/log_store.h
@@ -60,17 +60,19 @@
   std::uint64_t end = 0;
 };
 
+/// Where the records of a reply stand that leaves unchanged ones out.
+struct RecordChanges {
+  std::vector<std::uint64_t> offsets;  ///< Of each record; they rise.
+  std::uint64_t next = 0;              ///< Where the next read goes on.
+};
+
 /// Records from the offset that was asked for on; fewer than there are when they are many.
 struct ReadReply {
   std::uint64_t end = 0;        ///< Offset behind the newest record.
   std::uint64_t firstKept = 0;  ///< Offset of the oldest record.
   std::vector<std::string> records;
   /// Set when unchanged records are left out; otherwise `records` has every offset in turn.
-  struct Changes {
-    std::vector<std::uint64_t> offsets;  ///< Of each record; they rise.
-    std::uint64_t next = 0;              ///< Where the next read goes on.
-  };
-  std::optional<Changes> changes;
+  std::optional<RecordChanges> changes;
 };
 
 /// \return where a read from `start` that brought this reply goes on.
--- a/src/logstore/store_message.cpp
+++ b/src/logstore/store_message.cpp
@@ -221,12 +221,12 @@
 }
 
 /// \return nothing where the reply has every offset in turn; an error where it contradicts itself.
-StoreResult<std::optional<ReadReply::Changes>> changesOf(const fbs::StoreReply& reply,
-                                                         std::size_t records) {
+StoreResult<std::optional<RecordChanges>> changesOf(const fbs::StoreReply& reply,
+                                                    std::size_t records) {
   if (reply.offsets() == nullptr) {
-    return std::optional<ReadReply::Changes>();
+    return std::optional<RecordChanges>();
   }
-  ReadReply::Changes changes;
+  RecordChanges changes;
   changes.offsets.assign(reply.offsets()->begin(), reply.offsets()->end());
   changes.next = reply.next();
   const bool rises = std::is_sorted(changes.offsets.begin(), changes.offsets.end());
@@ -291,7 +291,7 @@
   if (const auto* const error = std::get_if<StoreError>(&changes)) {
     return *error;
   }
-  decoded.changes = std::move(std::get<std::optional<ReadReply::Changes>>(changes));
+  decoded.changes = std::move(std::get<std::optional<RecordChanges>>(changes));
   return decoded;
 }
 
--- a/src/quota/quota_pool.h
+++ b/src/quota/quota_pool.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
--- a/tests/edge/fleet_start_test.cpp
+++ b/tests/edge/fleet_start_test.cpp
@@ -155,17 +155,17 @@
         timers_(timers),
         clock_([&timers] { return timers.now; }),
         store_(store, timers, clock_, {}, seed),
-        relay_(network,
-               [](const logstore::PartitionAddress&) { return std::vector<std::string>(); }, seed),
+        relay_(
+            network, [](const logstore::PartitionAddress&) { return std::vector<std::string>(); },
+            seed),
         copy([](const std::string& older, const std::string& newer) {
           return older.substr(0, older.find('#')) == newer.substr(0, newer.find('#'));
         }),
         gateway(store_, timers, clock_, kReplicaPartition, copy, {}),
-        readers(store_, timers, clock_, kClaimPartition, {nodeAddress, nodeZone, capacity},
-                [this] {
-                  return MemberRecord{"node", zone, "10.0.0.1:80", address, false, 1, 1.0};
-                },
-                [](const std::string&) {}, {}, seed),
+        readers(
+            store_, timers, clock_, kClaimPartition, {nodeAddress, nodeZone, capacity},
+            [this] { return MemberRecord{"node", zone, "10.0.0.1:80", address, false, 1, 1.0}; },
+            [](const std::string&) {}, {}, seed),
         shared_(store_, relay_, nodeAddress, nodeZone, sources(), clock_, {}) {
     if (usesReaders) {
       shared_.share(kReplicaPartition, gateway);
@@ -252,8 +252,8 @@
 void NodeNetwork::reply(StartingNode& from, const logstore::StoreCallReply& reply,
                         Duration timeLimit, const http::ResponseHandler& handler) {
   const std::string body = logstore::encodeStoreReply(reply);
-  const auto transfer = Duration(static_cast<Duration::rep>(
-      1e6 * static_cast<double>(body.size()) / from.linkBytesPerSecond));
+  const auto transfer = Duration(
+      static_cast<Duration::rep>(1e6 * static_cast<double>(body.size()) / from.linkBytesPerSecond));
   from.linkBusyUntil = std::max(from.linkBusyUntil, timers_.now) + transfer;
   const Duration wait = from.linkBusyUntil - timers_.now + milliseconds(1);
   if (wait > timeLimit) {
@@ -304,9 +304,8 @@
     }));
   }
   int readers() const {
-    return static_cast<int>(std::count_if(nodes.begin(), nodes.end(), [](const auto& node) {
-      return node->readers.isReader();
-    }));
+    return static_cast<int>(std::count_if(
+        nodes.begin(), nodes.end(), [](const auto& node) { return node->readers.isReader(); }));
   }
 };
 
--- a/tests/edge/shared_topic_store_test.cpp
+++ b/tests/edge/shared_topic_store_test.cpp
@@ -119,8 +119,7 @@
 
 TEST(SharedTopicStore, theClaimedReaderListsTheStoreAndThenReadsByItsGateway) {
   claimed = "own";
-  STRCMP_EQUAL("stored",
-               std::get<logstore::NewestReply>(*list()).items.front().value.c_str());
+  STRCMP_EQUAL("stored", std::get<logstore::NewestReply>(*list()).items.front().value.c_str());
   listOwn();
   LONGS_EQUAL(1, std::get<ReadReply>(*read()).records.size());
   LONGS_EQUAL(1, log.reads);
--- a/tests/logstore/topic_gateway_test.cpp
+++ b/tests/logstore/topic_gateway_test.cpp
@@ -84,8 +84,8 @@
       observer.onStale = [](const StoreError&) {};
       followers.push_back(std::make_shared<KeyedTopicFollower>(
           *store, timers, [this] { return timers.now; }, partition,
-          KeyedTopicFollowerKnobs{Duration::zero(), milliseconds(300), milliseconds(500)},
-          observer, ownCopy));
+          KeyedTopicFollowerKnobs{Duration::zero(), milliseconds(300), milliseconds(500)}, observer,
+          ownCopy));
       followers.back()->start();
     }
   }
@@ -142,9 +142,8 @@
   CHECK(std::get<StoreError>(readFrom(0)).fault == StoreFault::Busy);
   LONGS_EQUAL(0, log.reads);
   std::optional<StoreResult<NewestReply>> listed;
-  gateway->newest({partition, {}}, [&listed](const StoreResult<NewestReply>& result) {
-    listed = result;
-  });
+  gateway->newest({partition, {}},
+                  [&listed](const StoreResult<NewestReply>& result) { listed = result; });
   timers.advance(seconds(1));
   CHECK(std::get<StoreError>(*listed).fault == StoreFault::Busy);
 }
