Fault soak: nodes of another build are replaced one after the other

--replaces OTHER: each node's first process is the server of another build folder, what ends is replaced by this build's.

--- a/tools/fault_soak.sh
+++ b/tools/fault_soak.sh
@@ -1,17 +1,21 @@
 #!/usr/bin/env bash
 # Fault soak: real edge nodes as separate processes between a stand-in store, replicas and clients,
 # with faults from outside (proxies, signals).
-# Usage: fault_soak.sh [--nodes N] [--subnet N] [BUILD] [SECONDS] [SEED...]
+# Usage: fault_soak.sh [--nodes N] [--subnet N] [--replaces OTHER] [BUILD] [SECONDS] [SEED...]
+# With --replaces each node's first process is the server of the build folder OTHER, an earlier or
+# later commit's; whatever ends under the faults is replaced by that of BUILD.
 # Without seeds: the kept ones of lab/faultsoak/seeds.txt, then a fresh one. Exit code 0 only if no
 # promise was broken. Logs of each seed stand in run/fault-soak/SEED.
 # Nodes listen on 127.0.SUBNET.1 and up: soaks side by side need a subnet each.
 set -uo pipefail
 nodes=5
 subnet=1
+first_bin=""
 while :; do
   case "${1:-}" in
     --nodes) nodes="${2:?how many}" ;;
     --subnet) subnet="${2:?which}" ;;
+    --replaces) first_bin="${2:?which build}/bin" ;;
     *) break ;;
   esac
   shift 2
@@ -47,15 +51,16 @@
 
 # supervise RUN NODE: starts the node again whenever it ends, until the soak has ended.
 supervise() {
-  local run="$1" node="$2" process
+  local run="$1" node="$2" process server="${first_bin:-$bin}/gorsetrail-edge"
   while [ ! -e "$run/ended" ]; do
-    "$bin/gorsetrail-edge" --settings "$run/node-$node.toml" >>"$run/node-$node.log" 2>&1 9>&- &
+    "$server" --settings "$run/node-$node.toml" >>"$run/node-$node.log" 2>&1 9>&- &
     process=$!
     echo "$process" >"$run/node-$node.pid"
     while kill -0 "$process" 2>/dev/null && [ ! -e "$run/ended" ]; do sleep 0.1; done
     rm -f "$run/node-$node.pid"
     if [ -e "$run/ended" ]; then kill -CONT "$process" 2>/dev/null; kill -KILL "$process" 2>/dev/null; fi
     wait "$process" 2>/dev/null
+    server="$bin/gorsetrail-edge"
     sleep 0.3
   done
 }
