--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -92,24 +92,18 @@
         return parts_.documents.sameRegistration(older, newer);
       }),
       memberCopy_([](const std::string&, const std::string&) { return false; }),
-      fleetReaders_(
+      configurationGateway_(store_, *timers_, clock_, configurationPartition(), configurationCopy_,
+                            {}),
+      replicaGateway_(store_, *timers_, clock_, replicaPartition(), replicaCopy_, {}),
+      memberGateway_(store_, *timers_, clock_, {kMemberTopic, 0}, memberCopy_, {}),
+      topicReaders_(
           store_, *timers_, clock_, {kReaderTopic, 0},
-          {relayAddressOf(settings_), kWholeFleet, capacityOf(settings_)},
+          {relayAddressOf(settings_), settings_.zone, capacityOf(settings_)},
           [this] { return ownRecord(); },
           [this](const std::string& address) {
-            log_.important("fleet_reader", {{"address", address}});
+            log_.important("topic_reader", {{"zone", settings_.zone}, {"address", address}});
           },
           {}, seed),
-      fleetReaderStore_(store_, relayedStore_, relayAddressOf(settings_), fleetReaderSources(), {}),
-      configurationGateway_(fleetReaderStore_, *timers_, clock_, configurationPartition(),
-                            configurationCopy_, {}),
-      replicaGateway_(fleetReaderStore_, *timers_, clock_, replicaPartition(), replicaCopy_, {}),
-      memberGateway_(fleetReaderStore_, *timers_, clock_, {kMemberTopic, 0}, memberCopy_, {}),
-      topicReaders_(
-          store_, *timers_, clock_, {kReaderTopic, 0},
-          {relayAddressOf(settings_), settings_.zone, capacityOf(settings_)},
-          [this] { return ownRecord(); },
-          [this](const std::string& address) { onTopicReader(address); }, {}, seed),
       sharedTopics_(store_, relayedStore_, relayAddressOf(settings_), settings_.zone,
                     topicReaderSources(), clock_, {}),
       localLedger_(store_, *timers_, clock_, ledgerKnobs(seed)),
@@ -212,23 +206,6 @@
   return sources;
 }
 
-FleetReaderSources EdgeDaemon::fleetReaderSources() {
-  FleetReaderSources sources;
-  sources.reader = [this] { return fleetReaders_.reader(); };
-  sources.onUnreachable = [this](const std::string& address) {
-    fleetReaders_.onUnreachable(address);
-  };
-  sources.onNoReader = [this] { fleetReaders_.onNoReader(); };
-  return sources;
-}
-
-void EdgeDaemon::onTopicReader(const std::string& address) {
-  log_.important("topic_reader", {{"zone", settings_.zone}, {"address", address}});
-  if (address == ownRelayAddress() && !std::exchange(looksForFleetReader_, true)) {
-    fleetReaders_.start();
-  }
-}
-
 quota::QuotaAdmission& EdgeDaemon::quotaInUse() {
   if (settings_.uses(Mechanism::QuotaTokens)) {
     return quotaExchange_;
@@ -431,7 +408,6 @@
     figures.topicGateways.unlisted += answered.unlisted;
   }
   figures.readsForZone = topicReaders_.isReader() ? 1 : 0;
-  figures.readsForFleet = fleetReaders_.isReader() ? 1 : 0;
 }
 
 std::string EdgeDaemon::ownRelayAddress() const { return relayAddressOf(settings_); }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -12,7 +12,6 @@
 #include "edge/edge_context.h"
 #include "edge/edge_settings.h"
 #include "edge/event_log.h"
-#include "edge/fleet_reader_store.h"
 #include "edge/ledger_relay.h"
 #include "edge/load_exchange.h"
 #include "edge/member_announcer.h"
@@ -146,8 +145,6 @@
   [[nodiscard]] const std::vector<ledger::HomeCandidate>& ledgerHomes();
   [[nodiscard]] QuotaSources quotaSources();
   [[nodiscard]] TopicReaderSources topicReaderSources();
-  [[nodiscard]] FleetReaderSources fleetReaderSources();
-  void onTopicReader(const std::string& address);
   /// \return what this node tells others of itself.
   [[nodiscard]] MemberRecord ownRecord() const;
   /// \return nodes that may aggregate announcements; the zone's claimed reader while no member of
@@ -179,8 +176,6 @@
   logstore::CompactedTopic configurationCopy_;
   logstore::CompactedTopic replicaCopy_;
   logstore::CompactedTopic memberCopy_;
-  TopicReaders fleetReaders_;  ///< Runs at zones' readers only.
-  FleetReaderStore fleetReaderStore_;
   logstore::TopicGateway configurationGateway_;
   logstore::TopicGateway replicaGateway_;
   logstore::TopicGateway memberGateway_;
@@ -225,9 +220,8 @@
   LoadPeers loadPeers_;                    ///< As of `loadPeersAt_`.
   std::vector<std::string> clientTakers_;  ///< Their addresses for clients, as of `loadPeersAt_`.
   Instant loadPeersAt_;
-  bool takesClients_ = false;         ///< The directory names this node.
-  bool looksForFleetReader_ = false;  ///< `fleetReaders_` runs.
-  bool hasLoad_ = false;              ///< As of `loadsWalkedAt_`.
+  bool takesClients_ = false;  ///< The directory names this node.
+  bool hasLoad_ = false;       ///< As of `loadsWalkedAt_`.
   Instant loadsWalkedAt_;
   std::uint64_t dispatchesSeen_ = 0;
   std::set<std::string, std::less<>> lostTopics_;  ///< Followed, and not answered lately.
--- a/src/edge/edge_daemon_shared.h
+++ b/src/edge/edge_daemon_shared.h
@@ -12,8 +12,6 @@
 inline constexpr char kMemberTopic[] = "keyed.nodes";
 /// The claims of the zones' readers, see `ReaderElection`.
 inline constexpr char kReaderTopic[] = "keyed.topic-readers";
-/// The key of the claim to read for the zones' readers; no zone has such a name.
-inline constexpr char kWholeFleet[] = "*";
 inline constexpr Duration kShortestMemberPause = milliseconds(500);
 
 /// \return how long ago that was, in milliseconds, at least 0.
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -31,10 +31,8 @@
 
 void addTopics(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("topics_listed", "Followed topics that were listed, of 3", snapshot.topicsListed);
-  list.family("topic_reader", "1 at the node that reads followed topics for others",
-              MetricType::Gauge);
-  list.add(snapshot.readsForZone, {{"scope", "zone"}});
-  list.add(snapshot.readsForFleet, {{"scope", "fleet"}});
+  list.gauge("topic_reader", "1 at the node that reads followed topics for its zone",
+             snapshot.readsForZone);
   const logstore::TopicGatewayCounters& answered = snapshot.topicGateways;
   list.family("topic_answers_total", "Answers from the copies of followed topics",
               MetricType::Counter);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -30,8 +30,7 @@
   std::uint64_t storeThroughRelay = 0;  ///< Gauge: 1 while calls go through other nodes.
   /// Gauge: followed topics that this node has listed, of three.
   std::uint64_t topicsListed = 0;
-  std::uint64_t readsForZone = 0;   ///< Gauge: 1 at the zone's claimed reader.
-  std::uint64_t readsForFleet = 0;  ///< Gauge: 1 at the fleet's.
+  std::uint64_t readsForZone = 0;  ///< Gauge: 1 at the zone's claimed reader.
   /// Answered for other nodes and this one, from its copies.
   logstore::TopicGatewayCounters topicGateways{};
   std::uint64_t ledgerCalls = 0;
--- a/src/logstore/topic_gateway.cpp
+++ b/src/logstore/topic_gateway.cpp
@@ -96,25 +96,28 @@
   request.start = copy_.end();
   request.timeLimit = knobs_.patience;
   request.changesOnly = true;
-  store_.read(std::move(request), [this](const StoreResult<ReadReply>& result) { onRead(result); });
+  const std::uint64_t start = request.start;
+  store_.read(std::move(request),
+              [this, start](const StoreResult<ReadReply>& result) { onRead(start, result); });
 }
 
-void TopicGateway::onRead(const StoreResult<ReadReply>& result) {
+void TopicGateway::onRead(std::uint64_t start, const StoreResult<ReadReply>& result) {
   if (const auto* const error = std::get_if<StoreError>(&result)) {
     endRound(error);
     return;
   }
   const auto& reply = std::get<ReadReply>(result);
-  const std::uint64_t before = copy_.end();
-  if (reply.firstKept > before) {
+  if (reply.firstKept > start) {
     const StoreError gone{StoreFault::Compacted, "records that were never read are gone",
                           reply.firstKept};
     endRound(&gone);
     return;
   }
-  copy_.take(before, reply);
+  // The node's own follower may have moved the copy on meanwhile: the records stand where they were
+  // asked from.
+  copy_.take(start, reply);
   const bool isBehind = copy_.end() < reply.end;
-  if (isBehind && copy_.end() > before) {
+  if (isBehind && nextOffset(start, reply) > start) {
     readNext();
   } else {
     endRound(nullptr);
--- a/src/logstore/topic_gateway.h
+++ b/src/logstore/topic_gateway.h
@@ -54,7 +54,7 @@
   void scheduleRound();
   void startRound();
   void readNext();
-  void onRead(const StoreResult<ReadReply>& result);
+  void onRead(std::uint64_t start, const StoreResult<ReadReply>& result);
   void endRound(const StoreError* error);
   [[nodiscard]] StoreResult<ReadReply> replyTo(const ReadRequest& request);
   [[nodiscard]] NewestReply pageAfter(const std::string& key);
--- a/tests/logstore/topic_gateway_test.cpp
+++ b/tests/logstore/topic_gateway_test.cpp
@@ -215,3 +215,22 @@
   put("a", "2");
   LONGS_EQUAL(1, std::get<ReadReply>(readFrom(1)).records.size());
 }
+
+// The node's own follower may get records by way of another reader while its gateway reads: what
+// the gateway gets must not be taken for the records that follow.
+TEST(TopicGateway, aCopyThatMovesOnDuringAReadMissesNothing) {
+  listOwn();
+  followers.clear();
+  log.latency = milliseconds(50);
+  put("a", "1");
+  put("b", "1");
+  gateway->read({partition, 0}, [](const StoreResult<ReadReply>&) {});
+  timers.advance(milliseconds(20));  // The read is under way.
+  ReadReply fromAnother;
+  fromAnother.records = {log.logs[partition][0], log.logs[partition][1]};
+  copy->take(0, fromAnother);
+  put("c", "1");
+  timers.advance(seconds(1));
+  const ReadReply all = std::get<ReadReply>(readFrom(0));
+  LONGS_EQUAL(3, all.records.size());
+}
