Copies pass on each change while they are few; a start is no outage of the store

Ruled out: load (each failed alone). Change: the last 4,000 changes are kept one by one; an entry that cannot be read is never unchanged; a topic that was never answered is not lost in the first 4 s; when the zone's reader is known all three followers ask at once.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -89,7 +89,7 @@
       configurationCopy_(
           [](const std::string& older, const std::string& newer) { return older == newer; }),
       replicaCopy_([this](const std::string& older, const std::string& newer) {
-        return parts_.documents.sameRegistration(older, newer);
+        return isUnchangedRegistration(older, newer);
       }),
       memberCopy_([](const std::string&, const std::string&) { return false; }),
       configurationGateway_(store_, *timers_, clock_, configurationPartition(), configurationCopy_,
@@ -102,6 +102,11 @@
           [this] { return ownRecord(); },
           [this](const std::string& address) {
             log_.important("topic_reader", {{"zone", settings_.zone}, {"address", address}});
+            // Together: a node that had its configuration long before the members would refuse
+            // turns, since it would not know whom to ask for their budgets.
+            memberFollower_->retryNow();
+            replicaFollower_->retryNow();
+            configurationFollower_->retryNow();
           },
           {}, seed),
       sharedTopics_(store_, relayedStore_, relayAddressOf(settings_), settings_.zone,
@@ -213,11 +218,20 @@
   return staticShares_;
 }
 
+// Every node counts an entry that cannot be read, each time that it is written: it is another
+// writer's, and its heartbeats are not known to be such.
+bool EdgeDaemon::isUnchangedRegistration(const std::string& older, const std::string& newer) const {
+  return parts_.documents.sameRegistration(older, newer) &&
+         (!unreadableRecords_.hasAny(RecordKind::Replica) ||
+          succeeded(parts_.documents.readReplicaEntry({}, newer)));
+}
+
 Result<Success> EdgeDaemon::start() {
   auto listening = listen();
   if (!succeeded(listening)) {
     return listening;
   }
+  startedAt_ = clock_();
   log_.important("started", {{"node", settings_.nodeName},
                              {"zone", settings_.zone},
                              {"clients", settings_.listen.clients},
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -96,6 +96,8 @@
   void onReplicaLapsed(const std::string& id, std::string_view by);
   [[nodiscard]] bool storeWasOutOfOrder() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
+  [[nodiscard]] bool isUnchangedRegistration(const std::string& older,
+                                             const std::string& newer) const;
   void logReplicaChange(const routing::ReplicaEntry& entry);
   /// Takes a start for untold that cannot be one.
   void dropImplausibleStart(routing::ReplicaEntry& entry);
@@ -109,6 +111,7 @@
   void onMemberRecord(const std::string& key, const std::string& value);
   /// Counts a record that cannot be read, and writes a line of it where one is due.
   void noteUnreadable(RecordKind kind, const std::string& key, const Error& error);
+  [[nodiscard]] bool isStarting(std::string_view topic) const;
   void noteStoreAnswer(std::string_view topic);
   void noteStoreSilence(std::string_view topic, const logstore::StoreError& error);
   /// \param urgent a change that others must know of at once.
@@ -224,7 +227,9 @@
   bool hasLoad_ = false;       ///< As of `loadsWalkedAt_`.
   Instant loadsWalkedAt_;
   std::uint64_t dispatchesSeen_ = 0;
-  std::set<std::string, std::less<>> lostTopics_;  ///< Followed, and not answered lately.
+  std::set<std::string, std::less<>> lostTopics_;      ///< Followed, and not answered lately.
+  std::set<std::string, std::less<>> answeredTopics_;  ///< Once, since the start.
+  Instant startedAt_;
   std::optional<Instant> storeRegainedAt_;
   bool stopping_ = false;
   Instant stopBegunAt_;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -13,6 +13,8 @@
 
 /// Between two reads of the configuration; the zone's reader may add as much.
 constexpr Duration kConfigurationPause = milliseconds(200);
+/// A node's first answers come within 3.5 s of the start of 985 nodes at once.
+constexpr Duration kStartTime = milliseconds(4000);
 /// Registrations that are missing so soon after an outage of the store lapsed because of it.
 constexpr Duration kOutageAftermath = milliseconds(2000);
 
@@ -336,6 +338,7 @@
 }
 
 void EdgeDaemon::noteStoreAnswer(std::string_view topic) {
+  answeredTopics_.emplace(topic);
   const auto lost = lostTopics_.find(topic);
   if (lost == lostTopics_.end()) {
     return;
@@ -345,7 +348,16 @@
   log_.important("store_regained", {{"topic", topic}, {"address", settings_.store.address}});
 }
 
+// Until a zone's reader has listed the topics a starting node gets no answer: that is no outage, in
+// which replicas could not renew their registrations and lapsed ones would have to be doubted.
+bool EdgeDaemon::isStarting(std::string_view topic) const {
+  return !answeredTopics_.contains(topic) && clock_() - startedAt_ < kStartTime;
+}
+
 void EdgeDaemon::noteStoreSilence(std::string_view topic, const logstore::StoreError& error) {
+  if (isStarting(topic)) {
+    return;
+  }
   if (!lostTopics_.emplace(topic).second) {
     return;
   }
--- a/src/edge/unreadable_records.h
+++ b/src/edge/unreadable_records.h
@@ -42,6 +42,8 @@
   /// All keys of the topic: others are gone.
   void onListed(RecordKind kind, const std::vector<std::string>& keys);
 
+  /// \return whether a record of the kind cannot be read now, as far as was told.
+  [[nodiscard]] bool hasAny(RecordKind kind) const { return !of(kind).told.empty(); }
   [[nodiscard]] std::uint64_t count(RecordKind kind) const { return of(kind).count; }
 
  private:
--- a/src/logstore/compacted_topic.cpp
+++ b/src/logstore/compacted_topic.cpp
@@ -42,6 +42,9 @@
     start_ = listing_->end;
   }
   end_ = std::max(end_, listing_->end);
+  // What the listing changed has no record of its own.
+  recent_.clear();
+  recentStart_ = end_;
   isComplete_ = true;
   listing_.reset();
 }
@@ -55,10 +58,22 @@
   if (key.empty()) {
     return;
   }
+  bool isChange = true;
   if (value.empty()) {
     remove(key, offset);
   } else {
-    set(key, value, offset);
+    isChange = set(key, value, offset);
+  }
+  if (isChange) {
+    keepRecent(offset, record);
+  }
+}
+
+void CompactedTopic::keepRecent(std::uint64_t offset, const std::string& record) {
+  recent_.emplace_back(offset, record);
+  if (recent_.size() > knobs_.mostRecentChanges) {
+    recentStart_ = recent_.front().first + 1;
+    recent_.pop_front();
   }
 }
 
@@ -72,7 +87,7 @@
   end_ = std::max(end_, nextOffset(start, reply));
 }
 
-void CompactedTopic::set(const std::string& key, const std::string& value,
+bool CompactedTopic::set(const std::string& key, const std::string& value,
                          std::uint64_t changedAt) {
   const auto [found, isNew] = entries_.try_emplace(key);
   Entry& entry = found->second;
@@ -82,6 +97,7 @@
     move(key, entry, changedAt);
   }
   entry.value = value;
+  return !unchanged;
 }
 
 void CompactedTopic::remove(const std::string& key, std::uint64_t changedAt) {
@@ -125,6 +141,29 @@
   if (!isComplete_ || start < start_ || start > end_) {
     return std::nullopt;
   }
+  return start >= recentStart_ ? recentSince(start, mostBytes) : newestSince(start, mostBytes);
+}
+
+ReadReply CompactedTopic::recentSince(std::uint64_t start, std::size_t mostBytes) const {
+  ReadReply reply;
+  reply.end = end_;
+  reply.firstKept = start;
+  reply.changes.emplace();
+  std::size_t bytes = 0;
+  auto change =
+      std::lower_bound(recent_.begin(), recent_.end(), start,
+                       [](const auto& kept, std::uint64_t offset) { return kept.first < offset; });
+  for (; change != recent_.end() && bytes < mostBytes; ++change) {
+    reply.changes->offsets.push_back(change->first);
+    reply.records.push_back(change->second);
+    bytes += change->second.size();
+  }
+  const bool isAll = change == recent_.end();
+  reply.changes->next = isAll ? end_ : reply.changes->offsets.back() + 1;
+  return reply;
+}
+
+ReadReply CompactedTopic::newestSince(std::uint64_t start, std::size_t mostBytes) const {
   ReadReply reply;
   reply.end = end_;
   reply.firstKept = start;
--- a/src/logstore/compacted_topic.h
+++ b/src/logstore/compacted_topic.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -23,6 +24,10 @@
   /// Removed keys that are remembered, so that a follower which was away learns of them. Ten
   /// thousand are 1 MB; a follower further behind lists anew.
   std::size_t mostRemovedKeys = 10000;
+  /// Changes that are kept one by one, so that followers see each of several of one key, such as a
+  /// replica that drains and is ready again between two reads. 1 MB at 250 B; a follower further
+  /// behind gets the newest of each key.
+  std::size_t mostRecentChanges = 4000;
 };
 
 /// A node's copy of a keyed partition. It is filled by the node's follower and its gateway, from
@@ -49,8 +54,9 @@
   /// \return the offset behind the last record taken.
   [[nodiscard]] std::uint64_t end() const { return end_; }
 
-  /// \return the newest records of keys that changed from `start` on, in the log's order, at least
-  /// one and about `mostBytes`; nothing when `start` is older or newer than what is kept here.
+  /// \return the records that changed a key from `start` on, or the newest of each such key where
+  /// they are too many, in the log's order, at least one and about `mostBytes`; nothing when
+  /// `start` is older or newer than what is kept here.
   [[nodiscard]] std::optional<ReadReply> changesSince(std::uint64_t start,
                                                       std::size_t mostBytes) const;
   /// \return the keys after this one, about `mostBytes`. Call only when complete.
@@ -70,15 +76,21 @@
     std::set<std::string> keys;
   };
 
-  void set(const std::string& key, const std::string& value, std::uint64_t changedAt);
+  /// \return whether the value says something new.
+  bool set(const std::string& key, const std::string& value, std::uint64_t changedAt);
   void remove(const std::string& key, std::uint64_t changedAt);
   void move(const std::string& key, Entry& entry, std::uint64_t changedAt);
   void dropOldRemovals();
+  void keepRecent(std::uint64_t offset, const std::string& record);
+  [[nodiscard]] ReadReply recentSince(std::uint64_t start, std::size_t mostBytes) const;
+  [[nodiscard]] ReadReply newestSince(std::uint64_t start, std::size_t mostBytes) const;
 
   IsUnchanged isUnchanged_;
   CompactedTopicKnobs knobs_;
   std::map<std::string, Entry> entries_;
-  std::set<std::pair<std::uint64_t, std::string>> changes_;  ///< Offset and key, one a key.
+  std::set<std::pair<std::uint64_t, std::string>> changes_;   ///< Offset and key, one a key.
+  std::deque<std::pair<std::uint64_t, std::string>> recent_;  ///< Offset and record.
+  std::uint64_t recentStart_ = 0;  ///< `recent_` has every change from here on.
   std::size_t removedKeys_ = 0;
   std::uint64_t start_ = 0;  ///< Changes are known from here on.
   std::uint64_t end_ = 0;
--- a/src/logstore/keyed_topic_follower.cpp
+++ b/src/logstore/keyed_topic_follower.cpp
@@ -117,6 +117,20 @@
   later(&KeyedTopicFollower::readOn);
 }
 
+void KeyedTopicFollower::takeNextStep() {
+  const auto step = std::exchange(nextStep_, nullptr);
+  if (step != nullptr) {
+    (this->*step)();
+  }
+}
+
+void KeyedTopicFollower::retryNow() {
+  if (failuresInARow_ > 0 && nextStep_ != nullptr) {
+    ++pauses_;
+    takeNextStep();
+  }
+}
+
 void KeyedTopicFollower::onFailure(const StoreError& error, void (KeyedTopicFollower::*step)()) {
   ++failuresInARow_;
   observer_.onStale(error);
@@ -136,9 +150,11 @@
 }
 
 void KeyedTopicFollower::later(void (KeyedTopicFollower::*step)()) {
-  timers_.runAfter(nextPause(), [weak = weak_from_this(), step] {
-    if (const auto self = weak.lock()) {
-      (self.get()->*step)();
+  nextStep_ = step;
+  timers_.runAfter(nextPause(), [weak = weak_from_this(), number = ++pauses_] {
+    const auto self = weak.lock();
+    if (self && self->pauses_ == number) {
+      self->takeNextStep();
     }
   });
 }
--- a/src/logstore/keyed_topic_follower.h
+++ b/src/logstore/keyed_topic_follower.h
@@ -54,6 +54,9 @@
                      std::uint64_t seed = 0);
 
   void start();
+  /// A call that waits because the one before it failed is made now: whoever can answer has
+  /// changed.
+  void retryNow();
   /// Changes the pause between two reads, from the next one on.
   void setPause(Duration pause) { knobs_.pause = pause; }
 
@@ -63,6 +66,7 @@
   void readOn();
   void onRead(Instant askedAt, const StoreResult<ReadReply>& result);
   void later(void (KeyedTopicFollower::*step)());
+  void takeNextStep();
   void onFailure(const StoreError& error, void (KeyedTopicFollower::*step)());
   void listOn() { listFrom(listedKeys_.empty() ? std::string() : listedKeys_.back()); }
   /// \return the pause before the next call, jittered after failures.
@@ -79,6 +83,8 @@
   CompactedTopic* copy_;
   RandomSource random_;
   std::uint32_t failuresInARow_ = 0;
+  void (KeyedTopicFollower::*nextStep_)() = nullptr;  ///< Waits for its pause; null: none does.
+  std::uint64_t pauses_ = 0;                          ///< Only the last one ends in a call.
   bool firstPage_ = true;
   std::uint64_t position_ = 0;
 };
