A copy of a copy takes all changes that a listing found

Cause (reading): changes that a listing found to differ stand at one offset; a copy that took them from another node's copy applied the first and passed over the others as already taken. Its own node was told of all; nodes that asked this one were not. Change: what was known before the reply decides. Test: aCopyOfACopyTakesAllThatAListingChanged, fails before.

--- a/src/edge/topic_readers.cpp
+++ b/src/edge/topic_readers.cpp
@@ -49,6 +49,7 @@
                     return;
                   }
                   pause_ = knobs_.firstPause;
+                  // A claim that cannot be read is none: the next one takes its place.
                   std::string address;
                   for (const logstore::KeyedItem& item : page->items) {
                     const auto claim = decodeMemberRecord(item.value);
--- a/src/logstore/compacted_topic.cpp
+++ b/src/logstore/compacted_topic.cpp
@@ -50,10 +50,7 @@
 }
 
 void CompactedTopic::apply(std::uint64_t offset, const std::string& record) {
-  if (offset < end_) {
-    return;
-  }
-  end_ = offset + 1;
+  end_ = std::max(end_, offset + 1);
   const auto [key, value] = decodeKeyedRecord(record);
   if (key.empty()) {
     return;
@@ -81,8 +78,13 @@
   if (!isComplete_ || start > end_) {
     return;
   }
+  // Changes that a listing found stand at one offset, so the end before them decides for all.
+  const std::uint64_t known = end_;
   for (std::size_t index = 0; index < reply.records.size(); ++index) {
-    apply(reply.changes ? reply.changes->offsets[index] : start + index, reply.records[index]);
+    const std::uint64_t offset = reply.changes ? reply.changes->offsets[index] : start + index;
+    if (offset >= known) {
+      apply(offset, reply.records[index]);
+    }
   }
   end_ = std::max(end_, nextOffset(start, reply));
 }
--- a/tests/logstore/compacted_topic_test.cpp
+++ b/tests/logstore/compacted_topic_test.cpp
@@ -212,3 +212,27 @@
     }
   }
 }
+
+// What a listing found to differ stands at one offset: a copy of a copy takes all of it.
+TEST(CompactedTopic, aCopyOfACopyTakesAllThatAListingChanged) {
+  listNothing(0);
+  for (const char* key : {"a", "b", "c"}) {
+    put(key, "1");
+  }
+  readOn();
+  CompactedTopic second{sameBeforeHash};
+  second.beginListing(0);
+  second.endListing();
+  second.take(0, *copy.changesSince(0, kEverything));
+  // The history went, and with it the records of three changes.
+  log.resize(10);
+  copy.beginListing(10);
+  copy.addListed({"a", "2", 5});
+  copy.addListed({"b", "2", 6});
+  copy.endListing();
+  second.take(3, *copy.changesSince(3, kEverything));
+  const NewestReply page = second.page({}, kEverything);
+  LONGS_EQUAL(2, page.items.size());
+  STRCMP_EQUAL("2", page.items[0].value.c_str());
+  STRCMP_EQUAL("2", page.items[1].value.c_str());
+}
