A low limit of cold replicas, and a loss of all nodes: the property test fails

What callers see: a replica that has just come back gets up to 19 requests in a second where it bears 11, falls over, and cuts the answers under way.

The property test had only a limit of 42.5, where the sum of the chances of 100 nodes stays within it.

The fleet of the test has a number of nodes, a limit, a loss of all, and members that become known 14 to 1,154 ms after a start, as in the logs of forty processes. Its other scenarios are unchanged.

--- a/tests/routing/cold_replica_fleet_test.cpp
+++ b/tests/routing/cold_replica_fleet_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "base/random.h"
@@ -16,27 +17,29 @@
 
 namespace {
 
-constexpr std::size_t kNodes = 100;
 constexpr std::size_t kReplicas = 2;
 constexpr Duration kStep = milliseconds(10);
 constexpr Duration kTendPeriod = milliseconds(100);
 constexpr Duration kHeartbeat = milliseconds(1200);
 constexpr Duration kColdTime = seconds(3);
-constexpr double kLimit = 25 * 1.5 + 5;
 const std::string kZone = "z";
 
 /// What differs between the runs.
 struct Scenario {
   ColdReplicaKnobs knobs;
+  std::size_t nodes = 100;
+  double coldPerSecond = 25;
   double hiddenMembers = 0.1;  ///< Each view leaves out this share of the members.
   bool viewsChangeAllTheTime = false;
   bool isSplit = false;  ///< Two halves, each of which sees only itself.
   /// Nodes without the store and relays from before the evacuation on: they go on sending to the
   /// replicas all the time, and are answered.
   std::size_t cutOff = 8;
-  double frozen = 0.1;        ///< Nodes that stand still around the return.
-  double restarted = 0.3;     ///< Nodes whose process starts anew around the return.
-  double storeLost = 0;       ///< Nodes without the store from some seconds before on.
+  double frozen = 0.1;     ///< Nodes that stand still around the return.
+  double restarted = 0.3;  ///< Nodes whose process starts anew around the return.
+  double storeLost = 0;    ///< Nodes without the store from some seconds before on.
+  /// All processes start anew at once, so long after the return.
+  std::optional<Duration> lossOfAll;
   bool isDarkBefore = false;  ///< The replicas answer nobody before they come back cold.
   // Mutants.
   bool everyNodeFeeds = false;
@@ -44,6 +47,11 @@
   bool startsSure = false;
 };
 
+/// \return what may reach a cold replica in any second.
+double limitOf(const Scenario& scenario) {
+  return scenario.coldPerSecond * scenario.knobs.overshoot + scenario.knobs.slack;
+}
+
 /// A registration as it lies in the store.
 struct Registration {
   Instant writtenAt;
@@ -69,7 +77,8 @@
   Instant nextReadAt;
   Instant nextOperatorReadAt;
   bool hasReadReturn = false;
-  Instant listsAt;  ///< Of a process that starts: its first listings end.
+  Instant listsAt;          ///< Of a process that starts: its first listings end.
+  Instant membersListedAt;  ///< It knows no member before.
   bool isListed = true;
   bool knowsEvacuated = true;
   bool isCutOff = false;
@@ -83,13 +92,13 @@
   Fleet(Scenario scenario, std::uint64_t seed) : scenario_(scenario), random_(seed) {
     service_.name = "m";
     service_.coldTime = kColdTime;
-    service_.coldRequestsPerSecond = 25;
+    service_.coldRequestsPerSecond = scenario_.coldPerSecond;
     makeReplicas();
-    for (std::size_t index = 0; index < kNodes; ++index) {
+    for (std::size_t index = 0; index < scenario_.nodes; ++index) {
       nodes_.push_back(std::make_unique<FleetNode>());
       nodes_.back()->name = "n" + std::to_string(index);
     }
-    for (std::size_t index = 0; index < kNodes; ++index) {
+    for (std::size_t index = 0; index < scenario_.nodes; ++index) {
       prepare(index);
     }
   }
@@ -98,7 +107,7 @@
     const Instant end = returnedAt_ + seconds(6);
     while (now_ < end) {
       now_ += kStep;
-      for (std::size_t index = 0; index < kNodes; ++index) {
+      for (std::size_t index = 0; index < scenario_.nodes; ++index) {
         step(index);
       }
     }
@@ -141,7 +150,7 @@
       node.view = {node.name};
       return;
     }
-    for (std::size_t other = 0; other < kNodes; ++other) {
+    for (std::size_t other = 0; other < scenario_.nodes; ++other) {
       const bool isOtherHalf = scenario_.isSplit && other % 2 != index % 2;
       const bool isHidden = other != index && random_.fraction() < scenario_.hiddenMembers;
       if (!isOtherHalf && !isHidden) {
@@ -178,6 +187,9 @@
     if (random_.fraction() < scenario_.storeLost) {
       node.isCutOff = true;
     }
+    if (scenario_.lossOfAll) {
+      node.restartsAt = returnedAt_ + *scenario_.lossOfAll + upTo(milliseconds(60));
+    }
     if (node.isCutOff) {
       node.knowsEvacuated = false;
     }
@@ -186,7 +198,8 @@
   void begin(FleetNode& node) {
     ColdReplicaSources sources;
     sources.serviceOf = [this](std::string_view) { return &service_; };
-    sources.nodes = [&node]() -> const std::vector<std::string>& { return node.view; };
+    sources.nodes = [this, &node]() -> const std::vector<std::string>& { return viewOf(node); };
+    sources.members = [this, &node] { return viewOf(node).size(); };
     const std::uint64_t life = (random_.below(UINT32_MAX) << 20U) + random_.below(UINT32_MAX);
     node.rule = std::make_unique<ColdReplicaRule>(scenario_.knobs, sources, node.name, life);
     node.replicas.clear();
@@ -196,11 +209,17 @@
       known->entry.id = replica.id;
       known->entry.service = "m";
       known->entry.zone = kZone;
-      known->coldRequestsPerSecond = 25;
+      known->coldRequestsPerSecond = scenario_.coldPerSecond;
       node.replicas.push_back(std::move(known));
     }
   }
 
+  /// \return the members that the node knows.
+  [[nodiscard]] const std::vector<std::string>& viewOf(const FleetNode& node) const {
+    static const std::vector<std::string> kNobody;
+    return now_ < node.membersListedAt ? kNobody : node.view;
+  }
+
   void restart(FleetNode& node) {
     node.restartsAt = Instant::max();
     begin(node);
@@ -208,6 +227,10 @@
     node.listsAt = now_ + milliseconds(20) + upTo(milliseconds(400));
     node.nextReadAt = node.listsAt;
     node.nextOperatorReadAt = node.listsAt;
+    if (scenario_.lossOfAll) {
+      // All ask the store at once: as in the logs of forty processes that were killed together.
+      node.membersListedAt = now_ + milliseconds(14) + upTo(milliseconds(1140));
+    }
   }
 
   void readRegistrations(FleetNode& node) {
@@ -325,14 +348,14 @@
   return outcome;
 }
 
-void checkHolds(const Scenario& scenario) {
-  const Outcome outcome = play(scenario);
-  CHECK_COMPARE(static_cast<double>(outcome.most), <=, kLimit);
+void checkHolds(const Scenario& scenario, std::uint64_t seeds = 12) {
+  const Outcome outcome = play(scenario, seeds);
+  CHECK_COMPARE(static_cast<double>(outcome.most), <=, limitOf(scenario));
   CHECK_COMPARE(outcome.all, >, 0U);
 }
 
 void checkBreaks(const Scenario& scenario) {
-  CHECK_COMPARE(static_cast<double>(play(scenario).most), >, kLimit);
+  CHECK_COMPARE(static_cast<double>(play(scenario).most), >, limitOf(scenario));
 }
 
 Scenario changingViews() {
@@ -342,6 +365,19 @@
   return scenario;
 }
 
+/// As in `tools/fault_soak.sh --nodes 40`: 11 requests in a second are allowed.
+Scenario lossOfAll(Duration afterTheReturn) {
+  Scenario scenario;
+  scenario.nodes = 40;
+  scenario.coldPerSecond = 4;
+  scenario.lossOfAll = afterTheReturn;
+  scenario.hiddenMembers = 0;
+  scenario.cutOff = 0;
+  scenario.frozen = 0;
+  scenario.restarted = 0;
+  return scenario;
+}
+
 }  // namespace
 
 TEST_GROUP(ColdReplicaFleet){};
@@ -423,3 +459,10 @@
   scenario.startsSure = true;
   checkBreaks(scenario);
 }
+
+TEST(ColdReplicaFleet, holdsALowLimitWhenAllNodesAreLostAfterTheReturn) {
+  constexpr std::uint64_t kSeeds = 100;
+  for (const int after : {-1000, 0, 400, 1000, 2000}) {
+    checkHolds(lossOfAll(milliseconds(after)), kSeeds);
+  }
+}
