Logs tell by what a replica that may be cold gets a request, and which nodes know

Operators, and the fault soak, could not tell from the logs which requests to a cold replica were sent by a feeder, by a node that cannot know the replica's state, or to one that it trusts: what decides whether the limit can hold. And whoever became a feeder after its first look wrote no line.

Lines: `dispatch` has granted_as; `replica_cold` is written again when this node becomes the replica's feeder or is none any more; `cold_states_known` and `cold_states_unknown` tell when a node that serves replicas with such a limit can tell their state, and how many members it had listed. Nothing is decided differently. Tests: tellsByWhatItAllowsARequest, tellsWhenThisNodeBecomesAFeederAndWhenItIsNoneAnyMore, aDispatchTellsByWhatItsReplicaGetsIt.

--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -126,6 +126,7 @@
   [[nodiscard]] const LoadPeers& loadPeers();
   [[nodiscard]] routing::ColdReplicaSources coldReplicaSources();
   void tendColdReplicas();
+  void logWhetherColdIsKnown();
   void flushLoop();
   void sweepLoop();
   void leaseLoop();
@@ -197,6 +198,7 @@
   routing::RegionRule regionRule_;
   routing::EvacuationRule evacuationRule_;
   routing::ColdReplicaRule coldReplicas_;
+  std::optional<bool> isColdKnown_;  ///< As it was told last; unset: never.
   routing::ReplicaPlacement placement_;
   routing::FleetLoad fleetLoad_;
   LoadExchange loadExchange_;
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -216,6 +216,21 @@
                     {"for_ms", static_cast<std::uint64_t>(toMilliseconds(change.remaining))},
                     {"feeder", std::uint64_t{change.isFeeder ? 1U : 0U}}});
   }
+  logWhetherColdIsKnown();
+}
+
+// What a node may send to replicas that may be cold depends on it: without this line nobody could
+// tell from the logs which nodes knew.
+void EdgeDaemon::logWhetherColdIsKnown() {
+  const bool isKnown = coldReplicas_.isSure(clock_());
+  if (coldReplicas_.limitedReplicas() == 0 || isColdKnown_ == isKnown) {
+    return;
+  }
+  isColdKnown_ = isKnown;
+  log_.important(isKnown ? "cold_states_known" : "cold_states_unknown",
+                 {{"members", std::uint64_t{members_.size()}},
+                  {"client_takers", std::uint64_t{clientTakers_.size()}},
+                  {"replicas", std::uint64_t{coldReplicas_.limitedReplicas()}}});
 }
 
 const LoadPeers& EdgeDaemon::loadPeers() {
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -19,7 +19,7 @@
 void Exchange::send(const routing::ReplicaPtr& replica) {
   replica_ = replica;
   ++replica_->inFlight;
-  context_.placement.onSent(*replica, context_.clock());
+  const std::string_view grant = context_.placement.onSent(*replica, context_.clock());
   if (!firstDispatchAt_) {
     firstDispatchAt_ = context_.clock();
     context_.metrics.onFirstDispatch(*firstDispatchAt_ - arrivedAt_);
@@ -49,7 +49,8 @@
                                     {"replica", replica->entry.id},
                                     {"in_flight", std::uint64_t{replica->inFlight}},
                                     {"number", dispatchNumber_},
-                                    {"left_ms", wholeMilliseconds(how.timeLeft)}});
+                                    {"left_ms", wholeMilliseconds(how.timeLeft)},
+                                    {"granted_as", grant.empty() ? "usual" : grant}});
   http::ResponseHandler handler;
   const auto self = shared_from_this();
   const std::uint64_t number = dispatchNumber_;
--- a/src/routing/cold_replica_rule.cpp
+++ b/src/routing/cold_replica_rule.cpp
@@ -36,6 +36,22 @@
 
 }  // namespace
 
+std::string_view coldGrantName(ColdGrant grant) {
+  switch (grant) {
+    case ColdGrant::Unlimited:
+      return {};
+    case ColdGrant::Feeder:
+      return "cold_feeder";
+    case ColdGrant::StaticShare:
+      return "cold_static_share";
+    case ColdGrant::Unsure:
+      return "cold_unsure";
+    case ColdGrant::Trusted:
+      break;
+  }
+  return "cold_trusted";
+}
+
 ColdReplicaRule::ColdReplicaRule(ColdReplicaKnobs knobs, ColdReplicaSources sources,
                                  std::string ownName, std::uint64_t life)
     : knobs_(knobs),
@@ -193,20 +209,33 @@
   return replica.isTrusted && replica.failures == 0 && now - replica.heardAt < knobs_.trustTime;
 }
 
-bool ColdReplicaRule::mayGet(const Replica& replica, Instant now) const {
+std::optional<ColdGrant> ColdReplicaRule::grantOf(const Replica& replica, Instant now) const {
+  const auto grantIf = [](bool isAllowed, ColdGrant grant) {
+    return isAllowed ? std::optional(grant) : std::nullopt;
+  };
   if (!isSure(now)) {
-    const bool isUsed =
-        isTrusted(replica, now) && sentInSlot(replica, slotOf(now)) < knobs_.trustedPerSlot;
-    return isUsed || isSpaced(replica, now);
+    if (isTrusted(replica, now) && sentInSlot(replica, slotOf(now)) < knobs_.trustedPerSlot) {
+      return ColdGrant::Trusted;
+    }
+    return grantIf(isSpaced(replica, now), ColdGrant::Unsure);
   }
   if (!isCold(replica, now)) {
-    return true;
+    return ColdGrant::Unlimited;
   }
   if (knobs_.sharing == ColdSharing::StaticShares) {
-    return hasSlotLeft(replica, knobs_.staticShare, now);
+    return grantIf(hasSlotLeft(replica, knobs_.staticShare, now), ColdGrant::StaticShare);
   }
   const auto bucket = buckets_.find(replica.entry.id);
-  return bucket != buckets_.end() && tokensOf(bucket->second, replica, now) >= 1.0;
+  const bool hasToken = bucket != buckets_.end() && tokensOf(bucket->second, replica, now) >= 1.0;
+  return grantIf(hasToken, ColdGrant::Feeder);
+}
+
+std::string_view ColdReplicaRule::grantNameOf(const Replica& replica, Instant now) const {
+  if (replica.coldRequestsPerSecond <= 0) {
+    return {};
+  }
+  const std::optional<ColdGrant> grant = grantOf(replica, now);
+  return grant ? coldGrantName(*grant) : std::string_view();
 }
 
 std::optional<PlacementBar> ColdReplicaRule::barOf(const Replica& replica,
@@ -219,7 +248,7 @@
   if (isSure(now) && now >= replica.coldUntil && cautions_.empty()) {
     return std::nullopt;
   }
-  if (mayGet(replica, now)) {
+  if (grantOf(replica, now)) {
     return std::nullopt;
   }
   return PlacementBar::ColdRateSpent;
@@ -261,7 +290,10 @@
   } else {
     buckets_.erase(id);
   }
-  if (cold != cold_.contains(id)) {
+  const auto known = cold_.find(id);
+  const bool wasCold = known != cold_.end();
+  const bool fedBefore = wasCold && known->second;
+  if (cold != wasCold || feeds != fedBefore) {
     const Duration remaining =
         cold ? std::max(Duration::zero(), replica.coldUntil - now) : Duration::zero();
     changes.push_back({id, replica.entry.zone, cold, remaining, feeds});
@@ -292,8 +324,10 @@
   } else if (!unsureSince_) {
     unsureSince_ = now;
   }
+  limitedReplicas_ = 0;
   for (const ReplicaPtr& replica : replicas) {
     tendReplica(*replica, now, changes);
+    limitedReplicas_ += replica->coldRequestsPerSecond > 0 ? 1 : 0;
   }
   forgetSlots(now);
   if (buckets_.size() + cold_.size() > 0) {
--- a/src/routing/cold_replica_rule.h
+++ b/src/routing/cold_replica_rule.h
@@ -22,6 +22,18 @@
   StaticShares,  ///< Every node, in its own random part of the time.
 };
 
+/// By what a request to a replica that may be cold is allowed.
+enum class ColdGrant : std::uint8_t {
+  Unlimited,    ///< The replica is warm.
+  Feeder,       ///< It is cold; this node is one of its feeders.
+  StaticShare,  ///< It is cold; this node uses its part of the time.
+  Unsure,       ///< This node cannot know its state.
+  Trusted,      ///< As before, and the replica answers this node all the time.
+};
+
+/// \return a stable snake_case name for log lines; empty: nothing limits the request.
+[[nodiscard]] std::string_view coldGrantName(ColdGrant grant);
+
 /// Knobs of `ColdReplicaRule`. All nodes must use the same. The limit is what may reach one replica
 /// in any second; how it is divided is worked out in docs/design/0015-cold-replicas.md.
 struct ColdReplicaKnobs {
@@ -83,7 +95,8 @@
   std::function<std::size_t()> members;
 };
 
-/// One replica turned cold or warm, for a log line.
+/// One replica turned cold or warm, or this node became its feeder or is none any more; for a log
+/// line.
 struct ColdReplicaChange {
   std::string id;
   std::string zone;
@@ -121,13 +134,14 @@
   /// registrations may not tell it yet.
   void onZoneReturned(const std::string& zone, Instant now);
   /// Call it with all replicas some times a second, and when services change.
-  /// \return replicas that turned cold or warm since the last call.
+  /// \return what changed since the last call.
   std::vector<ColdReplicaChange> tend(const std::vector<ReplicaPtr>& replicas, Instant now);
 
   [[nodiscard]] std::optional<PlacementBar> barOf(const Replica& replica,
                                                   const PlacementSubject& subject,
                                                   Instant now) const override;
   void onSent(const Replica& replica, Instant now) override;
+  [[nodiscard]] std::string_view grantNameOf(const Replica& replica, Instant now) const override;
   void onPassedOver(const Replica& replica) override;
   [[nodiscard]] Duration retryAfter(PlacementBar bar) const override;
 
@@ -136,6 +150,8 @@
   [[nodiscard]] bool isSure(Instant now) const;
   /// \return cold replicas as of the last `tend`.
   [[nodiscard]] std::size_t coldReplicas() const { return cold_.size(); }
+  /// \return replicas that have a limit while they are cold, as of the last `tend`.
+  [[nodiscard]] std::size_t limitedReplicas() const { return limitedReplicas_; }
   /// \return how often a placement passed a replica over.
   [[nodiscard]] std::uint64_t passedOver() const { return passedOver_; }
 
@@ -165,7 +181,8 @@
   [[nodiscard]] Duration unsureSpacingOf(const Replica& replica, Instant now) const;
   [[nodiscard]] bool isSpaced(const Replica& replica, Instant now) const;
   [[nodiscard]] bool isTrusted(const Replica& replica, Instant now) const;
-  [[nodiscard]] bool mayGet(const Replica& replica, Instant now) const;
+  /// \return by what this node may send to the replica now; nothing: it may not.
+  [[nodiscard]] std::optional<ColdGrant> grantOf(const Replica& replica, Instant now) const;
   void tendReplica(Replica& replica, Instant now, std::vector<ColdReplicaChange>& changes);
   void endCautions();
   void forgetSlots(Instant now);
@@ -190,6 +207,7 @@
   /// When this node last sent to a replica whose state it did not know.
   std::map<std::string, Instant, std::less<>> unsureSentAt_;
   std::map<std::string, bool, std::less<>> cold_;  ///< By id; whether this node feeds it.
+  std::size_t limitedReplicas_ = 0;
   std::uint64_t passedOver_ = 0;
 };
 
--- a/src/routing/placement_rule.h
+++ b/src/routing/placement_rule.h
@@ -44,6 +44,12 @@
                                                           Instant now) const = 0;
   /// The request was sent to the replica: rules that count requests count this one.
   virtual void onSent(const Replica& /*replica*/, Instant /*now*/) {}
+  /// \return by what this rule allows the replica a request where it counts them, for a log line;
+  /// empty: it does not limit the replica now. To be asked before `onSent`.
+  [[nodiscard]] virtual std::string_view grantNameOf(const Replica& /*replica*/,
+                                                     Instant /*now*/) const {
+    return {};
+  }
   /// A placement left the replica out because of this rule; once a placement and replica.
   virtual void onPassedOver(const Replica& /*replica*/) {}
   /// \return when it is worth asking again where only this rule kept a request from being placed.
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -61,10 +61,15 @@
   return found ? std::optional(found->bar) : std::nullopt;
 }
 
-void ReplicaPlacement::onSent(const Replica& replica, Instant now) {
+std::string_view ReplicaPlacement::onSent(const Replica& replica, Instant now) {
+  std::string_view grant;
   for (PlacementRule* const rule : rules_) {
+    if (grant.empty()) {
+      grant = rule->grantNameOf(replica, now);
+    }
     rule->onSent(replica, now);
   }
+  return grant;
 }
 
 NoReplica ReplicaPlacement::whyNone(const std::vector<Barred>& passedOver) {
--- a/src/routing/replica_placement.h
+++ b/src/routing/replica_placement.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -58,7 +59,8 @@
                                                   const PlacementSubject& subject,
                                                   Instant now) const;
   /// To be told of each request that is sent to a replica, whatever way it came there.
-  void onSent(const Replica& replica, Instant now);
+  /// \return by what a rule allowed it that counts requests, for a log line; empty: none does.
+  std::string_view onSent(const Replica& replica, Instant now);
 
  private:
   /// A rule and the reason it gives.
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -225,6 +225,13 @@
       world.metrics.render({}).c_str());
 }
 
+TEST(Exchange, aDispatchTellsByWhatItsReplicaGetsIt) {
+  world.start(ExchangeWorld::request("safe"));
+  world.eventLog.flush();
+  STRCMP_CONTAINS("event=dispatch request=q1", world.lines.c_str());
+  STRCMP_CONTAINS("granted_as=usual", world.lines.c_str());
+}
+
 // All replicas are busy, and the one that holds the prompt is full: some of a program's tries are
 // refused, which tells what was judged, and one is placed at another replica.
 TEST(Exchange, aProgramWhoseReplicaIsFullIsPlacedAtOneOfItsTries) {
--- a/tests/routing/cold_replica_rule_test.cpp
+++ b/tests/routing/cold_replica_rule_test.cpp
@@ -346,3 +346,36 @@
   rule->tend({replica}, now);
   CHECK(sendFor(seconds(1)) <= 1);
 }
+
+TEST(ColdReplicaRule, tellsByWhatItAllowsARequest) {
+  registers(Duration::zero());
+  STRCMP_EQUAL("", std::string(rule->grantNameOf(*replica, now)).c_str());
+  registers(seconds(60));
+  STRCMP_EQUAL("", std::string(rule->grantNameOf(*replica, now)).c_str());  // It may not get one.
+  now += seconds(1);
+  hear();
+  STRCMP_EQUAL("cold_feeder", std::string(rule->grantNameOf(*replica, now)).c_str());
+  begin({});
+  rule->tend({replica}, now);
+  now += seconds(2);
+  STRCMP_EQUAL("cold_unsure", std::string(rule->grantNameOf(*replica, now)).c_str());
+  LONGS_EQUAL(1, rule->limitedReplicas());
+}
+
+TEST(ColdReplicaRule, tellsWhenThisNodeBecomesAFeederAndWhenItIsNoneAnyMore) {
+  nodes = {"b"};
+  replica->entry.coldFor = seconds(60);
+  rule->onRegistration(*replica, false, now);
+  auto changes = rule->tend({replica}, now);
+  LONGS_EQUAL(1, changes.size());
+  CHECK_FALSE(changes.front().isFeeder);
+  nodes = {"a"};
+  changes = rule->tend({replica}, now);
+  LONGS_EQUAL(1, changes.size());
+  CHECK_TRUE(changes.front().isCold && changes.front().isFeeder);
+  nodes = {"b"};
+  changes = rule->tend({replica}, now);
+  LONGS_EQUAL(1, changes.size());
+  CHECK_TRUE(changes.front().isCold && !changes.front().isFeeder);
+  LONGS_EQUAL(0, rule->tend({replica}, now).size());
+}
