--- a/src/edge/file_watcher.cpp
+++ b/src/edge/file_watcher.cpp
@@ -22,8 +22,9 @@
                          std::function<void(const std::string&)> onChanged)
     : timers_(timers), path_(std::move(path)), period_(period), onChanged_(std::move(onChanged)) {}
 
-void FileWatcher::start() {
-  seen_ = contentOf(path_);
+void FileWatcher::start(std::string seen) {
+  seen_ = std::move(seen);
+  check();
   schedule();
 }
 
--- a/src/edge/file_watcher.h
+++ b/src/edge/file_watcher.h
@@ -18,8 +18,8 @@
   FileWatcher(services::TimerService& timers, std::string path, Duration period,
               std::function<void(const std::string&)> onChanged);
 
-  /// Takes the present content as seen and begins to watch.
-  void start();
+  /// Looks at once, so that a change made since `seen` was read is told, and begins to watch.
+  void start(std::string seen);
   /// Looks now. An unreadable or empty file is being written: it is looked at again later.
   void check();
 
--- a/tests/edge/file_watcher_test.cpp
+++ b/tests/edge/file_watcher_test.cpp
@@ -26,7 +26,7 @@
           told = content;
           ++times;
         });
-    watcher->start();
+    watcher->start("one");
   }
   void teardown() override { std::remove(path.c_str()); }
   void write(const std::string& text) const {
@@ -58,3 +58,11 @@
   timers.advance(seconds(4));
   LONGS_EQUAL(1, times);
 }
+
+// The settings are read, then the node starts to listen, and only then the file is watched.
+TEST(FileWatcher, tellsAChangeThatWasMadeBeforeItBegan) {
+  write("two");
+  watcher->start("one");
+  LONGS_EQUAL(1, times);
+  STRCMP_EQUAL("two", told.c_str());
+}
