A zone's reader that lives and cannot list is replaced

What callers would have seen: a whole zone answers 503, since none of its nodes has a configuration, for as long as one node is cut off.

Cause: the node that claims to read a zone's followed topics may lose its way to the store right after its claim stands. It answers 'not listed yet', and only a reader that is not reached was replaced. Shown by FleetStart.goesOnWhenReadersLiveAndCannotList (120 nodes in virtual time), which fails without the change. The same fault elsewhere: where the claimed reader is gone and the nodes asked beside it have not listed the topic, nobody looked for another one.

Change: a reader without an answer for 5 s is passed over like one that is not reached; the time doubles with each one up to 40 s and is back at 5 s after an answer. Why it holds: whoever lists the claims reaches the store, and two readers of a zone only cost reads. The doubling keeps a store that is slow for all from being listed anew by one reader after the other. Ruled out: a shorter time alone (a listing at the start of 985 nodes takes up to 3.5 s); resigning by the reader itself (it cannot write its claim away). Not played at full size with a reader that is cut off.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -206,6 +206,8 @@
   sources.onUnreachable = [this](const std::string& address) {
     topicReaders_.onUnreachable(address);
   };
+  sources.onAnswered = [this](const std::string& address) { topicReaders_.onAnswered(address); };
+  sources.onNoAnswer = [this](const std::string& address) { topicReaders_.onNoAnswer(address); };
   sources.onNoReader = [this] { topicReaders_.onNoReader(); };
   sources.members = [this] { return members_.size(); };
   return sources;
--- a/src/edge/reader_election.cpp
+++ b/src/edge/reader_election.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace gorsetrail::edge {
@@ -12,7 +13,8 @@
     : ownAddress_(std::move(ownAddress)),
       capacity_(capacity),
       knobs_(knobs),
-      random_(XXH64(ownAddress_.data(), ownAddress_.size(), seed)) {}
+      random_(XXH64(ownAddress_.data(), ownAddress_.size(), seed)),
+      patience_(knobs.patience) {}
 
 bool ReaderElection::isSuspect(const std::string& address, Instant now) const {
   const auto found = suspectUntil_.find(address);
@@ -29,6 +31,9 @@
 void ReaderElection::onListed(const std::string& address, Instant now) {
   isSearching_ = false;
   isReader_ = address == ownAddress_;
+  if (reader_ != address) {
+    unansweredAt_.reset();
+  }
   reader_ = address;
   reviewAt_ = now + knobs_.reviewPeriod;
   if (!reader_.empty() && !isSuspect(reader_, now)) {
@@ -57,6 +62,32 @@
   suspectUntil_[address] = now + knobs_.suspicionTime;
 }
 
+void ReaderElection::onAnswered(const std::string& address) {
+  if (address == reader_) {
+    unansweredAt_.reset();
+    patience_ = knobs_.patience;
+  }
+}
+
+// A reader that was cut off after its claim can neither list the topics nor take the claim back:
+// its zone would wait for as long as that lasts. Whoever lists the claims reaches the store, so it
+// may do better.
+void ReaderElection::onNoAnswer(const std::string& address, Instant now) {
+  if (address != reader_ || isReader_) {
+    return;
+  }
+  if (!unansweredAt_) {
+    unansweredAt_ = now;
+  }
+  if (now - *unansweredAt_ < patience_) {
+    return;
+  }
+  unansweredAt_.reset();
+  patience_ = std::min(patience_ * 2, knobs_.longestPatience);
+  onUnreachable(address, now);
+  onNoReader(now);
+}
+
 void ReaderElection::onNoReader(Instant /*now*/) {
   if (!isReader_ && !claimAt_) {
     isSearching_ = true;
--- a/src/edge/reader_election.h
+++ b/src/edge/reader_election.h
@@ -27,6 +27,12 @@
   Duration suspicionTime = milliseconds(3000);
   /// A reader looks after this time whether a later claim has taken its place.
   Duration reviewPeriod = milliseconds(3000);
+  /// A reader that lives and cannot answer for so long is passed over like one that is not reached.
+  /// A listing at the start of a large fleet takes less. Doubles with each reader that is passed
+  /// over, up to `longestPatience`: a store that is slow for all would have each of them begin
+  /// anew.
+  Duration patience = milliseconds(5000);
+  Duration longestPatience = milliseconds(40000);
 };
 
 /// When all nodes of a fleet start at once, nobody knows any member, and each node that read the
@@ -53,6 +59,11 @@
   void onClaimed(Instant now);
   /// No answer came from this node.
   void onUnreachable(const std::string& address, Instant now);
+  /// This node answered a question about the followed topics.
+  void onAnswered(const std::string& address);
+  /// This node lives, and could not answer: it has not listed the topics itself, or the store is
+  /// busy.
+  void onNoAnswer(const std::string& address, Instant now);
   /// No known reader answered: the claims are listed again.
   void onNoReader(Instant now);
 
@@ -75,6 +86,8 @@
   bool isListedForClaim_ = false;  ///< And again after the own delay.
   std::optional<Instant> claimAt_;
   Instant reviewAt_;
+  Duration patience_;                    ///< See `ReaderElectionKnobs::patience`.
+  std::optional<Instant> unansweredAt_;  ///< Since then the reader lives and has no answer.
   std::map<std::string, Instant> suspectUntil_;
 };
 
--- a/src/edge/shared_topic_store.cpp
+++ b/src/edge/shared_topic_store.cpp
@@ -122,6 +122,11 @@
 void SharedTopicStore::askNext(const std::shared_ptr<Call<Request, Reply>>& call) {
   if (call->asked == call->readers.size()) {
     if (call->readerError) {
+      // The claimed reader is gone, and who was asked in its place has not listed the topic.
+      const bool isUnlisted = call->readerError->fault == logstore::StoreFault::Busy;
+      if (isUnlisted && sources_.claimedReader().empty()) {
+        sources_.onNoReader();
+      }
       call->callback(*call->readerError);
       return;
     }
@@ -175,12 +180,16 @@
     if (reader != ownAddress_) {
       provenReaders_[call->request.partition] = reader;
     }
+    sources_.onAnswered(reader);
     call->callback(std::move(*reply));
     return;
   }
   if (provenReaders_[call->request.partition] == reader) {
     provenReaders_.erase(call->request.partition);
   }
+  if (error->fault == logstore::StoreFault::Busy) {
+    sources_.onNoAnswer(reader);
+  }
   // The follower lists anew only when nobody keeps what it missed.
   if (!call->readerError || call->readerError->fault == logstore::StoreFault::NotKept) {
     call->readerError = *error;
--- a/src/edge/shared_topic_store.h
+++ b/src/edge/shared_topic_store.h
@@ -34,6 +34,10 @@
   std::function<bool()> isClaimedReader;
   /// A reader was not reached.
   std::function<void(const std::string& address)> onUnreachable;
+  /// A reader answered from its copy.
+  std::function<void(const std::string& address)> onAnswered;
+  /// A reader lives and has nothing to answer from.
+  std::function<void(const std::string& address)> onNoAnswer;
   /// Nobody who could read for the zone was reached.
   std::function<void()> onNoReader;
   /// How many nodes there are; 0: not known.
--- a/src/edge/topic_readers.h
+++ b/src/edge/topic_readers.h
@@ -50,6 +50,8 @@
   [[nodiscard]] std::string reader() const { return election_.reader(clock_()); }
   [[nodiscard]] bool isReader() const { return election_.isReader(); }
   void onUnreachable(const std::string& address) { election_.onUnreachable(address, clock_()); }
+  void onAnswered(const std::string& address) { election_.onAnswered(address); }
+  void onNoAnswer(const std::string& address) { election_.onNoAnswer(address, clock_()); }
   void onNoReader() { election_.onNoReader(clock_()); }
 
  private:
--- a/tests/edge/fake_peers.h
+++ b/tests/edge/fake_peers.h
@@ -37,6 +37,9 @@
     if (cutOff.contains(request.address)) {
       reply = logstore::StoreError{logstore::StoreFault::NoAnswer, "time limit reached", 0};
     }
+    if (unlisted.contains(request.address)) {
+      reply = logstore::StoreError{logstore::StoreFault::Busy, "not listed yet", 0};
+    }
     handler.onDone({200, {}, logstore::encodeStoreReply(reply)});
     return std::make_shared<NoHandle>();
   }
@@ -49,6 +52,7 @@
   std::set<std::string> readsHere;    ///< Answer reads.
   std::set<std::string> listsHere;    ///< Answer listings.
   std::set<std::string> cutOff;       ///< Answer that the store does not.
+  std::set<std::string> unlisted;     ///< Answer that they have no copy of the topic.
   std::set<std::string> unreachable;  ///< Take no connection.
 };
 
--- a/tests/edge/fleet_start_test.cpp
+++ b/tests/edge/fleet_start_test.cpp
@@ -119,6 +119,50 @@
   Instant appendsEnd_;
 };
 
+/// One node's way to the store.
+class WayToStore final : public logstore::LogStore {
+ public:
+  WayToStore(logstore::FakeTimers& timers, RatedStore& store) : timers_(timers), store_(store) {}
+
+  void append(logstore::AppendRequest request,
+              logstore::StoreCallback<logstore::AppendReply> callback) override {
+    if (isCut) {
+      fail(request.timeLimit, callback);
+    } else {
+      store_.append(std::move(request), std::move(callback));
+    }
+  }
+  void read(logstore::ReadRequest request,
+            logstore::StoreCallback<logstore::ReadReply> callback) override {
+    if (isCut) {
+      fail(request.timeLimit, callback);
+    } else {
+      store_.read(std::move(request), std::move(callback));
+    }
+  }
+  void newest(logstore::NewestRequest request,
+              logstore::StoreCallback<logstore::NewestReply> callback) override {
+    if (isCut) {
+      fail(request.timeLimit, callback);
+    } else {
+      store_.newest(std::move(request), std::move(callback));
+    }
+  }
+
+  bool isCut = false;
+
+ private:
+  template <class Reply>
+  void fail(Duration timeLimit, const logstore::StoreCallback<Reply>& callback) {
+    timers_.runAfter(timeLimit, [callback] {
+      callback(logstore::StoreError{logstore::StoreFault::NoAnswer, "time limit reached", 0});
+    });
+  }
+
+  logstore::FakeTimers& timers_;
+  RatedStore& store_;
+};
+
 class StartingNode;
 
 /// Carries store calls between nodes; a node's link sends one reply after the other.
@@ -154,7 +198,8 @@
         linkBytesPerSecond(capacity > 0.1 ? 75e6 : 4e6),
         timers_(timers),
         clock_([&timers] { return timers.now; }),
-        store_(store, timers, clock_, {}, seed),
+        wayToStore(timers, store),
+        store_(wayToStore, timers, clock_, {}, seed),
         relay_(
             network, [](const logstore::PartitionAddress&) { return std::vector<std::string>(); },
             seed),
@@ -202,6 +247,8 @@
     made.claimedReader = [this] { return readers.reader(); };
     made.isClaimedReader = [this] { return readers.isReader(); };
     made.onUnreachable = [this](const std::string& reader) { readers.onUnreachable(reader); };
+    made.onAnswered = [this](const std::string& reader) { readers.onAnswered(reader); };
+    made.onNoAnswer = [this](const std::string& reader) { readers.onNoAnswer(reader); };
     made.onNoReader = [this] { readers.onNoReader(); };
     made.members = [] { return std::size_t{0}; };
     return made;
@@ -209,6 +256,11 @@
 
   logstore::FakeTimers& timers_;
   logstore::ClockFunction clock_;
+
+ public:
+  WayToStore wayToStore;
+
+ private:
   logstore::PersistentStore store_;
   RelayedStore relay_;
 
@@ -354,3 +406,22 @@
   fleet.timers.advance(seconds(6));
   CHECK(fleet.ready() >= (kNodes - lost) * 9 / 10);
 }
+
+// The first readers are cut off from the store right after their claims stand: they live, and can
+// neither list the topic nor take their claims back. Their zones waited for as long as that lasted.
+TEST(FleetStart, goesOnWhenReadersLiveAndCannotList) {
+  Fleet fleet(kStoreBytesPerSecond, true);
+  int cut = 0;
+  while (fleet.readers() < kZones && cut == 0) {
+    fleet.timers.advance(milliseconds(1));
+    for (const auto& node : fleet.nodes) {
+      if (node->readers.isReader() && !node->copy.isComplete()) {
+        node->wayToStore.isCut = true;
+        ++cut;
+      }
+    }
+  }
+  CHECK(cut > 0);
+  fleet.timers.advance(seconds(12));
+  CHECK(fleet.ready() >= kNodes - cut - 2);
+}
--- a/tests/edge/reader_election_test.cpp
+++ b/tests/edge/reader_election_test.cpp
@@ -137,3 +137,61 @@
   now += seconds(4);
   STRCMP_EQUAL("reader", election.reader(now).c_str());
 }
+
+TEST(ReaderElection, aReaderThatLivesAndHasNoAnswerIsReplacedAfterItsTime) {
+  Zone zone;
+  zone.claim = "cut-off";
+  zone.add(20, kWide, 3);
+  zone.run(milliseconds(100));
+  const Instant from = zone.now;
+  const auto allGetNoAnswer = [&zone] {
+    for (Zone::Node& node : zone.nodes) {
+      node.election->onNoAnswer("cut-off", zone.now);
+    }
+  };
+  while (zone.now < from + seconds(4)) {
+    allGetNoAnswer();
+    zone.run(milliseconds(200));
+  }
+  LONGS_EQUAL(0, zone.claims);  // It may be listing.
+  while (zone.now < from + seconds(7)) {
+    allGetNoAnswer();
+    zone.run(milliseconds(200));
+  }
+  CHECK(zone.claims >= 1 && zone.claims <= 4);
+  CHECK(zone.claim != "cut-off");
+}
+
+TEST(ReaderElection, aReaderThatAnswersNowAndThenIsKept) {
+  ReaderElection election("own", kNarrow, {}, 1);
+  Instant now(seconds(5));
+  election.onListed("reader", now);
+  for (int second = 0; second < 20; ++second, now += seconds(1)) {
+    election.onNoAnswer("reader", now);
+    if (second % 4 == 3) {
+      election.onAnswered("reader");
+    }
+    STRCMP_EQUAL("reader", election.reader(now).c_str());
+  }
+}
+
+// A store that is slow for all: each reader that is passed over would have the next one begin anew.
+TEST(ReaderElection, eachReaderThatIsPassedOverGetsTheNextOneMoreTime) {
+  ReaderElection election("own", kNarrow, {}, 1);
+  const Instant begin(seconds(5));
+  std::vector<std::int64_t> passedOverAt;
+  election.onListed("reader-0", begin);
+  for (Instant now = begin; now < begin + seconds(100); now += milliseconds(500)) {
+    const std::string reader = "reader-" + std::to_string(passedOverAt.size());
+    election.onNoAnswer(reader, now);
+    if (election.reader(now).empty()) {
+      passedOverAt.push_back((now - begin) / seconds(1));
+      election.onListed("reader-" + std::to_string(passedOverAt.size()), now);
+    }
+  }
+  LONGS_EQUAL(4, passedOverAt.size());
+  LONGS_EQUAL(5, passedOverAt[0]);
+  LONGS_EQUAL(15, passedOverAt[1]);
+  LONGS_EQUAL(36, passedOverAt[2]);
+  LONGS_EQUAL(76, passedOverAt[3]);
+}
--- a/tests/edge/shared_topic_store_test.cpp
+++ b/tests/edge/shared_topic_store_test.cpp
@@ -21,6 +21,8 @@
   std::vector<ledger::HomeCandidate> nodes = {{"r1", "z", 1.0}, {"r2", "z", 1.0}};
   std::string claimed;
   std::vector<std::string> notReached;
+  std::vector<std::string> answered;
+  std::vector<std::string> withoutAnswer;
   int electionsAsked = 0;
   std::size_t members = 0;
   RelayedStore relay{peers,
@@ -36,6 +38,8 @@
     made.claimedReader = [this] { return claimed; };
     made.isClaimedReader = [this] { return claimed == "own"; };
     made.onUnreachable = [this](const std::string& address) { notReached.push_back(address); };
+    made.onAnswered = [this](const std::string& address) { answered.push_back(address); };
+    made.onNoAnswer = [this](const std::string& address) { withoutAnswer.push_back(address); };
     made.onNoReader = [this] { ++electionsAsked; };
     made.members = [this] { return members; };
     return made;
@@ -149,3 +153,28 @@
   LONGS_EQUAL(1, std::get<ReadReply>(*read()).records.size());
   LONGS_EQUAL(0, peers.calls["r1"] + peers.calls["r2"]);
 }
+
+TEST(SharedTopicStore, tellsOfAReaderThatLivesAndHasNotListedTheTopic) {
+  nodes.clear();
+  claimed = "r3";
+  peers.unlisted = {"r3"};
+  CHECK(std::get<StoreError>(*read()).fault == logstore::StoreFault::Busy);
+  LONGS_EQUAL(1, withoutAnswer.size());
+  STRCMP_EQUAL("r3", withoutAnswer.front().c_str());
+  LONGS_EQUAL(0, electionsAsked);
+  peers.unlisted.clear();
+  peers.readsHere = {"r3"};
+  read();
+  LONGS_EQUAL(1, answered.size());
+}
+
+// The reader of a start died before others had its copy.
+TEST(SharedTopicStore, asksForAnotherReaderWhereTheClaimedOneIsGoneAndNobodyElseHasListed) {
+  peers.unlisted = {"r1", "r2"};
+  CHECK(std::get<StoreError>(*read()).fault == logstore::StoreFault::Busy);
+  LONGS_EQUAL(1, electionsAsked);
+  claimed = "r3";
+  peers.readsHere = {"r3"};
+  STRCMP_EQUAL("record", std::get<ReadReply>(*read()).records.front().c_str());
+  LONGS_EQUAL(1, electionsAsked);
+}
