A node that reaches nobody cuts no run off

Cause: a replica that says nothing for 400 ms and takes no connection within 250 ms counted as gone; on a node whose link is full, or that gets no processor, every connection comes too late. The same class, closed too: a resume that was not taken, by a full replica for one, ended the count of a run whose replica lives.

Change: checkReach opens two connections to the replica and one to a witness at once; gone is a replica that takes none while the witness does. Where neither does, the node waits on. Why it holds: what slows the node down slows both.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "edge/call_request.h"
 #include "edge/edge_context.h"
+#include "edge/reach_check.h"
 #include "edge/recovery_policy.h"
 #include "edge/replica_runs.h"
 #include "edge/request_check.h"
@@ -77,13 +79,24 @@
   /// \return whether replicas that refuse may still be asked, by their number and the time left.
   [[nodiscard]] bool hasTriesLeft() const;
   void takeStep(RecoveryStep step, const std::string& reason);
+  /// Learns whether the replica of the dispatch lives; `callback` is not called once the dispatch
+  /// is over.
+  void checkReplica(std::function<void(Exchange&, Reach)> callback);
+  /// The replica took no connection, or the request could not be written to it.
+  void onNotSent();
+  /// \param lives the replica, as far as is known: it may be asked again.
+  void leaveUnsent(bool lives);
+  /// Leaves a replica that did not run the request this time. \param lives as above.
+  /// \return what is known then.
+  [[nodiscard]] FailedDispatch leaveUnserved(bool lives);
   void watchSilence();
   void onSilence();
   /// Nothing more comes of the run at this replica, which may have begun.
   void onRunLost(std::string_view reason);
   /// A request that was sent after the replica's process had started again runs at its new life.
   void followLife();
-  void recover(bool sent, bool staysAtReplica);
+  /// The replica broke off a run. \param staysAtReplica the request goes on there if it can.
+  void recover(bool staysAtReplica);
   void onWholeAnswer();
   void onStreamEnd();
   void onStored(const logstore::StoreResult<Success>& stored);
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -148,16 +148,11 @@
   context_.log.routine("replica_refused", {{"request", request_.requestId},
                                            {"replica", replica_->entry.id},
                                            {"status", std::uint64_t{head_.status}}});
-  tried_.push_back(replica_);
-  ++refusedTries_;
   const bool hasEnded = head_.status == kMisdirected;  // Another replica has its address.
   if (hasEnded) {
     runs_.noteUnreachable(replica_);
   }
-  FailedDispatch refused = failedDispatch(false);
-  refused.mayAskAgain = !hasEnded && replica_ == resumeAt_ && hasTriesLeft();
-  releaseReplica();
-  const RecoveryStep step = stepAfter(refused);
+  const RecoveryStep step = stepAfter(leaveUnserved(!hasEnded));
   switch (step) {
     case RecoveryStep::BreakOff:
       takeStep(step, "replicas_refused_to_resume");
@@ -180,6 +175,15 @@
   return failed;
 }
 
+FailedDispatch Exchange::leaveUnserved(bool lives) {
+  tried_.push_back(replica_);
+  ++refusedTries_;
+  FailedDispatch failed = failedDispatch(false);
+  failed.mayAskAgain = lives && replica_ == resumeAt_ && hasTriesLeft();
+  releaseReplica();
+  return failed;
+}
+
 bool Exchange::hasTriesLeft() const {
   return refusedTries_ < context_.knobs.maximumRefusedTries && timeLeft() > kAnswerMargin;
 }
@@ -339,27 +343,47 @@
   const bool sent = failure.stage == http::FailureStage::Broken;
   mayHaveRun_ = mayHaveRun_ || sent;
   suspectReplica(failure.reason);
-  if (sent) {
-    runs_.noteRun(replica_, dispatchedAt_);
-  } else {
-    runs_.noteUnreachable(replica_);
+  if (!sent) {
+    onNotSent();
+    return;
   }
+  runs_.noteRun(replica_, dispatchedAt_);
   // A stream that was cut goes on where it ran, as long as the replica lives: that is no second
   // replica, and its memory still holds the prompt. Every other request looks for another one.
-  recover(sent, sent && isStreaming());
+  recover(isStreaming());
 }
 
-void Exchange::recover(bool sent, bool staysAtReplica) {
+// Where the request has run, another replica may get it only if that run is over. A full replica
+// resets connections, and on a full link they come too late; in both cases the replica lives.
+void Exchange::onNotSent() {
+  if (!runs_.counts(replica_)) {
+    leaveUnsent(false);
+    return;
+  }
+  checkReplica([](Exchange& self, Reach reach) {
+    const bool isGone = reach == Reach::OutOfReach;
+    if (isGone) {
+      self.runs_.noteUnreachable(self.replica_);
+    }
+    self.leaveUnsent(!isGone);
+  });
+}
+
+void Exchange::leaveUnsent(bool lives) {
+  if (!lives) {
+    resumeAt_ = nullptr;
+  }
+  const RecoveryStep step = stepAfter(leaveUnserved(lives));
+  takeStep(step, step == RecoveryStep::Refuse ? "no_connection" : "replica_broke_off");
+}
+
+void Exchange::recover(bool staysAtReplica) {
   resumeAt_ = staysAtReplica ? replica_ : nullptr;
   if (!staysAtReplica) {
     tried_.push_back(replica_);
   }
   releaseReplica();
-  if (!sent) {
-    ++refusedTries_;
-  }
-  const RecoveryStep step = stepAfter(failedDispatch(sent));
-  takeStep(step, step == RecoveryStep::Refuse ? "no_connection" : "replica_broke_off");
+  takeStep(stepAfter(failedDispatch(true)), "replica_broke_off");
 }
 
 void Exchange::noteOutcome(bool failed) { replica_->outcomes.note(failed, context_.clock()); }
--- a/src/edge/exchange_silence.cpp
+++ b/src/edge/exchange_silence.cpp
@@ -1,8 +1,12 @@
 // The part of `Exchange` that looks after a replica which says nothing: it may be slow, without
 // power, behind a cut, or started again.
 #include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
 
 #include "edge/exchange.h"
+#include "edge/reach_check.h"
 
 namespace gorsetrail::edge {
 
@@ -17,7 +21,8 @@
 }
 
 // A replica without power, or behind a cut, says nothing: only a connection that does not come up
-// tells it from one that works.
+// tells it from one that works. What is no proof of that must not end its run: the replica would go
+// on with it beside the next one.
 void Exchange::onSilence() {
   followLife();
   if (replica_->hasEnded()) {
@@ -33,20 +38,36 @@
     watchSilence();
     return;
   }
-  context_.client.checkReachable(
-      replica_->entry.address, context_.knobs.reachabilityLimit,
-      [weak = weak_from_this(), number = dispatchNumber_, heardAt](bool reachable) {
-        const auto self = weak.lock();
-        if (!self || self->dispatchNumber_ != number || !self->call_) {
-          return;
-        }
-        const bool heardSince = self->replica_->heardAt > heardAt;
-        if (reachable || heardSince) {
-          self->watchSilence();
-        } else {
-          self->onRunLost("silent, and takes no connection");
-        }
-      });
+  checkReplica([heardAt](Exchange& self, Reach reach) {
+    const bool heardSince = self.replica_->heardAt > heardAt;
+    if (!self.call_) {
+      return;
+    }
+    if (reach == Reach::OutOfReach && !heardSince) {
+      self.onRunLost("silent, and takes no connection");
+    } else {
+      self.watchSilence();
+    }
+  });
+}
+
+void Exchange::checkReplica(std::function<void(Exchange&, Reach)> callback) {
+  const routing::ReplicaPtr witness = context_.placement.witnessFor(*replica_);
+  const std::string witnessAddress = witness ? witness->entry.address : std::string();
+  checkReach(context_.client, replica_->entry.address, witnessAddress,
+             context_.knobs.reachabilityLimit,
+             [weak = weak_from_this(), number = dispatchNumber_, witnessAddress,
+              callback = std::move(callback)](Reach reach) {
+               const auto self = weak.lock();
+               if (!self || self->ended_ || self->dispatchNumber_ != number || !self->replica_) {
+                 return;
+               }
+               self->context_.log.routine("replica_checked", {{"request", self->request_.requestId},
+                                                              {"replica", self->replica_->entry.id},
+                                                              {"witness", witnessAddress},
+                                                              {"reach", reachName(reach)}});
+               callback(*self, reach);
+             });
 }
 
 void Exchange::onRunLost(std::string_view reason) {
@@ -57,7 +78,7 @@
   suspectReplica(reason);
   runs_.noteRun(replica_, dispatchedAt_);
   runs_.noteUnreachable(replica_);
-  recover(true, false);
+  recover(false);
 }
 
 // The registration of a new life is read a while after its start: what was sent meanwhile runs
--- /dev/null
+++ b/src/edge/reach_check.cpp
@@ -0,0 +1,76 @@
+#include "edge/reach_check.h"
+
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace gorsetrail::edge {
+namespace {
+
+/// To the replica: a lost packet holds one connection up for longer than the check lasts.
+constexpr int kReplicaConnections = 2;
+
+/// Connections under way; each reports once.
+class ReachCheck {
+ public:
+  explicit ReachCheck(std::function<void(Reach)> callback) : callback_(std::move(callback)) {}
+
+  void onReplica(bool reached) {
+    --replicaConnections_;
+    if (reached || replicaConnections_ == 0) {
+      replicaReached_ = reached;
+      decide();
+    }
+  }
+  void onWitness(bool reached) {
+    witnessReached_ = reached;
+    decide();
+  }
+
+ private:
+  void decide() {
+    if (!callback_ || !replicaReached_) {
+      return;
+    }
+    if (*replicaReached_) {
+      end(Reach::Reached);
+    } else if (witnessReached_) {
+      end(*witnessReached_ ? Reach::OutOfReach : Reach::Unknown);
+    }
+  }
+  void end(Reach reach) { std::exchange(callback_, {})(reach); }
+
+  std::function<void(Reach)> callback_;
+  int replicaConnections_ = kReplicaConnections;
+  std::optional<bool> replicaReached_;
+  std::optional<bool> witnessReached_;
+};
+
+}  // namespace
+
+std::string_view reachName(Reach reach) {
+  switch (reach) {
+    case Reach::Reached:
+      return "reached";
+    case Reach::OutOfReach:
+      return "out_of_reach";
+    case Reach::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
+void checkReach(http::HttpClient& client, const std::string& replica, const std::string& witness,
+                Duration limit, std::function<void(Reach)> callback) {
+  const auto check = std::make_shared<ReachCheck>(std::move(callback));
+  if (witness.empty()) {
+    check->onWitness(true);
+  } else {
+    client.checkReachable(witness, limit, [check](bool reached) { check->onWitness(reached); });
+  }
+  for (int connection = 0; connection < kReplicaConnections; ++connection) {
+    client.checkReachable(replica, limit, [check](bool reached) { check->onReplica(reached); });
+  }
+}
+
+}  // namespace gorsetrail::edge
--- a/src/edge/replica_runs.cpp
+++ b/src/edge/replica_runs.cpp
@@ -25,6 +25,11 @@
   return run.reachable && !routing::lifeAt(run.replica, run.sentAt)->hasEnded();
 }
 
+bool ReplicaRuns::counts(const routing::ReplicaPtr& replica) const {
+  return std::any_of(runs_.begin(), runs_.end(),
+                     [&replica](const Run& run) { return run.replica == replica && mayGoOn(run); });
+}
+
 bool ReplicaRuns::mayRunOnAnother(std::uint32_t maximum) const {
   const auto counted = std::count_if(runs_.begin(), runs_.end(), mayGoOn);
   return static_cast<std::uint32_t>(counted) < maximum;
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -61,6 +61,17 @@
   return found ? std::optional(found->bar) : std::nullopt;
 }
 
+ReplicaPtr ReplicaPlacement::witnessFor(const Replica& replica) const {
+  ReplicaPtr witness;
+  for (const ReplicaPtr& other : replicas_.all()) {
+    const bool isOther = other->entry.address != replica.entry.address && other->takesWork();
+    if (isOther && (!witness || other->heardAt > witness->heardAt)) {
+      witness = other;
+    }
+  }
+  return witness;
+}
+
 std::string_view ReplicaPlacement::onSent(const Replica& replica, Instant now) {
   std::string_view grant;
   for (PlacementRule* const rule : rules_) {
--- a/src/routing/replica_placement.h
+++ b/src/routing/replica_placement.h
@@ -58,6 +58,9 @@
   [[nodiscard]] std::optional<PlacementBar> barOf(const Replica& replica,
                                                   const PlacementSubject& subject,
                                                   Instant now) const;
+  /// \return the replica, of whatever service, that this node heard last, this one left out; null:
+  /// there is no other. Whether it can be reached tells of this node's own link.
+  [[nodiscard]] ReplicaPtr witnessFor(const Replica& replica) const;
   /// To be told of each request that is sent to a replica, whatever way it came there.
   /// \return by what a rule allowed it that counts requests, for a log line; empty: none does.
   std::string_view onSent(const Replica& replica, Instant now);
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -278,11 +278,80 @@
   world.call().body(kFirst);
   world.call().fail(http::FailureStage::Broken);
   world.call().fail(http::FailureStage::NotSent);
+  world.answerCheck(false);
   LONGS_EQUAL(3, world.dispatches());
   CHECK(replica != world.call().headerOf("expect"));
   STRCMP_EQUAL("1", world.call().headerOf("after").c_str());
 }
 
+// The story: on a node whose link is full, every connection comes too late. After 400 ms without a
+// byte it tried to reach the replica, gave up after 250 ms, cut the run off and gave the request to
+// the next replica, where the same followed: a route that allows one replica, and a caller who pays
+// for three. In the day that showed it (grown bbmru-filing, trouble-1, seed 325293235481) the
+// second run was cut 652 ms after the first. A replica that takes no connection counts as gone only
+// where another one takes a connection at the same time.
+TEST(ExchangeStream, aNodeThatReachesNobodyCutsNoRunOff) {
+  const auto client = world.start(ExchangeWorld::turn("again"));  // Its route allows one replica.
+  wait();
+  world.beginEvents();
+  world.call().body(kFirst);
+  for (std::size_t check = 1; check <= 3; ++check) {
+    world.timers.advance(milliseconds(check == 1 ? 900 : 450));
+    LONGS_EQUAL(check, world.replicaChecks());
+    world.answerCheck(false, false);
+  }
+  LONGS_EQUAL(1, world.dispatches());
+  CHECK_FALSE(world.call().cancelled);
+  world.call().body(kSecond);
+  world.call().done();
+  STRCMP_EQUAL((kFirst + kSecond).c_str(), client->body.c_str());
+  CHECK_TRUE(client->whole);
+}
+
+// A full replica resets connections and lives on.
+TEST(ExchangeStream, replicasThatLiveAndTakeNoConnectionCount) {
+  const auto [client, replica] = breakAStream();  // Its route allows one replica.
+  world.call().fail(http::FailureStage::NotSent);
+  LONGS_EQUAL(2, world.dispatches());
+  world.answerCheck(true);
+  world.timers.advance(world.context.knobs.fullTime);
+  LONGS_EQUAL(3, world.dispatches());
+  STRCMP_EQUAL(replica.c_str(), world.call().headerOf("expect").c_str());
+  world.call().fail(http::FailureStage::NotSent);
+  world.answerCheck(false, false);
+  world.timers.advance(world.context.knobs.fullTime);
+  LONGS_EQUAL(4, world.dispatches());
+  STRCMP_EQUAL(replica.c_str(), world.call().headerOf("expect").c_str());
+  world.beginEvents();
+  world.call().body(kSecond);
+  world.call().done();
+  STRCMP_EQUAL((kFirst + kSecond).c_str(), client->body.c_str());
+  CHECK_TRUE(client->whole);
+}
+
+TEST(ExchangeStream, endsAStreamWhoseOnlyReplicaLivesAndTakesNoConnection) {
+  const auto [client, replica] = breakAStream();
+  while (!client->closed) {
+    STRCMP_EQUAL(replica.c_str(), world.call().headerOf("expect").c_str());
+    CHECK(world.dispatches() <= 1 + world.context.knobs.maximumRefusedTries);
+    world.call().fail(http::FailureStage::NotSent);
+    world.answerCheck(true);
+    world.timers.advance(world.context.knobs.fullTime);
+  }
+  CHECK_FALSE(client->whole);
+}
+
+TEST(ExchangeStream, aClientThatLeavesDuringACheckLeavesNothingBehind) {
+  const auto [client, replica] = breakAStream();
+  world.call().fail(http::FailureStage::NotSent);
+  client->observer.onGone();
+  world.answerCheck(false);
+  LONGS_EQUAL(2, world.dispatches());
+  for (const routing::ReplicaPtr& left : world.replicas.all()) {
+    LONGS_EQUAL(0, left->inFlight);
+  }
+}
+
 // Streams that break at replicas which live on, while those are too full to resume them.
 TEST(ExchangeStream, runsOnNoMoreReplicasThanItsRouteAllows) {
   const auto [client, replica] = breakAStream();  // Its route allows one replica.
@@ -326,8 +395,8 @@
   world.call().body(kFirst);
   auto& silent = world.call();
   world.timers.advance(milliseconds(900));
-  LONGS_EQUAL(1, world.client.checks.size());
-  world.client.checks.back().second(false);
+  LONGS_EQUAL(1, world.replicaChecks());
+  world.answerCheck(false);
   CHECK_TRUE(silent.cancelled);
   LONGS_EQUAL(2, world.dispatches());
   CHECK(replica != world.call().headerOf("expect"));
@@ -342,10 +411,10 @@
   world.start(ExchangeWorld::turn("again"));
   wait();
   world.timers.advance(milliseconds(500));
-  LONGS_EQUAL(1, world.client.checks.size());
-  world.client.checks.back().second(true);
+  LONGS_EQUAL(1, world.replicaChecks());
+  world.answerCheck(true);
   world.timers.advance(milliseconds(500));
-  LONGS_EQUAL(2, world.client.checks.size());
+  LONGS_EQUAL(2, world.replicaChecks());
   LONGS_EQUAL(1, world.dispatches());
 }
 
@@ -358,7 +427,7 @@
     }
     world.timers.advance(milliseconds(200));
   }
-  LONGS_EQUAL(0, world.client.checks.size());
+  LONGS_EQUAL(0, world.replicaChecks());
 }
 
 TEST(ExchangeStream, countsADispatchWithoutAnyAnswerAsFailedAfterASecond) {
@@ -388,7 +457,7 @@
   const auto client = world.start(ExchangeWorld::turn("kept"));
   wait();
   world.timers.advance(milliseconds(500));
-  world.client.checks.back().second(false);
+  world.answerCheck(false);
   LONGS_EQUAL(502, client->status);
   LONGS_EQUAL(1, world.dispatches());
 }
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -206,6 +206,17 @@
   node::testing::FakeHttpClient::Exchange& call() { return client.last(); }
   std::size_t dispatches() const { return client.exchanges.size(); }
   void beginEvents() { call().head(200, {{"events", ""}}); }
+  /// Answers the check of the replica and that of its witness, which are always made together.
+  void answerCheck(bool replicaTakesConnections, bool witnessTakesConnections = true) {
+    const std::size_t first = client.checks.size() - kConnectionsOfCheck;
+    client.checks[first].second(witnessTakesConnections);
+    for (std::size_t number = 1; number < kConnectionsOfCheck; ++number) {
+      client.checks[first + number].second(replicaTakesConnections);
+    }
+  }
+  /// \return how often a replica was checked.
+  std::size_t replicaChecks() const { return client.checks.size() / kConnectionsOfCheck; }
+  static constexpr std::size_t kConnectionsOfCheck = 3;  ///< The witness first.
 
   std::vector<std::shared_ptr<ClientView>> views;
   logstore::FakeTimers timers;
--- a/tests/edge/replica_runs_test.cpp
+++ b/tests/edge/replica_runs_test.cpp
@@ -56,3 +56,12 @@
   runs.noteUnreachable(first);
   CHECK_TRUE(runs.mayRunOnAnother(1));
 }
+
+TEST(ReplicaRuns, tellsWhereARunStillCounts) {
+  CHECK_FALSE(runs.counts(first));
+  runs.noteRun(first, now);
+  CHECK_TRUE(runs.counts(first));
+  CHECK_FALSE(runs.counts(second));
+  runs.noteUnreachable(first);
+  CHECK_FALSE(runs.counts(first));
+}
