Owners of cold replicas are who takes clients, and keep their spacing by the machine's clock

What callers saw with the first form of the bound: more refusals after losses of power and in outages of the store.

Causes: a process sent nothing in its first second, though only an earlier process that was itself unsure could have sent; owners were drawn by capacity, while clients choose evenly among the nodes that they are sent to, a third of them weak; halving for lists of the members that have nothing in common assumed what lists of one store cannot be; and a feeder at 2.19 requests a second may send three in a second where 1.975 makes it two.

Change: an owner sends in the first 0.3 s of a slot of 1.3 s of the machine's steady clock, which goes on when its process starts again; members to which clients are sent weigh 1, others 1/32; lists may differ in a quarter of the ring; feeders have 0.56 of the limit. Why it holds: 16 + 26.25 of 42.5, 6 + 5 of 11, whole requests.

--- a/src/edge/member_table.cpp
+++ b/src/edge/member_table.cpp
@@ -116,12 +116,22 @@
 }
 
 std::vector<routing::RingMember> MemberTable::ringMembers() const {
-  std::vector<routing::RingMember> members;
-  members.reserve(members_.size());
+  constexpr double kWeightOfOthers = 1.0 / 32;
+  std::map<std::string_view, Members> byZone;
   for (const auto& [key, entry] : members_) {
-    members.push_back({entry.record.clientAddress, entry.record.capacity});
+    byZone[entry.record.zone].push_back(&entry.record);
+  }
+  std::vector<routing::RingMember> ring;
+  ring.reserve(members_.size());
+  for (auto& [zone, members] : byZone) {
+    Members named = members;
+    keepMostCapable(named);
+    for (const MemberRecord* const member : members) {
+      const bool isNamed = std::find(named.begin(), named.end(), member) != named.end();
+      ring.push_back({member->clientAddress, isNamed ? 1.0 : kWeightOfOthers});
+    }
   }
-  return members;
+  return ring;
 }
 
 std::vector<std::string> MemberTable::dropForgotten() {
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -83,7 +83,9 @@
   [[nodiscard]] std::size_t size() const { return members_.size(); }
   /// \return the relay addresses of all listed nodes.
   [[nodiscard]] std::vector<std::string> relayAddresses() const;
-  /// \return all listed nodes by their client addresses, weighted by their capacity.
+  /// \return all listed nodes by their client addresses. Those that clients of their zone are sent
+  /// to while everybody lives weigh 1, the others little: clients choose evenly among the first,
+  /// and come to the others where the first are gone.
   [[nodiscard]] std::vector<routing::RingMember> ringMembers() const;
   /// Forgets nodes that were silent for `forgetAfter`. \return their keys.
   std::vector<std::string> dropForgotten();
--- a/src/routing/cold_replica_rule.cpp
+++ b/src/routing/cold_replica_rule.cpp
@@ -121,11 +121,11 @@
   return rate > 0 ? std::floor(knobs_.feederBurst + rate) : 0.0;
 }
 
-// What two views' feeders leave of the limit, again for two views.
+// What two views' feeders leave of the limit, for two lists of the members.
 std::size_t ColdReplicaRule::unsureSendersOf(const Replica& replica) const {
   const double ofFeeders =
       kViews * static_cast<double>(feederCountOf(replica)) * mostOfFeeder(replica);
-  const double left = std::floor((limitOf(replica) - ofFeeders) / kViews);
+  const double left = std::floor((limitOf(replica) - ofFeeders) / (1.0 + knobs_.listsDifference));
   return left <= 0 ? 0 : static_cast<std::size_t>(left);
 }
 
@@ -189,15 +189,27 @@
          now - std::min(freshAt_, evacuationsFreshAt_) < knobs_.staleAfter;
 }
 
+ColdReplicaRule::UnsureSlot ColdReplicaRule::unsureSlotOf(const Replica& replica,
+                                                          Instant now) const {
+  // The same in each process of this node, and spread over the owners.
+  const std::uint64_t hash = hashOf(ownName_, hashOf(replica.entry.id, 0));
+  const auto length =
+      static_cast<std::uint64_t>(std::max<Duration::rep>(1, knobs_.unsureSlot.count()));
+  const Duration at = now.time_since_epoch() + Duration(static_cast<Duration::rep>(hash % length));
+  const auto slotLength = static_cast<Duration::rep>(length);
+  return {at.count() / slotLength, at.count() % slotLength < knobs_.unsureWindow.count()};
+}
+
 bool ColdReplicaRule::mayGetUnsure(const Replica& replica, Instant now) const {
-  const auto sent = unsureSentAt_.find(replica.entry.id);
-  const bool hasSent = sent != unsureSentAt_.end();
-  // An earlier process of this node may have sent until this one began.
-  const std::optional<Instant> sentAt = hasSent ? std::optional(sent->second) : begunAt_;
-  if (!sentAt || now - *sentAt < knobs_.unsureSpacing) {
+  const UnsureSlot slot = unsureSlotOf(replica, now);
+  if (!slot.isOpen || !begunAt_) {
     return false;
   }
-  return members_.isOwnerOf(replica.entry.id, unsureSendersOf(replica));
+  // An earlier process of this node may have sent in the slot in which this one began.
+  const auto sent = unsureSentAt_.find(replica.entry.id);
+  const Instant usedAt = sent == unsureSentAt_.end() ? *begunAt_ : sent->second;
+  return unsureSlotOf(replica, usedAt).number != slot.number &&
+         members_.isOwnerOf(replica.entry.id, unsureSendersOf(replica));
 }
 
 bool ColdReplicaRule::isTrusted(const Replica& replica, Instant now) const {
@@ -303,9 +315,8 @@
 void ColdReplicaRule::forgetSlots(Instant now) {
   const std::int64_t slot = slotOf(now);
   std::erase_if(slots_, [slot](const auto& entry) { return entry.second.slot < slot; });
-  std::erase_if(unsureSentAt_, [this, now](const auto& entry) {
-    return now - entry.second >= knobs_.unsureSpacing;
-  });
+  std::erase_if(unsureSentAt_,
+                [this, now](const auto& entry) { return now - entry.second >= knobs_.unsureSlot; });
 }
 
 std::vector<ColdReplicaChange> ColdReplicaRule::tend(const std::vector<ReplicaPtr>& replicas,
--- a/src/routing/cold_replica_rule.h
+++ b/src/routing/cold_replica_rule.h
@@ -49,17 +49,24 @@
   /// Nodes that send to one cold replica, by one view of the members. With more of them, more of
   /// the fleet's requests are at a feeder; with fewer, each may send at a higher rate.
   std::size_t feeders = 4;
-  /// Of the limit, for the feeders of two views of the members that have no feeder in common.
-  double feederShare = 0.6;
+  /// Of the limit, for the feeders of two views of the members that have no feeder in common. At
+  /// the usual limit a feeder then sends two whole requests in any second; a little more would make
+  /// it three, and the owners' part is what eight feeders leave.
+  double feederShare = 0.56;
   /// Tokens that a feeder may save up.
   double feederBurst = 1.0;
   /// Tokens that a node has as it becomes a feeder: another one, or an earlier life of this node,
   /// may just have sent.
   double firstTokens = 0;
-  /// A node that does not know the state of a replica sends it one request in so long, and the
-  /// first one so long after its start: each such node adds one to any second, however often its
-  /// process starts again.
-  Duration unsureSpacing = milliseconds(1050);
+  /// A node that does not know the state of a replica sends it one request in so long, and only at
+  /// the beginning of that time, for `unsureWindow`. The time is counted by the machine's clock,
+  /// which goes on when the process starts again, so that two requests lie a second apart whichever
+  /// process sent them, and a process that has just started need not wait for that long.
+  Duration unsureSlot = milliseconds(1300);
+  Duration unsureWindow = milliseconds(300);
+  /// Two nodes' lists of the members may differ in such a part of the ring. Lists are read from the
+  /// store, within seconds of one another, and members stay listed for minutes after their end.
+  double listsDifference = 0.25;
   /// Of the limit, in each slot, for all nodes where `sharing` says so. A second may touch three
   /// slots of a node: 0.36 of the limit in the mean, with room for chance sums of many nodes.
   double staticShare = 0.12;
@@ -86,7 +93,7 @@
   /// known.
   std::function<const std::vector<std::string>&()> nodes;
   /// \return all members that are listed, whether they live or not, by the same names and weighted
-  /// by the clients they can carry; empty: they were not listed yet.
+  /// by the clients that come to them; empty: they were not listed yet.
   std::function<const std::vector<RingMember>&()> members;
 };
 
@@ -107,8 +114,7 @@
 ///
 /// Why the limit holds: of all nodes that know the state, only the feeders send; of those that do
 /// not, only the replica's owners on the ring of members. Both are limited in number by agreement
-/// and not by chance, for two views of the members at a moment, and so is what each of them sends
-/// in a second.
+/// and not by chance, and so is what each of them sends in a second.
 class ColdReplicaRule final : public PlacementRule {
  public:
   /// \param ownName this node's name among `ColdReplicaSources::nodes`.
@@ -171,7 +177,7 @@
   [[nodiscard]] bool isFeederOf(const Replica& replica) const;
   /// \return requests that a feeder may send in one second.
   [[nodiscard]] double mostOfFeeder(const Replica& replica) const;
-  /// \return nodes that may send to the replica, by one view of the members, while they cannot
+  /// \return nodes that may send to the replica, by one list of the members, while they cannot
   /// know its state.
   [[nodiscard]] std::size_t unsureSendersOf(const Replica& replica) const;
   [[nodiscard]] double tokensOf(const Bucket& bucket, const Replica& replica, Instant now) const;
@@ -181,6 +187,13 @@
                                             std::int64_t slot) const;
   [[nodiscard]] std::uint32_t sentInSlot(const Replica& replica, std::int64_t slot) const;
   [[nodiscard]] bool hasSlotLeft(const Replica& replica, double share, Instant now) const;
+  /// The part of time in which this node may send one request to a replica whose state it cannot
+  /// know.
+  struct UnsureSlot {
+    std::int64_t number = 0;
+    bool isOpen = false;  ///< Its window.
+  };
+  [[nodiscard]] UnsureSlot unsureSlotOf(const Replica& replica, Instant now) const;
   /// \return whether this node may send a request to the replica, whose state it cannot know.
   [[nodiscard]] bool mayGetUnsure(const Replica& replica, Instant now) const;
   [[nodiscard]] bool isTrusted(const Replica& replica, Instant now) const;
@@ -205,7 +218,7 @@
   std::map<std::string, SlotUse, std::less<>> slots_;
   std::optional<Instant> begunAt_;  ///< The first look at the replicas.
   MemberRing members_;              ///< As of the last `tend` at which this node was unsure.
-  /// When this node last sent to a replica whose state it did not know.
+  /// When this node last sent to a replica whose state it did not know, of the last slots.
   std::map<std::string, Instant, std::less<>> unsureSentAt_;
   std::map<std::string, bool, std::less<>> cold_;  ///< By id; whether this node feeds it.
   std::size_t limitedReplicas_ = 0;
--- a/tests/edge/member_table_test.cpp
+++ b/tests/edge/member_table_test.cpp
@@ -203,3 +203,27 @@
     STRCMP_CONTAINS(damage.field, errorOf(read).field.c_str());
   }
 }
+
+// Owners of cold replicas are drawn by these weights, so all nodes must find the same ones.
+TEST(MemberTable, membersWeighByTheClientsThatAreSentToThemWhetherTheyLiveOrNot) {
+  for (int number = 0; number < 20; ++number) {
+    hear("a" + std::to_string(number), "a", false, number < 4 ? 0.3 : 0.0036);
+  }
+  hear("b1", "b", false, 0.0036);
+  const auto before = table.ringMembers();
+  LONGS_EQUAL(21, before.size());
+  const auto weightOf = [&before](const std::string& address) {
+    return std::find_if(
+               before.begin(), before.end(),
+               [&address](const routing::RingMember& member) { return member.name == address; })
+        ->weight;
+  };
+  DOUBLES_EQUAL(1.0, weightOf("a0:1"), 1e-9);
+  DOUBLES_EQUAL(1.0, weightOf("b1:1"), 1e-9);
+  LONGS_EQUAL(9, std::count_if(before.begin(), before.end(), [](const routing::RingMember& member) {
+                return member.weight > 0.5;
+              }));
+  silent = {"a0", "a1"};
+  hear("a2", "a", true, 0.3);
+  CHECK(before == table.ringMembers());
+}
