--- a/tests/routing/cold_replica_fleet_test.cpp
+++ b/tests/routing/cold_replica_fleet_test.cpp
@@ -507,8 +507,9 @@
   }
 }
 
-// Nodes that lost the store and all relays before the evacuation go on sending to replicas that answer
-// them: two requests a second each, whose number nothing limits. Four of forty pass a limit of 11.
+// Nodes that lost the store and all relays before the evacuation go on sending to replicas that
+// answer them: two requests a second each, whose number nothing limits. Four of forty pass a limit
+// of 11.
 TEST(ColdReplicaFleet, holdsALowLimitBesideNodesThatAreCutOff) {
   Scenario scenario = lossOfAll({});
   scenario.lossOfAll.reset();
