--- a/src/routing/cold_replica_rule.h
+++ b/src/routing/cold_replica_rule.h
@@ -114,7 +114,9 @@
 ///
 /// Why the limit holds: of all nodes that know the state, only the feeders send; of those that do
 /// not, only the replica's owners on the ring of members. Both are limited in number by agreement
-/// and not by chance, and so is what each of them sends in a second.
+/// and not by chance, and so is what each of them sends in a second. Not covered: nodes that do not
+/// know the state and trust the replica, since it answers them all the time; nothing limits their
+/// number.
 class ColdReplicaRule final : public PlacementRule {
  public:
   /// \param ownName this node's name among `ColdReplicaSources::nodes`.
