Load digests carry reports of services, tenants and replica speeds

Overload control and the selection by replica speed need what other nodes measured. Digests get three optional sections, appended to the table: earlier builds pass over them, and a digest without reports is as long as before. FleetLoad sums them, extrapolated to all nodes.

The setting overload.control, or the contract `pressure`, switches overload control on; nothing reads the setting yet.

Ruled out: messages of their own for each part. The digest already reaches every node within 600 ms, and a section takes 10 to 12 bytes an entry.

--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -126,6 +126,8 @@
   void announceLoop();
   void updateFollowerPauses();
   void loadLoop();
+  /// \return this node's reports for its load digest; sections of features that are off are empty.
+  [[nodiscard]] routing::LoadReports localReports();
   /// \return whether this node serves clients, has requests in flight or has just dispatched some.
   [[nodiscard]] bool isUsingReplicas();
   /// \return the load digest addresses of the nodes that serve clients, except this node.
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -180,7 +180,7 @@
                   [](const routing::ReplicaPtr& replica) { return replica->inFlight == 0; });
   hasRequestsInFlight_ = !isIdle;
   if (servesClients_ || !isIdle) {
-    loadExchange_.send(replicas, peers, clock_());
+    loadExchange_.send(replicas, peers, localReports(), clock_());
   }
   if (settings_.uses(Mechanism::LoadDigests)) {
     fleetLoad_.apply(replicas_, {peers.sameRegion.size(), peers.otherRegions.size()}, clock_());
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -64,6 +64,9 @@
   TimeBounds bounds;
   std::uint64_t memoryBytes = std::uint64_t{256} * 1024 * 1024;
   std::uint32_t maximumDescriptors = 1024;
+  /// Whether callers may compete for more capacity than there is: then programs that can still end
+  /// in time go before others, and tenants share the replicas.
+  bool overloadControl = false;
   MechanismSet disabledMechanisms;
 
   [[nodiscard]] bool uses(Mechanism mechanism) const {
--- a/src/edge/load_exchange.cpp
+++ b/src/edge/load_exchange.cpp
@@ -16,8 +16,39 @@
 /// Decayed failure counts below this are not sent.
 constexpr double kMinimumFailureCount = 0.2;
 
-std::uint16_t toFixedPoint(double count) {
-  return static_cast<std::uint16_t>(std::min(count * kFixedPointScale, double{UINT16_MAX}));
+/// Ratios are sent in 256ths, so that a deviation of one percent is visible.
+constexpr double kRatioScale = 256.0;
+
+std::uint16_t toFixedPoint(double count, double scale = kFixedPointScale) {
+  return static_cast<std::uint16_t>(std::clamp(count * scale, 0.0, double{UINT16_MAX}));
+}
+
+void readReports(const fbs::LoadDigest& read, routing::LoadReports& reports) {
+  if (read.services() != nullptr) {
+    for (const fbs::ServiceReport* const report : *read.services()) {
+      reports.services.push_back({report->service(), report->completed() / kFixedPointScale,
+                                  report->rejected() / kFixedPointScale,
+                                  report->inflation() / kRatioScale});
+    }
+  }
+  if (read.tenants() != nullptr) {
+    for (const fbs::TenantLoad* const load : *read.tenants()) {
+      reports.tenants.push_back({load->service(), load->tenant(), load->in_flight()});
+    }
+  }
+  if (read.speeds() != nullptr) {
+    for (const fbs::ReplicaSpeed* const speed : *read.speeds()) {
+      reports.speeds.push_back({speed->replica(), speed->time_factor() / kRatioScale,
+                                speed->samples() / kFixedPointScale});
+    }
+  }
+}
+
+/// \return the vector's offset; 0 for an empty one, which is then absent from the digest.
+template <typename Struct>
+flatbuffers::Offset<flatbuffers::Vector<const Struct*>> writeStructs(
+    flatbuffers::FlatBufferBuilder& builder, const std::vector<Struct>& structs) {
+  return structs.empty() ? 0 : builder.CreateVectorOfStructs(structs);
 }
 
 }  // namespace
@@ -34,11 +65,29 @@
     troubles.emplace_back(trouble.replica, toFixedPoint(trouble.failed),
                           toFixedPoint(trouble.ended));
   }
+  std::vector<fbs::ServiceReport> services;
+  for (const routing::ServiceReport& report : digest.reports.services) {
+    services.emplace_back(report.service, toFixedPoint(report.completedPerSecond),
+                          toFixedPoint(report.rejectedPerSecond),
+                          toFixedPoint(report.inflation, kRatioScale));
+  }
+  std::vector<fbs::TenantLoad> tenants;
+  for (const routing::TenantLoad& load : digest.reports.tenants) {
+    tenants.emplace_back(load.service, load.tenant, load.inFlight);
+  }
+  std::vector<fbs::ReplicaSpeed> speeds;
+  for (const routing::ReplicaSpeedReport& speed : digest.reports.speeds) {
+    speeds.emplace_back(speed.replica, toFixedPoint(speed.timeFactor, kRatioScale),
+                        toFixedPoint(speed.samples));
+  }
   const auto list = builder.CreateVectorOfStructs(loads);
-  const auto troubleList = troubles.empty() ? 0 : builder.CreateVectorOfStructs(troubles);
+  const auto troubleList = writeStructs(builder, troubles);
+  const auto serviceList = writeStructs(builder, services);
+  const auto tenantList = writeStructs(builder, tenants);
+  const auto speedList = writeStructs(builder, speeds);
   fbs::FinishLoadDigestBuffer(
       builder, fbs::CreateLoadDigest(builder, digest.node, digest.digestSequence, list, troubleList,
-                                     digest.region));
+                                     digest.region, serviceList, tenantList, speedList));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -65,6 +114,7 @@
                                  trouble->ended() / kFixedPointScale});
     }
   }
+  readReports(*read, digest.reports);
   return digest;
 }
 
@@ -112,8 +162,9 @@
 }
 
 void LoadExchange::send(const std::vector<routing::ReplicaPtr>& replicas, const LoadPeers& peers,
-                        Instant now) {
+                        routing::LoadReports reports, Instant now) {
   routing::LoadDigest digest = digestOf(replicas, now);
+  digest.reports = std::move(reports);
   std::string loads = encodeLoadDigest(digest);
   if (loads == lastLoads_ && ++unchangedSends_ < knobs_.sendsPerUnchangedDigest) {
     return;
--- a/src/edge/load_exchange.h
+++ b/src/edge/load_exchange.h
@@ -50,8 +50,9 @@
   /// Starts receiving digests.
   /// \param address `ip:port`. Errors: `InvalidSettings`.
   Result<Success> listen(const std::string& address);
-  /// Sends this node's load at the replicas to random peers.
-  void send(const std::vector<routing::ReplicaPtr>& replicas, const LoadPeers& peers, Instant now);
+  /// Sends this node's load at the replicas, and its reports, to random peers.
+  void send(const std::vector<routing::ReplicaPtr>& replicas, const LoadPeers& peers,
+            routing::LoadReports reports, Instant now);
   /// \return the number of received datagrams that could not be decoded.
   [[nodiscard]] std::uint64_t unreadableDigests() const { return unreadableDigests_; }
 
--- a/src/edge/mechanisms.cpp
+++ b/src/edge/mechanisms.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 using NamedMechanism = std::pair<Mechanism, std::string_view>;
-constexpr std::array<NamedMechanism, 17> kMechanisms = {
+constexpr std::array<NamedMechanism, 24> kMechanisms = {
     {{Mechanism::BudgetLeases, "budget_leases"},
      {Mechanism::PromptAffinity, "prompt_affinity"},
      {Mechanism::LoadDigests, "load_digests"},
@@ -25,7 +25,14 @@
      {Mechanism::TopicGateways, "topic_gateways"},
      {Mechanism::QuotaTokens, "quota_tokens"},
      {Mechanism::ColdFeeders, "cold_feeders"},
-     {Mechanism::TurnRetention, "turn_retention"}}};
+     {Mechanism::TurnRetention, "turn_retention"},
+     {Mechanism::OverdueLimit, "overdue_limit"},
+     {Mechanism::ProgramAdmission, "program_admission"},
+     {Mechanism::TenantShares, "tenant_shares"},
+     {Mechanism::ServiceTimes, "service_times"},
+     {Mechanism::ReplicaSpeeds, "replica_speeds"},
+     {Mechanism::ReturnSchedule, "return_schedule"},
+     {Mechanism::RetryBudget, "retry_budget"}}};
 
 Error unknownName(std::string_view name) {
   std::string all;
--- a/src/edge/mechanisms.h
+++ b/src/edge/mechanisms.h
@@ -29,6 +29,13 @@
   QuotaTokens,        ///< Coordinators issue quota tokens; otherwise limits are split equally.
   ColdFeeders,        ///< Only a few nodes send requests to a replica that is warming up.
   TurnRetention,      ///< Persisted turns run during a store outage and delay their stream ends.
+  OverdueLimit,       ///< Programs past their deadline use only free slots of replicas.
+  ProgramAdmission,   ///< Programs start only while replicas answer close to their unloaded speed.
+  TenantShares,       ///< Tenants share the replicas of a service while capacity is scarce.
+  ServiceTimes,       ///< Requests that cannot be answered before their deadline are refused.
+  ReplicaSpeeds,      ///< Replicas are chosen by expected completion time, from measured speeds.
+  ReturnSchedule,     ///< Retry delays of refused callers follow the backlog.
+  RetryBudget,        ///< Limits dispatches after refusals by replicas relative to successes.
 };
 
 using MechanismSet = std::set<Mechanism>;
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace gorsetrail::routing {
@@ -25,6 +26,10 @@
   return static_cast<RegionHash>(XXH64(region.data(), region.size(), 0));
 }
 
+NameHash nameHashOf(std::string_view name) {
+  return static_cast<NameHash>(XXH64(name.data(), name.size(), 0));
+}
+
 void FleetLoad::onDigest(LoadDigest digest, Instant now) {
   Entry& entry = byNode_[digest.node];
   // A restarted node restarts its sequence numbers, so any digest replaces an expired one.
@@ -42,6 +47,24 @@
   }
 }
 
+void FleetLoad::addReports(const LoadReports& reports, double scale) {
+  for (const ServiceReport& report : reports.services) {
+    ServiceReport& sum = reports_.services[report.service];
+    const double completed = report.completedPerSecond * scale;
+    const double total = sum.completedPerSecond + completed;
+    if (total > 0) {
+      sum.inflation =
+          (sum.inflation * sum.completedPerSecond + report.inflation * completed) / total;
+    }
+    sum.service = report.service;
+    sum.completedPerSecond = total;
+    sum.rejectedPerSecond += report.rejectedPerSecond * scale;
+  }
+  for (const TenantLoad& load : reports.tenants) {
+    reports_.tenantLoads[{load.service, load.tenant}] += load.inFlight * scale;
+  }
+}
+
 void FleetLoad::apply(const ReplicaTable& replicas, NodeCounts otherNodes, Instant now) {
   dropStale(now);
   const auto nearReported = static_cast<std::size_t>(std::count_if(
@@ -52,10 +75,21 @@
     double inFlight = 0;
     double failed = 0;
     double ended = 0;
+    double logTimeFactor = 0;  // Weighted by the number of samples.
+    double timeSamples = 0;
   };
   std::unordered_map<ReplicaHash, Sum> sums;
+  reports_ = {};
+  reports_.reportingNodes = byNode_.size();
   for (const auto& [node, entry] : byNode_) {
     const double scale = isNear(entry) ? nearScale : farScale;
+    addReports(entry.digest.reports, scale);
+    for (const ReplicaSpeedReport& speed : entry.digest.reports.speeds) {
+      if (speed.timeFactor > 0) {
+        sums[speed.replica].logTimeFactor += std::log(speed.timeFactor) * speed.samples;
+        sums[speed.replica].timeSamples += speed.samples;
+      }
+    }
     for (const ReplicaLoad& load : entry.digest.loads) {
       sums[load.replica].inFlight += load.inFlight * scale;
     }
@@ -69,6 +103,9 @@
     replica->othersInFlight = sum.inFlight;
     replica->othersFailed = sum.failed;
     replica->othersEnded = sum.ended;
+    replica->othersTimeSamples = sum.timeSamples;
+    replica->othersTimeFactor =
+        sum.timeSamples > 0 ? std::exp(sum.logTimeFactor / sum.timeSamples) : 1.0;
   }
 }
 
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -47,8 +47,12 @@
   OutcomeTally outcomes;       ///< This node's recent requests there.
   double othersFailed = 0;     ///< Failed recent requests of other nodes.
   double othersEnded = 0;      ///< Recent requests of the other nodes that report failures.
-  Instant suspectUntil;        ///< Avoided until then if other replicas are available.
-  Instant fullUntil;           ///< At capacity: it refused a request recently.
+  /// Duration of the other nodes' requests relative to the service's model: the geometric mean of
+  /// their reports, weighted by `othersTimeSamples`.
+  double othersTimeFactor = 1.0;
+  double othersTimeSamples = 0;  ///< Requests behind `othersTimeFactor`; 0: not measured.
+  Instant suspectUntil;          ///< Avoided until then if other replicas are available.
+  Instant fullUntil;             ///< At capacity: it refused a request recently.
   /// Set if the registration lapsed while the store was unavailable, which does not prove that the
   /// replica failed: until then it is used as a last resort.
   std::optional<Instant> graceUntil;
--- a/tests/edge/load_exchange_test.cpp
+++ b/tests/edge/load_exchange_test.cpp
@@ -49,19 +49,50 @@
   const auto replica = std::make_shared<routing::Replica>();
   replica->entry.id = "a";
   replica->inFlight = 3;
-  sender.send({replica}, peers, now);
+  sender.send({replica}, peers, {}, now);
   receiveAll();
   LONGS_EQUAL(4 + LoadExchangeKnobs{}.maximumOtherRegionPeers, received.size());
   for (const routing::LoadDigest& digest : received) {
     CHECK(digest.region == routing::regionHashOf("west"));
     LONGS_EQUAL(3, digest.loads.front().inFlight);
   }
-  sender.send({replica}, peers, now);
+  sender.send({replica}, peers, {}, now);
   receiveAll();
   LONGS_EQUAL(4 + LoadExchangeKnobs{}.maximumOtherRegionPeers,
               received.size());  // Nothing has changed.
 }
 
+// Guards against a section that is lost or scaled wrongly: nodes would then act on other figures
+// than those that were measured.
+TEST(LoadExchange, digestKeepsItsReports) {
+  routing::LoadDigest digest;
+  digest.reports.services = {{7, 120.5, 3.25, 1.75}};
+  digest.reports.tenants = {{7, 9, 40}};
+  digest.reports.speeds = {{11, 2.5, 6.5}};
+  const auto decoded = decodeLoadDigest(encodeLoadDigest(digest));
+  CHECK_TRUE(succeeded(decoded));
+  const routing::LoadReports& reports = valueOf(decoded).reports;
+  LONGS_EQUAL(7, reports.services.at(0).service);
+  DOUBLES_EQUAL(120.5, reports.services.at(0).completedPerSecond, 0);
+  DOUBLES_EQUAL(3.25, reports.services.at(0).rejectedPerSecond, 0);
+  DOUBLES_EQUAL(1.75, reports.services.at(0).inflation, 0);
+  LONGS_EQUAL(9, reports.tenants.at(0).tenant);
+  LONGS_EQUAL(40, reports.tenants.at(0).inFlight);
+  LONGS_EQUAL(11, reports.speeds.at(0).replica);
+  DOUBLES_EQUAL(2.5, reports.speeds.at(0).timeFactor, 0);
+  DOUBLES_EQUAL(6.5, reports.speeds.at(0).samples, 0);
+}
+
+// A digest without reports must stay as small as before, and readable by earlier builds.
+TEST(LoadExchange, digestWithoutReportsHasNoReportSections) {
+  routing::LoadDigest digest;
+  digest.loads = {{1, 2}};
+  const std::string plain = encodeLoadDigest(digest);
+  digest.reports.tenants = {{7, 9, 40}};
+  CHECK(plain.size() < encodeLoadDigest(digest).size());
+  CHECK(valueOf(decodeLoadDigest(plain)).reports.tenants.empty());
+}
+
 TEST(LoadExchange, countsUndecodableDatagrams) {
   const std::vector<std::string> addresses = listen(1, 40);
   DatagramSocket otherSender(context, [](const DatagramSocket::Endpoint&, std::string_view) {});
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -90,3 +90,23 @@
   LONGS_EQUAL(1, errors.size());
   STRCMP_CONTAINS("local.toml:2", errors.front().field.c_str());
 }
+
+// Deployments that do not ask for overload control must be served as before.
+TEST(SettingsFile, overloadControlIsOnOnlyWhereItIsAskedFor) {
+  const auto controls = [](const std::string& text) {
+    const auto result = parseSettings(text, "local.toml");
+    return std::get<edge::EdgeSettings>(result).overloadControl;
+  };
+  CHECK_FALSE(controls(kValidSettings));
+  CHECK_FALSE(controls("contracts = [\"base\"]\n" + kValidSettings));
+  CHECK_TRUE(controls("contracts = [\"base\",\"pressure\"]\n" + kValidSettings));
+  CHECK_TRUE(controls(kValidSettings + "[overload]\ncontrol = true\n"));
+  CHECK_FALSE(
+      controls("contracts = [\"pressure\"]\n" + kValidSettings + "[overload]\ncontrol = false\n"));
+}
+
+TEST(SettingsFile, rejectsAnOverloadControlThatIsNoBoolean) {
+  const auto errors = errorsOf(kValidSettings + "[overload]\ncontrol = \"yes\"\n");
+  LONGS_EQUAL(1, errors.size());
+  STRCMP_EQUAL("local.toml: overload.control", errors.front().field.c_str());
+}
--- a/tests/routing/fleet_load_test.cpp
+++ b/tests/routing/fleet_load_test.cpp
@@ -77,3 +77,35 @@
   load.apply(table, {2, 4}, now);
   DOUBLES_EQUAL(10, replica->othersInFlight, 1e-9);
 }
+
+TEST(FleetLoad, sumsServiceReportsAndWeighsTheirInflation) {
+  LoadDigest first{1, 1, {}, {}, 0, {{{5, 30, 2, 2.0}}, {}, {}}};
+  LoadDigest second{2, 1, {}, {}, 0, {{{5, 10, 0, 1.0}}, {}, {}}};
+  load.onDigest(first, now);
+  load.onDigest(second, now);
+  load.apply(table, {4, 0}, now);  // Two of four nodes have reported.
+  const ServiceReport& sum = load.reports().services.at(5);
+  DOUBLES_EQUAL(80, sum.completedPerSecond, 1e-9);
+  DOUBLES_EQUAL(4, sum.rejectedPerSecond, 1e-9);
+  DOUBLES_EQUAL(1.75, sum.inflation, 1e-9);
+  LONGS_EQUAL(2, load.reports().reportingNodes);
+}
+
+TEST(FleetLoad, extrapolatesTenantLoadsAndDropsThemWithTheirDigest) {
+  load.onDigest({1, 1, {}, {}, 0, {{}, {{5, 8, 3}}, {}}}, now);
+  load.apply(table, {2, 0}, now);
+  DOUBLES_EQUAL(6, load.reports().tenantLoads.at({5, 8}), 1e-9);
+  now += FleetLoadKnobs{}.digestExpiry + milliseconds(1);
+  load.apply(table, {2, 0}, now);
+  CHECK(load.reports().tenantLoads.empty());
+  LONGS_EQUAL(0, load.reports().reportingNodes);
+}
+
+// An arithmetic mean would let one overestimate outweigh several underestimates of the same size.
+TEST(FleetLoad, averagesSpeedReportsGeometricallyByTheirSamples) {
+  load.onDigest({1, 1, {}, {}, 0, {{}, {}, {{replicaHashOf("a"), 4.0, 2.0}}}}, now);
+  load.onDigest({2, 1, {}, {}, 0, {{}, {}, {{replicaHashOf("a"), 1.0, 2.0}}}}, now);
+  load.apply(table, {2, 0}, now);
+  DOUBLES_EQUAL(2.0, replica->othersTimeFactor, 1e-9);
+  DOUBLES_EQUAL(4.0, replica->othersTimeSamples, 1e-9);
+}
