Turns of overdue programs use only free slots under overload control

Programs that arrived then missed theirs.

A turn of a program past its deadline is now admitted only below 0.6 requests per slot, so that a turn that is in time still finds a free slot. Its answer is still worth something to its caller, so it is not refused outright.

Ruled out: the lowest engine priority alone, which such turns already have. It orders requests inside one engine; they still take slots and memory there.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -49,6 +49,8 @@
   Duration retryAfterOverload = milliseconds(400);  ///< Refused by admission control.
   /// A program that has used this share of its budget is treated as a probable infinite loop.
   double runawayShare = 0.75;
+  /// Whether turns of programs past their deadline are admitted only to replicas with free slots.
+  bool limitsOverduePrograms = false;
   /// The history cannot be read, or the configuration is missing or stale.
   Duration retryAfterStore = milliseconds(250);
   Duration retryAfterReservation = milliseconds(400);  ///< The budget could not be reserved.
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -65,7 +65,7 @@
   if (settings.uses(Mechanism::Admission)) {
     return {};
   }
-  return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0};
+  return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0};
 }
 
 routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings) {
@@ -85,6 +85,7 @@
   if (!settings.uses(Mechanism::RunawayLimit)) {
     knobs.runawayShare = kNoLimit;
   }
+  knobs.limitsOverduePrograms = settings.overloadControl && settings.uses(Mechanism::OverdueLimit);
   if (!settings.uses(Mechanism::ReplicaSuspicion)) {
     knobs.suspicionTime = Duration::zero();
   }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -73,6 +73,8 @@
   void onNoReplica(const routing::NoReplica& none);
   /// \return the stage of the program, for admission control and quota.
   [[nodiscard]] routing::WorkStage stage() const;
+  /// \return whether the program's deadline has passed; false if the request gives none.
+  [[nodiscard]] bool isOverdue() const;
   /// \return the request's priority for the replica; 0 is the most urgent.
   [[nodiscard]] std::uint32_t replicaPriority() const;
   void onHead(unsigned status, const std::vector<http::Header>& headers);
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -63,15 +63,20 @@
   if (budget > 0 && static_cast<double>(known) > context_.knobs.runawayShare * budget) {
     return routing::WorkStage::Runaway;
   }
+  if (context_.knobs.limitsOverduePrograms && isOverdue()) {
+    return routing::WorkStage::Overdue;
+  }
   const bool hasBegun = !request_.previousTurnId.empty() || known > request_.maximumTokens;
   return hasBegun ? routing::WorkStage::Continuing : routing::WorkStage::FirstTurn;
 }
 
+bool Exchange::isOverdue() const {
+  return request_.programTimeLeft && *request_.programTimeLeft <= context_.clock() - arrivedAt_;
+}
+
 std::uint32_t Exchange::replicaPriority() const {
-  const bool isLate =
-      request_.programTimeLeft && *request_.programTimeLeft <= context_.clock() - arrivedAt_;
-  return isLate ? tenant::kLeastUrgentPriority
-                : std::min(checked_.priority, tenant::kLeastUrgentPriority);
+  return isOverdue() ? tenant::kLeastUrgentPriority
+                     : std::min(checked_.priority, tenant::kLeastUrgentPriority);
 }
 
 }  // namespace gorsetrail::edge
--- a/src/routing/admission_policy.cpp
+++ b/src/routing/admission_policy.cpp
@@ -10,6 +10,8 @@
   switch (stage) {
     case WorkStage::Runaway:
       return "runaway";
+    case WorkStage::Overdue:
+      return "overdue";
     case WorkStage::FirstTurn:
       return "first_turn";
     case WorkStage::Continuing:
@@ -22,10 +24,13 @@
   double limit = knobs_.continuing;
   if (request.stage == WorkStage::Runaway) {
     limit = knobs_.runaway;
+  } else if (request.stage == WorkStage::Overdue) {
+    limit = knobs_.overdue;
   } else if (request.stage == WorkStage::FirstTurn) {
     limit = knobs_.firstTurn;
   }
-  if (request.priority == 0 && request.stage != WorkStage::Runaway) {
+  const bool isLimited = request.stage == WorkStage::Runaway || request.stage == WorkStage::Overdue;
+  if (request.priority == 0 && !isLimited) {
     limit += knobs_.mostUrgent;
   }
   return replica.loadPerSlot() < limit;
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -13,6 +13,7 @@
 /// Program stage of a request, ordered by the work that is lost when the request is refused.
 enum class WorkStage : std::uint8_t {
   Runaway,     ///< The program has used most of its budget and is probably in a loop.
+  Overdue,     ///< The program's deadline has passed. Only with overload control.
   FirstTurn,   ///< Nothing of the program has run yet.
   Continuing,  ///< Refusal would waste the program's earlier turns.
 };
@@ -23,6 +24,9 @@
 /// Load limits of `AdmissionPolicy`, in requests per slot unless stated otherwise.
 struct AdmissionKnobs {
   double runaway = 0.6;
+  /// Overdue programs use what others leave: below this load a turn that is in time still finds a
+  /// free slot when it arrives.
+  double overdue = 0.6;
   double firstTurn = 1.2;
   double continuing = 2.0;
   /// A replica with a lower load is lightly loaded. A request that its cheapest replica refuses
--- a/tests/routing/admission_policy_test.cpp
+++ b/tests/routing/admission_policy_test.cpp
@@ -33,6 +33,15 @@
   CHECK_FALSE(admits(21, WorkStage::Continuing));
 }
 
+// After a burst, programs past their deadline kept engines busy for ten seconds, and new programs
+// missed their deadlines for them.
+TEST(AdmissionPolicy, overdueProgramsUseOnlyFreeSlots) {
+  CHECK_TRUE(admits(5, WorkStage::Overdue));
+  CHECK_FALSE(admits(6, WorkStage::Overdue));
+  CHECK_FALSE(admits(6, WorkStage::Overdue, 0));
+  CHECK_TRUE(admits(6, WorkStage::FirstTurn));
+}
+
 TEST(AdmissionPolicy, raisesTheLimitForPriorityZeroExceptForRunaways) {
   CHECK_FALSE(admits(13, WorkStage::FirstTurn, 1));
   CHECK_TRUE(admits(13, WorkStage::FirstTurn, 0));
