Under overload control, turns do not overflow to replicas without their prompt

Callers of customer P saw engines answer less when they were needed most: half of the engine time went to prompts that were processed again. One in four tries of a started program whose replica was full went to any other replica, which had to read the prompt and evicted others' for it.

Ruled out: preferring the first replica of a prompt's order with a free slot, so that no request waits while slots are free. Two replicas then keep each prompt, and the engines' memory holds too few of them.

Overflow while the service has spare capacity stays. Without overload control nothing changes (test).

--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -62,10 +62,16 @@
 }
 
 routing::AdmissionKnobs admissionKnobsOf(const EdgeSettings& settings) {
-  if (settings.uses(Mechanism::Admission)) {
-    return {};
+  if (!settings.uses(Mechanism::Admission)) {
+    return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0};
   }
-  return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0};
+  routing::AdmissionKnobs knobs;
+  if (settings.overloadControl && settings.uses(Mechanism::PromptLocality)) {
+    // Without spare capacity, each turn that processes its prompt at a further replica takes engine
+    // time from turns in progress and evicts other programs' prompts.
+    knobs.overflowFraction = 0;
+  }
+  return knobs;
 }
 
 routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings) {
--- a/src/edge/mechanisms.cpp
+++ b/src/edge/mechanisms.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 using NamedMechanism = std::pair<Mechanism, std::string_view>;
-constexpr std::array<NamedMechanism, 24> kMechanisms = {
+constexpr std::array<NamedMechanism, 25> kMechanisms = {
     {{Mechanism::BudgetLeases, "budget_leases"},
      {Mechanism::PromptAffinity, "prompt_affinity"},
      {Mechanism::LoadDigests, "load_digests"},
@@ -27,6 +27,7 @@
      {Mechanism::ColdFeeders, "cold_feeders"},
      {Mechanism::TurnRetention, "turn_retention"},
      {Mechanism::OverdueLimit, "overdue_limit"},
+     {Mechanism::PromptLocality, "prompt_locality"},
      {Mechanism::ProgramAdmission, "program_admission"},
      {Mechanism::TenantShares, "tenant_shares"},
      {Mechanism::ServiceTimes, "service_times"},
--- a/src/edge/mechanisms.h
+++ b/src/edge/mechanisms.h
@@ -30,6 +30,7 @@
   ColdFeeders,        ///< Only a few nodes send requests to a replica that is warming up.
   TurnRetention,      ///< Persisted turns run during a store outage and delay their stream ends.
   OverdueLimit,       ///< Programs past their deadline use only free slots of replicas.
+  PromptLocality,     ///< Turns go to further replicas only while there is spare capacity.
   ProgramAdmission,   ///< Programs start only while replicas answer close to their unloaded speed.
   TenantShares,       ///< Tenants share the replicas of a service while capacity is scarce.
   ServiceTimes,       ///< Requests that cannot be answered before their deadline are refused.
--- a/tests/edge/exchange_overload_test.cpp
+++ b/tests/edge/exchange_overload_test.cpp
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "edge/edge_knobs.h"
 #include "edge/exchange_world.h"
 // CppUTest redefines `new`: it comes after the standard headers.
 #include <CppUTest/TestHarness.h>
@@ -51,3 +52,32 @@
   const auto late = startTurn(Duration::zero());
   LONGS_EQUAL(1, world.dispatches());
 }
+
+// A service without spare capacity, whose programs all return to the replica that has their prompt.
+// Overflow doubled the prompt tokens that engines process, and fewer programs ended in time.
+TEST(ExchangeOverload, turnsOverflowToOtherReplicasOnlyWithoutOverloadControl) {
+  const auto overflows = [this](bool overloadControl) {
+    EdgeSettings settings;
+    settings.overloadControl = overloadControl;
+    const routing::AdmissionPolicy admission(admissionKnobsOf(settings));
+    const routing::ReplicaSelector selector("", {});  // The zone of the fixture's replicas.
+    const routing::ReplicaPlacement placement(world.replicas, selector, admission, {});
+    setLoad(100);
+    int placedElsewhere = 0;
+    for (int program = 0; program < 200; ++program) {
+      const std::string name = "program-" + std::to_string(program);
+      routing::PlacementQuery query;
+      query.replica = {"model", name, 2000, nullptr, {}};
+      query.admission = routing::AdmissionRequest{routing::WorkStage::Continuing, 1, name};
+      const auto preferred = placement.place(query, world.timers.now);
+      const routing::ReplicaPtr home = std::get<routing::Placed>(preferred).replica;
+      home->othersInFlight = 2.2 * home->entry.slots;
+      const auto placed = placement.place(query, world.timers.now);
+      placedElsewhere += std::holds_alternative<routing::Placed>(placed) ? 1 : 0;
+      setLoad(100);
+    }
+    return placedElsewhere;
+  };
+  LONGS_EQUAL(0, overflows(true));
+  CHECK(overflows(false) > 20);
+}
