Measure service times and replica speeds from answered requests

Nodes compared only times to the first byte, from 2.0 times the median on, and only their own.

First version of the model of a service's durations, of the speed of each replica, and of the check before dispatch. Replicas' speeds are measured only at free slots, so that a full replica does not count as slow.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -14,6 +14,7 @@
 #include "quota/quota_admission.h"
 #include "routing/replica_placement.h"
 #include "routing/route_table.h"
+#include "routing/service_times.h"
 #include "services/timer_service.h"
 
 namespace gorsetrail::edge {
@@ -23,6 +24,7 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
+  std::uint64_t lateDispatches = 0;  ///< Not sent, since no answer could begin in time.
 };
 
 /// When the node last read the store successfully; gives the age of its tables.
@@ -51,6 +53,8 @@
   double runawayShare = 0.75;
   /// Whether turns of programs past their deadline are admitted only to replicas with free slots.
   bool limitsOverduePrograms = false;
+  /// Whether a request is refused if no answer can begin before its deadline.
+  bool refusesLateDispatches = false;
   /// The history cannot be read, or the configuration is missing or stale.
   Duration retryAfterStore = milliseconds(250);
   Duration retryAfterReservation = milliseconds(400);  ///< The budget could not be reserved.
@@ -90,6 +94,8 @@
   ExchangeKnobs knobs;
   bool takesRequests = true;  ///< False during the last phase of a planned stop.
   TurnRetentionPolicy retention{};
+  /// Learns from answered requests; null: nothing is learned.
+  routing::ServiceTimes* serviceTimes = nullptr;
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -136,6 +136,7 @@
           [this](routing::LoadDigest digest) { fleetLoad_.onDigest(std::move(digest), clock_()); }),
       quotaExchange_(context, *timers_, clock_, quotaSources(), seed),
       staticShares_([this] { return quotaExchange_.ownShare(); }, clock_),
+      serviceTimes_(serviceTimesKnobsOf(settings_)),
       context_{dependencies.wire,
                routes_,
                placement_,
@@ -150,7 +151,8 @@
                {},
                exchangeKnobsOf(settings_),
                true,
-               TurnRetentionPolicy(turnRetentionKnobsOf(settings_))},
+               TurnRetentionPolicy(turnRetentionKnobsOf(settings_)),
+               &serviceTimes_},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -35,6 +35,7 @@
 #include "routing/fleet_load.h"
 #include "routing/locality.h"
 #include "routing/region_rule.h"
+#include "routing/service_times.h"
 
 namespace gorsetrail::edge {
 
@@ -127,7 +128,8 @@
   void updateFollowerPauses();
   void loadLoop();
   /// \return this node's reports for its load digest; sections of features that are off are empty.
-  [[nodiscard]] routing::LoadReports localReports();
+  [[nodiscard]] routing::LoadReports localReports(const std::vector<routing::ReplicaPtr>& replicas);
+  void updateReplicaSpeeds(const std::vector<routing::ReplicaPtr>& replicas);
   /// \return whether this node serves clients, has requests in flight or has just dispatched some.
   [[nodiscard]] bool isUsingReplicas();
   /// \return the load digest addresses of the nodes that serve clients, except this node.
@@ -214,6 +216,7 @@
   LoadExchange loadExchange_;
   QuotaExchange quotaExchange_;
   quota::StaticShares staticShares_;
+  routing::ServiceTimes serviceTimes_;
   EdgeContext context_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -180,11 +180,12 @@
                   [](const routing::ReplicaPtr& replica) { return replica->inFlight == 0; });
   hasRequestsInFlight_ = !isIdle;
   if (servesClients_ || !isIdle) {
-    loadExchange_.send(replicas, peers, localReports(), clock_());
+    loadExchange_.send(replicas, peers, localReports(replicas), clock_());
   }
   if (settings_.uses(Mechanism::LoadDigests)) {
     fleetLoad_.apply(replicas_, {peers.sameRegion.size(), peers.otherRegions.size()}, clock_());
   }
+  updateReplicaSpeeds(replicas);
   updateColdReplicas();
   for (const std::string& dropped : replicas_.removeLapsed(clock_())) {
     log_.logImportant("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
--- a/src/edge/edge_daemon_shared.h
+++ b/src/edge/edge_daemon_shared.h
@@ -21,6 +21,11 @@
   return static_cast<std::uint64_t>(std::max<Duration::rep>(0, (now - then).count() / 1000));
 }
 
+/// \return the factor in percent, for log lines and metrics.
+inline std::uint64_t percentOf(double factor) {
+  return static_cast<std::uint64_t>(std::max(0.0, factor * 100.0));
+}
+
 /// \return the system clock in Unix milliseconds. It may jump backwards.
 inline std::uint64_t unixTimeMilliseconds() {
   const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -86,6 +86,7 @@
     knobs.runawayShare = kNoLimit;
   }
   knobs.limitsOverduePrograms = settings.overloadControl && settings.uses(Mechanism::OverdueLimit);
+  knobs.refusesLateDispatches = settings.overloadControl && settings.uses(Mechanism::ServiceTimes);
   if (!settings.uses(Mechanism::ReplicaSuspicion)) {
     knobs.suspicionTime = Duration::zero();
   }
@@ -95,6 +96,10 @@
   return knobs;
 }
 
+routing::ServiceTimesKnobs serviceTimesKnobsOf(const EdgeSettings& settings) {
+  return {settings.uses(Mechanism::ReplicaSpeeds)};
+}
+
 TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings) {
   // Retained turns are small compared with the ledger's cache; room for about a hundred turns on a
   // small node.
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -12,6 +12,7 @@
 #include "routing/admission_policy.h"
 #include "routing/cold_replica_rule.h"
 #include "routing/replica_selector.h"
+#include "routing/service_times.h"
 
 namespace gorsetrail::edge {
 
@@ -38,6 +39,8 @@
 
 ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings);
 
+routing::ServiceTimesKnobs serviceTimesKnobsOf(const EdgeSettings& settings);
+
 TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings);
 
 }  // namespace gorsetrail::edge
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -67,6 +67,18 @@
   // At a replica.
   void dispatch();
   void send(const routing::ReplicaPtr& replica);
+  /// Sends the request to the replica if an answer can begin in time.
+  void sendIfInTime(const routing::ReplicaPtr& replica);
+  /// Ends the request, because no answer can begin in time at the replica.
+  void onTooLate(const routing::Replica& replica, Duration shortest);
+  /// \return the shortest time to the first byte at the replica; zero if it is not known or not to
+  /// be considered.
+  [[nodiscard]] Duration shortestFirstByte(const routing::Replica& replica) const;
+  [[nodiscard]] routing::WorkSize workSize() const;
+  /// Remembers what the measurement of the dispatch to `replica_` needs.
+  void beginMeasurement();
+  /// Adds the answered dispatch to the measurements of the service and the replica.
+  void recordServiceTime();
   [[nodiscard]] routing::PlacementQuery placementQuery() const;
   [[nodiscard]] routing::PlacementSubject placementSubject() const;
   void onReplicasBusy(const routing::RefusedByAdmission& refused);
@@ -185,6 +197,9 @@
   Instant dispatchedAt_;
   ReplicaHead head_;
   bool headReceived_ = false;
+  Instant headReceivedAt_;
+  bool hadFreeSlot_ = false;                ///< The replica had a free slot at the dispatch.
+  std::uint64_t eventsBeforeDispatch_ = 0;  ///< Received in earlier dispatches.
   /// The dispatch was counted as a failure, because no head arrived within
   /// `ExchangeKnobs::noResponseFailureTime`.
   bool noAnswerRecorded_ = false;
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -36,7 +36,7 @@
 void Exchange::dispatch() {
   const routing::Placement placement = context_.placement.place(placementQuery(), context_.clock());
   if (const auto* const placed = std::get_if<routing::Placed>(&placement)) {
-    send(placed->replica);
+    sendIfInTime(placed->replica);
   } else if (const auto* const none = std::get_if<routing::NoReplica>(&placement)) {
     onNoReplica(*none);
   } else {
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -18,6 +18,7 @@
 
 void Exchange::send(const routing::ReplicaPtr& replica) {
   replica_ = replica;
+  beginMeasurement();
   ++replica_->inFlight;
   const std::string_view grant = context_.placement.onSent(*replica, context_.clock());
   if (!firstDispatchAt_) {
@@ -88,6 +89,7 @@
     return;
   }
   headReceived_ = true;
+  headReceivedAt_ = context_.clock();
   replica_->lastDataAt = context_.clock();
   head_ = context_.wire.readReplicaHead(status, headers);
   if (!streamBegun_) {
@@ -131,6 +133,7 @@
   recordOutcome(head_.status >= kServerError);
   const bool wasStream = isStreaming() && head_.eventStream && head_.status == kOk;
   if (!wasStream) {
+    recordServiceTime();
     onCompleteResponse();
     return;
   }
@@ -138,6 +141,7 @@
     onReplicaFailure({http::FailureStage::Broken, "stream ended with an incomplete event"});
     return;
   }
+  recordServiceTime();
   releaseReplica();
   streamEnded_ = true;
   streamEndedAt_ = context_.clock();
@@ -146,6 +150,9 @@
 
 void Exchange::onReplicaRefusal() {
   const bool full = head_.status == kUnavailable;
+  if (context_.serviceTimes != nullptr) {
+    context_.serviceTimes->noteRejection(checked_.service, context_.clock());
+  }
   replica_->fullUntil = context_.clock() + context_.knobs.refusedReplicaAvoidTime;
   context_.log.logRoutine("replica_refused", {{"request", request_.requestId},
                                               {"replica", replica_->entry.id},
@@ -317,7 +324,7 @@
   const bool resumes = resumeReplica_ && !context_.placement.exclusionOf(
                                              *resumeReplica_, placementSubject(), context_.clock());
   if (resumes) {
-    send(resumeReplica_);
+    sendIfInTime(resumeReplica_);
   } else if (mayRunOnAnotherReplica()) {
     dispatch();
   } else {
--- /dev/null
+++ b/src/edge/exchange_service_times.cpp
@@ -0,0 +1,68 @@
+// Part of `Exchange`: measures answered dispatches, and refuses requests whose answer could not
+// begin before the deadline.
+#include "edge/exchange.h"
+#include "edge/exchange_shared.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+constexpr unsigned kFirstFailureStatus = 300;
+
+}  // namespace
+
+routing::WorkSize Exchange::workSize() const {
+  return {request_.promptTokens, request_.maximumTokens};
+}
+
+void Exchange::beginMeasurement() {
+  hadFreeSlot_ = replica_->load() < replica_->entry.slots;
+  eventsBeforeDispatch_ = progress_.eventsReceived();
+}
+
+void Exchange::recordServiceTime() {
+  // Replicas answer errors without doing the work.
+  if (context_.serviceTimes == nullptr || head_.status >= kFirstFailureStatus) {
+    return;
+  }
+  routing::AnsweredRequest answered;
+  answered.firstByte = headReceivedAt_ - dispatchedAt_;
+  answered.duration = context_.clock() - dispatchedAt_;
+  answered.events = progress_.eventsReceived() - eventsBeforeDispatch_;
+  answered.promptTokens = request_.promptTokens;
+  context_.serviceTimes->noteAnswer(*replica_, answered, hadFreeSlot_, context_.clock());
+}
+
+Duration Exchange::shortestFirstByte(const routing::Replica& replica) const {
+  if (context_.serviceTimes == nullptr || !context_.knobs.refusesLateDispatches) {
+    return Duration::zero();
+  }
+  return context_.serviceTimes->shortestFirstByte(replica, workSize()).value_or(Duration::zero());
+}
+
+void Exchange::sendIfInTime(const routing::ReplicaPtr& replica) {
+  const Duration shortest = shortestFirstByte(*replica);
+  if (shortest > Duration::zero() && shortest > timeLeft() - kAnswerMargin) {
+    onTooLate(*replica, shortest);
+    return;
+  }
+  send(replica);
+}
+
+void Exchange::onTooLate(const routing::Replica& replica, Duration shortest) {
+  ++context_.counters.lateDispatches;
+  context_.log.logRefusal("dispatch_too_late", {request_.programId, "too_late_to_answer"},
+                          {{"request", request_.requestId},
+                           {"program", request_.programId},
+                           {"replica", replica.entry.id},
+                           {"left_ms", wholeMilliseconds(timeLeft())},
+                           {"shortest_ms", wholeMilliseconds(shortest)}});
+  if (streamBegun_) {
+    abortAnswer("too_late_to_answer");
+  } else if (mayHaveRun_) {
+    failWithUnknownState(kBadGateway, "too_late_to_answer");
+  } else {
+    refuse({kUnavailable, "too_late_to_answer", Duration::zero()});
+  }
+}
+
+}  // namespace gorsetrail::edge
--- a/src/edge/stream_progress.h
+++ b/src/edge/stream_progress.h
@@ -27,6 +27,8 @@
   /// \return whether complete events are buffered.
   [[nodiscard]] bool hasOutput() const { return !output_.empty(); }
   [[nodiscard]] bool hasPartialEvent() const { return splitter_.hasPartialEvent(); }
+  /// \return all complete events received, in all runs.
+  [[nodiscard]] std::uint64_t eventsReceived() const { return eventsReceived_; }
   [[nodiscard]] std::uint64_t eventsReleased() const { return eventsReleased_; }
   /// \return the ID of the last event received; before the first, the one given at construction.
   [[nodiscard]] const std::string& lastEventId() const { return lastEventId_; }
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "routing/outcome_tally.h"
 #include "routing/replica_incarnation.h"
+#include "routing/replica_speed.h"
 
 namespace gorsetrail::routing {
 
@@ -51,8 +52,13 @@
   /// their reports, weighted by `othersTimeSamples`.
   double othersTimeFactor = 1.0;
   double othersTimeSamples = 0;  ///< Requests behind `othersTimeFactor`; 0: not measured.
-  Instant suspectUntil;          ///< Avoided until then if other replicas are available.
-  Instant fullUntil;             ///< At capacity: it refused a request recently.
+  ReplicaSpeed speed;            ///< This node's measurements of its speed.
+  /// Duration of requests there relative to the service's model, merged from `speed` and the other
+  /// nodes' measurements by `ServiceTimes::updateSpeeds`.
+  double timeFactor = 1.0;
+  SlownessMark slowness;  ///< Whether `timeFactor` has been high for some seconds.
+  Instant suspectUntil;   ///< Avoided until then if other replicas are available.
+  Instant fullUntil;      ///< At capacity: it refused a request recently.
   /// Set if the registration lapsed while the store was unavailable, which does not prove that the
   /// replica failed: until then it is used as a last resort.
   std::optional<Instant> graceUntil;
