Test and document service times; refuse requests that no replica can answer in time

Callers got status 504 or a truncated answer for requests that reached an engine 6 ms before their deadline, and their retries came too late as well. Refusing by the program's deadline was ruled out: late answers still count for callers.

Where only the selected replica is too slow, another one is selected once. The first samples of a model are fitted repeatedly within bounds, as a third of slow replicas raised the expectation by a fifth, which hid them.

--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -18,7 +18,7 @@
   std::string_view cause;
 };
 /// Maps reasons of `request_ended` lines to causes; the first matching prefix applies.
-constexpr std::array<CauseOfReason, 29> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 30> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
@@ -37,6 +37,7 @@
                                                     {"replica", "replica_failed"},
                                                     {"resume", "replica_failed"},
                                                     {"deadline", "deadline"},
+                                                    {"too_late_to_answer", "deadline"},
                                                     {"stopping", "node_stopping"},
                                                     {"no_configuration", "configuration"},
                                                     {"configuration", "configuration"},
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -49,6 +49,11 @@
   values.replicas = replicas_.size();
   values.replicasCold = coldReplicas_.coldReplicas();
   values.coldReplicasSkipped = coldReplicas_.exclusionCount();
+  values.replicasSlow = serviceTimes_.slowReplicas();
+  values.lateDispatches = context_.counters.lateDispatches;
+  for (const auto& [service, inflation] : serviceTimes_.inflations(now)) {
+    values.inflations.push_back({service, percentOf(inflation)});
+  }
   values.members = members_.liveMembers().size();
   values.membersSuspectedOrDead = peerMonitor_.suspectedOrDeadNodes();
   values.configurationVersion = routes_.inForce() ? routes_.inForce()->version.value() : 0;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -108,6 +108,19 @@
   }
 }
 
+void addServiceTimes(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.gauge("replicas_slow", "Replicas that take 1.5 times as long as usual, or longer",
+             snapshot.replicasSlow);
+  list.counter("dispatches_too_late_total", "Requests not sent as no answer could begin in time",
+               snapshot.lateDispatches);
+  list.family("service_inflation_percent",
+              "Duration of the last second's requests relative to unloaded replicas",
+              MetricType::Gauge);
+  for (const ServiceInflation& inflation : snapshot.inflations) {
+    list.add(inflation.percent, {{"service", inflation.service}});
+  }
+}
+
 }  // namespace
 
 struct EdgeMetrics::Histograms {
@@ -189,6 +202,7 @@
   addQuotas(list, snapshot);
   addRetention(list, snapshot);
   addClusterState(list, snapshot);
+  addServiceTimes(list, snapshot);
   addUnreadable(list, snapshot);
   list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
                snapshot.logLinesDropped);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -19,6 +19,12 @@
   std::uint64_t knownForMilliseconds = 0;  ///< Since this node read the evacuation record.
 };
 
+/// Duration of a service's recent requests relative to unloaded replicas.
+struct ServiceInflation {
+  std::string service;
+  std::uint64_t percent = 100;
+};
+
 /// Values of the node's other components at one moment.
 struct EdgeSnapshot {
   // Calls to the store, by result.
@@ -71,6 +77,8 @@
   std::uint64_t replicasCold = 0;  ///< Gauge.
   /// Placements from which a replica was excluded because it is or may be cold.
   std::uint64_t coldReplicasSkipped = 0;
+  std::uint64_t replicasSlow = 0;            ///< Gauge: take 1.5 times as long as usual or longer.
+  std::uint64_t lateDispatches = 0;          ///< Not sent, since no answer could begin in time.
   std::uint64_t members = 0;                 ///< Gauge.
   std::uint64_t membersSuspectedOrDead = 0;  ///< Gauge.
   std::uint64_t configurationVersion = 0;    ///< Gauge.
@@ -84,6 +92,7 @@
   std::uint64_t loadDigestsUnreadable = 0;
   /// Gauge: how long this node has known of each evacuated zone. Deployments have few zones.
   std::vector<ZoneEvacuation> evacuatedZones{};
+  std::vector<ServiceInflation> inflations{};  ///< Gauge.
 };
 
 /// Request counters and latency histograms. Label cardinality is bounded: outcomes and reasons are
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -69,11 +69,15 @@
   void send(const routing::ReplicaPtr& replica);
   /// Sends the request to the replica if an answer can begin in time.
   void sendIfInTime(const routing::ReplicaPtr& replica);
-  /// Ends the request, because no answer can begin in time at the replica.
+  /// Ends the request, because no answer can begin in time.
   void onTooLate(const routing::Replica& replica, Duration shortest);
   /// \return the shortest time to the first byte at the replica; zero if it is not known or not to
   /// be considered.
   [[nodiscard]] Duration shortestFirstByte(const routing::Replica& replica) const;
+  /// \return whether an answer can begin in time after `shortest`.
+  [[nodiscard]] bool canBeginAfter(Duration shortest) const;
+  /// \return whether an answer can begin in time at a replica of typical speed.
+  [[nodiscard]] bool hasTimeForAnswer() const;
   [[nodiscard]] routing::WorkSize workSize() const;
   /// Remembers what the measurement of the dispatch to `replica_` needs.
   void beginMeasurement();
@@ -208,6 +212,7 @@
 
   // State across all dispatches.
   std::vector<routing::ReplicaPtr> excludedReplicas_;  ///< Not selected again.
+  bool skippedSlowReplica_ = false;    ///< Once, because it could not answer in time.
   ReplicaRuns runs_;                   ///< Replicas at which the request may be running.
   routing::ReplicaPtr resumeReplica_;  ///< Preferred for resuming an interrupted stream.
   std::uint32_t refusedDispatches_ = 0;
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -194,7 +194,7 @@
 }
 
 bool Exchange::hasAttemptsLeft() const {
-  return refusedDispatches_ < context_.knobs.maximumRefusedTries && timeLeft() > kAnswerMargin;
+  return refusedDispatches_ < context_.knobs.maximumRefusedTries && hasTimeForAnswer();
 }
 
 void Exchange::performStep(RecoveryStep step, const std::string& reason) {
@@ -302,7 +302,7 @@
 }
 
 bool Exchange::mayRerun() const {
-  if (!checked_.route->isIdempotent() || timeLeft() <= kAnswerMargin) {
+  if (!checked_.route->isIdempotent() || !hasTimeForAnswer()) {
     return false;
   }
   if (isStreaming() && resumes_ >= context_.knobs.maximumResumes) {
--- a/src/edge/exchange_service_times.cpp
+++ b/src/edge/exchange_service_times.cpp
@@ -39,13 +39,33 @@
   return context_.serviceTimes->shortestFirstByte(replica, workSize()).value_or(Duration::zero());
 }
 
+bool Exchange::canBeginAfter(Duration shortest) const {
+  return shortest == Duration::zero() || shortest <= timeLeft() - kAnswerMargin;
+}
+
+bool Exchange::hasTimeForAnswer() const {
+  if (timeLeft() <= kAnswerMargin) {
+    return false;
+  }
+  if (context_.serviceTimes == nullptr || !context_.knobs.refusesLateDispatches) {
+    return true;
+  }
+  return canBeginAfter(
+      context_.serviceTimes->shortestFirstByte(checked_.service).value_or(Duration::zero()));
+}
+
 void Exchange::sendIfInTime(const routing::ReplicaPtr& replica) {
   const Duration shortest = shortestFirstByte(*replica);
-  if (shortest > Duration::zero() && shortest > timeLeft() - kAnswerMargin) {
+  if (canBeginAfter(shortest)) {
+    send(replica);
+  } else if (hasTimeForAnswer() && replica != resumeReplica_ && !skippedSlowReplica_) {
+    // Only this replica is too slow. One further selection bounds the work for the request.
+    skippedSlowReplica_ = true;
+    excludedReplicas_.push_back(replica);
+    dispatch();
+  } else {
     onTooLate(*replica, shortest);
-    return;
   }
-  send(replica);
 }
 
 void Exchange::onTooLate(const routing::Replica& replica, Duration shortest) {
--- a/src/routing/service_time_model.cpp
+++ b/src/routing/service_time_model.cpp
@@ -25,11 +25,7 @@
                     static_cast<double>(answered.promptTokens) / kTokensPerKiloToken,
                     toMilliseconds(answered.duration)};
   if (sums_.weight > 0) {
-    const double expected = expectedMilliseconds(point.events, point.kiloTokens);
-    Point bounded = point;
-    bounded.milliseconds = std::clamp(point.milliseconds, expected * knobs_.lowestRatio,
-                                      expected * knobs_.highestRatio);
-    add(bounded);
+    add(bounded(point));
     fit();
     return;
   }
@@ -52,8 +48,25 @@
                                     *middle * knobs_.highestFirstRatio);
     add(point);
   }
-  firstPoints_ = {};
   fit();
+  // The bounds around the median ignore the sizes of the requests. Bounds around the fit do not.
+  constexpr int kRefinements = 3;
+  for (int refinement = 0; refinement < kRefinements; ++refinement) {
+    sums_ = {};
+    for (const Point& point : firstPoints_) {
+      add(bounded(point));
+    }
+    fit();
+  }
+  firstPoints_ = {};
+}
+
+ServiceTimeModel::Point ServiceTimeModel::bounded(const Point& point) const {
+  const double expected = expectedMilliseconds(point.events, point.kiloTokens);
+  Point result = point;
+  result.milliseconds =
+      std::clamp(point.milliseconds, expected * knobs_.lowestRatio, expected * knobs_.highestRatio);
+  return result;
 }
 
 void ServiceTimeModel::add(const Point& point) {
--- a/src/routing/service_time_model.h
+++ b/src/routing/service_time_model.h
@@ -42,7 +42,7 @@
   double lowestFirstRatio = 0.4;
   /// Weight, in samples, of the assumption that durations do not depend on the size. Keeps the
   /// slopes of few samples small.
-  double slopePriorSamples = 2;
+  double slopePriorSamples = 0.5;
   /// Answered requests before `lowFirstByte` is known.
   std::size_t minimumFirstBytes = 40;
   /// Quantile of the times to the first byte. Low, because a request is refused where it is too
@@ -87,6 +87,8 @@
   };
 
   [[nodiscard]] double expectedMilliseconds(double events, double kiloTokens) const;
+  /// \return the point with its duration within the bounds around the present fit.
+  [[nodiscard]] Point bounded(const Point& point) const;
   void addFirstPoints();
   void add(const Point& point);
   void fit();
--- a/src/routing/service_times.cpp
+++ b/src/routing/service_times.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace gorsetrail::routing {
 namespace {
@@ -16,12 +17,31 @@
 /// Measurements of less weight are not reported; a digest would round them to 0.
 constexpr double kMinimumReportedSamples = 0.1;
 
+/// Time constant of `Replica::timeFactor`. The first nodes that notice a delay are heard one or two
+/// digest periods (100 ms) before those that have measured nothing unusual.
+constexpr Duration kSmoothingTime = milliseconds(400);
+
 bool deviates(double logFactor) { return std::abs(logFactor) >= std::log(kReportedDeviation); }
 
 Duration scaled(Duration span, double factor) {
   return Duration(static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
 }
 
+double mergedFactorOf(const Replica& replica, Instant now) {
+  return mergedTimeFactor(replica.speed, replica.othersTimeFactor, replica.othersTimeSamples, now);
+}
+
+/// Moves the factor towards the measured one.
+void smooth(double& factor, double measured, Duration elapsed) {
+  if (factor == 1.0 && measured == 1.0) {
+    return;
+  }
+  const double elapsedShare =
+      static_cast<double>(elapsed.count()) / static_cast<double>(kSmoothingTime.count());
+  const double weight = 1.0 - std::exp(-std::max(0.0, elapsedShare));
+  factor *= std::pow(measured / factor, weight);
+}
+
 }  // namespace
 
 ServiceTimes::RecentRequests ServiceTimes::RecentRequests::at(Instant now) const {
@@ -32,7 +52,16 @@
 
 ServiceTimes::PerService& ServiceTimes::serviceAt(std::string_view service) {
   const auto found = services_.find(service);
-  return found != services_.end() ? found->second : services_[std::string(service)];
+  if (found != services_.end()) {
+    return found->second;
+  }
+  if (services_.size() >= kMaximumServices) {
+    services_.erase(std::min_element(
+        services_.begin(), services_.end(), [](const auto& left, const auto& right) {
+          return left.second.recent.updatedAt < right.second.recent.updatedAt;
+        }));
+  }
+  return services_[std::string(service)];
 }
 
 const ServiceTimes::PerService* ServiceTimes::find(std::string_view service) const {
@@ -73,12 +102,12 @@
                                                            Instant now) {
   std::vector<ReplicaSpeedChange> changes;
   slowReplicas_ = 0;
+  const Duration elapsed = now - std::exchange(speedsUpdatedAt_, now);
   if (!knobs_.measuresSpeeds) {
     return changes;
   }
   for (const ReplicaPtr& replica : replicas) {
-    replica->timeFactor = mergedTimeFactor(replica->speed, replica->othersTimeFactor,
-                                           replica->othersTimeSamples, now);
+    smooth(replica->timeFactor, mergedFactorOf(*replica, now), elapsed);
     slowReplicas_ += replica->timeFactor >= kSlowTimeFactor ? 1 : 0;
     if (replica->slowness.update(replica->timeFactor, now)) {
       const double samples = replica->speed.samples(now) + replica->othersTimeSamples;
@@ -129,11 +158,15 @@
 
 std::optional<Duration> ServiceTimes::shortestFirstByte(const Replica& replica,
                                                         const WorkSize& /*size*/) const {
-  const PerService* const known = find(replica.entry.service);
-  const auto low = known == nullptr ? std::nullopt : known->model.lowFirstByte();
+  const auto low = shortestFirstByte(replica.entry.service);
   return low ? std::optional(scaled(*low, replica.timeFactor)) : std::nullopt;
 }
 
+std::optional<Duration> ServiceTimes::shortestFirstByte(std::string_view service) const {
+  const PerService* const known = find(service);
+  return known == nullptr ? std::nullopt : known->model.lowFirstByte();
+}
+
 ServiceReport ServiceTimes::reportOf(std::string_view name, const PerService& service,
                                      Instant now) {
   const RecentRequests recent = service.recent.at(now);
@@ -182,7 +215,7 @@
     // Once other nodes' reports make a replica seem slow, measurements that contradict them are
     // reported too. Otherwise only the outliers among the nodes would be heard.
     if (deviates(own * samples / (samples + kSpeedPriorSamples)) ||
-        deviates(std::log(replica->timeFactor))) {
+        deviates(std::log(mergedFactorOf(*replica, now)))) {
       reports.push_back(
           {replicaHashOf(replica->entry.id, replica->entry.startedAt), std::exp(own), samples});
     }
--- a/src/routing/service_times.h
+++ b/src/routing/service_times.h
@@ -56,6 +56,8 @@
   /// \return the shortest time to the first byte that can be expected at this replica.
   [[nodiscard]] std::optional<Duration> shortestFirstByte(const Replica& replica,
                                                           const WorkSize& size) const;
+  /// \return the same at a replica of typical speed.
+  [[nodiscard]] std::optional<Duration> shortestFirstByte(std::string_view service) const;
   /// \return this node's recent requests to the service, for `ServiceReport`.
   [[nodiscard]] ServiceReport report(std::string_view service, Instant now) const;
 
@@ -70,6 +72,9 @@
   /// \return how many replicas had a factor of at least `kSlowTimeFactor` at the last update.
   [[nodiscard]] std::uint64_t slowReplicas() const { return slowReplicas_; }
 
+  /// Bounds the memory to about half a megabyte. Beyond it the service that was used least recently
+  /// is forgotten.
+  static constexpr std::size_t kMaximumServices = 256;
   /// Bounds the bytes of a digest.
   static constexpr std::size_t kMaximumSpeedReports = 64;
 
@@ -100,6 +105,7 @@
   ServiceTimesKnobs knobs_;
   std::map<std::string, PerService, std::less<>> services_;
   std::uint64_t slowReplicas_ = 0;
+  Instant speedsUpdatedAt_{};
 };
 
 }  // namespace gorsetrail::routing
--- a/tests/cli/log_losses_test.cpp
+++ b/tests/cli/log_losses_test.cpp
@@ -65,6 +65,15 @@
   LONGS_EQUAL(2, groups[0].programs);
 }
 
+TEST(LogLosses, requestsThatAreTooLateToAnswerHaveTheCauseDeadline) {
+  read(ended(1, "p", "outcome=refused_503 reason=too_late_to_answer took_ms=1") +
+       ended(2, "q", "outcome=unknown_504 reason=deadline took_ms=400"));
+  const auto groups = losses.groups();
+  LONGS_EQUAL(1, groups.size());
+  STRCMP_EQUAL("deadline", groups[0].cause.c_str());
+  LONGS_EQUAL(2, groups[0].programs);
+}
+
 TEST(LogLosses, groupsAreSortedByProgramsAndSecondsByTime) {
   read(ended(9, "a", "outcome=client_gone reason=\"\" took_ms=1") +
        ended(7, "b", "outcome=refused_503 reason=replicas_busy took_ms=1") +
