Refused callers return in order, and retries at replicas have a budget

A dispatch that a full replica refused went to up to three others, which adds dispatches exactly while replicas have no room.

With overload control each node gives refused callers places at the rate at which its share of the service becomes free, started and most urgent programs first, never later than a third of their time left (ReturnSchedule). A dispatch after a refusal by a replica takes a token; ten answered requests give one (RetryBudget). Without a token the request ends with 503 replicas_full and a retry delay. Requests that may have run and resumed streams need none.

It holds because a caller without a place within its time takes none, so that the order is never longer than callers can wait, and because all places lapse after 0.5 s without a refusal: nothing is left when the overload ends.

Ruled out: a schedule at a coordinator (a message for each refusal), places for callers that cannot keep them (the order outlasts the overload), and a budget for 421 and failed connections (restarts would end requests).

--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -54,7 +54,7 @@
   std::string_view meaning;
   std::string_view cause;
 };
-constexpr std::array<CauseOfRefusal, 9> kRefusalCauses = {
+constexpr std::array<CauseOfRefusal, 10> kRefusalCauses = {
     {{"reservation_refused", "charged_for_dead", "budget_charged_for_dead"},
      {"reservation_refused", "not_decided", "budget_not_decided"},
      {"reservation_refused", "no_answer", "budget_no_answer"},
@@ -63,7 +63,8 @@
      {"quota_unknown", "not_decided", "quota_undecided"},
      {"quota_unknown", "no_answer", "quota_no_answer"},
      {"placement_refused", "full_beside_room", "replica_full_beside_room"},
-     {"placement_refused", "all_full", "no_place_at_replicas"}}};
+     {"placement_refused", "all_full", "no_place_at_replicas"},
+     {"retry_withheld", "no_retry_token", "retry_budget"}}};
 
 std::string_view causeOfRefusal(const LogLine& line) {
   const std::string_view meaning = classifyRefusal(line);
--- a/src/cli/log_refusal.h
+++ b/src/cli/log_refusal.h
@@ -12,7 +12,8 @@
 /// - `not_decided`: a coordinator replied, but could not decide;
 /// - `no_answer`: no coordinator replied;
 /// - `full_beside_room`: the selected replica is full, and another has less load;
-/// - `all_full`: no replica has less load than the full one.
+/// - `all_full`: no replica has less load than the full one;
+/// - `no_retry_token`: replicas refused the request, and the retry budget withheld a further try.
 /// \return the class; empty when the line is no such refusal.
 std::string_view classifyRefusal(const LogLine& line);
 
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "edge/edge_metrics.h"
 #include "edge/event_log.h"
+#include "edge/retry_control.h"
 #include "edge/turn_retention_policy.h"
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
@@ -90,6 +91,7 @@
   ExchangeKnobs knobs;
   bool takesRequests = true;  ///< False during the last phase of a planned stop.
   TurnRetentionPolicy retention{};
+  RetryControl retryControl{};
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -38,6 +38,8 @@
   values.dispatches = context_.counters.dispatches;
   values.retries = context_.counters.retries;
   values.resumes = context_.counters.resumes;
+  values.retriesWithheld = context_.retryControl.retriesWithheld();
+  values.returnSchedules = context_.retryControl.scheduleLengths(now);
   values.turnsWaitingForRecord = context_.retention.heldStreamEnds();
   values.turnsBegunInOutage = context_.retention.counters().startedDuringOutage;
   values.turnsStoredLate = context_.retention.counters().storedLate;
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -184,6 +184,8 @@
   }
   if (settings_.uses(Mechanism::LoadDigests)) {
     fleetLoad_.apply(replicas_, {peers.sameRegion.size(), peers.otherRegions.size()}, clock_());
+    context_.retryControl.updateFleet(fleetLoad_.reports(),
+                                      peers.sameRegion.size() + peers.otherRegions.size());
   }
   updateColdReplicas();
   for (const std::string& dropped : replicas_.removeLapsed(clock_())) {
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -105,4 +105,11 @@
   return knobs;
 }
 
+RetryControlKnobs retryControlKnobsOf(const EdgeSettings& settings) {
+  RetryControlKnobs knobs;
+  knobs.schedulesReturns = settings.overloadControl && settings.uses(Mechanism::ReturnSchedule);
+  knobs.limitsRetries = settings.overloadControl && settings.uses(Mechanism::RetryBudget);
+  return knobs;
+}
+
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -40,4 +40,6 @@
 
 TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings);
 
+RetryControlKnobs retryControlKnobsOf(const EdgeSettings& settings);
+
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -77,6 +77,16 @@
   list.add(snapshot.turnsNotStored, {{"result", "not_stored"}});
 }
 
+void addRetryControl(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.counter("retries_withheld_total", "Dispatches after refusals, by the retry budget",
+               snapshot.retriesWithheld);
+  list.family("return_schedule_callers", "Refused callers ahead in the retry order, by service",
+              MetricType::Gauge);
+  for (const ReturnScheduleLength& schedule : snapshot.returnSchedules) {
+    list.add(schedule.callers, {{"service", schedule.service}});
+  }
+}
+
 void addUnreadable(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.family("records_unreadable_total", "Records of the store that were refused, by kind",
               MetricType::Counter);
@@ -183,6 +193,7 @@
   list.counter("dispatches_total", "Requests sent to replicas", snapshot.dispatches);
   list.counter("retries_total", "Dispatches after the first of a request", snapshot.retries);
   list.counter("resumes_total", "Streams that went on after a cut", snapshot.resumes);
+  addRetryControl(list, snapshot);
   addStore(list, snapshot);
   addTopics(list, snapshot);
   addLedger(list, snapshot);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "edge/retry_control.h"
 #include "logstore/topic_gateway.h"
 
 namespace gorsetrail::edge {
@@ -58,6 +59,9 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
+  std::uint64_t retriesWithheld = 0;  ///< Dispatches after refusals, by the retry budget.
+  /// Gauge: refused callers ahead in the retry order of each service.
+  std::vector<ReturnScheduleLength> returnSchedules{};
   /// Gauge: complete streams whose end is withheld until the turn is stored.
   std::uint64_t turnsWaitingForRecord = 0;
   std::uint64_t turnsBegunInOutage = 0;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -379,6 +379,9 @@
   }
   const std::string programLeft = programMillisecondsLeft();
   // Requests of programs past their deadline are logged like failures.
+  if (outcome == "answered") {
+    context_.retryControl.onAnswered(checked_.service, context_.clock());
+  }
   const bool isRoutine = outcome == "answered" && programLeft != "0";
   const std::string route = checked_.routeName();
   const std::string tenant = checked_.tenantName();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -70,6 +70,11 @@
   [[nodiscard]] routing::PlacementQuery placementQuery() const;
   [[nodiscard]] routing::PlacementSubject placementSubject() const;
   void onReplicasBusy(const routing::RefusedByAdmission& refused);
+  /// Takes a place in the retry order of the service; call it once, and only for a refusal for lack
+  /// of capacity.
+  /// \param fixedDelay the delay while return schedules are off.
+  /// \return the retry delay for the refusal.
+  [[nodiscard]] Duration retryDelay(Duration fixedDelay);
   void onNoReplica(const routing::NoReplica& none);
   /// \return the stage of the program, for admission control and quota.
   [[nodiscard]] routing::WorkStage stage() const;
@@ -82,6 +87,12 @@
   void onReplicaDone();
   void onReplicaFailure(const http::Failure& failure);
   void onReplicaRefusal();
+  /// \return whether the retry budget withholds the step: a dispatch after a refusal for lack of
+  /// capacity, of a request that has not run.
+  [[nodiscard]] bool isRetryWithheld(RecoveryStep step);
+  /// Refuses the request because replicas refused it for lack of capacity.
+  /// \param retryWithheld whether the retry budget withheld a further dispatch.
+  void onReplicasFull(bool retryWithheld);
   [[nodiscard]] FailedDispatch failedDispatch(bool mayHaveRunThere) const;
   /// \return whether attempts and time are left to dispatch to a replica again after refusals.
   [[nodiscard]] bool hasAttemptsLeft() const;
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -20,7 +20,32 @@
 
 }  // namespace
 
+Duration Exchange::retryDelay(Duration fixedDelay) {
+  // Only a streaming request can be the first of its program; tools are called later.
+  const bool isToolCall = !isStreaming() && !request_.programId.empty();
+  const routing::WorkStage known = stage();
+  const routing::WorkStage stage =
+      isToolCall && known == routing::WorkStage::FirstTurn ? routing::WorkStage::Continuing : known;
+  const routing::RefusedCaller caller{routing::returnClassOf(stage, checked_.priority), timeLeft()};
+  return context_.retryControl.assignDelay(checked_.service, caller, context_.clock())
+      .value_or(fixedDelay);
+}
+
+void Exchange::onReplicasFull(bool retryWithheld) {
+  const Duration retryAfter = retryDelay(context_.knobs.retryAfterFull);
+  if (retryWithheld) {
+    context_.log.logRefusal("retry_withheld", {request_.programId, "replicas_full"},
+                            {{"request", request_.requestId},
+                             {"program", request_.programId},
+                             {"service", checked_.service},
+                             {"dispatches", dispatchNumber_},
+                             {"retry_ms", wholeMilliseconds(retryAfter)}});
+  }
+  refuse({kUnavailable, "replicas_full", retryAfter});
+}
+
 void Exchange::onReplicasBusy(const routing::RefusedByAdmission& refused) {
+  const Duration retryAfter = retryDelay(context_.knobs.retryAfterOverload);
   context_.log.logRefusal("placement_refused", {request_.programId, "replicas_busy"},
                           {{"request", request_.requestId},
                            {"program", request_.programId},
@@ -29,8 +54,9 @@
                            {"prompt_tokens", request_.promptTokens},
                            {"replica", refused.cheapestReplica->entry.id},
                            {"load_percent", percentOf(refused.cheapestReplica->loadPerSlot())},
-                           {"least_load_percent", percentOf(refused.leastLoadPerSlot)}});
-  refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
+                           {"least_load_percent", percentOf(refused.leastLoadPerSlot)},
+                           {"retry_ms", wholeMilliseconds(retryAfter)}});
+  refuse({kUnavailable, "replicas_busy", retryAfter});
 }
 
 void Exchange::logQuotaUnknown(const quota::QuotaDecision& decision) {
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -155,6 +155,11 @@
     runs_.recordUnreachable(replica_);
   }
   const RecoveryStep step = nextStep(abandonUnservedDispatch(!hasEnded));
+  const bool retryWithheld = !hasEnded && isRetryWithheld(step);
+  if (retryWithheld || (full && step == RecoveryStep::Refuse)) {
+    onReplicasFull(retryWithheld);
+    return;
+  }
   switch (step) {
     case RecoveryStep::AbortStream:
       performStep(step, "replicas_refused_to_resume");
@@ -163,10 +168,16 @@
       performStep(step, "replicas_refused_after_a_run");
       break;
     default:
-      performStep(step, full ? "replicas_full" : "replicas_refused");
+      performStep(step, "replicas_refused");
   }
 }
 
+bool Exchange::isRetryWithheld(RecoveryStep step) {
+  const bool canBeRefused = !mayHaveRun_ && !streamBegun_;
+  return canBeRefused && step == RecoveryStep::TryAnotherReplica &&
+         !context_.retryControl.mayDispatchAgain(checked_.service, context_.clock());
+}
+
 FailedDispatch Exchange::failedDispatch(bool mayHaveRunThere) const {
   FailedDispatch failed;
   failed.mayHaveRunThere = mayHaveRunThere;
--- a/tests/cli/log_losses_test.cpp
+++ b/tests/cli/log_losses_test.cpp
@@ -112,6 +112,16 @@
   }
 }
 
+// Guards against retries that the budget withheld and that look like full replicas.
+TEST(LogLosses, aRetryWithheldByTheBudgetHasItsOwnCause) {
+  read(
+      "time_ms=1000 event=retry_withheld request=q program=a service=s dispatches=1 "
+      "retry_ms=180\n" +
+      ended(1, "a", "outcome=refused_503 reason=replicas_full took_ms=1"));
+  LONGS_EQUAL(1, losses.groups().size());
+  STRCMP_EQUAL("retry_budget", losses.groups()[0].cause.c_str());
+}
+
 TEST(LogLosses, countedRefusalsAddTheirNumberOfRequests) {
   read(ended(4, "p", "outcome=refused_503 reason=replicas_busy took_ms=1") +
        "time_ms=5000 event=refusals_counted of=request_ended program=p reason=replicas_busy "
