Client-resumed streams need no retry token; tests of the schedule's limits

A stream that the client resumes after its last event was ended for lack of a token, although the client has a part of it. Tests now fail if a caller without a place in its time takes one, if the order of classes is ignored, if the spread is missing, or if a request that may have run needs a token.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -88,7 +88,7 @@
   void onReplicaFailure(const http::Failure& failure);
   void onReplicaRefusal();
   /// \return whether the retry budget withholds the step: a dispatch after a refusal for lack of
-  /// capacity, of a request that has not run.
+  /// capacity, of a request that has not run anywhere.
   [[nodiscard]] bool isRetryWithheld(RecoveryStep step);
   /// Refuses the request because replicas refused it for lack of capacity.
   /// \param retryWithheld whether the retry budget withheld a further dispatch.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -173,7 +173,8 @@
 }
 
 bool Exchange::isRetryWithheld(RecoveryStep step) {
-  const bool canBeRefused = !mayHaveRun_ && !streamBegun_;
+  // Refusing a stream that the client resumes would waste the part that it already has.
+  const bool canBeRefused = !mayHaveRun_ && request_.lastEventId.empty();
   return canBeRefused && step == RecoveryStep::TryAnotherReplica &&
          !context_.retryControl.mayDispatchAgain(checked_.service, context_.clock());
 }
--- a/tests/routing/return_schedule_test.cpp
+++ b/tests/routing/return_schedule_test.cpp
@@ -82,7 +82,7 @@
 }
 
 // Guards against callers without time for their place who return earlier than they must, or
-// simultaneously, and against a backlog of places that nobody can keep.
+// simultaneously.
 TEST(ReturnSchedule, callersThatCannotWaitForTheirPlaceReturnAsLateAsTheyCan) {
   schedule.setCompletionRate(0, now);
   const std::vector<Duration> all = joined(refuseAtOnce(400, seconds(3)));
@@ -93,6 +93,35 @@
   DOUBLES_EQUAL(0, schedule.callersAhead(now), 1e-9);
 }
 
+// Guards against a backlog of places that nobody can keep, in an overload that lasts.
+TEST(ReturnSchedule, callersThatCannotWaitForTheirPlaceTakeNone) {
+  schedule.setCompletionRate(20, now);
+  const std::vector<Duration> all = joined(refuseAtOnce(400, seconds(3)));
+  // Eight places lie within 0.96 s; each class sees only those of its own and earlier classes.
+  CHECK(schedule.callersAhead(now) < 20);
+  CHECK(all.back() - all[200] > milliseconds(50));
+}
+
+TEST(ReturnSchedule, aStartedCallerReturnsBeforeTheStartingOnesRefusedEarlier) {
+  schedule.setCompletionRate(20, now);
+  while (schedule.assign({ReturnClass::Starting, seconds(9)}, now, random) < seconds(2)) {
+  }
+  CHECK(schedule.assign({ReturnClass::Started, seconds(9)}, now, random) <= milliseconds(192));
+}
+
+// Guards against the first callers of all nodes that return simultaneously.
+TEST(ReturnSchedule, theFirstCallersOfManyNodesAreSpread) {
+  std::vector<Duration> delays;
+  for (int node = 0; node < 60; ++node) {
+    ReturnSchedule ofNode{{}};
+    ofNode.setCompletionRate(20, now);
+    delays.push_back(ofNode.assign({ReturnClass::Started, seconds(9)}, now, random));
+  }
+  const auto [first, last] = std::minmax_element(delays.begin(), delays.end());
+  CHECK(*first >= milliseconds(148));
+  CHECK(*last - *first > milliseconds(30));
+}
+
 // Guards against callers that are kept away from a service that has recovered.
 TEST(ReturnSchedule, aServiceThatCompletesAgainIsReturnedToAtOnce) {
   schedule.setCompletionRate(0, now);
