--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "edge/edge_metrics.h"
 #include "edge/event_log.h"
+#include "edge/retry_control.h"
 #include "edge/turn_retention_policy.h"
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
@@ -96,6 +97,7 @@
   TurnRetentionPolicy retention{};
   /// Learns from answered requests; null: nothing is learned.
   routing::ServiceTimes* serviceTimes = nullptr;
+  RetryControl retryControl{};
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -43,4 +43,6 @@
 
 TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings);
 
+RetryControlKnobs retryControlKnobsOf(const EdgeSettings& settings);
+
 }  // namespace gorsetrail::edge
