Tenants share the replicas of a service while its capacity is scarce

Admission looks at one replica and one turn, not at whose turn it is.

Nodes now count their requests in flight by service and tenant, report the 16 largest with the load digest, and divide the capacity of a service by weighted max-min fairness while its replicas are near the limit for starting programs. A tenant above its share starts only the fraction of its programs that keeps it there (503 `tenant_above_share`), and its started programs get the limit of those that start.

Ruled out: refusing every program of such a tenant until its load is back. Ruled out: dividing the whole capacity. The tenant then fills the service up to the limit at which admission refuses everybody alike.

--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -18,7 +18,7 @@
   std::string_view cause;
 };
 /// Maps reasons of `request_ended` lines to causes; the first matching prefix applies.
-constexpr std::array<CauseOfReason, 29> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 30> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
@@ -28,6 +28,7 @@
                                                     {"budget_spent", "budget_spent"},
                                                     {"replicas_busy", "no_place_at_replicas"},
                                                     {"replicas_full", "no_place_at_replicas"},
+                                                    {"tenant_above_share", "tenant_share"},
                                                     {"region_not_allowed", "region"},
                                                     {"zones_evacuated", "evacuated"},
                                                     {"evacuations_unknown", "evacuated"},
--- a/src/cli/log_refusal.cpp
+++ b/src/cli/log_refusal.cpp
@@ -45,6 +45,9 @@
   if (line.event == "placement_refused") {
     return classifyPlacementRefusal(line);
   }
+  if (line.event == "tenant_share_refused") {
+    return "above_share";
+  }
   return {};
 }
 
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -14,6 +14,7 @@
 #include "quota/quota_admission.h"
 #include "routing/replica_placement.h"
 #include "routing/route_table.h"
+#include "routing/tenant_shares.h"
 #include "services/timer_service.h"
 
 namespace gorsetrail::edge {
@@ -23,6 +24,7 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
+  std::uint64_t tenantShareRefusals = 0;  ///< Requests of tenants above their shares.
 };
 
 /// When the node last read the store successfully; gives the age of its tables.
@@ -90,6 +92,7 @@
   ExchangeKnobs knobs;
   bool takesRequests = true;  ///< False during the last phase of a planned stop.
   TurnRetentionPolicy retention{};
+  routing::TenantShares* tenantShares = nullptr;  ///< Null: tenants have no shares.
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -150,7 +150,8 @@
                {},
                exchangeKnobsOf(settings_),
                true,
-               TurnRetentionPolicy(turnRetentionKnobsOf(settings_))},
+               TurnRetentionPolicy(turnRetentionKnobsOf(settings_)),
+               usesTenantShares(settings_) ? &tenantShares_ : nullptr},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -35,6 +35,8 @@
 #include "routing/fleet_load.h"
 #include "routing/locality.h"
 #include "routing/region_rule.h"
+#include "routing/tenant_share_changes.h"
+#include "routing/tenant_shares.h"
 
 namespace gorsetrail::edge {
 
@@ -128,6 +130,12 @@
   void loadLoop();
   /// \return this node's reports for its load digest; sections of features that are off are empty.
   [[nodiscard]] routing::LoadReports localReports();
+  /// \return whether tenants share the replicas of a service while its capacity is scarce.
+  [[nodiscard]] bool sharesByTenant() const { return context_.tenantShares != nullptr; }
+  /// \param otherNodes nodes that serve clients, without this node.
+  void updateTenantShares(std::size_t otherNodes);
+  void logTenantShares();
+  void addTenantShareMetrics(EdgeSnapshot& values) const;
   /// \return whether this node serves clients, has requests in flight or has just dispatched some.
   [[nodiscard]] bool isUsingReplicas();
   /// \return the load digest addresses of the nodes that serve clients, except this node.
@@ -211,6 +219,10 @@
   std::optional<bool> loggedColdKnown_;
   routing::ReplicaPlacement placement_;
   routing::FleetLoad fleetLoad_;
+  routing::TenantShares tenantShares_{{}};
+  routing::TenantShareChanges tenantShareChanges_{{}};
+  /// Services whose capacity was scarce when last logged.
+  std::set<std::string, std::less<>> loggedScarceServices_;
   LoadExchange loadExchange_;
   QuotaExchange quotaExchange_;
   quota::StaticShares staticShares_;
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -61,6 +61,7 @@
   values.configurationsUnreadable = unreadableRecords_.count(RecordKind::Configuration);
   values.operatorRecordsUnreadable = unreadableRecords_.count(RecordKind::Operator);
   values.loadDigestsUnreadable = loadExchange_.unreadableDigests();
+  addTenantShareMetrics(values);
   for (const auto& [zone, since] : evacuations_.zones()) {
     values.evacuatedZones.push_back({zone, ageMilliseconds(now, since)});
   }
--- a/src/edge/edge_daemon_overload.cpp
+++ b/src/edge/edge_daemon_overload.cpp
@@ -1,8 +1,93 @@
 // The part of `EdgeDaemon` that measures load for overload control and reports it to other nodes.
 #include "edge/edge_daemon.h"
 
+#include <string>
+#include <utility>
+
+#include "edge/edge_knobs.h"
+#include "edge/exchange_shared.h"
+
 namespace gorsetrail::edge {
+namespace {
+
+/// Most tenants in one load digest. A node rarely has requests of more tenants in flight; 16
+/// entries take 192 bytes, so that the digest still fits into one datagram.
+constexpr std::size_t kMaximumReportedTenants = 16;
+
+/// \return the load and the slots of the replicas that can take requests.
+routing::ServiceLoad serviceLoadOf(const std::vector<routing::ReplicaPtr>& replicas, Instant now) {
+  routing::ServiceLoad sum;
+  for (const routing::ReplicaPtr& replica : replicas) {
+    const bool isUsable =
+        replica->acceptsRequests() && replica->suspectUntil <= now && !replica->graceUntil;
+    if (isUsable) {
+      sum.load += replica->load();
+      sum.slots += replica->entry.slots;
+    }
+  }
+  return sum;
+}
+
+}  // namespace
+
+routing::LoadReports EdgeDaemon::localReports() {
+  routing::LoadReports reports;
+  if (sharesByTenant()) {
+    reports.tenants = tenantShares_.ownLoads().largest(kMaximumReportedTenants);
+  }
+  return reports;
+}
+
+void EdgeDaemon::updateTenantShares(std::size_t otherNodes) {
+  const auto& configuration = routes_.inForce();
+  if (!sharesByTenant() || !configuration) {
+    return;
+  }
+  routing::TenantSharesInput input{{}, configuration->tenants, fleetLoad_.reports(), otherNodes};
+  const double limit = admissionKnobsOf(settings_).firstTurn;
+  for (const auto& [name, service] : configuration->services) {
+    if (service.engine) {
+      routing::ServiceLoad load = serviceLoadOf(replicas_.ofService(name), clock_());
+      load.service = name;
+      load.limitPerSlot = limit;
+      input.services.push_back(load);
+    }
+  }
+  tenantShares_.update(input);
+  logTenantShares();
+}
+
+void EdgeDaemon::logTenantShares() {
+  const auto previous = std::exchange(loggedScarceServices_, {});
+  for (const routing::ServiceScarcity& service : tenantShares_.services()) {
+    if (service.isScarce) {
+      loggedScarceServices_.insert(service.service);
+    }
+    if (service.isScarce == previous.contains(service.service)) {
+      continue;
+    }
+    log_.logImportant(service.isScarce ? "capacity_scarce" : "capacity_sufficient",
+                      {{"service", service.service},
+                       {"load", tenthsOf(service.load)},
+                       {"capacity", tenthsOf(service.capacity)}});
+  }
+  for (const routing::TenantShareChange& change :
+       tenantShareChanges_.next(tenantShares_.limitedTenants(), clock_())) {
+    const routing::TenantShare& use = change.use;
+    log_.logImportant(change.isLimited ? "tenant_limited" : "tenant_unlimited",
+                      {{"tenant", change.tenant},
+                       {"service", change.service},
+                       {"load", tenthsOf(use.load)},
+                       {"share", shareTextOf(use)}});
+  }
+}
 
-routing::LoadReports EdgeDaemon::localReports() { return {}; }
+void EdgeDaemon::addTenantShareMetrics(EdgeSnapshot& values) const {
+  values.tenantShareRefusals = context_.counters.tenantShareRefusals;
+  values.tenantsAboveShare = tenantShares_.limitedTenants().size();
+  for (const routing::ServiceScarcity& service : tenantShares_.services()) {
+    values.serviceCapacities.push_back({service.service, service.isScarce});
+  }
+}
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -185,6 +185,7 @@
   if (settings_.uses(Mechanism::LoadDigests)) {
     fleetLoad_.apply(replicas_, {peers.sameRegion.size(), peers.otherRegions.size()}, clock_());
   }
+  updateTenantShares(peers.sameRegion.size() + peers.otherRegions.size());
   updateColdReplicas();
   for (const std::string& dropped : replicas_.removeLapsed(clock_())) {
     log_.logImportant("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -79,6 +79,10 @@
   return knobs;
 }
 
+bool usesTenantShares(const EdgeSettings& settings) {
+  return settings.overloadControl && settings.uses(Mechanism::TenantShares);
+}
+
 ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings) {
   constexpr Duration kNever = seconds(3600);
   ExchangeKnobs knobs;
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -36,6 +36,9 @@
 
 routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings);
 
+/// \return whether tenants share the replicas of a service while its capacity is scarce.
+bool usesTenantShares(const EdgeSettings& settings);
+
 ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings);
 
 TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings);
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -108,6 +108,18 @@
   }
 }
 
+void addTenantShares(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("service_capacity_scarce", "1 while tenants share the replicas of a service",
+              prometheus::MetricType::Gauge);
+  for (const ServiceCapacity& service : snapshot.serviceCapacities) {
+    list.add(service.isScarce ? 1 : 0, {{"service", service.service}});
+  }
+  list.gauge("tenants_above_share", "Tenants above their shares of a service's capacity",
+             snapshot.tenantsAboveShare);
+  list.counter("tenant_share_refusals_total", "Requests of tenants above their shares refused",
+               snapshot.tenantShareRefusals);
+}
+
 }  // namespace
 
 struct EdgeMetrics::Histograms {
@@ -190,6 +202,7 @@
   addRetention(list, snapshot);
   addClusterState(list, snapshot);
   addUnreadable(list, snapshot);
+  addTenantShares(list, snapshot);
   list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
                snapshot.logLinesDropped);
   list.append(histograms_->registry.Collect());
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -19,6 +19,12 @@
   std::uint64_t knownForMilliseconds = 0;  ///< Since this node read the evacuation record.
 };
 
+/// Whether a service with engines is short of capacity.
+struct ServiceCapacity {
+  std::string service;
+  bool isScarce = false;
+};
+
 /// Values of the node's other components at one moment.
 struct EdgeSnapshot {
   // Calls to the store, by result.
@@ -84,6 +90,10 @@
   std::uint64_t loadDigestsUnreadable = 0;
   /// Gauge: how long this node has known of each evacuated zone. Deployments have few zones.
   std::vector<ZoneEvacuation> evacuatedZones{};
+  /// Gauge: services with engines, while tenants share them. Deployments have few services.
+  std::vector<ServiceCapacity> serviceCapacities{};
+  std::uint64_t tenantsAboveShare = 0;    ///< Gauge: pairs of a tenant and a service.
+  std::uint64_t tenantShareRefusals = 0;  ///< Requests of tenants above their shares.
 };
 
 /// Request counters and latency histograms. Label cardinality is bounded: outcomes and reasons are
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -70,6 +70,9 @@
   [[nodiscard]] routing::PlacementQuery placementQuery() const;
   [[nodiscard]] routing::PlacementSubject placementSubject() const;
   void onReplicasBusy(const routing::RefusedByAdmission& refused);
+  /// \return the load and share of the request's tenant if the tenant is limited to its share.
+  [[nodiscard]] std::optional<routing::TenantShare> tenantLimit() const;
+  void refuseAboveTenantShare(const routing::TenantShare& use);
   void onNoReplica(const routing::NoReplica& none);
   /// \return the stage of the program, for admission control and quota.
   [[nodiscard]] routing::WorkStage stage() const;
@@ -124,7 +127,11 @@
   [[nodiscard]] bool mayRunOnAnotherReplica() const;
   /// Dispatches an interrupted stream again after a pause, to the replica at which it ran.
   void scheduleRetryOnSameReplica();
+  /// Counts the dispatch in the loads of the replica and of the request's tenant.
+  void occupyReplica(const routing::ReplicaPtr& replica);
   void releaseReplica();
+  /// \return whether the request counts in its tenant's load at the service.
+  [[nodiscard]] bool hasTenantLoad() const;
   void recordOutcome(bool failed);
   void recordReplicaFailure(std::string_view reason);
 
--- a/src/edge/exchange_liveness.cpp
+++ b/src/edge/exchange_liveness.cpp
@@ -90,8 +90,7 @@
     return;
   }
   releaseReplica();
-  replica_ = incarnation;
-  ++replica_->inFlight;
+  occupyReplica(incarnation);
 }
 
 }  // namespace gorsetrail::edge
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -23,6 +23,8 @@
   const bool canBeRefused = checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
   if (canBeRefused) {
     query.admission = routing::AdmissionRequest{stage(), checked_.priority, checked_.turnName};
+    query.admission->isTenantAboveShare =
+        query.admission->stage == routing::WorkStage::Continuing && tenantLimit().has_value();
   }
   return query;
 }
@@ -33,8 +35,20 @@
   return subject;
 }
 
+std::optional<routing::TenantShare> Exchange::tenantLimit() const {
+  return hasTenantLoad() ? context_.tenantShares->limitOf(checked_.service, checked_.tenant->name)
+                         : std::nullopt;
+}
+
 void Exchange::dispatch() {
-  const routing::Placement placement = context_.placement.place(placementQuery(), context_.clock());
+  const routing::PlacementQuery query = placementQuery();
+  const bool starts = query.admission && query.admission->stage == routing::WorkStage::FirstTurn;
+  const auto limit = tenantLimit();
+  if (starts && limit && !routing::admitsStart(*limit, checked_.turnName)) {
+    refuseAboveTenantShare(*limit);
+    return;
+  }
+  const routing::Placement placement = context_.placement.place(query, context_.clock());
   if (const auto* const placed = std::get_if<routing::Placed>(&placement)) {
     send(placed->replica);
   } else if (const auto* const none = std::get_if<routing::NoReplica>(&placement)) {
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -13,6 +13,8 @@
 /// that later ones add little information.
 constexpr std::size_t kMaximumLoggedPartitions = ledger::kTurnChoices;
 
+constexpr std::string_view kTenantAboveShare = "tenant_above_share";
+
 std::uint64_t percentOf(double share) {
   constexpr double kPercent = 100.0;
   return static_cast<std::uint64_t>(share * kPercent);
@@ -20,7 +22,26 @@
 
 }  // namespace
 
+void Exchange::refuseAboveTenantShare(const routing::TenantShare& use) {
+  ++context_.counters.tenantShareRefusals;
+  context_.log.logRefusal("tenant_share_refused", {request_.programId, kTenantAboveShare},
+                          {{"request", request_.requestId},
+                           {"program", request_.programId},
+                           {"tenant", checked_.tenantName()},
+                           {"service", checked_.service},
+                           {"stage", routing::workStageName(stage())},
+                           {"load", tenthsOf(use.load)},
+                           {"share", shareTextOf(use)},
+                           {"admitted_percent", percentOf(use.admitted)}});
+  refuse({kUnavailable, std::string(kTenantAboveShare), context_.knobs.retryAfterOverload});
+}
+
 void Exchange::onReplicasBusy(const routing::RefusedByAdmission& refused) {
+  const auto limit = tenantLimit();
+  if (limit && stage() == routing::WorkStage::Continuing) {
+    refuseAboveTenantShare(*limit);
+    return;
+  }
   context_.log.logRefusal("placement_refused", {request_.programId, "replicas_busy"},
                           {{"request", request_.requestId},
                            {"program", request_.programId},
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -17,8 +17,7 @@
 }  // namespace
 
 void Exchange::send(const routing::ReplicaPtr& replica) {
-  replica_ = replica;
-  ++replica_->inFlight;
+  occupyReplica(replica);
   const std::string_view grant = context_.placement.onSent(*replica, context_.clock());
   if (!firstDispatchAt_) {
     firstDispatchAt_ = context_.clock();
@@ -404,11 +403,26 @@
                              {"reason", reason}});
 }
 
+void Exchange::occupyReplica(const routing::ReplicaPtr& replica) {
+  replica_ = replica;
+  ++replica_->inFlight;
+  if (hasTenantLoad()) {
+    context_.tenantShares->ownLoads().beginRequest(checked_.service, checked_.tenant->name);
+  }
+}
+
 void Exchange::releaseReplica() {
   if (replica_) {
     --replica_->inFlight;
     replica_.reset();
+    if (hasTenantLoad()) {
+      context_.tenantShares->ownLoads().endRequest(checked_.service, checked_.tenant->name);
+    }
   }
 }
 
+bool Exchange::hasTenantLoad() const {
+  return context_.tenantShares != nullptr && checked_.hasEngine && checked_.tenant != nullptr;
+}
+
 }  // namespace gorsetrail::edge
--- a/src/routing/admission_policy.cpp
+++ b/src/routing/admission_policy.cpp
@@ -26,7 +26,7 @@
     limit = knobs_.runaway;
   } else if (request.stage == WorkStage::Overdue) {
     limit = knobs_.overdue;
-  } else if (request.stage == WorkStage::FirstTurn) {
+  } else if (request.stage == WorkStage::FirstTurn || request.isTenantAboveShare) {
     limit = knobs_.firstTurn;
   }
   const bool isLimited = request.stage == WorkStage::Runaway || request.stage == WorkStage::Overdue;
@@ -48,7 +48,7 @@
 }
 
 bool AdmissionPolicy::mayOverflow(const AdmissionRequest& request) const {
-  if (request.stage != WorkStage::Continuing) {
+  if (request.stage != WorkStage::Continuing || request.isTenantAboveShare) {
     return false;
   }
   constexpr double kHashCount = 18446744073709551616.0;  // Number of hash values: 2^64.
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -46,6 +46,9 @@
   WorkStage stage = WorkStage::FirstTurn;
   std::uint32_t priority = 5;  ///< 0 is the most urgent.
   std::string_view attempt{};  ///< Unique id of this attempt; selects overflow attempts.
+  /// The program has started, but its tenant is above its share of a scarce service: the request
+  /// gets the limit of starting programs, and overflows only while there is spare capacity.
+  bool isTenantAboveShare = false;
 };
 
 /// Limits the load of replicas so that admitted requests finish before their timeout. Refuses
--- a/tests/cli/log_losses_test.cpp
+++ b/tests/cli/log_losses_test.cpp
@@ -65,6 +65,13 @@
   LONGS_EQUAL(2, groups[0].programs);
 }
 
+TEST(LogLosses, refusalsOfATenantAboveItsShareHaveTheirOwnCause) {
+  read("time_ms=1000 event=tenant_share_refused request=q program=p tenant=t load=9.0 share=4.0\n" +
+       ended(1, "p", "outcome=refused_503 reason=tenant_above_share took_ms=1"));
+  LONGS_EQUAL(1, losses.groups().size());
+  STRCMP_EQUAL("tenant_share", losses.groups()[0].cause.c_str());
+}
+
 TEST(LogLosses, groupsAreSortedByProgramsAndSecondsByTime) {
   read(ended(9, "a", "outcome=client_gone reason=\"\" took_ms=1") +
        ended(7, "b", "outcome=refused_503 reason=replicas_busy took_ms=1") +
--- a/tests/cli/log_refusal_test.cpp
+++ b/tests/cli/log_refusal_test.cpp
@@ -53,3 +53,7 @@
 TEST(LogRefusal, otherLinesHaveNoRefusalClass) {
   STRCMP_EQUAL("", refusalClassOf("request_ended reason=reservation_unavailable").c_str());
 }
+
+TEST(LogRefusal, classifiesRefusalsOfTenantsAboveTheirShares) {
+  STRCMP_EQUAL("above_share", refusalClassOf("tenant_share_refused load=9.0 share=4.0").c_str());
+}
--- a/tests/routing/admission_policy_test.cpp
+++ b/tests/routing/admission_policy_test.cpp
@@ -86,3 +86,19 @@
   CHECK_FALSE(policy.admitsFirstTurns(replica));
   CHECK_FALSE(policy.admits(replica, {WorkStage::FirstTurn, 1}));
 }
+
+// A tenant above its share kept half of the engines busy with started programs, while programs of
+// other tenants could not start.
+TEST(AdmissionPolicy, startedProgramsOfATenantAboveItsShareGetTheLimitOfThoseThatStart) {
+  AdmissionRequest request{WorkStage::Continuing, 1, "q"};
+  request.isTenantAboveShare = true;
+  replica.othersInFlight = 11;
+  CHECK_TRUE(policy.admits(replica, request));
+  replica.othersInFlight = 13;
+  CHECK_FALSE(policy.admits(replica, request));
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    const std::string id = "q" + std::to_string(attempt);
+    request.attempt = id;
+    CHECK_FALSE(policy.mayOverflow(request));
+  }
+}
