--- a/src/cli/log_refusal.cpp
+++ b/src/cli/log_refusal.cpp
@@ -48,6 +48,9 @@
   if (line.event == "retry_withheld") {
     return "no_retry_token";
   }
+  if (line.event == "tenant_share_refused") {
+    return "above_share";
+  }
   return {};
 }
 
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -16,6 +16,7 @@
 #include "routing/replica_placement.h"
 #include "routing/route_table.h"
 #include "routing/service_times.h"
+#include "routing/tenant_shares.h"
 #include "services/timer_service.h"
 
 namespace gorsetrail::edge {
@@ -25,7 +26,8 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
-  std::uint64_t lateDispatches = 0;  ///< Not sent, since no answer could begin in time.
+  std::uint64_t lateDispatches = 0;       ///< Not sent, since no answer could begin in time.
+  std::uint64_t tenantShareRefusals = 0;  ///< Requests of tenants above their shares.
 };
 
 /// When the node last read the store successfully; gives the age of its tables.
@@ -98,6 +100,7 @@
   /// Learns from answered requests; null: nothing is learned.
   routing::ServiceTimes* serviceTimes = nullptr;
   RetryControl retryControl{};
+  routing::TenantShares* tenantShares = nullptr;  ///< Null: tenants have no shares.
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -153,7 +153,8 @@
                true,
                TurnRetentionPolicy(turnRetentionKnobsOf(settings_)),
                &serviceTimes_,
-               RetryControl(retryControlKnobsOf(settings_), seed)},
+               RetryControl(retryControlKnobsOf(settings_), seed),
+               usesTenantShares(settings_) ? &tenantShares_ : nullptr},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -36,6 +36,8 @@
 #include "routing/locality.h"
 #include "routing/region_rule.h"
 #include "routing/service_times.h"
+#include "routing/tenant_share_changes.h"
+#include "routing/tenant_shares.h"
 
 namespace gorsetrail::edge {
 
@@ -130,6 +132,14 @@
   /// \return this node's reports for its load digest; sections of features that are off are empty.
   [[nodiscard]] routing::LoadReports localReports(const std::vector<routing::ReplicaPtr>& replicas);
   void updateReplicaSpeeds(const std::vector<routing::ReplicaPtr>& replicas);
+  /// \return the tenants' largest loads at this node; empty while tenants have no shares.
+  [[nodiscard]] std::vector<routing::TenantLoad> ownTenantLoads();
+  /// \return whether tenants share the replicas of a service while its capacity is scarce.
+  [[nodiscard]] bool sharesByTenant() const { return context_.tenantShares != nullptr; }
+  /// \param otherNodes nodes that serve clients, without this node.
+  void updateTenantShares(std::size_t otherNodes);
+  void logTenantShares();
+  void addTenantShareMetrics(EdgeSnapshot& values) const;
   /// \return whether this node serves clients, has requests in flight or has just dispatched some.
   [[nodiscard]] bool isUsingReplicas();
   /// \return the load digest addresses of the nodes that serve clients, except this node.
@@ -213,6 +223,10 @@
   std::optional<bool> loggedColdKnown_;
   routing::ReplicaPlacement placement_;
   routing::FleetLoad fleetLoad_;
+  routing::TenantShares tenantShares_{{}};
+  routing::TenantShareChanges tenantShareChanges_{{}};
+  /// Services whose capacity was scarce when last logged.
+  std::set<std::string, std::less<>> loggedScarceServices_;
   LoadExchange loadExchange_;
   QuotaExchange quotaExchange_;
   quota::StaticShares staticShares_;
--- a/src/edge/edge_daemon_overload.cpp
+++ b/src/edge/edge_daemon_overload.cpp
@@ -20,6 +20,7 @@
   if (settings_.uses(Mechanism::ReplicaSpeeds)) {
     reports.speeds = serviceTimes_.speedReports(replicas, now);
   }
+  reports.tenants = ownTenantLoads();
   return reports;
 }
 
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -188,6 +188,7 @@
                                       peers.sameRegion.size() + peers.otherRegions.size());
   }
   updateReplicaSpeeds(replicas);
+  updateTenantShares(peers.sameRegion.size() + peers.otherRegions.size());
   updateColdReplicas();
   for (const std::string& dropped : replicas_.removeLapsed(clock_())) {
     log_.logImportant("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -26,6 +26,12 @@
   std::uint64_t percent = 100;
 };
 
+/// Whether a service with engines is short of capacity.
+struct ServiceCapacity {
+  std::string service;
+  bool isScarce = false;
+};
+
 /// Values of the node's other components at one moment.
 struct EdgeSnapshot {
   // Calls to the store, by result.
@@ -97,6 +103,10 @@
   /// Gauge: how long this node has known of each evacuated zone. Deployments have few zones.
   std::vector<ZoneEvacuation> evacuatedZones{};
   std::vector<ServiceInflation> inflations{};  ///< Gauge.
+  /// Gauge: services with engines, while tenants share them. Deployments have few services.
+  std::vector<ServiceCapacity> serviceCapacities{};
+  std::uint64_t tenantsAboveShare = 0;    ///< Gauge: pairs of a tenant and a service.
+  std::uint64_t tenantShareRefusals = 0;  ///< Requests of tenants above their shares.
 };
 
 /// Request counters and latency histograms. Label cardinality is bounded: outcomes and reasons are
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -13,6 +13,8 @@
 /// that later ones add little information.
 constexpr std::size_t kMaximumLoggedPartitions = ledger::kTurnChoices;
 
+constexpr std::string_view kTenantAboveShare = "tenant_above_share";
+
 std::uint64_t percentOf(double share) {
   constexpr double kPercent = 100.0;
   return static_cast<std::uint64_t>(share * kPercent);
@@ -44,7 +46,28 @@
   refuse({kUnavailable, "replicas_full", retryAfter});
 }
 
+void Exchange::refuseAboveTenantShare(const routing::TenantShare& use) {
+  ++context_.counters.tenantShareRefusals;
+  const Duration retryAfter = retryDelay(context_.knobs.retryAfterOverload);
+  context_.log.logRefusal("tenant_share_refused", {request_.programId, kTenantAboveShare},
+                          {{"request", request_.requestId},
+                           {"program", request_.programId},
+                           {"tenant", checked_.tenantName()},
+                           {"service", checked_.service},
+                           {"stage", routing::workStageName(stage())},
+                           {"load", tenthsOf(use.load)},
+                           {"share", shareTextOf(use)},
+                           {"admitted_percent", percentOf(use.admitted)},
+                           {"retry_ms", wholeMilliseconds(retryAfter)}});
+  refuse({kUnavailable, std::string(kTenantAboveShare), retryAfter});
+}
+
 void Exchange::onReplicasBusy(const routing::RefusedByAdmission& refused) {
+  const auto limit = tenantLimit();
+  if (limit && stage() == routing::WorkStage::Continuing) {
+    refuseAboveTenantShare(*limit);
+    return;
+  }
   const Duration retryAfter = retryDelay(context_.knobs.retryAfterOverload);
   context_.log.logRefusal("placement_refused", {request_.programId, "replicas_busy"},
                           {{"request", request_.requestId},
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -19,7 +19,7 @@
 void Exchange::send(const routing::ReplicaPtr& replica) {
   replica_ = replica;
   beginMeasurement();
-  ++replica_->inFlight;
+  occupyReplica(replica);
   const std::string_view grant = context_.placement.onSent(*replica, context_.clock());
   if (!firstDispatchAt_) {
     firstDispatchAt_ = context_.clock();
@@ -423,11 +423,26 @@
                              {"reason", reason}});
 }
 
+void Exchange::occupyReplica(const routing::ReplicaPtr& replica) {
+  replica_ = replica;
+  ++replica_->inFlight;
+  if (hasTenantLoad()) {
+    context_.tenantShares->ownLoads().beginRequest(checked_.service, checked_.tenant->name);
+  }
+}
+
 void Exchange::releaseReplica() {
   if (replica_) {
     --replica_->inFlight;
     replica_.reset();
+    if (hasTenantLoad()) {
+      context_.tenantShares->ownLoads().endRequest(checked_.service, checked_.tenant->name);
+    }
   }
 }
 
+bool Exchange::hasTenantLoad() const {
+  return context_.tenantShares != nullptr && checked_.hasEngine && checked_.tenant != nullptr;
+}
+
 }  // namespace gorsetrail::edge
