Programs start only while turns stay close to their unloaded time

Admission looks at one turn and one replica: each free slot that a node sees admits programs at every node, and nothing bounds how many are in progress.

Each node now learns for each service with engines a load limit for programs that start. It falls while turns take more than 1.5 times their unloaded time or replicas reject dispatches, and rises slowly while it is in use. Both figures are sums over all nodes, so that limits are nearly equal without messages. While the limit is in use, a node starts at most its share of the room below it; without digests it keeps to an equal share. Programs that have started are never refused for it. Overdue programs get at most half of the limit. A first turn that is overdue counts as starting for its tenant's quota.

--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -18,7 +18,7 @@
   std::string_view cause;
 };
 /// Maps reasons of `request_ended` lines to causes; the first matching prefix applies.
-constexpr std::array<CauseOfReason, 29> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 30> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
@@ -28,6 +28,7 @@
                                                     {"budget_spent", "budget_spent"},
                                                     {"replicas_busy", "no_place_at_replicas"},
                                                     {"replicas_full", "no_place_at_replicas"},
+                                                    {"program_not_admitted", "program_limit"},
                                                     {"region_not_allowed", "region"},
                                                     {"zones_evacuated", "evacuated"},
                                                     {"evacuations_unknown", "evacuated"},
@@ -54,7 +55,7 @@
   std::string_view meaning;
   std::string_view cause;
 };
-constexpr std::array<CauseOfRefusal, 9> kRefusalCauses = {
+constexpr std::array<CauseOfRefusal, 10> kRefusalCauses = {
     {{"reservation_refused", "charged_for_dead", "budget_charged_for_dead"},
      {"reservation_refused", "not_decided", "budget_not_decided"},
      {"reservation_refused", "no_answer", "budget_no_answer"},
@@ -63,7 +64,8 @@
      {"quota_unknown", "not_decided", "quota_undecided"},
      {"quota_unknown", "no_answer", "quota_no_answer"},
      {"placement_refused", "full_beside_room", "replica_full_beside_room"},
-     {"placement_refused", "all_full", "no_place_at_replicas"}}};
+     {"placement_refused", "all_full", "no_place_at_replicas"},
+     {"placement_refused", "load_unknown", "load_unknown"}}};
 
 std::string_view causeOfRefusal(const LogLine& line) {
   const std::string_view meaning = classifyRefusal(line);
--- a/src/cli/log_refusal.cpp
+++ b/src/cli/log_refusal.cpp
@@ -25,7 +25,18 @@
   return answeredMeanwhile ? kNotDecided : kNoAnswer;
 }
 
+std::string_view classifyProgramRefusal(const LogLine& line) {
+  const std::string cause = line.fieldOf("decided_by");
+  if (cause == "own_requests") {
+    return "load_unknown";
+  }
+  return cause == "pace" ? "room_used_up" : "service_full";
+}
+
 std::string_view classifyPlacementRefusal(const LogLine& line) {
+  if (line.fieldOf("reason") == "program_not_admitted") {
+    return classifyProgramRefusal(line);
+  }
   const bool hasRoomElsewhere = line.numberOf("least_load_percent") < line.numberOf("load_percent");
   return hasRoomElsewhere ? "full_beside_room" : "all_full";
 }
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "base/time.h"
 #include "edge/edge_metrics.h"
@@ -12,6 +13,7 @@
 #include "http/http_client.h"
 #include "ledger/ledger.h"
 #include "quota/quota_admission.h"
+#include "routing/program_admission.h"
 #include "routing/replica_placement.h"
 #include "routing/route_table.h"
 #include "services/timer_service.h"
@@ -90,6 +92,8 @@
   ExchangeKnobs knobs;
   bool takesRequests = true;  ///< False during the last phase of a planned stop.
   TurnRetentionPolicy retention{};
+  /// Limits programs that start; empty: they are limited at each replica only.
+  std::optional<routing::ProgramAdmission> programAdmission{};
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -150,7 +150,8 @@
                {},
                exchangeKnobsOf(settings_),
                true,
-               TurnRetentionPolicy(turnRetentionKnobsOf(settings_))},
+               TurnRetentionPolicy(turnRetentionKnobsOf(settings_)),
+               programAdmissionOf(settings_)},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -128,6 +128,14 @@
   void loadLoop();
   /// \return this node's reports for its load digest; sections of features that are off are empty.
   [[nodiscard]] routing::LoadReports localReports();
+  /// Adapts the limits for programs that start, and logs considerable changes.
+  /// \param ownReports this node's part of the measurements.
+  /// \param otherNodes number of other nodes in service.
+  void updateProgramLimits(const std::vector<routing::ServiceReport>& ownReports,
+                           std::size_t otherNodes);
+  /// \return load and measurements of each service with engines.
+  [[nodiscard]] std::vector<routing::ProgramSignal> programSignals(
+      const std::vector<routing::ServiceReport>& ownReports) const;
   /// \return whether this node serves clients, has requests in flight or has just dispatched some.
   [[nodiscard]] bool isUsingReplicas();
   /// \return the load digest addresses of the nodes that serve clients, except this node.
@@ -144,6 +152,7 @@
   void checkStopped();
   [[nodiscard]] EdgeSnapshot snapshot() const;
   void addTopicMetrics(EdgeSnapshot& values) const;
+  void addProgramAdmissionMetrics(EdgeSnapshot& values) const;
   [[nodiscard]] bool isReady() const;
   /// \return whether this node has internal ports for calls between nodes.
   [[nodiscard]] bool hasPeers() const { return settings_.firstInternalPort != 0; }
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -1,6 +1,7 @@
 // The part of `EdgeDaemon` that collects the values of the metrics endpoint.
 #include "edge/edge_daemon.h"
 #include "edge/edge_daemon_shared.h"
+#include "edge/exchange_shared.h"
 
 namespace gorsetrail::edge {
 
@@ -64,6 +65,7 @@
   for (const auto& [zone, since] : evacuations_.zones()) {
     values.evacuatedZones.push_back({zone, ageMilliseconds(now, since)});
   }
+  addProgramAdmissionMetrics(values);
   return values;
 }
 
@@ -80,4 +82,14 @@
   values.isTopicReader = topicReaders_.isReader() ? 1 : 0;
 }
 
+void EdgeDaemon::addProgramAdmissionMetrics(EdgeSnapshot& values) const {
+  if (!context_.programAdmission) {
+    return;
+  }
+  values.programsNotAdmitted = context_.programAdmission->refusals();
+  for (const auto& [service, limit] : context_.programAdmission->limits()) {
+    values.programLimits.push_back({service, percentOf(limit)});
+  }
+}
+
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -179,12 +179,14 @@
       std::all_of(replicas.begin(), replicas.end(),
                   [](const routing::ReplicaPtr& replica) { return replica->inFlight == 0; });
   hasRequestsInFlight_ = !isIdle;
+  const routing::LoadReports reports = localReports();
   if (servesClients_ || !isIdle) {
-    loadExchange_.send(replicas, peers, localReports(), clock_());
+    loadExchange_.send(replicas, peers, reports, clock_());
   }
   if (settings_.uses(Mechanism::LoadDigests)) {
     fleetLoad_.apply(replicas_, {peers.sameRegion.size(), peers.otherRegions.size()}, clock_());
   }
+  updateProgramLimits(reports.services, peers.sameRegion.size() + peers.otherRegions.size());
   updateColdReplicas();
   for (const std::string& dropped : replicas_.removeLapsed(clock_())) {
     log_.logImportant("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -65,7 +65,14 @@
   if (settings.uses(Mechanism::Admission)) {
     return {};
   }
-  return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0};
+  return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0, kNoLimit};
+}
+
+std::optional<routing::ProgramAdmission> programAdmissionOf(const EdgeSettings& settings) {
+  if (!settings.overloadControl || !settings.uses(Mechanism::ProgramAdmission)) {
+    return std::nullopt;
+  }
+  return routing::ProgramAdmission({});
 }
 
 routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings) {
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "edge/edge_context.h"
@@ -11,6 +12,7 @@
 #include "logstore/adaptive_retry_policy.h"
 #include "routing/admission_policy.h"
 #include "routing/cold_replica_rule.h"
+#include "routing/program_admission.h"
 #include "routing/replica_selector.h"
 
 namespace gorsetrail::edge {
@@ -34,6 +36,9 @@
 
 routing::AdmissionKnobs admissionKnobsOf(const EdgeSettings& settings);
 
+/// \return the policy for programs that start; empty without overload control or its mechanism.
+std::optional<routing::ProgramAdmission> programAdmissionOf(const EdgeSettings& settings);
+
 routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings);
 
 ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings);
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -108,6 +108,17 @@
   }
 }
 
+void addProgramAdmission(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("program_limit_percent",
+              "Load of a service up to which programs start, in percent of its slots",
+              MetricType::Gauge);
+  for (const ProgramLimit& limit : snapshot.programLimits) {
+    list.add(limit.percent, {{"service", limit.service}});
+  }
+  list.counter("programs_not_admitted_total", "Programs refused at their start by that limit",
+               snapshot.programsNotAdmitted);
+}
+
 }  // namespace
 
 struct EdgeMetrics::Histograms {
@@ -189,6 +200,7 @@
   addQuotas(list, snapshot);
   addRetention(list, snapshot);
   addClusterState(list, snapshot);
+  addProgramAdmission(list, snapshot);
   addUnreadable(list, snapshot);
   list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
                snapshot.logLinesDropped);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -19,6 +19,12 @@
   std::uint64_t knownForMilliseconds = 0;  ///< Since this node read the evacuation record.
 };
 
+/// Learned limit for programs that start at a service.
+struct ProgramLimit {
+  std::string service;
+  std::uint64_t percent = 0;  ///< Of the service's slots.
+};
+
 /// Values of the node's other components at one moment.
 struct EdgeSnapshot {
   // Calls to the store, by result.
@@ -84,6 +90,9 @@
   std::uint64_t loadDigestsUnreadable = 0;
   /// Gauge: how long this node has known of each evacuated zone. Deployments have few zones.
   std::vector<ZoneEvacuation> evacuatedZones{};
+  /// Gauge, for each service with engines; empty without program admission.
+  std::vector<ProgramLimit> programLimits{};
+  std::uint64_t programsNotAdmitted = 0;
 };
 
 /// Request counters and latency histograms. Label cardinality is bounded: outcomes and reasons are
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -54,7 +54,10 @@
     return;
   }
   // Only a streaming request can be the first of its program; tools are called later.
-  const bool isFirstTurn = isStreaming() && stage() == routing::WorkStage::FirstTurn;
+  const routing::WorkStage stageNow = stage();
+  const bool isFirstTurn =
+      isStreaming() && !hasStarted() &&
+      (stageNow == routing::WorkStage::FirstTurn || stageNow == routing::WorkStage::Overdue);
   context_.quota.admit(*checked_.tenant,
                        isFirstTurn ? quota::ProgramStage::Starting : quota::ProgramStage::Started,
                        [self = shared_from_this()](const quota::QuotaDecision& decision) {
@@ -132,6 +135,9 @@
 Duration Exchange::timeLeft() const { return deadlineAt_ - context_.clock(); }
 
 void Exchange::findHistory() {
+  if (!admitProgram()) {
+    return;
+  }
   if (!checked_.route->persisted) {
     checkBudget();
     return;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -46,6 +46,10 @@
   void onQuotaDecision(const quota::QuotaDecision& decision);
   /// Returns the quota token if the request was never dispatched.
   void returnQuotaToken();
+  /// Asks program admission, if the request starts a program.
+  /// \return false if the request was refused.
+  bool admitProgram();
+  void onProgramNotAdmitted(const routing::ProgramNotAdmitted& refused);
   void findHistory();
   void onHistoryAnswer(ledger::HistoryAnswer answer);
   /// Counts the turn's estimated bytes in the retention policy.
@@ -73,6 +77,11 @@
   void onNoReplica(const routing::NoReplica& none);
   /// \return the stage of the program, for admission control and quota.
   [[nodiscard]] routing::WorkStage stage() const;
+  /// \return whether an earlier turn of the program has run.
+  [[nodiscard]] bool hasStarted() const;
+  /// \return whether admission control applies: the service runs engines, and no replica may have
+  /// begun to execute the request.
+  [[nodiscard]] bool isSubjectToAdmission() const;
   /// \return whether the program's deadline has passed; false if the request gives none.
   [[nodiscard]] bool isOverdue() const;
   /// \return the request's priority for the replica; 0 is the most urgent.
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -18,15 +18,37 @@
   query.replica.isConnected = [this](const routing::Replica& replica) {
     return context_.client.hasIdleConnection(replica.entry.address);
   };
-  // A request that may have run is exempt from admission control: refusing it would waste work and
-  // wrongly imply that it was not executed.
-  const bool canBeRefused = checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
-  if (canBeRefused) {
-    query.admission = routing::AdmissionRequest{stage(), checked_.priority, checked_.turnName};
+  if (isSubjectToAdmission()) {
+    query.admission = routing::AdmissionRequest{stage(), checked_.priority, checked_.turnName, {}};
+    if (context_.programAdmission) {
+      query.admission->programLimit = context_.programAdmission->limitOf(checked_.service);
+    }
   }
   return query;
 }
 
+// A request that may have run is exempt: refusing it would waste work and wrongly imply that it was
+// not executed.
+bool Exchange::isSubjectToAdmission() const {
+  return checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
+}
+
+// A client that resumes a stream has received events, so that its program has started.
+bool Exchange::admitProgram() {
+  const bool starts = isSubjectToAdmission() && request_.lastEventId.empty() &&
+                      stage() == routing::WorkStage::FirstTurn;
+  if (!context_.programAdmission || !starts) {
+    return true;
+  }
+  const routing::ProgramDecision decision = context_.programAdmission->decide(
+      {checked_.service, checked_.priority}, context_.placement.loadOf(checked_.service));
+  if (const auto* const refused = std::get_if<routing::ProgramNotAdmitted>(&decision)) {
+    onProgramNotAdmitted(*refused);
+    return false;
+  }
+  return true;
+}
+
 routing::PlacementSubject Exchange::placementSubject() const {
   routing::PlacementSubject subject;
   subject.allowedRegions = checked_.places == nullptr ? nullptr : &checked_.places->regions;
@@ -66,8 +88,12 @@
   if (context_.knobs.limitsOverduePrograms && isOverdue()) {
     return routing::WorkStage::Overdue;
   }
-  const bool hasBegun = !request_.previousTurnId.empty() || known > request_.maximumTokens;
-  return hasBegun ? routing::WorkStage::Continuing : routing::WorkStage::FirstTurn;
+  return hasStarted() ? routing::WorkStage::Continuing : routing::WorkStage::FirstTurn;
+}
+
+bool Exchange::hasStarted() const {
+  return !request_.previousTurnId.empty() ||
+         context_.ledger.knownTokenUse(checked_.programName) > request_.maximumTokens;
 }
 
 bool Exchange::isOverdue() const {
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -13,11 +13,6 @@
 /// that later ones add little information.
 constexpr std::size_t kMaximumLoggedPartitions = ledger::kTurnChoices;
 
-std::uint64_t percentOf(double share) {
-  constexpr double kPercent = 100.0;
-  return static_cast<std::uint64_t>(share * kPercent);
-}
-
 }  // namespace
 
 void Exchange::onReplicasBusy(const routing::RefusedByAdmission& refused) {
@@ -33,6 +28,21 @@
   refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
 }
 
+void Exchange::onProgramNotAdmitted(const routing::ProgramNotAdmitted& refused) {
+  context_.log.logRefusal(
+      "placement_refused", {request_.programId, "program_not_admitted"},
+      {{"request", request_.requestId},
+       {"program", request_.programId},
+       {"reason", "program_not_admitted"},
+       {"service", checked_.service},
+       {"priority", std::uint64_t{checked_.priority}},
+       {"limit_percent", percentOf(refused.limit)},
+       {"service_load_percent", percentOf(refused.load)},
+       {"decided_by", routing::programRefusalCauseName(refused.cause)},
+       {"reporting_nodes", std::uint64_t{context_.programAdmission->reportingNodes()}}});
+  refuse({kUnavailable, "program_not_admitted", context_.knobs.retryAfterOverload});
+}
+
 void Exchange::logQuotaUnknown(const quota::QuotaDecision& decision) {
   const quota::QuotaTrace trace = decision.trace.value_or(quota::QuotaTrace{});
   const std::string answerAge =
--- a/src/edge/exchange_shared.h
+++ b/src/edge/exchange_shared.h
@@ -19,4 +19,10 @@
   return static_cast<std::uint64_t>(std::max<Duration::rep>(0, span.count() / 1000));
 }
 
+/// \return the share in whole percent, for log lines and metrics.
+inline std::uint64_t percentOf(double share) {
+  constexpr double kPercent = 100.0;
+  return static_cast<std::uint64_t>(share * kPercent);
+}
+
 }  // namespace gorsetrail::edge
--- a/src/routing/admission_policy.cpp
+++ b/src/routing/admission_policy.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstddef>
 
 namespace gorsetrail::routing {
@@ -26,6 +27,9 @@
     limit = knobs_.runaway;
   } else if (request.stage == WorkStage::Overdue) {
     limit = knobs_.overdue;
+    if (request.programLimit) {
+      limit = std::min(limit, knobs_.overdueFraction * *request.programLimit);
+    }
   } else if (request.stage == WorkStage::FirstTurn) {
     limit = knobs_.firstTurn;
   }
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -13,7 +14,7 @@
 /// Program stage of a request, ordered by the work that is lost when the request is refused.
 enum class WorkStage : std::uint8_t {
   Runaway,     ///< The program has used most of its budget and is probably in a loop.
-  Overdue,     ///< The program's deadline has passed. Only with overload control.
+  Overdue,     ///< The program cannot end before its deadline. Only with overload control.
   FirstTurn,   ///< Nothing of the program has run yet.
   Continuing,  ///< Refusal would waste the program's earlier turns.
 };
@@ -39,6 +40,10 @@
   double overflowFraction = 0.25;
   /// Added to the limits for routes of priority 0, the most urgent.
   double mostUrgent = 0.25;
+  /// Fraction of the learned limit for starting programs that bounds `overdue`: a service that
+  /// slows down leaves less to overdue programs. At the initial limit (1.2) it is equal to
+  /// `overdue`.
+  double overdueFraction = 0.5;
 };
 
 /// A request as admission control sees it.
@@ -46,6 +51,8 @@
   WorkStage stage = WorkStage::FirstTurn;
   std::uint32_t priority = 5;  ///< 0 is the most urgent.
   std::string_view attempt{};  ///< Unique id of this attempt; selects overflow attempts.
+  /// Limit for starting programs at the service, see `ProgramAdmission`; unset: none is learned.
+  std::optional<double> programLimit{};
 };
 
 /// Limits the load of replicas so that admitted requests finish before their timeout. Refuses
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -149,7 +149,11 @@
   const auto isOverflowTarget = [&](const Replica& replica) {
     const bool hasRoom =
         toAny ? admission_.admitsFirstTurns(replica) : admission_.isLightlyLoaded(replica);
-    return hasRoom && std::find(healthy.begin(), healthy.end(), &replica) != healthy.end();
+    // The learned limit may leave overdue programs less than a lightly loaded replica has.
+    const bool exceedsShare = query.admission->stage == WorkStage::Overdue &&
+                              !admission_.admits(replica, *query.admission);
+    return hasRoom && !exceedsShare &&
+           std::find(healthy.begin(), healthy.end(), &replica) != healthy.end();
   };
   return selector_.choose(replicas_, query.replica, isOverflowTarget, now);
 }
--- a/src/routing/replica_placement.h
+++ b/src/routing/replica_placement.h
@@ -12,6 +12,7 @@
 #include "routing/placement_rule.h"
 #include "routing/replica_selector.h"
 #include "routing/replica_table.h"
+#include "routing/service_load.h"
 
 namespace gorsetrail::routing {
 
@@ -62,6 +63,10 @@
   /// null if there is none. If it cannot be reached either, this node's own network link has
   /// failed.
   [[nodiscard]] ReplicaPtr witnessFor(const Replica& replica) const;
+  /// \return the present load of the service's replicas that accept requests.
+  [[nodiscard]] ServiceLoad loadOf(std::string_view service) const {
+    return serviceLoadOf(replicas_, service);
+  }
   /// Must be called for each request that is sent to a replica, including retries and resumed
   /// streams.
   /// \return the name of the rate limit that admitted it, for a log line; empty: none.
--- /dev/null
+++ b/src/routing/service_load.cpp
@@ -0,0 +1,19 @@
+#include "routing/service_load.h"
+
+#include <algorithm>
+
+namespace gorsetrail::routing {
+
+ServiceLoad serviceLoadOf(const ReplicaTable& replicas, std::string_view service) {
+  ServiceLoad sum;
+  for (const ReplicaPtr& replica : replicas.ofService(service)) {
+    if (replica->acceptsRequests()) {
+      sum.slots += std::max(1U, replica->entry.slots);
+      sum.requests += replica->load();
+      sum.ownRequests += replica->inFlight;
+    }
+  }
+  return sum;
+}
+
+}  // namespace gorsetrail::routing
--- a/tests/cli/log_losses_test.cpp
+++ b/tests/cli/log_losses_test.cpp
@@ -112,6 +112,21 @@
   }
 }
 
+// A node without digests must be told apart from a service at its limit: only the latter needs
+// replicas.
+TEST(LogLosses, programsThatMayNotStartHaveTheirOwnCauses) {
+  const auto refused = [](const char* program, const char* cause) {
+    return std::string("time_ms=1000 event=placement_refused request=q program=") + program +
+           " reason=program_not_admitted decided_by=" + cause + "\n" +
+           ended(1, program, "outcome=refused_503 reason=program_not_admitted took_ms=0");
+  };
+  read(refused("a", "load") + refused("b", "pace") + refused("c", "own_requests"));
+  LONGS_EQUAL(2, losses.groups().size());
+  STRCMP_EQUAL("program_limit", losses.groups()[0].cause.c_str());
+  LONGS_EQUAL(2, losses.groups()[0].programs);
+  STRCMP_EQUAL("load_unknown", losses.groups()[1].cause.c_str());
+}
+
 TEST(LogLosses, countedRefusalsAddTheirNumberOfRequests) {
   read(ended(4, "p", "outcome=refused_503 reason=replicas_busy took_ms=1") +
        "time_ms=5000 event=refusals_counted of=request_ended program=p reason=replicas_busy "
--- a/tests/cli/log_refusal_test.cpp
+++ b/tests/cli/log_refusal_test.cpp
@@ -50,6 +50,13 @@
                refusalClassOf("placement_refused load_percent=212 least_load_percent=212").c_str());
 }
 
+TEST(LogRefusal, classifiesProgramsThatMayNotStartByWhatDecided) {
+  const std::string refused = "placement_refused reason=program_not_admitted decided_by=";
+  STRCMP_EQUAL("service_full", refusalClassOf(refused + "load").c_str());
+  STRCMP_EQUAL("room_used_up", refusalClassOf(refused + "pace").c_str());
+  STRCMP_EQUAL("load_unknown", refusalClassOf(refused + "own_requests").c_str());
+}
+
 TEST(LogRefusal, otherLinesHaveNoRefusalClass) {
   STRCMP_EQUAL("", refusalClassOf("request_ended reason=reservation_unavailable").c_str());
 }
--- /dev/null
+++ b/tests/edge/exchange_program_admission_test.cpp
@@ -0,0 +1,106 @@
+// Guards against programs that start at a service on which they cannot end in time, and against
+// refusals of programs that have started.
+#include <memory>
+#include <string>
+
+#include "edge/edge_knobs.h"
+#include "edge/exchange_world.h"
+// CppUTest redefines `new`: it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::edge;
+using namespace gorsetrail::edge::testing;
+
+TEST_GROUP(ExchangeProgramAdmission) {
+  ExchangeWorld world;
+
+  void setup() override {
+    EdgeSettings settings;
+    settings.overloadControl = true;
+    world.context.programAdmission = programAdmissionOf(settings);
+  }
+  /// Leaves one replica idle and gives the others so much load that the service has `percent`.
+  void setServiceLoad(double percent) {
+    const auto replicas = world.replicas.all();
+    for (const routing::ReplicaPtr& replica : replicas) {
+      const double count = static_cast<double>(replicas.size());
+      replica->othersInFlight = replica->entry.slots * percent / 100 * count / (count - 1);
+    }
+    replicas.front()->othersInFlight = 0;
+  }
+  void setPriority(std::uint32_t priority) {
+    auto configuration = std::make_shared<routing::Configuration>(*world.routes.inForce());
+    configuration->version = routing::ConfigurationVersion(2);
+    for (routing::Route& route : configuration->routes) {
+      route.priority = priority;
+    }
+    world.routes.apply(configuration);
+  }
+  std::string logged() {
+    world.eventLog.flush();
+    return world.lines;
+  }
+};
+
+// The present check looks at the chosen replica alone, and a single free one lets any number of
+// nodes start programs.
+TEST(ExchangeProgramAdmission, aStartingProgramIsRefusedBeforeAnyDispatch) {
+  setServiceLoad(110);
+  const auto view = world.start(ExchangeWorld::turn("again"));
+  LONGS_EQUAL(503, view->status);
+  STRCMP_EQUAL("program_not_admitted", view->body.c_str());
+  CHECK_FALSE(view->retryAfter.empty());
+  LONGS_EQUAL(0, world.dispatches());
+  const std::string lines = logged();
+  STRCMP_CONTAINS("event=placement_refused", lines.c_str());
+  STRCMP_CONTAINS("limit_percent=99 service_load_percent=110 decided_by=load", lines.c_str());
+}
+
+TEST(ExchangeProgramAdmission, programsThatHaveStartedGoOn) {
+  setServiceLoad(110);
+  CallRequest turn = ExchangeWorld::turn("again");
+  turn.previousTurnId = "q0";
+  const auto next = world.start(turn);
+  LONGS_EQUAL(1, world.dispatches());
+  CallRequest resumed = ExchangeWorld::turn("again");
+  resumed.requestId = "q2";
+  resumed.lastEventId = "3";
+  const auto stream = world.start(resumed);
+  LONGS_EQUAL(2, world.dispatches());
+}
+
+TEST(ExchangeProgramAdmission, theMostUrgentProgramsStartUpToTheWholeLimit) {
+  setServiceLoad(110);
+  setPriority(0);
+  const auto view = world.start(ExchangeWorld::turn("again"));
+  LONGS_EQUAL(1, world.dispatches());
+}
+
+// Deployments without overload control are served as before.
+TEST(ExchangeProgramAdmission, withoutOverloadControlOrTheMechanismNothingIsRefused) {
+  setServiceLoad(110);
+  EdgeSettings settings;
+  CHECK_FALSE(programAdmissionOf(settings).has_value());
+  settings.overloadControl = true;
+  settings.disabledMechanisms = {Mechanism::ProgramAdmission};
+  CHECK_FALSE(programAdmissionOf(settings).has_value());
+  world.context.programAdmission.reset();
+  const auto view = world.start(ExchangeWorld::turn("again"));
+  LONGS_EQUAL(1, world.dispatches());
+}
+
+TEST(ExchangeProgramAdmission, requestsOutsideStreamsAreNotLimited) {
+  setServiceLoad(110);
+  const auto view = world.start(ExchangeWorld::request("safe"));
+  LONGS_EQUAL(1, world.dispatches());
+}
+
+TEST(ExchangeProgramAdmission, metricsShowTheLimitsAndTheRefusals) {
+  EdgeSnapshot snapshot;
+  snapshot.programLimits = {{"model", 98}};
+  snapshot.programsNotAdmitted = 5;
+  const std::string text = world.metrics.render(snapshot);
+  STRCMP_CONTAINS("gorsetrail_program_limit_percent{service=\"model\"} 98", text.c_str());
+  STRCMP_CONTAINS("gorsetrail_programs_not_admitted_total 5", text.c_str());
+}
--- a/tests/routing/replica_placement_test.cpp
+++ b/tests/routing/replica_placement_test.cpp
@@ -150,6 +150,24 @@
   POINTERS_EQUAL(idle.get(), std::get<Placed>(found).replica.get());
 }
 
+// Guards against overdue programs that take free slots beyond their share of a service that has
+// slowed down.
+TEST(ReplicaPlacement, anOverdueTurnOverflowsOnlyWithinItsShareOfTheLearnedLimit) {
+  const ReplicaPtr one = add("r1", "a");
+  const ReplicaPtr other = add("r2", "a");
+  PlacementQuery turn = query();
+  turn.replica.affinityKey = "program";
+  turn.replica.promptTokens = 6611;
+  turn.admission = AdmissionRequest{WorkStage::Overdue, 1, {}, 1.2};
+  const ReplicaPtr preferred = std::get<Placed>(withoutRules.place(turn, now)).replica;
+  const ReplicaPtr idle = preferred == one ? other : one;
+  preferred->inFlight = 9;  // It has 4 slots.
+  idle->inFlight = 1;
+  CHECK_TRUE(std::holds_alternative<Placed>(withoutRules.place(turn, now)));
+  turn.admission->programLimit = 0.5;
+  CHECK_TRUE(std::holds_alternative<RefusedByAdmission>(withoutRules.place(turn, now)));
+}
+
 namespace {
 
 /// \return an attempt of a continuing program with a long prompt. The arguments must outlive it.
