--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -1,7 +1,6 @@
 // The part of `EdgeDaemon` that collects the values of the metrics endpoint.
 #include "edge/edge_daemon.h"
 #include "edge/edge_daemon_shared.h"
-#include "edge/exchange_shared.h"
 
 namespace gorsetrail::edge {
 
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -179,7 +179,7 @@
       std::all_of(replicas.begin(), replicas.end(),
                   [](const routing::ReplicaPtr& replica) { return replica->inFlight == 0; });
   hasRequestsInFlight_ = !isIdle;
-  const routing::LoadReports reports = localReports();
+  const routing::LoadReports reports = localReports(replicas);
   if (servesClients_ || !isIdle) {
     loadExchange_.send(replicas, peers, reports, clock_());
   }
@@ -187,6 +187,7 @@
     fleetLoad_.apply(replicas_, {peers.sameRegion.size(), peers.otherRegions.size()}, clock_());
   }
   updateProgramLimits(reports.services, peers.sameRegion.size() + peers.otherRegions.size());
+  updateReplicaSpeeds(replicas);
   updateColdReplicas();
   for (const std::string& dropped : replicas_.removeLapsed(clock_())) {
     log_.logImportant("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -14,6 +14,7 @@
 #include "routing/cold_replica_rule.h"
 #include "routing/program_admission.h"
 #include "routing/replica_selector.h"
+#include "routing/service_times.h"
 
 namespace gorsetrail::edge {
 
@@ -43,6 +44,8 @@
 
 ExchangeKnobs exchangeKnobsOf(const EdgeSettings& settings);
 
+routing::ServiceTimesKnobs serviceTimesKnobsOf(const EdgeSettings& settings);
+
 TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings);
 
 }  // namespace gorsetrail::edge
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -13,6 +13,11 @@
 /// that later ones add little information.
 constexpr std::size_t kMaximumLoggedPartitions = ledger::kTurnChoices;
 
+std::uint64_t percentOf(double share) {
+  constexpr double kPercent = 100.0;
+  return static_cast<std::uint64_t>(share * kPercent);
+}
+
 }  // namespace
 
 void Exchange::onReplicasBusy(const routing::RefusedByAdmission& refused) {
