--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -53,7 +53,8 @@
   Duration retryAfterOverload = milliseconds(400);  ///< Refused by admission control.
   /// A program that has used this share of its budget is treated as a probable infinite loop.
   double runawayShare = 0.75;
-  /// Whether turns of programs past their deadline are admitted only to replicas with free slots.
+  /// Whether turns of programs that cannot end in time are admitted only to replicas with free
+  /// slots.
   bool limitsOverduePrograms = false;
   /// Whether a request is refused if no answer can begin before its deadline.
   bool refusesLateDispatches = false;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -98,8 +98,12 @@
   /// \return whether admission control applies: the service runs engines, and no replica may have
   /// begun to execute the request.
   [[nodiscard]] bool isSubjectToAdmission() const;
-  /// \return whether the program's deadline has passed; false if the request gives none.
+  /// \return whether the program's deadline has passed or will pass before this turn can end; false
+  /// if the request gives none.
   [[nodiscard]] bool isOverdue() const;
+  /// \return the duration of the turn on an unloaded replica; zero without program admission, while
+  /// it is not known, and for other requests.
+  [[nodiscard]] Duration leastTimeNeeded() const;
   /// \return the request's priority for the replica; 0 is the most urgent.
   [[nodiscard]] std::uint32_t replicaPriority() const;
   void onHead(unsigned status, const std::vector<http::Header>& headers);
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -97,7 +97,21 @@
 }
 
 bool Exchange::isOverdue() const {
-  return request_.programTimeLeft && *request_.programTimeLeft <= context_.clock() - arrivedAt_;
+  if (!request_.programTimeLeft) {
+    return false;
+  }
+  return *request_.programTimeLeft - (context_.clock() - arrivedAt_) <= leastTimeNeeded();
+}
+
+// Zero for a stream that is resumed: a part of its turn has run already.
+Duration Exchange::leastTimeNeeded() const {
+  const bool isWholeTurn = checked_.hasEngine && isStreaming() && !streamBegun_ && !mayHaveRun_ &&
+                           request_.lastEventId.empty();
+  if (!context_.programAdmission || context_.serviceTimes == nullptr || !isWholeTurn) {
+    return Duration::zero();
+  }
+  return context_.serviceTimes->unloadedDuration(checked_.service, workSize())
+      .value_or(Duration::zero());
 }
 
 std::uint32_t Exchange::replicaPriority() const {
--- a/tests/edge/exchange_program_admission_test.cpp
+++ b/tests/edge/exchange_program_admission_test.cpp
@@ -5,6 +5,8 @@
 
 #include "edge/edge_knobs.h"
 #include "edge/exchange_world.h"
+#include "routing/service_times.h"
+#include "tenant/api_key_hasher.h"
 // CppUTest redefines `new`: it comes after the standard headers.
 #include <CppUTest/TestHarness.h>
 
@@ -13,6 +15,7 @@
 using namespace gorsetrail::edge::testing;
 
 TEST_GROUP(ExchangeProgramAdmission) {
+  routing::ServiceTimes times;
   ExchangeWorld world;
 
   void setup() override {
@@ -37,6 +40,22 @@
     }
     world.routes.apply(configuration);
   }
+  /// Lets the model of the service learn turns of 300 ms.
+  void learnTurns() {
+    for (int count = 0; count < 64; ++count) {
+      times.noteAnswer(*world.replicas.all().front(), {milliseconds(50), milliseconds(300), 4, 100},
+                       true, world.timers.now);
+    }
+    world.context.serviceTimes = &times;
+  }
+  /// Continues a program.
+  std::shared_ptr<ClientView> startTurn(Duration programTimeLeft) {
+    CallRequest turn = ExchangeWorld::turn("again");
+    turn.previousTurnId = "q0";
+    turn.promptTokens = 100;
+    turn.programTimeLeft = programTimeLeft;
+    return world.start(std::move(turn));
+  }
   std::string logged() {
     world.eventLog.flush();
     return world.lines;
@@ -96,6 +115,55 @@
   LONGS_EQUAL(1, world.dispatches());
 }
 
+// Such a turn takes a slot from a program that can still end in time, and is late all the same.
+TEST(ExchangeProgramAdmission, aTurnThatCannotEndInTimeCountsAsOverdue) {
+  learnTurns();
+  world.context.knobs.limitsOverduePrograms = true;
+  for (const routing::ReplicaPtr& replica : world.replicas.all()) {
+    replica->othersInFlight = 3;  // Of 4 slots.
+  }
+  const auto late = startTurn(milliseconds(250));
+  LONGS_EQUAL(503, late->status);
+  LONGS_EQUAL(0, world.dispatches());
+  STRCMP_CONTAINS("stage=overdue", logged().c_str());
+  const auto inTime = startTurn(milliseconds(350));
+  LONGS_EQUAL(1, world.dispatches());
+  STRCMP_EQUAL("1", world.call().headerOf("priority").c_str());
+}
+
+TEST(ExchangeProgramAdmission, withoutThePolicyOrAModelOnlyThePassedDeadlineCounts) {
+  world.context.knobs.limitsOverduePrograms = true;
+  for (const routing::ReplicaPtr& replica : world.replicas.all()) {
+    replica->othersInFlight = 3;
+  }
+  const auto unknown = startTurn(milliseconds(250));
+  LONGS_EQUAL(1, world.dispatches());
+  learnTurns();
+  world.context.programAdmission.reset();
+  const auto off = startTurn(milliseconds(250));
+  LONGS_EQUAL(2, world.dispatches());
+}
+
+// Otherwise a burst of programs that are late before they start would use the quota of a tenant's
+// programs that have started.
+TEST(ExchangeProgramAdmission, aFirstTurnThatCannotEndInTimeCountsAsStartingForTheQuota) {
+  learnTurns();
+  world.context.knobs.limitsOverduePrograms = true;
+  tenant::ApiKeyHasher hasher{tenant::ApiKeyHasher::Secret{3}};
+  auto configuration = std::make_shared<routing::Configuration>(*world.routes.inForce());
+  configuration->version = routing::ConfigurationVersion(2);
+  auto made = tenant::TenantDirectory::make({{"alice", {hasher.digestOf("key")}, 4, {20, 5}}});
+  configuration->tenants =
+      std::make_shared<const tenant::TenantDirectory>(std::move(valueOf(made)));
+  world.routes.apply(configuration);
+  CallRequest turn = ExchangeWorld::turn("again");
+  turn.apiKey = hasher.digestOf("key");
+  turn.programTimeLeft = milliseconds(100);
+  const auto view = world.start(turn);
+  LONGS_EQUAL(1, world.quota.asked.size());
+  CHECK(world.quota.asked[0].second == quota::ProgramStage::Starting);
+}
+
 TEST(ExchangeProgramAdmission, metricsShowTheLimitsAndTheRefusals) {
   EdgeSnapshot snapshot;
   snapshot.programLimits = {{"model", 98}};
