The limit for programs that start falls at most each 500 ms

Service reports are means of about the last second, so that an episode shows in them for a second after its end. With 300 ms between decreases noise of 600 ms took up to five of them. Three remain.

--- a/src/routing/program_admission.h
+++ b/src/routing/program_admission.h
@@ -50,15 +50,16 @@
   /// Above this multiple of the limit the load consists of programs admitted earlier, and every
   /// program that starts is refused already: a lower limit would only delay the recovery.
   double governedMultiple = 1.25;
-  /// Factor of one decrease. With `decreaseInterval` the limit falls by 30% in a second, which is
-  /// the time that an admitted program keeps its load; noise of 600 ms takes at most 27% of it.
+  /// Factor of one decrease. With `decreaseInterval` the limit falls by a fifth in a second. Noise
+  /// of 600 ms, which reports show for up to 1.3 s, takes at most 27% of it.
   double decreaseFactor = 0.9;
   /// Added for each call of `update` (each 100 ms) while the limit is in use: 0.15 in a second,
-  /// half as fast as the decrease, so that a limit halved by an episode is back after 4 s.
+  /// less than what a decrease takes, so that a limit halved by an episode is back after 4 s.
   double increase = 0.015;
-  /// Shortest time between two decreases. An effect is visible after a turn (100 to 400 ms) and the
-  /// digests' period (100 ms); until then the same episode would be punished again.
-  Duration decreaseInterval = milliseconds(300);
+  /// Shortest time between two decreases. Reports are means of about the last second and arrive
+  /// 100 to 200 ms late: with a shorter time the same episode would lower the limit several times
+  /// before a decrease can show in them.
+  Duration decreaseInterval = milliseconds(500);
   /// A limit is reported when it differs from the last reported one by this fraction: a tenth, less
   /// the rounding error of one decrease, which is a tenth too.
   double reportedChange = 0.0999;
