--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -18,7 +18,7 @@
   std::string_view cause;
 };
 /// Maps reasons of `request_ended` lines to causes; the first matching prefix applies.
-constexpr std::array<CauseOfReason, 31> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 32> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
@@ -29,6 +29,7 @@
                                                     {"replicas_busy", "no_place_at_replicas"},
                                                     {"replicas_full", "no_place_at_replicas"},
                                                     {"tenant_above_share", "tenant_share"},
+                                                    {"program_not_admitted", "program_limit"},
                                                     {"region_not_allowed", "region"},
                                                     {"zones_evacuated", "evacuated"},
                                                     {"evacuations_unknown", "evacuated"},
@@ -56,7 +57,7 @@
   std::string_view meaning;
   std::string_view cause;
 };
-constexpr std::array<CauseOfRefusal, 10> kRefusalCauses = {
+constexpr std::array<CauseOfRefusal, 11> kRefusalCauses = {
     {{"reservation_refused", "charged_for_dead", "budget_charged_for_dead"},
      {"reservation_refused", "not_decided", "budget_not_decided"},
      {"reservation_refused", "no_answer", "budget_no_answer"},
@@ -66,7 +67,8 @@
      {"quota_unknown", "no_answer", "quota_no_answer"},
      {"placement_refused", "full_beside_room", "replica_full_beside_room"},
      {"placement_refused", "all_full", "no_place_at_replicas"},
-     {"retry_withheld", "no_retry_token", "retry_budget"}}};
+     {"retry_withheld", "no_retry_token", "retry_budget"},
+     {"placement_refused", "load_unknown", "load_unknown"}}};
 
 std::string_view causeOfRefusal(const LogLine& line) {
   const std::string_view meaning = classifyRefusal(line);
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "base/time.h"
 #include "edge/edge_metrics.h"
@@ -13,6 +14,7 @@
 #include "http/http_client.h"
 #include "ledger/ledger.h"
 #include "quota/quota_admission.h"
+#include "routing/program_admission.h"
 #include "routing/replica_placement.h"
 #include "routing/route_table.h"
 #include "routing/service_times.h"
@@ -54,7 +56,8 @@
   Duration retryAfterOverload = milliseconds(400);  ///< Refused by admission control.
   /// A program that has used this share of its budget is treated as a probable infinite loop.
   double runawayShare = 0.75;
-  /// Whether turns of programs past their deadline are admitted only to replicas with free slots.
+  /// Whether turns of programs that cannot end in time are admitted only to replicas with free
+  /// slots.
   bool limitsOverduePrograms = false;
   /// Whether a request is refused if no answer can begin before its deadline.
   bool refusesLateDispatches = false;
@@ -97,6 +100,8 @@
   ExchangeKnobs knobs;
   bool takesRequests = true;  ///< False during the last phase of a planned stop.
   TurnRetentionPolicy retention{};
+  /// Limits programs that start; empty: they are limited at each replica only.
+  std::optional<routing::ProgramAdmission> programAdmission{};
   /// Learns from answered requests; null: nothing is learned.
   routing::ServiceTimes* serviceTimes = nullptr;
   RetryControl retryControl{};
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -131,6 +131,14 @@
   void loadLoop();
   /// \return this node's reports for its load digest; sections of features that are off are empty.
   [[nodiscard]] routing::LoadReports localReports(const std::vector<routing::ReplicaPtr>& replicas);
+  /// Adapts the limits for programs that start, and logs considerable changes.
+  /// \param ownReports this node's part of the measurements.
+  /// \param otherNodes number of other nodes in service.
+  void updateProgramLimits(const std::vector<routing::ServiceReport>& ownReports,
+                           std::size_t otherNodes);
+  /// \return load and measurements of each service with engines.
+  [[nodiscard]] std::vector<routing::ProgramSignal> programSignals(
+      const std::vector<routing::ServiceReport>& ownReports) const;
   void updateReplicaSpeeds(const std::vector<routing::ReplicaPtr>& replicas);
   /// \return the tenants' largest loads at this node; empty while tenants have no shares.
   [[nodiscard]] std::vector<routing::TenantLoad> ownTenantLoads();
@@ -156,6 +164,7 @@
   void checkStopped();
   [[nodiscard]] EdgeSnapshot snapshot() const;
   void addTopicMetrics(EdgeSnapshot& values) const;
+  void addProgramAdmissionMetrics(EdgeSnapshot& values) const;
   [[nodiscard]] bool isReady() const;
   /// \return whether this node has internal ports for calls between nodes.
   [[nodiscard]] bool hasPeers() const { return settings_.firstInternalPort != 0; }
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -72,6 +72,7 @@
   for (const auto& [zone, since] : evacuations_.zones()) {
     values.evacuatedZones.push_back({zone, ageMilliseconds(now, since)});
   }
+  addProgramAdmissionMetrics(values);
   return values;
 }
 
@@ -88,4 +89,14 @@
   values.isTopicReader = topicReaders_.isReader() ? 1 : 0;
 }
 
+void EdgeDaemon::addProgramAdmissionMetrics(EdgeSnapshot& values) const {
+  if (!context_.programAdmission) {
+    return;
+  }
+  values.programsNotAdmitted = context_.programAdmission->refusals();
+  for (const auto& [service, limit] : context_.programAdmission->limits()) {
+    values.programLimits.push_back({service, percentOf(limit)});
+  }
+}
+
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -179,14 +179,16 @@
       std::all_of(replicas.begin(), replicas.end(),
                   [](const routing::ReplicaPtr& replica) { return replica->inFlight == 0; });
   hasRequestsInFlight_ = !isIdle;
+  const routing::LoadReports reports = localReports(replicas);
   if (servesClients_ || !isIdle) {
-    loadExchange_.send(replicas, peers, localReports(replicas), clock_());
+    loadExchange_.send(replicas, peers, reports, clock_());
   }
   if (settings_.uses(Mechanism::LoadDigests)) {
     fleetLoad_.apply(replicas_, {peers.sameRegion.size(), peers.otherRegions.size()}, clock_());
     context_.retryControl.updateFleet(fleetLoad_.reports(),
                                       peers.sameRegion.size() + peers.otherRegions.size());
   }
+  updateProgramLimits(reports.services, peers.sameRegion.size() + peers.otherRegions.size());
   updateReplicaSpeeds(replicas);
   updateTenantShares(peers.sameRegion.size() + peers.otherRegions.size());
   updateColdReplicas();
--- a/src/edge/edge_daemon_tenants.cpp
+++ b/src/edge/edge_daemon_tenants.cpp
@@ -15,20 +15,6 @@
 /// entries take 192 bytes, so that the digest still fits into one datagram.
 constexpr std::size_t kMaximumReportedTenants = 16;
 
-/// \return the load and the slots of the replicas that can take requests.
-routing::ServiceLoad serviceLoadOf(const std::vector<routing::ReplicaPtr>& replicas, Instant now) {
-  routing::ServiceLoad sum;
-  for (const routing::ReplicaPtr& replica : replicas) {
-    const bool isUsable =
-        replica->acceptsRequests() && replica->suspectUntil <= now && !replica->graceUntil;
-    if (isUsable) {
-      sum.load += replica->load();
-      sum.slots += replica->entry.slots;
-    }
-  }
-  return sum;
-}
-
 }  // namespace
 
 std::vector<routing::TenantLoad> EdgeDaemon::ownTenantLoads() {
@@ -42,13 +28,13 @@
     return;
   }
   routing::TenantSharesInput input{{}, configuration->tenants, fleetLoad_.reports(), otherNodes};
-  const double limit = admissionKnobsOf(settings_).firstTurn;
+  const auto& programs = context_.programAdmission;
+  const double fixedLimit = admissionKnobsOf(settings_).firstTurn;
   for (const auto& [name, service] : configuration->services) {
     if (service.engine) {
-      routing::ServiceLoad load = serviceLoadOf(replicas_.ofService(name), clock_());
-      load.service = name;
-      load.limitPerSlot = limit;
-      input.services.push_back(load);
+      const routing::ServiceLoad load = routing::serviceLoadOf(replicas_, name);
+      const double limit = programs ? programs->limitOf(name) : fixedLimit;
+      input.services.push_back({name, load.requests, load.slots, limit});
     }
   }
   tenantShares_.update(input);
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -63,7 +63,7 @@
 
 routing::AdmissionKnobs admissionKnobsOf(const EdgeSettings& settings) {
   if (!settings.uses(Mechanism::Admission)) {
-    return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0};
+    return {kNoLimit, kNoLimit, kNoLimit, kNoLimit, kNoLimit, 0, 0, kNoLimit};
   }
   routing::AdmissionKnobs knobs;
   if (settings.overloadControl && settings.uses(Mechanism::PromptLocality)) {
@@ -74,6 +74,13 @@
   return knobs;
 }
 
+std::optional<routing::ProgramAdmission> programAdmissionOf(const EdgeSettings& settings) {
+  if (!settings.overloadControl || !settings.uses(Mechanism::ProgramAdmission)) {
+    return std::nullopt;
+  }
+  return routing::ProgramAdmission({});
+}
+
 routing::ColdReplicaKnobs coldReplicaKnobsOf(const EdgeSettings& settings) {
   routing::ColdReplicaKnobs knobs;
   knobs.overshoot = settings.bounds.coldOvershoot;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -118,6 +118,17 @@
   }
 }
 
+void addProgramAdmission(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("program_limit_percent",
+              "Load of a service up to which programs start, in percent of its slots",
+              MetricType::Gauge);
+  for (const ProgramLimit& limit : snapshot.programLimits) {
+    list.add(limit.percent, {{"service", limit.service}});
+  }
+  list.counter("programs_not_admitted_total", "Programs refused at their start by that limit",
+               snapshot.programsNotAdmitted);
+}
+
 void addServiceTimes(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("replicas_slow", "Replicas that take 1.5 times as long as usual, or longer",
              snapshot.replicasSlow);
@@ -225,6 +236,7 @@
   addQuotas(list, snapshot);
   addRetention(list, snapshot);
   addClusterState(list, snapshot);
+  addProgramAdmission(list, snapshot);
   addServiceTimes(list, snapshot);
   addUnreadable(list, snapshot);
   addTenantShares(list, snapshot);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -20,6 +20,12 @@
   std::uint64_t knownForMilliseconds = 0;  ///< Since this node read the evacuation record.
 };
 
+/// Learned limit for programs that start at a service.
+struct ProgramLimit {
+  std::string service;
+  std::uint64_t percent = 0;  ///< Of the service's slots.
+};
+
 /// Duration of a service's recent requests relative to unloaded replicas.
 struct ServiceInflation {
   std::string service;
@@ -102,6 +108,9 @@
   std::uint64_t loadDigestsUnreadable = 0;
   /// Gauge: how long this node has known of each evacuated zone. Deployments have few zones.
   std::vector<ZoneEvacuation> evacuatedZones{};
+  /// Gauge, for each service with engines; empty without program admission.
+  std::vector<ProgramLimit> programLimits{};
+  std::uint64_t programsNotAdmitted = 0;
   std::vector<ServiceInflation> inflations{};  ///< Gauge.
   /// Gauge: services with engines, while tenants share them. Deployments have few services.
   std::vector<ServiceCapacity> serviceCapacities{};
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -18,17 +18,48 @@
   query.replica.isConnected = [this](const routing::Replica& replica) {
     return context_.client.hasIdleConnection(replica.entry.address);
   };
-  // A request that may have run is exempt from admission control: refusing it would waste work and
-  // wrongly imply that it was not executed.
-  const bool canBeRefused = checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
-  if (canBeRefused) {
+  if (isSubjectToAdmission()) {
     query.admission = routing::AdmissionRequest{stage(), checked_.priority, checked_.turnName};
     query.admission->isTenantAboveShare =
         query.admission->stage == routing::WorkStage::Continuing && tenantLimit().has_value();
+    if (context_.programAdmission) {
+      query.admission->programLimit = context_.programAdmission->limitOf(checked_.service);
+    }
   }
   return query;
 }
 
+// A request that may have run is exempt: refusing it would waste work and wrongly imply that it was
+// not executed.
+bool Exchange::isSubjectToAdmission() const {
+  return checked_.hasEngine && isStreaming() && !mayHaveRun_ && !streamBegun_;
+}
+
+// A client that resumes a stream has received events, so that its program has started.
+bool Exchange::admitProgram() {
+  const bool starts = isSubjectToAdmission() && request_.lastEventId.empty() &&
+                      stage() == routing::WorkStage::FirstTurn;
+  if (!starts) {
+    return true;
+  }
+  // The tenant's share comes first, so that a refusal for it takes no start from other tenants.
+  const auto limit = tenantLimit();
+  if (limit && !routing::admitsStart(*limit, checked_.turnName)) {
+    refuseAboveTenantShare(*limit);
+    return false;
+  }
+  if (!context_.programAdmission) {
+    return true;
+  }
+  const routing::ProgramDecision decision = context_.programAdmission->decide(
+      {checked_.service, checked_.priority}, context_.placement.loadOf(checked_.service));
+  if (const auto* const refused = std::get_if<routing::ProgramNotAdmitted>(&decision)) {
+    onProgramNotAdmitted(*refused);
+    return false;
+  }
+  return true;
+}
+
 routing::PlacementSubject Exchange::placementSubject() const {
   routing::PlacementSubject subject;
   subject.allowedRegions = checked_.places == nullptr ? nullptr : &checked_.places->regions;
@@ -41,14 +72,7 @@
 }
 
 void Exchange::dispatch() {
-  const routing::PlacementQuery query = placementQuery();
-  const bool starts = query.admission && query.admission->stage == routing::WorkStage::FirstTurn;
-  const auto limit = tenantLimit();
-  if (starts && limit && !routing::admitsStart(*limit, checked_.turnName)) {
-    refuseAboveTenantShare(*limit);
-    return;
-  }
-  const routing::Placement placement = context_.placement.place(query, context_.clock());
+  const routing::Placement placement = context_.placement.place(placementQuery(), context_.clock());
   if (const auto* const placed = std::get_if<routing::Placed>(&placement)) {
     sendIfInTime(placed->replica);
   } else if (const auto* const none = std::get_if<routing::NoReplica>(&placement)) {
@@ -80,12 +104,30 @@
   if (context_.knobs.limitsOverduePrograms && isOverdue()) {
     return routing::WorkStage::Overdue;
   }
-  const bool hasBegun = !request_.previousTurnId.empty() || known > request_.maximumTokens;
-  return hasBegun ? routing::WorkStage::Continuing : routing::WorkStage::FirstTurn;
+  return hasStarted() ? routing::WorkStage::Continuing : routing::WorkStage::FirstTurn;
+}
+
+bool Exchange::hasStarted() const {
+  return !request_.previousTurnId.empty() ||
+         context_.ledger.knownTokenUse(checked_.programName) > request_.maximumTokens;
 }
 
 bool Exchange::isOverdue() const {
-  return request_.programTimeLeft && *request_.programTimeLeft <= context_.clock() - arrivedAt_;
+  if (!request_.programTimeLeft) {
+    return false;
+  }
+  return *request_.programTimeLeft - (context_.clock() - arrivedAt_) <= leastTimeNeeded();
+}
+
+// Zero for a stream that is resumed: a part of its turn has run already.
+Duration Exchange::leastTimeNeeded() const {
+  const bool isWholeTurn = checked_.hasEngine && isStreaming() && !streamBegun_ && !mayHaveRun_ &&
+                           request_.lastEventId.empty();
+  if (!context_.programAdmission || context_.serviceTimes == nullptr || !isWholeTurn) {
+    return Duration::zero();
+  }
+  return context_.serviceTimes->unloadedDuration(checked_.service, workSize())
+      .value_or(Duration::zero());
 }
 
 std::uint32_t Exchange::replicaPriority() const {
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -82,6 +82,23 @@
   refuse({kUnavailable, "replicas_busy", retryAfter});
 }
 
+void Exchange::onProgramNotAdmitted(const routing::ProgramNotAdmitted& refused) {
+  const Duration retryAfter = retryDelay(context_.knobs.retryAfterOverload);
+  context_.log.logRefusal(
+      "placement_refused", {request_.programId, "program_not_admitted"},
+      {{"request", request_.requestId},
+       {"program", request_.programId},
+       {"reason", "program_not_admitted"},
+       {"service", checked_.service},
+       {"priority", std::uint64_t{checked_.priority}},
+       {"limit_percent", percentOf(refused.limit)},
+       {"service_load_percent", percentOf(refused.load)},
+       {"decided_by", routing::programRefusalCauseName(refused.cause)},
+       {"reporting_nodes", std::uint64_t{context_.programAdmission->reportingNodes()}},
+       {"retry_ms", wholeMilliseconds(retryAfter)}});
+  refuse({kUnavailable, "program_not_admitted", retryAfter});
+}
+
 void Exchange::logQuotaUnknown(const quota::QuotaDecision& decision) {
   const quota::QuotaTrace trace = decision.trace.value_or(quota::QuotaTrace{});
   const std::string answerAge =
--- a/src/routing/admission_policy.cpp
+++ b/src/routing/admission_policy.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstddef>
 
 namespace gorsetrail::routing {
@@ -26,8 +27,14 @@
     limit = knobs_.runaway;
   } else if (request.stage == WorkStage::Overdue) {
     limit = knobs_.overdue;
+    if (request.programLimit) {
+      limit = std::min(limit, knobs_.overdueFraction * *request.programLimit);
+    }
   } else if (request.stage == WorkStage::FirstTurn || request.isTenantAboveShare) {
     limit = knobs_.firstTurn;
+    if (request.isTenantAboveShare && request.programLimit) {
+      limit = std::min(limit, *request.programLimit);
+    }
   }
   const bool isLimited = request.stage == WorkStage::Runaway || request.stage == WorkStage::Overdue;
   if (request.priority == 0 && !isLimited) {
--- a/src/routing/tenant_shares.cpp
+++ b/src/routing/tenant_shares.cpp
@@ -43,7 +43,7 @@
   requestsPerReport_ =
       reporting == 0 ? 1.0 : std::max(1.0, otherNodes / static_cast<double>(reporting));
   std::set<NameHash> present;
-  for (const ServiceLoad& service : input.services) {
+  for (const SharedService& service : input.services) {
     const NameHash hash = nameHashOf(service.service);
     present.insert(hash);
     updateScarcity(service, part);
@@ -56,7 +56,7 @@
   std::erase_if(divisions_, [&](const auto& entry) { return !present.contains(entry.first); });
 }
 
-void TenantShares::updateScarcity(const ServiceLoad& service, double part) {
+void TenantShares::updateScarcity(const SharedService& service, double part) {
   ServiceScarcity& state = divisions_[nameHashOf(service.service)].state;
   state.service = service.service;
   state.load = service.load;
--- a/src/routing/tenant_shares.h
+++ b/src/routing/tenant_shares.h
@@ -48,7 +48,7 @@
 };
 
 /// Load and capacity of a service with engines.
-struct ServiceLoad {
+struct SharedService {
   std::string_view service;
   /// Requests in flight at its replicas: this node's, and those of other nodes if known.
   double load = 0;
@@ -59,7 +59,7 @@
 
 /// Inputs of `TenantShares::update`.
 struct TenantSharesInput {
-  std::vector<ServiceLoad> services;
+  std::vector<SharedService> services;
   /// Null: requests belong to no tenant.
   std::shared_ptr<const tenant::TenantDirectory> tenants;
   const FleetReports& fleet;
@@ -131,7 +131,7 @@
     std::unordered_map<NameHash, TenantShare> uses;
   };
 
-  void updateScarcity(const ServiceLoad& service, double part);
+  void updateScarcity(const SharedService& service, double part);
   void divide(NameHash service, Division& division, const TenantSharesInput& input);
   void refreshWeights(const std::shared_ptr<const tenant::TenantDirectory>& tenants);
   /// \return the loads of all tenants that have requests in flight at the service.
