Time to the first byte of a stream is the time to its first event

The edge sends the head of a stream with its first event, so that an engine's early head gives the caller nothing. With times to the head the check before dispatch would let requests pass that no caller can get an event of in time.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -201,7 +201,8 @@
   Instant dispatchedAt_;
   ReplicaHead head_;
   bool headReceived_ = false;
-  Instant headReceivedAt_;
+  /// When the client could receive the first byte: the response head; of a stream the first event.
+  Instant answerBeganAt_;
   bool hadFreeSlot_ = false;                ///< The replica had a free slot at the dispatch.
   std::uint64_t eventsBeforeDispatch_ = 0;  ///< Received in earlier dispatches.
   /// The dispatch was counted as a failure, because no head arrived within
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -89,7 +89,7 @@
     return;
   }
   headReceived_ = true;
-  headReceivedAt_ = context_.clock();
+  answerBeganAt_ = context_.clock();
   replica_->lastDataAt = context_.clock();
   head_ = context_.wire.readReplicaHead(status, headers);
   if (!streamBegun_) {
@@ -116,7 +116,9 @@
     body_ += part;
     return;
   }
+  const bool isFirstEvent = progress_.eventsReceived() == eventsBeforeDispatch_;
   if (progress_.receive(part)) {
+    answerBeganAt_ = isFirstEvent ? context_.clock() : answerBeganAt_;
     releaseOutput();
   }
 }
--- a/src/edge/exchange_service_times.cpp
+++ b/src/edge/exchange_service_times.cpp
@@ -25,7 +25,7 @@
     return;
   }
   routing::AnsweredRequest answered;
-  answered.firstByte = headReceivedAt_ - dispatchedAt_;
+  answered.firstByte = answerBeganAt_ - dispatchedAt_;
   answered.duration = context_.clock() - dispatchedAt_;
   answered.events = progress_.eventsReceived() - eventsBeforeDispatch_;
   answered.promptTokens = request_.promptTokens;
--- a/src/routing/service_time_model.h
+++ b/src/routing/service_time_model.h
@@ -19,9 +19,11 @@
 
 /// Measurements of one dispatch that a replica has answered completely.
 struct AnsweredRequest {
-  Duration firstByte = Duration::zero();  ///< From the dispatch to the head of the response.
-  Duration duration = Duration::zero();   ///< From the dispatch to the end of the response.
-  std::uint64_t events = 0;               ///< Events of the stream; 0: the answer is no stream.
+  /// From the dispatch to the first byte that the client can get: to the head of the response, of a
+  /// stream to the first event, since the edge sends a stream's head with it.
+  Duration firstByte = Duration::zero();
+  Duration duration = Duration::zero();  ///< From the dispatch to the end of the response.
+  std::uint64_t events = 0;              ///< Events of the stream; 0: the answer is no stream.
   std::uint64_t promptTokens = 0;
 };
 
--- a/tests/edge/exchange_service_times_test.cpp
+++ b/tests/edge/exchange_service_times_test.cpp
@@ -27,7 +27,8 @@
     world.context.serviceTimes = &times;
     world.context.knobs.refusesLateDispatches = true;
   }
-  /// Lets the replicas answer turns of four events, the first byte after 30 ms, the end after 90.
+  /// Lets the replicas answer turns of four events: the head after 5 ms, the first event after 30,
+  /// the end after 90.
   void learn() {
     for (int count = 0; count < kSamples; ++count) {
       answerTurn();
@@ -35,8 +36,9 @@
   }
   void answerTurn() {
     const auto view = world.start(ExchangeWorld::request("again"));
-    world.timers.advance(milliseconds(30));
+    world.timers.advance(milliseconds(5));
     world.beginEvents();
+    world.timers.advance(milliseconds(25));
     world.call().body("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     world.timers.advance(milliseconds(60));
     world.call().body("id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
