--- a/tests/routing/tenant_shares_test.cpp
+++ b/tests/routing/tenant_shares_test.cpp
@@ -19,6 +19,7 @@
 std::shared_ptr<const tenant::TenantDirectory> directoryOf(
     const std::vector<std::pair<std::string, double>>& rates) {
   std::vector<tenant::Tenant> tenants;
+  tenants.reserve(rates.size());
   for (const auto& [name, rate] : rates) {
     tenants.push_back({name, {}, {}, {rate, 1}});
   }
