--- a/src/routing/tenant_shares.h
+++ b/src/routing/tenant_shares.h
@@ -92,7 +92,8 @@
 
 /// Divides the capacity of each service with engines among the tenants that use it, by weight, as
 /// long as it is scarce. A tenant's weight is its configured rate; a tenant without a limit has the
-/// mean weight. What a tenant does not use is available to the others at once.
+/// mean weight. What a tenant does not use raises the shares of the others at the next update; a
+/// limited tenant grows into it by `largestRise`.
 ///
 /// A tenant above its share is limited: only a fraction of its programs may start, which is
 /// adjusted at each update until its load is its share. Refusing all of them until the load has
@@ -137,7 +138,8 @@
   /// \return the loads of all tenants that have requests in flight at the service.
   [[nodiscard]] std::unordered_map<NameHash, TenantShare> loadsAt(
       NameHash service, const TenantSharesInput& input) const;
-  /// \param use with the fraction admitted before.
+  /// \param use contains the fraction that was admitted before.
+  /// \return the fraction to admit until the next update.
   [[nodiscard]] double admittedFraction(const TenantShare& use, bool isScarce) const;
 
   TenantSharesKnobs knobs_;
@@ -151,8 +153,9 @@
 };
 
 /// Samples starting programs of a limited tenant. Each attempt is sampled independently, so that
-/// all nodes together admit the fraction without coordination. \param attempt unique id of the
-/// attempt. \return whether the program may start.
+/// all nodes together admit the fraction without coordination.
+/// \param attempt unique id of the attempt.
+/// \return whether the program may start.
 [[nodiscard]] bool admitsStart(const TenantShare& use, std::string_view attempt);
 
 /// A tenant's load and weight at one service.
