Count only refusals of full replicas as rejections; name the reason where only slow replicas are left

A replica that answers 421 is another process at the address and says nothing about the load. A request whose only replica is too slow was refused with no_replica_free and a time to come back, which would be in vain.

--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -52,6 +52,8 @@
   } else if (none.reason) {
     refuse(
         {kUnavailable, std::string(routing::exclusionReasonName(*none.reason)), none.retryAfter});
+  } else if (skippedSlowReplica_) {
+    refuse({kUnavailable, "too_late_to_answer", Duration::zero()});
   } else {
     refuse({kUnavailable, "no_replica_free", context_.knobs.retryAfterFull});
   }
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -152,7 +152,7 @@
 
 void Exchange::onReplicaRefusal() {
   const bool full = head_.status == kUnavailable;
-  if (context_.serviceTimes != nullptr) {
+  if (context_.serviceTimes != nullptr && head_.status != kMisdirected) {
     context_.serviceTimes->noteRejection(checked_.service, context_.clock());
   }
   replica_->fullUntil = context_.clock() + context_.knobs.refusedReplicaAvoidTime;
--- a/tests/edge/exchange_service_times_test.cpp
+++ b/tests/edge/exchange_service_times_test.cpp
@@ -113,6 +113,10 @@
   }
   const auto late = startWith(milliseconds(40));
   STRCMP_EQUAL("too_late_to_answer", late->body.c_str());
+  world.replicas.remove("r2");
+  const auto alone = startWith(milliseconds(40));
+  STRCMP_EQUAL("too_late_to_answer", alone->body.c_str());
+  STRCMP_EQUAL("", alone->retryAfter.c_str());
 }
 
 TEST(ExchangeServiceTimes, aRequestThatMayHaveRunIsNotSentAgainTooLate) {
@@ -168,6 +172,10 @@
   world.call().done();
   LONGS_EQUAL(1, times.report("model", world.timers.now).rejectedPerSecond);
   LONGS_EQUAL(0, times.report("model", world.timers.now).completedPerSecond);
+  const auto misdirected = world.start(ExchangeWorld::request("unsafe"));
+  world.call().head(421, {{"not-run", ""}});
+  world.call().done();
+  LONGS_EQUAL(1, times.report("model", world.timers.now).rejectedPerSecond);
   const auto failed = world.start(ExchangeWorld::request("unsafe"));
   world.call().head(500, {});
   world.call().done();
--- a/tests/routing/service_times_test.cpp
+++ b/tests/routing/service_times_test.cpp
@@ -29,6 +29,7 @@
   ReplicaTable table;
   ServiceTimes times;
   FleetLoad fleet{{}};
+  std::uint64_t number = 0;
   std::uint64_t sequence = 0;
   std::size_t speedEntries = 0;  ///< Entries in the latest digest.
 
@@ -42,6 +43,7 @@
   Fleet() {
     for (std::size_t index = 0; index < kNodes; ++index) {
       nodes.push_back(std::make_unique<Node>());
+      nodes.back()->number = index;
       for (std::size_t number = 0; number < kReplicas; ++number) {
         ReplicaEntry entry;
         entry.id = "r" + std::to_string(number);
@@ -73,7 +75,7 @@
       if (random.below(2) == 0) {
         answer(*node, random.below(kReplicas));
       }
-      LoadDigest digest{reinterpret_cast<std::uintptr_t>(node.get()), ++node->sequence, {}, {}};
+      LoadDigest digest{node->number, ++node->sequence, {}, {}};
       digest.reports.speeds = node->times.speedReports(node->table.all(), now);
       node->speedEntries = digest.reports.speeds.size();
       for (const auto& other : nodes) {
