--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -53,6 +53,7 @@
     refuse(
         {kUnavailable, std::string(routing::exclusionReasonName(*none.reason)), none.retryAfter});
   } else if (skippedSlowReplica_) {
+    ++context_.counters.lateDispatches;
     refuse({kUnavailable, "too_late_to_answer", Duration::zero()});
   } else {
     refuse({kUnavailable, "no_replica_free", context_.knobs.retryAfterFull});
--- a/tests/edge/exchange_service_times_test.cpp
+++ b/tests/edge/exchange_service_times_test.cpp
@@ -117,6 +117,7 @@
   const auto alone = startWith(milliseconds(40));
   STRCMP_EQUAL("too_late_to_answer", alone->body.c_str());
   STRCMP_EQUAL("", alone->retryAfter.c_str());
+  LONGS_EQUAL(2, world.context.counters.lateDispatches);
 }
 
 TEST(ExchangeServiceTimes, aRequestThatMayHaveRunIsNotSentAgainTooLate) {
