Select replicas by expected time where their speeds differ consistently

The selector compared only times to the first byte that this node has measured, from 2.0 times the median on, and placed by load otherwise.

SpeedContrast decides per service, from the merged speeds, whether a fifth of the replicas has been slower by 1.5 times for 3 s. Only then does the selector use the expected time, does admission count the slots of slow replicas for less, and do the preferred replicas for prompts follow the speed by weighted rendezvous hashing. Otherwise the choices are those of before, by the same code.

--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -36,6 +36,7 @@
 #include "routing/locality.h"
 #include "routing/region_rule.h"
 #include "routing/service_times.h"
+#include "routing/speed_contrast.h"
 
 namespace gorsetrail::edge {
 
@@ -129,6 +130,8 @@
   void loadLoop();
   /// \return this node's reports for its load digest; sections of features that are off are empty.
   [[nodiscard]] routing::LoadReports localReports(const std::vector<routing::ReplicaPtr>& replicas);
+  /// Decides for which services replicas are selected by expected time, and logs changes.
+  void updateSpeedSelection();
   void updateReplicaSpeeds(const std::vector<routing::ReplicaPtr>& replicas);
   /// \return whether this node serves clients, has requests in flight or has just dispatched some.
   [[nodiscard]] bool isUsingReplicas();
@@ -203,6 +206,7 @@
   LedgerRelayServer ledgerServer_;
   routing::RouteTable routes_;
   routing::ReplicaTable replicas_;
+  routing::SpeedContrast speedContrast_;
   routing::ReplicaSelector selector_;
   routing::AdmissionPolicy admission_;
   routing::EvacuationTable evacuations_;
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -61,6 +61,11 @@
   values.configurationsUnreadable = unreadableRecords_.count(RecordKind::Configuration);
   values.operatorRecordsUnreadable = unreadableRecords_.count(RecordKind::Operator);
   values.loadDigestsUnreadable = loadExchange_.unreadableDigests();
+  for (const auto& [service, replicas] : replicas_.byService()) {
+    if (!replicas.empty()) {
+      values.speedSelections.push_back({service, speedContrast_.isActive(service)});
+    }
+  }
   for (const auto& [zone, since] : evacuations_.zones()) {
     values.evacuatedZones.push_back({zone, ageMilliseconds(now, since)});
   }
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -186,6 +186,7 @@
     fleetLoad_.apply(replicas_, {peers.sameRegion.size(), peers.otherRegions.size()}, clock_());
   }
   updateReplicaSpeeds(replicas);
+  updateSpeedSelection();
   updateColdReplicas();
   for (const std::string& dropped : replicas_.removeLapsed(clock_())) {
     log_.logImportant("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -108,6 +108,15 @@
   }
 }
 
+void addSpeedSelections(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("speed_selection_active",
+              "1 while replicas of the service are selected by expected time",
+              prometheus::MetricType::Gauge);
+  for (const SpeedSelectionState& selection : snapshot.speedSelections) {
+    list.add(std::uint64_t{selection.active ? 1U : 0U}, {{"service", selection.service}});
+  }
+}
+
 }  // namespace
 
 struct EdgeMetrics::Histograms {
@@ -189,6 +198,7 @@
   addQuotas(list, snapshot);
   addRetention(list, snapshot);
   addClusterState(list, snapshot);
+  addSpeedSelections(list, snapshot);
   addUnreadable(list, snapshot);
   list.counter("log_lines_left_out_total", "Lines over the allowed rate or without room",
                snapshot.logLinesDropped);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -19,6 +19,12 @@
   std::uint64_t knownForMilliseconds = 0;  ///< Since this node read the evacuation record.
 };
 
+/// Whether replicas of a service are selected by expected time.
+struct SpeedSelectionState {
+  std::string service;
+  bool active = false;
+};
+
 /// Values of the node's other components at one moment.
 struct EdgeSnapshot {
   // Calls to the store, by result.
@@ -84,6 +90,7 @@
   std::uint64_t loadDigestsUnreadable = 0;
   /// Gauge: how long this node has known of each evacuated zone. Deployments have few zones.
   std::vector<ZoneEvacuation> evacuatedZones{};
+  std::vector<SpeedSelectionState> speedSelections{};  ///< Gauges, one per service.
 };
 
 /// Request counters and latency histograms. Label cardinality is bounded: outcomes and reasons are
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -28,7 +28,7 @@
                            {"priority", std::uint64_t{checked_.priority}},
                            {"prompt_tokens", request_.promptTokens},
                            {"replica", refused.cheapestReplica->entry.id},
-                           {"load_percent", percentOf(refused.cheapestReplica->loadPerSlot())},
+                           {"load_percent", percentOf(refused.cheapestReplica->timeLoadPerSlot())},
                            {"least_load_percent", percentOf(refused.leastLoadPerSlot)}});
   refuse({kUnavailable, "replicas_busy", context_.knobs.retryAfterOverload});
 }
--- a/src/routing/admission_policy.cpp
+++ b/src/routing/admission_policy.cpp
@@ -33,14 +33,14 @@
   if (request.priority == 0 && !isLimited) {
     limit += knobs_.mostUrgent;
   }
-  return replica.loadPerSlot() < limit;
+  return replica.timeLoadPerSlot() < limit;
 }
 
 bool AdmissionPolicy::hasSpareCapacity(const std::vector<const Replica*>& replicas) const {
   double load = 0;
   std::size_t spare = 0;
   for (const Replica* const replica : replicas) {
-    load += replica->loadPerSlot();
+    load += replica->timeLoadPerSlot();
     spare += isLightlyLoaded(*replica) ? 1 : 0;
   }
   const auto count = static_cast<double>(replicas.size());
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -21,7 +21,8 @@
 /// \return the stage's snake_case name for log lines.
 std::string_view workStageName(WorkStage stage);
 
-/// Load limits of `AdmissionPolicy`, in requests per slot unless stated otherwise.
+/// Load limits of `AdmissionPolicy`, in requests per slot unless stated otherwise. Requests at a
+/// slow replica count by their duration: see `Replica::timeLoadPerSlot`.
 struct AdmissionKnobs {
   double runaway = 0.6;
   /// Overdue programs use what others leave: below this load a turn that is in time still finds a
@@ -62,10 +63,10 @@
   /// \return whether this attempt may go to any replica that admits first turns.
   [[nodiscard]] bool mayOverflow(const AdmissionRequest& request) const;
   [[nodiscard]] bool isLightlyLoaded(const Replica& replica) const {
-    return replica.loadPerSlot() < knobs_.spare;
+    return replica.timeLoadPerSlot() < knobs_.spare;
   }
   [[nodiscard]] bool admitsFirstTurns(const Replica& replica) const {
-    return replica.loadPerSlot() < knobs_.firstTurn;
+    return replica.timeLoadPerSlot() < knobs_.firstTurn;
   }
 
   /// \return whether the replica admits the request.
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -12,7 +12,7 @@
 double leastLoadPerSlotOf(const std::vector<const Replica*>& replicas) {
   double least = std::numeric_limits<double>::max();
   for (const Replica* const replica : replicas) {
-    least = std::min(least, replica->loadPerSlot());
+    least = std::min(least, replica->timeLoadPerSlot());
   }
   return least;
 }
@@ -141,6 +141,17 @@
   std::vector<const Replica*> healthy;
   std::copy_if(allowed.begin(), allowed.end(), std::back_inserter(healthy),
                [now](const Replica* replica) { return replica->isHealthy(now); });
+  const auto isHealthy = [&](const Replica& replica) {
+    return std::find(healthy.begin(), healthy.end(), &replica) != healthy.end();
+  };
+  if (selector_.selectsByTime(query.replica.service)) {
+    // Slow replicas keep free slots while the fast ones are full: the fleet's mean load says
+    // nothing about room, and the cost of processing the prompt again is part of the choice.
+    const auto admits = [&](const Replica& replica) {
+      return admission_.admits(replica, *query.admission) && isHealthy(replica);
+    };
+    return selector_.choose(replicas_, query.replica, admits, now);
+  }
   const bool toSpare = admission_.hasSpareCapacity(healthy);
   const bool toAny = admission_.mayOverflow(*query.admission);
   if (!toSpare && !toAny) {
@@ -149,7 +160,7 @@
   const auto isOverflowTarget = [&](const Replica& replica) {
     const bool hasRoom =
         toAny ? admission_.admitsFirstTurns(replica) : admission_.isLightlyLoaded(replica);
-    return hasRoom && std::find(healthy.begin(), healthy.end(), &replica) != healthy.end();
+    return hasRoom && isHealthy(replica);
   };
   return selector_.choose(replicas_, query.replica, isOverflowTarget, now);
 }
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -6,17 +6,14 @@
 #include <iterator>
 #include <limits>
 
+#include "routing/weighted_rendezvous.h"
+
 namespace gorsetrail::routing {
 namespace {
 
 /// Upper bound of the factor by which a slow replica's load is scaled.
 constexpr double kMaximumSlowness = 8.0;
 
-std::uint64_t rendezvousWeightOf(std::string_view key, std::string_view replicaId) {
-  const std::uint64_t seed = XXH64(key.data(), key.size(), 0);
-  return XXH64(replicaId.data(), replicaId.size(), seed);
-}
-
 bool wasTried(const ReplicaPtr& replica, const ReplicaQuery& query) {
   return query.tried != nullptr &&
          std::find(query.tried->begin(), query.tried->end(), replica) != query.tried->end();
@@ -46,34 +43,61 @@
   return ratio < slownessThreshold ? 1.0 : std::min(ratio, kMaximumSlowness);
 }
 
+/// \return whether the attempt belongs to the given fraction of all attempts.
+bool isSampled(std::string_view attempt, double fraction) {
+  constexpr double kHashCount = 18446744073709551616.0;  // Number of hash values: 2^64.
+  const std::uint64_t hash = XXH64(attempt.data(), attempt.size(), 1);
+  return !attempt.empty() && static_cast<double>(hash) < fraction * kHashCount;
+}
+
 }  // namespace
 
+ReplicaSelector::SpeedUse ReplicaSelector::speedUseFor(const ReplicaQuery& query) const {
+  if (!selectsByTime(query.service)) {
+    return SpeedUse::None;
+  }
+  return isSampled(query.attempt, knobs_.expectedTime.measuringFraction) ? SpeedUse::Ignored
+                                                                         : SpeedUse::Measured;
+}
+
 // With several regions, falls back to the nearest region that has eligible replicas, so that
 // prompts are also cached for requests that are limited to other regions.
-const Replica* ReplicaSelector::preferredReplica(const std::vector<ReplicaPtr>& allowed,
-                                                 std::string_view key) const {
+template <typename ScoreOf>
+const Replica* ReplicaSelector::highestRanked(const std::vector<ReplicaPtr>& allowed,
+                                              const ScoreOf& scoreOf) const {
   const bool looksFurther = zones_ != nullptr && zones_->hasSeveralRegions();
   const Replica* preferred = nullptr;
   Distance nearest = looksFurther ? Distance::OtherRegion : Distance::SameZone;
-  std::uint64_t highest = 0;
-  if (key.empty()) {
-    return nullptr;
-  }
+  decltype(scoreOf(*allowed.front())) highest = 0;
   for (const ReplicaPtr& replica : allowed) {
     const Distance distance = distanceTo(*replica);
     if (distance > nearest) {
       continue;
     }
-    const std::uint64_t weight = rendezvousWeightOf(key, replica->entry.id);
-    if (preferred == nullptr || distance < nearest || weight > highest) {
+    const auto score = scoreOf(*replica);
+    if (preferred == nullptr || distance < nearest || score > highest) {
       preferred = replica.get();
-      highest = weight;
+      highest = score;
       nearest = distance;
     }
   }
   return preferred;
 }
 
+const Replica* ReplicaSelector::preferredReplica(const std::vector<ReplicaPtr>& allowed,
+                                                 std::string_view key, SpeedUse speeds) const {
+  if (key.empty()) {
+    return nullptr;
+  }
+  if (speeds != SpeedUse::Measured) {
+    return highestRanked(
+        allowed, [key](const Replica& replica) { return rendezvousHash(key, replica.entry.id); });
+  }
+  return highestRanked(allowed, [key](const Replica& replica) {
+    return rendezvousScore(key, replica.entry.id, replica.relativeTime.preference);
+  });
+}
+
 Distance ReplicaSelector::distanceTo(const Replica& replica) const {
   if (zones_ != nullptr) {
     return zones_->between(zone_, replica.entry.zone);
@@ -93,8 +117,27 @@
     cost += knobs_.nonPreferredCost +
             knobs_.costPerPromptToken * static_cast<double>(query.promptTokens);
   }
+  return withStateCosts(cost, replica, knobs_.otherZoneCost, query, now);
+}
+
+double ReplicaSelector::timeCostOf(const Replica& replica, double relative, bool preferred,
+                                   const ReplicaQuery& query, Instant now) const {
+  const double slots = std::max(1U, replica.entry.slots);
+  const double load = replica.load();
+  double cost = knobs_.baseCost + std::min(load, slots);
+  cost += std::max(0.0, load + 1.0 - slots) *
+          (query.waitsForSlot ? knobs_.expectedTime.queueingCost : knobs_.expectedTime.refusalCost);
+  if (!preferred) {
+    cost += knobs_.expectedTime.nonPreferredCost +
+            knobs_.costPerPromptToken * static_cast<double>(query.promptTokens);
+  }
+  return withStateCosts(cost * relative, replica, knobs_.expectedTime.otherZoneCost, query, now);
+}
+
+double ReplicaSelector::withStateCosts(double cost, const Replica& replica, double otherZoneCost,
+                                       const ReplicaQuery& query, Instant now) const {
   const Distance distance = distanceTo(replica);
-  cost += distance == Distance::SameZone ? 0.0 : knobs_.otherZoneCost;
+  cost += distance == Distance::SameZone ? 0.0 : otherZoneCost;
   cost += distance == Distance::OtherRegion ? knobs_.otherRegionCost : 0.0;
   const bool needsConnection = query.isConnected && !query.isConnected(replica);
   cost += needsConnection ? knobs_.newConnectionCost : 0.0;
@@ -113,7 +156,8 @@
   allowed.reserve(replicas.size());
   std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(allowed),
                [&](const ReplicaPtr& replica) { return isEligible(*replica); });
-  const Replica* const preferred = preferredReplica(allowed, query.affinityKey);
+  const SpeedUse speeds = speedUseFor(query);
+  const Replica* const preferred = preferredReplica(allowed, query.affinityKey, speeds);
   const double usualMilliseconds = medianAnswerTime(replicas);
   ReplicaPtr chosen;
   double lowest = std::numeric_limits<double>::max();
@@ -122,7 +166,10 @@
       continue;
     }
     const bool isPreferred = preferred == nullptr || replica.get() == preferred;
-    const double cost = costOf(*replica, isPreferred, query, usualMilliseconds, now);
+    const double relative = speeds == SpeedUse::Measured ? replica->relativeTime.toFast : 1.0;
+    const double cost = speeds == SpeedUse::None
+                            ? costOf(*replica, isPreferred, query, usualMilliseconds, now)
+                            : timeCostOf(*replica, relative, isPreferred, query, now);
     if (cost < lowest) {
       lowest = cost;
       chosen = replica;
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "routing/locality.h"
 #include "routing/replica_table.h"
+#include "routing/speed_contrast.h"
 
 namespace gorsetrail::routing {
 
@@ -19,11 +20,40 @@
   std::string_view affinityKey;
   /// Length of the prompt that the preferred replica may have cached; 0: nothing is cached.
   std::uint64_t promptTokens = 0;
+  /// Whether requests may wait for a slot at the service's replicas; others refuse them.
+  bool waitsForSlot = true;
+  /// Unique id of this attempt; selects the attempts that ignore speeds.
+  std::string_view attempt{};
   const std::vector<ReplicaPtr>* tried = nullptr;  ///< Replicas that are not chosen again.
   /// \return whether this node has an idle connection to the replica; unset: unknown.
   std::function<bool(const Replica&)> isConnected;
 };
 
+/// Cost weights of services whose replicas differ in speed (`SpeedContrast`). The unit is the same
+/// as in `ReplicaSelectorKnobs`, whose other weights apply unchanged: a request on an idle fast
+/// replica costs `baseCost`. All of these costs except `otherZoneCost` are multiplied by the
+/// replica's relative duration.
+struct ExpectedTimeKnobs {
+  /// Per request that would have to wait for a slot: with 6 to 8 slots, the wait for one of them is
+  /// an eighth to a fifth of a request.
+  double queueingCost = 4.0;
+  /// Per request above the slots of a replica that refuses requests when it is full: a refusal
+  /// costs a dispatch, and the request after the last attempt.
+  double refusalCost = 60.0;
+  /// Replaces `ReplicaSelectorKnobs::nonPreferredCost`. The load of other nodes is known 100 ms
+  /// late or more, which is the duration of a request: nodes that all send to the least loaded
+  /// replica fill its queue before they see it. Rendezvous hashing spreads requests without that
+  /// delay, so requests leave their preferred replica only for more than a whole request's time.
+  double nonPreferredCost = 30.0;
+  /// Replaces `ReplicaSelectorKnobs::otherZoneCost`. Above the cost of the requests in a full batch
+  /// of 8, so that work moves to another zone where it would wait or meet slow replicas, and not
+  /// because batches differ.
+  double otherZoneCost = 10.0;
+  /// Fraction (0 to 1) of attempts placed as if all replicas were fast, so that very slow replicas
+  /// are still measured and a recovered one is noticed.
+  double measuringFraction = 0.01;
+};
+
 /// Cost weights. The unit is the cost of one more request in a replica's batch.
 struct ReplicaSelectorKnobs {
   /// Cost of a request on an idle replica; scaled by the replica's slowness.
@@ -54,15 +84,19 @@
   double lapsedCost = 10000.0;
   /// The replica has just refused a request because it was at capacity.
   double atCapacityCost = 100.0;
+  ExpectedTimeKnobs expectedTime;
 };
 
 /// Chooses the replica with the lowest cost: its load from all nodes scaled by its recent slowness,
-/// plus the costs in `ReplicaSelectorKnobs`.
+/// plus the costs in `ReplicaSelectorKnobs`. For services whose replicas differ in speed, the cost
+/// is the expected time until the request is complete instead of the load.
 class ReplicaSelector {
  public:
   /// \param zones outlives this object; null: all zones are in one region.
-  ReplicaSelector(std::string zone, ReplicaSelectorKnobs knobs, const ZoneTable* zones = nullptr)
-      : zone_(std::move(zone)), knobs_(knobs), zones_(zones) {}
+  /// \param speeds outlives this object; null: replicas are never selected by expected time.
+  ReplicaSelector(std::string zone, ReplicaSelectorKnobs knobs, const ZoneTable* zones = nullptr,
+                  const SpeedContrast* speeds = nullptr)
+      : zone_(std::move(zone)), knobs_(knobs), zones_(zones), speeds_(speeds) {}
 
   /// \return whether a replica may receive the request.
   using EligibilityFilter = std::function<bool(const Replica&)>;
@@ -72,18 +106,41 @@
   [[nodiscard]] ReplicaPtr choose(const ReplicaTable& table, const ReplicaQuery& query,
                                   const EligibilityFilter& isEligible, Instant now) const;
 
+  /// \return whether replicas of the service are currently selected by expected time.
+  [[nodiscard]] bool selectsByTime(std::string_view service) const {
+    return speeds_ != nullptr && speeds_->isActive(service);
+  }
+
  private:
+  /// How speeds enter a selection.
+  enum class SpeedUse : std::uint8_t {
+    None,      ///< Replicas are selected by load.
+    Ignored,   ///< By expected time, as if all replicas were fast.
+    Measured,  ///< By expected time.
+  };
+  [[nodiscard]] SpeedUse speedUseFor(const ReplicaQuery& query) const;
   /// \return the replica that every node of the zone prefers for the key, by rendezvous hashing
   /// over the eligible replicas; null without a key.
   [[nodiscard]] const Replica* preferredReplica(const std::vector<ReplicaPtr>& allowed,
-                                                std::string_view key) const;
+                                                std::string_view key, SpeedUse speeds) const;
+  /// \return the replica with the highest score among those that may be preferred.
+  template <typename ScoreOf>
+  [[nodiscard]] const Replica* highestRanked(const std::vector<ReplicaPtr>& allowed,
+                                             const ScoreOf& scoreOf) const;
   [[nodiscard]] Distance distanceTo(const Replica& replica) const;
   [[nodiscard]] double costOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
                               double usualMilliseconds, Instant now) const;
+  /// \param relative duration at the replica relative to the service's fast replicas.
+  [[nodiscard]] double timeCostOf(const Replica& replica, double relative, bool preferred,
+                                  const ReplicaQuery& query, Instant now) const;
+  /// \return `cost` with the costs added that do not depend on load and speed.
+  [[nodiscard]] double withStateCosts(double cost, const Replica& replica, double otherZoneCost,
+                                      const ReplicaQuery& query, Instant now) const;
 
   std::string zone_;
   ReplicaSelectorKnobs knobs_;
   const ZoneTable* zones_;
+  const SpeedContrast* speeds_;
 };
 
 }  // namespace gorsetrail::routing
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -32,6 +32,15 @@
 /// Minimum of recent failures for a nonzero failure rate: a single failure is not significant.
 inline constexpr double kMinFailures = 1.5;
 
+/// Durations at a replica relative to those at its service's other replicas, in coarse steps. Set
+/// by `SpeedContrast`; 1 unless the service's replicas differ consistently.
+struct RelativeTime {
+  double toFast = 1.0;      ///< Relative to the service's fast replicas.
+  double toTypical = 1.0;   ///< Relative to the service's median replica, at least 1.
+  double preference = 1.0;  ///< Weight in the choice of the preferred replica for a prompt.
+  std::optional<Instant> differsSince;  ///< Since when the measured duration differs from `toFast`.
+};
+
 /// One incarnation of a replica, with this node's observations of it. Shared with the requests in
 /// flight at it. No state carries over to the next incarnation.
 struct Replica {
@@ -56,6 +65,7 @@
   /// Duration of requests there relative to the service's model, merged from `speed` and the other
   /// nodes' measurements by `ServiceTimes::updateSpeeds`.
   double timeFactor = 1.0;
+  RelativeTime relativeTime;
   SlownessMark slowness;  ///< Whether `timeFactor` has been high for some seconds.
   Instant suspectUntil;   ///< Avoided until then if other replicas are available.
   Instant fullUntil;      ///< At capacity: it refused a request recently.
@@ -85,6 +95,9 @@
   [[nodiscard]] double load() const { return static_cast<double>(inFlight) + othersInFlight; }
   /// \return the load divided by the number of requests that the replica runs concurrently.
   [[nodiscard]] double loadPerSlot() const { return load() / std::max(1U, entry.slots); }
+  /// \return `loadPerSlot` in terms of time: a request at a slow replica occupies a slot for
+  /// longer.
+  [[nodiscard]] double timeLoadPerSlot() const { return loadPerSlot() * relativeTime.toTypical; }
 };
 using ReplicaPtr = std::shared_ptr<Replica>;
 
@@ -119,6 +132,11 @@
   [[nodiscard]] std::vector<std::string> missingFrom(const std::vector<std::string>& ids) const;
 
   [[nodiscard]] const std::vector<ReplicaPtr>& ofService(std::string_view service) const;
+  /// \return the replicas by service; services whose replicas have all left have empty lists.
+  [[nodiscard]] const std::map<std::string, std::vector<ReplicaPtr>, std::less<>>& byService()
+      const {
+    return byService_;
+  }
   /// \return the replica with that id; null if it is not registered.
   [[nodiscard]] ReplicaPtr find(std::string_view id) const;
   /// \return all registered replicas.
