--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -14,7 +14,6 @@
   query.replica.affinityKey = cachesPrompts ? checked_.programName : checked_.turnName;
   query.replica.promptTokens = cachesPrompts ? request_.promptTokens : 0;
   query.replica.waitsForSlot = checked_.hasEngine;
-  query.replica.attempt = checked_.turnName;
   query.replica.tried = &excludedReplicas_;
   query.subject = placementSubject();
   query.replica.isConnected = [this](const routing::Replica& replica) {
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -43,23 +43,8 @@
   return ratio < slownessThreshold ? 1.0 : std::min(ratio, kMaximumSlowness);
 }
 
-/// \return whether the attempt belongs to the given fraction of all attempts.
-bool isSampled(std::string_view attempt, double fraction) {
-  constexpr double kHashCount = 18446744073709551616.0;  // Number of hash values: 2^64.
-  const std::uint64_t hash = XXH64(attempt.data(), attempt.size(), 1);
-  return !attempt.empty() && static_cast<double>(hash) < fraction * kHashCount;
-}
-
 }  // namespace
 
-ReplicaSelector::SpeedUse ReplicaSelector::speedUseFor(const ReplicaQuery& query) const {
-  if (!selectsByTime(query.service)) {
-    return SpeedUse::None;
-  }
-  return isSampled(query.attempt, knobs_.expectedTime.measuringFraction) ? SpeedUse::Ignored
-                                                                         : SpeedUse::Measured;
-}
-
 // With several regions, falls back to the nearest region that has eligible replicas, so that
 // prompts are also cached for requests that are limited to other regions.
 template <typename ScoreOf>
@@ -85,11 +70,11 @@
 }
 
 const Replica* ReplicaSelector::preferredReplica(const std::vector<ReplicaPtr>& allowed,
-                                                 std::string_view key, SpeedUse speeds) const {
+                                                 std::string_view key, bool byTime) const {
   if (key.empty()) {
     return nullptr;
   }
-  if (speeds != SpeedUse::Measured) {
+  if (!byTime) {
     return highestRanked(
         allowed, [key](const Replica& replica) { return rendezvousHash(key, replica.entry.id); });
   }
@@ -117,10 +102,10 @@
     cost += knobs_.nonPreferredCost +
             knobs_.costPerPromptToken * static_cast<double>(query.promptTokens);
   }
-  return withStateCosts(cost, replica, knobs_.otherZoneCost, query, now);
+  return withStateCosts(cost, replica, query, now);
 }
 
-double ReplicaSelector::timeCostOf(const Replica& replica, double relative, bool preferred,
+double ReplicaSelector::timeCostOf(const Replica& replica, bool preferred,
                                    const ReplicaQuery& query, Instant now) const {
   const double slots = std::max(1U, replica.entry.slots);
   const double load = replica.load();
@@ -131,13 +116,13 @@
     cost += knobs_.expectedTime.nonPreferredCost +
             knobs_.costPerPromptToken * static_cast<double>(query.promptTokens);
   }
-  return withStateCosts(cost * relative, replica, knobs_.expectedTime.otherZoneCost, query, now);
+  return withStateCosts(cost * replica.relativeTime.toFast, replica, query, now);
 }
 
-double ReplicaSelector::withStateCosts(double cost, const Replica& replica, double otherZoneCost,
+double ReplicaSelector::withStateCosts(double cost, const Replica& replica,
                                        const ReplicaQuery& query, Instant now) const {
   const Distance distance = distanceTo(replica);
-  cost += distance == Distance::SameZone ? 0.0 : otherZoneCost;
+  cost += distance == Distance::SameZone ? 0.0 : knobs_.otherZoneCost;
   cost += distance == Distance::OtherRegion ? knobs_.otherRegionCost : 0.0;
   const bool needsConnection = query.isConnected && !query.isConnected(replica);
   cost += needsConnection ? knobs_.newConnectionCost : 0.0;
@@ -156,8 +141,8 @@
   allowed.reserve(replicas.size());
   std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(allowed),
                [&](const ReplicaPtr& replica) { return isEligible(*replica); });
-  const SpeedUse speeds = speedUseFor(query);
-  const Replica* const preferred = preferredReplica(allowed, query.affinityKey, speeds);
+  const bool byTime = selectsByTime(query.service);
+  const Replica* const preferred = preferredReplica(allowed, query.affinityKey, byTime);
   const double usualMilliseconds = medianAnswerTime(replicas);
   ReplicaPtr chosen;
   double lowest = std::numeric_limits<double>::max();
@@ -166,10 +151,8 @@
       continue;
     }
     const bool isPreferred = preferred == nullptr || replica.get() == preferred;
-    const double relative = speeds == SpeedUse::Measured ? replica->relativeTime.toFast : 1.0;
-    const double cost = speeds == SpeedUse::None
-                            ? costOf(*replica, isPreferred, query, usualMilliseconds, now)
-                            : timeCostOf(*replica, relative, isPreferred, query, now);
+    const double cost = byTime ? timeCostOf(*replica, isPreferred, query, now)
+                               : costOf(*replica, isPreferred, query, usualMilliseconds, now);
     if (cost < lowest) {
       lowest = cost;
       chosen = replica;
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -22,8 +22,6 @@
   std::uint64_t promptTokens = 0;
   /// Whether requests may wait for a slot at the service's replicas; others refuse them.
   bool waitsForSlot = true;
-  /// Unique id of this attempt; selects the attempts that ignore speeds.
-  std::string_view attempt{};
   const std::vector<ReplicaPtr>* tried = nullptr;  ///< Replicas that are not chosen again.
   /// \return whether this node has an idle connection to the replica; unset: unknown.
   std::function<bool(const Replica&)> isConnected;
@@ -31,8 +29,7 @@
 
 /// Cost weights of services whose replicas differ in speed (`SpeedContrast`). The unit is the same
 /// as in `ReplicaSelectorKnobs`, whose other weights apply unchanged: a request on an idle fast
-/// replica costs `baseCost`. All of these costs except `otherZoneCost` are multiplied by the
-/// replica's relative duration.
+/// replica costs `baseCost`. All of these costs are multiplied by the replica's relative duration.
 struct ExpectedTimeKnobs {
   /// Per request that would have to wait for a slot: with 6 to 8 slots, the wait for one of them is
   /// an eighth to a fifth of a request.
@@ -45,13 +42,6 @@
   /// replica fill its queue before they see it. Rendezvous hashing spreads requests without that
   /// delay, so requests leave their preferred replica only for more than a whole request's time.
   double nonPreferredCost = 30.0;
-  /// Replaces `ReplicaSelectorKnobs::otherZoneCost`. Above the cost of the requests in a full batch
-  /// of 8, so that work moves to another zone where it would wait or meet slow replicas, and not
-  /// because batches differ.
-  double otherZoneCost = 10.0;
-  /// Fraction (0 to 1) of attempts placed as if all replicas were fast, so that very slow replicas
-  /// are still measured and a recovered one is noticed.
-  double measuringFraction = 0.01;
 };
 
 /// Cost weights. The unit is the cost of one more request in a replica's batch.
@@ -112,17 +102,10 @@
   }
 
  private:
-  /// How speeds enter a selection.
-  enum class SpeedUse : std::uint8_t {
-    None,      ///< Replicas are selected by load.
-    Ignored,   ///< By expected time, as if all replicas were fast.
-    Measured,  ///< By expected time.
-  };
-  [[nodiscard]] SpeedUse speedUseFor(const ReplicaQuery& query) const;
   /// \return the replica that every node of the zone prefers for the key, by rendezvous hashing
   /// over the eligible replicas; null without a key.
   [[nodiscard]] const Replica* preferredReplica(const std::vector<ReplicaPtr>& allowed,
-                                                std::string_view key, SpeedUse speeds) const;
+                                                std::string_view key, bool byTime) const;
   /// \return the replica with the highest score among those that may be preferred.
   template <typename ScoreOf>
   [[nodiscard]] const Replica* highestRanked(const std::vector<ReplicaPtr>& allowed,
@@ -130,11 +113,11 @@
   [[nodiscard]] Distance distanceTo(const Replica& replica) const;
   [[nodiscard]] double costOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
                               double usualMilliseconds, Instant now) const;
-  /// \param relative duration at the replica relative to the service's fast replicas.
-  [[nodiscard]] double timeCostOf(const Replica& replica, double relative, bool preferred,
-                                  const ReplicaQuery& query, Instant now) const;
+  /// \return the replica's cost by expected time.
+  [[nodiscard]] double timeCostOf(const Replica& replica, bool preferred, const ReplicaQuery& query,
+                                  Instant now) const;
   /// \return `cost` with the costs added that do not depend on load and speed.
-  [[nodiscard]] double withStateCosts(double cost, const Replica& replica, double otherZoneCost,
+  [[nodiscard]] double withStateCosts(double cost, const Replica& replica,
                                       const ReplicaQuery& query, Instant now) const;
 
   std::string zone_;
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -39,6 +39,7 @@
   double toTypical = 1.0;   ///< Relative to the service's median replica, at least 1.
   double preference = 1.0;  ///< Weight in the choice of the preferred replica for a prompt.
   std::optional<Instant> differsSince;  ///< Since when the measured duration differs from `toFast`.
+  Instant measuredAt;                   ///< When there was last a measurement, if it was slow.
 };
 
 /// One incarnation of a replica, with this node's observations of it. Shared with the requests in
--- a/src/routing/speed_contrast.cpp
+++ b/src/routing/speed_contrast.cpp
@@ -30,6 +30,22 @@
 
 }  // namespace
 
+std::optional<double> SpeedContrast::timeFactorOf(Replica& replica, Instant now) const {
+  RelativeTime& relative = replica.relativeTime;
+  if (relative.toFast <= 1.0) {
+    relative.measuredAt = now;
+    return replica.timeFactor;
+  }
+  const double samples = samplesOf(replica, now);
+  if (samples >= knobs_.minimumSamples) {
+    relative.measuredAt = now;
+    // Without the weight of the assumption that the replica is typical. Otherwise a slow replica
+    // would seem to recover because it gets fewer requests.
+    return std::pow(replica.timeFactor, (samples + kSpeedPriorSamples) / samples);
+  }
+  return now - relative.measuredAt < knobs_.memory ? std::nullopt : std::optional(1.0);
+}
+
 std::vector<SpeedContrast::Measured> SpeedContrast::measure(const std::vector<ReplicaPtr>& replicas,
                                                             Instant now) const {
   std::vector<Measured> measured;
@@ -38,16 +54,7 @@
     if (!replica->acceptsRequests()) {
       continue;
     }
-    const double samples = samplesOf(*replica, now);
-    Measured entry{replica.get(), std::nullopt};
-    if (samples >= knobs_.minimumSamples) {
-      // Without the weight of the assumption that the replica is typical. Otherwise a slow replica
-      // would seem to recover whenever it gets fewer requests.
-      entry.timeFactor = std::pow(replica->timeFactor, (samples + kSpeedPriorSamples) / samples);
-    } else if (replica->relativeTime.toFast <= 1.0) {
-      entry.timeFactor = 1.0;  // Typical. Nodes report only deviating replicas to each other.
-    }
-    measured.push_back(entry);
+    measured.push_back({replica.get(), timeFactorOf(*replica, now)});
   }
   return measured;
 }
--- a/src/routing/speed_contrast.h
+++ b/src/routing/speed_contrast.h
@@ -34,9 +34,13 @@
   /// Time for which a duration must differ from its step before the step changes: longer than a
   /// phase of noise.
   Duration stepConfirmation = seconds(1);
-  /// Weight of a replica's measurements, in requests, from which they count. `Replica::timeFactor`
-  /// of a replica with less is mostly the assumption that it is typical.
-  double minimumSamples = 2.0;
+  /// Weight of measurements, in requests, from which they count for a replica that was slow: one
+  /// request of about 4 s ago.
+  double minimumSamples = 0.3;
+  /// A slow replica without measurements for this time counts as typical. Nodes report only
+  /// deviating replicas, so a recovered one is not measured any more; one that is still slow is
+  /// found again within two seconds.
+  Duration memory = seconds(15);
   /// Exponents of the relative duration in a replica's weight for prompts. While the fast replicas
   /// have free slots, slow ones get next to nothing: at 2.4 times the duration 3% as many prompts
   /// as a fast one. Once they are nearly full, the square makes the load in time equal, so that the
@@ -92,10 +96,12 @@
   /// A replica of one service, as far as its speed matters.
   struct Measured {
     Replica* replica = nullptr;
-    /// Duration relative to the service's model. Unset: not measured, although it was slow before;
-    /// slow replicas get few requests, so that their measurements expire.
+    /// Duration relative to the service's model. Unset: it was slow, and its measurements have
+    /// expired, since it gets few requests.
     std::optional<double> timeFactor;
   };
+  /// \return the replica's duration relative to the model, see `Measured::timeFactor`.
+  [[nodiscard]] std::optional<double> timeFactorOf(Replica& replica, Instant now) const;
   [[nodiscard]] std::vector<Measured> measure(const std::vector<ReplicaPtr>& replicas,
                                               Instant now) const;
   [[nodiscard]] Contrast contrastOf(const std::vector<Measured>& replicas) const;
--- a/tests/routing/replica_selector_test.cpp
+++ b/tests/routing/replica_selector_test.cpp
@@ -1,10 +1,13 @@
 // Selection by load of all nodes, cached prompts, distance, slowness and failures.
 #include "routing/replica_selector.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <set>
 
+#include "base/random.h"
+#include "routing/speed_contrast.h"
+// CppUTest redefines `new`: it comes after the standard headers.
+#include <CppUTest/TestHarness.h>
+
 using namespace gorsetrail;
 using namespace gorsetrail::routing;
 
@@ -195,3 +198,45 @@
   inWest->inFlight = 3;
   CHECK(near.choose(table, query, acceptsRequests, now) == inWest);
 }
+
+// Deployments whose replicas do not differ consistently must be served as before, also while single
+// replicas are measured as slow.
+TEST(ReplicaSelector, choosesAsWithoutSpeedsUntilReplicasDifferConsistently) {
+  SpeedContrast contrast({});
+  const ReplicaSelector withSpeeds("zone-a", {}, nullptr, &contrast);
+  std::vector<ReplicaPtr> replicas;
+  for (int index = 0; index < 12; ++index) {
+    replicas.push_back(add("r" + std::to_string(index), index % 3 == 0 ? "zone-b" : "zone-a"));
+  }
+  RandomSource random(3);
+  int differing = 0;
+  const auto compare = [&](int requests) {
+    for (int request = 0; request < requests; ++request, now += milliseconds(10)) {
+      for (const ReplicaPtr& replica : replicas) {
+        replica->inFlight = static_cast<std::uint32_t>(random.below(16));
+        replica->answerMilliseconds = static_cast<double>(50 + random.below(100));
+      }
+      contrast.update(table, now);
+      ReplicaQuery query;
+      query.service = "s";
+      const std::string key = "program-" + std::to_string(request);
+      query.affinityKey = key;
+      query.promptTokens = random.below(3000);
+      const auto before = selector.choose(table, query, acceptsRequests, now);
+      differing += withSpeeds.choose(table, query, acceptsRequests, now) == before ? 0 : 1;
+    }
+  };
+  for (int phase = 0; phase < 5; ++phase) {
+    for (int index = 0; index < 4; ++index) {  // Noise, and two slow replicas: too few.
+      replicas[static_cast<std::size_t>(index)]->timeFactor = index < 2 || phase % 2 == 0 ? 2.5 : 1;
+    }
+    compare(100);
+  }
+  LONGS_EQUAL(0, differing);
+  for (int index = 0; index < 4; ++index) {
+    replicas[static_cast<std::size_t>(index)]->timeFactor = 2.5;
+    replicas[static_cast<std::size_t>(index)]->othersTimeSamples = 100;
+  }
+  compare(400);
+  CHECK_TRUE(differing > 0);
+}
