--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -89,7 +89,7 @@
     return;
   }
   headReceived_ = true;
-  headReceivedAt_ = context_.clock();
+  answerBeganAt_ = context_.clock();
   replica_->lastDataAt = context_.clock();
   head_ = context_.wire.readReplicaHead(status, headers);
   if (!streamBegun_) {
@@ -116,7 +116,9 @@
     body_ += part;
     return;
   }
+  const bool isFirstEvent = progress_.eventsReceived() == eventsBeforeDispatch_;
   if (progress_.receive(part)) {
+    answerBeganAt_ = isFirstEvent ? context_.clock() : answerBeganAt_;
     releaseOutput();
   }
 }
@@ -194,7 +196,7 @@
 }
 
 bool Exchange::hasAttemptsLeft() const {
-  return refusedDispatches_ < context_.knobs.maximumRefusedTries && timeLeft() > kAnswerMargin;
+  return refusedDispatches_ < context_.knobs.maximumRefusedTries && hasTimeForAnswer();
 }
 
 void Exchange::performStep(RecoveryStep step, const std::string& reason) {
@@ -302,7 +304,7 @@
 }
 
 bool Exchange::mayRerun() const {
-  if (!checked_.route->isIdempotent() || timeLeft() <= kAnswerMargin) {
+  if (!checked_.route->isIdempotent() || !hasTimeForAnswer()) {
     return false;
   }
   if (isStreaming() && resumes_ >= context_.knobs.maximumResumes) {
--- a/src/routing/service_time_model.h
+++ b/src/routing/service_time_model.h
@@ -19,9 +19,11 @@
 
 /// Measurements of one dispatch that a replica has answered completely.
 struct AnsweredRequest {
-  Duration firstByte = Duration::zero();  ///< From the dispatch to the head of the response.
-  Duration duration = Duration::zero();   ///< From the dispatch to the end of the response.
-  std::uint64_t events = 0;               ///< Events of the stream; 0: the answer is no stream.
+  /// From the dispatch to the first byte that the client can get: to the head of the response, of a
+  /// stream to the first event, since the edge sends a stream's head with it.
+  Duration firstByte = Duration::zero();
+  Duration duration = Duration::zero();  ///< From the dispatch to the end of the response.
+  std::uint64_t events = 0;              ///< Events of the stream; 0: the answer is no stream.
   std::uint64_t promptTokens = 0;
 };
 
@@ -42,7 +44,7 @@
   double lowestFirstRatio = 0.4;
   /// Weight, in samples, of the assumption that durations do not depend on the size. Keeps the
   /// slopes of few samples small.
-  double slopePriorSamples = 2;
+  double slopePriorSamples = 0.5;
   /// Answered requests before `lowFirstByte` is known.
   std::size_t minimumFirstBytes = 40;
   /// Quantile of the times to the first byte. Low, because a request is refused where it is too
@@ -87,6 +89,8 @@
   };
 
   [[nodiscard]] double expectedMilliseconds(double events, double kiloTokens) const;
+  /// \return the point with its duration within the bounds around the present fit.
+  [[nodiscard]] Point bounded(const Point& point) const;
   void addFirstPoints();
   void add(const Point& point);
   void fit();
