--- a/tests/routing/speed_selection_test.cpp
+++ b/tests/routing/speed_selection_test.cpp
@@ -333,21 +333,19 @@
   return replay.run(kWarmUp, kDuration, evenly(replay, load));
 }
 
-}  // namespace
-
-TEST_GROUP(SpeedSelection){
-    /// Three zones whose demand varies by half, in different phases, with a period of 12 s.
-    static Replay threeZones(){Replay replay(Selection::ByTime, Kind::Engines);
-for (const char* zone : {"a", "b", "c"}) {
-  replay.addEngines(zone, {kFastFactor, kFastFactor, kSlowFactor});
-}
-for (const char* zone : {"a", "b", "c"}) {
-  replay.addNode(zone);
-  replay.addNode(zone);
-}
-return replay;
+/// Three zones whose demand varies by half, in different phases, with a period of 12 s.
+Replay threeZones() {
+  Replay replay(Selection::ByTime, Kind::Engines);
+  for (const char* zone : {"a", "b", "c"}) {
+    replay.addEngines(zone, {kFastFactor, kFastFactor, kSlowFactor});
+  }
+  for (const char* zone : {"a", "b", "c"}) {
+    replay.addNode(zone);
+    replay.addNode(zone);
+  }
+  return replay;
 }
-static Replay::Rate varying(const Replay& replay, double load) {
+Replay::Rate varying(const Replay& replay, double load) {
   const double mean = load * replay.capacity() / kTurns / static_cast<double>(replay.nodes());
   return [mean](std::size_t node, double milliseconds) {
     constexpr double kPeriod = 12000;
@@ -355,8 +353,10 @@
     return mean * (1.0 + 0.5 * std::sin(2.0 * M_PI * phase));
   };
 }
-}
-;
+
+}  // namespace
+
+TEST_GROUP(SpeedSelection){};
 
 // Guards against equal numbers of requests at replicas of different speed, which keep slow replicas
 // busy for 2.4 times as long as fast ones.
