--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -36,6 +36,7 @@
 #include "routing/locality.h"
 #include "routing/region_rule.h"
 #include "routing/service_times.h"
+#include "routing/speed_contrast.h"
 #include "routing/tenant_share_changes.h"
 #include "routing/tenant_shares.h"
 
@@ -139,6 +140,8 @@
   /// \return load and measurements of each service with engines.
   [[nodiscard]] std::vector<routing::ProgramSignal> programSignals(
       const std::vector<routing::ServiceReport>& ownReports) const;
+  /// Decides for which services replicas are selected by expected time, and logs changes.
+  void updateSpeedSelection();
   void updateReplicaSpeeds(const std::vector<routing::ReplicaPtr>& replicas);
   /// \return the tenants' largest loads at this node; empty while tenants have no shares.
   [[nodiscard]] std::vector<routing::TenantLoad> ownTenantLoads();
@@ -222,6 +225,7 @@
   LedgerRelayServer ledgerServer_;
   routing::RouteTable routes_;
   routing::ReplicaTable replicas_;
+  routing::SpeedContrast speedContrast_;
   routing::ReplicaSelector selector_;
   routing::AdmissionPolicy admission_;
   routing::EvacuationTable evacuations_;
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -191,6 +191,7 @@
   updateProgramLimits(reports.services, peers.sameRegion.size() + peers.otherRegions.size());
   updateReplicaSpeeds(replicas);
   updateTenantShares(peers.sameRegion.size() + peers.otherRegions.size());
+  updateSpeedSelection();
   updateColdReplicas();
   for (const std::string& dropped : replicas_.removeLapsed(clock_())) {
     log_.logImportant("replica_gone", {{"replica", dropped}, {"by", "doubt"}});
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -129,6 +129,15 @@
                snapshot.programsNotAdmitted);
 }
 
+void addSpeedSelections(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.family("speed_selection_active",
+              "1 while replicas of the service are selected by expected time",
+              prometheus::MetricType::Gauge);
+  for (const SpeedSelectionState& selection : snapshot.speedSelections) {
+    list.add(std::uint64_t{selection.active ? 1U : 0U}, {{"service", selection.service}});
+  }
+}
+
 void addServiceTimes(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.gauge("replicas_slow", "Replicas that take 1.5 times as long as usual, or longer",
              snapshot.replicasSlow);
@@ -237,6 +246,7 @@
   addRetention(list, snapshot);
   addClusterState(list, snapshot);
   addProgramAdmission(list, snapshot);
+  addSpeedSelections(list, snapshot);
   addServiceTimes(list, snapshot);
   addUnreadable(list, snapshot);
   addTenantShares(list, snapshot);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -26,6 +26,12 @@
   std::uint64_t percent = 0;  ///< Of the service's slots.
 };
 
+/// Whether replicas of a service are selected by expected time.
+struct SpeedSelectionState {
+  std::string service;
+  bool active = false;
+};
+
 /// Duration of a service's recent requests relative to unloaded replicas.
 struct ServiceInflation {
   std::string service;
@@ -114,8 +120,9 @@
   std::vector<ServiceInflation> inflations{};  ///< Gauge.
   /// Gauge: services with engines, while tenants share them. Deployments have few services.
   std::vector<ServiceCapacity> serviceCapacities{};
-  std::uint64_t tenantsAboveShare = 0;    ///< Gauge: pairs of a tenant and a service.
-  std::uint64_t tenantShareRefusals = 0;  ///< Requests of tenants above their shares.
+  std::uint64_t tenantsAboveShare = 0;                 ///< Gauge: pairs of a tenant and a service.
+  std::uint64_t tenantShareRefusals = 0;               ///< Requests of tenants above their shares.
+  std::vector<SpeedSelectionState> speedSelections{};  ///< Gauges, one per service.
 };
 
 /// Request counters and latency histograms. Label cardinality is bounded: outcomes and reasons are
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -76,7 +76,7 @@
                            {"priority", std::uint64_t{checked_.priority}},
                            {"prompt_tokens", request_.promptTokens},
                            {"replica", refused.cheapestReplica->entry.id},
-                           {"load_percent", percentOf(refused.cheapestReplica->loadPerSlot())},
+                           {"load_percent", percentOf(refused.cheapestReplica->timeLoadPerSlot())},
                            {"least_load_percent", percentOf(refused.leastLoadPerSlot)},
                            {"retry_ms", wholeMilliseconds(retryAfter)}});
   refuse({kUnavailable, "replicas_busy", retryAfter});
--- a/tests/edge/exchange_overload_test.cpp
+++ b/tests/edge/exchange_overload_test.cpp
@@ -67,7 +67,9 @@
     for (int program = 0; program < 200; ++program) {
       const std::string name = "program-" + std::to_string(program);
       routing::PlacementQuery query;
-      query.replica = {"model", name, 2000, nullptr, {}};
+      query.replica.service = "model";
+      query.replica.affinityKey = name;
+      query.replica.promptTokens = 2000;
       query.admission = routing::AdmissionRequest{routing::WorkStage::Continuing, 1, name};
       const auto preferred = placement.place(query, world.timers.now);
       const routing::ReplicaPtr home = std::get<routing::Placed>(preferred).replica;
