--- a/tests/routing/speed_selection_test.cpp
+++ b/tests/routing/speed_selection_test.cpp
@@ -349,7 +349,8 @@
   const double mean = load * replay.capacity() / kTurns / static_cast<double>(replay.nodes());
   return [mean](std::size_t node, double milliseconds) {
     constexpr double kPeriod = 12000;
-    const double phase = milliseconds / kPeriod + static_cast<double>(node / 2) / 3.0;
+    const std::size_t zone = node / 2;
+    const double phase = milliseconds / kPeriod + static_cast<double>(zone) / 3.0;
     return mean * (1.0 + 0.5 * std::sin(2.0 * M_PI * phase));
   };
 }
