--- a/tests/routing/speed_contrast_test.cpp
+++ b/tests/routing/speed_contrast_test.cpp
@@ -22,7 +22,7 @@
     entry.service = "s";
     entry.slots = 8;
     table.upsert(entry);
-    const ReplicaPtr replica = table.find(id);
+    ReplicaPtr replica = table.find(id);
     replica->timeFactor = timeFactor;
     replica->othersTimeSamples =
         1000;  // Enough that the assumption of typical speed is negligible.
@@ -30,6 +30,7 @@
   }
   std::vector<ReplicaPtr> addMany(const std::string& prefix, int count, double timeFactor) {
     std::vector<ReplicaPtr> added;
+    added.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
       added.push_back(add(prefix + std::to_string(index), timeFactor));
     }
