Restore reasons and figures in comments that the rewording removed

Examples are the origin of the cost of other regions, the refusals around planned stops without repeated releases, the reads per second at a zone's reader, and the cost of reading a topic for a zone.

Left out are statements that do not agree with the present constants (the interval of a cold sender's tokens, the calls per second of a backoff) or that depend on the largest deployment known at the time.

Only comments change; no code does. Nothing was built.

--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -14,7 +14,8 @@
 /// Pause between two reads of the configuration. A read through the zone's reader may add the same
 /// again.
 constexpr Duration kConfigurationPause = milliseconds(200);
-/// Failed reads within this time after the start are attributed to the start of the fleet.
+/// Failed reads within this time after the start are attributed to the start of the fleet. When 985
+/// nodes started at once, a node had its first answers within 3.5 s.
 constexpr Duration kStartupTime = milliseconds(4000);
 /// Registrations that disappear within this time after a store outage are attributed to the outage.
 constexpr Duration kOutageRecoveryTime = milliseconds(2000);
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -10,20 +10,23 @@
 namespace {
 
 /// The pause between two reads of the replicas is the larger of the minimum and this time per
-/// member of the zone, which bounds the reads per second at the zone's reader.
+/// member of the zone, which bounds the load of the zone's reader to 250 reads per second.
 constexpr Duration kMinimumReplicaPause = milliseconds(400);
 constexpr Duration kReplicaPausePerMember = milliseconds(4);
-/// Pause between two reads of the members, per member of the zone. Probes report failures sooner.
+/// Pause between two reads of the members, per member of the zone. Bounds the load of the zone's
+/// reader to 100 reads per second. Probes report failures sooner.
 constexpr Duration kMemberPausePerMember = milliseconds(10);
-/// Interval at which a node checks if its changed readiness can be announced.
+/// Interval at which a node checks if its changed readiness can be announced: a fifth of the
+/// shortest heartbeat interval.
 constexpr Duration kAnnounceCheckPeriod = milliseconds(200);
 constexpr Duration kLoadPeriod = milliseconds(100);
 /// Interval at which a node without requests scans its replicas, to end lapsed and cold states.
 constexpr Duration kIdleLoadPeriod = seconds(1);
-/// Lifetime of the cached list of nodes that serve clients.
+/// Lifetime of the cached list of nodes that serve clients. The list changes when a node starts or
+/// ends, and clients learn of that within a second too.
 constexpr Duration kLoadPeersCacheTime = milliseconds(500);
 /// Lifetime of the cached host candidates; otherwise each ledger call would rebuild the list from
-/// all members.
+/// all members, which change their state less often than this.
 constexpr Duration kLedgerCandidatesCacheTime = milliseconds(50);
 
 /// Limit of log lines in one scan of the replicas: the return of a zone changes all its replicas at
@@ -53,8 +56,8 @@
 void EdgeDaemon::onPeerState(const std::string& ip, membership::MemberState state) {
   const bool isSuspectedOrDead =
       state == membership::MemberState::Suspected || state == membership::MemberState::Dead;
-  // Logged as routine, because in a large starting fleet every node learns of many suspects per
-  // second.
+  // Logged as routine, because every node learns of every suspect: 60 lines per second in a
+  // starting fleet of 1,000 nodes.
   log_.logRoutine(isSuspectedOrDead ? "peer_silent" : "peer_answers",
                   {{"node", ip}, {"state", membership::memberStateName(state)}});
 }
@@ -160,7 +163,8 @@
 }
 
 // Lets nodes without requests skip the frequent scans of all replicas, which are expensive in large
-// fleets; such a node has no load to report.
+// fleets: a scan of 10,000 replicas takes over a millisecond, a tenth of the CPU time that a node
+// with 0.12 of a core has between two scans; such a node has no load to report.
 bool EdgeDaemon::isUsingReplicas() {
   const std::uint64_t dispatches = context_.counters.dispatches;
   const bool sent = std::exchange(lastDispatchCount_, dispatches) != dispatches;
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -15,7 +15,8 @@
 }
 
 double capacityOf(const EdgeSettings& settings) {
-  // With a link of at least this bandwidth the CPU, not the link, limits a coordinator.
+  // With a link of at least this bandwidth the CPU, not the link, limits a coordinator: a turn of
+  // 100 KB takes 1 ms of CPU time.
   constexpr double kReferenceLinkMegabitsPerSecond = 1000;
   const double link =
       std::min(1.0, settings.linkMegabitsPerSecond / kReferenceLinkMegabitsPerSecond);
@@ -37,7 +38,8 @@
 
 std::uint64_t maximumUnreadBytesOf(const EdgeSettings& settings) {
   // Leaves room for the ledger's cache, a quarter of the memory, and for the requests in flight
-  // when several listeners reach this limit.
+  // when the listeners for clients and for nodes both reach this limit. Of 88 MB each may take 11,
+  // and an idle process takes some 20.
   constexpr std::uint64_t kShareOfMemory = 8;
   return settings.memoryBytes / kShareOfMemory;
 }
@@ -118,8 +120,8 @@
 }
 
 TurnRetentionKnobs turnRetentionKnobsOf(const EdgeSettings& settings) {
-  // Retained turns are small compared with the ledger's cache; room for about a hundred turns on a
-  // small node.
+  // Retained turns are small compared with the ledger's cache; 2.7 MB of 88 MB hold some 130 turns
+  // of 20 KB.
   constexpr std::uint64_t kShareOfMemory = 32;
   TurnRetentionKnobs knobs;
   knobs.holdStreamEnds = settings.uses(Mechanism::TurnRetention);
--- a/src/edge/load_exchange.h
+++ b/src/edge/load_exchange.h
@@ -26,7 +26,9 @@
   /// fleets.
   std::size_t maximumPeers = 16;
   /// Random peers of other regions that receive each digest. Fewer, because they rarely use this
-  /// region's replicas and traffic between regions is expensive.
+  /// region's replicas and traffic between regions is expensive. Digests to 16 nodes of all regions
+  /// were two fifths of that traffic on a day without faults (three regions, 48 nodes that serve
+  /// clients).
   std::size_t maximumOtherRegionPeers = 3;
   /// While the digest is unchanged, only every n-th call of `send` sends it.
   std::uint32_t sendsPerUnchangedDigest = 4;
--- a/src/edge/member_table.h
+++ b/src/edge/member_table.h
@@ -58,7 +58,8 @@
   /// fewer of the region serve, nodes of all regions.
   std::size_t minimumNearbyNodes = 2;
   /// Minimum number of a zone's nodes named to clients, by descending capacity. Bounds the share of
-  /// clients that must reconnect when one node fails.
+  /// clients that must reconnect when one node fails: losing one of eight moves an eighth of the
+  /// zone's clients.
   std::size_t minimumNamedNodes = 8;
   /// Nodes are added until the named ones have at least this share of the zone's capacity.
   double minimumNamedCapacityShare = 0.4;
--- a/src/edge/peer_monitor.h
+++ b/src/edge/peer_monitor.h
@@ -19,15 +19,15 @@
 
 /// Settings of `PeerMonitor`.
 struct PeerMonitorKnobs {
-  /// Interval between two probes by one node; bounds the cost of the failure detector. Independent
-  /// of the fleet size, a dead node is probed within a few periods.
+  /// Interval between two probes by one node; bounds the cost of the failure detector. With 250 ms,
+  /// a dead node is probed within 1.2 s in 99 of 100 cases, whatever the fleet size.
   Duration probePeriod = milliseconds(250);
   /// Without an answer within this time, two other nodes probe on this node's behalf. Far longer
-  /// than a round trip, because a node with a small share of a core may take tens of milliseconds
-  /// to answer.
+  /// than a round trip, because a node with 0.12 of a core may take tens of milliseconds to answer.
   Duration probeTimeout = milliseconds(100);
   /// A suspect that does not refute the suspicion within this time is declared dead. Long enough
-  /// for the suspicion to reach it and for its refutation to return.
+  /// for the suspicion to reach it and for its refutation to return. A rule of thumb: updates took
+  /// as long to reach 400 nodes in virtual time (note 0005).
   Duration suspicionTimeout = milliseconds(600);
   /// Without any message for this time, a node assumes that its own links failed and suspects no
   /// other node.
--- a/src/edge/quota_exchange.cpp
+++ b/src/edge/quota_exchange.cpp
@@ -5,12 +5,12 @@
 namespace gorsetrail::edge {
 namespace {
 
-/// Timer period while no request waits for tokens.
+/// Timer period while no request waits for tokens: a third of `QuotaKnobs::leaseRenewalInterval`.
 constexpr Duration kTickPeriod = milliseconds(50);
-/// Timer period while requests wait for tokens.
+/// Timer period while requests wait for tokens: a fifth of `QuotaKnobs::replyTimeout`.
 constexpr Duration kWaitingTickPeriod = milliseconds(10);
 /// Lifetime of cached coordinators; selecting them among all members for each request would be too
-/// expensive.
+/// expensive. They change only when a node starts or ends, which probes show a second later.
 constexpr Duration kCoordinatorsCacheTime = milliseconds(50);
 /// Topic name of quota partitions in the rendezvous hash.
 constexpr char kQuotaTopic[] = "quota";
--- a/src/edge/reader_election.h
+++ b/src/edge/reader_election.h
@@ -18,10 +18,10 @@
   /// spread keeps the number of concurrent claims small.
   Duration claimSpread = milliseconds(500);
   /// Additional claim delay of a node with zero capacity, so that nodes with narrow links or little
-  /// CPU claim only if no better node does.
+  /// CPU claim only if no better node does. They serve a zone of 160 nodes ten times slower.
   Duration lowCapacityDelay = milliseconds(1000);
-  /// A node of this capacity has half of `lowCapacityDelay`. Separates machines with narrow links
-  /// from those with wide ones.
+  /// A node of this capacity has half of `lowCapacityDelay`. Chosen between the capacities of
+  /// machines with narrow links, 0.004 to 0.02, and of those with wide ones, 0.25 to 0.5.
   double halfDelayCapacity = 0.05;
   /// A claimed reader that was unreachable is ignored for this time, then tried again.
   Duration suspicionTime = milliseconds(3000);
@@ -36,9 +36,11 @@
 };
 
 /// Limits the reads from the store while the members are unknown, for example when all nodes of a
-/// fleet start together. The most capable nodes of each zone claim to be its topic reader, in a
-/// small topic with one key per zone; all others read through the claimed reader. A claim is no
-/// lock: two readers in one zone only cost extra reads, and the last claim counts.
+/// fleet start together. If each of n nodes then read the topics itself, m replicas that write r
+/// bytes per second would cost the store n * m * r, twelve times its 80 MB/s with 1,000 nodes. The
+/// most capable nodes of each zone claim to be its topic reader, in a small topic with one key per
+/// zone; all others read through the claimed reader. A claim is no lock: two readers in one zone
+/// only cost extra reads, and the last claim counts.
 class ReaderElection {
  public:
   /// The next action of the caller.
--- a/src/edge/shared_topic_store.h
+++ b/src/edge/shared_topic_store.h
@@ -19,8 +19,9 @@
 struct SharedTopicStoreKnobs {
   Duration timeLimit = milliseconds(900);  ///< Of a read through another node.
   /// If no reader is reachable and members times keys is at most this, nodes read the store
-  /// directly. The store's bandwidth allows this for small fleets, which then do not have to wait
-  /// for another reader's claim.
+  /// directly. Each key is written about once a second with 200 B, so 50,000 are 10 MB/s, an eighth
+  /// of what a store sends. Small fleets then do not have to wait a second or more for another
+  /// reader's claim.
   std::size_t maximumMembersTimesKeys = 50000;
 };
 
--- a/src/edge/topic_readers.h
+++ b/src/edge/topic_readers.h
@@ -14,7 +14,8 @@
 
 /// Settings of `TopicReaders`.
 struct TopicReadersKnobs {
-  /// Polling interval of the election while no reader is known.
+  /// Polling interval of the election while no reader is known. Short compared with the claim
+  /// delays.
   Duration activePeriod = milliseconds(50);
   /// Polling interval while a reader is known.
   Duration idlePeriod = milliseconds(500);
--- a/src/edge/turn_retention_policy.h
+++ b/src/edge/turn_retention_policy.h
@@ -3,7 +3,8 @@
 ///
 /// Clients retry a turn only a few times, so that refusing every attempt during a store outage of a
 /// few seconds fails the whole program. Instead, the turn runs at once, and the end of its stream
-/// is held until its record is stored.
+/// is held until its record is stored. Such a run bridges about two seconds of the outage with one
+/// attempt, is not repeated, and completes as soon as the store is back.
 #pragma once
 
 #include <cstddef>
@@ -30,9 +31,11 @@
   /// Time reserved for the run itself, from the request's arrival to the stream's last event.
   Duration runAllowance = milliseconds(250);
   /// Retry-after as a share of the time left until the deadline. Clients wait at most a third of
-  /// that time, by their own clock; the share stays below this limit.
+  /// that time, by their own clock; the share is slightly smaller, so that they never shorten the
+  /// delay.
   double retryAfterShare = 0.32;
-  /// Stream ends held for longer than this are counted and logged.
+  /// Stream ends held for longer than this are counted and logged. The store usually answers within
+  /// a few milliseconds.
   Duration lateThreshold = milliseconds(250);
   /// During an outage, turns are refused when the memory of running turns would exceed this.
   std::size_t maximumRetainedBytes = std::size_t{4} * 1024 * 1024;
--- a/src/edge/unreadable_records.h
+++ b/src/edge/unreadable_records.h
@@ -20,7 +20,7 @@
 /// Settings of `UnreadableRecords`.
 struct UnreadableRecordsKnobs {
   /// Limit of log lines for one kind within `window`. Enough to show that one writer damages many
-  /// records.
+  /// records. Ten lines of some 200 bytes are a hundredth of what a busy node logs.
   std::uint32_t maximumLinesPerWindow = 10;
   Duration window = seconds(10);
   /// Limit of remembered keys for one kind. Records of further keys are counted but not logged.
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -77,7 +77,8 @@
   Duration sweepPeriod = seconds(1);      ///< How often the time limits are checked.
   /// Bytes of blocked writes and of the data queued behind them, over all connections. A connection
   /// that would exceed the limit is closed, so that clients that stop reading cannot exhaust the
-  /// memory.
+  /// memory. Without the limit, a thousand clients that do not read responses of 1 MB end a process
+  /// of 88 MB.
   std::uint64_t maximumUntakenBytes = std::uint64_t{64} * 1024 * 1024;
 };
 
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -29,8 +29,9 @@
 struct BudgetLeaseKnobs {
   bool enabled = true;
   LeaseShares primary{0.45, 0.7};
-  /// The shares leave 0.4 of the budget to a node that counts both leases. The secondary lease's
-  /// single turn must fit the primary share.
+  /// The shares leave 0.4 of the budget to a node that counts both leases. The median program uses
+  /// 0.21 to 0.23 of its budget in all (note 0011). The secondary lease's single turn must fit the
+  /// primary share.
   LeaseShares secondary{0.15, 0.15};
   /// The holder may spend under its lease until this long after it requested the last record of it.
   Duration validity = seconds(20);
--- a/src/quota/quota_coordinator.cpp
+++ b/src/quota/quota_coordinator.cpp
@@ -12,7 +12,7 @@
 /// How long a node keeps renewing leases after a token request, even if it is not the first
 /// candidate.
 constexpr Duration kCoordinationTimeout = seconds(1);
-/// Each hand-over message is sent this often, because datagrams may be lost.
+/// Each hand-over message is sent this often, because one in a hundred datagrams may be lost.
 constexpr int kHandOverCopies = 2;
 
 /// \return the rank of a coordinator; of two with equal claims the higher rank wins.
--- a/src/quota/quota_knobs.h
+++ b/src/quota/quota_knobs.h
@@ -34,7 +34,9 @@
   /// Attempts at one coordinator before the next one is asked.
   std::uint32_t maxAttemptsPerCoordinator = 2;
   /// How often a release is sent again, once per tick. A successor that misses the release waits
-  /// for `yieldTimeout`, which delays its tenants.
+  /// for `yieldTimeout`, which delays its tenants. With one message in a hundred lost, 6.4 of 1,000
+  /// requests were refused around planned stops without repeats and 0.3 with two (120 nodes in
+  /// virtual time).
   std::uint32_t releaseRepeats = 2;
   /// Limit of redirects per request, because nodes may disagree on the coordinator after a
   /// membership change and would redirect in a cycle.
--- a/src/routing/admission_policy.h
+++ b/src/routing/admission_policy.h
@@ -36,7 +36,8 @@
   double spare = 0.5;
   /// Fraction (0 to 1) of attempts of continuing programs that may overflow to any replica that
   /// admits first turns. Each attempt is sampled independently, so that a client that retries at
-  /// other nodes is eventually placed without coordination between nodes.
+  /// other nodes is eventually placed without coordination between nodes. Of programs that try 24
+  /// times, one in a thousand is refused each time.
   double overflowFraction = 0.25;
   /// Added to the limits for routes of priority 0, the most urgent.
   double mostUrgent = 0.25;
--- a/src/routing/cold_replica_rule.h
+++ b/src/routing/cold_replica_rule.h
@@ -71,8 +71,8 @@
   /// lists within seconds of each other, and ended members stay listed for minutes.
   double maxMemberListDifference = 0.25;
   /// Fraction of the limit (0 to 1) per `slot`, for all nodes together, with
-  /// `ColdSharing::StaticShares`. One second overlaps at most three slots of a node, which leaves
-  /// room for random variation.
+  /// `ColdSharing::StaticShares`. One second overlaps at most three slots of a node, 0.36 of the
+  /// limit on average, which leaves room for random variation over many nodes.
   double staticShare = 0.12;
   /// Length of a slot. Unused allowance does not carry over to the next slot.
   Duration slot = milliseconds(500);
@@ -83,7 +83,7 @@
   /// responsive: it cannot have restarted cold.
   Duration responsiveWithin = seconds(2);
   /// Requests per slot to a responsive replica, for each node in unknown state, so that running
-  /// programs keep their replica.
+  /// programs keep their replica with a turn each half second.
   std::uint32_t trustedPerSlot = 1;
   /// Shorter than the interval in which a sender usually gains a token.
   Duration retryAfter = milliseconds(150);
--- a/src/routing/evacuation.h
+++ b/src/routing/evacuation.h
@@ -38,7 +38,8 @@
 
 /// Retry delays of `EvacuationRule`.
 struct EvacuationRuleKnobs {
-  /// Used if every zone is evacuated.
+  /// Used if every zone is evacuated. A rule of thumb, since nobody knows how long that lasts: as
+  /// long as one step of an operator.
   Duration retryAfterEvacuated = milliseconds(1000);
   /// Used until the first listing has been read, which happens shortly after the process starts.
   Duration retryAfterUnknown = milliseconds(250);
--- a/src/routing/region_rule.h
+++ b/src/routing/region_rule.h
@@ -8,7 +8,8 @@
 
 /// Settings of `RegionRule`.
 struct RegionRuleKnobs {
-  /// Used if the allowed regions have no replica; a replacement usually starts within seconds.
+  /// Used if the allowed regions have no replica; a replacement usually starts within seconds. A
+  /// rule of thumb.
   Duration retryAfter = milliseconds(1000);
 };
 
--- a/src/routing/replica_incarnation.h
+++ b/src/routing/replica_incarnation.h
@@ -30,13 +30,14 @@
 [[nodiscard]] IncarnationOrder compareIncarnations(std::optional<ReplicaStart> known,
                                                    std::optional<ReplicaStart> reported);
 
-/// Clock skew between a node and a replica that is tolerated. With more skew, a request sent to the
-/// new process may be attributed to the old one: its outcome is then unknown, or it runs again if
-/// the route allows that.
+/// Clock skew between a node and a replica that is tolerated. NTP keeps the machines of one network
+/// well within this. With more skew, a request sent to the new process may be attributed to the old
+/// one: its outcome is then unknown, or it runs again if the route allows that.
 inline constexpr Duration kMaxClockSkew = milliseconds(100);
 
 /// A start further ahead of this node's clock is rejected. If it were accepted, all later entries
-/// with a correct start would count as outdated.
+/// with a correct start would count as outdated. Clocks that are not synchronized drift by seconds
+/// per day, so a larger lead is rare.
 inline constexpr Duration kMaxClockLead = seconds(60);
 
 /// \param unixMilliseconds this node's wall-clock time.
--- a/src/routing/replica_selector.h
+++ b/src/routing/replica_selector.h
@@ -36,7 +36,8 @@
   /// Covers the price and latency of traffic between zones.
   double otherZoneCost = 0.8;
   /// Added to `otherZoneCost`: traffic between regions costs several times as much and adds a
-  /// longer round trip.
+  /// longer round trip. With 4, traffic between regions was a sixth lower than with 0 on days with
+  /// faults, with the same share of requests served (8 ms between regions, mean of six runs each).
   double otherRegionCost = 4.0;
   /// Covers the price and round trip of a new connection. A replica that has fewer requests by at
   /// least this many is preferred in spite of it.
--- a/src/routing/replica_table.cpp
+++ b/src/routing/replica_table.cpp
@@ -124,7 +124,8 @@
 }
 
 std::vector<std::string> ReplicaTable::missingFrom(const std::vector<std::string>& ids) const {
-  // A hash set, because a linear search per replica takes seconds with 10,000 replicas.
+  // A hash set, because a linear search per replica takes 10^8 comparisons with 10,000 replicas,
+  // seconds on a small node. With the set it takes 5 ms.
   const std::unordered_set<std::string_view> listed(ids.begin(), ids.end());
   std::vector<std::string> missing;
   for (const auto& [id, replica] : byId_) {
