Fault soak: replicas with slots and a queue, tenants, hot tenants and bursts, checks of shares and of recovery

The soak had no load beyond capacity, so that no run showed what overload control does to callers of real processes: its replicas served everything at once, and its programs belonged to no tenant.

Replicas run as many streams as they have slots, queue as many and refuse the rest as not executed. Programs belong to three tenants of different rates. At the end of the recovery, with one zone serving and no other fault, a hot tenant and a burst are played and checked: in the time of other faults a refusal may have another cause.

--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -30,6 +30,13 @@
 
 /// Tells the plan's random numbers from those of clients and replicas.
 constexpr std::uint64_t kPlanStream = 1;
+constexpr std::uint64_t kLoadStream = 3;
+constexpr std::uint64_t kQuietLoadStream = 4;
+/// Of a hot tenant that the checks look at: longer than `TenantShareLimits::longestRefusal`.
+constexpr Duration kShortestHotTenant = milliseconds(2200);
+constexpr Duration kLongestHotTenant = milliseconds(2700);
+constexpr Duration kShortestBurst = milliseconds(1200);
+constexpr Duration kLongestBurst = milliseconds(1700);
 /// Share of the plan's steps that are a whole series.
 constexpr double kShareOfSeries = 0.35;
 
@@ -104,6 +111,10 @@
       return "foreign_entry";
     case SoakFaultKind::ReloadSettings:
       return "reload_settings";
+    case SoakFaultKind::HotTenant:
+      return "hot_tenant";
+    case SoakFaultKind::Burst:
+      return "burst";
     case SoakFaultKind::Configuration:
       break;
   }
@@ -130,4 +141,34 @@
   return faults;
 }
 
+std::vector<SoakFault> planLoads(std::uint64_t seed, Duration length, std::size_t tenants) {
+  RandomSource random(emulator::streamSeed(seed, kLoadStream));
+  std::vector<SoakFault> loads;
+  Duration at = randomDuration(random, kShortestPause, kLongestPause);
+  while (at + kLongestFault < length) {
+    SoakFault load;
+    load.kind = random.below(2) == 0 ? SoakFaultKind::HotTenant : SoakFaultKind::Burst;
+    load.at = at;
+    load.duration = randomDuration(random, kShortestFault, kLongestFault);
+    load.target = random.below(tenants);
+    loads.push_back(load);
+    // One at a time: the generator has one rate.
+    at += load.duration + randomDuration(random, kShortestPause, kLongestPause);
+  }
+  return loads;
+}
+
+std::vector<SoakFault> planQuietLoads(std::uint64_t seed, std::size_t tenants) {
+  RandomSource random(emulator::streamSeed(seed, kQuietLoadStream));
+  SoakFault hot;
+  hot.kind = SoakFaultKind::HotTenant;
+  hot.duration = randomDuration(random, kShortestHotTenant, kLongestHotTenant);
+  hot.target = random.below(tenants);
+  SoakFault burst;
+  burst.kind = SoakFaultKind::Burst;
+  burst.at = hot.duration;
+  burst.duration = randomDuration(random, kShortestBurst, kLongestBurst);
+  return {hot, burst};
+}
+
 }  // namespace gorsetrail::lab
--- a/lab/faultsoak/fault_plan.h
+++ b/lab/faultsoak/fault_plan.h
@@ -27,6 +27,8 @@
   RestartReplica,   ///< It ends, and starts again under its id after the duration.
   ForeignEntry,     ///< Another writer's entry stands among the replicas'.
   EvacuateZone,     ///< A zone is evacuated; its replicas are cold when it is taken back.
+  HotTenant,        ///< One tenant has many times its usual load.
+  Burst,            ///< All tenants together have more load than the replicas serve.
 };
 
 /// \return the kind's name, for reports.
@@ -49,4 +51,12 @@
 std::vector<SoakFault> planFaults(std::uint64_t seed, Duration length, std::size_t nodes,
                                   std::size_t replicas);
 
+/// Load beyond capacity while the other faults strike. Its random numbers are its own, so that a
+/// seed's other faults stay as they are.
+std::vector<SoakFault> planLoads(std::uint64_t seed, Duration length, std::size_t tenants);
+
+/// The loads of the quiet time behind all other faults: a hot tenant, and a burst that follows it.
+/// Their times count from the beginning of that time.
+std::vector<SoakFault> planQuietLoads(std::uint64_t seed, std::size_t tenants);
+
 }  // namespace gorsetrail::lab
--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -1,6 +1,8 @@
 #include "lab/faultsoak/soak_program.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 #include "base/steady_clock.h"
@@ -14,7 +16,6 @@
 constexpr Duration kDeadline = milliseconds(3000);
 constexpr int kMostTurns = 6;
 constexpr int kTurnsOfLoop = 40;
-constexpr int kMostTries = 12;
 /// More than the time to recover holds: who goes on after a loss of all asks until its end.
 constexpr int kMostTriesAfterLoss = 1000;
 /// What a program says that it takes in all, far above what it takes on idle replicas. Nodes grant
@@ -31,6 +32,9 @@
 constexpr double kShareOfLoops = 0.1;
 constexpr unsigned kOk = 200;
 constexpr unsigned kBudgetSpent = 402;
+constexpr unsigned kUnavailable = 503;
+constexpr std::array<std::string_view, 4> kCapacityReasons = {
+    "\"replicas_busy\"", "\"replicas_full\"", "\"program_not_admitted\"", "\"tenant_above_share\""};
 
 }  // namespace
 
@@ -40,8 +44,21 @@
   bool onKeptConnection = false;
 };
 
-SoakProgram::SoakProgram(SoakClients& clients)
-    : clients_(clients), nodeChoice_(clients.nodes.size()) {}
+bool isRefusedForCapacity(const SoakAnswer& answer) {
+  return answer.status == kUnavailable &&
+         std::any_of(kCapacityReasons.begin(), kCapacityReasons.end(),
+                     [&](std::string_view reason) {
+                       return answer.body.find(reason) != std::string::npos;
+                     });
+}
+
+std::string apiKeyOf(const std::string& tenant) { return "key-of-" + tenant; }
+
+SoakProgram::SoakProgram(SoakClients& clients, std::string tenant, int mostTries)
+    : clients_(clients),
+      nodeChoice_(clients.nodes.size()),
+      tenant_(std::move(tenant)),
+      mostTries_(mostTries) {}
 
 void SoakProgram::start(std::function<void()> onEnded) {
   onEnded_ = std::move(onEnded);
@@ -49,11 +66,11 @@
   persisted_ = clients_.random.below(3) > 0;
   loops_ = clients_.random.fraction() < kShareOfLoops;
   turnsWanted_ = loops_ ? kTurnsOfLoop : 1 + static_cast<int>(clients_.random.below(kMostTurns));
-  mostTries_ = kMostTries;
   finishAt_ = steadyNow() + kTimeOfProgram;
   // Room for each turn and a few that have to be sent again.
   budget_ = kTokensOfTurn * static_cast<std::uint64_t>(loops_ ? 5 : 3 * turnsWanted_);
   clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
+  tell(SoakStep::Start);
   sendTurn();
 }
 
@@ -94,10 +111,12 @@
     return;
   }
   if (answer.status != kOk || !answer.whole) {
+    tell(isRefusedForCapacity(answer) ? SoakStep::TurnRefused : SoakStep::TurnFailed);
     retryTurn();
     return;
   }
   ++clients_.turnsAnswered;
+  tell(SoakStep::TurnAnswered);
   ++turnsDone_;
   tries_ = 0;
   if (persisted_) {
@@ -116,7 +135,7 @@
 }
 
 void SoakProgram::storeTurn(const SoakAttempt& attempt) {
-  StoredTurn turn{attempt.id, history_};
+  StoredTurn turn{attempt.id, history_, tenant_};
   if (clients_.storedTurns.size() < kMostStoredTurns) {
     clients_.storedTurns.push_back(std::move(turn));
     ++clients_.storedTurnsSeen;
@@ -160,7 +179,14 @@
   });
 }
 
+void SoakProgram::tell(SoakStep step) const {
+  if (clients_.onStep) {
+    clients_.onStep(step, id_, tenant_);
+  }
+}
+
 void SoakProgram::end(bool well) {
+  tell(SoakStep::End);
   ++clients_.programsEnded;
   clients_.programsFailed += well ? 0 : 1;
   const auto onEnded = std::move(onEnded_);
@@ -195,6 +221,7 @@
       {platform::header::kProgramTimeLeftMs, std::to_string(timeLeft / milliseconds(1))},
       {platform::header::kRequestId, attempt.id},
       {platform::header::kProgramId, id_},
+      {platform::header::kApiKey, apiKeyOf(tenant_)},
       {platform::header::kDeadlineMs, std::to_string(kDeadline.count() / 1000)}};
   const bool isTurn = attempt.route == SoakRoute::Turn || attempt.route == SoakRoute::Resumable;
   if (isTurn) {
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -20,6 +20,16 @@
 struct StoredTurn {
   std::string id;
   std::string history;  ///< Inputs and events of its chain up to its end.
+  std::string tenant;
+};
+
+/// What the checks of overload learn of a program.
+enum class SoakStep : std::uint8_t {
+  Start,         ///< It sends its first turn for the first time.
+  TurnRefused,   ///< For lack of capacity.
+  TurnAnswered,  ///< Whole.
+  TurnFailed,    ///< Any other answer.
+  End,
 };
 
 /// What all programs of a soak share; outlives them.
@@ -39,8 +49,17 @@
   std::uint64_t sentOnKeptConnections = 0;
   /// Of these, attempts that ended without any byte of an answer.
   std::uint64_t unansweredOnKeptConnections = 0;
+  /// Optional.
+  std::function<void(SoakStep step, const std::string& program, const std::string& tenant)>
+      onStep{};
 };
 
+/// \return whether the answer says that the service's capacity, or the tenant's part of it, is
+/// used.
+bool isRefusedForCapacity(const SoakAnswer& answer);
+/// \return the API key of a tenant.
+std::string apiKeyOf(const std::string& tenant);
+
 /// One program: turns one after the other, each with a tool call behind it. Some loop until their
 /// budget is spent. It goes on from turns that were answered whole, keeps to a node while a
 /// connection to it is open, and tries again as the protocol allows.
@@ -48,7 +67,10 @@
  public:
   static constexpr std::uint64_t kTokensPerEvent = 10;
 
-  explicit SoakProgram(SoakClients& clients);
+  /// Tries of a turn until the program gives up.
+  static constexpr int kMostTries = 12;
+
+  SoakProgram(SoakClients& clients, std::string tenant, int mostTries = kMostTries);
   /// \param onEnded called once.
   void start(std::function<void()> onEnded);
   /// Goes on from a turn of another program, and asks until it is answered.
@@ -64,6 +86,7 @@
   void onTool(const SoakAttempt& attempt, const SoakAnswer& answer, int triesLeft);
   void retryTurn();
   void end(bool well);
+  void tell(SoakStep step) const;
   /// \return the address that the next request goes to.
   std::string chooseNode(Gathered& gathered);
   void send(const SoakAttempt& attempt, const std::string& method, const std::string& target,
@@ -73,6 +96,7 @@
   NodeChoice nodeChoice_;
   std::function<void()> onEnded_;
   std::string id_;
+  std::string tenant_;
   bool persisted_ = false;  ///< Its turns are kept by the system; else each stands alone.
   bool loops_ = false;
   std::uint64_t budget_ = 0;
@@ -80,7 +104,7 @@
   int turnsDone_ = 0;
   Instant finishAt_{};  ///< When the program should be over.
   int tries_ = 0;
-  int mostTries_ = 0;
+  int mostTries_;
   std::string history_;
   std::string previous_;
 };
--- a/lab/faultsoak/soak_replica.cpp
+++ b/lab/faultsoak/soak_replica.cpp
@@ -13,7 +13,6 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kUnavailable = 503;
-constexpr Duration kEventPause = milliseconds(15);
 constexpr char kStreamPath[] = "/stream/";
 
 std::string eventText(const std::string& requestId, int number) {
@@ -21,11 +20,20 @@
          "\n\n";
 }
 
+void refuse(http::ResponseWriter& writer, const std::string& requestId, unsigned status) {
+  writer.sendWhole(
+      {status,
+       {{platform::header::kNotExecuted, "1"}, {platform::header::kRequestId, requestId}},
+       {}});
+}
+
 }  // namespace
 
 /// A stream under way.
 struct SoakReplica::Stream {
   std::string requestId;
+  std::string body;
+  std::string tenant;
   http::ResponseWriterPtr writer;
   std::uint64_t life = 0;  ///< Of the replica, when the stream began.
   int next = 1;
@@ -33,8 +41,9 @@
 };
 
 SoakReplica::SoakReplica(boost::asio::io_context& context, services::TimerService& timers,
-                         PromiseWatcher& watcher, std::string id, std::uint64_t seed)
-    : timers_(timers), watcher_(watcher), id_(std::move(id)), random_(seed) {
+                         PromiseWatcher& watcher, std::string id, std::uint64_t seed,
+                         SoakReplicaCapacity capacity)
+    : timers_(timers), watcher_(watcher), id_(std::move(id)), random_(seed), capacity_(capacity) {
   http::HttpServerOptions options;
   options.listenAddress = "127.0.0.1:0";
   options.onRequest = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
@@ -78,40 +87,81 @@
     onArrival();
   }
   if (misdirected || random_.fraction() < troubles.refused) {
-    writer->sendWhole(
-        {misdirected ? kMisdirected : kUnavailable,
-         {{platform::header::kNotExecuted, "1"}, {platform::header::kRequestId, requestId}},
-         {}});
+    refuse(*writer, requestId, misdirected ? kMisdirected : kUnavailable);
     return;
   }
-  const int after = std::atoi(headerOf(request, platform::header::kLastEventId).c_str());
-  watcher_.onRun(requestId, request.body, after > 0);
+  if (request.target.find(kStreamPath) != std::string::npos) {
+    auto stream = std::make_shared<Stream>();
+    stream->requestId = requestId;
+    stream->body = request.body;
+    stream->tenant = headerOf(request, platform::header::kTenant);
+    stream->writer = std::move(writer);
+    stream->next = std::atoi(headerOf(request, platform::header::kLastEventId).c_str()) + 1;
+    takeStream(stream);
+    return;
+  }
+  watcher_.onRun(requestId, request.body, false);
   if (random_.fraction() < troubles.lostAnswer) {
     return;  // The writer goes, and the connection with it.
   }
-  if (request.target.find(kStreamPath) == std::string::npos) {
-    writer->sendWhole({kOk, {{platform::header::kRequestId, requestId}}, plainAnswer(requestId)});
+  writer->sendWhole({kOk, {{platform::header::kRequestId, requestId}}, plainAnswer(requestId)});
+}
+
+void SoakReplica::startAgain() {
+  ++life_;
+  running_ = 0;
+  waiting_.clear();
+  held_.clear();
+}
+
+void SoakReplica::takeStream(const std::shared_ptr<Stream>& stream) {
+  const bool slotIsFree = running_ < capacity_.slots;
+  if (!slotIsFree && waiting_.size() >= capacity_.queued) {
+    refuse(*stream->writer, stream->requestId, kUnavailable);
     return;
   }
-  writer->beginStream(
-      kOk, {{platform::header::kRequestId, requestId}, {"Content-Type", "text/event-stream"}});
-  auto stream = std::make_shared<Stream>();
-  stream->requestId = requestId;
-  stream->writer = std::move(writer);
   stream->life = life_;
-  stream->next = after + 1;
+  ++held_[stream->tenant];
+  if (slotIsFree) {
+    run(stream);
+  } else {
+    waiting_.push_back(stream);
+  }
+}
+
+void SoakReplica::run(const std::shared_ptr<Stream>& stream) {
+  ++running_;
+  watcher_.onRun(stream->requestId, stream->body, stream->next > 1);
+  if (random_.fraction() < troubles.lostAnswer) {
+    stream->writer.reset();  // The connection goes with it.
+    release(stream);
+    return;
+  }
+  stream->writer->beginStream(kOk, {{platform::header::kRequestId, stream->requestId},
+                                    {"Content-Type", "text/event-stream"}});
   if (random_.fraction() < troubles.cutStream) {
     stream->cutAfter = static_cast<int>(random_.below(kEventsOfStream)) + 1;
   }
   continueStream(stream);
 }
 
+void SoakReplica::release(const std::shared_ptr<Stream>& stream) {
+  --running_;
+  --held_[stream->tenant];
+  if (!waiting_.empty()) {
+    const std::shared_ptr<Stream> next = waiting_.front();
+    waiting_.pop_front();
+    run(next);
+  }
+}
+
 void SoakReplica::continueStream(const std::shared_ptr<Stream>& stream) {
   if (stream->life != life_) {
     return;  // The writer goes, and the connection with it.
   }
   if (stream->next > kEventsOfStream) {
     stream->writer->endStream();
+    release(stream);
     return;
   }
   stream->writer->write(eventText(stream->requestId, stream->next));
@@ -119,7 +169,10 @@
   ++stream->next;
   timers_.runAfter(kEventPause, [this, stream, cut] {
     if (!cut) {
-      continueStream(stream);  // Else the writer goes, and the connection with it.
+      continueStream(stream);
+    } else if (stream->life == life_) {
+      stream->writer.reset();  // The connection goes with it.
+      release(stream);
     }
   });
 }
--- a/lab/faultsoak/soak_replica.h
+++ b/lab/faultsoak/soak_replica.h
@@ -3,10 +3,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 
 #include "base/random.h"
+#include "base/time.h"
 #include "http/http_server.h"
 #include "lab/faultsoak/promise_watcher.h"
 #include "services/timer_service.h"
@@ -20,20 +24,33 @@
   double cutStream = 0;   ///< It closes amid the stream.
 };
 
+/// Streams that a replica bears; further ones are refused as not executed.
+struct SoakReplicaCapacity {
+  std::size_t slots = 6;   ///< Streams that run at the same time.
+  std::size_t queued = 6;  ///< Streams that wait for a slot, in order of arrival.
+};
+
 class SoakReplica {
  public:
   static constexpr int kEventsOfStream = 4;
+  /// From the first event of a stream to its end, a pause behind each event.
+  static constexpr Duration kEventPause = milliseconds(15);
+  static constexpr Duration kUnloadedTurn = kEventPause * kEventsOfStream;
 
   /// Listens on a free port of 127.0.0.1. All arguments outlive this object.
   SoakReplica(boost::asio::io_context& context, services::TimerService& timers,
-              PromiseWatcher& watcher, std::string id, std::uint64_t seed);
+              PromiseWatcher& watcher, std::string id, std::uint64_t seed,
+              SoakReplicaCapacity capacity = {});
 
   [[nodiscard]] std::string address() const;
   [[nodiscard]] const std::string& id() const { return id_; }
 
   /// The process ends and the next one starts under the same id and address: runs under way are
   /// forgotten, their streams break off. The caller resets the connections.
-  void startAgain() { ++life_; }
+  void startAgain();
+  /// \return streams that run or wait here, by the tenant that the node named.
+  [[nodiscard]] const std::map<std::string, std::size_t>& heldByTenant() const { return held_; }
+  [[nodiscard]] std::size_t slots() const { return capacity_.slots; }
 
   /// \return the data of an event, which a client adds to the history.
   static std::string eventData(const std::string& requestId, int number);
@@ -52,13 +69,22 @@
   struct Stream;
 
   void onRequest(const http::ServerRequest& request, http::ResponseWriterPtr writer);
+  /// Runs the stream at once, lets it wait for a slot, or refuses it.
+  void takeStream(const std::shared_ptr<Stream>& stream);
+  void run(const std::shared_ptr<Stream>& stream);
   void continueStream(const std::shared_ptr<Stream>& stream);
+  /// The stream's slot is free for the next one.
+  void release(const std::shared_ptr<Stream>& stream);
 
   services::TimerService& timers_;
   PromiseWatcher& watcher_;
   std::string id_;
   RandomSource random_;
+  SoakReplicaCapacity capacity_;
   std::uint64_t life_ = 0;  ///< Starts before this one.
+  std::size_t running_ = 0;
+  std::deque<std::shared_ptr<Stream>> waiting_;
+  std::map<std::string, std::size_t> held_;
   http::HttpServerPtr server_;
 };
 
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -47,6 +47,10 @@
 /// From an evacuation's record to the last request that reaches the zone, as in the settings.
 constexpr Duration kEvacuationLimit = seconds(5);
 
+/// Slots of all replicas for each usual program under way: while one zone serves alone, they use
+/// nearly nine tenths of its slots, so that a load beyond theirs is beyond the capacity.
+constexpr std::size_t kSlotsPerProgram = 2;
+
 nlohmann::json route(const char* name, const char* kind, bool persisted, bool resumable) {
   return {
       {"name", name},          {"host", "h"},       {"pathPrefix", std::string("/") + name + "/"},
@@ -78,6 +82,9 @@
 }
 
 void SoakRun::makeWorld() {
+  capacity_.slots =
+      (options_.programs * kSlotsPerProgram + options_.replicas - 1) / options_.replicas;
+  capacity_.queued = capacity_.slots;
   store_ = std::make_unique<StoreStandIn>(context_);
   trap_ = std::make_unique<SoakReplica>(context_, *timers_, watcher_, kTrapId, options_.seed);
   trap_->onMisdirected = [this](const std::string& expected) {
@@ -86,7 +93,7 @@
   for (std::size_t number = 0; number < options_.replicas; ++number) {
     replicas_.push_back(std::make_unique<SoakReplica>(
         context_, *timers_, watcher_, replicaId(number),
-        emulator::streamSeed(options_.seed, kFirstReplicaStream + number)));
+        emulator::streamSeed(options_.seed, kFirstReplicaStream + number), capacity_));
     replicas_.back()->onArrival = [this, number] {
       places_.onArrival(zoneOf(number), replicaId(number), steadyNow());
     };
@@ -105,6 +112,9 @@
     writeSettings(node);
   }
   faults_ = planFaults(options_.seed, options_.length, options_.nodes, options_.replicas);
+  const auto loads = planLoads(options_.seed, options_.length, soakTenants().size());
+  faults_.insert(faults_.end(), loads.begin(), loads.end());
+  overload_ = std::make_unique<SoakOverload>(*clients_, options_.programs);
 }
 
 std::string SoakRun::ipOf(std::size_t node) const {
@@ -127,7 +137,8 @@
        << "\"]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfrontend = \"" << clientAddress(node)
        << "\"\nreadiness = \"" << ip << ":" << kReadinessPort << "\"\ncontrol = \"" << ip << ":"
        << kControlPort << "\"\ndirectory = \"" << ip << ":" << kDirectoryPort
-       << "\"\n[limits]\nmemoryMb = 256\nmaxFds = 1024\n[platform]\naddress = \""
+       << "\"\n[overload]\ncontrol = true\n[limits]\nmemoryMb = 256\nmaxFds = "
+          "1024\n[platform]\naddress = \""
        << store.ways[store.named]->address() << "\"\nparts = 8\n";
   file.close();
   // A node that starts meanwhile reads the file before or after the change, never half of it.
@@ -155,9 +166,10 @@
         route("unsafe", "unsafe", false, false), route("safe", "safe", false, false)}},
       {"services",
        {{{"name", kService},
-         {"engine", {{"slots", 16}, {"streamStride", 10}}},
+         {"engine", {{"slots", capacity_.slots}, {"streamStride", 10}}},
          {"coldStartS", kColdTime / seconds(1)},
-         {"coldPerS", kColdRequestsPerSecond}}}}};
+         {"coldPerS", kColdRequestsPerSecond}}}},
+      {"tenants", tenantDocuments()}};
   store_->put("keyed.op", "config", configuration.dump());
 }
 
@@ -183,7 +195,7 @@
   const Duration coldFor = std::max(Duration::zero(), life.coldUntil - steadyNow());
   const nlohmann::json entry = {
       {"service", kService},      {"address", replicaWays_[replica]->address()},
-      {"zone", zoneOf(replica)},  {"slots", 16},
+      {"zone", zoneOf(replica)},  {"slots", capacity_.slots},
       {"state", "ready"},         {"coldRemainingMs", coldFor / milliseconds(1)},
       {"born", life.startedAtMs}, {"callSeq", ++life.heartbeats}};
   store_->put("keyed.servers", replicaId(replica), entry.dump());
@@ -243,6 +255,8 @@
   scheduleFaults();
   runFor(options_.length);
   checkRecovery();
+  checkOverload();
+  takeBack(kLastEvacuated);
   checkLossOfAll();
   takesPrograms_ = false;
   runFor(seconds(4));
@@ -265,6 +279,7 @@
   looksWithSilence_ += seen.nodeIsSilent ? 1 : 0;
   if (seen.soakStoodStill || seen.nodeIsSilent) {
     places_.onUnrest(now + kEvacuationLimit);
+    overload_->onUnrest();
   }
   if (seen.soakStoodStill) {
     places_.onOwnStall(now);
@@ -275,7 +290,8 @@
 void SoakRun::keepProgramsGoing() {
   while (takesPrograms_ && programsUnderWay_ < options_.programs) {
     ++programsUnderWay_;
-    std::make_shared<SoakProgram>(*clients_)->start([this] {
+    const std::string& tenant = tenantOfProgram(programsBegun_++);
+    std::make_shared<SoakProgram>(*clients_, tenant)->start([this] {
       --programsUnderWay_;
       keepProgramsGoing();
     });
@@ -337,6 +353,10 @@
     case SoakFaultKind::EvacuateZone:
       evacuate(zoneOf(fault.target), std::nullopt);
       break;
+    case SoakFaultKind::HotTenant:
+    case SoakFaultKind::Burst:
+      overload_->begin(fault);
+      break;
   }
   // A process that has just ended and starts again takes no signal.
   ++(struck ? faultsStruck_ : faultsMissed_);
@@ -371,6 +391,10 @@
     case SoakFaultKind::ForeignEntry:
       putForeignEntry(fault, false);
       break;
+    case SoakFaultKind::HotTenant:
+    case SoakFaultKind::Burst:
+      overload_->end();
+      break;
     case SoakFaultKind::KillNode:
     case SoakFaultKind::StopNode:
     case SoakFaultKind::KillAll:
@@ -394,7 +418,25 @@
                   std::to_string(answered) + " turns in the last window"});
   }
   silentLooksInRecovery_ = looksWithSilence_ - silentBefore;
-  takeBack(kLastEvacuated);
+}
+
+// Nodes that stand still would serve late, so such time is not checked.
+void SoakRun::checkOverload() {
+  std::vector<const SoakReplica*> serving;
+  for (std::size_t replica = 0; replica < replicas_.size(); ++replica) {
+    if (zoneOf(replica) != kLastEvacuated) {
+      serving.push_back(replicas_[replica].get());
+    }
+  }
+  overload_->beginChecks(std::move(serving));
+  for (const SoakFault& load : planQuietLoads(options_.seed, soakTenants().size())) {
+    strike(load);
+    runFor(load.duration);
+  }
+  overload_->end();
+  overload_->onBurstEnd();
+  runFor(overload_->checkedAfter());
+  overload_->endChecks();
 }
 
 void SoakRun::checkLossOfAll() {
@@ -408,7 +450,8 @@
   // A copy: who is served stores its own turns.
   const std::vector<StoredTurn> turns = clients_->storedTurns;
   for (int number = 0; number < kProgramsAfterLoss && !turns.empty(); ++number) {
-    std::make_shared<SoakProgram>(*clients_)->startFrom(turns[random_.below(turns.size())]);
+    const StoredTurn& turn = turns[random_.below(turns.size())];
+    std::make_shared<SoakProgram>(*clients_, turn.tenant)->startFrom(turn);
   }
   const Instant lostAt = steadyNow();
   const Duration stalledBefore = stalls_->stalled();
@@ -435,6 +478,9 @@
       {"looks_with_a_silent_node", looksWithSilence_},
       {"of_these_in_recovery", silentLooksInRecovery_},
       {"store_calls", store_->calls},
+      {"programs_beyond_the_usual", overload_->programsStarted()},
+      {"turns_refused_for_capacity", overload_->turnsRefused()},
+      {"burst_was_checked", overload_->burstWasChecked()},
       {"answers", nlohmann::json::object()},
       {"violations", nlohmann::json::array()}};
   for (const auto& [status, count] : watcher_.answers()) {
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -16,6 +16,7 @@
 #include "lab/faultsoak/node_processes.h"
 #include "lab/faultsoak/place_watcher.h"
 #include "lab/faultsoak/promise_watcher.h"
+#include "lab/faultsoak/soak_overload.h"
 #include "lab/faultsoak/soak_program.h"
 #include "lab/faultsoak/soak_replica.h"
 #include "lab/faultsoak/stall_watch.h"
@@ -65,6 +66,8 @@
   void strike(const SoakFault& fault);
   void heal(const SoakFault& fault);
   void checkRecovery();
+  /// A hot tenant and a burst while a zone is evacuated and nothing else strikes.
+  void checkOverload();
   /// Kills all nodes at once; new programs go on from turns that were stored before.
   void checkLossOfAll();
   void setStoreFault(std::size_t node, ProxyFault fault);
@@ -84,6 +87,7 @@
   NodeProcesses processes_;
   http::HttpClientPtr client_;
   std::unique_ptr<StoreStandIn> store_;
+  SoakReplicaCapacity capacity_;  ///< Of each replica.
   std::vector<std::unique_ptr<SoakReplica>> replicas_;
   std::vector<std::unique_ptr<FaultProxy>> replicaWays_;
   /// What a replica says of its process.
@@ -106,8 +110,10 @@
   /// Each puts the limit of the evacuation in `checkRecovery` off.
   std::uint64_t silentLooksInRecovery_ = 0;
   std::unique_ptr<SoakClients> clients_;
+  std::unique_ptr<SoakOverload> overload_;
   std::vector<SoakFault> faults_;
   std::size_t programsUnderWay_ = 0;
+  std::size_t programsBegun_ = 0;
   bool takesPrograms_ = true;
   int version_ = 0;
   std::size_t faultsStruck_ = 0;
