--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -33,10 +33,10 @@
 constexpr std::uint64_t kLoadStream = 3;
 constexpr std::uint64_t kQuietLoadStream = 4;
 /// Of a hot tenant that the checks look at: longer than `TenantShareLimits::longestRefusal`.
-constexpr Duration kShortestHotTenant = milliseconds(2200);
-constexpr Duration kLongestHotTenant = milliseconds(2700);
-constexpr Duration kShortestBurst = milliseconds(1200);
-constexpr Duration kLongestBurst = milliseconds(1700);
+constexpr Duration kShortestHotTenant = milliseconds(3000);
+constexpr Duration kLongestHotTenant = milliseconds(3500);
+constexpr Duration kShortestBurst = milliseconds(1000);
+constexpr Duration kLongestBurst = milliseconds(1500);
 /// Share of the plan's steps that are a whole series.
 constexpr double kShareOfSeries = 0.35;
 
--- a/lab/faultsoak/soak_overload.cpp
+++ b/lab/faultsoak/soak_overload.cpp
@@ -103,7 +103,7 @@
       held[tenant] += count;
     }
   }
-  shares_.onLoads(held, slots);
+  shares_.onLoads(held, slots, steadyNow());
   clients_.timers.runAfter(kLookPeriod, [this] { lookAtLoads(); });
 }
 
@@ -114,7 +114,7 @@
 
 void SoakOverload::endChecks() {
   replicas_.clear();
-  shares_.forget();
+  shares_.check();
   if (!isUnrest_) {
     burst_.check();
     burstWasChecked_ = true;
@@ -134,15 +134,11 @@
       break;
     case SoakStep::TurnRefused:
       ++turnsRefused_;
-      shares_.onRefused(program, tenant, now);
+      shares_.onTurn(program, tenant, true, now);
       break;
     case SoakStep::TurnAnswered:
       burst_.onTurn(program, now);
-      shares_.onOtherEnd(program);
-      break;
-    case SoakStep::TurnFailed:
-    case SoakStep::End:
-      shares_.onOtherEnd(program);
+      shares_.onTurn(program, tenant, false, now);
       break;
   }
 }
--- a/lab/faultsoak/soak_overload.h
+++ b/lab/faultsoak/soak_overload.h
@@ -51,6 +51,9 @@
   /// \return turns that were refused for lack of capacity.
   [[nodiscard]] std::uint64_t turnsRefused() const { return turnsRefused_; }
   [[nodiscard]] std::uint64_t programsStarted() const { return programsStarted_; }
+  [[nodiscard]] const std::map<std::string, TenantShareWatcher::LateTries>& lateTries() const {
+    return shares_.lateTries();
+  }
   [[nodiscard]] bool burstWasChecked() const { return burstWasChecked_; }
 
  private:
--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -111,7 +111,9 @@
     return;
   }
   if (answer.status != kOk || !answer.whole) {
-    tell(isRefusedForCapacity(answer) ? SoakStep::TurnRefused : SoakStep::TurnFailed);
+    if (isRefusedForCapacity(answer)) {
+      tell(SoakStep::TurnRefused);
+    }
     retryTurn();
     return;
   }
@@ -186,7 +188,6 @@
 }
 
 void SoakProgram::end(bool well) {
-  tell(SoakStep::End);
   ++clients_.programsEnded;
   clients_.programsFailed += well ? 0 : 1;
   const auto onEnded = std::move(onEnded_);
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -28,8 +28,6 @@
   Start,         ///< It sends its first turn for the first time.
   TurnRefused,   ///< For lack of capacity.
   TurnAnswered,  ///< Whole.
-  TurnFailed,    ///< Any other answer.
-  End,
 };
 
 /// What all programs of a soak share; outlives them.
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -486,6 +486,9 @@
   for (const auto& [status, count] : watcher_.answers()) {
     report["answers"][std::to_string(status)] = count;
   }
+  for (const auto& [tenant, late] : overload_->lateTries()) {
+    report["turns_below_share"][tenant] = {{"tries", late.tries}, {"refused", late.refused}};
+  }
   for (const SoakViolation& violation : watcher_.violations()) {
     report["violations"].push_back({{"promise", violation.promise},
                                     {"attempt", violation.attempt},
--- a/lab/faultsoak/tenant_share_watcher.cpp
+++ b/lab/faultsoak/tenant_share_watcher.cpp
@@ -4,7 +4,8 @@
 
 namespace gorsetrail::lab {
 
-void TenantShareWatcher::onLoads(const std::map<std::string, std::size_t>& held, double slots) {
+void TenantShareWatcher::onLoads(const std::map<std::string, std::size_t>& held, double slots,
+                                 Instant now) {
   slots_ = slots;
   for (const auto& [tenant, weight] : weights_) {
     const auto found = held.find(tenant);
@@ -12,29 +13,59 @@
     double& load = loads_[tenant];
     load += limits_.smoothing * (seen - load);
   }
-  for (auto entry = refusals_.begin(); entry != refusals_.end();) {
-    entry = isWronged(entry->second.tenant) ? std::next(entry) : refusals_.erase(entry);
+  for (const auto& [tenant, load] : loads_) {
+    if (isWronged(tenant)) {
+      wrongedSince_.try_emplace(tenant, now);
+    } else {
+      wrongedSince_.erase(tenant);
+    }
   }
 }
 
-void TenantShareWatcher::onRefused(const std::string& program, const std::string& tenant,
-                                   Instant now) {
-  if (!isWronged(tenant)) {
-    return;
+void TenantShareWatcher::onTurn(const std::string& program, const std::string& tenant, bool refused,
+                                Instant now) {
+  const auto found = wrongedSince_.find(tenant);
+  if (found == wrongedSince_.end() || !refused) {
+    refusedSince_.erase(program);
+  } else {
+    onRefusedInARow(program, tenant, now);
   }
-  const Instant since = refusals_.try_emplace(program, Refusals{tenant, now}).first->second.since;
+  if (found != wrongedSince_.end() && now - found->second > limits_.longestRefusal) {
+    LateTries& late = lateTries_[tenant];
+    ++late.tries;
+    late.refused += refused ? 1 : 0;
+  }
+}
+
+void TenantShareWatcher::onRefusedInARow(const std::string& program, const std::string& tenant,
+                                         Instant now) {
+  // A tenant that was not wronged meanwhile begins anew.
+  Instant& since = refusedSince_.try_emplace(program, now).first->second;
+  since = std::max(since, wrongedSince_[tenant]);
   if (now - since > limits_.longestRefusal && told_.insert(program).second) {
     violations_.add({"a_tenant_below_its_share_is_served", program,
-                     tenant + " was refused for " +
-                         std::to_string((now - since) / milliseconds(1)) + " ms with a load of " +
-                         std::to_string(loads_[tenant]) + " and a share of " +
-                         std::to_string(shareOf(tenant))});
+                     tenant + ": refused for " + std::to_string((now - since) / milliseconds(1)) +
+                         " ms with a load of " + std::to_string(loads_[tenant]) +
+                         " and a share of " + std::to_string(shareOf(tenant))});
   }
 }
 
 void TenantShareWatcher::forget() {
   loads_.clear();
-  refusals_.clear();
+  wrongedSince_.clear();
+  refusedSince_.clear();
+  lateTries_.clear();
+}
+
+void TenantShareWatcher::check() {
+  for (const auto& [tenant, late] : lateTries_) {
+    const double most = limits_.mostRefused * static_cast<double>(late.tries);
+    if (late.tries >= limits_.leastTries && static_cast<double>(late.refused) > most) {
+      violations_.add({"a_tenant_below_its_share_is_served", "",
+                       tenant + ": " + std::to_string(late.refused) + " of " +
+                           std::to_string(late.tries) + " turns were refused"});
+    }
+  }
 }
 
 bool TenantShareWatcher::isWronged(const std::string& tenant) const {
--- a/tests/fault_soak/fault_plan_test.cpp
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "lab/faultsoak/foreign_entries.h"
+#include "lab/faultsoak/tenant_share_watcher.h"
 
 using namespace gorsetrail;
 using namespace gorsetrail::lab;
@@ -74,3 +75,33 @@
   }
   CHECK(overlaps > faults.size() / 4);
 }
+
+TEST(FaultPlan, loadsFollowFromTheSeedAndLeaveTheOtherFaultsAlone) {
+  const auto loads = planLoads(306, seconds(60), 3);
+  const auto again = planLoads(306, seconds(60), 3);
+  std::set<SoakFaultKind> kinds;
+  CHECK(!loads.empty());
+  for (std::size_t index = 0; index < loads.size(); ++index) {
+    const SoakFault& load = loads[index];
+    kinds.insert(load.kind);
+    CHECK(load.at == again[index].at && load.target == again[index].target);
+    CHECK(load.target < 3 && load.at + load.duration <= seconds(60));
+    CHECK(index == 0 || loads[index - 1].at + loads[index - 1].duration < load.at);
+  }
+  LONGS_EQUAL(2, kinds.size());
+  CHECK(kinds.contains(SoakFaultKind::HotTenant) && kinds.contains(SoakFaultKind::Burst));
+  for (const SoakFault& fault : planFaults(306, seconds(300), 5, 4)) {
+    CHECK_FALSE(kinds.contains(fault.kind));
+  }
+}
+
+// The checks need a hot tenant that lasts longer than a tenant may be refused.
+TEST(FaultPlan, theQuietLoadsLeaveTimeToSeeRefusals) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const auto loads = planQuietLoads(seed, 3);
+    LONGS_EQUAL(2, loads.size());
+    CHECK(loads[0].kind == SoakFaultKind::HotTenant && loads[0].target < 3);
+    CHECK(loads[0].duration > TenantShareLimits{}.longestRefusal + seconds(1));
+    CHECK(loads[1].kind == SoakFaultKind::Burst && loads[1].at == loads[0].duration);
+  }
+}
--- a/tests/fault_soak/soak_replica_test.cpp
+++ b/tests/fault_soak/soak_replica_test.cpp
@@ -2,6 +2,7 @@
 #include "lab/faultsoak/soak_replica.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 
 #include "http/http_client.h"
@@ -104,3 +105,39 @@
   runUntil([this] { return whole.has_value(); });
   STRCMP_EQUAL("i-9", expected.c_str());
 }
+
+// The soak's overload is real only if a full replica makes requests wait and refuses the rest.
+TEST(SoakReplica, fullReplicasQueueAndThenRefuseAsNotRun) {
+  SoakReplica full(*context, *timers, watcher, "i-0", 1, {1, 1});
+  std::map<std::string, unsigned> statuses;
+  std::size_t ended = 0;
+  for (const char* id : {"q1", "q2", "q3"}) {
+    send(id, SoakRoute::Turn);
+    http::Request request;
+    request.method = "POST";
+    request.address = full.address();
+    request.target = "/kept/stream/x";
+    request.headers = {{"Host", "h"},
+                       {platform::header::kRequestId, id},
+                       {platform::header::kTenant, "t-1"},
+                       {platform::header::kExpectInstance, "i-0"}};
+    http::ResponseHandler handler;
+    handler.onHead = [&statuses, id](unsigned status, const std::vector<http::Header>&) {
+      statuses[id] = status;
+    };
+    handler.onDone = [&ended](const http::Response&) { ++ended; };
+    handler.onFailure = [](const http::Failure&) { FAIL("no answer"); };
+    client->send(std::move(request), std::move(handler));
+  }
+  runUntil([&] { return ended == 1; });
+  LONGS_EQUAL(2, full.heldByTenant().at("t-1"));
+  runUntil([&] { return ended == 3; });
+  std::size_t refused = 0;
+  for (const auto& [id, status] : statuses) {
+    refused += status == 503 ? 1 : 0;
+    watcher.onAnswer(id, {status, false, ""});
+  }
+  LONGS_EQUAL(1, refused);
+  LONGS_EQUAL(0, full.heldByTenant().at("t-1"));
+  LONGS_EQUAL(0, watcher.violations().size());
+}
