The learned limit for programs that start is off unless an operator sets it

Callers of customer P lost by it: programs were refused at their start while engines answered at 1.14 to 1.19 of their unloaded time, came back after half a second, and were late.

The setting overload.program_limit switches it on. Shares of tenants divide the smaller of the learned and the fixed limit, so that a learned limit above the fixed one cannot hide scarcity.

--- a/src/edge/edge_daemon_tenants.cpp
+++ b/src/edge/edge_daemon_tenants.cpp
@@ -1,6 +1,7 @@
 // The part of `EdgeDaemon` that divides the capacity of services among tenants.
 #include "edge/edge_daemon.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,7 +34,7 @@
   for (const auto& [name, service] : configuration->services) {
     if (service.engine) {
       const routing::ServiceLoad load = routing::serviceLoadOf(replicas_, name);
-      const double limit = programs ? programs->limitOf(name) : fixedLimit;
+      const double limit = programs ? std::min(programs->limitOf(name), fixedLimit) : fixedLimit;
       input.services.push_back({name, load.requests, load.slots, limit});
     }
   }
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -77,7 +77,9 @@
 }
 
 std::optional<routing::ProgramAdmission> programAdmissionOf(const EdgeSettings& settings) {
-  if (!settings.overloadControl || !settings.uses(Mechanism::ProgramAdmission)) {
+  const bool isOn = settings.overloadControl && settings.limitsPrograms &&
+                    settings.uses(Mechanism::ProgramAdmission);
+  if (!isOn) {
     return std::nullopt;
   }
   return routing::ProgramAdmission({});
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -67,6 +67,10 @@
   /// Whether callers may compete for more capacity than there is: then programs that can still end
   /// in time go before others, and tenants share the replicas.
   bool overloadControl = false;
+  /// Whether a learned load limit decides which programs start; only with `overloadControl`. Off
+  /// unless an operator asks for it: it refused more programs than it saved on loads that engines
+  /// bear in part (design note 0022).
+  bool limitsPrograms = false;
   MechanismSet disabledMechanisms;
 
   [[nodiscard]] bool uses(Mechanism mechanism) const {
--- a/tests/edge/exchange_program_admission_test.cpp
+++ b/tests/edge/exchange_program_admission_test.cpp
@@ -21,6 +21,7 @@
   void setup() override {
     EdgeSettings settings;
     settings.overloadControl = true;
+    settings.limitsPrograms = true;
     world.context.programAdmission = programAdmissionOf(settings);
   }
   /// Leaves one replica idle and gives the others so much load that the service has `percent`.
@@ -102,6 +103,9 @@
   EdgeSettings settings;
   CHECK_FALSE(programAdmissionOf(settings).has_value());
   settings.overloadControl = true;
+  CHECK_FALSE(programAdmissionOf(settings).has_value());  // Only an operator switches it on.
+  settings.limitsPrograms = true;
+  CHECK_TRUE(programAdmissionOf(settings).has_value());
   settings.disabledMechanisms = {Mechanism::ProgramAdmission};
   CHECK_FALSE(programAdmissionOf(settings).has_value());
   world.context.programAdmission.reset();
--- a/tests/platform/settings_file_test.cpp
+++ b/tests/platform/settings_file_test.cpp
@@ -105,6 +105,18 @@
       controls("contracts = [\"pressure\"]\n" + kValidSettings + "[overload]\ncontrol = false\n"));
 }
 
+TEST(SettingsFile, theLimitForProgramsIsOnOnlyWhereAnOperatorSetsIt) {
+  const auto limits = [](const std::string& text) {
+    const auto result = parseSettings(text, "local.toml");
+    return std::get<edge::EdgeSettings>(result).limitsPrograms;
+  };
+  CHECK_FALSE(limits("contracts = [\"pressure\"]\n" + kValidSettings));
+  CHECK_TRUE(limits(kValidSettings + "[overload]\nprogram_limit = true\n"));
+  const auto errors = errorsOf(kValidSettings + "[overload]\nprogram_limit = 1.2\n");
+  LONGS_EQUAL(1, errors.size());
+  STRCMP_EQUAL("local.toml: overload.program_limit", errors.front().field.c_str());
+}
+
 TEST(SettingsFile, rejectsAnOverloadControlThatIsNoBoolean) {
   const auto errors = errorsOf(kValidSettings + "[overload]\ncontrol = \"yes\"\n");
   LONGS_EQUAL(1, errors.size());
