--- a/lab/faultsoak/tenant_share_watcher.cpp
+++ b/lab/faultsoak/tenant_share_watcher.cpp
@@ -51,10 +51,14 @@
 }
 
 void TenantShareWatcher::forget() {
+  stop();
+  lateTries_.clear();
+}
+
+void TenantShareWatcher::stop() {
   loads_.clear();
   wrongedSince_.clear();
   refusedSince_.clear();
-  lateTries_.clear();
 }
 
 void TenantShareWatcher::check() {
@@ -66,6 +70,7 @@
                            std::to_string(late.tries) + " turns were refused"});
     }
   }
+  stop();
 }
 
 bool TenantShareWatcher::isWronged(const std::string& tenant) const {
--- a/lab/faultsoak/tenant_share_watcher.h
+++ b/lab/faultsoak/tenant_share_watcher.h
@@ -52,11 +52,12 @@
   void onTurn(const std::string& program, const std::string& tenant, bool refused, Instant now);
   /// Nobody can tell how long callers were refused: forgets what it saw.
   void forget();
-  /// Tells the tenants that were refused for too long.
+  /// Tells the tenants that were refused for too long, and looks at no turn until the next loads.
   void check();
   [[nodiscard]] const std::map<std::string, LateTries>& lateTries() const { return lateTries_; }
 
  private:
+  void stop();
   /// \return whether the tenant is below its share while another one is above its own.
   [[nodiscard]] bool isWronged(const std::string& tenant) const;
   [[nodiscard]] double shareOf(const std::string& tenant) const;
--- a/tests/fault_soak/tenant_share_watcher_test.cpp
+++ b/tests/fault_soak/tenant_share_watcher_test.cpp
@@ -81,3 +81,15 @@
   play(milliseconds(1400), 1, 20, 5);
   checkNone();
 }
+
+// Nodes are lost behind the check: refusals are right then, whatever the last loads were.
+TEST(TenantShareWatcher, refusalsBehindTheCheckDoNotCount) {
+  play(seconds(2), 1, 20, 0);
+  watcher.check();
+  const std::size_t tries = watcher.lateTries().at("small").tries;
+  for (int number = 0; number < 20; ++number, now += milliseconds(100)) {
+    watcher.onTurn("refused", "small", true, now);
+  }
+  LONGS_EQUAL(tries, watcher.lateTries().at("small").tries);
+  checkNone();
+}
