Tests of load digests do not collide with a second run on the machine

Two runs of the group LoadExchange at a time fail each time: both listen on 127.0.2.x:21790 and receive each other's datagrams (12 failures in 6 pairs of runs).

Ruled out: the code under test; the same tests passed in 20 single runs. The checks are unchanged.

--- a/tests/edge/load_exchange_test.cpp
+++ b/tests/edge/load_exchange_test.cpp
@@ -1,6 +1,8 @@
 // Guards against lost or excessive load digests, over loopback.
 #include "edge/load_exchange.h"
 
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <memory>
@@ -12,6 +14,18 @@
 using namespace gorsetrail;
 using namespace gorsetrail::edge;
 
+namespace {
+
+/// All exchanges of a deployment listen on the same port. Derived from the process id, because two
+/// runs of these tests at a time on one machine otherwise take each other's addresses.
+std::string addressOf(const std::string& ip) {
+  constexpr int kFirstPort = 20000;
+  constexpr int kPorts = 10000;
+  return ip + ":" + std::to_string(kFirstPort + getpid() % kPorts);
+}
+
+}  // namespace
+
 TEST_GROUP(LoadExchange) {
   boost::asio::io_context context{1};
   std::vector<std::unique_ptr<LoadExchange>> receivers;
@@ -27,7 +41,7 @@
   std::vector<std::string> listen(int count, int firstIp) {
     std::vector<std::string> addresses;
     for (int receiver = 0; receiver < count; ++receiver) {
-      const std::string address = "127.0.2." + std::to_string(firstIp + receiver) + ":21790";
+      const std::string address = addressOf("127.0.2." + std::to_string(firstIp + receiver));
       receivers.push_back(std::make_unique<LoadExchange>(
           context, LoadExchangeKnobs{}, 1, routing::RegionHash{0},
           [this](routing::LoadDigest digest) { received.push_back(std::move(digest)); }));
@@ -44,7 +58,7 @@
 
 TEST(LoadExchange, sendsToAllPeersOfTheRegionAndToFewOfOthers) {
   LoadExchange sender(context, {}, 1, routing::regionHashOf("west"), [](routing::LoadDigest) {});
-  CHECK_TRUE(succeeded(sender.listen("127.0.2.1:21790")));
+  CHECK_TRUE(succeeded(sender.listen(addressOf("127.0.2.1"))));
   const LoadPeers peers{listen(4, 10), listen(6, 20)};
   const auto replica = std::make_shared<routing::Replica>();
   replica->entry.id = "a";
@@ -96,7 +110,7 @@
 TEST(LoadExchange, countsUndecodableDatagrams) {
   const std::vector<std::string> addresses = listen(1, 40);
   DatagramSocket otherSender(context, [](const DatagramSocket::Endpoint&, std::string_view) {});
-  CHECK_TRUE(succeeded(otherSender.listen("127.0.2.3:21790")));
+  CHECK_TRUE(succeeded(otherSender.listen(addressOf("127.0.2.3"))));
   const std::string digest = encodeLoadDigest({});
   for (const std::string& bytes :
        {std::string("x"), std::string(1000, '\xff'), digest.substr(0, digest.size() / 2)}) {
