Slots of evacuated zones are no capacity that tenants share

While a zone was evacuated, nodes counted its slots: they saw 21 to 25 requests of capacity where 12 slots served, and found the service short of capacity rarely or not at all.

The load of a service now leaves evacuated zones out, for tenant shares and for the limit of starting programs.

--- a/src/edge/edge_daemon_overload.cpp
+++ b/src/edge/edge_daemon_overload.cpp
@@ -48,7 +48,7 @@
     if (!service.engine) {
       continue;
     }
-    routing::ProgramSignal signal{name, routing::serviceLoadOf(replicas_, name), {}};
+    routing::ProgramSignal signal{name, routing::serviceLoadOf(replicas_, name, &evacuations_), {}};
     const routing::NameHash hash = routing::nameHashOf(name);
     const auto own = std::find_if(
         ownReports.begin(), ownReports.end(),
--- a/src/edge/edge_daemon_tenants.cpp
+++ b/src/edge/edge_daemon_tenants.cpp
@@ -33,7 +33,7 @@
   const double fixedLimit = admissionKnobsOf(settings_).firstTurn;
   for (const auto& [name, service] : configuration->services) {
     if (service.engine) {
-      const routing::ServiceLoad load = routing::serviceLoadOf(replicas_, name);
+      const routing::ServiceLoad load = routing::serviceLoadOf(replicas_, name, &evacuations_);
       const double limit = programs ? std::min(programs->limitOf(name), fixedLimit) : fixedLimit;
       input.services.push_back({name, load.requests, load.slots, limit});
     }
--- a/src/routing/service_load.cpp
+++ b/src/routing/service_load.cpp
@@ -4,10 +4,13 @@
 
 namespace gorsetrail::routing {
 
-ServiceLoad serviceLoadOf(const ReplicaTable& replicas, std::string_view service) {
+ServiceLoad serviceLoadOf(const ReplicaTable& replicas, std::string_view service,
+                          const EvacuationTable* evacuations) {
   ServiceLoad sum;
   for (const ReplicaPtr& replica : replicas.ofService(service)) {
-    if (replica->acceptsRequests()) {
+    const bool isEvacuated =
+        evacuations != nullptr && evacuations->isEvacuated(replica->entry.zone);
+    if (replica->acceptsRequests() && !isEvacuated) {
       sum.slots += std::max(1U, replica->entry.slots);
       sum.requests += replica->load();
       sum.ownRequests += replica->inFlight;
--- a/src/routing/service_load.h
+++ b/src/routing/service_load.h
@@ -3,6 +3,7 @@
 
 #include <string_view>
 
+#include "routing/evacuation.h"
 #include "routing/replica_table.h"
 
 namespace gorsetrail::routing {
@@ -18,6 +19,9 @@
 };
 
 /// Linear in the service's replicas.
-[[nodiscard]] ServiceLoad serviceLoadOf(const ReplicaTable& replicas, std::string_view service);
+/// \param evacuations replicas of these zones count neither with their slots nor with their load,
+/// because they get no requests; null: no zone is evacuated.
+[[nodiscard]] ServiceLoad serviceLoadOf(const ReplicaTable& replicas, std::string_view service,
+                                        const EvacuationTable* evacuations = nullptr);
 
 }  // namespace gorsetrail::routing
