--- a/lab/faultsoak/soak_replica.h
+++ b/lab/faultsoak/soak_replica.h
@@ -33,9 +33,9 @@
 class SoakReplica {
  public:
   static constexpr int kEventsOfStream = 4;
-  /// A pause behind each event. A turn takes 120 ms, as at customer W's fast engines (95 to 125
-  /// ms): nodes know loads 0.3 s late, and loads of much shorter turns are over before they are
-  /// known.
+  /// A pause behind each event. A turn takes 120 ms, as at engines of a measured deployment
+  /// (95 to 125 ms): nodes know loads 0.3 s late, and loads of much shorter turns are over before
+  /// they are known.
   static constexpr Duration kEventPause = milliseconds(30);
   static constexpr Duration kUnloadedTurn = kEventPause * kEventsOfStream;
 
--- a/tests/routing/program_admission_test.cpp
+++ b/tests/routing/program_admission_test.cpp
@@ -109,7 +109,7 @@
   DOUBLES_EQUAL(1.0935, admission.limitOf("model"), 1e-9);
 }
 
-// A part of W's replicas slows down for 600 ms without an overload; reports show it for 1.3 s.
+// Replicas may slow down for 600 ms without an overload; reports show it for 1.3 s.
 TEST(ProgramAdmission, noiseTakesAtMostThreeDecreasesAndOnlyWhileTheLimitIsInUse) {
   update(13, 1.0, 2.5);
   CHECK_TRUE(admission.limitOf("model") > 1.2 * 0.72);
--- a/tests/routing/program_replay.h
+++ b/tests/routing/program_replay.h
@@ -24,9 +24,9 @@
 /// Programs of six turns (100 ms each) with pauses of 60 ms between them; their deadline is 1.45
 /// times that, plus 350 ms. A client tries a refused start once more after 400 ms, and a refused
 /// turn twice after 250 ms. The replicas of the service are one engine with 120 slots and a queue,
-/// which rejects requests from three per slot on. From one per slot on it becomes slower, as
-/// measured on P (1,400 turns in two seconds fall to 800). Nodes see each other's requests 200 ms
-/// late.
+/// which rejects requests from three per slot on. From one per slot on it becomes slower: under
+/// overload, engines of a measured deployment answered 800 turns in two seconds instead of 1,400.
+/// Nodes see each other's requests 200 ms late.
 class ProgramReplay {
  public:
   static constexpr std::size_t kNoNode = 1000;
--- a/tests/routing/service_time_model_test.cpp
+++ b/tests/routing/service_time_model_test.cpp
@@ -58,7 +58,7 @@
   CHECK(toMilliseconds(*model.typical({2500, 2})) < typical - 30);
 }
 
-// A third of customer W's engines takes 2.4 times as long.
+// A third of the engines takes 2.4 times as long, as in a measured deployment (design note 0021).
 TEST(ServiceTimeModel, aThirdOfSlowSamplesMovesItLittle) {
   for (int count = 0; count < 300; ++count) {
     learnTurn(count % 3 == 0 ? 2.4 : 1.0);
