Software versions of replicas and continued streams in logs

Registrations name the version of the replica's software; it was checked and dropped. A request that continues a stream names the attempt that received its first event (header Resumes); it was not read.

dispatch now has software_version, request_ended has resumes. A version that is no name (control characters, over 255 bytes) makes a registration unreadable, like its other names; a request that repeats Resumes is refused as ambiguous. No decision changes.

--- a/src/edge/call_request.h
+++ b/src/edge/call_request.h
@@ -31,6 +31,9 @@
   std::string previousTurnId;  ///< Request ID of the preceding turn; empty for the first turn.
   /// The client resumes a stream after this event; empty: from the start.
   std::string lastEventId;
+  /// Request ID of the attempt that received the first event of the resumed stream; empty if the
+  /// client resumes none or does not name it.
+  std::string resumedRequestId;
   std::optional<Duration> deadline;  ///< How long the client waits, from the request's arrival.
   /// Time until the deadline of the whole program; zero when the deadline has passed.
   std::optional<Duration> programTimeLeft;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -399,6 +399,7 @@
       {"route", route},
       {"tenant", tenant},
       {"previous_turn", request_.previousTurnId},
+      {"resumes", request_.resumedRequestId},
       {"outcome", outcome},
       {"reason", reason},
       {"status", std::uint64_t{head_.status}},
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -48,6 +48,7 @@
                                        {"load", static_cast<std::uint64_t>(replica->load())},
                                        {"version", checked_.configuration->version.value()},
                                        {"replica", replica->entry.id},
+                                       {"software_version", replica->entry.softwareVersion},
                                        {"in_flight", std::uint64_t{replica->inFlight}},
                                        {"number", dispatchNumber_},
                                        {"left_ms", wholeMilliseconds(parameters.timeLeft)},
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -27,6 +27,9 @@
   bool draining = false;
   /// Remaining warm-up time as of the newest registration; zero: warm; unset: not reported.
   std::optional<Duration> coldFor = Duration::zero();
+  /// Version of the replica's software; versions have no order. Empty: the registration does not
+  /// contain it.
+  std::string softwareVersion{};
 };
 
 /// Minimum of recent failures for a nonzero failure rate: a single failure is not significant.
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -105,6 +105,15 @@
   CHECK_FALSE(succeeded(adapter.readReplicaEntry("i-1", "{}")));
 }
 
+TEST(Documents, readsTheSoftwareVersionOfAReplica) {
+  const std::string entry =
+      R"({"service":"m","address":"10.0.0.9:8080","zone":"z","state":"ready","version":)";
+  const auto read = adapter.readReplicaEntry("i-1", entry + R"("v1.2"})");
+  STRCMP_EQUAL("v1.2", valueOf(read).softwareVersion.c_str());
+  const auto unprintable = adapter.readReplicaEntry("i-1", entry + R"("v\n"})");
+  CHECK_FALSE(succeeded(unprintable));
+}
+
 TEST(Documents, keepsOnlyDigestsOfApiKeys) {
   const auto read = adapter.readConfiguration(
       R"({"version":7,"routes":[],"services":[],"tenants":[
--- a/tests/platform/http_headers_test.cpp
+++ b/tests/platform/http_headers_test.cpp
@@ -74,6 +74,17 @@
   STRCMP_EQUAL("<none>", headerOf(sent.headers, "Last-Event-Id").c_str());
 }
 
+TEST(Heads, readsWhichStreamARequestContinues) {
+  http::ServerRequest request = makeRequest();
+  request.headers.push_back({"resumes", "9c41d07be2a35f68"});
+  request.headers.push_back({"Last-Event-Id", "7"});
+  const edge::CallRequest call = adapter.readRequest(request);
+  STRCMP_EQUAL("9c41d07be2a35f68", call.resumedRequestId.c_str());
+  STRCMP_EQUAL("7", call.lastEventId.c_str());
+  request.headers.push_back({"Resumes", "e5b2907c14da6f38"});
+  CHECK_TRUE(adapter.readRequest(request).hasConflictingHeaders);
+}
+
 TEST(Heads, readsNotExecutedAndEventStreamOfAResponse) {
   CHECK_TRUE(adapter.readReplicaHead(503, {{"gorsetrail-not-executed", "1"}}).notExecuted);
   CHECK_FALSE(adapter.readReplicaHead(503, {}).notExecuted);
