--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -32,6 +32,10 @@
 constexpr std::uint64_t kPlanStream = 1;
 constexpr std::uint64_t kLoadStream = 3;
 constexpr std::uint64_t kQuietLoadStream = 4;
+constexpr std::uint64_t kReleaseStream = 5;
+constexpr Duration kShortestDrain = milliseconds(100);
+constexpr Duration kLongestDrain = milliseconds(1000);
+constexpr Duration kLongestReleasePause = milliseconds(800);
 /// Of a hot tenant that the checks look at: longer than `TenantShareLimits::longestRefusal`.
 constexpr Duration kShortestHotTenant = milliseconds(3000);
 constexpr Duration kLongestHotTenant = milliseconds(3500);
@@ -115,6 +119,8 @@
       return "hot_tenant";
     case SoakFaultKind::Burst:
       return "burst";
+    case SoakFaultKind::ReplaceReplica:
+      return "replace_replica";
     case SoakFaultKind::Configuration:
       break;
   }
@@ -158,6 +164,23 @@
   return loads;
 }
 
+std::vector<SoakFault> planReleases(std::uint64_t seed, Duration length, std::size_t replicas) {
+  RandomSource random(emulator::streamSeed(seed, kReleaseStream));
+  std::vector<SoakFault> releases;
+  std::size_t replica = random.below(replicas);
+  for (Duration at = randomDuration(random, kShortestPause, kLongestPause);
+       at + kLongestDrain < length;
+       at += kLongestDrain + randomDuration(random, Duration::zero(), kLongestReleasePause)) {
+    SoakFault release;
+    release.kind = SoakFaultKind::ReplaceReplica;
+    release.at = at;
+    release.duration = randomDuration(random, kShortestDrain, kLongestDrain);
+    release.target = replica++ % replicas;
+    releases.push_back(release);
+  }
+  return releases;
+}
+
 std::vector<SoakFault> planQuietLoads(std::uint64_t seed, std::size_t tenants) {
   RandomSource random(emulator::streamSeed(seed, kQuietLoadStream));
   SoakFault hot;
--- a/lab/faultsoak/fault_plan.h
+++ b/lab/faultsoak/fault_plan.h
@@ -29,6 +29,7 @@
   EvacuateZone,     ///< A zone is evacuated; its replicas are cold when it is taken back.
   HotTenant,        ///< One tenant has many times its usual load.
   Burst,            ///< All tenants together have more load than the replicas serve.
+  ReplaceReplica,   ///< It drains; then a process of another id and software version takes over.
 };
 
 /// \return the kind's name, for reports.
@@ -55,6 +56,10 @@
 /// seed's other faults stay as they are.
 std::vector<SoakFault> planLoads(std::uint64_t seed, Duration length, std::size_t tenants);
 
+/// A release of all replicas after another, one at a time. Versions serve side by side meanwhile,
+/// and the last release may bring an old one back. Its random numbers are its own.
+std::vector<SoakFault> planReleases(std::uint64_t seed, Duration length, std::size_t replicas);
+
 /// The loads of the quiet time behind all other faults: a hot tenant, and a burst that follows it.
 /// Their times count from the beginning of that time.
 std::vector<SoakFault> planQuietLoads(std::uint64_t seed, std::size_t tenants);
--- a/lab/faultsoak/promise_watcher.cpp
+++ b/lab/faultsoak/promise_watcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "lab/faultsoak/node_choice.h"
+#include "lab/faultsoak/soak_replica.h"
 
 namespace gorsetrail::lab {
 namespace {
@@ -17,17 +18,13 @@
 
 bool isStream(SoakRoute route) { return route == SoakRoute::Turn || route == SoakRoute::Resumable; }
 
-std::uint64_t eventsIn(const std::string& body) {
-  std::uint64_t events = 0;
-  for (std::size_t at = body.find("\n\n"); at != std::string::npos;
-       at = body.find("\n\n", at + 2)) {
-    ++events;
-  }
-  return events;
-}
-
 }  // namespace
 
+std::uint64_t servedOf(const SoakStreams& streams) {
+  return static_cast<std::uint64_t>(std::count_if(
+      streams.begin(), streams.end(), [](const auto& stream) { return stream.second; }));
+}
+
 void PromiseWatcher::onProgram(const std::string& program, std::uint64_t budget,
                                std::uint64_t mostOfOneTurn) {
   programs_[program] = {budget, mostOfOneTurn, 0};
@@ -75,9 +72,12 @@
     add({"a_whole_turn_is_found", id, "answered 404"});
   }
   if (answer.status == kOk) {
-    checkBody(known.attempt, answer);
+    SoakAnswer withoutVersions = answer;
+    checkVersions(known.attempt, SoakReplica::takeVersions(withoutVersions.body));
+    checkBody(known.attempt, withoutVersions);
     countTokens(known.attempt, answer);
   }
+  countStream(known.attempt, answer);
   noteAnswerAfterLoss(known.attempt, answer.status);
 }
 
@@ -131,6 +131,42 @@
   }
 }
 
+void PromiseWatcher::checkVersions(const SoakAttempt& attempt,
+                                   const std::vector<std::string>& versions) {
+  const std::string& stream = attempt.resumes.empty() ? attempt.id : attempt.resumes;
+  for (const std::string& version : versions) {
+    const std::string& first = versions_.emplace(stream, version).first->second;
+    if (version != first) {
+      add({"a_stream_has_one_software_version", attempt.id,
+           "stream " + stream + " began at " + first + " and went on at " + version});
+      return;
+    }
+  }
+}
+
+void PromiseWatcher::countStream(const SoakAttempt& attempt, const SoakAnswer& answer) {
+  if (attempt.route != SoakRoute::Resumable) {
+    return;
+  }
+  bool& isServed = attempt.resumes.empty() ? newStreams_[attempt.expectedInput]
+                                           : resumedStreams_[attempt.resumes];
+  isServed = isServed ||
+             (answer.status == kOk && (answer.whole || SoakReplica::eventsIn(answer.body) > 0));
+}
+
+void PromiseWatcher::checkResumedStreams() {
+  const std::uint64_t resumed = servedOf(resumedStreams_);
+  const std::uint64_t begun = servedOf(newStreams_);
+  // The share that goes on is below half of the share that begins.
+  const bool isLow = 2 * resumed * newStreams_.size() < begun * resumedStreams_.size();
+  if (resumedStreams_.size() >= kLeastResumedStreams && isLow) {
+    add({"resumed_streams_go_on", "",
+         std::to_string(resumed) + " of " + std::to_string(resumedStreams_.size()) +
+             ", and of new ones began " + std::to_string(begun) + " of " +
+             std::to_string(newStreams_.size())});
+  }
+}
+
 void PromiseWatcher::checkBody(const SoakAttempt& attempt, const SoakAnswer& answer) {
   const bool begins = attempt.expectedOutput.compare(0, answer.body.size(), answer.body) == 0;
   if (!begins) {
@@ -148,7 +184,8 @@
     return;
   }
   Program& program = found->second;
-  program.tokens += eventsIn(answer.body) * tokensPerEvent_;
+  program.tokens +=
+      static_cast<std::uint64_t>(SoakReplica::eventsIn(answer.body)) * tokensPerEvent_;
   if (program.tokens > program.budget + program.mostOfOneTurn) {
     add({"a_budget_holds", attempt.id,
          std::to_string(program.tokens) + " tokens of " + std::to_string(program.budget)});
--- a/lab/faultsoak/promise_watcher.h
+++ b/lab/faultsoak/promise_watcher.h
@@ -24,6 +24,9 @@
   std::string expectedInput;        ///< What a replica must get: the whole chain for turns.
   std::string expectedOutput;       ///< The body of a whole answer.
   bool continuesWholeTurn = false;  ///< It names a turn that was answered whole.
+  /// Id of the attempt that brought the stream's first event, which this one goes on with; empty:
+  /// it begins a stream.
+  std::string resumes{};
 };
 
 /// What the client saw of an attempt; status 0: a connection that closed before an answer.
@@ -32,6 +35,7 @@
   bool whole = false;
   std::string body;      ///< As far as it came.
   bool notSent = false;  ///< Not a byte of the request left.
+  bool namesRetryTime = false;
 };
 
 /// A promise that was broken, with the attempt that shows it.
@@ -41,8 +45,15 @@
   std::string detail;
 };
 
+/// Streams that clients asked for, by name, and whether any attempt brought an event or the end.
+using SoakStreams = std::map<std::string, bool>;
+/// \return how many of the streams were served.
+std::uint64_t servedOf(const SoakStreams& streams);
+
 class PromiseWatcher {
  public:
+  /// Fewer resumed streams say nothing of the share that goes on.
+  static constexpr std::uint64_t kLeastResumedStreams = 12;
   /// Runs of first turns after a loss of all that show that first turns are served.
   static constexpr std::uint64_t kLeastFirstTurnsAfterLoss = 3;
 
@@ -62,6 +73,12 @@
   [[nodiscard]] bool isServedAfterLoss() const;
   /// The time that the nodes have to recover is over.
   void checkAfterLoss();
+  /// Of the streams that clients went on with, the share that did go on is no less than half of the
+  /// share of new streams that began.
+  void checkResumedStreams();
+  [[nodiscard]] const SoakStreams& newStreams() const { return newStreams_; }
+  [[nodiscard]] const SoakStreams& resumedStreams() const { return resumedStreams_; }
+
   /// Found by the run itself.
   void add(SoakViolation violation) { violations_.push_back(std::move(violation)); }
 
@@ -92,6 +109,9 @@
   [[nodiscard]] bool isBudgetSpent(const std::string& program) const;
   void checkBody(const SoakAttempt& attempt, const SoakAnswer& answer);
   void countTokens(const SoakAttempt& attempt, const SoakAnswer& answer);
+  void countStream(const SoakAttempt& attempt, const SoakAnswer& answer);
+  /// \param versions of the replicas that wrote the answer's events.
+  void checkVersions(const SoakAttempt& attempt, const std::vector<std::string>& versions);
 
   std::uint64_t tokensPerEvent_;
   std::map<std::string, Known> attempts_;
@@ -100,6 +120,9 @@
   bool lossOfAll_ = false;
   std::map<std::string, GoingOn> goingOn_;  ///< By program.
   std::uint64_t firstTurnsAfterLoss_ = 0;
+  std::map<std::string, std::string> versions_;  ///< Of each stream, by its first attempt.
+  SoakStreams newStreams_;      ///< By input, which is the same in all attempts of a turn.
+  SoakStreams resumedStreams_;  ///< By first attempt.
   std::vector<SoakViolation> violations_;
 };
 
--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -100,7 +100,8 @@
   attempt.route = persisted_ ? SoakRoute::Turn : SoakRoute::Resumable;
   attempt.program = id_;
   attempt.expectedInput = persisted_ ? history_ + input : input;
-  attempt.expectedOutput = SoakReplica::wholeStream(attempt.id);
+  attempt.expectedOutput = SoakReplica::streamAfter(attempt.id, lastEvent_);
+  attempt.resumes = resumes_;
   attempt.continuesWholeTurn = persisted_ && !previous_.empty();
   const std::string target = persisted_ ? "/kept/stream/x" : "/again/stream/x";
   send(attempt, "POST", target, input,
@@ -118,6 +119,7 @@
     if (isRefusedForCapacity(answer)) {
       tell(SoakStep::TurnRefused);
     }
+    noteBrokenStream(attempt, answer);
     retryTurn();
     return;
   }
@@ -125,6 +127,8 @@
   tell(SoakStep::TurnAnswered);
   ++turnsDone_;
   tries_ = 0;
+  resumes_.clear();
+  lastEvent_ = 0;
   if (persisted_) {
     history_ = attempt.expectedInput;
     for (int number = 1; number <= SoakReplica::kEventsOfStream; ++number) {
@@ -153,6 +157,23 @@
   }
 }
 
+void SoakProgram::noteBrokenStream(const SoakAttempt& attempt, const SoakAnswer& answer) {
+  if (attempt.route != SoakRoute::Resumable) {
+    return;
+  }
+  // A refusal that names no time to come back is final for this stream.
+  if (answer.status == kUnavailable && !answer.namesRetryTime) {
+    resumes_.clear();
+    lastEvent_ = 0;
+    return;
+  }
+  const int events = answer.status == kOk ? SoakReplica::eventsIn(answer.body) : 0;
+  if (events > 0 && resumes_.empty()) {
+    resumes_ = attempt.id;
+  }
+  lastEvent_ += events;
+}
+
 void SoakProgram::retryTurn() {
   if (++tries_ == mostTries_) {
     end(false);
@@ -236,6 +257,10 @@
     request.headers.push_back(
         {platform::header::kTokenUsage, "100," + std::to_string(kTokensOfTurn)});
   }
+  if (!attempt.resumes.empty()) {
+    request.headers.push_back({platform::header::kResumes, attempt.resumes});
+    request.headers.push_back({platform::header::kLastEventId, std::to_string(lastEvent_)});
+  }
   if (attempt.continuesWholeTurn) {
     request.headers.push_back({platform::header::kPreviousTurn, previous_});
   }
@@ -248,8 +273,11 @@
     onAnswer(gathered->answer);
   };
   http::ResponseHandler handler;
-  handler.onHead = [gathered](unsigned status, const std::vector<http::Header>&) {
+  handler.onHead = [gathered](unsigned status, const std::vector<http::Header>& headers) {
     gathered->answer.status = status;
+    gathered->answer.namesRetryTime = std::any_of(
+        headers.begin(), headers.end(),
+        [](const http::Header& header) { return header.name == platform::header::kRetryAfter; });
   };
   handler.onBody = [gathered](std::string_view part) { gathered->answer.body += part; };
   handler.onDone = [gathered, finish](const http::Response&) {
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -83,6 +83,8 @@
   void sendTool(bool safe, int triesLeft);
   void onTool(const SoakAttempt& attempt, const SoakAnswer& answer, int triesLeft);
   void retryTurn();
+  /// Remembers where the client goes on with a stream that broke off, or that it is to begin anew.
+  void noteBrokenStream(const SoakAttempt& attempt, const SoakAnswer& answer);
   void end(bool well);
   void tell(SoakStep step) const;
   /// \return the address that the next request goes to.
@@ -105,6 +107,9 @@
   int mostTries_;
   std::string history_;
   std::string previous_;
+  /// Attempt that brought the first event of a stream that broke off; empty: there is none.
+  std::string resumes_;
+  int lastEvent_ = 0;  ///< Of that stream.
 };
 
 }  // namespace gorsetrail::lab
--- a/lab/faultsoak/soak_replica.cpp
+++ b/lab/faultsoak/soak_replica.cpp
@@ -14,10 +14,13 @@
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kUnavailable = 503;
 constexpr char kStreamPath[] = "/stream/";
+/// Begins the line of each event that tells its writer's software version.
+constexpr char kVersionLine[] = "event: ";
 
-std::string eventText(const std::string& requestId, int number) {
-  return "id: " + std::to_string(number) + "\ndata: " + SoakReplica::eventData(requestId, number) +
-         "\n\n";
+/// \param versionLine empty, or a line that tells the writer's software version.
+std::string eventText(const std::string& requestId, int number, const std::string& versionLine) {
+  return "id: " + std::to_string(number) + "\n" + versionLine +
+         "data: " + SoakReplica::eventData(requestId, number) + "\n\n";
 }
 
 void refuse(http::ResponseWriter& writer, const std::string& requestId, unsigned status) {
@@ -42,8 +45,13 @@
 
 SoakReplica::SoakReplica(boost::asio::io_context& context, services::TimerService& timers,
                          PromiseWatcher& watcher, std::string id, std::uint64_t seed,
-                         SoakReplicaCapacity capacity)
-    : timers_(timers), watcher_(watcher), id_(std::move(id)), random_(seed), capacity_(capacity) {
+                         SoakReplicaCapacity capacity, std::string softwareVersion)
+    : timers_(timers),
+      watcher_(watcher),
+      id_(std::move(id)),
+      softwareVersion_(std::move(softwareVersion)),
+      random_(seed),
+      capacity_(capacity) {
   http::HttpServerOptions options;
   options.listenAddress = "127.0.0.1:0";
   options.onRequest = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
@@ -64,14 +72,41 @@
   return "out-" + requestId + "-" + std::to_string(number);
 }
 
-std::string SoakReplica::wholeStream(const std::string& requestId) {
+std::string SoakReplica::streamAfter(const std::string& requestId, int event) {
   std::string text;
-  for (int number = 1; number <= kEventsOfStream; ++number) {
-    text += eventText(requestId, number);
+  for (int number = event + 1; number <= kEventsOfStream; ++number) {
+    text += eventText(requestId, number, {});
   }
   return text;
 }
 
+int SoakReplica::eventsIn(const std::string& bytes) {
+  int events = 0;
+  for (std::size_t at = bytes.find("\n\n"); at != std::string::npos;
+       at = bytes.find("\n\n", at + 2)) {
+    ++events;
+  }
+  return events;
+}
+
+std::vector<std::string> SoakReplica::takeVersions(std::string& body) {
+  const std::string prefix = kVersionLine;
+  std::vector<std::string> versions;
+  for (std::size_t at = body.find(prefix); at != std::string::npos; at = body.find(prefix, at)) {
+    const std::size_t end = body.find('\n', at);
+    if (end == std::string::npos) {
+      break;
+    }
+    versions.push_back(body.substr(at + prefix.size(), end - at - prefix.size()));
+    body.erase(at, end + 1 - at);
+  }
+  const std::string lastLine = body.substr(body.rfind('\n') + 1);
+  if (prefix.starts_with(lastLine) || lastLine.starts_with(prefix)) {
+    body.resize(body.size() - lastLine.size());
+  }
+  return versions;
+}
+
 std::string SoakReplica::plainAnswer(const std::string& requestId) {
   return "answer to " + requestId;
 }
@@ -114,6 +149,12 @@
   held_.clear();
 }
 
+void SoakReplica::replace(std::string id, std::string softwareVersion) {
+  startAgain();
+  id_ = std::move(id);
+  softwareVersion_ = std::move(softwareVersion);
+}
+
 void SoakReplica::takeStream(const std::shared_ptr<Stream>& stream) {
   const bool slotIsFree = running_ < capacity_.slots;
   if (!slotIsFree && waiting_.size() >= capacity_.queued) {
@@ -164,7 +205,8 @@
     release(stream);
     return;
   }
-  stream->writer->write(eventText(stream->requestId, stream->next));
+  stream->writer->write(
+      eventText(stream->requestId, stream->next, kVersionLine + softwareVersion_ + "\n"));
   const bool cut = stream->next == stream->cutAfter && stream->next < kEventsOfStream;
   ++stream->next;
   timers_.runAfter(kEventPause, [this, stream, cut] {
--- a/lab/faultsoak/soak_replica.h
+++ b/lab/faultsoak/soak_replica.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/random.h"
 #include "base/time.h"
@@ -42,7 +43,7 @@
   /// Listens on a free port of 127.0.0.1. All arguments outlive this object.
   SoakReplica(boost::asio::io_context& context, services::TimerService& timers,
               PromiseWatcher& watcher, std::string id, std::uint64_t seed,
-              SoakReplicaCapacity capacity = {});
+              SoakReplicaCapacity capacity = {}, std::string softwareVersion = "v1");
 
   [[nodiscard]] std::string address() const;
   [[nodiscard]] const std::string& id() const { return id_; }
@@ -50,14 +51,24 @@
   /// The process ends and the next one starts under the same id and address: runs under way are
   /// forgotten, their streams break off. The caller resets the connections.
   void startAgain();
+  /// As `startAgain`, with a process of another id and software version.
+  void replace(std::string id, std::string softwareVersion);
+  [[nodiscard]] const std::string& softwareVersion() const { return softwareVersion_; }
   /// \return streams that run or wait here, by the tenant that the node named.
   [[nodiscard]] const std::map<std::string, std::size_t>& heldByTenant() const { return held_; }
   [[nodiscard]] std::size_t slots() const { return capacity_.slots; }
 
   /// \return the data of an event, which a client adds to the history.
   static std::string eventData(const std::string& requestId, int number);
-  /// \return all bytes of a request's whole stream.
-  static std::string wholeStream(const std::string& requestId);
+  /// \return all bytes of a request's whole stream, without the software version of its writer.
+  static std::string wholeStream(const std::string& requestId) { return streamAfter(requestId, 0); }
+  /// \return the part of it behind an event.
+  static std::string streamAfter(const std::string& requestId, int event);
+  /// Removes the lines that tell the writers' software versions, also one that was cut short.
+  /// \return the versions, in order of the events.
+  static std::vector<std::string> takeVersions(std::string& body);
+  /// \return the whole events among the bytes of a stream.
+  static int eventsIn(const std::string& bytes);
   /// \return the bytes of a request's whole plain answer.
   static std::string plainAnswer(const std::string& requestId);
 
@@ -81,6 +92,7 @@
   services::TimerService& timers_;
   PromiseWatcher& watcher_;
   std::string id_;
+  std::string softwareVersion_;
   RandomSource random_;
   SoakReplicaCapacity capacity_;
   std::uint64_t life_ = 0;  ///< Starts before this one.
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -67,7 +67,17 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
 }
 
-std::string replicaId(std::size_t replica) { return "i-" + std::to_string(replica); }
+/// \return the id of a replica after some releases.
+std::string replicaId(std::size_t replica, std::uint64_t releases = 0) {
+  return "i-" + std::to_string(replica) + (releases == 0 ? "" : "-" + std::to_string(releases));
+}
+
+/// \return the software version after some releases. The first replicas begin at two versions, and
+/// the version before the last but one comes back.
+std::string softwareVersion(std::size_t replica, std::uint64_t releases) {
+  constexpr std::uint64_t kVersions = 3;
+  return "v" + std::to_string((replica % 2 + releases) % kVersions);
+}
 
 }  // namespace
 
@@ -93,9 +103,10 @@
   for (std::size_t number = 0; number < options_.replicas; ++number) {
     replicas_.push_back(std::make_unique<SoakReplica>(
         context_, *timers_, watcher_, replicaId(number),
-        emulator::streamSeed(options_.seed, kFirstReplicaStream + number), capacity_));
+        emulator::streamSeed(options_.seed, kFirstReplicaStream + number), capacity_,
+        softwareVersion(number, 0)));
     replicas_.back()->onArrival = [this, number] {
-      places_.onArrival(zoneOf(number), replicaId(number), steadyNow());
+      places_.onArrival(zoneOf(number), replicas_[number]->id(), steadyNow());
     };
     replicaWays_.push_back(std::make_unique<FaultProxy>(context_, replicas_.back()->address()));
     replicaLives_.emplace_back();
@@ -114,6 +125,8 @@
   faults_ = planFaults(options_.seed, options_.length, options_.nodes, options_.replicas);
   const auto loads = planLoads(options_.seed, options_.length, soakTenants().size());
   faults_.insert(faults_.end(), loads.begin(), loads.end());
+  const auto releases = planReleases(options_.seed, options_.length, options_.replicas);
+  faults_.insert(faults_.end(), releases.begin(), releases.end());
   overload_ = std::make_unique<SoakOverload>(*clients_, options_.programs);
 }
 
@@ -193,12 +206,29 @@
 void SoakRun::registerReplica(std::size_t replica) {
   ReplicaLife& life = replicaLives_[replica];
   const Duration coldFor = std::max(Duration::zero(), life.coldUntil - steadyNow());
-  const nlohmann::json entry = {
-      {"service", kService},      {"address", replicaWays_[replica]->address()},
-      {"zone", zoneOf(replica)},  {"slots", capacity_.slots},
-      {"state", "ready"},         {"coldRemainingMs", coldFor / milliseconds(1)},
-      {"born", life.startedAtMs}, {"callSeq", ++life.heartbeats}};
-  store_->put("keyed.servers", replicaId(replica), entry.dump());
+  const nlohmann::json entry = {{"service", kService},
+                                {"address", replicaWays_[replica]->address()},
+                                {"zone", zoneOf(replica)},
+                                {"slots", capacity_.slots},
+                                {"version", replicas_[replica]->softwareVersion()},
+                                {"state", life.draining ? "draining" : "ready"},
+                                {"coldRemainingMs", coldFor / milliseconds(1)},
+                                {"born", life.startedAtMs},
+                                {"callSeq", ++life.heartbeats}};
+  store_->put("keyed.servers", replicas_[replica]->id(), entry.dump());
+}
+
+void SoakRun::replaceReplica(std::size_t replica) {
+  ReplicaLife& life = replicaLives_[replica];
+  store_->put("keyed.servers", replicas_[replica]->id(), std::string());
+  ++life.releases;
+  life.draining = false;
+  replicas_[replica]->replace(replicaId(replica, life.releases),
+                              softwareVersion(replica, life.releases));
+  const ProxyFault fault = replicaWays_[replica]->fault();
+  replicaWays_[replica]->setFault(ProxyFault::Reset);
+  replicaWays_[replica]->setFault(fault, kDelay);
+  registerNextLife(replica);
 }
 
 void SoakRun::evacuate(const std::string& zone, std::optional<Instant> emptyAfter) {
@@ -254,6 +284,7 @@
   keepProgramsGoing();
   scheduleFaults();
   runFor(options_.length);
+  watcher_.checkResumedStreams();
   checkRecovery();
   checkOverload();
   takeBack(kLastEvacuated);
@@ -357,6 +388,10 @@
     case SoakFaultKind::Burst:
       overload_->begin(fault);
       break;
+    case SoakFaultKind::ReplaceReplica:
+      replicaLives_[fault.target].draining = true;
+      registerReplica(fault.target);
+      break;
   }
   // A process that has just ended and starts again takes no signal.
   ++(struck ? faultsStruck_ : faultsMissed_);
@@ -395,6 +430,9 @@
     case SoakFaultKind::Burst:
       overload_->end();
       break;
+    case SoakFaultKind::ReplaceReplica:
+      replaceReplica(fault.target);
+      break;
     case SoakFaultKind::KillNode:
     case SoakFaultKind::StopNode:
     case SoakFaultKind::KillAll:
@@ -478,6 +516,8 @@
       {"looks_with_a_silent_node", looksWithSilence_},
       {"of_these_in_recovery", silentLooksInRecovery_},
       {"store_calls", store_->calls},
+      {"streams_begun", {servedOf(watcher_.newStreams()), watcher_.newStreams().size()}},
+      {"streams_resumed", {servedOf(watcher_.resumedStreams()), watcher_.resumedStreams().size()}},
       {"programs_beyond_the_usual", overload_->programsStarted()},
       {"turns_refused_for_capacity", overload_->turnsRefused()},
       {"burst_was_checked", overload_->burstWasChecked()},
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -55,6 +55,8 @@
   void registerReplica(std::size_t replica);
   /// The next life of the replica registers.
   void registerNextLife(std::size_t replica);
+  /// The replica's process ends, and one of another id and software version takes its place.
+  void replaceReplica(std::size_t replica);
   /// Another writer's entry comes, or goes.
   void putForeignEntry(const SoakFault& fault, bool present);
   void evacuate(const std::string& zone, std::optional<Instant> emptyAfter);
@@ -94,6 +96,8 @@
   struct ReplicaLife {
     std::int64_t startedAtMs = 0;  ///< Unix time.
     std::uint64_t heartbeats = 0;
+    std::uint64_t releases = 0;
+    bool draining = false;
     Instant coldUntil{};  ///< Outlasts a start: a replica that starts again amid it stays cold.
   };
   std::vector<ReplicaLife> replicaLives_;
--- a/tests/fault_soak/fault_plan_test.cpp
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -76,6 +76,19 @@
   CHECK(overlaps > faults.size() / 4);
 }
 
+TEST(FaultPlan, releasesReplaceAllReplicasOneAtATime) {
+  std::set<std::size_t> replaced;
+  Duration lastEnd{};
+  for (const SoakFault& release : planReleases(3, seconds(30), 4)) {
+    CHECK(release.kind == SoakFaultKind::ReplaceReplica);
+    CHECK(release.at >= lastEnd);
+    lastEnd = release.at + release.duration;
+    replaced.insert(release.target);
+  }
+  CHECK(lastEnd <= seconds(30));
+  LONGS_EQUAL(4, replaced.size());
+}
+
 TEST(FaultPlan, loadsFollowFromTheSeedAndLeaveTheOtherFaultsAlone) {
   const auto loads = planLoads(306, seconds(60), 3);
   const auto again = planLoads(306, seconds(60), 3);
--- a/tests/fault_soak/promise_watcher_test.cpp
+++ b/tests/fault_soak/promise_watcher_test.cpp
@@ -170,3 +170,36 @@
   }
   CHECK_FALSE(watcher.isServedAfterLoss());
 }
+
+TEST(PromiseWatcher, seesAStreamOfTwoSoftwareVersionsInOneAnswer) {
+  sent(SoakRoute::Resumable);
+  watcher.onAnswer("q1", {200, false, "id: 1\nevent: v1\ndata: out-q1-1\n\nid: 2\nevent: v2\n"});
+  checkOnly("a_stream_has_one_software_version");
+}
+
+TEST(PromiseWatcher, seesAStreamOfTwoSoftwareVersionsOverTwoAttempts) {
+  sent(SoakRoute::Resumable);
+  watcher.onAnswer("q1", {200, false, "id: 1\nevent: v1\ndata: out-q1-1\n\n"});
+  for (const char* const id : {"q2", "q3"}) {
+    SoakAttempt attempt{id, SoakRoute::Resumable, "p1", "input", SoakReplica::streamAfter(id, 1)};
+    attempt.resumes = "q1";
+    watcher.onSent(attempt);
+  }
+  watcher.onAnswer("q2", {200, false, "id: 2\nevent: v1\ndata: out-q2-2\n\n"});
+  LONGS_EQUAL(0, watcher.violations().size());
+  watcher.onAnswer("q3", {200, false, "id: 2\nevent: v2\ndata: out-q3-2\n\n"});
+  checkOnly("a_stream_has_one_software_version");
+}
+
+TEST(PromiseWatcher, seesThatResumedStreamsDoNotGoOn) {
+  for (int number = 0; number < 24; ++number) {
+    const std::string id = "q" + std::to_string(number);
+    SoakAttempt attempt{id, SoakRoute::Resumable, "p1", "input of " + id, ""};
+    attempt.resumes = number % 2 == 0 ? "" : "first " + id;
+    watcher.onSent(attempt);
+    watcher.onAnswer(attempt.id, {attempt.resumes.empty() ? 200U : 503U, true, ""});
+    watcher.checkResumedStreams();
+    LONGS_EQUAL(number == 23 ? 1 : 0, watcher.violations().size());
+  }
+  STRCMP_EQUAL("resumed_streams_go_on", watcher.violations().front().promise.c_str());
+}
--- a/tests/fault_soak/soak_replica_test.cpp
+++ b/tests/fault_soak/soak_replica_test.cpp
@@ -81,7 +81,26 @@
   forward("q1");
   runUntil([this] { return whole.has_value(); });
   CHECK(*whole);
+  const std::vector<std::string> versions = SoakReplica::takeVersions(body);
   STRCMP_EQUAL(SoakReplica::wholeStream("q1").c_str(), body.c_str());
+  LONGS_EQUAL(SoakReplica::kEventsOfStream, versions.size());
+  STRCMP_EQUAL("v1", versions.front().c_str());
+}
+
+TEST(SoakReplica, eventsOfTheNextProcessTellItsVersion) {
+  replica->replace("i-9", "v2");
+  send("q1", SoakRoute::Resumable);
+  forward("q1", "i-9");
+  runUntil([this] { return whole.has_value(); });
+  STRCMP_EQUAL("v2", SoakReplica::takeVersions(body).front().c_str());
+}
+
+TEST(SoakReplica, aVersionThatWasCutShortIsNoPartOfTheAnswer) {
+  for (const char* cut : {"e", "event: ", "event: v"}) {
+    std::string partial = std::string("id: 1\nevent: v1\ndata: x\n\nid: 2\n") + cut;
+    LONGS_EQUAL(1, SoakReplica::takeVersions(partial).size());
+    STRCMP_EQUAL("id: 1\ndata: x\n\nid: 2\n", partial.c_str());
+  }
 }
 
 TEST(SoakReplica, aRequestOfTheLifeBeforeThatRunsAgainIsSeen) {
