Answers are continued only by replicas of the version that began them

Callers saw events of two software versions in one answer: after a replica broke off, the node went on at any other replica, or at the next process under the same id (Exchange::dispatchAgain, dispatch).

Ruled out: that the route's limit of replicas prevents it.

From the first event on a request keeps the version of the replica that wrote it. SoftwareVersionRule excludes all others from each later choice, so the rule holds wherever a replica is chosen. A registration with another version under the same id is another incarnation, as one with a later start is. If no replica of the version takes work, the answer ends at once (software_version_gone), not at its deadline. Replicas that were tried before may serve later, so permanent exclusions no longer hide them as the reason of a refusal.

--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -36,6 +36,7 @@
 #include "routing/locality.h"
 #include "routing/region_rule.h"
 #include "routing/service_times.h"
+#include "routing/software_version_rule.h"
 #include "routing/speed_contrast.h"
 #include "routing/tenant_share_changes.h"
 #include "routing/tenant_shares.h"
@@ -230,6 +231,7 @@
   routing::AdmissionPolicy admission_;
   routing::EvacuationTable evacuations_;
   routing::RegionRule regionRule_;
+  routing::SoftwareVersionRule softwareVersionRule_;
   routing::EvacuationRule evacuationRule_;
   routing::ColdReplicaRule coldReplicas_;
   /// Whether the cold states of replicas were known when last logged; unset if never logged.
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -270,12 +270,14 @@
   if (before) {
     dependencies_.client.closeIdleConnections(before->entry.address);
   }
-  log_.logImportant("replica_restarted",
-                    {{"replica", id},
-                     {"started_unix_ms", replica.entry.startedAt->value()},
-                     {"address", replica.entry.address},
-                     {"zone", replica.entry.zone},
-                     {"in_flight", std::uint64_t{before ? before->inFlight : 0}}});
+  log_.logImportant(
+      "replica_restarted",
+      {{"replica", id},
+       {"started_unix_ms", replica.entry.startedAt ? replica.entry.startedAt->value() : 0},
+       {"address", replica.entry.address},
+       {"zone", replica.entry.zone},
+       {"software_version", replica.entry.softwareVersion},
+       {"in_flight", std::uint64_t{before ? before->inFlight : 0}}});
 }
 
 void EdgeDaemon::onOutdatedRegistration(const routing::ReplicaEntry& entry) {
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -89,6 +89,9 @@
   void recordServiceTime();
   [[nodiscard]] routing::PlacementQuery placementQuery() const;
   [[nodiscard]] routing::PlacementSubject placementSubject() const;
+  /// Called with each event from a replica: from the first one on, only replicas of the same
+  /// software version may continue the stream.
+  void keepSoftwareVersion();
   void onReplicasBusy(const routing::RefusedByAdmission& refused);
   /// Takes a place in the retry order of the service; call it once, and only for a refusal for lack
   /// of capacity.
@@ -250,7 +253,10 @@
   std::uint32_t refusedDispatches_ = 0;
   std::uint32_t resumes_ = 0;
   bool mayHaveRun_ = false;
-  StreamProgress progress_;   ///< Buffers events until the reservation is granted.
+  StreamProgress progress_;  ///< Buffers events until the reservation is granted.
+  /// Software version of the replicas that may serve the request; unset before the first event of
+  /// its stream.
+  std::optional<std::string> softwareVersion_;
   bool streamBegun_ = false;  ///< The client has been sent the head of the stream.
   Instant streamEndedAt_;
   bool streamEnded_ = false;  ///< The replica's stream is complete; not yet handled.
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -64,6 +64,7 @@
 routing::PlacementSubject Exchange::placementSubject() const {
   routing::PlacementSubject subject;
   subject.allowedRegions = checked_.places == nullptr ? nullptr : &checked_.places->regions;
+  subject.softwareVersion = softwareVersion_ ? &*softwareVersion_ : nullptr;
   return subject;
 }
 
@@ -84,10 +85,13 @@
 }
 
 void Exchange::onNoReplica(const routing::NoReplica& none) {
+  const bool isVersionGone = none.reason == routing::ExclusionReason::OtherSoftwareVersion;
+  const std::string reason =
+      isVersionGone ? std::string(routing::exclusionReasonName(*none.reason)) : "no_replica_left";
   if (streamBegun_) {
-    abortAnswer("no_replica_left");
+    abortAnswer(reason);
   } else if (mayHaveRun_) {
-    failWithUnknownState(kBadGateway, "no_replica_left");
+    failWithUnknownState(kBadGateway, reason);
   } else if (none.reason) {
     refuse(
         {kUnavailable, std::string(routing::exclusionReasonName(*none.reason)), none.retryAfter});
--- a/src/routing/placement_rule.h
+++ b/src/routing/placement_rule.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "base/time.h"
@@ -18,6 +19,8 @@
   EvacuationUnknown,  ///< This node has not yet read which zones are evacuated.
   ColdRateExhausted,  ///< The replica is cold, and this node's share of its rate limit is used up.
   RegionNotAllowed,   ///< The replica is outside the regions that the request is limited to.
+  /// The request continues a stream that replicas of another software version began.
+  OtherSoftwareVersion,
 };
 
 /// \return a stable snake_case name for log lines and refusals.
@@ -27,6 +30,8 @@
 struct PlacementSubject {
   /// Regions that may serve the request; null: any.
   const RegionSet* allowedRegions = nullptr;
+  /// The only software version that may serve the request; null: any.
+  const std::string* softwareVersion = nullptr;
 };
 
 /// A condition that excludes replicas from requests. All ways of sending a request apply the same
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -9,6 +9,12 @@
 namespace gorsetrail::routing {
 namespace {
 
+/// \return whether the reason excludes the replica from the request at any time.
+bool isPermanent(ExclusionReason reason) {
+  return reason == ExclusionReason::RegionNotAllowed ||
+         reason == ExclusionReason::OtherSoftwareVersion;
+}
+
 double leastLoadPerSlotOf(const std::vector<const Replica*>& replicas) {
   double least = std::numeric_limits<double>::max();
   for (const Replica* const replica : replicas) {
@@ -29,6 +35,8 @@
       return "evacuations_unknown";
     case ExclusionReason::ColdRateExhausted:
       return "replicas_cold";
+    case ExclusionReason::OtherSoftwareVersion:
+      return "software_version_gone";
     case ExclusionReason::RegionNotAllowed:
       break;
   }
@@ -60,6 +68,13 @@
   return found ? std::optional(found->reason) : std::nullopt;
 }
 
+bool ReplicaPlacement::hasReplicaOf(std::string_view service, const std::string& version) const {
+  const std::vector<ReplicaPtr>& replicas = replicas_.ofService(service);
+  return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaPtr& replica) {
+    return replica->acceptsRequests() && replica->entry.softwareVersion == version;
+  });
+}
+
 ReplicaPtr ReplicaPlacement::witnessFor(const Replica& replica) const {
   ReplicaPtr witness;
   for (const ReplicaPtr& other : replicas_.all()) {
@@ -90,10 +105,8 @@
     if (found.rule == nullptr) {
       continue;
     }
-    // Replicas outside the allowed regions can never serve the request, so they are reported only
-    // if no other rule excluded a replica.
-    const bool isElsewhere = found.reason == ExclusionReason::RegionNotAllowed;
-    const std::size_t count = isElsewhere ? 1 : 1 + ++counts[found.reason];
+    // Replicas that can never serve the request are reported only if no other rule excluded one.
+    const std::size_t count = isPermanent(found.reason) ? 1 : 1 + ++counts[found.reason];
     if (count > most) {
       most = count;
       result.reason = found.reason;
@@ -120,6 +133,12 @@
   };
   const ReplicaPtr cheapest = selector_.choose(replicas_, query.replica, isEligible, now);
   if (!cheapest) {
+    // Replicas that were tried before may serve the request later.
+    const auto isRelevant = [&](const Exclusion& found) {
+      return allowed.empty() || !isPermanent(found.reason);
+    };
+    exclusions.erase(std::stable_partition(exclusions.begin(), exclusions.end(), isRelevant),
+                     exclusions.end());
     return noReplicaFor(exclusions);
   }
   if (!query.admission || admission_.admits(*cheapest, *query.admission)) {
--- a/src/routing/replica_placement.h
+++ b/src/routing/replica_placement.h
@@ -59,6 +59,8 @@
   [[nodiscard]] std::optional<ExclusionReason> exclusionOf(const Replica& replica,
                                                            const PlacementSubject& subject,
                                                            Instant now) const;
+  /// \return whether a replica of the service with this software version accepts requests.
+  [[nodiscard]] bool hasReplicaOf(std::string_view service, const std::string& version) const;
   /// \return another replica, of any service: the one that most recently responded to this node;
   /// null if there is none. If it cannot be reached either, this node's own network link has
   /// failed.
--- a/src/routing/replica_table.cpp
+++ b/src/routing/replica_table.cpp
@@ -25,6 +25,11 @@
   if (order == IncarnationOrder::Later) {
     return startNextIncarnation(std::move(entry), beganAt);
   }
+  // A process does not change its software, so that another one has taken over the id.
+  if (const ReplicaPtr registered = find(entry.id);
+      registered && registered->entry.softwareVersion != entry.softwareVersion) {
+    return startNextIncarnation(std::move(entry), Instant::max());
+  }
   const bool startUntold = known && !entry.startedAt;
   if (startUntold) {
     entry.startedAt = known;  // Otherwise a late entry could restore an earlier incarnation.
@@ -51,8 +56,8 @@
 }
 
 ReplicaChange ReplicaTable::startNextIncarnation(ReplicaEntry entry, Instant beganAt) {
+  ReplicaPtr earlier = find(entry.id);
   remove(entry.id);
-  ReplicaPtr earlier;
   if (const DepartedReplicas::Departed* const departed = departed_.find(entry.id)) {
     earlier = departed->replica.lock();
   }
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -12,6 +12,7 @@
 #include "logstore/fake_log_store.h"
 #include "logstore/retrying_store.h"
 #include "quota/quota_admission.h"
+#include "routing/software_version_rule.h"
 
 namespace gorsetrail::edge::testing {
 
@@ -239,7 +240,8 @@
   logstore::RetryingStore store{log, timers, [this] { return timers.now; }, {}, 1};
   ledger::ProgramLedger ledger{store, timers, [this] { return timers.now; }, {}};
   FakeQuota quota;
-  routing::ReplicaPlacement placement{replicas, selector, admission, {}};
+  routing::SoftwareVersionRule softwareVersionRule;
+  routing::ReplicaPlacement placement{replicas, selector, admission, {&softwareVersionRule}};
   EdgeContext context{
       wire,     routes,  placement, ledger, quota, client, timers, [this] { return timers.now; },
       eventLog, metrics, {},        {},     {},    true};
