Streams are continued by clients only at the version that began them

Callers saw a stream that began at one software version go on at another one when their connection had broken and they came back, mostly to another node. No node knew which version had begun the stream: the new request names the first attempt, and only the node that served it, often the one that died, had seen the replica.

A node now records the origin of a stream (service, version) before it releases the first event, in its memory and by one datagram each at 4 nodes of its region and 1 of each other. A request that continues a stream asks 8 and 2 nodes if it does not know the origin itself, and goes to that service and version only. If nobody knows, or records disagree, or the version takes no work, it is refused at once and finally: 503 without a time to come back.

Why it holds: a record is written with the first event, when the version is certain, and never changes; a message that is lost leads to a refusal, never to a second version. Nothing is awaited, so the first event waits for nothing.

--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -18,7 +18,7 @@
   std::string_view cause;
 };
 /// Maps reasons of `request_ended` lines to causes; the first matching prefix applies.
-constexpr std::array<CauseOfReason, 32> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 34> kCauses = {{{"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
@@ -34,6 +34,8 @@
                                                     {"zones_evacuated", "evacuated"},
                                                     {"evacuations_unknown", "evacuated"},
                                                     {"replicas_cold", "replicas_cold"},
+                                                    {"stream_", "stream_origin"},
+                                                    {"software_version", "software_version"},
                                                     {"no_replica", "no_replica"},
                                                     {"no_connection", "replica_failed"},
                                                     {"replica", "replica_failed"},
--- a/src/cli/log_refusal.cpp
+++ b/src/cli/log_refusal.cpp
@@ -41,6 +41,20 @@
   return hasRoomElsewhere ? "full_beside_room" : "all_full";
 }
 
+std::string_view classifyStreamRefusal(const LogLine& line) {
+  const std::string reason = line.fieldOf("reason");
+  if (reason == "stream_origin_conflicting") {
+    return "records_disagree";
+  }
+  if (reason != "stream_origin_unknown") {
+    return reason == "stream_service_gone" ? "service_gone" : "version_gone";
+  }
+  if (line.fieldOf("resumes").empty()) {
+    return "stream_not_named";
+  }
+  return line.numberOf("answered_nodes") < line.numberOf("asked_nodes") ? kNoAnswer : "no_record";
+}
+
 }  // namespace
 
 std::string_view classifyRefusal(const LogLine& line) {
@@ -59,6 +73,9 @@
   if (line.event == "retry_withheld") {
     return "no_retry_token";
   }
+  if (line.event == "stream_not_continued") {
+    return classifyStreamRefusal(line);
+  }
   if (line.event == "tenant_share_refused") {
     return "above_share";
   }
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -9,6 +9,7 @@
 #include "edge/edge_metrics.h"
 #include "edge/event_log.h"
 #include "edge/retry_control.h"
+#include "edge/stream_origin_directory.h"
 #include "edge/turn_retention_policy.h"
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
@@ -28,6 +29,8 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
+  std::uint64_t streamsContinued = 0;     ///< Requests that continue a client's stream, sent on.
+  std::uint64_t streamsNotContinued = 0;  ///< Likewise, refused.
   std::uint64_t lateDispatches = 0;       ///< Not sent, since no answer could begin in time.
   std::uint64_t tenantShareRefusals = 0;  ///< Requests of tenants above their shares.
 };
@@ -106,6 +109,8 @@
   routing::ServiceTimes* serviceTimes = nullptr;
   RetryControl retryControl{};
   routing::TenantShares* tenantShares = nullptr;  ///< Null: tenants have no shares.
+  /// Null: streams are not followed across requests.
+  StreamOriginDirectory* streamOrigins = nullptr;
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -138,6 +138,11 @@
       quotaExchange_(context, *timers_, clock_, quotaSources(), seed),
       staticShares_([this] { return quotaExchange_.ownShare(); }, clock_),
       serviceTimes_(serviceTimesKnobsOf(settings_)),
+      streamOrigins_(
+          context, *timers_, clock_,
+          {[this]() -> const std::vector<ledger::NodeCandidate>& { return ledgerCandidates(); },
+           &zones_},
+          settings_.zone, {}, seed),
       context_{dependencies.wire,
                routes_,
                placement_,
@@ -156,7 +161,8 @@
                programAdmissionOf(settings_),
                &serviceTimes_,
                RetryControl(retryControlKnobsOf(settings_), seed),
-               usesTenantShares(settings_) ? &tenantShares_ : nullptr},
+               usesTenantShares(settings_) ? &tenantShares_ : nullptr,
+               &streamOrigins_},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -20,6 +20,7 @@
 #include "edge/quota_exchange.h"
 #include "edge/shared_topic_store.h"
 #include "edge/store_relay.h"
+#include "edge/stream_origin_exchange.h"
 #include "edge/topic_readers.h"
 #include "edge/unreadable_records.h"
 #include "edge/wire_adapter.h"
@@ -246,6 +247,7 @@
   QuotaExchange quotaExchange_;
   quota::StaticShares staticShares_;
   routing::ServiceTimes serviceTimes_;
+  StreamOriginExchange streamOrigins_;
   EdgeContext context_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -38,6 +38,11 @@
   values.dispatches = context_.counters.dispatches;
   values.retries = context_.counters.retries;
   values.resumes = context_.counters.resumes;
+  values.streamOrigins = streamOrigins_.recordCount();
+  values.streamOriginsDropped = streamOrigins_.droppedRecords();
+  values.streamOriginMessagesUnreadable = streamOrigins_.unreadableMessages();
+  values.streamsContinued = context_.counters.streamsContinued;
+  values.streamsNotContinued = context_.counters.streamsNotContinued;
   values.retriesWithheld = context_.retryControl.retriesWithheld();
   values.returnSchedules = context_.retryControl.scheduleLengths(now);
   values.turnsWaitingForRecord = context_.retention.heldStreamEnds();
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -50,7 +50,12 @@
     return probes;
   }
   constexpr std::uint16_t kQuotaPortOffset = 3;
-  return quotaExchange_.listen(settings_.ip, settings_.firstInternalPort + kQuotaPortOffset);
+  auto quotas = quotaExchange_.listen(settings_.ip, settings_.firstInternalPort + kQuotaPortOffset);
+  if (!succeeded(quotas)) {
+    return quotas;
+  }
+  constexpr std::uint16_t kStreamOriginPortOffset = 4;
+  return streamOrigins_.listen(settings_.ip, settings_.firstInternalPort + kStreamOriginPortOffset);
 }
 
 void EdgeDaemon::onPeerState(const std::string& ip, membership::MemberState state) {
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -77,6 +77,21 @@
   list.add(snapshot.turnsNotStored, {{"result", "not_stored"}});
 }
 
+void addStreamOrigins(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.gauge("stream_origins", "Streams whose software version this node holds",
+             snapshot.streamOrigins);
+  list.counter("stream_origins_dropped_total", "Dropped before their expiry, for lack of space",
+               snapshot.streamOriginsDropped);
+  list.family("stream_continuations_total",
+              "Requests that continue a stream of an earlier attempt, by decision",
+              MetricType::Counter);
+  list.add(snapshot.streamsContinued, {{"decision", "sent"}});
+  list.add(snapshot.streamsNotContinued, {{"decision", "refused"}});
+  list.counter("stream_origin_messages_unreadable_total",
+               "Datagrams about the origins of streams that could not be decoded",
+               snapshot.streamOriginMessagesUnreadable);
+}
+
 void addRetryControl(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.counter("retries_withheld_total", "Dispatches after refusals, by the retry budget",
                snapshot.retriesWithheld);
@@ -238,6 +253,7 @@
   list.counter("dispatches_total", "Requests sent to replicas", snapshot.dispatches);
   list.counter("retries_total", "Dispatches after the first of a request", snapshot.retries);
   list.counter("resumes_total", "Streams that went on after a cut", snapshot.resumes);
+  addStreamOrigins(list, snapshot);
   addRetryControl(list, snapshot);
   addStore(list, snapshot);
   addTopics(list, snapshot);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -83,7 +83,12 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resumes = 0;
-  std::uint64_t retriesWithheld = 0;  ///< Dispatches after refusals, by the retry budget.
+  std::uint64_t streamOrigins = 0;         ///< Gauge: streams whose origin this node holds.
+  std::uint64_t streamOriginsDropped = 0;  ///< Before their expiry, for lack of space.
+  std::uint64_t streamOriginMessagesUnreadable = 0;
+  std::uint64_t streamsContinued = 0;     ///< Requests that continue a stream, sent on.
+  std::uint64_t streamsNotContinued = 0;  ///< Likewise, refused.
+  std::uint64_t retriesWithheld = 0;      ///< Dispatches after refusals, by the retry budget.
   /// Gauge: refused callers ahead in the retry order of each service.
   std::vector<ReturnScheduleLength> returnSchedules{};
   /// Gauge: complete streams whose end is withheld until the turn is stored.
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -44,7 +44,7 @@
                              }
                            });
   if (admitPersistedTurn(request_.body.size())) {
-    checkQuota();
+    findStreamOrigin();
   }
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -22,6 +22,8 @@
 /// Handles one client request: quota, history, budget, dispatch with retries, and the answer.
 ///
 /// Order of the steps, and why it is safe:
+/// 0. For a request that continues a stream, the software that began it is looked up. If nobody
+///    knows it, the request is refused: two versions must not write one stream.
 /// 1. The quota is checked first, so that a refusal costs nothing else.
 /// 2. The turn's history is read from the log and prepended to the request body.
 /// 3. The budget is reserved. The request may be dispatched at the same time, but no event is
@@ -89,9 +91,19 @@
   void recordServiceTime();
   [[nodiscard]] routing::PlacementQuery placementQuery() const;
   [[nodiscard]] routing::PlacementSubject placementSubject() const;
-  /// Called with each event from a replica: from the first one on, only replicas of the same
-  /// software version may continue the stream.
-  void keepSoftwareVersion();
+  // Continuing a stream, in one answer or at another node.
+  /// \return whether the client has received a part of the stream from an earlier attempt.
+  [[nodiscard]] bool continuesStream() const;
+  /// \return the identity of the stream, which is the same in all attempts that continue it.
+  [[nodiscard]] routing::StreamId streamId() const;
+  /// Finds out which software began the stream, if the request continues one.
+  void findStreamOrigin();
+  void onStreamOrigin(const OriginLookup& lookup);
+  /// Answers finally: the client has to begin a new stream.
+  void refuseToContinueStream(const OriginLookup& lookup, std::string_view reason);
+  /// Called before the release of events from a replica: from the first one on, only replicas of
+  /// the same software version may continue the stream, at this node or another.
+  void keepStreamOrigin();
   void onReplicasBusy(const routing::RefusedByAdmission& refused);
   /// Takes a place in the retry order of the service; call it once, and only for a refusal for lack
   /// of capacity.
@@ -257,6 +269,7 @@
   /// Software version of the replicas that may serve the request; unset before the first event of
   /// its stream.
   std::optional<std::string> softwareVersion_;
+  bool originRecorded_ = false;
   bool streamBegun_ = false;  ///< The client has been sent the head of the stream.
   Instant streamEndedAt_;
   bool streamEnded_ = false;  ///< The replica's stream is complete; not yet handled.
--- a/src/edge/exchange_liveness.cpp
+++ b/src/edge/exchange_liveness.cpp
@@ -93,11 +93,4 @@
   occupyReplica(incarnation);
 }
 
-void Exchange::keepSoftwareVersion() {
-  if (!softwareVersion_) {
-    followRestartedReplica();
-    softwareVersion_ = replica_->entry.softwareVersion;
-  }
-}
-
 }  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/edge/exchange_stream_origin.cpp
@@ -0,0 +1,116 @@
+// Part of `Exchange`: keeps the events of a stream to one software version of the replicas, also
+// when a client continues the stream at another node.
+#include <algorithm>
+#include <string>
+
+#include "edge/exchange.h"
+#include "edge/exchange_shared.h"
+#include "tenant/scoped_name.h"
+
+namespace gorsetrail::edge {
+namespace {
+
+/// A stream may be continued until its client's deadline, which bounds all its attempts; clients
+/// commonly wait as long as the route's timeout allows. The rest covers clients that wait longer.
+constexpr int kLifetimeInTimeouts = 4;
+constexpr Duration kMinimumLifetime = seconds(20);
+
+std::string_view stateName(const routing::OriginState& state) {
+  return std::holds_alternative<routing::ConflictingOrigin>(state) ? "stream_origin_conflicting"
+                                                                   : "stream_origin_unknown";
+}
+
+}  // namespace
+
+bool Exchange::continuesStream() const {
+  return isStreaming() && !(request_.lastEventId.empty() && request_.resumedRequestId.empty());
+}
+
+routing::StreamId Exchange::streamId() const {
+  const std::string& first =
+      request_.resumedRequestId.empty() ? request_.requestId : request_.resumedRequestId;
+  return routing::streamIdOf(tenant::scopedName(checked_.tenantName(), first));
+}
+
+void Exchange::findStreamOrigin() {
+  if (context_.streamOrigins == nullptr || !continuesStream()) {
+    checkQuota();
+    return;
+  }
+  if (request_.resumedRequestId.empty()) {
+    refuseToContinueStream({routing::UnknownOrigin{}, {}, 0, 0}, "stream_origin_unknown");
+    return;
+  }
+  context_.streamOrigins->find(streamId(), [self = shared_from_this()](const OriginLookup& lookup) {
+    self->onStreamOrigin(lookup);
+  });
+}
+
+void Exchange::onStreamOrigin(const OriginLookup& lookup) {
+  if (ended_) {
+    return;
+  }
+  const auto* const origin = std::get_if<routing::StreamOrigin>(&lookup.state);
+  if (origin == nullptr) {
+    refuseToContinueStream(lookup, stateName(lookup.state));
+    return;
+  }
+  if (!sendToService(checked_, origin->service)) {
+    refuseToContinueStream(lookup, "stream_service_gone");
+    return;
+  }
+  softwareVersion_ = origin->softwareVersion;
+  if (!context_.placement.hasReplicaOf(checked_.service, *softwareVersion_)) {
+    refuseToContinueStream(lookup, "software_version_gone");
+    return;
+  }
+  ++context_.counters.streamsContinued;
+  context_.log.logRoutine("stream_continued",
+                          {{"request", request_.requestId},
+                           {"program", request_.programId},
+                           {"resumes", request_.resumedRequestId},
+                           {"after_event", request_.lastEventId},
+                           {"service", checked_.service},
+                           {"software_version", *softwareVersion_},
+                           {"known_by", lookup.source.empty() ? "this_node" : lookup.source},
+                           {"waited_ms", millisecondsUntil(context_.clock())}});
+  checkQuota();
+}
+
+void Exchange::refuseToContinueStream(const OriginLookup& lookup, std::string_view reason) {
+  const auto* const origin = std::get_if<routing::StreamOrigin>(&lookup.state);
+  ++context_.counters.streamsNotContinued;
+  context_.log.logRefusal(
+      "stream_not_continued", {request_.programId, reason},
+      {{"request", request_.requestId},
+       {"program", request_.programId},
+       {"resumes", request_.resumedRequestId},
+       {"after_event", request_.lastEventId},
+       {"reason", reason},
+       {"service", origin == nullptr ? checked_.service : origin->service},
+       {"software_version", origin == nullptr ? std::string() : origin->softwareVersion},
+       {"asked_nodes", std::uint64_t{lookup.asked}},
+       {"answered_nodes", std::uint64_t{lookup.answered}},
+       {"waited_ms", millisecondsUntil(context_.clock())}});
+  // No delay before a retry: waiting does not bring the stream back, the client begins a new one.
+  refuse({kUnavailable, std::string(reason), Duration::zero()});
+}
+
+void Exchange::keepStreamOrigin() {
+  if (originRecorded_) {
+    return;
+  }
+  originRecorded_ = true;
+  if (!softwareVersion_) {
+    followRestartedReplica();
+    softwareVersion_ = replica_->entry.softwareVersion;
+  }
+  if (context_.streamOrigins == nullptr || !checked_.route->resumable) {
+    return;
+  }
+  const Duration keepFor =
+      std::max(kMinimumLifetime, checked_.route->timeout * kLifetimeInTimeouts);
+  context_.streamOrigins->record(streamId(), {checked_.service, *softwareVersion_}, keepFor);
+}
+
+}  // namespace gorsetrail::edge
--- a/src/edge/request_check.cpp
+++ b/src/edge/request_check.cpp
@@ -75,8 +75,10 @@
   return Refusal{kUnavailable, "configuration_too_old", context.knobs.retryAfterStore};
 }
 
-void chooseService(EdgeContext& context, CheckedRequest& request) {
-  request.service = context.routes.nextService(*request.route);
+void setService(CheckedRequest& request, const std::string& name) {
+  request.service = name;
+  request.hasEngine = false;
+  request.tokensPerEvent = 1;
   const auto& services = request.configuration->services;
   const auto service = services.find(request.service);
   if (service != services.end() && service->second.engine) {
@@ -109,11 +111,23 @@
 
 }  // namespace
 
+bool sendToService(CheckedRequest& request, const std::string& service) {
+  const auto& allowed = request.route->services;
+  const bool isAllowed =
+      std::any_of(allowed.begin(), allowed.end(), [&](const routing::WeightedService& one) {
+        return one.service == service && one.weight > 0;
+      });
+  if (isAllowed && service != request.service) {
+    setService(request, service);
+  }
+  return isAllowed;
+}
+
 RequestCheck checkRequest(EdgeContext& context, const CallRequest& call, Instant now) {
   RequestCheck check;
   check.refusal = findRoute(context, call, now, check.request);
   if (!check.refusal) {
-    chooseService(context, check.request);
+    setService(check.request, context.routes.nextService(*check.request.route));
     check.refusal = authenticate(context, call, now, check.request);
   }
   if (!check.refusal) {
--- a/src/edge/request_check.h
+++ b/src/edge/request_check.h
@@ -53,4 +53,8 @@
 /// \param now the request's arrival.
 [[nodiscard]] RequestCheck checkRequest(EdgeContext& context, const CallRequest& call, Instant now);
 
+/// Sends the request to this service instead of the selected one.
+/// \return false, without a change, if its route does not lead there.
+[[nodiscard]] bool sendToService(CheckedRequest& request, const std::string& service);
+
 }  // namespace gorsetrail::edge
--- a/tests/cli/log_refusal_test.cpp
+++ b/tests/cli/log_refusal_test.cpp
@@ -57,6 +57,21 @@
   STRCMP_EQUAL("load_unknown", refusalClassOf(refused + "own_requests").c_str());
 }
 
+TEST(LogRefusal, classifiesStreamsThatWereNotContinued) {
+  const std::string unknown = "stream_not_continued reason=stream_origin_unknown resumes=";
+  STRCMP_EQUAL("stream_not_named", refusalClassOf(unknown + "\"\"").c_str());
+  STRCMP_EQUAL("no_record", refusalClassOf(unknown + "q1 asked_nodes=8 answered_nodes=8").c_str());
+  STRCMP_EQUAL("no_answer", refusalClassOf(unknown + "q1 asked_nodes=8 answered_nodes=7").c_str());
+  STRCMP_EQUAL("records_disagree",
+               refusalClassOf("stream_not_continued reason=stream_origin_conflicting").c_str());
+  STRCMP_EQUAL(
+      "version_gone",
+      refusalClassOf("stream_not_continued reason=software_version_gone software_version=v1")
+          .c_str());
+  STRCMP_EQUAL("service_gone",
+               refusalClassOf("stream_not_continued reason=stream_service_gone").c_str());
+}
+
 TEST(LogRefusal, otherLinesHaveNoRefusalClass) {
   STRCMP_EQUAL("", refusalClassOf("request_ended reason=reservation_unavailable").c_str());
 }
--- a/tests/edge/exchange_program_admission_test.cpp
+++ b/tests/edge/exchange_program_admission_test.cpp
@@ -86,6 +86,8 @@
   CallRequest resumed = ExchangeWorld::turn("again");
   resumed.requestId = "q2";
   resumed.lastEventId = "3";
+  resumed.resumedRequestId = "q0";
+  world.knowOrigin("q0", "");
   const auto stream = world.start(resumed);
   LONGS_EQUAL(2, world.dispatches());
 }
--- a/tests/edge/exchange_retries_test.cpp
+++ b/tests/edge/exchange_retries_test.cpp
@@ -170,6 +170,8 @@
   const std::size_t before = world.dispatches();
   CallRequest call = ExchangeWorld::request("again");
   call.lastEventId = "4";
+  call.resumedRequestId = "q0";
+  world.knowOrigin("q0", "");
   const auto client = world.start(std::move(call));
   refuseDispatch();
   LONGS_EQUAL(before + 2, world.dispatches());
--- a/tests/edge/exchange_stream_version_test.cpp
+++ b/tests/edge/exchange_stream_version_test.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 const std::string kFirst = "id: 1\ndata: a\n\n";
+const std::string kSecond = "id: 2\ndata: b\n\n";
+const std::string kThird = "id: 3\ndata: c\n\n";
 
 }  // namespace
 
@@ -26,7 +28,37 @@
     entry.softwareVersion = version;
     world.replicas.upsert(entry);
   }
+  void setDraining(const std::string& id) {
+    routing::ReplicaEntry entry = world.replicas.find(id)->entry;
+    entry.draining = true;
+    world.replicas.upsert(entry);
+  }
   void wait(Duration time = milliseconds(50)) { world.timers.advance(time); }
+  /// Continues the stream of q1 after an event, at a node that did not see it before.
+  std::shared_ptr<ClientView> continueStream(const std::string& requestId = "q2",
+                                             const std::string& after = "1") {
+    CallRequest call = ExchangeWorld::turn("again");
+    call.requestId = requestId;
+    call.resumedRequestId = "q1";
+    call.lastEventId = after;
+    const auto client = world.start(call);
+    wait();
+    return client;
+  }
+  /// Lets the last dispatch bring an event and then break off with its node.
+  void bringEventAndEnd(const std::shared_ptr<ClientView>& client, const std::string& event) {
+    world.beginEvents();
+    world.call().body(event);
+    wait();
+    client->observer.onGone();
+  }
+  std::string askedReplica() { return world.call().headerOf("expect"); }
+  void checkRefusedWithoutDispatch(const std::shared_ptr<ClientView>& client, const char* reason) {
+    LONGS_EQUAL(0, world.dispatches());
+    LONGS_EQUAL(503, client->status);
+    STRCMP_EQUAL("", client->retryAfter.c_str());
+    STRCMP_EQUAL(reason, client->body.c_str());
+  }
 };
 
 TEST(ExchangeStreamVersion, anAnswerIsNotContinuedByAReplicaOfAnotherVersion) {
@@ -41,14 +73,115 @@
   CHECK_TRUE(client->closed);
 }
 
+TEST(ExchangeStreamVersion, anAnswerIsContinuedByAnotherReplicaOfItsVersion) {
+  for (const char* id : {"r1", "r2", "r3"}) {
+    setVersion(id, "v1");
+  }
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  const std::string first = askedReplica();
+  world.beginEvents();
+  world.call().body(kFirst);
+  wait(world.context.knobs.reachabilityCheckDelay * 2);
+  world.answerReachabilityCheck(false);
+  LONGS_EQUAL(2, world.dispatches());
+  CHECK(askedReplica() != first);
+}
+
+TEST(ExchangeStreamVersion, anAnswerIsNotContinuedByTheNextProcessOfTheIdWithAnotherVersion) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  world.beginEvents();
+  world.call().body(kFirst);
+  setVersion(askedReplica(), "v4");
+  world.call().fail(http::FailureStage::Broken);
+  LONGS_EQUAL(1, world.dispatches());
+  CHECK_TRUE(client->closed);
+}
+
+TEST(ExchangeStreamVersion, anAnswerWithoutAnEventMayMoveToAnotherVersion) {
+  world.start(ExchangeWorld::turn("again"));
+  wait();
+  world.beginEvents();
+  wait(world.context.knobs.reachabilityCheckDelay * 2);
+  world.answerReachabilityCheck(false);
+  LONGS_EQUAL(2, world.dispatches());
+  LONGS_EQUAL(0, world.origins.recorded.size());
+}
+
+TEST(ExchangeStreamVersion, theOriginIsRecordedBeforeTheFirstEventIsReleased) {
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  world.origins.onRecord = [&client] { STRCMP_EQUAL("", client->body.c_str()); };
+  world.beginEvents();
+  world.call().body(kFirst + kSecond);
+  LONGS_EQUAL(1, world.origins.recorded.size());
+  STRCMP_EQUAL("model", world.origins.recorded.front().service.c_str());
+  const std::string version = world.replicas.find(askedReplica())->entry.softwareVersion;
+  STRCMP_EQUAL(version.c_str(), world.origins.recorded.front().softwareVersion.c_str());
+}
+
 TEST(ExchangeStreamVersion, aStreamOfUnknownVersionIsNotContinued) {
+  checkRefusedWithoutDispatch(continueStream(), "stream_origin_unknown");
+}
+
+TEST(ExchangeStreamVersion, aStreamOfConflictingRecordsIsNotContinued) {
+  world.origins.known[routing::streamIdOf("q1").low] = routing::ConflictingOrigin{};
+  checkRefusedWithoutDispatch(continueStream(), "stream_origin_conflicting");
+}
+
+TEST(ExchangeStreamVersion, aStreamThatItsClientDoesNotNameIsNotContinued) {
+  world.knowOrigin("q1", "v1");
   CallRequest call = ExchangeWorld::turn("again");
-  call.requestId = "q2";
-  call.resumedRequestId = "q1";
   call.lastEventId = "1";
-  const auto client = world.start(call);
+  checkRefusedWithoutDispatch(world.start(call), "stream_origin_unknown");
+}
+
+TEST(ExchangeStreamVersion, aStreamIsContinuedAtTheVersionThatBeganIt) {
+  for (const char* version : {"v1", "v2", "v3"}) {
+    world.knowOrigin("q1", version);
+    continueStream(std::string("q-") + version);
+    STRCMP_EQUAL(version, world.replicas.find(askedReplica())->entry.softwareVersion.c_str());
+    STRCMP_EQUAL("1", world.call().headerOf("after").c_str());
+  }
+}
+
+TEST(ExchangeStreamVersion, aChainOfAttemptsKeepsTheVersionOfTheFirst) {
+  const auto first = world.start(ExchangeWorld::turn("again"));
   wait();
-  LONGS_EQUAL(0, world.dispatches());
+  const std::string replica = askedReplica();
+  bringEventAndEnd(first, kFirst);
+  const auto second = continueStream("q2", "1");
+  STRCMP_EQUAL(replica.c_str(), askedReplica().c_str());
+  bringEventAndEnd(second, kSecond);
+  LONGS_EQUAL(2, world.origins.recorded.size());
+  const auto third = continueStream("q3", "2");
+  STRCMP_EQUAL(replica.c_str(), askedReplica().c_str());
+  world.beginEvents();
+  world.call().body(kThird);
+  world.call().done();
+  STRCMP_EQUAL(kThird.c_str(), third->body.c_str());
+  CHECK_TRUE(third->whole);
+}
+
+TEST(ExchangeStreamVersion, aVersionThatTakesNoWorkIsRefusedFinallyAndAtOnce) {
+  world.knowOrigin("q1", "v2");
+  setDraining("r2");
+  checkRefusedWithoutDispatch(continueStream(), "software_version_gone");
+}
+
+TEST(ExchangeStreamVersion, aVersionThatIsFullIsRefusedWithATimeToComeBack) {
+  world.knowOrigin("q1", "v2");
+  const auto client = continueStream();
+  STRCMP_EQUAL("r2", askedReplica().c_str());
+  world.call().head(503, {{"not-run", ""}});
+  world.call().done();
+  LONGS_EQUAL(1, world.dispatches());
   LONGS_EQUAL(503, client->status);
-  STRCMP_EQUAL("", client->retryAfter.c_str());
+  CHECK(!client->retryAfter.empty());
+}
+
+TEST(ExchangeStreamVersion, aStreamIsNotContinuedByAServiceThatItsRouteHasLeft) {
+  world.knowOrigin("q1", "v1", "former");
+  checkRefusedWithoutDispatch(continueStream(), "stream_service_gone");
 }
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -1,6 +1,8 @@
 /// \file Test fixture of `Exchange` with fake replicas, clients, store and clock.
 #pragma once
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -85,6 +87,25 @@
   std::vector<std::string> givenBack;
 };
 
+/// Knows what the test or an exchange has recorded; answers at once.
+class FakeStreamOrigins final : public StreamOriginDirectory {
+ public:
+  void record(const routing::StreamId& stream, const routing::StreamOrigin& origin,
+              Duration /*keepFor*/) override {
+    onRecord();
+    known[stream.low] = origin;
+    recorded.push_back(origin);
+  }
+  void find(const routing::StreamId& stream, Callback callback) override {
+    const auto found = known.find(stream.low);
+    callback({found == known.end() ? routing::UnknownOrigin{} : found->second, {}, 0, 0});
+  }
+
+  std::map<std::uint64_t, routing::OriginState> known;
+  std::vector<routing::StreamOrigin> recorded;
+  std::function<void()> onRecord = [] {};
+};
+
 /// Response as received by the client.
 struct ClientView {
   unsigned status = 0;  ///< 0: no response yet.
@@ -148,6 +169,7 @@
     configuration->services.emplace("model", service);
     routes.apply(configuration);
     context.storeReadTimes.configurationReadAt = timers.now;
+    context.streamOrigins = &origins;
   }
 
   /// Clears the observers, which otherwise keep unfinished exchanges alive.
@@ -204,6 +226,11 @@
         ->start();
     return view;
   }
+  /// Makes it known which software began the stream of a request.
+  void knowOrigin(const std::string& requestId, const std::string& version,
+                  const std::string& service = "model") {
+    origins.known[routing::streamIdOf(requestId).low] = routing::StreamOrigin{service, version};
+  }
   node::testing::FakeHttpClient::Exchange& call() { return client.last(); }
   std::size_t dispatches() const { return client.exchanges.size(); }
   void beginEvents() { call().head(200, {{"events", ""}}); }
@@ -240,6 +267,7 @@
   logstore::RetryingStore store{log, timers, [this] { return timers.now; }, {}, 1};
   ledger::ProgramLedger ledger{store, timers, [this] { return timers.now; }, {}};
   FakeQuota quota;
+  FakeStreamOrigins origins;
   routing::SoftwareVersionRule softwareVersionRule;
   routing::ReplicaPlacement placement{replicas, selector, admission, {&softwareVersionRule}};
   EdgeContext context{
