Soak: continued streams that owe nothing are not counted

The users' rule counts neither: it looks at machines in touch, and while two replicas of the stream's version serve.

The check now leaves out streams that began before a kill of all nodes, and counts only while two replicas of the version take work.

--- a/lab/faultsoak/promise_watcher.h
+++ b/lab/faultsoak/promise_watcher.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gorsetrail::lab {
@@ -67,14 +69,18 @@
   void onAnswer(const std::string& id, const SoakAnswer& answer);
   /// All nodes were lost at once; every node's memory with them.
   void onLossOfAll() { lossOfAll_ = true; }
+  /// All nodes were killed at once amid the other faults: streams that began before owe nothing.
+  void onAllKilled();
+  /// The software version of the replicas that take work, one entry for each.
+  void onServingVersions(std::vector<std::string> versions) { serving_ = std::move(versions); }
   /// The program goes on from a turn that was stored before the loss, and asks from now on.
   void onGoesOnAfterLoss(const std::string& program) { goingOn_[program] = {}; }
   /// \return whether each of these programs, and enough first turns, reached a replica.
   [[nodiscard]] bool isServedAfterLoss() const;
   /// The time that the nodes have to recover is over.
   void checkAfterLoss();
-  /// Of the streams that clients went on with, the share that did go on is no less than half of the
-  /// share of new streams that began.
+  /// Of the streams that clients went on with while two replicas of their version took work, the
+  /// share that did go on is no less than half of the share of new streams that began.
   void checkResumedStreams();
   [[nodiscard]] const SoakStreams& newStreams() const { return newStreams_; }
   [[nodiscard]] const SoakStreams& resumedStreams() const { return resumedStreams_; }
@@ -110,6 +116,8 @@
   void checkBody(const SoakAttempt& attempt, const SoakAnswer& answer);
   void countTokens(const SoakAttempt& attempt, const SoakAnswer& answer);
   void countStream(const SoakAttempt& attempt, const SoakAnswer& answer);
+  /// \return whether enough replicas of the resumed stream's version take work.
+  [[nodiscard]] bool isVersionServing(const std::string& stream) const;
   /// \param versions of the replicas that wrote the answer's events.
   void checkVersions(const SoakAttempt& attempt, const std::vector<std::string>& versions);
 
@@ -121,6 +129,8 @@
   std::map<std::string, GoingOn> goingOn_;  ///< By program.
   std::uint64_t firstTurnsAfterLoss_ = 0;
   std::map<std::string, std::string> versions_;  ///< Of each stream, by its first attempt.
+  std::vector<std::string> serving_;
+  std::set<std::string> streamsBeforeKill_;
   SoakStreams newStreams_;      ///< By input, which is the same in all attempts of a turn.
   SoakStreams resumedStreams_;  ///< By first attempt.
   std::vector<SoakViolation> violations_;
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -216,6 +216,13 @@
                                 {"born", life.startedAtMs},
                                 {"callSeq", ++life.heartbeats}};
   store_->put("keyed.servers", replicas_[replica]->id(), entry.dump());
+  std::vector<std::string> serving;
+  for (std::size_t number = 0; number < replicas_.size(); ++number) {
+    if (!replicaLives_[number].draining) {
+      serving.push_back(replicas_[number]->softwareVersion());
+    }
+  }
+  watcher_.onServingVersions(std::move(serving));
 }
 
 void SoakRun::replaceReplica(std::size_t replica) {
@@ -352,6 +359,7 @@
       for (std::size_t node = 0; node < options_.nodes; ++node) {
         struck = processes_.signal(node, SIGKILL) && struck;
       }
+      watcher_.onAllKilled();
       break;
     case SoakFaultKind::StoreWay:
       setStoreFault(fault.target, fault.proxy);
