Streams of a process that took over a replica's id are not continued elsewhere

Cause: where replicas keep their id over a start, a node reads the registration of the next process up to half a second after its first requests.

With each event the node looks whether the request went to the next process. If all events of the answer came from there, the origin is recorded again, so that the records disagree and nobody continues the stream; if the answer had begun at another version, it ends before the event is released.

Left: a stream that broke off before the registration was read.

--- a/lab/faultsoak/promise_watcher.cpp
+++ b/lab/faultsoak/promise_watcher.cpp
@@ -137,8 +137,9 @@
   for (const std::string& version : versions) {
     const std::string& first = versions_.emplace(stream, version).first->second;
     if (version != first) {
-      add({"a_stream_has_one_software_version", attempt.id,
-           "stream " + stream + " began at " + first + " and went on at " + version});
+      std::string detail = "stream " + stream;
+      detail.append(" began at ").append(first).append(" and went on at ").append(version);
+      add({"a_stream_has_one_software_version", attempt.id, detail});
       return;
     }
   }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -103,7 +103,9 @@
   void refuseToContinueStream(const OriginLookup& lookup, std::string_view reason);
   /// Called before the release of events from a replica: from the first one on, only replicas of
   /// the same software version may continue the stream, at this node or another.
-  void keepStreamOrigin();
+  /// \return false if the events are of another version; the request has then ended.
+  [[nodiscard]] bool keepStreamOrigin();
+  void recordStreamOrigin();
   void onReplicasBusy(const routing::RefusedByAdmission& refused);
   /// Takes a place in the retry order of the service; call it once, and only for a refusal for lack
   /// of capacity.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -120,8 +120,9 @@
   const bool isFirstEvent = progress_.eventsReceived() == eventsBeforeDispatch_;
   if (progress_.receive(part)) {
     answerBeganAt_ = isFirstEvent ? context_.clock() : answerBeganAt_;
-    keepStreamOrigin();
-    releaseOutput();
+    if (keepStreamOrigin()) {
+      releaseOutput();
+    }
   }
 }
 
--- a/src/edge/exchange_stream_origin.cpp
+++ b/src/edge/exchange_stream_origin.cpp
@@ -96,15 +96,30 @@
   refuse({kUnavailable, std::string(reason), Duration::zero()});
 }
 
-void Exchange::keepStreamOrigin() {
-  if (originRecorded_) {
-    return;
+// The registration of a process that took over the replica's id is read after its first events may
+// have come. Then the origin is recorded a second time: the records disagree, and the stream is not
+// continued.
+bool Exchange::keepStreamOrigin() {
+  followRestartedReplica();
+  const std::string& version = replica_->entry.softwareVersion;
+  if (softwareVersion_ && version != *softwareVersion_) {
+    const bool wroteAllEvents = eventsBeforeDispatch_ == 0 && !continuesStream();
+    if (!wroteAllEvents) {
+      abortAnswer(std::string(
+          routing::exclusionReasonName(routing::ExclusionReason::OtherSoftwareVersion)));
+      return false;
+    }
+    originRecorded_ = false;
   }
-  originRecorded_ = true;
-  if (!softwareVersion_) {
-    followRestartedReplica();
-    softwareVersion_ = replica_->entry.softwareVersion;
+  softwareVersion_ = version;
+  if (!originRecorded_) {
+    originRecorded_ = true;
+    recordStreamOrigin();
   }
+  return true;
+}
+
+void Exchange::recordStreamOrigin() {
   if (context_.streamOrigins == nullptr || !checked_.route->resumable) {
     return;
   }
--- a/tests/edge/exchange_stream_version_test.cpp
+++ b/tests/edge/exchange_stream_version_test.cpp
@@ -52,6 +52,19 @@
     wait();
     client->observer.onGone();
   }
+  /// Reads the registration of a process that took over the last replica's id some time ago.
+  void learnOfRestart(Duration ago, const std::string& version = "v4") {
+    routing::ReplicaEntry entry = world.replicas.find(askedReplica())->entry;
+    entry.startedAt = routing::ReplicaStart(2);
+    entry.softwareVersion = version;
+    CHECK(world.replicas.upsert(entry, world.timers.now - ago) ==
+          routing::ReplicaChange::Restarted);
+  }
+  void setStart(const std::string& id) {
+    routing::ReplicaEntry entry = world.replicas.find(id)->entry;
+    entry.startedAt = routing::ReplicaStart(1);
+    world.replicas.upsert(entry);
+  }
   std::string askedReplica() { return world.call().headerOf("expect"); }
   void checkRefusedWithoutDispatch(const std::shared_ptr<ClientView>& client, const char* reason) {
     LONGS_EQUAL(0, world.dispatches());
@@ -185,3 +198,43 @@
   world.knowOrigin("q1", "v1", "former");
   checkRefusedWithoutDispatch(continueStream(), "stream_service_gone");
 }
+
+TEST(ExchangeStreamVersion, aStreamOfAProcessThatTookOverTheIdIsNotContinuedAtTheFormerVersion) {
+  for (const char* id : {"r1", "r2", "r3"}) {
+    setStart(id);
+  }
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  world.beginEvents();
+  world.call().body(kFirst);
+  learnOfRestart(milliseconds(200));
+  world.call().body(kSecond);
+  STRCMP_EQUAL((kFirst + kSecond).c_str(), client->body.c_str());
+  LONGS_EQUAL(2, world.origins.recorded.size());
+  STRCMP_EQUAL("v4", world.origins.recorded.back().softwareVersion.c_str());
+}
+
+TEST(ExchangeStreamVersion, aContinuedStreamEndsWhenItsProcessProvesToBeOfAnotherVersion) {
+  setStart("r2");
+  world.knowOrigin("q1", "v2");
+  const auto client = continueStream();
+  world.beginEvents();
+  learnOfRestart(milliseconds(200));
+  world.call().body(kSecond);
+  LONGS_EQUAL(502, client->status);
+  STRCMP_EQUAL("software_version_gone", client->body.c_str());
+}
+
+TEST(ExchangeStreamVersion, aStreamThatBrokeOffBeforeTheNextProcessRegisteredIsNotContinued) {
+  for (const char* id : {"r1", "r2", "r3"}) {
+    setStart(id);
+  }
+  const auto client = world.start(ExchangeWorld::turn("again"));
+  wait();
+  bringEventAndEnd(client, kFirst);
+  const std::string former = world.origins.recorded.front().softwareVersion;
+  setVersion(askedReplica() == "r1" ? "r2" : "r1", former);
+  learnOfRestart(milliseconds(200));
+  continueStream();
+  LONGS_EQUAL(1, world.dispatches());
+}
