Streams without a recorded origin are continued where a service has one version

So were callers whose record was lost with all its holders, and streams begun at nodes of an earlier build.

If a service has had a single software version for 20 s, every replica at which the stream can have begun runs it. A node checks that against a read of the registrations that is newer than the request, so a replica of a new version that it has not seen yet cannot be overlooked, and refuses after 1 s without one. Ruled out: to continue at the only version in view now, without the history (its stream may have begun before a release ended) or on an older read.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -71,6 +71,10 @@
   Duration failingReservationTimeout = milliseconds(300);
   /// Longest wait for a reservation that may fail; a slow store still answers within this time.
   Duration uncertainReservationTimeout = milliseconds(1000);
+  /// Longest wait of a stream without a recorded origin for a newer read of the registrations, and
+  /// the pause between two looks.
+  Duration versionCheckTimeLimit = milliseconds(1000);
+  Duration versionCheckPause = milliseconds(50);
   /// Delay before the retry of a reservation whose turn was dispatched while it was pending.
   Duration reservationRetryDelay = milliseconds(150);
   Duration connectTimeLimit = milliseconds(400);
@@ -111,6 +115,9 @@
   routing::TenantShares* tenantShares = nullptr;  ///< Null: tenants have no shares.
   /// Null: streams are not followed across requests.
   StreamOriginDirectory* streamOrigins = nullptr;
+  /// Returns the software version of the service if it has had only one for as long as streams
+  /// last; see `routing::SoftwareVersionHistory`. Empty: never known.
+  std::function<std::optional<std::string>(std::string_view service)> onlyVersionOf{};
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -162,7 +162,10 @@
                &serviceTimes_,
                RetryControl(retryControlKnobsOf(settings_), seed),
                usesTenantShares(settings_) ? &tenantShares_ : nullptr,
-               &streamOrigins_},
+               &streamOrigins_,
+               [this](std::string_view service) {
+                 return versionHistory_.onlyVersionOf(service, replicas_, clock_());
+               }},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -37,6 +37,7 @@
 #include "routing/locality.h"
 #include "routing/region_rule.h"
 #include "routing/service_times.h"
+#include "routing/software_version_history.h"
 #include "routing/software_version_rule.h"
 #include "routing/speed_contrast.h"
 #include "routing/tenant_share_changes.h"
@@ -104,6 +105,8 @@
   /// \param source what reported the end of the evacuation, for the log.
   void onEvacuationEnded(const std::string& zone, std::string_view source);
   void onRegistrationLost(const std::string& id, std::string_view source);
+  /// Adds the registered replica's software version to the history.
+  void noteSoftwareVersion(const std::string& id);
   /// \return whether the store is unavailable, or was until shortly before.
   [[nodiscard]] bool isOrWasStoreUnavailable() const;
   void onReplicaRecord(const std::string& id, const std::string& value);
@@ -247,6 +250,7 @@
   QuotaExchange quotaExchange_;
   quota::StaticShares staticShares_;
   routing::ServiceTimes serviceTimes_;
+  routing::SoftwareVersionHistory versionHistory_{{}};
   StreamOriginExchange streamOrigins_;
   EdgeContext context_;
   http::HttpServerPtr clientServer_;
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -161,6 +161,7 @@
   };
   observer.onFresh = [this](Instant askedAt) {
     context_.storeReadTimes.replicasReadAt = askedAt;
+    versionHistory_.onFresh(askedAt);
     coldReplicas_.onFresh(askedAt);
     onTopicFresh("replicas");
   };
@@ -173,6 +174,12 @@
   replicaFollower_->start();
 }
 
+void EdgeDaemon::noteSoftwareVersion(const std::string& id) {
+  if (const routing::ReplicaPtr replica = replicas_.find(id)) {
+    versionHistory_.onSeen(replica->entry, clock_());
+  }
+}
+
 bool EdgeDaemon::isOrWasStoreUnavailable() const {
   const bool justRegained =
       storeRecoveredAt_ && clock_() - *storeRecoveredAt_ < kOutageRecoveryTime;
@@ -181,6 +188,7 @@
 }
 
 void EdgeDaemon::onRegistrationLost(const std::string& id, std::string_view source) {
+  noteSoftwareVersion(id);
   // During a store outage replicas could not renew their registrations, so an expired one does not
   // show that the replica is gone.
   const routing::ReplicaChange change =
@@ -209,6 +217,7 @@
   clearImplausibleStart(entry);
   const routing::ReplicaPtr before = replicas_.find(id);
   const bool wasStartUntold = before && before->startUntold;
+  noteSoftwareVersion(id);  // The process before, if this registration is of the next one.
   const routing::ReplicaChange change = replicas_.upsert(entry, startTimeOf(entry));
   if (change == routing::ReplicaChange::Outdated) {
     onOutdatedRegistration(entry);
@@ -298,6 +307,7 @@
   // the replica cannot renew it, and the replica is probably alive. Here a new record was written,
   // and the process at the previous address is unknown: requests sent there could run at another
   // replica. Requests in flight continue.
+  noteSoftwareVersion(id);
   if (replicas_.remove(id) != routing::ReplicaChange::None) {
     log_.logImportant("replica_gone", {{"replica", id}, {"by", "unreadable"}});
   }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -99,6 +99,12 @@
   /// Finds out which software began the stream, if the request continues one.
   void findStreamOrigin();
   void onStreamOrigin(const OriginLookup& lookup);
+  /// Continues a stream without a recorded origin if its service has had only one software version,
+  /// as of a read of the registrations that is newer than the request.
+  void continueAtOnlyVersion(const OriginLookup& lookup);
+  /// \param knownBy how the origin is known, for the log.
+  void continueStream(const OriginLookup& lookup, const routing::StreamOrigin& origin,
+                      std::string_view knownBy);
   /// Answers finally: the client has to begin a new stream.
   void refuseToContinueStream(const OriginLookup& lookup, std::string_view reason);
   /// Called before the release of events from a replica: from the first one on, only replicas of
--- a/src/edge/exchange_stream_origin.cpp
+++ b/src/edge/exchange_stream_origin.cpp
@@ -15,10 +15,7 @@
 constexpr int kLifetimeInTimeouts = 4;
 constexpr Duration kMinimumLifetime = seconds(20);
 
-std::string_view stateName(const routing::OriginState& state) {
-  return std::holds_alternative<routing::ConflictingOrigin>(state) ? "stream_origin_conflicting"
-                                                                   : "stream_origin_unknown";
-}
+constexpr std::string_view kUnknownOrigin = "stream_origin_unknown";
 
 }  // namespace
 
@@ -38,7 +35,7 @@
     return;
   }
   if (request_.resumedRequestId.empty()) {
-    refuseToContinueStream({routing::UnknownOrigin{}, {}, 0, 0}, "stream_origin_unknown");
+    continueAtOnlyVersion({routing::UnknownOrigin{}, {}, 0, 0});
     return;
   }
   context_.streamOrigins->find(streamId(), [self = shared_from_this()](const OriginLookup& lookup) {
@@ -50,30 +47,58 @@
   if (ended_) {
     return;
   }
-  const auto* const origin = std::get_if<routing::StreamOrigin>(&lookup.state);
-  if (origin == nullptr) {
-    refuseToContinueStream(lookup, stateName(lookup.state));
+  if (const auto* const origin = std::get_if<routing::StreamOrigin>(&lookup.state)) {
+    continueStream(lookup, *origin, lookup.source.empty() ? "this_node" : lookup.source);
+  } else if (std::holds_alternative<routing::ConflictingOrigin>(lookup.state)) {
+    refuseToContinueStream(lookup, "stream_origin_conflicting");
+  } else {
+    continueAtOnlyVersion(lookup);
+  }
+}
+
+// A read that is newer than the request shows every replica at which the stream can have begun.
+void Exchange::continueAtOnlyVersion(const OriginLookup& lookup) {
+  const bool hasOneService = checked_.route->services.size() == 1;
+  const auto version = hasOneService && context_.onlyVersionOf
+                           ? context_.onlyVersionOf(checked_.service)
+                           : std::nullopt;
+  const Duration waited = context_.clock() - arrivedAt_;
+  if (!version || waited >= context_.knobs.versionCheckTimeLimit) {
+    refuseToContinueStream(lookup, kUnknownOrigin);
     return;
   }
-  if (!sendToService(checked_, origin->service)) {
+  if (context_.storeReadTimes.replicasReadAt >= arrivedAt_) {
+    continueStream(lookup, {checked_.service, *version}, "only_version");
+    return;
+  }
+  context_.timers.runAfter(context_.knobs.versionCheckPause, [weak = weak_from_this(), lookup] {
+    const auto self = weak.lock();
+    if (self && !self->ended_) {
+      self->continueAtOnlyVersion(lookup);
+    }
+  });
+}
+
+void Exchange::continueStream(const OriginLookup& lookup, const routing::StreamOrigin& origin,
+                              std::string_view knownBy) {
+  if (!sendToService(checked_, origin.service)) {
     refuseToContinueStream(lookup, "stream_service_gone");
     return;
   }
-  softwareVersion_ = origin->softwareVersion;
+  softwareVersion_ = origin.softwareVersion;
   if (!context_.placement.hasReplicaOf(checked_.service, *softwareVersion_)) {
     refuseToContinueStream(lookup, "software_version_gone");
     return;
   }
   ++context_.counters.streamsContinued;
-  context_.log.logRoutine("stream_continued",
-                          {{"request", request_.requestId},
-                           {"program", request_.programId},
-                           {"resumes", request_.resumedRequestId},
-                           {"after_event", request_.lastEventId},
-                           {"service", checked_.service},
-                           {"software_version", *softwareVersion_},
-                           {"known_by", lookup.source.empty() ? "this_node" : lookup.source},
-                           {"waited_ms", millisecondsUntil(context_.clock())}});
+  context_.log.logRoutine("stream_continued", {{"request", request_.requestId},
+                                               {"program", request_.programId},
+                                               {"resumes", request_.resumedRequestId},
+                                               {"after_event", request_.lastEventId},
+                                               {"service", checked_.service},
+                                               {"software_version", *softwareVersion_},
+                                               {"known_by", knownBy},
+                                               {"waited_ms", millisecondsUntil(context_.clock())}});
   checkQuota();
 }
 
--- a/tests/edge/exchange_stream_version_test.cpp
+++ b/tests/edge/exchange_stream_version_test.cpp
@@ -150,6 +150,22 @@
   checkRefusedWithoutDispatch(world.start(call), "stream_origin_unknown");
 }
 
+TEST(ExchangeStreamVersion, aStreamOfAServiceWithOneVersionIsContinuedAfterANewerRead) {
+  world.context.onlyVersionOf = [](std::string_view) { return std::string("v3"); };
+  const auto client = continueStream();
+  LONGS_EQUAL(0, world.dispatches());
+  world.context.storeReadTimes.replicasReadAt = world.timers.now;
+  wait();
+  STRCMP_EQUAL("r3", askedReplica().c_str());
+}
+
+TEST(ExchangeStreamVersion, aStreamOfAServiceWithOneVersionIsNotContinuedOnAnOldRead) {
+  world.context.onlyVersionOf = [](std::string_view) { return std::string("v3"); };
+  const auto client = continueStream();
+  wait(world.context.knobs.versionCheckTimeLimit);
+  checkRefusedWithoutDispatch(client, "stream_origin_unknown");
+}
+
 TEST(ExchangeStreamVersion, aStreamIsContinuedAtTheVersionThatBeganIt) {
   for (const char* version : {"v1", "v2", "v3"}) {
     world.knowOrigin("q1", version);
