--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -404,6 +404,7 @@
       {"reason", reason},
       {"status", std::uint64_t{head_.status}},
       {"dispatches", dispatchNumber_},
+      {"ended_replicas", std::uint64_t{runs_.endedReplicas()}},
       {"events", progress_.eventsReleased()},
       {"dispatched_ms", millisecondsUntil(firstDispatchAt_)},
       {"first_event_ms", millisecondsUntil(firstEventAt_)},
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -16,6 +16,7 @@
 #include "edge/request_check.h"
 #include "edge/stream_progress.h"
 #include "http/http_server.h"
+#include "routing/request_key.h"
 
 namespace gorsetrail::edge {
 
@@ -196,7 +197,8 @@
   /// \return whether the request counts in its tenant's load at the service.
   [[nodiscard]] bool hasTenantLoad() const;
   void recordOutcome(bool failed);
-  void recordReplicaFailure(std::string_view reason);
+  /// \param isRunLost whether the replica may have begun to execute the request.
+  void recordReplicaFailure(std::string_view reason, bool isRunLost);
 
   // Log lines of refusals with their causes.
   void logQuotaUnknown(const quota::QuotaDecision& decision);
@@ -233,6 +235,10 @@
   [[nodiscard]] bool isBudgeted() const;
   [[nodiscard]] std::uint64_t tokensHandedOut() const;
 
+  // Replicas that ended while they ran the request.
+  /// \return the identity of the request over all attempts of its client.
+  [[nodiscard]] const routing::RequestKey& requestKey();
+
   EdgeContext& context_;
   CallRequest request_;
   http::ResponseWriterPtr writer_;
@@ -241,6 +247,7 @@
   std::optional<Instant> firstDispatchAt_;
   std::optional<Instant> firstEventAt_;
   CheckedRequest checked_;
+  std::optional<routing::RequestKey> requestKey_;  ///< Set by `requestKey`.
   std::string turnInput_;    ///< The request's body without the history, for the turn's record.
   ledger::History history_;  ///< History of the preceding turns.
   BudgetState budget_ = BudgetState::NotNeeded;
--- a/src/edge/exchange_liveness.cpp
+++ b/src/edge/exchange_liveness.cpp
@@ -76,7 +76,7 @@
   mayHaveRun_ = true;
   headReceived_ =
       false;  // An earlier response head does not show that the replica is still running.
-  recordReplicaFailure(reason);
+  recordReplicaFailure(reason, true);
   runs_.recordRun(replica_, dispatchedAt_);
   runs_.recordUnreachable(replica_);
   recover(false);
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -368,7 +368,7 @@
   followRestartedReplica();
   const bool requestWritten = failure.stage == http::FailureStage::Broken;
   mayHaveRun_ = mayHaveRun_ || requestWritten;
-  recordReplicaFailure(failure.reason);
+  recordReplicaFailure(failure.reason, requestWritten);
   if (!requestWritten) {
     onRequestNotSent();
     return;
@@ -414,7 +414,7 @@
 
 void Exchange::recordOutcome(bool failed) { replica_->outcomes.note(failed, context_.clock()); }
 
-void Exchange::recordReplicaFailure(std::string_view reason) {
+void Exchange::recordReplicaFailure(std::string_view reason, bool isRunLost) {
   recordOutcome(true);
   ++replica_->failures;
   if (!headReceived_) {
@@ -422,7 +422,13 @@
   }
   context_.log.logImportant("replica_failed",
                             {{"request", request_.requestId},
+                             {"program", request_.programId},
+                             {"tenant", checked_.tenantName()},
+                             {"request_key", routing::textOf(requestKey())},
                              {"replica", replica_->entry.id},
+                             {"executed", isRunLost ? "maybe" : "no"},
+                             {"replica_ended", std::uint64_t{replica_->hasEnded() ? 1U : 0U}},
+                             {"ended_before", std::uint64_t{runs_.endedReplicas()}},
                              {"in_a_row", std::uint64_t{replica_->failures}},
                              {"after_ms", wholeMilliseconds(context_.clock() - dispatchedAt_)},
                              {"reason", reason}});
--- a/src/edge/replica_runs.cpp
+++ b/src/edge/replica_runs.cpp
@@ -36,4 +36,9 @@
   return static_cast<std::uint32_t>(counting) < maximumReplicas;
 }
 
+std::size_t ReplicaRuns::endedReplicas() const {
+  return static_cast<std::size_t>(std::count_if(
+      runs_.begin(), runs_.end(), [](const Run& run) { return !mayStillBeRunning(run); }));
+}
+
 }  // namespace gorsetrail::edge
--- a/src/edge/replica_runs.h
+++ b/src/edge/replica_runs.h
@@ -29,6 +29,8 @@
   /// \param maximumReplicas number of replicas that the route allows.
   /// \return whether the request may be dispatched to a further replica.
   [[nodiscard]] bool mayRunOnAnotherReplica(std::uint32_t maximumReplicas) const;
+  /// \return the number of replicas whose run of the request is known to have ended with them.
+  [[nodiscard]] std::size_t endedReplicas() const;
 
  private:
   struct Run {
