--- /dev/null
+++ b/lab/faultsoak/ended_replica_watcher.h
@@ -0,0 +1,63 @@
+/// \file Checks that a request under which several replicas ended is not sent to another one, and
+/// that no other request is refused for that reason.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lab/faultsoak/soak_violation.h"
+
+namespace gorsetrail::lab {
+
+/// How many cases the checks had.
+struct EndedReplicaCases {
+  std::uint64_t ends = 0;               ///< Replicas that ended under a request.
+  std::uint64_t requestsAtLimit = 0;    ///< Requests under which as many ended as may.
+  std::uint64_t triesAtLimit = 0;       ///< Attempts that clients sent afterwards.
+  std::uint64_t refusedAtLimit = 0;     ///< Of these, answered 503 for this reason.
+  std::uint64_t bystanders = 0;         ///< Other requests that ran at a replica as it ended.
+  std::uint64_t bystandersServed = 0;   ///< Of these, answered whole afterwards.
+  std::uint64_t refusedBystanders = 0;  ///< Attempts of others refused for this reason.
+};
+
+/// Follows requests by name: the same in all attempts of a client.
+class EndedReplicaWatcher {
+ public:
+  /// Replicas that may end under one request.
+  static constexpr std::size_t kMostEnds = 3;
+
+  /// A client sends an attempt of a request.
+  void onAttempt(const std::string& id, const std::string& request, bool endsReplicas);
+  /// An attempt arrives at a replica, which runs it next.
+  void onRun(const std::string& id);
+  /// A replica ended while it ran these attempts.
+  void onReplicaEnd(const std::vector<std::string>& ids);
+  /// \param isRefusedForEnds the answer says that too many replicas ended under the request.
+  void onAnswer(const std::string& id, bool isWhole, bool isRefusedForEnds);
+  /// All nodes ended at once, and what they knew with them.
+  void onAllNodesLost();
+
+  [[nodiscard]] const EndedReplicaCases& cases() const { return cases_; }
+  /// \return the violations since the last call.
+  [[nodiscard]] std::vector<SoakViolation> takeViolations();
+
+ private:
+  struct Request {
+    bool endsReplicas = false;
+    std::size_t ends = 0;
+    std::size_t runs = 0;  ///< Since the last whole answer.
+    bool isBystander = false;
+  };
+  Request* requestOf(const std::string& id);
+
+  std::map<std::string, std::string> nameOfAttempt_;
+  std::map<std::string, Request> requests_;
+  EndedReplicaCases cases_;
+  std::vector<SoakViolation> violations_;
+};
+
+}  // namespace gorsetrail::lab
--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -6,6 +6,7 @@
 #include "lab/emulator/program_plan.h"
 #include "lab/faultsoak/fault_series.h"
 #include "lab/faultsoak/foreign_entries.h"
+#include "lab/faultsoak/soak_replica.h"
 
 namespace gorsetrail::lab {
 namespace {
@@ -33,6 +34,13 @@
 constexpr std::uint64_t kLoadStream = 3;
 constexpr std::uint64_t kQuietLoadStream = 4;
 constexpr std::uint64_t kReleaseStream = 5;
+constexpr std::uint64_t kEndingRequestStream = 6;
+/// Each ends three replicas of four: the others have to be served in between.
+constexpr Duration kShortestEndingRequestPause = milliseconds(2000);
+constexpr Duration kLongestEndingRequestPause = milliseconds(3500);
+/// Until a replica that such a request ended is back.
+constexpr Duration kShortestEnd = milliseconds(300);
+constexpr Duration kLongestEnd = milliseconds(800);
 constexpr Duration kShortestDrain = milliseconds(100);
 constexpr Duration kLongestDrain = milliseconds(1000);
 constexpr Duration kLongestReleasePause = milliseconds(800);
@@ -121,6 +129,8 @@
       return "burst";
     case SoakFaultKind::ReplaceReplica:
       return "replace_replica";
+    case SoakFaultKind::EndingRequest:
+      return "ending_request";
     case SoakFaultKind::Configuration:
       break;
   }
@@ -181,6 +191,27 @@
   return releases;
 }
 
+std::size_t endingRequestKinds() {
+  constexpr std::size_t kRoutes = 3;
+  return kRoutes * SoakReplica::kEffects;
+}
+
+std::vector<SoakFault> planEndingRequests(std::uint64_t seed, Duration length) {
+  RandomSource random(emulator::streamSeed(seed, kEndingRequestStream));
+  std::vector<SoakFault> requests;
+  for (Duration at = randomDuration(random, kShortestPause, kLongestPause);
+       at + kShortestEndingRequestPause < length;
+       at += randomDuration(random, kShortestEndingRequestPause, kLongestEndingRequestPause)) {
+    SoakFault request;
+    request.kind = SoakFaultKind::EndingRequest;
+    request.at = at;
+    request.duration = randomDuration(random, kShortestEnd, kLongestEnd);
+    request.target = random.below(endingRequestKinds());
+    requests.push_back(request);
+  }
+  return requests;
+}
+
 std::vector<SoakFault> planQuietLoads(std::uint64_t seed, std::size_t tenants) {
   RandomSource random(emulator::streamSeed(seed, kQuietLoadStream));
   SoakFault hot;
--- a/lab/faultsoak/fault_plan.h
+++ b/lab/faultsoak/fault_plan.h
@@ -29,6 +29,7 @@
   EvacuateZone,     ///< A zone is evacuated; its replicas are cold when it is taken back.
   HotTenant,        ///< One tenant has many times its usual load.
   Burst,            ///< All tenants together have more load than the replicas serve.
+  EndingRequest,    ///< A program sends a request that ends each replica that runs it.
   ReplaceReplica,   ///< It drains; then a process of another id and software version takes over.
 };
 
@@ -60,6 +61,13 @@
 /// and the last release may bring an old one back. Its random numbers are its own.
 std::vector<SoakFault> planReleases(std::uint64_t seed, Duration length, std::size_t replicas);
 
+/// Requests that end the replicas that run them; `target` is below `endingRequestKinds()`. Their
+/// random numbers are their own.
+std::vector<SoakFault> planEndingRequests(std::uint64_t seed, Duration length);
+/// How many kinds of such requests there are: each route on which clients repeat them, with each
+/// effect.
+std::size_t endingRequestKinds();
+
 /// The loads of the quiet time behind all other faults: a hot tenant, and a burst that follows it.
 /// Their times count from the beginning of that time.
 std::vector<SoakFault> planQuietLoads(std::uint64_t seed, std::size_t tenants);
--- a/lab/faultsoak/promise_watcher.cpp
+++ b/lab/faultsoak/promise_watcher.cpp
@@ -16,6 +16,19 @@
   return route == SoakRoute::Turn || route == SoakRoute::Unsafe;
 }
 
+/// \return what all attempts of one request have in common.
+std::string requestNameOf(const SoakAttempt& attempt) {
+  return std::to_string(static_cast<int>(attempt.route)) + "/" + attempt.program + "/" +
+         attempt.expectedInput;
+}
+
+/// \return whether the answer says that replicas ended under the request.
+bool isRefusedForEnds(const SoakAnswer& answer) {
+  constexpr unsigned kUnavailable = 503;
+  return answer.status == kUnavailable &&
+         answer.body.find("\"request_quarantined\"") != std::string::npos;
+}
+
 bool isStream(SoakRoute route) { return route == SoakRoute::Turn || route == SoakRoute::Resumable; }
 
 }  // namespace
@@ -32,6 +45,7 @@
 
 void PromiseWatcher::onSent(const SoakAttempt& attempt) {
   attempts_[attempt.id] = {attempt, 0, false, lossOfAll_};
+  endedReplicas_.onAttempt(attempt.id, requestNameOf(attempt), attempt.endsReplicas);
   if (const auto found = goingOn_.find(attempt.program); found != goingOn_.end()) {
     ++found->second.tries;
   }
@@ -55,9 +69,21 @@
   if (!resumes && ++known.runs > 1 && runsAtMostOnce(known.attempt.route)) {
     add({"at_most_once", id, "run " + std::to_string(known.runs)});
   }
+  endedReplicas_.onRun(id);
+  takeEndedReplicaViolations();
   noteRunAfterLoss(known);
 }
 
+void PromiseWatcher::onReplicaEnd(const std::vector<std::string>& ids) {
+  endedReplicas_.onReplicaEnd(ids);
+}
+
+void PromiseWatcher::takeEndedReplicaViolations() {
+  for (SoakViolation& violation : endedReplicas_.takeViolations()) {
+    add(std::move(violation));
+  }
+}
+
 void PromiseWatcher::onAnswer(const std::string& id, const SoakAnswer& answer) {
   Known& known = attempts_[id];
   ++answers_[answer.status];
@@ -78,6 +104,8 @@
     countTokens(known.attempt, answer);
   }
   countStream(known.attempt, answer);
+  endedReplicas_.onAnswer(id, answer.status == kOk && answer.whole, isRefusedForEnds(answer));
+  takeEndedReplicaViolations();
   noteAnswerAfterLoss(known.attempt, answer.status);
 }
 
@@ -146,6 +174,7 @@
 }
 
 void PromiseWatcher::onAllKilled() {
+  endedReplicas_.onAllNodesLost();
   for (const auto& [stream, version] : versions_) {
     streamsBeforeKill_.insert(stream);
   }
--- a/lab/faultsoak/promise_watcher.h
+++ b/lab/faultsoak/promise_watcher.h
@@ -8,6 +8,9 @@
 #include <utility>
 #include <vector>
 
+#include "lab/faultsoak/ended_replica_watcher.h"
+#include "lab/faultsoak/soak_violation.h"
+
 namespace gorsetrail::lab {
 
 /// What may be repeated on the soak's routes.
@@ -29,6 +32,7 @@
   /// Id of the attempt that brought the stream's first event, which this one goes on with; empty:
   /// it begins a stream.
   std::string resumes{};
+  bool endsReplicas = false;  ///< Each replica that runs it ends.
 };
 
 /// What the client saw of an attempt; status 0: a connection that closed before an answer.
@@ -40,13 +44,6 @@
   bool namesRetryTime = false;
 };
 
-/// A promise that was broken, with the attempt that shows it.
-struct SoakViolation {
-  std::string promise;
-  std::string attempt;
-  std::string detail;
-};
-
 /// Streams that clients asked for, by name, and whether any attempt brought an event or the end.
 using SoakStreams = std::map<std::string, bool>;
 /// \return how many of the streams were served.
@@ -67,8 +64,13 @@
   /// A replica begins to work on a request. \param resumes it goes on after an event.
   void onRun(const std::string& id, const std::string& input, bool resumes);
   void onAnswer(const std::string& id, const SoakAnswer& answer);
+  /// A replica ended while it ran these attempts.
+  void onReplicaEnd(const std::vector<std::string>& ids);
   /// All nodes were lost at once; every node's memory with them.
-  void onLossOfAll() { lossOfAll_ = true; }
+  void onLossOfAll() {
+    lossOfAll_ = true;
+    endedReplicas_.onAllNodesLost();
+  }
   /// All nodes were killed at once amid the other faults: streams that began before owe nothing.
   void onAllKilled();
   /// The software version of the replicas that take work, one entry for each.
@@ -84,6 +86,7 @@
   void checkResumedStreams();
   [[nodiscard]] const SoakStreams& newStreams() const { return newStreams_; }
   [[nodiscard]] const SoakStreams& resumedStreams() const { return resumedStreams_; }
+  [[nodiscard]] const EndedReplicaCases& endedReplicas() const { return endedReplicas_.cases(); }
 
   /// Found by the run itself.
   void add(SoakViolation violation) { violations_.push_back(std::move(violation)); }
@@ -110,6 +113,7 @@
     unsigned lastStatus = 0;
     bool served = false;  ///< A replica ran it, or its budget was spent in truth.
   };
+  void takeEndedReplicaViolations();
   void noteRunAfterLoss(const Known& known);
   void noteAnswerAfterLoss(const SoakAttempt& attempt, unsigned status);
   [[nodiscard]] bool isBudgetSpent(const std::string& program) const;
@@ -131,6 +135,7 @@
   std::map<std::string, std::string> versions_;  ///< Of each stream, by its first attempt.
   std::vector<std::string> serving_;
   std::set<std::string> streamsBeforeKill_;
+  EndedReplicaWatcher endedReplicas_;
   SoakStreams newStreams_;      ///< By input, which is the same in all attempts of a turn.
   SoakStreams resumedStreams_;  ///< By first attempt.
   std::vector<SoakViolation> violations_;
--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -93,6 +93,22 @@
   sendTurn();
 }
 
+void SoakProgram::startEndingReplicas(SoakRoute route, SoakReplica::Effect effect) {
+  onEnded_ = [] {};
+  id_ = "p" + std::to_string(++clients_.nextId) + SoakReplica::markOf(effect);
+  endsReplicas_ = true;
+  persisted_ = route == SoakRoute::Turn;
+  turnsWanted_ = 1;
+  finishAt_ = steadyNow() + kTimeOfProgram;
+  budget_ = kTokensOfTurn * kBudgetTurnsAfterLoss;
+  clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
+  if (route == SoakRoute::Safe) {
+    sendTool(true, kMostTries);
+  } else {
+    sendTurn();
+  }
+}
+
 void SoakProgram::sendTurn() {
   const std::string input = "in-" + id_ + "-" + std::to_string(turnsDone_) + ";";
   SoakAttempt attempt;
@@ -102,6 +118,7 @@
   attempt.expectedInput = persisted_ ? history_ + input : input;
   attempt.expectedOutput = SoakReplica::streamAfter(attempt.id, lastEvent_);
   attempt.resumes = resumes_;
+  attempt.endsReplicas = endsReplicas_;
   attempt.continuesWholeTurn = persisted_ && !previous_.empty();
   const std::string target = persisted_ ? "/kept/stream/x" : "/again/stream/x";
   send(attempt, "POST", target, input,
@@ -189,6 +206,7 @@
   attempt.route = safe ? SoakRoute::Safe : SoakRoute::Unsafe;
   attempt.program = id_;
   attempt.expectedInput = safe ? "" : "tool of " + id_;
+  attempt.endsReplicas = endsReplicas_;
   attempt.expectedOutput = SoakReplica::plainAnswer(attempt.id);
   send(attempt, safe ? "GET" : "POST", safe ? "/safe/x" : "/unsafe/x", attempt.expectedInput,
        [self = shared_from_this(), attempt, triesLeft](const SoakAnswer& answer) {
@@ -199,7 +217,11 @@
 // Whatever becomes of the tool in the end, the program goes on: the soak is about its turns.
 void SoakProgram::onTool(const SoakAttempt& attempt, const SoakAnswer& answer, int triesLeft) {
   if (triesLeft == 0 || !maySendAgain(attempt.route, answer)) {
-    sendTurn();
+    if (endsReplicas_) {
+      end(false);
+    } else {
+      sendTurn();
+    }
     return;
   }
   clients_.timers.runAfter(randomDuration(clients_.random, kShortestPause, kLongestPause),
@@ -215,6 +237,9 @@
 }
 
 void SoakProgram::end(bool well) {
+  if (endsReplicas_) {
+    return;
+  }
   ++clients_.programsEnded;
   clients_.programsFailed += well ? 0 : 1;
   const auto onEnded = std::move(onEnded_);
@@ -265,8 +290,10 @@
     request.headers.push_back({platform::header::kPreviousTurn, previous_});
   }
   const auto finish = [this, id = attempt.id, gathered, onAnswer = std::move(onAnswer)] {
-    if (gathered->answer.status == 0) {
+    if (gathered->answer.status == 0 || endsReplicas_) {
       nodeChoice_.onNoAnswer();
+    }
+    if (gathered->answer.status == 0) {
       clients_.unansweredOnKeptConnections += gathered->onKeptConnection ? 1 : 0;
     }
     clients_.watcher.onAnswer(id, gathered->answer);
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -12,6 +12,7 @@
 #include "http/http_client.h"
 #include "lab/faultsoak/node_choice.h"
 #include "lab/faultsoak/promise_watcher.h"
+#include "lab/faultsoak/soak_replica.h"
 #include "services/timer_service.h"
 
 namespace gorsetrail::lab {
@@ -73,6 +74,10 @@
   void start(std::function<void()> onEnded);
   /// Goes on from a turn of another program, and asks until it is answered.
   void startFrom(const StoredTurn& turn);
+  /// Sends one request that ends each replica that runs it, and sends it again until it gives up,
+  /// each time to another node.
+  /// \param route not `Unsafe`, which is sent once.
+  void startEndingReplicas(SoakRoute route, SoakReplica::Effect effect);
 
  private:
   struct Gathered;
@@ -99,6 +104,7 @@
   std::string tenant_;
   bool persisted_ = false;  ///< Its turns are kept by the system; else each stands alone.
   bool loops_ = false;
+  bool endsReplicas_ = false;
   std::uint64_t budget_ = 0;
   int turnsWanted_ = 0;
   int turnsDone_ = 0;
--- a/lab/faultsoak/soak_replica.cpp
+++ b/lab/faultsoak/soak_replica.cpp
@@ -32,12 +32,39 @@
 
 }  // namespace
 
+std::string SoakReplica::markOf(Effect effect) {
+  switch (effect) {
+    case Effect::EndBeforeHead:
+      return "!head";
+    case Effect::EndAfterFirstEvent:
+      return "!first";
+    case Effect::EndMidway:
+      return "!midway";
+    case Effect::EndSilently:
+      return "!silent";
+    case Effect::None:
+      break;
+  }
+  return {};
+}
+
+SoakReplica::Effect SoakReplica::effectOf(std::string_view programId) {
+  for (std::size_t number = 1; number <= kEffects; ++number) {
+    const auto effect = static_cast<Effect>(number);
+    if (programId.ends_with(markOf(effect))) {
+      return effect;
+    }
+  }
+  return Effect::None;
+}
+
 /// A stream under way.
 struct SoakReplica::Stream {
   std::string requestId;
   std::string body;
   std::string tenant;
   http::ResponseWriterPtr writer;
+  Effect effect = Effect::None;
   std::uint64_t life = 0;  ///< Of the replica, when the stream began.
   int next = 1;
   int cutAfter = kEventsOfStream;  ///< It closes behind this event, unless it is the last.
@@ -125,8 +152,10 @@
     refuse(*writer, requestId, misdirected ? kMisdirected : kUnavailable);
     return;
   }
+  const Effect effect = effectOf(headerOf(request, platform::header::kProgramId));
   if (request.target.find(kStreamPath) != std::string::npos) {
     auto stream = std::make_shared<Stream>();
+    stream->effect = effect;
     stream->requestId = requestId;
     stream->body = request.body;
     stream->tenant = headerOf(request, platform::header::kTenant);
@@ -136,6 +165,11 @@
     return;
   }
   watcher_.onRun(requestId, request.body, false);
+  if (effect != Effect::None) {
+    runningIds_.insert(requestId);
+    end(effect, std::move(writer));
+    return;
+  }
   if (random_.fraction() < troubles.lostAnswer) {
     return;  // The writer goes, and the connection with it.
   }
@@ -143,6 +177,8 @@
 }
 
 void SoakReplica::startAgain() {
+  watcher_.onReplicaEnd({runningIds_.begin(), runningIds_.end()});
+  runningIds_.clear();
   ++life_;
   running_ = 0;
   waiting_.clear();
@@ -155,6 +191,17 @@
   softwareVersion_ = std::move(softwareVersion);
 }
 
+void SoakReplica::end(Effect effect, http::ResponseWriterPtr writer) {
+  startAgain();
+  silentWriters_.clear();
+  if (effect == Effect::EndSilently) {
+    silentWriters_.push_back(std::move(writer));  // Destroying it would close the connection.
+  }
+  if (onEnd) {
+    onEnd(effect);
+  }
+}
+
 void SoakReplica::takeStream(const std::shared_ptr<Stream>& stream) {
   const bool slotIsFree = running_ < capacity_.slots;
   if (!slotIsFree && waiting_.size() >= capacity_.queued) {
@@ -173,6 +220,11 @@
 void SoakReplica::run(const std::shared_ptr<Stream>& stream) {
   ++running_;
   watcher_.onRun(stream->requestId, stream->body, stream->next > 1);
+  runningIds_.insert(stream->requestId);
+  if (stream->effect == Effect::EndBeforeHead || stream->effect == Effect::EndSilently) {
+    end(stream->effect, std::move(stream->writer));
+    return;
+  }
   if (random_.fraction() < troubles.lostAnswer) {
     stream->writer.reset();  // The connection goes with it.
     release(stream);
@@ -189,6 +241,7 @@
 void SoakReplica::release(const std::shared_ptr<Stream>& stream) {
   --running_;
   --held_[stream->tenant];
+  runningIds_.erase(stream->requestId);
   if (!waiting_.empty()) {
     const std::shared_ptr<Stream> next = waiting_.front();
     waiting_.pop_front();
@@ -200,6 +253,13 @@
   if (stream->life != life_) {
     return;  // The writer goes, and the connection with it.
   }
+  constexpr int kMidway = kEventsOfStream / 2;
+  const bool endsNow = (stream->effect == Effect::EndAfterFirstEvent && stream->next > 1) ||
+                       (stream->effect == Effect::EndMidway && stream->next > kMidway);
+  if (endsNow) {
+    end(stream->effect, std::move(stream->writer));
+    return;
+  }
   if (stream->next > kEventsOfStream) {
     stream->writer->endStream();
     release(stream);
--- a/lab/faultsoak/soak_replica.h
+++ b/lab/faultsoak/soak_replica.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/random.h"
@@ -48,6 +50,19 @@
   [[nodiscard]] std::string address() const;
   [[nodiscard]] const std::string& id() const { return id_; }
 
+  /// What a request does to the replica that runs it, told by the end of its program's id.
+  enum class Effect : std::uint8_t {
+    None,
+    EndBeforeHead,
+    EndAfterFirstEvent,
+    EndMidway,
+    EndSilently,  ///< The connections stay open without a byte.
+  };
+  static constexpr std::size_t kEffects = 4;  ///< Without `None`.
+  /// \return the end of the id of a program whose requests have the effect.
+  static std::string markOf(Effect effect);
+  static Effect effectOf(std::string_view programId);
+
   /// The process ends and the next one starts under the same id and address: runs under way are
   /// forgotten, their streams break off. The caller resets the connections.
   void startAgain();
@@ -75,6 +90,8 @@
   SoakReplicaTroubles troubles;
   /// Called with each request that is meant for this replica, before anything else.
   std::function<void()> onArrival;
+  /// Called when a request ends this replica, which has reported it to the watcher.
+  std::function<void(Effect effect)> onEnd;
   /// Optional: called with the id of the replica that a request was meant for instead.
   std::function<void(const std::string& expected)> onMisdirected;
 
@@ -85,6 +102,8 @@
   /// Runs the stream at once, lets it wait for a slot, or refuses it.
   void takeStream(const std::shared_ptr<Stream>& stream);
   void run(const std::shared_ptr<Stream>& stream);
+  /// Ends this process, with all requests under way.
+  void end(Effect effect, http::ResponseWriterPtr writer);
   void continueStream(const std::shared_ptr<Stream>& stream);
   /// The stream's slot is free for the next one.
   void release(const std::shared_ptr<Stream>& stream);
@@ -99,6 +118,8 @@
   std::size_t running_ = 0;
   std::deque<std::shared_ptr<Stream>> waiting_;
   std::map<std::string, std::size_t> held_;
+  std::vector<http::ResponseWriterPtr> silentWriters_;
+  std::set<std::string> runningIds_;  ///< Attempts that this process runs.
   http::HttpServerPtr server_;
 };
 
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -108,6 +108,9 @@
     replicas_.back()->onArrival = [this, number] {
       places_.onArrival(zoneOf(number), replicas_[number]->id(), steadyNow());
     };
+    replicas_.back()->onEnd = [this, number](SoakReplica::Effect effect) {
+      onReplicaEnd(number, effect);
+    };
     replicaWays_.push_back(std::make_unique<FaultProxy>(context_, replicas_.back()->address()));
     replicaLives_.emplace_back();
     registerNextLife(number);
@@ -127,6 +130,8 @@
   faults_.insert(faults_.end(), loads.begin(), loads.end());
   const auto releases = planReleases(options_.seed, options_.length, options_.replicas);
   faults_.insert(faults_.end(), releases.begin(), releases.end());
+  const auto endings = planEndingRequests(options_.seed, options_.length);
+  faults_.insert(faults_.end(), endings.begin(), endings.end());
   overload_ = std::make_unique<SoakOverload>(*clients_, options_.programs);
 }
 
@@ -238,6 +243,26 @@
   registerNextLife(replica);
 }
 
+void SoakRun::sendEndingRequest(const SoakFault& fault) {
+  constexpr std::array kRoutes = {SoakRoute::Turn, SoakRoute::Resumable, SoakRoute::Safe};
+  downTime_ = fault.duration;
+  const SoakRoute route = kRoutes[fault.target / SoakReplica::kEffects];
+  const auto effect = static_cast<SoakReplica::Effect>(1 + fault.target % SoakReplica::kEffects);
+  const std::string& tenant = tenantOfProgram(programsBegun_);
+  std::make_shared<SoakProgram>(*clients_, tenant)->startEndingReplicas(route, effect);
+}
+
+void SoakRun::onReplicaEnd(std::size_t replica, SoakReplica::Effect effect) {
+  FaultProxy& way = *replicaWays_[replica];
+  way.setFault(effect == SoakReplica::Effect::EndSilently ? ProxyFault::Silence
+                                                          : ProxyFault::Reset);
+  timers_->runAfter(downTime_, [this, replica] {
+    replicaWays_[replica]->setFault(ProxyFault::Reset);
+    replicaWays_[replica]->setFault(ProxyFault::None);
+    registerNextLife(replica);
+  });
+}
+
 void SoakRun::evacuate(const std::string& zone, std::optional<Instant> emptyAfter) {
   if (evacuations_[zone]++ == 0) {
     store_->put("keyed.op", "evacuate/" + zone, "{}");
@@ -400,6 +425,9 @@
       replicaLives_[fault.target].draining = true;
       registerReplica(fault.target);
       break;
+    case SoakFaultKind::EndingRequest:
+      sendEndingRequest(fault);
+      break;
   }
   // A process that has just ended and starts again takes no signal.
   ++(struck ? faultsStruck_ : faultsMissed_);
@@ -441,6 +469,7 @@
     case SoakFaultKind::ReplaceReplica:
       replaceReplica(fault.target);
       break;
+    case SoakFaultKind::EndingRequest:
     case SoakFaultKind::KillNode:
     case SoakFaultKind::StopNode:
     case SoakFaultKind::KillAll:
@@ -526,6 +555,14 @@
       {"store_calls", store_->calls},
       {"streams_begun", {servedOf(watcher_.newStreams()), watcher_.newStreams().size()}},
       {"streams_resumed", {servedOf(watcher_.resumedStreams()), watcher_.resumedStreams().size()}},
+      {"ended_replicas",
+       {{"ends", watcher_.endedReplicas().ends},
+        {"requests_at_limit", watcher_.endedReplicas().requestsAtLimit},
+        {"tries_at_limit", watcher_.endedReplicas().triesAtLimit},
+        {"refused_at_limit", watcher_.endedReplicas().refusedAtLimit},
+        {"bystanders", watcher_.endedReplicas().bystanders},
+        {"bystanders_served", watcher_.endedReplicas().bystandersServed},
+        {"refused_bystanders", watcher_.endedReplicas().refusedBystanders}}},
       {"programs_beyond_the_usual", overload_->programsStarted()},
       {"turns_refused_for_capacity", overload_->turnsRefused()},
       {"burst_was_checked", overload_->burstWasChecked()},
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -57,6 +57,10 @@
   void registerNextLife(std::size_t replica);
   /// The replica's process ends, and one of another id and software version takes its place.
   void replaceReplica(std::size_t replica);
+  /// A program sends a request that ends replicas.
+  void sendEndingRequest(const SoakFault& fault);
+  /// A request has ended the replica's process; the next one starts after `downTime_`.
+  void onReplicaEnd(std::size_t replica, SoakReplica::Effect effect);
   /// Another writer's entry comes, or goes.
   void putForeignEntry(const SoakFault& fault, bool present);
   void evacuate(const std::string& zone, std::optional<Instant> emptyAfter);
@@ -116,6 +120,7 @@
   std::unique_ptr<SoakClients> clients_;
   std::unique_ptr<SoakOverload> overload_;
   std::vector<SoakFault> faults_;
+  Duration downTime_ = milliseconds(300);  ///< Of a replica that a request ended.
   std::size_t programsUnderWay_ = 0;
   std::size_t programsBegun_ = 0;
   bool takesPrograms_ = true;
--- a/tests/fault_soak/fault_plan_test.cpp
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -118,3 +118,12 @@
     CHECK(loads[1].kind == SoakFaultKind::Burst && loads[1].at == loads[0].duration);
   }
 }
+
+TEST(FaultPlan, requestsThatEndReplicasComeOnAllRoutesWithAllEffects) {
+  std::set<std::size_t> kinds;
+  for (const SoakFault& request : planEndingRequests(3, seconds(300))) {
+    kinds.insert(request.target);
+    CHECK(request.at < seconds(300));
+  }
+  LONGS_EQUAL(endingRequestKinds(), kinds.size());
+}
