One exchange of request records: stream origins, and unanswered runs

What nodes must know of a single request over its client's attempts was one thing, the software version that began a stream. A second one is needed: the replicas at which a request ran without an answer. Both use one socket, one message type and one key now (request_record_exchange, was stream_origin_exchange); the messages of origins are unchanged on the wire.

Unanswered runs (RunHistories) are told to all listed nodes at once, also those that leave, and compared with a random node each second, so that nodes that were cut off or have just started learn of them. Nothing is awaited. A run counts from its interruption on, unless the replica is still registered 5 s later; a whole answer clears a request's runs. Not used by requests yet.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -138,11 +138,11 @@
       quotaExchange_(context, *timers_, clock_, quotaSources(), seed),
       staticShares_([this] { return quotaExchange_.ownShare(); }, clock_),
       serviceTimes_(serviceTimesKnobsOf(settings_)),
-      streamOrigins_(
+      requestRecords_(
           context, *timers_, clock_,
           {[this]() -> const std::vector<ledger::NodeCandidate>& { return ledgerCandidates(); },
-           &zones_},
-          settings_.zone, {}, seed),
+           [this] { return members_.relayAddresses(); }, &zones_},
+          settings_.zone, [this] { return registrations(); }, {}, seed),
       context_{dependencies.wire,
                routes_,
                placement_,
@@ -162,7 +162,7 @@
                &serviceTimes_,
                RetryControl(retryControlKnobsOf(settings_), seed),
                usesTenantShares(settings_) ? &tenantShares_ : nullptr,
-               &streamOrigins_,
+               &requestRecords_,
                [this](std::string_view service) {
                  return versionHistory_.onlyVersionOf(service, replicas_, clock_());
                }},
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -18,9 +18,9 @@
 #include "edge/member_table.h"
 #include "edge/peer_monitor.h"
 #include "edge/quota_exchange.h"
+#include "edge/request_record_exchange.h"
 #include "edge/shared_topic_store.h"
 #include "edge/store_relay.h"
-#include "edge/stream_origin_exchange.h"
 #include "edge/topic_readers.h"
 #include "edge/unreadable_records.h"
 #include "edge/wire_adapter.h"
@@ -160,6 +160,7 @@
   [[nodiscard]] bool isUsingReplicas();
   /// \return the load digest addresses of the nodes that serve clients, except this node.
   [[nodiscard]] const LoadPeers& loadPeers();
+  [[nodiscard]] routing::RegistrationView registrations() const;
   [[nodiscard]] routing::ColdReplicaSources coldReplicaSources();
   void updateColdReplicas();
   void logColdStateAvailability();
@@ -251,7 +252,7 @@
   quota::StaticShares staticShares_;
   routing::ServiceTimes serviceTimes_;
   routing::SoftwareVersionHistory versionHistory_{{}};
-  StreamOriginExchange streamOrigins_;
+  RequestRecordExchange requestRecords_;
   EdgeContext context_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -38,9 +38,9 @@
   values.dispatches = context_.counters.dispatches;
   values.retries = context_.counters.retries;
   values.resumes = context_.counters.resumes;
-  values.streamOrigins = streamOrigins_.recordCount();
-  values.streamOriginsDropped = streamOrigins_.droppedRecords();
-  values.streamOriginMessagesUnreadable = streamOrigins_.unreadableMessages();
+  values.streamOrigins = requestRecords_.originCount();
+  values.streamOriginsDropped = requestRecords_.droppedOrigins();
+  values.streamOriginMessagesUnreadable = requestRecords_.unreadableMessages();
   values.streamsContinued = context_.counters.streamsContinued;
   values.streamsNotContinued = context_.counters.streamsNotContinued;
   values.retriesWithheld = context_.retryControl.retriesWithheld();
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -174,6 +174,12 @@
   replicaFollower_->start();
 }
 
+routing::RegistrationView EdgeDaemon::registrations() const {
+  return routing::registrationViewOf(
+      replicas_,
+      replicasListed_ ? std::optional(context_.storeReadTimes.replicasReadAt) : std::nullopt);
+}
+
 void EdgeDaemon::noteSoftwareVersion(const std::string& id) {
   if (const routing::ReplicaPtr replica = replicas_.find(id)) {
     versionHistory_.onSeen(replica->entry, clock_());
--- a/src/edge/edge_daemon_peers.cpp
+++ b/src/edge/edge_daemon_peers.cpp
@@ -54,8 +54,9 @@
   if (!succeeded(quotas)) {
     return quotas;
   }
-  constexpr std::uint16_t kStreamOriginPortOffset = 4;
-  return streamOrigins_.listen(settings_.ip, settings_.firstInternalPort + kStreamOriginPortOffset);
+  constexpr std::uint16_t kRequestRecordPortOffset = 4;
+  return requestRecords_.listen(settings_.ip,
+                                settings_.firstInternalPort + kRequestRecordPortOffset);
 }
 
 void EdgeDaemon::onPeerState(const std::string& ip, membership::MemberState state) {
--- a/src/edge/exchange_stream_origin.cpp
+++ b/src/edge/exchange_stream_origin.cpp
@@ -23,7 +23,7 @@
   return isStreaming() && !(request_.lastEventId.empty() && request_.resumedRequestId.empty());
 }
 
-routing::StreamId Exchange::streamId() const {
+routing::RequestKey Exchange::streamId() const {
   const std::string& first =
       request_.resumedRequestId.empty() ? request_.requestId : request_.resumedRequestId;
   return routing::streamIdOf(tenant::scopedName(checked_.tenantName(), first));
--- a/src/edge/stream_origin_holders.cpp
+++ b/src/edge/record_holders.cpp
@@ -1,4 +1,4 @@
-#include "edge/stream_origin_holders.h"
+#include "edge/record_holders.h"
 
 #include <algorithm>
 #include <map>
@@ -40,16 +40,16 @@
 
 }  // namespace
 
-std::vector<std::string> selectHolders(const routing::StreamId& stream,
+std::vector<std::string> selectHolders(const routing::RequestKey& key,
                                        const std::vector<ledger::NodeCandidate>& candidates,
                                        std::string_view ownAddress, std::string_view ownRegion,
                                        const routing::ZoneTable& zones, HolderCounts counts) {
-  const std::string key = std::to_string(stream.high) + "/" + std::to_string(stream.low);
+  const std::string name = std::to_string(key.high) + "/" + std::to_string(key.low);
   std::map<std::string_view, std::vector<Ranked>> byRegion;
   for (const ledger::NodeCandidate& candidate : candidates) {
     if (candidate.address != ownAddress) {
       byRegion[zones.regionOf(candidate.zone)].push_back(
-          {0, routing::rendezvousHash(key, candidate.address), &candidate});
+          {0, routing::rendezvousHash(name, candidate.address), &candidate});
     }
   }
   std::vector<std::string> selected;
--- a/src/edge/stream_origin_holders.h
+++ b/src/edge/record_holders.h
@@ -1,4 +1,4 @@
-/// \file Selects the nodes that hold copies of a stream's origin. Pure functions.
+/// \file Selects the nodes that hold copies of a request's record. Pure functions.
 #pragma once
 
 #include <cstddef>
@@ -8,7 +8,7 @@
 
 #include "ledger/rendezvous_selector.h"
 #include "routing/locality.h"
-#include "routing/stream_origins.h"
+#include "routing/request_key.h"
 
 namespace gorsetrail::edge {
 
@@ -23,7 +23,7 @@
 /// the selection with larger ones.
 /// \param ownAddress address of this node, which is not selected.
 /// \return addresses of the selected candidates, those of the own region first.
-std::vector<std::string> selectHolders(const routing::StreamId& stream,
+std::vector<std::string> selectHolders(const routing::RequestKey& key,
                                        const std::vector<ledger::NodeCandidate>& candidates,
                                        std::string_view ownAddress, std::string_view ownRegion,
                                        const routing::ZoneTable& zones, HolderCounts counts);
--- a/src/edge/stream_origin_directory.h
+++ b/src/edge/stream_origin_directory.h
@@ -31,10 +31,10 @@
 
   /// Records the origin here and at other nodes. Call it before the first event of the stream is
   /// released: a client that continues the stream can then find the record. Does not block.
-  virtual void record(const routing::StreamId& stream, const routing::StreamOrigin& origin,
+  virtual void record(const routing::RequestKey& stream, const routing::StreamOrigin& origin,
                       Duration keepFor) = 0;
   /// Finds the origin of a stream; calls back once, possibly at once.
-  virtual void find(const routing::StreamId& stream, Callback callback) = 0;
+  virtual void find(const routing::RequestKey& stream, Callback callback) = 0;
 };
 
 }  // namespace gorsetrail::edge
--- /dev/null
+++ b/src/routing/run_histories.cpp
@@ -0,0 +1,208 @@
+#include "routing/run_histories.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace gorsetrail::routing {
+namespace {
+
+/// Times from other nodes are late by the transit of their messages.
+constexpr Duration kTransitTime = milliseconds(50);
+
+std::uint64_t digestOf(const RequestKey& key, const RunHistory& history) {
+  std::uint64_t digest = XXH3_64bits_withSeed(&key.low, sizeof key.low, key.high);
+  for (const ReplicaRun& run : history.runs) {
+    const std::uint64_t seed =
+        (std::uint64_t{run.revision} << 8U) | static_cast<unsigned>(run.state);
+    // A sum, because nodes learn of the runs in different orders.
+    digest += XXH3_64bits_withSeed(run.replicaId.data(), run.replicaId.size(),
+                                   seed ^ (run.startedAt ? run.startedAt->value() : 0));
+  }
+  return digest;
+}
+
+/// \return whether `left` is to be dropped before `right`.
+bool isLessImportant(const RunHistory& left, const RunHistory& right) {
+  return std::tuple(left.countedRuns(), left.keepUntil) <
+         std::tuple(right.countedRuns(), right.keepUntil);
+}
+
+}  // namespace
+
+std::string_view runStateName(RunState state) {
+  switch (state) {
+    case RunState::Uncertain:
+      return "uncertain";
+    case RunState::NotExecuted:
+      return "not_executed";
+    case RunState::Survived:
+      return "survived";
+    case RunState::Ended:
+      break;
+  }
+  return "ended";
+}
+
+std::size_t RunHistory::countedRuns() const {
+  return static_cast<std::size_t>(
+      std::count_if(runs.begin(), runs.end(), [](const ReplicaRun& run) { return run.counts(); }));
+}
+
+const RunHistory* RunHistories::find(const RequestKey& key) const {
+  const auto found = histories_.find(key);
+  return found == histories_.end() ? nullptr : &found->second;
+}
+
+RunHistory& RunHistories::historyFor(const RequestKey& key) {
+  if (histories_.size() >= knobs_.maximumHistories && !histories_.contains(key)) {
+    dropLeastImportant();
+  }
+  return histories_[key];
+}
+
+void RunHistories::dropLeastImportant() {
+  const auto least = std::min_element(histories_.begin(), histories_.end(),
+                                      [](const auto& left, const auto& right) {
+                                        return isLessImportant(left.second, right.second);
+                                      });
+  histories_.erase(least);
+  ++droppedHistories_;
+}
+
+bool RunHistories::mergeRun(RunHistory& history, const ReplicaRun& run) const {
+  std::vector<ReplicaRun>& runs = history.runs;
+  const auto known = std::find_if(runs.begin(), runs.end(),
+                                  [&](const ReplicaRun& other) { return other.isAt(run); });
+  if (known != runs.end()) {
+    const bool isNewer =
+        std::tuple(run.revision, run.state) > std::tuple(known->revision, known->state);
+    if (isNewer) {
+      *known = run;
+    }
+    return isNewer;
+  }
+  runs.push_back(run);
+  if (runs.size() > knobs_.maximumRuns) {
+    runs.erase(std::min_element(
+        runs.begin(), runs.end(), [](const ReplicaRun& left, const ReplicaRun& right) {
+          return std::tuple(left.counts(), left.at) < std::tuple(right.counts(), right.at);
+        }));
+  }
+  return true;
+}
+
+void RunHistories::record(const RequestKey& key, ReplicaRun run, Instant keepUntil, Instant now) {
+  RunHistory& history = historyFor(key);
+  const auto known = std::find_if(history.runs.begin(), history.runs.end(),
+                                  [&](const ReplicaRun& other) { return other.isAt(run); });
+  run.at = now;
+  run.revision = known == history.runs.end() ? 1 : known->revision + 1;
+  history.keepUntil = std::max(history.keepUntil, keepUntil);
+  mergeRun(history, run);
+}
+
+void RunHistories::recordAnswer(const RequestKey& key, Instant now) {
+  const auto found = histories_.find(key);
+  if (found != histories_.end()) {
+    found->second = RunHistory{{}, now, now + knobs_.answeredLifetime};
+  }
+}
+
+bool RunHistories::merge(const RequestKey& key, const RunHistory& other, Instant now) {
+  if (other.keepUntil <= now) {
+    return false;
+  }
+  const bool isNew = !histories_.contains(key);
+  RunHistory& history = historyFor(key);
+  bool changed = isNew;
+  // Without the tolerance, each exchange of the same answer would move it by its transit.
+  if (other.answeredAt &&
+      (!history.answeredAt || *history.answeredAt + kTransitTime < *other.answeredAt)) {
+    history.answeredAt = other.answeredAt;
+  }
+  const std::size_t before = history.runs.size();
+  std::erase_if(history.runs, [&history](const ReplicaRun& run) {
+    return history.answeredAt && run.at <= *history.answeredAt;
+  });
+  changed = changed || history.runs.size() != before;
+  for (const ReplicaRun& run : other.runs) {
+    const bool isAnswered = history.answeredAt && run.at <= *history.answeredAt;
+    changed = (!isAnswered && mergeRun(history, run)) || changed;
+  }
+  history.keepUntil = std::max(history.keepUntil, other.keepUntil);
+  return changed;
+}
+
+RunState RunHistories::settle(const ReplicaRun& run, const RegistrationView& view) const {
+  if (run.state != RunState::Uncertain) {
+    return run.state;
+  }
+  switch (view.find(run.replicaId, run.startedAt)) {
+    case Registration::Absent:
+      // An earlier read may not show the replica yet.
+      return view.readAt >= run.at + kTransitTime ? RunState::Ended : RunState::Uncertain;
+    case Registration::Present:
+      return view.readAt >= run.at + knobs_.confirmationTime ? RunState::Survived
+                                                             : RunState::Uncertain;
+    case Registration::Unknown:
+      break;
+  }
+  return RunState::Uncertain;
+}
+
+void RunHistories::update(const RegistrationView& view, Instant now) {
+  std::erase_if(histories_, [now](const auto& entry) { return entry.second.keepUntil <= now; });
+  for (auto& [key, history] : histories_) {
+    for (ReplicaRun& run : history.runs) {
+      const RunState settled = settle(run, view);
+      run.revision += settled == run.state ? 0 : 1;
+      run.state = settled;
+    }
+  }
+}
+
+QuarantineDecision RunHistories::decide(const RequestKey& key, const RegistrationView& view,
+                                        Instant now) const {
+  QuarantineDecision decision;
+  const RunHistory* const history = find(key);
+  if (history == nullptr || history->keepUntil <= now) {
+    return decision;
+  }
+  std::vector<Instant> lapses;
+  for (const ReplicaRun& run : history->runs) {
+    const RunState state = settle(run, view);
+    decision.endedReplicas += state == RunState::Ended ? 1 : 0;
+    if (state == RunState::Uncertain) {
+      lapses.push_back(run.at + knobs_.confirmationTime);
+    }
+  }
+  decision.uncertainReplicas = lapses.size();
+  const std::size_t counted = decision.endedReplicas + lapses.size();
+  decision.isQuarantined = counted >= knobs_.maximumEndedReplicas;
+  if (decision.isQuarantined && decision.endedReplicas < knobs_.maximumEndedReplicas) {
+    std::sort(lapses.begin(), lapses.end());
+    const Instant enough = lapses[counted - knobs_.maximumEndedReplicas];
+    decision.retryAfter = std::max(Duration::zero(), enough - now);
+  }
+  return decision;
+}
+
+std::uint64_t RunHistories::digest() const {
+  std::uint64_t digest = histories_.size();
+  for (const auto& [key, history] : histories_) {
+    digest ^= digestOf(key, history);
+  }
+  return digest;
+}
+
+std::size_t RunHistories::quarantinedRequests() const {
+  return static_cast<std::size_t>(
+      std::count_if(histories_.begin(), histories_.end(), [this](const auto& entry) {
+        return entry.second.countedRuns() >= knobs_.maximumEndedReplicas;
+      }));
+}
+
+}  // namespace gorsetrail::routing
--- /dev/null
+++ b/src/routing/run_histories.h
@@ -0,0 +1,128 @@
+/// \file Remembers the replicas at which single requests ran without being answered, and decides
+/// whether a request may run again. No I/O, no clock.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "routing/registration_view.h"
+#include "routing/replica_incarnation.h"
+#include "routing/request_key.h"
+
+namespace gorsetrail::routing {
+
+/// What became of a run that a replica did not answer. Where nodes disagree, the higher value wins.
+enum class RunState : std::uint8_t {
+  Uncertain,    ///< In progress, or interrupted: the replica may have ended.
+  NotExecuted,  ///< The replica did not execute the request.
+  Survived,     ///< The replica was still registered long after the run.
+  Ended,        ///< The replica ended.
+};
+/// \return the stable snake_case name.
+[[nodiscard]] std::string_view runStateName(RunState state);
+
+/// One dispatch of a request to one incarnation of a replica.
+struct ReplicaRun {
+  std::string replicaId;
+  std::optional<ReplicaStart> startedAt{};  ///< Unset: unknown.
+  /// The dispatch; of an interrupted run the interruption.
+  Instant at{};
+  RunState state = RunState::Uncertain;
+  /// Incremented with each change; the highest one is the newest.
+  std::uint32_t revision = 0;
+
+  [[nodiscard]] bool isAt(const ReplicaRun& other) const {
+    return replicaId == other.replicaId && startedAt == other.startedAt;
+  }
+  /// \return whether the run counts against the limit of ended replicas.
+  [[nodiscard]] bool counts() const {
+    return state == RunState::Uncertain || state == RunState::Ended;
+  }
+};
+
+/// The unanswered runs of one request, over all attempts of its client at all nodes.
+struct RunHistory {
+  std::vector<ReplicaRun> runs;
+  /// When a replica last answered the request whole: earlier runs do not count.
+  std::optional<Instant> answeredAt;
+  Instant keepUntil{};
+
+  /// \return the number of replicas that ended, or may have ended, under the request.
+  [[nodiscard]] std::size_t countedRuns() const;
+};
+
+/// Settings of `RunHistories`.
+struct RunHistoryKnobs {
+  /// A request is not dispatched again once so many replicas ended under it.
+  std::size_t maximumEndedReplicas = 3;
+  /// The registration of a replica that ended is gone after this time: three heartbeats, and the
+  /// delay of a read.
+  Duration confirmationTime = milliseconds(5000);
+  /// How long an answered request is remembered, so that an outdated copy does not bring its runs
+  /// back.
+  Duration answeredLifetime = seconds(60);
+  /// Beyond this number, the history with the fewest counted runs that expires first is dropped.
+  std::size_t maximumHistories = 4096;
+  std::size_t maximumRuns =
+      8;  ///< Of one request; the oldest that does not count is dropped first.
+};
+
+/// Whether a request may be dispatched.
+struct QuarantineDecision {
+  bool isQuarantined = false;
+  std::size_t endedReplicas = 0;      ///< Shown by the registrations.
+  std::size_t uncertainReplicas = 0;  ///< Interrupted or running, and not yet known.
+  /// Set if the request is quarantined and may be dispatched again after this time, should the
+  /// uncertain replicas turn out to be alive.
+  std::optional<Duration> retryAfter;
+};
+
+class RunHistories {
+ public:
+  explicit RunHistories(RunHistoryKnobs knobs) : knobs_(knobs) {}
+
+  /// \return the history of the request; null if there is none.
+  [[nodiscard]] const RunHistory* find(const RequestKey& key) const;
+  /// Sets the state of a run.
+  void record(const RequestKey& key, ReplicaRun run, Instant keepUntil, Instant now);
+  /// A replica answered the request whole. Has no effect without a history.
+  void recordAnswer(const RequestKey& key, Instant now);
+  /// Adds what another node knows.
+  /// \return whether anything was new.
+  bool merge(const RequestKey& key, const RunHistory& other, Instant now);
+  /// Settles uncertain runs of all requests by the registrations, and removes expired histories.
+  void update(const RegistrationView& view, Instant now);
+  [[nodiscard]] QuarantineDecision decide(const RequestKey& key, const RegistrationView& view,
+                                          Instant now) const;
+
+  /// \return a digest that is equal at nodes with the same histories, whatever their clocks.
+  [[nodiscard]] std::uint64_t digest() const;
+  [[nodiscard]] const std::unordered_map<RequestKey, RunHistory, RequestKeyHash>& all() const {
+    return histories_;
+  }
+  [[nodiscard]] bool isEmpty() const { return histories_.empty(); }
+  /// \return the number of requests that are not dispatched any more.
+  [[nodiscard]] std::size_t quarantinedRequests() const;
+  /// \return the number of histories dropped before their expiry.
+  [[nodiscard]] std::uint64_t droppedHistories() const { return droppedHistories_; }
+
+ private:
+  [[nodiscard]] RunState settle(const ReplicaRun& run, const RegistrationView& view) const;
+  RunHistory& historyFor(const RequestKey& key);
+  void dropLeastImportant();
+  /// Adds or replaces the run at its replica.
+  /// \return whether it was new.
+  bool mergeRun(RunHistory& history, const ReplicaRun& run) const;
+
+  RunHistoryKnobs knobs_;
+  std::unordered_map<RequestKey, RunHistory, RequestKeyHash> histories_;
+  std::uint64_t droppedHistories_ = 0;
+};
+
+}  // namespace gorsetrail::routing
--- a/src/routing/stream_origins.cpp
+++ b/src/routing/stream_origins.cpp
@@ -6,12 +6,12 @@
 
 namespace gorsetrail::routing {
 
-StreamId streamIdOf(std::string_view requestName) {
+RequestKey streamIdOf(std::string_view requestName) {
   const XXH128_hash_t hash = XXH3_128bits(requestName.data(), requestName.size());
   return {hash.high64, hash.low64};
 }
 
-void StreamOrigins::record(const StreamId& stream, const StreamOrigin& origin, Instant keepUntil,
+void StreamOrigins::record(const RequestKey& stream, const StreamOrigin& origin, Instant keepUntil,
                            Instant now) {
   trim(now);
   const auto [found, isNew] = records_.try_emplace(stream, Record{origin, keepUntil});
@@ -27,7 +27,7 @@
   }
 }
 
-OriginState StreamOrigins::find(const StreamId& stream, Instant now) const {
+OriginState StreamOrigins::find(const RequestKey& stream, Instant now) const {
   const auto found = records_.find(stream);
   return found == records_.end() || found->second.keepUntil <= now ? OriginState(UnknownOrigin{})
                                                                    : found->second.state;
--- a/src/routing/stream_origins.h
+++ b/src/routing/stream_origins.h
@@ -11,18 +11,13 @@
 #include <variant>
 
 #include "base/time.h"
+#include "routing/request_key.h"
 
 namespace gorsetrail::routing {
 
-/// Identifies a stream: 128-bit hash of the name of the request that received its first event.
-struct StreamId {
-  std::uint64_t high = 0;
-  std::uint64_t low = 0;
-  [[nodiscard]] bool operator==(const StreamId& other) const = default;
-};
-
+/// Identifies a stream by the request that received its first event.
 /// \param requestName the request's ID, unique across tenants; see `tenant::scopedName`.
-[[nodiscard]] StreamId streamIdOf(std::string_view requestName);
+[[nodiscard]] RequestKey streamIdOf(std::string_view requestName);
 
 /// The replica software that began a stream. What two versions write does not fit together, so only
 /// replicas of the same service and version may continue it.
@@ -52,8 +47,8 @@
   explicit StreamOrigins(StreamOriginKnobs knobs) : knobs_(knobs) {}
 
   /// Adds a record, or extends the lifetime of an equal one.
-  void record(const StreamId& stream, const StreamOrigin& origin, Instant keepUntil, Instant now);
-  [[nodiscard]] OriginState find(const StreamId& stream, Instant now) const;
+  void record(const RequestKey& stream, const StreamOrigin& origin, Instant keepUntil, Instant now);
+  [[nodiscard]] OriginState find(const RequestKey& stream, Instant now) const;
   [[nodiscard]] std::size_t size() const { return records_.size(); }
   /// \return the number of records dropped before their expiry.
   [[nodiscard]] std::uint64_t droppedRecords() const { return droppedRecords_; }
@@ -63,16 +58,13 @@
     OriginState state;
     Instant keepUntil;
   };
-  struct StreamIdHash {
-    std::size_t operator()(const StreamId& stream) const noexcept { return stream.low; }
-  };
   /// Removes expired records from the front of the queue, and the oldest ones beyond the limit.
   void trim(Instant now);
 
   StreamOriginKnobs knobs_;
-  std::unordered_map<StreamId, Record, StreamIdHash> records_;
+  std::unordered_map<RequestKey, Record, RequestKeyHash> records_;
   /// Streams in order of insertion, with the expiry known at that time.
-  std::deque<std::pair<Instant, StreamId>> oldestFirst_;
+  std::deque<std::pair<Instant, RequestKey>> oldestFirst_;
   std::uint64_t droppedRecords_ = 0;
 };
 
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -90,13 +90,13 @@
 /// Knows what the test or an exchange has recorded; answers at once.
 class FakeStreamOrigins final : public StreamOriginDirectory {
  public:
-  void record(const routing::StreamId& stream, const routing::StreamOrigin& origin,
+  void record(const routing::RequestKey& stream, const routing::StreamOrigin& origin,
               Duration /*keepFor*/) override {
     onRecord();
     known[stream.low] = origin;
     recorded.push_back(origin);
   }
-  void find(const routing::StreamId& stream, Callback callback) override {
+  void find(const routing::RequestKey& stream, Callback callback) override {
     const auto found = known.find(stream.low);
     callback({found == known.end() ? routing::UnknownOrigin{} : found->second, {}, 0, 0});
   }
--- a/tests/edge/stream_origin_holders_test.cpp
+++ b/tests/edge/record_holders_test.cpp
@@ -1,5 +1,5 @@
 // Guards against copies that one zone's loss takes away, and nodes that look for them elsewhere.
-#include "edge/stream_origin_holders.h"
+#include "edge/record_holders.h"
 
 #include <algorithm>
 #include <set>
--- a/tests/edge/stream_origin_exchange_test.cpp
+++ b/tests/edge/request_record_exchange_test.cpp
@@ -1,5 +1,5 @@
 // Guards against streams whose origin is lost with the node that served them, over loopback.
-#include "edge/stream_origin_exchange.h"
+#include "edge/request_record_exchange.h"
 
 #include <unistd.h>
 
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr std::uint16_t kRelayPort = 1;  // Not opened: it only names a node.
-const routing::StreamId kStream{1, 2};
+const routing::RequestKey kStream{1, 2};
 const routing::StreamOrigin kOrigin{"model", "v1"};
 
 /// The same on all nodes; derived from the process id, because two runs of these tests at a time
@@ -32,14 +32,14 @@
 
 }  // namespace
 
-TEST_GROUP(StreamOriginExchange) {
+TEST_GROUP(RequestRecordExchange) {
   struct Node {
     std::string ip;
     std::vector<ledger::NodeCandidate> known;  ///< Nodes that it believes alive.
-    std::unique_ptr<StreamOriginExchange> exchange;
+    services::TimerServicePtr timers;          ///< Its pending work ends with the node.
+    std::unique_ptr<RequestRecordExchange> exchange;
   };
   boost::asio::io_context context{1};
-  services::TimerServicePtr timers = services::makeTimerService(context);
   routing::ZoneTable zones{{{"a", "r"}, {"b", "r"}, {"c", "r"}}};
   std::vector<std::unique_ptr<Node>> nodes;
 
@@ -50,19 +50,27 @@
       Node& node = *nodes.back();
       node.ip = "127.0.3." + std::to_string(number + 1);
       const std::string zone(1, static_cast<char>('a' + number % 3));
-      node.exchange = std::make_unique<StreamOriginExchange>(
-          context, *timers, steadyNow,
-          StreamOriginSources{
+      node.timers = services::makeTimerService(context);
+      node.exchange = std::make_unique<RequestRecordExchange>(
+          context, *node.timers, steadyNow,
+          RequestRecordSources{
               [&node]() -> const std::vector<ledger::NodeCandidate>& { return node.known; },
+              [&node] {
+                std::vector<std::string> addresses;
+                for (const ledger::NodeCandidate& other : node.known) {
+                  addresses.push_back(other.address);
+                }
+                return addresses;
+              },
               &zones},
-          zone, StreamOriginExchangeKnobs{}, std::uint64_t{1000} * number);
+          zone, [] { return routing::RegistrationView{}; }, RequestRecordExchangeKnobs{},
+          std::uint64_t{1000} * number);
       CHECK_TRUE(succeeded(node.exchange->listen(node.ip, originPort())));
     }
     connectAll();
   }
   void teardown() override {
     nodes.clear();
-    timers.reset();
     context.restart();
     context.poll();
   }
@@ -105,7 +113,7 @@
   }
 };
 
-TEST(StreamOriginExchange, anOriginOutlivesTheNodeThatRecordedIt) {
+TEST(RequestRecordExchange, anOriginOutlivesTheNodeThatRecordedIt) {
   nodes[0]->exchange->record(kStream, kOrigin, seconds(20));
   nodes[0].reset();
   connectAll();
@@ -114,7 +122,7 @@
   }
 }
 
-TEST(StreamOriginExchange, anOriginOutlivesAZoneAndNodesThatAreStillListed) {
+TEST(RequestRecordExchange, anOriginOutlivesAZoneAndNodesThatAreStillListed) {
   nodes[0]->exchange->record(kStream, kOrigin, seconds(20));
   for (const std::size_t node : {0, 3, 6}) {
     nodes[node].reset();
@@ -124,43 +132,43 @@
   }
 }
 
-TEST(StreamOriginExchange, nobodyKnowsAStreamOnceAllNodesHaveReplied) {
+TEST(RequestRecordExchange, nobodyKnowsAStreamOnceAllNodesHaveReplied) {
   Duration took{};
   const OriginLookup lookup = find(4, &took);
   CHECK(std::holds_alternative<routing::UnknownOrigin>(lookup.state));
   LONGS_EQUAL(8, lookup.asked);
   LONGS_EQUAL(8, lookup.answered);
-  CHECK(took < StreamOriginExchangeKnobs{}.lookupTimeLimit);
+  CHECK(took < RequestRecordExchangeKnobs{}.lookupTimeLimit);
 }
 
-TEST(StreamOriginExchange, aNodeThatIsCutOffKnowsOnlyWhatItRecorded) {
+TEST(RequestRecordExchange, aNodeThatIsCutOffKnowsOnlyWhatItRecorded) {
   nodes[0]->exchange->record(kStream, kOrigin, seconds(20));
   run();
   for (std::size_t node = 0; node < nodes.size(); ++node) {
     nodes[node]->known.clear();
   }
   CHECK_TRUE(knows(find(0)));
-  CHECK_TRUE(nodes[1]->exchange->recordCount() + nodes[2]->exchange->recordCount() > 0);
+  CHECK_TRUE(nodes[1]->exchange->originCount() + nodes[2]->exchange->originCount() > 0);
   nodes[0]->exchange->record({3, 4}, kOrigin, seconds(20));
   run();
   std::size_t holders = 0;
   for (const auto& node : nodes) {
-    holders += node->exchange->recordCount() == 2 ? 1 : 0;
+    holders += node->exchange->originCount() == 2 ? 1 : 0;
   }
   LONGS_EQUAL(1, holders);
 }
 
 // A node of an earlier build has no listener for these messages.
-TEST(StreamOriginExchange, aLookupEndsInTimeWithoutRepliesOfSomeNodes) {
+TEST(RequestRecordExchange, aLookupEndsInTimeWithoutRepliesOfSomeNodes) {
   nodes[1].reset();
   Duration took{};
   const OriginLookup lookup = find(4, &took);
   CHECK(std::holds_alternative<routing::UnknownOrigin>(lookup.state));
-  CHECK(took >= StreamOriginExchangeKnobs{}.lookupTimeLimit);
+  CHECK(took >= RequestRecordExchangeKnobs{}.lookupTimeLimit);
   LONGS_EQUAL(7, lookup.answered);
 }
 
-TEST(StreamOriginExchange, recordsThatDisagreeAreReportedAsConflicting) {
+TEST(RequestRecordExchange, recordsThatDisagreeAreReportedAsConflicting) {
   nodes[0]->exchange->record(kStream, kOrigin, seconds(20));
   nodes[0]->exchange->record(kStream, {"model", "v2"}, seconds(20));
   for (std::size_t node = 0; node < nodes.size(); ++node) {
@@ -168,7 +176,7 @@
   }
 }
 
-TEST(StreamOriginExchange, bytesThatAreNoMessageAreCounted) {
+TEST(RequestRecordExchange, bytesThatAreNoMessageAreCounted) {
   DatagramSocket socket(context, [](const DatagramSocket::Endpoint&, std::string_view) {});
   CHECK_TRUE(succeeded(socket.listen("127.0.3.99:" + std::to_string(originPort()))));
   socket.send(nodes[0]->ip + ":" + std::to_string(originPort()), "no message");
@@ -177,12 +185,12 @@
 }
 
 // The note on capacity counts with this size (docs/design/0027).
-TEST(StreamOriginExchange, aRecordIsSmall) {
+TEST(RequestRecordExchange, aRecordIsSmall) {
   constexpr std::size_t kMaximumBytes = 200;
-  const std::string bytes =
-      encodeOriginMessage(OriginRecord{kStream, {"agent-models", "v1.2.3"}, seconds(20)});
+  const std::string bytes = encodeRequestRecord(
+      OriginRecord{kStream, {"agent-models", "v1.2.3"}, seconds(20)}, Instant{});
   CHECK(bytes.size() <= kMaximumBytes);
-  const auto read = decodeOriginMessage(bytes);
+  const auto read = decodeRequestRecord(bytes, Instant{});
   const auto& record = std::get<OriginRecord>(valueOf(read));
   CHECK(record.stream == kStream);
   STRCMP_EQUAL("v1.2.3", record.origin.softwareVersion.c_str());
--- /dev/null
+++ b/tests/routing/run_histories_test.cpp
@@ -0,0 +1,234 @@
+// Guards against requests that end replicas without a limit, and against limits for innocent ones.
+#include "routing/run_histories.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::routing;
+
+namespace {
+
+const RequestKey kRequest{1, 2};
+const RequestKey kOther{3, 4};
+constexpr Duration kLifetime = seconds(600);
+
+}  // namespace
+
+TEST_GROUP(RunHistories) {
+  RunHistoryKnobs knobs;
+  RunHistories histories{knobs};
+  Instant now{seconds(1000)};
+  Instant readAt = now;
+  bool isListed = true;
+  std::set<std::string> absent;
+
+  RegistrationView view() {
+    return {[this](const std::string& id, std::optional<ReplicaStart> /*startedAt*/) {
+              if (!isListed) {
+                return Registration::Unknown;
+              }
+              return absent.contains(id) ? Registration::Absent : Registration::Present;
+            },
+            readAt};
+  }
+  void record(const std::string& replica, RunState state = RunState::Uncertain,
+              RequestKey request = kRequest) {
+    histories.record(request, {replica, ReplicaStart(1), {}, state}, now + kLifetime, now);
+  }
+  /// Time passes, and the registrations are read again.
+  void pass(Duration time, bool storeAnswers = true) {
+    now += time;
+    readAt = storeAnswers ? now : readAt;
+    histories.update(view(), now);
+  }
+  QuarantineDecision decide(RequestKey request = kRequest) {
+    return histories.decide(request, view(), now);
+  }
+  /// \return what another node receives.
+  RunHistory copyOf(const RunHistories& from, RequestKey request = kRequest) {
+    return *from.find(request);
+  }
+};
+
+TEST(RunHistories, aRequestIsQuarantinedAfterThreeInterruptedRuns) {
+  for (const char* replica : {"a", "b"}) {
+    record(replica);
+    CHECK_FALSE(decide().isQuarantined);
+  }
+  record("c");
+  CHECK_TRUE(decide().isQuarantined);
+  LONGS_EQUAL(3, decide().uncertainReplicas);
+  CHECK_FALSE(decide(kOther).isQuarantined);
+}
+
+TEST(RunHistories, severalRunsAtOneReplicaCountOnce) {
+  for (int run = 0; run < 5; ++run) {
+    record("a");
+  }
+  CHECK_FALSE(decide().isQuarantined);
+}
+
+TEST(RunHistories, theNextProcessOfAReplicaIsAnotherReplica) {
+  for (std::uint64_t start = 1; start <= 3; ++start) {
+    histories.record(kRequest, {"a", ReplicaStart(start), {}, RunState::Uncertain}, now + kLifetime,
+                     now);
+  }
+  CHECK_TRUE(decide().isQuarantined);
+}
+
+TEST(RunHistories, aReplicaThatIsStillRegisteredLaterDoesNotCount) {
+  for (const char* replica : {"a", "b", "c"}) {
+    record(replica);
+  }
+  CHECK(decide().retryAfter == knobs.confirmationTime);
+  pass(knobs.confirmationTime);
+  CHECK_FALSE(decide().isQuarantined);
+  absent = {"a", "b", "c"};  // They leave for another reason.
+  pass(seconds(10));
+  CHECK_FALSE(decide().isQuarantined);
+}
+
+TEST(RunHistories, replicasWhoseRegistrationsAreGoneCountUntilTheHistoryExpires) {
+  for (const char* replica : {"a", "b", "c"}) {
+    record(replica);
+  }
+  absent = {"a", "b", "c"};
+  pass(seconds(4));
+  CHECK_TRUE(decide().isQuarantined);
+  CHECK_FALSE(decide().retryAfter.has_value());
+  absent.clear();  // Other processes take over the ids.
+  pass(seconds(590));
+  CHECK_TRUE(decide().isQuarantined);
+  LONGS_EQUAL(1, histories.quarantinedRequests());
+  pass(seconds(10));
+  CHECK_FALSE(decide().isQuarantined);
+  CHECK_TRUE(histories.isEmpty());
+}
+
+TEST(RunHistories, twoEndedReplicasAndOneThatMayLive) {
+  record("a");
+  record("b");
+  absent = {"a", "b"};
+  pass(seconds(4));
+  record("c");
+  CHECK_TRUE(decide().isQuarantined);
+  CHECK(decide().retryAfter == knobs.confirmationTime);
+  pass(knobs.confirmationTime);
+  CHECK_FALSE(decide().isQuarantined);
+}
+
+TEST(RunHistories, uncertainRunsCountWhileTheStoreIsUnavailable) {
+  for (const char* replica : {"a", "b", "c"}) {
+    record(replica);
+  }
+  pass(seconds(60), false);
+  CHECK_TRUE(decide().isQuarantined);
+  isListed = false;
+  pass(seconds(60));
+  CHECK_TRUE(decide().isQuarantined);
+}
+
+// A node may not have read the registration of a new replica yet.
+TEST(RunHistories, aRegistrationThatWasNotReadSinceTheRunIsNoEnd) {
+  absent = {"a"};
+  record("a");
+  LONGS_EQUAL(0, decide().endedReplicas);
+  absent.clear();
+  pass(knobs.confirmationTime);
+  absent = {"a"};
+  LONGS_EQUAL(0, decide().endedReplicas);
+}
+
+TEST(RunHistories, aRunThatWasNotExecutedDoesNotCount) {
+  for (const char* replica : {"a", "b", "c"}) {
+    record(replica);
+    record(replica, RunState::NotExecuted);
+  }
+  CHECK_FALSE(decide().isQuarantined);
+  record("a");
+  record("b");
+  record("c");
+  CHECK_TRUE(decide().isQuarantined);
+}
+
+TEST(RunHistories, aWholeAnswerClearsTheHistoryAndOutdatedCopiesDoNotBringItBack) {
+  record("a");
+  record("b");
+  RunHistories other{knobs};
+  other.merge(kRequest, copyOf(histories), now);
+  pass(milliseconds(500));
+  histories.recordAnswer(kRequest, now);
+  histories.merge(kRequest, copyOf(other), now);
+  LONGS_EQUAL(0, decide().uncertainReplicas);
+  CHECK_TRUE(other.merge(kRequest, copyOf(histories), now));
+  LONGS_EQUAL(0, other.decide(kRequest, view(), now).uncertainReplicas);
+  pass(milliseconds(100));
+  record("c");
+  LONGS_EQUAL(1, decide().uncertainReplicas);
+  pass(seconds(1));
+  other.merge(kRequest, copyOf(histories), now);
+  LONGS_EQUAL(1, other.decide(kRequest, view(), now).uncertainReplicas);
+}
+
+TEST(RunHistories, anAnswerToARequestWithoutHistoryIsNotRemembered) {
+  histories.recordAnswer(kRequest, now);
+  CHECK_TRUE(histories.isEmpty());
+}
+
+TEST(RunHistories, nodesThatMergeInAnyOrderAgree) {
+  RunHistories one{knobs};
+  RunHistories two{knobs};
+  one.record(kRequest, {"a", ReplicaStart(1), {}, RunState::Uncertain}, now + kLifetime, now);
+  two.record(kRequest, {"b", ReplicaStart(1), {}, RunState::Uncertain}, now + kLifetime, now);
+  two.record(kRequest, {"b", ReplicaStart(1), {}, RunState::NotExecuted}, now + kLifetime, now);
+  CHECK(one.digest() != two.digest());
+  CHECK_TRUE(one.merge(kRequest, copyOf(two), now));
+  CHECK_TRUE(two.merge(kRequest, copyOf(one), now));
+  CHECK(one.digest() == two.digest());
+  CHECK_FALSE(one.merge(kRequest, copyOf(two), now));
+  LONGS_EQUAL(1, one.decide(kRequest, view(), now).uncertainReplicas);
+}
+
+TEST(RunHistories, anEndWinsOverASurvivalAtTheSameRevision) {
+  record("a");
+  RunHistories other{knobs};
+  other.merge(kRequest, copyOf(histories), now);
+  pass(knobs.confirmationTime);  // Survived.
+  absent = {"a"};
+  other.update(view(), now);  // Ended.
+  CHECK_TRUE(histories.merge(kRequest, copyOf(other), now));
+  CHECK_FALSE(other.merge(kRequest, copyOf(histories), now));
+  LONGS_EQUAL(1, decide().endedReplicas);
+}
+
+TEST(RunHistories, historiesWithFewRunsAreDroppedFirst) {
+  knobs.maximumHistories = 3;
+  RunHistories small{knobs};
+  const auto add = [&](RequestKey key, int replicas) {
+    for (int replica = 0; replica < replicas; ++replica) {
+      small.record(key, {std::to_string(replica), {}, {}, RunState::Uncertain}, now + kLifetime,
+                   now);
+    }
+    now += milliseconds(1);
+  };
+  add({0, 1}, 3);
+  add({0, 2}, 1);
+  add({0, 3}, 1);
+  add({0, 4}, 1);
+  LONGS_EQUAL(3, small.all().size());
+  LONGS_EQUAL(1, small.droppedHistories());
+  CHECK(small.find({0, 1}) != nullptr);
+  CHECK(small.find({0, 2}) == nullptr);
+}
+
+TEST(RunHistories, runsOfOneRequestAreBounded) {
+  for (int replica = 0; replica < 100; ++replica) {
+    record(std::to_string(replica), replica % 2 == 0 ? RunState::NotExecuted : RunState::Uncertain);
+  }
+  LONGS_EQUAL(knobs.maximumRuns, histories.find(kRequest)->runs.size());
+  CHECK_TRUE(decide().isQuarantined);
+}
