Requests under which three replicas ended are not sent again

What callers saw: a request that ends each replica which runs it was sent on while there was time, by each attempt anew; everything else at those replicas broke off with it.

Cause: a run whose replica has ended stopped counting against the route's attempts and was counted by nothing else; and each attempt of a client began from nothing, at whichever node. The class is that of streams of two software versions: a decision over several requests and nodes, made by each alone.

Fix: the runs of a request that replicas did not answer are kept under a digest of what its attempts have in common, told to all nodes before the next dispatch or answer, and cleared by a whole answer.

--- a/lab/faultsoak/ended_replica_watcher.h
+++ b/lab/faultsoak/ended_replica_watcher.h
@@ -34,10 +34,16 @@
   void onAttempt(const std::string& id, const std::string& request, bool endsReplicas);
   /// An attempt arrives at a replica, which runs it next.
   void onRun(const std::string& id);
-  /// A replica ended while it ran these attempts.
+  /// A replica ended while it ran these attempts, which may be none.
   void onReplicaEnd(const std::vector<std::string>& ids);
-  /// \param isRefusedForEnds the answer says that too many replicas ended under the request.
-  void onAnswer(const std::string& id, bool isWhole, bool isRefusedForEnds);
+  /// How an attempt ended, for these checks.
+  enum class Outcome : std::uint8_t {
+    Whole,
+    RefusedForEnds,           ///< Too many replicas ended under the request.
+    RefusedForUncertainEnds,  ///< Likewise, with a time to come back.
+    Other,
+  };
+  void onAnswer(const std::string& id, Outcome outcome);
   /// All nodes ended at once, and what they knew with them.
   void onAllNodesLost();
 
@@ -49,13 +55,14 @@
   struct Request {
     bool endsReplicas = false;
     std::size_t ends = 0;
-    std::size_t runs = 0;  ///< Since the last whole answer.
+    std::uint64_t endsBefore = 0;  ///< Of any replica, before the first attempt.
     bool isBystander = false;
   };
   Request* requestOf(const std::string& id);
 
   std::map<std::string, std::string> nameOfAttempt_;
   std::map<std::string, Request> requests_;
+  std::uint64_t replicaEnds_ = 0;  ///< Under any request or none.
   EndedReplicaCases cases_;
   std::vector<SoakViolation> violations_;
 };
--- a/lab/faultsoak/promise_watcher.h
+++ b/lab/faultsoak/promise_watcher.h
@@ -84,6 +84,9 @@
   /// Of the streams that clients went on with while two replicas of their version took work, the
   /// share that did go on is no less than half of the share of new streams that began.
   void checkResumedStreams();
+  /// Of 12 or more requests that ran at a replica as another one ended it, the share that is
+  /// answered later is no less than half of the share of new streams that begin.
+  void checkBystanders();
   [[nodiscard]] const SoakStreams& newStreams() const { return newStreams_; }
   [[nodiscard]] const SoakStreams& resumedStreams() const { return resumedStreams_; }
   [[nodiscard]] const EndedReplicaCases& endedReplicas() const { return endedReplicas_.cases(); }
--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -18,7 +18,8 @@
   std::string_view cause;
 };
 /// Maps reasons of `request_ended` lines to causes; the first matching prefix applies.
-constexpr std::array<CauseOfReason, 34> kCauses = {{{"store_not_answering", "store"},
+constexpr std::array<CauseOfReason, 35> kCauses = {{{"request_quarantined", "quarantine"},
+                                                    {"store_not_answering", "store"},
                                                     {"reservation_unavailable", "store"},
                                                     {"history_unavailable", "store"},
                                                     {"turn_not_stored", "store"},
--- a/src/cli/log_refusal.cpp
+++ b/src/cli/log_refusal.cpp
@@ -76,6 +76,9 @@
   if (line.event == "stream_not_continued") {
     return classifyStreamRefusal(line);
   }
+  if (line.event == "request_quarantined") {
+    return line.fieldOf("retry_ms").empty() ? "replicas_ended" : "replicas_may_have_ended";
+  }
   if (line.event == "tenant_share_refused") {
     return "above_share";
   }
--- a/src/cli/log_refusal.h
+++ b/src/cli/log_refusal.h
@@ -13,6 +13,7 @@
 /// - `no_answer`: no coordinator replied;
 /// - `full_beside_room`: the selected replica is full, and another has less load;
 /// - `all_full`: no replica has less load than the full one;
+/// - `replicas_ended`, `replicas_may_have_ended`: too many under earlier runs of the request;
 /// - `no_retry_token`: replicas refused the request, and the retry budget withheld a further try.
 /// \return the class; empty when the line is no such refusal.
 std::string_view classifyRefusal(const LogLine& line);
--- a/src/edge/datagram_socket.cpp
+++ b/src/edge/datagram_socket.cpp
@@ -50,11 +50,25 @@
                                }
                                if (!error) {
                                  receiver_(sender_, {buffer_.data(), bytes});
+                                 receiveQueued();
                                }
                                receive();
                              });
 }
 
+// Otherwise requests that arrived later would be handled between two datagrams, for example after
+// this process was suspended.
+void DatagramSocket::receiveQueued() {
+  for (int datagram = 0; datagram < kMaximumQueuedDatagrams; ++datagram) {
+    error_code error;
+    const std::size_t bytes = socket_.receive_from(boost::asio::buffer(buffer_), sender_, 0, error);
+    if (error) {
+      return;
+    }
+    receiver_(sender_, {buffer_.data(), bytes});
+  }
+}
+
 void DatagramSocket::send(const std::string& address, std::string_view bytes) {
   if (const auto endpoint = datagramEndpoint(address)) {
     error_code ignored;  // Ignored: senders must tolerate lost datagrams.
--- a/src/edge/datagram_socket.h
+++ b/src/edge/datagram_socket.h
@@ -29,7 +29,12 @@
   void send(const std::string& address, std::string_view bytes);
 
  private:
+  /// Datagrams handled in a row, so that a flood does not stop the event loop.
+  static constexpr int kMaximumQueuedDatagrams = 256;
+
   void receive();
+  /// Handles the datagrams that have already arrived.
+  void receiveQueued();
 
   boost::asio::ip::udp::socket socket_;
   Endpoint sender_;
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -9,6 +9,7 @@
 #include "edge/edge_metrics.h"
 #include "edge/event_log.h"
 #include "edge/retry_control.h"
+#include "edge/run_history_directory.h"
 #include "edge/stream_origin_directory.h"
 #include "edge/turn_retention_policy.h"
 #include "edge/wire_adapter.h"
@@ -33,6 +34,7 @@
   std::uint64_t streamsNotContinued = 0;  ///< Likewise, refused.
   std::uint64_t lateDispatches = 0;       ///< Not sent, since no answer could begin in time.
   std::uint64_t tenantShareRefusals = 0;  ///< Requests of tenants above their shares.
+  std::uint64_t quarantineRefusals = 0;   ///< Requests under which too many replicas ended.
 };
 
 /// When the node last read the store successfully; gives the age of its tables.
@@ -71,6 +73,14 @@
   Duration failingReservationTimeout = milliseconds(300);
   /// Longest wait for a reservation that may fail; a slow store still answers within this time.
   Duration uncertainReservationTimeout = milliseconds(1000);
+  /// How long the replicas that ended under a request are remembered. Outside programs, requests of
+  /// many callers may have the same content, so that a wrong quarantine concerns all of them.
+  Duration runHistoryLifetime = seconds(600);
+  Duration runHistoryLifetimeOutsidePrograms = seconds(60);
+  /// See `Exchange::metEndedReplica`: how soon the run breaks off, and the least time that a
+  /// replica takes to start again.
+  Duration immediateFailureTime = milliseconds(20);
+  Duration minimumRestartTime = milliseconds(200);
   /// Longest wait of a stream without a recorded origin for a newer read of the registrations, and
   /// the pause between two looks.
   Duration versionCheckTimeLimit = milliseconds(1000);
@@ -118,6 +128,8 @@
   /// Returns the software version of the service if it has had only one for as long as streams
   /// last; see `routing::SoftwareVersionHistory`. Empty: never known.
   std::function<std::optional<std::string>(std::string_view service)> onlyVersionOf{};
+  /// Null: ended replicas are not counted by request.
+  RunHistoryDirectory* runHistories = nullptr;
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
 constexpr Duration kFlushPeriod = milliseconds(250);
@@ -165,7 +166,8 @@
                &requestRecords_,
                [this](std::string_view service) {
                  return versionHistory_.onlyVersionOf(service, replicas_, clock_());
-               }},
+               },
+               &requestRecords_.runHistories()},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
@@ -341,10 +343,9 @@
       relayServer_.onRequest(request, std::move(writer));
     }
   };
-  const auto onMetrics = [this](const http::ServerRequest& /*request*/,
+  const auto onMetrics = [this](const http::ServerRequest& request,
                                 const http::ResponseWriterPtr& writer) {
-    writer->sendWhole(
-        {kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.render(snapshot())});
+    onMetricsRequest(request, writer);
   };
   const std::array<Result<Success>, 6> results = {
       serve(clientServer_, settings_.listen.clients, onClient),
@@ -388,6 +389,28 @@
          replicas_.size() > 0;
 }
 
+void EdgeDaemon::onMetricsRequest(const http::ServerRequest& request,
+                                  const http::ResponseWriterPtr& writer) {
+  constexpr std::string_view kQuarantinePath = "/quarantine/";
+  if (request.method == "DELETE" && request.target.starts_with(kQuarantinePath)) {
+    const auto key = routing::requestKeyFrom(request.target.substr(kQuarantinePath.size()));
+    writer->sendWhole({key && releaseFromQuarantine(*key) ? kNoContent : kNotFound, {}, {}});
+    return;
+  }
+  writer->sendWhole(
+      {kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.render(snapshot())});
+}
+
+bool EdgeDaemon::releaseFromQuarantine(const routing::RequestKey& request) {
+  RunHistorySharing& runs = requestRecords_.runHistories();
+  if (!runs.hasHistory(request)) {
+    return false;
+  }
+  log_.logImportant("quarantine_released", {{"request_key", routing::textOf(request)}});
+  runs.recordAnswer(request);
+  return true;
+}
+
 void EdgeDaemon::onReadinessRequest(const http::ResponseWriterPtr& writer) {
   writer->sendWhole({isReady() ? kOk : kUnavailable, {}, {}});
 }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -92,6 +92,11 @@
                         RequestHandler onRequest);
   void onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer);
   void onReadinessRequest(const http::ResponseWriterPtr& writer);
+  /// Renders the metrics, or handles an operator's command.
+  void onMetricsRequest(const http::ServerRequest& request, const http::ResponseWriterPtr& writer);
+  /// Lets a request be sent again although replicas ended under it.
+  /// \return false if this node knows of no such request.
+  bool releaseFromQuarantine(const routing::RequestKey& request);
   void onDirectoryRequest(const http::ServerRequest& request,
                           const http::ResponseWriterPtr& writer);
   void followConfiguration();
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -41,6 +41,12 @@
   values.streamOrigins = requestRecords_.originCount();
   values.streamOriginsDropped = requestRecords_.droppedOrigins();
   values.streamOriginMessagesUnreadable = requestRecords_.unreadableMessages();
+  const RunHistorySharing& runs = requestRecords_.runHistories();
+  values.runHistories = runs.histories().all().size();
+  values.requestsQuarantined = runs.histories().quarantinedRequests();
+  values.quarantineRefusals = context_.counters.quarantineRefusals;
+  values.runHistoriesDropped = runs.histories().droppedHistories();
+  values.runHistoryBroadcastsLimited = runs.limitedBroadcasts();
   values.streamsContinued = context_.counters.streamsContinued;
   values.streamsNotContinued = context_.counters.streamsNotContinued;
   values.retriesWithheld = context_.retryControl.retriesWithheld();
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -88,10 +88,25 @@
   list.add(snapshot.streamsContinued, {{"decision", "sent"}});
   list.add(snapshot.streamsNotContinued, {{"decision", "refused"}});
   list.counter("stream_origin_messages_unreadable_total",
-               "Datagrams about the origins of streams that could not be decoded",
+               "Datagrams about single requests that could not be decoded",
                snapshot.streamOriginMessagesUnreadable);
 }
 
+void addQuarantine(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  list.gauge("run_histories", "Requests with runs that replicas did not answer",
+             snapshot.runHistories);
+  list.gauge("requests_quarantined", "Requests not sent again, since replicas ended under them",
+             snapshot.requestsQuarantined);
+  list.counter("quarantine_refusals_total",
+               "Attempts refused since replicas ended under earlier ones",
+               snapshot.quarantineRefusals);
+  list.counter("run_histories_dropped_total", "Dropped before their expiry, for lack of space",
+               snapshot.runHistoriesDropped);
+  list.counter("run_history_broadcasts_limited_total",
+               "Changes sent to few nodes only, beyond the limit of datagrams",
+               snapshot.runHistoryBroadcastsLimited);
+}
+
 void addRetryControl(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
   list.counter("retries_withheld_total", "Dispatches after refusals, by the retry budget",
                snapshot.retriesWithheld);
@@ -254,6 +269,7 @@
   list.counter("retries_total", "Dispatches after the first of a request", snapshot.retries);
   list.counter("resumes_total", "Streams that went on after a cut", snapshot.resumes);
   addStreamOrigins(list, snapshot);
+  addQuarantine(list, snapshot);
   addRetryControl(list, snapshot);
   addStore(list, snapshot);
   addTopics(list, snapshot);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -86,6 +86,11 @@
   std::uint64_t streamOrigins = 0;         ///< Gauge: streams whose origin this node holds.
   std::uint64_t streamOriginsDropped = 0;  ///< Before their expiry, for lack of space.
   std::uint64_t streamOriginMessagesUnreadable = 0;
+  std::uint64_t runHistories = 0;         ///< Gauge: requests with runs that were not answered.
+  std::uint64_t requestsQuarantined = 0;  ///< Gauge: of these, requests that are not sent again.
+  std::uint64_t quarantineRefusals = 0;
+  std::uint64_t runHistoriesDropped = 0;  ///< Before their expiry, for lack of space.
+  std::uint64_t runHistoryBroadcastsLimited = 0;
   std::uint64_t streamsContinued = 0;     ///< Requests that continue a stream, sent on.
   std::uint64_t streamsNotContinued = 0;  ///< Likewise, refused.
   std::uint64_t retriesWithheld = 0;      ///< Dispatches after refusals, by the retry budget.
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -43,7 +43,7 @@
                                self->onDeadline();
                              }
                            });
-  if (admitPersistedTurn(request_.body.size())) {
+  if (!endIfQuarantined() && admitPersistedTurn(request_.body.size())) {
     findStreamOrigin();
   }
 }
@@ -377,6 +377,7 @@
 
 void Exchange::end(std::string_view outcome, std::string_view reason) {
   ended_ = true;
+  recordRunAtSilentReplica();
   returnQuotaToken();
   releaseTurnMemory();
   if (endHeld_) {
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -25,6 +25,7 @@
 /// Order of the steps, and why it is safe:
 /// 0. For a request that continues a stream, the software that began it is looked up. If nobody
 ///    knows it, the request is refused: two versions must not write one stream.
+///    A request under which too many replicas ended is refused, see `RunHistoryDirectory`.
 /// 1. The quota is checked first, so that a refusal costs nothing else.
 /// 2. The turn's history is read from the log and prepended to the request body.
 /// 3. The budget is reserved. The request may be dispatched at the same time, but no event is
@@ -237,7 +238,32 @@
 
   // Replicas that ended while they ran the request.
   /// \return the identity of the request over all attempts of its client.
-  [[nodiscard]] const routing::RequestKey& requestKey();
+  [[nodiscard]] const routing::RequestKey& requestKey() const;
+  /// \return whether the request may be dispatched, considering the replicas that ended under it.
+  [[nodiscard]] routing::QuarantineDecision quarantineDecision() const;
+  [[nodiscard]] bool isQuarantined() const { return quarantineDecision().isQuarantined; }
+  /// Ends the request if it is quarantined.
+  /// \return whether it has ended.
+  bool endIfQuarantined();
+  void logQuarantine(const routing::QuarantineDecision& decision);
+  /// \return why an interrupted request is not sent again.
+  [[nodiscard]] std::string interruptionReason(std::string_view reason);
+  /// \return the current run, for the record.
+  [[nodiscard]] routing::ReplicaRun currentRun(routing::RunState state) const;
+  [[nodiscard]] Duration runHistoryLifetime() const;
+  /// \return whether the interrupted run reached a process that had ended before its dispatch.
+  [[nodiscard]] bool metEndedReplica() const;
+  /// The current run was interrupted: the replica may have ended.
+  void recordInterruption();
+  /// Records the dispatch if replicas may have ended under the request before, so that the run
+  /// counts even if this node ends with the replica.
+  void recordDispatch();
+  /// The replica guarantees that it did not execute the request, or received no byte of it.
+  void recordNotExecuted();
+  /// The replica answered the request whole, so that it does not end replicas.
+  void recordWholeAnswer();
+  /// Records the current run if the request ends while its replica is silent.
+  void recordRunAtSilentReplica();
 
   EdgeContext& context_;
   CallRequest request_;
@@ -247,7 +273,7 @@
   std::optional<Instant> firstDispatchAt_;
   std::optional<Instant> firstEventAt_;
   CheckedRequest checked_;
-  std::optional<routing::RequestKey> requestKey_;  ///< Set by `requestKey`.
+  mutable std::optional<routing::RequestKey> requestKey_;  ///< Set by `requestKey`.
   std::string turnInput_;    ///< The request's body without the history, for the turn's record.
   ledger::History history_;  ///< History of the preceding turns.
   BudgetState budget_ = BudgetState::NotNeeded;
@@ -265,6 +291,8 @@
   /// When the client could receive the first byte: the response head; of a stream the first event.
   Instant answerBeganAt_;
   bool hadFreeSlot_ = false;                ///< The replica had a free slot at the dispatch.
+  std::uint64_t runNumber_ = 0;             ///< Of the current dispatch in the record.
+  bool dispatchRecorded_ = false;           ///< By `recordDispatch`.
   std::uint64_t eventsBeforeDispatch_ = 0;  ///< Received in earlier dispatches.
   /// The dispatch was counted as a failure, because no head arrived within
   /// `ExchangeKnobs::noResponseFailureTime`.
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -74,6 +74,9 @@
 }
 
 void Exchange::dispatch() {
+  if (endIfQuarantined()) {
+    return;
+  }
   const routing::Placement placement = context_.placement.place(placementQuery(), context_.clock());
   if (const auto* const placed = std::get_if<routing::Placed>(&placement)) {
     sendIfInTime(placed->replica);
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -41,6 +41,7 @@
   parameters.lastEventId = progress_.lastEventId();
   parameters.tenant = checked_.tenantName();
   parameters.connectTimeLimit = context_.knobs.connectTimeLimit;
+  recordDispatch();
   context_.log.logRoutine("dispatch", {{"request", request_.requestId},
                                        {"program", request_.programId},
                                        {"route", checked_.route->name},
@@ -139,6 +140,7 @@
   const bool wasStream = isStreaming() && head_.eventStream && head_.status == kOk;
   if (!wasStream) {
     recordServiceTime();
+    recordWholeAnswer();
     onCompleteResponse();
     return;
   }
@@ -147,6 +149,7 @@
     return;
   }
   recordServiceTime();
+  recordWholeAnswer();
   releaseReplica();
   streamEnded_ = true;
   streamEndedAt_ = context_.clock();
@@ -162,6 +165,7 @@
   context_.log.logRoutine("replica_refused", {{"request", request_.requestId},
                                               {"replica", replica_->entry.id},
                                               {"status", std::uint64_t{head_.status}}});
+  recordNotExecuted();
   const bool hasEnded = head_.status == kMisdirected;  // A different replica uses the address.
   if (hasEnded) {
     runs_.recordUnreachable(replica_);
@@ -196,8 +200,9 @@
   failed.mayHaveRunThere = mayHaveRunThere;
   failed.mayHaveRun = mayHaveRun_;
   failed.streamBegun = streamBegun_;
-  failed.mayRerun = mayRerun();
-  failed.mayTryAnotherReplica = hasAttemptsLeft() && mayRunOnAnotherReplica();
+  const bool isQuarantinedNow = isQuarantined();
+  failed.mayRerun = !isQuarantinedNow && mayRerun();
+  failed.mayTryAnotherReplica = !isQuarantinedNow && hasAttemptsLeft() && mayRunOnAnotherReplica();
   return failed;
 }
 
@@ -333,6 +338,9 @@
 }
 
 void Exchange::dispatchAgain() {
+  if (endIfQuarantined()) {
+    return;
+  }
   ++context_.counters.retries;
   if (streamBegun_) {
     ++context_.counters.resumes;
@@ -370,6 +378,7 @@
   mayHaveRun_ = mayHaveRun_ || requestWritten;
   recordReplicaFailure(failure.reason, requestWritten);
   if (!requestWritten) {
+    recordNotExecuted();
     onRequestNotSent();
     return;
   }
@@ -409,17 +418,23 @@
     excludedReplicas_.push_back(replica_);
   }
   releaseReplica();
-  performStep(nextStep(failedDispatch(true)), "replica_broke_off");
+  performStep(nextStep(failedDispatch(true)), interruptionReason("replica_broke_off"));
 }
 
 void Exchange::recordOutcome(bool failed) { replica_->outcomes.note(failed, context_.clock()); }
 
 void Exchange::recordReplicaFailure(std::string_view reason, bool isRunLost) {
+  if (isRunLost) {
+    recordInterruption();
+  }
   recordOutcome(true);
   ++replica_->failures;
+  replica_->lastFailureAt = context_.clock();
   if (!headReceived_) {
     replica_->suspectUntil = context_.clock() + context_.knobs.suspicionTime;
   }
+  const routing::QuarantineDecision counted = quarantineDecision();
+  const std::uint64_t endsCounted = counted.endedReplicas + counted.uncertainReplicas;
   context_.log.logImportant("replica_failed",
                             {{"request", request_.requestId},
                              {"program", request_.programId},
@@ -428,7 +443,7 @@
                              {"replica", replica_->entry.id},
                              {"executed", isRunLost ? "maybe" : "no"},
                              {"replica_ended", std::uint64_t{replica_->hasEnded() ? 1U : 0U}},
-                             {"ended_before", std::uint64_t{runs_.endedReplicas()}},
+                             {"ends_counted", endsCounted},
                              {"in_a_row", std::uint64_t{replica_->failures}},
                              {"after_ms", wholeMilliseconds(context_.clock() - dispatchedAt_)},
                              {"reason", reason}});
--- a/src/edge/request_record_message.cpp
+++ b/src/edge/request_record_message.cpp
@@ -72,7 +72,8 @@
   for (const routing::ReplicaRun& run : runs.history.runs) {
     encoded.push_back(fbs::CreateReplicaRun(
         builder, builder.CreateString(run.replicaId), run.startedAt ? run.startedAt->value() : 0,
-        wireMilliseconds(now - run.at), static_cast<fbs::RunState>(run.state), run.revision));
+        wireMilliseconds(now - run.at), static_cast<fbs::RunState>(run.state), run.revision,
+        run.number));
   }
   const auto list = builder.CreateVector(encoded);
   const fbs::RequestKey key = structOf(runs.request);
@@ -146,6 +147,7 @@
     decoded.at = now - milliseconds(run.age_ms());
     decoded.state = readState(run.state());
     decoded.revision = run.revision();
+    decoded.number = run.number();
     runs.history.runs.push_back(std::move(decoded));
   }
   return runs;
--- a/src/edge/run_history_directory.h
+++ b/src/edge/run_history_directory.h
@@ -18,9 +18,11 @@
   /// \return whether no request has unanswered runs; then none needs a key.
   [[nodiscard]] virtual bool isEmpty() const = 0;
   [[nodiscard]] virtual bool hasHistory(const routing::RequestKey& request) const = 0;
+  /// \return a number for a new run.
+  [[nodiscard]] virtual std::uint64_t nextRunNumber() = 0;
   /// Records a run here and at all nodes. Call it before the request is dispatched again or
   /// answered, so that no node finds the next attempt before the record. Does not block.
-  /// \param run replica and state.
+  /// \param run number, replica and state.
   virtual void record(const routing::RequestKey& request, routing::ReplicaRun run,
                       Duration keepFor) = 0;
   /// A replica answered the request whole: its earlier runs do not count.
--- a/src/edge/run_history_sharing.cpp
+++ b/src/edge/run_history_sharing.cpp
@@ -1,6 +1,7 @@
 #include "edge/run_history_sharing.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace gorsetrail::edge {
@@ -24,6 +25,11 @@
   compareLoop();
 }
 
+// 0 would be an absent field of a message.
+std::uint64_t RunHistorySharing::nextRunNumber() {
+  return 1 + random_.below(std::numeric_limits<std::uint64_t>::max());
+}
+
 void RunHistorySharing::record(const routing::RequestKey& request, routing::ReplicaRun run,
                                Duration keepFor) {
   const Instant now = clock_();
--- a/src/edge/run_history_sharing.h
+++ b/src/edge/run_history_sharing.h
@@ -58,6 +58,7 @@
   [[nodiscard]] bool hasHistory(const routing::RequestKey& request) const override {
     return histories_.find(request) != nullptr;
   }
+  [[nodiscard]] std::uint64_t nextRunNumber() override;
   void record(const routing::RequestKey& request, routing::ReplicaRun run,
               Duration keepFor) override;
   void recordAnswer(const routing::RequestKey& request) override;
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -58,6 +58,7 @@
   double othersInFlight = 0;   ///< Other nodes' requests, estimated from their digests.
   Instant lastDataAt;          ///< When this node last received a byte of a response from it.
   std::uint32_t failures = 0;  ///< Consecutive connection errors, cut responses and timeouts.
+  Instant lastFailureAt;       ///< When the last of these was.
   OutcomeTally outcomes;       ///< This node's recent requests there.
   double othersFailed = 0;     ///< Failed recent requests of other nodes.
   double othersEnded = 0;      ///< Recent requests of the other nodes that report failures.
--- a/src/routing/request_key.h
+++ b/src/routing/request_key.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace gorsetrail::routing {
 
@@ -20,5 +22,7 @@
 
 /// \return 32 hexadecimal digits, for log lines.
 [[nodiscard]] std::string textOf(const RequestKey& key);
+/// \return the key whose text it is; empty if it is none.
+[[nodiscard]] std::optional<RequestKey> requestKeyFrom(std::string_view text);
 
 }  // namespace gorsetrail::routing
--- a/src/routing/run_histories.h
+++ b/src/routing/run_histories.h
@@ -27,8 +27,10 @@
 /// \return the stable snake_case name.
 [[nodiscard]] std::string_view runStateName(RunState state);
 
-/// One dispatch of a request to one incarnation of a replica.
+/// One dispatch of a request to one incarnation of a replica. Each dispatch counts: a process that
+/// took over a replica's id may be reached before its registration is read.
 struct ReplicaRun {
+  std::uint64_t number = 0;  ///< Random; identifies the run.
   std::string replicaId;
   std::optional<ReplicaStart> startedAt{};  ///< Unset: unknown.
   /// The dispatch; of an interrupted run the interruption.
@@ -37,7 +39,7 @@
   /// Incremented with each change; the highest one is the newest.
   std::uint32_t revision = 0;
 
-  [[nodiscard]] bool isAt(const ReplicaRun& other) const {
+  [[nodiscard]] bool isAtSameIncarnation(const ReplicaRun& other) const {
     return replicaId == other.replicaId && startedAt == other.startedAt;
   }
   /// \return whether the run counts against the limit of ended replicas.
@@ -53,7 +55,7 @@
   std::optional<Instant> answeredAt;
   Instant keepUntil{};
 
-  /// \return the number of replicas that ended, or may have ended, under the request.
+  /// \return the number of runs under which a replica ended, or may have ended.
   [[nodiscard]] std::size_t countedRuns() const;
 };
 
@@ -77,7 +79,7 @@
 struct QuarantineDecision {
   bool isQuarantined = false;
   std::size_t endedReplicas = 0;      ///< Shown by the registrations.
-  std::size_t uncertainReplicas = 0;  ///< Interrupted or running, and not yet known.
+  std::size_t uncertainReplicas = 0;  ///< Runs of which it is not known yet.
   /// Set if the request is quarantined and may be dispatched again after this time, should the
   /// uncertain replicas turn out to be alive.
   std::optional<Duration> retryAfter;
@@ -89,7 +91,7 @@
 
   /// \return the history of the request; null if there is none.
   [[nodiscard]] const RunHistory* find(const RequestKey& key) const;
-  /// Sets the state of a run.
+  /// Adds a run, or sets its state.
   void record(const RequestKey& key, ReplicaRun run, Instant keepUntil, Instant now);
   /// A replica answered the request whole. Has no effect without a history.
   void recordAnswer(const RequestKey& key, Instant now);
--- a/tests/cli/log_refusal_test.cpp
+++ b/tests/cli/log_refusal_test.cpp
@@ -72,6 +72,12 @@
                refusalClassOf("stream_not_continued reason=stream_service_gone").c_str());
 }
 
+TEST(LogRefusal, classifiesQuarantinedRequestsByWhetherTheRefusalIsFinal) {
+  STRCMP_EQUAL("replicas_ended", refusalClassOf("request_quarantined retry_ms=\"\"").c_str());
+  STRCMP_EQUAL("replicas_may_have_ended",
+               refusalClassOf("request_quarantined retry_ms=4100").c_str());
+}
+
 TEST(LogRefusal, otherLinesHaveNoRefusalClass) {
   STRCMP_EQUAL("", refusalClassOf("request_ended reason=reservation_unavailable").c_str());
 }
--- a/tests/edge/exchange_ended_replicas_test.cpp
+++ b/tests/edge/exchange_ended_replicas_test.cpp
@@ -42,6 +42,13 @@
     ++ended;
     world.call().fail(http::FailureStage::Broken);
   }
+  /// Starts an attempt under a new id, whose connection breaks.
+  void breakOff(CallRequest call) {
+    call.requestId = "q" + std::to_string(++attempts);
+    world.start(std::move(call));
+    wait();
+    world.call().fail(http::FailureStage::Broken);
+  }
   /// Starts an attempt under a new id, and ends each replica that it is sent to.
   std::shared_ptr<ClientView> attemptThatEndsReplicas(CallRequest call) {
     call.requestId = "q" + std::to_string(++attempts);
@@ -79,3 +86,174 @@
     LONGS_EQUAL(kMaximumEndedReplicas, ended);
   }
 }
+
+TEST(ExchangeEndedReplicas, anAttemptBehindThreeEndsIsRefusedAtOnceAsNotExecuted) {
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    attemptThatEndsReplicas(ExchangeWorld::turn("kept"));
+  }
+  wait(seconds(6));  // The registrations show that all three have ended.
+  const std::size_t before = world.dispatches();
+  const auto client = world.start(ExchangeWorld::turn("kept"));
+  LONGS_EQUAL(503, client->status);
+  STRCMP_EQUAL("request_quarantined", client->body.c_str());
+  STRCMP_EQUAL("", client->retryAfter.c_str());
+  LONGS_EQUAL(before, world.dispatches());
+  LONGS_EQUAL(1, world.context.counters.quarantineRefusals);
+  CHECK(world.lines.empty());
+  world.eventLog.flush();
+  CHECK(world.lines.find("event=request_quarantined") != std::string::npos);
+  CHECK(world.lines.find("ended_replicas=3") != std::string::npos);
+}
+
+TEST(ExchangeEndedReplicas, aRequestIsServedAgainWhenItsReplicasTurnOutToLive) {
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    breakOff(ExchangeWorld::turn("kept"));
+  }
+  const auto refused = world.start(ExchangeWorld::turn("kept"));
+  LONGS_EQUAL(503, refused->status);
+  CHECK(refused->retryAfter.size() > 1);
+  const std::size_t before = world.dispatches();
+  wait(seconds(6));
+  world.start(ExchangeWorld::turn("kept"));
+  wait();
+  LONGS_EQUAL(before + 1, world.dispatches());
+}
+
+TEST(ExchangeEndedReplicas, uncertainEndsCountWhileTheRegistrationsCannotBeRead) {
+  world.replicasReadAt = world.timers.now;
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    breakOff(ExchangeWorld::turn("kept"));
+  }
+  wait(seconds(20));
+  LONGS_EQUAL(503, world.start(ExchangeWorld::turn("kept"))->status);
+}
+
+TEST(ExchangeEndedReplicas, aBystanderThatIsAnsweredBeginsAnew) {
+  attemptThatEndsReplicas(ExchangeWorld::turn("kept"));
+  attemptThatEndsReplicas(ExchangeWorld::turn("kept"));
+  const auto client = world.start(ExchangeWorld::turn("kept"));
+  wait();
+  world.beginEvents();
+  world.call().body("id: 1\ndata: a\n\n");
+  world.call().done();
+  wait();
+  LONGS_EQUAL(200, client->status);
+  ended = 0;
+  for (int attempt = 0; attempt < 6; ++attempt) {
+    attemptThatEndsReplicas(ExchangeWorld::turn("kept"));
+  }
+  LONGS_EQUAL(kMaximumEndedReplicas, ended);
+}
+
+TEST(ExchangeEndedReplicas, otherRequestsAreNotConcerned) {
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    attemptThatEndsReplicas(ExchangeWorld::turn("kept"));
+  }
+  CallRequest otherProgram = ExchangeWorld::turn("kept");
+  otherProgram.programId = "another";
+  CallRequest otherInput = ExchangeWorld::turn("kept");
+  otherInput.body = "another";
+  for (CallRequest call : {otherProgram, otherInput}) {
+    const std::size_t before = world.dispatches();
+    world.start(call);
+    wait();
+    LONGS_EQUAL(before + 1, world.dispatches());
+  }
+  CallRequest subAgent = ExchangeWorld::turn("kept");
+  subAgent.sessionId = "another";
+  LONGS_EQUAL(503, world.start(subAgent)->status);
+}
+
+TEST(ExchangeEndedReplicas, refusalsDoNotCount) {
+  for (int attempt = 0; attempt < 8; ++attempt) {
+    CallRequest call = ExchangeWorld::request("unsafe");
+    call.requestId = "q" + std::to_string(attempt);
+    const auto client = world.start(call);
+    wait();
+    if (attempt == 0) {
+      endReplica();  // From here on, dispatches are recorded.
+      continue;
+    }
+    while (client->status == 0) {
+      world.call().head(attempt % 2 == 0 ? 503 : 421, {{"not-run", "1"}});
+      world.call().done();
+      wait();
+    }
+    CHECK(client->body != "request_quarantined");
+    wait(milliseconds(200));
+  }
+}
+
+TEST(ExchangeEndedReplicas, attemptsUnderWayAtTheSameTimeCountTogether) {
+  attemptThatEndsReplicas(ExchangeWorld::turn("kept"));
+  for (const char* id : {"x1", "x2"}) {
+    CallRequest call = ExchangeWorld::turn("kept");
+    call.requestId = id;
+    world.start(call);
+    wait();
+  }
+  const std::size_t before = world.dispatches();
+  CallRequest call = ExchangeWorld::turn("kept");
+  call.requestId = "x3";
+  LONGS_EQUAL(503, world.start(call)->status);
+  LONGS_EQUAL(before, world.dispatches());
+}
+
+TEST(ExchangeEndedReplicas, aRunAtAReplicaThatFellSilentBeforeTheDeadlineCounts) {
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    CallRequest call = ExchangeWorld::request("unsafe");
+    call.requestId = "q" + std::to_string(attempt);
+    call.deadline = milliseconds(600);
+    const auto client = world.start(call);
+    wait(milliseconds(700));
+    LONGS_EQUAL(504, client->status);
+    world.replicas.remove(askedReplica());  // Its registration is gone.
+  }
+  LONGS_EQUAL(503, world.start(ExchangeWorld::request("unsafe"))->status);
+}
+
+// Connections to a replica that has ended may be accepted and reset by a proxy.
+TEST(ExchangeEndedReplicas, runsThatMeetReplicasThatHadAlreadyEndedDoNotCount) {
+  for (const char* replica : {"r1", "r2", "r3"}) {
+    world.replicas.find(replica)->failures = 1;
+    world.replicas.find(replica)->lastFailureAt = world.timers.now;
+  }
+  wait(milliseconds(100));
+  for (int attempt = 0; attempt < 4; ++attempt) {
+    world.start(ExchangeWorld::request("unsafe"));
+    wait(milliseconds(1));
+    world.call().fail(http::FailureStage::Broken);
+  }
+  LONGS_EQUAL(4, world.dispatches());
+  CHECK_TRUE(world.runHistories.isEmpty());
+}
+
+TEST(ExchangeEndedReplicas, runsThatLastOrComeAfterARestartCountBesideEarlierFailures) {
+  for (const Duration pause : {milliseconds(0), milliseconds(250)}) {
+    for (const char* replica : {"r1", "r2", "r3"}) {
+      world.replicas.find(replica)->failures = 1;
+      world.replicas.find(replica)->lastFailureAt = world.timers.now;
+    }
+    wait(pause);
+    world.start(ExchangeWorld::request("unsafe"));
+    wait(pause > Duration::zero() ? milliseconds(1) : milliseconds(30));
+    world.call().fail(http::FailureStage::Broken);
+  }
+  LONGS_EQUAL(1, world.runHistories.histories().all().size());
+  LONGS_EQUAL(2, world.runHistories.histories().all().begin()->second.countedRuns());
+}
+
+TEST(ExchangeEndedReplicas, aRunCountsThatBreaksOffTogetherWithOthersAtItsReplica) {
+  const auto bystander = world.start(ExchangeWorld::request("unsafe"));
+  wait(milliseconds(1));
+  CallRequest call = ExchangeWorld::request("unsafe");
+  call.body = "another";
+  world.replicas.remove("r2");
+  world.replicas.remove("r3");
+  world.start(call);
+  wait(milliseconds(1));
+  for (const auto& exchange : world.client.exchanges) {
+    exchange->fail(http::FailureStage::Broken);
+  }
+  LONGS_EQUAL(2, world.runHistories.histories().all().size());
+}
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -10,6 +10,7 @@
 
 #include "dispatch/fake_http_client.h"
 #include "edge/exchange.h"
+#include "edge/run_history_sharing.h"
 #include "ledger/program_ledger.h"
 #include "logstore/fake_log_store.h"
 #include "logstore/retrying_store.h"
@@ -170,6 +171,7 @@
     routes.apply(configuration);
     context.storeReadTimes.configurationReadAt = timers.now;
     context.streamOrigins = &origins;
+    context.runHistories = &runHistories;
   }
 
   /// Clears the observers, which otherwise keep unfinished exchanges alive.
@@ -268,6 +270,16 @@
   ledger::ProgramLedger ledger{store, timers, [this] { return timers.now; }, {}};
   FakeQuota quota;
   FakeStreamOrigins origins;
+  RequestRecordPeers noPeers{{}, "zone", 1};
+  RunHistorySharing runHistories{
+      timers,
+      [this] { return timers.now; },
+      noPeers,
+      [this] { return routing::registrationViewOf(replicas, replicasReadAt.value_or(timers.now)); },
+      [](const std::vector<std::string>&, const RequestRecordMessage&) {},
+      {},
+      1};
+  std::optional<Instant> replicasReadAt{};  ///< Unset: a moment ago.
   routing::SoftwareVersionRule softwareVersionRule;
   routing::ReplicaPlacement placement{replicas, selector, admission, {&softwareVersionRule}};
   EdgeContext context{
--- a/tests/edge/request_identity_test.cpp
+++ b/tests/edge/request_identity_test.cpp
@@ -33,6 +33,16 @@
   }
 }
 
+TEST(RequestIdentity, aKeyIsReadFromItsText) {
+  const routing::RequestKey key{0x0123456789abcdef, 0x1};
+  STRCMP_EQUAL("0123456789abcdef0000000000000001", routing::textOf(key).c_str());
+  CHECK(routing::requestKeyFrom(routing::textOf(key)) == key);
+  for (const char* text : {"", "0123456789abcdef", "0123456789abcdef000000000000000g",
+                           "0123456789abcdef00000000000000001"}) {
+    CHECK_FALSE(routing::requestKeyFrom(text).has_value());
+  }
+}
+
 TEST(RequestIdentity, fieldsAreNotConcatenated) {
   RequestIdentity shifted = identity;
   shifted.tenant = "tenantp";
