Soak: checks without cases do not pass, bystanders are served; postmortem

Each check now reports whether it had cases, and a seed without is a broken promise (_has_cases).

New: of the requests that ran at a replica as another one ended it, the share that is answered later is at least half of the share of new streams.

--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -317,12 +317,14 @@
   scheduleFaults();
   runFor(options_.length);
   watcher_.checkResumedStreams();
+  watcher_.checkBystanders();
   checkRecovery();
   checkOverload();
   takeBack(kLastEvacuated);
   checkLossOfAll();
   takesPrograms_ = false;
   runFor(seconds(4));
+  checkCases();
   std::ofstream(options_.directory + "/ended") << options_.seed << '\n';
 }
 
@@ -514,6 +516,26 @@
   overload_->endChecks();
 }
 
+void SoakRun::checkCases() {
+  std::uint64_t triesBelowShare = 0;
+  for (const auto& [tenant, late] : overload_->lateTries()) {
+    triesBelowShare += late.tries;
+  }
+  const std::uint64_t resumed = watcher_.resumedStreams().size();
+  const std::map<std::string, std::uint64_t> cases = {
+      {"a_request_that_ended_three_replicas_is_not_sent_again",
+       watcher_.endedReplicas().triesAtLimit},
+      {"a_bystander_is_served", watcher_.endedReplicas().bystanders},
+      {"resumed_streams_go_on", resumed < PromiseWatcher::kLeastResumedStreams ? 0 : resumed},
+      {"a_tenant_below_its_share_is_served", triesBelowShare},
+      {"programs_that_start_after_a_burst_are_in_time", overload_->burstWasChecked() ? 1 : 0}};
+  for (const auto& [check, count] : cases) {
+    if (count == 0) {
+      watcher_.add({check + "_has_cases", "", "the check judged nothing"});
+    }
+  }
+}
+
 void SoakRun::checkLossOfAll() {
   if (!waitForNodes()) {
     watcher_.add({"the_nodes_start", "", "not all processes were back before the final loss"});
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -76,6 +76,8 @@
   void checkOverload();
   /// Kills all nodes at once; new programs go on from turns that were stored before.
   void checkLossOfAll();
+  /// A check that had no cases says nothing: the seed does not pass.
+  void checkCases();
   void setStoreFault(std::size_t node, ProxyFault fault);
   /// Looks each period whether the soak and its nodes get to run.
   void watchStalls();
--- a/tests/fault_soak/promise_watcher_test.cpp
+++ b/tests/fault_soak/promise_watcher_test.cpp
@@ -229,3 +229,31 @@
   resumeInVain(12);
   LONGS_EQUAL(0, watcher.violations().size());
 }
+
+TEST(PromiseWatcher, tellsOfBystandersThatAreNotServed) {
+  breakStreams(12);  // Of which each began.
+  std::vector<std::string> ids;
+  for (int number = 0; number < 11; ++number) {
+    ids.push_back(streamName(number));
+  }
+  watcher.onReplicaEnd(ids);
+  watcher.checkBystanders();
+  LONGS_EQUAL(0, watcher.violations().size());
+  watcher.onReplicaEnd({streamName(11)});
+  watcher.checkBystanders();
+  checkOnly("a_bystander_is_served");
+}
+
+TEST(PromiseWatcher, streamsThatEndReplicasOweNothing) {
+  watcher.onServingVersions({"v1", "v1"});
+  breakStreams(12);
+  for (int number = 0; number < 12; ++number) {
+    SoakAttempt attempt{"again" + streamName(number), SoakRoute::Resumable, "p1", "", ""};
+    attempt.resumes = streamName(number);
+    attempt.endsReplicas = true;
+    watcher.onSent(attempt);
+    watcher.onAnswer(attempt.id, {503, true, ""});
+  }
+  watcher.checkResumedStreams();
+  LONGS_EQUAL(0, watcher.violations().size());
+}
