--- a/src/routing/run_histories.cpp
+++ b/src/routing/run_histories.cpp
@@ -32,20 +32,6 @@
 
 }  // namespace
 
-std::string_view runStateName(RunState state) {
-  switch (state) {
-    case RunState::Uncertain:
-      return "uncertain";
-    case RunState::NotExecuted:
-      return "not_executed";
-    case RunState::Survived:
-      return "survived";
-    case RunState::Ended:
-      break;
-  }
-  return "ended";
-}
-
 std::size_t RunHistory::countedRuns() const {
   return static_cast<std::size_t>(
       std::count_if(runs.begin(), runs.end(), [](const ReplicaRun& run) { return run.counts(); }));
--- a/src/routing/run_histories.h
+++ b/src/routing/run_histories.h
@@ -24,8 +24,6 @@
   Survived,     ///< The replica was still registered long after the run.
   Ended,        ///< The replica ended.
 };
-/// \return the stable snake_case name.
-[[nodiscard]] std::string_view runStateName(RunState state);
 
 /// One dispatch of a request to one incarnation of a replica. Each dispatch counts: a process that
 /// took over a replica's id may be reached before its registration is read.
@@ -71,8 +69,8 @@
   Duration answeredLifetime = seconds(60);
   /// Beyond this number, the history with the fewest counted runs that expires first is dropped.
   std::size_t maximumHistories = 4096;
-  std::size_t maximumRuns =
-      8;  ///< Of one request; the oldest that does not count is dropped first.
+  /// Of one request. The oldest that does not count is dropped first.
+  std::size_t maximumRuns = 8;
 };
 
 /// Whether a request may be dispatched.
@@ -85,6 +83,8 @@
   std::optional<Duration> retryAfter;
 };
 
+/// The histories of all requests that this node knows of. Merging is commutative and idempotent, so
+/// that nodes agree in whatever order they learn of runs.
 class RunHistories {
  public:
   explicit RunHistories(RunHistoryKnobs knobs) : knobs_(knobs) {}
@@ -122,7 +122,7 @@
   [[nodiscard]] RunState settle(const ReplicaRun& run, const RegistrationView& view) const;
   RunHistory& historyFor(const RequestKey& key);
   void dropLeastImportant();
-  /// Adds or replaces the run at its replica.
+  /// Adds the run, or replaces an older revision of it.
   /// \return whether it was new.
   bool mergeRun(RunHistory& history, const ReplicaRun& run) const;
 
