--- a/spec/check.sh
+++ b/spec/check.sh
@@ -9,62 +9,65 @@
 # search of 30 s alone was cut short on a machine under load (40 busy processes on 12 cores).
 readonly search_seconds=900
 readonly search_depth=1000000
+# Searches at a time: within half of the memory, and one a processor.
+total_mebibytes="$(awk '/^MemTotal:/ {print int($2 / 1024)}' /proc/meminfo)"
+readonly memory_slots=$((total_mebibytes / 2 / memory_mebibytes))
+readonly processors="$(nproc)"
+readonly jobs=$((memory_slots < 1 ? 1 : memory_slots < processors ? memory_slots : processors))
 work="$(mktemp -d)"
 trap 'rm -rf "${work}"' EXIT
 
-failures=0
-declare -A held=()
-caught=0
+searches=0
+running=0
+kinds=()
+names=()
 
-# search MODEL [-D...]: writes the verifier's report to ${work}/report; fails if it can't be built.
+# search NAME MODEL [-D...]: writes the verifier's report to NAME/report; a model that can't be
+# built leaves a report without a count of errors.
 search() {
-  local model="$1"
-  shift
-  rm -f "${work}"/pan* "${work}/report"
-  (
-    cd "${work}"
-    spin -a "$@" "${here}/${model}.pml" > spin.out 2>&1 || { cat spin.out; exit 1; }
-    gcc -O2 -w -DSAFETY -DCOLLAPSE -DNOREDUCE "-DMEMLIM=${memory_mebibytes}" -o pan pan.c
-    timeout "${search_seconds}" ./pan "-m${search_depth}" > report 2>&1 || echo "exit $?" >> report
-  )
-}
-
-is_complete() {
-  ! grep -Eiq 'max search depth too small|out of memory|search not completed|bit ?state|^exit' \
-    "${work}/report"
+  local folder="$1" model="$2"
+  shift 2
+  mkdir "${folder}"
+  cd "${folder}"
+  {
+    spin -a "$@" "${here}/${model}.pml" &&
+      gcc -O2 -w -DSAFETY -DCOLLAPSE -DNOREDUCE "-DMEMLIM=${memory_mebibytes}" -o pan pan.c &&
+      timeout "${search_seconds}" ./pan "-m${search_depth}"
+  } > report 2>&1 || echo "exit $?" >> report
 }
 
-figures() {
-  sed -nE 's/^ *([0-9]+) states, stored.*/\1 states/p; s/^ *([0-9.]+)\ttotal actual memory.*/\1 MB/p' \
-    "${work}/report" | paste -sd, -
+# start KIND MODEL [-D...]: begins a search as soon as fewer than `jobs` run.
+start() {
+  local kind="$1"
+  shift
+  if [ "${running}" -ge "${jobs}" ]; then
+    wait -n
+    running=$((running - 1))
+  fi
+  search "${work}/${searches}" "$@" &
+  running=$((running + 1))
+  kinds[searches]="${kind}"
+  names[searches]="$*"
+  searches=$((searches + 1))
 }
 
 # holds MODEL [-D...]
-holds() {
-  search "$@"
-  if grep -q 'errors: 0$' "${work}/report" && is_complete; then
-    echo "holds: $* ($(figures))"
-    held["$1"]=1
-  else
-    echo "FAILED: $* does not hold, or its search was cut short:"
-    cat "${work}/report"
-    failures=$((failures + 1))
-  fi
-}
+holds() { start holds "$@"; }
 
 # is_caught MODEL MUTANT [-D...]
 is_caught() {
   local model="$1" mutant="$2"
   shift 2
-  search "${model}" "-D${mutant}" "$@"
-  if grep -q 'assertion violated' "${work}/report" && grep -q 'errors: 1$' "${work}/report"; then
-    echo "caught: ${model} ${mutant}"
-    caught=$((caught + 1))
-  else
-    echo "FAILED: mutant ${mutant} of ${model} was not caught:"
-    cat "${work}/report"
-    failures=$((failures + 1))
-  fi
+  start is_caught "${model}" "-D${mutant}" "$@"
+}
+
+is_complete() {
+  ! grep -Eiq 'max search depth too small|out of memory|search not completed|bit ?state|^exit' "$1"
+}
+
+figures() {
+  sed -nE 's/^ *([0-9]+) states, stored.*/\1 states/p; s/^ *([0-9.]+)\ttotal actual memory.*/\1 MB/p' "$1" |
+    paste -sd, -
 }
 
 holds journal -DSEALS=3 -DRESTARTS=1 -DROUNDS=3
@@ -113,5 +116,32 @@
   is_caught quota "${mutant}"
 done
 
+wait
+
+failures=0
+declare -A held=()
+caught=0
+for ((number = 0; number < searches; number++)); do
+  report="${work}/${number}/report"
+  name="${names[number]}"
+  if [ "${kinds[number]}" = holds ]; then
+    if grep -q 'errors: 0$' "${report}" && is_complete "${report}"; then
+      echo "holds: ${name} ($(figures "${report}"))"
+      held["${name%% *}"]=1
+      continue
+    fi
+    echo "FAILED: ${name} does not hold, or its search was cut short:"
+  else
+    if grep -q 'assertion violated' "${report}" && grep -q 'errors: 1$' "${report}"; then
+      echo "caught: ${name}"
+      caught=$((caught + 1))
+      continue
+    fi
+    echo "FAILED: mutant ${name} was not caught:"
+  fi
+  cat "${report}"
+  failures=$((failures + 1))
+done
+
 echo "${#held[@]} models hold, ${caught} mutants caught"
 exit $((failures > 0))
