Soak: requests that end replicas get a phase of their own, and a dead replica stays dead

Causes: - A node that stood still after the checks of the quiet time (as all nodes are killed) made the soak forget what these checks had counted.

The report lists the attempts of bystanders that were not served.

--- a/lab/faultsoak/ended_replica_watcher.cpp
+++ b/lab/faultsoak/ended_replica_watcher.cpp
@@ -17,6 +17,9 @@
   known.endsReplicas = endsReplicas;
   known.endsBefore = isNew ? replicaEnds_ : known.endsBefore;
   cases_.triesAtLimit += known.ends >= kMostEnds ? 1 : 0;
+  if (known.isBystander) {
+    known.attemptsAsBystander.push_back(id);
+  }
 }
 
 void EndedReplicaWatcher::onRun(const std::string& id) {
@@ -43,6 +46,7 @@
     cases_.requestsAtLimit += request->ends == kMostEnds ? 1 : 0;
     if (!request->endsReplicas && !std::exchange(request->isBystander, true)) {
       ++cases_.bystanders;
+      request->attemptsAsBystander = {id};
     }
   }
 }
@@ -78,6 +82,16 @@
   }
 }
 
+std::vector<std::vector<std::string>> EndedReplicaWatcher::unservedBystanders() const {
+  std::vector<std::vector<std::string>> unserved;
+  for (const auto& [name, request] : requests_) {
+    if (request.isBystander) {
+      unserved.push_back(request.attemptsAsBystander);
+    }
+  }
+  return unserved;
+}
+
 std::vector<SoakViolation> EndedReplicaWatcher::takeViolations() {
   return std::exchange(violations_, {});
 }
--- a/lab/faultsoak/ended_replica_watcher.h
+++ b/lab/faultsoak/ended_replica_watcher.h
@@ -48,6 +48,9 @@
   void onAllNodesLost();
 
   [[nodiscard]] const EndedReplicaCases& cases() const { return cases_; }
+  /// \return bystanders without a whole answer since: the interrupted attempt of each and those
+  /// that followed.
+  [[nodiscard]] std::vector<std::vector<std::string>> unservedBystanders() const;
   /// \return the violations since the last call.
   [[nodiscard]] std::vector<SoakViolation> takeViolations();
 
@@ -57,6 +60,7 @@
     std::size_t ends = 0;
     std::uint64_t endsBefore = 0;  ///< Of any replica, before the first attempt.
     bool isBystander = false;
+    std::vector<std::string> attemptsAsBystander;  ///< From the interrupted one on.
   };
   Request* requestOf(const std::string& id);
 
--- a/lab/faultsoak/fault_plan.cpp
+++ b/lab/faultsoak/fault_plan.cpp
@@ -35,6 +35,7 @@
 constexpr std::uint64_t kQuietLoadStream = 4;
 constexpr std::uint64_t kReleaseStream = 5;
 constexpr std::uint64_t kEndingRequestStream = 6;
+constexpr std::uint64_t kQuietEndingRequestStream = 7;
 /// Each ends three replicas of four: the others have to be served in between.
 constexpr Duration kShortestEndingRequestPause = milliseconds(2000);
 constexpr Duration kLongestEndingRequestPause = milliseconds(3500);
@@ -212,6 +213,22 @@
   return requests;
 }
 
+std::vector<SoakFault> planQuietEndingRequests(std::uint64_t seed) {
+  RandomSource random(emulator::streamSeed(seed, kQuietEndingRequestStream));
+  std::vector<SoakFault> requests;
+  const std::size_t first = random.below(endingRequestKinds());
+  for (std::size_t number = 0; number < endingRequestKinds(); ++number) {
+    SoakFault request;
+    request.kind = SoakFaultKind::EndingRequest;
+    request.duration = randomDuration(random, kShortestEnd, kLongestEnd);
+    // Neighbours in the order differ in both the route and the effect.
+    constexpr std::size_t kStep = 5;
+    request.target = (first + kStep * number) % endingRequestKinds();
+    requests.push_back(request);
+  }
+  return requests;
+}
+
 std::vector<SoakFault> planQuietLoads(std::uint64_t seed, std::size_t tenants) {
   RandomSource random(emulator::streamSeed(seed, kQuietLoadStream));
   SoakFault hot;
--- a/lab/faultsoak/fault_plan.h
+++ b/lab/faultsoak/fault_plan.h
@@ -68,6 +68,10 @@
 /// effect.
 std::size_t endingRequestKinds();
 
+/// One request of each kind that ends replicas, in an order by the seed, for the time after all
+/// other faults. `at` is not set.
+std::vector<SoakFault> planQuietEndingRequests(std::uint64_t seed);
+
 /// The loads of the quiet time behind all other faults: a hot tenant, and a burst that follows it.
 /// Their times count from the beginning of that time.
 std::vector<SoakFault> planQuietLoads(std::uint64_t seed, std::size_t tenants);
--- a/lab/faultsoak/promise_watcher.h
+++ b/lab/faultsoak/promise_watcher.h
@@ -91,6 +91,10 @@
   [[nodiscard]] const SoakStreams& resumedStreams() const { return resumedStreams_; }
   [[nodiscard]] const EndedReplicaCases& endedReplicas() const { return endedReplicas_.cases(); }
 
+  [[nodiscard]] std::vector<std::vector<std::string>> unservedBystanders() const {
+    return endedReplicas_.unservedBystanders();
+  }
+
   /// Found by the run itself.
   void add(SoakViolation violation) { violations_.push_back(std::move(violation)); }
 
--- a/lab/faultsoak/soak_overload.cpp
+++ b/lab/faultsoak/soak_overload.cpp
@@ -103,7 +103,7 @@
       held[tenant] += count;
     }
   }
-  shares_.onLoads(held, slots, steadyNow());
+  shares_.onLoads(held, slots, loaded_, steadyNow());
   clients_.timers.runAfter(kLookPeriod, [this] { lookAtLoads(); });
 }
 
@@ -122,9 +122,11 @@
 }
 
 void SoakOverload::onUnrest() {
-  wasDisturbed_ = wasDisturbed_ || !replicas_.empty();
   isUnrest_ = true;
-  shares_.forget();
+  if (!replicas_.empty()) {
+    wasDisturbed_ = true;
+    shares_.forget();
+  }
 }
 
 void SoakOverload::onStep(SoakStep step, const std::string& program, const std::string& tenant) {
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -31,6 +31,8 @@
 constexpr Duration kRecoveryAfterLoss = seconds(15);
 constexpr Duration kLossCheckPeriod = milliseconds(100);
 constexpr int kProgramsAfterLoss = 12;
+/// Four attempts of a client, with the pauses between them.
+constexpr Duration kEndingRequestTime = milliseconds(1500);
 constexpr Duration kDelay = milliseconds(150);
 /// Streams of random numbers of a seed, beside the plan's.
 constexpr std::uint64_t kClientStream = 2;
@@ -111,7 +113,7 @@
     replicas_.back()->onEnd = [this, number](SoakReplica::Effect effect) {
       onReplicaEnd(number, effect);
     };
-    replicaWays_.push_back(std::make_unique<FaultProxy>(context_, replicas_.back()->address()));
+    replicaWays_.push_back(std::make_unique<ReplicaWay>(context_, replicas_.back()->address()));
     replicaLives_.emplace_back();
     registerNextLife(number);
   }
@@ -237,10 +239,10 @@
   life.draining = false;
   replicas_[replica]->replace(replicaId(replica, life.releases),
                               softwareVersion(replica, life.releases));
-  const ProxyFault fault = replicaWays_[replica]->fault();
-  replicaWays_[replica]->setFault(ProxyFault::Reset);
-  replicaWays_[replica]->setFault(fault, kDelay);
-  registerNextLife(replica);
+  replicaWays_[replica]->endConnections();
+  if (!replicaWays_[replica]->isDown()) {
+    registerNextLife(replica);
+  }
 }
 
 void SoakRun::sendEndingRequest(const SoakFault& fault) {
@@ -253,14 +255,15 @@
 }
 
 void SoakRun::onReplicaEnd(std::size_t replica, SoakReplica::Effect effect) {
-  FaultProxy& way = *replicaWays_[replica];
-  way.setFault(effect == SoakReplica::Effect::EndSilently ? ProxyFault::Silence
-                                                          : ProxyFault::Reset);
-  timers_->runAfter(downTime_, [this, replica] {
-    replicaWays_[replica]->setFault(ProxyFault::Reset);
-    replicaWays_[replica]->setFault(ProxyFault::None);
+  const bool isSilent = effect == SoakReplica::Effect::EndSilently;
+  replicaWays_[replica]->takeDown(isSilent ? ProxyFault::Silence : ProxyFault::Reset);
+  timers_->runAfter(downTime_, [this, replica] { bringUp(replica); });
+}
+
+void SoakRun::bringUp(std::size_t replica) {
+  if (replicaWays_[replica]->bringUp()) {
     registerNextLife(replica);
-  });
+  }
 }
 
 void SoakRun::evacuate(const std::string& zone, std::optional<Instant> emptyAfter) {
@@ -316,6 +319,7 @@
   keepProgramsGoing();
   scheduleFaults();
   runFor(options_.length);
+  checkEndingRequests();
   watcher_.checkResumedStreams();
   watcher_.checkBystanders();
   checkRecovery();
@@ -411,7 +415,7 @@
       break;
     case SoakFaultKind::RestartReplica:
       replicas_[fault.target]->startAgain();
-      replicaWays_[fault.target]->setFault(ProxyFault::Reset);
+      replicaWays_[fault.target]->takeDown(ProxyFault::Reset);
       break;
     case SoakFaultKind::ForeignEntry:
       putForeignEntry(fault, true);
@@ -458,8 +462,7 @@
       takeBack(zoneOf(fault.target));
       break;
     case SoakFaultKind::RestartReplica:
-      replicaWays_[fault.target]->setFault(ProxyFault::None);
-      registerNextLife(fault.target);
+      bringUp(fault.target);
       break;
     case SoakFaultKind::ForeignEntry:
       putForeignEntry(fault, false);
@@ -481,6 +484,23 @@
   }
 }
 
+// Among other faults a request reaches a third replica by chance only, and few streams are resumed.
+void SoakRun::checkEndingRequests() {
+  for (const SoakFault& request : planQuietEndingRequests(options_.seed)) {
+    if (endedReplicasHaveCases()) {
+      return;
+    }
+    strike(request);
+    runFor(kEndingRequestTime);
+  }
+}
+
+bool SoakRun::endedReplicasHaveCases() const {
+  const EndedReplicaCases& cases = watcher_.endedReplicas();
+  return cases.triesAtLimit > 0 && cases.bystanders >= PromiseWatcher::kLeastResumedStreams &&
+         watcher_.resumedStreams().size() >= PromiseWatcher::kLeastResumedStreams;
+}
+
 // Nothing strikes any more, so all nodes are in touch with the store: the evacuation binds them,
 // and the other zone's replicas carry everybody.
 void SoakRun::checkRecovery() {
@@ -587,6 +607,7 @@
         {"bystanders", watcher_.endedReplicas().bystanders},
         {"bystanders_served", watcher_.endedReplicas().bystandersServed},
         {"refused_bystanders", watcher_.endedReplicas().refusedBystanders}}},
+      {"unserved_bystanders", watcher_.unservedBystanders()},
       {"programs_beyond_the_usual", overload_->programsStarted()},
       {"turns_refused_for_capacity", overload_->turnsRefused()},
       {"burst_was_checked", overload_->burstWasChecked()},
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -16,6 +16,7 @@
 #include "lab/faultsoak/node_processes.h"
 #include "lab/faultsoak/place_watcher.h"
 #include "lab/faultsoak/promise_watcher.h"
+#include "lab/faultsoak/replica_way.h"
 #include "lab/faultsoak/soak_overload.h"
 #include "lab/faultsoak/soak_program.h"
 #include "lab/faultsoak/soak_replica.h"
@@ -61,6 +62,8 @@
   void sendEndingRequest(const SoakFault& fault);
   /// A request has ended the replica's process; the next one starts after `downTime_`.
   void onReplicaEnd(std::size_t replica, SoakReplica::Effect effect);
+  /// A cause for which the replica is down is over.
+  void bringUp(std::size_t replica);
   /// Another writer's entry comes, or goes.
   void putForeignEntry(const SoakFault& fault, bool present);
   void evacuate(const std::string& zone, std::optional<Instant> emptyAfter);
@@ -71,6 +74,9 @@
   void scheduleFaults();
   void strike(const SoakFault& fault);
   void heal(const SoakFault& fault);
+  /// Requests that end replicas, one after another, until the checks of them have cases.
+  void checkEndingRequests();
+  [[nodiscard]] bool endedReplicasHaveCases() const;
   void checkRecovery();
   /// A hot tenant and a burst while a zone is evacuated and nothing else strikes.
   void checkOverload();
@@ -97,7 +103,7 @@
   std::unique_ptr<StoreStandIn> store_;
   SoakReplicaCapacity capacity_;  ///< Of each replica.
   std::vector<std::unique_ptr<SoakReplica>> replicas_;
-  std::vector<std::unique_ptr<FaultProxy>> replicaWays_;
+  std::vector<std::unique_ptr<ReplicaWay>> replicaWays_;
   /// What a replica says of its process.
   struct ReplicaLife {
     std::int64_t startedAtMs = 0;  ///< Unix time.
--- a/lab/faultsoak/tenant_share_watcher.cpp
+++ b/lab/faultsoak/tenant_share_watcher.cpp
@@ -5,8 +5,9 @@
 namespace gorsetrail::lab {
 
 void TenantShareWatcher::onLoads(const std::map<std::string, std::size_t>& held, double slots,
-                                 Instant now) {
+                                 const std::vector<std::string>& overloading, Instant now) {
   slots_ = slots;
+  overloading_ = {overloading.begin(), overloading.end()};
   for (const auto& [tenant, weight] : weights_) {
     const auto found = held.find(tenant);
     const double seen = found == held.end() ? 0 : static_cast<double>(found->second);
@@ -76,8 +77,14 @@
 bool TenantShareWatcher::isWronged(const std::string& tenant) const {
   const auto own = loads_.find(tenant);
   return own != loads_.end() && own->second < shareOf(tenant) &&
-         std::any_of(loads_.begin(), loads_.end(),
-                     [this](const auto& other) { return other.second > shareOf(other.first); });
+         std::any_of(loads_.begin(), loads_.end(), [&](const auto& other) {
+           return other.first != tenant && asksForMoreThanItsShare(other.first);
+         });
+}
+
+bool TenantShareWatcher::asksForMoreThanItsShare(const std::string& tenant) const {
+  const auto load = loads_.find(tenant);
+  return overloading_.contains(tenant) || (load != loads_.end() && load->second > shareOf(tenant));
 }
 
 double TenantShareWatcher::shareOf(const std::string& tenant) const {
--- a/lab/faultsoak/tenant_share_watcher.h
+++ b/lab/faultsoak/tenant_share_watcher.h
@@ -1,5 +1,5 @@
 /// \file Checks that a tenant below its weighted share is not refused for long while another tenant
-/// holds more than its own. Time is told by the caller.
+/// asks for more than its own. Time is told by the caller.
 #pragma once
 
 #include <cstddef>
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/time.h"
 #include "lab/faultsoak/promise_watcher.h"
@@ -31,8 +32,8 @@
 
 class TenantShareWatcher {
  public:
-  /// Turns of a tenant that was below its share, with another one above its own, for longer than
-  /// `longestRefusal`.
+  /// Turns of a tenant that was below its share, while another one asked for more than its own, for
+  /// longer than `longestRefusal`.
   struct LateTries {
     std::size_t tries = 0;
     std::size_t refused = 0;
@@ -46,7 +47,9 @@
 
   /// Call it each 100 ms. \param held requests at replicas by tenant, running or waiting.
   /// \param slots of the replicas that serve.
-  void onLoads(const std::map<std::string, std::size_t>& held, double slots, Instant now);
+  /// \param overloading tenants that ask for more than their share, whatever they hold of it.
+  void onLoads(const std::map<std::string, std::size_t>& held, double slots,
+               const std::vector<std::string>& overloading, Instant now);
   /// A turn was answered, or refused for lack of capacity.
   void onTurn(const std::string& program, const std::string& tenant, bool refused, Instant now);
   /// Nobody can tell how long callers were refused: forgets what it saw.
@@ -57,15 +60,17 @@
 
  private:
   void stop();
-  /// \return whether the tenant is below its share while another one is above its own.
+  /// \return whether the tenant is below its share while another one asks for more than its own.
   [[nodiscard]] bool isWronged(const std::string& tenant) const;
   [[nodiscard]] double shareOf(const std::string& tenant) const;
+  [[nodiscard]] bool asksForMoreThanItsShare(const std::string& tenant) const;
   void onRefusedInARow(const std::string& program, const std::string& tenant, Instant now);
 
   PromiseWatcher& violations_;
   std::map<std::string, double> weights_;
   TenantShareLimits limits_;
   double slots_ = 0;
+  std::set<std::string> overloading_;
   std::map<std::string, double> loads_;          ///< Smoothed, by tenant.
   std::map<std::string, Instant> wrongedSince_;  ///< Tenants for which `isWronged` holds.
   std::map<std::string, LateTries> lateTries_;
--- a/tests/fault_soak/ended_replica_watcher_test.cpp
+++ b/tests/fault_soak/ended_replica_watcher_test.cpp
@@ -77,4 +77,6 @@
   watcher.onAnswer("4", Outcome::Whole);
   LONGS_EQUAL(2, watcher.cases().bystanders);
   LONGS_EQUAL(1, watcher.cases().bystandersServed);
+  LONGS_EQUAL(1, watcher.unservedBystanders().size());
+  STRCMP_EQUAL("3", watcher.unservedBystanders().front().front().c_str());
 }
--- a/tests/fault_soak/fault_plan_test.cpp
+++ b/tests/fault_soak/fault_plan_test.cpp
@@ -119,6 +119,17 @@
   }
 }
 
+TEST(FaultPlan, theQuietTimeHasOneRequestOfEachKindThatEndsReplicas) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    std::set<std::size_t> kinds;
+    for (const SoakFault& request : planQuietEndingRequests(seed)) {
+      CHECK(request.kind == SoakFaultKind::EndingRequest);
+      CHECK(kinds.insert(request.target).second);
+    }
+    LONGS_EQUAL(endingRequestKinds(), kinds.size());
+  }
+}
+
 TEST(FaultPlan, requestsThatEndReplicasComeOnAllRoutesWithAllEffects) {
   std::set<std::size_t> kinds;
   for (const SoakFault& request : planEndingRequests(3, seconds(300))) {
--- a/tests/fault_soak/tenant_share_watcher_test.cpp
+++ b/tests/fault_soak/tenant_share_watcher_test.cpp
@@ -18,7 +18,7 @@
   /// program for each try.
   void play(Duration length, std::size_t small, std::size_t large, int refusedOfFive) {
     for (const Instant end = now + length; now < end; now += milliseconds(100)) {
-      watcher.onLoads({{"small", small}, {"large", large}}, 12, now);
+      watcher.onLoads({{"small", small}, {"large", large}}, 12, overloading, now);
       for (int number = 0; number < 5; ++number) {
         watcher.onTurn("p" + std::to_string(++programs), "small", number < refusedOfFive, now);
       }
@@ -36,6 +36,7 @@
     LONGS_EQUAL(0, violations.violations().size());
   }
   int programs = 0;
+  std::vector<std::string> overloading;
 };
 
 TEST(TenantShareWatcher, seesATenantThatIsRefusedForTooLong) {
@@ -43,6 +44,18 @@
   checkOnly("small: ");
 }
 
+TEST(TenantShareWatcher, seesRefusalsWhileTheOverloadingTenantIsKeptWithinItsShare) {
+  overloading = {"large"};
+  play(seconds(3), 1, 7, 2);
+  checkOnly("small: ");
+}
+
+TEST(TenantShareWatcher, aTenantThatOverloadsAloneIsNotWrongedByItself) {
+  overloading = {"small"};
+  play(seconds(3), 1, 7, 2);
+  checkNone();
+}
+
 TEST(TenantShareWatcher, seesAProgramThatIsRefusedForTooLong) {
   for (int number = 0; number < 9; ++number) {
     play(milliseconds(200), 1, 20, 0);
