Requests that end replicas: runs at failing and restarted replicas are counted right

Only data of the same stream show the same process now. - Final refusals: a run at a replica that had ended before counted as an end as soon as its registration was gone. A run at a replica that the node saw failing is now never certain: it stops counting when the next process proves to have started later, or after 5 s. Nodes share this (`at_failing_replica`, added at the end of the table; earlier builds ignore it).

Ruled out: counting no run at a failing replica (hides quick restarts); attributing each run to the process of the time of its interruption (a silent end is noticed after the next process started, and would count as survived).

The tests aReplicaThatRestartedAmidFailingCallsCounts and laterAttemptsCountThoughTheNextProcessAnswersOthers failed with the earlier rules.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -77,9 +77,12 @@
   /// many callers may have the same content, so that a wrong quarantine concerns all of them.
   Duration runHistoryLifetime = seconds(600);
   Duration runHistoryLifetimeOutsidePrograms = seconds(60);
-  /// See `Exchange::metEndedReplica`: how soon the run breaks off, and the least time that a
-  /// replica takes to start again.
+  /// A run that breaks off so soon at a failing replica met no process, unless one can have
+  /// started.
   Duration immediateFailureTime = milliseconds(20);
+  /// A replica that is still registered after this time had survived its failures.
+  Duration registrationLapseTime = milliseconds(5000);
+  /// The least time that a replica takes to start again.
   Duration minimumRestartTime = milliseconds(200);
   /// Longest wait of a stream without a recorded origin for a newer read of the registrations, and
   /// the pause between two looks.
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -251,16 +251,16 @@
   /// \return the current run, for the record.
   [[nodiscard]] routing::ReplicaRun currentRun(routing::RunState state) const;
   [[nodiscard]] Duration runHistoryLifetime() const;
-  /// \return whether the interrupted run reached a process that had ended before its dispatch.
-  [[nodiscard]] bool metEndedReplica() const;
+  /// \return whether the process may have ended before the interrupted run was dispatched.
+  [[nodiscard]] bool metFailingReplica() const;
   /// The current run was interrupted: the replica may have ended.
   void recordInterruption();
   /// Records the dispatch if replicas may have ended under the request before, so that the run
   /// counts even if this node ends with the replica.
   void recordDispatch();
-  /// \return the number of an earlier run of the request at the same process; empty if there is
-  /// none, or if the process may have restarted since.
-  [[nodiscard]] std::optional<std::uint64_t> earlierRunAtSameProcess() const;
+  /// \return whether the dispatch goes to the process of this exchange's previous run, which may
+  /// not have restarted since.
+  [[nodiscard]] bool isAtSameProcessAs(std::uint64_t previousRun) const;
   /// The replica guarantees that it did not execute the request, or received no byte of it.
   void recordNotExecuted();
   /// The replica answered the request whole, so that it does not end replicas.
@@ -296,6 +296,8 @@
   bool hadFreeSlot_ = false;                ///< The replica had a free slot at the dispatch.
   std::uint64_t runNumber_ = 0;             ///< Of the current dispatch in the record.
   bool dispatchRecorded_ = false;           ///< By `recordDispatch`.
+  bool runCountsAlready_ = false;           ///< As this exchange's previous run.
+  Instant lastRunDataAt_;                   ///< When a replica last sent data to this exchange.
   std::uint64_t eventsBeforeDispatch_ = 0;  ///< Received in earlier dispatches.
   /// The dispatch was counted as a failure, because no head arrived within
   /// `ExchangeKnobs::noResponseFailureTime`.
--- a/src/edge/exchange_quarantine.cpp
+++ b/src/edge/exchange_quarantine.cpp
@@ -6,6 +6,7 @@
 // survived.
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "edge/exchange.h"
 #include "edge/exchange_shared.h"
@@ -87,40 +88,45 @@
                                     : context_.knobs.runHistoryLifetime;
 }
 
-// A run that breaks off at once, shortly after another one broke off there and without a sign of
-// life in between, met a process that had already ended.
-bool Exchange::metEndedReplica() const {
-  const Instant failedAt = replica_->lastFailureAt;
-  const bool isImmediate = context_.clock() - dispatchedAt_ < context_.knobs.immediateFailureTime;
-  const bool hadFailed = replica_->failures > 0 && replica_->lastDataAt < failedAt &&
-                         failedAt <= dispatchedAt_ &&
-                         dispatchedAt_ < failedAt + context_.knobs.minimumRestartTime;
-  return isImmediate && hadFailed && !headReceived_;
+// Another run broke off at the replica before, and it gave no sign of life since: the process may
+// have ended before this run.
+bool Exchange::metFailingReplica() const {
+  const Instant failingSince = replica_->failingSince;
+  return !headReceived_ && replica_->failures > 0 && replica_->lastDataAt < failingSince &&
+         failingSince <= dispatchedAt_ &&
+         dispatchedAt_ < failingSince + context_.knobs.registrationLapseTime;
 }
 
 void Exchange::recordInterruption() {
   if (context_.runHistories == nullptr) {
     return;
   }
-  if (metEndedReplica()) {
+  routing::ReplicaRun run = currentRun(routing::RunState::Uncertain);
+  run.atFailingReplica = !runCountsAlready_ && metFailingReplica();
+  const bool isImmediate = context_.clock() - dispatchedAt_ < context_.knobs.immediateFailureTime;
+  const bool isBeforeRestart =
+      dispatchedAt_ < replica_->failingSince + context_.knobs.minimumRestartTime;
+  if (run.atFailingReplica && isImmediate && isBeforeRestart) {
     recordNotExecuted();
     return;
   }
-  context_.runHistories->record(requestKey(), currentRun(routing::RunState::Uncertain),
-                                runHistoryLifetime());
+  context_.runHistories->record(requestKey(), run, runHistoryLifetime());
 }
 
 void Exchange::recordDispatch() {
   dispatchRecorded_ = false;
+  runCountsAlready_ = false;
   if (context_.runHistories == nullptr) {
     return;
   }
-  runNumber_ = context_.runHistories->nextRunNumber();
+  const std::uint64_t previousNumber =
+      std::exchange(runNumber_, context_.runHistories->nextRunNumber());
   if (context_.runHistories->isEmpty() || !context_.runHistories->hasHistory(requestKey())) {
     return;
   }
-  if (const auto earlier = earlierRunAtSameProcess()) {
-    runNumber_ = *earlier;  // Counts already.
+  runCountsAlready_ = isAtSameProcessAs(previousNumber);
+  if (runCountsAlready_) {
+    runNumber_ = previousNumber;
     return;
   }
   dispatchRecorded_ = true;
@@ -129,15 +135,15 @@
 }
 
 // A stream whose connection breaks is resumed at the same replica, again and again if the
-// connections there are reset. A process that gave a sign of life a moment before is still the
-// same.
-std::optional<std::uint64_t> Exchange::earlierRunAtSameProcess() const {
+// connections there are reset. A process that sent a part of this stream a moment before is still
+// the same; bytes of other requests may come from the next one.
+bool Exchange::isAtSameProcessAs(std::uint64_t previousRun) const {
   const Duration restartTime = context_.knobs.minimumRestartTime;
-  if (dispatchedAt_ - replica_->lastDataAt >= restartTime) {
-    return std::nullopt;
+  if (dispatchedAt_ - lastRunDataAt_ >= restartTime) {
+    return false;
   }
   return context_.runHistories->runSince(requestKey(), currentRun(routing::RunState::Uncertain),
-                                         dispatchedAt_ - restartTime);
+                                         dispatchedAt_ - restartTime) == previousRun;
 }
 
 void Exchange::recordNotExecuted() {
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -92,7 +92,7 @@
   }
   headReceived_ = true;
   answerBeganAt_ = context_.clock();
-  replica_->lastDataAt = context_.clock();
+  lastRunDataAt_ = replica_->lastDataAt = context_.clock();
   head_ = context_.wire.readReplicaHead(status, headers);
   if (!streamBegun_) {
     replicaHeaders_ = context_.wire.clientHeaders(headers);
@@ -112,7 +112,7 @@
   if (ended_) {
     return;
   }
-  replica_->lastDataAt = context_.clock();
+  lastRunDataAt_ = replica_->lastDataAt = context_.clock();
   const bool passesEvents = isStreaming() && head_.eventStream && head_.status == kOk;
   if (!passesEvents) {
     body_ += part;
@@ -428,8 +428,9 @@
     recordInterruption();
   }
   recordOutcome(true);
+  const bool isFirst = replica_->failures == 0 || replica_->lastDataAt > replica_->failingSince;
+  replica_->failingSince = isFirst ? context_.clock() : replica_->failingSince;
   ++replica_->failures;
-  replica_->lastFailureAt = context_.clock();
   if (!headReceived_) {
     replica_->suspectUntil = context_.clock() + context_.knobs.suspicionTime;
   }
--- a/src/edge/request_record_message.cpp
+++ b/src/edge/request_record_message.cpp
@@ -73,7 +73,7 @@
     encoded.push_back(fbs::CreateReplicaRun(
         builder, builder.CreateString(run.replicaId), run.startedAt ? run.startedAt->value() : 0,
         wireMilliseconds(now - run.at), static_cast<fbs::RunState>(run.state), run.revision,
-        run.number));
+        run.number, run.atFailingReplica));
   }
   const auto list = builder.CreateVector(encoded);
   const fbs::RequestKey key = structOf(runs.request);
@@ -148,6 +148,7 @@
     decoded.state = readState(run.state());
     decoded.revision = run.revision();
     decoded.number = run.number();
+    decoded.atFailingReplica = run.at_failing_replica();
     runs.history.runs.push_back(std::move(decoded));
   }
   return runs;
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -52,13 +52,15 @@
   bool gone = false;  ///< Deregistered: receives no new requests.
   /// Set if the process has restarted; `gone` is then also set.
   std::optional<IncarnationEnd> incarnationEnd;
+  /// The last earlier incarnations of the id, the newest last.
+  std::vector<EarlierIncarnation> earlierIncarnations;
   /// An earlier registration of this incarnation contained the process start, a newer one did not.
   bool startUntold = false;
   std::uint32_t inFlight = 0;  ///< This node's requests that run or wait there.
   double othersInFlight = 0;   ///< Other nodes' requests, estimated from their digests.
   Instant lastDataAt;          ///< When this node last received a byte of a response from it.
   std::uint32_t failures = 0;  ///< Consecutive connection errors, cut responses and timeouts.
-  Instant lastFailureAt;       ///< When the last of these was.
+  Instant failingSince;        ///< When the first of these was since the last data from it.
   OutcomeTally outcomes;       ///< This node's recent requests there.
   double othersFailed = 0;     ///< Failed recent requests of other nodes.
   double othersEnded = 0;      ///< Recent requests of the other nodes that report failures.
--- a/src/routing/run_histories.cpp
+++ b/src/routing/run_histories.cpp
@@ -144,7 +144,10 @@
   switch (view.find(run.replicaId, run.startedAt)) {
     case Registration::Absent:
       // An earlier read may not show the replica yet.
-      return view.readAt >= run.at + kTransitTime ? RunState::Ended : RunState::Uncertain;
+      if (view.readAt < run.at + kTransitTime) {
+        return RunState::Uncertain;
+      }
+      return run.atFailingReplica ? settleAtFailingReplica(run, view) : RunState::Ended;
     case Registration::Present:
       return view.readAt >= run.at + knobs_.confirmationTime ? RunState::Survived
                                                              : RunState::Uncertain;
@@ -154,6 +157,16 @@
   return RunState::Uncertain;
 }
 
+// The run reached nobody if the next process started after it. Otherwise nobody knows.
+RunState RunHistories::settleAtFailingReplica(const ReplicaRun& run,
+                                              const RegistrationView& view) const {
+  const std::optional<Instant> nextBeganAt =
+      view.nextBeganAt ? view.nextBeganAt(run.replicaId, run.startedAt) : std::nullopt;
+  const bool isNextLater = nextBeganAt && run.at < *nextBeganAt;
+  const bool isExpired = view.readAt >= run.at + knobs_.confirmationTime;
+  return isNextLater || isExpired ? RunState::NotExecuted : RunState::Uncertain;
+}
+
 void RunHistories::update(const RegistrationView& view, Instant now) {
   std::erase_if(histories_, [now](const auto& entry) { return entry.second.keepUntil <= now; });
   for (auto& [key, history] : histories_) {
--- a/src/routing/run_histories.h
+++ b/src/routing/run_histories.h
@@ -36,6 +36,9 @@
   RunState state = RunState::Uncertain;
   /// Incremented with each change; the highest one is the newest.
   std::uint32_t revision = 0;
+  /// The replica had broken off an earlier run without a sign of life since: it may have ended
+  /// before this run reached it.
+  bool atFailingReplica = false;
 
   [[nodiscard]] bool isAtSameIncarnation(const ReplicaRun& other) const {
     return replicaId == other.replicaId && startedAt == other.startedAt;
@@ -120,6 +123,9 @@
 
  private:
   [[nodiscard]] RunState settle(const ReplicaRun& run, const RegistrationView& view) const;
+  /// \param run at a replica that has ended.
+  [[nodiscard]] RunState settleAtFailingReplica(const ReplicaRun& run,
+                                                const RegistrationView& view) const;
   RunHistory& historyFor(const RequestKey& key);
   void dropLeastImportant();
   /// Adds the run, or replaces an older revision of it.
--- a/tests/edge/exchange_ended_replicas_test.cpp
+++ b/tests/edge/exchange_ended_replicas_test.cpp
@@ -216,7 +216,7 @@
 TEST(ExchangeEndedReplicas, runsThatMeetReplicasThatHadAlreadyEndedDoNotCount) {
   for (const char* replica : {"r1", "r2", "r3"}) {
     world.replicas.find(replica)->failures = 1;
-    world.replicas.find(replica)->lastFailureAt = world.timers.now;
+    world.replicas.find(replica)->failingSince = world.timers.now;
   }
   wait(milliseconds(100));
   for (int attempt = 0; attempt < 4; ++attempt) {
@@ -232,7 +232,7 @@
   for (const Duration pause : {milliseconds(0), milliseconds(250)}) {
     for (const char* replica : {"r1", "r2", "r3"}) {
       world.replicas.find(replica)->failures = 1;
-      world.replicas.find(replica)->lastFailureAt = world.timers.now;
+      world.replicas.find(replica)->failingSince = world.timers.now;
     }
     wait(pause);
     world.start(ExchangeWorld::request("unsafe"));
@@ -243,6 +243,37 @@
   LONGS_EQUAL(2, world.runHistories.histories().all().begin()->second.countedRuns());
 }
 
+// The time for a restart counts from the end of the replica, not from the last call that it broke.
+TEST(ExchangeEndedReplicas, aReplicaThatRestartedAmidFailingCallsCounts) {
+  world.replicas.remove("r2");
+  world.replicas.remove("r3");
+  for (int call = 0; call < 3; ++call) {
+    CallRequest request = ExchangeWorld::request("unsafe");
+    request.requestId = "q" + std::to_string(call);
+    request.body = call < 2 ? "others" : "ends replicas";
+    world.start(request);
+    wait(milliseconds(1));
+    world.call().fail(http::FailureStage::Broken);
+    wait(milliseconds(150));
+  }
+  LONGS_EQUAL(2, world.runHistories.histories().all().size());
+}
+
+TEST(ExchangeEndedReplicas, onlyRunsShortlyAfterAFailureMayHaveMetAnEndedProcess) {
+  for (const Duration pause : {milliseconds(300), milliseconds(6000)}) {
+    world.replicas.remove("r2");
+    world.replicas.remove("r3");
+    world.replicas.find("r1")->failures = 1;
+    world.replicas.find("r1")->failingSince = world.timers.now;
+    wait(pause);
+    world.start(ExchangeWorld::request("unsafe"));
+    wait(milliseconds(1));
+    world.call().fail(http::FailureStage::Broken);
+    const auto& runs = world.runHistories.histories().all().begin()->second.runs;
+    CHECK_EQUAL(pause < seconds(5), runs.back().atFailingReplica);
+  }
+}
+
 TEST(ExchangeEndedReplicas, aRunCountsThatBreaksOffTogetherWithOthersAtItsReplica) {
   const auto bystander = world.start(ExchangeWorld::request("unsafe"));
   wait(milliseconds(1));
@@ -271,6 +302,19 @@
   LONGS_EQUAL(4, world.dispatches());
 }
 
+// A replica that ends silently breaks its connections when the next process takes over the address,
+// which may answer other requests in the same moment.
+TEST(ExchangeEndedReplicas, laterAttemptsCountThoughTheNextProcessAnswersOthers) {
+  world.replicas.remove("r2");
+  world.replicas.remove("r3");
+  for (std::size_t run = 1; run <= 2; ++run) {
+    breakOff(ExchangeWorld::request("unsafe"));
+    LONGS_EQUAL(run, world.runHistories.histories().all().begin()->second.countedRuns());
+    world.replicas.find("r1")->lastDataAt = world.timers.now;
+    wait(milliseconds(100));
+  }
+}
+
 // The connections break when the next process takes over the address.
 TEST(ExchangeEndedReplicas, resumptionsAtAReplicaThatWasSilentBeforeCountEach) {
   world.start(ExchangeWorld::turn("again"));
--- a/tests/edge/run_history_sharing_test.cpp
+++ b/tests/edge/run_history_sharing_test.cpp
@@ -225,7 +225,7 @@
   for (const char* replica : {"i-7f3a91c2d0", "i-7f3a91c2d1", "i-7f3a91c2d2"}) {
     runs.history.runs.push_back({0xfedcba9876543210, replica,
                                  routing::ReplicaStart(1'800'000'000'000), sentAt - seconds(2),
-                                 routing::RunState::Ended, 3});
+                                 routing::RunState::Ended, 3, true});
   }
   runs.history.answeredAt = sentAt - seconds(9);
   runs.history.keepUntil = sentAt + seconds(60);
@@ -246,6 +246,7 @@
   LONGS_EQUAL(3, decoded.history.runs.size());
   CHECK(decoded.history.runs[0].at == receivedAt - seconds(2));
   CHECK(decoded.history.runs[0].state == routing::RunState::Ended);
+  CHECK_TRUE(decoded.history.runs[0].atFailingReplica);
   CHECK(decoded.history.answeredAt == receivedAt - seconds(9));
   CHECK(decoded.history.keepUntil == receivedAt + seconds(60));
 }
--- a/tests/routing/replica_life_test.cpp
+++ b/tests/routing/replica_life_test.cpp
@@ -9,6 +9,7 @@
 #include "routing/cold_replica_rule.h"
 #include "routing/evacuation.h"
 #include "routing/fleet_load.h"
+#include "routing/registration_view.h"
 #include "routing/replica_table.h"
 
 #include <CppUTest/TestHarness.h>
@@ -112,6 +113,17 @@
   LONGS_EQUAL(0, later->inFlight);
 }
 
+TEST(ReplicaLife, theRegistrationsTellWhenTheProcessAfterEachIncarnationBegan) {
+  table.upsert(entryOf(kFirstStart));
+  table.upsert(entryOf(kSecondStart), now + seconds(1));
+  table.upsert(entryOf(kSecondStart + 1), now + seconds(2));
+  const RegistrationView view = registrationViewOf(table, now);
+  const std::string id = only()->entry.id;
+  CHECK(view.nextBeganAt(id, ReplicaStart(kFirstStart)) == now + seconds(1));
+  CHECK(view.nextBeganAt(id, ReplicaStart(kSecondStart)) == now + seconds(2));
+  CHECK(view.nextBeganAt(id, ReplicaStart(kSecondStart + 1)) == std::nullopt);
+}
+
 TEST(ReplicaLife, theSameStartIsTheSameIncarnation) {
   table.upsert(entryOf(kFirstStart));
   const ReplicaPtr replica = only();
--- a/tests/routing/run_histories_test.cpp
+++ b/tests/routing/run_histories_test.cpp
@@ -26,6 +26,7 @@
   Instant readAt = now;
   bool isListed = true;
   std::set<std::string> absent;
+  std::optional<Instant> nextBeganAt;
 
   RegistrationView view() {
     return {[this](const std::string& id, std::optional<ReplicaStart> /*startedAt*/) {
@@ -34,13 +35,29 @@
               }
               return absent.contains(id) ? Registration::Absent : Registration::Present;
             },
-            readAt};
+            readAt,
+            [this](const std::string& /*id*/, std::optional<ReplicaStart> /*startedAt*/) {
+              return nextBeganAt;
+            }};
   }
   void record(const std::string& replica, RunState state = RunState::Uncertain,
               RequestKey request = kRequest) {
     histories.record(request, {numberOf(replica), replica, ReplicaStart(1), {}, state},
                      now + kLifetime, now);
   }
+  void recordAtFailingReplica(const std::string& replica) {
+    ReplicaRun run{numberOf(replica), replica, ReplicaStart(1), {}, RunState::Uncertain};
+    run.atFailingReplica = true;
+    histories.record(kRequest, run, now + kLifetime, now);
+  }
+  void checkNeverCertainAtFailingReplica() {
+    recordAtFailingReplica("a");
+    absent = {"a"};
+    pass(milliseconds(500));
+    LONGS_EQUAL(1, decide().uncertainReplicas);
+    pass(knobs.confirmationTime);
+    LONGS_EQUAL(0, decide().uncertainReplicas + decide().endedReplicas);
+  }
   /// \return the number of the only run at a replica.
   static std::uint64_t numberOf(const std::string& replica) {
     return std::hash<std::string>{}(replica);
@@ -71,6 +88,24 @@
   CHECK_FALSE(decide(kOther).isQuarantined);
 }
 
+TEST(RunHistories, aRunAtAFailingReplicaDoesNotCountIfTheNextProcessStartedAfterIt) {
+  recordAtFailingReplica("a");
+  LONGS_EQUAL(1, decide().uncertainReplicas);
+  nextBeganAt = now + milliseconds(1);
+  absent = {"a"};
+  pass(milliseconds(500));
+  LONGS_EQUAL(0, decide().uncertainReplicas + decide().endedReplicas);
+}
+
+TEST(RunHistories, aRunAtAFailingReplicaIsNeverCertainIfTheNextProcessMayHaveStarted) {
+  nextBeganAt = now - kMaxClockSkew;
+  checkNeverCertainAtFailingReplica();
+}
+
+TEST(RunHistories, aRunAtAFailingReplicaThatNoProcessFollowsIsNeverCertain) {
+  checkNeverCertainAtFailingReplica();
+}
+
 TEST(RunHistories, aRunThatIsRecordedAgainCountsOnce) {
   for (int change = 0; change < 5; ++change) {
     record("a");
