Soak: requests that end replicas come until there are cases

The other three kinds of cases were there.

Cause: most streams go on within the attempt; of 12 requests that end replicas some 10 streams are left to their clients. The phase repeats its list, three times at the most: the check and its bound stay as they are.

--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -33,6 +33,7 @@
 constexpr int kProgramsAfterLoss = 12;
 /// Four attempts of a client, with the pauses between them.
 constexpr Duration kEndingRequestTime = milliseconds(1500);
+constexpr int kRoundsOfEndingRequests = 3;
 constexpr Duration kDelay = milliseconds(150);
 /// Streams of random numbers of a seed, beside the plan's.
 constexpr std::uint64_t kClientStream = 2;
@@ -486,12 +487,14 @@
 
 // Among other faults a request reaches a third replica by chance only, and few streams are resumed.
 void SoakRun::checkEndingRequests() {
-  for (const SoakFault& request : planQuietEndingRequests(options_.seed)) {
-    if (endedReplicasHaveCases()) {
-      return;
+  for (int round = 0; round < kRoundsOfEndingRequests; ++round) {
+    for (const SoakFault& request : planQuietEndingRequests(options_.seed)) {
+      if (endedReplicasHaveCases()) {
+        return;
+      }
+      strike(request);
+      runFor(kEndingRequestTime);
     }
-    strike(request);
-    runFor(kEndingRequestTime);
   }
 }
 
