Soak: the quiet phase does not hide failures among the faults

Change: bystanders and continued streams are judged after the faults, exactly as before, and once more with the quiet phase; tenants' shares by one watcher as before and another one for the wider condition. No bound changed.

--- a/lab/faultsoak/soak_overload.cpp
+++ b/lab/faultsoak/soak_overload.cpp
@@ -53,6 +53,7 @@
     : clients_(clients),
       programsPerSecond_(kStartsPerUsualProgram * static_cast<double>(programs)),
       shares_(clients.watcher, weights()),
+      sharesUnderOverload_(clients.watcher, weights()),
       burst_(clients.watcher) {
   clients_.onStep = [this](SoakStep step, const std::string& program, const std::string& tenant) {
     onStep(step, program, tenant);
@@ -103,7 +104,8 @@
       held[tenant] += count;
     }
   }
-  shares_.onLoads(held, slots, loaded_, steadyNow());
+  shares_.onLoads(held, slots, {}, steadyNow());
+  sharesUnderOverload_.onLoads(held, slots, loaded_, steadyNow());
   clients_.timers.runAfter(kLookPeriod, [this] { lookAtLoads(); });
 }
 
@@ -115,6 +117,7 @@
 void SoakOverload::endChecks() {
   replicas_.clear();
   shares_.check();
+  sharesUnderOverload_.check();
   if (!isUnrest_) {
     burst_.check();
     burstWasChecked_ = true;
@@ -126,6 +129,7 @@
   if (!replicas_.empty()) {
     wasDisturbed_ = true;
     shares_.forget();
+    sharesUnderOverload_.forget();
   }
 }
 
@@ -138,10 +142,12 @@
     case SoakStep::TurnRefused:
       ++turnsRefused_;
       shares_.onTurn(program, tenant, true, now);
+      sharesUnderOverload_.onTurn(program, tenant, true, now);
       break;
     case SoakStep::TurnAnswered:
       burst_.onTurn(program, now);
       shares_.onTurn(program, tenant, false, now);
+      sharesUnderOverload_.onTurn(program, tenant, false, now);
       break;
   }
 }
--- a/lab/faultsoak/soak_overload.h
+++ b/lab/faultsoak/soak_overload.h
@@ -52,7 +52,7 @@
   [[nodiscard]] std::uint64_t turnsRefused() const { return turnsRefused_; }
   [[nodiscard]] std::uint64_t programsStarted() const { return programsStarted_; }
   [[nodiscard]] const std::map<std::string, TenantShareWatcher::LateTries>& lateTries() const {
-    return shares_.lateTries();
+    return sharesUnderOverload_.lateTries();
   }
   [[nodiscard]] bool burstWasChecked() const { return burstWasChecked_; }
   /// \return whether the soak or a node stood still during the checks, which then may have no
@@ -67,6 +67,9 @@
   SoakClients& clients_;
   double programsPerSecond_;
   TenantShareWatcher shares_;
+  /// Judges also turns while a tenant overloads without holding more than its share. Apart, since
+  /// its further cases could hide a share of refusals that is too high in `shares_`.
+  TenantShareWatcher sharesUnderOverload_;
   BurstWatcher burst_;
   std::vector<std::string> loaded_;  ///< Tenants with a load beyond the usual one.
   double due_ = 0;                   ///< Programs that should have started.
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -320,9 +320,9 @@
   keepProgramsGoing();
   scheduleFaults();
   runFor(options_.length);
+  checkResumption();
   checkEndingRequests();
-  watcher_.checkResumedStreams();
-  watcher_.checkBystanders();
+  checkResumption();
   checkRecovery();
   checkOverload();
   takeBack(kLastEvacuated);
@@ -485,6 +485,11 @@
   }
 }
 
+void SoakRun::checkResumption() {
+  watcher_.checkResumedStreams();
+  watcher_.checkBystanders();
+}
+
 // Among other faults a request reaches a third replica by chance only, and few streams are resumed.
 void SoakRun::checkEndingRequests() {
   for (int round = 0; round < kRoundsOfEndingRequests; ++round) {
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -74,6 +74,9 @@
   void scheduleFaults();
   void strike(const SoakFault& fault);
   void heal(const SoakFault& fault);
+  /// Called after the faults, and with the quiet phase that follows them: its many cases must not
+  /// hide what failed among the faults.
+  void checkResumption();
   /// Requests that end replicas, one after another, until the checks of them have cases.
   void checkEndingRequests();
   [[nodiscard]] bool endedReplicasHaveCases() const;
