Review, case 2: a resumed stream begins with status 000

Cause: the head of the last dispatch is cleared when a stream is sent on after its connection broke. If the budget's reservation is granted before the next head arrives, held events are released under the cleared head.

The proxy of review/standin passes a reset on as a reset. No code of the product is changed.

--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -411,6 +411,9 @@
       }
       const ssize_t got = ::recv(waiting[side].fd, bytes, sizeof(bytes), 0);
       Connection& other = side == 0 ? far : near;
+      if (got < 0) {
+        other.reset();  // A reset is passed on as one.
+      }
       if (got <= 0 || !other.send({bytes, static_cast<std::size_t>(got)})) {
         return;
       }
