--- a/review/1/budget.cpp
+++ b/review/2/budget.cpp
@@ -1,4 +1,4 @@
-/// \file Case 1: a program that returns after all nodes were killed is granted a part of its token
+/// \file Case 2: a program that returns after all nodes were killed is granted a part of its token
 /// budget a second time.
 #include <algorithm>
 #include <atomic>
--- a/review/2/status.cpp
+++ b/review/3/status.cpp
@@ -1,4 +1,4 @@
-/// \file Case 2: a stream that is continued at its replica while the budget's reservation is
+/// \file Case 3: a stream that is continued at its replica while the budget's reservation is
 /// pending reaches the client with a status line that the protocol does not have.
 #include <algorithm>
 #include <atomic>
