Exchange: a streamed answer keeps the head of the run whose events come first

Cause: callers got answers that began with "HTTP/1.1 000". A turn runs beside the reservation of its budget, and its events are held until the grant. One head served both as that of the current run and as that of the answer: when the run broke off, the next dispatch cleared it, and the grant released the held events under status 0; if the resumed run's head came first, they went out under its head and seal. A resumed run that answered without a stream replaced the held events. Ruled out: a replica that sends such a status (the stand-in never does); the writer, which sends what it is given. Change: the head of the answer is kept from the first complete event on, apart from that of the run; held events count as part of the answer. request_ended logs the status that the client received. Why it holds: every path by which held events are released begins the answer at one place, with a head that exists only once its run has sent a complete event or ended its stream.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -275,12 +275,11 @@
     return;
   }
   if (progress_.hasOutput()) {
-    if (!streamBegun_) {
-      streamBegun_ = true;
-      writer_->beginStream(head_.status, replicaHeaders_);
+    if (!firstEventAt_) {
       firstEventAt_ = context_.clock();
       context_.metrics.onFirstEvent(*firstEventAt_ - arrivedAt_);
     }
+    beginAnswerStream();
     writer_->write(progress_.releaseEvents());
   }
   if (streamEnded_) {
@@ -288,6 +287,23 @@
   }
 }
 
+void Exchange::keepStreamHead() {
+  if (!streamHead_) {
+    streamHead_ = StreamHead{runHead_.status, runHeaders_};
+  }
+}
+
+void Exchange::beginAnswerStream() {
+  if (!streamBegun_) {
+    streamBegun_ = true;
+    writer_->beginStream(streamHead_->status, streamHead_->headers);
+  }
+}
+
+unsigned Exchange::replicaStatus() const {
+  return streamBegun_ ? streamHead_->status : runHead_.status;
+}
+
 std::uint64_t Exchange::tokensHandedOut() const {
   return progress_.eventsReleased() * checked_.tokensPerEvent;
 }
@@ -403,7 +419,7 @@
       {"resumes", request_.resumedRequestId},
       {"outcome", outcome},
       {"reason", reason},
-      {"status", std::uint64_t{head_.status}},
+      {"status", std::uint64_t{replicaStatus()}},
       {"dispatches", dispatchNumber_},
       {"ended_replicas", std::uint64_t{runs_.endedReplicas()}},
       {"events", progress_.eventsReleased()},
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -44,6 +44,11 @@
 
  private:
   enum class BudgetState : std::uint8_t { NotNeeded, Reserving, Granted };
+  /// Status and headers with which a streamed answer begins.
+  struct StreamHead {
+    unsigned status;
+    std::vector<http::Header> headers;
+  };
 
   // Before the first dispatch.
   void checkQuota();
@@ -209,6 +214,13 @@
   // Answers to the client.
   /// Sends buffered events to the client unless the reservation is pending.
   void releaseOutput();
+  /// Gives the answer the head of the current run, unless an earlier run has given it one.
+  void keepStreamHead();
+  /// Sends `streamHead_`, which must be set, if it was not sent yet.
+  void beginAnswerStream();
+  /// \return the status of the replica's response that the client receives, or received last; 0:
+  /// none.
+  [[nodiscard]] unsigned replicaStatus() const;
   [[nodiscard]] ExecutionState executionState() const;
   /// Answers with the refusal, or with 502 if its status would wrongly imply "not executed".
   void refuse(const Refusal& refusal);
@@ -289,7 +301,7 @@
   http::RequestHandlePtr call_;
   std::uint64_t dispatchNumber_ = 0;  ///< Lets callbacks of earlier dispatches be ignored.
   Instant dispatchedAt_;
-  ReplicaHead head_;
+  ReplicaHead runHead_;  ///< Response head of the current run; empty before it is received.
   bool headReceived_ = false;
   /// When the client could receive the first byte: the response head; of a stream the first event.
   Instant answerBeganAt_;
@@ -302,7 +314,7 @@
   /// The dispatch was counted as a failure, because no head arrived within
   /// `ExchangeKnobs::noResponseFailureTime`.
   bool noAnswerRecorded_ = false;
-  std::vector<http::Header> replicaHeaders_;
+  std::vector<http::Header> runHeaders_;  ///< Those of `runHead_` that are passed to the client.
   std::string body_;
 
   // State across all dispatches.
@@ -314,6 +326,9 @@
   std::uint32_t resumes_ = 0;
   bool mayHaveRun_ = false;
   StreamProgress progress_;  ///< Buffers events until the reservation is granted.
+  /// Head of the run whose events come first in the answer. Later runs that resume the stream have
+  /// heads of their own, but the answer keeps this one.
+  std::optional<StreamHead> streamHead_;
   /// Software version of the replicas that may serve the request; unset before the first event of
   /// its stream.
   std::optional<std::string> softwareVersion_;
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -30,7 +30,8 @@
   dispatchedAt_ = context_.clock();
   headReceived_ = false;
   noAnswerRecorded_ = false;
-  head_ = {};
+  runHead_ = {};
+  runHeaders_.clear();
   body_.clear();
   progress_.beginRun();
   Dispatch parameters;
@@ -93,11 +94,9 @@
   headReceived_ = true;
   answerBeganAt_ = context_.clock();
   lastRunDataAt_ = replica_->lastDataAt = context_.clock();
-  head_ = context_.wire.readReplicaHead(status, headers);
-  if (!streamBegun_) {
-    replicaHeaders_ = context_.wire.clientHeaders(headers);
-  }
-  if (!head_.notExecuted && status != kMisdirected) {
+  runHead_ = context_.wire.readReplicaHead(status, headers);
+  runHeaders_ = context_.wire.clientHeaders(headers);
+  if (!runHead_.notExecuted && status != kMisdirected) {
     mayHaveRun_ = true;
     const double answerTime = toMilliseconds(context_.clock() - dispatchedAt_);
     double& average = replica_->answerMilliseconds;
@@ -113,13 +112,14 @@
     return;
   }
   lastRunDataAt_ = replica_->lastDataAt = context_.clock();
-  const bool passesEvents = isStreaming() && head_.eventStream && head_.status == kOk;
+  const bool passesEvents = isStreaming() && runHead_.eventStream && runHead_.status == kOk;
   if (!passesEvents) {
     body_ += part;
     return;
   }
   const bool isFirstEvent = progress_.eventsReceived() == eventsBeforeDispatch_;
   if (progress_.receive(part)) {
+    keepStreamHead();
     answerBeganAt_ = isFirstEvent ? context_.clock() : answerBeganAt_;
     if (keepStreamOrigin()) {
       releaseOutput();
@@ -132,12 +132,12 @@
     return;
   }
   call_.reset();
-  if (head_.notExecuted || head_.status == kMisdirected) {
+  if (runHead_.notExecuted || runHead_.status == kMisdirected) {
     onReplicaRefusal();
     return;
   }
-  recordOutcome(head_.status >= kServerError);
-  const bool wasStream = isStreaming() && head_.eventStream && head_.status == kOk;
+  recordOutcome(runHead_.status >= kServerError);
+  const bool wasStream = isStreaming() && runHead_.eventStream && runHead_.status == kOk;
   if (!wasStream) {
     recordServiceTime();
     recordWholeAnswer();
@@ -157,16 +157,16 @@
 }
 
 void Exchange::onReplicaRefusal() {
-  const bool full = head_.status == kUnavailable;
-  if (context_.serviceTimes != nullptr && head_.status != kMisdirected) {
+  const bool full = runHead_.status == kUnavailable;
+  if (context_.serviceTimes != nullptr && runHead_.status != kMisdirected) {
     context_.serviceTimes->noteRejection(checked_.service, context_.clock());
   }
   replica_->fullUntil = context_.clock() + context_.knobs.refusedReplicaAvoidTime;
   context_.log.logRoutine("replica_refused", {{"request", request_.requestId},
                                               {"replica", replica_->entry.id},
-                                              {"status", std::uint64_t{head_.status}}});
+                                              {"status", std::uint64_t{runHead_.status}}});
   recordNotExecuted();
-  const bool hasEnded = head_.status == kMisdirected;  // A different replica uses the address.
+  const bool hasEnded = runHead_.status == kMisdirected;  // A different replica uses the address.
   if (hasEnded) {
     runs_.recordUnreachable(replica_);
   }
@@ -244,7 +244,7 @@
 }
 
 void Exchange::onCompleteResponse() {
-  const bool failed = head_.status >= kServerError;
+  const bool failed = runHead_.status >= kServerError;
   if (failed && checked_.route->kind == routing::RouteKind::Safe) {
     runs_.recordRun(replica_, dispatchedAt_);
     excludedReplicas_.push_back(replica_);
@@ -254,27 +254,25 @@
     dispatchAgain();
     return;
   }
-  if (streamBegun_) {
-    // The replica answered a resumed stream with a response that is not a stream.
+  if (streamHead_) {
+    // The replica answered a resumed stream with a response that is not a stream. Events that are
+    // held are part of the answer as well.
     abortAnswer("resume_answered_without_stream");
     return;
   }
-  if (statusConsistentWith(head_.status, executionState()) != head_.status) {
+  if (statusConsistentWith(runHead_.status, executionState()) != runHead_.status) {
     // The status implies "not executed", but the replica did not guarantee it by a header.
     failWithUnknownState(kBadGateway, "replica_status_without_its_promise");
     return;
   }
-  writer_->sendWhole({head_.status, replicaHeaders_, std::move(body_)});
+  writer_->sendWhole({runHead_.status, runHeaders_, std::move(body_)});
   settleBudget(0);
-  end(head_.status < kFirstFailureStatus ? "answered" : "answered_failure", {});
+  end(runHead_.status < kFirstFailureStatus ? "answered" : "answered_failure", {});
 }
 
 void Exchange::onStreamEnd() {
-  if (!streamBegun_) {
-    // The stream is complete but has no events.
-    streamBegun_ = true;
-    writer_->beginStream(head_.status, replicaHeaders_);
-  }
+  keepStreamHead();  // The stream may be complete without an event.
+  beginAnswerStream();
   if (!checked_.route->persisted) {
     onTurnStored(Success{});
     return;
--- a/src/edge/exchange_service_times.cpp
+++ b/src/edge/exchange_service_times.cpp
@@ -21,7 +21,7 @@
 
 void Exchange::recordServiceTime() {
   // Replicas answer errors without doing the work.
-  if (context_.serviceTimes == nullptr || head_.status >= kFirstFailureStatus) {
+  if (context_.serviceTimes == nullptr || runHead_.status >= kFirstFailureStatus) {
     return;
   }
   routing::AnsweredRequest answered;
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -112,7 +112,8 @@
   unsigned status = 0;  ///< 0: no response yet.
   std::string body;
   std::string retryAfter;
-  bool whole = false;   ///< The response is complete.
+  std::vector<http::Header> streamHeaders;  ///< Headers that the stream began with.
+  bool whole = false;                       ///< The response is complete.
   bool closed = false;  ///< The connection was closed before the response was complete.
   http::ResponseObserver observer;
 };
@@ -133,8 +134,9 @@
     }
     view_->whole = true;
   }
-  void beginStream(unsigned status, const std::vector<http::Header>& /*headers*/) override {
+  void beginStream(unsigned status, const std::vector<http::Header>& headers) override {
     view_->status = status;
+    view_->streamHeaders = headers;
   }
   void write(std::string_view bytes) override { view_->body += bytes; }
   void endStream() override { view_->whole = true; }
--- a/tests/edge/scripted_ledger.h
+++ b/tests/edge/scripted_ledger.h
@@ -33,20 +33,25 @@
     if (timers == nullptr) {
       callback(replyOf(outcomes_[number]));
     } else {
-      timers->runAfter(milliseconds(2), [callback = std::move(callback),
-                                         made = replyOf(outcomes_[number])] { callback(made); });
+      timers->runAfter(replyTime, [callback = std::move(callback),
+                                   made = replyOf(outcomes_[number])] { callback(made); });
     }
   }
-  void settle(ledger::BudgetSettlement /*settlement*/) override {}
+  void settle(ledger::BudgetSettlement settlement) override {
+    settledTokens.push_back(settlement.tokens);
+  }
   bool canStoreTurn(const ledger::TurnName& /*turn*/) override { return true; }
   ledger::ReservationOutlook reservationOutlook(const std::string& /*program*/) override {
     return outlook_;
   }
   std::uint64_t knownTokenUse(const std::string& /*program*/) const override { return 0; }
 
-  Duration reservationTimeout{};           ///< Time limit of the last reservation.
-  logstore::FakeTimers* timers = nullptr;  ///< Set: replies take 2 ms; null: they are immediate.
+  Duration reservationTimeout{};  ///< Time limit of the last reservation.
+  logstore::FakeTimers* timers =
+      nullptr;  ///< Set: replies take `replyTime`; null: they are immediate.
+  Duration replyTime = milliseconds(2);
   std::size_t reservations = 0;
+  std::vector<std::uint64_t> settledTokens;  ///< Of each settlement, in order.
 
   ledger::HistoryAnswer history = ledger::UnknownTurn{};
   ledger::ReservationReply reply;  ///< Template for replies; the outcome is replaced.
