HTTP: no status outside the protocol is taken from a replica or sent to a client

Ruled out: changing such a status in Exchange, which would leave other users of the server unguarded. Change: a response with a status outside 100 to 599 is malformed, like other responses that cannot be parsed; an answer about to begin with a status outside 200 to 599 becomes a 502 with an error line. Evidence: StatusOutsideTheProtocolIsBroken and AnswersBadGatewayInPlaceOfAStatusOutsideTheProtocol failed before.

--- a/src/http/client_operation.cpp
+++ b/src/http/client_operation.cpp
@@ -4,8 +4,11 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cstdlib>
+#include <string>
 #include <utility>
 
+#include "http/status.h"
+
 namespace gorsetrail::http {
 namespace {
 
@@ -266,6 +269,10 @@
   headReported_ = true;
   const auto& head = parser_->get();
   response_.status = head.result_int();
+  if (!isStatus(response_.status)) {
+    fail(FailureStage::Broken, "malformed response: status " + std::to_string(response_.status));
+    return;
+  }
   response_.headers.clear();
   for (const auto& field : head) {
     response_.headers.push_back({std::string(field.name_string()), std::string(field.value())});
@@ -293,7 +300,7 @@
   if (!interim) {
     reportHead();
   }
-  // `onHead` may have cancelled the request.
+  // `onHead` may have cancelled the request, or the status is not one of HTTP.
   if (ended_) {
     return;
   }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -68,6 +68,8 @@
   void beginExchange();
   void onReadFailed(const boost::system::error_code& error);
   void sendErrorResponse(ProtocolFault fault);
+  /// Ends the response with 502 in place of one whose status HTTP does not have.
+  void sendBadGateway(unsigned invalidStatus);
   void queueHead(unsigned status, const std::vector<Header>& headers,
                  std::optional<std::size_t> contentLength);
   void scheduleFlush();
--- a/src/http/server_connection_writing.cpp
+++ b/src/http/server_connection_writing.cpp
@@ -4,8 +4,10 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <utility>
 
+#include "base/log.h"
 #include "http/server_connection.h"
 #include "http/server_message.h"
+#include "http/status.h"
 
 namespace gorsetrail::http {
 namespace {
@@ -15,6 +17,7 @@
 using boost::system::error_code;
 
 constexpr unsigned kHttpVersion11 = 11;
+constexpr unsigned kBadGateway = 502;
 
 }  // namespace
 
@@ -32,6 +35,10 @@
   if (!isResponding(exchange) || responseBegun_) {
     return;
   }
+  if (!isFinalStatus(response.status)) {
+    sendBadGateway(response.status);
+    return;
+  }
   queueHead(response.status, response.headers, response.body.size());
   outgoing_ += response.body;
   responseEnded_ = true;
@@ -43,11 +50,26 @@
   if (!isResponding(exchange) || responseBegun_) {
     return;
   }
+  if (!isFinalStatus(status)) {
+    sendBadGateway(status);
+    return;
+  }
   keepAlive_ = keepAlive_ && chunked_;
   queueHead(status, headers, std::nullopt);
   scheduleFlush();
 }
 
+void ServerConnection::sendBadGateway(unsigned invalidStatus) {
+  logEvent(LogLevel::Error, "response_status_invalid",
+           {{"status", std::uint64_t{invalidStatus}},
+            {"remedy",
+             "report it as a bug: the request handler passed a status outside 200 to "
+             "599, and the client was answered 502"}});
+  queueHead(kBadGateway, {}, 0);
+  responseEnded_ = true;
+  scheduleFlush();
+}
+
 void ServerConnection::queueHead(unsigned status, const std::vector<Header>& headers,
                                  std::optional<std::size_t> contentLength) {
   responseBegun_ = true;
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -175,6 +175,20 @@
   CHECK_TRUE(ending.failure->stage == FailureStage::Broken);
 }
 
+// Guards against passing on a response that HTTP does not have.
+TEST(HttpClient, StatusOutsideTheProtocolIsBroken) {
+  for (const char* const status : {"000", "099", "600", "999"}) {
+    ending = {};
+    ScriptedServer server(
+        context, answerWith(std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 0\r\n\r\n"));
+    const HttpClientPtr client = makeHttpClient(context);
+    client->send(requestTo(server.address()), ending.handler());
+    wait();
+    CHECK_TRUE(ending.failure.has_value());
+    CHECK(ending.failure && ending.failure->stage == FailureStage::Broken);
+  }
+}
+
 TEST(HttpClient, OversizedHeadIsBroken) {
   ScriptedServer server(
       context,
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "log_capture.h"
 #include "raw_client.h"
 #include "scripted_server.h"
 
@@ -127,6 +128,29 @@
   LONGS_EQUAL(0, server->counters().responsesOpen);
 }
 
+// Guards against a status line that HTTP does not have.
+TEST(HttpServer, AnswersBadGatewayInPlaceOfAStatusOutsideTheProtocol) {
+  const LogCapture log;
+  for (const unsigned status : {0U, 199U, 600U}) {
+    requests.clear();
+    writers.clear();
+    start();
+    RawClient client(context, server->listeningPort());
+    client.startReading();
+    client.send(kGet);
+    untilRequests(1);
+    writers.front()->beginStream(status, {});
+    writers.front()->write("event");
+    writers.front()->endStream();
+    until([&] { return server->counters().responses == 1; });
+    until([&] { return client.has("\r\n\r\n"); });
+    STRCMP_CONTAINS("HTTP/1.1 502 ", client.received.c_str());
+    CHECK_FALSE(client.has("event"));
+  }
+  LONGS_EQUAL(3, log.lines.size());
+  STRCMP_CONTAINS("event=response_status_invalid status=0 ", log.lines.front().c_str());
+}
+
 TEST(HttpServer, AnHttp10CallerGetsAStreamWithoutChunks) {
   start();
   RawClient client(context, server->listeningPort());
