Ledger: the end of a turn is kept until its budget's log has it

Nobody noticed the loss: RoutedLedger ignored the result. Ruled out: a late reservation that revives a settled one (the account keeps the settlement, in either order of the records); leases (unseen_tokens was 0 in these refusals). Change: a node keeps the settlements that no coordinator accepts (SettlementOutbox: 16,384 entries, 4 MB, 300 s) and probes each partition every 0.5 s; a coordinator repeats the record of a settlement that it has accepted until the store takes it (8,192 a partition, then it turns further ones away). A planned stop waits for both within its limit. New: settled_late, settlements_dropped, three metrics. What is left: a settlement is lost with the node that keeps it.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -8,6 +8,7 @@
 #include "edge/edge_daemon_shared.h"
 #include "edge/edge_knobs.h"
 #include "edge/exchange.h"
+#include "edge/exchange_shared.h"
 #include "edge/nearest_nodes.h"
 #include "routing/region_policy.h"
 
@@ -17,7 +18,6 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotFound = 404;
-constexpr unsigned kUnavailable = 503;
 constexpr Duration kFlushPeriod = milliseconds(250);
 /// If the flush loop is late by more than this many periods, the process was suspended. A busy loop
 /// is late by less than one period.
@@ -198,6 +198,15 @@
   knobs.onSuspicionChanged = [this](const std::string& address, bool isUnresponsive) {
     log_.logImportant(isUnresponsive ? "node_silent" : "node_answers", {{"address", address}});
   };
+  knobs.onSettledLate = [this](const ledger::BudgetSettlement& settlement, Duration afterEnd) {
+    log_.logRoutine("settled_late", {{"request", settlement.request},
+                                     {"program", settlement.program},
+                                     {"tokens", settlement.tokens},
+                                     {"after_end_ms", wholeMilliseconds(afterEnd)}});
+  };
+  knobs.onSettlementsDropped = [this](std::size_t count, std::string_view reason) {
+    log_.logImportant("settlements_dropped", {{"count", std::uint64_t{count}}, {"reason", reason}});
+  };
   return knobs;
 }
 
@@ -513,8 +522,11 @@
   const Duration since = clock_() - stopStartedAt_;
   const std::uint64_t open = clientServer_->counters().responsesOpen;
   const bool isLimitReached = since >= settings_.bounds.stopLimit - kStopMargin;
-  if ((since >= kMinimumStopTime && open == 0) || isLimitReached) {
-    log_.logImportant("stopped", {{"open_requests", open}});
+  // Reservations whose settlements end with this process would count in full.
+  const std::uint64_t unsettled = settlementsWaiting();
+  const bool isDone = since >= kMinimumStopTime && open == 0 && unsettled == 0;
+  if (isDone || isLimitReached) {
+    log_.logImportant("stopped", {{"open_requests", open}, {"settlements_waiting", unsettled}});
     log_.flush();
     onStopped_();
     return;
@@ -522,4 +534,8 @@
   timers_->runAfter(kStopCheckPeriod, [this] { checkStopped(); });
 }
 
+std::uint64_t EdgeDaemon::settlementsWaiting() const {
+  return ledger_.settlementsWaiting() + localLedger_.unrecordedSettlements();
+}
+
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -176,6 +176,8 @@
   /// handling if the process was suspended.
   [[nodiscard]] Instant earliestStopSignalTime() const;
   void checkStopped();
+  /// \return settlements that this node keeps because no coordinator or the store took them yet.
+  [[nodiscard]] std::uint64_t settlementsWaiting() const;
   [[nodiscard]] EdgeSnapshot snapshot() const;
   void addTopicMetrics(EdgeSnapshot& values) const;
   void addProgramAdmissionMetrics(EdgeSnapshot& values) const;
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -25,6 +25,9 @@
   values.reservationsSpent = budgets.spent;
   values.reservationsUncertain = budgets.uncertain + budgets.decidedTooLate;
   values.grantsUnrecorded = localLedger_.unrecordedGrants();
+  values.settlementsWaiting = settlementsWaiting();
+  values.settledLate = calls.settledLate;
+  values.settlementsDropped = calls.settlementsDropped;
   values.storeThroughRelay = failoverStore_.isDirect() ? 0 : 1;
   addTopicMetrics(values);
   const quota::QuotaCounters quotas = quotaExchange_.counters();
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -54,6 +54,12 @@
   list.add(snapshot.reservationsSpent, {{"result", "spent"}});
   list.add(snapshot.reservationsUncertain, {{"result", "uncertain"}});
   list.gauge("grants_unrecorded", "Grants ahead of their records", snapshot.grantsUnrecorded);
+  list.gauge("settlements_waiting", "Ends of turns whose records wait",
+             snapshot.settlementsWaiting);
+  list.counter("settlements_late_total", "Ends of turns accepted at a later try",
+               snapshot.settledLate);
+  list.counter("settlements_dropped_total", "Ends of turns dropped: the turns count in full",
+               snapshot.settlementsDropped);
 }
 
 void addQuotas(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -73,6 +73,11 @@
   std::uint64_t reservationsUncertain = 0;
   /// Gauge: granted under a lease, record not yet in the store.
   std::uint64_t grantsUnrecorded = 0;
+  /// Gauge: settlements of this node's requests that no coordinator has accepted, and settlements
+  /// that this node has accepted as a coordinator and not recorded yet.
+  std::uint64_t settlementsWaiting = 0;
+  std::uint64_t settledLate = 0;              ///< Settlements accepted at a later try.
+  std::uint64_t settlementsDropped = 0;       ///< Their reservations count in full.
   std::uint64_t quotaGrantedAtOnce = 0;       ///< From tokens this node already had.
   std::uint64_t quotaGrantedAfterAsking = 0;  ///< From tokens requested from a coordinator.
   std::uint64_t quotaGrantedFromOwnShare = 0;
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -186,30 +186,60 @@
   return {ReservationOutcome::Granted, before + reservation.tokens};
 }
 
-void BudgetPartition::settle(const BudgetSettlement& settlement) {
-  accounts_.applySettlement(settlement, clock_());
+bool BudgetPartition::settle(const BudgetSettlement& settlement) {
   const auto granted = unrecordedGrants_.find(settlement.request);
+  if (granted == unrecordedGrants_.end() &&
+      unrecordedSettlements_.size() >= knobs_.maximumUnrecordedSettlements) {
+    return false;
+  }
+  accounts_.applySettlement(settlement, clock_());
   if (granted != unrecordedGrants_.end()) {
     granted->second.settlement =
         settlement;  // It is appended with or after the reservation's record.
   } else {
-    appendSettlement(settlement);
+    recordSettlement(settlement, knobs_.settlementWindow);
   }
+  return true;
+}
+
+void BudgetPartition::recordSettlement(const BudgetSettlement& settlement, Duration window) {
+  unrecordedSettlements_[settlement.request] = {settlement, false};
+  appendSettlement(settlement.request, window);
 }
 
-void BudgetPartition::appendSettlement(const BudgetSettlement& settlement) {
-  // If the settlement is lost, the full reservation stays counted: an overestimate, never an
-  // underestimate.
-  batcher_->append(encodeFact(settlement), knobs_.settlementWindow, kRecordTimeLimit,
-                   [reader = reader_](const logstore::StoreResult<std::uint64_t>& result) {
-                     if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
-                       reader->skipOwnRecords(*offset, 1);
-                     }
+void BudgetPartition::appendSettlement(const std::string& request, Duration window) {
+  UnrecordedSettlement& unrecorded = unrecordedSettlements_.at(request);
+  unrecorded.recording = true;
+  batcher_->append(encodeFact(unrecorded.settlement), window, kRecordTimeLimit,
+                   [this, request](const logstore::StoreResult<std::uint64_t>& result) {
+                     onSettlementAppended(request, result);
                    });
 }
 
+void BudgetPartition::onSettlementAppended(const std::string& request,
+                                           const logstore::StoreResult<std::uint64_t>& result) {
+  if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
+    reader_->skipOwnRecords(*offset, 1);
+    unrecordedSettlements_.erase(request);
+    return;
+  }
+  const auto failed = unrecordedSettlements_.find(request);
+  if (failed != unrecordedSettlements_.end()) {
+    failed->second.recording = false;
+    scheduleRecording();
+  }
+}
+
+void BudgetPartition::recordSettlements() {
+  for (const auto& [request, unrecorded] : unrecordedSettlements_) {
+    if (!unrecorded.recording) {
+      appendSettlement(request, Duration::zero());
+    }
+  }
+}
+
 void BudgetPartition::scheduleRecording() {
-  if (recordingScheduled_ || unrecordedGrants_.empty()) {
+  if (recordingScheduled_ || (unrecordedGrants_.empty() && unrecordedSettlements_.empty())) {
     return;
   }
   recordingScheduled_ = true;
@@ -217,6 +247,7 @@
     recordingScheduled_ = false;
     if (store_.isLikelyAvailable(address_)) {
       recordGrants();
+      recordSettlements();
     }
     scheduleRecording();
   });
@@ -235,12 +266,7 @@
                        onRecorded(request, withSettlement, result);
                      });
     if (withSettlement) {
-      batcher_->append(encodeFact(*grant.settlement), Duration::zero(), kRecordTimeLimit,
-                       [reader = reader_](const logstore::StoreResult<std::uint64_t>& result) {
-                         if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
-                           reader->skipOwnRecords(*offset, 1);
-                         }
-                       });
+      recordSettlement(*grant.settlement, Duration::zero());
     }
   }
 }
@@ -262,7 +288,7 @@
         const std::optional<BudgetSettlement> settlement = unrecordedGrants_.at(request).settlement;
         removeGrant(request);
         if (settlement && !withSettlement) {
-          appendSettlement(*settlement);
+          recordSettlement(*settlement, knobs_.settlementWindow);
         }
         if (releasing_ && unrecordedGrants_.empty()) {
           releaseLease();  // The next coordinator waits for the release.
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -32,6 +32,8 @@
   Duration settlementWindow = milliseconds(300);
   /// Grants under the lease are recorded in batches at this interval.
   Duration recordingInterval = milliseconds(300);
+  /// Settlements kept for the store; the caller is told when one more does not fit.
+  std::size_t maximumUnrecordedSettlements = 8192;
   /// Accounts without a record for this long are removed by `sweep`.
   Duration accountRetention = seconds(300);
   /// Called when this process's lease of the partition is acquired, changes its slot or is dropped.
@@ -78,8 +80,10 @@
   /// reservation that does not fit stays in the log; the caller settles it with zero tokens unless
   /// another coordinator has granted it.
   void reserve(const BudgetRequest& request, Duration timeLimit, ReservationReplyCallback callback);
-  /// Returns the unused part of a reservation; the record is appended later.
-  void settle(const BudgetSettlement& settlement);
+  /// Returns the unused part of a reservation. The record is appended later, and again until the
+  /// store has accepted it.
+  /// \return false if too many settlements wait for the store; this one is not kept then.
+  bool settle(const BudgetSettlement& settlement);
 
   /// \return tokens used or reserved by all known requests of the program.
   [[nodiscard]] std::uint64_t tokensUsedBy(const std::string& program) const {
@@ -102,6 +106,9 @@
   }
   /// \return the number of requests granted under the lease and not recorded yet.
   [[nodiscard]] std::size_t unrecordedGrants() const { return unrecordedGrants_.size(); }
+  /// \return the number of settlements that are not recorded yet, without those of unrecorded
+  /// grants.
+  [[nodiscard]] std::size_t unrecordedSettlements() const { return unrecordedSettlements_.size(); }
   [[nodiscard]] const BudgetCounters& counters() const { return counters_; }
 
   /// Removes idle accounts and old leases. Call it periodically.
@@ -146,7 +153,12 @@
   void onRecorded(const std::string& request, bool withSettlement,
                   const logstore::StoreResult<std::uint64_t>& result);
   void removeGrant(const std::string& request);
-  void appendSettlement(const BudgetSettlement& settlement);
+  /// Appends the record of a settlement, which is kept until the store has accepted it.
+  void recordSettlement(const BudgetSettlement& settlement, Duration window);
+  void appendSettlement(const std::string& request, Duration window);
+  void onSettlementAppended(const std::string& request,
+                            const logstore::StoreResult<std::uint64_t>& result);
+  void recordSettlements();
   void appendLease(const BudgetLease& record, std::function<void(bool appended)> onRead);
   void acquireOrRenewLease();
   void onLeaseRecordRead(const std::string& id, Instant askedAt);
@@ -174,7 +186,12 @@
   bool isCoordinator_ = false;
   bool releasing_ = false;  ///< The lease is being released: no more grants under it.
   bool recordingScheduled_ = false;
-  std::unordered_map<std::string, UnrecordedGrant> unrecordedGrants_;  ///< By request id.
+  struct UnrecordedSettlement {
+    BudgetSettlement settlement;
+    bool recording = false;
+  };
+  std::unordered_map<std::string, UnrecordedSettlement> unrecordedSettlements_;  ///< By request id.
+  std::unordered_map<std::string, UnrecordedGrant> unrecordedGrants_;            ///< By request id.
   std::unordered_map<std::string, std::vector<std::string>> unrecordedByProgram_;
   BudgetCounters counters_;
 };
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -5,6 +5,9 @@
 namespace gorsetrail::ledger {
 namespace {
 
+constexpr const char* kStoreDoesNotAnswer = "the store does not answer the coordinator";
+constexpr const char* kTooManySettlements = "too many settlements wait for the store";
+
 LedgerReply replyOf(TurnAnswer answer) {
   LedgerReply reply;
   if (auto* const turn = std::get_if<CompletedTurn>(&answer)) {
@@ -86,16 +89,11 @@
     }
   }
   if (const auto* const settle = std::get_if<SettleRequest>(&request)) {
-    if (ledger_.budgetsOf(settle->settlement.program).isUnrecorded(settle->settlement.request)) {
-      run(*settle, callback);
-      return;
-    }
+    run(*settle, callback);
+    return;
   }
   LedgerReply reply;
-  reply.reason = "the store does not answer the coordinator";
-  if (const auto* const settle = std::get_if<SettleRequest>(&request)) {
-    reply.canDecideReservations = canDecideReservations(settle->settlement.program);
-  }
+  reply.reason = kStoreDoesNotAnswer;
   callback(std::move(reply));
 }
 
@@ -125,11 +123,20 @@
                });
 }
 
-void LedgerService::run(SettleRequest request, const LedgerReplyCallback& callback) {
+void LedgerService::run(const SettleRequest& request, const LedgerReplyCallback& callback) {
   LedgerReply reply;
-  reply.canDecideReservations = canDecideReservations(request.settlement.program);
-  ledger_.settle(std::move(request.settlement));
-  reply.outcome = LedgerOutcome::Done;
+  const std::string& program = request.settlement.program;
+  reply.canDecideReservations = canDecideReservations(program);
+  BudgetPartition& budgets = ledger_.budgetsOf(program);
+  // A node that the store does not answer would keep the settlement until it does. Another node may
+  // record it now; if none can, the caller keeps it.
+  const bool mayRecord = ledger_.answers(ledger_.layout().ofBudget(program)) ||
+                         budgets.isUnrecorded(request.settlement.request);
+  if (mayRecord && budgets.settle(request.settlement)) {
+    reply.outcome = LedgerOutcome::Done;
+  } else {
+    reply.reason = mayRecord ? kTooManySettlements : kStoreDoesNotAnswer;
+  }
   callback(std::move(reply));
 }
 
--- a/src/ledger/ledger_service.h
+++ b/src/ledger/ledger_service.h
@@ -41,7 +41,7 @@
   void run(const FindTurnRequest& request, LedgerReplyCallback callback);
   void run(StoreTurnRequest request, LedgerReplyCallback callback);
   void run(const ReserveRequest& request, LedgerReplyCallback callback);
-  void run(SettleRequest request, const LedgerReplyCallback& callback);
+  void run(const SettleRequest& request, const LedgerReplyCallback& callback);
 
   ProgramLedger& ledger_;
 };
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -215,4 +215,12 @@
   return sum;
 }
 
+std::size_t ProgramLedger::unrecordedSettlements() const {
+  std::size_t sum = 0;
+  for (const auto& [address, partition] : budgets_) {
+    sum += partition->unrecordedSettlements();
+  }
+  return sum;
+}
+
 }  // namespace gorsetrail::ledger
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -89,6 +89,8 @@
   [[nodiscard]] BudgetCounters budgetCounters() const;
   /// \return the number of requests granted under leases and not recorded yet.
   [[nodiscard]] std::size_t unrecordedGrants() const;
+  /// \return the number of settlements that this node has accepted and not recorded yet.
+  [[nodiscard]] std::size_t unrecordedSettlements() const;
 
  private:
   struct Partition {
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -106,7 +106,8 @@
       knobs_(std::move(knobs)),
       layout_(knobs_.partitions),
       selector_({}),
-      pacer_(knobs_.pace, seed) {
+      pacer_(knobs_.pace, seed),
+      outbox_(knobs_.outbox) {
   setZones(std::move(knobs_.zones), std::move(knobs_.regionOfZone));
 }
 
@@ -345,7 +346,11 @@
     }
   } else {
     ++counters_.failed;
-    recordPartitionFailure(call->partition);
+    // Settlements are repeated until one is accepted, which must not delay reservations that a
+    // coordinator could decide again.
+    if (!std::holds_alternative<SettleRequest>(call->request)) {
+      recordPartitionFailure(call->partition);
+    }
   }
   if (!isConclusive(reply) && call->undecided) {
     reply = *call->undecided;
@@ -451,9 +456,56 @@
 }
 
 void RoutedLedger::settle(BudgetSettlement settlement) {
-  const logstore::PartitionAddress partition = layout_.ofBudget(settlement.program);
-  startCall(SettleRequest{std::move(settlement)}, partition, {}, knobs_.settleTimeLimit,
-            [](const CallResult&) {});
+  sendSettlement({std::move(settlement), clock_()}, false);
+}
+
+void RoutedLedger::sendSettlement(const WaitingSettlement& settlement, bool isLate) {
+  const logstore::PartitionAddress partition = layout_.ofBudget(settlement.settlement.program);
+  startCall(SettleRequest{settlement.settlement}, partition, {}, knobs_.settleTimeLimit,
+            [this, partition, settlement, isLate](const CallResult& result) {
+              const bool accepted = isConclusive(result.reply);
+              if (!accepted) {
+                keepSettlement(partition, settlement);
+              } else if (isLate) {
+                ++counters_.settledLate;
+                if (knobs_.onSettledLate) {
+                  knobs_.onSettledLate(settlement.settlement, clock_() - settlement.endedAt);
+                }
+              }
+              if (isLate) {
+                for (const WaitingSettlement& next : outbox_.onResult(partition, accepted)) {
+                  sendSettlement(next, true);
+                }
+              }
+            });
+}
+
+void RoutedLedger::keepSettlement(const logstore::PartitionAddress& partition,
+                                  WaitingSettlement settlement) {
+  reportDroppedSettlements(outbox_.add(partition, std::move(settlement)), "outbox_full");
+  scheduleSettlementRetry();
+}
+
+void RoutedLedger::scheduleSettlementRetry() {
+  if (settlementRetryScheduled_ || outbox_.size() == 0) {
+    return;
+  }
+  settlementRetryScheduled_ = true;
+  timers_.runAfter(knobs_.settleRetryInterval, [this] {
+    settlementRetryScheduled_ = false;
+    reportDroppedSettlements(outbox_.dropExpired(clock_()), "expired");
+    for (const WaitingSettlement& probe : outbox_.takeProbes()) {
+      sendSettlement(probe, true);
+    }
+    scheduleSettlementRetry();
+  });
+}
+
+void RoutedLedger::reportDroppedSettlements(std::size_t count, std::string_view reason) {
+  counters_.settlementsDropped += count;
+  if (count > 0 && knobs_.onSettlementsDropped) {
+    knobs_.onSettlementsDropped(count, reason);
+  }
 }
 
 std::uint64_t RoutedLedger::knownTokenUse(const std::string& program) const {
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -18,6 +18,7 @@
 #include "ledger/ledger_partitions.h"
 #include "ledger/ledger_service.h"
 #include "ledger/rendezvous_selector.h"
+#include "ledger/settlement_outbox.h"
 #include "logstore/adaptive_retry_policy.h"
 #include "logstore/retrying_store.h"
 #include "services/timer_service.h"
@@ -54,6 +55,9 @@
   Duration secondPartitionDelay = milliseconds(600);
   bool usesSecondPartitions = true;
   Duration settleTimeLimit = milliseconds(1500);
+  SettlementOutboxKnobs outbox;
+  /// How often a settlement is tried again while no coordinator accepts one.
+  Duration settleRetryInterval = milliseconds(500);
   Duration accountRetention = seconds(300);
   /// Delay before a coordinator that has not replied is probed: adapted to measured reply times,
   /// within these bounds.
@@ -70,13 +74,19 @@
   Duration undecidedReportLifetime = seconds(2);
   /// Called when a node becomes suspected (`suspected`), and when it replies again.
   std::function<void(const std::string& address, bool suspected)> onSuspicionChanged;
+  /// Called when settlements are dropped, whose reservations then count in full.
+  std::function<void(std::size_t count, std::string_view reason)> onSettlementsDropped;
+  /// Called when a settlement of an earlier request was accepted.
+  std::function<void(const BudgetSettlement& settlement, Duration afterEnd)> onSettledLate;
 };
 
 /// Monotonic counters of ledger calls.
 struct RoutedLedgerCounters {
   std::uint64_t calls = 0;
-  std::uint64_t passedOn = 0;  ///< Repeats of a call at another node.
-  std::uint64_t failed = 0;    ///< Ended without an answer from a coordinator or the store.
+  std::uint64_t passedOn = 0;     ///< Repeats of a call at another node.
+  std::uint64_t failed = 0;       ///< Ended without an answer from a coordinator or the store.
+  std::uint64_t settledLate = 0;  ///< Settlements accepted at a later try.
+  std::uint64_t settlementsDropped = 0;  ///< See `onSettlementsDropped`.
 };
 
 /// The deciding reply of a call, with the responses of all nodes called.
@@ -130,6 +140,8 @@
   /// Removes idle programs. Call it periodically.
   void sweep();
   [[nodiscard]] const RoutedLedgerCounters& counters() const { return counters_; }
+  /// \return settlements that no coordinator has accepted yet.
+  [[nodiscard]] std::size_t settlementsWaiting() const { return outbox_.size(); }
 
  private:
   using CallResultCallback = std::function<void(CallResult)>;
@@ -143,6 +155,10 @@
                  const std::string& preferredZone, Duration timeLimit, CallResultCallback callback);
   /// Calls back asynchronously with a failure.
   void failAsync(LedgerReply reply, CallResultCallback callback);
+  void sendSettlement(const WaitingSettlement& settlement, bool isLate);
+  void keepSettlement(const logstore::PartitionAddress& partition, WaitingSettlement settlement);
+  void scheduleSettlementRetry();
+  void reportDroppedSettlements(std::size_t count, std::string_view reason);
   void callNext(const std::shared_ptr<Call>& call);
   [[nodiscard]] bool hasNext(const Call& call) const;
   void onReply(const std::shared_ptr<Call>& call, const std::string& coordinator, Instant sentAt,
@@ -185,6 +201,8 @@
   RendezvousSelector selector_;
   logstore::AdaptiveRetryPolicy pacer_;
   RoutedLedgerCounters counters_;
+  SettlementOutbox outbox_;
+  bool settlementRetryScheduled_ = false;
   std::unordered_map<std::string, KnownUse> knownUse_;
   /// Circuit breakers of the partitions whose last call failed.
   std::map<logstore::PartitionAddress, engine::CircuitBreaker> breakers_;
