--- a/src/cli/log_losses.cpp
+++ b/src/cli/log_losses.cpp
@@ -60,8 +60,9 @@
   std::string_view meaning;
   std::string_view cause;
 };
-constexpr std::array<CauseOfRefusal, 11> kRefusalCauses = {
+constexpr std::array<CauseOfRefusal, 12> kRefusalCauses = {
     {{"reservation_refused", "charged_for_dead", "budget_charged_for_dead"},
+     {"reservation_refused", "turns_not_settled", "budget_turns_not_settled"},
      {"reservation_refused", "not_decided", "budget_not_decided"},
      {"reservation_refused", "no_answer", "budget_no_answer"},
      {"history_refused", "not_decided", "history_not_decided"},
--- a/src/cli/log_refusal.cpp
+++ b/src/cli/log_refusal.cpp
@@ -14,6 +14,9 @@
   if (reason == "unseen_spending") {
     return kChargedForDead;
   }
+  if (reason == "unsettled_turns") {
+    return "turns_not_settled";
+  }
   return reason == "no_answer" ? kNoAnswer : kNotDecided;
 }
 
--- a/src/edge/event_log.h
+++ b/src/edge/event_log.h
@@ -15,9 +15,9 @@
 namespace gorsetrail::edge {
 
 /// Upper bound of the two lines of a refused reservation (`reservation_refused` and
-/// `request_ended`) that lists four nodes with addresses of maximum length. 807 bytes were
+/// `request_ended`) that lists four nodes with addresses of maximum length. 832 bytes were
 /// measured.
-inline constexpr std::size_t kRefusalBytes = 850;
+inline constexpr std::size_t kRefusalBytes = 880;
 /// Refusals that are logged in full between two flushes even if other events fill the buffer.
 inline constexpr std::size_t kReservedRefusals = 128;
 
--- a/src/edge/exchange_refusals.cpp
+++ b/src/edge/exchange_refusals.cpp
@@ -143,6 +143,7 @@
                            {"replied_by", reply.repliedBy},
                            {"asked_tokens", request_.maximumTokens},
                            {"used_tokens", reply.tokensUsed},
+                           {"unsettled_tokens", reply.tokensUnsettled},
                            {"unseen_tokens", reply.tokensUnseen},
                            {"unseen_leases", ledger::unrecordedSpendingName(reply.unseenLeases)},
                            {"budget", request_.tokenBudget.value_or(0)},
--- a/src/ledger/budget_accounts.cpp
+++ b/src/ledger/budget_accounts.cpp
@@ -11,6 +11,7 @@
   RequestUsage& usage = account.usageByRequest[reservation.request];
   usage.offset = std::min(usage.offset, offset);
   usage.reserved = std::max(usage.reserved, reservation.tokens);
+  usage.reservedAt = usage.reservedAt.value_or(now);
 }
 
 void BudgetAccounts::applySettlement(const BudgetSettlement& settlement, Instant now) {
@@ -25,17 +26,24 @@
 
 std::uint64_t BudgetAccounts::tokensUsedBefore(const std::string& program, std::string_view request,
                                                std::uint64_t offset) const {
+  return useBefore(program, request, offset, Instant::min()).counted;
+}
+
+TokenUse BudgetAccounts::useBefore(const std::string& program, std::string_view request,
+                                   std::uint64_t offset, Instant unsettledSince) const {
+  TokenUse use;
   const auto found = accounts_.find(program);
   if (found == accounts_.end()) {
-    return 0;
+    return use;
   }
-  std::uint64_t total = 0;
   for (const auto& [id, usage] : found->second.usageByRequest) {
     if (id != request && usage.offset < offset) {
-      total += usage.tokens();
+      use.counted += usage.tokens();
+      const bool maySettle = !usage.settled && usage.reservedAt >= unsettledSince;
+      use.unsettled += maySettle ? usage.reserved : 0;
     }
   }
-  return total;
+  return use;
 }
 
 std::uint64_t BudgetAccounts::largestReservationOf(const std::string& program) const {
--- a/src/ledger/budget_accounts.h
+++ b/src/ledger/budget_accounts.h
@@ -12,6 +12,13 @@
 
 namespace gorsetrail::ledger {
 
+/// Tokens of a program's turns.
+struct TokenUse {
+  std::uint64_t counted = 0;  ///< Settled, or reserved in full by turns without a settlement.
+  /// The part of `counted` that turns without a settlement may still return.
+  std::uint64_t unsettled = 0;
+};
+
 /// Sums reservations and settlements by program. The order of the log decides between concurrent
 /// requests: each one counts all reservations with a lower offset.
 class BudgetAccounts {
@@ -25,6 +32,10 @@
   /// offset below `offset`.
   [[nodiscard]] std::uint64_t tokensUsedBefore(const std::string& program, std::string_view request,
                                                std::uint64_t offset) const;
+  /// Like `tokensUsedBefore`. Turns without a settlement whose reservations became known before
+  /// `unsettledSince` count as used: the node that ran them has ended without settling them.
+  [[nodiscard]] TokenUse useBefore(const std::string& program, std::string_view request,
+                                   std::uint64_t offset, Instant unsettledSince) const;
   /// \return tokens of the program's largest known reservation; 0 for an unknown program.
   [[nodiscard]] std::uint64_t largestReservationOf(const std::string& program) const;
   /// Removes programs without a record since `cutoff`.
@@ -35,6 +46,7 @@
   struct RequestUsage {
     std::uint64_t offset = UINT64_MAX;  ///< Of the request's first reservation record.
     std::uint64_t reserved = 0;
+    std::optional<Instant> reservedAt;  ///< When the first reservation became known.
     std::optional<std::uint64_t> settled;
 
     [[nodiscard]] std::uint64_t tokens() const { return settled.value_or(reserved); }
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -170,20 +170,30 @@
     return {ReservationOutcome::Unavailable, tokensUsedByOthers(reservation),
             UndecidedReason::DecidedTooLate};
   }
-  const std::uint64_t before =
-      accounts_.tokensUsedBefore(reservation.program, reservation.request, offset);
-  if (before + reservation.tokens > request.budget) {
+  const TokenUse use = accounts_.useBefore(reservation.program, reservation.request, offset,
+                                           clock_() - knobs_.unsettledTurnTime);
+  // "Spent" is final for the program, so it is not said while turns may return tokens.
+  if (use.counted - use.unsettled + reservation.tokens > request.budget) {
     ++counters_.spent;
-    return {ReservationOutcome::Spent, before};
+    return {ReservationOutcome::Spent, use.counted};
   }
   const UnrecordedTokens unseen = maxUnrecordedByOthers(request, offset);
-  if (before + unseen.maxTokens > request.budget) {
+  ReservationReply reply{ReservationOutcome::Unavailable, use.counted};
+  reply.tokensUnsettled = use.unsettled;
+  reply.unseenLeases = unseen.leases;
+  reply.tokensUnseen = unseen.maxTokens;
+  if (use.counted + reservation.tokens > request.budget) {
+    ++counters_.uncertain;
+    reply.reason = UndecidedReason::UnsettledTurns;
+    return reply;
+  }
+  if (use.counted + unseen.maxTokens > request.budget) {
     ++counters_.uncertain;
-    return {ReservationOutcome::Unavailable, before, UndecidedReason::UnseenSpending, unseen.leases,
-            unseen.maxTokens};
+    reply.reason = UndecidedReason::UnseenSpending;
+    return reply;
   }
   ++counters_.grantedByLog;
-  return {ReservationOutcome::Granted, before + reservation.tokens};
+  return {ReservationOutcome::Granted, use.counted + reservation.tokens};
 }
 
 bool BudgetPartition::settle(const BudgetSettlement& settlement) {
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -34,6 +34,10 @@
   Duration recordingInterval = milliseconds(300);
   /// Settlements kept for the store; the caller is told when one more does not fit.
   std::size_t maximumUnrecordedSettlements = 8192;
+  /// For this long after its reservation became known, a turn without a settlement may still be
+  /// settled: it has not ended, or a node keeps its settlement for the store. Covers the longest
+  /// programs that leases are used for; requests of others that last longer count as used then.
+  Duration unsettledTurnTime = seconds(10);
   /// Accounts without a record for this long are removed by `sweep`.
   Duration accountRetention = seconds(300);
   /// Called when this process's lease of the partition is acquired, changes its slot or is dropped.
@@ -49,7 +53,8 @@
   std::uint64_t grantedByLog = 0;
   /// Refused because the recorded spending leaves too little of the budget.
   std::uint64_t spent = 0;
-  /// Refused only because a lease of another node may have spent tokens without a record.
+  /// Refused only because turns without a settlement, or a lease of another node, may have spent
+  /// tokens.
   std::uint64_t uncertain = 0;
   /// Refused because the program's remaining time was received more than `maxDecisionDelay` ago.
   std::uint64_t decidedTooLate = 0;
--- a/src/ledger/ledger_message.cpp
+++ b/src/ledger/ledger_message.cpp
@@ -140,7 +140,8 @@
   const auto message = fbs::CreateCallReply(
       builder, static_cast<fbs::CallOutcome>(reply.outcome), base, history, reply.tokensUsed,
       reason, reply.canDecideReservations, static_cast<fbs::UndecidedReason>(reply.undecided),
-      static_cast<fbs::UnseenLeases>(reply.unseenLeases), reply.tokensUnseen);
+      static_cast<fbs::UnseenLeases>(reply.unseenLeases), reply.tokensUnseen,
+      reply.tokensUnsettled);
   return finish(builder, fbs::CallMessage::CallReply, message.Union());
 }
 
@@ -166,6 +167,7 @@
     reply.unseenLeases = static_cast<UnrecordedSpending>(read->unseen_leases());
   }
   reply.tokensUnseen = read->tokens_unseen();
+  reply.tokensUnsettled = read->tokens_unsettled();
   return reply;
 }
 
--- a/src/ledger/ledger_message.h
+++ b/src/ledger/ledger_message.h
@@ -57,6 +57,7 @@
   UndecidedReason undecided = UndecidedReason::Unknown;
   UnrecordedSpending unseenLeases = UnrecordedSpending::None;
   std::uint64_t tokensUnseen = 0;
+  std::uint64_t tokensUnsettled = 0;
 };
 
 std::string encodeLedgerRequest(const LedgerRequest& request);
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -41,6 +41,7 @@
   reply.undecided = reservation.reason;
   reply.unseenLeases = reservation.unseenLeases;
   reply.tokensUnseen = reservation.tokensUnseen;
+  reply.tokensUnsettled = reservation.tokensUnsettled;
   if (reservation.outcome == ReservationOutcome::Granted) {
     reply.outcome = LedgerOutcome::Done;
   } else if (reservation.outcome == ReservationOutcome::Spent) {
--- a/src/ledger/reservation.cpp
+++ b/src/ledger/reservation.cpp
@@ -22,6 +22,8 @@
       return "no_answer";
     case UndecidedReason::NodesNotKnown:
       return "nodes_not_known";
+    case UndecidedReason::UnsettledTurns:
+      return "unsettled_turns";
   }
   return "unknown";
 }
--- a/src/ledger/reservation.h
+++ b/src/ledger/reservation.h
@@ -28,6 +28,7 @@
   ReadFailed = 6,         ///< The record was appended, but earlier records could not be read.
   NoAnswer = 7,           ///< No node replied.
   NodesNotKnown = 8,      ///< The calling node has not received the list of nodes yet.
+  UnsettledTurns = 9,     ///< It would fit if other turns of the program return what they reserved.
 };
 
 /// \return the reason's stable name for log lines.
@@ -48,7 +49,9 @@
   UndecidedReason reason = UndecidedReason::Unknown;  ///< Set if the outcome is `Unavailable`.
   /// Counted in addition to `tokensUsed`.
   UnrecordedSpending unseenLeases = UnrecordedSpending::None;
-  std::uint64_t tokensUnseen = 0;          ///< Upper bound spent under `unseenLeases`.
+  std::uint64_t tokensUnseen = 0;  ///< Upper bound spent under `unseenLeases`.
+  /// The part of `tokensUsed` that turns without a settlement may still return.
+  std::uint64_t tokensUnsettled = 0;
   std::string partition{};                 ///< The program's budget partition.
   std::string repliedBy{};                 ///< The node that sent the reply; may be empty.
   std::vector<CoordinatorReport> asked{};  ///< In the order they were called.
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -31,7 +31,12 @@
   return store == nullptr ? nullptr : &store->placement;
 }
 
-bool isConclusive(const LedgerReply& reply) { return reply.outcome != LedgerOutcome::Unavailable; }
+/// \return whether no other coordinator needs to be asked. Turns without a settlement are read from
+/// the log, so another coordinator would reply the same.
+bool isConclusive(const LedgerReply& reply) {
+  return reply.outcome != LedgerOutcome::Unavailable ||
+         reply.undecided == UndecidedReason::UnsettledTurns;
+}
 
 ReservationOutcome reservationOutcomeOf(LedgerOutcome outcome) {
   switch (outcome) {
@@ -54,6 +59,7 @@
   reply.reason = result.reply.undecided;
   reply.unseenLeases = result.reply.unseenLeases;
   reply.tokensUnseen = result.reply.tokensUnseen;
+  reply.tokensUnsettled = result.reply.tokensUnsettled;
   const bool noReply = result.repliedBy.empty();
   if (noReply && reply.reason == UndecidedReason::Unknown) {
     reply.reason = UndecidedReason::NoAnswer;
--- a/tests/cli/log_refusal_test.cpp
+++ b/tests/cli/log_refusal_test.cpp
@@ -22,6 +22,8 @@
   STRCMP_EQUAL("charged_for_dead",
                refusalClassOf("reservation_refused reason=unseen_spending").c_str());
   STRCMP_EQUAL("no_answer", refusalClassOf("reservation_refused reason=no_answer").c_str());
+  STRCMP_EQUAL("turns_not_settled",
+               refusalClassOf("reservation_refused reason=unsettled_turns").c_str());
   for (const char* reason : {"decided_too_late", "no_lease", "lease_insufficient", "append_failed",
                              "read_failed", "nodes_not_known", "unknown"}) {
     STRCMP_EQUAL("not_decided",
--- a/tests/edge/exchange_tenant_test.cpp
+++ b/tests/edge/exchange_tenant_test.cpp
@@ -121,6 +121,12 @@
   call.tokenBudget = 300;
   start(call, "alice-key");
   world.timers.advance(milliseconds(500));
+  world.beginEvents();
+  for (int number = 1; number <= 3; ++number) {
+    world.call().body("id: " + std::to_string(number) + "\ndata: x\n\n");
+  }
+  world.call().done();
+  world.timers.advance(milliseconds(500));
   call.requestId = "q2";
   const auto own = start(call, "alice-key");
   const auto other = start(call, "bob-key");
