Log store: a record that has waited longer than its time limit is not sent

Ruled out: a batch that uses only the time its records have left. At a store that takes 1.4 s an append it times out again and again (MemberAnnouncer.doesNotQueueAppendsAtASlowStore failed with it). Change: the batcher fails records whose limit has passed before it sends a batch. An append that is in flight still uses the longest limit of its records. Evidence: AppendBatcher.doesNotSendARecordAfterItsTimeLimit fails without it.

--- a/src/logstore/append_batcher.cpp
+++ b/src/logstore/append_batcher.cpp
@@ -16,7 +16,7 @@
 
 void AppendBatcher::append(std::string record, Duration window, Duration timeLimit,
                            Callback callback) {
-  pending_.push_back({std::move(record), timeLimit, std::move(callback)});
+  pending_.push_back({std::move(record), timeLimit, clock_() + timeLimit, std::move(callback)});
   const Instant windowEnd = clock_() + window;
   if (flushAt_ && *flushAt_ <= windowEnd) {
     return;
@@ -54,7 +54,21 @@
   return batch;
 }
 
+void AppendBatcher::failOverdue() {
+  const auto firstOverdue = std::stable_partition(
+      pending_.begin(), pending_.end(),
+      [now = clock_()](const Pending& pending) { return pending.deadline >= now; });
+  const std::vector<Pending> overdue(std::make_move_iterator(firstOverdue),
+                                     std::make_move_iterator(pending_.end()));
+  pending_.erase(firstOverdue, pending_.end());
+  for (const Pending& pending : overdue) {
+    pending.callback(StoreError{StoreFault::NoAnswer,
+                                "the record waited longer than its time limit for the store", 0});
+  }
+}
+
 void AppendBatcher::flush() {
+  failOverdue();
   if (pending_.empty()) {
     return;
   }
--- a/src/logstore/append_batcher.h
+++ b/src/logstore/append_batcher.h
@@ -31,18 +31,23 @@
                 PartitionAddress partition, AppendBatcherKnobs knobs);
 
   /// \param window maximum time to wait for further records while no append is in flight.
-  /// \param timeLimit deadline of the append; a batch uses the longest limit of its records.
+  /// \param timeLimit a record that has waited longer is not sent, and its append fails. A batch
+  /// uses the longest limit of its records.
   void append(std::string record, Duration window, Duration timeLimit, Callback callback);
 
  private:
   struct Pending {
     std::string record;
     Duration timeLimit;
+    Instant deadline;
     Callback callback;
   };
 
   void onWindowElapsed(std::uint64_t generation);
   void flush();
+  /// Fails the records whose time limit has passed while they waited for the append before them.
+  /// Their callers have given up, and may have answered that nothing was reserved or stored.
+  void failOverdue();
   std::vector<Pending> takeBatch();
   void onAppended(const std::vector<Pending>& batch, const StoreResult<AppendReply>& result);
 
--- a/tests/logstore/append_batcher_test.cpp
+++ b/tests/logstore/append_batcher_test.cpp
@@ -19,15 +19,15 @@
   AppendBatcher make() {
     return {log, timers, [this] { return timers.now; }, address, knobs};
   }
-  void append(AppendBatcher & batcher, const std::string& record, Duration window) {
-    batcher.append(record, window, milliseconds(500),
-                   [this](const StoreResult<std::uint64_t>& result) {
-                     if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
-                       offsets.push_back(*offset);
-                     } else {
-                       ++failures;
-                     }
-                   });
+  void append(AppendBatcher & batcher, const std::string& record, Duration window,
+              Duration timeLimit = milliseconds(500)) {
+    batcher.append(record, window, timeLimit, [this](const StoreResult<std::uint64_t>& result) {
+      if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
+        offsets.push_back(*offset);
+      } else {
+        ++failures;
+      }
+    });
   }
 };
 
@@ -91,3 +91,18 @@
   LONGS_EQUAL(4, log.appends);
   LONGS_EQUAL(4, offsets.size());
 }
+
+// Guards against reservations that are recorded after their callers were told that nothing was
+// reserved.
+TEST(AppendBatcher, doesNotSendARecordAfterItsTimeLimit) {
+  AppendBatcher batcher = make();
+  log.fault = FakeFault::Silent;
+  append(batcher, "lost", milliseconds(1));
+  timers.advance(milliseconds(50));
+  append(batcher, "late", milliseconds(1), milliseconds(200));
+  append(batcher, "in time", milliseconds(1));
+  log.fault = FakeFault::None;
+  timers.advance(milliseconds(1000));
+  CHECK(log.logs[address] == (std::vector<std::string>{"in time"}));
+  LONGS_EQUAL(2, failures);
+}
