Ledger: a lease that ended counts as long as a program may come back

What a coordinator grants under its lease and has not recorded counts only as long as the lease does, and that was cleared 14 s after its end: a program with time left was taken for one that had begun later. A program that was stopped declares new time when it returns. Ruled out: settlements (the granted turns have no reservation in the log either); sub-agents (a program with one line of turns is affected as well, see the tests). Change: an ended lease counts against every program, and keeps its slot, for 300 s, as long as accounts are kept. 14 s after its end its share makes the budget of an older program spent (402), since nobody is left who could record it.

--- a/src/ledger/budget_accounts.cpp
+++ b/src/ledger/budget_accounts.cpp
@@ -4,14 +4,26 @@
 
 namespace gorsetrail::ledger {
 
-void BudgetAccounts::applyReservation(const BudgetReservation& reservation, std::uint64_t offset,
-                                      Instant now) {
+BudgetAccounts::RequestUsage& BudgetAccounts::addReservation(const BudgetReservation& reservation,
+                                                             Instant now) {
   Account& account = accounts_[reservation.program];
   account.lastUpdatedAt = now;
   RequestUsage& usage = account.usageByRequest[reservation.request];
-  usage.offset = std::min(usage.offset, offset);
   usage.reserved = std::max(usage.reserved, reservation.tokens);
   usage.reservedAt = usage.reservedAt.value_or(now);
+  return usage;
+}
+
+void BudgetAccounts::applyReservation(const BudgetReservation& reservation, std::uint64_t offset,
+                                      Instant now) {
+  RequestUsage& usage = addReservation(reservation, now);
+  usage.offset = std::min(usage.offset, offset);
+  Account& account = accounts_[reservation.program];
+  account.firstRecord = std::min(offset, account.firstRecord.value_or(offset));
+}
+
+void BudgetAccounts::applyGrant(const BudgetReservation& reservation, Instant now) {
+  addReservation(reservation, now).offset = 0;
 }
 
 void BudgetAccounts::applySettlement(const BudgetSettlement& settlement, Instant now) {
@@ -46,6 +58,11 @@
   return use;
 }
 
+std::optional<std::uint64_t> BudgetAccounts::firstRecordOf(const std::string& program) const {
+  const auto found = accounts_.find(program);
+  return found == accounts_.end() ? std::nullopt : found->second.firstRecord;
+}
+
 std::uint64_t BudgetAccounts::largestReservationOf(const std::string& program) const {
   const auto found = accounts_.find(program);
   std::uint64_t largest = 0;
--- a/src/ledger/budget_accounts.h
+++ b/src/ledger/budget_accounts.h
@@ -23,7 +23,11 @@
 /// requests: each one counts all reservations with a lower offset.
 class BudgetAccounts {
  public:
+  /// Applies a reservation's record.
   void applyReservation(const BudgetReservation& reservation, std::uint64_t offset, Instant now);
+  /// Applies a reservation that was granted under this node's lease and is not recorded yet. It
+  /// counts before all records.
+  void applyGrant(const BudgetReservation& reservation, Instant now);
   void applySettlement(const BudgetSettlement& settlement, Instant now);
 
   /// \return tokens used or reserved by all known requests of the program.
@@ -36,6 +40,8 @@
   /// `unsettledSince` count as used: the node that ran them has ended without settling them.
   [[nodiscard]] TokenUse useBefore(const std::string& program, std::string_view request,
                                    std::uint64_t offset, Instant unsettledSince) const;
+  /// \return the offset of the program's first known reservation record; nothing if none is known.
+  [[nodiscard]] std::optional<std::uint64_t> firstRecordOf(const std::string& program) const;
   /// \return tokens of the program's largest known reservation; 0 for an unknown program.
   [[nodiscard]] std::uint64_t largestReservationOf(const std::string& program) const;
   /// Removes programs without a record since `cutoff`.
@@ -53,9 +59,12 @@
   };
   struct Account {
     std::unordered_map<std::string, RequestUsage> usageByRequest;
+    std::optional<std::uint64_t> firstRecord;
     Instant lastUpdatedAt;
   };
 
+  RequestUsage& addReservation(const BudgetReservation& reservation, Instant now);
+
   std::unordered_map<std::string, Account> accounts_;
 };
 
--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -30,17 +30,13 @@
   if (isRenewal && isSlotFree(BudgetLeaseSlot::Primary)) {
     known.slot = BudgetLeaseSlot::Primary;
   }
-  const bool hadEnded = known.state == BudgetLeaseState::Ended;
   known.state = record.state;
   known.updatedAt = now;
   known.renewal = std::max(known.renewal, record.renewal);
-  if (known.state != BudgetLeaseState::Cleared) {
-    return;
-  }
-  known.clearedOffset = offset;
-  // Only the holder clears a held lease, after it has recorded all spending under it.
-  if (hadEnded) {
-    onEndedLeaseCleared(known, now);
+  if (known.state == BudgetLeaseState::Ended) {
+    known.endedOffset = offset;
+  } else if (known.state == BudgetLeaseState::Cleared) {
+    known.clearedOffset = offset;
   }
 }
 
@@ -51,10 +47,12 @@
   entry.updatedAt = now;
   entry.renewal = record.renewal;
   entry.slot = record.slot;
+  if (record.state != BudgetLeaseState::Held) {
+    entry.endedOffset = offset;
+  }
   if (record.state == BudgetLeaseState::Cleared) {
     entry.clearedOffset = offset;
-    // The earlier records are no longer in the log, so what was spent under the lease is unknown.
-    recordClearedSpending(UnrecordedSpending::Both, now);
+    // The earlier records are no longer in the log, so the lease may not have been released.
     leases_.emplace(record.lease, std::move(entry));
     return;
   }
@@ -82,24 +80,6 @@
              : std::nullopt;
 }
 
-void BudgetLeaseTable::onEndedLeaseCleared(const Entry& cleared, Instant now) {
-  const bool overlapped = isWithinRetention(cleared.overlappedAt, now);
-  recordClearedSpending(overlapped ? UnrecordedSpending::Both : spendingUnder(cleared.slot), now);
-  for (auto& [id, lease] : leases_) {
-    if (lease.state != BudgetLeaseState::Cleared) {
-      lease.overlappedAt = now;
-    }
-  }
-}
-
-void BudgetLeaseTable::recordClearedSpending(UnrecordedSpending spending, Instant now) {
-  lastClearedAt_.at(static_cast<std::size_t>(spending)) = now;
-}
-
-bool BudgetLeaseTable::isWithinRetention(const std::optional<Instant>& moment, Instant now) const {
-  return moment && now - *moment < knobs_.retention;
-}
-
 BudgetLeaseTable::Leases::const_iterator BudgetLeaseTable::activeLease(BudgetLeaseSlot slot) const {
   return std::find_if(leases_.begin(), leases_.end(), [slot](const auto& entry) {
     return entry.second.state != BudgetLeaseState::Cleared && entry.second.slot == slot;
@@ -114,35 +94,32 @@
   return slotOf(lease) == BudgetLeaseSlot::Secondary && isSlotFree(BudgetLeaseSlot::Primary);
 }
 
-UnrecordedSpending BudgetLeaseTable::unrecordedSpending(const std::string& ownLease,
-                                                        bool hasTimeLeft, std::uint64_t below,
-                                                        Instant now) const {
-  UnrecordedSpending spending = UnrecordedSpending::None;
+ForeignLeases BudgetLeaseTable::foreignLeases(const std::string& ownLease,
+                                              std::optional<std::uint64_t> firstRecord,
+                                              std::uint64_t below, Instant now) const {
+  ForeignLeases leases;
   for (const auto& lease : leases_) {
-    if (isUnclearedForeign(lease, ownLease, below)) {
-      // Two leases can name the same slot: one was cleared at or after `below`, and the other was
-      // promoted then.
-      const bool isOnly = spending == UnrecordedSpending::None;
-      spending = isOnly ? spendingUnder(lease.second.slot) : UnrecordedSpending::Both;
+    if (!isUnclearedForeign(lease, ownLease, below)) {
+      continue;
+    }
+    const Entry& entry = lease.second;
+    // Two leases can name the same slot: one was cleared at or after `below`, and the other was
+    // promoted then.
+    const bool isOnly = leases.all == UnrecordedSpending::None;
+    leases.all = isOnly ? spendingUnder(entry.slot) : UnrecordedSpending::Both;
+    const bool isProgramOlder = entry.endedOffset && firstRecord < entry.endedOffset;
+    if (isProgramOlder && firstRecord && now - entry.updatedAt >= knobs_.longestProgramTime()) {
+      const bool isOnlyPermanent = leases.permanent == UnrecordedSpending::None;
+      leases.permanent = isOnlyPermanent ? spendingUnder(entry.slot) : UnrecordedSpending::Both;
     }
   }
-  return hasTimeLeft ? spending : std::max(spending, overdueSpending(ownLease, below, now));
+  return leases;
 }
 
-UnrecordedSpending BudgetLeaseTable::overdueSpending(const std::string& ownLease,
-                                                     std::uint64_t below, Instant now) const {
-  const bool overlapped = std::any_of(leases_.begin(), leases_.end(), [&](const auto& lease) {
-    return isUnclearedForeign(lease, ownLease, below) &&
-           isWithinRetention(lease.second.overlappedAt, now);
+bool BudgetLeaseTable::hasActiveForeignLease(const std::string& ownLease) const {
+  return std::any_of(leases_.begin(), leases_.end(), [&](const auto& lease) {
+    return lease.first != ownLease && lease.second.state != BudgetLeaseState::Cleared;
   });
-  UnrecordedSpending most = overlapped ? UnrecordedSpending::Both : UnrecordedSpending::None;
-  for (const UnrecordedSpending spending :
-       {UnrecordedSpending::Secondary, UnrecordedSpending::Primary, UnrecordedSpending::Both}) {
-    if (isWithinRetention(lastClearedAt_.at(static_cast<std::size_t>(spending)), now)) {
-      most = std::max(most, spending);
-    }
-  }
-  return most;
 }
 
 std::optional<BudgetLease> BudgetLeaseTable::nextTransition(const std::string& ownLease,
@@ -171,8 +148,7 @@
     return isDead ? std::optional(record) : std::nullopt;
   }
   record.state = BudgetLeaseState::Cleared;
-  const bool isPast = age >= knobs_.maxRemainingProgramTime + knobs_.maxDecisionDelay;
-  return isPast ? std::optional(record) : std::nullopt;
+  return age >= knobs_.retention ? std::optional(record) : std::nullopt;
 }
 
 std::optional<BudgetLeaseState> BudgetLeaseTable::stateOf(const std::string& lease) const {
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -43,31 +43,46 @@
   /// The maximum time between the receipt of a program's remaining time and the decision by the
   /// log.
   Duration maxDecisionDelay = seconds(4);
-  /// How long the possible spending under cleared leases is counted against overdue programs.
+  /// How long a lease that has ended counts before it is cleared. A program that was stopped may
+  /// come back in this time, with new time to run.
   Duration retention = seconds(300);
 
+  /// \return how long after the end of a lease a program that spent under it should be over, by the
+  /// time that it declared then.
+  [[nodiscard]] Duration longestProgramTime() const {
+    return maxRemainingProgramTime + maxDecisionDelay;
+  }
+
   [[nodiscard]] const LeaseShares& sharesOf(BudgetLeaseSlot slot) const {
     return slot == BudgetLeaseSlot::Primary ? primary : secondary;
   }
 };
 
+/// The leases of other nodes under which a program may have spent tokens without a record.
+struct ForeignLeases {
+  UnrecordedSpending all = UnrecordedSpending::None;
+  /// Those of `all` whose spending will not become known any more.
+  UnrecordedSpending permanent = UnrecordedSpending::None;
+};
+
 /// An offset above that of any record.
 inline constexpr std::uint64_t kMaxOffset = UINT64_MAX;
 
 /// The state machine of the budget leases of one partition, driven by the records in its log. A
 /// lease passes through these states in order:
-/// - *held*: the holder may have spent up to its slot's share of the budget of any program that is
-///   not overdue, without a record;
+/// - *held*: the holder may have spent up to its slot's share of the budget of any program, without
+///   a record;
 /// - *ended*: the holder's process is dead, or the lease has expired. Nothing more will be spent,
 ///   but the amount already spent is unknown;
 /// - *cleared*: the holder released the lease after it had recorded everything spent under it, or
-///   the lease ended so long ago that every program that spent under it should be over. A program
-///   that is not overdue then started later and cannot have spent under the lease.
+///   the lease ended so long ago that no program that spent under it comes back.
 /// At most two leases are active (not cleared). The record of a new lease takes the primary slot,
 /// or the secondary slot if the primary lease has ended; otherwise the record is void. A renewal
 /// promotes the secondary lease once the primary slot is free. The order of the log decides, so all
-/// readers agree. A program can have spent under at most two leases, because a third one is only
-/// granted when the program should be over.
+/// readers agree.
+///
+/// A program's declared time does not tell whether it began before a lease ended: a program that
+/// was stopped may come back and declare new time. So an ended lease counts against every program.
 class BudgetLeaseTable {
  public:
   explicit BudgetLeaseTable(BudgetLeaseKnobs knobs) : knobs_(knobs) {}
@@ -77,14 +92,16 @@
 
   /// \param ownLease this node's lease, which is not counted because its spending is known; empty:
   /// none.
-  /// \param hasTimeLeft whether the program declared its remaining time and is not overdue.
+  /// \param firstRecord offset of the program's first reservation in the log; nothing: it has none.
   /// \param below all spending recorded below this offset is counted elsewhere: `kMaxOffset`, or
-  /// for a reservation the offset of its own record. A lease that was cleared at or after `below`
+  /// for a reservation the offset of its own record. A lease that was released at or after `below`
   /// still counts, because the grants recorded between the reservation and the end of the lease
   /// would otherwise be counted by nobody.
-  /// \return the leases under which the program may have spent tokens without a record.
-  [[nodiscard]] UnrecordedSpending unrecordedSpending(const std::string& ownLease, bool hasTimeLeft,
-                                                      std::uint64_t below, Instant now) const;
+  [[nodiscard]] ForeignLeases foreignLeases(const std::string& ownLease,
+                                            std::optional<std::uint64_t> firstRecord,
+                                            std::uint64_t below, Instant now) const;
+  /// \return whether a lease of another node is held or ended.
+  [[nodiscard]] bool hasActiveForeignLease(const std::string& ownLease) const;
 
   /// \return whether `ownLease` is active, or its first record would take a slot.
   [[nodiscard]] bool hasSlotFor(const std::string& ownLease) const;
@@ -115,9 +132,8 @@
     std::uint64_t clearedOffset = kMaxOffset;  ///< Offset of the record that cleared it.
     std::uint64_t renewal = 0;
     BudgetLeaseSlot slot = BudgetLeaseSlot::Primary;
-    /// When another lease that had ended was cleared while this one was active: an overdue program
-    /// may have spent under both.
-    std::optional<Instant> overlappedAt;
+    /// Offset of the record that ended it; nothing if it was not ended or its holder released it.
+    std::optional<std::uint64_t> endedOffset;
   };
   using Leases = std::map<std::string, Entry>;
 
@@ -129,25 +145,18 @@
   /// \return the slot that the first record of a lease takes; nothing if the record is void.
   [[nodiscard]] std::optional<BudgetLeaseSlot> slotForNewLease() const;
   void addLease(const BudgetLease& record, std::uint64_t offset, Instant now);
-  void onEndedLeaseCleared(const Entry& cleared, Instant now);
-  void recordClearedSpending(UnrecordedSpending spending, Instant now);
-  [[nodiscard]] bool isWithinRetention(const std::optional<Instant>& moment, Instant now) const;
   /// \return whether the lease belongs to another node and was not cleared by a record below the
   /// offset.
   [[nodiscard]] static bool isUnclearedForeign(const Leases::value_type& lease,
                                                const std::string& ownLease, std::uint64_t below) {
     return lease.first != ownLease && lease.second.clearedOffset >= below;
   }
-  [[nodiscard]] UnrecordedSpending overdueSpending(const std::string& ownLease, std::uint64_t below,
-                                                   Instant now) const;
   [[nodiscard]] std::optional<BudgetLease> nextTransitionOf(const Leases::value_type& lease,
                                                             const std::string& ownHolder,
                                                             Instant now) const;
 
   BudgetLeaseKnobs knobs_;
   Leases leases_;
-  /// When ended leases were last cleared, indexed by `UnrecordedSpending`.
-  std::array<std::optional<Instant>, 4> lastClearedAt_;
 };
 
 /// Computes how many tokens of a program with the given budget may be spent under leases.
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -98,7 +98,7 @@
   if (used + std::max(reservation.tokens, unseen) > request.budget) {
     return std::nullopt;
   }
-  accounts_.applyReservation(reservation, 0, clock_());
+  accounts_.applyGrant(reservation, clock_());
   if (unrecordedGrants_
           .try_emplace(reservation.request, UnrecordedGrant{reservation, std::nullopt, false})
           .second) {
@@ -107,7 +107,9 @@
   scheduleRecording();
   const bool isPrimary = lease_->slot == BudgetLeaseSlot::Primary;
   ++(isPrimary ? counters_.grantedUnderPrimaryLease : counters_.grantedUnderSecondaryLease);
-  return ReservationReply{ReservationOutcome::Granted, used + reservation.tokens};
+  ReservationReply reply{ReservationOutcome::Granted, used + reservation.tokens};
+  reply.tokensUnseen = unseen;
+  return reply;
 }
 
 std::uint64_t BudgetPartition::unrecordedTokensOf(const std::string& program) const {
@@ -126,11 +128,13 @@
 BudgetPartition::UnrecordedTokens BudgetPartition::maxUnrecordedByOthers(
     const BudgetRequest& request, std::uint64_t below) const {
   const std::string& program = request.reservation.program;
-  const UnrecordedSpending unseen =
-      leases_.unrecordedSpending(ownLease(), hasTimeLeft(request), below, clock_());
+  const ForeignLeases leases =
+      leases_.foreignLeases(ownLease(), accounts_.firstRecordOf(program), below, clock_());
   const std::uint64_t largestTurn =
       std::max(request.reservation.tokens, accounts_.largestReservationOf(program));
-  return {unseen, LeaseAllowance(knobs_.leases, request.budget).maxSpent(unseen, largestTurn)};
+  const LeaseAllowance allowance(knobs_.leases, request.budget);
+  return {leases.all, allowance.maxSpent(leases.all, largestTurn),
+          allowance.maxSpent(leases.permanent, largestTurn)};
 }
 
 void BudgetPartition::reserveInLog(const BudgetRequest& request, Duration timeLimit,
@@ -162,9 +166,7 @@
 ReservationReply BudgetPartition::decideByLog(const BudgetRequest& request, Instant askedAt,
                                               std::uint64_t offset) {
   const BudgetReservation& reservation = request.reservation;
-  // Leases are cleared when the programs that spent under them should be over, by their declared
-  // time. After a long pause of this process the declared time is stale, and the program would be
-  // taken for one that started after the clearing.
+  // After a long pause of this process the caller has given up.
   if (clock_() - askedAt > knobs_.leases.maxDecisionDelay) {
     ++counters_.decidedTooLate;
     return {ReservationOutcome::Unavailable, tokensUsedByOthers(reservation),
@@ -172,12 +174,14 @@
   }
   const TokenUse use = accounts_.useBefore(reservation.program, reservation.request, offset,
                                            clock_() - knobs_.unsettledTurnTime);
-  // "Spent" is final for the program, so it is not said while turns may return tokens.
-  if (use.counted - use.unsettled + reservation.tokens > request.budget) {
+  const UnrecordedTokens unseen = maxUnrecordedByOthers(request, offset);
+  // "Spent" is final for the program, so it is said only when nothing that is unknown now can still
+  // become known and leave room for the turn.
+  const std::uint64_t certain = use.counted - use.unsettled;
+  if (certain + std::max(reservation.tokens, unseen.permanentTokens) > request.budget) {
     ++counters_.spent;
     return {ReservationOutcome::Spent, use.counted};
   }
-  const UnrecordedTokens unseen = maxUnrecordedByOthers(request, offset);
   ReservationReply reply{ReservationOutcome::Unavailable, use.counted};
   reply.tokensUnsettled = use.unsettled;
   reply.unseenLeases = unseen.leases;
@@ -193,7 +197,9 @@
     return reply;
   }
   ++counters_.grantedByLog;
-  return {ReservationOutcome::Granted, use.counted + reservation.tokens};
+  reply.outcome = ReservationOutcome::Granted;
+  reply.tokensUsed += reservation.tokens;
+  return reply;
 }
 
 bool BudgetPartition::settle(const BudgetSettlement& settlement) {
@@ -288,6 +294,7 @@
     unrecordedGrants_.at(request).recording = false;  // It is appended again by the next recording.
     return;
   }
+  accounts_.applyReservation(unrecordedGrants_.at(request).reservation, *offset, clock_());
   reader_->skipOwnRecords(*offset, 1);
   reader_->readBelow(
       *offset, [this, request, withSettlement](const logstore::StoreResult<Success>& read) {
@@ -372,8 +379,7 @@
         maintainLease();  // A slot may be free now.
       }
     });
-  } else if (leases_.unrecordedSpending(ownLease(), true, kMaxOffset, now) !=
-             UnrecordedSpending::None) {
+  } else if (leases_.hasActiveForeignLease(ownLease())) {
     // Reads lease records of other nodes soon after they are appended.
     reader_->readToEnd([](const logstore::StoreResult<Success>& /*read*/) {});
   }
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -142,8 +142,9 @@
   struct UnrecordedTokens {
     UnrecordedSpending leases = UnrecordedSpending::None;
     std::uint64_t maxTokens = 0;
+    std::uint64_t permanentTokens = 0;  ///< The part that will not become known any more.
   };
-  /// \param below see `BudgetLeaseTable::unrecordedSpending`.
+  /// \param below see `BudgetLeaseTable::foreignLeases`.
   [[nodiscard]] UnrecordedTokens maxUnrecordedByOthers(const BudgetRequest& request,
                                                        std::uint64_t below) const;
   /// \return the reply for a request that neither a lease nor the store can decide.
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -447,10 +447,9 @@
   timeLimit = std::min(timeLimit, BudgetLeaseKnobs{}.maxDecisionDelay);
   const logstore::PartitionAddress partition = layout_.ofBudget(reservation.program);
   startCall(ReserveRequest{request, timeLimit}, partition, {}, timeLimit,
-            [this, reservation, partition, callback = std::move(callback)](CallResult result) {
-              if (isConclusive(result.reply)) {
-                knownUse_[reservation.program] = {result.reply.tokensUsed, clock_()};
-              }
+            [this, reservation, budget = request.budget, partition,
+             callback = std::move(callback)](CallResult result) {
+              updateKnownUse(reservation.program, budget, result.reply);
               if (result.reply.outcome == LedgerOutcome::BudgetSpent) {
                 // This reply is final, so no tokens will be generated for the reservation.
                 settle({reservation.request, reservation.program, 0});
@@ -461,6 +460,18 @@
             });
 }
 
+// Turns of a program that is known to have little left are dispatched only after their reservations
+// were granted. What dead nodes may have spent is part of it: otherwise such a turn would run, end
+// with an unknown outcome and be sent again.
+void RoutedLedger::updateKnownUse(const std::string& program, std::uint64_t budget,
+                                  const LedgerReply& reply) {
+  if (reply.outcome == LedgerOutcome::BudgetSpent) {
+    knownUse_[program] = {budget, clock_()};
+  } else if (isConclusive(reply) || reply.undecided == UndecidedReason::UnseenSpending) {
+    knownUse_[program] = {reply.tokensUsed + reply.tokensUnseen, clock_()};
+  }
+}
+
 void RoutedLedger::settle(BudgetSettlement settlement) {
   sendSettlement({std::move(settlement), clock_()}, false);
 }
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -155,6 +155,7 @@
                  const std::string& preferredZone, Duration timeLimit, CallResultCallback callback);
   /// Calls back asynchronously with a failure.
   void failAsync(LedgerReply reply, CallResultCallback callback);
+  void updateKnownUse(const std::string& program, std::uint64_t budget, const LedgerReply& reply);
   void sendSettlement(const WaitingSettlement& settlement, bool isLate);
   void keepSettlement(const logstore::PartitionAddress& partition, WaitingSettlement settlement);
   void scheduleSettlementRetry();
