Ledger: what dead nodes may have spent does not make a program a runaway

Ruled out: refusals of reservations (the turns in question were refused as replicas_busy, stage=runaway). Change: the ledger tells known use and possible use apart; only the choice between reserving first and beside the dispatch looks at the latter. Turns without a settlement are no known use either. Evidence: possibleSpendingOfDeadNodesIsNotKnownUse, reservesFirstWhenDeadNodesMayHaveSpentTheBudget.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -179,9 +179,9 @@
     dispatch();
     return;
   }
-  const std::uint64_t known = context_.ledger.knownTokenUse(checked_.programName);
+  const std::uint64_t possible = context_.ledger.possibleTokenUse(checked_.programName);
   const std::uint64_t tokensNeeded = request_.maximumTokens * context_.knobs.ampleBudgetTurns;
-  const bool ample = known + tokensNeeded <= *request_.tokenBudget;
+  const bool ample = possible + tokensNeeded <= *request_.tokenBudget;
   // With ample known budget the request is dispatched in parallel with the reservation. If the
   // reservation may fail, it comes first: a turn that was dispatched before its reservation failed
   // may have run, and its client must not retry it.
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -100,6 +100,10 @@
   [[nodiscard]] virtual ReservationOutlook reservationOutlook(const std::string& program) = 0;
   /// \return tokens used or reserved by the program, as far as this node knows.
   [[nodiscard]] virtual std::uint64_t knownTokenUse(const std::string& program) const = 0;
+  /// \return tokens that may count against the program's budget, as far as this node knows: those
+  /// of `knownTokenUse`, and what dead nodes may have spent. Says nothing about what the program
+  /// did.
+  [[nodiscard]] virtual std::uint64_t possibleTokenUse(const std::string& program) const = 0;
 };
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -61,6 +61,9 @@
   [[nodiscard]] bool canStoreTurn(const TurnName& turn) override;
   [[nodiscard]] ReservationOutlook reservationOutlook(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownTokenUse(const std::string& program) const override;
+  [[nodiscard]] std::uint64_t possibleTokenUse(const std::string& program) const override {
+    return knownTokenUse(program);
+  }
 
   /// Finds a turn's own record in one partition. Calls back synchronously if it is cached.
   void findTurn(const TurnPlacement& placement, const std::string& turn, TurnCallback callback);
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -465,11 +465,12 @@
 // with an unknown outcome and be sent again.
 void RoutedLedger::updateKnownUse(const std::string& program, std::uint64_t budget,
                                   const LedgerReply& reply) {
-  if (reply.outcome == LedgerOutcome::BudgetSpent) {
-    knownUse_[program] = {budget, clock_()};
-  } else if (isConclusive(reply) || reply.undecided == UndecidedReason::UnseenSpending) {
-    knownUse_[program] = {reply.tokensUsed + reply.tokensUnseen, clock_()};
+  if (!isConclusive(reply) && reply.undecided != UndecidedReason::UnseenSpending) {
+    return;
   }
+  const bool isSpent = reply.outcome == LedgerOutcome::BudgetSpent;
+  knownUse_[program] = {reply.tokensUsed - reply.tokensUnsettled,
+                        isSpent ? budget : reply.tokensUsed + reply.tokensUnseen, clock_()};
 }
 
 void RoutedLedger::settle(BudgetSettlement settlement) {
@@ -530,6 +531,11 @@
   return found == knownUse_.end() ? 0 : found->second.tokens;
 }
 
+std::uint64_t RoutedLedger::possibleTokenUse(const std::string& program) const {
+  const auto found = knownUse_.find(program);
+  return found == knownUse_.end() ? 0 : found->second.possibleTokens;
+}
+
 void RoutedLedger::sweep() {
   const Instant oldest = clock_() - knobs_.accountRetention;
   std::erase_if(knownUse_, [oldest](const auto& entry) { return entry.second.updatedAt < oldest; });
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -123,6 +123,7 @@
   [[nodiscard]] bool canStoreTurn(const TurnName& turn) override;
   [[nodiscard]] ReservationOutlook reservationOutlook(const std::string& program) override;
   [[nodiscard]] std::uint64_t knownTokenUse(const std::string& program) const override;
+  [[nodiscard]] std::uint64_t possibleTokenUse(const std::string& program) const override;
 
   /// Replaces the zones and regions after the settings were reloaded. Calls in flight keep their
   /// target partitions.
@@ -148,6 +149,7 @@
   struct Call;
   struct KnownUse {
     std::uint64_t tokens = 0;
+    std::uint64_t possibleTokens = 0;
     Instant updatedAt;
   };
 
--- a/tests/edge/exchange_stream_test.cpp
+++ b/tests/edge/exchange_stream_test.cpp
@@ -222,6 +222,16 @@
   CHECK(ledger.reservationTimeout <= context.knobs.uncertainReservationTimeout);
 }
 
+// Guards against a run whose client then gets an unknown outcome in place of 402.
+TEST(ExchangeStream, reservesFirstWhenDeadNodesMayHaveSpentTheBudget) {
+  ScriptedLedger ledger({ledger::ReservationOutcome::Spent}, ledger::ReservationOutlook::Likely);
+  ledger.possibleTokens = 900;
+  EdgeContext context = contextWith(ledger);
+  const auto client = startIn(context);
+  LONGS_EQUAL(402, client->status);
+  LONGS_EQUAL(0, world.dispatches());
+}
+
 TEST(ExchangeStream, retriesAReservationThatFailsAfterTheDispatch) {
   ScriptedLedger ledger(
       {ledger::ReservationOutcome::Unavailable, ledger::ReservationOutcome::Granted},
--- a/tests/edge/scripted_ledger.h
+++ b/tests/edge/scripted_ledger.h
@@ -45,12 +45,16 @@
     return outlook_;
   }
   std::uint64_t knownTokenUse(const std::string& /*program*/) const override { return 0; }
+  std::uint64_t possibleTokenUse(const std::string& /*program*/) const override {
+    return possibleTokens;
+  }
 
   Duration reservationTimeout{};  ///< Time limit of the last reservation.
   logstore::FakeTimers* timers =
       nullptr;  ///< Set: replies take `replyTime`; null: they are immediate.
   Duration replyTime = milliseconds(2);
   std::size_t reservations = 0;
+  std::uint64_t possibleTokens = 0;
   std::vector<std::uint64_t> settledTokens;  ///< Of each settlement, in order.
 
   ledger::HistoryAnswer history = ledger::UnknownTurn{};
--- a/tests/ledger/refused_turns_test.cpp
+++ b/tests/ledger/refused_turns_test.cpp
@@ -99,3 +99,20 @@
   LONGS_EQUAL(1, caller().ledger.counters().settledLate);
   CHECK(reserve("next") == ReservationOutcome::Granted);
 }
+
+// Guards against a program that is taken for one in a loop, and refused first, because of what dead
+// nodes may have granted it.
+TEST(RefusedTurns, possibleSpendingOfDeadNodesIsNotKnownUse) {
+  const auto lease = [this](BudgetLeaseState state) {
+    log.logs[LedgerPartitions({}).ofBudget("program")].push_back(
+        encodeFact(BudgetLease{"x", "dead", state, 1}));
+  };
+  lease(BudgetLeaseState::Held);
+  lease(BudgetLeaseState::Ended);
+  CHECK(reserve("first") == ReservationOutcome::Granted);
+  caller().ledger.settle({"first", "program", 100});
+  timers.advance(seconds(1));
+  CHECK(reserve("second") == ReservationOutcome::Granted);
+  LONGS_EQUAL(100 + kTurn, caller().ledger.knownTokenUse("program"));
+  LONGS_EQUAL(100 + kTurn + kTurn, caller().ledger.possibleTokenUse("program"));
+}
