--- a/tests/ledger/budget_partition_test.cpp
+++ b/tests/ledger/budget_partition_test.cpp
@@ -396,7 +396,7 @@
     BudgetNode& node = fleet.start("a");
     fleet.maintainLeaseFor(node, seconds(1));
     CHECK_TRUE(node.partition.holdsLease());
-      fleet.log.fault = FakeFault::Silent;
+    fleet.log.fault = FakeFault::Silent;
     for (int number = 0; number < 10; ++number) {
       fleet.spend(node, "r" + std::to_string(restart) + "-" + std::to_string(number), "program", 50,
                   1000, kTimeLeft, milliseconds(100));
@@ -421,7 +421,7 @@
   for (int restart = 0; restart < 2; ++restart) {
     BudgetNode& node = fleet.start("a");
     fleet.maintainLeaseFor(node, seconds(1));
-      fleet.log.fault = FakeFault::Silent;
+    fleet.log.fault = FakeFault::Silent;
     fleet.spend(node, "r" + std::to_string(restart), "program", restart == 0 ? 450 : 150, 1000,
                 kTimeLeft);
     fleet.log.fault = FakeFault::None;
