--- a/src/ledger/settlement_outbox.h
+++ b/src/ledger/settlement_outbox.h
@@ -15,7 +15,7 @@
 
 /// Limits of `SettlementOutbox`.
 struct SettlementOutboxKnobs {
-  std::size_t maximumEntries = 16 * 1024;
+  std::size_t maximumEntries = std::size_t{16} * 1024;
   std::size_t maximumBytes = std::size_t{4} * 1024 * 1024;
   /// Settlements are dropped after this time: the accounts that they belong to are forgotten then.
   Duration retention = seconds(300);
