Ledger: one place that adds up leases, one lookup of an account

Found on reading the change again: the rule for two leases of one slot stood twice in foreignLeases, the first record was compared as an optional and tested afterwards, a reservation looked its account up twice, and a struct stood amid the members. Behaviour is unchanged.

--- a/src/ledger/budget_accounts.cpp
+++ b/src/ledger/budget_accounts.cpp
@@ -4,9 +4,9 @@
 
 namespace gorsetrail::ledger {
 
-BudgetAccounts::RequestUsage& BudgetAccounts::addReservation(const BudgetReservation& reservation,
+BudgetAccounts::RequestUsage& BudgetAccounts::addReservation(Account& account,
+                                                             const BudgetReservation& reservation,
                                                              Instant now) {
-  Account& account = accounts_[reservation.program];
   account.lastUpdatedAt = now;
   RequestUsage& usage = account.usageByRequest[reservation.request];
   usage.reserved = std::max(usage.reserved, reservation.tokens);
@@ -16,14 +16,14 @@
 
 void BudgetAccounts::applyReservation(const BudgetReservation& reservation, std::uint64_t offset,
                                       Instant now) {
-  RequestUsage& usage = addReservation(reservation, now);
-  usage.offset = std::min(usage.offset, offset);
   Account& account = accounts_[reservation.program];
+  RequestUsage& usage = addReservation(account, reservation, now);
+  usage.offset = std::min(usage.offset, offset);
   account.firstRecord = std::min(offset, account.firstRecord.value_or(offset));
 }
 
 void BudgetAccounts::applyGrant(const BudgetReservation& reservation, Instant now) {
-  addReservation(reservation, now).offset = 0;
+  addReservation(accounts_[reservation.program], reservation, now).offset = 0;
 }
 
 void BudgetAccounts::applySettlement(const BudgetSettlement& settlement, Instant now) {
--- a/src/ledger/budget_accounts.h
+++ b/src/ledger/budget_accounts.h
@@ -63,7 +63,8 @@
     Instant lastUpdatedAt;
   };
 
-  RequestUsage& addReservation(const BudgetReservation& reservation, Instant now);
+  static RequestUsage& addReservation(Account& account, const BudgetReservation& reservation,
+                                      Instant now);
 
   std::unordered_map<std::string, Account> accounts_;
 };
--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -12,6 +12,12 @@
                                           : UnrecordedSpending::Secondary;
 }
 
+// Two leases can name the same slot: one was cleared at or after the offset in question, and the
+// other was promoted then.
+void addSpendingUnder(BudgetLeaseSlot slot, UnrecordedSpending& spending) {
+  spending = spending == UnrecordedSpending::None ? spendingUnder(slot) : UnrecordedSpending::Both;
+}
+
 }  // namespace
 
 void BudgetLeaseTable::applyRecord(const BudgetLease& record, std::uint64_t offset, Instant now) {
@@ -103,14 +109,11 @@
       continue;
     }
     const Entry& entry = lease.second;
-    // Two leases can name the same slot: one was cleared at or after `below`, and the other was
-    // promoted then.
-    const bool isOnly = leases.all == UnrecordedSpending::None;
-    leases.all = isOnly ? spendingUnder(entry.slot) : UnrecordedSpending::Both;
-    const bool isProgramOlder = entry.endedOffset && firstRecord < entry.endedOffset;
-    if (isProgramOlder && firstRecord && now - entry.updatedAt >= knobs_.longestProgramTime()) {
-      const bool isOnlyPermanent = leases.permanent == UnrecordedSpending::None;
-      leases.permanent = isOnlyPermanent ? spendingUnder(entry.slot) : UnrecordedSpending::Both;
+    addSpendingUnder(entry.slot, leases.all);
+    const bool isProgramOlder =
+        firstRecord && entry.endedOffset && *firstRecord < *entry.endedOffset;
+    if (isProgramOlder && now - entry.updatedAt >= knobs_.longestProgramTime()) {
+      addSpendingUnder(entry.slot, leases.permanent);
     }
   }
   return leases;
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -126,6 +126,11 @@
     std::optional<BudgetSettlement> settlement;
     bool recording = false;
   };
+  /// A settlement whose record is not in the log yet.
+  struct UnrecordedSettlement {
+    BudgetSettlement settlement;
+    bool recording = false;
+  };
   struct Lease {
     std::string id;
     Instant validUntil;
@@ -192,10 +197,6 @@
   bool isCoordinator_ = false;
   bool releasing_ = false;  ///< The lease is being released: no more grants under it.
   bool recordingScheduled_ = false;
-  struct UnrecordedSettlement {
-    BudgetSettlement settlement;
-    bool recording = false;
-  };
   std::unordered_map<std::string, UnrecordedSettlement> unrecordedSettlements_;  ///< By request id.
   std::unordered_map<std::string, UnrecordedGrant> unrecordedGrants_;            ///< By request id.
   std::unordered_map<std::string, std::vector<std::string>> unrecordedByProgram_;
