--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -143,7 +143,7 @@
           context, *timers_, clock_,
           {[this]() -> const std::vector<ledger::NodeCandidate>& { return ledgerCandidates(); },
            [this] { return members_.relayAddresses(); }, &zones_},
-          settings_.zone, [this] { return registrations(); }, {}, seed),
+          settings_.zone, [this] { return registrations(); }, requestRecordKnobs(), seed),
       context_{dependencies.wire,
                routes_,
                placement_,
@@ -210,6 +210,21 @@
   return knobs;
 }
 
+RequestRecordExchangeKnobs EdgeDaemon::requestRecordKnobs() {
+  RequestRecordExchangeKnobs knobs;
+  knobs.runHistories.histories.onSettled = [this](const routing::RequestKey& request,
+                                                  const routing::ReplicaRun& run,
+                                                  routing::RunEvidence evidence) {
+    log_.logRoutine("run_settled", {{"request_key", routing::textOf(request)},
+                                    {"run", run.number},
+                                    {"replica", run.replicaId},
+                                    {"state", routing::runStateName(run.state)},
+                                    {"by", routing::runEvidenceName(evidence)},
+                                    {"age_ms", wholeMilliseconds(clock_() - run.at)}});
+  };
+  return knobs;
+}
+
 QuotaSources EdgeDaemon::quotaSources() {
   QuotaSources sources;
   sources.candidates = [this]() -> const std::vector<ledger::NodeCandidate>& {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -193,6 +193,7 @@
   [[nodiscard]] const routing::RegionSet* allowedRegionsOf(const std::string& host) const;
   /// \return the nodes that may host ledger partitions; empty until the members have been listed.
   [[nodiscard]] const std::vector<ledger::NodeCandidate>& ledgerCandidates();
+  [[nodiscard]] RequestRecordExchangeKnobs requestRecordKnobs();
   [[nodiscard]] QuotaSources quotaSources();
   [[nodiscard]] TopicReaderSources topicReaderSources();
   /// \return the member record that this node announces.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -440,6 +440,7 @@
                              {"tenant", checked_.tenantName()},
                              {"request_key", routing::textOf(requestKey())},
                              {"replica", replica_->entry.id},
+                             {"run", runNumber_},
                              {"executed", isRunLost ? "maybe" : "no"},
                              {"replica_ended", std::uint64_t{replica_->hasEnded() ? 1U : 0U}},
                              {"ends_counted", endsCounted},
--- a/src/routing/run_histories.cpp
+++ b/src/routing/run_histories.cpp
@@ -32,6 +32,34 @@
 
 }  // namespace
 
+std::string_view runStateName(RunState state) {
+  switch (state) {
+    case RunState::NotExecuted:
+      return "not_executed";
+    case RunState::Survived:
+      return "survived";
+    case RunState::Ended:
+      return "ended";
+    case RunState::Uncertain:
+      break;
+  }
+  return "uncertain";
+}
+
+std::string_view runEvidenceName(RunEvidence evidence) {
+  switch (evidence) {
+    case RunEvidence::Replica:
+      return "replica";
+    case RunEvidence::Registrations:
+      return "registrations";
+    case RunEvidence::Answer:
+      return "answer";
+    case RunEvidence::OtherNode:
+      break;
+  }
+  return "other_node";
+}
+
 std::size_t RunHistory::countedRuns() const {
   return static_cast<std::size_t>(
       std::count_if(runs.begin(), runs.end(), [](const ReplicaRun& run) { return run.counts(); }));
@@ -58,6 +86,13 @@
   ++droppedHistories_;
 }
 
+void RunHistories::reportSettled(const RequestKey& key, const ReplicaRun& run,
+                                 RunEvidence evidence) const {
+  if (knobs_.onSettled) {
+    knobs_.onSettled(key, run, evidence);
+  }
+}
+
 bool RunHistories::mergeRun(RunHistory& history, const ReplicaRun& run) const {
   std::vector<ReplicaRun>& runs = history.runs;
   const auto known = std::find_if(runs.begin(), runs.end(), [&](const ReplicaRun& other) {
@@ -90,6 +125,9 @@
   run.revision = known == history.runs.end() ? 1 : known->revision + 1;
   history.keepUntil = std::max(history.keepUntil, keepUntil);
   mergeRun(history, run);
+  if (run.state != RunState::Uncertain) {
+    reportSettled(key, run, RunEvidence::Replica);
+  }
 }
 
 std::optional<std::uint64_t> RunHistories::runSince(const RequestKey& key, const ReplicaRun& run,
@@ -107,9 +145,16 @@
 
 void RunHistories::recordAnswer(const RequestKey& key, Instant now) {
   const auto found = histories_.find(key);
-  if (found != histories_.end()) {
-    found->second = RunHistory{{}, now, now + knobs_.answeredLifetime};
+  if (found == histories_.end()) {
+    return;
+  }
+  for (ReplicaRun run : found->second.runs) {
+    if (run.counts()) {
+      run.state = RunState::Survived;
+      reportSettled(key, run, RunEvidence::Answer);
+    }
   }
+  found->second = RunHistory{{}, now, now + knobs_.answeredLifetime};
 }
 
 bool RunHistories::merge(const RequestKey& key, const RunHistory& other, Instant now) {
@@ -125,13 +170,22 @@
     history.answeredAt = other.answeredAt;
   }
   const std::size_t before = history.runs.size();
-  std::erase_if(history.runs, [&history](const ReplicaRun& run) {
-    return history.answeredAt && run.at <= *history.answeredAt;
+  std::erase_if(history.runs, [&](ReplicaRun run) {
+    const bool isAnswered = history.answeredAt && run.at <= *history.answeredAt;
+    if (isAnswered && run.counts()) {
+      run.state = RunState::Survived;
+      reportSettled(key, run, RunEvidence::OtherNode);
+    }
+    return isAnswered;
   });
   changed = changed || history.runs.size() != before;
   for (const ReplicaRun& run : other.runs) {
     const bool isAnswered = history.answeredAt && run.at <= *history.answeredAt;
-    changed = (!isAnswered && mergeRun(history, run)) || changed;
+    const bool isNews = !isAnswered && mergeRun(history, run);
+    if (isNews && run.state != RunState::Uncertain) {
+      reportSettled(key, run, RunEvidence::OtherNode);
+    }
+    changed = isNews || changed;
   }
   history.keepUntil = std::max(history.keepUntil, other.keepUntil);
   return changed;
@@ -172,8 +226,12 @@
   for (auto& [key, history] : histories_) {
     for (ReplicaRun& run : history.runs) {
       const RunState settled = settle(run, view);
-      run.revision += settled == run.state ? 0 : 1;
+      if (settled == run.state) {
+        continue;
+      }
+      ++run.revision;
       run.state = settled;
+      reportSettled(key, run, RunEvidence::Registrations);
     }
   }
 }
--- a/src/routing/run_histories.h
+++ b/src/routing/run_histories.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -60,8 +61,22 @@
   [[nodiscard]] std::size_t countedRuns() const;
 };
 
+/// What settled a run.
+enum class RunEvidence : std::uint8_t {
+  Replica,        ///< It says that it did not execute the request, or received no byte of it.
+  Registrations,  ///< A read of the registrations.
+  Answer,         ///< A whole answer to the request.
+  OtherNode,      ///< Another node settled it.
+};
+/// \return a stable snake_case name for log lines.
+[[nodiscard]] std::string_view runStateName(RunState state);
+[[nodiscard]] std::string_view runEvidenceName(RunEvidence evidence);
+
 /// Settings of `RunHistories`.
 struct RunHistoryKnobs {
+  /// Called when a run that was uncertain is settled, or a counted one is cleared.
+  std::function<void(const RequestKey& request, const ReplicaRun& run, RunEvidence evidence)>
+      onSettled{};
   /// A request is not dispatched again once so many replicas ended under it.
   std::size_t maximumEndedReplicas = 3;
   /// The registration of a replica that ended is gone after this time: three heartbeats, and the
@@ -127,6 +142,7 @@
   [[nodiscard]] RunState settleAtFailingReplica(const ReplicaRun& run,
                                                 const RegistrationView& view) const;
   RunHistory& historyFor(const RequestKey& key);
+  void reportSettled(const RequestKey& key, const ReplicaRun& run, RunEvidence evidence) const;
   void dropLeastImportant();
   /// Adds the run, or replaces an older revision of it.
   /// \return whether it was new.
