Run records: only an answer on an earlier connection shows that a replica lives

Callers saw a request go to further replicas after three had ended under it. Cause: a run stopped counting without proof, when its replica was still registered 5 s later, and 5 s after a run at a replica that had failed before. Registrations go late while the store is away, slow or loses writes, or stay because the next process has the id. Ruled out as proof: heartbeats (a write may be done 6 s late), answers on new connections (the next process may give them).

A connection does not outlive its process. So a run is settled by an answer to a request that was sent after the run's deadline on a connection that was opened before the run. Ordinary answers are used, and the node that dispatched the run asks the replica's health path once a further run would be the last. Without proof the run goes on counting. A run at a failing replica counts as well, and no longer becomes 'not executed' by time; it never makes a refusal final.

The start of the next process is not used any more, and is no longer kept.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -11,6 +11,7 @@
 #include "edge/retry_control.h"
 #include "edge/run_history_directory.h"
 #include "edge/stream_origin_directory.h"
+#include "edge/survival_proofs.h"
 #include "edge/turn_retention_policy.h"
 #include "edge/wire_adapter.h"
 #include "http/http_client.h"
@@ -80,8 +81,6 @@
   /// A run that breaks off so soon at a failing replica met no process, unless one can have
   /// started.
   Duration immediateFailureTime = milliseconds(20);
-  /// A replica that is still registered after this time had survived its failures.
-  Duration registrationLapseTime = milliseconds(5000);
   /// The least time that a replica takes to start again.
   Duration minimumRestartTime = milliseconds(200);
   /// Longest wait of a stream without a recorded origin for a newer read of the registrations, and
@@ -133,6 +132,8 @@
   std::function<std::optional<std::string>(std::string_view service)> onlyVersionOf{};
   /// Null: ended replicas are not counted by request.
   RunHistoryDirectory* runHistories = nullptr;
+  /// Null: interrupted runs are settled by registrations only.
+  SurvivalProofs* survivalProofs = nullptr;
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -144,6 +144,7 @@
           {[this]() -> const std::vector<ledger::NodeCandidate>& { return ledgerCandidates(); },
            [this] { return members_.relayAddresses(); }, &zones_},
           settings_.zone, [this] { return registrations(); }, requestRecordKnobs(), seed),
+      survivalProofs_(*timers_, clock_, dependencies.client, requestRecords_.runHistories()),
       context_{dependencies.wire,
                routes_,
                placement_,
@@ -167,7 +168,8 @@
                [this](std::string_view service) {
                  return versionHistory_.onlyVersionOf(service, replicas_, clock_());
                },
-               &requestRecords_.runHistories()},
+               &requestRecords_.runHistories(),
+               &survivalProofs_},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -261,6 +261,7 @@
   routing::ServiceTimes serviceTimes_;
   routing::SoftwareVersionHistory versionHistory_{{}};
   RequestRecordExchange requestRecords_;
+  SurvivalProofs survivalProofs_;
   EdgeContext context_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -50,6 +50,7 @@
   values.quarantineRefusals = context_.counters.quarantineRefusals;
   values.runHistoriesDropped = runs.histories().droppedHistories();
   values.runHistoryBroadcastsLimited = runs.limitedBroadcasts();
+  values.runsWithoutProof = survivalProofs_.size();
   values.streamsContinued = context_.counters.streamsContinued;
   values.streamsNotContinued = context_.counters.streamsNotContinued;
   values.retriesWithheld = context_.retryControl.retriesWithheld();
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -103,6 +103,8 @@
              snapshot.runHistories);
   list.gauge("requests_quarantined", "Requests not sent again, since replicas ended under them",
              snapshot.requestsQuarantined);
+  list.gauge("runs_without_proof", "Interrupted runs whose replicas may have ended, of this node",
+             snapshot.runsWithoutProof);
   list.counter("quarantine_refusals_total",
                "Attempts refused since replicas ended under earlier ones",
                snapshot.quarantineRefusals);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -277,8 +277,12 @@
   void recordNotExecuted();
   /// The replica answered the current run whole, so that this run has not ended it.
   void recordWholeAnswer();
-  /// Records the current run if the request ends while its replica is silent.
-  void recordRunAtSilentReplica();
+  /// Records the current run if the request ends before it, at a replica that may have ended.
+  void recordUnfinishedRun();
+  /// Looks for proof that the replica outlives the current run.
+  void watchForSurvival();
+  /// The replica began an answer, which may be proof that it outlived earlier runs.
+  void noteAnswer();
 
   EdgeContext& context_;
   CallRequest request_;
@@ -307,6 +311,7 @@
   Instant answerBeganAt_;
   bool hadFreeSlot_ = false;                ///< The replica had a free slot at the dispatch.
   std::uint64_t runNumber_ = 0;             ///< Of the current dispatch in the record.
+  Instant runSentAt_;                       ///< First dispatch of the run of that number.
   bool dispatchRecorded_ = false;           ///< By `recordDispatch`.
   bool runCountsAlready_ = false;           ///< As this exchange's previous run.
   Instant lastRunDataAt_;                   ///< When a replica last sent data to this exchange.
--- a/src/edge/exchange_quarantine.cpp
+++ b/src/edge/exchange_quarantine.cpp
@@ -80,7 +80,7 @@
 }
 
 routing::ReplicaRun Exchange::currentRun() const {
-  return {runNumber_, replica_->entry.id, replica_->entry.startedAt};
+  return {runNumber_, replica_->entry.id, replica_->entry.startedAt, {}, deadlineAt_};
 }
 
 Duration Exchange::runHistoryLifetime() const {
@@ -93,8 +93,7 @@
 bool Exchange::metFailingReplica() const {
   const Instant failingSince = replica_->failingSince;
   return !headReceived_ && replica_->failures > 0 && replica_->lastDataAt < failingSince &&
-         failingSince <= dispatchedAt_ &&
-         dispatchedAt_ < failingSince + context_.knobs.registrationLapseTime;
+         failingSince <= dispatchedAt_;
 }
 
 void Exchange::recordInterruption() {
@@ -102,6 +101,7 @@
     return;
   }
   routing::ReplicaRun run = currentRun();
+  run.isInterrupted = true;
   run.atFailingReplica = !runCountsAlready_ && metFailingReplica();
   const bool isImmediate = context_.clock() - dispatchedAt_ < context_.knobs.immediateFailureTime;
   const bool isBeforeRestart =
@@ -111,6 +111,14 @@
     return;
   }
   context_.runHistories->record(requestKey(), run, runHistoryLifetime());
+  watchForSurvival();
+}
+
+void Exchange::watchForSurvival() {
+  if (context_.survivalProofs != nullptr) {
+    context_.survivalProofs->watch({requestKey(), runNumber_, replica_->entry.address,
+                                    checked_.healthPath(), runSentAt_, deadlineAt_});
+  }
 }
 
 void Exchange::recordDispatch() {
@@ -121,12 +129,14 @@
   }
   const std::uint64_t previousNumber =
       std::exchange(runNumber_, context_.runHistories->nextRunNumber());
+  const Instant previousSentAt = std::exchange(runSentAt_, dispatchedAt_);
   if (context_.runHistories->isEmpty() || !context_.runHistories->hasHistory(requestKey())) {
     return;
   }
   runCountsAlready_ = isAtSameProcessAs(previousNumber);
   if (runCountsAlready_) {
     runNumber_ = previousNumber;
+    runSentAt_ = previousSentAt;
     return;
   }
   dispatchRecorded_ = true;
@@ -168,14 +178,23 @@
 }
 
 // A replica that ends without a sign is noticed later than the deadline of short requests.
-void Exchange::recordRunAtSilentReplica() {
+void Exchange::recordUnfinishedRun() {
   if (!call_ || !replica_) {
     return;
   }
   const Instant lastDataAt = std::max(replica_->lastDataAt, dispatchedAt_);
-  if (context_.clock() - lastDataAt >= context_.knobs.reachabilityCheckDelay) {
+  const bool isSilent = context_.clock() - lastDataAt >= context_.knobs.reachabilityCheckDelay;
+  // What was recorded at the dispatch counts until it is settled.
+  if (isSilent || dispatchRecorded_) {
     recordInterruption();
   }
 }
 
+void Exchange::noteAnswer() {
+  const std::optional<Instant> openedAt = call_ ? call_->connectionOpenedAt() : std::nullopt;
+  if (context_.survivalProofs != nullptr && openedAt) {
+    context_.survivalProofs->onAnswer(replica_->entry.address, *openedAt, dispatchedAt_);
+  }
+}
+
 }  // namespace gorsetrail::edge
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -93,6 +93,7 @@
   headReceived_ = true;
   answerBeganAt_ = context_.clock();
   lastRunDataAt_ = replica_->lastDataAt = context_.clock();
+  noteAnswer();
   runHead_ = context_.wire.readReplicaHead(status, headers);
   runHeaders_ = context_.wire.clientHeaders(headers);
   if (!runHead_.notExecuted && status != kMisdirected) {
--- a/src/edge/request_check.h
+++ b/src/edge/request_check.h
@@ -35,6 +35,11 @@
   [[nodiscard]] ledger::TurnZones turnZones() const {
     return places == nullptr ? ledger::TurnZones() : places->zones;
   }
+  /// \return the path at which replicas of the service tell their health; empty: none.
+  [[nodiscard]] std::string healthPath() const {
+    const auto found = configuration->services.find(service);
+    return found == configuration->services.end() ? std::string() : found->second.healthPath;
+  }
   [[nodiscard]] std::string routeName() const {
     return route == nullptr ? std::string() : route->name;
   }
--- a/src/edge/request_record_message.cpp
+++ b/src/edge/request_record_message.cpp
@@ -73,7 +73,8 @@
     encoded.push_back(fbs::CreateReplicaRun(
         builder, builder.CreateString(run.replicaId), run.startedAt ? run.startedAt->value() : 0,
         wireMilliseconds(now - run.at), static_cast<fbs::RunState>(run.state), run.revision,
-        run.number, run.atFailingReplica, true));
+        run.number, run.atFailingReplica, true, run.isInterrupted,
+        wireMilliseconds(run.mayRunUntil - now)));
   }
   const auto list = builder.CreateVector(encoded);
   const fbs::RequestKey key = structOf(runs.request);
@@ -143,6 +144,8 @@
     decoded.revision = run.revision();
     decoded.number = run.number();
     decoded.atFailingReplica = run.at_failing_replica();
+    decoded.isInterrupted = run.is_interrupted();
+    decoded.mayRunUntil = now + milliseconds(run.may_run_ms());
     runs.history.runs.push_back(std::move(decoded));
   }
   return runs;
--- a/src/edge/run_history_directory.h
+++ b/src/edge/run_history_directory.h
@@ -1,6 +1,7 @@
 /// \file Interface to the unanswered runs of requests that nodes share with each other.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -21,6 +22,11 @@
   /// \return whether no request has unanswered runs; then none needs a key.
   [[nodiscard]] virtual bool isEmpty() const = 0;
   [[nodiscard]] virtual bool hasHistory(const routing::RequestKey& request) const = 0;
+  /// \return the number of the request's runs that count.
+  [[nodiscard]] virtual std::size_t countedRuns(const routing::RequestKey& request) const = 0;
+  /// \return whether it is not known what became of the run.
+  [[nodiscard]] virtual bool isUncertain(const routing::RequestKey& request,
+                                         std::uint64_t number) const = 0;
   /// \return a number for a new run.
   [[nodiscard]] virtual std::uint64_t nextRunNumber() = 0;
   /// See `routing::RunHistories::runSince`.
--- a/src/edge/run_history_sharing.cpp
+++ b/src/edge/run_history_sharing.cpp
@@ -25,6 +25,21 @@
   compareLoop();
 }
 
+std::size_t RunHistorySharing::countedRuns(const routing::RequestKey& request) const {
+  const routing::RunHistory* const history = histories_.find(request);
+  return history == nullptr ? 0 : history->countedRuns();
+}
+
+bool RunHistorySharing::isUncertain(const routing::RequestKey& request,
+                                    std::uint64_t number) const {
+  const routing::RunHistory* const history = histories_.find(request);
+  return history != nullptr && std::any_of(history->runs.begin(), history->runs.end(),
+                                           [number](const routing::ReplicaRun& run) {
+                                             return run.number == number &&
+                                                    run.state == routing::RunState::Uncertain;
+                                           });
+}
+
 // 0 would be an absent field of a message.
 std::uint64_t RunHistorySharing::nextRunNumber() {
   return 1 + random_.below(std::numeric_limits<std::uint64_t>::max());
--- a/src/edge/run_history_sharing.h
+++ b/src/edge/run_history_sharing.h
@@ -58,6 +58,9 @@
   [[nodiscard]] bool hasHistory(const routing::RequestKey& request) const override {
     return histories_.find(request) != nullptr;
   }
+  [[nodiscard]] std::size_t countedRuns(const routing::RequestKey& request) const override;
+  [[nodiscard]] bool isUncertain(const routing::RequestKey& request,
+                                 std::uint64_t number) const override;
   [[nodiscard]] std::uint64_t nextRunNumber() override;
   [[nodiscard]] std::optional<std::uint64_t> runSince(const routing::RequestKey& request,
                                                       const routing::ReplicaRun& run,
--- a/src/http/client_operation.cpp
+++ b/src/http/client_operation.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "base/steady_clock.h"
 #include "http/status.h"
 
 namespace gorsetrail::http {
@@ -74,9 +75,12 @@
   }
   startTimer();
   const std::shared_ptr<ConnectionPool> pool = pool_.lock();
-  socket_ = pool ? pool->acquire(request_.address) : std::nullopt;
-  reused_ = socket_.has_value();
+  const Instant openedBefore = request_.connectionOpenedBefore.value_or(Instant::max());
+  auto idle = pool ? pool->acquire(request_.address, openedBefore) : std::nullopt;
+  reused_ = idle.has_value();
   if (reused_) {
+    socket_ = std::move(idle->socket);
+    openedAt_ = idle->openedAt;
     writeRequest();
   } else {
     openConnection();
@@ -119,7 +123,12 @@
 }
 
 void ClientOperation::openConnection() {
+  if (request_.connectionOpenedBefore) {
+    fail(FailureStage::NotSent, "no idle connection of that age");
+    return;
+  }
   reused_ = false;
+  openedAt_.reset();
   socket_.emplace(context_);
   error_code ignored;
   socket_->open(endpoint_->protocol(), ignored);
@@ -151,6 +160,7 @@
     fail(FailureStage::NotSent, "connect to " + request_.address + ": " + error.message());
     return;
   }
+  openedAt_ = steadyNow();
   error_code ignored;
   socket_->set_option(asio::ip::tcp::no_delay(true), ignored);
   writeRequest();
@@ -344,7 +354,7 @@
 void ClientOperation::releaseConnection() {
   const std::shared_ptr<ConnectionPool> pool = pool_.lock();
   if (pool && parser_->keep_alive() && buffer_.size() == 0) {
-    pool->release(request_.address, std::move(*socket_), reusableIdleTime());
+    pool->release(request_.address, {std::move(*socket_), *openedAt_}, reusableIdleTime());
     socket_.reset();
   }
 }
--- a/src/http/client_operation.h
+++ b/src/http/client_operation.h
@@ -35,6 +35,7 @@
 
   void start();
   void cancel() override;
+  [[nodiscard]] std::optional<Instant> connectionOpenedAt() const override { return openedAt_; }
 
  private:
   void begin();
@@ -66,6 +67,7 @@
   std::function<void(ClientOperation*)> onEnded_;
   std::optional<boost::asio::ip::tcp::endpoint> endpoint_;
   std::optional<Socket> socket_;
+  std::optional<Instant> openedAt_;  ///< Of `socket_`; empty while it is connecting.
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer connectTimer_;
   boost::beast::http::request<boost::beast::http::string_body> message_;
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <cstddef>
 #include <utility>
 
 namespace gorsetrail::http {
@@ -26,29 +27,35 @@
   return std::chrono::steady_clock::now() < found->second.back().usableUntil;
 }
 
-std::optional<Socket> ConnectionPool::acquire(const std::string& address) {
+std::optional<PooledConnection> ConnectionPool::acquire(const std::string& address,
+                                                        Instant openedBefore) {
   const auto found = idle_.find(address);
   if (found == idle_.end()) {
     return std::nullopt;
   }
   const auto now = std::chrono::steady_clock::now();
   std::deque<IdleConnection>& connections = found->second;
-  while (!connections.empty()) {
-    IdleConnection connection = std::move(connections.back());
-    connections.pop_back();
-    const bool fresh = now < connection.usableUntil;
-    if (fresh && isStillIdle(connection.socket)) {
-      return std::move(connection.socket);
+  std::optional<PooledConnection> acquired;
+  for (std::size_t index = connections.size(); index > 0 && !acquired; --index) {
+    IdleConnection& candidate = connections[index - 1];
+    if (candidate.connection.openedAt >= openedBefore) {
+      continue;
     }
+    if (now < candidate.usableUntil && isStillIdle(candidate.connection.socket)) {
+      acquired = std::move(candidate.connection);
+    }
+    connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index - 1));
+  }
+  if (connections.empty()) {
+    idle_.erase(found);
   }
-  idle_.erase(found);
-  return std::nullopt;
+  return acquired;
 }
 
-void ConnectionPool::release(const std::string& address, Socket socket,
+void ConnectionPool::release(const std::string& address, PooledConnection connection,
                              std::chrono::steady_clock::duration idleTime) {
   std::deque<IdleConnection>& connections = idle_[address];
-  connections.push_back({std::move(socket), std::chrono::steady_clock::now() + idleTime});
+  connections.push_back({std::move(connection), std::chrono::steady_clock::now() + idleTime});
   if (connections.size() > kMaximumIdleConnectionsPerAddress) {
     connections.pop_front();
   }
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "base/steady_clock.h"
 #include "http/client_operation.h"
 
 namespace gorsetrail::http {
@@ -51,7 +52,7 @@
       error_code ignored;
       socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
       setTcpUserTimeout(socket_);
-      pool->release(address_, std::move(socket_));
+      pool->release(address_, {std::move(socket_), steadyNow()});
     }
     const bool refused = error == boost::asio::error::connection_refused ||
                          error == boost::asio::error::connection_reset;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +32,9 @@
   Duration timeLimit = seconds(30);  ///< For the whole request, connecting included.
   /// Timeout for establishing a new connection; zero means that only `timeLimit` applies.
   Duration connectTimeLimit = Duration::zero();
+  /// If set, only an idle connection that was opened before then is used; the request fails as
+  /// `NotSent` if there is none.
+  std::optional<Instant> connectionOpenedBefore{};
 };
 
 struct Response {
@@ -70,6 +74,8 @@
   virtual ~RequestHandle() = default;
   /// Closes the connection; no callback follows.
   virtual void cancel() = 0;
+  /// \return when the connection of the request was established; empty before that.
+  [[nodiscard]] virtual std::optional<Instant> connectionOpenedAt() const { return std::nullopt; }
 };
 using RequestHandlePtr = std::shared_ptr<RequestHandle>;
 
--- a/src/routing/registration_view.h
+++ b/src/routing/registration_view.h
@@ -24,11 +24,6 @@
   std::function<Registration(const std::string& replicaId, std::optional<ReplicaStart> startedAt)>
       find;
   Instant readAt{};  ///< When the last successful read was requested.
-  /// \return when the process began that followed this incarnation of the id, by this node's
-  /// clock and early by `kMaxClockSkew`; unset: unknown, or none did.
-  std::function<std::optional<Instant>(const std::string& replicaId,
-                                       std::optional<ReplicaStart> startedAt)>
-      nextBeganAt{};
 };
 
 /// \param replicas outlives the view. \param readAt unset: the registrations are not listed yet.
--- a/src/routing/replica_incarnation.h
+++ b/src/routing/replica_incarnation.h
@@ -55,12 +55,6 @@
   std::shared_ptr<Replica> next;  ///< The next incarnation of the same id.
 };
 
-/// What is remembered of an incarnation that has ended.
-struct EarlierIncarnation {
-  std::optional<ReplicaStart> startedAt;
-  Instant nextBeganAt;  ///< See `IncarnationEnd`.
-};
-
 /// \return the incarnation that received a request sent at `sentAt`: the replica itself, or a later
 /// one if the process had restarted before this node learned of it.
 [[nodiscard]] std::shared_ptr<Replica> incarnationAt(std::shared_ptr<Replica> replica,
--- a/src/routing/replica_table.cpp
+++ b/src/routing/replica_table.cpp
@@ -56,22 +56,14 @@
 }
 
 ReplicaChange ReplicaTable::startNextIncarnation(ReplicaEntry entry, Instant beganAt) {
-  constexpr std::size_t kMaximumEarlierIncarnations = 4;
-  const std::optional<ReplicaStart> earlierStart = knownStartOf(entry.id);
   ReplicaPtr earlier = find(entry.id);
   remove(entry.id);
   if (const DepartedReplicas::Departed* const departed = departed_.find(entry.id)) {
     earlier = departed->replica.lock();
   }
   const ReplicaPtr next = add(std::move(entry));
-  std::vector<EarlierIncarnation>& incarnations = next->earlierIncarnations;
   if (earlier) {
     earlier->incarnationEnd = IncarnationEnd{beganAt, next};
-    incarnations = earlier->earlierIncarnations;
-  }
-  incarnations.push_back({earlierStart, beganAt});
-  if (incarnations.size() > kMaximumEarlierIncarnations) {
-    incarnations.erase(incarnations.begin());
   }
   return ReplicaChange::Restarted;
 }
--- a/src/routing/replica_table.h
+++ b/src/routing/replica_table.h
@@ -52,8 +52,6 @@
   bool gone = false;  ///< Deregistered: receives no new requests.
   /// Set if the process has restarted; `gone` is then also set.
   std::optional<IncarnationEnd> incarnationEnd;
-  /// The last earlier incarnations of the id, the newest last.
-  std::vector<EarlierIncarnation> earlierIncarnations;
   /// An earlier registration of this incarnation contained the process start, a newer one did not.
   bool startUntold = false;
   std::uint32_t inFlight = 0;  ///< This node's requests that run or wait there.
--- a/src/routing/run_histories.cpp
+++ b/src/routing/run_histories.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -68,6 +69,8 @@
       return "replica";
     case RunEvidence::Registrations:
       return "registrations";
+    case RunEvidence::EarlierConnection:
+      return "earlier_connection";
     case RunEvidence::Answer:
       return "answer";
     case RunEvidence::EqualRequest:
@@ -172,7 +175,7 @@
   }
   bool changed = false;
   for (ReplicaRun& run : found->second.runs) {
-    if (run.counts() && run.at <= until) {
+    if (run.counts() && run.isInterrupted && run.at <= until) {
       run.state = RunState::Survived;
       reportSettled(key, run, evidence);
       changed = true;
@@ -219,29 +222,16 @@
   switch (view.find(run.replicaId, run.startedAt)) {
     case Registration::Absent:
       // An earlier read may not show the replica yet.
-      if (view.readAt < run.at + kTransitTime) {
-        return RunState::Uncertain;
-      }
-      return run.atFailingReplica ? settleAtFailingReplica(run, view) : RunState::Ended;
+      return view.readAt < run.at + kTransitTime ? RunState::Uncertain : RunState::Ended;
     case Registration::Present:
-      return view.readAt >= run.at + knobs_.confirmationTime ? RunState::Survived
-                                                             : RunState::Uncertain;
+      // It may be the next process under this id, or the store has not removed the entry yet.
+      return RunState::Uncertain;
     case Registration::Unknown:
       break;
   }
   return RunState::Uncertain;
 }
 
-// The run reached nobody if the next process started after it. Otherwise nobody knows.
-RunState RunHistories::settleAtFailingReplica(const ReplicaRun& run,
-                                              const RegistrationView& view) const {
-  const std::optional<Instant> nextBeganAt =
-      view.nextBeganAt ? view.nextBeganAt(run.replicaId, run.startedAt) : std::nullopt;
-  const bool isNextLater = nextBeganAt && run.at < *nextBeganAt;
-  const bool isExpired = view.readAt >= run.at + knobs_.confirmationTime;
-  return isNextLater || isExpired ? RunState::NotExecuted : RunState::Uncertain;
-}
-
 void RunHistories::update(const RegistrationView& view, Instant now) {
   std::erase_if(histories_, [now](const auto& entry) { return entry.second.keepUntil <= now; });
   for (auto& [key, history] : histories_) {
@@ -263,31 +253,39 @@
   if (history == nullptr || history->keepUntil <= now) {
     return decision;
   }
-  std::vector<Instant> lapses;
   std::set<std::pair<std::string_view, std::optional<ReplicaStart>>> ended;
+  std::vector<Instant> settledAt;  // When it may be known that other runs do not count.
   for (const ReplicaRun& run : history->runs) {
     const RunState state = stateBy(run, view);
-    const bool isFirstAtEnded =
-        state == RunState::Ended && ended.emplace(run.replicaId, run.startedAt).second;
-    // A further run there may have met a process whose registration was not read in time.
-    const bool mayBeAnotherProcess =
-        state == RunState::Ended && !isFirstAtEnded && now < run.at + knobs_.confirmationTime;
-    if (state == RunState::Uncertain || mayBeAnotherProcess) {
-      lapses.push_back(run.at + knobs_.confirmationTime);
+    if (state == RunState::Uncertain) {
+      settledAt.push_back(usuallySettledAt(run, now));
+    } else if (state == RunState::Ended) {
+      // A further run under an id may have met the next process, and a run at a failing replica
+      // may have met none: both count, but neither makes a refusal final.
+      const bool isCertain =
+          !run.atFailingReplica && ended.emplace(run.replicaId, run.startedAt).second;
+      if (!isCertain) {
+        settledAt.push_back(history->keepUntil);
+      }
     }
   }
   decision.endedReplicas = ended.size();
-  decision.uncertainReplicas = lapses.size();
-  const std::size_t counted = decision.endedReplicas + lapses.size();
+  decision.uncertainReplicas = settledAt.size();
+  const std::size_t counted = ended.size() + settledAt.size();
   decision.isQuarantined = counted >= knobs_.maximumEndedReplicas;
-  if (decision.isQuarantined && decision.endedReplicas < knobs_.maximumEndedReplicas) {
-    std::sort(lapses.begin(), lapses.end());
-    const Instant enough = lapses[counted - knobs_.maximumEndedReplicas];
-    decision.retryAfter = std::max(Duration::zero(), enough - now);
+  if (decision.isQuarantined && ended.size() < knobs_.maximumEndedReplicas) {
+    std::sort(settledAt.begin(), settledAt.end());
+    decision.retryAfter = settledAt[counted - knobs_.maximumEndedReplicas] - now;
   }
   return decision;
 }
 
+Instant RunHistories::usuallySettledAt(const ReplicaRun& run, Instant now) const {
+  // A run in progress may be answered at any time.
+  const Instant end = run.isInterrupted ? std::max(now, run.mayRunUntil) : now;
+  return end + knobs_.usualProofTime;
+}
+
 std::uint64_t RunHistories::digest() const {
   std::uint64_t digest = histories_.size();
   for (const auto& [key, history] : histories_) {
--- a/src/routing/run_histories.h
+++ b/src/routing/run_histories.h
@@ -22,7 +22,7 @@
 enum class RunState : std::uint8_t {
   Uncertain,    ///< In progress, or interrupted: the replica may have ended.
   NotExecuted,  ///< The replica did not execute the request.
-  Survived,     ///< The replica outlived the run, or the run was cleared; see `RunEvidence`.
+  Survived,     ///< The replica is known to have outlived the run, or the run was cleared.
   Ended,        ///< The replica ended.
 };
 
@@ -34,6 +34,9 @@
   std::optional<ReplicaStart> startedAt{};  ///< Unset: unknown.
   /// The dispatch; of an interrupted run the interruption.
   Instant at{};
+  /// Until then the replica may work on the run: the deadline that it was given.
+  Instant mayRunUntil{};
+  bool isInterrupted = false;  ///< It is not in progress any more, as its node sees it.
   RunState state = RunState::Uncertain;
   /// Incremented by the node that dispatched the run, with each interruption; the highest one is
   /// the newest. A verdict belongs to one revision.
@@ -63,11 +66,13 @@
 /// What settled a run.
 enum class RunEvidence : std::uint8_t {
   Replica,        ///< It says that it did not execute the request, or received no byte of it.
-  Registrations,  ///< A read of the registrations.
-  Answer,         ///< The replica answered this run whole.
-  EqualRequest,   ///< Outside programs, an equal request was answered with success afterwards.
-  Operator,       ///< An operator let the request pass.
-  OtherNode,      ///< Another node settled it.
+  Registrations,  ///< The registration of the incarnation is gone, by a read after the run.
+  /// The replica answered a later request on a connection that was opened before the run.
+  EarlierConnection,
+  Answer,        ///< The replica answered this run whole.
+  EqualRequest,  ///< Outside programs, an equal request was answered with success afterwards.
+  Operator,      ///< An operator let the request pass.
+  OtherNode,     ///< Another node settled it.
 };
 /// \return a stable snake_case name for log lines.
 [[nodiscard]] std::string_view runStateName(RunState state);
@@ -80,9 +85,9 @@
       onSettled{};
   /// A request is not dispatched again once so many replicas ended under it.
   std::size_t maximumEndedReplicas = 3;
-  /// The registration of a replica that ended is gone after this time: three heartbeats, and the
-  /// delay of a read.
-  Duration confirmationTime = milliseconds(5000);
+  /// A run is settled about so long after it ended, if its replica lives. For the time that a
+  /// refusal names; nothing is decided by it.
+  Duration usualProofTime = milliseconds(500);
   /// Beyond this number, the history with the fewest counted runs that expires first is dropped.
   std::size_t maximumHistories = 4096;
   /// Of one request. The oldest that does not count is dropped first.
@@ -94,8 +99,8 @@
   bool isQuarantined = false;
   std::size_t endedReplicas = 0;      ///< Shown by the registrations.
   std::size_t uncertainReplicas = 0;  ///< Runs of which it is not known yet.
-  /// Set if the request is quarantined and may be dispatched again after this time, should the
-  /// uncertain replicas turn out to be alive.
+  /// Set if the request is quarantined and may be dispatched again after about this time, should
+  /// the uncertain replicas turn out to be alive.
   std::optional<Duration> retryAfter;
 };
 
@@ -139,10 +144,9 @@
   [[nodiscard]] std::uint64_t droppedHistories() const { return droppedHistories_; }
 
  private:
+  /// \return the state of the run, considering the registrations.
   [[nodiscard]] RunState stateBy(const ReplicaRun& run, const RegistrationView& view) const;
-  /// \param run at a replica that has ended.
-  [[nodiscard]] RunState settleAtFailingReplica(const ReplicaRun& run,
-                                                const RegistrationView& view) const;
+  [[nodiscard]] Instant usuallySettledAt(const ReplicaRun& run, Instant now) const;
   RunHistory& historyFor(const RequestKey& key);
   void reportSettled(const RequestKey& key, const ReplicaRun& run, RunEvidence evidence) const;
   void dropLeastImportant();
--- a/tests/dispatch/fake_http_client.h
+++ b/tests/dispatch/fake_http_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,7 +18,9 @@
     http::Request request;
     http::ResponseHandler handler;
     bool cancelled = false;
+    std::optional<Instant> openedAt;  ///< Of the connection.
     void cancel() override { cancelled = true; }
+    [[nodiscard]] std::optional<Instant> connectionOpenedAt() const override { return openedAt; }
 
     std::string headerOf(const std::string& name) const {
       for (const http::Header& header : request.headers) {
@@ -41,13 +44,16 @@
     for (const auto& exchange : exchanges) {
       exchange->handler = {};
     }
+    for (const auto& probe : probes) {
+      probe->handler = {};
+    }
   }
 
   http::RequestHandlePtr send(http::Request request, http::ResponseHandler handler) override {
     const auto exchange = std::make_shared<Exchange>();
     exchange->request = std::move(request);
     exchange->handler = std::move(handler);
-    exchanges.push_back(exchange);
+    (exchange->request.connectionOpenedBefore ? probes : exchanges).push_back(exchange);
     return exchange;
   }
 
@@ -59,6 +65,8 @@
   Exchange& last() { return *exchanges.back(); }
 
   std::vector<std::shared_ptr<Exchange>> exchanges;
+  /// Requests that are sent on an earlier connection or not at all.
+  std::vector<std::shared_ptr<Exchange>> probes;
   std::vector<std::pair<std::string, std::function<void(bool)>>> checks;
 };
 
--- a/tests/edge/exchange_ended_replicas_test.cpp
+++ b/tests/edge/exchange_ended_replicas_test.cpp
@@ -106,14 +106,22 @@
 }
 
 TEST(ExchangeEndedReplicas, aRequestIsServedAgainWhenItsReplicasTurnOutToLive) {
+  const Instant connectedAt = world.timers.now - seconds(1);
   for (int attempt = 0; attempt < 3; ++attempt) {
     breakOff(ExchangeWorld::turn("kept"));
   }
   const auto refused = world.start(ExchangeWorld::turn("kept"));
   LONGS_EQUAL(503, refused->status);
   CHECK(refused->retryAfter.size() > 1);
-  const std::size_t before = world.dispatches();
   wait(seconds(6));
+  LONGS_EQUAL(503, world.start(ExchangeWorld::turn("kept"))->status);
+  CallRequest other = ExchangeWorld::request("unsafe");
+  other.body = "another";
+  world.start(other);
+  wait();
+  world.call().openedAt = connectedAt;
+  world.call().head(200);
+  const std::size_t before = world.dispatches();
   world.start(ExchangeWorld::turn("kept"));
   wait();
   LONGS_EQUAL(before + 1, world.dispatches());
@@ -284,18 +292,20 @@
   LONGS_EQUAL(2, world.runHistories.histories().all().size());
 }
 
-TEST(ExchangeEndedReplicas, onlyRunsShortlyAfterAFailureMayHaveMetAnEndedProcess) {
-  for (const Duration pause : {milliseconds(300), milliseconds(6000)}) {
-    world.replicas.remove("r2");
-    world.replicas.remove("r3");
-    world.replicas.find("r1")->failures = 1;
-    world.replicas.find("r1")->failingSince = world.timers.now;
-    wait(pause);
+TEST(ExchangeEndedReplicas, runsAfterAFailureMayHaveMetAnEndedProcessUntilASignOfLife) {
+  world.replicas.remove("r2");
+  world.replicas.remove("r3");
+  routing::Replica& replica = *world.replicas.find("r1");
+  for (const bool isAlive : {false, true}) {
+    replica.failures = 1;
+    replica.failingSince = world.timers.now;
+    wait(seconds(6));
+    replica.lastDataAt = isAlive ? world.timers.now : replica.lastDataAt;
     world.start(ExchangeWorld::request("unsafe"));
     wait(milliseconds(1));
     world.call().fail(http::FailureStage::Broken);
     const auto& runs = world.runHistories.histories().all().begin()->second.runs;
-    CHECK_EQUAL(pause < seconds(5), runs.back().atFailingReplica);
+    CHECK_EQUAL(!isAlive, runs.back().atFailingReplica);
   }
 }
 
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -168,12 +168,14 @@
     configuration->routes[3].resumable = true;
     routing::Service service;
     service.name = "model";
+    service.healthPath = "/health";
     service.engine = routing::EngineProfile{4, 9, 5000};
     configuration->services.emplace("model", service);
     routes.apply(configuration);
     context.storeReadTimes.configurationReadAt = timers.now;
     context.streamOrigins = &origins;
     context.runHistories = &runHistories;
+    context.survivalProofs = &survivalProofs;
   }
 
   /// Clears the observers, which otherwise keep unfinished exchanges alive.
@@ -281,6 +283,7 @@
       [](const std::vector<std::string>&, const RequestRecordMessage&) {},
       {},
       1};
+  SurvivalProofs survivalProofs{timers, [this] { return timers.now; }, client, runHistories};
   std::optional<Instant> replicasReadAt{};  ///< Unset: a moment ago.
   routing::SoftwareVersionRule softwareVersionRule;
   routing::ReplicaPlacement placement{replicas, selector, admission, {&softwareVersionRule}};
--- a/tests/edge/run_history_sharing_test.cpp
+++ b/tests/edge/run_history_sharing_test.cpp
@@ -105,7 +105,9 @@
   void record(std::size_t node, const std::string& replica,
               routing::RequestKey request = kRequest) {
     RunHistorySharing& sharing = nodes[node]->exchange->runHistories();
-    sharing.record(request, {sharing.nextRunNumber(), replica}, kLifetime);
+    routing::ReplicaRun run{sharing.nextRunNumber(), replica};
+    run.isInterrupted = true;
+    sharing.record(request, run, kLifetime);
   }
   std::size_t countedAt(std::size_t node) {
     return nodes[node]->exchange->runHistories().decide(kRequest).uncertainReplicas;
@@ -222,9 +224,14 @@
   const Instant receivedAt{seconds(5000)};
   RequestRuns runs{kRequest, {}};
   for (const char* replica : {"i-7f3a91c2d0", "i-7f3a91c2d1", "i-7f3a91c2d2"}) {
-    runs.history.runs.push_back({0xfedcba9876543210, replica,
-                                 routing::ReplicaStart(1'800'000'000'000), sentAt - seconds(2),
-                                 routing::RunState::Ended, 3, true});
+    routing::ReplicaRun sent{0xfedcba9876543210, replica, routing::ReplicaStart(1'800'000'000'000)};
+    sent.at = sentAt - seconds(2);
+    sent.mayRunUntil = sentAt + seconds(3);
+    sent.isInterrupted = true;
+    sent.state = routing::RunState::Ended;
+    sent.revision = 3;
+    sent.atFailingReplica = true;
+    runs.history.runs.push_back(sent);
   }
   runs.history.keepUntil = sentAt + seconds(60);
   const std::string one = encodeRequestRecord(RunHistoriesMessage{{runs}}, sentAt);
@@ -245,6 +252,8 @@
   CHECK(decoded.history.runs[0].at == receivedAt - seconds(2));
   CHECK(decoded.history.runs[0].state == routing::RunState::Ended);
   CHECK_TRUE(decoded.history.runs[0].atFailingReplica);
+  CHECK_TRUE(decoded.history.runs[0].isInterrupted);
+  CHECK(decoded.history.runs[0].mayRunUntil == receivedAt + seconds(3));
   CHECK(decoded.history.keepUntil == receivedAt + seconds(60));
 }
 
--- a/tests/http/http_client_test.cpp
+++ b/tests/http/http_client_test.cpp
@@ -273,6 +273,28 @@
   CHECK_TRUE(client->hasIdleConnection(other.address()));
 }
 
+TEST(HttpClient, SendsOnAConnectionOfTheAgeAskedForOrNotAtAll) {
+  ScriptedServer server(context, answerWith(kHello));
+  const HttpClientPtr client = makeHttpClient(context);
+  const auto handle = client->send(requestTo(server.address()), ending.handler());
+  CHECK_FALSE(handle->connectionOpenedAt().has_value());
+  wait();
+  const Instant openedAt = *handle->connectionOpenedAt();
+  Request request = requestTo(server.address());
+  request.connectionOpenedBefore = openedAt;
+  ending = {};
+  client->send(request, ending.handler());
+  wait();
+  CHECK(ending.failure->stage == FailureStage::NotSent);
+  request.connectionOpenedBefore = openedAt + milliseconds(1);
+  ending = {};
+  const auto second = client->send(request, ending.handler());
+  wait();
+  CHECK_TRUE(ending.response.has_value());
+  CHECK(second->connectionOpenedAt() == openedAt);
+  LONGS_EQUAL(1, server.connections.size());
+}
+
 TEST(HttpClient, OpensANewConnectionWhenTheIdleOneWasClosed) {
   ScriptedServer server(context, answerWith(kHello));
   const HttpClientPtr client = makeHttpClient(context);
--- a/tests/routing/replica_life_test.cpp
+++ b/tests/routing/replica_life_test.cpp
@@ -113,17 +113,6 @@
   LONGS_EQUAL(0, later->inFlight);
 }
 
-TEST(ReplicaLife, theRegistrationsTellWhenTheProcessAfterEachIncarnationBegan) {
-  table.upsert(entryOf(kFirstStart));
-  table.upsert(entryOf(kSecondStart), now + seconds(1));
-  table.upsert(entryOf(kSecondStart + 1), now + seconds(2));
-  const RegistrationView view = registrationViewOf(table, now);
-  const std::string id = only()->entry.id;
-  CHECK(view.nextBeganAt(id, ReplicaStart(kFirstStart)) == now + seconds(1));
-  CHECK(view.nextBeganAt(id, ReplicaStart(kSecondStart)) == now + seconds(2));
-  CHECK(view.nextBeganAt(id, ReplicaStart(kSecondStart + 1)) == std::nullopt);
-}
-
 TEST(ReplicaLife, theSameStartIsTheSameIncarnation) {
   table.upsert(entryOf(kFirstStart));
   const ReplicaPtr replica = only();
--- a/tests/routing/run_histories_test.cpp
+++ b/tests/routing/run_histories_test.cpp
@@ -16,6 +16,7 @@
 const RequestKey kRequest{1, 2};
 const RequestKey kOther{3, 4};
 constexpr Duration kLifetime = seconds(600);
+constexpr Duration kRunTime = seconds(4);
 
 }  // namespace
 
@@ -26,7 +27,6 @@
   Instant readAt = now;
   bool isListed = true;
   std::set<std::string> absent;
-  std::optional<Instant> nextBeganAt;
 
   RegistrationView view() {
     return {[this](const std::string& id, std::optional<ReplicaStart> /*startedAt*/) {
@@ -35,30 +35,24 @@
               }
               return absent.contains(id) ? Registration::Absent : Registration::Present;
             },
-            readAt,
-            [this](const std::string& /*id*/, std::optional<ReplicaStart> /*startedAt*/) {
-              return nextBeganAt;
-            }};
+            readAt};
   }
-  void record(const std::string& replica) {
-    histories.record(kRequest, {numberOf(replica), replica, ReplicaStart(1)}, now + kLifetime, now);
+  /// A run was interrupted.
+  void record(const std::string& replica, bool atFailingReplica = false) {
+    histories.record(kRequest, interruptedRun(numberOf(replica), replica, atFailingReplica),
+                     now + kLifetime, now);
+  }
+  ReplicaRun interruptedRun(std::uint64_t number, const std::string& replica,
+                            bool atFailingReplica = false) {
+    ReplicaRun run{number, replica, ReplicaStart(1)};
+    run.mayRunUntil = now + kRunTime;
+    run.isInterrupted = true;
+    run.atFailingReplica = atFailingReplica;
+    return run;
   }
   bool settle(const std::string& replica, RunState state) {
     return histories.settle(kRequest, numberOf(replica), state, RunEvidence::Replica);
   }
-  void recordAtFailingReplica(const std::string& replica) {
-    ReplicaRun run{numberOf(replica), replica, ReplicaStart(1), {}, RunState::Uncertain};
-    run.atFailingReplica = true;
-    histories.record(kRequest, run, now + kLifetime, now);
-  }
-  void checkNeverCertainAtFailingReplica() {
-    recordAtFailingReplica("a");
-    absent = {"a"};
-    pass(milliseconds(500));
-    LONGS_EQUAL(1, decide().uncertainReplicas);
-    pass(knobs.confirmationTime);
-    LONGS_EQUAL(0, decide().uncertainReplicas + decide().endedReplicas);
-  }
   /// \return the number of the only run at a replica.
   static std::uint64_t numberOf(const std::string& replica) {
     return std::hash<std::string>{}(replica);
@@ -89,22 +83,17 @@
   CHECK_FALSE(decide(kOther).isQuarantined);
 }
 
-TEST(RunHistories, aRunAtAFailingReplicaDoesNotCountIfTheNextProcessStartedAfterIt) {
-  recordAtFailingReplica("a");
+// Its process may have ended before, so that the refusal is not final; but it may have lived.
+TEST(RunHistories, aRunAtAFailingReplicaCountsAndIsNeverCertain) {
+  record("a", true);
+  record("b");
+  record("c");
+  absent = {"a", "b", "c"};
+  pass(seconds(60));
+  CHECK_TRUE(decide().isQuarantined);
+  LONGS_EQUAL(2, decide().endedReplicas);
   LONGS_EQUAL(1, decide().uncertainReplicas);
-  nextBeganAt = now + milliseconds(1);
-  absent = {"a"};
-  pass(milliseconds(500));
-  LONGS_EQUAL(0, decide().uncertainReplicas + decide().endedReplicas);
-}
-
-TEST(RunHistories, aRunAtAFailingReplicaIsNeverCertainIfTheNextProcessMayHaveStarted) {
-  nextBeganAt = now - kMaxClockSkew;
-  checkNeverCertainAtFailingReplica();
-}
-
-TEST(RunHistories, aRunAtAFailingReplicaThatNoProcessFollowsIsNeverCertain) {
-  checkNeverCertainAtFailingReplica();
+  CHECK(decide().retryAfter == kLifetime - seconds(60));
 }
 
 TEST(RunHistories, aRunThatIsRecordedAgainCountsOnce) {
@@ -117,37 +106,52 @@
 // A process that took over a replica's id may not have been read yet.
 TEST(RunHistories, eachRunAtOneReplicaCounts) {
   for (std::uint64_t number = 1; number <= 3; ++number) {
-    histories.record(kRequest, {number, "a", ReplicaStart(1), {}, RunState::Uncertain},
-                     now + kLifetime, now);
+    histories.record(kRequest, interruptedRun(number, "a"), now + kLifetime, now);
   }
   CHECK_TRUE(decide().isQuarantined);
 }
 
-TEST(RunHistories, furtherRunsAtAReplicaThatEndedCountUntilItsRegistrationsAreKnown) {
+// Each may have met another process under the id, one that ended before its registration was read.
+TEST(RunHistories, furtherRunsAtAReplicaThatEndedCountAndAreNeverCertain) {
   for (std::uint64_t number = 1; number <= 3; ++number) {
-    histories.record(kRequest, {number, "a", ReplicaStart(1), {}, RunState::Uncertain},
-                     now + kLifetime, now);
+    histories.record(kRequest, interruptedRun(number, "a"), now + kLifetime, now);
   }
   absent = {"a"};
-  pass(seconds(1));
+  pass(seconds(60));
   CHECK_TRUE(decide().isQuarantined);
   LONGS_EQUAL(1, decide().endedReplicas);
-  CHECK(decide().retryAfter == knobs.confirmationTime - seconds(1));
-  pass(knobs.confirmationTime);
-  CHECK_FALSE(decide().isQuarantined);
-  LONGS_EQUAL(1, decide().endedReplicas);
+  CHECK(decide().retryAfter == kLifetime - seconds(60));
 }
 
-TEST(RunHistories, aReplicaThatIsStillRegisteredLaterDoesNotCount) {
+// It may be the next process under the id, or an entry that the store has not removed yet.
+TEST(RunHistories, aRegistrationThatIsStillThereProvesNothing) {
   for (const char* replica : {"a", "b", "c"}) {
     record(replica);
   }
-  CHECK(decide().retryAfter == knobs.confirmationTime);
-  pass(knobs.confirmationTime);
-  CHECK_FALSE(decide().isQuarantined);
-  absent = {"a", "b", "c"};  // They leave for another reason.
-  pass(seconds(10));
-  CHECK_FALSE(decide().isQuarantined);
+  CHECK(decide().retryAfter == kRunTime + knobs.usualProofTime);
+  pass(seconds(60));
+  CHECK_TRUE(decide().isQuarantined);
+  CHECK(decide().retryAfter == knobs.usualProofTime);
+  absent = {"a", "b", "c"};
+  pass(seconds(1));
+  LONGS_EQUAL(3, decide().endedReplicas);
+}
+
+TEST(RunHistories, runsInProgressCountAndMayBeAnsweredSoon) {
+  for (std::uint64_t number = 1; number <= 3; ++number) {
+    ReplicaRun run = interruptedRun(number, std::to_string(number));
+    run.isInterrupted = false;
+    histories.record(kRequest, run, now + kLifetime, now);
+  }
+  CHECK_TRUE(decide().isQuarantined);
+  CHECK(decide().retryAfter == knobs.usualProofTime);
+}
+
+TEST(RunHistories, runsInProgressAreNotClearedByAnEqualRequest) {
+  ReplicaRun run = interruptedRun(1, "a");
+  run.isInterrupted = false;
+  histories.record(kRequest, run, now + kLifetime, now);
+  CHECK_FALSE(histories.clear(kRequest, now, RunEvidence::EqualRequest));
 }
 
 TEST(RunHistories, replicasWhoseRegistrationsAreGoneCountUntilTheHistoryExpires) {
@@ -174,8 +178,8 @@
   pass(seconds(4));
   record("c");
   CHECK_TRUE(decide().isQuarantined);
-  CHECK(decide().retryAfter == knobs.confirmationTime);
-  pass(knobs.confirmationTime);
+  CHECK(decide().retryAfter == kRunTime + knobs.usualProofTime);
+  CHECK_TRUE(settle("c", RunState::Survived));
   CHECK_FALSE(decide().isQuarantined);
 }
 
@@ -195,10 +199,8 @@
   absent = {"a"};
   record("a");
   LONGS_EQUAL(0, decide().endedReplicas);
-  absent.clear();
-  pass(knobs.confirmationTime);
-  absent = {"a"};
-  LONGS_EQUAL(0, decide().endedReplicas);
+  pass(milliseconds(100));
+  LONGS_EQUAL(1, decide().endedReplicas);
 }
 
 TEST(RunHistories, aRunThatWasNotExecutedDoesNotCount) {
