Run records: a run that breaks off at once at a failing replica counts

Callers saw requests go on after three ends. Cause: a run that broke off within 20 ms, within 0.2 s of the replica's last failure, was recorded as not executed, and a first one not at all. A replica that resets one connection may live and end under the next request.

Such runs count, without making a refusal final. So that innocent requests do not gather them, a request with a counted run avoids, for 1.5 s, replicas that broke off a request and have sent nothing since (SignOfLifeRule); if there is no other, it is refused with a time to come back instead of being spent on a dead replica. A stream is still resumed at the replica where it ran.

runsThatMeetReplicasThatHadAlreadyEndedDoNotCount asserted the fault, for four runs in a row; runsThatBreakOffAtOnceAtFailingReplicasCount and aRequestWithCountedRunsGoesToReplicasThatShowLife take its place.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -78,9 +78,6 @@
   /// many callers may have the same content, so that a wrong quarantine concerns all of them.
   Duration runHistoryLifetime = seconds(600);
   Duration runHistoryLifetimeOutsidePrograms = seconds(60);
-  /// A run that breaks off so soon at a failing replica met no process, unless one can have
-  /// started.
-  Duration immediateFailureTime = milliseconds(20);
   /// The least time that a replica takes to start again.
   Duration minimumRestartTime = milliseconds(200);
   /// Longest wait of a stream without a recorded origin for a newer read of the registrations, and
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -131,7 +131,8 @@
                     seed),
       // The region rule comes first: a replica that it excludes is no reason to wait for capacity.
       placement_(replicas_, selector_, admission_,
-                 {&regionRule_, &softwareVersionRule_, &evacuationRule_, &coldReplicas_}),
+                 {&regionRule_, &softwareVersionRule_, &evacuationRule_, &signOfLifeRule_,
+                  &coldReplicas_}),
       fleetLoad_({}, routing::regionHashOf(zones_.regionOf(settings_.zone))),
       loadExchange_(
           context, {}, seed, routing::regionHashOf(zones_.regionOf(settings_.zone)),
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -37,6 +37,7 @@
 #include "routing/locality.h"
 #include "routing/region_rule.h"
 #include "routing/service_times.h"
+#include "routing/sign_of_life_rule.h"
 #include "routing/software_version_history.h"
 #include "routing/software_version_rule.h"
 #include "routing/speed_contrast.h"
@@ -245,6 +246,7 @@
   routing::EvacuationTable evacuations_;
   routing::RegionRule regionRule_;
   routing::SoftwareVersionRule softwareVersionRule_;
+  routing::SignOfLifeRule signOfLifeRule_;
   routing::EvacuationRule evacuationRule_;
   routing::ColdReplicaRule coldReplicas_;
   /// Whether the cold states of replicas were known when last logged; unset if never logged.
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -254,6 +254,8 @@
   /// \return whether the request may be dispatched, considering the replicas that ended under it.
   [[nodiscard]] routing::QuarantineDecision quarantineDecision() const;
   [[nodiscard]] bool isQuarantined() const { return quarantineDecision().isQuarantined; }
+  /// \return whether replicas may have ended under the request.
+  [[nodiscard]] bool hasCountedRuns() const;
   /// Ends the request if it is quarantined.
   /// \return whether it has ended.
   bool endIfQuarantined();
--- a/src/edge/exchange_placement.cpp
+++ b/src/edge/exchange_placement.cpp
@@ -16,6 +16,7 @@
   query.replica.waitsForSlot = checked_.hasEngine;
   query.replica.tried = &excludedReplicas_;
   query.subject = placementSubject();
+  query.subject.needsSignOfLife = hasCountedRuns();
   query.replica.isConnected = [this](const routing::Replica& replica) {
     return context_.client.hasIdleConnection(replica.entry.address);
   };
--- a/src/edge/exchange_quarantine.cpp
+++ b/src/edge/exchange_quarantine.cpp
@@ -36,6 +36,11 @@
   return context_.runHistories->decide(requestKey());
 }
 
+bool Exchange::hasCountedRuns() const {
+  const RunHistoryDirectory* const histories = context_.runHistories;
+  return histories != nullptr && !histories->isEmpty() && histories->countedRuns(requestKey()) > 0;
+}
+
 bool Exchange::endIfQuarantined() {
   const routing::QuarantineDecision decision = quarantineDecision();
   if (!decision.isQuarantined) {
@@ -103,13 +108,6 @@
   routing::ReplicaRun run = currentRun();
   run.isInterrupted = true;
   run.atFailingReplica = !runCountsAlready_ && metFailingReplica();
-  const bool isImmediate = context_.clock() - dispatchedAt_ < context_.knobs.immediateFailureTime;
-  const bool isBeforeRestart =
-      dispatchedAt_ < replica_->failingSince + context_.knobs.minimumRestartTime;
-  if (run.atFailingReplica && isImmediate && isBeforeRestart) {
-    recordNotExecuted();
-    return;
-  }
   context_.runHistories->record(requestKey(), run, runHistoryLifetime());
   watchForSurvival();
 }
--- a/src/routing/placement_rule.h
+++ b/src/routing/placement_rule.h
@@ -21,6 +21,8 @@
   RegionNotAllowed,   ///< The replica is outside the regions that the request is limited to.
   /// The request continues a stream that replicas of another software version began.
   OtherSoftwareVersion,
+  /// The replica may have ended, and the request must not be counted against it.
+  NoSignOfLife,
 };
 
 /// \return a stable snake_case name for log lines and refusals.
@@ -32,6 +34,8 @@
   const RegionSet* allowedRegions = nullptr;
   /// The only software version that may serve the request; null: any.
   const std::string* softwareVersion = nullptr;
+  /// Replicas may have ended under the request.
+  bool needsSignOfLife = false;
 };
 
 /// A condition that excludes replicas from requests. All ways of sending a request apply the same
--- a/src/routing/replica_placement.cpp
+++ b/src/routing/replica_placement.cpp
@@ -37,6 +37,8 @@
       return "replicas_cold";
     case ExclusionReason::OtherSoftwareVersion:
       return "software_version_gone";
+    case ExclusionReason::NoSignOfLife:
+      return "replicas_may_have_ended";
     case ExclusionReason::RegionNotAllowed:
       break;
   }
--- a/tests/edge/exchange_ended_replicas_test.cpp
+++ b/tests/edge/exchange_ended_replicas_test.cpp
@@ -245,35 +245,50 @@
   LONGS_EQUAL(503, world.start(ExchangeWorld::request("unsafe"))->status);
 }
 
-// Connections to a replica that has ended may be accepted and reset by a proxy.
-TEST(ExchangeEndedReplicas, runsThatMeetReplicasThatHadAlreadyEndedDoNotCount) {
+// Connections to a replica that has ended may be accepted and reset by a proxy, but a replica that
+// reset one connection may also have lived and ended under the next request.
+TEST(ExchangeEndedReplicas, runsThatBreakOffAtOnceAtFailingReplicasCount) {
   for (const char* replica : {"r1", "r2", "r3"}) {
     world.replicas.find(replica)->failures = 1;
     world.replicas.find(replica)->failingSince = world.timers.now;
   }
-  wait(milliseconds(100));
-  for (int attempt = 0; attempt < 4; ++attempt) {
-    world.start(ExchangeWorld::request("unsafe"));
-    wait(milliseconds(1));
-    world.call().fail(http::FailureStage::Broken);
-  }
-  LONGS_EQUAL(4, world.dispatches());
-  CHECK_TRUE(world.runHistories.isEmpty());
+  wait(milliseconds(5));
+  breakOff(ExchangeWorld::request("unsafe"));
+  const auto& history = world.runHistories.histories().all().begin()->second;
+  LONGS_EQUAL(1, history.countedRuns());
+  CHECK_TRUE(history.runs.back().atFailingReplica);
 }
 
-TEST(ExchangeEndedReplicas, runsThatLastOrComeAfterARestartCountBesideEarlierFailures) {
-  for (const Duration pause : {milliseconds(0), milliseconds(250)}) {
-    for (const char* replica : {"r1", "r2", "r3"}) {
-      world.replicas.find(replica)->failures = 1;
-      world.replicas.find(replica)->failingSince = world.timers.now;
-    }
-    wait(pause);
-    world.start(ExchangeWorld::request("unsafe"));
-    wait(pause > Duration::zero() ? milliseconds(1) : milliseconds(30));
-    world.call().fail(http::FailureStage::Broken);
+TEST(ExchangeEndedReplicas, aRequestWithCountedRunsGoesToReplicasThatShowLife) {
+  breakOff(ExchangeWorld::request("unsafe"));
+  for (const char* replica : {"r1", "r2", "r3"}) {
+    world.replicas.find(replica)->failures = 1;
+    world.replicas.find(replica)->failingSince = world.timers.now;
   }
-  LONGS_EQUAL(1, world.runHistories.histories().all().size());
-  LONGS_EQUAL(2, world.runHistories.histories().all().begin()->second.countedRuns());
+  const auto refused = world.start(ExchangeWorld::request("unsafe"));
+  LONGS_EQUAL(503, refused->status);
+  STRCMP_EQUAL("replicas_may_have_ended", refused->body.c_str());
+  CHECK(refused->retryAfter.size() > 1);
+  CallRequest other = ExchangeWorld::request("unsafe");
+  other.body = "another";
+  world.start(other);
+  LONGS_EQUAL(2, world.dispatches());
+  wait();
+  world.replicas.find("r2")->lastDataAt = world.timers.now;
+  world.start(ExchangeWorld::request("unsafe"));
+  LONGS_EQUAL(3, world.dispatches());
+  STRCMP_EQUAL("r2", askedReplica().c_str());
+}
+
+TEST(ExchangeEndedReplicas, failingReplicasAreAvoidedForABoundedTime) {
+  breakOff(ExchangeWorld::request("unsafe"));
+  world.replicas.remove("r2");
+  world.replicas.remove("r3");
+  world.replicas.find("r1")->failures = 1;
+  world.replicas.find("r1")->failingSince = world.timers.now;
+  wait(routing::SignOfLifeKnobs{}.exclusionTime);
+  world.start(ExchangeWorld::request("unsafe"));
+  LONGS_EQUAL(2, world.dispatches());
 }
 
 // The time for a restart counts from the end of the replica, not from the last call that it broke.
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -15,6 +15,7 @@
 #include "logstore/fake_log_store.h"
 #include "logstore/retrying_store.h"
 #include "quota/quota_admission.h"
+#include "routing/sign_of_life_rule.h"
 #include "routing/software_version_rule.h"
 
 namespace gorsetrail::edge::testing {
@@ -286,7 +287,9 @@
   SurvivalProofs survivalProofs{timers, [this] { return timers.now; }, client, runHistories};
   std::optional<Instant> replicasReadAt{};  ///< Unset: a moment ago.
   routing::SoftwareVersionRule softwareVersionRule;
-  routing::ReplicaPlacement placement{replicas, selector, admission, {&softwareVersionRule}};
+  routing::SignOfLifeRule signOfLifeRule;
+  routing::ReplicaPlacement placement{
+      replicas, selector, admission, {&softwareVersionRule, &signOfLifeRule}};
   EdgeContext context{
       wire,     routes,  placement, ledger, quota, client, timers, [this] { return timers.now; },
       eventLog, metrics, {},        {},     {},    true};
