Run records: a success clears the runs of its own session

With answers that settle only their own run, the calls of one tool by one program, which are equal, add up over the program's life: an innocent program that met three ends in all would be refused although each call was answered.

A caller that got a success is done with the request, and what it sends later with the same content is another one. So a success clears the runs of its session that were interrupted before it was dispatched; the record holds a hash of the session. A sibling's answer clears none.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -434,7 +434,7 @@
     return false;
   }
   log_.logImportant("quarantine_released", {{"request_key", routing::textOf(request)}});
-  runs.clear(request, clock_(), routing::RunEvidence::Operator);
+  runs.clear(request, std::nullopt, clock_(), routing::RunEvidence::Operator);
   return true;
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -264,6 +264,8 @@
   [[nodiscard]] std::string interruptionReason(std::string_view reason);
   /// \return the current run, for the record.
   [[nodiscard]] routing::ReplicaRun currentRun() const;
+  /// \return the session for the record; 0 outside programs.
+  [[nodiscard]] std::uint32_t sessionHash() const;
   [[nodiscard]] Duration runHistoryLifetime() const;
   /// \return whether the process may have ended before the interrupted run was dispatched.
   [[nodiscard]] bool metFailingReplica() const;
--- a/src/edge/exchange_quarantine.cpp
+++ b/src/edge/exchange_quarantine.cpp
@@ -4,6 +4,8 @@
 // Each run counts against the route's limit of replicas while it may be in progress, and against
 // the limit of ended replicas from its interruption on, until the replica is known to have
 // survived.
+#include <xxhash.h>
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -85,7 +87,16 @@
 }
 
 routing::ReplicaRun Exchange::currentRun() const {
-  return {runNumber_, replica_->entry.id, replica_->entry.startedAt, {}, deadlineAt_};
+  routing::ReplicaRun run{runNumber_, replica_->entry.id, replica_->entry.startedAt};
+  run.session = sessionHash();
+  run.mayRunUntil = deadlineAt_;
+  return run;
+}
+
+std::uint32_t Exchange::sessionHash() const {
+  return request_.sessionId.empty()
+             ? 0
+             : XXH32(request_.sessionId.data(), request_.sessionId.size(), 0);
 }
 
 Duration Exchange::runHistoryLifetime() const {
@@ -168,10 +179,12 @@
     context_.runHistories->settle(requestKey(), runNumber_, routing::RunState::Survived,
                                   routing::RunEvidence::Answer);
   }
-  // Only a program's requests are known to be one request. Others with the same content come from
-  // many callers, so that a success says that the content does not end replicas.
-  if (request_.programId.empty() && runHead_.status < kFirstFailureStatus) {
-    context_.runHistories->clear(requestKey(), dispatchedAt_, routing::RunEvidence::EqualRequest);
+  // A caller that got a success is done with the request. Another session's request with the same
+  // content is another request. Outside programs there are no sessions, and many callers send the
+  // same content; a success says there that the content does not end replicas.
+  if (runHead_.status < kFirstFailureStatus) {
+    context_.runHistories->clear(requestKey(), sessionHash(), dispatchedAt_,
+                                 routing::RunEvidence::LaterSuccess);
   }
 }
 
--- a/src/edge/request_record_message.cpp
+++ b/src/edge/request_record_message.cpp
@@ -66,15 +66,29 @@
                 fbs::CreateOriginReply(builder, reply.number, knowledge));
 }
 
+fbs::RunState wireState(routing::RunState state) {
+  switch (state) {
+    case routing::RunState::NotExecuted:
+      return fbs::RunState::ProvedNotExecuted;
+    case routing::RunState::Survived:
+      return fbs::RunState::ProvedSurvived;
+    case routing::RunState::Ended:
+      return fbs::RunState::Ended;
+    case routing::RunState::Uncertain:
+      break;
+  }
+  return fbs::RunState::Uncertain;
+}
+
 flatbuffers::Offset<fbs::RunHistory> encodeHistory(Builder& builder, const RequestRuns& runs,
                                                    Instant now) {
   std::vector<flatbuffers::Offset<fbs::ReplicaRun>> encoded;
   for (const routing::ReplicaRun& run : runs.history.runs) {
     encoded.push_back(fbs::CreateReplicaRun(
         builder, builder.CreateString(run.replicaId), run.startedAt ? run.startedAt->value() : 0,
-        wireMilliseconds(now - run.at), static_cast<fbs::RunState>(run.state), run.revision,
-        run.number, run.atFailingReplica, true, run.isInterrupted,
-        wireMilliseconds(run.mayRunUntil - now)));
+        wireMilliseconds(now - run.at), wireState(run.state), run.revision, run.number,
+        run.atFailingReplica, run.isInterrupted, wireMilliseconds(run.mayRunUntil - now),
+        run.session));
   }
   const auto list = builder.CreateVector(encoded);
   const fbs::RequestKey key = structOf(runs.request);
@@ -112,15 +126,17 @@
   return {read.number(), routing::UnknownOrigin{}};
 }
 
-/// A state of a later build, and one without proof of an earlier build, is read as `Uncertain`.
-routing::RunState readState(const fbs::ReplicaRun& read) {
-  switch (read.state()) {
-    case fbs::RunState::NotExecuted:
-      return read.is_proved() ? routing::RunState::NotExecuted : routing::RunState::Uncertain;
-    case fbs::RunState::Survived:
-      return read.is_proved() ? routing::RunState::Survived : routing::RunState::Uncertain;
+/// A state of a later build, and a verdict without proof of an earlier one, is read as `Uncertain`.
+routing::RunState readState(fbs::RunState read) {
+  switch (read) {
+    case fbs::RunState::ProvedNotExecuted:
+      return routing::RunState::NotExecuted;
+    case fbs::RunState::ProvedSurvived:
+      return routing::RunState::Survived;
     case fbs::RunState::Ended:
       return routing::RunState::Ended;
+    case fbs::RunState::NotExecuted:
+    case fbs::RunState::Survived:
     case fbs::RunState::Uncertain:
       break;
   }
@@ -140,10 +156,11 @@
       decoded.startedAt = routing::ReplicaStart(run.started_unix_ms());
     }
     decoded.at = now - milliseconds(run.age_ms());
-    decoded.state = readState(run);
+    decoded.state = readState(run.state());
     decoded.revision = run.revision();
     decoded.number = run.number();
     decoded.atFailingReplica = run.at_failing_replica();
+    decoded.session = run.session();
     decoded.isInterrupted = run.is_interrupted();
     decoded.mayRunUntil = now + milliseconds(run.may_run_ms());
     runs.history.runs.push_back(std::move(decoded));
--- a/src/edge/run_history_directory.h
+++ b/src/edge/run_history_directory.h
@@ -42,8 +42,9 @@
   virtual void settle(const routing::RequestKey& request, std::uint64_t number,
                       routing::RunState state, routing::RunEvidence evidence) = 0;
   /// Clears the runs that were interrupted until then, here and at all nodes.
-  virtual void clear(const routing::RequestKey& request, Instant until,
-                     routing::RunEvidence evidence) = 0;
+  /// \param session whose runs; unset: those of all.
+  virtual void clear(const routing::RequestKey& request, std::optional<std::uint32_t> session,
+                     Instant until, routing::RunEvidence evidence) = 0;
   /// \return whether the request may be dispatched, by what this node knows.
   [[nodiscard]] virtual routing::QuarantineDecision decide(
       const routing::RequestKey& request) const = 0;
--- a/src/edge/run_history_sharing.cpp
+++ b/src/edge/run_history_sharing.cpp
@@ -59,9 +59,10 @@
   }
 }
 
-void RunHistorySharing::clear(const routing::RequestKey& request, Instant until,
+void RunHistorySharing::clear(const routing::RequestKey& request,
+                              std::optional<std::uint32_t> session, Instant until,
                               routing::RunEvidence evidence) {
-  if (histories_.clear(request, until, evidence)) {
+  if (histories_.clear(request, session, until, evidence)) {
     broadcast(request);
   }
 }
--- a/src/edge/run_history_sharing.h
+++ b/src/edge/run_history_sharing.h
@@ -71,8 +71,8 @@
               Duration keepFor) override;
   void settle(const routing::RequestKey& request, std::uint64_t number, routing::RunState state,
               routing::RunEvidence evidence) override;
-  void clear(const routing::RequestKey& request, Instant until,
-             routing::RunEvidence evidence) override;
+  void clear(const routing::RequestKey& request, std::optional<std::uint32_t> session,
+             Instant until, routing::RunEvidence evidence) override;
   [[nodiscard]] routing::QuarantineDecision decide(
       const routing::RequestKey& request) const override;
 
--- a/src/routing/run_histories.h
+++ b/src/routing/run_histories.h
@@ -32,6 +32,8 @@
   std::uint64_t number = 0;  ///< Random; identifies the run.
   std::string replicaId;
   std::optional<ReplicaStart> startedAt{};  ///< Unset: unknown.
+  /// Of the program's lines of turns, the one whose request this is; a hash.
+  std::uint32_t session = 0;
   /// The dispatch; of an interrupted run the interruption.
   Instant at{};
   /// Until then the replica may work on the run: the deadline that it was given.
@@ -69,10 +71,11 @@
   Registrations,  ///< The registration of the incarnation is gone, by a read after the run.
   /// The replica answered a later request on a connection that was opened before the run.
   EarlierConnection,
-  Answer,        ///< The replica answered this run whole.
-  EqualRequest,  ///< Outside programs, an equal request was answered with success afterwards.
-  Operator,      ///< An operator let the request pass.
-  OtherNode,     ///< Another node settled it.
+  Answer,  ///< The replica answered this run whole.
+  /// The session got a success of the request that was dispatched after the interruption.
+  LaterSuccess,
+  Operator,   ///< An operator let the request pass.
+  OtherNode,  ///< Another node settled it.
 };
 /// \return a stable snake_case name for log lines.
 [[nodiscard]] std::string_view runStateName(RunState state);
@@ -122,8 +125,10 @@
   /// \return whether that is news.
   bool settle(const RequestKey& key, std::uint64_t number, RunState state, RunEvidence evidence);
   /// Clears the runs that were interrupted until then.
+  /// \param session whose runs; unset: those of all.
   /// \return whether any counted.
-  bool clear(const RequestKey& key, Instant until, RunEvidence evidence);
+  bool clear(const RequestKey& key, std::optional<std::uint32_t> session, Instant until,
+             RunEvidence evidence);
   /// Adds what another node knows.
   /// \return whether anything was new.
   bool merge(const RequestKey& key, const RunHistory& other, Instant now);
