HTTP client, edge: answers without end are broken off within bounds

A replica in trouble may send bytes that are no answer until its caller closes. Plain bodies took 64 MB for each request, above the memory of a small node with a few of them, and an event without end was read again from its start with each part.

The run counts as interrupted: nothing shows yet that its replica lives, and its next answer on an earlier connection does.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "edge/answer_memory.h"
 #include "edge/edge_metrics.h"
 #include "edge/event_log.h"
 #include "edge/retry_control.h"
@@ -131,6 +132,7 @@
   RunHistoryDirectory* runHistories = nullptr;
   /// Null: interrupted runs are settled by registrations only.
   SurvivalProofs* survivalProofs = nullptr;
+  AnswerMemory answerMemory{kDefaultAnswerBytes};
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -170,7 +170,8 @@
                  return versionHistory_.onlyVersionOf(service, replicas_, clock_());
                },
                &requestRecords_.runHistories(),
-               &survivalProofs_},
+               &survivalProofs_,
+               AnswerMemory(maximumAnswerBytesOf(settings_))},
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -50,6 +50,8 @@
   values.quarantineRefusals = context_.counters.quarantineRefusals;
   values.runHistoriesDropped = runs.histories().droppedHistories();
   values.runHistoryBroadcastsLimited = runs.limitedBroadcasts();
+  values.answersEndedForSize = context_.answerMemory.ended();
+  values.answerBytes = context_.answerMemory.bytes();
   values.runsWithoutProof = survivalProofs_.size();
   values.streamsContinued = context_.counters.streamsContinued;
   values.streamsNotContinued = context_.counters.streamsNotContinued;
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -44,6 +44,11 @@
   return settings.memoryBytes / kShareOfMemory;
 }
 
+std::size_t maximumAnswerBytesOf(const EdgeSettings& settings) {
+  // As much as what clients have not read, which answers become.
+  return maximumUnreadBytesOf(settings);
+}
+
 logstore::AdaptiveRetrySettings storePaceOf(const EdgeSettings& settings) {
   logstore::AdaptiveRetrySettings knobs;
   if (!settings.uses(Mechanism::HedgedStoreCalls)) {
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -30,6 +30,8 @@
 
 /// \return for one listener, the maximum bytes of responses that clients have not read yet.
 std::uint64_t maximumUnreadBytesOf(const EdgeSettings& settings);
+/// \return the memory for unfinished answers of replicas.
+std::size_t maximumAnswerBytesOf(const EdgeSettings& settings);
 
 logstore::AdaptiveRetrySettings storePaceOf(const EdgeSettings& settings);
 
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -103,6 +103,11 @@
              snapshot.runHistories);
   list.gauge("requests_quarantined", "Requests not sent again, since replicas ended under them",
              snapshot.requestsQuarantined);
+  list.gauge("answer_bytes", "Memory of unfinished answers of replicas, in bytes",
+             snapshot.answerBytes);
+  list.counter("answers_ended_for_size_total",
+               "Answers of replicas broken off as the largest, beyond the memory for all",
+               snapshot.answersEndedForSize);
   list.gauge("runs_without_proof", "Interrupted runs whose replicas may have ended, of this node",
              snapshot.runsWithoutProof);
   list.counter("quarantine_refusals_total",
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -96,8 +96,10 @@
   std::uint64_t quarantineRefusals = 0;
   std::uint64_t runHistoriesDropped = 0;  ///< Before their expiry, for lack of space.
   std::uint64_t runHistoryBroadcastsLimited = 0;
+  std::uint64_t answersEndedForSize = 0;
+  std::uint64_t answerBytes = 0;       ///< Gauge: unfinished answers of replicas.
   std::uint64_t runsWithoutProof = 0;  ///< Gauge: interrupted runs of this node, not settled yet.
-  std::uint64_t streamsContinued = 0;     ///< Requests that continue a stream, sent on.
+  std::uint64_t streamsContinued = 0;  ///< Requests that continue a stream, sent on.
   std::uint64_t streamsNotContinued = 0;  ///< Likewise, refused.
   std::uint64_t retriesWithheld = 0;      ///< Dispatches after refusals, by the retry budget.
   /// Gauge: refused callers ahead in the retry order of each service.
--- a/src/edge/event_splitter.cpp
+++ b/src/edge/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "edge/event_splitter.h"
 
+#include <utility>
+
 namespace gorsetrail::edge {
 namespace {
 
@@ -32,28 +34,28 @@
 std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes) {
   partial_ += bytes;
   std::vector<StreamEvent> events;
-  StreamEvent event;
-  bool hasData = false;
   std::size_t eventStart = 0;
-  std::size_t lineStart = 0;
-  std::size_t lineEnd = partial_.find('\n');
+  std::size_t lineEnd = partial_.find('\n', scanned_);
   while (lineEnd != std::string::npos) {
     const std::string_view line =
-        withoutCarriageReturn(std::string_view(partial_).substr(lineStart, lineEnd - lineStart));
-    lineStart = lineEnd + 1;
+        withoutCarriageReturn(std::string_view(partial_).substr(lineStart_, lineEnd - lineStart_));
+    lineStart_ = lineEnd + 1;
     if (!line.empty()) {
-      parseLine(line, event, hasData);
+      parseLine(line, event_, hasData_);
     } else {
-      event.text = partial_.substr(eventStart, lineStart - eventStart);
-      events.push_back(std::move(event));
-      event = {};
-      hasData = false;
-      eventStart = lineStart;
+      event_.text = partial_.substr(eventStart, lineStart_ - eventStart);
+      events.push_back(std::exchange(event_, {}));
+      hasData_ = false;
+      eventStart = lineStart_;
     }
-    lineEnd = partial_.find('\n', lineStart);
+    lineEnd = partial_.find('\n', lineStart_);
   }
   partial_.erase(0, eventStart);
+  lineStart_ -= eventStart;
+  scanned_ = partial_.size();
   return events;
 }
 
+void EventSplitter::dropPartialEvent() { *this = {}; }
+
 }  // namespace gorsetrail::edge
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -393,6 +393,7 @@
 
 void Exchange::end(std::string_view outcome, std::string_view reason) {
   ended_ = true;
+  releaseHeldBytes();
   recordUnfinishedRun();
   returnQuotaToken();
   releaseTurnMemory();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -147,6 +147,11 @@
   void onHead(unsigned status, const std::vector<http::Header>& headers);
   void onBody(std::string_view part);
   void onReplicaDone();
+  /// Counts what the unfinished answer holds. May end it.
+  void noteHeldBytes();
+  void releaseHeldBytes();
+  /// The replica sends bytes that are no answer, or more than there is memory for.
+  void breakOffAnswer(std::string_view reason);
   void onReplicaFailure(const http::Failure& failure);
   void onReplicaRefusal();
   /// \return whether the retry budget withholds the step: a dispatch after a refusal for lack of
@@ -325,6 +330,7 @@
   bool noAnswerRecorded_ = false;
   std::vector<http::Header> runHeaders_;  ///< Those of `runHead_` that are passed to the client.
   std::string body_;
+  std::optional<AnswerMemory::Number> heldAnswer_;  ///< Of `body_` and held events.
 
   // State across all dispatches.
   std::vector<routing::ReplicaPtr> excludedReplicas_;  ///< Not selected again.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -115,6 +115,7 @@
   const bool passesEvents = isStreaming() && runHead_.eventStream && runHead_.status == kOk;
   if (!passesEvents) {
     body_ += part;
+    noteHeldBytes();
     return;
   }
   const bool isFirstEvent = progress_.eventsReceived() == eventsBeforeDispatch_;
@@ -125,6 +126,41 @@
       releaseOutput();
     }
   }
+  if (progress_.isEventTooLong()) {
+    breakOffAnswer("event without end");
+  } else {
+    noteHeldBytes();
+  }
+}
+
+void Exchange::noteHeldBytes() {
+  if (ended_ || !call_) {
+    return;
+  }
+  if (!heldAnswer_) {
+    heldAnswer_ = context_.answerMemory.add([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->heldAnswer_.reset();
+        self->breakOffAnswer("answer too large");
+      }
+    });
+  }
+  context_.answerMemory.update(*heldAnswer_, body_.size() + progress_.heldBytes());
+}
+
+void Exchange::releaseHeldBytes() {
+  if (heldAnswer_) {
+    context_.answerMemory.remove(*heldAnswer_);
+    heldAnswer_.reset();
+  }
+}
+
+void Exchange::breakOffAnswer(std::string_view reason) {
+  if (ended_ || !call_) {
+    return;
+  }
+  call_->cancel();
+  onReplicaFailure({http::FailureStage::Broken, std::string(reason)});
 }
 
 void Exchange::onReplicaDone() {
@@ -132,6 +168,7 @@
     return;
   }
   call_.reset();
+  releaseHeldBytes();
   if (runHead_.notExecuted || runHead_.status == kMisdirected) {
     onReplicaRefusal();
     return;
@@ -371,6 +408,7 @@
     return;
   }
   call_.reset();
+  releaseHeldBytes();
   followRestartedReplica();
   const bool requestWritten = failure.stage == http::FailureStage::Broken;
   mayHaveRun_ = mayHaveRun_ || requestWritten;
--- a/src/edge/stream_progress.h
+++ b/src/edge/stream_progress.h
@@ -1,6 +1,7 @@
 /// \file Progress of a request's event stream, across all replicas that it was dispatched to.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -27,6 +28,12 @@
   /// \return whether complete events are buffered.
   [[nodiscard]] bool hasOutput() const { return !output_.empty(); }
   [[nodiscard]] bool hasPartialEvent() const { return splitter_.hasPartialEvent(); }
+  /// \return whether the bytes of the current event are no answer, because it is too long.
+  [[nodiscard]] bool isEventTooLong() const { return splitter_.isEventTooLong(); }
+  /// \return the memory that the events take.
+  [[nodiscard]] std::size_t heldBytes() const {
+    return splitter_.partialBytes() + output_.size() + recordedData_.size();
+  }
   /// \return all complete events received, in all runs.
   [[nodiscard]] std::uint64_t eventsReceived() const { return eventsReceived_; }
   [[nodiscard]] std::uint64_t eventsReleased() const { return eventsReleased_; }
--- a/src/http/client_operation.cpp
+++ b/src/http/client_operation.cpp
@@ -228,9 +228,15 @@
     return;
   }
   buffer_.commit(bytes);
+  receivedBytes_ += bytes;
   parseBuffered();
 }
 
+bool ClientOperation::hasSkippedTooMuch() const {
+  const bool isSkipping = surplus_ || !headReported_;
+  return (isSkipping ? receivedBytes_ : firstOwnByte_) > kMaximumSkippedBytes;
+}
+
 void ClientOperation::parseBuffered() {
   error_code error;
   while (!ended_ && !parser_->is_done() && buffer_.size() > 0) {
@@ -238,7 +244,12 @@
     buffer_.consume(used);
     if (error == beast::http::error::need_more) {
       error = {};
-      break;
+      // The parser wants the whole of a line, and does not limit that of a chunk's size.
+      if (buffer_.size() > kMaximumResponseHeadBytes) {
+        error = beast::http::error::buffer_overflow;
+      } else {
+        break;
+      }
     }
     if (error) {
       fail(FailureStage::Broken, "malformed response: " + error.message());
@@ -251,6 +262,10 @@
   if (ended_) {
     return;
   }
+  if (hasSkippedTooMuch()) {
+    fail(FailureStage::Broken, "malformed response: too many bytes before it");
+    return;
+  }
   if (parser_->is_done()) {
     finishResponse();
   } else {
@@ -289,6 +304,7 @@
   }
   surplus_ = response_.status / 100 != 1 && handler_.isOwn &&
              !handler_.isOwn(response_.status, response_.headers);
+  firstOwnByte_ = surplus_ ? firstOwnByte_ : receivedBytes_ - buffer_.size();
   if (!surplus_ && handler_.onHead) {
     handler_.onHead(response_.status, response_.headers);
   }
--- a/src/http/client_operation.h
+++ b/src/http/client_operation.h
@@ -23,6 +23,9 @@
 /// A response with a larger body fails as malformed.
 inline constexpr std::uint64_t kMaximumResponseBodyBytes = std::uint64_t{64} * 1024 * 1024;
 
+/// Interim responses and responses to earlier requests are skipped up to this size, heads included.
+inline constexpr std::uint64_t kMaximumSkippedBytes = std::uint64_t{4} * 1024 * 1024;
+
 /// Sends one request at most once and reads its response. A second connection is opened only if
 /// the kernel accepted no byte of the request on the first.
 class ClientOperation final : public RequestHandle,
@@ -55,6 +58,8 @@
   void deliverBody(std::string_view part);
   void finishResponse();
   void readNextResponse();
+  /// \return whether more was skipped before the response than is allowed.
+  [[nodiscard]] bool hasSkippedTooMuch() const;
   void releaseConnection();
   [[nodiscard]] std::chrono::steady_clock::duration reusableIdleTime() const;
   void fail(FailureStage stage, const std::string& reason);
@@ -77,7 +82,9 @@
   bool reused_ = false;
   bool bytesMayHaveLeft_ = false;
   bool headReported_ = false;
-  bool surplus_ = false;  ///< The response being read belongs to an earlier request.
+  std::uint64_t receivedBytes_ = 0;
+  std::uint64_t firstOwnByte_ = 0;  ///< Of what was received, the rest was skipped.
+  bool surplus_ = false;            ///< The response being read belongs to an earlier request.
   bool ended_ = false;
 };
 
