Fault soak: ends that nodes learn of late, failures in between, late returns

The soak could not show runs that stop counting without proof: its replicas told their start, registered at once and never answered a failure in between, no client came back after more than 0.4 s, and the store was away for 2.5 s at most.

One replica in four tells no start. A third of the requests that end replicas are answered 500 instead. Clients come back 6 s later, twice, and a phase ends replicas while no node reaches the store. Both have to have cases. Settings with a callback are moved (lint).

--- a/lab/faultsoak/ended_replica_watcher.cpp
+++ b/lab/faultsoak/ended_replica_watcher.cpp
@@ -10,13 +10,15 @@
 }
 
 void EndedReplicaWatcher::onAttempt(const std::string& id, const std::string& request,
-                                    bool endsReplicas) {
+                                    bool endsReplicas, bool isLateReturn) {
   nameOfAttempt_[id] = request;
   const auto [found, isNew] = requests_.try_emplace(request);
   Request& known = found->second;
   known.endsReplicas = endsReplicas;
   known.endsBefore = isNew ? replicaEnds_ : known.endsBefore;
-  cases_.triesAtLimit += known.ends >= kMostEnds ? 1 : 0;
+  const bool isAtLimit = known.ends >= kMostEnds;
+  cases_.triesAtLimit += isAtLimit ? 1 : 0;
+  cases_.lateTriesAtLimit += isAtLimit && isLateReturn ? 1 : 0;
   if (known.isBystander) {
     known.attemptsAsBystander.push_back(id);
   }
--- a/lab/faultsoak/ended_replica_watcher.h
+++ b/lab/faultsoak/ended_replica_watcher.h
@@ -18,6 +18,7 @@
   std::uint64_t ends = 0;               ///< Replicas that ended under a request.
   std::uint64_t requestsAtLimit = 0;    ///< Requests under which as many ended as may.
   std::uint64_t triesAtLimit = 0;       ///< Attempts that clients sent afterwards.
+  std::uint64_t lateTriesAtLimit = 0;   ///< Of these, sent some seconds later.
   std::uint64_t refusedAtLimit = 0;     ///< Of these, answered 503 for this reason.
   std::uint64_t bystanders = 0;         ///< Other requests that ran at a replica as it ended.
   std::uint64_t bystandersServed = 0;   ///< Of these, answered whole afterwards.
@@ -31,7 +32,9 @@
   static constexpr std::size_t kMostEnds = 3;
 
   /// A client sends an attempt of a request.
-  void onAttempt(const std::string& id, const std::string& request, bool endsReplicas);
+  /// \param isLateReturn some seconds after the attempts before it.
+  void onAttempt(const std::string& id, const std::string& request, bool endsReplicas,
+                 bool isLateReturn = false);
   /// An attempt arrives at a replica, which runs it next.
   void onRun(const std::string& id);
   /// A replica ended while it ran these attempts, which may be none.
--- a/lab/faultsoak/promise_watcher.cpp
+++ b/lab/faultsoak/promise_watcher.cpp
@@ -49,7 +49,8 @@
 
 void PromiseWatcher::onSent(const SoakAttempt& attempt) {
   attempts_[attempt.id] = {attempt, 0, false, lossOfAll_};
-  endedReplicas_.onAttempt(attempt.id, requestNameOf(attempt), attempt.endsReplicas);
+  endedReplicas_.onAttempt(attempt.id, requestNameOf(attempt), attempt.endsReplicas,
+                           attempt.isLateReturn);
   if (const auto found = goingOn_.find(attempt.program); found != goingOn_.end()) {
     ++found->second.tries;
   }
--- a/lab/faultsoak/promise_watcher.h
+++ b/lab/faultsoak/promise_watcher.h
@@ -33,6 +33,7 @@
   /// it begins a stream.
   std::string resumes{};
   bool endsReplicas = false;  ///< Each replica that runs it ends.
+  bool isLateReturn = false;  ///< The client comes back some seconds after it gave up.
 };
 
 /// What the client saw of an attempt; status 0: a connection that closed before an answer.
--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -97,6 +97,7 @@
   onEnded_ = [] {};
   id_ = "p" + std::to_string(++clients_.nextId) + SoakReplica::markOf(effect);
   endsReplicas_ = true;
+  endingRoute_ = route;
   persisted_ = route == SoakRoute::Turn;
   turnsWanted_ = 1;
   finishAt_ = steadyNow() + kTimeOfProgram;
@@ -119,6 +120,7 @@
   attempt.expectedOutput = SoakReplica::streamAfter(attempt.id, lastEvent_);
   attempt.resumes = resumes_;
   attempt.endsReplicas = endsReplicas_;
+  attempt.isLateReturn = lateReturns_ > 0;
   attempt.continuesWholeTurn = persisted_ && !previous_.empty();
   const std::string target = persisted_ ? "/kept/stream/x" : "/again/stream/x";
   send(attempt, "POST", target, input,
@@ -207,6 +209,7 @@
   attempt.program = id_;
   attempt.expectedInput = safe ? "" : "tool of " + id_;
   attempt.endsReplicas = endsReplicas_;
+  attempt.isLateReturn = lateReturns_ > 0;
   attempt.expectedOutput = SoakReplica::plainAnswer(attempt.id);
   send(attempt, safe ? "GET" : "POST", safe ? "/safe/x" : "/unsafe/x", attempt.expectedInput,
        [self = shared_from_this(), attempt, triesLeft](const SoakAnswer& answer) {
@@ -238,6 +241,7 @@
 
 void SoakProgram::end(bool well) {
   if (endsReplicas_) {
+    returnLate();
     return;
   }
   ++clients_.programsEnded;
@@ -246,6 +250,21 @@
   onEnded();
 }
 
+void SoakProgram::returnLate() {
+  if (lateReturns_ == kLateReturns) {
+    return;
+  }
+  ++lateReturns_;
+  clients_.timers.runAfter(kLateReturnTime, [self = shared_from_this()] {
+    if (self->endingRoute_ == SoakRoute::Safe) {
+      self->sendTool(true, 1);
+    } else {
+      self->tries_ = self->mostTries_ - 1;
+      self->sendTurn();
+    }
+  });
+}
+
 std::string SoakProgram::chooseNode(Gathered& gathered) {
   const std::optional<std::size_t> current = nodeChoice_.current();
   const bool connectionOpen =
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -68,6 +68,9 @@
 
   /// Tries of a turn until the program gives up.
   static constexpr int kMostTries = 12;
+  /// Longer than any time after which nodes might take absent news of a replica for proof.
+  static constexpr Duration kLateReturnTime = seconds(6);
+  static constexpr int kLateReturns = 2;
 
   SoakProgram(SoakClients& clients, std::string tenant, int mostTries = kMostTries);
   /// \param onEnded called once.
@@ -75,7 +78,8 @@
   /// Goes on from a turn of another program, and asks until it is answered.
   void startFrom(const StoredTurn& turn);
   /// Sends one request that ends each replica that runs it, and sends it again until it gives up,
-  /// each time to another node.
+  /// each time to another node. Comes back after `kLateReturnTime`, as after a refusal that names a
+  /// time.
   /// \param route not `Unsafe`, which is sent once.
   void startEndingReplicas(SoakRoute route, SoakReplica::Effect effect);
 
@@ -91,6 +95,7 @@
   /// Remembers where the client goes on with a stream that broke off, or that it is to begin anew.
   void noteBrokenStream(const SoakAttempt& attempt, const SoakAnswer& answer);
   void end(bool well);
+  void returnLate();
   void tell(SoakStep step) const;
   /// \return the address that the next request goes to.
   std::string chooseNode(Gathered& gathered);
@@ -105,6 +110,8 @@
   bool persisted_ = false;  ///< Its turns are kept by the system; else each stands alone.
   bool loops_ = false;
   bool endsReplicas_ = false;
+  SoakRoute endingRoute_ = SoakRoute::Turn;  ///< Of the request that ends replicas.
+  int lateReturns_ = 0;
   std::uint64_t budget_ = 0;
   int turnsWanted_ = 0;
   int turnsDone_ = 0;
--- a/lab/faultsoak/soak_replica.cpp
+++ b/lab/faultsoak/soak_replica.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kServerError = 500;
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kUnavailable = 503;
 constexpr char kStreamPath[] = "/stream/";
@@ -153,6 +154,11 @@
     return;
   }
   const Effect effect = effectOf(headerOf(request, platform::header::kProgramId));
+  if (effect != Effect::None && random_.fraction() < kShareOfFailuresInstead) {
+    ++failuresInstead_;
+    writer->sendWhole({kServerError, {{platform::header::kRequestId, requestId}}, "failed"});
+    return;
+  }
   if (request.target.find(kStreamPath) != std::string::npos) {
     auto stream = std::make_shared<Stream>();
     stream->effect = effect;
--- a/lab/faultsoak/soak_replica.h
+++ b/lab/faultsoak/soak_replica.h
@@ -27,6 +27,9 @@
   double cutStream = 0;   ///< It closes amid the stream.
 };
 
+/// Share of the requests that end replicas which a replica answers with a failure instead.
+inline constexpr double kShareOfFailuresInstead = 0.35;
+
 /// Streams that a replica bears; further ones are refused as not executed.
 struct SoakReplicaCapacity {
   std::size_t slots = 6;   ///< Streams that run at the same time.
@@ -90,6 +93,8 @@
   SoakReplicaTroubles troubles;
   /// Called with each request that is meant for this replica, before anything else.
   std::function<void()> onArrival;
+  /// Requests that would have ended this replica and were answered with a failure.
+  [[nodiscard]] std::uint64_t failuresInstead() const { return failuresInstead_; }
   /// Called when a request ends this replica, which has reported it to the watcher.
   std::function<void(Effect effect)> onEnd;
   /// Optional: called with the id of the replica that a request was meant for instead.
@@ -115,6 +120,7 @@
   RandomSource random_;
   SoakReplicaCapacity capacity_;
   std::uint64_t life_ = 0;  ///< Starts before this one.
+  std::uint64_t failuresInstead_ = 0;
   std::size_t running_ = 0;
   std::deque<std::shared_ptr<Stream>> waiting_;
   std::map<std::string, std::size_t> held_;
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -70,6 +70,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
 }
 
+/// \return whether the replica's registration tells when its process started.
+bool tellsStart(std::size_t replica) {
+  constexpr std::size_t kOneIn = 4;
+  return replica % kOneIn != kOneIn - 1;
+}
+
 /// \return the id of a replica after some releases.
 std::string replicaId(std::size_t replica, std::uint64_t releases = 0) {
   return "i-" + std::to_string(replica) + (releases == 0 ? "" : "-" + std::to_string(releases));
@@ -214,15 +220,17 @@
 void SoakRun::registerReplica(std::size_t replica) {
   ReplicaLife& life = replicaLives_[replica];
   const Duration coldFor = std::max(Duration::zero(), life.coldUntil - steadyNow());
-  const nlohmann::json entry = {{"service", kService},
-                                {"address", replicaWays_[replica]->address()},
-                                {"zone", zoneOf(replica)},
-                                {"slots", capacity_.slots},
-                                {"version", replicas_[replica]->softwareVersion()},
-                                {"state", life.draining ? "draining" : "ready"},
-                                {"coldRemainingMs", coldFor / milliseconds(1)},
-                                {"born", life.startedAtMs},
-                                {"callSeq", ++life.heartbeats}};
+  nlohmann::json entry = {{"service", kService},
+                          {"address", replicaWays_[replica]->address()},
+                          {"zone", zoneOf(replica)},
+                          {"slots", capacity_.slots},
+                          {"version", replicas_[replica]->softwareVersion()},
+                          {"state", life.draining ? "draining" : "ready"},
+                          {"coldRemainingMs", coldFor / milliseconds(1)},
+                          {"callSeq", ++life.heartbeats}};
+  if (tellsStart(replica)) {
+    entry["born"] = life.startedAtMs;
+  }
   store_->put("keyed.servers", replicas_[replica]->id(), entry.dump());
   std::vector<std::string> serving;
   for (std::size_t number = 0; number < replicas_.size(); ++number) {
@@ -323,6 +331,7 @@
   checkResumption();
   checkEndingRequests();
   checkResumption();
+  checkEndsWithoutStore();
   checkRecovery();
   checkOverload();
   takeBack(kLastEvacuated);
@@ -503,6 +512,24 @@
   }
 }
 
+void SoakRun::checkEndsWithoutStore() {
+  for (std::size_t node = 0; node < options_.nodes; ++node) {
+    setStoreFault(node, ProxyFault::Silence);
+  }
+  constexpr std::size_t kRequests = 3;
+  std::vector<SoakFault> requests = planQuietEndingRequests(options_.seed);
+  requests.resize(kRequests);
+  for (const SoakFault& request : requests) {
+    strike(request);
+    runFor(kEndingRequestTime);
+  }
+  runFor(SoakProgram::kLateReturnTime);
+  for (std::size_t node = 0; node < options_.nodes; ++node) {
+    setStoreFault(node, ProxyFault::None);
+  }
+  runFor(SoakProgram::kLateReturnTime);
+}
+
 bool SoakRun::endedReplicasHaveCases() const {
   const EndedReplicaCases& cases = watcher_.endedReplicas();
   return cases.triesAtLimit > 0 && cases.bystanders >= PromiseWatcher::kLeastResumedStreams &&
@@ -544,6 +571,14 @@
   overload_->endChecks();
 }
 
+std::uint64_t SoakRun::failuresInstead() const {
+  std::uint64_t failures = 0;
+  for (const auto& replica : replicas_) {
+    failures += replica->failuresInstead();
+  }
+  return failures;
+}
+
 void SoakRun::checkCases() {
   std::uint64_t triesBelowShare = 0;
   for (const auto& [tenant, late] : overload_->lateTries()) {
@@ -553,6 +588,9 @@
   std::map<std::string, std::uint64_t> cases = {
       {"a_request_that_ended_three_replicas_is_not_sent_again",
        watcher_.endedReplicas().triesAtLimit},
+      {"a_request_that_ended_three_replicas_is_not_sent_again_later",
+       watcher_.endedReplicas().lateTriesAtLimit},
+      {"a_failure_clears_no_ends", failuresInstead()},
       {"a_bystander_is_served", watcher_.endedReplicas().bystanders},
       {"resumed_streams_go_on", resumed < PromiseWatcher::kLeastResumedStreams ? 0 : resumed}};
   if (!overload_->wasDisturbed()) {
@@ -611,6 +649,8 @@
        {{"ends", watcher_.endedReplicas().ends},
         {"requests_at_limit", watcher_.endedReplicas().requestsAtLimit},
         {"tries_at_limit", watcher_.endedReplicas().triesAtLimit},
+        {"late_tries_at_limit", watcher_.endedReplicas().lateTriesAtLimit},
+        {"failures_instead", failuresInstead()},
         {"refused_at_limit", watcher_.endedReplicas().refusedAtLimit},
         {"bystanders", watcher_.endedReplicas().bystanders},
         {"bystanders_served", watcher_.endedReplicas().bystandersServed},
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -79,6 +79,8 @@
   void checkResumption();
   /// Requests that end replicas, one after another, until the checks of them have cases.
   void checkEndingRequests();
+  /// Ends replicas while no node reaches the store, and until clients come back.
+  void checkEndsWithoutStore();
   [[nodiscard]] bool endedReplicasHaveCases() const;
   void checkRecovery();
   /// A hot tenant and a burst while a zone is evacuated and nothing else strikes.
@@ -87,6 +89,8 @@
   void checkLossOfAll();
   /// A check that had no cases says nothing: the seed does not pass.
   void checkCases();
+  /// \return requests that replicas answered with a failure instead of ending.
+  [[nodiscard]] std::uint64_t failuresInstead() const;
   void setStoreFault(std::size_t node, ProxyFault fault);
   /// Looks each period whether the soak and its nodes get to run.
   void watchStalls();
--- a/src/edge/run_history_sharing.cpp
+++ b/src/edge/run_history_sharing.cpp
@@ -15,10 +15,10 @@
       peers_(peers),
       registrations_(std::move(registrations)),
       send_(std::move(send)),
-      knobs_(knobs),
+      knobs_(std::move(knobs)),
       random_(seed),
-      histories_(knobs.histories),
-      datagrams_(knobs.datagramBurst, knobs.datagramsPerSecond) {}
+      histories_(knobs_.histories),
+      datagrams_(knobs_.datagramBurst, knobs_.datagramsPerSecond) {}
 
 void RunHistorySharing::start() {
   startedAt_ = clock_();
--- a/src/routing/run_histories.h
+++ b/src/routing/run_histories.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -111,7 +112,7 @@
 /// that nodes agree in whatever order they learn of runs.
 class RunHistories {
  public:
-  explicit RunHistories(RunHistoryKnobs knobs) : knobs_(knobs) {}
+  explicit RunHistories(RunHistoryKnobs knobs) : knobs_(std::move(knobs)) {}
 
   /// \return the history of the request; null if there is none.
   [[nodiscard]] const RunHistory* find(const RequestKey& key) const;
