--- a/src/edge/request_record_exchange.cpp
+++ b/src/edge/request_record_exchange.cpp
@@ -13,7 +13,7 @@
     std::uint64_t seed)
     : timers_(timers),
       clock_(std::move(clock)),
-      knobs_(knobs),
+      knobs_(std::move(knobs)),
       peers_(std::move(sources), std::move(ownZone), seed),
       socket_(context,
               [this](const DatagramSocket::Endpoint& sender, std::string_view bytes) {
