Survival proofs: the body of a probe's answer is not collected

A probe had no handler for the body, so that the client collected it, up to 64 MB for each probe and outside the memory that unfinished answers share. A replica in trouble may send such a body without end.

The parts are dropped as they come; any status is still the proof. The check of the handler in aReplicaIsProbedOnceTheNextRunWouldBeTheLast failed before.

--- a/src/edge/survival_proofs.cpp
+++ b/src/edge/survival_proofs.cpp
@@ -1,6 +1,7 @@
 #include "edge/survival_proofs.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace gorsetrail::edge {
@@ -83,6 +84,7 @@
   request.timeLimit = knobs_.probeTimeLimit;
   request.connectionOpenedBefore = watched.run.sentAt;
   http::ResponseHandler handler;
+  handler.onBody = [](std::string_view /*part*/) {};  // Not collected: it may have no end.
   handler.onDone = [this, address = watched.run.address, openedBefore = watched.run.sentAt,
                     sentAt = now](const http::Response& /*response*/) {
     // Any status is an answer of the process that accepted the connection.
--- a/tests/edge/survival_proofs_test.cpp
+++ b/tests/edge/survival_proofs_test.cpp
@@ -58,6 +58,7 @@
   const auto probe = world.client.probes.back();
   CHECK(*probe->request.connectionOpenedBefore == sentAt);
   STRCMP_EQUAL("/health", probe->request.target.c_str());
+  CHECK_TRUE(static_cast<bool>(probe->handler.onBody));  // Without it, a body is collected.
   STRCMP_EQUAL(kAddress.c_str(), probe->request.address.c_str());
 }
 
