--- a/review/standin-2/lost_turn.cpp
+++ b/review/standin-2/lost_turn.cpp
@@ -1,12 +1,12 @@
 /// \file Case: programs go on after one node was killed. Their next turns, which the budget covers
 /// and which name a turn that was answered whole, are refused at every try, though first turns of
 /// other programs are served.
-#include <atomic>
 #include <iostream>
 #include <map>
 #include <thread>
 
 #include "deployment.h"
+#include "fill_watch.h"
 
 namespace {
 
@@ -39,36 +39,6 @@
          "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
 }
 
-/// Samples how many places of the replicas are taken.
-class FillWatch {
- public:
-  explicit FillWatch(const SmallDeployment& world)
-      : thread_([this, &world] {
-          while (!stopped_) {
-            int running = 0;
-            for (const auto& replica : world.replicas) {
-              running += replica->running();
-            }
-            most_ = std::max<int>(most_, running);
-            std::this_thread::sleep_for(Milliseconds(2));
-          }
-        }) {}
-  ~FillWatch() { thread_.join(); }
-  FillWatch(const FillWatch&) = delete;
-  FillWatch& operator=(const FillWatch&) = delete;
-
-  /// \return the most places that were taken at once.
-  int stop() {
-    stopped_ = true;
-    return most_;
-  }
-
- private:
-  std::atomic<int> most_{0};
-  std::atomic<bool> stopped_{false};
-  std::thread thread_;
-};
-
 /// A program that has taken turns, one after the other.
 struct Program {
   std::string name;
--- a/review/standin-2/replica.cpp
+++ b/review/standin-2/replica.cpp
@@ -9,6 +9,8 @@
 constexpr Milliseconds kIdleTime{60000};
 constexpr Milliseconds kHeartbeat{1200};
 constexpr Milliseconds kStopCheck{50};
+/// After so many the store drops the entry.
+constexpr int kMissedHeartbeats = 3;
 constexpr char kHealthPath[] = "/healthz";
 
 std::string chunk(const std::string& bytes) {
@@ -58,24 +60,40 @@
   return "answer to " + requestId + "\n";
 }
 
+void Replica::writeEntry(int count) {
+  store_.put("keyed.servers", options_.id,
+             "{\"service\":\"" + options_.service + "\",\"address\":\"" + server_.address() +
+                 "\",\"zone\":\"" + options_.zone +
+                 "\",\"version\":\"v1\",\"slots\":" + std::to_string(options_.slots) +
+                 ",\"state\":\"ready\",\"coldRemainingMs\":0,\"callSeq\":" + std::to_string(count) +
+                 "}");
+}
+
 void Replica::heartbeatLoop() {
   auto next = Clock::now();
   int count = 0;
+  int missed = 0;
   while (!stopped_) {
     if (Clock::now() >= next) {
       next += kHeartbeat;
-      ++count;
-      store_.put("keyed.servers", options_.id,
-                 "{\"service\":\"" + options_.service + "\",\"address\":\"" + server_.address() +
-                     "\",\"zone\":\"" + options_.zone +
-                     "\",\"version\":\"v1\",\"slots\":" + std::to_string(options_.slots) +
-                     ",\"state\":\"ready\",\"coldRemainingMs\":0,\"callSeq\":" +
-                     std::to_string(count) + "}");
+      missed += crashed_ ? 1 : 0;
+      if (!crashed_) {
+        writeEntry(++count);
+      } else if (missed == kMissedHeartbeats) {
+        store_.put("keyed.servers", options_.id, {});
+      }
     }
     std::this_thread::sleep_for(kStopCheck);
   }
 }
 
+void Replica::crash() {
+  record_.line("replica " + options_.id + ": crashes with " + std::to_string(running_) +
+               " requests under way");
+  crashed_ = true;
+  server_.stop();
+}
+
 std::string Replica::ownHeaders(const std::string& requestId) const {
   return "Gorsetrail-Request-Id: " + requestId + "\r\nGorsetrail-Response-Seal: " + options_.id +
          "." + requestId + "\r\n";
--- a/review/standin-2/replica.h
+++ b/review/standin-2/replica.h
@@ -58,6 +58,9 @@
   Replica(const Replica&) = delete;
   Replica& operator=(const Replica&) = delete;
 
+  /// Ends as after a crash, for good: the store drops its entry after three heartbeats.
+  void crash();
+
   /// \return the data of an event of the request's stream.
   static std::string eventData(const std::string& requestId, int number);
   /// \return the body of the whole answer to the request.
@@ -68,6 +71,7 @@
 
  private:
   void heartbeatLoop();
+  void writeEntry(int count);
   void serve(Connection& connection);
   bool answer(Connection& connection, const Request& request);
   bool stream(Connection& connection, const Request& request);
@@ -81,6 +85,7 @@
   std::atomic<int> excessSent_{0};
   std::atomic<int> running_{0};
   std::atomic<bool> stopped_{false};
+  std::atomic<bool> crashed_{false};
   Server server_;
   std::thread heartbeat_;
 };
--- a/review/standin-2/wire.cpp
+++ b/review/standin-2/wire.cpp
@@ -270,9 +270,12 @@
   }
 }
 
-Server::~Server() {
-  stopped_ = true;
+void Server::stop() {
+  if (stopped_.exchange(true)) {
+    return;
+  }
   acceptor_.join();
+  close(listener_);
   {
     const std::lock_guard lock(mutex_);
     for (const auto& weak : connections_) {
@@ -281,10 +284,13 @@
       }
     }
   }
+}
+
+Server::~Server() {
+  stop();
   for (std::thread& thread : threads_) {
     thread.join();
   }
-  close(listener_);
 }
 
 }  // namespace review
--- a/review/standin-2/wire.h
+++ b/review/standin-2/wire.h
@@ -87,6 +87,8 @@
   Server& operator=(const Server&) = delete;
 
   [[nodiscard]] const std::string& address() const { return address_; }
+  /// Ends all connections and listens no more, as a process does that ends.
+  void stop();
 
  private:
   void acceptLoop();
