--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -184,8 +184,19 @@
     const bool isPrimary = lease.slot == ledger::BudgetLeaseSlot::Primary;
     log_.logImportant("budget_lease", {{"partition", logstore::textOf(partition)},
                                        {"state", isHeld ? "held" : "dropped"},
-                                       {"slot", isPrimary ? "primary" : "secondary"}});
+                                       {"slot", isPrimary ? "primary" : "secondary"},
+                                       {"witnesses", std::uint64_t{lease.witnesses.size()}}});
   };
+  knobs.budgets.onLeaseRecovery =
+      [this](const logstore::PartitionAddress& partition, const ledger::BudgetLease& lease,
+             ledger::LeaseRecoveryOutcome outcome, std::size_t recoveredGrants) {
+        log_.logImportant("budget_lease_recovery",
+                          {{"partition", logstore::textOf(partition)},
+                           {"holder", lease.holder},
+                           {"outcome", ledger::leaseRecoveryOutcomeName(outcome)},
+                           {"witnesses", std::uint64_t{lease.witnesses.size()}},
+                           {"recovered_grants", std::uint64_t{recoveredGrants}}});
+      };
   return knobs;
 }
 
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -24,6 +24,10 @@
   values.reservationsGrantedByLog = budgets.grantedByLog;
   values.reservationsSpent = budgets.spent;
   values.reservationsUncertain = budgets.uncertain + budgets.decidedTooLate;
+  values.grantsNotWitnessed = budgets.notWitnessed;
+  values.leasesRecovered = budgets.recoveredLeases;
+  values.witnessedLeases = ledgerService_.witness().leases();
+  values.witnessedBytes = ledgerService_.witness().bytes();
   values.grantsUnrecorded = localLedger_.unrecordedGrants();
   values.settlementsWaiting = settlementsWaiting();
   values.settledLate = calls.settledLate;
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -53,6 +53,13 @@
   list.add(snapshot.reservationsGrantedByLog, {{"result", "granted_by_log"}});
   list.add(snapshot.reservationsSpent, {{"result", "spent"}});
   list.add(snapshot.reservationsUncertain, {{"result", "uncertain"}});
+  list.counter("grants_not_witnessed_total", "Grants that too few witnesses stored",
+               snapshot.grantsNotWitnessed);
+  list.counter("leases_recovered_total", "Leases of other processes cleared by this node",
+               snapshot.leasesRecovered);
+  list.gauge("witnessed_leases", "Leases that this node stores grants of",
+             snapshot.witnessedLeases);
+  list.gauge("witnessed_bytes", "Bytes of grants stored for other nodes", snapshot.witnessedBytes);
   list.gauge("grants_unrecorded", "Grants ahead of their records", snapshot.grantsUnrecorded);
   list.gauge("settlements_waiting", "Ends of turns whose records wait",
              snapshot.settlementsWaiting);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -71,6 +71,11 @@
   std::uint64_t reservationsSpent = 0;                  ///< Refused: the budget is exhausted.
   /// Refused: an earlier host may have spent tokens, or the call came too late.
   std::uint64_t reservationsUncertain = 0;
+  /// Grants that too few witnesses of this node's leases stored.
+  std::uint64_t grantsNotWitnessed = 0;
+  std::uint64_t leasesRecovered = 0;  ///< Of other processes, cleared by this node.
+  std::uint64_t witnessedLeases = 0;  ///< Gauge: leases of other nodes that this one is witness of.
+  std::uint64_t witnessedBytes = 0;   ///< Gauge: of the grants stored for them.
   /// Gauge: granted under a lease, record not yet in the store.
   std::uint64_t grantsUnrecorded = 0;
   /// Gauge: settlements of this node's requests that no coordinator has accepted, and settlements
--- a/src/ledger/budget_accounts.cpp
+++ b/src/ledger/budget_accounts.cpp
@@ -19,6 +19,7 @@
   Account& account = accounts_[reservation.program];
   RequestUsage& usage = addReservation(account, reservation, now);
   usage.offset = std::min(usage.offset, offset);
+  usage.recordOffset = std::min(usage.recordOffset, offset);
   account.firstRecord = std::min(offset, account.firstRecord.value_or(offset));
 }
 
@@ -26,6 +27,46 @@
   addReservation(accounts_[reservation.program], reservation, now).offset = 0;
 }
 
+void BudgetAccounts::revokeGrant(const BudgetReservation& reservation) {
+  const auto account = accounts_.find(reservation.program);
+  if (account == accounts_.end()) {
+    return;
+  }
+  const auto usage = account->second.usageByRequest.find(reservation.request);
+  if (usage == account->second.usageByRequest.end()) {
+    return;
+  }
+  if (usage->second.recordOffset == UINT64_MAX) {
+    account->second.usageByRequest.erase(usage);
+  } else {
+    usage->second.offset = usage->second.recordOffset;
+  }
+}
+
+const BudgetAccounts::RequestUsage* BudgetAccounts::find(const std::string& program,
+                                                         const std::string& request) const {
+  const auto account = accounts_.find(program);
+  if (account == accounts_.end()) {
+    return nullptr;
+  }
+  const auto usage = account->second.usageByRequest.find(request);
+  return usage == account->second.usageByRequest.end() ? nullptr : &usage->second;
+}
+
+bool BudgetAccounts::isRecorded(const BudgetReservation& reservation) const {
+  const RequestUsage* const usage = find(reservation.program, reservation.request);
+  return usage != nullptr && usage->recordOffset != UINT64_MAX;
+}
+
+bool BudgetAccounts::isRecorded(const BudgetSettlement& settlement) const {
+  const RequestUsage* const usage = find(settlement.program, settlement.request);
+  return usage != nullptr && usage->isSettlementRecorded && usage->settled == settlement.tokens;
+}
+
+void BudgetAccounts::onSettlementRecorded(const BudgetSettlement& settlement) {
+  accounts_[settlement.program].usageByRequest[settlement.request].isSettlementRecorded = true;
+}
+
 void BudgetAccounts::applySettlement(const BudgetSettlement& settlement, Instant now) {
   Account& account = accounts_[settlement.program];
   account.lastUpdatedAt = now;
--- a/src/ledger/budget_accounts.h
+++ b/src/ledger/budget_accounts.h
@@ -28,7 +28,14 @@
   /// Applies a reservation that was granted under this node's lease and is not recorded yet. It
   /// counts before all records.
   void applyGrant(const BudgetReservation& reservation, Instant now);
+  /// Takes back a grant that was not used. Records that were read of it still count.
+  void revokeGrant(const BudgetReservation& reservation);
   void applySettlement(const BudgetSettlement& settlement, Instant now);
+  /// The settlement's record was read or appended.
+  void onSettlementRecorded(const BudgetSettlement& settlement);
+  [[nodiscard]] bool isRecorded(const BudgetSettlement& settlement) const;
+  /// \return whether a record of the reservation was read or appended.
+  [[nodiscard]] bool isRecorded(const BudgetReservation& reservation) const;
 
   /// \return tokens used or reserved by all known requests of the program.
   [[nodiscard]] std::uint64_t tokensUsedBy(const std::string& program) const;
@@ -49,11 +56,18 @@
   [[nodiscard]] std::size_t size() const { return accounts_.size(); }
 
  private:
+  struct RequestUsage;
+  /// \return the usage of a known request, or null.
+  [[nodiscard]] const RequestUsage* find(const std::string& program,
+                                         const std::string& request) const;
   struct RequestUsage {
-    std::uint64_t offset = UINT64_MAX;  ///< Of the request's first reservation record.
+    /// Of the request's first reservation record; 0 if it was granted before it was recorded.
+    std::uint64_t offset = UINT64_MAX;
+    std::uint64_t recordOffset = UINT64_MAX;  ///< Likewise, of records only.
     std::uint64_t reserved = 0;
     std::optional<Instant> reservedAt;  ///< When the first reservation became known.
     std::optional<std::uint64_t> settled;
+    bool isSettlementRecorded = false;
 
     [[nodiscard]] std::uint64_t tokens() const { return settled.value_or(reserved); }
   };
--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -53,6 +53,7 @@
   entry.updatedAt = now;
   entry.renewal = record.renewal;
   entry.slot = record.slot;
+  entry.witnesses = record.witnesses;
   if (record.state != BudgetLeaseState::Held) {
     entry.endedOffset = offset;
   }
@@ -112,13 +113,26 @@
     addSpendingUnder(entry.slot, leases.all);
     const bool isProgramOlder =
         firstRecord && entry.endedOffset && *firstRecord < *entry.endedOffset;
-    if (isProgramOlder && now - entry.updatedAt >= knobs_.longestProgramTime()) {
+    // The grants of a lease with witnesses may still become known.
+    if (isProgramOlder && entry.witnesses.empty() &&
+        now - entry.updatedAt >= knobs_.longestProgramTime()) {
       addSpendingUnder(entry.slot, leases.permanent);
     }
   }
   return leases;
 }
 
+std::vector<BudgetLease> BudgetLeaseTable::activeForeignLeases(const std::string& ownLease) const {
+  std::vector<BudgetLease> active;
+  for (const auto& [id, entry] : leases_) {
+    if (id != ownLease && entry.state != BudgetLeaseState::Cleared) {
+      active.push_back(
+          {id, entry.holder, entry.state, entry.renewal, entry.slot, entry.witnesses});
+    }
+  }
+  return active;
+}
+
 bool BudgetLeaseTable::hasActiveForeignLease(const std::string& ownLease) const {
   return std::any_of(leases_.begin(), leases_.end(), [&](const auto& lease) {
     return lease.first != ownLease && lease.second.state != BudgetLeaseState::Cleared;
@@ -144,7 +158,8 @@
                                                               const std::string& ownHolder,
                                                               Instant now) const {
   const Entry& entry = lease.second;
-  BudgetLease record{lease.first, entry.holder, BudgetLeaseState::Ended, entry.renewal, entry.slot};
+  BudgetLease record{lease.first,   entry.holder, BudgetLeaseState::Ended,
+                     entry.renewal, entry.slot,   entry.witnesses};
   const Duration age = now - entry.updatedAt;
   if (entry.state == BudgetLeaseState::Held) {
     const bool isDead = entry.holder == ownHolder || age >= knobs_.expiry;
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "ledger/facts.h"
@@ -100,6 +101,8 @@
   [[nodiscard]] ForeignLeases foreignLeases(const std::string& ownLease,
                                             std::optional<std::uint64_t> firstRecord,
                                             std::uint64_t below, Instant now) const;
+  /// \return the active leases that `ownLease` is not, as their newest records tell.
+  [[nodiscard]] std::vector<BudgetLease> activeForeignLeases(const std::string& ownLease) const;
   /// \return whether a lease of another node is held or ended.
   [[nodiscard]] bool hasActiveForeignLease(const std::string& ownLease) const;
 
@@ -134,6 +137,7 @@
     BudgetLeaseSlot slot = BudgetLeaseSlot::Primary;
     /// Offset of the record that ended it; nothing if it was not ended or its holder released it.
     std::optional<std::uint64_t> endedOffset;
+    std::vector<WitnessProcess> witnesses;
   };
   using Leases = std::map<std::string, Entry>;
 
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -19,7 +19,7 @@
 
 BudgetPartition::BudgetPartition(logstore::RetryingStore& store, services::TimerService& timers,
                                  logstore::ClockFunction clock, logstore::PartitionAddress address,
-                                 BudgetPartitionKnobs knobs)
+                                 BudgetPartitionKnobs knobs, WitnessNodes* witnesses)
     : store_(store),
       timers_(timers),
       clock_(std::move(clock)),
@@ -28,7 +28,19 @@
       reader_(std::make_shared<PartitionReader>(store, address_)),
       batcher_(std::make_unique<logstore::AppendBatcher>(store, timers, clock_, address_,
                                                          logstore::AppendBatcherKnobs{})),
-      leases_(knobs_.leases) {
+      leases_(knobs_.leases),
+      witnessNodes_(witnesses) {
+  if (witnessNodes_ != nullptr) {
+    recovery_ = std::make_unique<LeaseRecovery>(
+        *witnessNodes_, clock_, recoveryLog(),
+        [this](const BudgetLease& lease, LeaseRecoveryOutcome outcome, std::size_t recovered) {
+          counters_.recoveredLeases += outcome == LeaseRecoveryOutcome::Cleared ? 1 : 0;
+          if (knobs_.onLeaseRecovery) {
+            knobs_.onLeaseRecovery(address_, lease, outcome, recovered);
+          }
+        },
+        knobs_.recovery);
+  }
   reader_->setObserver(
       [this](std::uint64_t offset, std::string_view record) { onRecord(offset, record); });
 }
@@ -43,6 +55,7 @@
     accounts_.applyReservation(*reservation, offset, clock_());
   } else if (const auto* const settlement = std::get_if<BudgetSettlement>(&fact)) {
     accounts_.applySettlement(*settlement, clock_());
+    accounts_.onSettlementRecorded(*settlement);
   } else if (const auto* const lease = std::get_if<BudgetLease>(&fact)) {
     leases_.applyRecord(*lease, offset, clock_());
     if (lease->lease == ownLease() && lease->state != BudgetLeaseState::Held) {
@@ -57,15 +70,19 @@
 
 void BudgetPartition::reserve(const BudgetRequest& request, Duration timeLimit,
                               ReservationReplyCallback callback) {
-  if (const std::optional<ReservationReply> reply = reserveUnderLease(request)) {
-    callback(*reply);
-    return;
+  const Instant now = clock_();
+  PendingReservation pending{request, now, now + timeLimit, std::move(callback)};
+  if (!reserveUnderLease(pending)) {
+    decideWithoutLease(std::move(pending));
   }
-  if (!store_.isLikelyAvailable(address_)) {
-    callback(undecidedReply(request));  // Waiting would only delay the caller.
+}
+
+void BudgetPartition::decideWithoutLease(PendingReservation pending) {
+  if (store_.isLikelyAvailable(address_)) {
+    reserveInLog(std::move(pending));
     return;
   }
-  reserveInLog(request, timeLimit, std::move(callback));
+  pending.callback(undecidedReply(pending.request));  // Waiting would only delay the caller.
 }
 
 ReservationReply BudgetPartition::undecidedReply(const BudgetRequest& request) const {
@@ -78,7 +95,8 @@
   return reply;
 }
 
-std::optional<ReservationReply> BudgetPartition::reserveUnderLease(const BudgetRequest& request) {
+std::optional<ReservationReply> BudgetPartition::replyUnderLease(
+    const BudgetRequest& request) const {
   const BudgetReservation& reservation = request.reservation;
   const bool isLeaseAllowed =
       hasTimeLeft(request) && *request.programTimeLeft <= knobs_.leases.maxRemainingProgramTime;
@@ -98,18 +116,82 @@
   if (used + std::max(reservation.tokens, unseen) > request.budget) {
     return std::nullopt;
   }
+  ReservationReply reply{ReservationOutcome::Granted, used + reservation.tokens};
+  reply.tokensUnseen = unseen;
+  return reply;
+}
+
+bool BudgetPartition::reserveUnderLease(PendingReservation& pending) {
+  const std::optional<ReservationReply> reply = replyUnderLease(pending.request);
+  if (!reply) {
+    return false;
+  }
+  const std::shared_ptr<GrantReplication> replication = lease_->replication;
+  // A failed majority costs the time limit of a call, the log less.
+  if (replication && !replication->hasMajority() && store_.isLikelyAvailable(address_)) {
+    return false;
+  }
+  const BudgetReservation& reservation = pending.request.reservation;
+  const auto [grant, isNew] = unrecordedGrants_.try_emplace(reservation.request);
+  if (!isNew && grant->second.isReplicating) {
+    return false;  // A repeated call; the log decides this one.
+  }
   accounts_.applyGrant(reservation, clock_());
-  if (unrecordedGrants_
-          .try_emplace(reservation.request, UnrecordedGrant{reservation, std::nullopt, false})
-          .second) {
+  if (isNew) {
+    grant->second.reservation = reservation;
     unrecordedByProgram_[reservation.program].push_back(reservation.request);
   }
-  scheduleRecording();
-  const bool isPrimary = lease_->slot == BudgetLeaseSlot::Primary;
+  if (!isNew || !replication) {
+    countGrantUnderLease();
+    scheduleRecording();
+    pending.callback(*reply);
+    return true;
+  }
+  grant->second.replication = replication;
+  grant->second.isReplicating = true;
+  auto shared = std::make_shared<PendingReservation>(std::move(pending));
+  grant->second.number =
+      replication->replicate(shared->request.reservation,
+                             [this, shared, reply = *reply](bool stored) {
+                               onReplicated(std::move(*shared), reply, stored);
+                             });
+  return true;
+}
+
+void BudgetPartition::countGrantUnderLease() {
+  const bool isPrimary = lease_ && lease_->slot == BudgetLeaseSlot::Primary;
   ++(isPrimary ? counters_.grantedUnderPrimaryLease : counters_.grantedUnderSecondaryLease);
-  ReservationReply reply{ReservationOutcome::Granted, used + reservation.tokens};
-  reply.tokensUnseen = unseen;
-  return reply;
+}
+
+void BudgetPartition::onReplicated(PendingReservation pending, const ReservationReply& reply,
+                                   bool stored) {
+  UnrecordedGrant& grant = unrecordedGrants_.at(pending.request.reservation.request);
+  grant.isReplicating = false;
+  if (stored) {
+    countGrantUnderLease();
+    scheduleRecording();
+    pending.callback(reply);
+    return;
+  }
+  ++counters_.notWitnessed;
+  // Some witnesses may have stored it, so that it may still be recorded by another node. It is not
+  // used by this decision, and the log decides about it like about any other request.
+  const std::optional<BudgetSettlement> settlement = grant.settlement;
+  removeGrant(pending.request.reservation.request);
+  accounts_.revokeGrant(pending.request.reservation);
+  if (settlement) {
+    recordSettlement(*settlement, knobs_.settlementWindow);  // The caller has given up.
+  }
+  if (releasing_ && unrecordedGrants_.empty()) {
+    releaseOnceRecorded();
+  }
+  if (settlement || !store_.isLikelyAvailable(address_)) {
+    ReservationReply refused = undecidedReply(pending.request);
+    refused.reason = UndecidedReason::WitnessesUnavailable;
+    pending.callback(refused);
+    return;
+  }
+  reserveInLog(std::move(pending));
 }
 
 std::uint64_t BudgetPartition::unrecordedTokensOf(const std::string& program) const {
@@ -137,32 +219,69 @@
           allowance.maxSpent(leases.permanent, largestTurn)};
 }
 
-void BudgetPartition::reserveInLog(const BudgetRequest& request, Duration timeLimit,
-                                   ReservationReplyCallback callback) {
-  const Instant askedAt = clock_();
+void BudgetPartition::reserveInLog(PendingReservation pending) {
+  const Duration timeLimit = pending.deadline - clock_();
+  auto shared = std::make_shared<PendingReservation>(std::move(pending));
   batcher_->append(
-      encodeFact(request.reservation), knobs_.reservationWindow, timeLimit,
-      [this, request, askedAt,
-       callback = std::move(callback)](const logstore::StoreResult<std::uint64_t>& result) {
+      encodeFact(shared->request.reservation), knobs_.reservationWindow, timeLimit,
+      [this, shared](const logstore::StoreResult<std::uint64_t>& result) {
+        const BudgetReservation& reservation = shared->request.reservation;
         if (std::holds_alternative<logstore::StoreError>(result)) {
-          callback({ReservationOutcome::Unavailable, tokensUsedByOthers(request.reservation),
-                    UndecidedReason::AppendFailed});
+          shared->callback({ReservationOutcome::Unavailable, tokensUsedByOthers(reservation),
+                            UndecidedReason::AppendFailed});
           return;
         }
         const std::uint64_t offset = std::get<std::uint64_t>(result);
-        accounts_.applyReservation(request.reservation, offset, clock_());
+        accounts_.applyReservation(reservation, offset, clock_());
         reader_->skipOwnRecords(offset, 1);
-        reader_->readBelow(offset, [this, request, askedAt, offset,
-                                    callback](const logstore::StoreResult<Success>& read) {
+        reader_->readBelow(offset, [this, shared,
+                                    offset](const logstore::StoreResult<Success>& read) {
           const bool readAll = std::holds_alternative<Success>(read);
-          callback(readAll ? decideByLog(request, askedAt, offset)
-                           : ReservationReply{ReservationOutcome::Unavailable,
-                                              tokensUsedByOthers(request.reservation),
-                                              UndecidedReason::ReadFailed});
+          onDecidedByLog(std::move(*shared),
+                         readAll ? decideByLog(shared->request, shared->askedAt, offset)
+                                 : ReservationReply{ReservationOutcome::Unavailable,
+                                                    tokensUsedByOthers(shared->request.reservation),
+                                                    UndecidedReason::ReadFailed});
         });
       });
 }
 
+void BudgetPartition::onDecidedByLog(PendingReservation pending, const ReservationReply& reply) {
+  const bool isUnseen = reply.outcome == ReservationOutcome::Unavailable &&
+                        reply.reason == UndecidedReason::UnseenSpending;
+  if (!isUnseen || !recoverLeasesFor(pending)) {
+    pending.callback(reply);
+  }
+}
+
+bool BudgetPartition::recoverLeasesFor(PendingReservation& pending) {
+  if (!recovery_ || std::exchange(pending.hasRecovered, true)) {
+    return false;
+  }
+  const Instant now = clock_();
+  const bool mayRecoverHeld = now - lastRecoveryAt_ >= knobs_.recoveryInterval;
+  std::vector<BudgetLease> leases = leases_.activeForeignLeases(ownLease());
+  std::erase_if(leases, [&](const BudgetLease& lease) {
+    const bool isAllowed = lease.state == BudgetLeaseState::Ended || mayRecoverHeld;
+    return !isAllowed || !recovery_->canStart(lease);
+  });
+  if (leases.empty()) {
+    return false;
+  }
+  lastRecoveryAt_ = now;
+  auto shared = std::make_shared<PendingReservation>(std::move(pending));
+  auto awaited = std::make_shared<std::size_t>(leases.size());
+  for (const BudgetLease& lease : leases) {
+    recovery_->recover(lease, [this, shared, awaited](bool /*cleared*/) {
+      // A further record of the reservation is decided by what stands below that one.
+      if (--*awaited == 0) {
+        reserveInLog(std::move(*shared));
+      }
+    });
+  }
+  return true;
+}
+
 ReservationReply BudgetPartition::decideByLog(const BudgetRequest& request, Instant askedAt,
                                               std::uint64_t offset) {
   const BudgetReservation& reservation = request.reservation;
@@ -203,6 +322,9 @@
 }
 
 bool BudgetPartition::settle(const BudgetSettlement& settlement) {
+  if (accounts_.isRecorded(settlement)) {
+    return true;  // Its caller sends it again after the coordinator that recorded it has died.
+  }
   const auto granted = unrecordedGrants_.find(settlement.request);
   if (granted == unrecordedGrants_.end() &&
       unrecordedSettlements_.size() >= knobs_.maximumUnrecordedSettlements) {
@@ -236,7 +358,11 @@
                                            const logstore::StoreResult<std::uint64_t>& result) {
   if (const auto* const offset = std::get_if<std::uint64_t>(&result)) {
     reader_->skipOwnRecords(*offset, 1);
-    unrecordedSettlements_.erase(request);
+    const auto recorded = unrecordedSettlements_.find(request);
+    if (recorded != unrecordedSettlements_.end()) {
+      accounts_.onSettlementRecorded(recorded->second.settlement);
+      unrecordedSettlements_.erase(recorded);
+    }
     return;
   }
   const auto failed = unrecordedSettlements_.find(request);
@@ -271,7 +397,7 @@
 
 void BudgetPartition::recordGrants() {
   for (auto& [request, grant] : unrecordedGrants_) {
-    if (grant.recording) {
+    if (grant.recording || grant.isReplicating) {
       continue;
     }
     grant.recording = true;
@@ -308,13 +434,16 @@
           recordSettlement(*settlement, knobs_.settlementWindow);
         }
         if (releasing_ && unrecordedGrants_.empty()) {
-          releaseLease();  // The next coordinator waits for the release.
+          releaseOnceRecorded();  // The next coordinator waits for the release.
         }
       });
 }
 
 void BudgetPartition::removeGrant(const std::string& request) {
   const auto granted = unrecordedGrants_.find(request);
+  if (granted->second.replication) {
+    granted->second.replication->release(granted->second.number);
+  }
   const auto program = unrecordedByProgram_.find(granted->second.reservation.program);
   std::erase(program->second, request);
   if (program->second.empty()) {
@@ -347,18 +476,49 @@
 }
 
 void BudgetPartition::maintainLease() {
+  if (isReplacingLease_ && !store_.isLikelyAvailable(address_)) {
+    releasing_ = false;  // The lease serves the outage.
+    isReplacingLease_ = false;
+  }
   if (!knobs_.leases.enabled || knobs_.incarnation.empty() || leaseAppendPending_ ||
       !store_.isLikelyAvailable(address_)) {
     return;
   }
-  releasing_ = false;
   isCoordinator_ = true;
+  if (isReplacingLease_ || shouldReplaceWitnesses()) {
+    isReplacingLease_ = true;
+    releaseOnceRecorded();
+    return;
+  }
+  releasing_ = false;
+  checkWitnesses();
   if (isRenewalDue() && leases_.hasSlotFor(leaseId())) {
     acquireOrRenewLease();
   }
   advanceOtherLeases();
 }
 
+// A witness that restarted has lost the grants. Without traffic nothing else would show that.
+void BudgetPartition::checkWitnesses() {
+  const Instant now = clock_();
+  if (lease_ && lease_->replication && now - witnessesCheckedAt_ >= knobs_.witnessCheckInterval) {
+    witnessesCheckedAt_ = now;
+    lease_->replication->check();
+  }
+}
+
+// Witnesses are fixed for the life of a lease, so that whoever clears it knows whom to ask.
+bool BudgetPartition::shouldReplaceWitnesses() const {
+  if (!holdsLease() || witnessNodes_ == nullptr ||
+      clock_() - leaseAcquiredAt_ < knobs_.witnessReplacementPause) {
+    return false;
+  }
+  const std::size_t count = lease_->replication ? lease_->replication->witnesses().size() : 0;
+  const std::size_t possible =
+      std::min(knobs_.witnessesPerLease, witnessNodes_->preferredFor(lease_->id).size());
+  return count < possible || (lease_->replication && lease_->replication->isImpaired());
+}
+
 bool BudgetPartition::isRenewalDue() const {
   if (!lease_ || leases_.canPromote(lease_->id)) {
     return true;
@@ -368,6 +528,9 @@
 }
 
 void BudgetPartition::advanceOtherLeases() {
+  if (recoverForeignLeases()) {
+    return;
+  }
   const Instant now = clock_();
   const std::optional<BudgetLease> transition =
       leases_.nextTransition(leaseId(), knobs_.holder, now);
@@ -385,21 +548,108 @@
   }
 }
 
+bool BudgetPartition::recoverForeignLeases() {
+  if (!recovery_) {
+    return false;
+  }
+  const std::vector<BudgetLease> leases = leases_.activeForeignLeases(leaseId());
+  const auto isActive = [&leases](const std::string& id) {
+    return std::any_of(leases.begin(), leases.end(),
+                       [&id](const BudgetLease& lease) { return lease.lease == id; });
+  };
+  std::erase_if(foreignLeasesSeenAt_,
+                [&isActive](const auto& seen) { return !isActive(seen.first); });
+  recovery_->keepOnly(isActive);
+  bool isRecovering = false;
+  for (const BudgetLease& lease : leases) {
+    foreignLeasesSeenAt_.try_emplace(lease.lease, clock_());
+    if (isRecoveryDue(lease) && recovery_->canStart(lease)) {
+      isRecovering = true;
+      recovery_->recover(lease, [this](bool cleared) {
+        if (!isCoordinator_) {
+          return;
+        }
+        if (cleared && !lease_) {
+          maintainLease();  // A slot is free now.
+        } else if (!cleared) {
+          advanceOtherLeases();  // The lease is ended by its holder's next process, or in time.
+        }
+      });
+    }
+  }
+  return isRecovering;
+}
+
+bool BudgetPartition::isRecoveryDue(const BudgetLease& lease) const {
+  const bool isDead = lease.holder == knobs_.holder || lease.state == BudgetLeaseState::Ended;
+  return isDead ||
+         clock_() - foreignLeasesSeenAt_.at(lease.lease) >= knobs_.foreignLeasePatience;
+}
+
+LeaseRecovery::Log BudgetPartition::recoveryLog() {
+  LeaseRecovery::Log log;
+  log.isRecorded = [this](const BudgetReservation& grant) { return accounts_.isRecorded(grant); };
+  log.append = [this](const BudgetReservation& grant, std::function<void(bool)> callback) {
+    batcher_->append(encodeFact(grant), Duration::zero(), kRecordTimeLimit,
+                     [this, grant, callback = std::move(callback)](
+                         const logstore::StoreResult<std::uint64_t>& result) {
+                       const auto* const offset = std::get_if<std::uint64_t>(&result);
+                       if (offset != nullptr) {
+                         accounts_.applyReservation(grant, *offset, clock_());
+                         reader_->skipOwnRecords(*offset, 1);
+                       }
+                       callback(offset != nullptr);
+                     });
+  };
+  log.appendLease = [this](const BudgetLease& lease, std::function<void(bool)> callback) {
+    appendLease(lease, std::move(callback));
+  };
+  return log;
+}
+
 void BudgetPartition::acquireOrRenewLease() {
   leaseAppendPending_ = true;
+  if (lease_) {
+    appendOwnLease(lease_->replication ? lease_->replication->witnesses()
+                                       : std::vector<WitnessProcess>{});
+  } else {
+    acquireLease();
+  }
+}
+
+void BudgetPartition::acquireLease() {
+  if (witnessNodes_ == nullptr || chosenWitnesses_) {
+    appendOwnLease(chosenWitnesses_.value_or(std::vector<WitnessProcess>{}));
+    return;
+  }
+  chooseWitnesses(*witnessNodes_, leaseId(), knobs_.witnessesPerLease,
+                  knobs_.witnessChoiceTimeLimit,
+                  [this, id = leaseId()](std::vector<WitnessProcess> witnesses) {
+                    leaseAppendPending_ = false;
+                    if (id == leaseId() && isCoordinator_) {
+                      chosenWitnesses_ = std::move(witnesses);
+                      leaseAppendPending_ = true;
+                      appendOwnLease(*chosenWitnesses_);
+                    }
+                  });
+}
+
+void BudgetPartition::appendOwnLease(const std::vector<WitnessProcess>& witnesses) {
   const Instant askedAt = clock_();
   const std::string id = leaseId();
   const BudgetLeaseSlot slot = lease_ ? lease_->slot : BudgetLeaseSlot::Primary;
-  appendLease({id, knobs_.holder, BudgetLeaseState::Held, ++renewal_, slot},
-              [this, id, askedAt](bool appended) {
+  appendLease({id, knobs_.holder, BudgetLeaseState::Held, ++renewal_, slot, witnesses},
+              [this, id, witnesses, askedAt](bool appended) {
                 leaseAppendPending_ = false;
                 if (appended && id == leaseId()) {
-                  onLeaseRecordRead(id, askedAt);
+                  onLeaseRecordRead(id, witnesses, askedAt);
                 }
               });
 }
 
-void BudgetPartition::onLeaseRecordRead(const std::string& id, Instant askedAt) {
+void BudgetPartition::onLeaseRecordRead(const std::string& id,
+                                        const std::vector<WitnessProcess>& witnesses,
+                                        Instant askedAt) {
   const std::optional<BudgetLeaseSlot> slot = leases_.slotOf(id);
   if (!slot || leases_.stateOf(id) != BudgetLeaseState::Held) {
     dropLease();  // Another lease was held before it, or both slots were taken.
@@ -409,7 +659,16 @@
     return;
   }
   const bool hasChanged = !lease_ || lease_->slot != *slot;
-  lease_ = Lease{id, askedAt + knobs_.leases.validity, *slot};
+  if (!lease_) {
+    leaseAcquiredAt_ = clock_();
+    lease_ = Lease{id, {}, *slot, nullptr};
+    if (!witnesses.empty()) {
+      lease_->replication = std::make_shared<GrantReplication>(*witnessNodes_, id, witnesses,
+                                                               knobs_.witnessTimeLimit);
+    }
+  }
+  lease_->validUntil = askedAt + knobs_.leases.validity;
+  lease_->slot = *slot;
   if (hasChanged) {
     reportOwnLease(BudgetLeaseState::Held);
   }
@@ -417,6 +676,12 @@
 
 void BudgetPartition::releaseLease() {
   isCoordinator_ = false;
+  isReplacingLease_ = false;
+  foreignLeasesSeenAt_.clear();
+  releaseOnceRecorded();
+}
+
+void BudgetPartition::releaseOnceRecorded() {
   if (!lease_ || leaseAppendPending_) {
     return;
   }
@@ -430,16 +695,25 @@
   }
   // All spending under the lease is recorded, so others need not count it any more. An append that
   // failed may still take effect, so the lease is dropped whatever the result.
-  const BudgetLease record{lease_->id, knobs_.holder, BudgetLeaseState::Cleared, renewal_,
-                           lease_->slot};
+  const BudgetLease record{lease_->id,   knobs_.holder, BudgetLeaseState::Cleared, renewal_,
+                           lease_->slot, {}};
+  const bool isReplacing = isReplacingLease_;
   dropLease();
   leaseAppendPending_ = true;
-  appendLease(record, [this](bool /*appended*/) { leaseAppendPending_ = false; });
+  appendLease(record, [this, isReplacing](bool /*appended*/) {
+    leaseAppendPending_ = false;
+    if (isReplacing && isCoordinator_) {
+      maintainLease();
+    }
+  });
 }
 
 void BudgetPartition::reportOwnLease(BudgetLeaseState state) const {
   if (knobs_.onOwnLease) {
-    knobs_.onOwnLease(address_, {lease_->id, knobs_.holder, state, renewal_, lease_->slot});
+    const auto& replication = lease_->replication;
+    knobs_.onOwnLease(address_,
+                      {lease_->id, knobs_.holder, state, renewal_, lease_->slot,
+                       replication ? replication->witnesses() : std::vector<WitnessProcess>{}});
   }
 }
 
@@ -448,7 +722,9 @@
     reportOwnLease(BudgetLeaseState::Ended);
   }
   lease_.reset();
+  chosenWitnesses_.reset();
   releasing_ = false;
+  isReplacingLease_ = false;
   ++leaseNumber_;
 }
 
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +14,8 @@
 #include "ledger/budget_accounts.h"
 #include "ledger/budget_lease_table.h"
 #include "ledger/facts.h"
+#include "ledger/grant_replication.h"
+#include "ledger/lease_recovery.h"
 #include "ledger/ledger.h"
 #include "ledger/partition_reader.h"
 #include "logstore/append_batcher.h"
@@ -40,6 +43,26 @@
   Duration unsettledTurnTime = seconds(10);
   /// Accounts without a record for this long are removed by `sweep`.
   Duration accountRetention = seconds(300);
+  /// The witnesses of a lease: with three, one may be lost without effect on grants or recovery.
+  std::size_t witnessesPerLease = 3;
+  Duration witnessChoiceTimeLimit = milliseconds(60);
+  /// Of a call to a witness. While the store answers, a grant that waits longer is decided by the
+  /// log.
+  Duration witnessTimeLimit = milliseconds(150);
+  /// A lease whose witnesses have failed, or are fewer than there could be, is replaced at most this
+  /// often.
+  Duration witnessReplacementPause = seconds(3);
+  Duration witnessCheckInterval = seconds(5);
+  /// A coordinator recovers a lease that another node holds so long after it first saw it: the
+  /// holder should have released it by then, if it lives.
+  Duration foreignLeasePatience = milliseconds(1500);
+  /// Minimum interval between recoveries of held leases of a partition that reservations cause.
+  Duration recoveryInterval = seconds(1);
+  LeaseRecoveryKnobs recovery;
+  /// Called at the end of each try to clear a lease with the help of its witnesses.
+  std::function<void(const logstore::PartitionAddress&, const BudgetLease&, LeaseRecoveryOutcome,
+                     std::size_t recoveredGrants)>
+      onLeaseRecovery;
   /// Called when this process's lease of the partition is acquired, changes its slot or is dropped.
   std::function<void(const logstore::PartitionAddress&, const BudgetLease&)> onOwnLease;
 };
@@ -58,6 +81,9 @@
   std::uint64_t uncertain = 0;
   /// Refused because the program's remaining time was received more than `maxDecisionDelay` ago.
   std::uint64_t decidedTooLate = 0;
+  /// Grants under a lease that too few witnesses stored: decided by the log or refused.
+  std::uint64_t notWitnessed = 0;
+  std::uint64_t recoveredLeases = 0;  ///< Of other processes, cleared with their witnesses' help.
 };
 
 /// Grants, records and settles reservations, and acquires and releases this node's lease. The order
@@ -72,16 +98,21 @@
 /// 3. a grant counts against the lease until it is recorded and everything below its record was
 ///    read;
 /// 4. a lease is released only after everything spent under it is recorded.
+/// If the partition has witnesses, a grant is used only after a majority of those that the lease's
+/// record names has stored it, and other nodes can clear the lease (`LeaseRecovery`, model:
+/// spec/lease_witness.pml).
 class BudgetPartition {
  public:
   using ReservationReplyCallback = std::function<void(ReservationReply)>;
 
-  /// \param store, timers must outlive this object.
+  /// \param store, timers must outlive this object. \param witnesses likewise; null: leases have
+  /// none.
   BudgetPartition(logstore::RetryingStore& store, services::TimerService& timers,
                   logstore::ClockFunction clock, logstore::PartitionAddress address,
-                  BudgetPartitionKnobs knobs);
+                  BudgetPartitionKnobs knobs, WitnessNodes* witnesses = nullptr);
 
-  /// Calls back once: immediately if the lease decides or the store is known to be unavailable. A
+  /// Calls back once: immediately if a lease without witnesses decides or the store is known to be
+  /// unavailable. A
   /// reservation that does not fit stays in the log; the caller settles it with zero tokens unless
   /// another coordinator has granted it.
   void reserve(const BudgetRequest& request, Duration timeLimit, ReservationReplyCallback callback);
@@ -125,6 +156,10 @@
     BudgetReservation reservation;
     std::optional<BudgetSettlement> settlement;
     bool recording = false;
+    /// Set while the grant's lease has witnesses; they may forget it when it is recorded.
+    std::shared_ptr<GrantReplication> replication;
+    std::uint64_t number = 0;     ///< In `replication`.
+    bool isReplicating = false;  ///< Too few witnesses have stored it yet: it is not used.
   };
   /// A settlement whose record is not in the log yet.
   struct UnrecordedSettlement {
@@ -135,13 +170,30 @@
     std::string id;
     Instant validUntil;
     BudgetLeaseSlot slot = BudgetLeaseSlot::Primary;  ///< As of the newest record read.
+    std::shared_ptr<GrantReplication> replication;    ///< Null: the lease has no witnesses.
+  };
+  /// A reservation that waits for its decision.
+  struct PendingReservation {
+    BudgetRequest request;
+    Instant askedAt;
+    Instant deadline;
+    ReservationReplyCallback callback;
+    bool hasRecovered = false;  ///< Leases of others were recovered for it.
   };
 
   void onRecord(std::uint64_t offset, std::string_view record);
-  /// \return nothing if the lease cannot decide.
-  std::optional<ReservationReply> reserveUnderLease(const BudgetRequest& request);
-  void reserveInLog(const BudgetRequest& request, Duration timeLimit,
-                    ReservationReplyCallback callback);
+  /// \return the reply of a grant; nothing if the lease does not cover the request.
+  [[nodiscard]] std::optional<ReservationReply> replyUnderLease(const BudgetRequest& request) const;
+  /// \return whether the lease decides.
+  bool reserveUnderLease(PendingReservation& pending);
+  void countGrantUnderLease();
+  void onReplicated(PendingReservation pending, const ReservationReply& reply, bool stored);
+  void decideWithoutLease(PendingReservation pending);
+  void reserveInLog(PendingReservation pending);
+  void onDecidedByLog(PendingReservation pending, const ReservationReply& reply);
+  /// Recovers the leases of others that may be, once for a reservation.
+  /// \return whether it waits for that.
+  bool recoverLeasesFor(PendingReservation& pending);
   ReservationReply decideByLog(const BudgetRequest& request, Instant askedAt, std::uint64_t offset);
   /// The maximum that other nodes may have spent of a program's budget without a record.
   struct UnrecordedTokens {
@@ -172,9 +224,20 @@
   void recordSettlements();
   void appendLease(const BudgetLease& record, std::function<void(bool appended)> onRead);
   void acquireOrRenewLease();
-  void onLeaseRecordRead(const std::string& id, Instant askedAt);
+  void acquireLease();
+  void appendOwnLease(const std::vector<WitnessProcess>& witnesses);
+  void onLeaseRecordRead(const std::string& id, const std::vector<WitnessProcess>& witnesses,
+                         Instant askedAt);
+  [[nodiscard]] bool shouldReplaceWitnesses() const;
+  /// \return whether a recovery runs or was started.
+  bool recoverForeignLeases();
+  [[nodiscard]] bool isRecoveryDue(const BudgetLease& lease) const;
+  [[nodiscard]] LeaseRecovery::Log recoveryLog();
   [[nodiscard]] bool isRenewalDue() const;
   void advanceOtherLeases();
+  /// Releases the lease as soon as all grants are recorded.
+  void releaseOnceRecorded();
+  void checkWitnesses();
   void dropLease();
   void reportOwnLease(BudgetLeaseState state) const;
   [[nodiscard]] std::string leaseId() const;
@@ -189,6 +252,15 @@
   std::unique_ptr<logstore::AppendBatcher> batcher_;
   BudgetAccounts accounts_;
   BudgetLeaseTable leases_;
+  WitnessNodes* witnessNodes_;
+  std::unique_ptr<LeaseRecovery> recovery_;  ///< Null without `witnessNodes_`.
+  Instant lastRecoveryAt_{};                 ///< Of a held lease, for a reservation.
+  std::map<std::string, Instant> foreignLeasesSeenAt_;  ///< While this node is the coordinator.
+  /// Those of the next lease, once chosen; its record may be appended several times.
+  std::optional<std::vector<WitnessProcess>> chosenWitnesses_;
+  bool isReplacingLease_ = false;  ///< It is released to get other witnesses.
+  Instant leaseAcquiredAt_{};
+  Instant witnessesCheckedAt_{};
   std::optional<Lease> lease_;
   std::uint64_t leaseNumber_ = 1;    ///< Of the current lease, or of the next one.
   std::uint64_t renewal_ = 0;        ///< Of the newest lease record requested.
--- a/src/ledger/facts.cpp
+++ b/src/ledger/facts.cpp
@@ -27,10 +27,21 @@
 }
 
 flatbuffers::Offset<void> build(Builder& builder, const BudgetLease& lease) {
-  return fbs::CreateBudgetLease(builder, builder.CreateString(lease.lease),
-                                builder.CreateString(lease.holder),
-                                static_cast<fbs::BudgetLeaseState>(lease.state), lease.renewal,
-                                static_cast<fbs::BudgetLeaseSlot>(lease.slot))
+  const auto id = builder.CreateString(lease.lease);
+  const auto holder = builder.CreateString(lease.holder);
+  flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fbs::LeaseWitness>>> witnesses;
+  if (!lease.witnesses.empty()) {
+    std::vector<flatbuffers::Offset<fbs::LeaseWitness>> encoded;
+    for (const WitnessProcess& witness : lease.witnesses) {
+      const auto address = builder.CreateString(witness.address);
+      encoded.push_back(
+          fbs::CreateLeaseWitness(builder, address, builder.CreateString(witness.incarnation)));
+    }
+    witnesses = builder.CreateVector(encoded);
+  }
+  return fbs::CreateBudgetLease(
+             builder, id, holder, static_cast<fbs::BudgetLeaseState>(lease.state), lease.renewal,
+             static_cast<fbs::BudgetLeaseSlot>(lease.slot), witnesses)
       .Union();
 }
 
@@ -39,6 +50,16 @@
 fbs::Fact typeOf(const BudgetSettlement& /*fact*/) { return fbs::Fact::BudgetSettlement; }
 fbs::Fact typeOf(const BudgetLease& /*fact*/) { return fbs::Fact::BudgetLease; }
 
+std::vector<WitnessProcess> witnessesOf(const fbs::BudgetLease& lease) {
+  std::vector<WitnessProcess> witnesses;
+  if (lease.witnesses() != nullptr) {
+    for (const fbs::LeaseWitness* const witness : *lease.witnesses()) {
+      witnesses.push_back({witness->address()->str(), witness->incarnation()->str()});
+    }
+  }
+  return witnesses;
+}
+
 Error invalidRecord() {
   return {ErrorKind::InvalidFrame, "ledger record", "the bytes are not a valid ledger record",
           "skip the record; check whether another program writes to this topic"};
@@ -79,7 +100,7 @@
       lease->slot() <= fbs::BudgetLeaseSlot::MAX) {
     return Fact{BudgetLease{lease->lease()->str(), lease->holder()->str(),
                             static_cast<BudgetLeaseState>(lease->state()), lease->renewal(),
-                            static_cast<BudgetLeaseSlot>(lease->slot())}};
+                            static_cast<BudgetLeaseSlot>(lease->slot()), witnessesOf(*lease)}};
   }
   return invalidRecord();
 }
--- a/src/ledger/facts.h
+++ b/src/ledger/facts.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "base/result.h"
 #include "base/time.h"
@@ -58,6 +59,12 @@
   Secondary,  ///< Taken while the primary lease has ended and is not cleared.
 };
 
+/// A process that stores the grants of a lease until they are recorded, see `LeaseWitness`.
+struct WitnessProcess {
+  std::string address;
+  std::string incarnation;  ///< Differs between the processes of an address.
+};
+
 /// A state change of a lease. A lease lets a partition's coordinator grant reservations before
 /// recording them.
 struct BudgetLease {
@@ -70,6 +77,9 @@
   /// The slot known to the writer, for readers whose log no longer contains the lease's first
   /// record. The order of the log decides which slot a new lease takes.
   BudgetLeaseSlot slot = BudgetLeaseSlot::Primary;
+  /// A majority of them stores each grant before it is used. Fixed by the lease's first record;
+  /// empty: nobody but the holder knows of its grants before they are recorded.
+  std::vector<WitnessProcess> witnesses{};
 };
 
 using Fact = std::variant<CompletedTurn, BudgetReservation, BudgetSettlement, BudgetLease>;
--- a/src/ledger/ledger_message.cpp
+++ b/src/ledger/ledger_message.cpp
@@ -70,6 +70,49 @@
   return finish(builder, fbs::CallMessage::SettleCall, call.Union());
 }
 
+using GrantOffsets = std::vector<flatbuffers::Offset<fbs::LeaseGrant>>;
+
+GrantOffsets encodeGrants(Builder& builder, const std::vector<LeaseGrant>& grants) {
+  GrantOffsets encoded;
+  for (const LeaseGrant& grant : grants) {
+    const auto request = builder.CreateString(grant.reservation.request);
+    const auto program = builder.CreateString(grant.reservation.program);
+    encoded.push_back(fbs::CreateLeaseGrant(builder, request, program, grant.reservation.tokens,
+                                            grant.number));
+  }
+  return encoded;
+}
+
+std::vector<LeaseGrant> grantsOf(
+    const flatbuffers::Vector<flatbuffers::Offset<fbs::LeaseGrant>>* read) {
+  std::vector<LeaseGrant> grants;
+  if (read != nullptr) {
+    for (const fbs::LeaseGrant* const grant : *read) {
+      grants.push_back({{grant->request()->str(), grant->program()->str(), grant->tokens()},
+                        grant->number()});
+    }
+  }
+  return grants;
+}
+
+std::string encode(const StoreGrantsRequest& request) {
+  Builder builder;
+  const auto lease = builder.CreateString(request.lease);
+  const auto incarnation = optionalText(builder, request.incarnation);
+  const auto grants = builder.CreateVector(encodeGrants(builder, request.grants));
+  const auto call =
+      fbs::CreateStoreGrantsCall(builder, lease, incarnation, grants, request.recordedBelow);
+  return finish(builder, fbs::CallMessage::StoreGrantsCall, call.Union());
+}
+
+std::string encode(const SealLeaseRequest& request) {
+  Builder builder;
+  const auto lease = builder.CreateString(request.lease);
+  const auto call =
+      fbs::CreateSealLeaseCall(builder, lease, builder.CreateString(request.incarnation));
+  return finish(builder, fbs::CallMessage::SealLeaseCall, call.Union());
+}
+
 /// \return the verified envelope, or null; valid as long as `bytes`.
 const fbs::CallEnvelope* verified(std::string_view bytes) {
   const auto* const begin = reinterpret_cast<const std::uint8_t*>(bytes.data());
@@ -106,6 +149,15 @@
   return SettleRequest{{call.request()->str(), call.program()->str(), call.tokens()}};
 }
 
+LedgerRequest requestOf(const fbs::StoreGrantsCall& call) {
+  return StoreGrantsRequest{call.lease()->str(), textOf(call.incarnation()),
+                            grantsOf(call.grants()), call.recorded_below()};
+}
+
+LedgerRequest requestOf(const fbs::SealLeaseCall& call) {
+  return SealLeaseRequest{call.lease()->str(), call.incarnation()->str()};
+}
+
 }  // namespace
 
 std::string encodeLedgerRequest(const LedgerRequest& request) {
@@ -125,6 +177,10 @@
       return requestOf(*envelope->message_as_ReserveCall());
     case fbs::CallMessage::SettleCall:
       return requestOf(*envelope->message_as_SettleCall());
+    case fbs::CallMessage::StoreGrantsCall:
+      return requestOf(*envelope->message_as_StoreGrantsCall());
+    case fbs::CallMessage::SealLeaseCall:
+      return requestOf(*envelope->message_as_SealLeaseCall());
     case fbs::CallMessage::CallReply:
     case fbs::CallMessage::NONE:
       break;
@@ -137,11 +193,16 @@
   const auto base = optionalText(builder, reply.base);
   const auto history = optionalText(builder, reply.history);
   const auto reason = optionalText(builder, reply.reason);
+  const auto incarnation = optionalText(builder, reply.incarnation);
+  flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fbs::LeaseGrant>>> grants;
+  if (!reply.grants.empty()) {
+    grants = builder.CreateVector(encodeGrants(builder, reply.grants));
+  }
   const auto message = fbs::CreateCallReply(
       builder, static_cast<fbs::CallOutcome>(reply.outcome), base, history, reply.tokensUsed,
       reason, reply.canDecideReservations, static_cast<fbs::UndecidedReason>(reply.undecided),
       static_cast<fbs::UnseenLeases>(reply.unseenLeases), reply.tokensUnseen,
-      reply.tokensUnsettled);
+      reply.tokensUnsettled, incarnation, grants);
   return finish(builder, fbs::CallMessage::CallReply, message.Union());
 }
 
@@ -168,6 +229,8 @@
   }
   reply.tokensUnseen = read->tokens_unseen();
   reply.tokensUnsettled = read->tokens_unsettled();
+  reply.incarnation = textOf(read->incarnation());
+  reply.grants = grantsOf(read->grants());
   return reply;
 }
 
--- a/src/ledger/ledger_message.h
+++ b/src/ledger/ledger_message.h
@@ -5,10 +5,12 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "base/result.h"
 #include "base/time.h"
 #include "ledger/facts.h"
+#include "ledger/lease_witness.h"
 #include "ledger/ledger_partitions.h"
 #include "ledger/reservation.h"
 
@@ -31,8 +33,8 @@
 struct SettleRequest {
   BudgetSettlement settlement;
 };
-using LedgerRequest =
-    std::variant<FindTurnRequest, StoreTurnRequest, ReserveRequest, SettleRequest>;
+using LedgerRequest = std::variant<FindTurnRequest, StoreTurnRequest, ReserveRequest, SettleRequest,
+                                   StoreGrantsRequest, SealLeaseRequest>;
 
 /// Outcome of a call.
 enum class LedgerOutcome : std::uint8_t {
@@ -58,6 +60,9 @@
   UnrecordedSpending unseenLeases = UnrecordedSpending::None;
   std::uint64_t tokensUnseen = 0;
   std::uint64_t tokensUnsettled = 0;
+  // Of a witness.
+  std::string incarnation{};
+  std::vector<LeaseGrant> grants{};  ///< Those of a sealed lease that it holds.
 };
 
 std::string encodeLedgerRequest(const LedgerRequest& request);
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr const char* kStoreDoesNotAnswer = "the store does not answer the coordinator";
+constexpr const char* kTooManyGrants = "too many grants of leases are stored";
 constexpr const char* kTooManySettlements = "too many settlements wait for the store";
 
 LedgerReply replyOf(TurnAnswer answer) {
@@ -75,6 +76,14 @@
 }
 
 void LedgerService::handleForPeer(LedgerRequest request, LedgerReplyCallback callback) {
+  if (const auto* const store = std::get_if<StoreGrantsRequest>(&request)) {
+    run(*store, callback);
+    return;
+  }
+  if (const auto* const seal = std::get_if<SealLeaseRequest>(&request)) {
+    run(*seal, callback);
+    return;
+  }
   if (ledger_.answers(partitionOf(request))) {
     handle(std::move(request), std::move(callback));
     return;
@@ -120,12 +129,14 @@
                 callback = std::move(callback)](const ReservationReply& reservation) {
                  LedgerReply reply = replyOf(reservation);
                  reply.canDecideReservations = canDecideReservations(program);
+                 reply.incarnation = witness_.incarnation();
                  callback(std::move(reply));
                });
 }
 
 void LedgerService::run(const SettleRequest& request, const LedgerReplyCallback& callback) {
   LedgerReply reply;
+  reply.incarnation = witness_.incarnation();
   const std::string& program = request.settlement.program;
   reply.canDecideReservations = canDecideReservations(program);
   BudgetPartition& budgets = ledger_.budgetsOf(program);
@@ -141,4 +152,32 @@
   callback(std::move(reply));
 }
 
+void LedgerService::run(const StoreGrantsRequest& request, const LedgerReplyCallback& callback) {
+  LedgerReply reply;
+  switch (witness_.store(request, ledger_.now())) {
+    case LeaseWitness::Outcome::Stored:
+      reply.outcome = LedgerOutcome::Done;
+      reply.incarnation = witness_.incarnation();
+      break;
+    case LeaseWitness::Outcome::Refused:
+      reply.outcome = LedgerOutcome::Rejected;
+      break;
+    case LeaseWitness::Outcome::Full:
+      reply.reason = kTooManyGrants;
+      break;
+  }
+  callback(std::move(reply));
+}
+
+void LedgerService::run(const SealLeaseRequest& request, const LedgerReplyCallback& callback) {
+  LedgerReply reply;
+  if (auto grants = witness_.seal(request, ledger_.now())) {
+    reply.outcome = LedgerOutcome::Done;
+    reply.grants = std::move(*grants);
+  } else {
+    reply.outcome = LedgerOutcome::Rejected;
+  }
+  callback(std::move(reply));
+}
+
 }  // namespace gorsetrail::ledger
--- a/src/ledger/ledger_service.h
+++ b/src/ledger/ledger_service.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "ledger/ledger_message.h"
+#include "ledger/lease_witness.h"
 #include "ledger/program_ledger.h"
 
 namespace gorsetrail::ledger {
@@ -16,7 +17,13 @@
 class LedgerService {
  public:
   /// \param ledger must outlive this object.
-  explicit LedgerService(ProgramLedger& ledger) : ledger_(ledger) {}
+  explicit LedgerService(ProgramLedger& ledger)
+      : ledger_(ledger), witness_(ledger.incarnation()) {}
+  /// The witnesses of this node's leases. Call it before the first other call.
+  void setWitnessNodes(WitnessNodes& nodes) { ledger_.setWitnessNodes(nodes); }
+  /// Removes old state of other nodes' leases. Call it periodically.
+  void sweep() { witness_.sweep(ledger_.now()); }
+  [[nodiscard]] const LeaseWitness& witness() const { return witness_; }
   /// For this node's own requests: waits for the store up to the request's time limit. Calls back
   /// once.
   void handle(LedgerRequest request, LedgerReplyCallback callback);
@@ -43,7 +50,11 @@
   void run(const ReserveRequest& request, LedgerReplyCallback callback);
   void run(const SettleRequest& request, const LedgerReplyCallback& callback);
 
+  void run(const StoreGrantsRequest& request, const LedgerReplyCallback& callback);
+  void run(const SealLeaseRequest& request, const LedgerReplyCallback& callback);
+
   ProgramLedger& ledger_;
+  LeaseWitness witness_;
 };
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/program_ledger.cpp
+++ b/src/ledger/program_ledger.cpp
@@ -145,7 +145,8 @@
 BudgetPartition& ProgramLedger::budgetsAt(const logstore::PartitionAddress& address) {
   std::unique_ptr<BudgetPartition>& partition = budgets_[address];
   if (!partition) {
-    partition = std::make_unique<BudgetPartition>(store_, timers_, clock_, address, knobs_.budgets);
+    partition = std::make_unique<BudgetPartition>(store_, timers_, clock_, address, knobs_.budgets,
+                                                  witnessNodes_);
   }
   return *partition;
 }
@@ -203,6 +204,8 @@
     sum.spent += one.spent;
     sum.uncertain += one.uncertain;
     sum.decidedTooLate += one.decidedTooLate;
+    sum.notWitnessed += one.notWitnessed;
+    sum.recoveredLeases += one.recoveredLeases;
   }
   return sum;
 }
--- a/src/ledger/program_ledger.h
+++ b/src/ledger/program_ledger.h
@@ -75,6 +75,10 @@
     return budgetsAt(layout_.ofBudget(program));
   }
   BudgetPartition& budgetsAt(const logstore::PartitionAddress& address);
+  /// The witnesses of this node's leases. Call it before the first other call.
+  void setWitnessNodes(WitnessNodes& nodes) { witnessNodes_ = &nodes; }
+  [[nodiscard]] const std::string& incarnation() const { return knobs_.budgets.incarnation; }
+  [[nodiscard]] Instant now() const { return clock_(); }
 
   /// \return whether the turn is cached and can be found without the store.
   [[nodiscard]] bool isTurnCached(const std::string& turn) { return turns_.find(turn) != nullptr; }
@@ -119,6 +123,7 @@
   TurnCache turns_;
   std::map<logstore::PartitionAddress, std::unique_ptr<BudgetPartition>>
       budgets_;  ///< Created on first use.
+  WitnessNodes* witnessNodes_ = nullptr;
 };
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/reservation.cpp
+++ b/src/ledger/reservation.cpp
@@ -24,6 +24,8 @@
       return "nodes_not_known";
     case UndecidedReason::UnsettledTurns:
       return "unsettled_turns";
+    case UndecidedReason::WitnessesUnavailable:
+      return "witnesses_unavailable";
   }
   return "unknown";
 }
--- a/src/ledger/reservation.h
+++ b/src/ledger/reservation.h
@@ -29,6 +29,8 @@
   NoAnswer = 7,           ///< No node replied.
   NodesNotKnown = 8,      ///< The calling node has not received the list of nodes yet.
   UnsettledTurns = 9,     ///< It would fit if other turns of the program return what they reserved.
+  /// Too few witnesses of the lease stored the grant, and the store does not answer.
+  WitnessesUnavailable = 10,
 };
 
 /// \return the reason's stable name for log lines.
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -115,6 +115,7 @@
       pacer_(knobs_.pace, seed),
       outbox_(knobs_.outbox) {
   setZones(std::move(knobs_.zones), std::move(knobs_.regionOfZone));
+  service_.setWitnessNodes(witnesses_);
 }
 
 void RoutedLedger::setZones(std::vector<std::string> zones,
@@ -282,6 +283,9 @@
   }
   if (reply) {
     updateUndecidedReport(*call, *reply);
+    if (!reply->incarnation.empty()) {
+      onIncarnation(coordinator, reply->incarnation);
+    }
     call->coordinatorAlive = call->coordinatorAlive || coordinator != knobs_.ownAddress;
     if (selector_.clearSuspicion(coordinator) && knobs_.onSuspicionChanged) {
       knobs_.onSuspicionChanged(coordinator, false);
@@ -368,8 +372,11 @@
 void RoutedLedger::suspect(const std::string& coordinator) {
   const bool isNewlySuspected = !selector_.isSuspect(coordinator, clock_());
   selector_.suspect(coordinator, clock_());
-  if (isNewlySuspected && knobs_.onSuspicionChanged) {
-    knobs_.onSuspicionChanged(coordinator, true);
+  if (isNewlySuspected) {
+    if (knobs_.onSuspicionChanged) {
+      knobs_.onSuspicionChanged(coordinator, true);
+    }
+    resendSettlementsOf(coordinator);
   }
 }
 
@@ -484,7 +491,10 @@
               const bool accepted = isConclusive(result.reply);
               if (!accepted) {
                 keepSettlement(partition, settlement);
-              } else if (isLate) {
+              } else {
+                keepAcceptedSettlement(settlement, partition, result.repliedBy);
+              }
+              if (accepted && isLate) {
                 ++counters_.settledLate;
                 if (knobs_.onSettledLate) {
                   knobs_.onSettledLate(settlement.settlement, clock_() - settlement.endedAt);
@@ -504,6 +514,48 @@
   scheduleSettlementRetry();
 }
 
+void RoutedLedger::keepAcceptedSettlement(const WaitingSettlement& settlement,
+                                          const logstore::PartitionAddress& partition,
+                                          const std::string& coordinator) {
+  const Instant now = clock_();
+  while (!acceptedSettlements_.empty() &&
+         (now - acceptedSettlements_.front().acceptedAt >= knobs_.acceptedSettlementRetention ||
+          acceptedSettlements_.size() >= knobs_.maximumAcceptedSettlements)) {
+    acceptedSettlements_.pop_front();
+  }
+  if (coordinator != knobs_.ownAddress) {
+    acceptedSettlements_.push_back({partition, settlement, coordinator, now});
+  }
+}
+
+// Otherwise turns that ended would count with all that they had reserved.
+void RoutedLedger::resendSettlementsOf(const std::string& coordinator) {
+  const Instant now = clock_();
+  std::size_t kept = 0;
+  for (const AcceptedSettlement& accepted : acceptedSettlements_) {
+    if (accepted.coordinator == coordinator &&
+        now - accepted.acceptedAt < knobs_.acceptedSettlementRetention) {
+      keepSettlement(accepted.partition, accepted.settlement);
+      ++kept;
+    }
+  }
+  std::erase_if(acceptedSettlements_, [&coordinator](const AcceptedSettlement& accepted) {
+    return accepted.coordinator == coordinator;
+  });
+  if (kept > 0) {
+    for (const WaitingSettlement& probe : outbox_.takeProbes()) {
+      sendSettlement(probe, true);
+    }
+  }
+}
+
+void RoutedLedger::onIncarnation(const std::string& coordinator, const std::string& incarnation) {
+  const auto [known, isNew] = incarnations_.try_emplace(coordinator, incarnation);
+  if (!isNew && std::exchange(known->second, incarnation) != incarnation) {
+    resendSettlementsOf(coordinator);
+  }
+}
+
 void RoutedLedger::scheduleSettlementRetry() {
   if (settlementRetryScheduled_ || outbox_.size() == 0) {
     return;
@@ -538,6 +590,11 @@
 
 void RoutedLedger::sweep() {
   const Instant oldest = clock_() - knobs_.accountRetention;
+  service_.sweep();
+  // Addresses of nodes that are gone are rare, so that all are dropped at once.
+  if (incarnations_.size() > knobs_.maximumAcceptedSettlements) {
+    incarnations_.clear();
+  }
   std::erase_if(knownUse_, [oldest](const auto& entry) { return entry.second.updatedAt < oldest; });
 }
 
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +20,7 @@
 #include "ledger/ledger_service.h"
 #include "ledger/rendezvous_selector.h"
 #include "ledger/settlement_outbox.h"
+#include "ledger/witness_nodes.h"
 #include "logstore/adaptive_retry_policy.h"
 #include "logstore/retrying_store.h"
 #include "services/timer_service.h"
@@ -56,6 +58,10 @@
   bool usesSecondPartitions = true;
   Duration settleTimeLimit = milliseconds(1500);
   SettlementOutboxKnobs outbox;
+  /// Accepted settlements are kept for this time and sent again if their coordinator turns out to
+  /// have died: it may not have recorded them. A death is noticed with the next call to its address.
+  Duration acceptedSettlementRetention = seconds(10);
+  std::size_t maximumAcceptedSettlements = 4096;  ///< Kept for that; the oldest are dropped.
   /// How often a settlement is tried again while no coordinator accepts one.
   Duration settleRetryInterval = milliseconds(500);
   Duration accountRetention = seconds(300);
@@ -147,6 +153,17 @@
  private:
   using CallResultCallback = std::function<void(CallResult)>;
   struct Call;
+  /// The other nodes as witnesses of this node's leases.
+  class Witnesses final : public WitnessNodes {
+   public:
+    explicit Witnesses(RoutedLedger& ledger) : ledger_(ledger) {}
+    [[nodiscard]] std::vector<std::string> preferredFor(const std::string& lease) const override;
+    void call(const std::string& address, const LedgerRequest& request, Duration timeLimit,
+              std::function<void(std::optional<LedgerReply>)> callback) override;
+
+   private:
+    RoutedLedger& ledger_;
+  };
   struct KnownUse {
     std::uint64_t tokens = 0;
     std::uint64_t possibleTokens = 0;
@@ -161,6 +178,12 @@
   void sendSettlement(const WaitingSettlement& settlement, bool isLate);
   void keepSettlement(const logstore::PartitionAddress& partition, WaitingSettlement settlement);
   void scheduleSettlementRetry();
+  void keepAcceptedSettlement(const WaitingSettlement& settlement,
+                              const logstore::PartitionAddress& partition,
+                              const std::string& coordinator);
+  /// Sends the settlements again that a process accepted which may have died.
+  void resendSettlementsOf(const std::string& coordinator);
+  void onIncarnation(const std::string& coordinator, const std::string& incarnation);
   void reportDroppedSettlements(std::size_t count, std::string_view reason);
   void callNext(const std::shared_ptr<Call>& call);
   [[nodiscard]] bool hasNext(const Call& call) const;
@@ -202,10 +225,20 @@
   RoutedLedgerKnobs knobs_;
   LedgerPartitions layout_;
   RendezvousSelector selector_;
+  Witnesses witnesses_{*this};
   logstore::AdaptiveRetryPolicy pacer_;
   RoutedLedgerCounters counters_;
   SettlementOutbox outbox_;
   bool settlementRetryScheduled_ = false;
+  /// A settlement that its coordinator may not have recorded yet.
+  struct AcceptedSettlement {
+    logstore::PartitionAddress partition;
+    WaitingSettlement settlement;
+    std::string coordinator;
+    Instant acceptedAt;
+  };
+  std::deque<AcceptedSettlement> acceptedSettlements_;  ///< The oldest first.
+  std::unordered_map<std::string, std::string> incarnations_;  ///< Last one of each coordinator.
   std::unordered_map<std::string, KnownUse> knownUse_;
   /// Circuit breakers of the partitions whose last call failed.
   std::map<logstore::PartitionAddress, engine::CircuitBreaker> breakers_;
--- a/tests/ledger/budget_fleet.h
+++ b/tests/ledger/budget_fleet.h
@@ -48,18 +48,23 @@
   logstore::FakeTimers& timers_;
 };
 
-/// Timers of one process, whose work is dropped once the process is dead.
+/// Timers of one process, whose work is dropped once the process is dead, and waits while the
+/// process is suspended.
 class ProcessTimers final : public services::TimerService {
  public:
   explicit ProcessTimers(services::TimerService& shared) : shared_(shared) {}
   void runAfter(Duration delay, std::function<void()> work) override {
-    shared_.runAfter(delay, [this, work = std::move(work)] {
-      if (!isDead) {
+    shared_.runAfter(delay, [this, work = std::move(work)]() mutable {
+      constexpr Duration kSuspensionCheck = milliseconds(20);
+      if (isSuspended && !isDead) {
+        runAfter(kSuspensionCheck, std::move(work));
+      } else if (!isDead) {
         work();
       }
     });
   }
   bool isDead = false;
+  bool isSuspended = false;
 
  private:
   services::TimerService& shared_;
