--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -126,8 +126,7 @@
   std::vector<BudgetLease> active;
   for (const auto& [id, entry] : leases_) {
     if (id != ownLease && entry.state != BudgetLeaseState::Cleared) {
-      active.push_back(
-          {id, entry.holder, entry.state, entry.renewal, entry.slot, entry.witnesses});
+      active.push_back({id, entry.holder, entry.state, entry.renewal, entry.slot, entry.witnesses});
     }
   }
   return active;
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -150,11 +150,10 @@
   grant->second.replication = replication;
   grant->second.isReplicating = true;
   auto shared = std::make_shared<PendingReservation>(std::move(pending));
-  grant->second.number =
-      replication->replicate(shared->request.reservation,
-                             [this, shared, reply = *reply](bool stored) {
-                               onReplicated(std::move(*shared), reply, stored);
-                             });
+  grant->second.number = replication->replicate(shared->request.reservation,
+                                                [this, shared, reply = *reply](bool stored) {
+                                                  onReplicated(std::move(*shared), reply, stored);
+                                                });
   return true;
 }
 
@@ -582,8 +581,7 @@
 
 bool BudgetPartition::isRecoveryDue(const BudgetLease& lease) const {
   const bool isDead = lease.holder == knobs_.holder || lease.state == BudgetLeaseState::Ended;
-  return isDead ||
-         clock_() - foreignLeasesSeenAt_.at(lease.lease) >= knobs_.foreignLeasePatience;
+  return isDead || clock_() - foreignLeasesSeenAt_.at(lease.lease) >= knobs_.foreignLeasePatience;
 }
 
 LeaseRecovery::Log BudgetPartition::recoveryLog() {
@@ -695,8 +693,8 @@
   }
   // All spending under the lease is recorded, so others need not count it any more. An append that
   // failed may still take effect, so the lease is dropped whatever the result.
-  const BudgetLease record{lease_->id,   knobs_.holder, BudgetLeaseState::Cleared, renewal_,
-                           lease_->slot, {}};
+  const BudgetLease record{lease_->id, knobs_.holder, BudgetLeaseState::Cleared,
+                           renewal_,   lease_->slot,  {}};
   const bool isReplacing = isReplacingLease_;
   dropLease();
   leaseAppendPending_ = true;
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -49,8 +49,8 @@
   /// Of a call to a witness. While the store answers, a grant that waits longer is decided by the
   /// log.
   Duration witnessTimeLimit = milliseconds(150);
-  /// A lease whose witnesses have failed, or are fewer than there could be, is replaced at most this
-  /// often.
+  /// A lease whose witnesses have failed, or are fewer than there could be, is replaced at most
+  /// this often.
   Duration witnessReplacementPause = seconds(3);
   Duration witnessCheckInterval = seconds(5);
   /// A coordinator recovers a lease that another node holds so long after it first saw it: the
@@ -158,7 +158,7 @@
     bool recording = false;
     /// Set while the grant's lease has witnesses; they may forget it when it is recorded.
     std::shared_ptr<GrantReplication> replication;
-    std::uint64_t number = 0;     ///< In `replication`.
+    std::uint64_t number = 0;    ///< In `replication`.
     bool isReplicating = false;  ///< Too few witnesses have stored it yet: it is not used.
   };
   /// A settlement whose record is not in the log yet.
@@ -253,8 +253,8 @@
   BudgetAccounts accounts_;
   BudgetLeaseTable leases_;
   WitnessNodes* witnessNodes_;
-  std::unique_ptr<LeaseRecovery> recovery_;  ///< Null without `witnessNodes_`.
-  Instant lastRecoveryAt_{};                 ///< Of a held lease, for a reservation.
+  std::unique_ptr<LeaseRecovery> recovery_;             ///< Null without `witnessNodes_`.
+  Instant lastRecoveryAt_{};                            ///< Of a held lease, for a reservation.
   std::map<std::string, Instant> foreignLeasesSeenAt_;  ///< While this node is the coordinator.
   /// Those of the next lease, once chosen; its record may be appended several times.
   std::optional<std::vector<WitnessProcess>> chosenWitnesses_;
--- a/src/ledger/facts.cpp
+++ b/src/ledger/facts.cpp
@@ -39,9 +39,9 @@
     }
     witnesses = builder.CreateVector(encoded);
   }
-  return fbs::CreateBudgetLease(
-             builder, id, holder, static_cast<fbs::BudgetLeaseState>(lease.state), lease.renewal,
-             static_cast<fbs::BudgetLeaseSlot>(lease.slot), witnesses)
+  return fbs::CreateBudgetLease(builder, id, holder,
+                                static_cast<fbs::BudgetLeaseState>(lease.state), lease.renewal,
+                                static_cast<fbs::BudgetLeaseSlot>(lease.slot), witnesses)
       .Union();
 }
 
--- a/src/ledger/grant_replication.cpp
+++ b/src/ledger/grant_replication.cpp
@@ -99,9 +99,8 @@
 }
 
 bool GrantReplication::isImpaired() const {
-  return std::any_of(states_.begin(), states_.end(), [](const Witness& witness) {
-    return witness.hasFailed || witness.isLost;
-  });
+  return std::any_of(states_.begin(), states_.end(),
+                     [](const Witness& witness) { return witness.hasFailed || witness.isLost; });
 }
 
 void chooseWitnesses(WitnessNodes& nodes, const std::string& lease, std::size_t count,
@@ -121,27 +120,25 @@
     callback({});
     return;
   }
-  auto choice = std::make_shared<Choice>(
-      Choice{count, addresses.size(), {}, std::move(callback)});
+  auto choice = std::make_shared<Choice>(Choice{count, addresses.size(), {}, std::move(callback)});
   for (std::size_t rank = 0; rank < addresses.size(); ++rank) {
-    nodes.call(addresses[rank], StoreGrantsRequest{lease, {}, {}, 0}, timeLimit,
-               [choice, rank, address = addresses[rank]](const std::optional<LedgerReply>& reply) {
-                 --choice->awaited;
-                 if (reply && reply->outcome == LedgerOutcome::Done &&
-                     !reply->incarnation.empty()) {
-                   choice->agreed[rank] = {address, reply->incarnation};
-                 }
-                 const bool isComplete =
-                     choice->agreed.size() == choice->count || choice->awaited == 0;
-                 if (!isComplete || !choice->callback) {
-                   return;
-                 }
-                 std::vector<WitnessProcess> witnesses;
-                 for (auto& [order, witness] : choice->agreed) {
-                   witnesses.push_back(std::move(witness));
-                 }
-                 std::exchange(choice->callback, {})(std::move(witnesses));
-               });
+    nodes.call(
+        addresses[rank], StoreGrantsRequest{lease, {}, {}, 0}, timeLimit,
+        [choice, rank, address = addresses[rank]](const std::optional<LedgerReply>& reply) {
+          --choice->awaited;
+          if (reply && reply->outcome == LedgerOutcome::Done && !reply->incarnation.empty()) {
+            choice->agreed[rank] = {address, reply->incarnation};
+          }
+          const bool isComplete = choice->agreed.size() == choice->count || choice->awaited == 0;
+          if (!isComplete || !choice->callback) {
+            return;
+          }
+          std::vector<WitnessProcess> witnesses;
+          for (auto& [order, witness] : choice->agreed) {
+            witnesses.push_back(std::move(witness));
+          }
+          std::exchange(choice->callback, {})(std::move(witnesses));
+        });
   }
 }
 
--- a/src/ledger/grant_replication.h
+++ b/src/ledger/grant_replication.h
@@ -76,8 +76,7 @@
 /// \param count the most that are chosen. \param callback is called once with those that agreed
 /// within the limit; it may be none. Called immediately if there is no other node.
 void chooseWitnesses(WitnessNodes& nodes, const std::string& lease, std::size_t count,
-                     Duration timeLimit,
-                     std::function<void(std::vector<WitnessProcess>)> callback);
+                     Duration timeLimit, std::function<void(std::vector<WitnessProcess>)> callback);
 
 /// Seals a lease at its witnesses. Afterwards no further grant of it can be used.
 /// \param callback is called once, never synchronously: with all grants that were or will be used
--- a/src/ledger/lease_witness.cpp
+++ b/src/ledger/lease_witness.cpp
@@ -59,8 +59,7 @@
 
 std::optional<std::vector<LeaseGrant>> LeaseWitness::seal(const SealLeaseRequest& request,
                                                           Instant now) {
-  Entry* const entry =
-      request.incarnation == incarnation_ ? entryFor(request.lease, now) : nullptr;
+  Entry* const entry = request.incarnation == incarnation_ ? entryFor(request.lease, now) : nullptr;
   if (entry == nullptr) {
     return std::nullopt;
   }
--- a/src/ledger/lease_witness.h
+++ b/src/ledger/lease_witness.h
@@ -1,5 +1,5 @@
-/// \file Stores grants that other nodes made under their budget leases and have not recorded yet, so
-/// that they are known after the holder's death. No I/O, no clock.
+/// \file Stores grants that other nodes made under their budget leases and have not recorded yet,
+/// so that they are known after the holder's death. No I/O, no clock.
 #pragma once
 
 #include <cstddef>
@@ -38,8 +38,8 @@
 
 /// Limits of `LeaseWitness`.
 struct LeaseWitnessKnobs {
-  /// A lease is forgotten so long after it was last used. Longer than any lease counts: it ends 24 s
-  /// after its last renewal and is cleared 300 s later.
+  /// A lease is forgotten so long after it was last used. Longer than any lease counts: it ends 24
+  /// s after its last renewal and is cleared 300 s later.
   Duration retention = seconds(600);
   std::size_t maximumLeases = 1024;
   /// Of all grants; one takes the bytes of its ids and about 100 more.
--- a/src/ledger/ledger_message.cpp
+++ b/src/ledger/ledger_message.cpp
@@ -77,8 +77,8 @@
   for (const LeaseGrant& grant : grants) {
     const auto request = builder.CreateString(grant.reservation.request);
     const auto program = builder.CreateString(grant.reservation.program);
-    encoded.push_back(fbs::CreateLeaseGrant(builder, request, program, grant.reservation.tokens,
-                                            grant.number));
+    encoded.push_back(
+        fbs::CreateLeaseGrant(builder, request, program, grant.reservation.tokens, grant.number));
   }
   return encoded;
 }
@@ -88,8 +88,8 @@
   std::vector<LeaseGrant> grants;
   if (read != nullptr) {
     for (const fbs::LeaseGrant* const grant : *read) {
-      grants.push_back({{grant->request()->str(), grant->program()->str(), grant->tokens()},
-                        grant->number()});
+      grants.push_back(
+          {{grant->request()->str(), grant->program()->str(), grant->tokens()}, grant->number()});
     }
   }
   return grants;
@@ -201,8 +201,8 @@
   const auto message = fbs::CreateCallReply(
       builder, static_cast<fbs::CallOutcome>(reply.outcome), base, history, reply.tokensUsed,
       reason, reply.canDecideReservations, static_cast<fbs::UndecidedReason>(reply.undecided),
-      static_cast<fbs::UnseenLeases>(reply.unseenLeases), reply.tokensUnseen,
-      reply.tokensUnsettled, incarnation, grants);
+      static_cast<fbs::UnseenLeases>(reply.unseenLeases), reply.tokensUnseen, reply.tokensUnsettled,
+      incarnation, grants);
   return finish(builder, fbs::CallMessage::CallReply, message.Union());
 }
 
--- a/src/ledger/ledger_service.h
+++ b/src/ledger/ledger_service.h
@@ -4,8 +4,8 @@
 #include <functional>
 #include <string_view>
 
-#include "ledger/ledger_message.h"
 #include "ledger/lease_witness.h"
+#include "ledger/ledger_message.h"
 #include "ledger/program_ledger.h"
 
 namespace gorsetrail::ledger {
@@ -17,8 +17,7 @@
 class LedgerService {
  public:
   /// \param ledger must outlive this object.
-  explicit LedgerService(ProgramLedger& ledger)
-      : ledger_(ledger), witness_(ledger.incarnation()) {}
+  explicit LedgerService(ProgramLedger& ledger) : ledger_(ledger), witness_(ledger.incarnation()) {}
   /// The witnesses of this node's leases. Call it before the first other call.
   void setWitnessNodes(WitnessNodes& nodes) { ledger_.setWitnessNodes(nodes); }
   /// Removes old state of other nodes' leases. Call it periodically.
--- a/src/ledger/routed_ledger.h
+++ b/src/ledger/routed_ledger.h
@@ -59,7 +59,8 @@
   Duration settleTimeLimit = milliseconds(1500);
   SettlementOutboxKnobs outbox;
   /// Accepted settlements are kept for this time and sent again if their coordinator turns out to
-  /// have died: it may not have recorded them. A death is noticed with the next call to its address.
+  /// have died: it may not have recorded them. A death is noticed with the next call to its
+  /// address.
   Duration acceptedSettlementRetention = seconds(10);
   std::size_t maximumAcceptedSettlements = 4096;  ///< Kept for that; the oldest are dropped.
   /// How often a settlement is tried again while no coordinator accepts one.
@@ -237,7 +238,7 @@
     std::string coordinator;
     Instant acceptedAt;
   };
-  std::deque<AcceptedSettlement> acceptedSettlements_;  ///< The oldest first.
+  std::deque<AcceptedSettlement> acceptedSettlements_;         ///< The oldest first.
   std::unordered_map<std::string, std::string> incarnations_;  ///< Last one of each coordinator.
   std::unordered_map<std::string, KnownUse> knownUse_;
   /// Circuit breakers of the partitions whose last call failed.
--- a/tests/ledger/lease_fleet.h
+++ b/tests/ledger/lease_fleet.h
@@ -164,9 +164,9 @@
 
   logstore::FakeTimers timers;
   logstore::FakeLogStore log{timers};
-  std::map<std::string, std::string> zones;         ///< Of all listed nodes.
-  std::map<std::string, LeaseProcess*> alive;       ///< By address.
-  std::map<std::string, std::uint64_t> handedOut;   ///< By program.
+  std::map<std::string, std::string> zones;        ///< Of all listed nodes.
+  std::map<std::string, LeaseProcess*> alive;      ///< By address.
+  std::map<std::string, std::uint64_t> handedOut;  ///< By program.
   std::uint64_t budget = 1100;
   bool witnessesForget = false;  ///< A fault: they confirm grants without storing them.
 
@@ -209,33 +209,33 @@
   LeaseProcess* const caller = fleet_.alive.at(own_);
   const auto replyOnce = [replied, callback, caller](std::optional<LedgerReply> reply) {
     if (!std::exchange(*replied, true)) {
-      caller->processTimers.runAfter(
-          Duration::zero(), [callback, reply = std::move(reply)] { callback(reply); });
+      caller->processTimers.runAfter(Duration::zero(),
+                                     [callback, reply = std::move(reply)] { callback(reply); });
     }
   };
   timers.runAfter(timeLimit, [replyOnce] { replyOnce(std::nullopt); });
-  timers.runAfter(milliseconds(1), [this, address, process = found->second, request, replyOnce,
-                                    &timers] {
-    const auto current = fleet_.alive.find(address);
-    if (current == fleet_.alive.end() || current->second != process) {
-      replyOnce(std::nullopt);
-      return;
-    }
-    if (fleet_.witnessesForget && std::holds_alternative<StoreGrantsRequest>(request)) {
-      LedgerReply reply;
-      reply.outcome = LedgerOutcome::Done;
-      reply.incarnation = process->local.incarnation();
-      replyOnce(reply);
-      return;
-    }
-    process->service.handleForPeer(request, [replyOnce, process, &timers](LedgerReply reply) {
-      timers.runAfter(milliseconds(1), [replyOnce, process, reply = std::move(reply)] {
-        if (!process->processTimers.isDead) {
+  timers.runAfter(
+      milliseconds(1), [this, address, process = found->second, request, replyOnce, &timers] {
+        const auto current = fleet_.alive.find(address);
+        if (current == fleet_.alive.end() || current->second != process) {
+          replyOnce(std::nullopt);
+          return;
+        }
+        if (fleet_.witnessesForget && std::holds_alternative<StoreGrantsRequest>(request)) {
+          LedgerReply reply;
+          reply.outcome = LedgerOutcome::Done;
+          reply.incarnation = process->local.incarnation();
           replyOnce(reply);
+          return;
         }
+        process->service.handleForPeer(request, [replyOnce, process, &timers](LedgerReply reply) {
+          timers.runAfter(milliseconds(1), [replyOnce, process, reply = std::move(reply)] {
+            if (!process->processTimers.isDead) {
+              replyOnce(reply);
+            }
+          });
+        });
       });
-    });
-  });
 }
 
 }  // namespace gorsetrail::ledger::testing
--- a/tests/ledger/lease_recovery_random_test.cpp
+++ b/tests/ledger/lease_recovery_random_test.cpp
@@ -1,5 +1,6 @@
-// Random deaths, suspensions and outages of nodes whose leases have witnesses: the tokens granted to
-// a program never exceed its budget by more than its largest turn, though leases are cleared early.
+// Random deaths, suspensions and outages of nodes whose leases have witnesses: the tokens granted
+// to a program never exceed its budget by more than its largest turn, though leases are cleared
+// early.
 #include <algorithm>
 #include <array>
 #include <random>
