Requests that end replicas: runs that met one process count once

Cause: each run at one id counted as an ended replica, since a later run may have met the next process under the id; nothing could clear them, because none was sent any more.

Ruled out: the session in the key (a poisoned request would end three replicas for each sub-agent); ids as processes (ids come back on some deployments, and not all entries tell a start); connections (equal requests mostly open their own, at several nodes).

Change: runs at one id and start are one if the later was sent before the next process could have started: within 0.13 s of the first, or of the last data of one of them. Records tell when a run was sent, in one byte; a process that was suspended does not use the ages that it reads late. Outside programs, where equal content of many callers is one request, one attempt is let through 8 s after the last run if the registrations still stand.

Tests: RunHistories (each side), ExchangeEndedReplicas.equalRequestsAtOneReplicaThatEndsCountAsOne and aCommonRequestIsServedAgainWhenTheRegistrationsStand, ExchangeCountedRuns.agesInDatagramsAreNotUsedAfterASuspension; the tests of ended replicas stay as they were.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -269,6 +269,8 @@
   [[nodiscard]] std::string interruptionReason(std::string_view reason);
   /// \return the current run, for the record.
   [[nodiscard]] routing::ReplicaRun currentRun() const;
+  /// Ends the call to the replica; its callbacks are ignored from then on.
+  void dropCall();
   /// \return the session for the record; 0 outside programs.
   [[nodiscard]] std::uint32_t sessionHash() const;
   [[nodiscard]] Duration runHistoryLifetime() const;
@@ -318,8 +320,10 @@
   bool headReceived_ = false;
   /// When the client could receive the first byte: the response head; of a stream the first event.
   Instant answerBeganAt_;
-  bool hadFreeSlot_ = false;                ///< The replica had a free slot at the dispatch.
-  std::uint64_t runNumber_ = 0;             ///< Of the current dispatch in the record.
+  bool hadFreeSlot_ = false;     ///< The replica had a free slot at the dispatch.
+  std::uint64_t runNumber_ = 0;  ///< Of the current dispatch in the record.
+  /// Of the current run's connection, once it was established and its call has ended.
+  std::optional<Instant> runConnectionOpenedAt_;
   Instant runSentAt_;                       ///< First dispatch of the run of that number.
   bool dispatchRecorded_ = false;           ///< By `recordDispatch`.
   bool runCountsAlready_ = false;           ///< As this exchange's previous run.
--- a/src/edge/exchange_liveness.cpp
+++ b/src/edge/exchange_liveness.cpp
@@ -72,7 +72,7 @@
 
 void Exchange::onRunLost(std::string_view reason) {
   call_->cancel();
-  call_.reset();
+  dropCall();
   mayHaveRun_ = true;
   headReceived_ =
       false;  // An earlier response head does not show that the replica is still running.
--- a/src/edge/exchange_quarantine.cpp
+++ b/src/edge/exchange_quarantine.cpp
@@ -48,6 +48,11 @@
   if (!decision.isQuarantined) {
     return false;
   }
+  // Outside programs many callers send the same content. Where nothing shows that its replicas
+  // ended, one of the requests is let through; its success clears the others.
+  if (decision.mayLive && request_.programId.empty() && dispatchNumber_ == 0) {
+    return false;
+  }
   logQuarantine(decision);
   if (streamBegun_) {
     abortAnswer(std::string(kQuarantined));
@@ -70,6 +75,7 @@
                            {"request_key", routing::textOf(requestKey())},
                            {"ended_replicas", std::uint64_t{decision.endedReplicas}},
                            {"uncertain_replicas", std::uint64_t{decision.uncertainReplicas}},
+                           {"repeated_replicas", std::uint64_t{decision.repeatedReplicas}},
                            {"dispatches", dispatchNumber_},
                            {"retry_ms", retry}});
 }
@@ -90,9 +96,21 @@
   routing::ReplicaRun run{runNumber_, replica_->entry.id, replica_->entry.startedAt};
   run.session = sessionHash();
   run.mayRunUntil = deadlineAt_;
+  if (const std::optional<Instant> openedAt =
+          call_ ? call_->connectionOpenedAt() : runConnectionOpenedAt_) {
+    run.sentAt = std::max(runSentAt_, *openedAt);
+    run.lastDataAt = lastRunDataAt_ > *run.sentAt ? std::optional(lastRunDataAt_) : std::nullopt;
+  }
   return run;
 }
 
+void Exchange::dropCall() {
+  if (call_) {
+    runConnectionOpenedAt_ = call_->connectionOpenedAt();
+    call_.reset();
+  }
+}
+
 std::uint32_t Exchange::sessionHash() const {
   return request_.sessionId.empty()
              ? 0
@@ -133,6 +151,7 @@
 void Exchange::recordDispatch() {
   dispatchRecorded_ = false;
   runCountsAlready_ = false;
+  runConnectionOpenedAt_.reset();
   if (context_.runHistories == nullptr) {
     return;
   }
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -407,7 +407,7 @@
   if (ended_) {
     return;
   }
-  call_.reset();
+  dropCall();
   releaseHeldBytes();
   followRestartedReplica();
   const bool requestWritten = failure.stage == http::FailureStage::Broken;
--- a/src/edge/request_record_message.cpp
+++ b/src/edge/request_record_message.cpp
@@ -33,6 +33,21 @@
       std::clamp<Duration::rep>(span / milliseconds(1), 0, UINT32_MAX));
 }
 
+// One byte, so that a datagram with one run takes 200 bytes at most.
+constexpr Duration kSentBeforeUnit = milliseconds(20);
+
+std::uint8_t wireSentBefore(const routing::ReplicaRun& run) {
+  if (!run.sentAt || *run.sentAt > run.at) {
+    return 0;
+  }
+  const Duration::rep units = (run.at - *run.sentAt) / kSentBeforeUnit + 1;
+  return units <= UINT8_MAX ? static_cast<std::uint8_t>(units) : 0;
+}
+
+std::optional<Instant> readSentAt(std::uint8_t units, Instant at) {
+  return units == 0 ? std::nullopt : std::optional(at - kSentBeforeUnit * (units - 1));
+}
+
 std::string encode(const OriginRecord& record, Instant /*now*/) {
   Builder builder;
   const fbs::RequestKey stream = structOf(record.stream);
@@ -88,7 +103,7 @@
         builder, builder.CreateString(run.replicaId), run.startedAt ? run.startedAt->value() : 0,
         wireMilliseconds(now - run.at), wireState(run.state), run.revision, run.number,
         run.atFailingReplica, run.isInterrupted, wireMilliseconds(run.mayRunUntil - now),
-        run.session));
+        run.session, wireSentBefore(run)));
   }
   const auto list = builder.CreateVector(encoded);
   const fbs::RequestKey key = structOf(runs.request);
@@ -163,6 +178,7 @@
     decoded.session = run.session();
     decoded.isInterrupted = run.is_interrupted();
     decoded.mayRunUntil = now + milliseconds(run.may_run_ms());
+    decoded.sentAt = readSentAt(run.sent_before(), decoded.at);
     runs.history.runs.push_back(std::move(decoded));
   }
   return runs;
--- a/src/edge/run_history_sharing.cpp
+++ b/src/edge/run_history_sharing.cpp
@@ -23,6 +23,23 @@
 void RunHistorySharing::start() {
   startedAt_ = clock_();
   compareLoop();
+  suspensionLoop();
+}
+
+void RunHistorySharing::suspensionLoop() {
+  const Instant now = clock_();
+  if (mayReadLate(now)) {
+    readsLateUntil_ = now + knobs_.lateDatagramTime;
+  }
+  suspensionCheckedAt_ = now;
+  timers_.runAfter(knobs_.suspensionCheckPeriod, [this] { suspensionLoop(); });
+}
+
+bool RunHistorySharing::mayReadLate(Instant now) const {
+  const bool wasSuspended =
+      suspensionCheckedAt_ &&
+      now - *suspensionCheckedAt_ > knobs_.suspensionCheckPeriod + knobs_.longestDelay;
+  return wasSuspended || now < readsLateUntil_;
 }
 
 std::size_t RunHistorySharing::countedRuns(const routing::RequestKey& request) const {
@@ -106,6 +123,12 @@
   for (const RequestRuns& runs : message.histories) {
     routing::RunHistory history = runs.history;
     history.keepUntil = std::min(history.keepUntil, now + knobs_.maximumLifetime);
+    if (mayReadLate(now)) {
+      for (routing::ReplicaRun& run : history.runs) {
+        run.sentAt.reset();
+        run.lastDataAt.reset();
+      }
+    }
     histories_.merge(runs.request, history, now);
   }
 }
--- a/src/edge/run_history_sharing.h
+++ b/src/edge/run_history_sharing.h
@@ -33,6 +33,11 @@
   std::size_t maximumHistoriesInMessage = 4;  ///< So that a datagram is not fragmented.
   std::size_t maximumMessagesInReply = 16;    ///< The next comparison brings others.
   Duration maximumLifetime = seconds(600);
+  /// Interval at which this process notices that it was suspended. Datagrams that waited meanwhile
+  /// are read late, so that the ages in them are wrong.
+  Duration suspensionCheckPeriod = milliseconds(50);
+  Duration longestDelay = milliseconds(100);      ///< Of a check; a longer one shows a suspension.
+  Duration lateDatagramTime = milliseconds(200);  ///< For so long afterwards ages are not used.
 };
 
 /// Tells all other nodes of each change at once, without waiting for replies. What a node missed,
@@ -88,6 +93,9 @@
   /// Sends the history to all nodes, or to its holders beyond the rate.
   void sendHistory(const routing::RequestKey& request);
   void compareLoop();
+  void suspensionLoop();
+  /// \return whether datagrams may have waited while this process was suspended.
+  [[nodiscard]] bool mayReadLate(Instant now) const;
 
   services::TimerService& timers_;
   std::function<Instant()> clock_;
@@ -99,6 +107,8 @@
   routing::RunHistories histories_;
   engine::TokenBucket datagrams_;
   Instant startedAt_{};
+  std::optional<Instant> suspensionCheckedAt_;
+  Instant readsLateUntil_{};
   std::uint64_t limitedBroadcasts_ = 0;
 };
 
--- a/src/routing/run_histories.cpp
+++ b/src/routing/run_histories.cpp
@@ -88,6 +88,39 @@
       std::count_if(runs.begin(), runs.end(), [](const ReplicaRun& run) { return run.counts(); }));
 }
 
+std::vector<ProcessRuns> groupByProcess(const std::vector<ReplicaRun>& runs, Duration restartTime) {
+  ProcessRuns counted;
+  for (const ReplicaRun& run : runs) {
+    if (run.counts()) {
+      counted.push_back(&run);
+    }
+  }
+  const auto orderOf = [](const ReplicaRun* run) {
+    return std::tuple(std::string_view(run->replicaId), run->startedAt, run->sentAt, run->number);
+  };
+  std::sort(counted.begin(), counted.end(),
+            [&orderOf](const ReplicaRun* left, const ReplicaRun* right) {
+              return orderOf(left) < orderOf(right);
+            });
+  std::vector<ProcessRuns> groups;
+  // The next process under the id cannot have started before then.
+  Instant nextProcessAfter{};
+  for (const ReplicaRun* const run : counted) {
+    const bool isSame = run->sentAt && !groups.empty() && groups.back().front()->sentAt &&
+                        groups.back().front()->isAtSameIncarnation(*run) &&
+                        *run->sentAt < nextProcessAfter;
+    if (!isSame) {
+      groups.emplace_back();
+      nextProcessAfter = run->sentAt.value_or(Instant{}) + restartTime;
+    }
+    groups.back().push_back(run);
+    if (run->lastDataAt) {
+      nextProcessAfter = std::max(nextProcessAfter, *run->lastDataAt + restartTime);
+    }
+  }
+  return groups;
+}
+
 const RunHistory* RunHistories::find(const RequestKey& key) const {
   const auto found = histories_.find(key);
   return found == histories_.end() ? nullptr : &found->second;
@@ -131,14 +164,28 @@
   }
   runs.push_back(run);
   if (runs.size() > knobs_.maximumRuns) {
-    runs.erase(std::min_element(
-        runs.begin(), runs.end(), [](const ReplicaRun& left, const ReplicaRun& right) {
-          return std::tuple(left.counts(), left.at) < std::tuple(right.counts(), right.at);
-        }));
+    dropLeastImportantRun(runs);
   }
   return true;
 }
 
+// Runs that do not count go first, then those that add no process to the count.
+void RunHistories::dropLeastImportantRun(std::vector<ReplicaRun>& runs) const {
+  std::uint64_t redundant = 0;
+  for (const ProcessRuns& group : groupByProcess(runs, knobs_.restartTime)) {
+    if (group.size() > 1) {
+      redundant = group.back()->number;
+    }
+  }
+  const auto importanceOf = [redundant](const ReplicaRun& run) {
+    return std::tuple(run.counts(), run.number != redundant, run.at);
+  };
+  runs.erase(std::min_element(runs.begin(), runs.end(),
+                              [&importanceOf](const ReplicaRun& left, const ReplicaRun& right) {
+                                return importanceOf(left) < importanceOf(right);
+                              }));
+}
+
 void RunHistories::record(const RequestKey& key, ReplicaRun run, Instant keepUntil, Instant now) {
   RunHistory& history = historyFor(key);
   const auto known =
@@ -255,20 +302,30 @@
   if (history == nullptr || history->keepUntil <= now) {
     return decision;
   }
+  std::set<std::string_view> replicas;
   std::set<std::pair<std::string_view, std::optional<ReplicaStart>>> ended;
-  std::vector<Instant> settledAt;  // When it may be known that other runs do not count.
-  for (const ReplicaRun& run : history->runs) {
-    const RunState state = stateBy(run, view);
-    if (state == RunState::Uncertain) {
-      settledAt.push_back(usuallySettledAt(run, now));
-    } else if (state == RunState::Ended) {
-      // A further run under an id may have met the next process, and a run at a failing replica
-      // may have met none: both count, but neither makes a refusal final.
-      const bool isCertain =
-          !run.atFailingReplica && ended.emplace(run.replicaId, run.startedAt).second;
-      if (!isCertain) {
-        settledAt.push_back(history->keepUntil);
-      }
+  std::vector<Instant> settledAt;  // When it may be known that other processes do not count.
+  bool isAnyInProgress = false;
+  bool mayAllLive = true;
+  for (const ProcessRuns& process : groupByProcess(history->runs, knobs_.restartTime)) {
+    decision.repeatedReplicas += replicas.insert(process.front()->replicaId).second ? 0 : 1;
+    bool hasEnded = false;
+    bool isCertain = false;
+    Instant settled = now;
+    for (const ReplicaRun* const run : process) {
+      const bool hasRunEnded = stateBy(*run, view) == RunState::Ended;
+      hasEnded = hasEnded || hasRunEnded;
+      // A run at a failing replica may have met no process, so that it makes no refusal final.
+      isCertain = isCertain || (hasRunEnded && !run->atFailingReplica);
+      settled = std::max(settled, usuallySettledAt(*run, now));
+      isAnyInProgress = isAnyInProgress || !run->isInterrupted;
+      mayAllLive = mayAllLive && view.readAt >= run->at + knobs_.registrationLapseTime;
+    }
+    // Further runs under an id that has ended may have met the next process: likewise.
+    isCertain =
+        isCertain && ended.emplace(process.front()->replicaId, process.front()->startedAt).second;
+    if (!isCertain) {
+      settledAt.push_back(hasEnded ? history->keepUntil : settled);
     }
   }
   decision.endedReplicas = ended.size();
@@ -278,6 +335,7 @@
   if (decision.isQuarantined && ended.size() < knobs_.maximumEndedReplicas) {
     std::sort(settledAt.begin(), settledAt.end());
     decision.retryAfter = settledAt[counted - knobs_.maximumEndedReplicas] - now;
+    decision.mayLive = mayAllLive && !isAnyInProgress;
   }
   return decision;
 }
@@ -299,7 +357,8 @@
 std::size_t RunHistories::quarantinedRequests() const {
   return static_cast<std::size_t>(
       std::count_if(histories_.begin(), histories_.end(), [this](const auto& entry) {
-        return entry.second.countedRuns() >= knobs_.maximumEndedReplicas;
+        return groupByProcess(entry.second.runs, knobs_.restartTime).size() >=
+               knobs_.maximumEndedReplicas;
       }));
 }
 
--- a/src/routing/run_histories.h
+++ b/src/routing/run_histories.h
@@ -47,6 +47,11 @@
   /// The replica had broken off an earlier run without a sign of life since: it may have ended
   /// before this run reached it.
   bool atFailingReplica = false;
+  /// When the replica was sent the request, over an open connection; unset: unknown.
+  std::optional<Instant> sentAt{};
+  /// When the replica last sent data of its answer to this run; unset: it sent none, or another
+  /// node dispatched the run.
+  std::optional<Instant> lastDataAt{};
 
   [[nodiscard]] bool isAtSameIncarnation(const ReplicaRun& other) const {
     return replicaId == other.replicaId && startedAt == other.startedAt;
@@ -66,6 +71,18 @@
   [[nodiscard]] std::size_t countedRuns() const;
 };
 
+/// Counted runs of one request that met the same process, if they met any.
+using ProcessRuns = std::vector<const ReplicaRun*>;
+
+/// Groups the counted runs by the processes that they may have ended. Two runs at one replica met
+/// the same process if the later one was sent before the next process could have started: the
+/// earlier one shows that its process lived until its last data, or that it had ended by the run
+/// itself at the earliest when it was sent. A run of which that is not known has a group of its
+/// own.
+/// \param restartTime a process starts at least so long after the end of the one before it.
+[[nodiscard]] std::vector<ProcessRuns> groupByProcess(const std::vector<ReplicaRun>& runs,
+                                                      Duration restartTime);
+
 /// What settled a run.
 enum class RunEvidence : std::uint8_t {
   Replica,        ///< It says that it did not execute the request, or received no byte of it.
@@ -89,6 +106,11 @@
       onSettled{};
   /// A request is not dispatched again once so many replicas ended under it.
   std::size_t maximumEndedReplicas = 3;
+  /// See `groupByProcess`. A process takes 200 ms to start; times from other nodes are late by up
+  /// to 50 ms and 20 ms of rounding.
+  Duration restartTime = milliseconds(130);
+  /// Registrations of ended replicas are gone after this time, if the store answers.
+  Duration registrationLapseTime = seconds(8);
   /// A run is settled about so long after it ended, if its replica lives. For the time that a
   /// refusal names; nothing is decided by it.
   Duration usualProofTime = milliseconds(500);
@@ -102,7 +124,12 @@
 struct QuarantineDecision {
   bool isQuarantined = false;
   std::size_t endedReplicas = 0;      ///< Shown by the registrations.
-  std::size_t uncertainReplicas = 0;  ///< Runs of which it is not known yet.
+  std::size_t uncertainReplicas = 0;  ///< Processes of which it is not known yet.
+  /// Those of both that may be the same process as another one under their id.
+  std::size_t repeatedReplicas = 0;
+  /// No run is in progress, and the registrations of the uncertain replicas stand though they would
+  /// be gone if these had ended, and none had started again under its id.
+  bool mayLive = false;
   /// Set if the request is quarantined and may be dispatched again after about this time, should
   /// the uncertain replicas turn out to be alive.
   std::optional<Duration> retryAfter;
@@ -156,6 +183,7 @@
   RunHistory& historyFor(const RequestKey& key);
   void reportSettled(const RequestKey& key, const ReplicaRun& run, RunEvidence evidence) const;
   void dropLeastImportant();
+  void dropLeastImportantRun(std::vector<ReplicaRun>& runs) const;
   /// Adds the run, or replaces an older revision of it.
   /// \return whether it was new.
   bool mergeRun(RunHistory& history, const ReplicaRun& run) const;
--- a/tests/edge/exchange_counted_runs_test.cpp
+++ b/tests/edge/exchange_counted_runs_test.cpp
@@ -157,3 +157,33 @@
   }
   LONGS_EQUAL(kMaximumEndedReplicas, ended);
 }
+
+// A datagram that waited while the process was suspended is read late, so that a run of long ago
+// looks as if it had been sent beside a new one.
+TEST(ExchangeCountedRuns, agesInDatagramsAreNotUsedAfterASuspension) {
+  const routing::RequestKey request{1, 2};
+  const auto learnOf = [&](std::uint64_t number) {
+    routing::ReplicaRun run{number, "r1"};
+    run.isInterrupted = true;
+    run.revision = 1;
+    run.at = world.timers.now;
+    run.sentAt = world.timers.now;
+    world.runHistories.onMessage(
+        "", RunHistoriesMessage{{{request, {{run}, world.timers.now + seconds(60)}}}});
+  };
+  learnOf(1);
+  learnOf(2);
+  LONGS_EQUAL(1, world.runHistories.decide(request).uncertainReplicas +
+                     world.runHistories.decide(request).endedReplicas);
+  world.timers.now += seconds(1);
+  learnOf(3);
+  learnOf(4);
+  LONGS_EQUAL(2, world.runHistories.decide(request).repeatedReplicas);
+  wait(milliseconds(100));
+  learnOf(5);
+  LONGS_EQUAL(3, world.runHistories.decide(request).repeatedReplicas);
+  wait(seconds(1));
+  learnOf(6);
+  learnOf(7);
+  LONGS_EQUAL(4, world.runHistories.decide(request).repeatedReplicas);
+}
--- a/tests/edge/exchange_ended_replicas_test.cpp
+++ b/tests/edge/exchange_ended_replicas_test.cpp
@@ -376,3 +376,58 @@
   }
   LONGS_EQUAL(kMaximumEndedReplicas, world.dispatches());
 }
+
+// A program starts several sub-agents that ask for the same; one replica that runs them crashes.
+TEST(ExchangeEndedReplicas, equalRequestsAtOneReplicaThatEndsCountAsOne) {
+  world.replicas.remove("r2");
+  world.replicas.remove("r3");
+  constexpr int kSubAgents = 3;
+  for (int number = 0; number < kSubAgents; ++number) {
+    CallRequest call = ExchangeWorld::turn("kept");
+    call.requestId = "s" + std::to_string(number);
+    call.sessionId = call.requestId;
+    world.start(std::move(call));
+    wait(milliseconds(10));
+    world.call().openedAt = world.timers.now;
+  }
+  LONGS_EQUAL(kSubAgents, world.dispatches());
+  wait(milliseconds(300));
+  for (const auto& exchange : std::vector(world.client.exchanges)) {
+    exchange->fail(http::FailureStage::Broken);
+  }
+  routing::ReplicaEntry next = world.replicas.find("r1")->entry;
+  next.id = "r4";
+  world.replicas.remove("r1");
+  world.replicas.upsert(next, world.timers.now);
+  wait(seconds(8));
+  const std::size_t before = world.dispatches();
+  CallRequest later = ExchangeWorld::turn("kept");
+  later.sessionId = "later";
+  const auto client = world.start(std::move(later));
+  wait();
+  LONGS_EQUAL(before + 1, world.dispatches());
+  LONGS_EQUAL(0, world.context.counters.quarantineRefusals);
+}
+
+// Requests of many callers outside programs may have the same content. Their replicas lost the
+// answers, and no connection is left on which these could show that they live.
+TEST(ExchangeEndedReplicas, aCommonRequestIsServedAgainWhenTheRegistrationsStand) {
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    breakOff(ExchangeWorld::request("unsafe"));
+  }
+  const std::size_t before = world.dispatches();
+  LONGS_EQUAL(503, world.start(ExchangeWorld::request("unsafe"))->status);
+  wait(routing::RunHistoryKnobs{}.registrationLapseTime);
+  const auto trial = world.start(ExchangeWorld::request("unsafe"));
+  wait();
+  LONGS_EQUAL(before + 1, world.dispatches());
+  // One at a time.
+  LONGS_EQUAL(503, world.start(ExchangeWorld::request("unsafe"))->status);
+  world.call().head(200);
+  world.call().done();
+  wait();
+  LONGS_EQUAL(200, trial->status);
+  world.start(ExchangeWorld::request("unsafe"));
+  wait();
+  LONGS_EQUAL(before + 2, world.dispatches());
+}
--- a/tests/edge/run_history_sharing_test.cpp
+++ b/tests/edge/run_history_sharing_test.cpp
@@ -233,6 +233,7 @@
     sent.revision = 3;
     sent.session = 0xfedcba98;
     sent.atFailingReplica = true;
+    sent.sentAt = sentAt - seconds(3);
     runs.history.runs.push_back(sent);
   }
   runs.history.keepUntil = sentAt + seconds(60);
@@ -257,6 +258,7 @@
   CHECK_TRUE(decoded.history.runs[0].isInterrupted);
   CHECK(decoded.history.runs[0].session == 0xfedcba98);
   CHECK(decoded.history.runs[0].mayRunUntil == receivedAt + seconds(3));
+  CHECK(decoded.history.runs[0].sentAt == receivedAt - seconds(3));
   CHECK(decoded.history.keepUntil == receivedAt + seconds(60));
 }
 
--- a/tests/routing/run_histories_test.cpp
+++ b/tests/routing/run_histories_test.cpp
@@ -42,6 +42,16 @@
     histories.record(kRequest, interruptedRun(numberOf(replica), replica, atFailingReplica),
                      now + kLifetime, now);
   }
+  /// A run was interrupted that was sent at a time of its replica's life.
+  void recordSent(std::uint64_t number, const std::string& replica, Duration sentAfter,
+                  std::optional<Duration> lastDataAfter = std::nullopt) {
+    ReplicaRun run = interruptedRun(number, replica);
+    run.sentAt = now + sentAfter;
+    if (lastDataAfter) {
+      run.lastDataAt = now + *lastDataAfter;
+    }
+    histories.record(kRequest, run, now + kLifetime, now);
+  }
   ReplicaRun interruptedRun(std::uint64_t number, const std::string& replica,
                             bool atFailingReplica = false) {
     ReplicaRun run{number, replica, ReplicaStart(1)};
@@ -72,6 +82,94 @@
   }
 };
 
+// Sub-agents of a program that ask for the same send equal requests at once.
+TEST(RunHistories, runsThatWereSentBeforeTheNextProcessCouldStartCountAsOne) {
+  for (std::uint64_t number = 1; number <= 7; ++number) {
+    recordSent(number, "a", milliseconds(10) * number);
+  }
+  CHECK_FALSE(decide().isQuarantined);
+  LONGS_EQUAL(1, decide().uncertainReplicas);
+  LONGS_EQUAL(0, decide().repeatedReplicas);
+  recordSent(8, "b", {});
+  CHECK_FALSE(decide().isQuarantined);
+  recordSent(9, "c", {});
+  CHECK_TRUE(decide().isQuarantined);
+  absent = {"a", "b", "c"};
+  pass(seconds(60));
+  LONGS_EQUAL(3, decide().endedReplicas);
+  CHECK_FALSE(decide().retryAfter.has_value());
+}
+
+// The other side: the next process under an id may have met a later run.
+TEST(RunHistories, runsCountEachThatMayHaveMetTheNextProcessUnderTheId) {
+  recordSent(1, "a", {});
+  recordSent(2, "a", knobs.restartTime);
+  recordSent(3, "a", knobs.restartTime * 2);
+  CHECK_TRUE(decide().isQuarantined);
+  LONGS_EQUAL(2, decide().repeatedReplicas);
+}
+
+// Its process lived until it sent the data.
+TEST(RunHistories, dataOfARunShowsThatLaterRunsMetTheSameProcess) {
+  recordSent(1, "a", {}, seconds(1));
+  recordSent(2, "a", seconds(1) + knobs.restartTime - milliseconds(1), seconds(3));
+  recordSent(3, "a", seconds(3));
+  LONGS_EQUAL(1, decide().uncertainReplicas);
+  recordSent(4, "a", seconds(3) + knobs.restartTime);
+  LONGS_EQUAL(2, decide().uncertainReplicas);
+}
+
+// A run that broke off without data shows nothing of the time after it was sent.
+TEST(RunHistories, runsWithoutDataDoNotLinkLaterOnes) {
+  recordSent(1, "a", {});
+  recordSent(2, "a", knobs.restartTime - milliseconds(1));
+  LONGS_EQUAL(1, decide().uncertainReplicas);
+  recordSent(3, "a", knobs.restartTime + milliseconds(50));
+  LONGS_EQUAL(2, decide().uncertainReplicas);
+}
+
+TEST(RunHistories, runsAtOtherReplicasAndStartsCountEach) {
+  recordSent(1, "a", {});
+  recordSent(2, "b", {});
+  ReplicaRun restarted = interruptedRun(3, "a");
+  restarted.startedAt = ReplicaStart(2);
+  restarted.sentAt = now;
+  histories.record(kRequest, restarted, now + kLifetime, now);
+  LONGS_EQUAL(3, decide().uncertainReplicas);
+}
+
+TEST(RunHistories, manyRunsAtOneReplicaDoNotDisplaceThoseAtOthers) {
+  recordSent(1, "a", {});
+  recordSent(2, "b", {});
+  for (std::uint64_t number = 3; number <= 60; ++number) {
+    recordSent(number, "c", milliseconds(number));
+  }
+  LONGS_EQUAL(3, decide().uncertainReplicas);
+}
+
+TEST(RunHistories, uncertainReplicasMayLiveOnceTheirRegistrationsShouldBeGone) {
+  for (const char* replica : {"a", "b", "c"}) {
+    record(replica);
+  }
+  CHECK_FALSE(decide().mayLive);
+  pass(knobs.registrationLapseTime, false);
+  CHECK_FALSE(decide().mayLive);  // The store did not answer meanwhile.
+  pass(milliseconds(1));
+  CHECK_TRUE(decide().mayLive);
+  histories.record(kRequest, ReplicaRun{77, "d", ReplicaStart(1)}, now + kLifetime, now);
+  pass(knobs.registrationLapseTime);
+  CHECK_FALSE(decide().mayLive);  // One is in progress.
+}
+
+TEST(RunHistories, replicasWhoseRegistrationsAreGoneDoNotLive) {
+  for (const char* replica : {"a", "b", "c"}) {
+    record(replica);
+  }
+  absent = {"a", "b", "c"};
+  pass(knobs.registrationLapseTime);
+  CHECK_FALSE(decide().mayLive);
+}
+
 TEST(RunHistories, aRequestIsQuarantinedAfterThreeInterruptedRuns) {
   for (const char* replica : {"a", "b"}) {
     record(replica);
