HTTP answers: bytes that name no request are not taken for an answer

Cause: an answer without an id was taken for that to the present request. Ruled out: a check of idle connections alone (the bytes come when the next request is sent). Change: without an id only a failure on a connection that served no request before belongs to the request.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -144,6 +144,8 @@
   [[nodiscard]] Duration leastTimeNeeded() const;
   /// \return the request's priority for the replica; 0 is the most urgent.
   [[nodiscard]] std::uint32_t replicaPriority() const;
+  /// \return whether an answer on the connection of the call is that to this request.
+  [[nodiscard]] bool ownsAnswer(const ReplicaHead& head) const;
   void onHead(unsigned status, const std::vector<http::Header>& headers);
   void onBody(std::string_view part);
   void onReplicaDone();
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -58,8 +58,7 @@
   const auto self = shared_from_this();
   const std::uint64_t number = dispatchNumber_;
   handler.isOwn = [self](unsigned status, const std::vector<http::Header>& headers) {
-    const ReplicaHead head = self->context_.wire.readReplicaHead(status, headers);
-    return head.requestId.empty() || head.requestId == self->request_.requestId;
+    return self->ownsAnswer(self->context_.wire.readReplicaHead(status, headers));
   };
   handler.onHead = [self, number](unsigned status, const std::vector<http::Header>& headers) {
     if (self->dispatchNumber_ == number) {
@@ -86,6 +85,20 @@
   startNoDataTimer();
 }
 
+// Replicas name the request in their answers. A faulty one may send further bytes after an answer,
+// and these arrive where the answer to the next request on the connection is due. Without an id, a
+// promise that the request was not executed may be such bytes as well: an unsafe request would run
+// twice. On a connection that has served no request before, a refusal without an id, as a proxy
+// sends it, can only belong to this one.
+bool Exchange::ownsAnswer(const ReplicaHead& head) const {
+  if (!head.requestId.empty() || request_.requestId.empty()) {
+    return head.requestId == request_.requestId;
+  }
+  const std::optional<Instant> openedAt = call_ ? call_->connectionOpenedAt() : std::nullopt;
+  const bool isFirstOnConnection = openedAt && *openedAt >= dispatchedAt_;
+  return isFirstOnConnection && head.status >= kFirstFailureStatus;
+}
+
 void Exchange::onHead(unsigned status, const std::vector<http::Header>& headers) {
   if (ended_) {
     return;
