--- a/lab/faultsoak/soak_program.cpp
+++ b/lab/faultsoak/soak_program.cpp
@@ -27,6 +27,9 @@
 /// granted unseen counts for at most 0.6 of it (docs/design/0011-budget-leases.md): eight turns are
 /// left to two, so that no refusal by budget is right.
 constexpr std::uint64_t kBudgetTurnsAfterLoss = 20;
+constexpr int kTurnsNearBudget = 8;
+/// For a turn that a dead node broke off, and one beside it.
+constexpr int kSpareTurnsNearBudget = 2;
 constexpr std::size_t kMostStoredTurns = 200;
 constexpr int kMostTriesOfTool = 3;
 /// Programs resend a failed turn after a time between these (docs/design/0021). A fixed time can
@@ -93,6 +96,18 @@
   sendTurn();
 }
 
+void SoakProgram::startNearBudget(std::function<void(bool well)> onEnded) {
+  onEnded_ = [] {};
+  onNearBudgetEnded_ = std::move(onEnded);
+  id_ = "p" + std::to_string(++clients_.nextId);
+  persisted_ = true;
+  turnsWanted_ = kTurnsNearBudget;
+  finishAt_ = steadyNow() + kTimeOfProgram;
+  budget_ = kTokensOfTurn * static_cast<std::uint64_t>(kTurnsNearBudget + kSpareTurnsNearBudget);
+  clients_.watcher.onProgram(id_, budget_, kTokensOfTurn);
+  sendTurn();
+}
+
 void SoakProgram::startEndingReplicas(SoakRoute route, SoakReplica::Effect effect) {
   onEnded_ = [] {};
   id_ = "p" + std::to_string(++clients_.nextId) + SoakReplica::markOf(effect);
@@ -246,6 +261,9 @@
   }
   ++clients_.programsEnded;
   clients_.programsFailed += well ? 0 : 1;
+  if (const auto onNearBudgetEnded = std::move(onNearBudgetEnded_)) {
+    onNearBudgetEnded(well);
+  }
   const auto onEnded = std::move(onEnded_);
   onEnded();
 }
--- a/lab/faultsoak/soak_program.h
+++ b/lab/faultsoak/soak_program.h
@@ -77,6 +77,9 @@
   void start(std::function<void()> onEnded);
   /// Goes on from a turn of another program, and asks until it is answered.
   void startFrom(const StoredTurn& turn);
+  /// Takes turns that use most of its budget.
+  /// \param onEnded called once, with whether all turns were answered.
+  void startNearBudget(std::function<void(bool well)> onEnded);
   /// Sends one request that ends each replica that runs it, and sends it again until it gives up,
   /// each time to another node. Comes back after `kLateReturnTime`, as after a refusal that names a
   /// time.
@@ -105,6 +108,7 @@
   SoakClients& clients_;
   NodeChoice nodeChoice_;
   std::function<void()> onEnded_;
+  std::function<void(bool well)> onNearBudgetEnded_;
   std::string id_;
   std::string tenant_;
   bool persisted_ = false;  ///< Its turns are kept by the system; else each stands alone.
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -30,6 +30,11 @@
 /// the platform gives its clients for it.
 constexpr Duration kRecoveryAfterLoss = seconds(15);
 constexpr Duration kLossCheckPeriod = milliseconds(100);
+/// Programs beside the kill of one node, and the pause between their starts: at the kill the first
+/// have used most of their budgets.
+constexpr int kProgramsNearBudget = 12;
+constexpr Duration kBetweenProgramsNearBudget = milliseconds(200);
+constexpr Duration kTimeAfterSingleKill = seconds(10);
 constexpr int kProgramsAfterLoss = 12;
 /// Four attempts of a client, with the pauses between them.
 constexpr Duration kEndingRequestTime = milliseconds(1500);
@@ -333,6 +338,7 @@
   checkResumption();
   checkEndsWithoutStore();
   checkRecovery();
+  checkSingleKill();
   checkOverload();
   takeBack(kLastEvacuated);
   checkLossOfAll();
@@ -552,6 +558,30 @@
   silentLooksInRecovery_ = looksWithSilence_ - silentBefore;
 }
 
+// Nothing else strikes, so that no other disruption excuses a refusal. Only programs that began
+// before the kill are judged: the others may be judged by the checks of the whole run.
+void SoakRun::checkSingleKill() {
+  if (!waitForNodes()) {
+    return;  // Judged by the number of cases.
+  }
+  const auto begin = [this] {
+    std::make_shared<SoakProgram>(*clients_, tenantOfProgram(programsBegun_++))
+        ->startNearBudget([this](bool well) { programsNearBudgetServed_ += well ? 1 : 0; });
+    ++programsNearBudget_;
+  };
+  for (int program = 0; program < kProgramsNearBudget; ++program) {
+    begin();
+    runFor(kBetweenProgramsNearBudget);
+  }
+  faultsStruck_ += processes_.signal(random_.below(options_.nodes), SIGKILL) ? 1 : 0;
+  runFor(kTimeAfterSingleKill);
+  if (programsNearBudgetServed_ < programsNearBudget_) {
+    watcher_.add({"a_single_kill_costs_no_program_its_budget", "",
+                  std::to_string(programsNearBudgetServed_) + " of " +
+                      std::to_string(programsNearBudget_) + " programs had all turns answered"});
+  }
+}
+
 // Nodes that stand still would serve late, so such time is not checked.
 void SoakRun::checkOverload() {
   std::vector<const SoakReplica*> serving;
@@ -592,7 +622,8 @@
        watcher_.endedReplicas().lateTriesAtLimit},
       {"a_failure_clears_no_ends", failuresInstead()},
       {"a_bystander_is_served", watcher_.endedReplicas().bystanders},
-      {"resumed_streams_go_on", resumed < PromiseWatcher::kLeastResumedStreams ? 0 : resumed}};
+      {"resumed_streams_go_on", resumed < PromiseWatcher::kLeastResumedStreams ? 0 : resumed},
+      {"a_single_kill_costs_no_program_its_budget", programsNearBudget_}};
   if (!overload_->wasDisturbed()) {
     cases["a_tenant_below_its_share_is_served"] = triesBelowShare;
     cases["programs_that_start_after_a_burst_are_in_time"] = overload_->burstWasChecked() ? 1 : 0;
@@ -655,6 +686,7 @@
         {"bystanders", watcher_.endedReplicas().bystanders},
         {"bystanders_served", watcher_.endedReplicas().bystandersServed},
         {"refused_bystanders", watcher_.endedReplicas().refusedBystanders}}},
+      {"programs_near_budget", {programsNearBudgetServed_, programsNearBudget_}},
       {"unserved_bystanders", watcher_.unservedBystanders()},
       {"programs_beyond_the_usual", overload_->programsStarted()},
       {"turns_refused_for_capacity", overload_->turnsRefused()},
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -86,6 +86,8 @@
   /// A hot tenant and a burst while a zone is evacuated and nothing else strikes.
   void checkOverload();
   /// Kills all nodes at once; new programs go on from turns that were stored before.
+  /// One node is killed in calm; programs that have used more than half of their budgets go on.
+  void checkSingleKill();
   void checkLossOfAll();
   /// A check that had no cases says nothing: the seed does not pass.
   void checkCases();
@@ -130,6 +132,8 @@
   std::unique_ptr<StallWatch> stalls_;
   std::vector<std::uint64_t> storePieces_;  ///< By node, as of the last look.
   std::uint64_t looksWithSilence_ = 0;
+  std::uint64_t programsNearBudget_ = 0;        ///< Under way at the kill of one node.
+  std::uint64_t programsNearBudgetServed_ = 0;  ///< Of these, those whose turns were all answered.
   /// Each puts the limit of the evacuation in `checkRecovery` off.
   std::uint64_t silentLooksInRecovery_ = 0;
   std::unique_ptr<SoakClients> clients_;
