--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -509,7 +509,7 @@
 // Witnesses are fixed for the life of a lease, so that whoever clears it knows whom to ask.
 bool BudgetPartition::shouldReplaceWitnesses() const {
   if (!holdsLease() || witnessNodes_ == nullptr ||
-      clock_() - leaseAcquiredAt_ < knobs_.witnessReplacementPause) {
+      clock_() - leaseAcquiredAt_ < replacementPause_) {
     return false;
   }
   const std::size_t count = lease_->replication ? lease_->replication->witnesses().size() : 0;
@@ -659,6 +659,10 @@
   const bool hasChanged = !lease_ || lease_->slot != *slot;
   if (!lease_) {
     leaseAcquiredAt_ = clock_();
+    replacementPause_ = witnesses.size() < knobs_.witnessesPerLease
+                            ? std::clamp(replacementPause_ * 2, knobs_.witnessReplacementPause,
+                                         knobs_.longestWitnessReplacementPause)
+                            : knobs_.witnessReplacementPause;
     lease_ = Lease{id, {}, *slot, nullptr};
     if (!witnesses.empty()) {
       lease_->replication = std::make_shared<GrantReplication>(*witnessNodes_, id, witnesses,
@@ -730,6 +734,10 @@
   const Instant now = clock_();
   accounts_.evictIdleSince(now - knobs_.accountRetention);
   leases_.evictCleared(now);
+  if (recovery_) {
+    recovery_->keepOnly(
+        [this](const std::string& lease) { return leases_.slotOf(lease).has_value(); });
+  }
 }
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -50,8 +50,9 @@
   /// log.
   Duration witnessTimeLimit = milliseconds(150);
   /// A lease whose witnesses have failed, or are fewer than there could be, is replaced at most
-  /// this often.
+  /// this often; less often while that brings no more of them, as beside nodes of earlier builds.
   Duration witnessReplacementPause = seconds(3);
+  Duration longestWitnessReplacementPause = seconds(60);
   Duration witnessCheckInterval = seconds(5);
   /// A coordinator recovers a lease that another node holds so long after it first saw it: the
   /// holder should have released it by then, if it lives.
@@ -260,6 +261,7 @@
   std::optional<std::vector<WitnessProcess>> chosenWitnesses_;
   bool isReplacingLease_ = false;  ///< It is released to get other witnesses.
   Instant leaseAcquiredAt_{};
+  Duration replacementPause_{};  ///< Until the current lease may be replaced.
   Instant witnessesCheckedAt_{};
   std::optional<Lease> lease_;
   std::uint64_t leaseNumber_ = 1;    ///< Of the current lease, or of the next one.
--- a/tests/ledger/coordinator_death_test.cpp
+++ b/tests/ledger/coordinator_death_test.cpp
@@ -216,3 +216,20 @@
   CHECK(refused.outcome == ReservationOutcome::Unavailable);
   CHECK(refused.reason == UndecidedReason::WitnessesUnavailable);
 }
+
+// Beside nodes of earlier builds a lease has no witnesses: it serves an outage as before, and is
+// not replaced again and again for want of them.
+TEST(CoordinatorDeath, leasesWithoutWitnessesServeAnOutageAndAreReplacedRarely) {
+  fleet.areEarlierBuilds = true;
+  fleet.kill(coordinator);
+  fleet.start(coordinator);
+  fleet.run(seconds(30));
+  const std::size_t before = fleet.alive.at(coordinator)->local.budgetCounters().grantedByLog;
+  const int appends = fleet.log.appends;
+  fleet.run(seconds(120));
+  // Eight partitions: renewals each 6.7 s, and two appends for a replacement each minute.
+  CHECK_COMPARE(fleet.log.appends - appends, <=, 8 * (18 + 2 * 3));
+  fleet.log.fault = FakeFault::Silent;
+  CHECK_TRUE(fleet.isGranted(caller, kProgram, 100, 100));
+  LONGS_EQUAL(before, fleet.alive.at(coordinator)->local.budgetCounters().grantedByLog);
+}
--- a/tests/ledger/lease_fleet.h
+++ b/tests/ledger/lease_fleet.h
@@ -168,7 +168,8 @@
   std::map<std::string, LeaseProcess*> alive;      ///< By address.
   std::map<std::string, std::uint64_t> handedOut;  ///< By program.
   std::uint64_t budget = 1100;
-  bool witnessesForget = false;  ///< A fault: they confirm grants without storing them.
+  bool areEarlierBuilds = false;  ///< They do not know witnesses.
+  bool witnessesForget = false;   ///< A fault: they confirm grants without storing them.
 
  private:
   std::vector<std::unique_ptr<LeaseProcess>> processes_;
@@ -221,6 +222,11 @@
           replyOnce(std::nullopt);
           return;
         }
+        if (fleet_.areEarlierBuilds && (std::holds_alternative<StoreGrantsRequest>(request) ||
+                                        std::holds_alternative<SealLeaseRequest>(request))) {
+          replyOnce(std::nullopt);
+          return;
+        }
         if (fleet_.witnessesForget && std::holds_alternative<StoreGrantsRequest>(request)) {
           LedgerReply reply;
           reply.outcome = LedgerOutcome::Done;
