Budget leases: a lease in use is cleared only where the reservation fits without it

Now ended leases go first, and one that is held only if the reservation fits without it. A lease of which two of three witnesses have restarted is not tried again.

--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -132,6 +132,7 @@
   std::unique_ptr<StallWatch> stalls_;
   std::vector<std::uint64_t> storePieces_;  ///< By node, as of the last look.
   std::uint64_t looksWithSilence_ = 0;
+  bool allWereKilled_ = false;                  ///< At once, amid the other faults.
   std::uint64_t programsNearBudget_ = 0;        ///< Under way at the kill of one node.
   std::uint64_t programsNearBudgetServed_ = 0;  ///< Of these, those whose turns were all answered.
   /// Each puts the limit of the evacuation in `checkRecovery` off.
--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -12,14 +12,12 @@
                                           : UnrecordedSpending::Secondary;
 }
 
-// Two leases can name the same slot: one was cleared at or after the offset in question, and the
-// other was promoted then.
+}  // namespace
+
 void addSpendingUnder(BudgetLeaseSlot slot, UnrecordedSpending& spending) {
   spending = spending == UnrecordedSpending::None ? spendingUnder(slot) : UnrecordedSpending::Both;
 }
 
-}  // namespace
-
 void BudgetLeaseTable::applyRecord(const BudgetLease& record, std::uint64_t offset, Instant now) {
   const auto found = leases_.find(record.lease);
   if (found == leases_.end()) {
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -59,6 +59,11 @@
   }
 };
 
+/// Adds a lease of the slot to those under which tokens may have been spent. Two leases can name
+/// the same slot: one was cleared at or after the offset in question, and the other was promoted
+/// then.
+void addSpendingUnder(BudgetLeaseSlot slot, UnrecordedSpending& spending);
+
 /// The leases of other nodes under which a program may have spent tokens without a record.
 struct ForeignLeases {
   UnrecordedSpending all = UnrecordedSpending::None;
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -248,26 +248,53 @@
 void BudgetPartition::onDecidedByLog(PendingReservation pending, const ReservationReply& reply) {
   const bool isUnseen = reply.outcome == ReservationOutcome::Unavailable &&
                         reply.reason == UndecidedReason::UnseenSpending;
-  if (!isUnseen || !recoverLeasesFor(pending)) {
+  if (!isUnseen || !recoverLeasesFor(pending, reply)) {
     pending.callback(reply);
   }
 }
 
-bool BudgetPartition::recoverLeasesFor(PendingReservation& pending) {
-  if (!recovery_ || std::exchange(pending.hasRecovered, true)) {
+bool BudgetPartition::fitsBeside(const std::vector<BudgetLease>& leases,
+                                 const BudgetRequest& request, std::uint64_t tokensUsed) const {
+  UnrecordedSpending spending = UnrecordedSpending::None;
+  for (const BudgetLease& lease : leases) {
+    addSpendingUnder(lease.slot, spending);
+  }
+  const std::uint64_t largestTurn = std::max(
+      request.reservation.tokens, accounts_.largestReservationOf(request.reservation.program));
+  const LeaseAllowance allowance(knobs_.leases, request.budget);
+  return tokensUsed + allowance.maxSpent(spending, largestTurn) <= request.budget;
+}
+
+bool BudgetPartition::recoverLeasesFor(PendingReservation& pending, const ReservationReply& reply) {
+  if (!recovery_) {
     return false;
   }
   const Instant now = clock_();
-  const bool mayRecoverHeld = now - lastRecoveryAt_ >= knobs_.recoveryInterval;
-  std::vector<BudgetLease> leases = leases_.activeForeignLeases(ownLease());
-  std::erase_if(leases, [&](const BudgetLease& lease) {
-    const bool isAllowed = lease.state == BudgetLeaseState::Ended || mayRecoverHeld;
-    return !isAllowed || !recovery_->canStart(lease);
-  });
+  const bool mayRecoverHeld =
+      !pending.hasRecoveredHeld && now - lastRecoveryAt_ >= knobs_.recoveryInterval;
+  std::vector<BudgetLease> ended;
+  std::vector<BudgetLease> held;
+  std::vector<BudgetLease> others;
+  for (const BudgetLease& lease : leases_.activeForeignLeases(ownLease())) {
+    const bool isEnded = lease.state == BudgetLeaseState::Ended;
+    const bool mayRecover = isEnded ? !pending.hasRecoveredEnded : mayRecoverHeld;
+    const bool canRecover = mayRecover && recovery_->canStart(lease);
+    (!canRecover ? others : isEnded ? ended : held).push_back(lease);
+  }
+  if (!fitsBeside(others, pending.request, reply.tokensUsed)) {
+    return false;
+  }
+  const bool startsWithEnded = !ended.empty();
+  const std::vector<BudgetLease>& leases = startsWithEnded ? ended : held;
   if (leases.empty()) {
     return false;
   }
-  lastRecoveryAt_ = now;
+  if (startsWithEnded) {
+    pending.hasRecoveredEnded = true;
+  } else {
+    pending.hasRecoveredHeld = true;
+    lastRecoveryAt_ = now;
+  }
   auto shared = std::make_shared<PendingReservation>(std::move(pending));
   auto awaited = std::make_shared<std::size_t>(leases.size());
   for (const BudgetLease& lease : leases) {
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -179,7 +179,9 @@
     Instant askedAt;
     Instant deadline;
     ReservationReplyCallback callback;
-    bool hasRecovered = false;  ///< Leases of others were recovered for it.
+    // Leases of others that were recovered for it.
+    bool hasRecoveredEnded = false;
+    bool hasRecoveredHeld = false;
   };
 
   void onRecord(std::uint64_t offset, std::string_view record);
@@ -192,9 +194,14 @@
   void decideWithoutLease(PendingReservation pending);
   void reserveInLog(PendingReservation pending);
   void onDecidedByLog(PendingReservation pending, const ReservationReply& reply);
-  /// Recovers the leases of others that may be, once for a reservation.
+  /// Recovers leases of others if the reservation may be granted without them: those that have
+  /// ended first, since a lease that is held may be in use.
   /// \return whether it waits for that.
-  bool recoverLeasesFor(PendingReservation& pending);
+  bool recoverLeasesFor(PendingReservation& pending, const ReservationReply& reply);
+  /// \return whether a reservation that was refused for unseen spending fits if only these leases
+  /// of others count.
+  [[nodiscard]] bool fitsBeside(const std::vector<BudgetLease>& leases,
+                                const BudgetRequest& request, std::uint64_t tokensUsed) const;
   ReservationReply decideByLog(const BudgetRequest& request, Instant askedAt, std::uint64_t offset);
   /// The maximum that other nodes may have spent of a program's budget without a record.
   struct UnrecordedTokens {
--- a/src/ledger/grant_replication.cpp
+++ b/src/ledger/grant_replication.cpp
@@ -144,36 +144,45 @@
 
 void sealLease(WitnessNodes& nodes, const std::string& lease,
                const std::vector<WitnessProcess>& witnesses, Duration timeLimit,
-               std::function<void(std::optional<std::vector<BudgetReservation>>)> callback) {
+               std::function<void(SealedLease)> callback) {
   struct Sealing {
     std::size_t needed = 0;
     std::size_t awaited = 0;
+    std::size_t remaining = 0;                          ///< Witnesses that have not restarted.
     std::map<std::uint64_t, BudgetReservation> grants;  ///< By number.
-    std::function<void(std::optional<std::vector<BudgetReservation>>)> callback;
+    std::function<void(SealedLease)> callback;
   };
+  const std::size_t count = witnesses.size();
   auto sealing = std::make_shared<Sealing>(
-      Sealing{witnessSealQuorum(witnesses.size()), witnesses.size(), {}, std::move(callback)});
+      Sealing{witnessSealQuorum(count), count, count, {}, std::move(callback)});
   for (const WitnessProcess& witness : witnesses) {
     nodes.call(witness.address, SealLeaseRequest{lease, witness.incarnation}, timeLimit,
-               [sealing](std::optional<LedgerReply> reply) {
+               [sealing, quorum = witnessSealQuorum(count)](std::optional<LedgerReply> reply) {
                  --sealing->awaited;
                  if (!sealing->callback) {
                    return;
                  }
+                 if (reply && reply->outcome == LedgerOutcome::Rejected) {
+                   --sealing->remaining;
+                 }
                  if (reply && reply->outcome == LedgerOutcome::Done) {
                    --sealing->needed;
                    for (LeaseGrant& grant : reply->grants) {
                      sealing->grants.emplace(grant.number, std::move(grant.reservation));
                    }
                  }
-                 if (sealing->needed == 0) {
-                   std::vector<BudgetReservation> grants;
+                 SealedLease sealed;
+                 sealed.isComplete = sealing->needed == 0;
+                 sealed.isLost = sealing->remaining < quorum;
+                 if (sealed.isComplete) {
                    for (auto& [number, reservation] : sealing->grants) {
-                     grants.push_back(std::move(reservation));
+                     sealed.grants.push_back(std::move(reservation));
                    }
-                   std::exchange(sealing->callback, {})(std::move(grants));
-                 } else if (sealing->awaited < sealing->needed) {
-                   std::exchange(sealing->callback, {})(std::nullopt);
+                 }
+                 const bool isDecided =
+                     sealed.isComplete || sealed.isLost || sealing->awaited < sealing->needed;
+                 if (isDecided) {
+                   std::exchange(sealing->callback, {})(std::move(sealed));
                  }
                });
   }
--- a/src/ledger/grant_replication.h
+++ b/src/ledger/grant_replication.h
@@ -78,11 +78,17 @@
 void chooseWitnesses(WitnessNodes& nodes, const std::string& lease, std::size_t count,
                      Duration timeLimit, std::function<void(std::vector<WitnessProcess>)> callback);
 
-/// Seals a lease at its witnesses. Afterwards no further grant of it can be used.
-/// \param callback is called once, never synchronously: with all grants that were or will be used
-/// and may not be recorded; nothing if too few witnesses replied.
+/// What the witnesses of a sealed lease replied.
+struct SealedLease {
+  bool isComplete = false;  ///< Enough of them: no further grant of the lease can be used.
+  /// All grants that were or will be used and may not be recorded, if complete.
+  std::vector<BudgetReservation> grants;
+  bool isLost = false;  ///< So many have restarted that it cannot become complete any more.
+};
+
+/// Seals a lease at its witnesses. Calls back once, never synchronously.
 void sealLease(WitnessNodes& nodes, const std::string& lease,
                const std::vector<WitnessProcess>& witnesses, Duration timeLimit,
-               std::function<void(std::optional<std::vector<BudgetReservation>>)> callback);
+               std::function<void(SealedLease)> callback);
 
 }  // namespace gorsetrail::ledger
--- a/src/ledger/lease_recovery.cpp
+++ b/src/ledger/lease_recovery.cpp
@@ -14,6 +14,8 @@
       return "cleared";
     case LeaseRecoveryOutcome::TooFewWitnesses:
       return "too_few_witnesses";
+    case LeaseRecoveryOutcome::WitnessesLost:
+      return "witnesses_lost";
     case LeaseRecoveryOutcome::StoreFailed:
       break;
   }
@@ -33,11 +35,14 @@
     return;
   }
   sealLease(nodes_, lease.lease, lease.witnesses, knobs_.sealTimeLimit,
-            [this, lease](const std::optional<std::vector<BudgetReservation>>& grants) {
-              if (grants) {
-                recordGrants(lease, *grants);
+            [this, lease](const SealedLease& sealed) {
+              if (sealed.isComplete) {
+                recordGrants(lease, sealed.grants);
               } else {
-                end(lease, LeaseRecoveryOutcome::TooFewWitnesses, 0);
+                end(lease,
+                    sealed.isLost ? LeaseRecoveryOutcome::WitnessesLost
+                                  : LeaseRecoveryOutcome::TooFewWitnesses,
+                    0);
               }
             });
 }
@@ -90,7 +95,8 @@
     tries_.erase(lease.lease);
   } else {
     attempt.pause = std::clamp(attempt.pause * 2, knobs_.firstPause, knobs_.longestPause);
-    attempt.nextAt = clock_() + attempt.pause;
+    attempt.nextAt =
+        outcome == LeaseRecoveryOutcome::WitnessesLost ? Instant::max() : clock_() + attempt.pause;
   }
   onEnd_(lease, outcome, recovered);
   for (const auto& callback : waiting) {
--- a/src/ledger/lease_recovery.h
+++ b/src/ledger/lease_recovery.h
@@ -19,6 +19,7 @@
 enum class LeaseRecoveryOutcome : std::uint8_t {
   Cleared,
   TooFewWitnesses,  ///< The lease counts until its retention is over, or more witnesses reply.
+  WitnessesLost,    ///< The lease counts until its retention is over.
   StoreFailed,      ///< The grants or the clearing may not be recorded.
 };
 /// \return a stable snake_case name for log lines.
--- a/src/ledger/lease_witness.cpp
+++ b/src/ledger/lease_witness.cpp
@@ -57,11 +57,14 @@
   return Outcome::Stored;
 }
 
-std::optional<std::vector<LeaseGrant>> LeaseWitness::seal(const SealLeaseRequest& request,
-                                                          Instant now) {
-  Entry* const entry = request.incarnation == incarnation_ ? entryFor(request.lease, now) : nullptr;
+std::variant<std::vector<LeaseGrant>, LeaseWitness::Outcome> LeaseWitness::seal(
+    const SealLeaseRequest& request, Instant now) {
+  if (request.incarnation != incarnation_) {
+    return Outcome::Refused;
+  }
+  Entry* const entry = entryFor(request.lease, now);
   if (entry == nullptr) {
-    return std::nullopt;
+    return Outcome::Full;
   }
   entry->isSealed = true;
   std::vector<LeaseGrant> grants;
--- a/src/ledger/lease_witness.h
+++ b/src/ledger/lease_witness.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 #include "base/time.h"
@@ -62,8 +63,9 @@
 
   /// Stores all grants of the request or none.
   Outcome store(const StoreGrantsRequest& request, Instant now);
-  /// \return the stored grants; nothing if another process was asked, or too many leases are known.
-  std::optional<std::vector<LeaseGrant>> seal(const SealLeaseRequest& request, Instant now);
+  /// \return the stored grants; `Refused` if another process was asked, `Full` if too many leases
+  /// are known.
+  std::variant<std::vector<LeaseGrant>, Outcome> seal(const SealLeaseRequest& request, Instant now);
   /// Forgets leases that were not used for the retention. Call it periodically.
   void sweep(Instant now);
 
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -171,11 +171,14 @@
 
 void LedgerService::run(const SealLeaseRequest& request, const LedgerReplyCallback& callback) {
   LedgerReply reply;
-  if (auto grants = witness_.seal(request, ledger_.now())) {
+  auto sealed = witness_.seal(request, ledger_.now());
+  if (auto* const grants = std::get_if<std::vector<LeaseGrant>>(&sealed)) {
     reply.outcome = LedgerOutcome::Done;
     reply.grants = std::move(*grants);
-  } else {
+  } else if (std::get<LeaseWitness::Outcome>(sealed) == LeaseWitness::Outcome::Refused) {
     reply.outcome = LedgerOutcome::Rejected;
+  } else {
+    reply.reason = kTooManyGrants;
   }
   callback(std::move(reply));
 }
