Budget leases: a node that knows no other takes no lease at once

Now such a lease is taken only when no node has agreed to be a witness for 3 s; until then the log decides. Test: CoordinatorDeath.aNodeThatKnowsNoOtherTakesNoLeaseAtOnce.

--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -651,7 +651,7 @@
                   knobs_.witnessChoiceTimeLimit,
                   [this, id = leaseId()](std::vector<WitnessProcess> witnesses) {
                     leaseAppendPending_ = false;
-                    if (id == leaseId() && isCoordinator_) {
+                    if (id == leaseId() && isCoordinator_ && hasWaitedFor(witnesses)) {
                       chosenWitnesses_ = std::move(witnesses);
                       leaseAppendPending_ = true;
                       appendOwnLease(*chosenWitnesses_);
@@ -659,6 +659,16 @@
                   });
 }
 
+bool BudgetPartition::hasWaitedFor(const std::vector<WitnessProcess>& witnesses) {
+  if (!witnesses.empty()) {
+    lacksWitnessesSince_.reset();
+    return true;
+  }
+  const Instant now = clock_();
+  lacksWitnessesSince_ = lacksWitnessesSince_.value_or(now);
+  return now - *lacksWitnessesSince_ >= knobs_.witnessPatience;
+}
+
 void BudgetPartition::appendOwnLease(const std::vector<WitnessProcess>& witnesses) {
   const Instant askedAt = clock_();
   const std::string id = leaseId();
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -46,6 +46,9 @@
   /// The witnesses of a lease: with three, one may be lost without effect on grants or recovery.
   std::size_t witnessesPerLease = 3;
   Duration witnessChoiceTimeLimit = milliseconds(60);
+  /// While no node agrees to be a witness, a lease is taken without one only after this time: a
+  /// node that has just started does not know the others, and may die before its lease is replaced.
+  Duration witnessPatience = seconds(3);
   /// Of a call to a witness. While the store answers, a grant that waits longer is decided by the
   /// log.
   Duration witnessTimeLimit = milliseconds(150);
@@ -233,6 +236,8 @@
   void appendLease(const BudgetLease& record, std::function<void(bool appended)> onRead);
   void acquireOrRenewLease();
   void acquireLease();
+  /// \return whether a lease may be taken with these witnesses.
+  [[nodiscard]] bool hasWaitedFor(const std::vector<WitnessProcess>& witnesses);
   void appendOwnLease(const std::vector<WitnessProcess>& witnesses);
   void onLeaseRecordRead(const std::string& id, const std::vector<WitnessProcess>& witnesses,
                          Instant askedAt);
@@ -266,7 +271,8 @@
   std::map<std::string, Instant> foreignLeasesSeenAt_;  ///< While this node is the coordinator.
   /// Those of the next lease, once chosen; its record may be appended several times.
   std::optional<std::vector<WitnessProcess>> chosenWitnesses_;
-  bool isReplacingLease_ = false;  ///< It is released to get other witnesses.
+  bool isReplacingLease_ = false;               ///< It is released to get other witnesses.
+  std::optional<Instant> lacksWitnessesSince_;  ///< While it holds no lease.
   Instant leaseAcquiredAt_{};
   Duration replacementPause_{};  ///< Until the current lease may be replaced.
   Instant witnessesCheckedAt_{};
--- a/tests/ledger/coordinator_death_test.cpp
+++ b/tests/ledger/coordinator_death_test.cpp
@@ -247,3 +247,17 @@
     LONGS_EQUAL(0, process->local.budgetCounters().recoveredLeases);
   }
 }
+
+// A node that has just started knows no other one. Were it to take a lease then, its death soon
+// afterwards would count against every program of the partition.
+TEST(CoordinatorDeath, aNodeThatKnowsNoOtherTakesNoLeaseAtOnce) {
+  fleet.kill(coordinator);
+  fleet.isolated.insert(coordinator);
+  fleet.start(coordinator);
+  fleet.run(seconds(2));
+  fleet.isolated.clear();
+  fleet.run(seconds(2));
+  spendTwoThirds();
+  fleet.kill(coordinator);
+  CHECK_TRUE(nextTurnIsGranted());
+}
--- a/tests/ledger/lease_fleet.h
+++ b/tests/ledger/lease_fleet.h
@@ -23,7 +23,8 @@
 class LeaseFleetPeers final : public LedgerPeers {
  public:
   /// \param timers of the calling process, which a dead one does not use any more.
-  LeaseFleetPeers(LeaseFleet& fleet, ProcessTimers& timers) : fleet_(fleet), timers_(timers) {}
+  LeaseFleetPeers(LeaseFleet& fleet, ProcessTimers& timers, std::string own)
+      : fleet_(fleet), timers_(timers), own_(std::move(own)) {}
   [[nodiscard]] std::vector<NodeCandidate> candidates() const override;
   [[nodiscard]] bool isNodeListKnown() const override { return true; }
   void checkAlive(const std::string& address, Duration limit,
@@ -34,6 +35,7 @@
  private:
   LeaseFleet& fleet_;
   ProcessTimers& timers_;
+  std::string own_;
 };
 
 /// One process of a node.
@@ -48,7 +50,7 @@
             store, processTimers, [&timers] { return timers.now; },
             localKnobs(address, zone, incarnation)),
         service(local),
-        peers(fleet, processTimers),
+        peers(fleet, processTimers, address),
         ledger(
             service, peers, processTimers, [&timers] { return timers.now; },
             routedKnobs(address, zone), 1) {}
@@ -169,8 +171,9 @@
   std::map<std::string, LeaseProcess*> alive;      ///< By address.
   std::map<std::string, std::uint64_t> handedOut;  ///< By program.
   std::uint64_t budget = 1100;
-  bool areEarlierBuilds = false;  ///< They do not know witnesses.
-  bool witnessesForget = false;   ///< A fault: they confirm grants without storing them.
+  std::set<std::string> isolated;  ///< They know no other node.
+  bool areEarlierBuilds = false;   ///< They do not know witnesses.
+  bool witnessesForget = false;    ///< A fault: they confirm grants without storing them.
 
  private:
   std::vector<std::unique_ptr<LeaseProcess>> processes_;
@@ -181,7 +184,9 @@
 inline std::vector<NodeCandidate> LeaseFleetPeers::candidates() const {
   std::vector<NodeCandidate> candidates;
   for (const auto& [address, zone] : fleet_.zones) {
-    candidates.push_back({address, zone, 1.0});
+    if (!fleet_.isolated.contains(own_) || address == own_) {
+      candidates.push_back({address, zone, 1.0});
+    }
   }
   return candidates;
 }
