--- a/src/ledger/budget_lease_table.cpp
+++ b/src/ledger/budget_lease_table.cpp
@@ -111,9 +111,8 @@
     addSpendingUnder(entry.slot, leases.all);
     const bool isProgramOlder =
         firstRecord && entry.endedOffset && *firstRecord < *entry.endedOffset;
-    // The grants of a lease with witnesses may still become known.
-    if (isProgramOlder && entry.witnesses.empty() &&
-        now - entry.updatedAt >= knobs_.longestProgramTime()) {
+    const bool mayBecomeKnown = !entry.witnesses.empty() && !entry.areWitnessesLost;
+    if (isProgramOlder && !mayBecomeKnown && now - entry.updatedAt >= knobs_.longestProgramTime()) {
       addSpendingUnder(entry.slot, leases.permanent);
     }
   }
@@ -130,6 +129,13 @@
   return active;
 }
 
+void BudgetLeaseTable::onWitnessesLost(const std::string& lease) {
+  const auto found = leases_.find(lease);
+  if (found != leases_.end()) {
+    found->second.areWitnessesLost = true;
+  }
+}
+
 bool BudgetLeaseTable::hasActiveForeignLease(const std::string& ownLease) const {
   return std::any_of(leases_.begin(), leases_.end(), [&](const auto& lease) {
     return lease.first != ownLease && lease.second.state != BudgetLeaseState::Cleared;
--- a/src/ledger/budget_lease_table.h
+++ b/src/ledger/budget_lease_table.h
@@ -108,6 +108,8 @@
                                             std::uint64_t below, Instant now) const;
   /// \return the active leases that `ownLease` is not, as their newest records tell.
   [[nodiscard]] std::vector<BudgetLease> activeForeignLeases(const std::string& ownLease) const;
+  /// The lease's witnesses are lost: what was granted under it will not become known any more.
+  void onWitnessesLost(const std::string& lease);
   /// \return whether a lease of another node is held or ended.
   [[nodiscard]] bool hasActiveForeignLease(const std::string& ownLease) const;
 
@@ -143,6 +145,7 @@
     /// Offset of the record that ended it; nothing if it was not ended or its holder released it.
     std::optional<std::uint64_t> endedOffset;
     std::vector<WitnessProcess> witnesses;
+    bool areWitnessesLost = false;  ///< As far as this node knows.
   };
   using Leases = std::map<std::string, Entry>;
 
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -34,6 +34,9 @@
     recovery_ = std::make_unique<LeaseRecovery>(
         *witnessNodes_, clock_, recoveryLog(),
         [this](const BudgetLease& lease, LeaseRecoveryOutcome outcome, std::size_t recovered) {
+          if (outcome == LeaseRecoveryOutcome::WitnessesLost) {
+            leases_.onWitnessesLost(lease.lease);
+          }
           counters_.recoveredLeases += outcome == LeaseRecoveryOutcome::Cleared ? 1 : 0;
           if (knobs_.onLeaseRecovery) {
             knobs_.onLeaseRecovery(address_, lease, outcome, recovered);
--- a/tests/ledger/coordinator_death_test.cpp
+++ b/tests/ledger/coordinator_death_test.cpp
@@ -261,3 +261,20 @@
   fleet.kill(coordinator);
   CHECK_TRUE(nextTurnIsGranted());
 }
+
+// Where the witnesses are lost as well, a program from before is told that its budget is spent, as
+// soon as nothing can become known any more (review/2): otherwise it asks for 300 s.
+TEST(CoordinatorDeath, aLeaseWhoseWitnessesAreLostMakesTheBudgetsOfOlderProgramsSpent) {
+  spendTwoThirds();
+  fleet.run(seconds(1));
+  for (const auto& [address, zone] : fleet.zones) {
+    fleet.kill(address);
+  }
+  for (const auto& [address, zone] : fleet.zones) {
+    fleet.start(address);
+  }
+  fleet.run(seconds(5));
+  CHECK(fleet.spend(caller, kProgram, 150, 0).outcome == ReservationOutcome::Unavailable);
+  fleet.run(seconds(20));
+  CHECK(fleet.spend(caller, kProgram, 150, 0).outcome == ReservationOutcome::Spent);
+}
