--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -95,7 +95,7 @@
     return head.requestId == request_.requestId;
   }
   const std::optional<Instant> openedAt = call_ ? call_->connectionOpenedAt() : std::nullopt;
-  const bool isFirstOnConnection = openedAt && *openedAt >= dispatchedAt_;
+  const bool isFirstOnConnection = !openedAt || *openedAt >= dispatchedAt_;
   return isFirstOnConnection && head.status >= kFirstFailureStatus;
 }
 
