Hostile clients: tests on a node process of 64 MB and 600 descriptors

The tests start gorsetrail-edge on loopback between a stand-in store and two replicas, and play one crowd each. They check what does not depend on the speed of a machine: that the process lives, that its greatest resident memory plus the bytes that wait in its sockets stay under the memory that its settings tell, that its descriptors stay under their limit, and that one ordinary request on a new connection is answered beside the crowd and after it. The bounds are those of the settings; no time and no share is checked.

--- /dev/null
+++ b/lab/hostile/node_process.cpp
@@ -0,0 +1,129 @@
+#include "lab/hostile/node_process.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <vector>
+
+namespace gorsetrail::lab {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr int kLogMode = 0644;
+constexpr std::size_t kBytesOfKilobyte = 1024;
+
+std::string writeSettings(const NodeProcessSettings& settings, const std::string& directory) {
+  const std::string path = directory + "/" + settings.ip + ".toml";
+  std::ofstream file(path);
+  file << "nodeName = \"node-" << settings.ip << "\"\nip = \"" << settings.ip << "\"\nzone = \""
+       << settings.zone << "\"\nregion = \"r\"\ninternalPorts = [" << settings.firstInternalPort
+       << "," << settings.firstInternalPort + 15 << "]\nseeds = []\n[zones]\n"
+       << settings.zone << " = \"r\"\n[listen]\nfrontend = \"" << settings.clientAddress()
+       << "\"\nreadiness = \"" << settings.addressOf(settings.readinessPort) << "\"\ncontrol = \""
+       << settings.addressOf(settings.controlPort) << "\"\ndirectory = \""
+       << settings.addressOf(settings.directoryPort) << "\"\n[limits]\nmemoryMb = "
+       << settings.memoryMb << "\nmaxFds = " << settings.maximumDescriptors
+       << "\n[platform]\naddress = \"" << settings.storeAddress << "\"\nparts = 8\n";
+  return path;
+}
+
+pid_t start(const std::vector<std::string>& words, const std::string& logPath) {
+  std::vector<char*> arguments;
+  for (const std::string& word : words) {
+    arguments.push_back(const_cast<char*>(word.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  ::posix_spawn_file_actions_init(&actions);
+  ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logPath.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, kLogMode);
+  ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  pid_t process = -1;
+  const int error =
+      ::posix_spawn(&process, words.front().c_str(), &actions, nullptr, arguments.data(), environ);
+  ::posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    throw std::runtime_error("cannot start " + words.front() + ": build it first");
+  }
+  return process;
+}
+
+}  // namespace
+
+NodeProcess::NodeProcess(const NodeProcessSettings& settings, const std::string& directory)
+    : logPath_(directory + "/" + settings.ip + ".log") {
+  const fs::path program = fs::read_symlink("/proc/self/exe").parent_path() / "gorsetrail-edge";
+  process_ = start({program.string(), "--settings=" + writeSettings(settings, directory),
+                    "--metrics_port=" + std::to_string(settings.metricsPort)},
+                   logPath_);
+}
+
+NodeProcess::~NodeProcess() {
+  if (isRunning()) {
+    ::kill(process_, SIGKILL);
+    ::waitpid(process_, nullptr, 0);
+  }
+}
+
+bool NodeProcess::isRunning() {
+  if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) != 0) {
+    process_ = -1;
+  }
+  return process_ > 0;
+}
+
+void NodeProcess::signal(int signalNumber) const {
+  if (process_ > 0) {
+    ::kill(process_, signalNumber);
+  }
+}
+
+std::size_t NodeProcess::peakMemoryBytes() const {
+  std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    std::size_t kilobytes = 0;
+    if (std::sscanf(line.c_str(), "VmHWM: %zu kB", &kilobytes) == 1) {
+      return kilobytes * kBytesOfKilobyte;
+    }
+  }
+  return 0;
+}
+
+std::size_t NodeProcess::openDescriptors() const {
+  std::error_code error;
+  const fs::directory_iterator files("/proc/" + std::to_string(process_) + "/fd", error);
+  return error ? 0 : static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
+std::size_t unreadBytesAt(const std::string& ip) {
+  in_addr address{};
+  ::inet_pton(AF_INET, ip.c_str(), &address);
+  std::ifstream table("/proc/net/tcp");
+  std::size_t bytes = 0;
+  for (std::string line; std::getline(table, line);) {
+    unsigned local = 0;
+    unsigned state = 0;
+    std::size_t unread = 0;
+    constexpr unsigned kListening = 0x0A;
+    // Of a listening socket, the column counts connections that wait to be accepted.
+    const int fields = std::sscanf(line.c_str(), " %*d: %8X:%*X %*8X:%*X %2X %*8X:%8zX", &local,
+                                   &state, &unread);
+    if (fields == 3 && local == address.s_addr && state != kListening) {
+      bytes += unread;
+    }
+  }
+  return bytes;
+}
+
+}  // namespace gorsetrail::lab
--- /dev/null
+++ b/lab/hostile/node_process.h
@@ -0,0 +1,56 @@
+/// \file One edge node as a process of its own, and what the kernel tells of it.
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace gorsetrail::lab {
+
+/// Settings of a node on a loopback address.
+struct NodeProcessSettings {
+  std::string ip;
+  std::string zone = "z";
+  std::string storeAddress;
+  unsigned memoryMb = 64;
+  unsigned maximumDescriptors = 1024;
+  std::uint16_t clientPort = 21700;
+  std::uint16_t readinessPort = 21701;
+  std::uint16_t controlPort = 21702;
+  std::uint16_t directoryPort = 21703;
+  std::uint16_t metricsPort = 21704;
+  std::uint16_t firstInternalPort = 21730;
+
+  [[nodiscard]] std::string addressOf(std::uint16_t port) const {
+    return ip + ":" + std::to_string(port);
+  }
+  [[nodiscard]] std::string clientAddress() const { return addressOf(clientPort); }
+};
+
+/// Starts `gorsetrail-edge` of the folder of the running program, and kills it when destroyed.
+class NodeProcess {
+ public:
+  /// \param directory for the settings file and the log.
+  NodeProcess(const NodeProcessSettings& settings, const std::string& directory);
+  ~NodeProcess();
+  NodeProcess(const NodeProcess&) = delete;
+  NodeProcess& operator=(const NodeProcess&) = delete;
+
+  [[nodiscard]] bool isRunning();
+  void signal(int signalNumber) const;
+  /// \return the greatest resident memory of the process so far; 0 once it has ended.
+  [[nodiscard]] std::size_t peakMemoryBytes() const;
+  [[nodiscard]] std::size_t openDescriptors() const;
+  [[nodiscard]] const std::string& logPath() const { return logPath_; }
+
+ private:
+  std::string logPath_;
+  pid_t process_ = -1;
+};
+
+/// \return the bytes that have arrived at TCP sockets of the IPv4 address and are not read yet.
+[[nodiscard]] std::size_t unreadBytesAt(const std::string& ip);
+
+}  // namespace gorsetrail::lab
