HTTP server: trailers and chunk lines are bounded, trailers are no headers

What callers saw: four connections that send trailers, or a chunk extension, without end took 138 MB of a node of 64 MB; it lived only because nothing stopped it there. A trailer named another request id, and the request went on under it.

Cause: ServerConnection read into a buffer without a greatest size. Beast's parser consumes nothing of a chunk's size line or of the trailers until their end has arrived, so all of it was kept; it hands trailers on as fields, and the message collected those among the headers, behind the checks of the head. Beast's own header limit was ruled out as a bound: it holds for what is not consumed yet, one field at a time.

Change: RequestParser derives from Beast's basic_parser. It keeps headers and body, drops trailers (RFC 9110, 6.5; those that contradict the framing are refused), and refuses a request whose unparsed part, or whose head in all, is longer than the limit of a head: 431 within the head, 400 behind it. A connection keeps only what is not parsed yet; it reads into a buffer that all connections of a server share, at most four times in one turn, so that others are read in between. A time limit is checked only after what has arrived was read, as the process may have been suspended.

--- a/lab/hostile/hostile_crowd.cpp
+++ b/lab/hostile/hostile_crowd.cpp
@@ -94,15 +94,16 @@
   }
 
   void read() {
-    socket_.async_read_some(asio::buffer(received_),
-                            [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-                              if (error) {
-                                self->onCutOff();
-                                return;
-                              }
-                              self->noteAnswer(bytes);
-                              self->read();
-                            });
+    socket_.async_read_some(
+        asio::buffer(received_),
+        [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+          if (error) {
+            self->onCutOff();
+            return;
+          }
+          self->noteAnswer(bytes);
+          self->read();
+        });
   }
 
   void noteAnswer(std::size_t bytes) {
@@ -139,9 +140,7 @@
 };
 
 HostileCrowd::HostileCrowd(asio::io_context& context, std::string address)
-    : context_(context),
-      address_(std::move(address)),
-      counts_(std::make_shared<CrowdCounts>()) {}
+    : context_(context), address_(std::move(address)), counts_(std::make_shared<CrowdCounts>()) {}
 
 HostileCrowd::~HostileCrowd() {
   for (const auto& client : clients_) {
--- a/lab/hostile/hostile_crowd.h
+++ b/lab/hostile/hostile_crowd.h
@@ -15,18 +15,18 @@
 /// What one hostile connection sends.
 struct HostileScript {
   std::string head;
-  std::string piece;             ///< Sent again and again behind the head.
+  std::string piece;              ///< Sent again and again behind the head.
   std::size_t bytesOfPieces = 0;  ///< The pieces end once they come to this.
-  std::string ending;            ///< Empty: the request stays unfinished, and the connection open.
-  bool readsAnswers = true;      ///< Otherwise the answers stay in the kernel.
-  unsigned returns = 0;          ///< How often the client connects again once it is cut off.
+  std::string ending;             ///< Empty: the request stays unfinished, and the connection open.
+  bool readsAnswers = true;       ///< Otherwise the answers stay in the kernel.
+  unsigned returns = 0;           ///< How often the client connects again once it is cut off.
 };
 
 /// Counts over all connections of a crowd.
 struct CrowdCounts {
   std::uint64_t connected = 0;
   std::uint64_t bytesSent = 0;
-  std::uint64_t cutOff = 0;  ///< Connections that the server closed or refused.
+  std::uint64_t cutOff = 0;                   ///< Connections that the server closed or refused.
   std::map<unsigned, std::uint64_t> answers;  ///< By the status of the first answer.
 };
 
--- a/lab/hostile/hostile_world.cpp
+++ b/lab/hostile/hostile_world.cpp
@@ -21,9 +21,9 @@
 constexpr Duration kQuiet = seconds(1);
 
 nlohmann::json route(const std::string& name, const std::string& type, bool persisted) {
-  return {{"name", name},       {"host", "h"},     {"pathPrefix", "/" + name + "/"},
-          {"routeType", type},  {"service", kService}, {"timeoutMs", 20000},
-          {"maxAttempts", 2},   {"persisted", persisted}};
+  return {{"name", name},      {"host", "h"},           {"pathPrefix", "/" + name + "/"},
+          {"routeType", type}, {"service", kService},   {"timeoutMs", 20000},
+          {"maxAttempts", 2},  {"persisted", persisted}};
 }
 
 }  // namespace
--- a/lab/hostile/hostile_world.h
+++ b/lab/hostile/hostile_world.h
@@ -63,7 +63,9 @@
   /// \return the sum over replicas of runs of the request.
   [[nodiscard]] int runsOf(const std::string& requestId) const;
   /// \return the greatest sum seen of resident memory and of bytes that wait to be read.
-  [[nodiscard]] std::size_t peakBytes() const { return peakUnreadBytes_ + node_->peakMemoryBytes(); }
+  [[nodiscard]] std::size_t peakBytes() const {
+    return peakUnreadBytes_ + node_->peakMemoryBytes();
+  }
   [[nodiscard]] std::size_t peakUnreadBytes() const { return peakUnreadBytes_; }
   [[nodiscard]] std::size_t peakDescriptors() const { return peakDescriptors_; }
 
--- a/lab/hostile/node_process.cpp
+++ b/lab/hostile/node_process.cpp
@@ -32,9 +32,10 @@
        << settings.zone << " = \"r\"\n[listen]\nfrontend = \"" << settings.clientAddress()
        << "\"\nreadiness = \"" << settings.addressOf(settings.readinessPort) << "\"\ncontrol = \""
        << settings.addressOf(settings.controlPort) << "\"\ndirectory = \""
-       << settings.addressOf(settings.directoryPort) << "\"\n[limits]\nmemoryMb = "
-       << settings.memoryMb << "\nmaxFds = " << settings.maximumDescriptors
-       << "\n[platform]\naddress = \"" << settings.storeAddress << "\"\nparts = 8\n";
+       << settings.addressOf(settings.directoryPort)
+       << "\"\n[limits]\nmemoryMb = " << settings.memoryMb
+       << "\nmaxFds = " << settings.maximumDescriptors << "\n[platform]\naddress = \""
+       << settings.storeAddress << "\"\nparts = 8\n";
   return path;
 }
 
@@ -117,8 +118,8 @@
     std::size_t unread = 0;
     constexpr unsigned kListening = 0x0A;
     // Of a listening socket, the column counts connections that wait to be accepted.
-    const int fields = std::sscanf(line.c_str(), " %*d: %8X:%*X %*8X:%*X %2X %*8X:%8zX", &local,
-                                   &state, &unread);
+    const int fields =
+        std::sscanf(line.c_str(), " %*d: %8X:%*X %*8X:%*X %2X %*8X:%8zX", &local, &state, &unread);
     if (fields == 3 && local == address.s_addr && state != kListening) {
       bytes += unread;
     }
--- /dev/null
+++ b/src/http/request_parser.cpp
@@ -0,0 +1,117 @@
+#include "http/request_parser.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace gorsetrail::http {
+
+namespace beast = boost::beast;
+
+RequestParser::RequestParser(RequestParserLimits limits) : limits_(limits) {
+  header_limit(limits.maximumHeadBytes);
+  body_limit(limits.maximumBodyBytes);
+}
+
+std::size_t RequestParser::consume(std::string_view bytes) {
+  ErrorCode error;
+  std::size_t used = 0;
+  while (used < bytes.size() && !is_done()) {
+    const bool wasInHead = !is_header_done();
+    const std::size_t step =
+        put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+    used += step;
+    // Beast limits what it has not consumed yet, which is one field at a time.
+    headBytes_ += wasInHead ? step : 0;
+    if (headBytes_ > limits_.maximumHeadBytes && wasInHead) {
+      error = beast::http::error::header_limit;
+    }
+    if (error || (is_header_done() && !eager())) {
+      break;
+    }
+  }
+  if (error && error != beast::http::error::need_more) {
+    noteFault(error);
+  } else if (!is_done() && bytes.size() - used > limits_.maximumHeadBytes) {
+    fault_ = is_header_done() ? ProtocolFault::Malformed : ProtocolFault::HeadTooLarge;
+  }
+  return used;
+}
+
+void RequestParser::noteFault(const ErrorCode& error) {
+  if (fault_) {
+    return;
+  }
+  if (error == beast::http::error::header_limit || error == beast::http::error::buffer_overflow) {
+    fault_ = ProtocolFault::HeadTooLarge;
+  } else if (error == beast::http::error::body_limit) {
+    fault_ = ProtocolFault::BodyTooLarge;
+  } else {
+    fault_ = ProtocolFault::Malformed;
+  }
+}
+
+std::optional<std::uint64_t> RequestParser::announcedBodyBytes() const {
+  const auto length = content_length();
+  return length ? std::optional(*length) : std::nullopt;
+}
+
+std::string_view RequestParser::headerOf(std::string_view name) const {
+  const auto found =
+      std::find_if(request_.headers.begin(), request_.headers.end(),
+                   [&](const Header& header) { return beast::iequals(header.name, name); });
+  return found == request_.headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+bool RequestParser::expectsContinue() const {
+  return isHttp11() && beast::iequals(headerOf("Expect"), "100-continue");
+}
+
+void RequestParser::on_request_impl(Verb /*method*/, Text methodText, Text target, int version,
+                                    ErrorCode& error) {
+  request_.method = std::string(methodText);
+  request_.target = std::string(target);
+  version_ = version;
+  error = {};
+}
+
+void RequestParser::on_response_impl(int /*status*/, Text /*reason*/, int /*version*/,
+                                     ErrorCode& error) {
+  error = beast::http::error::bad_method;
+}
+
+void RequestParser::on_field_impl(Field /*field*/, Text name, Text value, ErrorCode& error) {
+  error = {};
+  if (!is_header_done()) {
+    request_.headers.push_back({std::string(name), std::string(value)});
+  }
+}
+
+void RequestParser::on_header_impl(ErrorCode& error) { error = {}; }
+
+void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                                      ErrorCode& error) {
+  error = {};
+  request_.body.reserve(length.value_or(0));
+}
+
+std::size_t RequestParser::on_body_impl(Text body, ErrorCode& error) {
+  error = {};
+  request_.body.append(body.data(), body.size());
+  return body.size();
+}
+
+void RequestParser::on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/,
+                                         ErrorCode& error) {
+  error = {};
+}
+
+std::size_t RequestParser::on_chunk_body_impl(std::uint64_t /*remaining*/, Text body,
+                                              ErrorCode& error) {
+  return on_body_impl(body, error);
+}
+
+void RequestParser::on_finish_impl(ErrorCode& error) { error = {}; }
+
+}  // namespace gorsetrail::http
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -2,10 +2,6 @@
 
 #include <sys/socket.h>
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <cerrno>
 #include <utility>
 
@@ -16,10 +12,11 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using boost::system::error_code;
 
-constexpr unsigned kHttpVersion11 = 11;
+/// A connection reads at most this often in one turn of the event loop, so that others are read in
+/// between.
+constexpr int kReadsPerTurn = 4;
 /// Input that is read and discarded after the last response, because closing a socket with unread
 /// input sends a reset and the client may lose the response.
 constexpr std::size_t kMaximumDiscardedBytes = std::size_t{4} * 1024 * 1024;
@@ -72,10 +69,20 @@
   if (now - stateEnteredAt_ <= timeLimitOfState()) {
     return;
   }
-  if (state_ == State::ReadingHead || state_ == State::ReadingBody) {
-    sendErrorResponse(ProtocolFault::RequestTimedOut);
-  } else {
+  if (state_ == State::Lingering) {
     close();
+    return;
+  }
+  // What arrived while the process was suspended counts as in time.
+  const State before = state_;
+  readRequest();
+  if (state_ != before) {
+    return;
+  }
+  if (state_ == State::Idle) {
+    close();
+  } else {
+    sendErrorResponse(ProtocolFault::RequestTimedOut);
   }
 }
 
@@ -108,7 +115,11 @@
     return;
   }
   if (state_ == State::Idle) {
-    error ? close() : readHead();
+    error ? close() : readRequest();
+  } else if (state_ == State::ReadingHead || state_ == State::ReadingBody) {
+    error ? onReadFailed() : readRequest();
+  } else if (state_ == State::Lingering) {
+    error ? close() : discardInput();
   } else if (state_ == State::Responding) {
     error ? onClientDisconnected() : checkClientConnected();
   }
@@ -127,67 +138,98 @@
   onClientDisconnected();
 }
 
-void ServerConnection::readHead() {
+void ServerConnection::readRequest() {
+  for (int reads = 0; reads < kReadsPerTurn; ++reads) {
+    const auto bytes = readAvailable();
+    if (!bytes) {
+      onReadFailed();
+      return;
+    }
+    if (bytes->empty()) {
+      break;
+    }
+    parse(*bytes);
+    const bool isReading = state_ == State::ReadingHead || state_ == State::ReadingBody;
+    if (!isReading) {
+      return;
+    }
+    if (bytes->size() < shared_->readBuffer.size()) {
+      break;  // Nothing is left to read.
+    }
+  }
+  waitReadable();
+}
+
+std::optional<std::string_view> ServerConnection::readAvailable() {
+  std::array<char, ServerContext::kReadBytes>& buffer = shared_->readBuffer;
+  error_code error;
+  const std::size_t bytes = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    return std::string_view();
+  }
+  return error ? std::nullopt : std::optional(std::string_view(buffer.data(), bytes));
+}
+
+void ServerConnection::beginRequest() {
   enter(State::ReadingHead);
-  parser_.emplace();
-  parser_->header_limit(shared_->options.knobs.maximumHeadBytes);
-  parser_->body_limit(shared_->options.knobs.maximumBodyBytes);
-  beast::http::async_read_header(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const error_code& error, std::size_t) { self->onHead(error); });
+  const HttpServerLimits& knobs = shared_->options.knobs;
+  parser_.emplace(RequestParserLimits{knobs.maximumHeadBytes, knobs.maximumBodyBytes});
 }
 
-void ServerConnection::onHead(const error_code& error) {
-  if (state_ != State::ReadingHead) {
-    return;
+void ServerConnection::parse(std::string_view bytes) {
+  if (state_ == State::Idle) {
+    beginRequest();
   }
-  if (error) {
-    onReadFailed(error);
-    return;
+  std::string joined;
+  if (!unparsed_.empty()) {
+    joined = std::exchange(unparsed_, {});
+    joined += bytes;
+    bytes = joined;
   }
-  enter(State::ReadingBody);
-  const auto expectation = parser_->get()[beast::http::field::expect];
-  if (beast::iequals(expectation, "100-continue")) {
-    sendContinue();
-  } else {
-    readBody();
+  unparsed_ = parseRequest(bytes);
+  if (parser_ && parser_->is_done()) {
+    deliverRequest();
   }
 }
 
-void ServerConnection::sendContinue() {
-  asio::async_write(socket_, asio::buffer(kContinue),
-                    [self = shared_from_this()](const error_code& error, std::size_t) {
-                      if (self->state_ != State::ReadingBody) {
-                        return;
-                      }
-                      error ? self->onReadFailed(error) : self->readBody();
-                    });
+std::string_view ServerConnection::parseRequest(std::string_view bytes) {
+  bytes.remove_prefix(parser_->consume(bytes));
+  if (state_ == State::ReadingHead && parser_->is_header_done() && !parser_->fault()) {
+    if (!onHeadRead()) {
+      return {};
+    }
+    bytes.remove_prefix(parser_->consume(bytes));
+  }
+  if (const auto fault = parser_->fault()) {
+    sendErrorResponse(*fault);
+    return {};
+  }
+  return bytes;
 }
 
-void ServerConnection::readBody() {
-  beast::http::async_read(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const error_code& error, std::size_t) { self->onBody(error); });
+bool ServerConnection::onHeadRead() {
+  enter(State::ReadingBody);
+  parser_->readBody();
+  return !parser_->expectsContinue() || parser_->is_done() || sendContinue();
 }
 
-void ServerConnection::onBody(const error_code& error) {
-  if (state_ != State::ReadingBody) {
-    return;
-  }
-  if (error) {
-    onReadFailed(error);
-    return;
+bool ServerConnection::sendContinue() {
+  error_code error;
+  const std::size_t sent = socket_.write_some(asio::buffer(kContinue), error);
+  // The socket's buffer is empty but for responses that the client does not read.
+  if (error || sent < kContinue.size()) {
+    close();
+    return false;
   }
-  deliverRequest();
+  return true;
 }
 
 void ServerConnection::deliverRequest() {
   ++shared_->counters.requests;
-  keepAlive_ = parser_->get().keep_alive();
-  chunked_ = parser_->get().version() >= kHttpVersion11;
-  ServerRequest request = toServerRequest(parser_->release());
+  keepAlive_ = parser_->keep_alive();
+  chunked_ = parser_->isHttp11();
+  ServerRequest request = parser_->release();
   parser_.reset();
-  buffer_.shrink_to_fit();
   beginExchange();
   waitReadable();
   shared_->options.onRequest(std::move(request),
@@ -202,23 +244,17 @@
   enter(State::Responding);
 }
 
-void ServerConnection::onReadFailed(const error_code& error) {
-  if (!isDisconnect(error)) {
-    sendErrorResponse(protocolFaultOf(error));
-    return;
-  }
-  if (error != beast::http::error::end_of_stream) {
-    ++shared_->counters.requestsCut;
-  }
+void ServerConnection::onReadFailed() {
+  const bool isWithinRequest = state_ == State::ReadingHead || state_ == State::ReadingBody;
+  shared_->counters.requestsCut += isWithinRequest ? 1 : 0;
   close();
 }
 
 void ServerConnection::sendErrorResponse(ProtocolFault fault) {
   ++shared_->counters.faults;
   keepAlive_ = false;
-  // The pending read uses `parser_`, so it must end before the parser is destroyed.
-  error_code ignored;
-  socket_.cancel(ignored);
+  parser_.reset();
+  unparsed_ = {};
   beginExchange();
   sendWhole(currentExchange_, shared_->options.onFault(fault));
 }
@@ -232,11 +268,12 @@
     return;
   }
   enter(State::Idle);
-  if (buffer_.size() > 0) {
-    readHead();
-  } else {
-    waitReadable();
+  if (!unparsed_.empty()) {
+    const std::string pipelined = std::move(unparsed_);
+    unparsed_ = {};
+    parse(pipelined);
   }
+  waitReadable();
 }
 
 void ServerConnection::linger() {
@@ -247,15 +284,18 @@
 }
 
 void ServerConnection::discardInput() {
-  socket_.async_read_some(asio::buffer(discarded_),
-                          [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-                            self->discardedBytes_ += bytes;
-                            if (error || self->discardedBytes_ > kMaximumDiscardedBytes) {
-                              self->close();
-                            } else {
-                              self->discardInput();
-                            }
-                          });
+  for (int reads = 0; reads < kReadsPerTurn; ++reads) {
+    const auto bytes = readAvailable();
+    if (bytes && bytes->empty()) {
+      break;
+    }
+    discardedBytes_ += bytes ? bytes->size() : 0;
+    if (!bytes || discardedBytes_ > kMaximumDiscardedBytes) {
+      close();
+      return;
+    }
+  }
+  waitReadable();
 }
 
 void ServerConnection::onClientDisconnected() {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -2,16 +2,14 @@
 #pragma once
 
 #include <array>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "http/endpoint.h"
 #include "http/http_server.h"
+#include "http/request_parser.h"
 
 namespace gorsetrail::http {
 
@@ -23,6 +21,10 @@
   HttpServerOptions options;
   HttpServerCounters counters;
   bool draining = false;
+  /// What a connection has just read. All connections of a server run on one thread, and none keeps
+  /// bytes here when its handler returns.
+  static constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+  std::array<char, kReadBytes> readBuffer{};
   std::function<void(const std::shared_ptr<ServerConnection>&)> onClosed;
 
   [[nodiscard]] Instant now() const { return options.clock(); }
@@ -54,19 +56,29 @@
 
  private:
   enum class State : std::uint8_t { Idle, ReadingHead, ReadingBody, Responding, Lingering, Closed };
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   void waitReadable();
   void onReadable(const boost::system::error_code& error);
   void checkClientConnected();
-  void readHead();
-  void onHead(const boost::system::error_code& error);
-  void sendContinue();
-  void readBody();
-  void onBody(const boost::system::error_code& error);
+  /// Reads what has arrived, up to a limit, and parses it.
+  void readRequest();
+  /// Reads once, without waiting.
+  /// \return what was read, in the buffer that all connections share, empty if nothing has arrived;
+  /// nothing if the connection is closed.
+  std::optional<std::string_view> readAvailable();
+  /// Starts the parser of the next request.
+  void beginRequest();
+  /// Parses the bytes behind those that were kept before.
+  void parse(std::string_view bytes);
+  /// Parses as much as possible. Answers a request that cannot be read.
+  /// \return the bytes that are left.
+  std::string_view parseRequest(std::string_view bytes);
+  /// Called once the head is read, before any byte of the body.
+  /// \return whether the body is to be read.
+  bool onHeadRead();
+  bool sendContinue();
   void deliverRequest();
   void beginExchange();
-  void onReadFailed(const boost::system::error_code& error);
+  void onReadFailed();
   void sendErrorResponse(ProtocolFault fault);
   /// Ends the response with 502 in place of one whose status HTTP does not have.
   void sendBadGateway(unsigned invalidStatus);
@@ -94,14 +106,13 @@
   State state_ = State::Idle;
   Instant stateEnteredAt_;
   Instant writeStartedAt_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::string unparsed_;  ///< Read, but neither parsed nor part of a request yet.
+  std::optional<RequestParser> parser_;
   std::uint64_t currentExchange_ = 0;  ///< Number of the latest request on this connection.
   ResponseObserver observer_;
   std::string outgoing_;         ///< Response bytes queued for the next write.
   std::string inFlight_;         ///< Bytes of the write in progress.
   std::size_t unreadBytes_ = 0;  ///< Share of this connection in `unreadBytes`.
-  std::array<char, 512> discarded_{};
   std::size_t discardedBytes_ = 0;
   bool waitingForReadable_ = false;  ///< A wait for readability is pending.
   bool writing_ = false;             ///< An asynchronous write is in progress.
--- a/tests/hostile_clients/hostile_connections_test.cpp
+++ b/tests/hostile_clients/hostile_connections_test.cpp
@@ -32,9 +32,8 @@
 TEST(HostileConnections, thoseOfAllListenersTogetherAreBounded) {
   std::vector<std::unique_ptr<HostileCrowd>> others;
   const NodeProcessSettings& settings = world->settings();
-  for (const std::uint16_t port :
-       {settings.readinessPort, settings.directoryPort, settings.metricsPort,
-        settings.firstInternalPort}) {
+  for (const std::uint16_t port : {settings.readinessPort, settings.directoryPort,
+                                   settings.metricsPort, settings.firstInternalPort}) {
     others.push_back(std::make_unique<HostileCrowd>(world->context(), settings.addressOf(port)));
     others.back()->join(kConnections / 3, HostileScript{});
     world->playUntilQuiet(*others.back());
--- a/tests/hostile_clients/hostile_group.h
+++ b/tests/hostile_clients/hostile_group.h
@@ -34,9 +34,9 @@
                   std::to_string(process % kByte) + ".9";
     settings.memoryMb = kMemoryMb;
     settings.maximumDescriptors = kDescriptors;
-    directory = (std::filesystem::temp_directory_path() /
-                 ("gorsetrail-hostile-" + std::to_string(process)))
-                    .string();
+    directory =
+        (std::filesystem::temp_directory_path() / ("gorsetrail-hostile-" + std::to_string(process)))
+            .string();
     world = std::make_unique<HostileWorld>(settings, directory);
     crowd = std::make_unique<HostileCrowd>(world->context(), settings.clientAddress());
   }
--- /dev/null
+++ b/tests/http/hostile_request_test.cpp
@@ -0,0 +1,157 @@
+// Requests that no sound client sends.
+#include <boost/asio/io_context.hpp>
+
+#include "http/http_server.h"
+#include "raw_client.h"
+#include "scripted_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gorsetrail;
+using namespace gorsetrail::http;
+
+namespace {
+
+constexpr std::uint32_t kHeadLimit = 1024;
+
+std::string chunked(const std::string& rest) {
+  return "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + rest;
+}
+
+}  // namespace
+
+TEST_GROUP(HostileRequest) {
+  boost::asio::io_context context;
+  Instant now;
+  std::vector<ServerRequest> requests;
+  std::vector<ProtocolFault> faults;
+  HttpServerLimits knobs;
+  HttpServerPtr server;
+  std::unique_ptr<RawClient> client;
+
+  void start() {
+    knobs.maximumHeadBytes = kHeadLimit;
+    knobs.sweepPeriod = milliseconds(1);
+    HttpServerOptions options;
+    options.listenAddress = "127.0.0.1:0";
+    options.knobs = knobs;
+    options.clock = [this] { return now; };
+    options.onFault = [this](ProtocolFault fault) {
+      faults.push_back(fault);
+      return WholeResponse{400, {}, "fault"};
+    };
+    options.onRequest = [this](ServerRequest request, const ResponseWriterPtr& writer) {
+      requests.push_back(std::move(request));
+      writer->sendWhole({200, {}, "served"});
+    };
+    auto made = makeHttpServer(context, std::move(options));
+    CHECK_TRUE(succeeded(made));
+    server = std::move(valueOf(made));
+    connect();
+  }
+  void connect() {
+    client = std::make_unique<RawClient>(context, server->listeningPort());
+    client->startReading();
+  }
+  void until(const std::function<bool()>& finished) { CHECK_TRUE(runUntil(context, finished)); }
+  void untilFault(ProtocolFault fault) {
+    until([this] { return !faults.empty(); });
+    LONGS_EQUAL(static_cast<int>(fault), static_cast<int>(faults.back()));
+    until([this] { return client->has("fault"); });
+    CHECK_TRUE(requests.empty());
+  }
+  /// Sends pieces until the server has refused the request. \return the bytes sent.
+  std::size_t sendUntilFault(const std::string& piece, std::size_t most) {
+    std::size_t sent = 0;
+    while (faults.empty() && sent < most) {
+      client->send(piece);
+      sent += piece.size();
+      context.restart();
+      context.poll();
+    }
+    return sent;
+  }
+};
+
+TEST(HostileRequest, trailersDoNotBecomeHeaders) {
+  start();
+  client->send(chunked("4\r\nbody\r\n0\r\nGorsetrail-Request-Id: forged\r\nX-Other: 1\r\n\r\n"));
+  until([this] { return client->has("served"); });
+  STRCMP_EQUAL("body", requests.front().body.c_str());
+  LONGS_EQUAL(2, requests.front().headers.size());
+}
+
+TEST(HostileRequest, aTrailerOfFramingIsRefused) {
+  start();
+  client->send(chunked("4\r\nbody\r\n0\r\nContent-Length: 400\r\n\r\n"));
+  untilFault(ProtocolFault::Malformed);
+}
+
+TEST(HostileRequest, trailersAreBounded) {
+  start();
+  client->send(chunked("4\r\nbody\r\n0\r\n"));
+  CHECK_COMPARE(sendUntilFault("X-Trailer: 0123456789\r\n", 64 * 1024), <, 2 * kHeadLimit);
+  untilFault(ProtocolFault::Malformed);
+}
+
+TEST(HostileRequest, aChunksSizeLineIsBounded) {
+  start();
+  client->send(chunked("4;extension="));
+  CHECK_COMPARE(sendUntilFault("0123456789", 64 * 1024), <, 2 * kHeadLimit);
+  untilFault(ProtocolFault::Malformed);
+}
+
+TEST(HostileRequest, aHeadOfManyCompleteFieldsIsBounded) {
+  start();
+  client->send("GET /a HTTP/1.1\r\n");
+  CHECK_COMPARE(sendUntilFault("X-Field: 0123456789\r\n", 64 * 1024), <, 2 * kHeadLimit);
+  untilFault(ProtocolFault::HeadTooLarge);
+}
+
+TEST(HostileRequest, aHeadOfOneLongFieldIsBounded) {
+  start();
+  client->send("GET /a HTTP/1.1\r\nX-Field: ");
+  CHECK_COMPARE(sendUntilFault("0123456789", 64 * 1024), <, 2 * kHeadLimit);
+  untilFault(ProtocolFault::HeadTooLarge);
+}
+
+TEST(HostileRequest, aHeadAtItsLimitIsServed) {
+  start();
+  std::string head = "GET /a HTTP/1.1\r\nHost: x\r\nX-Field: ";
+  head += std::string(kHeadLimit - head.size() - 4, 'x') + "\r\n\r\n";
+  LONGS_EQUAL(kHeadLimit, head.size());
+  client->send(head);
+  until([this] { return client->has("served"); });
+  CHECK_TRUE(faults.empty());
+}
+
+TEST(HostileRequest, bytesOfTheNextRequestAreKeptThroughThePreviousOne) {
+  start();
+  const std::string next = chunked("3\r\nabc\r\n0\r\n\r\n");
+  // Every way to divide two requests into two pieces.
+  for (std::size_t at = 1; at < 2 * next.size(); ++at) {
+    requests.clear();
+    connect();
+    client->send((next + next).substr(0, at));
+    context.restart();
+    context.poll();
+    client->send((next + next).substr(at));
+    until([this] { return requests.size() == 2; });
+    STRCMP_EQUAL("abc", requests.front().body.c_str());
+    STRCMP_EQUAL("abc", requests.back().body.c_str());
+  }
+  CHECK_TRUE(faults.empty());
+}
+
+TEST(HostileRequest, whatArrivedBeforeATimeLimitWasCheckedIsServed) {
+  start();
+  client->send("GET /a HTTP/1.1\r\n");
+  until([this] { return server->counters().connectionsOpen == 1; });
+  context.restart();
+  context.poll();
+  // As after a pause of the process: the rest arrived while the time limit passed.
+  client->send("Host: x\r\n\r\n");
+  now += seconds(60);
+  until([this] { return client->has("served") || !faults.empty(); });
+  CHECK_TRUE(faults.empty());
+}
