Error boundary: an exception in one connection's handler ends that connection

What callers saw: a TRACE request with a body ended the node that took it, and with it every request of that node; a client's retries on a safe route carried it to the next node.

Cause: the client side built requests as messages of Beast. message::prepare_payload throws for TRACE with a body, fields throw for names and values over 65,533 bytes (which the limit of 16 KB for a head hid; a larger maxHeaderBytes would not), result() for statuses over 999. Nothing between such a call and io_context::run() caught it. Ruled out as sources: number parsing (std::from_chars), JSON (dump with a handler that replaces), the URL's query (substr within its bounds).

Change, at both depths: - The client writes the head of a request as text: nothing there throws, and a caller's own Content-Length or Transfer-Encoding is not passed on. CONNECT and TRACE are answered 405 before they are read. - runInBoundary() surrounds every handler of a server's connection, a client's request and a datagram. An exception is logged (connection_handler_failed, known to explain), counted (connection_handler_failures_total), and ends that connection: the request is cut off, a replica's run counts as broken. Timers stay outside and still end the process: their state belongs to all requests. - Lines that libraries log reach the daemon's log. - Heads of responses are bounded in all, not a field at a time.

--- a/src/base/log_sink.h
+++ b/src/base/log_sink.h
@@ -1,4 +1,4 @@
-/// \file Redirects log lines from standard error to a function, for tests.
+/// \file Redirects log lines from standard error to a function.
 #pragma once
 
 #include <functional>
--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -11,7 +11,8 @@
 constexpr std::string_view kTimeKey = "time_ms=";
 /// State changes up to this long before a line of the request are included.
 constexpr std::uint64_t kStateChangeWindowMilliseconds = 2000;
-constexpr std::array<std::string_view, 11> kStateChangeEvents = {"store_lost",
+constexpr std::array<std::string_view, 12> kStateChangeEvents = {"store_lost",
+                                                                 "connection_handler_failed",
                                                                  "store_regained",
                                                                  "store_way",
                                                                  "replica_gone",
--- a/src/edge/datagram_socket.cpp
+++ b/src/edge/datagram_socket.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "http/endpoint.h"
+#include "http/error_boundary.h"
 
 namespace gorsetrail::edge {
 namespace {
@@ -49,7 +50,7 @@
                                  return;
                                }
                                if (!error) {
-                                 receiver_(sender_, {buffer_.data(), bytes});
+                                 deliver(bytes);
                                  receiveQueued();
                                }
                                receive();
@@ -65,10 +66,14 @@
     if (error) {
       return;
     }
-    receiver_(sender_, {buffer_.data(), bytes});
+    deliver(bytes);
   }
 }
 
+void DatagramSocket::deliver(std::size_t bytes) {
+  http::runInBoundary("datagram", [this, bytes] { receiver_(sender_, {buffer_.data(), bytes}); });
+}
+
 void DatagramSocket::send(const std::string& address, std::string_view bytes) {
   if (const auto endpoint = datagramEndpoint(address)) {
     error_code ignored;  // Ignored: senders must tolerate lost datagrams.
--- a/src/edge/datagram_socket.h
+++ b/src/edge/datagram_socket.h
@@ -35,6 +35,8 @@
   void receive();
   /// Handles the datagrams that have already arrived.
   void receiveQueued();
+  /// Passes the datagram in the buffer on.
+  void deliver(std::size_t bytes);
 
   boost::asio::ip::udp::socket socket_;
   Endpoint sender_;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -39,6 +39,7 @@
 /// \return the HTTP status for a request that could not be read.
 unsigned statusOf(http::ProtocolFault fault) {
   constexpr unsigned kBadRequest = 400;
+  constexpr unsigned kMethodNotAllowed = 405;
   constexpr unsigned kTimeout = 408;
   constexpr unsigned kBodyTooLarge = 413;
   constexpr unsigned kHeadTooLarge = 431;
@@ -49,6 +50,8 @@
       return kBodyTooLarge;
     case http::ProtocolFault::RequestTimedOut:
       return kTimeout;
+    case http::ProtocolFault::MethodNotAllowed:
+      return kMethodNotAllowed;
     case http::ProtocolFault::Malformed:
       break;
   }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -76,6 +76,8 @@
   void reload(EdgeSettings settings);
   /// Logs that new settings could not be read; the current ones stay in force.
   void reportInvalidReload(const std::vector<Error>& errors);
+  /// Adds a line that a library of the process has logged to the daemon's log.
+  void logProcessLine(std::string_view line) { log_.logLine(line); }
   /// Timers on the daemon's event loop, for other work of the embedding program.
   [[nodiscard]] services::TimerService& timers() { return *timers_; }
 
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -1,6 +1,7 @@
 // The part of `EdgeDaemon` that collects the values of the metrics endpoint.
 #include "edge/edge_daemon.h"
 #include "edge/edge_daemon_shared.h"
+#include "http/error_boundary.h"
 
 namespace gorsetrail::edge {
 
@@ -69,6 +70,7 @@
   values.requestsOpen = callers.responsesOpen;
   values.unreadBytes = callers.unreadBytes;
   values.connectionsClosedForUnreadBytes = callers.connectionsClosedForUnreadBytes;
+  values.handlerFailures = http::handlerFailures();
   values.replicas = replicas_.size();
   values.replicasCold = coldReplicas_.coldReplicas();
   values.coldReplicasSkipped = coldReplicas_.exclusionCount();
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -285,6 +285,8 @@
              snapshot.unreadBytes);
   list.counter("callers_cut_total", "Callers cut since too many bytes were left untaken",
                snapshot.connectionsClosedForUnreadBytes);
+  list.counter("connection_handler_failures_total",
+               "Connections ended by an exception of their handler", snapshot.handlerFailures);
   list.counter("dispatches_total", "Requests sent to replicas", snapshot.dispatches);
   list.counter("retries_total", "Dispatches after the first of a request", snapshot.retries);
   list.counter("resumes_total", "Streams that went on after a cut", snapshot.resumes);
--- a/src/edge/event_log.cpp
+++ b/src/edge/event_log.cpp
@@ -40,6 +40,12 @@
   }
 }
 
+void EventLog::logLine(std::string_view line) {
+  if (!appendLine(line, knobs_.bufferBytes)) {
+    ++droppedLines_;
+  }
+}
+
 void EventLog::logRefusal(std::string_view event, const RefusalKey& key,
                           std::initializer_list<LogField> fields) {
   if (append(event, fields, knobs_.bufferBytes + knobs_.refusalBytes)) {
@@ -55,7 +61,10 @@
 
 bool EventLog::append(std::string_view event, std::initializer_list<LogField> fields,
                       std::size_t byteLimit) {
-  const std::string line = formatLogLine(event, fields);
+  return appendLine(formatLogLine(event, fields), byteLimit);
+}
+
+bool EventLog::appendLine(std::string_view line, std::size_t byteLimit) {
   if (buffer_.size() + line.size() > byteLimit) {
     return false;
   }
--- a/src/edge/event_log.h
+++ b/src/edge/event_log.h
@@ -56,6 +56,8 @@
   /// and key are counted and logged as one line `refusals_counted`.
   void logRefusal(std::string_view event, const RefusalKey& key,
                   std::initializer_list<LogField> fields);
+  /// Logs a line of `gorsetrail::formatLogLine`, like `logImportant`.
+  void logLine(std::string_view line);
   /// Writes buffered lines; call it several times a second and before the process exits.
   void flush();
 
@@ -73,6 +75,8 @@
   /// \return false when the line does not fit.
   bool append(std::string_view event, std::initializer_list<LogField> fields,
               std::size_t byteLimit);
+  /// As `append`, for a whole line.
+  bool appendLine(std::string_view line, std::size_t byteLimit);
   void appendRefusalCounts();
   void writeBuffer();
 
--- a/src/http/client_operation.cpp
+++ b/src/http/client_operation.cpp
@@ -1,8 +1,10 @@
 #include "http/client_operation.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/write.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <cstdlib>
 #include <string>
 #include <utility>
@@ -35,6 +37,20 @@
          text.find_first_of(kSeparators) == std::string_view::npos;
 }
 
+/// \return whether the header describes the length of the body, which the client knows itself.
+bool isFramingHeader(std::string_view name) {
+  return beast::iequals(name, "content-length") || beast::iequals(name, "transfer-encoding");
+}
+
+/// \return whether a request of the method tells its length even if it is zero (RFC 9110, 8.6).
+bool mayHaveBody(std::string_view method) {
+  return method == "POST" || method == "PUT" || method == "PATCH" || method == "OPTIONS";
+}
+
+void appendField(std::string& head, std::string_view name, std::string_view value) {
+  head.append(name).append(": ").append(value).append("\r\n");
+}
+
 bool isTarget(std::string_view text) {
   return !text.empty() && text.front() == '/' && !hasControlCharacter(text) &&
          text.find(' ') == std::string_view::npos;
@@ -55,7 +71,7 @@
 
 void ClientOperation::start() {
   // Posted so that no callback runs inside `send`.
-  asio::post(context_, [self = shared_from_this()] { self->begin(); });
+  asio::post(context_, [self = shared_from_this()] { self->guard([&self] { self->begin(); }); });
 }
 
 void ClientOperation::cancel() { end(); }
@@ -87,27 +103,37 @@
   }
 }
 
+void ClientOperation::failAfterException() {
+  const FailureStage stage = bytesMayHaveLeft_ ? FailureStage::Broken : FailureStage::NotSent;
+  // The callback may fail for the same reason.
+  runInBoundary(kRole, [&] { fail(stage, "a handler failed, see connection_handler_failed"); });
+  end();
+}
+
+// Written here and not by a message of Beast, which throws for long headers and for methods that it
+// knows to have no body.
 bool ClientOperation::prepareMessage() {
   if (!isToken(request_.method) || !isTarget(request_.target)) {
     return false;
   }
-  message_.version(11);
-  message_.method_string(request_.method);
-  message_.target(request_.target);
-  message_.set(beast::http::field::host, request_.address);
-  const auto isHost = [](const Header& header) { return beast::iequals(header.name, "host"); };
+  std::string host = request_.address;
+  std::string fields;
   for (const Header& header : request_.headers) {
     if (!isToken(header.name) || hasControlCharacter(header.value)) {
       return false;
     }
-    if (isHost(header)) {
-      message_.set(beast::http::field::host, header.value);
-    } else {
-      message_.insert(header.name, header.value);
+    if (beast::iequals(header.name, "host")) {
+      host = header.value;
+    } else if (!isFramingHeader(header.name)) {
+      appendField(fields, header.name, header.value);
     }
   }
-  message_.body() = std::move(request_.body);
-  message_.prepare_payload();
+  if (!request_.body.empty() || mayHaveBody(request_.method)) {
+    appendField(fields, "Content-Length", std::to_string(request_.body.size()));
+  }
+  head_ = request_.method + " " + request_.target + " HTTP/1.1\r\n";
+  appendField(head_, "Host", host);
+  head_ += fields + "\r\n";
   return true;
 }
 
@@ -117,7 +143,7 @@
     if (!error) {
       const FailureStage stage =
           self->bytesMayHaveLeft_ ? FailureStage::Broken : FailureStage::NotSent;
-      self->fail(stage, "time limit reached");
+      self->guard([&] { self->fail(stage, "time limit reached"); });
     }
   });
 }
@@ -135,7 +161,7 @@
   setTcpUserTimeout(*socket_);
   startConnectTimer();
   socket_->async_connect(*endpoint_, [self = shared_from_this()](const error_code& error) {
-    self->onConnected(error);
+    self->guard([&] { self->onConnected(error); });
   });
 }
 
@@ -146,7 +172,8 @@
   connectTimer_.expires_after(request_.connectTimeLimit);
   connectTimer_.async_wait([self = shared_from_this()](const error_code& error) {
     if (!error && !self->bytesMayHaveLeft_) {
-      self->fail(FailureStage::NotSent, "no connection within the time limit");
+      self->guard(
+          [&] { self->fail(FailureStage::NotSent, "no connection within the time limit"); });
     }
   });
 }
@@ -169,10 +196,12 @@
 void ClientOperation::writeRequest() {
   // From here on bytes may have been sent, so a timeout must be reported as `Broken`.
   bytesMayHaveLeft_ = true;
-  beast::http::async_write(*socket_, message_,
-                           [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-                             self->onWritten(error, bytes);
-                           });
+  const std::array<asio::const_buffer, 2> message = {asio::buffer(head_),
+                                                     asio::buffer(request_.body)};
+  asio::async_write(*socket_, message,
+                    [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+                      self->guard([&] { self->onWritten(error, bytes); });
+                    });
 }
 
 void ClientOperation::onWritten(const error_code& error, std::size_t bytes) {
@@ -199,6 +228,7 @@
 }
 
 void ClientOperation::resetParser() {
+  headBytes_ = 0;
   parser_.emplace();
   parser_->eager(true);
   parser_->header_limit(kMaximumResponseHeadBytes);
@@ -211,7 +241,7 @@
 void ClientOperation::readMore() {
   socket_->async_read_some(buffer_.prepare(kReadBytes),
                            [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-                             self->onRead(error, bytes);
+                             self->guard([&] { self->onRead(error, bytes); });
                            });
 }
 
@@ -240,8 +270,14 @@
 void ClientOperation::parseBuffered() {
   error_code error;
   while (!ended_ && !parser_->is_done() && buffer_.size() > 0) {
+    const bool wasInHead = !parser_->is_header_done();
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
+    // Beast limits what it has not consumed yet, which is one field at a time.
+    headBytes_ += wasInHead && !parser_->is_header_done() ? used : 0;
+    if (headBytes_ > kMaximumResponseHeadBytes) {
+      error = beast::http::error::header_limit;
+    }
     if (error == beast::http::error::need_more) {
       error = {};
       // The parser wants the whole of a line, and does not limit that of a chunk's size.
--- a/src/http/client_operation.h
+++ b/src/http/client_operation.h
@@ -4,15 +4,16 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "http/connection_pool.h"
 #include "http/endpoint.h"
+#include "http/error_boundary.h"
 #include "http/http_client.h"
 #include "http/response_parser.h"
 
@@ -41,6 +42,15 @@
   [[nodiscard]] std::optional<Instant> connectionOpenedAt() const override { return openedAt_; }
 
  private:
+  static constexpr std::string_view kRole = "client";
+  /// Runs a handler; fails the request if it throws.
+  template <class Handler>
+  void guard(Handler&& handler) {
+    if (!runInBoundary(kRole, std::forward<Handler>(handler))) {
+      failAfterException();
+    }
+  }
+  void failAfterException();
   void begin();
   bool prepareMessage();
   void startTimer();
@@ -75,9 +85,10 @@
   std::optional<Instant> openedAt_;  ///< Of `socket_`; empty while it is connecting.
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer connectTimer_;
-  boost::beast::http::request<boost::beast::http::string_body> message_;
+  std::string head_;  ///< Of the request, as it is sent.
   boost::beast::flat_buffer buffer_;
   std::optional<ResponseParser> parser_;
+  std::size_t headBytes_ = 0;  ///< Consumed of the head that is being read.
   Response response_;
   bool reused_ = false;
   bool bytesMayHaveLeft_ = false;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -132,9 +132,11 @@
       ++shared_->counters.connectionsRefused;
     } else {
       ++shared_->counters.connectionsAccepted;
-      const auto connection = std::make_shared<ServerConnection>(std::move(socket), shared_);
-      connections_.insert(connection);
-      connection->start();
+      runInBoundary("server", [&] {
+        const auto connection = std::make_shared<ServerConnection>(std::move(socket), shared_);
+        connections_.insert(connection);
+        connection->start();
+      });
     }
     accept();
   }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -63,6 +63,8 @@
   HeadTooLarge,     ///< Over `maximumHeadBytes`.
   BodyTooLarge,     ///< Over `maximumBodyBytes`.
   RequestTimedOut,  ///< The head or body exceeded its time limit.
+  /// `CONNECT` asks for a tunnel, and `TRACE` returns credentials to whoever had it sent.
+  MethodNotAllowed,
 };
 
 /// Size limits and timeouts of the server.
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -68,8 +68,13 @@
   return isHttp11() && beast::iequals(headerOf("Expect"), "100-continue");
 }
 
-void RequestParser::on_request_impl(Verb /*method*/, Text methodText, Text target, int version,
+void RequestParser::on_request_impl(Verb method, Text methodText, Text target, int version,
                                     ErrorCode& error) {
+  if (method == Verb::connect || method == Verb::trace) {
+    fault_ = ProtocolFault::MethodNotAllowed;
+    error = beast::http::error::bad_method;
+    return;
+  }
   request_.method = std::string(methodText);
   request_.target = std::string(target);
   version_ = version;
--- a/src/http/response_parser.h
+++ b/src/http/response_parser.h
@@ -1,6 +1,7 @@
 /// \file Beast response parser that passes body bytes to a callback as they arrive.
 #pragma once
 
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/optional.hpp>
 #include <cstdint>
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -38,6 +38,12 @@
   waitReadable();
 }
 
+void ServerConnection::endAfterException() {
+  // The request's observer may fail for the same reason.
+  runInBoundary(kRole, [this] { onClientDisconnected(); });
+  close();
+}
+
 void ServerConnection::enter(State state) {
   state_ = state;
   stateEnteredAt_ = shared_->now();
@@ -62,6 +68,10 @@
 }
 
 void ServerConnection::checkTimeLimit(Instant now) {
+  guard([this, now] { endIfOverdue(now); });
+}
+
+void ServerConnection::endIfOverdue(Instant now) {
   if (writing_ && now - writeStartedAt_ > shared_->options.knobs.writeTimeLimit) {
     onClientDisconnected();
     return;
@@ -105,7 +115,7 @@
   }
   waitingForReadable_ = true;
   socket_.async_wait(Socket::wait_read, [self = shared_from_this()](const error_code& error) {
-    self->onReadable(error);
+    self->guard([&] { self->onReadable(error); });
   });
 }
 
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "http/endpoint.h"
+#include "http/error_boundary.h"
 #include "http/http_server.h"
 #include "http/request_parser.h"
 
@@ -55,7 +58,17 @@
   /// @}
 
  private:
+  static constexpr std::string_view kRole = "server";
   enum class State : std::uint8_t { Idle, ReadingHead, ReadingBody, Responding, Lingering, Closed };
+  /// Runs a handler; ends this connection if it throws.
+  template <class Handler>
+  void guard(Handler&& handler) {
+    if (!runInBoundary(kRole, std::forward<Handler>(handler))) {
+      endAfterException();
+    }
+  }
+  void endAfterException();
+  void endIfOverdue(Instant now);
   void waitReadable();
   void onReadable(const boost::system::error_code& error);
   void checkClientConnected();
--- a/src/http/server_connection_writing.cpp
+++ b/src/http/server_connection_writing.cpp
@@ -134,8 +134,10 @@
   }
   flushScheduled_ = true;
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
-    self->flushScheduled_ = false;
-    self->flush();
+    self->guard([&self] {
+      self->flushScheduled_ = false;
+      self->flush();
+    });
   });
 }
 
@@ -177,7 +179,7 @@
   shared_->counters.bytesWritten += taken;
   asio::async_write(socket_, asio::buffer(inFlight_) + taken,
                     [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-                      self->onWritten(error, bytes);
+                      self->guard([&] { self->onWritten(error, bytes); });
                     });
 }
 
--- a/src/node/front/error_response.cpp
+++ b/src/node/front/error_response.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr unsigned kStatusRequestTimeout = 408;
+constexpr unsigned kStatusMethodNotAllowed = 405;
 constexpr unsigned kStatusHeadTooLarge = 431;
 
 void appendMember(std::string& out, std::string_view name, std::string_view text) {
@@ -60,6 +61,10 @@
           {ErrorKind::DeadlineExceeded, "", "the request did not come whole in time",
            "send it again without pauses"},
           "", kStatusRequestTimeout);
+    case http::ProtocolFault::MethodNotAllowed:
+      return errorResponse({ErrorKind::MalformedRequest, "method",
+                            "CONNECT and TRACE are not served", "use the method of the interface"},
+                           "", kStatusMethodNotAllowed);
     case http::ProtocolFault::Malformed:
       break;
   }
--- a/tests/http/hostile_request_test.cpp
+++ b/tests/http/hostile_request_test.cpp
@@ -155,3 +155,13 @@
   until([this] { return client->has("served") || !faults.empty(); });
   CHECK_TRUE(faults.empty());
 }
+
+TEST(HostileRequest, tunnelsAndTracesAreRefused) {
+  start();
+  client->send("TRACE /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody");
+  untilFault(ProtocolFault::MethodNotAllowed);
+  faults.clear();
+  connect();
+  client->send("CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  untilFault(ProtocolFault::MethodNotAllowed);
+}
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -25,6 +25,8 @@
       return "body_too_large";
     case ProtocolFault::RequestTimedOut:
       return "timed_out";
+    case ProtocolFault::MethodNotAllowed:
+      return "method_not_allowed";
   }
   return "";
 }
