Request memory: one account for the requests of all connections

What callers saw: 40 bodies of 4 MB that stop short of their end took 325 MB of a node of 64 MB (175 in chunks, 132 when they fell silent at 3 MB), 40 whole turns 460 MB; the platform ends a process over its memory, and its callers lose their requests.

Cause: maximumBodyBytes is a bound for one request; nothing bounded the sum. A body was held up to five times (request, input for the record, history and input, dispatch, message of the HTTP library) until the request ended.

At the bound stalled unfinished requests give way, those with the least progress for what they hold first; a small request may displace a larger unfinished one; a larger one is refused, 503 with Retry-After, before a byte of its body where the length is known. What was read is never displaced: its refusal could be untrue. Requests over 64 KB leave a quarter of the account to smaller ones. http::Body shares one text between the request, its record and each dispatch. A kept turn whose input fits no record of the store is refused at once (413): it ran before, and its end could never be released. Client connections get receive buffers of 16 KB, as unread bytes count as memory of the process.

Why it holds: every way in is charged before memory is taken, the shares are given back by their destructors, and small requests have room that large ones cannot take.

Pipelined requests still fail (another cause).

--- a/lab/hostile/hostile_world.cpp
+++ b/lab/hostile/hostile_world.cpp
@@ -112,7 +112,7 @@
                      {"Gorsetrail-Deadline-Ms", "8000"},
                      // The next request needs a connection of its own.
                      {"Connection", "close"}};
-  request.body.assign(bodyBytes, 'b');
+  request.body = std::string(bodyBytes, 'b');
   request.timeLimit = seconds(10);
   return request;
 }
--- a/src/edge/call_request.h
+++ b/src/edge/call_request.h
@@ -9,6 +9,7 @@
 
 #include "base/time.h"
 #include "http/http_client.h"
+#include "http/request_memory.h"
 #include "tenant/tenant.h"
 
 namespace gorsetrail::edge {
@@ -19,7 +20,9 @@
   std::string target;  ///< Path and query, unchanged.
   std::string host;
   std::vector<http::Header> headers;  ///< Headers to forward to the replica, in received order.
-  std::string body;
+  http::Body body;
+  /// What the request takes; see `http::ServerRequest::memory`.
+  http::RequestMemorySharePtr memory;
   std::string requestId;
   /// Digest of the API key; absent when the request carries no key or several.
   std::optional<tenant::ApiKeyDigest> apiKey;
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -48,7 +48,9 @@
 /// Limits and timeouts of one request.
 struct ExchangeKnobs {
   std::uint32_t maximumRefusedTries = 4;  ///< Attempts at replicas that did not run the request.
-  std::uint32_t maximumResumes = 3;       ///< Dispatches of a stream after interrupted runs.
+  /// Longest input of a persisted turn: the turn is stored in one record.
+  std::uint64_t maximumTurnBytes = UINT64_MAX;
+  std::uint32_t maximumResumes = 3;  ///< Dispatches of a stream after interrupted runs.
   /// While the budget has room for this many turns, a turn is dispatched before its reservation is
   /// recorded.
   std::uint32_t ampleBudgetTurns = 3;
@@ -60,6 +62,7 @@
   // Values of `Refusal::retryAfter`, by the reason of the refusal.
   Duration retryAfterFull = milliseconds(150);      ///< No replica accepts the request now.
   Duration retryAfterStop = milliseconds(10);       ///< This node is stopping.
+  Duration retryAfterMemory = milliseconds(500);    ///< No memory for the request now.
   Duration retryAfterOverload = milliseconds(400);  ///< Refused by admission control.
   /// A program that has used this share of its budget is treated as a probable infinite loop.
   double runawayShare = 0.75;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -34,6 +34,11 @@
 constexpr Duration kStopMargin = milliseconds(700);
 /// Time to live of directory answers; bounds how long clients use the address of a dead node.
 constexpr double kAddressTtlSeconds = 1.0;
+/// Of each connection in the kernel, which allows twice as much.
+constexpr std::uint32_t kReceiveBufferBytes = 16 * 1024;
+/// When a request comes back for which there was no memory: by then requests that stalled have
+/// given way.
+constexpr Duration kRetryAfterMemory = seconds(1);
 constexpr Duration kServerSweepPeriod = seconds(2);
 
 /// \return the HTTP status for a request that could not be read.
@@ -52,12 +57,33 @@
       return kTimeout;
     case http::ProtocolFault::MethodNotAllowed:
       return kMethodNotAllowed;
+    case http::ProtocolFault::OutOfMemory:
+      return kUnavailable;
     case http::ProtocolFault::Malformed:
       break;
   }
   return kBadRequest;
 }
 
+/// \return why a request could not be read, as a stable name.
+std::string_view reasonOf(http::ProtocolFault fault) {
+  switch (fault) {
+    case http::ProtocolFault::HeadTooLarge:
+      return "head_too_large";
+    case http::ProtocolFault::BodyTooLarge:
+      return "body_too_large";
+    case http::ProtocolFault::RequestTimedOut:
+      return "too_slow";
+    case http::ProtocolFault::MethodNotAllowed:
+      return "method_not_allowed";
+    case http::ProtocolFault::OutOfMemory:
+      return "request_memory_taken";
+    case http::ProtocolFault::Malformed:
+      break;
+  }
+  return "malformed";
+}
+
 }  // namespace
 
 EdgeDaemon::EdgeDaemon(boost::asio::io_context& context, EdgeSettings settings,
@@ -175,6 +201,7 @@
                &requestRecords_.runHistories(),
                &survivalProofs_,
                AnswerMemory(maximumAnswerBytesOf(settings_))},
+      requestMemory_(std::make_shared<http::RequestMemory>(requestMemoryLimitsOf(settings_))),
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
@@ -321,15 +348,27 @@
   }
   http::HttpServerOptions options;
   options.listenAddress = address;
-  options.knobs.maximumBodyBytes = routing::ClientLimits{}.maximumBodyBytes;
+  options.memory = requestMemory_;
+  options.knobs.maximumBodyBytes = std::min(routing::ClientLimits{}.maximumBodyBytes,
+                                            requestMemory_->limits().maximumBodyBytes());
+  options.knobs.receiveBufferBytes = kReceiveBufferBytes;
   options.knobs.maximumConnections = settings_.maximumDescriptors / 2;
   options.knobs.sweepPeriod = kServerSweepPeriod;
   options.knobs.maximumUntakenBytes = maximumUnreadBytesOf(settings_);
   options.onRequest = std::move(onRequest);
-  options.onFault = [this](http::ProtocolFault fault) {
-    const unsigned status = statusOf(fault);
-    log_.logImportant("request_unreadable", {{"status", std::uint64_t{status}}});
-    return http::WholeResponse{status, {}, {}};
+  options.onUnreadable = [this](http::ProtocolFault fault, const http::ServerRequest& read) {
+    const std::string_view reason = reasonOf(fault);
+    log_.logRefusal("request_unreadable", {{}, reason},
+                    {{"request", dependencies_.wire.requestIdOf(read)},
+                     {"status", std::uint64_t{statusOf(fault)}},
+                     {"reason", reason}});
+  };
+  options.onFault = [](http::ProtocolFault fault) {
+    http::WholeResponse response{statusOf(fault), {}, {}};
+    if (fault == http::ProtocolFault::OutOfMemory) {
+      response.headers.push_back({"Retry-After", std::to_string(kRetryAfterMemory / seconds(1))});
+    }
+    return response;
   };
   auto made = http::makeHttpServer(ioContext_, std::move(options));
   if (!succeeded(made)) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -267,6 +267,7 @@
   RequestRecordExchange requestRecords_;
   SurvivalProofs survivalProofs_;
   EdgeContext context_;
+  std::shared_ptr<http::RequestMemory> requestMemory_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
   http::HttpServerPtr directoryServer_;
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -70,6 +70,7 @@
   values.requestsOpen = callers.responsesOpen;
   values.unreadBytes = callers.unreadBytes;
   values.connectionsClosedForUnreadBytes = callers.connectionsClosedForUnreadBytes;
+  values.requestMemory = requestMemory_->counters();
   values.handlerFailures = http::handlerFailures();
   values.replicas = replicas_.size();
   values.replicasCold = coldReplicas_.coldReplicas();
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -44,6 +44,16 @@
   return settings.memoryBytes / kShareOfMemory;
 }
 
+http::RequestMemoryLimits requestMemoryLimitsOf(const EdgeSettings& settings) {
+  // Of 88 MB, 16: beside an idle process (20), the ledger's cache (22), answers of replicas and
+  // what clients have not read (11 each), and what waits in the kernel.
+  constexpr std::uint64_t kShareNumerator = 3;
+  constexpr std::uint64_t kShareDenominator = 16;
+  http::RequestMemoryLimits limits;
+  limits.maximumBytes = settings.memoryBytes / kShareDenominator * kShareNumerator;
+  return limits;
+}
+
 std::size_t maximumAnswerBytesOf(const EdgeSettings& settings) {
   // As much as what clients have not read, which answers become.
   return maximumUnreadBytesOf(settings);
@@ -112,6 +122,10 @@
     knobs.runawayShare = kNoLimit;
   }
   knobs.limitsOverduePrograms = settings.overloadControl && settings.uses(Mechanism::OverdueLimit);
+  // A longer turn would run, and its end could never be released.
+  constexpr std::uint64_t kOverheadOfTurnRecord = 1024;
+  knobs.maximumTurnBytes = settings.store.maximumRecordBytes -
+                           std::min(settings.store.maximumRecordBytes, kOverheadOfTurnRecord);
   knobs.refusesLateDispatches = settings.overloadControl && settings.uses(Mechanism::ServiceTimes);
   if (!settings.uses(Mechanism::ReplicaSuspicion)) {
     knobs.suspicionTime = Duration::zero();
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -8,6 +8,7 @@
 
 #include "edge/edge_context.h"
 #include "edge/edge_settings.h"
+#include "http/request_memory.h"
 #include "ledger/program_ledger.h"
 #include "logstore/adaptive_retry_policy.h"
 #include "routing/admission_policy.h"
@@ -30,6 +31,8 @@
 
 /// \return for one listener, the maximum bytes of responses that clients have not read yet.
 std::uint64_t maximumUnreadBytesOf(const EdgeSettings& settings);
+/// \return the bounds of the memory that requests take, over all listeners.
+http::RequestMemoryLimits requestMemoryLimitsOf(const EdgeSettings& settings);
 /// \return the memory for unfinished answers of replicas.
 std::size_t maximumAnswerBytesOf(const EdgeSettings& settings);
 
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -213,6 +213,15 @@
                snapshot.tenantShareRefusals);
 }
 
+void addRequestMemory(metrics::FamilyList& list, const http::RequestMemoryCounters& memory) {
+  list.gauge("request_bytes", "Memory of requests, from their first byte to their answer",
+             memory.bytes);
+  list.counter("requests_without_memory_total", "Requests refused for lack of memory",
+               memory.refused);
+  list.counter("requests_displaced_total", "Unfinished requests refused to make room for others",
+               memory.evicted);
+}
+
 }  // namespace
 
 struct EdgeMetrics::Histograms {
@@ -285,6 +294,7 @@
              snapshot.unreadBytes);
   list.counter("callers_cut_total", "Callers cut since too many bytes were left untaken",
                snapshot.connectionsClosedForUnreadBytes);
+  addRequestMemory(list, snapshot.requestMemory);
   list.counter("connection_handler_failures_total",
                "Connections ended by an exception of their handler", snapshot.handlerFailures);
   list.counter("dispatches_total", "Requests sent to replicas", snapshot.dispatches);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "edge/retry_control.h"
+#include "http/request_memory.h"
 #include "logstore/topic_gateway.h"
 
 namespace gorsetrail::edge {
@@ -113,9 +114,10 @@
   std::uint64_t turnsWaitingForRecord = 0;
   std::uint64_t turnsBegunInOutage = 0;
   std::uint64_t turnsStoredLate = 0;
-  std::uint64_t turnsNotStored = 0;   ///< Their streams were aborted.
-  std::uint64_t requestsOpen = 0;     ///< Gauge.
-  std::uint64_t unreadBytes = 0;      ///< Gauge: response bytes that clients have not read yet.
+  std::uint64_t turnsNotStored = 0;  ///< Their streams were aborted.
+  std::uint64_t requestsOpen = 0;    ///< Gauge.
+  std::uint64_t unreadBytes = 0;     ///< Gauge: response bytes that clients have not read yet.
+  http::RequestMemoryCounters requestMemory{};
   std::uint64_t handlerFailures = 0;  ///< Connections ended by an exception of their handler.
   /// Client connections closed because too many response bytes were unread.
   std::uint64_t connectionsClosedForUnreadBytes = 0;
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -10,6 +10,7 @@
 
 constexpr unsigned kBudgetSpent = 402;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kBodyTooLarge = 413;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kGatewayTimeout = 504;
 
@@ -94,10 +95,18 @@
   return context_.ledger.canStoreTurn({checked_.turnName, checked_.turnZones()});
 }
 
+std::size_t Exchange::turnInputBytes() const {
+  return turnInput_.empty() ? request_.body.size() : turnInput_.size();
+}
+
 bool Exchange::admitPersistedTurn(std::size_t bytes) {
   if (!isPersistedTurn()) {
     return true;
   }
+  if (turnInputBytes() > context_.knobs.maximumTurnBytes) {
+    refuse({kBodyTooLarge, "turn_too_large_to_keep", Duration::zero()});
+    return false;
+  }
   const RetentionDecision decision =
       context_.retention.decide(isStoreAvailableForTurn(), bytes, timeLeft());
   if (const auto* const refused = std::get_if<TurnRefused>(&decision)) {
@@ -167,10 +176,25 @@
     return;
   }
   history_ = std::move(std::get<ledger::History>(answer));
-  request_.body = history_.text + request_.body;
+  if (!holdHistory()) {
+    refuse({kUnavailable, "request_memory_taken", context_.knobs.retryAfterMemory});
+    return;
+  }
   checkBudget();
 }
 
+bool Exchange::holdHistory() {
+  std::string prompt = std::move(history_.text);
+  historyBytes_ = prompt.size();
+  const std::size_t bytes = prompt.size() + 2 * turnInput_.size();
+  if (request_.memory && !request_.memory->resize(bytes, context_.clock())) {
+    return false;
+  }
+  prompt += turnInput_.text();
+  request_.body = std::move(prompt);
+  return true;
+}
+
 void Exchange::checkBudget() {
   if (!reserveTurnMemory()) {
     return;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -61,10 +61,15 @@
   void onProgramNotAdmitted(const routing::ProgramNotAdmitted& refused);
   void findHistory();
   void onHistoryAnswer(ledger::HistoryAnswer answer);
+  /// Puts the history before the turn's input.
+  /// \return false if there is no memory for both.
+  [[nodiscard]] bool holdHistory();
   /// Counts the turn's estimated bytes in the retention policy.
   /// \return false if the turn was refused.
   bool reserveTurnMemory();
   void releaseTurnMemory();
+  /// \return the size of the body without the history.
+  [[nodiscard]] std::size_t turnInputBytes() const;
   /// Asks the retention policy, if the request is a persisted turn.
   /// \return false if the request was refused.
   bool admitPersistedTurn(std::size_t bytes);
@@ -306,8 +311,10 @@
   std::optional<Instant> firstEventAt_;
   CheckedRequest checked_;
   mutable std::optional<routing::RequestKey> requestKey_;  ///< Set by `requestKey`.
-  std::string turnInput_;    ///< The request's body without the history, for the turn's record.
-  ledger::History history_;  ///< History of the preceding turns.
+  http::Body turnInput_;  ///< The request's body without the history, for the turn's record.
+  /// History of the preceding turns; its text stands at the start of the request's body.
+  ledger::History history_;
+  std::size_t historyBytes_ = 0;
   BudgetState budget_ = BudgetState::NotNeeded;
   bool reservationMayExist_ = false;
   bool reservationRetried_ = false;
--- a/src/edge/exchange_quarantine.cpp
+++ b/src/edge/exchange_quarantine.cpp
@@ -24,7 +24,7 @@
 const routing::RequestKey& Exchange::requestKey() const {
   if (!requestKey_) {
     // The history is prepended to the body of a persisted turn when it has been found.
-    const std::string& input = turnInput_.empty() ? request_.body : turnInput_;
+    const std::string& input = (turnInput_.empty() ? request_.body : turnInput_).text();
     requestKey_ = requestKeyOf({checked_.tenantName(), request_.programId, request_.method,
                                 request_.host, request_.target, request_.previousTurnId, input});
   }
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -336,9 +336,10 @@
       self->onHoldTimeout();
     }
   });
+  history_.text = request_.body.text().substr(0, historyBytes_);
   context_.ledger.storeTurn(
-      {checked_.turnName, checked_.previousTurnName, history_,
-       turnInput_ + progress_.recordedData(), checked_.turnZones()},
+      {checked_.turnName, checked_.previousTurnName, std::move(history_),
+       turnInput_.text() + progress_.recordedData(), checked_.turnZones()},
       limit, [self = shared_from_this()](const logstore::StoreResult<Success>& stored) {
         self->onTurnStored(stored);
       });
--- a/src/edge/wire_adapter.h
+++ b/src/edge/wire_adapter.h
@@ -26,6 +26,8 @@
 class WireAdapter {
  public:
   virtual ~WireAdapter() = default;
+  /// \return the id that names the request in logs; empty if it has none.
+  [[nodiscard]] virtual std::string requestIdOf(const http::ServerRequest& request) const = 0;
   [[nodiscard]] virtual CallRequest readRequest(http::ServerRequest request) const = 0;
   [[nodiscard]] virtual http::Request makeReplicaRequest(const CallRequest& request,
                                                          const Dispatch& dispatch) const = 0;
--- a/src/http/client_operation.cpp
+++ b/src/http/client_operation.cpp
@@ -197,7 +197,7 @@
   // From here on bytes may have been sent, so a timeout must be reported as `Broken`.
   bytesMayHaveLeft_ = true;
   const std::array<asio::const_buffer, 2> message = {asio::buffer(head_),
-                                                     asio::buffer(request_.body)};
+                                                     asio::buffer(request_.body.text())};
   asio::async_write(*socket_, message,
                     [self = shared_from_this()](const error_code& error, std::size_t bytes) {
                       self->guard([&] { self->onWritten(error, bytes); });
@@ -209,6 +209,8 @@
     return;
   }
   if (!error) {
+    head_ = {};
+    request_.body.reset();
     resetParser();
     readMore();
     return;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -12,6 +12,8 @@
 
 #include "base/time.h"
 
+#include "http/body.h"
+
 namespace boost::asio {
 class io_context;
 }
@@ -28,7 +30,7 @@
   std::string address;  ///< `ip:port`.
   std::string target = "/";
   std::vector<Header> headers;
-  std::string body;
+  Body body;
   Duration timeLimit = seconds(30);  ///< For the whole request, connecting included.
   /// Timeout for establishing a new connection; zero means that only `timeLimit` applies.
   Duration connectTimeLimit = Duration::zero();
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -45,6 +45,12 @@
     if (!error) {
       acceptor_.bind(*endpoint, error);
     }
+    if (const auto bytes = shared_->options.knobs.receiveBufferBytes; !error && bytes > 0) {
+      // Set here, since accepted connections inherit it; the kernel's own size is a fallback.
+      error_code ignored;
+      acceptor_.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)),
+                           ignored);
+    }
     if (!error) {
       acceptor_.listen(asio::socket_base::max_listen_connections, error);
     }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -12,6 +12,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "http/http_client.h"
+#include "http/request_memory.h"
 
 namespace gorsetrail::http {
 
@@ -21,6 +22,8 @@
   std::string target;
   std::vector<Header> headers;  ///< In the order received, duplicates included.
   std::string body;
+  /// What the request takes; null if that is not counted. Kept by whoever keeps the body.
+  RequestMemorySharePtr memory{};
 };
 
 /// A response with a complete body. The server adds `Content-Length` and `Connection`.
@@ -65,6 +68,7 @@
   RequestTimedOut,  ///< The head or body exceeded its time limit.
   /// `CONNECT` asks for a tunnel, and `TRACE` returns credentials to whoever had it sent.
   MethodNotAllowed,
+  OutOfMemory,  ///< `HttpServerOptions::memory` has no room for the request now.
 };
 
 /// Size limits and timeouts of the server.
@@ -82,6 +86,9 @@
   /// memory. Without the limit, a thousand clients that do not read responses of 1 MB end a process
   /// of 88 MB.
   std::uint64_t maximumUntakenBytes = std::uint64_t{64} * 1024 * 1024;
+  /// Receive buffer of each connection in the kernel; 0: chosen by the kernel. What has arrived and
+  /// is not read takes memory too, from clients that send on while their request is in progress.
+  std::uint32_t receiveBufferBytes = 0;
 };
 
 /// Values for `/metrics`: monotonic counters, except where marked as gauges.
@@ -107,7 +114,11 @@
   std::function<void(ServerRequest, ResponseWriterPtr)> onRequest;
   /// Builds the response to a request that could not be read; the connection is closed after it.
   std::function<WholeResponse(ProtocolFault)> onFault;
+  /// Optional: told of the same request before, with what was read of it.
+  std::function<void(ProtocolFault, const ServerRequest&)> onUnreadable{};
   std::function<Instant()> clock;  ///< Defaults to the steady clock.
+  /// Bounds the memory of requests, together with other servers of the process; null: no bound.
+  std::shared_ptr<RequestMemory> memory{};
 };
 
 /// How a drain treats connections without a request in progress.
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -33,7 +33,8 @@
   }
   if (error && error != beast::http::error::need_more) {
     noteFault(error);
-  } else if (!is_done() && bytes.size() - used > limits_.maximumHeadBytes) {
+  } else if (error && bytes.size() - used > limits_.maximumHeadBytes) {
+    // A line, or the trailers, that do not end.
     fault_ = is_header_done() ? ProtocolFault::Malformed : ProtocolFault::HeadTooLarge;
   }
   return used;
@@ -98,15 +99,53 @@
 void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
                                       ErrorCode& error) {
   error = {};
-  request_.body.reserve(length.value_or(0));
+  if (length && !reserveBody(*length)) {
+    error = beast::http::error::body_limit;
+  }
 }
 
 std::size_t RequestParser::on_body_impl(Text body, ErrorCode& error) {
   error = {};
+  if (!reserveBody(request_.body.size() + body.size())) {
+    error = beast::http::error::body_limit;
+    return 0;
+  }
   request_.body.append(body.data(), body.size());
   return body.size();
 }
 
+std::size_t RequestParser::heldBytes() const {
+  // A header is held as text and as two strings.
+  constexpr std::size_t kBytesPerHeadByte = 3;
+  return headBytes_ * kBytesPerHeadByte + request_.body.capacity();
+}
+
+// The length of a chunked body is not known: it grows in steps that keep the copies few.
+bool RequestParser::reserveBody(std::uint64_t bytes) {
+  constexpr std::uint64_t kGrowth = 4;
+  const std::size_t capacity = request_.body.capacity();
+  if (bytes <= capacity) {
+    return true;
+  }
+  const bool isLengthKnown = !chunked();
+  const std::uint64_t generous = std::clamp<std::uint64_t>(
+      capacity * kGrowth, bytes, std::max(bytes, limits_.maximumBodyBytes));
+  const bool grew = growBody(isLengthKnown ? bytes : generous) || growBody(bytes);
+  if (!grew) {
+    fault_ = ProtocolFault::OutOfMemory;
+  }
+  return grew;
+}
+
+bool RequestParser::growBody(std::size_t capacity) {
+  // The old memory is freed only after the body was copied.
+  if (mayHold_ && !mayHold_(heldBytes() + capacity)) {
+    return false;
+  }
+  request_.body.reserve(capacity);
+  return !mayHold_ || mayHold_(heldBytes());
+}
+
 void RequestParser::on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/,
                                          ErrorCode& error) {
   error = {};
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "http/http_server.h"
 
@@ -37,6 +38,18 @@
   /// Lets `consume` go on behind the head.
   void readBody() { eager(true); }
 
+  /// Asks before the request takes more memory.
+  /// \param mayHold returns whether the request may hold that many bytes in all; if not, the
+  /// request cannot be read.
+  void limitMemory(std::function<bool(std::size_t bytes)> mayHold) {
+    mayHold_ = std::move(mayHold);
+  }
+  /// Takes the memory for a body of that size.
+  /// \return whether there was room; otherwise `fault` is set.
+  bool reserveBody(std::uint64_t bytes);
+  /// \return the memory that the request takes.
+  [[nodiscard]] std::size_t heldBytes() const;
+
   /// \return why the request cannot be read; empty while it can.
   [[nodiscard]] std::optional<ProtocolFault> fault() const { return fault_; }
   /// \return the body's length, if the head announces one.
@@ -44,6 +57,8 @@
   /// \return whether the client waits for an interim response before it sends the body.
   [[nodiscard]] bool expectsContinue() const;
   [[nodiscard]] bool isHttp11() const { return version_ >= kHttpVersion11; }
+  /// \return what was read of the request.
+  [[nodiscard]] const ServerRequest& request() const { return request_; }
   /// \return the request, which must be complete.
   [[nodiscard]] ServerRequest release() { return std::move(request_); }
 
@@ -66,11 +81,14 @@
   void on_finish_impl(ErrorCode& error) override;
 
   void noteFault(const ErrorCode& error);
+  /// \return whether the body could be given that capacity.
+  bool growBody(std::size_t capacity);
   /// \return the first value of a header; empty if there is none.
   [[nodiscard]] std::string_view headerOf(std::string_view name) const;
 
   RequestParserLimits limits_;
   ServerRequest request_;
+  std::function<bool(std::size_t)> mayHold_;
   std::size_t headBytes_ = 0;  ///< Consumed so far.
   int version_ = kHttpVersion11;
   std::optional<ProtocolFault> fault_;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -184,6 +184,25 @@
   enter(State::ReadingHead);
   const HttpServerLimits& knobs = shared_->options.knobs;
   parser_.emplace(RequestParserLimits{knobs.maximumHeadBytes, knobs.maximumBodyBytes});
+  if (shared_->options.memory) {
+    const auto evict = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->onEvicted();
+      }
+    };
+    memory_ = shared_->options.memory->open(evict, shared_->now());
+    parser_->limitMemory([this](std::size_t bytes) { return holdMemory(bytes); });
+  }
+}
+
+bool ServerConnection::holdMemory(std::size_t bytes) {
+  return !memory_ || memory_->resize(bytes + unparsed_.capacity(), shared_->now());
+}
+
+void ServerConnection::onEvicted() {
+  if (state_ == State::ReadingHead || state_ == State::ReadingBody) {
+    sendErrorResponse(ProtocolFault::OutOfMemory);
+  }
 }
 
 void ServerConnection::parse(std::string_view bytes) {
@@ -196,8 +215,16 @@
     joined += bytes;
     bytes = joined;
   }
+  if (memory_) {
+    memory_->noteReceived(bytes.size(), shared_->now());
+  }
   unparsed_ = parseRequest(bytes);
-  if (parser_ && parser_->is_done()) {
+  if (!parser_) {
+    return;
+  }
+  if (!holdMemory(parser_->heldBytes())) {
+    sendErrorResponse(ProtocolFault::OutOfMemory);
+  } else if (parser_->is_done()) {
     deliverRequest();
   }
 }
@@ -220,6 +247,11 @@
 bool ServerConnection::onHeadRead() {
   enter(State::ReadingBody);
   parser_->readBody();
+  // Refused before the client sends a body that there is no room for.
+  if (!parser_->reserveBody(parser_->announcedBodyBytes().value_or(0))) {
+    sendErrorResponse(*parser_->fault());
+    return false;
+  }
   return !parser_->expectsContinue() || parser_->is_done() || sendContinue();
 }
 
@@ -240,6 +272,10 @@
   chunked_ = parser_->isHttp11();
   ServerRequest request = parser_->release();
   parser_.reset();
+  if (memory_) {
+    memory_->finish();
+    request.memory = std::move(memory_);
+  }
   beginExchange();
   waitReadable();
   shared_->options.onRequest(std::move(request),
@@ -262,9 +298,13 @@
 
 void ServerConnection::sendErrorResponse(ProtocolFault fault) {
   ++shared_->counters.faults;
+  if (shared_->options.onUnreadable) {
+    shared_->options.onUnreadable(fault, parser_->request());
+  }
   keepAlive_ = false;
   parser_.reset();
   unparsed_ = {};
+  memory_.reset();
   beginExchange();
   sendWhole(currentExchange_, shared_->options.onFault(fault));
 }
@@ -329,6 +369,7 @@
   }
   state_ = State::Closed;
   updateUnreadBytes(0);
+  memory_.reset();
   error_code ignored;
   socket_.close(ignored);
   if (shared_->onClosed) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -88,6 +88,10 @@
   /// Called once the head is read, before any byte of the body.
   /// \return whether the body is to be read.
   bool onHeadRead();
+  /// Takes memory for what the request holds. \return false if there is no room.
+  [[nodiscard]] bool holdMemory(std::size_t bytes);
+  /// Another request needs the memory of this one, which is not read yet.
+  void onEvicted();
   bool sendContinue();
   void deliverRequest();
   void beginExchange();
@@ -121,6 +125,7 @@
   Instant writeStartedAt_;
   std::string unparsed_;  ///< Read, but neither parsed nor part of a request yet.
   std::optional<RequestParser> parser_;
+  RequestMemorySharePtr memory_;       ///< Of the request that is being read.
   std::uint64_t currentExchange_ = 0;  ///< Number of the latest request on this connection.
   ResponseObserver observer_;
   std::string outgoing_;         ///< Response bytes queued for the next write.
--- a/src/node/front/error_response.cpp
+++ b/src/node/front/error_response.cpp
@@ -65,6 +65,10 @@
       return errorResponse({ErrorKind::MalformedRequest, "method",
                             "CONNECT and TRACE are not served", "use the method of the interface"},
                            "", kStatusMethodNotAllowed);
+    case http::ProtocolFault::OutOfMemory:
+      return errorResponse({ErrorKind::AdmissionRefused, "body",
+                            "the node's memory for requests is taken", "send it again later"},
+                           "");
     case http::ProtocolFault::Malformed:
       break;
   }
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -23,6 +23,7 @@
 /// Minimal wire format with short header names.
 class FakeWire final : public WireAdapter {
  public:
+  std::string requestIdOf(const http::ServerRequest& /*request*/) const override { return {}; }
   CallRequest readRequest(http::ServerRequest /*request*/) const override { return {}; }
   http::Request makeReplicaRequest(const CallRequest& request,
                                    const Dispatch& dispatch) const override {
--- a/tests/hostile_clients/hostile_group.h
+++ b/tests/hostile_clients/hostile_group.h
@@ -64,6 +64,10 @@
     CHECK_COMPARE(world->peakDescriptors(), <=, kDescriptors);
   }
   void checkMemory() const {
+    UT_PRINT(StringFromFormat("resident %d MB, unread %d KB, %d descriptors; answers:",
+                              static_cast<int>(world->node().peakMemoryBytes() / kMegabyte),
+                              static_cast<int>(world->peakUnreadBytes() / 1024),
+                              static_cast<int>(world->peakDescriptors())));
     CHECK_COMPARE(world->peakBytes() / kMegabyte, <, std::size_t{kMemoryMb});
   }
 };
--- a/tests/http/hostile_request_test.cpp
+++ b/tests/http/hostile_request_test.cpp
@@ -26,6 +26,7 @@
   std::vector<ServerRequest> requests;
   std::vector<ProtocolFault> faults;
   HttpServerLimits knobs;
+  std::shared_ptr<RequestMemory> memory;
   HttpServerPtr server;
   std::unique_ptr<RawClient> client;
 
@@ -36,6 +37,7 @@
     options.listenAddress = "127.0.0.1:0";
     options.knobs = knobs;
     options.clock = [this] { return now; };
+    options.memory = memory;
     options.onFault = [this](ProtocolFault fault) {
       faults.push_back(fault);
       return WholeResponse{400, {}, "fault"};
@@ -165,3 +167,63 @@
   client->send("CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n");
   untilFault(ProtocolFault::MethodNotAllowed);
 }
+
+TEST(HostileRequest, anAnnouncedBodyIsRefusedBeforeItIsSent) {
+  knobs.maximumBodyBytes = 1000;
+  start();
+  client->send(
+      "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 1001\r\n\r\n");
+  untilFault(ProtocolFault::BodyTooLarge);
+  CHECK_FALSE(client->has("100 Continue"));
+}
+
+TEST(HostileRequest, anAnnouncedBodyThatHasNoRoomIsRefusedBeforeItIsSent) {
+  RequestMemoryLimits limits;
+  limits.maximumBytes = 100 * 1024;
+  memory = std::make_shared<RequestMemory>(limits);
+  start();
+  client->send(
+      "POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 80000\r\n\r\n");
+  untilFault(ProtocolFault::OutOfMemory);
+  CHECK_FALSE(client->has("100 Continue"));
+  LONGS_EQUAL(0, memory->counters().bytes);
+}
+
+TEST(HostileRequest, aChunkedBodyIsRefusedOnceThereIsNoRoom) {
+  RequestMemoryLimits limits;
+  limits.maximumBytes = 100 * 1024;
+  memory = std::make_shared<RequestMemory>(limits);
+  start();
+  client->send(chunked(""));
+  CHECK_COMPARE(sendUntilFault("400\r\n" + std::string(1024, 'x') + "\r\n", 1024 * 1024), <,
+                120 * 1024);
+  untilFault(ProtocolFault::OutOfMemory);
+  LONGS_EQUAL(0, memory->counters().bytes);
+}
+
+TEST(HostileRequest, theMemoryOfARequestIsHeldUntilItIsDropped) {
+  memory = std::make_shared<RequestMemory>(RequestMemoryLimits{});
+  start();
+  client->send(chunked("3e8\r\n" + std::string(1000, 'x') + "\r\n0\r\n\r\n"));
+  until([this] { return client->has("served"); });
+  CHECK_COMPARE(memory->counters().bytes, >, 1000);
+  requests.clear();
+  LONGS_EQUAL(0, memory->counters().bytes);
+}
+
+TEST(HostileRequest, anUnfinishedRequestThatGivesWayIsAnswered) {
+  RequestMemoryLimits limits;
+  limits.maximumBytes = 100 * 1024;
+  memory = std::make_shared<RequestMemory>(limits);
+  start();
+  client->send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\nbegin");
+  until([this] { return memory->counters().bytes > 70000; });
+  now += seconds(2);
+  RawClient other(context, server->listeningPort());
+  other.startReading();
+  other.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n" +
+             std::string(60000, 'x'));
+  until([&] { return other.has("served"); });
+  until([this] { return client->has("fault") && client->closedByServer; });
+  LONGS_EQUAL(static_cast<int>(ProtocolFault::OutOfMemory), static_cast<int>(faults.front()));
+}
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -27,6 +27,8 @@
       return "timed_out";
     case ProtocolFault::MethodNotAllowed:
       return "method_not_allowed";
+    case ProtocolFault::OutOfMemory:
+      return "out_of_memory";
   }
   return "";
 }
