Exchange: timers of ended requests no longer hold their memory

What callers saw: 120 connections that pipeline requests of 2 KB took 69 MB of a node of 64 MB, though each request ends within milliseconds.

Cause: each exchange started a timer for its deadline, which stayed until the deadline. It refers to the exchange weakly, but an object made by make_shared keeps its memory until the last weak reference has gone: some 2.5 KB a request for up to the route's timeout, in proportion to the rate of requests. Ruled out: bytes in the kernel (3 MB of the 69), the account of request memory (empty between requests), log lines (bounded).

Change: TimerService::startTimer returns the timer; destroying it drops the work and what it refers to. An exchange drops those of its deadline, its silence check and its held end when it ends.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -38,12 +38,12 @@
   const Duration allowed =
       std::min(request_.deadline.value_or(checked_.route->timeout), checked_.route->timeout);
   deadlineAt_ = arrivedAt_ + allowed;
-  context_.timers.runAfter(std::max(Duration::zero(), allowed - kAnswerMargin),
-                           [weak = weak_from_this()] {
-                             if (const auto self = weak.lock()) {
-                               self->onDeadline();
-                             }
-                           });
+  deadlineTimer_ = context_.timers.startTimer(std::max(Duration::zero(), allowed - kAnswerMargin),
+                                              [weak = weak_from_this()] {
+                                                if (const auto self = weak.lock()) {
+                                                  self->onDeadline();
+                                                }
+                                              });
   if (!endIfQuarantined() && admitPersistedTurn(request_.body.size())) {
     findStreamOrigin();
   }
@@ -417,6 +417,9 @@
 
 void Exchange::end(std::string_view outcome, std::string_view reason) {
   ended_ = true;
+  deadlineTimer_.reset();
+  noDataTimer_.reset();
+  holdTimer_.reset();
   releaseHeldBytes();
   recordUnfinishedRun();
   returnQuotaToken();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -307,6 +307,10 @@
   http::ResponseWriterPtr writer_;
   Instant arrivedAt_;
   Instant deadlineAt_;
+  // Dropped at the end: otherwise they would hold the memory of ended requests until they are due.
+  services::TimerPtr deadlineTimer_;
+  services::TimerPtr noDataTimer_;
+  services::TimerPtr holdTimer_;
   std::optional<Instant> firstDispatchAt_;
   std::optional<Instant> firstEventAt_;
   CheckedRequest checked_;
--- a/src/edge/exchange_liveness.cpp
+++ b/src/edge/exchange_liveness.cpp
@@ -11,13 +11,13 @@
 namespace gorsetrail::edge {
 
 void Exchange::startNoDataTimer() {
-  context_.timers.runAfter(context_.knobs.reachabilityCheckDelay,
-                           [weak = weak_from_this(), number = dispatchNumber_] {
-                             const auto self = weak.lock();
-                             if (self && self->dispatchNumber_ == number && self->call_) {
-                               self->onNoDataTimeout();
-                             }
-                           });
+  noDataTimer_ = context_.timers.startTimer(
+      context_.knobs.reachabilityCheckDelay, [weak = weak_from_this(), number = dispatchNumber_] {
+        const auto self = weak.lock();
+        if (self && self->dispatchNumber_ == number && self->call_) {
+          self->onNoDataTimeout();
+        }
+      });
 }
 
 // A failed or partitioned replica differs from a slow one only in that new connections fail.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -331,7 +331,7 @@
   endHeld_ = true;
   context_.retention.onHoldStarted();
   const Duration limit = context_.retention.holdLimit(timeLeft() - kAnswerMargin);
-  context_.timers.runAfter(limit, [weak = weak_from_this()] {
+  holdTimer_ = context_.timers.startTimer(limit, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->onHoldTimeout();
     }
--- a/src/services/timer_service.cpp
+++ b/src/services/timer_service.cpp
@@ -8,7 +8,33 @@
 namespace gorsetrail::services {
 namespace {
 
-using Timer = boost::asio::steady_timer;
+/// Holds the work; the timer of the service refers to it weakly.
+class WorkTimer final : public Timer {
+ public:
+  explicit WorkTimer(std::shared_ptr<std::function<void()>> work) : work_(std::move(work)) {}
+
+ private:
+  std::shared_ptr<std::function<void()>> work_;
+};
+
+/// A timer of its own, which is cancelled when it is destroyed.
+class AsioTimer final : public Timer {
+ public:
+  AsioTimer(boost::asio::io_context& context, Duration delay, std::function<void()> work)
+      : timer_(context, delay) {
+    timer_.async_wait([alive = std::weak_ptr(alive_),
+                       work = std::move(work)](const boost::system::error_code& error) {
+      // A handler that was due already runs after the timer was destroyed.
+      if (!error && !alive.expired()) {
+        work();
+      }
+    });
+  }
+
+ private:
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
 
 class AsioTimerService : public TimerService {
  public:
@@ -33,13 +59,29 @@
     });
   }
 
+  TimerPtr startTimer(Duration delay, std::function<void()> work) override {
+    return std::make_unique<AsioTimer>(context_, delay, std::move(work));
+  }
+
  private:
+  using Timers = std::list<boost::asio::steady_timer>;
+
   boost::asio::io_context& context_;
-  std::shared_ptr<std::list<Timer>> timers_ = std::make_shared<std::list<Timer>>();
+  std::shared_ptr<Timers> timers_ = std::make_shared<Timers>();
 };
 
 }  // namespace
 
+TimerPtr TimerService::startTimer(Duration delay, std::function<void()> work) {
+  auto held = std::make_shared<std::function<void()>>(std::move(work));
+  runAfter(delay, [weak = std::weak_ptr(held)] {
+    if (const auto due = weak.lock()) {
+      (*due)();
+    }
+  });
+  return std::make_unique<WorkTimer>(std::move(held));
+}
+
 TimerServicePtr makeTimerService(boost::asio::io_context& context) {
   return std::make_unique<AsioTimerService>(context);
 }
