Connections: one limit for all listeners, at which idle ones give way

What callers saw: beside 620 connections that rest, or stop within their heads, a node of 600 descriptors took no other connection; crowds at five listeners together held 1,064 descriptors.

Cause: each listener had a limit of its own, half of maxFds, and at the limit closed whatever came new. Ruled out: accept() running out of descriptors (the process had no kernel limit there; only its settings tell one).

Change: http::ConnectionLimit is shared by the listeners that outsiders reach; the one of other nodes has its own, so that a crowd cannot cut a node off from its peers. Clients get three eighths of the sockets, and no more than an eighth of the memory with 32 KB of kernel buffers each; nodes get a quarter. At the limit the connection that does no work gives way: last answer sent, never answered (an unfinished head changes nothing), longest idle, unfinished head, unfinished body. A request in progress never does. When accept() itself finds no descriptor, a connection is closed too, and accepting goes on.

Why it holds: a crowd displaces its own oldest connections at the pace at which it opens new ones, so a new client is always taken unless all connections have requests in progress, and those end.

HttpServer.ConnectionsOverTheLimitAreClosed asked that a new connection is closed beside one that rests: it now asks the same beside one with a request in progress, and AnIdleConnectionGivesWayToANewOne asks for the rest.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -34,8 +34,6 @@
 constexpr Duration kStopMargin = milliseconds(700);
 /// Time to live of directory answers; bounds how long clients use the address of a dead node.
 constexpr double kAddressTtlSeconds = 1.0;
-/// Of each connection in the kernel, which allows twice as much.
-constexpr std::uint32_t kReceiveBufferBytes = 16 * 1024;
 /// When a request comes back for which there was no memory: by then requests that stalled have
 /// given way.
 constexpr Duration kRetryAfterMemory = seconds(1);
@@ -202,6 +200,8 @@
                &survivalProofs_,
                AnswerMemory(maximumAnswerBytesOf(settings_))},
       requestMemory_(std::make_shared<http::RequestMemory>(requestMemoryLimitsOf(settings_))),
+      clientConnections_(std::make_shared<http::ConnectionLimit>(clientConnectionsOf(settings_))),
+      peerConnections_(std::make_shared<http::ConnectionLimit>(peerConnectionsOf(settings_))),
       seed_(seed) {}
 
 EdgeDaemon::~EdgeDaemon() { log_.flush(); }
@@ -342,7 +342,7 @@
 }
 
 Result<Success> EdgeDaemon::serve(http::HttpServerPtr& server, const std::string& address,
-                                  RequestHandler onRequest) {
+                                  Callers callers, RequestHandler onRequest) {
   if (address.empty()) {
     return Success{};
   }
@@ -351,8 +351,9 @@
   options.memory = requestMemory_;
   options.knobs.maximumBodyBytes = std::min(routing::ClientLimits{}.maximumBodyBytes,
                                             requestMemory_->limits().maximumBodyBytes());
-  options.knobs.receiveBufferBytes = kReceiveBufferBytes;
-  options.knobs.maximumConnections = settings_.maximumDescriptors / 2;
+  const bool isForPeers = callers == Callers::OtherNodes;
+  options.connections = isForPeers ? peerConnections_ : clientConnections_;
+  options.knobs.receiveBufferBytes = isForPeers ? 0 : kReceiveBufferBytes;
   options.knobs.sweepPeriod = kServerSweepPeriod;
   options.knobs.maximumUntakenBytes = maximumUnreadBytesOf(settings_);
   options.onRequest = std::move(onRequest);
@@ -429,11 +430,12 @@
     onMetricsRequest(request, writer);
   };
   const std::array<Result<Success>, 6> results = {
-      serve(clientServer_, settings_.listen.clients, onClient),
-      serve(readinessServer_, settings_.listen.readiness, onReadiness),
-      serve(directoryServer_, settings_.listen.directory, onDirectory),
-      serve(metricsServer_, settings_.listen.metrics, onMetrics),
-      serve(peerServer_, hasPeers() ? ownRelayAddress() : std::string(), onPeer),
+      serve(clientServer_, settings_.listen.clients, Callers::Outside, onClient),
+      serve(readinessServer_, settings_.listen.readiness, Callers::Outside, onReadiness),
+      serve(directoryServer_, settings_.listen.directory, Callers::Outside, onDirectory),
+      serve(metricsServer_, settings_.listen.metrics, Callers::Outside, onMetrics),
+      serve(peerServer_, hasPeers() ? ownRelayAddress() : std::string(), Callers::OtherNodes,
+            onPeer),
       listenForPeers()};
   for (const Result<Success>& result : results) {
     if (!succeeded(result)) {
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -89,9 +89,12 @@
   Result<Success> listen();
   [[nodiscard]] logstore::PartitionAddress configurationPartition() const;
   [[nodiscard]] logstore::PartitionAddress replicaPartition() const;
+  /// Who connects to a listener. Connections from outside are limited together and apart from those
+  /// of other nodes, so that neither can take the places of the other.
+  enum class Callers : std::uint8_t { Outside, OtherNodes };
   using RequestHandler = std::function<void(http::ServerRequest, http::ResponseWriterPtr)>;
   /// Opens an HTTP listener; an empty address is ignored. Errors: `InvalidSettings`.
-  Result<Success> serve(http::HttpServerPtr& server, const std::string& address,
+  Result<Success> serve(http::HttpServerPtr& server, const std::string& address, Callers callers,
                         RequestHandler onRequest);
   void onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer);
   void onReadinessRequest(const http::ResponseWriterPtr& writer);
@@ -268,6 +271,8 @@
   SurvivalProofs survivalProofs_;
   EdgeContext context_;
   std::shared_ptr<http::RequestMemory> requestMemory_;
+  std::shared_ptr<http::ConnectionLimit> clientConnections_;
+  std::shared_ptr<http::ConnectionLimit> peerConnections_;
   http::HttpServerPtr clientServer_;
   http::HttpServerPtr readinessServer_;
   http::HttpServerPtr directoryServer_;
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -71,6 +71,10 @@
   values.unreadBytes = callers.unreadBytes;
   values.connectionsClosedForUnreadBytes = callers.connectionsClosedForUnreadBytes;
   values.requestMemory = requestMemory_->counters();
+  values.clientConnections = clientConnections_->open();
+  values.peerConnections = peerConnections_->open();
+  values.clientConnectionLimit = clientConnections_->counters();
+  values.peerConnectionLimit = peerConnections_->counters();
   values.handlerFailures = http::handlerFailures();
   values.replicas = replicas_.size();
   values.replicasCold = coldReplicas_.coldReplicas();
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -8,6 +8,13 @@
 /// Disables a limit.
 constexpr double kNoLimit = 1e9;
 
+/// \return the descriptors that sockets may take. The others are for files.
+std::uint32_t socketDescriptorsOf(const EdgeSettings& settings) {
+  constexpr std::uint32_t kForFiles = 200;
+  const std::uint32_t all = settings.maximumDescriptors;
+  return all - std::min(all / 2, kForFiles);
+}
+
 }  // namespace
 
 std::string relayAddressOf(const EdgeSettings& settings) {
@@ -44,6 +51,21 @@
   return settings.memoryBytes / kShareOfMemory;
 }
 
+// Three eighths of the sockets for clients and a quarter for other nodes leave three eighths for
+// connections to replicas, the store and other nodes.
+std::size_t clientConnectionsOf(const EdgeSettings& settings) {
+  constexpr std::uint64_t kShareOfMemory = 8;
+  // What the kernel may hold for one connection, doubled for its own accounting.
+  constexpr std::uint64_t kBytesPerConnection = 2 * kReceiveBufferBytes;
+  const std::uint64_t bySockets = socketDescriptorsOf(settings) / 8 * 3;
+  const std::uint64_t byMemory = settings.memoryBytes / kShareOfMemory / kBytesPerConnection;
+  return std::max<std::uint64_t>(1, std::min(bySockets, byMemory));
+}
+
+std::size_t peerConnectionsOf(const EdgeSettings& settings) {
+  return std::max(1U, socketDescriptorsOf(settings) / 4);
+}
+
 http::RequestMemoryLimits requestMemoryLimitsOf(const EdgeSettings& settings) {
   // Of 88 MB, 16: beside an idle process (20), the ledger's cache (22), answers of replicas and
   // what clients have not read (11 each), and what waits in the kernel.
--- a/src/edge/edge_knobs.h
+++ b/src/edge/edge_knobs.h
@@ -29,8 +29,17 @@
 /// \param incarnation unique for each process.
 ledger::LedgerKnobs ledgerKnobsOf(const EdgeSettings& settings, std::uint64_t incarnation);
 
+/// Of each client connection in the kernel, which allows twice as much.
+inline constexpr std::uint32_t kReceiveBufferBytes = 16 * 1024;
+
 /// \return for one listener, the maximum bytes of responses that clients have not read yet.
 std::uint64_t maximumUnreadBytesOf(const EdgeSettings& settings);
+/// \return the maximum number of connections to the listeners for clients, operators and the
+/// platform, together.
+std::size_t clientConnectionsOf(const EdgeSettings& settings);
+/// \return the maximum number of connections from other nodes.
+std::size_t peerConnectionsOf(const EdgeSettings& settings);
+
 /// \return the bounds of the memory that requests take, over all listeners.
 http::RequestMemoryLimits requestMemoryLimitsOf(const EdgeSettings& settings);
 /// \return the memory for unfinished answers of replicas.
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -213,6 +213,21 @@
                snapshot.tenantShareRefusals);
 }
 
+void addConnections(metrics::FamilyList& list, const EdgeSnapshot& snapshot) {
+  constexpr char kCallers[] = "callers";
+  list.family("connections_open", "Connections that others have opened", MetricType::Gauge);
+  list.add(snapshot.clientConnections, {{kCallers, "outside"}});
+  list.add(snapshot.peerConnections, {{kCallers, "nodes"}});
+  list.family("connections_displaced_total", "Connections closed to make room for others",
+              MetricType::Counter);
+  list.add(snapshot.clientConnectionLimit.closed, {{kCallers, "outside"}});
+  list.add(snapshot.peerConnectionLimit.closed, {{kCallers, "nodes"}});
+  list.family("connections_refused_total", "Connections that nothing gave way to",
+              MetricType::Counter);
+  list.add(snapshot.clientConnectionLimit.refused, {{kCallers, "outside"}});
+  list.add(snapshot.peerConnectionLimit.refused, {{kCallers, "nodes"}});
+}
+
 void addRequestMemory(metrics::FamilyList& list, const http::RequestMemoryCounters& memory) {
   list.gauge("request_bytes", "Memory of requests, from their first byte to their answer",
              memory.bytes);
@@ -295,6 +310,7 @@
   list.counter("callers_cut_total", "Callers cut since too many bytes were left untaken",
                snapshot.connectionsClosedForUnreadBytes);
   addRequestMemory(list, snapshot.requestMemory);
+  addConnections(list, snapshot);
   list.counter("connection_handler_failures_total",
                "Connections ended by an exception of their handler", snapshot.handlerFailures);
   list.counter("dispatches_total", "Requests sent to replicas", snapshot.dispatches);
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "edge/retry_control.h"
+#include "http/connection_limit.h"
 #include "http/request_memory.h"
 #include "logstore/topic_gateway.h"
 
@@ -118,6 +119,10 @@
   std::uint64_t requestsOpen = 0;    ///< Gauge.
   std::uint64_t unreadBytes = 0;     ///< Gauge: response bytes that clients have not read yet.
   http::RequestMemoryCounters requestMemory{};
+  std::uint64_t clientConnections = 0;  ///< Gauge: to the listeners for clients and operators.
+  std::uint64_t peerConnections = 0;    ///< Gauge: from other nodes.
+  http::ConnectionLimitCounters clientConnectionLimit{};
+  http::ConnectionLimitCounters peerConnectionLimit{};
   std::uint64_t handlerFailures = 0;  ///< Connections ended by an exception of their handler.
   /// Client connections closed because too many response bytes were unread.
   std::uint64_t connectionsClosedForUnreadBytes = 0;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -29,6 +29,10 @@
     if (!shared_->options.clock) {
       shared_->options.clock = steadyNow;
     }
+    if (!shared_->options.connections) {
+      shared_->options.connections =
+          std::make_shared<ConnectionLimit>(shared_->options.knobs.maximumConnections);
+    }
   }
 
   Result<Success> listen() {
@@ -130,19 +134,16 @@
     if (stopped_) {
       return;
     }
-    if (error) {
-      acceptPaused_ = true;  // Usually out of file descriptors; `checkTimeLimits` retries.
-      return;
-    }
-    if (connections_.size() >= shared_->options.knobs.maximumConnections) {
-      ++shared_->counters.connectionsRefused;
-    } else {
-      ++shared_->counters.connectionsAccepted;
+    if (!error) {
       runInBoundary("server", [&] {
         const auto connection = std::make_shared<ServerConnection>(std::move(socket), shared_);
         connections_.insert(connection);
         connection->start();
       });
+    } else if (!shared_->options.connections->closeOne()) {
+      // Out of file descriptors, and no connection to close; `checkTimeLimits` retries.
+      acceptPaused_ = true;
+      return;
     }
     accept();
   }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -11,6 +11,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "http/connection_limit.h"
 #include "http/http_client.h"
 #include "http/request_memory.h"
 
@@ -94,7 +95,7 @@
 /// Values for `/metrics`: monotonic counters, except where marked as gauges.
 struct HttpServerCounters {
   std::uint64_t connectionsAccepted = 0;
-  std::uint64_t connectionsRefused = 0;  ///< Over `maximumConnections`.
+  std::uint64_t connectionsRefused = 0;  ///< Over the limit, where nothing gave way.
   std::uint64_t requests = 0;            ///< Completely received.
   std::uint64_t faults = 0;              ///< Requests answered with a `ProtocolFault`.
   std::uint64_t requestsCut = 0;         ///< The client disconnected within a request.
@@ -119,6 +120,9 @@
   std::function<Instant()> clock;  ///< Defaults to the steady clock.
   /// Bounds the memory of requests, together with other servers of the process; null: no bound.
   std::shared_ptr<RequestMemory> memory{};
+  /// Limits the connections, together with other servers of the process; null: those of this server
+  /// alone, to `HttpServerLimits::maximumConnections`.
+  std::shared_ptr<ConnectionLimit> connections{};
 };
 
 /// How a drain treats connections without a request in progress.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -34,6 +34,18 @@
   setTcpUserTimeout(socket_);
   // `flush` writes synchronously first, which must not block the thread.
   socket_.non_blocking(true, ignored);
+  const auto giveWay = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->close();
+    }
+  };
+  slot_ = shared_->options.connections->open(giveWay, shared_->now());
+  if (!slot_) {
+    ++shared_->counters.connectionsRefused;
+    close();
+    return;
+  }
+  ++shared_->counters.connectionsAccepted;
   enter(State::Idle);
   waitReadable();
 }
@@ -47,6 +59,24 @@
 void ServerConnection::enter(State state) {
   state_ = state;
   stateEnteredAt_ = shared_->now();
+  slot_->enter(stageOf(state), stateEnteredAt_);
+}
+
+ConnectionStage ServerConnection::stageOf(State state) {
+  switch (state) {
+    case State::Idle:
+      return ConnectionStage::Idle;
+    case State::ReadingHead:
+      return ConnectionStage::ReadingHead;
+    case State::ReadingBody:
+      return ConnectionStage::ReadingBody;
+    case State::Lingering:
+    case State::Closed:
+      return ConnectionStage::Lingering;
+    case State::Responding:
+      break;
+  }
+  return ConnectionStage::Responding;
 }
 
 Duration ServerConnection::timeLimitOfState() const {
@@ -311,6 +341,7 @@
 
 void ServerConnection::finishExchange() {
   observer_ = {};
+  slot_->noteAnswered();
   ++shared_->counters.responses;
   --shared_->counters.responsesOpen;
   if (!keepAlive_ || shared_->draining) {
@@ -370,6 +401,7 @@
   state_ = State::Closed;
   updateUnreadBytes(0);
   memory_.reset();
+  slot_.reset();
   error_code ignored;
   socket_.close(ignored);
   if (shared_->onClosed) {
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -38,6 +38,7 @@
  public:
   ServerConnection(Socket socket, std::shared_ptr<ServerContext> shared);
 
+  /// Starts reading. The connection is closed at once if the limit leaves no place for it.
   void start();
   /// Closes the connection if its time limit has passed; called periodically by the server.
   void checkTimeLimit(Instant now);
@@ -117,6 +118,7 @@
   [[nodiscard]] bool isResponding(std::uint64_t exchange) const;
   [[nodiscard]] Duration timeLimitOfState() const;
   void enter(State state);
+  [[nodiscard]] static ConnectionStage stageOf(State state);
 
   Socket socket_;
   std::shared_ptr<ServerContext> shared_;
@@ -125,6 +127,7 @@
   Instant writeStartedAt_;
   std::string unparsed_;  ///< Read, but neither parsed nor part of a request yet.
   std::optional<RequestParser> parser_;
+  ConnectionSlotPtr slot_;             ///< Null once the connection is closed.
   RequestMemorySharePtr memory_;       ///< Of the request that is being read.
   std::uint64_t currentExchange_ = 0;  ///< Number of the latest request on this connection.
   ResponseObserver observer_;
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -370,10 +370,32 @@
   knobs.maximumConnections = 1;
   start(knobs);
   RawClient first(context, server->listeningPort());
+  first.startReading();
+  first.send(kGet);
+  untilRequests(1);
   RawClient second(context, server->listeningPort());
   second.startReading();
   until([&] { return second.closedByServer; });
   LONGS_EQUAL(1, server->counters().connectionsRefused);
+  LONGS_EQUAL(1, server->counters().connectionsOpen);
+  writers[0]->sendWhole({200, {}, "whole"});
+  until([&] { return first.has("whole"); });
+}
+
+TEST(HttpServer, AnIdleConnectionGivesWayToANewOne) {
+  HttpServerLimits knobs;
+  knobs.maximumConnections = 1;
+  start(knobs);
+  RawClient first(context, server->listeningPort());
+  first.startReading();
+  RawClient second(context, server->listeningPort());
+  second.startReading();
+  until([&] { return first.closedByServer; });
+  second.send(kGet);
+  untilRequests(1);
+  CHECK_FALSE(second.closedByServer);
+  LONGS_EQUAL(0, server->counters().connectionsRefused);
+  LONGS_EQUAL(1, server->counters().connectionsOpen);
 }
 
 TEST(HttpServer, DrainClosesIdleConnectionsAndTheOthersAfterTheirResponse) {
