Client limits: those of the configuration are in force

What callers saw: a body of 5 MB was refused (413) though the configuration allowed 8 MB, heads of 20 KB (431) though it allowed 32; a connection that rested or a head that was never finished kept its place for 75 and 10 s whatever the operator had written.

Cause: `limits` was read (two of its four fields) and used nowhere; the listeners were opened with constants. Ruled out: the parser (its limits are per request) and the order of configurations (the newest one in force decides).

Change: all four fields are read and checked (at least 1), and a configuration that comes into force sets them at the listeners for clients and the directory: heads (431), bodies (413, before the body if its length is announced, and before 100 Continue), the time of a head (408), the rest between two requests (closed). A limit for bodies above what the account of request memory ever admits is lowered to that: such a body is told 413, not to come back. Refusals are counted by reason (requests_unreadable_total).

Two damaged documents more.

--- a/lab/hostile/holding_replica.cpp
+++ b/lab/hostile/holding_replica.cpp
@@ -12,6 +12,7 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kMisdirected = 421;
+constexpr std::uint32_t kMaximumHeadBytes = 1024 * 1024;
 constexpr std::uint64_t kMaximumBodyBytes = std::uint64_t{256} * 1024 * 1024;
 
 }  // namespace
@@ -21,6 +22,7 @@
   http::HttpServerOptions options;
   options.listenAddress = "127.0.0.1:0";
   options.knobs.maximumBodyBytes = kMaximumBodyBytes;
+  options.knobs.maximumHeadBytes = kMaximumHeadBytes;
   options.onRequest = [this](const http::ServerRequest& request, http::ResponseWriterPtr writer) {
     onRequest(request, std::move(writer));
   };
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -349,8 +349,7 @@
   http::HttpServerOptions options;
   options.listenAddress = address;
   options.memory = requestMemory_;
-  options.knobs.maximumBodyBytes = std::min(routing::ClientLimits{}.maximumBodyBytes,
-                                            requestMemory_->limits().maximumBodyBytes());
+  options.knobs = limited(options.knobs, routing::ClientLimits{});
   const bool isForPeers = callers == Callers::OtherNodes;
   options.connections = isForPeers ? peerConnections_ : clientConnections_;
   options.knobs.receiveBufferBytes = isForPeers ? 0 : kReceiveBufferBytes;
@@ -359,6 +358,7 @@
   options.onRequest = std::move(onRequest);
   options.onUnreadable = [this](http::ProtocolFault fault, const http::ServerRequest& read) {
     const std::string_view reason = reasonOf(fault);
+    ++requestsUnreadable_[std::string(reason)];
     log_.logRefusal("request_unreadable", {{}, reason},
                     {{"request", dependencies_.wire.requestIdOf(read)},
                      {"status", std::uint64_t{statusOf(fault)}},
@@ -379,6 +379,25 @@
   return Success{};
 }
 
+http::HttpServerLimits EdgeDaemon::limited(http::HttpServerLimits limits,
+                                           const routing::ClientLimits& configured) const {
+  limits.maximumHeadBytes = configured.maximumHeadBytes;
+  // A longer body could never be admitted: its client is told so, and not to come back.
+  limits.maximumBodyBytes =
+      std::min(configured.maximumBodyBytes, requestMemory_->limits().maximumBodyBytes());
+  limits.headTimeLimit = configured.headTimeLimit;
+  limits.idleTimeLimit = configured.idleTimeLimit;
+  return limits;
+}
+
+void EdgeDaemon::applyClientLimits(const routing::ClientLimits& limits) {
+  for (const http::HttpServerPtr* server : {&clientServer_, &directoryServer_}) {
+    if (*server) {
+      (*server)->setLimits(limited((*server)->limits(), limits));
+    }
+  }
+}
+
 Result<Success> EdgeDaemon::listen() {
   const auto onClient = [this](http::ServerRequest request, http::ResponseWriterPtr writer) {
     onClientRequest(std::move(request), std::move(writer));
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -96,6 +97,11 @@
   /// Opens an HTTP listener; an empty address is ignored. Errors: `InvalidSettings`.
   Result<Success> serve(http::HttpServerPtr& server, const std::string& address, Callers callers,
                         RequestHandler onRequest);
+  /// \return the server's limits with those of a configuration.
+  [[nodiscard]] http::HttpServerLimits limited(http::HttpServerLimits limits,
+                                               const routing::ClientLimits& configured) const;
+  /// Puts the limits of a configuration in force at the listeners for clients.
+  void applyClientLimits(const routing::ClientLimits& limits);
   void onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer);
   void onReadinessRequest(const http::ResponseWriterPtr& writer);
   /// Renders the metrics, or handles an operator's command.
@@ -285,6 +291,8 @@
   std::uint64_t announcementSequence_ = 0;
   bool announcedReady_ = false;
   UnreadableRecords unreadableRecords_;
+  /// Requests that were refused before they were read, by reason.
+  std::map<std::string, std::uint64_t, std::less<>> requestsUnreadable_;
   bool membersListed_ = false;
   bool replicasListed_ = false;
   /// Registrations whose start time lies in this node's future.
--- a/src/edge/edge_daemon_figures.cpp
+++ b/src/edge/edge_daemon_figures.cpp
@@ -71,6 +71,7 @@
   values.unreadBytes = callers.unreadBytes;
   values.connectionsClosedForUnreadBytes = callers.connectionsClosedForUnreadBytes;
   values.requestMemory = requestMemory_->counters();
+  values.requestsUnreadable = requestsUnreadable_;
   values.clientConnections = clientConnections_->open();
   values.peerConnections = peerConnections_->open();
   values.clientConnectionLimit = clientConnections_->counters();
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -129,7 +129,11 @@
   auto configuration = std::make_shared<const routing::Configuration>(std::move(valueOf(read)));
   const std::uint64_t version = configuration->version.value();
   const std::uint64_t routes = configuration->routes.size();
+  const routing::ClientLimits limits = configuration->limits;
   const bool newer = routes_.apply(std::move(configuration));
+  if (newer) {
+    applyClientLimits(limits);
+  }
   updateColdReplicas();  // The configuration may lower the rate of replicas that are already
                          // listed.
   log_.logImportant(newer ? "configuration_in_force" : "configuration_not_newer",
--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -309,6 +309,11 @@
              snapshot.unreadBytes);
   list.counter("callers_cut_total", "Callers cut since too many bytes were left untaken",
                snapshot.connectionsClosedForUnreadBytes);
+  list.family("requests_unreadable_total", "Requests refused before they were read, by reason",
+              MetricType::Counter);
+  for (const auto& [reason, count] : snapshot.requestsUnreadable) {
+    list.add(count, {{"reason", reason}});
+  }
   addRequestMemory(list, snapshot.requestMemory);
   addConnections(list, snapshot);
   list.counter("connection_handler_failures_total",
--- a/src/edge/edge_metrics.h
+++ b/src/edge/edge_metrics.h
@@ -118,6 +118,8 @@
   std::uint64_t turnsNotStored = 0;  ///< Their streams were aborted.
   std::uint64_t requestsOpen = 0;    ///< Gauge.
   std::uint64_t unreadBytes = 0;     ///< Gauge: response bytes that clients have not read yet.
+  /// Requests refused before they were read, by reason.
+  std::map<std::string, std::uint64_t, std::less<>> requestsUnreadable{};
   http::RequestMemoryCounters requestMemory{};
   std::uint64_t clientConnections = 0;  ///< Gauge: to the listeners for clients and operators.
   std::uint64_t peerConnections = 0;    ///< Gauge: from other nodes.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -82,6 +82,10 @@
     return counters;
   }
 
+  void setLimits(const HttpServerLimits& limits) override { shared_->options.knobs = limits; }
+
+  [[nodiscard]] const HttpServerLimits& limits() const override { return shared_->options.knobs; }
+
   void beginDrain(IdleConnections idle) override {
     shared_->draining = true;
     if (idle == IdleConnections::Keep) {
@@ -192,6 +196,8 @@
   ~ServerHandle() override { server_->stop(); }
   [[nodiscard]] std::uint16_t listeningPort() const override { return server_->listeningPort(); }
   [[nodiscard]] HttpServerCounters counters() const override { return server_->counters(); }
+  void setLimits(const HttpServerLimits& limits) override { server_->setLimits(limits); }
+  [[nodiscard]] const HttpServerLimits& limits() const override { return server_->limits(); }
   void beginDrain(IdleConnections idle) override { server_->beginDrain(idle); }
   void stop() override { server_->stop(); }
 
--- a/src/routing/configuration.h
+++ b/src/routing/configuration.h
@@ -81,10 +81,12 @@
   double coldRequestsPerSecond = 0;
 };
 
-/// Size limits of client requests.
+/// Limits of what clients may send, and how long they may take.
 struct ClientLimits {
   std::uint32_t maximumHeadBytes = 16 * 1024;
   std::uint64_t maximumBodyBytes = std::uint64_t{4} * 1024 * 1024;
+  Duration headTimeLimit = seconds(10);  ///< From the first byte of a head to its end.
+  Duration idleTimeLimit = seconds(75);  ///< Between two requests of a connection.
 };
 
 /// A complete configuration of one version.
--- a/tests/platform/damaged_documents_test.cpp
+++ b/tests/platform/damaged_documents_test.cpp
@@ -106,6 +106,8 @@
     {R"("kvCapacity":61000)", R"("kvCapacity":-1)", "configuration.services[0].engine.kvCapacity"},
     {R"("limits":{)", R"("limits":1,"was":{)", "configuration.limits"},
     {R"("maxBodyBytes":4194304)", R"("maxBodyBytes":true)", "configuration.limits.maxBodyBytes"},
+    {R"("maxBodyBytes":4194304)", R"("headerTimeoutMs":0)", "configuration.limits.headerTimeoutMs"},
+    {R"("maxBodyBytes":4194304)", R"("idleTimeoutMs":-1)", "configuration.limits.idleTimeoutMs"},
     {R"("tenants":[{)", R"("tenants":{},"was":[{)", "configuration.tenants"},
     {R"(["secret-key"])", R"("secret-key")", "configuration.tenants[0].apiKeys"},
     {R"(["secret-key"])", R"(["secret-key",3])", "configuration.tenants[0].apiKeys[1]"},
