Invalid statuses: a replica that answers 000 has failed a request, not ended

What callers saw: a replica in trouble answered with status 000 (also 099, 600, 999), its id and its seal. The client got 502, as it should; but after two such answers other requests of the same content were refused (503, replicas_may_have_ended), though the replicas lived and answered.

Cause: the HTTP client failed such a response as malformed, which the exchange takes for a connection that broke off, and records as a possible end of the replica. Ruled out: that the status reaches a client (it was 502 on unsafe, safe and kept routes, with and without an id), and that an unsafe request is repeated (it ran once).

Change: the client delivers a response of any three-digit status to callers that ask for it. An exchange does; it then believes nothing else of the head (no promise, no seal, no event stream), counts the answer as a failure of the replica and the whole of it as a sign of life, and tries a safe request elsewhere. A response that breaks off still counts as a possible end. replica_status_invalid in the log names the replica and the status. Statuses that are no three digits remain broken connections: nothing tells whose answer they would be.

Tests: InvalidStatus.aReplicaThatAnsweredHasNotEnded at a node process got 503 at its third request before; the four others passed before and keep what was right.

--- a/lab/hostile/hostile_world.cpp
+++ b/lab/hostile/hostile_world.cpp
@@ -11,7 +11,6 @@
 namespace gorsetrail::lab {
 namespace {
 
-constexpr char kService[] = "m";
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 constexpr std::size_t kReplicas = 2;
@@ -21,9 +20,14 @@
 constexpr Duration kQuiet = seconds(1);
 
 nlohmann::json route(const std::string& name, const std::string& type, bool persisted) {
-  return {{"name", name},      {"host", "h"},           {"pathPrefix", "/" + name + "/"},
-          {"routeType", type}, {"service", kService},   {"timeoutMs", 20000},
-          {"maxAttempts", 2},  {"persisted", persisted}};
+  return {{"name", name},
+          {"host", "h"},
+          {"pathPrefix", "/" + name + "/"},
+          {"routeType", type},
+          {"service", HostileWorld::kService},
+          {"timeoutMs", 20000},
+          {"maxAttempts", 2},
+          {"persisted", persisted}};
 }
 
 }  // namespace
@@ -71,6 +75,10 @@
   store_.put("keyed.op", "config", configuration.dump());
 }
 
+void HostileWorld::registerReplica(const std::string& id, const std::string& registration) {
+  store_.put("keyed.servers", id, registration);
+}
+
 void HostileWorld::observe() {
   peakUnreadBytes_ = std::max(peakUnreadBytes_, unreadBytesAt(settings_.ip));
   peakDescriptors_ = std::max(peakDescriptors_, node_->openDescriptors());
--- a/lab/hostile/hostile_world.h
+++ b/lab/hostile/hostile_world.h
@@ -34,6 +34,8 @@
 
 class HostileWorld {
  public:
+  static constexpr char kService[] = "m";  ///< Of all routes.
+
   /// Starts a node and waits until it serves.
   /// \param settings the store's address is filled in.
   /// \param directory for settings and logs; is created.
@@ -43,6 +45,9 @@
   HostileWorld& operator=(const HostileWorld&) = delete;
 
   void publish(const WorldLimits& limits);
+  /// Registers a replica of the routes' service, or removes it if `registration` is empty. The node
+  /// reads it later.
+  void registerReplica(const std::string& id, const std::string& registration);
   /// Starts the node's process again.
   void restart();
   /// Runs the crowd until the node has taken what it takes: nothing moves for a second.
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -152,6 +152,7 @@
   /// \return whether an answer on the connection of the call is that to this request.
   [[nodiscard]] bool ownsAnswer(const ReplicaHead& head) const;
   void onHead(unsigned status, const std::vector<http::Header>& headers);
+  void onInvalidStatus(unsigned status);
   void onBody(std::string_view part);
   void onReplicaDone();
   /// Counts what the unfinished answer holds. May end it.
@@ -331,6 +332,7 @@
   Instant dispatchedAt_;
   ReplicaHead runHead_;  ///< Response head of the current run; empty before it is received.
   bool headReceived_ = false;
+  bool hasInvalidStatus_ = false;  ///< The current run is answered with a status that HTTP lacks.
   /// When the client could receive the first byte: the response head; of a stream the first event.
   Instant answerBeganAt_;
   bool hadFreeSlot_ = false;     ///< The replica had a free slot at the dispatch.
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -4,6 +4,7 @@
 
 #include "edge/exchange.h"
 #include "edge/exchange_shared.h"
+#include "http/status.h"
 
 namespace gorsetrail::edge {
 namespace {
@@ -29,6 +30,7 @@
   dispatchedAt_ = context_.clock();
   headReceived_ = false;
   noAnswerRecorded_ = false;
+  hasInvalidStatus_ = false;
   runHead_ = {};
   runHeaders_.clear();
   body_.clear();
@@ -55,6 +57,7 @@
                                        {"left_ms", wholeMilliseconds(parameters.timeLeft)},
                                        {"granted_as", grant.empty() ? "usual" : grant}});
   http::ResponseHandler handler;
+  handler.acceptsInvalidStatus = true;
   const auto self = shared_from_this();
   const std::uint64_t number = dispatchNumber_;
   handler.isOwn = [self](unsigned status, const std::vector<http::Header>& headers) {
@@ -96,7 +99,8 @@
   }
   const std::optional<Instant> openedAt = call_ ? call_->connectionOpenedAt() : std::nullopt;
   const bool isFirstOnConnection = !openedAt || *openedAt >= dispatchedAt_;
-  return isFirstOnConnection && head.status >= kFirstFailureStatus;
+  const bool isSuccess = http::isFinalStatus(head.status) && head.status < kFirstFailureStatus;
+  return isFirstOnConnection && !isSuccess;
 }
 
 void Exchange::onHead(unsigned status, const std::vector<http::Header>& headers) {
@@ -107,6 +111,10 @@
   answerBeganAt_ = context_.clock();
   lastRunDataAt_ = replica_->lastDataAt = context_.clock();
   noteAnswer();
+  if (!http::isFinalStatus(status)) {
+    onInvalidStatus(status);
+    return;
+  }
   runHead_ = context_.wire.readReplicaHead(status, headers);
   runHeaders_ = context_.wire.clientHeaders(headers);
   if (!runHead_.notExecuted && status != kMisdirected) {
@@ -120,6 +128,20 @@
   }
 }
 
+// The replica has answered, so that it is a failure of this request and not an end of the replica.
+// Nothing else of the head is believed: it promises nothing, and its seal vouches for another status
+// than the client gets.
+void Exchange::onInvalidStatus(unsigned status) {
+  hasInvalidStatus_ = true;
+  mayHaveRun_ = true;
+  runHead_ = {};
+  runHead_.status = kBadGateway;
+  context_.log.logImportant("replica_status_invalid", {{"request", request_.requestId},
+                                                       {"program", request_.programId},
+                                                       {"replica", replica_->entry.id},
+                                                       {"status", std::uint64_t{status}}});
+}
+
 void Exchange::onBody(std::string_view part) {
   if (ended_) {
     return;
@@ -189,7 +211,9 @@
   recordOutcome(runHead_.status >= kServerError);
   const bool wasStream = isStreaming() && runHead_.eventStream && runHead_.status == kOk;
   if (!wasStream) {
-    recordServiceTime();
+    if (!hasInvalidStatus_) {
+      recordServiceTime();
+    }
     recordWholeAnswer();
     onCompleteResponse();
     return;
@@ -304,6 +328,10 @@
     dispatchAgain();
     return;
   }
+  if (hasInvalidStatus_) {
+    abortAnswer("replica_status_invalid");
+    return;
+  }
   if (streamHead_) {
     // The replica answered a resumed stream with a response that is not a stream. Events that are
     // held are part of the answer as well.
--- a/src/http/client_operation.cpp
+++ b/src/http/client_operation.cpp
@@ -332,7 +332,7 @@
   headReported_ = true;
   const auto& head = parser_->get();
   response_.status = head.result_int();
-  if (!isStatus(response_.status)) {
+  if (!isStatus(response_.status) && !handler_.acceptsInvalidStatus) {
     fail(FailureStage::Broken, "malformed response: status " + std::to_string(response_.status));
     return;
   }
