Fault soak: crowds of hostile clients, and a watch over the node processes

Change: crowds of nine kinds (bodies announced, in large and in tiny chunks, trailers and extensions without end, idle connections, unfinished heads, pipelines, TRACE) come to nodes beside the other faults, overlapping them, and one of each kind while nothing else strikes. Nodes have 128 MB. Each 0.2 s the soak looks at every process: its greatest memory with the bytes that wait in its sockets, its descriptors, and whether it ended without being told to.

--- a/lab/faultsoak/node_processes.h
+++ b/lab/faultsoak/node_processes.h
@@ -16,10 +16,10 @@
   /// \return whether the node runs and took the signal.
   [[nodiscard]] bool signal(std::size_t node, int signalNumber) const;
   [[nodiscard]] bool runs(std::size_t node) const { return processId(node).has_value(); }
-
- private:
+  /// \return the id of the node's process; empty while none runs.
   [[nodiscard]] std::optional<int> processId(std::size_t node) const;
 
+ private:
   std::string directory_;
 };
 
--- a/lab/faultsoak/soak_run.cpp
+++ b/lab/faultsoak/soak_run.cpp
@@ -52,6 +52,11 @@
 constexpr std::size_t kMostColdRequests = 11;
 constexpr char kLastEvacuated[] = "a";
 constexpr StallLimits kStallLimits;
+constexpr std::size_t kNodeMegabytes = 128;
+constexpr std::size_t kNodeDescriptors = 1024;
+constexpr std::size_t kBytesOfMegabyte = std::size_t{1024} * 1024;
+/// The last crowd is counted when it leaves.
+constexpr Duration kAfterCrowds = milliseconds(200);
 /// From an evacuation's record to the last request that reaches the zone, as in the settings.
 constexpr Duration kEvacuationLimit = seconds(5);
 
@@ -131,12 +136,14 @@
   }
   publishConfiguration();
   clients_ = std::make_unique<SoakClients>(SoakClients{*client_, *timers_, watcher_, random_, {}});
+  std::vector<SoakCrowds::NodeAddress> addresses;
   for (std::size_t node = 0; node < options_.nodes; ++node) {
     storeWays_.emplace_back();
     for (auto& way : storeWays_.back().ways) {
       way = std::make_unique<FaultProxy>(context_, store_->address());
     }
     clients_->nodes.push_back(clientAddress(node));
+    addresses.push_back({ipOf(node), clientAddress(node)});
     writeSettings(node);
   }
   faults_ = planFaults(options_.seed, options_.length, options_.nodes, options_.replicas);
@@ -146,6 +153,9 @@
   faults_.insert(faults_.end(), releases.begin(), releases.end());
   const auto endings = planEndingRequests(options_.seed, options_.length);
   faults_.insert(faults_.end(), endings.begin(), endings.end());
+  crowds_ = std::make_unique<SoakCrowds>(
+      context_, *timers_, processes_,
+      MachineBounds{kNodeMegabytes * kBytesOfMegabyte, kNodeDescriptors}, std::move(addresses));
   overload_ = std::make_unique<SoakOverload>(*clients_, options_.programs);
 }
 
@@ -169,8 +179,8 @@
        << "\"]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\nfrontend = \"" << clientAddress(node)
        << "\"\nreadiness = \"" << ip << ":" << kReadinessPort << "\"\ncontrol = \"" << ip << ":"
        << kControlPort << "\"\ndirectory = \"" << ip << ":" << kDirectoryPort
-       << "\"\n[overload]\ncontrol = true\n[limits]\nmemoryMb = 256\nmaxFds = "
-          "1024\n[platform]\naddress = \""
+       << "\"\n[overload]\ncontrol = true\n[limits]\nmemoryMb = " << kNodeMegabytes
+       << "\nmaxFds = " << kNodeDescriptors << "\n[platform]\naddress = \""
        << store.ways[store.named]->address() << "\"\nparts = 8\n";
   file.close();
   // A node that starts meanwhile reads the file before or after the change, never half of it.
@@ -329,6 +339,7 @@
   stalls_ = std::make_unique<StallWatch>(kStallLimits, options_.nodes, steadyNow());
   storePieces_.resize(options_.nodes);
   watchStalls();
+  crowds_->startWatching([this](SoakViolation violation) { watcher_.add(std::move(violation)); });
   runFor(seconds(2));
   keepProgramsGoing();
   scheduleFaults();
@@ -338,12 +349,14 @@
   checkResumption();
   checkEndsWithoutStore();
   checkRecovery();
+  checkCrowds();
   checkSingleKill();
   checkOverload();
   takeBack(kLastEvacuated);
   checkLossOfAll();
   takesPrograms_ = false;
   runFor(seconds(4));
+  crowds_->stopWatching();
   checkCases();
   std::ofstream(options_.directory + "/ended") << options_.seed << '\n';
 }
@@ -388,23 +401,48 @@
     timers_->runAfter(fault.at, [this, fault] { strike(fault); });
     timers_->runAfter(fault.at + fault.duration, [this, fault] { heal(fault); });
   }
+  crowds_->schedule(planCrowds(options_.seed, options_.length, options_.nodes));
+}
+
+bool SoakRun::endNode(std::size_t node, int signalNumber) {
+  const auto id = processes_.processId(node);
+  if (id) {
+    crowds_->onToldToEnd(*id);
+  }
+  return processes_.signal(node, signalNumber);
+}
+
+// One crowd of each kind, while nothing else strikes.
+void SoakRun::checkCrowds() {
+  if (!waitForNodes()) {
+    return;  // Judged by the number of cases.
+  }
+  const std::vector<PlannedCrowd> crowds = planQuietCrowds(options_.seed, options_.nodes);
+  const std::uint64_t before = clients_->turnsAnswered;
+  crowds_->schedule(crowds);
+  runFor(crowds.back().at + crowds.back().duration + kAfterCrowds);
+  turnsBesideCrowds_ = clients_->turnsAnswered - before;
+  if (turnsBesideCrowds_ < kLeastTurnsInWindow) {
+    watcher_.add({"sound_clients_are_served_beside_hostile_ones", "",
+                  std::to_string(turnsBesideCrowds_) + " turns beside the crowds"});
+  }
 }
 
 void SoakRun::strike(const SoakFault& fault) {
   bool struck = true;
   switch (fault.kind) {
     case SoakFaultKind::KillNode:
-      struck = processes_.signal(fault.target, SIGKILL);
+      struck = endNode(fault.target, SIGKILL);
       break;
     case SoakFaultKind::PauseNode:
       struck = processes_.signal(fault.target, SIGSTOP);
       break;
     case SoakFaultKind::StopNode:
-      struck = processes_.signal(fault.target, SIGTERM);
+      struck = endNode(fault.target, SIGTERM);
       break;
     case SoakFaultKind::KillAll:
       for (std::size_t node = 0; node < options_.nodes; ++node) {
-        struck = processes_.signal(node, SIGKILL) && struck;
+        struck = endNode(node, SIGKILL) && struck;
       }
       watcher_.onAllKilled();
       allWereKilled_ = true;
@@ -575,7 +613,7 @@
     begin();
     runFor(kBetweenProgramsNearBudget);
   }
-  faultsStruck_ += processes_.signal(random_.below(options_.nodes), SIGKILL) ? 1 : 0;
+  faultsStruck_ += endNode(random_.below(options_.nodes), SIGKILL) ? 1 : 0;
   runFor(kTimeAfterSingleKill);
   if (!allWereKilled_ && programsNearBudgetServed_ < programsNearBudget_) {
     watcher_.add({"a_single_kill_costs_no_program_its_budget", "",
@@ -625,7 +663,11 @@
       {"a_failure_clears_no_ends", failuresInstead()},
       {"a_bystander_is_served", watcher_.endedReplicas().bystanders},
       {"resumed_streams_go_on", resumed < PromiseWatcher::kLeastResumedStreams ? 0 : resumed},
+      {"a_node_stays_within_its_memory", crowds_->watch().looks()},
   };
+  for (const auto& [kind, connections] : crowds_->connections()) {
+    cases["a_crowd_of_" + kind] = connections;
+  }
   if (!allWereKilled_) {
     cases["a_single_kill_costs_no_program_its_budget"] = programsNearBudget_;
   }
@@ -645,7 +687,7 @@
     watcher_.add({"the_nodes_start", "", "not all processes were back before the final loss"});
   }
   for (std::size_t node = 0; node < options_.nodes; ++node) {
-    faultsStruck_ += processes_.signal(node, SIGKILL) ? 1 : 0;
+    faultsStruck_ += endNode(node, SIGKILL) ? 1 : 0;
   }
   watcher_.onLossOfAll();
   // A copy: who is served stores its own turns.
@@ -691,6 +733,11 @@
         {"bystanders", watcher_.endedReplicas().bystanders},
         {"bystanders_served", watcher_.endedReplicas().bystandersServed},
         {"refused_bystanders", watcher_.endedReplicas().refusedBystanders}}},
+      {"hostile_connections", crowds_->connections()},
+      {"turns_beside_crowds", turnsBesideCrowds_},
+      {"process_looks", crowds_->watch().looks()},
+      {"peak_memory_kb", crowds_->watch().peakMemoryBytes() / 1024},
+      {"peak_descriptors", crowds_->watch().peakDescriptors()},
       {"programs_near_budget", {programsNearBudgetServed_, programsNearBudget_}},
       {"unserved_bystanders", watcher_.unservedBystanders()},
       {"programs_beyond_the_usual", overload_->programsStarted()},
--- a/lab/faultsoak/soak_run.h
+++ b/lab/faultsoak/soak_run.h
@@ -17,6 +17,7 @@
 #include "lab/faultsoak/place_watcher.h"
 #include "lab/faultsoak/promise_watcher.h"
 #include "lab/faultsoak/replica_way.h"
+#include "lab/faultsoak/soak_crowds.h"
 #include "lab/faultsoak/soak_overload.h"
 #include "lab/faultsoak/soak_program.h"
 #include "lab/faultsoak/soak_replica.h"
@@ -69,6 +70,8 @@
   void evacuate(const std::string& zone, std::optional<Instant> emptyAfter);
   /// Its replicas are cold from then on.
   void takeBack(const std::string& zone);
+  /// Tells the node's process to end. \return whether it runs.
+  bool endNode(std::size_t node, int signalNumber);
   bool waitForNodes();
   void keepProgramsGoing();
   void scheduleFaults();
@@ -83,6 +86,8 @@
   void checkEndsWithoutStore();
   [[nodiscard]] bool endedReplicasHaveCases() const;
   void checkRecovery();
+  /// Hostile clients come to one node after another; the others' programs go on.
+  void checkCrowds();
   /// A hot tenant and a burst while a zone is evacuated and nothing else strikes.
   void checkOverload();
   /// Kills all nodes at once; new programs go on from turns that were stored before.
@@ -108,6 +113,8 @@
   PlaceWatcher places_;
   std::map<std::string, int> evacuations_;  ///< Under way at a time, by zone.
   NodeProcesses processes_;
+  std::unique_ptr<SoakCrowds> crowds_;
+  std::uint64_t turnsBesideCrowds_ = 0;
   http::HttpClientPtr client_;
   std::unique_ptr<StoreStandIn> store_;
   SoakReplicaCapacity capacity_;  ///< Of each replica.
--- a/lab/hostile/hostile_world.cpp
+++ b/lab/hostile/hostile_world.cpp
@@ -81,7 +81,7 @@
 
 void HostileWorld::observe() {
   peakUnreadBytes_ = std::max(peakUnreadBytes_, unreadBytesAt(settings_.ip));
-  peakDescriptors_ = std::max(peakDescriptors_, node_->openDescriptors());
+  peakDescriptors_ = std::max(peakDescriptors_, openDescriptorsOf(node_->id()));
 }
 
 bool HostileWorld::runUntil(const std::function<bool()>& isTrue) {
--- a/lab/hostile/hostile_world.h
+++ b/lab/hostile/hostile_world.h
@@ -13,6 +13,7 @@
 #include "lab/hostile/holding_replica.h"
 #include "lab/hostile/hostile_crowd.h"
 #include "lab/hostile/node_process.h"
+#include "lab/hostile/process_figures.h"
 #include "lab/platform/store_stand_in.h"
 
 namespace gorsetrail::lab {
@@ -69,7 +70,7 @@
   [[nodiscard]] int runsOf(const std::string& requestId) const;
   /// \return the greatest sum seen of resident memory and of bytes that wait to be read.
   [[nodiscard]] std::size_t peakBytes() const {
-    return peakUnreadBytes_ + node_->peakMemoryBytes();
+    return peakUnreadBytes_ + peakMemoryOf(node_->id());
   }
   [[nodiscard]] std::size_t peakUnreadBytes() const { return peakUnreadBytes_; }
   [[nodiscard]] std::size_t peakDescriptors() const { return peakDescriptors_; }
--- a/lab/hostile/node_process.h
+++ b/lab/hostile/node_process.h
@@ -40,9 +40,7 @@
 
   [[nodiscard]] bool isRunning();
   void signal(int signalNumber) const;
-  /// \return the greatest resident memory of the process so far; 0 once it has ended.
-  [[nodiscard]] std::size_t peakMemoryBytes() const;
-  [[nodiscard]] std::size_t openDescriptors() const;
+  [[nodiscard]] pid_t id() const { return process_; }
   [[nodiscard]] const std::string& logPath() const { return logPath_; }
 
  private:
@@ -50,7 +48,4 @@
   pid_t process_ = -1;
 };
 
-/// \return the bytes that have arrived at TCP sockets of the IPv4 address and are not read yet.
-[[nodiscard]] std::size_t unreadBytesAt(const std::string& ip);
-
 }  // namespace gorsetrail::lab
--- a/tests/hostile_clients/hostile_group.h
+++ b/tests/hostile_clients/hostile_group.h
@@ -65,7 +65,7 @@
   }
   void checkMemory() const {
     UT_PRINT(StringFromFormat("resident %d MB, unread %d KB, %d descriptors; answers:",
-                              static_cast<int>(world->node().peakMemoryBytes() / kMegabyte),
+                              static_cast<int>(peakMemoryOf(world->node().id()) / kMegabyte),
                               static_cast<int>(world->peakUnreadBytes() / 1024),
                               static_cast<int>(world->peakDescriptors())));
     CHECK_COMPARE(world->peakBytes() / kMegabyte, <, std::size_t{kMemoryMb});
