--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -94,7 +94,21 @@
   }
 }
 
-void RequestParser::on_header_impl(ErrorCode& error) { error = {}; }
+// Beast takes a request whose last encoding is not `chunked` for one without a body: what follows
+// would run as a request of its own (RFC 9112, section 6.1).
+void RequestParser::on_header_impl(ErrorCode& error) {
+  error = {};
+  const bool isEncoded = std::any_of(
+      request_.headers.begin(), request_.headers.end(),
+      [](const Header& header) { return beast::iequals(header.name, "Transfer-Encoding"); });
+  if (!isEncoded) {
+    return;
+  }
+  const bool isOnlyChunked = beast::iequals(headerOf("Transfer-Encoding"), "chunked");
+  if (!isHttp11() || !isOnlyChunked || !chunked()) {
+    error = beast::http::error::bad_transfer_encoding;
+  }
+}
 
 void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t>& length,
                                       ErrorCode& error) {
--- a/tests/platform/http_headers_test.cpp
+++ b/tests/platform/http_headers_test.cpp
@@ -74,6 +74,18 @@
   STRCMP_EQUAL("<none>", headerOf(sent.headers, "Last-Event-Id").c_str());
 }
 
+TEST(Heads, dropsWhatConnectionNamesButTheRequestsIdentity) {
+  http::ServerRequest request = makeRequest();
+  request.headers.push_back({"connection", "x-other , Gorsetrail-Request-Id,X-Third"});
+  request.headers.push_back({"X-Third", "dropped"});
+  request.headers.push_back({"X-Fourth", "kept"});
+  const http::Request sent = adapter.makeReplicaRequest(adapter.readRequest(request), {});
+  STRCMP_EQUAL("<none>", headerOf(sent.headers, "X-Other").c_str());
+  STRCMP_EQUAL("<none>", headerOf(sent.headers, "X-Third").c_str());
+  STRCMP_EQUAL("kept", headerOf(sent.headers, "X-Fourth").c_str());
+  STRCMP_EQUAL("e5b2907c14da6f38", headerOf(sent.headers, "Gorsetrail-Request-Id").c_str());
+}
+
 TEST(Heads, readsWhichStreamARequestContinues) {
   http::ServerRequest request = makeRequest();
   request.headers.push_back({"resumes", "9c41d07be2a35f68"});
