Connections: larger receive buffers while a large body is read

Why: receive buffers of 16 KB, which bound what waits in the kernel, would hold a body of 4 MB to some 0.6 MB a second over a round trip of 50 ms, and its caller's deadline would pass in calm.

Change: a request over 64 KB gets a buffer of 128 KB while it is read, counted in the account of request memory; refusals and the end of the body give it back. The largest body that the account ever admits is lowered by it. Accepting goes on at once after a connection that its client gave up, and closes another one only when descriptors are missing: before, any error of accept() did.

--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -61,8 +61,8 @@
   /// Optional: returns whether a response belongs to this request. Other responses are surplus
   /// responses to earlier requests on the connection; they are read and discarded.
   std::function<bool(unsigned status, const std::vector<Header>&)> isOwn;
-  /// Whether a response may have a status that HTTP does not have, such as 000 or 600. Otherwise the
-  /// request fails, although the server has answered it.
+  /// Whether a response may have a status that HTTP does not have, such as 000 or 600. Otherwise
+  /// the request fails, although the server has answered it.
   bool acceptsInvalidStatus = false;
   /// Optional: called with the status and headers before any part of the body.
   std::function<void(unsigned status, const std::vector<Header>&)> onHead;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -144,14 +144,22 @@
         connections_.insert(connection);
         connection->start();
       });
-    } else if (!shared_->options.connections->closeOne()) {
-      // Out of file descriptors, and no connection to close; `checkTimeLimits` retries.
-      acceptPaused_ = true;
+    } else if (!mayAcceptAfter(error)) {
+      acceptPaused_ = true;  // `checkTimeLimits` retries.
       return;
     }
     accept();
   }
 
+  /// \return whether accepting may go on at once after the error.
+  bool mayAcceptAfter(const error_code& error) {
+    if (error == asio::error::no_descriptors) {
+      return shared_->options.connections->closeOne();
+    }
+    // The client has given the connection up before it was accepted.
+    return error == asio::error::connection_aborted;
+  }
+
   void sweep() {
     sweepTimer_.expires_after(shared_->options.knobs.sweepPeriod);
     sweepTimer_.async_wait([weak = weak_from_this()](const error_code& error) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -136,8 +136,8 @@
   virtual ~HttpServer() = default;
   [[nodiscard]] virtual std::uint16_t listeningPort() const = 0;
   [[nodiscard]] virtual HttpServerCounters counters() const = 0;
-  /// Applies to requests that begin afterwards; time limits apply at once. The receive buffer and the
-  /// sweep period stay as they are.
+  /// Applies to requests that begin afterwards; time limits apply at once. The receive buffer and
+  /// the sweep period stay as they are.
   virtual void setLimits(const HttpServerLimits& limits) = 0;
   [[nodiscard]] virtual const HttpServerLimits& limits() const = 0;
   /// Closes each connection after its next response. New connections are still accepted.
--- a/src/http/request_memory.cpp
+++ b/src/http/request_memory.cpp
@@ -98,6 +98,12 @@
   return true;
 }
 
+void RequestMemoryShare::shrink(std::size_t bytes) {
+  const std::size_t kept = std::min(bytes, bytes_);
+  memory_->counters_.bytes -= bytes_ - kept;
+  bytes_ = kept;
+}
+
 void RequestMemoryShare::noteReceived(std::size_t bytes, Instant now) {
   const Duration elapsed = now - windowStartedAt_;
   if (elapsed >= memory_->limits_.paceWindow) {
--- a/src/http/request_memory.h
+++ b/src/http/request_memory.h
@@ -1,6 +1,7 @@
 /// \file Account of the memory that requests take, over all connections of a process.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -17,6 +18,9 @@
   /// A request up to this size may use all of `maximumBytes`; a larger one leaves the reserve free.
   std::uint64_t smallRequestBytes = std::uint64_t{64} * 1024;
   double reservedForSmall = 0.25;
+  /// What a larger request takes beside its own bytes while it is read: its buffer in the kernel.
+  /// With the small one of other connections, a round trip of 50 ms would allow 0.6 MB a second.
+  std::uint32_t largeReceiveBufferBytes = 128 * 1024;
   /// How long the pace of a request is measured. A younger request is not taken for stalled.
   Duration paceWindow = seconds(1);
   /// A request is stalled if it would take longer than this to receive again what it holds.
@@ -29,7 +33,10 @@
   }
   /// \return the largest body that a request is ever admitted with: while a body of unknown length
   /// grows, its old memory is held beside the new one, which is four times as large.
-  [[nodiscard]] std::uint64_t maximumBodyBytes() const { return maximumLargeBytes() / 5 * 4; }
+  [[nodiscard]] std::uint64_t maximumBodyBytes() const {
+    const std::uint64_t large = maximumLargeBytes();
+    return (large - std::min<std::uint64_t>(large, largeReceiveBufferBytes)) / 5 * 4;
+  }
 };
 
 /// Values for `/metrics`.
@@ -86,6 +93,8 @@
   /// Takes or gives back memory. Other requests may be ended by it.
   /// \return false, without a change, if there is no room.
   [[nodiscard]] bool resize(std::size_t bytes, Instant now);
+  /// Gives memory back.
+  void shrink(std::size_t bytes);
   /// Counts received bytes for the pace of the request.
   void noteReceived(std::size_t bytes, Instant now);
   /// The request has been read: it is not displaced any more.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -226,7 +226,40 @@
 }
 
 bool ServerConnection::holdMemory(std::size_t bytes) {
-  return !memory_ || memory_->resize(bytes + unparsed_.capacity(), shared_->now());
+  if (!memory_) {
+    return true;
+  }
+  const RequestMemoryLimits& limits = shared_->options.memory->limits();
+  const bool isLarge = bytes > limits.smallRequestBytes;
+  const std::size_t inKernel = isLarge ? limits.largeReceiveBufferBytes : 0;
+  if (!memory_->resize(bytes + unparsed_.capacity() + inKernel, shared_->now())) {
+    return false;
+  }
+  if (isLarge && !hasLargeReceiveBuffer_) {
+    hasLargeReceiveBuffer_ = true;
+    setReceiveBuffer(limits.largeReceiveBufferBytes);
+  }
+  return true;
+}
+
+RequestMemorySharePtr ServerConnection::releaseMemory() {
+  if (!memory_) {
+    return nullptr;
+  }
+  if (std::exchange(hasLargeReceiveBuffer_, false)) {
+    setReceiveBuffer(shared_->options.knobs.receiveBufferBytes);
+    const std::size_t inKernel = shared_->options.memory->limits().largeReceiveBufferBytes;
+    memory_->shrink(memory_->bytes() - inKernel);
+  }
+  memory_->finish();
+  return std::move(memory_);
+}
+
+void ServerConnection::setReceiveBuffer(std::size_t bytes) {
+  if (shared_->options.knobs.receiveBufferBytes > 0) {
+    error_code ignored;  // The kernel keeps the size that it had.
+    socket_.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+  }
 }
 
 void ServerConnection::onEvicted() {
@@ -302,10 +335,7 @@
   chunked_ = parser_->isHttp11();
   ServerRequest request = parser_->release();
   parser_.reset();
-  if (memory_) {
-    memory_->finish();
-    request.memory = std::move(memory_);
-  }
+  request.memory = releaseMemory();
   beginExchange();
   waitReadable();
   shared_->options.onRequest(std::move(request),
@@ -334,7 +364,7 @@
   keepAlive_ = false;
   parser_.reset();
   unparsed_ = {};
-  memory_.reset();
+  releaseMemory().reset();
   beginExchange();
   sendWhole(currentExchange_, shared_->options.onFault(fault));
 }
--- a/src/http/server_connection.h
+++ b/src/http/server_connection.h
@@ -91,6 +91,9 @@
   bool onHeadRead();
   /// Takes memory for what the request holds. \return false if there is no room.
   [[nodiscard]] bool holdMemory(std::size_t bytes);
+  /// \return the memory of the request that has been read, without that of reading it.
+  RequestMemorySharePtr releaseMemory();
+  void setReceiveBuffer(std::size_t bytes);
   /// Another request needs the memory of this one, which is not read yet.
   void onEvicted();
   bool sendContinue();
@@ -135,6 +138,7 @@
   std::string inFlight_;         ///< Bytes of the write in progress.
   std::size_t unreadBytes_ = 0;  ///< Share of this connection in `unreadBytes`.
   std::size_t discardedBytes_ = 0;
+  bool hasLargeReceiveBuffer_ = false;
   bool waitingForReadable_ = false;  ///< A wait for readability is pending.
   bool writing_ = false;             ///< An asynchronous write is in progress.
   bool flushScheduled_ = false;      ///< A flush is posted.
