Hostile clients: scripts end exactly where they say

Cause: a crowd's pieces were sent in whole blocks of 32 KB, so that "4 MB less 1 KB of an announced 4 MB" came to the whole body: those requests were complete and went to a replica, instead of staying open just short of their end. Found by a variation whose bodies are no multiple of a block: the rest was taken for the next request (431).

Change: the last block is cut at the script's number of bytes. Bounds and numbers of connections are as they were.

--- a/lab/hostile/hostile_crowd.cpp
+++ b/lab/hostile/hostile_crowd.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdio>
-#include <cstdlib>
+#include <string_view>
 #include <utility>
 
 #include "http/endpoint.h"
@@ -71,7 +71,8 @@
  private:
   enum class State : std::uint8_t { Sending, Holding, Gone };
 
-  void send(const std::string& bytes, std::function<void(Client&)> next) {
+  /// \param bytes must stay valid until the client is destroyed.
+  void send(std::string_view bytes, std::function<void(Client&)> next) {
     asio::async_write(socket_, asio::buffer(bytes),
                       [self = shared_from_this(), next = std::move(next)](const error_code& error,
                                                                           std::size_t sent) {
@@ -85,9 +86,11 @@
   }
 
   void sendPieces() {
-    if (sentOfPieces_ < script_.bytesOfPieces && !block_->empty()) {
-      sentOfPieces_ += block_->size();
-      send(*block_, [](Client& client) { client.sendPieces(); });
+    const std::size_t left = script_.bytesOfPieces - sentOfPieces_;
+    if (left > 0 && !block_->empty()) {
+      const std::string_view part = std::string_view(*block_).substr(0, left);
+      sentOfPieces_ += part.size();
+      send(part, [](Client& client) { client.sendPieces(); });
     } else {
       send(script_.ending, [](Client& client) { client.state_ = State::Holding; });
     }
--- a/lab/hostile/hostile_crowd.h
+++ b/lab/hostile/hostile_crowd.h
@@ -16,7 +16,7 @@
 struct HostileScript {
   std::string head;
   std::string piece;              ///< Sent again and again behind the head.
-  std::size_t bytesOfPieces = 0;  ///< The pieces end once they come to this.
+  std::size_t bytesOfPieces = 0;  ///< Of all pieces together; the last one may be cut short.
   std::string ending;             ///< Empty: the request stays unfinished, and the connection open.
   bool readsAnswers = true;       ///< Otherwise the answers stay in the kernel.
   unsigned returns = 0;           ///< How often the client connects again once it is cut off.
