--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -91,6 +91,16 @@
   error = {};
   if (!is_header_done()) {
     request_.headers.push_back({std::string(name), std::string(value)});
+    return;
+  }
+  trailerBytes_ += name.size() + value.size();
+  refuseLongerThanHead(trailerBytes_, error);
+}
+
+// Whether a line fits the limit must not depend on how its bytes were divided into reads.
+void RequestParser::refuseLongerThanHead(std::size_t bytes, ErrorCode& error) const {
+  if (bytes > limits_.maximumHeadBytes) {
+    error = beast::http::error::bad_chunk_extension;
   }
 }
 
@@ -160,9 +170,10 @@
   return !mayHold_ || mayHold_(heldBytes());
 }
 
-void RequestParser::on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/,
+void RequestParser::on_chunk_header_impl(std::uint64_t /*size*/, Text extensions,
                                          ErrorCode& error) {
   error = {};
+  refuseLongerThanHead(extensions.size(), error);
 }
 
 std::size_t RequestParser::on_chunk_body_impl(std::uint64_t /*remaining*/, Text body,
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -81,6 +81,7 @@
   void on_finish_impl(ErrorCode& error) override;
 
   void noteFault(const ErrorCode& error);
+  void refuseLongerThanHead(std::size_t bytes, ErrorCode& error) const;
   /// \return whether the body could be given that capacity.
   bool growBody(std::size_t capacity);
   /// \return the first value of a header; empty if there is none.
@@ -90,6 +91,7 @@
   ServerRequest request_;
   std::function<bool(std::size_t)> mayHold_;
   std::size_t headBytes_ = 0;  ///< Consumed so far.
+  std::size_t trailerBytes_ = 0;
   int version_ = kHttpVersion11;
   std::optional<ProtocolFault> fault_;
 };
--- a/tests/http/raw_client.h
+++ b/tests/http/raw_client.h
@@ -13,6 +13,8 @@
  public:
   RawClient(boost::asio::io_context& context, std::uint16_t port) : socket_(context) {
     socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    // So that each piece arrives as soon as it is sent.
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true));
   }
 
   void send(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
@@ -28,6 +30,11 @@
                             });
   }
   void close() { socket_.close(); }
+  /// Closes the sending side only.
+  void finishSending() {
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
   [[nodiscard]] bool has(const std::string& text) const {
     return received.find(text) != std::string::npos;
   }
