Fault soak: one look at the table of connections for all nodes; timers inline

Cause: each look of the process watch read the kernel's table of connections once a node, five times a second. With four soaks side by side it holds tens of thousands of closed connections, and the soaks' own process stood still for 42 to 58 s of 90 (alone: 0).

TimerService::startTimer's fallback stands in the header, as the other services link without the event loop's timers (test_quota did not link).

--- a/lab/hostile/hostile_world.cpp
+++ b/lab/hostile/hostile_world.cpp
@@ -80,7 +80,7 @@
 }
 
 void HostileWorld::observe() {
-  peakUnreadBytes_ = std::max(peakUnreadBytes_, unreadBytesAt(settings_.ip));
+  peakUnreadBytes_ = std::max(peakUnreadBytes_, unreadBytesAt({settings_.ip})[settings_.ip]);
   peakDescriptors_ = std::max(peakDescriptors_, openDescriptorsOf(node_->id()));
 }
 
--- a/lab/hostile/process_figures.h
+++ b/lab/hostile/process_figures.h
@@ -4,7 +4,9 @@
 #include <sys/types.h>
 
 #include <cstddef>
+#include <map>
 #include <string>
+#include <vector>
 
 namespace gorsetrail::lab {
 
@@ -12,7 +14,7 @@
 [[nodiscard]] std::size_t peakMemoryOf(pid_t process);
 /// \return its open descriptors; 0 if it has ended.
 [[nodiscard]] std::size_t openDescriptorsOf(pid_t process);
-/// \return the bytes that have arrived at TCP sockets of the IPv4 address and are not read yet.
-[[nodiscard]] std::size_t unreadBytesAt(const std::string& ip);
+/// \return the bytes that have arrived at connections of each IPv4 address and are not read yet.
+[[nodiscard]] std::map<std::string, std::size_t> unreadBytesAt(const std::vector<std::string>& ips);
 
 }  // namespace gorsetrail::lab
--- a/src/services/timer_service.cpp
+++ b/src/services/timer_service.cpp
@@ -8,15 +8,6 @@
 namespace gorsetrail::services {
 namespace {
 
-/// Holds the work; the timer of the service refers to it weakly.
-class WorkTimer final : public Timer {
- public:
-  explicit WorkTimer(std::shared_ptr<std::function<void()>> work) : work_(std::move(work)) {}
-
- private:
-  std::shared_ptr<std::function<void()>> work_;
-};
-
 /// A timer of its own, which is cancelled when it is destroyed.
 class AsioTimer final : public Timer {
  public:
@@ -72,16 +63,6 @@
 
 }  // namespace
 
-TimerPtr TimerService::startTimer(Duration delay, std::function<void()> work) {
-  auto held = std::make_shared<std::function<void()>>(std::move(work));
-  runAfter(delay, [weak = std::weak_ptr(held)] {
-    if (const auto due = weak.lock()) {
-      (*due)();
-    }
-  });
-  return std::make_unique<WorkTimer>(std::move(held));
-}
-
 TimerServicePtr makeTimerService(boost::asio::io_context& context) {
   return std::make_unique<AsioTimerService>(context);
 }
--- a/src/services/timer_service.h
+++ b/src/services/timer_service.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "base/time.h"
 
@@ -26,7 +27,27 @@
   virtual void runAfter(Duration delay, std::function<void()> work) = 0;
   /// As `runAfter`, for work that may become needless long before it is due: what the work refers
   /// to is freed as soon as the timer is destroyed.
-  [[nodiscard]] virtual TimerPtr startTimer(Duration delay, std::function<void()> work);
+  [[nodiscard]] virtual TimerPtr startTimer(Duration delay, std::function<void()> work) {
+    auto timer = std::make_unique<WorkTimer>(std::move(work));
+    runAfter(delay, [weak = timer->weakWork()] {
+      if (const auto due = weak.lock()) {
+        (*due)();
+      }
+    });
+    return timer;
+  }
+
+ private:
+  /// Owns the work, to which the pending call refers weakly.
+  class WorkTimer final : public Timer {
+   public:
+    explicit WorkTimer(std::function<void()> work)
+        : work_(std::make_shared<std::function<void()>>(std::move(work))) {}
+    [[nodiscard]] std::weak_ptr<std::function<void()>> weakWork() const { return work_; }
+
+   private:
+    std::shared_ptr<std::function<void()>> work_;
+  };
 };
 using TimerServicePtr = std::unique_ptr<TimerService>;
 
