Kept turns: the history does not count for the size of a turn's record

Cause: found on reading the diff: a turn with an empty input and a long history was measured with the history, and would have been refused (413) though only its input and output go into the record.

Change: the size is that of the body without the history.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -96,7 +96,7 @@
 }
 
 std::size_t Exchange::turnInputBytes() const {
-  return turnInput_.empty() ? request_.body.size() : turnInput_.size();
+  return request_.body.size() - historyBytes_;
 }
 
 bool Exchange::admitPersistedTurn(std::size_t bytes) {
