HTTP server: the limit of a body is counted once a chunk

Beast takes the chunk's size off its body limit before it asks for more bytes, each time the line is presented.

Change: the parser counts the body itself, announced or in chunks, and Beast's limit is off. A body at the limit is served, a byte more is refused.

--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -11,7 +11,8 @@
 
 RequestParser::RequestParser(RequestParserLimits limits) : limits_(limits) {
   header_limit(limits.maximumHeadBytes);
-  body_limit(limits.maximumBodyBytes);
+  // Beast's own limit counts a chunk again whenever its line is presented again.
+  body_limit(boost::none);
 }
 
 std::size_t RequestParser::consume(std::string_view bytes) {
@@ -112,6 +113,7 @@
       request_.headers.begin(), request_.headers.end(),
       [](const Header& header) { return beast::iequals(header.name, "Transfer-Encoding"); });
   if (!isEncoded) {
+    refuseLongBody(announcedBodyBytes().value_or(0), error);
     return;
   }
   const bool isOnlyChunked = beast::iequals(headerOf("Transfer-Encoding"), "chunked");
@@ -170,10 +172,17 @@
   return !mayHold_ || mayHold_(heldBytes());
 }
 
-void RequestParser::on_chunk_header_impl(std::uint64_t /*size*/, Text extensions,
-                                         ErrorCode& error) {
+void RequestParser::on_chunk_header_impl(std::uint64_t size, Text extensions, ErrorCode& error) {
   error = {};
   refuseLongerThanHead(extensions.size(), error);
+  refuseLongBody(size, error);
+}
+
+void RequestParser::refuseLongBody(std::uint64_t more, ErrorCode& error) const {
+  const std::uint64_t received = request_.body.size();
+  if (!error && more > limits_.maximumBodyBytes - received) {
+    error = beast::http::error::body_limit;
+  }
 }
 
 std::size_t RequestParser::on_chunk_body_impl(std::uint64_t /*remaining*/, Text body,
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -82,6 +82,8 @@
 
   void noteFault(const ErrorCode& error);
   void refuseLongerThanHead(std::size_t bytes, ErrorCode& error) const;
+  /// \param more bytes of the body that are about to come.
+  void refuseLongBody(std::uint64_t more, ErrorCode& error) const;
   /// \return whether the body could be given that capacity.
   bool growBody(std::size_t capacity);
   /// \return the first value of a header; empty if there is none.
--- a/tests/http/hostile_request_test.cpp
+++ b/tests/http/hostile_request_test.cpp
@@ -258,3 +258,26 @@
     untilFault(ProtocolFault::Malformed);
   }
 }
+
+TEST(HostileRequest, aBodyAtItsLimitIsServedAndAByteMoreIsNot) {
+  knobs.maximumBodyBytes = 1000;
+  start();
+  client->send(chunked("200\r\n" + std::string(512, 'x') + "\r\n1e8\r\n" + std::string(488, 'x') +
+                       "\r\n0\r\n\r\n"));
+  until([this] { return client->has("served"); });
+  client->send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n" +
+               std::string(1000, 'x'));
+  until([this] { return requests.size() == 2; });
+  requests.clear();
+  client->send(chunked("200\r\n" + std::string(512, 'x') + "\r\n1e9\r\n"));
+  untilFault(ProtocolFault::BodyTooLarge);
+}
+
+// The line is presented again with each read; the chunk must not count each time.
+TEST(HostileRequest, anExtensionWithoutItsClosingQuoteIsMalformed) {
+  knobs.maximumBodyBytes = 1000;
+  start();
+  client->send(chunked("64;e=\"1\r\n"));
+  CHECK_COMPARE(sendUntilFault("0123456789", 64 * 1024), <, 2 * kHeadLimit);
+  untilFault(ProtocolFault::Malformed);
+}
