--- a/lab/hostile/node_process.cpp
+++ b/lab/hostile/node_process.cpp
@@ -19,7 +19,7 @@
 constexpr int kLogMode = 0644;
 
 std::string writeSettings(const NodeProcessSettings& settings, const std::string& directory) {
-  const std::string path = directory + "/" + settings.ip + ".toml";
+  std::string path = directory + "/" + settings.ip + ".toml";
   std::ofstream file(path);
   file << "nodeName = \"node-" << settings.ip << "\"\nip = \"" << settings.ip << "\"\nzone = \""
        << settings.zone << "\"\nregion = \"r\"\ninternalPorts = [" << settings.firstInternalPort
@@ -36,6 +36,7 @@
 
 pid_t start(const std::vector<std::string>& words, const std::string& logPath) {
   std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
   for (const std::string& word : words) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
--- a/src/edge/edge_knobs.cpp
+++ b/src/edge/edge_knobs.cpp
@@ -56,8 +56,8 @@
 std::size_t clientConnectionsOf(const EdgeSettings& settings) {
   constexpr std::uint64_t kShareOfMemory = 8;
   // What the kernel may hold for one connection, doubled for its own accounting.
-  constexpr std::uint64_t kBytesPerConnection = 2 * kReceiveBufferBytes;
-  const std::uint64_t bySockets = socketDescriptorsOf(settings) / 8 * 3;
+  constexpr std::uint64_t kBytesPerConnection = std::uint64_t{2} * kReceiveBufferBytes;
+  const std::uint64_t bySockets = std::uint64_t{socketDescriptorsOf(settings)} / 8 * 3;
   const std::uint64_t byMemory = settings.memoryBytes / kShareOfMemory / kBytesPerConnection;
   return std::max<std::uint64_t>(1, std::min(bySockets, byMemory));
 }
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -95,9 +95,7 @@
   return context_.ledger.canStoreTurn({checked_.turnName, checked_.turnZones()});
 }
 
-std::size_t Exchange::turnInputBytes() const {
-  return request_.body.size() - historyBytes_;
-}
+std::size_t Exchange::turnInputBytes() const { return request_.body.size() - historyBytes_; }
 
 bool Exchange::admitPersistedTurn(std::size_t bytes) {
   if (!isPersistedTurn()) {
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -129,8 +129,8 @@
 }
 
 // The replica has answered, so that it is a failure of this request and not an end of the replica.
-// Nothing else of the head is believed: it promises nothing, and its seal vouches for another status
-// than the client gets.
+// Nothing else of the head is believed: it promises nothing, and its seal vouches for another
+// status than the client gets.
 void Exchange::onInvalidStatus(unsigned status) {
   hasInvalidStatus_ = true;
   mayHaveRun_ = true;
--- a/src/http/body.h
+++ b/src/http/body.h
@@ -28,7 +28,10 @@
   [[nodiscard]] std::string::const_iterator end() const { return text().end(); }
   [[nodiscard]] std::size_t size() const { return text().size(); }
   [[nodiscard]] bool empty() const { return text().empty(); }
-  [[nodiscard]] const char* c_str() const { return text().c_str(); }
+  // Named as in `std::string`, so that a body is used as one.
+  [[nodiscard]] const char* c_str() const {  // NOLINT(readability-identifier-naming)
+    return text().c_str();
+  }
   /// Gives the text up; it is freed with its last copy.
   void reset() { text_.reset(); }
 
