Hostile clients: the accessor of the log's path and a dangling word go

Found on reading the diff: nothing read NodeProcess::logPath, and the figures that each memory test prints ended in the heading of a list that was never printed. The 29 tests pass (one play); their checks and bounds are as before.

--- a/lab/hostile/node_process.cpp
+++ b/lab/hostile/node_process.cpp
@@ -58,12 +58,11 @@
 
 }  // namespace
 
-NodeProcess::NodeProcess(const NodeProcessSettings& settings, const std::string& directory)
-    : logPath_(directory + "/" + settings.ip + ".log") {
+NodeProcess::NodeProcess(const NodeProcessSettings& settings, const std::string& directory) {
   const fs::path program = fs::read_symlink("/proc/self/exe").parent_path() / "gorsetrail-edge";
   process_ = start({program.string(), "--settings=" + writeSettings(settings, directory),
                     "--metrics_port=" + std::to_string(settings.metricsPort)},
-                   logPath_);
+                   directory + "/" + settings.ip + ".log");
 }
 
 NodeProcess::~NodeProcess() {
--- a/lab/hostile/node_process.h
+++ b/lab/hostile/node_process.h
@@ -41,10 +41,8 @@
   [[nodiscard]] bool isRunning();
   void signal(int signalNumber) const;
   [[nodiscard]] pid_t id() const { return process_; }
-  [[nodiscard]] const std::string& logPath() const { return logPath_; }
 
  private:
-  std::string logPath_;
   pid_t process_ = -1;
 };
 
--- a/tests/hostile_clients/hostile_group.h
+++ b/tests/hostile_clients/hostile_group.h
@@ -64,7 +64,7 @@
     CHECK_COMPARE(world->peakDescriptors(), <=, kDescriptors);
   }
   void checkMemory() const {
-    UT_PRINT(StringFromFormat("resident %d MB, unread %d KB, %d descriptors; answers:",
+    UT_PRINT(StringFromFormat("resident %d MB, unread %d KB, %d descriptors",
                               static_cast<int>(peakMemoryOf(world->node().id()) / kMegabyte),
                               static_cast<int>(world->peakUnreadBytes() / 1024),
                               static_cast<int>(world->peakDescriptors())));
