Budget logs: a program's account over all nodes

Cause: the logs could not tell the hypotheses of the incident apart. They named no lease, no grant's basis and no settlement.

Change: the reply to a reservation names the lease of a grant (new optional field, older nodes ignore it). New lines: budget_settled (request, program, partition, coordinator, lease, reserved and settled tokens, events) and budget_grant_recovered; budget_lease and budget_lease_recovery name the lease. `explain` takes a program's id and adds the states of its leases at all nodes.

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -18,7 +18,7 @@
   return "";
 }
 
-/// Upper bound on arguments of `explain` and `losses`: log files, and the request's id.
+/// Upper bound on arguments of `explain` and `losses`: log files, and an id.
 constexpr std::size_t kMaximumLogArguments = 1000;
 
 const std::vector<std::string> kLogFlags = {"log", "settings", "timeout_s"};
@@ -102,8 +102,8 @@
        1,
        runPrograms},
       {"explain",
-       "REQUEST [FILE...]",
-       "Show the log lines of one request in time order",
+       "REQUEST|PROGRAM [FILE...]",
+       "Show the log lines of one request or program in time order",
        "gorsetrail explain 4b3c9fe146b94859 edge-a-1.log edge-a-2.log",
        {},
        1,
--- a/src/cli/explain_command.cpp
+++ b/src/cli/explain_command.cpp
@@ -1,4 +1,4 @@
-// `explain`: the log lines of one request from all nodes, in time order.
+// `explain`: the log lines of one request or program from all nodes, in time order.
 #include <fstream>
 #include <iostream>
 
--- a/src/cli/log_story.cpp
+++ b/src/cli/log_story.cpp
@@ -11,7 +11,11 @@
 constexpr std::string_view kTimeKey = "time_ms=";
 /// State changes up to this long before a line of the request are included.
 constexpr std::uint64_t kStateChangeWindowMilliseconds = 2000;
-constexpr std::array<std::string_view, 12> kStateChangeEvents = {"store_lost",
+constexpr std::string_view kLeaseEvent = "budget_lease";
+constexpr std::string_view kLeaseRecoveryEvent = "budget_lease_recovery";
+constexpr std::array<std::string_view, 14> kStateChangeEvents = {kLeaseEvent,
+                                                                 kLeaseRecoveryEvent,
+                                                                 "store_lost",
                                                                  "connection_handler_failed",
                                                                  "store_regained",
                                                                  "store_way",
@@ -108,7 +112,7 @@
     }
     const bool isStateChange = std::find(kStateChangeEvents.begin(), kStateChangeEvents.end(),
                                          line->event) != kStateChangeEvents.end();
-    if (line->fieldOf("request") == request_) {
+    if (line->fieldOf("request") == subject_ || line->fieldOf("program") == subject_) {
       requestLines_.push_back(std::move(*line));
     } else if (isStateChange) {
       stateChanges_.push_back(std::move(*line));
@@ -117,6 +121,14 @@
 }
 
 bool LogStory::isRelatedStateChange(const LogLine& line) const {
+  if (line.event == kLeaseEvent || line.event == kLeaseRecoveryEvent) {
+    const std::string lease = line.fieldOf("lease");
+    return !lease.empty() &&
+           std::any_of(requestLines_.begin(), requestLines_.end(), [&](const LogLine& own) {
+             return own.fieldOf("lease") == lease &&
+                    own.fieldOf("partition") == line.fieldOf("partition");
+           });
+  }
   return std::any_of(requestLines_.begin(), requestLines_.end(), [&](const LogLine& own) {
     const bool sameNode = own.source == line.source;
     const bool inTime =
--- a/src/cli/log_story.h
+++ b/src/cli/log_story.h
@@ -1,4 +1,4 @@
-/// \file Parses log lines of edge nodes and collects those about one request.
+/// \file Parses log lines of edge nodes and collects those about one request or program.
 #pragma once
 
 #include <cstdint>
@@ -28,11 +28,13 @@
 /// (a log collector's prefix) becomes the source.
 std::optional<LogLine> parseLogLine(std::string_view text);
 
-/// Collects the log lines of one request and the state changes (replicas, store, configuration)
-/// that its nodes logged shortly before them.
+/// Collects the log lines of one request, or of all requests of one program, and the state changes
+/// (replicas, store, configuration) that its nodes logged shortly before them. Those of the leases
+/// under which its turns were granted are collected from all nodes and times.
 class LogStory {
  public:
-  explicit LogStory(std::string request) : request_(std::move(request)) {}
+  /// \param subject the id of a request or a program.
+  explicit LogStory(std::string subject) : subject_(std::move(subject)) {}
 
   /// Reads lines; skips and counts those that are not log lines.
   void read(std::istream& lines, const std::string& source);
@@ -44,7 +46,7 @@
  private:
   [[nodiscard]] bool isRelatedStateChange(const LogLine& line) const;
 
-  std::string request_;
+  std::string subject_;
   std::vector<LogLine> requestLines_;
   std::vector<LogLine> stateChanges_;
   std::uint64_t skippedLines_ = 0;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -213,6 +213,7 @@
     const bool isHeld = lease.state == ledger::BudgetLeaseState::Held;
     const bool isPrimary = lease.slot == ledger::BudgetLeaseSlot::Primary;
     log_.logImportant("budget_lease", {{"partition", logstore::textOf(partition)},
+                                       {"lease", lease.lease},
                                        {"state", isHeld ? "held" : "dropped"},
                                        {"slot", isPrimary ? "primary" : "secondary"},
                                        {"witnesses", std::uint64_t{lease.witnesses.size()}}});
@@ -222,11 +223,21 @@
              ledger::LeaseRecoveryOutcome outcome, std::size_t recoveredGrants) {
         log_.logImportant("budget_lease_recovery",
                           {{"partition", logstore::textOf(partition)},
+                           {"lease", lease.lease},
                            {"holder", lease.holder},
                            {"outcome", ledger::leaseRecoveryOutcomeName(outcome)},
                            {"witnesses", std::uint64_t{lease.witnesses.size()}},
                            {"recovered_grants", std::uint64_t{recoveredGrants}}});
       };
+  knobs.budgets.onGrantRecovered = [this](const logstore::PartitionAddress& partition,
+                                          const ledger::BudgetLease& lease,
+                                          const ledger::BudgetReservation& grant) {
+    log_.logRoutine("budget_grant_recovered", {{"request", grant.request},
+                                               {"program", grant.program},
+                                               {"partition", logstore::textOf(partition)},
+                                               {"lease", lease.lease},
+                                               {"tokens", grant.tokens}});
+  };
   return knobs;
 }
 
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -251,6 +251,7 @@
   }
   if (reply.outcome == ledger::ReservationOutcome::Granted) {
     budget_ = BudgetState::Granted;
+    grant_ = {reply.partition, reply.repliedBy, reply.grantedUnder};
     if (dispatchAfterwards) {
       dispatch();
     } else {
@@ -334,6 +335,16 @@
   if (reservationMayExist_) {
     reservationMayExist_ = false;
     context_.ledger.settle({checked_.turnName, checked_.programName, tokens});
+    if (budget_ == BudgetState::Granted) {
+      context_.log.logRoutine("budget_settled", {{"request", request_.requestId},
+                                                 {"program", request_.programId},
+                                                 {"partition", grant_.partition},
+                                                 {"granted_by", grant_.coordinator},
+                                                 {"lease", grant_.lease},
+                                                 {"reserved_tokens", request_.maximumTokens},
+                                                 {"settled_tokens", tokens},
+                                                 {"events", progress_.eventsReleased()}});
+    }
   }
 }
 
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -321,6 +321,13 @@
   ledger::History history_;
   std::size_t historyBytes_ = 0;
   BudgetState budget_ = BudgetState::NotNeeded;
+  /// Of the granted reservation, for the log.
+  struct Grant {
+    std::string partition;
+    std::string coordinator;
+    std::string lease;  ///< Empty: granted by the log.
+  };
+  Grant grant_;
   bool reservationMayExist_ = false;
   bool reservationRetried_ = false;
   bool holdsQuotaToken_ = false;
--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -121,6 +121,7 @@
   }
   ReservationReply reply{ReservationOutcome::Granted, used + reservation.tokens};
   reply.tokensUnseen = unseen;
+  reply.grantedUnder = lease_->id;
   return reply;
 }
 
@@ -617,14 +618,18 @@
 LeaseRecovery::Log BudgetPartition::recoveryLog() {
   LeaseRecovery::Log log;
   log.isRecorded = [this](const BudgetReservation& grant) { return accounts_.isRecorded(grant); };
-  log.append = [this](const BudgetReservation& grant, std::function<void(bool)> callback) {
+  log.append = [this](const BudgetLease& lease, const BudgetReservation& grant,
+                      std::function<void(bool)> callback) {
     batcher_->append(encodeFact(grant), Duration::zero(), kRecordTimeLimit,
-                     [this, grant, callback = std::move(callback)](
+                     [this, lease, grant, callback = std::move(callback)](
                          const logstore::StoreResult<std::uint64_t>& result) {
                        const auto* const offset = std::get_if<std::uint64_t>(&result);
                        if (offset != nullptr) {
                          accounts_.applyReservation(grant, *offset, clock_());
                          reader_->skipOwnRecords(*offset, 1);
+                         if (knobs_.onGrantRecovered) {
+                           knobs_.onGrantRecovered(address_, lease, grant);
+                         }
                        }
                        callback(offset != nullptr);
                      });
--- a/src/ledger/budget_partition.h
+++ b/src/ledger/budget_partition.h
@@ -67,6 +67,10 @@
   std::function<void(const logstore::PartitionAddress&, const BudgetLease&, LeaseRecoveryOutcome,
                      std::size_t recoveredGrants)>
       onLeaseRecovery;
+  /// Called when a grant of another process's lease, which only its witnesses knew, was recorded.
+  std::function<void(const logstore::PartitionAddress&, const BudgetLease&,
+                     const BudgetReservation&)>
+      onGrantRecovered;
   /// Called when this process's lease of the partition is acquired, changes its slot or is dropped.
   std::function<void(const logstore::PartitionAddress&, const BudgetLease&)> onOwnLease;
 };
--- a/src/ledger/lease_recovery.cpp
+++ b/src/ledger/lease_recovery.cpp
@@ -62,7 +62,7 @@
   };
   auto progress = std::make_shared<Progress>(Progress{missing.size(), false});
   for (const BudgetReservation& grant : missing) {
-    log_.append(grant, [this, lease, progress, count = missing.size()](bool appended) {
+    log_.append(lease, grant, [this, lease, progress, count = missing.size()](bool appended) {
       progress->hasFailed = progress->hasFailed || !appended;
       if (--progress->awaited > 0) {
         return;
--- a/src/ledger/lease_recovery.h
+++ b/src/ledger/lease_recovery.h
@@ -41,8 +41,11 @@
   /// Access to the partition's log.
   struct Log {
     std::function<bool(const BudgetReservation&)> isRecorded;
-    /// Appends a reservation; calls back with success when its record stands.
-    std::function<void(const BudgetReservation&, std::function<void(bool appended)>)> append;
+    /// Appends a reservation that was granted under the lease; calls back with success when its
+    /// record stands.
+    std::function<void(const BudgetLease&, const BudgetReservation&,
+                       std::function<void(bool appended)>)>
+        append;
     /// Appends the clearing and reads it.
     std::function<void(const BudgetLease&, std::function<void(bool appended)>)> appendLease;
   };
--- a/src/ledger/ledger_message.cpp
+++ b/src/ledger/ledger_message.cpp
@@ -194,6 +194,7 @@
   const auto history = optionalText(builder, reply.history);
   const auto reason = optionalText(builder, reply.reason);
   const auto incarnation = optionalText(builder, reply.incarnation);
+  const auto grantedUnder = optionalText(builder, reply.grantedUnder);
   flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fbs::LeaseGrant>>> grants;
   if (!reply.grants.empty()) {
     grants = builder.CreateVector(encodeGrants(builder, reply.grants));
@@ -202,7 +203,7 @@
       builder, static_cast<fbs::CallOutcome>(reply.outcome), base, history, reply.tokensUsed,
       reason, reply.canDecideReservations, static_cast<fbs::UndecidedReason>(reply.undecided),
       static_cast<fbs::UnseenLeases>(reply.unseenLeases), reply.tokensUnseen, reply.tokensUnsettled,
-      incarnation, grants);
+      incarnation, grants, grantedUnder);
   return finish(builder, fbs::CallMessage::CallReply, message.Union());
 }
 
@@ -231,6 +232,7 @@
   reply.tokensUnsettled = read->tokens_unsettled();
   reply.incarnation = textOf(read->incarnation());
   reply.grants = grantsOf(read->grants());
+  reply.grantedUnder = textOf(read->granted_under());
   return reply;
 }
 
--- a/src/ledger/ledger_message.h
+++ b/src/ledger/ledger_message.h
@@ -60,6 +60,7 @@
   UnrecordedSpending unseenLeases = UnrecordedSpending::None;
   std::uint64_t tokensUnseen = 0;
   std::uint64_t tokensUnsettled = 0;
+  std::string grantedUnder{};
   // Of a witness.
   std::string incarnation{};
   std::vector<LeaseGrant> grants{};  ///< Those of a sealed lease that it holds.
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -43,6 +43,7 @@
   reply.unseenLeases = reservation.unseenLeases;
   reply.tokensUnseen = reservation.tokensUnseen;
   reply.tokensUnsettled = reservation.tokensUnsettled;
+  reply.grantedUnder = reservation.grantedUnder;
   if (reservation.outcome == ReservationOutcome::Granted) {
     reply.outcome = LedgerOutcome::Done;
   } else if (reservation.outcome == ReservationOutcome::Spent) {
--- a/src/ledger/reservation.h
+++ b/src/ledger/reservation.h
@@ -54,6 +54,7 @@
   std::uint64_t tokensUnseen = 0;  ///< Upper bound spent under `unseenLeases`.
   /// The part of `tokensUsed` that turns without a settlement may still return.
   std::uint64_t tokensUnsettled = 0;
+  std::string grantedUnder{};              ///< The lease of a grant; empty: granted by the log.
   std::string partition{};                 ///< The program's budget partition.
   std::string repliedBy{};                 ///< The node that sent the reply; may be empty.
   std::vector<CoordinatorReport> asked{};  ///< In the order they were called.
--- a/src/ledger/routed_ledger.cpp
+++ b/src/ledger/routed_ledger.cpp
@@ -60,6 +60,7 @@
   reply.unseenLeases = result.reply.unseenLeases;
   reply.tokensUnseen = result.reply.tokensUnseen;
   reply.tokensUnsettled = result.reply.tokensUnsettled;
+  reply.grantedUnder = std::move(result.reply.grantedUnder);
   const bool noReply = result.repliedBy.empty();
   if (noReply && reply.reason == UndecidedReason::Unknown) {
     reply.reason = UndecidedReason::NoAnswer;
--- a/tests/cli/log_story_test.cpp
+++ b/tests/cli/log_story_test.cpp
@@ -54,6 +54,22 @@
   STRCMP_EQUAL("b.log", lines[4].source.c_str());
 }
 
+TEST(LogStory, showsTheLeasesOfAProgramAtAllNodes) {
+  LogStory account("p1");
+  std::istringstream lines(
+      "time_ms=10 event=budget_lease partition=b/1 lease=n/1 state=held\n"
+      "time_ms=10 event=budget_lease partition=b/2 lease=n/2 state=held\n"
+      "time_ms=90000 event=budget_settled request=q1 program=p1 partition=b/1 lease=n/1\n"
+      "time_ms=90001 event=budget_settled request=q2 program=p2 partition=b/2 lease=n/2\n"
+      "time_ms=99000 event=budget_lease_recovery partition=b/1 lease=n/1 outcome=cleared\n");
+  account.read(lines, "a.log");
+  const auto story = account.lines();
+  LONGS_EQUAL(3, story.size());
+  STRCMP_EQUAL("held", story[0].fieldOf("state").c_str());
+  STRCMP_EQUAL("q1", story[1].fieldOf("request").c_str());
+  STRCMP_EQUAL("cleared", story[2].fieldOf("outcome").c_str());
+}
+
 TEST(LogStory, reportsThatNoLineWasFound) {
   read("time_ms=1 event=dispatch request=other\n", "a.log");
   CHECK_FALSE(story.found());
--- a/tests/ledger/ledger_message_test.cpp
+++ b/tests/ledger/ledger_message_test.cpp
@@ -59,10 +59,12 @@
   reply.undecided = UndecidedReason::UnseenSpending;
   reply.unseenLeases = UnrecordedSpending::Both;
   reply.tokensUnseen = 600;
+  reply.grantedUnder = "node/1/budgets-0/6/1";
   const LedgerReply read = valueOf(decodeLedgerReply(encodeLedgerReply(reply)));
   CHECK(read.undecided == UndecidedReason::UnseenSpending);
   CHECK(read.unseenLeases == UnrecordedSpending::Both);
   LONGS_EQUAL(600, read.tokensUnseen);
+  STRCMP_EQUAL("node/1/budgets-0/6/1", read.grantedUnder.c_str());
 }
 
 TEST(LedgerMessage, unsupportedReasonsDecodeAsUnknown) {
