--- a/tests/ledger/coordinator_death_test.cpp
+++ b/tests/ledger/coordinator_death_test.cpp
@@ -103,6 +103,23 @@
   checkThatTheWholeBudgetIsSpent();
 }
 
+// A process that coordinates two partitions holds two leases, and they may have the same witnesses.
+TEST(CoordinatorDeath, grantsOfTwoPartitionsOfOneCoordinatorDoNotReplaceEachOther) {
+  const std::string other = fleet.programInOtherPartition(kProgram);
+  fleet.run(seconds(2));
+  fleet.log.fault = FakeFault::Silent;
+  for (int turn = 0; turn < 8; ++turn) {
+    fleet.isGranted(caller, other, 50, 50);
+    fleet.isGranted(caller, kProgram, 50, 50);
+  }
+  CHECK(fleet.handedOut[kProgram] >= 400);
+  fleet.kill(coordinator);
+  fleet.log.fault = FakeFault::None;
+  fleet.run(seconds(2));
+  checkThatTheWholeBudgetIsSpent();
+  CHECK(fleet.handedOut[kProgram] <= fleet.budget + 50);
+}
+
 TEST(CoordinatorDeath, refusesNoTurnAfterACoordinatorAndAnyOtherNodeDiedTogether) {
   for (const auto& [other, zone] : fleet.zones) {
     if (other == coordinator || other == caller) {
--- a/tests/ledger/lease_fleet.h
+++ b/tests/ledger/lease_fleet.h
@@ -19,6 +19,60 @@
 
 class LeaseFleet;
 
+/// A process's connection to the shared store. Replies reach the process while it runs.
+class StoreLink final : public logstore::LogStore {
+ public:
+  /// \param network timers that run whatever becomes of the process. All references outlive this
+  /// object.
+  StoreLink(logstore::LogStore& shared, services::TimerService& network, ProcessTimers& process)
+      : shared_(shared), network_(network), process_(process) {}
+  void append(logstore::AppendRequest request,
+              logstore::StoreCallback<logstore::AppendReply> callback) override {
+    if (cut) {
+      fail(request.timeLimit, std::move(callback));
+    } else if (const std::optional<Duration> delay = delayOfLostAppend()) {
+      fail(request.timeLimit, std::move(callback));
+      network_.runAfter(*delay, [this, request = std::move(request)] {
+        shared_.append(request, [](const logstore::StoreResult<logstore::AppendReply>&) {});
+      });
+    } else {
+      shared_.append(std::move(request), deliver(std::move(callback)));
+    }
+  }
+  void read(logstore::ReadRequest request,
+            logstore::StoreCallback<logstore::ReadReply> callback) override {
+    cut ? fail(request.timeLimit, std::move(callback))
+        : shared_.read(std::move(request), deliver(std::move(callback)));
+  }
+  void listLatest(logstore::NewestRequest request,
+                  logstore::StoreCallback<logstore::NewestReply> callback) override {
+    shared_.listLatest(std::move(request), deliver(std::move(callback)));
+  }
+
+  bool cut = false;  ///< Appends and reads have no effect and time out.
+  /// A fault: appends for which it returns a value are not answered and take effect after it.
+  std::function<std::optional<Duration>()> delayOfLostAppend = [] { return std::nullopt; };
+
+ private:
+  template <class Reply>
+  void fail(Duration limit, logstore::StoreCallback<Reply> callback) {
+    process_.runAfter(limit, [callback = std::move(callback)] {
+      callback(logstore::StoreError{logstore::StoreFault::NoAnswer, "no answer", 0});
+    });
+  }
+  template <class Reply>
+  logstore::StoreCallback<Reply> deliver(logstore::StoreCallback<Reply> callback) {
+    return [this, callback = std::move(callback)](logstore::StoreResult<Reply> result) {
+      process_.runAfter(Duration::zero(),
+                        [callback, result = std::move(result)] { callback(result); });
+    };
+  }
+
+  logstore::LogStore& shared_;
+  services::TimerService& network_;
+  ProcessTimers& process_;
+};
+
 /// Calls between the processes of a fleet, with a latency of 1 ms each way.
 class LeaseFleetPeers final : public LedgerPeers {
  public:
@@ -42,8 +96,8 @@
 struct LeaseProcess {
   LeaseProcess(LeaseFleet& fleet, logstore::LogStore& log, logstore::FakeTimers& timers,
                const std::string& address, const std::string& zone, const std::string& incarnation)
-      : storeLink(log, timers),
-        processTimers(timers),
+      : processTimers(timers),
+        storeLink(log, timers, processTimers),
         store(
             storeLink, processTimers, [&timers] { return timers.now; }, {}, 1),
         local(
@@ -70,13 +124,14 @@
     return knobs;
   }
 
-  CuttableStore storeLink;
   ProcessTimers processTimers;
+  StoreLink storeLink;
   logstore::RetryingStore store;
   ProgramLedger local;
   LedgerService service;
   LeaseFleetPeers peers;
   RoutedLedger ledger;
+  std::vector<std::function<void()>> onDeath;  ///< Connections that are reset then.
 };
 
 /// Nodes "node0", "node1" and so on, each in a zone of its own.
@@ -101,6 +156,9 @@
     process.storeLink.cut = true;
     process.processTimers.isDead = true;
     alive.erase(address);
+    for (const auto& reset : std::exchange(process.onDeath, {})) {
+      reset();
+    }
   }
   /// Time passes; the processes maintain their leases once a second.
   void run(Duration span) {
@@ -123,6 +181,18 @@
         .selectNodes(LedgerPartitions({}).ofBudget(program), {}, all, timers.now)
         .front();
   }
+  /// \return a program whose budget is in another partition with the same coordinator.
+  std::string programInOtherPartition(const std::string& program) const {
+    const LedgerPartitions layout({});
+    for (int number = 0; number < 1000; ++number) {
+      std::string other = program + std::to_string(number);
+      if (layout.ofBudget(other) != layout.ofBudget(program) &&
+          coordinatorOf(other) == coordinatorOf(program)) {
+        return other;
+      }
+    }
+    return {};
+  }
   /// \return a listed node other than those.
   std::string nodeOtherThan(const std::set<std::string>& excluded) const {
     for (const auto& [address, process] : alive) {
@@ -172,6 +242,7 @@
   std::map<std::string, std::uint64_t> handedOut;  ///< By program.
   std::uint64_t budget = 1100;
   std::set<std::string> isolated;  ///< They know no other node.
+  std::set<std::string> unlisted;  ///< No other node knows them.
   bool areEarlierBuilds = false;   ///< They do not know witnesses.
   bool witnessesForget = false;    ///< A fault: they confirm grants without storing them.
 
@@ -184,7 +255,8 @@
 inline std::vector<NodeCandidate> LeaseFleetPeers::candidates() const {
   std::vector<NodeCandidate> candidates;
   for (const auto& [address, zone] : fleet_.zones) {
-    if (!fleet_.isolated.contains(own_) || address == own_) {
+    const bool isListed = !fleet_.isolated.contains(own_) && !fleet_.unlisted.contains(address);
+    if (isListed || address == own_) {
       candidates.push_back({address, zone, 1.0});
     }
   }
@@ -211,10 +283,6 @@
     timers_.runAfter(milliseconds(1), [callback] { callback(std::nullopt); });
     return;
   }
-  if (found->second->processTimers.isSuspended) {
-    timers_.runAfter(timeLimit, [callback] { callback(std::nullopt); });
-    return;
-  }
   auto replied = std::make_shared<bool>(false);
   const auto replyOnce = [this, replied, callback](std::optional<LedgerReply> reply) {
     if (!std::exchange(*replied, true)) {
@@ -222,33 +290,30 @@
     }
   };
   timers.runAfter(timeLimit, [replyOnce] { replyOnce(std::nullopt); });
-  timers.runAfter(
-      milliseconds(1), [this, address, process = found->second, request, replyOnce, &timers] {
-        const auto current = fleet_.alive.find(address);
-        if (current == fleet_.alive.end() || current->second != process) {
-          replyOnce(std::nullopt);
-          return;
-        }
-        if (fleet_.areEarlierBuilds && (std::holds_alternative<StoreGrantsRequest>(request) ||
-                                        std::holds_alternative<SealLeaseRequest>(request))) {
-          replyOnce(std::nullopt);
-          return;
-        }
-        if (fleet_.witnessesForget && std::holds_alternative<StoreGrantsRequest>(request)) {
-          LedgerReply reply;
-          reply.outcome = LedgerOutcome::Done;
-          reply.incarnation = process->local.incarnation();
+  LeaseProcess* const process = found->second;
+  process->onDeath.push_back([replyOnce] { replyOnce(std::nullopt); });
+  // A suspended process receives the call when it goes on.
+  process->processTimers.runAfter(milliseconds(1), [this, process, request, replyOnce, &timers] {
+    if (fleet_.areEarlierBuilds && (std::holds_alternative<StoreGrantsRequest>(request) ||
+                                    std::holds_alternative<SealLeaseRequest>(request))) {
+      replyOnce(std::nullopt);
+      return;
+    }
+    if (fleet_.witnessesForget && std::holds_alternative<StoreGrantsRequest>(request)) {
+      LedgerReply reply;
+      reply.outcome = LedgerOutcome::Done;
+      reply.incarnation = process->local.incarnation();
+      replyOnce(reply);
+      return;
+    }
+    process->service.handleForPeer(request, [replyOnce, process, &timers](LedgerReply reply) {
+      timers.runAfter(milliseconds(1), [replyOnce, process, reply = std::move(reply)] {
+        if (!process->processTimers.isDead) {
           replyOnce(reply);
-          return;
         }
-        process->service.handleForPeer(request, [replyOnce, process, &timers](LedgerReply reply) {
-          timers.runAfter(milliseconds(1), [replyOnce, process, reply = std::move(reply)] {
-            if (!process->processTimers.isDead) {
-              replyOnce(reply);
-            }
-          });
-        });
       });
+    });
+  });
 }
 
 }  // namespace gorsetrail::ledger::testing
--- a/tests/ledger/lease_recovery_random_test.cpp
+++ b/tests/ledger/lease_recovery_random_test.cpp
@@ -71,7 +71,7 @@
       ProcessTimers& timers = fleet_.alive.at(randomAddress())->processTimers;
       timers.isSuspended = !timers.isSuspended;
     } else {
-      CuttableStore& link = fleet_.alive.at(randomAddress())->storeLink;
+      StoreLink& link = fleet_.alive.at(randomAddress())->storeLink;
       link.cut = !link.cut;
     }
   }
