Budget leases: the id of a lease names its partition

What callers saw: programs got more tokens than their budget and one turn.

Cause: the id was made of the holder, its incarnation and a number that each partition counts for itself. A process that coordinates two partitions held two leases with one id, mostly with the same witnesses, since these are chosen by the id. Witnesses store grants by the id and the grant's number: two grants with one number replaced each other, "recorded below" of one lease dropped grants of the other one, and the seal of one closed the other. Clearing the lease of a dead or silent holder then lost grants that were used, and whoever granted later did not count them. Class of fault: a name that is unique in one scope is used as a key in a larger one.

Change: the id names the partition too.

--- a/src/ledger/budget_partition.cpp
+++ b/src/ledger/budget_partition.cpp
@@ -482,8 +482,11 @@
   unrecordedGrants_.erase(granted);
 }
 
+// A process may hold leases of several partitions with the same witnesses, which tell leases apart
+// by their ids alone.
 std::string BudgetPartition::leaseId() const {
-  return knobs_.holder + "/" + knobs_.incarnation + "/" + std::to_string(leaseNumber_);
+  return knobs_.holder + "/" + knobs_.incarnation + "/" + logstore::textOf(address_) + "/" +
+         std::to_string(leaseNumber_);
 }
 
 // The lease takes effect when its record is read in log order, among those of other nodes. The
--- a/src/ledger/facts.h
+++ b/src/ledger/facts.h
@@ -68,7 +68,7 @@
 /// A state change of a lease. A lease lets a partition's coordinator grant reservations before
 /// recording them.
 struct BudgetLease {
-  std::string lease;   ///< Unique id.
+  std::string lease;   ///< Unique over all partitions and processes.
   std::string holder;  ///< Address of the holding node; its earlier processes are dead.
   BudgetLeaseState state = BudgetLeaseState::Held;
   /// Held: increases with each record of the lease. Ended: the newest renewal known to the writer;
