--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -343,6 +343,7 @@
                                                  {"lease", grant_.lease},
                                                  {"reserved_tokens", request_.maximumTokens},
                                                  {"settled_tokens", tokens},
+                                                 {"budget", *request_.tokenBudget},
                                                  {"events", progress_.eventsReleased()}});
     }
   }
