Lease witnesses: a grant is confirmed only if it is the one that is stored

Cause: a witness that held another grant under the number of a new one kept the old one and confirmed the new one.

Change: such a call is refused for good, so that its holder finds no majority and the log decides. The clearing of a lease joins what its witnesses hold by request instead of number, which also keeps both grants of a holder of an earlier build whose leases share an id.

Test: confirmsNoGrantInPlaceOfAnotherOne fails before. Ruled out: a holder that sends a grant again under its number; that is confirmed as before.

--- a/src/ledger/grant_replication.cpp
+++ b/src/ledger/grant_replication.cpp
@@ -148,8 +148,8 @@
   struct Sealing {
     std::size_t needed = 0;
     std::size_t awaited = 0;
-    std::size_t remaining = 0;                          ///< Witnesses that have not restarted.
-    std::map<std::uint64_t, BudgetReservation> grants;  ///< By number.
+    std::size_t remaining = 0;                        ///< Witnesses that have not restarted.
+    std::map<std::string, BudgetReservation> grants;  ///< By request.
     std::function<void(SealedLease)> callback;
   };
   const std::size_t count = witnesses.size();
@@ -168,14 +168,15 @@
                  if (reply && reply->outcome == LedgerOutcome::Done) {
                    --sealing->needed;
                    for (LeaseGrant& grant : reply->grants) {
-                     sealing->grants.emplace(grant.number, std::move(grant.reservation));
+                     std::string request = grant.reservation.request;
+                     sealing->grants.emplace(std::move(request), std::move(grant.reservation));
                    }
                  }
                  SealedLease sealed;
                  sealed.isComplete = sealing->needed == 0;
                  sealed.isLost = sealing->remaining < quorum;
                  if (sealed.isComplete) {
-                   for (auto& [number, reservation] : sealing->grants) {
+                   for (auto& [request, reservation] : sealing->grants) {
                      sealed.grants.push_back(std::move(reservation));
                    }
                  }
--- a/src/ledger/lease_witness.cpp
+++ b/src/ledger/lease_witness.cpp
@@ -1,5 +1,6 @@
 #include "ledger/lease_witness.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gorsetrail::ledger {
@@ -26,6 +27,11 @@
   }
 }
 
+bool LeaseWitness::isOfAnotherLease(const Entry& entry, const LeaseGrant& grant) {
+  const auto stored = entry.grants.find(grant.number);
+  return stored != entry.grants.end() && stored->second.request != grant.reservation.request;
+}
+
 LeaseWitness::Outcome LeaseWitness::store(const StoreGrantsRequest& request, Instant now) {
   if (request.incarnation.empty() && request.grants.empty()) {
     const bool hasRoom = leases_.size() < knobs_.maximumLeases && bytes_ < knobs_.maximumBytes;
@@ -38,7 +44,10 @@
   if (entry == nullptr) {
     return Outcome::Full;
   }
-  if (entry->isSealed) {
+  const bool hasForeignGrant =
+      std::any_of(request.grants.begin(), request.grants.end(),
+                  [entry](const LeaseGrant& grant) { return isOfAnotherLease(*entry, grant); });
+  if (entry->isSealed || hasForeignGrant) {
     return Outcome::Refused;
   }
   dropRecorded(*entry, request.recordedBelow);
--- a/src/ledger/lease_witness.h
+++ b/src/ledger/lease_witness.h
@@ -54,8 +54,10 @@
  public:
   enum class Outcome : std::uint8_t {
     Stored,
-    Refused,  ///< For good: the lease is sealed, or another process was asked.
-    Full,     ///< For now.
+    /// For good: the lease is sealed, another process was asked, or a grant of this number is
+    /// another one, so that two leases are called by one id.
+    Refused,
+    Full,  ///< For now.
   };
 
   explicit LeaseWitness(std::string incarnation, LeaseWitnessKnobs knobs = {})
@@ -83,6 +85,7 @@
   /// \return the entry; null if there is none and no room for one.
   Entry* entryFor(const std::string& lease, Instant now);
   void dropRecorded(Entry& entry, std::uint64_t recordedBelow);
+  [[nodiscard]] static bool isOfAnotherLease(const Entry& entry, const LeaseGrant& grant);
   [[nodiscard]] static std::size_t bytesOf(const BudgetReservation& reservation);
 
   std::string incarnation_;
--- a/tests/ledger/lease_witness_test.cpp
+++ b/tests/ledger/lease_witness_test.cpp
@@ -50,6 +50,15 @@
   CHECK_FALSE(seal("a", "w0").has_value());
 }
 
+// Otherwise a holder that gives two leases one id would use grants that are stored nowhere.
+TEST(LeaseWitness, confirmsNoGrantInPlaceOfAnotherOne) {
+  CHECK(store("a", 1) == LeaseWitness::Outcome::Stored);
+  CHECK(store("a", 1) == LeaseWitness::Outcome::Stored);
+  const LeaseGrant other{{"other", "program", 10}, 1};
+  CHECK(witness.store({"a", "w1", {grant(2), other}, 0}, now) == LeaseWitness::Outcome::Refused);
+  LONGS_EQUAL(1, seal("a")->size());
+}
+
 TEST(LeaseWitness, forgetsRecordedGrants) {
   store("a", 1);
   store("a", 2);
