Budget accounts: settlements count in any order, and without their reservations

Cause (found while the table of records was written; no caller is known to have seen it): the last settlement of a request replaced the ones before it, so that a smaller one freed tokens that were handed out, and readers that applied them in another order disagreed. A settlement without its reservation counted nothing, although it proves what was handed out.

Change: of several settlements the largest counts, with or without the reservation; a revoked grant keeps what its records tell.

Ruled out: more refusals by tokens that count twice; a settlement counts what it says once, whatever came before.

--- a/src/ledger/budget_accounts.cpp
+++ b/src/ledger/budget_accounts.cpp
@@ -36,9 +36,9 @@
   if (usage == account->second.usageByRequest.end()) {
     return;
   }
-  if (usage->second.recordOffset == UINT64_MAX) {
+  if (usage->second.recordOffset == UINT64_MAX && !usage->second.settled) {
     account->second.usageByRequest.erase(usage);
-  } else {
+  } else if (usage->second.settled.value_or(0) == 0) {
     usage->second.offset = usage->second.recordOffset;
   }
 }
@@ -60,17 +60,20 @@
 
 bool BudgetAccounts::isRecorded(const BudgetSettlement& settlement) const {
   const RequestUsage* const usage = find(settlement.program, settlement.request);
-  return usage != nullptr && usage->isSettlementRecorded && usage->settled == settlement.tokens;
+  return usage != nullptr && usage->recordedSettlement >= settlement.tokens;
 }
 
 void BudgetAccounts::onSettlementRecorded(const BudgetSettlement& settlement) {
-  accounts_[settlement.program].usageByRequest[settlement.request].isSettlementRecorded = true;
+  RequestUsage& usage = accounts_[settlement.program].usageByRequest[settlement.request];
+  usage.recordedSettlement = std::max(usage.recordedSettlement, std::optional(settlement.tokens));
 }
 
 void BudgetAccounts::applySettlement(const BudgetSettlement& settlement, Instant now) {
   Account& account = accounts_[settlement.program];
   account.lastUpdatedAt = now;
-  account.usageByRequest[settlement.request].settled = settlement.tokens;
+  RequestUsage& usage = account.usageByRequest[settlement.request];
+  usage.settled = std::max(usage.settled.value_or(0), settlement.tokens);
+  usage.offset = settlement.tokens > 0 ? 0 : usage.offset;
 }
 
 std::uint64_t BudgetAccounts::tokensUsedBy(const std::string& program) const {
--- a/src/ledger/budget_accounts.h
+++ b/src/ledger/budget_accounts.h
@@ -20,7 +20,9 @@
 };
 
 /// Sums reservations and settlements by program. The order of the log decides between concurrent
-/// requests: each one counts all reservations with a lower offset.
+/// requests: each one counts all reservations with a lower offset. What each record counts does not
+/// depend on the order or the number of times in which a request's records are applied
+/// (docs/design/0011-budget-leases.md, "What the account holds of a program").
 class BudgetAccounts {
  public:
   /// Applies a reservation's record.
@@ -30,6 +32,8 @@
   void applyGrant(const BudgetReservation& reservation, Instant now);
   /// Takes back a grant that was not used. Records that were read of it still count.
   void revokeGrant(const BudgetReservation& reservation);
+  /// Applies a settlement, recorded or not. Its tokens were handed out, so they count from now on
+  /// even if the reservation is not known; of several settlements the largest counts.
   void applySettlement(const BudgetSettlement& settlement, Instant now);
   /// The settlement's record was read or appended.
   void onSettlementRecorded(const BudgetSettlement& settlement);
@@ -61,13 +65,13 @@
   [[nodiscard]] const RequestUsage* find(const std::string& program,
                                          const std::string& request) const;
   struct RequestUsage {
-    /// Of the request's first reservation record; 0 if it was granted before it was recorded.
+    /// Of the request's first reservation record; 0 if it is known to have been granted anyway.
     std::uint64_t offset = UINT64_MAX;
     std::uint64_t recordOffset = UINT64_MAX;  ///< Likewise, of records only.
     std::uint64_t reserved = 0;
     std::optional<Instant> reservedAt;  ///< When the first reservation became known.
     std::optional<std::uint64_t> settled;
-    bool isSettlementRecorded = false;
+    std::optional<std::uint64_t> recordedSettlement;  ///< The largest one in the log.
 
     [[nodiscard]] std::uint64_t tokens() const { return settled.value_or(reserved); }
   };
