Exchange: a turn settles what its client was handed, whole answers included

Cause (found while looking for the same cause elsewhere; no caller is known to have seen it): a success that is no event stream was passed on while the turn's reservation was pending, and settled with no tokens. Refusals and failures settled a literal 0, which is right only as long as nothing was written.

Change: such an answer is held until the reservation is granted, as events are, and counts what was reserved. All other ends settle the events written.

Tests: aSuccessThatIsNoStreamIsHeldTooAndCountsWhatWasReserved and ...IsNotSentBeyondTheBudget fail before. Ruled out: events of a service without an engine's description count one token each, as documented; that is left.

--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -297,6 +297,10 @@
   if (budget_ == BudgetState::Reserving || ended_) {
     return;
   }
+  if (wholeAnswerReceived_) {
+    sendWholeAnswer();
+    return;
+  }
   if (progress_.hasOutput()) {
     if (!firstEventAt_) {
       firstEventAt_ = context_.clock();
@@ -365,7 +369,7 @@
     failWithUnknownState(status, refusal.reason);
     return;
   }
-  settleBudget(0);
+  settleBudget(tokensHandedOut());
   writer_->sendWhole(context_.wire.makeRefusal(request_, refusal));
   end("refused_" + std::to_string(refusal.status), refusal.reason);
 }
@@ -374,7 +378,7 @@
   if (ended_) {
     return;
   }
-  settleBudget(0);
+  settleBudget(tokensHandedOut());
   writer_->sendWhole(context_.wire.makeRefusal(request_, {status, reason, Duration::zero()}));
   end("unknown_" + std::to_string(status), reason);
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -225,8 +225,10 @@
   void logReservationRefused(const ledger::ReservationReply& reply);
 
   // Answers to the client.
-  /// Sends buffered events to the client unless the reservation is pending.
+  /// Sends buffered events, or a whole response, to the client unless the reservation is pending.
   void releaseOutput();
+  /// Passes on the replica's response, which is no stream.
+  void sendWholeAnswer();
   /// Gives the answer the head of the current run, unless an earlier run has given it one.
   void keepStreamHead();
   /// Sends `streamHead_`, which must be set, if it was not sent yet.
@@ -328,6 +330,7 @@
     std::string lease;  ///< Empty: granted by the log.
   };
   Grant grant_;
+  bool wholeAnswerReceived_ = false;  ///< It is held while the reservation is pending.
   bool reservationMayExist_ = false;
   bool reservationRetried_ = false;
   bool holdsQuotaToken_ = false;
--- a/src/edge/exchange_replica.cpp
+++ b/src/edge/exchange_replica.cpp
@@ -343,8 +343,17 @@
     failWithUnknownState(kBadGateway, "replica_status_without_its_promise");
     return;
   }
+  wholeAnswerReceived_ = true;
+  const bool isSuccess = runHead_.status < kFirstFailureStatus;
+  if (!isSuccess || budget_ != BudgetState::Reserving) {
+    sendWholeAnswer();
+  }
+}
+
+void Exchange::sendWholeAnswer() {
   writer_->sendWhole({runHead_.status, runHeaders_, std::move(body_)});
-  settleBudget(0);
+  // A success that is no stream may hold as many tokens as were reserved.
+  settleBudget(runHead_.status < kFirstFailureStatus ? request_.maximumTokens : 0);
   end(runHead_.status < kFirstFailureStatus ? "answered" : "answered_failure", {});
 }
 
--- a/tests/edge/exchange_held_events_test.cpp
+++ b/tests/edge/exchange_held_events_test.cpp
@@ -196,6 +196,38 @@
   LONGS_EQUAL(0, ledger.settledTokens.front());
 }
 
+// How many tokens a success without events holds is not known.
+TEST(ExchangeHeldEvents, aSuccessThatIsNoStreamIsHeldTooAndCountsWhatWasReserved) {
+  CallRequest request = ExchangeWorld::turn("again");
+  request.maximumTokens = 80;
+  start(request);
+  world.call().head(200, {{"seal", "whole"}});
+  world.call().body("text");
+  world.call().done();
+  LONGS_EQUAL(0, client->status);
+  grantReservation();
+  LONGS_EQUAL(200, client->status);
+  STRCMP_EQUAL("text", client->body.c_str());
+  LONGS_EQUAL(1, ledger.settledTokens.size());
+  LONGS_EQUAL(80, ledger.settledTokens.front());
+}
+
+TEST(ExchangeHeldEvents, aSuccessThatIsNoStreamIsNotSentBeyondTheBudget) {
+  ScriptedLedger spent{{ledger::ReservationOutcome::Spent}, ledger::ReservationOutlook::Likely};
+  spent.timers = &world.timers;
+  spent.replyTime = kReservationTime;
+  EdgeContext other = world.contextWith(spent);
+  std::make_shared<Exchange>(other, ExchangeWorld::turn("again"),
+                             std::make_unique<FakeWriter>(client))
+      ->start();
+  world.call().head(200, {{"seal", "whole"}});
+  world.call().body("text");
+  world.call().done();
+  grantReservation();
+  LONGS_EQUAL(502, client->status);
+  STRCMP_EQUAL("budget_spent", client->body.c_str());
+}
+
 // Guards against a log line that tells of another status than the client received.
 TEST(ExchangeHeldEvents, areLoggedWithTheStatusThatTheClientReceived) {
   start();
