Planned stop: a request is taken only if its time fits, and open ones get an answer

Cause: requests were taken for 3 s after the signal, whatever the stop limit and the time that a request may need, and the process ended 0.7 s before the limit with whatever was open. With a limit of 8 s and deadlines of 4 s that fits; with a limit of 5 s, or a longer timeout, it does not.

--- a/lab/hostile/node_process.cpp
+++ b/lab/hostile/node_process.cpp
@@ -30,7 +30,8 @@
        << settings.addressOf(settings.directoryPort)
        << "\"\n[limits]\nmemoryMb = " << settings.memoryMb
        << "\nmaxFds = " << settings.maximumDescriptors << "\n[platform]\naddress = \""
-       << settings.storeAddress << "\"\nparts = 8\n";
+       << settings.storeAddress << "\"\nparts = 8\n[bounds]\ngraceS = " << settings.stopLimitS
+       << "\n";
   return path;
 }
 
--- a/lab/hostile/node_process.h
+++ b/lab/hostile/node_process.h
@@ -16,6 +16,7 @@
   std::string storeAddress;
   unsigned memoryMb = 64;
   unsigned maximumDescriptors = 1024;
+  unsigned stopLimitS = 8;  ///< A planned stop ends before it.
   std::uint16_t clientPort = 21700;
   std::uint16_t readinessPort = 21701;
   std::uint16_t controlPort = 21702;
--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
+#include <unordered_map>
 
 #include "base/time.h"
 #include "edge/answer_memory.h"
@@ -11,6 +13,7 @@
 #include "edge/event_log.h"
 #include "edge/retry_control.h"
 #include "edge/run_history_directory.h"
+#include "edge/stop_schedule.h"
 #include "edge/stream_origin_directory.h"
 #include "edge/survival_proofs.h"
 #include "edge/turn_retention_policy.h"
@@ -102,6 +105,8 @@
   Duration maximumConfigurationAge = milliseconds(1800);
 };
 
+class Exchange;
+
 /// Services, tables and settings that requests use. Owned by the daemon or a test; outlives every
 /// exchange.
 struct EdgeContext {
@@ -118,7 +123,7 @@
   EdgeCounters counters;
   StoreReadTimes storeReadTimes;  ///< Last successful reads of the store.
   ExchangeKnobs knobs;
-  bool takesRequests = true;  ///< False during the last phase of a planned stop.
+  std::optional<StopSchedule> stop{};  ///< Set during a planned stop.
   TurnRetentionPolicy retention{};
   /// Limits programs that start; empty: they are limited at each replica only.
   std::optional<routing::ProgramAdmission> programAdmission{};
@@ -136,6 +141,8 @@
   /// Null: interrupted runs are settled by registrations only.
   SurvivalProofs* survivalProofs = nullptr;
   AnswerMemory answerMemory{kDefaultAnswerBytes};
+  /// Exchanges that have begun and not ended.
+  std::unordered_map<const Exchange*, std::weak_ptr<Exchange>> openExchanges{};
 };
 
 }  // namespace gorsetrail::edge
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -25,13 +25,6 @@
 constexpr Duration kSweepPeriod = seconds(10);
 constexpr Duration kLeasePeriod = seconds(1);
 constexpr Duration kStopCheckPeriod = milliseconds(100);
-/// Requests are accepted for this time after the stop signal, because clients cache this node's
-/// address after it left the directory. Later requests are refused as not executed, because the
-/// process may end before they finish.
-constexpr Duration kAcceptAfterStop = milliseconds(3000);
-constexpr Duration kMinimumStopTime = milliseconds(3200);
-/// Part of the stop limit reserved for the end of the process.
-constexpr Duration kStopMargin = milliseconds(700);
 /// Time to live of directory answers; bounds how long clients use the address of a dead node.
 constexpr double kAddressTtlSeconds = 1.0;
 /// When a request comes back for which there was no memory: by then requests that stalled have
@@ -186,7 +179,7 @@
                {},
                {},
                exchangeKnobsOf(settings_),
-               true,
+               std::nullopt,
                TurnRetentionPolicy(turnRetentionKnobsOf(settings_)),
                programAdmissionOf(settings_),
                &serviceTimes_,
@@ -491,14 +484,13 @@
 }
 
 void EdgeDaemon::onClientRequest(http::ServerRequest request, http::ResponseWriterPtr writer) {
-  context_.takesRequests = !stopping_ || clock_() - stopStartedAt_ < kAcceptAfterStop;
   std::make_shared<Exchange>(context_, dependencies_.wire.readRequest(std::move(request)),
                              std::move(writer))
       ->start();
 }
 
 bool EdgeDaemon::isReady() const {
-  return !stopping_ && routes_.inForce() != nullptr && evacuations_.isKnown() &&
+  return !context_.stop && routes_.inForce() != nullptr && evacuations_.isKnown() &&
          replicas_.size() > 0;
 }
 
@@ -577,12 +569,12 @@
 }
 
 void EdgeDaemon::leaseLoop() {
-  if (stopping_) {
+  if (context_.stop) {
     ledger_.releaseLeases();
   } else {
     ledger_.maintainLeases();
   }
-  timers_->runAfter(stopping_ ? kStopCheckPeriod : kLeasePeriod, [this] { leaseLoop(); });
+  timers_->runAfter(context_.stop ? kStopCheckPeriod : kLeasePeriod, [this] { leaseLoop(); });
 }
 
 void EdgeDaemon::reload(EdgeSettings settings) {
@@ -600,11 +592,10 @@
 }
 
 void EdgeDaemon::beginStop(std::function<void()> onStopped) {
-  if (stopping_) {
+  if (context_.stop) {
     return;
   }
-  stopping_ = true;
-  stopStartedAt_ = earliestStopSignalTime();
+  context_.stop.emplace(earliestStopSignalTime(), settings_.bounds.stopLimit);
   onStopped_ = std::move(onStopped);
   log_.logImportant("stop_begun", {{"open_requests", clientServer_->counters().responsesOpen}});
   announce(true);
@@ -623,13 +614,15 @@
 }
 
 void EdgeDaemon::checkStopped() {
-  const Duration since = clock_() - stopStartedAt_;
+  const Instant now = clock_();
+  if (now >= context_.stop->finalAnswersAt()) {
+    endOpenRequests();
+  }
   const std::uint64_t open = clientServer_->counters().responsesOpen;
-  const bool isLimitReached = since >= settings_.bounds.stopLimit - kStopMargin;
   // Reservations whose settlements end with this process would count in full.
   const std::uint64_t unsettled = settlementsWaiting();
-  const bool isDone = since >= kMinimumStopTime && open == 0 && unsettled == 0;
-  if (isDone || isLimitReached) {
+  const bool isDone = now >= context_.stop->earliestExitAt() && open == 0 && unsettled == 0;
+  if (isDone || now >= context_.stop->latestExitAt()) {
     log_.logImportant("stopped", {{"open_requests", open}, {"settlements_waiting", unsettled}});
     log_.flush();
     onStopped_();
@@ -638,6 +631,15 @@
   timers_->runAfter(kStopCheckPeriod, [this] { checkStopped(); });
 }
 
+void EdgeDaemon::endOpenRequests() {
+  const auto open = context_.openExchanges;  // Each one leaves the table when it ends.
+  for (const auto& [address, weak] : open) {
+    if (const auto exchange = weak.lock()) {
+      exchange->onStopLimit();
+    }
+  }
+}
+
 std::uint64_t EdgeDaemon::settlementsWaiting() const {
   return ledger_.settlementsWaiting() + localLedger_.unrecordedSettlements();
 }
--- a/src/edge/edge_daemon.h
+++ b/src/edge/edge_daemon.h
@@ -188,6 +188,8 @@
   /// handling if the process was suspended.
   [[nodiscard]] Instant earliestStopSignalTime() const;
   void checkStopped();
+  /// Gives all requests that are still open their final answers.
+  void endOpenRequests();
   /// \return settlements that this node keeps because no coordinator or the store took them yet.
   [[nodiscard]] std::uint64_t settlementsWaiting() const;
   [[nodiscard]] EdgeSnapshot snapshot() const;
@@ -315,8 +317,6 @@
   std::set<std::string, std::less<>> everReadTopics_;
   Instant startedAt_;
   std::optional<Instant> storeRecoveredAt_;
-  bool stopping_ = false;
-  Instant stopStartedAt_;
   Instant lastFlushAt_;  ///< Time of the last run of `flushLoop`.
   std::function<void()> onStopped_;
 };
--- a/src/edge/edge_daemon_followers.cpp
+++ b/src/edge/edge_daemon_followers.cpp
@@ -355,7 +355,7 @@
     membersListed_ = true;
     unreadableRecords_.onListed(RecordKind::Member, keys);
     log_.logImportant("members_listed", {{"count", std::uint64_t{keys.size()}}});
-    if (!stopping_) {
+    if (!context_.stop) {
       ledger_.maintainLeases();  // Immediately, because the store may become unavailable before the
                                  // next run of `leaseLoop`.
     }
--- a/src/edge/exchange.cpp
+++ b/src/edge/exchange.cpp
@@ -24,10 +24,7 @@
       progress_(request_.lastEventId) {}
 
 void Exchange::start() {
-  if (!context_.takesRequests) {
-    refuse({kUnavailable, "stopping", context_.knobs.retryAfterStop});
-    return;
-  }
+  context_.openExchanges.emplace(this, weak_from_this());
   RequestCheck check = checkRequest(context_, request_, arrivedAt_);
   checked_ = std::move(check.request);
   if (check.refusal) {
@@ -38,6 +35,10 @@
   const Duration allowed =
       std::min(request_.deadline.value_or(checked_.route->timeout), checked_.route->timeout);
   deadlineAt_ = arrivedAt_ + allowed;
+  if (context_.stop && !context_.stop->takes(arrivedAt_, allowed)) {
+    refuse({kUnavailable, "stopping", context_.knobs.retryAfterStop});
+    return;
+  }
   deadlineTimer_ = context_.timers.startTimer(std::max(Duration::zero(), allowed - kAnswerMargin),
                                               [weak = weak_from_this()] {
                                                 if (const auto self = weak.lock()) {
@@ -400,12 +401,23 @@
   if (ended_) {
     return;
   }
+  endUnfinished(kGatewayTimeout, "deadline", Duration::zero());
+}
+
+void Exchange::onStopLimit() {
+  if (!ended_) {
+    endUnfinished(kBadGateway, "stopping", context_.knobs.retryAfterStop);
+  }
+}
+
+void Exchange::endUnfinished(unsigned unknownStatus, const std::string& reason,
+                             Duration retryAfter) {
   if (streamBegun_) {
-    abortAnswer("deadline");
+    abortAnswer(reason);
   } else if (mayHaveRun_ || call_) {
-    failWithUnknownState(kGatewayTimeout, "deadline");
+    failWithUnknownState(unknownStatus, reason);
   } else {
-    refuse({kUnavailable, "deadline", Duration::zero()});
+    refuse({kUnavailable, reason, retryAfter});
   }
 }
 
@@ -431,6 +443,7 @@
 
 void Exchange::end(std::string_view outcome, std::string_view reason) {
   ended_ = true;
+  context_.openExchanges.erase(this);
   deadlineTimer_.reset();
   noDataTimer_.reset();
   holdTimer_.reset();
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -41,6 +41,9 @@
 
   /// Starts the exchange. Pending callbacks keep it alive until it has ended.
   void start();
+  /// The node ends: gives the final answer now. It makes no claim about execution if the request
+  /// may have run.
+  void onStopLimit();
 
  private:
   enum class BudgetState : std::uint8_t { NotNeeded, Reserving, Granted };
@@ -244,6 +247,8 @@
   /// Closes the connection amid a stream; before the stream's head, answers with 502 instead.
   void abortAnswer(const std::string& reason);
   void onDeadline();
+  /// Ends the request with a final answer whose reason is given.
+  void endUnfinished(unsigned unknownStatus, const std::string& reason, Duration retryAfter);
   void onClientDisconnected();
   /// Logs the outcome and releases everything that the request holds.
   void end(std::string_view outcome, std::string_view reason);
--- a/tests/edge/exchange_retention_test.cpp
+++ b/tests/edge/exchange_retention_test.cpp
@@ -152,7 +152,7 @@
 TEST(ExchangeRetention, releasesHeldEndsDuringAPlannedStop) {
   makeStoreUnavailable();
   const auto held = startAndRun("q1");
-  world.context.takesRequests = false;
+  world.context.stop.emplace(world.timers.now - seconds(4), seconds(60));
   const auto refused = world.start(turn("q2"));
   LONGS_EQUAL(503, refused->status);
   CHECK_FALSE(held->whole);
--- a/tests/edge/exchange_test.cpp
+++ b/tests/edge/exchange_test.cpp
@@ -39,7 +39,7 @@
                       {},
                       {},
                       {},
-                      true};
+                      std::nullopt};
   auto client = std::make_shared<ClientView>();
   std::make_shared<Exchange>(context, ExchangeWorld::request("safe"),
                              std::make_unique<FakeWriter>(client))
@@ -208,12 +208,39 @@
 }
 
 TEST(Exchange, refusesRequestsInTheLastPhaseOfAStop) {
-  world.context.takesRequests = false;
+  world.context.stop.emplace(world.timers.now - seconds(4), seconds(60));
   const auto client = world.start(ExchangeWorld::request("unsafe"));
   LONGS_EQUAL(503, client->status);
   LONGS_EQUAL(0, world.dispatches());
 }
 
+// A request that was taken late would be cut off by the end of the process.
+TEST(Exchange, refusesRequestsThatMayNeedLongerThanTheStopLasts) {
+  world.context.stop.emplace(world.timers.now, seconds(4));
+  CallRequest longer = ExchangeWorld::request("unsafe");
+  longer.deadline = milliseconds(3400);
+  const auto refused = world.start(longer);
+  LONGS_EQUAL(503, refused->status);
+  STRCMP_EQUAL("stopping", refused->body.c_str());
+  LONGS_EQUAL(0, world.dispatches());
+  CallRequest shorter = ExchangeWorld::request("unsafe");
+  shorter.requestId = "q2";
+  shorter.deadline = milliseconds(3300);
+  world.start(shorter);
+  LONGS_EQUAL(1, world.dispatches());
+}
+
+TEST(Exchange, givesOpenRequestsAFinalAnswerBeforeTheProcessEnds) {
+  const auto sent = world.start(ExchangeWorld::request("unsafe"));
+  LONGS_EQUAL(1, world.context.openExchanges.size());
+  world.context.openExchanges.begin()->second.lock()->onStopLimit();
+  LONGS_EQUAL(502, sent->status);
+  STRCMP_EQUAL("stopping", sent->body.c_str());
+  CHECK_TRUE(sent->whole);
+  CHECK_TRUE(world.call().cancelled);
+  LONGS_EQUAL(0, world.context.openExchanges.size());
+}
+
 TEST(Exchange, logsEveryFailedRequestWithItsReason) {
   world.start(ExchangeWorld::request("unsafe"));
   world.call().fail(http::FailureStage::Broken);
--- a/tests/edge/exchange_world.h
+++ b/tests/edge/exchange_world.h
@@ -192,7 +192,7 @@
   /// \return the fixture's context with another ledger.
   EdgeContext contextWith(ledger::Ledger& otherLedger) {
     return {wire,          routes,   placement, otherLedger, quota, client, timers,
-            context.clock, eventLog, metrics,   {},          {},    {},     true};
+            context.clock, eventLog, metrics,   {},          {},    {},     std::nullopt};
   }
 
   static routing::Route route(const std::string& name, routing::RouteKind kind,
@@ -291,9 +291,10 @@
   routing::SignOfLifeRule signOfLifeRule;
   routing::ReplicaPlacement placement{
       replicas, selector, admission, {&softwareVersionRule, &signOfLifeRule}};
-  EdgeContext context{
-      wire,     routes,  placement, ledger, quota, client, timers, [this] { return timers.now; },
-      eventLog, metrics, {},        {},     {},    true};
+  EdgeContext context{wire,     routes,      placement, ledger,
+                      quota,    client,      timers,    [this] { return timers.now; },
+                      eventLog, metrics,     {},        {},
+                      {},       std::nullopt};
 };
 
 }  // namespace gorsetrail::edge::testing
--- a/tests/hostile_clients/hostile_group.h
+++ b/tests/hostile_clients/hostile_group.h
@@ -25,11 +25,11 @@
   std::unique_ptr<HostileWorld> world;
   std::unique_ptr<HostileCrowd> crowd;
   std::string directory;
+  NodeProcessSettings settings;
 
   void setup() override {
     const auto process = static_cast<unsigned>(::getpid());
     constexpr unsigned kByte = 256;
-    NodeProcessSettings settings;
     settings.ip = "127." + std::to_string(1 + (process / kByte) % (kByte - 2)) + "." +
                   std::to_string(process % kByte) + ".9";
     settings.memoryMb = kMemoryMb;
