Endless answers: fifty replicas at a real node; checks of silent replicas pool one connection

What callers saw (report of another operator): bytes without end that were no answer took the memory of the node that had called, and the requests of others ended with it.

Cause of what did break: each request checks a silent replica and a witness each 0.4 s, and every connection of these checks went to the pool, 16 an address: 1124 descriptors where the settings allow 1024 (interimAnswers). Change: the pool takes one only where it has none.

--- a/lab/hostile/raw_replica.cpp
+++ b/lab/hostile/raw_replica.cpp
@@ -71,10 +71,23 @@
     if (output_.empty()) {
       return;
     }
-    asio::async_write(socket_, asio::buffer(output_),
-                      [self = shared_from_this()](const error_code& error, std::size_t) {
-                        if (!error) {
-                          self->readHead();
+    write(output_, [this] { (*replica_.lock())->endless.empty() ? readHead() : writeEndless(); });
+  }
+
+  /// Until the node closes the connection, or the replica is gone.
+  void writeEndless() {
+    const auto replica = replica_.lock();
+    (*replica)->endlessBytes += (*replica)->endless.size();
+    write((*replica)->endless, [this] { writeEndless(); });
+  }
+
+  /// Continues after the write unless it failed or the replica is gone.
+  void write(const std::string& text, std::function<void()> onWritten) {
+    asio::async_write(socket_, asio::buffer(text),
+                      [self = shared_from_this(), onWritten = std::move(onWritten)](
+                          const error_code& error, std::size_t) {
+                        if (!error && !self->replica_.expired()) {
+                          onWritten();
                         }
                       });
   }
--- a/lab/hostile/raw_replica.h
+++ b/lab/hostile/raw_replica.h
@@ -26,6 +26,9 @@
   [[nodiscard]] std::string registration(const std::string& service) const;
 
   std::vector<std::string> requestIds;  ///< In the order of their arrival.
+  /// Sent after each answer, again and again; empty: nothing. Fixed before the first request.
+  std::string endless;
+  std::size_t endlessBytes = 0;  ///< Sent of it.
 
  private:
   class Connection;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -48,7 +48,8 @@
       return;
     }
     const auto pool = pool_.lock();
-    if (!error && pool) {
+    // While replicas are silent, each request checks them again and again.
+    if (!error && pool && !pool->hasIdle(address_)) {
       error_code ignored;
       socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
       setTcpUserTimeout(socket_);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -98,7 +98,8 @@
   /// Closes the idle connections to an address whose process is known to have ended. A machine
   /// that lost power sends no FIN, so a request on such a connection would run into its timeout.
   virtual void closeIdleConnections(const std::string& /*address*/) {}
-  /// Opens a connection and adds it to the pool if it is established. Calls back once:
+  /// Opens a connection and adds it to the pool if it is established and the pool has none to the
+  /// address. Calls back once:
   /// `reachable` is true when the connection was established, refused or reset within `limit`,
   /// and false on a timeout or another error.
   virtual void checkReachable(const std::string& address, Duration limit,
