Streams: the only version of a service must be as old as a stream may be

What callers saw (report of another operator): after all nodes were killed while two versions were in service, streams were continued with 200 and joined from both.

Cause: a stream that no node remembers is continued if the service has had a single version for 20 s. A stream lasts up to 4 times its route's timeout: with a timeout above 5 s it may have begun before these 20 s, at the version that has left, and after the loss of all nodes no record says so.

Change: the history must reach back as long as a stream of the route may last; it remembers versions for 600 s, and longer streams are not continued without a record.

Tests: aStreamThatMayBeOlderThanTheKnownVersionsIsNotContinued and two of SoftwareVersionHistory; the former code has no such argument and answers v2 for any age after 20 s.

--- a/src/edge/edge_context.h
+++ b/src/edge/edge_context.h
@@ -133,9 +133,10 @@
   routing::TenantShares* tenantShares = nullptr;  ///< Null: tenants have no shares.
   /// Null: streams are not followed across requests.
   StreamOriginDirectory* streamOrigins = nullptr;
-  /// Returns the software version of the service if it has had only one for as long as streams
-  /// last; see `routing::SoftwareVersionHistory`. Empty: never known.
-  std::function<std::optional<std::string>(std::string_view service)> onlyVersionOf{};
+  /// Returns the software version of the service if it has had only one since its streams of this
+  /// lifetime may have begun; see `routing::SoftwareVersionHistory`. Empty: never known.
+  std::function<std::optional<std::string>(std::string_view service, Duration streamLifetime)>
+      onlyVersionOf{};
   /// Null: ended replicas are not counted by request.
   RunHistoryDirectory* runHistories = nullptr;
   /// Null: interrupted runs are settled by registrations only.
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -186,8 +186,8 @@
                RetryControl(retryControlKnobsOf(settings_), seed),
                usesTenantShares(settings_) ? &tenantShares_ : nullptr,
                &requestRecords_,
-               [this](std::string_view service) {
-                 return versionHistory_.onlyVersionOf(service, replicas_, clock_());
+               [this](std::string_view service, Duration streamLifetime) {
+                 return versionHistory_.onlyVersionOf(service, replicas_, streamLifetime, clock_());
                },
                &requestRecords_.runHistories(),
                &survivalProofs_,
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -110,6 +110,8 @@
   /// \return whether the client has received a part of the stream from an earlier attempt.
   [[nodiscard]] bool continuesStream() const;
   /// \return the identity of the stream, which is the same in all attempts that continue it.
+  /// \return the age that a stream may have when its client continues it.
+  [[nodiscard]] Duration streamLifetime() const;
   [[nodiscard]] routing::RequestKey streamId() const;
   /// Finds out which software began the stream, if the request continues one.
   void findStreamOrigin();
--- a/src/edge/exchange_stream_origin.cpp
+++ b/src/edge/exchange_stream_origin.cpp
@@ -29,6 +29,10 @@
   return routing::streamIdOf(tenant::scopedName(checked_.tenantName(), first));
 }
 
+Duration Exchange::streamLifetime() const {
+  return std::max(kMinimumLifetime, checked_.route->timeout * kLifetimeInTimeouts);
+}
+
 void Exchange::findStreamOrigin() {
   if (context_.streamOrigins == nullptr || !continuesStream()) {
     checkQuota();
@@ -60,7 +64,7 @@
 void Exchange::continueAtOnlyVersion(const OriginLookup& lookup) {
   const bool hasOneService = checked_.route->services.size() == 1;
   const auto version = hasOneService && context_.onlyVersionOf
-                           ? context_.onlyVersionOf(checked_.service)
+                           ? context_.onlyVersionOf(checked_.service, streamLifetime())
                            : std::nullopt;
   const Duration waited = context_.clock() - arrivedAt_;
   if (!version || waited >= context_.knobs.versionCheckTimeLimit) {
@@ -148,9 +152,8 @@
   if (context_.streamOrigins == nullptr || !checked_.route->resumable) {
     return;
   }
-  const Duration keepFor =
-      std::max(kMinimumLifetime, checked_.route->timeout * kLifetimeInTimeouts);
-  context_.streamOrigins->record(streamId(), {checked_.service, *softwareVersion_}, keepFor);
+  context_.streamOrigins->record(streamId(), {checked_.service, *softwareVersion_},
+                                 streamLifetime());
 }
 
 }  // namespace gorsetrail::edge
--- a/src/routing/software_version_history.cpp
+++ b/src/routing/software_version_history.cpp
@@ -1,10 +1,12 @@
 #include "routing/software_version_history.h"
 
+#include <algorithm>
+
 namespace gorsetrail::routing {
 
 void SoftwareVersionHistory::onSeen(const ReplicaEntry& entry, Instant now) {
   auto& versions = lastSeen_[entry.service];
-  std::erase_if(versions, [&](const auto& seen) { return seen.second + knobs_.lookback < now; });
+  std::erase_if(versions, [&](const auto& seen) { return seen.second + knobs_.maximumLookback < now; });
   versions[entry.softwareVersion] = now;
 }
 
@@ -17,9 +19,10 @@
 
 std::optional<std::string> SoftwareVersionHistory::onlyVersionOf(std::string_view service,
                                                                  const ReplicaTable& replicas,
+                                                                 Duration streamLifetime,
                                                                  Instant now) const {
-  const Instant begin = now - knobs_.lookback;
-  if (!knownSince_ || *knownSince_ > begin || now - freshAt_ > knobs_.maximumGap) {
+  const Instant begin = now - std::max(streamLifetime, knobs_.minimumLookback);
+  if (streamLifetime > knobs_.maximumLookback || !knownSince_ || *knownSince_ > begin || now - freshAt_ > knobs_.maximumGap) {
     return std::nullopt;
   }
   std::optional<std::string> only;
--- a/src/routing/software_version_history.h
+++ b/src/routing/software_version_history.h
@@ -13,9 +13,11 @@
 
 /// Settings of `SoftwareVersionHistory`.
 struct SoftwareVersionHistoryKnobs {
-  /// How far back versions count: a stream's lifetime, and the time that a replica may serve after
-  /// its registration has gone.
-  Duration lookback = seconds(20);
+  /// How far back versions count at least: a replica may serve so long after its registration has
+  /// gone.
+  Duration minimumLookback = seconds(20);
+  /// How far back versions are remembered. Streams that may be older are of unknown versions.
+  Duration maximumLookback = seconds(600);
   /// A longer pause between two reads of the registrations ends the known history, because replicas
   /// may have come and gone meanwhile.
   Duration maximumGap = seconds(3);
@@ -32,9 +34,12 @@
   void onSeen(const ReplicaEntry& entry, Instant now);
   /// Called when all registrations have been read up to `readAt`.
   void onFresh(Instant readAt);
-  /// \return the version, if all replicas that the service has had within the lookback ran it.
+  /// \param streamLifetime the age that a stream of the service may have.
+  /// \return the version, if all replicas ran it that the service has had since the oldest stream
+  /// may have begun.
   [[nodiscard]] std::optional<std::string> onlyVersionOf(std::string_view service,
                                                          const ReplicaTable& replicas,
+                                                         Duration streamLifetime,
                                                          Instant now) const;
 
  private:
--- a/tests/edge/exchange_stream_version_test.cpp
+++ b/tests/edge/exchange_stream_version_test.cpp
@@ -151,7 +151,7 @@
 }
 
 TEST(ExchangeStreamVersion, aStreamOfAServiceWithOneVersionIsContinuedAfterANewerRead) {
-  world.context.onlyVersionOf = [](std::string_view) { return std::string("v3"); };
+  world.context.onlyVersionOf = [](std::string_view, Duration) { return std::string("v3"); };
   const auto client = continueStream();
   LONGS_EQUAL(0, world.dispatches());
   world.context.storeReadTimes.replicasReadAt = world.timers.now;
@@ -159,8 +159,29 @@
   STRCMP_EQUAL("r3", askedReplica().c_str());
 }
 
+// After the loss of all nodes no record is left, and the versions that a node has seen since tell
+// nothing of a stream that may have begun before.
+TEST(ExchangeStreamVersion, aStreamThatMayBeOlderThanTheKnownVersionsIsNotContinued) {
+  world.context.onlyVersionOf = [](std::string_view, Duration streamLifetime) {
+    return streamLifetime <= seconds(30) ? std::optional<std::string>("v3") : std::nullopt;
+  };
+  world.context.storeReadTimes.replicasReadAt = world.timers.now + seconds(1);
+  continueStream("short");
+  LONGS_EQUAL(1, world.dispatches());
+  auto longer = std::make_shared<routing::Configuration>(*world.routes.inForce());
+  longer->version = routing::ConfigurationVersion(2);
+  for (routing::Route& route : longer->routes) {
+    route.timeout = seconds(8);
+  }
+  world.routes.apply(longer);
+  const auto client = continueStream("long");
+  LONGS_EQUAL(503, client->status);
+  STRCMP_EQUAL("stream_origin_unknown", client->body.c_str());
+  LONGS_EQUAL(1, world.dispatches());
+}
+
 TEST(ExchangeStreamVersion, aStreamOfAServiceWithOneVersionIsNotContinuedOnAnOldRead) {
-  world.context.onlyVersionOf = [](std::string_view) { return std::string("v3"); };
+  world.context.onlyVersionOf = [](std::string_view, Duration) { return std::string("v3"); };
   const auto client = continueStream();
   wait(world.context.knobs.versionCheckTimeLimit);
   checkRefusedWithoutDispatch(client, "stream_origin_unknown");
--- a/tests/routing/software_version_history_test.cpp
+++ b/tests/routing/software_version_history_test.cpp
@@ -33,7 +33,9 @@
       history.onFresh(now);
     }
   }
-  std::string only() const { return history.onlyVersionOf("model", replicas, now).value_or("-"); }
+  std::string only(Duration streamLifetime = seconds(16)) const {
+    return history.onlyVersionOf("model", replicas, streamLifetime, now).value_or("-");
+  }
 };
 
 TEST(SoftwareVersionHistory, needsAHistoryAsLongAsStreamsLast) {
@@ -67,3 +69,24 @@
   run(20);
   STRCMP_EQUAL("v1", only().c_str());
 }
+
+// All nodes were killed: what they know begins after a long stream did, at replicas that have left.
+TEST(SoftwareVersionHistory, doesNotKnowTheVersionOfStreamsThatMayBeOlder) {
+  registerReplica("r2", "v2");
+  run(60);
+  STRCMP_EQUAL("v2", only(seconds(58)).c_str());
+  STRCMP_EQUAL("-", only(seconds(61)).c_str());
+  run(1000);
+  STRCMP_EQUAL("v2", only(seconds(600)).c_str());
+  STRCMP_EQUAL("-", only(seconds(601)).c_str());
+}
+
+TEST(SoftwareVersionHistory, remembersVersionsForLongStreams) {
+  registerReplica("r1", "v1");
+  run(300);
+  registerReplica("r2", "v2");
+  removeReplica("r1", "v1");
+  run(100);
+  STRCMP_EQUAL("v2", only().c_str());
+  STRCMP_EQUAL("-", only(seconds(120)).c_str());
+}
