--- a/src/routing/software_version_history.cpp
+++ b/src/routing/software_version_history.cpp
@@ -6,7 +6,8 @@
 
 void SoftwareVersionHistory::onSeen(const ReplicaEntry& entry, Instant now) {
   auto& versions = lastSeen_[entry.service];
-  std::erase_if(versions, [&](const auto& seen) { return seen.second + knobs_.maximumLookback < now; });
+  std::erase_if(versions,
+                [&](const auto& seen) { return seen.second + knobs_.maximumLookback < now; });
   versions[entry.softwareVersion] = now;
 }
 
@@ -22,7 +23,8 @@
                                                                  Duration streamLifetime,
                                                                  Instant now) const {
   const Instant begin = now - std::max(streamLifetime, knobs_.minimumLookback);
-  if (streamLifetime > knobs_.maximumLookback || !knownSince_ || *knownSince_ > begin || now - freshAt_ > knobs_.maximumGap) {
+  if (streamLifetime > knobs_.maximumLookback || !knownSince_ || *knownSince_ > begin ||
+      now - freshAt_ > knobs_.maximumGap) {
     return std::nullopt;
   }
   std::optional<std::string> only;
